Lay out the workspace and the interfaces that the parts share

Cause: the parts (data path, claims, decisions, stand-ins, platform) are to be built side by side, so their borders come first.

--- /dev/null
+++ b/core/config/config.go
@@ -0,0 +1,142 @@
+// Package config is the deployment configuration: teams, models, adapters,
+// upstreams, services, classes, limits and presets. It is one versioned JSON
+// document, agreed through the table service and the same on every host.
+package config
+
+import "peridotpier.example/core/class"
+
+// Config is one whole deployment configuration.
+type Config struct {
+	Site        string      `json:"site"`
+	DataCentres []string    `json:"data_centres"`
+	Teams       []Team      `json:"teams"`
+	Pools       []Pool      `json:"pools"`
+	Models      []Model     `json:"models"`
+	Adapters    []Adapter   `json:"adapters"`
+	Upstreams   []Upstream  `json:"upstreams"`
+	Services    []Service   `json:"services"`
+	Classes     []ClassRule `json:"classes"`
+	Presets     []Preset    `json:"presets"`
+	WeightStore WeightStore `json:"weight_store"`
+	Limits      Limits      `json:"limits"`
+}
+
+// Team is one party whose work no other may see.
+type Team struct {
+	Name      string     `json:"name"`
+	KeyHashes []string   `json:"key_hashes"` // SHA-256 of each accepted key, hex; two while a key is rotated
+	Models    []string   `json:"models"`     // models and adapters it may call; "*" for all
+	Services  []string   `json:"services"`   // services it may call; "*" for all
+	Weight    int        `json:"weight"`     // share under contention, 1 to 1000
+	Limits    TeamLimits `json:"limits"`
+}
+
+// TeamLimits hold over all entry hosts together, within the error that
+// docs/design states.
+type TeamLimits struct {
+	RequestsPerSecond float64 `json:"requests_per_second"` // 0: no limit
+	Concurrent        int     `json:"concurrent"`          // 0: no limit
+}
+
+// PoolKind tells what a pool's upstreams are.
+type PoolKind string
+
+// The kinds of pool.
+const (
+	KindEngine  PoolKind = "engine"
+	KindService PoolKind = "service"
+)
+
+// Pool is a group of upstreams that are planned together.
+type Pool struct {
+	Name string   `json:"name"`
+	Kind PoolKind `json:"kind"`
+}
+
+// Model is a base model that engines of its pool can load.
+type Model struct {
+	Name            string `json:"name"`
+	Pool            string `json:"pool"`
+	Version         string `json:"version"`
+	MemoryMB        int    `json:"memory_mb"`         // of accelerator memory for one replica
+	MinReplicas     int    `json:"min_replicas"`      // ready at all times; 0: loaded on demand
+	MaxOnDemandSecs int    `json:"max_on_demand_s"`   // for MinReplicas 0: the stated bound to become ready
+	Replicas        int    `json:"initial_replicas"`  // to start with; planner decides later
+	TokensPerSecond int    `json:"tokens_per_second"` // one stream alone on an engine
+}
+
+// Adapter is a small set of weights upon a base model.
+type Adapter struct {
+	Name     string `json:"name"`
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	MemoryMB int    `json:"memory_mb"`
+}
+
+// Fencing tells what an upstream does with an order's fencing number.
+type Fencing string
+
+// The ways of engines with old fencing numbers.
+const (
+	FencingChecked Fencing = "checked" // refuses an order under an old number
+	FencingIgnored Fencing = "ignored" // carries out any order
+)
+
+// Upstream is one model engine or one instance of a plain service.
+type Upstream struct {
+	Name         string  `json:"name"`
+	Pool         string  `json:"pool"`
+	Address      string  `json:"address"` // IP:port
+	DataCentre   string  `json:"data_centre"`
+	Accelerators int     `json:"accelerators"`
+	MemoryMB     int     `json:"memory_mb"` // accelerator memory for weights
+	MaxBatch     int     `json:"max_batch"` // requests at once
+	Fencing      Fencing `json:"fencing"`
+}
+
+// Service is a plain service beside the engines.
+type Service struct {
+	Name   string         `json:"name"`
+	Pool   string         `json:"pool"`
+	Routes []ServiceRoute `json:"routes"` // first match counts; no match: repeatable only for GET and HEAD
+}
+
+// ServiceRoute declares how calls to a part of a service may be treated.
+type ServiceRoute struct {
+	Method     string `json:"method"` // "*" for any
+	Prefix     string `json:"prefix"` // of the path below the service
+	Repeatable bool   `json:"repeatable"`
+}
+
+// ClassRule states what a class promises.
+type ClassRule struct {
+	Class        class.Class `json:"class"`
+	FirstTokenMs int         `json:"first_token_ms"` // target for the first byte of the answer
+	DeadlineMs   int         `json:"deadline_ms"`    // default deadline for the whole answer
+	QueueMax     int         `json:"queue_max"`      // waiting requests of this class on one host
+}
+
+// Preset is one way of running the site; exactly one is in force.
+type Preset struct {
+	Name            string  `json:"name"`
+	UrgentHeadroom  float64 `json:"urgent_headroom"`  // share of dispatch slots only urgent requests may use, 0 to 0.9
+	MovesPerMinute  float64 `json:"moves_per_minute"` // over all planners
+	SpreadThreshold float64 `json:"spread_threshold"` // utilisation above which another replica earns its load
+	BulkShare       float64 `json:"bulk_share"`       // most of the slots that bulk may use, 0 to 1
+	AcceptBulk      bool    `json:"accept_bulk"`
+}
+
+// WeightStore states what the platform's weight store allows.
+type WeightStore struct {
+	LoadsPerSecond float64 `json:"loads_per_second"`
+	Concurrent     int     `json:"concurrent"` // at full speed
+	MBPerSecond    int     `json:"mb_per_second"`
+}
+
+// Limits bound what one request or host may use.
+type Limits struct {
+	BodyBytes        int64   `json:"body_bytes"`         // largest request body
+	AnswerBytes      int64   `json:"answer_bytes"`       // largest stored answer of a request that may not be repeated
+	ClaimTTLSeconds  int     `json:"claim_ttl_s"`        // how long an idempotency key is remembered
+	RetryBudgetShare float64 `json:"retry_budget_share"` // retries as a share of requests, 0 to 1
+}
--- /dev/null
+++ b/core/config/find.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"net/http"
+	"strings"
+
+	"peridotpier.example/core/class"
+)
+
+// Wildcard in a team's list allows every model or service.
+const Wildcard = "*"
+
+// Target is what a caller's model name stands for.
+type Target struct {
+	Model   string
+	Adapter string // "" for the base model
+	Pool    string
+}
+
+// Index answers look-ups in a Config without scanning it. It is immutable.
+type Index struct {
+	*Config
+	targets   map[string]Target
+	teams     map[string]*Team // by key hash
+	services  map[string]*Service
+	upstreams map[string]*Upstream
+	presets   map[string]*Preset
+	allowed   map[string]map[string]bool // team -> model, adapter or "service/"+name
+	rules     [class.Count]ClassRule
+}
+
+const servicePrefix = "service/"
+
+// NewIndex indexes a valid configuration, which must not change afterwards.
+func NewIndex(c *Config) *Index {
+	x := &Index{Config: c, targets: map[string]Target{}, teams: map[string]*Team{}, services: map[string]*Service{},
+		upstreams: map[string]*Upstream{}, presets: map[string]*Preset{}, allowed: map[string]map[string]bool{}}
+	for _, m := range c.Models {
+		x.targets[m.Name] = Target{Model: m.Name, Pool: m.Pool}
+	}
+	for _, a := range c.Adapters {
+		x.targets[a.Name] = Target{Model: a.Model, Adapter: a.Name, Pool: x.targets[a.Model].Pool}
+	}
+	for i := range c.Services {
+		x.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Upstreams {
+		x.upstreams[c.Upstreams[i].Name] = &c.Upstreams[i]
+	}
+	for i := range c.Presets {
+		x.presets[c.Presets[i].Name] = &c.Presets[i]
+	}
+	for _, r := range c.Classes {
+		x.rules[r.Class] = r
+	}
+	for i := range c.Teams {
+		x.addTeam(&c.Teams[i])
+	}
+	return x
+}
+
+func (x *Index) addTeam(t *Team) {
+	for _, h := range t.KeyHashes {
+		x.teams[strings.ToLower(h)] = t
+	}
+	set := map[string]bool{}
+	for _, m := range t.Models {
+		set[m] = true
+	}
+	for _, s := range t.Services {
+		set[servicePrefix+s] = true
+	}
+	x.allowed[t.Name] = set
+}
+
+// TeamByKeyHash finds the team that a key's SHA-256, in lower-case hex, belongs to.
+func (x *Index) TeamByKeyHash(hash string) (*Team, bool) { t, ok := x.teams[hash]; return t, ok }
+
+// Target resolves a model or adapter name for a team. A model that the team
+// may not call is not found, just like one that does not exist: the answer
+// must not tell a team what others have.
+func (x *Index) Target(team, name string) (Target, bool) {
+	t, ok := x.targets[name]
+	set := x.allowed[team]
+	return t, ok && (set[name] || set[Wildcard])
+}
+
+// Service resolves a service for a team, under the same rule as Target.
+func (x *Index) Service(team, name string) (*Service, bool) {
+	s, ok := x.services[name]
+	set := x.allowed[team]
+	return s, ok && (set[servicePrefix+name] || set[servicePrefix+Wildcard])
+}
+
+// Upstream finds an upstream by name.
+func (x *Index) Upstream(name string) (*Upstream, bool) { u, ok := x.upstreams[name]; return u, ok }
+
+// Preset finds a preset by name.
+func (x *Index) Preset(name string) (*Preset, bool) { p, ok := x.presets[name]; return p, ok }
+
+// Rule returns what a class promises.
+func (x *Index) Rule(c class.Class) ClassRule { return x.rules[c] }
+
+// Repeatable says whether a call to a service may be run more than once.
+func (s *Service) Repeatable(method, path string) bool {
+	for _, r := range s.Routes {
+		if (r.Method == Wildcard || r.Method == method) && strings.HasPrefix(path, r.Prefix) {
+			return r.Repeatable
+		}
+	}
+	return method == http.MethodGet || method == http.MethodHead
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,85 @@
+// Package route picks the upstream for one attempt, over an immutable
+// snapshot of the endpoints: filters drop those that must not be used, scorers
+// rate the rest, a picker chooses. It does no I/O and has no clock.
+package route
+
+import (
+	"time"
+
+	"peridotpier.example/core/class"
+)
+
+// ModelKey is a model with, possibly, an adapter.
+type ModelKey struct {
+	Model   string
+	Adapter string // "" for the base model
+}
+
+// Endpoint is one upstream as a host knows it at the time of the snapshot.
+type Endpoint struct {
+	Upstream     string
+	Address      string
+	Pool         string
+	DataCentre   string
+	Incarnation  string
+	Leaving      bool
+	Down         bool // connections fail or went silent
+	MaxBatch     int
+	Accelerators int
+	Ready        map[ModelKey]bool // what it can answer now; nil for plain services, which answer anything
+	Running      int               // from the newest report
+	Waiting      int
+	ReportAge    time.Duration
+	SinceReport  int     // attempts that this host dispatched since that report was taken
+	PeersSince   int     // the same, as peers tell
+	InFlight     int     // this host's own attempts now in flight there
+	TokenMs      float64 // time of one decoding step when alone, milliseconds
+	PrefillMs    float64 // time of a typical prefill, milliseconds
+	DistanceMs   float64 // round trip from this host's data centre, milliseconds
+	Prefixes     map[uint64]bool
+}
+
+// Snapshot is what one routing decision sees. It is shared by many requests
+// at once and never changed after it was published.
+type Snapshot struct {
+	Taken     time.Time
+	Endpoints []Endpoint
+	ByModel   map[ModelKey][]int32 // indexes of endpoints where it is ready
+	ByPool    map[string][]int32   // indexes of a pool's endpoints
+}
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	Pool    string
+	Key     ModelKey
+	Service bool // a plain service: any endpoint of the pool will do
+	Class   class.Class
+	Prefix  uint64    // salted prefix hash; 0: none
+	Avoid   [4]string // upstreams that already refused or failed this request
+}
+
+// Reason says why no endpoint was found.
+type Reason uint8
+
+// The reasons.
+const (
+	Found     Reason = iota
+	NoReplica        // nobody holds the model
+	AllBusy          // holders exist, all over their bound
+	AllAvoid         // holders exist, all leaving, down or already tried
+)
+
+// Decision is the answer of a Picker.
+type Decision struct {
+	Index  int // in Snapshot.Endpoints; -1 when none
+	Reason Reason
+	Score  float64 // predicted milliseconds to first token
+}
+
+// Source gives random numbers; *math/rand/v2.Rand is one.
+type Source interface{ Uint64N(n uint64) uint64 }
+
+// Picker chooses an endpoint.
+type Picker interface {
+	Pick(s *Snapshot, r *Request, src Source) Decision
+}
--- /dev/null
+++ b/node/event/event.go
@@ -0,0 +1,44 @@
+// Package event writes the node's log: numbered events with typed fields,
+// each listed in docs/EVENTS.md. A number never changes its meaning.
+package event
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of thing worth a line in the log.
+type Event struct {
+	Number int
+	Name   string
+	Level  zapcore.Level
+	About  string // what it means and what an operator does, for docs/EVENTS.md
+}
+
+// Field names that events share.
+const (
+	FieldEvent = "event"
+	FieldStep  = "step"
+	FieldPeer  = "peer"
+)
+
+// Log writes numbered events.
+type Log struct{ z *zap.Logger }
+
+// NewLog writes to z; a nil z discards everything.
+func NewLog(z *zap.Logger) *Log {
+	if z == nil {
+		z = zap.NewNop()
+	}
+	return &Log{z: z}
+}
+
+// Emit writes one event with its fields.
+func (l *Log) Emit(e Event, fields ...zap.Field) {
+	if c := l.z.Check(e.Level, e.Name); c != nil {
+		c.Write(append([]zap.Field{zap.Int(FieldEvent, e.Number)}, fields...)...)
+	}
+}
+
+// With returns a log that adds fields to each event.
+func (l *Log) With(fields ...zap.Field) *Log { return &Log{z: l.z.With(fields...)} }
