Keep a view of the upstreams and pooled connections to them

Cause: routing needs the lagging reports corrected by own dispatches; a request that may not be repeated needs to know whether a byte was written. Change: node/upstream/view, node/upstream/conn; a time stamp in the load header.

--- /dev/null
+++ b/node/upstream/conn/client.go
@@ -0,0 +1,211 @@
+package conn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotpier.example/core/fault"
+)
+
+// Defaults of Config.
+const (
+	defaultDialTimeout = time.Second     // the data centres lie close together: a dial takes milliseconds
+	defaultIdleMost    = 5 * time.Second // below the idle time-outs usual at upstreams, so that a pooled connection is rarely found closed
+	defaultIdleCount   = 64              // idle connections an upstream
+)
+
+// Config bounds a Client; zero values take the defaults.
+type Config struct {
+	DialTimeout time.Duration
+	IdleMost    time.Duration
+	IdleCount   int
+	Dialer      Dialer
+}
+
+// Client sends exchanges to upstreams and pools their connections.
+type Client struct {
+	cfg   Config
+	mu    sync.RWMutex
+	pools map[string]*pool // by address
+}
+
+// New makes a Client.
+func New(cfg Config) *Client {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.IdleMost == 0 {
+		cfg.IdleMost = defaultIdleMost
+	}
+	if cfg.IdleCount == 0 {
+		cfg.IdleCount = defaultIdleCount
+	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = &net.Dialer{}
+	}
+	return &Client{cfg: cfg, pools: map[string]*pool{}}
+}
+
+// Request is one exchange. Body is sent with its length; Stream, when not
+// nil, is sent instead, in chunks when StreamLength is negative.
+type Request struct {
+	Address      string
+	Method       string
+	Path         string
+	Query        string
+	Header       http.Header
+	Body         []byte
+	Stream       io.Reader
+	StreamLength int64
+	Fresh        bool // use a new connection
+}
+
+// Response is the answer to an exchange. Exactly one of Finish and Abort ends it.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   io.Reader
+
+	client *Client
+	link   *link
+	close  bool
+	stop   func() bool // ends the watch on the context
+	ended  atomic.Bool
+}
+
+// Do writes the request and reads the head of the answer. The error is a
+// *fault.Error: NotRun when no byte was written, else Unknown.
+func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
+	l, err := c.connect(ctx, r)
+	if err != nil {
+		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "connect: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.nc.Close() })
+	req := r.httpRequest()
+	resp, err := c.exchange(l, req)
+	if err != nil {
+		stop()
+		_ = l.nc.Close()
+		if ctx.Err() != nil {
+			err = errors.Join(ctx.Err(), err)
+		}
+		if l.written == 0 {
+			return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "write request: %w", err)
+		}
+		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
+		client: c, link: l, close: resp.Close, stop: stop}, nil
+}
+
+// exchange writes req and reads the head of its answer. An upstream that
+// refuses early may close its reading side, so a failed write still looks for
+// an answer.
+func (c *Client) exchange(l *link, req *http.Request) (*http.Response, error) {
+	bw := writers.Get().(*bufio.Writer)
+	bw.Reset(l)
+	err := req.Write(bw)
+	if err == nil {
+		err = bw.Flush()
+	}
+	bw.Reset(nil)
+	writers.Put(bw)
+	if err != nil && l.written == 0 {
+		return nil, err
+	}
+	resp, readErr := l.readHead(req)
+	if readErr != nil {
+		return nil, errors.Join(err, readErr)
+	}
+	if err != nil {
+		resp.Close = true
+	}
+	return resp, nil
+}
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, readBuffer) }}
+
+func (r *Request) httpRequest() *http.Request {
+	req := &http.Request{Method: r.Method, Host: r.Address, Header: r.Header,
+		URL: &url.URL{Scheme: "http", Host: r.Address, Path: r.Path, RawQuery: r.Query}}
+	switch {
+	case r.Stream != nil:
+		req.Body, req.ContentLength = io.NopCloser(r.Stream), r.StreamLength
+	case len(r.Body) > 0:
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+	}
+	return req
+}
+
+func (c *Client) connect(ctx context.Context, r *Request) (*link, error) {
+	p := c.pool(r.Address)
+	if !r.Fresh {
+		if l := p.take(time.Now(), c.cfg.IdleMost); l != nil {
+			l.written = 0
+			return l, nil
+		}
+	}
+	return p.dial(ctx, c.cfg.Dialer, c.cfg.DialTimeout)
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.RLock()
+	p := c.pools[address]
+	c.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p = c.pools[address]; p == nil {
+		p = &pool{address: address}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Retire closes the idle connections to address and lets none of those in use
+// be used again. A middle box that lost track of connections swallows what is
+// sent on them without an error; new connections are not concerned.
+func (c *Client) Retire(address string) { c.pool(address).retire() }
+
+// Close retires all pools.
+func (c *Client) Close() {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.pools {
+		p.retire()
+	}
+}
+
+// Finish ends an exchange whose answer was read to its end; the connection
+// may be used again.
+func (r *Response) Finish() {
+	if !r.ended.CompareAndSwap(false, true) {
+		return
+	}
+	if !r.stop() || r.close {
+		_ = r.link.nc.Close()
+		return
+	}
+	r.link.pool.put(r.link, time.Now(), r.client.cfg.IdleCount)
+}
+
+// Abort ends an exchange in any other state. The connection is closed, since
+// what is left on it would be read as the answer to the next request. Abort
+// may be called while another goroutine reads Body, which then fails.
+func (r *Response) Abort() {
+	if r.ended.CompareAndSwap(false, true) {
+		r.stop()
+		_ = r.link.nc.Close()
+	}
+}
--- /dev/null
+++ b/node/upstream/conn/conn.go
@@ -0,0 +1,84 @@
+// Package conn speaks HTTP/1.1 to upstreams, one attempt a connection at a
+// time. It exists beside net/http's Transport because a request that may not
+// be repeated needs what Transport hides: whether a byte of the attempt was
+// written, no retry of its own, and a pool that can be retired as a whole
+// when its connections have gone silent. docs/design/upstream-connections.md
+// weighs both.
+package conn
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// readBuffer holds a few tokens' events; larger only costs memory a stream.
+	readBuffer = 4 << 10
+	// headerLimit bounds the head of an answer, so that a broken upstream
+	// cannot fill a small host's memory.
+	headerLimit = 64 << 10
+)
+
+var errHeaderTooLarge = errors.New("head of the answer is too large")
+
+// link is one connection to an upstream.
+type link struct {
+	nc        net.Conn
+	br        *bufio.Reader
+	pool      *pool
+	gen       uint64 // of the pool when it was dialled
+	written   int64  // bytes of the current exchange handed to the kernel
+	headLeft  int64  // bytes the head of the answer may still take; <0: not in the head
+	idleSince time.Time
+}
+
+func newLink(nc net.Conn, p *pool, gen uint64) *link {
+	l := &link{nc: nc, pool: p, gen: gen, headLeft: -1}
+	l.br = bufio.NewReaderSize(l, readBuffer)
+	return l
+}
+
+// Read counts what the head of an answer takes.
+func (l *link) Read(p []byte) (int, error) {
+	if l.headLeft == 0 {
+		return 0, errHeaderTooLarge
+	}
+	if l.headLeft > 0 && int64(len(p)) > l.headLeft {
+		p = p[:l.headLeft]
+	}
+	n, err := l.nc.Read(p)
+	if l.headLeft > 0 {
+		l.headLeft -= int64(n)
+	}
+	return n, err
+}
+
+// Write counts what was handed over: an exchange that failed with nothing
+// written certainly did not run, any other may have.
+func (l *link) Write(p []byte) (int, error) {
+	n, err := l.nc.Write(p)
+	l.written += int64(n)
+	return n, err
+}
+
+// readHead reads the head of the answer to req, passing over interim answers.
+func (l *link) readHead(req *http.Request) (*http.Response, error) {
+	l.headLeft = headerLimit
+	defer func() { l.headLeft = -1 }()
+	for {
+		resp, err := http.ReadResponse(l.br, req)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
--- /dev/null
+++ b/node/upstream/conn/pool.go
@@ -0,0 +1,77 @@
+package conn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// pool keeps the idle connections to one address.
+type pool struct {
+	address string
+	mu      sync.Mutex
+	idle    []*link // newest last
+	gen     uint64  // connections of an older generation are not reused
+}
+
+// take returns the newest idle connection that is young enough, or nil.
+func (p *pool) take(now time.Time, idleMost time.Duration) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		l := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Sub(l.idleSince) <= idleMost {
+			return l
+		}
+		_ = l.nc.Close()
+	}
+	return nil
+}
+
+// put keeps a connection whose exchange ended cleanly.
+func (p *pool) put(l *link, now time.Time, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.gen != p.gen || len(p.idle) >= most {
+		_ = l.nc.Close()
+		return
+	}
+	l.idleSince = now
+	p.idle = append(p.idle, l)
+}
+
+// retire closes the idle connections and keeps those in use from coming back.
+func (p *pool) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gen++
+	for _, l := range p.idle {
+		_ = l.nc.Close()
+	}
+	p.idle = nil
+}
+
+func (p *pool) generation() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gen
+}
+
+// dial opens a connection of the pool's present generation.
+func (p *pool) dial(ctx context.Context, d Dialer, timeout time.Duration) (*link, error) {
+	gen := p.generation()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	nc, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return newLink(nc, p, gen), nil
+}
+
+// Dialer opens connections; a net.Dialer does.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -16,7 +16,8 @@
 	// HeaderRefused on an answer of status 503 or 429 promises that the request
 	// did not run and never will. Its value is one of the Refused constants.
 	HeaderRefused = "Peridot-Refused"
-	// HeaderLoad rides on every answer: "running waiting sequence" of the engine at that time.
+	// HeaderLoad rides on every answer: "running waiting sequence taken_ms" of
+	// the engine at that time, taken_ms on the clock of Report.TakenMs.
 	HeaderLoad = "Peridot-Load"
 	// HeaderIncarnation names the engine process that answered.
 	HeaderIncarnation = "Peridot-Incarnation"
--- /dev/null
+++ b/node/upstream/view/snapshot.go
@@ -0,0 +1,73 @@
+package view
+
+import (
+	"time"
+
+	"peridotpier.example/core/route"
+)
+
+// Snapshot returns the present picture for routing. It is rebuilt when
+// something changed and the last one is old enough for its size, so that the
+// cost a request stays small with many upstreams.
+func (v *View) Snapshot() *route.Snapshot {
+	old := v.snap.Load()
+	if old != nil && !v.dirty.Load() {
+		return old
+	}
+	if !v.rebuild.TryLock() {
+		if old != nil {
+			return old
+		}
+		v.rebuild.Lock()
+	}
+	defer v.rebuild.Unlock()
+	now := v.now()
+	if old != nil && !v.topo.Load() && now.Sub(old.Taken) < time.Duration(len(old.Endpoints))*rebuildEach {
+		return old
+	}
+	v.dirty.Store(false)
+	s := v.build(now, old, v.topo.Swap(false))
+	v.snap.Store(s)
+	return s
+}
+
+// build copies the states. The indexes are kept from old unless residents or
+// the set of upstreams changed.
+func (v *View) build(now time.Time, old *route.Snapshot, topo bool) *route.Snapshot {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	s := &route.Snapshot{Taken: now, Endpoints: make([]route.Endpoint, len(v.order))}
+	for i, name := range v.order {
+		st := v.state[name]
+		st.mu.Lock()
+		st.fill(&s.Endpoints[i], now)
+		st.mu.Unlock()
+		s.Endpoints[i].DistanceMs = v.dist(v.host, s.Endpoints[i].DataCentre)
+	}
+	if !topo && old != nil && len(old.Endpoints) == len(s.Endpoints) {
+		s.ByModel, s.ByPool = old.ByModel, old.ByPool
+		return s
+	}
+	s.ByModel, s.ByPool = map[route.ModelKey][]int32{}, map[string][]int32{}
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		s.ByPool[e.Pool] = append(s.ByPool[e.Pool], int32(i))
+		for k := range e.Ready {
+			s.ByModel[k] = append(s.ByModel[k], int32(i))
+		}
+	}
+	return s
+}
+
+func (s *state) fill(e *route.Endpoint, now time.Time) {
+	*e = route.Endpoint{
+		Upstream: s.cfg.Name, Address: s.cfg.Address, Pool: s.cfg.Pool, DataCentre: s.cfg.DataCentre,
+		Incarnation: s.report.Incarnation, Leaving: s.leaving[s.report.Incarnation], Down: now.Before(s.downUntil),
+		MaxBatch: s.cfg.MaxBatch, Accelerators: s.cfg.Accelerators, Ready: s.ready,
+		Running: s.running, Waiting: s.waiting, SinceReport: s.recent.sum(), PeersSince: s.peersSince,
+		InFlight: s.inFlight, TokenMs: s.tokenMs, PrefillMs: s.prefillMs, Prefixes: s.prefixes,
+	}
+	if !s.loadAt.IsZero() {
+		e.ReportAge = now.Sub(s.loadAt)
+	}
+}
--- /dev/null
+++ b/node/upstream/view/view.go
@@ -0,0 +1,316 @@
+// Package view is what one host knows of the upstreams: their lagging
+// reports, corrected by the host's own dispatches, by what rode on answers
+// and by what peers say. Readers get immutable snapshots.
+package view
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const (
+	// downFor is how long an upstream that could not be reached gets no new
+	// work unless a report or an answer shows it alive sooner.
+	downFor = 2 * time.Second
+	// rebuildEach bounds the cost of snapshots: one is rebuilt at most once in
+	// this time for each endpoint in it (350 endpoints: every 1.75 ms).
+	rebuildEach = 5 * time.Microsecond
+	// prefixesMost bounds the prefix hints kept for one upstream.
+	prefixesMost = 4096
+)
+
+// View holds the upstreams' states, each under its own lock.
+type View struct {
+	host  string // this host's data centre
+	now   func() time.Time
+	mu    sync.RWMutex // guards the map, not the states; taken before a state's lock
+	state map[string]*state
+	order []string
+	dist  func(from, to string) float64
+
+	dirty   atomic.Bool
+	topo    atomic.Bool // residents, states or the set of upstreams changed
+	snap    atomic.Pointer[route.Snapshot]
+	rebuild sync.Mutex
+}
+
+// state is one upstream.
+type state struct {
+	mu         sync.Mutex
+	cfg        config.Upstream
+	service    bool
+	report     engineapi.Report
+	takenAt    time.Time // this host's time at which the report was taken, as estimated
+	offset     time.Duration
+	offsetSet  bool
+	fresh      bool // a load newer than the report rode on an answer
+	running    int
+	waiting    int
+	loadAt     time.Time
+	leaving    map[string]bool // incarnations that are leaving: never undone
+	downUntil  time.Time
+	inFlight   int
+	recent     deltas // own dispatches and completions since loadAt
+	peersSince int
+	ready      map[route.ModelKey]bool
+	prefixes   map[uint64]bool
+	tokenMs    float64
+	prefillMs  float64
+}
+
+// New makes an empty view for a host in the given data centre; distance gives
+// the round trip between data centres in milliseconds.
+func New(dataCentre string, now func() time.Time, distance func(from, to string) float64) *View {
+	if distance == nil {
+		distance = func(string, string) float64 { return 0 }
+	}
+	v := &View{host: dataCentre, now: now, state: map[string]*state{}, dist: distance}
+	v.changed()
+	return v
+}
+
+// Configure takes the set of upstreams from a configuration. What is known of
+// those that stay is kept.
+func (v *View) Configure(x *config.Index) {
+	service := map[string]bool{}
+	for _, p := range x.Pools {
+		service[p.Name] = p.Kind == config.KindService
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := make(map[string]*state, len(x.Upstreams))
+	v.order = v.order[:0:0]
+	for _, u := range x.Upstreams {
+		s := v.state[u.Name]
+		if s == nil || s.cfg.Address != u.Address {
+			s = &state{leaving: map[string]bool{}, prefixes: map[uint64]bool{}}
+		}
+		s.mu.Lock()
+		s.cfg, s.service = u, service[u.Pool]
+		s.mu.Unlock()
+		next[u.Name] = s
+		v.order = append(v.order, u.Name)
+	}
+	v.state = next
+	v.changed()
+}
+
+func (v *View) changed() {
+	v.topo.Store(true)
+	v.dirty.Store(true)
+}
+
+// of returns an upstream's state, locked, or nil.
+func (v *View) of(upstream string) *state {
+	v.mu.RLock()
+	s := v.state[upstream]
+	v.mu.RUnlock()
+	if s != nil {
+		s.mu.Lock()
+	}
+	return s
+}
+
+// Report takes an upstream's own report, received at time at. Reports of an
+// older incarnation's sequence or out of order are dropped.
+func (v *View) Report(r engineapi.Report, at time.Time) bool {
+	s := v.of(r.Upstream)
+	if s == nil {
+		return false
+	}
+	defer s.mu.Unlock()
+	same := r.Incarnation == s.report.Incarnation
+	if same && r.Sequence <= s.report.Sequence {
+		return false
+	}
+	if !same {
+		s.offsetSet, s.loadAt = false, time.Time{}
+		s.prefixes = map[uint64]bool{}
+		s.inFlight, s.recent = 0, s.recent[:0]
+	}
+	s.estimateTaken(r.TakenMs, at)
+	taken := at
+	if s.offsetSet {
+		taken = time.UnixMilli(r.TakenMs).Add(s.offset)
+	}
+	changed := !same || !sameResidents(s.report.Residents, r.Residents) || r.Leaving != s.report.Leaving
+	s.report, s.takenAt = r, taken
+	if r.Leaving {
+		s.leaving[r.Incarnation] = true
+	}
+	if taken.After(s.loadAt) {
+		s.running, s.waiting, s.loadAt = r.Running, r.Waiting, taken
+		s.recent.dropUntil(taken)
+	}
+	s.downUntil = time.Time{}
+	if changed {
+		s.ready = readyOf(r.Residents)
+		v.topo.Store(true)
+	}
+	v.dirty.Store(true)
+	return true
+}
+
+// estimateTaken keeps the smallest difference seen between this host's clock
+// and the upstream's: the one with the least lag in it. Reports alone would
+// not do, since all of them may be late by the same time; the stamps that ride
+// on answers are as old as the way back only.
+func (s *state) estimateTaken(takenMs int64, at time.Time) {
+	off := at.Sub(time.UnixMilli(takenMs))
+	if !s.offsetSet || off < s.offset {
+		s.offset, s.offsetSet = off, true
+	}
+}
+
+func sameResidents(a, b []engineapi.Resident) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// readyOf lists what can be answered: ready models, and ready adapters whose
+// base model is ready too.
+func readyOf(residents []engineapi.Resident) map[route.ModelKey]bool {
+	ready := map[route.ModelKey]bool{}
+	for _, r := range residents {
+		if r.Adapter == "" && r.State == engineapi.StateReady {
+			ready[route.ModelKey{Model: r.Model}] = true
+		}
+	}
+	for _, r := range residents {
+		if r.Adapter != "" && r.State == engineapi.StateReady && ready[route.ModelKey{Model: r.Model}] {
+			ready[route.ModelKey{Model: r.Model, Adapter: r.Adapter}] = true
+		}
+	}
+	return ready
+}
+
+// Dispatched counts an attempt sent to an upstream; Finished undoes it.
+func (v *View) Dispatched(upstream string) {
+	if s := v.of(upstream); s != nil {
+		s.inFlight++
+		s.recent.add(v.now(), 1)
+		s.mu.Unlock()
+		v.dirty.Store(true)
+	}
+}
+
+// Finished counts the end of an attempt.
+func (v *View) Finished(upstream string) {
+	if s := v.of(upstream); s != nil {
+		if s.inFlight > 0 {
+			s.inFlight--
+		}
+		s.recent.add(v.now(), -1)
+		s.mu.Unlock()
+		v.dirty.Store(true)
+	}
+}
+
+// Answer takes what rode on an answer's head: the incarnation and the load.
+func (v *View) Answer(upstream, incarnation, load string) {
+	s := v.of(upstream)
+	if s == nil {
+		return
+	}
+	defer s.mu.Unlock()
+	s.downUntil = time.Time{}
+	l, ok := parseLoad(load)
+	if !ok || incarnation != s.report.Incarnation && s.report.Incarnation != "" {
+		return
+	}
+	now := v.now()
+	s.estimateTaken(l.takenMs, now)
+	s.running, s.waiting, s.loadAt = l.running, l.waiting, now
+	s.recent.dropUntil(now)
+	v.dirty.Store(true)
+}
+
+// Leaving marks an incarnation of an upstream as leaving, for good. An empty
+// incarnation stands for the one now known. It answers whether that was news.
+func (v *View) Leaving(upstream, incarnation string) bool {
+	s := v.of(upstream)
+	if s == nil {
+		return false
+	}
+	defer s.mu.Unlock()
+	if incarnation == "" {
+		incarnation = s.report.Incarnation
+	}
+	news := !s.leaving[incarnation]
+	s.leaving[incarnation] = true
+	v.changed()
+	return news
+}
+
+// Down keeps new work from an upstream that could not be reached, for a while.
+func (v *View) Down(upstream string) {
+	if s := v.of(upstream); s != nil {
+		s.downUntil = v.now().Add(downFor)
+		s.mu.Unlock()
+		v.changed()
+	}
+}
+
+// NotReady takes an upstream's refusal to answer for a model as word that the
+// model is not resident there, until its next report.
+func (v *View) NotReady(upstream string, key route.ModelKey) {
+	if s := v.of(upstream); s != nil {
+		next := make(map[route.ModelKey]bool, len(s.ready))
+		for k := range s.ready {
+			if k != key {
+				next[k] = true
+			}
+		}
+		s.ready = next
+		s.mu.Unlock()
+		v.changed()
+	}
+}
+
+// Prefix takes a cache event as a hint.
+func (v *View) Prefix(upstream string, e engineapi.CacheEvent) {
+	if s := v.of(upstream); s != nil {
+		next := make(map[uint64]bool, len(s.prefixes)+1)
+		if len(s.prefixes) < prefixesMost {
+			for k := range s.prefixes {
+				next[k] = true
+			}
+		}
+		next[e.Prefix] = e.Stored
+		s.prefixes = next
+		s.mu.Unlock()
+		v.dirty.Store(true)
+	}
+}
+
+// PeersSince takes how many attempts the peers together have in flight at an
+// upstream beyond what its report shows.
+func (v *View) PeersSince(upstream string, attempts int) {
+	if s := v.of(upstream); s != nil {
+		s.peersSince = attempts
+		s.mu.Unlock()
+		v.dirty.Store(true)
+	}
+}
+
+// Incarnation returns the incarnation now known of an upstream.
+func (v *View) Incarnation(upstream string) string {
+	s := v.of(upstream)
+	if s == nil {
+		return ""
+	}
+	defer s.mu.Unlock()
+	return s.report.Incarnation
+}
