--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,79 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/outcome"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestAfter(t *testing.T) {
+	far, near := start.Add(time.Minute), start.Add(12*time.Millisecond)
+	for _, c := range []struct {
+		name       string
+		repeatable bool
+		deadline   time.Time
+		last       Attempt
+		share      float64
+		want       Reason
+	}{
+		{"completed", true, far, Attempt{Outcome: outcome.Completed}, 1, Done},
+		{"refused, not repeatable", false, far, Attempt{Outcome: outcome.NotRun}, 1, Again},
+		{"broken, repeatable", true, far, Attempt{Outcome: outcome.Unknown}, 1, Again},
+		{"broken, not repeatable", false, far, Attempt{Outcome: outcome.Unknown}, 1, MayNotRepeat},
+		{"no time", true, near, Attempt{Outcome: outcome.NotRun, RetryAfter: 5 * time.Millisecond}, 1, NoTime},
+		{"no budget", true, far, Attempt{Outcome: outcome.NotRun}, 0, NoBudget},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBudget(c.share)
+			if c.share == 0 {
+				b.tokens = 0
+			}
+			d := NewRequest(Config{}, c.repeatable, c.deadline).After(c.last, b, start)
+			assert.Equal(t, d.Reason, c.want)
+			assert.Equal(t, d.Retry, c.want == Again)
+		})
+	}
+}
+
+// Symptom: a caller is told "not run" of a request that an upstream executed.
+// The first attempt broke off after its first byte; the second was refused by
+// another upstream, and only the second's outcome was reported.
+func TestLaterRefusalDoesNotHideABrokenAttempt(t *testing.T) {
+	r, b := NewRequest(Config{Attempts: 2}, true, start.Add(time.Minute)), NewBudget(1)
+	assert.Assert(t, r.After(Attempt{Outcome: outcome.Unknown, Upstream: "a"}, b, start).Retry)
+	d := r.After(Attempt{Outcome: outcome.NotRun, Upstream: "b"}, b, start)
+	assert.Equal(t, d.Reason, NoAttempts)
+	assert.Equal(t, d.Outcome, outcome.Unknown)
+	assert.DeepEqual(t, d.Avoid, [Avoided]string{"a", "b"})
+}
+
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		b, requests, retries := NewBudget(share), 0, 0
+		for _, ask := range rapid.SliceOfN(rapid.Bool(), 1, 400).Draw(t, "asks") {
+			b.Request()
+			requests++
+			if ask && b.Take() {
+				retries++
+			}
+		}
+		assert.Assert(t, float64(retries) <= Burst+share*float64(requests)+1e-9)
+	})
+}
+
+func TestNeverPastTheDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		left := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "left"))
+		asked := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "asked"))
+		d := NewRequest(Config{}, true, start.Add(left)).After(
+			Attempt{Outcome: outcome.NotRun, RetryAfter: asked, Elsewhere: rapid.Bool().Draw(t, "elsewhere")}, NewBudget(1), start)
+		assert.Assert(t, !d.Retry || d.Pause < left)
+	})
+}
