--- /dev/null
+++ b/node/dispatch/fate.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const (
+	// probeTimeout bounds one question to an upstream on a new connection;
+	// within and between close data centres an answer takes milliseconds.
+	probeTimeout = time.Second
+	// fateBytes bounds the answer to a question for an attempt's fate.
+	fateBytes = 8 << 20
+)
+
+// Upstreams asks upstreams about attempts and cancels them.
+type Upstreams struct{ client *conn.Client }
+
+// NewUpstreams uses the given connections.
+func NewUpstreams(c *conn.Client) *Upstreams { return &Upstreams{client: c} }
+
+func attemptPath(pattern, id string) string { return strings.Replace(pattern, "{id}", id, 1) }
+
+// Fate asks an upstream on a new connection what became of an attempt. After
+// the answer AttemptUnseen the upstream refuses that attempt for good.
+func (u *Upstreams) Fate(ctx context.Context, address, attempt string) (engineapi.Attempt, error) {
+	var a engineapi.Attempt
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := u.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet,
+		Path: attemptPath(engineapi.PathAttempt, attempt), Header: http.Header{}, Fresh: true})
+	if err != nil {
+		return a, err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, fateBytes))
+	if err != nil {
+		resp.Abort()
+		return a, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "read fate: %w", err)
+	}
+	resp.Finish()
+	if resp.Status != http.StatusOK {
+		return a, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "fate: status %d", resp.Status)
+	}
+	if err := json.Unmarshal(data, &a); err != nil || a.ID != attempt {
+		return engineapi.Attempt{}, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "fate: answer for %q (%v)", a.ID, err)
+	}
+	return a, nil
+}
+
+// Cancel tells an upstream to give an attempt up.
+func (u *Upstreams) Cancel(ctx context.Context, address, attempt string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := u.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodDelete,
+		Path: attemptPath(engineapi.PathAttempt, attempt), Header: http.Header{}, Fresh: true})
+	if err != nil {
+		return err
+	}
+	resp.Abort()
+	return nil
+}
+
+// Resume opens an attempt's stream again after a position, on a new connection.
+func (u *Upstreams) Resume(ctx context.Context, address, attempt string, after int) (*conn.Response, error) {
+	resp, err := u.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet,
+		Path: attemptPath(engineapi.PathResume, attempt), Query: "after=" + strconv.Itoa(after), Header: http.Header{}, Fresh: true})
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK || resp.Header.Get(engineapi.HeaderAttempt) != attempt {
+		resp.Abort()
+		return nil, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "resume: status %d", resp.Status)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/node/dispatch/recover.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const (
+	// recoverPause spaces questions for a fate that is not yet known.
+	recoverPause = 100 * time.Millisecond
+	// recoverFailures is how many questions may go unanswered one after
+	// another: with probeTimeout each, an upstream may be cut off for some ten
+	// seconds while a stream is held open for it.
+	recoverFailures = 10
+	// recoverFailuresElsewhere is the same for a request that another upstream
+	// could answer: it is not worth waiting long.
+	recoverFailuresElsewhere = 2
+)
+
+// recover finds out what became of an attempt whose answer was lost, and
+// hands the answer over if there is one.
+func (a *attempt) recover(ctx context.Context, cause error) error {
+	failures := 0
+	for ctx.Err() == nil {
+		f, err := a.d.upstreams.Fate(ctx, a.ep.Address, a.id)
+		if err != nil {
+			failures++
+			if !a.worthAsking(err, failures) {
+				a.d.deps.View.Down(a.ep.Upstream)
+				return cause
+			}
+			_ = sleep(ctx, recoverPause)
+			continue
+		}
+		failures = 0
+		if done, err := a.actOnFate(ctx, f, cause); done {
+			return err
+		}
+		_ = sleep(ctx, recoverPause)
+	}
+	return cause
+}
+
+// worthAsking says whether to ask for a fate again. A refused connection
+// means that the process is gone and its attempts with it.
+func (a *attempt) worthAsking(err error, failures int) bool {
+	if fault.From(fault.StepResume, err).Outcome == outcome.NotRun && failures > 1 {
+		return false
+	}
+	if a.w.Repeatable && !a.out.started {
+		return failures < recoverFailuresElsewhere
+	}
+	return failures < recoverFailures
+}
+
+// actOnFate ends the recovery (done) or leaves it to go on.
+func (a *attempt) actOnFate(ctx context.Context, f engineapi.Attempt, cause error) (done bool, err error) {
+	switch {
+	case !a.sent.same(f.Incarnation):
+		return true, fault.Unknown(fault.StepResume, a.ep.Upstream, fault.CodeUpstreamFailed, "upstream restarted: %w", cause)
+	case f.State == engineapi.AttemptUnseen || f.State == engineapi.AttemptRefused:
+		return true, fault.NotRun(fault.StepResume, a.ep.Upstream, fault.CodeUpstreamFailed, "attempt never ran: %w", cause)
+	case f.State == engineapi.AttemptCancelled:
+		return true, fault.Unknown(fault.StepResume, a.ep.Upstream, fault.CodeUpstreamFailed, "attempt was cancelled: %w", cause)
+	case a.w.Stream && f.Status < http.StatusBadRequest:
+		return a.resume(ctx)
+	case f.State == engineapi.AttemptCompleted:
+		return true, a.deliver(f)
+	default:
+		return false, nil
+	}
+}
+
+// resume takes a stream up again after the last position passed on.
+func (a *attempt) resume(ctx context.Context) (done bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := a.d.upstreams.Resume(ctx, a.ep.Address, a.id, a.split.position)
+	if err != nil {
+		return false, nil
+	}
+	a.d.deps.Metrics.Add(metrics.Resumed, a.ep.DataCentre, a.ep.Upstream, 1)
+	a.d.deps.Log.Emit(event.StreamResumed, zap.String(event.FieldPeer, a.ep.Upstream), zap.String("attempt", a.id), zap.Int("position", a.split.position))
+	stop := a.watchExchange(ctx, cancel)
+	defer stop()
+	err = a.relay(ctx, resp)
+	return err == nil || a.out.gone, err
+}
+
+// deliver hands over a whole answer that the upstream kept.
+func (a *attempt) deliver(f engineapi.Attempt) error {
+	h := http.Header{}
+	if f.ContentType != "" {
+		h.Set("Content-Type", f.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(f.Body)))
+	a.out.start(Head{Status: f.Status, Header: h, Attempt: a.id, Upstream: a.ep.Upstream, Incarnation: f.Incarnation})
+	if err := a.out.write(f.Body); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Resumption names a stream that was dispatched by any host.
+type Resumption struct {
+	Attempt     string
+	Upstream    string
+	Address     string
+	DataCentre  string
+	Incarnation string
+	After       int // the position that the caller saw last
+}
+
+// Resume relays the rest of a stream, which this or another host dispatched,
+// after the position that the caller saw last.
+func (d *Dispatcher) Resume(ctx context.Context, w *Work, r Resumption, sink Sink) error {
+	ep := &route.Endpoint{Upstream: r.Upstream, Address: r.Address, DataCentre: r.DataCentre, Incarnation: r.Incarnation}
+	a := newAttempt(d, w, &output{sink: sink}, ep)
+	a.id = r.Attempt
+	a.split = splitter{attempt: []byte(r.Attempt), position: r.After}
+	a.watch.position.Store(int64(r.After))
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
+	defer cancel()
+	err := a.recover(ctx, fault.Unknown(fault.StepResume, r.Upstream, fault.CodeUnknownOutcome, "stream cannot be resumed"))
+	a.after(ctx, err)
+	return err
+}
--- /dev/null
+++ b/node/dispatch/sse.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+var (
+	errForeign = errors.New("answer belongs to another attempt")
+	errGap     = errors.New("stream skips a position")
+	errFormat  = errors.New("stream is malformed")
+	errLong    = errors.New("event of the stream is too long")
+)
+
+const eventMost = 1 << 20 // bytes of one event; a token's event takes some 200
+
+var (
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id: ")
+	dataField = []byte("data: ")
+	streamEnd = []byte(engineapi.StreamEnd)
+)
+
+// splitter passes the events of one attempt's stream on, each once and in
+// order. It survives resumption: the position goes on counting.
+type splitter struct {
+	attempt  []byte
+	position int  // of the last event passed on
+	done     bool // the end marker was passed on
+}
+
+// pass appends to dst the caller's form of every whole event in src and
+// returns how much of src it used. An upstream's id is "attempt.position";
+// the caller sees the position alone, which serves as Last-Event-ID.
+func (s *splitter) pass(dst, src []byte) (out []byte, used int, err error) {
+	for !s.done {
+		n := bytes.Index(src[used:], eventEnd)
+		if n < 0 {
+			if len(src)-used > eventMost {
+				return dst, used, errLong
+			}
+			return dst, used, nil
+		}
+		if dst, err = s.event(dst, src[used:used+n]); err != nil {
+			return dst, used, err
+		}
+		used += n + len(eventEnd)
+	}
+	return dst, len(src), nil
+}
+
+func (s *splitter) event(dst, ev []byte) ([]byte, error) {
+	if len(ev) == 0 || ev[0] == ':' {
+		return dst, nil // a comment keeps the connection alive
+	}
+	id, data, ok := bytes.Cut(ev, []byte{'\n'})
+	if !ok || !bytes.HasPrefix(id, idField) || !bytes.HasPrefix(data, dataField) {
+		return dst, errFormat
+	}
+	id = id[len(idField):]
+	dot := bytes.LastIndexByte(id, '.')
+	if dot < 0 || !bytes.Equal(id[:dot], s.attempt) {
+		return dst, errForeign
+	}
+	pos, ok := number(id[dot+1:])
+	switch {
+	case !ok:
+		return dst, errFormat
+	case pos <= s.position:
+		return dst, nil // sent again after a resumption
+	case pos != s.position+1:
+		return dst, errGap
+	}
+	s.position = pos
+	s.done = bytes.Equal(data[len(dataField):], streamEnd)
+	dst = append(dst, idField...)
+	dst = strconv.AppendInt(dst, int64(pos), 10)
+	dst = append(dst, '\n')
+	dst = append(dst, data...)
+	return append(dst, eventEnd...), nil
+}
+
+// number reads a position without allocating.
+func number(b []byte) (int, bool) {
+	n := 0
+	for _, c := range b {
+		if c < '0' || c > '9' || n > 1<<40 {
+			return 0, false
+		}
+		n = n*10 + int(c-'0')
+	}
+	return n, len(b) > 0
+}
--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,79 @@
+// Package metrics counts what a host does. Each host has its own set, shown
+// through expvar's format on the operators' listener; several hosts in one
+// process, as in the demo, do not share counts.
+package metrics
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+)
+
+// Name is the name of a metric, with its unit as suffix.
+type Name string
+
+// Counters by data centre and upstream. None is kept by request: their number
+// must not grow with traffic.
+const (
+	Attempts Name = "attempts_total"
+	Refused  Name = "attempts_refused_total"
+	Crossed  Name = "answers_crossed_total"
+	Resumed  Name = "streams_resumed_total"
+)
+
+// Counters and gauges of the whole host.
+const (
+	Requests    Name = "requests_total"
+	Completed   Name = "requests_completed_total"
+	NotRun      Name = "requests_not_run_total"
+	Unknown     Name = "requests_unknown_total"
+	Tokens      Name = "tokens_relayed_total"
+	InFlight    Name = "requests_in_flight"
+	Config      Name = "configuration_version"
+	ClaimsQueue Name = "claims_unsettled"
+)
+
+// Set is one host's metrics.
+type Set struct {
+	root   *expvar.Map
+	mu     sync.Mutex // guards creation of nested maps
+	tokens atomic.Int64
+}
+
+// New makes an empty set.
+func New() *Set {
+	s := &Set{root: new(expvar.Map).Init()}
+	s.root.Set(string(Tokens), expvar.Func(func() any { return s.tokens.Load() }))
+	return s
+}
+
+// Add adds to a counter of one upstream.
+func (s *Set) Add(n Name, dataCentre, upstream string, by int64) {
+	s.nested(s.nested(s.root, string(n)), dataCentre).Add(upstream, by)
+}
+
+func (s *Set) nested(m *expvar.Map, key string) *expvar.Map {
+	if v, ok := m.Get(key).(*expvar.Map); ok {
+		return v
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v, ok := m.Get(key).(*expvar.Map); ok {
+		return v
+	}
+	v := new(expvar.Map).Init()
+	m.Set(key, v)
+	return v
+}
+
+// Count adds to a counter or gauge of the host.
+func (s *Set) Count(n Name, by int64) { s.root.Add(string(n), by) }
+
+// AddTokens counts relayed tokens; it is on the path of each of them.
+func (s *Set) AddTokens(by int) { s.tokens.Add(int64(by)) }
+
+// Func shows a value that is worked out when it is read.
+func (s *Set) Func(n Name, f func() any) { s.root.Set(string(n), expvar.Func(f)) }
+
+// String renders the set as JSON.
+func (s *Set) String() string { return s.root.String() }
