Stand-ins for all four platform services, an HTTP client and one conformance suite

Cause: the system's correctness rests on what the platform may do to it (outages, limits, lost and late answers), and only a bare table existed. Change: memory table, objects, hosts and weights under one Faults type that can be set at run time; an HTTP server for them and the client node/platform/rest; node/platform/platformtest, which memory and HTTP both pass. Weights gets Done, since a limit on concurrent loads needs to know when one ends; a grant lapses after GrantMemory. A call that never got a connection is ErrUnavailable, any failure after that ErrInDoubt for what changes state.

--- a/node/platform/platform.go
+++ b/node/platform/platform.go
@@ -76,7 +76,9 @@
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 }
 
-// Objects is the object store: immutable blobs by name.
+// Objects is the object store: immutable blobs by name. Putting a name again
+// with the same content succeeds, so a Put in doubt is simply repeated; with
+// other content it is ErrConflict. A read that fails is ErrUnavailable.
 type Objects interface {
 	Put(ctx context.Context, name string, data []byte) error
 	Get(ctx context.Context, name string) ([]byte, error)
@@ -109,7 +111,17 @@
 // Weights is the weight store's admission: a load may start only with a
 // grant, at a limited rate and with a limited number at once.
 type Weights interface {
-	// Grant asks for leave to start one load of the named weights now. It
-	// answers how long to wait when the limit is reached (0: granted).
-	Grant(ctx context.Context, weights string) (wait time.Duration, err error)
+	// Grant asks for leave to start one load now. It answers how long to wait
+	// when a limit is reached (0: granted). The load's name must be unique to
+	// one load ("model#order"): granting it again while it is open takes no
+	// second place, so a lost answer is settled by asking again.
+	Grant(ctx context.Context, load string) (wait time.Duration, err error)
+	// Done gives the place of a load back, whether it succeeded or not. It is
+	// idempotent. A holder that dies never says so: a grant therefore lapses
+	// after GrantMemory, or the places would leak until no load could start.
+	Done(ctx context.Context, load string) error
 }
+
+// GrantMemory is how long the weight store holds a place for a load at most;
+// far above the minutes that the largest model takes at the slowest rate.
+const GrantMemory = 10 * time.Minute
--- /dev/null
+++ b/node/platform/platformtest/platformtest.go
@@ -0,0 +1,235 @@
+// Package platformtest is the conformance suite of the platform's interfaces.
+// Every adapter to a platform service must pass it, whatever the protocol.
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/platform"
+)
+
+// Bench is one fresh, empty set of services with switches for their faults.
+type Bench struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Hosts   platform.Hosts
+	Weights platform.Weights // must allow two loads at once, and starts at any rate
+
+	Want         []platform.Host // what Hosts must answer
+	Outage       func(on bool)
+	LoseAnswers  func(on bool) // writes take effect but their answers are lost
+	LoseRequests func(on bool) // writes are lost on the way
+	Limit        func(on bool) // every write is over the limit
+}
+
+// Run runs the suite on benches that make builds.
+func Run(t *testing.T, make func(t *testing.T) Bench) {
+	for _, c := range []struct {
+		name string
+		test func(*testing.T, Bench)
+	}{
+		{"same operation has one effect and one answer", oneEffect},
+		{"conditions", conditions},
+		{"a transaction takes effect whole or not at all", whole},
+		{"versions are never reused", versions},
+		{"pages", pages},
+		{"lost answer is resolved", lostAnswer},
+		{"lost request is resolved", lostRequest},
+		{"outage and limit have no effect", refusals},
+		{"objects", objects},
+		{"hosts", hosts},
+		{"weights", weights},
+	} {
+		t.Run(c.name, func(t *testing.T) { c.test(t, make(t)) })
+	}
+}
+
+func put(op, key, value string, conds ...platform.Cond) platform.Txn {
+	return platform.Txn{Op: op, Conds: conds, Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+}
+
+func value(t *testing.T, b Bench, key string) string {
+	t.Helper()
+	rows, err := b.Table.Get(t.Context(), key)
+	assert.NilError(t, err)
+	if len(rows) == 0 {
+		return ""
+	}
+	return string(rows[0].Value)
+}
+
+func oneEffect(t *testing.T, b Bench) {
+	first, err := b.Table.Commit(t.Context(), put("op1", "k", "1"))
+	assert.NilError(t, err)
+	_, err = b.Table.Commit(t.Context(), put("op2", "k", "2"))
+	assert.NilError(t, err)
+	again, err := b.Table.Commit(t.Context(), put("op1", "k", "1"))
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	assert.Equal(t, value(t, b, "k"), "2")
+
+	// A refusal is an answer too: it must not turn into success later.
+	refused := put("op3", "k", "3", platform.Cond{Key: "k", Version: first})
+	_, err = b.Table.Commit(t.Context(), refused)
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	refused.Conds = nil
+	_, err = b.Table.Commit(t.Context(), refused)
+	assert.ErrorIs(t, err, platform.ErrConflict)
+}
+
+func conditions(t *testing.T, b Bench) {
+	absent := platform.Cond{Key: "k", Version: platform.Absent}
+	v, err := b.Table.Commit(t.Context(), put("a", "k", "1", absent))
+	assert.NilError(t, err)
+	_, err = b.Table.Commit(t.Context(), put("b", "k", "2", absent))
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	_, err = b.Table.Commit(t.Context(), put("c", "k", "2", platform.Cond{Key: "k", Version: v + 1}))
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	_, err = b.Table.Commit(t.Context(), put("d", "k", "2", platform.Cond{Key: "k", Version: v}))
+	assert.NilError(t, err)
+	assert.Equal(t, value(t, b, "k"), "2")
+}
+
+func whole(t *testing.T, b Bench) {
+	two := platform.Txn{Op: "a", Conds: []platform.Cond{{Key: "x"}, {Key: "y"}},
+		Writes: []platform.Write{{Key: "x", Value: []byte("1")}, {Key: "y", Value: []byte("1")}}}
+	v, err := b.Table.Commit(t.Context(), two)
+	assert.NilError(t, err)
+	rows, err := b.Table.Get(t.Context(), "x", "none", "y")
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, rows[0].Version, v)
+	assert.Equal(t, rows[1].Version, v)
+
+	two.Op, two.Conds = "b", []platform.Cond{{Key: "x", Version: v}, {Key: "y", Version: platform.Absent}}
+	two.Writes = []platform.Write{{Key: "x", Delete: true}, {Key: "y", Delete: true}}
+	_, err = b.Table.Commit(t.Context(), two)
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.Equal(t, value(t, b, "x"), "1")
+}
+
+func versions(t *testing.T, b Bench) {
+	seen := map[uint64]bool{}
+	for i := range 5 {
+		v, err := b.Table.Commit(t.Context(), put(fmt.Sprint("put", i), "k", "1"))
+		assert.NilError(t, err)
+		assert.Assert(t, v != 0 && !seen[v])
+		seen[v] = true
+		_, err = b.Table.Commit(t.Context(), platform.Txn{Op: fmt.Sprint("del", i),
+			Conds: []platform.Cond{{Key: "k", Version: v}}, Writes: []platform.Write{{Key: "k", Delete: true}}})
+		assert.NilError(t, err)
+	}
+}
+
+func pages(t *testing.T, b Bench) {
+	for _, k := range []string{"q/1", "p/3", "p/1", "p", "p/2", "o/9"} {
+		_, err := b.Table.Commit(t.Context(), put(k, k, k))
+		assert.NilError(t, err)
+	}
+	var got []string
+	for after := ""; ; {
+		rows, err := b.Table.List(t.Context(), "p/", after, 2)
+		assert.NilError(t, err)
+		for _, r := range rows {
+			got = append(got, r.Key)
+			assert.Equal(t, string(r.Value), r.Key)
+		}
+		if len(rows) < 2 {
+			break
+		}
+		after = rows[len(rows)-1].Key
+	}
+	assert.DeepEqual(t, got, []string{"p/1", "p/2", "p/3"})
+}
+
+// resolveAfter commits txn while a fault is on and clears the fault once the
+// commit is in doubt.
+func resolveAfter(t *testing.T, b Bench, fault func(bool), txn platform.Txn) {
+	t.Helper()
+	fault(true)
+	_, err := b.Table.Commit(t.Context(), txn)
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	fault(false)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err = platform.CommitResolved(ctx, b.Table, txn)
+	assert.NilError(t, err)
+}
+
+// Symptom: a claim is refused to its own owner. Sequence: the write takes
+// effect, its answer is lost, the retry meets its own row. Cause: the retry
+// counted as a new operation.
+func lostAnswer(t *testing.T, b Bench) {
+	resolveAfter(t, b, b.LoseAnswers, put("a", "k", "1", platform.Cond{Key: "k", Version: platform.Absent}))
+	assert.Equal(t, value(t, b, "k"), "1")
+}
+
+// Symptom: a write that was reported in doubt is taken for done and is not
+// there. Sequence: the request is lost on the way. Cause: no second try.
+func lostRequest(t *testing.T, b Bench) {
+	resolveAfter(t, b, b.LoseRequests, put("a", "k", "1", platform.Cond{Key: "k", Version: platform.Absent}))
+	assert.Equal(t, value(t, b, "k"), "1")
+}
+
+func refusals(t *testing.T, b Bench) {
+	b.Outage(true)
+	_, err := b.Table.Commit(t.Context(), put("a", "k", "1"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = b.Table.Get(t.Context(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = b.Objects.Get(t.Context(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	b.Outage(false)
+	b.Limit(true)
+	_, err = b.Table.Commit(t.Context(), put("b", "k", "1"))
+	assert.ErrorIs(t, err, platform.ErrLimited)
+	b.Limit(false)
+	assert.Equal(t, value(t, b, "k"), "")
+}
+
+func objects(t *testing.T, b Bench) {
+	name := "audit/2026 a%2Fb/1"
+	assert.NilError(t, b.Objects.Put(t.Context(), name, []byte("data")))
+	assert.NilError(t, b.Objects.Put(t.Context(), name, []byte("data")))
+	assert.ErrorIs(t, b.Objects.Put(t.Context(), name, []byte("other")), platform.ErrConflict)
+	got, err := b.Objects.Get(t.Context(), name)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "data")
+	_, err = b.Objects.Get(t.Context(), "none")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	b.LoseAnswers(true)
+	err = b.Objects.Put(t.Context(), "b", nil)
+	assert.Assert(t, errors.Is(err, platform.ErrInDoubt))
+	b.LoseAnswers(false)
+	assert.NilError(t, b.Objects.Put(t.Context(), "b", nil))
+	names, err := b.Objects.List(t.Context(), "a", "", 10)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names, []string{name})
+}
+
+func hosts(t *testing.T, b Bench) {
+	got, err := b.Hosts.Hosts(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, b.Want)
+}
+
+func weights(t *testing.T, b Bench) {
+	granted := func(load string) bool {
+		wait, err := b.Weights.Grant(t.Context(), load)
+		assert.NilError(t, err)
+		return wait == 0
+	}
+	assert.Assert(t, granted("m#1"))
+	assert.Assert(t, granted("m#1"), "the same load takes no second place")
+	assert.Assert(t, granted("m#2"))
+	assert.Assert(t, !granted("m#3"))
+	assert.NilError(t, b.Weights.Done(t.Context(), "m#1"))
+	assert.NilError(t, b.Weights.Done(t.Context(), "m#1"))
+	assert.Assert(t, granted("m#3"))
+}
--- /dev/null
+++ b/node/platform/rest/client.go
@@ -0,0 +1,190 @@
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"peridotpier.example/node/platform"
+)
+
+// Defaults of a client.
+const (
+	defaultTimeout = 2 * time.Second // for one call; the services answer within tens of milliseconds
+	maxAnswer      = 64 << 20        // bytes; above the largest object that the system stores
+	idleConns      = 16              // to each service; above the calls that one host has open at once
+	idleTimeout    = 30 * time.Second
+)
+
+// Config addresses one service or all of them.
+type Config struct {
+	Base    string        // "http://IP:port"
+	Timeout time.Duration // of one call; 0: two seconds
+}
+
+// Client calls the platform's services. It implements platform.Table,
+// platform.Hosts and platform.Weights; Objects returns the object store.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Hosts   = (*Client)(nil)
+	_ platform.Weights = (*Client)(nil)
+	_ platform.Objects = Objects{}
+)
+
+// New makes a client. Close ends it.
+func New(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	tr := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout}
+	return &Client{base: cfg.Base, timeout: cfg.Timeout, http: &http.Client{Transport: tr,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	var a CommitAnswer
+	err := c.post(ctx, PathCommit, platform.ErrInDoubt, t, &a)
+	return a.Version, err
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	var a Rows
+	err := c.post(ctx, PathGet, platform.ErrUnavailable, GetRequest{Keys: keys}, &a)
+	return a.Rows, err
+}
+
+// List implements platform.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var a Rows
+	err := c.post(ctx, PathList, platform.ErrUnavailable, ListRequest{Prefix: prefix, After: after, Limit: limit}, &a)
+	return a.Rows, err
+}
+
+// Hosts implements platform.Hosts.
+func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+	var a HostList
+	err := c.call(ctx, request{method: http.MethodGet, path: PathHosts, lost: platform.ErrUnavailable}, decode(&a))
+	return a.Hosts, err
+}
+
+// Grant implements platform.Weights.
+func (c *Client) Grant(ctx context.Context, load string) (time.Duration, error) {
+	var a Grant
+	err := c.post(ctx, PathGrant, platform.ErrInDoubt, LoadRequest{Load: load}, &a)
+	return time.Duration(a.WaitMs) * time.Millisecond, err
+}
+
+// Done implements platform.Weights.
+func (c *Client) Done(ctx context.Context, load string) error {
+	return c.post(ctx, PathDone, platform.ErrInDoubt, LoadRequest{Load: load}, &struct{}{})
+}
+
+// Objects is the object store of a client.
+type Objects struct{ c *Client }
+
+// Objects returns the object store at the client's address.
+func (c *Client) Objects() Objects { return Objects{c} }
+
+// Put implements platform.Objects.
+func (o Objects) Put(ctx context.Context, name string, data []byte) error {
+	r := request{method: http.MethodPut, path: PathObject + url.PathEscape(name), body: data, lost: platform.ErrInDoubt}
+	return o.c.call(ctx, r, decode(&struct{}{}))
+}
+
+// Get implements platform.Objects.
+func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	r := request{method: http.MethodGet, path: PathObject + url.PathEscape(name), lost: platform.ErrUnavailable}
+	err := o.c.call(ctx, r, func(b []byte) error { data = b; return nil })
+	return data, err
+}
+
+// List implements platform.Objects.
+func (o Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	var a Names
+	r := request{method: http.MethodGet, path: PathObjects + "?" + q.Encode(), lost: platform.ErrUnavailable}
+	err := o.c.call(ctx, r, decode(&a))
+	return a.Names, err
+}
+
+// request is one call; lost is the error when its answer is lost, which is
+// ErrInDoubt for whatever changes state.
+type request struct {
+	method, path string
+	body         []byte
+	lost         error
+}
+
+func (c *Client) post(ctx context.Context, path string, lost error, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	return c.call(ctx, request{method: http.MethodPost, path: path, body: body, lost: lost}, decode(out))
+}
+
+func decode(out any) func([]byte) error {
+	return func(b []byte) error { return json.Unmarshal(b, out) }
+}
+
+// call sends one request and classifies its failure. A call that never got a
+// connection had no effect. From then on every failure is r.lost: bytes may
+// have reached the service even if this side saw the write fail, and taking
+// that for "nothing took effect" would let a caller repeat the act under a
+// new operation id, twice in effect.
+func (c *Client) call(ctx context.Context, r request, accept func([]byte) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if connected.Load() {
+			return fmt.Errorf("%w: %w", r.lost, err)
+		}
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%w: %w", r.lost, err)
+	}
+	if resp.StatusCode == http.StatusOK {
+		if err := accept(body); err != nil {
+			return fmt.Errorf("%w: %w", r.lost, err)
+		}
+		return nil
+	}
+	var p Problem
+	if json.Unmarshal(body, &p) == nil {
+		if err, ok := p.err(); ok {
+			return err
+		}
+	}
+	return fmt.Errorf("%w: status %d", r.lost, resp.StatusCode)
+}
--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"peridotpier.example/node/platform"
+)
+
+// Settings are the limits and faults of one stand-in service. The zero value
+// is a service without limits or faults. Shares are from 0 to 1.
+type Settings struct {
+	Outage          bool
+	Delay           time.Duration // added to every call
+	LostAnswers     float64       // of writes: took effect, answered ErrInDoubt
+	LostRequests    float64       // of writes: no effect, answered ErrInDoubt
+	LateEffects     float64       // of writes: answered ErrInDoubt, takes effect LateBy later
+	LateBy          time.Duration
+	WritesPerSecond float64 // 0: no limit
+	ReadsPerSecond  float64 // 0: no limit
+}
+
+// Faults decides the fate of each call on a service. It may be changed at run
+// time and is safe for concurrent use.
+type Faults struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	rng      *rand.Rand
+	set      Settings
+	outUntil time.Time
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	nWrites  int64
+	nReads   int64
+}
+
+// NewFaults makes a service without faults; seed fixes later draws and now is
+// its clock (nil: time.Now).
+func NewFaults(seed uint64, now func() time.Time) *Faults {
+	if now == nil {
+		now = time.Now
+	}
+	f := &Faults{now: now, rng: rand.New(rand.NewPCG(seed, seed))}
+	f.Set(Settings{})
+	return f
+}
+
+// Set replaces the settings.
+func (f *Faults) Set(s Settings) { f.Update(func(old *Settings) { *old = s }) }
+
+// Update changes some of the settings.
+func (f *Faults) Update(change func(*Settings)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.set
+	change(&f.set)
+	if f.writes == nil || old.WritesPerSecond != f.set.WritesPerSecond {
+		f.writes = limiter(f.set.WritesPerSecond)
+	}
+	if f.reads == nil || old.ReadsPerSecond != f.set.ReadsPerSecond {
+		f.reads = limiter(f.set.ReadsPerSecond)
+	}
+}
+
+// OutageFor makes the service unavailable for d from now on.
+func (f *Faults) OutageFor(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outUntil = f.now().Add(d)
+}
+
+// Writes returns the number of write calls so far, refused ones included.
+func (f *Faults) Writes() int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.nWrites }
+
+// Reads returns the number of read calls so far, refused ones included.
+func (f *Faults) Reads() int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.nReads }
+
+// limitBurst is the part of a second's rate that may come at once.
+const limitBurst = 0.1
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*limitBurst)))
+}
+
+// fate is what becomes of one write.
+type fate uint8
+
+const (
+	fateDone fate = iota
+	fateLostAnswer
+	fateLostRequest
+	fateLateEffect
+)
+
+// read lets a read pass, after the delay, or refuses it.
+func (f *Faults) read(ctx context.Context) error {
+	f.mu.Lock()
+	f.nReads++
+	delay, err := f.admit(f.reads)
+	f.mu.Unlock()
+	return firstError(pause(ctx, delay), err)
+}
+
+// write draws a write's fate, after the delay, or refuses it.
+func (f *Faults) write(ctx context.Context) (fate, time.Duration, error) {
+	f.mu.Lock()
+	f.nWrites++
+	delay, err := f.admit(f.writes)
+	drawn, late := f.draw(), f.set.LateBy
+	f.mu.Unlock()
+	return drawn, late, firstError(pause(ctx, delay), err)
+}
+
+// admit checks outage and limit. The caller holds mu.
+func (f *Faults) admit(l *rate.Limiter) (time.Duration, error) {
+	now := f.now()
+	if f.set.Outage || now.Before(f.outUntil) {
+		return f.set.Delay, platform.ErrUnavailable
+	}
+	if !l.AllowN(now, 1) {
+		return f.set.Delay, platform.ErrLimited
+	}
+	return f.set.Delay, nil
+}
+
+// draw picks a write's fate. The caller holds mu.
+func (f *Faults) draw() fate {
+	x := f.rng.Float64()
+	for _, c := range []struct {
+		share float64
+		fate  fate
+	}{{f.set.LostAnswers, fateLostAnswer}, {f.set.LostRequests, fateLostRequest}, {f.set.LateEffects, fateLateEffect}} {
+		if x < c.share {
+			return c.fate
+		}
+		x -= c.share
+	}
+	return fateDone
+}
+
+// pause waits for d. A caller that gave up meanwhile was not served: the
+// request counts as never having reached the service.
+func pause(ctx context.Context, d time.Duration) error {
+	if ctx.Err() != nil {
+		return platform.ErrUnavailable
+	}
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	case <-timer.C:
+		return nil
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/platform/objects.go
@@ -0,0 +1,79 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+
+	"peridotpier.example/node/platform"
+)
+
+// Objects is the object store in memory.
+type Objects struct {
+	// Faults may be changed while the store is in use. A late effect counts
+	// as a lost request: blobs never change, so the two look alike.
+	Faults *Faults
+
+	mu    sync.Mutex
+	blobs map[string][]byte
+	names []string // of blobs, in order
+}
+
+// NewObjects makes an empty object store under f.
+func NewObjects(f *Faults) *Objects { return &Objects{Faults: f, blobs: map[string][]byte{}} }
+
+// Put implements platform.Objects.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	fate, _, err := o.Faults.write(ctx)
+	if err != nil {
+		return err
+	}
+	if fate == fateLostRequest || fate == fateLateEffect {
+		return platform.ErrInDoubt
+	}
+	err = o.put(name, data)
+	if fate == fateLostAnswer {
+		return platform.ErrInDoubt
+	}
+	return err
+}
+
+func (o *Objects) put(name string, data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if old, ok := o.blobs[name]; ok {
+		if !bytes.Equal(old, data) {
+			return platform.ErrConflict
+		}
+		return nil
+	}
+	o.blobs[name] = slices.Clone(data)
+	at, _ := slices.BinarySearch(o.names, name)
+	o.names = slices.Insert(o.names, at, name)
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := o.Faults.read(ctx); err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.blobs[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return slices.Clone(data), nil
+}
+
+// List implements platform.Objects.
+func (o *Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	if err := o.Faults.read(ctx); err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(page(o.names, prefix, after, limit)), nil
+}
--- /dev/null
+++ b/standin/platform/platform_test.go
@@ -0,0 +1,126 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/platform/platformtest"
+	"peridotpier.example/node/platform/rest"
+	standin "peridotpier.example/standin/platform"
+)
+
+var listed = []platform.Host{{Name: "h1", Address: "127.0.0.1:1", DataCentre: "balaju", Role: "entry", State: platform.HostLive}}
+
+func memory(*testing.T) platformtest.Bench {
+	f := standin.NewFaults(1, nil)
+	set := func(change func(*standin.Settings, float64)) func(bool) {
+		return func(on bool) {
+			f.Update(func(s *standin.Settings) {
+				share := 0.0
+				if on {
+					share = 1
+				}
+				change(s, share)
+			})
+		}
+	}
+	const noneLeft = 1e-9 // writes a second, after the one that the burst allows
+	b := platformtest.Bench{
+		Table: standin.NewTableWith(f), Objects: standin.NewObjects(f),
+		Hosts: standin.NewHosts(f, listed...), Weights: standin.NewWeights(f, 1e9, 2), Want: listed,
+		Outage:       func(on bool) { f.Update(func(s *standin.Settings) { s.Outage = on }) },
+		LoseAnswers:  set(func(s *standin.Settings, x float64) { s.LostAnswers = x }),
+		LoseRequests: set(func(s *standin.Settings, x float64) { s.LostRequests = x }),
+	}
+	b.Limit = func(on bool) {
+		set(func(s *standin.Settings, x float64) { s.WritesPerSecond = x * noneLeft })(on)
+		if on {
+			_ = b.Objects.Put(context.Background(), "burst", nil)
+		}
+	}
+	return b
+}
+
+func overHTTP(t *testing.T) platformtest.Bench {
+	b := memory(t)
+	srv := httptest.NewServer(standin.Handler(standin.Services{Table: b.Table, Objects: b.Objects, Hosts: b.Hosts, Weights: b.Weights}))
+	t.Cleanup(srv.Close)
+	c := rest.New(rest.Config{Base: srv.URL})
+	t.Cleanup(c.Close)
+	b.Table, b.Objects, b.Hosts, b.Weights = c, c.Objects(), c, c
+	return b
+}
+
+func TestConformance(t *testing.T) {
+	t.Run("memory", func(t *testing.T) { platformtest.Run(t, memory) })
+	t.Run("http", func(t *testing.T) { platformtest.Run(t, overHTTP) })
+}
+
+// Symptom: an act runs twice after a store failure. Sequence: the service is
+// reached, then silent until the client's deadline. Cause: the client takes a
+// deadline for "nothing took effect".
+func TestSilenceAfterTheRequestIsInDoubt(t *testing.T) {
+	f := standin.NewFaults(1, nil)
+	f.Set(standin.Settings{Delay: time.Hour})
+	srv := httptest.NewServer(standin.Handler(standin.Services{Table: standin.NewTableWith(f)}))
+	c := rest.New(rest.Config{Base: srv.URL, Timeout: 50 * time.Millisecond})
+	_, err := c.Commit(t.Context(), platform.Txn{Op: "a"})
+	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	_, err = c.Get(t.Context(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	srv.Close()
+	_, err = c.Commit(t.Context(), platform.Txn{Op: "a"})
+	assert.ErrorIs(t, err, platform.ErrUnavailable, "refused before anything was sent")
+}
+
+// Symptom: a write shows up after its caller has moved on. Sequence: answer
+// reported lost, effect some time later, while a retry under the same
+// operation id comes before it. Cause: the network held the request back.
+func TestLateEffectAfterRetryHasOneEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := standin.NewTable()
+		tb.Faults.Set(standin.Settings{LateEffects: 1, LateBy: time.Minute})
+		txn := platform.Txn{Op: "a", Writes: []platform.Write{{Key: "k", Value: []byte("1")}}}
+		_, err := tb.Commit(t.Context(), txn)
+		assert.ErrorIs(t, err, platform.ErrInDoubt)
+		rows, _ := tb.Get(t.Context(), "k")
+		assert.Equal(t, len(rows), 0)
+		tb.Faults.Set(standin.Settings{})
+		v, err := tb.Commit(t.Context(), txn)
+		assert.NilError(t, err)
+		_, err = tb.Commit(t.Context(), platform.Txn{Op: "b", Writes: []platform.Write{{Key: "k", Value: []byte("2")}}})
+		assert.NilError(t, err)
+		tb.Settle()
+		rows, _ = tb.Get(t.Context(), "k")
+		assert.Equal(t, string(rows[0].Value), "2")
+		assert.Assert(t, rows[0].Version > v)
+	})
+}
+
+func TestHostListLagsAndOutageEnds(t *testing.T) {
+	now := time.Unix(0, 0)
+	f := standin.NewFaults(1, func() time.Time { return now })
+	h := standin.NewHosts(f, listed...)
+	h.SetLag(30 * time.Second)
+	h.SetState("h1", platform.HostLeaving)
+	state := func() platform.HostState {
+		got, err := h.Hosts(t.Context())
+		assert.NilError(t, err)
+		return got[0].State
+	}
+	assert.Equal(t, state(), platform.HostLive)
+	now = now.Add(30 * time.Second)
+	assert.Equal(t, state(), platform.HostLeaving)
+	f.OutageFor(time.Minute)
+	_, err := h.Hosts(t.Context())
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	now = now.Add(time.Minute)
+	assert.Equal(t, state(), platform.HostLeaving)
+	assert.Equal(t, f.Reads(), int64(4))
+}
--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/platform/rest"
+)
+
+// maxBody bounds one call's body, in bytes; an object is the largest.
+const maxBody = 64 << 20
+
+// Services are the four services that a server offers; a nil one is absent.
+type Services struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Hosts   platform.Hosts
+	Weights platform.Weights
+}
+
+// Handler serves the services over HTTP as rest.Client speaks to them. An
+// answer that a stand-in reports lost closes the connection without a word,
+// so that the client meets what a lost answer looks like on the wire.
+func Handler(s Services) http.Handler {
+	mux := http.NewServeMux()
+	if s.Table != nil {
+		tableRoutes(mux, s.Table)
+	}
+	if s.Objects != nil {
+		objectRoutes(mux, s.Objects)
+	}
+	if s.Hosts != nil {
+		mux.HandleFunc("GET "+rest.PathHosts, func(w http.ResponseWriter, r *http.Request) {
+			hosts, err := s.Hosts.Hosts(r.Context())
+			answer(w, rest.HostList{Hosts: hosts}, err)
+		})
+	}
+	if s.Weights != nil {
+		weightRoutes(mux, s.Weights)
+	}
+	return mux
+}
+
+func tableRoutes(mux *http.ServeMux, tb platform.Table) {
+	mux.HandleFunc("POST "+rest.PathCommit, with(func(w http.ResponseWriter, r *http.Request, t platform.Txn) {
+		v, err := tb.Commit(r.Context(), t)
+		answer(w, rest.CommitAnswer{Version: v}, err)
+	}))
+	mux.HandleFunc("POST "+rest.PathGet, with(func(w http.ResponseWriter, r *http.Request, g rest.GetRequest) {
+		rows, err := tb.Get(r.Context(), g.Keys...)
+		answer(w, rest.Rows{Rows: rows}, err)
+	}))
+	mux.HandleFunc("POST "+rest.PathList, with(func(w http.ResponseWriter, r *http.Request, l rest.ListRequest) {
+		rows, err := tb.List(r.Context(), l.Prefix, l.After, l.Limit)
+		answer(w, rest.Rows{Rows: rows}, err)
+	}))
+}
+
+func objectRoutes(mux *http.ServeMux, objects platform.Objects) {
+	mux.HandleFunc("PUT "+rest.PathObject+"{name...}", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer(w, struct{}{}, objects.Put(r.Context(), r.PathValue("name"), data))
+	})
+	mux.HandleFunc("GET "+rest.PathObject+"{name...}", func(w http.ResponseWriter, r *http.Request) {
+		data, err := objects.Get(r.Context(), r.PathValue("name"))
+		if err != nil {
+			answer(w, nil, err)
+			return
+		}
+		_, _ = w.Write(data)
+	})
+	mux.HandleFunc("GET "+rest.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		limit, err := strconv.Atoi(q.Get("limit"))
+		if err != nil {
+			http.Error(w, "limit: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		names, err := objects.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
+		answer(w, rest.Names{Names: names}, err)
+	})
+}
+
+func weightRoutes(mux *http.ServeMux, weights platform.Weights) {
+	mux.HandleFunc("POST "+rest.PathGrant, with(func(w http.ResponseWriter, r *http.Request, l rest.LoadRequest) {
+		wait, err := weights.Grant(r.Context(), l.Load)
+		answer(w, rest.NewGrant(wait), err)
+	}))
+	mux.HandleFunc("POST "+rest.PathDone, with(func(w http.ResponseWriter, r *http.Request, l rest.LoadRequest) {
+		answer(w, struct{}{}, weights.Done(r.Context(), l.Load))
+	}))
+}
+
+// with decodes a call's JSON body.
+func with[T any](do func(http.ResponseWriter, *http.Request, T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&in); err != nil {
+			http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		do(w, r, in)
+	}
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(body)
+		return
+	}
+	status, p, ok := rest.ProblemOf(err)
+	if !ok {
+		panic(http.ErrAbortHandler) // the answer is lost: the client sees the connection end
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -5,40 +5,71 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"peridotpier.example/node/platform"
 )
 
 // Table is the table service in memory.
 type Table struct {
+	// Faults may be changed while the table is in use.
+	Faults *Faults
+
 	mu   sync.Mutex
 	rows map[string]platform.Row
-	ops  map[string]opResult // every operation id seen, with its answer
+	keys []string // of rows, in order
+	ops  opMemory
 	next uint64
+	late sync.WaitGroup
 }
 
-type opResult struct {
-	version uint64
-	err     error
-}
+// NewTable makes an empty table service without faults.
+func NewTable() *Table { return NewTableWith(NewFaults(1, nil)) }
 
-// NewTable makes an empty table service.
-func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}, ops: map[string]opResult{}}
+// NewTableWith makes an empty table service under f.
+func NewTableWith(f *Faults) *Table {
+	return &Table{Faults: f, rows: map[string]platform.Row{}, ops: opMemory{now: f.now}}
 }
 
 // Commit implements platform.Table.
-func (t *Table) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	fate, lateBy, err := t.Faults.write(ctx)
+	if err != nil {
+		return 0, err
+	}
+	switch fate {
+	case fateLostAnswer:
+		_, _ = t.commit(txn)
+		return 0, platform.ErrInDoubt
+	case fateLostRequest:
+		return 0, platform.ErrInDoubt
+	case fateLateEffect:
+		txn = clone(txn)
+		t.late.Go(func() {
+			time.Sleep(lateBy)
+			_, _ = t.commit(txn)
+		})
+		return 0, platform.ErrInDoubt
+	default:
+		return t.commit(txn)
+	}
+}
+
+// Settle waits until every late effect has taken place.
+func (t *Table) Settle() { t.late.Wait() }
+
+// commit applies txn once: a repeated operation id gets the first answer.
+func (t *Table) commit(txn platform.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.ops[txn.Op]; ok && txn.Op != "" {
+	if r, ok := t.ops.find(txn.Op); ok {
 		return r.version, r.err
 	}
 	v, err := t.apply(txn)
-	t.ops[txn.Op] = opResult{v, err}
+	t.ops.keep(txn.Op, opResult{v, err})
 	return v, err
 }
 
@@ -50,45 +81,76 @@
 	}
 	t.next++
 	for _, w := range txn.Writes {
+		at, there := slices.BinarySearch(t.keys, w.Key)
+		switch {
+		case w.Delete && there:
+			t.keys = slices.Delete(t.keys, at, at+1)
+		case !w.Delete && !there:
+			t.keys = slices.Insert(t.keys, at, w.Key)
+		}
 		if w.Delete {
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: t.next}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.next}
 	}
 	return t.next, nil
 }
 
 // Get implements platform.Table.
-func (t *Table) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := t.Faults.read(ctx); err != nil {
+		return nil, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []platform.Row
 	for _, k := range keys {
 		if r, ok := t.rows[k]; ok {
-			out = append(out, r)
+			out = append(out, copyRow(r))
 		}
 	}
 	return out, nil
 }
 
 // List implements platform.Table.
-func (t *Table) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := t.Faults.read(ctx); err != nil {
+		return nil, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var keys []string
-	for k := range t.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
-		}
+	var out []platform.Row
+	for _, k := range page(t.keys, prefix, after, limit) {
+		out = append(out, copyRow(t.rows[k]))
 	}
-	sort.Strings(keys)
-	if len(keys) > limit {
-		keys = keys[:limit]
+	return out, nil
+}
+
+// page picks up to limit of the sorted keys that start with prefix and sort
+// after after.
+func page(sorted []string, prefix, after string, limit int) []string {
+	from, _ := slices.BinarySearch(sorted, max(prefix, after))
+	if from < len(sorted) && sorted[from] == after {
+		from++
 	}
-	out := make([]platform.Row, len(keys))
-	for i, k := range keys {
-		out[i] = t.rows[k]
+	end := from
+	for end < len(sorted) && end-from < limit && strings.HasPrefix(sorted[end], prefix) {
+		end++
 	}
-	return out, nil
+	return sorted[from:end]
+}
+
+func copyRow(r platform.Row) platform.Row {
+	r.Value = slices.Clone(r.Value)
+	return r
+}
+
+func clone(txn platform.Txn) platform.Txn {
+	txn.Conds = slices.Clone(txn.Conds)
+	txn.Writes = slices.Clone(txn.Writes)
+	for i := range txn.Writes {
+		txn.Writes[i].Value = slices.Clone(txn.Writes[i].Value)
+	}
+	return txn
 }
