Route by filters, predicted first token and two choices

Change: filters and scorers, one a file, each naming the signal it trusts; a pick compares two random endpoints, plus the home and the known holder of a cached prefix; round-robin and least-reported as baselines.

--- /dev/null
+++ b/core/route/filter_down.go
@@ -0,0 +1,11 @@
+package route
+
+// downFilter trusts this host's own connections: they fail or went silent.
+type downFilter struct{}
+
+func (downFilter) keep(e *Endpoint, _ *Request) Reason {
+	if e.Down {
+		return AllAvoid
+	}
+	return Found
+}
--- /dev/null
+++ b/core/route/filter_leaving.go
@@ -0,0 +1,12 @@
+package route
+
+// leavingFilter trusts the first signal from anywhere that an upstream is
+// leaving. Within an incarnation leaving is never undone.
+type leavingFilter struct{}
+
+func (leavingFilter) keep(e *Endpoint, _ *Request) Reason {
+	if e.Leaving {
+		return AllAvoid
+	}
+	return Found
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -32,6 +32,7 @@
 	ReportAge    time.Duration
 	SinceReport  int     // attempts that this host dispatched since that report was taken
 	PeersSince   int     // the same, as peers tell
+	DoneSince    int     // this host's own attempts that ended there since that report was taken
 	InFlight     int     // this host's own attempts now in flight there
 	TokenMs      float64 // time of one decoding step when alone, milliseconds
 	PrefillMs    float64 // time of a typical prefill, milliseconds
@@ -55,7 +56,7 @@
 	Service bool // a plain service: any endpoint of the pool will do
 	Class   class.Class
 	Prefix  uint64    // salted prefix hash; 0: none
-	Avoid   [4]string // upstreams that already refused or failed this request
+	Avoid   [4]string // upstreams that already refused or failed this request, filled from the front
 }
 
 // Reason says why no endpoint was found.
--- /dev/null
+++ b/core/route/staged_test.go
@@ -0,0 +1,171 @@
+package route
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/class"
+)
+
+var testKey = ModelKey{Model: "m"}
+
+// snapshotOf indexes endpoints that all hold testKey.
+func snapshotOf(endpoints ...Endpoint) *Snapshot {
+	s := &Snapshot{Endpoints: endpoints, ByModel: map[ModelKey][]int32{}, ByPool: map[string][]int32{}}
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		if e.Upstream == "" {
+			e.Upstream = "u" + strconv.Itoa(i)
+		}
+		if e.Ready == nil {
+			e.Ready = map[ModelKey]bool{testKey: true}
+		}
+		if e.MaxBatch == 0 {
+			e.MaxBatch = 8
+		}
+		e.TokenMs, e.PrefillMs = 20, 100
+		s.ByModel[testKey] = append(s.ByModel[testKey], int32(i))
+		s.ByPool["p"] = append(s.ByPool["p"], int32(i))
+	}
+	return s
+}
+
+func TestPickFilters(t *testing.T) {
+	other := map[ModelKey]bool{{Model: "x"}: true}
+	cases := []struct {
+		name      string
+		endpoints []Endpoint
+		request   Request
+		index     int
+		reason    Reason
+	}{
+		{"nobody holds it", nil, Request{Key: testKey}, -1, NoReplica},
+		{"leaving", []Endpoint{{Leaving: true}, {}}, Request{Key: testKey}, 1, Found},
+		{"down", []Endpoint{{Down: true}, {}}, Request{Key: testKey}, 1, Found},
+		{"index ahead of the report", []Endpoint{{Ready: other}, {}}, Request{Key: testKey}, 1, Found},
+		{"refused before", []Endpoint{{}, {}}, Request{Key: testKey, Avoid: [4]string{"u0"}}, 1, Found},
+		{"all tried or leaving", []Endpoint{{}, {Leaving: true}}, Request{Key: testKey, Avoid: [4]string{"u0"}}, -1, AllAvoid},
+		{"one busy, one leaving", []Endpoint{{Running: 8, Waiting: 8}, {Leaving: true}},
+			Request{Key: testKey, Class: class.Standard}, -1, AllBusy},
+		{"urgent passes the bound of others", []Endpoint{{Running: 8, Waiting: 8}},
+			Request{Key: testKey, Class: class.Urgent}, 0, Found},
+		{"bulk joins no queue", []Endpoint{{Running: 8}}, Request{Key: testKey, Class: class.Bulk}, -1, AllBusy},
+		{"a service needs no model", []Endpoint{{Ready: other}}, Request{Pool: "p", Service: true}, 0, Found},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				d := New(Config{}).Pick(snapshotOf(c.endpoints...), &c.request, rand.New(rand.NewPCG(seed, 1)))
+				assert.Equal(t, d.Index, c.index)
+				assert.Equal(t, d.Reason, c.reason)
+			}
+		})
+	}
+}
+
+// Symptom: one of 350 replicas is usable and requests are refused.
+// Sequence: all random probes hit endpoints that leave.
+// Cause: probing alone proves nothing of those not probed; the full pass does.
+func TestPickFindsTheOnlyUsable(t *testing.T) {
+	endpoints := make([]Endpoint, 350)
+	for i := range endpoints {
+		endpoints[i].Leaving = i != 123
+	}
+	s := snapshotOf(endpoints...)
+	for seed := range uint64(100) {
+		d := New(Config{}).Pick(s, &Request{Key: testKey}, rand.New(rand.NewPCG(seed, 2)))
+		assert.Equal(t, d.Index, 123)
+	}
+}
+
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	const prefix = 77
+	holder := func(running int) *Snapshot {
+		return snapshotOf(Endpoint{Running: running, Prefixes: map[uint64]bool{prefix: true}}, Endpoint{}, Endpoint{})
+	}
+	request := &Request{Key: testKey, Prefix: prefix, Class: class.Standard}
+	for seed := range uint64(50) {
+		src := rand.New(rand.NewPCG(seed, 3))
+		assert.Equal(t, New(Config{}).Pick(holder(3), request, src).Index, 0)
+		assert.Assert(t, New(Config{}).Pick(holder(8), request, src).Index != 0)
+	}
+}
+
+// Symptom: the queue of one endpoint jumps up at the pace of the reports
+// while others idle.
+// Sequence: seven hosts share one report, in which one endpoint is slightly
+// less loaded; each dispatches twenty requests before the next report.
+// Cause: each takes the reported minimum; nobody sees the others' dispatches.
+func TestHostsSharingAStaleReportDoNotHerd(t *testing.T) {
+	const hosts, each, replicas = 7, 20, 10
+	largest := func(p Picker) int {
+		total := make([]int, replicas)
+		src := rand.New(rand.NewPCG(1, 4))
+		for range hosts {
+			endpoints := make([]Endpoint, replicas)
+			for i := range endpoints {
+				endpoints[i] = Endpoint{Running: 1, MaxBatch: 64}
+			}
+			endpoints[0].Running = 0
+			s := snapshotOf(endpoints...)
+			for range each {
+				d := p.Pick(s, &Request{Key: testKey, Class: class.Standard}, src)
+				s.Endpoints[d.Index].SinceReport++
+				s.Endpoints[d.Index].InFlight++
+				total[d.Index]++
+			}
+		}
+		most := 0
+		for _, n := range total {
+			most = max(most, n)
+		}
+		return most
+	}
+	fair := hosts * each / replicas
+	assert.Assert(t, largest(New(Config{})) <= 2*fair)
+	assert.Equal(t, largest(NewLeastReported()), hosts*each)
+}
+
+func benchmarkSnapshot(n int) *Snapshot {
+	endpoints := make([]Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = Endpoint{Running: i % 8, SinceReport: i % 3, Prefixes: map[uint64]bool{uint64(i): true}}
+	}
+	return snapshotOf(endpoints...)
+}
+
+func BenchmarkPick(b *testing.B) {
+	s := benchmarkSnapshot(350)
+	for _, c := range []struct {
+		name   string
+		picker Picker
+		prefix uint64
+	}{
+		{"staged", New(Config{}), 0}, {"staged-prefix", New(Config{}), 999},
+		{"round-robin", NewRoundRobin(), 0}, {"least-reported", NewLeastReported(), 0},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			src, r := rand.New(rand.NewPCG(1, 5)), &Request{Key: testKey, Class: class.Standard, Prefix: c.prefix}
+			b.ReportAllocs()
+			for range b.N {
+				c.picker.Pick(s, r, src)
+			}
+		})
+	}
+}
+
+// BenchmarkPickAllBusy is the worst case: every endpoint is looked at.
+func BenchmarkPickAllBusy(b *testing.B) {
+	s := benchmarkSnapshot(350)
+	for i := range s.Endpoints {
+		s.Endpoints[i].Running = 99
+	}
+	p, src, r := New(Config{}), rand.New(rand.NewPCG(1, 5)), &Request{Key: testKey}
+	b.ReportAllocs()
+	for range b.N {
+		p.Pick(s, r, src)
+	}
+}
