--- a/core/route/route.go
+++ b/core/route/route.go
@@ -17,23 +17,25 @@
 
 // Endpoint is one upstream as a host knows it at the time of the snapshot.
 type Endpoint struct {
+	// What the filters read comes first, together in one cache line.
+	Leaving     bool
+	Down        bool // connections fail or went silent
+	MaxBatch    int
+	Running     int // from the newest report
+	Waiting     int
+	SinceReport int // attempts that this host dispatched since that report was taken
+	PeersSince  int // the same, as peers tell
+	DoneSince   int // this host's own attempts that ended there since that report was taken
+	InFlight    int // this host's own attempts now in flight there
+
 	Upstream     string
 	Address      string
 	Pool         string
 	DataCentre   string
 	Incarnation  string
-	Leaving      bool
-	Down         bool // connections fail or went silent
-	MaxBatch     int
 	Accelerators int
 	Ready        map[ModelKey]bool // what it can answer now; nil for plain services, which answer anything
-	Running      int               // from the newest report
-	Waiting      int
 	ReportAge    time.Duration
-	SinceReport  int     // attempts that this host dispatched since that report was taken
-	PeersSince   int     // the same, as peers tell
-	DoneSince    int     // this host's own attempts that ended there since that report was taken
-	InFlight     int     // this host's own attempts now in flight there
 	TokenMs      float64 // time of one decoding step when alone, milliseconds
 	PrefillMs    float64 // time of a typical prefill, milliseconds
 	DistanceMs   float64 // round trip from this host's data centre, milliseconds
