Add a stand-in model engine with attempts, streams, orders and faults

The data path needs an engine to be built against, and proofs need one whose records do not depend on the nodes' books. The engine batches continuously, answers deterministically, keeps streams resumable and records what ran and any overcommit of its memory.

--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -27,6 +27,7 @@
 	RefusedLeaving   = "leaving"    // the upstream is going away: no new work, ever, in this incarnation
 	RefusedNotLoaded = "not_loaded" // the model or adapter is not resident
 	RefusedFull      = "full"       // the queue is full
+	RefusedSettled   = "settled"    // this attempt id was reported unseen, cancelled or refused before
 )
 
 // Paths. {id} is an attempt id.
--- /dev/null
+++ b/standin/answer/answer.go
@@ -0,0 +1,93 @@
+// Package answer says what a stand-in engine must answer to a prompt, so that
+// a caller can tell whether an answer is whole and its own without asking
+// anyone. A prompt or service body carries a mark, which names the team and
+// the invocation that it came from; stand-ins keep it in their records.
+package answer
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The faults that Verify finds.
+var (
+	// ErrCut: the text is a true beginning of the answer, but not all of it.
+	ErrCut = errors.New("answer is cut off")
+	// ErrCrossed: the text is no part of the answer to this prompt.
+	ErrCrossed = errors.New("answer belongs to another prompt")
+)
+
+// A mark uses only characters that JSON and URLs leave as they are.
+const (
+	markOpen = "pm~"
+	markSep  = "~"
+)
+
+// Mark names the invocation of a team, to be placed in a prompt, body or
+// query. Neither name may contain "~".
+func Mark(team, invocation string) string {
+	return markOpen + team + markSep + invocation + markSep
+}
+
+// FindMark finds the first mark in text.
+func FindMark(text []byte) (team, invocation string, ok bool) {
+	_, rest, found := bytes.Cut(text, []byte(markOpen))
+	if !found {
+		return "", "", false
+	}
+	t, rest, found := bytes.Cut(rest, []byte(markSep))
+	if !found {
+		return "", "", false
+	}
+	i, _, found := bytes.Cut(rest, []byte(markSep))
+	return string(t), string(i), found
+}
+
+// Answer is the answer to one prompt.
+type Answer struct {
+	Tokens int
+	head   string
+}
+
+// For returns the answer of the given length, at least 1, to a prompt.
+func For(prompt string, tokens int) Answer {
+	tokens = max(tokens, 1)
+	team, inv, _ := FindMark([]byte(prompt))
+	head := team + "/" + inv + " " + strconv.FormatUint(xxhash.Sum64String(prompt), 16) + " " + strconv.Itoa(tokens)
+	return Answer{Tokens: tokens, head: head}
+}
+
+// AppendToken appends the token at a position from 1 to Tokens.
+func (a Answer) AppendToken(buf []byte, position int) []byte {
+	if position == 1 {
+		return append(buf, a.head...)
+	}
+	return strconv.AppendInt(append(buf, " w"...), int64(position), 10)
+}
+
+// Text is the whole answer.
+func (a Answer) Text() string {
+	var buf []byte
+	for i := 1; i <= a.Tokens; i++ {
+		buf = a.AppendToken(buf, i)
+	}
+	return string(buf)
+}
+
+// Verify tells whether text is the whole answer to prompt: nil, ErrCut or
+// ErrCrossed.
+func Verify(prompt string, tokens int, text string) error {
+	want := For(prompt, tokens).Text()
+	switch {
+	case text == want:
+		return nil
+	case strings.HasPrefix(want, text):
+		return ErrCut
+	default:
+		return ErrCrossed
+	}
+}
--- /dev/null
+++ b/standin/engine/attempt.go
@@ -0,0 +1,212 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/answer"
+)
+
+// fate is what became of an attempt.
+type fate uint8
+
+const (
+	fateRunning fate = iota // waits or runs
+	fateCompleted
+	fateCancelled
+	fateDied // the process ended under it
+	fateRefused
+	fatePoisoned // was asked for before it came: must never run
+)
+
+func (f fate) state() engineapi.AttemptState {
+	switch f {
+	case fateCompleted:
+		return engineapi.AttemptCompleted
+	case fateCancelled, fateDied:
+		return engineapi.AttemptCancelled
+	case fateRefused:
+		return engineapi.AttemptRefused
+	case fatePoisoned:
+		return engineapi.AttemptUnseen
+	default:
+		return engineapi.AttemptRunning
+	}
+}
+
+// attempt is one request under its attempt id. Events are computed from the
+// answer when they are written, so an attempt stays small and any position
+// can be resumed from.
+type attempt struct {
+	id      string
+	key     route.ModelKey
+	on      *resident // what it runs on; its users are counted
+	name    string    // as the caller called the model
+	class   class.Class
+	answer  answer.Answer
+	chat    bool
+	stream  bool
+	prefix  uint64
+	prompt  int // tokens
+	team    string
+	mark    string
+	arrived time.Time
+
+	prefillLeft int // under Engine.mu
+
+	mu       sync.Mutex
+	fate     fate
+	started  time.Time
+	produced int           // tokens of the answer so far
+	reader   chan struct{} // signals the one reader that there is more; nil: none
+	orphan   *time.Timer   // cancels an attempt that nobody reads
+	done     chan struct{} // closed at the end, whatever the end; nil: was never taken
+}
+
+func (a *attempt) ended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fate != fateRunning
+}
+
+func (a *attempt) start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.started = time.Now()
+}
+
+// produce adds a token, or all of them at once, and tells whether that was the last.
+func (a *attempt) produce(all bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.produced++
+	if all {
+		a.produced = a.answer.Tokens
+	}
+	a.signal()
+	return a.produced >= a.answer.Tokens
+}
+
+func (a *attempt) signal() {
+	if a.reader == nil {
+		return
+	}
+	select {
+	case a.reader <- struct{}{}:
+	default:
+	}
+}
+
+// end settles the fate once.
+func (a *attempt) end(f fate) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fate != fateRunning {
+		return false
+	}
+	a.fate = f
+	if a.orphan != nil {
+		a.orphan.Stop()
+	}
+	close(a.done)
+	return true
+}
+
+// attach makes the calling handler the attempt's only reader; an earlier one
+// is superseded and ends.
+func (a *attempt) attach() chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.orphan != nil {
+		a.orphan.Stop()
+		a.orphan = nil
+	}
+	old := a.reader
+	a.reader = make(chan struct{}, 1)
+	if old != nil {
+		close(old)
+	}
+	return a.reader
+}
+
+// detach tells that a reader is gone; when it was the last, giveUp is called
+// unless another attaches in time.
+func (a *attempt) detach(reader chan struct{}, wait time.Duration, giveUp func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reader != reader {
+		return
+	}
+	a.reader = nil
+	if a.fate == fateRunning {
+		a.orphan = time.AfterFunc(wait, giveUp)
+	}
+}
+
+// position is how many events can be written now: the tokens, and the end
+// marker once the attempt is complete.
+func (a *attempt) position() (events int, f fate) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fate == fateCompleted {
+		return a.answer.Tokens + 1, a.fate
+	}
+	return a.produced, a.fate
+}
+
+// attemptLog is a bounded memory of attempts. What it drops it still knows by
+// hash: an id that may have run must never be answered "unseen", since the
+// caller's host would run the request a second time.
+type attemptLog struct {
+	byID      map[string]*attempt
+	order     []string // ring, oldest at head
+	head      int
+	forgotten map[uint64]struct{}
+	amnesia   bool // so much was dropped that any unknown id may have been here
+}
+
+// forgottenMax bounds the hashes of dropped ids, 16 MB or so.
+const forgottenMax = 1 << 20
+
+func newAttemptLog(size int) attemptLog {
+	return attemptLog{byID: map[string]*attempt{}, order: make([]string, size), forgotten: map[uint64]struct{}{}}
+}
+
+func (l *attemptLog) add(a *attempt) {
+	if old := l.order[l.head]; old != "" {
+		delete(l.byID, old)
+		if len(l.forgotten) < forgottenMax {
+			l.forgotten[xxhash.Sum64String(old)] = struct{}{}
+		} else {
+			l.amnesia = true
+		}
+	}
+	l.order[l.head] = a.id
+	l.head = (l.head + 1) % len(l.order)
+	l.byID[a.id] = a
+}
+
+// find returns a known attempt, or whether one that is no longer known was here.
+func (l *attemptLog) find(id string) (a *attempt, dropped bool) {
+	if a, ok := l.byID[id]; ok {
+		return a, false
+	}
+	_, dropped = l.forgotten[xxhash.Sum64String(id)]
+	return nil, dropped
+}
+
+// settle returns a known attempt, and marks an id that never was here as one
+// that must never run. Neither: nobody can tell any more whether it was here.
+func (l *attemptLog) settle(id string) *attempt {
+	a, dropped := l.find(id)
+	if a == nil && !dropped && !l.amnesia {
+		a = &attempt{id: id, fate: fatePoisoned}
+		l.add(a)
+	}
+	return a
+}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"peridotpier.example/core/class"
+)
+
+// batch is what the engine computes now and what waits for it.
+type batch struct {
+	running []*attempt
+	waiting [class.Count][]*attempt // by class, oldest first
+}
+
+func (b *batch) waitingCount() int {
+	n := 0
+	for _, q := range b.waiting {
+		n += len(q)
+	}
+	return n
+}
+
+// next takes the oldest attempt of the most urgent class.
+func (b *batch) next() *attempt {
+	for c := class.Count - 1; c >= 0; c-- {
+		if q := b.waiting[c]; len(q) > 0 {
+			a := q[0]
+			q[0] = nil
+			b.waiting[c] = q[1:]
+			return a
+		}
+	}
+	return nil
+}
+
+// remove drops an attempt that ended while it waited.
+func (b *batch) remove(a *attempt) {
+	q := b.waiting[a.class]
+	if i := slices.Index(q, a); i >= 0 {
+		b.waiting[a.class] = slices.Delete(q, i, i+1)
+	}
+}
+
+// stepLoop is the engine's compute: one step after the other while there is
+// work. It paces itself by a due time rather than by sleeps, since a sleep is
+// longer than asked: with steps shorter than the timer's grain the engine
+// would be slower than it was set to be.
+func (e *Engine) stepLoop() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	due := time.Now()
+	for {
+		cost, busy := e.beginStep()
+		if !busy {
+			select {
+			case <-e.wake:
+				due = time.Now()
+				continue
+			case <-e.life.Done():
+				return
+			}
+		}
+		now := time.Now()
+		if due = due.Add(cost); now.Sub(due) > catchUp {
+			due = now
+		}
+		if pause := due.Sub(now); pause > 0 {
+			timer.Reset(pause)
+			select {
+			case <-timer.C:
+			case <-e.life.Done():
+				return
+			}
+		}
+		e.finishStep()
+	}
+}
+
+// beginStep admits what fits and tells how long the step takes.
+func (e *Engine) beginStep() (cost time.Duration, busy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for len(e.batch.running) < e.cfg.MaxBatch {
+		a := e.batch.next()
+		if a == nil {
+			break
+		}
+		if a.ended() {
+			continue
+		}
+		a.prefillLeft = e.prefillTokens(a)
+		a.start()
+		e.batch.running = append(e.batch.running, a)
+	}
+	return e.stepCost(), len(e.batch.running) > 0
+}
+
+// stepCost is the time of one step: models share the accelerators in turns,
+// the streams of one model share a turn, and prompts are computed in chunks
+// that hold up everyone.
+func (e *Engine) stepCost() time.Duration {
+	streams := map[string]int{}
+	prefill := 0
+	for _, a := range e.batch.running {
+		if a.prefillLeft > 0 {
+			prefill += a.prefillLeft
+			continue
+		}
+		streams[a.key.Model]++
+	}
+	cost := time.Duration(min(prefill, e.cfg.PrefillChunk)) * e.cfg.PrefillPerToken
+	for model, n := range streams {
+		cost += time.Duration(float64(e.tokenTime(model)) * (1 + e.cfg.BatchSlope*float64(n-1)))
+	}
+	return cost
+}
+
+func (e *Engine) tokenTime(model string) time.Duration {
+	if t, ok := e.cfg.TokenTimes[model]; ok {
+		return t
+	}
+	return e.cfg.TokenTime
+}
+
+// finishStep gives each running attempt its token.
+func (e *Engine) finishStep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	chunk := e.cfg.PrefillChunk
+	kept := e.batch.running[:0]
+	for _, a := range e.batch.running {
+		switch {
+		case a.ended():
+			continue
+		case a.prefillLeft > 0:
+			done := min(chunk, a.prefillLeft)
+			chunk -= done
+			a.prefillLeft -= done
+		case a.produce(e.tokenTime(a.key.Model) == 0):
+			e.finish(a, fateCompleted)
+			continue
+		}
+		kept = append(kept, a)
+	}
+	clear(e.batch.running[len(kept):])
+	e.batch.running = kept
+}
+
+// poke tells the step loop that there may be work.
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/standin/engine/config.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/node/platform"
+)
+
+// Defaults of a Config.
+const (
+	defaultMaxBatch   = 16
+	defaultQueueMax   = 256
+	defaultMaxTokens  = 8192
+	defaultAttemptLog = 1 << 15                // attempts whose fate is told in full
+	defaultRecordMax  = 1 << 20                // executions kept for joining with callers' records
+	defaultResumeFor  = 10 * time.Second       // a caller's host that died is replaced by another within that
+	defaultChunk      = 512                    // prompt tokens computed in one step
+	defaultFlushFast  = 16                     // tokens a write when tokens cost no time
+	catchUp           = 100 * time.Millisecond // a step loop that is later than this forgets the time it lost
+)
+
+// Config describes one engine. The zero value of each field but Name stands
+// for a default, or for no cost, no lag and no limit where a cost, lag or
+// limit is named.
+type Config struct {
+	Name   string
+	Listen string // IP:port, port 0 for any; "" is 127.0.0.1:0
+
+	MemoryMB    int // 0: not accounted
+	MBPerSecond int // how fast weights load; 0: at once
+	Weights     platform.Weights
+	UnloadTime  time.Duration
+	Fencing     config.Fencing
+
+	MaxBatch  int
+	QueueMax  int
+	MaxTokens int
+
+	TokenTime       time.Duration            // one step of one stream alone; 0: as fast as possible
+	TokenTimes      map[string]time.Duration // by model, in place of TokenTime
+	BatchSlope      float64                  // share of the step time that each further stream adds
+	PrefillPerToken time.Duration            // prompt token that is not in the prefix cache
+	PrefillChunk    int                      // prompt tokens in one step at most
+	PrefixSlots     int                      // prefixes that the cache holds; 0: no cache
+	PrefixSaved     float64                  // share of a prompt's tokens that a cached prefix saves
+
+	ReportEvery time.Duration // 0: each report is taken when it is asked for
+	ReportLag   time.Duration // how old the newest report served is at least
+	EventLag    time.Duration // cache events are published that late
+	EventLoss   float64       // share of cache events never published
+
+	ResumeFor   time.Duration // how long an attempt without a reader goes on
+	FlushTokens int           // tokens a write; 0: 1, or defaultFlushFast when tokens cost no time
+	AttemptLog  int
+	RecordMax   int
+	Seed        uint64
+}
+
+func (c Config) withDefaults() Config {
+	if c.Listen == "" {
+		c.Listen = "127.0.0.1:0"
+	}
+	setDefault(&c.MaxBatch, defaultMaxBatch)
+	setDefault(&c.QueueMax, defaultQueueMax)
+	setDefault(&c.MaxTokens, defaultMaxTokens)
+	setDefault(&c.AttemptLog, defaultAttemptLog)
+	setDefault(&c.RecordMax, defaultRecordMax)
+	setDefault(&c.ResumeFor, defaultResumeFor)
+	setDefault(&c.PrefillChunk, defaultChunk)
+	if c.FlushTokens == 0 {
+		c.FlushTokens = 1
+		if c.TokenTime == 0 {
+			c.FlushTokens = defaultFlushFast
+		}
+	}
+	return c
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,148 @@
+// Package engine imitates a model engine behind the protocol of
+// node/upstream/engineapi: continuous batching, priorities, a limited prefix
+// cache, streams that can be resumed and cancelled, orders that load and
+// unload weights, and reports that lag. It keeps records of its own of what
+// ran and of each time its memory was overcommitted, which are the proof in
+// tests and benches, and it can be made to fail in the ways that engines do.
+package engine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/wire"
+)
+
+// Engine is one model engine. Its state is under mu, but for what a stream's
+// reader needs for each token, which is under the attempt's own lock.
+// Lock order: mu, then attempt.mu.
+type Engine struct {
+	cfg    Config
+	srv    *http.Server
+	ln     *wire.Listener
+	stop   context.CancelFunc
+	life   context.Context // ends at Close
+	loops  sync.WaitGroup
+	wake   chan struct{} // the step loop has something to do
+	faults faults
+
+	mu          sync.Mutex
+	closed      bool
+	incarnation string
+	reborn      chan struct{} // closed when this incarnation ends
+	born        time.Time
+	leaving     bool
+	role        string
+	attempts    attemptLog
+	batch       batch
+	residents   []*resident
+	epoch       uint64
+	lastOps     []string
+	reports     []engineapi.Report // newest last
+	sequence    uint64
+	prefixes    prefixCache
+	events      []cacheEvent
+	eventSeq    uint64
+	rng         *rand.Rand
+	records     Records
+}
+
+// New makes an engine that does not listen yet.
+func New(cfg Config) (*Engine, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Name == "" {
+		return nil, errors.New("engine: no name")
+	}
+	e := &Engine{cfg: cfg, wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1))}
+	e.life, e.stop = context.WithCancel(context.Background())
+	e.srv = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	e.reset()
+	e.loops.Go(e.stepLoop)
+	if cfg.ReportEvery > 0 {
+		e.loops.Go(e.reportLoop)
+	}
+	return e, nil
+}
+
+// reset begins an incarnation with empty memory. The caller holds mu, or has
+// the engine to itself.
+func (e *Engine) reset() {
+	e.incarnation, e.reborn, e.born = uuid.NewString(), make(chan struct{}), time.Now()
+	e.leaving, e.role, e.epoch, e.lastOps, e.residents = false, roleServe, 0, nil, nil
+	e.attempts = newAttemptLog(e.cfg.AttemptLog)
+	e.batch = batch{}
+	e.reports, e.sequence = nil, 0
+	e.prefixes = newPrefixCache(e.cfg.PrefixSlots)
+	e.events, e.eventSeq = nil, 0
+	e.takeReport()
+}
+
+// Start listens and serves until Close.
+func (e *Engine) Start() error {
+	ln, err := net.Listen("tcp", e.cfg.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "engine %s: listen", e.cfg.Name)
+	}
+	e.ln = wire.NewListener(ln)
+	e.loops.Go(func() { _ = e.srv.Serve(e.ln) })
+	return nil
+}
+
+// Addr is the IP:port that the engine listens on.
+func (e *Engine) Addr() string { return e.ln.Addr().String() }
+
+// Name is the engine's name in the deployment configuration.
+func (e *Engine) Name() string { return e.cfg.Name }
+
+// Close ends everything at once and waits for it.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.endIncarnation()
+	e.closed = true
+	e.mu.Unlock()
+	e.stop()
+	_ = e.srv.Close()
+	e.loops.Wait()
+}
+
+// spawn starts a goroutine that Close waits for; after Close it starts none.
+// The caller holds mu.
+func (e *Engine) spawn(f func()) {
+	if !e.closed {
+		e.loops.Go(f)
+	}
+}
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engineapi.PathChat, func(w http.ResponseWriter, r *http.Request) { e.generate(w, r, true) })
+	mux.HandleFunc("POST "+engineapi.PathCompletions, func(w http.ResponseWriter, r *http.Request) { e.generate(w, r, false) })
+	mux.HandleFunc("GET "+engineapi.PathReport, e.serveReport)
+	mux.HandleFunc("GET "+engineapi.PathEvents, e.serveEvents)
+	mux.HandleFunc("POST "+engineapi.PathOrders, e.serveOrder)
+	mux.HandleFunc("GET "+engineapi.PathAttempt, e.serveFate)
+	mux.HandleFunc("DELETE "+engineapi.PathAttempt, e.serveCancel)
+	mux.HandleFunc("GET "+engineapi.PathResume, e.serveResume)
+	return mux
+}
+
+// stamp sets the headers that ride on every answer.
+func (e *Engine) stamp(h http.Header) {
+	e.mu.Lock()
+	load := strconv.Itoa(len(e.batch.running)) + " " + strconv.Itoa(e.batch.waitingCount()) + " " + strconv.FormatUint(e.sequence, 10)
+	inc := e.incarnation
+	e.mu.Unlock()
+	h.Set(engineapi.HeaderLoad, load)
+	h.Set(engineapi.HeaderIncarnation, inc)
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,153 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/answer"
+	"peridotpier.example/standin/engine"
+)
+
+func start(t testing.TB, cfg engine.Config) *engine.Engine {
+	t.Helper()
+	cfg.Name = "e1"
+	e, err := engine.New(cfg)
+	assert.NilError(t, err)
+	assert.NilError(t, e.Start())
+	t.Cleanup(e.Close)
+	e.Preload("m", "", "v1", 10)
+	return e
+}
+
+func chat(t testing.TB, e *engine.Engine, attempt, prompt string, tokens int, stream bool) *http.Response {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{"model": "m", "max_tokens": tokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": prompt}}})
+	assert.NilError(t, err)
+	return do(t, "POST", "http://"+e.Addr()+engineapi.PathChat, attempt, body)
+}
+
+func do(t testing.TB, method, url, attempt string, body []byte) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set(engineapi.HeaderAttempt, attempt)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// events reads a stream to its end marker and returns the text and the last position.
+func events(t testing.TB, r io.Reader, attempt string, after int) (text string, pos int, whole bool) {
+	t.Helper()
+	pos = after
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		line := lines.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			pos++
+			assert.Equal(t, id, fmt.Sprintf("%s.%d", attempt, pos))
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == engineapi.StreamEnd {
+			return text, pos, true
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(data), &chunk))
+		text += chunk.Choices[0].Delta.Content
+	}
+	return text, pos, false
+}
+
+func TestStreamAndWholeAnswerAgree(t *testing.T) {
+	e := start(t, engine.Config{TokenTime: 50 * time.Microsecond})
+	prompt := answer.Mark("team", "i1") + " hydrant 7"
+	resp := chat(t, e, "a1", prompt, 40, true)
+	assert.Equal(t, resp.Header.Get(engineapi.HeaderAttempt), "a1")
+	text, _, whole := events(t, resp.Body, "a1", 0)
+	assert.Assert(t, whole)
+	assert.NilError(t, answer.Verify(prompt, 40, text))
+
+	var body struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	assert.NilError(t, json.NewDecoder(chat(t, e, "a2", prompt, 40, false).Body).Decode(&body))
+	assert.Equal(t, body.Choices[0].Message.Content, text)
+
+	recs := e.Records().Executions
+	assert.Equal(t, len(recs), 2)
+	assert.Equal(t, recs[0].Invocation, "i1")
+	assert.Equal(t, recs[0].State, engineapi.AttemptCompleted)
+}
+
+// A host loses its upstream connection in the middle of a stream and resumes
+// it: the events go on after the position that the host has, without a gap.
+func TestCutStreamResumes(t *testing.T) {
+	e := start(t, engine.Config{TokenTime: 50 * time.Microsecond})
+	e.CutStream(5)
+	prompt := answer.Mark("team", "i1")
+	text, pos, whole := events(t, chat(t, e, "a1", prompt, 40, true).Body, "a1", 0)
+	assert.Assert(t, !whole)
+	assert.Equal(t, pos, 5)
+	e.CutStream(0)
+	resp := do(t, "GET", "http://"+e.Addr()+"/engine/v1/attempts/a1/stream?after=5", "", nil)
+	rest, _, whole := events(t, resp.Body, "a1", pos)
+	assert.Assert(t, whole)
+	assert.NilError(t, answer.Verify(prompt, 40, text+rest))
+}
+
+// A host asks for the fate of an attempt whose request is still under way and
+// is told "unseen"; it answers "not run". If the request ran when it arrived
+// at last, that answer would have been false.
+func TestUnseenAttemptNeverRuns(t *testing.T) {
+	e := start(t, engine.Config{})
+	var fate engineapi.Attempt
+	resp := do(t, "GET", "http://"+e.Addr()+"/engine/v1/attempts/a1", "", nil)
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&fate))
+	assert.Equal(t, fate.State, engineapi.AttemptUnseen)
+	late := chat(t, e, "a1", "p", 4, false)
+	assert.Equal(t, late.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, late.Header.Get(engineapi.HeaderRefused), engineapi.RefusedSettled)
+	assert.Equal(t, len(e.Records().Executions), 0)
+}
+
+func BenchmarkStream(b *testing.B) {
+	e := start(b, engine.Config{})
+	const tokens = 2000
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		buf := make([]byte, 64<<10)
+		for i := 0; pb.Next(); i++ {
+			resp := chat(b, e, "", "p", tokens, true)
+			if _, err := io.CopyBuffer(io.Discard, struct{ io.Reader }{resp.Body}, buf); err != nil {
+				b.Error(err)
+			}
+			_ = resp.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)*tokens/b.Elapsed().Seconds(), "tokens/s")
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// Reasons of a refused order.
+const (
+	reasonOldEpoch         = "old_epoch"
+	reasonWrongIncarnation = "wrong_incarnation"
+	reasonUnknownModel     = "unknown_model"
+)
+
+// grantRetry is the pause after the weight store failed to answer.
+const grantRetry = 100 * time.Millisecond
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o engineapi.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyMax)).Decode(&o); err != nil {
+		e.refuse(w, refusal{status: http.StatusBadRequest, text: "malformed order: " + err.Error()})
+		return
+	}
+	if e.faults.mislead(e, o) {
+		panic(http.ErrAbortHandler) // lost, or late: the planner hears nothing
+	}
+	ans := e.carryOut(o)
+	if e.faults.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	e.stamp(w.Header())
+	writeJSON(w, http.StatusOK, ans)
+}
+
+// carryOut does what an order says, as soon as it is reached by it. Memory
+// that is too small does not stop it: the overcommit is recorded, so that the
+// proof of the system's own accounting does not rest on the engine's care.
+func (e *Engine) carryOut(o engineapi.Order) engineapi.OrderAnswer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ans := engineapi.OrderAnswer{Incarnation: e.incarnation}
+	ans.Reason = e.objection(o)
+	ans.Accepted = ans.Reason == ""
+	e.records.addOrder(o, ans, e.cfg.RecordMax)
+	if !ans.Accepted {
+		return ans
+	}
+	if e.lastOps = append(e.lastOps, o.Op); len(e.lastOps) > lastOpsMax {
+		e.lastOps = e.lastOps[1:]
+	}
+	if e.cfg.Fencing == config.FencingChecked {
+		e.epoch = max(e.epoch, o.Epoch)
+	}
+	key := route.ModelKey{Model: o.Model, Adapter: o.Adapter}
+	switch o.Kind {
+	case engineapi.OrderLoad, engineapi.OrderLoadAdapter:
+		e.beginLoad(key, o)
+	case engineapi.OrderUnload, engineapi.OrderUnloadAdapter:
+		e.beginUnload(key, o.Version)
+	case engineapi.OrderRole:
+		e.role = o.Role
+	}
+	return ans
+}
+
+func (e *Engine) objection(o engineapi.Order) string {
+	switch {
+	case o.Incarnation != "" && o.Incarnation != e.incarnation:
+		return reasonWrongIncarnation
+	case e.cfg.Fencing == config.FencingChecked && o.Epoch < e.epoch:
+		return reasonOldEpoch
+	case o.Kind == engineapi.OrderLoadAdapter && e.find(route.ModelKey{Model: o.Model}, "") == nil:
+		return reasonUnknownModel
+	}
+	return ""
+}
+
+func (e *Engine) beginLoad(key route.ModelKey, o engineapi.Order) {
+	if r := e.find(key, o.Version); r != nil && r.state != engineapi.StateUnloading {
+		return // already there or on its way
+	}
+	r := &resident{key: key, version: o.Version, memoryMB: o.MemoryMB, op: o.Op}
+	e.hold(r)
+	e.records.Loads++
+	reborn := e.reborn
+	e.spawn(func() { e.load(r, reborn) })
+}
+
+// load waits for the weight store's grant, then for the weights.
+func (e *Engine) load(r *resident, reborn chan struct{}) {
+	if !e.awaitGrant(r, reborn) {
+		return
+	}
+	if rate := e.cfg.MBPerSecond; rate > 0 {
+		took := time.Duration(float64(r.memoryMB) / float64(rate) * float64(time.Second))
+		if !e.pause(took, reborn) {
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if reborn == e.reborn && r.state == engineapi.StateLoading {
+		r.state = engineapi.StateReady
+	}
+}
+
+func (e *Engine) awaitGrant(r *resident, reborn chan struct{}) bool {
+	if e.cfg.Weights == nil {
+		return true
+	}
+	name := r.key.Model + "/" + r.key.Adapter + "@" + r.version
+	for {
+		wait, err := e.cfg.Weights.Grant(e.life, name)
+		switch {
+		case err != nil:
+			wait = grantRetry
+		case wait <= 0:
+			return true
+		}
+		if !e.pause(wait, reborn) {
+			return false
+		}
+	}
+}
+
+// pause waits; false: the incarnation or the engine ended.
+func (e *Engine) pause(d time.Duration, reborn chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-reborn:
+	case <-e.life.Done():
+	}
+	return false
+}
+
+// beginUnload takes a model and its adapters, or one adapter, out of service;
+// memory is free when the last attempt on it has ended.
+func (e *Engine) beginUnload(key route.ModelKey, version string) {
+	e.records.Unloads++
+	for _, r := range append([]*resident(nil), e.residents...) {
+		same := r.key == key && (version == "" || r.version == version)
+		upon := key.Adapter == "" && r.key.Model == key.Model && r.key.Adapter != "" && version == ""
+		if (same || upon) && r.state != engineapi.StateUnloading {
+			r.state = engineapi.StateUnloading
+			e.settle(r)
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/prefix.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"container/list"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// eventsMax bounds the cache events that can still be read.
+const eventsMax = 4096
+
+type cacheEvent struct {
+	engineapi.CacheEvent
+	public time.Time // when it is published
+}
+
+// prefixCache keeps the least recently used prefixes out.
+type prefixCache struct {
+	slots int
+	byKey map[uint64]*list.Element
+	order *list.List // newest at the front; values are uint64
+}
+
+func newPrefixCache(slots int) prefixCache {
+	return prefixCache{slots: slots, byKey: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// touch tells whether key was cached, caches it, and names what it displaced.
+func (c *prefixCache) touch(key uint64) (hit bool, displaced uint64) {
+	if el, ok := c.byKey[key]; ok {
+		c.order.MoveToFront(el)
+		return true, 0
+	}
+	c.byKey[key] = c.order.PushFront(key)
+	if c.order.Len() > c.slots {
+		displaced = c.order.Remove(c.order.Back()).(uint64)
+		delete(c.byKey, displaced)
+	}
+	return false, displaced
+}
+
+// prefillTokens is how much of the prompt must be computed. The caller holds mu.
+func (e *Engine) prefillTokens(a *attempt) int {
+	if e.cfg.PrefillPerToken == 0 {
+		return 0
+	}
+	if a.prefix == 0 || e.prefixes.slots == 0 {
+		return a.prompt
+	}
+	hit, displaced := e.prefixes.touch(a.prefix)
+	if displaced != 0 {
+		e.publish(displaced, false)
+	}
+	if !hit {
+		e.publish(a.prefix, true)
+		return a.prompt
+	}
+	e.records.PrefixHits++
+	return a.prompt - int(float64(a.prompt)*e.cfg.PrefixSaved)
+}
+
+// publish numbers a cache event; a lost one leaves its gap. The caller holds mu.
+func (e *Engine) publish(prefix uint64, stored bool) {
+	e.eventSeq++
+	if e.rng.Float64() < e.cfg.EventLoss {
+		return
+	}
+	ev := engineapi.CacheEvent{Sequence: e.eventSeq, Prefix: prefix, Stored: stored}
+	e.events = append(e.events, cacheEvent{ev, time.Now().Add(e.cfg.EventLag)})
+	if len(e.events) > eventsMax {
+		e.events = append(e.events[:0], e.events[len(e.events)-eventsMax/2:]...)
+	}
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64) // absent: from the beginning
+	now := time.Now()
+	out := []engineapi.CacheEvent{}
+	e.mu.Lock()
+	for _, ev := range e.events {
+		if ev.Sequence > after && !ev.public.After(now) {
+			out = append(out, ev.CacheEvent)
+		}
+	}
+	e.mu.Unlock()
+	e.stamp(w.Header())
+	writeJSON(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/standin/engine/records.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// Records are the engine's own account of what it did, over all of its
+// incarnations. Proofs join them with callers' records.
+type Records struct {
+	Executions  []Execution
+	Orders      []OrderRecord
+	Overcommits []Overcommit
+	Loads       int
+	Unloads     int
+	PrefixHits  int
+	Crossed     int // answers that were crossed on purpose
+	Dropped     int // executions and orders over the bound, not kept
+}
+
+// Execution is one attempt that was taken and what became of it.
+type Execution struct {
+	Attempt     string
+	Incarnation string
+	Team        string // from the prompt's mark
+	Invocation  string
+	Key         route.ModelKey
+	Class       class.Class
+	State       engineapi.AttemptState
+	Arrived     time.Time
+	Started     time.Time // zero: ended while it waited
+	Ended       time.Time
+	Tokens      int // produced
+}
+
+// OrderRecord is an order that reached the engine.
+type OrderRecord struct {
+	At     time.Time
+	Order  engineapi.Order
+	Answer engineapi.OrderAnswer
+}
+
+// Overcommit is a moment at which more memory was taken than there is.
+type Overcommit struct {
+	At       time.Time
+	Engine   string
+	Op       string
+	UsedMB   int
+	MemoryMB int
+}
+
+func (r *Records) addExecution(a *attempt, incarnation string, most int) {
+	if len(r.Executions) >= most {
+		r.Dropped++
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.Executions = append(r.Executions, Execution{Attempt: a.id, Incarnation: incarnation, Team: a.team, Invocation: a.mark,
+		Key: a.key, Class: a.class, State: a.fate.state(), Arrived: a.arrived, Started: a.started, Ended: time.Now(), Tokens: a.produced})
+}
+
+func (r *Records) addOrder(o engineapi.Order, ans engineapi.OrderAnswer, most int) {
+	if len(r.Orders) >= most {
+		r.Dropped++
+		return
+	}
+	r.Orders = append(r.Orders, OrderRecord{At: time.Now(), Order: o, Answer: ans})
+}
+
+// Records returns a copy of the account so far, with attempts that still wait
+// or run counted as running.
+func (e *Engine) Records() Records {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.records
+	r.Executions = slices.Clone(r.Executions)
+	r.Orders = slices.Clone(r.Orders)
+	r.Overcommits = slices.Clone(r.Overcommits)
+	open := Records{}
+	for _, a := range e.attempts.byID {
+		if a.done != nil && a.fate != fateRefused && !a.ended() {
+			open.addExecution(a, e.incarnation, e.cfg.RecordMax)
+			open.Executions[len(open.Executions)-1].Ended = time.Time{}
+		}
+	}
+	r.Executions = append(r.Executions, open.Executions...)
+	return r
+}
--- /dev/null
+++ b/standin/engine/report.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const roleServe = "serve"
+
+// lastOpsMax is how many order ids a report names.
+const lastOpsMax = 64
+
+func (e *Engine) reportLoop() {
+	tick := time.NewTicker(e.cfg.ReportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			e.mu.Lock()
+			e.takeReport()
+			e.mu.Unlock()
+		case <-e.life.Done():
+			return
+		}
+	}
+}
+
+// takeReport publishes a snapshot and drops those that no reader can get any
+// more. The caller holds mu.
+func (e *Engine) takeReport() {
+	e.sequence++
+	e.reports = append(e.reports, e.describe(e.sequence))
+	for len(e.reports) > 1 && e.old(e.reports[1]) {
+		e.reports = e.reports[1:]
+	}
+}
+
+// old says that a report is old enough to be read.
+func (e *Engine) old(r engineapi.Report) bool {
+	return time.Since(e.born)-time.Duration(r.TakenMs)*time.Millisecond >= e.cfg.ReportLag
+}
+
+func (e *Engine) describe(sequence uint64) engineapi.Report {
+	r := engineapi.Report{
+		Upstream: e.cfg.Name, Incarnation: e.incarnation, Sequence: sequence, TakenMs: time.Since(e.born).Milliseconds(),
+		Leaving: e.leaving, Role: e.role, Running: len(e.batch.running), Waiting: e.batch.waitingCount(),
+		MaxBatch: e.cfg.MaxBatch, MemoryMB: e.cfg.MemoryMB, UsedMB: e.usedMB(), Epoch: e.epoch, LastOps: slices.Clone(e.lastOps),
+	}
+	for _, res := range e.residents {
+		r.Residents = append(r.Residents, res.describe())
+	}
+	return r
+}
+
+// Report is the engine's newest report as a reader gets it: late by the lag.
+func (e *Engine) Report() engineapi.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ReportEvery == 0 {
+		e.takeReport()
+	}
+	newest := e.reports[0]
+	for _, r := range e.reports[1:] {
+		if e.old(r) {
+			newest = r
+		}
+	}
+	return newest
+}
+
+// Truth is the engine's state now, without lag; nothing of the system may
+// read it, only an oracle that shows how far the system is from it.
+func (e *Engine) Truth() engineapi.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.describe(e.sequence)
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	r := e.Report()
+	e.stamp(w.Header())
+	writeJSON(w, http.StatusOK, r)
+}
--- /dev/null
+++ b/standin/engine/resident.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"time"
+
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// resident is one model or adapter in memory. All fields are under Engine.mu.
+type resident struct {
+	key      route.ModelKey
+	version  string
+	memoryMB int
+	op       string
+	state    engineapi.ModelState
+	users    int // attempts that wait or run on it
+}
+
+func (r *resident) describe() engineapi.Resident {
+	return engineapi.Resident{Model: r.key.Model, Adapter: r.key.Adapter, Version: r.version, State: r.state, MemoryMB: r.memoryMB, Op: r.op}
+}
+
+// Preload makes a model or adapter ready at once, as a site's operators do
+// before the system starts.
+func (e *Engine) Preload(model, adapter, version string, memoryMB int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := &resident{key: route.ModelKey{Model: model, Adapter: adapter}, version: version, memoryMB: memoryMB, op: "preload"}
+	e.hold(r)
+	r.state = engineapi.StateReady
+	e.reports = nil
+	e.takeReport()
+}
+
+// hold takes memory for r. The caller holds mu.
+func (e *Engine) hold(r *resident) {
+	r.state = engineapi.StateLoading
+	e.residents = append(e.residents, r)
+	if used := e.usedMB(); e.cfg.MemoryMB > 0 && used > e.cfg.MemoryMB {
+		e.records.Overcommits = append(e.records.Overcommits,
+			Overcommit{At: time.Now(), Engine: e.cfg.Name, Op: r.op, UsedMB: used, MemoryMB: e.cfg.MemoryMB})
+	}
+}
+
+func (e *Engine) usedMB() int {
+	n := 0
+	for _, r := range e.residents {
+		n += r.memoryMB
+	}
+	return n
+}
+
+// serving finds what answers to a model's or adapter's name: the newest ready
+// one, and an adapter only upon its ready base.
+func (e *Engine) serving(name string) *resident {
+	for i := len(e.residents) - 1; i >= 0; i-- {
+		r := e.residents[i]
+		own := r.key.Model
+		if r.key.Adapter != "" {
+			own = r.key.Adapter
+		}
+		if own == name && r.state == engineapi.StateReady && (r.key.Adapter == "" || e.serving(r.key.Model) != nil) {
+			return r
+		}
+	}
+	return nil
+}
+
+// find returns the newest resident of a key; an empty version matches any.
+func (e *Engine) find(key route.ModelKey, version string) *resident {
+	for i := len(e.residents) - 1; i >= 0; i-- {
+		if r := e.residents[i]; r.key == key && (version == "" || r.version == version) {
+			return r
+		}
+	}
+	return nil
+}
+
+// settle frees an unloading resident when its last attempt has ended.
+func (e *Engine) settle(r *resident) {
+	if r.state != engineapi.StateUnloading || r.users > 0 {
+		return
+	}
+	if e.cfg.UnloadTime == 0 {
+		e.drop(r)
+		return
+	}
+	born := e.reborn
+	time.AfterFunc(e.cfg.UnloadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if born == e.reborn {
+			e.drop(r)
+		}
+	})
+}
+
+func (e *Engine) drop(r *resident) {
+	for i, have := range e.residents {
+		if have == r {
+			e.residents = append(e.residents[:i:i], e.residents[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/wire/wire.go
@@ -0,0 +1,100 @@
+// Package wire makes connections of stand-ins misbehave: a listener whose
+// accepted connections can go silent for good, as when something between the
+// two ends has lost track of them, and a dialer that adds distance.
+package wire
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Listener is a listener whose connections can be frozen or closed.
+type Listener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	freeze bool // what is accepted from now on is silent from the start
+}
+
+// NewListener wraps ln.
+func NewListener(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, conns: map[*conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	fc := &conn{Conn: c, l: l, closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fc.frozen.Store(l.freeze)
+	l.conns[fc] = struct{}{}
+	return fc, nil
+}
+
+// Freeze makes every accepted connection silent for good: what arrives on it
+// is lost, and so is what is written to it. New connections work, unless
+// newToo is set; Thaw lets new ones work again.
+func (l *Listener) Freeze(newToo bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.freeze = newToo
+	for c := range l.conns {
+		c.frozen.Store(true)
+	}
+}
+
+// Thaw lets connections accepted from now on work.
+func (l *Listener) Thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.freeze = false
+}
+
+// Sever closes every accepted connection, as when a process dies.
+func (l *Listener) Sever() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.Conn.Close()
+	}
+}
+
+type conn struct {
+	net.Conn
+	l      *Listener
+	frozen atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil && c.frozen.Load() {
+		<-c.closed // the bytes are lost; the far end hears nothing
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.frozen.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.l.mu.Lock()
+		delete(c.l.conns, c)
+		c.l.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
