--- /dev/null
+++ b/node/callerapi/api.go
@@ -0,0 +1,122 @@
+// Package callerapi is the callers' interface: an OpenAI-compatible subset for
+// models, plain services below /v1/services, and a caller's own requests. It
+// knows a caller's team by its key and shows it nothing of other teams.
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/token"
+	nodeclaim "peridotpier.example/node/claim"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/query"
+)
+
+// Headers of callers.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderClass          = "Peridot-Class"
+	HeaderDeadline       = "Peridot-Deadline-Ms"
+	HeaderRequestID      = "Peridot-Request"
+	HeaderResume         = "Peridot-Resume"
+	HeaderReplayed       = "Peridot-Replayed"
+	headerLastEvent      = "Last-Event-ID"
+)
+
+// Bounds of what a caller may ask for.
+const (
+	// deadlineMost bounds a caller's own deadline; a resume token lives as long.
+	deadlineMost = 10 * time.Minute
+	// keyMost bounds an idempotency key, in bytes.
+	keyMost = 255
+	// holdMost is the largest body that is held whole, so that it can be sent
+	// again; larger ones are passed on as they come, to one upstream only.
+	holdMost = 1 << 20
+)
+
+// Config is what the interface needs to know of its host.
+type Config struct {
+	Host       string // name, part of request ids
+	PrefixSalt string // secret shared by the hosts, so that prefix hashes tell an engine nothing
+}
+
+// Admission lets a request in or refuses it.
+type Admission interface {
+	Admit(ctx context.Context, r AdmitRequest) (release func(), err error)
+}
+
+// AdmitRequest is what admission needs to know.
+type AdmitRequest struct {
+	Team     string
+	Class    class.Class
+	Pool     string
+	Target   string
+	Deadline time.Time
+}
+
+// Claims claims requests that may not be repeated.
+type Claims interface {
+	Claim(ctx context.Context, r nodeclaim.Request) (dispatch.Grant, *nodeclaim.Answer, error)
+}
+
+// Deps are what the interface works with.
+type Deps struct {
+	InForce    func() *query.State // the configuration and preset in force
+	Admission  Admission
+	Claims     Claims
+	Dispatcher *dispatch.Dispatcher
+	Tokens     *token.Keys
+	Requests   *inflight.Registry
+	Incarnate  func(upstream string) string
+	Metrics    *metrics.Set
+	Log        *event.Log
+	Now        func() time.Time
+}
+
+// API serves callers.
+type API struct {
+	cfg  Config
+	deps Deps
+	echo *echo.Echo
+}
+
+// New makes the interface.
+func New(cfg Config, deps Deps) *API {
+	a := &API{cfg: cfg, deps: deps, echo: echo.New()}
+	e := a.echo
+	e.HTTPErrorHandler = a.problem
+	e.POST("/v1/chat/completions", a.signedIn(a.generate))
+	e.POST("/v1/completions", a.signedIn(a.generate))
+	e.GET("/v1/models", a.signedIn(a.models))
+	e.GET("/v1/models/:model", a.signedIn(a.model))
+	e.Any("/v1/services/:service", a.signedIn(a.service))
+	e.Any("/v1/services/:service/*", a.signedIn(a.service))
+	e.GET("/v1/requests", a.signedIn(a.requests))
+	e.GET("/v1/requests/:id", a.signedIn(a.request))
+	e.DELETE("/v1/requests/:id", a.signedIn(a.cancel))
+	e.GET("/v1/requests/:id/stream", a.signedIn(a.resume))
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.echo.ServeHTTP(w, r) }
+
+// call is one authenticated request with the configuration that it is wholly
+// judged under, whatever is accepted while it runs.
+type call struct {
+	*echo.Context
+	id    string
+	team  *config.Team
+	state *query.State
+}
+
+func (c *call) ctx() context.Context { return c.Request().Context() }
--- /dev/null
+++ b/node/callerapi/auth.go
@@ -0,0 +1,38 @@
+package callerapi
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v5"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/metrics"
+)
+
+const bearer = "Bearer "
+
+// signedIn finds the caller's team before anything of the request is read.
+func (a *API) signedIn(h func(*call) error) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		a.deps.Metrics.Count(metrics.Requests, 1)
+		id := "r-" + a.cfg.Host + "-" + uuid.NewString()
+		c.Response().Header().Set(HeaderRequestID, id)
+		state := a.deps.InForce()
+		if state == nil {
+			return fault.NotRun(fault.StepConfig, "", fault.CodeStoreDown, "no configuration is in force on this host yet").After(retryNoConfig)
+		}
+		key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearer)
+		if !ok || key == "" {
+			return fault.NotRun(fault.StepAuthenticate, "", fault.CodeBadKey, "send your team's key as Authorization: Bearer KEY")
+		}
+		sum := sha256.Sum256([]byte(key))
+		team, ok := state.Index.TeamByKeyHash(hex.EncodeToString(sum[:]))
+		if !ok {
+			return fault.NotRun(fault.StepAuthenticate, "", fault.CodeBadKey, "this key belongs to no team")
+		}
+		return h(&call{Context: c, id: id, team: team, state: state})
+	}
+}
--- /dev/null
+++ b/node/callerapi/body.go
@@ -0,0 +1,75 @@
+package callerapi
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/fault"
+)
+
+// bodyBound is how long a caller may take to send a body that is held whole.
+// Slower ones are given up, so that dripping bodies do not fill the host.
+const bodyBound = 30 * time.Second
+
+// readBody reads a body of up to most bytes whole.
+func readBody(c *call, most int64) ([]byte, error) {
+	r := c.Request()
+	if r.ContentLength > most {
+		return nil, tooLarge(most)
+	}
+	rc := http.NewResponseController(c.Response())
+	_ = rc.SetReadDeadline(time.Now().Add(bodyBound)) // unsupported in tests without a connection
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	var buf bytes.Buffer
+	if r.ContentLength > 0 {
+		buf.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	if _, err := buf.ReadFrom(io.LimitReader(r.Body, most+1)); err != nil {
+		var tooBig *http.MaxBytesError
+		if errors.As(err, &tooBig) {
+			return nil, tooLarge(most)
+		}
+		return nil, fault.NotRun(fault.StepParse, "caller", fault.CodeBadRequest, "read body: %w", err)
+	}
+	if int64(buf.Len()) > most {
+		return nil, tooLarge(most)
+	}
+	return buf.Bytes(), nil
+}
+
+func tooLarge(most int64) error {
+	return fault.NotRun(fault.StepParse, "", fault.CodeTooLarge, "body is larger than %d bytes", most)
+}
+
+// terms are what a caller asks for in headers.
+type terms struct {
+	class    class.Class
+	deadline time.Time
+	key      string // idempotency key; "" for none
+}
+
+func (a *API) terms(c *call) (terms, error) {
+	h := c.Request().Header
+	cl, err := class.Parse(h.Get(HeaderClass))
+	if err != nil {
+		return terms{}, fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "%s: %w", HeaderClass, err)
+	}
+	left := time.Duration(c.state.Index.Rule(cl).DeadlineMs) * time.Millisecond
+	if text := h.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > deadlineMost.Milliseconds() {
+			return terms{}, fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "%s: %q is not a number of milliseconds from 1 to %d", HeaderDeadline, text, deadlineMost.Milliseconds())
+		}
+		left = time.Duration(ms) * time.Millisecond
+	}
+	key := h.Get(HeaderIdempotencyKey)
+	if len(key) > keyMost {
+		return terms{}, fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "%s is longer than %d bytes", HeaderIdempotencyKey, keyMost)
+	}
+	return terms{class: cl, deadline: a.deps.Now().Add(left), key: key}, nil
+}
--- /dev/null
+++ b/node/callerapi/generate.go
@@ -0,0 +1,129 @@
+package callerapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotpier.example/core/claim"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/core/route"
+	nodeclaim "peridotpier.example/node/claim"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/inflight"
+)
+
+// prefixBytes of a prompt tell which other prompts share its beginning, such
+// as a team's standing instructions.
+const prefixBytes = 512
+
+// generation is what of a request body concerns its way to an engine. All
+// else passes through as it stands.
+type generation struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// generate serves both kinds of completion.
+func (a *API) generate(c *call) error {
+	t, err := a.terms(c)
+	if err != nil {
+		return err
+	}
+	body, err := readBody(c, min(c.state.Index.Limits.BodyBytes, holdMost))
+	if err != nil {
+		return err
+	}
+	var g generation
+	if err := json.Unmarshal(body, &g); err != nil {
+		return fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "body is not a JSON request: %w", err)
+	}
+	target, ok := c.state.Index.Target(c.team.Name, g.Model)
+	if !ok {
+		return fault.NotRun(fault.StepParse, "", fault.CodeModelNotFound, "there is no model %q for your team; GET /v1/models lists them", g.Model)
+	}
+	w := &dispatch.Work{RequestID: c.id, Team: c.team.Name, Class: t.class, Pool: target.Pool,
+		Key:    route.ModelKey{Model: target.Model, Adapter: target.Adapter},
+		Method: http.MethodPost, Path: c.Request().URL.Path, Header: http.Header{"Content-Type": {"application/json"}},
+		Body: body, Stream: g.Stream, Deadline: t.deadline, Repeatable: t.key == "", Prefix: a.prefix(c.team.Name, target.Model, &g)}
+	if t.key != "" {
+		a.claimed(c, w, t.key, body)
+	}
+	return a.serve(c, w, g.Model)
+}
+
+// prefix hashes the beginning of a prompt, salted by team: two teams' equal
+// prompts must not look equal, or one could learn the other's by timing.
+func (a *API) prefix(team, model string, g *generation) uint64 {
+	text := g.Messages
+	if text == nil {
+		text = g.Prompt
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(a.cfg.PrefixSalt) // a Digest's writes never fail
+	_, _ = d.WriteString("\x00" + team + "\x00" + model + "\x00")
+	_, _ = d.Write(text[:min(prefixBytes, len(text))])
+	return d.Sum64()
+}
+
+// claimed marks a request as one that may not be repeated.
+func (a *API) claimed(c *call, w *dispatch.Work, key string, body []byte) {
+	w.Repeatable = false
+	w.KeepBytes = c.state.Index.Limits.AnswerBytes
+	r := nodeclaim.Request{Team: w.Team, Key: key, BodyHash: hashRequest(w, body), Deadline: w.Deadline}
+	w.Claim = func(ctx context.Context, first claim.Route) (dispatch.Grant, *nodeclaim.Answer, error) {
+		r.Route = first
+		return a.deps.Claims.Claim(ctx, r)
+	}
+}
+
+func hashRequest(w *dispatch.Work, body []byte) string {
+	h := sha256.New()
+	for _, s := range []string{w.Method, w.Path, w.Query} {
+		h.Write([]byte(s))
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// serve admits a request, dispatches it and keeps book of it.
+func (a *API) serve(c *call, w *dispatch.Work, target string) error {
+	ctx := c.ctx()
+	if w.Claim != nil {
+		// A claimed request runs to its end when its caller is gone, for the
+		// answer will be asked for again under its key.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, entry := a.deps.Requests.Begin(ctx, inflight.Request{ID: c.id, Team: w.Team, Target: target, Class: w.Class, Started: a.deps.Now()})
+	err := a.admitted(ctx, c, w, entry, target)
+	state, code := outcome.Completed, ""
+	if err != nil {
+		f := fault.From(fault.StepDispatch, err)
+		state, code = f.Outcome, string(f.Code)
+	}
+	if context.Cause(ctx) == inflight.ErrHandOver {
+		err = a.handOver(c, err)
+	}
+	entry.End(state.String(), code)
+	if err == nil {
+		a.count(outcome.Completed)
+	}
+	return err
+}
+
+func (a *API) admitted(ctx context.Context, c *call, w *dispatch.Work, e *inflight.Entry, target string) error {
+	release, err := a.deps.Admission.Admit(ctx, AdmitRequest{Team: w.Team, Class: w.Class, Pool: w.Pool, Target: target, Deadline: w.Deadline})
+	if err != nil {
+		return err
+	}
+	defer release()
+	return a.deps.Dispatcher.Do(ctx, w, a.newSink(c, e, target, w.Stream, w.Deadline))
+}
--- /dev/null
+++ b/node/callerapi/problem.go
@@ -0,0 +1,147 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/metrics"
+)
+
+// retryNoConfig is when to ask a host again that has just started.
+const retryNoConfig = time.Second
+
+// Problem is an error as a caller sees it: the OpenAI shape, and what is
+// known of the request's execution.
+type Problem struct {
+	Error ProblemDetail `json:"error"`
+}
+
+// ProblemDetail is the body of a Problem.
+type ProblemDetail struct {
+	Message   string `json:"message"`
+	Type      string `json:"type"`
+	Code      string `json:"code"`
+	Param     string `json:"param,omitempty"`
+	Outcome   string `json:"outcome"` // "not_run", "unknown" or "completed"
+	Step      string `json:"step,omitempty"`
+	RequestID string `json:"request_id"`
+}
+
+var statuses = map[fault.Code]int{
+	fault.CodeBadRequest:     http.StatusBadRequest,
+	fault.CodeKeyRequired:    http.StatusBadRequest,
+	fault.CodeBadKey:         http.StatusUnauthorized,
+	fault.CodeNotFound:       http.StatusNotFound,
+	fault.CodeModelNotFound:  http.StatusNotFound,
+	fault.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	fault.CodeKeyReused:      http.StatusConflict,
+	fault.CodeInProgress:     http.StatusConflict,
+	fault.CodeConflict:       http.StatusConflict,
+	fault.CodeTeamLimit:      http.StatusTooManyRequests,
+	fault.CodeOverloaded:     http.StatusServiceUnavailable,
+	fault.CodeNoUpstream:     http.StatusServiceUnavailable,
+	fault.CodeStoreDown:      http.StatusServiceUnavailable,
+	fault.CodeDraining:       http.StatusServiceUnavailable,
+	fault.CodeDeadline:       http.StatusGatewayTimeout,
+	fault.CodeUpstreamFailed: http.StatusBadGateway,
+	fault.CodeUnknownOutcome: http.StatusBadGateway,
+}
+
+func statusOf(c fault.Code) int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+func typeOf(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// asFault turns any handler's error into a fault.
+func asFault(err error) *fault.Error {
+	var coded echo.HTTPStatusCoder
+	var f *fault.Error
+	if !errors.As(err, &f) && errors.As(err, &coded) {
+		code := fault.CodeBadRequest
+		if s := coded.StatusCode(); s == http.StatusNotFound || s == http.StatusMethodNotAllowed {
+			code = fault.CodeNotFound
+		}
+		return fault.NotRun(fault.StepParse, "", code, "no such path or method")
+	}
+	return fault.From(fault.StepDispatch, err)
+}
+
+// problem writes an error. Where the answer has begun, its end must not look
+// clean: a stream gets the error as its last event, and in every case the
+// connection is broken off.
+func (a *API) problem(c *echo.Context, err error) {
+	f := asFault(err)
+	a.count(f.Outcome)
+	r, _ := echo.UnwrapResponse(c.Response())
+	body := a.describe(c, f)
+	if r != nil && r.Committed {
+		if isStream(c.Response().Header()) {
+			a.lastEvent(c, body)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	h := c.Response().Header()
+	h.Del("Content-Length")
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	_ = c.JSON(statusOf(f.Code), body) // the caller may be gone
+}
+
+func (a *API) describe(c *echo.Context, f *fault.Error) Problem {
+	status := statusOf(f.Code)
+	message := string(f.Code)
+	if f.Err != nil {
+		message = f.Err.Error()
+	}
+	return Problem{ProblemDetail{Message: message, Type: typeOf(status), Code: string(f.Code), Outcome: f.Outcome.String(),
+		Step: string(f.Step), RequestID: c.Response().Header().Get(HeaderRequestID)}}
+}
+
+// lastEvent tells the caller of a stream why it ends without its end marker.
+func (a *API) lastEvent(c *echo.Context, p Problem) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return
+	}
+	event := append(append([]byte("event: error\ndata: "), data...), "\n\n"...)
+	if _, err := c.Response().Write(event); err == nil {
+		_ = http.NewResponseController(c.Response()).Flush() // the caller may be gone
+	}
+}
+
+func (a *API) count(o outcome.Outcome) {
+	switch o {
+	case outcome.NotRun:
+		a.deps.Metrics.Count(metrics.NotRun, 1)
+	case outcome.Completed:
+		a.deps.Metrics.Count(metrics.Completed, 1)
+	default:
+		a.deps.Metrics.Count(metrics.Unknown, 1)
+	}
+}
+
+func isStream(h http.Header) bool { return h.Get(echo.HeaderContentType) == "text/event-stream" }
--- /dev/null
+++ b/node/callerapi/requests.go
@@ -0,0 +1,103 @@
+package callerapi
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v5"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/core/token"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/inflight"
+)
+
+const listMost = 100 // requests in one list
+
+// requests lists the team's own requests on this host.
+func (a *API) requests(c *call) error {
+	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": a.deps.Requests.List(c.team.Name, listMost)})
+}
+
+func (a *API) request(c *call) error {
+	q, ok := a.deps.Requests.Get(c.Param("id"), c.team.Name)
+	if !ok {
+		return unknownRequest(c.Param("id"))
+	}
+	return c.JSON(http.StatusOK, q)
+}
+
+func unknownRequest(id string) error {
+	return fault.NotRun(fault.StepParse, "", fault.CodeNotFound, "this host knows no request %q of your team", id)
+}
+
+// cancel ends a request of the team, by its id on the host that serves it or
+// by its resume token on any host.
+func (a *API) cancel(c *call) error {
+	id := c.Param("id")
+	if a.deps.Requests.Cancel(id, c.team.Name, dispatch.ErrCancelled) {
+		return c.NoContent(http.StatusNoContent)
+	}
+	t, err := a.deps.Tokens.Decode(id, c.team.Name, a.deps.Now())
+	if err != nil {
+		return unknownRequest(id)
+	}
+	u, ok := c.state.Index.Upstream(t.Upstream)
+	if !ok {
+		return unknownRequest(id)
+	}
+	a.deps.Requests.Cancel(t.Request, c.team.Name, dispatch.ErrCancelled)
+	if err := a.deps.Dispatcher.Upstreams().Cancel(c.ctx(), u.Address, t.Attempt); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// resume takes a stream up again, whichever host it began on.
+func (a *API) resume(c *call) error {
+	t, err := a.deps.Tokens.Decode(c.Param("id"), c.team.Name, a.deps.Now())
+	if err != nil {
+		// One answer for all faults: nothing may be learnt by trying.
+		return fault.Unknown(fault.StepResume, "", fault.CodeNotFound, "this resume token is not valid, or no longer")
+	}
+	after := 0
+	if text := c.Request().Header.Get(headerLastEvent); text != "" {
+		if after, err = strconv.Atoi(text); err != nil || after < 0 {
+			return fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "%s: %q is not a position", headerLastEvent, text)
+		}
+	}
+	u, ok := c.state.Index.Upstream(t.Upstream)
+	if !ok {
+		return fault.Unknown(fault.StepResume, t.Upstream, fault.CodeUnknownOutcome, "the upstream of this stream is gone")
+	}
+	return a.resumed(c, t, dispatch.Resumption{Attempt: t.Attempt, Upstream: t.Upstream, Address: u.Address,
+		DataCentre: u.DataCentre, Incarnation: t.Incarnation, After: after})
+}
+
+func (a *API) resumed(c *call, t token.Token, r dispatch.Resumption) error {
+	deadline := a.deps.Now().Add(deadlineMost)
+	ctx, entry := a.deps.Requests.Begin(c.ctx(), inflight.Request{ID: c.id, Team: c.team.Name, Target: t.Model, Started: a.deps.Now()})
+	w := &dispatch.Work{RequestID: t.Request, Team: t.Team, Stream: true, Deadline: deadline}
+	err := a.deps.Dispatcher.Resume(ctx, w, r, a.newSink(c, entry, t.Model, true, deadline))
+	state := outcome.Completed
+	if err != nil {
+		state = fault.From(fault.StepResume, err).Outcome
+	}
+	entry.End(state.String(), "")
+	return err
+}
+
+// handOver ends a request that outlived a graceful shutdown. A stream's
+// caller is told where to take it up; the rest it gets from another host.
+func (a *API) handOver(c *call, err error) error {
+	t := c.Response().Header().Get(HeaderResume)
+	r, _ := echo.UnwrapResponse(c.Response())
+	if err == nil || t == "" || r == nil || !r.Committed {
+		return err
+	}
+	if _, werr := c.Response().Write([]byte("event: handover\ndata: {\"resume\":\"/v1/requests/" + t + "/stream\"}\n\n")); werr == nil {
+		_ = http.NewResponseController(c.Response()).Flush() // the caller may be gone
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/node/callerapi/service.go
@@ -0,0 +1,70 @@
+package callerapi
+
+import (
+	"net/http"
+	"strings"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// passedOn are a caller's headers that plain services get. The team's key is
+// not among them, nor anything that names the connection. The idempotency key
+// is passed on as the service's own safeguard.
+var passedOn = []string{"Content-Type", "Accept", "Accept-Language", "If-None-Match", "If-Modified-Since", HeaderIdempotencyKey}
+
+// service passes a call on to a plain service.
+func (a *API) service(c *call) error {
+	t, err := a.terms(c)
+	if err != nil {
+		return err
+	}
+	name := c.Param("service")
+	s, ok := c.state.Index.Service(c.team.Name, name)
+	if !ok {
+		return fault.NotRun(fault.StepParse, "", fault.CodeNotFound, "there is no service %q for your team", name)
+	}
+	r := c.Request()
+	path := "/" + strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, "/v1/services/"+name), "/")
+	w := &dispatch.Work{RequestID: c.id, Team: c.team.Name, Class: t.class, Pool: s.Pool, Service: true,
+		Method: r.Method, Path: strings.TrimSuffix(engineapi.PathService, "/") + path, Query: r.URL.RawQuery,
+		Header: passOn(r.Header), Deadline: t.deadline, Repeatable: s.Repeatable(r.Method, path)}
+	w.Header.Set(engineapi.HeaderTeam, c.team.Name)
+	if !w.Repeatable && t.key == "" {
+		return fault.NotRun(fault.StepParse, "", fault.CodeKeyRequired, "%s %s may not be repeated: send an %s", r.Method, path, HeaderIdempotencyKey)
+	}
+	if err := a.takeBody(c, w); err != nil {
+		return err
+	}
+	if !w.Repeatable {
+		a.claimed(c, w, t.key, w.Body)
+	}
+	return a.serve(c, w, name)
+}
+
+// takeBody holds a small body, or any of a request that may not be repeated,
+// whole; others are passed on as they come, bounded by size.
+func (a *API) takeBody(c *call, w *dispatch.Work) error {
+	r, most := c.Request(), c.state.Index.Limits.BodyBytes
+	if r.ContentLength > most {
+		return tooLarge(most)
+	}
+	if w.Repeatable && (r.ContentLength < 0 || r.ContentLength > holdMost) {
+		w.BodyStream, w.BodyLength = http.MaxBytesReader(c.Response(), r.Body, most), r.ContentLength
+		return nil
+	}
+	body, err := readBody(c, most)
+	w.Body = body
+	return err
+}
+
+func passOn(from http.Header) http.Header {
+	h := http.Header{}
+	for _, k := range passedOn {
+		if v, ok := from[k]; ok {
+			h[k] = v
+		}
+	}
+	return h
+}
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -46,11 +46,6 @@
 // run sends the attempt and relays its answer, through lost answers and
 // silent connections, until the attempt's fate is known or cannot be learnt.
 func (a *attempt) run(ctx context.Context) error {
-	if a.w.Grant != nil {
-		if err := a.w.Grant.Dispatching(ctx, a.ep.Upstream, a.ep.Incarnation, a.id); err != nil {
-			return err
-		}
-	}
 	ctx, cancel := context.WithDeadline(ctx, a.w.Deadline)
 	defer cancel()
 	a.d.deps.View.Dispatched(a.ep.Upstream)
@@ -161,6 +156,9 @@
 		if a.d.deps.View.Leaving(a.ep.Upstream, a.sent.get()) {
 			a.d.deps.Log.Emit(event.UpstreamLeaving, zap.String(event.FieldPeer, a.ep.Upstream), zap.String("incarnation", a.sent.get()), zap.String("source", "refusal"))
 		}
+	case engineapi.RefusedSettled:
+		// The watchdog asked for the fate before the attempt arrived.
+		return fault.Unknown(fault.StepDispatch, a.ep.Upstream, fault.CodeUpstreamFailed, "refused: %s", why)
 	case engineapi.RefusedNotLoaded:
 		a.d.deps.View.NotReady(a.ep.Upstream, a.w.Key)
 	}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/claim"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
 	"peridotpier.example/core/retry"
@@ -81,63 +82,126 @@
 
 // Do carries w out. A nil error means that the whole answer was handed to
 // sink; otherwise the error is a *fault.Error with the request's outcome.
-// When w has a Grant it is settled before Do returns.
+// A claim that was taken out is settled before Do returns.
 func (d *Dispatcher) Do(ctx context.Context, w *Work, sink Sink) error {
-	out := &output{sink: sink, keep: w.Grant != nil, most: w.KeepBytes, detached: w.Grant != nil}
-	err := d.attempts(ctx, w, out)
-	if w.Grant != nil {
-		settle(ctx, w.Grant, out, err)
+	claimed := w.Claim != nil
+	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, detached: claimed}
+	r := &run{d: d, w: w, out: out,
+		retries: retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline),
+		route:   route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix}}
+	d.countRequest()
+	err := r.attempts(ctx)
+	if r.grant != nil {
+		r.settle(ctx, err)
 	}
 	return err
 }
 
+// run is one request on its way through its attempts.
+type run struct {
+	d       *Dispatcher
+	w       *Work
+	out     *output
+	retries *retry.Request
+	route   route.Request
+	grant   Grant // nil until claimed
+	last    *fault.Error
+}
+
 // settle tells the claim what became of the request. The context of a caller
-// that went away must not stop it.
-func settle(ctx context.Context, g Grant, out *output, err error) {
+// that went away must not stop it. What cannot be written now is kept and
+// written later by the claim store, which logs it; there is nothing to add here.
+func (r *run) settle(ctx context.Context, err error) {
 	ctx = context.WithoutCancel(ctx)
-	if err == nil {
-		g.Complete(ctx, out.answer())
-		return
+	switch {
+	case err == nil:
+		_ = r.grant.Complete(ctx, r.out.answer())
+	case fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun:
+		_ = r.grant.NotRun(ctx)
+	default:
+		_ = r.grant.Unknown(ctx)
 	}
-	if fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun {
-		g.NotRun(ctx)
-		return
-	}
-	g.Unknown(ctx)
 }
 
 // attempts makes one attempt after another, as core/retry allows.
-func (d *Dispatcher) attempts(ctx context.Context, w *Work, out *output) error {
-	d.countRequest()
-	req := retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline)
-	rr := &route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix}
-	var last *fault.Error
+func (r *run) attempts(ctx context.Context) error {
 	for {
-		snap := d.deps.View.Snapshot()
-		dec := d.deps.Picker.Pick(snap, rr, randomSource{})
+		snap := r.d.deps.View.Snapshot()
+		dec := r.d.deps.Picker.Pick(snap, &r.route, randomSource{})
 		if dec.Index < 0 {
-			return d.noEndpoint(w, dec.Reason, last)
+			return r.noEndpoint(ctx, dec.Reason)
+		}
+		a := newAttempt(r.d, r.w, r.out, &snap.Endpoints[dec.Index])
+		if replayed, err := r.claim(ctx, a); replayed || err != nil {
+			return err
 		}
-		a := newAttempt(d, w, out, &snap.Endpoints[dec.Index])
 		err := a.run(ctx)
 		if err == nil {
 			return nil
 		}
-		last = fault.From(fault.StepDispatch, err)
-		if out.started || ctx.Err() != nil || w.BodyStream != nil && last.Outcome != outcome.NotRun {
-			return last
+		if again := r.again(ctx, a, err); !again {
+			return r.last
 		}
-		next := d.after(req, retry.Attempt{Outcome: last.Outcome, Upstream: a.ep.Upstream,
-			RetryAfter: last.RetryAfter, Elsewhere: true})
-		last.Outcome = next.Outcome
-		if !next.Retry || a.bodyUsed {
-			return d.gaveUp(last, next.Reason)
+	}
+}
+
+// claim makes durable where the attempt goes, for a request that may not be
+// repeated. A repeat of one that ran is answered here.
+func (r *run) claim(ctx context.Context, a *attempt) (replayed bool, err error) {
+	if r.w.Claim == nil {
+		return false, nil
+	}
+	to := claim.Route{Upstream: a.ep.Upstream, Incarnation: a.ep.Incarnation, Attempt: a.id}
+	if r.grant != nil {
+		return false, r.grant.Dispatching(ctx, to, r.w.Deadline)
+	}
+	grant, stored, err := r.w.Claim(ctx, to)
+	if err != nil {
+		return false, err
+	}
+	if stored != nil {
+		return true, r.out.replay(stored)
+	}
+	r.grant = grant
+	return false, grant.Dispatching(ctx, to, r.w.Deadline)
+}
+
+// again says whether another attempt follows the one that failed, and waits
+// for its time.
+func (r *run) again(ctx context.Context, a *attempt, err error) bool {
+	r.last = fault.From(fault.StepDispatch, err)
+	if r.out.started || ctx.Err() != nil {
+		return false
+	}
+	next := r.d.after(r.retries, retry.Attempt{Outcome: r.last.Outcome, Upstream: a.ep.Upstream,
+		RetryAfter: r.last.RetryAfter, Elsewhere: true})
+	r.last.Outcome = next.Outcome
+	if !next.Retry || a.bodyUsed {
+		gaveUp(r.last, next.Reason)
+		return false
+	}
+	r.route.Avoid = next.Avoid
+	return sleep(ctx, next.Pause) == nil
+}
+
+// noEndpoint is the answer when no upstream, or no other one, can be tried.
+func (r *run) noEndpoint(ctx context.Context, why route.Reason) error {
+	if r.last != nil {
+		gaveUp(r.last, retry.NoAttempts)
+		return r.last
+	}
+	if r.w.Claim != nil {
+		// A repeat of a request that ran has its answer, even if nothing could run now.
+		grant, stored, err := r.w.Claim(ctx, claim.Route{})
+		if err != nil {
+			return err
 		}
-		rr.Avoid = next.Avoid
-		if err := sleep(ctx, next.Pause); err != nil {
-			return last
+		if stored != nil {
+			return r.out.replay(stored)
 		}
+		r.grant = grant
 	}
+	return r.d.refuse(r.w, why)
 }
 
 func (d *Dispatcher) countRequest() {
@@ -153,7 +217,7 @@
 }
 
 // gaveUp completes the error of a request that gets no further attempt.
-func (d *Dispatcher) gaveUp(last *fault.Error, why retry.Reason) error {
+func gaveUp(last *fault.Error, why retry.Reason) {
 	if why == retry.NoTime {
 		last.Code = fault.CodeDeadline
 	}
@@ -163,14 +227,10 @@
 	if last.Outcome == outcome.Unknown && last.Code == fault.CodeUpstreamFailed {
 		last.Code = fault.CodeUnknownOutcome
 	}
-	return last
 }
 
-// noEndpoint is the answer when no upstream can be tried, or no other one.
-func (d *Dispatcher) noEndpoint(w *Work, why route.Reason, last *fault.Error) error {
-	if last != nil {
-		return d.gaveUp(last, retry.NoAttempts)
-	}
+// refuse is the answer to a request for which there is no upstream.
+func (d *Dispatcher) refuse(w *Work, why route.Reason) error {
 	if why == route.NoReplica {
 		if d.deps.Demand != nil {
 			d.deps.Demand(w.Pool, w.Key)
--- a/node/dispatch/output.go
+++ b/node/dispatch/output.go
@@ -3,8 +3,10 @@
 import (
 	"mime"
 	"net/http"
+	"strconv"
 
 	"peridotpier.example/core/fault"
+	nodeclaim "peridotpier.example/node/claim"
 )
 
 // output passes an answer to the caller and, for a claim, keeps it.
@@ -62,14 +64,28 @@
 }
 
 // answer is what a claim keeps.
-func (o *output) answer() Answer {
-	a := Answer{Status: o.head.Status, ContentType: o.head.Header.Get("Content-Type"), Body: o.kept, Truncated: o.overflow}
-	if a.Truncated {
+func (o *output) answer() nodeclaim.Answer {
+	a := nodeclaim.Answer{Status: o.head.Status, ContentType: o.head.Header.Get("Content-Type"), Body: o.kept}
+	if o.overflow {
 		a.Body = nil
 	}
 	return a
 }
 
+// replay hands over the stored answer of a request that ran before.
+func (o *output) replay(a *nodeclaim.Answer) error {
+	h := http.Header{}
+	if a.ContentType != "" {
+		h.Set("Content-Type", a.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	o.start(Head{Status: a.Status, Header: h})
+	if err := o.write(a.Body); err != nil {
+		return err
+	}
+	return o.flush()
+}
+
 func isEventStream(h http.Header) bool {
 	t, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
 	return t == "text/event-stream"
--- a/node/dispatch/work.go
+++ b/node/dispatch/work.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"time"
 
+	"peridotpier.example/core/claim"
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/route"
+	nodeclaim "peridotpier.example/node/claim"
 )
 
 // Work is one admitted request.
@@ -33,29 +35,25 @@
 	Deadline   time.Time
 	Repeatable bool
 	Prefix     uint64 // salted prefix hash; 0: none
-	Grant      Grant  // the claim of a request that may not be repeated; else nil
-	KeepBytes  int64  // most bytes of an answer to keep for its claim
+	// Claim takes out the claim of a request that may not be repeated, naming
+	// its first attempt; nil for all others. A repeat of a request that ran
+	// gets the stored answer in place of a grant.
+	Claim     func(ctx context.Context, first claim.Route) (Grant, *nodeclaim.Answer, error)
+	KeepBytes int64 // most bytes of an answer to keep for its claim
 }
 
-// Answer is a whole answer, as kept for replay.
-type Answer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type"`
-	Body        []byte `json:"body"`
-	Truncated   bool   `json:"truncated,omitempty"` // over the bound: it ran, but its answer was not kept
-}
-
-// Grant is the claim under which a request that may not be repeated runs.
+// Grant is the claim under which a request that may not be repeated runs;
+// *claim.Grant of node/claim implements it.
 type Grant interface {
-	// Dispatching makes durable which upstream the attempt goes to, before
-	// its first byte is written. On an error the attempt must not be sent.
-	Dispatching(ctx context.Context, upstream, incarnation, attempt string) error
+	// Dispatching makes durable which attempt goes where, before its first
+	// byte is written. On an error the attempt must not be sent.
+	Dispatching(ctx context.Context, r claim.Route, deadline time.Time) error
 	// Complete keeps the answer; it may finish later in the background.
-	Complete(ctx context.Context, a Answer)
+	Complete(ctx context.Context, a nodeclaim.Answer) error
 	// NotRun frees the key, so that a retry may run.
-	NotRun(ctx context.Context)
+	NotRun(ctx context.Context) error
 	// Unknown keeps the key: no retry runs until the fate is known.
-	Unknown(ctx context.Context)
+	Unknown(ctx context.Context) error
 }
 
 // Head is what is known of an answer when its first byte is due.
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -158,6 +158,10 @@
 	Stored   bool   `json:"stored"`
 }
 
+// HeaderTeam tells a plain service which team calls, so that it can keep
+// teams apart itself; callers cannot set it.
+const HeaderTeam = "Peridot-Team"
+
 // HeaderPrefix carries the salted hash of the prompt's prefix, in hex, so that
 // the engine's cache events can be matched without showing the prompt.
 const HeaderPrefix = "Peridot-Prefix"
--- a/node/upstream/view/load.go
+++ b/node/upstream/view/load.go
@@ -36,12 +36,16 @@
 	*d = append((*d)[:0], (*d)[i:]...)
 }
 
-func (d deltas) sum() int {
-	n := 0
+// count returns the dispatches and the completions.
+func (d deltas) count() (begun, done int) {
 	for _, x := range d {
-		n += int(x.by)
+		if x.by > 0 {
+			begun++
+		} else {
+			done++
+		}
 	}
-	return n
+	return begun, done
 }
 
 // load is what an answer's head tells of its upstream.
--- a/node/upstream/view/snapshot.go
+++ b/node/upstream/view/snapshot.go
@@ -64,9 +64,10 @@
 		Upstream: s.cfg.Name, Address: s.cfg.Address, Pool: s.cfg.Pool, DataCentre: s.cfg.DataCentre,
 		Incarnation: s.report.Incarnation, Leaving: s.leaving[s.report.Incarnation], Down: now.Before(s.downUntil),
 		MaxBatch: s.cfg.MaxBatch, Accelerators: s.cfg.Accelerators, Ready: s.ready,
-		Running: s.running, Waiting: s.waiting, SinceReport: s.recent.sum(), PeersSince: s.peersSince,
+		Running: s.running, Waiting: s.waiting, PeersSince: s.peersSince,
 		InFlight: s.inFlight, TokenMs: s.tokenMs, PrefillMs: s.prefillMs, Prefixes: s.prefixes,
 	}
+	e.SinceReport, e.DoneSince = s.recent.count()
 	if !s.loadAt.IsZero() {
 		e.ReportAge = now.Sub(s.loadAt)
 	}
