Refuse resume tokens with line breaks; run claims over the table service

Fuzzing found that a token with a line break inside decodes, since base64 skips it: one token had many spellings.

node/claim writes a claim that names its attempt before dispatch, settles it with the answer, defers settlements while the platform is down, and asks the upstream for the fate of attempts whose owner is gone.

--- a/core/token/token.go
+++ b/core/token/token.go
@@ -105,7 +105,8 @@
 // is parsed before the signature holds.
 func (k *Keys) verify(s string) ([]byte, error) {
 	cut := strings.LastIndexByte(s, '.')
-	if len(s) > maxEncoded || cut < 0 {
+	// base64 skips line breaks, so that one token would have many spellings.
+	if len(s) > maxEncoded || cut < 0 || strings.ContainsAny(s, "\r\n") {
 		return nil, ErrMalformed
 	}
 	signed := s[:cut]
--- /dev/null
+++ b/node/claim/records.go
@@ -0,0 +1,96 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/core/claim"
+	"peridotpier.example/node/platform"
+)
+
+// Seen is a claim's row as it was last seen.
+type Seen struct {
+	Row     *claim.Row // nil: there is none
+	Version uint64
+}
+
+// Records is where claims are kept. Its errors are those of platform.Table.
+type Records interface {
+	Read(ctx context.Context, key string) (Seen, error)
+	// Swap replaces the row of which the given version was seen; a nil row
+	// deletes it. On platform.ErrConflict it answers the row that is there.
+	Swap(ctx context.Context, key string, version uint64, row *claim.Row) (Seen, error)
+}
+
+// rowPrefix starts the table key of each claim that has a row of its own.
+const rowPrefix = "claims/row/"
+
+// Rows keeps each claim in a row of its own: no host owns any, so that nothing
+// has to be recovered when one dies, at the price of one commit a change.
+// Over a Batcher many changes share one commit.
+type Rows struct{ table platform.Table }
+
+// NewRows keeps claims in tb.
+func NewRows(tb platform.Table) *Rows { return &Rows{table: tb} }
+
+// Read implements Records.
+func (r *Rows) Read(ctx context.Context, key string) (Seen, error) {
+	rows, err := r.table.Get(ctx, rowPrefix+key)
+	if err != nil || len(rows) == 0 {
+		return Seen{}, err
+	}
+	return decode(rows[0])
+}
+
+// Swap implements Records. A lost answer is resolved under the same operation
+// id. Past the service's memory of ids, or when the write went out in a
+// Batcher's commit, our own earlier write looks like a conflict: the row's Op
+// then tells whose it is. Without that, a host would take its own claim for
+// another's, and the caller would hear "in progress" while nobody runs it.
+func (r *Rows) Swap(ctx context.Context, key string, version uint64, row *claim.Row) (Seen, error) {
+	txn, err := swapTxn(rowPrefix+key, version, row)
+	if err != nil {
+		return Seen{}, err
+	}
+	v, err := platform.CommitResolved(ctx, r.table, txn)
+	if err == nil {
+		return Seen{Row: row, Version: v}, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		return Seen{}, err
+	}
+	now, readErr := r.Read(ctx, key)
+	switch {
+	case readErr != nil:
+		return Seen{}, errors.Join(platform.ErrInDoubt, readErr)
+	case row == nil && now.Row == nil:
+		return now, nil
+	case row != nil && now.Row != nil && now.Row.Op == row.Op:
+		return now, nil
+	}
+	return now, platform.ErrConflict
+}
+
+func swapTxn(key string, version uint64, row *claim.Row) (platform.Txn, error) {
+	w := platform.Write{Key: key, Delete: row == nil}
+	op := newID()
+	if row != nil {
+		value, err := json.Marshal(row)
+		if err != nil {
+			return platform.Txn{}, eris.Wrap(err, "encode claim")
+		}
+		w.Value, op = value, row.Op
+	}
+	return platform.Txn{Op: op, Conds: []platform.Cond{{Key: key, Version: version}}, Writes: []platform.Write{w}}, nil
+}
+
+func decode(r platform.Row) (Seen, error) {
+	var row claim.Row
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return Seen{}, eris.Wrapf(err, "decode claim %s", r.Key)
+	}
+	return Seen{Row: &row, Version: r.Version}, nil
+}
--- /dev/null
+++ b/node/claim/store.go
@@ -0,0 +1,191 @@
+// Package claim runs the claims of requests that may not be repeated: a claim
+// is written before anything is dispatched, names the attempt and its
+// upstream, and is settled with the answer. The decisions are core/claim's.
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peridotpier.example/core/claim"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// Fates asks an upstream for the fate of an attempt.
+type Fates interface {
+	Fate(ctx context.Context, upstream, attemptID string) (engineapi.Attempt, error)
+}
+
+// Config bounds a Store.
+type Config struct {
+	TTL         time.Duration // how long a key is remembered
+	Grace       time.Duration // after a request's deadline, before others look after its claim
+	CallTimeout time.Duration // of one claim or settlement against the platform
+	InlineBytes int           // largest answer kept in the table row; larger ones go to the object store
+	AnswerBytes int           // largest answer kept at all
+	QueueCount  int           // settlements that wait for the platform
+	QueueBytes  int           // of their answers
+}
+
+// DefaultConfig has bounds that fit an entry host of today's sites.
+func DefaultConfig() Config {
+	return Config{
+		TTL:         24 * time.Hour,
+		Grace:       5 * time.Second, // clocks of hosts differ by less; being wrong costs one question, never a second run
+		CallTimeout: 2 * time.Second, // longer than a slow commit, shorter than callers wait for a refusal
+		InlineBytes: 8 << 10,
+		AnswerBytes: 4 << 20,
+		QueueCount:  4096,    // 10 minutes of outage at 7 settlements a second
+		QueueBytes:  8 << 20, // a quarter of what a host may use for control
+	}
+}
+
+// Deps are what a Store works with.
+type Deps struct {
+	Records Records
+	Objects platform.Objects
+	Fates   Fates
+	Log     *event.Log
+	Owner   claim.Owner      // this process
+	Now     func() time.Time // wall clock
+}
+
+// Store claims requests.
+type Store struct {
+	cfg   Config
+	deps  Deps
+	queue *queue
+}
+
+// New makes a Store. Its Run must be running for deferred settlements.
+func New(cfg Config, deps Deps) *Store {
+	s := &Store{cfg: cfg, deps: deps}
+	s.queue = newQueue(cfg.QueueCount, cfg.QueueBytes)
+	return s
+}
+
+// Request is what a claim needs to know of a request.
+type Request struct {
+	Team     string
+	Key      string // the caller's idempotency key
+	BodyHash string // of method, path and body
+	Deadline time.Time
+	// Route is the first attempt, when it is known before the claim: the claim
+	// then names it and Dispatching writes nothing.
+	Route claim.Route
+}
+
+// Answer is a whole answer. Dropped tells that its body was not kept.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// The advice when to come back.
+const (
+	storeDownAfter = time.Second // one may hope for the store's return
+	progressMost   = 2 * time.Second
+	progressLeast  = 100 * time.Millisecond
+)
+
+// rounds bounds the changes of a row by others that one arrival follows.
+const rounds = 6
+
+func newID() string { return uuid.NewString() }
+
+// Claim answers exactly one of three: a grant, which lets the request run; the
+// stored answer of its first run; or an error, always a *fault.Error.
+func (s *Store) Claim(ctx context.Context, req Request) (*Grant, *Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	key := claim.Key(req.Team, req.Key)
+	arrival := s.arrival(req)
+	// The first try assumes that there is no row: most keys are new, and the
+	// condition of the write catches those that are not.
+	var seen Seen
+	for range rounds {
+		d := claim.Decide(seen.Row, arrival, s.deps.Now())
+		var err error
+		switch d.Action {
+		case claim.Own:
+			return s.grant(key, seen), nil, nil
+		case claim.Run:
+			seen, err = s.run(ctx, key, arrival, seen)
+		case claim.Replay:
+			a, err := s.replay(ctx, seen.Row.Answer)
+			return nil, a, err
+		case claim.InProgress:
+			return nil, nil, inProgress(d.After)
+		case claim.Reused:
+			return nil, nil, fault.NotRun(fault.StepClaim, "", fault.CodeKeyReused, "idempotency key was used with another request")
+		case claim.Settle:
+			seen, err = s.settleByFate(ctx, key, seen)
+		}
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	return nil, nil, inProgress(0)
+}
+
+func (s *Store) arrival(req Request) claim.Arrival {
+	patience := max(req.Deadline.Sub(s.deps.Now()), 0) + s.cfg.Grace
+	return claim.Arrival{ID: newID(), Body: req.BodyHash, Owner: s.deps.Owner, Route: req.Route,
+		Patience: patience, TTL: max(s.cfg.TTL, 2*patience)}
+}
+
+// run writes the arrival's claim over the row that was judged. On a conflict
+// it answers the row that is there now.
+func (s *Store) run(ctx context.Context, key string, a claim.Arrival, seen Seen) (Seen, error) {
+	row := claim.New(a, s.deps.Now())
+	row.Op = newID()
+	next, err := s.deps.Records.Swap(ctx, key, seen.Version, &row)
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return next, nil
+	}
+	if errors.Is(err, platform.ErrInDoubt) {
+		// The claim may stand. Nothing was dispatched under it and nothing will
+		// be, so the key is freed as soon as the table answers.
+		s.enqueue(&settlement{key: key, id: row.ID, row: row, version: seen.Version, change: release}, err)
+	}
+	return Seen{}, storeDown(err)
+}
+
+func (s *Store) grant(key string, seen Seen) *Grant {
+	return &Grant{store: s, key: key, row: *seen.Row, version: seen.Version}
+}
+
+func (s *Store) replay(ctx context.Context, a *claim.Answer) (*Answer, error) {
+	if a == nil || a.Dropped {
+		return nil, &fault.Error{Step: fault.StepClaim, Code: fault.CodeConflict, Outcome: outcome.Completed,
+			Err: errors.New("the request ran; its answer was not kept")}
+	}
+	out := &Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
+	if a.Object == "" {
+		return out, nil
+	}
+	body, err := s.deps.Objects.Get(ctx, a.Object)
+	if err != nil {
+		return nil, &fault.Error{Step: fault.StepClaim, Code: fault.CodeStoreDown, Outcome: outcome.Completed,
+			RetryAfter: storeDownAfter, Err: err}
+	}
+	out.Body = body
+	return out, nil
+}
+
+func inProgress(after time.Duration) error {
+	e := fault.Unknown(fault.StepClaim, "", fault.CodeInProgress, "a request under this idempotency key is being run")
+	return e.After(min(max(after, progressLeast), progressMost))
+}
+
+func storeDown(err error) error {
+	return fault.NotRun(fault.StepClaim, "", fault.CodeStoreDown, "claim: %w", err).After(storeDownAfter)
+}
