--- a/node/callerapi/generate.go
+++ b/node/callerapi/generate.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,12 +110,13 @@
 		f := fault.From(fault.StepDispatch, err)
 		state, code = f.Outcome, string(f.Code)
 	}
-	if context.Cause(ctx) == inflight.ErrHandOver {
-		err = a.handOver(c, err)
-	}
+	handedOver := errors.Is(context.Cause(ctx), inflight.ErrHandOver)
 	entry.End(state.String(), code)
-	if err == nil {
+	switch {
+	case err == nil:
 		a.count(outcome.Completed)
+	case handedOver:
+		a.handOver(c)
 	}
 	return err
 }
--- a/node/callerapi/requests.go
+++ b/node/callerapi/requests.go
@@ -88,16 +88,17 @@
 	return err
 }
 
-// handOver ends a request that outlived a graceful shutdown. A stream's
-// caller is told where to take it up; the rest it gets from another host.
-func (a *API) handOver(c *call, err error) error {
+// handOver ends a stream that outlived a graceful shutdown: its caller is told
+// where to take it up, and gets the rest from another host. It returns only
+// when there is no stream to hand over.
+func (a *API) handOver(c *call) {
 	t := c.Response().Header().Get(HeaderResume)
 	r, _ := echo.UnwrapResponse(c.Response())
-	if err == nil || t == "" || r == nil || !r.Committed {
-		return err
+	if t == "" || r == nil || !r.Committed {
+		return
 	}
-	if _, werr := c.Response().Write([]byte("event: handover\ndata: {\"resume\":\"/v1/requests/" + t + "/stream\"}\n\n")); werr == nil {
+	if _, err := c.Response().Write([]byte("event: handover\ndata: {\"resume\":\"/v1/requests/" + t + "/stream\"}\n\n")); err == nil {
 		_ = http.NewResponseController(c.Response()).Flush() // the caller may be gone
 	}
-	panic(http.ErrAbortHandler)
+	panic(http.ErrAbortHandler) // the stream's end must not look clean
 }
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -21,6 +21,7 @@
 	for _, part := range [][]Event{
 		processEvents,
 		dispatchEvents,
+		claimEvents,
 	} {
 		all = append(all, part...)
 	}
