--- /dev/null
+++ b/core/config/fault.go
@@ -0,0 +1,69 @@
+package config
+
+import "fmt"
+
+// Fault is one thing wrong with a configuration.
+type Fault struct {
+	Path    string `json:"path"` // JSON path, as in models[3].pool; "$" for the whole document
+	Problem string `json:"problem"`
+}
+
+// String writes path and problem on one line.
+func (f Fault) String() string { return f.Path + ": " + f.Problem }
+
+// root is the path of the whole document.
+const root = "$"
+
+// collector gathers faults, so that an operator sees all of them at once.
+type collector struct{ faults []Fault }
+
+func (c *collector) add(path, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
+}
+
+// check adds a fault unless ok.
+func (c *collector) check(ok bool, path, format string, args ...any) {
+	if !ok {
+		c.add(path, format, args...)
+	}
+}
+
+// share checks that x lies between 0 and most; it is written so that NaN fails.
+func (c *collector) share(x, most float64, path string) {
+	c.check(x >= 0 && x <= most, path, "is %g, must be from 0 to %g", x, most)
+}
+
+// maxQuantity bounds every quantity, so that sums of them cannot overflow and
+// turn a model that never fits into one that seems to.
+const maxQuantity = 1_000_000_000_000
+
+func (c *collector) positive(x int, path string) {
+	c.check(x > 0 && x <= maxQuantity, path, "is %d, must be from 1 to %d", x, maxQuantity)
+}
+
+func (c *collector) notNegative(x int, path string) {
+	c.check(x >= 0, path, "is %d, must not be negative", x)
+}
+
+// unique tells names that stand twice in one namespace.
+type unique map[string]string
+
+// name checks that a name is set and new.
+func (c *collector) name(seen unique, name, path string) {
+	if name == "" {
+		c.add(path, "is empty")
+		return
+	}
+	if first, ok := seen[name]; ok {
+		c.add(path, "%q stands already at %s", name, first)
+		return
+	}
+	seen[name] = path
+}
+
+func at(list string, i int, field string) string {
+	if field == "" {
+		return fmt.Sprintf("%s[%d]", list, i)
+	}
+	return fmt.Sprintf("%s[%d].%s", list, i, field)
+}
--- /dev/null
+++ b/core/config/feasible.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+)
+
+// feasible refuses what could not be served: a model that no upstream can
+// hold, replicas that do not fit beside each other, an on-demand model that
+// never finds room or cannot be loaded within its stated bound. Accepted, any
+// of these would show only as a model that never answers.
+func (v *validator) feasible() {
+	for i, p := range v.cfg.Pools {
+		if p.Kind != KindEngine {
+			continue
+		}
+		before := len(v.faults)
+		v.sizes(p.Name)
+		if len(v.faults) == before {
+			v.fits(p.Name, at("pools", i, ""))
+		}
+	}
+}
+
+func (v *validator) sizes(pool string) {
+	largest, count := 0, 0
+	for _, u := range v.cfg.Upstreams {
+		if u.Pool == pool {
+			largest, count = max(largest, u.MemoryMB), count+1
+		}
+	}
+	for i, m := range v.cfg.Models {
+		if m.Pool != pool {
+			continue
+		}
+		need := Footprint(v.cfg, m.Name)
+		v.check(need.First <= largest, at("models", i, "memory_mb"),
+			"needs %d MB with its adapters (%d MB alone), the largest upstream of pool %q has %d MB",
+			need.First, m.MemoryMB, pool, largest)
+		v.check(m.Replicas <= count, at("models", i, "initial_replicas"),
+			"is %d, pool %q has %d upstreams", m.Replicas, pool, count)
+		v.onDemand(i, m)
+	}
+}
+
+func (v *validator) onDemand(i int, m Model) {
+	if m.MinReplicas > 0 {
+		return
+	}
+	w := v.cfg.WeightStore
+	seconds := float64(m.MemoryMB)/float64(w.MBPerSecond) + 1/w.LoadsPerSecond
+	v.check(seconds <= float64(m.MaxOnDemandSecs), at("models", i, "max_on_demand_s"),
+		"is %d s, a load takes %.1f s (%d MB at %d MB/s, %g loads/s)",
+		m.MaxOnDemandSecs, seconds, m.MemoryMB, w.MBPerSecond, w.LoadsPerSecond)
+}
+
+func (v *validator) fits(pool, path string) {
+	p := Pack(v.cfg, pool)
+	if len(p.Unplaced) > 0 {
+		v.add(path, "models of pool %q do not fit at min_replicas: they need %d MB, %d upstreams have %d MB; no room for %q (%d MB), most free on one upstream %d MB",
+			pool, p.NeedMB, len(p.FreeMB), p.HaveMB, p.Unplaced[0].Model, p.Unplaced[0].MemoryMB, p.mostFree())
+		return
+	}
+	for i, m := range v.cfg.Models {
+		if m.Pool == pool && m.MinReplicas == 0 {
+			need := Footprint(v.cfg, m.Name).Other
+			v.check(need <= p.mostFree(), at("models", i, "min_replicas"),
+				"is 0, and once the others are placed no upstream has room to load %q: needs %d MB, most free %d MB",
+				m.Name, need, p.mostFree())
+		}
+	}
+}
+
+// Need is the accelerator memory of a model's replicas in MB.
+type Need struct {
+	First int // the base and all its adapters, so that every adapter can answer without a load
+	Other int // the base and its largest adapter
+}
+
+// Footprint returns what replicas of a model need.
+func Footprint(c *Config, model string) Need {
+	var base, sum, largest int
+	for _, m := range c.Models {
+		if m.Name == model {
+			base = m.MemoryMB
+		}
+	}
+	for _, a := range c.Adapters {
+		if a.Model == model {
+			sum, largest = sum+a.MemoryMB, max(largest, a.MemoryMB)
+		}
+	}
+	return Need{First: base + sum, Other: base + largest}
+}
+
+// Placement is one replica of a model on an upstream.
+type Placement struct {
+	Model    string
+	Upstream string // "" in Packing.Unplaced
+	MemoryMB int
+}
+
+// Packing is one way to place a pool's models at their min_replicas.
+type Packing struct {
+	Placed   []Placement
+	Unplaced []Placement
+	FreeMB   map[string]int // by upstream
+	NeedMB   int
+	HaveMB   int
+}
+
+func (p Packing) mostFree() int {
+	most := 0
+	for _, mb := range p.FreeMB {
+		most = max(most, mb)
+	}
+	return most
+}
+
+// Pack places a pool's models at their min_replicas, largest first, each
+// replica of a model on another upstream. It tries the fullest upstream that
+// has room first, which leaves the largest gaps, then the emptiest first. It
+// is a heuristic: a pool filled to the last percent may be refused though
+// some packing exists, and a planner would not find that one either.
+func Pack(c *Config, pool string) Packing {
+	want := wanted(c, pool)
+	p := pack(c, pool, want, func(free, best int) bool { return free < best })
+	if len(p.Unplaced) > 0 {
+		if q := pack(c, pool, want, func(free, best int) bool { return free > best }); len(q.Unplaced) == 0 {
+			return q
+		}
+	}
+	return p
+}
+
+func wanted(c *Config, pool string) []Placement {
+	var want []Placement
+	for _, m := range c.Models {
+		if m.Pool != pool {
+			continue
+		}
+		need := Footprint(c, m.Name)
+		for r := range m.MinReplicas {
+			mb := need.Other
+			if r == 0 {
+				mb = need.First
+			}
+			want = append(want, Placement{Model: m.Name, MemoryMB: mb})
+		}
+	}
+	slices.SortStableFunc(want, func(a, b Placement) int { return cmp.Compare(b.MemoryMB, a.MemoryMB) })
+	return want
+}
+
+func pack(c *Config, pool string, want []Placement, better func(free, best int) bool) Packing {
+	p := Packing{FreeMB: map[string]int{}}
+	var names []string
+	for _, u := range c.Upstreams {
+		if u.Pool == pool {
+			names = append(names, u.Name)
+			p.FreeMB[u.Name] = u.MemoryMB
+			p.HaveMB += u.MemoryMB
+		}
+	}
+	has := map[Placement]bool{} // model and upstream only
+	for _, w := range want {
+		p.NeedMB += w.MemoryMB
+		best := ""
+		for _, n := range names {
+			if p.FreeMB[n] < w.MemoryMB || has[Placement{Model: w.Model, Upstream: n}] {
+				continue
+			}
+			if best == "" || better(p.FreeMB[n], p.FreeMB[best]) {
+				best = n
+			}
+		}
+		if best == "" {
+			p.Unplaced = append(p.Unplaced, w)
+			continue
+		}
+		w.Upstream = best
+		has[Placement{Model: w.Model, Upstream: best}] = true
+		p.FreeMB[best] -= w.MemoryMB
+		p.Placed = append(p.Placed, w)
+	}
+	return p
+}
--- /dev/null
+++ b/core/config/parse.go
@@ -0,0 +1,220 @@
+package config
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// Bounds of a document.
+const (
+	// MaxBytes is the largest document; the design size (2,500 upstreams, 720
+	// models) takes about 1 MB.
+	MaxBytes = 8 << 20
+	// maxDepth is the deepest nesting; a valid document has 5 levels. Without
+	// it, a document of opening brackets alone would exhaust the stack.
+	maxDepth = 16
+)
+
+// Parse reads a configuration strictly and validates it. It returns either a
+// valid configuration or every fault found: unknown, repeated and mistyped
+// fields first, and only when there are none, what Validate finds.
+func Parse(data []byte) (*Config, []Fault) {
+	c := new(Config)
+	if faults := ParseStrict(data, c); len(faults) > 0 {
+		return nil, faults
+	}
+	if faults := Validate(c); len(faults) > 0 {
+		return nil, faults
+	}
+	return c, nil
+}
+
+// ParseStrict decodes one JSON document into out, a pointer to a struct, and
+// returns every unknown, repeated or mistyped field with its path. Settings
+// are read by it as well.
+func ParseStrict(data []byte, out any) []Fault {
+	if len(data) > MaxBytes {
+		return []Fault{{root, fmt.Sprintf("is %d bytes long, at most %d are read", len(data), MaxBytes)}}
+	}
+	s := strict{dec: json.NewDecoder(bytes.NewReader(data))}
+	s.dec.UseNumber()
+	err := s.value(reflect.TypeOf(out).Elem(), "", 0)
+	if err == nil {
+		if _, more := s.dec.Token(); !errors.Is(more, io.EOF) {
+			err = errors.New("more follows after the document's end")
+		}
+	}
+	if err != nil {
+		s.add(root, "is not JSON: %v at byte %d", err, s.dec.InputOffset())
+		return s.faults
+	}
+	if len(s.faults) == 0 {
+		if err := json.Unmarshal(data, out); err != nil {
+			s.add(root, "cannot be decoded: %v", err)
+		}
+	}
+	return s.faults
+}
+
+// strict walks a document beside the type that it is decoded into. The
+// decoder of the library would name an unknown field without its path, take
+// "Name" for "name", and keep the last of two equal keys without a word.
+type strict struct {
+	collector
+	dec *json.Decoder
+}
+
+// value reads one value that should be a t; nil takes anything.
+func (s *strict) value(t reflect.Type, path string, depth int) error {
+	if depth > maxDepth {
+		return fmt.Errorf("nested deeper than %d", maxDepth)
+	}
+	tok, err := s.dec.Token()
+	if err != nil {
+		return err
+	}
+	switch tok {
+	case json.Delim('{'):
+		return s.object(s.expect(t, reflect.Struct, "an object", path), path, depth)
+	case json.Delim('['):
+		return s.array(s.expect(t, reflect.Slice, "a list", path), path, depth)
+	}
+	if t != nil {
+		s.leaf(t, tok, path)
+	}
+	return nil
+}
+
+// expect returns t when it has the kind, and nil after a fault.
+func (s *strict) expect(t reflect.Type, kind reflect.Kind, found, path string) reflect.Type {
+	if t == nil || t.Kind() == kind {
+		return t
+	}
+	s.add(orRoot(path), "is %s, must be %s", found, describe(t))
+	return nil
+}
+
+func (s *strict) object(t reflect.Type, path string, depth int) error {
+	fields, seen := fieldsOf(t), map[string]bool{}
+	for s.dec.More() {
+		tok, err := s.dec.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := tok.(string)
+		below := strings.TrimPrefix(path+"."+name, ".")
+		field, known := fields[name]
+		switch {
+		case t != nil && !known:
+			s.add(below, "unknown field %q", name)
+		case seen[name]:
+			s.add(below, "stands twice")
+		}
+		seen[name] = true
+		if err := s.value(field, below, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *strict) array(t reflect.Type, path string, depth int) error {
+	var elem reflect.Type
+	if t != nil {
+		elem = t.Elem()
+	}
+	for i := 0; s.dec.More(); i++ {
+		if err := s.value(elem, at(path, i, ""), depth+1); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *strict) leaf(t reflect.Type, tok json.Token, path string) {
+	path = orRoot(path)
+	switch v := tok.(type) {
+	case string:
+		if u, ok := reflect.New(t).Interface().(encoding.TextUnmarshaler); ok {
+			if err := u.UnmarshalText([]byte(v)); err != nil {
+				s.add(path, "%v", err)
+			}
+			return
+		}
+		s.check(t.Kind() == reflect.String, path, "is a string, must be %s", describe(t))
+	case json.Number:
+		s.number(t, v, path)
+	case bool:
+		s.check(t.Kind() == reflect.Bool, path, "is %t, must be %s", v, describe(t))
+	default:
+		s.add(path, "is null, must be %s", describe(t))
+	}
+}
+
+func (s *strict) number(t reflect.Type, v json.Number, path string) {
+	var err error
+	switch {
+	case isText(t):
+		err = errors.New("a number")
+	case t.Kind() == reflect.Int || t.Kind() == reflect.Int64:
+		_, err = strconv.ParseInt(v.String(), 10, 64)
+	case t.Kind() == reflect.Float64:
+		_, err = v.Float64()
+	default:
+		err = errors.New("a number")
+	}
+	s.check(err == nil, path, "is %.40s, must be %s", v, describe(t))
+}
+
+func isText(t reflect.Type) bool {
+	return reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
+}
+
+func describe(t reflect.Type) string {
+	if isText(t) {
+		return "a string"
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	if t == nil {
+		return fields
+	}
+	for f := range t.Fields() {
+		if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" && name != "-" {
+			fields[name] = f.Type
+		}
+	}
+	return fields
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return root
+	}
+	return path
+}
