Add a stand-in plain service that records every execution

Whether a call that may not be repeated ran twice must be seen without asking a node. The service records each execution under attempt id, idempotency key and the mark in its body, tells an attempt's fate and refuses one that it reported as unseen; the bounded attempt log stands once, for engine and service.

--- /dev/null
+++ b/standin/attempts/attempts_test.go
@@ -0,0 +1,27 @@
+package attempts_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/standin/attempts"
+)
+
+// A host asks late for the fate of an attempt that ran; the log has meanwhile
+// dropped it. Were it answered "unseen", the host would run it a second time.
+func TestDroppedAttemptIsNeverUnseen(t *testing.T) {
+	l := attempts.New[int](2)
+	l.Add("ran", 1)
+	l.Add("b", 2)
+	l.Add("c", 3)
+	_, ok := l.Settle("ran", -1)
+	assert.Assert(t, !ok)
+	assert.Assert(t, l.Dropped("ran"))
+	v, ok := l.Settle("new", -1)
+	assert.Assert(t, ok)
+	assert.Equal(t, v, -1)
+	v, known := l.Find("new")
+	assert.Assert(t, known)
+	assert.Equal(t, v, -1)
+}
--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/route"
 	"peridotpier.example/node/upstream/engineapi"
@@ -158,55 +156,3 @@
 	}
 	return a.produced, a.fate
 }
-
-// attemptLog is a bounded memory of attempts. What it drops it still knows by
-// hash: an id that may have run must never be answered "unseen", since the
-// caller's host would run the request a second time.
-type attemptLog struct {
-	byID      map[string]*attempt
-	order     []string // ring, oldest at head
-	head      int
-	forgotten map[uint64]struct{}
-	amnesia   bool // so much was dropped that any unknown id may have been here
-}
-
-// forgottenMax bounds the hashes of dropped ids, 16 MB or so.
-const forgottenMax = 1 << 20
-
-func newAttemptLog(size int) attemptLog {
-	return attemptLog{byID: map[string]*attempt{}, order: make([]string, size), forgotten: map[uint64]struct{}{}}
-}
-
-func (l *attemptLog) add(a *attempt) {
-	if old := l.order[l.head]; old != "" {
-		delete(l.byID, old)
-		if len(l.forgotten) < forgottenMax {
-			l.forgotten[xxhash.Sum64String(old)] = struct{}{}
-		} else {
-			l.amnesia = true
-		}
-	}
-	l.order[l.head] = a.id
-	l.head = (l.head + 1) % len(l.order)
-	l.byID[a.id] = a
-}
-
-// find returns a known attempt, or whether one that is no longer known was here.
-func (l *attemptLog) find(id string) (a *attempt, dropped bool) {
-	if a, ok := l.byID[id]; ok {
-		return a, false
-	}
-	_, dropped = l.forgotten[xxhash.Sum64String(id)]
-	return nil, dropped
-}
-
-// settle returns a known attempt, and marks an id that never was here as one
-// that must never run. Neither: nobody can tell any more whether it was here.
-func (l *attemptLog) settle(id string) *attempt {
-	a, dropped := l.find(id)
-	if a == nil && !dropped && !l.amnesia {
-		a = &attempt{id: id, fate: fatePoisoned}
-		l.add(a)
-	}
-	return a
-}
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -1,10 +1,10 @@
 package engine
 
 import (
+	"context"
 	"time"
 
 	"peridotpier.example/core/config"
-	"peridotpier.example/node/platform"
 )
 
 // Defaults of a Config.
@@ -20,6 +20,14 @@
 	catchUp           = 100 * time.Millisecond // a step loop that is later than this forgets the time it lost
 )
 
+// Weights is the weight store's admission, as node/platform describes it.
+type Weights interface {
+	// Grant asks for a place for a load; it answers how long to wait, 0: granted.
+	Grant(ctx context.Context, load string) (wait time.Duration, err error)
+	// Done gives the place back.
+	Done(ctx context.Context, load string) error
+}
+
 // Config describes one engine. The zero value of each field but Name stands
 // for a default, or for no cost, no lag and no limit where a cost, lag or
 // limit is named.
@@ -27,9 +35,9 @@
 	Name   string
 	Listen string // IP:port, port 0 for any; "" is 127.0.0.1:0
 
-	MemoryMB    int // 0: not accounted
-	MBPerSecond int // how fast weights load; 0: at once
-	Weights     platform.Weights
+	MemoryMB    int     // 0: not accounted
+	MBPerSecond int     // how fast weights load; 0: at once
+	Weights     Weights // nil: loads need no grant
 	UnloadTime  time.Duration
 	Fencing     config.Fencing
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/attempts"
 	"peridotpier.example/standin/wire"
 )
 
@@ -43,7 +44,7 @@
 	born        time.Time
 	leaving     bool
 	role        string
-	attempts    attemptLog
+	attempts    *attempts.Log[*attempt]
 	batch       batch
 	residents   []*resident
 	epoch       uint64
@@ -79,7 +80,7 @@
 func (e *Engine) reset() {
 	e.incarnation, e.reborn, e.born = uuid.NewString(), make(chan struct{}), time.Now()
 	e.leaving, e.role, e.epoch, e.lastOps, e.residents = false, roleServe, 0, nil, nil
-	e.attempts = newAttemptLog(e.cfg.AttemptLog)
+	e.attempts = attempts.New[*attempt](e.cfg.AttemptLog)
 	e.batch = batch{}
 	e.reports, e.sequence = nil, 0
 	e.prefixes = newPrefixCache(e.cfg.PrefixSlots)
--- a/standin/engine/fate.go
+++ b/standin/engine/fate.go
@@ -13,7 +13,7 @@
 func (e *Engine) serveFate(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	e.mu.Lock()
-	a := e.attempts.settle(id)
+	a, _ := e.attempts.Settle(id, never(id))
 	inc := e.incarnation
 	e.mu.Unlock()
 	e.stamp(w.Header())
@@ -24,6 +24,9 @@
 	writeJSON(w, http.StatusOK, a.describe(inc))
 }
 
+// never is an attempt that was asked for before it came.
+func never(id string) *attempt { return &attempt{id: id, fate: fatePoisoned} }
+
 func (a *attempt) describe(incarnation string) engineapi.Attempt {
 	events, f := a.position()
 	d := engineapi.Attempt{ID: a.id, State: f.state(), Position: events, Incarnation: incarnation}
@@ -43,7 +46,7 @@
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	e.mu.Lock()
-	a := e.attempts.settle(id)
+	a, _ := e.attempts.Settle(id, never(id))
 	if a != nil {
 		e.finish(a, fateCancelled)
 	}
@@ -61,7 +64,7 @@
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.Atoi(r.URL.Query().Get("after"))
 	e.mu.Lock()
-	a, _ := e.attempts.find(r.PathValue("id"))
+	a, _ := e.attempts.Find(r.PathValue("id"))
 	e.mu.Unlock()
 	if a == nil || err != nil || after < 0 || after > a.answer.Tokens+1 {
 		e.stamp(w.Header())
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -50,9 +50,10 @@
 	default:
 		close(e.reborn)
 	}
-	for _, a := range e.attempts.byID {
+	e.attempts.Newest(func(a *attempt) bool {
 		e.finish(a, fateDied)
-	}
+		return true
+	})
 }
 
 // Freeze makes all accepted connections silent for good, while new ones work
@@ -157,15 +158,13 @@
 	if e.rng.Float64() >= share {
 		return a
 	}
-	for i := range e.attempts.order {
-		newest := e.attempts.order[(e.attempts.head-1-i+len(e.attempts.order))%len(e.attempts.order)]
-		if newest == "" {
-			break
-		}
-		if other := e.attempts.byID[newest]; other != nil && other != a && other.done != nil {
+	out := a
+	e.attempts.Newest(func(other *attempt) bool {
+		if other != a && other.done != nil {
+			out = other
 			e.records.Crossed++
-			return other
 		}
-	}
-	return a
+		return out == a
+	})
+	return out
 }
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -127,18 +127,18 @@
 func (e *Engine) enqueue(a *attempt) (chan struct{}, *refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known, dropped := e.attempts.find(a.id); known != nil && known.done == nil {
+	if known, _ := e.attempts.Find(a.id); known != nil && known.done == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, engineapi.RefusedSettled, "attempt id is settled as not run"}
-	} else if known != nil || dropped {
+	} else if known != nil || e.attempts.Dropped(a.id) {
 		// No promise here: the first request under this id may be running.
 		return nil, &refusal{status: http.StatusConflict, text: "attempt id was used before"}
 	}
 	no := e.admission(a)
 	if no != nil {
-		e.attempts.add(&attempt{id: a.id, fate: fateRefused})
+		e.attempts.Add(a.id, &attempt{id: a.id, fate: fateRefused})
 		return nil, no
 	}
-	e.attempts.add(a)
+	e.attempts.Add(a.id, a)
 	e.batch.waiting[a.class] = append(e.batch.waiting[a.class], a)
 	return a.attach(), nil
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -1,10 +1,13 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
+
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/route"
 	"peridotpier.example/node/upstream/engineapi"
@@ -93,8 +96,12 @@
 
 // load waits for the weight store's grant, then for the weights.
 func (e *Engine) load(r *resident, reborn chan struct{}) {
-	if !e.awaitGrant(r, reborn) {
-		return
+	if e.cfg.Weights != nil {
+		name := e.cfg.Name + "/" + r.key.Model + "/" + r.key.Adapter + "#" + r.op + "@" + uuid.NewString()
+		defer func() { _ = e.cfg.Weights.Done(context.Background(), name) }() // when lost, the store's own lapse frees it
+		if !e.awaitGrant(name, reborn) {
+			return
+		}
 	}
 	if rate := e.cfg.MBPerSecond; rate > 0 {
 		took := time.Duration(float64(r.memoryMB) / float64(rate) * float64(time.Second))
@@ -109,13 +116,9 @@
 	}
 }
 
-func (e *Engine) awaitGrant(r *resident, reborn chan struct{}) bool {
-	if e.cfg.Weights == nil {
-		return true
-	}
-	name := r.key.Model + "/" + r.key.Adapter + "@" + r.version
+func (e *Engine) awaitGrant(load string, reborn chan struct{}) bool {
 	for {
-		wait, err := e.cfg.Weights.Grant(e.life, name)
+		wait, err := e.cfg.Weights.Grant(e.life, load)
 		switch {
 		case err != nil:
 			wait = grantRetry
--- a/standin/engine/records.go
+++ b/standin/engine/records.go
@@ -82,12 +82,13 @@
 	r.Orders = slices.Clone(r.Orders)
 	r.Overcommits = slices.Clone(r.Overcommits)
 	open := Records{}
-	for _, a := range e.attempts.byID {
+	e.attempts.Newest(func(a *attempt) bool {
 		if a.done != nil && a.fate != fateRefused && !a.ended() {
 			open.addExecution(a, e.incarnation, e.cfg.RecordMax)
 			open.Executions[len(open.Executions)-1].Ended = time.Time{}
 		}
-	}
+		return true
+	})
 	r.Executions = append(r.Executions, open.Executions...)
 	return r
 }
--- /dev/null
+++ b/standin/service/call.go
@@ -0,0 +1,234 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/answer"
+)
+
+// call is one call under its attempt id. Its fields are under Service.mu.
+type call struct {
+	id     string
+	state  engineapi.AttemptState // AttemptUnseen: must never run
+	body   []byte                 // the answer, when completed
+	cancel context.CancelFunc     // of a call that waits; nil otherwise
+}
+
+// Answer is the body of a service's answer.
+type Answer struct {
+	Service    string `json:"service"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Team       string `json:"team"` // team and invocation of the call's mark
+	Invocation string `json:"invocation"`
+	Digest     string `json:"digest"` // of the call's body
+}
+
+// Digest is what an Answer says of a body.
+func Digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(engineapi.HeaderAttempt)
+	if id == "" {
+		id = uuid.NewString()
+	}
+	w.Header().Set(engineapi.HeaderAttempt, id)
+	if s.faults.take(&s.faults.loseRequests) {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest, "", "malformed body: "+err.Error())
+		return
+	}
+	c := &call{id: id, state: engineapi.AttemptRunning}
+	ctx, status, header := s.admit(c)
+	if status != 0 {
+		s.refuse(w, status, header, "call was not taken")
+		return
+	}
+	if !s.execute(ctx, c, r, body) {
+		panic(http.ErrAbortHandler) // cancelled, or the process ended
+	}
+	s.reply(w, c)
+}
+
+// admit takes a call in, or says with which status and promise it does not.
+func (s *Service) admit(c *call) (ctx context.Context, status int, header string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, found := s.attempts.Find(c.id)
+	switch {
+	case found && (known.state == engineapi.AttemptUnseen || known.state == engineapi.AttemptRefused):
+		return nil, http.StatusServiceUnavailable, engineapi.RefusedSettled
+	case found || s.attempts.Dropped(c.id):
+		return nil, http.StatusConflict, "" // the first call under this id may be running
+	case s.leaving:
+		status, header = http.StatusServiceUnavailable, engineapi.RefusedLeaving
+	case s.waiting >= s.cfg.QueueMax:
+		status, header = http.StatusTooManyRequests, engineapi.RefusedFull
+	}
+	s.attempts.Add(c.id, c)
+	if status != 0 {
+		c.state = engineapi.AttemptRefused
+		return nil, status, header
+	}
+	s.waiting++
+	ctx, c.cancel = context.WithCancel(s.reborn)
+	return ctx, 0, ""
+}
+
+// execute waits for a place and runs the call. It goes on when the caller's
+// connection is gone, as a plain service does.
+func (s *Service) execute(ctx context.Context, c *call, r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	places, born := s.places, s.reborn
+	s.mu.Unlock()
+	select {
+	case places <- struct{}{}:
+	case <-ctx.Done():
+		s.giveUp(c, born)
+		return false
+	}
+	defer func() { <-places }()
+	index, ok := s.begin(c, r, body, born)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(s.duration(r.Method, strings.TrimPrefix(r.URL.Path, strings.TrimSuffix(engineapi.PathService, "/"))))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-born.Done():
+		return false
+	}
+	return s.complete(c, r, body, index, born)
+}
+
+func (s *Service) giveUp(c *call, born context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.state = engineapi.AttemptCancelled
+	c.cancel()
+	if born == s.reborn {
+		s.waiting--
+	}
+}
+
+// begin records that the call runs, unless it was cancelled while it waited.
+func (s *Service) begin(c *call, r *http.Request, body []byte, born context.Context) (index int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if born != s.reborn || born.Err() != nil {
+		return 0, false
+	}
+	s.waiting--
+	if c.state != engineapi.AttemptRunning {
+		return 0, false
+	}
+	c.cancel() // nothing waits on it any more
+	c.cancel = nil
+	s.running++
+	team, inv := mark(r, body)
+	if len(s.executions) >= s.cfg.RecordMax {
+		s.dropped++
+		return -1, true
+	}
+	s.executions = append(s.executions, Execution{Attempt: c.id, Incarnation: s.incarnation, Key: r.Header.Get("Idempotency-Key"),
+		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Started: time.Now()})
+	return len(s.executions) - 1, true
+}
+
+func mark(r *http.Request, body []byte) (team, invocation string) {
+	team, invocation, ok := answer.FindMark(body)
+	if !ok {
+		team, invocation, _ = answer.FindMark([]byte(r.URL.RawQuery))
+	}
+	return team, invocation
+}
+
+func (s *Service) complete(c *call, r *http.Request, body []byte, index int, born context.Context) bool {
+	team, inv := mark(r, body)
+	out, _ := json.Marshal(Answer{Service: s.cfg.Name, Method: r.Method, Path: r.URL.Path, Team: team, Invocation: inv, Digest: Digest(body)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if born != s.reborn {
+		return false
+	}
+	s.running--
+	c.state, c.body = engineapi.AttemptCompleted, out
+	if index >= 0 {
+		s.executions[index].Ended = time.Now()
+	}
+	return true
+}
+
+func (s *Service) reply(w http.ResponseWriter, c *call) {
+	if s.faults.take(&s.faults.loseAnswers) {
+		panic(http.ErrAbortHandler)
+	}
+	from := s.crossed(c)
+	s.stamp(w.Header())
+	w.Header().Set(engineapi.HeaderAttempt, from.id)
+	w.Header().Set("Content-Type", jsonType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(from.body)))
+	out := from.body
+	if s.faults.take(&s.faults.cutAnswers) {
+		_, _ = w.Write(out[:len(out)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(out)
+}
+
+func (s *Service) refuse(w http.ResponseWriter, status int, header, text string) {
+	s.stamp(w.Header())
+	if header != "" {
+		w.Header().Set(engineapi.HeaderRefused, header)
+	}
+	writeJSON(w, status, map[string]string{"error": text})
+}
+
+// serveFate tells what became of a call, and cancels one that still waits.
+// One that never was here must not run after it was reported as unseen.
+func (s *Service) serveFate(w http.ResponseWriter, r *http.Request, cancel bool) {
+	id := r.PathValue("id")
+	s.mu.Lock()
+	c, ok := s.attempts.Settle(id, &call{id: id, state: engineapi.AttemptUnseen})
+	var d engineapi.Attempt
+	if ok {
+		if cancel && c.cancel != nil {
+			c.state = engineapi.AttemptCancelled
+			c.cancel()
+		}
+		d = engineapi.Attempt{ID: id, State: c.state, Incarnation: s.incarnation}
+	}
+	if d.State == engineapi.AttemptCompleted {
+		d.Status, d.ContentType, d.Body = http.StatusOK, jsonType, c.body
+	}
+	s.mu.Unlock()
+	s.stamp(w.Header())
+	if !ok {
+		writeJSON(w, http.StatusGone, map[string]string{"error": "attempt is no longer known"})
+		return
+	}
+	writeJSON(w, http.StatusOK, d)
+}
+
+const jsonType = "application/json"
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", jsonType)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller is gone; nobody to tell
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,188 @@
+// Package service imitates a plain service behind engineapi.PathService: it
+// answers any method and path, takes its time by route, and records every
+// execution with its attempt id and idempotency key, so that one which ran
+// twice is seen without asking any node.
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/attempts"
+	"peridotpier.example/standin/wire"
+)
+
+// Defaults of a Config.
+const (
+	defaultMaxBatch   = 32
+	defaultQueueMax   = 256
+	defaultAttemptLog = 1 << 14
+	defaultRecordMax  = 1 << 20
+	bodyMax           = 16 << 20
+)
+
+// Route says how long calls to a part of the service take; the first match counts.
+type Route struct {
+	Method string // "*" for any
+	Prefix string // of the path below the service
+	Time   time.Duration
+}
+
+// Config describes one instance of a plain service.
+type Config struct {
+	Name        string
+	Listen      string // IP:port, port 0 for any; "" is 127.0.0.1:0
+	Routes      []Route
+	Time        time.Duration // where no route matches
+	MaxBatch    int           // calls at once
+	QueueMax    int           // calls that wait
+	ReportEvery time.Duration // 0: each report is taken when it is asked for
+	ReportLag   time.Duration
+	AttemptLog  int
+	RecordMax   int
+	Seed        uint64
+}
+
+// Execution is one call that took effect or was cut short by the process's end.
+type Execution struct {
+	Attempt     string
+	Incarnation string
+	Key         string // Idempotency-Key as it arrived; "" when the host kept it to itself
+	Team        string // from the body's or query's mark
+	Invocation  string
+	Method      string
+	Path        string
+	Started     time.Time
+	Ended       time.Time // zero: runs, or died with the process
+}
+
+// Service is one instance of a plain service.
+type Service struct {
+	cfg   Config
+	srv   *http.Server
+	ln    *wire.Listener
+	life  context.Context
+	stop  context.CancelFunc
+	loops sync.WaitGroup
+
+	mu          sync.Mutex
+	incarnation string
+	reborn      context.Context // ends with the incarnation
+	die         context.CancelFunc
+	born        time.Time
+	leaving     bool
+	running     int
+	waiting     int
+	places      chan struct{}
+	attempts    *attempts.Log[*call]
+	reports     []engineapi.Report
+	sequence    uint64
+	executions  []Execution
+	dropped     int
+	rng         *rand.Rand
+	faults      faults
+}
+
+// New makes a service that does not listen yet.
+func New(cfg Config) (*Service, error) {
+	if cfg.Name == "" {
+		return nil, errors.New("service: no name")
+	}
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	for _, d := range []struct {
+		v *int
+		d int
+	}{{&cfg.MaxBatch, defaultMaxBatch}, {&cfg.QueueMax, defaultQueueMax}, {&cfg.AttemptLog, defaultAttemptLog}, {&cfg.RecordMax, defaultRecordMax}} {
+		if *d.v == 0 {
+			*d.v = d.d
+		}
+	}
+	s := &Service{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1))}
+	s.life, s.stop = context.WithCancel(context.Background())
+	s.srv = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.reset()
+	if cfg.ReportEvery > 0 {
+		s.loops.Go(s.reportLoop)
+	}
+	return s, nil
+}
+
+func (s *Service) reset() {
+	s.incarnation, s.born, s.leaving = uuid.NewString(), time.Now(), false
+	s.reborn, s.die = context.WithCancel(s.life)
+	s.running, s.waiting = 0, 0
+	s.places = make(chan struct{}, s.cfg.MaxBatch)
+	s.attempts = attempts.New[*call](s.cfg.AttemptLog)
+	s.reports, s.sequence = nil, 0
+	s.takeReport()
+}
+
+// Start listens and serves until Close.
+func (s *Service) Start() error {
+	ln, err := net.Listen("tcp", s.cfg.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "service %s: listen", s.cfg.Name)
+	}
+	s.ln = wire.NewListener(ln)
+	s.loops.Go(func() { _ = s.srv.Serve(s.ln) })
+	return nil
+}
+
+// Addr is the IP:port that the service listens on.
+func (s *Service) Addr() string { return s.ln.Addr().String() }
+
+// Name is the instance's name in the deployment configuration.
+func (s *Service) Name() string { return s.cfg.Name }
+
+// Close ends everything at once and waits for it.
+func (s *Service) Close() {
+	s.stop()
+	_ = s.srv.Close()
+	s.loops.Wait()
+}
+
+// Handler serves the protocol.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(engineapi.PathService, s.serve)
+	mux.HandleFunc("GET "+engineapi.PathReport, s.serveReport)
+	mux.HandleFunc("GET "+engineapi.PathAttempt, func(w http.ResponseWriter, r *http.Request) { s.serveFate(w, r, false) })
+	mux.HandleFunc("DELETE "+engineapi.PathAttempt, func(w http.ResponseWriter, r *http.Request) { s.serveFate(w, r, true) })
+	return mux
+}
+
+func (s *Service) stamp(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set(engineapi.HeaderLoad, fmt.Sprintf("%d %d %d", s.running, s.waiting, s.sequence))
+	h.Set(engineapi.HeaderIncarnation, s.incarnation)
+}
+
+func (s *Service) duration(method, path string) time.Duration {
+	for _, r := range s.cfg.Routes {
+		if (r.Method == "*" || r.Method == method) && strings.HasPrefix(path, r.Prefix) {
+			return r.Time
+		}
+	}
+	return s.cfg.Time
+}
+
+// Executions returns a copy of the record of what ran, over all incarnations.
+func (s *Service) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Execution(nil), s.executions...)
+}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,75 @@
+package service_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/answer"
+	"peridotpier.example/standin/service"
+)
+
+func start(t *testing.T) *service.Service {
+	t.Helper()
+	s, err := service.New(service.Config{Name: "s1"})
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start())
+	t.Cleanup(s.Close)
+	return s
+}
+
+func post(t *testing.T, s *service.Service, attempt, body string) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequest("POST", "http://"+s.Addr()+"/service/orders/new", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set(engineapi.HeaderAttempt, attempt)
+	req.Header.Set("Idempotency-Key", "k1")
+	return http.DefaultClient.Do(req)
+}
+
+func fate(t *testing.T, s *service.Service, attempt string) engineapi.Attempt {
+	t.Helper()
+	resp, err := http.Get("http://" + s.Addr() + "/engine/v1/attempts/" + attempt)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var a engineapi.Attempt
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&a))
+	return a
+}
+
+// The answer is lost after the call took effect: the caller's host hears a
+// broken connection, and only the fate of the attempt tells that it ran.
+func TestLostAnswerIsTold(t *testing.T) {
+	s := start(t)
+	s.LoseAnswers(1)
+	body := answer.Mark("crew", "i1")
+	_, err := post(t, s, "a1", body)
+	assert.Assert(t, err != nil)
+	a := fate(t, s, "a1")
+	assert.Equal(t, a.State, engineapi.AttemptCompleted)
+	var ans service.Answer
+	assert.NilError(t, json.Unmarshal(a.Body, &ans))
+	assert.Equal(t, ans.Invocation, "i1")
+	assert.Equal(t, ans.Digest, service.Digest([]byte(body)))
+	runs := s.Executions()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Key, "k1")
+}
+
+// The request is lost before it ran; its host asks, is told "unseen", and the
+// same request arrives after all: it must be refused.
+func TestUnseenCallNeverRuns(t *testing.T) {
+	s := start(t)
+	s.LoseRequests(1)
+	_, err := post(t, s, "a1", "x")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, fate(t, s, "a1").State, engineapi.AttemptUnseen)
+	resp, err := post(t, s, "a1", "x")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get(engineapi.HeaderRefused), engineapi.RefusedSettled)
+	assert.Equal(t, len(s.Executions()), 0)
+}
--- /dev/null
+++ b/standin/service/state.go
@@ -0,0 +1,144 @@
+package service
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// roleService is the role in a plain service's report.
+const roleService = "service"
+
+// faults count the calls that are still to fail.
+type faults struct {
+	mu           sync.Mutex
+	loseRequests int
+	loseAnswers  int
+	cutAnswers   int
+	cross        float64
+}
+
+func (f *faults) take(n *int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (f *faults) set(n *int, v int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*n = v
+}
+
+// LoseRequests breaks the connection of the next n calls before they run.
+func (s *Service) LoseRequests(n int) { s.faults.set(&s.faults.loseRequests, n) }
+
+// LoseAnswers breaks the connection of the next n calls after they ran.
+func (s *Service) LoseAnswers(n int) { s.faults.set(&s.faults.loseAnswers, n) }
+
+// CutAnswers breaks the connection of the next n calls in the middle of the answer.
+func (s *Service) CutAnswers(n int) { s.faults.set(&s.faults.cutAnswers, n) }
+
+// Cross makes a share of answers carry another call's id and content.
+func (s *Service) Cross(share float64) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.cross = share
+}
+
+// Freeze makes all accepted connections silent for good, while new ones work
+// unless newToo is set.
+func (s *Service) Freeze(newToo bool) { s.ln.Freeze(newToo) }
+
+// Thaw lets new connections work again after Freeze(true).
+func (s *Service) Thaw() { s.ln.Thaw() }
+
+// Leave makes the service refuse new calls for the rest of its incarnation.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Restart kills the process and starts it again.
+func (s *Service) Restart() {
+	s.mu.Lock()
+	s.die()
+	s.reset()
+	s.mu.Unlock()
+	if s.ln != nil {
+		s.ln.Sever()
+	}
+}
+
+func (s *Service) crossed(c *call) *call {
+	s.faults.mu.Lock()
+	share := s.faults.cross
+	s.faults.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if share == 0 || s.rng.Float64() >= share {
+		return c
+	}
+	out := c
+	s.attempts.Newest(func(other *call) bool {
+		if other != c && other.state == engineapi.AttemptCompleted {
+			out = other
+		}
+		return out == c
+	})
+	return out
+}
+
+func (s *Service) reportLoop() {
+	tick := time.NewTicker(s.cfg.ReportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			s.mu.Lock()
+			s.takeReport()
+			s.mu.Unlock()
+		case <-s.life.Done():
+			return
+		}
+	}
+}
+
+// takeReport publishes a snapshot and drops those that no reader can get any
+// more. The caller holds mu.
+func (s *Service) takeReport() {
+	s.sequence++
+	s.reports = append(s.reports, engineapi.Report{Upstream: s.cfg.Name, Incarnation: s.incarnation, Sequence: s.sequence,
+		TakenMs: time.Since(s.born).Milliseconds(), Leaving: s.leaving, Role: roleService,
+		Running: s.running, Waiting: s.waiting, MaxBatch: s.cfg.MaxBatch})
+	for len(s.reports) > 1 && s.old(s.reports[1]) {
+		s.reports = s.reports[1:]
+	}
+}
+
+func (s *Service) old(r engineapi.Report) bool {
+	return time.Since(s.born)-time.Duration(r.TakenMs)*time.Millisecond >= s.cfg.ReportLag
+}
+
+func (s *Service) serveReport(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	if s.cfg.ReportEvery == 0 {
+		s.takeReport()
+	}
+	newest := s.reports[0]
+	for _, r := range s.reports[1:] {
+		if s.old(r) {
+			newest = r
+		}
+	}
+	s.mu.Unlock()
+	s.stamp(w.Header())
+	writeJSON(w, http.StatusOK, newest)
+}
