--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -22,6 +22,7 @@
 		processEvents,
 		dispatchEvents,
 		claimEvents,
+		upstreamEvents,
 	} {
 		all = append(all, part...)
 	}
--- /dev/null
+++ b/node/settings/settings.go
@@ -0,0 +1,158 @@
+// Package settings is what one process is told at its start: its name, its
+// data centre, its addresses, where the platform is, its keys and its bounds.
+// docs/settings.md describes the file.
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"peridotpier.example/core/config"
+)
+
+// Settings is one host's settings file.
+type Settings struct {
+	Host       string   `json:"host"`
+	DataCentre string   `json:"data_centre"`
+	Caller     Listener `json:"caller"`
+	Operator   Operator `json:"operator"`
+	Peer       Listener `json:"peer"`
+	Platform   Platform `json:"platform"`
+	Keys       Keys     `json:"keys"`
+	Bounds     Bounds   `json:"bounds"`
+	LogLevel   string   `json:"log_level"` // "debug", "info", "warn" or "error"; "" is "info"
+}
+
+// Listener is one address that the host listens on.
+type Listener struct {
+	Address string `json:"address"` // IP:port
+	TLS     *TLS   `json:"tls"`     // absent: plain TCP
+}
+
+// TLS names the files of a listener's or dialler's certificate. They are read
+// again when they change.
+type TLS struct {
+	Certificate string `json:"certificate"` // PEM file: own certificate, then intermediates
+	Key         string `json:"key"`         // PEM file
+	Authorities string `json:"authorities"` // PEM file: who may sign the other side; "" only for callers
+}
+
+// Operator is the operators' listener and who may use it.
+type Operator struct {
+	Address   string        `json:"address"` // IP:port
+	TLS       *TLS          `json:"tls"`
+	Operators []OperatorKey `json:"operators"`
+}
+
+// Listener returns where operators are served.
+func (o Operator) Listener() Listener { return Listener{o.Address, o.TLS} }
+
+// OperatorKey is one operator's key, held hashed.
+type OperatorKey struct {
+	Name    string `json:"name"`     // stands in the audit trail
+	KeyHash string `json:"key_hash"` // SHA-256, hex
+}
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	Table     string `json:"table"` // http://IP:port
+	Objects   string `json:"objects"`
+	Hosts     string `json:"hosts"`
+	Weights   string `json:"weights"`
+	TimeoutMs int    `json:"timeout_ms"` // of one call; 0: 2000
+}
+
+// Keys are secrets shared by the hosts of a site.
+type Keys struct {
+	// Resume signs resume tokens: the first signs, all are accepted.
+	Resume []KeyFile `json:"resume"`
+	// PrefixSalt makes prefix hashes meaningless to engines.
+	PrefixSalt string `json:"prefix_salt_file"`
+}
+
+// KeyFile is one key with its id. The file holds at least 32 bytes.
+type KeyFile struct {
+	ID   string `json:"id"`
+	File string `json:"file"`
+}
+
+// Bounds limit what the host does; zero values take the defaults.
+type Bounds struct {
+	DrainSeconds        int     `json:"drain_s"`              // longest graceful shutdown after the balancer's wait
+	BalancerWaitSeconds int     `json:"balancer_wait_s"`      // how long the balancer goes on sending after "not ready"
+	SilenceMs           int     `json:"silence_ms"`           // an exchange this long without a byte is looked into
+	ReportEveryMs       int     `json:"report_every_ms"`      // between two questions for an upstream's report
+	HeaderBytes         int     `json:"header_bytes"`         // largest head of a caller's request
+	RetryShare          float64 `json:"retry_share"`          // retries as a share of requests
+	ConfigPollSeconds   int     `json:"configuration_poll_s"` // mean time between two looks at the configuration
+}
+
+// The defaults of Bounds.
+const (
+	defaultDrain        = 60       // s; the longest ordinary stream
+	defaultBalancerWait = 3        // s; a balancer's two health checks
+	defaultSilence      = 2000     // ms
+	defaultReportEvery  = 1000     // ms; reports lag by seconds anyway
+	defaultHeaderBytes  = 16 << 10 // keys, tokens and the usual headers take under 4 KB
+	defaultRetryShare   = 0.1
+	defaultConfigPoll   = 5 // s; a third of the 16 s that a change may take
+	defaultTimeout      = 2000
+)
+
+// Drain returns the bound of a graceful shutdown.
+func (b Bounds) Drain() time.Duration { return time.Duration(b.DrainSeconds) * time.Second }
+
+// BalancerWait returns how long to go on serving after "not ready".
+func (b Bounds) BalancerWait() time.Duration {
+	return time.Duration(b.BalancerWaitSeconds) * time.Second
+}
+
+// Silence returns after how long without a byte an exchange is looked into.
+func (b Bounds) Silence() time.Duration { return time.Duration(b.SilenceMs) * time.Millisecond }
+
+// ReportEvery returns the time between two questions for a report.
+func (b Bounds) ReportEvery() time.Duration { return time.Duration(b.ReportEveryMs) * time.Millisecond }
+
+// ConfigPoll returns the mean time between two looks at the configuration.
+func (b Bounds) ConfigPoll() time.Duration { return time.Duration(b.ConfigPollSeconds) * time.Second }
+
+// Parse reads a settings file, fills in the defaults and checks it. It
+// returns every fault with its path.
+func Parse(data []byte) (*Settings, []config.Fault) {
+	s := &Settings{}
+	faults := config.ParseStrict(data, s)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	s.setDefaults()
+	if faults = s.check(); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	b := &s.Bounds
+	for _, d := range []struct {
+		field *int
+		value int
+	}{
+		{&b.DrainSeconds, defaultDrain}, {&b.BalancerWaitSeconds, defaultBalancerWait}, {&b.SilenceMs, defaultSilence},
+		{&b.ReportEveryMs, defaultReportEvery}, {&b.HeaderBytes, defaultHeaderBytes},
+		{&b.ConfigPollSeconds, defaultConfigPoll}, {&s.Platform.TimeoutMs, defaultTimeout},
+	} {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	if b.RetryShare == 0 {
+		b.RetryShare = defaultRetryShare
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+func fault(path, format string, args ...any) config.Fault {
+	return config.Fault{Path: path, Problem: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/node/upstream/poll/poll.go
@@ -0,0 +1,211 @@
+// Package poll asks upstreams for their reports and cache events.
+package poll
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const (
+	// askTimeout bounds one question; a slower report would be stale anyway.
+	askTimeout = 2 * time.Second
+	// reportBytes bounds a report; one with 500 residents takes some 60 KB.
+	reportBytes = 1 << 20
+	// jitter spreads the questions of many hosts over the interval.
+	jitter = 0.2
+)
+
+// Sink takes what upstreams tell; node/upstream/view implements it.
+type Sink interface {
+	Report(r engineapi.Report, at time.Time) bool
+	Prefix(upstream string, e engineapi.CacheEvent)
+	Down(upstream string)
+}
+
+// Config sets the pace.
+type Config struct {
+	Every  time.Duration
+	Events bool // ask for cache events too
+}
+
+// Poller asks each upstream that it is assigned.
+type Poller struct {
+	cfg    Config
+	client *conn.Client
+	sink   Sink
+	log    *event.Log
+	// Fresh, when set before Run, is told of every report that was news.
+	Fresh func(r engineapi.Report, at time.Time)
+
+	mu      sync.Mutex
+	asked   map[string]*target // by upstream
+	started context.Context
+	wg      sync.WaitGroup
+}
+
+type target struct {
+	upstream config.Upstream
+	cancel   context.CancelFunc
+	process  string // incarnation that the last report came from
+	after    uint64 // last cache event seen of that process
+	failing  bool
+}
+
+// New makes a Poller.
+func New(cfg Config, client *conn.Client, sink Sink, log *event.Log) *Poller {
+	return &Poller{cfg: cfg, client: client, sink: sink, log: log, asked: map[string]*target{}}
+}
+
+// Run asks until ctx ends, and waits for what it started.
+func (p *Poller) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.started = ctx
+	for _, t := range p.asked {
+		p.start(t)
+	}
+	p.mu.Unlock()
+	<-ctx.Done()
+	p.wg.Wait()
+	return nil
+}
+
+// Assign replaces the set of upstreams to ask.
+func (p *Poller) Assign(upstreams []config.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*target, len(upstreams))
+	for _, u := range upstreams {
+		old := p.asked[u.Name]
+		if old != nil && old.upstream.Address == u.Address {
+			next[u.Name] = old
+			delete(p.asked, u.Name)
+			continue
+		}
+		t := &target{upstream: u}
+		next[u.Name] = t
+		if p.started != nil {
+			p.start(t)
+		}
+	}
+	for _, t := range p.asked {
+		if t.cancel != nil {
+			t.cancel()
+		}
+	}
+	p.asked = next
+}
+
+// start needs p.mu.
+func (p *Poller) start(t *target) {
+	if p.started.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.started)
+	t.cancel = cancel
+	p.wg.Go(func() { p.follow(ctx, t) })
+}
+
+// follow asks one upstream at a jittered pace.
+func (p *Poller) follow(ctx context.Context, t *target) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		p.ask(ctx, t)
+		spread := 1 - jitter/2 + jitter*rand.Float64()
+		timer.Reset(time.Duration(float64(p.cfg.Every) * spread))
+	}
+}
+
+func (p *Poller) ask(ctx context.Context, t *target) {
+	var r engineapi.Report
+	if err := p.get(ctx, t.upstream.Address, engineapi.PathReport, "", &r); err != nil {
+		p.failed(ctx, t, err)
+		return
+	}
+	if r.Upstream != t.upstream.Name {
+		// Another upstream has taken over the address; its word is not this one's.
+		p.failed(ctx, t, fault.Unknown(fault.StepDispatch, t.upstream.Address, fault.CodeUpstreamFailed, "report is of %q", r.Upstream))
+		return
+	}
+	t.failing = false
+	if t.process != r.Incarnation {
+		t.process, t.after = r.Incarnation, 0
+	}
+	at := time.Now()
+	if p.sink.Report(r, at) && p.Fresh != nil {
+		p.Fresh(r, at)
+	}
+	if p.cfg.Events {
+		p.events(ctx, t)
+	}
+}
+
+// failed logs the first failure of a row, and takes a refused connection as a
+// sign that the upstream is down.
+func (p *Poller) failed(ctx context.Context, t *target, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun {
+		p.sink.Down(t.upstream.Name)
+	}
+	if !t.failing {
+		t.failing = true
+		p.log.Emit(event.ReportFailed, zap.String(event.FieldPeer, t.upstream.Name), zap.Error(err))
+	}
+}
+
+// events takes cache events as hints; a failure is not worth a word.
+func (p *Poller) events(ctx context.Context, t *target) {
+	var list []engineapi.CacheEvent
+	if p.get(ctx, t.upstream.Address, engineapi.PathEvents, "after="+strconv.FormatUint(t.after, 10), &list) != nil {
+		return
+	}
+	for _, e := range list {
+		t.after = max(t.after, e.Sequence)
+		p.sink.Prefix(t.upstream.Name, e)
+	}
+}
+
+func (p *Poller) get(ctx context.Context, address, path, query string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := p.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet, Path: path, Query: query, Header: http.Header{}})
+	if err != nil {
+		return err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, reportBytes))
+	if err != nil {
+		resp.Abort()
+		return err
+	}
+	if len(data) == reportBytes {
+		resp.Abort()
+	} else {
+		resp.Finish()
+	}
+	if resp.Status != http.StatusOK {
+		return fault.Unknown(fault.StepDispatch, address, fault.CodeUpstreamFailed, "%s: status %d", path, resp.Status)
+	}
+	return json.Unmarshal(data, out)
+}
