Admit by class, deadline and fair share, with team limits over all hosts

Cause: nothing stood between callers and the upstreams: one team's flood would take every slot, bulk would queue before urgent work, and a request that could not make its deadline would be held until then. Change: core/admit decides (headroom for urgent, bounded queues by class, start-time fair queueing, slots left to teams under their share, refusal by predicted wait); node/admission executes it.

--- /dev/null
+++ b/core/admit/fair.go
@@ -0,0 +1,184 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+// fairQueue holds the waiting requests of one class in the order of start-time
+// fair queueing: a request's start tag is the later of the queue's virtual
+// time and the finish tag of its team's previous request, and a finish tag
+// lies 1/weight after its start. Deficit round robin would serve as well in
+// the long run, but lets a team send a whole quantum at once; with few slots
+// that is a burst that others wait behind.
+type fairQueue struct {
+	virtual float64
+	flows   map[string]*flow
+	n       int
+}
+
+type flow struct {
+	weight float64
+	finish float64
+	items  []tagged
+}
+
+type tagged struct {
+	Item
+	start float64
+}
+
+func newFairQueue() fairQueue { return fairQueue{flows: map[string]*flow{}} }
+
+func (q *fairQueue) flowOf(it Item) *flow {
+	f := q.flows[it.Team]
+	if f == nil {
+		f = &flow{finish: q.virtual}
+		q.flows[it.Team] = f
+	}
+	f.weight = float64(max(it.Weight, 1))
+	return f
+}
+
+// startOf is the tag that a request of the team would get now.
+func (q *fairQueue) startOf(team string) float64 {
+	if f := q.flows[team]; f != nil {
+		return max(q.virtual, f.finish)
+	}
+	return q.virtual
+}
+
+// waits says whether the team has a request here.
+func (q *fairQueue) waits(team string) bool {
+	f := q.flows[team]
+	return f != nil && len(f.items) > 0
+}
+
+func (q *fairQueue) push(it Item) {
+	f := q.flowOf(it)
+	start := max(q.virtual, f.finish)
+	f.finish = start + 1/f.weight
+	f.items = append(f.items, tagged{it, start})
+	q.n++
+}
+
+// pass accounts for a request that was admitted without waiting.
+func (q *fairQueue) pass(it Item) {
+	f := q.flowOf(it)
+	q.virtual = max(q.virtual, f.finish)
+	f.finish = q.virtual + 1/f.weight
+}
+
+// pop takes the request with the least start tag among the teams allowed.
+func (q *fairQueue) pop(allowed func(team string) bool) (Item, bool) {
+	var first *flow
+	var name string
+	for team, f := range q.flows {
+		if len(f.items) == 0 || !allowed(team) {
+			continue
+		}
+		if first == nil || f.items[0].start < first.items[0].start || (f.items[0].start == first.items[0].start && team < name) {
+			first, name = f, team
+		}
+	}
+	if first == nil {
+		return Item{}, false
+	}
+	head := first.items[0]
+	first.items = slices.Delete(first.items, 0, 1)
+	q.virtual = max(q.virtual, head.start)
+	q.n--
+	return head.Item, true
+}
+
+// remove takes one request out, wherever it stands.
+func (q *fairQueue) remove(id uint64) bool {
+	for _, f := range q.flows {
+		at := slices.IndexFunc(f.items, func(t tagged) bool { return t.ID == id })
+		if at < 0 {
+			continue
+		}
+		f.items = slices.Delete(f.items, at, at+1)
+		q.n--
+		return true
+	}
+	return false
+}
+
+// dropLongest takes the newest request of the team that holds the most of
+// the queue for its weight, when that is more than the asking team would hold.
+// Without it a team that floods would fill the queue, and every other team's
+// requests would be refused at the door.
+func (q *fairQueue) dropLongest(asking Item) (Item, bool) {
+	own := 1.0
+	if f := q.flows[asking.Team]; f != nil {
+		own += float64(len(f.items))
+	}
+	most, name := own/float64(max(asking.Weight, 1)), ""
+	for team, f := range q.flows {
+		held := float64(len(f.items)) / f.weight
+		if team != asking.Team && (held > most || (held == most && name != "" && team < name)) {
+			most, name = held, team
+		}
+	}
+	if name == "" {
+		return Item{}, false
+	}
+	f := q.flows[name]
+	last := f.items[len(f.items)-1]
+	f.items = f.items[:len(f.items)-1]
+	f.finish -= 1 / f.weight
+	q.n--
+	return last.Item, true
+}
+
+// ahead counts the requests that would be served before one with this tag.
+func (q *fairQueue) ahead(start float64) int {
+	n := 0
+	for _, f := range q.flows {
+		for _, it := range f.items {
+			if it.start > start {
+				break // tags rise within a flow
+			}
+			n++
+		}
+	}
+	return n
+}
+
+// ordered lists the waiting requests as they will be served.
+func (q *fairQueue) ordered() []tagged {
+	all := make([]tagged, 0, q.n)
+	for _, f := range q.flows {
+		all = append(all, f.items...)
+	}
+	slices.SortFunc(all, func(a, b tagged) int {
+		switch {
+		case a.start != b.start:
+			if a.start < b.start {
+				return -1
+			}
+			return 1
+		case a.ID < b.ID:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return all
+}
+
+// forget drops the flows that wait for nothing and owe nothing, so that the
+// queue does not grow with every team ever seen.
+func (q *fairQueue) forget() {
+	for team, f := range q.flows {
+		if len(f.items) == 0 && f.finish <= q.virtual {
+			delete(q.flows, team)
+		}
+	}
+}
+
+// pastDeadline says whether a request that starts after wait misses its deadline.
+func pastDeadline(now time.Time, it Item, wait time.Duration) bool {
+	return !it.Deadline.IsZero() && now.Add(wait+it.Need).After(it.Deadline)
+}
--- /dev/null
+++ b/core/admit/pool.go
@@ -0,0 +1,246 @@
+package admit
+
+import (
+	"time"
+
+	"peridotpier.example/core/class"
+)
+
+// Pool is the admission of one host to one pool.
+type Pool struct {
+	policy Policy
+	queues [class.Count]fairQueue
+	used   [class.Count]int
+	teams  map[string]*teamUse
+	weight float64   // of the active teams together
+	swept  time.Time // when the active teams were last counted
+	hold   time.Duration
+}
+
+type teamUse struct {
+	weight float64
+	used   int
+	seen   time.Time
+}
+
+// NewPool makes the admission of a pool.
+func NewPool(p Policy) *Pool {
+	pool := &Pool{policy: p, teams: map[string]*teamUse{}}
+	for i := range pool.queues {
+		pool.queues[i] = newFairQueue()
+	}
+	return pool
+}
+
+// Arrive judges a new request. A refusal of another one that it displaced
+// may come with it.
+func (p *Pool) Arrive(now time.Time, it Item) (Verdict, Refusal, *Refusal) {
+	p.see(now, it)
+	limit := p.policy.limit(it.Class)
+	switch {
+	case p.policy.Slots <= 0 || (limit <= 0 && it.Class != class.Bulk):
+		return Refused, p.refusal(it, CauseNoCapacity, time.Second), nil
+	case it.Class == class.Bulk && (!p.policy.AcceptBulk || limit <= 0):
+		return Refused, p.refusal(it, CauseBulkOff, time.Minute), nil
+	case pastDeadline(now, it, 0):
+		return Refused, p.refusal(it, CauseDeadline, 0), nil
+	}
+	// Whoever waits now may not take what is free: the slots left to newcomers
+	// are not for a team over its share. So a free slot is this request's,
+	// unless its own team waits already.
+	if !p.queues[it.Class].waits(it.Team) && p.mayTake(it.Class, it.Team) {
+		p.queues[it.Class].pass(it)
+		p.take(it)
+		return Admitted, Refusal{}, nil
+	}
+	return p.enqueue(now, it)
+}
+
+func (p *Pool) enqueue(now time.Time, it Item) (Verdict, Refusal, *Refusal) {
+	q := &p.queues[it.Class]
+	wait := p.waitFor(it.Class, q.ahead(q.startOf(it.Team))+p.waitingAbove(it.Class))
+	if pastDeadline(now, it, wait) {
+		return Refused, p.refusal(it, CauseDeadline, wait), nil
+	}
+	if q.n < p.policy.QueueMax[it.Class] {
+		q.push(it)
+		return Queued, Refusal{}, nil
+	}
+	dropped, ok := q.dropLongest(it)
+	if !ok {
+		return Refused, p.refusal(it, CauseQueueFull, wait), nil
+	}
+	q.push(it)
+	displaced := p.refusal(dropped, CauseDisplaced, wait)
+	return Queued, Refusal{}, &displaced
+}
+
+// Release gives back a slot that was held for a time, and grants what waits.
+func (p *Pool) Release(c class.Class, team string, held time.Duration) Result {
+	p.used[c]--
+	if t := p.teams[team]; t != nil {
+		t.used--
+	}
+	if p.hold == 0 {
+		p.hold = held
+	}
+	p.hold += time.Duration(holdWeight * float64(held-p.hold))
+	return Result{Granted: p.grant()}
+}
+
+// Cancel takes a waiting request out; false when it does not wait any more.
+func (p *Pool) Cancel(c class.Class, id uint64) bool { return p.queues[c].remove(id) }
+
+// SetPolicy puts a new policy in force. Requests that hold a slot keep it, as
+// they were admitted under the policy before.
+func (p *Pool) SetPolicy(now time.Time, policy Policy) Result {
+	p.policy = policy
+	granted := p.grant()
+	r := p.Sweep(now)
+	r.Granted = append(granted, r.Granted...)
+	return r
+}
+
+// Sweep gives up the waiting requests that cannot make their deadline any
+// more, so that their callers hear it now and not when the deadline has come.
+func (p *Pool) Sweep(now time.Time) Result {
+	p.countActive(now)
+	var r Result
+	kept := 0
+	for c := class.Urgent; ; c-- {
+		q := &p.queues[c]
+		for _, it := range q.ordered() {
+			wait := p.waitFor(c, kept)
+			if pastDeadline(now, it.Item, time.Duration(keepShare*float64(wait))) {
+				q.remove(it.ID)
+				r.Refused = append(r.Refused, p.refusal(it.Item, CauseDeadline, wait))
+				continue
+			}
+			kept++
+		}
+		q.forget()
+		if c == class.Bulk {
+			break
+		}
+	}
+	r.Granted = p.grant()
+	return r
+}
+
+// Used tells the slots held by a class.
+func (p *Pool) Used(c class.Class) int { return p.used[c] }
+
+// Waiting tells the requests of a class that wait.
+func (p *Pool) Waiting(c class.Class) int { return p.queues[c].n }
+
+// grant hands free slots to those that wait, most urgent class first.
+func (p *Pool) grant() []uint64 {
+	var out []uint64
+	for c := class.Urgent; ; c-- {
+		for p.queues[c].n > 0 {
+			it, ok := p.queues[c].pop(func(team string) bool { return p.mayTake(c, team) })
+			if !ok {
+				break
+			}
+			p.take(it)
+			out = append(out, it.ID)
+		}
+		if c == class.Bulk {
+			return out
+		}
+	}
+}
+
+func (p *Pool) take(it Item) {
+	p.used[it.Class]++
+	p.teams[it.Team].used++
+}
+
+// mayTake says whether there is a slot for the team in the class: a team over
+// its fair share leaves the last free slots to those under theirs.
+func (p *Pool) mayTake(c class.Class, team string) bool {
+	free := p.room(c)
+	if free <= 0 {
+		return false
+	}
+	t := p.teams[team]
+	share := t.weight / max(p.weight, t.weight) * float64(p.policy.Slots)
+	if float64(t.used) < share {
+		return true
+	}
+	return float64(free) > newcomerShare*float64(p.policy.limit(c))
+}
+
+// room is the free slots that class c may use.
+func (p *Pool) room(c class.Class) int {
+	free, held := p.policy.Slots, 0
+	for k := class.Bulk; k < class.Count; k++ {
+		free -= p.used[k]
+	}
+	for k := class.Bulk; k < class.Urgent && c != class.Urgent; k++ {
+		held += p.used[k]
+		if k >= c {
+			free = min(free, p.policy.limit(k)-held)
+		}
+	}
+	return free
+}
+
+// waitingAbove counts those of more urgent classes.
+func (p *Pool) waitingAbove(c class.Class) int {
+	n := 0
+	for k := c + 1; k < class.Count; k++ {
+		n += p.queues[k].n
+	}
+	return n
+}
+
+// waitFor predicts the wait with so many ahead.
+func (p *Pool) waitFor(c class.Class, ahead int) time.Duration {
+	limit := p.policy.limit(c)
+	if limit <= 0 {
+		return time.Hour // longer than any deadline: nothing will be granted
+	}
+	return p.hold * time.Duration(ahead+1) / time.Duration(limit)
+}
+
+func (p *Pool) refusal(it Item, cause Cause, wait time.Duration) Refusal {
+	return Refusal{ID: it.ID, Cause: cause, RetryAfter: max(wait, leastRetry)}
+}
+
+func (p *Pool) see(now time.Time, it Item) {
+	t := p.teams[it.Team]
+	if t == nil {
+		t = &teamUse{}
+		p.teams[it.Team] = t
+		p.swept = time.Time{}
+	}
+	t.weight, t.seen = float64(max(it.Weight, 1)), now
+	if now.Sub(p.swept) >= time.Second {
+		p.countActive(now)
+	}
+}
+
+func (p *Pool) countActive(now time.Time) {
+	p.weight, p.swept = 0, now
+	for name, t := range p.teams {
+		if t.used == 0 && now.Sub(t.seen) > activeFor && !p.waits(name) {
+			delete(p.teams, name)
+			continue
+		}
+		p.weight += t.weight
+	}
+}
+
+func (p *Pool) waits(team string) bool {
+	for c := range p.queues {
+		if p.queues[c].waits(team) {
+			return true
+		}
+	}
+	return false
+}
+
+// Return gives back a slot that was granted to a request which had left by
+// then. It tells nothing of how long slots are held.
+func (p *Pool) Return(c class.Class, team string) Result { return p.Release(c, team, p.hold) }
--- /dev/null
+++ b/core/admit/pool_test.go
@@ -0,0 +1,252 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	preset = config.Preset{UrgentHeadroom: 0.2, BulkShare: 0.3, AcceptBulk: true}
+)
+
+func item(id uint64, team string, c class.Class) Item {
+	return Item{ID: id, Team: team, Weight: 1, Class: c}
+}
+
+// fill makes n requests of a class and tells how many were admitted.
+func fill(p *Pool, first uint64, n int, team string, c class.Class) int {
+	admitted := 0
+	for i := range n {
+		if v, _, _ := p.Arrive(start, item(first+uint64(i), team, c)); v == Admitted {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+func TestClassesKeepTheirSlots(t *testing.T) {
+	p := NewPool(NewPolicy(preset, nil, 20))
+	assert.Equal(t, fill(p, 0, 30, "a", class.Bulk), 6)        // 0.3 of 20
+	assert.Equal(t, fill(p, 100, 30, "a", class.Standard), 10) // up to 16 with bulk
+	assert.Equal(t, fill(p, 200, 30, "a", class.Urgent), 4)    // the headroom, at once
+	r := p.Release(class.Bulk, "a", time.Second)
+	assert.DeepEqual(t, r.Granted, []uint64{204}) // urgent first, bulk last
+}
+
+func TestRefusals(t *testing.T) {
+	rules := []config.ClassRule{{Class: class.Standard, QueueMax: 2}}
+	noBulk := preset
+	noBulk.AcceptBulk = false
+	full := func() *Pool {
+		p := NewPool(NewPolicy(noBulk, rules, 10))
+		fill(p, 0, 8, "a", class.Standard)
+		p.Release(class.Standard, "a", 8*time.Second)
+		fill(p, 100, 2, "a", class.Standard) // one granted, one waits; each slot is held for 8 s
+		return p
+	}
+	late := item(1000, "b", class.Standard)
+	late.Deadline = start.Add(time.Second / 2)
+	done := late
+	done.Deadline = start.Add(-time.Second)
+	for _, c := range []struct {
+		name  string
+		pool  *Pool
+		item  Item
+		cause Cause
+	}{
+		{"no slots", NewPool(NewPolicy(preset, nil, 0)), item(1, "b", class.Urgent), CauseNoCapacity},
+		{"preset without bulk", full(), item(1, "b", class.Bulk), CauseBulkOff},
+		{"cannot make its deadline", full(), late, CauseDeadline},
+		{"deadline passed", full(), done, CauseDeadline},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v, refusal, _ := c.pool.Arrive(start, c.item)
+			assert.Equal(t, v, Refused)
+			assert.Equal(t, refusal.Cause, c.cause)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		})
+	}
+}
+
+// Symptom: a caller hears "not run" only when its deadline has come, and its
+// own retry comes too late.
+// Sequence: a request is queued behind quick ones; then the slots are held far
+// longer than before.
+// Cause: the prediction was made once, on arrival.
+func TestSweepGivesUpAtOnce(t *testing.T) {
+	p := NewPool(NewPolicy(preset, nil, 1))
+	fill(p, 0, 1, "a", class.Standard)
+	it := item(7, "a", class.Standard)
+	it.Deadline = start.Add(10 * time.Second)
+	v, _, _ := p.Arrive(start, it)
+	assert.Equal(t, v, Queued)
+	assert.Equal(t, len(p.Sweep(start).Refused), 0)
+	p.hold = 30 * time.Second
+	r := p.Sweep(start.Add(time.Second))
+	assert.Equal(t, len(r.Refused), 1)
+	assert.Equal(t, r.Refused[0].ID, uint64(7))
+}
+
+// Symptom: every other team is refused at the door while one floods.
+// Sequence: the flood fills the bounded queue; another team's request comes.
+// Cause: first come, first served for places in the queue.
+func TestFloodIsDisplacedFromAFullQueue(t *testing.T) {
+	p := NewPool(NewPolicy(preset, []config.ClassRule{{Class: class.Standard, QueueMax: 4}}, 10))
+	fill(p, 0, 100, "flood", class.Standard)
+	for id := uint64(300); id < 302; id++ {
+		v, _, displaced := p.Arrive(start, item(id, "b", class.Standard))
+		assert.Equal(t, v, Queued)
+		assert.Equal(t, displaced.Cause, CauseDisplaced)
+		assert.Assert(t, displaced.ID < 200)
+	}
+	v, refusal, _ := p.Arrive(start, item(302, "b", class.Standard)) // b holds half of the queue now
+	assert.Equal(t, v, Refused)
+	assert.Equal(t, refusal.Cause, CauseQueueFull)
+	assert.Equal(t, p.Waiting(class.Standard), 4)
+}
+
+// floodModel runs two teams through one pool in steps of a millisecond and
+// returns the times from arrival to end of the quiet team's requests.
+func floodModel(flood bool, seed uint64) []time.Duration {
+	const steps, slots, held = 60_000, 40, 200
+	type running struct {
+		id  uint64
+		end int
+	}
+	src := rand.New(rand.NewPCG(seed, 1))
+	p := NewPool(NewPolicy(preset, nil, slots))
+	var busy []running
+	arrived, teams, next := map[uint64]int{}, map[uint64]string{}, uint64(0)
+	var out []time.Duration
+	admit := func(id uint64, now int) { busy = append(busy, running{id, now + held/2 + src.IntN(held)}) }
+	arrive := func(team string, now int) {
+		next++
+		arrived[next], teams[next] = now, team
+		it := item(next, team, class.Standard)
+		it.Deadline = start.Add(time.Duration(now)*time.Millisecond + 2*time.Second)
+		if v, _, _ := p.Arrive(start.Add(time.Duration(now)*time.Millisecond), it); v == Admitted {
+			admit(next, now)
+		}
+	}
+	for now := range steps {
+		busy = slices.DeleteFunc(busy, func(r running) bool {
+			if r.end > now {
+				return false
+			}
+			if teams[r.id] == "quiet" {
+				out = append(out, time.Duration(now-arrived[r.id])*time.Millisecond)
+			}
+			for _, id := range p.Release(class.Standard, teams[r.id], held*time.Millisecond).Granted {
+				defer admit(id, now)
+			}
+			return true
+		})
+		if src.IntN(40) == 0 { // 25 a second
+			arrive("quiet", now)
+		}
+		if flood && now > steps/10 { // 2,000 a second, ten times the capacity
+			arrive("flood", now)
+			arrive("flood", now)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Symptom: one team's p99 rises while another floods.
+// Sequence: the flood takes every slot and fills the queue; a request of the
+// quiet team waits for a release, behind the flood.
+// Cause: slots and queue places handed out by arrival only.
+func TestFloodMovesNoOtherP99(t *testing.T) {
+	for seed := range uint64(3) {
+		alone, beside := floodModel(false, seed), floodModel(true, seed)
+		p99 := func(d []time.Duration) float64 { return d[len(d)*99/100].Seconds() }
+		ratio := p99(beside) / p99(alone)
+		t.Logf("seed %d: p99 alone %.3f s, beside a flood %.3f s, ratio %.3f", seed, p99(alone), p99(beside), ratio)
+		assert.Assert(t, ratio <= 1.10, "ratio %.3f", ratio)
+	}
+}
+
+// Slots, headroom and queue bounds hold in every sequence of events, and no
+// request is granted or refused twice.
+func TestPoolProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := NewPolicy(preset, []config.ClassRule{{Class: class.Standard, QueueMax: 3}}, rapid.IntRange(1, 12).Draw(t, "slots"))
+		p, next, now := NewPool(policy), uint64(0), start
+		held, waiting := map[uint64]Item{}, map[uint64]Item{}
+		settle := func(r Result) {
+			for _, id := range r.Granted {
+				it, ok := waiting[id]
+				assert.Assert(t, ok)
+				delete(waiting, id)
+				held[id] = it
+			}
+			for _, x := range r.Refused {
+				_, ok := waiting[x.ID]
+				assert.Assert(t, ok)
+				delete(waiting, x.ID)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				next++
+				it := item(next, "t"+strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "team")), class.Class(rapid.IntRange(0, 2).Draw(t, "class")))
+				it.Deadline = now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second)
+				switch v, _, displaced := p.Arrive(now, it); v {
+				case Admitted:
+					held[it.ID] = it
+				case Queued:
+					waiting[it.ID] = it
+					if displaced != nil {
+						settle(Result{Refused: []Refusal{*displaced}})
+					}
+				}
+			},
+			"release": func(t *rapid.T) {
+				for id, it := range held {
+					delete(held, id)
+					settle(p.Release(it.Class, it.Team, time.Duration(rapid.IntRange(1, 9).Draw(t, "held"))*time.Second))
+					return
+				}
+			},
+			"cancel": func(*rapid.T) {
+				for id, it := range waiting {
+					assert.Assert(t, p.Cancel(it.Class, id))
+					delete(waiting, id)
+					return
+				}
+			},
+			"sweep": func(*rapid.T) {
+				now = now.Add(time.Second)
+				settle(p.Sweep(now))
+			},
+			"": func(t *rapid.T) {
+				assert.Assert(t, len(held) <= policy.Slots)
+				assert.Assert(t, p.used[class.Bulk] <= max(policy.limit(class.Bulk), 1))
+				assert.Assert(t, p.used[class.Bulk]+p.used[class.Standard] <= policy.limit(class.Standard))
+				assert.Equal(t, p.queues[0].n+p.queues[1].n+p.queues[2].n, len(waiting))
+				assert.Assert(t, p.queues[class.Standard].n <= 3)
+			},
+		})
+	})
+}
+
+func BenchmarkArriveRelease(b *testing.B) {
+	p := NewPool(NewPolicy(preset, nil, 100))
+	fill(p, 0, 79, "a", class.Standard)
+	b.ReportAllocs()
+	for i := range b.N {
+		p.Arrive(start, item(uint64(1000+i), "b", class.Standard))
+		p.Release(class.Standard, "b", time.Second)
+	}
+}
--- /dev/null
+++ b/node/admission/admission.go
@@ -0,0 +1,194 @@
+// Package admission executes what core/admit decides: it holds requests until
+// they get a slot, answers those given up at once, and keeps the team limits.
+// State is kept a pool and a team at a time, each under its own lock. Lock
+// order: the controller's maps, then one pool or one team; never two pools.
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"peridotpier.example/core/admit"
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/route"
+)
+
+// sweepEvery is the pause between two looks for requests that cannot make
+// their deadline any more. It bounds how long a given-up request waits for its
+// final answer.
+const sweepEvery = 100 * time.Millisecond
+
+// Config is what admission follows.
+type Config struct {
+	Preset  config.Preset
+	Classes []config.ClassRule
+	Teams   []config.Team
+	Slots   map[string]int // this host's places by pool, see admit.HostSlots
+	Hosts   int            // entry hosts, this one included
+}
+
+// Request is one request that asks for leave to be dispatched.
+type Request struct {
+	Team     string
+	Class    class.Class
+	Pool     string
+	Key      route.ModelKey
+	Deadline time.Time     // zero: none
+	Need     time.Duration // least time that it takes once dispatched; 0: not known
+}
+
+// Controller admits requests.
+type Controller struct {
+	mu    sync.RWMutex
+	cfg   Config
+	pools map[string]*pool
+	teams map[string]*team
+}
+
+// New makes a controller. Its owner must run Run.
+func New(cfg Config) *Controller {
+	c := &Controller{pools: map[string]*pool{}, teams: map[string]*team{}}
+	c.Reconfigure(cfg)
+	return c
+}
+
+// Run sweeps the queues until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			for _, p := range c.allPools() {
+				p.sweep(now)
+			}
+		}
+	}
+}
+
+// Reconfigure puts a new preset, configuration or capacity in force. Requests
+// that were admitted keep their slots.
+func (c *Controller) Reconfigure(cfg Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.cfg = cfg
+	for name := range cfg.Slots {
+		c.poolLocked(name)
+	}
+	for name, p := range c.pools {
+		p.setPolicy(now, admit.NewPolicy(cfg.Preset, cfg.Classes, cfg.Slots[name]))
+	}
+	c.setTeamsLocked(now)
+}
+
+func (c *Controller) setTeamsLocked(now time.Time) {
+	listed := map[string]bool{}
+	for _, t := range c.cfg.Teams {
+		listed[t.Name] = true
+		if known := c.teams[t.Name]; known != nil {
+			known.set(t)
+			continue
+		}
+		c.teams[t.Name] = newTeam(t, c.cfg.Hosts, now)
+	}
+	for name := range c.teams {
+		if !listed[name] {
+			delete(c.teams, name)
+		}
+	}
+}
+
+// SetCapacity changes this host's places in one pool.
+func (c *Controller) SetCapacity(name string, slots int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.poolLocked(name).setPolicy(time.Now(), admit.NewPolicy(c.cfg.Preset, c.cfg.Classes, slots))
+}
+
+// SetPeerUsage tells what the other hosts together are asked for by a team.
+func (c *Controller) SetPeerUsage(name string, rps, concurrent float64, hosts int) {
+	if t := c.team(name); t != nil {
+		t.setPeers(rps, concurrent, hosts)
+	}
+}
+
+// Usage is what this host is asked for by a team, to be told to its peers.
+func (c *Controller) Usage(name string) (rps, concurrent float64) {
+	if t := c.team(name); t != nil {
+		return t.demand(time.Now())
+	}
+	return 0, 0
+}
+
+// Admit waits for leave to dispatch the request. Every error is a
+// *fault.Error that promises that the request did not run.
+func (c *Controller) Admit(ctx context.Context, r Request) (*Ticket, error) {
+	t, p := c.team(r.Team), c.pool(r.Pool)
+	if t == nil {
+		return nil, fault.NotRun(fault.StepAdmit, "", fault.CodeBadKey, "team %q is not configured", r.Team)
+	}
+	if p == nil {
+		return nil, refused(admit.Refusal{Cause: admit.CauseNoCapacity, RetryAfter: time.Second}, r)
+	}
+	begun := time.Now()
+	weight, ok, wait := t.take(begun)
+	if !ok {
+		return nil, fault.NotRun(fault.StepAdmit, "", fault.CodeTeamLimit, "team is over its limit").After(wait)
+	}
+	if err := p.admit(ctx, r, weight); err != nil {
+		t.giveBack()
+		return nil, err
+	}
+	return &Ticket{pool: p, team: t, request: r, begun: begun, granted: time.Now()}, nil
+}
+
+// Load is the state of one pool's admission, for queries and metrics.
+type Load struct {
+	Used    [class.Count]int
+	Waiting [class.Count]int
+}
+
+// Load tells the state of a pool's admission.
+func (c *Controller) Load(name string) Load {
+	if p := c.pool(name); p != nil {
+		return p.load()
+	}
+	return Load{}
+}
+
+func (c *Controller) pool(name string) *pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.pools[name]
+}
+
+func (c *Controller) team(name string) *team {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.teams[name]
+}
+
+func (c *Controller) allPools() []*pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (c *Controller) poolLocked(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = newPool()
+		c.pools[name] = p
+	}
+	return p
+}
--- /dev/null
+++ b/node/admission/admission_test.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+)
+
+func testConfig(slots int) Config {
+	return Config{
+		Preset: config.Preset{UrgentHeadroom: 0.2, BulkShare: 0.5, AcceptBulk: true},
+		Teams:  []config.Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}, {Name: "limited", Weight: 1, Limits: config.TeamLimits{Concurrent: 1}}},
+		Slots:  map[string]int{"p": slots}, Hosts: 1,
+	}
+}
+
+func request(team string, c class.Class, within time.Duration) Request {
+	return Request{Team: team, Class: c, Pool: "p", Deadline: time.Now().Add(within)}
+}
+
+func notRun(t *testing.T, err error, code fault.Code) {
+	t.Helper()
+	var f *fault.Error
+	assert.Assert(t, errors.As(err, &f))
+	assert.Equal(t, f.Step, fault.StepAdmit)
+	assert.Equal(t, f.Outcome, outcome.NotRun)
+	assert.Equal(t, f.Code, code)
+	assert.Assert(t, f.RetryAfter > 0)
+}
+
+func TestAdmitWaitsAndReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testConfig(1))
+		first, err := c.Admit(t.Context(), request("a", class.Standard, time.Minute))
+		assert.NilError(t, err)
+		go func() {
+			time.Sleep(3 * time.Second)
+			first.Release()
+			first.Release() // must not free a second slot
+		}()
+		second, err := c.Admit(t.Context(), request("a", class.Standard, time.Minute))
+		assert.NilError(t, err)
+		assert.Equal(t, second.Waited(), 3*time.Second)
+		assert.Equal(t, c.Load("p").Used[class.Standard], 1)
+		second.Release()
+		assert.Equal(t, c.Load("p").Used[class.Standard], 0)
+	})
+}
+
+// Symptom: a request that cannot be served keeps its caller until the deadline.
+// Sequence: slots are held for a minute; requests with 20 s left are queued, as
+// no release has yet told how long a slot is held; then one does.
+// Cause: giving up only when the deadline comes.
+func TestGivenUpRequestsAreAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testConfig(5))
+		ctx, stop := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = c.Run(ctx) })
+		var held []*Ticket
+		for range 4 {
+			ticket, err := c.Admit(ctx, request("a", class.Standard, time.Hour))
+			assert.NilError(t, err)
+			held = append(held, ticket)
+		}
+		time.Sleep(time.Minute)
+		begun, refusals := time.Now(), make(chan error, 8)
+		for range 8 {
+			wg.Go(func() {
+				ticket, err := c.Admit(context.WithoutCancel(ctx), request("a", class.Standard, 20*time.Second))
+				if err == nil {
+					<-ctx.Done()
+					ticket.Release()
+					return
+				}
+				assert.Check(t, time.Since(begun) <= 2*time.Second+sweepEvery)
+				refusals <- err
+			})
+		}
+		time.Sleep(2 * time.Second)
+		held[0].Release()
+		time.Sleep(sweepEvery)
+		synctest.Wait()
+		assert.Assert(t, len(refusals) > 0)
+		notRun(t, <-refusals, fault.CodeDeadline)
+		stop()
+		for _, ticket := range held {
+			ticket.Release()
+		}
+		wg.Wait()
+		assert.Equal(t, c.Load("p"), Load{})
+	})
+}
+
+// Symptom: slots leak until the pool admits nobody.
+// Sequence: callers go away at the very moment at which a slot is granted.
+// Cause: the grant goes to a request that has already left.
+func TestCancelledWaitersLeakNoSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testConfig(2))
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%7+1)*time.Second)
+				defer cancel()
+				ticket, err := c.Admit(ctx, request("a", class.Class(i%3), time.Hour))
+				if err != nil {
+					return
+				}
+				time.Sleep(time.Second) // releases fall together with the time-outs
+				ticket.Release()
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, c.Load("p"), Load{})
+	})
+}
+
+func TestTeamLimitAndUnknowns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testConfig(5))
+		ticket, err := c.Admit(t.Context(), request("limited", class.Urgent, time.Minute))
+		assert.NilError(t, err)
+		_, err = c.Admit(t.Context(), request("limited", class.Urgent, time.Minute))
+		notRun(t, err, fault.CodeTeamLimit)
+		ticket.Release()
+		ticket, err = c.Admit(t.Context(), request("limited", class.Urgent, time.Minute))
+		assert.NilError(t, err)
+		ticket.Release()
+		_, err = c.Admit(t.Context(), Request{Team: "a", Pool: "none"})
+		notRun(t, err, fault.CodeNoUpstream)
+		cfg := testConfig(5)
+		cfg.Preset.AcceptBulk = false
+		c.Reconfigure(cfg)
+		_, err = c.Admit(t.Context(), request("a", class.Bulk, time.Minute))
+		notRun(t, err, fault.CodeOverloaded)
+	})
+}
+
+func BenchmarkAdmitParallel(b *testing.B) {
+	cfg := testConfig(1000)
+	c := New(cfg)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ticket, err := c.Admit(b.Context(), Request{Team: "a", Class: class.Standard, Pool: "p"})
+			if err == nil {
+				ticket.Release()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/node/admission/pool.go
@@ -0,0 +1,152 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"peridotpier.example/core/admit"
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/fault"
+)
+
+// pool guards one core pool and wakes those that wait in it.
+type pool struct {
+	mu      sync.Mutex
+	core    *admit.Pool
+	waiters map[uint64]*waiter
+	next    uint64
+}
+
+// waiter is one request in a queue. Whoever takes it out of pool.waiters, under
+// the lock, sends to it exactly once; the channel holds one so that the sender
+// never blocks.
+type waiter struct {
+	request Request
+	done    chan error
+}
+
+func newPool() *pool {
+	return &pool{core: admit.NewPool(admit.Policy{}), waiters: map[uint64]*waiter{}}
+}
+
+func (p *pool) admit(ctx context.Context, r Request, weight int) error {
+	w, id, err := p.arrive(r, weight)
+	if w == nil {
+		return err
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return p.leave(ctx, id, w)
+	}
+}
+
+// arrive asks the core; a nil waiter and nil error mean admitted.
+func (p *pool) arrive(r Request, weight int) (*waiter, uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	it := admit.Item{ID: p.next, Team: r.Team, Weight: weight, Class: r.Class, Deadline: r.Deadline, Need: r.Need}
+	verdict, refusal, displaced := p.core.Arrive(time.Now(), it)
+	if displaced != nil {
+		p.settle(admit.Result{Refused: []admit.Refusal{*displaced}})
+	}
+	switch verdict {
+	case admit.Admitted:
+		return nil, it.ID, nil
+	case admit.Refused:
+		return nil, it.ID, refused(refusal, r)
+	}
+	w := &waiter{request: r, done: make(chan error, 1)}
+	p.waiters[it.ID] = w
+	return w, it.ID, nil
+}
+
+// leave takes out a request whose caller went away or whose deadline came. A
+// slot granted at the same moment is given back: nobody else would, and one
+// would notice the pool's slots leaking away one by one.
+func (p *pool) leave(ctx context.Context, id uint64, w *waiter) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, waits := p.waiters[id]; waits {
+		delete(p.waiters, id)
+		p.core.Cancel(w.request.Class, id)
+	} else if err := <-w.done; err == nil {
+		p.settle(p.core.Return(w.request.Class, w.request.Team))
+	}
+	code := fault.CodeOverloaded
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = fault.CodeDeadline
+	}
+	return fault.NotRun(fault.StepAdmit, "", code, "gave up waiting: %w", ctx.Err()).After(time.Second)
+}
+
+func (p *pool) release(c class.Class, team string, held time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(p.core.Release(c, team, held))
+}
+
+func (p *pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiters) > 0 {
+		p.settle(p.core.Sweep(now))
+	}
+}
+
+func (p *pool) setPolicy(now time.Time, policy admit.Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(p.core.SetPolicy(now, policy))
+}
+
+func (p *pool) load() Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var l Load
+	for c := class.Bulk; c < class.Count; c++ {
+		l.Used[c], l.Waiting[c] = p.core.Used(c), p.core.Waiting(c)
+	}
+	return l
+}
+
+// settle tells the waiters what became of them.
+func (p *pool) settle(r admit.Result) {
+	for _, id := range r.Granted {
+		p.answer(id, nil)
+	}
+	for _, refusal := range r.Refused {
+		if w := p.waiters[refusal.ID]; w != nil {
+			p.answer(refusal.ID, refused(refusal, w.request))
+		}
+	}
+}
+
+func (p *pool) answer(id uint64, err error) {
+	if w := p.waiters[id]; w != nil {
+		delete(p.waiters, id)
+		w.done <- err
+	}
+}
+
+// refused turns a refusal into the error that callers see.
+func refused(r admit.Refusal, req Request) error {
+	code, why := fault.CodeOverloaded, "no slot"
+	switch r.Cause {
+	case admit.CauseNoCapacity:
+		code, why = fault.CodeNoUpstream, "no capacity in the pool"
+	case admit.CauseBulkOff:
+		why = "bulk work is not accepted under the preset in force"
+	case admit.CauseQueueFull:
+		why = "the queue is full"
+	case admit.CauseDeadline:
+		code, why = fault.CodeDeadline, "it would miss its deadline"
+	case admit.CauseDisplaced:
+		why = "the queue is full and the team holds most of it"
+	}
+	return fault.NotRun(fault.StepAdmit, "", code, "%s request to pool %s: %s", req.Class, req.Pool, why).After(r.RetryAfter)
+}
--- /dev/null
+++ b/node/admission/team.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"peridotpier.example/core/admit"
+	"peridotpier.example/core/config"
+)
+
+// team guards one team's limiter.
+type team struct {
+	mu      sync.Mutex
+	weight  int
+	limiter *admit.Limiter
+}
+
+func newTeam(t config.Team, hosts int, now time.Time) *team {
+	return &team{weight: t.Weight, limiter: admit.NewLimiter(t.Limits, hosts, now)}
+}
+
+func (t *team) set(c config.Team) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.weight = c.Weight
+	t.limiter.SetLimits(c.Limits)
+}
+
+func (t *team) setPeers(rps, concurrent float64, hosts int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.SetPeers(rps, concurrent, hosts)
+}
+
+func (t *team) demand(now time.Time) (rps, concurrent float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limiter.Demand(now)
+}
+
+func (t *team) take(now time.Time) (weight int, ok bool, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ok, wait = t.limiter.Take(now)
+	return t.weight, ok, wait
+}
+
+func (t *team) done(held time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.Done(held)
+}
+
+func (t *team) giveBack() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter.GiveBack()
+}
--- /dev/null
+++ b/node/admission/ticket.go
@@ -0,0 +1,28 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// Ticket is a slot held by one request until Release.
+type Ticket struct {
+	once    sync.Once
+	pool    *pool
+	team    *team
+	request Request
+	begun   time.Time
+	granted time.Time
+}
+
+// Release gives the slot back. Only the first call counts.
+func (t *Ticket) Release() {
+	t.once.Do(func() {
+		now := time.Now()
+		t.pool.release(t.request.Class, t.request.Team, now.Sub(t.granted))
+		t.team.done(now.Sub(t.begun))
+	})
+}
+
+// Waited is how long the request waited for its slot.
+func (t *Ticket) Waited() time.Duration { return t.granted.Sub(t.begun) }
