Add an open-loop load generator that checks every answer

What callers got must be counted from their own and the upstreams' records, never from the nodes' books.

--- /dev/null
+++ b/standin/load/caller.go
@@ -0,0 +1,255 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/standin/answer"
+	"peridotpier.example/standin/service"
+)
+
+// Headers and paths of the callers' interface.
+const (
+	headerKey      = "Idempotency-Key"
+	headerClass    = "Peridot-Class"
+	headerDeadline = "Peridot-Deadline-Ms"
+	headerResume   = "Peridot-Resume"
+	headerLast     = "Last-Event-ID"
+	pathChat       = "/v1/chat/completions"
+	pathService    = "/v1/services/"
+	pathRequests   = "/v1/requests/"
+)
+
+// Bounds of one caller.
+const (
+	triesMax   = 6                      // requests for one invocation
+	retryPause = 100 * time.Millisecond // when no Retry-After says otherwise
+	retryMost  = 2 * time.Second        // a caller with a deadline waits no longer
+	answerMax  = 32 << 20
+)
+
+// problem is an error body of the callers' interface.
+type problem struct {
+	Message string          `json:"message"`
+	Code    string          `json:"code"`
+	Outcome outcome.Outcome `json:"outcome"`
+}
+
+type errorBody struct {
+	Error *problem `json:"error"`
+}
+
+// caller carries one invocation out.
+type caller struct {
+	client  *http.Client
+	entries Entries
+	inv     *Invocation
+	text    []byte // the answer's text so far
+	prompt  string
+	body    []byte // of a service call: sent and checked against
+	last    string // id of the last event
+	token   string // resume token of a stream that began
+	done    bool   // the end marker came
+	lastAt  time.Time
+}
+
+func (c *caller) run(ctx context.Context) {
+	v := c.inv
+	src := v.Arrival.Source
+	c.prompt = v.Arrival.Prompt()
+	if src.Kind == KindOnce {
+		v.Key = "k-" + v.Arrival.ID
+	}
+	v.Called = time.Now()
+	for n := 0; n < triesMax; n++ {
+		wait, again := c.try(ctx)
+		if !again || !sleep(ctx, wait) {
+			break
+		}
+	}
+	v.Returned = time.Now()
+	v.Total = v.Returned.Sub(v.Intended)
+	c.judge()
+}
+
+// try sends one request and tells whether, and when, another may help.
+func (c *caller) try(ctx context.Context) (wait time.Duration, again bool) {
+	req, resumed, err := c.request(ctx)
+	t := Try{Sent: time.Now(), Resumed: resumed}
+	defer func() {
+		t.Returned = time.Now()
+		c.inv.Tries = append(c.inv.Tries, t)
+	}()
+	if err != nil {
+		t.Lost = true // no entry host to send it to
+		return retryPause, true
+	}
+	t.Entry = req.URL.Host
+	resp, err := c.client.Do(req)
+	if err != nil {
+		t.Lost = true
+		return retryPause, true
+	}
+	defer resp.Body.Close()
+	t.Status, c.inv.Status = resp.StatusCode, resp.StatusCode
+	if resp.StatusCode/100 != 2 {
+		return c.refused(resp, &t)
+	}
+	p, err := c.read(resp)
+	switch {
+	case p != nil:
+		t.Code, t.Outcome = p.Code, p.Outcome
+		return 0, false
+	case err != nil || !c.done:
+		t.Lost = true
+		return 0, true
+	}
+	t.Outcome = outcome.Completed
+	return 0, false
+}
+
+// refused reads an error answer. A call that may not be repeated is sent
+// again under the same key: that asks what became of it, or runs it the first time.
+func (c *caller) refused(resp *http.Response, t *Try) (wait time.Duration, again bool) {
+	var e errorBody
+	err := json.NewDecoder(io.LimitReader(resp.Body, answerMax)).Decode(&e)
+	if err != nil || e.Error == nil {
+		t.Lost = true
+		return retryPause, true
+	}
+	t.Code, t.Outcome = e.Error.Code, e.Error.Outcome
+	wait = retryPause
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		wait = min(time.Duration(s)*time.Second, retryMost)
+	}
+	transient := resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode >= 500 || t.Code == string(fault.CodeInProgress)
+	draining := t.Code == string(fault.CodeDraining) && t.Outcome == outcome.NotRun
+	return wait, (c.inv.Key != "" && transient) || draining
+}
+
+func (c *caller) request(ctx context.Context) (req *http.Request, resumed bool, err error) {
+	last := ""
+	if n := len(c.inv.Tries); n > 0 {
+		last = c.inv.Tries[n-1].Entry
+	}
+	host, err := c.entries.Next(last)
+	if err != nil {
+		return nil, false, err
+	}
+	src := c.inv.Arrival.Source
+	switch {
+	case c.token != "":
+		resumed = true
+		req, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+host+pathRequests+c.token+"/stream", nil)
+	case (src.Kind == KindService || src.Kind == KindOnce) && src.Method == http.MethodGet:
+		mark := answer.Mark(src.Team, c.inv.Arrival.ID)
+		req, err = http.NewRequestWithContext(ctx, src.Method, "http://"+host+pathService+src.Service+src.Path+"?m="+mark, nil)
+	case src.Kind == KindService || src.Kind == KindOnce:
+		c.body = []byte(c.prompt)
+		req, err = http.NewRequestWithContext(ctx, src.Method, "http://"+host+pathService+src.Service+src.Path, bytes.NewReader(c.body))
+	default:
+		req, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+pathChat, bytes.NewReader(c.chatBody()))
+	}
+	if err != nil {
+		return nil, resumed, err
+	}
+	// Without GetBody the client library can't send a request twice by itself,
+	// which it does under an idempotency key: the record would miss a try.
+	req.GetBody = nil
+	c.setHeaders(req)
+	return req, resumed, nil
+}
+
+func (c *caller) setHeaders(req *http.Request) {
+	src := c.inv.Arrival.Source
+	req.Header.Set("Authorization", "Bearer "+src.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerClass, src.Class.String())
+	left := src.Deadline - time.Since(c.inv.Intended)
+	req.Header.Set(headerDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	if c.inv.Key != "" {
+		req.Header.Set(headerKey, c.inv.Key)
+	}
+	if c.token != "" && c.last != "" {
+		req.Header.Set(headerLast, c.last)
+	}
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+func (c *caller) chatBody() []byte {
+	a := &c.inv.Arrival
+	body, _ := json.Marshal(chatRequest{Model: a.Source.Model, Messages: []chatMessage{{"user", c.prompt}},
+		MaxTokens: a.Tokens, Stream: a.Source.Kind == KindStream}) // strings and numbers always encode
+	return body
+}
+
+// judge settles the verdict and the outcome that the caller is left with.
+func (c *caller) judge() {
+	v := c.inv
+	if n := len(v.Tries); n > 0 {
+		v.Code, v.Outcome = v.Tries[n-1].Code, v.Tries[n-1].Outcome
+	}
+	v.Digest = xxhash.Sum64(c.text)
+	src := v.Arrival.Source
+	if src.Kind == KindService || src.Kind == KindOnce {
+		v.Verdict = c.judgeCall()
+		return
+	}
+	switch err := answer.Verify(c.prompt, v.Arrival.Tokens, string(c.text)); {
+	case len(c.text) == 0 && !c.done:
+		v.Verdict = VerdictNone
+	case err == nil && c.done:
+		v.Verdict = VerdictWhole
+	case err == answer.ErrCrossed:
+		v.Verdict = VerdictCrossed
+	case c.done || v.Tries[len(v.Tries)-1].Lost:
+		v.Verdict = VerdictCut
+	}
+}
+
+// judgeCall checks a service's answer against the call's mark and body.
+func (c *caller) judgeCall() Verdict {
+	if !c.done {
+		return VerdictNone
+	}
+	a := c.inv.Arrival
+	var got service.Answer
+	if json.Unmarshal(c.text, &got) != nil {
+		return VerdictCut
+	}
+	if got.Team != a.Source.Team || got.Invocation != a.ID || got.Digest != service.Digest(c.body) {
+		return VerdictCrossed
+	}
+	return VerdictWhole
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/load/read.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// read takes in a good answer: all of it, or the part of a stream that came
+// on this connection. A stream may end with an error of its own.
+func (c *caller) read(resp *http.Response) (*problem, error) {
+	switch c.inv.Arrival.Source.Kind {
+	case KindStream:
+		if t := resp.Header.Get(headerResume); t != "" {
+			c.token = t
+		}
+		return c.readStream(resp.Body)
+	case KindWhole:
+		return nil, c.readWhole(resp.Body)
+	default:
+		body, err := io.ReadAll(io.LimitReader(resp.Body, answerMax))
+		if err != nil {
+			return nil, err
+		}
+		c.firstToken()
+		c.text, c.done = body, true
+		return nil, nil
+	}
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta   chatMessage `json:"delta"`
+		Message chatMessage `json:"message"`
+	} `json:"choices"`
+	errorBody
+}
+
+func (c *caller) readWhole(r io.Reader) error {
+	body, err := io.ReadAll(io.LimitReader(r, answerMax))
+	if err != nil {
+		return err
+	}
+	c.firstToken()
+	var ch chunk
+	if json.Unmarshal(body, &ch) == nil && len(ch.Choices) > 0 {
+		c.text = []byte(ch.Choices[0].Message.Content)
+	}
+	c.done = true // it ended cleanly; judge tells whether it is whole
+	return nil
+}
+
+func (c *caller) readStream(r io.Reader) (*problem, error) {
+	in := bufio.NewReaderSize(r, 8<<10)
+	for {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return nil, err // a clean end without the end marker is a broken stream too
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
+			c.last = string(id)
+			continue
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		if !ok {
+			continue // keepalive, or the empty line between events
+		}
+		if string(data) == engineapi.StreamEnd {
+			c.done = true
+			_, err := io.Copy(io.Discard, in)
+			return nil, err
+		}
+		if p := c.event(data); p != nil {
+			return p, nil
+		}
+	}
+}
+
+// event takes one event's data in; it returns the error that an event may carry.
+func (c *caller) event(data []byte) *problem {
+	var ch chunk
+	if json.Unmarshal(data, &ch) != nil {
+		return nil // not a chunk; if it should have been one, the text won't verify
+	}
+	if ch.Error != nil {
+		return ch.Error
+	}
+	if len(ch.Choices) == 0 || ch.Choices[0].Delta.Content == "" {
+		return nil
+	}
+	c.text = append(c.text, ch.Choices[0].Delta.Content...)
+	if now := time.Now(); c.inv.First == 0 {
+		c.firstToken()
+	} else {
+		c.inv.gaps = append(c.inv.gaps, now.Sub(c.lastAt))
+		c.lastAt = now
+	}
+	return nil
+}
+
+func (c *caller) firstToken() {
+	c.lastAt = time.Now()
+	if c.inv.First == 0 {
+		c.inv.First = c.lastAt.Sub(c.inv.Intended)
+	}
+}
--- /dev/null
+++ b/standin/load/result.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/engine"
+	"peridotpier.example/standin/service"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	histMin    = 1
+	histMax    = int64(10 * time.Minute / time.Microsecond)
+	histDigits = 3
+)
+
+// Latency holds the times of one class, in microseconds.
+type Latency struct {
+	First *hdrhistogram.Histogram // to the first token
+	Gap   *hdrhistogram.Histogram // between tokens
+	Total *hdrhistogram.Histogram
+}
+
+func newLatency() Latency {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(histMin, histMax, histDigits) }
+	return Latency{First: h(), Gap: h(), Total: h()}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), histMin), histMax)) // in range by construction
+}
+
+// Result is what the callers of a run saw.
+type Result struct {
+	mu          sync.Mutex
+	Invocations []*Invocation
+	Latency     [class.Count]Latency
+	Elapsed     time.Duration
+}
+
+func newResult(size int) *Result {
+	r := &Result{Invocations: make([]*Invocation, 0, size)}
+	for i := range r.Latency {
+		r.Latency[i] = newLatency()
+	}
+	return r
+}
+
+func (r *Result) add(v *Invocation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Invocations = append(r.Invocations, v)
+	l := &r.Latency[v.Arrival.Source.Class]
+	if v.First > 0 {
+		record(l.First, v.First)
+	}
+	if v.Verdict == VerdictWhole {
+		record(l.Total, v.Total)
+	}
+	for _, g := range v.gaps {
+		record(l.Gap, g)
+	}
+	v.gaps = nil
+}
+
+// Quantiles of a latency, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// QuantilesOf reads a histogram of microseconds.
+func QuantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{ms(50), ms(95), ms(99)}
+}
+
+// ClassCounts are the figures of one class.
+type ClassCounts struct {
+	Requests   int       `json:"requests"`
+	Met        int       `json:"met"`
+	Attainment float64   `json:"attainment"`
+	FirstMs    Quantiles `json:"first_token_ms"`
+	GapMs      Quantiles `json:"inter_token_ms"`
+	TotalMs    Quantiles `json:"total_ms"`
+}
+
+// Counts are the figures of a run, from callers' and stand-ins' records alone.
+type Counts struct {
+	Requests    int                    `json:"requests"`
+	Completed   int                    `json:"completed"`
+	NotRun      int                    `json:"not_run"`
+	Unknown     int                    `json:"unknown"`
+	Lost        int                    `json:"lost"`
+	Doubled     int                    `json:"doubled"`
+	Cut         int                    `json:"cut"`
+	Crossed     int                    `json:"crossed"`
+	FalseNotRun int                    `json:"not_run_but_ran"`
+	Skipped     int                    `json:"skipped"` // not sent, the generator was at its bound; counts as not met
+	Retries     int                    `json:"retries"`
+	Attainment  float64                `json:"attainment"`
+	FirstMs     Quantiles              `json:"first_token_ms"`
+	ByClass     map[string]ClassCounts `json:"by_class"`
+}
+
+// Effect is one execution as an upstream stand-in recorded it.
+type Effect struct {
+	Invocation string
+	Team       string
+	Attempt    string
+	Key        string
+	Upstream   string
+	Start      time.Time
+	End        time.Time // zero: not ended, or not completed
+	Once       bool      // of a plain service
+}
+
+// EngineEffects are the generations that an engine began to compute.
+func EngineEffects(name string, rec engine.Records) []Effect {
+	var out []Effect
+	for _, x := range rec.Executions {
+		if x.Started.IsZero() {
+			continue
+		}
+		e := Effect{Invocation: x.Invocation, Team: x.Team, Attempt: x.Attempt, Upstream: name, Start: x.Started}
+		if x.State == engineapi.AttemptCompleted {
+			e.End = x.Ended
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// ServiceEffects are the calls that a plain service executed.
+func ServiceEffects(name string, rec []service.Execution) []Effect {
+	var out []Effect
+	for _, x := range rec {
+		out = append(out, Effect{Invocation: x.Invocation, Team: x.Team, Attempt: x.Attempt, Key: x.Key,
+			Upstream: name, Start: x.Started, End: x.Ended, Once: true})
+	}
+	return out
+}
+
+// Count joins the callers' records with the upstreams'.
+func (r *Result) Count(effects []Effect) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ran := map[string]int{}
+	for _, e := range effects {
+		ran[e.Invocation]++
+	}
+	c := Counts{Requests: len(r.Invocations), ByClass: map[string]ClassCounts{}}
+	var byClass [class.Count]ClassCounts
+	met := 0
+	for _, v := range r.Invocations {
+		c.add(v, ran[v.Arrival.ID])
+		k := &byClass[v.Arrival.Source.Class]
+		k.Requests++
+		if v.Met() {
+			k.Met++
+			met++
+		}
+	}
+	c.Attainment = share(met, c.Requests)
+	first := hdrhistogram.New(histMin, histMax, histDigits)
+	for i := range byClass {
+		k, l := &byClass[i], r.Latency[i]
+		first.Merge(l.First)
+		k.Attainment = share(k.Met, k.Requests)
+		k.FirstMs, k.GapMs, k.TotalMs = QuantilesOf(l.First), QuantilesOf(l.Gap), QuantilesOf(l.Total)
+		c.ByClass[class.Class(i).String()] = *k
+	}
+	c.FirstMs = QuantilesOf(first)
+	return c
+}
+
+func (c *Counts) add(v *Invocation, ran int) {
+	c.Retries += max(len(v.Tries)-1, 0)
+	switch {
+	case v.Skipped:
+		c.Skipped++
+	case v.Verdict == VerdictWhole:
+		c.Completed++
+	case v.Verdict == VerdictCut:
+		c.Cut++
+	case v.Verdict == VerdictCrossed:
+		c.Crossed++
+	case v.Lost():
+		c.Lost++
+	case v.Outcome == outcome.NotRun:
+		c.NotRun++
+	default:
+		c.Unknown++
+	}
+	if v.Key != "" && ran > 1 {
+		c.Doubled++
+	}
+	if v.SurelyNotRun() && ran > 0 {
+		c.FalseNotRun++
+	}
+}
+
+func share(part, of int) float64 {
+	if of == 0 {
+		return 1
+	}
+	return float64(part) / float64(of)
+}
