Check histories against an at-most-once register; batch and group claims

standin/history takes records on the callers' and the upstreams' side and checks each key with porcupine, next to plain counts. node/claim gets two ways to spend fewer commits: a batcher of rows and owned ranges with a log.

--- /dev/null
+++ b/node/claim/batch.go
@@ -0,0 +1,243 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"peridotpier.example/node/platform"
+)
+
+// BatchConfig bounds a Batcher.
+type BatchConfig struct {
+	Window   time.Duration // how long the first transaction waits for others; bounds commits a second
+	Most     int           // transactions in one commit
+	Parallel int           // commits under way; a slow one then does not hold up the next
+}
+
+// DefaultBatchConfig makes at most 20 commits a second, so that 7 entry hosts
+// stay under half of 300 writes a second.
+func DefaultBatchConfig() BatchConfig {
+	return BatchConfig{Window: 50 * time.Millisecond, Most: 512, Parallel: 4}
+}
+
+// commitMost bounds one merged commit that is in doubt; well below
+// platform.OpMemory, so that within it an operation id is always remembered.
+const commitMost = time.Minute
+
+// Batcher is a platform.Table that merges transactions of many requests into
+// one commit. It holds no state and owns nothing: rows keep their own
+// conditions, so any host may batch any claim, and when it dies its waiting
+// transactions are in doubt like any other.
+type Batcher struct {
+	platform.Table // reads pass through
+	cfg            BatchConfig
+	in             chan *waiting
+	slots          chan struct{}
+	stopped        chan struct{}
+}
+
+type waiting struct {
+	txn   platform.Txn
+	reply chan reply
+}
+
+type reply struct {
+	version uint64
+	err     error
+}
+
+// NewBatcher merges transactions onto tb. Nothing is committed unless Run runs.
+func NewBatcher(cfg BatchConfig, tb platform.Table) *Batcher {
+	return &Batcher{Table: tb, cfg: cfg, in: make(chan *waiting), slots: make(chan struct{}, cfg.Parallel),
+		stopped: make(chan struct{})}
+}
+
+// Commit implements platform.Table. The operation id is not known to the
+// service; whoever commits again after ErrInDoubt must know its own write by
+// its value, as Rows does.
+func (b *Batcher) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	w := &waiting{txn: txn, reply: make(chan reply, 1)}
+	select {
+	case b.in <- w:
+	case <-b.stopped:
+		return 0, platform.ErrUnavailable
+	case <-ctx.Done():
+		return 0, platform.ErrUnavailable // not taken in: nothing took effect
+	}
+	select {
+	case r := <-w.reply:
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, platform.ErrInDoubt
+	}
+}
+
+// Run collects and commits until ctx ends, then commits what waits.
+func (b *Batcher) Run(ctx context.Context) error {
+	defer close(b.stopped)
+	var held []*waiting // same keys as another of its batch: goes with the next
+	for {
+		batch, err := b.collect(ctx, held)
+		batch, held = apart(batch)
+		b.start(ctx, batch)
+		if err != nil && len(held) == 0 {
+			for range b.cfg.Parallel {
+				b.slots <- struct{}{} // wait for commits under way
+			}
+			return err
+		}
+	}
+}
+
+func (b *Batcher) collect(ctx context.Context, batch []*waiting) ([]*waiting, error) {
+	if len(batch) == 0 {
+		select {
+		case w := <-b.in:
+			batch = append(batch, w)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	timer := time.NewTimer(b.cfg.Window)
+	defer timer.Stop()
+	for len(batch) < b.cfg.Most {
+		select {
+		case w := <-b.in:
+			batch = append(batch, w)
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		}
+	}
+	return batch, nil
+}
+
+// apart splits off the transactions that share a row with an earlier one:
+// merged, the condition of the second could never hold.
+func apart(batch []*waiting) (now, later []*waiting) {
+	used := map[string]bool{}
+	for _, w := range batch {
+		if touches(w.txn, used) {
+			later = append(later, w)
+			continue
+		}
+		for _, c := range w.txn.Conds {
+			used[c.Key] = true
+		}
+		for _, wr := range w.txn.Writes {
+			used[wr.Key] = true
+		}
+		now = append(now, w)
+	}
+	return now, later
+}
+
+func touches(t platform.Txn, used map[string]bool) bool {
+	for _, c := range t.Conds {
+		if used[c.Key] {
+			return true
+		}
+	}
+	for _, w := range t.Writes {
+		if used[w.Key] {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Batcher) start(ctx context.Context, batch []*waiting) {
+	if len(batch) == 0 {
+		return
+	}
+	b.slots <- struct{}{}
+	go func() {
+		defer func() { <-b.slots }()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitMost)
+		defer cancel()
+		b.commit(ctx, batch)
+	}()
+}
+
+// mergeTries bounds how often a batch is tried in which no condition fails by
+// the time one looks.
+const mergeTries = 3
+
+// commit commits the batch; when a condition fails it takes out the
+// transactions whose conditions do not hold and commits the rest.
+func (b *Batcher) commit(ctx context.Context, batch []*waiting) {
+	for try := 0; try < mergeTries && len(batch) > 0; {
+		v, err := platform.CommitResolved(ctx, b.Table, merge(batch))
+		if !errors.Is(err, platform.ErrConflict) {
+			answer(batch, v, err)
+			return
+		}
+		if len(batch) == 1 {
+			answer(batch, 0, platform.ErrConflict)
+			return
+		}
+		rest, err := b.holding(ctx, batch)
+		if err != nil {
+			break
+		}
+		if len(rest) == len(batch) {
+			try++
+		}
+		batch = rest
+	}
+	answer(batch, 0, platform.ErrUnavailable) // nothing of it took effect
+}
+
+func merge(batch []*waiting) platform.Txn {
+	m := platform.Txn{Op: newID()}
+	for _, w := range batch {
+		m.Conds = append(m.Conds, w.txn.Conds...)
+		m.Writes = append(m.Writes, w.txn.Writes...)
+	}
+	return m
+}
+
+func answer(batch []*waiting, v uint64, err error) {
+	for _, w := range batch {
+		w.reply <- reply{v, err}
+	}
+}
+
+// holding answers the transactions whose conditions do not hold, and returns
+// the others.
+func (b *Batcher) holding(ctx context.Context, batch []*waiting) ([]*waiting, error) {
+	var keys []string
+	for _, w := range batch {
+		for _, c := range w.txn.Conds {
+			keys = append(keys, c.Key)
+		}
+	}
+	rows, err := b.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	versions := make(map[string]uint64, len(rows))
+	for _, r := range rows {
+		versions[r.Key] = r.Version
+	}
+	var rest []*waiting
+	for _, w := range batch {
+		if holds(w.txn, versions) {
+			rest = append(rest, w)
+		} else {
+			w.reply <- reply{0, platform.ErrConflict}
+		}
+	}
+	return rest, nil
+}
+
+func holds(t platform.Txn, versions map[string]uint64) bool {
+	for _, c := range t.Conds {
+		if versions[c.Key] != c.Version {
+			return false
+		}
+	}
+	return true
+}
--- a/node/claim/fate.go
+++ b/node/claim/fate.go
@@ -33,7 +33,8 @@
 	next, settled := claim.Judge(row, rep)
 	if settled || next.State != row.State {
 		if seen, err = s.write(ctx, key, seen, next); err != nil {
-			return seen, storeDown(err)
+			// The attempt may have run, so this must not read as "not run".
+			return seen, fault.Unknown(fault.StepClaim, "", fault.CodeStoreDown, "settle claim: %w", err).After(storeDownAfter)
 		}
 	}
 	if !settled {
--- a/node/claim/grant.go
+++ b/node/claim/grant.go
@@ -17,6 +17,7 @@
 	key     string
 	row     claim.Row
 	version uint64
+	until   time.Time // with the monotonic clock: the request's deadline
 }
 
 // Dispatching must return nil before the first byte of an attempt goes out:
@@ -26,6 +27,11 @@
 // After an error nothing may be dispatched, and the grant must be ended with
 // NotRun.
 func (g *Grant) Dispatching(ctx context.Context, route claim.Route, deadline time.Time) error {
+	if !time.Now().Before(g.until) {
+		// This host was paused. Others look after the claim from now on; the
+		// upstream's refusal of an attempt they fenced is the second line.
+		return fault.NotRun(fault.StepClaim, "", fault.CodeDeadline, "deadline passed before the dispatch")
+	}
 	if g.row.State == claim.Dispatched && g.row.Route == route {
 		return nil
 	}
--- /dev/null
+++ b/node/claim/rangelog.go
@@ -0,0 +1,190 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/claim"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+)
+
+// A range is stored as a head row and a log. Each append writes one log row
+// and the head under the condition that nobody else wrote the head: an owner
+// whose lease lapsed while it was paused fails on its next append.
+const (
+	headPrefix = "claims/head/"
+	logPrefix  = "claims/log/"
+	logPage    = 256 // log rows read at once when a range is opened
+)
+
+type head struct {
+	Epoch uint64 `json:"epoch"`
+	Next  uint64 `json:"next"` // sequence number of the next log row
+	// Version is the last one given to a row. Were it only in the log, it would
+	// go down when the log row that holds it is dropped, and a change that was
+	// judged on a forgotten row could pass as one on its successor.
+	Version uint64 `json:"version"`
+}
+
+type logEntry struct {
+	Key     string     `json:"k"`
+	Version uint64     `json:"v"`
+	Row     *claim.Row `json:"r,omitempty"` // nil: deleted
+}
+
+type logRow struct {
+	Entries []logEntry `json:"e"`
+	Expires int64      `json:"x"` // Unix milliseconds; no entry matters after it
+}
+
+// segment is a log row as its owner remembers it.
+type segment struct {
+	seq     uint64
+	expires int64
+	keys    []string
+}
+
+func headKey(rng int) string            { return fmt.Sprintf("%s%d", headPrefix, rng) }
+func logKey(rng int, seq uint64) string { return fmt.Sprintf("%s%d/%016x", logPrefix, rng, seq) }
+func logKeys(rng int) (prefix string)   { return fmt.Sprintf("%s%d/", logPrefix, rng) }
+
+// OpenRange takes a range over under a lease: it fences the owner before it by
+// writing the head, then reads the log.
+func OpenRange(ctx context.Context, cfg RangeConfig, deps RangeDeps, rng int) (*Range, error) {
+	r := &Range{cfg: cfg, deps: deps, rng: rng, rows: map[string]held{}, in: make(chan *change), stopped: make(chan struct{})}
+	if err := r.takeHead(ctx); err != nil {
+		return nil, err
+	}
+	if err := r.readLog(ctx); err != nil {
+		return nil, err
+	}
+	deps.Log.Emit(event.ClaimRangeOpened, zap.Int("range", rng), zap.Uint64("epoch", r.head.Epoch), zap.Int("records", len(r.rows)))
+	return r, nil
+}
+
+func (r *Range) takeHead(ctx context.Context) error {
+	rows, err := r.deps.Table.Get(ctx, headKey(r.rng))
+	if err != nil {
+		return eris.Wrapf(err, "read head of claim range %d", r.rng)
+	}
+	var version uint64
+	if len(rows) > 0 {
+		version = rows[0].Version
+		if err := json.Unmarshal(rows[0].Value, &r.head); err != nil {
+			return eris.Wrapf(err, "decode head of claim range %d", r.rng)
+		}
+	}
+	if r.head.Epoch > r.deps.Lease.Epoch() {
+		return errors.Join(platform.ErrConflict, errors.New("claim range has a later owner"))
+	}
+	r.head.Epoch = r.deps.Lease.Epoch()
+	r.version = r.head.Version
+	r.headVersion, err = r.writeHead(ctx, version, r.head, nil)
+	return err
+}
+
+// writeHead writes the head together with more writes, if the head still has
+// the given version.
+func (r *Range) writeHead(ctx context.Context, version uint64, h head, more []platform.Write) (uint64, error) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode head of claim range")
+	}
+	k := headKey(r.rng)
+	return platform.CommitResolved(ctx, r.deps.Table, platform.Txn{
+		Op:     newID(),
+		Conds:  []platform.Cond{{Key: k, Version: version}},
+		Writes: append(more, platform.Write{Key: k, Value: value}),
+	})
+}
+
+func (r *Range) readLog(ctx context.Context) error {
+	after := ""
+	for {
+		rows, err := r.deps.Table.List(ctx, logKeys(r.rng), after, logPage)
+		if err != nil {
+			return eris.Wrapf(err, "read log of claim range %d", r.rng)
+		}
+		for _, row := range rows {
+			if err := r.replay(row); err != nil {
+				return err
+			}
+			after = row.Key
+		}
+		if len(rows) < logPage {
+			return nil
+		}
+	}
+}
+
+func (r *Range) replay(row platform.Row) error {
+	var l logRow
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		return eris.Wrapf(err, "decode %s", row.Key)
+	}
+	var seq uint64
+	if _, err := fmt.Sscanf(row.Key[len(logKeys(r.rng)):], "%x", &seq); err != nil {
+		return eris.Wrapf(err, "sequence of %s", row.Key)
+	}
+	r.apply(seq, l)
+	return nil
+}
+
+// apply takes a log row into memory.
+func (r *Range) apply(seq uint64, l logRow) {
+	s := segment{seq: seq, expires: l.Expires, keys: make([]string, 0, len(l.Entries))}
+	for _, e := range l.Entries {
+		r.version = max(r.version, e.Version)
+		if e.Row == nil {
+			delete(r.rows, e.Key)
+			continue
+		}
+		r.rows[e.Key] = held{row: e.Row, version: e.Version, seq: seq}
+		s.keys = append(s.keys, e.Key)
+	}
+	r.segments = append(r.segments, s)
+}
+
+// expireMost bounds the log rows that one append drops, so that a commit
+// stays small after a long pause.
+const expireMost = 4
+
+// expire drops the oldest log rows whose claims are forgotten, in the same
+// commit as an append: sweeping costs no writes of its own. Claims that must
+// be kept longer are appended again. It returns the writes, the entries to
+// append and how many segments go.
+func (r *Range) expire(now time.Time) (writes []platform.Write, again []logEntry, count int) {
+	for _, s := range r.segments[:min(expireMost, len(r.segments))] {
+		if now.UnixMilli() < s.expires {
+			break
+		}
+		for _, k := range s.keys {
+			h, ok := r.rows[k]
+			if ok && h.seq == s.seq && claim.Sweepable(*h.row, r.cfg.TTL, now) != claim.Forget {
+				again = append(again, logEntry{Key: k, Version: h.version, Row: h.row})
+			}
+		}
+		writes = append(writes, platform.Write{Key: logKey(r.rng, s.seq), Delete: true})
+		count++
+	}
+	return writes, again, count
+}
+
+// forget takes dropped segments out of memory, after their commit.
+func (r *Range) forget(count int) {
+	for _, s := range r.segments[:count] {
+		for _, k := range s.keys {
+			if h, ok := r.rows[k]; ok && h.seq == s.seq {
+				delete(r.rows, k)
+			}
+		}
+	}
+	r.segments = r.segments[count:]
+}
--- a/node/claim/settle.go
+++ b/node/claim/settle.go
@@ -104,17 +104,30 @@
 	return true
 }
 
-func (q *queue) pop() (*settlement, bool) {
+// head is the settlement to try next. It stays counted until remove, so that
+// one which fails again can never be pushed out by a newer one.
+func (q *queue) head() (*settlement, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.items) == 0 {
 		return nil, false
 	}
+	return q.items[0], true
+}
+
+// remove drops the head; with again it goes to the tail instead, so that one
+// settlement that cannot be written does not hold up the others.
+func (q *queue) remove(again bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	st := q.items[0]
 	q.items[0] = nil
 	q.items = q.items[1:]
+	if again {
+		q.items = append(q.items, st)
+		return
+	}
 	q.bytes -= st.bytes()
-	return st, true
 }
 
 // Pending says how many settlements wait, and the bytes of their answers.
@@ -154,20 +167,22 @@
 }
 
 // Drain writes every deferred settlement, trying again until ctx ends. On
-// shutdown it is called after the last request has ended and Run has stopped.
+// shutdown it is called after the last request has ended and Run has stopped:
+// the queue has one reader at a time.
 func (s *Store) Drain(ctx context.Context) error {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval, wait.MaxInterval = deferFirst, deferMost
 	for {
-		st, ok := s.queue.pop()
+		st, ok := s.queue.head()
 		if !ok {
 			return nil
 		}
-		if s.settleOnce(ctx, st) == nil {
+		err := s.settleOnce(ctx, st)
+		s.queue.remove(err != nil)
+		if err == nil {
 			wait.Reset()
 			continue
 		}
-		s.queue.push(st)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/node/claim/store.go
+++ b/node/claim/store.go
@@ -82,7 +82,7 @@
 	Route claim.Route
 }
 
-// Answer is a whole answer. Dropped tells that its body was not kept.
+// Answer is a whole answer.
 type Answer struct {
 	Status      int
 	ContentType string
@@ -116,7 +116,7 @@
 		var err error
 		switch d.Action {
 		case claim.Own:
-			return s.grant(key, seen), nil, nil
+			return &Grant{store: s, key: key, row: *seen.Row, version: seen.Version, until: req.Deadline}, nil, nil
 		case claim.Run:
 			seen, err = s.run(ctx, key, arrival, seen)
 		case claim.Replay:
@@ -152,17 +152,14 @@
 		return next, nil
 	}
 	if errors.Is(err, platform.ErrInDoubt) {
-		// The claim may stand. Nothing was dispatched under it and nothing will
-		// be, so the key is freed as soon as the table answers.
+		// The claim may stand, or arrive yet. Nothing was dispatched under it
+		// and nothing will be, so the key is freed as soon as the table answers;
+		// the freed row also makes a claim that arrives yet fail.
 		s.enqueue(&settlement{key: key, id: row.ID, row: row, version: seen.Version, change: release}, err)
 	}
 	return Seen{}, storeDown(err)
 }
 
-func (s *Store) grant(key string, seen Seen) *Grant {
-	return &Grant{store: s, key: key, row: *seen.Row, version: seen.Version}
-}
-
 func (s *Store) replay(ctx context.Context, a *claim.Answer) (*Answer, error) {
 	if a == nil || a.Dropped {
 		return nil, &fault.Error{Step: fault.StepClaim, Code: fault.CodeConflict, Outcome: outcome.Completed,
--- /dev/null
+++ b/standin/history/history.go
@@ -0,0 +1,230 @@
+// Package history records what callers asked and were told, and what
+// upstreams executed, each on its own side, and checks the two against each
+// other: a request that may not be repeated is a register that is written at
+// most once.
+package history
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/anishathalye/porcupine"
+
+	"peridotpier.example/core/outcome"
+)
+
+// Invocation is one request as its caller saw it.
+type Invocation struct {
+	Call    string // unique to the invocation
+	Key     string // idempotency key with its team; "": the request may be repeated
+	Start   int64  // of the history's clock
+	End     int64
+	Outcome outcome.Outcome
+	Answer  string // of a completed one: its bytes or their hash
+	Open    bool   // no answer came
+	Gone    bool   // the caller left, or was told by a broken connection; no answer was due
+	Busy    bool   // told that another is in progress
+}
+
+// Execution is one attempt as its upstream carried it out, in part or in whole.
+type Execution struct {
+	Call    string // the invocation it was for, if the upstream can tell
+	Key     string
+	Attempt string
+	Start   int64
+	End     int64 // 0: never ended
+	Answer  string
+}
+
+// History collects both sides. It is safe for use by many goroutines.
+type History struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	calls map[string]*Invocation
+	order []*Invocation
+	execs []*Execution
+}
+
+// New makes an empty history.
+func New() *History { return &History{calls: map[string]*Invocation{}} }
+
+// Now advances and reads the history's clock, which orders events and
+// measures nothing.
+func (h *History) Now() int64 { return h.clock.Add(1) }
+
+// Invoke records that a caller sends a request.
+func (h *History) Invoke(call, key string) {
+	inv := &Invocation{Call: call, Key: key, Start: h.Now(), Open: true}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls[call] = inv
+	h.order = append(h.order, inv)
+}
+
+// Answered records what the caller was told.
+func (h *History) Answered(call string, o outcome.Outcome, answer string) {
+	h.end(call, func(i *Invocation) { i.Outcome, i.Answer, i.Open = o, answer, false })
+}
+
+// ToldBusy records that the caller was told to come back.
+func (h *History) ToldBusy(call string) {
+	h.end(call, func(i *Invocation) { i.Busy, i.Open = true, false })
+}
+
+// Left records that the caller is gone, or that its connection broke.
+func (h *History) Left(call string) { h.end(call, func(i *Invocation) { i.Gone = true }) }
+
+func (h *History) end(call string, set func(*Invocation)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	inv := h.calls[call]
+	inv.End = h.Now()
+	set(inv)
+}
+
+// Begin records that an upstream starts to execute an attempt.
+func (h *History) Begin(e Execution) *Execution {
+	e.Start = h.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.execs = append(h.execs, &e)
+	return &e
+}
+
+// Finish records that it ended with an answer.
+func (h *History) Finish(e *Execution, answer string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e.End, e.Answer = h.Now(), answer
+}
+
+// Counts are plain counts over a history, for reports.
+type Counts struct {
+	Requests  int `json:"requests"`
+	Completed int `json:"completed"`
+	NotRun    int `json:"not_run"`
+	Unknown   int `json:"unknown"`
+	Busy      int `json:"in_progress"`
+	Lost      int `json:"lost"`       // no answer, and the caller was there
+	Doubled   int `json:"doubled"`    // executions of a key beyond its first
+	Cut       int `json:"cut"`        // told completed with a beginning of the true answer only
+	Crossed   int `json:"crossed"`    // told completed with an answer that no execution for it gave
+	FalseNo   int `json:"false_no"`   // told not run, and an upstream ran that very invocation
+	FalseBusy int `json:"false_busy"` // told in progress after every other invocation had ended as not run
+}
+
+// Count counts.
+func (h *History) Count() Counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := Counts{Requests: len(h.order)}
+	byKey, byCall := h.index()
+	for key, execs := range byKey {
+		if key != "" {
+			c.Doubled += len(execs) - 1
+		}
+	}
+	for _, i := range h.order {
+		execs := byCall[i.Call]
+		if i.Key != "" {
+			execs = byKey[i.Key]
+		}
+		c.add(i, execs, byCall[i.Call])
+		if i.Busy && h.falseBusy(i) {
+			c.FalseBusy++
+		}
+	}
+	return c
+}
+
+func (h *History) index() (byKey, byCall map[string][]*Execution) {
+	byKey, byCall = map[string][]*Execution{}, map[string][]*Execution{}
+	for _, e := range h.execs {
+		byKey[e.Key] = append(byKey[e.Key], e)
+		if e.Call != "" {
+			byCall[e.Call] = append(byCall[e.Call], e)
+		}
+	}
+	return byKey, byCall
+}
+
+func (c *Counts) add(i *Invocation, sources, own []*Execution) {
+	switch {
+	case i.Gone:
+	case i.Open:
+		c.Lost++
+	case i.Busy:
+		c.Busy++
+	case i.Outcome == outcome.Completed:
+		c.Completed++
+		c.judge(i, sources)
+	case i.Outcome == outcome.NotRun:
+		c.NotRun++
+		if len(own) > 0 {
+			c.FalseNo++
+		}
+	default:
+		c.Unknown++
+	}
+}
+
+func (c *Counts) judge(i *Invocation, sources []*Execution) {
+	cut := false
+	for _, e := range sources {
+		if e.Answer == i.Answer {
+			return
+		}
+		cut = cut || strings.HasPrefix(e.Answer, i.Answer)
+	}
+	if cut {
+		c.Cut++
+	} else {
+		c.Crossed++
+	}
+}
+
+// falseBusy: nobody can have been at it.
+func (h *History) falseBusy(i *Invocation) bool {
+	for _, o := range h.order {
+		if o == i || o.Key != i.Key || o.Start > i.End {
+			continue
+		}
+		ended := !o.Open && !o.Gone && (o.Busy || o.Outcome == outcome.NotRun)
+		if !ended || o.End > i.Start {
+			return false
+		}
+	}
+	return true
+}
+
+// Check verifies each key's history against the register. The error names
+// the first key that cannot be explained.
+func Check(h *History) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ops := map[string][]porcupine.Operation{}
+	for n, e := range h.execs {
+		if e.Key == "" {
+			continue
+		}
+		end := e.End
+		if end == 0 {
+			end = never
+		}
+		ops[e.Key] = append(ops[e.Key], porcupine.Operation{ClientId: n, Input: event{ran, e.Call}, Call: e.Start, Output: e.Answer, Return: end})
+	}
+	for n, i := range h.order {
+		if op, ok := told(i); ok {
+			op.ClientId = len(h.execs) + n
+			ops[i.Key] = append(ops[i.Key], op)
+		}
+	}
+	for key, o := range ops {
+		if !porcupine.CheckOperations(register, o) {
+			return fmt.Errorf("key %s: no order of its %d events explains what callers were told", key, len(o))
+		}
+	}
+	return nil
+}
