--- /dev/null
+++ b/cmd/peridotpier/check.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/core/config"
+	"peridotpier.example/node/settings"
+)
+
+type checkCommand struct {
+	settings string
+	config   string
+	json     bool
+}
+
+func (*checkCommand) Name() string { return "check" }
+func (*checkCommand) Synopsis() string {
+	return "check a settings file, a deployment configuration, or both"
+}
+func (*checkCommand) Usage() string {
+	return "peridotpier check [--settings FILE] [--configuration FILE] [--json]\n  Prints every fault with its JSON path. Exit 0: no fault; 1: faults; 2: usage.\n"
+}
+
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `file` of a host")
+	f.StringVar(&c.config, "configuration", "", "deployment configuration `file`")
+	f.BoolVar(&c.json, "json", false, "print faults as JSON")
+}
+
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.settings == "" && c.config == "" {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return exit.Usage
+	}
+	faults := []config.Fault{}
+	for _, file := range []struct {
+		name  string
+		parse func([]byte) []config.Fault
+	}{
+		{c.settings, func(b []byte) []config.Fault { _, f := settings.Parse(b); return f }},
+		{c.config, func(b []byte) []config.Fault { _, f := config.Parse(b); return f }},
+	} {
+		if file.name == "" {
+			continue
+		}
+		data, err := os.ReadFile(file.name)
+		if err != nil {
+			return exit.Print(os.Stderr, c.json, err)
+		}
+		for _, f := range file.parse(data) {
+			faults = append(faults, config.Fault{Path: file.name + ": " + f.Path, Problem: f.Problem})
+		}
+	}
+	return c.print(faults)
+}
+
+func (c *checkCommand) print(faults []config.Fault) subcommands.ExitStatus {
+	if c.json {
+		_ = json.NewEncoder(os.Stdout).Encode(map[string]any{"faults": faults})
+	} else {
+		for _, f := range faults {
+			fmt.Println(f)
+		}
+	}
+	if len(faults) > 0 {
+		return exit.Failed
+	}
+	return exit.OK
+}
--- /dev/null
+++ b/cmd/peridotpier/serve.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/node/platform/rest"
+	"peridotpier.example/node/server"
+	"peridotpier.example/node/settings"
+)
+
+type serveCommand struct{ settings string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run the node until SIGTERM or SIGINT" }
+func (*serveCommand) Usage() string {
+	return "peridotpier serve --settings FILE\n  Exit 0: stopped gracefully; 1: could not start or run; 2: usage.\n"
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `file`")
+}
+
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return exit.Usage
+	}
+	return exit.Print(os.Stderr, false, c.serve(ctx))
+}
+
+func (c *serveCommand) serve(ctx context.Context) error {
+	data, err := os.ReadFile(c.settings)
+	if err != nil {
+		return err
+	}
+	set, faults := settings.Parse(data)
+	if len(faults) > 0 {
+		return &exit.Error{Code: exit.Failed, Err: fmt.Errorf("%s: %s", c.settings, faults[0]),
+			Do: fmt.Sprintf("run peridotpier check --settings %s for all %d faults", c.settings, len(faults))}
+	}
+	secrets, err := server.LoadSecrets(set)
+	if err != nil {
+		return err
+	}
+	log, err := newLog(set.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Sync() }() // standard error cannot be synced everywhere
+	s, err := server.New(server.Config{Settings: set, Secrets: secrets, Platform: platformOf(set.Platform), Log: log})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return s.Run(ctx)
+}
+
+// newLog writes JSON lines to standard error.
+func newLog(level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(l)
+	cfg.Sampling = nil // a numbered event must not be lost among its like
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return cfg.Build()
+}
+
+func platformOf(p settings.Platform) server.Platform {
+	client := func(base string) *rest.Client {
+		return rest.New(rest.Config{Base: base, Timeout: time.Duration(p.TimeoutMs) * time.Millisecond})
+	}
+	return server.Platform{Table: client(p.Table), Objects: client(p.Objects).Objects(), Hosts: client(p.Hosts), Weights: client(p.Weights)}
+}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -16,11 +16,13 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/route"
+	"peridotpier.example/node/admission"
 	"peridotpier.example/node/callerapi"
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
 	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/conn"
@@ -40,10 +42,19 @@
 type Config struct {
 	Settings *settings.Settings
 	Secrets  Secrets
+	Platform Platform
 	Log      *zap.Logger
 	Picker   route.Picker // nil: the default
 }
 
+// Platform is what the platform gives.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Hosts   platform.Hosts
+	Weights platform.Weights
+}
+
 // Server is one node.
 type Server struct {
 	cfg      Config
@@ -54,6 +65,8 @@
 	view     *view.View
 	poller   *poll.Poller
 	dispatch *dispatch.Dispatcher
+	admit    *admission.Controller
+	claims   *claims
 	caller   *http.Server
 	callerLn net.Listener
 	state    atomic.Pointer[query.State]
@@ -73,8 +86,10 @@
 	s.dispatch = dispatch.New(dispatch.Config{Silence: set.Bounds.Silence(), RetryShare: set.Bounds.RetryShare},
 		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics})
 	s.metrics.Func(metrics.InFlight, func() any { return s.requests.Live() })
+	s.admit = admission.New(admission.Config{Hosts: 1})
+	s.claims = newClaims(cfg.Platform, s, set)
 	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: cfg.Secrets.PrefixSalt}, callerapi.Deps{
-		InForce: s.state.Load, Admission: openAdmission{}, Dispatcher: s.dispatch, Tokens: cfg.Secrets.Resume,
+		InForce: s.state.Load, Admission: admitter{s.admit}, Claims: s.claims, Dispatcher: s.dispatch, Tokens: cfg.Secrets.Resume,
 		Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
 	s.caller = &http.Server{Handler: api, ReadHeaderTimeout: headBound, IdleTimeout: idleBound, MaxHeaderBytes: set.Bounds.HeaderBytes}
 	ln, err := net.Listen("tcp", set.Caller.Address)
@@ -85,23 +100,9 @@
 	return s, nil
 }
 
-// openAdmission lets everything in.
-type openAdmission struct{}
-
-func (openAdmission) Admit(context.Context, callerapi.AdmitRequest) (func(), error) {
-	return func() {}, nil
-}
-
 // CallerAddress is where callers are served.
 func (s *Server) CallerAddress() string { return s.callerLn.Addr().String() }
 
-// Configure puts a configuration in force on this host.
-func (s *Server) Configure(st *query.State) {
-	s.view.Configure(st.Index)
-	s.poller.Assign(st.Index.Upstreams)
-	s.state.Store(st)
-}
-
 // Run serves until ctx ends, then shuts down gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	var g run.Group
@@ -115,6 +116,8 @@
 		<-work.Done()
 		return nil
 	}, func(error) { _ = s.caller.Close() })
+	g.Add(func() error { return s.admit.Run(work) }, func(error) { stopWork() })
+	g.Add(func() error { return s.claims.run(work) }, func(error) { stopWork() })
 	g.Add(func() error { return s.untilDrained(ctx) }, func(error) { stopWork() })
 	s.ready.Store(true)
 	s.log.Emit(event.ProcessReady, zap.String("host", s.cfg.Settings.Host), zap.String("address", s.CallerAddress()))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -124,14 +124,15 @@
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	s.setDefaults()
+	s.SetDefaults()
 	if faults = s.check(); len(faults) > 0 {
 		return nil, faults
 	}
 	return s, nil
 }
 
-func (s *Settings) setDefaults() {
+// SetDefaults fills in what was left out.
+func (s *Settings) SetDefaults() {
 	b := &s.Bounds
 	for _, d := range []struct {
 		field *int
--- a/node/upstream/poll/poll.go
+++ b/node/upstream/poll/poll.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/fault"
@@ -28,6 +29,8 @@
 	reportBytes = 1 << 20
 	// jitter spreads the questions of many hosts over the interval.
 	jitter = 0.2
+	// askAtOnce bounds the questions under way when a host starts.
+	askAtOnce = 32
 )
 
 // Sink takes what upstreams tell; node/upstream/view implements it.
@@ -209,3 +212,20 @@
 	}
 	return json.Unmarshal(data, out)
 }
+
+// AskAll asks every assigned upstream once, so that a host that has just
+// started does not refuse what it could serve.
+func (p *Poller) AskAll(ctx context.Context) {
+	p.mu.Lock()
+	targets := make([]config.Upstream, 0, len(p.asked))
+	for _, t := range p.asked {
+		targets = append(targets, t.upstream)
+	}
+	p.mu.Unlock()
+	var g errgroup.Group
+	g.SetLimit(askAtOnce)
+	for _, u := range targets {
+		g.Go(func() error { p.ask(ctx, &target{upstream: u}); return nil })
+	}
+	_ = g.Wait() // ask keeps its failures to itself
+}
