Show nine failures of the data path and what prevents each

Cause: a lost, crossed, silent or cut answer must never be taken for an end. Change: tests that cause each failure on a real node; a request lost on the way may go to the same upstream again, since that upstream did not refuse it. Measured: before, a call lost on its way to the only service ended as not run (502); now it runs once and is answered.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -56,7 +56,7 @@
 // Attempt is how an attempt ended.
 type Attempt struct {
 	Outcome    outcome.Outcome
-	Upstream   string
+	Upstream   string        // not to go back to; "" when it did not refuse
 	RetryAfter time.Duration // asked for by the upstream; 0: nothing asked
 	// Elsewhere tells that another upstream may be tried at once, whatever
 	// this one asked for: it alone is full, leaving or unreachable.
@@ -69,6 +69,7 @@
 	repeatable bool
 	deadline   time.Time
 	attempts   int
+	avoided    int
 	avoid      [Avoided]string
 	mayHaveRun bool
 	pauses     *backoff.ExponentialBackOff
@@ -89,7 +90,10 @@
 // After says what follows the attempt a, which ended at now. It takes from
 // the budget only when it decides to retry.
 func (r *Request) After(a Attempt, b *Budget, now time.Time) Decision {
-	r.avoid[r.attempts%Avoided] = a.Upstream
+	if a.Upstream != "" {
+		r.avoid[r.avoided%Avoided] = a.Upstream
+		r.avoided++
+	}
 	r.attempts++
 	r.mayHaveRun = r.mayHaveRun || a.Outcome == outcome.Unknown
 	d := Decision{Avoid: r.avoid, Outcome: r.told(a.Outcome)}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -173,7 +173,11 @@
 	if r.out.started || ctx.Err() != nil {
 		return false
 	}
-	next := r.d.after(r.retries, retry.Attempt{Outcome: r.last.Outcome, Upstream: a.ep.Upstream,
+	avoid := a.ep.Upstream
+	if r.last.Step == fault.StepResume && r.last.Outcome == outcome.NotRun {
+		avoid = "" // the upstream answered that the attempt never reached it: the connection failed, not it
+	}
+	next := r.d.after(r.retries, retry.Attempt{Outcome: r.last.Outcome, Upstream: avoid,
 		RetryAfter: r.last.RetryAfter, Elsewhere: true})
 	r.last.Outcome = next.Outcome
 	if !next.Retry || a.bodyUsed {
--- /dev/null
+++ b/standin/local/faults_test.go
@@ -0,0 +1,227 @@
+package local_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/engine"
+)
+
+// slow is an engine whose streams last long enough to be broken.
+var slow = engine.Config{TokenTime: 5 * time.Millisecond}
+
+// open starts a stream and reads its first events.
+func (p *path) open(ctx context.Context, base, body string, events int) (*http.Response, *bufio.Reader, string) {
+	p.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, "POST", base+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(p.t, err)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(p.t, err)
+	assert.Equal(p.t, resp.StatusCode, http.StatusOK)
+	r := bufio.NewReader(resp.Body)
+	var text strings.Builder
+	for n := 0; n < events; {
+		line, err := r.ReadString('\n')
+		assert.NilError(p.t, err)
+		text.WriteString(line)
+		if line == "\n" {
+			n++
+		}
+	}
+	return resp, r, text.String()
+}
+
+// Symptom: a caller's stream ends early, or repeats or lacks tokens.
+// Sequence: the connection to the engine breaks after every few tokens.
+// Cause: a broken connection is taken for the end, or the rest is asked for
+// from the wrong position.
+func TestABrokenStreamIsResumedByteForByte(t *testing.T) {
+	p := newPath(t, engine.Config{})
+	body := fmt.Sprintf(chat, true, 40)
+	_, _, unbroken := p.do("POST", "/v1/chat/completions", teamKey, body)
+	p.eng.CutStream(7)
+	status, _, broken := p.do("POST", "/v1/chat/completions", teamKey, body)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, broken, unbroken)
+}
+
+// Symptom: a stream stands still for ever although its engine goes on.
+// Sequence: tokens flow; the connection goes silent without being closed; new
+// connections work.
+// Cause: something between the two ends lost track of the connection.
+func TestASilentConnectionIsReplacedInMidStream(t *testing.T) {
+	p := newPath(t, slow)
+	body := fmt.Sprintf(chat, true, 60)
+	_, _, unbroken := p.do("POST", "/v1/chat/completions", teamKey, body)
+	resp, r, begin := p.open(t.Context(), p.base, body, 5)
+	p.eng.Freeze(false)
+	rest, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, begin+string(rest), unbroken)
+}
+
+// Symptom: a caller gets another caller's answer, or part of it.
+// Sequence: the engine writes another attempt's event into a stream, time and
+// again, while several callers are served.
+// Cause: an answer is matched to a request by its connection alone.
+func TestACrossedAnswerNeverReachesACaller(t *testing.T) {
+	p := newPath(t, slow)
+	long, _, _ := p.open(t.Context(), p.base, fmt.Sprintf(chat, true, 400), 1)
+	defer func() { _ = long.Body.Close() }()
+	const mine = `{"model":"m","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"mine"}]}`
+	_, _, own := p.do("POST", "/v1/chat/completions", teamKey, mine)
+	p.eng.Cross(0.5)
+	for range 8 {
+		status, _, got := p.do("POST", "/v1/chat/completions", teamKey, mine)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, got, own)
+	}
+	assert.Assert(t, p.eng.Records().Crossed > 0, "nothing was crossed: the test shows nothing")
+}
+
+// Symptom: a stream that lost its engine looks complete.
+// Sequence: some tokens were relayed; the engine's process restarts.
+// Cause: the end of the connection is taken for the end of the stream.
+func TestAStreamWhoseEngineDiedEndsWithATypedError(t *testing.T) {
+	p := newPath(t, slow)
+	resp, r, _ := p.open(t.Context(), p.base, fmt.Sprintf(chat, true, 400), 5)
+	defer func() { _ = resp.Body.Close() }()
+	p.eng.Restart()
+	rest, err := io.ReadAll(r)
+	assert.Assert(t, err != nil, "the connection ended cleanly")
+	assert.Assert(t, strings.Contains(string(rest), "event: error\n"), string(rest))
+	assert.Assert(t, strings.Contains(string(rest), `"outcome":"unknown"`), string(rest))
+	assert.Assert(t, !strings.Contains(string(rest), engineapi.StreamEnd), string(rest))
+}
+
+// Symptom: a dispatch note is packed twice, or never.
+// Sequence: a call that may not be repeated reaches the service, or does not;
+// its answer is lost; the caller waits.
+// Cause: a lost answer is taken for a call that did not run, or for one that did.
+func TestALostAnswerIsSettledByTheUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(p *path)
+	}{
+		{"answer lost", func(p *path) { p.svc.LoseAnswers(1) }},
+		{"answer cut", func(p *path) { p.svc.CutAnswers(1) }},
+		{"request lost", func(p *path) { p.svc.LoseRequests(1) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPath(t, engine.Config{})
+			c.lose(p)
+			status, _, body := p.do("POST", "/v1/services/stock/notes", teamKey, "note", "Idempotency-Key", "k1")
+			assert.Equal(t, status, http.StatusOK, body)
+			again, h, same := p.do("POST", "/v1/services/stock/notes", teamKey, "note", "Idempotency-Key", "k1")
+			assert.Equal(t, again, http.StatusOK, same)
+			assert.Equal(t, h.Get("Peridot-Replayed"), "true")
+			assert.Equal(t, same, body)
+			assert.Equal(t, len(p.svc.Executions()), 1)
+		})
+	}
+}
+
+// Symptom: requests fail while an upstream goes away, or go to it for long.
+// Sequence: the only engine starts to leave between two reports.
+// Cause: the platform's list and the reports lag behind the upstream's own word.
+func TestALeavingUpstreamsRefusalCountsAtOnce(t *testing.T) {
+	p := newPath(t, engine.Config{})
+	p.eng.Leave()
+	for range 2 {
+		status, h, body := p.do("POST", "/v1/chat/completions", teamKey, fmt.Sprintf(chat, false, 5))
+		assert.Equal(t, status, http.StatusServiceUnavailable, body)
+		assert.Assert(t, strings.Contains(body, `"outcome":"not_run"`), body)
+		assert.Assert(t, h.Get("Retry-After") != "")
+	}
+	assert.Equal(t, len(p.eng.Records().Executions), 0)
+}
+
+// Symptom: a caller whose entry host died loses its answer.
+// Sequence: a stream runs through one host; the caller's connection breaks; it
+// shows its resume token to another host.
+// Cause: the state of a stream is kept on one host.
+func TestAStreamIsResumedThroughAnotherHost(t *testing.T) {
+	p := newPath(t, slow)
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	body := fmt.Sprintf(chat, true, 60)
+	_, _, unbroken := p.do("POST", "/v1/chat/completions", teamKey, body)
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, _, begin := p.open(ctx, p.base, body, 5)
+	cancel()
+	_ = resp.Body.Close()
+	first := p.base
+	p.base = "http://" + other.CallerAddress()
+	token := resp.Header.Get("Peridot-Resume")
+	status, _, rest := p.do("GET", "/v1/requests/"+token+"/stream", teamKey, "", "Last-Event-ID", "5")
+	assert.Equal(t, status, http.StatusOK, rest)
+	assert.Equal(t, begin+rest, unbroken)
+	stolen, _, text := p.do("GET", "/v1/requests/"+token+"/stream", otherKey, "")
+	assert.Equal(t, stolen, http.StatusNotFound, text)
+	p.base = first
+}
+
+// Symptom: a restart of a host cuts streams.
+// Sequence: a stream runs; the host is told to stop; the stream goes on.
+// Cause: the listener's end is taken for the end of what it accepted.
+func TestAGracefulShutdownCutsNothing(t *testing.T) {
+	p := newPath(t, slow)
+	body := fmt.Sprintf(chat, true, 60)
+	_, _, unbroken := p.do("POST", "/v1/chat/completions", teamKey, body)
+	resp, r, begin := p.open(t.Context(), p.base, body, 5)
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.node.Stop() }()
+	rest, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, begin+string(rest), unbroken)
+	assert.NilError(t, <-stopped)
+}
+
+// Symptom: engines work for callers that are gone.
+// Sequence: a caller asks for a whole answer and hangs up, or cancels a stream.
+// Cause: nobody tells the engine.
+func TestWorkThatNobodyWaitsForIsCancelled(t *testing.T) {
+	p := newPath(t, slow)
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", p.base+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chat, false, 8000)))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	gone := make(chan error, 1)
+	go func() { _, err := http.DefaultClient.Do(req); gone <- err }()
+	poll.WaitOn(t, p.running(1))
+	cancel()
+	assert.ErrorContains(t, <-gone, "canceled")
+	poll.WaitOn(t, p.running(0))
+
+	resp, _, _ := p.open(t.Context(), p.base, fmt.Sprintf(chat, true, 8000), 3)
+	status, _, text := p.do("DELETE", "/v1/requests/"+resp.Header.Get("Peridot-Request"), teamKey, "")
+	assert.Equal(t, status, http.StatusNoContent, text)
+	poll.WaitOn(t, p.running(0))
+	_ = resp.Body.Close()
+	for _, e := range p.eng.Records().Executions {
+		assert.Equal(t, e.State, engineapi.AttemptCancelled)
+	}
+}
+
+// running waits until the engine runs n attempts.
+func (p *path) running(n int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if got := p.eng.Truth().Running; got != n {
+			return poll.Continue("%d attempts run, not %d", got, n)
+		}
+		return poll.Success()
+	}
+}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -67,7 +67,8 @@
 
 func (p *path) startNode(name string) *local.Node {
 	set := local.Settings(name, "dc1")
-	set.Bounds.BalancerWaitSeconds = 0
+	set.Bounds.BalancerWaitSeconds = 0 // no balancer here
+	set.Bounds.SilenceMs = 200
 	n, err := local.StartNode(set, server.Platform{Table: p.tbl, Objects: platform.NewObjects(nil)}, nil)
 	assert.NilError(p.t, err)
 	c := p.config()
