Leases: pure decisions and an executor over the table

Cause: planner and other single roles need one holder at a time without a coordination service, through pauses, lost answers and outages. Change: core/lease decides from observed row versions and one clock; the holder counts from before it sent, a candidate waits the holder's whole TTL plus margins from when it saw the rows unchanged. node/lease campaigns, renews, hands over; Check right before each act; a Term has the epoch and a Guard condition that renewals do not disturb.

--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,182 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/lease"
+)
+
+var policy = lease.Policy{TTL: 9 * time.Second, Margin: 100 * time.Millisecond, ClockRate: 0.01}
+
+func TestDecisions(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	held := lease.Held{Record: lease.Record{Holder: "a", Epoch: 3, TTLMs: 9000}, From: t0}
+	for _, c := range []struct {
+		after time.Duration
+		want  lease.Action
+	}{{0, lease.Wait}, {3 * time.Second, lease.Renew}, {8800 * time.Millisecond, lease.Renew}, {8810 * time.Millisecond, lease.Lost}} {
+		assert.Equal(t, policy.Keep(held, t0.Add(c.after)).Action, c.want, "%v", c.after)
+	}
+	seen := lease.Observed{}.See(lease.Rows{Grant: 1, Beat: 1}, held.Record, t0)
+	seen = seen.See(lease.Rows{Grant: 1, Beat: 1}, held.Record, t0.Add(5*time.Second))
+	assert.Equal(t, policy.Campaign("b", seen, t0.Add(9180*time.Millisecond)).Action, lease.Wait)
+	d := policy.Campaign("b", seen, t0.Add(9190*time.Millisecond))
+	assert.Equal(t, d, lease.Decision{Action: lease.Take, Next: lease.Record{Holder: "b", Epoch: 4, TTLMs: 9000}})
+	seen = seen.See(lease.Rows{Grant: 1, Beat: 2}, held.Record, t0.Add(9*time.Second))
+	assert.Equal(t, policy.Campaign("b", seen, t0.Add(12*time.Second)).Action, lease.Wait)
+	free := lease.Observed{}.See(lease.Rows{}, lease.Record{}, t0)
+	assert.Equal(t, policy.Campaign("b", free, t0).Next.Epoch, uint64(1))
+}
+
+// Symptom: a holder that was frozen acts beside its successor. Sequence: the
+// machine is suspended for a minute, its monotonic clock with it; on waking
+// the monotonic reading shows time left. Cause: only one clock was asked.
+func TestSuspendedHolderHasNoTimeLeft(t *testing.T) {
+	from := time.Now() // carries a monotonic reading
+	woken := from.Add(time.Minute).Round(0)
+	h := lease.Held{Record: lease.Record{Holder: "a", Epoch: 1, TTLMs: 9000}, From: from}
+	assert.Assert(t, policy.Remaining(h, woken) <= 0)
+}
+
+// node is one process of the model, with a clock that starts anywhere and
+// runs up to policy.ClockRate fast or slow.
+type node struct {
+	name    string
+	offset  time.Duration
+	rate    float64
+	seen    lease.Observed
+	held    *lease.Held
+	pending *call
+}
+
+// call is a commit on its way: sent, then perhaps applied, then perhaps
+// answered, with any time between.
+type call struct {
+	cond    lease.Rows
+	next    lease.Held
+	renewal bool
+	applied bool
+	ok      bool
+}
+
+type world struct {
+	now     time.Duration // true time
+	rows    lease.Rows
+	record  lease.Record
+	version uint64
+	nodes   []*node
+	epochs  map[uint64]string // who acted in an epoch
+}
+
+func (w *world) clock(n *node) time.Time {
+	return time.Unix(0, 0).Add(n.offset + time.Duration(float64(w.now)*n.rate))
+}
+
+func (w *world) decide(n *node) {
+	now := w.clock(n)
+	if n.held == nil {
+		n.seen = n.seen.See(w.rows, w.record, now)
+		if d := policy.Campaign(n.name, n.seen, now); d.Action == lease.Take {
+			n.pending = &call{cond: n.seen.Rows, next: lease.Held{Record: d.Next, From: now}}
+		}
+		return
+	}
+	switch policy.Keep(*n.held, now).Action {
+	case lease.Renew:
+		n.pending = &call{cond: n.held.Rows, renewal: true, next: lease.Held{Record: n.held.Record, From: now}}
+	case lease.Lost:
+		n.held = nil
+	}
+}
+
+func (w *world) apply(c *call) {
+	if c.applied {
+		return
+	}
+	c.applied = true
+	if c.ok = c.cond == w.rows; !c.ok {
+		return
+	}
+	w.version++
+	w.rows.Beat = w.version
+	if !c.renewal {
+		w.rows.Grant, w.record = w.version, c.next.Record
+	}
+	c.next.Rows = w.rows
+}
+
+func (w *world) answer(n *node) {
+	w.apply(n.pending)
+	if n.pending.ok {
+		h := n.pending.next
+		n.held = &h
+	} else {
+		n.held = nil
+	}
+	n.pending = nil
+}
+
+// Whatever the order of reads, commits, late answers, pauses and clock rates,
+// at any true time at most one process may act, and an epoch has one holder.
+func TestAtMostOneHolderAtAnyTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{epochs: map[uint64]string{}}
+		for i := range 3 {
+			w.nodes = append(w.nodes, &node{name: fmt.Sprint("n", i),
+				offset: time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Hour,
+				rate:   1 + rapid.SampledFrom([]float64{-0.0099, 0, 0.0099}).Draw(t, "rate")})
+		}
+		pick := func() *node { return w.nodes[rapid.IntRange(0, 2).Draw(t, "node")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"time": func(t *rapid.T) {
+				w.now += time.Duration(rapid.IntRange(1, 9500).Draw(t, "ms")) * time.Millisecond
+			},
+			"decide": func(t *rapid.T) {
+				if n := pick(); n.pending == nil {
+					w.decide(n)
+				}
+			},
+			"apply": func(t *rapid.T) {
+				if n := pick(); n.pending != nil {
+					w.apply(n.pending)
+				}
+			},
+			"answer": func(t *rapid.T) {
+				if n := pick(); n.pending != nil {
+					w.answer(n)
+				}
+			},
+			"crash": func(t *rapid.T) { // the commit on its way takes effect, unknown to the new process
+				n := pick()
+				if n.pending != nil {
+					w.apply(n.pending)
+				}
+				*n = node{name: n.name + "'", offset: n.offset, rate: n.rate}
+			},
+			"": func(t *rapid.T) { w.check(t) },
+		})
+	})
+}
+
+func (w *world) check(t *rapid.T) {
+	acting := ""
+	for _, n := range w.nodes {
+		if n.held == nil || policy.Remaining(*n.held, w.clock(n)) <= 0 {
+			continue
+		}
+		if acting != "" {
+			t.Fatalf("%s and %s may act at once", acting, n.name)
+		}
+		acting = n.name
+		e := n.held.Record.Epoch
+		if by, ok := w.epochs[e]; ok && by != n.name {
+			t.Fatalf("%s and %s both act in epoch %d", by, n.name, e)
+		}
+		w.epochs[e] = n.name
+	}
+}
--- /dev/null
+++ b/node/lease/lease.go
@@ -0,0 +1,249 @@
+// Package lease holds a role for one process at a time through the platform's
+// table: it campaigns, renews and hands over, and tells its user right before
+// each act whether the role is still held.
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	decide "peridotpier.example/core/lease"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
+	"peridotpier.example/node/platform"
+)
+
+const (
+	jitter       = 0.1             // share of each wait
+	retryPause   = time.Second / 2 // after a refusal by the table: several tries within one TTL
+	callTimeout  = 2 * time.Second // of one call while not holding
+	releaseBound = 2 * time.Second // of the hand-over on shutdown
+)
+
+// Prefix starts the keys of all leases; beatSuffix ends a lease's second row.
+const (
+	Prefix     = "lease/"
+	beatSuffix = "/beat"
+)
+
+// ErrNotHeld says that the lease is not held, or not in the epoch asked for,
+// or not for long enough: the act must not be done.
+var ErrNotHeld = errors.New("lease not held")
+
+// Config names a lease and this process.
+type Config struct {
+	Name   string // of the role, as in "planner/order-desk"
+	Holder string // this process, new at each start; "" makes one up
+	Policy decide.Policy
+}
+
+// Deps are what a lease works with; Now and Rand may be nil.
+type Deps struct {
+	Table platform.Table
+	Log   *event.Log
+	Now   func() time.Time
+	Rand  pace.Rand
+}
+
+// Term is one holding of a lease.
+type Term struct {
+	Epoch uint64        // fencing number for orders under this term
+	Guard platform.Cond // holds as long as nobody else took the lease; put it into every write under this term
+}
+
+// Lease campaigns for one role.
+type Lease struct {
+	cfg  Config
+	deps Deps
+	log  *event.Log
+
+	mu   sync.Mutex
+	held *decide.Held // nil: not held
+
+	seen decide.Observed // used by Run only
+}
+
+// New makes a lease; Run campaigns for it.
+func New(cfg Config, deps Deps) *Lease {
+	if cfg.Holder == "" {
+		cfg.Holder = uuid.NewString()
+	}
+	if cfg.Policy == (decide.Policy{}) {
+		cfg.Policy = decide.DefaultPolicy()
+	}
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	if deps.Rand == nil {
+		deps.Rand = pace.Default()
+	}
+	if deps.Log == nil {
+		deps.Log = event.NewLog(nil)
+	}
+	return &Lease{cfg: cfg, deps: deps, log: deps.Log.With(zap.String("lease", cfg.Name))}
+}
+
+// Term returns the present term, if the lease is held now.
+func (l *Lease) Term() (Term, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held == nil || l.cfg.Policy.Remaining(*l.held, l.deps.Now()) <= 0 {
+		return Term{}, false
+	}
+	return Term{Epoch: l.held.Record.Epoch, Guard: platform.Cond{Key: l.grantKey(), Version: l.held.Rows.Grant}}, true
+}
+
+// Check says whether an act that ends within need may be started now under
+// the term of epoch. It asks the clock anew each time: a process that was
+// paused for longer than its lease wakes in the middle of its work, and only
+// a check right before the act stops it from acting beside its successor.
+func (l *Lease) Check(epoch uint64, need time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held == nil || l.held.Record.Epoch != epoch || l.cfg.Policy.Remaining(*l.held, l.deps.Now()) <= need {
+		return ErrNotHeld
+	}
+	return nil
+}
+
+// Run campaigns for the lease and renews it until ctx ends, then hands it
+// over. The user must have ended its acts by then.
+func (l *Lease) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := l.step(ctx)
+		pace.Sleep(ctx, l.deps.Rand.Around(wait, jitter))
+	}
+	l.release()
+	return ctx.Err()
+}
+
+// step does what is due and returns the wait until the next step.
+func (l *Lease) step(ctx context.Context) time.Duration {
+	held, ok := l.holding()
+	if !ok {
+		return l.campaign(ctx)
+	}
+	switch d := l.cfg.Policy.Keep(held, l.deps.Now()); d.Action {
+	case decide.Renew:
+		return l.renew(ctx, held)
+	case decide.Lost:
+		l.lose("time ran out")
+		return 0
+	default:
+		return d.Wait
+	}
+}
+
+func (l *Lease) campaign(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, record, err := l.read(ctx)
+	if err != nil {
+		return retryPause
+	}
+	l.seen = l.seen.See(rows, record, l.deps.Now())
+	d := l.cfg.Policy.Campaign(l.cfg.Holder, l.seen, l.deps.Now())
+	if d.Action != decide.Take {
+		return d.Wait
+	}
+	from := l.deps.Now()
+	v, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(), Conds: l.conds(rows),
+		Writes: []platform.Write{{Key: l.grantKey(), Value: d.Next.Encode()}, {Key: l.beatKey()}}})
+	if err != nil {
+		// Lost the race, or unknown. An acquisition that takes effect later
+		// names this process in an epoch in which it never acts; it is waited
+		// out like another's.
+		return retryPause
+	}
+	l.hold(&decide.Held{Rows: decide.Rows{Grant: v, Beat: v}, Record: d.Next, From: from})
+	l.log.Emit(event.LeaseTaken, zap.Uint64("epoch", d.Next.Epoch))
+	return 0
+}
+
+func (l *Lease) renew(ctx context.Context, held decide.Held) time.Duration {
+	from := l.deps.Now()
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.Policy.Remaining(held, from))
+	defer cancel()
+	v, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(),
+		Conds: l.conds(held.Rows), Writes: []platform.Write{{Key: l.beatKey()}}})
+	switch {
+	case err == nil:
+		held.Rows.Beat, held.From = v, from
+		l.hold(&held)
+		return 0
+	case errors.Is(err, platform.ErrConflict):
+		l.lose("taken over")
+	}
+	return retryPause
+}
+
+// release hands the lease over. It stops holding before it writes: a term
+// that is still used while its successor may start would be no term.
+func (l *Lease) release() {
+	held, ok := l.holding()
+	l.hold(nil)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseBound)
+	defer cancel()
+	free := held.Record
+	free.Holder = ""
+	_, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(),
+		Conds: l.conds(held.Rows), Writes: []platform.Write{{Key: l.grantKey(), Value: free.Encode()}}})
+	if err != nil {
+		l.log.Emit(event.LeaseKept, zap.Error(err))
+		return
+	}
+	l.log.Emit(event.LeaseReleased, zap.Uint64("epoch", held.Record.Epoch))
+}
+
+func (l *Lease) read(ctx context.Context) (decide.Rows, decide.Record, error) {
+	var at decide.Rows
+	rows, err := l.deps.Table.Get(ctx, l.grantKey(), l.beatKey())
+	if err != nil {
+		return at, decide.Record{}, err
+	}
+	var value []byte
+	for _, r := range rows {
+		if r.Key == l.grantKey() {
+			at.Grant, value = r.Version, r.Value
+		} else {
+			at.Beat = r.Version
+		}
+	}
+	record, err := decide.Decode(value)
+	if err != nil {
+		l.log.Emit(event.LeaseCorrupt, zap.Error(err))
+	}
+	return at, record, err
+}
+
+func (l *Lease) conds(r decide.Rows) []platform.Cond {
+	return []platform.Cond{{Key: l.grantKey(), Version: r.Grant}, {Key: l.beatKey(), Version: r.Beat}}
+}
+
+func (l *Lease) grantKey() string { return Prefix + l.cfg.Name }
+func (l *Lease) beatKey() string  { return Prefix + l.cfg.Name + beatSuffix }
+
+func (l *Lease) holding() (decide.Held, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held == nil {
+		return decide.Held{}, false
+	}
+	return *l.held, true
+}
+
+func (l *Lease) hold(h *decide.Held) { l.mu.Lock(); l.held = h; l.mu.Unlock() }
+
+func (l *Lease) lose(why string) {
+	held, _ := l.holding()
+	l.hold(nil)
+	l.log.Emit(event.LeaseLost, zap.Uint64("epoch", held.Record.Epoch), zap.String("why", why))
+}
