--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -24,6 +24,7 @@
 		claimEvents,
 		upstreamEvents,
 	} {
+	for _, part := range [][]Event{processEvents, leaseEvents} {
 		all = append(all, part...)
 	}
 	return all
