--- /dev/null
+++ b/node/claim/claim_test.go
@@ -0,0 +1,258 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/standin/history"
+)
+
+const simHosts = 3
+
+// noDeadline hides testing.T.Deadline, which may not be asked in a bubble.
+type noDeadline struct{ rapid.TB }
+
+// machine gives rapid the events of a cluster in any order.
+type machine struct{ c *cluster }
+
+func (m *machine) flight(t *rapid.T) *flight {
+	if len(m.c.flights) == 0 {
+		t.Skip("nothing in flight")
+	}
+	return rapid.SampledFrom(m.c.flights).Draw(t, "flight")
+}
+
+func (m *machine) host(t *rapid.T) int { return rapid.IntRange(0, simHosts-1).Draw(t, "host") }
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	late := func(t *rapid.T) bool { return rapid.Bool().Draw(t, "late") }
+	return map[string]func(*rapid.T){
+		"arrive": func(t *rapid.T) {
+			key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key"))
+			_, _ = m.c.arrive(m.host(t), key, rapid.Bool().Draw(t, "routed"))
+		},
+		"advance":  func(t *rapid.T) { m.c.advance(m.flight(t)) },
+		"advance2": func(t *rapid.T) { m.c.advance(m.flight(t)) },
+		"break": func(t *rapid.T) {
+			f := m.flight(t)
+			if f.stage == granted {
+				t.Skip("not sent yet")
+			}
+			m.c.breakConnection(f, late(t))
+		},
+		"kill":           func(t *rapid.T) { m.c.kill(m.host(t), late(t)) },
+		"engine restart": func(*rapid.T) { m.c.engine.restart() },
+		"table outage":   func(t *rapid.T) { m.c.table.down = !m.c.table.down },
+		"lose answers":   func(t *rapid.T) { m.c.table.lose = rapid.IntRange(1, 3).Draw(t, "n") },
+		"lose commits":   func(t *rapid.T) { m.c.table.drop = rapid.IntRange(1, 3).Draw(t, "n") },
+		"forget ids":     func(*rapid.T) { m.c.table.forgets = !m.c.table.forgets },
+		"drain":          func(t *rapid.T) { m.c.drain(m.host(t)) },
+		"pass time": func(t *rapid.T) {
+			time.Sleep(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+		},
+	}
+}
+
+// Whatever happens in whatever order, no key is executed twice, nobody is
+// told a false "not run", and every answer is that of the one execution.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(t *rapid.T) {
+			m := &machine{newCluster(simHosts, nil)}
+			t.Repeat(m.actions())
+			m.settle(t)
+			assert.NilError(t, history.Check(m.c.hist))
+			n := m.c.hist.Count()
+			assert.Equal(t, n.Doubled+n.Cut+n.Crossed+n.FalseNo+n.Lost, 0, "%+v", n)
+		})
+	})
+}
+
+// settle heals every fault, lets all flights end, and then asks for each key
+// once more: nothing may stay "in progress" for ever.
+func (m *machine) settle(t *rapid.T) {
+	m.c.table.down, m.c.table.lose, m.c.table.drop = false, 0, 0
+	for len(m.c.flights) > 0 {
+		m.c.advance(m.c.flights[0])
+	}
+	for h := range simHosts {
+		m.c.drain(h)
+	}
+	time.Sleep(2 * simDeadline)
+	for k := range 3 {
+		f, err := m.c.arrive(0, fmt.Sprint("k", k), true)
+		if err != nil {
+			assert.Equal(t, fault.From(fault.StepClaim, err).Code, fault.CodeUnknownOutcome)
+		}
+		for f != nil && len(m.c.flights) > 0 {
+			m.c.advance(f)
+		}
+	}
+}
+
+// inBubble runs a test with a clock of its own.
+func inBubble(t *testing.T, c func(*cluster)) {
+	synctest.Test(t, func(*testing.T) { c(newCluster(2, nil)) })
+}
+
+func code(err error) fault.Code { return fault.From(fault.StepClaim, err).Code }
+
+// Symptom: a dispatch note is packed twice. The first host is killed between
+// claim and dispatch; the caller repeats through another. Cause to prevent:
+// the second host must neither run at once nor refuse for ever: it asks the
+// engine, which never saw the attempt and now refuses it for good.
+func TestKilledBetweenClaimAndDispatch(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		first, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		c.kill(0, false)
+		_, err = c.arrive(1, "k", true)
+		assert.Equal(t, code(err), fault.CodeInProgress)
+		time.Sleep(2 * simDeadline)
+		second, err := c.arrive(1, "k", true)
+		assert.NilError(t, err)
+		assert.Assert(t, !c.engine.arrive(first), "the late attempt must be refused")
+		c.advance(second)
+		c.advance(second)
+		c.advance(second)
+		assert.NilError(t, history.Check(c.hist))
+	})
+}
+
+// Symptom: a repeat is answered "unknown", though the engine has the answer.
+// The host dies after dispatch; the attempt completes with nobody listening.
+func TestKilledAfterDispatch(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		c.advance(f)
+		c.kill(0, true)
+		time.Sleep(2 * simDeadline)
+		again, err := c.arrive(1, "k", true)
+		assert.NilError(t, err)
+		assert.Assert(t, again == nil, "replayed, not run")
+		assert.Equal(t, c.hist.Count().Completed, 1)
+	})
+}
+
+// Symptom: a request runs twice after an engine restart. The attempt ran, its
+// host died, the engine restarted and says "unseen" of it.
+func TestEngineRestartLeavesUnknown(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		c.advance(f)
+		c.kill(0, true)
+		c.engine.restart()
+		time.Sleep(2 * simDeadline)
+		_, err = c.arrive(1, "k", true)
+		assert.Equal(t, code(err), fault.CodeUnknownOutcome)
+		assert.Equal(t, fault.From(fault.StepClaim, err).Outcome, outcome.Unknown)
+	})
+}
+
+// Symptom: callers wait through a table outage for a refusal. Before the
+// claim the outage must be told at once; after the answer it must not be told
+// at all, and the settlement is written when the table is back.
+func TestTableOutage(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		c.advance(f)
+		c.advance(f)
+		c.table.down = true
+		c.advance(f) // answer to the caller, settlement deferred
+		start := time.Now()
+		_, err = c.arrive(1, "other", true)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		assert.Equal(t, code(err), fault.CodeStoreDown)
+		assert.Equal(t, fault.From(fault.StepClaim, err).Outcome, outcome.NotRun)
+		waiting, _ := c.hosts[0].Pending()
+		assert.Equal(t, waiting, 1)
+		c.table.down = false
+		c.drain(0)
+		again, err := c.arrive(1, "k", true)
+		assert.NilError(t, err)
+		assert.Assert(t, again == nil)
+		assert.Equal(t, c.hist.Count().Completed, 2)
+	})
+}
+
+// Symptom: a paused host wakes and runs a request that another ran meanwhile.
+// Its claim had no route yet, so the other took it over.
+func TestPausedOwnerIsTakenOver(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		paused, err := c.arrive(0, "k", false)
+		assert.NilError(t, err)
+		paused.deadline = time.Now().Add(time.Hour)
+		time.Sleep(2 * simDeadline)
+		other, err := c.arrive(1, "k", true)
+		assert.NilError(t, err)
+		c.advance(paused)
+		assert.Assert(t, paused.stage == granted, "must not be sent")
+		c.advance(other)
+		c.advance(other)
+		assert.NilError(t, history.Check(c.hist))
+		assert.Equal(t, c.hist.Count().Doubled, 0)
+	})
+}
+
+func TestKeyReusedWithAnotherBody(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		_, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		_, _, err = c.hosts[1].Claim(context.Background(), otherBody("k"))
+		assert.Equal(t, code(err), fault.CodeKeyReused)
+	})
+}
+
+// Mutation checks: with one safeguard taken out of the hosts' use of the
+// table, the records of callers and engine must show it.
+func TestCheckerCatchesMutants(t *testing.T) {
+	two := func(c *cluster) {
+		for h := range 2 {
+			if f, err := c.arrive(h, "k", true); err == nil && f != nil {
+				c.advance(f)
+				c.advance(f)
+			}
+		}
+	}
+	for _, m := range []struct {
+		name   string
+		mutant func(platform.Table) platform.Table
+		run    func(*cluster)
+		caught func(*cluster) bool
+	}{
+		{"no condition on the claim", func(tb platform.Table) platform.Table { return &mutant{Table: tb, noConds: true} },
+			two, func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
+		{"lost answer taken for success", func(tb platform.Table) platform.Table { return &mutant{Table: tb, doubtOK: true} },
+			func(c *cluster) { c.table.drop = 2; two(c) },
+			func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
+		{"lost answer taken for failure", func(tb platform.Table) platform.Table {
+			return &mutant{Table: tb, doubtAs: platform.ErrUnavailable}
+		}, func(c *cluster) { c.table.lose = 1; two(c) },
+			func(c *cluster) bool { return c.hist.Count().FalseBusy == 1 }},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(2, m.mutant)
+				m.run(c)
+				assert.Assert(t, m.caught(c), "%+v", c.hist.Count())
+				sound := newCluster(2, nil)
+				m.run(sound)
+				assert.NilError(t, history.Check(sound.hist))
+				n := sound.hist.Count()
+				assert.Equal(t, n.Doubled+n.FalseBusy, 0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/node/claim/sim_test.go
@@ -0,0 +1,306 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"peridotpier.example/core/claim"
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	nodeclaim "peridotpier.example/node/claim"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/history"
+	standin "peridotpier.example/standin/platform"
+)
+
+// faulty is a table service with faults that a test sets.
+type faulty struct {
+	platform.Table
+	down    bool
+	lose    int  // answers of commits still to be lost, after their effect
+	drop    int  // commits still to be lost before their effect, answered as in doubt
+	forgets bool // operation ids are not remembered
+}
+
+func (f *faulty) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	if f.down {
+		return 0, platform.ErrUnavailable
+	}
+	if f.drop > 0 {
+		f.drop--
+		return 0, platform.ErrInDoubt
+	}
+	if f.forgets {
+		t.Op = ""
+	}
+	v, err := f.Table.Commit(ctx, t)
+	if f.lose > 0 {
+		f.lose--
+		return 0, platform.ErrInDoubt
+	}
+	return v, err
+}
+
+func (f *faulty) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if f.down {
+		return nil, platform.ErrUnavailable
+	}
+	return f.Table.Get(ctx, keys...)
+}
+
+// mutant changes how a host uses the table: a check of the checker.
+type mutant struct {
+	platform.Table
+	noConds bool  // conditions are left out
+	doubtAs error // a lost answer is taken for this
+	doubtOK bool  // a lost answer is taken for success
+}
+
+func (m *mutant) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	if m.noConds {
+		t.Conds = nil
+	}
+	v, err := m.Table.Commit(ctx, t)
+	if !errors.Is(err, platform.ErrInDoubt) {
+		return v, err
+	}
+	if m.doubtOK {
+		return v, nil
+	}
+	if m.doubtAs != nil {
+		return 0, m.doubtAs
+	}
+	return v, err
+}
+
+// engine is an upstream: executes attempts once, remembers them, and refuses
+// those that it called unseen.
+type engine struct {
+	hist     *history.History
+	starts   int
+	attempts map[string]*history.Execution
+	fenced   map[string]bool
+}
+
+func newEngine(h *history.History) *engine { e := &engine{hist: h}; e.restart(); return e }
+
+func (e *engine) restart() {
+	e.starts++
+	e.attempts, e.fenced = map[string]*history.Execution{}, map[string]bool{}
+}
+
+func (e *engine) incarnation() string { return fmt.Sprint("i", e.starts) }
+
+// arrive is a request that reaches the engine; it answers whether it ran.
+func (e *engine) arrive(r *flight) bool {
+	if e.fenced[r.route.Attempt] || r.route.Incarnation != e.incarnation() || e.attempts[r.route.Attempt] != nil {
+		return false
+	}
+	x := e.hist.Begin(history.Execution{Call: r.call, Key: r.key, Attempt: r.route.Attempt})
+	e.hist.Finish(x, r.route.Attempt)
+	e.attempts[r.route.Attempt] = x
+	return true
+}
+
+func (e *engine) Fate(_ context.Context, _, id string) (engineapi.Attempt, error) {
+	a := engineapi.Attempt{ID: id, Incarnation: e.incarnation(), State: engineapi.AttemptUnseen}
+	if x := e.attempts[id]; x != nil {
+		a.State, a.Status, a.Body = engineapi.AttemptCompleted, 200, []byte(x.Answer)
+	} else {
+		e.fenced[id] = true
+	}
+	return a, nil
+}
+
+// stage is how far a request in flight has come.
+type stage int
+
+const (
+	granted stage = iota
+	sent          // on its way to the engine
+	executed
+)
+
+// flight is one granted request on one host.
+type flight struct {
+	call, key string
+	host      int
+	grant     *nodeclaim.Grant
+	route     claim.Route
+	stage     stage
+	deadline  time.Time
+}
+
+// cluster is some hosts with one table, one engine, and their history.
+type cluster struct {
+	table   *faulty
+	records func(host int) platform.Table
+	engine  *engine
+	hist    *history.History
+	hosts   []*nodeclaim.Store
+	starts  int
+	calls   int
+	flights []*flight
+}
+
+const (
+	simTTL      = time.Hour
+	simDeadline = 5 * time.Second
+)
+
+func newCluster(hosts int, mutate func(platform.Table) platform.Table) *cluster {
+	h := history.New()
+	c := &cluster{table: &faulty{Table: standin.NewTable()}, hist: h, engine: newEngine(h), hosts: make([]*nodeclaim.Store, hosts)}
+	c.records = func(int) platform.Table {
+		if mutate == nil {
+			return c.table
+		}
+		return mutate(c.table)
+	}
+	for i := range hosts {
+		c.startHost(i)
+	}
+	return c
+}
+
+// startHost starts a host with empty memory, in place of the one before.
+func (c *cluster) startHost(i int) {
+	c.starts++
+	cfg := nodeclaim.DefaultConfig()
+	cfg.TTL, cfg.Grace = simTTL, time.Second
+	c.hosts[i] = nodeclaim.New(cfg, nodeclaim.Deps{
+		Records: nodeclaim.NewRows(c.records(i)), Fates: c.engine, Log: event.NewLog(nil), Now: time.Now,
+		Owner: claim.Owner{Host: fmt.Sprint("h", i), Incarnation: fmt.Sprint(c.starts)},
+	})
+}
+
+func (c *cluster) route() claim.Route {
+	c.calls++
+	return claim.Route{Upstream: "e", Incarnation: c.engine.incarnation(), Attempt: fmt.Sprint("a", c.calls)}
+}
+
+// arrive brings a request to a host; a granted one becomes a flight.
+func (c *cluster) arrive(host int, key string, routed bool) (*flight, error) {
+	c.calls++
+	f := &flight{call: fmt.Sprint("c", c.calls), key: key, host: host, deadline: time.Now().Add(simDeadline)}
+	req := nodeclaim.Request{Team: "north", Key: key, BodyHash: "b", Deadline: f.deadline}
+	if routed {
+		f.route = c.route()
+		req.Route = f.route
+	}
+	c.hist.Invoke(f.call, key)
+	grant, answer, err := c.hosts[host].Claim(context.Background(), req)
+	switch {
+	case err != nil:
+		c.told(f.call, err)
+		return nil, err
+	case answer != nil:
+		c.hist.Answered(f.call, outcome.Completed, string(answer.Body))
+		return nil, nil
+	}
+	f.grant = grant
+	c.flights = append(c.flights, f)
+	return f, nil
+}
+
+func (c *cluster) told(call string, err error) {
+	e := fault.From(fault.StepClaim, err)
+	if e.Code == fault.CodeInProgress {
+		c.hist.ToldBusy(call)
+		return
+	}
+	c.hist.Answered(call, e.Outcome, "")
+}
+
+func (c *cluster) land(f *flight) {
+	for i, o := range c.flights {
+		if o == f {
+			c.flights = append(c.flights[:i], c.flights[i+1:]...)
+			return
+		}
+	}
+}
+
+// dispatch sends the request off, as the data path does.
+func (c *cluster) dispatch(f *flight) {
+	if f.route.Attempt == "" {
+		f.route = c.route()
+	}
+	if err := f.grant.Dispatching(context.Background(), f.route, f.deadline); err != nil {
+		_ = f.grant.NotRun(context.Background())
+		c.told(f.call, err)
+		c.land(f)
+		return
+	}
+	f.stage = sent
+}
+
+// deliver brings it to the engine; a refusal frees the key.
+func (c *cluster) deliver(f *flight) {
+	if c.engine.arrive(f) {
+		f.stage = executed
+		return
+	}
+	_ = f.grant.NotRun(context.Background())
+	c.hist.Answered(f.call, outcome.NotRun, "")
+	c.land(f)
+}
+
+// complete brings the answer back to the host and on to the caller.
+func (c *cluster) complete(f *flight) {
+	c.hist.Answered(f.call, outcome.Completed, f.route.Attempt)
+	_ = f.grant.Complete(context.Background(), nodeclaim.Answer{Status: 200, Body: []byte(f.route.Attempt)})
+	c.land(f)
+}
+
+// advance takes a flight one step on.
+func (c *cluster) advance(f *flight) {
+	switch f.stage {
+	case granted:
+		c.dispatch(f)
+	case sent:
+		c.deliver(f)
+	case executed:
+		c.complete(f)
+	}
+}
+
+// breakConnection loses the host's sight of the attempt; what was sent may
+// still arrive, late.
+func (c *cluster) breakConnection(f *flight, arrivesLate bool) {
+	_ = f.grant.Unknown(context.Background())
+	c.hist.Answered(f.call, outcome.Unknown, "")
+	c.land(f)
+	if f.stage == sent && arrivesLate {
+		c.engine.arrive(f)
+	}
+}
+
+// kill ends a host's process with all that it had in memory.
+func (c *cluster) kill(host int, arrivesLate bool) {
+	for _, f := range append([]*flight(nil), c.flights...) {
+		if f.host != host {
+			continue
+		}
+		c.hist.Left(f.call)
+		c.land(f)
+		if f.stage == sent && arrivesLate {
+			c.engine.arrive(f)
+		}
+	}
+	c.startHost(host)
+}
+
+func (c *cluster) drain(host int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = c.hosts[host].Drain(ctx)
+}
+
+func otherBody(key string) nodeclaim.Request {
+	return nodeclaim.Request{Team: "north", Key: key, BodyHash: "other", Deadline: time.Now().Add(simDeadline)}
+}
