Keep the books of accelerator memory, with orders in doubt charged

Cause: reports lag, orders are lost, late or repeated, and engines restart; what the newest report shows is not what memory may hold. Change: core/ledger, a row per upstream: residents as reported plus all that an order in doubt may still make resident. Each order gets a fence that rises over all orders of an upstream, so that an engine that checks refuses a late copy; for engines that ignore fences orders stay charged until none can be in flight. What an earlier incarnation held is carried for the greatest report age.

--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,148 @@
+package ledger
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/config"
+)
+
+var (
+	t0     = time.Unix(1_000_000, 0).UTC()
+	bounds = DefaultBounds()
+	alpha  = Thing{Model: "alpha", Version: "1"}
+	beta   = Thing{Model: "beta", Version: "1"}
+	tint   = Thing{Model: "alpha", Adapter: "tint", Version: "1"}
+)
+
+// rowWith has a capacity of 100 and a first report with the residents.
+func rowWith(fencing config.Fencing, residents ...Resident) Row {
+	r, _ := New("u", 100, fencing).Observe(bounds, report("i1", 1, 0, t0, residents...))
+	return r
+}
+
+func report(incarnation string, seq, epoch uint64, read time.Time, residents ...Resident) Report {
+	used := 0
+	for _, m := range residents {
+		used += m.MemoryMB
+	}
+	return Report{Incarnation: incarnation, Sequence: seq, Epoch: epoch, UsedMB: used, Residents: residents, Read: read}
+}
+
+func ready(t Thing, mb int) Resident { return Resident{Thing: t, State: Ready, MemoryMB: mb} }
+
+func mustReserve(t *testing.T, r Row, now time.Time, epoch uint64, w Want) (Row, Charge) {
+	t.Helper()
+	next, c, err := r.Reserve(now, bounds, epoch, "op", w)
+	assert.NilError(t, err)
+	return next, c
+}
+
+func TestReserveRefuses(t *testing.T) {
+	full := rowWith(config.FencingChecked, ready(alpha, 60), ready(tint, 10))
+	held, _ := mustReserve(t, full, t0, 5, Want{Load, beta, 30})
+	for _, c := range []struct {
+		name string
+		row  Row
+		want Want
+		err  error
+	}{
+		{"no report yet", New("u", 100, config.FencingChecked), Want{Load, beta, 1}, ErrNoReport},
+		{"too large", full, Want{Load, beta, 31}, ErrNoRoom},
+		{"room taken by an order in doubt", held, Want{Load, Thing{Model: "gamma"}, 1}, ErrNoRoom},
+		{"adapter without its base", full, Want{Load, Thing{Model: "beta", Adapter: "x"}, 1}, ErrNoBase},
+		{"base under its adapter", full, Want{Unload, alpha, 0}, ErrAdapters},
+		{"unload of what is not there", full, Want{Unload, beta, 0}, ErrNotHeld},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, _, err := c.row.Reserve(t0, bounds, 5, "op", c.want)
+			assert.ErrorIs(t, err, c.err)
+		})
+	}
+	_, _, err := held.Reserve(t0, bounds, 4, "op", Want{Unload, tint, 0})
+	assert.ErrorIs(t, err, ErrOldEpoch)
+}
+
+// Symptom: two models where one fits, after an order that nobody heard of again.
+// Sequence: a load order is lost; reports go on without it; another is loaded.
+// Cause: the reports without it were taken as proof that it will never run.
+func TestLostOrderStaysCharged(t *testing.T) {
+	r, c := mustReserve(t, rowWith(config.FencingIgnored), t0, 1, Want{Load, alpha, 80})
+	for s := range 100 {
+		r, _ = r.Observe(bounds, report("i1", uint64(s+2), 0, t0.Add(time.Duration(s)*time.Second)))
+		assert.Equal(t, r.CommittedMB(), 80)
+	}
+	r, changed := r.Observe(bounds, report("i1", 200, 0, c.Until))
+	assert.Assert(t, changed)
+	assert.Equal(t, r.CommittedMB(), 0)
+}
+
+// Symptom: an engine holds a model that the books released, and the next load
+// overcommits its memory.
+// Sequence: load, unload, the report shows it gone; then a copy of the load
+// order that was held up arrives, and the engine loads again.
+// Cause: an engine that ignores fences; an engine that checks them refuses.
+func TestLateOrderAfterItsSuccessor(t *testing.T) {
+	for _, c := range []struct {
+		fencing config.Fencing
+		charged int
+	}{{config.FencingChecked, 0}, {config.FencingIgnored, 80}} {
+		r, load := mustReserve(t, rowWith(c.fencing), t0, 1, Want{Load, alpha, 80})
+		r, _ = r.Observe(bounds, report("i1", 2, load.Fence, t0.Add(time.Second), ready(alpha, 80)))
+		r, unload := mustReserve(t, r, t0.Add(2*time.Second), 1, Want{Unload, alpha, 0})
+		assert.Assert(t, unload.Fence > load.Fence)
+		assert.Assert(t, !r.Firm(alpha))
+		r, _ = r.Observe(bounds, report("i1", 3, unload.Fence, t0.Add(3*time.Second)))
+		assert.Equal(t, r.CommittedMB(), c.charged, c.fencing)
+	}
+}
+
+// Symptom: memory overcommitted after an engine restarted.
+// Sequence: the new process reports empty memory; then a report of another
+// process, unknown so far and in truth older, is read.
+// Cause: the order in which incarnations are first seen is not that of their
+// lives, so neither's memory may be forgotten at once.
+func TestRestartCarriesWhatWasResident(t *testing.T) {
+	r := rowWith(config.FencingChecked, ready(alpha, 80))
+	r, _ = r.Observe(bounds, report("i2", 1, 0, t0.Add(time.Second)))
+	assert.Equal(t, r.FreeMB(), 20)
+	r, again := mustReserve(t, r, t0.Add(time.Second), 1, Want{Load, alpha, 80}) // costs nothing new
+	assert.Equal(t, r.FreeMB(), 20)
+	r, changed := r.Observe(bounds, report("i1", 1, 0, t0.Add(2*time.Second), ready(alpha, 80)))
+	assert.Assert(t, !changed, "a late report of the process before")
+	assert.Equal(t, r.Incarnation(), "i2")
+	r, _ = r.Observe(bounds, report("i2", 9, again.Fence, t0.Add(2*time.Minute), ready(beta, 10)))
+	r, _ = r.Observe(bounds, report("i2", 10, again.Fence+1, t0.Add(2*time.Minute), ready(beta, 10)))
+	assert.Equal(t, r.CommittedMB(), 10)
+}
+
+func TestUnaccountedMemoryIsCharged(t *testing.T) {
+	rep := report("i1", 2, 0, t0, ready(alpha, 40))
+	rep.UsedMB = 70
+	r, _ := rowWith(config.FencingChecked).Observe(bounds, rep)
+	assert.Equal(t, r.FreeMB(), 30)
+}
+
+func TestRowKeepsItsMeaningAsJSON(t *testing.T) {
+	r, c := mustReserve(t, rowWith(config.FencingIgnored, ready(alpha, 50)), t0, 3, Want{Load, beta, 20})
+	data, err := json.Marshal(r)
+	assert.NilError(t, err)
+	var back Row
+	assert.NilError(t, json.Unmarshal(data, &back))
+	assert.DeepEqual(t, back, r)
+	assert.Equal(t, len(back.Pending(t0)), 1)
+	assert.Equal(t, len(back.Pending(c.SendBy.Add(1))), 0)
+	assert.ErrorIs(t, c.Sendable(c.SendBy.Add(1)), ErrPastWindow)
+}
+
+func BenchmarkObserveReserve(b *testing.B) {
+	r := rowWith(config.FencingChecked, ready(alpha, 40), ready(tint, 5))
+	b.ReportAllocs()
+	for i := range b.N {
+		next, _, _ := r.Reserve(t0, bounds, 1, "op", Want{Load, beta, 30})
+		next.Observe(bounds, report("i1", uint64(i+2), 0, t0, ready(alpha, 40), ready(tint, 5)))
+	}
+}
--- /dev/null
+++ b/core/ledger/machine_test.go
@@ -0,0 +1,169 @@
+package ledger_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/ledger"
+)
+
+const engineMB = 100
+
+// engine is a model of an engine that checks its own memory, so that the proof
+// does not rest on the books.
+type engine struct {
+	fencing     config.Fencing
+	incarnation int
+	sequence    uint64
+	epoch       uint64
+	memory      map[ledger.Thing]int
+	most        int // memory ever taken at once
+}
+
+type copyOf struct {
+	ledger.Charge
+	incarnation string
+	sent        time.Time
+}
+
+type aged struct {
+	ledger.Report
+	taken time.Time
+}
+
+func (e *engine) name() string { return "i" + strconv.Itoa(e.incarnation) }
+
+func (e *engine) restart() {
+	e.incarnation++
+	e.sequence, e.epoch, e.memory = 0, 0, map[ledger.Thing]int{}
+}
+
+func (e *engine) carryOut(o copyOf) {
+	if e.fencing == config.FencingChecked {
+		if o.Fence < e.epoch || o.incarnation != e.name() {
+			return
+		}
+		e.epoch = o.Fence
+	}
+	if o.Kind == ledger.Unload {
+		delete(e.memory, o.Thing)
+		return
+	}
+	e.memory[o.Thing] = o.MemoryMB
+	sum := 0
+	for _, mb := range e.memory {
+		sum += mb
+	}
+	e.most = max(e.most, sum)
+}
+
+func (e *engine) report(now time.Time) aged {
+	e.sequence++
+	rep := ledger.Report{Incarnation: e.name(), Sequence: e.sequence, Epoch: e.epoch}
+	for t, mb := range e.memory {
+		rep.Residents = append(rep.Residents, ledger.Resident{Thing: t, State: ledger.Ready, MemoryMB: mb})
+		rep.UsedMB += mb
+	}
+	return aged{rep, now}
+}
+
+// world is one upstream's row, its engine and the network between them.
+type world struct {
+	now     time.Time
+	bounds  ledger.Bounds
+	row     ledger.Row
+	engine  engine
+	orders  []copyOf // may arrive in any order, more than once or never
+	reports []aged
+	ops     int
+}
+
+func newWorld(f config.Fencing) *world {
+	w := &world{now: time.Unix(1_000_000, 0), bounds: ledger.DefaultBounds(), row: ledger.New("u", engineMB, f), engine: engine{fencing: f}}
+	w.engine.restart()
+	w.reports = append(w.reports, w.engine.report(w.now))
+	return w
+}
+
+// reserve commits an order to the books and puts copies of it on their way.
+func (w *world) reserve(want ledger.Want, copies int) {
+	w.ops++
+	next, c, err := w.row.Reserve(w.now, w.bounds, 1, strconv.Itoa(w.ops), want)
+	if err != nil {
+		return
+	}
+	w.row = next
+	for range copies {
+		w.orders = append(w.orders, copyOf{c, w.row.Incarnation(), w.now})
+	}
+}
+
+func (w *world) read(i int) {
+	rep := w.reports[i].Report
+	rep.Read = w.now
+	w.row, _ = w.row.Observe(w.bounds, rep)
+}
+
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.orders = slices.DeleteFunc(w.orders, func(o copyOf) bool { return w.now.Sub(o.sent) > w.bounds.InFlight })
+	w.reports = slices.DeleteFunc(w.reports, func(r aged) bool { return w.now.Sub(r.taken) > w.bounds.ReportAge })
+}
+
+// Memory is never over under any sequence of orders lost, late, repeated or
+// after their successors, restarts, and reports late or out of order.
+func TestMemoryIsNeverOver(t *testing.T) {
+	for _, fencing := range []config.Fencing{config.FencingChecked, config.FencingIgnored} {
+		t.Run(string(fencing), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newWorld(fencing)
+				t.Repeat(actions(w))
+			})
+		})
+	}
+}
+
+func actions(w *world) map[string]func(*rapid.T) {
+	things := []ledger.Want{
+		{Thing: ledger.Thing{Model: "a", Version: "1"}, MemoryMB: 60}, {Thing: ledger.Thing{Model: "b", Version: "1"}, MemoryMB: 45},
+		{Thing: ledger.Thing{Model: "a", Version: "2"}, MemoryMB: 55}, {Thing: ledger.Thing{Model: "c", Version: "1"}, MemoryMB: 30},
+		{Thing: ledger.Thing{Model: "a", Adapter: "x", Version: "1"}, MemoryMB: 10},
+	}
+	order := func(kind ledger.Kind) func(*rapid.T) {
+		return func(t *rapid.T) {
+			want := rapid.SampledFrom(things).Draw(t, "thing")
+			want.Kind = kind
+			w.reserve(want, rapid.IntRange(0, 3).Draw(t, "copies"))
+		}
+	}
+	deliver := func(t *rapid.T) {
+		if len(w.orders) == 0 {
+			return
+		}
+		i := rapid.IntRange(0, len(w.orders)-1).Draw(t, "order")
+		w.engine.carryOut(w.orders[i])
+		w.orders = slices.Delete(w.orders, i, i+1)
+	}
+	take := func(*rapid.T) { w.reports = append(w.reports, w.engine.report(w.now)) }
+	return map[string]func(*rapid.T){
+		"load": order(ledger.Load), "unload": order(ledger.Unload), "deliver": deliver, "deliver2": deliver, "report": take,
+		"read": func(t *rapid.T) {
+			if len(w.reports) > 0 {
+				w.read(rapid.IntRange(0, len(w.reports)-1).Draw(t, "report"))
+			}
+		},
+		"readNewest": func(t *rapid.T) { take(t); w.read(len(w.reports) - 1) },
+		"restart":    func(*rapid.T) { w.engine.restart() },
+		"second":     func(*rapid.T) { w.pass(time.Second) },
+		"minutes":    func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(10, 200).Draw(t, "seconds")) * time.Second) },
+		"": func(t *rapid.T) {
+			assert.Assert(t, w.engine.most <= engineMB, "the engine held %d MB", w.engine.most)
+		},
+	}
+}
--- /dev/null
+++ b/core/ledger/observe.go
@@ -0,0 +1,108 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"peridotpier.example/core/config"
+)
+
+// Report is an engine's own word on its memory.
+type Report struct {
+	Incarnation string
+	Sequence    uint64
+	Epoch       uint64 // highest fence that the engine has seen; 0 when it ignores them
+	UsedMB      int
+	Residents   []Resident
+	Read        time.Time // when it was read here; it was taken up to Bounds.ReportAge before
+}
+
+// Observe settles what a report can settle. changed is false when the report
+// tells nothing new, so that it costs no write.
+//
+// Only a report ends a charge, never an answer to an order: an order that was
+// refused or lost may have a copy on its way.
+func (r Row) Observe(b Bounds, rep Report) (next Row, changed bool) {
+	if rep.Incarnation == "" || r.stale(rep) {
+		return r, false
+	}
+	next = r.clone()
+	if old := r.Incarnation(); old != "" && old != rep.Incarnation {
+		next.carry(rep.Read.Add(b.settleCarried()))
+	}
+	next.Residents = slices.Clone(rep.Residents)
+	slices.SortFunc(next.Residents, compareResidents)
+	next.OverheadMB = overhead(rep)
+	next.Charges = slices.DeleteFunc(next.Charges, func(c Charge) bool { return r.settles(rep, c) })
+	changed = r.Incarnation() != rep.Incarnation || !slices.Equal(r.Residents, next.Residents) ||
+		len(r.Charges) != len(next.Charges) || r.OverheadMB != next.OverheadMB
+	next.see(rep)
+	return next, changed
+}
+
+// stale reports come late, after a newer one of the same incarnation.
+func (r Row) stale(rep Report) bool {
+	return slices.ContainsFunc(r.Seen, func(s Seen) bool {
+		return s.Incarnation == rep.Incarnation && rep.Sequence <= s.Sequence
+	})
+}
+
+// settles says whether nothing can come of a charge any more that the report
+// does not show.
+//
+// An engine that checks fences begins no order below the highest fence it has
+// seen. An engine that ignores them may begin a copy that was held up after
+// the order that followed it: a load after its unload. One would notice a model
+// resident that the books had released, and the next load overcommits. So its
+// orders stay charged until none can be in flight, and until a report that
+// cannot have been taken before that.
+func (r Row) settles(rep Report, c Charge) bool {
+	if !rep.Read.Before(c.Until) {
+		return true
+	}
+	return r.Fencing == config.FencingChecked && c.Kind != Carried && rep.Epoch > c.Fence
+}
+
+// carry keeps what the incarnation before had resident charged for a while.
+// The report of an incarnation that was never seen before may be an old one
+// that comes late, after the live process has already reported. Loading the
+// same things anew costs nothing, as a thing counts once.
+func (r *Row) carry(until time.Time) {
+	for _, m := range r.Residents {
+		r.Charges = append(r.Charges, Charge{Thing: m.Thing, Kind: Carried, MemoryMB: m.MemoryMB, SendBy: until, Until: until})
+	}
+}
+
+func (r *Row) see(rep Report) {
+	r.Seen = slices.DeleteFunc(r.Seen, func(s Seen) bool { return s.Incarnation == rep.Incarnation })
+	r.Seen = append(r.Seen, Seen{rep.Incarnation, rep.Sequence})
+	if len(r.Seen) > maxSeen {
+		r.Seen = r.Seen[len(r.Seen)-maxSeen:]
+	}
+}
+
+// overhead is memory in use that no resident accounts for.
+func overhead(rep Report) int {
+	sum := 0
+	for _, m := range rep.Residents {
+		sum += m.MemoryMB
+	}
+	return max(rep.UsedMB-sum, 0)
+}
+
+// Pending lists the orders that may still be sent, again if need be, and whose
+// effect no report shows yet.
+func (r Row) Pending(now time.Time) []Charge {
+	var out []Charge
+	for _, c := range r.Charges {
+		if c.Kind != Carried && c.Sendable(now) == nil && !r.done(c) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (r Row) done(c Charge) bool {
+	held := slices.ContainsFunc(r.Residents, func(m Resident) bool { return m.Thing == c.Thing })
+	return held == (c.Kind == Load)
+}
