--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -89,7 +89,11 @@
 	}
 	r := &resident{key: key, version: o.Version, memoryMB: o.MemoryMB, op: o.Op}
 	e.hold(r)
-	e.records.Loads++
+	if key.Adapter == "" {
+		e.records.Loads++
+	} else {
+		e.records.AdapterLoads++
+	}
 	reborn := e.reborn
 	e.spawn(func() { e.load(r, reborn) })
 }
--- a/standin/engine/records.go
+++ b/standin/engine/records.go
@@ -12,14 +12,15 @@
 // Records are the engine's own account of what it did, over all of its
 // incarnations. Proofs join them with callers' records.
 type Records struct {
-	Executions  []Execution
-	Orders      []OrderRecord
-	Overcommits []Overcommit
-	Loads       int
-	Unloads     int
-	PrefixHits  int
-	Crossed     int // answers that were crossed on purpose
-	Dropped     int // executions and orders over the bound, not kept
+	Executions   []Execution
+	Orders       []OrderRecord
+	Overcommits  []Overcommit
+	Loads        int // models that began to load by order
+	AdapterLoads int
+	Unloads      int
+	PrefixHits   int
+	Crossed      int // answers that were crossed on purpose
+	Dropped      int // executions and orders over the bound, not kept
 }
 
 // Execution is one attempt that was taken and what became of it.
--- /dev/null
+++ b/standin/site/upstreams.go
@@ -0,0 +1,182 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/standin/engine"
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/service"
+	"peridotpier.example/standin/wire"
+)
+
+// Options of starting a site's upstreams.
+type Options struct {
+	Seed    uint64
+	Weights engine.Weights // nil: loads need no grant
+	// Oracle makes every report true and immediate: what a policy reaches then
+	// is the upper bound of what it could reach with lagged reports.
+	Oracle bool
+	// Empty leaves out the initial placement, for policies that load on demand.
+	Empty bool
+}
+
+// Upstreams are a site's engines and plain services, running on loopback.
+type Upstreams struct {
+	Site     *Site
+	Config   config.Config // the deployment with the true addresses
+	Engines  []*engine.Engine
+	Services []*service.Service
+	began    time.Time
+	centre   map[string]string // data centre by address
+}
+
+// Start starts all upstreams of the site.
+func (s *Site) Start(opt Options) (*Upstreams, error) {
+	u := &Upstreams{Site: s, Config: s.Deployment, began: time.Now(), centre: map[string]string{}}
+	u.Config.Upstreams = slices.Clone(s.Deployment.Upstreams)
+	kinds := map[string]config.PoolKind{}
+	for _, p := range s.Deployment.Pools {
+		kinds[p.Name] = p.Kind
+	}
+	for i := range u.Config.Upstreams {
+		up := &u.Config.Upstreams[i]
+		var err error
+		if kinds[up.Pool] == config.KindEngine {
+			err = u.startEngine(up, opt, uint64(i))
+		} else {
+			err = u.startService(up, opt, uint64(i))
+		}
+		if err != nil {
+			u.Close()
+			return nil, err
+		}
+		u.centre[up.Address] = up.DataCentre
+	}
+	if opt.Empty {
+		return u, nil
+	}
+	if err := u.place(); err != nil {
+		u.Close()
+		return nil, err
+	}
+	return u, nil
+}
+
+func (u *Upstreams) startEngine(up *config.Upstream, opt Options, index uint64) error {
+	c := u.Site.Engines
+	cfg := engine.Config{Name: up.Name, MemoryMB: up.MemoryMB, MBPerSecond: c.MBPerSecond, Weights: opt.Weights,
+		UnloadTime: ms(c.UnloadMs), Fencing: up.Fencing, MaxBatch: up.MaxBatch, QueueMax: c.QueueMax,
+		TokenTimes: u.Site.tokenTimes(), BatchSlope: c.BatchSlope,
+		PrefillPerToken: time.Duration(c.PrefillUsToken) * time.Microsecond, PrefixSlots: c.PrefixSlots, PrefixSaved: c.PrefixSaved,
+		ReportEvery: ms(c.ReportEveryMs), ReportLag: ms(c.ReportLagMs), EventLag: ms(c.EventLagMs), EventLoss: c.EventLoss,
+		ResumeFor: ms(c.ResumeForMs), FlushTokens: 1, Seed: opt.Seed*1000 + index}
+	if opt.Oracle {
+		cfg.ReportEvery, cfg.ReportLag, cfg.EventLag, cfg.EventLoss = 0, 0, 0, 0
+	}
+	e, err := engine.New(cfg)
+	if err != nil {
+		return err
+	}
+	u.Engines = append(u.Engines, e)
+	if err := e.Start(); err != nil {
+		return err
+	}
+	up.Address = e.Addr()
+	return nil
+}
+
+func (s *Site) tokenTimes() map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, m := range s.Deployment.Models {
+		if m.TokensPerSecond > 0 {
+			out[m.Name] = time.Second / time.Duration(m.TokensPerSecond)
+		}
+	}
+	return out
+}
+
+func (u *Upstreams) startService(up *config.Upstream, opt Options, index uint64) error {
+	cfg := service.Config{Name: up.Name, MaxBatch: up.MaxBatch, Seed: opt.Seed*1000 + index}
+	for _, c := range u.Site.Services {
+		if c.Name != u.serviceOf(up.Pool) {
+			continue
+		}
+		cfg.Time, cfg.ReportEvery, cfg.ReportLag = ms(c.Ms), ms(c.ReportEveryMs), ms(c.ReportLagMs)
+		for _, r := range c.Routes {
+			cfg.Routes = append(cfg.Routes, service.Route{Method: r.Method, Prefix: r.Prefix, Time: ms(r.Ms)})
+		}
+	}
+	if opt.Oracle {
+		cfg.ReportEvery, cfg.ReportLag = 0, 0
+	}
+	svc, err := service.New(cfg)
+	if err != nil {
+		return err
+	}
+	u.Services = append(u.Services, svc)
+	if err := svc.Start(); err != nil {
+		return err
+	}
+	up.Address = svc.Addr()
+	return nil
+}
+
+func (u *Upstreams) serviceOf(pool string) string {
+	for _, s := range u.Config.Services {
+		if s.Pool == pool {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// Close stops everything.
+func (u *Upstreams) Close() {
+	for _, e := range u.Engines {
+		e.Close()
+	}
+	for _, s := range u.Services {
+		s.Close()
+	}
+}
+
+// Hosts are the upstreams as the platform lists them.
+func (u *Upstreams) Hosts() []platform.Host {
+	var out []platform.Host
+	for _, up := range u.Config.Upstreams {
+		out = append(out, platform.Host{Name: up.Name, Address: up.Address, DataCentre: up.DataCentre, Role: "upstream", State: platform.HostLive})
+	}
+	return out
+}
+
+// Dialer opens connections from a data centre to upstreams at their distance.
+func (u *Upstreams) Dialer(from string) *wire.Dialer {
+	return &wire.Dialer{RoundTrip: func(address string) time.Duration { return u.Site.RoundTrip(from, u.centre[address]) }}
+}
+
+// Engine finds an engine by name.
+func (u *Upstreams) Engine(name string) (*engine.Engine, error) {
+	for _, e := range u.Engines {
+		if e.Name() == name {
+			return e, nil
+		}
+	}
+	return nil, eris.Errorf("no engine %q", name)
+}
+
+// Effects are all executions that the upstreams recorded.
+func (u *Upstreams) Effects() []load.Effect {
+	var out []load.Effect
+	for _, e := range u.Engines {
+		out = append(out, load.EngineEffects(e.Name(), e.Records())...)
+	}
+	for _, s := range u.Services {
+		out = append(out, load.ServiceEffects(s.Name(), s.Executions())...)
+	}
+	return out
+}
