--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -23,8 +23,8 @@
 		dispatchEvents,
 		claimEvents,
 		upstreamEvents,
+		leaseEvents,
 	} {
-	for _, part := range [][]Event{processEvents, leaseEvents} {
 		all = append(all, part...)
 	}
 	return all
