--- a/node/server/admit.go
+++ b/node/server/admit.go
@@ -9,10 +9,16 @@
 )
 
 // admitter lets the callers' interface use the admission controller.
-type admitter struct{ c *admission.Controller }
+type admitter struct {
+	c    *admission.Controller
+	open bool // lets everything in at once
+}
 
 // Admit implements callerapi.Admission.
 func (a admitter) Admit(ctx context.Context, r callerapi.AdmitRequest) (func(), error) {
+	if a.open {
+		return func() {}, nil
+	}
 	t, err := a.c.Admit(ctx, admission.Request{Team: r.Team, Class: r.Class, Pool: r.Pool,
 		Key: route.ModelKey{Model: r.Target}, Deadline: r.Deadline})
 	if err != nil {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,19 @@
 	Secrets  Secrets
 	Platform Platform
 	Log      *zap.Logger
-	Picker   route.Picker // nil: the default
+	Policy   Policy
+	// Dialer opens connections to upstreams; nil: a net.Dialer.
+	Dialer conn.Dialer
+	// Distance is the round trip between data centres in milliseconds; nil: none known.
+	Distance func(from, to string) float64
+}
+
+// Policy replaces decisions, for baselines that the product's own are measured
+// against. The zero value is the product's.
+type Policy struct {
+	Picker        route.Picker // nil: the product's
+	OpenAdmission bool         // everything is let in at once
+	NoPlanner     bool         // models stay where they are
 }
 
 // Platform is what the platform gives.
@@ -71,15 +84,17 @@
 	callerLn net.Listener
 	state    atomic.Pointer[query.State]
 	ready    atomic.Bool
+	kill     sync.Once
+	killed   chan struct{}
 }
 
 // New puts a node together and opens its listeners.
 func New(cfg Config) (*Server, error) {
-	s := &Server{cfg: cfg, log: event.NewLog(cfg.Log), metrics: metrics.New(), requests: inflight.New(), client: conn.New(conn.Config{})}
+	s := &Server{cfg: cfg, log: event.NewLog(cfg.Log), metrics: metrics.New(), requests: inflight.New(), client: conn.New(conn.Config{Dialer: cfg.Dialer}), killed: make(chan struct{})}
 	set := cfg.Settings
-	s.view = view.New(set.DataCentre, time.Now, nil)
+	s.view = view.New(set.DataCentre, time.Now, cfg.Distance)
 	s.poller = poll.New(poll.Config{Every: set.Bounds.ReportEvery(), Events: true}, s.client, s.view, s.log)
-	picker := cfg.Picker
+	picker := cfg.Policy.Picker
 	if picker == nil {
 		picker = route.New(route.Config{})
 	}
@@ -89,7 +104,7 @@
 	s.admit = admission.New(admission.Config{Hosts: 1})
 	s.claims = newClaims(cfg.Platform, s, set)
 	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: cfg.Secrets.PrefixSalt}, callerapi.Deps{
-		InForce: s.state.Load, Admission: admitter{s.admit}, Claims: s.claims, Dispatcher: s.dispatch, Tokens: cfg.Secrets.Resume,
+		InForce: s.state.Load, Admission: admitter{c: s.admit, open: cfg.Policy.OpenAdmission}, Claims: s.claims, Dispatcher: s.dispatch, Tokens: cfg.Secrets.Resume,
 		Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
 	s.caller = &http.Server{Handler: api, ReadHeaderTimeout: headBound, IdleTimeout: idleBound, MaxHeaderBytes: set.Bounds.HeaderBytes}
 	ln, err := net.Listen("tcp", set.Caller.Address)
@@ -131,10 +146,16 @@
 // for those in flight. Taking none from the first moment would refuse what the
 // balancer still sends; a listener closed too early would cut it off.
 func (s *Server) untilDrained(ctx context.Context) error {
-	<-ctx.Done()
+	select {
+	case <-s.killed:
+		return nil
+	case <-ctx.Done():
+	}
 	s.ready.Store(false)
 	s.log.Emit(event.ProcessDrain, zap.Int("in_flight", s.requests.Live()))
-	time.Sleep(s.cfg.Settings.Bounds.BalancerWait())
+	if !s.wait(s.cfg.Settings.Bounds.BalancerWait()) {
+		return nil
+	}
 	bound, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.Bounds.Drain())
 	defer cancel()
 	cut := 0
@@ -150,3 +171,24 @@
 
 // handOverBound is how long streams get to tell their callers where to go on.
 const handOverBound = 2 * time.Second
+
+// wait lets d pass; false: the host was killed meanwhile.
+func (s *Server) wait(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-s.killed:
+		return false
+	}
+}
+
+// Kill ends the host without a word to anyone, as the death of its process
+// would: connections break, nothing is handed over.
+func (s *Server) Kill() {
+	s.kill.Do(func() {
+		close(s.killed)
+		_ = s.caller.Close()
+	})
+}
--- /dev/null
+++ b/standin/local/gate.go
@@ -0,0 +1,116 @@
+package local
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/server"
+	"peridotpier.example/node/upstream/conn"
+)
+
+// gate stands between a node and everything around it. Once shut, the node is
+// as good as dead to the others, whatever its goroutines still do.
+type gate struct {
+	dialer conn.Dialer
+	mu     sync.Mutex
+	dead   bool
+	conns  map[net.Conn]struct{}
+}
+
+func newGate(d conn.Dialer) *gate {
+	if d == nil {
+		d = &net.Dialer{}
+	}
+	return &gate{dialer: d, conns: map[net.Conn]struct{}{}}
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+	for c := range g.conns {
+		_ = c.Close()
+	}
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// DialContext implements conn.Dialer.
+func (g *gate) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := g.err(); err != nil {
+		return nil, err
+	}
+	c, err := g.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		_ = c.Close()
+		return nil, platform.ErrUnavailable
+	}
+	gc := &gatedConn{Conn: c, gate: g}
+	g.conns[c] = struct{}{}
+	return gc, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.conns, c.Conn)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (g *gate) platform(p server.Platform) server.Platform {
+	out := server.Platform{Objects: p.Objects, Hosts: p.Hosts}
+	if p.Table != nil {
+		out.Table = gatedTable{p.Table, g}
+	}
+	if p.Weights != nil {
+		out.Weights = gatedWeights{p.Weights, g}
+	}
+	return out
+}
+
+type gatedTable struct {
+	platform.Table
+	gate *gate
+}
+
+// Commit implements platform.Table.
+func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if err := t.gate.err(); err != nil {
+		return 0, err
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+type gatedWeights struct {
+	platform.Weights
+	gate *gate
+}
+
+// Grant implements platform.Weights.
+func (w gatedWeights) Grant(ctx context.Context, load string) (time.Duration, error) {
+	if err := w.gate.err(); err != nil {
+		return 0, err
+	}
+	return w.Weights.Grant(ctx, load)
+}
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -14,6 +14,7 @@
 	"peridotpier.example/core/token"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
+	"peridotpier.example/node/upstream/conn"
 )
 
 // AnyPort lets the system choose a port on loopback.
@@ -38,31 +39,45 @@
 }
 
 // Secrets returns the keys that all local nodes share.
-func Secrets() server.Secrets {
+func Secrets() (server.Secrets, error) {
 	keys, err := token.NewKeys(token.Key{ID: "k1", Secret: bytes.Repeat([]byte("local"), 8)})
-	if err != nil {
-		panic(err) // a constant key
-	}
-	return server.Secrets{Resume: keys, PrefixSalt: "local salt of 32 bytes or more.."}
+	return server.Secrets{Resume: keys, PrefixSalt: "local salt of 32 bytes or more.."}, err
 }
 
 // Node is one running node.
 type Node struct {
 	*server.Server
+	gate *gate
 	stop context.CancelFunc
 	once sync.Once
 	done chan struct{}
 	err  error
 }
 
-// StartNode runs a node until Stop.
-func StartNode(set *settings.Settings, p server.Platform, log *zap.Logger) (*Node, error) {
-	s, err := server.New(server.Config{Settings: set, Secrets: Secrets(), Platform: p, Log: log})
+// NodeConfig is what differs between local nodes.
+type NodeConfig struct {
+	Settings *settings.Settings
+	Platform server.Platform
+	Policy   server.Policy
+	Dialer   conn.Dialer
+	Distance func(from, to string) float64
+	Log      *zap.Logger
+}
+
+// StartNode runs a node until Stop or Kill.
+func StartNode(cfg NodeConfig) (*Node, error) {
+	secrets, err := Secrets()
+	if err != nil {
+		return nil, err
+	}
+	g := newGate(cfg.Dialer)
+	s, err := server.New(server.Config{Settings: cfg.Settings, Secrets: secrets, Platform: g.platform(cfg.Platform),
+		Policy: cfg.Policy, Dialer: g, Distance: cfg.Distance, Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{Server: s, stop: cancel, done: make(chan struct{})}
+	n := &Node{Server: s, gate: g, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(n.done)
 		n.err = s.Run(ctx)
@@ -76,3 +91,11 @@
 	<-n.done
 	return n.err
 }
+
+// Kill ends the node as the death of its process would: nothing that it says
+// from now on reaches anybody.
+func (n *Node) Kill() {
+	n.gate.shut()
+	n.Server.Kill()
+	<-n.done
+}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -69,7 +69,7 @@
 	set := local.Settings(name, "dc1")
 	set.Bounds.BalancerWaitSeconds = 0 // no balancer here
 	set.Bounds.SilenceMs = 200
-	n, err := local.StartNode(set, server.Platform{Table: p.tbl, Objects: platform.NewObjects(nil)}, nil)
+	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: platform.NewObjects(platform.NewFaults(1, nil))}})
 	assert.NilError(p.t, err)
 	c := p.config()
 	x := config.NewIndex(c)
