--- /dev/null
+++ b/cmd/pierctl/main.go
@@ -0,0 +1,23 @@
+// Command pierctl is the operators' tool, and runs the demo and the bench.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&demoCommand{}, "trials")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/cmd/pierctl/print.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/site"
+)
+
+// printIntroduction shows how to use a running site by hand. Its lines work
+// as they stand.
+func printIntroduction(w io.Writer, s *site.Site, r *local.Running) {
+	d := &s.Deployment
+	team := d.Teams[len(d.Teams)-1]
+	key := s.Key(team.Name)
+	base := "http://" + r.Addresses()[0]
+	model := d.Models[0].Name
+	fmt.Fprintf(w, "%s: %d entry hosts, %d upstreams, %d models, %d adapters\n\n", d.Site, len(r.Addresses()), len(d.Upstreams), len(d.Models), len(d.Adapters))
+	fmt.Fprintf(w, "# the models of team %s\ncurl -s %s/v1/models -H 'Authorization: Bearer %s'\n\n", team.Name, base, key)
+	fmt.Fprintf(w, "# a stream\ncurl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n", base, key, model)
+	if len(d.Services) > 0 {
+		fmt.Fprintf(w, "# a call that may not be repeated: send it twice, it runs once\ncurl -si %s/v1/services/%s/dispatch-notes -H 'Authorization: Bearer %s' -H 'Idempotency-Key: note-1' -d 'one box of zips'\n\n", base, d.Services[0].Name, key)
+	}
+}
+
+func printReport(w io.Writer, r local.Report) {
+	fmt.Fprintf(w, "\n%s, policy %s, seed %d, %.0f s\n", r.Site, r.Policy, r.Seed, r.Seconds)
+	fmt.Fprintf(w, "  requests %d: completed %d, not run %d, unknown %d\n", r.Requests, r.Completed, r.NotRun, r.Unknown)
+	fmt.Fprintf(w, "  lost %d, doubled %d, cut %d, crossed %d, not run but ran %d, overcommits %d, unreachable models %d\n",
+		r.Lost, r.Doubled, r.Cut, r.Crossed, r.FalseNotRun, r.Overcommits, r.UnreachableModels)
+	fmt.Fprintf(w, "  attainment %.4f (bound %.4f), per accelerator %.1f on %d, moves %d\n",
+		r.Attainment, r.Bound, r.AttainmentPerAccelerator, r.Accelerators, r.Moves)
+	fmt.Fprintf(w, "  first token p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", r.FirstMs.P50, r.FirstMs.P95, r.FirstMs.P99)
+}
--- /dev/null
+++ b/standin/local/report.go
@@ -0,0 +1,81 @@
+package local
+
+import (
+	"context"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/site"
+)
+
+// Report is what one run of a site came to, from the callers' and the
+// stand-ins' records alone.
+type Report struct {
+	Site         string  `json:"site"`
+	Policy       string  `json:"policy"`
+	Seed         uint64  `json:"seed"`
+	Faults       string  `json:"faults,omitempty"`
+	Seconds      float64 `json:"seconds"`
+	EntryHosts   int     `json:"entry_hosts"`
+	Accelerators int     `json:"accelerators"`
+	load.Counts
+	Overcommits              int      `json:"overcommits"`
+	UnreachableModels        int      `json:"unreachable_models"`
+	Unreachable              []string `json:"unreachable,omitempty"`
+	Moves                    int      `json:"moves"`
+	AttainmentPerAccelerator float64  `json:"attainment_per_accelerator"` // requests that met their deadline whole, for each accelerator
+	Bound                    float64  `json:"attainment_bound"`           // that no policy can exceed on this plan
+	TableWrites              int64    `json:"table_writes"`
+	TableReads               int64    `json:"table_reads"`
+}
+
+// Sound says whether nothing happened that must never happen.
+func (r Report) Sound() bool {
+	return r.Lost == 0 && r.Doubled == 0 && r.Cut == 0 && r.Crossed == 0 && r.FalseNotRun == 0 &&
+		r.Overcommits == 0 && r.UnreachableModels == 0
+}
+
+// Drive is one run's traffic and what happens during it.
+type Drive struct {
+	Policy   string // its name, for the report
+	Faults   string
+	Length   time.Duration
+	Progress func(load.Progress)
+	// Script, when set, runs beside the traffic until its context ends.
+	Script func(ctx context.Context, r *Running)
+}
+
+// Drive sends the site's demand through the entry hosts and counts.
+func (r *Running) Drive(ctx context.Context, d Drive) (Report, error) {
+	plan, err := r.opt.Site.Plan(r.opt.Seed, d.Length)
+	if err != nil {
+		return Report{}, err
+	}
+	side, stop := context.WithCancel(ctx)
+	defer stop()
+	truth := make(chan site.Truth, 1)
+	go func() { truth <- r.Upstreams.Monitor(side) }()
+	scripted := make(chan struct{})
+	go func() {
+		defer close(scripted)
+		if d.Script != nil {
+			d.Script(side, r)
+		}
+	}()
+	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.Dialer().DialContext, Progress: d.Progress})
+	stop()
+	<-scripted
+	rep := Report{Site: r.opt.Site.Deployment.Site, Policy: d.Policy, Seed: r.opt.Seed, Faults: d.Faults, Seconds: d.Length.Seconds(),
+		EntryHosts: r.opt.Hosts, Accelerators: r.opt.Site.Accelerators(), Counts: result.Count(r.Upstreams.Effects()),
+		Bound: r.opt.Site.Bound(plan), TableWrites: r.Table.Faults.Writes(), TableReads: r.Table.Faults.Reads()}
+	rep.addTruth(<-truth, &r.Upstreams.Config)
+	rep.AttainmentPerAccelerator = rep.Attainment * float64(rep.Requests) / float64(max(rep.Accelerators, 1))
+	return rep, ctx.Err()
+}
+
+func (r *Report) addTruth(t site.Truth, c *config.Config) {
+	r.Overcommits, r.Moves = len(t.Overcommits), t.Moves
+	r.Unreachable = t.Unreachable(c)
+	r.UnreachableModels = len(r.Unreachable)
+}
--- /dev/null
+++ b/standin/local/site.go
@@ -0,0 +1,187 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/node/query"
+	"peridotpier.example/node/server"
+	"peridotpier.example/standin/load"
+	fake "peridotpier.example/standin/platform"
+	"peridotpier.example/standin/site"
+	"peridotpier.example/standin/wire"
+)
+
+// Options of running a site.
+type Options struct {
+	Site   *site.Site
+	Seed   uint64
+	Policy server.Policy
+	Oracle bool // upstreams report at once and truly
+	Log    *zap.Logger
+	// Hosts is the number of entry hosts; 0: as the site says.
+	Hosts int
+}
+
+// Running is a site that runs: stand-ins and nodes.
+type Running struct {
+	opt       Options
+	Table     *fake.Table
+	Objects   *fake.Objects
+	Hosts     *fake.Hosts
+	Weights   *fake.Weights
+	Upstreams *site.Upstreams
+	Balancer  *load.Balancer
+
+	mu    sync.Mutex
+	nodes []*Node // nil: ended
+}
+
+// balancerWait is how long a local balancer goes on sending to a host that
+// said "not ready".
+const balancerWait = time.Second
+
+// Start starts the platform, the upstreams and all entry hosts.
+func Start(ctx context.Context, opt Options) (*Running, error) {
+	if opt.Hosts == 0 {
+		opt.Hosts = opt.Site.EntryHosts
+	}
+	r := &Running{opt: opt}
+	if err := r.startStandIns(); err != nil {
+		return nil, err
+	}
+	for i := range opt.Hosts {
+		n, err := r.startNode(ctx, i)
+		if err != nil {
+			r.Close()
+			return nil, err
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	r.Balancer = load.NewBalancer(r.Addresses()...)
+	return r, nil
+}
+
+func (r *Running) startStandIns() error {
+	s, seed := r.opt.Site, r.opt.Seed
+	r.Table = fake.NewTableWith(fake.NewFaults(seed, nil))
+	r.Table.Faults.Set(fake.Settings{WritesPerSecond: s.Store.WritesPerSecond, ReadsPerSecond: s.Store.ReadsPerSecond,
+		Delay: time.Duration(s.Store.DelayMs) * time.Millisecond})
+	r.Objects = fake.NewObjects(fake.NewFaults(seed, nil))
+	w := s.Deployment.WeightStore
+	r.Weights = fake.NewWeights(fake.NewFaults(seed, nil), w.LoadsPerSecond, w.Concurrent)
+	var err error
+	if r.Upstreams, err = s.Start(site.Options{Seed: seed, Weights: r.Weights, Oracle: r.opt.Oracle}); err != nil {
+		return err
+	}
+	r.Hosts = fake.NewHosts(fake.NewFaults(seed, nil), r.Upstreams.Hosts()...)
+	r.Hosts.SetLag(time.Duration(s.Store.HostListLagMs) * time.Millisecond)
+	return nil
+}
+
+// hostName is the name of the i-th entry host.
+func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+func (r *Running) startNode(ctx context.Context, i int) (*Node, error) {
+	dc := r.opt.Site.EntryDataCentre(i)
+	set := Settings(hostName(i), dc)
+	set.Bounds.BalancerWaitSeconds = int(balancerWait / time.Second)
+	n, err := StartNode(NodeConfig{Settings: set, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Log: r.opt.Log,
+		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
+		Distance: func(from, to string) float64 {
+			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
+		}})
+	if err != nil {
+		return nil, err
+	}
+	c := &r.Upstreams.Config
+	n.Configure(&query.State{Version: 1, Index: config.NewIndex(c), Preset: &c.Presets[0]})
+	return n, n.Observe(ctx)
+}
+
+// Addresses are the callers' listeners of the hosts that the balancer knows.
+func (r *Running) Addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, n := range r.nodes {
+		if n != nil {
+			out = append(out, n.CallerAddress())
+		}
+	}
+	return out
+}
+
+// take removes a host from those that run.
+func (r *Running) take(host int) *Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if host < 0 || host >= len(r.nodes) {
+		return nil
+	}
+	n := r.nodes[host]
+	r.nodes[host] = nil
+	return n
+}
+
+// Kill ends one host without a word; the balancer notices a second later.
+func (r *Running) Kill(host int) {
+	if n := r.take(host); n != nil {
+		n.Kill()
+		time.AfterFunc(balancerWait, func() { r.Balancer.Set(r.Addresses()...) })
+	}
+}
+
+// Stop shuts one host down gracefully; the balancer stops sending to it
+// somewhat before it stops taking requests.
+func (r *Running) Stop(host int) error {
+	n := r.take(host)
+	if n == nil {
+		return nil
+	}
+	time.AfterFunc(balancerWait/2, func() { r.Balancer.Set(r.Addresses()...) })
+	return n.Stop()
+}
+
+// Replace starts a new host in the place of one that ended.
+func (r *Running) Replace(ctx context.Context, host int) error {
+	n, err := r.startNode(ctx, host)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.nodes[host] = n
+	r.mu.Unlock()
+	r.Balancer.Set(r.Addresses()...)
+	return nil
+}
+
+// Dialer opens callers' connections at their distance from the entry hosts.
+func (r *Running) Dialer() *wire.Dialer {
+	centre := map[string]string{}
+	for i, n := range r.nodes {
+		if n != nil {
+			centre[n.CallerAddress()] = r.opt.Site.EntryDataCentre(i)
+		}
+	}
+	return &wire.Dialer{RoundTrip: func(address string) time.Duration {
+		return r.opt.Site.RoundTrip(site.Clients, centre[address])
+	}}
+}
+
+// Close ends everything; requests in flight are finished first.
+func (r *Running) Close() {
+	var wg sync.WaitGroup
+	for i := range r.nodes {
+		if n := r.take(i); n != nil {
+			wg.Go(func() { _ = n.Stop() }) // an error here is the listener's end, and the run is over
+		}
+	}
+	wg.Wait()
+	r.Upstreams.Close()
+}
