--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -25,6 +25,7 @@
 		upstreamEvents,
 		leaseEvents,
 	} {
+	for _, part := range [][]Event{processEvents, leaseEvents, configEvents} {
 		all = append(all, part...)
 	}
 	return all
