--- a/node/claim/claim_test.go
+++ b/node/claim/claim_test.go
@@ -35,6 +35,7 @@
 
 func (m *machine) actions() map[string]func(*rapid.T) {
 	late := func(t *rapid.T) bool { return rapid.Bool().Draw(t, "late") }
+	some := func(t *rapid.T) int { return rapid.IntRange(1, 3).Draw(t, "n") }
 	return map[string]func(*rapid.T){
 		"arrive": func(t *rapid.T) {
 			key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key"))
@@ -51,10 +52,10 @@
 		},
 		"kill":           func(t *rapid.T) { m.c.kill(m.host(t), late(t)) },
 		"engine restart": func(*rapid.T) { m.c.engine.restart() },
-		"table outage":   func(t *rapid.T) { m.c.table.down = !m.c.table.down },
-		"lose answers":   func(t *rapid.T) { m.c.table.lose = rapid.IntRange(1, 3).Draw(t, "n") },
-		"lose commits":   func(t *rapid.T) { m.c.table.drop = rapid.IntRange(1, 3).Draw(t, "n") },
-		"forget ids":     func(*rapid.T) { m.c.table.forgets = !m.c.table.forgets },
+		"table outage":   func(*rapid.T) { m.c.table.set(func(f *faults) { f.down = !f.down }) },
+		"lose answers":   func(t *rapid.T) { n := some(t); m.c.table.set(func(f *faults) { f.lose = n }) },
+		"lose commits":   func(t *rapid.T) { n := some(t); m.c.table.set(func(f *faults) { f.drop = n }) },
+		"forget ids":     func(*rapid.T) { m.c.table.set(func(f *faults) { f.forgets = !f.forgets }) },
 		"drain":          func(t *rapid.T) { m.c.drain(m.host(t)) },
 		"pass time": func(t *rapid.T) {
 			time.Sleep(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
@@ -65,25 +66,38 @@
 // Whatever happens in whatever order, no key is executed twice, nobody is
 // told a false "not run", and every answer is that of the one execution.
 func TestAtMostOnceUnderFaults(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(noDeadline{t}, func(t *rapid.T) {
-			m := &machine{newCluster(simHosts, nil)}
-			t.Repeat(m.actions())
-			m.settle(t)
-			assert.NilError(t, history.Check(m.c.hist))
-			n := m.c.hist.Count()
-			assert.Equal(t, n.Doubled+n.Cut+n.Crossed+n.FalseNo+n.Lost, 0, "%+v", n)
+	for _, b := range []struct {
+		name string
+		make func() backend
+	}{
+		{"rows", func() backend { return rows }},
+		{"batched", func() backend { return batched }},
+		{"ranges", func() backend { return newRanged().host }},
+	} {
+		t.Run(b.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rapid.Check(noDeadline{t}, func(t *rapid.T) {
+					m := &machine{newCluster(simHosts, b.make())}
+					defer m.c.stop()
+					t.Repeat(m.actions())
+					m.settle(t)
+					assert.NilError(t, history.Check(m.c.hist))
+					n := m.c.hist.Count()
+					assert.Equal(t, n.Doubled+n.Cut+n.Crossed+n.FalseNo+n.Lost, 0, "%+v", n)
+				})
+			})
 		})
-	})
+	}
 }
 
 // settle heals every fault, lets all flights end, and then asks for each key
 // once more: nothing may stay "in progress" for ever.
 func (m *machine) settle(t *rapid.T) {
-	m.c.table.down, m.c.table.lose, m.c.table.drop = false, 0, 0
+	m.c.table.set(func(f *faults) { *f = faults{} })
 	for len(m.c.flights) > 0 {
 		m.c.advance(m.c.flights[0])
 	}
+	m.c.startHost(0) // a new owner for the range, where there is one
 	for h := range simHosts {
 		m.c.drain(h)
 	}
@@ -100,8 +114,8 @@
 }
 
 // inBubble runs a test with a clock of its own.
-func inBubble(t *testing.T, c func(*cluster)) {
-	synctest.Test(t, func(*testing.T) { c(newCluster(2, nil)) })
+func inBubble(t *testing.T, run func(*cluster)) {
+	synctest.Test(t, func(*testing.T) { run(newCluster(2, rows)) })
 }
 
 func code(err error) fault.Code { return fault.From(fault.StepClaim, err).Code }
@@ -169,7 +183,7 @@
 		assert.NilError(t, err)
 		c.advance(f)
 		c.advance(f)
-		c.table.down = true
+		c.table.set(func(f *faults) { f.down = true })
 		c.advance(f) // answer to the caller, settlement deferred
 		start := time.Now()
 		_, err = c.arrive(1, "other", true)
@@ -178,7 +192,7 @@
 		assert.Equal(t, fault.From(fault.StepClaim, err).Outcome, outcome.NotRun)
 		waiting, _ := c.hosts[0].Pending()
 		assert.Equal(t, waiting, 1)
-		c.table.down = false
+		c.table.set(func(f *faults) { f.down = false })
 		c.drain(0)
 		again, err := c.arrive(1, "k", true)
 		assert.NilError(t, err)
@@ -235,19 +249,19 @@
 		{"no condition on the claim", func(tb platform.Table) platform.Table { return &mutant{Table: tb, noConds: true} },
 			two, func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
 		{"lost answer taken for success", func(tb platform.Table) platform.Table { return &mutant{Table: tb, doubtOK: true} },
-			func(c *cluster) { c.table.drop = 2; two(c) },
+			func(c *cluster) { c.table.set(func(f *faults) { f.drop = 2 }); two(c) },
 			func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
 		{"lost answer taken for failure", func(tb platform.Table) platform.Table {
 			return &mutant{Table: tb, doubtAs: platform.ErrUnavailable}
-		}, func(c *cluster) { c.table.lose = 1; two(c) },
+		}, func(c *cluster) { c.table.set(func(f *faults) { f.lose = 1 }); two(c) },
 			func(c *cluster) bool { return c.hist.Count().FalseBusy == 1 }},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(2, m.mutant)
+				c := newCluster(2, mutated(m.mutant))
 				m.run(c)
 				assert.Assert(t, m.caught(c), "%+v", c.hist.Count())
-				sound := newCluster(2, nil)
+				sound := newCluster(2, rows)
 				m.run(sound)
 				assert.NilError(t, history.Check(sound.hist))
 				n := sound.hist.Count()
--- /dev/null
+++ b/node/claim/ranged_test.go
@@ -0,0 +1,125 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/claim"
+	nodeclaim "peridotpier.example/node/claim"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+	standin "peridotpier.example/standin/platform"
+)
+
+// lease is an epoch that its holder believes in for as long as it runs: a
+// holder that is paused past its lease believes in it too.
+type lease uint64
+
+func (l lease) Epoch() uint64 { return uint64(l) }
+func (l lease) Valid() bool   { return true }
+
+func openRange(tb platform.Table, epoch uint64) (*nodeclaim.Range, error) {
+	cfg := nodeclaim.DefaultRangeConfig()
+	return nodeclaim.OpenRange(context.Background(), cfg, nodeclaim.RangeDeps{
+		Table: tb, Lease: lease(epoch), Log: event.NewLog(nil), Now: time.Now}, 0)
+}
+
+// ranged is one range, which a new host takes over whenever a host starts,
+// while the owner before still goes on by its old lease.
+type ranged struct {
+	epoch uint64
+	owner *nodeclaim.Range
+}
+
+func newRanged() *ranged { return &ranged{} }
+
+func (r *ranged) host(c *cluster, _ int) (nodeclaim.Records, func()) {
+	g := nodeclaim.NewGrouped(1, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.epoch++
+	if own, err := openRange(c.table, r.epoch); err == nil {
+		r.owner = own
+		g.Serve(0, own)
+		go func() { _ = own.Run(ctx); g.Serve(0, nil) }()
+	}
+	return g, cancel
+}
+
+func (r *ranged) Read(ctx context.Context, _ int, key string) (nodeclaim.Seen, error) {
+	if r.owner == nil {
+		return nodeclaim.Seen{}, platform.ErrUnavailable
+	}
+	return r.owner.Read(ctx, key)
+}
+
+func (r *ranged) Swap(ctx context.Context, _ int, key string, v uint64, row *claim.Row) (nodeclaim.Seen, error) {
+	if r.owner == nil {
+		return nodeclaim.Seen{}, platform.ErrUnavailable
+	}
+	return r.owner.Swap(ctx, key, v, row)
+}
+
+// Symptom: two hosts run the same request. The owner of a range is paused past
+// its lease, another takes the range over, the first wakes and appends. Its
+// append must fail on the head, with nothing in effect.
+func TestFencedOwnerCannotAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := standin.NewTable()
+		old, err := openRange(tb, 1)
+		assert.NilError(t, err)
+		next, err := openRange(tb, 2)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		lost := make(chan error, 1)
+		go func() { lost <- old.Run(ctx) }()
+		go func() { _ = next.Run(ctx) }()
+		_, err = old.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "1", Op: "1"})
+		assert.ErrorIs(t, err, platform.ErrUnavailable)
+		assert.ErrorIs(t, <-lost, platform.ErrConflict)
+		_, err = next.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "2", Op: "2"})
+		assert.NilError(t, err)
+		_, err = openRange(tb, 1)
+		assert.Assert(t, errors.Is(err, platform.ErrConflict))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Symptom: the log grows for ever, or a claim whose attempt is out of sight is
+// forgotten with the log row that holds it. Expired log rows go with later
+// appends; such a claim is carried on for a second lifetime.
+func TestLogDropsWhatExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := standin.NewTable()
+		r, err := openRange(tb, 1)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = r.Run(ctx) }()
+		put := func(key string, s claim.State) {
+			_, err := r.Swap(ctx, key, platform.Absent, &claim.Row{ID: key, Op: key, State: s, Expires: time.Now().Add(time.Hour).UnixMilli()})
+			assert.NilError(t, err)
+		}
+		put("done", claim.Completed)
+		put("open", claim.Dispatched)
+		time.Sleep(61 * time.Minute)
+		put("new", claim.Completed)
+		cancel()
+		synctest.Wait()
+
+		again, err := openRange(tb, 2)
+		assert.NilError(t, err)
+		for key, want := range map[string]bool{"done": false, "open": true, "new": true} {
+			seen, err := again.Read(context.Background(), key)
+			assert.NilError(t, err)
+			assert.Equal(t, seen.Row != nil, want, key)
+		}
+		log, err := tb.List(context.Background(), "claims/log/", "", 100)
+		assert.NilError(t, err)
+		assert.Equal(t, len(log), 1)
+	})
+}
--- a/node/claim/sim_test.go
+++ b/node/claim/sim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"peridotpier.example/core/claim"
@@ -17,36 +18,52 @@
 	standin "peridotpier.example/standin/platform"
 )
 
-// faulty is a table service with faults that a test sets.
-type faulty struct {
-	platform.Table
+// faults are what a test does to the table service.
+type faults struct {
 	down    bool
 	lose    int  // answers of commits still to be lost, after their effect
 	drop    int  // commits still to be lost before their effect, answered as in doubt
 	forgets bool // operation ids are not remembered
 }
 
+// faulty is a table service with faults.
+type faulty struct {
+	platform.Table
+	mu sync.Mutex
+	f  faults
+}
+
+func (f *faulty) set(change func(*faults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.f)
+}
+
 func (f *faulty) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
-	if f.down {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.f.down {
 		return 0, platform.ErrUnavailable
 	}
-	if f.drop > 0 {
-		f.drop--
+	if f.f.drop > 0 {
+		f.f.drop--
 		return 0, platform.ErrInDoubt
 	}
-	if f.forgets {
+	if f.f.forgets {
 		t.Op = ""
 	}
 	v, err := f.Table.Commit(ctx, t)
-	if f.lose > 0 {
-		f.lose--
+	if f.f.lose > 0 {
+		f.f.lose--
 		return 0, platform.ErrInDoubt
 	}
 	return v, err
 }
 
 func (f *faulty) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	if f.down {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.f.down {
 		return nil, platform.ErrUnavailable
 	}
 	return f.Table.Get(ctx, keys...)
@@ -138,7 +155,8 @@
 // cluster is some hosts with one table, one engine, and their history.
 type cluster struct {
 	table   *faulty
-	records func(host int) platform.Table
+	make    backend
+	stops   []func()
 	engine  *engine
 	hist    *history.History
 	hosts   []*nodeclaim.Store
@@ -152,28 +170,55 @@
 	simDeadline = 5 * time.Second
 )
 
-func newCluster(hosts int, mutate func(platform.Table) platform.Table) *cluster {
-	h := history.New()
-	c := &cluster{table: &faulty{Table: standin.NewTable()}, hist: h, engine: newEngine(h), hosts: make([]*nodeclaim.Store, hosts)}
-	c.records = func(int) platform.Table {
-		if mutate == nil {
-			return c.table
-		}
-		return mutate(c.table)
+// backend makes the records of one host and says how to stop them.
+type backend func(c *cluster, host int) (nodeclaim.Records, func())
+
+func rows(c *cluster, _ int) (nodeclaim.Records, func()) {
+	return nodeclaim.NewRows(c.table), func() {}
+}
+
+func mutated(mutate func(platform.Table) platform.Table) backend {
+	return func(c *cluster, _ int) (nodeclaim.Records, func()) {
+		return nodeclaim.NewRows(mutate(c.table)), func() {}
 	}
+}
+
+func batched(c *cluster, _ int) (nodeclaim.Records, func()) {
+	b := nodeclaim.NewBatcher(nodeclaim.DefaultBatchConfig(), c.table)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = b.Run(ctx) }()
+	return nodeclaim.NewRows(b), cancel
+}
+
+func newCluster(hosts int, b backend) *cluster {
+	h := history.New()
+	c := &cluster{table: &faulty{Table: standin.NewTable()}, make: b, hist: h, engine: newEngine(h),
+		hosts: make([]*nodeclaim.Store, hosts), stops: make([]func(), hosts)}
 	for i := range hosts {
 		c.startHost(i)
 	}
 	return c
 }
 
+// stop ends the goroutines of all hosts.
+func (c *cluster) stop() {
+	for _, stop := range c.stops {
+		stop()
+	}
+}
+
 // startHost starts a host with empty memory, in place of the one before.
 func (c *cluster) startHost(i int) {
 	c.starts++
+	if c.stops[i] != nil {
+		c.stops[i]()
+	}
+	records, stop := c.make(c, i)
+	c.stops[i] = stop
 	cfg := nodeclaim.DefaultConfig()
 	cfg.TTL, cfg.Grace = simTTL, time.Second
 	c.hosts[i] = nodeclaim.New(cfg, nodeclaim.Deps{
-		Records: nodeclaim.NewRows(c.records(i)), Fates: c.engine, Log: event.NewLog(nil), Now: time.Now,
+		Records: records, Fates: c.engine, Log: event.NewLog(nil), Now: time.Now,
 		Owner: claim.Owner{Host: fmt.Sprint("h", i), Incarnation: fmt.Sprint(c.starts)},
 	})
 }
--- /dev/null
+++ b/node/claim/sweep_test.go
@@ -0,0 +1,46 @@
+package claim_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	nodeclaim "peridotpier.example/node/claim"
+)
+
+// Symptom: rows of forgotten keys fill the table; or a sweep frees the key of
+// an attempt that still runs. What ended is deleted; what is out of sight is
+// settled by its upstream first.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, rows)
+		ctx := context.Background()
+		for _, key := range []string{"done", "sight lost"} {
+			f, err := c.arrive(0, key, true)
+			assert.NilError(t, err)
+			c.advance(f)
+			c.advance(f)
+			if key == "done" {
+				c.advance(f)
+			}
+		}
+		c.kill(0, true)
+		w := nodeclaim.NewSweeper(c.hosts[0], c.table)
+		deleted, done, err := w.Step(ctx)
+		assert.NilError(t, err)
+		assert.Assert(t, done)
+		assert.Equal(t, deleted, 0)
+		time.Sleep(simTTL + time.Minute)
+		for _, want := range []int{1, 1} { // the second was settled by the first step
+			deleted, _, err = w.Step(ctx)
+			assert.NilError(t, err)
+			assert.Equal(t, deleted, want)
+		}
+		left, err := c.table.List(ctx, "claims/", "", 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(left), 0)
+	})
+}
