Take the configuration from the table service and serve operators

Cause: hosts were handed their configuration by hand; operators had no way in. Change: the node follows the configuration reader, judges each request under one state and by its standing, and serves operators on a listener of its own. Measured: go test ./standin/local passes with configuration applied through the table.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -8,15 +8,15 @@
 // Config is one whole deployment configuration.
 type Config struct {
 	Site        string      `json:"site"`
-	DataCentres []string    `json:"data_centres"`
-	Teams       []Team      `json:"teams"`
-	Pools       []Pool      `json:"pools"`
-	Models      []Model     `json:"models"`
-	Adapters    []Adapter   `json:"adapters"`
-	Upstreams   []Upstream  `json:"upstreams"`
-	Services    []Service   `json:"services"`
-	Classes     []ClassRule `json:"classes"`
-	Presets     []Preset    `json:"presets"`
+	DataCentres []string    `json:"data_centres,omitempty"`
+	Teams       []Team      `json:"teams,omitempty"`
+	Pools       []Pool      `json:"pools,omitempty"`
+	Models      []Model     `json:"models,omitempty"`
+	Adapters    []Adapter   `json:"adapters,omitempty"`
+	Upstreams   []Upstream  `json:"upstreams,omitempty"`
+	Services    []Service   `json:"services,omitempty"`
+	Classes     []ClassRule `json:"classes,omitempty"`
+	Presets     []Preset    `json:"presets,omitempty"`
 	WeightStore WeightStore `json:"weight_store"`
 	Limits      Limits      `json:"limits"`
 }
@@ -24,9 +24,9 @@
 // Team is one party whose work no other may see.
 type Team struct {
 	Name      string     `json:"name"`
-	KeyHashes []string   `json:"key_hashes"` // SHA-256 of each accepted key, hex; two while a key is rotated
-	Models    []string   `json:"models"`     // models and adapters it may call; "*" for all
-	Services  []string   `json:"services"`   // services it may call; "*" for all
+	KeyHashes []string   `json:"key_hashes,omitempty"` // SHA-256 of each accepted key, hex; two while a key is rotated
+	Models    []string   `json:"models,omitempty"`     // models and adapters it may call; "*" for all
+	Services  []string   `json:"services,omitempty"`   // services it may call; "*" for all
 	Weight    int        `json:"weight"`     // share under contention, 1 to 1000
 	Limits    TeamLimits `json:"limits"`
 }
@@ -98,7 +98,7 @@
 type Service struct {
 	Name   string         `json:"name"`
 	Pool   string         `json:"pool"`
-	Routes []ServiceRoute `json:"routes"` // first match counts; no match: repeatable only for GET and HEAD
+	Routes []ServiceRoute `json:"routes,omitempty"` // first match counts; no match: repeatable only for GET and HEAD
 }
 
 // ServiceRoute declares how calls to a part of a service may be treated.
--- a/node/callerapi/api.go
+++ b/node/callerapi/api.go
@@ -12,6 +12,7 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
+	"peridotpier.example/core/revision"
 	"peridotpier.example/core/token"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/dispatch"
@@ -68,15 +69,20 @@
 	Claim(ctx context.Context, r nodeclaim.Request) (dispatch.Grant, *nodeclaim.Answer, error)
 }
 
+// InForce tells what is in force on this host; *query.ConfigReader implements it.
+type InForce interface {
+	Current() (*query.State, bool)
+	Standing() revision.Standing
+}
+
 // Deps are what the interface works with.
 type Deps struct {
-	InForce    func() *query.State // the configuration and preset in force
+	Config     InForce
 	Admission  Admission
 	Claims     Claims
 	Dispatcher *dispatch.Dispatcher
 	Tokens     *token.Keys
 	Requests   *inflight.Registry
-	Incarnate  func(upstream string) string
 	Metrics    *metrics.Set
 	Log        *event.Log
 	Now        func() time.Time
--- a/node/callerapi/auth.go
+++ b/node/callerapi/auth.go
@@ -20,8 +20,8 @@
 		a.deps.Metrics.Count(metrics.Requests, 1)
 		id := "r-" + a.cfg.Host + "-" + uuid.NewString()
 		c.Response().Header().Set(HeaderRequestID, id)
-		state := a.deps.InForce()
-		if state == nil {
+		state, ok := a.deps.Config.Current()
+		if !ok {
 			return fault.NotRun(fault.StepConfig, "", fault.CodeStoreDown, "no configuration is in force on this host yet").After(retryNoConfig)
 		}
 		key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearer)
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -23,9 +23,10 @@
 		dispatchEvents,
 		claimEvents,
 		upstreamEvents,
+		operatorEvents,
 		leaseEvents,
+		configEvents,
 	} {
-	for _, part := range [][]Event{processEvents, leaseEvents, configEvents} {
 		all = append(all, part...)
 	}
 	return all
--- a/node/inflight/inflight.go
+++ b/node/inflight/inflight.go
@@ -39,6 +39,9 @@
 	Code     string      `json:"code,omitempty"`
 }
 
+// AllTeams, in place of a team, stands for all; no team has an empty name.
+const AllTeams = ""
+
 // StateRunning is the state of a request that has not ended.
 const StateRunning = "running"
 
--- /dev/null
+++ b/node/operatorapi/api.go
@@ -0,0 +1,134 @@
+// Package operatorapi is the operators' interface, on a listener of its own:
+// health, readiness and metrics, the state of this host and of the site, and
+// the commands that change the configuration and the preset in force. Every
+// change goes into the audit trail under the operator's name.
+package operatorapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v5"
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/revision"
+	"peridotpier.example/node/command"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/query"
+	"peridotpier.example/node/settings"
+)
+
+// documentMost bounds an applied configuration, as docs/configuration.md says.
+const documentMost = 8 << 20
+
+// Changes are the commands; *command.Configuration implements them.
+type Changes interface {
+	Apply(ctx context.Context, a command.Apply) (revision.Head, error)
+	UsePreset(ctx context.Context, u command.UsePreset) (revision.Head, error)
+}
+
+// Audit reads the trail of changes; *query.AuditReader implements it.
+type Audit interface {
+	Page(ctx context.Context, before uint64, limit int) ([]revision.Entry, error)
+}
+
+// Site answers about all hosts; node/server implements it.
+type Site interface {
+	// Status tells the state of this host.
+	Status() Status
+	// Everywhere tells which hosts have which version in force.
+	Everywhere(ctx context.Context) (Everywhere, error)
+	// FindRequest and CancelRequest look on every host.
+	FindRequest(ctx context.Context, id string) (inflight.Request, bool, error)
+	CancelRequest(ctx context.Context, id string) (bool, error)
+	// DryRun tells what a switch of preset would move.
+	DryRun(ctx context.Context, preset string) (DryRun, error)
+}
+
+// Deps are what the interface works with.
+type Deps struct {
+	Operators []settings.OperatorKey
+	Changes   Changes
+	Audit     Audit
+	Config    *query.ConfigReader
+	Site      Site
+	Ready     func() bool
+	Requests  *inflight.Registry
+	Metrics   *metrics.Set
+	Log       *event.Log
+}
+
+// API serves operators.
+type API struct {
+	deps Deps
+	keys map[string]string // operator by key hash
+	echo *echo.Echo
+}
+
+// New makes the interface.
+func New(deps Deps) *API {
+	a := &API{deps: deps, keys: map[string]string{}, echo: echo.New()}
+	for _, o := range deps.Operators {
+		a.keys[strings.ToLower(o.KeyHash)] = o.Name
+	}
+	e := a.echo
+	e.HTTPErrorHandler = a.problem
+	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "alive\n") })
+	e.GET("/readyz", a.ready)
+	e.GET("/debug/vars", a.signedIn(a.vars))
+	e.GET("/v1/status", a.signedIn(a.status))
+	e.GET("/v1/everywhere", a.signedIn(a.everywhere))
+	e.GET("/v1/configuration", a.signedIn(a.configuration))
+	e.POST("/v1/configuration", a.signedIn(a.apply))
+	e.GET("/v1/presets", a.signedIn(a.presets))
+	e.POST("/v1/presets/:preset", a.signedIn(a.usePreset))
+	e.GET("/v1/audit", a.signedIn(a.audit))
+	e.GET("/v1/requests", a.signedIn(a.requests))
+	e.GET("/v1/requests/:id", a.signedIn(a.request))
+	e.DELETE("/v1/requests/:id", a.signedIn(a.cancel))
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.echo.ServeHTTP(w, r) }
+
+// call is a request of a known operator.
+type call struct {
+	*echo.Context
+	operator string
+}
+
+func (c *call) ctx() context.Context { return c.Request().Context() }
+
+const bearer = "Bearer "
+
+func (a *API) signedIn(h func(*call) error) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearer)
+		sum := sha256.Sum256([]byte(key))
+		name, known := a.keys[hex.EncodeToString(sum[:])]
+		if !ok || !known {
+			a.deps.Log.Emit(event.OperatorRefused, zap.String(event.FieldPeer, c.Request().RemoteAddr))
+			return problemError{http.StatusUnauthorized, Problem{Code: "unauthorized", Message: "send your operator's key as Authorization: Bearer KEY"}}
+		}
+		return h(&call{Context: c, operator: name})
+	}
+}
+
+// ready is apart from health: a host that drains or has no configuration is
+// alive, must not be restarted, and must get no new requests.
+func (a *API) ready(c *echo.Context) error {
+	if !a.deps.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (a *API) vars(c *call) error {
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, []byte(a.deps.Metrics.String()))
+}
--- a/node/query/config.go
+++ b/node/query/config.go
@@ -263,3 +263,6 @@
 func (r *ConfigReader) unreadable(version uint64, err error) {
 	r.deps.Log.Emit(event.ConfigUnreadable, zap.Uint64("version", version), zap.Error(err))
 }
+
+// Document returns the configuration as it was applied, byte for byte.
+func (s *State) Document() []byte { return s.document }
--- a/node/server/claims.go
+++ b/node/server/claims.go
@@ -54,8 +54,8 @@
 
 // Fate implements claim.Fates.
 func (f fates) Fate(ctx context.Context, upstream, attempt string) (engineapi.Attempt, error) {
-	st := f.s.state.Load()
-	if st == nil {
+	st, ok := f.s.config.Current()
+	if !ok {
 		return engineapi.Attempt{}, errUpstreamGone
 	}
 	u, ok := st.Index.Upstream(upstream)
--- /dev/null
+++ b/node/server/run.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/event"
+)
+
+// handOverBound is how long streams get to tell their callers where to go on.
+const handOverBound = 2 * time.Second
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (s *Server) Run(ctx context.Context) error {
+	var g run.Group
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	background := func(f func(context.Context) error) {
+		g.Add(func() error { return f(work) }, func(error) { stopWork() })
+	}
+	background(s.poller.Run)
+	background(s.admit.Run)
+	background(s.claims.run)
+	background(s.config.Run)
+	background(s.follow)
+	for _, l := range []*listener{s.callers, s.operators} {
+		g.Add(func() error {
+			if err := l.serve(); err != nil {
+				return err
+			}
+			<-work.Done() // a listener that is shut down must not end the others
+			return nil
+		}, func(error) { _ = l.server.Close() })
+	}
+	g.Add(func() error { return s.untilDrained(ctx) }, func(error) { stopWork() })
+	err := g.Run()
+	s.client.Close()
+	return err
+}
+
+// untilDrained waits for the order to stop, then says "not ready", goes on
+// serving while the balancer has not seen it, stops taking requests, and waits
+// for those in flight. Taking none from the first moment would refuse what the
+// balancer still sends; a listener closed too early would cut it off.
+func (s *Server) untilDrained(ctx context.Context) error {
+	select {
+	case <-s.killed:
+		return nil
+	case <-ctx.Done():
+	}
+	s.phase.Store(phaseDraining)
+	s.log.Emit(event.ProcessDrain, zap.Int("in_flight", s.requests.Live()))
+	if !s.wait(s.cfg.Settings.Bounds.BalancerWait()) {
+		return nil
+	}
+	bound, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.Bounds.Drain())
+	defer cancel()
+	cut := 0
+	if err := s.callers.server.Shutdown(bound); err != nil {
+		cut = s.requests.HandOver()
+		last, cancelLast := context.WithTimeout(context.Background(), handOverBound)
+		defer cancelLast()
+		_ = s.callers.server.Shutdown(last) // what is still open then is closed by Run
+	}
+	s.log.Emit(event.ProcessStopped, zap.Int("cut", cut))
+	return nil
+}
+
+// wait lets d pass; false: the host was killed meanwhile.
+func (s *Server) wait(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-s.killed:
+		return false
+	}
+}
+
+// Kill ends the host without a word to anyone, as the death of its process
+// would: connections break, nothing is handed over.
+func (s *Server) Kill() {
+	s.kill.Do(func() {
+		close(s.killed)
+		_ = s.callers.server.Close()
+	})
+}
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -7,11 +7,16 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/config"
 	"peridotpier.example/core/token"
+	"peridotpier.example/node/command"
+	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/conn"
@@ -99,3 +104,32 @@
 	n.Server.Kill()
 	<-n.done
 }
+
+// readyPoll is how often a starting node is looked at.
+const readyPoll = 5 * time.Millisecond
+
+// AwaitReady waits until the node serves callers.
+func (n *Node) AwaitReady(ctx context.Context) error {
+	tick := time.NewTicker(readyPoll)
+	defer tick.Stop()
+	for !n.Ready() {
+		select {
+		case <-tick.C:
+		case <-n.done:
+			return n.err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Apply puts the first version of a configuration in force.
+func Apply(ctx context.Context, tb platform.Table, objects platform.Objects, c *config.Config) error {
+	doc, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	_, err = command.NewConfiguration(command.Deps{Table: tb, Objects: objects}).Apply(ctx, command.Apply{Author: "local", Document: doc})
+	return err
+}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -15,7 +14,6 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
-	"peridotpier.example/node/query"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/local"
@@ -35,6 +33,7 @@
 	eng  *engine.Engine
 	svc  *service.Service
 	tbl  *platform.Table
+	obj  *platform.Objects
 	base string
 }
 
@@ -45,7 +44,7 @@
 
 func newPath(t testing.TB, ecfg engine.Config) *path {
 	t.Helper()
-	p := &path{t: t, tbl: platform.NewTable()}
+	p := &path{t: t, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil))}
 	ecfg.Name = "e1"
 	var err error
 	p.eng, err = engine.New(ecfg)
@@ -55,6 +54,7 @@
 	p.svc, err = service.New(service.Config{Name: "s1"})
 	assert.NilError(t, err)
 	assert.NilError(t, p.svc.Start())
+	assert.NilError(t, local.Apply(t.Context(), p.tbl, p.obj, p.config()))
 	p.node = p.startNode("n1")
 	p.base = "http://" + p.node.CallerAddress()
 	t.Cleanup(func() {
@@ -69,12 +69,9 @@
 	set := local.Settings(name, "dc1")
 	set.Bounds.BalancerWaitSeconds = 0 // no balancer here
 	set.Bounds.SilenceMs = 200
-	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: platform.NewObjects(platform.NewFaults(1, nil))}})
+	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: p.obj}})
 	assert.NilError(p.t, err)
-	c := p.config()
-	x := config.NewIndex(c)
-	n.Configure(&query.State{Version: 1, Index: x, Preset: &c.Presets[0]})
-	assert.NilError(p.t, n.Observe(context.Background()))
+	assert.NilError(p.t, n.AwaitReady(p.t.Context()))
 	return n
 }
 
@@ -84,15 +81,16 @@
 			{Name: "a", KeyHashes: []string{hash(teamKey)}, Models: []string{"m"}, Services: []string{"stock"}, Weight: 1},
 			{Name: "b", KeyHashes: []string{hash(otherKey)}, Weight: 1}},
 		Pools:  []config.Pool{{Name: "lm", Kind: config.KindEngine}, {Name: "svc", Kind: config.KindService}},
-		Models: []config.Model{{Name: "m", Pool: "lm", Version: "v1", MemoryMB: 10, MinReplicas: 1, TokensPerSecond: 100}},
+		Models: []config.Model{{Name: "m", Pool: "lm", Version: "v1", MemoryMB: 10, MinReplicas: 1, Replicas: 1, TokensPerSecond: 100}},
 		Upstreams: []config.Upstream{
-			{Name: "e1", Pool: "lm", Address: p.eng.Addr(), DataCentre: "dc1", Accelerators: 1, MemoryMB: 100, MaxBatch: 64},
+			{Name: "e1", Pool: "lm", Address: p.eng.Addr(), DataCentre: "dc1", Accelerators: 1, MemoryMB: 100, MaxBatch: 64, Fencing: config.FencingChecked},
 			{Name: "s1", Pool: "svc", Address: p.svc.Addr(), DataCentre: "dc1", MaxBatch: 64}},
 		Services: []config.Service{{Name: "stock", Pool: "svc", Routes: []config.ServiceRoute{{Method: "POST", Prefix: "/notes"}}}},
-		Classes: []config.ClassRule{{Class: class.Urgent, DeadlineMs: 10_000, QueueMax: 64}, {Class: class.Standard, DeadlineMs: 10_000, QueueMax: 64},
-			{Class: class.Bulk, DeadlineMs: 10_000, QueueMax: 64}},
-		Presets: []config.Preset{{Name: "ordinary", UrgentHeadroom: 0.1, BulkShare: 0.5, AcceptBulk: true}},
-		Limits:  config.Limits{BodyBytes: 1 << 20, AnswerBytes: 1 << 20, ClaimTTLSeconds: 3600, RetryBudgetShare: 0.1},
+		Classes: []config.ClassRule{{Class: class.Urgent, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64}, {Class: class.Standard, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64},
+			{Class: class.Bulk, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64}},
+		Presets:     []config.Preset{{Name: "ordinary", UrgentHeadroom: 0.1, BulkShare: 0.5, AcceptBulk: true}},
+		WeightStore: config.WeightStore{LoadsPerSecond: 1, Concurrent: 2, MBPerSecond: 1000},
+		Limits:      config.Limits{BodyBytes: 1 << 20, AnswerBytes: 1 << 20, ClaimTTLSeconds: 3600, RetryBudgetShare: 0.1},
 	}
 }
 
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -8,8 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"peridotpier.example/core/config"
-	"peridotpier.example/node/query"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
 	fake "peridotpier.example/standin/platform"
@@ -55,6 +53,10 @@
 	if err := r.startStandIns(); err != nil {
 		return nil, err
 	}
+	if err := Apply(ctx, r.Table, r.Objects, &r.Upstreams.Config); err != nil {
+		r.Upstreams.Close()
+		return nil, err
+	}
 	for i := range opt.Hosts {
 		n, err := r.startNode(ctx, i)
 		if err != nil {
@@ -99,9 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &r.Upstreams.Config
-	n.Configure(&query.State{Version: 1, Index: config.NewIndex(c), Preset: &c.Presets[0]})
-	return n, n.Observe(ctx)
+	return n, n.AwaitReady(ctx)
 }
 
 // Addresses are the callers' listeners of the hosts that the balancer knows.
