--- /dev/null
+++ b/cmd/internal/operator/client.go
@@ -0,0 +1,167 @@
+// Package operator calls the operators' interface of a node.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/node/operatorapi"
+)
+
+// The environment that stands in for flags.
+const (
+	EnvNode = "PIERCTL_NODE"
+	EnvKey  = "PIERCTL_KEY"
+)
+
+const callTimeout = 30 * time.Second
+
+// Flags say which node to call and as whom.
+type Flags struct {
+	Node        string
+	KeyFile     string
+	Authorities string
+	Certificate string
+	CertKey     string
+	JSON        bool
+}
+
+// Set registers the flags.
+func (f *Flags) Set(fs *flag.FlagSet) {
+	fs.StringVar(&f.Node, "node", os.Getenv(EnvNode), "operators' `URL` of any entry host, http(s)://IP:port; default $"+EnvNode)
+	fs.StringVar(&f.KeyFile, "key-file", "", "`file` with the operator's key; default $"+EnvKey)
+	fs.StringVar(&f.Authorities, "authorities", "", "PEM `file` of who may sign the node's certificate")
+	fs.StringVar(&f.Certificate, "certificate", "", "PEM `file` of the operator's own certificate")
+	fs.StringVar(&f.CertKey, "certificate-key", "", "PEM `file` of its key")
+	fs.BoolVar(&f.JSON, "json", false, "print JSON")
+}
+
+// Client calls one node.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// New makes a client from the flags.
+func (f *Flags) New() (*Client, error) {
+	if f.Node == "" {
+		return nil, &exit.Error{Code: exit.Usage, Err: errors.New("no node given"), Do: "pass --node http://IP:port or set " + EnvNode}
+	}
+	u, err := url.Parse(f.Node)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, &exit.Error{Code: exit.Usage, Err: fmt.Errorf("%q is not http(s)://IP:port", f.Node)}
+	}
+	key := os.Getenv(EnvKey)
+	if f.KeyFile != "" {
+		data, err := os.ReadFile(f.KeyFile)
+		if err != nil {
+			return nil, err
+		}
+		key = strings.TrimSpace(string(data))
+	}
+	if key == "" {
+		return nil, &exit.Error{Code: exit.Usage, Err: errors.New("no operator's key given"), Do: "pass --key-file FILE or set " + EnvKey}
+	}
+	conf, err := f.tls()
+	if err != nil {
+		return nil, err
+	}
+	return &Client{base: strings.TrimSuffix(f.Node, "/"), key: key,
+		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: conf}}}, nil
+}
+
+func (f *Flags) tls() (*tls.Config, error) {
+	if f.Authorities == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(f.Authorities)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate", f.Authorities)
+	}
+	c := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	if f.Certificate != "" {
+		own, err := tls.LoadX509KeyPair(f.Certificate, f.CertKey)
+		if err != nil {
+			return nil, err
+		}
+		c.Certificates = []tls.Certificate{own}
+	}
+	return c, nil
+}
+
+// Call makes one call and decodes its answer into out, unless out is nil.
+func (c *Client) Call(ctx context.Context, method, path string, query url.Values, body []byte, out any) error {
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.unreachable(method, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return c.unreachable(method, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(resp.StatusCode, data)
+	}
+	if out == nil || len(data) == 0 {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// unreachable is a lost answer: a read may be made again, a change may have
+// taken effect.
+func (c *Client) unreachable(method string, err error) error {
+	if method == http.MethodGet {
+		return &exit.Error{Code: exit.Failed, Err: err, Do: "try another entry host with --node"}
+	}
+	return &exit.Error{Code: exit.Unknown, Err: err, Do: "it may or may not have taken effect: look with pierctl status through another entry host before trying again"}
+}
+
+func refused(status int, data []byte) error {
+	var p operatorapi.Problem
+	if json.Unmarshal(data, &p) != nil || p.Message == "" {
+		p = operatorapi.Problem{Message: fmt.Sprintf("status %d: %s", status, data)}
+	}
+	lines := []string{p.Message}
+	for _, f := range p.Faults {
+		lines = append(lines, "  "+f.String())
+	}
+	e := &exit.Error{Code: exit.Failed, Err: errors.New(strings.Join(lines, "\n"))}
+	switch {
+	case p.Outcome == "unknown":
+		e.Code = exit.Unknown
+	case status == http.StatusConflict:
+		e.Code = exit.Conflict
+	case status == http.StatusNotFound:
+		e.Code = exit.Absent
+	}
+	return e
+}
--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -14,6 +14,9 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range []subcommands.Command{presetCommand(), applyCommand(), statusCommand(), auditCommand(), requestCommand()} {
+		subcommands.Register(c, "operating")
+	}
 	subcommands.Register(&demoCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/cmd/pierctl/operate.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/cmd/internal/operator"
+)
+
+// operation is a subcommand that calls a node.
+type operation struct {
+	operator.Flags
+	name     string
+	synopsis string
+	usage    string
+	set      func(*flag.FlagSet)
+	// run makes its calls and returns what to print, and how for people.
+	run func(ctx context.Context, c *operator.Client, args []string) (result any, text func(), err error)
+}
+
+// Name implements subcommands.Command, as the methods below do.
+func (o *operation) Name() string     { return o.name }
+func (o *operation) Synopsis() string { return o.synopsis }
+func (o *operation) Usage() string    { return o.usage }
+
+func (o *operation) SetFlags(f *flag.FlagSet) {
+	o.Set(f)
+	if o.set != nil {
+		o.set(f)
+	}
+}
+
+func (o *operation) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	args, err := interleaved(f)
+	if err != nil {
+		return exit.Usage
+	}
+	c, err := o.New()
+	if err != nil {
+		return exit.Print(os.Stderr, o.JSON, err)
+	}
+	result, text, err := o.run(ctx, c, args)
+	if err != nil {
+		return exit.Print(os.Stderr, o.JSON, err)
+	}
+	if o.JSON {
+		_ = json.NewEncoder(os.Stdout).Encode(result)
+	} else {
+		text()
+	}
+	return exit.OK
+}
+
+// interleaved takes flags that stand after the first argument too, so that
+// "preset use peak --json" works as people write it.
+func interleaved(f *flag.FlagSet) ([]string, error) {
+	var args []string
+	for f.NArg() > 0 {
+		args = append(args, f.Arg(0))
+		if err := f.Parse(f.Args()[1:]); err != nil {
+			return nil, err
+		}
+	}
+	return args, nil
+}
+
+func usageError(format string, args ...any) error {
+	return &exit.Error{Code: exit.Usage, Err: fmt.Errorf(format, args...)}
+}
