--- a/core/config/feasible.go
+++ b/core/config/feasible.go
@@ -155,33 +155,33 @@
 func pack(c *Config, pool string, want []Placement, better func(free, best int) bool) Packing {
 	p := Packing{FreeMB: map[string]int{}}
 	var names []string
+	var free []int
 	for _, u := range c.Upstreams {
 		if u.Pool == pool {
-			names = append(names, u.Name)
-			p.FreeMB[u.Name] = u.MemoryMB
+			names, free = append(names, u.Name), append(free, u.MemoryMB)
 			p.HaveMB += u.MemoryMB
 		}
 	}
-	has := map[Placement]bool{} // model and upstream only
+	taken := map[string][]int{} // model -> upstreams that have it
 	for _, w := range want {
 		p.NeedMB += w.MemoryMB
-		best := ""
-		for _, n := range names {
-			if p.FreeMB[n] < w.MemoryMB || has[Placement{Model: w.Model, Upstream: n}] {
-				continue
-			}
-			if best == "" || better(p.FreeMB[n], p.FreeMB[best]) {
-				best = n
+		has, best := taken[w.Model], -1
+		for i, mb := range free {
+			if mb >= w.MemoryMB && (best < 0 || better(mb, free[best])) && !slices.Contains(has, i) {
+				best = i
 			}
 		}
-		if best == "" {
+		if best < 0 {
 			p.Unplaced = append(p.Unplaced, w)
 			continue
 		}
-		w.Upstream = best
-		has[Placement{Model: w.Model, Upstream: best}] = true
-		p.FreeMB[best] -= w.MemoryMB
+		taken[w.Model] = append(has, best)
+		free[best] -= w.MemoryMB
+		w.Upstream = names[best]
 		p.Placed = append(p.Placed, w)
 	}
+	for i, n := range names {
+		p.FreeMB[n] = free[i]
+	}
 	return p
 }
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -43,7 +43,7 @@
 	if len(data) > MaxBytes {
 		return []Fault{{root, fmt.Sprintf("is %d bytes long, at most %d are read", len(data), MaxBytes)}}
 	}
-	s := strict{dec: json.NewDecoder(bytes.NewReader(data))}
+	s := strict{dec: json.NewDecoder(bytes.NewReader(data)), fields: map[reflect.Type]map[string]reflect.Type{}}
 	s.dec.UseNumber()
 	err := s.value(reflect.TypeOf(out).Elem(), "", 0)
 	if err == nil {
@@ -68,7 +68,8 @@
 // "Name" for "name", and keep the last of two equal keys without a word.
 type strict struct {
 	collector
-	dec *json.Decoder
+	dec    *json.Decoder
+	fields map[reflect.Type]map[string]reflect.Type // of the types met, by name
 }
 
 // value reads one value that should be a t; nil takes anything.
@@ -102,7 +103,7 @@
 }
 
 func (s *strict) object(t reflect.Type, path string, depth int) error {
-	fields, seen := fieldsOf(t), map[string]bool{}
+	fields, seen := s.fieldsOf(t), map[string]bool{}
 	for s.dec.More() {
 		tok, err := s.dec.Token()
 		if err != nil {
@@ -156,7 +157,8 @@
 	case bool:
 		s.check(t.Kind() == reflect.Bool, path, "is %t, must be %s", v, describe(t))
 	default:
-		s.add(path, "is null, must be %s", describe(t))
+		// The library writes an empty list as null, so null is one on reading too.
+		s.check(t.Kind() == reflect.Slice, path, "is null, must be %s", describe(t))
 	}
 }
 
@@ -199,16 +201,17 @@
 	}
 }
 
-func fieldsOf(t reflect.Type) map[string]reflect.Type {
-	fields := map[string]reflect.Type{}
-	if t == nil {
-		return fields
+func (s *strict) fieldsOf(t reflect.Type) map[string]reflect.Type {
+	if t == nil || s.fields[t] != nil {
+		return s.fields[t]
 	}
+	fields := map[string]reflect.Type{}
 	for f := range t.Fields() {
 		if name, _, _ := strings.Cut(f.Tag.Get("json"), ","); name != "" && name != "-" {
 			fields[name] = f.Type
 		}
 	}
+	s.fields[t] = fields
 	return fields
 }
 
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -65,13 +65,16 @@
 // InvalidError lists what is wrong with a document.
 type InvalidError struct{ Faults []config.Fault }
 
-// Error writes all faults.
+// maxShown is how many faults an error message names; Faults has them all.
+const maxShown = 5
+
+// Error writes the first faults.
 func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Faults))
-	for i, f := range e.Faults {
-		lines[i] = f.String()
+	var lines []string
+	for _, f := range e.Faults[:min(len(e.Faults), maxShown)] {
+		lines = append(lines, f.String())
 	}
-	return "invalid configuration: " + strings.Join(lines, "; ")
+	return fmt.Sprintf("invalid configuration, %d faults: %s", len(e.Faults), strings.Join(lines, "; "))
 }
 
 // ConflictError says that another change came first; nothing was changed.
