--- a/node/claim/claim_test.go
+++ b/node/claim/claim_test.go
@@ -220,6 +220,18 @@
 	})
 }
 
+// Symptom: a caller hears "in progress" of a request that nobody runs. The
+// answer of its claim was lost, and the table service had forgotten the
+// operation's id when it was asked again: the claim met itself as a conflict.
+func TestOwnClaimIsKnownAfterIDsWereForgotten(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.table.set(func(f *faults) { f.lose, f.forgets = 1, true })
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		assert.Assert(t, f != nil)
+	})
+}
+
 func TestKeyReusedWithAnotherBody(t *testing.T) {
 	inBubble(t, func(c *cluster) {
 		_, err := c.arrive(0, "k", true)
--- a/node/claim/ranged_test.go
+++ b/node/claim/ranged_test.go
@@ -83,6 +83,8 @@
 		assert.ErrorIs(t, <-lost, platform.ErrConflict)
 		_, err = next.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "2", Op: "2"})
 		assert.NilError(t, err)
+		_, err = next.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "2", Op: "2"})
+		assert.NilError(t, err, "the same change asked for again")
 		_, err = openRange(tb, 1)
 		assert.Assert(t, errors.Is(err, platform.ErrConflict))
 		cancel()
--- /dev/null
+++ b/standin/claimbench/bench.go
@@ -0,0 +1,220 @@
+// Package claimbench measures what claims cost: it drives the claims of many
+// hosts against a table service that is limited as the platform's is, and
+// counts executions on the upstream's side.
+package claimbench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	coreclaim "peridotpier.example/core/claim"
+	"peridotpier.example/node/claim"
+	"peridotpier.example/node/event"
+)
+
+// Mode is a way of keeping claims.
+type Mode string
+
+// The ways.
+const (
+	Rows    Mode = "rows"    // a commit a change
+	Batched Mode = "batched" // a row a claim, many rows a commit
+	Ranges  Mode = "ranges"  // owned ranges, each with a log
+)
+
+// Config is one measurement.
+type Config struct {
+	Mode            Mode          `json:"mode"`
+	Hosts           int           `json:"hosts"`
+	Writers         int           `json:"writers"` // batchers, or owned ranges
+	Window          time.Duration `json:"window_ns"`
+	Rate            int           `json:"rate"`    // requests a second
+	Repeats         float64       `json:"repeats"` // share that arrives a second time, at another host, at once
+	Duration        time.Duration `json:"duration_ns"`
+	Execution       time.Duration `json:"execution_ns"` // time the upstream takes
+	WritesPerSecond float64       `json:"writes_per_second"`
+	Latency         time.Duration `json:"latency_ns"` // of one call to the table service
+	Hop             time.Duration `json:"hop_ns"`     // to the host of a writer
+	Kill            bool          `json:"kill"`       // the first writer's host, at half time
+	Detect          time.Duration `json:"detect_ns"`  // until others see that a host died
+	LeaseTTL        time.Duration `json:"lease_ttl_ns"`
+	Seed            uint64        `json:"seed"`
+}
+
+// DesignSize is the load of the design size, where 1 in 5 of 7,500 requests a
+// second may not be repeated, on a table that takes 300 writes a second.
+func DesignSize(m Mode) Config {
+	return Config{Mode: m, Hosts: 420, Writers: 8, Window: 60 * time.Millisecond, Rate: 1500, Repeats: 0.05,
+		Duration: 10 * time.Second, Execution: 100 * time.Millisecond, WritesPerSecond: 300, Latency: 2 * time.Millisecond,
+		Hop: time.Millisecond, Detect: time.Second, LeaseTTL: 3 * time.Second, Seed: 1}
+}
+
+// Report is what was measured.
+type Report struct {
+	Config      Config  `json:"config"`
+	Offered     int     `json:"offered"`
+	Completed   int     `json:"completed"` // claimed, executed and answered
+	Refused     int     `json:"refused"`   // not run
+	Repeated    int     `json:"repeated"`  // repeats told in progress or replayed
+	Duplicates  int     `json:"duplicates"`
+	Unsettled   int     `json:"unsettled"` // still deferred at the end
+	PerSecond   float64 `json:"claims_per_second"`
+	Commits     float64 `json:"commits_per_second"`
+	BudgetShare float64 `json:"write_budget_share"`
+	Limited     int     `json:"commits_limited"`
+	ClaimP50Ms  float64 `json:"claim_p50_ms"`
+	ClaimP99Ms  float64 `json:"claim_p99_ms"`
+	SettleP99Ms float64 `json:"settle_p99_ms"`
+	RecoveryMs  float64 `json:"recovery_ms"` // from the kill to the first claim by the dead writer's successor
+	OpenMs      float64 `json:"open_ms"`     // of it, reading a range's log
+}
+
+// maxLatency is the largest time that the histograms hold, in microseconds.
+const maxLatency = 60_000_000
+
+type bench struct {
+	cfg    Config
+	table  *Limited
+	fleet  *fleet
+	stores []*claim.Store
+	mu     sync.Mutex
+	report Report
+	claims *hdrhistogram.Histogram
+	settle *hdrhistogram.Histogram
+	runs   map[string]int
+	work   sync.WaitGroup
+	killed atomic.Int64 // Unix nanoseconds; 0: not yet
+}
+
+// Run measures.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	b := &bench{cfg: cfg, table: NewLimited(cfg.WritesPerSecond, cfg.Latency), runs: map[string]int{},
+		claims: hdrhistogram.New(1, maxLatency, 3), settle: hdrhistogram.New(1, maxLatency, 3)}
+	b.report.Config = cfg
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var err error
+	if b.fleet, err = newFleet(ctx, cfg, b.table); err != nil {
+		return Report{}, err
+	}
+	b.startStores(ctx)
+	start, commits := time.Now(), b.table.Commits()
+	b.load(ctx, start)
+	took := time.Since(start).Seconds()
+	b.report.Commits = float64(b.table.Commits()-commits) / took
+	b.work.Wait()
+	b.finish(took)
+	return b.report, ctx.Err()
+}
+
+func (b *bench) startStores(ctx context.Context) {
+	for i := range b.cfg.Hosts {
+		s := claim.New(claim.DefaultConfig(), claim.Deps{Records: b.fleet.records(), Log: event.NewLog(nil), Now: time.Now,
+			Owner: coreclaim.Owner{Host: fmt.Sprint("h", i), Incarnation: "1"}})
+		b.stores = append(b.stores, s)
+		go func() { _ = s.Run(ctx) }()
+	}
+}
+
+// step is how often the load generator starts what is due.
+const step = time.Millisecond
+
+// load starts requests at the rate, whatever becomes of those before.
+func (b *bench) load(ctx context.Context, start time.Time) {
+	rnd := rand.New(rand.NewPCG(b.cfg.Seed, 0))
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for n := 0; ctx.Err() == nil; <-tick.C {
+		elapsed := time.Since(start)
+		if elapsed >= b.cfg.Duration {
+			return
+		}
+		if b.cfg.Kill && b.killed.Load() == 0 && elapsed >= b.cfg.Duration/2 {
+			b.killed.Store(time.Now().UnixNano())
+			go b.fleet.kill(ctx)
+		}
+		for ; n < int(elapsed.Seconds()*float64(b.cfg.Rate)); n++ {
+			key, host := fmt.Sprint("key", n), rnd.IntN(b.cfg.Hosts)
+			b.start(ctx, host, key, false)
+			if rnd.Float64() < b.cfg.Repeats {
+				b.start(ctx, (host+1)%b.cfg.Hosts, key, true)
+			}
+		}
+	}
+}
+
+func (b *bench) start(ctx context.Context, host int, key string, repeat bool) {
+	b.mu.Lock()
+	b.report.Offered++
+	b.mu.Unlock()
+	b.work.Add(1)
+	go func() {
+		defer b.work.Done()
+		b.request(ctx, b.stores[host], key, repeat)
+	}()
+}
+
+// requestDeadline is that of the generated requests.
+const requestDeadline = 10 * time.Second
+
+func (b *bench) request(ctx context.Context, s *claim.Store, key string, repeat bool) {
+	begin := time.Now()
+	grant, _, err := s.Claim(ctx, claim.Request{Team: "bench", Key: key, BodyHash: "b", Deadline: begin.Add(requestDeadline),
+		Route: coreclaim.Route{Upstream: "u", Incarnation: "i", Attempt: fmt.Sprint(key, repeat)}})
+	if grant == nil {
+		b.refused(err, repeat)
+		return
+	}
+	b.granted(key, begin)
+	time.Sleep(b.cfg.Execution)
+	settling := time.Now()
+	_ = grant.Complete(ctx, claim.Answer{Status: 200, Body: []byte(`{"stored":true}`)})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.settle.RecordValue(time.Since(settling).Microseconds())
+	b.report.Completed++
+}
+
+func (b *bench) granted(key string, begin time.Time) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[key]++
+	_ = b.claims.RecordValue(now.Sub(begin).Microseconds())
+	killed := b.killed.Load()
+	if killed != 0 && b.report.RecoveryMs == 0 && begin.UnixNano() > killed && b.fleet.successor(coreclaim.Key("bench", key)) {
+		b.report.RecoveryMs = float64(now.UnixNano()-killed) / float64(time.Millisecond)
+	}
+}
+
+func (b *bench) refused(err error, repeat bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if repeat && !isStoreDown(err) {
+		b.report.Repeated++
+		return
+	}
+	b.report.Refused++
+}
+
+func (b *bench) finish(took float64) {
+	r := &b.report
+	for _, n := range b.runs {
+		r.Duplicates += n - 1
+	}
+	for _, s := range b.stores {
+		n, _ := s.Pending()
+		r.Unsettled += n
+	}
+	const ms = 1000.0
+	r.PerSecond, r.BudgetShare = float64(r.Completed)/took, r.Commits/b.cfg.WritesPerSecond
+	r.ClaimP50Ms, r.ClaimP99Ms = float64(b.claims.ValueAtQuantile(50))/ms, float64(b.claims.ValueAtQuantile(99))/ms
+	r.SettleP99Ms = float64(b.settle.ValueAtQuantile(99)) / ms
+	r.Limited, r.OpenMs = b.table.LimitedCount(), b.fleet.openMs()
+}
--- /dev/null
+++ b/standin/claimbench/bench_test.go
@@ -0,0 +1,62 @@
+package claimbench
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRunCountsEveryRequest: the figures rest on each request being counted
+// once, also when a writer dies under load.
+func TestRunCountsEveryRequest(t *testing.T) {
+	for _, m := range []Mode{Rows, Batched, Ranges} {
+		t.Run(string(m), func(t *testing.T) {
+			cfg := DesignSize(m)
+			cfg.Rate, cfg.Duration, cfg.Kill = 100, 300*time.Millisecond, true
+			cfg.Hosts, cfg.Execution, cfg.LeaseTTL, cfg.Detect = 5, 10*time.Millisecond, 50*time.Millisecond, 20*time.Millisecond
+			r, err := Run(context.Background(), cfg)
+			assert.NilError(t, err)
+			assert.Equal(t, r.Offered, r.Completed+r.Refused+r.Repeated)
+			assert.Equal(t, r.Duplicates, 0)
+		})
+	}
+}
+
+// BenchmarkClaims is the measurement in docs/MEASUREMENTS.md; run it with
+// -benchtime 1x.
+func BenchmarkClaims(b *testing.B) {
+	for _, m := range []Mode{Rows, Batched, Ranges} {
+		for _, kill := range []bool{false, true} {
+			name := string(m)
+			if kill {
+				name += "/kill"
+			}
+			b.Run(name, func(b *testing.B) {
+				for b.Loop() {
+					cfg := DesignSize(m)
+					cfg.Kill = kill
+					r, err := Run(b.Context(), cfg)
+					assert.NilError(b, err)
+					publish(b, r)
+				}
+			})
+		}
+	}
+}
+
+func publish(b *testing.B, r Report) {
+	b.ReportMetric(r.PerSecond, "claims/s")
+	b.ReportMetric(r.Commits, "commits/s")
+	b.ReportMetric(100*r.BudgetShare, "%budget")
+	b.ReportMetric(r.ClaimP50Ms, "p50-ms")
+	b.ReportMetric(r.ClaimP99Ms, "p99-ms")
+	b.ReportMetric(r.SettleP99Ms, "settle-p99-ms")
+	b.ReportMetric(r.RecoveryMs, "recovery-ms")
+	b.ReportMetric(r.OpenMs, "open-ms")
+	b.ReportMetric(float64(r.Refused), "refused")
+	b.ReportMetric(float64(r.Duplicates), "duplicates")
+	b.ReportMetric(float64(r.Limited), "limited")
+	b.ReportMetric(0, "ns/op")
+}
--- /dev/null
+++ b/standin/claimbench/fleet.go
@@ -0,0 +1,170 @@
+package claimbench
+
+import (
+	"context"
+	"path"
+	"sync"
+	"time"
+
+	coreclaim "peridotpier.example/core/claim"
+	"peridotpier.example/node/claim"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+)
+
+// fleet is the writers of all hosts, as every host reaches them.
+type fleet struct {
+	cfg     Config
+	table   *Limited
+	grouped *claim.Grouped // only splits keys
+	mu      sync.RWMutex
+	writers []*writer
+	killAt  time.Time
+	opened  time.Duration
+}
+
+// writer is one batcher or one owner of a range.
+type writer struct {
+	table   *mortal
+	batcher *claim.Batcher
+	rng     *claim.Range
+	dead    bool
+	later   bool // took over from the dead one
+}
+
+type epoch uint64
+
+func (e epoch) Epoch() uint64 { return uint64(e) }
+func (e epoch) Valid() bool   { return true }
+
+func newFleet(ctx context.Context, cfg Config, tb *Limited) (*fleet, error) {
+	f := &fleet{cfg: cfg, table: tb, grouped: claim.NewGrouped(max(cfg.Writers, 1), nil)}
+	for i := range cfg.Writers {
+		w, err := f.open(ctx, i, 1)
+		if err != nil {
+			return nil, err
+		}
+		f.writers = append(f.writers, w)
+	}
+	return f, nil
+}
+
+func (f *fleet) open(ctx context.Context, i int, e epoch) (*writer, error) {
+	w := &writer{table: &mortal{Table: f.table}, later: e > 1}
+	switch f.cfg.Mode {
+	case Batched:
+		cfg := claim.DefaultBatchConfig()
+		cfg.Window = f.cfg.Window
+		w.batcher = claim.NewBatcher(cfg, w.table)
+		go func() { _ = w.batcher.Run(ctx) }()
+	case Ranges:
+		cfg := claim.DefaultRangeConfig()
+		cfg.Window = f.cfg.Window
+		r, err := claim.OpenRange(ctx, cfg, claim.RangeDeps{Table: w.table, Lease: e, Log: event.NewLog(nil), Now: time.Now}, i)
+		if err != nil {
+			return nil, err
+		}
+		w.rng = r
+		go func() { _ = r.Run(ctx) }()
+	}
+	return w, nil
+}
+
+// records is how a host keeps claims.
+func (f *fleet) records() claim.Records {
+	switch f.cfg.Mode {
+	case Batched:
+		return claim.NewRows(&spread{Table: f.table, fleet: f})
+	case Ranges:
+		return claim.NewGrouped(f.cfg.Writers, f)
+	default:
+		return claim.NewRows(f.table)
+	}
+}
+
+// kill ends the first writer, and puts a successor in place as soon as the
+// fleet could: a batcher needs none but that others see the death; a range
+// needs its lease to lapse and its log to be read.
+func (f *fleet) kill(ctx context.Context) {
+	f.mu.Lock()
+	if len(f.writers) == 0 {
+		f.mu.Unlock()
+		return
+	}
+	f.writers[0].dead = true
+	f.writers[0].table.dead.Store(true)
+	f.killAt = time.Now()
+	f.mu.Unlock()
+	wait := f.cfg.Detect
+	if f.cfg.Mode == Ranges {
+		wait = f.cfg.LeaseTTL
+	}
+	time.Sleep(wait)
+	begin := time.Now()
+	w, err := f.open(ctx, 0, 2)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writers[0], f.opened = w, time.Since(begin)
+}
+
+func (f *fleet) openMs() float64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return float64(f.opened) / float64(time.Millisecond)
+}
+
+// writer picks the writer of a key.
+func (f *fleet) writer(key string) *writer {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.writers[f.grouped.RangeOf(key)]
+}
+
+// successor says whether a key's writer took over from the dead one. Rows of
+// their own have no writer to die.
+func (f *fleet) successor(key string) bool { return f.cfg.Mode != Rows && f.writer(key).later }
+
+func (f *fleet) alive(w *writer) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return !w.dead
+}
+
+// Read implements claim.Forwarder.
+func (f *fleet) Read(ctx context.Context, _ int, key string) (claim.Seen, error) {
+	w := f.writer(key)
+	time.Sleep(f.cfg.Hop)
+	if !f.alive(w) {
+		return claim.Seen{}, platform.ErrUnavailable
+	}
+	return w.rng.Read(ctx, key)
+}
+
+// Swap implements claim.Forwarder.
+func (f *fleet) Swap(ctx context.Context, _ int, key string, v uint64, row *coreclaim.Row) (claim.Seen, error) {
+	w := f.writer(key)
+	time.Sleep(f.cfg.Hop)
+	if !f.alive(w) {
+		return claim.Seen{}, platform.ErrUnavailable
+	}
+	return w.rng.Swap(ctx, key, v, row)
+}
+
+// spread sends each transaction to the batcher of its key.
+type spread struct {
+	platform.Table
+	fleet *fleet
+}
+
+// Commit implements platform.Table.
+func (s *spread) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	w := s.fleet.writer(path.Base(t.Writes[0].Key))
+	time.Sleep(s.fleet.cfg.Hop)
+	if !s.fleet.alive(w) {
+		return 0, platform.ErrUnavailable
+	}
+	return w.batcher.Commit(ctx, t)
+}
--- /dev/null
+++ b/standin/claimbench/limited.go
@@ -0,0 +1,81 @@
+package claimbench
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/platform"
+	standin "peridotpier.example/standin/platform"
+)
+
+// Limited is a table service that refuses commits over a rate and takes its
+// time for each call.
+type Limited struct {
+	*standin.Table
+	limit   *rate.Limiter
+	latency time.Duration
+	commits atomic.Int64
+	limited atomic.Int64
+}
+
+// burstShare is how much of a second's writes the service takes at once.
+const burstShare = 0.1
+
+// NewLimited makes an empty table service.
+func NewLimited(writesPerSecond float64, latency time.Duration) *Limited {
+	return &Limited{Table: standin.NewTable(), latency: latency,
+		limit: rate.NewLimiter(rate.Limit(writesPerSecond), int(writesPerSecond*burstShare))}
+}
+
+// Commit implements platform.Table.
+func (l *Limited) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	time.Sleep(l.latency)
+	if !l.limit.Allow() {
+		l.limited.Add(1)
+		return 0, platform.ErrLimited
+	}
+	l.commits.Add(1)
+	return l.Table.Commit(ctx, t)
+}
+
+// Get implements platform.Table.
+func (l *Limited) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	time.Sleep(l.latency)
+	return l.Table.Get(ctx, keys...)
+}
+
+// List implements platform.Table.
+func (l *Limited) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	time.Sleep(l.latency)
+	return l.Table.List(ctx, prefix, after, limit)
+}
+
+// Commits is how many commits the service took.
+func (l *Limited) Commits() int64 { return l.commits.Load() }
+
+// LimitedCount is how many it refused for their rate.
+func (l *Limited) LimitedCount() int { return int(l.limited.Load()) }
+
+func isStoreDown(err error) bool {
+	var e *fault.Error
+	return errors.As(err, &e) && e.Code == fault.CodeStoreDown
+}
+
+// mortal is the table service as a host that may die sees it.
+type mortal struct {
+	platform.Table
+	dead atomic.Bool
+}
+
+// Commit implements platform.Table: the dead write nothing.
+func (m *mortal) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+	if m.dead.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return m.Table.Commit(ctx, t)
+}
