Plan placement: reach every model first, then spread where it earns its load

Cause: models must stay reachable on fewer accelerators while demand, versions and upstreams change, and the weight store allows about one load a second. Change: core/place, pure: what is below its minimum is placed largest first and keeps its room; room is made from spare replicas and, in turns, from on-demand models; old versions go once the new one is ready; spreading needs lasting demand, a second report and a gain that earns the load. DryRun forecasts a preset's moves. The ledger's machine now also runs the planner.

--- a/core/ledger/machine_test.go
+++ b/core/ledger/machine_test.go
@@ -11,6 +11,7 @@
 
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/ledger"
+	"peridotpier.example/core/place"
 )
 
 const engineMB = 100
@@ -129,6 +130,26 @@
 	}
 }
 
+// plan lets the planner decide, at any demand, version and number of replicas,
+// and sends its orders over the same network.
+func (w *world) plan(t *rapid.T) {
+	version := rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")
+	s := place.Snapshot{
+		Models: []config.Model{{Name: "a", Version: version, MemoryMB: 55, MinReplicas: 1},
+			{Name: "b", Version: "1", MemoryMB: 45}, {Name: "c", Version: "1", MemoryMB: 30}},
+		Adapters:  []config.Adapter{{Name: "x", Model: "a", Version: "1", MemoryMB: 10}},
+		Upstreams: []place.Upstream{{Name: "u", Row: w.row, MaxBatch: 8, Reports: 2}},
+		Demand:    map[place.Key]place.Demand{}, Budget: 4, Bounds: w.bounds,
+	}
+	for _, m := range s.Models {
+		d := rapid.Float64Range(0, 5).Draw(t, "demand")
+		s.Demand[place.Key{Model: m.Name}] = place.Demand{Short: d, Long: d}
+	}
+	for _, m := range place.Plan(&s, w.now).Moves {
+		w.reserve(m.Want, rapid.IntRange(0, 3).Draw(t, "copies"))
+	}
+}
+
 func actions(w *world) map[string]func(*rapid.T) {
 	things := []ledger.Want{
 		{Thing: ledger.Thing{Model: "a", Version: "1"}, MemoryMB: 60}, {Thing: ledger.Thing{Model: "b", Version: "1"}, MemoryMB: 45},
@@ -159,6 +180,7 @@
 			}
 		},
 		"readNewest": func(t *rapid.T) { take(t); w.read(len(w.reports) - 1) },
+		"plan":       func(t *rapid.T) { w.plan(t) },
 		"restart":    func(*rapid.T) { w.engine.restart() },
 		"second":     func(*rapid.T) { w.pass(time.Second) },
 		"minutes":    func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(10, 200).Draw(t, "seconds")) * time.Second) },
--- a/core/ledger/reserve.go
+++ b/core/ledger/reserve.go
@@ -74,6 +74,10 @@
 	return nil
 }
 
+// CanUnload says whether the thing is resident and nothing on top of it is or
+// may become so.
+func (r Row) CanUnload(t Thing) bool { return r.allowsUnload(t) == nil }
+
 // allowsUnload keeps a base model while adapters of it are or may become
 // resident: what an engine does with them is not known.
 func (r Row) allowsUnload(t Thing) error {
@@ -94,7 +98,7 @@
 
 func (r Row) baseResident(model string) bool {
 	return slices.ContainsFunc(r.Residents, func(m Resident) bool {
-		return m.Model == model && m.Adapter == "" && m.State == Ready && !r.inDoubt(m.Thing, Unload)
+		return m.Model == model && m.Adapter == "" && m.State == Ready && !r.Doubted(m.Thing, Unload)
 	})
 }
 
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -173,10 +173,11 @@
 // still take it away. Only a firm replica lets another be unloaded.
 func (r Row) Firm(t Thing) bool {
 	ready := slices.ContainsFunc(r.Residents, func(m Resident) bool { return m.Thing == t && m.State == Ready })
-	return ready && !r.inDoubt(t, Unload)
+	return ready && !r.Doubted(t, Unload)
 }
 
-func (r Row) inDoubt(t Thing, k Kind) bool {
+// Doubted says whether an order of the kind for the thing is in doubt.
+func (r Row) Doubted(t Thing, k Kind) bool {
 	return slices.ContainsFunc(r.Charges, func(c Charge) bool { return c.Kind == k && c.Thing == t })
 }
 
--- /dev/null
+++ b/core/place/dryrun.go
@@ -0,0 +1,111 @@
+package place
+
+import (
+	"strconv"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/ledger"
+)
+
+// mostRounds bounds a dry run; one that has not come to rest by then says so.
+const mostRounds = 500
+
+// Forecast is what a switch to another preset would do.
+type Forecast struct {
+	Moves []Move
+	Bound time.Duration // on the time until the last of them is done
+	Rest  bool          // whether the plans came to rest; if not, there are more moves
+}
+
+// DryRun tells the moves that a preset would make at the demand of the
+// snapshot. It plans again and again on a copy in which each move is done at
+// once.
+func DryRun(s *Snapshot, preset config.Preset, now time.Time) Forecast {
+	next := *s
+	next.Preset, next.Loads = preset, 0
+	next.Upstreams = append([]Upstream(nil), s.Upstreams...)
+	next.LastMove = map[Key]time.Time{}
+	var f Forecast
+	for round := range mostRounds {
+		next.Budget = mostElective
+		at := now.Add(time.Duration(round+1) * (s.Bounds.SendWindow + s.Bounds.InFlight + s.Bounds.ReportAge + s.Bounds.ClockSkew))
+		d := Plan(&next, at)
+		if len(d.Moves) == 0 {
+			f.Rest = true
+			break
+		}
+		f.Moves = append(f.Moves, d.Moves...)
+		for k, m := range d.Moves {
+			next.carryOut(m, at, strconv.Itoa(round)+"."+strconv.Itoa(k))
+		}
+	}
+	f.Bound = f.bound(s, preset)
+	return f
+}
+
+// carryOut does a move at once and settles it.
+func (s *Snapshot) carryOut(m Move, at time.Time, op string) {
+	for i := range s.Upstreams {
+		if s.Upstreams[i].Name != m.Upstream {
+			continue
+		}
+		u := &s.Upstreams[i]
+		row, c, err := u.Row.Reserve(at, s.Bounds, u.Row.Epoch, op, m.Want)
+		if err != nil {
+			return
+		}
+		residents := row.Residents[:0:0]
+		for _, r := range row.Residents {
+			if r.Thing != m.Want.Thing {
+				residents = append(residents, r)
+			}
+		}
+		if m.Want.Kind == ledger.Load {
+			residents = append(residents, ledger.Resident{Thing: m.Want.Thing, State: ledger.Ready, MemoryMB: m.Want.MemoryMB})
+		}
+		used := row.OverheadMB
+		for _, r := range residents {
+			used += r.MemoryMB
+		}
+		seq := row.Seen[len(row.Seen)-1].Sequence + 1
+		u.Row, _ = row.Observe(s.Bounds, ledger.Report{Incarnation: row.Incarnation(), Sequence: seq,
+			Epoch: c.Fence + 1, UsedMB: used, Residents: residents, Read: c.Until})
+	}
+}
+
+// bound adds up the pace of the preset for what is elective, that of the
+// weight store for all loads, one load at a full store, and the settling of
+// the unloads that must come before a load.
+func (f Forecast) bound(s *Snapshot, preset config.Preset) time.Duration {
+	loads, elective, largest, unloads := 0.0, 0.0, 0, 0
+	for _, m := range f.Moves {
+		if m.Want.Kind == ledger.Unload {
+			unloads++
+			continue
+		}
+		loads++
+		largest = max(largest, m.Want.MemoryMB)
+		if m.Why.Elective() {
+			elective++
+		}
+	}
+	seconds := 0.0
+	if preset.MovesPerMinute > 0 {
+		seconds += elective / preset.MovesPerMinute * 60
+	}
+	if s.Store.LoadsPerSecond > 0 {
+		seconds += loads / s.Store.LoadsPerSecond
+	}
+	if s.Store.MBPerSecond > 0 {
+		seconds += float64(largest*max(s.Store.Concurrent, 1)) / float64(s.Store.MBPerSecond)
+	}
+	total := time.Duration(seconds * float64(time.Second))
+	if len(f.Moves) > 0 {
+		total += s.Bounds.SendWindow + s.Bounds.ReportAge
+	}
+	if unloads > 0 {
+		total += s.Bounds.SendWindow + s.Bounds.InFlight + s.Bounds.ReportAge + s.Bounds.ClockSkew
+	}
+	return total
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,154 @@
+// Package place decides which upstream loads or unloads which model. It does
+// no I/O and has no clock: Plan takes a snapshot and a time and returns the
+// moves that may begin now, each of which the ledger has room for.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/ledger"
+)
+
+// Key names a model, or an adapter of it, whatever the version.
+type Key struct {
+	Model   string
+	Adapter string // "" for the base model
+}
+
+// Demand is how many requests for a key are in progress or waiting at once,
+// as means over two windows. A move that costs a load needs both.
+type Demand struct {
+	Short float64 // over about half a minute
+	Long  float64 // over about five minutes
+}
+
+func (d Demand) sure() float64 { return min(d.Short, d.Long) }
+func (d Demand) most() float64 { return max(d.Short, d.Long) }
+
+// Upstream is one upstream as the planner knows it.
+type Upstream struct {
+	Name       string
+	DataCentre string
+	Row        ledger.Row
+	MaxBatch   int
+	Leaving    bool
+	Down       bool // for long enough that it is not one lost report
+	Reports    int  // read of its present incarnation
+}
+
+// Snapshot is what one plan sees. Plan does not change it.
+type Snapshot struct {
+	Models    []config.Model // of the pool
+	Adapters  []config.Adapter
+	Upstreams []Upstream
+	Demand    map[Key]Demand
+	Preset    config.Preset
+	Store     config.WeightStore
+	Loads     int     // now under way, over all planners
+	Budget    float64 // elective loads that the preset's pace allows now
+	LastMove  map[Key]time.Time
+	Bounds    ledger.Bounds
+}
+
+// Why says what a move is for.
+type Why string
+
+// The reasons, most pressing first. Only the last three are elective.
+const (
+	WhyUnreachable Why = "unreachable" // no replica can answer
+	WhyLeaving     Why = "leaving"     // its replicas are on upstreams that leave
+	WhyMinimum     Why = "minimum"     // fewer replicas than configured
+	WhyVersion     Why = "version"     // another version is configured
+	WhyRoom        Why = "room"        // unloaded so that another may be loaded
+	WhySpread      Why = "spread"      // its replicas are overloaded
+	WhyAdapter     Why = "adapter"     // more demand for an adapter than its holders carry
+	WhyFill        Why = "fill"        // an on-demand model, where there is room to spare
+)
+
+// Elective moves wait for the preset's pace; the others do not.
+func (w Why) Elective() bool { return w == WhySpread || w == WhyAdapter || w == WhyFill }
+
+// Move is one order to one upstream.
+type Move struct {
+	Upstream string
+	Want     ledger.Want
+	Why      Why
+	Gain     float64 // requests at once that would no longer wait; 0 for moves that are due anyway
+}
+
+// Wait is a model or adapter that has no ready replica, and the bound on the
+// time until it has one.
+type Wait struct {
+	Key   Key
+	Bound time.Duration // 0: no path; the configuration does not fit
+}
+
+// Decision is what a plan comes to.
+type Decision struct {
+	Moves    []Move
+	Waits    []Wait
+	Deferred int // loads that are due, but for which the weight store has no place now
+}
+
+// Tuning, with the reasons.
+const (
+	defaultThreshold = 0.7              // utilisation above which queues begin to show in the tail
+	earnSlots        = 0.5              // least gain of an elective load: at 2 s a request some 15 requests a minute
+	settleFor        = 2 * time.Minute  // a model moved this recently is left alone: its demand has not settled
+	idleDemand       = 0.05             // requests at once below which a surplus replica may make room
+	leastReports     = 2                // of an incarnation, before an elective move touches its upstream
+	sendGrace        = 15 * time.Second // past an order's sending window, until it is taken for lost
+	mostElective     = 4                // in one plan, so that the next one sees what they did
+	tightShare       = 0.8              // of all memory taken: beyond it placement packs before it spreads
+)
+
+// Plan decides the moves that may begin now.
+func Plan(s *Snapshot, now time.Time) Decision {
+	p := newPlan(s, now)
+	p.reach()
+	p.reachAdapters()
+	p.retireVersions()
+	p.spread()
+	p.spreadAdapters()
+	p.fill()
+	return p.decide()
+}
+
+// decide cuts the loads to what the weight store has places for. Those for
+// models that nobody can reach and that are asked for come first.
+func (p *plan) decide() Decision {
+	slices.SortStableFunc(p.moves, func(a, b planned) int {
+		byRank := cmp.Compare(rank(a.Why), rank(b.Why))
+		if p.tight {
+			return byRank // in the order of placement, or what is left would not fit as placed
+		}
+		return cmp.Or(byRank, cmp.Compare(b.demand, a.demand))
+	})
+	d := Decision{Waits: p.waits}
+	places := p.places()
+	for _, m := range p.moves {
+		if m.Want.Kind == ledger.Load {
+			if places <= 0 {
+				d.Deferred++
+				continue
+			}
+			places--
+		}
+		d.Moves = append(d.Moves, m.Move)
+	}
+	return d
+}
+
+func (p *plan) places() int {
+	if p.s.Store.Concurrent <= 0 {
+		return len(p.moves)
+	}
+	return p.s.Store.Concurrent - p.s.Loads
+}
+
+func rank(w Why) int {
+	return slices.Index([]Why{WhyRoom, WhyUnreachable, WhyLeaving, WhyMinimum, WhyVersion, WhySpread, WhyAdapter, WhyFill}, w)
+}
--- /dev/null
+++ b/core/place/room.go
@@ -0,0 +1,190 @@
+package place
+
+import (
+	"slices"
+
+	"peridotpier.example/core/ledger"
+)
+
+// victim is a thing that may go to make room.
+type victim struct {
+	it    *item
+	thing ledger.Thing
+	mb    int
+}
+
+// makeRoom decides the unloads that free room for the item at one of the
+// hosts: where the least demand is displaced. It says whether there is a way.
+// Room that earlier unloads will free is counted first, so that a second plan
+// does not unload more while the first one's unloads are under way.
+func (p *plan) makeRoom(it *item, hosts []int) bool {
+	need := it.mb
+	if it.base == nil {
+		need = p.withExtras(it)
+	}
+	best, bestLoss := -1, 0.0
+	var chosen []victim
+	for _, i := range hosts {
+		h := &p.hosts[i]
+		if !h.usable || it.heldAt(i) {
+			continue
+		}
+		if h.free+h.coming >= need {
+			h.coming -= max(need-h.free, 0)
+			h.free = max(h.free-need, 0)
+			return true
+		}
+		victims, loss, ok := p.victims(i, need-h.free-h.coming, it)
+		if ok && (best < 0 || loss < bestLoss) {
+			best, bestLoss, chosen = i, loss, victims
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	for _, v := range p.nowUnloadable(best, chosen) {
+		p.addUnload(best, v.it, v.thing, v.mb, WhyRoom)
+	}
+	return true
+}
+
+// victims are the things at a host that free at least need megabytes, those
+// with the least demand first, and the demand that they carry there.
+func (p *plan) victims(i, need int, forItem *item) (out []victim, loss float64, ok bool) {
+	candidates := p.candidates(i, forItem)
+	slices.SortStableFunc(candidates, func(a, b victim) int {
+		return compareFloat(a.it.demand.most(), b.it.demand.most())
+	})
+	for _, v := range candidates {
+		if need <= 0 {
+			break
+		}
+		out = append(out, v)
+		need -= v.mb
+		loss += v.it.demand.most()/float64(max(v.it.firm, 1)) + 0.01 // of equals, fewer unloads
+	}
+	return out, loss, need <= 0
+}
+
+func compareFloat(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// candidates are the things at a host that may go: never the last firm
+// replica of what must be kept, and never one whose going is in doubt already.
+func (p *plan) candidates(i int, forItem *item) []victim {
+	h := &p.hosts[i]
+	var out []victim
+	for _, r := range h.Row.Residents {
+		if !slices.Contains(h.things, r.Thing) || h.Row.Doubted(r.Thing, ledger.Unload) || r.State != ledger.Ready {
+			continue
+		}
+		it := p.byKey[Key{r.Model, r.Adapter}]
+		if it == nil {
+			it = &item{key: Key{r.Model, r.Adapter}, thing: r.Thing} // configured no more
+		}
+		if it == forItem || it.base == forItem || !p.dispensable(it, h, r.Thing, forItem) {
+			continue
+		}
+		out = append(out, victim{it, r.Thing, r.MemoryMB})
+	}
+	return out
+}
+
+// dispensable says whether a replica may go for another model's sake.
+func (p *plan) dispensable(it *item, h *host, t ledger.Thing, forItem *item) bool {
+	if p.byKey[it.key] == nil {
+		return true
+	}
+	others := it.firm
+	if h.serving && h.Row.Firm(t) {
+		others--
+	}
+	for _, a := range it.extras {
+		if p.heldOnlyAt(a, h) {
+			return false // an adapter would go with its base model
+		}
+	}
+	if others >= max(p.leastOf(it), 1) {
+		return true
+	}
+	// An on-demand model gives way to one that must be resident or is asked
+	// for when nobody asks for it, or when it had its turn: so all of them
+	// share what memory is left, each with a stated path back.
+	hadTurn := p.settled(it) && forItem.firm == 0
+	return it.least == 0 && p.leastOf(forItem) > 0 && (it.demand.most() < idleDemand || hadTurn)
+}
+
+// pathLater says whether some host has room but for on-demand models, which
+// give way in time.
+func (p *plan) pathLater(need int) bool {
+	for i := range p.hosts {
+		h := &p.hosts[i]
+		if !h.usable {
+			continue
+		}
+		room := h.free + h.coming
+		for _, r := range h.Row.Residents {
+			if it := p.byKey[Key{Model: r.Model}]; it == nil || it.least == 0 {
+				room += r.MemoryMB
+			}
+		}
+		if room >= need {
+			return true
+		}
+	}
+	return false
+}
+
+// heldOnlyAt says whether the adapter must be kept and has no firm place but
+// this host.
+func (p *plan) heldOnlyAt(a *item, h *host) bool {
+	firmHere := h.serving && h.Row.Firm(a.thing)
+	return firmHere && a.firm <= 1 && p.leastOf(a) > 0
+}
+
+// nowUnloadable leaves out base models while adapters of them are still held
+// there: these go first, and a later plan unloads the base.
+func (p *plan) nowUnloadable(i int, chosen []victim) []victim {
+	h := &p.hosts[i]
+	var out []victim
+	for _, v := range chosen {
+		if v.thing.Adapter != "" {
+			out = append(out, v)
+			continue
+		}
+		if h.Row.CanUnload(v.thing) {
+			out = append(out, v)
+			continue
+		}
+		for _, a := range p.adaptersAt(h, v.thing.Model) {
+			listed := slices.ContainsFunc(chosen, func(c victim) bool { return c.thing == a.thing })
+			if !listed {
+				out = append(out, a)
+			}
+		}
+	}
+	return out
+}
+
+func (p *plan) adaptersAt(h *host, model string) []victim {
+	var out []victim
+	for _, r := range h.Row.Residents {
+		if r.Model != model || r.Adapter == "" || !slices.Contains(h.things, r.Thing) || h.Row.Doubted(r.Thing, ledger.Unload) {
+			continue
+		}
+		it := p.byKey[Key{r.Model, r.Adapter}]
+		if it == nil {
+			it = &item{key: Key{r.Model, r.Adapter}, thing: r.Thing}
+		}
+		out = append(out, victim{it, r.Thing, r.MemoryMB})
+	}
+	return out
+}
--- /dev/null
+++ b/core/place/spread.go
@@ -0,0 +1,95 @@
+package place
+
+// spread adds replicas of models whose replicas are all overloaded, best gain
+// first. It never unloads: a replica that is not needed any more costs nothing
+// until its memory is, and would cost a load to bring back.
+func (p *plan) spread() {
+	for range mostElective {
+		if p.budget < 1 {
+			return
+		}
+		best, at, bestGain := (*item)(nil), -1, earnSlots
+		for _, it := range p.models {
+			if i, gain := p.gainOf(it); i >= 0 && gain > bestGain {
+				best, at, bestGain = it, i, gain
+			}
+		}
+		if best == nil {
+			return
+		}
+		p.budget--
+		best.moved = true
+		p.addLoad(at, best, WhySpread, bestGain)
+	}
+}
+
+// gainOf predicts what one more replica is worth: the requests at once above
+// the threshold on its hosts before, less those after.
+func (p *plan) gainOf(it *item) (at int, gain float64) {
+	if !p.settled(it) || it.demand.sure() <= 0 || !p.allOverloaded(it) {
+		return -1, 0
+	}
+	at = p.bestHost(it, it.mb)
+	if at < 0 || p.hosts[at].Reports < leastReports {
+		return -1, 0
+	}
+	n, d := float64(len(it.live)), it.demand.sure()
+	share, less := d/(n+1), d/n-d/(n+1)
+	for _, i := range it.live {
+		gain += p.excess(i, 0) - p.excess(i, -less)
+	}
+	gain += p.excess(at, 0) - p.excess(at, share)
+	return at, gain
+}
+
+// excess is the requests at once above the threshold at a host, if its load
+// changed by so much; those far above it weigh more, as waits grow faster than
+// load. Were they weighed alike, taking work from a swamped upstream to one
+// just above the threshold would seem to gain nothing.
+func (p *plan) excess(i int, change float64) float64 {
+	h := &p.hosts[i]
+	batch := float64(max(h.MaxBatch, 1))
+	over := max(h.load+change-p.threshold()*batch, 0)
+	return over + over*over/batch
+}
+
+func (p *plan) threshold() float64 {
+	if p.s.Preset.SpreadThreshold > 0 {
+		return p.s.Preset.SpreadThreshold
+	}
+	return defaultThreshold
+}
+
+// allOverloaded: while one replica has room, routing sends the work there.
+func (p *plan) allOverloaded(it *item) bool {
+	for _, i := range it.live {
+		if p.hosts[i].utilisation() <= p.threshold() || p.hosts[i].Reports < leastReports {
+			return false
+		}
+	}
+	return len(it.live) > 0
+}
+
+func (p *plan) settled(it *item) bool {
+	last, moved := p.s.LastMove[it.key]
+	return !it.moved && (!moved || p.now.Sub(last) >= settleFor)
+}
+
+// spreadAdapters loads an adapter beside more replicas of its base model, when
+// all of its own holders are overloaded and another is not.
+func (p *plan) spreadAdapters() {
+	for _, it := range p.extras {
+		if p.budget < 1 {
+			return
+		}
+		if it.demand.sure() < earnSlots || !p.settled(it) || !p.allOverloaded(it) {
+			continue
+		}
+		i := p.bestBaseHost(it)
+		if i < 0 || p.hosts[i].utilisation() > p.threshold() {
+			continue
+		}
+		p.budget--
+		p.addLoad(i, it, WhyAdapter, it.demand.sure()/float64(len(it.live)+1))
+	}
+}
