--- /dev/null
+++ b/standin/site/bench_test.go
@@ -0,0 +1,44 @@
+package site_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/site"
+)
+
+// BenchmarkDirect runs a site's demand against its static placement through
+// an entry host with perfect knowledge: what demand and placement allow.
+func BenchmarkDirect(b *testing.B) {
+	for _, name := range []string{"taipei", "kathmandu"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				direct(b, name, 20*time.Second)
+			}
+		})
+	}
+}
+
+func direct(b *testing.B, name string, length time.Duration) {
+	s := builtIn(b, name)
+	u, err := s.Start(site.Options{Seed: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer u.Close()
+	entry := httptest.NewServer(u.Direct())
+	defer entry.Close()
+	plan, err := s.Plan(1, length)
+	if err != nil {
+		b.Fatal(err)
+	}
+	res := load.Run(b.Context(), load.Config{Plan: plan, Entries: load.NewBalancer(entry.Listener.Addr().String()),
+		Dial: u.Dialer(site.Clients).DialContext})
+	c := res.Count(u.Effects())
+	b.ReportMetric(c.Attainment, "attainment")
+	b.ReportMetric(c.ByClass["urgent"].Attainment, "urgent")
+	b.ReportMetric(s.Bound(plan), "bound")
+	b.ReportMetric(float64(len(plan))/length.Seconds(), "requests/s")
+}
--- /dev/null
+++ b/standin/site/direct.go
@@ -0,0 +1,108 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/engine"
+)
+
+// Direct is an entry host that can't exist: it knows each engine's true state
+// without lag and hands requests over without a network. Routing over the
+// same placement can't do better than it by knowing more, so it is the upper
+// bound that a routing policy is shown beside, and it calibrates demand.
+func (u *Upstreams) Direct() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engineapi.PathChat, u.directGeneration)
+	mux.HandleFunc("/v1/services/{service}/{path...}", u.directCall)
+	return mux
+}
+
+func (u *Upstreams) directGeneration(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var q struct {
+		Model string `json:"model"`
+	}
+	if err == nil {
+		err = json.Unmarshal(body, &q)
+	}
+	if err != nil {
+		directError(w, http.StatusBadRequest, "bad_request")
+		return
+	}
+	e := u.leastLoaded(q.Model)
+	if e == nil {
+		directError(w, http.StatusServiceUnavailable, "no_upstream")
+		return
+	}
+	if most := u.Site.Engines.QueueMax; most > 0 && e.Truth().Waiting >= most {
+		directError(w, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.Header.Set(engineapi.HeaderAttempt, uuid.NewString())
+	r.Header.Set(engineapi.HeaderPriority, priorities[r.Header.Get("Peridot-Class")])
+	e.Handler().ServeHTTP(w, r)
+}
+
+// priorities are the engine's numbers for the callers' classes.
+var priorities = map[string]string{"bulk": "0", "standard": "1", "urgent": "2"}
+
+// leastLoaded finds the engine with the least true load among those that can
+// answer for a model or adapter now.
+func (u *Upstreams) leastLoaded(name string) *engine.Engine {
+	var best *engine.Engine
+	least := 0
+	for _, e := range u.Engines {
+		r := e.Truth()
+		if load := r.Running + r.Waiting; serves(&r, name) && (best == nil || load < least) {
+			best, least = e, load
+		}
+	}
+	return best
+}
+
+func serves(r *engineapi.Report, name string) bool {
+	if r.Leaving {
+		return false
+	}
+	for _, res := range r.Residents {
+		own := res.Model
+		if res.Adapter != "" {
+			own = res.Adapter
+		}
+		if own == name && res.State == engineapi.StateReady {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *Upstreams) directCall(w http.ResponseWriter, r *http.Request) {
+	for _, up := range u.Config.Upstreams {
+		if u.serviceOf(up.Pool) != r.PathValue("service") {
+			continue
+		}
+		for _, s := range u.Services {
+			if s.Name() == up.Name {
+				r.Header.Set(engineapi.HeaderAttempt, uuid.NewString())
+				r.URL.Path = engineapi.PathService + strings.TrimPrefix(r.PathValue("path"), "/")
+				s.Handler().ServeHTTP(w, r)
+				return
+			}
+		}
+	}
+	directError(w, http.StatusNotFound, "not_found")
+}
+
+func directError(w http.ResponseWriter, status int, code string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, `{"error":{"message":"`+code+`","type":"server_error","code":"`+code+`","outcome":"not_run"}}`)
+}
