--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -26,6 +26,7 @@
 		operatorEvents,
 		leaseEvents,
 		configEvents,
+		peerEvents,
 	} {
 		all = append(all, part...)
 	}
--- /dev/null
+++ b/node/peer/config.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/peer/peerpb"
+)
+
+// fetchAfter is how long a host that heard of a newer version tries the store
+// itself before it asks the peer for the document. Asking at once would load
+// the links with documents that the object store serves better.
+const fetchAfter = time.Second
+
+// followConfig tells each new version on all links.
+func (m *Mesh) followConfig(ctx context.Context) {
+	var seen uint64
+	for {
+		st, err := m.deps.Config.Next(ctx, seen)
+		if err != nil {
+			return // ctx ended
+		}
+		seen = st.Version
+		m.mu.Lock()
+		for l := range m.links {
+			l.queueHead()
+		}
+		m.mu.Unlock()
+	}
+}
+
+// configWord is what each message says of the configuration.
+func (m *Mesh) configWord(withHead bool) *peerpb.ConfigWord {
+	w := &peerpb.ConfigWord{}
+	st, ok := m.deps.Config.Current()
+	if !ok {
+		return w
+	}
+	w.Version = st.Version
+	if version, age, ok := m.deps.Config.Confirmation(); ok && version == st.Version {
+		w.Confirmed, w.ConfirmedAgeMs = true, uint32(min(age.Milliseconds(), 1<<31))
+	}
+	if withHead {
+		if version, data, ok := m.deps.Config.Snapshot(false); ok && version == w.Version {
+			w.Head = data
+		}
+	}
+	return w
+}
+
+// takeConfig acts on a peer's word on the configuration.
+func (m *Mesh) takeConfig(l *link, w *peerpb.ConfigWord) {
+	var own uint64
+	if st, ok := m.deps.Config.Current(); ok {
+		own = st.Version
+	}
+	switch {
+	case w.Version < own:
+		l.queueHead()
+	case w.Version > own:
+		if len(w.Head) > 0 {
+			_ = m.deps.Config.Offer(w.Version, w.Head) // logs what it cannot read
+		} else {
+			m.deps.Config.PollSoon()
+		}
+		m.fetchLater(l, w.Version)
+	case w.Confirmed:
+		m.deps.Config.PeerConfirms(w.Version, time.Duration(w.ConfirmedAgeMs)*time.Millisecond)
+	}
+}
+
+// fetchLater asks a peer for the document if the store has not given it by then.
+func (m *Mesh) fetchLater(l *link, version uint64) {
+	if !m.traces.once("fetch", m.now(), fetchAfter) {
+		return
+	}
+	time.AfterFunc(fetchAfter, func() {
+		if st, ok := m.deps.Config.Current(); ok && st.Version >= version {
+			return
+		}
+		l.mu.Lock()
+		address := l.peer.Address
+		l.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		var above uint64
+		if st, ok := m.deps.Config.Current(); ok {
+			above = st.Version
+		}
+		err := m.pool.call(ctx, address, func(c peerpb.DRPCPeerClient) error {
+			a, err := c.Configuration(ctx, &peerpb.ConfigurationRequest{Above: above})
+			if err != nil || a.Version <= above {
+				return err
+			}
+			return m.deps.Config.Offer(a.Version, a.Snapshot)
+		})
+		if err != nil {
+			m.deps.Log.Emit(event.PeerCallFailed, zap.String(event.FieldPeer, address), zap.String("call", "configuration"), zap.Error(err))
+		}
+	})
+}
--- /dev/null
+++ b/node/peer/mesh.go
@@ -0,0 +1,330 @@
+// Package peer lets the entry hosts act as one: each keeps links to a bounded
+// set of others and passes on what is news: hosts that come, go or cannot be
+// reached, upstreams that leave or change what they hold, and the version of
+// the configuration. docs/design/peers.md tells why.
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpier.example/core/member"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/peer/peerpb"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/query"
+)
+
+// Defaults of Config.
+const (
+	defaultHeartbeat = 2 * time.Second  // with three missed, a dead link is noticed in 6 s
+	defaultHostList  = 10 * time.Second // 420 hosts then take 42 of 2,000 reads a second
+	defaultLocal     = 3                // links dialled within the data centre; as many again come in
+	defaultRemote    = 3                // links dialled to other data centres
+)
+
+// Config bounds a Mesh; zero values take the defaults.
+type Config struct {
+	Self      member.Host // name, address, data centre, process
+	Heartbeat time.Duration
+	HostList  time.Duration // between two looks at the platform's list
+	Local     int
+	Remote    int
+}
+
+// Deps are what a Mesh works with. The functions must not block.
+type Deps struct {
+	Hosts    platform.Hosts
+	Config   *query.ConfigReader
+	Requests *inflight.Registry
+	Cancel   error // cause for requests cancelled through a peer
+	Dial     Dial
+	Log      *event.Log
+	Now      func() time.Time
+	// Upstream is told each word that was news, wherever it came from.
+	Upstream func(member.Upstream)
+	// Changed is told when the hosts that count changed.
+	Changed func()
+	// Usage sums up the teams' use; nil: this host does not share it.
+	Usage *Usage
+}
+
+// Mesh is one host's part of the net of links. Lock order: mu, then a link's.
+type Mesh struct {
+	cfg    Config
+	deps   Deps
+	now    func() time.Time
+	pool   *pool
+	wake   chan struct{} // asks for a look at the links
+	traces traces
+
+	mu        sync.Mutex
+	self      member.Host
+	hosts     *member.Hosts
+	upstreams *member.Upstreams
+	links     map[*link]struct{}
+	dialing   map[string]bool
+	shunned   map[string]time.Time // could not be dialled: not chosen again until then
+	suspected map[string]time.Time // when this host last called another suspect
+	listed    map[string]platform.Host
+	listedAt  time.Time
+}
+
+// New makes a Mesh. Serve and Run make it work.
+func New(cfg Config, deps Deps) *Mesh {
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = defaultHeartbeat
+	}
+	if cfg.HostList == 0 {
+		cfg.HostList = defaultHostList
+	}
+	if cfg.Local == 0 {
+		cfg.Local = defaultLocal
+	}
+	if cfg.Remote == 0 {
+		cfg.Remote = defaultRemote
+	}
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	m := &Mesh{cfg: cfg, deps: deps, now: deps.Now, wake: make(chan struct{}, 1), hosts: member.NewHosts(),
+		upstreams: member.NewUpstreams(), links: map[*link]struct{}{}, dialing: map[string]bool{},
+		shunned: map[string]time.Time{}, suspected: map[string]time.Time{}, listed: map[string]platform.Host{}}
+	m.self = cfg.Self
+	if m.self.Incarnation == 0 {
+		m.self.Incarnation = uint64(m.now().UnixMilli())
+	}
+	m.hosts.Merge(m.self)
+	m.pool = newPool(deps.Dial)
+	return m
+}
+
+// Run keeps links, heartbeats and the list of hosts until ctx ends. What it
+// started has ended when it returns.
+func (m *Mesh) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { m.followHostList(ctx); return nil })
+	g.Go(func() error { m.followConfig(ctx); return nil })
+	if m.deps.Usage != nil {
+		g.Go(func() error { m.shareUsage(ctx); return nil })
+	}
+	g.Go(func() error {
+		defer m.pool.close()
+		for ctx.Err() == nil {
+			m.tend(ctx, g)
+			m.rest(ctx)
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+// rest waits for half a heartbeat, about, or until woken.
+func (m *Mesh) rest(ctx context.Context) {
+	t := time.NewTimer(time.Duration(float64(m.cfg.Heartbeat) * (0.4 + 0.2*rand.Float64())))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.wake:
+	}
+}
+
+func (m *Mesh) tendSoon() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Self is this host's own record.
+func (m *Mesh) Self() member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// Announce tells the others this host's state.
+func (m *Mesh) Announce(s member.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.State = s
+	m.raiseLocked(m.self.Sequence)
+}
+
+// raiseLocked makes this host's own word newer than the given sequence.
+func (m *Mesh) raiseLocked(above uint64) {
+	m.self.Sequence = max(m.self.Sequence, above) + 1
+	m.hosts.Merge(m.self)
+	m.spreadHostLocked(m.self, nil)
+}
+
+func (m *Mesh) spreadHostLocked(h member.Host, except *link) {
+	for l := range m.links {
+		if l != except {
+			l.queueHost(h)
+		}
+	}
+}
+
+// Live returns the hosts that count as members: those alive, this one included.
+func (m *Mesh) Live() []member.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.liveLocked()
+}
+
+func (m *Mesh) liveLocked() []member.Host {
+	var out []member.Host
+	for _, h := range m.hosts.All() {
+		if h.State == member.Alive {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// All returns every host known, and whether this host has a link to it.
+func (m *Mesh) All() (hosts []member.Host, linked map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	linked = map[string]bool{}
+	for l := range m.links {
+		linked[l.name()] = true
+	}
+	return m.hosts.All(), linked
+}
+
+// Tell takes this host's own word on an upstream, from its report or refusal.
+func (m *Mesh) Tell(u member.Upstream) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mergeUpstreamLocked(u, nil)
+}
+
+// Current returns what is known of an upstream's newest process.
+func (m *Mesh) Current(upstream string) (member.Upstream, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.upstreams.Current(upstream)
+}
+
+// KeepUpstreams forgets those that are not in the configuration any more.
+func (m *Mesh) KeepUpstreams(known func(string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.upstreams.Keep(known)
+}
+
+func (m *Mesh) mergeUpstreamLocked(u member.Upstream, from *link) {
+	if !m.upstreams.Merge(u) {
+		return
+	}
+	now, _ := m.upstreams.Current(u.Name)
+	for l := range m.links {
+		if l != from {
+			l.queueUpstream(now)
+		}
+	}
+	if m.deps.Upstream != nil {
+		m.deps.Upstream(now)
+	}
+}
+
+// take takes one message of a link.
+func (m *Mesh) take(l *link, msg *peerpb.Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if msg.From != nil {
+		h := hostFromWire(msg.From)
+		l.mu.Lock()
+		l.peer = h
+		l.mu.Unlock()
+		m.mergeHostLocked(h, l)
+	}
+	for _, r := range msg.Hosts {
+		m.mergeHostLocked(hostFromWire(r), l)
+	}
+	for _, w := range msg.Upstreams {
+		m.mergeUpstreamLocked(upstreamFromWire(w), l)
+	}
+	if msg.Digest != nil {
+		m.compareLocked(l, msg.Digest)
+	}
+	if msg.Config != nil {
+		m.takeConfig(l, msg.Config)
+	}
+}
+
+// mergeHostLocked takes a word on a host, and passes it on if it is news.
+func (m *Mesh) mergeHostLocked(h member.Host, from *link) {
+	if h.Name == m.self.Name {
+		m.hearOfSelfLocked(h)
+		return
+	}
+	old, known := m.hosts.Get(h.Name)
+	if !m.hosts.Merge(h) {
+		return
+	}
+	m.spreadHostLocked(h, from)
+	if !known || old.State != h.State || old.Incarnation != h.Incarnation || old.Address != h.Address {
+		m.deps.Log.Emit(event.PeerChanged, zap.String(event.FieldPeer, h.Name), zap.String("state", h.State.String()), zap.Uint64("incarnation", h.Incarnation))
+		delete(m.shunned, h.Name)
+		m.changedLocked()
+	}
+}
+
+// hearOfSelfLocked answers what others say of this host. A former process of
+// the same name, or a host that could not reach this one, must not stay the
+// last word.
+func (m *Mesh) hearOfSelfLocked(h member.Host) {
+	if h.Process != m.self.Process && h.Incarnation >= m.self.Incarnation {
+		// The clock of the host that ran the former process was ahead.
+		m.self.Incarnation = h.Incarnation + 1
+		m.raiseLocked(0)
+		return
+	}
+	graver := h.Incarnation == m.self.Incarnation && h.State != m.self.State && h.Sequence >= m.self.Sequence
+	if graver {
+		m.raiseLocked(h.Sequence)
+	}
+}
+
+func (m *Mesh) changedLocked() {
+	m.tendSoon()
+	if m.deps.Changed != nil {
+		m.deps.Changed()
+	}
+}
+
+func (m *Mesh) digest() *peerpb.Digest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &peerpb.Digest{Hosts: m.hosts.Digest(), Upstreams: m.upstreams.Digest()}
+}
+
+// compareLocked sends everything when the other side knows something else.
+// What was lost when a link broke is repaired by it; without it, a host could
+// go on for ever with an upstream that left.
+func (m *Mesh) compareLocked(l *link, d *peerpb.Digest) {
+	hosts, upstreams := d.Hosts != m.hosts.Digest(), d.Upstreams != m.upstreams.Digest()
+	if !hosts && !upstreams || !l.mayRepair(m.now()) {
+		return
+	}
+	if hosts {
+		for _, h := range m.hosts.All() {
+			l.queueHost(h)
+		}
+	}
+	if upstreams {
+		for _, u := range m.upstreams.All() {
+			l.queueUpstream(u)
+		}
+	}
+}
--- /dev/null
+++ b/node/peer/serve.go
@@ -0,0 +1,78 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/peer/peerpb"
+)
+
+// Serve answers peers on ln until ctx ends.
+func (m *Mesh) Serve(ctx context.Context, ln net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, service{m}); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, ln)
+}
+
+// service is what this host offers to its peers.
+type service struct{ m *Mesh }
+
+// Link implements peerpb.DRPCPeerServer, as the methods below do.
+func (s service) Link(st peerpb.DRPCPeer_LinkStream) error {
+	ctx, cancel := context.WithCancel(st.Context())
+	defer cancel()
+	l := newLink(s.m, false, func() { cancel(); _ = st.Close() })
+	s.m.keep(ctx, l, boundStream{st, ctx})
+	return nil
+}
+
+// boundStream ends its sender when the link is given up on this side.
+type boundStream struct {
+	peerpb.DRPCPeer_LinkStream
+	ctx context.Context
+}
+
+// Context implements stream.
+func (b boundStream) Context() context.Context { return b.ctx }
+
+func (s service) Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.HostRecord, error) {
+	r := hostToWire(s.m.Self())
+	if st, ok := s.m.deps.Config.Current(); ok {
+		r.ConfigVersion = st.Version
+	}
+	return r, nil
+}
+
+func (s service) Configuration(_ context.Context, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationAnswer, error) {
+	version, data, ok := s.m.deps.Config.Snapshot(true)
+	if !ok || version <= r.Above {
+		return &peerpb.ConfigurationAnswer{}, nil
+	}
+	return &peerpb.ConfigurationAnswer{Version: version, Snapshot: data}, nil
+}
+
+func (s service) Usage(_ context.Context, r *peerpb.UsageReport) (*peerpb.UsageTotals, error) {
+	if s.m.deps.Usage == nil {
+		return &peerpb.UsageTotals{}, nil
+	}
+	return s.m.deps.Usage.take(r, s.m.now()), nil
+}
+
+func (s service) Request(_ context.Context, q *peerpb.RequestQuery) (*peerpb.RequestAnswer, error) {
+	r, ok := s.m.deps.Requests.Get(q.Id, inflight.AllTeams)
+	if !ok {
+		return &peerpb.RequestAnswer{}, nil
+	}
+	if q.Cancel && !s.m.deps.Requests.Cancel(q.Id, inflight.AllTeams, s.m.deps.Cancel) {
+		return &peerpb.RequestAnswer{}, nil
+	}
+	data, err := json.Marshal(r)
+	return &peerpb.RequestAnswer{Found: true, Request: data}, err
+}
--- /dev/null
+++ b/node/peer/tend.go
@@ -0,0 +1,279 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"peridotpier.example/core/member"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/peer/peerpb"
+	"peridotpier.example/node/platform"
+)
+
+const (
+	// shunFor is how long a host that could not be dialled is not chosen again.
+	shunFor = 10 * time.Second
+	// suspectEach is the least time between two words of this host that the
+	// same other one is suspect. If others vouch for it, the fault lies between
+	// the two, and repeating the word would only make it flap everywhere.
+	suspectEach = time.Minute
+	// forgetAfter is how long a host that the platform does not list is kept.
+	forgetAfter = 5 * time.Minute
+)
+
+// tend opens the links that are missing, closes those not wanted any more,
+// and looks after the silent and the suspect.
+func (m *Mesh) tend(ctx context.Context, g *errgroup.Group) {
+	m.mu.Lock()
+	wanted := m.wantedLocked()
+	have := map[string]bool{}
+	now := m.now()
+	var silent []*link
+	for l := range m.links {
+		name := l.name()
+		if l.dialed && name != "" && !wanted[name].ok {
+			l.cancel()
+			continue
+		}
+		have[name] = have[name] || l.dialed
+		if now.Sub(time.Unix(0, l.heard.Load())) > silentAfter*m.cfg.Heartbeat {
+			silent = append(silent, l)
+		}
+	}
+	var dial []member.Host
+	for name, w := range wanted {
+		if !have[name] && !m.dialing[name] {
+			m.dialing[name] = true
+			dial = append(dial, w.host)
+		}
+	}
+	suspect := m.suspectToProbeLocked()
+	m.mu.Unlock()
+
+	for _, l := range silent {
+		l.cancel() // its end is looked into in ended
+	}
+	for _, h := range dial {
+		g.Go(func() error { m.dial(ctx, h); return nil })
+	}
+	if suspect.Name != "" {
+		g.Go(func() error { m.probe(ctx, suspect); return nil })
+	}
+}
+
+type want struct {
+	host member.Host
+	ok   bool
+}
+
+// wantedLocked are the hosts to keep a link to.
+func (m *Mesh) wantedLocked() map[string]want {
+	now := m.now()
+	var candidates []member.Host
+	for _, h := range m.hosts.All() {
+		if h.Address != "" && now.After(m.shunned[h.Name]) && h.State != member.Leaving {
+			candidates = append(candidates, h)
+		}
+	}
+	out := map[string]want{}
+	for _, h := range member.Links(m.self, candidates, m.cfg.Local, m.cfg.Remote) {
+		out[h.Name] = want{h, true}
+	}
+	return out
+}
+
+// suspectToProbeLocked chooses one suspect host at random, every other time:
+// a data centre that was cut off and comes back is found that way.
+func (m *Mesh) suspectToProbeLocked() member.Host {
+	var suspects []member.Host
+	for _, h := range m.hosts.All() {
+		if h.State == member.Suspect && h.Address != "" && h.Name != m.self.Name {
+			suspects = append(suspects, h)
+		}
+	}
+	if len(suspects) == 0 || rand.IntN(2) == 0 {
+		return member.Host{}
+	}
+	return suspects[rand.IntN(len(suspects))]
+}
+
+// dial opens a link and keeps it until it ends.
+func (m *Mesh) dial(ctx context.Context, h member.Host) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.dialing, h.Name)
+		m.mu.Unlock()
+		m.tendSoon()
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := m.pool.fresh(ctx, h.Address)
+	if err != nil {
+		m.unreachable(ctx, h, err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	s, err := peerpb.NewDRPCPeerClient(conn).Link(ctx)
+	if err != nil {
+		m.unreachable(ctx, h, err)
+		return
+	}
+	l := newLink(m, true, cancel)
+	l.peer = h
+	m.keep(ctx, l, s)
+}
+
+// keep runs a link until it ends, on either side.
+func (m *Mesh) keep(ctx context.Context, l *link, s stream) {
+	m.mu.Lock()
+	m.links[l] = struct{}{}
+	m.mu.Unlock()
+	var once sync.Once
+	end := func() { once.Do(l.cancel) }
+	var g errgroup.Group
+	g.Go(func() error { defer end(); return l.send(s) })
+	g.Go(func() error { defer end(); return l.receive(s) })
+	err := g.Wait()
+	m.mu.Lock()
+	delete(m.links, l)
+	m.mu.Unlock()
+	m.ended(ctx, l, err)
+}
+
+// ended looks into the end of a link. If the other host answers on a new
+// connection, only the old one was bad, as when something between the two lost
+// track of it; otherwise the host is suspect.
+func (m *Mesh) ended(ctx context.Context, l *link, err error) {
+	l.mu.Lock()
+	h := l.peer
+	l.mu.Unlock()
+	m.mu.Lock()
+	now, known := m.hosts.Get(h.Name)
+	expected := !known || now.State == member.Leaving || now.State == member.Gone || m.self.State != member.Alive
+	m.mu.Unlock()
+	if expected || h.Name == "" {
+		return
+	}
+	// The context of the link has ended; the look into it is bounded instead.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if m.probe(ctx, now) && !errors.Is(err, context.Canceled) {
+		m.deps.Log.Emit(event.PeerLinkLost, zap.String(event.FieldPeer, h.Name), zap.Error(err))
+	}
+}
+
+// probe asks a host on a new connection whether it lives.
+func (m *Mesh) probe(ctx context.Context, h member.Host) bool {
+	r, err := m.pool.probe(ctx, h.Address)
+	if err != nil {
+		m.unreachable(ctx, h, err)
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mergeHostLocked(hostFromWire(r), nil)
+	return true
+}
+
+// unreachable calls a host suspect, unless others have just vouched for it.
+func (m *Mesh) unreachable(ctx context.Context, h member.Host, err error) {
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	m.shunned[h.Name] = now.Add(shunFor)
+	known, ok := m.hosts.Get(h.Name)
+	if !ok || known.Incarnation != h.Incarnation || known.State != member.Alive || now.Sub(m.suspected[h.Name]) < suspectEach {
+		return
+	}
+	m.suspected[h.Name] = now
+	m.deps.Log.Emit(event.PeerUnreachable, zap.String(event.FieldPeer, h.Name), zap.Error(err))
+	known.State = member.Suspect
+	m.mergeHostLocked(known, nil)
+}
+
+// followHostList takes new hosts from the platform's list and forgets those
+// long gone from it. The list lags: what the hosts say themselves goes first.
+func (m *Mesh) followHostList(ctx context.Context) {
+	wait := m.cfg.Heartbeat / 2 // until the first list is there
+	for {
+		if m.readHostList(ctx) {
+			wait = m.cfg.HostList
+		}
+		if !sleep(ctx, time.Duration(float64(wait)*(0.8+0.4*rand.Float64()))) {
+			return
+		}
+	}
+}
+
+func (m *Mesh) readHostList(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := m.deps.Hosts.Hosts(ctx)
+	if err != nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	next := map[string]platform.Host{}
+	for _, h := range list {
+		if h.Role == platform.RoleEntry {
+			next[h.Name] = h
+			m.listLocked(h)
+		}
+	}
+	m.forgetLocked(next, now)
+	m.listed, m.listedAt = next, now
+	return len(next) > 0
+}
+
+// listLocked takes one entry of the list. It can add a host and say that it
+// leaves, never that a leaving one is back.
+func (m *Mesh) listLocked(h platform.Host) {
+	old, known := m.hosts.Get(h.Name)
+	switch {
+	case h.Name == m.self.Name:
+	case !known:
+		m.mergeHostLocked(member.Host{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre}, nil)
+	case old.State == member.Alive && h.State == platform.HostLeaving && old.Address == h.Address:
+		old.State = member.Leaving
+		m.mergeHostLocked(old, nil)
+	}
+}
+
+// forgetLocked drops hosts that ended and are not listed any more.
+func (m *Mesh) forgetLocked(list map[string]platform.Host, now time.Time) {
+	for _, h := range m.hosts.All() {
+		_, listed := list[h.Name]
+		if listed || h.Name == m.self.Name || h.State == member.Alive || len(list) == 0 {
+			m.traces.clear("unlisted " + h.Name)
+			continue
+		}
+		if m.traces.since("unlisted "+h.Name, now) > forgetAfter {
+			m.hosts.Drop(h.Name)
+			delete(m.suspected, h.Name)
+			delete(m.shunned, h.Name)
+			m.traces.clear("unlisted " + h.Name)
+		}
+	}
+}
+
+// Listed returns the platform's list of entry hosts as last read.
+func (m *Mesh) Listed() []platform.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]platform.Host, 0, len(m.listed))
+	for _, h := range m.listed {
+		out = append(out, h)
+	}
+	return out
+}
--- /dev/null
+++ b/node/peer/traces.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"sync"
+	"time"
+)
+
+// traces remembers when things began or were last done.
+type traces struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// once says whether key was not done within the last d, and notes that it is now.
+func (t *traces) once(key string, now time.Time, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at == nil {
+		t.at = map[string]time.Time{}
+	}
+	if last, ok := t.at[key]; ok && now.Sub(last) < d {
+		return false
+	}
+	t.at[key] = now
+	return true
+}
+
+// since returns how long ago key was first asked for.
+func (t *traces) since(key string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at == nil {
+		t.at = map[string]time.Time{}
+	}
+	if _, ok := t.at[key]; !ok {
+		t.at[key] = now
+	}
+	return now.Sub(t.at[key])
+}
+
+func (t *traces) clear(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.at, key)
+}
