Configuration: documents are compressed in the store and between hosts

Change: gzip in the object store and in a peer's offer; the digest stays over the plain text, so one document has one name whatever packed it.

--- /dev/null
+++ b/core/revision/document.go
@@ -0,0 +1,42 @@
+package revision
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"peridotpier.example/core/config"
+)
+
+// Compress packs a document for the store and for peers: every host reads
+// each new document, and at the design size the plain text alone would use
+// up a host's budget of bytes for control.
+func Compress(doc []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(doc); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// Expand unpacks a document and checks that it is the one that digest names.
+// It reads no more than the largest document, whatever the packed one claims.
+func Expand(packed []byte, digest string) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("document: %w", err)
+	}
+	doc, err := io.ReadAll(io.LimitReader(r, config.MaxBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("document: %w", err)
+	}
+	if got := Digest(doc); got != digest {
+		return nil, fmt.Errorf("document has digest %s, the head names %s", got, digest)
+	}
+	return doc, nil
+}
--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -60,7 +60,7 @@
 // document it is enough for a host that has the same one in force already.
 type Snapshot struct {
 	Head     Head   `json:"head"`
-	Document []byte `json:"document,omitempty"` // byte for byte: the digest is over it
+	Document []byte `json:"document,omitempty"` // compressed, as in the object store
 }
 
 // Digest names a document by its content.
@@ -69,8 +69,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// DocumentName is the object that holds a document.
-func DocumentName(digest string) string { return docPrefix + digest + ".json" }
+// DocumentName is the object that holds a document, compressed. The name is
+// of the content, so whatever stands under it already is the same document.
+func DocumentName(digest string) string { return docPrefix + digest + ".json.gz" }
 
 // AuditKey is the row of a version's audit entry.
 func AuditKey(version uint64) string {
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -114,7 +114,7 @@
 		return revision.Head{}, err
 	}
 	digest := revision.Digest(a.Document)
-	if err := c.put(ctx, revision.DocumentName(digest), a.Document); err != nil {
+	if err := c.put(ctx, digest, a.Document); err != nil {
 		return revision.Head{}, err
 	}
 	return c.commit(ctx, cur, revision.Entry{Action: revision.ActionApply, Changes: revision.Changes(old, cfg),
@@ -175,23 +175,32 @@
 	if h.Version == 0 {
 		return nil, nil
 	}
-	data, err := c.deps.Objects.Get(ctx, revision.DocumentName(h.Digest))
+	packed, err := c.deps.Objects.Get(ctx, revision.DocumentName(h.Digest))
 	if err != nil {
 		return nil, storeError(fault.StepObject, err, "read the document in force")
 	}
+	doc, err := revision.Expand(packed, h.Digest)
+	if err != nil {
+		return nil, fault.From(fault.StepConfig, err)
+	}
 	cfg := new(config.Config)
-	if err := json.Unmarshal(data, cfg); err != nil {
+	if err := json.Unmarshal(doc, cfg); err != nil {
 		return nil, fault.From(fault.StepConfig, eris.Wrap(err, "document in force"))
 	}
 	return cfg, nil
 }
 
 // put stores a document before the head that names it: a head must never
-// name what is not there. What a lost race leaves behind is harmless.
-func (c *Configuration) put(ctx context.Context, name string, data []byte) error {
+// name what is not there. What a lost race leaves behind is harmless. A
+// conflict means that the same document is there, compressed otherwise.
+func (c *Configuration) put(ctx context.Context, digest string, doc []byte) error {
+	packed, err := revision.Compress(doc)
+	if err != nil {
+		return fault.From(fault.StepConfig, err)
+	}
 	for {
-		err := c.deps.Objects.Put(ctx, name, data)
-		if err == nil {
+		err := c.deps.Objects.Put(ctx, revision.DocumentName(digest), packed)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
 			return nil
 		}
 		if !errors.Is(err, platform.ErrInDoubt) || !pace.Sleep(ctx, putPause) {
--- a/node/query/config.go
+++ b/node/query/config.go
@@ -38,7 +38,7 @@
 	Index   *config.Index
 	Head    revision.Head
 
-	document []byte
+	packed []byte // the document, compressed
 }
 
 // Deps are what the queries work with; Now, Rand and Log may be nil.
@@ -159,15 +159,15 @@
 		r.unreadable(version, err)
 		return err
 	}
-	doc := snap.Document
-	if len(doc) == 0 {
+	packed := snap.Document
+	if len(packed) == 0 {
 		var ok bool
-		if doc, ok = r.documentAtHand(snap.Head.Digest); !ok {
+		if packed, ok = r.documentAtHand(snap.Head.Digest); !ok {
 			r.PollSoon()
 			return nil
 		}
 	}
-	return r.take(snap.Head, doc)
+	return r.take(snap.Head, packed)
 }
 
 // Snapshot returns what to offer to peers: the head alone for the push, with
@@ -179,7 +179,7 @@
 	}
 	snap := revision.Snapshot{Head: s.Head}
 	if withDocument {
-		snap.Document = s.document
+		snap.Document = s.packed
 	}
 	data, err := json.Marshal(snap)
 	return s.Version, data, err == nil
@@ -200,26 +200,26 @@
 		}
 		return nil
 	}
-	doc, ok := r.documentAtHand(head.Digest)
+	packed, ok := r.documentAtHand(head.Digest)
 	if !ok {
 		var err error
-		if doc, err = r.deps.Objects.Get(ctx, revision.DocumentName(head.Digest)); err != nil {
+		if packed, err = r.deps.Objects.Get(ctx, revision.DocumentName(head.Digest)); err != nil {
 			return eris.Wrapf(err, "read the document of version %d", head.Version)
 		}
 	}
-	return r.take(head, doc)
+	return r.take(head, packed)
 }
 
 func (r *ConfigReader) documentAtHand(digest string) ([]byte, bool) {
 	if s, ok := r.Current(); ok && s.Head.Digest == digest {
-		return s.document, true
+		return s.packed, true
 	}
 	return nil, false
 }
 
 // take puts a head with its document in force, unless a newer one is.
-func (r *ConfigReader) take(head revision.Head, doc []byte) error {
-	next, err := r.build(head, doc)
+func (r *ConfigReader) take(head revision.Head, packed []byte) error {
+	next, err := r.build(head, packed)
 	if err != nil {
 		r.unreadable(head.Version, err)
 		return err
@@ -238,13 +238,14 @@
 
 // build checks that the document is the one the head names, and indexes it;
 // the index of the same document is kept.
-func (r *ConfigReader) build(head revision.Head, doc []byte) (*State, error) {
-	next := &State{Version: head.Version, Head: head, document: doc}
+func (r *ConfigReader) build(head revision.Head, packed []byte) (*State, error) {
+	next := &State{Version: head.Version, Head: head, packed: packed}
 	if s, ok := r.Current(); ok && s.Head.Digest == head.Digest {
-		next.Index, next.document = s.Index, s.document
+		next.Index, next.packed = s.Index, s.packed
 	} else {
-		if got := revision.Digest(doc); got != head.Digest {
-			return nil, fmt.Errorf("document has digest %s, the head names %s", got, head.Digest)
+		doc, err := revision.Expand(packed, head.Digest)
+		if err != nil {
+			return nil, err
 		}
 		cfg, faults := config.Parse(doc)
 		if len(faults) > 0 {
--- a/node/query/config_test.go
+++ b/node/query/config_test.go
@@ -336,6 +336,7 @@
 		assert.NilError(b, s.reader().Offer(1, data))
 	}
 	b.ReportMetric(float64(len(doc)), "document-bytes")
+	b.ReportMetric(float64(len(data)), "offer-bytes")
 }
 
 func BenchmarkOfferPresetAtDesignSize(b *testing.B) {
