--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -180,3 +180,12 @@
 		w.epochs[e] = n.name
 	}
 }
+
+func BenchmarkKeep(b *testing.B) {
+	t0 := time.Unix(1000, 0)
+	h := lease.Held{Record: lease.Record{Holder: "a", Epoch: 3, TTLMs: 9000}, From: t0}
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = policy.Keep(h, t0.Add(time.Second))
+	}
+}
--- a/node/query/config_test.go
+++ b/node/query/config_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -331,14 +332,27 @@
 	source := s.reader()
 	assert.NilError(b, source.Poll(b.Context()))
 	_, data, _ := source.Snapshot(true)
+	before := liveBytes()
+	kept := s.reader()
+	assert.NilError(b, kept.Offer(1, data))
+	live := liveBytes() - before
 	b.ReportAllocs()
 	for b.Loop() {
 		assert.NilError(b, s.reader().Offer(1, data))
 	}
+	runtime.KeepAlive(kept)
+	b.ReportMetric(float64(live), "live-bytes")
 	b.ReportMetric(float64(len(doc)), "document-bytes")
 	b.ReportMetric(float64(len(data)), "offer-bytes")
 }
 
+func liveBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func BenchmarkOfferPresetAtDesignSize(b *testing.B) {
 	doc, err := json.Marshal(designSize())
 	assert.NilError(b, err)
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -17,7 +17,7 @@
 
 var listed = []platform.Host{{Name: "h1", Address: "127.0.0.1:1", DataCentre: "balaju", Role: "entry", State: platform.HostLive}}
 
-func memory(*testing.T) platformtest.Bench {
+func memory(testing.TB) platformtest.Bench {
 	f := standin.NewFaults(1, nil)
 	set := func(change func(*standin.Settings, float64)) func(bool) {
 		return func(on bool) {
@@ -47,7 +47,7 @@
 	return b
 }
 
-func overHTTP(t *testing.T) platformtest.Bench {
+func overHTTP(t testing.TB) platformtest.Bench {
 	b := memory(t)
 	srv := httptest.NewServer(standin.Handler(standin.Services{Table: b.Table, Objects: b.Objects, Hosts: b.Hosts, Weights: b.Weights}))
 	t.Cleanup(srv.Close)
@@ -58,8 +58,8 @@
 }
 
 func TestConformance(t *testing.T) {
-	t.Run("memory", func(t *testing.T) { platformtest.Run(t, memory) })
-	t.Run("http", func(t *testing.T) { platformtest.Run(t, overHTTP) })
+	t.Run("memory", func(t *testing.T) { platformtest.Run(t, func(t *testing.T) platformtest.Bench { return memory(t) }) })
+	t.Run("http", func(t *testing.T) { platformtest.Run(t, func(t *testing.T) platformtest.Bench { return overHTTP(t) }) })
 }
 
 // Symptom: an act runs twice after a store failure. Sequence: the service is
