--- a/node/platform/resolve.go
+++ b/node/platform/resolve.go
@@ -16,7 +16,8 @@
 
 // CommitResolved commits t and, when the answer is lost, commits it again
 // under the same operation id until the service says what became of it or
-// ctx ends. Without this a lost answer would be read as a failure, and the
+// ctx ends, which must be within OpMemory: a forgotten id would run again.
+// Without this a lost answer would be read as a failure, and the
 // caller would act twice on a write that took effect: one would notice a
 // claim refused to its own owner, or a reservation leaked for ever.
 func CommitResolved(ctx context.Context, tb Table, t Txn) (uint64, error) {
--- a/node/platform/rest/client.go
+++ b/node/platform/rest/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,8 +27,9 @@
 
 // Config addresses one service or all of them.
 type Config struct {
-	Base    string        // "http://IP:port"
+	Base    string        // "http://IP:port" or "https://IP:port"
 	Timeout time.Duration // of one call; 0: two seconds
+	TLS     *tls.Config   // for https; nil: the system's roots
 }
 
 // Client calls the platform's services. It implements platform.Table,
@@ -50,7 +52,8 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	tr := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout}
+	tr := &http.Transport{MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout,
+		TLSClientConfig: cfg.TLS}
 	return &Client{base: cfg.Base, timeout: cfg.Timeout, http: &http.Client{Transport: tr,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
--- a/node/query/config_test.go
+++ b/node/query/config_test.go
@@ -44,6 +44,15 @@
 	return s
 }
 
+// smallSite is a site whose document is quick to read.
+func smallSite(t testing.TB) *site {
+	doc, err := json.Marshal(sized(2, 2, 1))
+	assert.NilError(t, err)
+	s := newSite(t)
+	s.doc = doc
+	return s
+}
+
 func (s *site) apply(t testing.TB, parent uint64, doc []byte) revision.Head {
 	t.Helper()
 	h, err := s.config.Apply(t.Context(), command.Apply{Author: "asha", Parent: parent, Document: doc})
@@ -121,7 +130,7 @@
 		var history []porcupine.Operation
 		var last uint64
 		synctest.Test(t, func(t *testing.T) {
-			s := newSite(t)
+			s := smallSite(t)
 			s.apply(t, 0, s.doc)
 			s.table.Faults.Set(faults)
 			start := time.Now()
@@ -195,7 +204,17 @@
 			}
 		}
 	})
+	_, head, _ := source.Snapshot(false)
 	r := s.reader()
+	assert.NilError(t, r.Offer(6, head))
+	_, ok := r.Current()
+	assert.Assert(t, !ok, "a head alone is not enough for the first version")
+	assert.NilError(t, r.Offer(5, offers[4]))
+	assert.NilError(t, r.Offer(6, head))
+	state, _ := r.Current()
+	assert.Equal(t, state.Version, uint64(6), "a head is enough where its document is in force")
+
+	r = s.reader()
 	var wg sync.WaitGroup
 	for i, data := range offers { // at once: each sees the state before the others are taken
 		wg.Go(func() { assert.Check(t, r.Offer(uint64(i+1), data)) })
@@ -204,7 +223,7 @@
 	bad := strings.Replace(string(offers[5]), `"version":6`, `"version":9`, 1)
 	bad = strings.Replace(bad, `"digest":"`, `"digest":"00`, 1)
 	assert.Assert(t, r.Offer(9, []byte(bad)) != nil, "a document that is not the one named is refused")
-	state, _ := r.Current()
+	state, _ = r.Current()
 	assert.Equal(t, state.Version, uint64(6))
 }
 
@@ -283,7 +302,7 @@
 // archiver without the lease tries as well.
 func TestAuditIsWholeWhereverItIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := smallSite(t)
 		s.apply(t, 0, s.doc)
 		const versions = 730
 		for v := 2; v <= versions; v++ {
--- a/node/query/fleet_test.go
+++ b/node/query/fleet_test.go
@@ -25,7 +25,7 @@
 		readsLeft = 200 // a second, of the table's 2,000: a tenth for this
 	)
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t)
+		s := smallSite(t)
 		s.apply(t, 0, s.doc)
 		ctx, stop := context.WithCancel(t.Context())
 		readers := make([]*query.ConfigReader, hosts)
