Plan pools under a lease, with the ledger in the table service

Cause: decisions on placement need an executor that survives lost, late and repeated orders, a store that is down or loses answers, and a lease that lapses. Change: node/planner. Rows are written by compare-and-swap on the row and on the pool's epoch row; an order goes out only after its reservation committed, within its window, and with the lease checked right before; unanswered orders go out again under their id. Elective moves follow the preset's pace, a new holder starting with none. Charges name the incarnation that their order is for. Conclusion: the failures named are caused by a test each, and all at once.

--- a/core/ledger/observe.go
+++ b/core/ledger/observe.go
@@ -95,7 +95,7 @@
 func (r Row) Pending(now time.Time) []Charge {
 	var out []Charge
 	for _, c := range r.Charges {
-		if c.Kind != Carried && c.Sendable(now) == nil && !r.done(c) {
+		if c.Kind != Carried && c.For == r.Incarnation() && c.Sendable(now) == nil && !r.done(c) {
 			out = append(out, c)
 		}
 	}
--- a/core/ledger/reserve.go
+++ b/core/ledger/reserve.go
@@ -38,7 +38,7 @@
 	next := r.clone()
 	next.Epoch = epoch
 	next.Fence = max(r.Fence+1, epoch<<fenceBits)
-	c := Charge{Thing: w.Thing, Kind: w.Kind, MemoryMB: w.MemoryMB, Op: op, Fence: next.Fence,
+	c := Charge{Thing: w.Thing, Kind: w.Kind, MemoryMB: w.MemoryMB, Op: op, For: r.Incarnation(), Fence: next.Fence,
 		SendBy: now.Add(b.SendWindow), Until: now.Add(b.settleLoad())}
 	if w.Kind == Unload {
 		c.MemoryMB = 0
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -56,6 +56,7 @@
 	Kind     Kind      `json:"kind"`
 	MemoryMB int       `json:"mb,omitempty"`
 	Op       string    `json:"op,omitempty"`
+	For      string    `json:"for,omitempty"` // the incarnation that the order is for
 	Fence    uint64    `json:"fence,omitempty"`
 	SendBy   time.Time `json:"send_by"` // after it the order must not be sent any more
 	Until    time.Time `json:"until"`   // a report read after it settles the charge
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -149,15 +149,15 @@
 	}
 }
 
-// addCharge counts a load that is on its way. Past its window and a grace it
-// is taken for lost: its memory stays charged, but nobody waits for it.
+// addCharge counts a load that is on its way. Past its window and a grace, or
+// when its engine restarted, it is taken for lost: its memory stays charged, but nobody waits for it.
 func (p *plan) addCharge(i int, c ledger.Charge) {
 	it := p.byKey[Key{c.Model, c.Adapter}]
 	if c.Kind != ledger.Load || it == nil || c.Thing != it.thing || p.now.After(c.SendBy.Add(sendGrace)) {
 		return
 	}
 	h := &p.hosts[i]
-	if !h.serving || slices.Contains(it.live, i) || h.Row.Doubted(c.Thing, ledger.Unload) {
+	if c.For != h.Row.Incarnation() || !h.serving || slices.Contains(it.live, i) || h.Row.Doubted(c.Thing, ledger.Unload) {
 		return
 	}
 	it.live = append(it.live, i)
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -18,7 +18,7 @@
 // All lists every event; docs/EVENTS.md is checked against it.
 func All() []Event {
 	var all []Event
-	for _, part := range [][]Event{processEvents} {
+	for _, part := range [][]Event{processEvents, plannerEvents} {
 		all = append(all, part...)
 	}
 	return all
--- /dev/null
+++ b/node/planner/books.go
@@ -0,0 +1,172 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/core/ledger"
+	"peridotpier.example/node/platform"
+)
+
+// Keys of the table service.
+const (
+	rowPrefix   = "ledger/row/"   // + pool + "/" + upstream
+	epochPrefix = "ledger/epoch/" // + pool
+	listLimit   = 500             // rows read at once
+	batchRows   = 32              // rows written in one transaction
+)
+
+// errDirty: a row whose last write is in doubt and could not be read back yet.
+var errDirty = errors.New("the row must be read again first")
+
+// books are the ledger rows of a pool as committed.
+type books struct {
+	table    platform.Table
+	pool     string
+	epoch    uint64
+	epochRow platform.Cond // every write demands that no later planner has taken over
+	rows     map[string]*entry
+}
+
+type entry struct {
+	row     ledger.Row
+	version uint64
+	dirty   bool // the last write is in doubt: read before anything else
+}
+
+// change is a row to be written.
+type change struct {
+	upstream string
+	next     ledger.Row
+}
+
+// openBooks takes over the books of a pool under an epoch and reads them.
+func openBooks(ctx context.Context, tb platform.Table, pool string, epoch uint64) (*books, error) {
+	b := &books{table: tb, pool: pool, epoch: epoch, rows: map[string]*entry{}}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if err := b.claimEpoch(ctx); err != nil {
+		return nil, err
+	}
+	for after := ""; ; {
+		rows, err := tb.List(ctx, b.prefix(), after, listLimit)
+		if err != nil {
+			return nil, eris.Wrap(err, "read the ledger")
+		}
+		for _, r := range rows {
+			if err := b.put(r); err != nil {
+				return nil, err
+			}
+			after = r.Key
+		}
+		if len(rows) < listLimit {
+			return b, nil
+		}
+	}
+}
+
+// claimEpoch writes the epoch row. Reading the rows only afterwards makes sure
+// that nothing of an earlier holder is written behind this one's back.
+func (b *books) claimEpoch(ctx context.Context) error {
+	key := epochPrefix + b.pool
+	rows, err := b.table.Get(ctx, key)
+	if err != nil {
+		return eris.Wrap(err, "read the planner's epoch")
+	}
+	cond := platform.Cond{Key: key}
+	if len(rows) > 0 {
+		held, _ := strconv.ParseUint(string(rows[0].Value), 10, 64)
+		if held > b.epoch {
+			return eris.Wrapf(ledger.ErrOldEpoch, "epoch %d is held", held)
+		}
+		cond.Version = rows[0].Version
+	}
+	v, err := platform.CommitResolved(ctx, b.table, platform.Txn{Op: newOp(), Conds: []platform.Cond{cond},
+		Writes: []platform.Write{{Key: key, Value: []byte(strconv.FormatUint(b.epoch, 10))}}})
+	b.epochRow = platform.Cond{Key: key, Version: v}
+	return eris.Wrap(err, "take over the ledger")
+}
+
+func (b *books) prefix() string             { return rowPrefix + b.pool + "/" }
+func (b *books) key(upstream string) string { return b.prefix() + upstream }
+
+func (b *books) put(r platform.Row) error {
+	e := &entry{version: r.Version}
+	if err := json.Unmarshal(r.Value, &e.row); err != nil {
+		return eris.Wrapf(err, "ledger row %s", r.Key)
+	}
+	b.rows[strings.TrimPrefix(r.Key, b.prefix())] = e
+	return nil
+}
+
+// write commits rows in one transaction. Rows count as changed only once the
+// service says so. After a lost answer that could not be resolved, they are
+// read again before anything is built on them: the write may stand.
+func (b *books) write(ctx context.Context, changes ...change) error {
+	txn := platform.Txn{Op: newOp(), Conds: []platform.Cond{b.epochRow}}
+	for _, c := range changes {
+		e := b.rows[c.upstream]
+		if e.dirty {
+			return errDirty
+		}
+		value, err := json.Marshal(c.next)
+		if err != nil {
+			return eris.Wrap(err, "encode a ledger row")
+		}
+		txn.Conds = append(txn.Conds, platform.Cond{Key: b.key(c.upstream), Version: e.version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: b.key(c.upstream), Value: value})
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	version, err := platform.CommitResolved(ctx, b.table, txn)
+	for _, c := range changes {
+		e := b.rows[c.upstream]
+		switch {
+		case err == nil:
+			e.row, e.version = c.next, version
+		case errors.Is(err, platform.ErrInDoubt) || errors.Is(err, platform.ErrConflict):
+			e.dirty = true
+		}
+	}
+	return eris.Wrap(err, "write the ledger")
+}
+
+// refresh reads the rows again whose state is in doubt.
+func (b *books) refresh(ctx context.Context) error {
+	var keys []string
+	for name, e := range b.rows {
+		if e.dirty {
+			keys = append(keys, b.key(name))
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	rows, err := b.table.Get(ctx, append(keys, b.epochRow.Key)...)
+	if err != nil {
+		return eris.Wrap(err, "read the ledger again")
+	}
+	for _, k := range keys {
+		e := b.rows[strings.TrimPrefix(k, b.prefix())]
+		e.row, e.version, e.dirty = ledger.New(e.row.Upstream, e.row.CapacityMB, e.row.Fencing), platform.Absent, false
+	}
+	for _, r := range rows {
+		if r.Key == b.epochRow.Key {
+			if r.Version != b.epochRow.Version {
+				return ledger.ErrOldEpoch
+			}
+			continue
+		}
+		if err := b.put(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/planner/planner.go
@@ -0,0 +1,235 @@
+// Package planner executes placement for one pool under a lease: it keeps the
+// memory ledger in the table service, asks core/place what to do, and sends
+// the orders. Each act is checked against the lease right before it begins,
+// and each order is in the ledger before it is sent.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/ledger"
+	"peridotpier.example/core/place"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// Lease is the right to plan a pool. Valid is judged on the monotonic clock
+// and leaves a margin for an act that begins now.
+type Lease interface {
+	Epoch() uint64
+	Valid() bool
+}
+
+// Orders sends orders to engines. An error leaves the order in doubt.
+type Orders interface {
+	Send(ctx context.Context, upstream string, o engineapi.Order) (engineapi.OrderAnswer, error)
+}
+
+// Observed is the newest report of an upstream and when it was read.
+type Observed struct {
+	Report engineapi.Report
+	Read   time.Time
+	Down   bool // for long enough that it is not one lost report
+}
+
+// Site is what the planner reads besides the platform. View gives the
+// configuration in force and the demand; it must not change afterwards.
+type Site interface {
+	Reports() []Observed
+	View() View
+}
+
+// View is the configuration and preset in force, and the demand.
+type View struct {
+	Config *config.Config
+	Preset config.Preset
+	Demand map[place.Key]place.Demand
+}
+
+// Config tunes a planner. Zero fields take their defaults.
+type Config struct {
+	Pool   string
+	Every  time.Duration // between two plans
+	Bounds ledger.Bounds
+	AtOnce int // orders sent side by side
+}
+
+// Deps are the parts that a planner works with.
+type Deps struct {
+	Lease   Lease
+	Table   platform.Table
+	Weights platform.Weights
+	Orders  Orders
+	Site    Site
+	Log     *event.Log
+	Now     func() time.Time // nil: time.Now
+}
+
+// Tuning, with the reasons.
+const (
+	defaultEvery  = time.Second     // about the pace of reports
+	commitTimeout = 2 * time.Second // well below the sending window, so that a slow store costs no window
+	sendTimeout   = 3 * time.Second // of one order; a silent engine must not stop the plan
+	defaultAtOnce = 16
+	moveBurst     = 2 // elective moves that may come at once; more would be a storm after a switch
+)
+
+// Planner plans one pool. Step and Run belong to one goroutine; Status may be
+// called from any.
+type Planner struct {
+	cfg    Config
+	deps   Deps
+	books  *books
+	budget *rate.Limiter
+	seen   map[string]sighting // by upstream
+	last   map[place.Key]time.Time
+	sent   map[string]sendState // by order id, while its charge is in the books
+
+	mu     sync.Mutex
+	status Status
+}
+
+// sighting counts the reports of an upstream's present incarnation.
+type sighting struct {
+	incarnation string
+	sequence    uint64
+	reports     int
+	leaving     bool
+	down        bool
+}
+
+// Status is what operators see of a planner.
+type Status struct {
+	Epoch    uint64
+	Loads    int // orders to load, sent in all
+	Unloads  int
+	InDoubt  int // charges in the books
+	Deferred int
+	Waits    []place.Wait
+}
+
+// New makes a planner. It does nothing until Run or Step.
+func New(cfg Config, deps Deps) *Planner {
+	if cfg.Every <= 0 {
+		cfg.Every = defaultEvery
+	}
+	if cfg.AtOnce <= 0 {
+		cfg.AtOnce = defaultAtOnce
+	}
+	if cfg.Bounds == (ledger.Bounds{}) {
+		cfg.Bounds = ledger.DefaultBounds()
+	}
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	if deps.Log == nil {
+		deps.Log = event.NewLog(nil)
+	}
+	return &Planner{cfg: cfg, deps: deps, budget: rate.NewLimiter(0, moveBurst), seen: map[string]sighting{},
+		last: map[place.Key]time.Time{}, sent: map[string]sendState{}}
+}
+
+// Run plans until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	tick := time.NewTicker(p.cfg.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			p.Step(ctx)
+		}
+	}
+}
+
+// Step makes one plan and begins its moves. Without a valid lease it does
+// nothing.
+func (p *Planner) Step(ctx context.Context) {
+	if !p.deps.Lease.Valid() {
+		p.books = nil // whoever holds the lease now may have changed them
+		return
+	}
+	if !p.takeOver(ctx, p.deps.Lease.Epoch()) {
+		return
+	}
+	view := p.deps.Site.View()
+	if !p.observe(ctx, view) {
+		p.books = nil // a later planner has taken over
+		return
+	}
+	now := p.deps.Now()
+	snapshot := p.snapshot(view, now)
+	decision := place.Plan(snapshot, now)
+	p.sendAll(ctx, append(p.unanswered(now), p.reserveAll(ctx, decision.Moves)...))
+	p.report(decision)
+}
+
+// Status tells the state of the planner.
+func (p *Planner) Status() Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status
+}
+
+// DryRun forecasts what another preset would do at the present demand. It
+// must not run beside Step.
+func (p *Planner) DryRun(preset config.Preset) (place.Forecast, bool) {
+	if p.books == nil {
+		return place.Forecast{}, false
+	}
+	now := p.deps.Now()
+	return place.DryRun(p.snapshot(p.deps.Site.View(), now), preset, now), true
+}
+
+// takeOver reads the books when the lease is new, under a new epoch row, so
+// that a holder of an earlier lease cannot write them any more.
+func (p *Planner) takeOver(ctx context.Context, epoch uint64) bool {
+	if p.books != nil && p.books.epoch == epoch {
+		return true
+	}
+	b, err := openBooks(ctx, p.deps.Table, p.cfg.Pool, epoch)
+	if err != nil {
+		p.deps.Log.Emit(event.LedgerUnread, zap.String("pool", p.cfg.Pool), zap.Error(err))
+		return false
+	}
+	p.books = b
+	p.sent = map[string]sendState{}
+	p.budget.SetLimitAt(p.deps.Now(), 0)
+	p.budget.AllowN(p.deps.Now(), moveBurst) // a new holder begins without moves to spend
+	p.settleAnew()
+	p.deps.Log.Emit(event.PlannerTookOver, zap.String("pool", p.cfg.Pool), zap.Uint64("epoch", epoch))
+	return true
+}
+
+// settleAnew counts every model as moved just now: what the holder before did
+// is not known, and its moves may not show in the demand yet.
+func (p *Planner) settleAnew() {
+	now, view := p.deps.Now(), p.deps.Site.View()
+	for _, m := range view.Config.Models {
+		p.last[place.Key{Model: m.Name}] = now
+	}
+	for _, a := range view.Config.Adapters {
+		p.last[place.Key{Model: a.Model, Adapter: a.Name}] = now
+	}
+}
+
+func (p *Planner) report(d place.Decision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status.Epoch, p.status.Deferred, p.status.Waits = p.books.epoch, d.Deferred, d.Waits
+	p.status.InDoubt = 0
+	for _, r := range p.books.rows {
+		p.status.InDoubt += len(r.row.Charges)
+	}
+}
+
+func newOp() string { return uuid.NewString() }
--- /dev/null
+++ b/node/planner/planner_test.go
@@ -0,0 +1,262 @@
+package planner
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/ledger"
+	"peridotpier.example/core/place"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+func bubble(t *testing.T, f func(t *testing.T)) { t.Helper(); synctest.Test(t, f) }
+
+// Symptom: a model stays unreachable, or is loaded twice over.
+// Sequence: the first order is lost, or carried out but its answer is lost.
+// Cause: an order without an answer taken for one that failed, or for one that
+// went through.
+func TestOrderOrAnswerLost(t *testing.T) {
+	for name, delivered := range map[string]bool{"order lost": false, "answer lost": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				w := newTestWorld(config.FencingIgnored, testModel("a", "1", 80), testModel("b", "1", 80))
+				lost := 0
+				w.net = func(engineapi.Order) (bool, bool) {
+					lost++
+					return delivered || lost > 2, lost > 2
+				}
+				p := w.planner(&testLease{1, true})
+				w.steps(t.Context(), 5, p)
+				assert.Equal(t, w.holders("a"), 1)
+				assert.Equal(t, w.holders("b"), 1)
+				ops := map[string]bool{}
+				for _, o := range w.sent {
+					ops[o.Op] = true
+				}
+				assert.Equal(t, len(ops), 2, "sent again under the same id")
+			})
+		})
+	}
+}
+
+// Symptom: an engine holds both the model that was unloaded and its successor.
+// Sequence: a copy of the load order arrives after the unload that followed it.
+// Cause: an engine that ignores fences, and books that trusted the report.
+func TestLateCopyAfterItsSuccessor(t *testing.T) {
+	for _, fencing := range []config.Fencing{config.FencingChecked, config.FencingIgnored} {
+		t.Run(string(fencing), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				w := newTestWorld(fencing, testModel("a", "1", 60))
+				w.view.Config.Upstreams = w.view.Config.Upstreams[:1]
+				p := w.planner(&testLease{1, true})
+				w.steps(t.Context(), 3, p)
+				copied := w.sent[0]
+				w.view.Config.Models = []config.Model{testModel("b", "1", 70)} // a is configured no more
+				for range 200 {
+					w.steps(t.Context(), 1, p)
+					if time.Since(copied.at) < ledger.DefaultBounds().InFlight {
+						w.engines["u1"].carryOut(copied.Order)
+					}
+				}
+				assert.Assert(t, !w.over())
+				w.steps(t.Context(), 200, p)
+				assert.Equal(t, w.holders("b"), 1)
+			})
+		})
+	}
+}
+
+func TestEngineRestartIsLoadedAgain(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingChecked, testModel("a", "1", 80), testModel("b", "1", 80), testModel("c", "1", 80))
+		p := w.planner(&testLease{1, true})
+		w.steps(t.Context(), 3, p)
+		w.engines["u2"].restart()
+		w.steps(t.Context(), 3, p)
+		assert.Equal(t, w.holders("a")+w.holders("b")+w.holders("c"), 3)
+		assert.Assert(t, !w.over())
+	})
+}
+
+// Symptom: an order of a planner whose lease had lapsed reaches an engine.
+// Sequence: the reservation commits; the process is paused past its lease; it
+// wakes and goes on.
+// Cause: the lease checked only at the beginning of a plan.
+func TestPausedPastItsLease(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingIgnored, testModel("a", "1", 80))
+		old, next := &testLease{1, true}, &testLease{2, true}
+		p := w.planner(pausing{old, w.table, 3}) // take-over, rows of the first reports, reservation
+		p.Step(t.Context())
+		assert.Equal(t, len(w.sent), 0)
+		assert.Assert(t, w.table.commits >= 3, "the reservation was committed")
+		w.steps(t.Context(), 40, w.planner(next))
+		assert.Equal(t, w.holders("a"), 1)
+		assert.Assert(t, !w.over())
+	})
+}
+
+// pausing is a lease that lapses after so many commits.
+type pausing struct {
+	*testLease
+	table  *testTable
+	within int
+}
+
+func (l pausing) Valid() bool { return l.table.commits < l.within }
+
+// Symptom: two planners write the same books.
+// Sequence: the holder's lease lapses unnoticed by it; another takes over.
+// Cause: a clock that stands still; only the table service can tell.
+func TestSupersededPlannerWritesNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingIgnored, testModel("a", "1", 60))
+		first, second := w.planner(&testLease{1, true}), w.planner(&testLease{2, true})
+		w.steps(t.Context(), 3, first)
+		w.steps(t.Context(), 1, second)
+		w.view.Config.Models = append(w.view.Config.Models, testModel("b", "1", 60))
+		before := len(w.sent)
+		w.steps(t.Context(), 5, first)
+		assert.Equal(t, len(w.sent), before)
+		w.steps(t.Context(), 3, second)
+		assert.Equal(t, w.holders("b"), 1)
+	})
+}
+
+// Symptom: memory over after an outage of the table service.
+// Sequence: the engine unloads; the store goes down before the release is in
+// the books; the next load is due.
+// Cause: a release counted before it was committed.
+func TestStoreDownInTheMiddleOfAMove(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingChecked, testModel("a", "1", 60))
+		w.view.Config.Upstreams = w.view.Config.Upstreams[:1]
+		p := w.planner(&testLease{1, true})
+		w.steps(t.Context(), 3, p)
+		w.view.Config.Models = []config.Model{testModel("b", "1", 70)}
+		w.steps(t.Context(), 1, p)
+		assert.Equal(t, w.holders("a"), 0, "unloaded")
+		w.table.down = true
+		w.steps(t.Context(), 600, p)
+		assert.Equal(t, w.holders("b"), 0)
+		w.table.down = false
+		w.steps(t.Context(), 10, p)
+		assert.Equal(t, w.holders("b"), 1)
+		assert.Assert(t, !w.over())
+	})
+}
+
+// Symptom: a reservation is entered twice, or an order goes out without one.
+// Sequence: the answer to the write is lost after it took effect.
+// Cause: a lost answer read as a failure.
+func TestCommitAnswerLost(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingIgnored, testModel("a", "1", 80))
+		p := w.planner(&testLease{1, true})
+		p.Step(t.Context())
+		w.view.Config.Models = append(w.view.Config.Models, testModel("b", "1", 80))
+		w.table.inDoubt = 1000 // longer than the planner waits for one write
+		w.steps(t.Context(), 2, p)
+		w.table.inDoubt = 0
+		w.steps(t.Context(), 40, p)
+		assert.Equal(t, w.holders("b"), 1)
+		assert.Assert(t, !w.over())
+	})
+}
+
+// Symptom: a model is unreachable while its version changes.
+// Sequence: versions and presets are switched while moves are under way.
+// Cause: the old version unloaded before the new one was ready.
+func TestSwitchesInTheMiddleOfMoves(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingChecked, testModel("a", "1", 40), testModel("b", "1", 40))
+		p := w.planner(&testLease{1, true})
+		w.steps(t.Context(), 3, p)
+		for round := range 60 {
+			version := []string{"1", "2", "3"}[round%3]
+			c := *w.view.Config
+			c.Models = []config.Model{testModel("a", version, 40), testModel("b", "1", 40)}
+			w.view.Config = &c
+			w.view.Preset.SpreadThreshold = []float64{0.1, 0.9}[round%2]
+			w.view.Demand = map[place.Key]place.Demand{{Model: "b"}: {Short: 9, Long: 9}}
+			for range 1 + round%7 {
+				w.steps(t.Context(), 1, p)
+				assert.Assert(t, w.holders("a") > 0 && w.holders("b") > 0 && !w.over())
+			}
+		}
+	})
+}
+
+func TestElectiveMovesArePaced(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingChecked, testModel("a", "1", 10))
+		p := w.planner(&testLease{1, true})
+		w.view.Demand[place.Key{Model: "a"}] = place.Demand{Short: 99, Long: 99}
+		w.steps(t.Context(), 100, p)
+		assert.Equal(t, p.Status().Loads, 1, "not settled yet")
+		w.steps(t.Context(), 400, p)
+		assert.Equal(t, w.holders("a"), 3)
+	})
+}
+
+// All faults at once, with two planners that take turns: memory is never over,
+// and once the faults end every model is reachable.
+func TestFaultsTogether(t *testing.T) {
+	for _, fencing := range []config.Fencing{config.FencingChecked, config.FencingIgnored} {
+		for seed := range uint64(10) {
+			bubble(t, func(t *testing.T) {
+				w := newTestWorld(fencing, testModel("a", "1", 55), testModel("b", "1", 45), testModel("c", "1", 60))
+				src := rand.New(rand.NewPCG(seed, 1))
+				w.net = func(engineapi.Order) (bool, bool) { return src.IntN(4) > 0, src.IntN(4) > 0 }
+				leases := []*testLease{{1, true}, {0, false}}
+				planners := []*Planner{w.planner(leases[0]), w.planner(leases[1])}
+				for range 900 {
+					w.fault(src, leases)
+					w.steps(t.Context(), 1, planners...)
+					assert.Assert(t, !w.over(), "%s seed %d", fencing, seed)
+				}
+				w.net, w.table.down, w.table.inDoubt = nil, false, 0
+				w.steps(t.Context(), 600, planners...)
+				assert.Assert(t, w.holders("a") > 0 && w.holders("b") > 0 && w.holders("c") > 0, "%s seed %d", fencing, seed)
+				assert.Assert(t, !w.over())
+			})
+		}
+	}
+}
+
+// fault causes one at random: a late copy, a restart, an outage, a lost
+// answer, a change of lease or version.
+func (w *testWorld) fault(src *rand.Rand, leases []*testLease) {
+	switch src.IntN(24) {
+	case 0, 1, 2, 3:
+		if len(w.sent) > 0 {
+			o := w.sent[src.IntN(len(w.sent))]
+			if time.Since(o.at) <= ledger.DefaultBounds().InFlight {
+				w.engines[o.upstream].carryOut(o.Order)
+			}
+		}
+	case 4:
+		if src.IntN(4) == 0 {
+			w.engines[[]string{"u1", "u2", "u3"}[src.IntN(3)]].restart()
+		}
+	case 5:
+		w.table.down = !w.table.down
+	case 6:
+		w.table.inDoubt = src.IntN(20)
+	case 7:
+		top := max(leases[0].epoch, leases[1].epoch) + 1
+		i := src.IntN(2)
+		leases[i].epoch, leases[i].valid = top, true
+		leases[1-i].valid = src.IntN(2) == 0 // it may not have noticed
+	case 8:
+		c := *w.view.Config
+		c.Models = append([]config.Model(nil), c.Models...)
+		c.Models[src.IntN(3)].Version = []string{"1", "2"}[src.IntN(2)]
+		w.view.Config = &c
+	}
+}
