--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -28,6 +28,7 @@
 		configEvents,
 		peerEvents,
 	} {
+	for _, part := range [][]Event{processEvents, plannerEvents} {
 		all = append(all, part...)
 	}
 	return all
