--- /dev/null
+++ b/node/demand/demand.go
@@ -0,0 +1,144 @@
+// Package demand measures what callers ask of each model and adapter: how many
+// requests are in progress or waiting at once, as means over a short and a
+// long time. The planners work with the sum over all hosts.
+package demand
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotpier.example/core/place"
+)
+
+// sampleEach is the time between two samples of the requests at once.
+const sampleEach = time.Second
+
+// negligible is the demand below which a key is forgotten.
+const negligible = 0.001
+
+const shards = 16
+
+// Config sets the two means' time constants.
+type Config struct {
+	Short time.Duration
+	Long  time.Duration
+}
+
+// DefaultConfig fits models whose demand moves tenfold within an hour, with
+// bursts of seconds on top: those must not show in the long mean.
+func DefaultConfig() Config { return Config{Short: 30 * time.Second, Long: 5 * time.Minute} }
+
+// Tracker counts requests by key, in shards, each under its own lock.
+type Tracker struct {
+	cfg   Config
+	parts [shards]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	keys map[place.Key]*count
+}
+
+type count struct {
+	live    int
+	refused int // since the last sample
+	mean    place.Demand
+}
+
+// New makes a Tracker; Run samples.
+func New(cfg Config) *Tracker {
+	if cfg.Short == 0 || cfg.Long == 0 {
+		cfg = DefaultConfig()
+	}
+	t := &Tracker{cfg: cfg}
+	for i := range t.parts {
+		t.parts[i].keys = map[place.Key]*count{}
+	}
+	return t
+}
+
+// of returns a key's count with its shard locked.
+func (t *Tracker) of(k place.Key) (*shard, *count) {
+	s := &t.parts[(xxhash.Sum64String(k.Model)^xxhash.Sum64String(k.Adapter))%shards]
+	s.mu.Lock()
+	c := s.keys[k]
+	if c == nil {
+		c = &count{}
+		s.keys[k] = c
+	}
+	return s, c
+}
+
+// Begin counts a request from its arrival; End must follow.
+func (t *Tracker) Begin(k place.Key) {
+	s, c := t.of(k)
+	c.live++
+	s.mu.Unlock()
+}
+
+// End counts a request's end. One that was refused for want of room still
+// shows as demand: it would have been in progress, had it been let in.
+func (t *Tracker) End(k place.Key, refused bool) {
+	s, c := t.of(k)
+	c.live--
+	if refused {
+		c.refused++
+	}
+	s.mu.Unlock()
+}
+
+// Run samples until ctx ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	tick := time.NewTicker(sampleEach)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			t.Sample(sampleEach)
+		}
+	}
+}
+
+// Sample moves the means on by the time since the last sample.
+func (t *Tracker) Sample(passed time.Duration) {
+	short, long := weight(passed, t.cfg.Short), weight(passed, t.cfg.Long)
+	for i := range t.parts {
+		s := &t.parts[i]
+		s.mu.Lock()
+		for k, c := range s.keys {
+			now := float64(c.live) + float64(c.refused)
+			c.refused = 0
+			c.mean.Short += short * (now - c.mean.Short)
+			c.mean.Long += long * (now - c.mean.Long)
+			if c.live == 0 && c.mean.Short < negligible && c.mean.Long < negligible {
+				delete(s.keys, k)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// weight is the part of a mean that passes to the present in a given time.
+func weight(passed, constant time.Duration) float64 {
+	return 1 - math.Exp(-passed.Seconds()/constant.Seconds())
+}
+
+// Means returns the demand on this host by key.
+func (t *Tracker) Means() map[place.Key]place.Demand {
+	out := map[place.Key]place.Demand{}
+	for i := range t.parts {
+		s := &t.parts[i]
+		s.mu.Lock()
+		for k, c := range s.keys {
+			out[k] = c.mean
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -27,8 +27,8 @@
 		leaseEvents,
 		configEvents,
 		peerEvents,
+		plannerEvents,
 	} {
-	for _, part := range [][]Event{processEvents, plannerEvents} {
 		all = append(all, part...)
 	}
 	return all
--- a/node/operatorapi/handlers.go
+++ b/node/operatorapi/handlers.go
@@ -38,7 +38,11 @@
 	if !ok {
 		return notFound("no configuration is in force; apply one first")
 	}
-	return c.JSON(http.StatusOK, Configuration{Head: s.Head, Document: s.Document()})
+	doc, err := s.Document()
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, Configuration{Head: s.Head, Document: doc})
 }
 
 func (a *API) apply(c *call) error {
--- a/node/peer/ask.go
+++ b/node/peer/ask.go
@@ -20,31 +20,55 @@
 // operators only: telling it on the links at each change would cost each host
 // more than all other news together.
 func (m *Mesh) Versions(ctx context.Context) map[string]uint64 {
-	hosts, _ := m.All()
 	out := map[string]uint64{}
 	var mu sync.Mutex
+	m.each(func(h member.Host) {
+		var version uint64
+		if r, err := m.pool.probe(ctx, h.Address); err == nil && r.Host == h.Name {
+			version = r.ConfigVersion
+		}
+		mu.Lock()
+		out[h.Name] = version
+		mu.Unlock()
+	})
+	if st, ok := m.deps.Config.Current(); ok {
+		out[m.Self().Name] = st.Version
+	}
+	return out
+}
+
+// each calls f for every other host that may live, some at once.
+func (m *Mesh) each(f func(member.Host)) {
+	hosts, _ := m.All()
+	self := m.Self().Name
 	var g errgroup.Group
 	g.SetLimit(askAtOnce)
-	self := m.Self()
 	for _, h := range hosts {
-		if h.State != member.Alive && h.State != member.Suspect || h.Name == self.Name || h.Address == "" {
-			continue
+		if (h.State == member.Alive || h.State == member.Suspect) && h.Name != self && h.Address != "" {
+			g.Go(func() error { f(h); return nil })
 		}
-		g.Go(func() error {
-			var version uint64
-			if r, err := m.pool.probe(ctx, h.Address); err == nil && r.Host == h.Name {
-				version = r.ConfigVersion
+	}
+	_ = g.Wait() // f keeps its failures to itself
+}
+
+// Forecasts asks the other hosts what a preset would move in their pools.
+func (m *Mesh) Forecasts(ctx context.Context, preset string) [][]byte {
+	var out [][]byte
+	var mu sync.Mutex
+	m.each(func(h member.Host) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_ = m.pool.call(ctx, h.Address, func(c peerpb.DRPCPeerClient) error { // a host that does not answer plans nothing
+			a, err := c.Forecast(ctx, &peerpb.ForecastQuery{Preset: preset})
+			if err != nil || len(a.Forecast) == 0 {
+				return err
 			}
 			mu.Lock()
-			out[h.Name] = version
+			out = append(out, a.Forecast)
 			mu.Unlock()
 			return nil
 		})
-	}
-	_ = g.Wait() // a host that does not answer stands with version 0
-	if st, ok := m.deps.Config.Current(); ok {
-		out[self.Name] = st.Version
-	}
+	})
 	return out
 }
 
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -51,8 +51,11 @@
 	Upstream func(member.Upstream)
 	// Changed is told when the hosts that count changed.
 	Changed func()
-	// Usage sums up the teams' use; nil: this host does not share it.
+	// Usage sums up over all hosts; nil: this host takes no part.
 	Usage *Usage
+	// Forecast tells what a preset would move in the pools that this host
+	// plans; no data when it plans none. nil: it never does.
+	Forecast func(ctx context.Context, preset string) ([]byte, error)
 }
 
 // Mesh is one host's part of the net of links. Lock order: mu, then a link's.
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -76,3 +76,11 @@
 	data, err := json.Marshal(r)
 	return &peerpb.RequestAnswer{Found: true, Request: data}, err
 }
+
+func (s service) Forecast(ctx context.Context, q *peerpb.ForecastQuery) (*peerpb.ForecastAnswer, error) {
+	if s.m.deps.Forecast == nil {
+		return &peerpb.ForecastAnswer{}, nil
+	}
+	data, err := s.m.deps.Forecast(ctx, q.Preset)
+	return &peerpb.ForecastAnswer{Forecast: data}, err
+}
--- a/node/planner/world_test.go
+++ b/node/planner/world_test.go
@@ -166,6 +166,7 @@
 }
 
 func (w *testWorld) Grant(context.Context, string) (time.Duration, error) { return w.wait, nil }
+func (w *testWorld) Done(context.Context, string) error                   { return nil }
 func (w *testWorld) View() View                                           { return w.view }
 
 func (w *testWorld) Reports() []Observed {
--- a/node/query/config.go
+++ b/node/query/config.go
@@ -266,4 +266,4 @@
 }
 
 // Document returns the configuration as it was applied, byte for byte.
-func (s *State) Document() []byte { return s.document }
+func (s *State) Document() ([]byte, error) { return revision.Expand(s.packed, s.Head.Digest) }
--- /dev/null
+++ b/node/server/mesh.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"peridotpier.example/core/member"
+	"peridotpier.example/core/place"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/operatorapi"
+	"peridotpier.example/node/peer"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// newMesh puts this host's part of the net of hosts together.
+func (s *Server) newMesh(address string) *peer.Mesh {
+	set := s.cfg.Settings
+	return peer.New(peer.Config{Self: member.Host{Name: set.Host, Address: address, DataCentre: set.DataCentre, Process: s.incarnation},
+		Heartbeat: s.cfg.Heartbeat, HostList: s.cfg.HostList},
+		peer.Deps{Hosts: s.cfg.Platform.Hosts, Config: s.config, Requests: s.requests, Cancel: dispatch.ErrCancelled,
+			Dial: s.dialPeer, Log: s.log, Upstream: s.heardOfUpstream, Changed: s.reconcileSoon,
+			Usage: &peer.Usage{Own: s.ownSums, Others: s.othersSums}, Forecast: s.forecast})
+}
+
+// dialPeer opens a connection to a peer.
+func (s *Server) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	if s.cfg.PeerDialer != nil {
+		return s.cfg.PeerDialer.DialContext(ctx, "tcp", address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// heardOfUpstream takes peers' words on upstreams into the view.
+func (s *Server) heardOfUpstream(u member.Upstream) {
+	ready := map[route.ModelKey]bool{}
+	for _, r := range u.Residents {
+		model, adapter, _ := strings.Cut(r, "/")
+		ready[route.ModelKey{Model: model, Adapter: adapter}] = true
+	}
+	s.view.Heard(u.Name, u.Incarnation, u.Leaving, ready)
+}
+
+// tellReport passes on what a report changed.
+func (s *Server) tellReport(r engineapi.Report, at time.Time) {
+	seen := uint64(at.UnixMilli())
+	if cur, ok := s.mesh.Current(r.Upstream); ok && cur.Incarnation == r.Incarnation {
+		seen = cur.SeenMs
+	}
+	s.mesh.Tell(member.Upstream{Name: r.Upstream, Incarnation: r.Incarnation, SeenMs: seen, Sequence: r.Sequence,
+		Leaving: r.Leaving, Residents: readyNames(r.Residents)})
+}
+
+// readyNames lists what a report shows as ready, in a fixed order.
+func readyNames(residents []engineapi.Resident) []string {
+	var out []string
+	for _, r := range residents {
+		if r.State != engineapi.StateReady {
+			continue
+		}
+		name := r.Model
+		if r.Adapter != "" {
+			name += "/" + r.Adapter
+		}
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// The kinds of sums over all hosts, as prefixes of their keys.
+const (
+	teamSum   = "t:"
+	demandSum = "d:"
+)
+
+// ownSums are this host's parts: the use of its teams, and the demand by model.
+// A host that plans asks for every model of its pools, so that it hears of
+// those that only others are asked for.
+func (s *Server) ownSums() []peer.Sum {
+	st, ok := s.config.Current()
+	if !ok {
+		return nil
+	}
+	var out []peer.Sum
+	for _, t := range st.Index.Teams {
+		if t.Limits.RequestsPerSecond == 0 && t.Limits.Concurrent == 0 {
+			continue
+		}
+		if rps, concurrent := s.admit.Usage(t.Name); rps > 0 || concurrent > 0 {
+			out = append(out, peer.Sum{Key: teamSum + t.Name, A: rps, B: concurrent})
+		}
+	}
+	own := s.demand.Means()
+	for _, k := range s.plannedKeys() {
+		if _, ok := own[k]; !ok {
+			own[k] = place.Demand{}
+		}
+	}
+	for k, d := range own {
+		out = append(out, peer.Sum{Key: demandSum + k.Model + "/" + k.Adapter, A: d.Short, B: d.Long})
+	}
+	return out
+}
+
+// othersSums takes what the other hosts have.
+func (s *Server) othersSums(hosts int, sums []peer.Sum) {
+	demand := map[place.Key]place.Demand{}
+	for _, sum := range sums {
+		if team, ok := strings.CutPrefix(sum.Key, teamSum); ok {
+			s.admit.SetPeerUsage(team, sum.A, sum.B, hosts)
+			continue
+		}
+		if name, ok := strings.CutPrefix(sum.Key, demandSum); ok {
+			model, adapter, _ := strings.Cut(name, "/")
+			demand[place.Key{Model: model, Adapter: adapter}] = place.Demand{Short: sum.A, Long: sum.B}
+		}
+	}
+	s.others.merge(demand)
+}
+
+// forecast answers a peer what a preset would move in this host's pools.
+func (s *Server) forecast(_ context.Context, preset string) ([]byte, error) {
+	d, ok := s.ownForecast(preset)
+	if !ok {
+		return nil, nil
+	}
+	return json.Marshal(d)
+}
+
+// DryRun implements operatorapi.Site.
+func (s *Server) DryRun(ctx context.Context, preset string) (operatorapi.DryRun, error) {
+	out := operatorapi.DryRun{Preset: preset, Moves: []operatorapi.Move{}}
+	st, ok := s.config.Current()
+	if !ok {
+		return out, errNoConfig
+	}
+	if _, ok := st.Index.Preset(preset); !ok {
+		return out, errNoPreset(preset)
+	}
+	if d, ok := s.ownForecast(preset); ok {
+		out.Add(d)
+	}
+	for _, data := range s.mesh.Forecasts(ctx, preset) {
+		var d operatorapi.DryRun
+		if err := json.Unmarshal(data, &d); err != nil {
+			return out, err
+		}
+		out.Add(d)
+	}
+	return out, nil
+}
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -117,6 +117,17 @@
 	Incarnation string    `json:"incarnation,omitempty"` // when set, only this process may carry it out
 }
 
+// LoadName names the one load that the order asks for at the weight store:
+// planner and engine ask for its grant under the same name, so that it takes
+// one place, not two.
+func (o Order) LoadName() string {
+	name := o.Model + "@" + o.Version
+	if o.Adapter != "" {
+		name = o.Model + "+" + o.Adapter + "@" + o.Version
+	}
+	return name + "#" + o.Op
+}
+
 // OrderAnswer says what became of an order. Accepted means begun, not done:
 // the report tells when it is done.
 type OrderAnswer struct {
--- /dev/null
+++ b/node/upstream/orders/orders.go
@@ -0,0 +1,55 @@
+// Package orders sends a planner's orders to engines.
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+const answerBytes = 64 << 10 // bound of the answer to an order
+
+// Sender sends orders. Address finds an upstream's present address.
+type Sender struct {
+	client  *conn.Client
+	address func(upstream string) (string, bool)
+}
+
+// New makes a Sender.
+func New(c *conn.Client, address func(upstream string) (string, bool)) *Sender {
+	return &Sender{client: c, address: address}
+}
+
+// Send sends one order. An error with the outcome NotRun means that it never
+// left; any other error leaves it in doubt.
+func (s *Sender) Send(ctx context.Context, upstream string, o engineapi.Order) (engineapi.OrderAnswer, error) {
+	var a engineapi.OrderAnswer
+	address, ok := s.address(upstream)
+	if !ok {
+		return a, fault.NotRun(fault.StepOrder, upstream, fault.CodeNotFound, "upstream is not in the configuration")
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return a, err
+	}
+	resp, err := s.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodPost, Path: engineapi.PathOrders,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: body})
+	if err != nil {
+		return a, err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, answerBytes))
+	if err != nil {
+		resp.Abort()
+		return a, fault.Unknown(fault.StepOrder, upstream, fault.CodeUpstreamFailed, "read the answer: %w", err)
+	}
+	resp.Finish()
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, fault.Unknown(fault.StepOrder, upstream, fault.CodeUpstreamFailed, "status %d: %w", resp.Status, err)
+	}
+	return a, nil
+}
