--- a/standin/engine/orders_test.go
+++ b/standin/engine/orders_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -240,3 +242,44 @@
 		assert.Equal(t, e.Records().Executions[0].State, engineapi.AttemptCompleted)
 	})
 }
+
+// Cache events come late and some never: a reader sees gaps in their numbers
+// and must take them as hints. A cached prefix shortens the prompt's time.
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{PrefillPerToken: time.Millisecond, PrefixSlots: 2, PrefixSaved: 0.9,
+			EventLag: time.Second, EventLoss: 0.5, Seed: 1})
+		defer e.Close()
+		e.Preload("m", "", "v1", 1)
+		prompt := strings.Repeat("word", 200)
+		generate := func(prefix int) time.Duration {
+			body, _ := json.Marshal(map[string]any{"model": "m", "max_tokens": 1, "prompt": prompt})
+			r := httptest.NewRequest("POST", engineapi.PathCompletions, bytes.NewReader(body))
+			r.Header.Set(engineapi.HeaderPrefix, strconv.FormatInt(int64(prefix), 16))
+			began := time.Now()
+			e.Handler().ServeHTTP(httptest.NewRecorder(), r)
+			return time.Since(began)
+		}
+		cold := generate(1)
+		assert.Assert(t, generate(1) < cold/5)
+		for prefix := 2; prefix < 20; prefix++ {
+			generate(prefix)
+		}
+		assert.Equal(t, generate(1), cold) // displaced meanwhile
+		time.Sleep(2 * time.Second)
+		var events []engineapi.CacheEvent
+		call(e, "GET", engineapi.PathEvents+"?after=0", nil, &events)
+		gaps := 0
+		for i := 1; i < len(events); i++ {
+			assert.Assert(t, events[i].Sequence > events[i-1].Sequence)
+			if events[i].Sequence > events[i-1].Sequence+1 {
+				gaps++
+			}
+		}
+		assert.Assert(t, len(events) > 5 && gaps > 0)
+		generate(50)
+		var fresh []engineapi.CacheEvent
+		call(e, "GET", engineapi.PathEvents+"?after="+strconv.FormatUint(events[len(events)-1].Sequence, 10), nil, &fresh)
+		assert.Equal(t, len(fresh), 0)
+	})
+}
--- /dev/null
+++ b/standin/load/omission_test.go
@@ -0,0 +1,71 @@
+package load_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/standin/load"
+)
+
+// pipes is a listener on which connections are made in memory.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { close(p.done); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.conns <- far
+	return near, nil
+}
+
+// An entry host stalls for two seconds. A generator that waits for answers
+// before it sends more would record one slow call; callers in truth went on
+// calling, and each call that was meant for the stall waited for its end.
+func TestStallShowsInEveryCallThatWasMeantForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		p := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if at := time.Since(start); at > time.Second && at < 3*time.Second {
+				time.Sleep(3*time.Second - at)
+			}
+			_, _ = w.Write([]byte("{}"))
+		})}
+		go func() { _ = srv.Serve(p) }()
+		src := source(load.KindService)
+		src.Curve = load.Curve{Points: []load.Point{{AtSeconds: 0, PerSecond: 50}}}
+		plan := load.Plan(3, 5*time.Second, []load.Source{src})
+		res := load.Run(t.Context(), load.Config{Plan: plan, Entries: load.NewBalancer("127.0.0.1:1"), Dial: p.dial})
+		assert.Equal(t, len(res.Invocations), len(plan))
+		stalled := 0
+		for _, v := range res.Invocations {
+			at := v.Arrival.At
+			if at <= time.Second || at >= 3*time.Second {
+				continue
+			}
+			stalled++
+			assert.Assert(t, v.Total >= 3*time.Second-at, "%v meant for %v", v.Total, at)
+		}
+		assert.Assert(t, stalled > 80)
+		assert.NilError(t, srv.Close())
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/standin/site/scenario.go
@@ -0,0 +1,185 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Outages makes the platform's store fail for a while; the stand-in of the
+// table service has the method.
+type Outages interface{ OutageFor(d time.Duration) }
+
+// Targets are what a scenario acts on. Nodes and Store may be nil; steps that
+// need them are then left out.
+type Targets struct {
+	Upstreams *Upstreams
+	Nodes     Nodes
+	Store     Outages
+}
+
+// step is one fault at a share of the run's length.
+type step struct {
+	at   float64
+	what string
+	do   func(ctx context.Context, t Targets, length time.Duration) error
+}
+
+// Scenario is a named course of faults.
+type Scenario struct {
+	Name  string
+	steps []step
+}
+
+// Fault is one step that was taken, for a run's record.
+type Fault struct {
+	At   time.Duration
+	What string
+	Err  error
+}
+
+// Scenarios lists the names that FindScenario knows.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios())) }
+
+// FindScenario finds a scenario by its name; several names joined by "+" run together.
+func FindScenario(name string) (Scenario, error) {
+	out := Scenario{Name: name}
+	known := scenarios()
+	for _, part := range strings.Split(name, "+") {
+		steps, ok := known[part]
+		if !ok {
+			return out, fmt.Errorf("faults %q: known are %s", part, strings.Join(Scenarios(), ", "))
+		}
+		out.steps = append(out.steps, steps...)
+	}
+	slices.SortStableFunc(out.steps, func(a, b step) int { return int((a.at - b.at) * 1e6) })
+	return out, nil
+}
+
+// Run takes the steps at their times and returns what was done.
+func (s Scenario) Run(ctx context.Context, t Targets, length time.Duration) []Fault {
+	began := time.Now()
+	var done []Fault
+	for _, st := range s.steps {
+		timer := time.NewTimer(time.Until(began.Add(time.Duration(st.at * float64(length)))))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return done
+		}
+		done = append(done, Fault{At: time.Since(began), What: st.what, Err: st.do(ctx, t, length)})
+	}
+	return done
+}
+
+// lateOrder is how late a delayed order arrives: longer than a planner waits
+// for an answer, within the bound that the site states.
+const lateOrder = 8 * time.Second
+
+func scenarios() map[string][]step {
+	return map[string][]step{
+		"none": nil,
+		"orders": {
+			{0.05, "the next order to each engine is lost", engines(func(i int, t Targets) { t.Upstreams.Engines[i].DropOrders(1) })},
+			{0.25, "the next order to each engine is late", engines(func(i int, t Targets) { t.Upstreams.Engines[i].DelayOrders(1, lateOrder) })},
+			{0.50, "the next order to each engine is doubled", engines(func(i int, t Targets) { t.Upstreams.Engines[i].DuplicateOrders(1, lateOrder) })},
+			{0.70, "the answer to the next order to each engine is lost", engines(func(i int, t Targets) { t.Upstreams.Engines[i].LoseOrderAnswers(1) })},
+		},
+		"restart": {
+			{0.30, "engine 0 restarts with empty memory", engineAt(0, func(i int, t Targets) { t.Upstreams.Engines[i].Restart() })},
+			{0.60, "engine 1 restarts with empty memory", engineAt(1, func(i int, t Targets) { t.Upstreams.Engines[i].Restart() })},
+		},
+		"leave": {
+			{0.40, "engine 0 leaves", engineAt(0, func(i int, t Targets) { t.Upstreams.Engines[i].Leave() })},
+			{0.70, "service 0 leaves", func(_ context.Context, t Targets, _ time.Duration) error {
+				t.Upstreams.Services[0].Leave()
+				return nil
+			}},
+		},
+		"silent": {
+			{0.30, "open connections to engines 0 to 2 go silent", engineAt(2, func(i int, t Targets) { freezeUpTo(i, t) })},
+			{0.60, "open connections to all engines and services go silent", freezeAll},
+		},
+		"crossed": {
+			{0.20, "one answer in fifty is crossed", engines(func(i int, t Targets) { t.Upstreams.Engines[i].Cross(0.02) })},
+			{0.80, "answers are no longer crossed", engines(func(i int, t Targets) { t.Upstreams.Engines[i].Cross(0) })},
+		},
+		"cut": {
+			{0.20, "streams break after 20 events", engines(func(i int, t Targets) { t.Upstreams.Engines[i].CutStream(20) })},
+			{0.50, "streams hold again; 20 answers of each service are lost", loseAnswers},
+		},
+		"store": {{0.30, "the store is down for a third of the run", storeOutage}},
+		"hosts": {
+			{0.35, "entry host 0 is killed", func(_ context.Context, t Targets, _ time.Duration) error { return killHost(t, 0) }},
+			{0.65, "entry host 1 is stopped gracefully", stopHost},
+		},
+	}
+}
+
+func engines(do func(i int, t Targets)) func(context.Context, Targets, time.Duration) error {
+	return func(_ context.Context, t Targets, _ time.Duration) error {
+		for i := range t.Upstreams.Engines {
+			do(i, t)
+		}
+		return nil
+	}
+}
+
+func engineAt(i int, do func(i int, t Targets)) func(context.Context, Targets, time.Duration) error {
+	return func(_ context.Context, t Targets, _ time.Duration) error {
+		if i >= len(t.Upstreams.Engines) {
+			return fmt.Errorf("the site has no engine %d", i)
+		}
+		do(i, t)
+		return nil
+	}
+}
+
+func freezeUpTo(last int, t Targets) {
+	for _, e := range t.Upstreams.Engines[:last+1] {
+		e.Freeze(false)
+	}
+}
+
+func freezeAll(_ context.Context, t Targets, _ time.Duration) error {
+	freezeUpTo(len(t.Upstreams.Engines)-1, t)
+	for _, s := range t.Upstreams.Services {
+		s.Freeze(false)
+	}
+	return nil
+}
+
+func loseAnswers(_ context.Context, t Targets, _ time.Duration) error {
+	for _, e := range t.Upstreams.Engines {
+		e.CutStream(0)
+	}
+	for _, s := range t.Upstreams.Services {
+		s.LoseAnswers(20)
+	}
+	return nil
+}
+
+func storeOutage(_ context.Context, t Targets, length time.Duration) error {
+	if t.Store != nil {
+		t.Store.OutageFor(length / 3)
+	}
+	return nil
+}
+
+func killHost(t Targets, host int) error {
+	if t.Nodes == nil {
+		return nil
+	}
+	return t.Nodes.Kill(host)
+}
+
+func stopHost(ctx context.Context, t Targets, _ time.Duration) error {
+	if t.Nodes == nil {
+		return nil
+	}
+	return t.Nodes.Stop(ctx, 1)
+}
--- /dev/null
+++ b/standin/site/scenario_test.go
@@ -0,0 +1,36 @@
+package site_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/standin/site"
+)
+
+// A run under a misspelt scenario would pass without a fault.
+func TestScenarioIsFoundByNameOrRefused(t *testing.T) {
+	_, err := site.FindScenario("orders+restrat")
+	assert.ErrorContains(t, err, "restrat")
+}
+
+// Every scenario must do to the upstreams what its steps say, in their order.
+func TestScenariosTakeTheirSteps(t *testing.T) {
+	u, err := builtIn(t, "kathmandu").Start(site.Options{Seed: 1})
+	assert.NilError(t, err)
+	defer u.Close()
+	before := u.Engines[0].Truth().Incarnation
+	for _, name := range site.Scenarios() {
+		s, err := site.FindScenario(name)
+		assert.NilError(t, err)
+		for i, f := range s.Run(t.Context(), site.Targets{Upstreams: u}, time.Millisecond) {
+			assert.NilError(t, f.Err, "%s: step %d: %s", name, i, f.What)
+		}
+	}
+	after := u.Engines[0].Truth()
+	assert.Assert(t, after.Incarnation != before)
+	assert.Equal(t, len(after.Residents), 0)
+	assert.Assert(t, !after.Leaving) // "restart" comes after "leave", and a new process doesn't leave
+	assert.Assert(t, u.Engines[2].Truth().Incarnation != "")
+}
--- a/standin/site/upstreams.go
+++ b/standin/site/upstreams.go
@@ -90,6 +90,7 @@
 	return nil
 }
 
+// tokenTimes is the time of one token of a stream alone, by model and adapter.
 func (s *Site) tokenTimes() map[string]time.Duration {
 	out := map[string]time.Duration{}
 	for _, m := range s.Deployment.Models {
@@ -97,6 +98,9 @@
 			out[m.Name] = time.Second / time.Duration(m.TokensPerSecond)
 		}
 	}
+	for _, a := range s.Deployment.Adapters {
+		out[a.Name] = out[a.Model]
+	}
 	return out
 }
 
