--- a/standin/engine/orders_test.go
+++ b/standin/engine/orders_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,3 +220,66 @@
 		assert.Equal(t, a.State, engineapi.AttemptCancelled)
 	})
 }
+
+// A model is unloaded while a request on its adapter runs. Were its memory
+// reported free at once, another load would be admitted beside it and the
+// accelerator overcommitted in truth.
+func TestUnloadWaitsForRunningAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{TokenTime: 10 * time.Millisecond})
+		defer e.Close()
+		e.Preload("m", "", "v1", 50)
+		e.Preload("m", "a", "v1", 5)
+		body := []byte(`{"model":"a","max_tokens":100,"prompt":"x"}`)
+		go e.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", engineapi.PathCompletions, bytes.NewReader(body)))
+		time.Sleep(100 * time.Millisecond)
+		o := unload("o1", 1, "m")
+		o.Version = "v1"
+		_, _ = order(e, o)
+		assert.Equal(t, e.Truth().UsedMB, 55)
+		time.Sleep(time.Second)
+		assert.Equal(t, e.Truth().UsedMB, 0)
+		assert.Equal(t, e.Records().Executions[0].State, engineapi.AttemptCompleted)
+	})
+}
+
+// Cache events come late and some never: a reader sees gaps in their numbers
+// and must take them as hints. A cached prefix shortens the prompt's time.
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngine(t, engine.Config{PrefillPerToken: time.Millisecond, PrefixSlots: 2, PrefixSaved: 0.9,
+			EventLag: time.Second, EventLoss: 0.5, Seed: 1})
+		defer e.Close()
+		e.Preload("m", "", "v1", 1)
+		prompt := strings.Repeat("word", 200)
+		generate := func(prefix int) time.Duration {
+			body, _ := json.Marshal(map[string]any{"model": "m", "max_tokens": 1, "prompt": prompt})
+			r := httptest.NewRequest("POST", engineapi.PathCompletions, bytes.NewReader(body))
+			r.Header.Set(engineapi.HeaderPrefix, strconv.FormatInt(int64(prefix), 16))
+			began := time.Now()
+			e.Handler().ServeHTTP(httptest.NewRecorder(), r)
+			return time.Since(began)
+		}
+		cold := generate(1)
+		assert.Assert(t, generate(1) < cold/5)
+		for prefix := 2; prefix < 20; prefix++ {
+			generate(prefix)
+		}
+		assert.Equal(t, generate(1), cold) // displaced meanwhile
+		time.Sleep(2 * time.Second)
+		var events []engineapi.CacheEvent
+		call(e, "GET", engineapi.PathEvents+"?after=0", nil, &events)
+		gaps := 0
+		for i := 1; i < len(events); i++ {
+			assert.Assert(t, events[i].Sequence > events[i-1].Sequence)
+			if events[i].Sequence > events[i-1].Sequence+1 {
+				gaps++
+			}
+		}
+		assert.Assert(t, len(events) > 5 && gaps > 0)
+		generate(50)
+		var fresh []engineapi.CacheEvent
+		call(e, "GET", engineapi.PathEvents+"?after="+strconv.FormatUint(events[len(events)-1].Sequence, 10), nil, &fresh)
+		assert.Equal(t, len(fresh), 0)
+	})
+}
