--- a/core/config/config.go
+++ b/core/config/config.go
@@ -27,7 +27,7 @@
 	KeyHashes []string   `json:"key_hashes,omitempty"` // SHA-256 of each accepted key, hex; two while a key is rotated
 	Models    []string   `json:"models,omitempty"`     // models and adapters it may call; "*" for all
 	Services  []string   `json:"services,omitempty"`   // services it may call; "*" for all
-	Weight    int        `json:"weight"`     // share under contention, 1 to 1000
+	Weight    int        `json:"weight"`               // share under contention, 1 to 1000
 	Limits    TeamLimits `json:"limits"`
 }
 
--- a/node/callerapi/api.go
+++ b/node/callerapi/api.go
@@ -12,6 +12,7 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
+	"peridotpier.example/core/place"
 	"peridotpier.example/core/revision"
 	"peridotpier.example/core/token"
 	nodeclaim "peridotpier.example/node/claim"
@@ -69,6 +70,12 @@
 	Claim(ctx context.Context, r nodeclaim.Request) (dispatch.Grant, *nodeclaim.Answer, error)
 }
 
+// Demand counts what is asked for, from arrival to end.
+type Demand interface {
+	Begin(k place.Key)
+	End(k place.Key, refused bool)
+}
+
 // InForce tells what is in force on this host; *query.ConfigReader implements it.
 type InForce interface {
 	Current() (*query.State, bool)
@@ -81,6 +88,7 @@
 	Admission  Admission
 	Claims     Claims
 	Dispatcher *dispatch.Dispatcher
+	Demand     Demand
 	Tokens     *token.Keys
 	Requests   *inflight.Registry
 	Metrics    *metrics.Set
--- a/node/callerapi/auth.go
+++ b/node/callerapi/auth.go
@@ -5,10 +5,10 @@
 	"encoding/hex"
 	"strings"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 
 	"peridotpier.example/core/fault"
+	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/metrics"
 )
 
@@ -18,7 +18,7 @@
 func (a *API) signedIn(h func(*call) error) echo.HandlerFunc {
 	return func(c *echo.Context) error {
 		a.deps.Metrics.Count(metrics.Requests, 1)
-		id := "r-" + a.cfg.Host + "-" + uuid.NewString()
+		id := inflight.NewID(a.cfg.Host)
 		c.Response().Header().Set(HeaderRequestID, id)
 		state, ok := a.deps.Config.Current()
 		if !ok {
--- a/node/callerapi/generate.go
+++ b/node/callerapi/generate.go
@@ -13,6 +13,7 @@
 	"peridotpier.example/core/claim"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
+	"peridotpier.example/core/place"
 	"peridotpier.example/core/route"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/dispatch"
@@ -104,7 +105,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, entry := a.deps.Requests.Begin(ctx, inflight.Request{ID: c.id, Team: w.Team, Target: target, Class: w.Class, Started: a.deps.Now()})
-	err := a.admitted(ctx, c, w, entry, target)
+	err := a.counted(ctx, c, w, entry, target)
 	state, code := outcome.Completed, ""
 	if err != nil {
 		f := fault.From(fault.StepDispatch, err)
@@ -121,6 +122,24 @@
 	return err
 }
 
+// counted keeps the demand that the planners follow. What was refused for want
+// of a replica or of room counts too: it is what another replica is for.
+func (a *API) counted(ctx context.Context, c *call, w *dispatch.Work, e *inflight.Entry, target string) error {
+	if w.Service {
+		return a.admitted(ctx, c, w, e, target)
+	}
+	k := place.Key{Model: w.Key.Model, Adapter: w.Key.Adapter}
+	a.deps.Demand.Begin(k)
+	err := a.admitted(ctx, c, w, e, target)
+	refused := false
+	if err != nil {
+		f := fault.From(fault.StepDispatch, err)
+		refused = f.Code == fault.CodeNoUpstream || f.Code == fault.CodeOverloaded
+	}
+	a.deps.Demand.End(k, refused)
+	return err
+}
+
 func (a *API) admitted(ctx context.Context, c *call, w *dispatch.Work, e *inflight.Entry, target string) error {
 	if standing := a.deps.Config.Standing(); !standing.Admits(w.Class) {
 		return fault.NotRun(fault.StepConfig, "", fault.CodeStoreDown, "this host has not known for long whether its configuration is the newest (%s): it takes urgent requests only", standing).After(retryNoConfig)
--- a/node/inflight/inflight.go
+++ b/node/inflight/inflight.go
@@ -7,11 +7,13 @@
 	"context"
 	"errors"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 
 	"peridotpier.example/core/class"
 )
@@ -45,6 +47,24 @@
 // StateRunning is the state of a request that has not ended.
 const StateRunning = "running"
 
+// Ids are "r-<host>-<uuid>", so that any host knows where to ask for one.
+const (
+	idPrefix = "r-"
+	uuidLen  = 36
+)
+
+// NewID makes the id of a new request on a host.
+func NewID(host string) string { return idPrefix + host + "-" + uuid.NewString() }
+
+// HostOf returns the host that serves a request; "" when id is not one.
+func HostOf(id string) string {
+	rest, ok := strings.CutPrefix(id, idPrefix)
+	if !ok || len(rest) <= uuidLen {
+		return ""
+	}
+	return rest[:len(rest)-uuidLen-1]
+}
+
 // Registry holds requests in shards, each under its own lock.
 type Registry struct {
 	parts [shards]shard
--- a/node/operatorapi/types.go
+++ b/node/operatorapi/types.go
@@ -98,6 +98,17 @@
 	Preset string        `json:"preset"`
 	Moves  []Move        `json:"moves"`
 	Bound  time.Duration `json:"bound_ns"` // within which the moves are done
+	AtRest bool          `json:"at_rest"`  // whether nothing more would move after them, at the present demand
+	Pools  int           `json:"pools"`    // that answered
+}
+
+// Add joins another pool's forecast. Pools move side by side, within the
+// weight store's limits, which each bound counts for itself: their sum holds.
+func (d *DryRun) Add(o DryRun) {
+	d.AtRest = (d.AtRest || d.Pools == 0) && o.AtRest
+	d.Pools += max(o.Pools, 1)
+	d.Moves = append(d.Moves, o.Moves...)
+	d.Bound += o.Bound
 }
 
 // AuditPage is one page of the trail; Next is the `before` of the next one, 0 at the end.
--- a/node/planner/act.go
+++ b/node/planner/act.go
@@ -58,7 +58,7 @@
 func (p *Planner) reserveAll(ctx context.Context, moves []place.Move) []task {
 	var out []task
 	for _, m := range moves {
-		if !p.deps.Lease.Valid() || ctx.Err() != nil {
+		if !p.deps.Lease.Valid(p.books.epoch) || ctx.Err() != nil {
 			return out
 		}
 		if t, ok := p.reserve(ctx, m); ok {
@@ -78,33 +78,48 @@
 		p.deps.Log.Emit(event.MoveRefused, zap.String("upstream", m.Upstream), zap.Error(err))
 		return task{}, false
 	}
-	if m.Want.Kind == ledger.Load && !p.granted(ctx, m.Want.Thing) {
+	t := task{m.Upstream, c}
+	if m.Want.Kind == ledger.Load && !p.granted(ctx, t) {
 		return task{}, false
 	}
 	if err := p.books.write(ctx, change{m.Upstream, next}); err != nil {
 		p.lost(err)
-		return task{}, false
+		return task{}, false // a grant that was given is given back once the books show no charge for it
 	}
 	p.count(m)
 	p.deps.Log.Emit(event.MoveDecided, zap.String("upstream", m.Upstream), zap.String("op", c.Op), zap.String("kind", string(c.Kind)),
 		zap.String("model", c.Model), zap.String("adapter", c.Adapter), zap.String("version", c.Version), zap.String("why", string(m.Why)))
-	return task{m.Upstream, c}, true
+	return t, true
 }
 
-// granted asks the weight store, whose limits all planners share.
-func (p *Planner) granted(ctx context.Context, t ledger.Thing) bool {
+// granted asks the weight store, whose limits all planners share, for the load
+// that the order will start. The engine asks for the same load by the same
+// name, so that planner and engine together take one place.
+func (p *Planner) granted(ctx context.Context, t task) bool {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	wait, err := p.deps.Weights.Grant(ctx, weightsOf(t))
-	return err == nil && wait == 0
+	wait, err := p.deps.Weights.Grant(ctx, toOrder(t).LoadName())
+	if err != nil || wait > 0 {
+		return false
+	}
+	p.grants[t.charge.Op] = t
+	return true
 }
 
-func weightsOf(t ledger.Thing) string {
-	name := t.Model + "@" + t.Version
-	if t.Adapter != "" {
-		name = t.Model + "+" + t.Adapter + "@" + t.Version
+// releaseGrants gives back the places of loads that will not happen or are
+// done. An engine does that itself for what it loaded; but an order that never
+// reached it would otherwise hold its place until the store's own lapse, and
+// with two places a site could then load nothing for minutes.
+func (p *Planner) releaseGrants(ctx context.Context) {
+	for op, t := range p.grants {
+		e := p.books.rows[t.upstream]
+		if e == nil || e.dirty || e.row.Concerned(op, t.charge.Thing) {
+			continue
+		}
+		if p.deps.Weights.Done(ctx, toOrder(t).LoadName()) == nil {
+			delete(p.grants, op)
+		}
 	}
-	return name
 }
 
 func (p *Planner) count(m place.Move) {
@@ -145,7 +160,7 @@
 // would otherwise act on authority it no longer has; one would notice orders
 // of two epochs at one engine.
 func (p *Planner) send(ctx context.Context, t task) sendState {
-	if t.charge.Sendable(p.deps.Now()) != nil || !p.deps.Lease.Valid() {
+	if t.charge.Sendable(p.deps.Now()) != nil || !p.deps.Lease.Valid(p.books.epoch) {
 		p.deps.Log.Emit(event.OrderHeldBack, zap.String("upstream", t.upstream), zap.String("op", t.charge.Op))
 		return sendNever
 	}
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -21,11 +21,14 @@
 	"peridotpier.example/node/upstream/engineapi"
 )
 
-// Lease is the right to plan a pool. Valid is judged on the monotonic clock
-// and leaves a margin for an act that begins now.
+// Lease is the right to plan a pool. Epoch is that of the present term, 0
+// while it is not held. Valid is judged on the monotonic clock, leaves a margin
+// for an act that begins now, and holds for the term of one epoch only: a host
+// that lost its lease and got it again in the middle of a plan must not finish
+// that plan, since another may have planned in between.
 type Lease interface {
 	Epoch() uint64
-	Valid() bool
+	Valid(epoch uint64) bool
 }
 
 // Orders sends orders to engines. An error leaves the order in doubt.
@@ -82,7 +85,7 @@
 	moveBurst     = 2 // elective moves that may come at once; more would be a storm after a switch
 )
 
-// Planner plans one pool. Step and Run belong to one goroutine; Status may be
+// Planner plans one pool. Run belongs to one goroutine; DryRun and Status may be
 // called from any.
 type Planner struct {
 	cfg    Config
@@ -93,6 +96,10 @@
 	last   map[place.Key]time.Time
 	sent   map[string]sendState // by order id, while its charge is in the books
 
+	grants map[string]task // loads that the weight store was asked for, by order id
+
+	step sync.Mutex // held by Step and DryRun, before mu
+
 	mu     sync.Mutex
 	status Status
 }
@@ -134,7 +141,7 @@
 		deps.Log = event.NewLog(nil)
 	}
 	return &Planner{cfg: cfg, deps: deps, budget: rate.NewLimiter(0, moveBurst), seen: map[string]sighting{},
-		last: map[place.Key]time.Time{}, sent: map[string]sendState{}}
+		last: map[place.Key]time.Time{}, sent: map[string]sendState{}, grants: map[string]task{}}
 }
 
 // Run plans until ctx ends.
@@ -154,11 +161,14 @@
 // Step makes one plan and begins its moves. Without a valid lease it does
 // nothing.
 func (p *Planner) Step(ctx context.Context) {
-	if !p.deps.Lease.Valid() {
+	p.step.Lock()
+	defer p.step.Unlock()
+	epoch := p.deps.Lease.Epoch()
+	if !p.deps.Lease.Valid(epoch) {
 		p.books = nil // whoever holds the lease now may have changed them
 		return
 	}
-	if !p.takeOver(ctx, p.deps.Lease.Epoch()) {
+	if !p.takeOver(ctx, epoch) {
 		return
 	}
 	view := p.deps.Site.View()
@@ -166,6 +176,7 @@
 		p.books = nil // a later planner has taken over
 		return
 	}
+	p.releaseGrants(ctx)
 	now := p.deps.Now()
 	snapshot := p.snapshot(view, now)
 	decision := place.Plan(snapshot, now)
@@ -180,9 +191,10 @@
 	return p.status
 }
 
-// DryRun forecasts what another preset would do at the present demand. It
-// must not run beside Step.
+// DryRun forecasts what another preset would do at the present demand.
 func (p *Planner) DryRun(preset config.Preset) (place.Forecast, bool) {
+	p.step.Lock()
+	defer p.step.Unlock()
 	if p.books == nil {
 		return place.Forecast{}, false
 	}
--- a/node/planner/planner_test.go
+++ b/node/planner/planner_test.go
@@ -108,7 +108,7 @@
 	within int
 }
 
-func (l pausing) Valid() bool { return l.table.commits < l.within }
+func (l pausing) Valid(uint64) bool { return l.table.commits < l.within }
 
 // Symptom: two planners write the same books.
 // Sequence: the holder's lease lapses unnoticed by it; another takes over.
--- a/node/planner/world_test.go
+++ b/node/planner/world_test.go
@@ -103,8 +103,8 @@
 	valid bool
 }
 
-func (l *testLease) Epoch() uint64 { return l.epoch }
-func (l *testLease) Valid() bool   { return l.valid }
+func (l *testLease) Epoch() uint64           { return l.epoch }
+func (l *testLease) Valid(epoch uint64) bool { return l.valid && epoch == l.epoch }
 
 // testWorld is a site with its engines, the network to them and the platform.
 type testWorld struct {
--- a/node/server/configure.go
+++ b/node/server/configure.go
@@ -39,14 +39,27 @@
 
 func (s *Server) configure(st *query.State) {
 	s.view.Configure(st.Index)
-	s.poller.Assign(st.Index.Upstreams)
-	hosts := s.hosts()
+	s.mesh.KeepUpstreams(func(name string) bool { _, ok := st.Index.Upstream(name); return ok })
+	s.assignUpstreams(st.Index.Config, s.mesh.Live())
+	s.reconcileSoon()
+	s.limits(st)
+}
+
+// limits sets this host's share of what all hosts may use together.
+func (s *Server) limits(st *query.State) {
+	hosts := int(s.siteHosts.Load())
 	s.admit.Reconfigure(admission.Config{Preset: *st.Preset, Classes: st.Index.Classes, Teams: st.Index.Teams,
 		Slots: slots(st.Index.Config, hosts), Hosts: hosts})
 }
 
-// hosts is the number of entry hosts that share the upstreams.
-func (s *Server) hosts() int { return 1 }
+// setHosts takes the number of hosts that share the upstreams.
+func (s *Server) setHosts(n int) {
+	if old := s.siteHosts.Swap(int32(max(n, 1))); int(old) != n {
+		if st, ok := s.config.Current(); ok {
+			s.limits(st)
+		}
+	}
+}
 
 // slots is this host's share of each pool's places.
 func slots(c *config.Config, hosts int) map[string]int {
--- a/node/server/roles.go
+++ b/node/server/roles.go
@@ -2,20 +2,17 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/member"
-	"peridotpier.example/core/place"
 	"peridotpier.example/node/command"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/planner"
-	"peridotpier.example/node/upstream/engineapi"
-	"peridotpier.example/node/upstream/orders"
 )
 
 const (
@@ -28,13 +25,14 @@
 	reconcileEach = 5 * time.Second
 	// directMost is how many upstreams a host asks itself, all of them; above
 	// that the hosts share them out and tell one another what changed.
-	directMost = 32
+	directMost   = 32
 	plannerLease = "planner/"
 )
 
 // role is one lease that this host campaigns for, and what runs under it.
 type role struct {
 	lease   *lease.Lease
+	pool    string           // of a planner
 	planner *planner.Planner // nil: another kind of role
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -138,44 +136,65 @@
 	}
 }
 
-// startRole runs a lease, and f beside it.
-func (s *Server) startRole(ctx context.Context, name string, f func(context.Context, *lease.Lease, *role) error) *role {
+// startRole campaigns for a lease and runs what build makes beside it.
+func (s *Server) startRole(ctx context.Context, name string, build func(*lease.Lease, *role) func(context.Context) error) *role {
 	l := lease.New(lease.Config{Name: name, Holder: s.cfg.Settings.Host + "/" + s.incarnation}, lease.Deps{Table: s.cfg.Platform.Table, Log: s.log})
 	ctx, cancel := context.WithCancel(ctx)
 	r := &role{lease: l, cancel: cancel, done: make(chan struct{})}
-	ready := make(chan struct{})
+	act := build(l, r)
+	leaseCtx, release := context.WithCancel(context.WithoutCancel(ctx))
+	var held sync.WaitGroup
+	held.Go(func() { _ = l.Run(leaseCtx) }) // ends with the context only
 	go func() {
 		defer close(r.done)
-		var g errgroup.Group
-		leaseCtx, release := context.WithCancel(context.WithoutCancel(ctx))
-		g.Go(func() error { return l.Run(leaseCtx) })
-		close(ready)
-		// The lease is given back only when nothing acts under it any more.
-		_ = f(ctx, l, r)
-		release()
-		_ = g.Wait()
+		_ = act(ctx) // logs its own failures
+		release()    // given back only when nothing acts under it any more
+		held.Wait()
 	}()
-	<-ready
 	return r
 }
 
 func (s *Server) startArchiver(ctx context.Context) *role {
-	return s.startRole(ctx, command.AuditLease, func(ctx context.Context, l *lease.Lease, _ *role) error {
-		deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
-		return command.NewArchiver(deps, l).Run(ctx)
+	deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
+	return s.startRole(ctx, command.AuditLease, func(l *lease.Lease, _ *role) func(context.Context) error {
+		return command.NewArchiver(deps, l).Run
 	})
 }
 
 func (s *Server) startPlanner(ctx context.Context, pool string) *role {
-	var p *planner.Planner
-	r := s.startRole(ctx, plannerLease+pool, func(ctx context.Context, l *lease.Lease, _ *role) error {
-		<-s.started.ready
-		return p.Run(ctx)
+	return s.startRole(ctx, plannerLease+pool, func(l *lease.Lease, r *role) func(context.Context) error {
+		r.pool = pool
+		r.planner = planner.New(planner.Config{Pool: pool}, planner.Deps{Lease: term{l}, Table: s.cfg.Platform.Table,
+			Weights: s.cfg.Platform.Weights, Orders: s.orders, Site: plannerSite{s, pool}, Log: s.log})
+		return r.planner.Run
 	})
-	p = planner.New(planner.Config{Pool: pool}, planner.Deps{Lease: plannerTerm{r.lease}, Table: s.cfg.Platform.Table,
-		Weights: s.cfg.Platform.Weights, Orders: s.orders, Site: plannerSite{s}, Log: s.log})
-	r.planner = p
-	return r
 }
 
-var _ = []any{orders.New, engineapi.StateReady, place.Key{}, operatorapi.Move{}}
+// leaseStatus lists the leases that this host holds or wants.
+func (s *Server) leaseStatus() []operatorapi.Lease {
+	s.roles.mu.Lock()
+	defer s.roles.mu.Unlock()
+	out := []operatorapi.Lease{}
+	for name, r := range s.roles.byID {
+		t, held := r.lease.Term()
+		out = append(out, operatorapi.Lease{Name: name, Held: held, Epoch: t.Epoch})
+	}
+	slices.SortFunc(out, func(a, b operatorapi.Lease) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// planned lists the pools that this host plans now.
+func (s *Server) planned() map[string]*planner.Planner {
+	s.roles.mu.Lock()
+	defer s.roles.mu.Unlock()
+	out := map[string]*planner.Planner{}
+	for _, r := range s.roles.byID {
+		if r.planner == nil {
+			continue
+		}
+		if _, held := r.lease.Term(); held {
+			out[r.pool] = r.planner
+		}
+	}
+	return out
+}
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -7,12 +7,16 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
 )
 
 // handOverBound is how long streams get to tell their callers where to go on.
 const handOverBound = 2 * time.Second
 
+// farewell is how long the last word to the other hosts gets to leave.
+const farewell = 100 * time.Millisecond
+
 // Run serves until ctx ends, then shuts down gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	var g run.Group
@@ -26,6 +30,10 @@
 	background(s.claims.run)
 	background(s.config.Run)
 	background(s.follow)
+	background(s.demand.Run)
+	background(s.mesh.Run)
+	background(func(ctx context.Context) error { return s.mesh.Serve(ctx, s.peerLn) })
+	background(s.manageRoles)
 	for _, l := range []*listener{s.callers, s.operators} {
 		g.Add(func() error {
 			if err := l.serve(); err != nil {
@@ -52,6 +60,8 @@
 	case <-ctx.Done():
 	}
 	s.phase.Store(phaseDraining)
+	s.mesh.Announce(member.Leaving)
+	s.reconcileSoon() // leases move to others now, not when this host is gone
 	s.log.Emit(event.ProcessDrain, zap.Int("in_flight", s.requests.Live()))
 	if !s.wait(s.cfg.Settings.Bounds.BalancerWait()) {
 		return nil
@@ -65,6 +75,8 @@
 		defer cancelLast()
 		_ = s.callers.server.Shutdown(last) // what is still open then is closed by Run
 	}
+	s.mesh.Announce(member.Gone)
+	s.wait(farewell)
 	s.log.Emit(event.ProcessStopped, zap.Int("cut", cut))
 	return nil
 }
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -4,26 +4,31 @@
 package server
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/route"
 	"peridotpier.example/node/admission"
 	"peridotpier.example/node/callerapi"
 	"peridotpier.example/node/command"
+	"peridotpier.example/node/demand"
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/operatorapi"
+	"peridotpier.example/node/peer"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
 	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/node/upstream/orders"
 	"peridotpier.example/node/upstream/poll"
 	"peridotpier.example/node/upstream/view"
 )
@@ -37,6 +42,14 @@
 	Policy   Policy
 	// Dialer opens connections to upstreams; nil: a net.Dialer.
 	Dialer conn.Dialer
+	// PeerDialer opens connections to other entry hosts; nil: a net.Dialer.
+	PeerDialer conn.Dialer
+	// Heartbeat and HostList pace the links between hosts; 0: the defaults.
+	Heartbeat time.Duration
+	HostList  time.Duration
+	// Demand sets how fast the demand that placement follows forgets; the zero
+	// value is the default.
+	Demand demand.Config
 	// Distance is the round trip between data centres in milliseconds; nil: none known.
 	Distance func(from, to string) float64
 }
@@ -47,6 +60,7 @@
 	Picker        route.Picker // nil: the product's
 	OpenAdmission bool         // everything is let in at once
 	NoPlanner     bool         // models stay where they are
+	Direct        bool         // each host asks every upstream itself, however many there are
 }
 
 // Platform is what the platform gives.
@@ -72,6 +86,14 @@
 	dispatch    *dispatch.Dispatcher
 	admit       *admission.Controller
 	claims      *claims
+	orders      *orders.Sender
+	demand      *demand.Tracker
+	others      othersDemand
+	mesh        *peer.Mesh
+	peerLn      net.Listener
+	roles       roles
+	reconcile   chan struct{}
+	siteHosts   atomic.Int32 // entry hosts that share the upstreams
 	callers     *listener
 	operators   *listener
 	phase       atomic.Int32
@@ -90,9 +112,12 @@
 func New(cfg Config) (*Server, error) {
 	s := &Server{cfg: cfg, incarnation: uuid.NewString(), started: time.Now(), log: event.NewLog(cfg.Log),
 		metrics: metrics.New(), requests: inflight.New(), client: conn.New(conn.Config{Dialer: cfg.Dialer}),
-		killed: make(chan struct{})}
+		killed: make(chan struct{}), reconcile: make(chan struct{}, 1), roles: roles{byID: map[string]*role{}}}
+	s.siteHosts.Store(1)
 	s.dataPath()
-	s.controlPath()
+	if err := s.controlPath(); err != nil {
+		return nil, err
+	}
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
@@ -110,16 +135,39 @@
 	}
 	s.dispatch = dispatch.New(dispatch.Config{Silence: set.Bounds.Silence(), RetryShare: set.Bounds.RetryShare},
 		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics})
+	s.poller.Fresh = s.tellReport
+	s.demand = demand.New(s.cfg.Demand)
 	s.admit = admission.New(admission.Config{Hosts: 1})
 	s.claims = newClaims(s.cfg.Platform, s, set)
 }
 
 // controlPath puts together what runs beside the requests.
-func (s *Server) controlPath() {
+func (s *Server) controlPath() error {
 	s.config = query.NewConfigReader(s.cfg.Settings.Bounds.ConfigPoll(),
 		query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log})
 	s.metrics.Func(metrics.InFlight, func() any { return s.requests.Live() })
 	s.metrics.Func(metrics.Config, func() any { return s.version() })
+	s.orders = orders.New(s.client, s.addressOf)
+	ln, err := net.Listen("tcp", s.cfg.Settings.Peer.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	s.peerLn = ln
+	s.mesh = s.newMesh(ln.Addr().String())
+	return nil
+}
+
+// addressOf finds an upstream's present address.
+func (s *Server) addressOf(upstream string) (string, bool) {
+	st, ok := s.config.Current()
+	if !ok {
+		return "", false
+	}
+	u, ok := st.Index.Upstream(upstream)
+	if !ok {
+		return "", false
+	}
+	return u.Address, true
 }
 
 func (s *Server) version() uint64 {
@@ -134,7 +182,7 @@
 	set := s.cfg.Settings
 	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: s.cfg.Secrets.PrefixSalt}, callerapi.Deps{
 		Config: s.config, Admission: admitter{c: s.admit, open: s.cfg.Policy.OpenAdmission}, Claims: s.claims,
-		Dispatcher: s.dispatch, Tokens: s.cfg.Secrets.Resume, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
+		Dispatcher: s.dispatch, Demand: s.demand, Tokens: s.cfg.Secrets.Resume, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
 	var err error
 	if s.callers, err = newListener("callers", set.Caller, api, set.Bounds.HeaderBytes); err != nil {
 		return err
@@ -153,5 +201,8 @@
 // CallerAddress is where callers are served.
 func (s *Server) CallerAddress() string { return s.callers.address() }
 
+// PeerAddress is where other entry hosts are served.
+func (s *Server) PeerAddress() string { return s.peerLn.Addr().String() }
+
 // OperatorAddress is where operators are served.
 func (s *Server) OperatorAddress() string { return s.operators.address() }
--- a/node/server/status.go
+++ b/node/server/status.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"peridotpier.example/core/fault"
 	"peridotpier.example/core/route"
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/inflight"
@@ -23,6 +22,12 @@
 		out.Version, out.Preset = st.Version, st.Preset.Name
 	}
 	snap := s.view.Snapshot()
+	out.Leases = s.leaseStatus()
+	hosts, linked := s.mesh.All()
+	for _, h := range hosts {
+		out.Peers = append(out.Peers, operatorapi.Peer{Host: h.Name, DataCentre: h.DataCentre, Incarnation: h.Process,
+			State: h.State.String(), Linked: linked[h.Name]})
+	}
 	for i := range snap.Endpoints {
 		out.Upstreams = append(out.Upstreams, upstreamStatus(&snap.Endpoints[i]))
 	}
@@ -43,24 +48,37 @@
 	return u
 }
 
-// Everywhere implements operatorapi.Site.
-func (s *Server) Everywhere(context.Context) (operatorapi.Everywhere, error) {
-	v := s.version()
-	return operatorapi.Everywhere{Version: v, Hosts: []query.HostVersion{{Host: s.cfg.Settings.Host, Version: v, At: time.Now()}}}, nil
+// Everywhere implements operatorapi.Site. A host that the platform lists as
+// live counts even if no peer has heard of it: a change is not in force
+// everywhere while it may still serve under the old one.
+func (s *Server) Everywhere(ctx context.Context) (operatorapi.Everywhere, error) {
+	out := operatorapi.Everywhere{Version: s.version(), Hosts: []query.HostVersion{}}
+	heard := query.NewConfirmations(nil)
+	for host, version := range s.mesh.Versions(ctx) {
+		if version == 0 {
+			continue
+		}
+		heard.Report(host, version)
+		out.Hosts = append(out.Hosts, query.HostVersion{Host: host, Version: version, At: time.Now()})
+	}
+	sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].Host < out.Hosts[j].Host })
+	out.Waiting = heard.Waiting(out.Version, s.mesh.Listed())
+	return out, nil
 }
 
-// FindRequest implements operatorapi.Site.
-func (s *Server) FindRequest(_ context.Context, id string) (inflight.Request, bool, error) {
-	q, ok := s.requests.Get(id, inflight.AllTeams)
-	return q, ok, nil
+// FindRequest implements operatorapi.Site. A request's id names its host.
+func (s *Server) FindRequest(ctx context.Context, id string) (inflight.Request, bool, error) {
+	if q, ok := s.requests.Get(id, inflight.AllTeams); ok {
+		return q, true, nil
+	}
+	return s.mesh.Request(ctx, inflight.HostOf(id), id, false)
 }
 
 // CancelRequest implements operatorapi.Site.
-func (s *Server) CancelRequest(_ context.Context, id string) (bool, error) {
-	return s.requests.Cancel(id, inflight.AllTeams, dispatch.ErrCancelled), nil
-}
-
-// DryRun implements operatorapi.Site.
-func (s *Server) DryRun(context.Context, string) (operatorapi.DryRun, error) {
-	return operatorapi.DryRun{}, fault.NotRun(fault.StepConfig, "", fault.CodeInternal, "no planner runs on this host")
+func (s *Server) CancelRequest(ctx context.Context, id string) (bool, error) {
+	if s.requests.Cancel(id, inflight.AllTeams, dispatch.ErrCancelled) {
+		return true, nil
+	}
+	_, ok, err := s.mesh.Request(ctx, inflight.HostOf(id), id, true)
+	return ok, err
 }
--- a/node/upstream/view/view.go
+++ b/node/upstream/view/view.go
@@ -54,6 +54,8 @@
 	loadAt     time.Time
 	leaving    map[string]bool // incarnations that are leaving: never undone
 	downUntil  time.Time
+	readAt     time.Time // when this host read a report itself
+	heardAt    time.Time // when it last had a word from the upstream
 	inFlight   int
 	recent     deltas // own dispatches and completions since loadAt
 	peersSince int
@@ -129,16 +131,15 @@
 		return false
 	}
 	if !same {
-		s.offsetSet, s.loadAt = false, time.Time{}
-		s.prefixes = map[uint64]bool{}
-		s.inFlight, s.recent = 0, s.recent[:0]
+		s.restarted(r)
 	}
+	s.readAt, s.heardAt = at, at
 	s.estimateTaken(r.TakenMs, at)
 	taken := at
 	if s.offsetSet {
 		taken = time.UnixMilli(r.TakenMs).Add(s.offset)
 	}
-	changed := !same || !sameResidents(s.report.Residents, r.Residents) || r.Leaving != s.report.Leaving
+	changed := !same || s.ready == nil || !sameResidents(s.report.Residents, r.Residents) || r.Leaving != s.report.Leaving
 	s.report, s.takenAt = r, taken
 	if r.Leaving {
 		s.leaving[r.Incarnation] = true
@@ -225,7 +226,7 @@
 		return
 	}
 	defer s.mu.Unlock()
-	s.downUntil = time.Time{}
+	s.downUntil, s.heardAt = time.Time{}, v.now()
 	l, ok := parseLoad(load)
 	if !ok || incarnation != s.report.Incarnation && s.report.Incarnation != "" {
 		return
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/google/uuid"
-
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/route"
 	"peridotpier.example/node/upstream/engineapi"
@@ -88,7 +86,7 @@
 	if r := e.find(key, o.Version); r != nil && r.state != engineapi.StateUnloading {
 		return // already there or on its way
 	}
-	r := &resident{key: key, version: o.Version, memoryMB: o.MemoryMB, op: o.Op}
+	r := &resident{key: key, version: o.Version, memoryMB: o.MemoryMB, op: o.Op, load: o.LoadName()}
 	e.hold(r)
 	if key.Adapter == "" {
 		e.records.Loads++
@@ -102,9 +100,8 @@
 // load waits for the weight store's grant, then for the weights.
 func (e *Engine) load(r *resident, reborn chan struct{}) {
 	if e.cfg.Weights != nil {
-		name := e.cfg.Name + "/" + r.key.Model + "/" + r.key.Adapter + "#" + r.op + "@" + uuid.NewString()
-		defer func() { _ = e.cfg.Weights.Done(context.Background(), name) }() // when lost, the store's own lapse frees it
-		if !e.awaitGrant(name, reborn) {
+		defer func() { _ = e.cfg.Weights.Done(context.Background(), r.load) }() // when lost, the store's own lapse frees it
+		if !e.awaitGrant(r.load, reborn) {
 			return
 		}
 	}
--- a/standin/engine/resident.go
+++ b/standin/engine/resident.go
@@ -14,6 +14,7 @@
 	version  string
 	memoryMB int
 	op       string
+	load     string // its name at the weight store
 	state    engineapi.ModelState
 	users    int  // attempts that wait or run on it
 	freeing  bool // its memory is about to be freed
--- a/standin/local/gate.go
+++ b/standin/local/gate.go
@@ -14,17 +14,25 @@
 // gate stands between a node and everything around it. Once shut, the node is
 // as good as dead to the others, whatever its goroutines still do.
 type gate struct {
-	dialer conn.Dialer
-	mu     sync.Mutex
-	dead   bool
-	conns  map[net.Conn]struct{}
+	mu    sync.Mutex
+	dead  bool
+	conns map[net.Conn]struct{}
 }
 
-func newGate(d conn.Dialer) *gate {
+// dialer opens connections through a gate.
+type dialer struct {
+	conn.Dialer
+	gate *gate
+}
+
+func newGate() *gate { return &gate{conns: map[net.Conn]struct{}{}} }
+
+// through makes what d dials go through the gate.
+func (g *gate) through(d conn.Dialer) dialer {
 	if d == nil {
 		d = &net.Dialer{}
 	}
-	return &gate{dialer: d, conns: map[net.Conn]struct{}{}}
+	return dialer{d, g}
 }
 
 func (g *gate) shut() {
@@ -46,11 +54,12 @@
 }
 
 // DialContext implements conn.Dialer.
-func (g *gate) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+func (d dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	g := d.gate
 	if err := g.err(); err != nil {
 		return nil, err
 	}
-	c, err := g.dialer.DialContext(ctx, network, address)
+	c, err := d.Dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -16,6 +16,7 @@
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/token"
 	"peridotpier.example/node/command"
+	"peridotpier.example/node/demand"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
@@ -66,6 +67,7 @@
 	Policy   server.Policy
 	Dialer   conn.Dialer
 	Distance func(from, to string) float64
+	Demand   demand.Config
 	Log      *zap.Logger
 }
 
@@ -75,9 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
-	g := newGate(cfg.Dialer)
+	g := newGate()
 	s, err := server.New(server.Config{Settings: cfg.Settings, Secrets: secrets, Platform: g.platform(cfg.Platform),
-		Policy: cfg.Policy, Dialer: g, Distance: cfg.Distance, Log: cfg.Log})
+		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(nil), Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -34,7 +34,10 @@
 	svc  *service.Service
 	tbl  *platform.Table
 	obj  *platform.Objects
-	base string
+
+	hosts   *platform.Hosts
+	weights *platform.Weights
+	base    string
 }
 
 func hash(key string) string {
@@ -44,7 +47,8 @@
 
 func newPath(t testing.TB, ecfg engine.Config) *path {
 	t.Helper()
-	p := &path{t: t, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil))}
+	p := &path{t: t, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
+		hosts: platform.NewHosts(platform.NewFaults(1, nil)), weights: platform.NewWeights(platform.NewFaults(1, nil), 100, 100)}
 	ecfg.Name = "e1"
 	var err error
 	p.eng, err = engine.New(ecfg)
@@ -69,7 +73,7 @@
 	set := local.Settings(name, "dc1")
 	set.Bounds.BalancerWaitSeconds = 0 // no balancer here
 	set.Bounds.SilenceMs = 200
-	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: p.obj}})
+	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: p.obj, Hosts: p.hosts, Weights: p.weights}})
 	assert.NilError(p.t, err)
 	assert.NilError(p.t, n.AwaitReady(p.t.Context()))
 	return n
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
 	fake "peridotpier.example/standin/platform"
@@ -65,6 +66,7 @@
 		}
 		r.nodes = append(r.nodes, n)
 	}
+	r.list()
 	r.Balancer = load.NewBalancer(r.Addresses()...)
 	return r, nil
 }
@@ -104,6 +106,20 @@
 	return n, n.AwaitReady(ctx)
 }
 
+// list brings the platform's list of hosts up to date; hosts read it late.
+func (r *Running) list() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hosts := r.Upstreams.Hosts()
+	for i, n := range r.nodes {
+		if n != nil {
+			hosts = append(hosts, platform.Host{Name: hostName(i), Address: n.PeerAddress(), DataCentre: r.opt.Site.EntryDataCentre(i),
+				Role: platform.RoleEntry, State: platform.HostLive})
+		}
+	}
+	r.Hosts.Set(hosts...)
+}
+
 // Addresses are the callers' listeners of the hosts that the balancer knows.
 func (r *Running) Addresses() []string {
 	r.mu.Lock()
@@ -133,6 +149,7 @@
 func (r *Running) Kill(host int) {
 	if n := r.take(host); n != nil {
 		n.Kill()
+		r.list()
 		time.AfterFunc(balancerWait, func() { r.Balancer.Set(r.Addresses()...) })
 	}
 }
@@ -145,6 +162,7 @@
 		return nil
 	}
 	time.AfterFunc(balancerWait/2, func() { r.Balancer.Set(r.Addresses()...) })
+	defer r.list()
 	return n.Stop()
 }
 
@@ -157,6 +175,7 @@
 	r.mu.Lock()
 	r.nodes[host] = n
 	r.mu.Unlock()
+	r.list()
 	r.Balancer.Set(r.Addresses()...)
 	return nil
 }
