--- a/node/peer/usage.go
+++ b/node/peer/usage.go
@@ -107,6 +107,9 @@
 		if !sleep(ctx, interval(len(live))) {
 			return
 		}
+		if len(live) == 0 {
+			continue // this host leaves and knows no other
+		}
 		byBucket := map[string][]Sum{}
 		for _, s := range m.deps.Usage.Own() {
 			byBucket[bucket(s.Key)] = append(byBucket[bucket(s.Key)], s)
