--- /dev/null
+++ b/node/server/watch.go
@@ -0,0 +1,34 @@
+package server
+
+import (
+	"context"
+
+	"peridotpier.example/core/member"
+	"peridotpier.example/node/query"
+)
+
+// State returns what is in force on this host.
+func (s *Server) State() (*query.State, bool) { return s.config.Current() }
+
+// AwaitVersion waits until a configuration version or a later one is in force.
+func (s *Server) AwaitVersion(ctx context.Context, version uint64) error {
+	_, err := s.config.Next(ctx, version-1)
+	return err
+}
+
+// PollSoon lets the host look at the configuration now.
+func (s *Server) PollSoon() { s.config.PollSoon() }
+
+// Members are the entry hosts that count as alive, this one included.
+func (s *Server) Members() []member.Host { return s.mesh.Live() }
+
+// KnowsLeaving says whether this host gives an upstream no new work because it leaves.
+func (s *Server) KnowsLeaving(upstream string) bool {
+	snap := s.view.Snapshot()
+	for i := range snap.Endpoints {
+		if snap.Endpoints[i].Upstream == upstream {
+			return snap.Endpoints[i].Leaving
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/local/fleet.go
@@ -0,0 +1,327 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+	"peridotpier.example/node/command"
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/server"
+	"peridotpier.example/node/upstream/engineapi"
+	fake "peridotpier.example/standin/platform"
+)
+
+// The fleet that the design is for, on which smaller ones are modelled.
+const (
+	fleetModels      = 720
+	fleetDataCentres = 7
+	upstreamsPerPool = 60
+	residentMB       = 30_000
+	fleetTeams       = 60
+)
+
+// FleetOptions size a fleet.
+type FleetOptions struct {
+	Nodes     int
+	Upstreams int
+	Steady    time.Duration // how long the steady state is measured
+	Changes   int           // changes of preset to time
+	Progress  func(format string, args ...any)
+}
+
+// Fleet is a number of nodes without traffic, before upstreams that only report.
+type Fleet struct {
+	opt     FleetOptions
+	sources *Sources
+	cfg     *config.Config
+	table   *fake.Table
+	objects *fake.Objects
+	hosts   *fake.Hosts
+	peers   *network
+	polls   *network
+	nodes   []*Node
+}
+
+// FleetReport is what a fleet cost and how fast it was.
+type FleetReport struct {
+	Nodes             int       `json:"nodes"`
+	Upstreams         int       `json:"upstreams"`
+	DocumentBytes     int       `json:"document_bytes"`
+	StartSeconds      float64   `json:"start_s"`                // until every node was ready
+	LinkSeconds       float64   `json:"members_known_s"`        // after that, until every node knew every other
+	PeerBytes         float64   `json:"peer_bytes_s_node"`      // sent and received between hosts
+	PollBytes         float64   `json:"poll_bytes_s_node"`      // with upstreams
+	TableReads        float64   `json:"table_reads_s"`          // of all nodes together
+	TableWrites       float64   `json:"table_writes_s"`         // of all nodes together
+	ReportsAsked      float64   `json:"reports_s"`              // of all nodes together
+	CPU               float64   `json:"cpu_share_node"`         // of a core, with the stand-ins' part
+	HeapKB            float64   `json:"heap_kb_node"`           // live heap and stacks
+	InForce           Quantiles `json:"in_force_ms"`            // from the change's acceptance, over nodes and changes
+	Document          Quantiles `json:"document_in_force_ms"`   // the same for a new document
+	Leaving           Quantiles `json:"leaving_known_ms"`       // from the upstream's report, over nodes
+	KilledKnown       Quantiles `json:"killed_known_ms"`        // a tenth killed at once, over survivors
+	InForceAfterKill  Quantiles `json:"in_force_after_kill_ms"` // a change right after that
+	InForceAfterCut   Quantiles `json:"in_force_after_cut_ms"`  // in a data centre that was cut off, from its return
+	InForceAfterStore Quantiles `json:"in_force_after_store_ms"`
+	ServedInOutage    bool      `json:"ready_through_store_outage"`
+}
+
+// Quantiles are in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func quantiles(times []time.Duration) Quantiles {
+	if len(times) == 0 {
+		return Quantiles{}
+	}
+	slices.Sort(times)
+	at := func(q float64) float64 {
+		return float64(times[min(int(q*float64(len(times))), len(times)-1)]) / float64(time.Millisecond)
+	}
+	return Quantiles{at(0.5), at(0.99), at(1)}
+}
+
+// StartFleet starts a fleet and waits until every node is ready.
+func StartFleet(ctx context.Context, opt FleetOptions) (*Fleet, error) {
+	if opt.Progress == nil {
+		opt.Progress = func(string, ...any) {}
+	}
+	f := &Fleet{opt: opt, peers: newNetwork(), polls: newNetwork()}
+	var err error
+	if f.sources, err = StartSources(opt.Upstreams, fleetResidents); err != nil {
+		return nil, err
+	}
+	f.cfg = f.config()
+	f.table = fake.NewTableWith(fake.NewFaults(1, nil))
+	f.objects = fake.NewObjects(fake.NewFaults(1, nil))
+	f.hosts = fake.NewHosts(fake.NewFaults(1, nil))
+	if err := Apply(ctx, f.table, f.objects, f.cfg); err != nil {
+		f.Close()
+		return nil, err
+	}
+	for i := range opt.Nodes {
+		n, err := f.startNode(i)
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	f.list()
+	for _, n := range f.nodes {
+		if err := n.AwaitReady(ctx); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func fleetDC(i int) string { return fmt.Sprintf("dc%d", i%fleetDataCentres) }
+
+func (f *Fleet) startNode(i int) (*Node, error) {
+	dc := fleetDC(i)
+	set := Settings(fmt.Sprintf("entry-%03d", i), dc)
+	set.Bounds.BalancerWaitSeconds = 0
+	n, err := StartNode(NodeConfig{Settings: set, Dialer: f.polls.from(dc), PeerDialer: f.peers.from(dc),
+		Platform: server.Platform{Table: placedTable{f.table, f.peers, dc}, Objects: f.objects, Hosts: f.hosts,
+			Weights: fake.NewWeights(fake.NewFaults(1, nil), 100, 100)}})
+	if err == nil {
+		f.peers.locate(n.PeerAddress(), dc)
+	}
+	return n, err
+}
+
+// placedTable is the table service as a data centre reaches it.
+type placedTable struct {
+	platform.Table
+	net *network
+	dc  string
+}
+
+// Commit implements platform.Table.
+func (t placedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if t.net.Cuts(t.dc) {
+		return 0, platform.ErrUnavailable
+	}
+	return t.Table.Commit(ctx, txn)
+}
+
+// Get implements platform.Table.
+func (t placedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if t.net.Cuts(t.dc) {
+		return nil, platform.ErrUnavailable
+	}
+	return t.Table.Get(ctx, keys...)
+}
+
+// list tells the platform's list of hosts.
+func (f *Fleet) list() {
+	var hosts []platform.Host
+	for i, n := range f.nodes {
+		if n != nil {
+			hosts = append(hosts, platform.Host{Name: fmt.Sprintf("entry-%03d", i), Address: n.PeerAddress(), DataCentre: fleetDC(i),
+				Role: platform.RoleEntry, State: platform.HostLive})
+		}
+	}
+	f.hosts.Set(hosts...)
+}
+
+// fleetResidents gives each upstream two models of its pool.
+func fleetResidents(i int) []engineapi.Resident {
+	pool, place := i/upstreamsPerPool, i%upstreamsPerPool
+	models := poolModels(pool)
+	if len(models) == 0 {
+		return nil
+	}
+	var out []engineapi.Resident
+	for k := range 2 {
+		m := models[(2*place+k)%len(models)]
+		if k == 1 && out[0].Model == m {
+			break
+		}
+		out = append(out, engineapi.Resident{Model: m, Version: "1", State: engineapi.StateReady, MemoryMB: residentMB, Op: "start"})
+	}
+	return out
+}
+
+// poolModels are the models of a pool; the fleet's models are dealt out to as
+// many pools as the design size has.
+func poolModels(pool int) []string {
+	const pools = 2500/upstreamsPerPool + 1
+	var out []string
+	for m := pool % pools; m < fleetModels; m += pools {
+		out = append(out, fmt.Sprintf("model-%03d", m))
+	}
+	return out
+}
+
+func (f *Fleet) config() *config.Config {
+	c := &config.Config{Site: "fleet",
+		Classes: []config.ClassRule{{Class: class.Urgent, FirstTokenMs: 610, DeadlineMs: 5000, QueueMax: 64},
+			{Class: class.Standard, FirstTokenMs: 2000, DeadlineMs: 60_000, QueueMax: 256}, {Class: class.Bulk, FirstTokenMs: 20_000, DeadlineMs: 300_000, QueueMax: 256}},
+		Presets: []config.Preset{{Name: "ordinary", UrgentHeadroom: 0.1, MovesPerMinute: 6, SpreadThreshold: 0.7, BulkShare: 0.5, AcceptBulk: true},
+			{Name: "peak", UrgentHeadroom: 0.2, MovesPerMinute: 12, SpreadThreshold: 0.6, BulkShare: 0.2, AcceptBulk: true}},
+		WeightStore: config.WeightStore{LoadsPerSecond: 10, Concurrent: 16, MBPerSecond: 10_000},
+		Limits:      config.Limits{BodyBytes: 1 << 20, AnswerBytes: 1 << 20, ClaimTTLSeconds: 3600, RetryBudgetShare: 0.1},
+	}
+	for i := range fleetDataCentres {
+		c.DataCentres = append(c.DataCentres, fleetDC(i))
+	}
+	for i := range fleetTeams {
+		name := fmt.Sprintf("team-%02d", i)
+		c.Teams = append(c.Teams, config.Team{Name: name, KeyHashes: []string{keyHash(name)}, Models: []string{config.Wildcard},
+			Weight: 1, Limits: config.TeamLimits{RequestsPerSecond: 500, Concurrent: 500}})
+	}
+	for i, s := range f.sources.list {
+		pool := fmt.Sprintf("pool-%02d", i/upstreamsPerPool)
+		if i%upstreamsPerPool == 0 {
+			c.Pools = append(c.Pools, config.Pool{Name: pool, Kind: config.KindEngine})
+			for _, m := range poolModels(i / upstreamsPerPool) {
+				c.Models = append(c.Models, config.Model{Name: m, Pool: pool, Version: "1", MemoryMB: residentMB, MinReplicas: 1, Replicas: 1, TokensPerSecond: 40})
+			}
+		}
+		c.Upstreams = append(c.Upstreams, config.Upstream{Name: s.Name, Pool: pool, Address: s.ln.Addr().String(), DataCentre: fleetDC(i),
+			Accelerators: 4, MemoryMB: 80_000, MaxBatch: 16, Fencing: config.FencingChecked})
+	}
+	return c
+}
+
+// Close stops everything.
+func (f *Fleet) Close() {
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		if n != nil {
+			wg.Go(n.Kill)
+		}
+	}
+	wg.Wait()
+	f.sources.Close()
+}
+
+// live are the nodes that were not killed.
+func (f *Fleet) live() []*Node {
+	return slices.DeleteFunc(slices.Clone(f.nodes), func(n *Node) bool { return n == nil })
+}
+
+// change switches the preset and returns how long each of the given nodes
+// took to have it in force, from the moment it was accepted.
+func (f *Fleet) change(ctx context.Context, nodes []*Node) ([]time.Duration, error) {
+	names := [2]string{"ordinary", "peak"}
+	st, ok := nodes[0].State()
+	if !ok {
+		return nil, errors.New("no configuration in force")
+	}
+	next := names[0]
+	if st.Preset.Name == next {
+		next = names[1]
+	}
+	return f.timed(ctx, nodes, func() (uint64, error) {
+		head, err := command.NewConfiguration(command.Deps{Table: f.table, Objects: f.objects}).UsePreset(ctx, command.UsePreset{Author: "fleet", Preset: next})
+		return head.Version, err
+	})
+}
+
+// timed makes a change through the first node and times it on all.
+func (f *Fleet) timed(ctx context.Context, nodes []*Node, change func() (uint64, error)) ([]time.Duration, error) {
+	version, err := change()
+	if err != nil {
+		return nil, err
+	}
+	accepted := time.Now()
+	nodes[0].PollSoon() // the host that an operator called takes it in force at once
+	return f.await(ctx, nodes, version, accepted)
+}
+
+func (f *Fleet) await(ctx context.Context, nodes []*Node, version uint64, from time.Time) ([]time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	times := make([]time.Duration, len(nodes))
+	var wg sync.WaitGroup
+	for i, n := range nodes {
+		wg.Go(func() {
+			if n.AwaitVersion(ctx, version) == nil {
+				times[i] = time.Since(from)
+			} else {
+				times[i] = time.Minute
+			}
+		})
+	}
+	wg.Wait()
+	return times, ctx.Err()
+}
+
+// usage is what the process has used so far.
+type usage struct {
+	at            time.Time
+	cpu           time.Duration
+	peers, polls  int64
+	reads, writes int64
+	asked         int64
+}
+
+func (f *Fleet) usage() usage {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r) // fails only for a bad argument
+	return usage{at: time.Now(), cpu: time.Duration(r.Utime.Nano() + r.Stime.Nano()), peers: f.peers.bytes.Load(), polls: f.polls.bytes.Load(),
+		reads: f.table.Faults.Reads(), writes: f.table.Faults.Writes(), asked: f.sources.Asked()}
+}
+
+// liveMemory is the heap in use and the stacks, after a collection.
+func liveMemory() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -31,11 +31,10 @@
 
 // Settings returns settings for one local node.
 func Settings(host, dataCentre string) *settings.Settings {
-	hash := sha256.Sum256([]byte(OperatorKey))
 	const platform = "http://127.0.0.1:1" // not dialled: the platform is passed in
 	s := &settings.Settings{Host: host, DataCentre: dataCentre,
 		Caller:   settings.Listener{Address: AnyPort},
-		Operator: settings.Operator{Address: AnyPort, Operators: []settings.OperatorKey{{Name: "bench", KeyHash: hex.EncodeToString(hash[:])}}},
+		Operator: settings.Operator{Address: AnyPort, Operators: []settings.OperatorKey{{Name: "bench", KeyHash: keyHash(OperatorKey)}}},
 		Peer:     settings.Listener{Address: AnyPort},
 		Platform: settings.Platform{Table: platform, Objects: platform, Hosts: platform, Weights: platform},
 		Keys:     settings.Keys{Resume: []settings.KeyFile{{ID: "k1", File: "-"}}, PrefixSalt: "-"},
@@ -66,9 +65,11 @@
 	Platform server.Platform
 	Policy   server.Policy
 	Dialer   conn.Dialer
-	Distance func(from, to string) float64
-	Demand   demand.Config
-	Log      *zap.Logger
+	// PeerDialer opens connections to other nodes; nil: plain ones.
+	PeerDialer conn.Dialer
+	Distance   func(from, to string) float64
+	Demand     demand.Config
+	Log        *zap.Logger
 }
 
 // StartNode runs a node until Stop or Kill.
@@ -79,7 +80,7 @@
 	}
 	g := newGate()
 	s, err := server.New(server.Config{Settings: cfg.Settings, Secrets: secrets, Platform: g.platform(cfg.Platform),
-		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(nil), Log: cfg.Log})
+		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(cfg.PeerDialer), Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -135,3 +136,9 @@
 	_, err = command.NewConfiguration(command.Deps{Table: tb, Objects: objects}).Apply(ctx, command.Apply{Author: "local", Document: doc})
 	return err
 }
+
+// keyHash is the form in which keys stand in settings and configurations.
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/standin/local/sources.go
@@ -0,0 +1,90 @@
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotpier.example/node/upstream/engineapi"
+)
+
+// Sources are upstreams that do nothing but report: the load of a large
+// fleet's control path without its engines.
+type Sources struct {
+	began time.Time
+	list  []*Source
+	byAdr map[string]*Source
+}
+
+// Source is one of them.
+type Source struct {
+	Name    string
+	ln      net.Listener
+	server  *http.Server
+	mu      sync.Mutex
+	report  engineapi.Report
+	leaving atomic.Bool
+	asked   atomic.Int64
+}
+
+// StartSources opens n listeners on loopback. Residents gives what each holds.
+func StartSources(n int, residents func(i int) []engineapi.Resident) (*Sources, error) {
+	s := &Sources{began: time.Now(), byAdr: map[string]*Source{}}
+	for i := range n {
+		ln, err := net.Listen("tcp", AnyPort)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		src := &Source{Name: fmt.Sprintf("up-%04d", i), ln: ln}
+		src.report = engineapi.Report{Upstream: src.Name, Incarnation: src.Name + "-1", Role: "serve", MaxBatch: 16, MemoryMB: 80_000,
+			Residents: residents(i)}
+		for _, r := range src.report.Residents {
+			src.report.UsedMB += r.MemoryMB
+		}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET "+engineapi.PathReport, func(w http.ResponseWriter, _ *http.Request) { s.serve(w, src) })
+		mux.HandleFunc("GET "+engineapi.PathEvents, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) })
+		src.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+		go func() { _ = src.server.Serve(ln) }() // ends with Close
+		s.list = append(s.list, src)
+		s.byAdr[ln.Addr().String()] = src
+	}
+	return s, nil
+}
+
+func (s *Sources) serve(w http.ResponseWriter, src *Source) {
+	src.asked.Add(1)
+	src.mu.Lock()
+	src.report.Sequence++
+	src.report.TakenMs = time.Since(s.began).Milliseconds()
+	src.report.Leaving = src.leaving.Load()
+	data, err := json.Marshal(&src.report)
+	src.mu.Unlock()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // the node may be gone
+}
+
+// Asked is the number of reports given so far.
+func (s *Sources) Asked() int64 {
+	var n int64
+	for _, src := range s.list {
+		n += src.asked.Load()
+	}
+	return n
+}
+
+// Close stops all.
+func (s *Sources) Close() {
+	for _, src := range s.list {
+		_ = src.server.Shutdown(context.Background())
+	}
+}
