--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -35,6 +35,9 @@
 	retryPause = 100 * time.Millisecond // when no Retry-After says otherwise
 	retryMost  = 2 * time.Second        // a caller with a deadline waits no longer
 	answerMax  = 32 << 20
+	// stillComing tells a stream that is slow from one that went silent: the
+	// caller who leaves the first was not cut off, the one who leaves the second was.
+	stillComing = 2 * time.Second
 )
 
 // problem is an error body of the callers' interface.
@@ -78,7 +81,7 @@
 	}
 	v.Returned = time.Now()
 	v.Total = v.Returned.Sub(v.Intended)
-	c.judge()
+	c.judge(ctx)
 }
 
 // try sends one request and tells whether, and when, another may help.
@@ -205,7 +208,7 @@
 }
 
 // judge settles the verdict and the outcome that the caller is left with.
-func (c *caller) judge() {
+func (c *caller) judge(ctx context.Context) {
 	v := c.inv
 	if n := len(v.Tries); n > 0 {
 		v.Code, v.Outcome = v.Tries[n-1].Code, v.Tries[n-1].Outcome
@@ -223,6 +226,8 @@
 		v.Verdict = VerdictWhole
 	case err == answer.ErrCrossed:
 		v.Verdict = VerdictCrossed
+	case !c.done && ctx.Err() != nil && time.Since(c.lastAt) < stillComing:
+		v.Verdict = VerdictLeft
 	case c.done || v.Tries[len(v.Tries)-1].Lost:
 		v.Verdict = VerdictCut
 	}
--- a/standin/load/omission_test.go
+++ b/standin/load/omission_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/standin/answer"
+	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/load"
 )
 
@@ -69,3 +73,47 @@
 		synctest.Wait()
 	})
 }
+
+// Callers lose patience with a stream. If its tokens still come, the system
+// did nothing wrong but be slow; if it went silent, the caller was cut off,
+// and counting it as impatience would hide the fault.
+func TestImpatienceIsNotACutUnlessTheStreamIsSilent(t *testing.T) {
+	for _, c := range []struct {
+		tokenTime time.Duration
+		verdict   load.Verdict
+	}{{time.Second, load.VerdictLeft}, {time.Hour, load.VerdictNone}, {0, load.VerdictCut}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+			e, err := engine.New(engine.Config{Name: "e1", TokenTime: c.tokenTime})
+			assert.NilError(t, err)
+			defer e.Close()
+			e.Preload("m", "", "v1", 1)
+			srv := &http.Server{Handler: e.Handler()}
+			if c.tokenTime == 0 {
+				srv.Handler = http.HandlerFunc(silentAfterOne)
+			}
+			go func() { _ = srv.Serve(p) }()
+			defer func() { _ = srv.Close(); synctest.Wait() }()
+			src := source(load.KindStream)
+			src.Deadline = 5 * time.Second
+			plan := load.Plan(3, 50*time.Millisecond, []load.Source{src})[:1]
+			res := load.Run(t.Context(), load.Config{Plan: plan, Entries: load.NewBalancer("127.0.0.1:1"), Dial: p.dial})
+			v := res.Invocations[0]
+			assert.Equal(t, v.Verdict, c.verdict)
+			assert.Equal(t, v.Lost(), c.verdict == load.VerdictNone)
+		})
+	}
+}
+
+// silentAfterOne streams the first event of the answer and then nothing.
+func silentAfterOne(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Messages  []struct{ Content string }
+		MaxTokens int `json:"max_tokens"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&q)
+	token := answer.For(q.Messages[0].Content, q.MaxTokens).AppendToken(nil, 1)
+	_, _ = fmt.Fprintf(w, "id: a.1\ndata: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -15,6 +15,7 @@
 	VerdictWhole   Verdict = "whole"   // all of it, and the caller's own
 	VerdictCut     Verdict = "cut"     // ended early without a word
 	VerdictCrossed Verdict = "crossed" // not the answer to this call
+	VerdictLeft    Verdict = "left"    // still coming when the caller lost patience
 )
 
 // Try is one request on the wire; an invocation may need several.
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -103,6 +103,7 @@
 	Cut         int                    `json:"cut"`
 	Crossed     int                    `json:"crossed"`
 	FalseNotRun int                    `json:"not_run_but_ran"`
+	Left        int                    `json:"left"`    // the caller lost patience while the answer was still coming
 	Skipped     int                    `json:"skipped"` // not sent, the generator was at its bound; counts as not met
 	Retries     int                    `json:"retries"`
 	Attainment  float64                `json:"attainment"`
@@ -193,6 +194,8 @@
 		c.Cut++
 	case v.Verdict == VerdictCrossed:
 		c.Crossed++
+	case v.Verdict == VerdictLeft:
+		c.Left++
 	case v.Lost():
 		c.Lost++
 	case v.Outcome == outcome.NotRun:
