--- a/standin/site/direct.go
+++ b/standin/site/direct.go
@@ -14,9 +14,9 @@
 )
 
 // Direct is an entry host that can't exist: it knows each engine's true state
-// without lag and hands requests over without a network. Routing over the
-// same placement can't do better than it by knowing more, so it is the upper
-// bound that a routing policy is shown beside, and it calibrates demand.
+// without lag and hands requests over without a network, to the holder with
+// the least load. Beside a routing policy over the same placement it shows
+// what lag and distance cost; it also calibrates demand.
 func (u *Upstreams) Direct() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+engineapi.PathChat, u.directGeneration)
