--- a/node/dispatch/fate.go
+++ b/node/dispatch/fate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,6 +23,10 @@
 	fateBytes = 8 << 20
 )
 
+// errForgotten says that the upstream cannot tell the fate any more: it is no
+// use to ask again.
+var errForgotten = errors.New("upstream has forgotten the attempt")
+
 // Upstreams asks upstreams about attempts and cancels them.
 type Upstreams struct{ client *conn.Client }
 
@@ -47,6 +52,9 @@
 		return a, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "read fate: %w", err)
 	}
 	resp.Finish()
+	if resp.Status == http.StatusGone {
+		return a, fault.Unknown(fault.StepResume, address, fault.CodeUnknownOutcome, "%w", errForgotten)
+	}
 	if resp.Status != http.StatusOK {
 		return a, fault.Unknown(fault.StepResume, address, fault.CodeUpstreamFailed, "fate: status %d", resp.Status)
 	}
--- a/node/dispatch/recover.go
+++ b/node/dispatch/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -55,7 +56,8 @@
 // worthAsking says whether to ask for a fate again. A refused connection
 // means that the process is gone and its attempts with it.
 func (a *attempt) worthAsking(err error, failures int) bool {
-	if fault.From(fault.StepResume, err).Outcome == outcome.NotRun && failures > 1 {
+	gone := fault.From(fault.StepResume, err).Outcome == outcome.NotRun && failures > 1
+	if gone || errors.Is(err, errForgotten) {
 		return false
 	}
 	if a.w.Repeatable && !a.out.started {
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -38,7 +38,7 @@
 	PathReport      = "/engine/v1/report"        // GET -> Report
 	PathOrders      = "/engine/v1/orders"        // POST Order -> OrderAnswer
 	PathEvents      = "/engine/v1/events"        // GET ?after=N -> []CacheEvent
-	PathAttempt     = "/engine/v1/attempts/{id}" // GET -> Attempt; DELETE cancels
+	PathAttempt     = "/engine/v1/attempts/{id}" // GET -> Attempt, or status 410 when it cannot tell any more; DELETE cancels
 	PathResume      = "/engine/v1/attempts/{id}/stream"
 	// GET ?after=N: the stream's events after position N, then live ones
 	PathService = "/service/" // + path: plain services answer any method below it
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -129,9 +129,6 @@
 func TestDeploymentsAreThoseOfTheExamples(t *testing.T) {
 	for _, name := range []string{"taipei", "kathmandu"} {
 		data, err := os.ReadFile("../../examples/" + name + "/config.json")
-		if os.IsNotExist(err) {
-			t.Skip("examples/ is not part of this tree yet")
-		}
 		assert.NilError(t, err)
 		var want config.Config
 		assert.NilError(t, json.Unmarshal(data, &want))
