Let hosts' clocks differ in the claim tests, and close gaps in them

With one safeguard switched off at a time, five went unnoticed: the condition before the dispatch, that of a merged commit, the row's own write id, the grant's deadline, and the check of the attempt a fate is about. Each has a test now; the machine also draws clocks that differ by up to 20 s between hosts.

--- a/node/claim/claim_test.go
+++ b/node/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +11,10 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"peridotpier.example/core/claim"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
+	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/standin/history"
 )
@@ -78,6 +81,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				rapid.Check(noDeadline{t}, func(t *rapid.T) {
 					m := &machine{newCluster(simHosts, b.make())}
+					m.c.skew = time.Duration(rapid.IntRange(0, 20).Draw(t, "skew")) * time.Second
 					defer m.c.stop()
 					t.Repeat(m.actions())
 					m.settle(t)
@@ -101,7 +105,8 @@
 	for h := range simHosts {
 		m.c.drain(h)
 	}
-	time.Sleep(2 * simDeadline)
+	// A claim written by a fast clock is overdue later by as much.
+	time.Sleep(2*simDeadline + simHosts*m.c.skew)
 	for k := range 3 {
 		f, err := m.c.arrive(0, fmt.Sprint("k", k), true)
 		if err != nil {
@@ -201,6 +206,66 @@
 	})
 }
 
+// Symptom: two hosts run one request because their clocks differ. By the
+// second's clock the first's claim, which has no route yet, is long overdue;
+// by its own it has time left. The write before the dispatch decides.
+func TestClocksDiffer(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.skew = time.Minute
+		slow, err := c.arrive(0, "k", false)
+		assert.NilError(t, err)
+		other, err := c.arrive(1, "k", true)
+		assert.NilError(t, err)
+		c.advance(slow)
+		assert.Assert(t, slow.stage == granted, "must not be sent")
+		c.advance(other)
+		c.advance(other)
+		assert.NilError(t, history.Check(c.hist))
+	})
+}
+
+// Symptom: a host dispatches long after its request's deadline, when the
+// upstream has forgotten that it called the attempt unseen.
+func TestPausedPastTheDeadlineDoesNotDispatch(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		time.Sleep(2 * simDeadline)
+		err = f.grant.Dispatching(context.Background(), f.route, f.deadline)
+		assert.Equal(t, code(err), fault.CodeDeadline)
+	})
+}
+
+// Symptom: a key is freed by an answer about somebody else's attempt.
+func TestFateOfAnotherAttemptSettlesNothing(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		f, err := c.arrive(0, "k", true)
+		assert.NilError(t, err)
+		c.advance(f)
+		c.kill(0, true)
+		c.badFate = true
+		time.Sleep(2 * simDeadline)
+		_, err = c.arrive(1, "k", true)
+		assert.Equal(t, code(err), fault.CodeUnknownOutcome)
+	})
+}
+
+// Symptom: a batch overwrites a claim that another host wrote between the
+// batcher's read and its commit. That change alone must fail.
+func TestBatchLosesARace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, batched)
+		defer c.stop()
+		c.table.afterGet = func() {
+			_, err := nodeclaim.NewRows(c.table.Table).Swap(context.Background(), claim.Key("north", "k"), platform.Absent,
+				&claim.Row{ID: "other", Op: "other", Body: "b", State: claim.Dispatched, Expires: math.MaxInt64, Overdue: math.MaxInt64})
+			assert.NilError(t, err)
+		}
+		_, err := c.arrive(0, "k", true)
+		assert.Equal(t, code(err), fault.CodeInProgress)
+	})
+}
+
 // Symptom: a paused host wakes and runs a request that another ran meanwhile.
 // Its claim had no route yet, so the other took it over.
 func TestPausedOwnerIsTakenOver(t *testing.T) {
@@ -225,10 +290,16 @@
 // operation's id when it was asked again: the claim met itself as a conflict.
 func TestOwnClaimIsKnownAfterIDsWereForgotten(t *testing.T) {
 	inBubble(t, func(c *cluster) {
-		c.table.set(func(f *faults) { f.lose, f.forgets = 1, true })
-		f, err := c.arrive(0, "k", true)
-		assert.NilError(t, err)
-		assert.Assert(t, f != nil)
+		for range 2 { // the claim's own write, and the one before the dispatch
+			c.table.set(func(f *faults) { f.lose, f.forgets = 1, true })
+			if len(c.flights) == 0 {
+				_, err := c.arrive(0, "k", false)
+				assert.NilError(t, err)
+				continue
+			}
+			c.advance(c.flights[0])
+		}
+		assert.Assert(t, len(c.flights) == 1 && c.flights[0].stage == sent)
 	})
 }
 
--- a/node/claim/sim_test.go
+++ b/node/claim/sim_test.go
@@ -29,8 +29,9 @@
 // faulty is a table service with faults.
 type faulty struct {
 	platform.Table
-	mu sync.Mutex
-	f  faults
+	mu       sync.Mutex
+	f        faults
+	afterGet func() // runs once, after a read
 }
 
 func (f *faulty) set(change func(*faults)) {
@@ -66,7 +67,12 @@
 	if f.f.down {
 		return nil, platform.ErrUnavailable
 	}
-	return f.Table.Get(ctx, keys...)
+	rows, err := f.Table.Get(ctx, keys...)
+	if f.afterGet != nil {
+		f.afterGet()
+		f.afterGet = nil
+	}
+	return rows, err
 }
 
 // mutant changes how a host uses the table: a check of the checker.
@@ -123,6 +129,14 @@
 	return true
 }
 
+// Fate asks the engine.
+func (c *cluster) Fate(ctx context.Context, upstream, id string) (engineapi.Attempt, error) {
+	if c.badFate {
+		id = "another"
+	}
+	return c.engine.Fate(ctx, upstream, id)
+}
+
 func (e *engine) Fate(_ context.Context, _, id string) (engineapi.Attempt, error) {
 	a := engineapi.Attempt{ID: id, Incarnation: e.incarnation(), State: engineapi.AttemptUnseen}
 	if x := e.attempts[id]; x != nil {
@@ -163,6 +177,8 @@
 	starts  int
 	calls   int
 	flights []*flight
+	skew    time.Duration // by which each host's clock is ahead of the one before
+	badFate bool          // the engine answers about another attempt
 }
 
 const (
@@ -218,11 +234,14 @@
 	cfg := nodeclaim.DefaultConfig()
 	cfg.TTL, cfg.Grace = simTTL, time.Second
 	c.hosts[i] = nodeclaim.New(cfg, nodeclaim.Deps{
-		Records: records, Fates: c.engine, Log: event.NewLog(nil), Now: time.Now,
+		Records: records, Fates: c, Log: event.NewLog(nil), Now: func() time.Time { return c.now(i) },
 		Owner: claim.Owner{Host: fmt.Sprint("h", i), Incarnation: fmt.Sprint(c.starts)},
 	})
 }
 
+// now is the time by a host's own clock.
+func (c *cluster) now(host int) time.Time { return time.Now().Add(time.Duration(host) * c.skew) }
+
 func (c *cluster) route() claim.Route {
 	c.calls++
 	return claim.Route{Upstream: "e", Incarnation: c.engine.incarnation(), Attempt: fmt.Sprint("a", c.calls)}
@@ -231,7 +250,7 @@
 // arrive brings a request to a host; a granted one becomes a flight.
 func (c *cluster) arrive(host int, key string, routed bool) (*flight, error) {
 	c.calls++
-	f := &flight{call: fmt.Sprint("c", c.calls), key: key, host: host, deadline: time.Now().Add(simDeadline)}
+	f := &flight{call: fmt.Sprint("c", c.calls), key: key, host: host, deadline: c.now(host).Add(simDeadline)}
 	req := nodeclaim.Request{Team: "north", Key: key, BodyHash: "b", Deadline: f.deadline}
 	if routed {
 		f.route = c.route()
--- a/node/claim/store.go
+++ b/node/claim/store.go
@@ -116,7 +116,8 @@
 		var err error
 		switch d.Action {
 		case claim.Own:
-			return &Grant{store: s, key: key, row: *seen.Row, version: seen.Version, until: req.Deadline}, nil, nil
+			left := req.Deadline.Sub(s.deps.Now())
+			return &Grant{store: s, key: key, row: *seen.Row, version: seen.Version, until: time.Now().Add(left)}, nil, nil
 		case claim.Run:
 			seen, err = s.run(ctx, key, arrival, seen)
 		case claim.Replay:
--- a/standin/claimbench/bench_test.go
+++ b/standin/claimbench/bench_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// BenchmarkAlone measures the design size with every host batching for itself,
+// in place of few writers.
+func BenchmarkAlone(b *testing.B) {
+	for b.Loop() {
+		cfg := DesignSize(Batched)
+		cfg.Writers, cfg.Hop = cfg.Hosts, 0
+		r, err := Run(b.Context(), cfg)
+		assert.NilError(b, err)
+		publish(b, r)
+	}
+}
+
 // BenchmarkQuiet measures what a claim adds on a quiet site of today.
 func BenchmarkQuiet(b *testing.B) {
 	for _, m := range []Mode{Rows, Batched, Ranges} {
