Test that a range never gives a row version twice

Without the version kept in the head, an append that only carries old claims on let the next owner number from the log. Nothing in the tests saw it; this one fails with the line taken out.

--- a/node/claim/ranged_test.go
+++ b/node/claim/ranged_test.go
@@ -125,3 +125,39 @@
 		assert.Equal(t, len(log), 1)
 	})
 }
+
+// Symptom: a host that saw a claim before it was forgotten changes its
+// successor. The range's new owner numbered rows from what was left in the
+// log, and gave the successor the version of the forgotten one.
+func TestVersionsAreNeverReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb, ctx := standin.NewTable(), context.Background()
+		r, err := openRange(tb, 1)
+		assert.NilError(t, err)
+		run, cancel := context.WithCancel(ctx)
+		go func() { _ = r.Run(run) }()
+		row := func(key string) *claim.Row {
+			return &claim.Row{ID: key, Op: key, State: claim.Dispatched, Expires: time.Now().Add(time.Hour).UnixMilli()}
+		}
+		_, err = r.Swap(ctx, "kept", platform.Absent, row("kept"))
+		assert.NilError(t, err)
+		before, err := r.Swap(ctx, "k", platform.Absent, row("k"))
+		assert.NilError(t, err)
+		_, err = r.Swap(ctx, "k", before.Version, nil)
+		assert.NilError(t, err)
+		time.Sleep(61 * time.Minute)
+		_, err = r.Swap(ctx, "kept", before.Version, row("other")) // refused; the append only carries "kept" on
+		assert.ErrorIs(t, err, platform.ErrConflict)
+		cancel()
+		synctest.Wait()
+
+		next, err := openRange(tb, 2)
+		assert.NilError(t, err)
+		run, cancel = context.WithCancel(ctx)
+		defer cancel()
+		go func() { _ = next.Run(run) }()
+		after, err := next.Swap(ctx, "k", platform.Absent, row("k2"))
+		assert.NilError(t, err)
+		assert.Assert(t, after.Version > before.Version)
+	})
+}
