Start with the configured replicas; spread over spare ones

Cause: spare memory stayed empty until a model was overloaded, so bursts met a single replica; and a full pool could not follow demand that moved. Change: a plan fills up to the configured initial replicas until a model's first other move; a spread without room may take a spare, settled replica's place when it displaces at most a quarter of its gain.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -47,9 +47,9 @@
 	Demand    map[Key]Demand
 	Preset    config.Preset
 	Store     config.WeightStore
-	Loads     int     // now under way, over all planners
-	Budget    float64 // elective loads that the preset's pace allows now
-	LastMove  map[Key]time.Time
+	Loads     int               // now under way, over all planners
+	Budget    float64           // elective loads that the preset's pace allows now
+	LastMove  map[Key]time.Time // of what was moved for a reason that may come again
 	Bounds    ledger.Bounds
 }
 
@@ -63,11 +63,16 @@
 	WhyMinimum     Why = "minimum"     // fewer replicas than configured
 	WhyVersion     Why = "version"     // another version is configured
 	WhyRoom        Why = "room"        // unloaded so that another may be loaded
+	WhyInitial     Why = "initial"     // fewer replicas than configured to start with
 	WhySpread      Why = "spread"      // its replicas are overloaded
 	WhyAdapter     Why = "adapter"     // more demand for an adapter than its holders carry
 	WhyFill        Why = "fill"        // an on-demand model, where there is room to spare
 )
 
+// Settles says whether a model that was moved for this reason is left alone
+// for a while. Bringing it up is no such reason.
+func (w Why) Settles() bool { return w.Elective() || w == WhyRoom }
+
 // Elective moves wait for the preset's pace; the others do not.
 func (w Why) Elective() bool { return w == WhySpread || w == WhyAdapter || w == WhyFill }
 
@@ -97,6 +102,7 @@
 const (
 	defaultThreshold = 0.7              // utilisation above which queues begin to show in the tail
 	earnSlots        = 0.5              // least gain of an elective load: at 2 s a request some 15 requests a minute
+	displaceShare    = 0.25             // of a spread's gain, the most demand that may be displaced for it
 	settleFor        = 2 * time.Minute  // a model moved this recently is left alone: its demand has not settled
 	idleDemand       = 0.05             // requests at once below which a surplus replica may make room
 	leastReports     = 2                // of an incarnation, before an elective move touches its upstream
@@ -111,6 +117,7 @@
 	p.reach()
 	p.reachAdapters()
 	p.retireVersions()
+	p.start()
 	p.spread()
 	p.spreadAdapters()
 	p.fill()
@@ -150,5 +157,5 @@
 }
 
 func rank(w Why) int {
-	return slices.Index([]Why{WhyRoom, WhyUnreachable, WhyLeaving, WhyMinimum, WhyVersion, WhySpread, WhyAdapter, WhyFill}, w)
+	return slices.Index([]Why{WhyRoom, WhyUnreachable, WhyLeaving, WhyMinimum, WhyVersion, WhyInitial, WhySpread, WhyAdapter, WhyFill}, w)
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -52,6 +52,8 @@
 	newer := model("a", 40, 1)
 	newer.Version = "2"
 	newHeld := ledger.Resident{Thing: ledger.Thing{Model: "a", Version: "2"}, State: ledger.Ready, MemoryMB: 40}
+	twice := model("a", 40, 1)
+	twice.Replicas = 2
 	leaving := upstream("u1", "x", 100, holds("a", 40))
 	leaving.Leaving = true
 	fresh := upstream("u2", "y", 100)
@@ -79,6 +81,10 @@
 		{"waits for a second report", snapshot(ab[:1], upstream("u1", "x", 100, holds("a", 40)), fresh), hot, []string{}},
 		{"makes room with a spare replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 40)), upstream("u2", "x", 100, holds("a", 40))), Demand{},
 			[]string{"unload a:1 u1 room"}},
+		{"starts with the replicas configured", snapshot([]config.Model{twice}, upstream("u1", "x", 100, holds("a", 40)), upstream("u2", "x", 100)), Demand{},
+			[]string{"load a:1 u2 initial"}},
+		{"spreads over a spare replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 90)), upstream("u2", "x", 100, holds("b", 70)),
+			upstream("u3", "x", 100, holds("b", 70))), hot, []string{"unload b:1 u2 room"}},
 		{"keeps the last replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 40))), Demand{}, []string{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/place/room.go
+++ b/core/place/room.go
@@ -18,12 +18,25 @@
 // Room that earlier unloads will free is counted first, so that a second plan
 // does not unload more while the first one's unloads are under way.
 func (p *plan) makeRoom(it *item, hosts []int) bool {
+	at, chosen, found := p.findRoom(it, hosts, maxLoss)
+	if !found {
+		return false
+	}
+	p.unloadAll(at, chosen)
+	return true
+}
+
+const maxLoss = 1e9 // any loss
+
+// findRoom finds the host where room for the item displaces the least demand,
+// and no more than most. Without victims the room is coming already, and is
+// kept for the item.
+func (p *plan) findRoom(it *item, hosts []int, most float64) (at int, chosen []victim, found bool) {
 	need := it.mb
-	if it.base == nil {
+	if it.base == nil && len(it.live) == 0 {
 		need = p.withExtras(it)
 	}
-	best, bestLoss := -1, 0.0
-	var chosen []victim
+	best, bestLoss := -1, most
 	for _, i := range hosts {
 		h := &p.hosts[i]
 		if !h.usable || it.heldAt(i) {
@@ -32,20 +45,20 @@
 		if h.free+h.coming >= need {
 			h.coming -= max(need-h.free, 0)
 			h.free = max(h.free-need, 0)
-			return true
+			return i, nil, true
 		}
 		victims, loss, ok := p.victims(i, need-h.free-h.coming, it)
-		if ok && (best < 0 || loss < bestLoss) {
+		if ok && (best < 0 || loss < bestLoss) && loss <= most {
 			best, bestLoss, chosen = i, loss, victims
 		}
 	}
-	if best < 0 {
-		return false
-	}
-	for _, v := range p.nowUnloadable(best, chosen) {
-		p.addUnload(best, v.it, v.thing, v.mb, WhyRoom)
+	return best, chosen, best >= 0
+}
+
+func (p *plan) unloadAll(i int, victims []victim) {
+	for _, v := range p.nowUnloadable(i, victims) {
+		p.addUnload(i, v.it, v.thing, v.mb, WhyRoom)
 	}
-	return true
 }
 
 // victims are the things at a host that free at least need megabytes, those
@@ -90,7 +103,8 @@
 		if it == nil {
 			it = &item{key: Key{r.Model, r.Adapter}, thing: r.Thing} // configured no more
 		}
-		if it == forItem || it.base == forItem || !p.dispensable(it, h, r.Thing, forItem) {
+		elective := len(forItem.live) >= p.leastOf(forItem)
+		if it == forItem || it.base == forItem || (elective && !p.settled(it)) || !p.dispensable(it, h, r.Thing, forItem) {
 			continue
 		}
 		out = append(out, victim{it, r.Thing, r.MemoryMB})
@@ -118,8 +132,9 @@
 	// An on-demand model gives way to one that must be resident or is asked
 	// for when nobody asks for it, or when it had its turn: so all of them
 	// share what memory is left, each with a stated path back.
+	due := len(forItem.live) < p.leastOf(forItem)
 	hadTurn := p.settled(it) && forItem.firm == 0
-	return it.least == 0 && p.leastOf(forItem) > 0 && (it.demand.most() < idleDemand || hadTurn)
+	return it.least == 0 && due && (it.demand.most() < idleDemand || hadTurn)
 }
 
 // pathLater says whether some host has room but for on-demand models, which
--- a/core/place/spread.go
+++ b/core/place/spread.go
@@ -1,7 +1,7 @@
 package place
 
 // spread adds replicas of models whose replicas are all overloaded, best gain
-// first. It never unloads: a replica that is not needed any more costs nothing
+// first. It unloads nothing to tidy up: a replica that is not needed any more costs nothing
 // until its memory is, and would cost a load to bring back.
 func (p *plan) spread() {
 	for range mostElective {
@@ -9,12 +9,18 @@
 			return
 		}
 		best, at, bestGain := (*item)(nil), -1, earnSlots
+		stuck, stuckGain := (*item)(nil), earnSlots
 		for _, it := range p.models {
-			if i, gain := p.gainOf(it); i >= 0 && gain > bestGain {
+			i, gain := p.gainOf(it)
+			if i >= 0 && gain > bestGain {
 				best, at, bestGain = it, i, gain
 			}
+			if i < 0 && gain > stuckGain {
+				stuck, stuckGain = it, gain
+			}
 		}
 		if best == nil {
+			p.spreadByRoom(stuck, stuckGain)
 			return
 		}
 		p.budget--
@@ -23,14 +29,49 @@
 	}
 }
 
+// spreadByRoom makes room for another replica of a model that is overloaded
+// everywhere, where that displaces far less than it gains. A later plan loads.
+func (p *plan) spreadByRoom(it *item, gain float64) {
+	if it == nil {
+		return
+	}
+	var calm []int
+	for i := range p.hosts {
+		if p.hosts[i].Reports >= leastReports && p.hosts[i].utilisation() < p.threshold() {
+			calm = append(calm, i)
+		}
+	}
+	if at, victims, found := p.findRoom(it, calm, gain*displaceShare); found {
+		p.unloadAll(at, victims)
+	}
+}
+
+// start loads the replicas that a model is configured to start with, where
+// there is room, until the first move for any other reason.
+func (p *plan) start() {
+	for _, it := range p.models {
+		if _, moved := p.s.LastMove[it.key]; moved {
+			continue
+		}
+		for len(it.live) > 0 && len(it.live) < it.initial {
+			i := p.bestHost(it, it.mb)
+			if i < 0 {
+				break
+			}
+			p.addLoad(i, it, WhyInitial, 0)
+		}
+	}
+}
+
 // gainOf predicts what one more replica is worth: the requests at once above
-// the threshold on its hosts before, less those after.
+// the threshold on its hosts before, less those after. Without a host that has
+// room, at is -1 and the gain leaves out what the new host would suffer.
 func (p *plan) gainOf(it *item) (at int, gain float64) {
 	if !p.settled(it) || it.demand.sure() <= 0 || !p.allOverloaded(it) {
 		return -1, 0
 	}
 	at = p.bestHost(it, it.mb)
-	if at < 0 || p.hosts[at].Reports < leastReports {
+	if at >= 0 && p.hosts[at].Reports < leastReports {
 		return -1, 0
 	}
 	n, d := float64(len(it.live)), it.demand.sure()
@@ -38,7 +79,9 @@
 	for _, i := range it.live {
 		gain += p.excess(i, 0) - p.excess(i, -less)
 	}
-	gain += p.excess(at, 0) - p.excess(at, share)
+	if at >= 0 {
+		gain += p.excess(at, 0) - p.excess(at, share)
+	}
 	return at, gain
 }
 
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -45,6 +45,7 @@
 	thing   ledger.Thing // of the version configured
 	mb      int
 	least   int   // replicas to keep
+	initial int   // replicas to start with
 	live    []int // hosts that hold the thing or are about to
 	old     []int // hosts that hold another version
 	firm    int   // serving hosts with a firm replica of any version
@@ -77,7 +78,8 @@
 }
 
 func (p *plan) addModel(m *config.Model) {
-	it := &item{key: Key{Model: m.Name}, thing: ledger.Thing{Model: m.Name, Version: m.Version}, mb: m.MemoryMB, least: m.MinReplicas}
+	it := &item{key: Key{Model: m.Name}, thing: ledger.Thing{Model: m.Name, Version: m.Version}, mb: m.MemoryMB,
+		least: m.MinReplicas, initial: m.Replicas}
 	it.demand = p.s.Demand[it.key]
 	p.models = append(p.models, it)
 	p.byKey[it.key] = it
--- a/node/planner/act.go
+++ b/node/planner/act.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"peridotpier.example/core/config"
 	"peridotpier.example/core/ledger"
 	"peridotpier.example/core/place"
 	"peridotpier.example/node/event"
@@ -112,7 +113,7 @@
 	if m.Why.Elective() {
 		p.budget.AllowN(now, 1)
 	}
-	if m.Want.Kind == ledger.Load {
+	if m.Why.Settles() || p.onDemand(m.Want.Thing.Model) {
 		p.last[place.Key{Model: m.Want.Thing.Model, Adapter: m.Want.Thing.Adapter}] = now
 	}
 	p.mu.Lock()
@@ -124,6 +125,11 @@
 	}
 }
 
+// onDemand models take turns, so each load of one begins its turn.
+func (p *Planner) onDemand(model string) bool {
+	return slices.ContainsFunc(p.deps.Site.View().Config.Models, func(m config.Model) bool { return m.Name == model && m.MinReplicas == 0 })
+}
+
 // sendAll sends orders side by side: a silent engine holds up no other.
 func (p *Planner) sendAll(ctx context.Context, tasks []task) {
 	states := make([]sendState, len(tasks))
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -211,8 +211,12 @@
 }
 
 // settleAnew counts every model as moved just now: what the holder before did
-// is not known, and its moves may not show in the demand yet.
+// is not known, and its moves may not show in the demand yet. A pool without
+// books has no holder before: there the models start.
 func (p *Planner) settleAnew() {
+	if len(p.books.rows) == 0 {
+		return
+	}
 	now, view := p.deps.Now(), p.deps.Site.View()
 	for _, m := range view.Config.Models {
 		p.last[place.Key{Model: m.Name}] = now
