Refuse configurations that do not fit; forecast a preset from any goroutine

Cause: an infeasible configuration would only show as models without a path; and a forecast read what the planner's loop changes. Change: place.Feasible packs a pool from empty and names what finds no place, with the numbers; Planner.DryRun works on what the last plan saw, and no longer counts the replicas to start with as moves of the preset. Conclusion: for the apply path and the operators' dry run to call.

--- a/core/place/dryrun.go
+++ b/core/place/dryrun.go
@@ -26,6 +26,9 @@
 	next.Preset, next.Loads = preset, 0
 	next.Upstreams = append([]Upstream(nil), s.Upstreams...)
 	next.LastMove = map[Key]time.Time{}
+	for key := range s.LastMove {
+		next.LastMove[key] = time.Time{} // moved once, and settled by then
+	}
 	var f Forecast
 	for round := range mostRounds {
 		next.Budget = mostElective
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -242,6 +242,19 @@
 	assert.Equal(t, len(s.Upstreams[0].Row.Charges), 0, "a dry run changes nothing")
 }
 
+func TestFeasible(t *testing.T) {
+	c := &config.Config{Models: []config.Model{model("a", 60, 1), model("b", 60, 1)},
+		Adapters:  []config.Adapter{{Name: "x", Model: "a", Version: "1", MemoryMB: 30}},
+		Upstreams: []config.Upstream{{Name: "u1", Pool: "p", MemoryMB: 100}, {Name: "u2", Pool: "p", MemoryMB: 100}}}
+	for i := range c.Models {
+		c.Models[i].Pool = "p"
+	}
+	assert.NilError(t, Feasible(c, "p"))
+	c.Models[0].MinReplicas = 2
+	err := Feasible(c, "p")
+	assert.ErrorContains(t, err, "pool p: 210 MB must be resident, 200 MB are there, no place for")
+}
+
 func BenchmarkPlan(b *testing.B) {
 	s := site(1, 2500, 720, 1400, 320_000, 0.2)
 	s.Store.Concurrent, s.Budget = 0, 4
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -95,6 +95,7 @@
 
 	mu     sync.Mutex
 	status Status
+	shot   *place.Snapshot // that the last plan saw; never changed
 }
 
 // sighting counts the reports of an upstream's present incarnation.
@@ -170,7 +171,7 @@
 	snapshot := p.snapshot(view, now)
 	decision := place.Plan(snapshot, now)
 	p.sendAll(ctx, append(p.unanswered(now), p.reserveAll(ctx, decision.Moves)...))
-	p.report(decision)
+	p.report(snapshot, decision)
 }
 
 // Status tells the state of the planner.
@@ -180,14 +181,17 @@
 	return p.status
 }
 
-// DryRun forecasts what another preset would do at the present demand. It
-// must not run beside Step.
+// DryRun forecasts what another preset would do, from what the last plan saw.
+// false: this host has not planned the pool yet. It may be called from any
+// goroutine.
 func (p *Planner) DryRun(preset config.Preset) (place.Forecast, bool) {
-	if p.books == nil {
+	p.mu.Lock()
+	shot := p.shot
+	p.mu.Unlock()
+	if shot == nil {
 		return place.Forecast{}, false
 	}
-	now := p.deps.Now()
-	return place.DryRun(p.snapshot(p.deps.Site.View(), now), preset, now), true
+	return place.DryRun(shot, preset, p.deps.Now()), true
 }
 
 // takeOver reads the books when the lease is new, under a new epoch row, so
@@ -226,9 +230,10 @@
 	}
 }
 
-func (p *Planner) report(d place.Decision) {
+func (p *Planner) report(s *place.Snapshot, d place.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shot = s
 	p.status.Epoch, p.status.Deferred, p.status.Waits = p.books.epoch, d.Deferred, d.Waits
 	p.status.InDoubt = 0
 	for _, r := range p.books.rows {
