--- a/core/place/place.go
+++ b/core/place/place.go
@@ -51,6 +51,7 @@
 	Budget    float64           // elective loads that the preset's pace allows now
 	LastMove  map[Key]time.Time // of what was moved for a reason that may come again
 	Bounds    ledger.Bounds
+	Settle    time.Duration // a model moved this recently is left alone; 0: two minutes
 }
 
 // Why says what a move is for.
@@ -103,7 +104,7 @@
 	defaultThreshold = 0.7              // utilisation above which queues begin to show in the tail
 	earnSlots        = 0.5              // least gain of an elective load: at 2 s a request some 15 requests a minute
 	displaceShare    = 0.25             // of a spread's gain, the most demand that may be displaced for it
-	settleFor        = 2 * time.Minute  // a model moved this recently is left alone: its demand has not settled
+	settleFor        = 2 * time.Minute  // default of Snapshot.Settle: sooner, a move's effect does not show in the demand
 	idleDemand       = 0.05             // requests at once below which a surplus replica may make room
 	leastReports     = 2                // of an incarnation, before an elective move touches its upstream
 	sendGrace        = 15 * time.Second // past an order's sending window, until it is taken for lost
--- a/core/place/spread.go
+++ b/core/place/spread.go
@@ -1,5 +1,7 @@
 package place
 
+import "time"
+
 // spread adds replicas of models whose replicas are all overloaded, best gain
 // first. It unloads nothing to tidy up: a replica that is not needed any more costs nothing
 // until its memory is, and would cost a load to bring back.
@@ -113,9 +115,16 @@
 	return len(it.live) > 0
 }
 
+func (p *plan) settle() time.Duration {
+	if p.s.Settle > 0 {
+		return p.s.Settle
+	}
+	return settleFor
+}
+
 func (p *plan) settled(it *item) bool {
 	last, moved := p.s.LastMove[it.key]
-	return !it.moved && (!moved || p.now.Sub(last) >= settleFor)
+	return !it.moved && (!moved || p.now.Sub(last) >= p.settle())
 }
 
 // spreadAdapters loads an adapter beside more replicas of its base model, when
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -59,7 +59,8 @@
 	Pool   string
 	Every  time.Duration // between two plans
 	Bounds ledger.Bounds
-	AtOnce int // orders sent side by side
+	AtOnce int           // orders sent side by side
+	Settle time.Duration // see place.Snapshot
 }
 
 // Deps are the parts that a planner works with.
