--- a/node/upstream/view/view.go
+++ b/node/upstream/view/view.go
@@ -48,7 +48,6 @@
 	takenAt    time.Time // this host's time at which the report was taken, as estimated
 	offset     time.Duration
 	offsetSet  bool
-	fresh      bool // a load newer than the report rode on an answer
 	running    int
 	waiting    int
 	loadAt     time.Time
