Reload keys and certificates without a restart; TLS on every listener

Settings named certificates, authorities and keys, but nothing read the certificates, and the keys of resume tokens were read once. node/keys holds them now: it looks at the files by modification time, reads them again now and then whatever their times, puts what is sound in force and keeps the old otherwise. Entry hosts prove themselves to one another both ways over TLS 1.3, with the address in the certificate; operators show a certificate; callers get TLS. Refused handshakes and complaints of the HTTP server are numbered events.

A refused request's body was read on by the HTTP server without any bound, so a body that dripped kept its connection for good; the bound is now set before anything is judged, and lifted when the body is whole.

--- a/cmd/peridotpier/serve.go
+++ b/cmd/peridotpier/serve.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap/zapcore"
 
 	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/keys"
 	"peridotpier.example/node/platform/rest"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
@@ -49,16 +51,16 @@
 		return &exit.Error{Code: exit.Failed, Err: fmt.Errorf("%s: %s", c.settings, faults[0]),
 			Do: fmt.Sprintf("run peridotpier check --settings %s for all %d faults", c.settings, len(faults))}
 	}
-	secrets, err := server.LoadSecrets(set)
+	log, err := newLog(set.LogLevel)
 	if err != nil {
 		return err
 	}
-	log, err := newLog(set.LogLevel)
+	defer func() { _ = log.Sync() }() // standard error cannot be synced everywhere
+	ring, err := keys.Load(keys.Config{Settings: set, File: c.settings}, keys.Deps{Log: event.NewLog(log)})
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }() // standard error cannot be synced everywhere
-	s, err := server.New(server.Config{Settings: set, Secrets: secrets, Platform: platformOf(set.Platform), Log: log})
+	s, err := server.New(server.Config{Settings: set, Keys: ring, Platform: platformOf(set.Platform), Log: log})
 	if err != nil {
 		return err
 	}
--- a/cmd/pierctl/demo.go
+++ b/cmd/pierctl/demo.go
@@ -22,6 +22,8 @@
 	length time.Duration
 	seed   uint64
 	json   bool
+	tls    bool
+	ca     string
 }
 
 func (*demoCommand) Name() string { return "demo" }
@@ -29,10 +31,13 @@
 	return "run a whole site on loopback, with its upstreams imitated"
 }
 func (*demoCommand) Usage() string {
-	return `pierctl demo [--site NAME] [--for DURATION] [--json]
+	return `pierctl demo [--site NAME] [--for DURATION] [--json] [--tls [--ca FILE]]
   Without --for: starts the site, prints curl lines, sends traffic and shows
   progress until interrupted. With --for: sends mixed traffic for that long,
   lets a host leave and switches the preset, and prints a report.
+  With --tls the hosts use certificates made in memory for callers, operators
+  and one another; --ca writes the authority that signed them to a file, else
+  the curl lines take any certificate.
   Exit 0: sound; 1: something was lost, doubled, cut, crossed, overcommitted
   or unreachable, or the run failed; 2: usage.
 `
@@ -42,6 +47,8 @@
 	f.StringVar(&c.site, "site", "kathmandu", "built-in `site` or site file")
 	f.DurationVar(&c.length, "for", 0, "`length` of the traffic; 0: until interrupted")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the traffic")
+	f.BoolVar(&c.tls, "tls", false, "use TLS, with certificates made in memory")
+	f.StringVar(&c.ca, "ca", "", "with --tls: `file` to write the authority's certificate to")
 	f.BoolVar(&c.json, "json", false, "print one JSON object at the end")
 }
 
@@ -49,7 +56,7 @@
 const untilInterrupted = time.Hour
 
 func (c *demoCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 || c.length < 0 {
+	if f.NArg() > 0 || c.length < 0 || c.ca != "" && !c.tls {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
@@ -73,13 +80,18 @@
 	if err != nil {
 		return local.Report{}, err
 	}
-	r, err := local.Start(ctx, local.Options{Site: s, Seed: c.seed})
+	r, err := local.Start(ctx, local.Options{Site: s, Seed: c.seed, TLS: c.tls})
 	if err != nil {
 		return local.Report{}, err
 	}
 	defer r.Close()
+	if c.ca != "" {
+		if err := os.WriteFile(c.ca, r.Authority.PEM(), 0o644); err != nil {
+			return local.Report{}, err
+		}
+	}
 	if !c.json {
-		printIntroduction(os.Stdout, s, r)
+		printIntroduction(os.Stdout, s, r, c.curl())
 	}
 	d := local.Drive{Policy: "peridot", Length: c.length, Progress: c.progress}
 	if c.length == 0 {
@@ -94,6 +106,18 @@
 	return rep, err
 }
 
+// curl is how the printed lines call a host.
+func (c *demoCommand) curl() string {
+	switch {
+	case !c.tls:
+		return "curl"
+	case c.ca != "":
+		return "curl --cacert " + c.ca
+	default:
+		return "curl -k"
+	}
+}
+
 func (c *demoCommand) progress(p load.Progress) {
 	fmt.Fprintf(os.Stderr, "\r%5.0fs  sent %6d  answered %6d  in time %6d ", p.Elapsed.Seconds(), p.Sent, p.Finished, p.Met)
 }
--- a/cmd/pierctl/print.go
+++ b/cmd/pierctl/print.go
@@ -10,17 +10,20 @@
 
 // printIntroduction shows how to use a running site by hand. Its lines work
 // as they stand.
-func printIntroduction(w io.Writer, s *site.Site, r *local.Running) {
+func printIntroduction(w io.Writer, s *site.Site, r *local.Running, curl string) {
 	d := &s.Deployment
 	team := d.Teams[len(d.Teams)-1]
 	key := s.Key(team.Name)
 	base := "http://" + r.Addresses()[0]
+	if r.Authority != nil {
+		base = "https://" + r.Addresses()[0]
+	}
 	model := d.Models[0].Name
 	fmt.Fprintf(w, "%s: %d entry hosts, %d upstreams, %d models, %d adapters\n\n", d.Site, len(r.Addresses()), len(d.Upstreams), len(d.Models), len(d.Adapters))
-	fmt.Fprintf(w, "# the models of team %s\ncurl -s %s/v1/models -H 'Authorization: Bearer %s'\n\n", team.Name, base, key)
-	fmt.Fprintf(w, "# a stream\ncurl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n", base, key, model)
+	fmt.Fprintf(w, "# the models of team %s\n%s -s %s/v1/models -H 'Authorization: Bearer %s'\n\n", team.Name, curl, base, key)
+	fmt.Fprintf(w, "# a stream\n%s -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":12,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n\n", curl, base, key, model)
 	if len(d.Services) > 0 {
-		fmt.Fprintf(w, "# a call that may not be repeated: send it twice, it runs once\ncurl -si %s/v1/services/%s/dispatch-notes -H 'Authorization: Bearer %s' -H 'Idempotency-Key: note-1' -d 'one box of zips'\n\n", base, d.Services[0].Name, key)
+		fmt.Fprintf(w, "# a call that may not be repeated: send it twice, it runs once\n%s -si %s/v1/services/%s/dispatch-notes -H 'Authorization: Bearer %s' -H 'Idempotency-Key: note-1' -d 'one box of zips'\n\n", curl, base, d.Services[0].Name, key)
 	}
 }
 
--- a/node/callerapi/api.go
+++ b/node/callerapi/api.go
@@ -49,6 +49,8 @@
 type Config struct {
 	Host       string // name, part of request ids
 	PrefixSalt string // secret shared by the hosts, so that prefix hashes tell an engine nothing
+	// BodyBound is how long a caller may take to send a body; 0: the default.
+	BodyBound time.Duration
 }
 
 // Admission lets a request in or refuses it.
@@ -76,6 +78,13 @@
 	End(k place.Key, refused bool)
 }
 
+// Tokens makes and checks resume tokens with the keys in force at the moment;
+// *keys.Ring implements it, and *token.Keys where keys never change.
+type Tokens interface {
+	Encode(t token.Token) (string, error)
+	Decode(s, team string, now time.Time) (token.Token, error)
+}
+
 // InForce tells what is in force on this host; *query.ConfigReader implements it.
 type InForce interface {
 	Current() (*query.State, bool)
@@ -89,7 +98,7 @@
 	Claims     Claims
 	Dispatcher *dispatch.Dispatcher
 	Demand     Demand
-	Tokens     *token.Keys
+	Tokens     Tokens
 	Requests   *inflight.Registry
 	Metrics    *metrics.Set
 	Log        *event.Log
@@ -105,6 +114,9 @@
 
 // New makes the interface.
 func New(cfg Config, deps Deps) *API {
+	if cfg.BodyBound == 0 {
+		cfg.BodyBound = bodyBound
+	}
 	a := &API{cfg: cfg, deps: deps, echo: echo.New()}
 	e := a.echo
 	e.HTTPErrorHandler = a.problem
@@ -122,7 +134,17 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.echo.ServeHTTP(w, r) }
+//
+// The body's bound is set before anything is judged, for a refusal does not
+// read the body, and the HTTP server then reads the rest of it: without a bound
+// a body that drips would keep its connection and goroutine for good, though
+// the caller was refused. It is lifted once the body is there.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		setReadBound(w, time.Now().Add(a.cfg.BodyBound))
+	}
+	a.echo.ServeHTTP(w, r)
+}
 
 // call is one authenticated request with the configuration that it is wholly
 // judged under, whatever is accepted while it runs.
--- a/node/callerapi/body.go
+++ b/node/callerapi/body.go
@@ -16,15 +16,18 @@
 // Slower ones are given up, so that dripping bodies do not fill the host.
 const bodyBound = 30 * time.Second
 
+// setReadBound bounds what is still to be read of a request; the zero time
+// lifts the bound.
+func setReadBound(w http.ResponseWriter, until time.Time) {
+	_ = http.NewResponseController(w).SetReadDeadline(until) // unsupported in tests without a connection
+}
+
 // readBody reads a body of up to most bytes whole.
 func readBody(c *call, most int64) ([]byte, error) {
 	r := c.Request()
 	if r.ContentLength > most {
 		return nil, tooLarge(most)
 	}
-	rc := http.NewResponseController(c.Response())
-	_ = rc.SetReadDeadline(time.Now().Add(bodyBound)) // unsupported in tests without a connection
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
 		buf.Grow(int(r.ContentLength) + bytes.MinRead)
@@ -39,6 +42,9 @@
 	if int64(buf.Len()) > most {
 		return nil, tooLarge(most)
 	}
+	// Whole: the connection is now read only to notice that the caller is gone,
+	// which must not end with the bound of the body.
+	setReadBound(c.Response(), time.Time{})
 	return buf.Bytes(), nil
 }
 
--- a/node/callerapi/service.go
+++ b/node/callerapi/service.go
@@ -51,6 +51,7 @@
 		return tooLarge(most)
 	}
 	if w.Repeatable && (r.ContentLength < 0 || r.ContentLength > holdMost) {
+		setReadBound(c.Response(), w.Deadline)
 		w.BodyStream, w.BodyLength = http.MaxBytesReader(c.Response(), r.Body, most), r.ContentLength
 		return nil
 	}
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -20,6 +20,7 @@
 	var all []Event
 	for _, part := range [][]Event{
 		processEvents,
+		keysEvents,
 		dispatchEvents,
 		claimEvents,
 		upstreamEvents,
--- /dev/null
+++ b/node/keys/handshake.go
@@ -0,0 +1,148 @@
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"peridotpier.example/node/event"
+)
+
+const (
+	// handshakeBound is how long the other side may take over a handshake.
+	handshakeBound = 5 * time.Second
+	// refusalsEach and refusalsBurst bound the lines that strangers can cause:
+	// a scanner must not fill the log.
+	refusalsEach  = time.Second
+	refusalsBurst = 20
+)
+
+// refusals writes refused handshakes, so many at most.
+type refusals struct {
+	log      *event.Log
+	limit    *rate.Limiter
+	heldBack *atomic.Int64
+}
+
+func newRefusals(log *event.Log) refusals {
+	return refusals{log: log, limit: rate.NewLimiter(rate.Every(refusalsEach), refusalsBurst), heldBack: new(atomic.Int64)}
+}
+
+func (r refusals) emit(e event.Event, fields ...zap.Field) {
+	if !r.limit.Allow() {
+		r.heldBack.Add(1)
+		return
+	}
+	r.log.Emit(e, append(fields, zap.Int64("held_back", r.heldBack.Swap(0)))...)
+}
+
+// Refused writes a handshake that failed on a listener.
+func (r *Ring) Refused(listener, peer, reason string) {
+	r.refused.emit(event.HandshakeRefused, zap.String("where", listener), zap.String(event.FieldPeer, peer), zap.String("reason", reason))
+}
+
+// Callers wraps the callers' listener in TLS where the settings say so.
+func (r *Ring) Callers(ln net.Listener) net.Listener { return secure(ln, r.caller) }
+
+// Operators wraps the operators' listener.
+func (r *Ring) Operators(ln net.Listener) net.Listener { return secure(ln, r.operator) }
+
+func secure(ln net.Listener, id *identity) net.Listener {
+	c := id.server()
+	if c == nil {
+		return ln
+	}
+	return tls.NewListener(ln, c)
+}
+
+// Peers wraps the listener for entry hosts. What serves it does not say why a
+// connection ended, so the wrapper does.
+func (r *Ring) Peers(ln net.Listener) net.Listener {
+	c := r.peer.server()
+	if c == nil {
+		return ln
+	}
+	return &peerListener{Listener: ln, ring: r, config: c}
+}
+
+type peerListener struct {
+	net.Listener
+	ring   *Ring
+	config *tls.Config
+}
+
+// Accept implements net.Listener. The handshake runs at the first use of the
+// connection, in whoever uses it: here, one slow stranger would keep all others out.
+func (l *peerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &peerConn{Conn: tls.Server(c, l.config), ring: l.ring}, nil
+}
+
+type peerConn struct {
+	*tls.Conn
+	ring *Ring
+	once sync.Once
+	err  error
+}
+
+func (c *peerConn) handshake() error {
+	c.once.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), handshakeBound)
+		defer cancel()
+		if c.err = c.Conn.HandshakeContext(ctx); c.err != nil {
+			c.ring.Refused("peers", c.RemoteAddr().String(), c.err.Error())
+		}
+	})
+	return c.err
+}
+
+// Read implements net.Conn.
+func (c *peerConn) Read(p []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c *peerConn) Write(p []byte) (int, error) {
+	if err := c.handshake(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// SecuresPeers says whether entry hosts talk over TLS.
+func (r *Ring) SecuresPeers() bool { return r.peer.files != nil }
+
+// Secure makes a connection to a peer secure where the settings say so. It
+// closes nc when it fails.
+func (r *Ring) Secure(ctx context.Context, nc net.Conn, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	cfg := r.peer.client(host)
+	if cfg == nil {
+		return nc, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeBound)
+	defer cancel()
+	c := tls.Client(nc, cfg)
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = nc.Close()
+		r.refused.emit(event.PeerCertRefused, zap.String(event.FieldPeer, address), zap.String("reason", err.Error()))
+		return nil, err
+	}
+	return c, nil
+}
--- a/node/server/listener.go
+++ b/node/server/listener.go
@@ -2,18 +2,24 @@
 
 import (
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
-	"peridotpier.example/node/settings"
+	"peridotpier.example/node/event"
 )
 
 const (
 	// headBound is how long the other side may take to send the head of a request.
 	headBound = 10 * time.Second
+	// operatorBound is how long an operator's whole request may take to arrive;
+	// 8 MB of configuration in it need 2 Mbit/s.
+	operatorBound = 30 * time.Second
 	// idleBound is how long an idle connection is kept; above the pools of
 	// usual clients and balancers, so that these close first and never meet a
 	// connection that the host is just closing.
@@ -27,13 +33,18 @@
 	server *http.Server
 }
 
-func newListener(name string, l settings.Listener, h http.Handler, headerBytes int) (*listener, error) {
-	ln, err := net.Listen("tcp", l.Address)
+func (s *Server) newListener(name, address string, h http.Handler, secure func(net.Listener) net.Listener) (*listener, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
-	return &listener{name: name, ln: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: headBound,
-		IdleTimeout: idleBound, MaxHeaderBytes: headerBytes}}, nil
+	head := s.cfg.HeadBound
+	if head == 0 {
+		head = headBound
+	}
+	return &listener{name: name, ln: secure(ln), server: &http.Server{Handler: h, ReadHeaderTimeout: head,
+		IdleTimeout: idleBound, MaxHeaderBytes: s.cfg.Settings.Bounds.HeaderBytes,
+		ErrorLog: log.New(complaints{s, name}, "", 0)}}, nil
 }
 
 func (l *listener) address() string { return l.ln.Addr().String() }
@@ -45,3 +56,34 @@
 	}
 	return nil
 }
+
+// complaints turns lines of the HTTP server into numbered events.
+type complaints struct {
+	s     *Server
+	where string
+}
+
+// How the HTTP server's lines begin.
+const (
+	handshakeLine = "http: TLS handshake error from "
+	panicLine     = "http: panic serving "
+)
+
+// Write implements io.Writer; it gets one line a call, a panic with its stack.
+func (c complaints) Write(p []byte) (int, error) {
+	line := strings.TrimSpace(string(p))
+	if rest, ok := strings.CutPrefix(line, handshakeLine); ok {
+		peer, reason, _ := strings.Cut(rest, ": ")
+		c.s.cfg.Keys.Refused(c.where, peer, reason)
+		return len(p), nil
+	}
+	fields := []zap.Field{zap.String("where", c.where)}
+	if strings.HasPrefix(line, panicLine) {
+		// The value of a panic may hold parts of a request; the stack does not.
+		_, stack, _ := strings.Cut(line, "\n")
+		line = "panic"
+		fields = append(fields, zap.String("stack", stack))
+	}
+	c.s.log.Emit(event.ConnectionComplaint, append(fields, zap.String("reason", line))...)
+	return len(p), nil
+}
--- a/node/server/mesh.go
+++ b/node/server/mesh.go
@@ -14,6 +14,7 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/peer"
+	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -29,11 +30,26 @@
 
 // dialPeer opens a connection to a peer.
 func (s *Server) dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	if s.cfg.PeerDialer != nil {
-		return s.cfg.PeerDialer.DialContext(ctx, "tcp", address)
+	var d conn.Dialer = s.cfg.PeerDialer
+	if d == nil {
+		d = &net.Dialer{LocalAddr: s.peerSource()}
 	}
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return s.cfg.Keys.Secure(ctx, c, address)
+}
+
+// peerSource is the address that connections to peers come from. With TLS it
+// is the listener's own, which the certificate holds: on a host with several
+// addresses the system may choose another, and the peer would refuse it.
+func (s *Server) peerSource() net.Addr {
+	own, ok := s.peerLn.Addr().(*net.TCPAddr)
+	if !ok || own.IP.IsUnspecified() || !s.cfg.Keys.SecuresPeers() {
+		return nil
+	}
+	return &net.TCPAddr{IP: own.IP, Zone: own.Zone}
 }
 
 // heardOfUpstream takes peers' words on upstreams into the view.
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -25,6 +25,7 @@
 	background := func(f func(context.Context) error) {
 		g.Add(func() error { return f(work) }, func(error) { stopWork() })
 	}
+	background(s.cfg.Keys.Run)
 	background(s.poller.Run)
 	background(s.admit.Run)
 	background(s.claims.run)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -21,6 +21,7 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/keys"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/peer"
@@ -36,7 +37,7 @@
 // Config is what a node is made of.
 type Config struct {
 	Settings *settings.Settings
-	Secrets  Secrets
+	Keys     *keys.Ring
 	Platform Platform
 	Log      *zap.Logger
 	Policy   Policy
@@ -50,6 +51,10 @@
 	// Demand sets how fast the demand that placement follows forgets; the zero
 	// value is the default.
 	Demand demand.Config
+	// HeadBound and BodyBound are how long a caller may take to send the head
+	// and the body of a request; 0: the defaults.
+	HeadBound time.Duration
+	BodyBound time.Duration
 	// Distance is the round trip between data centres in milliseconds; nil: none known.
 	Distance func(from, to string) float64
 }
@@ -152,7 +157,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	s.peerLn = ln
+	s.peerLn = s.cfg.Keys.Peers(ln)
 	s.mesh = s.newMesh(ln.Addr().String())
 	return nil
 }
@@ -180,21 +185,22 @@
 // listen opens the listeners.
 func (s *Server) listen() error {
 	set := s.cfg.Settings
-	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: s.cfg.Secrets.PrefixSalt}, callerapi.Deps{
+	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: s.cfg.Keys.PrefixSalt(), BodyBound: s.cfg.BodyBound}, callerapi.Deps{
 		Config: s.config, Admission: admitter{c: s.admit, open: s.cfg.Policy.OpenAdmission}, Claims: s.claims,
-		Dispatcher: s.dispatch, Demand: s.demand, Tokens: s.cfg.Secrets.Resume, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
+		Dispatcher: s.dispatch, Demand: s.demand, Tokens: s.cfg.Keys, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
 	var err error
-	if s.callers, err = newListener("callers", set.Caller, api, set.Bounds.HeaderBytes); err != nil {
+	if s.callers, err = s.newListener("callers", set.Caller.Address, api, s.cfg.Keys.Callers); err != nil {
 		return err
 	}
 	deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
 	ops := operatorapi.New(operatorapi.Deps{Operators: set.Operator.Operators, Changes: command.NewConfiguration(deps),
 		Audit:  query.NewAuditReader(query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects}),
 		Config: s.config, Site: s, Ready: func() bool { return s.phase.Load() == phaseReady }, Requests: s.requests, Metrics: s.metrics, Log: s.log})
-	if s.operators, err = newListener("operators", set.Operator.Listener(), ops, set.Bounds.HeaderBytes); err != nil {
-		_ = s.callers.server.Close()
+	if s.operators, err = s.newListener("operators", set.Operator.Address, ops, s.cfg.Keys.Operators); err != nil {
+		_ = s.callers.ln.Close()
 		return err
 	}
+	s.operators.server.ReadTimeout = operatorBound
 	return nil
 }
 
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -3,7 +3,6 @@
 package local
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -14,13 +13,15 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/config"
-	"peridotpier.example/core/token"
 	"peridotpier.example/node/command"
 	"peridotpier.example/node/demand"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/keys"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/standin/pki"
 )
 
 // AnyPort lets the system choose a port on loopback.
@@ -38,21 +39,50 @@
 		Operator: settings.Operator{Address: AnyPort, Operators: []settings.OperatorKey{{Name: "bench", KeyHash: hex.EncodeToString(hash[:])}}},
 		Peer:     settings.Listener{Address: AnyPort},
 		Platform: settings.Platform{Table: platform, Objects: platform, Hosts: platform, Weights: platform},
-		Keys:     settings.Keys{Resume: []settings.KeyFile{{ID: "k1", File: "-"}}, PrefixSalt: "-"},
+		Keys:     settings.Keys{Resume: []settings.KeyFile{{ID: "k1", File: ResumeKeyFile}}, PrefixSalt: SaltFile},
 	}
 	s.SetDefaults()
 	return s
 }
 
-// Secrets returns the keys that all local nodes share.
-func Secrets() (server.Secrets, error) {
-	keys, err := token.NewKeys(token.Key{ID: "k1", Secret: bytes.Repeat([]byte("local"), 8)})
-	return server.Secrets{Resume: keys, PrefixSalt: "local salt of 32 bytes or more.."}, err
+// The files in memory that Settings names, and the secrets in them, which all
+// local nodes share.
+const (
+	ResumeKeyFile = "resume-k1"
+	SaltFile      = "prefix-salt"
+	ResumeSecret  = "local resume key of 32 bytes or more"
+	SaltSecret    = "local salt of 32 bytes or more.."
+)
+
+// Files returns the files that Settings names.
+func Files() *pki.Files {
+	f := pki.NewFiles()
+	f.Put(ResumeKeyFile, []byte(ResumeSecret))
+	f.Put(SaltFile, []byte(SaltSecret))
+	return f
+}
+
+// Secure gives a node a certificate for all its listeners: adds the files and
+// names them in its settings.
+func Secure(set *settings.Settings, files *pki.Files, a *pki.Authority) error {
+	certificate, key, err := a.Issue(set.Host, pki.Address("127.0.0.1"))
+	if err != nil {
+		return err
+	}
+	t := settings.TLS{Certificate: "certificate", Key: "certificate-key", Authorities: "authorities"}
+	files.Put(t.Certificate, certificate)
+	files.Put(t.Key, key)
+	files.Put(t.Authorities, a.PEM())
+	callers := t
+	callers.Authorities = "" // callers show their team's key instead
+	set.Caller.TLS, set.Operator.TLS, set.Peer.TLS = &callers, &t, &t
+	return nil
 }
 
 // Node is one running node.
 type Node struct {
 	*server.Server
+	Keys *keys.Ring
 	gate *gate
 	stop context.CancelFunc
 	once sync.Once
@@ -69,22 +99,30 @@
 	Distance func(from, to string) float64
 	Demand   demand.Config
 	Log      *zap.Logger
+	Files    *pki.Files // of keys and certificates; nil: Files()
+	// HeadBound and BodyBound are as in server.Config.
+	HeadBound time.Duration
+	BodyBound time.Duration
 }
 
 // StartNode runs a node until Stop or Kill.
 func StartNode(cfg NodeConfig) (*Node, error) {
-	secrets, err := Secrets()
+	if cfg.Files == nil {
+		cfg.Files = Files()
+	}
+	ring, err := keys.Load(keys.Config{Settings: cfg.Settings}, keys.Deps{Files: cfg.Files, Log: event.NewLog(cfg.Log)})
 	if err != nil {
 		return nil, err
 	}
 	g := newGate()
-	s, err := server.New(server.Config{Settings: cfg.Settings, Secrets: secrets, Platform: g.platform(cfg.Platform),
-		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(nil), Log: cfg.Log})
+	s, err := server.New(server.Config{Settings: cfg.Settings, Keys: ring, Platform: g.platform(cfg.Platform),
+		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(nil), Log: cfg.Log,
+		HeadBound: cfg.HeadBound, BodyBound: cfg.BodyBound})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{Server: s, gate: g, stop: cancel, done: make(chan struct{})}
+	n := &Node{Server: s, Keys: ring, gate: g, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(n.done)
 		n.err = s.Run(ctx)
--- a/standin/local/report.go
+++ b/standin/local/report.go
@@ -63,7 +63,7 @@
 			d.Script(side, r)
 		}
 	}()
-	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.Dialer().DialContext, Progress: d.Progress})
+	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.DialCallers(), Progress: d.Progress})
 	stop()
 	<-scripted
 	rep := Report{Site: r.opt.Site.Deployment.Site, Policy: d.Policy, Seed: r.opt.Seed, Faults: d.Faults, Seconds: d.Length.Seconds(),
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/pki"
 	fake "peridotpier.example/standin/platform"
 	"peridotpier.example/standin/site"
 	"peridotpier.example/standin/wire"
@@ -23,6 +26,8 @@
 	Policy server.Policy
 	Oracle bool // upstreams report at once and truly
 	Log    *zap.Logger
+	// TLS lets all listeners of the entry hosts use certificates made in memory.
+	TLS bool
 	// Hosts is the number of entry hosts; 0: as the site says.
 	Hosts int
 }
@@ -36,6 +41,7 @@
 	Weights   *fake.Weights
 	Upstreams *site.Upstreams
 	Balancer  *load.Balancer
+	Authority *pki.Authority // signed the hosts' certificates; nil without TLS
 
 	mu    sync.Mutex
 	nodes []*Node // nil: ended
@@ -51,6 +57,12 @@
 		opt.Hosts = opt.Site.EntryHosts
 	}
 	r := &Running{opt: opt}
+	if opt.TLS {
+		var err error
+		if r.Authority, err = pki.New(opt.Site.Deployment.Site); err != nil {
+			return nil, err
+		}
+	}
 	if err := r.startStandIns(); err != nil {
 		return nil, err
 	}
@@ -95,7 +107,13 @@
 	dc := r.opt.Site.EntryDataCentre(i)
 	set := Settings(hostName(i), dc)
 	set.Bounds.BalancerWaitSeconds = int(balancerWait / time.Second)
-	n, err := StartNode(NodeConfig{Settings: set, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Log: r.opt.Log,
+	files := Files()
+	if r.Authority != nil {
+		if err := Secure(set, files, r.Authority); err != nil {
+			return nil, err
+		}
+	}
+	n, err := StartNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Log: r.opt.Log,
 		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
 		Distance: func(from, to string) float64 {
 			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
@@ -193,6 +211,29 @@
 	}}
 }
 
+// DialCallers opens callers' connections like Dialer, with TLS where the site
+// runs with it.
+func (r *Running) DialCallers() func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := r.Dialer().DialContext
+	if r.Authority == nil {
+		return dial
+	}
+	trusted := r.Authority.Pool()
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, _ := net.SplitHostPort(address) // it was just dialled
+		secure := tls.Client(c, &tls.Config{RootCAs: trusted, ServerName: host})
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+}
+
 // Close ends everything; requests in flight are finished first.
 func (r *Running) Close() {
 	var wg sync.WaitGroup
--- /dev/null
+++ b/standin/pki/pki.go
@@ -0,0 +1,107 @@
+// Package pki makes an authority, certificates and secrets in memory, for the
+// demo and for tests. Nothing of it outlives the process.
+package pki
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// life of what is made, and how far it begins in the past, for clocks that differ.
+const (
+	life  = 30 * 24 * time.Hour
+	begun = time.Hour
+)
+
+// Authority signs certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// New makes an authority of its own.
+func New(name string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "make the authority's key")
+	}
+	t := template(name)
+	t.IsCA, t.BasicConstraintsValid, t.KeyUsage, t.ExtKeyUsage = true, true, x509.KeyUsageCertSign, nil
+	der, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return nil, eris.Wrap(err, "make the authority's certificate")
+	}
+	cert, err := x509.ParseCertificate(der)
+	return &Authority{cert: cert, key: key}, eris.Wrap(err, "parse the authority's certificate")
+}
+
+func template(name string) *x509.Certificate {
+	now := time.Now()
+	serial, _ := rand.Int(rand.Reader, big.NewInt(1<<62)) // rand.Reader never fails
+	return &x509.Certificate{SerialNumber: serial, Subject: pkix.Name{CommonName: name}, NotBefore: now.Add(-begun), NotAfter: now.Add(life),
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+}
+
+// PEM is the authority's certificate.
+func (a *Authority) PEM() []byte { return block("CERTIFICATE", a.cert.Raw) }
+
+// Pool trusts this authority alone.
+func (a *Authority) Pool() *x509.CertPool {
+	p := x509.NewCertPool()
+	p.AddCert(a.cert)
+	return p
+}
+
+// Change alters a certificate before it is signed.
+type Change func(*x509.Certificate)
+
+// Expired lets a certificate's time be over.
+func Expired(c *x509.Certificate) {
+	c.NotBefore, c.NotAfter = c.NotBefore.Add(-life), c.NotBefore
+}
+
+// Address names an IP number in the certificate.
+func Address(ip string) Change {
+	return func(c *x509.Certificate) { c.IPAddresses = append(c.IPAddresses, net.ParseIP(ip)) }
+}
+
+// Issue makes a key and signs its certificate; both in PEM.
+func (a *Authority) Issue(name string, changes ...Change) (certificate, key []byte, err error) {
+	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "make a key")
+	}
+	t := template(name)
+	for _, change := range changes {
+		change(t)
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, own.Public(), a.key)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "sign a certificate")
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(own)
+	return block("CERTIFICATE", der), block("PRIVATE KEY", raw), eris.Wrap(err, "encode a key")
+}
+
+// Pair is Issue's result in the form that a dialler needs.
+func (a *Authority) Pair(name string, changes ...Change) (tls.Certificate, error) {
+	c, k, err := a.Issue(name, changes...)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	return tls.X509KeyPair(c, k)
+}
+
+func block(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
