--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -81,6 +81,12 @@
 	if err != nil {
 		return err
 	}
+	if t != nil && t.Kind() == reflect.Pointer {
+		if tok == nil { // null: left out, as the library writes it
+			return nil
+		}
+		t = t.Elem()
+	}
 	switch tok {
 	case json.Delim('{'):
 		return s.object(s.expect(t, reflect.Struct, "an object", path), path, depth)
--- a/standin/pki/files.go
+++ b/standin/pki/files.go
@@ -48,3 +48,10 @@
 	}
 	return v.data, nil
 }
+
+// Remove deletes a file.
+func (f *Files) Remove(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.files, name)
+}
