A caller's broken body is not its upstream's fault; test bad input for leaks

A body that is passed on as it comes may break off, drip or grow too large. The exchange then waited for an answer from an upstream that itself waited for the rest, and the caller got 502 upstream_failed in place of 413. Where the body broke before its first byte left, the upstream was taken for down, so that a caller hanging up time and again could take upstreams from everybody. Such failures are typed now: the exchange ends at once, the upstream is not blamed, and the caller is told what it did.

The test sends bombs, drips, bodies too large and calls broken off through a real node, plain and over TLS, and finds goroutines and upstream connections back at their start and the engine's work cancelled.

--- a/node/callerapi/service.go
+++ b/node/callerapi/service.go
@@ -1,11 +1,14 @@
 package callerapi
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 
 	"peridotpier.example/core/fault"
 	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -40,7 +43,23 @@
 	if !w.Repeatable {
 		a.claimed(c, w, t.key, w.Body)
 	}
-	return a.serve(c, w, name)
+	return blame(a.serve(c, w, name), c.state.Index.Limits.BodyBytes)
+}
+
+// blame names the caller's own body as the cause where it was; the outcome
+// stays what was found.
+func blame(err error, most int64) error {
+	var tooBig *http.MaxBytesError
+	var body *conn.BodyError
+	if !errors.As(err, &body) {
+		return err
+	}
+	f := &fault.Error{Step: fault.StepParse, Peer: "caller", Code: fault.CodeBadRequest,
+		Outcome: fault.From(fault.StepParse, err).Outcome, Err: fmt.Errorf("read body: %w", body.Err)}
+	if errors.As(err, &tooBig) {
+		f.Code, f.Err = fault.CodeTooLarge, fmt.Errorf("body is larger than %d bytes", most)
+	}
+	return f
 }
 
 // takeBody holds a small body, or any of a request that may not be repeated,
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -114,7 +114,11 @@
 	defer stop()
 	resp, err := a.d.deps.Client.Do(ctx, a.request())
 	if err != nil {
-		if fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun {
+		var body *conn.BodyError
+		// A body that broke is its caller's doing. With the upstream taken for
+		// down because of it, one caller that hangs up in the middle of its
+		// body, time and again, would take upstreams from everybody.
+		if !errors.As(err, &body) && fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun {
 			a.bodyUsed = false
 			a.d.deps.View.Down(a.ep.Upstream)
 		}
--- a/node/keys/handshake_test.go
+++ b/node/keys/handshake_test.go
@@ -137,6 +137,8 @@
 	poll.WaitOn(t, b.logged(1007, "didn't provide a certificate"))
 	plain, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
+	_, err = plain.Write([]byte("no client hello"))
+	assert.NilError(t, err)
 	err = echo(plain)
 	assert.Assert(t, err != nil && !errors.Is(err, context.Canceled))
 	assert.NilError(t, b.connect(r, r), "the right one must get through")
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -67,6 +67,8 @@
 	Stream       io.Reader
 	StreamLength int64
 	Fresh        bool // use a new connection
+
+	source *source // of Stream
 }
 
 // Response is the answer to an exchange. Exactly one of Finish and Abort ends it.
@@ -91,7 +93,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.nc.Close() })
 	req := r.httpRequest()
-	resp, err := c.exchange(l, req)
+	resp, err := c.exchange(l, r, req)
 	if err != nil {
 		stop()
 		_ = l.nc.Close()
@@ -110,7 +112,7 @@
 // exchange writes req and reads the head of its answer. An upstream that
 // refuses early may close its reading side, so a failed write still looks for
 // an answer.
-func (c *Client) exchange(l *link, req *http.Request) (*http.Response, error) {
+func (c *Client) exchange(l *link, r *Request, req *http.Request) (*http.Response, error) {
 	bw := writers.Get().(*bufio.Writer)
 	bw.Reset(l)
 	err := req.Write(bw)
@@ -119,6 +121,9 @@
 	}
 	bw.Reset(nil)
 	writers.Put(bw)
+	if r.source != nil && r.source.err != nil {
+		return nil, &BodyError{r.source.err} // the upstream waits for the rest and would never answer
+	}
 	if err != nil && l.written == 0 {
 		return nil, err
 	}
@@ -139,7 +144,8 @@
 		URL: &url.URL{Scheme: "http", Host: r.Address, Path: r.Path, RawQuery: r.Query}}
 	switch {
 	case r.Stream != nil:
-		req.Body, req.ContentLength = io.NopCloser(r.Stream), r.StreamLength
+		r.source = &source{r: r.Stream}
+		req.Body, req.ContentLength = io.NopCloser(r.source), r.StreamLength
 	case len(r.Body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
 	}
--- /dev/null
+++ b/standin/local/badinput_test.go
@@ -0,0 +1,250 @@
+package local_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/standin/engine"
+	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/pki"
+)
+
+// counted counts the open connections that a node dialled to upstreams.
+type counted struct {
+	net.Dialer
+	open atomic.Int32
+}
+
+type countedConn struct {
+	net.Conn
+	d      *counted
+	closed atomic.Bool
+}
+
+func (d *counted) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	d.open.Add(1)
+	return &countedConn{Conn: c, d: d}, nil
+}
+
+func (c *countedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.d.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// rough is a node with short bounds, to be sent what callers should not send.
+type rough struct {
+	*path
+	dialer counted
+	ca     *pki.Authority // nil: plain TCP
+	client *http.Client
+}
+
+// patience bounds a step that must end by itself; it is not what is measured.
+const patience = 20 * time.Second
+
+func newRough(t *testing.T, secure bool) *rough {
+	t.Helper()
+	r := &rough{}
+	if secure {
+		var err error
+		r.ca, err = pki.New("test")
+		assert.NilError(t, err)
+	}
+	r.path = newPath(t, engine.Config{TokenTime: slow.TokenTime, ResumeFor: 50 * time.Millisecond}, func(c *local.NodeConfig) {
+		c.Dialer, c.HeadBound, c.BodyBound = &r.dialer, 100*time.Millisecond, 200*time.Millisecond
+		if secure {
+			c.Files = local.Files()
+			assert.NilError(t, local.Secure(c.Settings, c.Files, r.ca))
+		}
+	})
+	tr := &http.Transport{DisableKeepAlives: true}
+	if secure {
+		r.base = "https://" + r.node.CallerAddress()
+		tr.TLSClientConfig = &tls.Config{RootCAs: r.ca.Pool()}
+	}
+	r.client = &http.Client{Transport: tr}
+	return r
+}
+
+// raw opens a connection and sends text on it.
+func (r *rough) raw(text string) net.Conn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.node.CallerAddress())
+	assert.NilError(r.t, err)
+	if r.ca != nil {
+		c = tls.Client(c, &tls.Config{RootCAs: r.ca.Pool(), ServerName: "127.0.0.1"})
+	}
+	assert.NilError(r.t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(c, text)
+	assert.NilError(r.t, err)
+	return c
+}
+
+// drip sends a byte now and then until the host ends the connection, and
+// returns what it had to say.
+func (r *rough) drip(c net.Conn) string {
+	r.t.Helper()
+	stop := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for tick := time.NewTicker(10 * time.Millisecond); ; {
+			select {
+			case <-stop:
+				tick.Stop()
+				return
+			case <-tick.C:
+				_, _ = c.Write([]byte("a")) // fails once the host has ended it
+			}
+		}
+	}()
+	text, err := io.ReadAll(c)
+	close(stop)
+	<-stopped
+	_ = c.Close()
+	timeout, ok := err.(net.Error)
+	assert.Assert(r.t, !ok || !timeout.Timeout(), "the host keeps a connection that drips; it said %q", text)
+	return string(text)
+}
+
+func head(method, path, key, rest string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s\r\n", method, path, key, rest)
+}
+
+// chunked posts a body without a length.
+func (r *rough) chunked(method, path string, body io.Reader) (int, string, error) {
+	r.t.Helper()
+	req, err := http.NewRequest(method, r.base+path, io.MultiReader(body)) // its type tells no length
+	assert.NilError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Idempotency-Key", "big")
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
+
+// streamed opens a long stream and reads its first line.
+func (r *rough) streamed() *http.Response {
+	r.t.Helper()
+	req, err := http.NewRequest("POST", r.base+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chat, true, 8000)))
+	assert.NilError(r.t, err)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	resp, err := r.client.Do(req)
+	assert.NilError(r.t, err)
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	assert.NilError(r.t, err)
+	return resp
+}
+
+// Symptom: a host runs out of connections, memory or goroutines, or engines
+// work for nobody, after callers sent what they should not.
+// Sequence: heads too large or too slow, bodies too large or too slow, callers
+// that hang up in the middle, each several times.
+// Cause: something waits for the rest without a bound, or is not told that
+// nobody waits any more.
+func TestBadInputLeavesNothingBehind(t *testing.T) {
+	for _, transport := range []struct {
+		name   string
+		secure bool
+	}{{"plain", false}, {"TLS", true}} {
+		t.Run(transport.name, func(t *testing.T) {
+			r := newRough(t, transport.secure)
+			r.abuse() // once before the count, so that pools have what they keep
+			poll.WaitOn(t, r.quiet())
+			goroutines, upstream := runtime.NumGoroutine(), r.dialer.open.Load()
+			for range 4 {
+				r.abuse()
+			}
+			poll.WaitOn(t, r.quiet())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if n, c := runtime.NumGoroutine(), r.dialer.open.Load(); n > goroutines || c > upstream {
+					return poll.Continue("%d goroutines, %d at the start; %d connections to upstreams, %d at the start", n, goroutines, c, upstream)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(patience))
+			for _, e := range r.eng.Records().Executions {
+				assert.Equal(t, e.State, engineapi.AttemptCancelled)
+			}
+			assert.Equal(t, len(r.svc.Executions()), 0)
+		})
+	}
+}
+
+// quiet waits until nothing runs, here or at the engine.
+func (r *rough) quiet() poll.Check {
+	return func(poll.LogT) poll.Result {
+		if here, there := r.node.Status().InFlight, r.eng.Truth().Running; here+there > 0 {
+			return poll.Continue("%d requests in flight, %d attempts run", here, there)
+		}
+		return poll.Success()
+	}
+}
+
+func (r *rough) abuse() {
+	t := r.t
+	t.Helper()
+	const notes, queries, chats = "/v1/services/stock/notes", "/v1/services/stock/q", "/v1/chat/completions"
+
+	// A header bomb: the host answers and hangs up without reading it all.
+	bomb := r.raw("GET /v1/models HTTP/1.1\r\nHost: x\r\nX-Bomb: " + strings.Repeat("b", 30<<10))
+	text, _ := io.ReadAll(bomb) // its end may be a reset, for not all was read
+	_ = bomb.Close()
+	assert.Assert(t, strings.HasPrefix(string(text), "HTTP/1.1 431 "), string(text))
+
+	r.drip(r.raw("GET /v1/models HTTP/1.1\r\nX-Slow: "))
+	for _, c := range []struct{ key, length, status, code string }{
+		{teamKey, "Content-Length: 900000\r\n", "400", "bad_request"},
+		{"nobody", "Content-Length: 900000\r\n", "401", "invalid_api_key"},
+		{"nobody", "Transfer-Encoding: chunked\r\n", "401", "invalid_api_key"},
+	} {
+		said := r.drip(r.raw(head("POST", chats, c.key, c.length)))
+		assert.Assert(t, strings.HasPrefix(said, "HTTP/1.1 "+c.status+" "), said)
+		assert.Assert(t, strings.Contains(said, c.code) && strings.Contains(said, "not_run"), said)
+	}
+
+	const tooMuch = 2 << 20
+	for _, c := range []struct{ method, path string }{{"POST", chats}, {"POST", notes}, {"GET", queries}} {
+		status, said, err := r.chunked(c.method, c.path, io.LimitReader(zeros{}, tooMuch))
+		if err == nil { // else the host hung up, which ends it as well
+			assert.Equal(t, status, http.StatusRequestEntityTooLarge, "%s %s: %s", c.method, c.path, said)
+		}
+	}
+
+	// Callers that hang up in the middle of a body, held or passed on.
+	_ = r.raw(head("POST", chats, teamKey, "Content-Length: 1000\r\n") + "{").Close()
+	_ = r.raw(head("POST", notes, teamKey, "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n") + "4\r\nnote\r\n").Close()
+	_ = r.raw(head("GET", queries, teamKey, "Transfer-Encoding: chunked\r\n") + "4\r\nnote\r\n").Close()
+
+	// A caller that hangs up in the middle of a stream.
+	_ = r.streamed().Body.Close()
+	poll.WaitOn(t, r.quiet())
+}
+
+// zeros is a body without an end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -38,6 +38,7 @@
 	hosts   *platform.Hosts
 	weights *platform.Weights
 	base    string
+	change  []func(*local.NodeConfig)
 }
 
 func hash(key string) string {
@@ -45,9 +46,9 @@
 	return hex.EncodeToString(h[:])
 }
 
-func newPath(t testing.TB, ecfg engine.Config) *path {
+func newPath(t testing.TB, ecfg engine.Config, change ...func(*local.NodeConfig)) *path {
 	t.Helper()
-	p := &path{t: t, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
+	p := &path{t: t, change: change, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
 		hosts: platform.NewHosts(platform.NewFaults(1, nil)), weights: platform.NewWeights(platform.NewFaults(1, nil), 100, 100)}
 	ecfg.Name = "e1"
 	var err error
@@ -73,7 +74,11 @@
 	set := local.Settings(name, "dc1")
 	set.Bounds.BalancerWaitSeconds = 0 // no balancer here
 	set.Bounds.SilenceMs = 200
-	n, err := local.StartNode(local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: p.obj, Hosts: p.hosts, Weights: p.weights}})
+	cfg := local.NodeConfig{Settings: set, Platform: server.Platform{Table: p.tbl, Objects: p.obj, Hosts: p.hosts, Weights: p.weights}}
+	for _, change := range p.change {
+		change(&cfg)
+	}
+	n, err := local.StartNode(cfg)
 	assert.NilError(p.t, err)
 	assert.NilError(p.t, n.AwaitReady(p.t.Context()))
 	return n
