--- a/node/callerapi/requests.go
+++ b/node/callerapi/requests.go
@@ -23,13 +23,15 @@
 func (a *API) request(c *call) error {
 	q, ok := a.deps.Requests.Get(c.Param("id"), c.team.Name)
 	if !ok {
-		return unknownRequest(c.Param("id"))
+		return unknownRequest()
 	}
 	return c.JSON(http.StatusOK, q)
 }
 
-func unknownRequest(id string) error {
-	return fault.NotRun(fault.StepParse, "", fault.CodeNotFound, "this host knows no request %q of your team", id)
+// unknownRequest does not repeat the id: it may be a resume token, and errors
+// end up in callers' logs.
+func unknownRequest() error {
+	return fault.NotRun(fault.StepParse, "", fault.CodeNotFound, "this host knows no such request of your team")
 }
 
 // cancel ends a request of the team, by its id on the host that serves it or
@@ -41,11 +43,11 @@
 	}
 	t, err := a.deps.Tokens.Decode(id, c.team.Name, a.deps.Now())
 	if err != nil {
-		return unknownRequest(id)
+		return unknownRequest()
 	}
 	u, ok := c.state.Index.Upstream(t.Upstream)
 	if !ok {
-		return unknownRequest(id)
+		return unknownRequest()
 	}
 	a.deps.Requests.Cancel(t.Request, c.team.Name, dispatch.ErrCancelled)
 	if err := a.deps.Dispatcher.Upstreams().Cancel(c.ctx(), u.Address, t.Attempt); err != nil {
--- /dev/null
+++ b/standin/local/secrets_test.go
@@ -0,0 +1,149 @@
+package local_test
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/pki"
+)
+
+// vault is a node with a certificate, whose log and answers are kept.
+type vault struct {
+	*path
+	ca       *pki.Authority
+	files    *pki.Files
+	logs     *observer.ObservedLogs
+	callers  *http.Client
+	operator *http.Client
+	said     strings.Builder
+}
+
+func newVault(t *testing.T) *vault {
+	t.Helper()
+	ca, err := pki.New("test")
+	assert.NilError(t, err)
+	core, logs := observer.New(zapcore.DebugLevel)
+	v := &vault{ca: ca, files: local.Files(), logs: logs}
+	v.path = newPath(t, slow, func(c *local.NodeConfig) {
+		c.Files, c.Log = v.files, zap.New(core)
+		assert.NilError(t, local.Secure(c.Settings, c.Files, ca))
+	})
+	own, err := ca.Pair("operator")
+	assert.NilError(t, err)
+	client := func(certs ...tls.Certificate) *http.Client {
+		return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: ca.Pool(), Certificates: certs}}}
+	}
+	v.callers, v.operator = client(), client(own)
+	return v
+}
+
+// call keeps what is answered, and returns its status and headers.
+func (v *vault) call(c *http.Client, method, url, key, body string) (int, http.Header) {
+	v.t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(v.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := c.Do(req)
+	assert.NilError(v.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(v.t, err)
+	fmt.Fprintf(&v.said, "%s: %s\n", method, text) // not the path, which may hold a token of the test
+	return resp.StatusCode, resp.Header
+}
+
+// Symptom: a key is found in a log, a ticket or a dashboard.
+// Sequence: keys are mistyped, pasted into the wrong place, rotated, broken on
+// disk; somebody copies what the host said about it.
+// Cause: an error repeats what it was given, or a record holds more than it needs.
+func TestSecretsAreNeverShown(t *testing.T) {
+	v := newVault(t)
+	callers, operators := "https://"+v.node.CallerAddress(), "https://"+v.node.OperatorAddress()
+	const wrongKey, wrongOperator, pasted = "a-mistyped-team-key", "a-mistyped-operator-key", "a-plain-key-pasted-for-its-hash"
+	const brokenKey, newKey, newSecret = "broken resume key", "key-of-a-after-rotation", "new resume key of 32 bytes and more"
+	secrets := map[string]string{"team's key": teamKey, "other team's key": otherKey, "operator's key": local.OperatorKey,
+		"mistyped key": wrongKey, "mistyped operator's key": wrongOperator, "key pasted for its hash": pasted,
+		"resume key": local.ResumeSecret, "broken resume key": brokenKey, "new resume key": newSecret, "salt": local.SaltSecret,
+		"new team key": newKey, "team's key hash": hash(teamKey), "new team key's hash": hash(newKey)}
+	private, err := v.files.Read("certificate-key")
+	assert.NilError(t, err)
+	secrets["private key"] = strings.Split(string(private), "\n")[1]
+
+	expect := func(want int, c *http.Client, method, url, key, body string) http.Header {
+		t.Helper()
+		status, h := v.call(c, method, url, key, body)
+		assert.Equal(t, status, want, "%s %s", method, url)
+		return h
+	}
+	// Callers: right and wrong keys, bodies and tokens.
+	stream := expect(200, v.callers, "POST", callers+"/v1/chat/completions", teamKey, fmt.Sprintf(chat, true, 3))
+	resume := stream.Get("Peridot-Resume")
+	secrets["resume token"] = resume
+	expect(401, v.callers, "GET", callers+"/v1/models", wrongKey, "")
+	expect(404, v.callers, "POST", callers+"/v1/chat/completions", otherKey, `{"model":"m"}`)
+	expect(404, v.callers, "GET", callers+"/v1/requests/"+resume+"/stream", otherKey, "")
+	expect(404, v.callers, "GET", callers+"/v1/requests/"+resume, otherKey, "")
+	expect(404, v.callers, "DELETE", callers+"/v1/requests/"+resume, otherKey, "")
+	expect(404, v.callers, "GET", callers+"/v1/requests/"+resume+"x/stream", teamKey, "")
+	// Operators: a wrong key, a key in the place of its hash, a rotated key.
+	expect(401, v.operator, "GET", operators+"/v1/status", wrongOperator, "")
+	apply := func(want int, hashes ...string) {
+		t.Helper()
+		c := v.config()
+		c.Teams[0].KeyHashes = hashes
+		doc, err := json.Marshal(c)
+		assert.NilError(t, err)
+		expect(want, v.operator, "POST", operators+"/v1/configuration?parent=1", local.OperatorKey, string(doc))
+	}
+	apply(422, pasted)
+	apply(422, hash(teamKey), hash(otherKey)) // of another team
+	apply(200, hash(teamKey), hash(newKey))
+	apply(409, hash(newKey))
+	// Files: broken, mended, rotated.
+	for _, f := range []struct{ name, text string }{{local.ResumeKeyFile, brokenKey}, {"certificate-key", string(private[:len(private)/2])},
+		{local.ResumeKeyFile, newSecret}, {"certificate-key", string(private)}} {
+		v.files.Put(f.name, []byte(f.text))
+		v.node.Keys.Look()
+	}
+	// Strangers: no certificate for operators, no TLS for callers.
+	_, err = v.callers.Get(operators + "/v1/status")
+	assert.Assert(t, err != nil)
+	plain, err := net.Dial("tcp", v.node.CallerAddress())
+	assert.NilError(t, err)
+	_, err = plain.Write([]byte("GET / HTTP/1.1\r\nAuthorization: Bearer " + teamKey + "\r\n\r\n"))
+	assert.NilError(t, err)
+	_, _ = io.ReadAll(plain) // ends as the host hangs up
+	_ = plain.Close()
+	for _, q := range []string{"/v1/status", "/v1/everywhere", "/v1/audit", "/v1/requests", "/v1/presets", "/debug/vars"} {
+		expect(200, v.operator, "GET", operators+q, local.OperatorKey, "")
+	}
+
+	said := v.said.String()
+	met := map[int64]bool{}
+	for _, e := range v.logs.All() {
+		line, err := json.Marshal(e.ContextMap())
+		assert.NilError(t, err)
+		said += "log: " + e.Message + " " + string(line) + "\n"
+		met[e.ContextMap()[event.FieldEvent].(int64)] = true
+	}
+	for _, e := range []event.Event{event.KeysRefused, event.KeysReloaded, event.HandshakeRefused, event.OperatorRefused, event.OperatorChanged} {
+		assert.Check(t, met[int64(e.Number)], "%s was not met: the test shows less than it says", e.Name)
+	}
+	for name, secret := range secrets {
+		assert.Check(t, secret != "" && !strings.Contains(said, secret), "the %s is shown", name)
+	}
+	assert.Assert(t, strings.Contains(said, `"action":"apply"`) && strings.Contains(said, "requests_total"), "trail or metrics are missing")
+}
