--- a/node/keys/keys_test.go
+++ b/node/keys/keys_test.go
@@ -1,11 +1,13 @@
 package keys_test
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -170,3 +172,36 @@
 		}
 	}
 }
+
+// sameStamp hides changes from all but those who read.
+type sameStamp struct{ *pki.Files }
+
+func (sameStamp) Stamp(string) (string, error) { return "same", nil }
+
+// Symptom: a host does not take a new file, or ends with its certificate
+// without a word.
+// Sequence: a file is replaced by a copy that keeps its time and size; nobody
+// replaces a certificate.
+// Cause: the file's stamp is taken for its content; nobody looks at its end.
+func TestChangesAndEndsAreNoticedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		r, err := keys.Load(keys.Config{Settings: b.set, Every: time.Minute}, keys.Deps{Files: sameStamp{b.files}, Log: b.log})
+		assert.NilError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx) }()
+		b.files.Put(resumeFile, []byte(strings.Repeat("n", 32)))
+		time.Sleep(48 * time.Minute) // 32 looks at the slowest
+		synctest.Wait()
+		assert.DeepEqual(t, b.events(), []int{1004})
+		time.Sleep(23*24*time.Hour - 2*time.Hour) // the certificate lasts 30 days
+		synctest.Wait()
+		assert.DeepEqual(t, b.events(), []int{})
+		time.Sleep(27 * time.Hour)
+		synctest.Wait()
+		assert.DeepEqual(t, b.events(), []int{1006, 1006}) // once a day
+		stop()
+		assert.NilError(t, <-done)
+	})
+}
