Share the asking of upstreams out among hosts at a bounded pace

Cause: in a fleet each starting host took itself for the only one and asked every upstream; residents, most of a report's bytes, were sent every time. Change: hosts wait for the list of hosts before they choose what to watch; pace bounded by 4 questions a second; a reader shows the digest of the residents it knows; sparse questions keep no connections.

--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -76,7 +76,8 @@
 	shunned   map[string]time.Time // could not be dialled: not chosen again until then
 	suspected map[string]time.Time // when this host last called another suspect
 	listed    map[string]platform.Host
-	listedAt  time.Time
+	listOnce  sync.Once
+	firstList chan struct{} // closed when the list was read once
 }
 
 // New makes a Mesh. Serve and Run make it work.
@@ -98,7 +99,8 @@
 	}
 	m := &Mesh{cfg: cfg, deps: deps, now: deps.Now, wake: make(chan struct{}, 1), hosts: member.NewHosts(),
 		upstreams: member.NewUpstreams(), links: map[*link]struct{}{}, dialing: map[string]bool{},
-		shunned: map[string]time.Time{}, suspected: map[string]time.Time{}, listed: map[string]platform.Host{}}
+		shunned: map[string]time.Time{}, suspected: map[string]time.Time{}, listed: map[string]platform.Host{},
+		firstList: make(chan struct{})}
 	m.self = cfg.Self
 	if m.self.Incarnation == 0 {
 		m.self.Incarnation = uint64(m.now().UnixMilli())
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -232,10 +232,22 @@
 		}
 	}
 	m.forgetLocked(next, now)
-	m.listed, m.listedAt = next, now
+	m.listed = next
+	m.listOnce.Do(func() { close(m.firstList) })
 	return len(next) > 0
 }
 
+// AwaitList waits for the first reading of the platform's list, some time at most.
+func (m *Mesh) AwaitList(ctx context.Context, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-m.firstList:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // listLocked takes one entry of the list. It can add a host and say that it
 // leaves, never that a leaving one is back.
 func (m *Mesh) listLocked(h platform.Host) {
--- a/node/server/configure.go
+++ b/node/server/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -23,6 +24,9 @@
 			return nil // ctx ended
 		}
 		seen = st.Version
+		if s.phase.Load() == phaseStarting {
+			s.mesh.AwaitList(ctx, listWait)
+		}
 		s.configure(st)
 		if s.phase.Load() == phaseStarting {
 			s.poller.AskAll(ctx)
@@ -34,6 +38,11 @@
 	}
 }
 
+// listWait is how long a starting host waits for the platform's list of hosts.
+// Without it each host of a fleet would take itself for the only one, and ask
+// every upstream at once; with the platform down it serves without.
+const listWait = 3 * time.Second
+
 // Ready says whether the host serves callers.
 func (s *Server) Ready() bool { return s.phase.Load() == phaseReady }
 
--- a/node/server/planning.go
+++ b/node/server/planning.go
@@ -11,6 +11,7 @@
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/planner"
+	"peridotpier.example/node/upstream/poll"
 )
 
 // actNeeds is the lease time that an act must have left when it begins: the
@@ -117,18 +118,46 @@
 	return out
 }
 
+// The pace of questions where the hosts share the upstreams out.
+const (
+	// watchedPerSecond bounds one host's questions to upstreams that it
+	// watches, about 450 bytes each.
+	watchedPerSecond = 4
+	// watchedMost is the longest time between two: an upstream that leaves
+	// gets no new work after five seconds, of which spreading the word takes
+	// some tenths.
+	watchedMost = 4500 * time.Millisecond
+	// plannedEvery is the pace in pools that the host plans.
+	plannedEvery = 5 * time.Second
+)
+
 // assignUpstreams chooses the upstreams that this host asks itself: all of a
 // small site, else those that it watches and those of the pools that it plans.
 func (s *Server) assignUpstreams(c *config.Config, live []member.Host) {
+	every := s.cfg.Settings.Bounds.ReportEvery()
+	var out []poll.Target
 	if len(c.Upstreams) <= directMost || s.cfg.Policy.Direct {
-		s.poller.Assign(c.Upstreams)
+		for _, u := range c.Upstreams {
+			out = append(out, poll.Target{Upstream: u, Every: every, Events: true})
+		}
+		s.poller.Assign(out)
 		return
 	}
 	planned := s.planned()
-	var out []config.Upstream
+	watched := 0
 	for _, u := range c.Upstreams {
-		if planned[u.Pool] != nil || member.Watches(s.cfg.Settings.Host, u.Name, u.DataCentre, live) {
-			out = append(out, u)
+		switch {
+		case member.Watches(s.cfg.Settings.Host, u.Name, u.DataCentre, live):
+			watched++
+			out = append(out, poll.Target{Upstream: u})
+		case planned[u.Pool] != nil:
+			out = append(out, poll.Target{Upstream: u, Every: plannedEvery})
+		}
+	}
+	pace := min(max(every, time.Duration(watched)*time.Second/watchedPerSecond), watchedMost)
+	for i := range out {
+		if out[i].Every == 0 {
+			out[i].Every = pace
 		}
 	}
 	s.poller.Assign(out)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -85,6 +85,7 @@
 	metrics     *metrics.Set
 	requests    *inflight.Registry
 	client      *conn.Client
+	sparse      *conn.Client
 	view        *view.View
 	poller      *poll.Poller
 	config      *query.ConfigReader
@@ -106,6 +107,9 @@
 	killed      chan struct{}
 }
 
+// sparseIdle is how long connections are kept that are used every few seconds.
+const sparseIdle = 100 * time.Millisecond
+
 // The phases of a node's life.
 const (
 	phaseStarting int32 = iota // no configuration in force yet, or upstreams not yet asked
@@ -117,6 +121,7 @@
 func New(cfg Config) (*Server, error) {
 	s := &Server{cfg: cfg, incarnation: uuid.NewString(), started: time.Now(), log: event.NewLog(cfg.Log),
 		metrics: metrics.New(), requests: inflight.New(), client: conn.New(conn.Config{Dialer: cfg.Dialer}),
+		sparse: conn.New(conn.Config{Dialer: cfg.Dialer, IdleMost: sparseIdle}),
 		killed: make(chan struct{}), reconcile: make(chan struct{}, 1), roles: roles{byID: map[string]*role{}}}
 	s.siteHosts.Store(1)
 	s.dataPath()
@@ -133,7 +138,7 @@
 func (s *Server) dataPath() {
 	set := s.cfg.Settings
 	s.view = view.New(set.DataCentre, time.Now, s.cfg.Distance)
-	s.poller = poll.New(poll.Config{Every: set.Bounds.ReportEvery(), Events: true}, s.client, s.view, s.log)
+	s.poller = poll.New(s.client, s.sparse, s.view, s.log)
 	picker := s.cfg.Policy.Picker
 	if picker == nil {
 		picker = route.New(route.Config{})
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -140,6 +140,9 @@
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, readBuffer) }}
 
 func (r *Request) httpRequest() *http.Request {
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = nil // else net/http adds its own to every request
+	}
 	req := &http.Request{Method: r.Method, Host: r.Address, Header: r.Header,
 		URL: &url.URL{Scheme: "http", Host: r.Address, Path: r.Path, RawQuery: r.Query}}
 	switch {
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -4,6 +4,13 @@
 // explains them.
 package engineapi
 
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Headers on the way to an upstream and back.
 const (
 	// HeaderAttempt carries the attempt id; the upstream must echo it. An
@@ -35,7 +42,7 @@
 const (
 	PathChat        = "/v1/chat/completions"
 	PathCompletions = "/v1/completions"
-	PathReport      = "/engine/v1/report"        // GET -> Report
+	PathReport      = "/engine/v1/report"        // GET ?residents=DIGEST -> Report; without residents when they still have that digest
 	PathOrders      = "/engine/v1/orders"        // POST Order -> OrderAnswer
 	PathEvents      = "/engine/v1/events"        // GET ?after=N -> []CacheEvent
 	PathAttempt     = "/engine/v1/attempts/{id}" // GET -> Attempt, or status 410 when it cannot tell any more; DELETE cancels
@@ -90,6 +97,31 @@
 	Epoch       uint64     `json:"epoch"`               // highest fencing number seen; 0 where the engine ignores them
 	LastOps     []string   `json:"last_ops,omitempty"`  // ids of the newest orders that reached it, newest last
 	Residents   []Resident `json:"residents,omitempty"` // loading ones too: they already take memory
+	// Digest names the residents. A reader that shows it gets the report
+	// without them while they are the same: they are most of a report's bytes
+	// and seldom change. "" where the upstream has no digest.
+	Digest string `json:"residents_digest,omitempty"`
+}
+
+// ParamResidents is the query parameter in which a reader shows the digest of
+// the residents that it knows.
+const ParamResidents = "residents"
+
+// Brief is the report for a reader that knows the residents of a digest.
+func (r Report) Brief(known string) Report {
+	if known != "" && known == r.Digest {
+		r.Residents = nil
+	}
+	return r
+}
+
+// DigestOf names a list of residents.
+func DigestOf(residents []Resident) string {
+	d := xxhash.New()
+	for _, r := range residents {
+		_, _ = fmt.Fprintf(d, "%q %q %q %q %q %d\n", r.Model, r.Adapter, r.Version, r.State, r.Op, r.MemoryMB) // a Digest's writes never fail
+	}
+	return strconv.FormatUint(d.Sum64(), 36)
 }
 
 // OrderKind is what an order asks of an engine.
--- a/node/upstream/poll/poll.go
+++ b/node/upstream/poll/poll.go
@@ -29,6 +29,8 @@
 	reportBytes = 1 << 20
 	// jitter spreads the questions of many hosts over the interval.
 	jitter = 0.2
+	// keepMost is the pace above which no connection is kept.
+	keepMost = 2 * time.Second
 	// askAtOnce bounds the questions under way when a host starts.
 	askAtOnce = 32
 )
@@ -40,16 +42,17 @@
 	Down(upstream string)
 }
 
-// Config sets the pace.
-type Config struct {
+// Target is one upstream to ask, and how often.
+type Target struct {
+	config.Upstream
 	Every  time.Duration
 	Events bool // ask for cache events too
 }
 
 // Poller asks each upstream that it is assigned.
 type Poller struct {
-	cfg    Config
 	client *conn.Client
+	sparse *conn.Client // for questions too far apart to keep a connection for
 	sink   Sink
 	log    *event.Log
 	// Fresh, when set before Run, is told of every report that was news.
@@ -62,16 +65,36 @@
 }
 
 type target struct {
-	upstream config.Upstream
-	cancel   context.CancelFunc
-	process  string // incarnation that the last report came from
-	after    uint64 // last cache event seen of that process
-	failing  bool
+	mu        sync.Mutex // guards ask, which Assign may change
+	ask       Target
+	cancel    context.CancelFunc
+	process   string // incarnation that the last report came from
+	after     uint64 // last cache event seen of that process
+	residents []engineapi.Resident
+	digest    string // of residents
+	failing   bool
 }
 
-// New makes a Poller.
-func New(cfg Config, client *conn.Client, sink Sink, log *event.Log) *Poller {
-	return &Poller{cfg: cfg, client: client, sink: sink, log: log, asked: map[string]*target{}}
+func (t *target) current() Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ask
+}
+
+// New makes a Poller. The connections of client are used for questions that
+// follow each other closely; sparse must not keep connections for long.
+func New(client, sparse *conn.Client, sink Sink, log *event.Log) *Poller {
+	return &Poller{client: client, sparse: sparse, sink: sink, log: log, asked: map[string]*target{}}
+}
+
+// clientFor chooses the connections for a pace. A fleet's hosts each ask some
+// twenty upstreams every few seconds: connections kept between would cost every
+// upstream and host more than they save.
+func (p *Poller) clientFor(every time.Duration) *conn.Client {
+	if every > keepMost {
+		return p.sparse
+	}
+	return p.client
 }
 
 // Run asks until ctx ends, and waits for what it started.
@@ -88,18 +111,21 @@
 }
 
 // Assign replaces the set of upstreams to ask.
-func (p *Poller) Assign(upstreams []config.Upstream) {
+func (p *Poller) Assign(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := make(map[string]*target, len(upstreams))
-	for _, u := range upstreams {
+	next := make(map[string]*target, len(targets))
+	for _, u := range targets {
 		old := p.asked[u.Name]
-		if old != nil && old.upstream.Address == u.Address {
+		if old != nil && old.current().Address == u.Address {
+			old.mu.Lock()
+			old.ask = u
+			old.mu.Unlock()
 			next[u.Name] = old
 			delete(p.asked, u.Name)
 			continue
 		}
-		t := &target{upstream: u}
+		t := &target{ask: u}
 		next[u.Name] = t
 		if p.started != nil {
 			p.start(t)
@@ -125,7 +151,9 @@
 
 // follow asks one upstream at a jittered pace.
 func (p *Poller) follow(ctx context.Context, t *target) {
-	timer := time.NewTimer(0)
+	// The first question comes at a random moment of the interval: hosts that
+	// start together must not go on asking together.
+	timer := time.NewTimer(time.Duration(rand.Float64() * float64(t.current().Every)))
 	defer timer.Stop()
 	for {
 		select {
@@ -133,67 +161,76 @@
 			return
 		case <-timer.C:
 		}
-		p.ask(ctx, t)
+		now := t.current()
+		p.ask(ctx, t, now)
 		spread := 1 - jitter/2 + jitter*rand.Float64()
-		timer.Reset(time.Duration(float64(p.cfg.Every) * spread))
+		timer.Reset(time.Duration(float64(now.Every) * spread))
 	}
 }
 
-func (p *Poller) ask(ctx context.Context, t *target) {
+func (p *Poller) ask(ctx context.Context, t *target, u Target) {
 	var r engineapi.Report
-	if err := p.get(ctx, t.upstream.Address, engineapi.PathReport, "", &r); err != nil {
-		p.failed(ctx, t, err)
+	query := ""
+	if t.digest != "" {
+		query = engineapi.ParamResidents + "=" + t.digest
+	}
+	if err := p.get(ctx, u, engineapi.PathReport, query, &r); err != nil {
+		p.failed(ctx, t, u, err)
 		return
 	}
-	if r.Upstream != t.upstream.Name {
+	if r.Upstream != u.Name {
 		// Another upstream has taken over the address; its word is not this one's.
-		p.failed(ctx, t, fault.Unknown(fault.StepDispatch, t.upstream.Address, fault.CodeUpstreamFailed, "report is of %q", r.Upstream))
+		p.failed(ctx, t, u, fault.Unknown(fault.StepDispatch, u.Address, fault.CodeUpstreamFailed, "report is of %q", r.Upstream))
 		return
 	}
 	t.failing = false
 	if t.process != r.Incarnation {
 		t.process, t.after = r.Incarnation, 0
 	}
+	if r.Residents == nil && r.Digest != "" && r.Digest == t.digest {
+		r.Residents = t.residents
+	}
+	t.residents, t.digest = r.Residents, r.Digest
 	at := time.Now()
 	if p.sink.Report(r, at) && p.Fresh != nil {
 		p.Fresh(r, at)
 	}
-	if p.cfg.Events {
-		p.events(ctx, t)
+	if u.Events {
+		p.events(ctx, t, u)
 	}
 }
 
 // failed logs the first failure of a row, and takes a refused connection as a
 // sign that the upstream is down.
-func (p *Poller) failed(ctx context.Context, t *target, err error) {
+func (p *Poller) failed(ctx context.Context, t *target, u Target, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	if fault.From(fault.StepDispatch, err).Outcome == outcome.NotRun {
-		p.sink.Down(t.upstream.Name)
+		p.sink.Down(u.Name)
 	}
 	if !t.failing {
 		t.failing = true
-		p.log.Emit(event.ReportFailed, zap.String(event.FieldPeer, t.upstream.Name), zap.Error(err))
+		p.log.Emit(event.ReportFailed, zap.String(event.FieldPeer, u.Name), zap.Error(err))
 	}
 }
 
 // events takes cache events as hints; a failure is not worth a word.
-func (p *Poller) events(ctx context.Context, t *target) {
+func (p *Poller) events(ctx context.Context, t *target, u Target) {
 	var list []engineapi.CacheEvent
-	if p.get(ctx, t.upstream.Address, engineapi.PathEvents, "after="+strconv.FormatUint(t.after, 10), &list) != nil {
+	if p.get(ctx, u, engineapi.PathEvents, "after="+strconv.FormatUint(t.after, 10), &list) != nil {
 		return
 	}
 	for _, e := range list {
 		t.after = max(t.after, e.Sequence)
-		p.sink.Prefix(t.upstream.Name, e)
+		p.sink.Prefix(u.Name, e)
 	}
 }
 
-func (p *Poller) get(ctx context.Context, address, path, query string, out any) error {
+func (p *Poller) get(ctx context.Context, u Target, path, query string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	resp, err := p.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet, Path: path, Query: query, Header: http.Header{}})
+	resp, err := p.clientFor(u.Every).Do(ctx, &conn.Request{Address: u.Address, Method: http.MethodGet, Path: path, Query: query, Header: http.Header{}})
 	if err != nil {
 		return err
 	}
@@ -208,7 +245,7 @@
 		resp.Finish()
 	}
 	if resp.Status != http.StatusOK {
-		return fault.Unknown(fault.StepDispatch, address, fault.CodeUpstreamFailed, "%s: status %d", path, resp.Status)
+		return fault.Unknown(fault.StepDispatch, u.Address, fault.CodeUpstreamFailed, "%s: status %d", path, resp.Status)
 	}
 	return json.Unmarshal(data, out)
 }
@@ -217,15 +254,15 @@
 // started does not refuse what it could serve.
 func (p *Poller) AskAll(ctx context.Context) {
 	p.mu.Lock()
-	targets := make([]config.Upstream, 0, len(p.asked))
+	targets := make([]Target, 0, len(p.asked))
 	for _, t := range p.asked {
-		targets = append(targets, t.upstream)
+		targets = append(targets, t.current())
 	}
 	p.mu.Unlock()
 	var g errgroup.Group
 	g.SetLimit(askAtOnce)
 	for _, u := range targets {
-		g.Go(func() error { p.ask(ctx, &target{upstream: u}); return nil })
+		g.Go(func() error { p.ask(ctx, &target{ask: u}, u); return nil })
 	}
 	_ = g.Wait() // ask keeps its failures to itself
 }
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -52,6 +52,7 @@
 	for _, res := range e.residents {
 		r.Residents = append(r.Residents, res.describe())
 	}
+	r.Digest = engineapi.DigestOf(r.Residents)
 	return r
 }
 
@@ -79,8 +80,8 @@
 	return e.describe(e.sequence)
 }
 
-func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
-	r := e.Report()
+func (e *Engine) serveReport(w http.ResponseWriter, r *http.Request) {
+	report := e.Report()
 	e.stamp(w.Header())
-	writeJSON(w, http.StatusOK, r)
+	writeJSON(w, http.StatusOK, report.Brief(r.URL.Query().Get(engineapi.ParamResidents)))
 }
--- a/standin/local/sources.go
+++ b/standin/local/sources.go
@@ -48,7 +48,8 @@
 			src.report.UsedMB += r.MemoryMB
 		}
 		mux := http.NewServeMux()
-		mux.HandleFunc("GET "+engineapi.PathReport, func(w http.ResponseWriter, _ *http.Request) { s.serve(w, src) })
+		src.report.Digest = engineapi.DigestOf(src.report.Residents)
+		mux.HandleFunc("GET "+engineapi.PathReport, func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, src) })
 		mux.HandleFunc("GET "+engineapi.PathEvents, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) })
 		src.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 		go func() { _ = src.server.Serve(ln) }() // ends with Close
@@ -58,13 +59,13 @@
 	return s, nil
 }
 
-func (s *Sources) serve(w http.ResponseWriter, src *Source) {
+func (s *Sources) serve(w http.ResponseWriter, r *http.Request, src *Source) {
 	src.asked.Add(1)
 	src.mu.Lock()
 	src.report.Sequence++
 	src.report.TakenMs = time.Since(s.began).Milliseconds()
 	src.report.Leaving = src.leaving.Load()
-	data, err := json.Marshal(&src.report)
+	data, err := json.Marshal(src.report.Brief(r.URL.Query().Get(engineapi.ParamResidents)))
 	src.mu.Unlock()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
