Call a host suspect again after seconds, not after a minute

Cause: after a data centre's cut had healed, hosts that then died were not called suspect again for a minute. Change: the time between two such words begins at 5 s and doubles up to a minute.

--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -74,7 +74,7 @@
 	links     map[*link]struct{}
 	dialing   map[string]bool
 	shunned   map[string]time.Time // could not be dialled: not chosen again until then
-	suspected map[string]time.Time // when this host last called another suspect
+	suspected map[string]suspicion // of other hosts by this one
 	listed    map[string]platform.Host
 	listOnce  sync.Once
 	firstList chan struct{} // closed when the list was read once
@@ -99,7 +99,7 @@
 	}
 	m := &Mesh{cfg: cfg, deps: deps, now: deps.Now, wake: make(chan struct{}, 1), hosts: member.NewHosts(),
 		upstreams: member.NewUpstreams(), links: map[*link]struct{}{}, dialing: map[string]bool{},
-		shunned: map[string]time.Time{}, suspected: map[string]time.Time{}, listed: map[string]platform.Host{},
+		shunned: map[string]time.Time{}, suspected: map[string]suspicion{}, listed: map[string]platform.Host{},
 		firstList: make(chan struct{})}
 	m.self = cfg.Self
 	if m.self.Incarnation == 0 {
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -19,10 +19,13 @@
 const (
 	// shunFor is how long a host that could not be dialled is not chosen again.
 	shunFor = 10 * time.Second
-	// suspectEach is the least time between two words of this host that the
-	// same other one is suspect. If others vouch for it, the fault lies between
-	// the two, and repeating the word would only make it flap everywhere.
-	suspectEach = time.Minute
+	// suspectFirst and suspectMost bound the time between two words of this
+	// host that the same other one is suspect; it doubles each time. If others
+	// vouch for it, the fault lies between the two, and repeating the word
+	// would only make it flap everywhere. If it has died since, the word must
+	// not be long in coming.
+	suspectFirst = 5 * time.Second
+	suspectMost  = time.Minute
 	// forgetAfter is how long a host that the platform does not list is kept.
 	forgetAfter = 5 * time.Minute
 )
@@ -191,15 +194,33 @@
 	now := m.now()
 	m.shunned[h.Name] = now.Add(shunFor)
 	known, ok := m.hosts.Get(h.Name)
-	if !ok || known.Incarnation != h.Incarnation || known.State != member.Alive || now.Sub(m.suspected[h.Name]) < suspectEach {
+	if !ok || known.Incarnation != h.Incarnation || known.State != member.Alive || !m.maySuspectLocked(h.Name, now) {
 		return
 	}
-	m.suspected[h.Name] = now
 	m.deps.Log.Emit(event.PeerUnreachable, zap.String(event.FieldPeer, h.Name), zap.Error(err))
 	known.State = member.Suspect
 	m.mergeHostLocked(known, nil)
 }
 
+// suspicion is how often this host called another suspect lately.
+type suspicion struct {
+	last time.Time
+	wait time.Duration
+}
+
+func (m *Mesh) maySuspectLocked(host string, now time.Time) bool {
+	s := m.suspected[host]
+	since := now.Sub(s.last)
+	if since < s.wait {
+		return false
+	}
+	if since > 2*suspectMost {
+		s.wait = 0
+	}
+	m.suspected[host] = suspicion{last: now, wait: min(max(2*s.wait, suspectFirst), suspectMost)}
+	return true
+}
+
 // followHostList takes new hosts from the platform's list and forgets those
 // long gone from it. The list lags: what the hosts say themselves goes first.
 func (m *Mesh) followHostList(ctx context.Context) {
