--- a/node/peer/link.go
+++ b/node/peer/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotpier.example/core/member"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 )
 
@@ -110,7 +111,7 @@
 			l.digest = l.digest || beats%digestEach == 0
 			l.mu.Unlock()
 		case <-l.wake:
-			if !sleep(ctx, batchWindow) {
+			if !pace.Sleep(ctx, batchWindow) {
 				return ctx.Err()
 			}
 		}
@@ -181,14 +182,3 @@
 	l.repaired = now
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +15,7 @@
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
@@ -132,7 +132,7 @@
 
 // rest waits for half a heartbeat, about, or until woken.
 func (m *Mesh) rest(ctx context.Context) {
-	t := time.NewTimer(time.Duration(float64(m.cfg.Heartbeat) * (0.4 + 0.2*rand.Float64())))
+	t := time.NewTimer(pace.Default().Around(m.cfg.Heartbeat/2, 0.2))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -12,6 +12,7 @@
 
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 	"peridotpier.example/node/platform"
 )
@@ -26,6 +27,8 @@
 	// not be long in coming.
 	suspectFirst = 5 * time.Second
 	suspectMost  = time.Minute
+	// listJitter spreads the hosts' readings of the list, as a share.
+	listJitter = 0.2
 	// forgetAfter is how long a host that the platform does not list is kept.
 	forgetAfter = 5 * time.Minute
 )
@@ -229,7 +232,7 @@
 		if m.readHostList(ctx) {
 			wait = m.cfg.HostList
 		}
-		if !sleep(ctx, time.Duration(float64(wait)*(0.8+0.4*rand.Float64()))) {
+		if !pace.Sleep(ctx, pace.Default().Around(wait, listJitter)) {
 			return
 		}
 	}
--- a/node/peer/usage.go
+++ b/node/peer/usage.go
@@ -11,6 +11,7 @@
 
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 )
 
@@ -104,7 +105,7 @@
 func (m *Mesh) shareUsage(ctx context.Context) {
 	for {
 		live := m.Live()
-		if !sleep(ctx, interval(len(live))) {
+		if !pace.Sleep(ctx, interval(len(live))) {
 			return
 		}
 		if len(live) == 0 {
