Bind attempts under a claim to the upstream's process

Cause: a host that was paused between its claim and its first byte could, after a restart of the upstream, run what another host had been told was unseen: the restarted process forgets its refusal. Change: such attempts carry Peridot-For-Incarnation; the stand-ins refuse one meant for a former process as restarted, which is not run, and the host takes the new process into its view and may try again there. A host that knows no process of an upstream asks for its report before the claim. A repeat whose upstreams fail finds its stored answer. The stand-in service no longer runs in a new process what a former one took in.

--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -32,6 +32,7 @@
 	id       string
 	sent     incarnation
 	bodyUsed bool // a body that cannot be sent again was sent
+	outdated bool // the upstream's process is not the one that the attempt was meant for
 	split    splitter
 	watch    watchdog
 }
@@ -94,6 +95,13 @@
 	h.Set(engineapi.HeaderAttempt, a.id)
 	h.Set(engineapi.HeaderPriority, strconv.Itoa(int(a.w.Class)))
 	h.Set(engineapi.HeaderDeadline, strconv.FormatInt(time.Until(a.w.Deadline).Milliseconds(), 10))
+	if a.w.Claim != nil {
+		// The claim names this process, and its word alone settles the claim.
+		// Without the header, a host that was paused here while the process
+		// was asked for the attempt's fate, told "unseen" and then restarted,
+		// would run on the new one what was freed for another run.
+		h.Set(engineapi.HeaderForIncarnation, a.ep.Incarnation)
+	}
 	if a.w.Prefix != 0 {
 		h.Set(engineapi.HeaderPrefix, strconv.FormatUint(a.w.Prefix, 16))
 	}
@@ -141,7 +149,10 @@
 		return fault.Unknown(fault.StepDispatch, a.ep.Upstream, fault.CodeUpstreamFailed, "answer for attempt %q: %w", got, errForeign)
 	}
 	inc := resp.Header.Get(engineapi.HeaderIncarnation)
-	if inc != "" {
+	if resp.Header.Get(engineapi.HeaderRefused) == engineapi.RefusedRestarted {
+		a.outdated = true
+		a.d.deps.View.Restarted(a.ep.Upstream, a.ep.Incarnation, inc)
+	} else if inc != "" {
 		a.sent.set(inc)
 	}
 	a.d.deps.View.Answer(a.ep.Upstream, inc, resp.Header.Get(engineapi.HeaderLoad))
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -132,10 +132,13 @@
 			return r.noEndpoint(ctx, dec.Reason)
 		}
 		a := newAttempt(r.d, r.w, r.out, &snap.Endpoints[dec.Index])
-		if replayed, err := r.claim(ctx, a); replayed || err != nil {
-			return err
+		err := r.aim(ctx, a)
+		if err == nil {
+			if replayed, cerr := r.claim(ctx, a); replayed || cerr != nil {
+				return cerr
+			}
+			err = a.run(ctx)
 		}
-		err := a.run(ctx)
 		if err == nil {
 			return nil
 		}
@@ -145,6 +148,24 @@
 	}
 }
 
+// aim learns which process of the upstream a claimed attempt is meant for. A
+// host that has just started may not have heard of the upstream yet.
+func (r *run) aim(ctx context.Context, a *attempt) error {
+	if r.w.Claim == nil || a.ep.Incarnation != "" {
+		return nil
+	}
+	rep, err := r.d.upstreams.Report(ctx, a.ep.Address)
+	if err != nil || rep.Upstream != a.ep.Upstream || rep.Incarnation == "" {
+		r.d.deps.View.Down(a.ep.Upstream)
+		return fault.NotRun(fault.StepRoute, a.ep.Upstream, fault.CodeNoUpstream, "upstream does not say which process it is (%v)", err)
+	}
+	aimed := *a.ep // the snapshot is shared
+	aimed.Incarnation = rep.Incarnation
+	a.ep = &aimed
+	a.sent.set(rep.Incarnation)
+	return nil
+}
+
 // claim makes durable where the attempt goes, for a request that may not be
 // repeated. A repeat of one that ran is answered here.
 func (r *run) claim(ctx context.Context, a *attempt) (replayed bool, err error) {
@@ -177,6 +198,9 @@
 	if r.last.Step == fault.StepResume && r.last.Outcome == outcome.NotRun {
 		avoid = "" // the upstream answered that the attempt never reached it: the connection failed, not it
 	}
+	if a.outdated {
+		avoid = "" // a former process was meant; the new one has refused nothing
+	}
 	next := r.d.after(r.retries, retry.Attempt{Outcome: r.last.Outcome, Upstream: avoid,
 		RetryAfter: r.last.RetryAfter, Elsewhere: true})
 	r.last.Outcome = next.Outcome
@@ -190,11 +214,7 @@
 
 // noEndpoint is the answer when no upstream, or no other one, can be tried.
 func (r *run) noEndpoint(ctx context.Context, why route.Reason) error {
-	if r.last != nil {
-		gaveUp(r.last, retry.NoAttempts)
-		return r.last
-	}
-	if r.w.Claim != nil {
+	if r.w.Claim != nil && r.grant == nil {
 		// A repeat of a request that ran has its answer, even if nothing could run now.
 		grant, stored, err := r.w.Claim(ctx, claim.Route{})
 		if err != nil {
@@ -205,6 +225,10 @@
 		}
 		r.grant = grant
 	}
+	if r.last != nil {
+		gaveUp(r.last, retry.NoAttempts)
+		return r.last
+	}
 	return r.d.refuse(r.w, why)
 }
 
--- a/node/dispatch/fate.go
+++ b/node/dispatch/fate.go
@@ -64,6 +64,23 @@
 	return a, nil
 }
 
+// Report asks an upstream for its state, on a new connection.
+func (u *Upstreams) Report(ctx context.Context, address string) (engineapi.Report, error) {
+	var r engineapi.Report
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := u.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet, Path: engineapi.PathReport,
+		Header: http.Header{}, Fresh: true})
+	if err != nil {
+		return r, err
+	}
+	defer resp.Abort()
+	if resp.Status != http.StatusOK {
+		return r, fault.Unknown(fault.StepRoute, address, fault.CodeUpstreamFailed, "report: status %d", resp.Status)
+	}
+	return r, json.NewDecoder(io.LimitReader(resp.Body, fateBytes)).Decode(&r)
+}
+
 // Cancel tells an upstream to give an attempt up.
 func (u *Upstreams) Cancel(ctx context.Context, address, attempt string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/node/dispatch/work.go
+++ b/node/dispatch/work.go
@@ -83,4 +83,5 @@
 	Down(upstream string)
 	NotReady(upstream string, key route.ModelKey)
 	Incarnation(upstream string) string
+	Restarted(upstream, from, to string)
 }
--- a/node/upstream/engineapi/engineapi.go
+++ b/node/upstream/engineapi/engineapi.go
@@ -21,6 +21,11 @@
 	HeaderLoad = "Peridot-Load"
 	// HeaderIncarnation names the engine process that answered.
 	HeaderIncarnation = "Peridot-Incarnation"
+	// HeaderForIncarnation names the only process that may run the attempt; a
+	// request that may not be repeated always carries it. Any other process
+	// refuses with RefusedRestarted: what the former one answered about the
+	// attempt, "unseen" above all, died with its memory.
+	HeaderForIncarnation = "Peridot-For-Incarnation"
 )
 
 // Values of HeaderRefused.
@@ -29,6 +34,7 @@
 	RefusedNotLoaded = "not_loaded" // the model or adapter is not resident
 	RefusedFull      = "full"       // the queue is full
 	RefusedSettled   = "settled"    // this attempt id was reported unseen, cancelled or refused before
+	RefusedRestarted = "restarted"  // the attempt was meant for a former process
 )
 
 // Paths. {id} is an attempt id.
--- a/node/upstream/view/reports.go
+++ b/node/upstream/view/reports.go
@@ -59,6 +59,23 @@
 	v.changed()
 }
 
+// Restarted takes an upstream's own word, on an attempt meant for its process
+// from, that the process to runs there now. It counts only while from is the
+// process known: a refusal that arrives late must not bring an older one back.
+func (v *View) Restarted(upstream, from, to string) {
+	s := v.of(upstream)
+	if s == nil {
+		return
+	}
+	defer s.mu.Unlock()
+	if to == "" || s.report.Incarnation != from {
+		return
+	}
+	s.restarted(engineapi.Report{Upstream: upstream, Incarnation: to})
+	s.ready = map[route.ModelKey]bool{} // its memory is empty until it reports
+	v.changed()
+}
+
 // restarted forgets what held for a former process.
 func (s *state) restarted(r engineapi.Report) {
 	s.report = r
--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -53,6 +53,7 @@
 	prompt  int // tokens
 	team    string
 	mark    string
+	process string // incarnation that it is meant for; "": any
 	arrived time.Time
 
 	prefillLeft int // under Engine.mu
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -135,6 +135,24 @@
 	assert.Equal(t, len(e.Records().Executions), 0)
 }
 
+// An attempt reaches the process after the one that its claim names: what the
+// former process answered about it is forgotten, so only the name stops it.
+func TestAttemptForAFormerProcessNeverRuns(t *testing.T) {
+	e := start(t, engine.Config{})
+	former := do(t, "GET", "http://"+e.Addr()+"/engine/v1/attempts/a1", "", nil).Header.Get(engineapi.HeaderIncarnation)
+	e.Restart()
+	e.Preload("m", "", "v1", 10)
+	req, err := http.NewRequest("POST", "http://"+e.Addr()+engineapi.PathChat, strings.NewReader(`{"model":"m"}`))
+	assert.NilError(t, err)
+	req.Header.Set(engineapi.HeaderAttempt, "a1")
+	req.Header.Set(engineapi.HeaderForIncarnation, former)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.Header.Get(engineapi.HeaderRefused), engineapi.RefusedRestarted)
+	assert.Equal(t, len(e.Records().Executions), 0)
+}
+
 // BenchmarkStream reads streams as fast as they come, with the engine's usual
 // writes and with a write for each token.
 func BenchmarkStream(b *testing.B) {
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -115,6 +115,7 @@
 	a := &attempt{id: id, name: q.Model, chat: chat, stream: q.Stream, arrived: time.Now(),
 		answer: answer.For(prompt, min(tokens, maxTokens)), prompt: len(prompt)/bytesPerToken + 1, done: make(chan struct{})}
 	a.team, a.mark, _ = answer.FindMark([]byte(prompt))
+	a.process = h.Get(engineapi.HeaderForIncarnation)
 	a.class = class.Standard
 	if n, err := strconv.Atoi(h.Get(engineapi.HeaderPriority)); err == nil && n >= 0 && n < class.Count {
 		a.class = class.Class(n)
@@ -146,6 +147,8 @@
 func (e *Engine) admission(a *attempt) *refusal {
 	res := e.serving(a.name)
 	switch {
+	case a.process != "" && a.process != e.incarnation:
+		return &refusal{http.StatusServiceUnavailable, engineapi.RefusedRestarted, "attempt is meant for a former process"}
 	case e.leaving:
 		return &refusal{http.StatusServiceUnavailable, engineapi.RefusedLeaving, "engine is leaving"}
 	case res == nil:
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -19,6 +19,9 @@
 // call is one call under its attempt id. Its fields are under Service.mu.
 type call struct {
 	id     string
+	meant  string          // incarnation that may run it; "": any
+	born   context.Context // of the incarnation that took it in
+	places chan struct{}   // that incarnation's
 	state  engineapi.AttemptState // AttemptUnseen: must never run
 	body   []byte                 // the answer, when completed
 	cancel context.CancelFunc     // of a call that waits; nil otherwise
@@ -51,7 +54,7 @@
 		s.refuse(w, http.StatusBadRequest, "", "malformed body: "+err.Error())
 		return
 	}
-	c := &call{id: id, state: engineapi.AttemptRunning}
+	c := &call{id: id, meant: r.Header.Get(engineapi.HeaderForIncarnation), state: engineapi.AttemptRunning}
 	ctx, status, header := s.admit(c)
 	if status != 0 {
 		s.refuse(w, status, header, "call was not taken")
@@ -73,6 +76,8 @@
 		return nil, http.StatusServiceUnavailable, engineapi.RefusedSettled
 	case found || s.attempts.Dropped(c.id):
 		return nil, http.StatusConflict, "" // the first call under this id may be running
+	case c.meant != "" && c.meant != s.incarnation:
+		status, header = http.StatusServiceUnavailable, engineapi.RefusedRestarted
 	case s.leaving:
 		status, header = http.StatusServiceUnavailable, engineapi.RefusedLeaving
 	case s.waiting >= s.cfg.QueueMax:
@@ -84,6 +89,7 @@
 		return nil, status, header
 	}
 	s.waiting++
+	c.born, c.places = s.reborn, s.places
 	ctx, c.cancel = context.WithCancel(s.reborn)
 	return ctx, 0, ""
 }
@@ -91,9 +97,7 @@
 // execute waits for a place and runs the call. It goes on when the caller's
 // connection is gone, as a plain service does.
 func (s *Service) execute(ctx context.Context, c *call, r *http.Request, body []byte) bool {
-	s.mu.Lock()
-	places, born := s.places, s.reborn
-	s.mu.Unlock()
+	places, born := c.places, c.born // of the process that took it in, which may have ended since
 	select {
 	case places <- struct{}{}:
 	case <-ctx.Done():
@@ -144,7 +148,7 @@
 		s.dropped++
 		return -1, true
 	}
-	s.executions = append(s.executions, Execution{Attempt: c.id, Incarnation: s.incarnation, Key: r.Header.Get("Idempotency-Key"),
+	s.executions = append(s.executions, Execution{Attempt: c.id, Incarnation: s.incarnation, Meant: c.meant, Key: r.Header.Get("Idempotency-Key"),
 		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Started: time.Now()})
 	return len(s.executions) - 1, true
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -58,6 +58,7 @@
 type Execution struct {
 	Attempt     string
 	Incarnation string
+	Meant       string // incarnation that it was meant for; "": any
 	Key         string // Idempotency-Key as it arrived; "" when the host kept it to itself
 	Team        string // from the body's or query's mark
 	Invocation  string
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -73,3 +73,24 @@
 	assert.Equal(t, resp.Header.Get(engineapi.HeaderRefused), engineapi.RefusedSettled)
 	assert.Equal(t, len(s.Executions()), 0)
 }
+
+// A host was paused between its claim and its sending, and the service was
+// restarted meanwhile: it no longer knows that it called the attempt unseen,
+// so that only the process named by the attempt tells that it must not run.
+func TestAttemptForAFormerProcessIsRefused(t *testing.T) {
+	s := start(t)
+	unseen := fate(t, s, "a1")
+	assert.Equal(t, unseen.State, engineapi.AttemptUnseen)
+	s.Restart()
+	req, err := http.NewRequest("POST", "http://"+s.Addr()+"/service/orders/new", strings.NewReader("note"))
+	assert.NilError(t, err)
+	req.Header.Set(engineapi.HeaderAttempt, "a1")
+	req.Header.Set(engineapi.HeaderForIncarnation, unseen.Incarnation)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, resp.Header.Get(engineapi.HeaderRefused), engineapi.RefusedRestarted)
+	assert.Equal(t, len(s.Executions()), 0)
+	assert.Equal(t, fate(t, s, "a1").State, engineapi.AttemptRefused)
+}
