Run claims by the configuration's limits, and settle them before a host ends

Cause: a node used built-in limits for claims, never swept their rows, and ended with settlements still in memory. An answer too large to keep was stored as an empty one, which a repeat got as the whole. Answers held for claims had no common bound. Change: claim_ttl_s and answer_bytes (now at most 8 MiB) are followed as they change; the sweeper is a role under the lease claims/sweeper; a shutdown drains for up to 10 s, with the batcher still running; what is dropped is stored as dropped; a host holds at most 32 MiB of answers for claims; two metrics show what waits. Tests cause: death of a host between claim and dispatch and after it, with the service's restart on top; table down before the claim and after the answer, and losing answers while it is settled; a repeat through another host; a lost connection; a graceful shutdown in a table outage; an instance that leaves; an answer too large to keep.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -133,6 +133,10 @@
 	MBPerSecond    int     `json:"mb_per_second"`
 }
 
+// AnswerBytesMost bounds Limits.AnswerBytes. A host holds such an answer in
+// memory while it passes it on.
+const AnswerBytesMost = 8 << 20
+
 // Limits bound what one request or host may use.
 type Limits struct {
 	BodyBytes        int64   `json:"body_bytes"`         // largest request body
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -245,7 +245,7 @@
 func (v *validator) limits() {
 	l := v.cfg.Limits
 	v.check(l.BodyBytes > 0, "limits.body_bytes", "is %d, must be above 0", l.BodyBytes)
-	v.check(l.AnswerBytes > 0, "limits.answer_bytes", "is %d, must be above 0", l.AnswerBytes)
+	v.check(l.AnswerBytes > 0 && l.AnswerBytes <= AnswerBytesMost, "limits.answer_bytes", "is %d, must be from 1 to %d", l.AnswerBytes, AnswerBytesMost)
 	v.positive(l.ClaimTTLSeconds, "limits.claim_ttl_s")
 	v.share(l.RetryBudgetShare, 1, "limits.retry_budget_share")
 }
--- a/node/claim/grant.go
+++ b/node/claim/grant.go
@@ -59,7 +59,7 @@
 // The caller has its answer whatever Complete returns: an error says only that
 // the settlement was neither written nor kept for later.
 func (g *Grant) Complete(ctx context.Context, a Answer) error {
-	stored := claim.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
+	stored := claim.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Dropped: a.Dropped}
 	return g.end(ctx, &stored, func(r claim.Row) (claim.Row, error) { return r.Complete(stored) })
 }
 
--- a/node/claim/settle.go
+++ b/node/claim/settle.go
@@ -63,7 +63,7 @@
 	switch {
 	case len(a.Body) <= s.cfg.InlineBytes:
 		return nil
-	case len(a.Body) > s.cfg.AnswerBytes || s.deps.Objects == nil:
+	case len(a.Body) > s.limits.Load().AnswerBytes || s.deps.Objects == nil:
 		a.Body, a.Dropped = nil, true
 		return nil
 	}
--- a/node/claim/store.go
+++ b/node/claim/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -29,7 +30,7 @@
 	Grace       time.Duration // after a request's deadline, before others look after its claim
 	CallTimeout time.Duration // of one claim or settlement against the platform
 	InlineBytes int           // largest answer kept in the table row; larger ones go to the object store
-	AnswerBytes int           // largest answer kept at all
+	AnswerBytes int           // largest answer kept at all; with TTL the start value of Limits
 	QueueCount  int           // settlements that wait for the platform
 	QueueBytes  int           // of their answers
 }
@@ -59,15 +60,28 @@
 
 // Store claims requests.
 type Store struct {
-	cfg   Config
-	deps  Deps
-	queue *queue
+	cfg    Config
+	deps   Deps
+	queue  *queue
+	limits atomic.Pointer[Limits]
+}
+
+// Limits are the bounds that a deployment's configuration sets; they change
+// while the store runs.
+type Limits struct {
+	TTL         time.Duration // how long a key is remembered
+	AnswerBytes int           // largest answer kept at all
 }
 
+// SetLimits replaces the limits, for claims and settlements from now on. Rows
+// that stand keep the lifetime that they were written with.
+func (s *Store) SetLimits(l Limits) { s.limits.Store(&l) }
+
 // New makes a Store. Its Run must be running for deferred settlements.
 func New(cfg Config, deps Deps) *Store {
 	s := &Store{cfg: cfg, deps: deps}
 	s.queue = newQueue(cfg.QueueCount, cfg.QueueBytes)
+	s.SetLimits(Limits{TTL: cfg.TTL, AnswerBytes: cfg.AnswerBytes})
 	return s
 }
 
@@ -87,6 +101,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Dropped     bool // there was a body, too large to keep
 }
 
 // The advice when to come back.
@@ -140,7 +155,7 @@
 func (s *Store) arrival(req Request) claim.Arrival {
 	patience := max(req.Deadline.Sub(s.deps.Now()), 0) + s.cfg.Grace
 	return claim.Arrival{ID: newID(), Body: req.BodyHash, Owner: s.deps.Owner, Route: req.Route,
-		Patience: patience, TTL: max(s.cfg.TTL, 2*patience)}
+		Patience: patience, TTL: max(s.limits.Load().TTL, 2*patience)}
 }
 
 // run writes the arrival's claim over the row that was judged. On a conflict
--- a/node/claim/sweep.go
+++ b/node/claim/sweep.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/claim"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/platform"
 )
 
@@ -27,6 +29,31 @@
 // NewSweeper sweeps the claims that s keeps as rows of tb.
 func NewSweeper(s *Store, tb platform.Table) *Sweeper { return &Sweeper{store: s, table: tb} }
 
+// SweepLease is the lease under which one host sweeps.
+const SweepLease = "claims/sweeper"
+
+const (
+	// sweepPause is between two pages: 2,000 rows a second at most, above the
+	// 1,500 claims a second of the design size.
+	sweepPause = 100 * time.Millisecond
+	// sweepRest is between two rounds; expired rows only take room.
+	sweepRest = time.Minute
+)
+
+// Run sweeps while held says that this host holds the lease, until ctx ends.
+func (w *Sweeper) Run(ctx context.Context, held func() bool) error {
+	for wait := sweepPause; pace.Sleep(ctx, pace.Default().Around(wait, 0.1)); {
+		wait = sweepRest
+		if !held() {
+			continue
+		}
+		if _, done, err := w.Step(ctx); err == nil && !done {
+			wait = sweepPause
+		}
+	}
+	return ctx.Err()
+}
+
 // Step sweeps one page. done tells that the last page was reached: pause
 // before the next step, which starts over.
 func (w *Sweeper) Step(ctx context.Context) (deleted int, done bool, err error) {
@@ -40,7 +67,7 @@
 		if err != nil {
 			return 0, false, err
 		}
-		switch claim.Sweepable(*seen.Row, w.store.cfg.TTL, w.store.deps.Now()) {
+		switch claim.Sweepable(*seen.Row, w.store.limits.Load().TTL, w.store.deps.Now()) {
 		case claim.Forget:
 			txn.Conds = append(txn.Conds, platform.Cond{Key: r.Key, Version: r.Version})
 			txn.Writes = append(txn.Writes, platform.Write{Key: r.Key, Delete: true})
--- a/node/claim/sweep_test.go
+++ b/node/claim/sweep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,31 @@
 		assert.Equal(t, len(left), 0)
 	})
 }
+
+// Symptom: each host of a site reads the whole table of claims, over and over.
+// Every host runs a sweeper; only the one that holds the lease sweeps.
+func TestOnlyTheHolderOfTheLeaseSweeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, rows)
+		f, err := c.arrive(0, "done", true)
+		assert.NilError(t, err)
+		for range 3 {
+			c.advance(f)
+		}
+		time.Sleep(simTTL + time.Minute)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var held atomic.Bool
+		go func() { _ = nodeclaim.NewSweeper(c.hosts[0], c.table).Run(ctx, held.Load) }()
+		for _, c2 := range []struct {
+			held bool
+			left int
+		}{{false, 1}, {true, 0}} {
+			held.Store(c2.held)
+			time.Sleep(3 * time.Minute) // some rounds
+			left, err := c.table.List(ctx, "claims/", "", 10)
+			assert.NilError(t, err)
+			assert.Equal(t, len(left), c2.left)
+		}
+	})
+}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -27,6 +27,9 @@
 	RetryShare float64
 	// NoReplicaRetryAfter is told to callers of a model that no upstream holds.
 	NoReplicaRetryAfter time.Duration
+	// KeepBytes bounds what is held at once of all answers to requests that
+	// may not be repeated; of those beyond it only the fact is kept.
+	KeepBytes int64
 }
 
 const (
@@ -34,6 +37,7 @@
 	defaultRetryShare = 0.1
 	defaultNoReplica  = 5 * time.Second // a load takes seconds
 	busyRetryAfter    = time.Second
+	defaultKeep       = 32 << 20 // four answers of the largest size; usual ones take some KB
 )
 
 // Deps are what a Dispatcher works with.
@@ -53,6 +57,8 @@
 	deps      Deps
 	upstreams *Upstreams
 
+	keep keepBudget
+
 	mu     sync.Mutex // guards budget
 	budget *retry.Budget
 }
@@ -68,7 +74,10 @@
 	if cfg.NoReplicaRetryAfter == 0 {
 		cfg.NoReplicaRetryAfter = defaultNoReplica
 	}
-	return &Dispatcher{cfg: cfg, deps: deps, upstreams: NewUpstreams(deps.Client), budget: retry.NewBudget(cfg.RetryShare)}
+	if cfg.KeepBytes == 0 {
+		cfg.KeepBytes = defaultKeep
+	}
+	return &Dispatcher{cfg: cfg, deps: deps, keep: keepBudget{most: cfg.KeepBytes}, upstreams: NewUpstreams(deps.Client), budget: retry.NewBudget(cfg.RetryShare)}
 }
 
 // Upstreams asks after attempts.
@@ -85,7 +94,7 @@
 // A claim that was taken out is settled before Do returns.
 func (d *Dispatcher) Do(ctx context.Context, w *Work, sink Sink) error {
 	claimed := w.Claim != nil
-	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, detached: claimed}
+	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, budget: &d.keep, detached: claimed}
 	r := &run{d: d, w: w, out: out,
 		retries: retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline),
 		route:   route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix}}
@@ -94,6 +103,7 @@
 	if r.grant != nil {
 		r.settle(ctx, err)
 	}
+	out.release()
 	return err
 }
 
--- a/node/dispatch/fate.go
+++ b/node/dispatch/fate.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"peridotpier.example/core/config"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/node/upstream/engineapi"
@@ -19,8 +20,9 @@
 	// probeTimeout bounds one question to an upstream on a new connection;
 	// within and between close data centres an answer takes milliseconds.
 	probeTimeout = time.Second
-	// fateBytes bounds the answer to a question for an attempt's fate.
-	fateBytes = 8 << 20
+	// fateBytes bounds the answer to a question for an attempt's fate: the
+	// largest answer that is kept, in base64, and its frame.
+	fateBytes = config.AnswerBytesMost*4/3 + 64<<10
 )
 
 // errForgotten says that the upstream cannot tell the fate any more: it is no
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -31,6 +31,8 @@
 	InFlight    Name = "requests_in_flight"
 	Config      Name = "configuration_version"
 	ClaimsQueue Name = "claims_unsettled"
+	// ClaimsQueueBytes are the bytes of their answers.
+	ClaimsQueueBytes Name = "claims_unsettled_bytes"
 )
 
 // Set is one host's metrics.
--- a/node/server/claims.go
+++ b/node/server/claims.go
@@ -6,38 +6,87 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"peridotpier.example/core/claim"
+	"peridotpier.example/core/config"
 	"peridotpier.example/core/fault"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
 // claims lets the callers' interface use the claim store.
 type claims struct {
-	store *nodeclaim.Store
-	batch *nodeclaim.Batcher
+	store  *nodeclaim.Store
+	batch  *nodeclaim.Batcher
+	log    *event.Log
+	killed <-chan struct{}
 }
 
 func newClaims(p Platform, s *Server, set *settings.Settings) *claims {
 	batch := nodeclaim.NewBatcher(nodeclaim.DefaultBatchConfig(), p.Table)
-	store := nodeclaim.New(nodeclaim.DefaultConfig(), nodeclaim.Deps{
+	cfg := nodeclaim.DefaultConfig()
+	if s.cfg.ClaimGrace > 0 {
+		cfg.Grace = s.cfg.ClaimGrace
+	}
+	store := nodeclaim.New(cfg, nodeclaim.Deps{
 		Records: nodeclaim.NewRows(batch), Objects: p.Objects, Fates: fates{s}, Log: s.log,
 		Owner: claim.Owner{Host: set.Host, Incarnation: uuid.NewString()}, Now: time.Now})
-	return &claims{store: store, batch: batch}
+	s.metrics.Func(metrics.ClaimsQueue, func() any { n, _ := store.Pending(); return n })
+	s.metrics.Func(metrics.ClaimsQueueBytes, func() any { _, bytes := store.Pending(); return bytes })
+	return &claims{store: store, batch: batch, log: s.log, killed: s.killed}
 }
 
-// run settles what could not be settled at once.
+// drainBound is how long a host that has shut down otherwise goes on writing
+// the ends of claims: through a short outage of the table service, but not so
+// long that the host's replacement waits for it. What is left then is as if
+// the host had died: a repeat is settled by the upstream's word.
+const drainBound = 10 * time.Second
+
+// run settles what could not be settled at once. At the end of ctx, which
+// comes after the last request, it writes what still waits.
 func (c *claims) run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.batch.Run(ctx) })
-	g.Go(func() error { return c.store.Run(ctx) })
+	batching, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error { return c.batch.Run(batching) })
+	_ = c.store.Run(ctx) // ends with ctx only
+	c.drain(batching)
+	stop()
 	return g.Wait()
 }
 
+func (c *claims) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainBound)
+	defer cancel()
+	go func() {
+		select {
+		case <-c.killed: // a dead process writes nothing
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if err := c.store.Drain(ctx); err != nil {
+		c.log.Emit(event.ClaimSettleDropped, zap.Int("count", c.unsettled()), zap.Error(err))
+	}
+}
+
+// unsettled is the number of ends of claims that wait for the platform.
+func (c *claims) unsettled() int {
+	n, _ := c.store.Pending()
+	return n
+}
+
+// limit puts a configuration's limits in force.
+func (c *claims) limit(l config.Limits) {
+	c.store.SetLimits(nodeclaim.Limits{TTL: time.Duration(l.ClaimTTLSeconds) * time.Second, AnswerBytes: int(l.AnswerBytes)})
+}
+
 // Claim implements callerapi.Claims.
 func (c *claims) Claim(ctx context.Context, r nodeclaim.Request) (dispatch.Grant, *nodeclaim.Answer, error) {
 	g, a, err := c.store.Claim(ctx, r)
--- a/node/server/configure.go
+++ b/node/server/configure.go
@@ -39,6 +39,7 @@
 
 func (s *Server) configure(st *query.State) {
 	s.view.Configure(st.Index)
+	s.claims.limit(st.Index.Limits)
 	s.mesh.KeepUpstreams(func(name string) bool { _, ok := st.Index.Upstream(name); return ok })
 	s.assignUpstreams(st.Index.Config, s.mesh.Live())
 	s.reconcileSoon()
--- a/node/server/roles.go
+++ b/node/server/roles.go
@@ -9,6 +9,7 @@
 
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/member"
+	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/command"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/operatorapi"
@@ -83,6 +84,7 @@
 		}
 	}
 	wanted[command.AuditLease] = func() *role { return s.startArchiver(ctx) }
+	wanted[nodeclaim.SweepLease] = func() *role { return s.startSweeper(ctx) }
 	for name := range wanted {
 		if !s.campaigns(name, live) {
 			delete(wanted, name)
@@ -161,6 +163,15 @@
 	})
 }
 
+func (s *Server) startSweeper(ctx context.Context) *role {
+	return s.startRole(ctx, nodeclaim.SweepLease, func(l *lease.Lease, _ *role) func(context.Context) error {
+		w := nodeclaim.NewSweeper(s.claims.store, s.cfg.Platform.Table)
+		return func(ctx context.Context) error {
+			return w.Run(ctx, func() bool { _, held := l.Term(); return held })
+		}
+	})
+}
+
 func (s *Server) startPlanner(ctx context.Context, pool string) *role {
 	return s.startRole(ctx, plannerLease+pool, func(l *lease.Lease, r *role) func(context.Context) error {
 		r.pool = pool
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -51,6 +51,9 @@
 	// Demand sets how fast the demand that placement follows forgets; the zero
 	// value is the default.
 	Demand demand.Config
+	// ClaimGrace is how long after a request's deadline others look after its
+	// claim; 0: the default.
+	ClaimGrace time.Duration
 	// HeadBound and BodyBound are how long a caller may take to send the head
 	// and the body of a request; 0: the defaults.
 	HeadBound time.Duration
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -101,9 +101,10 @@
 	Demand     demand.Config
 	Log        *zap.Logger
 	Files      *pki.Files // of keys and certificates; nil: Files()
-	// HeadBound and BodyBound are as in server.Config.
-	HeadBound time.Duration
-	BodyBound time.Duration
+	// ClaimGrace, HeadBound and BodyBound are as in server.Config.
+	ClaimGrace time.Duration
+	HeadBound  time.Duration
+	BodyBound  time.Duration
 }
 
 // StartNode runs a node until Stop or Kill.
@@ -118,7 +119,7 @@
 	g := newGate()
 	s, err := server.New(server.Config{Settings: cfg.Settings, Keys: ring, Platform: g.platform(cfg.Platform),
 		Policy: cfg.Policy, Dialer: g.through(cfg.Dialer), Distance: cfg.Distance, Demand: cfg.Demand, PeerDialer: g.through(cfg.PeerDialer), Log: cfg.Log,
-		HeadBound: cfg.HeadBound, BodyBound: cfg.BodyBound})
+		ClaimGrace: cfg.ClaimGrace, HeadBound: cfg.HeadBound, BodyBound: cfg.BodyBound})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/local/once_test.go
+++ b/standin/local/once_test.go
@@ -1,20 +1,85 @@
 package local_test
 
 import (
+	"context"
+	"encoding/json"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/node/callerapi"
+	"peridotpier.example/standin/local"
+	fake "peridotpier.example/standin/platform"
 )
 
 const notes = "/v1/services/stock/notes"
 
-// note sends a call that may not be repeated through the present host.
-func (p *path) note(key string) (int, http.Header, string) {
-	p.t.Helper()
-	return p.do("POST", notes, teamKey, "note "+key, "Idempotency-Key", key)
+// reply is what a caller heard.
+type reply struct {
+	status   int
+	body     string
+	code     string // of an error
+	outcome  string // of an error
+	replayed bool
+	retry    bool  // came with Retry-After
+	err      error // no whole answer came
 }
 
+// noteVia sends a call that may not be repeated through a node.
+func noteVia(ctx context.Context, n *local.Node, key string, header ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.CallerAddress()+notes, strings.NewReader("note "+key))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Idempotency-Key", key)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	r := reply{status: resp.StatusCode, body: string(data), err: err, replayed: resp.Header.Get("Peridot-Replayed") != "",
+		retry: resp.Header.Get("Retry-After") != ""}
+	if r.status != http.StatusOK && err == nil {
+		var p callerapi.Problem
+		if err := json.Unmarshal(data, &p); err != nil {
+			return reply{err: err}
+		}
+		r.code, r.outcome = p.Error.Code, p.Error.Outcome
+	}
+	return r
+}
+
+// settled repeats a call, as long as it is told to come back, until it has
+// another answer.
+func settled(t *testing.T, n *local.Node, key string) reply {
+	t.Helper()
+	var r reply
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r = noteVia(t.Context(), n, key)
+		if r.code == string(fault.CodeInProgress) {
+			assert.Assert(t, r.retry && r.outcome == "unknown", "%+v", r)
+			return poll.Continue("in progress")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+	assert.NilError(t, r.err)
+	return r
+}
+
+// brief has others look after a claim soon after its deadline.
+func brief(c *local.NodeConfig) { c.ClaimGrace = 20 * time.Millisecond }
+
 // Symptom: a dispatch note is packed twice after an upstream's restart.
 // Sequence: a claim names an attempt and its upstream's process; the host is
 // paused before the first byte; the upstream restarts and so forgets what it
@@ -23,9 +88,240 @@
 func TestARestartedUpstreamRefusesWhatWasMeantForItsFormerProcess(t *testing.T) {
 	p, trap := trappedPath(t)
 	trap.set(p.svc.Restart, nil)
-	status, _, body := p.note("k1")
-	assert.Equal(t, status, http.StatusOK, body)
+	r := noteVia(t.Context(), p.node, "k1")
+	assert.Equal(t, r.status, http.StatusOK, r.body)
 	ran := p.svc.Executions()
 	assert.Equal(t, len(ran), 1)
 	assert.Equal(t, ran[0].Meant, ran[0].Incarnation, "the claim names another process than the one that ran it")
 }
+
+// Symptom: a note is packed twice, or its key is held for ever, after the death
+// of an entry host.
+// Sequence: the host dies with its claim written, before the attempt goes out
+// or after; the caller repeats the call through another host.
+// Cause: the other host takes the claim's row for the attempt's fate.
+func TestTheDeathOfAHostSettlesByTheUpstreamsWord(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		trap     func(d *traps, kill func())
+		replayed bool
+	}{
+		{"between claim and dispatch", func(d *traps, kill func()) { d.set(kill, nil) }, false},
+		{"between dispatch and answer", func(d *traps, kill func()) { d.set(nil, kill) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, trap := trappedPath(t, brief)
+			other := p.startNode("n2")
+			defer func() { assert.NilError(t, other.Stop()) }()
+			c.trap(trap, func() { p.node.Kill() })
+			first := noteVia(t.Context(), p.node, "k1", callerapi.HeaderDeadline, "300")
+			assert.Assert(t, first.err != nil, "the dead host answered: %+v", first)
+			r := settled(t, other, "k1")
+			assert.Equal(t, r.status, http.StatusOK, r.body)
+			assert.Equal(t, r.replayed, c.replayed)
+			assert.Equal(t, len(p.svc.Executions()), 1)
+		})
+	}
+}
+
+// Symptom: a note is packed twice, when a host and the service died together.
+// Sequence: the service runs the call; before its answer is read the host
+// dies; the service restarts and forgets all attempts.
+// Cause: "unseen" from a process without memory is taken for "did not run".
+func TestTwoDeathsAtOnceLeaveTheOutcomeUnknown(t *testing.T) {
+	p, trap := trappedPath(t, brief)
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	trap.set(nil, func() {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if e := p.svc.Executions(); len(e) == 0 || e[0].Ended.IsZero() {
+				return poll.Continue("the call has not ended")
+			}
+			return poll.Success()
+		})
+		p.svc.Restart()
+		p.node.Kill()
+	})
+	first := noteVia(t.Context(), p.node, "k1", callerapi.HeaderDeadline, "300")
+	assert.Assert(t, first.err != nil, "%+v", first)
+	for range 2 {
+		r := settled(t, other, "k1")
+		assert.Equal(t, r.outcome, "unknown", r.body)
+		assert.Equal(t, r.code, string(fault.CodeUnknownOutcome))
+	}
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
+
+// Symptom: callers wait for a table that is down, or are told that a call ran
+// or may have run which never left the host.
+// Sequence: the table service is down; a call that may not be repeated comes.
+// Cause: the call is dispatched, or held, without its claim.
+func TestATableThatIsDownRefusesBeforeTheClaim(t *testing.T) {
+	p := newPath(t, slow)
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = true })
+	r := noteVia(t.Context(), p.node, "k1")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+	assert.Equal(t, r.code, string(fault.CodeStoreDown))
+	assert.Equal(t, r.outcome, "not_run")
+	assert.Assert(t, r.retry)
+	status, _, body := p.do("GET", "/v1/services/stock/q", teamKey, "")
+	assert.Equal(t, status, http.StatusOK, "a call that may be repeated needs no claim: %s", body)
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = false })
+	assert.Equal(t, noteVia(t.Context(), p.node, "k1").status, http.StatusOK)
+	assert.Equal(t, len(p.svc.Executions()), 2)
+}
+
+// Symptom: a caller loses an answer that the service gave, or a repeat runs.
+// Sequence: the call ran; before its answer is read the table goes down, or
+// loses its own answers too; it comes back later.
+// Cause: the caller's answer waits for the claim's end, or that end is dropped.
+func TestATableThatIsDownAfterTheAnswerIsSettledLater(t *testing.T) {
+	p, trap := trappedPath(t)
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	trap.set(nil, func() { p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = true }) })
+	r := noteVia(t.Context(), p.node, "k1")
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	poll.WaitOn(t, p.unsettled(1))
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage, s.LostAnswers = false, 0.5 })
+	poll.WaitOn(t, p.unsettled(0), poll.WithTimeout(patience))
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.LostAnswers = 0 })
+	again := noteVia(t.Context(), other, "k1")
+	assert.Assert(t, again.replayed, "%+v", again)
+	assert.Equal(t, again.body, r.body)
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
+
+// unsettled waits until n ends of claims wait on the first node.
+func (p *path) unsettled(n int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if got := p.node.Status().Unsettled; got != n {
+			return poll.Continue("%d ends of claims wait, not %d", got, n)
+		}
+		return poll.Success()
+	}
+}
+
+// held is a call that stands between its dispatch and its answer.
+type held struct {
+	reply   chan reply
+	release func()
+}
+
+// hold sends a call through the first node and returns once it is dispatched.
+func (p *path) hold(ctx context.Context, trap *traps, key string) held {
+	p.t.Helper()
+	out, gate := make(chan struct{}), make(chan struct{})
+	trap.set(nil, func() { close(out); <-gate })
+	h := held{reply: make(chan reply, 1), release: func() { close(gate) }}
+	go func() { h.reply <- noteVia(ctx, p.node, key) }()
+	<-out
+	return h
+}
+
+// patient nodes don't look into a silent exchange.
+func patient(c *local.NodeConfig) { c.Settings.Bounds.SilenceMs = 60_000 }
+
+// Symptom: two crews press "send" again and a note is packed twice.
+// Sequence: a call runs; the caller repeats it through another entry host.
+// Cause: hosts know only of their own calls.
+func TestARepeatThroughAnotherHostWhileTheFirstRuns(t *testing.T) {
+	p, trap := trappedPath(t, patient)
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	first := p.hold(t.Context(), trap, "k1")
+	again := noteVia(t.Context(), other, "k1")
+	assert.Equal(t, again.status, http.StatusConflict, again.body)
+	assert.Equal(t, again.code, string(fault.CodeInProgress))
+	assert.Assert(t, again.retry)
+	first.release()
+	r := <-first.reply
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	assert.Equal(t, settled(t, other, "k1").body, r.body)
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
+
+// Symptom: a caller whose connection broke never learns what its call did.
+// Sequence: the call is dispatched; the caller's connection breaks; it comes
+// back through another host.
+// Cause: the call is given up with its caller.
+func TestACallerThatLostItsConnectionGetsTheAnswerLater(t *testing.T) {
+	p, trap := trappedPath(t, patient)
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	ctx, hangUp := context.WithCancel(t.Context())
+	first := p.hold(ctx, trap, "k1")
+	hangUp()
+	assert.Assert(t, (<-first.reply).err != nil)
+	first.release()
+	r := settled(t, other, "k1")
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	assert.Assert(t, r.replayed)
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
+
+// Symptom: a restart of a host cuts calls, or leaves their keys held.
+// Sequence: a call and its claim are open; the table goes down; the host is
+// told to stop; the balancer still sends; the call ends; the table comes back.
+// Cause: the host ends before the last answer, or before the last claim's end.
+func TestAGracefulShutdownInATableOutageSettlesItsClaims(t *testing.T) {
+	p, trap := trappedPath(t, patient, func(c *local.NodeConfig) {
+		if c.Settings.Host == "n1" {
+			c.Settings.Bounds.BalancerWaitSeconds = 1
+		}
+	})
+	other := p.startNode("n2")
+	defer func() { assert.NilError(t, other.Stop()) }()
+	first := p.hold(t.Context(), trap, "k1")
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = true })
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.node.Stop() }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.node.Ready() {
+			return poll.Continue("the host has not heard of its end")
+		}
+		return poll.Success()
+	})
+	status, _, body := p.do("GET", "/v1/services/stock/q", teamKey, "")
+	assert.Equal(t, status, http.StatusOK, "the balancer still sends: %s", body)
+	late := noteVia(t.Context(), p.node, "k2")
+	assert.Equal(t, late.outcome, "not_run", late.body)
+	first.release()
+	r := <-first.reply
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	poll.WaitOn(t, p.unsettled(1))
+	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = false })
+	assert.NilError(t, <-stopped)
+	again := noteVia(t.Context(), other, "k1")
+	assert.Assert(t, again.replayed, "the claim was left open: %+v", again)
+	assert.Equal(t, again.body, r.body)
+}
+
+// Symptom: calls fail while an instance of a service goes away.
+// Sequence: it leaves; the platform's list and its reports still show it live;
+// calls that may not be repeated go on coming.
+// Cause: a refusal of an attempt is taken for the end of the call.
+func TestCallsGoElsewhereWhenAnInstanceLeaves(t *testing.T) {
+	p := newPathOf(t, &path{answerBytes: 1 << 20, services: 2}, slow)
+	p.svc.Leave()
+	for _, key := range []string{"k1", "k2", "k3", "k4", "k5", "k6"} {
+		r := noteVia(t.Context(), p.node, key)
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+	assert.Equal(t, len(p.svc.Executions()), 0)
+	assert.Equal(t, len(p.more[1].Executions()), 6)
+}
+
+// Symptom: a repeat of a call gets an empty answer, as if that were the whole.
+// Sequence: the answer was larger than what is kept; the call is repeated.
+// Cause: that its body was dropped is not kept with it.
+func TestARepeatIsToldThatTheAnswerWasNotKept(t *testing.T) {
+	p := newPathOf(t, &path{answerBytes: 10, services: 1}, slow)
+	first := noteVia(t.Context(), p.node, "k1")
+	assert.Equal(t, first.status, http.StatusOK, first.body)
+	again := noteVia(t.Context(), p.node, "k1")
+	assert.Equal(t, again.status, http.StatusConflict, again.body)
+	assert.Equal(t, again.outcome, "completed")
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -39,6 +40,12 @@
 	weights *platform.Weights
 	base    string
 	change  []func(*local.NodeConfig)
+
+	// What a test may set before the path is put together.
+	serviceTime time.Duration
+	answerBytes int64 // largest answer kept
+	services    int   // instances of the service; svc is the first
+	more        []*service.Service
 }
 
 func hash(key string) string {
@@ -48,7 +55,12 @@
 
 func newPath(t testing.TB, ecfg engine.Config, change ...func(*local.NodeConfig)) *path {
 	t.Helper()
-	p := &path{t: t, change: change, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
+	return newPathOf(t, &path{answerBytes: 1 << 20, services: 1}, ecfg, change...)
+}
+
+func newPathOf(t testing.TB, p *path, ecfg engine.Config, change ...func(*local.NodeConfig)) *path {
+	t.Helper()
+	*p = path{t: t, change: change, serviceTime: p.serviceTime, answerBytes: p.answerBytes, services: p.services, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
 		hosts: platform.NewHosts(platform.NewFaults(1, nil)), weights: platform.NewWeights(platform.NewFaults(1, nil), 100, 100)}
 	ecfg.Name = "e1"
 	var err error
@@ -56,16 +68,20 @@
 	assert.NilError(t, err)
 	assert.NilError(t, p.eng.Start())
 	p.eng.Preload("m", "", "v1", 10)
-	p.svc, err = service.New(service.Config{Name: "s1"})
-	assert.NilError(t, err)
-	assert.NilError(t, p.svc.Start())
+	for i := range p.services {
+		s, err := service.New(service.Config{Name: fmt.Sprint("s", i+1), Time: p.serviceTime, Seed: uint64(i)})
+		assert.NilError(t, err)
+		assert.NilError(t, s.Start())
+		t.Cleanup(s.Close)
+		p.more = append(p.more, s)
+	}
+	p.svc = p.more[0]
 	assert.NilError(t, local.Apply(t.Context(), p.tbl, p.obj, p.config()))
 	p.node = p.startNode("n1")
 	p.base = "http://" + p.node.CallerAddress()
 	t.Cleanup(func() {
 		assert.NilError(t, p.node.Stop())
 		p.eng.Close()
-		p.svc.Close()
 	})
 	return p
 }
@@ -85,6 +101,15 @@
 }
 
 func (p *path) config() *config.Config {
+	c := p.oneOfEach()
+	for _, s := range p.more {
+		c.Upstreams = append(c.Upstreams, config.Upstream{Name: s.Name(), Pool: "svc", Address: s.Addr(), DataCentre: "dc1", MaxBatch: 64})
+	}
+	c.Limits.AnswerBytes = p.answerBytes
+	return c
+}
+
+func (p *path) oneOfEach() *config.Config {
 	return &config.Config{Site: "test", DataCentres: []string{"dc1"},
 		Teams: []config.Team{
 			{Name: "a", KeyHashes: []string{hash(teamKey)}, Models: []string{"m"}, Services: []string{"stock"}, Weight: 1},
@@ -92,8 +117,7 @@
 		Pools:  []config.Pool{{Name: "lm", Kind: config.KindEngine}, {Name: "svc", Kind: config.KindService}},
 		Models: []config.Model{{Name: "m", Pool: "lm", Version: "v1", MemoryMB: 10, MinReplicas: 1, Replicas: 1, TokensPerSecond: 100}},
 		Upstreams: []config.Upstream{
-			{Name: "e1", Pool: "lm", Address: p.eng.Addr(), DataCentre: "dc1", Accelerators: 1, MemoryMB: 100, MaxBatch: 64, Fencing: config.FencingChecked},
-			{Name: "s1", Pool: "svc", Address: p.svc.Addr(), DataCentre: "dc1", MaxBatch: 64}},
+			{Name: "e1", Pool: "lm", Address: p.eng.Addr(), DataCentre: "dc1", Accelerators: 1, MemoryMB: 100, MaxBatch: 64, Fencing: config.FencingChecked}},
 		Services: []config.Service{{Name: "stock", Pool: "svc", Routes: []config.ServiceRoute{{Method: "POST", Prefix: "/notes"}}}},
 		Classes: []config.ClassRule{{Class: class.Urgent, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64}, {Class: class.Standard, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64},
 			{Class: class.Bulk, FirstTokenMs: 500, DeadlineMs: 10_000, QueueMax: 64}},
--- a/standin/local/trap_test.go
+++ b/standin/local/trap_test.go
@@ -117,6 +117,11 @@
 
 // trappedPath is a path whose node n1 has traps; other nodes have none.
 func trappedPath(t testing.TB, change ...func(*local.NodeConfig)) (*path, *traps) {
+	t.Helper()
+	return trappedPathOf(t, &path{answerBytes: 1 << 20, services: 1}, change...)
+}
+
+func trappedPathOf(t testing.TB, p *path, change ...func(*local.NodeConfig)) (*path, *traps) {
 	t.Helper()
 	d := &traps{}
 	change = append(change, func(c *local.NodeConfig) {
@@ -124,5 +129,5 @@
 			c.Dialer = d
 		}
 	})
-	return newPath(t, slow, change...), d
+	return newPathOf(t, p, slow, change...), d
 }
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -19,9 +19,9 @@
 // call is one call under its attempt id. Its fields are under Service.mu.
 type call struct {
 	id     string
-	meant  string          // incarnation that may run it; "": any
-	born   context.Context // of the incarnation that took it in
-	places chan struct{}   // that incarnation's
+	meant  string                 // incarnation that may run it; "": any
+	born   context.Context        // of the incarnation that took it in
+	places chan struct{}          // that incarnation's
 	state  engineapi.AttemptState // AttemptUnseen: must never run
 	body   []byte                 // the answer, when completed
 	cancel context.CancelFunc     // of a call that waits; nil otherwise
