Check histories of real nodes against the register, and refuse climbing paths

Cause: the at-most-once register was checked against simulated hosts only. A path below a service could climb out of it or past the prefix that says it may not be repeated, where an upstream shortens paths itself. Change: a test in which callers race for keys through three real nodes before two services under a script of 15 faults; the service tells a watch of each execution. Paths below a service must be in their shortest form.

--- a/node/callerapi/service.go
+++ b/node/callerapi/service.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"peridotpier.example/core/fault"
@@ -29,7 +31,10 @@
 		return fault.NotRun(fault.StepParse, "", fault.CodeNotFound, "there is no service %q for your team", name)
 	}
 	r := c.Request()
-	path := "/" + strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, "/v1/services/"+name), "/")
+	path, err := servicePath(r.URL, name)
+	if err != nil {
+		return err
+	}
 	w := &dispatch.Work{RequestID: c.id, Team: c.team.Name, Class: t.class, Pool: s.Pool, Service: true,
 		Method: r.Method, Path: strings.TrimSuffix(engineapi.PathService, "/") + path, Query: r.URL.RawQuery,
 		Header: passOn(r.Header), Deadline: t.deadline, Repeatable: s.Repeatable(r.Method, path)}
@@ -46,6 +51,22 @@
 	return blame(a.serve(c, w, name), c.state.Index.Limits.BodyBytes)
 }
 
+// servicePath is the path below a service. It must be in its shortest form:
+// an upstream that shortens "/service/../engine/v1/attempts/ID" itself would
+// show one team's stored answer to another, and one that shortens "/x/../notes"
+// would run twice what a rule for "/notes" says may not be repeated.
+func servicePath(u *url.URL, service string) (string, error) {
+	p := "/" + strings.TrimPrefix(strings.TrimPrefix(u.Path, "/v1/services/"+service), "/")
+	short := path.Clean(p)
+	if strings.HasSuffix(p, "/") && short != "/" {
+		short += "/"
+	}
+	if p != short || strings.ContainsAny(p, "\\\x00") {
+		return "", fault.NotRun(fault.StepParse, "", fault.CodeBadRequest, "the path below the service has empty or dot segments, or a backslash")
+	}
+	return p, nil
+}
+
 // blame names the caller's own body as the cause where it was; the outcome
 // stays what was found.
 func blame(err error, most int64) error {
--- /dev/null
+++ b/standin/local/history_test.go
@@ -0,0 +1,193 @@
+package local_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/callerapi"
+	"peridotpier.example/standin/history"
+	"peridotpier.example/standin/local"
+	fake "peridotpier.example/standin/platform"
+	"peridotpier.example/standin/service"
+)
+
+const (
+	trialCallers = 6
+	trialKeys    = 24 // of each caller; every second one is another caller's too
+	trialTries   = 40 // of one key by one caller
+	trialPause   = 10 * time.Millisecond
+	trialEach    = 5 // keys ended between two steps of the script
+)
+
+// trial is callers, nodes and services whose histories are recorded.
+type trial struct {
+	*path
+	history *history.History
+	mu      sync.Mutex // guards nodes
+	nodes   []*local.Node
+	traps   map[string]*traps // by host
+	started int
+	ended   atomic.Int64 // keys that callers are done with
+	step    sync.Mutex   // one step of the script at a time
+	taken   int          // steps taken; under step
+}
+
+func newTrial(t *testing.T) *trial {
+	tr := &trial{history: history.New(), traps: map[string]*traps{}}
+	shape := &path{answerBytes: 1 << 20, services: 2, serviceTime: 2 * time.Millisecond, watch: tr.watch}
+	tr.path = newPathOf(t, shape, slow, brief, func(c *local.NodeConfig) {
+		d := &traps{}
+		tr.traps[c.Settings.Host] = d
+		c.Dialer = d
+	})
+	tr.nodes, tr.started = []*local.Node{tr.node}, 1
+	t.Cleanup(func() {
+		for _, n := range tr.nodes {
+			assert.NilError(t, n.Stop())
+		}
+	})
+	tr.join()
+	tr.join()
+	return tr
+}
+
+// watch records the upstreams' side.
+func (tr *trial) watch(e service.Execution) func([]byte) {
+	x := tr.history.Begin(history.Execution{Call: e.Tag, Key: e.Key, Attempt: e.Attempt})
+	return func(answer []byte) { tr.history.Finish(x, string(answer)) }
+}
+
+// join starts another node.
+func (tr *trial) join() {
+	tr.started++
+	n := tr.startNode(fmt.Sprint("n", tr.started))
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.nodes = append(tr.nodes, n)
+}
+
+func (tr *trial) pick(i int) *local.Node {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.nodes[i%len(tr.nodes)]
+}
+
+// leave takes a node out of the balancer's set.
+func (tr *trial) leave(i int) *local.Node {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	n := tr.nodes[i]
+	tr.nodes = append(tr.nodes[:i:i], tr.nodes[i+1:]...)
+	return n
+}
+
+// call makes one invocation and records the caller's side.
+func (tr *trial) call(n *local.Node, id, key string) reply {
+	tr.history.Invoke(id, key)
+	r := noteVia(context.Background(), n, key, "Accept-Language", id, callerapi.HeaderDeadline, "400")
+	switch {
+	case r.err != nil:
+		tr.history.Left(id)
+	case r.status == 200:
+		tr.history.Answered(id, outcome.Completed, r.body)
+	case r.code == string(fault.CodeInProgress):
+		tr.history.ToldBusy(id)
+	case r.outcome == "not_run":
+		tr.history.Answered(id, outcome.NotRun, "")
+	default:
+		tr.history.Answered(id, outcome.Unknown, "")
+	}
+	return r
+}
+
+// caller takes its keys one after the other, and repeats each through other
+// hosts until it has its answer.
+func (tr *trial) caller(who int) (done int) {
+	rng := rand.New(rand.NewPCG(1, uint64(who)))
+	for k := range trialKeys {
+		owner := who
+		if k%2 == 1 {
+			owner = who / 2 * 2 // two callers race for it
+		}
+		key := fmt.Sprintf("key-%d-%d", owner, k)
+		host := rng.IntN(8)
+		for try := range trialTries {
+			if tr.call(tr.pick(host+try), fmt.Sprintf("%d/%d/%d", who, k, try), key).status == 200 {
+				done++
+				break
+			}
+			time.Sleep(trialPause)
+		}
+		if tr.ended.Add(1)%trialEach == 0 {
+			tr.next()
+		}
+	}
+	return done
+}
+
+// next takes the script's next step; a caller takes it, so that each has its
+// place in the run whatever the machine's speed.
+func (tr *trial) next() {
+	tr.step.Lock()
+	defer tr.step.Unlock()
+	set := func(change func(*fake.Settings)) { tr.tbl.Faults.Update(change) }
+	script := []func(){
+		func() { tr.svc.LoseAnswers(3); tr.more[1].LoseRequests(3) },
+		func() { tr.svc.Cross(0.4); tr.more[1].Cross(0.4) },
+		func() { tr.more[1].CutAnswers(3); set(func(s *fake.Settings) { s.LostAnswers = 0.3 }) },
+		func() { n := tr.leave(0); tr.traps["n1"].set(n.Kill, nil) }, // between claim and dispatch, if a call is still under way
+		func() { set(func(s *fake.Settings) { s.LostAnswers, s.LostRequests = 0, 0.3 }) },
+		func() {
+			set(func(s *fake.Settings) { s.LostRequests, s.LateEffects, s.LateBy = 0, 0.3, 30*time.Millisecond })
+		},
+		func() { tr.svc.Restart() },
+		func() { set(func(s *fake.Settings) { *s = fake.Settings{} }); tr.join() },
+		func() { set(func(s *fake.Settings) { s.Outage = true }); time.Sleep(3 * trialPause) },
+		func() { set(func(s *fake.Settings) { s.Outage = false }) },
+		func() { tr.leave(0).Kill() }, // wherever its calls stand
+		func() { tr.svc.Freeze(false); tr.more[1].LoseAnswers(3) },
+		func() { tr.join() },
+		func() { tr.more[1].Restart(); tr.svc.LoseAnswers(3) },
+		func() { tr.more[1].Leave() },
+	}
+	if tr.taken < len(script) {
+		script[tr.taken]()
+		tr.taken++
+	}
+}
+
+// Symptom: a call that may not be repeated ran twice, a caller was told that it
+// did not run although it did, or got another's answer or half of its own.
+// Sequence: callers race for keys through three hosts and repeat what fails,
+// while answers are lost, cut and crossed, hosts die, services restart and
+// leave, connections go silent, and the table loses answers and goes down.
+// Cause: any step of the path that takes what it does not know for granted.
+func TestHistoriesOfRealNodesAreThoseOfARegister(t *testing.T) {
+	tr := newTrial(t)
+	var done atomic.Int64
+	var callers sync.WaitGroup
+	for who := range trialCallers {
+		callers.Go(func() { done.Add(int64(tr.caller(who))) })
+	}
+	callers.Wait()
+	counts := tr.history.Count()
+	t.Logf("%d of %d keys answered; %+v", done.Load(), trialCallers*trialKeys, counts)
+	assert.NilError(t, history.Check(tr.history))
+	assert.Equal(t, counts.Doubled+counts.Crossed+counts.Cut+counts.FalseNo+counts.Lost, 0, "%+v", counts)
+	assert.Assert(t, done.Load() > trialCallers*trialKeys/2, "the faults left nothing to check")
+	assert.Equal(t, tr.taken, 15, "the script was not played to its end")
+	for _, s := range tr.more {
+		for _, e := range s.Executions() {
+			assert.Equal(t, e.Meant, e.Incarnation)
+		}
+	}
+}
--- a/standin/local/once_test.go
+++ b/standin/local/once_test.go
@@ -20,6 +20,10 @@
 
 const notes = "/v1/services/stock/notes"
 
+// once sends each call once. With kept connections net/http would send a call
+// with an idempotency key again, unasked, when it finds its connection broken.
+var once = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // reply is what a caller heard.
 type reply struct {
 	status   int
@@ -42,7 +46,7 @@
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := once.Do(req)
 	if err != nil {
 		return reply{err: err}
 	}
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -45,6 +45,7 @@
 	serviceTime time.Duration
 	answerBytes int64 // largest answer kept
 	services    int   // instances of the service; svc is the first
+	watch       func(service.Execution) (ended func([]byte))
 	more        []*service.Service
 }
 
@@ -60,7 +61,7 @@
 
 func newPathOf(t testing.TB, p *path, ecfg engine.Config, change ...func(*local.NodeConfig)) *path {
 	t.Helper()
-	*p = path{t: t, change: change, serviceTime: p.serviceTime, answerBytes: p.answerBytes, services: p.services, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
+	*p = path{t: t, change: change, serviceTime: p.serviceTime, answerBytes: p.answerBytes, services: p.services, watch: p.watch, tbl: platform.NewTable(), obj: platform.NewObjects(platform.NewFaults(1, nil)),
 		hosts: platform.NewHosts(platform.NewFaults(1, nil)), weights: platform.NewWeights(platform.NewFaults(1, nil), 100, 100)}
 	ecfg.Name = "e1"
 	var err error
@@ -69,7 +70,7 @@
 	assert.NilError(t, p.eng.Start())
 	p.eng.Preload("m", "", "v1", 10)
 	for i := range p.services {
-		s, err := service.New(service.Config{Name: fmt.Sprint("s", i+1), Time: p.serviceTime, Seed: uint64(i)})
+		s, err := service.New(service.Config{Name: fmt.Sprint("s", i+1), Time: p.serviceTime, Seed: uint64(i), Watch: p.watch})
 		assert.NilError(t, err)
 		assert.NilError(t, s.Start())
 		t.Cleanup(s.Close)
@@ -193,6 +194,9 @@
 		{"absent idempotency key", "POST", "/v1/services/stock/notes", teamKey, "n", nil, 400, "idempotency_key_required"},
 		{"bad class", "POST", "/v1/chat/completions", teamKey, `{"model":"m"}`, []string{"Peridot-Class", "vip"}, 400, "bad_request"},
 		{"bad deadline", "POST", "/v1/chat/completions", teamKey, `{"model":"m"}`, []string{"Peridot-Deadline-Ms", "-1"}, 400, "bad_request"},
+		{"climbing path", "POST", "/v1/services/stock/x/../notes", teamKey, "n", nil, 400, "bad_request"},
+		{"climbing path, encoded", "GET", "/v1/services/stock/%2e%2e/engine/v1/attempts/a", teamKey, "", nil, 400, "bad_request"},
+		{"doubled slash", "POST", "/v1/services/stock//notes", teamKey, "n", nil, 400, "bad_request"},
 		{"oversized", "POST", "/v1/chat/completions", teamKey, long, nil, 413, "request_too_large"},
 		{"no such path", "GET", "/v2/x", teamKey, "", nil, 404, "not_found"},
 		{"forged resume token", "GET", "/v1/requests/k1.e30.AAAA/stream", teamKey, "", nil, 404, "not_found"},
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -22,6 +22,7 @@
 	meant  string                 // incarnation that may run it; "": any
 	born   context.Context        // of the incarnation that took it in
 	places chan struct{}          // that incarnation's
+	ended  func([]byte)           // tells the watch; nil: none
 	state  engineapi.AttemptState // AttemptUnseen: must never run
 	body   []byte                 // the answer, when completed
 	cancel context.CancelFunc     // of a call that waits; nil otherwise
@@ -144,12 +145,16 @@
 	c.cancel = nil
 	s.running++
 	team, inv := mark(r, body)
+	e := Execution{Attempt: c.id, Incarnation: s.incarnation, Meant: c.meant, Key: r.Header.Get("Idempotency-Key"),
+		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Tag: r.Header.Get("Accept-Language"), Started: time.Now()}
+	if s.cfg.Watch != nil {
+		c.ended = s.cfg.Watch(e)
+	}
 	if len(s.executions) >= s.cfg.RecordMax {
 		s.dropped++
 		return -1, true
 	}
-	s.executions = append(s.executions, Execution{Attempt: c.id, Incarnation: s.incarnation, Meant: c.meant, Key: r.Header.Get("Idempotency-Key"),
-		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Started: time.Now()})
+	s.executions = append(s.executions, e)
 	return len(s.executions) - 1, true
 }
 
@@ -171,6 +176,9 @@
 	}
 	s.running--
 	c.state, c.body = engineapi.AttemptCompleted, out
+	if c.ended != nil {
+		c.ended(out)
+	}
 	if index >= 0 {
 		s.executions[index].Ended, s.executions[index].Answer = time.Now(), xxhash.Sum64(out)
 	}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -52,6 +52,9 @@
 	AttemptLog  int
 	RecordMax   int
 	Seed        uint64
+	// Watch, when set, is told of each execution as it begins, and the function
+	// that it returns, of its answer. Both must not call the service.
+	Watch func(Execution) (ended func(answer []byte))
 }
 
 // Execution is one call that took effect or was cut short by the process's end.
@@ -62,6 +65,7 @@
 	Key         string // Idempotency-Key as it arrived; "" when the host kept it to itself
 	Team        string // from the body's or query's mark
 	Invocation  string
+	Tag         string // Accept-Language, by which a test tells equal calls apart
 	Method      string
 	Path        string
 	Started     time.Time
