--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,9 @@
 	RetryShare float64
 	// NoReplicaRetryAfter is told to callers of a model that no upstream holds.
 	NoReplicaRetryAfter time.Duration
+	// KeepBytes bounds what is held at once of all answers to requests that
+	// may not be repeated; of those beyond it only the fact is kept.
+	KeepBytes int64
 }
 
 const (
@@ -34,6 +38,7 @@
 	defaultRetryShare = 0.1
 	defaultNoReplica  = 5 * time.Second // a load takes seconds
 	busyRetryAfter    = time.Second
+	defaultKeep       = 32 << 20 // four answers of the largest size; usual ones take some KB
 )
 
 // Deps are what a Dispatcher works with.
@@ -53,6 +58,8 @@
 	deps      Deps
 	upstreams *Upstreams
 
+	keep keepBudget
+
 	mu     sync.Mutex // guards budget
 	budget *retry.Budget
 }
@@ -68,7 +75,10 @@
 	if cfg.NoReplicaRetryAfter == 0 {
 		cfg.NoReplicaRetryAfter = defaultNoReplica
 	}
-	return &Dispatcher{cfg: cfg, deps: deps, upstreams: NewUpstreams(deps.Client), budget: retry.NewBudget(cfg.RetryShare)}
+	if cfg.KeepBytes == 0 {
+		cfg.KeepBytes = defaultKeep
+	}
+	return &Dispatcher{cfg: cfg, deps: deps, keep: keepBudget{most: cfg.KeepBytes}, upstreams: NewUpstreams(deps.Client), budget: retry.NewBudget(cfg.RetryShare)}
 }
 
 // Upstreams asks after attempts.
@@ -85,7 +95,7 @@
 // A claim that was taken out is settled before Do returns.
 func (d *Dispatcher) Do(ctx context.Context, w *Work, sink Sink) error {
 	claimed := w.Claim != nil
-	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, detached: claimed}
+	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, budget: &d.keep, detached: claimed}
 	r := &run{d: d, w: w, out: out,
 		retries: retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline),
 		route:   route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix}}
@@ -94,6 +104,7 @@
 	if r.grant != nil {
 		r.settle(ctx, err)
 	}
+	out.release()
 	return err
 }
 
@@ -132,10 +143,13 @@
 			return r.noEndpoint(ctx, dec.Reason)
 		}
 		a := newAttempt(r.d, r.w, r.out, &snap.Endpoints[dec.Index])
-		if replayed, err := r.claim(ctx, a); replayed || err != nil {
-			return err
+		err := r.aim(ctx, a)
+		if err == nil {
+			if replayed, cerr := r.claim(ctx, a); replayed || cerr != nil {
+				return cerr
+			}
+			err = a.run(ctx)
 		}
-		err := a.run(ctx)
 		if err == nil {
 			return nil
 		}
@@ -145,6 +159,29 @@
 	}
 }
 
+var errNoProcess = errors.New("upstream does not say which process it is")
+
+// aim learns which process of the upstream a claimed attempt is meant for. A
+// host that has just started may not have heard of the upstream yet.
+func (r *run) aim(ctx context.Context, a *attempt) error {
+	if r.w.Claim == nil || a.ep.Incarnation != "" {
+		return nil
+	}
+	rep, err := r.d.upstreams.Report(ctx, a.ep.Address)
+	if err == nil && (rep.Upstream != a.ep.Upstream || rep.Incarnation == "") {
+		err = errNoProcess
+	}
+	if err != nil {
+		r.d.deps.View.Down(a.ep.Upstream)
+		return fault.NotRun(fault.StepRoute, a.ep.Upstream, fault.CodeNoUpstream, "ask for a report: %w", err)
+	}
+	aimed := *a.ep // the snapshot is shared
+	aimed.Incarnation = rep.Incarnation
+	a.ep = &aimed
+	a.sent.set(rep.Incarnation)
+	return nil
+}
+
 // claim makes durable where the attempt goes, for a request that may not be
 // repeated. A repeat of one that ran is answered here.
 func (r *run) claim(ctx context.Context, a *attempt) (replayed bool, err error) {
@@ -177,6 +214,9 @@
 	if r.last.Step == fault.StepResume && r.last.Outcome == outcome.NotRun {
 		avoid = "" // the upstream answered that the attempt never reached it: the connection failed, not it
 	}
+	if a.outdated {
+		avoid = "" // a former process was meant; the new one has refused nothing
+	}
 	next := r.d.after(r.retries, retry.Attempt{Outcome: r.last.Outcome, Upstream: avoid,
 		RetryAfter: r.last.RetryAfter, Elsewhere: true})
 	r.last.Outcome = next.Outcome
@@ -190,11 +230,7 @@
 
 // noEndpoint is the answer when no upstream, or no other one, can be tried.
 func (r *run) noEndpoint(ctx context.Context, why route.Reason) error {
-	if r.last != nil {
-		gaveUp(r.last, retry.NoAttempts)
-		return r.last
-	}
-	if r.w.Claim != nil {
+	if r.w.Claim != nil && r.grant == nil {
 		// A repeat of a request that ran has its answer, even if nothing could run now.
 		grant, stored, err := r.w.Claim(ctx, claim.Route{})
 		if err != nil {
@@ -205,6 +241,10 @@
 		}
 		r.grant = grant
 	}
+	if r.last != nil {
+		gaveUp(r.last, retry.NoAttempts)
+		return r.last
+	}
 	return r.d.refuse(r.w, why)
 }
 
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -19,6 +19,10 @@
 // call is one call under its attempt id. Its fields are under Service.mu.
 type call struct {
 	id     string
+	meant  string                 // incarnation that may run it; "": any
+	born   context.Context        // of the incarnation that took it in
+	places chan struct{}          // that incarnation's
+	ended  func([]byte)           // tells the watch; nil: none
 	state  engineapi.AttemptState // AttemptUnseen: must never run
 	body   []byte                 // the answer, when completed
 	cancel context.CancelFunc     // of a call that waits; nil otherwise
@@ -51,7 +55,7 @@
 		s.refuse(w, http.StatusBadRequest, "", "malformed body: "+err.Error())
 		return
 	}
-	c := &call{id: id, state: engineapi.AttemptRunning}
+	c := &call{id: id, meant: r.Header.Get(engineapi.HeaderForIncarnation), state: engineapi.AttemptRunning}
 	ctx, status, header := s.admit(c)
 	if status != 0 {
 		s.refuse(w, status, header, "call was not taken")
@@ -73,6 +77,8 @@
 		return nil, http.StatusServiceUnavailable, engineapi.RefusedSettled
 	case found || s.attempts.Dropped(c.id):
 		return nil, http.StatusConflict, "" // the first call under this id may be running
+	case c.meant != "" && c.meant != s.incarnation:
+		status, header = http.StatusServiceUnavailable, engineapi.RefusedRestarted
 	case s.leaving:
 		status, header = http.StatusServiceUnavailable, engineapi.RefusedLeaving
 	case s.waiting >= s.cfg.QueueMax:
@@ -84,6 +90,7 @@
 		return nil, status, header
 	}
 	s.waiting++
+	c.born, c.places = s.reborn, s.places
 	ctx, c.cancel = context.WithCancel(s.reborn)
 	return ctx, 0, ""
 }
@@ -91,9 +98,7 @@
 // execute waits for a place and runs the call. It goes on when the caller's
 // connection is gone, as a plain service does.
 func (s *Service) execute(ctx context.Context, c *call, r *http.Request, body []byte) bool {
-	s.mu.Lock()
-	places, born := s.places, s.reborn
-	s.mu.Unlock()
+	places, born := c.places, c.born // of the process that took it in, which may have ended since
 	select {
 	case places <- struct{}{}:
 	case <-ctx.Done():
@@ -140,12 +145,16 @@
 	c.cancel = nil
 	s.running++
 	team, inv := mark(r, body)
+	e := Execution{Attempt: c.id, Incarnation: s.incarnation, Meant: c.meant, Key: r.Header.Get("Idempotency-Key"),
+		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Tag: r.Header.Get("Accept-Language"), Started: time.Now()}
+	if s.cfg.Watch != nil {
+		c.ended = s.cfg.Watch(e)
+	}
 	if len(s.executions) >= s.cfg.RecordMax {
 		s.dropped++
 		return -1, true
 	}
-	s.executions = append(s.executions, Execution{Attempt: c.id, Incarnation: s.incarnation, Key: r.Header.Get("Idempotency-Key"),
-		Team: team, Invocation: inv, Method: r.Method, Path: r.URL.Path, Started: time.Now()})
+	s.executions = append(s.executions, e)
 	return len(s.executions) - 1, true
 }
 
@@ -167,6 +176,9 @@
 	}
 	s.running--
 	c.state, c.body = engineapi.AttemptCompleted, out
+	if c.ended != nil {
+		c.ended(out)
+	}
 	if index >= 0 {
 		s.executions[index].Ended, s.executions[index].Answer = time.Now(), xxhash.Sum64(out)
 	}
