Run the stand-ins and the hosts as separate processes

Cause: a node ran beside the stand-ins only inside one process, so that its settings files, the platform's HTTP client, signals and exit codes were never run together.

--- a/cmd/pierctl/demo.go
+++ b/cmd/pierctl/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -12,7 +11,6 @@
 	"github.com/google/subcommands"
 
 	"peridotpier.example/cmd/internal/exit"
-	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/local"
 	"peridotpier.example/standin/site"
 )
@@ -64,15 +62,7 @@
 	if err != nil {
 		return exit.Print(os.Stderr, c.json, err)
 	}
-	if c.json {
-		_ = json.NewEncoder(os.Stdout).Encode(rep)
-	} else {
-		printReport(os.Stdout, rep)
-	}
-	if !rep.Sound() {
-		return exit.Failed
-	}
-	return exit.OK
+	return finish(rep, c.json)
 }
 
 func (c *demoCommand) run(ctx context.Context) (local.Report, error) {
@@ -93,7 +83,7 @@
 	if !c.json {
 		printIntroduction(os.Stdout, s, r, c.curl())
 	}
-	d := local.Drive{Policy: "peridot", Length: c.length, Progress: c.progress}
+	d := local.Drive{Policy: "peridot", Length: c.length, Progress: showProgress}
 	if c.length == 0 {
 		d.Length = untilInterrupted
 	} else {
@@ -117,7 +107,3 @@
 		return "curl -k"
 	}
 }
-
-func (c *demoCommand) progress(p load.Progress) {
-	fmt.Fprintf(os.Stderr, "\r%5.0fs  sent %6d  answered %6d  in time %6d ", p.Elapsed.Seconds(), p.Sent, p.Finished, p.Met)
-}
--- /dev/null
+++ b/cmd/pierctl/drive.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/site"
+)
+
+// driveCommand sends a site's demand to hosts beside "pierctl standin".
+type driveCommand struct {
+	site   string
+	dir    string
+	length time.Duration
+	seed   uint64
+	json   bool
+}
+
+func (*driveCommand) Name() string { return "drive" }
+func (*driveCommand) Synopsis() string {
+	return "send a site's demand to entry hosts that run beside pierctl standin"
+}
+func (*driveCommand) Usage() string {
+	return `pierctl drive --dir DIR [--site NAME] [--for DURATION] [--seed N] [--json]
+  Waits until the hosts of DIR/layout.json are ready, sends one call that may
+  not be repeated twice, then mixed traffic, and counts by the callers' and the
+  stand-ins' own records.
+  Exit 0: sound; 1: something was lost, doubled, cut, crossed, overcommitted
+  or unreachable, or the run failed; 2: usage.
+`
+}
+
+func (c *driveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.site, "site", "kathmandu", "built-in `site` or site file, as given to standin")
+	f.StringVar(&c.dir, "dir", "", "`folder` that pierctl standin wrote to")
+	f.DurationVar(&c.length, "for", 10*time.Second, "`length` of the traffic")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the traffic")
+	f.BoolVar(&c.json, "json", false, "print one JSON object at the end")
+}
+
+func (c *driveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 || c.dir == "" || c.length <= 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return exit.Usage
+	}
+	rep, err := c.run(ctx)
+	if err != nil {
+		return exit.Print(os.Stderr, c.json, err)
+	}
+	return finish(rep, c.json)
+}
+
+func (c *driveCommand) run(ctx context.Context) (local.Report, error) {
+	s, err := site.Load(c.site)
+	if err != nil {
+		return local.Report{}, err
+	}
+	l, err := local.ReadLayout(c.dir)
+	if err != nil {
+		return local.Report{}, err
+	}
+	return local.Against{Site: s, Layout: l, Seed: c.seed, Length: c.length, Progress: showProgress}.Run(ctx)
+}
+
+// finish prints a report and turns it into an exit code.
+func finish(rep local.Report, asJSON bool) subcommands.ExitStatus {
+	if asJSON {
+		_ = json.NewEncoder(os.Stdout).Encode(rep)
+	} else {
+		printReport(os.Stdout, rep)
+	}
+	if !rep.Sound() {
+		return exit.Failed
+	}
+	return exit.OK
+}
+
+// showProgress keeps one line on standard error up to date.
+func showProgress(p load.Progress) {
+	fmt.Fprintf(os.Stderr, "\r%5.0fs  sent %6d  answered %6d  in time %6d ", p.Elapsed.Seconds(), p.Sent, p.Finished, p.Met)
+}
--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -19,6 +19,8 @@
 	}
 	subcommands.Register(&demoCommand{}, "trials")
 	subcommands.Register(&fleetCommand{}, "trials")
+	subcommands.Register(&standinCommand{}, "trials")
+	subcommands.Register(&driveCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
--- /dev/null
+++ b/standin/local/drive.go
@@ -0,0 +1,104 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/callerapi"
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/site"
+)
+
+// Against is one run of a site's demand against hosts in processes of their own.
+type Against struct {
+	Site     *site.Site
+	Layout   *Layout
+	Seed     uint64
+	Length   time.Duration
+	Progress func(load.Progress)
+}
+
+// Run waits until all hosts are ready, sends one call that may not be repeated
+// twice, then the demand, and counts by the callers' and the stand-ins' records.
+func (a Against) Run(ctx context.Context) (Report, error) {
+	plan, err := a.Site.Plan(a.Seed, a.Length)
+	if err != nil {
+		return Report{}, err
+	}
+	b := NewReadyBalancer(a.Layout)
+	if err := b.AwaitAll(ctx); err != nil {
+		return Report{}, eris.Wrap(err, "wait for the hosts")
+	}
+	if err := a.twice(ctx, b); err != nil {
+		return Report{}, err
+	}
+	side, stop := context.WithCancel(ctx)
+	defer stop()
+	go b.Run(side)
+	result := load.Run(ctx, load.Config{Plan: plan, Entries: b, Progress: a.Progress})
+	rec, err := ReadRecords(ctx, a.Layout.StandIns)
+	if err != nil {
+		return Report{}, err
+	}
+	rep := Report{Site: a.Layout.Site, Policy: "peridot", Seed: a.Seed, Seconds: a.Length.Seconds(), EntryHosts: len(a.Layout.Entries),
+		Accelerators: a.Site.Accelerators(), Counts: result.Count(rec.Effects), Bound: a.Site.Bound(plan)}
+	rep.AddRecords(rec)
+	rep.perAccelerator()
+	return rep, nil
+}
+
+// twice sends a call that may not be repeated through two hosts under one key
+// and checks that it ran once and was answered alike.
+func (a Against) twice(ctx context.Context, b load.Entries) error {
+	if len(a.Site.Deployment.Services) == 0 {
+		return nil
+	}
+	path := "/v1/services/" + a.Site.Deployment.Services[0].Name + "/dispatch-notes"
+	var bodies [2]string
+	last := ""
+	for i := range bodies {
+		host, err := b.Next(last)
+		if err != nil {
+			return err
+		}
+		last = host
+		replayed, body, err := a.once(ctx, "http://"+host+path)
+		if err != nil {
+			return err
+		}
+		if i == 1 && !replayed {
+			return errors.New("a call that may not be repeated was run a second time")
+		}
+		bodies[i] = body
+	}
+	if bodies[0] != bodies[1] {
+		return fmt.Errorf("one call was answered %q and %q", bodies[0], bodies[1])
+	}
+	return nil
+}
+
+func (a Against) once(ctx context.Context, url string) (replayed bool, body string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("one box of zips"))
+	if err != nil {
+		return false, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Layout.TeamKey)
+	req.Header.Set(callerapi.HeaderIdempotencyKey, "sent-twice")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false, "", eris.Wrap(err, "call that may not be repeated")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("call that may not be repeated: %s: %s", resp.Status, data)
+	}
+	return resp.Header.Get(callerapi.HeaderReplayed) == "true", string(data), err
+}
--- /dev/null
+++ b/standin/local/layout.go
@@ -0,0 +1,110 @@
+package local
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/settings"
+)
+
+// LayoutFile is the name of the file that holds a Layout.
+const LayoutFile = "layout.json"
+
+// Layout says where everything of a site is whose parts are processes of
+// their own.
+type Layout struct {
+	Site        string        `json:"site"`
+	StandIns    string        `json:"stand_ins"` // URL of the platform, and of the stand-ins' records
+	OperatorKey string        `json:"operator_key_file"`
+	Team        string        `json:"team"`
+	TeamKey     string        `json:"team_key"`
+	Entries     []EntryLayout `json:"entries"`
+	Engines     []string      `json:"engines"` // IP:port
+}
+
+// EntryLayout is one entry host: `peridotpier serve --settings` runs it.
+type EntryLayout struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Settings   string `json:"settings"`
+	Caller     string `json:"caller"` // IP:port, as the two below
+	Operator   string `json:"operator"`
+	Peer       string `json:"peer"`
+}
+
+// ReadLayout reads the layout in a folder.
+func ReadLayout(dir string) (*Layout, error) {
+	data, err := os.ReadFile(filepath.Join(dir, LayoutFile))
+	if err != nil {
+		return nil, eris.Wrap(err, "read layout")
+	}
+	var l Layout
+	return &l, eris.Wrap(json.Unmarshal(data, &l), "read layout")
+}
+
+// writeLayout writes it whole or not at all: whoever waits for the file must
+// not read half of it.
+func writeLayout(dir string, l *Layout) error {
+	path := filepath.Join(dir, LayoutFile)
+	if err := writeJSON(path+".part", l); err != nil {
+		return err
+	}
+	return eris.Wrap(os.Rename(path+".part", path), "write layout")
+}
+
+func writeJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return eris.Wrap(os.WriteFile(path, append(data, '\n'), 0o600), "write")
+}
+
+// operatorKeyFile holds the key of the operator "bench".
+const operatorKeyFile = "operator-key"
+
+// writeSecrets writes the keys that all hosts share.
+func writeSecrets(dir string) error {
+	for name, secret := range map[string]string{ResumeKeyFile: ResumeSecret, SaltFile: SaltSecret, operatorKeyFile: OperatorKey} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(secret), 0o600); err != nil {
+			return eris.Wrap(err, "write key")
+		}
+	}
+	return nil
+}
+
+// writeEntry chooses an entry host's addresses and writes its settings file.
+func writeEntry(dir, host, dataCentre, platformURL string) (EntryLayout, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return EntryLayout{}, err
+	}
+	e := EntryLayout{Host: host, DataCentre: dataCentre, Settings: filepath.Join(dir, host+".json"),
+		Caller: addresses[0], Operator: addresses[1], Peer: addresses[2]}
+	set := Settings(host, dataCentre)
+	set.Caller.Address, set.Operator.Address, set.Peer.Address = e.Caller, e.Operator, e.Peer
+	set.Platform = settings.Platform{Table: platformURL, Objects: platformURL, Hosts: platformURL, Weights: platformURL}
+	set.Keys = settings.Keys{Resume: []settings.KeyFile{{ID: "k1", File: filepath.Join(dir, ResumeKeyFile)}},
+		PrefixSalt: filepath.Join(dir, SaltFile)}
+	set.SetDefaults()
+	return e, writeJSON(e.Settings, set)
+}
+
+// freeAddresses finds ports that are free now. They are held together, so that
+// none is given twice, and let go for the host that will take them.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", AnyPort)
+		if err != nil {
+			return nil, eris.Wrap(err, "find a free port")
+		}
+		defer func() { _ = ln.Close() }()
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/standin/local/ready.go
@@ -0,0 +1,69 @@
+package local
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"peridotpier.example/standin/load"
+)
+
+// readyEvery is how often the balancer of hosts in processes of their own asks
+// each whether it is ready; hosts go on serving for longer than that after
+// "not ready".
+const readyEvery = 200 * time.Millisecond
+
+// ReadyBalancer is a balancer over the hosts of a layout which answer that
+// they are ready.
+type ReadyBalancer struct {
+	*load.Balancer
+	layout *Layout
+	client *http.Client
+}
+
+// NewReadyBalancer makes one that knows no host yet; Run finds them.
+func NewReadyBalancer(l *Layout) *ReadyBalancer {
+	return &ReadyBalancer{Balancer: load.NewBalancer(), layout: l, client: &http.Client{Timeout: time.Second}}
+}
+
+// Look asks every host once and returns how many are ready.
+func (b *ReadyBalancer) Look(ctx context.Context) int {
+	var ready []string
+	for _, e := range b.layout.Entries {
+		if b.ready(ctx, e.Operator) {
+			ready = append(ready, e.Caller)
+		}
+	}
+	b.Set(ready...)
+	return len(ready)
+}
+
+// Run keeps looking until ctx ends.
+func (b *ReadyBalancer) Run(ctx context.Context) {
+	for pause(ctx, readyEvery) {
+		b.Look(ctx)
+	}
+}
+
+// AwaitAll waits until every host of the layout is ready.
+func (b *ReadyBalancer) AwaitAll(ctx context.Context) error {
+	for b.Look(ctx) < len(b.layout.Entries) {
+		if !pause(ctx, readyEvery) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (b *ReadyBalancer) ready(ctx context.Context, operator string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/standin/local/report.go
+++ b/standin/local/report.go
@@ -70,10 +70,14 @@
 		EntryHosts: r.opt.Hosts, Accelerators: r.opt.Site.Accelerators(), Counts: result.Count(r.Upstreams.Effects()),
 		Bound: r.opt.Site.Bound(plan), TableWrites: r.Table.Faults.Writes(), TableReads: r.Table.Faults.Reads()}
 	rep.addTruth(<-truth, &r.Upstreams.Config)
-	rep.AttainmentPerAccelerator = rep.Attainment * float64(rep.Requests) / float64(max(rep.Accelerators, 1))
+	rep.perAccelerator()
 	return rep, ctx.Err()
 }
 
+func (r *Report) perAccelerator() {
+	r.AttainmentPerAccelerator = r.Attainment * float64(r.Requests) / float64(max(r.Accelerators, 1))
+}
+
 func (r *Report) addTruth(t site.Truth, c *config.Config) {
 	r.Overcommits, r.Moves = len(t.Overcommits), t.Moves
 	r.Unreachable = t.Unreachable(c)
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -14,7 +14,6 @@
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/pki"
-	fake "peridotpier.example/standin/platform"
 	"peridotpier.example/standin/site"
 	"peridotpier.example/standin/wire"
 )
@@ -34,12 +33,8 @@
 
 // Running is a site that runs: stand-ins and nodes.
 type Running struct {
+	*StandIns
 	opt       Options
-	Table     *fake.Table
-	Objects   *fake.Objects
-	Hosts     *fake.Hosts
-	Weights   *fake.Weights
-	Upstreams *site.Upstreams
 	Balancer  *load.Balancer
 	Authority *pki.Authority // signed the hosts' certificates; nil without TLS
 
@@ -63,7 +58,8 @@
 			return nil, err
 		}
 	}
-	if err := r.startStandIns(); err != nil {
+	var err error
+	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle}); err != nil {
 		return nil, err
 	}
 	if err := Apply(ctx, r.Table, r.Objects, &r.Upstreams.Config); err != nil {
@@ -83,23 +79,6 @@
 	return r, nil
 }
 
-func (r *Running) startStandIns() error {
-	s, seed := r.opt.Site, r.opt.Seed
-	r.Table = fake.NewTableWith(fake.NewFaults(seed, nil))
-	r.Table.Faults.Set(fake.Settings{WritesPerSecond: s.Store.WritesPerSecond, ReadsPerSecond: s.Store.ReadsPerSecond,
-		Delay: time.Duration(s.Store.DelayMs) * time.Millisecond})
-	r.Objects = fake.NewObjects(fake.NewFaults(seed, nil))
-	w := s.Deployment.WeightStore
-	r.Weights = fake.NewWeights(fake.NewFaults(seed, nil), w.LoadsPerSecond, w.Concurrent)
-	var err error
-	if r.Upstreams, err = s.Start(site.Options{Seed: seed, Weights: r.Weights, Oracle: r.opt.Oracle}); err != nil {
-		return err
-	}
-	r.Hosts = fake.NewHosts(fake.NewFaults(seed, nil), r.Upstreams.Hosts()...)
-	r.Hosts.SetLag(time.Duration(s.Store.HostListLagMs) * time.Millisecond)
-	return nil
-}
-
 // hostName is the name of the i-th entry host.
 func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
--- /dev/null
+++ b/standin/local/standins.go
@@ -0,0 +1,36 @@
+package local
+
+import (
+	"time"
+
+	fake "peridotpier.example/standin/platform"
+	"peridotpier.example/standin/site"
+)
+
+// StandIns are what a site's entry hosts work with: the platform's services
+// and the upstreams, imitated.
+type StandIns struct {
+	Table     *fake.Table
+	Objects   *fake.Objects
+	Hosts     *fake.Hosts
+	Weights   *fake.Weights
+	Upstreams *site.Upstreams
+}
+
+// startStandIns starts them with the limits and lags that the site states.
+func startStandIns(s *site.Site, opt site.Options) (*StandIns, error) {
+	seed := opt.Seed
+	in := &StandIns{Table: fake.NewTableWith(fake.NewFaults(seed, nil)), Objects: fake.NewObjects(fake.NewFaults(seed, nil))}
+	in.Table.Faults.Set(fake.Settings{WritesPerSecond: s.Store.WritesPerSecond, ReadsPerSecond: s.Store.ReadsPerSecond,
+		Delay: time.Duration(s.Store.DelayMs) * time.Millisecond})
+	w := s.Deployment.WeightStore
+	in.Weights = fake.NewWeights(fake.NewFaults(seed, nil), w.LoadsPerSecond, w.Concurrent)
+	opt.Weights = in.Weights
+	var err error
+	if in.Upstreams, err = s.Start(opt); err != nil {
+		return nil, err
+	}
+	in.Hosts = fake.NewHosts(fake.NewFaults(seed, nil), in.Upstreams.Hosts()...)
+	in.Hosts.SetLag(time.Duration(s.Store.HostListLagMs) * time.Millisecond)
+	return in, nil
+}
