--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&fleetCommand{}, "trials")
 	subcommands.Register(&standinCommand{}, "trials")
 	subcommands.Register(&driveCommand{}, "trials")
+	subcommands.Register(&speedCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
