Close idle connections after a burst; start fleets as a platform does

Cause: the newest idle connection is reused first, so after a burst the older ones were never looked at again; the test of bad input counted them. A fleet's hosts that started before the platform listed any host asked every upstream. Change: idle connections are swept; hosts wait until any host is listed and keep their pace when they seem alone; tests of the connection pool. Killed hosts were not all known within 60 s: to be looked into.

--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -257,11 +257,13 @@
 	}
 	m.forgetLocked(next, now)
 	m.listed = next
-	m.listOnce.Do(func() { close(m.firstList) })
+	if len(next) > 0 {
+		m.listOnce.Do(func() { close(m.firstList) })
+	}
 	return len(next) > 0
 }
 
-// AwaitList waits for the first reading of the platform's list, some time at most.
+// AwaitList waits until the platform has listed any entry host, some time at most.
 func (m *Mesh) AwaitList(ctx context.Context, most time.Duration) {
 	t := time.NewTimer(most)
 	defer t.Stop()
--- a/node/server/planning.go
+++ b/node/server/planning.go
@@ -127,6 +127,11 @@
 	// gets no new work after five seconds, of which spreading the word takes
 	// some tenths.
 	watchedMost = 4500 * time.Millisecond
+	// watchedShare is the most upstreams that a host's share can come to in a
+	// fleet that fits its upstreams. Above it the host takes itself for nearly
+	// alone, as when the platform's list is empty, and must keep its pace all
+	// the more: all hosts may be in the same case.
+	watchedShare = 64
 	// plannedEvery is the pace in pools that the host plans.
 	plannedEvery = 5 * time.Second
 )
@@ -154,7 +159,10 @@
 			out = append(out, poll.Target{Upstream: u, Every: plannedEvery})
 		}
 	}
-	pace := min(max(every, time.Duration(watched)*time.Second/watchedPerSecond), watchedMost)
+	pace := max(every, time.Duration(watched)*time.Second/watchedPerSecond)
+	if watched <= watchedShare {
+		pace = min(pace, watchedMost)
+	}
 	for i := range out {
 		if out[i].Every == 0 {
 			out[i].Every = pace
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -206,7 +206,7 @@
 		_ = r.link.nc.Close()
 		return
 	}
-	r.link.pool.put(r.link, time.Now(), r.client.cfg.IdleCount)
+	r.link.pool.put(r.link, time.Now(), r.client.cfg)
 }
 
 // Abort ends an exchange in any other state. The connection is closed, since
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -9,10 +9,11 @@
 
 // pool keeps the idle connections to one address.
 type pool struct {
-	address string
-	mu      sync.Mutex
-	idle    []*link // newest last
-	gen     uint64  // connections of an older generation are not reused
+	address  string
+	mu       sync.Mutex
+	idle     []*link // newest last
+	gen      uint64  // connections of an older generation are not reused
+	sweeping bool    // a sweep is due
 }
 
 // take returns the newest idle connection that is young enough, or nil.
@@ -31,15 +32,42 @@
 }
 
 // put keeps a connection whose exchange ended cleanly.
-func (p *pool) put(l *link, now time.Time, most int) {
+func (p *pool) put(l *link, now time.Time, cfg Config) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.gen != p.gen || len(p.idle) >= most {
+	if l.gen != p.gen || len(p.idle) >= cfg.IdleCount {
 		_ = l.nc.Close()
 		return
 	}
 	l.idleSince = now
 	p.idle = append(p.idle, l)
+	p.sweepLocked(cfg.IdleMost)
+}
+
+// sweepLocked closes the connections that are idle for too long, when it is
+// time. The newest is reused first, so that after a burst the older ones would
+// never be looked at again; one would see them pile up half closed.
+func (p *pool) sweepLocked(idleMost time.Duration) {
+	if p.sweeping || len(p.idle) == 0 {
+		return
+	}
+	p.sweeping = true
+	time.AfterFunc(idleMost, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sweeping = false
+		now, kept := time.Now(), p.idle[:0]
+		for _, l := range p.idle {
+			if now.Sub(l.idleSince) >= idleMost {
+				_ = l.nc.Close()
+				continue
+			}
+			kept = append(kept, l)
+		}
+		clear(p.idle[len(kept):])
+		p.idle = kept
+		p.sweepLocked(idleMost)
+	})
 }
 
 // retire closes the idle connections and keeps those in use from coming back.
--- a/standin/local/badinput_test.go
+++ b/standin/local/badinput_test.go
@@ -71,6 +71,7 @@
 		assert.NilError(t, err)
 	}
 	r.path = newPath(t, engine.Config{TokenTime: slow.TokenTime, ResumeFor: 50 * time.Millisecond}, func(c *local.NodeConfig) {
+		c.Settings.Bounds.ReportEveryMs = int((24 * time.Hour).Milliseconds()) // no questions but the first: they keep connections of their own
 		c.Dialer, c.HeadBound, c.BodyBound = &r.dialer, 100*time.Millisecond, 200*time.Millisecond
 		if secure {
 			c.Files = local.Files()
--- a/standin/local/fleet.go
+++ b/standin/local/fleet.go
@@ -111,14 +111,17 @@
 		return nil, err
 	}
 	for i := range opt.Nodes {
-		n, err := f.startNode(i)
+		n, err := f.newNode(i)
 		if err != nil {
 			f.Close()
 			return nil, err
 		}
 		f.nodes = append(f.nodes, n)
 	}
-	f.list()
+	f.list() // as a platform does that lists its hosts before they start
+	for _, n := range f.nodes {
+		n.Start()
+	}
 	for _, n := range f.nodes {
 		if err := n.AwaitReady(ctx); err != nil {
 			f.Close()
@@ -130,11 +133,11 @@
 
 func fleetDC(i int) string { return fmt.Sprintf("dc%d", i%fleetDataCentres) }
 
-func (f *Fleet) startNode(i int) (*Node, error) {
+func (f *Fleet) newNode(i int) (*Node, error) {
 	dc := fleetDC(i)
 	set := Settings(fmt.Sprintf("entry-%03d", i), dc)
 	set.Bounds.BalancerWaitSeconds = 0
-	n, err := StartNode(NodeConfig{Settings: set, Dialer: f.polls.from(dc), PeerDialer: f.peers.from(dc),
+	n, err := NewNode(NodeConfig{Settings: set, Dialer: f.polls.from(dc), PeerDialer: f.peers.from(dc),
 		Platform: server.Platform{Table: placedTable{f.table, f.peers, dc}, Objects: f.objects, Hosts: f.hosts,
 			Weights: fake.NewWeights(fake.NewFaults(1, nil), 100, 100)}})
 	if err == nil {
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -109,6 +109,15 @@
 
 // StartNode runs a node until Stop or Kill.
 func StartNode(cfg NodeConfig) (*Node, error) {
+	n, err := NewNode(cfg)
+	if err == nil {
+		n.Start()
+	}
+	return n, err
+}
+
+// NewNode opens a node's listeners; Start runs it.
+func NewNode(cfg NodeConfig) (*Node, error) {
 	if cfg.Files == nil {
 		cfg.Files = Files()
 	}
@@ -123,13 +132,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return &Node{Server: s, Keys: ring, gate: g, stop: func() {}, done: make(chan struct{})}, nil
+}
+
+// Start runs the node until Stop or Kill.
+func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{Server: s, Keys: ring, gate: g, stop: cancel, done: make(chan struct{})}
+	n.stop = cancel
 	go func() {
 		defer close(n.done)
-		n.err = s.Run(ctx)
+		n.err = n.Run(ctx)
 	}()
-	return n, nil
 }
 
 // Stop shuts the node down gracefully and waits for it.
