Let hosts of a healed cut refute that they are suspect

Cause: a probed host answered with a word no newer than the one against it. Change: a probe carries what the asking host believes, which the asked refutes.

--- a/node/peer/ask.go
+++ b/node/peer/ask.go
@@ -24,7 +24,7 @@
 	var mu sync.Mutex
 	m.each(func(h member.Host) {
 		var version uint64
-		if r, err := m.pool.probe(ctx, h.Address); err == nil && r.Host == h.Name {
+		if r, err := m.pool.probe(ctx, h); err == nil && r.Host == h.Name {
 			version = r.ConfigVersion
 		}
 		mu.Lock()
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	hosts   map[string]*host
 	conns   []*wire
+	apart   map[string]bool // cut off from the rest
 }
 
 type host struct {
@@ -99,9 +100,9 @@
 func (w *world) dial(from string) peer.Dial {
 	return func(_ context.Context, address string) (net.Conn, error) {
 		w.mu.Lock()
-		h := w.hosts[address]
+		h, cut := w.hosts[address], w.apart[address] != w.apart[from]
 		w.mu.Unlock()
-		if h == nil {
+		if h == nil || cut {
 			return nil, errRefused
 		}
 		a, b := net.Pipe()
@@ -118,6 +119,21 @@
 	}
 }
 
+// cut separates some hosts from the rest; none heals.
+func (w *world) cut(names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.apart = map[string]bool{}
+	for _, n := range names {
+		w.apart[n] = true
+	}
+	for _, c := range w.conns {
+		if w.apart[c.from] != w.apart[c.to] {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
 // silence makes all open connections between two hosts silent for good.
 func (w *world) silence(a, b string) {
 	w.mu.Lock()
@@ -314,3 +330,31 @@
 		w.end()
 	})
 }
+
+// Symptom: after a data centre was cut off for a while, its hosts get no part
+// of the work; or hosts that die later are never noticed.
+// Sequence: some hosts are cut off for a minute; the cut heals; then one dies.
+// Cause: each side called the other suspect, and nobody asks again.
+func TestACutHealsAndADeathAfterItIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+		w := newWorld(t, names...)
+		time.Sleep(5 * time.Second)
+		w.cut("a", "b", "c")
+		time.Sleep(time.Minute)
+		assert.Equal(t, w.live("a"), 3)
+		assert.Equal(t, w.live("d"), 6)
+		w.cut()
+		time.Sleep(30 * time.Second)
+		for _, n := range names {
+			assert.Equal(t, w.live(n), 9, n)
+		}
+		w.kill("e")
+		w.kill("b")
+		time.Sleep(30 * time.Second)
+		for _, n := range []string{"a", "c", "d", "f", "g", "h", "i"} {
+			assert.Equal(t, w.live(n), 7, n)
+		}
+		w.end()
+	})
+}
--- a/node/peer/pool.go
+++ b/node/peer/pool.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"peridotpier.example/core/fault"
+	"peridotpier.example/core/member"
 	"peridotpier.example/node/peer/peerpb"
 )
 
@@ -91,15 +92,15 @@
 }
 
 // probe always uses a new connection: an open one may have gone silent.
-func (p *pool) probe(ctx context.Context, address string) (*peerpb.HostRecord, error) {
+func (p *pool) probe(ctx context.Context, h member.Host) (*peerpb.HostRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c, err := p.fresh(ctx, address)
+	c, err := p.fresh(ctx, h.Address)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = c.Close() }()
-	return peerpb.NewDRPCPeerClient(c).Probe(ctx, &peerpb.ProbeRequest{})
+	return peerpb.NewDRPCPeerClient(c).Probe(ctx, &peerpb.ProbeRequest{Known: hostToWire(h)})
 }
 
 func (p *pool) close() {
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -42,7 +42,12 @@
 // Context implements stream.
 func (b boundStream) Context() context.Context { return b.ctx }
 
-func (s service) Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.HostRecord, error) {
+func (s service) Probe(_ context.Context, q *peerpb.ProbeRequest) (*peerpb.HostRecord, error) {
+	if k := q.Known; k != nil && k.Host == s.m.Self().Name {
+		// Without this, two sides of a healed cut would call each other suspect
+		// for good: the host's own word is no newer than the one against it.
+		s.m.Hear(hostFromWire(k))
+	}
 	r := hostToWire(s.m.Self())
 	if st, ok := s.m.deps.Config.Current(); ok {
 		r.ConfigVersion = st.Version
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -176,7 +176,7 @@
 
 // probe asks a host on a new connection whether it lives.
 func (m *Mesh) probe(ctx context.Context, h member.Host) bool {
-	r, err := m.pool.probe(ctx, h.Address)
+	r, err := m.pool.probe(ctx, h)
 	if err != nil {
 		m.unreachable(ctx, h, err)
 		return false
