Give a merged commit in doubt up with those who wait for it

Cause: a commit whose answer was lost as an outage began was tried again for a minute, long after its requests were refused; it held one of the batcher's four slots, and the end of the host. Change: it is given up after 2 s, the bound of the requests that wait. Also: an event of a stream with a second line is malformed, as a field in it could move the position that callers resume from; the test of crossed answers takes turns between two prompts, since what was crossed was the same answer before, so that it passed without the check of the attempt's id.

--- /dev/null
+++ b/node/callerapi/fuzz_test.go
@@ -0,0 +1,127 @@
+package callerapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"path"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/class"
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/place"
+	"peridotpier.example/core/revision"
+	"peridotpier.example/core/route"
+	"peridotpier.example/core/token"
+	nodeclaim "peridotpier.example/node/claim"
+	"peridotpier.example/node/dispatch"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/query"
+	"peridotpier.example/node/upstream/conn"
+)
+
+const fuzzKey = "key"
+
+// alone is a host without upstreams: all that it lets through ends as refused
+// for want of one, and shows what it was taken for.
+type alone struct {
+	dispatch.View
+	index  *config.Index
+	claims int
+}
+
+func (a *alone) Current() (*query.State, bool)                                 { return &query.State{Index: a.index}, true }
+func (*alone) Standing() revision.Standing                                     { return revision.Confirmed }
+func (*alone) Admit(context.Context, AdmitRequest) (release func(), err error) { return func() {}, nil }
+func (*alone) Begin(place.Key)                                                 {}
+func (*alone) End(place.Key, bool)                                             {}
+func (*alone) Snapshot() *route.Snapshot                                       { return &route.Snapshot{} }
+
+type noGrant struct{ dispatch.Grant }
+
+func (noGrant) NotRun(context.Context) error { return nil }
+
+func (a *alone) Claim(context.Context, nodeclaim.Request) (dispatch.Grant, *nodeclaim.Answer, error) {
+	a.claims++
+	return noGrant{}, nil, nil
+}
+
+func newAlone(t testing.TB) (*API, *alone, *token.Keys) {
+	t.Helper()
+	sum := sha256.Sum256([]byte(fuzzKey))
+	a := &alone{index: config.NewIndex(&config.Config{
+		Teams:    []config.Team{{Name: "a", KeyHashes: []string{hex.EncodeToString(sum[:])}, Models: []string{"m"}, Services: []string{"s"}}},
+		Pools:    []config.Pool{{Name: "lm", Kind: config.KindEngine}, {Name: "svc", Kind: config.KindService}},
+		Models:   []config.Model{{Name: "m", Pool: "lm"}},
+		Services: []config.Service{{Name: "s", Pool: "svc", Routes: []config.ServiceRoute{{Method: "GET", Prefix: "/notes"}, {Method: "POST", Prefix: "/free", Repeatable: true}}}},
+		Classes:  []config.ClassRule{{Class: class.Urgent, DeadlineMs: 10}, {Class: class.Standard, DeadlineMs: 10}, {Class: class.Bulk, DeadlineMs: 10}},
+		Limits:   config.Limits{BodyBytes: 1 << 16, AnswerBytes: 1 << 16}})}
+	keys, err := token.NewKeys(token.Key{ID: "k1", Secret: []byte(strings.Repeat("s", 32))})
+	assert.NilError(t, err)
+	d := dispatch.New(dispatch.Config{}, dispatch.Deps{View: a, Picker: route.New(route.Config{}), Client: conn.New(conn.Config{}),
+		Log: event.NewLog(nil), Metrics: metrics.New()})
+	return New(Config{Host: "h"}, Deps{Config: a, Admission: a, Claims: a, Dispatcher: d, Demand: a, Tokens: keys,
+		Requests: inflight.New(), Metrics: metrics.New(), Log: event.NewLog(nil), Now: time.Now}), a, keys
+}
+
+// FuzzCaller sends a host whatever a caller may write into its path, headers
+// and body. Every answer must be a typed one of the kind that says that
+// nothing ran, and no path may get past the rule of what may not be repeated.
+func FuzzCaller(f *testing.F) {
+	api, site, keys := newAlone(f)
+	resume, err := keys.Encode(token.Token{Team: "a", Request: "r", Attempt: "a", Upstream: "gone", Expires: time.Now().Add(time.Hour).Unix()})
+	assert.NilError(f, err)
+	f.Add("POST", "/v1/chat/completions", []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`), "urgent", "1000", "k", "")
+	f.Add("POST", "/v1/completions", []byte(`{"model":"m","prompt":["a","b"]}`), "", "", "", "")
+	f.Add("POST", "/v1/chat/completions", []byte(`{"model":1}`), "bulk", "-1", strings.Repeat("k", 300), "")
+	f.Add("POST", "/v1/services/s/notes", []byte("note"), "standard", "600001", "k", "")
+	f.Add("GET", "/v1/services/s/x/../notes", []byte(nil), "", "1", "", "")
+	f.Add("GET", "/v1/services/s//notes/", []byte(nil), "", "", "", "")
+	f.Add("GET", "/v1/requests/TOKEN/stream", []byte(nil), "", "", "", "7")
+	f.Add("GET", "/v1/requests/TOKEN/stream", []byte(nil), "", "", "", "-7")
+	f.Fuzz(func(t *testing.T, method, at string, body []byte, class, deadline, key, last string) {
+		at = strings.Replace(at, "TOKEN", resume, 1)
+		r := httptest.NewRequest("POST", "/", bytes.NewReader(body)).WithContext(t.Context())
+		r.Method, r.URL = method, &url.URL{Path: at}
+		for name, v := range map[string]string{"Authorization": "Bearer " + fuzzKey, HeaderClass: class, HeaderDeadline: deadline,
+			HeaderIdempotencyKey: key, headerLastEvent: last} {
+			if v != "" {
+				r.Header.Set(name, v)
+			}
+		}
+		site.claims = 0
+		w := httptest.NewRecorder()
+		api.ServeHTTP(w, r)
+		judge(t, w, method, at)
+		below, service := strings.CutPrefix(at, "/v1/services/s/")
+		if service && method == "GET" && strings.HasPrefix(path.Clean("/"+below), "/notes") && w.Code == http.StatusServiceUnavailable {
+			assert.Assert(t, site.claims > 0, "GET %q was taken as one that may be repeated", at)
+		}
+	})
+}
+
+// judge checks an answer's form.
+func judge(t *testing.T, w *httptest.ResponseRecorder, method, at string) {
+	t.Helper()
+	if w.Code < http.StatusBadRequest || method == http.MethodHead {
+		assert.Assert(t, w.Code == http.StatusOK || w.Code == http.StatusNoContent || method == http.MethodHead || method == http.MethodOptions, "%s %q: %d", method, at, w.Code)
+		return
+	}
+	var p Problem
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &p), "%s %q: %d %s", method, at, w.Code, w.Body)
+	resumed := strings.HasSuffix(at, "/stream")
+	assert.Assert(t, p.Error.Outcome == "not_run" || resumed && p.Error.Outcome == "unknown", "%s", w.Body)
+	assert.Assert(t, p.Error.Code != "internal" && p.Error.Message != "", "%s", w.Body)
+	assert.Assert(t, w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "", "%s", w.Body)
+}
--- a/node/claim/batch.go
+++ b/node/claim/batch.go
@@ -21,9 +21,12 @@
 	return BatchConfig{Window: 50 * time.Millisecond, Most: 512, Parallel: 4}
 }
 
-// commitMost bounds one merged commit that is in doubt; well below
-// platform.OpMemory, so that within it an operation id is always remembered.
-const commitMost = time.Minute
+// commitMost bounds one merged commit that is in doubt: as long as those who
+// wait for it do, Config.CallTimeout. Longer, a few commits that went into an
+// outage would hold every slot, and claims would wait where they should be
+// refused at once; nor could a host end. It is far below platform.OpMemory, so
+// that within it an operation id is always remembered.
+const commitMost = 2 * time.Second
 
 // Batcher is a platform.Table that merges transactions of many requests into
 // one commit. It holds no state and owns nothing: rows keep their own
--- a/node/dispatch/sse.go
+++ b/node/dispatch/sse.go
@@ -57,7 +57,7 @@
 		return dst, nil // a comment keeps the connection alive
 	}
 	id, data, ok := bytes.Cut(ev, []byte{'\n'})
-	if !ok || !bytes.HasPrefix(id, idField) || !bytes.HasPrefix(data, dataField) {
+	if !ok || !bytes.HasPrefix(id, idField) || !bytes.HasPrefix(data, dataField) || lines(data) {
 		return dst, errFormat
 	}
 	id = id[len(idField):]
@@ -83,6 +83,11 @@
 	return append(dst, eventEnd...), nil
 }
 
+// lines says whether there is more than one line. A second one would reach the
+// caller as a field of its own: an id there moves the position that its
+// resumption starts from.
+func lines(b []byte) bool { return bytes.IndexByte(b, '\n') >= 0 || bytes.IndexByte(b, '\r') >= 0 }
+
 // number reads a position without allocating.
 func number(b []byte) (int, bool) {
 	n := 0
--- a/standin/local/faults_test.go
+++ b/standin/local/faults_test.go
@@ -80,13 +80,21 @@
 	p := newPath(t, slow)
 	long, _, _ := p.open(t.Context(), p.base, fmt.Sprintf(chat, true, 400), 1)
 	defer func() { _ = long.Body.Close() }()
-	const mine = `{"model":"m","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"mine"}]}`
-	_, _, own := p.do("POST", "/v1/chat/completions", teamKey, mine)
+	// Two prompts take turns: what is crossed comes from the attempt before,
+	// and must not happen to be the same answer.
+	const prompt = `{"model":"m","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"%s"}]}`
+	bodies := []string{fmt.Sprintf(prompt, "mine"), fmt.Sprintf(prompt, "theirs")}
+	var own []string
+	for _, body := range bodies {
+		_, _, text := p.do("POST", "/v1/chat/completions", teamKey, body)
+		own = append(own, text)
+	}
+	assert.Assert(t, own[0] != own[1])
 	p.eng.Cross(0.5)
-	for range 8 {
-		status, _, got := p.do("POST", "/v1/chat/completions", teamKey, mine)
+	for i := range 8 {
+		status, _, got := p.do("POST", "/v1/chat/completions", teamKey, bodies[i%2])
 		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, got, own)
+		assert.Equal(t, got, own[i%2])
 	}
 	assert.Assert(t, p.eng.Records().Crossed > 0, "nothing was crossed: the test shows nothing")
 }
