--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -19,6 +19,7 @@
 	}
 	subcommands.Register(&demoCommand{}, "trials")
 	subcommands.Register(&fleetCommand{}, "trials")
+	subcommands.Register(&claimsCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
