--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&standinCommand{}, "trials")
 	subcommands.Register(&driveCommand{}, "trials")
 	subcommands.Register(&speedCommand{}, "trials")
+	subcommands.Register(&claimsCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
