Hold no relay buffers while a stream waits for its next token

Cause: each open stream kept 8 KB and more of relay buffers, a third of its live memory, while it waited. Change: a stream between tokens waits on its connection and takes buffers only for what has come; the host shows live heap, stacks and collections among its metrics, and pierctl speed takes the memory of a stream from them.

--- a/node/dispatch/relay.go
+++ b/node/dispatch/relay.go
@@ -113,9 +113,16 @@
 // once is written at once, so that a fast stream costs few system calls.
 func (a *attempt) relayStream(ctx context.Context, resp *conn.Response) error {
 	b := bufferPool.Get().(*buffers)
-	defer bufferPool.Put(b)
+	defer func() { bufferPool.Put(b) }()
 	have := 0
 	for {
+		if have == 0 {
+			// Most streams are between two tokens at any moment: buffers held
+			// meanwhile would be the largest part of their memory.
+			bufferPool.Put(b)
+			resp.Wait()
+			b = bufferPool.Get().(*buffers)
+		}
 		if have == len(b.in) {
 			b.in = append(b.in, make([]byte, len(b.in))...)
 		}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -5,6 +5,7 @@
 
 import (
 	"expvar"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 )
@@ -31,8 +32,20 @@
 	InFlight    Name = "requests_in_flight"
 	Config      Name = "configuration_version"
 	ClaimsQueue Name = "claims_unsettled"
+	HeapLive    Name = "memory_heap_live_bytes" // as the last collection found it
+	Stacks      Name = "memory_stacks_bytes"
+	Collections Name = "memory_collections_total"
+	Goroutines  Name = "goroutines"
 )
 
+// ofRuntime are the metrics that the runtime keeps.
+var ofRuntime = map[Name]string{
+	HeapLive:    "/gc/heap/live:bytes",
+	Stacks:      "/memory/classes/heap/stacks:bytes",
+	Collections: "/gc/cycles/total:gc-cycles",
+	Goroutines:  "/sched/goroutines:goroutines",
+}
+
 // Set is one host's metrics.
 type Set struct {
 	root   *expvar.Map
@@ -44,6 +57,13 @@
 func New() *Set {
 	s := &Set{root: new(expvar.Map).Init()}
 	s.root.Set(string(Tokens), expvar.Func(func() any { return s.tokens.Load() }))
+	for n, name := range ofRuntime {
+		s.Func(n, func() any {
+			sample := []metrics.Sample{{Name: name}}
+			metrics.Read(sample)
+			return sample[0].Value.Uint64()
+		})
+	}
 	return s
 }
 
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// Wait returns when something of the answer can be read or the connection has
+// ended, which the next read of Body then tells. A stream between two tokens
+// so needs no buffer of its reader's. Only for an answer not yet at its end.
+func (r *Response) Wait() {
+	_, _ = r.link.br.Peek(1)
+}
+
 // Finish ends an exchange whose answer was read to its end; the connection
 // may be used again.
 func (r *Response) Finish() {
--- a/standin/speed/parts.go
+++ b/standin/speed/parts.go
@@ -11,17 +11,18 @@
 	"peridotpier.example/standin/load"
 )
 
-// measureMemory takes the resident memory of the second host before and after
-// idle streams are open through it.
+// measureMemory takes the memory of the second host before and after idle
+// streams are open through it.
 func measureMemory(ctx context.Context, cfg Config, rep *Report) error {
-	before, err := residentKB(cfg.Free)
+	c := newCaller(cfg.Layout)
+	before, err := memoryOf(ctx, cfg, c)
 	if err != nil {
 		return err
 	}
-	rep.IdleMB, rep.IdleStreams = before/1024, cfg.Streams
-	ctx, stop := context.WithCancel(ctx)
-	f := &flow{caller: newCaller(cfg.Layout), address: cfg.Layout.Entries[1].Caller, model: modelIdle, tokens: 1000}
-	f.start(ctx, cfg.Streams)
+	rep.IdleMB, rep.IdleStreams = before.residentKB/1024, cfg.Streams
+	streams, stop := context.WithCancel(ctx)
+	f := &flow{caller: c, address: cfg.Layout.Entries[1].Caller, model: modelIdle, tokens: 1000}
+	f.start(streams, cfg.Streams)
 	defer f.wg.Wait()
 	defer stop()
 	for f.opened.Load() < int64(cfg.Streams) && f.failed() == nil {
@@ -29,17 +30,32 @@
 			return err
 		}
 	}
-	if err := pause(ctx, settle); err != nil {
-		return err
-	}
-	after, err := residentKB(cfg.Free)
-	rep.KBPerIdleStream = (after - before) / float64(cfg.Streams)
+	after, err := collected(ctx, cfg, c)
+	n := float64(cfg.Streams)
+	rep.KBPerIdleStream = (after.usedKB - before.usedKB) / n
+	rep.ResidentKBPerIdleStream = (after.residentKB - before.residentKB) / n
 	if err == nil {
 		err = f.failed()
 	}
 	return err
 }
 
+// collected lists models until the host has collected its garbage twice with
+// the streams open, so that what it holds live is known.
+func collected(ctx context.Context, cfg Config, c *caller) (memory, error) {
+	began, err := memoryOf(ctx, cfg, c)
+	now := began
+	for err == nil && now.collections < began.collections+2 {
+		for range 500 {
+			if err := c.models(ctx, cfg.Layout.Entries[1].Caller); err != nil {
+				return now, err
+			}
+		}
+		now, err = memoryOf(ctx, cfg, c)
+	}
+	return now, err
+}
+
 // relay measures one core's relaying through the first host.
 func relay(ctx context.Context, cfg Config, f *flow, streams int) (Relayed, error) {
 	ctx, stop := context.WithCancel(ctx)
--- a/standin/speed/proc.go
+++ b/standin/speed/proc.go
@@ -2,14 +2,54 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/standin/local"
 )
 
+// memory is what a host takes.
+type memory struct {
+	usedKB      float64 // live heap, and stacks
+	residentKB  float64
+	collections int64
+}
+
+// memoryOf asks the second host, and the system about it.
+func memoryOf(ctx context.Context, cfg Config, c *caller) (memory, error) {
+	resident, err := residentKB(cfg.Free)
+	if err != nil {
+		return memory{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+cfg.Layout.Entries[1].Operator+"/debug/vars", nil)
+	if err != nil {
+		return memory{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+local.OperatorKey)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return memory{}, eris.Wrap(err, "ask for metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var vars map[metrics.Name]json.RawMessage
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return memory{}, eris.Wrap(err, "read metrics")
+	}
+	var live, stacks, n int64
+	err = errors.Join(json.Unmarshal(vars[metrics.HeapLive], &live), json.Unmarshal(vars[metrics.Stacks], &stacks),
+		json.Unmarshal(vars[metrics.Collections], &n))
+	return memory{usedKB: float64(live+stacks) / 1024, residentKB: resident, collections: n}, err
+}
+
 // clockTick is the unit of processor time in /proc, 1/100 s on every Linux.
 const clockTick = 10 * time.Millisecond
 
--- a/standin/speed/streams.go
+++ b/standin/speed/streams.go
@@ -50,6 +50,22 @@
 	return resp.Body, nil
 }
 
+// models lists the models: a request that an engine has no part in.
+func (c *caller) models(ctx context.Context, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/models", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return err
+}
+
 // flow is many streams that are kept up at once and counted.
 type flow struct {
 	caller  *caller
