Keep a stream's stack at 8 KB and say what the data path costs

Cause: writing the head of an answer needs 3 KB of stack in net/http, which doubled each stream's stack to 16 KB for good; hosts beside the stand-ins were given ports that the system hands to connections, so that one now and then could not listen. Change: the first flush runs on another goroutine; 2 KB to read from an upstream; ports for hosts below the system's range; a wait for hosts is bounded.

--- a/cmd/pierctl/speed.go
+++ b/cmd/pierctl/speed.go
@@ -68,7 +68,7 @@
 
 func printSpeed(r speed.Report) {
 	fmt.Printf("idle host: %.1f MB resident\n", r.IdleMB)
-	fmt.Printf("idle stream: %.1f KB live heap and stacks each, %.1f KB resident, %d open\n", r.KBPerIdleStream, r.ResidentKBPerIdleStream, r.IdleStreams)
+	fmt.Printf("idle stream: %.1f KB live heap and stacks each (stacks %.1f KB), %.1f KB resident, %d open\n", r.KBPerIdleStream, r.StackKBPerIdleStream, r.ResidentKBPerIdleStream, r.IdleStreams)
 	fmt.Printf("first byte at %d requests/s, p50 / p95 / p99 ms: direct %.3f / %.3f / %.3f, through a host %.3f / %.3f / %.3f, added %.3f / %.3f / %.3f\n", r.Rate,
 		r.DirectMs.P50, r.DirectMs.P95, r.DirectMs.P99, r.HostMs.P50, r.HostMs.P95, r.HostMs.P99, r.AddedMs.P50, r.AddedMs.P95, r.AddedMs.P99)
 	for _, x := range []struct {
--- a/node/callerapi/sink.go
+++ b/node/callerapi/sink.go
@@ -29,6 +29,7 @@
 	stream  bool
 	expires time.Time
 	bounded time.Time // when the write bound was set last
+	flushed bool      // once at least
 }
 
 func (a *API) newSink(c *call, e *inflight.Entry, target string, stream bool, deadline time.Time) *sink {
@@ -76,4 +77,17 @@
 }
 
 // Flush implements dispatch.Sink.
-func (s *sink) Flush() error { return s.rc.Flush() }
+//
+// The first flush writes the head, for which net/http needs almost 3 KB of
+// stack on top of what a request already uses. On the request's own goroutine
+// that would double its stack to 16 KB, and a stack in use that deep is never
+// shrunk: 8 KB a stream for as long as it is open. So another goroutine does it.
+func (s *sink) Flush() error {
+	if s.flushed {
+		return s.rc.Flush()
+	}
+	s.flushed = true
+	done := make(chan error)
+	go func() { done <- s.rc.Flush() }()
+	return <-done
+}
--- /dev/null
+++ b/node/dispatch/relay_bench_test.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"strconv"
+	"testing"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+)
+
+// discard is a caller that takes everything.
+type discard struct{}
+
+func (discard) Head(Head)          {}
+func (discard) Write([]byte) error { return nil }
+func (discard) Flush() error       { return nil }
+
+// BenchmarkRelayToken passes one token's event on; its allocations are those
+// that each relayed token costs.
+func BenchmarkRelayToken(b *testing.B) {
+	d := New(Config{}, Deps{Log: event.NewLog(nil), Metrics: metrics.New()})
+	a := &attempt{d: d, w: &Work{Stream: true}, out: &output{sink: discard{}, started: true}, id: "a-1"}
+	a.split.attempt = []byte(a.id)
+	buf := bufferPool.Get().(*buffers)
+	var ev []byte
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		ev = append(ev[:0], "id: a-1."...)
+		ev = strconv.AppendInt(ev, int64(i+1), 10)
+		ev = append(ev, "\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\" word\"}}]}\n\n"...)
+		a.watch.touch()
+		if _, err := a.pass(buf, ev); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -17,7 +17,7 @@
 
 const (
 	// readBuffer holds a few tokens' events; larger only costs memory a stream.
-	readBuffer = 4 << 10
+	readBuffer = 2 << 10
 	// headerLimit bounds the head of an answer, so that a broken upstream
 	// cannot fill a small host's memory.
 	headerLimit = 64 << 10
--- a/standin/local/layout.go
+++ b/standin/local/layout.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -94,14 +96,25 @@
 	return e, writeJSON(e.Settings, set)
 }
 
+// The ports given to hosts lie below those that the system hands out to
+// connections: one of these would often be taken by some connection before its
+// host has started, and the host could not listen.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
 // freeAddresses finds ports that are free now. They are held together, so that
 // none is given twice, and let go for the host that will take them.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", AnyPort)
+	for port := firstPort + rand.IntN(lastPort-firstPort); len(out) < n; port++ {
+		if port > lastPort {
+			return nil, eris.New("no free ports")
+		}
+		ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, eris.Wrap(err, "find a free port")
+			continue // taken
 		}
 		defer func() { _ = ln.Close() }()
 		out = append(out, ln.Addr().String())
--- a/standin/local/ready.go
+++ b/standin/local/ready.go
@@ -45,8 +45,13 @@
 	}
 }
 
+// awaitMost is how long hosts may take to be ready; a few seconds are usual.
+const awaitMost = 30 * time.Second
+
 // AwaitAll waits until every host of the layout is ready.
 func (b *ReadyBalancer) AwaitAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, awaitMost)
+	defer cancel()
 	for b.Look(ctx) < len(b.layout.Entries) {
 		if !pause(ctx, readyEvery) {
 			return ctx.Err()
--- a/standin/speed/parts.go
+++ b/standin/speed/parts.go
@@ -32,6 +32,7 @@
 	}
 	after, err := collected(ctx, cfg, c)
 	n := float64(cfg.Streams)
+	rep.StackKBPerIdleStream = (after.stacksKB - before.stacksKB) / n
 	rep.KBPerIdleStream = (after.usedKB - before.usedKB) / n
 	rep.ResidentKBPerIdleStream = (after.residentKB - before.residentKB) / n
 	if err == nil {
--- a/standin/speed/proc.go
+++ b/standin/speed/proc.go
@@ -20,6 +20,7 @@
 // memory is what a host takes.
 type memory struct {
 	usedKB      float64 // live heap, and stacks
+	stacksKB    float64
 	residentKB  float64
 	collections int64
 }
@@ -47,7 +48,7 @@
 	var live, stacks, n int64
 	err = errors.Join(json.Unmarshal(vars[metrics.HeapLive], &live), json.Unmarshal(vars[metrics.Stacks], &stacks),
 		json.Unmarshal(vars[metrics.Collections], &n))
-	return memory{usedKB: float64(live+stacks) / 1024, residentKB: resident, collections: n}, err
+	return memory{usedKB: float64(live+stacks) / 1024, stacksKB: float64(stacks) / 1024, residentKB: resident, collections: n}, err
 }
 
 // clockTick is the unit of processor time in /proc, 1/100 s on every Linux.
--- a/standin/speed/speed.go
+++ b/standin/speed/speed.go
@@ -36,16 +36,17 @@
 
 // Report is what was measured.
 type Report struct {
-	IdleMB                  float64        `json:"idle_rss_mb"`            // resident memory of a host without requests
-	IdleStreams             int            `json:"idle_streams"`           // held open at once
-	KBPerIdleStream         float64        `json:"kb_per_idle_stream"`     // live heap and stacks that each adds
-	ResidentKBPerIdleStream float64        `json:"rss_kb_per_idle_stream"` // resident memory, garbage and all
-	Rate                    int            `json:"requests_per_second"`    // of the times below
-	DirectMs                load.Quantiles `json:"direct_first_byte_ms"`   // engine called without a host
-	HostMs                  load.Quantiles `json:"host_first_byte_ms"`     // through a host, in the same run
-	AddedMs                 load.Quantiles `json:"added_first_byte_ms"`    // difference of the quantiles
-	Paced                   Relayed        `json:"paced"`                  // each token on its own, in time
-	Fast                    Relayed        `json:"fast"`                   // as many as the host can
+	IdleMB                  float64        `json:"idle_rss_mb"`              // resident memory of a host without requests
+	IdleStreams             int            `json:"idle_streams"`             // held open at once
+	KBPerIdleStream         float64        `json:"kb_per_idle_stream"`       // live heap and stacks that each adds
+	StackKBPerIdleStream    float64        `json:"stack_kb_per_idle_stream"` // part of it
+	ResidentKBPerIdleStream float64        `json:"rss_kb_per_idle_stream"`   // resident memory, garbage and all
+	Rate                    int            `json:"requests_per_second"`      // of the times below
+	DirectMs                load.Quantiles `json:"direct_first_byte_ms"`     // engine called without a host
+	HostMs                  load.Quantiles `json:"host_first_byte_ms"`       // through a host, in the same run
+	AddedMs                 load.Quantiles `json:"added_first_byte_ms"`      // difference of the quantiles
+	Paced                   Relayed        `json:"paced"`                    // each token on its own, in time
+	Fast                    Relayed        `json:"fast"`                     // as many as the host can
 }
 
 // Relayed is what a host on one core relayed.
