Add pierctl bench: policies, faults, comparisons and plots

Cause: nothing measured the policy against baselines on the same seeds. Change: standin/bench runs a site's real nodes under a named policy (the product, an oracle with true reports, round robin, least reported load, load on demand with eviction of the least recently used), seed and course of faults, compares policies by turns on the same seeds, and plots. Calls that may not be repeated go through the history check of standin/history in every run. Scenarios kill and replace hosts and lose the store's answers.

--- a/cmd/pierctl/demo.go
+++ b/cmd/pierctl/demo.go
@@ -94,6 +94,4 @@
 	return rep, err
 }
 
-func (c *demoCommand) progress(p load.Progress) {
-	fmt.Fprintf(os.Stderr, "\r%5.0fs  sent %6d  answered %6d  in time %6d ", p.Elapsed.Seconds(), p.Sent, p.Finished, p.Met)
-}
+func (c *demoCommand) progress(p load.Progress) { showProgress(os.Stderr, p) }
--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -18,6 +18,7 @@
 		subcommands.Register(c, "operating")
 	}
 	subcommands.Register(&demoCommand{}, "trials")
+	subcommands.Register(&benchCommand{}, "trials")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -61,6 +61,8 @@
 	OpenAdmission bool         // everything is let in at once
 	NoPlanner     bool         // models stay where they are
 	Direct        bool         // each host asks every upstream itself, however many there are
+	// Demand, when set, is told of requests for a model that no upstream holds.
+	Demand func(pool string, key route.ModelKey)
 }
 
 // Platform is what the platform gives.
@@ -134,7 +136,7 @@
 		picker = route.New(route.Config{})
 	}
 	s.dispatch = dispatch.New(dispatch.Config{Silence: set.Bounds.Silence(), RetryShare: set.Bounds.RetryShare},
-		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics})
+		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics, Demand: s.cfg.Policy.Demand})
 	s.poller.Fresh = s.tellReport
 	s.demand = demand.New(s.cfg.Demand)
 	s.admit = admission.New(admission.Config{Hosts: 1})
--- /dev/null
+++ b/standin/bench/bench.go
@@ -0,0 +1,94 @@
+// Package bench runs a site's real nodes beside its stand-ins in real time
+// under a named policy, seed and course of faults, open loop, and compares
+// policies on the same seeds.
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/demand"
+	"peridotpier.example/standin/load"
+	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/site"
+)
+
+// Config of one run.
+type Config struct {
+	Site     *site.Site
+	Policy   string
+	Seed     uint64
+	Length   time.Duration
+	Faults   string  // a scenario's name, see site.Scenarios; "": none
+	Load     float64 // the site's demand is multiplied by this; 0: 1
+	Progress func(load.Progress)
+	Log      *zap.Logger
+}
+
+// Run is what one run came to.
+type Run struct {
+	local.Report
+	Load             float64  `json:"load"`
+	UrgentAttainment float64  `json:"urgent_attainment"` // share of urgent requests answered whole and in time
+	Oracle           *float64 `json:"oracle_attainment,omitempty"`
+	Series           Series   `json:"-"`
+}
+
+// Do carries out one run.
+func Do(ctx context.Context, c Config) (*Run, error) {
+	p, err := findPolicy(c.Policy)
+	if err != nil {
+		return nil, err
+	}
+	faults, err := site.FindScenario(orNone(c.Faults))
+	if err != nil {
+		return nil, err
+	}
+	if c.Load == 0 {
+		c.Load = 1
+	}
+	s := c.Site.Scaled(c.Load)
+	l := newLRU()
+	r, err := local.Start(ctx, local.Options{Site: s, Seed: c.Seed, Policy: p.decisions(l), Oracle: p.oracle, Empty: p.onDemand,
+		Demand: windows(c.Length), Log: c.Log})
+	if err != nil {
+		return nil, eris.Wrapf(err, "start the site under policy %s", c.Policy)
+	}
+	defer r.Close()
+	if p.onDemand {
+		defer l.attend(r)()
+	}
+	out := &Run{Load: c.Load}
+	out.Report, err = r.Drive(ctx, local.Drive{Policy: c.Policy, Faults: c.Faults, Length: c.Length, Progress: c.Progress,
+		Script:  func(ctx context.Context, r *local.Running) { faults.Run(ctx, r.Targets(), c.Length) },
+		Results: func(res *load.Result) { out.Series = seriesOf(res, c.Length) }})
+	out.UrgentAttainment = out.ByClass["urgent"].Attainment
+	return out, err
+}
+
+func orNone(faults string) string {
+	if faults == "" {
+		return "none"
+	}
+	return faults
+}
+
+// The windows in which demand is measured, for a site file whose course stands
+// for an hour, and the least that is of use beside loads that take seconds.
+const (
+	courseStandsFor = time.Hour
+	leastShort      = 2 * time.Second
+	leastLong       = 8 * time.Second
+)
+
+// windows compresses the windows of demand as the run compresses the hour.
+func windows(length time.Duration) demand.Config {
+	c := demand.DefaultConfig()
+	by := min(length.Seconds()/courseStandsFor.Seconds(), 1)
+	c.Short = max(time.Duration(by*float64(c.Short)), leastShort)
+	c.Long = max(time.Duration(by*float64(c.Long)), leastLong)
+	return c
+}
--- /dev/null
+++ b/standin/bench/compare.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"context"
+	"math"
+	"slices"
+)
+
+// Spread is a figure over several seeds.
+type Spread struct {
+	Mean float64 `json:"mean"`
+	Min  float64 `json:"min"`
+	Max  float64 `json:"max"`
+}
+
+func spreadOf(xs []float64) Spread {
+	if len(xs) == 0 {
+		return Spread{}
+	}
+	sum := 0.0
+	for _, x := range xs {
+		sum += x
+	}
+	return Spread{sum / float64(len(xs)), slices.Min(xs), slices.Max(xs)}
+}
+
+// Row is one policy over all seeds.
+type Row struct {
+	Policy         string `json:"policy"`
+	PerAccelerator Spread `json:"attainment_per_accelerator"`
+	Attainment     Spread `json:"attainment"`
+	Urgent         Spread `json:"urgent_attainment"`
+	Moves          Spread `json:"moves"`
+	Unreachable    Spread `json:"unreachable_models"`
+	Overcommits    Spread `json:"overcommits"`
+	// Ratio is attainment per accelerator over the best baseline's on the same seed.
+	Ratio Spread `json:"attainment_ratio"`
+	// MoveRatio is moves over those of the baseline that moves least but
+	// does move; 0 when no baseline moves anything.
+	MoveRatio Spread `json:"move_ratio"`
+	Sound     bool   `json:"sound"`
+}
+
+// Comparison is several policies on the same seeds.
+type Comparison struct {
+	Site  string   `json:"site"`
+	Seeds []uint64 `json:"seeds"`
+	Rows  []Row    `json:"policies"`
+	Runs  []*Run   `json:"runs"`
+}
+
+// Compare runs the policies one after the other for each seed in turn, so that
+// whatever else the machine does falls on all of them alike.
+func Compare(ctx context.Context, c Config, names []string, seeds []uint64, each func(*Run)) (*Comparison, error) {
+	out := &Comparison{Site: c.Site.Deployment.Site, Seeds: seeds}
+	for _, name := range names {
+		if _, err := findPolicy(name); err != nil {
+			return nil, err
+		}
+	}
+	for _, seed := range seeds {
+		for _, name := range names {
+			c.Policy, c.Seed = name, seed
+			r, err := Do(ctx, c)
+			if err != nil {
+				return nil, err
+			}
+			out.Runs = append(out.Runs, r)
+			if each != nil {
+				each(r)
+			}
+		}
+	}
+	for _, name := range names {
+		out.Rows = append(out.Rows, out.row(name))
+	}
+	return out, nil
+}
+
+func (c *Comparison) row(policy string) Row {
+	var own []*Run
+	for _, r := range c.Runs {
+		if r.Policy == policy {
+			own = append(own, r)
+		}
+	}
+	over := func(f func(*Run) float64) Spread {
+		xs := make([]float64, len(own))
+		for i, r := range own {
+			xs[i] = f(r)
+		}
+		return spreadOf(xs)
+	}
+	row := Row{Policy: policy, Sound: !slices.ContainsFunc(own, func(r *Run) bool { return !r.Sound() })}
+	row.PerAccelerator = over(func(r *Run) float64 { return r.AttainmentPerAccelerator })
+	row.Attainment = over(func(r *Run) float64 { return r.Attainment })
+	row.Urgent = over(func(r *Run) float64 { return r.UrgentAttainment })
+	row.Moves = over(func(r *Run) float64 { return float64(r.Moves) })
+	row.Unreachable = over(func(r *Run) float64 { return float64(r.UnreachableModels) })
+	row.Overcommits = over(func(r *Run) float64 { return float64(r.Overcommits) })
+	row.Ratio = over(func(r *Run) float64 { return ratio(r.AttainmentPerAccelerator, c.bestAttainment(r.Seed)) })
+	row.MoveRatio = over(func(r *Run) float64 { return ratio(float64(r.Moves), c.fewestMoves(r.Seed)) })
+	return row
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// bestAttainment is that of the best baseline on a seed.
+func (c *Comparison) bestAttainment(seed uint64) float64 {
+	best := 0.0
+	for _, r := range c.Runs {
+		if r.Seed == seed && baseline(r.Policy) {
+			best = max(best, r.AttainmentPerAccelerator)
+		}
+	}
+	return best
+}
+
+// fewestMoves is that of the baselines that move at all.
+func (c *Comparison) fewestMoves(seed uint64) float64 {
+	fewest := math.Inf(1)
+	for _, r := range c.Runs {
+		if r.Seed == seed && baseline(r.Policy) && r.Moves > 0 {
+			fewest = min(fewest, float64(r.Moves))
+		}
+	}
+	if math.IsInf(fewest, 1) {
+		return 0
+	}
+	return fewest
+}
--- /dev/null
+++ b/standin/bench/lru.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"peridotpier.example/core/config"
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/upstream/conn"
+	"peridotpier.example/node/upstream/engineapi"
+	"peridotpier.example/node/upstream/orders"
+	"peridotpier.example/standin/local"
+)
+
+// lru is the baseline that loads a model, with its adapters, when a request
+// finds it nowhere, and evicts the least recently used to make room. One
+// controller serves all hosts and sees the engines' true memory, which no real
+// one could: the baseline is flattered, not held back.
+type lru struct {
+	mu   sync.Mutex
+	used map[string]time.Time // by engine and model
+	want chan string
+}
+
+// wantMost bounds the requests for models that wait for the controller.
+const wantMost = 256
+
+// settleEvery is how often memory that is being freed is looked at.
+const settleEvery = 50 * time.Millisecond
+
+func newLRU() *lru {
+	return &lru{used: map[string]time.Time{}, want: make(chan string, wantMost)}
+}
+
+// ask takes a node's word that a model is held nowhere.
+func (l *lru) ask(_ string, key route.ModelKey) {
+	select {
+	case l.want <- key.Model:
+	default: // the next request for it asks again
+	}
+}
+
+// picker notes what is used where.
+func (l *lru) picker(p route.Picker) route.Picker { return notingPicker{p, l} }
+
+type notingPicker struct {
+	route.Picker
+	l *lru
+}
+
+// Pick implements route.Picker.
+func (p notingPicker) Pick(s *route.Snapshot, r *route.Request, src route.Source) route.Decision {
+	d := p.Picker.Pick(s, r, src)
+	if d.Index >= 0 && !r.Service {
+		p.l.touch(s.Endpoints[d.Index].Upstream, r.Key.Model)
+	}
+	return d
+}
+
+func (l *lru) touch(engine, model string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used[engine+"/"+model] = time.Now()
+}
+
+func (l *lru) lastUse(engine, model string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used[engine+"/"+model]
+}
+
+// attend runs the controller until the returned function is called.
+func (l *lru) attend(r *local.Running) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var loads sync.WaitGroup
+	c := &controller{l: l, r: r, client: conn.New(conn.Config{})}
+	c.orders = orders.New(c.client, c.address)
+	loads.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case model := <-l.want:
+				c.bring(ctx, model)
+			}
+		}
+	})
+	return func() {
+		cancel()
+		loads.Wait()
+		c.client.Close()
+	}
+}
+
+// controller carries loads out, one after the other up to their orders, so
+// that no two reserve the same memory.
+type controller struct {
+	l      *lru
+	r      *local.Running
+	client *conn.Client
+	orders *orders.Sender
+	serial int
+}
+
+func (c *controller) address(upstream string) (string, bool) {
+	i := slices.IndexFunc(c.r.Upstreams.Config.Upstreams, func(u config.Upstream) bool { return u.Name == upstream })
+	if i < 0 {
+		return "", false
+	}
+	return c.r.Upstreams.Config.Upstreams[i].Address, true
+}
+
+// bring loads a model where the least recently used have to go.
+func (c *controller) bring(ctx context.Context, name string) {
+	cfg := &c.r.Upstreams.Config
+	i := slices.IndexFunc(cfg.Models, func(m config.Model) bool { return m.Name == name })
+	if i < 0 || c.held(name) {
+		return
+	}
+	m, need := cfg.Models[i], cfg.Models[i].MemoryMB
+	var adapters []config.Adapter
+	for _, a := range cfg.Adapters {
+		if a.Model == name {
+			adapters = append(adapters, a)
+			need += a.MemoryMB
+		}
+	}
+	engine, victims := c.choose(need)
+	if engine == "" {
+		return
+	}
+	for _, v := range victims {
+		c.send(ctx, engine, engineapi.Order{Kind: engineapi.OrderUnload, Model: v})
+	}
+	if !c.awaitRoom(ctx, engine, need) {
+		return
+	}
+	c.send(ctx, engine, engineapi.Order{Kind: engineapi.OrderLoad, Model: name, Version: m.Version, MemoryMB: m.MemoryMB})
+	for _, a := range adapters {
+		c.send(ctx, engine, engineapi.Order{Kind: engineapi.OrderLoadAdapter, Model: name, Adapter: a.Name, Version: a.Version, MemoryMB: a.MemoryMB})
+	}
+	c.l.touch(engine, name)
+}
+
+// held says whether an engine has the model, or is loading it.
+func (c *controller) held(model string) bool {
+	for _, e := range c.r.Upstreams.Engines {
+		t := e.Truth()
+		for _, r := range t.Residents {
+			if r.Model == model && r.Adapter == "" && r.State != engineapi.StateUnloading {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// choose finds the engine where room can be made by giving up what was used
+// longest ago.
+func (c *controller) choose(need int) (engine string, victims []string) {
+	var bestUse time.Time
+	for _, e := range c.r.Upstreams.Engines {
+		t := e.Truth()
+		gone, newest, ok := c.evict(&t, need)
+		if ok && (engine == "" || newest.Before(bestUse)) {
+			engine, victims, bestUse = t.Upstream, gone, newest
+		}
+	}
+	return engine, victims
+}
+
+// evict lists an engine's models to give up, and when the last of them was used.
+func (c *controller) evict(t *engineapi.Report, need int) (gone []string, newest time.Time, ok bool) {
+	free, size := t.MemoryMB, map[string]int{}
+	var models []string
+	for _, r := range t.Residents {
+		free -= r.MemoryMB
+		size[r.Model] += r.MemoryMB
+		if r.Adapter == "" && r.State == engineapi.StateReady {
+			models = append(models, r.Model)
+		}
+	}
+	slices.SortFunc(models, func(a, b string) int {
+		return cmp.Compare(c.l.lastUse(t.Upstream, a).UnixNano(), c.l.lastUse(t.Upstream, b).UnixNano())
+	})
+	for _, m := range models {
+		if free >= need {
+			break
+		}
+		free += size[m]
+		gone, newest = append(gone, m), c.l.lastUse(t.Upstream, m)
+	}
+	return gone, newest, free >= need
+}
+
+func (c *controller) awaitRoom(ctx context.Context, engine string, need int) bool {
+	e, err := c.r.Upstreams.Engine(engine)
+	if err != nil {
+		return false
+	}
+	for {
+		if t := e.Truth(); t.MemoryMB-t.UsedMB >= need {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(settleEvery):
+		}
+	}
+}
+
+// send sends an order; one that fails is made good when the model is asked for again.
+func (c *controller) send(ctx context.Context, engine string, o engineapi.Order) {
+	c.serial++
+	o.Op = "lru-" + strconv.Itoa(c.serial)
+	o.Epoch = 1
+	_, _ = c.orders.Send(ctx, engine, o)
+}
--- /dev/null
+++ b/standin/bench/policy.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"peridotpier.example/core/route"
+	"peridotpier.example/node/server"
+)
+
+// The product's own policy, and the product as it would be with true reports
+// that do not lag: how far the first is from the second shows what is to gain.
+const (
+	Product = "peridot"
+	Oracle  = "oracle"
+)
+
+// policy is a way of running a site.
+type policy struct {
+	name     string
+	oracle   bool // upstreams report at once and truly
+	onDemand bool // begins with empty engines and loads what is asked for
+	// decisions gives a node's replacements; nil: the product's own.
+	decide func(l *lru) server.Policy
+}
+
+func (p policy) decisions(l *lru) server.Policy {
+	if p.decide == nil {
+		return server.Policy{}
+	}
+	return p.decide(l)
+}
+
+func policies() []policy {
+	static := func(pick func() route.Picker) func(*lru) server.Policy {
+		return func(*lru) server.Policy {
+			return server.Policy{Picker: pick(), OpenAdmission: true, NoPlanner: true}
+		}
+	}
+	return []policy{
+		{name: Product},
+		{name: Oracle, oracle: true},
+		{name: "round-robin", decide: static(route.NewRoundRobin)},
+		{name: "least-load", decide: static(route.NewLeastReported)},
+		{name: "lru", onDemand: true, decide: func(l *lru) server.Policy {
+			return server.Policy{Picker: l.picker(route.NewLeastReported()), OpenAdmission: true, NoPlanner: true, Demand: l.ask}
+		}},
+	}
+}
+
+// Policies lists the names of all policies.
+func Policies() []string {
+	var out []string
+	for _, p := range policies() {
+		out = append(out, p.name)
+	}
+	return out
+}
+
+// baseline says whether a policy is one to be measured against.
+func baseline(name string) bool { return name != Product && name != Oracle }
+
+func findPolicy(name string) (policy, error) {
+	all := policies()
+	i := slices.IndexFunc(all, func(p policy) bool { return p.name == name })
+	if i < 0 {
+		return policy{}, fmt.Errorf("policy %q: known are %s", name, strings.Join(Policies(), ", "))
+	}
+	return all[i], nil
+}
--- /dev/null
+++ b/standin/bench/series.go
@@ -0,0 +1,55 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"peridotpier.example/standin/load"
+)
+
+// seriesPoints is the number of points of a run's course.
+const seriesPoints = 30
+
+// Point is a part of a run's course.
+type Point struct {
+	At         time.Duration
+	Attainment float64       // of the requests sent in this part
+	FirstP50   time.Duration // to the first token
+	FirstP95   time.Duration
+}
+
+// Series is a run's course over time.
+type Series []Point
+
+func seriesOf(r *load.Result, length time.Duration) Series {
+	sent, met := make([]int, seriesPoints), make([]int, seriesPoints)
+	first := make([][]time.Duration, seriesPoints)
+	for _, v := range r.Invocations {
+		i := min(int(v.Arrival.At*seriesPoints/length), seriesPoints-1)
+		sent[i]++
+		if v.Met() {
+			met[i]++
+		}
+		if v.First > 0 && v.Arrival.Source.Model != "" {
+			first[i] = append(first[i], v.First)
+		}
+	}
+	out := make(Series, seriesPoints)
+	for i := range out {
+		out[i].At = length * time.Duration(i) / seriesPoints
+		out[i].Attainment = 1
+		if sent[i] > 0 {
+			out[i].Attainment = float64(met[i]) / float64(sent[i])
+		}
+		slices.Sort(first[i])
+		out[i].FirstP50, out[i].FirstP95 = quantile(first[i], 0.5), quantile(first[i], 0.95)
+	}
+	return out
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[int(q*float64(len(sorted)-1))]
+}
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -228,3 +228,17 @@
 	}
 	return nil
 }
+
+// Of makes a history of calls and executions that were recorded elsewhere, all
+// by one clock.
+func Of(calls []Invocation, runs []Execution) *History {
+	h := New()
+	for i := range calls {
+		h.calls[calls[i].Call] = &calls[i]
+		h.order = append(h.order, &calls[i])
+	}
+	for i := range runs {
+		h.execs = append(h.execs, &runs[i])
+	}
+	return h
+}
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -68,3 +68,19 @@
 	}
 	return len(v.Tries) > 0
 }
+
+// ended names how an invocation ended, for counts.
+func (v *Invocation) ended() string {
+	switch {
+	case v.Skipped:
+		return "skipped"
+	case v.Verdict == VerdictWhole:
+		return "late"
+	case v.Verdict != VerdictNone:
+		return string(v.Verdict)
+	case v.Lost():
+		return "lost"
+	default:
+		return v.Code
+	}
+}
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -109,6 +109,7 @@
 	Attainment  float64                `json:"attainment"`
 	FirstMs     Quantiles              `json:"first_token_ms"`
 	ByClass     map[string]ClassCounts `json:"by_class"`
+	Missed      map[string]int         `json:"missed"` // requests that were not met, by class and how they ended
 }
 
 // Effect is one execution as an upstream stand-in recorded it.
@@ -158,7 +159,7 @@
 	for _, e := range effects {
 		ran[e.Invocation]++
 	}
-	c := Counts{Requests: len(r.Invocations), ByClass: map[string]ClassCounts{}}
+	c := Counts{Requests: len(r.Invocations), ByClass: map[string]ClassCounts{}, Missed: map[string]int{}}
 	var byClass [class.Count]ClassCounts
 	met := 0
 	for _, v := range r.Invocations {
@@ -168,6 +169,8 @@
 		if v.Met() {
 			k.Met++
 			met++
+		} else {
+			c.Missed[v.Arrival.Source.Class.String()+" "+v.ended()]++
 		}
 	}
 	c.Attainment = share(met, c.Requests)
--- /dev/null
+++ b/standin/local/check.go
@@ -0,0 +1,54 @@
+package local
+
+import (
+	"strconv"
+
+	"peridotpier.example/core/outcome"
+	"peridotpier.example/standin/history"
+	"peridotpier.example/standin/load"
+)
+
+// historyOK is the verdict on a history that can be explained.
+const historyOK = "ok"
+
+// check verifies the calls that may not be repeated against what the
+// upstreams executed, as a history of a register that is written at most once.
+func check(r *load.Result, effects []load.Effect) string {
+	var calls []history.Invocation
+	for _, v := range r.Invocations {
+		if v.Key != "" && len(v.Tries) > 0 {
+			calls = append(calls, invocation(v))
+		}
+	}
+	var runs []history.Execution
+	for _, e := range effects {
+		if e.Key == "" {
+			continue
+		}
+		x := history.Execution{Call: e.Invocation, Key: e.Team + "/" + e.Key, Attempt: e.Attempt, Start: e.Start.UnixNano(), Answer: digest(e.Answer)}
+		if !e.End.IsZero() {
+			x.End = e.End.UnixNano()
+		}
+		runs = append(runs, x)
+	}
+	if err := history.Check(history.Of(calls, runs)); err != nil {
+		return err.Error()
+	}
+	return historyOK
+}
+
+// invocation is a call with all of its tries under one key. It claims "not
+// run" only when each of them did: one that got no word may have run.
+func invocation(v *load.Invocation) history.Invocation {
+	i := history.Invocation{Call: v.Arrival.ID, Key: v.Arrival.Source.Team + "/" + v.Key, Start: v.Called.UnixNano(), End: v.Returned.UnixNano(),
+		Outcome: outcome.Unknown}
+	switch {
+	case v.Verdict == load.VerdictWhole:
+		i.Outcome, i.Answer = outcome.Completed, digest(v.Digest)
+	case v.SurelyNotRun():
+		i.Outcome = outcome.NotRun
+	}
+	return i
+}
+
+func digest(d uint64) string { return strconv.FormatUint(d, 16) }
--- a/standin/local/report.go
+++ b/standin/local/report.go
@@ -26,6 +26,7 @@
 	Moves                    int      `json:"moves"`
 	AttainmentPerAccelerator float64  `json:"attainment_per_accelerator"` // requests that met their deadline whole, for each accelerator
 	Bound                    float64  `json:"attainment_bound"`           // that no policy can exceed on this plan
+	History                  string   `json:"history"`                    // "ok", or what of the calls that may not be repeated cannot be explained
 	TableWrites              int64    `json:"table_writes"`
 	TableReads               int64    `json:"table_reads"`
 }
@@ -33,7 +34,7 @@
 // Sound says whether nothing happened that must never happen.
 func (r Report) Sound() bool {
 	return r.Lost == 0 && r.Doubled == 0 && r.Cut == 0 && r.Crossed == 0 && r.FalseNotRun == 0 &&
-		r.Overcommits == 0 && r.UnreachableModels == 0
+		r.Overcommits == 0 && r.UnreachableModels == 0 && r.History == historyOK
 }
 
 // Drive is one run's traffic and what happens during it.
@@ -44,6 +45,8 @@
 	Progress func(load.Progress)
 	// Script, when set, runs beside the traffic until its context ends.
 	Script func(ctx context.Context, r *Running)
+	// Results, when set, is shown what the callers saw.
+	Results func(*load.Result)
 }
 
 // Drive sends the site's demand through the entry hosts and counts.
@@ -66,8 +69,12 @@
 	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.Dialer().DialContext, Progress: d.Progress})
 	stop()
 	<-scripted
+	if d.Results != nil {
+		d.Results(result)
+	}
+	effects := r.Upstreams.Effects()
 	rep := Report{Site: r.opt.Site.Deployment.Site, Policy: d.Policy, Seed: r.opt.Seed, Faults: d.Faults, Seconds: d.Length.Seconds(),
-		EntryHosts: r.opt.Hosts, Accelerators: r.opt.Site.Accelerators(), Counts: result.Count(r.Upstreams.Effects()),
+		EntryHosts: r.opt.Hosts, Accelerators: r.opt.Site.Accelerators(), Counts: result.Count(effects), History: check(result, effects),
 		Bound: r.opt.Site.Bound(plan), TableWrites: r.Table.Faults.Writes(), TableReads: r.Table.Faults.Reads()}
 	rep.addTruth(<-truth, &r.Upstreams.Config)
 	rep.AttainmentPerAccelerator = rep.Attainment * float64(rep.Requests) / float64(max(rep.Accelerators, 1))
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/demand"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
@@ -23,6 +24,10 @@
 	Policy server.Policy
 	Oracle bool // upstreams report at once and truly
 	Log    *zap.Logger
+	// Empty leaves out the initial placement, for policies that load on demand.
+	Empty bool
+	// Demand sets the windows of measured demand; the zero value is the default.
+	Demand demand.Config
 	// Hosts is the number of entry hosts; 0: as the site says.
 	Hosts int
 }
@@ -80,7 +85,7 @@
 	w := s.Deployment.WeightStore
 	r.Weights = fake.NewWeights(fake.NewFaults(seed, nil), w.LoadsPerSecond, w.Concurrent)
 	var err error
-	if r.Upstreams, err = s.Start(site.Options{Seed: seed, Weights: r.Weights, Oracle: r.opt.Oracle}); err != nil {
+	if r.Upstreams, err = s.Start(site.Options{Seed: seed, Weights: r.Weights, Oracle: r.opt.Oracle, Empty: r.opt.Empty}); err != nil {
 		return err
 	}
 	r.Hosts = fake.NewHosts(fake.NewFaults(seed, nil), r.Upstreams.Hosts()...)
@@ -95,7 +100,7 @@
 	dc := r.opt.Site.EntryDataCentre(i)
 	set := Settings(hostName(i), dc)
 	set.Bounds.BalancerWaitSeconds = int(balancerWait / time.Second)
-	n, err := StartNode(NodeConfig{Settings: set, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Log: r.opt.Log,
+	n, err := StartNode(NodeConfig{Settings: set, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
 		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
 		Distance: func(from, to string) float64 {
 			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
--- /dev/null
+++ b/standin/local/targets.go
@@ -0,0 +1,40 @@
+package local
+
+import (
+	"context"
+	"time"
+
+	"peridotpier.example/standin/site"
+)
+
+// Targets are what a scenario of faults acts on.
+func (r *Running) Targets() site.Targets {
+	return site.Targets{Upstreams: r.Upstreams, Nodes: hosts{r}, Store: stores{r}}
+}
+
+// hosts lets scenarios act on the entry hosts.
+type hosts struct{ r *Running }
+
+// Kill implements site.Nodes.
+func (h hosts) Kill(host int) error {
+	h.r.Kill(host)
+	return nil
+}
+
+// Stop implements site.Nodes.
+func (h hosts) Stop(_ context.Context, host int) error { return h.r.Stop(host) }
+
+// Replace implements site.Nodes.
+func (h hosts) Replace(ctx context.Context, host int) error { return h.r.Replace(ctx, host) }
+
+// stores lets scenarios act on table service and object store together.
+type stores struct{ r *Running }
+
+// OutageFor implements site.StoreFaultsFaults.
+func (s stores) OutageFor(d time.Duration) {
+	s.r.Table.Faults.OutageFor(d)
+	s.r.Objects.Faults.OutageFor(d)
+}
+
+// LoseAnswers implements site.StoreFaultsFaults.
+func (s stores) LoseAnswers(share float64) { s.r.Table.Faults.LoseAnswers(share) }
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -73,6 +73,11 @@
 	f.outUntil = f.now().Add(d)
 }
 
+// LoseAnswers makes a share of the writes take effect and be answered as in doubt.
+func (f *Faults) LoseAnswers(share float64) {
+	f.Update(func(s *Settings) { s.LostAnswers = share })
+}
+
 // Writes returns the number of write calls so far, refused ones included.
 func (f *Faults) Writes() int64 { f.mu.Lock(); defer f.mu.Unlock(); return f.nWrites }
 
--- a/standin/site/demand.go
+++ b/standin/site/demand.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"path"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -165,3 +166,17 @@
 	}
 	return sum / swingSamples
 }
+
+// Scaled is the site with its demand multiplied.
+func (s *Site) Scaled(by float64) *Site {
+	out := *s
+	out.Demand.Lines = slices.Clone(s.Demand.Lines)
+	for i := range out.Demand.Lines {
+		l := &out.Demand.Lines[i]
+		l.Curve.Points = slices.Clone(l.Curve.Points)
+		for k := range l.Curve.Points {
+			l.Curve.Points[k].PerSecond *= by
+		}
+	}
+	return &out
+}
--- a/standin/site/scenario.go
+++ b/standin/site/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,16 +10,20 @@
 	"time"
 )
 
-// Outages makes the platform's store fail for a while; the stand-in of the
-// table service has the method.
-type Outages interface{ OutageFor(d time.Duration) }
+// StoreFaults is the platform's table service and object store, which can be made to fail.
+type StoreFaults interface {
+	// OutageFor makes them unavailable for a while.
+	OutageFor(d time.Duration)
+	// LoseAnswers makes a share of the writes take effect and be answered as in doubt.
+	LoseAnswers(share float64)
+}
 
 // Targets are what a scenario acts on. Nodes and Store may be nil; steps that
 // need them are then left out.
 type Targets struct {
 	Upstreams *Upstreams
 	Nodes     Nodes
-	Store     Outages
+	Store     StoreFaults
 }
 
 // step is one fault at a share of the run's length.
@@ -41,13 +46,22 @@
 	Err  error
 }
 
+// All names the faults that a site must stand together.
+const All = "all"
+
+// together are the scenarios that All stands for.
+var together = []string{"kill", "store", "answers", "silent", "crossed"}
+
 // Scenarios lists the names that FindScenario knows.
-func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios())) }
+func Scenarios() []string { return append(slices.Sorted(maps.Keys(scenarios())), All) }
 
 // FindScenario finds a scenario by its name; several names joined by "+" run together.
 func FindScenario(name string) (Scenario, error) {
 	out := Scenario{Name: name}
 	known := scenarios()
+	if name == All {
+		name = strings.Join(together, "+")
+	}
 	for _, part := range strings.Split(name, "+") {
 		steps, ok := known[part]
 		if !ok {
@@ -112,9 +126,16 @@
 			{0.20, "streams break after 20 events", engines(func(i int, t Targets) { t.Upstreams.Engines[i].CutStream(20) })},
 			{0.50, "streams hold again; 20 answers of each service are lost", loseAnswers},
 		},
-		"store": {{0.30, "the store is down for a third of the run", storeOutage}},
+		"store":   {{0.30, "the store is down for 20 s", storeOutage}},
+		"answers": {{0, "one answer in twenty of the store is lost", loseStoreAnswers}},
+		"kill": {
+			{0.25, "entry host 0 is killed", killHost(0)},
+			{0.45, "another takes the place of entry host 0", replaceHost(0)},
+			{0.60, "entry hosts 1 and 2 are killed", both(killHost(1), killHost(2))},
+			{0.80, "others take their places", both(replaceHost(1), replaceHost(2))},
+		},
 		"hosts": {
-			{0.35, "entry host 0 is killed", func(_ context.Context, t Targets, _ time.Duration) error { return killHost(t, 0) }},
+			{0.35, "entry host 0 is killed", killHost(0)},
 			{0.65, "entry host 1 is stopped gracefully", stopHost},
 		},
 	}
@@ -163,18 +184,50 @@
 	return nil
 }
 
+// outage is how long the store is down; a short run has it down for a third.
+const outage = 20 * time.Second
+
 func storeOutage(_ context.Context, t Targets, length time.Duration) error {
 	if t.Store != nil {
-		t.Store.OutageFor(length / 3)
+		t.Store.OutageFor(min(outage, length/3))
 	}
 	return nil
 }
 
-func killHost(t Targets, host int) error {
-	if t.Nodes == nil {
-		return nil
+// lostShare is the share of the store's answers that are lost.
+const lostShare = 0.05
+
+func loseStoreAnswers(_ context.Context, t Targets, _ time.Duration) error {
+	if t.Store != nil {
+		t.Store.LoseAnswers(lostShare)
+	}
+	return nil
+}
+
+type action = func(ctx context.Context, t Targets, length time.Duration) error
+
+func killHost(host int) action {
+	return func(_ context.Context, t Targets, _ time.Duration) error {
+		if t.Nodes == nil {
+			return nil
+		}
+		return t.Nodes.Kill(host)
+	}
+}
+
+func replaceHost(host int) action {
+	return func(ctx context.Context, t Targets, _ time.Duration) error {
+		if t.Nodes == nil {
+			return nil
+		}
+		return t.Nodes.Replace(ctx, host)
+	}
+}
+
+func both(a, b action) action {
+	return func(ctx context.Context, t Targets, length time.Duration) error {
+		return errors.Join(a(ctx, t, length), b(ctx, t, length))
 	}
-	return t.Nodes.Kill(host)
 }
 
 func stopHost(ctx context.Context, t Targets, _ time.Duration) error {
