--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -135,3 +135,29 @@
 		assert.DeepEqual(t, builtIn(t, name).Deployment, want)
 	}
 }
+
+// Symptom: callers are refused over their team's limit on an ordinary day.
+// Sequence: a team's demand bursts as its site says it does.
+// Cause: the limit was set below the team's own peak. Limits are there to hold
+// back floods; a third to spare allows for chance and for the hosts' shares.
+func TestTeamLimitsLeaveThePeaksThrough(t *testing.T) {
+	for _, name := range []string{"taipei", "kathmandu"} {
+		s := builtIn(t, name)
+		sources, err := s.Sources(time.Minute)
+		assert.NilError(t, err)
+		for _, team := range s.Deployment.Teams {
+			if team.Limits.RequestsPerSecond == 0 {
+				continue
+			}
+			for at := time.Duration(0); at < time.Minute; at += 250 * time.Millisecond {
+				peak := 0.0
+				for _, src := range sources {
+					if src.Team == team.Name {
+						peak += src.Curve.At(at)
+					}
+				}
+				assert.Assert(t, peak*4/3 <= team.Limits.RequestsPerSecond, "%s: %s asks for %.1f/s at %s", name, team.Name, peak, at)
+			}
+		}
+	}
+}
