Spread models for their adapters' demand, and let windows scale

A model was left alone for two minutes after a planner took over, however fast demand moves; a model that is called through adapters counted only the calls without one; and each adapter's load took a whole move of the preset's pace. Change: the time that a model is left alone follows the windows of demand; the gain of a replica counts the adapters' demand; adapters follow their base model outside the pace, bounded for each plan.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -51,12 +51,13 @@
 	Budget    float64 // elective loads that the preset's pace allows now
 	LastMove  map[Key]time.Time
 	Bounds    ledger.Bounds
+	Settle    time.Duration // a model moved this recently is left alone; 0: settleFor
 }
 
 // Why says what a move is for.
 type Why string
 
-// The reasons, most pressing first. Only the last three are elective.
+// The reasons, most pressing first.
 const (
 	WhyUnreachable Why = "unreachable" // no replica can answer
 	WhyLeaving     Why = "leaving"     // its replicas are on upstreams that leave
@@ -68,8 +69,9 @@
 	WhyFill        Why = "fill"        // an on-demand model, where there is room to spare
 )
 
-// Elective moves wait for the preset's pace; the others do not.
-func (w Why) Elective() bool { return w == WhySpread || w == WhyAdapter || w == WhyFill }
+// Elective moves wait for the preset's pace; the others do not. An adapter is
+// a hundredth of its base model: loads of adapters are bounded for each plan.
+func (w Why) Elective() bool { return w == WhySpread || w == WhyFill }
 
 // Move is one order to one upstream.
 type Move struct {
@@ -98,6 +100,7 @@
 	defaultThreshold = 0.7              // utilisation above which queues begin to show in the tail
 	earnSlots        = 0.5              // least gain of an elective load: at 2 s a request some 15 requests a minute
 	settleFor        = 2 * time.Minute  // a model moved this recently is left alone: its demand has not settled
+	adapterEarns     = 0.2              // the same for an adapter, whose load takes a moment
 	idleDemand       = 0.05             // requests at once below which a surplus replica may make room
 	leastReports     = 2                // of an incarnation, before an elective move touches its upstream
 	sendGrace        = 15 * time.Second // past an order's sending window, until it is taken for lost
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -254,3 +254,20 @@
 		}
 	})
 }
+
+// Symptom: an upstream stays swamped while others idle.
+// Sequence: a model is asked for through its adapters only; they fill its one
+// upstream.
+// Cause: only the model's own demand was counted, and the adapters had nowhere
+// else to go.
+func TestAModelThatIsCalledThroughAdaptersSpreads(t *testing.T) {
+	adapter := holds("a", 1)
+	adapter.Adapter = "x"
+	s := snapshot([]config.Model{model("a", 40, 1)}, upstream("u1", "x", 100, holds("a", 40), adapter), upstream("u2", "y", 100))
+	s.Adapters = []config.Adapter{{Name: "x", Model: "a", Version: "1", MemoryMB: 1}}
+	s.Demand[Key{"a", "x"}] = Demand{12, 12}
+	assert.DeepEqual(t, text(Plan(s, t0).Moves), []string{"load a:1 u2 spread"})
+	s.Upstreams[1] = upstream("u2", "y", 100, holds("a", 40))
+	s.Budget = 0
+	assert.DeepEqual(t, text(Plan(s, t0).Moves), []string{"load ax:1 u2 adapter"})
+}
--- a/core/place/reach.go
+++ b/core/place/reach.go
@@ -53,7 +53,7 @@
 		bound := time.Duration(0)
 		if room || p.pathLater(p.withExtras(it)) {
 			b := p.s.Bounds
-			bound = p.bound(it, settleFor+b.SendWindow+b.InFlight+b.ReportAge+b.ClockSkew)
+			bound = p.bound(it, p.settle()+b.SendWindow+b.InFlight+b.ReportAge+b.ClockSkew)
 		}
 		p.waits = append(p.waits, Wait{it.key, bound})
 	}
--- a/core/place/spread.go
+++ b/core/place/spread.go
@@ -1,5 +1,7 @@
 package place
 
+import "time"
+
 // spread adds replicas of models whose replicas are all overloaded, best gain
 // first. It never unloads: a replica that is not needed any more costs nothing
 // until its memory is, and would cost a load to bring back.
@@ -26,14 +28,14 @@
 // gainOf predicts what one more replica is worth: the requests at once above
 // the threshold on its hosts before, less those after.
 func (p *plan) gainOf(it *item) (at int, gain float64) {
-	if !p.settled(it) || it.demand.sure() <= 0 || !p.allOverloaded(it) {
+	if !p.settled(it) || it.asked() <= 0 || !p.allOverloaded(it) {
 		return -1, 0
 	}
 	at = p.bestHost(it, it.mb)
 	if at < 0 || p.hosts[at].Reports < leastReports {
 		return -1, 0
 	}
-	n, d := float64(len(it.live)), it.demand.sure()
+	n, d := float64(len(it.live)), it.asked()
 	share, less := d/(n+1), d/n-d/(n+1)
 	for _, i := range it.live {
 		gain += p.excess(i, 0) - p.excess(i, -less)
@@ -42,6 +44,17 @@
 	return at, gain
 }
 
+// asked is the demand that one more replica of a base model would share: its
+// own and that of its adapters, which follow it. Were they left out, a model
+// that is only called through adapters would never be spread.
+func (it *item) asked() float64 {
+	sum := it.demand.sure()
+	for _, a := range it.extras {
+		sum += a.demand.sure()
+	}
+	return sum
+}
+
 // excess is the requests at once above the threshold at a host, if its load
 // changed by so much; those far above it weigh more, as waits grow faster than
 // load. Were they weighed alike, taking work from a swamped upstream to one
@@ -70,26 +83,34 @@
 	return len(it.live) > 0
 }
 
+func (p *plan) settle() time.Duration {
+	if p.s.Settle > 0 {
+		return p.s.Settle
+	}
+	return settleFor
+}
+
 func (p *plan) settled(it *item) bool {
 	last, moved := p.s.LastMove[it.key]
-	return !it.moved && (!moved || p.now.Sub(last) >= settleFor)
+	return !it.moved && (!moved || p.now.Sub(last) >= p.settle())
 }
 
 // spreadAdapters loads an adapter beside more replicas of its base model, when
 // all of its own holders are overloaded and another is not.
 func (p *plan) spreadAdapters() {
+	left := mostElective
 	for _, it := range p.extras {
-		if p.budget < 1 {
+		if left == 0 {
 			return
 		}
-		if it.demand.sure() < earnSlots || !p.settled(it) || !p.allOverloaded(it) {
+		if it.demand.sure() < adapterEarns || !p.settled(it) || !p.allOverloaded(it) {
 			continue
 		}
 		i := p.bestBaseHost(it)
 		if i < 0 || p.hosts[i].utilisation() > p.threshold() {
 			continue
 		}
-		p.budget--
+		left--
 		p.addLoad(i, it, WhyAdapter, it.demand.sure()/float64(len(it.live)+1))
 	}
 }
--- a/node/planner/observe.go
+++ b/node/planner/observe.go
@@ -98,7 +98,7 @@
 // snapshot is what place.Plan sees. A row in doubt stands in it as it was
 // before the write: no order went out for that write, so what it serves stands.
 func (p *Planner) snapshot(view View, now time.Time) *place.Snapshot {
-	s := &place.Snapshot{Demand: view.Demand, Preset: view.Preset, Store: view.Config.WeightStore, LastMove: p.last, Bounds: p.cfg.Bounds}
+	s := &place.Snapshot{Demand: view.Demand, Preset: view.Preset, Store: view.Config.WeightStore, LastMove: p.last, Bounds: p.cfg.Bounds, Settle: p.cfg.Settle}
 	for _, m := range view.Config.Models {
 		if m.Pool == p.cfg.Pool {
 			s.Models = append(s.Models, m)
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -62,7 +62,8 @@
 	Pool   string
 	Every  time.Duration // between two plans
 	Bounds ledger.Bounds
-	AtOnce int // orders sent side by side
+	AtOnce int           // orders sent side by side
+	Settle time.Duration // a model moved this recently is left alone; 0: the default of core/place
 }
 
 // Deps are the parts that a planner works with.
--- a/node/server/roles.go
+++ b/node/server/roles.go
@@ -161,10 +161,14 @@
 	})
 }
 
+// settleWindows is how many short windows of demand pass before what a move
+// did shows in them.
+const settleWindows = 4
+
 func (s *Server) startPlanner(ctx context.Context, pool string) *role {
 	return s.startRole(ctx, plannerLease+pool, func(l *lease.Lease, r *role) func(context.Context) error {
 		r.pool = pool
-		r.planner = planner.New(planner.Config{Pool: pool}, planner.Deps{Lease: term{l}, Table: s.cfg.Platform.Table,
+		r.planner = planner.New(planner.Config{Pool: pool, Settle: settleWindows * s.cfg.Demand.Short}, planner.Deps{Lease: term{l}, Table: s.cfg.Platform.Table,
 			Weights: s.cfg.Platform.Weights, Orders: s.orders, Site: plannerSite{s, pool}, Log: s.log})
 		return r.planner.Run
 	})
