--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -95,6 +95,40 @@
 	assert.Equal(t, c.Attainment, 1.0)
 }
 
+// turns names hosts in turn.
+type turns struct {
+	hosts []string
+	n     int
+}
+
+// Next implements load.Entries.
+func (e *turns) Next(string) (string, error) {
+	h := e.hosts[min(e.n, len(e.hosts)-1)]
+	e.n++
+	return h, nil
+}
+
+// Symptom: a call counts as lost although its caller could still have asked.
+// Sequence: hosts die; the balancer names them for a while; the caller's tries
+// end there, the last of them too.
+// Cause: the caller counts its tries and leaves without a word.
+func TestACallerAsksUntilItHasAWord(t *testing.T) {
+	st := newSite(t)
+	dead := httptest.NewServer(http.NotFoundHandler())
+	address := dead.Listener.Addr().String()
+	dead.Close()
+	entries := &turns{}
+	for range 8 {
+		entries.hosts = append(entries.hosts, address)
+	}
+	entries.hosts = append(entries.hosts, st.entry.Listener.Addr().String())
+	src := source(load.KindOnce)
+	plan := load.Plan(7, 200*time.Millisecond, []load.Source{src})[:1]
+	c := load.Run(t.Context(), load.Config{Plan: plan, Entries: entries}).Count(nil)
+	assert.Equal(t, c.Lost, 0)
+	assert.Equal(t, c.Completed, 1)
+}
+
 // Every stream's connection breaks after five events. The callers resume each
 // one as often as it takes, and the answers are whole; a caller that gives up
 // first has a cut answer, and nothing may count it as completed.
