Learn upstreams' pace and the lengths of answers, and refuse the hopeless

Cause: no endpoint had a speed, so that a guess of 5 ms and the distance between data centres decided where requests went; and requests whose answers take longer than their deadline even alone were started and thrown away. Change: the time of a decoding step is learnt from streams as they are relayed, the length of answers by model; the time to the last token decides the pick. A request that cannot make its deadline on an idle engine is refused at once as not run.

--- a/core/config/find.go
+++ b/core/config/find.go
@@ -15,6 +15,8 @@
 	Model   string
 	Adapter string // "" for the base model
 	Pool    string
+	// TokensPerSecond is the speed of the model alone on an engine; 0: not stated.
+	TokensPerSecond int
 }
 
 // Index answers look-ups in a Config without scanning it. It is immutable.
@@ -36,10 +38,11 @@
 	x := &Index{Config: c, targets: map[string]Target{}, teams: map[string]*Team{}, services: map[string]*Service{},
 		upstreams: map[string]*Upstream{}, presets: map[string]*Preset{}, allowed: map[string]map[string]bool{}}
 	for _, m := range c.Models {
-		x.targets[m.Name] = Target{Model: m.Name, Pool: m.Pool}
+		x.targets[m.Name] = Target{Model: m.Name, Pool: m.Pool, TokensPerSecond: m.TokensPerSecond}
 	}
 	for _, a := range c.Adapters {
-		x.targets[a.Name] = Target{Model: a.Model, Adapter: a.Name, Pool: x.targets[a.Model].Pool}
+		base := x.targets[a.Model]
+		x.targets[a.Name] = Target{Model: a.Model, Adapter: a.Name, Pool: base.Pool, TokensPerSecond: base.TokensPerSecond}
 	}
 	for i := range c.Services {
 		x.services[c.Services[i].Name] = &c.Services[i]
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -36,8 +36,10 @@
 	Accelerators int
 	Ready        map[ModelKey]bool // what it can answer now; nil for plain services, which answer anything
 	ReportAge    time.Duration
-	TokenMs      float64 // time of one decoding step when alone, milliseconds
+	TokenMs      float64 // time of one decoding step when alone, milliseconds; 0: the request's
+	StepMs       float64 // time of one decoding step as seen lately, milliseconds; 0: not seen
 	PrefillMs    float64 // time of a typical prefill, milliseconds
+	HoldTokens   float64 // mean length of the answers that it gave lately; 0: not known
 	DistanceMs   float64 // round trip from this host's data centre, milliseconds
 	Prefixes     map[uint64]bool
 }
@@ -58,9 +60,19 @@
 	Service bool // a plain service: any endpoint of the pool will do
 	Class   class.Class
 	Prefix  uint64    // salted prefix hash; 0: none
+	Tokens  int       // length to expect of the answer; 0: not known
+	TokenMs float64   // one decoding step of the model alone on an engine, milliseconds; 0: not known
+	LeftMs  float64   // time left until its deadline, milliseconds; 0: none
 	Avoid   [4]string // upstreams that already refused or failed this request, filled from the front
 }
 
+// hopeless says that the answer would come after the deadline even from an
+// engine that had nothing else to do. Started, it would be thrown away in the
+// end, at the cost of those behind it.
+func (r *Request) hopeless() bool {
+	return r.LeftMs > 0 && float64(r.Tokens)*r.TokenMs > r.LeftMs
+}
+
 // Reason says why no endpoint was found.
 type Reason uint8
 
@@ -70,13 +82,14 @@
 	NoReplica        // nobody holds the model
 	AllBusy          // holders exist, all over their bound
 	AllAvoid         // holders exist, all leaving, down or already tried
+	TooLate          // holders exist, none would answer before the deadline
 )
 
 // Decision is the answer of a Picker.
 type Decision struct {
 	Index  int // in Snapshot.Endpoints; -1 when none
 	Reason Reason
-	Score  float64 // predicted milliseconds to first token
+	Score  float64 // predicted milliseconds to the end of the answer, or to the first token when its length is not known
 }
 
 // Source gives random numbers; *math/rand/v2.Rand is one.
--- a/core/route/score_first_token.go
+++ b/core/route/score_first_token.go
@@ -15,14 +15,36 @@
 	typicalTokens int
 }
 
+// step is the time of one decoding step: as seen lately, or as the model's
+// speed and the load would make it.
+func (e *Endpoint) step(r *Request, fill float64) float64 {
+	if e.StepMs > 0 {
+		return e.StepMs
+	}
+	token := e.TokenMs
+	if token <= 0 {
+		token = r.TokenMs
+	}
+	return token * (1 + batchSlowdown*min(fill, 1))
+}
+
+// lengthScorer trusts the expected length and the endpoint's pace: the time
+// from the first token to the last.
+type lengthScorer struct{}
+
+func (lengthScorer) score(e *Endpoint, r *Request, _ bool) float64 {
+	if r.Tokens <= 1 {
+		return 0
+	}
+	return float64(r.Tokens-1) * e.step(r, float64(e.load())/float64(max(e.MaxBatch, 1)))
+}
+
 func (f firstTokenScorer) score(e *Endpoint, r *Request, _ bool) float64 {
 	load, batch := float64(e.load()), float64(max(e.MaxBatch, 1))
-	prefill, token := e.PrefillMs, e.TokenMs
-	if prefill <= 0 && token <= 0 {
+	prefill, step := e.PrefillMs, e.step(r, load/batch)
+	if prefill <= 0 && step <= 0 {
 		prefill = unknownServiceMs
 	}
-	fill := min(load/batch, 1)
-	step := token * (1 + batchSlowdown*fill)
 	firstToken := prefill*(1+prefillShare*load/batch) + step
 	if load < batch {
 		return firstToken
@@ -31,6 +53,10 @@
 	if r.Class == class.Urgent {
 		queued = 0 // engines honour priorities: urgent work passes those that wait
 	}
-	held := prefill + float64(f.typicalTokens)*step
+	tokens := e.HoldTokens
+	if tokens <= 0 {
+		tokens = float64(f.typicalTokens)
+	}
+	held := prefill + tokens*step
 	return firstToken + held*(queued+1)/batch
 }
--- a/core/route/staged.go
+++ b/core/route/staged.go
@@ -52,7 +52,7 @@
 		cfg: cfg,
 		// The map look-up last: the index by model makes it nearly always true.
 		filters: []filter{leavingFilter{}, downFilter{}, boundFilter{cfg.LoadBound}, avoidFilter{}, readyFilter{}},
-		scorers: []scorer{firstTokenScorer{cfg.TypicalTokens}, distanceScorer{}, affinityScorer{cfg}},
+		scorers: []scorer{firstTokenScorer{cfg.TypicalTokens}, lengthScorer{}, distanceScorer{}, affinityScorer{cfg}},
 	}
 }
 
@@ -87,6 +87,9 @@
 	if len(candidates) == 0 {
 		return Decision{Index: -1, Reason: NoReplica}
 	}
+	if r.hopeless() {
+		return Decision{Index: -1, Reason: TooLate}
+	}
 	c := contest{p: p, s: s, r: r, best: Decision{Index: -1}, home: homeOf(candidates, r.Prefix)}
 	if r.Prefix != 0 {
 		c.offer(c.home)
--- a/core/route/staged_test.go
+++ b/core/route/staged_test.go
@@ -169,3 +169,25 @@
 		p.Pick(s, r, src)
 	}
 }
+
+// Symptom: an engine is always busy and answers hardly anyone in time.
+// Sequence: requests come whose answers take longer than their deadlines even
+// alone; each is started, and thrown away when its deadline comes.
+// Cause: nobody compares the two before the start.
+func TestHopelessRequestsAreNotStarted(t *testing.T) {
+	s := snapshotOf(Endpoint{})
+	r := Request{Key: testKey, Tokens: 100, TokenMs: 10, LeftMs: 999}
+	assert.Equal(t, New(Config{}).Pick(s, &r, rand.New(rand.NewPCG(1, 1))).Reason, TooLate)
+	r.LeftMs = 1001
+	assert.Equal(t, New(Config{}).Pick(s, &r, rand.New(rand.NewPCG(1, 1))).Reason, Found)
+	r.LeftMs = 0
+	assert.Equal(t, New(Config{}).Pick(s, &r, rand.New(rand.NewPCG(1, 1))).Reason, Found)
+}
+
+func TestTheFasterEndpointIsPreferred(t *testing.T) {
+	s := snapshotOf(Endpoint{StepMs: 60}, Endpoint{StepMs: 20, DistanceMs: 1})
+	for seed := range uint64(20) {
+		r := Request{Key: testKey, Tokens: 50, TokenMs: 10}
+		assert.Equal(t, New(Config{}).Pick(s, &r, rand.New(rand.NewPCG(seed, 1))).Index, 1)
+	}
+}
--- a/node/callerapi/generate.go
+++ b/node/callerapi/generate.go
@@ -31,6 +31,9 @@
 	Stream   bool            `json:"stream"`
 	Messages json.RawMessage `json:"messages"`
 	Prompt   json.RawMessage `json:"prompt"`
+	// The most tokens that the caller wants, in its older and its newer form.
+	MaxTokens           int `json:"max_tokens"`
+	MaxCompletionTokens int `json:"max_completion_tokens"`
 }
 
 // generate serves both kinds of completion.
@@ -55,6 +58,10 @@
 		Key:    route.ModelKey{Model: target.Model, Adapter: target.Adapter},
 		Method: http.MethodPost, Path: c.Request().URL.Path, Header: http.Header{"Content-Type": {"application/json"}},
 		Body: body, Stream: g.Stream, Deadline: t.deadline, Repeatable: t.key == "", Prefix: a.prefix(c.team.Name, target.Model, &g)}
+	w.MaxTokens = max(g.MaxTokens, g.MaxCompletionTokens)
+	if target.TokensPerSecond > 0 {
+		w.TokenMs = 1000 / float64(target.TokensPerSecond)
+	}
 	if t.key != "" {
 		a.claimed(c, w, t.key, body)
 	}
--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -34,6 +34,8 @@
 	bodyUsed bool // a body that cannot be sent again was sent
 	split    splitter
 	watch    watchdog
+	pace     pacer
+	begun    time.Time
 }
 
 func newAttempt(d *Dispatcher, w *Work, out *output, ep *route.Endpoint) *attempt {
@@ -52,6 +54,7 @@
 	defer a.d.deps.View.Finished(a.ep.Upstream)
 	a.d.deps.Metrics.Add(metrics.Attempts, a.ep.DataCentre, a.ep.Upstream, 1)
 
+	a.begun = time.Now()
 	err := a.send(ctx)
 	if err != nil && a.mayRecover(ctx, err) {
 		err = a.recover(ctx, err)
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	defaultRetryShare = 0.1
 	defaultNoReplica  = 5 * time.Second // a load takes seconds
 	busyRetryAfter    = time.Second
+	leastLeftMs       = 0.001 // a deadline that has passed still is one
 )
 
 // Deps are what a Dispatcher works with.
@@ -52,6 +53,7 @@
 	cfg       Config
 	deps      Deps
 	upstreams *Upstreams
+	lengths   *lengths
 
 	mu     sync.Mutex // guards budget
 	budget *retry.Budget
@@ -68,7 +70,7 @@
 	if cfg.NoReplicaRetryAfter == 0 {
 		cfg.NoReplicaRetryAfter = defaultNoReplica
 	}
-	return &Dispatcher{cfg: cfg, deps: deps, upstreams: NewUpstreams(deps.Client), budget: retry.NewBudget(cfg.RetryShare)}
+	return &Dispatcher{cfg: cfg, deps: deps, upstreams: NewUpstreams(deps.Client), lengths: newLengths(), budget: retry.NewBudget(cfg.RetryShare)}
 }
 
 // Upstreams asks after attempts.
@@ -88,7 +90,8 @@
 	out := &output{sink: sink, keep: claimed, most: w.KeepBytes, detached: claimed}
 	r := &run{d: d, w: w, out: out,
 		retries: retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline),
-		route:   route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix}}
+		route: route.Request{Pool: w.Pool, Key: w.Key, Service: w.Service, Class: w.Class, Prefix: w.Prefix,
+			Tokens: d.lengths.predict(w.Key, w.MaxTokens), TokenMs: w.TokenMs}}
 	d.countRequest()
 	err := r.attempts(ctx)
 	if r.grant != nil {
@@ -127,6 +130,7 @@
 func (r *run) attempts(ctx context.Context) error {
 	for {
 		snap := r.d.deps.View.Snapshot()
+		r.route.LeftMs = max(float64(time.Until(r.w.Deadline))/float64(time.Millisecond), leastLeftMs)
 		dec := r.d.deps.Picker.Pick(snap, &r.route, randomSource{})
 		if dec.Index < 0 {
 			return r.noEndpoint(ctx, dec.Reason)
@@ -241,6 +245,9 @@
 		}
 		return fault.NotRun(fault.StepRoute, "", fault.CodeNoUpstream, "no upstream of pool %s holds the model now", w.Pool).After(d.cfg.NoReplicaRetryAfter)
 	}
+	if why == route.TooLate {
+		return fault.NotRun(fault.StepRoute, "", fault.CodeDeadline, "no upstream of pool %s would answer before the deadline", w.Pool).After(busyRetryAfter)
+	}
 	return fault.NotRun(fault.StepRoute, "", fault.CodeOverloaded, "every upstream of pool %s is busy, leaving or down", w.Pool).After(busyRetryAfter)
 }
 
--- /dev/null
+++ b/node/dispatch/pace_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/route"
+)
+
+func TestPacerDividesByTheTokensThatPassed(t *testing.T) {
+	var p pacer
+	t0 := time.Unix(1000, 0)
+	_, ok := p.note(1, t0)
+	assert.Assert(t, !ok)
+	_, ok = p.note(1+paceEach/2, t0.Add(time.Second))
+	assert.Assert(t, !ok, "too few tokens for a sample")
+	step, ok := p.note(1+2*paceEach, t0.Add(2*paceEach*30*time.Millisecond))
+	assert.Assert(t, ok)
+	assert.Equal(t, step, 30*time.Millisecond)
+}
+
+// Symptom: requests are refused as too long for their deadline though their
+// answers are short.
+// Sequence: callers allow thousands of tokens; answers have a few dozen.
+// Cause: what is allowed is taken for the length.
+func TestLengthsAreLearntAndNotTakenFromTheBound(t *testing.T) {
+	l, key := newLengths(), route.ModelKey{Model: "m"}
+	assert.Equal(t, l.predict(key, 4000), 0, "nothing known: nothing predicted")
+	for range 20 {
+		l.learn(key, 40)
+	}
+	assert.Equal(t, l.predict(key, 4000), 60)
+	assert.Equal(t, l.predict(key, 10), 10)
+	assert.Equal(t, usedTokens([]byte(`{"usage":{"prompt_tokens":9,"completion_tokens": 17,"total_tokens":26}}`)), 17)
+	assert.Equal(t, usedTokens([]byte(`{"completion_tokens":null}`)), 0)
+}
--- a/node/dispatch/relay.go
+++ b/node/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -67,6 +68,9 @@
 	rest := len(held) == wholeHold
 	if !rest {
 		resp.Finish()
+		if n := usedTokens(held); n > 0 && !a.w.Service {
+			a.learnLength(n)
+		}
 		h.Header.Set("Content-Length", strconv.Itoa(len(held)))
 	}
 	a.out.start(h)
@@ -156,6 +160,7 @@
 		return used, a.broken(err)
 	}
 	a.watch.position.Store(int64(a.split.position))
+	a.measure()
 	a.d.deps.Metrics.AddTokens(a.split.position - before)
 	if len(b.out) == 0 {
 		return used, nil
@@ -166,6 +171,25 @@
 	return used, a.out.flush()
 }
 
+// measure learns the upstream's pace, and how long its model's answers are.
+func (a *attempt) measure() {
+	now := time.Now()
+	if a.pace.at.IsZero() && a.split.position > 0 && a.ep.Running+a.ep.Waiting < a.ep.MaxBatch {
+		a.d.deps.View.Began(a.ep.Upstream, now.Sub(a.begun))
+	}
+	if step, ok := a.pace.note(a.split.position, now); ok {
+		a.d.deps.View.Paced(a.ep.Upstream, step)
+	}
+	if a.split.done {
+		a.learnLength(a.split.position)
+	}
+}
+
+func (a *attempt) learnLength(tokens int) {
+	a.d.lengths.learn(a.w.Key, tokens)
+	a.d.deps.View.Answered(a.ep.Upstream, tokens)
+}
+
 // endStream gives the connection back if nothing but the end of the body is
 // left on it.
 func (a *attempt) endStream(resp *conn.Response, err error) {
--- a/node/dispatch/work.go
+++ b/node/dispatch/work.go
@@ -34,7 +34,9 @@
 	Stream     bool      // the caller asked for server-sent events
 	Deadline   time.Time
 	Repeatable bool
-	Prefix     uint64 // salted prefix hash; 0: none
+	Prefix     uint64  // salted prefix hash; 0: none
+	MaxTokens  int     // that the caller allows; 0: not said
+	TokenMs    float64 // one decoding step of the model alone, milliseconds; 0: not known
 	// Claim takes out the claim of a request that may not be repeated, naming
 	// its first attempt; nil for all others. A repeat of a request that ran
 	// gets the stored answer in place of a grant.
@@ -83,4 +85,7 @@
 	Down(upstream string)
 	NotReady(upstream string, key route.ModelKey)
 	Incarnation(upstream string) string
+	Paced(upstream string, step time.Duration)
+	Began(upstream string, first time.Duration)
+	Answered(upstream string, tokens int)
 }
--- a/node/upstream/view/reports.go
+++ b/node/upstream/view/reports.go
@@ -66,4 +66,5 @@
 	s.running, s.waiting = 0, 0
 	s.prefixes = map[uint64]bool{}
 	s.inFlight, s.recent = 0, s.recent[:0]
+	s.stepMs, s.stepAt, s.prefillMs = 0, time.Time{}, 0
 }
--- a/node/upstream/view/snapshot.go
+++ b/node/upstream/view/snapshot.go
@@ -65,9 +65,12 @@
 		Incarnation: s.report.Incarnation, Leaving: s.leaving[s.report.Incarnation], Down: now.Before(s.downUntil),
 		MaxBatch: s.cfg.MaxBatch, Accelerators: s.cfg.Accelerators, Ready: s.ready,
 		Running: s.running, Waiting: s.waiting, PeersSince: s.peersSince,
-		InFlight: s.inFlight, TokenMs: s.tokenMs, PrefillMs: s.prefillMs, Prefixes: s.prefixes,
+		InFlight: s.inFlight, PrefillMs: s.prefillMs, HoldTokens: s.holdTokens, Prefixes: s.prefixes,
 	}
 	e.SinceReport, e.DoneSince = s.recent.count()
+	if now.Sub(s.stepAt) < stepFor {
+		e.StepMs = s.stepMs
+	}
 	if !s.loadAt.IsZero() {
 		e.ReportAge = now.Sub(s.loadAt)
 	}
--- a/node/upstream/view/view.go
+++ b/node/upstream/view/view.go
@@ -61,8 +61,10 @@
 	peersSince int
 	ready      map[route.ModelKey]bool
 	prefixes   map[uint64]bool
-	tokenMs    float64
-	prefillMs  float64
+	stepMs     float64   // time of one decoding step, as streams showed it
+	stepAt     time.Time // when it was last seen
+	holdTokens float64   // mean length of its answers
+	prefillMs  float64   // time to the first token where no queue was expected
 }
 
 // New makes an empty view for a host in the given data centre; distance gives
