--- a/cmd/pierctl/bench.go
+++ b/cmd/pierctl/bench.go
@@ -15,7 +15,6 @@
 
 	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/standin/bench"
-	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/site"
 )
 
@@ -69,7 +68,7 @@
 	if c.cfg.Site, err = site.Load(c.site); err != nil {
 		return exit.Print(os.Stderr, c.json, err)
 	}
-	c.cfg.Progress = func(p load.Progress) { showProgress(os.Stderr, p) }
+	c.cfg.Progress = showProgress
 	sound := false
 	if c.compare != "" {
 		sound, err = c.runComparison(ctx, seeds)
@@ -148,10 +147,6 @@
 	return sound, nil
 }
 
-func showProgress(w io.Writer, p load.Progress) {
-	fmt.Fprintf(w, "\r%5.0fs  sent %6d  answered %6d  in time %6d ", p.Elapsed.Seconds(), p.Sent, p.Finished, p.Met)
-}
-
 func printRun(w io.Writer, r *bench.Run) {
 	printReport(w, r.Report)
 	fmt.Fprintf(w, "  urgent answered in time %.4f, history %s\n", r.UrgentAttainment, r.History)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -52,6 +52,8 @@
 	newer := model("a", 40, 1)
 	newer.Version = "2"
 	newHeld := ledger.Resident{Thing: ledger.Thing{Model: "a", Version: "2"}, State: ledger.Ready, MemoryMB: 40}
+	twice := model("a", 40, 1)
+	twice.Replicas = 2
 	leaving := upstream("u1", "x", 100, holds("a", 40))
 	leaving.Leaving = true
 	fresh := upstream("u2", "y", 100)
@@ -79,6 +81,12 @@
 		{"waits for a second report", snapshot(ab[:1], upstream("u1", "x", 100, holds("a", 40)), fresh), hot, []string{}},
 		{"makes room with a spare replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 40)), upstream("u2", "x", 100, holds("a", 40))), Demand{},
 			[]string{"unload a:1 u1 room"}},
+		{"starts with the replicas configured", snapshot([]config.Model{twice}, upstream("u1", "x", 100, holds("a", 40)), upstream("u2", "x", 100)), Demand{},
+			[]string{"load a:1 u2 initial"}},
+		{"spreads over a spare replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 90)), upstream("u2", "x", 100, holds("b", 70)),
+			upstream("u3", "x", 100, holds("b", 70))), hot, []string{"unload b:1 u2 room"}},
+		{"takes one of two replicas for two models", snapshot([]config.Model{ab[0], ab[1], model("c", 70, 1)},
+			upstream("u1", "x", 100, holds("a", 40)), upstream("u2", "x", 100, holds("a", 40))), Demand{}, []string{"unload a:1 u1 room"}},
 		{"keeps the last replica", snapshot(ab, upstream("u1", "x", 100, holds("a", 40))), Demand{}, []string{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -236,6 +244,19 @@
 	assert.Equal(t, len(s.Upstreams[0].Row.Charges), 0, "a dry run changes nothing")
 }
 
+func TestFeasible(t *testing.T) {
+	c := &config.Config{Models: []config.Model{model("a", 60, 1), model("b", 60, 1)},
+		Adapters:  []config.Adapter{{Name: "x", Model: "a", Version: "1", MemoryMB: 30}},
+		Upstreams: []config.Upstream{{Name: "u1", Pool: "p", MemoryMB: 100}, {Name: "u2", Pool: "p", MemoryMB: 100}}}
+	for i := range c.Models {
+		c.Models[i].Pool = "p"
+	}
+	assert.NilError(t, Feasible(c, "p"))
+	c.Models[0].MinReplicas = 2
+	err := Feasible(c, "p")
+	assert.ErrorContains(t, err, "pool p: 210 MB must be resident, 200 MB are there, no place for")
+}
+
 func BenchmarkPlan(b *testing.B) {
 	s := site(1, 2500, 720, 1400, 320_000, 0.2)
 	s.Store.Concurrent, s.Budget = 0, 4
--- a/node/dispatch/fate.go
+++ b/node/dispatch/fate.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"peridotpier.example/core/config"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/node/upstream/engineapi"
@@ -19,8 +20,9 @@
 	// probeTimeout bounds one question to an upstream on a new connection;
 	// within and between close data centres an answer takes milliseconds.
 	probeTimeout = time.Second
-	// fateBytes bounds the answer to a question for an attempt's fate.
-	fateBytes = 8 << 20
+	// fateBytes bounds the answer to a question for an attempt's fate: the
+	// largest answer that is kept, in base64, and its frame.
+	fateBytes = config.AnswerBytesMost*4/3 + 64<<10
 )
 
 // errForgotten says that the upstream cannot tell the fate any more: it is no
@@ -64,6 +66,23 @@
 	return a, nil
 }
 
+// Report asks an upstream for its state, on a new connection.
+func (u *Upstreams) Report(ctx context.Context, address string) (engineapi.Report, error) {
+	var r engineapi.Report
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := u.client.Do(ctx, &conn.Request{Address: address, Method: http.MethodGet, Path: engineapi.PathReport,
+		Header: http.Header{}, Fresh: true})
+	if err != nil {
+		return r, err
+	}
+	defer resp.Abort()
+	if resp.Status != http.StatusOK {
+		return r, fault.Unknown(fault.StepRoute, address, fault.CodeUpstreamFailed, "report: status %d", resp.Status)
+	}
+	return r, json.NewDecoder(io.LimitReader(resp.Body, fateBytes)).Decode(&r)
+}
+
 // Cancel tells an upstream to give an attempt up.
 func (u *Upstreams) Cancel(ctx context.Context, address, attempt string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/node/dispatch/work.go
+++ b/node/dispatch/work.go
@@ -88,4 +88,5 @@
 	Paced(upstream string, step time.Duration)
 	Began(upstream string, first time.Duration)
 	Answered(upstream string, tokens int)
+	Restarted(upstream, from, to string)
 }
--- a/node/event/catalogue.go
+++ b/node/event/catalogue.go
@@ -20,6 +20,8 @@
 	var all []Event
 	for _, part := range [][]Event{
 		processEvents,
+		keysEvents,
+		callerEvents,
 		dispatchEvents,
 		claimEvents,
 		upstreamEvents,
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +15,7 @@
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
@@ -74,9 +74,10 @@
 	links     map[*link]struct{}
 	dialing   map[string]bool
 	shunned   map[string]time.Time // could not be dialled: not chosen again until then
-	suspected map[string]time.Time // when this host last called another suspect
+	suspected map[string]suspicion // of other hosts by this one
 	listed    map[string]platform.Host
-	listedAt  time.Time
+	listOnce  sync.Once
+	firstList chan struct{} // closed when the list was read once
 }
 
 // New makes a Mesh. Serve and Run make it work.
@@ -98,7 +99,8 @@
 	}
 	m := &Mesh{cfg: cfg, deps: deps, now: deps.Now, wake: make(chan struct{}, 1), hosts: member.NewHosts(),
 		upstreams: member.NewUpstreams(), links: map[*link]struct{}{}, dialing: map[string]bool{},
-		shunned: map[string]time.Time{}, suspected: map[string]time.Time{}, listed: map[string]platform.Host{}}
+		shunned: map[string]time.Time{}, suspected: map[string]suspicion{}, listed: map[string]platform.Host{},
+		firstList: make(chan struct{})}
 	m.self = cfg.Self
 	if m.self.Incarnation == 0 {
 		m.self.Incarnation = uint64(m.now().UnixMilli())
@@ -130,7 +132,7 @@
 
 // rest waits for half a heartbeat, about, or until woken.
 func (m *Mesh) rest(ctx context.Context) {
-	t := time.NewTimer(time.Duration(float64(m.cfg.Heartbeat) * (0.4 + 0.2*rand.Float64())))
+	t := time.NewTimer(pace.Default().Around(m.cfg.Heartbeat/2, 0.2))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -331,3 +333,10 @@
 		}
 	}
 }
+
+// Hear takes a word on a host that came by another way than a link.
+func (m *Mesh) Hear(h member.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mergeHostLocked(h, nil)
+}
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -12,6 +12,7 @@
 
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
 	"peridotpier.example/node/platform"
 )
@@ -19,10 +20,15 @@
 const (
 	// shunFor is how long a host that could not be dialled is not chosen again.
 	shunFor = 10 * time.Second
-	// suspectEach is the least time between two words of this host that the
-	// same other one is suspect. If others vouch for it, the fault lies between
-	// the two, and repeating the word would only make it flap everywhere.
-	suspectEach = time.Minute
+	// suspectFirst and suspectMost bound the time between two words of this
+	// host that the same other one is suspect; it doubles each time. If others
+	// vouch for it, the fault lies between the two, and repeating the word
+	// would only make it flap everywhere. If it has died since, the word must
+	// not be long in coming.
+	suspectFirst = 5 * time.Second
+	suspectMost  = time.Minute
+	// listJitter spreads the hosts' readings of the list, as a share.
+	listJitter = 0.2
 	// forgetAfter is how long a host that the platform does not list is kept.
 	forgetAfter = 5 * time.Minute
 )
@@ -191,15 +197,33 @@
 	now := m.now()
 	m.shunned[h.Name] = now.Add(shunFor)
 	known, ok := m.hosts.Get(h.Name)
-	if !ok || known.Incarnation != h.Incarnation || known.State != member.Alive || now.Sub(m.suspected[h.Name]) < suspectEach {
+	if !ok || known.Incarnation != h.Incarnation || known.State != member.Alive || !m.maySuspectLocked(h.Name, now) {
 		return
 	}
-	m.suspected[h.Name] = now
 	m.deps.Log.Emit(event.PeerUnreachable, zap.String(event.FieldPeer, h.Name), zap.Error(err))
 	known.State = member.Suspect
 	m.mergeHostLocked(known, nil)
 }
 
+// suspicion is how often this host called another suspect lately.
+type suspicion struct {
+	last time.Time
+	wait time.Duration
+}
+
+func (m *Mesh) maySuspectLocked(host string, now time.Time) bool {
+	s := m.suspected[host]
+	since := now.Sub(s.last)
+	if since < s.wait {
+		return false
+	}
+	if since > 2*suspectMost {
+		s.wait = 0
+	}
+	m.suspected[host] = suspicion{last: now, wait: min(max(2*s.wait, suspectFirst), suspectMost)}
+	return true
+}
+
 // followHostList takes new hosts from the platform's list and forgets those
 // long gone from it. The list lags: what the hosts say themselves goes first.
 func (m *Mesh) followHostList(ctx context.Context) {
@@ -208,7 +232,7 @@
 		if m.readHostList(ctx) {
 			wait = m.cfg.HostList
 		}
-		if !sleep(ctx, time.Duration(float64(wait)*(0.8+0.4*rand.Float64()))) {
+		if !pace.Sleep(ctx, pace.Default().Around(wait, listJitter)) {
 			return
 		}
 	}
@@ -232,10 +256,22 @@
 		}
 	}
 	m.forgetLocked(next, now)
-	m.listed, m.listedAt = next, now
+	m.listed = next
+	m.listOnce.Do(func() { close(m.firstList) })
 	return len(next) > 0
 }
 
+// AwaitList waits for the first reading of the platform's list, some time at most.
+func (m *Mesh) AwaitList(ctx context.Context, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-m.firstList:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // listLocked takes one entry of the list. It can add a host and say that it
 // leaves, never that a leaving one is back.
 func (m *Mesh) listLocked(h platform.Host) {
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -63,7 +63,7 @@
 	Every  time.Duration // between two plans
 	Bounds ledger.Bounds
 	AtOnce int           // orders sent side by side
-	Settle time.Duration // a model moved this recently is left alone; 0: the default of core/place
+	Settle time.Duration // see place.Snapshot
 }
 
 // Deps are the parts that a planner works with.
@@ -99,10 +99,9 @@
 
 	grants map[string]task // loads that the weight store was asked for, by order id
 
-	step sync.Mutex // held by Step and DryRun, before mu
-
 	mu     sync.Mutex
 	status Status
+	shot   *place.Snapshot // that the last plan saw; never changed
 }
 
 // sighting counts the reports of an upstream's present incarnation.
@@ -162,8 +161,6 @@
 // Step makes one plan and begins its moves. Without a valid lease it does
 // nothing.
 func (p *Planner) Step(ctx context.Context) {
-	p.step.Lock()
-	defer p.step.Unlock()
 	epoch := p.deps.Lease.Epoch()
 	if !p.deps.Lease.Valid(epoch) {
 		p.books = nil // whoever holds the lease now may have changed them
@@ -182,7 +179,7 @@
 	snapshot := p.snapshot(view, now)
 	decision := place.Plan(snapshot, now)
 	p.sendAll(ctx, append(p.unanswered(now), p.reserveAll(ctx, decision.Moves)...))
-	p.report(decision)
+	p.report(snapshot, decision)
 }
 
 // Status tells the state of the planner.
@@ -192,15 +189,17 @@
 	return p.status
 }
 
-// DryRun forecasts what another preset would do at the present demand.
+// DryRun forecasts what another preset would do, from what the last plan saw.
+// false: this host has not planned the pool yet. It may be called from any
+// goroutine.
 func (p *Planner) DryRun(preset config.Preset) (place.Forecast, bool) {
-	p.step.Lock()
-	defer p.step.Unlock()
-	if p.books == nil {
+	p.mu.Lock()
+	shot := p.shot
+	p.mu.Unlock()
+	if shot == nil {
 		return place.Forecast{}, false
 	}
-	now := p.deps.Now()
-	return place.DryRun(p.snapshot(p.deps.Site.View(), now), preset, now), true
+	return place.DryRun(shot, preset, p.deps.Now()), true
 }
 
 // takeOver reads the books when the lease is new, under a new epoch row, so
@@ -224,8 +223,12 @@
 }
 
 // settleAnew counts every model as moved just now: what the holder before did
-// is not known, and its moves may not show in the demand yet.
+// is not known, and its moves may not show in the demand yet. A pool without
+// books has no holder before: there the models start.
 func (p *Planner) settleAnew() {
+	if len(p.books.rows) == 0 {
+		return
+	}
 	now, view := p.deps.Now(), p.deps.Site.View()
 	for _, m := range view.Config.Models {
 		p.last[place.Key{Model: m.Name}] = now
@@ -235,9 +238,10 @@
 	}
 }
 
-func (p *Planner) report(d place.Decision) {
+func (p *Planner) report(s *place.Snapshot, d place.Decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shot = s
 	p.status.Epoch, p.status.Deferred, p.status.Waits = p.books.epoch, d.Deferred, d.Waits
 	p.status.InDoubt = 0
 	for _, r := range p.books.rows {
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -21,6 +21,7 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
+	"peridotpier.example/node/keys"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/peer"
@@ -36,7 +37,7 @@
 // Config is what a node is made of.
 type Config struct {
 	Settings *settings.Settings
-	Secrets  Secrets
+	Keys     *keys.Ring
 	Platform Platform
 	Log      *zap.Logger
 	Policy   Policy
@@ -50,6 +51,13 @@
 	// Demand sets how fast the demand that placement follows forgets; the zero
 	// value is the default.
 	Demand demand.Config
+	// ClaimGrace is how long after a request's deadline others look after its
+	// claim; 0: the default.
+	ClaimGrace time.Duration
+	// HeadBound and BodyBound are how long a caller may take to send the head
+	// and the body of a request; 0: the defaults.
+	HeadBound time.Duration
+	BodyBound time.Duration
 	// Distance is the round trip between data centres in milliseconds; nil: none known.
 	Distance func(from, to string) float64
 }
@@ -82,6 +90,7 @@
 	metrics     *metrics.Set
 	requests    *inflight.Registry
 	client      *conn.Client
+	sparse      *conn.Client
 	view        *view.View
 	poller      *poll.Poller
 	config      *query.ConfigReader
@@ -103,6 +112,9 @@
 	killed      chan struct{}
 }
 
+// sparseIdle is how long connections are kept that are used every few seconds.
+const sparseIdle = 100 * time.Millisecond
+
 // The phases of a node's life.
 const (
 	phaseStarting int32 = iota // no configuration in force yet, or upstreams not yet asked
@@ -114,6 +126,7 @@
 func New(cfg Config) (*Server, error) {
 	s := &Server{cfg: cfg, incarnation: uuid.NewString(), started: time.Now(), log: event.NewLog(cfg.Log),
 		metrics: metrics.New(), requests: inflight.New(), client: conn.New(conn.Config{Dialer: cfg.Dialer}),
+		sparse: conn.New(conn.Config{Dialer: cfg.Dialer, IdleMost: sparseIdle}),
 		killed: make(chan struct{}), reconcile: make(chan struct{}, 1), roles: roles{byID: map[string]*role{}}}
 	s.siteHosts.Store(1)
 	s.dataPath()
@@ -130,7 +143,7 @@
 func (s *Server) dataPath() {
 	set := s.cfg.Settings
 	s.view = view.New(set.DataCentre, time.Now, s.cfg.Distance)
-	s.poller = poll.New(poll.Config{Every: set.Bounds.ReportEvery(), Events: true}, s.client, s.view, s.log)
+	s.poller = poll.New(s.client, s.sparse, s.view, s.log)
 	picker := s.cfg.Policy.Picker
 	if picker == nil {
 		picker = route.New(route.Config{})
@@ -154,7 +167,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	s.peerLn = ln
+	s.peerLn = s.cfg.Keys.Peers(ln)
 	s.mesh = s.newMesh(ln.Addr().String())
 	return nil
 }
@@ -182,21 +195,22 @@
 // listen opens the listeners.
 func (s *Server) listen() error {
 	set := s.cfg.Settings
-	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: s.cfg.Secrets.PrefixSalt}, callerapi.Deps{
+	api := callerapi.New(callerapi.Config{Host: set.Host, PrefixSalt: s.cfg.Keys.PrefixSalt(), BodyBound: s.cfg.BodyBound}, callerapi.Deps{
 		Config: s.config, Admission: admitter{c: s.admit, open: s.cfg.Policy.OpenAdmission}, Claims: s.claims,
-		Dispatcher: s.dispatch, Demand: s.demand, Tokens: s.cfg.Secrets.Resume, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
+		Dispatcher: s.dispatch, Demand: s.demand, Tokens: s.cfg.Keys, Requests: s.requests, Metrics: s.metrics, Log: s.log, Now: time.Now})
 	var err error
-	if s.callers, err = newListener("callers", set.Caller, api, set.Bounds.HeaderBytes); err != nil {
+	if s.callers, err = s.newListener("callers", set.Caller.Address, api, s.cfg.Keys.Callers); err != nil {
 		return err
 	}
 	deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
 	ops := operatorapi.New(operatorapi.Deps{Operators: set.Operator.Operators, Changes: command.NewConfiguration(deps),
 		Audit:  query.NewAuditReader(query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects}),
 		Config: s.config, Site: s, Ready: func() bool { return s.phase.Load() == phaseReady }, Requests: s.requests, Metrics: s.metrics, Log: s.log})
-	if s.operators, err = newListener("operators", set.Operator.Listener(), ops, set.Bounds.HeaderBytes); err != nil {
-		_ = s.callers.server.Close()
+	if s.operators, err = s.newListener("operators", set.Operator.Address, ops, s.cfg.Keys.Operators); err != nil {
+		_ = s.callers.ln.Close()
 		return err
 	}
+	s.operators.server.ReadTimeout = operatorBound
 	return nil
 }
 
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -12,7 +14,7 @@
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
-	fake "peridotpier.example/standin/platform"
+	"peridotpier.example/standin/pki"
 	"peridotpier.example/standin/site"
 	"peridotpier.example/standin/wire"
 )
@@ -28,19 +30,18 @@
 	Empty bool
 	// Demand sets the windows of measured demand; the zero value is the default.
 	Demand demand.Config
+	// TLS lets all listeners of the entry hosts use certificates made in memory.
+	TLS bool
 	// Hosts is the number of entry hosts; 0: as the site says.
 	Hosts int
 }
 
 // Running is a site that runs: stand-ins and nodes.
 type Running struct {
+	*StandIns
 	opt       Options
-	Table     *fake.Table
-	Objects   *fake.Objects
-	Hosts     *fake.Hosts
-	Weights   *fake.Weights
-	Upstreams *site.Upstreams
 	Balancer  *load.Balancer
+	Authority *pki.Authority // signed the hosts' certificates; nil without TLS
 
 	mu    sync.Mutex
 	nodes []*Node // nil: ended
@@ -56,7 +57,14 @@
 		opt.Hosts = opt.Site.EntryHosts
 	}
 	r := &Running{opt: opt}
-	if err := r.startStandIns(); err != nil {
+	if opt.TLS {
+		var err error
+		if r.Authority, err = pki.New(opt.Site.Deployment.Site); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle, Empty: opt.Empty}); err != nil {
 		return nil, err
 	}
 	if err := Apply(ctx, r.Table, r.Objects, &r.Upstreams.Config); err != nil {
@@ -76,23 +84,6 @@
 	return r, nil
 }
 
-func (r *Running) startStandIns() error {
-	s, seed := r.opt.Site, r.opt.Seed
-	r.Table = fake.NewTableWith(fake.NewFaults(seed, nil))
-	r.Table.Faults.Set(fake.Settings{WritesPerSecond: s.Store.WritesPerSecond, ReadsPerSecond: s.Store.ReadsPerSecond,
-		Delay: time.Duration(s.Store.DelayMs) * time.Millisecond})
-	r.Objects = fake.NewObjects(fake.NewFaults(seed, nil))
-	w := s.Deployment.WeightStore
-	r.Weights = fake.NewWeights(fake.NewFaults(seed, nil), w.LoadsPerSecond, w.Concurrent)
-	var err error
-	if r.Upstreams, err = s.Start(site.Options{Seed: seed, Weights: r.Weights, Oracle: r.opt.Oracle, Empty: r.opt.Empty}); err != nil {
-		return err
-	}
-	r.Hosts = fake.NewHosts(fake.NewFaults(seed, nil), r.Upstreams.Hosts()...)
-	r.Hosts.SetLag(time.Duration(s.Store.HostListLagMs) * time.Millisecond)
-	return nil
-}
-
 // hostName is the name of the i-th entry host.
 func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
@@ -100,7 +91,13 @@
 	dc := r.opt.Site.EntryDataCentre(i)
 	set := Settings(hostName(i), dc)
 	set.Bounds.BalancerWaitSeconds = int(balancerWait / time.Second)
-	n, err := StartNode(NodeConfig{Settings: set, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
+	files := Files()
+	if r.Authority != nil {
+		if err := Secure(set, files, r.Authority); err != nil {
+			return nil, err
+		}
+	}
+	n, err := StartNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
 		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
 		Distance: func(from, to string) float64 {
 			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
@@ -198,6 +195,29 @@
 	}}
 }
 
+// DialCallers opens callers' connections like Dialer, with TLS where the site
+// runs with it.
+func (r *Running) DialCallers() func(ctx context.Context, network, address string) (net.Conn, error) {
+	dial := r.Dialer().DialContext
+	if r.Authority == nil {
+		return dial
+	}
+	trusted := r.Authority.Pool()
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, _ := net.SplitHostPort(address) // it was just dialled
+		secure := tls.Client(c, &tls.Config{RootCAs: trusted, ServerName: host})
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+}
+
 // Close ends everything; requests in flight are finished first.
 func (r *Running) Close() {
 	var wg sync.WaitGroup
