--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -18,6 +18,7 @@
 		subcommands.Register(c, "operating")
 	}
 	subcommands.Register(&demoCommand{}, "trials")
+	subcommands.Register(&benchCommand{}, "trials")
 	subcommands.Register(&fleetCommand{}, "trials")
 	subcommands.Register(&standinCommand{}, "trials")
 	subcommands.Register(&driveCommand{}, "trials")
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -57,7 +57,7 @@
 // Why says what a move is for.
 type Why string
 
-// The reasons, most pressing first. Only the last three are elective.
+// The reasons, most pressing first.
 const (
 	WhyUnreachable Why = "unreachable" // no replica can answer
 	WhyLeaving     Why = "leaving"     // its replicas are on upstreams that leave
@@ -72,10 +72,11 @@
 
 // Settles says whether a model that was moved for this reason is left alone
 // for a while. Bringing it up is no such reason.
-func (w Why) Settles() bool { return w.Elective() || w == WhyRoom }
+func (w Why) Settles() bool { return w.Elective() || w == WhyAdapter || w == WhyRoom }
 
-// Elective moves wait for the preset's pace; the others do not.
-func (w Why) Elective() bool { return w == WhySpread || w == WhyAdapter || w == WhyFill }
+// Elective moves wait for the preset's pace; the others do not. An adapter is
+// a hundredth of its base model: loads of adapters are bounded for each plan.
+func (w Why) Elective() bool { return w == WhySpread || w == WhyFill }
 
 // Move is one order to one upstream.
 type Move struct {
@@ -103,6 +104,7 @@
 const (
 	defaultThreshold = 0.7              // utilisation above which queues begin to show in the tail
 	earnSlots        = 0.5              // least gain of an elective load: at 2 s a request some 15 requests a minute
+	adapterEarns     = 0.2              // the same for an adapter, whose load takes a moment
 	displaceShare    = 0.25             // of a spread's gain, the most demand that may be displaced for it
 	settleFor        = 2 * time.Minute  // default of Snapshot.Settle: sooner, a move's effect does not show in the demand
 	idleDemand       = 0.05             // requests at once below which a surplus replica may make room
--- a/core/place/spread.go
+++ b/core/place/spread.go
@@ -69,14 +69,14 @@
 // the threshold on its hosts before, less those after. Without a host that has
 // room, at is -1 and the gain leaves out what the new host would suffer.
 func (p *plan) gainOf(it *item) (at int, gain float64) {
-	if !p.settled(it) || it.demand.sure() <= 0 || !p.allOverloaded(it) {
+	if !p.settled(it) || it.asked() <= 0 || !p.allOverloaded(it) {
 		return -1, 0
 	}
 	at = p.bestHost(it, it.mb)
 	if at >= 0 && p.hosts[at].Reports < leastReports {
 		return -1, 0
 	}
-	n, d := float64(len(it.live)), it.demand.sure()
+	n, d := float64(len(it.live)), it.asked()
 	share, less := d/(n+1), d/n-d/(n+1)
 	for _, i := range it.live {
 		gain += p.excess(i, 0) - p.excess(i, -less)
@@ -87,6 +87,17 @@
 	return at, gain
 }
 
+// asked is the demand that one more replica of a base model would share: its
+// own and that of its adapters, which follow it. Were they left out, a model
+// that is only called through adapters would never be spread.
+func (it *item) asked() float64 {
+	sum := it.demand.sure()
+	for _, a := range it.extras {
+		sum += a.demand.sure()
+	}
+	return sum
+}
+
 // excess is the requests at once above the threshold at a host, if its load
 // changed by so much; those far above it weigh more, as waits grow faster than
 // load. Were they weighed alike, taking work from a swamped upstream to one
@@ -130,18 +141,19 @@
 // spreadAdapters loads an adapter beside more replicas of its base model, when
 // all of its own holders are overloaded and another is not.
 func (p *plan) spreadAdapters() {
+	left := mostElective
 	for _, it := range p.extras {
-		if p.budget < 1 {
+		if left == 0 {
 			return
 		}
-		if it.demand.sure() < earnSlots || !p.settled(it) || !p.allOverloaded(it) {
+		if it.demand.sure() < adapterEarns || !p.settled(it) || !p.allOverloaded(it) {
 			continue
 		}
 		i := p.bestBaseHost(it)
 		if i < 0 || p.hosts[i].utilisation() > p.threshold() {
 			continue
 		}
-		p.budget--
+		left--
 		p.addLoad(i, it, WhyAdapter, it.demand.sure()/float64(len(it.live)+1))
 	}
 }
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/demand"
 	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/load"
@@ -25,6 +26,10 @@
 	Policy server.Policy
 	Oracle bool // upstreams report at once and truly
 	Log    *zap.Logger
+	// Empty leaves out the initial placement, for policies that load on demand.
+	Empty bool
+	// Demand sets the windows of measured demand; the zero value is the default.
+	Demand demand.Config
 	// TLS lets all listeners of the entry hosts use certificates made in memory.
 	TLS bool
 	// Hosts is the number of entry hosts; 0: as the site says.
@@ -59,7 +64,7 @@
 		}
 	}
 	var err error
-	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle}); err != nil {
+	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle, Empty: opt.Empty}); err != nil {
 		return nil, err
 	}
 	if err := Apply(ctx, r.Table, r.Objects, &r.Upstreams.Config); err != nil {
@@ -92,7 +97,7 @@
 			return nil, err
 		}
 	}
-	n, err := StartNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Log: r.opt.Log,
+	n, err := StartNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
 		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
 		Distance: func(from, to string) float64 {
 			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
