Look into silent exchanges within their deadline

Change: an exchange that is silent for a quarter of the time that it has left, 100 ms at least, is looked into.

--- a/node/dispatch/watchdog.go
+++ b/node/dispatch/watchdog.go
@@ -18,6 +18,21 @@
 // under way before the connection counts as silent.
 const inFlightGrace = 100 * time.Millisecond
 
+const (
+	// silenceShare is the part of the time left until the deadline that an
+	// exchange may be silent before it is looked into: found out later, there
+	// would be no time left for another attempt.
+	silenceShare = 4
+	// leastSilence keeps requests with little time left from asking more often
+	// than an upstream answers.
+	leastSilence = 100 * time.Millisecond
+)
+
+// silence is how long this attempt's exchange may go without a byte.
+func (a *attempt) silence() time.Duration {
+	return min(a.d.cfg.Silence, max(time.Until(a.w.Deadline)/silenceShare, leastSilence))
+}
+
 // watchdog notices that an exchange has gone without a byte for a while. Its
 // fields are shared with the goroutine that relays.
 type watchdog struct {
@@ -37,7 +52,7 @@
 // recovered on a new connection. The returned function stops the watch and
 // waits for it.
 func (a *attempt) watchExchange(ctx context.Context, cancel context.CancelFunc) func() {
-	done := make(chan struct{})
+	done, pause := make(chan struct{}), a.silence()
 	var timer *time.Timer
 	var mu sync.Mutex // guards timer and stopped
 	var stopped, running bool
@@ -61,10 +76,10 @@
 			close(done)
 			return
 		}
-		timer.Reset(a.d.cfg.Silence)
+		timer.Reset(pause)
 	}
 	mu.Lock()
-	timer = time.AfterFunc(a.d.cfg.Silence, check)
+	timer = time.AfterFunc(pause, check)
 	mu.Unlock()
 	return func() {
 		cancel()
--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -52,7 +52,7 @@
 	}
 	s := c.Site.Scaled(c.Load)
 	l := newLRU()
-	r, err := local.Start(ctx, local.Options{Site: s, Seed: c.Seed, Policy: p.decisions(l), Oracle: p.oracle, Empty: p.onDemand,
+	r, err := local.Start(ctx, local.Options{Site: s, Seed: c.Seed, Policy: p.decisions(l), Oracle: p.oracle,
 		Demand: windows(c.Length), Log: c.Log})
 	if err != nil {
 		return nil, eris.Wrapf(err, "start the site under policy %s", c.Policy)
--- a/standin/bench/lru.go
+++ b/standin/bench/lru.go
@@ -17,7 +17,8 @@
 )
 
 // lru is the baseline that loads a model, with its adapters, when a request
-// finds it nowhere, and evicts the least recently used to make room. One
+// finds it nowhere or all of its holders reported full, and evicts the least
+// recently used to make room. One
 // controller serves all hosts and sees the engines' true memory, which no real
 // one could: the baseline is flattered, not held back.
 type lru struct {
@@ -56,7 +57,11 @@
 func (p notingPicker) Pick(s *route.Snapshot, r *route.Request, src route.Source) route.Decision {
 	d := p.Picker.Pick(s, r, src)
 	if d.Index >= 0 && !r.Service {
-		p.l.touch(s.Endpoints[d.Index].Upstream, r.Key.Model)
+		e := &s.Endpoints[d.Index]
+		p.l.touch(e.Upstream, r.Key.Model)
+		if e.Running+e.Waiting >= e.MaxBatch { // it is the least loaded of the holders
+			p.l.ask(r.Pool, r.Key)
+		}
 	}
 	return d
 }
@@ -118,7 +123,7 @@
 func (c *controller) bring(ctx context.Context, name string) {
 	cfg := &c.r.Upstreams.Config
 	i := slices.IndexFunc(cfg.Models, func(m config.Model) bool { return m.Name == name })
-	if i < 0 || c.held(name) {
+	if i < 0 || !c.wanting(name) {
 		return
 	}
 	m, need := cfg.Models[i], cfg.Models[i].MemoryMB
@@ -129,7 +134,7 @@
 			need += a.MemoryMB
 		}
 	}
-	engine, victims := c.choose(need)
+	engine, victims := c.choose(name, need)
 	if engine == "" {
 		return
 	}
@@ -146,25 +151,32 @@
 	c.l.touch(engine, name)
 }
 
-// held says whether an engine has the model, or is loading it.
-func (c *controller) held(model string) bool {
+// wanting says whether a model is held nowhere, or is full wherever it is held
+// and not being loaded.
+func (c *controller) wanting(model string) bool {
 	for _, e := range c.r.Upstreams.Engines {
 		t := e.Truth()
 		for _, r := range t.Residents {
-			if r.Model == model && r.Adapter == "" && r.State != engineapi.StateUnloading {
-				return true
+			if r.Model != model || r.Adapter != "" {
+				continue
+			}
+			if r.State == engineapi.StateLoading || r.State == engineapi.StateReady && t.Running+t.Waiting < t.MaxBatch {
+				return false
 			}
 		}
 	}
-	return false
+	return true
 }
 
 // choose finds the engine where room can be made by giving up what was used
 // longest ago.
-func (c *controller) choose(need int) (engine string, victims []string) {
+func (c *controller) choose(model string, need int) (engine string, victims []string) {
 	var bestUse time.Time
 	for _, e := range c.r.Upstreams.Engines {
 		t := e.Truth()
+		if slices.ContainsFunc(t.Residents, func(r engineapi.Resident) bool { return r.Model == model }) {
+			continue
+		}
 		gone, newest, ok := c.evict(&t, need)
 		if ok && (engine == "" || newest.Before(bestUse)) {
 			engine, victims, bestUse = t.Upstream, gone, newest
--- a/standin/bench/policy.go
+++ b/standin/bench/policy.go
@@ -20,7 +20,7 @@
 type policy struct {
 	name     string
 	oracle   bool // upstreams report at once and truly
-	onDemand bool // begins with empty engines and loads what is asked for
+	onDemand bool // loads what is asked for and finds no place
 	// decisions gives a node's replacements; nil: the product's own.
 	decide func(l *lru) server.Policy
 }
--- a/standin/local/faults_test.go
+++ b/standin/local/faults_test.go
@@ -233,3 +233,16 @@
 		return poll.Success()
 	}
 }
+
+// Symptom: urgent requests miss their deadline whenever connections go silent.
+// Sequence: open connections to the engine go silent; a request with little
+// time left is sent on one of them; new connections work.
+// Cause: the silence is looked into only after a time that fits long streams.
+func TestASilentConnectionIsFoundWithinTheDeadline(t *testing.T) {
+	p := newPath(t, engine.Config{}, patient)
+	status, _, body := p.do("POST", "/v1/chat/completions", teamKey, fmt.Sprintf(chat, false, 5))
+	assert.Equal(t, status, http.StatusOK, body)
+	p.eng.Freeze(false)
+	status, _, body = p.do("POST", "/v1/chat/completions", teamKey, fmt.Sprintf(chat, false, 5), "Peridot-Deadline-Ms", "4000")
+	assert.Equal(t, status, http.StatusOK, body)
+}
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -26,8 +26,6 @@
 	Policy server.Policy
 	Oracle bool // upstreams report at once and truly
 	Log    *zap.Logger
-	// Empty leaves out the initial placement, for policies that load on demand.
-	Empty bool
 	// Demand sets the windows of measured demand; the zero value is the default.
 	Demand demand.Config
 	// TLS lets all listeners of the entry hosts use certificates made in memory.
@@ -64,7 +62,7 @@
 		}
 	}
 	var err error
-	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle, Empty: opt.Empty}); err != nil {
+	if r.StandIns, err = startStandIns(opt.Site, site.Options{Seed: opt.Seed, Oracle: opt.Oracle}); err != nil {
 		return nil, err
 	}
 	if err := Apply(ctx, r.Table, r.Objects, &r.Upstreams.Config); err != nil {
