--- a/node/server/configure.go
+++ b/node/server/configure.go
@@ -31,6 +31,7 @@
 		if s.phase.Load() == phaseStarting {
 			s.poller.AskAll(ctx)
 			if s.phase.CompareAndSwap(phaseStarting, phaseReady) {
+				s.reconcileSoon()
 				s.log.Emit(event.ProcessReady, zap.String("host", s.cfg.Settings.Host), zap.String("callers", s.CallerAddress()),
 					zap.String("operators", s.OperatorAddress()))
 			}
--- a/node/server/roles.go
+++ b/node/server/roles.go
@@ -71,8 +71,8 @@
 
 func (s *Server) reconcileRoles(ctx context.Context) {
 	st, ok := s.config.Current()
-	if !ok {
-		return
+	if !ok || s.phase.Load() == phaseStarting {
+		return // a host that knows no other yet would campaign for every lease
 	}
 	live := s.mesh.Live()
 	wanted := map[string]func() *role{}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -141,6 +141,7 @@
 	e := start(t, engine.Config{})
 	former := do(t, "GET", "http://"+e.Addr()+"/engine/v1/attempts/a1", "", nil).Header.Get(engineapi.HeaderIncarnation)
 	e.Restart()
+	http.DefaultClient.CloseIdleConnections() // the restart broke them, which a client may notice late
 	e.Preload("m", "", "v1", 10)
 	req, err := http.NewRequest("POST", "http://"+e.Addr()+engineapi.PathChat, strings.NewReader(`{"model":"m"}`))
 	assert.NilError(t, err)
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -82,6 +82,7 @@
 	unseen := fate(t, s, "a1")
 	assert.Equal(t, unseen.State, engineapi.AttemptUnseen)
 	s.Restart()
+	http.DefaultClient.CloseIdleConnections() // the restart broke them, which a client may notice late
 	req, err := http.NewRequest("POST", "http://"+s.Addr()+"/service/orders/new", strings.NewReader("note"))
 	assert.NilError(t, err)
 	req.Header.Set(engineapi.HeaderAttempt, "a1")
