Load nothing again where it is still going

The books count a thing once: a model that unloads while requests still run on it, and is ordered to the same engine again, was granted no new memory, and the engine holds both copies until the last request has ended. Change: a load is refused while the thing is resident and unloads, or its unload is in doubt; placement looks elsewhere. Measured: a test of the books that fails without the change.

--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -146,3 +146,23 @@
 		next.Observe(bounds, report("i1", uint64(i+2), 0, t0, ready(alpha, 40), ready(tint, 5)))
 	}
 }
+
+// Symptom: an engine is over its memory right after a model came back to it.
+// Sequence: a model is unloaded while requests run on it, so that its memory is
+// not free yet; a plan loads it again on the same engine, which holds both.
+// Cause: the books count a thing once, and took the copy that goes for the one
+// that comes.
+func TestAThingThatGoesIsNotLoadedAgain(t *testing.T) {
+	x := Thing{Model: "x", Version: "1"}
+	load := Want{Kind: Load, Thing: x, MemoryMB: 60}
+	row := rowWith(config.FencingChecked, ready(x, 60))
+	doubted, _ := mustReserve(t, row, t0, 1, Want{Kind: Unload, Thing: x})
+	unloading, _ := doubted.Observe(DefaultBounds(), report("i1", 8, doubted.Fence, t0.Add(time.Second), Resident{Thing: x, State: Unloading, MemoryMB: 60}))
+	for name, r := range map[string]Row{"order in doubt": doubted, "unloading": unloading} {
+		_, _, err := r.Reserve(t0, DefaultBounds(), 1, "again", load)
+		assert.ErrorIs(t, err, ErrHeld, name)
+	}
+	gone, _ := unloading.Observe(DefaultBounds(), report("i1", 9, doubted.Fence, t0.Add(2*time.Second)))
+	_, _, err := gone.Reserve(t0, DefaultBounds(), 1, "again", load)
+	assert.NilError(t, err)
+}
--- a/core/ledger/reserve.go
+++ b/core/ledger/reserve.go
@@ -66,6 +66,12 @@
 	if w.Thing.Adapter != "" && !r.baseResident(w.Thing.Model) {
 		return ErrNoBase
 	}
+	// The engine would hold both copies until the last request on the old one
+	// has ended, and the books count a thing once: one would notice an engine
+	// over its memory right after a model came back to where it had just left.
+	if r.Going(w.Thing) {
+		return ErrHeld
+	}
 	next := r
 	next.Charges = append(slices.Clone(r.Charges), Charge{Thing: w.Thing, Kind: Load, MemoryMB: w.MemoryMB})
 	if next.CommittedMB() > r.CapacityMB {
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -187,6 +187,13 @@
 	return ready && !r.Doubted(t, Unload)
 }
 
+// Going says whether the thing is resident and unloads, or may be about to.
+func (r Row) Going(t Thing) bool {
+	return slices.ContainsFunc(r.Residents, func(m Resident) bool {
+		return m.Thing == t && (m.State == Unloading || r.Doubted(t, Unload))
+	})
+}
+
 // Doubted says whether an order of the kind for the thing is in doubt.
 func (r Row) Doubted(t Thing, k Kind) bool {
 	return slices.ContainsFunc(r.Charges, func(c Charge) bool { return c.Kind == k && c.Thing == t })
--- a/core/place/reach.go
+++ b/core/place/reach.go
@@ -92,7 +92,7 @@
 	best, bestCost := -1, 0.0
 	for i := range p.hosts {
 		h := &p.hosts[i]
-		if !h.usable || h.free < need-it.mb || it.heldAt(i) {
+		if !h.usable || h.free < need-it.mb || it.heldAt(i) || h.Row.Going(it.thing) {
 			continue
 		}
 		extra := need - it.mb + h.needs(it)
@@ -168,7 +168,7 @@
 func (p *plan) readyBaseHosts(it *item) []int {
 	var out []int
 	for _, i := range it.base.live {
-		if p.hosts[i].usable && p.hosts[i].Row.Firm(it.base.thing) && !it.heldAt(i) {
+		if p.hosts[i].usable && p.hosts[i].Row.Firm(it.base.thing) && !it.heldAt(i) && !p.hosts[i].Row.Going(it.thing) {
 			out = append(out, i)
 		}
 	}
