Watch a resumed stream from the question on; let nothing be reloaded in one plan

The recorded orders of the overcommitted engine show an adapter's unload and its load again 48 microseconds apart, out of one plan. Change: the watch begins before the question. A plan does not place a thing where the same plan unloads it. The test of it fails without the change.

--- a/core/place/reach.go
+++ b/core/place/reach.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"peridotpier.example/core/ledger"
 )
 
 // reach places what has fewer replicas than it must have, largest first, so
@@ -85,6 +87,14 @@
 	return sum
 }
 
+// goes says whether the item unloads at a host, or this plan lets it go there.
+func (p *plan) goes(i int, it *item) bool {
+	h := &p.hosts[i]
+	return h.Row.Going(it.thing) || slices.ContainsFunc(p.moves, func(m planned) bool {
+		return m.Upstream == h.Name && m.Want.Kind == ledger.Unload && m.Want.Thing == it.thing
+	})
+}
+
 // bestHost is where a replica that needs so much memory goes: the tightest
 // fit while memory is scarce, the least loaded while it is not. Replicas of
 // one model prefer different data centres.
@@ -92,7 +102,7 @@
 	best, bestCost := -1, 0.0
 	for i := range p.hosts {
 		h := &p.hosts[i]
-		if !h.usable || h.free < need-it.mb || it.heldAt(i) || h.Row.Going(it.thing) {
+		if !h.usable || h.free < need-it.mb || it.heldAt(i) || p.goes(i, it) {
 			continue
 		}
 		extra := need - it.mb + h.needs(it)
@@ -168,7 +178,7 @@
 func (p *plan) readyBaseHosts(it *item) []int {
 	var out []int
 	for _, i := range it.base.live {
-		if p.hosts[i].usable && p.hosts[i].Row.Firm(it.base.thing) && !it.heldAt(i) && !p.hosts[i].Row.Going(it.thing) {
+		if p.hosts[i].usable && p.hosts[i].Row.Firm(it.base.thing) && !it.heldAt(i) && !p.goes(i, it) {
 			out = append(out, i)
 		}
 	}
--- a/node/dispatch/recover.go
+++ b/node/dispatch/recover.go
@@ -88,14 +88,16 @@
 func (a *attempt) resume(ctx context.Context) (done bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// From before the question: its connection, new as it is, may go silent too
+	// before the head of the answer comes, and the caller would wait for ever.
+	stop := a.watchExchange(ctx, cancel)
+	defer stop()
 	resp, err := a.d.upstreams.Resume(ctx, a.ep.Address, a.id, a.split.position)
 	if err != nil {
 		return false, nil
 	}
 	a.d.deps.Metrics.Add(metrics.Resumed, a.ep.DataCentre, a.ep.Upstream, 1)
 	a.d.deps.Log.Emit(event.StreamResumed, zap.String(event.FieldPeer, a.ep.Upstream), zap.String("attempt", a.id), zap.Int("position", a.split.position))
-	stop := a.watchExchange(ctx, cancel)
-	defer stop()
 	err = a.relay(ctx, resp)
 	return err == nil || a.out.gone, err
 }
