List a fleet's hosts as they start

Cause: hosts that were listed but not yet served took dials and never answered; under load the suspicions did not settle.

--- a/standin/local/fleet.go
+++ b/standin/local/fleet.go
@@ -119,10 +119,12 @@
 		}
 		f.nodes = append(f.nodes, n)
 	}
-	f.list() // as a platform does that lists its hosts before they start
 	// Hosts of a fleet have machines of their own; on this one a start of all
 	// at once would only show how long it takes to share the processors.
+	started := 0
 	for batch := range slices.Chunk(f.nodes, startAtOnce) {
+		started += len(batch)
+		f.list(started)
 		for _, n := range batch {
 			n.Start()
 		}
@@ -174,10 +176,10 @@
 	return t.Table.Get(ctx, keys...)
 }
 
-// list tells the platform's list of hosts.
-func (f *Fleet) list() {
+// list tells the platform's list of hosts: the first of them, less the killed.
+func (f *Fleet) list(first int) {
 	var hosts []platform.Host
-	for i, n := range f.nodes {
+	for i, n := range f.nodes[:first] {
 		if n != nil {
 			hosts = append(hosts, platform.Host{Name: fmt.Sprintf("entry-%03d", i), Address: n.PeerAddress(), DataCentre: fleetDC(i),
 				Role: platform.RoleEntry, State: platform.HostLive})
