Cause a restart between a call and its answer, and drain claims in the test

Cause: by hand, two mutations went unnoticed on real nodes: taking a new process's 'unseen' at its word, and a shutdown that drains nothing. Change: a test for the first, and the outage of the shutdown test lasts until the host no longer listens. Measured: both mutations fail a test now.

--- a/standin/local/once_test.go
+++ b/standin/local/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -137,13 +138,7 @@
 	other := p.startNode("n2")
 	defer func() { assert.NilError(t, other.Stop()) }()
 	trap.set(nil, func() {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if e := p.svc.Executions(); len(e) == 0 || e[0].Ended.IsZero() {
-				return poll.Continue("the call has not ended")
-			}
-			return poll.Success()
-		})
-		p.svc.Restart()
+		p.restartAfterTheCall()
 		p.node.Kill()
 	})
 	first := noteVia(t.Context(), p.node, "k1", callerapi.HeaderDeadline, "300")
@@ -169,6 +164,34 @@
 	}
 }
 
+// restartAfterTheCall restarts the service once its one call has ended.
+func (p *path) restartAfterTheCall() {
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if e := p.svc.Executions(); len(e) == 0 || e[0].Ended.IsZero() {
+			return poll.Continue("the call has not ended")
+		}
+		return poll.Success()
+	})
+	p.svc.Restart()
+}
+
+// Symptom: a note is packed twice after a restart of the service.
+// Sequence: the call ran, its answer is lost, and the service restarts; the
+// host asks the new process for the attempt's fate and hears "unseen"; the
+// caller comes back.
+// Cause: the new process is taken at its word, or what is unknown for free.
+func TestARestartBeforeTheAnswerLeavesTheOutcomeUnknown(t *testing.T) {
+	p, trap := trappedPath(t)
+	p.svc.LoseAnswers(1)
+	trap.set(nil, p.restartAfterTheCall)
+	for range 2 {
+		r := noteVia(t.Context(), p.node, "k1")
+		assert.Equal(t, r.outcome, "unknown", r.body)
+		assert.Equal(t, r.code, string(fault.CodeUnknownOutcome))
+	}
+	assert.Equal(t, len(p.svc.Executions()), 1)
+}
+
 // Symptom: callers wait for a table that is down, or are told that a call ran
 // or may have run which never left the host.
 // Sequence: the table service is down; a call that may not be repeated comes.
@@ -308,6 +331,14 @@
 	assert.NilError(t, r.err)
 	assert.Equal(t, r.status, http.StatusOK, r.body)
 	poll.WaitOn(t, p.unsettled(1))
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the last listener closes when only claims are left
+		c, err := net.Dial("tcp", p.node.OperatorAddress())
+		if err == nil {
+			_ = c.Close()
+			return poll.Continue("the host still listens")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
 	p.tbl.Faults.Update(func(s *fake.Settings) { s.Outage = false })
 	assert.NilError(t, <-stopped)
 	again := noteVia(t.Context(), other, "k1")
