Let a commit in doubt give up its slot

Cause: as an outage begins, the answers of a few merged commits are lost; they held all four slots of the batcher, and the claims behind them waited where the table would have refused them at once. Change: a commit whose first answer is lost leaves its slot to the next. The test of a graceful shutdown covers a whole answer beside the stream.

--- a/node/claim/batch.go
+++ b/node/claim/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"peridotpier.example/node/platform"
@@ -22,10 +23,9 @@
 }
 
 // commitMost bounds one merged commit that is in doubt: as long as those who
-// wait for it do, Config.CallTimeout. Longer, a few commits that went into an
-// outage would hold every slot, and claims would wait where they should be
-// refused at once; nor could a host end. It is far below platform.OpMemory, so
-// that within it an operation id is always remembered.
+// wait for it do, Config.CallTimeout. Longer, a host that shuts down in an
+// outage could not end. It is far below platform.OpMemory, so that within it an
+// operation id is always remembered.
 const commitMost = 2 * time.Second
 
 // Batcher is a platform.Table that merges transactions of many requests into
@@ -37,6 +37,7 @@
 	cfg            BatchConfig
 	in             chan *waiting
 	slots          chan struct{}
+	commits        sync.WaitGroup // under way
 	stopped        chan struct{}
 }
 
@@ -86,9 +87,7 @@
 		batch, held = apart(batch)
 		b.start(ctx, batch)
 		if err != nil && len(held) == 0 {
-			for range b.cfg.Parallel {
-				b.slots <- struct{}{} // wait for commits under way
-			}
+			b.commits.Wait()
 			return err
 		}
 	}
@@ -133,12 +132,31 @@
 		return
 	}
 	b.slots <- struct{}{}
-	go func() {
-		defer func() { <-b.slots }()
+	free := sync.OnceFunc(func() { <-b.slots })
+	b.commits.Go(func() {
+		defer free()
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitMost)
 		defer cancel()
-		b.commit(ctx, batch)
-	}()
+		b.commit(ctx, doubted{b.Table, free}, batch)
+	})
+}
+
+// doubted is a table that calls inDoubt when an answer of it is lost. A commit
+// in doubt gives its slot up: as an outage begins a few of them would else
+// hold all slots, and the claims behind them would wait for their whole bound
+// where the table, asked, would refuse them at once.
+type doubted struct {
+	platform.Table
+	inDoubt func()
+}
+
+// Commit implements platform.Table.
+func (d doubted) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	v, err := d.Table.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrInDoubt) {
+		d.inDoubt()
+	}
+	return v, err
 }
 
 // mergeTries bounds how often a batch is tried that others get in the way of
@@ -148,7 +166,7 @@
 // commit takes out the transactions whose conditions do not hold and commits
 // the rest. Reads are cheaper than writes, and one repeat of a request among
 // many new ones would cost two commits if it were only found by a conflict.
-func (b *Batcher) commit(ctx context.Context, batch []*waiting) {
+func (b *Batcher) commit(ctx context.Context, tb platform.Table, batch []*waiting) {
 	for range mergeTries {
 		rest, err := b.holding(ctx, batch)
 		if err != nil {
@@ -158,7 +176,7 @@
 		if batch = rest; len(batch) == 0 {
 			return
 		}
-		v, err := platform.CommitResolved(ctx, b.Table, merge(batch))
+		v, err := platform.CommitResolved(ctx, tb, merge(batch))
 		if !errors.Is(err, platform.ErrConflict) {
 			answer(batch, v, err)
 			return
--- a/node/claim/settle_test.go
+++ b/node/claim/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,3 +103,30 @@
 		assert.Equal(t, code(err), fault.CodeInProgress, "held, and not run again")
 	})
 }
+
+// Symptom: callers wait for seconds for a refusal while the table is down.
+// Sequence: the answers of some commits are lost as the outage begins; other
+// claims come after them.
+// Cause: commits in doubt hold all that may be under way at once.
+func TestCommitsInDoubtDoNotHoldUpRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := &faulty{Table: standin.NewTable()}
+		batch := nodeclaim.NewBatcher(nodeclaim.DefaultBatchConfig(), tb)
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan struct{})
+		go func() { defer close(stopped); _ = batch.Run(ctx) }()
+		s := smallStore(batch, nil)
+		tb.set(func(f *faults) { f.drop = 1 << 10 })
+		for range 8 {
+			go func() { _, _, _ = ask(s, rand.Text()) }()
+			time.Sleep(100 * time.Millisecond) // a commit each
+		}
+		tb.set(func(f *faults) { f.drop, f.down = 0, true })
+		began := time.Now()
+		_, _, err := ask(s, "after")
+		assert.Equal(t, code(err), fault.CodeStoreDown)
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond, "refused after %s", time.Since(began)) // of synctest's clock
+		cancel()
+		<-stopped
+	})
+}
--- a/standin/local/faults_test.go
+++ b/standin/local/faults_test.go
@@ -181,16 +181,23 @@
 	p.base = first
 }
 
-// Symptom: a restart of a host cuts streams.
-// Sequence: a stream runs; the host is told to stop; the stream goes on.
+// Symptom: a restart of a host cuts streams or whole answers.
+// Sequence: one of each runs; the host is told to stop; both go on.
 // Cause: the listener's end is taken for the end of what it accepted.
 func TestAGracefulShutdownCutsNothing(t *testing.T) {
 	p := newPath(t, slow)
-	body := fmt.Sprintf(chat, true, 60)
+	body := fmt.Sprintf(chat, true, 200)
 	_, _, unbroken := p.do("POST", "/v1/chat/completions", teamKey, body)
 	resp, r, begin := p.open(t.Context(), p.base, body, 5)
+	whole := make(chan string, 1)
+	go func() {
+		_, _, text := p.do("POST", "/v1/chat/completions", teamKey, fmt.Sprintf(chat, false, 60))
+		whole <- text
+	}()
+	poll.WaitOn(t, p.running(2))
 	stopped := make(chan error, 1)
 	go func() { stopped <- p.node.Stop() }()
+	assert.Assert(t, strings.Contains(<-whole, `"completion_tokens":60`))
 	rest, err := io.ReadAll(r)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
