Let the demo switch presets as an operator, and print operators' lines

Cause: the demo let a host leave but switched no preset, and its printed lines left out the operators' commands; interrupted, it reported the length of its plan. Change: one host leaves while another is told through its operators' interface to put the next preset in force, and the run fails if that fails; operators' lines, with a certificate beside the authority's file under TLS; a change whose connection was refused is reported as failed, not as unknown.

--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -137,8 +138,12 @@
 }
 
 // unreachable is a lost answer: a read may be made again, a change may have
-// taken effect.
+// taken effect, unless no connection was made.
 func (c *Client) unreachable(method string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &exit.Error{Code: exit.Failed, Err: err, Do: "nothing was asked for; try another entry host with --node"}
+	}
 	if method == http.MethodGet {
 		return &exit.Error{Code: exit.Failed, Err: err, Do: "try another entry host with --node"}
 	}
--- a/cmd/peridotpier/version.go
+++ b/cmd/peridotpier/version.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
 	"runtime"
 	"runtime/debug"
 
@@ -15,13 +17,16 @@
 // Version is the release that this tree is on the way to.
 const Version = "0.1.0"
 
-type versionCommand struct{}
+type versionCommand struct{ json bool }
 
-func (*versionCommand) Name() string           { return "version" }
-func (*versionCommand) Synopsis() string       { return "print the version" }
-func (*versionCommand) Usage() string          { return "peridotpier version\n" }
-func (*versionCommand) SetFlags(*flag.FlagSet) {}
-func (*versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+func (*versionCommand) Name() string     { return "version" }
+func (*versionCommand) Synopsis() string { return "print the version" }
+func (*versionCommand) Usage() string    { return "peridotpier version [--json]\n" }
+func (c *versionCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+func (c *versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	revision := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range info.Settings {
@@ -30,6 +35,10 @@
 			}
 		}
 	}
+	if c.json {
+		_ = json.NewEncoder(os.Stdout).Encode(map[string]string{"version": Version, "revision": revision, "go": runtime.Version(), "platform": runtime.GOOS + "/" + runtime.GOARCH})
+		return exit.OK
+	}
 	fmt.Printf("peridotpier %s (revision %s, %s %s/%s)\n", Version, revision, runtime.Version(), runtime.GOOS, runtime.GOARCH)
 	return exit.OK
 }
--- a/cmd/pierctl/demo.go
+++ b/cmd/pierctl/demo.go
@@ -12,6 +12,7 @@
 
 	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/standin/local"
+	"peridotpier.example/standin/pki"
 	"peridotpier.example/standin/site"
 )
 
@@ -34,7 +35,8 @@
   progress until interrupted. With --for: sends mixed traffic for that long,
   lets a host leave and switches the preset, and prints a report.
   With --tls the hosts use certificates made in memory for callers, operators
-  and one another; --ca writes the authority that signed them to a file, else
+  and one another; --ca writes the authority that signed them to a file,
+  and an operator's certificate and key beside it (FILE.operator.pem, .key); else
   the curl lines take any certificate.
   Exit 0: sound; 1: something was lost, doubled, cut, crossed, overcommitted
   or unreachable, or the run failed; 2: usage.
@@ -76,18 +78,18 @@
 	}
 	defer r.Close()
 	if c.ca != "" {
-		if err := os.WriteFile(c.ca, r.Authority.PEM(), 0o644); err != nil {
+		if err := writeCertificates(c.ca, r); err != nil {
 			return local.Report{}, err
 		}
 	}
 	if !c.json {
-		printIntroduction(os.Stdout, s, r, c.curl())
+		printIntroduction(os.Stdout, s, r, c.curl(), c.pierctl())
 	}
 	d := local.Drive{Policy: "peridot", Length: c.length, Progress: showProgress}
 	if c.length == 0 {
 		d.Length = untilInterrupted
 	} else {
-		d.Script = local.Leaving(c.length)
+		d.Script = local.Ordinary(c.length)
 	}
 	rep, err := r.Drive(ctx, d)
 	if c.length == 0 && errors.Is(err, context.Canceled) {
@@ -96,6 +98,41 @@
 	return rep, err
 }
 
+// writeCertificates writes the authority's certificate to a file, and beside it
+// the certificate and key of an operator.
+func writeCertificates(ca string, r *local.Running) error {
+	certificate, key, err := r.Authority.Issue("operator", pki.Address("127.0.0.1"))
+	if err != nil {
+		return err
+	}
+	for name, data := range map[string][]byte{ca: r.Authority.PEM(), ca + operatorPEM: certificate, ca + operatorKey: key} {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// What the names of an operator's files end in, after the authority's.
+const (
+	operatorPEM = ".operator.pem"
+	operatorKey = ".operator.key"
+)
+
+// pierctl is how the printed lines operate a host; "" when they cannot, for
+// want of a certificate in a file.
+func (c *demoCommand) pierctl() string {
+	line := local.OperatorKey + " go run ./cmd/pierctl"
+	switch {
+	case !c.tls:
+		return "PIERCTL_KEY=" + line + " %s --node %s"
+	case c.ca != "":
+		return "PIERCTL_KEY=" + line + " %s --node %s --authorities " + c.ca + " --certificate " + c.ca + operatorPEM + " --certificate-key " + c.ca + operatorKey
+	default:
+		return ""
+	}
+}
+
 // curl is how the printed lines call a host.
 func (c *demoCommand) curl() string {
 	switch {
--- a/cmd/pierctl/print.go
+++ b/cmd/pierctl/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"peridotpier.example/standin/local"
 	"peridotpier.example/standin/site"
@@ -10,13 +11,14 @@
 
 // printIntroduction shows how to use a running site by hand. Its lines work
 // as they stand.
-func printIntroduction(w io.Writer, s *site.Site, r *local.Running, curl string) {
+func printIntroduction(w io.Writer, s *site.Site, r *local.Running, curl, pierctl string) {
 	d := &s.Deployment
 	team := d.Teams[len(d.Teams)-1]
 	key := s.Key(team.Name)
-	base := "http://" + r.Addresses()[0]
+	hosts := r.Addresses()
+	base := "http://" + hosts[len(hosts)-1]
 	if r.Authority != nil {
-		base = "https://" + r.Addresses()[0]
+		base = "https://" + hosts[len(hosts)-1]
 	}
 	model := d.Models[0].Name
 	fmt.Fprintf(w, "%s: %d entry hosts, %d upstreams, %d models, %d adapters\n\n", d.Site, len(r.Addresses()), len(d.Upstreams), len(d.Models), len(d.Adapters))
@@ -25,6 +27,14 @@
 	if len(d.Services) > 0 {
 		fmt.Fprintf(w, "# a call that may not be repeated: send it twice, it runs once\n%s -si %s/v1/services/%s/dispatch-notes -H 'Authorization: Bearer %s' -H 'Idempotency-Key: note-1' -d 'one box of zips'\n\n", curl, base, d.Services[0].Name, key)
 	}
+	if pierctl == "" {
+		return
+	}
+	fmt.Fprintln(w, "# operators: the state of a host, what a switch of preset would move, the switch, who changed what")
+	for _, do := range []string{"status", "preset use " + d.Presets[len(d.Presets)-1].Name + " --dry-run", "preset use " + d.Presets[len(d.Presets)-1].Name, "status --everywhere", "audit", "request list"} {
+		fmt.Fprintf(w, pierctl+"\n", do, r.OperatorURL())
+	}
+	fmt.Fprintln(w)
 }
 
 func printReport(w io.Writer, r local.Report) {
@@ -34,5 +44,8 @@
 		r.Lost, r.Doubled, r.Cut, r.Crossed, r.FalseNotRun, r.Overcommits, r.UnreachableModels)
 	fmt.Fprintf(w, "  attainment %.4f (bound %.4f), per accelerator %.1f on %d, moves %d\n",
 		r.Attainment, r.Bound, r.AttainmentPerAccelerator, r.Accelerators, r.Moves)
+	if len(r.Presets) > 0 {
+		fmt.Fprintf(w, "  presets put in force: %s\n", strings.Join(r.Presets, ", "))
+	}
 	fmt.Fprintf(w, "  first token p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", r.FirstMs.P50, r.FirstMs.P95, r.FirstMs.P99)
 }
--- /dev/null
+++ b/standin/local/operate.go
@@ -0,0 +1,96 @@
+package local
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/operatorapi"
+	"peridotpier.example/standin/pki"
+)
+
+// OperatorAddresses are the operators' listeners of the hosts that run.
+func (r *Running) OperatorAddresses() []string {
+	return r.addresses(func(n *Node) string { return n.OperatorAddress() })
+}
+
+// OperatorURL is where operators find the last host, the one that stays
+// longest when hosts leave in turn.
+func (r *Running) OperatorURL() string {
+	all := r.OperatorAddresses()
+	scheme := "http://"
+	if r.Authority != nil {
+		scheme = "https://"
+	}
+	return scheme + all[len(all)-1]
+}
+
+// switchPreset puts the preset after the one in force in force, as an operator would.
+func (r *Running) switchPreset(ctx context.Context) error {
+	client, err := r.operator()
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
+	base := r.OperatorURL()
+	var p operatorapi.Presets
+	if err := operate(ctx, client, http.MethodGet, base+"/v1/presets", &p); err != nil {
+		return err
+	}
+	next := p.InForce
+	for i, x := range p.Presets {
+		if x.Name == p.InForce {
+			next = p.Presets[(i+1)%len(p.Presets)].Name
+		}
+	}
+	var a operatorapi.Applied
+	if err := operate(ctx, client, http.MethodPost, base+"/v1/presets/"+next, &a); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.presets = append(r.presets, a.Head.Preset)
+	r.mu.Unlock()
+	return nil
+}
+
+// operator is an HTTP client with an operator's certificate where one is needed.
+func (r *Running) operator() (*http.Client, error) {
+	if r.Authority == nil {
+		return &http.Client{Transport: &http.Transport{}}, nil
+	}
+	certificate, key, err := r.Authority.Issue("operator", pki.Address("127.0.0.1"))
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "operator's certificate")
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: r.Authority.Pool(),
+		Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13}}}, nil
+}
+
+func operate(ctx context.Context, client *http.Client, method, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "call a host as an operator")
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "call a host as an operator")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return eris.Wrap(err, "call a host as an operator")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("%s %s: %s: %s", method, req.URL.Path, resp.Status, data)
+	}
+	return eris.Wrap(json.Unmarshal(data, out), "read a host's answer")
+}
--- a/standin/local/report.go
+++ b/standin/local/report.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotpier.example/core/config"
 	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/site"
@@ -28,6 +31,7 @@
 	Bound                    float64  `json:"attainment_bound"`           // that no policy can exceed on this plan
 	TableWrites              int64    `json:"table_writes"`
 	TableReads               int64    `json:"table_reads"`
+	Presets                  []string `json:"presets,omitempty"` // put in force during the run
 }
 
 // Sound says whether nothing happened that must never happen.
@@ -43,7 +47,7 @@
 	Length   time.Duration
 	Progress func(load.Progress)
 	// Script, when set, runs beside the traffic until its context ends.
-	Script func(ctx context.Context, r *Running)
+	Script Script
 }
 
 // Drive sends the site's demand through the entry hosts and counts.
@@ -56,21 +60,27 @@
 	defer stop()
 	truth := make(chan site.Truth, 1)
 	go func() { truth <- r.Upstreams.Monitor(side) }()
-	scripted := make(chan struct{})
+	scripted := make(chan error, 1)
 	go func() {
-		defer close(scripted)
-		if d.Script != nil {
-			d.Script(side, r)
+		if d.Script == nil {
+			d.Script = func(context.Context, *Running) error { return nil }
 		}
+		scripted <- d.Script(side, r)
 	}()
 	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.DialCallers(), Progress: d.Progress})
 	stop()
-	<-scripted
+	if err := <-scripted; err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		return Report{}, eris.Wrap(err, "what was to happen in the run did not")
+	}
 	rep := Report{Site: r.opt.Site.Deployment.Site, Policy: d.Policy, Seed: r.opt.Seed, Faults: d.Faults, Seconds: d.Length.Seconds(),
 		EntryHosts: r.opt.Hosts, Accelerators: r.opt.Site.Accelerators(), Counts: result.Count(r.Upstreams.Effects()),
 		Bound: r.opt.Site.Bound(plan), TableWrites: r.Table.Faults.Writes(), TableReads: r.Table.Faults.Reads()}
 	rep.addTruth(<-truth, &r.Upstreams.Config)
 	rep.perAccelerator()
+	rep.Presets = r.presets
+	if ctx.Err() != nil {
+		rep.Seconds = result.Elapsed.Seconds() // called off: the plan was longer than the run
+	}
 	return rep, ctx.Err()
 }
 
--- a/standin/local/script.go
+++ b/standin/local/script.go
@@ -3,19 +3,31 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
-// Leaving lets the first entry host leave gracefully in the middle of a run
-// of the given length, and another take its place.
-func Leaving(length time.Duration) func(context.Context, *Running) {
-	return func(ctx context.Context, r *Running) {
+// Script is what happens beside the traffic of a run.
+type Script func(ctx context.Context, r *Running) error
+
+// Ordinary is a run of the given length with an ordinary day's changes: the
+// first entry host leaves gracefully and another takes its place, and an
+// operator puts another preset in force through a host that stays.
+func Ordinary(length time.Duration) Script {
+	return func(ctx context.Context, r *Running) error {
 		if !pause(ctx, length/3) {
-			return
+			return nil
+		}
+		left := make(chan error, 1)
+		go func() { left <- r.Stop(0) }() // what it would have cut shows in the counts
+		err := r.switchPreset(ctx)
+		if stopErr := <-left; err == nil {
+			err = eris.Wrap(stopErr, "stop a host")
 		}
-		_ = r.Stop(0) // what it would have cut shows in the counts
-		if ctx.Err() == nil {
-			_ = r.Replace(ctx, 0) // the run goes on with one host less
+		if err != nil || ctx.Err() != nil {
+			return err
 		}
+		return eris.Wrap(r.Replace(ctx, 0), "replace a host")
 	}
 }
 
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -38,8 +38,9 @@
 	Balancer  *load.Balancer
 	Authority *pki.Authority // signed the hosts' certificates; nil without TLS
 
-	mu    sync.Mutex
-	nodes []*Node // nil: ended
+	mu      sync.Mutex
+	nodes   []*Node  // nil: ended
+	presets []string // put in force one after the other by scripts
 }
 
 // balancerWait is how long a local balancer goes on sending to a host that
@@ -119,12 +120,16 @@
 
 // Addresses are the callers' listeners of the hosts that the balancer knows.
 func (r *Running) Addresses() []string {
+	return r.addresses(func(n *Node) string { return n.CallerAddress() })
+}
+
+func (r *Running) addresses(of func(*Node) string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
 	for _, n := range r.nodes {
 		if n != nil {
-			out = append(out, n.CallerAddress())
+			out = append(out, of(n))
 		}
 	}
 	return out
