--- a/cmd/pierctl/preset.go
+++ b/cmd/pierctl/preset.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/subcommands"
 
+	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/cmd/internal/operator"
 	"peridotpier.example/node/operatorapi"
 )
@@ -77,7 +78,7 @@
 			}, nil
 		}
 	}
-	return nil, nil, usageError("there is no preset %q; pierctl preset list shows them", name)
+	return nil, nil, &exit.Error{Code: exit.Absent, Err: fmt.Errorf("there is no preset %q", name), Do: "pierctl preset list shows them"}
 }
 
 func presetDryRun(ctx context.Context, c *operator.Client, name string) (any, func(), error) {
--- a/node/operatorapi/handlers.go
+++ b/node/operatorapi/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -90,6 +91,10 @@
 		return err
 	}
 	head, err := a.deps.Changes.UsePreset(c.ctx(), command.UsePreset{Author: c.operator, Parent: parent, Preset: preset})
+	var invalid *command.InvalidError
+	if errors.As(err, &invalid) { // the configuration is in force already: only the preset can be at fault
+		return notFound(fmt.Sprintf("there is no preset %q", preset))
+	}
 	if err != nil {
 		return err
 	}
--- a/node/server/status.go
+++ b/node/server/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -9,6 +10,7 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/operatorapi"
+	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
 )
 
@@ -48,13 +50,12 @@
 	return u
 }
 
-// Everywhere implements operatorapi.Site. A host that the platform lists as
-// live counts even if no peer has heard of it: a change is not in force
-// everywhere while it may still serve under the old one.
+// Everywhere implements operatorapi.Site.
 func (s *Server) Everywhere(ctx context.Context) (operatorapi.Everywhere, error) {
 	out := operatorapi.Everywhere{Version: s.version(), Hosts: []query.HostVersion{}}
 	heard := query.NewConfirmations(nil)
-	for host, version := range s.mesh.Versions(ctx) {
+	versions := s.mesh.Versions(ctx)
+	for host, version := range versions {
 		if version == 0 {
 			continue
 		}
@@ -62,10 +63,23 @@
 		out.Hosts = append(out.Hosts, query.HostVersion{Host: host, Version: version, At: time.Now()})
 	}
 	sort.Slice(out.Hosts, func(i, j int) bool { return out.Hosts[i].Host < out.Hosts[j].Host })
-	out.Waiting = heard.Waiting(out.Version, s.mesh.Listed())
+	out.Waiting = heard.Waiting(out.Version, expected(s.mesh.Listed(), versions))
 	return out, nil
 }
 
+// expected are the hosts that must have confirmed a version before it is in
+// force everywhere: those that the platform lists as live, even if no peer has
+// heard of them, and those that peers know, since the list shows a new host
+// only seconds after it began to serve.
+func expected(listed []platform.Host, known map[string]uint64) []platform.Host {
+	for host := range known {
+		if !slices.ContainsFunc(listed, func(h platform.Host) bool { return h.Name == host }) {
+			listed = append(listed, platform.Host{Name: host, Role: platform.RoleEntry, State: platform.HostLive})
+		}
+	}
+	return listed
+}
+
 // FindRequest implements operatorapi.Site. A request's id names its host.
 func (s *Server) FindRequest(ctx context.Context, id string) (inflight.Request, bool, error) {
 	if q, ok := s.requests.Get(id, inflight.AllTeams); ok {
