--- a/standin/speed/speed.go
+++ b/standin/speed/speed.go
@@ -16,12 +16,10 @@
 // The models of the built-in site "speed".
 const (
 	modelFast  = "fast"  // tokens as fast as the engine makes them
-	modelPaced = "paced" // pacedRate tokens a second
+	modelPaced = "paced" // 100 tokens a second
 	modelIdle  = "idle"  // one token a second
 )
 
-const pacedRate = 100
-
 // Config says what to measure.
 type Config struct {
 	Layout  *local.Layout // its first host runs with GOMAXPROCS=1, its second as it likes
@@ -30,7 +28,7 @@
 	Length  time.Duration // of each part
 	Rate    int           // requests a second for the time to the first byte
 	Streams int           // idle streams
-	Paced   int           // paced streams, of pacedRate tokens a second each
+	Paced   int           // paced streams, of 100 tokens a second each
 	Fast    int           // fast streams at once
 }
 
