Wait in one place, and print reports in one

Cause: the same wait stood in three packages, the same end of a run in two commands. Change: node/pace serves for all; one function makes a run and prints it.

--- a/cmd/pierctl/demo.go
+++ b/cmd/pierctl/demo.go
@@ -60,11 +60,7 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
-	rep, err := c.run(ctx)
-	if err != nil {
-		return exit.Print(os.Stderr, c.json, err)
-	}
-	return finish(rep, c.json)
+	return finish(ctx, c.run, c.json)
 }
 
 func (c *demoCommand) run(ctx context.Context) (local.Report, error) {
--- a/cmd/pierctl/drive.go
+++ b/cmd/pierctl/drive.go
@@ -52,11 +52,7 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
-	rep, err := c.run(ctx)
-	if err != nil {
-		return exit.Print(os.Stderr, c.json, err)
-	}
-	return finish(rep, c.json)
+	return finish(ctx, c.run, c.json)
 }
 
 func (c *driveCommand) run(ctx context.Context) (local.Report, error) {
@@ -71,8 +67,12 @@
 	return local.Against{Site: s, Layout: l, Seed: c.seed, Length: c.length, Progress: showProgress}.Run(ctx)
 }
 
-// finish prints a report and turns it into an exit code.
-func finish(rep local.Report, asJSON bool) subcommands.ExitStatus {
+// finish makes a run, prints its report and turns it into an exit code.
+func finish(ctx context.Context, run func(context.Context) (local.Report, error), asJSON bool) subcommands.ExitStatus {
+	rep, err := run(ctx)
+	if err != nil {
+		return exit.Print(os.Stderr, asJSON, err)
+	}
 	if asJSON {
 		_ = json.NewEncoder(os.Stdout).Encode(rep)
 	} else {
--- a/standin/local/script.go
+++ b/standin/local/script.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"peridotpier.example/node/pace"
 )
 
 // Script is what happens beside the traffic of a run.
@@ -32,13 +34,4 @@
 }
 
 // pause lets d pass; false: ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func pause(ctx context.Context, d time.Duration) bool { return pace.Sleep(ctx, d) }
--- a/standin/speed/parts.go
+++ b/standin/speed/parts.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"peridotpier.example/node/pace"
 	"peridotpier.example/standin/load"
 )
 
@@ -26,8 +27,8 @@
 	defer f.wg.Wait()
 	defer stop()
 	for f.opened.Load() < int64(cfg.Streams) && f.failed() == nil {
-		if err := pause(ctx, settle/10); err != nil {
-			return err
+		if !pace.Sleep(ctx, settle/10) {
+			return ctx.Err()
 		}
 	}
 	after, err := collected(ctx, cfg, c)
@@ -64,16 +65,16 @@
 	f.start(ctx, streams)
 	defer f.wg.Wait()
 	defer stop()
-	if err := pause(ctx, settle); err != nil {
-		return Relayed{}, err
+	if !pace.Sleep(ctx, settle) {
+		return Relayed{}, ctx.Err()
 	}
 	cpu, err := processorTime(cfg.OneCore)
 	if err != nil {
 		return Relayed{}, err
 	}
 	began, seen := time.Now(), f.seen.Load()
-	if err := pause(ctx, cfg.Length); err != nil {
-		return Relayed{}, err
+	if !pace.Sleep(ctx, cfg.Length) {
+		return Relayed{}, ctx.Err()
 	}
 	took, seen := time.Since(began), f.seen.Load()-seen
 	after, err := processorTime(cfg.OneCore)
@@ -110,8 +111,8 @@
 	var wg sync.WaitGroup
 	for i := range warm + n {
 		if wait := time.Until(began.Add(time.Duration(i) * gap)); wait > 0 {
-			if err := pause(ctx, wait); err != nil {
-				return err
+			if !pace.Sleep(ctx, wait) {
+				return ctx.Err()
 			}
 		}
 		f := direct
--- a/standin/speed/streams.go
+++ b/standin/speed/streams.go
@@ -131,14 +131,3 @@
 
 // settle is how long streams run before they are measured.
 const settle = 2 * time.Second
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
