--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -11,17 +11,25 @@
 	"github.com/google/subcommands"
 )
 
+// operating are the commands that call a host.
+func operating() []subcommands.Command {
+	return []subcommands.Command{presetCommand(), applyCommand(), statusCommand(), auditCommand(), requestCommand()}
+}
+
+// trials are the commands that run stand-ins, or against them.
+func trials() []subcommands.Command {
+	return []subcommands.Command{&demoCommand{}, &fleetCommand{}, &standinCommand{}, &driveCommand{}, &speedCommand{}}
+}
+
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	for _, c := range []subcommands.Command{presetCommand(), applyCommand(), statusCommand(), auditCommand(), requestCommand()} {
+	for _, c := range operating() {
 		subcommands.Register(c, "operating")
 	}
-	subcommands.Register(&demoCommand{}, "trials")
-	subcommands.Register(&fleetCommand{}, "trials")
-	subcommands.Register(&standinCommand{}, "trials")
-	subcommands.Register(&driveCommand{}, "trials")
-	subcommands.Register(&speedCommand{}, "trials")
+	for _, c := range trials() {
+		subcommands.Register(c, "trials")
+	}
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	code := subcommands.Execute(ctx)
--- /dev/null
+++ b/node/callerapi/page_test.go
@@ -0,0 +1,29 @@
+package callerapi
+
+import (
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Symptom: a caller gets a code, and the page does not say what to do on it.
+// Sequence: a code is added, or its status changes.
+// Cause: page and code are kept apart.
+func TestThePageSaysWhatToDoOnEachCode(t *testing.T) {
+	data, err := os.ReadFile("../../docs/callers.md")
+	assert.NilError(t, err)
+	page := string(data)
+	for code, status := range statuses {
+		row := regexp.MustCompile(`(?m)^\| (\d{3}) \|.*` + "`" + string(code) + "`").FindStringSubmatch(page)
+		if assert.Check(t, row != nil, "%s is not named", code) {
+			assert.Check(t, row[1] == strconv.Itoa(status), "%s has status %d, not %s", code, status, row[1])
+		}
+	}
+	for _, header := range []string{HeaderIdempotencyKey, HeaderClass, HeaderDeadline, HeaderRequestID, HeaderResume, HeaderReplayed, headerLastEvent} {
+		assert.Check(t, strings.Contains(page, "`"+header+"`"), "%s is not named", header)
+	}
+}
