Stop the host in scripts/processes.sh once requests are in flight

Cause: after a fixed 5 s there might be none yet on a busy machine. Change: the script asks the host itself and stops it at five in flight. Conclusion: the verdict does not hang on the clock.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -17,9 +17,20 @@
 drive=$!
 started+=("$drive")
 
-# Once the host that is to leave serves requests and its streams last seconds,
-# some are open at any moment; its own log tells how many.
-sleep 5
+# The host is stopped once requests are in flight through it: after a fixed time
+# there might be none yet on a busy machine, and the run would show nothing.
+operator=$(grep -o '"operator": "[^"]*"' "$work/site/layout.json" | head -n 1 | cut -d'"' -f4)
+for _ in $(seq 300); do
+  in_flight=$("$work/pierctl" status --json --node "http://$operator" --key-file "$work/site/operator-key" 2>/dev/null |
+    grep -o '"in_flight":[0-9]*' | cut -d: -f2 || true)
+  [ "${in_flight:-0}" -ge 5 ] && break
+  sleep 0.1
+done
+if [ "${in_flight:-0}" -lt 5 ]; then
+  echo "FAILED: nothing came in flight through the host that was to leave"
+  cat "$work/drive.err"
+  exit 1
+fi
 kill -TERM "$leaving"
 status=0
 wait "$leaving" || status=$?
