Let the stand-in's list of hosts follow the hosts that are there

Change: the list shows those that take connections, looked at each second. Conclusion: the list is true, after the site's lag.

--- /dev/null
+++ b/standin/local/hostwatch.go
@@ -0,0 +1,48 @@
+package local
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"peridotpier.example/node/platform"
+)
+
+const (
+	// hostCheckEvery is how often the platform's stand-in looks which entry
+	// hosts are there.
+	hostCheckEvery = time.Second
+	hostCheckBound = 500 * time.Millisecond
+)
+
+// watchHosts keeps the platform's list of hosts true until ctx ends: it shows
+// those entry hosts which take callers' connections.
+func (o *Outside) watchHosts(ctx context.Context) {
+	var shown []platform.Host
+	for {
+		if now := o.present(ctx); !slices.Equal(now, shown) {
+			shown = now
+			o.Hosts.Set(append(o.Upstreams.Hosts(), now...)...)
+		}
+		if !pause(ctx, hostCheckEvery) {
+			return
+		}
+	}
+}
+
+// present are the entry hosts that take connections.
+func (o *Outside) present(ctx context.Context) []platform.Host {
+	var out []platform.Host
+	dialer := net.Dialer{Timeout: hostCheckBound}
+	for _, e := range o.Layout.Entries {
+		c, err := dialer.DialContext(ctx, "tcp", e.Caller)
+		if err != nil {
+			continue
+		}
+		_ = c.Close()
+		out = append(out, platform.Host{Name: e.Host, Address: e.Peer, DataCentre: e.DataCentre,
+			Role: platform.RoleEntry, State: platform.HostLive})
+	}
+	return out
+}
--- a/standin/local/outside.go
+++ b/standin/local/outside.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"peridotpier.example/node/platform"
 	"peridotpier.example/standin/load"
 	fake "peridotpier.example/standin/platform"
 	"peridotpier.example/standin/site"
@@ -74,11 +74,12 @@
 		return nil, err
 	}
 	o := &Outside{StandIns: in, site: opt.Site, watched: make(chan struct{}), ask: make(chan chan site.Truth)}
-	o.serve(ctx, ln)
 	if err := o.write(ctx, dir, "http://"+ln.Addr().String(), opt.Hosts); err != nil {
-		o.Close()
+		_ = ln.Close()
+		in.Upstreams.Close()
 		return nil, err
 	}
+	o.serve(ctx, ln)
 	return o, nil
 }
 
@@ -90,9 +91,12 @@
 	mux.Handle("/", fake.Handler(fake.Services{Table: o.Table, Objects: o.Objects, Hosts: o.Hosts, Weights: o.Weights}))
 	o.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = o.server.Serve(ln) }() // ends with Close
+	var watches sync.WaitGroup
+	watches.Go(func() { o.watchTruth(ctx) })
+	watches.Go(func() { o.watchHosts(ctx) })
 	go func() {
-		defer close(o.watched)
-		o.watchTruth(ctx)
+		watches.Wait()
+		close(o.watched)
 	}()
 }
 
@@ -111,17 +115,13 @@
 	for _, e := range o.Upstreams.Engines {
 		o.Layout.Engines = append(o.Layout.Engines, e.Addr())
 	}
-	list := o.Upstreams.Hosts()
 	for i := range hosts {
 		e, err := writeEntry(dir, hostName(i), o.site.EntryDataCentre(i), base)
 		if err != nil {
 			return err
 		}
 		o.Layout.Entries = append(o.Layout.Entries, e)
-		list = append(list, platform.Host{Name: e.Host, Address: e.Peer, DataCentre: e.DataCentre,
-			Role: platform.RoleEntry, State: platform.HostLive})
 	}
-	o.Hosts.Set(list...)
 	return writeLayout(dir, &o.Layout)
 }
 
