--- /dev/null
+++ b/node/server/status_test.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/platform"
+	"peridotpier.example/node/query"
+)
+
+// Symptom: an operator is told that a change is in force everywhere while a
+// host still serves under the former version.
+// Sequence: a host starts and links with others; a change is made before the
+// platform's list shows the host.
+// Cause: only listed hosts were waited for.
+func TestAHostThatTheListLacksIsWaitedFor(t *testing.T) {
+	listed := []platform.Host{{Name: "a", Role: platform.RoleEntry, State: platform.HostLive},
+		{Name: "gone", Role: platform.RoleEntry, State: platform.HostLeaving},
+		{Name: "engine", Role: platform.RoleUpstream, State: platform.HostLive}}
+	versions := map[string]uint64{"a": 2, "new": 1, "silent": 0}
+	heard := query.NewConfirmations(nil)
+	for host, v := range versions {
+		heard.Report(host, v)
+	}
+	var waiting []string
+	for _, h := range heard.Waiting(2, expected(listed, versions)) {
+		waiting = append(waiting, h.Host)
+	}
+	assert.DeepEqual(t, waiting, []string{"new", "silent"})
+}
