--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,12 +64,23 @@
 	}
 	out := &Run{Load: c.Load}
 	out.Report, err = r.Drive(ctx, local.Drive{Policy: c.Policy, Faults: c.Faults, Length: c.Length, Progress: c.Progress,
-		Script:  func(ctx context.Context, r *local.Running) { faults.Run(ctx, r.Targets(), c.Length) },
+		Script:  func(ctx context.Context, r *local.Running) error { return caused(faults.Run(ctx, r.Targets(), c.Length)) },
 		Results: func(res *load.Result) { out.Series = seriesOf(res, c.Length) }})
 	out.UrgentAttainment = out.ByClass["urgent"].Attainment
 	return out, err
 }
 
+// caused says which faults could not be caused: a run without them shows nothing.
+func caused(steps []site.Fault) error {
+	var errs []error
+	for _, f := range steps {
+		if f.Err != nil {
+			errs = append(errs, eris.Wrap(f.Err, f.What))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 func orNone(faults string) string {
 	if faults == "" {
 		return "none"
