--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -64,7 +64,9 @@
 	}
 	out := &Run{Load: c.Load}
 	out.Report, err = r.Drive(ctx, local.Drive{Policy: c.Policy, Faults: c.Faults, Length: c.Length, Progress: c.Progress,
-		Script:  func(ctx context.Context, r *local.Running) error { return caused(faults.Run(ctx, r.Targets(), c.Length)) },
+		Script: func(ctx context.Context, r *local.Running) error {
+			return caused(faults.Run(ctx, r.Targets(), c.Length))
+		},
 		Results: func(res *load.Result) { out.Series = seriesOf(res, c.Length) }})
 	out.UrgentAttainment = out.ByClass["urgent"].Attainment
 	return out, err
