--- a/standin/local/drive.go
+++ b/standin/local/drive.go
@@ -48,7 +48,7 @@
 		return Report{}, err
 	}
 	rep := Report{Site: a.Layout.Site, Policy: "peridot", Seed: a.Seed, Seconds: a.Length.Seconds(), EntryHosts: len(a.Layout.Entries),
-		Accelerators: a.Site.Accelerators(), Counts: result.Count(rec.Effects), Bound: a.Site.Bound(plan)}
+		Accelerators: a.Site.Accelerators(), Counts: result.Count(rec.Effects), History: check(result, rec.Effects), Bound: a.Site.Bound(plan)}
 	rep.AddRecords(rec)
 	rep.perAccelerator()
 	return rep, nil
