List the tests' host, which a starting host waits for

Cause: a host now waits up to 3 s for the platform's list before it is ready; the tests of the whole path listed none, so each of them took 3 s longer. Change: the first host of such a test is listed.

--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -15,6 +15,7 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
+	api "peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/local"
@@ -97,6 +98,10 @@
 	}
 	n, err := local.StartNode(cfg)
 	assert.NilError(p.t, err)
+	if p.node == nil {
+		// A host waits for the platform's list before it is ready.
+		p.hosts.Set(api.Host{Name: name, Address: n.PeerAddress(), DataCentre: "dc1", Role: api.RoleEntry, State: api.HostLive})
+	}
 	assert.NilError(p.t, n.AwaitReady(p.t.Context()))
 	return n
 }
