--- a/cmd/pierctl/fleet.go
+++ b/cmd/pierctl/fleet.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -20,6 +23,8 @@
 	upstreams int
 	steady    time.Duration
 	changes   int
+	sizes     string
+	plot      string
 	json      bool
 }
 
@@ -28,7 +33,7 @@
 	return "measure the control path of a fleet of real nodes on loopback"
 }
 func (*fleetCommand) Usage() string {
-	return "pierctl fleet [--nodes N] [--upstreams N] [--steady DURATION] [--changes N] [--json]\n"
+	return "pierctl fleet [--nodes N | --sizes N,N,...] [--upstreams N] [--steady DURATION] [--changes N] [--plot FILE.svg] [--json]\n  With --sizes: runs one fleet after another and prints how the figures grow.\n"
 }
 
 func (c *fleetCommand) SetFlags(f *flag.FlagSet) {
@@ -36,6 +41,8 @@
 	f.IntVar(&c.upstreams, "upstreams", 0, "number of upstreams that report; 0: 6 a host")
 	f.DurationVar(&c.steady, "steady", 15*time.Second, "how long the steady state is measured")
 	f.IntVar(&c.changes, "changes", 5, "changes of preset and leaving upstreams to time")
+	f.StringVar(&c.sizes, "sizes", "", "several `numbers` of entry hosts, separated by commas, in place of --nodes")
+	f.StringVar(&c.plot, "plot", "", "with --sizes: write a plot to this SVG `file`")
 	f.BoolVar(&c.json, "json", false, "print one JSON object")
 }
 
@@ -47,18 +54,59 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
-	if c.upstreams == 0 {
-		c.upstreams = upstreamsPerNode * c.nodes
+	if err := c.run(ctx); err != nil {
+		return exit.Print(os.Stderr, c.json, err)
 	}
-	r, err := local.RunFleet(ctx, local.FleetOptions{Nodes: c.nodes, Upstreams: c.upstreams, Steady: c.steady, Changes: c.changes,
-		Progress: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }})
+	return exit.OK
+}
+
+func (c *fleetCommand) run(ctx context.Context) error {
+	sizes := []int{c.nodes}
+	if c.sizes != "" {
+		sizes = sizes[:0]
+		for _, text := range strings.Split(c.sizes, ",") {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < 1 {
+				return usageError("--sizes: %q is not a number of hosts", text)
+			}
+			sizes = append(sizes, n)
+		}
+	}
+	var runs []local.FleetReport
+	for _, n := range sizes {
+		r, err := c.one(ctx, n)
+		if err != nil {
+			return err
+		}
+		c.print(r)
+		runs = append(runs, r)
+	}
+	if len(runs) > 1 {
+		c.print(local.Slopes(runs))
+	}
+	if c.plot == "" {
+		return nil
+	}
+	file, err := os.Create(c.plot)
 	if err != nil {
-		return exit.Print(os.Stderr, c.json, err)
+		return err
+	}
+	return errors.Join(local.PlotSlopes(file, runs), file.Close())
+}
+
+func (c *fleetCommand) one(ctx context.Context, nodes int) (local.FleetReport, error) {
+	upstreams := c.upstreams
+	if upstreams == 0 {
+		upstreams = upstreamsPerNode * nodes
 	}
+	return local.RunFleet(ctx, local.FleetOptions{Nodes: nodes, Upstreams: upstreams, Steady: c.steady, Changes: c.changes,
+		Progress: func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }})
+}
+
+func (c *fleetCommand) print(v any) {
 	enc := json.NewEncoder(os.Stdout)
 	if !c.json {
 		enc.SetIndent("", "  ")
 	}
-	_ = enc.Encode(r)
-	return exit.OK
+	_ = enc.Encode(v)
 }
--- /dev/null
+++ b/standin/local/slopes.go
@@ -0,0 +1,96 @@
+package local
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Slope is how one figure grows with the number of hosts, by least squares.
+type Slope struct {
+	Figure  string    `json:"figure"`
+	Base    float64   `json:"base"`
+	PerHost float64   `json:"per_host"`
+	Design  float64   `json:"at_420_hosts"` // extrapolated
+	Values  []float64 `json:"values"`
+}
+
+// designHosts is the size that the design is for.
+const designHosts = 420
+
+// figures are what is fitted and plotted.
+var figures = []struct {
+	name string
+	of   func(FleetReport) float64
+}{
+	{"peer bytes/s a host", func(r FleetReport) float64 { return r.PeerBytes }},
+	{"report bytes/s a host", func(r FleetReport) float64 { return r.PollBytes }},
+	{"share of a core a host", func(r FleetReport) float64 { return r.CPU }},
+	{"live memory a host, KB", func(r FleetReport) float64 { return r.HeapKB }},
+	{"table reads/s in all", func(r FleetReport) float64 { return r.TableReads }},
+	{"table writes/s in all", func(r FleetReport) float64 { return r.TableWrites }},
+	{"preset in force, p99 ms", func(r FleetReport) float64 { return r.InForce.P99 }},
+	{"document in force, p99 ms", func(r FleetReport) float64 { return r.Document.P99 }},
+	{"leaving known, p99 ms", func(r FleetReport) float64 { return r.Leaving.P99 }},
+}
+
+// Slopes fits each figure over fleets of different sizes.
+func Slopes(runs []FleetReport) []Slope {
+	var out []Slope
+	for _, f := range figures {
+		s := Slope{Figure: f.name}
+		var sx, sy, sxx, sxy float64
+		n := float64(len(runs))
+		for _, r := range runs {
+			x, y := float64(r.Nodes), f.of(r)
+			s.Values = append(s.Values, y)
+			sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+		}
+		if d := n*sxx - sx*sx; d != 0 {
+			s.PerHost = (n*sxy - sx*sy) / d
+		}
+		s.Base = (sy - s.PerHost*sx) / n
+		s.Design = s.Base + designHosts*s.PerHost
+		out = append(out, s)
+	}
+	return out
+}
+
+// PlotSlopes draws each figure against the number of hosts, as a share of its
+// largest value, so that what grows and what does not shows on one page.
+func PlotSlopes(w io.Writer, runs []FleetReport) error {
+	p := plot.New()
+	p.Title.Text = "Fleets of real hosts"
+	p.X.Label.Text = "hosts"
+	p.Y.Label.Text = "share of the figure's largest value"
+	p.Y.Min, p.Y.Max = 0, 1.05
+	p.Legend.Top = true
+	for i, s := range Slopes(runs) {
+		most := 0.0
+		for _, v := range s.Values {
+			most = max(most, v)
+		}
+		points := make(plotter.XYs, len(runs))
+		for k, r := range runs {
+			points[k] = plotter.XY{X: float64(r.Nodes), Y: s.Values[k] / max(most, 1e-9)}
+		}
+		line, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return err
+		}
+		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		dots.Shape = plotutil.Shape(i)
+		p.Add(line, dots)
+		p.Legend.Add(fmt.Sprintf("%s (most %.3g)", s.Figure, most), line, dots)
+	}
+	c := vgsvg.New(22*vg.Centimeter, 14*vg.Centimeter)
+	p.Draw(draw.New(c))
+	_, err := c.WriteTo(w)
+	return err
+}
