--- a/standin/local/report.go
+++ b/standin/local/report.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"peridotpier.example/core/config"
 	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/site"
@@ -29,6 +32,7 @@
 	History                  string   `json:"history"`                    // "ok", or what of the calls that may not be repeated cannot be explained
 	TableWrites              int64    `json:"table_writes"`
 	TableReads               int64    `json:"table_reads"`
+	Presets                  []string `json:"presets,omitempty"` // put in force during the run
 }
 
 // Sound says whether nothing happened that must never happen.
@@ -44,7 +48,7 @@
 	Length   time.Duration
 	Progress func(load.Progress)
 	// Script, when set, runs beside the traffic until its context ends.
-	Script func(ctx context.Context, r *Running)
+	Script Script
 	// Results, when set, is shown what the callers saw.
 	Results func(*load.Result)
 }
@@ -59,16 +63,18 @@
 	defer stop()
 	truth := make(chan site.Truth, 1)
 	go func() { truth <- r.Upstreams.Monitor(side) }()
-	scripted := make(chan struct{})
+	scripted := make(chan error, 1)
 	go func() {
-		defer close(scripted)
-		if d.Script != nil {
-			d.Script(side, r)
+		if d.Script == nil {
+			d.Script = func(context.Context, *Running) error { return nil }
 		}
+		scripted <- d.Script(side, r)
 	}()
 	result := load.Run(ctx, load.Config{Plan: plan, Entries: r.Balancer, Dial: r.DialCallers(), Progress: d.Progress})
 	stop()
-	<-scripted
+	if err := <-scripted; err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		return Report{}, eris.Wrap(err, "what was to happen in the run did not")
+	}
 	if d.Results != nil {
 		d.Results(result)
 	}
@@ -78,6 +84,10 @@
 		Bound: r.opt.Site.Bound(plan), TableWrites: r.Table.Faults.Writes(), TableReads: r.Table.Faults.Reads()}
 	rep.addTruth(<-truth, &r.Upstreams.Config)
 	rep.perAccelerator()
+	rep.Presets = r.presets
+	if ctx.Err() != nil {
+		rep.Seconds = result.Elapsed.Seconds() // called off: the plan was longer than the run
+	}
 	return rep, ctx.Err()
 }
 
