--- a/standin/local/fleet.go
+++ b/standin/local/fleet.go
@@ -27,6 +27,7 @@
 	residentMB       = 30_000
 	fleetTeams       = 60
 	startAtOnce      = 20
+	startPause       = 2 * time.Second // between batches, for their links to settle
 )
 
 // FleetOptions size a fleet.
@@ -134,6 +135,9 @@
 				return nil, err
 			}
 		}
+		if started < len(f.nodes) {
+			pause(ctx, startPause)
+		}
 	}
 	return f, nil
 }
