Start a site whose platform already lists its hosts; say when nobody has planned

Symptom: pierctl demo printed its first line after 18 s; a dry run right after the start said 0 moves. Cause: each of six hosts waited 3 s for a list that was written after all had started; no planner had its lease yet. Change: the stand-in's list has the hosts from the start; the dry run says that no pool was planned yet.

--- a/cmd/pierctl/preset.go
+++ b/cmd/pierctl/preset.go
@@ -90,6 +90,10 @@
 		for _, m := range d.Moves {
 			fmt.Println(m.Kind, m.Model, m.Adapter, "on", m.Upstream, m.Reason)
 		}
+		if d.Pools == 0 {
+			fmt.Println("no host has planned any pool yet; ask again in some seconds")
+			return
+		}
 		fmt.Printf("%d moves, done within %s\n", len(d.Moves), d.Bound)
 	}, nil
 }
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -71,14 +71,16 @@
 		return nil, err
 	}
 	for i := range opt.Hosts {
-		n, err := r.startNode(ctx, i)
+		n, err := r.newNode(i)
 		if err != nil {
-			r.Close()
-			return nil, err
+			return nil, err // nothing runs yet
 		}
 		r.nodes = append(r.nodes, n)
 	}
-	r.list()
+	if err := r.startNodes(ctx); err != nil {
+		r.Close()
+		return nil, err
+	}
 	r.Balancer = load.NewBalancer(r.Addresses()...)
 	return r, nil
 }
@@ -86,7 +88,24 @@
 // hostName is the name of the i-th entry host.
 func hostName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
-func (r *Running) startNode(ctx context.Context, i int) (*Node, error) {
+// startNodes starts the hosts of a site that was there before: its platform
+// lists them already, however late it lists changes.
+func (r *Running) startNodes(ctx context.Context) error {
+	r.Hosts.SetLag(0)
+	defer r.Hosts.SetLag(time.Duration(r.opt.Site.Store.HostListLagMs) * time.Millisecond)
+	r.list()
+	for _, n := range r.nodes {
+		n.Start()
+	}
+	for _, n := range r.nodes {
+		if err := n.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Running) newNode(i int) (*Node, error) {
 	dc := r.opt.Site.EntryDataCentre(i)
 	set := Settings(hostName(i), dc)
 	set.Bounds.BalancerWaitSeconds = int(balancerWait / time.Second)
@@ -96,15 +115,11 @@
 			return nil, err
 		}
 	}
-	n, err := StartNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
+	return NewNode(NodeConfig{Settings: set, Files: files, Policy: r.opt.Policy, Dialer: r.Upstreams.Dialer(dc), Demand: r.opt.Demand, Log: r.opt.Log,
 		Platform: server.Platform{Table: r.Table, Objects: r.Objects, Hosts: r.Hosts, Weights: r.Weights},
 		Distance: func(from, to string) float64 {
 			return float64(r.opt.Site.RoundTrip(from, to)) / float64(time.Millisecond)
 		}})
-	if err != nil {
-		return nil, err
-	}
-	return n, n.AwaitReady(ctx)
 }
 
 // list brings the platform's list of hosts up to date; hosts read it late.
@@ -173,10 +188,14 @@
 
 // Replace starts a new host in the place of one that ended.
 func (r *Running) Replace(ctx context.Context, host int) error {
-	n, err := r.startNode(ctx, host)
+	n, err := r.newNode(host)
 	if err != nil {
 		return err
 	}
+	n.Start()
+	if err := n.AwaitReady(ctx); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	r.nodes[host] = n
 	r.mu.Unlock()
