Choose one host without ranking all; drop what admission was told for nothing

Cause: on the read of the whole change: each claim listed and sorted all hosts to find its writer, in small sites too, where there is none; a host had two names for its process, one of them for claims alone; upstreams' addresses were looked up in two ways; admission was handed a model and a target that it never read. Change: member.First finds one host by its weight without a sort, and small sites do not look at all; claims name the host's own process; one look-up of addresses; the unread fields are gone. Behaviour stays.

--- a/core/member/choose.go
+++ b/core/member/choose.go
@@ -29,8 +29,18 @@
 	return append(top(self.Name, near, local), top(self.Name, far, remote)...)
 }
 
-// Rank orders hosts by their weight for a key, highest first.
-func Rank(key string, hosts []Host) []Host { return top(key, hosts, len(hosts)) }
+// First returns the host with the highest weight for a key. There must be one.
+func First(key string, hosts []Host) Host {
+	hash, best := xxhash.Sum64String(key), 0
+	var most uint64
+	for i := range hosts {
+		w := mix(hash, xxhash.Sum64String(hosts[i].Name))
+		if i == 0 || w > most || w == most && hosts[i].Name < hosts[best].Name {
+			best, most = i, w
+		}
+	}
+	return hosts[best]
+}
 
 func top(key string, hosts []Host, n int) []Host {
 	type weighed struct {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -131,7 +131,12 @@
 	hosts := fleet(42)
 	for k := range 50 {
 		key := fmt.Sprint("planner/", k)
-		ranked := member.Rank(key, hosts)
+		var ranked []member.Host
+		for left := slices.Clone(hosts); len(left) > 0; {
+			first := member.First(key, left)
+			ranked = append(ranked, first)
+			left = slices.DeleteFunc(left, func(h member.Host) bool { return h.Name == first.Name })
+		}
 		for i, h := range ranked {
 			assert.Equal(t, member.NewWatchers(h.Name, hosts).First(key, 2), i < 2, "%s place %d", key, i)
 		}
--- a/node/admission/admission.go
+++ b/node/admission/admission.go
@@ -13,7 +13,6 @@
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/fault"
-	"peridotpier.example/core/route"
 )
 
 // sweepEvery is the pause between two looks for requests that cannot make
@@ -35,7 +34,6 @@
 	Team     string
 	Class    class.Class
 	Pool     string
-	Key      route.ModelKey
 	Deadline time.Time     // zero: none
 	Need     time.Duration // least time that it takes once dispatched; 0: not known
 }
--- a/node/callerapi/api.go
+++ b/node/callerapi/api.go
@@ -63,7 +63,6 @@
 	Team     string
 	Class    class.Class
 	Pool     string
-	Target   string
 	Deadline time.Time
 }
 
--- a/node/callerapi/generate.go
+++ b/node/callerapi/generate.go
@@ -151,7 +151,7 @@
 	if standing := a.deps.Config.Standing(); !standing.Admits(w.Class) {
 		return fault.NotRun(fault.StepConfig, "", fault.CodeStoreDown, "this host has not known for long whether its configuration is the newest (%s): it takes urgent requests only", standing).After(retryNoConfig)
 	}
-	release, err := a.deps.Admission.Admit(ctx, AdmitRequest{Team: w.Team, Class: w.Class, Pool: w.Pool, Target: target, Deadline: w.Deadline})
+	release, err := a.deps.Admission.Admit(ctx, AdmitRequest{Team: w.Team, Class: w.Class, Pool: w.Pool, Deadline: w.Deadline})
 	if err != nil {
 		return err
 	}
--- a/node/server/admit.go
+++ b/node/server/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"peridotpier.example/core/route"
 	"peridotpier.example/node/admission"
 	"peridotpier.example/node/callerapi"
 )
@@ -19,8 +18,7 @@
 	if a.open {
 		return func() {}, nil
 	}
-	t, err := a.c.Admit(ctx, admission.Request{Team: r.Team, Class: r.Class, Pool: r.Pool,
-		Key: route.ModelKey{Model: r.Target}, Deadline: r.Deadline})
+	t, err := a.c.Admit(ctx, admission.Request{Team: r.Team, Class: r.Class, Pool: r.Pool, Deadline: r.Deadline})
 	if err != nil {
 		return nil, err
 	}
--- a/node/server/claims.go
+++ b/node/server/claims.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -16,7 +15,6 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
-	"peridotpier.example/node/settings"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -29,7 +27,8 @@
 	killed <-chan struct{}
 }
 
-func newClaims(p Platform, s *Server, set *settings.Settings) *claims {
+func newClaims(s *Server) *claims {
+	p := s.cfg.Platform
 	batch := nodeclaim.NewBatcher(nodeclaim.DefaultBatchConfig(), p.Table)
 	rows := nodeclaim.NewRows(batch)
 	cfg := nodeclaim.DefaultConfig()
@@ -38,7 +37,7 @@
 	}
 	store := nodeclaim.New(cfg, nodeclaim.Deps{
 		Records: claimRecords{s, rows}, Objects: p.Objects, Fates: fates{s}, Log: s.log,
-		Owner: claim.Owner{Host: set.Host, Incarnation: uuid.NewString()}, Now: time.Now})
+		Owner: claim.Owner{Host: s.cfg.Settings.Host, Incarnation: s.incarnation}, Now: time.Now})
 	s.metrics.Func(metrics.ClaimsQueue, func() any { n, _ := store.Pending(); return n })
 	s.metrics.Func(metrics.ClaimsQueueBytes, func() any { _, bytes := store.Pending(); return bytes })
 	return &claims{store: store, batch: batch, rows: rows, log: s.log, killed: s.killed}
@@ -105,13 +104,9 @@
 
 // Fate implements claim.Fates.
 func (f fates) Fate(ctx context.Context, upstream, attempt string) (engineapi.Attempt, error) {
-	st, ok := f.s.config.Current()
-	if !ok {
-		return engineapi.Attempt{}, errUpstreamGone
-	}
-	u, ok := st.Index.Upstream(upstream)
+	address, ok := f.s.addressOf(upstream)
 	if !ok {
 		return engineapi.Attempt{}, fault.Unknown(fault.StepClaim, upstream, fault.CodeUnknownOutcome, "%w", errUpstreamGone)
 	}
-	return f.s.dispatch.Upstreams().Fate(ctx, u.Address, attempt)
+	return f.s.dispatch.Upstreams().Fate(ctx, address, attempt)
 }
--- a/node/server/claimwriters.go
+++ b/node/server/claimwriters.go
@@ -35,11 +35,14 @@
 
 // writer is the host that merges the changes of a key; false: this one.
 func (r claimRecords) writer(key string) (member.Host, bool) {
+	if r.s.siteHosts.Load() <= ownWriterMost && !r.s.cfg.Policy.ForwardClaims {
+		return member.Host{}, false // without a look at the hosts, on the path of each claim
+	}
 	live := r.s.mesh.Live()
-	if len(live) <= ownWriterMost && !r.s.cfg.Policy.ForwardClaims || len(live) == 0 {
+	if len(live) == 0 {
 		return member.Host{}, false
 	}
-	w := member.Rank("claims/"+strconv.FormatUint(xxhash.Sum64String(key)%claimWriters, 10), live)[0]
+	w := member.First("claims/"+strconv.FormatUint(xxhash.Sum64String(key)%claimWriters, 10), live)
 	return w, w.Name != r.s.cfg.Settings.Host
 }
 
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -154,7 +154,7 @@
 	s.poller.Fresh = s.tellReport
 	s.demand = demand.New(s.cfg.Demand)
 	s.admit = admission.New(admission.Config{Hosts: 1})
-	s.claims = newClaims(s.cfg.Platform, s, set)
+	s.claims = newClaims(s)
 }
 
 // controlPath puts together what runs beside the requests.
