--- a/cmd/peridotpier/serve.go
+++ b/cmd/peridotpier/serve.go
@@ -16,9 +16,9 @@
 	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/keys"
-	"peridotpier.example/node/platform/rest"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
+	"peridotpier.example/node/store/rest"
 )
 
 type serveCommand struct{ settings string }
--- a/node/claim/batch.go
+++ b/node/claim/batch.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // BatchConfig bounds a Batcher.
@@ -24,25 +24,25 @@
 
 // commitMost bounds one merged commit that is in doubt: as long as those who
 // wait for it do, Config.CallTimeout. Longer, a host that shuts down in an
-// outage could not end. It is far below platform.OpMemory, so that within it an
+// outage could not end. It is far below store.OpMemory, so that within it an
 // operation id is always remembered.
 const commitMost = 2 * time.Second
 
-// Batcher is a platform.Table that merges transactions of many requests into
+// Batcher is a store.Table that merges transactions of many requests into
 // one commit. It holds no state and owns nothing: rows keep their own
 // conditions, so any host may batch any claim, and when it dies its waiting
 // transactions are in doubt like any other.
 type Batcher struct {
-	platform.Table // reads pass through
-	cfg            BatchConfig
-	in             chan *waiting
-	slots          chan struct{}
-	commits        sync.WaitGroup // under way
-	stopped        chan struct{}
+	store.Table // reads pass through
+	cfg         BatchConfig
+	in          chan *waiting
+	slots       chan struct{}
+	commits     sync.WaitGroup // under way
+	stopped     chan struct{}
 }
 
 type waiting struct {
-	txn   platform.Txn
+	txn   store.Txn
 	reply chan reply
 }
 
@@ -52,28 +52,28 @@
 }
 
 // NewBatcher merges transactions onto tb. Nothing is committed unless Run runs.
-func NewBatcher(cfg BatchConfig, tb platform.Table) *Batcher {
+func NewBatcher(cfg BatchConfig, tb store.Table) *Batcher {
 	return &Batcher{Table: tb, cfg: cfg, in: make(chan *waiting), slots: make(chan struct{}, cfg.Parallel),
 		stopped: make(chan struct{})}
 }
 
-// Commit implements platform.Table. The operation id is not known to the
+// Commit implements store.Table. The operation id is not known to the
 // service; whoever commits again after ErrInDoubt must know its own write by
 // its value, as Rows does.
-func (b *Batcher) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (b *Batcher) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	w := &waiting{txn: txn, reply: make(chan reply, 1)}
 	select {
 	case b.in <- w:
 	case <-b.stopped:
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	case <-ctx.Done():
-		return 0, platform.ErrUnavailable // not taken in: nothing took effect
+		return 0, store.ErrUnavailable // not taken in: nothing took effect
 	}
 	select {
 	case r := <-w.reply:
 		return r.version, r.err
 	case <-ctx.Done():
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	}
 }
 
@@ -113,7 +113,7 @@
 	return now, later
 }
 
-func touches(t platform.Txn, used map[string]bool) bool {
+func touches(t store.Txn, used map[string]bool) bool {
 	for _, c := range t.Conds {
 		if used[c.Key] {
 			return true
@@ -146,14 +146,14 @@
 // hold all slots, and the claims behind them would wait for their whole bound
 // where the table, asked, would refuse them at once.
 type doubted struct {
-	platform.Table
+	store.Table
 	inDoubt func()
 }
 
-// Commit implements platform.Table.
-func (d doubted) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (d doubted) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	v, err := d.Table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrInDoubt) {
+	if errors.Is(err, store.ErrInDoubt) {
 		d.inDoubt()
 	}
 	return v, err
@@ -166,27 +166,27 @@
 // commit takes out the transactions whose conditions do not hold and commits
 // the rest. Reads are cheaper than writes, and one repeat of a request among
 // many new ones would cost two commits if it were only found by a conflict.
-func (b *Batcher) commit(ctx context.Context, tb platform.Table, batch []*waiting) {
+func (b *Batcher) commit(ctx context.Context, tb store.Table, batch []*waiting) {
 	for range mergeTries {
 		rest, err := b.holding(ctx, batch)
 		if err != nil {
-			answer(batch, 0, platform.ErrUnavailable) // nothing of it took effect
+			answer(batch, 0, store.ErrUnavailable) // nothing of it took effect
 			return
 		}
 		if batch = rest; len(batch) == 0 {
 			return
 		}
-		v, err := platform.CommitResolved(ctx, tb, merge(batch))
-		if !errors.Is(err, platform.ErrConflict) {
+		v, err := store.CommitResolved(ctx, tb, merge(batch))
+		if !errors.Is(err, store.ErrConflict) {
 			answer(batch, v, err)
 			return
 		}
 	}
-	answer(batch, 0, platform.ErrUnavailable)
+	answer(batch, 0, store.ErrUnavailable)
 }
 
-func merge(batch []*waiting) platform.Txn {
-	m := platform.Txn{Op: newID()}
+func merge(batch []*waiting) store.Txn {
+	m := store.Txn{Op: newID()}
 	for _, w := range batch {
 		m.Conds = append(m.Conds, w.txn.Conds...)
 		m.Writes = append(m.Writes, w.txn.Writes...)
@@ -222,13 +222,13 @@
 		if holds(w.txn, versions) {
 			rest = append(rest, w)
 		} else {
-			w.reply <- reply{0, platform.ErrConflict}
+			w.reply <- reply{0, store.ErrConflict}
 		}
 	}
 	return rest, nil
 }
 
-func holds(t platform.Txn, versions map[string]uint64) bool {
+func holds(t store.Txn, versions map[string]uint64) bool {
 	for _, c := range t.Conds {
 		if versions[c.Key] != c.Version {
 			return false
--- a/node/claim/bench_test.go
+++ b/node/claim/bench_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/claim"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -39,7 +39,7 @@
 }
 
 // filledLog writes the log as an owner would, without its pace.
-func filledLog(b *testing.B, claims int) platform.Table {
+func filledLog(b *testing.B, claims int) store.Table {
 	tb := standin.NewTable()
 	const together = 50
 	for i := 0; i < claims; i += together {
@@ -50,8 +50,8 @@
 		}
 		value, err := json.Marshal(map[string]any{"e": entries, "x": time.Now().Add(time.Hour).UnixMilli()})
 		assert.NilError(b, err)
-		_, err = tb.Commit(context.Background(), platform.Txn{Op: fmt.Sprint(i),
-			Writes: []platform.Write{{Key: fmt.Sprintf("claims/log/0/%016x", i), Value: value}}})
+		_, err = tb.Commit(context.Background(), store.Txn{Op: fmt.Sprint(i),
+			Writes: []store.Write{{Key: fmt.Sprintf("claims/log/0/%016x", i), Value: value}}})
 		assert.NilError(b, err)
 	}
 	return tb
--- a/node/claim/claim_test.go
+++ b/node/claim/claim_test.go
@@ -15,7 +15,7 @@
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
 	nodeclaim "peridotpier.example/node/claim"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/standin/history"
 )
 
@@ -257,7 +257,7 @@
 		c := newCluster(1, batched)
 		defer c.stop()
 		c.table.afterGet = func() {
-			_, err := nodeclaim.NewRows(c.table.Table).Swap(context.Background(), claim.Key("north", "k"), platform.Absent,
+			_, err := nodeclaim.NewRows(c.table.Table).Swap(context.Background(), claim.Key("north", "k"), store.Absent,
 				&claim.Row{ID: "other", Op: "other", Body: "b", State: claim.Dispatched, Expires: math.MaxInt64, Overdue: math.MaxInt64})
 			assert.NilError(t, err)
 		}
@@ -325,17 +325,17 @@
 	}
 	for _, m := range []struct {
 		name   string
-		mutant func(platform.Table) platform.Table
+		mutant func(store.Table) store.Table
 		run    func(*cluster)
 		caught func(*cluster) bool
 	}{
-		{"no condition on the claim", func(tb platform.Table) platform.Table { return &mutant{Table: tb, noConds: true} },
+		{"no condition on the claim", func(tb store.Table) store.Table { return &mutant{Table: tb, noConds: true} },
 			two, func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
-		{"lost answer taken for success", func(tb platform.Table) platform.Table { return &mutant{Table: tb, doubtOK: true} },
+		{"lost answer taken for success", func(tb store.Table) store.Table { return &mutant{Table: tb, doubtOK: true} },
 			func(c *cluster) { c.table.set(func(f *faults) { f.drop = 2 }); two(c) },
 			func(c *cluster) bool { return history.Check(c.hist) != nil && c.hist.Count().Doubled == 1 }},
-		{"lost answer taken for failure", func(tb platform.Table) platform.Table {
-			return &mutant{Table: tb, doubtAs: platform.ErrUnavailable}
+		{"lost answer taken for failure", func(tb store.Table) store.Table {
+			return &mutant{Table: tb, doubtAs: store.ErrUnavailable}
 		}, func(c *cluster) { c.table.set(func(f *faults) { f.lose = 1 }); two(c) },
 			func(c *cluster) bool { return c.hist.Count().FalseBusy == 1 }},
 	} {
--- a/node/claim/fate.go
+++ b/node/claim/fate.go
@@ -9,7 +9,7 @@
 	"peridotpier.example/core/claim"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -54,7 +54,7 @@
 	}
 	next.Op = newID()
 	now, err := s.deps.Records.Swap(ctx, key, seen.Version, &next)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		err = nil
 	}
 	return now, err
--- a/node/claim/grant.go
+++ b/node/claim/grant.go
@@ -7,7 +7,7 @@
 
 	"peridotpier.example/core/claim"
 	"peridotpier.example/core/fault"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Grant is the right to run one request. It belongs to one goroutine, and
@@ -43,7 +43,7 @@
 	defer cancel()
 	next.Op = newID()
 	seen, err := g.store.deps.Records.Swap(ctx, g.key, g.version, &next)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		// Another host took the claim over while this one was paused. It is
 		// its to run now; going on would run the request twice.
 		return fault.NotRun(fault.StepClaim, "", fault.CodeConflict, "claim was taken over").After(progressLeast)
--- a/node/claim/range.go
+++ b/node/claim/range.go
@@ -12,7 +12,7 @@
 
 	"peridotpier.example/core/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Lease is the right to own a range.
@@ -35,7 +35,7 @@
 
 // RangeDeps are what a Range works with.
 type RangeDeps struct {
-	Table platform.Table
+	Table store.Table
 	Lease Lease
 	Log   *event.Log
 	Now   func() time.Time
@@ -91,15 +91,15 @@
 	select {
 	case r.in <- c:
 	case <-r.stopped:
-		return Seen{}, platform.ErrUnavailable
+		return Seen{}, store.ErrUnavailable
 	case <-ctx.Done():
-		return Seen{}, platform.ErrUnavailable // not taken in: nothing took effect
+		return Seen{}, store.ErrUnavailable // not taken in: nothing took effect
 	}
 	select {
 	case s := <-c.reply:
 		return s.seen, s.err
 	case <-ctx.Done():
-		return Seen{}, platform.ErrInDoubt
+		return Seen{}, store.ErrInDoubt
 	}
 }
 
@@ -127,7 +127,7 @@
 		return nil
 	}
 	if !r.deps.Lease.Valid() {
-		refuse(batch, platform.ErrUnavailable)
+		refuse(batch, store.ErrUnavailable)
 		return errors.New("lease lapsed")
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitMost)
@@ -144,11 +144,11 @@
 	case err == nil:
 		send(batch, answers)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
-		refuse(batch, platform.ErrUnavailable) // another owner wrote the head: nothing took effect
+	case errors.Is(err, store.ErrConflict):
+		refuse(batch, store.ErrUnavailable) // another owner wrote the head: nothing took effect
 		return err
-	case errors.Is(err, platform.ErrInDoubt):
-		refuse(batch, platform.ErrInDoubt)
+	case errors.Is(err, store.ErrInDoubt):
+		refuse(batch, store.ErrInDoubt)
 		return err
 	default:
 		refuse(batch, err)
@@ -170,12 +170,12 @@
 		case seen.Row != nil && c.row != nil && seen.Row.Op == c.row.Op:
 			answers[i] = swapped{seen: seen} // asked for again after a lost answer
 		case seen.Version != c.version:
-			answers[i] = swapped{seen: seen, err: platform.ErrConflict}
+			answers[i] = swapped{seen: seen, err: store.ErrConflict}
 		default:
 			r.version++
 			next := Seen{Row: c.row, Version: r.version}
 			if c.row == nil {
-				next.Version = platform.Absent
+				next.Version = store.Absent
 			}
 			fresh[c.key] = next
 			answers[i] = swapped{seen: next}
@@ -185,7 +185,7 @@
 	return answers, accepted
 }
 
-func (r *Range) write(ctx context.Context, drops []platform.Write, entries []logEntry, count int) error {
+func (r *Range) write(ctx context.Context, drops []store.Write, entries []logEntry, count int) error {
 	l := logRow{Entries: entries, Expires: r.lastExpiry(entries)}
 	value, err := json.Marshal(l)
 	if err != nil {
@@ -194,7 +194,7 @@
 	next := r.head
 	next.Next++
 	next.Version = r.version
-	writes := append(drops, platform.Write{Key: logKey(r.rng, r.head.Next), Value: value})
+	writes := append(drops, store.Write{Key: logKey(r.rng, r.head.Next), Value: value})
 	v, err := r.writeHead(ctx, r.headVersion, next, writes)
 	if err != nil {
 		return err
--- a/node/claim/ranged_test.go
+++ b/node/claim/ranged_test.go
@@ -12,7 +12,7 @@
 	"peridotpier.example/core/claim"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -23,7 +23,7 @@
 func (l lease) Epoch() uint64 { return uint64(l) }
 func (l lease) Valid() bool   { return true }
 
-func openRange(tb platform.Table, epoch uint64) (*nodeclaim.Range, error) {
+func openRange(tb store.Table, epoch uint64) (*nodeclaim.Range, error) {
 	cfg := nodeclaim.DefaultRangeConfig()
 	return nodeclaim.OpenRange(context.Background(), cfg, nodeclaim.RangeDeps{
 		Table: tb, Lease: lease(epoch), Log: event.NewLog(nil), Now: time.Now}, 0)
@@ -52,14 +52,14 @@
 
 func (r *ranged) Read(ctx context.Context, _ int, key string) (nodeclaim.Seen, error) {
 	if r.owner == nil {
-		return nodeclaim.Seen{}, platform.ErrUnavailable
+		return nodeclaim.Seen{}, store.ErrUnavailable
 	}
 	return r.owner.Read(ctx, key)
 }
 
 func (r *ranged) Swap(ctx context.Context, _ int, key string, v uint64, row *claim.Row) (nodeclaim.Seen, error) {
 	if r.owner == nil {
-		return nodeclaim.Seen{}, platform.ErrUnavailable
+		return nodeclaim.Seen{}, store.ErrUnavailable
 	}
 	return r.owner.Swap(ctx, key, v, row)
 }
@@ -78,15 +78,15 @@
 		lost := make(chan error, 1)
 		go func() { lost <- old.Run(ctx) }()
 		go func() { _ = next.Run(ctx) }()
-		_, err = old.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "1", Op: "1"})
-		assert.ErrorIs(t, err, platform.ErrUnavailable)
-		assert.ErrorIs(t, <-lost, platform.ErrConflict)
-		_, err = next.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "2", Op: "2"})
+		_, err = old.Swap(ctx, "k", store.Absent, &claim.Row{ID: "1", Op: "1"})
+		assert.ErrorIs(t, err, store.ErrUnavailable)
+		assert.ErrorIs(t, <-lost, store.ErrConflict)
+		_, err = next.Swap(ctx, "k", store.Absent, &claim.Row{ID: "2", Op: "2"})
 		assert.NilError(t, err)
-		_, err = next.Swap(ctx, "k", platform.Absent, &claim.Row{ID: "2", Op: "2"})
+		_, err = next.Swap(ctx, "k", store.Absent, &claim.Row{ID: "2", Op: "2"})
 		assert.NilError(t, err, "the same change asked for again")
 		_, err = openRange(tb, 1)
-		assert.Assert(t, errors.Is(err, platform.ErrConflict))
+		assert.Assert(t, errors.Is(err, store.ErrConflict))
 		cancel()
 		synctest.Wait()
 	})
@@ -103,7 +103,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = r.Run(ctx) }()
 		put := func(key string, s claim.State) {
-			_, err := r.Swap(ctx, key, platform.Absent, &claim.Row{ID: key, Op: key, State: s, Expires: time.Now().Add(time.Hour).UnixMilli()})
+			_, err := r.Swap(ctx, key, store.Absent, &claim.Row{ID: key, Op: key, State: s, Expires: time.Now().Add(time.Hour).UnixMilli()})
 			assert.NilError(t, err)
 		}
 		put("done", claim.Completed)
@@ -139,15 +139,15 @@
 		row := func(key string) *claim.Row {
 			return &claim.Row{ID: key, Op: key, State: claim.Dispatched, Expires: time.Now().Add(time.Hour).UnixMilli()}
 		}
-		_, err = r.Swap(ctx, "kept", platform.Absent, row("kept"))
+		_, err = r.Swap(ctx, "kept", store.Absent, row("kept"))
 		assert.NilError(t, err)
-		before, err := r.Swap(ctx, "k", platform.Absent, row("k"))
+		before, err := r.Swap(ctx, "k", store.Absent, row("k"))
 		assert.NilError(t, err)
 		_, err = r.Swap(ctx, "k", before.Version, nil)
 		assert.NilError(t, err)
 		time.Sleep(61 * time.Minute)
 		_, err = r.Swap(ctx, "kept", before.Version, row("other")) // refused; the append only carries "kept" on
-		assert.ErrorIs(t, err, platform.ErrConflict)
+		assert.ErrorIs(t, err, store.ErrConflict)
 		cancel()
 		synctest.Wait()
 
@@ -156,7 +156,7 @@
 		run, cancel = context.WithCancel(ctx)
 		defer cancel()
 		go func() { _ = next.Run(run) }()
-		after, err := next.Swap(ctx, "k", platform.Absent, row("k2"))
+		after, err := next.Swap(ctx, "k", store.Absent, row("k2"))
 		assert.NilError(t, err)
 		assert.Assert(t, after.Version > before.Version)
 	})
--- a/node/claim/rangelog.go
+++ b/node/claim/rangelog.go
@@ -12,7 +12,7 @@
 
 	"peridotpier.example/core/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // A range is stored as a head row and a log. Each append writes one log row
@@ -82,7 +82,7 @@
 		}
 	}
 	if r.head.Epoch > r.deps.Lease.Epoch() {
-		return errors.Join(platform.ErrConflict, errors.New("claim range has a later owner"))
+		return errors.Join(store.ErrConflict, errors.New("claim range has a later owner"))
 	}
 	r.head.Epoch = r.deps.Lease.Epoch()
 	r.version = r.head.Version
@@ -92,16 +92,16 @@
 
 // writeHead writes the head together with more writes, if the head still has
 // the given version.
-func (r *Range) writeHead(ctx context.Context, version uint64, h head, more []platform.Write) (uint64, error) {
+func (r *Range) writeHead(ctx context.Context, version uint64, h head, more []store.Write) (uint64, error) {
 	value, err := json.Marshal(h)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode head of claim range")
 	}
 	k := headKey(r.rng)
-	return platform.CommitResolved(ctx, r.deps.Table, platform.Txn{
+	return store.CommitResolved(ctx, r.deps.Table, store.Txn{
 		Op:     newID(),
-		Conds:  []platform.Cond{{Key: k, Version: version}},
-		Writes: append(more, platform.Write{Key: k, Value: value}),
+		Conds:  []store.Cond{{Key: k, Version: version}},
+		Writes: append(more, store.Write{Key: k, Value: value}),
 	})
 }
 
@@ -124,7 +124,7 @@
 	}
 }
 
-func (r *Range) replay(row platform.Row) error {
+func (r *Range) replay(row store.Row) error {
 	var l logRow
 	if err := json.Unmarshal(row.Value, &l); err != nil {
 		return eris.Wrapf(err, "decode %s", row.Key)
@@ -160,7 +160,7 @@
 // commit as an append: sweeping costs no writes of its own. Claims that must
 // be kept longer are appended again. It returns the writes, the entries to
 // append and how many segments go.
-func (r *Range) expire(now time.Time) (writes []platform.Write, again []logEntry, count int) {
+func (r *Range) expire(now time.Time) (writes []store.Write, again []logEntry, count int) {
 	for _, s := range r.segments[:min(expireMost, len(r.segments))] {
 		if now.UnixMilli() < s.expires {
 			break
@@ -171,7 +171,7 @@
 				again = append(again, logEntry{Key: k, Version: h.version, Row: h.row})
 			}
 		}
-		writes = append(writes, platform.Write{Key: logKey(r.rng, s.seq), Delete: true})
+		writes = append(writes, store.Write{Key: logKey(r.rng, s.seq), Delete: true})
 		count++
 	}
 	return writes, again, count
--- a/node/claim/ranges.go
+++ b/node/claim/ranges.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"peridotpier.example/core/claim"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Groups is the fixed number of groups that keys are hashed to. A range is a
@@ -19,8 +19,8 @@
 const Groups = 1024
 
 // Forwarder reaches the host that writes a range's claims: the owner of a
-// Range, or any host that batches rows. A lost answer is platform.ErrInDoubt;
-// no such host is platform.ErrUnavailable.
+// Range, or any host that batches rows. A lost answer is store.ErrInDoubt;
+// no such host is store.ErrUnavailable.
 type Forwarder interface {
 	Read(ctx context.Context, rng int, key string) (Seen, error)
 	Swap(ctx context.Context, rng int, key string, version uint64, row *claim.Row) (Seen, error)
@@ -84,13 +84,13 @@
 	inDoubt := false
 	for {
 		seen, err := g.swapOnce(ctx, key, version, row)
-		inDoubt = inDoubt || errors.Is(err, platform.ErrInDoubt)
-		if err == nil || errors.Is(err, platform.ErrConflict) || !inDoubt {
+		inDoubt = inDoubt || errors.Is(err, store.ErrInDoubt)
+		if err == nil || errors.Is(err, store.ErrConflict) || !inDoubt {
 			return seen, err
 		}
 		select {
 		case <-ctx.Done():
-			return Seen{}, platform.ErrInDoubt
+			return Seen{}, store.ErrInDoubt
 		case <-time.After(wait.NextBackOff()):
 		}
 	}
--- a/node/claim/records.go
+++ b/node/claim/records.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"peridotpier.example/core/claim"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Seen is a claim's row as it was last seen.
@@ -17,11 +17,11 @@
 	Version uint64
 }
 
-// Records is where claims are kept. Its errors are those of platform.Table.
+// Records is where claims are kept. Its errors are those of store.Table.
 type Records interface {
 	Read(ctx context.Context, key string) (Seen, error)
 	// Swap replaces the row of which the given version was seen; a nil row
-	// deletes it. On platform.ErrConflict it answers the row that is there.
+	// deletes it. On store.ErrConflict it answers the row that is there.
 	Swap(ctx context.Context, key string, version uint64, row *claim.Row) (Seen, error)
 }
 
@@ -31,10 +31,10 @@
 // Rows keeps each claim in a row of its own: no host owns any, so that nothing
 // has to be recovered when one dies, at the price of one commit a change.
 // Over a Batcher many changes share one commit.
-type Rows struct{ table platform.Table }
+type Rows struct{ table store.Table }
 
 // NewRows keeps claims in tb.
-func NewRows(tb platform.Table) *Rows { return &Rows{table: tb} }
+func NewRows(tb store.Table) *Rows { return &Rows{table: tb} }
 
 // Read implements Records.
 func (r *Rows) Read(ctx context.Context, key string) (Seen, error) {
@@ -55,39 +55,39 @@
 	if err != nil {
 		return Seen{}, err
 	}
-	v, err := platform.CommitResolved(ctx, r.table, txn)
+	v, err := store.CommitResolved(ctx, r.table, txn)
 	if err == nil {
 		return Seen{Row: row, Version: v}, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, store.ErrConflict) {
 		return Seen{}, err
 	}
 	now, readErr := r.Read(ctx, key)
 	switch {
 	case readErr != nil:
-		return Seen{}, errors.Join(platform.ErrInDoubt, readErr)
+		return Seen{}, errors.Join(store.ErrInDoubt, readErr)
 	case row == nil && now.Row == nil:
 		return now, nil
 	case row != nil && now.Row != nil && now.Row.Op == row.Op:
 		return now, nil
 	}
-	return now, platform.ErrConflict
+	return now, store.ErrConflict
 }
 
-func swapTxn(key string, version uint64, row *claim.Row) (platform.Txn, error) {
-	w := platform.Write{Key: key, Delete: row == nil}
+func swapTxn(key string, version uint64, row *claim.Row) (store.Txn, error) {
+	w := store.Write{Key: key, Delete: row == nil}
 	op := newID()
 	if row != nil {
 		value, err := json.Marshal(row)
 		if err != nil {
-			return platform.Txn{}, eris.Wrap(err, "encode claim")
+			return store.Txn{}, eris.Wrap(err, "encode claim")
 		}
 		w.Value, op = value, row.Op
 	}
-	return platform.Txn{Op: op, Conds: []platform.Cond{{Key: key, Version: version}}, Writes: []platform.Write{w}}, nil
+	return store.Txn{Op: op, Conds: []store.Cond{{Key: key, Version: version}}, Writes: []store.Write{w}}, nil
 }
 
-func decode(r platform.Row) (Seen, error) {
+func decode(r store.Row) (Seen, error) {
 	var row claim.Row
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		return Seen{}, eris.Wrapf(err, "decode claim %s", r.Key)
--- a/node/claim/settle.go
+++ b/node/claim/settle.go
@@ -11,7 +11,7 @@
 
 	"peridotpier.example/core/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // ErrQueueFull tells that a settlement was neither written nor kept. The
@@ -53,7 +53,7 @@
 		}
 		st.row, st.version = *seen.Row, seen.Version
 	}
-	return platform.ErrConflict
+	return store.ErrConflict
 }
 
 // keep moves a large answer to the object store, under a name of its own, so
--- a/node/claim/settle_test.go
+++ b/node/claim/settle_test.go
@@ -15,13 +15,13 @@
 	"peridotpier.example/core/outcome"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
 // blobs is an object store of which tests see the content.
 type blobs struct {
-	platform.Objects
+	store.Objects
 	held map[string][]byte
 }
 
@@ -34,10 +34,10 @@
 	if d, ok := b.held[name]; ok {
 		return d, nil
 	}
-	return nil, platform.ErrUnavailable
+	return nil, store.ErrUnavailable
 }
 
-func smallStore(tb platform.Table, objects platform.Objects) *nodeclaim.Store {
+func smallStore(tb store.Table, objects store.Objects) *nodeclaim.Store {
 	cfg := nodeclaim.DefaultConfig()
 	cfg.InlineBytes, cfg.AnswerBytes, cfg.QueueCount, cfg.QueueBytes = 10, 100, 2, 150
 	return nodeclaim.New(cfg, nodeclaim.Deps{Records: nodeclaim.NewRows(tb), Objects: objects,
--- a/node/claim/sim_test.go
+++ b/node/claim/sim_test.go
@@ -12,7 +12,7 @@
 	"peridotpier.example/core/outcome"
 	nodeclaim "peridotpier.example/node/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 	"peridotpier.example/standin/history"
 	standin "peridotpier.example/standin/platform"
@@ -28,7 +28,7 @@
 
 // faulty is a table service with faults.
 type faulty struct {
-	platform.Table
+	store.Table
 	mu       sync.Mutex
 	f        faults
 	afterGet func() // runs once, after a read
@@ -40,15 +40,15 @@
 	change(&f.f)
 }
 
-func (f *faulty) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+func (f *faulty) Commit(ctx context.Context, t store.Txn) (uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.f.down {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	if f.f.drop > 0 {
 		f.f.drop--
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	}
 	if f.f.forgets {
 		t.Op = ""
@@ -56,16 +56,16 @@
 	v, err := f.Table.Commit(ctx, t)
 	if f.f.lose > 0 {
 		f.f.lose--
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	}
 	return v, err
 }
 
-func (f *faulty) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *faulty) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.f.down {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	rows, err := f.Table.Get(ctx, keys...)
 	if f.afterGet != nil {
@@ -77,18 +77,18 @@
 
 // mutant changes how a host uses the table: a check of the checker.
 type mutant struct {
-	platform.Table
+	store.Table
 	noConds bool  // conditions are left out
 	doubtAs error // a lost answer is taken for this
 	doubtOK bool  // a lost answer is taken for success
 }
 
-func (m *mutant) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+func (m *mutant) Commit(ctx context.Context, t store.Txn) (uint64, error) {
 	if m.noConds {
 		t.Conds = nil
 	}
 	v, err := m.Table.Commit(ctx, t)
-	if !errors.Is(err, platform.ErrInDoubt) {
+	if !errors.Is(err, store.ErrInDoubt) {
 		return v, err
 	}
 	if m.doubtOK {
@@ -193,7 +193,7 @@
 	return nodeclaim.NewRows(c.table), func() {}
 }
 
-func mutated(mutate func(platform.Table) platform.Table) backend {
+func mutated(mutate func(store.Table) store.Table) backend {
 	return func(c *cluster, _ int) (nodeclaim.Records, func()) {
 		return nodeclaim.NewRows(mutate(c.table)), func() {}
 	}
--- a/node/claim/store.go
+++ b/node/claim/store.go
@@ -15,7 +15,7 @@
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -51,7 +51,7 @@
 // Deps are what a Store works with.
 type Deps struct {
 	Records Records
-	Objects platform.Objects
+	Objects store.Objects
 	Fates   Fates
 	Log     *event.Log
 	Owner   claim.Owner      // this process
@@ -164,10 +164,10 @@
 	row := claim.New(a, s.deps.Now())
 	row.Op = newID()
 	next, err := s.deps.Records.Swap(ctx, key, seen.Version, &row)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		return next, nil
 	}
-	if errors.Is(err, platform.ErrInDoubt) {
+	if errors.Is(err, store.ErrInDoubt) {
 		// The claim may stand, or arrive yet. Nothing was dispatched under it
 		// and nothing will be, so the key is freed as soon as the table answers;
 		// the freed row also makes a claim that arrives yet fail.
--- a/node/claim/sweep.go
+++ b/node/claim/sweep.go
@@ -10,7 +10,7 @@
 	"peridotpier.example/core/claim"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/pace"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // sweepPage is how many rows one step reads, and at most deletes in one
@@ -22,12 +22,12 @@
 // One is enough; the host that holds the sweeping lease runs it.
 type Sweeper struct {
 	store *Store
-	table platform.Table
+	table store.Table
 	after string
 }
 
 // NewSweeper sweeps the claims that s keeps as rows of tb.
-func NewSweeper(s *Store, tb platform.Table) *Sweeper { return &Sweeper{store: s, table: tb} }
+func NewSweeper(s *Store, tb store.Table) *Sweeper { return &Sweeper{store: s, table: tb} }
 
 // SweepLease is the lease under which one host sweeps.
 const SweepLease = "claims/sweeper"
@@ -61,7 +61,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	txn, kept := platform.Txn{Op: newID()}, 0
+	txn, kept := store.Txn{Op: newID()}, 0
 	for _, r := range rows {
 		seen, err := decode(r)
 		if err != nil {
@@ -69,8 +69,8 @@
 		}
 		switch claim.Sweepable(*seen.Row, w.store.limits.Load().TTL, w.store.deps.Now()) {
 		case claim.Forget:
-			txn.Conds = append(txn.Conds, platform.Cond{Key: r.Key, Version: r.Version})
-			txn.Writes = append(txn.Writes, platform.Write{Key: r.Key, Delete: true})
+			txn.Conds = append(txn.Conds, store.Cond{Key: r.Key, Version: r.Version})
+			txn.Writes = append(txn.Writes, store.Write{Key: r.Key, Delete: true})
 		case claim.SettleFirst:
 			kept++
 			// Its outcome is in the row afterwards; the next round looks again.
@@ -87,18 +87,18 @@
 	return len(txn.Writes), len(rows) < sweepPage, nil
 }
 
-func (w *Sweeper) delete(ctx context.Context, txn platform.Txn) error {
+func (w *Sweeper) delete(ctx context.Context, txn store.Txn) error {
 	if len(txn.Writes) == 0 {
 		return nil
 	}
-	_, err := platform.CommitResolved(ctx, w.table, txn)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err := store.CommitResolved(ctx, w.table, txn)
+	if errors.Is(err, store.ErrConflict) {
 		return nil // a key came back to life meanwhile; the rest waits a round
 	}
 	return err
 }
 
-func (w *Sweeper) advance(rows []platform.Row) {
+func (w *Sweeper) advance(rows []store.Row) {
 	w.after = ""
 	if len(rows) == sweepPage {
 		w.after = rows[len(rows)-1].Key
--- a/node/command/audit.go
+++ b/node/command/audit.go
@@ -15,7 +15,7 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/pace"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Where the audit trail is kept.
@@ -100,10 +100,10 @@
 		return false, storeError(fault.StepTable, err, "read batch %d", batch)
 	}
 	entries := make([]json.RawMessage, 0, len(rows))
-	writes := []platform.Write{{Key: revision.ArchiveKey, Value: strconv.AppendUint(nil, batch+1, 10)}}
+	writes := []store.Write{{Key: revision.ArchiveKey, Value: strconv.AppendUint(nil, batch+1, 10)}}
 	for _, r := range rows {
 		entries = append(entries, r.Value)
-		writes = append(writes, platform.Write{Key: r.Key, Delete: true})
+		writes = append(writes, store.Write{Key: r.Key, Delete: true})
 	}
 	if uint64(len(rows)) != last-first+1 || rows[len(rows)-1].Key != revision.AuditKey(first) {
 		return false, fault.From(fault.StepConfig, errors.New("audit batch "+strconv.FormatUint(batch, 10)+" has a gap"))
@@ -118,8 +118,8 @@
 	if err := a.role.Check(term.Epoch, archiveNeeds); err != nil {
 		return false, nil
 	}
-	_, err = platform.CommitResolved(ctx, a.deps.Table, platform.Txn{Op: uuid.NewString(), Writes: writes,
-		Conds: []platform.Cond{term.Guard, {Key: revision.ArchiveKey, Version: at}}})
+	_, err = store.CommitResolved(ctx, a.deps.Table, store.Txn{Op: uuid.NewString(), Writes: writes,
+		Conds: []store.Cond{term.Guard, {Key: revision.ArchiveKey, Version: at}}})
 	if err != nil {
 		return false, storeError(fault.StepTable, err, "drop batch %d", batch)
 	}
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -19,7 +19,7 @@
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/pace"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // putPause is the wait between tries to store a document whose answer was lost.
@@ -27,8 +27,8 @@
 
 // Deps are what the commands work with; Now and Log may be nil.
 type Deps struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	Log     *event.Log
 	Now     func() time.Time
 }
@@ -91,7 +91,7 @@
 
 // Apply checks a configuration and puts it in force, with its audit entry, in
 // one conditional write. Errors are fault.Errors around InvalidError,
-// ConflictError or the platform's own; platform.ErrInDoubt means that ctx
+// ConflictError or the platform's own; store.ErrInDoubt means that ctx
 // ended before it was known which.
 func (c *Configuration) Apply(ctx context.Context, a Apply) (revision.Head, error) {
 	cfg, faults := config.Parse(a.Document)
@@ -161,7 +161,7 @@
 		return current{}, storeError(fault.StepTable, err, "read the head")
 	}
 	if len(rows) == 0 {
-		return current{row: platform.Absent}, nil
+		return current{row: store.Absent}, nil
 	}
 	head, err := revision.Decode[revision.Head](rows[0].Value)
 	if err != nil {
@@ -200,10 +200,10 @@
 	}
 	for {
 		err := c.deps.Objects.Put(ctx, revision.DocumentName(digest), packed)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, store.ErrConflict) {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrInDoubt) || !pace.Sleep(ctx, putPause) {
+		if !errors.Is(err, store.ErrInDoubt) || !pace.Sleep(ctx, putPause) {
 			// The head is untouched, so the change did not run even if this write did.
 			return fault.NotRun(fault.StepObject, "platform", fault.CodeStoreDown, "store the document: %w", err)
 		}
@@ -221,11 +221,11 @@
 	if err != nil {
 		return revision.Head{}, fault.From(fault.StepConfig, err)
 	}
-	_, err = platform.CommitResolved(ctx, c.deps.Table, platform.Txn{Op: uuid.NewString(),
-		Conds: []platform.Cond{{Key: revision.HeadKey, Version: cur.row}},
-		Writes: []platform.Write{{Key: revision.HeadKey, Value: head},
+	_, err = store.CommitResolved(ctx, c.deps.Table, store.Txn{Op: uuid.NewString(),
+		Conds: []store.Cond{{Key: revision.HeadKey, Version: cur.row}},
+		Writes: []store.Write{{Key: revision.HeadKey, Value: head},
 			{Key: revision.AuditKey(e.Version), Value: entry}}})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return c.lostRace(ctx, cur)
 	}
 	if err != nil {
@@ -272,7 +272,7 @@
 // answer was lost.
 func storeError(step fault.Step, err error, format string, args ...any) error {
 	err = eris.Wrapf(err, format, args...)
-	if errors.Is(err, platform.ErrInDoubt) {
+	if errors.Is(err, store.ErrInDoubt) {
 		return fault.Unknown(step, "platform", fault.CodeUnknownOutcome, "%w", err)
 	}
 	return fault.NotRun(step, "platform", fault.CodeStoreDown, "%w", err)
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -15,7 +15,7 @@
 	decide "peridotpier.example/core/lease"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/pace"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 // Deps are what a lease works with; Now and Rand may be nil.
 type Deps struct {
-	Table platform.Table
+	Table store.Table
 	Log   *event.Log
 	Now   func() time.Time
 	Rand  pace.Rand
@@ -52,8 +52,8 @@
 
 // Term is one holding of a lease.
 type Term struct {
-	Epoch uint64        // fencing number for orders under this term
-	Guard platform.Cond // holds as long as nobody else took the lease; put it into every write under this term
+	Epoch uint64     // fencing number for orders under this term
+	Guard store.Cond // holds as long as nobody else took the lease; put it into every write under this term
 }
 
 // Lease campaigns for one role.
@@ -95,7 +95,7 @@
 	if l.held == nil || l.cfg.Policy.Remaining(*l.held, l.deps.Now()) <= 0 {
 		return Term{}, false
 	}
-	return Term{Epoch: l.held.Record.Epoch, Guard: platform.Cond{Key: l.grantKey(), Version: l.held.Rows.Grant}}, true
+	return Term{Epoch: l.held.Record.Epoch, Guard: store.Cond{Key: l.grantKey(), Version: l.held.Rows.Grant}}, true
 }
 
 // Check says whether an act that ends within need may be started now under
@@ -152,8 +152,8 @@
 		return d.Wait
 	}
 	from := l.deps.Now()
-	v, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(), Conds: l.conds(rows),
-		Writes: []platform.Write{{Key: l.grantKey(), Value: d.Next.Encode()}, {Key: l.beatKey()}}})
+	v, err := store.CommitResolved(ctx, l.deps.Table, store.Txn{Op: uuid.NewString(), Conds: l.conds(rows),
+		Writes: []store.Write{{Key: l.grantKey(), Value: d.Next.Encode()}, {Key: l.beatKey()}}})
 	if err != nil {
 		// Lost the race, or unknown. An acquisition that takes effect later
 		// names this process in an epoch in which it never acts; it is waited
@@ -169,14 +169,14 @@
 	from := l.deps.Now()
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Policy.Remaining(held, from))
 	defer cancel()
-	v, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(),
-		Conds: l.conds(held.Rows), Writes: []platform.Write{{Key: l.beatKey()}}})
+	v, err := store.CommitResolved(ctx, l.deps.Table, store.Txn{Op: uuid.NewString(),
+		Conds: l.conds(held.Rows), Writes: []store.Write{{Key: l.beatKey()}}})
 	switch {
 	case err == nil:
 		held.Rows.Beat, held.From = v, from
 		l.hold(&held)
 		return 0
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		l.lose("taken over")
 	}
 	return retryPause
@@ -194,8 +194,8 @@
 	defer cancel()
 	free := held.Record
 	free.Holder = ""
-	_, err := platform.CommitResolved(ctx, l.deps.Table, platform.Txn{Op: uuid.NewString(),
-		Conds: l.conds(held.Rows), Writes: []platform.Write{{Key: l.grantKey(), Value: free.Encode()}}})
+	_, err := store.CommitResolved(ctx, l.deps.Table, store.Txn{Op: uuid.NewString(),
+		Conds: l.conds(held.Rows), Writes: []store.Write{{Key: l.grantKey(), Value: free.Encode()}}})
 	if err != nil {
 		l.log.Emit(event.LeaseKept, zap.Error(err))
 		return
@@ -224,8 +224,8 @@
 	return at, record, err
 }
 
-func (l *Lease) conds(r decide.Rows) []platform.Cond {
-	return []platform.Cond{{Key: l.grantKey(), Version: r.Grant}, {Key: l.beatKey(), Version: r.Beat}}
+func (l *Lease) conds(r decide.Rows) []store.Cond {
+	return []store.Cond{{Key: l.grantKey(), Version: r.Grant}, {Key: l.beatKey(), Version: r.Beat}}
 }
 
 func (l *Lease) grantKey() string { return Prefix + l.cfg.Name }
--- a/node/lease/lease_test.go
+++ b/node/lease/lease_test.go
@@ -15,7 +15,7 @@
 
 	decide "peridotpier.example/core/lease"
 	"peridotpier.example/node/lease"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -68,18 +68,18 @@
 }
 
 type gatedTable struct {
-	platform.Table
+	store.Table
 	gate *gate
 }
 
-func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t gatedTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	t.gate.pass()
 	v, err := t.Table.Commit(ctx, txn)
 	t.gate.pass()
 	return v, err
 }
 
-func (t gatedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t gatedTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	t.gate.pass()
 	rows, err := t.Table.Get(ctx, keys...)
 	t.gate.pass()
@@ -253,8 +253,8 @@
 		_, okA := a.Term()
 		_, okB := b.Term()
 		assert.Assert(t, okA != okB, "one holder after the outage")
-		_, err := tb.Commit(t.Context(), platform.Txn{Op: "x", Conds: []platform.Cond{first.Guard}})
-		assert.ErrorIs(t, err, platform.ErrConflict, "a write under the old term is refused")
+		_, err := tb.Commit(t.Context(), store.Txn{Op: "x", Conds: []store.Cond{first.Guard}})
+		assert.ErrorIs(t, err, store.ErrConflict, "a write under the old term is refused")
 
 		// Hand-over: the successor acts within a poll, not after the full TTL.
 		stopA()
--- a/node/operatorapi/handlers.go
+++ b/node/operatorapi/handlers.go
@@ -15,7 +15,7 @@
 	"peridotpier.example/node/command"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Pages of lists.
@@ -196,7 +196,7 @@
 		return http.StatusUnprocessableEntity, Problem{Code: "invalid", Message: "the configuration has faults", Faults: invalid.Faults}
 	case errors.As(err, &conflict):
 		return http.StatusConflict, Problem{Code: "conflict", Message: conflict.Error()}
-	case errors.Is(err, platform.ErrInDoubt):
+	case errors.Is(err, store.ErrInDoubt):
 		return http.StatusBadGateway, Problem{Code: "in_doubt", Outcome: outcome.Unknown.String(),
 			Message: "the store's answer was lost: the change may or may not be in force; look at the status before trying again"}
 	case errors.As(err, &coded):
--- a/node/peer/claims.go
+++ b/node/peer/claims.go
@@ -9,7 +9,7 @@
 	"peridotpier.example/core/member"
 	"peridotpier.example/node/claim"
 	"peridotpier.example/node/peer/peerpb"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Claim answers a peer whose claims this host merges into its commits.
@@ -36,9 +36,9 @@
 	a := &peerpb.ClaimAnswer{Version: seen.Version}
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		a.Problem = peerpb.ClaimAnswer_CONFLICT
-	case errors.Is(err, platform.ErrInDoubt):
+	case errors.Is(err, store.ErrInDoubt):
 		a.Problem = peerpb.ClaimAnswer_IN_DOUBT
 	default:
 		a.Problem = peerpb.ClaimAnswer_UNAVAILABLE
@@ -52,9 +52,9 @@
 }
 
 var claimProblems = map[peerpb.ClaimAnswer_Problem]error{
-	peerpb.ClaimAnswer_CONFLICT:    platform.ErrConflict,
-	peerpb.ClaimAnswer_UNAVAILABLE: platform.ErrUnavailable,
-	peerpb.ClaimAnswer_IN_DOUBT:    platform.ErrInDoubt,
+	peerpb.ClaimAnswer_CONFLICT:    store.ErrConflict,
+	peerpb.ClaimAnswer_UNAVAILABLE: store.ErrUnavailable,
+	peerpb.ClaimAnswer_IN_DOUBT:    store.ErrInDoubt,
 }
 
 // ReadClaim reads a claim through another host.
@@ -94,7 +94,7 @@
 		return json.Unmarshal(a.Row, seen.Row)
 	})
 	if err != nil {
-		return claim.Seen{}, errors.Join(platform.ErrInDoubt, err)
+		return claim.Seen{}, errors.Join(store.ErrInDoubt, err)
 	}
 	return seen, told
 }
--- a/node/peer/mesh.go
+++ b/node/peer/mesh.go
@@ -18,8 +18,8 @@
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
+	"peridotpier.example/node/store"
 )
 
 // Defaults of Config.
@@ -41,7 +41,7 @@
 
 // Deps are what a Mesh works with. The functions must not block.
 type Deps struct {
-	Hosts    platform.Hosts
+	Hosts    store.Hosts
 	Config   *query.ConfigReader
 	Requests *inflight.Registry
 	Cancel   error // cause for requests cancelled through a peer
@@ -78,7 +78,7 @@
 	dialing   map[string]bool
 	shunned   map[string]time.Time // could not be dialled: not chosen again until then
 	suspected map[string]suspicion // of other hosts by this one
-	listed    map[string]platform.Host
+	listed    map[string]store.Host
 	listOnce  sync.Once
 	firstList chan struct{} // closed when the list was read once
 }
@@ -102,7 +102,7 @@
 	}
 	m := &Mesh{cfg: cfg, deps: deps, now: deps.Now, wake: make(chan struct{}, 1), hosts: member.NewHosts(),
 		upstreams: member.NewUpstreams(), links: map[*link]struct{}{}, dialing: map[string]bool{},
-		shunned: map[string]time.Time{}, suspected: map[string]suspicion{}, listed: map[string]platform.Host{},
+		shunned: map[string]time.Time{}, suspected: map[string]suspicion{}, listed: map[string]store.Host{},
 		firstList: make(chan struct{})}
 	m.self = cfg.Self
 	if m.self.Incarnation == 0 {
--- a/node/peer/mesh_test.go
+++ b/node/peer/mesh_test.go
@@ -19,8 +19,8 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/peer"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -48,13 +48,13 @@
 
 // gateTable is the table service as one host reaches it.
 type gateTable struct {
-	platform.Table
+	store.Table
 	down atomic.Bool
 }
 
-func (g *gateTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (g *gateTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if g.down.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return g.Table.Get(ctx, keys...)
 }
@@ -159,9 +159,9 @@
 }
 
 func (w *world) tell(names ...string) {
-	var list []platform.Host
+	var list []store.Host
 	for _, n := range names {
-		list = append(list, platform.Host{Name: n, Address: n, DataCentre: "dc", Role: platform.RoleEntry, State: platform.HostLive})
+		list = append(list, store.Host{Name: n, Address: n, DataCentre: "dc", Role: store.RoleEntry, State: store.HostLive})
 	}
 	w.list.Set(list...)
 }
--- a/node/peer/tend.go
+++ b/node/peer/tend.go
@@ -14,7 +14,7 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/pace"
 	"peridotpier.example/node/peer/peerpb"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 const (
@@ -248,9 +248,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	next := map[string]platform.Host{}
+	next := map[string]store.Host{}
 	for _, h := range list {
-		if h.Role == platform.RoleEntry {
+		if h.Role == store.RoleEntry {
 			next[h.Name] = h
 			m.listLocked(h)
 		}
@@ -276,20 +276,20 @@
 
 // listLocked takes one entry of the list. It can add a host and say that it
 // leaves, never that a leaving one is back.
-func (m *Mesh) listLocked(h platform.Host) {
+func (m *Mesh) listLocked(h store.Host) {
 	old, known := m.hosts.Get(h.Name)
 	switch {
 	case h.Name == m.self.Name:
 	case !known:
 		m.mergeHostLocked(member.Host{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre}, nil)
-	case old.State == member.Alive && h.State == platform.HostLeaving && old.Address == h.Address:
+	case old.State == member.Alive && h.State == store.HostLeaving && old.Address == h.Address:
 		old.State = member.Leaving
 		m.mergeHostLocked(old, nil)
 	}
 }
 
 // forgetLocked drops hosts that ended and are not listed any more.
-func (m *Mesh) forgetLocked(list map[string]platform.Host, now time.Time) {
+func (m *Mesh) forgetLocked(list map[string]store.Host, now time.Time) {
 	for _, h := range m.hosts.All() {
 		_, listed := list[h.Name]
 		if listed || h.Name == m.self.Name || h.State == member.Alive || len(list) == 0 {
@@ -306,10 +306,10 @@
 }
 
 // Listed returns the platform's list of entry hosts as last read.
-func (m *Mesh) Listed() []platform.Host {
+func (m *Mesh) Listed() []store.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := make([]platform.Host, 0, len(m.listed))
+	out := make([]store.Host, 0, len(m.listed))
 	for _, h := range m.listed {
 		out = append(out, h)
 	}
--- a/node/planner/books.go
+++ b/node/planner/books.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"peridotpier.example/core/ledger"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Keys of the table service.
@@ -26,10 +26,10 @@
 
 // books are the ledger rows of a pool as committed.
 type books struct {
-	table    platform.Table
+	table    store.Table
 	pool     string
 	epoch    uint64
-	epochRow platform.Cond // every write demands that no later planner has taken over
+	epochRow store.Cond // every write demands that no later planner has taken over
 	rows     map[string]*entry
 }
 
@@ -46,7 +46,7 @@
 }
 
 // openBooks takes over the books of a pool under an epoch and reads them.
-func openBooks(ctx context.Context, tb platform.Table, pool string, epoch uint64) (*books, error) {
+func openBooks(ctx context.Context, tb store.Table, pool string, epoch uint64) (*books, error) {
 	b := &books{table: tb, pool: pool, epoch: epoch, rows: map[string]*entry{}}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
@@ -78,7 +78,7 @@
 	if err != nil {
 		return eris.Wrap(err, "read the planner's epoch")
 	}
-	cond := platform.Cond{Key: key}
+	cond := store.Cond{Key: key}
 	if len(rows) > 0 {
 		held, _ := strconv.ParseUint(string(rows[0].Value), 10, 64)
 		if held > b.epoch {
@@ -86,16 +86,16 @@
 		}
 		cond.Version = rows[0].Version
 	}
-	v, err := platform.CommitResolved(ctx, b.table, platform.Txn{Op: newOp(), Conds: []platform.Cond{cond},
-		Writes: []platform.Write{{Key: key, Value: []byte(strconv.FormatUint(b.epoch, 10))}}})
-	b.epochRow = platform.Cond{Key: key, Version: v}
+	v, err := store.CommitResolved(ctx, b.table, store.Txn{Op: newOp(), Conds: []store.Cond{cond},
+		Writes: []store.Write{{Key: key, Value: []byte(strconv.FormatUint(b.epoch, 10))}}})
+	b.epochRow = store.Cond{Key: key, Version: v}
 	return eris.Wrap(err, "take over the ledger")
 }
 
 func (b *books) prefix() string             { return rowPrefix + b.pool + "/" }
 func (b *books) key(upstream string) string { return b.prefix() + upstream }
 
-func (b *books) put(r platform.Row) error {
+func (b *books) put(r store.Row) error {
 	e := &entry{version: r.Version}
 	if err := json.Unmarshal(r.Value, &e.row); err != nil {
 		return eris.Wrapf(err, "ledger row %s", r.Key)
@@ -108,7 +108,7 @@
 // service says so. After a lost answer that could not be resolved, they are
 // read again before anything is built on them: the write may stand.
 func (b *books) write(ctx context.Context, changes ...change) error {
-	txn := platform.Txn{Op: newOp(), Conds: []platform.Cond{b.epochRow}}
+	txn := store.Txn{Op: newOp(), Conds: []store.Cond{b.epochRow}}
 	for _, c := range changes {
 		e := b.rows[c.upstream]
 		if e.dirty {
@@ -118,18 +118,18 @@
 		if err != nil {
 			return eris.Wrap(err, "encode a ledger row")
 		}
-		txn.Conds = append(txn.Conds, platform.Cond{Key: b.key(c.upstream), Version: e.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: b.key(c.upstream), Value: value})
+		txn.Conds = append(txn.Conds, store.Cond{Key: b.key(c.upstream), Version: e.version})
+		txn.Writes = append(txn.Writes, store.Write{Key: b.key(c.upstream), Value: value})
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	version, err := platform.CommitResolved(ctx, b.table, txn)
+	version, err := store.CommitResolved(ctx, b.table, txn)
 	for _, c := range changes {
 		e := b.rows[c.upstream]
 		switch {
 		case err == nil:
 			e.row, e.version = c.next, version
-		case errors.Is(err, platform.ErrInDoubt) || errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrInDoubt) || errors.Is(err, store.ErrConflict):
 			e.dirty = true
 		}
 	}
@@ -155,7 +155,7 @@
 	}
 	for _, k := range keys {
 		e := b.rows[strings.TrimPrefix(k, b.prefix())]
-		e.row, e.version, e.dirty = ledger.New(e.row.Upstream, e.row.CapacityMB, e.row.Fencing), platform.Absent, false
+		e.row, e.version, e.dirty = ledger.New(e.row.Upstream, e.row.CapacityMB, e.row.Fencing), store.Absent, false
 	}
 	for _, r := range rows {
 		if r.Key == b.epochRow.Key {
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -17,7 +17,7 @@
 	"peridotpier.example/core/ledger"
 	"peridotpier.example/core/place"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -69,8 +69,8 @@
 // Deps are the parts that a planner works with.
 type Deps struct {
 	Lease   Lease
-	Table   platform.Table
-	Weights platform.Weights
+	Table   store.Table
+	Weights store.Weights
 	Orders  Orders
 	Site    Site
 	Log     *event.Log
--- a/node/planner/world_test.go
+++ b/node/planner/world_test.go
@@ -9,7 +9,7 @@
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/ledger"
 	"peridotpier.example/core/place"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 	standin "peridotpier.example/standin/platform"
 )
@@ -72,28 +72,28 @@
 
 // testTable is the table service with faults.
 type testTable struct {
-	platform.Table
+	store.Table
 	down    bool
 	inDoubt int // so many commits take effect but lose their answer
 	commits int
 }
 
-func (t *testTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *testTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	if t.down {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	v, err := t.Table.Commit(ctx, txn)
 	t.commits++
 	if t.inDoubt > 0 {
 		t.inDoubt--
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	}
 	return v, err
 }
 
-func (t *testTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *testTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if t.down {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return t.Table.Get(ctx, keys...)
 }
--- a/node/query/config.go
+++ b/node/query/config.go
@@ -18,7 +18,7 @@
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/pace"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 const (
@@ -43,8 +43,8 @@
 
 // Deps are what the queries work with; Now, Rand and Log may be nil.
 type Deps struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	Log     *event.Log
 	Now     func() time.Time
 	Rand    pace.Rand
--- a/node/query/config_test.go
+++ b/node/query/config_test.go
@@ -23,8 +23,8 @@
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/command"
 	"peridotpier.example/node/lease"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -281,9 +281,9 @@
 // host still has the old one. Sequence: a word comes late, a host restarts.
 func TestWaitingNamesHostsWithoutTheVersion(t *testing.T) {
 	c := query.NewConfirmations(nil)
-	listed := []platform.Host{{Name: "a", Role: platform.RoleEntry, State: platform.HostLive},
-		{Name: "b", Role: platform.RoleEntry, State: platform.HostLive},
-		{Name: "c", Role: platform.RoleEntry, State: platform.HostLeaving}, {Name: "u", Role: platform.RoleUpstream, State: platform.HostLive}}
+	listed := []store.Host{{Name: "a", Role: store.RoleEntry, State: store.HostLive},
+		{Name: "b", Role: store.RoleEntry, State: store.HostLive},
+		{Name: "c", Role: store.RoleEntry, State: store.HostLeaving}, {Name: "u", Role: store.RoleUpstream, State: store.HostLive}}
 	c.Report("a", 5)
 	c.Report("a", 4)
 	c.Report("b", 4)
--- a/node/query/confirm.go
+++ b/node/query/confirm.go
@@ -10,7 +10,7 @@
 
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // confirm notes that the table showed version as the newest when it was asked
@@ -120,13 +120,13 @@
 // Waiting returns the listed live entry hosts which have not confirmed a
 // version, with the one they last had (0: unknown). A change is accepted
 // everywhere when none is left.
-func (c *Confirmations) Waiting(version uint64, listed []platform.Host) []HostVersion {
+func (c *Confirmations) Waiting(version uint64, listed []store.Host) []HostVersion {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []HostVersion
 	for _, h := range listed {
 		v := c.hosts[h.Name]
-		if h.Role == platform.RoleEntry && h.State == platform.HostLive && v.Version < version {
+		if h.Role == store.RoleEntry && h.State == store.HostLive && v.Version < version {
 			v.Host = h.Name
 			out = append(out, v)
 		}
--- a/node/server/claimwriters.go
+++ b/node/server/claimwriters.go
@@ -10,7 +10,7 @@
 	"peridotpier.example/core/claim"
 	"peridotpier.example/core/member"
 	nodeclaim "peridotpier.example/node/claim"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 const (
@@ -58,7 +58,7 @@
 		return r.own.Swap(ctx, key, version, row)
 	}
 	seen, err := r.s.mesh.SwapClaim(ctx, w, key, version, row)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		return seen, err
 	}
 	return r.own.Swap(ctx, key, version, row)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -25,9 +25,9 @@
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/operatorapi"
 	"peridotpier.example/node/peer"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
 	"peridotpier.example/node/settings"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/node/upstream/orders"
 	"peridotpier.example/node/upstream/poll"
@@ -76,10 +76,10 @@
 
 // Platform is what the platform gives.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Hosts   platform.Hosts
-	Weights platform.Weights
+	Table   store.Table
+	Objects store.Objects
+	Hosts   store.Hosts
+	Weights store.Weights
 }
 
 // Server is one node.
--- a/node/server/status.go
+++ b/node/server/status.go
@@ -10,8 +10,8 @@
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/inflight"
 	"peridotpier.example/node/operatorapi"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
+	"peridotpier.example/node/store"
 )
 
 // Status implements operatorapi.Site.
@@ -71,10 +71,10 @@
 // force everywhere: those that the platform lists as live, even if no peer has
 // heard of them, and those that peers know, since the list shows a new host
 // only seconds after it began to serve.
-func expected(listed []platform.Host, known map[string]uint64) []platform.Host {
+func expected(listed []store.Host, known map[string]uint64) []store.Host {
 	for host := range known {
-		if !slices.ContainsFunc(listed, func(h platform.Host) bool { return h.Name == host }) {
-			listed = append(listed, platform.Host{Name: host, Role: platform.RoleEntry, State: platform.HostLive})
+		if !slices.ContainsFunc(listed, func(h store.Host) bool { return h.Name == host }) {
+			listed = append(listed, store.Host{Name: host, Role: store.RoleEntry, State: store.HostLive})
 		}
 	}
 	return listed
--- a/node/server/status_test.go
+++ b/node/server/status_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/query"
+	"peridotpier.example/node/store"
 )
 
 // Symptom: an operator is told that a change is in force everywhere while a
@@ -15,9 +15,9 @@
 // platform's list shows the host.
 // Cause: only listed hosts were waited for.
 func TestAHostThatTheListLacksIsWaitedFor(t *testing.T) {
-	listed := []platform.Host{{Name: "a", Role: platform.RoleEntry, State: platform.HostLive},
-		{Name: "gone", Role: platform.RoleEntry, State: platform.HostLeaving},
-		{Name: "engine", Role: platform.RoleUpstream, State: platform.HostLive}}
+	listed := []store.Host{{Name: "a", Role: store.RoleEntry, State: store.HostLive},
+		{Name: "gone", Role: store.RoleEntry, State: store.HostLeaving},
+		{Name: "engine", Role: store.RoleUpstream, State: store.HostLive}}
 	versions := map[string]uint64{"a": 2, "new": 1, "silent": 0}
 	heard := query.NewConfirmations(nil)
 	for host, v := range versions {
--- a/node/platform/resolve.go
+++ b/node/store/resolve.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/node/platform/rest/client.go
+++ b/node/store/rest/client.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Defaults of a client.
@@ -32,8 +32,8 @@
 	TLS     *tls.Config   // for https; nil: the system's roots
 }
 
-// Client calls the platform's services. It implements platform.Table,
-// platform.Hosts and platform.Weights; Objects returns the object store.
+// Client calls the platform's services. It implements store.Table,
+// store.Hosts and store.Weights; Objects returns the object store.
 type Client struct {
 	base    string
 	timeout time.Duration
@@ -41,10 +41,10 @@
 }
 
 var (
-	_ platform.Table   = (*Client)(nil)
-	_ platform.Hosts   = (*Client)(nil)
-	_ platform.Weights = (*Client)(nil)
-	_ platform.Objects = Objects{}
+	_ store.Table   = (*Client)(nil)
+	_ store.Hosts   = (*Client)(nil)
+	_ store.Weights = (*Client)(nil)
+	_ store.Objects = Objects{}
 )
 
 // New makes a client. Close ends it.
@@ -61,44 +61,44 @@
 // Close drops idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (c *Client) Commit(ctx context.Context, t store.Txn) (uint64, error) {
 	var a CommitAnswer
-	err := c.post(ctx, PathCommit, platform.ErrInDoubt, t, &a)
+	err := c.post(ctx, PathCommit, store.ErrInDoubt, t, &a)
 	return a.Version, err
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	var a Rows
-	err := c.post(ctx, PathGet, platform.ErrUnavailable, GetRequest{Keys: keys}, &a)
+	err := c.post(ctx, PathGet, store.ErrUnavailable, GetRequest{Keys: keys}, &a)
 	return a.Rows, err
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements store.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	var a Rows
-	err := c.post(ctx, PathList, platform.ErrUnavailable, ListRequest{Prefix: prefix, After: after, Limit: limit}, &a)
+	err := c.post(ctx, PathList, store.ErrUnavailable, ListRequest{Prefix: prefix, After: after, Limit: limit}, &a)
 	return a.Rows, err
 }
 
-// Hosts implements platform.Hosts.
-func (c *Client) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements store.Hosts.
+func (c *Client) Hosts(ctx context.Context) ([]store.Host, error) {
 	var a HostList
-	err := c.call(ctx, request{method: http.MethodGet, path: PathHosts, lost: platform.ErrUnavailable}, decode(&a))
+	err := c.call(ctx, request{method: http.MethodGet, path: PathHosts, lost: store.ErrUnavailable}, decode(&a))
 	return a.Hosts, err
 }
 
-// Grant implements platform.Weights.
+// Grant implements store.Weights.
 func (c *Client) Grant(ctx context.Context, load string) (time.Duration, error) {
 	var a Grant
-	err := c.post(ctx, PathGrant, platform.ErrInDoubt, LoadRequest{Load: load}, &a)
+	err := c.post(ctx, PathGrant, store.ErrInDoubt, LoadRequest{Load: load}, &a)
 	return time.Duration(a.WaitMs) * time.Millisecond, err
 }
 
-// Done implements platform.Weights.
+// Done implements store.Weights.
 func (c *Client) Done(ctx context.Context, load string) error {
-	return c.post(ctx, PathDone, platform.ErrInDoubt, LoadRequest{Load: load}, &struct{}{})
+	return c.post(ctx, PathDone, store.ErrInDoubt, LoadRequest{Load: load}, &struct{}{})
 }
 
 // Objects is the object store of a client.
@@ -107,25 +107,25 @@
 // Objects returns the object store at the client's address.
 func (c *Client) Objects() Objects { return Objects{c} }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o Objects) Put(ctx context.Context, name string, data []byte) error {
-	r := request{method: http.MethodPut, path: PathObject + url.PathEscape(name), body: data, lost: platform.ErrInDoubt}
+	r := request{method: http.MethodPut, path: PathObject + url.PathEscape(name), body: data, lost: store.ErrInDoubt}
 	return o.c.call(ctx, r, decode(&struct{}{}))
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	var data []byte
-	r := request{method: http.MethodGet, path: PathObject + url.PathEscape(name), lost: platform.ErrUnavailable}
+	r := request{method: http.MethodGet, path: PathObject + url.PathEscape(name), lost: store.ErrUnavailable}
 	err := o.c.call(ctx, r, func(b []byte) error { data = b; return nil })
 	return data, err
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var a Names
-	r := request{method: http.MethodGet, path: PathObjects + "?" + q.Encode(), lost: platform.ErrUnavailable}
+	r := request{method: http.MethodGet, path: PathObjects + "?" + q.Encode(), lost: store.ErrUnavailable}
 	err := o.c.call(ctx, r, decode(&a))
 	return a.Names, err
 }
@@ -163,7 +163,7 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	status, body, err := c.do(req)
 	if err != nil {
@@ -174,7 +174,7 @@
 		if connected.Load() {
 			return fmt.Errorf("%w: %w", r.lost, err)
 		}
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	if status == http.StatusOK {
 		if err := accept(body); err != nil {
--- a/node/platform/rest/wire.go
+++ b/node/store/rest/wire.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Paths of the services, below the service's base address.
@@ -23,7 +23,7 @@
 	PathDone    = "/weights/done"
 )
 
-// CommitAnswer is the answer to a platform.Txn.
+// CommitAnswer is the answer to a store.Txn.
 type CommitAnswer struct {
 	Version uint64 `json:"version"`
 }
@@ -42,7 +42,7 @@
 
 // Rows answers a read.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []store.Row `json:"rows"`
 }
 
 // Names answers a list of objects.
@@ -52,7 +52,7 @@
 
 // HostList answers the list of hosts.
 type HostList struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []store.Host `json:"hosts"`
 }
 
 // LoadRequest names one load.
@@ -83,10 +83,10 @@
 }
 
 var problems = [...]problemKind{
-	{"conflict", http.StatusConflict, platform.ErrConflict},
-	{"limited", http.StatusTooManyRequests, platform.ErrLimited},
-	{"unavailable", http.StatusServiceUnavailable, platform.ErrUnavailable},
-	{"not_found", http.StatusNotFound, platform.ErrNotFound},
+	{"conflict", http.StatusConflict, store.ErrConflict},
+	{"limited", http.StatusTooManyRequests, store.ErrLimited},
+	{"unavailable", http.StatusServiceUnavailable, store.ErrUnavailable},
+	{"not_found", http.StatusNotFound, store.ErrNotFound},
 }
 
 // ProblemOf returns status and body for an error that the service may tell.
--- a/node/platform/platform.go
+++ b/node/store/store.go
@@ -1,9 +1,9 @@
-// Package platform holds the interfaces to what the platform gives: a
+// Package store holds the interfaces to what the platform gives: a
 // transactional table service, an object store, a list of hosts and a weight
 // store. Everything that must be agreed or kept goes through them. The true
 // protocols may differ from site to site, so each interface is small and the
 // rest of the system sees nothing else.
-package platform
+package store
 
 import (
 	"context"
--- a/node/platform/platformtest/platformtest.go
+++ b/node/store/storetest/storetest.go
@@ -1,6 +1,6 @@
-// Package platformtest is the conformance suite of the platform's interfaces.
+// Package storetest is the conformance suite of the platform's interfaces.
 // Every adapter to a platform service must pass it, whatever the protocol.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -11,17 +11,17 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Bench is one fresh, empty set of services with switches for their faults.
 type Bench struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Hosts   platform.Hosts
-	Weights platform.Weights // must allow two loads at once, and starts at any rate
+	Table   store.Table
+	Objects store.Objects
+	Hosts   store.Hosts
+	Weights store.Weights // must allow two loads at once, and starts at any rate
 
-	Want         []platform.Host // what Hosts must answer
+	Want         []store.Host // what Hosts must answer
 	Outage       func(on bool)
 	LoseAnswers  func(on bool) // writes take effect but their answers are lost
 	LoseRequests func(on bool) // writes are lost on the way
@@ -50,8 +50,8 @@
 	}
 }
 
-func put(op, key, value string, conds ...platform.Cond) platform.Txn {
-	return platform.Txn{Op: op, Conds: conds, Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func put(op, key, value string, conds ...store.Cond) store.Txn {
+	return store.Txn{Op: op, Conds: conds, Writes: []store.Write{{Key: key, Value: []byte(value)}}}
 }
 
 func value(t *testing.T, b Bench, key string) string {
@@ -75,30 +75,30 @@
 	assert.Equal(t, value(t, b, "k"), "2")
 
 	// A refusal is an answer too: it must not turn into success later.
-	refused := put("op3", "k", "3", platform.Cond{Key: "k", Version: first})
+	refused := put("op3", "k", "3", store.Cond{Key: "k", Version: first})
 	_, err = b.Table.Commit(t.Context(), refused)
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, err, store.ErrConflict)
 	refused.Conds = nil
 	_, err = b.Table.Commit(t.Context(), refused)
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, err, store.ErrConflict)
 }
 
 func conditions(t *testing.T, b Bench) {
-	absent := platform.Cond{Key: "k", Version: platform.Absent}
+	absent := store.Cond{Key: "k", Version: store.Absent}
 	v, err := b.Table.Commit(t.Context(), put("a", "k", "1", absent))
 	assert.NilError(t, err)
 	_, err = b.Table.Commit(t.Context(), put("b", "k", "2", absent))
-	assert.ErrorIs(t, err, platform.ErrConflict)
-	_, err = b.Table.Commit(t.Context(), put("c", "k", "2", platform.Cond{Key: "k", Version: v + 1}))
-	assert.ErrorIs(t, err, platform.ErrConflict)
-	_, err = b.Table.Commit(t.Context(), put("d", "k", "2", platform.Cond{Key: "k", Version: v}))
+	assert.ErrorIs(t, err, store.ErrConflict)
+	_, err = b.Table.Commit(t.Context(), put("c", "k", "2", store.Cond{Key: "k", Version: v + 1}))
+	assert.ErrorIs(t, err, store.ErrConflict)
+	_, err = b.Table.Commit(t.Context(), put("d", "k", "2", store.Cond{Key: "k", Version: v}))
 	assert.NilError(t, err)
 	assert.Equal(t, value(t, b, "k"), "2")
 }
 
 func whole(t *testing.T, b Bench) {
-	two := platform.Txn{Op: "a", Conds: []platform.Cond{{Key: "x"}, {Key: "y"}},
-		Writes: []platform.Write{{Key: "x", Value: []byte("1")}, {Key: "y", Value: []byte("1")}}}
+	two := store.Txn{Op: "a", Conds: []store.Cond{{Key: "x"}, {Key: "y"}},
+		Writes: []store.Write{{Key: "x", Value: []byte("1")}, {Key: "y", Value: []byte("1")}}}
 	v, err := b.Table.Commit(t.Context(), two)
 	assert.NilError(t, err)
 	rows, err := b.Table.Get(t.Context(), "x", "none", "y")
@@ -107,10 +107,10 @@
 	assert.Equal(t, rows[0].Version, v)
 	assert.Equal(t, rows[1].Version, v)
 
-	two.Op, two.Conds = "b", []platform.Cond{{Key: "x", Version: v}, {Key: "y", Version: platform.Absent}}
-	two.Writes = []platform.Write{{Key: "x", Delete: true}, {Key: "y", Delete: true}}
+	two.Op, two.Conds = "b", []store.Cond{{Key: "x", Version: v}, {Key: "y", Version: store.Absent}}
+	two.Writes = []store.Write{{Key: "x", Delete: true}, {Key: "y", Delete: true}}
 	_, err = b.Table.Commit(t.Context(), two)
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, err, store.ErrConflict)
 	assert.Equal(t, value(t, b, "x"), "1")
 }
 
@@ -121,8 +121,8 @@
 		assert.NilError(t, err)
 		assert.Assert(t, v != 0 && !seen[v])
 		seen[v] = true
-		_, err = b.Table.Commit(t.Context(), platform.Txn{Op: fmt.Sprint("del", i),
-			Conds: []platform.Cond{{Key: "k", Version: v}}, Writes: []platform.Write{{Key: "k", Delete: true}}})
+		_, err = b.Table.Commit(t.Context(), store.Txn{Op: fmt.Sprint("del", i),
+			Conds: []store.Cond{{Key: "k", Version: v}}, Writes: []store.Write{{Key: "k", Delete: true}}})
 		assert.NilError(t, err)
 	}
 }
@@ -150,15 +150,15 @@
 
 // resolveAfter commits txn while a fault is on and clears the fault once the
 // commit is in doubt.
-func resolveAfter(t *testing.T, b Bench, fault func(bool), txn platform.Txn) {
+func resolveAfter(t *testing.T, b Bench, fault func(bool), txn store.Txn) {
 	t.Helper()
 	fault(true)
 	_, err := b.Table.Commit(t.Context(), txn)
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	assert.ErrorIs(t, err, store.ErrInDoubt)
 	fault(false)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	_, err = platform.CommitResolved(ctx, b.Table, txn)
+	_, err = store.CommitResolved(ctx, b.Table, txn)
 	assert.NilError(t, err)
 }
 
@@ -166,29 +166,29 @@
 // effect, its answer is lost, the retry meets its own row. Cause: the retry
 // counted as a new operation.
 func lostAnswer(t *testing.T, b Bench) {
-	resolveAfter(t, b, b.LoseAnswers, put("a", "k", "1", platform.Cond{Key: "k", Version: platform.Absent}))
+	resolveAfter(t, b, b.LoseAnswers, put("a", "k", "1", store.Cond{Key: "k", Version: store.Absent}))
 	assert.Equal(t, value(t, b, "k"), "1")
 }
 
 // Symptom: a write that was reported in doubt is taken for done and is not
 // there. Sequence: the request is lost on the way. Cause: no second try.
 func lostRequest(t *testing.T, b Bench) {
-	resolveAfter(t, b, b.LoseRequests, put("a", "k", "1", platform.Cond{Key: "k", Version: platform.Absent}))
+	resolveAfter(t, b, b.LoseRequests, put("a", "k", "1", store.Cond{Key: "k", Version: store.Absent}))
 	assert.Equal(t, value(t, b, "k"), "1")
 }
 
 func refusals(t *testing.T, b Bench) {
 	b.Outage(true)
 	_, err := b.Table.Commit(t.Context(), put("a", "k", "1"))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	_, err = b.Table.Get(t.Context(), "k")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	_, err = b.Objects.Get(t.Context(), "k")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	b.Outage(false)
 	b.Limit(true)
 	_, err = b.Table.Commit(t.Context(), put("b", "k", "1"))
-	assert.ErrorIs(t, err, platform.ErrLimited)
+	assert.ErrorIs(t, err, store.ErrLimited)
 	b.Limit(false)
 	assert.Equal(t, value(t, b, "k"), "")
 }
@@ -197,15 +197,15 @@
 	name := "audit/2026 a%2Fb/1"
 	assert.NilError(t, b.Objects.Put(t.Context(), name, []byte("data")))
 	assert.NilError(t, b.Objects.Put(t.Context(), name, []byte("data")))
-	assert.ErrorIs(t, b.Objects.Put(t.Context(), name, []byte("other")), platform.ErrConflict)
+	assert.ErrorIs(t, b.Objects.Put(t.Context(), name, []byte("other")), store.ErrConflict)
 	got, err := b.Objects.Get(t.Context(), name)
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "data")
 	_, err = b.Objects.Get(t.Context(), "none")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, store.ErrNotFound)
 	b.LoseAnswers(true)
 	err = b.Objects.Put(t.Context(), "b", nil)
-	assert.Assert(t, errors.Is(err, platform.ErrInDoubt))
+	assert.Assert(t, errors.Is(err, store.ErrInDoubt))
 	b.LoseAnswers(false)
 	assert.NilError(t, b.Objects.Put(t.Context(), "b", nil))
 	names, err := b.Objects.List(t.Context(), "a", "", 10)
--- a/standin/claimbench/fleet.go
+++ b/standin/claimbench/fleet.go
@@ -8,7 +8,7 @@
 	coreclaim "peridotpier.example/core/claim"
 	"peridotpier.example/node/claim"
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // fleet is the writers of all hosts, as every host reaches them.
@@ -133,7 +133,7 @@
 	w := f.writer(key)
 	time.Sleep(f.cfg.Hop)
 	if !f.alive(w) {
-		return claim.Seen{}, platform.ErrUnavailable
+		return claim.Seen{}, store.ErrUnavailable
 	}
 	return w.records.Read(ctx, key)
 }
@@ -143,7 +143,7 @@
 	w := f.writer(key)
 	time.Sleep(f.cfg.Hop)
 	if !f.alive(w) {
-		return claim.Seen{}, platform.ErrUnavailable
+		return claim.Seen{}, store.ErrUnavailable
 	}
 	return w.records.Swap(ctx, key, v, row)
 }
--- a/standin/claimbench/limited.go
+++ b/standin/claimbench/limited.go
@@ -9,7 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"peridotpier.example/core/fault"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -32,25 +32,25 @@
 		limit: rate.NewLimiter(rate.Limit(writesPerSecond), int(writesPerSecond*burstShare))}
 }
 
-// Commit implements platform.Table.
-func (l *Limited) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (l *Limited) Commit(ctx context.Context, t store.Txn) (uint64, error) {
 	time.Sleep(l.latency)
 	if !l.limit.Allow() {
 		l.limited.Add(1)
-		return 0, platform.ErrLimited
+		return 0, store.ErrLimited
 	}
 	l.commits.Add(1)
 	return l.Table.Commit(ctx, t)
 }
 
-// Get implements platform.Table.
-func (l *Limited) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (l *Limited) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	time.Sleep(l.latency)
 	return l.Table.Get(ctx, keys...)
 }
 
-// List implements platform.Table.
-func (l *Limited) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements store.Table.
+func (l *Limited) List(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	time.Sleep(l.latency)
 	return l.Table.List(ctx, prefix, after, limit)
 }
@@ -68,14 +68,14 @@
 
 // mortal is the table service as a host that may die sees it.
 type mortal struct {
-	platform.Table
+	store.Table
 	dead atomic.Bool
 }
 
-// Commit implements platform.Table: the dead write nothing.
-func (m *mortal) Commit(ctx context.Context, t platform.Txn) (uint64, error) {
+// Commit implements store.Table: the dead write nothing.
+func (m *mortal) Commit(ctx context.Context, t store.Txn) (uint64, error) {
 	if m.dead.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	return m.Table.Commit(ctx, t)
 }
--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -20,7 +20,7 @@
 	catchUp           = 100 * time.Millisecond // a step loop that is later than this forgets the time it lost
 )
 
-// Weights is the weight store's admission, as node/platform describes it.
+// Weights is the weight store's admission, as node/store describes it.
 type Weights interface {
 	// Grant asks for a place for a load; it answers how long to wait, 0: granted.
 	Grant(ctx context.Context, load string) (wait time.Duration, err error)
--- a/standin/local/fleet.go
+++ b/standin/local/fleet.go
@@ -13,8 +13,8 @@
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
 	"peridotpier.example/node/command"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 	fake "peridotpier.example/standin/platform"
 )
@@ -159,34 +159,34 @@
 
 // placedTable is the table service as a data centre reaches it.
 type placedTable struct {
-	platform.Table
+	store.Table
 	net *network
 	dc  string
 }
 
-// Commit implements platform.Table.
-func (t placedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (t placedTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	if t.net.Cuts(t.dc) {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	return t.Table.Commit(ctx, txn)
 }
 
-// Get implements platform.Table.
-func (t placedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (t placedTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if t.net.Cuts(t.dc) {
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	return t.Table.Get(ctx, keys...)
 }
 
 // list tells the platform's list of hosts: the first of them, less the killed.
 func (f *Fleet) list(first int) {
-	var hosts []platform.Host
+	var hosts []store.Host
 	for i, n := range f.nodes[:first] {
 		if n != nil {
-			hosts = append(hosts, platform.Host{Name: fmt.Sprintf("entry-%03d", i), Address: n.PeerAddress(), DataCentre: fleetDC(i),
-				Role: platform.RoleEntry, State: platform.HostLive})
+			hosts = append(hosts, store.Host{Name: fmt.Sprintf("entry-%03d", i), Address: n.PeerAddress(), DataCentre: fleetDC(i),
+				Role: store.RoleEntry, State: store.HostLive})
 		}
 	}
 	f.hosts.Set(hosts...)
--- a/standin/local/gate.go
+++ b/standin/local/gate.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/conn"
 )
 
@@ -48,7 +48,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.dead {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
@@ -67,7 +67,7 @@
 	defer g.mu.Unlock()
 	if g.dead {
 		_ = c.Close()
-		return nil, platform.ErrUnavailable
+		return nil, store.ErrUnavailable
 	}
 	gc := &gatedConn{Conn: c, gate: g}
 	g.conns[c] = struct{}{}
@@ -99,12 +99,12 @@
 }
 
 type gatedTable struct {
-	platform.Table
+	store.Table
 	gate *gate
 }
 
-// Commit implements platform.Table.
-func (t gatedTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (t gatedTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	if err := t.gate.err(); err != nil {
 		return 0, err
 	}
@@ -112,11 +112,11 @@
 }
 
 type gatedWeights struct {
-	platform.Weights
+	store.Weights
 	gate *gate
 }
 
-// Grant implements platform.Weights.
+// Grant implements store.Weights.
 func (w gatedWeights) Grant(ctx context.Context, load string) (time.Duration, error) {
 	if err := w.gate.err(); err != nil {
 		return 0, err
--- a/standin/local/hostwatch.go
+++ b/standin/local/hostwatch.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 const (
@@ -19,7 +19,7 @@
 // watchHosts keeps the platform's list of hosts true until ctx ends: it shows
 // those entry hosts which take callers' connections.
 func (o *Outside) watchHosts(ctx context.Context) {
-	var shown []platform.Host
+	var shown []store.Host
 	for {
 		if now := o.present(ctx); !slices.Equal(now, shown) {
 			shown = now
@@ -32,8 +32,8 @@
 }
 
 // present are the entry hosts that take connections.
-func (o *Outside) present(ctx context.Context) []platform.Host {
-	var out []platform.Host
+func (o *Outside) present(ctx context.Context) []store.Host {
+	var out []store.Host
 	dialer := net.Dialer{Timeout: hostCheckBound}
 	for _, e := range o.Layout.Entries {
 		c, err := dialer.DialContext(ctx, "tcp", e.Caller)
@@ -41,8 +41,8 @@
 			continue
 		}
 		_ = c.Close()
-		out = append(out, platform.Host{Name: e.Host, Address: e.Peer, DataCentre: e.DataCentre,
-			Role: platform.RoleEntry, State: platform.HostLive})
+		out = append(out, store.Host{Name: e.Host, Address: e.Peer, DataCentre: e.DataCentre,
+			Role: store.RoleEntry, State: store.HostLive})
 	}
 	return out
 }
--- a/standin/local/node.go
+++ b/standin/local/node.go
@@ -17,9 +17,9 @@
 	"peridotpier.example/node/demand"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/keys"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
 	"peridotpier.example/node/settings"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/conn"
 	"peridotpier.example/standin/pki"
 )
@@ -180,7 +180,7 @@
 }
 
 // Apply puts the first version of a configuration in force.
-func Apply(ctx context.Context, tb platform.Table, objects platform.Objects, c *config.Config) error {
+func Apply(ctx context.Context, tb store.Table, objects store.Objects, c *config.Config) error {
 	doc, err := json.Marshal(c)
 	if err != nil {
 		return err
--- a/standin/local/path_test.go
+++ b/standin/local/path_test.go
@@ -15,8 +15,8 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/config"
-	api "peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
+	api "peridotpier.example/node/store"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/local"
 	"peridotpier.example/standin/platform"
--- a/standin/local/site.go
+++ b/standin/local/site.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/node/demand"
-	"peridotpier.example/node/platform"
 	"peridotpier.example/node/server"
+	"peridotpier.example/node/store"
 	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/pki"
 	"peridotpier.example/standin/site"
@@ -129,8 +129,8 @@
 	hosts := r.Upstreams.Hosts()
 	for i, n := range r.nodes {
 		if n != nil {
-			hosts = append(hosts, platform.Host{Name: hostName(i), Address: n.PeerAddress(), DataCentre: r.opt.Site.EntryDataCentre(i),
-				Role: platform.RoleEntry, State: platform.HostLive})
+			hosts = append(hosts, store.Host{Name: hostName(i), Address: n.PeerAddress(), DataCentre: r.opt.Site.EntryDataCentre(i),
+				Role: store.RoleEntry, State: store.HostLive})
 		}
 	}
 	r.Hosts.Set(hosts...)
--- a/standin/local/tls_test.go
+++ b/standin/local/tls_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/poll"
 
 	"peridotpier.example/node/event"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/local"
 	"peridotpier.example/standin/pki"
@@ -31,7 +31,7 @@
 		c.Files, c.Log = local.Files(), zap.New(core).With(zap.String("on", c.Settings.Host))
 		assert.NilError(t, local.Secure(c.Settings, c.Files, authority))
 	})
-	p.hosts.Set(platform.Host{Name: "n1", Address: p.node.PeerAddress(), DataCentre: "dc1", Role: platform.RoleEntry, State: platform.HostLive})
+	p.hosts.Set(store.Host{Name: "n1", Address: p.node.PeerAddress(), DataCentre: "dc1", Role: store.RoleEntry, State: store.HostLive})
 	second := p.startNode("n2")
 	defer func() { assert.NilError(t, second.Stop()) }()
 	linked := func(n *local.Node) bool {
--- a/standin/local/writers_test.go
+++ b/standin/local/writers_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/local"
 )
@@ -24,9 +24,9 @@
 	forward := func(c *local.NodeConfig) { c.Policy.ForwardClaims = true }
 	p := newPath(t, engine.Config{}, forward)
 	nodes := []*local.Node{p.node, p.startNode("n2"), p.startNode("n3")}
-	var list []platform.Host
+	var list []store.Host
 	for i, n := range nodes {
-		list = append(list, platform.Host{Name: fmt.Sprintf("n%d", i+1), Address: n.PeerAddress(), DataCentre: "dc1", Role: platform.RoleEntry, State: platform.HostLive})
+		list = append(list, store.Host{Name: fmt.Sprintf("n%d", i+1), Address: n.PeerAddress(), DataCentre: "dc1", Role: store.RoleEntry, State: store.HostLive})
 	}
 	p.hosts.Set(list...)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/standin/platform/bench_test.go
+++ b/standin/platform/bench_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/node/platform"
-	"peridotpier.example/node/platform/rest"
+	"peridotpier.example/node/store"
+	"peridotpier.example/node/store/rest"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -19,15 +19,15 @@
 func BenchmarkCommit(b *testing.B) {
 	for _, c := range []struct {
 		name  string
-		table func() platform.Table
-	}{{"memory", func() platform.Table { return memory(nil).Table }}, {"http", func() platform.Table { return overHTTP(b).Table }}} {
+		table func() store.Table
+	}{{"memory", func() store.Table { return memory(nil).Table }}, {"http", func() store.Table { return overHTTP(b).Table }}} {
 		b.Run(c.name, func(b *testing.B) {
-			tb, last := c.table(), platform.Absent
+			tb, last := c.table(), store.Absent
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				v, err := tb.Commit(b.Context(), platform.Txn{Op: fmt.Sprint(i),
-					Conds:  []platform.Cond{{Key: "k", Version: last}},
-					Writes: []platform.Write{{Key: "k", Value: []byte("value")}}})
+				v, err := tb.Commit(b.Context(), store.Txn{Op: fmt.Sprint(i),
+					Conds:  []store.Cond{{Key: "k", Version: last}},
+					Writes: []store.Write{{Key: "k", Value: []byte("value")}}})
 				assert.NilError(b, err)
 				last = v
 			}
@@ -67,7 +67,7 @@
 // configuration's head takes on the wire.
 func BenchmarkPollBytes(b *testing.B) {
 	tb := standin.NewTable()
-	_, err := tb.Commit(b.Context(), platform.Txn{Op: "a", Writes: []platform.Write{{Key: "config/head", Value: make([]byte, 173)}}})
+	_, err := tb.Commit(b.Context(), store.Txn{Op: "a", Writes: []store.Write{{Key: "config/head", Value: make([]byte, 173)}}})
 	assert.NilError(b, err)
 	srv := httptest.NewUnstartedServer(standin.Handler(standin.Services{Table: tb}))
 	l := &countedListener{Listener: srv.Listener}
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Settings are the limits and faults of one stand-in service. The zero value
@@ -127,10 +127,10 @@
 func (f *Faults) admit(l *rate.Limiter) (time.Duration, error) {
 	now := f.now()
 	if f.set.Outage || now.Before(f.outUntil) {
-		return f.set.Delay, platform.ErrUnavailable
+		return f.set.Delay, store.ErrUnavailable
 	}
 	if !l.AllowN(now, 1) {
-		return f.set.Delay, platform.ErrLimited
+		return f.set.Delay, store.ErrLimited
 	}
 	return f.set.Delay, nil
 }
@@ -154,7 +154,7 @@
 // request counts as never having reached the service.
 func pause(ctx context.Context, d time.Duration) error {
 	if ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	if d <= 0 {
 		return nil
@@ -163,7 +163,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case <-timer.C:
 		return nil
 	}
--- a/standin/platform/hosts.go
+++ b/standin/platform/hosts.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Hosts is the platform's list of hosts, which shows each change only after
@@ -21,11 +21,11 @@
 
 type hostList struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []store.Host
 }
 
 // NewHosts makes a list under f that shows hosts at once, without lag.
-func NewHosts(f *Faults, hosts ...platform.Host) *Hosts {
+func NewHosts(f *Faults, hosts ...store.Host) *Hosts {
 	return &Hosts{Faults: f, history: []hostList{{hosts: slices.Clone(hosts)}}}
 }
 
@@ -33,14 +33,14 @@
 func (h *Hosts) SetLag(d time.Duration) { h.mu.Lock(); h.lag = d; h.mu.Unlock() }
 
 // Set replaces the hosts; readers see it after the lag.
-func (h *Hosts) Set(hosts ...platform.Host) {
+func (h *Hosts) Set(hosts ...store.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.add(slices.Clone(hosts))
 }
 
 // SetState changes the state of one host.
-func (h *Hosts) SetState(name string, s platform.HostState) {
+func (h *Hosts) SetState(name string, s store.HostState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	hosts := slices.Clone(h.history[len(h.history)-1].hosts)
@@ -52,12 +52,12 @@
 	h.add(hosts)
 }
 
-func (h *Hosts) add(hosts []platform.Host) {
+func (h *Hosts) add(hosts []store.Host) {
 	h.history = append(h.history, hostList{at: h.Faults.now(), hosts: hosts})
 }
 
-// Hosts implements platform.Hosts.
-func (h *Hosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+// Hosts implements store.Hosts.
+func (h *Hosts) Hosts(ctx context.Context) ([]store.Host, error) {
 	if err := h.Faults.read(ctx); err != nil {
 		return nil, err
 	}
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Objects is the object store in memory.
@@ -23,18 +23,18 @@
 // NewObjects makes an empty object store under f.
 func NewObjects(f *Faults) *Objects { return &Objects{Faults: f, blobs: map[string][]byte{}} }
 
-// Put implements platform.Objects.
+// Put implements store.Objects.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
 	fate, _, err := o.Faults.write(ctx)
 	if err != nil {
 		return err
 	}
 	if fate == fateLostRequest || fate == fateLateEffect {
-		return platform.ErrInDoubt
+		return store.ErrInDoubt
 	}
 	err = o.put(name, data)
 	if fate == fateLostAnswer {
-		return platform.ErrInDoubt
+		return store.ErrInDoubt
 	}
 	return err
 }
@@ -44,7 +44,7 @@
 	defer o.mu.Unlock()
 	if old, ok := o.blobs[name]; ok {
 		if !bytes.Equal(old, data) {
-			return platform.ErrConflict
+			return store.ErrConflict
 		}
 		return nil
 	}
@@ -54,7 +54,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements store.Objects.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := o.Faults.read(ctx); err != nil {
 		return nil, err
@@ -63,12 +63,12 @@
 	defer o.mu.Unlock()
 	data, ok := o.blobs[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, store.ErrNotFound
 	}
 	return slices.Clone(data), nil
 }
 
-// List implements platform.Objects.
+// List implements store.Objects.
 func (o *Objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	if err := o.Faults.read(ctx); err != nil {
 		return nil, err
--- a/standin/platform/opmemory.go
+++ b/standin/platform/opmemory.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 type opResult struct {
@@ -12,7 +12,7 @@
 }
 
 // opMemory keeps the answer of each operation id for at least
-// platform.OpMemory and at most twice that, in two generations.
+// store.OpMemory and at most twice that, in two generations.
 type opMemory struct {
 	now      func() time.Time
 	since    time.Time
@@ -31,7 +31,7 @@
 	if op == "" {
 		return
 	}
-	if now := m.now(); m.new == nil || now.Sub(m.since) >= platform.OpMemory {
+	if now := m.now(); m.new == nil || now.Sub(m.since) >= store.OpMemory {
 		m.old, m.new, m.since = m.new, map[string]opResult{}, now
 	}
 	m.new[op] = r
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -9,15 +9,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/node/platform"
-	"peridotpier.example/node/platform/platformtest"
-	"peridotpier.example/node/platform/rest"
+	"peridotpier.example/node/store"
+	"peridotpier.example/node/store/rest"
+	"peridotpier.example/node/store/storetest"
 	standin "peridotpier.example/standin/platform"
 )
 
-var listed = []platform.Host{{Name: "h1", Address: "127.0.0.1:1", DataCentre: "balaju", Role: "entry", State: platform.HostLive}}
+var listed = []store.Host{{Name: "h1", Address: "127.0.0.1:1", DataCentre: "balaju", Role: "entry", State: store.HostLive}}
 
-func memory(testing.TB) platformtest.Bench {
+func memory(testing.TB) storetest.Bench {
 	f := standin.NewFaults(1, nil)
 	set := func(change func(*standin.Settings, float64)) func(bool) {
 		return func(on bool) {
@@ -31,7 +31,7 @@
 		}
 	}
 	const noneLeft = 1e-9 // writes a second, after the one that the burst allows
-	b := platformtest.Bench{
+	b := storetest.Bench{
 		Table: standin.NewTableWith(f), Objects: standin.NewObjects(f),
 		Hosts: standin.NewHosts(f, listed...), Weights: standin.NewWeights(f, 1e9, 2), Want: listed,
 		Outage:       func(on bool) { f.Update(func(s *standin.Settings) { s.Outage = on }) },
@@ -47,7 +47,7 @@
 	return b
 }
 
-func overHTTP(t testing.TB) platformtest.Bench {
+func overHTTP(t testing.TB) storetest.Bench {
 	b := memory(t)
 	srv := httptest.NewServer(standin.Handler(standin.Services{Table: b.Table, Objects: b.Objects, Hosts: b.Hosts, Weights: b.Weights}))
 	t.Cleanup(srv.Close)
@@ -58,8 +58,8 @@
 }
 
 func TestConformance(t *testing.T) {
-	t.Run("memory", func(t *testing.T) { platformtest.Run(t, func(t *testing.T) platformtest.Bench { return memory(t) }) })
-	t.Run("http", func(t *testing.T) { platformtest.Run(t, func(t *testing.T) platformtest.Bench { return overHTTP(t) }) })
+	t.Run("memory", func(t *testing.T) { storetest.Run(t, func(t *testing.T) storetest.Bench { return memory(t) }) })
+	t.Run("http", func(t *testing.T) { storetest.Run(t, func(t *testing.T) storetest.Bench { return overHTTP(t) }) })
 }
 
 // Symptom: an act runs twice after a store failure. Sequence: the service is
@@ -70,13 +70,13 @@
 	f.Set(standin.Settings{Delay: time.Hour})
 	srv := httptest.NewServer(standin.Handler(standin.Services{Table: standin.NewTableWith(f)}))
 	c := rest.New(rest.Config{Base: srv.URL, Timeout: 50 * time.Millisecond})
-	_, err := c.Commit(t.Context(), platform.Txn{Op: "a"})
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	_, err := c.Commit(t.Context(), store.Txn{Op: "a"})
+	assert.ErrorIs(t, err, store.ErrInDoubt)
 	_, err = c.Get(t.Context(), "k")
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	srv.Close()
-	_, err = c.Commit(t.Context(), platform.Txn{Op: "a"})
-	assert.ErrorIs(t, err, platform.ErrUnavailable, "refused before anything was sent")
+	_, err = c.Commit(t.Context(), store.Txn{Op: "a"})
+	assert.ErrorIs(t, err, store.ErrUnavailable, "refused before anything was sent")
 }
 
 // Symptom: a write shows up after its caller has moved on. Sequence: answer
@@ -86,15 +86,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		tb := standin.NewTable()
 		tb.Faults.Set(standin.Settings{LateEffects: 1, LateBy: time.Minute})
-		txn := platform.Txn{Op: "a", Writes: []platform.Write{{Key: "k", Value: []byte("1")}}}
+		txn := store.Txn{Op: "a", Writes: []store.Write{{Key: "k", Value: []byte("1")}}}
 		_, err := tb.Commit(t.Context(), txn)
-		assert.ErrorIs(t, err, platform.ErrInDoubt)
+		assert.ErrorIs(t, err, store.ErrInDoubt)
 		rows, _ := tb.Get(t.Context(), "k")
 		assert.Equal(t, len(rows), 0)
 		tb.Faults.Set(standin.Settings{})
 		v, err := tb.Commit(t.Context(), txn)
 		assert.NilError(t, err)
-		_, err = tb.Commit(t.Context(), platform.Txn{Op: "b", Writes: []platform.Write{{Key: "k", Value: []byte("2")}}})
+		_, err = tb.Commit(t.Context(), store.Txn{Op: "b", Writes: []store.Write{{Key: "k", Value: []byte("2")}}})
 		assert.NilError(t, err)
 		tb.Settle()
 		rows, _ = tb.Get(t.Context(), "k")
@@ -108,19 +108,19 @@
 	f := standin.NewFaults(1, func() time.Time { return now })
 	h := standin.NewHosts(f, listed...)
 	h.SetLag(30 * time.Second)
-	h.SetState("h1", platform.HostLeaving)
-	state := func() platform.HostState {
+	h.SetState("h1", store.HostLeaving)
+	state := func() store.HostState {
 		got, err := h.Hosts(t.Context())
 		assert.NilError(t, err)
 		return got[0].State
 	}
-	assert.Equal(t, state(), platform.HostLive)
+	assert.Equal(t, state(), store.HostLive)
 	now = now.Add(30 * time.Second)
-	assert.Equal(t, state(), platform.HostLeaving)
+	assert.Equal(t, state(), store.HostLeaving)
 	f.OutageFor(time.Minute)
 	_, err := h.Hosts(t.Context())
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
 	now = now.Add(time.Minute)
-	assert.Equal(t, state(), platform.HostLeaving)
+	assert.Equal(t, state(), store.HostLeaving)
 	assert.Equal(t, f.Reads(), int64(4))
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"strconv"
 
-	"peridotpier.example/node/platform"
-	"peridotpier.example/node/platform/rest"
+	"peridotpier.example/node/store"
+	"peridotpier.example/node/store/rest"
 )
 
 // maxBody bounds one call's body, in bytes; an object is the largest.
@@ -15,10 +15,10 @@
 
 // Services are the four services that a server offers; a nil one is absent.
 type Services struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Hosts   platform.Hosts
-	Weights platform.Weights
+	Table   store.Table
+	Objects store.Objects
+	Hosts   store.Hosts
+	Weights store.Weights
 }
 
 // Handler serves the services over HTTP as rest.Client speaks to them. An
@@ -44,8 +44,8 @@
 	return mux
 }
 
-func tableRoutes(mux *http.ServeMux, tb platform.Table) {
-	mux.HandleFunc("POST "+rest.PathCommit, with(func(w http.ResponseWriter, r *http.Request, t platform.Txn) {
+func tableRoutes(mux *http.ServeMux, tb store.Table) {
+	mux.HandleFunc("POST "+rest.PathCommit, with(func(w http.ResponseWriter, r *http.Request, t store.Txn) {
 		v, err := tb.Commit(r.Context(), t)
 		answer(w, rest.CommitAnswer{Version: v}, err)
 	}))
@@ -59,7 +59,7 @@
 	}))
 }
 
-func objectRoutes(mux *http.ServeMux, objects platform.Objects) {
+func objectRoutes(mux *http.ServeMux, objects store.Objects) {
 	mux.HandleFunc("PUT "+rest.PathObject+"{name...}", func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err != nil {
@@ -88,7 +88,7 @@
 	})
 }
 
-func weightRoutes(mux *http.ServeMux, weights platform.Weights) {
+func weightRoutes(mux *http.ServeMux, weights store.Weights) {
 	mux.HandleFunc("POST "+rest.PathGrant, with(func(w http.ResponseWriter, r *http.Request, l rest.LoadRequest) {
 		wait, err := weights.Grant(r.Context(), l.Load)
 		answer(w, rest.NewGrant(wait), err)
--- a/standin/platform/silence_test.go
+++ b/standin/platform/silence_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/node/platform"
-	"peridotpier.example/node/platform/rest"
+	"peridotpier.example/node/store"
+	"peridotpier.example/node/store/rest"
 	standin "peridotpier.example/standin/platform"
 )
 
@@ -76,10 +76,10 @@
 	}
 	wg.Wait()
 	l.silence()
-	_, err := c.Commit(t.Context(), platform.Txn{Op: "a"})
-	assert.ErrorIs(t, err, platform.ErrInDoubt)
+	_, err := c.Commit(t.Context(), store.Txn{Op: "a"})
+	assert.ErrorIs(t, err, store.ErrInDoubt)
 	for range open {
-		_, err = c.Commit(t.Context(), platform.Txn{Op: "a"})
+		_, err = c.Commit(t.Context(), store.Txn{Op: "a"})
 		assert.NilError(t, err)
 	}
 }
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 )
 
 // Table is the table service in memory.
@@ -19,7 +19,7 @@
 	Faults *Faults
 
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	keys []string // of rows, in order
 	ops  opMemory
 	next uint64
@@ -31,11 +31,11 @@
 
 // NewTableWith makes an empty table service under f.
 func NewTableWith(f *Faults) *Table {
-	return &Table{Faults: f, rows: map[string]platform.Row{}, ops: opMemory{now: f.now}}
+	return &Table{Faults: f, rows: map[string]store.Row{}, ops: opMemory{now: f.now}}
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
 	fate, lateBy, err := t.Faults.write(ctx)
 	if err != nil {
 		return 0, err
@@ -43,16 +43,16 @@
 	switch fate {
 	case fateLostAnswer:
 		_, _ = t.commit(txn)
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	case fateLostRequest:
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	case fateLateEffect:
 		txn = clone(txn)
 		t.late.Go(func() {
 			time.Sleep(lateBy)
 			_, _ = t.commit(txn)
 		})
-		return 0, platform.ErrInDoubt
+		return 0, store.ErrInDoubt
 	default:
 		return t.commit(txn)
 	}
@@ -62,7 +62,7 @@
 func (t *Table) Settle() { t.late.Wait() }
 
 // commit applies txn once: a repeated operation id gets the first answer.
-func (t *Table) commit(txn platform.Txn) (uint64, error) {
+func (t *Table) commit(txn store.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.ops.find(txn.Op); ok {
@@ -73,10 +73,10 @@
 	return v, err
 }
 
-func (t *Table) apply(txn platform.Txn) (uint64, error) {
+func (t *Table) apply(txn store.Txn) (uint64, error) {
 	for _, c := range txn.Conds {
 		if t.rows[c.Key].Version != c.Version {
-			return 0, platform.ErrConflict
+			return 0, store.ErrConflict
 		}
 	}
 	t.next++
@@ -92,19 +92,19 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.next}
+		t.rows[w.Key] = store.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.next}
 	}
 	return t.next, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if err := t.Faults.read(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []store.Row
 	for _, k := range keys {
 		if r, ok := t.rows[k]; ok {
 			out = append(out, copyRow(r))
@@ -113,14 +113,14 @@
 	return out, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements store.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	if err := t.Faults.read(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []store.Row
 	for _, k := range page(t.keys, prefix, after, limit) {
 		out = append(out, copyRow(t.rows[k]))
 	}
@@ -141,12 +141,12 @@
 	return sorted[from:end]
 }
 
-func copyRow(r platform.Row) platform.Row {
+func copyRow(r store.Row) store.Row {
 	r.Value = slices.Clone(r.Value)
 	return r
 }
 
-func clone(txn platform.Txn) platform.Txn {
+func clone(txn store.Txn) store.Txn {
 	txn.Conds = slices.Clone(txn.Conds)
 	txn.Writes = slices.Clone(txn.Writes)
 	for i := range txn.Writes {
--- a/standin/site/upstreams.go
+++ b/standin/site/upstreams.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"peridotpier.example/core/config"
-	"peridotpier.example/node/platform"
+	"peridotpier.example/node/store"
 	"peridotpier.example/standin/engine"
 	"peridotpier.example/standin/load"
 	"peridotpier.example/standin/service"
@@ -150,10 +150,10 @@
 }
 
 // Hosts are the upstreams as the platform lists them.
-func (u *Upstreams) Hosts() []platform.Host {
-	var out []platform.Host
+func (u *Upstreams) Hosts() []store.Host {
+	var out []store.Host
 	for _, up := range u.Config.Upstreams {
-		out = append(out, platform.Host{Name: up.Name, Address: up.Address, DataCentre: up.DataCentre, Role: "upstream", State: platform.HostLive})
+		out = append(out, store.Host{Name: up.Name, Address: up.Address, DataCentre: up.DataCentre, Role: "upstream", State: store.HostLive})
 	}
 	return out
 }
