--- /dev/null
+++ b/core/balance/full.go
@@ -0,0 +1,26 @@
+package balance
+
+const (
+	// queueShare is how many requests an upstream may have per slot before it
+	// counts as full. What waits in its queue cannot be called back, and is
+	// lost if it falls silent; a little queue keeps its batch filled.
+	queueShare = 1.25
+	// plainQueueShare is the same for plain services, whose requests take
+	// milliseconds: their queue empties within one answer's objective.
+	plainQueueShare = 3.0
+	// cacheShare is how much of an upstream's token memory may be promised.
+	// Past it, it preempts running requests and reads them anew.
+	cacheShare = 0.92
+)
+
+// full says that the upstream should get no more for now.
+func full(e *Endpoint, r *Request) bool {
+	if r.Model == "" {
+		return e.Slots > 0 && float64(e.Requests) >= plainQueueShare*float64(e.Slots)
+	}
+	if e.Slots > 0 && float64(e.Requests) >= queueShare*float64(e.Slots) {
+		return true
+	}
+	room := cacheShare * float64(r.CacheTokens)
+	return r.CacheTokens > 0 && e.Requests > 0 && float64(e.Tokens+r.Prompt+r.Output) > room
+}
--- /dev/null
+++ b/core/balance/score.go
@@ -0,0 +1,52 @@
+package balance
+
+import "time"
+
+// What a request costs the others at an upstream, in milliseconds of delay.
+const (
+	// prefillTokensPerMs is how fast an engine reads prompts. Only the order
+	// of the predictions depends on it, not which upstreams are considered.
+	prefillTokensPerMs = 20.0
+	// stepMs is one decoding step, and rowMs what each request in the batch
+	// adds to it: with 40 requests a step is a tenth longer.
+	stepMs = 10.0
+	rowMs  = 0.33
+	// plainMs is a call of a plain service when its size is not known.
+	plainMs = 15.0
+	// farMs is the way to another data centre and back; as a score it also
+	// stands for the price of the bytes that cross.
+	farMs = 3.0
+	// coldMs counts against an upstream that has just started.
+	coldMs = 200.0
+	// drawMs spreads hosts that see equals.
+	drawMs = 2.0
+)
+
+// score predicts the milliseconds until the first event, plus what the request
+// costs the others that run there.
+func score(e *Endpoint, r *Request) float64 {
+	s := 0.0
+	if !e.Near {
+		s += farMs
+	}
+	if e.Cold > 0 {
+		s += coldMs * min(1, e.Cold.Seconds()/time.Second.Seconds())
+	}
+	if r.Model == "" {
+		return s + plainMs*float64(e.Requests)/float64(max(e.Slots, 1))
+	}
+	prompt := max(r.Prompt-e.Cached, 0)
+	s += float64(e.Waiting+prompt) / prefillTokensPerMs
+	s += rowMs * float64(e.Requests) * steps(e)
+	return s
+}
+
+// steps is how many decoding steps the first event waits for about: one when
+// the batch has room, more when requests must end before this one begins.
+func steps(e *Endpoint) float64 {
+	over := e.Requests - e.Slots
+	if e.Slots == 0 || over < 0 {
+		return 1
+	}
+	return 1 + float64(over)*stepMs
+}
--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,79 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/budget"
+)
+
+var policy = budget.Policy{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+
+// Symptom: an overload of a service multiplies itself by the repeats of all hosts.
+// Sequence: each of seven hosts repeats what it may at any times.
+// Cause: each host counts as if it were alone, or by windows that do not slide.
+func TestNoSpanHoldsMoreRepeatsThanAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 7
+		ws := make([]*budget.Window, hosts)
+		for i := range ws {
+			ws[i] = budget.New(policy, time.Unix(1_700_000_000, 0))
+		}
+		now := time.Unix(1_700_000_000, 0)
+		type sent struct {
+			at     time.Time
+			repeat bool
+		}
+		var all []sent
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			w := ws[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				all = append(all, sent{at: now})
+			} else if w.Take(now, hosts) {
+				all = append(all, sent{at: now, repeat: true})
+			}
+		}
+		for i, end := range all {
+			requests, before, repeats := 0, 0, 0
+			for _, s := range all[:i+1] {
+				age := end.at.Sub(s.at)
+				switch {
+				case age <= policy.Window && s.repeat:
+					repeats++
+				case age <= policy.Window:
+					requests++
+				case age <= 2*policy.Window && !s.repeat:
+					before++
+				}
+			}
+			allowed := policy.Ratio*float64(max(requests, before)) + policy.Slack
+			assert.Assert(t, float64(repeats) <= allowed, "%d repeats beside %d requests", repeats, requests)
+		}
+	})
+}
+
+func TestAHostThatKnowsFewerOthersMaySpendMore(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	count := func(hosts int) int {
+		w, n := budget.New(policy, time.Unix(1_700_000_000, 0)), 0
+		for w.Take(now, hosts) {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, count(1), 43)
+	assert.Equal(t, count(9), 4)
+}
+
+func TestTheClockMayBeSetBack(t *testing.T) {
+	w, now := budget.New(policy, time.Unix(1_700_000_000, 0)), time.Unix(1_700_000_000, 0)
+	for w.Take(now, 9) {
+	}
+	assert.Assert(t, !w.Take(now.Add(-time.Hour), 9))
+	assert.Assert(t, w.Take(now.Add(11*time.Second), 9))
+}
--- /dev/null
+++ b/core/deploy/upstream.go
@@ -0,0 +1,55 @@
+package deploy
+
+import "time"
+
+// State is what an upstream says of itself.
+type State uint8
+
+// The states of an upstream.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Resident is a model that an upstream holds.
+type Resident struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Upstream is one process of a service as it describes itself. Each start of
+// the process is another upstream with another ID.
+type Upstream struct {
+	ID         string
+	Service    string
+	Address    string // IP:port
+	DataCentre string
+	Slots      int
+	State      State
+	Remaining  time.Duration // until a leaving upstream is gone; 0: not said
+	Cold       time.Duration // for how much longer it is slow after its start
+	Residents  []Resident
+	Sequence   uint64   // orders that it accepted
+	InMemory   []string // models with a copy in its host memory
+	OnDisk     []string // models with a copy on its disk
+}
+
+// Holds says whether the upstream holds a model and, if one is named, the adapter.
+func (u *Upstream) Holds(model, adapter string) bool {
+	for i := range u.Residents {
+		r := &u.Residents[i]
+		if r.Model != model {
+			continue
+		}
+		if adapter == "" {
+			return true
+		}
+		for _, a := range r.Adapters {
+			if a == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,146 @@
+// Package health judges one upstream by what its answers, or their absence,
+// show to the hosts that send to it. Its own word about its health is not
+// heard: it may be false either way.
+package health
+
+import "time"
+
+// Policy says when an upstream is left alone and for how long.
+type Policy struct {
+	Strikes     int           // failed exchanges in a row
+	Silence     time.Duration // with requests outstanding and nothing heard
+	FirstPause  time.Duration
+	LongestRest time.Duration
+	ErrorRate   float64 // of its answers, beyond what the service's others have
+	ErrorCount  int     // answers that the rate is taken over, at least
+}
+
+// Default suits upstreams a few milliseconds away whose first event may take
+// some hundred milliseconds under load.
+var Default = Policy{
+	// Two: a single reset may be a connection that was dropped while idle.
+	Strikes: 2,
+	// An engine that runs anything makes an event every 10 to 250 ms, the
+	// longest for a full piece of prompt between two steps.
+	Silence: 700 * time.Millisecond,
+	// Short at first, since a restarted upstream is back within seconds, and
+	// a trial costs one request.
+	FirstPause:  400 * time.Millisecond,
+	LongestRest: 2 * time.Second,
+	ErrorRate:   0.3,
+	ErrorCount:  12,
+}
+
+// Standing is what a host should do with an upstream.
+type Standing uint8
+
+// The standings.
+const (
+	Up    Standing = iota
+	Down           // send nothing
+	Trial          // send one request and see
+)
+
+// String names the standing in logs.
+func (s Standing) String() string { return [...]string{"up", "down", "trial"}[s] }
+
+// Record is what is known of one upstream. Its owner guards it.
+type Record struct {
+	heard   time.Time // anything came from it
+	asked   time.Time // the oldest send since it was heard; zero: none
+	strikes int
+	rests   int // in a row
+	until   time.Time
+	errors  float64 // decaying share of failures among answers
+	answers float64 // decaying count of answers
+}
+
+// forget is the weight that older answers keep with each new one: about the
+// last twenty count.
+const forget = 0.95
+
+// Sent notes a request that was handed to the upstream.
+func (r *Record) Sent(now time.Time) {
+	if r.asked.IsZero() {
+		r.asked = now
+	}
+}
+
+// Heard notes bytes of any answer; outstanding says whether more is due.
+func (r *Record) Heard(now time.Time, outstanding bool) {
+	r.heard, r.strikes = now, 0
+	if r.until.IsZero() || now.Before(r.until) {
+		r.asked = time.Time{}
+		if outstanding {
+			r.asked = now
+		}
+		return
+	}
+	r.until, r.rests = time.Time{}, 0
+	r.asked = time.Time{}
+	if outstanding {
+		r.asked = now
+	}
+}
+
+// Idle notes that nothing is outstanding any more.
+func (r *Record) Idle() { r.asked = time.Time{} }
+
+// Answered notes the end of an answer; failed says that the upstream ran the
+// request and failed it.
+func (r *Record) Answered(failed bool) {
+	r.answers = r.answers*forget + 1
+	r.errors *= forget
+	if failed {
+		r.errors++
+	}
+}
+
+// Errors is the decaying share of failures and how many answers it stands on.
+func (r *Record) Errors() (share, answers float64) {
+	if r.answers == 0 {
+		return 0, 0
+	}
+	return r.errors / r.answers, r.answers
+}
+
+// Struck notes an exchange that broke: refused, reset, cut or garbled. It says
+// whether the upstream is to be left alone from now on.
+func (r *Record) Struck(p Policy, now time.Time) bool {
+	r.strikes++
+	if r.strikes < p.Strikes && r.rests == 0 {
+		return false
+	}
+	return r.rest(p, now)
+}
+
+// Rest leaves the upstream alone for a while. It says whether that is news.
+func (r *Record) Rest(p Policy, now time.Time) bool { return r.rest(p, now) }
+
+func (r *Record) rest(p Policy, now time.Time) bool {
+	if now.Before(r.until) {
+		return false
+	}
+	pause := p.FirstPause << min(r.rests, 8)
+	r.until = now.Add(min(pause, p.LongestRest))
+	r.rests++
+	r.asked = time.Time{}
+	return true
+}
+
+// Silent says that requests are outstanding and nothing was heard for too long.
+func (r *Record) Silent(p Policy, now time.Time, allow time.Duration) bool {
+	return !r.asked.IsZero() && now.Sub(r.asked) > p.Silence+allow
+}
+
+// Standing says what to do with the upstream now.
+func (r *Record) Standing(now time.Time) Standing {
+	switch {
+	case r.until.IsZero():
+		return Up
+	case now.Before(r.until):
+		return Down
+	default:
+		return Trial
+	}
+}
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,62 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/health"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func after(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// Symptom: hundreds of requests wait at an upstream until their deadlines.
+// Sequence: it goes dark with requests outstanding; more are sent.
+// Cause: nothing failed, so nothing counted against it.
+func TestSilenceWithRequestsOutstandingIsNoticed(t *testing.T) {
+	var r health.Record
+	r.Sent(after(0))
+	r.Heard(after(100), true)
+	assert.Assert(t, !r.Silent(health.Default, after(700), 0))
+	assert.Assert(t, r.Silent(health.Default, after(801), 0))
+	r.Heard(after(810), false)
+	assert.Assert(t, !r.Silent(health.Default, after(5000), 0), "nothing is outstanding")
+}
+
+func TestOneBrokenExchangeIsNotEnoughAndTwoAre(t *testing.T) {
+	var r health.Record
+	assert.Assert(t, !r.Struck(health.Default, after(0)))
+	assert.Equal(t, r.Standing(after(1)), health.Up)
+	assert.Assert(t, r.Struck(health.Default, after(2)))
+	assert.Equal(t, r.Standing(after(3)), health.Down)
+	assert.Equal(t, r.Standing(after(500)), health.Trial)
+	assert.Assert(t, r.Struck(health.Default, after(500)), "a failed trial is enough by itself")
+	assert.Equal(t, r.Standing(after(1200)), health.Down, "the second rest is longer")
+	r.Heard(after(1400), false)
+	assert.Equal(t, r.Standing(after(1401)), health.Up)
+}
+
+// Symptom: a flapping upstream is let back by an answer that was under way
+// before it failed. Sequence: it breaks exchanges; a late event of an old
+// stream arrives within its rest.
+// Cause: any byte clears the record.
+func TestALateEventDoesNotEndARest(t *testing.T) {
+	var r health.Record
+	r.Struck(health.Default, after(0))
+	r.Struck(health.Default, after(1))
+	r.Heard(after(100), false)
+	assert.Equal(t, r.Standing(after(101)), health.Down)
+}
+
+// Symptom: a service whose calls fail by nature has no upstream left.
+// Sequence: one in seven answers of each is a failure.
+// Cause: failures are judged without looking at the others.
+func TestOnlyThoseThatStandOutAreFailing(t *testing.T) {
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.16, 0.12}), []bool{false, false, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.6, 0.12}), []bool{false, true, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, 0.9, 0.1}), []bool{true, false, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, -1}), []bool{false, false})
+}
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,11 +64,14 @@
 	Method       string
 	Path         string
 	Query        string
+	Target       string // as it stands in the request line, in place of Path and Query; "": those
+	Host         string // of the Host header; "": Address
 	Header       http.Header
 	Body         []byte
 	Stream       io.Reader
 	StreamLength int64
-	Fresh        bool // use a new connection
+	Fresh        bool      // use a new connection
+	HeadBy       time.Time // until when the head of the answer may take; zero: until the context ends
 
 	source *source // of Stream
 }
@@ -76,6 +81,7 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	Length int64 // of the body; -1: not said
 
 	client *Client
 	link   *link
@@ -93,8 +99,12 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.nc.Close() })
 	req := r.httpRequest()
+	_ = l.nc.SetReadDeadline(r.HeadBy) // a connection that is closed already fails in the exchange
 	resp, err := c.exchange(l, r, req)
 	if err != nil {
+		if l.reused && l.read == 0 {
+			l.pool.shorten(l.rested, c.cfg.IdleMost)
+		}
 		stop()
 		_ = l.nc.Close()
 		if ctx.Err() != nil {
@@ -105,7 +115,8 @@
 		}
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
+	_ = l.nc.SetReadDeadline(time.Time{})
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
 		client: c, link: l, close: resp.Close, stop: stop}, nil
 }
 
@@ -113,6 +124,9 @@
 // refuses early may close its reading side, so a failed write still looks for
 // an answer.
 func (c *Client) exchange(l *link, r *Request, req *http.Request) (*http.Response, error) {
+	if len(r.Body) > earlyBody {
+		return exchangeLong(l, r, req)
+	}
 	bw := writers.Get().(*bufio.Writer)
 	bw.Reset(l)
 	err := req.Write(bw)
@@ -137,6 +151,39 @@
 	return resp, nil
 }
 
+// earlyBody is the length of a body, in bytes, from which on the answer is
+// looked for while the body is still being written. An upstream may answer
+// before it has read a long body and read on later; writing alone would then
+// wait for windows that open only after the answer was taken.
+const earlyBody = 8 << 10
+
+// exchangeLong writes and reads at the same time. An answer that comes before
+// the body is out leaves its connection unfit for another request: the
+// upstream would take that request's bytes for the rest of this body.
+func exchangeLong(l *link, r *Request, req *http.Request) (*http.Response, error) {
+	written := make(chan error, 1)
+	go func() {
+		bw := bufio.NewWriterSize(l, earlyBody)
+		err := req.Write(bw)
+		if err == nil {
+			err = bw.Flush()
+		}
+		written <- err
+	}()
+	resp, err := l.readHead(req)
+	if err != nil {
+		_ = l.nc.Close()
+		return nil, errors.Join(<-written, err)
+	}
+	select {
+	case err = <-written:
+		resp.Close = resp.Close || err != nil
+	default:
+		resp.Close = true
+	}
+	return resp, nil
+}
+
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, readBuffer) }}
 
 func (r *Request) httpRequest() *http.Request {
@@ -145,6 +192,12 @@
 	}
 	req := &http.Request{Method: r.Method, Host: r.Address, Header: r.Header,
 		URL: &url.URL{Scheme: "http", Host: r.Address, Path: r.Path, RawQuery: r.Query}}
+	if r.Host != "" {
+		req.Host = r.Host
+	}
+	if r.Target != "" {
+		req.URL = target(r.Target)
+	}
 	switch {
 	case r.Stream != nil:
 		r.source = &source{r: r.Stream}
@@ -155,11 +208,20 @@
 	return req
 }
 
+// target makes a URL that is written to the request line as it stands.
+func target(t string) *url.URL {
+	if strings.HasPrefix(t, "//") { // an opaque one would be written with a scheme
+		path, query, found := strings.Cut(t, "?")
+		return &url.URL{Path: path, RawPath: path, RawQuery: query, ForceQuery: found}
+	}
+	return &url.URL{Opaque: t}
+}
+
 func (c *Client) connect(ctx context.Context, r *Request) (*link, error) {
 	p := c.pool(r.Address)
 	if !r.Fresh {
 		if l := p.take(time.Now(), c.cfg.IdleMost); l != nil {
-			l.written = 0
+			l.written, l.read, l.reused = 0, 0, true
 			return l, nil
 		}
 	}
@@ -187,6 +249,17 @@
 // sent on them without an error; new connections are not concerned.
 func (c *Client) Retire(address string) { c.pool(address).retire() }
 
+// Forget retires the connections to an address that nothing is sent to any more.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.pools[address]
+	delete(c.pools, address)
+	c.mu.Unlock()
+	if p != nil {
+		p.retire()
+	}
+}
+
 // Close retires all pools.
 func (c *Client) Close() {
 	c.mu.RLock()
@@ -209,11 +282,38 @@
 	if !r.ended.CompareAndSwap(false, true) {
 		return
 	}
-	if !r.stop() || r.close {
+	// Bytes beyond the answer belong to no request; kept, they would be read as
+	// the next one's answer.
+	if !r.stop() || r.close || r.link.br.Buffered() > 0 {
 		_ = r.link.nc.Close()
 		return
 	}
-	r.link.pool.put(r.link, time.Now(), r.client.cfg)
+	r.link.pool.put(r.link, time.Now(), r.client.cfg, stated(r.Header))
+}
+
+// SetReadDeadline bounds the wait for the next bytes of the body.
+func (r *Response) SetReadDeadline(t time.Time) error { return r.link.nc.SetReadDeadline(t) }
+
+// Reused says whether the exchange went over a connection that was used before.
+func (r *Response) Reused() bool { return r.link.reused }
+
+// statedShare is the part of an upstream's stated idle time that is used: the
+// rest covers the way of a request to it and its rounding to whole seconds.
+const statedShare = 0.7
+
+// stated is how long an upstream says that it keeps an idle connection, less
+// a margin; 0: it does not say.
+func stated(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil && s > 0 {
+			return time.Duration(float64(s) * statedShare * float64(time.Second))
+		}
+	}
+	return 0
 }
 
 // Abort ends an exchange in any other state. The connection is closed, since
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -33,7 +33,11 @@
 	gen       uint64 // of the pool when it was dialled
 	written   int64  // bytes of the current exchange handed to the kernel
 	headLeft  int64  // bytes the head of the answer may still take; <0: not in the head
+	read      int64  // bytes of the current exchange that came
+	reused    bool   // the current exchange is not the first
 	idleSince time.Time
+	idleMost  time.Duration // that the upstream stated; 0: it did not
+	rested    time.Duration // idle before the current exchange
 }
 
 func newLink(nc net.Conn, p *pool, gen uint64) *link {
@@ -51,6 +55,7 @@
 		p = p[:l.headLeft]
 	}
 	n, err := l.nc.Read(p)
+	l.read += int64(n)
 	if l.headLeft > 0 {
 		l.headLeft -= int64(n)
 	}
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -11,9 +11,10 @@
 type pool struct {
 	address  string
 	mu       sync.Mutex
-	idle     []*link // newest last
-	gen      uint64  // connections of an older generation are not reused
-	sweeping bool    // a sweep is due
+	idle     []*link       // newest last
+	gen      uint64        // connections of an older generation are not reused
+	sweeping bool          // a sweep is due
+	learned  time.Duration // idle time past which this upstream was seen to drop connections; 0: not seen
 }
 
 // take returns the newest idle connection that is young enough, or nil.
@@ -23,7 +24,8 @@
 	for len(p.idle) > 0 {
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(l.idleSince) <= idleMost {
+		l.rested = now.Sub(l.idleSince)
+		if l.rested <= p.bound(l, idleMost) && quiet(l.nc) {
 			return l
 		}
 		_ = l.nc.Close()
@@ -31,15 +33,45 @@
 	return nil
 }
 
+// bound is how long l may have been idle to be used again.
+func (p *pool) bound(l *link, idleMost time.Duration) time.Duration {
+	if l.idleMost > 0 {
+		idleMost = min(idleMost, l.idleMost)
+	}
+	if p.learned > 0 {
+		idleMost = min(idleMost, p.learned)
+	}
+	return idleMost
+}
+
+// learnedShare is the part of the idle time at which a connection was found
+// dropped that others to the same upstream may still rest.
+const learnedShare = 0.5
+
+// shortestRest keeps connections usable between requests that follow closely.
+const shortestRest = 50 * time.Millisecond
+
+// shorten learns that the upstream had dropped a connection which rested for
+// that long. A request that went out on it may have run, so it cannot be sent
+// again; shorter rests keep the next ones from the same fate.
+func (p *pool) shorten(rested, idleMost time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.learned == 0 {
+		p.learned = idleMost
+	}
+	p.learned = max(min(p.learned, time.Duration(float64(rested)*learnedShare)), shortestRest)
+}
+
 // put keeps a connection whose exchange ended cleanly.
-func (p *pool) put(l *link, now time.Time, cfg Config) {
+func (p *pool) put(l *link, now time.Time, cfg Config, stated time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l.gen != p.gen || len(p.idle) >= cfg.IdleCount {
 		_ = l.nc.Close()
 		return
 	}
-	l.idleSince = now
+	l.idleSince, l.idleMost = now, stated
 	p.idle = append(p.idle, l)
 	p.sweepLocked(cfg.IdleMost)
 }
--- /dev/null
+++ b/node/upstream/conn/quiet.go
@@ -0,0 +1,29 @@
+package conn
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// quiet says that an idle connection has neither ended nor brought bytes that
+// nobody asked for. A request sent on one that its upstream has closed fails
+// without telling whether it ran; looking first keeps most requests from that.
+func quiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	calm := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		calm = errors.Is(err, syscall.EAGAIN)
+		return true // never wait for the connection to become readable
+	})
+	return err == nil && calm
+}
