--- a/node/event/update_test.go
+++ b/node/event/update_test.go
@@ -1,7 +1,6 @@
 package event_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"regexp"
@@ -10,19 +9,18 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"peridotpier.example/node/event"
 )
 
-var update = flag.Bool("update", false, "write docs/EVENTS.md anew from the code")
-
 // section is a heading of docs/EVENTS.md with the rows of its hundred numbers.
 var section = regexp.MustCompile(`(?m)^## (\d+) .*\n\n\| number.*\n\| ---.*\n(?:\|.*\n)*`)
 
-// TestUpdate writes the page anew; without its flag it does nothing, and the
-// page is checked by the test beside this one.
+// TestUpdate writes the page anew when called with -update; without it, it does
+// nothing, and the page is checked by the test beside this one.
 func TestUpdate(t *testing.T) {
-	if !*update {
+	if !golden.FlagUpdate() {
 		return
 	}
 	const file = "../../docs/EVENTS.md"
