--- a/cmd/peridotpier/host.go
+++ b/cmd/peridotpier/host.go
@@ -85,7 +85,8 @@
 // onPlatform connects the product to the users' platform.
 func onPlatform(set *host.Settings) host.Platform {
 	client := conn.New(conn.Config{Dialer: conn.NewDialer()})
-	return host.Platform{Source: &platform.Store{Client: client, Address: set.Store}, Codec: platform.Headers{}}
+	table := &platform.Store{Client: client, Address: set.Store}
+	return host.Platform{Source: table, Table: table, Codec: platform.Headers{}, Orders: platform.Upstreams{Client: client}}
 }
 
 // hangups turns signals into plain notices.
--- /dev/null
+++ b/core/replica/replica.go
@@ -0,0 +1,286 @@
+// Package replica decides which models should be on more or fewer upstreams,
+// from the demand for each. It does no I/O and has no clock: one plan sees one
+// snapshot.
+package replica
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"peridotpier.example/core/deploy"
+)
+
+// Source is where a load would come from.
+type Source uint8
+
+// The sources, the nearest first.
+const (
+	FromMemory Source = iota
+	FromDisk
+	FromStore
+)
+
+// String names the source in logs.
+func (s Source) String() string { return [...]string{"memory", "disk", "store"}[s] }
+
+// Upstream is one that models can be moved on.
+type Upstream struct {
+	ID       string
+	Held     []Held
+	Room     map[string]bool // models that fit beside what is held
+	InMemory map[string]bool
+	OnDisk   map[string]bool
+	Movable  bool // usable, and no order is under way or in doubt
+	Usable   bool
+}
+
+// Held is a model at an upstream.
+type Held struct {
+	Model string
+	Ready bool
+	For   time.Duration // since it became so
+	Idle  time.Duration // since its last request there
+}
+
+// Demand is what callers ask of a model.
+type Demand struct {
+	Load     float64 // engines' time for it, each second
+	Unserved bool    // somebody waits, or was refused, for want of it
+}
+
+// String writes the demand into logs.
+func (d Demand) String() string { return fmt.Sprintf("%.2f engines, unserved %t", d.Load, d.Unserved) }
+
+// Input is one snapshot.
+type Input struct {
+	Engine    *deploy.Engine
+	Upstreams []Upstream
+	Demand    map[string]Demand
+	StoreLeft int // loads from the weight store that may begin now
+	Most      int // moves to plan at most
+}
+
+// Move is one change at one upstream: the unload first, if there is one.
+type Move struct {
+	Upstream string
+	Unload   string // "": none
+	Load     string
+	From     Source
+}
+
+// Policy holds the thresholds.
+type Policy struct {
+	// Pressure is the engines' time for each replica above which a model gets
+	// another one.
+	Pressure float64
+	// Gain is by how much the pressure on the model that gets a place must
+	// exceed what the one that gives it up would then have.
+	Gain float64
+	// Settled is how long a model stays at least where it was loaded.
+	Settled time.Duration
+}
+
+// Default policy.
+var Default = Policy{
+	// At a quarter of an engine's time prompts queue rarely; three models share one engine.
+	Pressure: 0.22,
+	Gain:     1.6,
+	// A load takes one to nine seconds; what is moved back sooner never paid for it.
+	Settled: 3 * time.Second,
+}
+
+// Plan returns the moves that are worth their cost now, the most urgent first.
+func (p Policy) Plan(in Input) []Move {
+	s := newState(in)
+	var out []Move
+	for len(out) < in.Most {
+		m, ok := p.next(s)
+		if !ok {
+			break
+		}
+		out = append(out, m)
+		s.apply(m)
+	}
+	return out
+}
+
+// state follows the snapshot through the moves planned so far.
+type state struct {
+	in       Input
+	replicas map[string]int
+	moved    map[string]bool // upstreams
+	store    int
+}
+
+func newState(in Input) *state {
+	s := &state{in: in, replicas: map[string]int{}, moved: map[string]bool{}, store: in.StoreLeft}
+	for _, u := range in.Upstreams {
+		if !u.Usable {
+			continue
+		}
+		for _, h := range u.Held {
+			s.replicas[h.Model]++
+		}
+	}
+	return s
+}
+
+func (s *state) apply(m Move) {
+	s.moved[m.Upstream] = true
+	s.replicas[m.Load]++
+	if m.Unload != "" {
+		s.replicas[m.Unload]--
+	}
+	if m.From == FromStore {
+		s.store--
+	}
+}
+
+// pressure is the load on each replica of a model if it had n of them.
+func (s *state) pressure(model string, n int) float64 {
+	d := s.in.Demand[model]
+	if n <= 0 {
+		if d.Unserved || d.Load > 0 {
+			return math.Inf(1)
+		}
+		return 0
+	}
+	return d.Load / float64(n)
+}
+
+// next finds the model under the most pressure that can be given a place.
+func (p Policy) next(s *state) (Move, bool) {
+	wanted := make([]string, 0, len(s.in.Demand))
+	for name := range s.in.Demand {
+		if s.pressure(name, s.replicas[name]) > p.Pressure {
+			wanted = append(wanted, name)
+		}
+	}
+	sort.Slice(wanted, func(i, j int) bool {
+		a, b := s.pressure(wanted[i], s.replicas[wanted[i]]), s.pressure(wanted[j], s.replicas[wanted[j]])
+		if a != b {
+			return a > b
+		}
+		return wanted[i] < wanted[j]
+	})
+	for _, name := range wanted {
+		if m, ok := p.place(s, name); ok {
+			return m, true
+		}
+	}
+	return Move{}, false
+}
+
+// place finds the best upstream for another replica of a model.
+func (p Policy) place(s *state, name string) (Move, bool) {
+	best, lowest := Move{}, math.Inf(1)
+	for i := range s.in.Upstreams {
+		u := &s.in.Upstreams[i]
+		if !u.Movable || !u.Usable || s.moved[u.ID] || u.holds(name) {
+			continue
+		}
+		from := u.source(name)
+		if from == FromStore && s.store <= 0 {
+			continue
+		}
+		victim, cost, ok := p.victim(s, u, name)
+		if !ok {
+			continue
+		}
+		cost += loadSeconds(s.in.Engine, name, from) + busyWeight*s.load(u)
+		if cost < lowest {
+			best, lowest = Move{Upstream: u.ID, Unload: victim, Load: name, From: from}, cost
+		}
+	}
+	return best, lowest < math.Inf(1)
+}
+
+// busyWeight turns an upstream's load into seconds of loading: a place on an
+// engine that is busy all the time is worth a load that is some seconds longer
+// on an idle one.
+const busyWeight = 6.0
+
+// victim picks the model that makes way at an upstream, with what that costs
+// in seconds; "" when there is room without one.
+func (p Policy) victim(s *state, u *Upstream, wanted string) (string, float64, bool) {
+	if u.Room[wanted] {
+		return "", 0, true
+	}
+	pressure := s.pressure(wanted, s.replicas[wanted])
+	best, lowest := "", math.Inf(1)
+	for _, h := range u.Held {
+		if !h.Ready || h.For < p.Settled {
+			continue
+		}
+		after := s.pressure(h.Model, s.replicas[h.Model]-1)
+		if s.replicas[h.Model] < 2 || after*p.Gain > pressure {
+			continue // the last replica of a model never makes way
+		}
+		cost := after*victimWeight - min(h.Idle.Seconds(), longIdle)*idleWeight
+		if cost < lowest {
+			best, lowest = h.Model, cost
+		}
+	}
+	return best, lowest, best != ""
+}
+
+const (
+	// victimWeight turns the pressure that a model is left with into seconds.
+	victimWeight = 4.0
+	// An unload waits for the requests that run. One that had none for a while
+	// is gone at once; beyond longIdle seconds that makes no difference.
+	idleWeight = 0.3
+	longIdle   = 5.0
+)
+
+// load is the engines' time that an upstream's models bring to it.
+func (s *state) load(u *Upstream) float64 {
+	sum := 0.0
+	for _, h := range u.Held {
+		sum += s.in.Demand[h.Model].Load / float64(max(s.replicas[h.Model], 1))
+	}
+	return sum
+}
+
+func (u *Upstream) holds(name string) bool {
+	for _, h := range u.Held {
+		if h.Model == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (u *Upstream) source(name string) Source {
+	switch {
+	case u.InMemory[name]:
+		return FromMemory
+	case u.OnDisk[name]:
+		return FromDisk
+	default:
+		return FromStore
+	}
+}
+
+// loadSeconds is how long a load takes.
+func loadSeconds(e *deploy.Engine, name string, from Source) float64 {
+	return LoadTime(e, name, from).Seconds()
+}
+
+// LoadTime is how long a model's load from a source takes by itself.
+func LoadTime(e *deploy.Engine, name string, from Source) time.Duration {
+	m, ok := e.Model(name)
+	if !ok {
+		return 0
+	}
+	switch {
+	case from == FromMemory && m.MemoryLoad > 0:
+		return m.MemoryLoad
+	case from == FromDisk && m.DiskLoad > 0:
+		return m.DiskLoad
+	default:
+		return m.StoreLoad
+	}
+}
--- /dev/null
+++ b/core/residency/residency.go
@@ -0,0 +1,428 @@
+// Package residency keeps, for one upstream, the account of the models and
+// adapters that it holds, is loading or dropping, and decides which order may
+// be sent to it next. It does no I/O and has no clock.
+//
+// Two things keep its memory from being overcommitted. An order names the
+// number of orders that the upstream has accepted so far, and the upstream
+// refuses it when that number has moved on: of two orders with one number only
+// one is ever carried out, however late the other arrives. And room that is
+// being freed counts as taken until the upstream shows that it is free.
+package residency
+
+import (
+	"sort"
+	"time"
+
+	"peridotpier.example/core/deploy"
+)
+
+// Op is what an order does.
+type Op uint8
+
+// The operations.
+const (
+	Load Op = iota
+	Unload
+)
+
+// String names the operation in logs.
+func (o Op) String() string { return [...]string{"load", "unload"}[o] }
+
+// Order changes what an upstream holds.
+type Order struct {
+	Op       Op
+	Model    string
+	Adapter  string // "": the model itself
+	Expected uint64 // orders that the upstream has accepted
+}
+
+// Phase is where a model or adapter is on its way.
+type Phase uint8
+
+// The phases.
+const (
+	Ready Phase = iota
+	Loading
+	Leaving
+)
+
+// model is a model at the upstream.
+type model struct {
+	phase    Phase
+	adapters map[string]*adapter
+	since    time.Time // when it was first seen ready
+	used     time.Time // its last request
+}
+
+type adapter struct {
+	phase Phase
+	since time.Time // of the phase
+	used  time.Time
+}
+
+// Book is the account of one upstream. Its owner guards it.
+type Book struct {
+	engine   *deploy.Engine
+	sequence uint64
+	models   map[string]*model
+	busy     *Order    // a model's order that was accepted and is not done
+	busyFrom time.Time // since when
+	unsure   bool      // an order went unanswered, or the upstream's number differs: look at its report first
+}
+
+// New opens the book of an upstream from its own description.
+func New(e *deploy.Engine, u *deploy.Upstream, now time.Time) *Book {
+	b := &Book{engine: e, models: map[string]*model{}}
+	b.Settle(Report{Residents: u.Residents, Sequence: u.Sequence}, now)
+	return b
+}
+
+// Report is what an upstream says of itself at some moment.
+type Report struct {
+	Residents []deploy.Resident
+	Coming    []deploy.Resident // adapters on their way
+	Sequence  uint64
+	Busy      bool
+}
+
+// Sequence is the number of orders that the upstream has accepted, as known.
+func (b *Book) Sequence() uint64 { return b.sequence }
+
+// Unsure says that the upstream's report is needed before the next order.
+func (b *Book) Unsure() bool { return b.unsure }
+
+// Busy returns the model's order that is being carried out.
+func (b *Book) Busy() (Order, time.Time, bool) {
+	if b.busy == nil {
+		return Order{}, time.Time{}, false
+	}
+	return *b.busy, b.busyFrom, true
+}
+
+// adapterLag is how long an adapter's own order is believed against a report,
+// which shows the upstream as it was some hundred milliseconds ago.
+const adapterLag = time.Second
+
+// Settle takes a report. One that is older than what is known is passed over;
+// it says whether the report was taken.
+func (b *Book) Settle(r Report, now time.Time) bool {
+	if r.Sequence < b.sequence {
+		return false
+	}
+	moved := r.Sequence > b.sequence
+	b.sequence, b.unsure = r.Sequence, false
+	held := map[string]*deploy.Resident{}
+	for i := range r.Residents {
+		held[r.Residents[i].Model] = &r.Residents[i]
+	}
+	b.settleBusy(r, held, moved)
+	for name := range b.models {
+		if held[name] == nil && !b.isBusy(Load, name) {
+			delete(b.models, name)
+		}
+	}
+	for name, h := range held {
+		b.settleModel(name, h, r.Coming, now)
+	}
+	return true
+}
+
+// settleBusy looks whether the order that is being carried out is done.
+func (b *Book) settleBusy(r Report, held map[string]*deploy.Resident, moved bool) {
+	if b.busy == nil {
+		return
+	}
+	there := held[b.busy.Model] != nil
+	done := b.busy.Op == Load && there || b.busy.Op == Unload && !there
+	if done || !r.Busy && moved {
+		b.busy = nil
+	}
+}
+
+func (b *Book) isBusy(op Op, name string) bool {
+	return b.busy != nil && b.busy.Op == op && b.busy.Model == name
+}
+
+func (b *Book) settleModel(name string, h *deploy.Resident, coming []deploy.Resident, now time.Time) {
+	m := b.models[name]
+	if m == nil {
+		m = &model{adapters: map[string]*adapter{}, used: now}
+		b.models[name] = m
+	}
+	if m.since.IsZero() {
+		m.since = now
+	}
+	m.phase = Ready
+	if b.isBusy(Unload, name) {
+		m.phase = Leaving
+	}
+	shown := map[string]Phase{}
+	for _, a := range h.Adapters {
+		shown[a] = Ready
+	}
+	for _, c := range coming {
+		if c.Model == name {
+			for _, a := range c.Adapters {
+				shown[a] = Loading
+			}
+		}
+	}
+	for a, p := range shown {
+		own := m.adapters[a]
+		switch {
+		case own == nil:
+			m.adapters[a] = &adapter{phase: p, since: now, used: now}
+		case own.phase != p && now.Sub(own.since) > adapterLag:
+			own.phase, own.since = p, now
+		}
+	}
+	for a, own := range m.adapters {
+		if _, ok := shown[a]; !ok && now.Sub(own.since) > adapterLag {
+			delete(m.adapters, a)
+		}
+	}
+}
+
+// Residents is what requests may be sent for.
+func (b *Book) Residents() []deploy.Resident {
+	var out []deploy.Resident
+	for name, m := range b.models {
+		if m.phase != Ready {
+			continue
+		}
+		r := deploy.Resident{Model: name}
+		for a, own := range m.adapters {
+			if own.phase == Ready {
+				r.Adapters = append(r.Adapters, a)
+			}
+		}
+		sort.Strings(r.Adapters)
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
+	return out
+}
+
+// Holds says whether requests for a model, and an adapter if one is named,
+// may be sent.
+func (b *Book) Holds(name, a string) bool {
+	m := b.models[name]
+	if m == nil || m.phase != Ready {
+		return false
+	}
+	if a == "" {
+		return true
+	}
+	own := m.adapters[a]
+	return own != nil && own.phase == Ready
+}
+
+// Has says whether a model is there in any phase.
+func (b *Book) Has(name string) bool { return b.models[name] != nil }
+
+// Used notes a request.
+func (b *Book) Used(name, a string, now time.Time) {
+	m := b.models[name]
+	if m == nil {
+		return
+	}
+	m.used = now
+	if own := m.adapters[a]; own != nil {
+		own.used = now
+	}
+}
+
+// weights are the megabytes that all models and adapters there take, in any
+// phase: what is being dropped is there until it is gone.
+func (b *Book) weights() float64 {
+	sum := 0.0
+	for name, m := range b.models {
+		spec, ok := b.engine.Model(name)
+		if !ok {
+			continue
+		}
+		sum += spec.WeightsMB + float64(len(m.adapters))*spec.AdapterMB
+	}
+	return sum
+}
+
+func (b *Book) adapterCount() int {
+	n := 0
+	for _, m := range b.models {
+		n += len(m.adapters)
+	}
+	return n
+}
+
+// adapterReserve is kept free beside models, in megabytes for each place of an
+// adapter, so that a model's load never takes the room that adapters need.
+func (b *Book) adapterReserve() float64 {
+	largest := 0.0
+	for i := range b.engine.Models {
+		largest = max(largest, b.engine.Models[i].AdapterMB)
+	}
+	return largest * float64(b.engine.AdapterSlots-b.adapterCount())
+}
+
+// Room says whether a model could be loaded now.
+func (b *Book) Room(name string) bool {
+	spec, ok := b.engine.Model(name)
+	return ok && b.models[name] == nil && b.weights()+max(b.adapterReserve(), 0)+spec.WeightsMB <= b.engine.MemoryMB
+}
+
+// LoadModel returns the order that loads a model, if it may be sent now.
+func (b *Book) LoadModel(name string) (Order, bool) {
+	if b.busy != nil || b.unsure || !b.Room(name) {
+		return Order{}, false
+	}
+	return Order{Op: Load, Model: name, Expected: b.sequence}, true
+}
+
+// UnloadModel returns the order that drops a model, if it may be sent now.
+func (b *Book) UnloadModel(name string) (Order, bool) {
+	m := b.models[name]
+	if b.busy != nil || b.unsure || m == nil || m.phase != Ready {
+		return Order{}, false
+	}
+	return Order{Op: Unload, Model: name, Expected: b.sequence}, true
+}
+
+// LoadAdapter returns the order that brings an adapter nearer: its load, or
+// the unload of the one used longest ago when its place is needed.
+func (b *Book) LoadAdapter(name, a string, now time.Time) (Order, bool) {
+	m := b.models[name]
+	spec, ok := b.engine.Model(name)
+	if !ok || b.unsure || m == nil || m.phase != Ready || m.adapters[a] != nil {
+		return Order{}, false
+	}
+	if b.adapterCount() < b.engine.AdapterSlots && b.weights()+spec.AdapterMB <= b.engine.MemoryMB {
+		return Order{Op: Load, Model: name, Adapter: a, Expected: b.sequence}, true
+	}
+	return b.evict(now)
+}
+
+// idleAdapter is how long an adapter must not have been asked for to make way.
+// One that is in use would have to wait for its requests to end.
+const idleAdapter = 700 * time.Millisecond
+
+func (b *Book) evict(now time.Time) (Order, bool) {
+	var out Order
+	var oldest time.Time
+	found := false
+	for name, m := range b.models {
+		for a, own := range m.adapters {
+			if own.phase != Ready || now.Sub(own.used) < idleAdapter || found && !own.used.Before(oldest) {
+				continue
+			}
+			out, oldest, found = Order{Op: Unload, Model: name, Adapter: a, Expected: b.sequence}, own.used, true
+		}
+	}
+	return out, found
+}
+
+// Sent notes an order that is about to go out: what it takes away is not used
+// from now on.
+func (b *Book) Sent(o Order, now time.Time) {
+	m := b.models[o.Model]
+	if m == nil || o.Op == Load {
+		return
+	}
+	if o.Adapter == "" {
+		m.phase = Leaving
+		return
+	}
+	if own := m.adapters[o.Adapter]; own != nil {
+		own.phase, own.since = Leaving, now
+	}
+}
+
+// Accepted notes that an order was taken; done says that it has taken effect.
+func (b *Book) Accepted(o Order, done bool, now time.Time) {
+	if o.Expected >= b.sequence {
+		b.sequence = o.Expected + 1
+	}
+	switch {
+	case o.Adapter != "":
+		b.acceptAdapter(o, done, now)
+	case o.Op == Load && b.models[o.Model] == nil:
+		b.models[o.Model] = &model{phase: Loading, adapters: map[string]*adapter{}, used: now}
+		b.busy, b.busyFrom = &o, now
+	case o.Op == Unload && done:
+		delete(b.models, o.Model)
+	case o.Op == Unload:
+		b.busy, b.busyFrom = &o, now
+	}
+}
+
+func (b *Book) acceptAdapter(o Order, done bool, now time.Time) {
+	m := b.models[o.Model]
+	if m == nil {
+		return
+	}
+	if o.Op == Unload {
+		if done {
+			delete(m.adapters, o.Adapter)
+		}
+		return
+	}
+	m.adapters[o.Adapter] = &adapter{phase: Loading, since: now, used: now}
+}
+
+// AdapterReady notes that an adapter's load has had its time.
+func (b *Book) AdapterReady(name, a string, now time.Time) {
+	if m := b.models[name]; m != nil && m.adapters[a] != nil && m.adapters[a].phase == Loading {
+		m.adapters[a].phase, m.adapters[a].since = Ready, now
+	}
+}
+
+// Refused notes that an order was not taken: something else than what is known
+// holds at the upstream.
+func (b *Book) Refused(o Order) {
+	b.unsure, b.sequence = true, 0 // whatever number the next report shows is right
+	b.undo(o)
+}
+
+// Unanswered notes that no answer came to an order. It may have been taken,
+// or be taken late.
+func (b *Book) Unanswered(Order) { b.unsure = true }
+
+// undo takes back what Sent noted.
+func (b *Book) undo(o Order) {
+	m := b.models[o.Model]
+	if m == nil || o.Op == Load {
+		return
+	}
+	if o.Adapter == "" {
+		m.phase = Ready
+	} else if own := m.adapters[o.Adapter]; own != nil {
+		own.phase = Ready
+	}
+}
+
+// Coming says whether an adapter is there or on its way.
+func (b *Book) Coming(name, a string) bool {
+	m := b.models[name]
+	if m == nil || m.phase != Ready {
+		return false
+	}
+	own := m.adapters[a]
+	return own != nil && own.phase != Leaving
+}
+
+// Held is a model at the upstream, for planning.
+type Held struct {
+	Model string
+	Ready bool
+	For   time.Duration // since it was first seen there
+	Idle  time.Duration // since its last request
+}
+
+// Held lists the models there in any phase.
+func (b *Book) Held(now time.Time) []Held {
+	var out []Held
+	for name, m := range b.models {
+		out = append(out, Held{Model: name, Ready: m.phase == Ready, For: now.Sub(m.since), Idle: now.Sub(m.used)})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Model < out[j].Model })
+	return out
+}
--- /dev/null
+++ b/node/coordinator/adapters.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/residency"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
+)
+
+// The reasons why no adapter is loaded.
+var (
+	errNotHolding = errors.New("this host does not hold the lease")
+	errNoUpstream = errors.New("no upstream can take the adapter now")
+)
+
+const (
+	// adapterTries is how many orders one adapter may take: one that makes
+	// room, its load, and one more when the upstream's number has moved on.
+	adapterTries = 5
+	// adapterPoll is how often a load that is on its way is looked at.
+	adapterPoll = 4 * time.Millisecond
+)
+
+// Adapter has an adapter loaded, at the upstream asked for if that may be, and
+// returns where it is ready.
+func (c *Coordinator) Adapter(ctx context.Context, upstream, model, adapter string) (string, error) {
+	if !c.Holding() {
+		return "", errNotHolding
+	}
+	u, ok := c.unit(upstream)
+	if !ok || !u.usable() {
+		return "", errNoUpstream
+	}
+	return upstream, u.loadAdapter(ctx, model, adapter)
+}
+
+// loadAdapter gives the orders that bring the adapter to the upstream.
+func (u *unit) loadAdapter(ctx context.Context, model, adapter string) error {
+	for range adapterTries {
+		done, err := u.adapterStep(ctx, model, adapter)
+		if done {
+			return u.awaitAdapter(ctx, model, adapter)
+		}
+		if err != nil && !errors.Is(err, errRefused) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return errNoUpstream
+}
+
+// adapterStep gives one order; done says that the adapter is there or coming.
+func (u *unit) adapterStep(ctx context.Context, model, adapter string) (done bool, err error) {
+	u.orderMu.Lock()
+	defer u.orderMu.Unlock()
+	u.mu.Lock()
+	coming := u.book.Coming(model, adapter)
+	unsure := u.book.Unsure()
+	o, ok := u.book.LoadAdapter(model, adapter, u.c.now())
+	u.mu.Unlock()
+	switch {
+	case coming:
+		return true, nil
+	case unsure:
+		return false, u.settle(ctx)
+	case !ok:
+		return false, errNoUpstream
+	}
+	why := "asked for"
+	if o.Op == residency.Unload {
+		why = "makes way for " + model + "/" + adapter
+	}
+	if err := u.send(ctx, o, why); err != nil {
+		return false, err
+	}
+	if o.Op == residency.Load {
+		u.readyLater(o)
+		return true, nil
+	}
+	return false, nil
+}
+
+// readyLater takes an adapter's load for done after its time: the upstream
+// does not tell, and its report would show it some hundred milliseconds late.
+func (u *unit) readyLater(o residency.Order) {
+	time.AfterFunc(u.c.cfg.AdapterLoad, func() {
+		u.mu.Lock()
+		u.book.AdapterReady(o.Model, o.Adapter, u.c.now())
+		u.mu.Unlock()
+		u.c.changed()
+		u.c.deps.Log.Emit(event.OrderDone, u.fields(o, zap.Duration("took", u.c.cfg.AdapterLoad))...)
+	})
+}
+
+func (u *unit) awaitAdapter(ctx context.Context, model, adapter string) error {
+	for !u.holds(model, adapter) {
+		if !pace.Sleep(ctx, adapterPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/coordinator/authority.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"errors"
+	"sync"
+	"time"
+)
+
+// errQuiet: the lease is new, and the former holder's orders may still arrive.
+var errQuiet = errors.New("the quiet time of a new lease is not over")
+
+// mayOrder says whether an order that ends within need may be sent now. It is
+// asked right before each send: a process that was paused wakes in the middle
+// of its work, beside its successor.
+func (c *Coordinator) mayOrder(need time.Duration) error {
+	c.mu.Lock()
+	epoch, quiet := c.term.Epoch, c.quiet
+	c.mu.Unlock()
+	if err := c.deps.Lease.Check(epoch, need); err != nil {
+		return err
+	}
+	if c.now().Before(quiet) {
+		return errQuiet
+	}
+	return nil
+}
+
+func (c *Coordinator) authority() Term {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Term{Holder: c.cfg.Host, Epoch: c.term.Epoch}
+}
+
+// storeLoads counts the loads from the weight store in a sliding window. Past
+// its ceiling the store serves everybody more slowly.
+type storeLoads struct {
+	window time.Duration
+	over   float64
+	mu     sync.Mutex
+	begun  []time.Time
+	full   time.Time // until when a former holder's loads are assumed to fill the window
+}
+
+// assumeFull notes that another holder may have begun loads that this one does
+// not know of.
+func (s *storeLoads) assumeFull(now time.Time, full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if full {
+		s.full = now.Add(s.window)
+	}
+}
+
+// left is how many loads may begin now, at a rate a second.
+func (s *storeLoads) left(rate float64, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.full) {
+		return 0
+	}
+	kept := s.begun[:0]
+	for _, t := range s.begun {
+		if now.Sub(t) <= s.window {
+			kept = append(kept, t)
+		}
+	}
+	s.begun = kept
+	return int(rate*s.window.Seconds()) - len(s.begun)
+}
+
+func (s *storeLoads) begin(now time.Time) {
+	s.mu.Lock()
+	s.begun = append(s.begun, now)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/node/coordinator/conns.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"peridotpier.example/node/coordinator/coordpb"
+)
+
+// Dial opens a connection to another host.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+const (
+	// dialBound is how long a connection to another host may take to open.
+	dialBound = 500 * time.Millisecond
+	// idleConns is how many connections to one host are kept. One call at a
+	// time goes over each.
+	idleConns = 4
+)
+
+// conns keeps connections to other hosts.
+type conns struct {
+	dial Dial
+	mu   sync.Mutex
+	idle map[string][]*drpcconn.Conn
+}
+
+func newConns(d Dial) *conns { return &conns{dial: d, idle: map[string][]*drpcconn.Conn{}} }
+
+// call makes one call; a connection on which one failed is not used again.
+func (c *conns) call(ctx context.Context, address string, f func(context.Context, coordpb.DRPCCoordinatorClient) error) error {
+	conn, err := c.take(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := f(ctx, coordpb.NewDRPCCoordinatorClient(conn)); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	c.put(address, conn)
+	return nil
+}
+
+func (c *conns) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	c.mu.Lock()
+	for len(c.idle[address]) > 0 {
+		all := c.idle[address]
+		conn := all[len(all)-1]
+		c.idle[address] = all[:len(all)-1]
+		select {
+		case <-conn.Closed():
+			continue
+		default:
+		}
+		c.mu.Unlock()
+		return conn, nil
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dialBound)
+	defer cancel()
+	nc, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(nc), nil
+}
+
+func (c *conns) put(address string, conn *drpcconn.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[address]) >= idleConns {
+		_ = conn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], conn)
+}
+
+// drop closes what is kept to a host.
+func (c *conns) drop(address string) {
+	c.mu.Lock()
+	all := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range all {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/node/coordinator/coordinator.go
@@ -0,0 +1,216 @@
+// Package coordinator is the part of a host that acts for the whole
+// deployment: it sums up what all hosts have sent to each upstream, gives the
+// upstreams their orders, and tells the hosts what the upstreams hold. Every
+// host has one; the one whose host holds the lease is heard.
+//
+// Nothing on the way of a request waits for it, but for an adapter that no
+// upstream has at hand. Without it hosts go on by what they see themselves.
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/replica"
+	"peridotpier.example/core/residency"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/lease"
+	"peridotpier.example/node/pace"
+)
+
+// Verdict is an upstream's answer to an order.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Accepted Verdict = iota // it is being carried out
+	Holds                   // it holds already, or was done at once
+	Conflict                // another order is under way, or its number has moved on
+	Fenced                  // a higher epoch was seen
+	Invalid                 // there is no such order
+	Replaced                // another process is at the address
+)
+
+// String names the verdict in logs.
+func (v Verdict) String() string {
+	return [...]string{"accepted", "holds", "conflict", "fenced", "invalid", "replaced"}[v]
+}
+
+// Term says under which authority an order is given.
+type Term struct {
+	Holder string
+	Epoch  uint64
+}
+
+// Orders carries orders to upstreams. An error means that no answer came.
+type Orders interface {
+	Order(ctx context.Context, u *deploy.Upstream, o residency.Order, t Term) (Verdict, error)
+	Report(ctx context.Context, u *deploy.Upstream) (residency.Report, error)
+}
+
+// Config bounds a Coordinator.
+type Config struct {
+	Host           string
+	Address        string        // where Serve listens
+	Quiet          time.Duration // after a lease was taken from another holder
+	CeilingWindow  time.Duration // loads from the weight store are counted in any span of this length
+	CeilingOver    float64       // factor on its rate
+	Policy         replica.Policy
+	AdapterLoad    time.Duration // how long an adapter's load takes; 0: the default
+	NoModelMoves   bool          // models stay where they are, for measuring what moves gain
+	FencingChecked bool          // upstreams refuse old epochs
+}
+
+// Deps are what a Coordinator works with.
+type Deps struct {
+	Fleet  *fleet.Fleet
+	Config *follow.Config
+	Lease  *lease.Lease
+	Orders Orders
+	Log    *event.Log
+	Now    func() time.Time
+}
+
+// Coordinator acts for the whole deployment while its host holds the lease.
+type Coordinator struct {
+	cfg    Config
+	deps   Deps
+	now    func() time.Time
+	sums   *sums
+	demand *demand
+	stores storeLoads
+
+	mu       sync.Mutex
+	units    map[string]*unit // by upstream
+	revision uint64           // rises when what the units hold changes
+	term     lease.Term
+	held     bool
+	quiet    time.Time // until when no order is sent
+}
+
+// New makes a Coordinator.
+func New(cfg Config, deps Deps) *Coordinator {
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	if cfg.Policy == (replica.Policy{}) {
+		cfg.Policy = replica.Default
+	}
+	if cfg.AdapterLoad == 0 {
+		cfg.AdapterLoad = defaultAdapterLoad
+	}
+	return &Coordinator{cfg: cfg, deps: deps, now: deps.Now, sums: newSums(), demand: newDemand(), units: map[string]*unit{},
+		stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
+}
+
+// tick is how often books and plans are looked at.
+const tick = 200 * time.Millisecond
+
+// Run acts until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) error {
+	for pace.Sleep(ctx, tick) {
+		c.follow()
+		if c.mayOrder(0) != nil {
+			continue
+		}
+		c.plan(ctx)
+	}
+	return ctx.Err()
+}
+
+// Holding says whether this host holds the lease now.
+func (c *Coordinator) Holding() bool {
+	_, ok := c.deps.Lease.Term()
+	return ok
+}
+
+// follow notices a new term and brings the books up to date with what the
+// upstreams say of themselves.
+func (c *Coordinator) follow() {
+	now := c.now()
+	term, held := c.deps.Lease.Term()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held && (!c.held || term.Epoch != c.term.Epoch) {
+		c.beginLocked(term, now)
+	}
+	c.held, c.term = held, term
+	c.bookLocked(now)
+}
+
+// beginLocked starts a term. Orders of the former holder may still be on their
+// way; two holders that take turns too fast could each undo the other's.
+func (c *Coordinator) beginLocked(t lease.Term, now time.Time) {
+	wait := c.cfg.Quiet
+	if t.Epoch <= 1 {
+		wait = 0 // nobody was there before
+	}
+	c.quiet = now.Add(wait)
+	c.units = map[string]*unit{}
+	c.stores.assumeFull(now, t.Epoch > 1)
+	c.deps.Log.Emit(event.QuietPeriod, zap.Uint64("epoch", t.Epoch), zap.Duration("for", wait))
+}
+
+// bookLocked opens and closes books as upstreams come and go, and enters what
+// their descriptions say.
+func (c *Coordinator) bookLocked(now time.Time) {
+	table := c.deps.Config.Current()
+	if table == nil {
+		return
+	}
+	seen := map[string]bool{}
+	for _, e := range c.deps.Fleet.All() {
+		s, ok := table.Service(e.Service())
+		if !ok || s.Engine == nil {
+			continue
+		}
+		seen[e.ID()] = true
+		u := c.units[e.ID()]
+		if u == nil {
+			described, _ := e.Described()
+			u = &unit{c: c, entry: e, engine: s.Engine, book: residency.New(s.Engine, &described, now)}
+			c.units[e.ID()] = u
+			c.revision++
+			continue
+		}
+		if u.describe(now) {
+			c.revision++
+		}
+	}
+	for id := range c.units {
+		if !seen[id] {
+			delete(c.units, id)
+			c.revision++
+		}
+	}
+}
+
+// changed tells the hosts, with their next reports, that holdings changed.
+func (c *Coordinator) changed() {
+	c.mu.Lock()
+	c.revision++
+	c.mu.Unlock()
+}
+
+func (c *Coordinator) unit(id string) (*unit, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u, ok := c.units[id]
+	return u, ok
+}
+
+func (c *Coordinator) allUnits() []*unit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*unit, 0, len(c.units))
+	for _, u := range c.units {
+		out = append(out, u)
+	}
+	return out
+}
--- /dev/null
+++ b/node/coordinator/lead.go
@@ -0,0 +1,75 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"peridotpier.example/node/lease"
+	"peridotpier.example/node/pace"
+)
+
+const (
+	// lookEach is how often a host looks whether it is linked or holds the lease.
+	lookEach = 100 * time.Millisecond
+	// tryEach is the least time between two tries to reach the holder that the
+	// lease names.
+	tryEach = 300 * time.Millisecond
+)
+
+// Lead sees to it that some host holds the lease and that this one is linked
+// to it. A linked host leaves the lease alone: looking at it costs calls.
+type Lead struct {
+	Lease *lease.Lease
+	Link  *Link
+	// Handicap is how long this host waits before it campaigns, so that one
+	// with more to spare comes first.
+	Handicap time.Duration
+}
+
+// Run works until ctx ends.
+func (d *Lead) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if d.Link.Linked() {
+			pace.Sleep(ctx, lookEach)
+			continue
+		}
+		d.campaign(ctx)
+	}
+	return ctx.Err()
+}
+
+// campaign runs for the lease until this host has held and lost it, or is
+// linked to the host that holds it.
+func (d *Lead) campaign(ctx context.Context) {
+	if !pace.Sleep(ctx, pace.Default().Around(d.Handicap, 1)) {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Lease.Run(ctx) // ends with ctx only
+	}()
+	d.search(ctx)
+	cancel()
+	<-done // hands the lease over if it is held
+}
+
+// search returns when this host is linked to another, or ctx ends. While this
+// host holds the lease itself it goes on.
+func (d *Lead) search(ctx context.Context) {
+	var tried time.Time
+	for pace.Sleep(ctx, lookEach) {
+		if _, held := d.Lease.Term(); held {
+			continue
+		}
+		holder := addressOf(d.Lease.Seen().Holder)
+		if holder == "" || time.Since(tried) < tryEach {
+			continue
+		}
+		tried = time.Now()
+		if d.Link.Try(ctx, holder) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/coordinator/link.go
@@ -0,0 +1,318 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/gate"
+	"peridotpier.example/node/pace"
+)
+
+const (
+	// reportPeriod is how often a host reports. The others' loads are then
+	// known within a fraction of the time that a prompt takes to be read.
+	reportPeriod = 200 * time.Millisecond
+	// reportCallBound is how long a report may take to be answered.
+	reportCallBound = 500 * time.Millisecond
+	// lostAfter is how many reports in a row may fail.
+	lostAfter = 2
+	// unknownHosts is how many hosts are assumed before the first answer: so
+	// many that this host's share of the slack is nothing.
+	unknownHosts = 1000
+)
+
+// LinkConfig names this host.
+type LinkConfig struct {
+	Host    string
+	Address string   // where its coordinator listens
+	Seeds   []string // of a few hosts, perhaps stale
+}
+
+// Link is how a host reaches the one that holds the lease, be it itself.
+type Link struct {
+	cfg   LinkConfig
+	own   *Coordinator
+	conns *conns
+	log   *event.Log
+
+	mu       sync.Mutex
+	demand   map[demandKey]*coordpb.Demand
+	address  string // of the host that holds the lease; "": not linked
+	failed   int    // reports in a row
+	revision uint64
+	holdings []*coordpb.Holding
+	hosts    int // most that were ever seen to share the allowance
+}
+
+type demandKey struct{ service, model, adapter string }
+
+// NewLink makes a Link that is not linked.
+func NewLink(cfg LinkConfig, own *Coordinator, dial Dial, log *event.Log) *Link {
+	return &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, demand: map[demandKey]*coordpb.Demand{}}
+}
+
+// Run reports until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	for pace.Sleep(ctx, pace.Default().Around(reportPeriod, reportJitter)) {
+		if address := l.where(); address != "" {
+			l.tell(ctx, address)
+		}
+	}
+	return ctx.Err()
+}
+
+// reportJitter spreads the hosts' reports, as a share.
+const reportJitter = 0.1
+
+// where is the address to report to; this host's own when it holds the lease.
+func (l *Link) where() string {
+	if l.own.Holding() {
+		return l.cfg.Address
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address == l.cfg.Address {
+		l.address = ""
+	}
+	return l.address
+}
+
+// Linked says whether this host is linked to one that holds the lease.
+func (l *Link) Linked() bool { return l.where() != "" }
+
+// Hosts is how many hosts share the allowance of repeats.
+func (l *Link) Hosts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hosts == 0 {
+		return unknownHosts
+	}
+	return l.hosts
+}
+
+// tell reports once and takes the answer.
+func (l *Link) tell(ctx context.Context, address string) {
+	r := l.report()
+	var s *coordpb.SiteState
+	var err error
+	if address == l.cfg.Address {
+		s = l.own.report(r)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+		defer cancel()
+		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+			s, err = c.Report(ctx, r)
+			return err
+		})
+	}
+	switch {
+	case err != nil:
+		l.lost(address, err)
+	case !s.Holding && address != l.cfg.Address:
+		l.unlink(address, errNotHolding)
+	default:
+		l.take(s)
+	}
+}
+
+// report gathers what this host tells.
+func (l *Link) report() *coordpb.HostReport {
+	r := &coordpb.HostReport{Host: l.cfg.Host}
+	for _, e := range l.own.deps.Fleet.All() {
+		if own := e.OwnLoad(); own.Requests > 0 {
+			r.Loads = append(r.Loads, &coordpb.Load{Upstream: e.ID(), Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Revision = l.revision
+	for _, d := range l.demand {
+		r.Demand = append(r.Demand, d)
+	}
+	l.demand = map[demandKey]*coordpb.Demand{}
+	return r
+}
+
+// take enters what the others have sent and what the upstreams hold.
+func (l *Link) take(s *coordpb.SiteState) {
+	now := l.own.now()
+	l.mu.Lock()
+	l.failed = 0
+	l.hosts = max(l.hosts, int(s.Hosts))
+	if len(s.Holdings) > 0 {
+		l.revision, l.holdings = s.Revision, s.Holdings
+	}
+	holdings := l.holdings
+	l.mu.Unlock()
+	others := map[string]*coordpb.Load{}
+	for _, o := range s.Others {
+		others[o.Upstream] = o
+	}
+	for _, e := range l.own.deps.Fleet.All() {
+		o := others[e.ID()] // none: the others have sent nothing there
+		e.SetOthers(fleet.Load{Requests: int(o.GetRequests()), Waiting: int(o.GetWaiting()), Tokens: int(o.GetTokens())}, now)
+	}
+	for _, h := range holdings {
+		if e, ok := l.own.deps.Fleet.Entry(h.Upstream); ok {
+			e.Believe(residents(h), now)
+		}
+	}
+	l.own.deps.Fleet.Tell()
+}
+
+func residents(h *coordpb.Holding) []deploy.Resident {
+	out := make([]deploy.Resident, len(h.Residents))
+	for i, r := range h.Residents {
+		out[i] = deploy.Resident{Model: r.Model, Adapters: r.Adapters}
+	}
+	return out
+}
+
+func (l *Link) lost(address string, err error) {
+	l.mu.Lock()
+	l.failed++
+	over := l.failed >= lostAfter
+	l.mu.Unlock()
+	l.conns.drop(address)
+	if over {
+		l.unlink(address, err)
+	}
+}
+
+func (l *Link) unlink(address string, err error) {
+	l.mu.Lock()
+	was := l.address
+	if was == address {
+		l.address, l.failed, l.revision, l.holdings = "", 0, 0, nil
+	}
+	l.mu.Unlock()
+	if was == address {
+		l.log.Emit(event.CoordinatorOff, zap.String(event.FieldPeer, address), zap.Error(err))
+	}
+}
+
+// Try links this host to the one at address if that one holds the lease.
+func (l *Link) Try(ctx context.Context, address string) bool {
+	if address == "" || address == l.cfg.Address {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	r := &coordpb.HostReport{Host: l.cfg.Host}
+	var s *coordpb.SiteState
+	err := l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+		s, err = c.Report(ctx, r)
+		return err
+	})
+	if err != nil || !s.Holding {
+		return false
+	}
+	l.mu.Lock()
+	l.address, l.failed, l.revision = address, 0, 0
+	l.mu.Unlock()
+	l.take(s)
+	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
+	return true
+}
+
+// errNotLinked: no host that holds the lease is known.
+var errNotLinked = errors.New("not linked to a host that gives orders")
+
+// Adapter implements gate.Models.
+func (l *Link) Adapter(ctx context.Context, upstream, model, adapter string) error {
+	address := l.where()
+	if address == "" {
+		return errNotLinked
+	}
+	var err error
+	if address == l.cfg.Address {
+		_, err = l.own.Adapter(ctx, upstream, model, adapter)
+	} else {
+		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) error {
+			a, err := c.Adapter(ctx, &coordpb.AdapterCall{Upstream: upstream, Model: model, Adapter: adapter})
+			if err == nil && a.Problem != "" {
+				err = errors.New(a.Problem)
+			}
+			return err
+		})
+	}
+	if err != nil {
+		return err
+	}
+	if e, ok := l.own.deps.Fleet.Entry(upstream); ok {
+		e.Gained(model, adapter)
+	}
+	return nil
+}
+
+// Demand implements gate.Models.
+func (l *Link) Demand(service string, f *gate.Facts, output int, unserved bool) {
+	k := demandKey{service, f.Model, f.Adapter}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demand[k]
+	if d == nil {
+		d = &coordpb.Demand{Service: service, Model: f.Model, Adapter: f.Adapter}
+		l.demand[k] = d
+	}
+	if unserved {
+		d.Unserved++
+		return
+	}
+	d.Requests++
+	d.Prompt += uint32(f.Prompt)
+	d.Output += uint32(output)
+}
+
+// Fetch asks the seeds for what a host needs that starts while the store is
+// away. It hands over what the first of them that has any answers.
+func (l *Link) Fetch(ctx context.Context) {
+	for _, seed := range l.cfg.Seeds {
+		if seed == l.cfg.Address {
+			continue
+		}
+		var a *coordpb.StateAnswer
+		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+		err := l.conns.call(ctx, seed, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+			a, err = c.State(ctx, &coordpb.StateCall{})
+			return err
+		})
+		cancel()
+		if err == nil && l.adopt(a) {
+			return
+		}
+	}
+}
+
+// adopt puts a peer's configuration and upstreams in force here.
+func (l *Link) adopt(a *coordpb.StateAnswer) bool {
+	var cfg deploy.Config
+	var all []deploy.Upstream
+	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil || json.Unmarshal(a.Upstreams, &all) != nil {
+		return false
+	}
+	l.own.deps.Config.Offer(&cfg, "peer")
+	l.own.deps.Fleet.Apply(all, nil)
+	return true
+}
+
+// HolderOf names a lease's holder so that others find its address.
+func HolderOf(host, address, process string) string { return host + " " + address + " " + process }
+
+func addressOf(holder string) string {
+	parts := strings.Fields(holder)
+	if len(parts) < 2 {
+		return ""
+	}
+	return parts[1]
+}
--- /dev/null
+++ b/node/coordinator/serve.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+)
+
+// Serve answers other hosts on ln until ctx ends.
+func (c *Coordinator) Serve(ctx context.Context, ln net.Listener) error {
+	mux := drpcmux.New()
+	if err := coordpb.DRPCRegisterCoordinator(mux, service{c}); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, ln)
+}
+
+// service is what this host offers to the others.
+type service struct{ c *Coordinator }
+
+// Report implements coordpb.DRPCCoordinatorServer, as the methods below do.
+func (s service) Report(_ context.Context, r *coordpb.HostReport) (*coordpb.SiteState, error) {
+	return s.c.report(r), nil
+}
+
+func (s service) Adapter(ctx context.Context, a *coordpb.AdapterCall) (*coordpb.AdapterAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, adapterBound)
+	defer cancel()
+	upstream, err := s.c.Adapter(ctx, a.Upstream, a.Model, a.Adapter)
+	if err != nil {
+		return &coordpb.AdapterAnswer{Problem: err.Error()}, nil
+	}
+	return &coordpb.AdapterAnswer{Upstream: upstream}, nil
+}
+
+// adapterBound ends the work for a host whose own wait is over.
+const adapterBound = time.Second
+
+func (s service) State(_ context.Context, q *coordpb.StateCall) (*coordpb.StateAnswer, error) {
+	out := &coordpb.StateAnswer{Coordinator: addressOf(s.c.deps.Lease.Seen().Holder)}
+	if s.c.Holding() {
+		out.Coordinator = s.c.cfg.Address
+	}
+	if t := s.c.deps.Config.Current(); t != nil && t.Config.Version > q.ConfigAbove {
+		data, err := json.Marshal(t.Config)
+		if err != nil {
+			return nil, err
+		}
+		out.Config = data
+	}
+	var all []deploy.Upstream
+	for _, e := range s.c.deps.Fleet.All() {
+		if u, _ := e.Described(); e.Usable() {
+			all = append(all, u)
+		}
+	}
+	data, err := json.Marshal(all)
+	out.Upstreams = data
+	return out, err
+}
+
+// report takes one host's report and answers what it needs of the others.
+func (c *Coordinator) report(r *coordpb.HostReport) *coordpb.SiteState {
+	now := c.now()
+	c.sums.take(r.Host, r.Loads, now)
+	c.demand.take(r.Demand, now)
+	units := c.allUnits()
+	for _, d := range r.Demand {
+		for _, u := range units {
+			if u.entry.Service() == d.Service {
+				u.used(d.Model, d.Adapter, now)
+			}
+		}
+	}
+	total, hosts := c.sums.others(r.Host, now)
+	out := &coordpb.SiteState{Holding: c.Holding(), Hosts: uint32(hosts)}
+	for id, l := range total {
+		if l.Requests > 0 {
+			out.Others = append(out.Others, &coordpb.Load{Upstream: id, Requests: uint32(l.Requests), Waiting: uint32(max(l.Waiting, 0)), Tokens: uint32(max(l.Tokens, 0))})
+		}
+	}
+	c.mu.Lock()
+	out.Revision = c.revision
+	c.mu.Unlock()
+	if out.Revision != r.Revision {
+		for _, u := range units {
+			out.Holdings = append(out.Holdings, u.holding())
+		}
+	}
+	return out
+}
+
+// holding is what the upstream can answer, for the other hosts.
+func (u *unit) holding() *coordpb.Holding {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := &coordpb.Holding{Upstream: u.entry.ID()}
+	for _, r := range u.book.Residents() {
+		out.Residents = append(out.Residents, &coordpb.Resident{Model: r.Model, Adapters: r.Adapters})
+	}
+	return out
+}
--- /dev/null
+++ b/node/coordinator/sums.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"sync"
+	"time"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
+)
+
+const (
+	// reportFresh is how long a host's report counts: a few of its periods, so
+	// that one lost report does not hide its load.
+	reportFresh = 1500 * time.Millisecond
+	// hostFresh is how long a host counts as one that shares the allowance of
+	// repeats. Long, since a host that is cut off goes on spending its share.
+	hostFresh = 20 * time.Second
+)
+
+// sums adds up the hosts' loads.
+type sums struct {
+	mu    sync.Mutex
+	hosts map[string]*hostLoads
+}
+
+type hostLoads struct {
+	at    time.Time
+	loads map[string]fleet.Load
+}
+
+func newSums() *sums { return &sums{hosts: map[string]*hostLoads{}} }
+
+// take replaces one host's loads.
+func (s *sums) take(host string, loads []*coordpb.Load, now time.Time) {
+	h := &hostLoads{at: now, loads: make(map[string]fleet.Load, len(loads))}
+	for _, l := range loads {
+		h.loads[l.Upstream] = fleet.Load{Requests: int(l.Requests), Waiting: int(l.Waiting), Tokens: int(l.Tokens)}
+	}
+	s.mu.Lock()
+	s.hosts[host] = h
+	s.mu.Unlock()
+}
+
+// others adds up the loads of all hosts but one, and counts the hosts.
+func (s *sums) others(host string, now time.Time) (map[string]fleet.Load, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total, hosts := map[string]fleet.Load{}, 0
+	for name, h := range s.hosts {
+		age := now.Sub(h.at)
+		if age > hostFresh {
+			delete(s.hosts, name)
+			continue
+		}
+		hosts++
+		if name == host || age > reportFresh {
+			continue
+		}
+		for id, l := range h.loads {
+			t := total[id]
+			total[id] = fleet.Load{Requests: t.Requests + l.Requests, Waiting: t.Waiting + l.Waiting, Tokens: t.Tokens + l.Tokens}
+		}
+	}
+	return total, hosts
+}
--- /dev/null
+++ b/node/coordinator/unit.go
@@ -0,0 +1,156 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/residency"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/pace"
+)
+
+const (
+	// orderBound is how long an order may take to be answered. A lease must
+	// last longer than that when the order is sent.
+	orderBound = 600 * time.Millisecond
+	// reportLag is how old an upstream's report may be: it is not asked sooner
+	// than this after an order whose fate it should show.
+	reportLag = 300 * time.Millisecond
+	// describedLag is how long what an order changed is believed against the
+	// upstream's description in the store, which comes with its heartbeats.
+	describedLag = 2500 * time.Millisecond
+	// defaultAdapterLoad is how long an adapter's load takes on the largest models.
+	defaultAdapterLoad = 32 * time.Millisecond
+)
+
+// unit is one upstream as orders see it. orderMu is held over the sending of an
+// order and is taken before mu.
+type unit struct {
+	c      *Coordinator
+	entry  *fleet.Entry
+	engine *deploy.Engine
+
+	orderMu sync.Mutex
+
+	mu        sync.Mutex
+	book      *residency.Book
+	changedAt time.Time // of the last order or report
+	taken     time.Time // arrival of the description that was entered last
+	moving    bool      // a change of models is under way
+}
+
+// describe enters the upstream's newest description, unless it may be older
+// than what is known.
+func (u *unit) describe(now time.Time) (changed bool) {
+	d, at := u.entry.Described()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !at.After(u.taken) || now.Sub(u.changedAt) < describedLag {
+		return false
+	}
+	u.taken = at
+	return u.book.Settle(residency.Report{Residents: d.Residents, Sequence: d.Sequence}, now)
+}
+
+// send gives one order and enters its outcome.
+func (u *unit) send(ctx context.Context, o residency.Order, why string) error {
+	c := u.c
+	if err := c.mayOrder(orderBound); err != nil {
+		return err
+	}
+	described, _ := u.entry.Described()
+	t := c.authority()
+	u.mu.Lock()
+	u.book.Sent(o, c.now())
+	u.mu.Unlock()
+	c.changed()
+	c.deps.Log.Emit(event.OrderSent, u.fields(o, zap.String("why", why), zap.Uint64("epoch", t.Epoch))...)
+	ctx, cancel := context.WithTimeout(ctx, orderBound)
+	defer cancel()
+	v, err := c.deps.Orders.Order(ctx, &described, o, t)
+	return u.enter(o, v, err)
+}
+
+func (u *unit) fields(o residency.Order, more ...zap.Field) []zap.Field {
+	return append([]zap.Field{zap.String(event.FieldPeer, u.entry.ID()), zap.Stringer("operation", o.Op), zap.String("model", o.Model),
+		zap.String("adapter", o.Adapter), zap.Uint64("expected", o.Expected)}, more...)
+}
+
+// errRefused: the upstream did not take the order.
+var errRefused = errors.New("order refused")
+
+// enter writes the outcome of an order into the book.
+func (u *unit) enter(o residency.Order, v Verdict, err error) error {
+	now := u.c.now()
+	u.mu.Lock()
+	u.changedAt = now
+	switch {
+	case err != nil:
+		u.book.Unanswered(o)
+	case v == Accepted:
+		u.book.Accepted(o, false, now)
+	case v == Holds:
+		u.book.Accepted(o, true, now)
+	default:
+		u.book.Refused(o)
+	}
+	u.mu.Unlock()
+	u.c.changed()
+	switch {
+	case err != nil:
+		u.c.deps.Log.Emit(event.OrderUnanswered, u.fields(o, zap.Error(err))...)
+		return err
+	case v == Accepted || v == Holds:
+		return nil
+	}
+	if v == Replaced {
+		u.entry.Replaced()
+	}
+	u.c.deps.Log.Emit(event.OrderRejected, u.fields(o, zap.Stringer("verdict", v))...)
+	return errRefused
+}
+
+// settle asks the upstream for its report and enters it.
+func (u *unit) settle(ctx context.Context) error {
+	u.mu.Lock()
+	since := u.c.now().Sub(u.changedAt)
+	u.mu.Unlock()
+	if since < reportLag && !pace.Sleep(ctx, reportLag-since) {
+		return ctx.Err()
+	}
+	described, _ := u.entry.Described()
+	ctx, cancel := context.WithTimeout(ctx, orderBound)
+	defer cancel()
+	r, err := u.c.deps.Orders.Report(ctx, &described)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	u.book.Settle(r, u.c.now())
+	u.mu.Unlock()
+	u.c.changed()
+	return nil
+}
+
+// usable says whether the upstream may get orders and work.
+func (u *unit) usable() bool { return u.entry.Usable() }
+
+// holds says whether requests may be sent there for a model and adapter.
+func (u *unit) holds(model, adapter string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.book.Holds(model, adapter)
+}
+
+// used notes requests for a model.
+func (u *unit) used(model, adapter string, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.book.Used(model, adapter, now)
+}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -220,6 +220,31 @@
 	e.mu.Unlock()
 }
 
+// Gained notes an adapter that was just loaded there, before the word that all
+// hosts get of it.
+func (e *Entry) Gained(model, adapter string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.fleet.deps.Now()
+	delete(e.denied, model+"/"+adapter)
+	next := append([]deploy.Resident(nil), e.residentsLocked(now)...)
+	for i := range next {
+		if next[i].Model == model && !contains(next[i].Adapters, adapter) {
+			next[i].Adapters = append(append([]string(nil), next[i].Adapters...), adapter)
+		}
+	}
+	e.believed, e.believedAt = next, now
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
 // Residents is what the upstream holds, by the newest word.
 func (e *Entry) Residents() []deploy.Resident {
 	e.mu.Lock()
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -75,6 +75,9 @@
 	return f.change
 }
 
+// Tell wakes the requests that wait for an upstream.
+func (f *Fleet) Tell() { f.tell() }
+
 func (f *Fleet) tell() {
 	f.changes.Lock()
 	close(f.change)
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -68,6 +68,9 @@
 	if p.Reason == balance.NoAdapter && p.home != nil {
 		return q.fetchAdapter(p)
 	}
+	if p.Reason == balance.NoModel {
+		q.g.deps.Models.Demand(q.service.Name, &q.facts, q.cost.Output, true)
+	}
 	now := q.g.deps.Now()
 	if !now.Before(until) {
 		return q.giveUp(p.Reason)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -8,24 +8,31 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/budget"
+	leasing "peridotpier.example/core/lease"
+	"peridotpier.example/node/coordinator"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/gate"
+	"peridotpier.example/node/lease"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/pace"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/conn"
 )
 
 // Platform is what the host speaks to through an adapter.
 type Platform struct {
 	Source follow.Source
+	Table  store.Table
 	Codec  gate.Codec
+	Orders coordinator.Orders
 }
 
 // Deps are what a Host is made of.
@@ -47,24 +54,29 @@
 	config   *follow.Config
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
+	lease    *lease.Lease
+	coord    *coordinator.Coordinator
+	link     *coordinator.Link
 	callers  *callers
 	ready    *http.Server
 	metrics  *http.Server
 	draining atomic.Bool
 	listed   chan struct{} // closed when the upstreams were read once
 	listOnce atomic.Bool
+	stopped  chan struct{} // closed when the stop is over
 	started  time.Time
 }
 
 // New puts a host together and opens its listeners.
 func New(d Deps) (*Host, error) {
 	set := d.Settings
-	h := &Host{deps: d, set: set, log: d.Log, config: follow.NewConfig(d.Log), listed: make(chan struct{}), started: time.Now()}
+	h := &Host{deps: d, set: set, log: d.Log, config: follow.NewConfig(d.Log), listed: make(chan struct{}), stopped: make(chan struct{}), started: time.Now()}
 	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, LapseHold: milliseconds(set.Bounds.LapseMs)},
 		fleet.Deps{Log: d.Log, Left: d.Client.Forget})
+	h.controlPath()
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
-	h.gate = gate.New(gate.Deps{Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: noModels{},
-		Repeats: gate.NewRepeats(policy, h.hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load})
+	h.gate = gate.New(gate.Deps{Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
+		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load})
 	h.limitMemory()
 	return h, h.listen()
 }
@@ -93,11 +105,21 @@
 // adminBound is how long the head of a request for a page of the host's own may take.
 const adminBound = 2 * time.Second
 
-// hosts is how many hosts share the allowance of repeats, as this one knows.
-func (h *Host) hosts() int { return assumedHosts }
+// leaseName is the lease of the host that gives orders.
+const leaseName = "coordinator"
 
-// assumedHosts is taken before the host has met the others.
-const assumedHosts = 12
+// controlPath puts together what acts for the whole deployment.
+func (h *Host) controlPath() {
+	set, d := h.set, h.deps
+	holder := coordinator.HolderOf(set.Host, set.Peers, uuid.NewString())
+	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder,
+		Policy: leasing.Policy{TTL: milliseconds(set.Bounds.LeaseMs), Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
+		lease.Deps{Table: d.Platform.Table, Log: d.Log})
+	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs + set.Bounds.ThawMs),
+		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
+		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Log: d.Log})
+	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
+}
 
 // Run serves until ctx ends, then stops without cutting anything off within
 // the grace that the platform gives.
@@ -113,6 +135,12 @@
 		return follow.RunUpstreams(ctx, h.deps.Platform.Source, h.fleet, h.upstreamsListed, h.log)
 	})
 	h.add(&g, work, h.sweep)
+	h.add(&g, work, h.coord.Run)
+	h.add(&g, work, h.link.Run)
+	h.add(&g, work, h.fetch)
+	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap()}
+	h.add(&g, ctx, h.whileServing(lead.Run))
+	h.servePeers(&g)
 	h.add(&g, work, h.hangups)
 	h.add(&g, work, h.announce)
 	h.serve(&g, h.ready, h.set.Readiness)
@@ -140,6 +168,65 @@
 	}, func(error) { _ = s.Close() })
 }
 
+// servePeers adds the listener for other hosts.
+func (h *Host) servePeers(g *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		ln, err := net.Listen("tcp", h.set.Peers)
+		if err != nil {
+			return eris.Wrapf(err, "listen for peers at %s", h.set.Peers)
+		}
+		return h.coord.Serve(ctx, ln)
+	}, func(error) { cancel() })
+}
+
+// whileServing lets f end with the stop signal without ending the process: the
+// lease is handed over at once, the requests under way are finished.
+func (h *Host) whileServing(f func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		_ = f(ctx) // it ends with ctx only
+		<-h.stopped
+		return nil
+	}
+}
+
+const (
+	// ampleCores and ampleLinkMbps are what a host should have that acts for
+	// all: its work grows with the number of hosts.
+	ampleCores    = 0.35
+	ampleLinkMbps = 50
+	// handicapPoor is how long one with less waits before it campaigns.
+	handicapPoor = 800 * time.Millisecond
+	handicapAny  = 40 * time.Millisecond
+)
+
+// handicap lets hosts with more to spare take the lease first.
+func (h *Host) handicap() time.Duration {
+	l := h.set.Limits
+	if l.Cores > 0 && l.Cores < ampleCores || l.LinkMbps > 0 && l.LinkMbps < ampleLinkMbps {
+		return handicapPoor
+	}
+	return handicapAny
+}
+
+// fetchAfter is how long the store may take at the start before peers are asked.
+const fetchAfter = time.Second
+
+// fetch asks peers for what this host needs while the store is away.
+func (h *Host) fetch(ctx context.Context) error {
+	for pace.Sleep(ctx, fetchAfter) {
+		if h.config.Current() != nil {
+			break
+		}
+		h.link.Fetch(ctx)
+	}
+	if h.config.Current() != nil && len(h.fleet.All()) > 0 {
+		h.upstreamsListed()
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (h *Host) upstreamsListed() {
 	if h.listOnce.CompareAndSwap(false, true) {
 		close(h.listed)
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -23,8 +23,10 @@
 	Store      string   `json:"store"`     // IP:port of the platform's store
 	Seeds      []string `json:"seeds"`     // peers' addresses of a few hosts, perhaps stale
 	LogLevel   string   `json:"log_level"`
-	Limits     Limits   `json:"limits"`
-	Bounds     Bounds   `json:"bounds"`
+	// NoModelMoves keeps models where they are, to measure what moves gain.
+	NoModelMoves bool   `json:"no_model_moves"`
+	Limits       Limits `json:"limits"`
+	Bounds       Bounds `json:"bounds"`
 }
 
 // Limits are what the machine gives to the process.
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -24,6 +24,7 @@
 // on its way. Requests under way are finished as long as the grace allows.
 func (h *Host) stopOn(ctx context.Context) error {
 	<-ctx.Done()
+	defer close(h.stopped)
 	began := time.Now()
 	h.draining.Store(true)
 	h.log.Emit(event.HostStopping, zap.Int64("active", h.callers.active.Load()))
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -64,8 +64,7 @@
 
 	mu   sync.Mutex
 	held *decide.Held // nil: not held
-
-	seen decide.Observed // used by Run only
+	seen decide.Observed
 }
 
 // New makes a lease; Run campaigns for it.
@@ -146,8 +145,8 @@
 	if err != nil {
 		return retryPause
 	}
-	l.seen = l.seen.See(rows, record, l.deps.Now())
-	d := l.cfg.Policy.Campaign(l.cfg.Holder, l.seen, l.deps.Now())
+	seen := l.see(rows, record)
+	d := l.cfg.Policy.Campaign(l.cfg.Holder, seen, l.deps.Now())
 	if d.Action != decide.Take {
 		return d.Wait
 	}
@@ -165,6 +164,20 @@
 	return 0
 }
 
+func (l *Lease) see(rows decide.Rows, record decide.Record) decide.Observed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen = l.seen.See(rows, record, l.deps.Now())
+	return l.seen
+}
+
+// Seen is the grant that was read last while the lease was not held.
+func (l *Lease) Seen() decide.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen.Record
+}
+
 func (l *Lease) renew(ctx context.Context, held decide.Held) time.Duration {
 	from := l.deps.Now()
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Policy.Remaining(held, from))
