Relay the store's changes through one host; stop without cutting or starving anyone

Change: the lease's holder asks the store twice a second and relays with its age; hosts ask it themselves once that is older than 1.2 s; entries are held only after the store was seen away, or for 0.6 of the drain time when a third vanish; a caller's connection knows from the first byte that a request is read; after 2.5 s nothing new is taken.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -73,6 +73,7 @@
 	Config *follow.Config
 	Lease  *lease.Lease
 	Orders Orders
+	Feed   *follow.Follower
 	Log    *event.Log
 	Now    func() time.Time
 }
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -14,6 +14,7 @@
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
 	"peridotpier.example/node/gate"
 	"peridotpier.example/node/pace"
 )
@@ -50,6 +51,7 @@
 	address  string // of the host that holds the lease; "": not linked
 	failed   int    // reports in a row
 	revision uint64
+	list     uint64 // change of the holder's list up to which this host has it
 	holdings []*coordpb.Holding
 	hosts    int // most that were ever seen to share the allowance
 }
@@ -122,7 +124,35 @@
 		l.unlink(address, errNotHolding)
 	default:
 		l.take(s)
+		if address != l.cfg.Address {
+			l.takeRelay(s)
+		}
+	}
+}
+
+// takeRelay enters what the holder has from the store.
+func (l *Link) takeRelay(s *coordpb.SiteState) {
+	r := follow.Relay{Age: time.Duration(s.StoreAgeMs) * time.Millisecond, UpstreamsAt: s.ListAt, Full: s.ListFull}
+	r.Gone = s.Gone
+	if len(s.Config) > 0 {
+		r.Config = new(deploy.Config)
+		if err := json.Unmarshal(s.Config, r.Config); err != nil {
+			l.log.Emit(event.RoutesUnusable, zap.Error(err))
+			return
+		}
+	}
+	for _, data := range s.Put {
+		var u deploy.Upstream
+		if err := json.Unmarshal(data, &u); err != nil {
+			l.log.Emit(event.RoutesUnusable, zap.Error(err))
+			return
+		}
+		r.Put = append(r.Put, u)
 	}
+	l.own.deps.Feed.Take(r)
+	l.mu.Lock()
+	l.list = s.List
+	l.mu.Unlock()
 }
 
 // report gathers what this host tells.
@@ -135,7 +165,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.Revision = l.revision
+	r.Revision, r.List = l.revision, l.list
+	if t := l.own.deps.Config.Current(); t != nil {
+		r.Config = t.Config.Version
+	}
 	for _, d := range l.demand {
 		r.Demand = append(r.Demand, d)
 	}
@@ -193,7 +226,7 @@
 	l.mu.Lock()
 	was := l.address
 	if was == address {
-		l.address, l.failed, l.revision, l.holdings = "", 0, 0, nil
+		l.address, l.failed, l.revision, l.list, l.holdings = "", 0, 0, 0, nil
 	}
 	l.mu.Unlock()
 	if was == address {
@@ -218,9 +251,10 @@
 		return false
 	}
 	l.mu.Lock()
-	l.address, l.failed, l.revision = address, 0, 0
+	l.address, l.failed, l.revision, l.list = address, 0, 0, 0
 	l.mu.Unlock()
 	l.take(s)
+	l.takeRelay(s)
 	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
 }
@@ -297,10 +331,17 @@
 // adopt puts a peer's configuration and upstreams in force here.
 func (l *Link) adopt(a *coordpb.StateAnswer) bool {
 	var cfg deploy.Config
-	var all []deploy.Upstream
-	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil || json.Unmarshal(a.Upstreams, &all) != nil {
+	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil {
 		return false
 	}
+	var all []deploy.Upstream
+	for _, data := range a.Upstreams {
+		var u deploy.Upstream
+		if json.Unmarshal(data, &u) != nil {
+			return false
+		}
+		all = append(all, u)
+	}
 	l.own.deps.Config.Offer(&cfg, "peer")
 	l.own.deps.Fleet.Apply(all, nil)
 	return true
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -27,7 +27,8 @@
 
 // Report implements coordpb.DRPCCoordinatorServer, as the methods below do.
 func (s service) Report(_ context.Context, r *coordpb.HostReport) (*coordpb.SiteState, error) {
-	return s.c.report(r), nil
+	out := s.c.report(r)
+	return out, s.c.relay(r, out)
 }
 
 func (s service) Adapter(ctx context.Context, a *coordpb.AdapterCall) (*coordpb.AdapterAnswer, error) {
@@ -55,15 +56,38 @@
 		}
 		out.Config = data
 	}
-	var all []deploy.Upstream
-	for _, e := range s.c.deps.Fleet.All() {
-		if u, _ := e.Described(); e.Usable() {
-			all = append(all, u)
+	var err error
+	out.Upstreams, err = encode(s.c.deps.Fleet.Since(0).Put)
+	return out, err
+}
+
+func encode(all []deploy.Upstream) ([][]byte, error) {
+	out := make([][]byte, len(all))
+	for i := range all {
+		data, err := json.Marshal(all[i])
+		if err != nil {
+			return nil, err
 		}
+		out[i] = data
 	}
-	data, err := json.Marshal(all)
-	out.Upstreams = data
-	return out, err
+	return out, nil
+}
+
+// relay adds what the store told this host and the other does not have yet.
+func (c *Coordinator) relay(r *coordpb.HostReport, out *coordpb.SiteState) error {
+	out.StoreAgeMs = uint32(min(c.deps.Feed.Age(), time.Hour).Milliseconds())
+	if t := c.deps.Config.Current(); t != nil && t.Config.Version > r.Config {
+		data, err := json.Marshal(t.Config)
+		if err != nil {
+			return err
+		}
+		out.Config = data
+	}
+	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
+	change := c.deps.Fleet.Since(r.List)
+	put, err := encode(change.Put)
+	out.List, out.ListAt, out.ListFull, out.Put, out.Gone = change.To, at, change.Full, put, change.Gone
+	return err
 }
 
 // report takes one host's report and answers what it needs of the others.
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -51,6 +51,7 @@
 	mu         sync.Mutex
 	up         deploy.Upstream
 	described  time.Time
+	state      uint64 // of the list when it was described
 	leaving    bool
 	gone       bool      // its entry vanished
 	useUntil   time.Time // of one that vanished with others
@@ -99,9 +100,17 @@
 	return e.health.Standing(e.fleet.deps.Now())
 }
 
-func (e *Entry) describe(u deploy.Upstream, now time.Time) {
+// listed is what the platform's list says of it, and since which state.
+func (e *Entry) listed() (u deploy.Upstream, state uint64, gone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.up, e.state, e.gone
+}
+
+func (e *Entry) describe(u deploy.Upstream, now time.Time, state uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
 	u.Service, u.Address = e.up.Service, e.up.Address // one process keeps both
 	e.up, e.described = u, now
 	if e.gone && u.State == deploy.Ready {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -19,10 +19,12 @@
 type Config struct {
 	DataCentre string
 	Health     health.Policy
-	// LapseHold is how long an upstream whose entry vanished together with
-	// others is still used: entries run out while the store is away, and come
-	// back within this time after its return if their upstreams live.
+	// LapseHold is how long after the store's return the entries that ran out
+	// while it was away may take to come back, if their upstreams live.
 	LapseHold time.Duration
+	// MassHold is how long upstreams are still used whose entries vanish in
+	// great number though the store was not seen to be away.
+	MassHold time.Duration
 }
 
 // Deps are what a Fleet works with.
@@ -41,9 +43,50 @@
 	deps  Deps
 	index atomic.Pointer[index]
 
-	mu      sync.Mutex // of writers of the index
-	change  chan struct{}
-	changes sync.Mutex // guards change
+	mu       sync.Mutex // of writers of the index
+	backAt   time.Time  // when the store was last reached again
+	state    uint64     // rises with every change of the list
+	gone     []vanished // the last ones
+	goneFrom uint64     // state from which on gone is complete
+	change   chan struct{}
+	changes  sync.Mutex // guards change
+}
+
+// Change is what came after an earlier state of the list.
+type Change struct {
+	To   uint64 // state that it brings to
+	Full bool   // Put is the whole list
+	Put  []deploy.Upstream
+	Gone []string
+}
+
+// goneMost is how many vanished upstreams are remembered for Since. A host that
+// is farther behind gets the whole list.
+const goneMost = 256
+
+// vanished is an upstream whose entry is gone, with the state since which it is.
+type vanished struct {
+	id string
+	at uint64
+}
+
+// Since returns what changed in the platform's list after a state, for other
+// hosts; 0 asks for all of it.
+func (f *Fleet) Since(from uint64) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := Change{To: f.state, Full: from == 0 || from < f.goneFrom || from > f.state}
+	for _, e := range f.index.Load().byID {
+		if u, at, gone := e.listed(); !gone && (out.Full || at > from) {
+			out.Put = append(out.Put, u)
+		}
+	}
+	for _, v := range f.gone {
+		if !out.Full && v.at > from {
+			out.Gone = append(out.Gone, v.id)
+		}
+	}
+	return out
 }
 
 type index struct {
@@ -124,6 +167,7 @@
 func (f *Fleet) Apply(put []deploy.Upstream, gone []string) {
 	f.mu.Lock()
 	now := f.deps.Now()
+	f.state++
 	next := f.index.Load().copy()
 	for i := range put {
 		f.put(next, put[i], now)
@@ -142,30 +186,50 @@
 		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
 			zap.String("address", u.Address), zap.Int("residents", len(u.Residents)))
 	}
-	e.describe(u, now)
+	e.describe(u, now, f.state)
 }
 
-// lapse notes entries that vanished. One that vanishes alone is leaving at
-// once. When several vanish together, their records may only have run out
-// while the store was away, and giving them all up would leave nobody to serve.
+// massShare is the part of a service's upstreams that do not leave all at once.
+const massShare = 0.34
+
+// lapse notes entries that vanished. Normally their upstreams are leaving. But
+// entries also run out while the store is away, and giving up all upstreams
+// then would leave nobody to serve.
 func (f *Fleet) lapse(ix *index, gone []string, now time.Time) {
-	together := map[string]int{}
+	together, all := map[string]int{}, map[string]int{}
 	for _, id := range gone {
 		if e, ok := ix.byID[id]; ok {
 			together[e.Service()]++
 		}
 	}
+	for _, e := range ix.byID {
+		all[e.Service()]++
+	}
+	away := f.cfg.LapseHold - now.Sub(f.backAt) // what is left of the time after the store's return
 	for _, id := range gone {
 		e, ok := ix.byID[id]
 		if !ok {
 			continue
 		}
-		hold := time.Duration(0)
-		if together[e.Service()] > 1 {
-			hold = f.cfg.LapseHold
+		hold := max(away, 0)
+		n := together[e.Service()]
+		if hold == 0 && n > 1 && float64(n) >= massShare*float64(all[e.Service()]) {
+			hold = f.cfg.MassHold
 		}
 		e.vanish(now, hold)
+		f.gone = append(f.gone, vanished{id, f.state})
 	}
+	if over := len(f.gone) - goneMost; over > 0 {
+		f.goneFrom = f.gone[over-1].at
+		f.gone = append([]vanished(nil), f.gone[over:]...)
+	}
+}
+
+// StoreBack notes that the store is reached again after it was away.
+func (f *Fleet) StoreBack() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backAt = f.deps.Now()
 }
 
 // Sweep forgets upstreams that have left and answer nothing any more, ends
--- /dev/null
+++ b/node/follow/config.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/event"
+)
+
+// Config holds the configuration in force at this host. It never goes back to
+// a lower version while the process lives.
+type Config struct {
+	log   *event.Log
+	table atomic.Pointer[deploy.Table]
+	first chan struct{}
+}
+
+// NewConfig makes one with nothing in force.
+func NewConfig(log *event.Log) *Config { return &Config{log: log, first: make(chan struct{})} }
+
+// Current returns the table in force, or nil before the first.
+func (c *Config) Current() *deploy.Table { return c.table.Load() }
+
+// First is closed when a configuration is in force.
+func (c *Config) First() <-chan struct{} { return c.first }
+
+// Offer puts a configuration in force if it is newer; source says where it
+// came from.
+func (c *Config) Offer(next *deploy.Config, source string) bool {
+	t := deploy.NewTable(next)
+	for {
+		old := c.table.Load()
+		if old != nil && old.Config.Version >= next.Version {
+			return false
+		}
+		if !c.table.CompareAndSwap(old, t) {
+			continue
+		}
+		was := uint64(0)
+		if old != nil {
+			was = old.Config.Version
+		} else {
+			close(c.first)
+		}
+		c.log.Emit(event.RoutesInForce, zap.Uint64("version", next.Version), zap.Uint64("was", was),
+			zap.String("source", source), zap.Int("routes", len(next.Routes)), zap.Int("services", len(next.Services)))
+		return true
+	}
+}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -1,11 +1,15 @@
 // Package follow keeps a host's configuration and its view of the upstreams up
 // to date from the platform's store: a full read first, then changes as they
-// come. While the store is away the host goes on with what it has.
+// come. Calls of the store are priced, so that only one host follows it
+// closely and relays to the others; each goes back to the store by itself as
+// soon as the relay is not fresh. While the store is away a host goes on with
+// what it has.
 package follow
 
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +30,8 @@
 
 // Source is what the platform's store tells of a deployment. Waiting calls
 // return at the first change, or with none after the wait. Their errors are
-// those of package store; store.ErrHistoryLost asks for a new full read.
+// those of package store; store.ErrHistoryLost asks for a new full read. The
+// versions that they return come from one counter for all tables.
 type Source interface {
 	ReadConfig(ctx context.Context) (*deploy.Config, uint64, error)
 	WaitConfig(ctx context.Context, after uint64, wait time.Duration) (*deploy.Config, uint64, error)
@@ -35,172 +40,259 @@
 }
 
 const (
-	// feedWait is how long a call for changes waits. Calls are priced, so it
-	// is long; a connection that went silent is noticed by its keepalive.
-	feedWait = 10 * time.Second
+	// aloneWait is how long a call for changes waits at a host without a
+	// relay. A connection that went silent is noticed by its keepalive, or
+	// at the latest this much later.
+	aloneWait = 2 * time.Second
+	// relayUpstreamsWait and relayConfigWait are the same at the host that
+	// relays. Their answers show the others how fresh the relay is: what a
+	// change may take to reach every host is a little more than these.
+	relayUpstreamsWait = 500 * time.Millisecond
+	relayConfigWait    = 800 * time.Millisecond
+	// relayFresh is how old the relaying host's last answer from the store may
+	// be. Past it, hosts ask the store themselves.
+	relayFresh = 1200 * time.Millisecond
 	// readBound is how long a call may take that does not wait, and how much
 	// longer than its wait one that does.
 	readBound = 1500 * time.Millisecond
 	// firstPause and longestPause lie between tries while the store is away.
 	// The longest bounds how late a host notices that it is back.
 	firstPause   = 50 * time.Millisecond
-	longestPause = 500 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// relayedPause is how often a host looks whether its relay is still fresh.
+	relayedPause = 100 * time.Millisecond
 )
 
-// feed is one table that is followed.
-type feed struct {
-	name string
-	read func(ctx context.Context) (at uint64, err error)
-	wait func(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error)
-	log  *event.Log
-	// back is told how long the store had been away when it is reached again.
-	back func(away time.Duration)
+// Listener takes the list of upstreams.
+type Listener interface {
+	Replace(all []deploy.Upstream)
+	Apply(put []deploy.Upstream, gone []string)
+	StoreBack()
 }
 
-// run follows the table until ctx ends.
-func (f *feed) run(ctx context.Context) error {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
-	var at uint64
-	var lostAt time.Time
-	for ctx.Err() == nil {
-		next, err := f.step(ctx, at)
-		switch {
-		case err == nil:
-			f.regained(&lostAt)
-			pause.Reset()
-			at = next
-			continue
-		case errors.Is(err, store.ErrHistoryLost):
-			f.log.Emit(event.FeedReread, zap.String("table", f.name), zap.Uint64("after", at))
-			at = 0
-		default:
-			f.lost(ctx, &lostAt, err)
-		}
-		pace.Sleep(ctx, pause.NextBackOff())
-	}
-	return ctx.Err()
+// Deps are what a Follower works with.
+type Deps struct {
+	Source    Source
+	Config    *Config
+	Upstreams Listener
+	Log       *event.Log
+	// Relays says whether this host relays to the others.
+	Relays func() bool
+	// Listed is called after the list of upstreams was first known.
+	Listed func()
 }
 
-// step makes one call: a full read when nothing is known, else the next changes.
-func (f *feed) step(ctx context.Context, at uint64) (uint64, error) {
-	if at == 0 {
-		ctx, cancel := context.WithTimeout(ctx, readBound)
-		defer cancel()
-		return f.read(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+readBound)
-	defer cancel()
-	return f.wait(ctx, at, feedWait)
+// Follower follows the store for one host.
+type Follower struct {
+	deps      Deps
+	config    progress
+	upstreams progress
+	relayed   atomic.Int64 // when a fresh relay was last heard, by the steady clock since from; 0: never
+	from      time.Time
+	applying  sync.Mutex // of upstreams, so that a relayed list and one read here do not mix
 }
 
-func (f *feed) lost(ctx context.Context, since *time.Time, err error) {
-	if !since.IsZero() || ctx.Err() != nil {
-		return
-	}
-	*since = time.Now()
-	f.log.Emit(event.StoreLost, zap.String("table", f.name), zap.Error(err))
+// progress is how far a table was followed.
+type progress struct {
+	at    atomic.Uint64 // version from which on changes are asked for; 0: none
+	heard atomic.Int64  // when the store last answered, by the steady clock since Follower.from; 0: never
 }
 
-func (f *feed) regained(since *time.Time) {
-	if since.IsZero() {
-		return
-	}
-	away := time.Since(*since)
-	*since = time.Time{}
-	f.log.Emit(event.StoreRegained, zap.String("table", f.name), zap.Duration("away", away))
-	if f.back != nil {
-		f.back(away)
+// New makes a Follower; Run makes it work.
+func New(d Deps) *Follower {
+	if d.Relays == nil {
+		d.Relays = func() bool { return false }
 	}
+	return &Follower{deps: d, from: time.Now()}
 }
 
-// Config holds the configuration in force at this host. It never goes back to
-// a lower version while the process lives.
-type Config struct {
-	log   *event.Log
-	table atomic.Pointer[deploy.Table]
-	first chan struct{}
-}
+// sinceStart is the steady clock; never 0.
+func (f *Follower) sinceStart() int64 { return max(int64(time.Since(f.from)), 1) }
 
-// NewConfig makes one with nothing in force.
-func NewConfig(log *event.Log) *Config { return &Config{log: log, first: make(chan struct{})} }
+// Relay is what the host that follows the store closely hands on.
+type Relay struct {
+	Config      *deploy.Config // nil: none newer
+	Age         time.Duration  // since the store last answered that host, for the older of its two feeds
+	UpstreamsAt uint64         // version that the list is of
+	Full        bool           // Put is the whole list
+	Upstreams
+}
 
-// Current returns the table in force, or nil before the first.
-func (c *Config) Current() *deploy.Table { return c.table.Load() }
+// Take enters what was relayed. An upstreams' list that is older than what
+// this host has itself is passed over.
+func (f *Follower) Take(r Relay) {
+	if r.Config != nil {
+		f.deps.Config.Offer(r.Config, "relay")
+	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	if r.UpstreamsAt >= f.upstreams.at.Load() && r.UpstreamsAt > 0 {
+		if r.Full {
+			f.deps.Upstreams.Replace(r.Put)
+			f.deps.Listed()
+		} else if len(r.Put)+len(r.Gone) > 0 {
+			f.deps.Upstreams.Apply(r.Put, r.Gone)
+		}
+		f.upstreams.at.Store(r.UpstreamsAt)
+	}
+	if r.Age < relayFresh {
+		f.relayed.Store(f.sinceStart() - int64(r.Age))
+	}
+}
 
-// First is closed when a configuration is in force.
-func (c *Config) First() <-chan struct{} { return c.first }
+// isRelayed says whether the relay is fresh enough to do without the store.
+func (f *Follower) isRelayed() bool {
+	at := f.relayed.Load()
+	return at != 0 && f.sinceStart()-at < int64(relayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
+}
 
-// Offer puts a configuration in force if it is newer; source says where it
-// came from.
-func (c *Config) Offer(next *deploy.Config, source string) bool {
-	t := deploy.NewTable(next)
-	for {
-		old := c.table.Load()
-		if old != nil && old.Config.Version >= next.Version {
-			return false
-		}
-		if !c.table.CompareAndSwap(old, t) {
-			continue
-		}
-		was := uint64(0)
-		if old != nil {
-			was = old.Config.Version
-		} else {
-			close(c.first)
-		}
-		c.log.Emit(event.RoutesInForce, zap.Uint64("version", next.Version), zap.Uint64("was", was),
-			zap.String("source", source), zap.Int("routes", len(next.Routes)), zap.Int("services", len(next.Services)))
-		return true
+// Age is how long ago the store answered, for the older of the two feeds.
+func (f *Follower) Age() time.Duration {
+	heard := min(f.config.heard.Load(), f.upstreams.heard.Load())
+	if heard == 0 {
+		return time.Hour
 	}
+	return time.Duration(f.sinceStart() - heard)
 }
 
+// UpstreamsAt is the version that the list of upstreams is of.
+func (f *Follower) UpstreamsAt() uint64 { return f.upstreams.at.Load() }
+
 // RunConfig follows the configuration until ctx ends. One that cannot be used
 // leaves the one in force as it is.
-func RunConfig(ctx context.Context, s Source, c *Config, log *event.Log) error {
+func (f *Follower) RunConfig(ctx context.Context) error {
 	take := func(cfg *deploy.Config, at uint64, err error) (uint64, error) {
 		var bad *store.UnusableError
 		if errors.As(err, &bad) {
-			log.Emit(event.RoutesUnusable, zap.Error(err))
+			f.deps.Log.Emit(event.RoutesUnusable, zap.Error(err))
 			return at, nil
 		}
 		if err == nil && cfg != nil {
-			c.Offer(cfg, "store")
+			f.deps.Config.Offer(cfg, "store")
 		}
 		return at, err
 	}
-	f := &feed{name: "configuration", log: log,
-		read: func(ctx context.Context) (uint64, error) { return take(s.ReadConfig(ctx)) },
+	return f.run(ctx, &feed{name: "configuration", progress: &f.config, relayWait: relayConfigWait,
+		read: func(ctx context.Context) (uint64, error) { return take(f.deps.Source.ReadConfig(ctx)) },
 		wait: func(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
-			return take(s.WaitConfig(ctx, after, wait))
-		}}
-	return f.run(ctx)
+			return take(f.deps.Source.WaitConfig(ctx, after, wait))
+		}})
 }
 
-// Listener takes the list of upstreams.
-type Listener interface {
-	Replace(all []deploy.Upstream)
-	Apply(put []deploy.Upstream, gone []string)
-}
-
-// RunUpstreams follows the upstreams until ctx ends. first is called after the
-// first full read.
-func RunUpstreams(ctx context.Context, s Source, l Listener, first func(), log *event.Log) error {
-	f := &feed{name: "upstreams", log: log,
+// RunUpstreams follows the upstreams until ctx ends.
+func (f *Follower) RunUpstreams(ctx context.Context) error {
+	return f.run(ctx, &feed{name: "upstreams", progress: &f.upstreams, relayWait: relayUpstreamsWait, back: f.deps.Upstreams.StoreBack,
 		read: func(ctx context.Context) (uint64, error) {
-			all, at, err := s.ReadUpstreams(ctx)
-			if err == nil {
-				l.Replace(all)
-				first()
+			all, at, err := f.deps.Source.ReadUpstreams(ctx)
+			if err != nil {
+				return 0, err
+			}
+			f.applying.Lock()
+			defer f.applying.Unlock()
+			if at >= f.upstreams.at.Load() {
+				f.deps.Upstreams.Replace(all)
+				f.deps.Listed()
 			}
-			return at, err
+			return at, nil
 		},
 		wait: func(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
-			u, at, err := s.WaitUpstreams(ctx, after, wait)
-			if err == nil && len(u.Put)+len(u.Gone) > 0 {
-				l.Apply(u.Put, u.Gone)
+			u, at, err := f.deps.Source.WaitUpstreams(ctx, after, wait)
+			if err != nil {
+				return 0, err
+			}
+			f.applying.Lock()
+			defer f.applying.Unlock()
+			if at >= f.upstreams.at.Load() && len(u.Put)+len(u.Gone) > 0 {
+				f.deps.Upstreams.Apply(u.Put, u.Gone)
 			}
-			return at, err
-		}}
-	return f.run(ctx)
+			return at, nil
+		}})
+}
+
+// feed is one table that is followed.
+type feed struct {
+	name      string
+	progress  *progress
+	relayWait time.Duration
+	read      func(ctx context.Context) (at uint64, err error)
+	wait      func(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error)
+	back      func() // the store is reached again; nil: nobody asks
+	reread    bool
+	lostAt    time.Time
+}
+
+// run follows one table until ctx ends.
+func (f *Follower) run(ctx context.Context, d *feed) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	for ctx.Err() == nil {
+		if f.isRelayed() {
+			pace.Sleep(ctx, relayedPause)
+			continue
+		}
+		at, err := f.step(ctx, d)
+		if err == nil {
+			d.progress.heard.Store(f.sinceStart())
+			f.advance(d, at)
+			f.regained(d)
+			pause.Reset()
+			continue
+		}
+		if errors.Is(err, store.ErrHistoryLost) {
+			f.deps.Log.Emit(event.FeedReread, zap.String("table", d.name), zap.Uint64("after", d.progress.at.Load()))
+			d.reread = true
+			continue
+		}
+		f.lost(ctx, d, err)
+		pace.Sleep(ctx, pause.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+// advance notes how far the table was followed, unless a relay is farther.
+func (f *Follower) advance(d *feed, at uint64) {
+	for {
+		old := d.progress.at.Load()
+		if old >= at || d.progress.at.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// step makes one call: a full read when nothing is known, else the next changes.
+func (f *Follower) step(ctx context.Context, d *feed) (uint64, error) {
+	at := d.progress.at.Load()
+	if at == 0 || d.reread {
+		ctx, cancel := context.WithTimeout(ctx, readBound)
+		defer cancel()
+		next, err := d.read(ctx)
+		d.reread = d.reread && err != nil
+		return next, err
+	}
+	wait := aloneWait
+	if f.deps.Relays() {
+		wait = d.relayWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readBound)
+	defer cancel()
+	return d.wait(ctx, at, wait)
+}
+
+func (f *Follower) lost(ctx context.Context, d *feed, err error) {
+	if !d.lostAt.IsZero() || ctx.Err() != nil {
+		return
+	}
+	d.lostAt = time.Now()
+	f.deps.Log.Emit(event.StoreLost, zap.String("table", d.name), zap.Error(err))
+}
+
+func (f *Follower) regained(d *feed) {
+	if d.lostAt.IsZero() {
+		return
+	}
+	f.deps.Log.Emit(event.StoreRegained, zap.String("table", d.name), zap.Duration("away", time.Since(d.lostAt)))
+	d.lostAt = time.Time{}
+	if d.back != nil {
+		d.back()
+	}
 }
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -41,6 +41,7 @@
 	Log      *event.Log
 	Metrics  *metrics.Set
 	Draining func() bool // the host is about to stop: callers should go elsewhere
+	Closing  func() bool // nothing new is taken: it might not end in time
 	Now      func() time.Time
 	Draw     func() float64 // in [0, 1)
 }
@@ -114,9 +115,13 @@
 func (q *request) admit() bool {
 	d := &q.g.deps
 	table := d.Config.Current()
-	if table == nil {
+	switch {
+	case table == nil:
 		q.refuse("no_configuration", configRetry)
 		return false
+	case d.Closing():
+		q.refuse("stopping", stopRetry)
+		return false
 	}
 	q.version = table.Config.Version
 	q.route = table.Match(q.r.Host, q.r.URL.Path)
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -16,6 +16,8 @@
 const (
 	// configRetry: a host that starts has its configuration within a second.
 	configRetry = 500 * time.Millisecond
+	// stopRetry: another host takes the request at once.
+	stopRetry = 20 * time.Millisecond
 	// fullRetry: an engine's batch turns over in about this time.
 	fullRetry = 250 * time.Millisecond
 	// serverRetry: a restarted upstream is listed again after about a second.
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"errors"
 	"log"
 	"net"
@@ -31,11 +30,11 @@
 	once   sync.Once
 
 	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	idle map[*callerConn]time.Time
 }
 
 func newCallers(ln net.Listener, h http.Handler, idleBound func() time.Duration, events *event.Log) *callers {
-	c := &callers{ln: ln, bound: idleBound, ended: make(chan struct{}), idle: map[net.Conn]time.Time{}}
+	c := &callers{ln: ln, bound: idleBound, ended: make(chan struct{}), idle: map[*callerConn]time.Time{}}
 	c.server = &http.Server{Handler: c.count(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
 		ErrorLog: log.New(complaints{events}, "", 0)}
 	return c
@@ -51,50 +50,101 @@
 }
 
 func (c *callers) state(nc net.Conn, s http.ConnState) {
+	own, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s == http.StateIdle {
-		c.idle[nc] = time.Now()
+	if s != http.StateIdle {
+		delete(c.idle, own)
 		return
 	}
-	delete(c.idle, nc)
+	own.phase.Store(connIdle)
+	c.idle[own] = time.Now()
 }
 
 // sweep closes the connections that were idle for longer than the
 // configuration in force allows, which the server's own fixed bound cannot follow.
 func (c *callers) sweep(now time.Time) {
 	most := c.bound()
+	c.closeIf(func(since time.Time) bool { return now.Sub(since) > most })
+}
+
+// closeIdle closes the connections without a request and returns how many
+// requests are left.
+func (c *callers) closeIdle() int64 {
+	c.closeIf(func(time.Time) bool { return true })
+	return c.active.Load()
+}
+
+func (c *callers) closeIf(due func(since time.Time) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for nc, since := range c.idle {
-		if now.Sub(since) > most {
-			_ = nc.Close()
-			delete(c.idle, nc)
+	for own, since := range c.idle {
+		if due(since) && own.phase.CompareAndSwap(connIdle, connClosing) {
+			_ = own.Close()
+			delete(c.idle, own)
 		}
 	}
 }
 
-// serve returns when the listener fails or after close. A shutdown alone does
-// not end it: requests are still being finished then.
+// closeListener takes no more connections.
+func (c *callers) closeListener() { _ = c.ln.Close() }
+
+// serve returns when the listener fails or after close. The closing of the
+// listener alone does not end it: requests are still being finished then.
 func (c *callers) serve() error {
-	err := c.server.Serve(c.ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	err := c.server.Serve(callerListener{c.ln})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-c.ended
 		return nil
 	}
 	return err
 }
 
-// shutdown takes no more connections, ends the idle ones, and waits for the
-// requests under way until ctx ends.
-func (c *callers) shutdown(ctx context.Context) error { return c.server.Shutdown(ctx) }
-
 // close ends whatever is left.
 func (c *callers) close() {
 	c.once.Do(func() { close(c.ended) })
 	_ = c.server.Close()
 }
 
+// The phases of a caller's connection between two requests.
+const (
+	connActive  int32 = iota // a request is being read or answered
+	connIdle                 // nothing came since the last answer
+	connClosing              // this host ends it
+)
+
+// callerConn knows, from the first byte on, that a request is being read. The
+// HTTP server tells only once it has the whole head; a connection that is
+// closed for being idle until then cuts off a request that was read.
+type callerConn struct {
+	net.Conn
+	phase atomic.Int32
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.phase.CompareAndSwap(connIdle, connActive)
+	}
+	return n, err
+}
+
+// callerListener makes the connections that it accepts callerConns.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: nc}, nil
+}
+
 // complaints passes on what the HTTP server has to say.
 type complaints struct{ log *event.Log }
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -54,13 +54,15 @@
 	config   *follow.Config
 	fleet    *fleet.Fleet
 	gate     *gate.Gate
+	feed     *follow.Follower
 	lease    *lease.Lease
 	coord    *coordinator.Coordinator
 	link     *coordinator.Link
 	callers  *callers
 	ready    *http.Server
 	metrics  *http.Server
-	draining atomic.Bool
+	draining atomic.Bool   // callers should go elsewhere
+	closing  atomic.Bool   // requests are not taken any more
 	listed   chan struct{} // closed when the upstreams were read once
 	listOnce atomic.Bool
 	stopped  chan struct{} // closed when the stop is over
@@ -71,16 +73,20 @@
 func New(d Deps) (*Host, error) {
 	set := d.Settings
 	h := &Host{deps: d, set: set, log: d.Log, config: follow.NewConfig(d.Log), listed: make(chan struct{}), stopped: make(chan struct{}), started: time.Now()}
-	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, LapseHold: milliseconds(set.Bounds.LapseMs)},
+	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, LapseHold: milliseconds(set.Bounds.LapseMs), MassHold: milliseconds(set.Bounds.DrainMs * massHoldShare)},
 		fleet.Deps{Log: d.Log, Left: d.Client.Forget})
 	h.controlPath()
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
 	h.gate = gate.New(gate.Deps{Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
-		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load})
+		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load})
 	h.limitMemory()
 	return h, h.listen()
 }
 
+// massHoldShare is the part of the time in which a leaving upstream may still
+// get work for which upstreams are used whose entries vanish in great number.
+const massHoldShare = 0.6
+
 // memoryShare is the part of the machine's memory that the runtime aims at.
 // The rest covers what it does not count: sockets' buffers and stacks in use.
 const memoryShare = 0.6
@@ -115,9 +121,11 @@
 	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder,
 		Policy: leasing.Policy{TTL: milliseconds(set.Bounds.LeaseMs), Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: d.Platform.Table, Log: d.Log})
+	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log,
+		Relays: func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs + set.Bounds.ThawMs),
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
-		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Log: d.Log})
+		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
 	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
 }
 
@@ -130,10 +138,8 @@
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var g run.Group
-	h.add(&g, work, func(ctx context.Context) error { return follow.RunConfig(ctx, h.deps.Platform.Source, h.config, h.log) })
-	h.add(&g, work, func(ctx context.Context) error {
-		return follow.RunUpstreams(ctx, h.deps.Platform.Source, h.fleet, h.upstreamsListed, h.log)
-	})
+	h.add(&g, work, h.feed.RunConfig)
+	h.add(&g, work, h.feed.RunUpstreams)
 	h.add(&g, work, h.sweep)
 	h.add(&g, work, h.coord.Run)
 	h.add(&g, work, h.link.Run)
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -15,6 +15,8 @@
 	// after the host says that it is not ready: two questions a second apart,
 	// and the way of the last connection.
 	balancerNotice = 2500 * time.Millisecond
+	// stopLook is how often the stop looks whether it is over.
+	stopLook = 50 * time.Millisecond
 	// stopReserve is kept of the grace for the last writes and the end of the process.
 	stopReserve = 700 * time.Millisecond
 )
@@ -29,11 +31,14 @@
 	h.draining.Store(true)
 	h.log.Emit(event.HostStopping, zap.Int64("active", h.callers.active.Load()))
 	grace := seconds(h.set.Bounds.GraceS) - stopReserve
-	pace.Sleep(context.WithoutCancel(ctx), min(balancerNotice, grace/2))
-	bound, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(grace))
-	defer cancel()
-	err := h.callers.shutdown(bound)
-	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", time.Since(began)), zap.NamedError("left", err))
+	wait := context.WithoutCancel(ctx)
+	pace.Sleep(wait, min(balancerNotice, grace/2))
+	h.closing.Store(true)
+	h.callers.closeListener()
+	for h.callers.closeIdle() > 0 && time.Since(began) < grace {
+		pace.Sleep(wait, stopLook)
+	}
+	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", time.Since(began)))
 	return nil
 }
 
