Prepare for models not yet asked for; let rare ones be nowhere; shorter lease

Ruled out: more moves at once alone. Change: priors for models not yet asked for where a load at hand is quicker than one from the store; the last replica of a patient model may make way; lease of 1.5 s with bounded tries; no long holds at a stopping host.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -48,6 +48,9 @@
 type Demand struct {
 	Load     float64 // engines' time for it, each second
 	Unserved bool    // somebody waits, or was refused, for want of it
+	// Patient says that all who asked for it so far would wait for a load from
+	// a disk. Such a model may be nowhere for a while.
+	Patient bool
 }
 
 // String writes the demand into logs.
@@ -58,6 +61,11 @@
 	Engine    *deploy.Engine
 	Upstreams []Upstream
 	Demand    map[string]Demand
+	// Prior is the load to prepare for of models that nobody asked for yet.
+	Prior     map[string]float64
+	// SomePatient says that the deployment has callers who would wait for a
+	// load; else every model must stay somewhere.
+	SomePatient bool
 	StoreLeft int // loads from the weight store that may begin now
 	Most      int // moves to plan at most
 }
@@ -80,15 +88,27 @@
 	Gain float64
 	// Settled is how long a model stays at least where it was loaded.
 	Settled time.Duration
+	// Absent is the pressure that counts for a model whose last replica makes
+	// way, and AbsentShare what each unit of its load adds to that.
+	Absent      float64
+	AbsentShare float64
+	// Unlikely is the prior below which a model that nobody asked for may be
+	// nowhere.
+	Unlikely float64
 }
 
 // Default policy.
 var Default = Policy{
-	// At a quarter of an engine's time prompts queue rarely; three models share one engine.
-	Pressure: 0.22,
+	// At this share of an engine's time prompts queue rarely; three models share one engine.
+	Pressure: 0.1,
 	Gain:     1.6,
 	// A load takes one to nine seconds; what is moved back sooner never paid for it.
 	Settled: 3 * time.Second,
+	// A request for it would wait for a load, and another model would have to
+	// make way: worth it only when hot models are under pressure.
+	Absent:      0.13,
+	AbsentShare: 6,
+	Unlikely:    0.06,
 }
 
 // Plan returns the moves that are worth their cost now, the most urgent first.
@@ -141,19 +161,25 @@
 // pressure is the load on each replica of a model if it had n of them.
 func (s *state) pressure(model string, n int) float64 {
 	d := s.in.Demand[model]
-	if n <= 0 {
-		if d.Unserved || d.Load > 0 {
-			return math.Inf(1)
-		}
-		return 0
+	load := max(d.Load, s.in.Prior[model])
+	switch {
+	case n > 0:
+		return load / float64(n)
+	case d.Unserved || d.Load > 0 && !d.Patient:
+		return math.Inf(1)
+	default:
+		return nowhere * load
 	}
-	return d.Load / float64(n)
 }
 
+// nowhere weighs the load of a model without a replica that nobody waits for.
+const nowhere = 2.0
+
 // next finds the model under the most pressure that can be given a place.
 func (p Policy) next(s *state) (Move, bool) {
-	wanted := make([]string, 0, len(s.in.Demand))
-	for name := range s.in.Demand {
+	wanted := make([]string, 0, len(s.in.Engine.Models))
+	for i := range s.in.Engine.Models {
+		name := s.in.Engine.Models[i].Name
 		if s.pressure(name, s.replicas[name]) > p.Pressure {
 			wanted = append(wanted, name)
 		}
@@ -215,8 +241,14 @@
 			continue
 		}
 		after := s.pressure(h.Model, s.replicas[h.Model]-1)
-		if s.replicas[h.Model] < 2 || after*p.Gain > pressure {
-			continue // the last replica of a model never makes way
+		if s.replicas[h.Model] < 2 {
+			if !p.mayBeNowhere(s, h.Model) {
+				continue
+			}
+			after = p.Absent + p.AbsentShare*s.in.Demand[h.Model].Load
+		}
+		if after*p.Gain > pressure {
+			continue
 		}
 		cost := after*victimWeight - min(h.Idle.Seconds(), longIdle)*idleWeight
 		if cost < lowest {
@@ -226,6 +258,16 @@
 	return best, lowest, best != ""
 }
 
+// mayBeNowhere says whether a model's last replica may make way: its callers
+// would wait for a load, or nobody is expected to call.
+func (p Policy) mayBeNowhere(s *state, name string) bool {
+	d, asked := s.in.Demand[name]
+	if asked {
+		return d.Patient && !d.Unserved
+	}
+	return s.in.SomePatient && s.in.Prior[name] < p.Unlikely
+}
+
 const (
 	// victimWeight turns the pressure that a model is left with into seconds.
 	victimWeight = 4.0
@@ -239,7 +281,7 @@
 func (s *state) load(u *Upstream) float64 {
 	sum := 0.0
 	for _, h := range u.Held {
-		sum += s.in.Demand[h.Model].Load / float64(max(s.replicas[h.Model], 1))
+		sum += max(s.in.Demand[h.Model].Load, s.in.Prior[h.Model]) / float64(max(s.replicas[h.Model], 1))
 	}
 	return sum
 }
--- a/core/residency/residency_test.go
+++ b/core/residency/residency_test.go
@@ -155,7 +155,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		u := &upstream{models: map[string]bool{"a": true, "b": true}, adapters: map[string]bool{}}
 		now := t0
-		open := func() *residency.Book { return residency.New(engine, &deploy.Upstream{Residents: u.report().Residents}, now) }
+		open := func() *residency.Book {
+			return residency.New(engine, &deploy.Upstream{Residents: u.report().Residents}, now)
+		}
 		b := open()
 		reports := []residency.Report{u.report()}
 		names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -65,9 +65,13 @@
 		}
 	}
 	s.begun = kept
-	return int(rate*s.window.Seconds()) - len(s.begun)
+	return int(rate*s.window.Seconds()*s.over) + storeBurst - len(s.begun)
 }
 
+// storeBurst is how many loads beyond its rate the weight store takes in one
+// window, less one that a former holder may have begun at its end.
+const storeBurst = 2
+
 func (s *storeLoads) begin(now time.Time) {
 	s.mu.Lock()
 	s.begun = append(s.begun, now)
--- a/node/coordinator/demand.go
+++ b/node/coordinator/demand.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/coordpb"
 )
@@ -34,7 +35,9 @@
 type wanted struct {
 	sum      float64 // decaying engine time, seconds
 	at       time.Time
+	last     time.Time
 	unserved time.Time
+	patience time.Duration // shortest objective of those who asked
 }
 
 func newDemand() *demand { return &demand{of: map[modelKey]*wanted{}} }
@@ -47,11 +50,15 @@
 		k := modelKey{w.Service, w.Model}
 		own := d.of[k]
 		if own == nil {
-			own = &wanted{at: now}
+			own = &wanted{at: now, patience: time.Hour}
 			d.of[k] = own
 		}
 		own.decay(now)
 		own.sum += (float64(w.Prompt) + outputShare*float64(w.Output)) / tokensPerSecond
+		own.last = now
+		if w.PatienceMs > 0 {
+			own.patience = min(own.patience, time.Duration(w.PatienceMs)*time.Millisecond)
+		}
 		if w.Unserved > 0 {
 			own.unserved = now
 		}
@@ -63,11 +70,20 @@
 	w.at = now
 }
 
-// least is the load below which a model counts as not asked for.
-const least = 0.002
+const (
+	// least is the load below which a model counts as not asked for.
+	least = 0.002
+	// patientLoads is how many loads from a disk an objective must be long for
+	// its callers to be patient: one for the load, one for what makes way, and
+	// as much again.
+	patientLoads = 3.5
+	// quietAfter is how long after its last request a model's load is 0.
+	quietAfter = 12 * time.Second
+)
 
-// of service returns the present demand for the models of a service.
-func (d *demand) service(name string, now time.Time) map[string]replica.Demand {
+// service returns the present demand for the models of a service, of all that
+// were ever asked for.
+func (d *demand) service(name string, e *deploy.Engine, now time.Time) map[string]replica.Demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[string]replica.Demand{}
@@ -77,12 +93,29 @@
 		}
 		w.decay(now)
 		load := w.sum / forgetting.Seconds()
-		unserved := now.Sub(w.unserved) < unservedFor
-		if load < least && !unserved {
-			delete(d.of, k)
-			continue
+		if load < least || now.Sub(w.last) > quietAfter {
+			load = 0
 		}
-		out[k.model] = replica.Demand{Load: load, Unserved: unserved}
+		out[k.model] = replica.Demand{Load: load, Unserved: now.Sub(w.unserved) < unservedFor, Patient: patient(e, k.model, w.patience)}
 	}
 	return out
 }
+
+// patient says whether those who ask for a model within an objective would
+// wait for a load from a disk.
+func patient(e *deploy.Engine, model string, objective time.Duration) bool {
+	return objective.Seconds() > patientLoads*replica.LoadTime(e, model, replica.FromDisk).Seconds()
+}
+
+// somePatient says whether a service has a route whose callers would wait for
+// a load of any of its models.
+func somePatient(c *deploy.Config, s *deploy.Service) bool {
+	for i := range c.Routes {
+		for _, split := range c.Routes[i].Splits {
+			if split.Service == s.Name && len(s.Engine.Models) > 0 && patient(s.Engine, s.Engine.Models[0].Name, c.Routes[i].Objective) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -290,7 +290,7 @@
 }
 
 // Demand implements gate.Models.
-func (l *Link) Demand(service string, f *gate.Facts, output int, unserved bool) {
+func (l *Link) Demand(service string, f *gate.Facts, output int, objective time.Duration, unserved bool) {
 	k := demandKey{service, f.Model, f.Adapter}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -299,6 +299,9 @@
 		d = &coordpb.Demand{Service: service, Model: f.Model, Adapter: f.Adapter}
 		l.demand[k] = d
 	}
+	if ms := uint32(objective.Milliseconds()); ms > 0 && (d.PatienceMs == 0 || ms < d.PatienceMs) {
+		d.PatienceMs = ms
+	}
 	if unserved {
 		d.Unserved++
 		return
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -15,7 +15,7 @@
 const (
 	// movingShare is the part of a service's upstreams that may change models
 	// at once: the others carry the traffic meanwhile.
-	movingShare = 0.34
+	movingShare = 0.5
 	// unloadBound is how long an unload may take: as long as the longest
 	// streams that it waits for.
 	unloadBound = 12 * time.Second
@@ -40,7 +40,9 @@
 		if s.Engine == nil {
 			continue
 		}
-		in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, now), StoreLeft: c.stores.left(s.Engine.LoadsPerSecond, now)}
+		in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now), StoreLeft: c.stores.left(s.Engine.LoadsPerSecond, now)}
+		in.Prior = replica.Priors(s.Engine, func(model string) bool { _, asked := in.Demand[model]; return asked })
+		in.SomePatient = somePatient(table.Config, s)
 		moving := 0
 		for _, u := range units {
 			if u.entry.Service() == s.Name {
@@ -51,6 +53,9 @@
 			}
 		}
 		in.Most = max(int(movingShare*float64(len(in.Upstreams))), 1) - moving
+		if len(in.Demand) == 0 {
+			in.Most = len(in.Upstreams) // nobody is disturbed
+		}
 		for _, m := range c.cfg.Policy.Plan(in) {
 			c.start(ctx, m, in.Demand[m.Load])
 		}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -26,8 +26,9 @@
 	// Adapter asks for an adapter at an upstream and returns when it is there.
 	Adapter(ctx context.Context, upstream, model, adapter string) error
 	// Demand notes a request for a model, with the tokens to expect of its
-	// answer; unserved says that no upstream holds the model.
-	Demand(service string, f *Facts, output int, unserved bool)
+	// answer and the time within which that is worth all; unserved says that
+	// no upstream holds the model.
+	Demand(service string, f *Facts, output int, objective time.Duration, unserved bool)
 }
 
 // Deps are what a Gate works with.
@@ -146,7 +147,7 @@
 	q.ask = fleet.Ask{Model: q.facts.Model, Adapter: q.facts.Adapter, Parts: q.facts.Parts}
 	q.cost = fleet.Cost{Prompt: q.facts.Prompt, Output: q.output()}
 	if q.facts.Model != "" {
-		d.Models.Demand(q.service.Name, &q.facts, q.cost.Output, false)
+		d.Models.Demand(q.service.Name, &q.facts, q.cost.Output, q.route.Objective, false)
 	}
 	d.Repeats.Request(q.service.Name, q.start)
 	return true
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -69,7 +69,7 @@
 		return q.fetchAdapter(p)
 	}
 	if p.Reason == balance.NoModel {
-		q.g.deps.Models.Demand(q.service.Name, &q.facts, q.cost.Output, true)
+		q.g.deps.Models.Demand(q.service.Name, &q.facts, q.cost.Output, q.route.Objective, true)
 	}
 	now := q.g.deps.Now()
 	if !now.Before(until) {
@@ -81,6 +81,8 @@
 	}
 	ctx, cancel := context.WithDeadline(q.ctx, until)
 	defer cancel()
+	q.g.deps.Log.Emit(event.RequestWaits, q.id(), q.routeName(), zap.Stringer("why", p.Reason), zap.Int("among", p.among),
+		zap.Int64("for_ms", until.Sub(now).Milliseconds()))
 	select {
 	case <-changed:
 		return true
@@ -92,7 +94,7 @@
 // hold is how long the request may wait for the reason to pass.
 func (q *request) hold(r balance.Reason) time.Duration {
 	hold := max(time.Duration(float64(q.route.Objective)*holdShare), shortestHold)
-	if r == balance.NoModel {
+	if r == balance.NoModel && !q.g.deps.Draining() { // else its answer might not end before the process does
 		hold = max(hold, time.Duration(float64(q.route.Objective)*modelShare))
 	}
 	return hold
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -111,19 +111,29 @@
 // adminBound is how long the head of a request for a page of the host's own may take.
 const adminBound = 2 * time.Second
 
-// leaseName is the lease of the host that gives orders.
-const leaseName = "coordinator"
+const (
+	// leaseName is the lease of the host that gives orders.
+	leaseName = "coordinator"
+	// leaseTTL bounds how long nobody gives orders after their giver was lost.
+	// At a renewal every 0.5 s it costs two calls of the store a second.
+	leaseTTL = 1500 * time.Millisecond
+	// leaseTry bounds one try of a renewal: several fit into a term, also when
+	// the store takes a quarter of a second.
+	leaseTry = 400 * time.Millisecond
+	// orderFlight is how long the last order of a former holder may be on its way.
+	orderFlight = 100 * time.Millisecond
+)
 
 // controlPath puts together what acts for the whole deployment.
 func (h *Host) controlPath() {
 	set, d := h.set, h.deps
 	holder := coordinator.HolderOf(set.Host, set.Peers, uuid.NewString())
 	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder,
-		Policy: leasing.Policy{TTL: milliseconds(set.Bounds.LeaseMs), Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
+		TryBound: leaseTry, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: d.Platform.Table, Log: d.Log})
 	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log,
 		Relays: func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
-	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs + set.Bounds.ThawMs),
+	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
 	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -40,6 +40,9 @@
 	Name   string // of the role, as in "planner/order-desk"
 	Holder string // this process, new at each start; "" makes one up
 	Policy decide.Policy
+	// TryBound bounds one try of a call; 0: none. An answer can be lost without
+	// a sign, and waiting for it would cost the whole term.
+	TryBound time.Duration
 }
 
 // Deps are what a lease works with; Now and Rand may be nil.
@@ -84,9 +87,25 @@
 	if deps.Log == nil {
 		deps.Log = event.NewLog(nil)
 	}
+	if cfg.TryBound > 0 {
+		deps.Table = boundedTable{Table: deps.Table, bound: cfg.TryBound}
+	}
 	return &Lease{cfg: cfg, deps: deps, log: deps.Log.With(zap.String("lease", cfg.Name))}
 }
 
+// boundedTable gives each commit a bound of its own.
+type boundedTable struct {
+	store.Table
+	bound time.Duration
+}
+
+// Commit implements store.Table.
+func (t boundedTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.bound)
+	defer cancel()
+	return t.Table.Commit(ctx, txn)
+}
+
 // Term returns the present term, if the lease is held now.
 func (l *Lease) Term() (Term, bool) {
 	l.mu.Lock()
