Let prompts wait at the host while upstreams read; short calls while the store is away

Ruled out: refusing by the same bound. Change: a host sends a prompt only where those that wait to be read leave the streams their pace, for half of the objective at most; calls for changes are short while the store is away.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -35,6 +35,9 @@
 	Prompt      int    // tokens
 	Output      int    // tokens to expect
 	CacheTokens int    // that one upstream has room for; 0: not bounded
+	// Reading is how many prompt tokens may wait to be read at an upstream
+	// beside others, so that streams there keep their pace; 0: not bounded.
+	Reading int
 }
 
 // Reason says why no endpoint was found.
@@ -47,11 +50,12 @@
 	NoModel          // usable ones exist; none holds the model
 	NoAdapter        // holders exist; none has the adapter
 	AllFull          // those that could answer have no room
+	AllReading       // those that could answer read prompts of others just now
 )
 
 // String names the reason in logs.
 func (r Reason) String() string {
-	return [...]string{"found", "no_server", "no_model", "no_adapter", "all_full"}[r]
+	return [...]string{"found", "no_server", "no_model", "no_adapter", "all_full", "all_reading"}[r]
 }
 
 // Decision is the result of a pick.
@@ -106,6 +110,8 @@
 		return NoAdapter
 	case full(e, r):
 		return AllFull
+	case reading(e, r):
+		return AllReading
 	}
 	return Found
 }
--- /dev/null
+++ b/core/balance/reading.go
@@ -0,0 +1,28 @@
+package balance
+
+import "time"
+
+// reading says that the upstream has so many prompt tokens to read that one
+// more prompt would make the streams there pause for too long: an engine reads
+// a piece of the waiting prompts between any two tokens that it makes. What is
+// not sent yet can still go to whichever upstream is done first.
+func reading(e *Endpoint, r *Request) bool {
+	return r.Reading > 0 && e.Waiting > 0 && e.Waiting+r.Prompt > r.Reading
+}
+
+// ReadingFor is how many prompt tokens may wait at an upstream whose streams
+// must not pause for longer than bound between events of some tokens.
+func ReadingFor(bound time.Duration, eventTokens int) int {
+	if bound <= 0 {
+		return 0
+	}
+	perToken := bound.Seconds()*1000/float64(max(eventTokens, 1)) - stepMs - stepMargin
+	return max(int(perToken*prefillTokensPerMs), leastReading)
+}
+
+const (
+	// stepMargin covers the batch's own growth of a step, in milliseconds.
+	stepMargin = 2.0
+	// leastReading lets a usual prompt through under any bound, in tokens.
+	leastReading = 2000
+)
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -106,7 +106,7 @@
 	Settled: 3 * time.Second,
 	// A request for it would wait for a load, and another model would have to
 	// make way: worth it only when hot models are under pressure.
-	Absent:      0.13,
+	Absent:      0.3,
 	AbsentShare: 6,
 	Unlikely:    0.06,
 }
@@ -208,7 +208,7 @@
 			continue
 		}
 		from := u.source(name)
-		if from == FromStore && s.store <= 0 {
+		if from == FromStore && (s.store <= 0 || s.in.Demand[name].Patient && s.atHand(name)) {
 			continue
 		}
 		victim, cost, ok := p.victim(s, u, name)
@@ -223,6 +223,17 @@
 	return best, lowest < math.Inf(1)
 }
 
+// atHand says whether some upstream has a copy of a model's weights. Callers
+// who wait for a load do not wait for one from the store.
+func (s *state) atHand(name string) bool {
+	for i := range s.in.Upstreams {
+		if u := &s.in.Upstreams[i]; u.Usable && u.source(name) != FromStore {
+			return true
+		}
+	}
+	return false
+}
+
 // busyWeight turns an upstream's load into seconds of loading: a place on an
 // engine that is busy all the time is worth a load that is some seconds longer
 // on an idle one.
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -52,9 +52,11 @@
 	// relayFresh is how old the relaying host's last answer from the store may
 	// be. Past it, hosts ask the store themselves.
 	relayFresh = 1200 * time.Millisecond
-	// readBound is how long a call may take that does not wait, and how much
-	// longer than its wait one that does.
+	// readBound is how long a call may take that does not wait.
 	readBound = 1500 * time.Millisecond
+	// waitSlack is how much longer than its wait a call for changes may take.
+	// The store answers within a few milliseconds, a slow one within 300.
+	waitSlack = 800 * time.Millisecond
 	// firstPause and longestPause lie between tries while the store is away.
 	// The longest bounds how late a host notices that it is back.
 	firstPause   = 50 * time.Millisecond
@@ -270,10 +272,15 @@
 		return next, err
 	}
 	wait := aloneWait
-	if f.deps.Relays() {
+	switch {
+	case !d.lostAt.IsZero():
+		// The store may come back without a word on a call that it never heard;
+		// short calls find it within a second, and what changed meanwhile.
+		wait = 0
+	case f.deps.Relays():
 		wait = d.relayWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readBound)
+	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	defer cancel()
 	return d.wait(ctx, at, wait)
 }
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -266,7 +266,8 @@
 	d := &q.g.deps
 	took := d.Now().Sub(q.start)
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last), zap.Int("status", status),
-		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()))
+		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.first.Milliseconds()),
+		zap.Int64("pause_ms", q.pause.Milliseconds()))
 	d.Metrics.Count(metrics.Completed, 1)
 	d.Metrics.Observe(metrics.AnswerTime, q.route.Kind.String(), took)
 	return result{done: true}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -105,6 +105,9 @@
 	tried       map[string]bool // upstreams that had an attempt
 	sends       int             // attempts handed to an upstream
 	maybe       int             // those of them that may have run
+	first       time.Duration   // from the start to the first piece of a stream
+	pause       time.Duration   // longest between two pieces of it
+	heard       time.Time       // when the last piece came
 	started     bool            // the head of an answer went to the caller
 	after       string          // last whole event that the caller has
 	last        string          // upstream of the newest attempt
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -23,6 +23,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			x.Heard()
+			q.piece()
 			if werr := q.pass(resp, events.take(buf[:n])); werr != nil {
 				return q.unread(x, resp, werr)
 			}
@@ -43,6 +44,17 @@
 	}
 }
 
+// piece notes when a piece of the stream came.
+func (q *request) piece() {
+	now := q.g.deps.Now()
+	if q.heard.IsZero() {
+		q.first = now.Sub(q.start)
+	} else {
+		q.pause = max(q.pause, now.Sub(q.heard))
+	}
+	q.heard = now
+}
+
 // begin sends the head of the stream's first upstream, once.
 func (q *request) begin(resp *conn.Response) {
 	if q.started {
