Take the lease over at the former holder's own word; prepare more copies

Ruled out: a shorter lease alone (the wait of the new holder stays). Change: reports carry the lease's rows, a holder that gave up says so with the age of its last order, and its successor waits from that on; priors 0.5, falling by 0.88.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -77,6 +77,8 @@
 	Rows   Rows
 	Record Record
 	Since  time.Time // when the answer that first showed these rows had come in
+	// Yielded says that the holder told itself that it acts in this epoch no more.
+	Yielded bool
 }
 
 // See takes in a read whose answer came in at now. A row version that is
@@ -118,7 +120,7 @@
 // candidate's own clock.
 func (p Policy) Campaign(holder string, o Observed, now time.Time) Decision {
 	left := p.silence(o.Record) - now.Sub(o.Since)
-	if o.Record.Holder != "" && left > 0 {
+	if o.Record.Holder != "" && !o.Yielded && left > 0 {
 		return Decision{Action: Wait, Wait: min(left, p.TTL/pollShare)}
 	}
 	next := Record{Holder: holder, Epoch: o.Record.Epoch + 1, TTLMs: p.TTL.Milliseconds()}
--- a/core/replica/prior.go
+++ b/core/replica/prior.go
@@ -9,8 +9,8 @@
 const (
 	// priorFirst is the load to prepare for of the model that seems the most
 	// likely to be asked for next, and priorDecay what each next one has of it.
-	priorFirst = 0.3
-	priorDecay = 0.85
+	priorFirst = 0.5
+	priorDecay = 0.88
 )
 
 // Priors guesses the load of models that nobody has asked for yet. The only
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -108,7 +108,7 @@
 	// make way: worth it only when hot models are under pressure.
 	Absent:      0.3,
 	AbsentShare: 6,
-	Unlikely:    0.06,
+	Unlikely:    0.09,
 }
 
 // Plan returns the moves that are worth their cost now, the most urgent first.
--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -25,6 +25,14 @@
 	return nil
 }
 
+// ordering notes that an order is sent now.
+func (c *Coordinator) ordering() {
+	c.mu.Lock()
+	c.revision++
+	c.ordered = c.now()
+	c.mu.Unlock()
+}
+
 func (c *Coordinator) authority() Term {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -87,12 +87,21 @@
 	demand *demand
 	stores storeLoads
 
-	mu       sync.Mutex
-	units    map[string]*unit // by upstream
-	revision uint64           // rises when what the units hold changes
-	term     lease.Term
-	held     bool
-	quiet    time.Time // until when no order is sent
+	mu        sync.Mutex
+	units     map[string]*unit // by upstream
+	revision  uint64           // rises when what the units hold changes
+	term      lease.Term
+	lastEpoch uint64 // that this host held
+	held      bool
+	quiet     time.Time // until when no order is sent
+	ordered   time.Time // when this host sent its last order; zero: never
+	former    formerHolder
+}
+
+// formerHolder is what the last holder of the lease said when it gave up.
+type formerHolder struct {
+	epoch   uint64
+	ordered time.Time // its last order, at the latest
 }
 
 // New makes a Coordinator.
@@ -142,6 +151,9 @@
 		c.beginLocked(term, now)
 	}
 	c.held, c.term = held, term
+	if held {
+		c.lastEpoch = term.Epoch
+	}
 	c.bookLocked(now)
 }
 
@@ -149,8 +161,11 @@
 // way; two holders that take turns too fast could each undo the other's.
 func (c *Coordinator) beginLocked(t lease.Term, now time.Time) {
 	wait := c.cfg.Quiet
-	if t.Epoch <= 1 {
+	switch {
+	case t.Epoch <= 1:
 		wait = 0 // nobody was there before
+	case c.former.epoch+1 == t.Epoch:
+		wait = max(0, c.former.ordered.Add(c.cfg.Quiet).Sub(now))
 	}
 	c.quiet = now.Add(wait)
 	c.units = map[string]*unit{}
@@ -158,6 +173,16 @@
 	c.deps.Log.Emit(event.QuietPeriod, zap.Uint64("epoch", t.Epoch), zap.Duration("for", wait))
 }
 
+// Gone notes what a host said that held the lease in an epoch and gave it up.
+func (c *Coordinator) Gone(epoch uint64, sinceOrder time.Duration) {
+	c.mu.Lock()
+	if epoch >= c.former.epoch {
+		c.former = formerHolder{epoch: epoch, ordered: c.now().Add(-sinceOrder)}
+	}
+	c.mu.Unlock()
+	c.deps.Lease.Yielded(epoch)
+}
+
 // bookLocked opens and closes books as upstreams come and go, and enters what
 // their descriptions say.
 func (c *Coordinator) bookLocked(now time.Time) {
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/deploy"
+	leasing "peridotpier.example/core/lease"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -121,6 +122,9 @@
 	case err != nil:
 		l.lost(address, err)
 	case !s.Holding && address != l.cfg.Address:
+		if s.Epoch > 0 {
+			l.own.Gone(s.Epoch, time.Duration(s.LastOrderMs)*time.Millisecond)
+		}
 		l.unlink(address, errNotHolding)
 	default:
 		l.take(s)
@@ -179,6 +183,9 @@
 // take enters what the others have sent and what the upstreams hold.
 func (l *Link) take(s *coordpb.SiteState) {
 	now := l.own.now()
+	if record, err := leasing.Decode(s.Grant); err == nil && len(s.Grant) > 0 && !l.own.Holding() {
+		l.own.deps.Lease.Observe(leasing.Rows{Grant: s.GrantRow, Beat: s.BeatRow}, record)
+	}
 	l.mu.Lock()
 	l.failed = 0
 	l.hosts = max(l.hosts, int(s.Hosts))
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -104,7 +104,8 @@
 		}
 	}
 	total, hosts := c.sums.others(r.Host, now)
-	out := &coordpb.SiteState{Holding: c.Holding(), Hosts: uint32(hosts)}
+	out := &coordpb.SiteState{Hosts: uint32(hosts)}
+	c.tellLease(out, now)
 	for id, l := range total {
 		if l.Requests > 0 {
 			out.Others = append(out.Others, &coordpb.Load{Upstream: id, Requests: uint32(l.Requests), Waiting: uint32(max(l.Waiting, 0)), Tokens: uint32(max(l.Tokens, 0))})
@@ -121,6 +122,27 @@
 	return out
 }
 
+// tellLease says whether this host holds the lease, and what its successor
+// needs to know when it does not any more.
+func (c *Coordinator) tellLease(out *coordpb.SiteState, now time.Time) {
+	rows, record, held := c.deps.Lease.Holding()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held {
+		out.Holding, out.Epoch, out.GrantRow, out.BeatRow, out.Grant = true, record.Epoch, rows.Grant, rows.Beat, record.Encode()
+		return
+	}
+	out.Epoch = c.term.Epoch
+	if out.Epoch == 0 {
+		out.Epoch = c.lastEpoch
+	}
+	age := time.Hour
+	if !c.ordered.IsZero() {
+		age = now.Sub(c.ordered)
+	}
+	out.LastOrderMs = uint32(min(age, time.Hour).Milliseconds())
+}
+
 // holding is what the upstream can answer, for the other hosts.
 func (u *unit) holding() *coordpb.Holding {
 	u.mu.Lock()
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -70,7 +70,7 @@
 	u.mu.Lock()
 	u.book.Sent(o, c.now())
 	u.mu.Unlock()
-	c.changed()
+	c.ordering()
 	c.deps.Log.Emit(event.OrderSent, u.fields(o, zap.String("why", why), zap.Uint64("epoch", t.Epoch))...)
 	ctx, cancel := context.WithTimeout(ctx, orderBound)
 	defer cancel()
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -68,6 +68,8 @@
 	mu   sync.Mutex
 	held *decide.Held // nil: not held
 	seen decide.Observed
+	// yielded is the newest epoch whose holder said that it acts no more.
+	yielded uint64
 }
 
 // New makes a lease; Run campaigns for it.
@@ -187,7 +189,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.seen = l.seen.See(rows, record, l.deps.Now())
-	return l.seen
+	seen := l.seen
+	seen.Yielded = record.Epoch <= l.yielded
+	return seen
+}
+
+// Holding returns the rows and the grant of the lease while it is held, for
+// the holder to tell to others.
+func (l *Lease) Holding() (decide.Rows, decide.Record, bool) {
+	h, ok := l.holding()
+	if !ok || l.cfg.Policy.Remaining(h, l.deps.Now()) <= 0 {
+		return decide.Rows{}, decide.Record{}, false
+	}
+	return h.Rows, h.Record, true
+}
+
+// Observe takes the holder's own word of its rows. A candidate that has heard
+// it need not begin to wait only when the holder falls silent.
+func (l *Lease) Observe(rows decide.Rows, record decide.Record) { l.see(rows, record) }
+
+// Yielded notes that the holder of an epoch has said itself that it acts in it
+// no more. It need not be waited for.
+func (l *Lease) Yielded(epoch uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.yielded = max(l.yielded, epoch)
 }
 
 // Seen is the grant that was read last while the lease was not held.
