--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -165,13 +165,19 @@
 	switch {
 	case n > 0:
 		return load / float64(n)
-	case d.Unserved || d.Load > 0 && !d.Patient:
+	case d.Unserved && d.Patient:
+		return patientPressure
+	case d.Unserved || d.Load > 0:
 		return math.Inf(1)
 	default:
 		return nowhere * load
 	}
 }
 
+// patientPressure is what counts for a model that is nowhere and whose callers
+// would wait for a load: it takes the place of idle models, not of hot ones.
+const patientPressure = 0.4
+
 // nowhere weighs the load of a model without a replica that nobody waits for.
 const nowhere = 2.0
 
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -84,6 +84,7 @@
 	deps   Deps
 	now    func() time.Time
 	sums   *sums
+	newest time.Time // when an upstream was first seen last; under mu
 	demand *demand
 	stores storeLoads
 
@@ -98,6 +99,13 @@
 	former    formerHolder
 }
 
+// newestUnit is when an upstream was first seen last.
+func (c *Coordinator) newestUnit() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
 // formerHolder is what the last holder of the lease said when it gave up.
 type formerHolder struct {
 	epoch   uint64
@@ -202,6 +210,7 @@
 			described, _ := e.Described()
 			u = &unit{c: c, entry: e, engine: s.Engine, book: residency.New(s.Engine, &described, now)}
 			c.units[e.ID()] = u
+			c.newest = now
 			c.revision++
 			continue
 		}
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -55,6 +55,9 @@
 		in.Most = max(int(movingShare*float64(len(in.Upstreams))), 1) - moving
 		if len(in.Demand) == 0 {
 			in.Most = len(in.Upstreams) // nobody is disturbed
+			if now.Sub(c.newestUnit()) < listSettles {
+				continue
+			}
 		}
 		for _, m := range c.cfg.Policy.Plan(in) {
 			c.start(ctx, m, in.Demand[m.Load])
@@ -62,6 +65,11 @@
 	}
 }
 
+// listSettles is how long no new upstream must have come before models are
+// moved though nobody asks for any: while a deployment starts, its upstreams
+// come into view one by one, and what the rest hold is not known.
+const listSettles = time.Second
+
 // snapshot is the upstream as the plan sees it.
 func (u *unit) snapshot(now time.Time) replica.Upstream {
 	d, _ := u.entry.Described()
