Count moves under way; keep a model's last ready replica

Ruled out: the priors. Change: a plan sees what each upstream will hold, and counts ready replicas apart. Tests: the sequence, and rapid over drawn deployments (the last ready replica, the store's allowance).

--- a/core/replica/prior.go
+++ b/core/replica/prior.go
@@ -42,5 +42,5 @@
 	if m.StoreLoad <= 0 || m.DiskLoad <= 0 {
 		return 0
 	}
-	return max(0, (m.StoreLoad - m.DiskLoad).Seconds()/m.StoreLoad.Seconds())
+	return max(0, (m.StoreLoad-m.DiskLoad).Seconds()/m.StoreLoad.Seconds())
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -28,7 +28,7 @@
 // Upstream is one that models can be moved on.
 type Upstream struct {
 	ID       string
-	Held     []Held
+	Held     []Held          // what it will hold once the move that is under way is over
 	Room     map[string]bool // models that fit beside what is held
 	InMemory map[string]bool
 	OnDisk   map[string]bool
@@ -62,12 +62,12 @@
 	Upstreams []Upstream
 	Demand    map[string]Demand
 	// Prior is the load to prepare for of models that nobody asked for yet.
-	Prior     map[string]float64
+	Prior map[string]float64
 	// SomePatient says that the deployment has callers who would wait for a
 	// load; else every model must stay somewhere.
 	SomePatient bool
-	StoreLeft int // loads from the weight store that may begin now
-	Most      int // moves to plan at most
+	StoreLeft   int // loads from the weight store that may begin now
+	Most        int // moves to plan at most
 }
 
 // Move is one change at one upstream: the unload first, if there is one.
@@ -129,19 +129,23 @@
 // state follows the snapshot through the moves planned so far.
 type state struct {
 	in       Input
-	replicas map[string]int
+	replicas map[string]int  // ready or on their way
+	ready    map[string]int  // that requests can be sent to
 	moved    map[string]bool // upstreams
 	store    int
 }
 
 func newState(in Input) *state {
-	s := &state{in: in, replicas: map[string]int{}, moved: map[string]bool{}, store: in.StoreLeft}
+	s := &state{in: in, replicas: map[string]int{}, ready: map[string]int{}, moved: map[string]bool{}, store: in.StoreLeft}
 	for _, u := range in.Upstreams {
 		if !u.Usable {
 			continue
 		}
 		for _, h := range u.Held {
 			s.replicas[h.Model]++
+			if h.Ready {
+				s.ready[h.Model]++
+			}
 		}
 	}
 	return s
@@ -152,6 +156,7 @@
 	s.replicas[m.Load]++
 	if m.Unload != "" {
 		s.replicas[m.Unload]--
+		s.ready[m.Unload]--
 	}
 	if m.From == FromStore {
 		s.store--
@@ -258,7 +263,7 @@
 			continue
 		}
 		after := s.pressure(h.Model, s.replicas[h.Model]-1)
-		if s.replicas[h.Model] < 2 {
+		if s.ready[h.Model] < 2 { // one that is still being loaded answers nobody yet
 			if !p.mayBeNowhere(s, h.Model) {
 				continue
 			}
--- /dev/null
+++ b/core/replica/replica_test.go
@@ -0,0 +1,119 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/replica"
+)
+
+const settled = 10 * time.Second
+
+func engine(models ...string) *deploy.Engine {
+	e := &deploy.Engine{MemoryMB: 230}
+	for _, m := range models {
+		e.Models = append(e.Models, deploy.Model{Name: m, WeightsMB: 72, StoreLoad: 9 * time.Second, DiskLoad: 2400 * time.Millisecond, MemoryLoad: 1200 * time.Millisecond})
+	}
+	return e
+}
+
+func on(id string, models ...string) replica.Upstream {
+	u := replica.Upstream{ID: id, Movable: true, Usable: true, OnDisk: map[string]bool{}, Room: map[string]bool{}}
+	for _, m := range models {
+		u.Held = append(u.Held, replica.Held{Model: m, Ready: true, For: settled, Idle: settled})
+		u.OnDisk[m] = true
+	}
+	return u
+}
+
+func TestAHotModelTakesThePlaceOfAnIdleReplica(t *testing.T) {
+	in := replica.Input{Engine: engine("hot", "idle", "rare"), Most: 4, StoreLeft: 4,
+		Upstreams: []replica.Upstream{on("1", "hot", "rare"), on("2", "idle"), on("3", "idle")},
+		Demand:    map[string]replica.Demand{"hot": {Load: 0.8}, "idle": {}, "rare": {Load: 0.01}}}
+	got := replica.Default.Plan(in)
+	assert.DeepEqual(t, got, []replica.Move{{Upstream: "2", Unload: "idle", Load: "hot", From: replica.FromStore}})
+}
+
+// Symptom: a hot model is on no upstream for the nine seconds of a load.
+// Sequence: each of two hot models has replicas, some being loaded; each is
+// planned in the other's place, one after the other.
+// Cause: a replica that is still being loaded counts as one that can answer.
+func TestALoadingReplicaDoesNotFreeTheLastReadyOne(t *testing.T) {
+	loading := on("2")
+	loading.Held = []replica.Held{{Model: "a"}}
+	in := replica.Input{Engine: engine("a", "b"), Most: 4, StoreLeft: 4, Upstreams: []replica.Upstream{on("1", "a"), loading, on("3", "b")},
+		Demand: map[string]replica.Demand{"a": {Load: 0.1}, "b": {Load: 2}}}
+	assert.Equal(t, len(replica.Default.Plan(in)), 0)
+}
+
+func TestCallersWhoWaitDoNotWaitForTheWeightStore(t *testing.T) {
+	held := on("1", "a")
+	held.OnDisk["rare"], held.Movable = true, false
+	in := replica.Input{Engine: engine("a", "rare"), Most: 1, StoreLeft: 4, Upstreams: []replica.Upstream{held, on("2", "a")},
+		Demand: map[string]replica.Demand{"rare": {Unserved: true, Patient: true}, "a": {}}}
+	assert.Equal(t, len(replica.Default.Plan(in)), 0, "the upstream with the copy is free again soon")
+	in.Upstreams[0].Movable = true
+	assert.DeepEqual(t, replica.Default.Plan(in), []replica.Move{{Upstream: "1", Unload: "a", Load: "rare", From: replica.FromDisk}})
+}
+
+func TestNothingIsPreparedWhereTheStoreIsAsQuickAsADisk(t *testing.T) {
+	e := engine("a", "b")
+	nobody := func(string) bool { return false }
+	assert.Assert(t, replica.Priors(e, nobody)["a"] > replica.Priors(e, nobody)["b"])
+	e.Models[0].StoreLoad = e.Models[0].DiskLoad
+	assert.Equal(t, replica.Priors(e, nobody)["a"], 0.0)
+}
+
+// Property: on any deployment, a plan moves each upstream once at most, never
+// takes the last ready replica of a model whose callers would not wait, and
+// stays within the weight store's allowance.
+func TestAPlanKeepsEveryModelReachable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var names []string
+		for i := range rapid.IntRange(1, 40).Draw(t, "models") {
+			names = append(names, fmt.Sprint("m", i))
+		}
+		in := replica.Input{Engine: engine(names...), Demand: map[string]replica.Demand{}, Most: rapid.IntRange(0, 10).Draw(t, "most"),
+			StoreLeft: rapid.IntRange(0, 8).Draw(t, "store"), SomePatient: rapid.Bool().Draw(t, "some patient")}
+		for _, n := range names {
+			if rapid.Bool().Draw(t, "asked") {
+				in.Demand[n] = replica.Demand{Load: rapid.Float64Range(0, 4).Draw(t, "load"), Unserved: rapid.Bool().Draw(t, "unserved"), Patient: rapid.Bool().Draw(t, "patient")}
+			}
+		}
+		in.Prior = replica.Priors(in.Engine, func(m string) bool { _, ok := in.Demand[m]; return ok })
+		ready := map[string]int{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "upstreams") {
+			u := on(fmt.Sprint("u", i))
+			u.Usable, u.Movable = rapid.IntRange(0, 9).Draw(t, "usable") > 0, rapid.Bool().Draw(t, "movable")
+			for _, n := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, min(3, len(names)), rapid.ID[string]).Draw(t, "held") {
+				h := replica.Held{Model: n, Ready: rapid.IntRange(0, 4).Draw(t, "ready") > 0, For: settled}
+				u.Held = append(u.Held, h)
+				if u.Usable && h.Ready {
+					ready[n]++
+				}
+			}
+			in.Upstreams = append(in.Upstreams, u)
+		}
+		moved, store := map[string]bool{}, 0
+		for _, m := range replica.Default.Plan(in) {
+			assert.Assert(t, !moved[m.Upstream] && m.Load != m.Unload)
+			moved[m.Upstream] = true
+			if m.From == replica.FromStore {
+				store++
+			}
+			if m.Unload == "" {
+				continue
+			}
+			ready[m.Unload]--
+			d, asked := in.Demand[m.Unload]
+			mayGo := asked && d.Patient || !asked && in.SomePatient
+			assert.Assert(t, ready[m.Unload] > 0 || mayGo, "the last ready replica of %s makes way", m.Unload)
+		}
+		assert.Assert(t, store <= in.StoreLeft && len(moved) <= in.Most)
+	})
+}
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -76,11 +76,24 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	_, _, busy := u.book.Busy()
-	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: !busy && !u.moving,
+	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: !busy && u.moving == nil,
 		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), Room: map[string]bool{}}
+	coming := ""
+	if u.moving != nil {
+		coming = u.moving.Load
+	}
 	for _, h := range u.book.Held(now) {
+		if u.moving != nil && h.Model == u.moving.Unload {
+			continue
+		}
+		if h.Model == coming {
+			coming = ""
+		}
 		out.Held = append(out.Held, replica.Held{Model: h.Model, Ready: h.Ready, For: h.For, Idle: h.Idle})
 	}
+	if coming != "" {
+		out.Held = append(out.Held, replica.Held{Model: coming})
+	}
 	for i := range u.engine.Models {
 		if name := u.engine.Models[i].Name; u.book.Room(name) {
 			out.Room[name] = true
@@ -100,7 +113,7 @@
 func (u *unit) isMoving() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.moving
+	return u.moving != nil
 }
 
 // start carries a move out beside the plan.
@@ -110,7 +123,7 @@
 		return
 	}
 	u.mu.Lock()
-	u.moving = true
+	u.moving = &m
 	u.mu.Unlock()
 	if m.From == replica.FromStore {
 		c.stores.begin(c.now())
@@ -118,7 +131,7 @@
 	go func() {
 		defer func() {
 			u.mu.Lock()
-			u.moving = false
+			u.moving = nil
 			u.mu.Unlock()
 		}()
 		if err := u.move(ctx, m, d); err != nil {
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/replica"
 	"peridotpier.example/core/residency"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -40,9 +41,9 @@
 
 	mu        sync.Mutex
 	book      *residency.Book
-	changedAt time.Time // of the last order or report
-	taken     time.Time // arrival of the description that was entered last
-	moving    bool      // a change of models is under way
+	changedAt time.Time     // of the last order or report
+	taken     time.Time     // arrival of the description that was entered last
+	moving    *replica.Move // the change of models that is under way; nil: none
 }
 
 // describe enters the upstream's newest description, unless it may be older
