--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -45,12 +45,12 @@
 
 // The reasons, in the order of what would help most.
 const (
-	Found     Reason = iota
-	NoServer         // the service has no upstream that may be used
-	NoModel          // usable ones exist; none holds the model
-	NoAdapter        // holders exist; none has the adapter
-	AllFull          // those that could answer have no room
-	AllReading       // those that could answer read prompts of others just now
+	Found      Reason = iota
+	NoServer          // the service has no upstream that may be used
+	NoModel           // usable ones exist; none holds the model
+	NoAdapter         // holders exist; none has the adapter
+	AllFull           // those that could answer have no room
+	AllReading        // those that could answer read prompts of others just now
 )
 
 // String names the reason in logs.
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -46,7 +46,7 @@
 	q.last = e.ID()
 	now := d.Now()
 	d.Log.Emit(event.RequestSent, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.Int("among", p.among),
-		zap.Int("load", p.load), zap.Int64("predicted_ms", p.Predicted.Milliseconds()), zap.Uint64("version", q.version),
+		zap.Int("load", p.load), zap.Int("prompt", q.cost.Prompt), zap.Int("cached", p.cached), zap.Int("waiting", p.waiting), zap.Int64("predicted_ms", p.Predicted.Milliseconds()), zap.Uint64("version", q.version),
 		zap.Int64("held_ms", now.Sub(q.start).Milliseconds()), zap.String("model", q.ask.Model), zap.String("adapter", q.ask.Adapter))
 	d.Metrics.Add(metrics.Attempts, q.service.Name, e.ID(), 1)
 	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
@@ -267,7 +267,7 @@
 	took := d.Now().Sub(q.start)
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.first.Milliseconds()),
-		zap.Int64("pause_ms", q.pause.Milliseconds()))
+		zap.Int64("pause_ms", q.pause.Milliseconds()), zap.Int64("pause_at_ms", q.pauseAt.Milliseconds()))
 	d.Metrics.Count(metrics.Completed, 1)
 	d.Metrics.Observe(metrics.AnswerTime, q.route.Kind.String(), took)
 	return result{done: true}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -107,6 +107,7 @@
 	maybe       int             // those of them that may have run
 	first       time.Duration   // from the start to the first piece of a stream
 	pause       time.Duration   // longest between two pieces of it
+	pauseAt     time.Duration   // from the start to that pause
 	heard       time.Time       // when the last piece came
 	started     bool            // the head of an answer went to the caller
 	after       string          // last whole event that the caller has
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -15,9 +15,11 @@
 // picked is the outcome of one look at the upstreams.
 type picked struct {
 	balance.Decision
-	among int          // upstreams looked at
-	home  *fleet.Entry // where an adapter should be loaded; nil: nowhere
-	load  int          // requests at the chosen one, as known
+	among   int          // upstreams looked at
+	home    *fleet.Entry // where an adapter should be loaded; nil: nowhere
+	load    int          // requests at the chosen one, as known
+	waiting int          // prompt tokens to be read there, as known
+	cached  int          // prompt tokens that it probably keeps
 }
 
 // pick chooses an upstream among those of the request's service.
@@ -42,7 +44,8 @@
 	if p.Index < 0 {
 		return nil, p
 	}
-	p.load = endpoints[p.Index].Requests
+	chosen := &endpoints[p.Index]
+	p.load, p.waiting, p.cached = chosen.Requests, chosen.Waiting, chosen.Cached
 	return entries[p.Index], p
 }
 
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -50,7 +50,9 @@
 	if q.heard.IsZero() {
 		q.first = now.Sub(q.start)
 	} else {
-		q.pause = max(q.pause, now.Sub(q.heard))
+		if pause := now.Sub(q.heard); pause > q.pause {
+			q.pause, q.pauseAt = pause, q.heard.Sub(q.start)
+		}
 	}
 	q.heard = now
 }
