Give turns to all requests for models from one place

Ruled out: a lower bound of waiting tokens at each host. Change: hosts ask the lease's holder on a stream where and when to send; it knows every send and first event, lets the most urgent go first, and knows which prompts' parts were read where. Unanswered within 40 ms, or without a holder, a host decides by itself as before.

--- /dev/null
+++ b/node/coordinator/asking.go
@@ -0,0 +1,260 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"peridotpier.example/core/balance"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/gate"
+	"peridotpier.example/node/pace"
+)
+
+const (
+	// askBound is how long the first word on a question may take: several ways
+	// between data centres and a busy host's delay. A host waits this long at
+	// most for one that has stopped without a sign.
+	askBound = 40 * time.Millisecond
+	// askPause is how long a host decides by itself after a question went
+	// unanswered.
+	askPause = 600 * time.Millisecond
+	// askRetry is the least time between two tries to open a stream.
+	askRetry = 300 * time.Millisecond
+)
+
+// asking is a host's stream of questions to the one that decides for all.
+type asking struct {
+	link *Link
+
+	mu     sync.Mutex
+	stream askStream // nil: none
+	asks   map[uint64]chan *coordpb.TurnAnswer
+	next   uint64
+	until  time.Time // until when this host decides by itself
+	opened time.Time // the last try to open a stream
+	write  sync.Mutex
+}
+
+// askStream is the sending side of a stream, over the network or to this host's
+// own coordinator.
+type askStream interface {
+	Send(*coordpb.TurnEvent) error
+	Close() error
+}
+
+func newAsking(l *Link) *asking {
+	return &asking{link: l, asks: map[uint64]chan *coordpb.TurnAnswer{}}
+}
+
+// run keeps a stream to the host that holds the lease until ctx ends.
+func (a *asking) run(ctx context.Context) error {
+	at := ""
+	for pace.Sleep(ctx, lookEach) {
+		address := a.link.where()
+		a.mu.Lock()
+		open := a.stream != nil
+		a.mu.Unlock()
+		if open && address == at {
+			continue
+		}
+		if open {
+			a.lose(nil)
+		}
+		if address == "" || time.Since(a.opened) < askRetry {
+			continue
+		}
+		a.opened = time.Now()
+		if a.open(ctx, address) == nil {
+			at = address
+		}
+	}
+	return ctx.Err()
+}
+
+// open starts a stream.
+func (a *asking) open(ctx context.Context, address string) error {
+	if address == a.link.cfg.Address {
+		a.openOwn()
+		return nil
+	}
+	conn, err := a.link.conns.take(ctx, address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	st, err := coordpb.NewDRPCCoordinatorClient(conn).Turns(ctx)
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return err
+	}
+	a.mu.Lock()
+	a.stream = st
+	a.mu.Unlock()
+	go func() {
+		defer cancel()
+		defer func() { _ = conn.Close() }()
+		for {
+			answer, err := st.Recv()
+			if err != nil {
+				a.lose(st)
+				return
+			}
+			a.deliver(answer)
+		}
+	}()
+	return nil
+}
+
+// ownStream leads to the coordinator in this process.
+type ownStream struct {
+	c    *Coordinator
+	to   *turnStream
+	stop context.CancelFunc
+}
+
+// Send implements askStream.
+func (o *ownStream) Send(e *coordpb.TurnEvent) error {
+	if e.Kind == coordpb.TurnEvent_ASK && !o.c.Holding() {
+		return errNotHolding
+	}
+	o.c.turns.take(o.to, e)
+	return nil
+}
+
+// Close implements askStream.
+func (o *ownStream) Close() error {
+	o.stop()
+	o.c.turns.leave(o.to)
+	return nil
+}
+
+func (a *asking) openOwn() {
+	ctx, cancel := context.WithCancel(context.Background())
+	to := &turnStream{out: make(chan *coordpb.TurnAnswer, turnQueue), cancel: cancel}
+	own := &ownStream{c: a.link.own, to: to, stop: cancel}
+	a.mu.Lock()
+	a.stream = own
+	a.mu.Unlock()
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case answer := <-to.out:
+				a.deliver(answer)
+			}
+		}
+	}()
+}
+
+// lose ends the stream, if it is still st (nil: whichever it is), and has those
+// who wait on it decide by themselves.
+func (a *asking) lose(st askStream) {
+	a.mu.Lock()
+	old := a.stream
+	if old == nil || st != nil && old != st {
+		a.mu.Unlock()
+		return
+	}
+	a.stream = nil
+	for id, ch := range a.asks {
+		close(ch)
+		delete(a.asks, id)
+	}
+	a.mu.Unlock()
+	_ = old.Close()
+}
+
+func (a *asking) deliver(answer *coordpb.TurnAnswer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ch := a.asks[answer.Id]; ch != nil {
+		select {
+		case ch <- answer:
+		default: // two answers at most; a third would be a fault of the other side
+		}
+	}
+}
+
+// tell sends an event; a stream that fails is given up.
+func (a *asking) tell(st askStream, e *coordpb.TurnEvent) error {
+	a.write.Lock()
+	err := st.Send(e)
+	a.write.Unlock()
+	if err != nil {
+		a.lose(st)
+	}
+	return err
+}
+
+// ask asks where a request may go and waits until ctx ends at most.
+func (a *asking) ask(ctx context.Context, e *coordpb.TurnEvent) (*gate.Turn, error) {
+	a.mu.Lock()
+	st := a.stream
+	if st == nil || time.Now().Before(a.until) {
+		a.mu.Unlock()
+		return nil, errNoTurns
+	}
+	a.next++
+	e.Id = a.next
+	ch := make(chan *coordpb.TurnAnswer, 2)
+	a.asks[e.Id] = ch
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.asks, e.Id)
+		a.mu.Unlock()
+	}()
+	if err := a.tell(st, e); err != nil {
+		return nil, err
+	}
+	answer, err := a.await(ctx, ch)
+	if err != nil || answer.Kind != coordpb.TurnAnswer_GRANTED {
+		if err != nil {
+			_ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END})
+			return nil, err
+		}
+		return &gate.Turn{Reason: balance.Reason(answer.Reason), Home: answer.Home}, nil
+	}
+	return &gate.Turn{Upstream: answer.Upstream, Predicted: time.Duration(answer.PredictedMs) * time.Millisecond,
+		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached),
+		First: func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
+		End:   func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
+}
+
+// await waits for the first word within askBound, and for the last until ctx ends.
+func (a *asking) await(ctx context.Context, ch <-chan *coordpb.TurnAnswer) (*coordpb.TurnAnswer, error) {
+	first := time.NewTimer(askBound)
+	defer first.Stop()
+	for {
+		select {
+		case answer, ok := <-ch:
+			if !ok {
+				return nil, errNoTurns
+			}
+			if answer.Kind != coordpb.TurnAnswer_QUEUED {
+				return answer, nil
+			}
+			first.Stop()
+		case <-first.C:
+			a.mu.Lock()
+			a.until = time.Now().Add(askPause)
+			a.mu.Unlock()
+			return nil, errNoTurns
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Turn implements gate.Models.
+func (l *Link) Turn(ctx context.Context, q *gate.TurnAsk) (*gate.Turn, error) {
+	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_ASK, Service: q.Service, Model: q.Ask.Model, Adapter: q.Ask.Adapter,
+		Prompt: uint32(q.Cost.Prompt), Output: uint32(q.Cost.Output), Priority: int32(q.Priority), Reading: uint32(q.Reading), Tried: q.Tried}
+	for _, p := range q.Ask.Parts {
+		e.Parts = append(e.Parts, &coordpb.Part{Id: p.ID, Tokens: uint32(p.Tokens)})
+	}
+	return l.asking.ask(ctx, e)
+}
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -86,6 +86,7 @@
 	sums   *sums
 	newest time.Time // when an upstream was first seen last; under mu
 	demand *demand
+	turns  *turns
 	stores storeLoads
 
 	mu        sync.Mutex
@@ -123,8 +124,10 @@
 	if cfg.AdapterLoad == 0 {
 		cfg.AdapterLoad = defaultAdapterLoad
 	}
-	return &Coordinator{cfg: cfg, deps: deps, now: deps.Now, sums: newSums(), demand: newDemand(), units: map[string]*unit{},
+	c := &Coordinator{cfg: cfg, deps: deps, now: deps.Now, sums: newSums(), demand: newDemand(), units: map[string]*unit{},
 		stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
+	c.turns = newTurns(c)
+	return c
 }
 
 // tick is how often books and plans are looked at.
@@ -134,6 +137,7 @@
 func (c *Coordinator) Run(ctx context.Context) error {
 	for pace.Sleep(ctx, tick) {
 		c.follow()
+		c.turns.sweep()
 		if c.mayOrder(0) != nil {
 			continue
 		}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -42,10 +42,11 @@
 
 // Link is how a host reaches the one that holds the lease, be it itself.
 type Link struct {
-	cfg   LinkConfig
-	own   *Coordinator
-	conns *conns
-	log   *event.Log
+	cfg    LinkConfig
+	own    *Coordinator
+	conns  *conns
+	log    *event.Log
+	asking *asking
 
 	mu       sync.Mutex
 	demand   map[demandKey]*coordpb.Demand
@@ -61,9 +62,14 @@
 
 // NewLink makes a Link that is not linked.
 func NewLink(cfg LinkConfig, own *Coordinator, dial Dial, log *event.Log) *Link {
-	return &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, demand: map[demandKey]*coordpb.Demand{}}
+	l := &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, demand: map[demandKey]*coordpb.Demand{}}
+	l.asking = newAsking(l)
+	return l
 }
 
+// RunTurns keeps a stream of questions to the host that decides for all.
+func (l *Link) RunTurns(ctx context.Context) error { return l.asking.run(ctx) }
+
 // Run reports until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
 	for pace.Sleep(ctx, pace.Default().Around(reportPeriod, reportJitter)) {
--- /dev/null
+++ b/node/coordinator/turns.go
@@ -0,0 +1,225 @@
+package coordinator
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"peridotpier.example/core/balance"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
+)
+
+// turns decides for all hosts where each request for a model goes, and when.
+//
+// Hosts that decide by themselves see what the others have sent a fraction of
+// a second late, and send to the same upstream at once; its streams then pause
+// while it reads all those prompts. One place that knows every send can let
+// each request wait until an upstream has read what it was given, and let it
+// go to the first that is done, the most urgent first.
+type turns struct {
+	c *Coordinator
+
+	mu      sync.Mutex
+	granted map[string]map[turnKey]*turn // by upstream
+	waiting []*turn                      // the most urgent first, then the oldest
+	caches  map[string]*fleet.Cache
+}
+
+// turnKey names a request: the stream that it came on and the host's number.
+type turnKey struct {
+	from *turnStream
+	id   uint64
+}
+
+// turn is one request.
+type turn struct {
+	key      turnKey
+	event    *coordpb.TurnEvent
+	ask      fleet.Ask
+	tried    map[string]bool
+	since    time.Time
+	upstream string // where it was sent; "": it waits
+	reading  bool   // its first event has not come
+}
+
+func newTurns(c *Coordinator) *turns {
+	return &turns{c: c, granted: map[string]map[turnKey]*turn{}, caches: map[string]*fleet.Cache{}}
+}
+
+// take enters one event of a host and sends what follows from it.
+func (t *turns) take(from *turnStream, e *coordpb.TurnEvent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := turnKey{from, e.Id}
+	switch e.Kind {
+	case coordpb.TurnEvent_ASK:
+		t.ask(k, e)
+	case coordpb.TurnEvent_FIRST:
+		t.first(k)
+	case coordpb.TurnEvent_END:
+		t.end(k)
+	}
+}
+
+// leave forgets all requests of a host whose stream has ended.
+func (t *turns) leave(from *turnStream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, at := range t.granted {
+		for k := range at {
+			if k.from == from {
+				delete(at, k)
+			}
+		}
+	}
+	kept := t.waiting[:0]
+	for _, w := range t.waiting {
+		if w.key.from != from {
+			kept = append(kept, w)
+		}
+	}
+	t.waiting = kept
+}
+
+func (t *turns) ask(k turnKey, e *coordpb.TurnEvent) {
+	now := t.c.now()
+	w := &turn{key: k, event: e, ask: fleet.Ask{Model: e.Model, Adapter: e.Adapter}, since: now, tried: map[string]bool{}}
+	for _, p := range e.Parts {
+		w.ask.Parts = append(w.ask.Parts, fleet.Part{ID: p.Id, Tokens: int(p.Tokens)})
+	}
+	for _, id := range e.Tried {
+		w.tried[id] = true
+	}
+	d := t.try(w, now)
+	if d.Reason != balance.AllReading && d.Reason != balance.AllFull {
+		return
+	}
+	at := sort.Search(len(t.waiting), func(i int) bool { return t.waiting[i].event.Priority > e.Priority })
+	t.waiting = append(t.waiting, nil)
+	copy(t.waiting[at+1:], t.waiting[at:])
+	t.waiting[at] = w
+	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(d.Reason)})
+}
+
+// try looks for an upstream and answers the host unless the request has to wait.
+func (t *turns) try(w *turn, now time.Time) balance.Decision {
+	entries := t.c.deps.Fleet.Service(w.event.Service)
+	endpoints := make([]balance.Endpoint, len(entries))
+	for i, e := range entries {
+		endpoints[i] = t.endpoint(e, w, now)
+	}
+	r := balance.Request{Model: w.ask.Model, Adapter: w.ask.Adapter, Prompt: int(w.event.Prompt), Output: int(w.event.Output), Reading: int(w.event.Reading)}
+	if table := t.c.deps.Config.Current(); table != nil {
+		if s, ok := table.Service(w.event.Service); ok && s.Engine != nil {
+			r.CacheTokens = s.Engine.CacheTokens
+		}
+	}
+	d := balance.Pick(endpoints, &r, rand.Float64)
+	switch {
+	case d.Index >= 0:
+		t.grant(w, entries[d.Index], &endpoints[d.Index], d, now)
+	case d.Reason != balance.AllReading && d.Reason != balance.AllFull:
+		a := &coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(d.Reason)}
+		if d.Home >= 0 {
+			a.Home = entries[d.Home].ID()
+		}
+		w.key.from.send(a)
+	}
+	return d
+}
+
+// endpoint is the upstream with what was granted there, in place of what hosts
+// report. A host that has no stream here counts by its report.
+func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
+	out := e.Endpoint(&w.ask, now)
+	out.Near, out.Tried = false, w.tried[e.ID()]
+	requests, waiting, tokens := 0, 0, 0
+	for _, g := range t.granted[e.ID()] {
+		requests++
+		tokens += int(g.event.Prompt + g.event.Output)
+		if g.reading {
+			waiting += int(g.event.Prompt)
+		}
+	}
+	out.Requests, out.Tokens, out.Waiting = max(requests, out.Requests), max(tokens, out.Tokens), waiting
+	if c := t.caches[e.ID()]; c != nil {
+		out.Cached = max(out.Cached, c.Prefix(&w.ask, now))
+	}
+	return out
+}
+
+func (t *turns) grant(w *turn, e *fleet.Entry, at *balance.Endpoint, d balance.Decision, now time.Time) {
+	w.upstream, w.reading = e.ID(), true
+	if t.granted[w.upstream] == nil {
+		t.granted[w.upstream] = map[turnKey]*turn{}
+	}
+	t.granted[w.upstream][w.key] = w
+	if t.caches[w.upstream] == nil {
+		t.caches[w.upstream] = &fleet.Cache{}
+	}
+	t.caches[w.upstream].Keep(&w.ask, now)
+	w.event.Prompt -= min(w.event.Prompt, uint32(at.Cached)) // the rest is what there is to read
+	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
+		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached)})
+}
+
+// first notes that an upstream has read a request's prompt.
+func (t *turns) first(k turnKey) {
+	for _, at := range t.granted {
+		if g := at[k]; g != nil && g.reading {
+			g.reading = false
+			t.next(t.c.now())
+			return
+		}
+	}
+}
+
+func (t *turns) end(k turnKey) {
+	for _, at := range t.granted {
+		if at[k] != nil {
+			delete(at, k)
+			t.next(t.c.now())
+			return
+		}
+	}
+	for i, w := range t.waiting {
+		if w.key == k {
+			t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// nextMost bounds how many waiting requests are looked at for one event.
+const nextMost = 48
+
+// next lets go what can go now.
+func (t *turns) next(now time.Time) {
+	kept := t.waiting[:0]
+	for i, w := range t.waiting {
+		if i < nextMost {
+			if d := t.try(w, now); d.Reason != balance.AllReading && d.Reason != balance.AllFull {
+				continue
+			}
+		}
+		kept = append(kept, w)
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+}
+
+// sweep tries what waits again: upstreams come, recover, and gain models
+// without a word here. It forgets upstreams that are gone.
+func (t *turns) sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next(t.c.now())
+	for id := range t.granted {
+		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
+			delete(t.granted, id)
+			delete(t.caches, id)
+		}
+	}
+}
--- /dev/null
+++ b/node/coordinator/turnstream.go
@@ -0,0 +1,62 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+
+	"peridotpier.example/node/coordinator/coordpb"
+)
+
+// turnQueue is how many answers may wait to be sent to one host. A host that
+// is that slow decides by itself anyway.
+const turnQueue = 512
+
+// turnStream is one host's stream of questions.
+type turnStream struct {
+	out    chan *coordpb.TurnAnswer
+	cancel context.CancelFunc
+}
+
+// send queues an answer; a host that does not read loses its stream.
+func (s *turnStream) send(a *coordpb.TurnAnswer) {
+	select {
+	case s.out <- a:
+	default:
+		s.cancel()
+	}
+}
+
+// Turns implements coordpb.DRPCCoordinatorServer.
+func (s service) Turns(st coordpb.DRPCCoordinator_TurnsStream) error {
+	ctx, cancel := context.WithCancel(st.Context())
+	defer cancel()
+	own := &turnStream{out: make(chan *coordpb.TurnAnswer, turnQueue), cancel: cancel}
+	defer s.c.turns.leave(own)
+	go func() {
+		defer cancel()
+		for {
+			select {
+			case <-ctx.Done():
+				_ = st.Close() // ends the reading below
+				return
+			case a := <-own.out:
+				if st.Send(a) != nil {
+					return
+				}
+			}
+		}
+	}()
+	for {
+		e, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		if e.Kind == coordpb.TurnEvent_ASK && !s.c.Holding() {
+			return errNotHolding
+		}
+		s.c.turns.take(own, e)
+	}
+}
+
+// errNoTurns: no host decides for all; this one decides by itself.
+var errNoTurns = errors.New("no host decides for all")
--- a/node/fleet/cache.go
+++ b/node/fleet/cache.go
@@ -17,14 +17,14 @@
 	cacheFor = 8 * time.Second
 )
 
-// cached remembers which parts of prompts this host has had read at an
+// Cache remembers which parts of prompts this host has had read at an
 // upstream. It is a guess that only parts otherwise equal choices.
-type cached map[string]time.Time
+type Cache map[string]time.Time
 
 func partKey(a *Ask, id string) string { return a.Model + "/" + a.Adapter + "/" + id }
 
-// prefix is how many leading tokens of the prompt are probably kept.
-func (c cached) prefix(a *Ask, now time.Time) int {
+// Prefix is how many leading tokens of the prompt are probably kept.
+func (c Cache) Prefix(a *Ask, now time.Time) int {
 	sum := 0
 	for _, p := range a.Parts {
 		at, ok := c[partKey(a, p.ID)]
@@ -36,14 +36,14 @@
 	return sum
 }
 
-// keep notes that the parts of a prompt were read. The last part is the
+// Keep notes that the parts of a prompt were read. The last part is the
 // request's own, and seldom comes again.
-func (c *cached) keep(a *Ask, now time.Time) {
+func (c *Cache) Keep(a *Ask, now time.Time) {
 	if len(a.Parts) < 2 {
 		return
 	}
 	if *c == nil || len(*c) > cacheMost {
-		*c = cached{}
+		*c = Cache{}
 	}
 	for _, p := range a.Parts[:len(a.Parts)-1] {
 		(*c)[partKey(a, p.ID)] = now
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -66,7 +66,7 @@
 	believed   []deploy.Resident
 	believedAt time.Time
 	denied     map[string]time.Time // model and adapter, until when
-	cache      cached
+	cache      Cache
 	movable    map[*Exchange]struct{} // attempts that can go elsewhere
 }
 
@@ -326,7 +326,7 @@
 	if a.Model != "" {
 		out.HoldsModel = e.holdsLocked(a.Model, "", now)
 		out.HoldsAdapter = a.Adapter == "" || e.holdsLocked(a.Model, a.Adapter, now)
-		out.Cached = e.cache.prefix(a, now)
+		out.Cached = e.cache.Prefix(a, now)
 	}
 	return out
 }
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -21,9 +21,13 @@
 	cost  Cost
 	first bool
 	ended bool
+	heard func() // called when the first bytes of the answer came; nil: nobody asks
 	abort func() // called when the upstream is found silent; nil: the attempt stays
 }
 
+// OnFirst has f called when the first bytes of the answer come.
+func (x *Exchange) OnFirst(f func()) { x.heard = f }
+
 // OnSilence has abort called if the upstream is found silent while the attempt
 // is there. It is for attempts that can go elsewhere.
 func (x *Exchange) OnSilence(abort func()) {
@@ -48,11 +52,14 @@
 // Heard notes bytes of the answer. The first ones end the wait for the prompt.
 func (x *Exchange) Heard() {
 	now := x.e.fleet.deps.Now()
+	if !x.first && x.heard != nil {
+		x.heard()
+	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	x.firstLocked()
 	x.e.health.Heard(now, x.e.own.Requests > 0)
-	x.e.cache.keep(x.ask, now)
+	x.e.cache.Keep(x.ask, now)
 }
 
 func (x *Exchange) firstLocked() {
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -38,6 +38,10 @@
 	ctx, cancel := context.WithCancelCause(q.ctx)
 	defer cancel(nil)
 	x := e.Begin(&q.ask, q.cost)
+	if p.turn != nil {
+		x.OnFirst(p.turn.First)
+		defer p.turn.End()
+	}
 	if q.mayRunAgain() {
 		x.OnSilence(func() { cancel(errSilent) })
 	}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -25,6 +25,9 @@
 type Models interface {
 	// Adapter asks for an adapter at an upstream and returns when it is there.
 	Adapter(ctx context.Context, upstream, model, adapter string) error
+	// Turn asks where and when to send a request. An error says that this host
+	// decides by itself.
+	Turn(ctx context.Context, q *TurnAsk) (*Turn, error)
 	// Demand notes a request for a model, with the tokens to expect of its
 	// answer and the time within which that is worth all; unserved says that
 	// no upstream holds the model.
@@ -217,7 +220,7 @@
 // run makes attempts until the request has its final answer.
 func (q *request) run() {
 	for {
-		e, d := q.pick()
+		e, d := q.choose()
 		if e == nil {
 			if q.wait(d) {
 				continue
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -20,6 +20,17 @@
 	load    int          // requests at the chosen one, as known
 	waiting int          // prompt tokens to be read there, as known
 	cached  int          // prompt tokens that it probably keeps
+	turn    *Turn        // given by the host that decides for all; nil: decided here
+}
+
+// choose asks where the request goes, or picks by what this host knows.
+func (q *request) choose() (*fleet.Entry, picked) {
+	if q.ask.Model != "" {
+		if e, p, ok := q.turn(); ok {
+			return e, p
+		}
+	}
+	return q.pick()
 }
 
 // pick chooses an upstream among those of the request's service.
@@ -92,7 +103,7 @@
 		return p.Reason == balance.AllReading || q.giveUp(p.Reason)
 	}
 	changed := q.g.deps.Fleet.Changed()
-	if e, _ := q.pick(); e != nil {
+	if e, _ := q.pick(); e != nil && p.Reason != balance.NoModel {
 		return true
 	}
 	ctx, cancel := context.WithDeadline(q.ctx, until)
--- /dev/null
+++ b/node/gate/turn.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/balance"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+)
+
+// TurnAsk asks the host that decides for all where a request may go.
+type TurnAsk struct {
+	Service  string
+	Ask      *fleet.Ask
+	Cost     fleet.Cost
+	Priority int
+	Reading  int // prompt tokens that may wait beside it; 0: not bounded
+	Tried    []string
+}
+
+// Turn is the answer. Of one with an upstream, First is called when the answer
+// begins and End when the attempt is over; both may be called from any goroutine.
+type Turn struct {
+	Upstream  string // "": none; see Reason
+	Reason    balance.Reason
+	Home      string // where an adapter should be loaded
+	Predicted time.Duration
+	Load      int
+	Waiting   int
+	Cached    int
+	First     func()
+	End       func()
+}
+
+// turn asks where the request may go. ok is false when this host has to decide
+// by itself: nobody decides for all, or the wait is over.
+func (q *request) turn() (e *fleet.Entry, p picked, ok bool) {
+	d := &q.g.deps
+	now := d.Now()
+	left := q.start.Add(time.Duration(float64(q.route.Objective) * readingShare)).Sub(now)
+	if left <= 0 {
+		return nil, picked{}, false
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, left)
+	defer cancel()
+	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now)}
+	for id := range q.tried {
+		ask.Tried = append(ask.Tried, id)
+	}
+	t, err := d.Models.Turn(ctx, ask)
+	if err != nil {
+		return nil, picked{}, false
+	}
+	if t.Upstream == "" {
+		return q.noTurn(t)
+	}
+	e, known := d.Fleet.Entry(t.Upstream)
+	if !known || !e.Usable() {
+		t.End()
+		return nil, picked{}, false
+	}
+	p = picked{Decision: balance.Decision{Predicted: t.Predicted}, among: len(d.Fleet.Service(q.service.Name)),
+		load: t.Load, waiting: t.Waiting, cached: t.Cached, turn: t}
+	d.Log.Emit(event.TurnGiven, q.id(), zap.String(event.FieldPeer, t.Upstream), zap.Int64("waited_ms", d.Now().Sub(now).Milliseconds()),
+		zap.Int("load", t.Load), zap.Int("waiting", t.Waiting), zap.Int("cached", t.Cached))
+	return e, p, true
+}
+
+// noTurn turns an answer without an upstream into what the wait goes by.
+func (q *request) noTurn(t *Turn) (*fleet.Entry, picked, bool) {
+	p := picked{Decision: balance.Decision{Index: -1, Reason: t.Reason, Home: -1}, among: len(q.g.deps.Fleet.Service(q.service.Name))}
+	if home, ok := q.g.deps.Fleet.Entry(t.Home); ok && t.Reason == balance.NoAdapter {
+		p.home = home
+	}
+	return nil, p, true
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -153,6 +153,7 @@
 	h.add(&g, work, h.sweep)
 	h.add(&g, work, h.coord.Run)
 	h.add(&g, work, h.link.Run)
+	h.add(&g, work, h.link.RunTurns)
 	h.add(&g, work, h.fetch)
 	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap()}
 	h.add(&g, ctx, h.whileServing(lead.Run))
