Wait longer for a turn, never past the objective; late requests let others pass

Change: waits of 0.35 of the deadline, 0.8 of the objective at most; requests that are late anyway go after those that are not.

--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -195,21 +196,33 @@
 // nextMost bounds how many waiting requests are looked at for one event.
 const nextMost = 48
 
-// next lets go what can go now.
+// next lets go what can go now. Requests whose answers would come late in any
+// case let those pass that can still be in time.
 func (t *turns) next(now time.Time) {
-	kept := t.waiting[:0]
-	for i, w := range t.waiting {
-		if i < nextMost {
-			if d := t.try(w, now); d.Reason != balance.AllReading && d.Reason != balance.AllFull {
+	looked := 0
+	for _, late := range []bool{false, true} {
+		for i, w := range t.waiting {
+			if looked >= nextMost || w == nil || w.late(now) != late {
 				continue
 			}
+			looked++
+			if d := t.try(w, now); d.Reason != balance.AllReading && d.Reason != balance.AllFull {
+				t.waiting[i] = nil
+			}
 		}
-		kept = append(kept, w)
 	}
-	clear(t.waiting[len(kept):])
-	t.waiting = kept
+	t.waiting = slices.DeleteFunc(t.waiting, func(w *turn) bool { return w == nil })
+}
+
+// late says that an answer to the request would not begin in time any more.
+func (w *turn) late(now time.Time) bool {
+	return now.Sub(w.since) > time.Duration(w.event.InTimeMs)*time.Millisecond-startTime
 }
 
+// startTime is about how long a prompt takes to be read on an upstream that
+// reads nothing else.
+const startTime = 120 * time.Millisecond
+
 // sweep tries what waits again: upstreams come, recover, and gain models
 // without a word here. It forgets upstreams that are gone.
 func (t *turns) sweep() {
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -19,6 +19,7 @@
 	Priority int
 	Reading  int // prompt tokens that may wait beside it; 0: not bounded
 	Tried    []string
+	InTime   time.Duration // for so long an answer that begins is in time
 }
 
 // Turn is the answer. Of one with an upstream, First is called when the answer
@@ -40,13 +41,14 @@
 func (q *request) turn() (e *fleet.Entry, p picked, ok bool) {
 	d := &q.g.deps
 	now := d.Now()
-	left := q.start.Add(time.Duration(float64(q.route.Objective) * readingShare)).Sub(now)
+	left := q.start.Add(q.patience()).Sub(now)
 	if left <= 0 {
 		return nil, picked{}, false
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, left)
 	defer cancel()
-	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now)}
+	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now),
+		InTime: q.start.Add(q.route.Objective).Sub(now)}
 	for id := range q.tried {
 		ask.Tried = append(ask.Tried, id)
 	}
@@ -69,6 +71,23 @@
 	return e, p, true
 }
 
+const (
+	// turnShare is the part of its time that a request waits for a turn. What
+	// is left must do for its prompt and its answer. Waiting here keeps the
+	// streams of a busy upstream going; sent on, the prompt would only stop them.
+	turnShare = 0.35
+	// offerShare is the part of its objective by which a request is sent on in
+	// any case: held for longer, it would have been better refused.
+	offerShare = 0.8
+)
+
+// patience is how long after its start the request may wait for a turn.
+func (q *request) patience() time.Duration {
+	share := time.Duration(float64(q.deadline.Sub(q.start)) * turnShare)
+	share = max(share, time.Duration(float64(q.route.Objective)*readingShare))
+	return min(share, time.Duration(float64(q.route.Objective)*offerShare))
+}
+
 // noTurn turns an answer without an upstream into what the wait goes by.
 func (q *request) noTurn(t *Turn) (*fleet.Entry, picked, bool) {
 	p := picked{Decision: balance.Decision{Index: -1, Reason: t.Reason, Home: -1}, among: len(q.g.deps.Fleet.Service(q.service.Name))}
