Keep a model's prior until its demand is known

Ruled out: the weights of moves. Change: priors hold for three seconds after a model's first request.

--- a/node/coordinator/demand.go
+++ b/node/coordinator/demand.go
@@ -35,6 +35,7 @@
 type wanted struct {
 	sum      float64 // decaying engine time, seconds
 	at       time.Time
+	first    time.Time
 	last     time.Time
 	unserved time.Time
 	patience time.Duration // shortest objective of those who asked
@@ -50,7 +51,7 @@
 		k := modelKey{w.Service, w.Model}
 		own := d.of[k]
 		if own == nil {
-			own = &wanted{at: now, patience: time.Hour}
+			own = &wanted{at: now, first: now, patience: time.Hour}
 			d.of[k] = own
 		}
 		own.decay(now)
@@ -101,6 +102,18 @@
 	return out
 }
 
+// demandKnown is how long after its first request a model's demand is known
+// well enough to go by it alone: until then the sum is still filling.
+const demandKnown = 3 * time.Second
+
+// known says whether the demand for a model can be gone by.
+func (d *demand) known(service, model string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.of[modelKey{service, model}]
+	return w != nil && now.Sub(w.first) >= demandKnown
+}
+
 // patient says whether those who ask for a model within an objective would
 // wait for a load from a disk.
 func patient(e *deploy.Engine, model string, objective time.Duration) bool {
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now), StoreLeft: c.stores.left(s.Engine.LoadsPerSecond, now)}
-		in.Prior = replica.Priors(s.Engine, func(model string) bool { _, asked := in.Demand[model]; return asked })
+		in.Prior = replica.Priors(s.Engine, func(model string) bool { return c.demand.known(s.Name, model, now) })
 		in.SomePatient = somePatient(table.Config, s)
 		moving := 0
 		for _, u := range units {
