Keep connections as long as upstreams state; prefer warm ones; trust a relay by the bounds

Change: a stated time is used to 0.8, the default holds only without one; a warm connection counts 8 ms; a relay is trusted for 0.6 of the drain time.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -13,6 +13,7 @@
 	Address      string
 	Slots        int
 	Near         bool // in this host's data centre
+	Warm         bool // the sending host has an idle connection to it
 	Leaving      bool
 	Down         bool // its answers, or their absence, speak against it
 	Trial        bool // was down; one request at a time is let through
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -16,6 +16,8 @@
 	// farMs is the way to another data centre and back; as a score it also
 	// stands for the price of the bytes that cross.
 	farMs = 3.0
+	// openMs stands for a new connection: its way and back, and its price.
+	openMs = 8.0
 	// coldMs counts against an upstream that has just started.
 	coldMs = 200.0
 	// drawMs spreads hosts that see equals.
@@ -29,6 +31,9 @@
 	if !e.Near {
 		s += farMs
 	}
+	if !e.Warm {
+		s += openMs
+	}
 	if e.Cold > 0 {
 		s += coldMs * min(1, e.Cold.Seconds()/time.Second.Seconds())
 	}
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -253,7 +253,7 @@
 func (l *Link) Turn(ctx context.Context, q *gate.TurnAsk) (*gate.Turn, error) {
 	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_ASK, Service: q.Service, Model: q.Ask.Model, Adapter: q.Ask.Adapter,
 		Prompt: uint32(q.Cost.Prompt), Output: uint32(q.Cost.Output), Priority: int32(q.Priority), Reading: uint32(q.Reading), Tried: q.Tried,
-		InTimeMs: uint32(max(q.InTime.Milliseconds(), 0))}
+		Warm: q.Warm, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.InTime.Milliseconds(), 0))}
 	for _, p := range q.Ask.Parts {
 		e.Parts = append(e.Parts, &coordpb.Part{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -35,9 +35,10 @@
 
 // LinkConfig names this host.
 type LinkConfig struct {
-	Host    string
-	Address string   // where its coordinator listens
-	Seeds   []string // of a few hosts, perhaps stale
+	Host       string
+	DataCentre string
+	Address    string   // where its coordinator listens
+	Seeds      []string // of a few hosts, perhaps stale
 }
 
 // Link is how a host reaches the one that holds the lease, be it itself.
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -40,6 +40,7 @@
 	event    *coordpb.TurnEvent
 	ask      fleet.Ask
 	tried    map[string]bool
+	warm     map[string]bool
 	since    time.Time
 	upstream string // where it was sent; "": it waits
 	reading  bool   // its first event has not come
@@ -86,13 +87,10 @@
 
 func (t *turns) ask(k turnKey, e *coordpb.TurnEvent) {
 	now := t.c.now()
-	w := &turn{key: k, event: e, ask: fleet.Ask{Model: e.Model, Adapter: e.Adapter}, since: now, tried: map[string]bool{}}
+	w := &turn{key: k, event: e, ask: fleet.Ask{Model: e.Model, Adapter: e.Adapter}, since: now, tried: setOf(e.Tried), warm: setOf(e.Warm)}
 	for _, p := range e.Parts {
 		w.ask.Parts = append(w.ask.Parts, fleet.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
-	for _, id := range e.Tried {
-		w.tried[id] = true
-	}
 	d := t.try(w, now)
 	if d.Reason != balance.AllReading && d.Reason != balance.AllFull {
 		return
@@ -135,7 +133,7 @@
 // report. A host that has no stream here counts by its report.
 func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.ask, now)
-	out.Near, out.Tried = false, w.tried[e.ID()]
+	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
 	requests, waiting, tokens := 0, 0, 0
 	for _, g := range t.granted[e.ID()] {
 		requests++
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -79,6 +79,13 @@
 // Address is where it listens.
 func (e *Entry) Address() string { return e.up.Address } // never changes
 
+// DataCentre is where it runs.
+func (e *Entry) DataCentre() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.up.DataCentre
+}
+
 // Described returns the upstream's newest description of itself and when it came.
 func (e *Entry) Described() (deploy.Upstream, time.Time) {
 	e.mu.Lock()
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -49,9 +49,9 @@
 	// change may take to reach every host is a little more than these.
 	relayUpstreamsWait = 500 * time.Millisecond
 	relayConfigWait    = 800 * time.Millisecond
-	// relayFresh is how old the relaying host's last answer from the store may
-	// be. Past it, hosts ask the store themselves.
-	relayFresh = 1200 * time.Millisecond
+	// defaultRelayFresh is how old the relaying host's last answer from the
+	// store may be. Past it, hosts ask the store themselves.
+	defaultRelayFresh = 1200 * time.Millisecond
 	// readBound is how long a call may take that does not wait.
 	readBound = 1500 * time.Millisecond
 	// waitSlack is how much longer than its wait a call for changes may take.
@@ -80,6 +80,8 @@
 	Log       *event.Log
 	// Relays says whether this host relays to the others.
 	Relays func() bool
+	// RelayFresh replaces its default; 0: the default.
+	RelayFresh time.Duration
 	// Listed is called after the list of upstreams was first known.
 	Listed func()
 }
@@ -105,6 +107,9 @@
 	if d.Relays == nil {
 		d.Relays = func() bool { return false }
 	}
+	if d.RelayFresh == 0 {
+		d.RelayFresh = defaultRelayFresh
+	}
 	return &Follower{deps: d, from: time.Now()}
 }
 
@@ -137,7 +142,7 @@
 		}
 		f.upstreams.at.Store(r.UpstreamsAt)
 	}
-	if r.Age < relayFresh {
+	if r.Age < f.deps.RelayFresh {
 		f.relayed.Store(f.sinceStart() - int64(r.Age))
 	}
 }
@@ -145,7 +150,7 @@
 // isRelayed says whether the relay is fresh enough to do without the store.
 func (f *Follower) isRelayed() bool {
 	at := f.relayed.Load()
-	return at != 0 && f.sinceStart()-at < int64(relayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
+	return at != 0 && f.sinceStart()-at < int64(f.deps.RelayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
 }
 
 // Age is how long ago the store answered, for the older of the two feeds.
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -42,6 +42,7 @@
 	for i, e := range entries {
 		endpoints[i] = e.Endpoint(&q.ask, now)
 		endpoints[i].Tried = q.tried[endpoints[i].ID]
+		endpoints[i].Warm = d.Client.Warm(e.Address())
 	}
 	r := balance.Request{Model: q.ask.Model, Adapter: q.ask.Adapter, Prompt: q.cost.Prompt, Output: q.cost.Output}
 	if q.service.Engine != nil {
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -19,6 +19,7 @@
 	Priority int
 	Reading  int // prompt tokens that may wait beside it; 0: not bounded
 	Tried    []string
+	Warm     []string      // upstreams with an idle connection from here
 	InTime   time.Duration // for so long an answer that begins is in time
 }
 
@@ -49,6 +50,7 @@
 	defer cancel()
 	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now),
 		InTime: q.start.Add(q.route.Objective).Sub(now)}
+	ask.Warm = q.warm()
 	for id := range q.tried {
 		ask.Tried = append(ask.Tried, id)
 	}
@@ -88,6 +90,18 @@
 	return min(share, time.Duration(float64(q.route.Objective)*offerShare))
 }
 
+// warm lists the upstreams of the request's service that this host has an idle
+// connection to.
+func (q *request) warm() []string {
+	var out []string
+	for _, e := range q.g.deps.Fleet.Service(q.service.Name) {
+		if q.g.deps.Client.Warm(e.Address()) {
+			out = append(out, e.ID())
+		}
+	}
+	return out
+}
+
 // noTurn turns an answer without an upstream into what the wait goes by.
 func (q *request) noTurn(t *Turn) (*fleet.Entry, picked, bool) {
 	p := picked{Decision: balance.Decision{Index: -1, Reason: t.Reason, Home: -1}, among: len(q.g.deps.Fleet.Service(q.service.Name))}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -83,6 +83,10 @@
 	return h, h.listen()
 }
 
+// relayFreshShare is the part of the time in which a leaving upstream may still
+// get work for which a relay of the store's changes is trusted without news.
+const relayFreshShare = 0.6
+
 // massHoldShare is the part of the time in which a leaving upstream may still
 // get work for which upstreams are used whose entries vanish in great number.
 const massHoldShare = 0.6
@@ -132,11 +136,12 @@
 		TryBound: leaseTry, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: d.Platform.Table, Log: d.Log})
 	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log,
-		Relays: func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
+		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
+		Relays:     func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
-	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
+	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
 }
 
 // Run serves until ctx ends, then stops without cutting anything off within
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -249,6 +249,14 @@
 // sent on them without an error; new connections are not concerned.
 func (c *Client) Retire(address string) { c.pool(address).retire() }
 
+// Warm says whether an exchange with address would need no new connection.
+func (c *Client) Warm(address string) bool {
+	c.mu.RLock()
+	p := c.pools[address]
+	c.mu.RUnlock()
+	return p != nil && p.warm(time.Now(), c.cfg.IdleMost)
+}
+
 // Forget retires the connections to an address that nothing is sent to any more.
 func (c *Client) Forget(address string) {
 	c.mu.Lock()
@@ -299,7 +307,7 @@
 
 // statedShare is the part of an upstream's stated idle time that is used: the
 // rest covers the way of a request to it and its rounding to whole seconds.
-const statedShare = 0.7
+const statedShare = 0.8
 
 // stated is how long an upstream says that it keeps an idle connection, less
 // a margin; 0: it does not say.
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -36,7 +36,7 @@
 // bound is how long l may have been idle to be used again.
 func (p *pool) bound(l *link, idleMost time.Duration) time.Duration {
 	if l.idleMost > 0 {
-		idleMost = min(idleMost, l.idleMost)
+		idleMost = l.idleMost
 	}
 	if p.learned > 0 {
 		idleMost = min(idleMost, p.learned)
@@ -90,7 +90,7 @@
 		p.sweeping = false
 		now, kept := time.Now(), p.idle[:0]
 		for _, l := range p.idle {
-			if now.Sub(l.idleSince) >= idleMost {
+			if now.Sub(l.idleSince) >= p.bound(l, idleMost) {
 				_ = l.nc.Close()
 				continue
 			}
@@ -102,6 +102,14 @@
 	})
 }
 
+// warm says whether a connection is there that could be used again.
+func (p *pool) warm(now time.Time, idleMost time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && now.Sub(p.idle[n-1].idleSince) < p.bound(p.idle[n-1], idleMost)
+}
+
 // retire closes the idle connections and keeps those in use from coming back.
 func (p *pool) retire() {
 	p.mu.Lock()
