Find the lease's holder by peers; let few hosts run for the lease

At the start all 81 hosts read an empty store without a pause and ran for the lease, whose holder then lost it to the store's limit; 28 hosts that the store turned away could not read who holds it. Ruled out: the feeds of linked hosts. Change: a read of an empty store is followed by a pause; the holder names five deputies, only they run for the lease; the others ask them, or the seeds, who holds it.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -89,6 +89,13 @@
 	turns  *turns
 	stores storeLoads
 
+	// Linked tells the address that this host's own reports go to; set before Run.
+	Linked func() string
+
+	encoding  sync.Mutex // guards the next two
+	encodedOf *deploy.Config
+	encodedAs []byte
+
 	mu        sync.Mutex
 	units     map[string]*unit // by upstream
 	revision  uint64           // rises when what the units hold changes
@@ -146,6 +153,14 @@
 	return ctx.Err()
 }
 
+// linked is the address of the host that holds the lease; "": not known.
+func (c *Coordinator) linked() string {
+	if c.Linked == nil {
+		return ""
+	}
+	return c.Linked()
+}
+
 // Holding says whether this host holds the lease now.
 func (c *Coordinator) Holding() bool {
 	_, ok := c.deps.Lease.Term()
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -33,11 +33,30 @@
 			pace.Sleep(ctx, lookEach)
 			continue
 		}
-		d.campaign(ctx)
+		if d.Link.candidate() || !d.find(ctx) {
+			d.campaign(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
+// findFor is how long a host that should not run for the lease asks others who
+// holds it, before it runs all the same: those that should may all be gone.
+const findFor = 3 * time.Second
+
+// find asks others until this host is linked.
+func (d *Lead) find(ctx context.Context) bool {
+	for began := time.Now(); time.Since(began) < findFor; {
+		if d.Link.Find(ctx) {
+			return true
+		}
+		if !pace.Sleep(ctx, pace.Default().Around(tryEach, reportJitter)) {
+			return false
+		}
+	}
+	return false
+}
+
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
 func (d *Lead) campaign(ctx context.Context) {
@@ -63,12 +82,11 @@
 		if _, held := d.Lease.Term(); held {
 			continue
 		}
-		holder := addressOf(d.Lease.Seen().Holder)
-		if holder == "" || time.Since(tried) < tryEach {
+		if time.Since(tried) < tryEach {
 			continue
 		}
 		tried = time.Now()
-		if d.Link.Try(ctx, holder) {
+		if d.Link.Try(ctx, addressOf(d.Lease.Seen().Holder)) || d.Link.Find(ctx) {
 			return
 		}
 	}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +41,7 @@
 	DataCentre string
 	Address    string   // where its coordinator listens
 	Seeds      []string // of a few hosts, perhaps stale
+	Ample      bool     // this host has enough to spare to act for all
 }
 
 // Link is how a host reaches the one that holds the lease, be it itself.
@@ -56,7 +59,8 @@
 	revision uint64
 	list     uint64 // change of the holder's list up to which this host has it
 	holdings []*coordpb.Holding
-	hosts    int // most that were ever seen to share the allowance
+	deputies []string // as the holder last named them
+	hosts    int      // most that were ever seen to share the allowance
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -97,6 +101,9 @@
 	return l.address
 }
 
+// Coordinator is the address of the host that holds the lease; "": not known.
+func (l *Link) Coordinator() string { return l.where() }
+
 // Linked says whether this host is linked to one that holds the lease.
 func (l *Link) Linked() bool { return l.where() != "" }
 
@@ -168,7 +175,7 @@
 
 // report gathers what this host tells.
 func (l *Link) report() *coordpb.HostReport {
-	r := &coordpb.HostReport{Host: l.cfg.Host}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
 	for _, e := range l.own.deps.Fleet.All() {
 		if own := e.OwnLoad(); own.Requests > 0 {
 			r.Loads = append(r.Loads, &coordpb.Load{Upstream: e.ID(), Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
@@ -195,6 +202,9 @@
 	}
 	l.mu.Lock()
 	l.failed = 0
+	if len(s.Deputies) > 0 {
+		l.deputies = s.Deputies
+	}
 	l.hosts = max(l.hosts, int(s.Hosts))
 	if len(s.Holdings) > 0 {
 		l.revision, l.holdings = s.Revision, s.Holdings
@@ -255,7 +265,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
 	defer cancel()
-	r := &coordpb.HostReport{Host: l.cfg.Host}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
 	var s *coordpb.SiteState
 	err := l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
 		s, err = c.Report(ctx, r)
@@ -273,6 +283,41 @@
 	return true
 }
 
+// peers are the hosts to ask who holds the lease.
+func (l *Link) peers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.deputies) > 0 {
+		return l.deputies
+	}
+	return l.cfg.Seeds
+}
+
+// candidate says whether this host is among those that should take the lease
+// first. The others would only cost the store calls.
+func (l *Link) candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
+
+// Find asks another host who holds the lease, and links this one to it. It is
+// how a host finds the holder while the store turns it away.
+func (l *Link) Find(ctx context.Context) bool {
+	peers := l.peers()
+	if len(peers) == 0 {
+		return false
+	}
+	peer := peers[rand.IntN(len(peers))]
+	if peer == l.cfg.Address {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	var a *coordpb.StateAnswer
+	err := l.conns.call(ctx, peer, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+		a, err = c.State(ctx, &coordpb.StateCall{Brief: true})
+		return err
+	})
+	return err == nil && l.Try(ctx, a.Coordinator)
+}
+
 // errNotLinked: no host that holds the lease is known.
 var errNotLinked = errors.New("not linked to a host that gives orders")
 
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -46,8 +46,11 @@
 
 func (s service) State(_ context.Context, q *coordpb.StateCall) (*coordpb.StateAnswer, error) {
 	out := &coordpb.StateAnswer{Coordinator: addressOf(s.c.deps.Lease.Seen().Holder)}
-	if s.c.Holding() {
-		out.Coordinator = s.c.cfg.Address
+	if linked := s.c.linked(); linked != "" {
+		out.Coordinator = linked
+	}
+	if q.Brief {
+		return out, nil
 	}
 	if t := s.c.deps.Config.Current(); t != nil && t.Config.Version > q.ConfigAbove {
 		data, err := json.Marshal(t.Config)
@@ -77,7 +80,7 @@
 func (c *Coordinator) relay(r *coordpb.HostReport, out *coordpb.SiteState) error {
 	out.StoreAgeMs = uint32(min(c.deps.Feed.Age(), time.Hour).Milliseconds())
 	if t := c.deps.Config.Current(); t != nil && t.Config.Version > r.Config {
-		data, err := json.Marshal(t.Config)
+		data, err := c.encoded(t.Config)
 		if err != nil {
 			return err
 		}
@@ -90,10 +93,25 @@
 	return err
 }
 
+// encoded is a configuration as JSON. All hosts ask for each version at once,
+// so the newest one is kept.
+func (c *Coordinator) encoded(cfg *deploy.Config) ([]byte, error) {
+	c.encoding.Lock()
+	defer c.encoding.Unlock()
+	if c.encodedOf == cfg {
+		return c.encodedAs, nil
+	}
+	data, err := json.Marshal(cfg)
+	if err == nil {
+		c.encodedOf, c.encodedAs = cfg, data
+	}
+	return data, err
+}
+
 // report takes one host's report and answers what it needs of the others.
 func (c *Coordinator) report(r *coordpb.HostReport) *coordpb.SiteState {
 	now := c.now()
-	c.sums.take(r.Host, r.Loads, now)
+	c.sums.take(r, now)
 	c.demand.take(r.Demand, now)
 	units := c.allUnits()
 	for _, d := range r.Demand {
@@ -111,6 +129,7 @@
 			out.Others = append(out.Others, &coordpb.Load{Upstream: id, Requests: uint32(l.Requests), Waiting: uint32(max(l.Waiting, 0)), Tokens: uint32(max(l.Tokens, 0))})
 		}
 	}
+	out.Deputies = c.sums.deputies(now)
 	c.mu.Lock()
 	out.Revision = c.revision
 	c.mu.Unlock()
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -1,9 +1,12 @@
 package coordinator
 
 import (
+	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/fleet"
 )
@@ -24,20 +27,21 @@
 }
 
 type hostLoads struct {
-	at    time.Time
-	loads map[string]fleet.Load
+	at     time.Time
+	report *coordpb.HostReport
+	loads  map[string]fleet.Load
 }
 
 func newSums() *sums { return &sums{hosts: map[string]*hostLoads{}} }
 
 // take replaces one host's loads.
-func (s *sums) take(host string, loads []*coordpb.Load, now time.Time) {
-	h := &hostLoads{at: now, loads: make(map[string]fleet.Load, len(loads))}
-	for _, l := range loads {
+func (s *sums) take(r *coordpb.HostReport, now time.Time) {
+	h := &hostLoads{at: now, report: r, loads: make(map[string]fleet.Load, len(r.Loads))}
+	for _, l := range r.Loads {
 		h.loads[l.Upstream] = fleet.Load{Requests: int(l.Requests), Waiting: int(l.Waiting), Tokens: int(l.Tokens)}
 	}
 	s.mu.Lock()
-	s.hosts[host] = h
+	s.hosts[r.Host] = h
 	s.mu.Unlock()
 }
 
@@ -63,3 +67,29 @@
 	}
 	return total, hosts
 }
+
+// deputiesMost is how many hosts may run for the lease at once when it falls
+// free: enough that some are left after a data centre is lost.
+const deputiesMost = 5
+
+// deputies names the hosts that should take the lease next: those with most to
+// spare, the same for all that ask.
+func (s *sums) deputies(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ample, other []string
+	for _, h := range s.hosts {
+		if now.Sub(h.at) > reportFresh || h.report.Address == "" {
+			continue
+		}
+		if h.report.Ample {
+			ample = append(ample, h.report.Address)
+		} else {
+			other = append(other, h.report.Address)
+		}
+	}
+	sort.Slice(ample, func(i, j int) bool { return xxhash.Sum64String(ample[i]) < xxhash.Sum64String(ample[j]) })
+	sort.Strings(other)
+	all := append(ample, other...)
+	return all[:min(len(all), deputiesMost)]
+}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -60,7 +60,7 @@
 	// firstPause and longestPause lie between tries while the store is away.
 	// The longest bounds how late a host notices that it is back.
 	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 800 * time.Millisecond
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
 )
@@ -242,6 +242,10 @@
 			d.progress.heard.Store(f.sinceStart())
 			f.advance(d, at)
 			f.regained(d)
+			if at == 0 { // a store in which nothing was ever written has nothing to wait for
+				pace.Sleep(ctx, pause.NextBackOff())
+				continue
+			}
 			pause.Reset()
 			continue
 		}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -141,7 +141,8 @@
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
-	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds}, h.coord, conn.NewDialer().DialContext, d.Log)
+	h.coord.Linked = func() string { return h.link.Coordinator() }
+	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: h.ample()}, h.coord, conn.NewDialer().DialContext, d.Log)
 }
 
 // Run serves until ctx ends, then stops without cutting anything off within
@@ -224,13 +225,18 @@
 
 // handicap lets hosts with more to spare take the lease first.
 func (h *Host) handicap() time.Duration {
-	l := h.set.Limits
-	if l.Cores > 0 && l.Cores < ampleCores || l.LinkMbps > 0 && l.LinkMbps < ampleLinkMbps {
+	if !h.ample() {
 		return handicapPoor
 	}
 	return handicapAny
 }
 
+// ample says whether the host has enough to spare to act for all.
+func (h *Host) ample() bool {
+	l := h.set.Limits
+	return (l.Cores == 0 || l.Cores >= ampleCores) && (l.LinkMbps == 0 || l.LinkMbps >= ampleLinkMbps)
+}
+
 // fetchAfter is how long the store may take at the start before peers are asked.
 const fetchAfter = time.Second
 
