--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -47,6 +47,8 @@
 // Entry is one upstream. Its methods may be called from any goroutine.
 type Entry struct {
 	fleet *Fleet
+	// One process keeps these for its life; they are read without the lock.
+	id, service, address, dataCentre string
 
 	mu         sync.Mutex
 	up         deploy.Upstream
@@ -71,20 +73,16 @@
 }
 
 // ID names the upstream's process.
-func (e *Entry) ID() string { return e.up.ID } // never changes
+func (e *Entry) ID() string { return e.id }
 
 // Service names the service that it belongs to.
-func (e *Entry) Service() string { return e.up.Service } // never changes
+func (e *Entry) Service() string { return e.service }
 
 // Address is where it listens.
-func (e *Entry) Address() string { return e.up.Address } // never changes
+func (e *Entry) Address() string { return e.address }
 
 // DataCentre is where it runs.
-func (e *Entry) DataCentre() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.up.DataCentre
-}
+func (e *Entry) DataCentre() string { return e.dataCentre }
 
 // Described returns the upstream's newest description of itself and when it came.
 func (e *Entry) Described() (deploy.Upstream, time.Time) {
@@ -118,7 +116,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state = state
-	u.Service, u.Address = e.up.Service, e.up.Address // one process keeps both
+	u.ID, u.Service, u.Address, u.DataCentre = e.id, e.service, e.address, e.dataCentre
 	e.up, e.described = u, now
 	if e.gone && u.State == deploy.Ready {
 		e.gone, e.leaving, e.useUntil = false, false, time.Time{}
@@ -138,7 +136,7 @@
 	e.gone, e.goneSince = true, now
 	if hold > 0 && !e.leaving {
 		e.useUntil = now.Add(hold)
-		e.fleet.deps.Log.Emit(event.UpstreamLapsed, zap.String(event.FieldPeer, e.up.ID), zap.Duration("used_for", hold))
+		e.fleet.deps.Log.Emit(event.UpstreamLapsed, zap.String(event.FieldPeer, e.id), zap.Duration("used_for", hold))
 		return
 	}
 	e.leaveLocked("entry removed")
@@ -151,7 +149,7 @@
 		return
 	}
 	e.leaving = true
-	e.fleet.deps.Log.Emit(event.UpstreamLeaving, zap.String(event.FieldPeer, e.up.ID), zap.String("source", why))
+	e.fleet.deps.Log.Emit(event.UpstreamLeaving, zap.String(event.FieldPeer, e.id), zap.String("source", why))
 }
 
 // forgetAfter is how long a vanished upstream is remembered: its requests may
@@ -170,7 +168,7 @@
 		for x := range e.movable {
 			x.abort()
 		}
-		e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, e.up.ID), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
+		e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
 	}
 	return e.gone && e.own.Requests == 0 && now.Sub(e.goneSince) > forgetAfter
 }
@@ -319,7 +317,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.loadLocked(now)
-	out := balance.Endpoint{ID: e.up.ID, Address: e.up.Address, Slots: e.up.Slots, Near: e.up.DataCentre == e.fleet.cfg.DataCentre,
+	out := balance.Endpoint{ID: e.id, Address: e.up.Address, Slots: e.up.Slots, Near: e.dataCentre == e.fleet.cfg.DataCentre,
 		Leaving: e.leaving, Requests: l.Requests, Waiting: l.Waiting, Tokens: l.Tokens}
 	switch e.health.Standing(now) {
 	case health.Down:
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -181,7 +181,7 @@
 func (f *Fleet) put(ix *index, u deploy.Upstream, now time.Time) {
 	e, known := ix.byID[u.ID]
 	if !known {
-		e = &Entry{fleet: f, up: u, movable: map[*Exchange]struct{}{}}
+		e = &Entry{fleet: f, id: u.ID, service: u.Service, address: u.Address, dataCentre: u.DataCentre, up: u, movable: map[*Exchange]struct{}{}}
 		ix.byID[u.ID] = e
 		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
 			zap.String("address", u.Address), zap.Int("residents", len(u.Residents)))
