--- a/cmd/peridotpier/check.go
+++ b/cmd/peridotpier/check.go
@@ -11,11 +11,13 @@
 
 	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/core/config"
+	"peridotpier.example/node/host"
 	"peridotpier.example/node/settings"
 )
 
 type checkCommand struct {
 	settings string
+	host     string
 	config   string
 	json     bool
 }
@@ -25,17 +27,18 @@
 	return "check a settings file, a deployment configuration, or both"
 }
 func (*checkCommand) Usage() string {
-	return "peridotpier check [--settings FILE] [--configuration FILE] [--json]\n  Prints every fault with its JSON path. Exit 0: no fault; 1: faults; 2: usage.\n"
+	return "peridotpier check [--settings FILE] [--host-settings FILE] [--configuration FILE] [--json]\n  Prints every fault with its JSON path. Exit 0: no fault; 1: faults; 2: usage.\n"
 }
 
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings `file` of a host")
+	f.StringVar(&c.host, "host-settings", "", "settings `file` of a host on the users' platform")
 	f.StringVar(&c.config, "configuration", "", "deployment configuration `file`")
 	f.BoolVar(&c.json, "json", false, "print faults as JSON")
 }
 
 func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 || c.settings == "" && c.config == "" {
+	if f.NArg() > 0 || c.settings == "" && c.host == "" && c.config == "" {
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
@@ -45,6 +48,7 @@
 		parse func([]byte) []config.Fault
 	}{
 		{c.settings, func(b []byte) []config.Fault { _, f := settings.Parse(b); return f }},
+		{c.host, func(b []byte) []config.Fault { _, f := host.Parse(b); return f }},
 		{c.config, func(b []byte) []config.Fault { _, f := config.Parse(b); return f }},
 	} {
 		if file.name == "" {
--- a/cmd/peridotpier/host.go
+++ b/cmd/peridotpier/host.go
@@ -72,10 +72,11 @@
 	if err != nil {
 		return err
 	}
-	log := event.NewJSON(event.NewSink(os.Stdout), level)
+	sink := event.NewSink(os.Stdout)
+	log := event.NewJSON(sink, level)
 	defer log.Sync()
 	h, err := host.New(host.Deps{Settings: set, Platform: onPlatform(set), Log: log, Metrics: metrics.New(),
-		Client: conn.New(conn.Config{Dialer: conn.NewDialer()}), Reread: c.read, Hangup: hangups(ctx, hangup)})
+		Client: conn.New(conn.Config{Dialer: conn.NewDialer()}), Dropped: sink.Dropped, Reread: c.read, Hangup: hangups(ctx, hangup)})
 	if err != nil {
 		return err
 	}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -181,6 +181,7 @@
 			r.Loads = append(r.Loads, &coordpb.Load{Upstream: e.ID(), Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
 		}
 	}
+	r.Silent = l.own.deps.Fleet.Down()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.Revision, r.List = l.revision, l.list
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -68,6 +69,28 @@
 	return total, hosts
 }
 
+// suspectHosts is how many hosts must leave an upstream alone for all to do so.
+// One may only have lost its own way to it.
+const suspectHosts = 2
+
+// suspect says whether several hosts leave an upstream alone. A host that has
+// just found it dark tells within a report's period, and spares the others
+// what they would send there until they notice themselves.
+func (s *sums) suspect(upstream string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, h := range s.hosts {
+		if now.Sub(h.at) <= suspectFresh && slices.Contains(h.report.Silent, upstream) {
+			n++
+		}
+	}
+	return n >= suspectHosts
+}
+
+// suspectFresh is how long one word counts: two reports.
+const suspectFresh = 500 * time.Millisecond
+
 // deputiesMost is how many hosts may run for the lease at once when it falls
 // free: enough that some are left after a data centre is lost.
 const deputiesMost = 5
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -143,6 +143,7 @@
 		}
 	}
 	out.Requests, out.Tokens, out.Waiting = max(requests, out.Requests), max(tokens, out.Tokens), waiting
+	out.Down = out.Down || t.c.sums.suspect(e.ID(), now)
 	if c := t.caches[e.ID()]; c != nil {
 		out.Cached = max(out.Cached, c.Prefix(&w.ask, now))
 	}
--- /dev/null
+++ b/node/event/sink_test.go
@@ -0,0 +1,64 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+)
+
+// stuck is a reader of the log that takes nothing until it is let go.
+type stuck struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+// Symptom: requests stand still although upstreams answer.
+// Sequence: whoever reads the log stops reading; requests go on being logged.
+// Cause: a log line waits for its reader.
+func TestAFullLogDropsAndCountsInsteadOfBlocking(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	sink := event.NewSink(out)
+	log := event.NewJSON(sink, zapcore.InfoLevel)
+	began := time.Now()
+	for range 20_000 {
+		log.Emit(event.RequestServed, zap.String("request", "r"))
+	}
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	assert.Assert(t, sink.Dropped() > 10_000, "%d", sink.Dropped())
+	close(out.gate)
+	log.Sync()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	assert.Assert(t, strings.Contains(out.buf.String(), `"request_served"`))
+}
+
+// BenchmarkRequestLines is what the log costs a request: the line of its send
+// and that of its end.
+func BenchmarkRequestLines(b *testing.B) {
+	out := &stuck{gate: make(chan struct{})}
+	close(out.gate)
+	log := event.NewJSON(event.NewSink(out), zapcore.InfoLevel)
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Emit(event.RequestSent, zap.String("request", "9c41d07be2a35f68"), zap.String("route", "r-hh2b9wu"), zap.String(event.FieldPeer, "i-7f3a91c2"),
+			zap.Int("among", 12), zap.Int("load", 9), zap.Int("waiting", 1573), zap.Int64("predicted_ms", 96), zap.Uint64("version", 31), zap.Int64("held_ms", 12))
+		log.Emit(event.RequestServed, zap.String("request", "9c41d07be2a35f68"), zap.String("route", "r-hh2b9wu"), zap.String(event.FieldPeer, "i-7f3a91c2"),
+			zap.Int("status", 200), zap.Int("sends", 1), zap.Int64("took_ms", 640), zap.Int64("first_ms", 310), zap.Int64("pause_ms", 130))
+	}
+}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -98,6 +98,12 @@
 	return !e.leaving
 }
 
+func (e *Entry) down(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.leaving && e.health.Standing(now) == health.Down
+}
+
 // Standing is what its answers show.
 func (e *Entry) Standing() health.Standing {
 	e.mu.Lock()
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -147,6 +147,19 @@
 	return out
 }
 
+// Down lists the upstreams that this host leaves alone now for what their
+// answers, or their silence, showed.
+func (f *Fleet) Down() []string {
+	now := f.deps.Now()
+	var out []string
+	for id, e := range f.index.Load().byID {
+		if e.down(now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Replace takes a full list: those that are missing are gone.
 func (f *Fleet) Replace(all []deploy.Upstream) {
 	listed := map[string]bool{}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -42,6 +42,7 @@
 	Client   *conn.Client // towards upstreams
 	Log      *event.Log
 	Metrics  *metrics.Set
+	Dropped  func() int64              // lines that the log had no room for; nil: none
 	Reread   func() (*Settings, error) // the settings file, on SIGHUP
 	Hangup   <-chan struct{}
 }
@@ -171,7 +172,7 @@
 		h.serve(&g, h.metrics, h.set.Metrics)
 	}
 	g.Add(h.callers.serve, func(error) { h.callers.close() })
-	g.Add(func() error { return h.stopOn(ctx) }, func(error) { end() })
+	g.Add(func() error { return h.stopOn(ctx, work) }, func(error) { end() })
 	return g.Run()
 }
 
@@ -285,13 +286,27 @@
 const sweepEach = 100 * time.Millisecond
 
 func (h *Host) sweep(ctx context.Context) error {
+	dropped := int64(0)
 	for pace.Sleep(ctx, sweepEach) {
+		dropped = h.tellDropped(dropped)
 		h.fleet.Sweep()
 		h.callers.sweep(time.Now())
 	}
 	return ctx.Err()
 }
 
+// tellDropped logs that lines were dropped since it was called last.
+func (h *Host) tellDropped(before int64) int64 {
+	if h.deps.Dropped == nil {
+		return 0
+	}
+	now := h.deps.Dropped()
+	if now > before {
+		h.log.Emit(event.LogDropped, zap.Int64("count", now-before))
+	}
+	return now
+}
+
 // idleBound is how long a caller's connection may stay idle.
 func (h *Host) idleBound() time.Duration {
 	if t := h.config.Current(); t != nil && t.Config.Limits.IdleTimeout > 0 {
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -124,12 +124,23 @@
 			fault(a.path, problem)
 		}
 	}
+	own := map[string]string{}
+	for _, a := range addresses[:ownAddresses] {
+		if other, taken := own[a.value]; taken && a.value != "" {
+			fault(a.path, "is also that of "+other)
+		}
+		own[a.value] = a.path
+	}
 	if s.Bounds.RepeatWindowS < 0 || s.Bounds.GraceS < 0 || s.Bounds.LeaseMs < 0 {
 		fault("$.bounds", "has a time below 0")
 	}
 	return faults
 }
 
+// ownAddresses is how many of the addresses in check are the host's own or the
+// store's: all but the seeds.
+const ownAddresses = 5
+
 func addressProblem(a string) string {
 	host, _, err := net.SplitHostPort(a)
 	switch {
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -24,9 +24,14 @@
 // stopOn waits for ctx to end and stops the host. Callers are still served
 // while the balancer takes the host out; closing at once would cut off what is
 // on its way. Requests under way are finished as long as the grace allows.
-func (h *Host) stopOn(ctx context.Context) error {
-	<-ctx.Done()
+// When work ends first, something that the host cannot do without has failed.
+func (h *Host) stopOn(ctx, work context.Context) error {
 	defer close(h.stopped)
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return nil
+	}
 	began := time.Now()
 	h.draining.Store(true)
 	h.log.Emit(event.HostStopping, zap.Int64("active", h.callers.active.Load()))
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -99,7 +99,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.nc.Close() })
 	req := r.httpRequest()
-	_ = l.nc.SetReadDeadline(r.HeadBy) // a connection that is closed already fails in the exchange
+	if !r.HeadBy.IsZero() {
+		_ = l.nc.SetReadDeadline(r.HeadBy) // a connection that is closed already fails in the exchange
+	}
 	resp, err := c.exchange(l, r, req)
 	if err != nil {
 		if l.reused && l.read == 0 {
@@ -115,7 +117,9 @@
 		}
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
-	_ = l.nc.SetReadDeadline(time.Time{})
+	if !r.HeadBy.IsZero() {
+		_ = l.nc.SetReadDeadline(time.Time{})
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
 		client: c, link: l, close: resp.Close, stop: stop}, nil
 }
