Load an adapter elsewhere when all places of an upstream are in use

Ruled out: a longer wait there. Change: the other holders are tried, those with fewest adapters first.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -272,7 +272,8 @@
 	return sum
 }
 
-func (b *Book) adapterCount() int {
+// Adapters is how many places of adapters are taken.
+func (b *Book) Adapters() int {
 	n := 0
 	for _, m := range b.models {
 		n += len(m.adapters)
@@ -287,7 +288,7 @@
 	for i := range b.engine.Models {
 		largest = max(largest, b.engine.Models[i].AdapterMB)
 	}
-	return largest * float64(b.engine.AdapterSlots-b.adapterCount())
+	return largest * float64(b.engine.AdapterSlots-b.Adapters())
 }
 
 // Room says whether a model could be loaded now.
@@ -321,7 +322,7 @@
 	if !ok || b.unsure || m == nil || m.phase != Ready || m.adapters[a] != nil {
 		return Order{}, false
 	}
-	if b.adapterCount() < b.engine.AdapterSlots && b.weights()+spec.AdapterMB <= b.engine.MemoryMB {
+	if b.Adapters() < b.engine.AdapterSlots && b.weights()+spec.AdapterMB <= b.engine.MemoryMB {
 		return Order{Op: Load, Model: name, Adapter: a, Expected: b.sequence}, true
 	}
 	return b.evict(now)
--- a/node/coordinator/adapters.go
+++ b/node/coordinator/adapters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,11 +33,41 @@
 	if !c.Holding() {
 		return "", errNotHolding
 	}
-	u, ok := c.unit(upstream)
-	if !ok || !u.usable() {
-		return "", errNoUpstream
+	for _, u := range c.adapterPlaces(upstream, model) {
+		err := u.loadAdapter(ctx, model, adapter)
+		if err == nil {
+			return u.entry.ID(), nil
+		}
+		if !errors.Is(err, errNoUpstream) {
+			return "", err
+		}
+	}
+	return "", errNoUpstream
+}
+
+// adapterPlaces are the upstreams that could take an adapter of a model: the
+// one asked for first, then those with the fewest adapters. All places of one
+// may be in use.
+func (c *Coordinator) adapterPlaces(first, model string) []*unit {
+	var out []*unit
+	for _, u := range c.allUnits() {
+		if u.usable() && u.holds(model, "") {
+			out = append(out, u)
+		}
 	}
-	return upstream, u.loadAdapter(ctx, model, adapter)
+	sort.Slice(out, func(i, j int) bool {
+		if a, b := out[i].entry.ID() == first, out[j].entry.ID() == first; a != b {
+			return a
+		}
+		return out[i].adapters() < out[j].adapters()
+	})
+	return out
+}
+
+func (u *unit) adapters() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.book.Adapters()
 }
 
 // loadAdapter gives the orders that bring the adapter to the upstream.
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -330,14 +330,18 @@
 	}
 	var err error
 	if address == l.cfg.Address {
-		_, err = l.own.Adapter(ctx, upstream, model, adapter)
+		upstream, err = l.own.Adapter(ctx, upstream, model, adapter)
 	} else {
 		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) error {
 			a, err := c.Adapter(ctx, &coordpb.AdapterCall{Upstream: upstream, Model: model, Adapter: adapter})
-			if err == nil && a.Problem != "" {
-				err = errors.New(a.Problem)
+			if err != nil {
+				return err
 			}
-			return err
+			if a.Problem != "" {
+				return errors.New(a.Problem)
+			}
+			upstream = a.Upstream
+			return nil
 		})
 	}
 	if err != nil {
