Give scarce places to models that are asked for; look less often for a lost store

Change: a model that is nowhere and asked for takes the place of one that nobody asked for in 3 s, or that is asked for four times less; hosts that do not run for the lease look every 2.5 s. Test: the sequence, and the property now says just when a last replica may go.

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -92,6 +92,11 @@
 	// way, and AbsentShare what each unit of its load adds to that.
 	Absent      float64
 	AbsentShare float64
+	// Idle is how long nobody must have asked for a model, and Outweighs by which
+	// factor more another must be asked for, for its last replica to make way
+	// for one that is nowhere.
+	Idle      time.Duration
+	Outweighs float64
 	// Unlikely is the prior below which a model that nobody asked for may be
 	// nowhere.
 	Unlikely float64
@@ -108,6 +113,8 @@
 	// make way: worth it only when hot models are under pressure.
 	Absent:      0.3,
 	AbsentShare: 6,
+	Idle:        3 * time.Second, // about as long as its load takes
+	Outweighs:   4,
 	Unlikely:    0.09,
 }
 
@@ -264,7 +271,7 @@
 		}
 		after := s.pressure(h.Model, s.replicas[h.Model]-1)
 		if s.ready[h.Model] < 2 { // one that is still being loaded answers nobody yet
-			if !p.mayBeNowhere(s, h.Model) {
+			if !p.mayBeNowhere(s, h.Model) && !p.yields(s, h, wanted) {
 				continue
 			}
 			after = p.Absent + p.AbsentShare*s.in.Demand[h.Model].Load
@@ -290,6 +297,17 @@
 	return s.in.SomePatient && s.in.Prior[name] < p.Unlikely
 }
 
+// yields says whether a model's last replica makes way for one that is nowhere
+// and asked for. When upstreams are lost there may be fewer places than models;
+// then the places go to those that are asked for, and the others in turn.
+func (p Policy) yields(s *state, h Held, wanted string) bool {
+	d := s.in.Demand[wanted]
+	if s.replicas[wanted] > 0 || !d.Unserved {
+		return false
+	}
+	return h.Idle >= p.Idle || p.Outweighs*s.in.Demand[h.Model].Load < d.Load
+}
+
 const (
 	// victimWeight turns the pressure that a model is left with into seconds.
 	victimWeight = 4.0
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -69,6 +69,34 @@
 	assert.Equal(t, replica.Priors(e, nobody)["a"], 0.0)
 }
 
+func heldAnywhere(us []replica.Upstream, model string) bool {
+	for _, u := range us {
+		for _, h := range u.Held {
+			if u.Usable && h.Model == model {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Symptom: a hot model is nowhere until a lost upstream is back.
+// Sequence: three of nine upstreams are taken away; fewer places are left than
+// models; each of those that are left holds the last replica of some model.
+// Cause: no last replica ever makes way.
+func TestAModelThatNobodyAsksForMakesWayForOneThatIsNowhere(t *testing.T) {
+	busy, idle := on("1", "busy"), on("2", "idle")
+	busy.Held[0].Idle = 0
+	in := replica.Input{Engine: engine("hot", "busy", "idle"), Most: 2, StoreLeft: 2, Upstreams: []replica.Upstream{busy, idle},
+		Demand: map[string]replica.Demand{"hot": {Load: 0.8, Unserved: true}, "busy": {Load: 0.5}, "idle": {}}}
+	got := replica.Default.Plan(in)
+	assert.DeepEqual(t, got, []replica.Move{{Upstream: "2", Unload: "idle", Load: "hot", From: replica.FromStore}})
+	in.Demand["hot"] = replica.Demand{Load: 0.8}
+	in.Demand["idle"] = replica.Demand{Load: 0.5}
+	in.Upstreams[1].Held[0].Idle = 0
+	assert.Equal(t, len(replica.Default.Plan(in)), 0)
+}
+
 // Property: on any deployment, a plan moves each upstream once at most, never
 // takes the last ready replica of a model whose callers would not wait, and
 // stays within the weight store's allowance.
@@ -99,6 +127,10 @@
 			}
 			in.Upstreams = append(in.Upstreams, u)
 		}
+		nowhere := map[string]bool{}
+		for _, n := range names {
+			nowhere[n] = !heldAnywhere(in.Upstreams, n)
+		}
 		moved, store := map[string]bool{}, 0
 		for _, m := range replica.Default.Plan(in) {
 			assert.Assert(t, !moved[m.Upstream] && m.Load != m.Unload)
@@ -112,6 +144,9 @@
 			ready[m.Unload]--
 			d, asked := in.Demand[m.Unload]
 			mayGo := asked && d.Patient || !asked && in.SomePatient
+			// Where there are fewer places than models, one that is asked for and
+			// nowhere goes before one that is not asked for.
+			mayGo = mayGo || nowhere[m.Load] && in.Demand[m.Load].Unserved
 			assert.Assert(t, ready[m.Unload] > 0 || mayGo, "the last ready replica of %s makes way", m.Unload)
 		}
 		assert.Assert(t, store <= in.StoreLeft && len(moved) <= in.Most)
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -33,7 +33,7 @@
 			pace.Sleep(ctx, lookEach)
 			continue
 		}
-		if d.Link.candidate() || !d.find(ctx) {
+		if d.Link.Candidate() || !d.find(ctx) {
 			d.campaign(ctx)
 		}
 	}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -294,9 +294,9 @@
 	return l.cfg.Seeds
 }
 
-// candidate says whether this host is among those that should take the lease
+// Candidate says whether this host is among those that should take the lease
 // first. The others would only cost the store calls.
-func (l *Link) candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
+func (l *Link) Candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
 
 // Find asks another host who holds the lease, and links this one to it. It is
 // how a host finds the holder while the store turns it away.
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -61,10 +61,16 @@
 	// The longest bounds how late a host notices that it is back.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// patientPause lies between tries at a host that others will tell of the
+	// store's return: each call is priced, also one that fails.
+	patientPause = 2500 * time.Millisecond
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
 )
 
+// pauseJitter spreads the hosts' tries, as a share.
+const pauseJitter = 0.2
+
 // Listener takes the list of upstreams.
 type Listener interface {
 	Replace(all []deploy.Upstream)
@@ -80,6 +86,9 @@
 	Log       *event.Log
 	// Relays says whether this host relays to the others.
 	Relays func() bool
+	// Patient says that others look for the store's return before this host
+	// does; nil: nobody else does.
+	Patient func() bool
 	// RelayFresh replaces its default; 0: the default.
 	RelayFresh time.Duration
 	// Listed is called after the list of upstreams was first known.
@@ -107,6 +116,9 @@
 	if d.Relays == nil {
 		d.Relays = func() bool { return false }
 	}
+	if d.Patient == nil {
+		d.Patient = func() bool { return false }
+	}
 	if d.RelayFresh == 0 {
 		d.RelayFresh = defaultRelayFresh
 	}
@@ -255,7 +267,11 @@
 			continue
 		}
 		f.lost(ctx, d, err)
-		pace.Sleep(ctx, pause.NextBackOff())
+		wait := pause.NextBackOff()
+		if wait > patientPause/10 && f.deps.Patient() {
+			wait = pace.Default().Around(patientPause, pauseJitter)
+		}
+		pace.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -137,6 +137,7 @@
 		TryBound: leaseTry, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: d.Platform.Table, Log: d.Log})
 	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log,
+		Patient:    func() bool { return !h.link.Candidate() },
 		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
 		Relays:     func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
