Split what had grown large; go by a host's own knowledge where it is newer

Change: files by job; dead settings removed; the host's own pick counts where the holder knows none.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -91,14 +91,6 @@
 	}
 }
 
-// Report is what an upstream says of itself at some moment.
-type Report struct {
-	Residents []deploy.Resident
-	Coming    []deploy.Resident // adapters on their way
-	Sequence  uint64
-	Busy      bool
-}
-
 // Sequence is the number of orders that the upstream has accepted, as known.
 func (b *Book) Sequence() uint64 { return b.sequence }
 
@@ -116,99 +108,6 @@
 	return *b.busy, b.busyFrom, true
 }
 
-// adapterLag is how long an adapter's own order is believed against a report,
-// which shows the upstream as it was some hundred milliseconds ago.
-const adapterLag = time.Second
-
-// Settle takes a report. One that is older than what is known is passed over;
-// it says whether the report was taken.
-func (b *Book) Settle(r Report, now time.Time) bool {
-	if r.Sequence < b.sequence {
-		return false
-	}
-	moved := r.Sequence > b.sequence
-	b.sequence, b.unsure = r.Sequence, false
-	b.settleBusy(r, moved)
-	b.foreign = r.Busy && b.busy == nil
-	b.settleModels(r.Residents, r.Coming, now)
-	return true
-}
-
-// settleModels enters what is there.
-func (b *Book) settleModels(residents, coming []deploy.Resident, now time.Time) {
-	held := map[string]*deploy.Resident{}
-	for i := range residents {
-		held[residents[i].Model] = &residents[i]
-	}
-	for name := range b.models {
-		if held[name] == nil && !b.isBusy(Load, name) {
-			delete(b.models, name)
-		}
-	}
-	for name, h := range held {
-		b.settleModel(name, h, coming, now)
-	}
-}
-
-// settleBusy looks whether the order that is being carried out is done.
-func (b *Book) settleBusy(r Report, moved bool) {
-	if b.busy == nil {
-		return
-	}
-	there := false
-	for i := range r.Residents {
-		there = there || r.Residents[i].Model == b.busy.Model
-	}
-	done := b.busy.Op == Load && there || b.busy.Op == Unload && !there
-	if done || !r.Busy && moved {
-		b.busy = nil
-	}
-}
-
-func (b *Book) isBusy(op Op, name string) bool {
-	return b.busy != nil && b.busy.Op == op && b.busy.Model == name
-}
-
-func (b *Book) settleModel(name string, h *deploy.Resident, coming []deploy.Resident, now time.Time) {
-	m := b.models[name]
-	if m == nil {
-		m = &model{adapters: map[string]*adapter{}, used: now}
-		b.models[name] = m
-	}
-	if m.since.IsZero() {
-		m.since = now
-	}
-	m.phase = Ready
-	if b.isBusy(Unload, name) {
-		m.phase = Leaving
-	}
-	shown := map[string]Phase{}
-	for _, a := range h.Adapters {
-		shown[a] = Ready
-	}
-	for _, c := range coming {
-		if c.Model == name {
-			for _, a := range c.Adapters {
-				shown[a] = Loading
-			}
-		}
-	}
-	for a, p := range shown {
-		own := m.adapters[a]
-		switch {
-		case own == nil:
-			m.adapters[a] = &adapter{phase: p, since: now, used: now}
-		case own.phase != p && now.Sub(own.since) > adapterLag:
-			own.phase, own.since = p, now
-		}
-	}
-	for a, own := range m.adapters {
-		if _, ok := shown[a]; !ok && now.Sub(own.since) > adapterLag {
-			delete(m.adapters, a)
-		}
-	}
-}
-
 // Residents is what requests may be sent for.
 func (b *Book) Residents() []deploy.Resident {
 	var out []deploy.Resident
@@ -314,39 +213,6 @@
 	return Order{Op: Unload, Model: name, Expected: b.sequence}, true
 }
 
-// LoadAdapter returns the order that brings an adapter nearer: its load, or
-// the unload of the one used longest ago when its place is needed.
-func (b *Book) LoadAdapter(name, a string, now time.Time) (Order, bool) {
-	m := b.models[name]
-	spec, ok := b.engine.Model(name)
-	if !ok || b.unsure || m == nil || m.phase != Ready || m.adapters[a] != nil {
-		return Order{}, false
-	}
-	if b.Adapters() < b.engine.AdapterSlots && b.weights()+spec.AdapterMB <= b.engine.MemoryMB {
-		return Order{Op: Load, Model: name, Adapter: a, Expected: b.sequence}, true
-	}
-	return b.evict(now)
-}
-
-// idleAdapter is how long an adapter must not have been asked for to make way.
-// One that is in use would have to wait for its requests to end.
-const idleAdapter = 700 * time.Millisecond
-
-func (b *Book) evict(now time.Time) (Order, bool) {
-	var out Order
-	var oldest time.Time
-	found := false
-	for name, m := range b.models {
-		for a, own := range m.adapters {
-			if own.phase != Ready || now.Sub(own.used) < idleAdapter || found && !own.used.Before(oldest) {
-				continue
-			}
-			out, oldest, found = Order{Op: Unload, Model: name, Adapter: a, Expected: b.sequence}, own.used, true
-		}
-	}
-	return out, found
-}
-
 // Sent notes an order that is about to go out: what it takes away is not used
 // from now on.
 func (b *Book) Sent(o Order, now time.Time) {
@@ -381,27 +247,6 @@
 	}
 }
 
-func (b *Book) acceptAdapter(o Order, done bool, now time.Time) {
-	m := b.models[o.Model]
-	if m == nil {
-		return
-	}
-	if o.Op == Unload {
-		if done {
-			delete(m.adapters, o.Adapter)
-		}
-		return
-	}
-	m.adapters[o.Adapter] = &adapter{phase: Loading, since: now, used: now}
-}
-
-// AdapterReady notes that an adapter's load has had its time.
-func (b *Book) AdapterReady(name, a string, now time.Time) {
-	if m := b.models[name]; m != nil && m.adapters[a] != nil && m.adapters[a].phase == Loading {
-		m.adapters[a].phase, m.adapters[a].since = Ready, now
-	}
-}
-
 // Refused notes that an order was not taken: something else than what is known
 // holds at the upstream.
 func (b *Book) Refused(o Order) {
@@ -426,16 +271,6 @@
 	}
 }
 
-// Coming says whether an adapter is there or on its way.
-func (b *Book) Coming(name, a string) bool {
-	m := b.models[name]
-	if m == nil || m.phase != Ready {
-		return false
-	}
-	own := m.adapters[a]
-	return own != nil && own.phase != Leaving
-}
-
 // Held is a model at the upstream, for planning.
 type Held struct {
 	Model string
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -56,15 +56,14 @@
 
 // Config bounds a Coordinator.
 type Config struct {
-	Host           string
-	Address        string        // where Serve listens
-	Quiet          time.Duration // after a lease was taken from another holder
-	CeilingWindow  time.Duration // loads from the weight store are counted in any span of this length
-	CeilingOver    float64       // factor on its rate
-	Policy         replica.Policy
-	AdapterLoad    time.Duration // how long an adapter's load takes; 0: the default
-	NoModelMoves   bool          // models stay where they are, for measuring what moves gain
-	FencingChecked bool          // upstreams refuse old epochs
+	Host          string
+	Address       string        // where Serve listens
+	Quiet         time.Duration // after a lease was taken from another holder
+	CeilingWindow time.Duration // loads from the weight store are counted in any span of this length
+	CeilingOver   float64       // factor on its rate
+	Policy        replica.Policy
+	AdapterLoad   time.Duration // how long an adapter's load takes; 0: the default
+	NoModelMoves  bool          // models stay where they are, for measuring what moves gain
 }
 
 // Deps are what a Coordinator works with.
--- /dev/null
+++ b/node/coordinator/find.go
@@ -0,0 +1,97 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+)
+
+// peers are the hosts to ask who holds the lease.
+func (l *Link) peers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.deputies) > 0 {
+		return l.deputies
+	}
+	return l.cfg.Seeds
+}
+
+// Candidate says whether this host is among those that should take the lease
+// first. The others would only cost the store calls.
+func (l *Link) Candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
+
+// Find asks another host who holds the lease, and links this one to it. It is
+// how a host finds the holder while the store turns it away.
+func (l *Link) Find(ctx context.Context) bool {
+	peers := l.peers()
+	if len(peers) == 0 {
+		return false
+	}
+	peer := peers[rand.IntN(len(peers))]
+	if peer == l.cfg.Address {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	var a *coordpb.StateAnswer
+	err := l.conns.call(ctx, peer, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+		a, err = c.State(ctx, &coordpb.StateCall{Brief: true})
+		return err
+	})
+	return err == nil && l.Try(ctx, a.Coordinator)
+}
+
+// Fetch asks the seeds for what a host needs that starts while the store is
+// away. It hands over what the first of them that has any answers.
+func (l *Link) Fetch(ctx context.Context) {
+	for _, seed := range l.cfg.Seeds {
+		if seed == l.cfg.Address {
+			continue
+		}
+		var a *coordpb.StateAnswer
+		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+		err := l.conns.call(ctx, seed, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
+			a, err = c.State(ctx, &coordpb.StateCall{})
+			return err
+		})
+		cancel()
+		if err == nil && l.adopt(a) {
+			return
+		}
+	}
+}
+
+// adopt puts a peer's configuration and upstreams in force here.
+func (l *Link) adopt(a *coordpb.StateAnswer) bool {
+	var cfg deploy.Config
+	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil {
+		return false
+	}
+	var all []deploy.Upstream
+	for _, data := range a.Upstreams {
+		var u deploy.Upstream
+		if json.Unmarshal(data, &u) != nil {
+			return false
+		}
+		all = append(all, u)
+	}
+	l.own.deps.Config.Offer(&cfg, "peer")
+	l.own.deps.Fleet.Apply(all, nil)
+	return true
+}
+
+// HolderOf names a lease's holder so that others find its address.
+func HolderOf(host, address, process string) string { return host + " " + address + " " + process }
+
+func addressOf(holder string) string {
+	parts := strings.Fields(holder)
+	if len(parts) < 2 {
+		return ""
+	}
+	return parts[1]
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -3,10 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,7 +14,6 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
-	"peridotpier.example/node/gate"
 	"peridotpier.example/node/pace"
 )
 
@@ -283,144 +278,3 @@
 	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
 }
-
-// peers are the hosts to ask who holds the lease.
-func (l *Link) peers() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.deputies) > 0 {
-		return l.deputies
-	}
-	return l.cfg.Seeds
-}
-
-// Candidate says whether this host is among those that should take the lease
-// first. The others would only cost the store calls.
-func (l *Link) Candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
-
-// Find asks another host who holds the lease, and links this one to it. It is
-// how a host finds the holder while the store turns it away.
-func (l *Link) Find(ctx context.Context) bool {
-	peers := l.peers()
-	if len(peers) == 0 {
-		return false
-	}
-	peer := peers[rand.IntN(len(peers))]
-	if peer == l.cfg.Address {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-	defer cancel()
-	var a *coordpb.StateAnswer
-	err := l.conns.call(ctx, peer, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-		a, err = c.State(ctx, &coordpb.StateCall{Brief: true})
-		return err
-	})
-	return err == nil && l.Try(ctx, a.Coordinator)
-}
-
-// errNotLinked: no host that holds the lease is known.
-var errNotLinked = errors.New("not linked to a host that gives orders")
-
-// Adapter implements gate.Models.
-func (l *Link) Adapter(ctx context.Context, upstream, model, adapter string) error {
-	address := l.where()
-	if address == "" {
-		return errNotLinked
-	}
-	var err error
-	if address == l.cfg.Address {
-		upstream, err = l.own.Adapter(ctx, upstream, model, adapter)
-	} else {
-		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) error {
-			a, err := c.Adapter(ctx, &coordpb.AdapterCall{Upstream: upstream, Model: model, Adapter: adapter})
-			if err != nil {
-				return err
-			}
-			if a.Problem != "" {
-				return errors.New(a.Problem)
-			}
-			upstream = a.Upstream
-			return nil
-		})
-	}
-	if err != nil {
-		return err
-	}
-	if e, ok := l.own.deps.Fleet.Entry(upstream); ok {
-		e.Gained(model, adapter)
-	}
-	return nil
-}
-
-// Demand implements gate.Models.
-func (l *Link) Demand(service string, f *gate.Facts, output int, objective time.Duration, unserved bool) {
-	k := demandKey{service, f.Model, f.Adapter}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	d := l.demand[k]
-	if d == nil {
-		d = &coordpb.Demand{Service: service, Model: f.Model, Adapter: f.Adapter}
-		l.demand[k] = d
-	}
-	if ms := uint32(objective.Milliseconds()); ms > 0 && (d.PatienceMs == 0 || ms < d.PatienceMs) {
-		d.PatienceMs = ms
-	}
-	if unserved {
-		d.Unserved++
-		return
-	}
-	d.Requests++
-	d.Prompt += uint32(f.Prompt)
-	d.Output += uint32(output)
-}
-
-// Fetch asks the seeds for what a host needs that starts while the store is
-// away. It hands over what the first of them that has any answers.
-func (l *Link) Fetch(ctx context.Context) {
-	for _, seed := range l.cfg.Seeds {
-		if seed == l.cfg.Address {
-			continue
-		}
-		var a *coordpb.StateAnswer
-		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-		err := l.conns.call(ctx, seed, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-			a, err = c.State(ctx, &coordpb.StateCall{})
-			return err
-		})
-		cancel()
-		if err == nil && l.adopt(a) {
-			return
-		}
-	}
-}
-
-// adopt puts a peer's configuration and upstreams in force here.
-func (l *Link) adopt(a *coordpb.StateAnswer) bool {
-	var cfg deploy.Config
-	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil {
-		return false
-	}
-	var all []deploy.Upstream
-	for _, data := range a.Upstreams {
-		var u deploy.Upstream
-		if json.Unmarshal(data, &u) != nil {
-			return false
-		}
-		all = append(all, u)
-	}
-	l.own.deps.Config.Offer(&cfg, "peer")
-	l.own.deps.Fleet.Apply(all, nil)
-	return true
-}
-
-// HolderOf names a lease's holder so that others find its address.
-func HolderOf(host, address, process string) string { return host + " " + address + " " + process }
-
-func addressOf(holder string) string {
-	parts := strings.Fields(holder)
-	if len(parts) < 2 {
-		return ""
-	}
-	return parts[1]
-}
--- /dev/null
+++ b/node/coordinator/linkmodels.go
@@ -0,0 +1,66 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/gate"
+)
+
+// errNotLinked: no host that holds the lease is known.
+var errNotLinked = errors.New("not linked to a host that gives orders")
+
+// Adapter implements gate.Models.
+func (l *Link) Adapter(ctx context.Context, upstream, model, adapter string) error {
+	address := l.where()
+	if address == "" {
+		return errNotLinked
+	}
+	var err error
+	if address == l.cfg.Address {
+		upstream, err = l.own.Adapter(ctx, upstream, model, adapter)
+	} else {
+		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) error {
+			a, err := c.Adapter(ctx, &coordpb.AdapterCall{Upstream: upstream, Model: model, Adapter: adapter})
+			if err != nil {
+				return err
+			}
+			if a.Problem != "" {
+				return errors.New(a.Problem)
+			}
+			upstream = a.Upstream
+			return nil
+		})
+	}
+	if err != nil {
+		return err
+	}
+	if e, ok := l.own.deps.Fleet.Entry(upstream); ok {
+		e.Gained(model, adapter)
+	}
+	return nil
+}
+
+// Demand implements gate.Models.
+func (l *Link) Demand(service string, f *gate.Facts, output int, objective time.Duration, unserved bool) {
+	k := demandKey{service, f.Model, f.Adapter}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demand[k]
+	if d == nil {
+		d = &coordpb.Demand{Service: service, Model: f.Model, Adapter: f.Adapter}
+		l.demand[k] = d
+	}
+	if ms := uint32(objective.Milliseconds()); ms > 0 && (d.PatienceMs == 0 || ms < d.PatienceMs) {
+		d.PatienceMs = ms
+	}
+	if unserved {
+		d.Unserved++
+		return
+	}
+	d.Requests++
+	d.Prompt += uint32(f.Prompt)
+	d.Output += uint32(output)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -23,14 +23,22 @@
 	turn    *Turn        // given by the host that decides for all; nil: decided here
 }
 
-// choose asks where the request goes, or picks by what this host knows.
+// choose asks where the request goes, or picks by what this host knows. Where
+// the host that decides for all knows of no upstream but this one does, its own
+// knowledge is newer.
 func (q *request) choose() (*fleet.Entry, picked) {
-	if q.ask.Model != "" {
-		if e, p, ok := q.turn(); ok {
-			return e, p
-		}
+	if q.ask.Model == "" {
+		return q.pick()
+	}
+	e, given, ok := q.turn()
+	if e != nil {
+		return e, given
+	}
+	e, own := q.pick()
+	if e != nil || !ok {
+		return e, own
 	}
-	return q.pick()
+	return nil, given
 }
 
 // pick chooses an upstream among those of the request's service.
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -31,25 +31,22 @@
 
 // Limits are what the machine gives to the process.
 type Limits struct {
-	MemoryMB  int     `json:"memory_mb"`
-	OpenFiles int     `json:"open_files"`
-	Cores     float64 `json:"cores"` // share of the processor, in cores
-	LinkMbps  float64 `json:"link_mbps"`
+	MemoryMB int     `json:"memory_mb"`
+	Cores    float64 `json:"cores"` // share of the processor, in cores
+	LinkMbps float64 `json:"link_mbps"`
 }
 
 // Bounds are the times and shares that the platform's users hold the system to.
 type Bounds struct {
-	GraceS          float64 `json:"grace_s"`          // from the stop signal to the end by force
-	DrainMs         float64 `json:"drain_ms"`         // until a leaving upstream gets no more
-	LapseMs         float64 `json:"lapse_ms"`         // until an entry that ran out is back
-	RepeatRatio     float64 `json:"repeat_ratio"`     // sends beyond the first, for each request
-	RepeatSlack     float64 `json:"repeat_slack"`     // and beyond that, over all hosts
-	RepeatWindowS   float64 `json:"repeat_window_s"`  // in any span of this length
-	LeaseMs         float64 `json:"lease_ms"`         // between the orders of two holders
-	ThawMs          float64 `json:"thaw_ms"`          // after a pause of the process
-	CeilingWindowS  float64 `json:"ceiling_window_s"` // loads from the weight store are counted in any span of this length
-	CeilingOver     float64 `json:"ceiling_over"`     // factor on the weight store's rate
-	FencingRequired bool    `json:"fencing_required"` // upstreams refuse orders with an old epoch
+	GraceS         float64 `json:"grace_s"`          // from the stop signal to the end by force
+	DrainMs        float64 `json:"drain_ms"`         // until a leaving upstream gets no more
+	LapseMs        float64 `json:"lapse_ms"`         // until an entry that ran out is back
+	RepeatRatio    float64 `json:"repeat_ratio"`     // sends beyond the first, for each request
+	RepeatSlack    float64 `json:"repeat_slack"`     // and beyond that, over all hosts
+	RepeatWindowS  float64 `json:"repeat_window_s"`  // in any span of this length
+	LeaseMs        float64 `json:"lease_ms"`         // between the orders of two holders
+	CeilingWindowS float64 `json:"ceiling_window_s"` // loads from the weight store are counted in any span of this length
+	CeilingOver    float64 `json:"ceiling_over"`     // factor on the weight store's rate
 }
 
 // Parse reads settings and says everything that is wrong with them.
@@ -71,7 +68,6 @@
 	defaultRepeatSlack    = 20.0
 	defaultRepeatWindowS  = 10.0
 	defaultLeaseMs        = 3000.0
-	defaultThawMs         = 300.0
 	defaultCeilingWindowS = 5.0
 	defaultCeilingOver    = 1.0
 	defaultMemoryMB       = 256
@@ -90,7 +86,7 @@
 		otherwise float64
 	}{{&b.GraceS, defaultGraceS}, {&b.DrainMs, defaultDrainMs}, {&b.LapseMs, defaultLapseMs}, {&b.RepeatRatio, defaultRepeatRatio},
 		{&b.RepeatSlack, defaultRepeatSlack}, {&b.RepeatWindowS, defaultRepeatWindowS}, {&b.LeaseMs, defaultLeaseMs},
-		{&b.ThawMs, defaultThawMs}, {&b.CeilingWindowS, defaultCeilingWindowS}, {&b.CeilingOver, defaultCeilingOver}} {
+		{&b.CeilingWindowS, defaultCeilingWindowS}, {&b.CeilingOver, defaultCeilingOver}} {
 		if *v.at == 0 {
 			*v.at = v.otherwise
 		}
