Keep each upstream's granted load as a sum; test turns

Change: sums that move with each event. Tests: order of turns, a host that is gone, dark upstreams, and rapid over any order of events.

--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -23,9 +23,15 @@
 	c *Coordinator
 
 	mu      sync.Mutex
-	granted map[string]map[turnKey]*turn // by upstream
-	waiting []*turn                      // the most urgent first, then the oldest
-	caches  map[string]*fleet.Cache
+	granted map[turnKey]*turn
+	places  map[string]*place // by upstream
+	waiting []*turn           // the most urgent first, then the oldest
+}
+
+// place is what was granted at one upstream.
+type place struct {
+	load  fleet.Load
+	cache fleet.Cache
 }
 
 // turnKey names a request: the stream that it came on and the host's number.
@@ -47,7 +53,7 @@
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[string]map[turnKey]*turn{}, caches: map[string]*fleet.Cache{}}
+	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}}
 }
 
 // take enters one event of a host and sends what follows from it.
@@ -69,11 +75,9 @@
 func (t *turns) leave(from *turnStream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, at := range t.granted {
-		for k := range at {
-			if k.from == from {
-				delete(at, k)
-			}
+	for k, g := range t.granted {
+		if k.from == from {
+			t.release(g)
 		}
 	}
 	kept := t.waiting[:0]
@@ -134,55 +138,65 @@
 func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
-	requests, waiting, tokens := 0, 0, 0
-	for _, g := range t.granted[e.ID()] {
-		requests++
-		tokens += int(g.event.Prompt + g.event.Output)
-		if g.reading {
-			waiting += int(g.event.Prompt)
-		}
-	}
-	out.Requests, out.Tokens, out.Waiting = max(requests, out.Requests), max(tokens, out.Tokens), waiting
 	out.Down = out.Down || t.c.sums.suspect(e.ID(), now)
-	if c := t.caches[e.ID()]; c != nil {
-		out.Cached = max(out.Cached, c.Prefix(&w.ask, now))
+	p := t.places[e.ID()]
+	if p == nil {
+		out.Waiting = 0
+		return out
 	}
+	out.Requests, out.Tokens, out.Waiting = max(p.load.Requests, out.Requests), max(p.load.Tokens, out.Tokens), p.load.Waiting
+	out.Cached = max(out.Cached, p.cache.Prefix(&w.ask, now))
 	return out
 }
 
 func (t *turns) grant(w *turn, e *fleet.Entry, at *balance.Endpoint, d balance.Decision, now time.Time) {
 	w.upstream, w.reading = e.ID(), true
-	if t.granted[w.upstream] == nil {
-		t.granted[w.upstream] = map[turnKey]*turn{}
-	}
-	t.granted[w.upstream][w.key] = w
-	if t.caches[w.upstream] == nil {
-		t.caches[w.upstream] = &fleet.Cache{}
-	}
-	t.caches[w.upstream].Keep(&w.ask, now)
 	w.event.Prompt -= min(w.event.Prompt, uint32(at.Cached)) // the rest is what there is to read
+	t.granted[w.key] = w
+	p := t.places[w.upstream]
+	if p == nil {
+		p = &place{}
+		t.places[w.upstream] = p
+	}
+	p.cache.Keep(&w.ask, now)
+	p.load.Requests++
+	p.load.Tokens += int(w.event.Prompt + w.event.Output)
+	p.load.Waiting += int(w.event.Prompt)
 	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
 		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached)})
 }
 
 // first notes that an upstream has read a request's prompt.
 func (t *turns) first(k turnKey) {
-	for _, at := range t.granted {
-		if g := at[k]; g != nil && g.reading {
-			g.reading = false
-			t.next(t.c.now())
-			return
-		}
+	if g := t.granted[k]; g != nil && g.reading {
+		t.read(g)
+		t.next(t.c.now())
 	}
 }
 
+// read takes a request's prompt out of what its upstream has to read.
+func (t *turns) read(g *turn) {
+	if p := t.places[g.upstream]; p != nil && g.reading {
+		p.load.Waiting -= int(g.event.Prompt)
+	}
+	g.reading = false
+}
+
+// release takes a request out of its upstream's load.
+func (t *turns) release(g *turn) {
+	t.read(g)
+	if p := t.places[g.upstream]; p != nil {
+		p.load.Requests--
+		p.load.Tokens -= int(g.event.Prompt + g.event.Output)
+	}
+	delete(t.granted, g.key)
+}
+
 func (t *turns) end(k turnKey) {
-	for _, at := range t.granted {
-		if at[k] != nil {
-			delete(at, k)
-			t.next(t.c.now())
-			return
-		}
+	if g := t.granted[k]; g != nil {
+		t.release(g)
+		t.next(t.c.now())
+		return
 	}
 	for i, w := range t.waiting {
 		if w.key == k {
@@ -228,10 +242,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.next(t.c.now())
-	for id := range t.granted {
+	for id := range t.places {
 		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
-			delete(t.granted, id)
-			delete(t.caches, id)
+			delete(t.places, id)
 		}
 	}
 }
--- /dev/null
+++ b/node/coordinator/turns_test.go
@@ -0,0 +1,140 @@
+package coordinator
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+)
+
+// bench is a coordinator over upstreams that hold the model m.
+func bench(upstreams ...string) (*turns, *fleet.Fleet) {
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	var all []deploy.Upstream
+	for _, id := range upstreams {
+		all = append(all, deploy.Upstream{ID: id, Service: "s", Address: id, Slots: 4, Residents: []deploy.Resident{{Model: "m"}}})
+	}
+	f.Apply(all, nil)
+	c := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(event.NewLog(nil)), Log: event.NewLog(nil)})
+	return c.turns, f
+}
+
+func stream() *turnStream {
+	return &turnStream{out: make(chan *coordpb.TurnAnswer, turnQueue), cancel: func() {}}
+}
+
+func ask(id uint64, priority int32) *coordpb.TurnEvent {
+	return &coordpb.TurnEvent{Id: id, Kind: coordpb.TurnEvent_ASK, Service: "s", Model: "m", Prompt: 2000, Output: 20, Priority: priority, Reading: 3000, InTimeMs: 60_000}
+}
+
+// answers takes what was answered so far: the kind of each by id, the last one counts.
+func answers(s *turnStream) map[uint64]*coordpb.TurnAnswer {
+	out := map[uint64]*coordpb.TurnAnswer{}
+	for {
+		select {
+		case a := <-s.out:
+			out[a.Id] = a
+		default:
+			return out
+		}
+	}
+}
+
+// Symptom: streams pause while an engine reads the prompts of several hosts.
+// Sequence: two hosts ask at once; the upstream has read neither prompt.
+// Cause: each host counts its own sends.
+func TestAPromptWaitsUntilTheOneBeforeItIsRead(t *testing.T) {
+	ts, _ := bench("u")
+	a, b := stream(), stream()
+	ts.take(a, ask(1, 1))
+	ts.take(b, ask(1, 2))
+	ts.take(b, ask(2, 0))
+	assert.Equal(t, answers(a)[1].Kind, coordpb.TurnAnswer_GRANTED)
+	got := answers(b)
+	assert.Equal(t, got[1].Kind, coordpb.TurnAnswer_QUEUED)
+	assert.Equal(t, got[2].Kind, coordpb.TurnAnswer_QUEUED)
+	ts.take(a, &coordpb.TurnEvent{Id: 1, Kind: coordpb.TurnEvent_FIRST})
+	got = answers(b)
+	assert.Equal(t, got[2].Kind, coordpb.TurnAnswer_GRANTED, "the more urgent one first, though it came later")
+	assert.Assert(t, got[1] == nil)
+	ts.take(b, &coordpb.TurnEvent{Id: 2, Kind: coordpb.TurnEvent_END})
+	assert.Equal(t, answers(b)[1].Kind, coordpb.TurnAnswer_GRANTED)
+}
+
+// Symptom: an upstream counts as full for ever.
+// Sequence: a host is killed with requests granted and waiting.
+// Cause: what it had is never given back.
+func TestAHostThatIsGoneGivesBackWhatItHad(t *testing.T) {
+	ts, _ := bench("u")
+	a, b := stream(), stream()
+	for i := range uint64(3) {
+		ts.take(a, ask(i, 1))
+	}
+	ts.take(b, ask(9, 1))
+	assert.Equal(t, answers(b)[9].Kind, coordpb.TurnAnswer_QUEUED)
+	ts.leave(a)
+	ts.sweep()
+	assert.Equal(t, answers(b)[9].Kind, coordpb.TurnAnswer_GRANTED)
+	ts.leave(b)
+	assert.Equal(t, ts.places["u"].load, fleet.Load{})
+}
+
+// Symptom: requests are sent to an upstream that other hosts have found dark.
+// Sequence: two hosts leave it alone; a third asks.
+// Cause: the holder goes by its own traffic only.
+func TestWhatTwoHostsLeaveAloneIsNotNamed(t *testing.T) {
+	ts, _ := bench("dark", "sound")
+	for _, host := range []string{"h1", "h2"} {
+		ts.c.sums.take(&coordpb.HostReport{Host: host, Silent: []string{"dark"}}, ts.c.now())
+	}
+	a := stream()
+	for i := range uint64(3) {
+		ts.take(a, ask(i, 1))
+		ts.take(a, &coordpb.TurnEvent{Id: i, Kind: coordpb.TurnEvent_FIRST})
+	}
+	for id, got := range answers(a) {
+		assert.Equal(t, got.Upstream, "sound", "%d", id)
+	}
+}
+
+// Property: whatever comes in whatever order, what is granted at an upstream is
+// what was not given back, and all of it is given back in the end.
+func TestLoadsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ts, _ := bench("u1", "u2")
+		streams := []*turnStream{stream(), stream()}
+		for i := range rapid.IntRange(1, 80).Draw(t, "events") {
+			s := streams[rapid.IntRange(0, 1).Draw(t, "stream")]
+			id := uint64(rapid.IntRange(0, 12).Draw(t, "id"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				ts.take(s, ask(uint64(100+i), int32(i%3)))
+			case 1:
+				ts.take(s, &coordpb.TurnEvent{Id: 100 + id, Kind: coordpb.TurnEvent_FIRST})
+			case 2:
+				ts.take(s, &coordpb.TurnEvent{Id: 100 + id, Kind: coordpb.TurnEvent_END})
+			default:
+				ts.sweep()
+			}
+			requests := 0
+			for _, p := range ts.places {
+				requests += p.load.Requests
+				assert.Assert(t, p.load.Waiting >= 0 && p.load.Waiting <= p.load.Tokens)
+			}
+			assert.Equal(t, requests, len(ts.granted))
+		}
+		for _, s := range streams {
+			ts.leave(s)
+		}
+		for id, p := range ts.places {
+			assert.Equal(t, p.load, fleet.Load{}, id)
+		}
+		assert.Equal(t, len(ts.waiting), 0)
+	})
+}
