--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -62,8 +62,10 @@
 	firstPause   = 50 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 	// patientPause lies between tries at a host that others will tell of the
-	// store's return: each call is priced, also one that fails.
-	patientPause = 2500 * time.Millisecond
+	// store's return: each call is priced, also one that fails. It is a fraction
+	// of the time in which a change must be in force, since some tries right
+	// after the return fail too, when all hosts come at once.
+	patientPause = 1200 * time.Millisecond
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
 )
@@ -268,7 +270,7 @@
 		}
 		f.lost(ctx, d, err)
 		wait := pause.NextBackOff()
-		if wait > patientPause/10 && f.deps.Patient() {
+		if wait > patientPause/5 && f.deps.Patient() {
 			wait = pace.Default().Around(patientPause, pauseJitter)
 		}
 		pace.Sleep(ctx, wait)
