One call for each question to a peer; suspects once an event; drop what nobody reads

Change: conns.report and conns.state, decode beside encode, a set of suspects for each event. Behaviour stays as it was, no test or bound is touched.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -65,10 +65,9 @@
 	engine   *deploy.Engine
 	sequence uint64
 	models   map[string]*model
-	busy     *Order    // a model's order that was accepted and is not done
-	busyFrom time.Time // since when
-	foreign  bool      // an order of a former holder is being carried out
-	unsure   bool      // the upstream's report must be seen before the next order
+	busy     *Order // a model's order that was accepted and is not done
+	foreign  bool   // an order of a former holder is being carried out
+	unsure   bool   // the upstream's report must be seen before the next order
 }
 
 // New opens the book of an upstream from its own description. What it shows is
@@ -100,13 +99,8 @@
 // what that one brought.
 func (b *Book) Unsure() bool { return b.unsure || b.foreign }
 
-// Busy returns the model's order that is being carried out.
-func (b *Book) Busy() (Order, time.Time, bool) {
-	if b.busy == nil {
-		return Order{}, time.Time{}, false
-	}
-	return *b.busy, b.busyFrom, true
-}
+// Busy says that a model's order is being carried out.
+func (b *Book) Busy() bool { return b.busy != nil }
 
 // Residents is what requests may be sent for.
 func (b *Book) Residents() []deploy.Resident {
@@ -239,11 +233,11 @@
 		b.acceptAdapter(o, done, now)
 	case o.Op == Load && b.models[o.Model] == nil:
 		b.models[o.Model] = &model{phase: Loading, adapters: map[string]*adapter{}, used: now}
-		b.busy, b.busyFrom = &o, now
+		b.busy = &o
 	case o.Op == Unload && done:
 		delete(b.models, o.Model)
 	case o.Op == Unload:
-		b.busy, b.busyFrom = &o, now
+		b.busy = &o
 	}
 }
 
--- a/node/coordinator/conns.go
+++ b/node/coordinator/conns.go
@@ -45,6 +45,28 @@
 	return nil
 }
 
+// report tells one host's report to the host at an address.
+func (c *conns) report(ctx context.Context, address string, r *coordpb.HostReport) (s *coordpb.SiteState, err error) {
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
+		s, err = peer.Report(ctx, r)
+		return err
+	})
+	return s, err
+}
+
+// state asks the host at an address for what it has.
+func (c *conns) state(ctx context.Context, address string, q *coordpb.StateCall) (a *coordpb.StateAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
+		a, err = peer.State(ctx, q)
+		return err
+	})
+	return a, err
+}
+
 func (c *conns) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	c.mu.Lock()
 	for len(c.idle[address]) > 0 {
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -3,8 +3,9 @@
 // upstreams their orders, and tells the hosts what the upstreams hold. Every
 // host has one; the one whose host holds the lease is heard.
 //
-// Nothing on the way of a request waits for it, but for an adapter that no
-// upstream has at hand. Without it hosts go on by what they see themselves.
+// Requests for models ask it for a turn, and for an adapter that no upstream has
+// at hand. Without it, or without its word in time, hosts go on by what they see
+// themselves.
 package coordinator
 
 import (
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -36,13 +36,7 @@
 	if peer == l.cfg.Address {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-	defer cancel()
-	var a *coordpb.StateAnswer
-	err := l.conns.call(ctx, peer, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-		a, err = c.State(ctx, &coordpb.StateCall{Brief: true})
-		return err
-	})
+	a, err := l.conns.state(ctx, peer, &coordpb.StateCall{Brief: true})
 	return err == nil && l.Try(ctx, a.Coordinator)
 }
 
@@ -53,13 +47,7 @@
 		if seed == l.cfg.Address {
 			continue
 		}
-		var a *coordpb.StateAnswer
-		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-		err := l.conns.call(ctx, seed, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-			a, err = c.State(ctx, &coordpb.StateCall{})
-			return err
-		})
-		cancel()
+		a, err := l.conns.state(ctx, seed, &coordpb.StateCall{})
 		if err == nil && l.adopt(a) {
 			return
 		}
@@ -72,13 +60,9 @@
 	if len(a.Config) == 0 || json.Unmarshal(a.Config, &cfg) != nil {
 		return false
 	}
-	var all []deploy.Upstream
-	for _, data := range a.Upstreams {
-		var u deploy.Upstream
-		if json.Unmarshal(data, &u) != nil {
-			return false
-		}
-		all = append(all, u)
+	all, err := decode(a.Upstreams)
+	if err != nil {
+		return false
 	}
 	l.own.deps.Config.Offer(&cfg, "peer")
 	l.own.deps.Fleet.Apply(all, nil)
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -90,10 +90,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.address == l.cfg.Address {
-		l.address = ""
-	}
-	return l.address
+	return l.address // never this host's own
 }
 
 // Coordinator is the address of the host that holds the lease; "": not known.
@@ -120,12 +117,7 @@
 	if address == l.cfg.Address {
 		s = l.own.report(r)
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-		defer cancel()
-		err = l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-			s, err = c.Report(ctx, r)
-			return err
-		})
+		s, err = l.conns.report(ctx, address, r)
 	}
 	switch {
 	case err != nil:
@@ -154,13 +146,10 @@
 			return
 		}
 	}
-	for _, data := range s.Put {
-		var u deploy.Upstream
-		if err := json.Unmarshal(data, &u); err != nil {
-			l.log.Emit(event.RoutesUnusable, zap.Error(err))
-			return
-		}
-		r.Put = append(r.Put, u)
+	var err error
+	if r.Put, err = decode(s.Put); err != nil {
+		l.log.Emit(event.RoutesUnusable, zap.Error(err))
+		return
 	}
 	l.own.deps.Feed.Take(r)
 	l.mu.Lock()
@@ -168,9 +157,14 @@
 	l.mu.Unlock()
 }
 
+// introduction is a report that says no more than who this host is.
+func (l *Link) introduction() *coordpb.HostReport {
+	return &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
+}
+
 // report gathers what this host tells.
 func (l *Link) report() *coordpb.HostReport {
-	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
+	r := l.introduction()
 	for _, e := range l.own.deps.Fleet.All() {
 		if own := e.OwnLoad(); own.Requests > 0 {
 			r.Loads = append(r.Loads, &coordpb.Load{Upstream: e.ID(), Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
@@ -259,14 +253,7 @@
 	if address == "" || address == l.cfg.Address {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-	defer cancel()
-	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
-	var s *coordpb.SiteState
-	err := l.conns.call(ctx, address, func(ctx context.Context, c coordpb.DRPCCoordinatorClient) (err error) {
-		s, err = c.Report(ctx, r)
-		return err
-	})
+	s, err := l.conns.report(ctx, address, l.introduction())
 	if err != nil || !s.Holding {
 		return false
 	}
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -75,8 +75,7 @@
 	d, _ := u.entry.Described()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	_, _, busy := u.book.Busy()
-	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: !busy && u.moving == nil,
+	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: !u.book.Busy() && u.moving == nil,
 		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), Room: map[string]bool{}}
 	coming := ""
 	if u.moving != nil {
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -76,6 +76,17 @@
 	return out, nil
 }
 
+// decode reads what encode wrote.
+func decode(all [][]byte) ([]deploy.Upstream, error) {
+	out := make([]deploy.Upstream, len(all))
+	for i, data := range all {
+		if err := json.Unmarshal(data, &out[i]); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
 // relay adds what the store told this host and the other does not have yet.
 func (c *Coordinator) relay(r *coordpb.HostReport, out *coordpb.SiteState) error {
 	out.StoreAgeMs = uint32(min(c.deps.Feed.Age(), time.Hour).Milliseconds())
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -73,19 +72,24 @@
 // One may only have lost its own way to it.
 const suspectHosts = 2
 
-// suspect says whether several hosts leave an upstream alone. A host that has
-// just found it dark tells within a report's period, and spares the others
+// suspects are the upstreams that several hosts leave alone. A host that has
+// just found one dark tells within a report's period, and spares the others
 // what they would send there until they notice themselves.
-func (s *sums) suspect(upstream string, now time.Time) bool {
+func (s *sums) suspects(now time.Time) map[string]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
+	words := map[string]int{}
+	out := map[string]bool{}
 	for _, h := range s.hosts {
-		if now.Sub(h.at) <= suspectFresh && slices.Contains(h.report.Silent, upstream) {
-			n++
+		if now.Sub(h.at) > suspectFresh {
+			continue
+		}
+		for _, id := range h.report.Silent {
+			words[id]++
+			out[id] = words[id] >= suspectHosts
 		}
 	}
-	return n >= suspectHosts
+	return out
 }
 
 // suspectFresh is how long one word counts: two reports.
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -26,6 +26,7 @@
 	granted map[turnKey]*turn
 	places  map[string]*place // by upstream
 	waiting []*turn           // the most urgent first, then the oldest
+	dark    map[string]bool   // upstreams that several hosts leave alone, as of the event that is being taken
 }
 
 // place is what was granted at one upstream.
@@ -60,6 +61,7 @@
 func (t *turns) take(from *turnStream, e *coordpb.TurnEvent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dark = t.c.sums.suspects(t.c.now())
 	k := turnKey{from, e.Id}
 	switch e.Kind {
 	case coordpb.TurnEvent_ASK:
@@ -138,7 +140,7 @@
 func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
-	out.Down = out.Down || t.c.sums.suspect(e.ID(), now)
+	out.Down = out.Down || t.dark[e.ID()]
 	p := t.places[e.ID()]
 	if p == nil {
 		out.Waiting = 0
@@ -241,6 +243,7 @@
 func (t *turns) sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dark = t.c.sums.suspects(t.c.now())
 	t.next(t.c.now())
 	for id := range t.places {
 		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -104,13 +104,6 @@
 	return !e.leaving && e.health.Standing(now) == health.Down
 }
 
-// Standing is what its answers show.
-func (e *Entry) Standing() health.Standing {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.health.Standing(e.fleet.deps.Now())
-}
-
 // listed is what the platform's list says of it, and since which state.
 func (e *Entry) listed() (u deploy.Upstream, state uint64, gone bool) {
 	e.mu.Lock()
@@ -265,13 +258,7 @@
 	return false
 }
 
-// Residents is what the upstream holds, by the newest word.
-func (e *Entry) Residents() []deploy.Resident {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.residentsLocked(e.fleet.deps.Now())
-}
-
+// residentsLocked is what the upstream holds, by the newest word.
 func (e *Entry) residentsLocked(now time.Time) []deploy.Resident {
 	if !e.believedAt.IsZero() && now.Sub(e.believedAt) < believedFresh {
 		return e.believed
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"peridotpier.example/node/event"
@@ -115,12 +113,5 @@
 	}
 	note()
 	x.e.mu.Unlock()
-	x.e.fleet.tell()
-}
-
-// Silence is how long the upstream may stay silent before it counts as dark.
-func (e *Entry) Silence() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.fleet.cfg.Health.Silence + e.readingLocked(e.fleet.deps.Now())
+	x.e.fleet.Tell()
 }
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -119,9 +119,7 @@
 }
 
 // Tell wakes the requests that wait for an upstream.
-func (f *Fleet) Tell() { f.tell() }
-
-func (f *Fleet) tell() {
+func (f *Fleet) Tell() {
 	f.changes.Lock()
 	close(f.change)
 	f.change = make(chan struct{})
@@ -188,7 +186,7 @@
 	f.lapse(next, gone, now)
 	f.index.Store(next.indexed())
 	f.mu.Unlock()
-	f.tell()
+	f.Tell()
 }
 
 func (f *Fleet) put(ix *index, u deploy.Upstream, now time.Time) {
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -25,14 +25,14 @@
 			x.Heard()
 			q.piece()
 			if werr := q.pass(resp, events.take(buf[:n])); werr != nil {
-				return q.unread(x, resp, werr)
+				return q.unread(x, resp)
 			}
 			q.after = events.last
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if werr := q.pass(resp, events.rest()); werr != nil {
-				return q.unread(x, resp, werr)
+				return q.unread(x, resp)
 			}
 			q.begin(resp) // a stream of no events is whole too
 			x.Answered(false)
@@ -81,7 +81,7 @@
 }
 
 // unread ends a stream whose caller does not take it any more.
-func (q *request) unread(x *fleet.Exchange, resp *conn.Response, _ error) result {
+func (q *request) unread(x *fleet.Exchange, resp *conn.Response) result {
 	resp.Abort()
 	x.Dropped()
 	q.left()
