Hosts with little to spare stand by while the store is away

Cause: after 3 s without a holder every host ran for the lease until it was linked. During an outage that cost 81 hosts two reads each half second, and at the store's return the first to write took the lease: nearly always one of the 75 with 0.19 core and 10 Mbit/s, which could not tell 80 hosts all they lacked and renew in time. It lost the lease after 1.7 s, three times in a row, and each new term began with 3.1 s without orders.

Change: a host that is no deputy asks others only; the 3 s run while the store answers it. One that runs for the lease stops when the store stops answering.

--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -24,6 +24,8 @@
 	// Handicap is how long this host waits before it campaigns, so that one
 	// with more to spare comes first.
 	Handicap time.Duration
+	// StoreAnswers says whether the store answered this host lately.
+	StoreAnswers func() bool
 }
 
 // Run works until ctx ends.
@@ -33,7 +35,7 @@
 			pace.Sleep(ctx, lookEach)
 			continue
 		}
-		if d.Link.Candidate() || !d.find(ctx) {
+		if d.Link.Candidate() || d.standBy(ctx) {
 			d.campaign(ctx)
 		}
 	}
@@ -44,15 +46,22 @@
 // holds it, before it runs all the same: those that should may all be gone.
 const findFor = 3 * time.Second
 
-// find asks others until this host is linked.
-func (d *Lead) find(ctx context.Context) bool {
-	for began := time.Now(); time.Since(began) < findFor; {
-		if d.Link.Find(ctx) {
-			return true
-		}
-		if !pace.Sleep(ctx, pace.Default().Around(tryEach, reportJitter)) {
+// standBy asks others who holds the lease until this host is linked, and says
+// no, or until nobody was found though the store answered all the while. The
+// time while the store is away does not count: nobody can take the lease then,
+// and at its return the first to write would, however little it has to spare.
+func (d *Lead) standBy(ctx context.Context) bool {
+	answered := time.Now()
+	for pace.Sleep(ctx, pace.Default().Around(tryEach, reportJitter)) {
+		if d.Link.Linked() || d.Link.Find(ctx) {
 			return false
 		}
+		if !d.StoreAnswers() {
+			answered = time.Now()
+		}
+		if time.Since(answered) > findFor {
+			return true
+		}
 	}
 	return false
 }
@@ -74,7 +83,8 @@
 	<-done // hands the lease over if it is held
 }
 
-// search returns when this host is linked to another, or ctx ends. While this
+// search returns when this host is linked to another, when the store is away
+// and this host should not be first at its return, or when ctx ends. While this
 // host holds the lease itself it goes on.
 func (d *Lead) search(ctx context.Context) {
 	var tried time.Time
@@ -82,6 +92,9 @@
 		if _, held := d.Lease.Term(); held {
 			continue
 		}
+		if !d.Link.Candidate() && !d.StoreAnswers() {
+			return
+		}
 		if time.Since(tried) < tryEach {
 			continue
 		}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -163,7 +163,7 @@
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunTurns)
 	h.add(&g, work, h.fetch)
-	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap()}
+	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap(), StoreAnswers: h.storeAnswers}
 	h.add(&g, ctx, h.whileServing(lead.Run))
 	h.servePeers(&g)
 	h.add(&g, work, h.hangups)
@@ -225,6 +225,12 @@
 	handicapAny  = 40 * time.Millisecond
 )
 
+// storeFresh is how old the store's last answer may be for it to count as
+// reached: a call for changes that waits at a host without a relay lasts 2 s.
+const storeFresh = 2500 * time.Millisecond
+
+func (h *Host) storeAnswers() bool { return h.feed.Age() < storeFresh }
+
 // handicap lets hosts with more to spare take the lease first.
 func (h *Host) handicap() time.Duration {
 	if !h.ample() {
