A former holder's load is waited for; loads count when they begin

Cause: after the lease passed on, an upstream where the former holder's load ran (9 s from the weight store) counted as free to move on and as in doubt for adapters: 150 moves in 4 s came to nothing at 24 upstreams, 59 more at ones that refused connections, each asked for two reports and each counted as a load from the store, so that the ceiling left no room for loads that could be carried out; adapters there were refused. Also seen while tracing: a load was counted when planned, though the unload before it may take 12 s.

Change: an order of a former holder makes an upstream busy, its end is asked for each 0.7 s, and adapters may load beside it (models leave room for all of them). An upstream that this host leaves alone, or where a move came to nothing in the last second, is left out of plans. Loads from the store count from when they begin, wait for their turn, and count not at all if never sent.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -99,8 +99,17 @@
 // what that one brought.
 func (b *Book) Unsure() bool { return b.unsure || b.foreign }
 
+// Doubtful says that the upstream's report is needed before any order, also one
+// for an adapter. An order for an adapter may go out while a former holder's
+// order for a model is being carried out: that one left room for all adapters.
+func (b *Book) Doubtful() bool { return b.unsure }
+
 // Busy says that a model's order is being carried out.
-func (b *Book) Busy() bool { return b.busy != nil }
+func (b *Book) Busy() bool { return b.busy != nil || b.foreign }
+
+// Foreign says that it is one of a former holder, whose end only the
+// upstream's report shows.
+func (b *Book) Foreign() bool { return b.foreign }
 
 // Residents is what requests may be sent for.
 func (b *Book) Residents() []deploy.Resident {
--- a/core/residency/residency_test.go
+++ b/core/residency/residency_test.go
@@ -209,3 +209,24 @@
 		}
 	})
 }
+
+// Symptom: requests for adapters are refused for up to nine seconds, and the
+// upstream is chosen for a move at every look, after the lease has passed on.
+// Sequence: a former holder's load is being carried out when the report is seen.
+// Cause: the whole upstream counts as in doubt until that order is over.
+func TestAdaptersLoadBesideAFormerHoldersOrder(t *testing.T) {
+	now := time.Now()
+	e := &deploy.Engine{MemoryMB: 300, AdapterSlots: 2, Models: []deploy.Model{
+		{Name: "a", WeightsMB: 100, AdapterMB: 1, Adapters: 4}, {Name: "b", WeightsMB: 100}, {Name: "c", WeightsMB: 50}}}
+	b := residency.New(e, &deploy.Upstream{Residents: []deploy.Resident{{Model: "a"}}}, now)
+	assert.Assert(t, b.Settle(residency.Report{Residents: []deploy.Resident{{Model: "a"}}, Sequence: 1, Busy: true}, now))
+	assert.Assert(t, b.Busy() && b.Foreign())
+	_, ok := b.LoadModel("c")
+	assert.Assert(t, !ok, "what the former holder loads is not known")
+	assert.Assert(t, !b.Doubtful())
+	o, ok := b.LoadAdapter("a", "x", now)
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Expected, uint64(1))
+	assert.Assert(t, b.Settle(residency.Report{Residents: []deploy.Resident{{Model: "a"}, {Model: "b"}}, Sequence: 1}, now))
+	assert.Assert(t, !b.Busy() && !b.Foreign())
+}
--- a/node/coordinator/adapters.go
+++ b/node/coordinator/adapters.go
@@ -93,13 +93,13 @@
 	defer u.orderMu.Unlock()
 	u.mu.Lock()
 	coming := u.book.Coming(model, adapter)
-	unsure := u.book.Unsure()
+	doubtful := u.book.Doubtful()
 	o, ok := u.book.LoadAdapter(model, adapter, u.c.now())
 	u.mu.Unlock()
 	switch {
 	case coming:
 		return true, nil
-	case unsure:
+	case doubtful:
 		return false, u.settle(ctx)
 	case !ok:
 		return false, errNoUpstream
--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -85,3 +86,24 @@
 	s.begun = append(s.begun, now)
 	s.mu.Unlock()
 }
+
+// undo takes back a load that began at a time and was not ordered.
+func (s *storeLoads) undo(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.IndexFunc(s.begun, at.Equal); i >= 0 {
+		s.begun = slices.Delete(s.begun, i, i+1)
+	}
+}
+
+// postpone counts a load that began at one time as one that begins now, or
+// says no when there is no room for that now.
+func (s *storeLoads) postpone(at time.Time, rate float64, now time.Time) bool {
+	s.undo(at)
+	if s.left(rate, now) <= 0 {
+		s.begin(at)
+		return false
+	}
+	s.begin(now)
+	return true
+}
--- /dev/null
+++ b/node/coordinator/authority_test.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Symptom: more loads begin in one window than the weight store allows.
+// Sequence: loads are planned while models still make way for them; the
+// unloads wait seconds for streams to end, then all the loads begin at once.
+// Cause: each is counted at the time of its plan.
+func TestALoadIsCountedWhenItBegins(t *testing.T) {
+	s := storeLoads{window: 5 * time.Second, over: 1}
+	const rate = 1.0 // seven in a window, with storeBurst
+	start := time.Now()
+	planned := make([]time.Time, 7)
+	for i := range planned {
+		planned[i] = start.Add(time.Duration(i) * time.Millisecond)
+		s.begin(planned[i])
+	}
+	late := start.Add(4 * time.Second)
+	for _, at := range planned {
+		assert.Assert(t, s.postpone(at, rate, late))
+	}
+	after := start.Add(6 * time.Second)
+	assert.Equal(t, s.left(rate, after), 0, "the planned times are out of the window, the loads are in it")
+	s.begin(start.Add(100 * time.Millisecond)) // one more that was planned at the start
+	assert.Assert(t, !s.postpone(start.Add(100*time.Millisecond), rate, after))
+}
+
+// Symptom: models that are asked for stay nowhere for seconds after an upstream broke.
+// Sequence: a load is planned at an upstream that refuses connections, again
+// and again.
+// Cause: loads that were never ordered fill the window.
+func TestALoadThatWasNotOrderedLeavesRoom(t *testing.T) {
+	s := storeLoads{window: 5 * time.Second, over: 1}
+	now := time.Now()
+	before := s.left(1, now)
+	s.begin(now)
+	assert.Equal(t, s.left(1, now), before-1)
+	s.undo(now)
+	assert.Equal(t, s.left(1, now), before)
+}
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -35,6 +35,9 @@
 	}
 	now := c.now()
 	units := c.allUnits()
+	for _, u := range units {
+		u.lookForEnd(ctx, now)
+	}
 	for i := range table.Config.Services {
 		s := &table.Config.Services[i]
 		if s.Engine == nil {
@@ -75,7 +78,8 @@
 	d, _ := u.entry.Described()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: !u.book.Busy() && u.moving == nil,
+	movable := !u.book.Busy() && u.moving == nil && now.After(u.rested) && !u.entry.Down()
+	out := replica.Upstream{ID: u.entry.ID(), Usable: u.usable(), Movable: movable,
 		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), Room: map[string]bool{}}
 	coming := ""
 	if u.moving != nil {
@@ -124,44 +128,114 @@
 	u.mu.Lock()
 	u.moving = &m
 	u.mu.Unlock()
+	v := &moving{Move: m, demand: d, began: c.now()}
 	if m.From == replica.FromStore {
-		c.stores.begin(c.now())
+		c.stores.begin(v.began)
 	}
 	go func() {
-		defer func() {
-			u.mu.Lock()
-			u.moving = nil
-			u.mu.Unlock()
-		}()
-		if err := u.move(ctx, m, d); err != nil {
+		err := u.move(ctx, v)
+		if !v.sent && m.From == replica.FromStore {
+			c.stores.undo(v.began)
+		}
+		u.mu.Lock()
+		u.moving = nil
+		if err != nil {
+			u.rested = c.now().Add(moveRest)
+		}
+		u.mu.Unlock()
+		if err != nil {
 			c.deps.Log.Emit(event.MoveEnded, zap.String(event.FieldPeer, m.Upstream), zap.String("unload", m.Unload),
 				zap.String("load", m.Load), zap.Error(err))
 		}
 	}()
 }
 
+// moving is a move that is being carried out.
+type moving struct {
+	replica.Move
+	demand replica.Demand // that it is for
+	began  time.Time      // under which its load from the weight store is counted
+	sent   bool           // the load was ordered
+}
+
+const (
+	// moveRest is how long an upstream is left out of plans after a move there
+	// came to nothing. One that does not answer, or does something else than
+	// is known, would else be chosen again at every look, and take the room of
+	// moves that could be carried out.
+	moveRest = time.Second
+	// endEach is how often the end of a former holder's order is asked for: a
+	// fraction of a load's time. Each question is priced.
+	endEach = 700 * time.Millisecond
+)
+
+// lookForEnd asks for the upstream's report, beside the plan, while an order of
+// a former holder is being carried out there.
+func (u *unit) lookForEnd(ctx context.Context, now time.Time) {
+	u.mu.Lock()
+	due := u.book.Foreign() && now.Sub(u.asked) >= endEach
+	if due {
+		u.asked = now
+	}
+	u.mu.Unlock()
+	if due {
+		go func() { _ = u.settle(ctx) }() // a report that does not come is asked for again
+	}
+}
+
 // move drops one model and loads another.
-func (u *unit) move(ctx context.Context, m replica.Move, d replica.Demand) error {
-	if m.Unload != "" {
-		why := "makes way for " + m.Load
-		if err := u.model(ctx, func(b *residency.Book) (residency.Order, bool) { return b.UnloadModel(m.Unload) }, why); err != nil {
+func (u *unit) move(ctx context.Context, v *moving) error {
+	if v.Unload != "" {
+		why := "makes way for " + v.Load
+		if err := u.model(ctx, func(b *residency.Book) (residency.Order, bool) { return b.UnloadModel(v.Unload) }, why); err != nil {
 			return err
 		}
-		if err := u.until(ctx, unloadBound, func(b *residency.Book) bool { return !b.Has(m.Unload) }); err != nil {
+		if err := u.until(ctx, unloadBound, func(b *residency.Book) bool { return !b.Has(v.Unload) }); err != nil {
 			return err
 		}
 	}
-	why := "demand " + d.String() + " from " + m.From.String()
-	if err := u.model(ctx, func(b *residency.Book) (residency.Order, bool) { return b.LoadModel(m.Load) }, why); err != nil {
+	if err := u.takeTurnAtStore(ctx, v); err != nil {
+		return err
+	}
+	why := "demand " + v.demand.String() + " from " + v.From.String()
+	err := u.model(ctx, func(b *residency.Book) (residency.Order, bool) {
+		o, ok := b.LoadModel(v.Load)
+		v.sent = v.sent || ok
+		return o, ok
+	}, why)
+	if err != nil {
 		return err
 	}
-	took := replica.LoadTime(u.engine, m.Load, m.From)
+	took := replica.LoadTime(u.engine, v.Load, v.From)
 	if !pace.Sleep(ctx, took) {
 		return ctx.Err()
 	}
-	return u.until(ctx, took*loadSlack, func(b *residency.Book) bool { return b.Holds(m.Load, "") })
+	return u.until(ctx, took*loadSlack, func(b *residency.Book) bool { return b.Holds(v.Load, "") })
+}
+
+// takeTurnAtStore has a load from the weight store counted from now on. What
+// makes way for it may have taken seconds, and a load that was counted then
+// would pass the store's ceiling now without being seen.
+func (u *unit) takeTurnAtStore(ctx context.Context, v *moving) error {
+	if v.From != replica.FromStore || v.Unload == "" {
+		return nil
+	}
+	for {
+		now := u.c.now()
+		if u.c.stores.postpone(v.began, u.engine.LoadsPerSecond, now) {
+			v.began = now
+			return nil
+		}
+		if !pace.Sleep(ctx, storeTurnEach) {
+			return ctx.Err()
+		}
+	}
 }
 
+// storeTurnEach is how often a load looks for its turn: loads begin several
+// times a second at most.
+const storeTurnEach = 100 * time.Millisecond
+
 // model gives one order for a model.
 func (u *unit) model(ctx context.Context, make func(*residency.Book) (residency.Order, bool), why string) error {
 	for range adapterTries {
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -44,6 +44,8 @@
 	changedAt time.Time     // of the last order or report
 	taken     time.Time     // arrival of the description that was entered last
 	moving    *replica.Move // the change of models that is under way; nil: none
+	rested    time.Time     // until when no move begins, after one that came to nothing
+	asked     time.Time     // when the end of a former holder's order was last asked for
 }
 
 // describe enters the upstream's newest description, unless it may be older
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -99,6 +99,10 @@
 	return !e.leaving
 }
 
+// Down says whether this host leaves it alone now for what its answers, or its
+// silence, showed.
+func (e *Entry) Down() bool { return e.down(e.fleet.deps.Now()) }
+
 func (e *Entry) down(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
