Hosts are told what changed, also when they meet a new holder

Cause: a host that met a new holder was sent the whole list of upstreams, the configuration and all holdings, and every host all holdings at each order: at 81 hosts and 63 upstreams some 100 kB a host at each change of the holder, and 2 MB/s between data centres while adapters load.

Change: a report names the store's version that the host's list is of; the holder knows which of its states that is. Holdings are sent by the upstream's last change. An entry read anew but unchanged is no change. Found by the new property: a delta in which an upstream vanished and came again took it out.

--- a/node/coordinator/adapters.go
+++ b/node/coordinator/adapters.go
@@ -125,7 +125,7 @@
 		u.mu.Lock()
 		u.book.AdapterReady(o.Model, o.Adapter, u.c.now())
 		u.mu.Unlock()
-		u.c.changed()
+		u.c.changed(u)
 		u.c.deps.Log.Emit(event.OrderDone, u.fields(o, zap.Duration("took", u.c.cfg.AdapterLoad))...)
 	})
 }
--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -29,7 +29,6 @@
 // ordering notes that an order is sent now.
 func (c *Coordinator) ordering() {
 	c.mu.Lock()
-	c.revision++
 	c.ordered = c.now()
 	c.mu.Unlock()
 }
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -230,28 +230,34 @@
 			u = &unit{c: c, entry: e, engine: s.Engine, book: residency.New(s.Engine, &described, now)}
 			c.units[e.ID()] = u
 			c.newest = now
-			c.revision++
+			c.changedLocked(u)
 			continue
 		}
 		if u.describe(now) {
-			c.revision++
+			c.changedLocked(u)
 		}
 	}
 	for id := range c.units {
 		if !seen[id] {
 			delete(c.units, id)
-			c.revision++
 		}
 	}
 }
 
-// changed tells the hosts, with their next reports, that holdings changed.
-func (c *Coordinator) changed() {
+// changed tells the hosts, with their next reports, what an upstream holds now.
+func (c *Coordinator) changed(u *unit) {
 	c.mu.Lock()
-	c.revision++
+	c.changedLocked(u)
 	c.mu.Unlock()
 }
 
+// changedLocked sets both numbers under one lock: a report that is answered
+// with the new one must find the unit's change.
+func (c *Coordinator) changedLocked(u *unit) {
+	c.revision++
+	u.revision.Store(c.revision)
+}
+
 func (c *Coordinator) unit(id string) (*unit, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	l.own.deps.Config.Offer(&cfg, "peer")
-	l.own.deps.Fleet.Apply(all, nil)
+	l.own.deps.Fleet.Apply(all, nil, 0)
 	return true
 }
 
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -52,10 +53,10 @@
 	address  string // of the host that holds the lease; "": not linked
 	failed   int    // reports in a row
 	revision uint64
-	list     uint64 // change of the holder's list up to which this host has it
-	holdings []*coordpb.Holding
-	deputies []string // as the holder last named them
-	hosts    int      // most that were ever seen to share the allowance
+	list     uint64                      // change of the holder's list up to which this host has it
+	holdings map[string]*coordpb.Holding // by upstream, as the holder told
+	deputies []string                    // as the holder last named them
+	hosts    int                         // most that were ever seen to share the allowance
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -128,10 +129,10 @@
 		}
 		l.unlink(address, errNotHolding)
 	default:
-		l.take(s)
 		if address != l.cfg.Address {
 			l.takeRelay(s)
 		}
+		l.take(s)
 	}
 }
 
@@ -157,9 +158,14 @@
 	l.mu.Unlock()
 }
 
-// introduction is a report that says no more than who this host is.
+// introduction is a report that says no more than who this host is and which
+// versions it has, so that a holder that it meets anew does not send it all.
 func (l *Link) introduction() *coordpb.HostReport {
-	return &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt()}
+	if t := l.own.deps.Config.Current(); t != nil {
+		r.Config = t.Config.Version
+	}
+	return r
 }
 
 // report gathers what this host tells.
@@ -174,9 +180,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.Revision, r.List = l.revision, l.list
-	if t := l.own.deps.Config.Current(); t != nil {
-		r.Config = t.Config.Version
-	}
 	for _, d := range l.demand {
 		r.Demand = append(r.Demand, d)
 	}
@@ -196,10 +199,7 @@
 		l.deputies = s.Deputies
 	}
 	l.hosts = max(l.hosts, int(s.Hosts))
-	if len(s.Holdings) > 0 {
-		l.revision, l.holdings = s.Revision, s.Holdings
-	}
-	holdings := l.holdings
+	holdings := l.keepHoldings(s)
 	l.mu.Unlock()
 	others := map[string]*coordpb.Load{}
 	for _, o := range s.Others {
@@ -209,14 +209,32 @@
 		o := others[e.ID()] // none: the others have sent nothing there
 		e.SetOthers(fleet.Load{Requests: int(o.GetRequests()), Waiting: int(o.GetWaiting()), Tokens: int(o.GetTokens())}, now)
 	}
-	for _, h := range holdings {
-		if e, ok := l.own.deps.Fleet.Entry(h.Upstream); ok {
+	for id, h := range holdings {
+		if e, ok := l.own.deps.Fleet.Entry(id); ok {
 			e.Believe(residents(h), now)
 		}
 	}
 	l.own.deps.Fleet.Tell()
 }
 
+// keepHoldings enters what changed at the holder and returns a copy of all that
+// it told. l.mu is held.
+func (l *Link) keepHoldings(s *coordpb.SiteState) map[string]*coordpb.Holding {
+	l.revision = s.Revision
+	if l.holdings == nil {
+		l.holdings = map[string]*coordpb.Holding{}
+	}
+	for _, h := range s.Holdings {
+		l.holdings[h.Upstream] = h
+	}
+	for id := range l.holdings {
+		if _, ok := l.own.deps.Fleet.Entry(id); !ok {
+			delete(l.holdings, id)
+		}
+	}
+	return maps.Clone(l.holdings)
+}
+
 func residents(h *coordpb.Holding) []deploy.Resident {
 	out := make([]deploy.Resident, len(h.Residents))
 	for i, r := range h.Residents {
@@ -258,10 +276,10 @@
 		return false
 	}
 	l.mu.Lock()
-	l.address, l.failed, l.revision, l.list = address, 0, 0, 0
+	l.address, l.failed, l.revision, l.list, l.holdings = address, 0, 0, 0, nil
 	l.mu.Unlock()
+	l.takeRelay(s) // first: what upstreams hold goes by the list of them
 	l.take(s)
-	l.takeRelay(s)
 	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
 }
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -98,7 +98,11 @@
 		out.Config = data
 	}
 	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
-	change := c.deps.Fleet.Since(r.List)
+	from := r.List
+	if from == 0 {
+		from = c.deps.Fleet.StateAt(r.ListAt)
+	}
+	change := c.deps.Fleet.Since(from)
 	put, err := encode(change.Put)
 	out.List, out.ListAt, out.ListFull, out.Put, out.Gone = change.To, at, change.Full, put, change.Gone
 	return err
@@ -144,8 +148,8 @@
 	c.mu.Lock()
 	out.Revision = c.revision
 	c.mu.Unlock()
-	if out.Revision != r.Revision {
-		for _, u := range units {
+	for _, u := range units {
+		if u.revision.Load() > r.Revision {
 			out.Holdings = append(out.Holdings, u.holding())
 		}
 	}
--- /dev/null
+++ b/node/coordinator/serve_test.go
@@ -0,0 +1,46 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/residency"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/lease"
+	"peridotpier.example/node/store"
+)
+
+// Symptom: bytes between data centres grow with hosts times upstreams times orders.
+// Sequence: an adapter is loaded at one upstream; each of 80 hosts is told what
+// all 60 upstreams hold.
+// Cause: holdings are told as a whole.
+func TestAReportIsAnsweredWithWhatChanged(t *testing.T) {
+	log := event.NewLog(nil)
+	config := follow.NewConfig(log)
+	config.Offer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{MemoryMB: 100, AdapterSlots: 2,
+		Models: []deploy.Model{{Name: "m", WeightsMB: 10, AdapterMB: 1, Adapters: 3}}}}}}, "test")
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}},
+		{ID: "b", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
+	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	c.follow()
+	all := c.report(&coordpb.HostReport{Host: "h"})
+	assert.Equal(t, len(all.Holdings), 2)
+	assert.Equal(t, len(c.report(&coordpb.HostReport{Host: "h", Revision: all.Revision}).Holdings), 0)
+	u, _ := c.unit("b")
+	u.book.Settle(residency.Report{Residents: []deploy.Resident{{Model: "m", Adapters: []string{"x"}}}}, time.Now())
+	c.changed(u)
+	some := c.report(&coordpb.HostReport{Host: "h", Revision: all.Revision})
+	assert.Equal(t, len(some.Holdings), 1)
+	assert.Equal(t, some.Holdings[0].Upstream, "b")
+	assert.DeepEqual(t, some.Holdings[0].Residents[0].Adapters, []string{"x"})
+}
+
+// noTable is a store that no test here reaches.
+type noTable struct{ store.Table }
--- a/node/coordinator/turns_test.go
+++ b/node/coordinator/turns_test.go
@@ -20,7 +20,7 @@
 	for _, id := range upstreams {
 		all = append(all, deploy.Upstream{ID: id, Service: "s", Address: id, Slots: 4, Residents: []deploy.Resident{{Model: "m"}}})
 	}
-	f.Apply(all, nil)
+	f.Apply(all, nil, 0)
 	c := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(event.NewLog(nil)), Log: event.NewLog(nil)})
 	return c.turns, f
 }
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +38,8 @@
 	entry  *fleet.Entry
 	engine *deploy.Engine
 
-	orderMu sync.Mutex
+	orderMu  sync.Mutex
+	revision atomic.Uint64 // of the coordinator, at this unit's last change
 
 	mu        sync.Mutex
 	book      *residency.Book
@@ -74,6 +76,7 @@
 	u.book.Sent(o, c.now())
 	u.mu.Unlock()
 	c.ordering()
+	c.changed(u)
 	c.deps.Log.Emit(event.OrderSent, u.fields(o, zap.String("why", why), zap.Uint64("epoch", t.Epoch))...)
 	ctx, cancel := context.WithTimeout(ctx, orderBound)
 	defer cancel()
@@ -105,7 +108,7 @@
 		u.book.Refused(o)
 	}
 	u.mu.Unlock()
-	u.c.changed()
+	u.c.changed(u)
 	switch {
 	case err != nil:
 		u.c.deps.Log.Emit(event.OrderUnanswered, u.fields(o, zap.Error(err))...)
@@ -138,7 +141,7 @@
 	u.mu.Lock()
 	u.book.Settle(r, u.c.now())
 	u.mu.Unlock()
-	u.c.changed()
+	u.c.changed(u)
 	return nil
 }
 
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -119,8 +120,10 @@
 func (e *Entry) describe(u deploy.Upstream, now time.Time, state uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state = state
 	u.ID, u.Service, u.Address, u.DataCentre = e.id, e.service, e.address, e.dataCentre
+	if e.gone || e.described.IsZero() || !reflect.DeepEqual(u, e.up) { // a list that was read anew brings mostly what is known
+		e.state = state
+	}
 	e.up, e.described = u, now
 	if e.gone && u.State == deploy.Ready {
 		e.gone, e.leaving, e.useUntil = false, false, time.Time{}
@@ -131,19 +134,21 @@
 	}
 }
 
-func (e *Entry) vanish(now time.Time, hold time.Duration) {
+// vanish notes that its entry is gone; it says no if that was known.
+func (e *Entry) vanish(now time.Time, hold time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.gone {
-		return
+		return false
 	}
 	e.gone, e.goneSince = true, now
 	if hold > 0 && !e.leaving {
 		e.useUntil = now.Add(hold)
 		e.fleet.deps.Log.Emit(event.UpstreamLapsed, zap.String(event.FieldPeer, e.id), zap.Duration("used_for", hold))
-		return
+		return true
 	}
 	e.leaveLocked("entry removed")
+	return true
 }
 
 // leaveLocked takes the upstream out of use. Within one process this is undone
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -48,6 +48,7 @@
 	state    uint64     // rises with every change of the list
 	gone     []vanished // the last ones
 	goneFrom uint64     // state from which on gone is complete
+	marks    []mark     // the last states, with the store's versions that they are of
 	changes  signal
 	holdings signal
 }
@@ -76,19 +77,52 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := Change{To: f.state, Full: from == 0 || from < f.goneFrom || from > f.state}
-	for _, e := range f.index.Load().byID {
-		if u, at, gone := e.listed(); !gone && (out.Full || at > from) {
+	back := map[string]bool{} // listed: an entry that vanished may have come again
+	for id, e := range f.index.Load().byID {
+		u, at, gone := e.listed()
+		back[id] = !gone
+		if !gone && (out.Full || at > from) {
 			out.Put = append(out.Put, u)
 		}
 	}
 	for _, v := range f.gone {
-		if !out.Full && v.at > from {
+		if !out.Full && v.at > from && !back[v.id] {
 			out.Gone = append(out.Gone, v.id)
 		}
 	}
 	return out
 }
 
+// mark says up to which version of the store a state of the list goes.
+type mark struct{ state, version uint64 }
+
+// marksMost is how many states are remembered for StateAt. A host that is
+// farther behind gets the whole list.
+const marksMost = 256
+
+// StateAt returns the newest state of the list that holds nothing newer than a
+// version of the store; 0: none is known.
+func (f *Fleet) StateAt(version uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.marks) - 1; i >= 0; i-- {
+		if f.marks[i].version <= version {
+			return f.marks[i].state
+		}
+	}
+	return 0
+}
+
+func (f *Fleet) markLocked(version uint64) {
+	if version == 0 {
+		return // a list that is not of the store's own word
+	}
+	f.marks = append(f.marks, mark{f.state, version})
+	if over := len(f.marks) - marksMost; over > 0 {
+		f.marks = append([]mark(nil), f.marks[over:]...)
+	}
+}
+
 type index struct {
 	byID      map[string]*Entry
 	byService map[string][]*Entry
@@ -159,8 +193,9 @@
 	return out
 }
 
-// Replace takes a full list: those that are missing are gone.
-func (f *Fleet) Replace(all []deploy.Upstream) {
+// Replace takes a full list of a version of the store: those that are missing
+// are gone.
+func (f *Fleet) Replace(all []deploy.Upstream, at uint64) {
 	listed := map[string]bool{}
 	for i := range all {
 		listed[all[i].ID] = true
@@ -171,12 +206,12 @@
 			missing = append(missing, id)
 		}
 	}
-	f.Apply(all, missing)
+	f.Apply(all, missing, at)
 }
 
 // Apply takes upstreams that came or changed, and ids of those whose entries
-// are gone.
-func (f *Fleet) Apply(put []deploy.Upstream, gone []string) {
+// are gone, up to a version of the store; 0: of no version.
+func (f *Fleet) Apply(put []deploy.Upstream, gone []string, at uint64) {
 	f.mu.Lock()
 	now := f.deps.Now()
 	f.state++
@@ -185,6 +220,7 @@
 		f.put(next, put[i], now)
 	}
 	f.lapse(next, gone, now)
+	f.markLocked(at)
 	f.index.Store(next.indexed())
 	f.mu.Unlock()
 	f.tellHoldings()
@@ -228,8 +264,9 @@
 		if hold == 0 && n > 1 && float64(n) >= massShare*float64(all[e.Service()]) {
 			hold = f.cfg.MassHold
 		}
-		e.vanish(now, hold)
-		f.gone = append(f.gone, vanished{id, f.state})
+		if e.vanish(now, hold) {
+			f.gone = append(f.gone, vanished{id, f.state})
+		}
 	}
 	if over := len(f.gone) - goneMost; over > 0 {
 		f.goneFrom = f.gone[over-1].at
--- /dev/null
+++ b/node/fleet/fleet_test.go
@@ -0,0 +1,78 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/fleet"
+)
+
+func upstream(id string, slots int) deploy.Upstream {
+	return deploy.Upstream{ID: id, Service: "s", Address: id, Slots: slots}
+}
+
+// Symptom: the lease is lost again and again after the store's return.
+// Sequence: 80 hosts meet a new holder at once, each with the list as it was
+// when the former holder vanished; the new one sends all of them all of it.
+// Cause: the states of two hosts' lists cannot be compared.
+func TestAHostThatKnowsTheStoresVersionGetsWhatCameAfter(t *testing.T) {
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	f.Replace([]deploy.Upstream{upstream("a", 1), upstream("b", 1)}, 100)
+	f.Apply([]deploy.Upstream{upstream("a", 2)}, nil, 110)
+	f.Apply([]deploy.Upstream{upstream("c", 1)}, []string{"b"}, 120)
+	assert.Equal(t, f.StateAt(99), uint64(0), "older than all that is known")
+	all := f.Since(0)
+	assert.Assert(t, all.Full && len(all.Put) == 2)
+	some := f.Since(f.StateAt(115)) // the other's view lies between two changes
+	assert.Assert(t, !some.Full)
+	assert.Equal(t, len(some.Put), 1)
+	assert.Equal(t, some.Put[0].ID, "c")
+	assert.DeepEqual(t, some.Gone, []string{"b"})
+	none := f.Since(f.StateAt(500))
+	assert.Assert(t, !none.Full && len(none.Put)+len(none.Gone) == 0)
+	f.Replace([]deploy.Upstream{upstream("a", 2), upstream("c", 1)}, 600) // read anew, as it was
+	again := f.Since(f.StateAt(500))
+	assert.Assert(t, !again.Full && len(again.Put)+len(again.Gone) == 0)
+}
+
+// Whatever two hosts have seen of the store, what one sends the other by its
+// version brings it to the same list.
+func TestAnyTwoHostsComeToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder, host := fleet.New(fleet.Config{}, fleet.Deps{}), fleet.New(fleet.Config{}, fleet.Deps{})
+		holder.Replace(nil, 1)
+		version, seen := uint64(1), uint64(0)
+		ids := []string{"a", "b", "c", "d"}
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			version += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			if rapid.Bool().Draw(t, "gone") {
+				holder.Apply(nil, []string{id}, version)
+			} else {
+				holder.Apply([]deploy.Upstream{upstream(id, rapid.IntRange(1, 3).Draw(t, "slots"))}, nil, version)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "link") == 0 {
+				c := holder.Since(holder.StateAt(seen))
+				if c.Full {
+					host.Replace(c.Put, version)
+				} else {
+					host.Apply(c.Put, c.Gone, version)
+				}
+				seen = version
+				assert.DeepEqual(t, listed(host), listed(holder))
+			}
+		}
+	})
+}
+
+// listed is what the store's list says, by id.
+func listed(f *fleet.Fleet) map[string]int {
+	out := map[string]int{}
+	for _, u := range f.Since(0).Put {
+		out[u.ID] = u.Slots
+	}
+	return out
+}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -75,8 +75,10 @@
 
 // Listener takes the list of upstreams.
 type Listener interface {
-	Replace(all []deploy.Upstream)
-	Apply(put []deploy.Upstream, gone []string)
+	// Replace and Apply take a list, or changes of it, that bring it to a
+	// version of the store.
+	Replace(all []deploy.Upstream, at uint64)
+	Apply(put []deploy.Upstream, gone []string, at uint64)
 	StoreBack()
 }
 
@@ -149,10 +151,10 @@
 	defer f.applying.Unlock()
 	if r.UpstreamsAt >= f.upstreams.at.Load() && r.UpstreamsAt > 0 {
 		if r.Full {
-			f.deps.Upstreams.Replace(r.Put)
+			f.deps.Upstreams.Replace(r.Put, r.UpstreamsAt)
 			f.deps.Listed()
 		} else if len(r.Put)+len(r.Gone) > 0 {
-			f.deps.Upstreams.Apply(r.Put, r.Gone)
+			f.deps.Upstreams.Apply(r.Put, r.Gone, r.UpstreamsAt)
 		}
 		f.upstreams.at.Store(r.UpstreamsAt)
 	}
@@ -211,7 +213,7 @@
 			f.applying.Lock()
 			defer f.applying.Unlock()
 			if at >= f.upstreams.at.Load() {
-				f.deps.Upstreams.Replace(all)
+				f.deps.Upstreams.Replace(all, at)
 				f.deps.Listed()
 			}
 			return at, nil
@@ -224,7 +226,7 @@
 			f.applying.Lock()
 			defer f.applying.Unlock()
 			if at >= f.upstreams.at.Load() && len(u.Put)+len(u.Gone) > 0 {
-				f.deps.Upstreams.Apply(u.Put, u.Gone)
+				f.deps.Upstreams.Apply(u.Put, u.Gone, at)
 			}
 			return at, nil
 		}})
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -54,7 +54,7 @@
 		Routes: []deploy.Route{{Name: "r", Host: "example.com", Prefix: "/", Timeout: 10 * time.Second, Objective: 3 * time.Second,
 			Attempts: 1, Splits: []deploy.Split{{Service: "s", Weight: 1}}}}}, "test")
 	f := fleet.New(fleet.Config{}, fleet.Deps{Log: log})
-	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: address, Slots: 4, Residents: []deploy.Resident{{Model: "old"}}}}, nil)
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: address, Slots: 4, Residents: []deploy.Resident{{Model: "old"}}}}, nil, 0)
 	never := func() bool { return false }
 	return New(Deps{Config: config, Fleet: f, Client: conn.New(conn.Config{}), Codec: plainCodec{}, Models: models,
 		Repeats: NewRepeats(budget.Policy{Ratio: 1, Window: time.Second}, func() int { return 1 }), Log: log, Metrics: metrics.New(), Draining: never, Closing: never}), f
