A stop answers what it cannot finish

Cause: what is left when the grace is over was closed with the process. Ruled out: waiting for a model, which is short while stopping.

Change: 0.7 s before the grace is over each request under way gets its final answer: 503 with a time to come back if it was not sent, else 502.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -47,8 +47,11 @@
 	Metrics  *metrics.Set
 	Draining func() bool // the host is about to stop: callers should go elsewhere
 	Closing  func() bool // nothing new is taken: it might not end in time
-	Now      func() time.Time
-	Draw     func() float64 // in [0, 1)
+	// Ending is done when the host is about to end: what is under way then gets
+	// its final answer at once. nil: never.
+	Ending context.Context
+	Now    func() time.Time
+	Draw   func() float64 // in [0, 1)
 }
 
 // Gate serves routed requests.
@@ -62,6 +65,9 @@
 	if d.Draw == nil {
 		d.Draw = rand.Float64
 	}
+	if d.Ending == nil {
+		d.Ending = context.Background()
+	}
 	return &Gate{deps: d}
 }
 
@@ -77,6 +83,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeUp)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer context.AfterFunc(g.deps.Ending, func() { giveUp(errStopping) })()
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(q.deadline.Add(writeGrace)) // a caller that does not read must not hold the request
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
@@ -90,6 +98,9 @@
 // errTimeUp ends requests whose time, or whose route's, is over.
 var errTimeUp = errors.New("time is up")
 
+// errStopping ends requests that are under way when the host is about to end.
+var errStopping = errors.New("the host stops")
+
 // request is one caller's attempt. It belongs to one goroutine.
 type request struct {
 	g        *Gate
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -77,8 +79,13 @@
 	q.end(status, why)
 }
 
-// timeUp ends a request at its route's timeout or its caller's deadline.
+// timeUp ends a request at its route's timeout or its caller's deadline, or
+// when the host is about to end.
 func (q *request) timeUp() {
+	if errors.Is(context.Cause(q.ctx), errStopping) {
+		q.stopped()
+		return
+	}
 	if q.maybe > 0 {
 		q.fail(http.StatusGatewayTimeout, "time_up")
 		return
@@ -86,6 +93,15 @@
 	q.refuse("time_up", fullRetry)
 }
 
+// stopped ends a request that the host's stop does not leave the time for.
+func (q *request) stopped() {
+	if q.maybe > 0 {
+		q.fail(http.StatusBadGateway, "stopping")
+		return
+	}
+	q.refuse("stopping", stopRetry)
+}
+
 // left notes a caller that went away; nobody is there to be answered.
 func (q *request) left() {
 	q.g.deps.Log.Emit(event.RequestLeft, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last),
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -64,6 +64,7 @@
 	metrics  *http.Server
 	draining atomic.Bool   // callers should go elsewhere
 	closing  atomic.Bool   // requests are not taken any more
+	giveUp   func()        // ends the requests that are under way
 	listed   chan struct{} // closed when the upstreams were read once
 	listOnce atomic.Bool
 	stopped  chan struct{} // closed when the stop is over
@@ -78,7 +79,9 @@
 		fleet.Deps{Log: d.Log, Left: d.Client.Forget})
 	h.controlPath()
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
-	h.gate = gate.New(gate.Deps{Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
+	ending, giveUp := context.WithCancel(context.Background())
+	h.giveUp = giveUp
+	h.gate = gate.New(gate.Deps{Ending: ending, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
 		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load})
 	h.limitMemory()
 	return h, h.listen()
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -19,6 +19,8 @@
 	stopLook = 50 * time.Millisecond
 	// stopReserve is kept of the grace for the last writes and the end of the process.
 	stopReserve = 700 * time.Millisecond
+	// answerBound is how long the last answers may take to be written.
+	answerBound = 250 * time.Millisecond
 )
 
 // stopOn waits for ctx to end and stops the host. Callers are still served
@@ -43,6 +45,10 @@
 	for h.callers.closeIdle() > 0 && time.Since(began) < grace {
 		pace.Sleep(wait, stopLook)
 	}
+	h.giveUp()
+	for until := time.Now().Add(answerBound); h.callers.active.Load() > 0 && time.Now().Before(until); {
+		pace.Sleep(wait, stopLook/5)
+	}
 	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", time.Since(began)))
 	return nil
 }
