Fewer calls of the store: changes read together, one feed looks for it

Change: calls for changes are 0.15 s apart at the host that relays, 0.4 s at others without a relay; while the store is away the upstreams' feed looks for it and wakes the other; hosts that others tell look at an empty store each 0.5 s. Tried and left out: waiting 1 or 0.3 s for a relay at the start.

Tests for the failed first try after the store's return, for changes in quick succession and for the second feed; the first was missing until now.

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -66,6 +66,19 @@
 	// of the time in which a change must be in force, since some tries right
 	// after the return fail too, when all hosts come at once.
 	patientPause = 1200 * time.Millisecond
+	// aloneEach and relayEach are the least time between two calls for changes
+	// of a host without a relay, and of the one that relays. Every change ends
+	// a call that waits; when the store comes back, or upstreams are replaced,
+	// changes come dozens a second.
+	aloneEach = 400 * time.Millisecond
+	relayEach = 150 * time.Millisecond
+	// emptyPause lies between looks of a host that others will tell at a store
+	// in which nothing was ever written, as when a whole deployment starts.
+	emptyPause = 500 * time.Millisecond
+	// quietPause lies between tries for one table while another is tried: one
+	// call shows that the store is away as well as two, and the first that is
+	// answered wakes the other.
+	quietPause = 3 * patientPause
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
 )
@@ -106,7 +119,9 @@
 	upstreams progress
 	relayed   atomic.Int64 // when a fresh relay was last heard, by the steady clock since from; 0: never
 	from      time.Time
-	applying  sync.Mutex // of upstreams, so that a relayed list and one read here do not mix
+	applying  sync.Mutex    // of upstreams, so that a relayed list and one read here do not mix
+	away      atomic.Bool   // the store does not answer the upstreams' feed
+	returned  chan struct{} // gets a token when it answers that again
 }
 
 // progress is how far a table was followed.
@@ -126,7 +141,7 @@
 	if d.RelayFresh == 0 {
 		d.RelayFresh = defaultRelayFresh
 	}
-	return &Follower{deps: d, from: time.Now()}
+	return &Follower{deps: d, from: time.Now(), returned: make(chan struct{}, 1)}
 }
 
 // sinceStart is the steady clock; never 0.
@@ -195,7 +210,7 @@
 		}
 		return at, err
 	}
-	return f.run(ctx, &feed{name: "configuration", progress: &f.config, relayWait: relayConfigWait,
+	return f.run(ctx, &feed{name: "configuration", progress: &f.config, relayWait: relayConfigWait, second: true,
 		read: func(ctx context.Context) (uint64, error) { return take(f.deps.Source.ReadConfig(ctx)) },
 		wait: func(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 			return take(f.deps.Source.WaitConfig(ctx, after, wait))
@@ -204,7 +219,7 @@
 
 // RunUpstreams follows the upstreams until ctx ends.
 func (f *Follower) RunUpstreams(ctx context.Context) error {
-	return f.run(ctx, &feed{name: "upstreams", progress: &f.upstreams, relayWait: relayUpstreamsWait, back: f.deps.Upstreams.StoreBack,
+	return f.run(ctx, &feed{name: "upstreams", progress: &f.upstreams, relayWait: relayUpstreamsWait, back: f.storeBack,
 		read: func(ctx context.Context) (uint64, error) {
 			all, at, err := f.deps.Source.ReadUpstreams(ctx)
 			if err != nil {
@@ -240,10 +255,21 @@
 	read      func(ctx context.Context) (at uint64, err error)
 	wait      func(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error)
 	back      func() // the store is reached again; nil: nobody asks
+	second    bool   // another feed's tries show whether the store is away
 	reread    bool
 	lostAt    time.Time
 }
 
+// storeBack notes that the upstreams' feed is answered again.
+func (f *Follower) storeBack() {
+	f.deps.Upstreams.StoreBack()
+	f.away.Store(false)
+	select {
+	case f.returned <- struct{}{}:
+	default: // one is enough
+	}
+}
+
 // run follows one table until ctx ends.
 func (f *Follower) run(ctx context.Context, d *feed) error {
 	pause := backoff.NewExponentialBackOff()
@@ -253,33 +279,64 @@
 			pace.Sleep(ctx, relayedPause)
 			continue
 		}
+		began := time.Now()
 		at, err := f.step(ctx, d)
-		if err == nil {
-			d.progress.heard.Store(f.sinceStart())
-			f.advance(d, at)
-			f.regained(d)
-			if at == 0 { // a store in which nothing was ever written has nothing to wait for
-				pace.Sleep(ctx, pause.NextBackOff())
-				continue
+		switch {
+		case err == nil && at == 0: // a store in which nothing was ever written has nothing to wait for
+			f.heard(d, at)
+			wait := pause.NextBackOff()
+			if f.deps.Patient() {
+				wait = emptyPause
 			}
+			pace.Sleep(ctx, wait)
+		case err == nil:
+			f.heard(d, at)
 			pause.Reset()
-			continue
-		}
-		if errors.Is(err, store.ErrHistoryLost) {
+			pace.Sleep(ctx, f.least()-time.Since(began))
+		case errors.Is(err, store.ErrHistoryLost):
 			f.deps.Log.Emit(event.FeedReread, zap.String("table", d.name), zap.Uint64("after", d.progress.at.Load()))
 			d.reread = true
-			continue
+		default:
+			f.lost(ctx, d, err)
+			f.rest(ctx, d, pause.NextBackOff())
 		}
-		f.lost(ctx, d, err)
-		wait := pause.NextBackOff()
-		if wait > patientPause/5 && f.deps.Patient() {
-			wait = pace.Default().Around(patientPause, pauseJitter)
-		}
-		pace.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
 
+// heard notes an answer of the store.
+func (f *Follower) heard(d *feed, at uint64) {
+	d.progress.heard.Store(f.sinceStart())
+	f.advance(d, at)
+	f.regained(d)
+}
+
+// least is the time from one call for changes to the next.
+func (f *Follower) least() time.Duration {
+	if f.deps.Relays() {
+		return relayEach
+	}
+	return pace.Default().Around(aloneEach, pauseJitter)
+}
+
+// rest waits between two tries while the store is away.
+func (f *Follower) rest(ctx context.Context, d *feed, wait time.Duration) {
+	if wait <= patientPause/5 || !f.deps.Patient() {
+		pace.Sleep(ctx, wait)
+		return
+	}
+	if !d.second || !f.away.Load() {
+		pace.Sleep(ctx, pace.Default().Around(patientPause, pauseJitter))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, quietPause)
+	defer cancel()
+	select {
+	case <-f.returned:
+	case <-ctx.Done():
+	}
+}
+
 // advance notes how far the table was followed, unless a relay is farther.
 func (f *Follower) advance(d *feed, at uint64) {
 	for {
@@ -319,6 +376,9 @@
 		return
 	}
 	d.lostAt = time.Now()
+	if !d.second {
+		f.away.Store(true)
+	}
 	f.deps.Log.Emit(event.StoreLost, zap.String("table", d.name), zap.Error(err))
 }
 
--- /dev/null
+++ b/node/follow/follow_test.go
@@ -0,0 +1,182 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/follow"
+)
+
+// source is a store that can be away, fail some calls after its return, and
+// change at any time.
+type source struct {
+	mu      sync.Mutex
+	away    bool
+	failing int // next calls that fail though it is back
+	version uint64
+	configs int // calls for the configuration
+	lists   int // calls for the upstreams
+}
+
+func (s *source) call(count *int) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*count++
+	if s.away {
+		return 0, errors.New("away")
+	}
+	if s.failing > 0 {
+		s.failing--
+		return 0, errors.New("busy")
+	}
+	return s.version, nil
+}
+
+func (s *source) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *source) calls() (configs, lists int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configs, s.lists
+}
+
+func (s *source) ReadConfig(context.Context) (*deploy.Config, uint64, error) {
+	v, err := s.call(&s.configs)
+	if err != nil || v == 0 {
+		return nil, 0, err
+	}
+	return &deploy.Config{Version: v}, v, nil
+}
+
+func (s *source) WaitConfig(ctx context.Context, after uint64, wait time.Duration) (*deploy.Config, uint64, error) {
+	v, err := s.call(&s.configs)
+	if err == nil && v == after {
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(wait, 50*time.Millisecond)):
+		}
+		return nil, v, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	return &deploy.Config{Version: v}, v, nil
+}
+
+func (s *source) ReadUpstreams(context.Context) ([]deploy.Upstream, uint64, error) {
+	v, err := s.call(&s.lists)
+	return nil, v, err
+}
+
+func (s *source) WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (follow.Upstreams, uint64, error) {
+	v, err := s.call(&s.lists)
+	if err == nil && v == after {
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(wait, 50*time.Millisecond)):
+		}
+	}
+	return follow.Upstreams{}, v, err
+}
+
+type listener struct{}
+
+func (listener) Replace([]deploy.Upstream, uint64)         {}
+func (listener) Apply([]deploy.Upstream, []string, uint64) {}
+func (listener) StoreBack()                                {}
+
+// following runs a host's two feeds; patient says that others look for the store first.
+func following(t *testing.T, s *source, patient bool) *follow.Config {
+	t.Helper()
+	log := event.NewLog(nil)
+	config := follow.NewConfig(log)
+	f := follow.New(follow.Deps{Source: s, Config: config, Upstreams: listener{}, Log: log, Patient: func() bool { return patient }, Listed: func() {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context) error{f.RunConfig, f.RunUpstreams} {
+		wg.Go(func() { _ = run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return config
+}
+
+// configBound is the time in which a change must be in force after the store's
+// return, less what its own way takes.
+const configBound = 2500 * time.Millisecond
+
+// Symptom: a configuration is not in force 3 s after the store's return.
+// Sequence: the store is away for some seconds and a configuration is written
+// at its return; all hosts come at once, and this one's first calls are turned away.
+// Cause: the next try comes only after a pause for a store that is away.
+func TestAFailedFirstTryAfterTheReturnCostsOnePause(t *testing.T) {
+	for _, patient := range []bool{false, true} {
+		t.Run(map[bool]string{false: "first", true: "patient"}[patient], func(t *testing.T) {
+			t.Parallel()
+			s := &source{version: 1}
+			config := following(t, s, patient)
+			inForce(t, config, 1, time.Second)
+			s.set(func() { s.away = true })
+			time.Sleep(2500 * time.Millisecond)
+			s.set(func() { s.away, s.version, s.failing = false, 2, 1 })
+			inForce(t, config, 2, configBound)
+		})
+	}
+}
+
+func inForce(t *testing.T, c *follow.Config, version uint64, within time.Duration) {
+	t.Helper()
+	for until := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
+		if table := c.Current(); table != nil && table.Config.Version == version {
+			return
+		}
+		assert.Assert(t, time.Now().Before(until), "version %d is not in force after %s", version, within)
+	}
+}
+
+// Symptom: the store is called thousands of times in the seconds after its return.
+// Sequence: it comes back; upstreams write their entries anew, dozens a second;
+// each ends the waiting calls of all hosts that have no relay yet.
+// Cause: the next call follows at once.
+func TestChangesInQuickSuccessionAreReadTogether(t *testing.T) {
+	t.Parallel()
+	s := &source{version: 1}
+	config := following(t, s, true)
+	inForce(t, config, 1, time.Second)
+	_, before := s.calls()
+	for range 100 {
+		s.set(func() { s.version++ })
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, after := s.calls()
+	assert.Assert(t, after-before <= 5, "%d calls in a second", after-before)
+}
+
+// Symptom: an outage costs two calls of each host for each pause.
+// Sequence: the store is away; both feeds look for it.
+// Cause: neither knows what the other found.
+func TestOneFeedLooksForAStoreThatIsAway(t *testing.T) {
+	t.Parallel()
+	s := &source{version: 1}
+	config := following(t, s, true)
+	inForce(t, config, 1, time.Second)
+	s.set(func() { s.away = true })
+	time.Sleep(1500 * time.Millisecond) // the first, quick tries of both are over
+	configs, lists := s.calls()
+	time.Sleep(2500 * time.Millisecond)
+	configsNow, listsNow := s.calls()
+	assert.Assert(t, configsNow-configs <= 1)
+	assert.Assert(t, listsNow-lists >= 2)
+	s.set(func() { s.away, s.version = false, 2 })
+	inForce(t, config, 2, 2*time.Second)
+}
