What a new holder of the lease finds counts as settled

The holder was cut off at 20.7 s, in a shift of demand; the next one took the lease at 21.9 and might order from 23.0, but moved nothing before 24.99: every model counted as loaded when the book was opened, and stays for 3 s where it was loaded. Ruled out: the demand's sums, the quiet period, the weight store.

Change: what is there when a book is opened counts as there for long.

--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -76,9 +76,17 @@
 func New(e *deploy.Engine, u *deploy.Upstream, now time.Time) *Book {
 	b := &Book{engine: e, models: map[string]*model{}}
 	b.Describe(u.Residents, now)
+	for _, m := range b.models {
+		m.since = now.Add(-longThere)
+	}
 	return b
 }
 
+// longThere is how long a model counts as held that was there when the book was
+// opened. It was loaded under a former holder of the lease; to take it for new
+// would keep it in place while demand moves on.
+const longThere = time.Minute
+
 // Describe takes what the upstream's description lists, which lags. It is
 // passed over while an order is under way. Requests go by it; before the next
 // order for a model the report must be seen, since room that only a late
--- a/core/residency/residency_test.go
+++ b/core/residency/residency_test.go
@@ -230,3 +230,17 @@
 	assert.Assert(t, b.Settle(residency.Report{Residents: []deploy.Resident{{Model: "a"}, {Model: "b"}}, Sequence: 1}, now))
 	assert.Assert(t, !b.Busy() && !b.Foreign())
 }
+
+// Symptom: for three seconds after the lease passed on no model makes way,
+// while the demand moves on.
+// Sequence: a new holder opens its books; what it finds there counts as just
+// loaded, and models stay for a while where they were loaded.
+// Cause: the time of the book's opening is taken for that of the load.
+func TestWhatANewHolderFindsIsNotTakenForNew(t *testing.T) {
+	b := residency.New(engine, &deploy.Upstream{Residents: holds("a")}, t0)
+	assert.Assert(t, b.Held(t0)[0].For >= time.Minute)
+	b.Settle(residency.Report{Residents: holds("a", "b"), Sequence: 2}, t0.Add(time.Second))
+	held := b.Held(t0.Add(2 * time.Second))
+	assert.Assert(t, held[0].For >= time.Minute)
+	assert.Equal(t, held[1].For, time.Second, "what came since is new")
+}
