--- /dev/null
+++ b/node/fleet/change.go
@@ -0,0 +1,73 @@
+package fleet
+
+import "peridotpier.example/core/deploy"
+
+// Change is what came after an earlier state of the list.
+type Change struct {
+	To   uint64 // state that it brings to
+	Full bool   // Put is the whole list
+	Put  []deploy.Upstream
+	Gone []string
+}
+
+// goneMost is how many vanished upstreams are remembered for Since. A host that
+// is farther behind gets the whole list.
+const goneMost = 256
+
+// vanished is an upstream whose entry is gone, with the state since which it is.
+type vanished struct {
+	id string
+	at uint64
+}
+
+// Since returns what changed in the platform's list after a state, for other
+// hosts; 0 asks for all of it.
+func (f *Fleet) Since(from uint64) Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := Change{To: f.state, Full: from == 0 || from < f.goneFrom || from > f.state}
+	back := map[string]bool{} // listed: an entry that vanished may have come again
+	for id, e := range f.index.Load().byID {
+		u, at, gone := e.listed()
+		back[id] = !gone
+		if !gone && (out.Full || at > from) {
+			out.Put = append(out.Put, u)
+		}
+	}
+	for _, v := range f.gone {
+		if !out.Full && v.at > from && !back[v.id] {
+			out.Gone = append(out.Gone, v.id)
+		}
+	}
+	return out
+}
+
+// mark says up to which version of the store a state of the list goes.
+type mark struct{ state, version uint64 }
+
+// marksMost is how many states are remembered for StateAt. A host that is
+// farther behind gets the whole list.
+const marksMost = 256
+
+// StateAt returns the newest state of the list that holds nothing newer than a
+// version of the store; 0: none is known.
+func (f *Fleet) StateAt(version uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.marks) - 1; i >= 0; i-- {
+		if f.marks[i].version <= version {
+			return f.marks[i].state
+		}
+	}
+	return 0
+}
+
+func (f *Fleet) markLocked(version uint64) {
+	if version == 0 {
+		return // a list that is not of the store's own word
+	}
+	f.marks = append(f.marks, mark{f.state, version})
+	if over := len(f.marks) - marksMost; over > 0 {
+		f.marks = append([]mark(nil), f.marks[over:]...)
+	}
+}
--- /dev/null
+++ b/node/follow/feed.go
@@ -0,0 +1,160 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
+	"peridotpier.example/node/store"
+)
+
+// feed is one table that is followed.
+type feed struct {
+	name      string
+	progress  *progress
+	relayWait time.Duration
+	read      func(ctx context.Context) (at uint64, err error)
+	wait      func(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error)
+	back      func() // the store is reached again; nil: nobody asks
+	second    bool   // another feed's tries show whether the store is away
+	reread    bool
+	lostAt    time.Time
+}
+
+// storeBack notes that the upstreams' feed is answered again.
+func (f *Follower) storeBack() {
+	f.deps.Upstreams.StoreBack()
+	f.away.Store(false)
+	select {
+	case f.returned <- struct{}{}:
+	default: // one is enough
+	}
+}
+
+// run follows one table until ctx ends.
+func (f *Follower) run(ctx context.Context, d *feed) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	for ctx.Err() == nil {
+		if f.isRelayed() {
+			pace.Sleep(ctx, relayedPause)
+			continue
+		}
+		began := time.Now()
+		at, err := f.step(ctx, d)
+		switch {
+		case err == nil && at == 0: // a store in which nothing was ever written has nothing to wait for
+			f.heard(d, at)
+			wait := pause.NextBackOff()
+			if f.deps.Patient() {
+				wait = emptyPause
+			}
+			pace.Sleep(ctx, wait)
+		case err == nil:
+			f.heard(d, at)
+			pause.Reset()
+			pace.Sleep(ctx, f.least()-time.Since(began))
+		case errors.Is(err, store.ErrHistoryLost):
+			f.deps.Log.Emit(event.FeedReread, zap.String("table", d.name), zap.Uint64("after", d.progress.at.Load()))
+			d.reread = true
+		default:
+			f.lost(ctx, d, err)
+			f.rest(ctx, d, pause.NextBackOff())
+		}
+	}
+	return ctx.Err()
+}
+
+// heard notes an answer of the store.
+func (f *Follower) heard(d *feed, at uint64) {
+	d.progress.heard.Store(f.sinceStart())
+	f.advance(d, at)
+	f.regained(d)
+}
+
+// least is the time from one call for changes to the next.
+func (f *Follower) least() time.Duration {
+	if f.deps.Relays() {
+		return relayEach
+	}
+	return pace.Default().Around(aloneEach, pauseJitter)
+}
+
+// rest waits between two tries while the store is away.
+func (f *Follower) rest(ctx context.Context, d *feed, wait time.Duration) {
+	if wait <= patientPause/5 || !f.deps.Patient() {
+		pace.Sleep(ctx, wait)
+		return
+	}
+	if !d.second || !f.away.Load() {
+		pace.Sleep(ctx, pace.Default().Around(patientPause, pauseJitter))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, quietPause)
+	defer cancel()
+	select {
+	case <-f.returned:
+	case <-ctx.Done():
+	}
+}
+
+// advance notes how far the table was followed, unless a relay is farther.
+func (f *Follower) advance(d *feed, at uint64) {
+	for {
+		old := d.progress.at.Load()
+		if old >= at || d.progress.at.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// step makes one call: a full read when nothing is known, else the next changes.
+func (f *Follower) step(ctx context.Context, d *feed) (uint64, error) {
+	at := d.progress.at.Load()
+	if at == 0 || d.reread {
+		ctx, cancel := context.WithTimeout(ctx, readBound)
+		defer cancel()
+		next, err := d.read(ctx)
+		d.reread = d.reread && err != nil
+		return next, err
+	}
+	wait := aloneWait
+	switch {
+	case !d.lostAt.IsZero():
+		// The store may come back without a word on a call that it never heard;
+		// short calls find it within a second, and what changed meanwhile.
+		wait = 0
+	case f.deps.Relays():
+		wait = d.relayWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
+	defer cancel()
+	return d.wait(ctx, at, wait)
+}
+
+func (f *Follower) lost(ctx context.Context, d *feed, err error) {
+	if !d.lostAt.IsZero() || ctx.Err() != nil {
+		return
+	}
+	d.lostAt = time.Now()
+	if !d.second {
+		f.away.Store(true)
+	}
+	f.deps.Log.Emit(event.StoreLost, zap.String("table", d.name), zap.Error(err))
+}
+
+func (f *Follower) regained(d *feed) {
+	if d.lostAt.IsZero() {
+		return
+	}
+	f.deps.Log.Emit(event.StoreRegained, zap.String("table", d.name), zap.Duration("away", time.Since(d.lostAt)))
+	d.lostAt = time.Time{}
+	if d.back != nil {
+		d.back()
+	}
+}
