--- /dev/null
+++ b/node/coordinator/lead_test.go
@@ -0,0 +1,67 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/lease"
+	"peridotpier.example/node/store"
+)
+
+// countedTable is a store that is away and counts how often it is asked.
+type countedTable struct {
+	store.Table
+	asked atomic.Int32
+}
+
+func (c *countedTable) Get(context.Context, ...string) ([]store.Row, error) {
+	c.asked.Add(1)
+	return nil, store.ErrUnavailable
+}
+
+// Symptom: the lease is lost again and again after the store's return.
+// Sequence: the store is away for seconds; all hosts run for the lease, and the
+// first to write at its return takes it: one that has too little to keep it.
+// Cause: the time in which nobody can take the lease counts as time in which
+// those with more to spare did not.
+func TestAHostThatShouldNotLeadStandsByWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	log := event.NewLog(nil)
+	table := &countedTable{}
+	l := lease.New(lease.Config{Name: "l"}, lease.Deps{Table: table})
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	own := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(log), Lease: l, Feed: follow.New(follow.Deps{Log: log}), Log: log})
+	unreachable := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	link := NewLink(LinkConfig{Host: "poor", Address: "me", Seeds: []string{"seed-1", "seed-2"}}, own, unreachable, log)
+	var answers atomic.Bool
+	lead := &Lead{Lease: l, Link: link, StoreAnswers: answers.Load}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = lead.Run(ctx)
+	}()
+	time.Sleep(findFor + time.Second)
+	assert.Equal(t, table.asked.Load(), int32(0), "the store is away")
+	answers.Store(true)
+	time.Sleep(findFor / 2)
+	assert.Equal(t, table.asked.Load(), int32(0), "those with more to spare come first")
+	time.Sleep(findFor)
+	assert.Assert(t, table.asked.Load() > 0, "they may all be gone")
+	answers.Store(false)
+	time.Sleep(time.Second)
+	before := table.asked.Load()
+	time.Sleep(time.Second)
+	assert.Equal(t, table.asked.Load(), before, "it is away again")
+	cancel()
+	<-done
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -76,4 +76,8 @@
 ' '' ./platform -run 'AStop'
 try "caller gone" node/gate/gate.go \
   'WithDeadlineCause(r.Context()' 'WithDeadlineCause(context.Background()' ./node/gate
+try "time to stand by while the store is away" node/coordinator/lead.go \
+  'answered = time.Now()
+		}' '_ = answered
+		}' ./node/coordinator -run 'StandsBy'
 exit $missed
