What is told of an upstream before the list names it is kept

Found when the change was read again: a host dropped holdings of an upstream that its list did not have yet, and since holdings are told once, it went by the lagging description until something changed there. Change: holdings go when the holder says that the entry is gone; the holder itself drops what its own list does not have. Test fails without it.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -218,7 +218,8 @@
 }
 
 // keepHoldings enters what changed at the holder and returns a copy of all that
-// it told. l.mu is held.
+// it told. What an upstream holds may be told before the list names it here, and
+// is told once only, so that nothing is dropped for want of an entry. l.mu is held.
 func (l *Link) keepHoldings(s *coordpb.SiteState) map[string]*coordpb.Holding {
 	l.revision = s.Revision
 	if l.holdings == nil {
@@ -227,10 +228,14 @@
 	for _, h := range s.Holdings {
 		l.holdings[h.Upstream] = h
 	}
-	for id := range l.holdings {
-		if _, ok := l.own.deps.Fleet.Entry(id); !ok {
-			delete(l.holdings, id)
-		}
+	for _, id := range s.Gone {
+		delete(l.holdings, id)
+	}
+	if l.own.Holding() { // it tells itself of no list; what it tells of is in its own
+		maps.DeleteFunc(l.holdings, func(id string, _ *coordpb.Holding) bool {
+			_, known := l.own.deps.Fleet.Entry(id)
+			return !known
+		})
 	}
 	return maps.Clone(l.holdings)
 }
--- a/node/coordinator/serve_test.go
+++ b/node/coordinator/serve_test.go
@@ -44,3 +44,25 @@
 
 // noTable is a store that no test here reaches.
 type noTable struct{ store.Table }
+
+// Symptom: a host sends requests by a description that lags, for as long as
+// nothing changes at an upstream.
+// Sequence: the holder tells what a new upstream holds before this host's list
+// names it; the list follows.
+// Cause: what was told of an unknown upstream is dropped, and is not told again.
+func TestWhatIsToldOfAnUpstreamBeforeTheListIsKept(t *testing.T) {
+	log := event.NewLog(nil)
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	own := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(log), Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	link := NewLink(LinkConfig{Host: "h"}, own, nil, log)
+	holds := func(id string) bool {
+		e, ok := f.Entry(id)
+		return ok && e.Endpoint(&fleet.Ask{Model: "m"}, time.Now()).HoldsModel
+	}
+	link.take(&coordpb.SiteState{Revision: 1, Holdings: []*coordpb.Holding{{Upstream: "u", Residents: []*coordpb.Resident{{Model: "m"}}}}})
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s"}}, nil, 1)
+	link.take(&coordpb.SiteState{Revision: 1})
+	assert.Assert(t, holds("u"))
+	link.take(&coordpb.SiteState{Revision: 1, Gone: []string{"u"}})
+	assert.Equal(t, len(link.holdings), 0)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -24,8 +24,8 @@
 }
 
 // choose asks where the request goes, or picks by what this host knows. Where
-// the host that decides for all knows of no upstream but this one does, its own
-// knowledge is newer.
+// the host that decides for all knows of no upstream but this one does, or of
+// one that only has no room, its own knowledge is newer.
 func (q *request) choose() (*fleet.Entry, picked) {
 	if q.ask.Model == "" {
 		return q.pick()
