A report costs nothing for a list that did not change

Found when the change was read again: each report had the holder look at every upstream under its lock for changes of the list, and a map of all of them was made, though the list is the same for nearly every report; and each host decoded all holdings again at each answer, though they are told once. Change: Since returns at once for the newest state, and looks up only what vanished; holdings are decoded when they are told. What is answered is the same.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -53,10 +53,10 @@
 	address  string // of the host that holds the lease; "": not linked
 	failed   int    // reports in a row
 	revision uint64
-	list     uint64                      // change of the holder's list up to which this host has it
-	holdings map[string]*coordpb.Holding // by upstream, as the holder told
-	deputies []string                    // as the holder last named them
-	hosts    int                         // most that were ever seen to share the allowance
+	list     uint64                       // change of the holder's list up to which this host has it
+	holdings map[string][]deploy.Resident // by upstream, as the holder told
+	deputies []string                     // as the holder last named them
+	hosts    int                          // most that were ever seen to share the allowance
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -211,7 +211,7 @@
 	}
 	for id, h := range holdings {
 		if e, ok := l.own.deps.Fleet.Entry(id); ok {
-			e.Believe(residents(h), now)
+			e.Believe(h, now)
 		}
 	}
 	l.own.deps.Fleet.Tell()
@@ -220,19 +220,19 @@
 // keepHoldings enters what changed at the holder and returns a copy of all that
 // it told. What an upstream holds may be told before the list names it here, and
 // is told once only, so that nothing is dropped for want of an entry. l.mu is held.
-func (l *Link) keepHoldings(s *coordpb.SiteState) map[string]*coordpb.Holding {
+func (l *Link) keepHoldings(s *coordpb.SiteState) map[string][]deploy.Resident {
 	l.revision = s.Revision
 	if l.holdings == nil {
-		l.holdings = map[string]*coordpb.Holding{}
+		l.holdings = map[string][]deploy.Resident{}
 	}
 	for _, h := range s.Holdings {
-		l.holdings[h.Upstream] = h
+		l.holdings[h.Upstream] = residents(h)
 	}
 	for _, id := range s.Gone {
 		delete(l.holdings, id)
 	}
 	if l.own.Holding() { // it tells itself of no list; what it tells of is in its own
-		maps.DeleteFunc(l.holdings, func(id string, _ *coordpb.Holding) bool {
+		maps.DeleteFunc(l.holdings, func(id string, _ []deploy.Resident) bool {
 			_, known := l.own.deps.Fleet.Entry(id)
 			return !known
 		})
--- a/node/fleet/change.go
+++ b/node/fleet/change.go
@@ -26,22 +26,32 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := Change{To: f.state, Full: from == 0 || from < f.goneFrom || from > f.state}
-	back := map[string]bool{} // listed: an entry that vanished may have come again
-	for id, e := range f.index.Load().byID {
-		u, at, gone := e.listed()
-		back[id] = !gone
-		if !gone && (out.Full || at > from) {
+	if from == f.state && !out.Full {
+		return out // as for nearly every report
+	}
+	byID := f.index.Load().byID
+	for _, e := range byID {
+		if u, at, gone := e.listed(); !gone && (out.Full || at > from) {
 			out.Put = append(out.Put, u)
 		}
 	}
 	for _, v := range f.gone {
-		if !out.Full && v.at > from && !back[v.id] {
+		if !out.Full && v.at > from && !isListed(byID[v.id]) {
 			out.Gone = append(out.Gone, v.id)
 		}
 	}
 	return out
 }
 
+// isListed says whether an entry that vanished has come again; nil: forgotten.
+func isListed(e *Entry) bool {
+	if e == nil {
+		return false
+	}
+	_, _, gone := e.listed()
+	return !gone
+}
+
 // mark says up to which version of the store a state of the list goes.
 type mark struct{ state, version uint64 }
 
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -97,3 +98,18 @@
 	e, _ = f.Entry("b")
 	assert.Assert(t, !e.Usable(), "long after the store's return, an entry that vanishes means what it says")
 }
+
+// BenchmarkSinceUnchanged is what each report of a host costs while the list
+// stays as it is.
+func BenchmarkSinceUnchanged(b *testing.B) {
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	var all []deploy.Upstream
+	for i := range 3000 {
+		all = append(all, upstream(strconv.Itoa(i), 1))
+	}
+	f.Replace(all, 1)
+	state := f.Since(0).To
+	for b.Loop() {
+		f.Since(state)
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -64,7 +64,7 @@
 try "entries that ran out with the store" node/fleet/fleet.go \
   'hold := max(away, 0)' 'hold := 0*away' ./node/fleet
 try "upstreams that come back in one change" node/fleet/change.go \
-  '&& !back[v.id]' '' ./node/fleet
+  '&& !isListed(byID[v.id])' '' ./node/fleet
 try "a version only rises" node/follow/config.go \
   'old.Config.Version >= next.Version' 'false' ./platform -run 'Rises' ./node/follow
 try "first try after the store's return" node/follow/follow.go \
