One way to end a request without an answer, and other twins

Four places chose between 'may have run' and 'not run' in the same way: unserved. Whether a request waits for a turn follows from the reason and was carried beside it: waits. A move under way was kept twice, as the plan's and as the one carried out.

--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -30,10 +30,10 @@
 	if !ok {
 		return
 	}
+	v := &moving{Move: m, demand: d, began: c.now()}
 	u.mu.Lock()
-	u.moving = &m
+	u.moving = v
 	u.mu.Unlock()
-	v := &moving{Move: m, demand: d, began: c.now()}
 	if m.From == replica.FromStore {
 		c.stores.begin(v.began)
 	}
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -97,8 +97,8 @@
 	for _, p := range e.Parts {
 		w.ask.Parts = append(w.ask.Parts, fleet.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
-	reason, gone := t.try(w, now)
-	if gone {
+	reason := t.try(w, now)
+	if !waits(reason) {
 		return
 	}
 	at := sort.Search(len(t.waiting), func(i int) bool { return t.waiting[i].event.Priority > e.Priority })
@@ -108,22 +108,23 @@
 	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(reason)})
 }
 
+// waits says whether a request that was not granted for a reason waits here
+// until that has passed.
+func waits(r balance.Reason) bool { return r == balance.AllReading || r == balance.AllFull }
+
 // try looks for an upstream among all of the request's service. It answers the
-// host, and returns true, unless the request has to wait.
-func (t *turns) try(w *turn, now time.Time) (balance.Reason, bool) {
+// host unless the request waits.
+func (t *turns) try(w *turn, now time.Time) balance.Reason {
 	entries := t.c.deps.Fleet.Service(w.event.Service)
 	d := t.pick(w, entries, now)
-	if d.Reason == balance.AllReading || d.Reason == balance.AllFull {
-		return d.Reason, false
-	}
-	if d.Index < 0 {
+	if d.Index < 0 && !waits(d.Reason) {
 		a := &coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(d.Reason)}
 		if d.Home >= 0 {
 			a.Home = entries[d.Home].ID()
 		}
 		w.key.from.send(a)
 	}
-	return d.Reason, true
+	return d.Reason
 }
 
 // pick grants the request the best of some upstreams, if one can take it now.
@@ -266,12 +267,9 @@
 func (t *turns) sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.dark = t.c.sums.suspects(t.c.now())
 	now := t.c.now()
-	t.next(now, func(w *turn) bool {
-		_, gone := t.try(w, now)
-		return gone
-	})
+	t.dark = t.c.sums.suspects(now)
+	t.next(now, func(w *turn) bool { return !waits(t.try(w, now)) })
 	for id := range t.places {
 		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
 			delete(t.places, id)
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/deploy"
-	"peridotpier.example/core/replica"
 	"peridotpier.example/core/residency"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -43,11 +42,11 @@
 
 	mu        sync.Mutex
 	book      *residency.Book
-	changedAt time.Time     // of the last order or report
-	taken     time.Time     // arrival of the description that was entered last
-	moving    *replica.Move // the change of models that is under way; nil: none
-	rested    time.Time     // until when no move begins, after one that came to nothing
-	asked     time.Time     // when the end of a former holder's order was last asked for
+	changedAt time.Time // of the last order or report
+	taken     time.Time // arrival of the description that was entered last
+	moving    *moving   // the change of models that is under way; nil: none
+	rested    time.Time // until when no move begins, after one that came to nothing
+	asked     time.Time // when the end of a former holder's order was last asked for
 }
 
 // describe enters the upstream's newest description, unless it may be older
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -272,11 +272,7 @@
 		q.kept()
 		return false
 	}
-	if q.maybe > 0 {
-		q.fail(http.StatusBadGateway, res.why)
-		return false
-	}
-	q.refuse(res.why, max(res.retryAfter, fullRetry))
+	q.unserved(http.StatusBadGateway, res.why, max(res.retryAfter, fullRetry))
 	return false
 }
 
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -206,10 +206,8 @@
 		q.left()
 	case q.kept != nil:
 		q.kept()
-	case q.maybe > 0:
-		q.fail(http.StatusBadGateway, r.String())
 	default:
-		q.refuse(r.String(), retryOf(r))
+		q.unserved(http.StatusBadGateway, r.String(), retryOf(r))
 	}
 	return false
 }
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -83,23 +83,20 @@
 // when the host is about to end.
 func (q *request) timeUp() {
 	if errors.Is(context.Cause(q.ctx), errStopping) {
-		q.stopped()
+		q.unserved(http.StatusBadGateway, "stopping", stopRetry)
 		return
 	}
-	if q.maybe > 0 {
-		q.fail(http.StatusGatewayTimeout, "time_up")
-		return
-	}
-	q.refuse("time_up", fullRetry)
+	q.unserved(http.StatusGatewayTimeout, "time_up", fullRetry)
 }
 
-// stopped ends a request that the host's stop does not leave the time for.
-func (q *request) stopped() {
+// unserved ends a request without an upstream's answer: with status if it may
+// have run, else as not run, to come back after the given time.
+func (q *request) unserved(status int, why string, after time.Duration) {
 	if q.maybe > 0 {
-		q.fail(http.StatusBadGateway, "stopping")
+		q.fail(status, why)
 		return
 	}
-	q.refuse("stopping", stopRetry)
+	q.refuse(why, after)
 }
 
 // left notes a caller that went away; nobody is there to be answered.
