An upstream that starts again under its id is another process; entries of others

Cause: upstreams may start again under their id, empty, and say so by the time at which they began; the list may hold entries of another writer.

Changed: an upstream is one process of an id; a later start is another entry, account and set of connections, an earlier one's late heartbeat is passed over. Orders without an answer to the former process keep their room in the new account until its count has passed their number or 15 s are over. An entry that cannot be read names no upstream and is told of once a change.

Ruled out: resetting an entry in place, since its running attempts would count against the new process.

--- a/core/deploy/upstream.go
+++ b/core/deploy/upstream.go
@@ -26,10 +26,13 @@
 	return r.Model == o.Model && r.Version == o.Version && slices.Equal(r.Adapters, o.Adapters)
 }
 
-// Upstream is one process of a service as it describes itself. Each start of
-// the process is another upstream with another ID.
+// Upstream is one process of a service as it describes itself.
 type Upstream struct {
-	ID         string
+	ID string
+	// Born is when the process began, in Unix milliseconds by its own clock; 0:
+	// not said. A process may start again under its ID, empty: what was known
+	// of the one before holds for it no more.
+	Born       int64
 	Service    string
 	Address    string // IP:port
 	DataCentre string
--- /dev/null
+++ b/core/residency/doubt.go
@@ -0,0 +1,65 @@
+package residency
+
+import "time"
+
+// lateOrder is how long after it was sent an order without an answer may still
+// be carried out: upstreams were seen to do so up to 12 s later.
+const lateOrder = 15 * time.Second
+
+// Doubt is an order without an answer.
+type Doubt struct {
+	Order Order
+	Until time.Time // when it can be carried out no more
+}
+
+// Doubts are the orders that may still be carried out.
+func (b *Book) Doubts(now time.Time) []Doubt {
+	return append(lasting(b.doubts, now), lasting(b.charged, now)...)
+}
+
+func lasting(all []Doubt, now time.Time) []Doubt {
+	var out []Doubt
+	for _, d := range all {
+		if now.Before(d.Until) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Charge takes over what was in doubt in the account of a former process of the
+// upstream. A process that starts again under the same name counts its orders
+// from 0, so that a late order for its former process can meet the number that
+// it names, and load a model into room that this account takes for free. Its
+// room stays taken until the upstream's count has passed the number.
+func (b *Book) Charge(doubts []Doubt) { b.charged = append(b.charged, doubts...) }
+
+// doubtedLoads are the loads for a former process that may still be carried out
+// here. Orders to this process need no charge: the next one bears the same
+// number, and only one of them is carried out.
+func (b *Book) doubtedLoads(which func(*Doubt) bool) []Doubt {
+	var out []Doubt
+	for i := range b.charged {
+		d := &b.charged[i]
+		if d.Order.Op == Load && d.Order.Expected >= b.sequence && which(d) {
+			out = append(out, *d)
+		}
+	}
+	return out
+}
+
+// doubted is the memory that they may take, in megabytes.
+func (b *Book) doubted() float64 {
+	sum := 0.0
+	for _, d := range b.doubtedLoads(func(*Doubt) bool { return true }) {
+		spec, ok := b.engine.Model(d.Order.Model)
+		switch {
+		case !ok:
+		case d.Order.Adapter != "":
+			sum += spec.AdapterMB
+		case b.models[d.Order.Model] == nil:
+			sum += spec.WeightsMB
+		}
+	}
+	return sum
+}
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -65,9 +65,11 @@
 	engine   *deploy.Engine
 	sequence uint64
 	models   map[string]*model
-	busy     *Order // a model's order that was accepted and is not done
-	foreign  bool   // an order of a former holder is being carried out
-	unsure   bool   // the upstream's report must be seen before the next order
+	busy     *Order  // a model's order that was accepted and is not done
+	foreign  bool    // an order of a former holder is being carried out
+	unsure   bool    // the upstream's report must be seen before the next order
+	doubts   []Doubt // orders to this process
+	charged  []Doubt // orders to its former process under the same name
 }
 
 // New opens the book of an upstream from its own description. What it shows is
@@ -179,12 +181,12 @@
 		}
 		sum += spec.WeightsMB + float64(len(m.adapters))*spec.AdapterMB
 	}
-	return sum
+	return sum + b.doubted()
 }
 
-// Adapters is how many places of adapters are taken.
+// Adapters is how many places of adapters are taken, or may be.
 func (b *Book) Adapters() int {
-	n := 0
+	n := len(b.doubtedLoads(func(d *Doubt) bool { return d.Order.Adapter != "" }))
 	for _, m := range b.models {
 		n += len(m.adapters)
 	}
@@ -267,7 +269,10 @@
 
 // Unanswered notes that no answer came to an order. It may have been taken,
 // or be taken late.
-func (b *Book) Unanswered(Order) { b.unsure = true }
+func (b *Book) Unanswered(o Order, now time.Time) {
+	b.unsure = true
+	b.doubts = append(lasting(b.doubts, now), Doubt{Order: o, Until: now.Add(lateOrder)})
+}
 
 // undo takes back what Sent noted.
 func (b *Book) undo(o Order) {
--- a/core/residency/residency_test.go
+++ b/core/residency/residency_test.go
@@ -100,7 +100,7 @@
 }
 
 func (u *upstream) take(t *rapid.T, o residency.Order) bool {
-	if o.Expected != u.sequence || u.busy != nil && o.Adapter == "" {
+	if o.Expected != u.sequence || u.busy != nil && o.Adapter == "" || o.Adapter != "" && !u.models[o.Model] {
 		return false
 	}
 	u.sequence++
@@ -149,8 +149,14 @@
 	return r
 }
 
-// Property: whatever is lost, late, stale or taken over, memory and places of
-// adapters are never overcommitted.
+// restart begins another process under the upstream's name: empty, its orders
+// counted from 0. What was sent to the former process may still arrive.
+func (u *upstream) restart() {
+	u.models, u.adapters, u.sequence, u.busy = map[string]bool{}, map[string]bool{}, 0, nil
+}
+
+// Property: whatever is lost, late, stale, taken over or started again, memory
+// and places of adapters are never overcommitted.
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		u := &upstream{models: map[string]bool{"a": true, "b": true}, adapters: map[string]bool{}}
@@ -165,7 +171,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
 			var o residency.Order
 			ok := false
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0:
 				o, ok = b.LoadModel(names.Draw(t, "load"))
 			case 1:
@@ -185,6 +191,11 @@
 				b.Describe(reports[rapid.IntRange(0, len(reports)-1).Draw(t, "as of")].Residents, now)
 			case 8:
 				b.Settle(reports[max(len(reports)-2, 0)], now) // a stale one
+			case 9:
+				u.restart()
+				doubts := b.Doubts(now)
+				reports, b = nil, open()
+				b.Charge(doubts)
 			default:
 				b.Settle(u.report(), now)
 			}
@@ -193,10 +204,10 @@
 				switch rapid.IntRange(0, 3).Draw(t, "fate") {
 				case 0:
 					u.late = append(u.late, o)
-					b.Unanswered(o)
+					b.Unanswered(o, now)
 				case 1:
 					u.take(t, o)
-					b.Unanswered(o)
+					b.Unanswered(o, now)
 				default:
 					if u.take(t, o) {
 						b.Accepted(o, o.Op == residency.Unload && o.Adapter != "", now)
@@ -273,3 +284,23 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, o.Expected, uint64(2))
 }
+
+// Symptom: an upstream is ordered to load more than it has memory for, and ends.
+// Sequence: a load, the fourth order to a process, goes unanswered; the process
+// starts again under its name, empty; its new account loads what fills it with
+// three orders; then the former order is carried out, since its number fits again.
+// Cause: the account of a new process knows nothing of orders to its former one.
+func TestALateOrderForAFormerProcessKeepsItsRoom(t *testing.T) {
+	former := residency.New(engine, &deploy.Upstream{}, t0)
+	former.Settle(residency.Report{Sequence: 3}, t0)
+	o, ok := former.LoadModel("d")
+	assert.Assert(t, ok)
+	former.Sent(o, t0)
+	former.Unanswered(o, t0)
+	b := residency.New(engine, &deploy.Upstream{}, t0)
+	b.Charge(former.Doubts(t0))
+	b.Settle(residency.Report{Residents: holds("a", "b"), Sequence: 2}, t0)
+	assert.Assert(t, !b.Room("c"), "d may still come")
+	b.Settle(residency.Report{Residents: holds("a", "b"), Sequence: 2}, t0.Add(16*time.Second))
+	assert.Assert(t, b.Room("c"), "it cannot come any more")
+}
--- a/core/residency/settle.go
+++ b/core/residency/settle.go
@@ -26,6 +26,7 @@
 	}
 	moved := r.Sequence > b.sequence
 	b.sequence, b.unsure = r.Sequence, false
+	b.charged = lasting(b.charged, now)
 	b.settleBusy(r, moved)
 	b.foreign = r.Busy && b.busy == nil
 	b.settleModels(r.Residents, r.Coming, now)
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -69,6 +69,9 @@
 	if err := c.mayOrder(orderBound); err != nil {
 		return err
 	}
+	if !u.usable() { // it leaves, or has started again and has another account
+		return errNoUpstream
+	}
 	described, _ := u.entry.Described()
 	t := c.authority()
 	u.mu.Lock()
@@ -98,7 +101,7 @@
 	u.changedAt = now
 	switch {
 	case err != nil:
-		u.book.Unanswered(o)
+		u.book.Unanswered(o, now)
 	case v == Accepted:
 		u.book.Accepted(o, false, now)
 	case v == Holds:
@@ -147,6 +150,13 @@
 // usable says whether the upstream may get orders and work.
 func (u *unit) usable() bool { return u.entry.Usable() }
 
+// doubts are the orders sent to the upstream that may still be carried out.
+func (u *unit) doubts(now time.Time) []residency.Doubt {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.book.Doubts(now)
+}
+
 // holds says whether requests may be sent there for a model and adapter.
 func (u *unit) holds(model, adapter string) bool {
 	u.mu.Lock()
--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -15,6 +15,7 @@
 	FeedReread      = Event{2113, "feed_reread", zapcore.InfoLevel, "The store no longer keeps the changes since this host's last; the table is read whole."}
 	RoutesInForce   = Event{2114, "routes_in_force", zapcore.InfoLevel, "A configuration of routes is in force at this host; source says where it came from."}
 	RoutesUnusable  = Event{2115, "routes_unusable", zapcore.ErrorLevel, "A configuration of routes cannot be used; the one in force stays."}
+	EntryUnreadable = Event{2116, "entry_unreadable", zapcore.WarnLevel, "An entry of the list of upstreams cannot be read; it names no upstream, the others hold. peer is its key; look for who else writes there."}
 	RequestSent     = Event{2121, "request_sent", zapcore.InfoLevel, "An attempt of a request was sent to the upstream peer: what was predicted, of how many candidates, and what load it was predicted from."}
 	RequestAgain    = Event{2122, "request_again", zapcore.InfoLevel, "A request goes to another upstream; why says what became of the attempt before, and what the decision stood on."}
 	RequestWaits    = Event{2123, "request_waits", zapcore.InfoLevel, "No upstream can take the request now; it waits for at most the given time."}
@@ -36,6 +37,6 @@
 )
 
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReread, SettingsBad,
-	StoreLost, StoreRegained, FeedReread, RoutesInForce, RoutesUnusable,
+	StoreLost, StoreRegained, FeedReread, RoutesInForce, RoutesUnusable, EntryUnreadable,
 	RequestSent, RequestAgain, RequestWaits, RequestRefused, RequestBroken, RequestServed, RequestLeft, LogDropped,
 	CoordinatorMet, CoordinatorOff, OrderSent, OrderDone, TurnGiven, OrderRejected, OrderUnanswered, AdapterAsked, QuietPeriod, MoveEnded}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -51,6 +51,7 @@
 	fleet *Fleet
 	// One process keeps these for its life; they are read without the lock.
 	id, service, address, dataCentre string
+	born                             int64 // Unix milliseconds; 0: not said
 
 	mu         sync.Mutex
 	up         deploy.Upstream
@@ -74,7 +75,7 @@
 	movable    map[*Exchange]struct{} // attempts that can go elsewhere
 }
 
-// ID names the upstream's process.
+// ID names the upstream. Another process of it, started later, is another Entry.
 func (e *Entry) ID() string { return e.id }
 
 // Service names the service that it belongs to.
@@ -120,7 +121,7 @@
 func (e *Entry) describe(u deploy.Upstream, now time.Time, state uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	u.ID, u.Service, u.Address, u.DataCentre = e.id, e.service, e.address, e.dataCentre
+	u.ID, u.Service, u.Address, u.DataCentre, u.Born = e.id, e.service, e.address, e.dataCentre, e.born
 	if e.gone || e.described.IsZero() || !reflect.DeepEqual(u, e.up) { // a list that was read anew brings mostly what is known
 		e.state = state
 	}
@@ -312,6 +313,39 @@
 	e.leaveLocked("another process at its address")
 }
 
+// succeeded notes that the upstream has started again, as another process.
+// What was sent to this one is lost; attempts that can go elsewhere do.
+func (e *Entry) succeeded() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaveLocked("started again")
+	for x := range e.movable {
+		x.abort()
+	}
+}
+
+// process says how an upstream's word relates to the process of an entry.
+type process uint8
+
+const (
+	sameProcess process = iota
+	formerProcess
+	newProcess
+)
+
+// relation compares a description's start with this entry's. A description that
+// does not say when its process began speaks of the one that is known.
+func (e *Entry) relation(born int64) process {
+	switch {
+	case born == 0 || born == e.born:
+		return sameProcess
+	case born < e.born:
+		return formerProcess
+	default:
+		return newProcess
+	}
+}
+
 // Ask is what a snapshot for one request needs to know of it.
 type Ask struct {
 	Model   string
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -158,15 +158,35 @@
 
 func (f *Fleet) put(ix *index, u deploy.Upstream, now time.Time) {
 	e, known := ix.byID[u.ID]
+	if known {
+		switch e.relation(u.Born) {
+		case formerProcess: // a heartbeat that was written late
+			return
+		case newProcess:
+			f.retire(e)
+			known = false
+		}
+	}
 	if !known {
-		e = &Entry{fleet: f, id: u.ID, service: u.Service, address: u.Address, dataCentre: u.DataCentre, up: u, movable: map[*Exchange]struct{}{}}
+		e = &Entry{fleet: f, id: u.ID, service: u.Service, address: u.Address, dataCentre: u.DataCentre, born: u.Born, up: u, movable: map[*Exchange]struct{}{}}
 		ix.byID[u.ID] = e
 		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
-			zap.String("address", u.Address), zap.Int("residents", len(u.Residents)))
+			zap.String("address", u.Address), zap.Int64("born_ms", u.Born), zap.Int("residents", len(u.Residents)))
 	}
 	e.describe(u, now, f.state)
 }
 
+// retire ends all that was believed of a process whose successor has its ID:
+// what it held and kept, what was sent there, how it answered, and its
+// connections. To go on by it would send requests for models that the new
+// process, which starts empty, does not hold, and orders for room that is gone.
+func (f *Fleet) retire(e *Entry) {
+	e.succeeded()
+	if f.deps.Left != nil {
+		f.deps.Left(e.Address())
+	}
+}
+
 // massShare is the part of a service's upstreams that do not leave all at once.
 const massShare = 0.34
 
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -99,6 +99,53 @@
 	assert.Assert(t, !e.Usable(), "long after the store's return, an entry that vanishes means what it says")
 }
 
+// Symptom: requests are sent for models that an upstream does not hold, and a
+// sound upstream gets nothing.
+// Sequence: a process that leaves, was believed to hold models and is left alone
+// for its silence starts again under its name, empty; then one of its former
+// heartbeats is written late.
+// Cause: what is known of an upstream is kept by its name alone.
+func TestAProcessThatStartsAgainIsAnotherUpstream(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var left []string
+	f := fleet.New(fleet.Config{}, fleet.Deps{Now: func() time.Time { return now }, Left: func(a string) { left = append(left, a) }})
+	born := func(at int64, models ...string) deploy.Upstream {
+		u := upstream("a", 4)
+		u.Born = at
+		for _, m := range models {
+			u.Residents = append(u.Residents, deploy.Resident{Model: m})
+		}
+		return u
+	}
+	ask := &fleet.Ask{Model: "m"}
+	f.Replace([]deploy.Upstream{born(1000, "m")}, 1)
+	former, _ := f.Entry("a")
+	former.Believe([]deploy.Resident{{Model: "m"}}, now)
+	moved := false
+	x := former.Begin(ask, fleet.Cost{Prompt: 10})
+	x.OnSilence(func() { moved = true })
+	x.Broken("reset")
+	y := former.Begin(ask, fleet.Cost{Prompt: 10})
+	y.OnSilence(func() { moved = true })
+	f.Apply([]deploy.Upstream{born(2000)}, nil, 2)
+	e, _ := f.Entry("a")
+	assert.Assert(t, e != former && !former.Usable() && e.Usable())
+	assert.Assert(t, moved, "what waits for the former process goes elsewhere")
+	assert.DeepEqual(t, left, []string{"a"})
+	at := e.Endpoint(ask, now)
+	assert.Assert(t, !at.HoldsModel && !at.Down && at.Requests == 0 && at.Cached == 0)
+	y.Dropped() // its end does not touch the new process's account
+	assert.Equal(t, e.OwnLoad().Requests, 0)
+	f.Apply([]deploy.Upstream{born(1000, "m")}, nil, 3)
+	again, _ := f.Entry("a")
+	assert.Assert(t, again == e && !e.Endpoint(ask, now).HoldsModel, "a late word of the former process is passed over")
+	unsaid := born(0, "m")
+	f.Apply([]deploy.Upstream{unsaid}, nil, 4)
+	again, _ = f.Entry("a")
+	assert.Assert(t, again == e && e.Endpoint(ask, now).HoldsModel, "one that does not say speaks of the process that is known")
+	assert.Equal(t, f.Since(0).Put[0].Born, int64(2000), "other hosts are told of the same process")
+}
+
 // BenchmarkSinceUnchanged is what each report of a host costs while the list
 // stays as it is.
 func BenchmarkSinceUnchanged(b *testing.B) {
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -24,6 +24,15 @@
 type Upstreams struct {
 	Put  []deploy.Upstream
 	Gone []string // ids
+	// Unreadable are entries that name no upstream. Others than the upstreams
+	// themselves may write there.
+	Unreadable []Unreadable
+}
+
+// Unreadable is an entry of the list that cannot be used.
+type Unreadable struct {
+	ID  string
+	Err error
 }
 
 // Source is what the platform's store tells of a deployment. Waiting calls
@@ -33,7 +42,7 @@
 type Source interface {
 	ReadConfig(ctx context.Context) (*deploy.Config, uint64, error)
 	WaitConfig(ctx context.Context, after uint64, wait time.Duration) (*deploy.Config, uint64, error)
-	ReadUpstreams(ctx context.Context) ([]deploy.Upstream, uint64, error)
+	ReadUpstreams(ctx context.Context) (Upstreams, uint64, error)
 	WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (Upstreams, uint64, error)
 }
 
@@ -223,10 +232,11 @@
 			if err != nil {
 				return 0, err
 			}
+			f.tellUnreadable(all.Unreadable)
 			f.applying.Lock()
 			defer f.applying.Unlock()
 			if at >= f.upstreams.at.Load() {
-				f.deps.Upstreams.Replace(all, at)
+				f.deps.Upstreams.Replace(all.Put, at)
 				f.deps.Listed()
 			}
 			return at, nil
@@ -236,6 +246,7 @@
 			if err != nil {
 				return 0, err
 			}
+			f.tellUnreadable(u.Unreadable)
 			f.applying.Lock()
 			defer f.applying.Unlock()
 			if at >= f.upstreams.at.Load() && len(u.Put)+len(u.Gone) > 0 {
@@ -244,3 +255,10 @@
 			return at, nil
 		}})
 }
+
+// tellUnreadable logs the entries that name no upstream.
+func (f *Follower) tellUnreadable(all []Unreadable) {
+	for _, u := range all {
+		f.deps.Log.Emit(event.EntryUnreadable, zap.String(event.FieldPeer, u.ID), zap.Error(u.Err))
+	}
+}
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -74,9 +74,9 @@
 	return &deploy.Config{Version: v}, v, nil
 }
 
-func (s *source) ReadUpstreams(context.Context) ([]deploy.Upstream, uint64, error) {
+func (s *source) ReadUpstreams(context.Context) (follow.Upstreams, uint64, error) {
 	v, err := s.call(&s.lists)
-	return nil, v, err
+	return follow.Upstreams{}, v, err
 }
 
 func (s *source) WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (follow.Upstreams, uint64, error) {
