Hosts stay linked while the store is away; a host takes its own lease back

Changed: a host whose lease ran out goes on summing up, giving turns and looking for the store's return as long as nobody is known to have taken it; those linked to it leave it when the store answers them later than it. Orders need the lease as before. A process that finds the lease of its host's former process, or of itself, takes it at once, and waits for no orders: one host is one holder. Until it has heard the demand for 3 s it loads only what somebody waits for.

Ruled out: a longer lease, which would cover short outages and lengthen the gap after a holder's death; extending it by the hosts' word, which is consensus.

--- a/core/residency/doubt.go
+++ b/core/residency/doubt.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// lateOrder is how long after it was sent an order without an answer may still
+// LateOrder is how long after it was sent an order without an answer may still
 // be carried out: upstreams were seen to do so up to 12 s later.
-const lateOrder = 15 * time.Second
+const LateOrder = 15 * time.Second
 
 // Doubt is an order without an answer.
 type Doubt struct {
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -271,7 +271,7 @@
 // or be taken late.
 func (b *Book) Unanswered(o Order, now time.Time) {
 	b.unsure = true
-	b.doubts = append(lasting(b.doubts, now), Doubt{Order: o, Until: now.Add(lateOrder)})
+	b.doubts = append(lasting(b.doubts, now), Doubt{Order: o, Until: now.Add(LateOrder)})
 }
 
 // undo takes back what Sent noted.
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -116,7 +116,7 @@
 
 // Send implements askStream.
 func (o *ownStream) Send(e *coordpb.TurnEvent) error {
-	if e.Kind == coordpb.TurnEvent_ASK && !o.c.Holding() {
+	if e.Kind == coordpb.TurnEvent_ASK && !o.c.Acting() {
 		return errNotHolding
 	}
 	o.c.turns.take(o.to, e)
--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -33,6 +33,12 @@
 	c.mu.Unlock()
 }
 
+func (c *Coordinator) epoch() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term.Epoch
+}
+
 func (c *Coordinator) authority() Term {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,7 +52,22 @@
 	over   float64
 	mu     sync.Mutex
 	begun  []time.Time
-	full   time.Time // until when a former holder's loads are assumed to fill the window
+	doubts []time.Time // until when each load whose order went unanswered may still begin
+	full   time.Time   // until when a former holder's loads are assumed to fill the window
+}
+
+// doubt notes that a load may begin at any time until then, or not at all: its
+// order went unanswered, and orders are carried out up to seconds late. Counted
+// at the time of its order only, it would pass the ceiling unseen when it comes.
+func (s *storeLoads) doubt(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doubts = append(s.doubts, until)
+}
+
+// recent keeps the times that count within a window before now.
+func recent(all []time.Time, now time.Time, window time.Duration) []time.Time {
+	return slices.DeleteFunc(all, func(t time.Time) bool { return now.Sub(t) > window })
 }
 
 // assumeFull notes that another holder may have begun loads that this one does
@@ -66,14 +87,8 @@
 	if now.Before(s.full) {
 		return 0
 	}
-	kept := s.begun[:0]
-	for _, t := range s.begun {
-		if now.Sub(t) <= s.window {
-			kept = append(kept, t)
-		}
-	}
-	s.begun = kept
-	return int(rate*s.window.Seconds()*s.over) + storeBurst - len(s.begun)
+	s.begun, s.doubts = recent(s.begun, now, s.window), recent(s.doubts, now, s.window)
+	return int(rate*s.window.Seconds()*s.over) + storeBurst - len(s.begun) - len(s.doubts)
 }
 
 // storeBurst is how many loads beyond its rate the weight store takes in one
--- a/node/coordinator/authority_test.go
+++ b/node/coordinator/authority_test.go
@@ -43,3 +43,17 @@
 	s.undo(now)
 	assert.Equal(t, s.left(1, now), before)
 }
+
+// Symptom: more loads begin in one window than the weight store allows.
+// Sequence: orders for loads go unanswered and their moves are given up; the
+// loads begin seconds later, beside others that fill the window.
+// Cause: a load counts at the time of its order only.
+func TestALoadWhoseOrderWentUnansweredCountsUntilItCanBeginNoMore(t *testing.T) {
+	s := storeLoads{window: 5 * time.Second, over: 1}
+	t0 := time.Unix(1_700_000_000, 0)
+	all := s.left(1, t0)
+	s.doubt(t0.Add(15 * time.Second))
+	assert.Equal(t, s.left(1, t0.Add(14*time.Second)), all-1)
+	assert.Equal(t, s.left(1, t0.Add(19*time.Second)), all-1, "it may have begun right before its end")
+	assert.Equal(t, s.left(1, t0.Add(21*time.Second)), all)
+}
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 // Config bounds a Coordinator.
 type Config struct {
 	Host          string
+	Holder        string        // this process, as the lease names it
 	Address       string        // where Serve listens
 	Quiet         time.Duration // after a lease was taken from another holder
 	CeilingWindow time.Duration // loads from the weight store are counted in any span of this length
@@ -168,6 +169,13 @@
 	return ok
 }
 
+// Acting says whether this host sums up loads and gives turns. It does so while
+// it holds the lease, and after its lease ran out, as it does while the store
+// is away, for as long as nobody else is known to have taken it: neither needs
+// more authority than that hosts ask, and without it they would all decide by
+// themselves and look for the store at once. Orders need the lease.
+func (c *Coordinator) Acting() bool { return c.Holding() || c.deps.Lease.Lapsed() }
+
 // follow notices a new term and brings the books up to date with what the
 // upstreams say of themselves.
 func (c *Coordinator) follow() {
@@ -192,6 +200,8 @@
 	switch {
 	case t.Epoch <= 1:
 		wait = 0 // nobody was there before
+	case c.succeedsItself(t):
+		wait = 0 // the orders of one host are those of one holder
 	case c.former.epoch+1 == t.Epoch:
 		wait = max(0, c.former.ordered.Add(c.cfg.Quiet).Sub(now))
 	}
@@ -201,6 +211,13 @@
 	c.deps.Log.Emit(event.QuietPeriod, zap.Uint64("epoch", t.Epoch), zap.Duration("for", wait))
 }
 
+// succeedsItself says whether this host held the lease in the epoch before a
+// term, in this process or in its former one.
+func (c *Coordinator) succeedsItself(t lease.Term) bool {
+	before := c.deps.Lease.Seen()
+	return before.Epoch+1 == t.Epoch && sameHost(c.cfg.Holder, before.Holder)
+}
+
 // Gone notes what a host said that held the lease in an epoch and gave it up.
 func (c *Coordinator) Gone(epoch uint64, sinceOrder time.Duration) {
 	c.mu.Lock()
--- a/node/coordinator/demand.go
+++ b/node/coordinator/demand.go
@@ -23,8 +23,10 @@
 
 // demand follows what callers ask of each model.
 type demand struct {
-	mu sync.Mutex
-	of map[modelKey]*wanted
+	mu   sync.Mutex
+	of   map[modelKey]*wanted
+	from time.Time // since when hosts have reported without a break
+	last time.Time
 }
 
 type wanted struct {
@@ -42,6 +44,10 @@
 func (d *demand) take(all []*coordpb.Demand, engineTime func(k modelKey, prompt, output int) time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Sub(d.last) > reportFresh {
+		d.from = now
+	}
+	d.last = now
 	for _, w := range all {
 		k := modelKey{w.Service, w.Model}
 		own := d.of[k]
@@ -109,6 +115,14 @@
 	return w != nil && now.Sub(w.first) >= demandKnown
 }
 
+// heard says whether hosts have reported for long enough for the demand for all
+// models to be known.
+func (d *demand) heard(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.from.IsZero() && now.Sub(d.from) >= demandKnown
+}
+
 // patient says whether those who ask for a model within an objective would
 // wait for a load from a disk.
 func patient(e *deploy.Engine, model string, objective time.Duration) bool {
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -72,6 +72,22 @@
 // HolderOf names a lease's holder so that others find its address.
 func HolderOf(host, address, process string) string { return host + " " + address + " " + process }
 
+// sameHost says whether two holders are processes of one host. Of these only the
+// newer one runs: they listen at one address.
+func sameHost(a, b string) bool {
+	return a != "" && b != "" && hostOf(a) == hostOf(b) && addressOf(a) == addressOf(b)
+}
+
+// Ended says whether a holder is a former process of the host of another.
+func Ended(own string) func(holder string) bool {
+	return func(holder string) bool { return holder != own && sameHost(own, holder) }
+}
+
+func hostOf(holder string) string {
+	host, _, _ := strings.Cut(holder, " ")
+	return host
+}
+
 func addressOf(holder string) string {
 	parts := strings.Fields(holder)
 	if len(parts) < 2 {
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -11,6 +11,10 @@
 const (
 	// lookEach is how often a host looks whether it is linked or holds the lease.
 	lookEach = 100 * time.Millisecond
+	// findEach is how often a host that is linked to one without the lease asks
+	// the others whether somebody has taken it: the store may turn just these
+	// two away.
+	findEach = time.Second
 	// tryEach is the least time between two tries to reach the holder that the
 	// lease names.
 	tryEach = 300 * time.Millisecond
@@ -30,18 +34,39 @@
 
 // Run works until ctx ends.
 func (d *Lead) Run(ctx context.Context) error {
+	if d.heldBefore(ctx) {
+		d.campaign(ctx, 0)
+	}
+	var asked time.Time
 	for ctx.Err() == nil {
 		if d.Link.Linked() {
+			if d.Link.Led() && time.Since(asked) > findEach {
+				asked = time.Now()
+				d.Link.Find(ctx)
+			}
 			pace.Sleep(ctx, lookEach)
 			continue
 		}
 		if d.Link.Candidate() || d.standBy(ctx) {
-			d.campaign(ctx)
+			d.campaign(ctx, d.Handicap)
 		}
 	}
 	return ctx.Err()
 }
 
+// heldBefore says whether the lease names a former process of this host. That
+// one has ended, so that this one may take the lease at once: after a loss of
+// all hosts nobody else could give orders before the former holder's time, and
+// the time in which its last orders may arrive, are over.
+func (d *Lead) heldBefore(ctx context.Context) bool {
+	own := d.Link.own.cfg.Holder
+	if own == "" {
+		return false // nobody could tell
+	}
+	record, err := d.Lease.Look(ctx)
+	return err == nil && Ended(own)(record.Holder)
+}
+
 // findFor is how long a host that should not run for the lease asks others who
 // holds it, before it runs all the same: those that should may all be gone.
 const findFor = 3 * time.Second
@@ -68,8 +93,8 @@
 
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
-func (d *Lead) campaign(ctx context.Context) {
-	if !pace.Sleep(ctx, pace.Default().Around(d.Handicap, 1)) {
+func (d *Lead) campaign(ctx context.Context, handicap time.Duration) {
+	if !pace.Sleep(ctx, pace.Default().Around(handicap, 1)) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -92,7 +117,7 @@
 		if _, held := d.Lease.Term(); held {
 			continue
 		}
-		if !d.Link.Candidate() && !d.StoreAnswers() {
+		if !d.Link.Candidate() && !d.StoreAnswers() && !d.Link.own.Acting() {
 			return
 		}
 		if time.Since(tried) < tryEach {
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -52,6 +52,7 @@
 	demand   map[demandKey]*coordpb.Demand
 	address  string // of the host that holds the lease; "": not linked
 	failed   int    // reports in a row
+	led      bool   // the host at address holds no lease
 	revision uint64
 	list     uint64                       // change of the holder's list up to which this host has it
 	holdings map[string][]deploy.Resident // by upstream, as the holder told
@@ -84,9 +85,9 @@
 // reportJitter spreads the hosts' reports, as a share.
 const reportJitter = 0.1
 
-// where is the address to report to; this host's own when it holds the lease.
+// where is the address to report to; this host's own while it acts for all.
 func (l *Link) where() string {
-	if l.own.Holding() {
+	if l.own.Acting() {
 		return l.cfg.Address
 	}
 	l.mu.Lock()
@@ -94,10 +95,17 @@
 	return l.address // never this host's own
 }
 
-// Coordinator is the address of the host that holds the lease; "": not known.
+// linkedTo is the other host that this one is linked to; "": none.
+func (l *Link) linkedTo() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
+// Coordinator is the address of the host that acts for all; "": not known.
 func (l *Link) Coordinator() string { return l.where() }
 
-// Linked says whether this host is linked to one that holds the lease.
+// Linked says whether this host is linked to one that acts for all.
 func (l *Link) Linked() bool { return l.where() != "" }
 
 // Hosts is how many hosts share the allowance of repeats.
@@ -127,7 +135,12 @@
 		if s.Epoch > 0 {
 			l.own.Gone(s.Epoch, time.Duration(s.LastOrderMs)*time.Millisecond)
 		}
-		l.unlink(address, errNotHolding)
+		if !l.follows(s) {
+			l.unlink(address, errNotHolding)
+			return
+		}
+		l.takeRelay(s)
+		l.take(s)
 	default:
 		if address != l.cfg.Address {
 			l.takeRelay(s)
@@ -136,6 +149,27 @@
 	}
 }
 
+// storeFresh is how old the store's last answer may be for it to count as
+// reached: a call for changes that waits at a host without a relay lasts 2 s.
+const storeFresh = 2500 * time.Millisecond
+
+// StoreAnswers says whether the store answered this host itself lately.
+func (l *Link) StoreAnswers() bool { return l.own.deps.Feed.Age() < storeFresh }
+
+// follows says whether this host goes by what another told. One whose lease has
+// run out is gone by only while the store has not answered this host since it
+// answered that one: else somebody can take the lease.
+func (l *Link) follows(s *coordpb.SiteState) bool {
+	return s.Holding || s.Acting && l.own.deps.Feed.Age() >= time.Duration(s.StoreAgeMs)*time.Millisecond
+}
+
+// Led says whether this host is linked to another that acts for all without the lease.
+func (l *Link) Led() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address != "" && l.led
+}
+
 // takeRelay enters what the holder has from the store.
 func (l *Link) takeRelay(s *coordpb.SiteState) {
 	r := follow.Relay{Age: time.Duration(s.StoreAgeMs) * time.Millisecond, UpstreamsAt: s.ListAt, Full: s.ListFull}
@@ -194,7 +228,7 @@
 		l.own.deps.Lease.Observe(leasing.Rows{Grant: s.GrantRow, Beat: s.BeatRow}, record)
 	}
 	l.mu.Lock()
-	l.failed = 0
+	l.failed, l.led = 0, !s.Holding
 	if len(s.Deputies) > 0 {
 		l.deputies = s.Deputies
 	}
@@ -271,13 +305,13 @@
 	}
 }
 
-// Try links this host to the one at address if that one holds the lease.
+// Try links this host to the one at address if that one acts for all.
 func (l *Link) Try(ctx context.Context, address string) bool {
-	if address == "" || address == l.cfg.Address {
+	if address == "" || address == l.cfg.Address || address == l.linkedTo() {
 		return false
 	}
 	s, err := l.conns.report(ctx, address, l.introduction())
-	if err != nil || !s.Holding {
+	if err != nil || !l.follows(s) || !s.Holding && l.Linked() {
 		return false
 	}
 	l.mu.Lock()
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -39,8 +39,8 @@
 	}
 	go func() {
 		err := u.move(ctx, v)
-		if !v.sent && m.From == replica.FromStore {
-			c.stores.undo(v.began)
+		if m.From == replica.FromStore {
+			c.settleStoreLoad(v)
 		}
 		u.mu.Lock()
 		u.moving = nil
@@ -61,6 +61,19 @@
 	demand replica.Demand // that it is for
 	began  time.Time      // under which its load from the weight store is counted
 	sent   bool           // the load was ordered
+	taken  bool           // the order was answered: it has been taken
+}
+
+// settleStoreLoad corrects the count of loads from the weight store by what
+// became of a move.
+func (c *Coordinator) settleStoreLoad(v *moving) {
+	if v.taken {
+		return
+	}
+	c.stores.undo(v.began)
+	if v.sent {
+		c.stores.doubt(c.now().Add(residency.LateOrder))
+	}
 }
 
 const (
@@ -111,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	v.taken = true
 	took := replica.LoadTime(u.engine, v.Load, v.From)
 	if !pace.Sleep(ctx, took) {
 		return ctx.Err()
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -18,6 +18,10 @@
 		return
 	}
 	now := c.now()
+	// What a former holder placed followed a demand that this one has not seen
+	// yet; to go by the little that it has would undo it. Until it has seen more
+	// it only helps those who wait for a model.
+	early := c.epoch() > 1 && !c.demand.heard(now)
 	units := c.allUnits()
 	for _, u := range units {
 		u.lookForEnd(ctx, now)
@@ -47,6 +51,9 @@
 			}
 		}
 		for _, m := range c.cfg.Policy.Plan(in) {
+			if early && !in.Demand[m.Load].Unserved {
+				continue
+			}
 			c.start(ctx, m, in.Demand[m.Load])
 		}
 	}
--- a/node/coordinator/turnstream.go
+++ b/node/coordinator/turnstream.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return err
 		}
-		if e.Kind == coordpb.TurnEvent_ASK && !s.c.Holding() {
+		if e.Kind == coordpb.TurnEvent_ASK && !s.c.Acting() {
 			return errNotHolding
 		}
 		s.c.turns.take(own, e)
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -92,7 +92,11 @@
 		return
 	}
 	if !d.second || !f.away.Load() {
-		pace.Sleep(ctx, pace.Default().Around(patientPause, pauseJitter))
+		between := patientPause
+		if f.deps.Led() {
+			between = ledPause
+		}
+		pace.Sleep(ctx, pace.Default().Around(between, pauseJitter))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, quietPause)
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -86,6 +86,10 @@
 	// call shows that the store is away as well as two, and the first that is
 	// answered wakes the other.
 	quietPause = 3 * patientPause
+	// ledPause lies between tries of a host that is linked to one that will tell
+	// it of the store's return. It finds out by itself only in case that the
+	// store turns just the other one away.
+	ledPause = 3 * time.Second
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
 )
@@ -113,6 +117,9 @@
 	// Patient says that others look for the store's return before this host
 	// does; nil: nobody else does.
 	Patient func() bool
+	// Led says that this host is linked to one that looks for the store's return
+	// and tells of it within a fraction of a second; nil: it is not.
+	Led func() bool
 	// RelayFresh replaces its default; 0: the default.
 	RelayFresh time.Duration
 	// Listed is called after the list of upstreams was first known.
@@ -145,6 +152,9 @@
 	if d.Patient == nil {
 		d.Patient = func() bool { return false }
 	}
+	if d.Led == nil {
+		d.Led = func() bool { return false }
+	}
 	if d.RelayFresh == 0 {
 		d.RelayFresh = defaultRelayFresh
 	}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -136,14 +136,15 @@
 func (h *Host) controlPath() {
 	set, d := h.set, h.deps
 	holder := coordinator.HolderOf(set.Host, set.Peers, uuid.NewString())
-	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder,
+	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder, Ended: coordinator.Ended(holder),
 		TryBound: leaseTry, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: d.Platform.Table, Log: d.Log})
 	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log,
-		Patient:    func() bool { return !h.link.Candidate() },
+		Patient:    func() bool { return !h.link.Candidate() && !h.coord.Acting() },
+		Led:        func() bool { return h.link.Led() },
 		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
-		Relays:     func() bool { _, held := h.lease.Term(); return held }, Listed: h.upstreamsListed})
-	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
+		Relays:     func() bool { return h.coord.Acting() }, Listed: h.upstreamsListed})
+	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
 	h.coord.Linked = func() string { return h.link.Coordinator() }
@@ -166,7 +167,7 @@
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunTurns)
 	h.add(&g, work, h.fetch)
-	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap(), StoreAnswers: h.storeAnswers}
+	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap(), StoreAnswers: h.link.StoreAnswers}
 	h.add(&g, ctx, h.whileServing(lead.Run))
 	h.servePeers(&g)
 	h.add(&g, work, h.hangups)
@@ -228,12 +229,6 @@
 	handicapAny  = 40 * time.Millisecond
 )
 
-// storeFresh is how old the store's last answer may be for it to count as
-// reached: a call for changes that waits at a host without a relay lasts 2 s.
-const storeFresh = 2500 * time.Millisecond
-
-func (h *Host) storeAnswers() bool { return h.feed.Age() < storeFresh }
-
 // handicap lets hosts with more to spare take the lease first.
 func (h *Host) handicap() time.Duration {
 	if !h.ample() {
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -40,6 +40,9 @@
 	Name   string // of the role, as in "planner/order-desk"
 	Holder string // this process, new at each start; "" makes one up
 	Policy decide.Policy
+	// Ended says whether a holder is known to have ended, as a former process
+	// of this host has; nil: none is. It need not be waited for.
+	Ended func(holder string) bool
 	// TryBound bounds one try of a call; 0: none. An answer can be lost without
 	// a sign, and waiting for it would cost the whole term.
 	TryBound time.Duration
@@ -70,6 +73,9 @@
 	seen decide.Observed
 	// yielded is the newest epoch whose holder said that it acts no more.
 	yielded uint64
+	// lapsed is the epoch that this process held last and that ended only
+	// because it was not renewed in time; 0: none.
+	lapsed uint64
 }
 
 // New makes a lease; Run campaigns for it.
@@ -152,7 +158,7 @@
 	case decide.Renew:
 		return l.renew(ctx, held)
 	case decide.Lost:
-		l.lose("time ran out")
+		l.lose("time ran out", true)
 		return 0
 	default:
 		return d.Wait
@@ -190,10 +196,28 @@
 	defer l.mu.Unlock()
 	l.seen = l.seen.See(rows, record, l.deps.Now())
 	seen := l.seen
-	seen.Yielded = record.Epoch <= l.yielded
+	seen.Yielded = record.Epoch <= l.yielded || l.ended(record.Holder)
 	return seen
 }
 
+// ended says whether a holder acts no more. This process itself does not while
+// it campaigns.
+func (l *Lease) ended(holder string) bool {
+	return holder == l.cfg.Holder || l.cfg.Ended != nil && l.cfg.Ended(holder)
+}
+
+// Look reads who holds the lease.
+func (l *Lease) Look(ctx context.Context) (decide.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, record, err := l.read(ctx)
+	if err != nil {
+		return decide.Record{}, err
+	}
+	l.see(rows, record)
+	return record, nil
+}
+
 // Holding returns the rows and the grant of the lease while it is held, for
 // the holder to tell to others.
 func (l *Lease) Holding() (decide.Rows, decide.Record, bool) {
@@ -235,7 +259,7 @@
 		l.hold(&held)
 		return 0
 	case errors.Is(err, store.ErrConflict):
-		l.lose("taken over")
+		l.lose("taken over", false)
 	}
 	return retryPause
 }
@@ -298,10 +322,31 @@
 	return *l.held, true
 }
 
-func (l *Lease) hold(h *decide.Held) { l.mu.Lock(); l.held = h; l.mu.Unlock() }
+func (l *Lease) hold(h *decide.Held) {
+	l.mu.Lock()
+	l.held, l.lapsed = h, 0
+	l.mu.Unlock()
+}
+
+// Lapsed says whether this process held the lease last, as far as it knows, and
+// its time ran out without a renewal, as it does while the store is away.
+func (l *Lease) Lapsed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.lapsed
+	if l.held != nil && l.cfg.Policy.Remaining(*l.held, l.deps.Now()) <= 0 {
+		held = l.held.Record.Epoch
+	}
+	return held > 0 && l.seen.Record.Epoch <= held
+}
 
-func (l *Lease) lose(why string) {
+func (l *Lease) lose(why string, lapsed bool) {
 	held, _ := l.holding()
 	l.hold(nil)
+	if lapsed {
+		l.mu.Lock()
+		l.lapsed = held.Record.Epoch
+		l.mu.Unlock()
+	}
 	l.log.Emit(event.LeaseLost, zap.Uint64("epoch", held.Record.Epoch), zap.String("why", why))
 }
--- a/node/lease/lease_test.go
+++ b/node/lease/lease_test.go
@@ -265,3 +265,69 @@
 		wg.Wait()
 	})
 }
+
+// Symptom: nobody gives orders for five seconds after a loss of all hosts.
+// Sequence: the holder's process is killed and starts again a second later.
+// Cause: it waits for the time of its own former process to run out.
+func TestAFormerProcessOfTheSameHostIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := standin.NewTable()
+		g := &gate{}
+		ctx, kill := context.WithCancel(t.Context())
+		former := lease.New(lease.Config{Name: "r", Holder: "host old", Policy: policy}, lease.Deps{Table: gatedTable{tb, g}})
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = former.Run(ctx) })
+		synctest.Wait()
+		before, ok := former.Term()
+		assert.Assert(t, ok)
+		g.set(true) // as a killed process, it writes no more
+
+		start := time.Now()
+		ctxNew, stop := context.WithCancel(t.Context())
+		ended := func(holder string) bool { return holder == "host old" }
+		next := lease.New(lease.Config{Name: "r", Holder: "host new", Policy: policy, Ended: ended}, lease.Deps{Table: tb})
+		wg.Go(func() { _ = next.Run(ctxNew) })
+		synctest.Wait()
+		term, ok := next.Term()
+		assert.Assert(t, ok && term.Epoch == before.Epoch+1 && time.Since(start) < time.Second)
+		kill()
+		g.set(false)
+		stop()
+		wg.Wait()
+	})
+}
+
+// Symptom: all hosts decide by themselves, and ask the store, while it is away.
+// Sequence: the holder cannot renew; nobody else can take the lease either.
+// Cause: nobody knows that it held the lease last.
+func TestALeaseThatRanOutIsTheLastHoldersUntilItIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := standin.NewTable()
+		g := &gate{}
+		ctx, stop := context.WithCancel(t.Context())
+		a := lease.New(lease.Config{Name: "r", Holder: "a", Policy: policy}, lease.Deps{Table: gatedTable{tb, g}})
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = a.Run(ctx) })
+		synctest.Wait()
+		assert.Assert(t, !a.Lapsed(), "it is held")
+		tb.Faults.OutageFor(3 * policy.TTL)
+		time.Sleep(2 * policy.TTL)
+		_, ok := a.Term()
+		assert.Assert(t, !ok && a.Lapsed())
+		g.set(true) // cut off while the store returns for others
+		time.Sleep(2 * policy.TTL)
+		ctxB, stopB := context.WithCancel(t.Context())
+		b := lease.New(lease.Config{Name: "r", Holder: "b", Policy: policy}, lease.Deps{Table: tb})
+		wg.Go(func() { _ = b.Run(ctxB) })
+		time.Sleep(3 * policy.TTL)
+		_, ok = b.Term()
+		assert.Assert(t, ok)
+		g.set(false)
+		time.Sleep(policy.TTL)
+		_, ok = a.Term()
+		assert.Assert(t, !ok && !a.Lapsed(), "it has seen that another took it")
+		stop()
+		stopB()
+		wg.Wait()
+	})
+}
