Fewer calls of the store when it is away; a load counts when it is taken

Changed: hosts that others will tell of the store's return try once more at once, then wait; calls for changes of hosts without a relay are 0.8 s apart at these; the host that the lease names learns so from its peers instead of the store; a load from the weight store counts from the answer to its order.

--- a/node/coordinator/authority_test.go
+++ b/node/coordinator/authority_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/replica"
 )
 
 // Symptom: more loads begin in one window than the weight store allows.
@@ -57,3 +59,22 @@
 	assert.Equal(t, s.left(1, t0.Add(19*time.Second)), all-1, "it may have begun right before its end")
 	assert.Equal(t, s.left(1, t0.Add(21*time.Second)), all)
 }
+
+// Symptom: more loads begin in one window than the weight store allows.
+// Sequence: an order for a load goes unanswered for seconds before it is taken.
+// Cause: the load counts at the time of its first order.
+func TestALoadCountsFromTheAnswerToItsOrder(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	c := &Coordinator{now: func() time.Time { return now }, stores: storeLoads{window: 5 * time.Second, over: 1}}
+	all := c.stores.left(1, now)
+	v := &moving{Move: replica.Move{From: replica.FromStore}, began: now, sent: true}
+	c.stores.begin(v.began)
+	now = now.Add(4 * time.Second)
+	c.takenFromStore(v)
+	now = now.Add(4 * time.Second)
+	assert.Equal(t, c.stores.left(1, now), all-1)
+	c.settleStoreLoad(v)
+	assert.Equal(t, c.stores.left(1, now), all-1, "it was taken")
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, c.stores.left(1, now), all)
+}
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -37,7 +37,23 @@
 		return false
 	}
 	a, err := l.conns.state(ctx, peer, &coordpb.StateCall{Brief: true})
-	return err == nil && l.Try(ctx, a.Coordinator)
+	if err != nil {
+		return false
+	}
+	l.mu.Lock()
+	l.ownName = a.Coordinator == l.cfg.Address
+	l.mu.Unlock()
+	return l.Try(ctx, a.Coordinator)
+}
+
+// named says whether the host that was asked last took this one for the holder
+// of the lease. It says so once for each time it was told.
+func (l *Link) named() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := l.ownName
+	l.ownName = false
+	return own
 }
 
 // Fetch asks the seeds for what a host needs that starts while the store is
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -34,9 +34,6 @@
 
 // Run works until ctx ends.
 func (d *Lead) Run(ctx context.Context) error {
-	if d.heldBefore(ctx) {
-		d.campaign(ctx, 0)
-	}
 	var asked time.Time
 	for ctx.Err() == nil {
 		if d.Link.Linked() {
@@ -48,31 +45,22 @@
 			continue
 		}
 		if d.Link.Candidate() || d.standBy(ctx) {
-			d.campaign(ctx, d.Handicap)
+			d.campaign(ctx)
 		}
 	}
 	return ctx.Err()
 }
 
-// heldBefore says whether the lease names a former process of this host. That
-// one has ended, so that this one may take the lease at once: after a loss of
-// all hosts nobody else could give orders before the former holder's time, and
-// the time in which its last orders may arrive, are over.
-func (d *Lead) heldBefore(ctx context.Context) bool {
-	own := d.Link.own.cfg.Holder
-	if own == "" {
-		return false // nobody could tell
-	}
-	record, err := d.Lease.Look(ctx)
-	return err == nil && Ended(own)(record.Holder)
-}
-
 // findFor is how long a host that should not run for the lease asks others who
 // holds it, before it runs all the same: those that should may all be gone.
 const findFor = 3 * time.Second
 
 // standBy asks others who holds the lease until this host is linked, and says
-// no, or until nobody was found though the store answered all the while. The
+// no, until the lease is found to name this host itself, or until nobody was
+// found though the store answered all the while. A lease that names this host
+// is its former process's, which has ended, so that this one may take it at
+// once: after a loss of all hosts nobody else could give orders before the
+// former holder's time, and the time for its last orders to arrive, are over. The
 // time while the store is away does not count: nobody can take the lease then,
 // and at its return the first to write would, however little it has to spare.
 func (d *Lead) standBy(ctx context.Context) bool {
@@ -81,6 +69,9 @@
 		if d.Link.Linked() || d.Link.Find(ctx) {
 			return false
 		}
+		if d.Link.named() {
+			return true
+		}
 		if !d.StoreAnswers() {
 			answered = time.Now()
 		}
@@ -93,8 +84,8 @@
 
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
-func (d *Lead) campaign(ctx context.Context, handicap time.Duration) {
-	if !pace.Sleep(ctx, pace.Default().Around(handicap, 1)) {
+func (d *Lead) campaign(ctx context.Context) {
+	if !pace.Sleep(ctx, pace.Default().Around(d.Handicap, 1)) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -53,6 +53,7 @@
 	address  string // of the host that holds the lease; "": not linked
 	failed   int    // reports in a row
 	led      bool   // the host at address holds no lease
+	ownName  bool   // the host asked last took this one for the holder
 	revision uint64
 	list     uint64                       // change of the holder's list up to which this host has it
 	holdings map[string][]deploy.Resident // by upstream, as the holder told
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -64,6 +64,17 @@
 	taken  bool           // the order was answered: it has been taken
 }
 
+// takenFromStore notes that a load was taken. It begins now: an order may have
+// been given several times before it was answered.
+func (c *Coordinator) takenFromStore(v *moving) {
+	v.taken = true
+	if v.From == replica.FromStore {
+		c.stores.undo(v.began)
+		v.began = c.now()
+		c.stores.begin(v.began)
+	}
+}
+
 // settleStoreLoad corrects the count of loads from the weight store by what
 // became of a move.
 func (c *Coordinator) settleStoreLoad(v *moving) {
@@ -124,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	v.taken = true
+	u.c.takenFromStore(v)
 	took := replica.LoadTime(u.engine, v.Load, v.From)
 	if !pace.Sleep(ctx, took) {
 		return ctx.Err()
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -79,19 +79,24 @@
 
 // least is the time from one call for changes to the next.
 func (f *Follower) least() time.Duration {
-	if f.deps.Relays() {
+	switch {
+	case f.deps.Relays():
 		return relayEach
+	case f.deps.Patient():
+		return pace.Default().Around(patientEach, pauseJitter)
+	default:
+		return pace.Default().Around(aloneEach, pauseJitter)
 	}
-	return pace.Default().Around(aloneEach, pauseJitter)
 }
 
 // rest waits between two tries while the store is away.
 func (f *Follower) rest(ctx context.Context, d *feed, wait time.Duration) {
-	if wait <= patientPause/5 || !f.deps.Patient() {
+	quiet := d.second && f.away.Load()
+	if !f.deps.Patient() || wait <= onceMore && !quiet {
 		pace.Sleep(ctx, wait)
 		return
 	}
-	if !d.second || !f.away.Load() {
+	if !quiet {
 		between := patientPause
 		if f.deps.Led() {
 			between = ledPause
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -68,6 +68,10 @@
 	// The longest bounds how late a host notices that it is back.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// onceMore bounds the pauses after which such a host tries again at once: a
+	// single failure may be the connection's. More tries were half of all calls
+	// of an outage.
+	onceMore = 2 * firstPause
 	// patientPause lies between tries at a host that others will tell of the
 	// store's return: each call is priced, also one that fails. It is a fraction
 	// of the time in which a change must be in force, since some tries right
@@ -79,6 +83,9 @@
 	// changes come dozens a second.
 	aloneEach = 400 * time.Millisecond
 	relayEach = 150 * time.Millisecond
+	// patientEach is the same at a host to which another will soon relay: with
+	// 80 hosts the two seconds until a new holder is found cost 350 calls.
+	patientEach = 800 * time.Millisecond
 	// emptyPause lies between looks of a host that others will tell at a store
 	// in which nothing was ever written, as when a whole deployment starts.
 	emptyPause = 500 * time.Millisecond
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -206,18 +206,6 @@
 	return holder == l.cfg.Holder || l.cfg.Ended != nil && l.cfg.Ended(holder)
 }
 
-// Look reads who holds the lease.
-func (l *Lease) Look(ctx context.Context) (decide.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, record, err := l.read(ctx)
-	if err != nil {
-		return decide.Record{}, err
-	}
-	l.see(rows, record)
-	return record, nil
-}
-
 // Holding returns the rows and the grant of the lease while it is held, for
 // the holder to tell to others.
 func (l *Lease) Holding() (decide.Rows, decide.Record, bool) {
