An upstream that is not there costs no request

Changed: a refused connection, the word of the upstream's own machine, rests it at once and is told to the host that gives turns, which names it no more for 0.6 s; such a try reached nobody and takes none of the request's sends or repeats, six at most. An order for an adapter is waited for 150 ms, then another upstream that holds the model is asked.

Ruled out: more sends after refusals of upstreams, which count as arrivals.

--- a/node/coordinator/adapters.go
+++ b/node/coordinator/adapters.go
@@ -23,6 +23,10 @@
 	// adapterTries is how many orders one adapter may take: one that makes
 	// room, its load, and one more when the upstream's number has moved on.
 	adapterTries = 5
+	// adapterOrderBound is how long an order for an adapter may take to be
+	// answered before another upstream is asked. A caller waits for it, and
+	// upstreams answer within a few milliseconds, or not at all.
+	adapterOrderBound = 150 * time.Millisecond
 	// adapterPoll is how often a load that is on its way is looked at.
 	adapterPoll = 4 * time.Millisecond
 )
@@ -38,7 +42,7 @@
 		if err == nil {
 			return u.entry.ID(), nil
 		}
-		if !errors.Is(err, errNoUpstream) {
+		if ctx.Err() != nil || c.mayOrder(0) != nil {
 			return "", err
 		}
 	}
@@ -108,7 +112,7 @@
 	if o.Op == residency.Unload {
 		why = "makes way for " + model + "/" + adapter
 	}
-	if err := u.send(ctx, o, why); err != nil {
+	if err := u.send(ctx, o, why, adapterOrderBound); err != nil {
 		return false, err
 	}
 	if o.Op == residency.Load {
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -220,8 +220,9 @@
 	}
 	return &gate.Turn{Upstream: answer.Upstream, Predicted: time.Duration(answer.PredictedMs) * time.Millisecond,
 		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached),
-		First: func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
-		End:   func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
+		First:  func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
+		Absent: func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_ABSENT}) },
+		End:    func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
 }
 
 // await waits for the first word within askBound, and for the last until ctx ends.
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -186,7 +186,7 @@
 			u.orderMu.Unlock()
 			return errNoUpstream
 		}
-		err := u.send(ctx, o, why)
+		err := u.send(ctx, o, why, orderBound)
 		u.orderMu.Unlock()
 		if err == nil {
 			return nil
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -25,9 +26,10 @@
 
 	mu      sync.Mutex
 	granted map[turnKey]*turn
-	places  map[string]*place // by upstream
-	waiting []*turn           // the most urgent first, then the oldest
-	dark    map[string]bool   // upstreams that several hosts leave alone, as of the last question or sweep
+	places  map[string]*place    // by upstream
+	waiting []*turn              // the most urgent first, then the oldest
+	dark    map[string]bool      // upstreams that several hosts leave alone, as of the last question or sweep
+	absent  map[string]time.Time // upstreams at whose address nothing listened, and when
 }
 
 // place is what was granted at one upstream.
@@ -59,7 +61,7 @@
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}}
+	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}}
 }
 
 // take enters one event of a host and sends what follows from it.
@@ -74,6 +76,8 @@
 		t.first(k)
 	case coordpb.TurnEvent_END:
 		t.end(k)
+	case coordpb.TurnEvent_ABSENT:
+		t.absentAt(k)
 	}
 }
 
@@ -156,7 +160,7 @@
 func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
-	out.Down = out.Down || t.dark[e.ID()]
+	out.Down = out.Down || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
 	p := t.places[e.ID()]
 	if p == nil {
 		out.Waiting = 0
@@ -242,6 +246,21 @@
 	}
 }
 
+// absentFor is how long an upstream gets no turns after one host found nothing
+// listening at its address. By then that host and others tell in their reports
+// that they leave it alone. A refused connection is the word of the upstream's
+// own machine: unlike silence, it does not depend on the way there.
+const absentFor = 600 * time.Millisecond
+
+// absentAt ends a request whose upstream is not there. Without it each of the
+// hosts would be sent there until it has found out by itself.
+func (t *turns) absentAt(k turnKey) {
+	if g := t.granted[k]; g != nil {
+		t.absent[g.upstream] = t.c.now()
+		t.release(g)
+	}
+}
+
 // nextMost bounds how many waiting requests are looked at for one event.
 const nextMost = 48
 
@@ -300,4 +319,5 @@
 			delete(t.places, id)
 		}
 	}
+	maps.DeleteFunc(t.absent, func(_ string, at time.Time) bool { return now.Sub(at) >= absentFor })
 }
--- a/node/coordinator/turns_test.go
+++ b/node/coordinator/turns_test.go
@@ -162,3 +162,23 @@
 	ts.sweep()
 	assert.Equal(t, answers(s)[2].Upstream, other)
 }
+
+// Symptom: all hosts send to an upstream that has crashed, each until it has
+// noticed by itself.
+// Sequence: one host finds nothing listening there.
+// Cause: the host that decides for all learns of it from reports only.
+func TestAnUpstreamThatIsNotThereGetsNoMoreTurns(t *testing.T) {
+	ts, _ := bench("u", "v")
+	a := stream()
+	ts.take(a, ask(1, 1))
+	first := answers(a)[1].Upstream
+	ts.take(a, &coordpb.TurnEvent{Id: 1, Kind: coordpb.TurnEvent_ABSENT})
+	for i := uint64(2); i < 6; i++ {
+		ts.take(a, ask(i, 1))
+		next := answers(a)[i]
+		assert.Assert(t, next.Upstream != "" && next.Upstream != first)
+		ts.take(a, &coordpb.TurnEvent{Id: i, Kind: coordpb.TurnEvent_FIRST})
+		ts.take(a, &coordpb.TurnEvent{Id: i, Kind: coordpb.TurnEvent_END})
+	}
+	assert.Equal(t, ts.places[first].load, fleet.Load{})
+}
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -63,10 +63,10 @@
 	return true
 }
 
-// send gives one order and enters its outcome.
-func (u *unit) send(ctx context.Context, o residency.Order, why string) error {
+// send gives one order, whose answer may take as long as bound, and enters its outcome.
+func (u *unit) send(ctx context.Context, o residency.Order, why string, bound time.Duration) error {
 	c := u.c
-	if err := c.mayOrder(orderBound); err != nil {
+	if err := c.mayOrder(bound); err != nil {
 		return err
 	}
 	if !u.usable() { // it leaves, or has started again and has another account
@@ -80,7 +80,7 @@
 	c.ordering()
 	c.changed(u)
 	c.deps.Log.Emit(event.OrderSent, u.fields(o, zap.String("why", why), zap.Uint64("epoch", t.Epoch))...)
-	ctx, cancel := context.WithTimeout(ctx, orderBound)
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	v, err := c.deps.Orders.Order(ctx, &described, o, t)
 	return u.enter(o, v, err)
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// Absent ends an attempt at an upstream at whose address nothing listens. Its
+// process has ended, so that there is no need for a second sign.
+func (x *Exchange) Absent() {
+	var resting bool
+	x.end(func() { resting = x.e.health.Rest(x.e.fleet.cfg.Health, x.e.fleet.deps.Now()) })
+	if resting {
+		x.e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, x.e.ID()), zap.String("why", "absent"))
+	}
+}
+
 func (x *Exchange) end(note func()) {
 	if x.ended {
 		return
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,7 @@
 	notRun     bool // the upstream did not run the request, and will not
 	why        string
 	retryAfter time.Duration // that the upstream asked for
+	absent     bool          // nothing listens at the upstream's address
 }
 
 // errSilent ends an attempt that can go elsewhere at an upstream gone silent.
@@ -55,7 +57,11 @@
 	d.Metrics.Add(metrics.Attempts, q.service.Name, e.ID(), 1)
 	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
 	if err != nil {
-		return q.unanswered(ctx, x, err)
+		res := q.unanswered(ctx, x, err)
+		if res.absent && p.turn != nil {
+			p.turn.Absent()
+		}
+		return res
 	}
 	return q.answered(ctx, e, x, resp)
 }
@@ -96,6 +102,10 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		why = "silent"
 		x.Dropped() // counted when it was found silent
+	case errors.Is(err, syscall.ECONNREFUSED):
+		q.sends--
+		x.Absent()
+		return result{notRun: true, why: "absent", absent: true}
 	case notRun:
 		why = "no_connection"
 		x.Broken(why)
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -120,6 +120,7 @@
 	tried       map[string]bool // upstreams that had an attempt
 	sends       int             // attempts handed to an upstream
 	maybe       int             // those of them that may have run
+	absent      int             // tries at upstreams that were not there
 	first       time.Duration   // from the start to the first piece of a stream
 	pause       time.Duration   // longest between two pieces of it
 	pauseAt     time.Duration   // from the start to that pause
@@ -261,8 +262,7 @@
 		q.fail(http.StatusBadGateway, res.why)
 		return false
 	}
-	bounded := q.sends < q.route.Attempts || res.notRun && q.sends < q.route.Attempts+refusedSends
-	if q.ctx.Err() == nil && q.maybe < max(q.route.Attempts, 1) && bounded && q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now()) {
+	if q.ctx.Err() == nil && q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res) {
 		q.g.deps.Log.Emit(event.RequestAgain, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.last),
 			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun))
 		q.g.deps.Metrics.Count(metrics.Repeats, 1)
@@ -276,6 +276,21 @@
 	return false
 }
 
+// mayGoOn says whether one more send is within bounds. A try at an upstream that
+// is not there reached nobody, so that it takes none of what repeats are allowed.
+func (q *request) mayGoOn(res result) bool {
+	if res.absent {
+		q.absent++
+		return q.absent <= absentMost
+	}
+	bounded := q.sends < q.route.Attempts || res.notRun && q.sends < q.route.Attempts+refusedSends
+	return bounded && q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now())
+}
+
+// absentMost is how many upstreams that are not there a request may be sent to:
+// a fifth of a service's may end at once, and each try takes a few milliseconds.
+const absentMost = 6
+
 // refusedSends is how many sends beyond its route's attempts a request may
 // make after upstreams said that they did not run it.
 const refusedSends = 2
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -24,7 +24,8 @@
 }
 
 // Turn is the answer. Of one with an upstream, First is called when the answer
-// begins and End when the attempt is over; both may be called from any goroutine.
+// begins, Absent when nothing listens there, and End when the attempt is over;
+// all may be called from any goroutine.
 type Turn struct {
 	Upstream  string // "": none; see Reason
 	Reason    balance.Reason
@@ -34,6 +35,7 @@
 	Waiting   int
 	Cached    int
 	First     func()
+	Absent    func()
 	End       func()
 }
 
