What to prepare for does not follow from the order of a list

Cause: models that nobody had asked for yet were prepared in the order in which the deployment lists them, though an order is no observation.

Changed: each gets the same prior load, those for which adapters were made more.

--- a/core/replica/prior.go
+++ b/core/replica/prior.go
@@ -1,37 +1,34 @@
 package replica
 
-import (
-	"sort"
-
-	"peridotpier.example/core/deploy"
-)
+import "peridotpier.example/core/deploy"
 
+// The load to prepare for of a model that nobody has asked for yet, in engines.
 const (
-	// priorFirst is the load to prepare for of the model that seems the most
-	// likely to be asked for next, and priorDecay what each next one has of it.
-	priorFirst = 0.5
-	priorDecay = 0.88
+	// priorAdapted is above the pressure at which a model gets another replica:
+	// adapters are made for models that are used.
+	priorAdapted = 0.4
+	// priorPlain is below it, and above what makes a model's only replica give
+	// way: any of them may be the next to be asked for.
+	priorPlain = 0.12
 )
 
 // Priors guesses the load of models that nobody has asked for yet. The only
-// hints are what the deployment says of them: adapters are made for models
-// that are used, and a list begins with what its author thinks of first. A
-// wrong guess costs a few loads; without any, models whose demand rises start
-// from one replica, and a load from the weight store takes longer than the
-// rise.
+// hint is what the deployment says of them: adapters are made for models that
+// are used. The order of a list says nothing. A wrong guess costs a few loads;
+// without any, models whose demand rises start from one replica, and a load
+// from the weight store takes longer than the rise.
 func Priors(e *deploy.Engine, asked func(model string) bool) map[string]float64 {
-	order := make([]int, len(e.Models))
-	for i := range order {
-		order[i] = i
-	}
-	sort.SliceStable(order, func(i, j int) bool { return e.Models[order[i]].Adapters > 0 && e.Models[order[j]].Adapters == 0 })
 	out := map[string]float64{}
-	load := priorFirst
-	for _, i := range order {
-		if m := &e.Models[i]; !asked(m.Name) {
-			out[m.Name] = load * worthPreparing(m)
-			load *= priorDecay
+	for i := range e.Models {
+		m := &e.Models[i]
+		if asked(m.Name) {
+			continue
+		}
+		load := priorPlain
+		if m.Adapters > 0 {
+			load = priorAdapted
 		}
+		out[m.Name] = load * worthPreparing(m)
 	}
 	return out
 }
