What was told of a former process is not believed of its successor

Cause: a host applies what the holder told of an upstream by its id, again with each report, also to a process that has started since; it sent requests for models that are not there until the holder told anew, 0.2 to 0.4 s later. Changed: what is told names the start of the process that it is of. Ruled out: an imitation's fault; it answers for any model, which only showed it.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -56,11 +56,17 @@
 	ownName  bool   // the host asked last took this one for the holder
 	revision uint64
 	list     uint64                       // change of the holder's list up to which this host has it
-	holdings map[string][]deploy.Resident // by upstream, as the holder told
+	holdings map[string]holding // by upstream, as the holder told
 	deputies []string                     // as the holder last named them
 	hosts    int                          // most that were ever seen to share the allowance
 }
 
+// holding is what one process of an upstream holds.
+type holding struct {
+	born      int64
+	residents []deploy.Resident
+}
+
 type demandKey struct{ service, model, adapter string }
 
 // NewLink makes a Link that is not linked.
@@ -245,8 +251,8 @@
 		e.SetOthers(fleet.Load{Requests: int(o.GetRequests()), Waiting: int(o.GetWaiting()), Tokens: int(o.GetTokens())}, now)
 	}
 	for id, h := range holdings {
-		if e, ok := l.own.deps.Fleet.Entry(id); ok {
-			e.Believe(h, now)
+		if e, ok := l.own.deps.Fleet.Entry(id); ok && e.Born() == h.born {
+			e.Believe(h.residents, now)
 		}
 	}
 	l.own.deps.Fleet.Tell()
@@ -255,19 +261,19 @@
 // keepHoldings enters what changed at the holder and returns a copy of all that
 // it told. What an upstream holds may be told before the list names it here, and
 // is told once only, so that nothing is dropped for want of an entry. l.mu is held.
-func (l *Link) keepHoldings(s *coordpb.SiteState) map[string][]deploy.Resident {
+func (l *Link) keepHoldings(s *coordpb.SiteState) map[string]holding {
 	l.revision = s.Revision
 	if l.holdings == nil {
-		l.holdings = map[string][]deploy.Resident{}
+		l.holdings = map[string]holding{}
 	}
 	for _, h := range s.Holdings {
-		l.holdings[h.Upstream] = residents(h)
+		l.holdings[h.Upstream] = holding{born: h.Born, residents: residents(h)}
 	}
 	for _, id := range s.Gone {
 		delete(l.holdings, id)
 	}
 	if l.own.Holding() { // it tells itself of no list; what it tells of is in its own
-		maps.DeleteFunc(l.holdings, func(id string, _ []deploy.Resident) bool {
+		maps.DeleteFunc(l.holdings, func(id string, _ holding) bool {
 			_, known := l.own.deps.Fleet.Entry(id)
 			return !known
 		})
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -182,7 +182,7 @@
 func (u *unit) holding() *coordpb.Holding {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	out := &coordpb.Holding{Upstream: u.entry.ID()}
+	out := &coordpb.Holding{Upstream: u.entry.ID(), Born: u.entry.Born()}
 	for _, r := range u.book.Residents() {
 		out.Residents = append(out.Residents, &coordpb.Resident{Model: r.Model, Adapters: r.Adapters})
 	}
--- a/node/coordinator/serve_test.go
+++ b/node/coordinator/serve_test.go
@@ -66,3 +66,26 @@
 	link.take(&coordpb.SiteState{Revision: 1, Gone: []string{"u"}})
 	assert.Equal(t, len(link.holdings), 0)
 }
+
+// Symptom: requests are sent for models that an upstream does not hold.
+// Sequence: its process starts again under its id, empty; this host learns so
+// before the holder tells what the new process holds.
+// Cause: what the holder told of the former process is taken for the new one's.
+func TestWhatWasToldOfAFormerProcessIsNotBelievedOfItsSuccessor(t *testing.T) {
+	log := event.NewLog(nil)
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	own := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(log), Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	link := NewLink(LinkConfig{Host: "h"}, own, nil, log)
+	holds := func() bool {
+		e, ok := f.Entry("u")
+		return ok && e.Endpoint(&fleet.Ask{Model: "m"}, time.Now()).HoldsModel
+	}
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Born: 1}}, nil, 1)
+	link.take(&coordpb.SiteState{Revision: 1, Holdings: []*coordpb.Holding{{Upstream: "u", Born: 1, Residents: []*coordpb.Resident{{Model: "m"}}}}})
+	assert.Assert(t, holds())
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Born: 2}}, nil, 2)
+	link.take(&coordpb.SiteState{Revision: 1})
+	assert.Assert(t, !holds())
+	link.take(&coordpb.SiteState{Revision: 2, Holdings: []*coordpb.Holding{{Upstream: "u", Born: 2, Residents: []*coordpb.Resident{{Model: "m"}}}}})
+	assert.Assert(t, holds())
+}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -84,6 +84,9 @@
 // Address is where it listens.
 func (e *Entry) Address() string { return e.address }
 
+// Born is when its process began, in Unix milliseconds by its own clock; 0: not said.
+func (e *Entry) Born() int64 { return e.born }
+
 // DataCentre is where it runs.
 func (e *Entry) DataCentre() string { return e.dataCentre }
 
