--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -55,10 +55,10 @@
 	led      bool   // the host at address holds no lease
 	ownName  bool   // the host asked last took this one for the holder
 	revision uint64
-	list     uint64                       // change of the holder's list up to which this host has it
+	list     uint64             // change of the holder's list up to which this host has it
 	holdings map[string]holding // by upstream, as the holder told
-	deputies []string                     // as the holder last named them
-	hosts    int                          // most that were ever seen to share the allowance
+	deputies []string           // as the holder last named them
+	hosts    int                // most that were ever seen to share the allowance
 }
 
 // holding is what one process of an upstream holds.
