An exchange that was given up is reset

A lookup went elsewhere after 200 ms of silence, its answer was delivered; 6.0 s after it was sent, and 2.4 s after its first upstream had said that it leaves, it reached that one. Cause: the way was cut, and after a plain close the kernel goes on sending what was written. Changed: exchanges that are given up are reset, which drops it. Ruled out: a shorter time for what is not acknowledged, which slow ways would not survive. Test: the other side sees a reset (before: an orderly end).

--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "connect: %w", err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = l.nc.Close() })
+	stop := context.AfterFunc(ctx, l.reset)
 	req := r.httpRequest()
 	if !r.HeadBy.IsZero() {
 		_ = l.nc.SetReadDeadline(r.HeadBy) // a connection that is closed already fails in the exchange
@@ -108,7 +108,7 @@
 			l.pool.shorten(l.rested, c.cfg.IdleMost)
 		}
 		stop()
-		_ = l.nc.Close()
+		l.reset()
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
@@ -176,7 +176,7 @@
 	}()
 	resp, err := l.readHead(req)
 	if err != nil {
-		_ = l.nc.Close()
+		l.reset()
 		return nil, errors.Join(<-written, err)
 	}
 	select {
@@ -334,6 +334,6 @@
 func (r *Response) Abort() {
 	if r.ended.CompareAndSwap(false, true) {
 		r.stop()
-		_ = r.link.nc.Close()
+		r.link.reset()
 	}
 }
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -46,6 +46,17 @@
 	return l
 }
 
+// reset ends an exchange that was given up, and its connection. What the kernel
+// still has to send is dropped: after a plain close it goes on sending, so that
+// a request whose way was cut would reach its upstream seconds later, when the
+// caller has its answer from elsewhere, or the upstream is about to leave.
+func (l *link) reset() {
+	if c, ok := l.nc.(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(0) // it fails only on a connection that is closed already
+	}
+	_ = l.nc.Close()
+}
+
 // Read counts what the head of an answer takes.
 func (l *link) Read(p []byte) (int, error) {
 	if l.headLeft == 0 {
