--- a/core/speed/bench_test.go
+++ b/core/speed/bench_test.go
@@ -8,7 +8,7 @@
 )
 
 // BenchmarkEngineTime is what each entry of a host's demand costs the holder of
-// the lease: 71 ns, where a sum by two constants stood before.
+// the lease: 71 ns.
 func BenchmarkEngineTime(b *testing.B) {
 	m := speed.Model{Own: &speed.Engine{}, Service: &speed.Engine{}}
 	for range 100 {
--- /dev/null
+++ b/core/speed/main_test.go
@@ -0,0 +1,15 @@
+package speed_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// seed makes every run draw the same; -rapid.seed overrides it.
+const seed = "20261202"
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", seed)
+	os.Exit(m.Run())
+}
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -1,9 +1,7 @@
 package speed_test
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -13,14 +11,6 @@
 	"peridotpier.example/core/speed"
 )
 
-// seed makes every run draw the same; -rapid.seed overrides it.
-const seed = "20261202"
-
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", seed)
-	os.Exit(m.Run())
-}
-
 // engine is one whose speed is to be found.
 type engine struct {
 	tokenMs float64 // for a token of prompt
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -135,11 +135,12 @@
 	} else {
 		s, err = l.conns.report(ctx, address, r)
 	}
-	switch {
-	case err != nil:
+	if err != nil {
 		l.lost(address, err)
-	case !s.Holding && address != l.cfg.Address:
-		if s.Epoch > 0 {
+		return
+	}
+	if address != l.cfg.Address {
+		if !s.Holding && s.Epoch > 0 {
 			l.own.Gone(s.Epoch, time.Duration(s.LastOrderMs)*time.Millisecond)
 		}
 		if !l.follows(s) {
@@ -147,13 +148,8 @@
 			return
 		}
 		l.takeRelay(s)
-		l.take(s)
-	default:
-		if address != l.cfg.Address {
-			l.takeRelay(s)
-		}
-		l.take(s)
 	}
+	l.take(s)
 }
 
 // storeFresh is how old the store's last answer may be for it to count as
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -39,9 +39,7 @@
 	}
 	go func() {
 		err := u.move(ctx, v)
-		if m.From == replica.FromStore {
-			c.settleStoreLoad(v)
-		}
+		c.settleStoreLoad(v)
 		u.mu.Lock()
 		u.moving = nil
 		if err != nil {
@@ -78,7 +76,7 @@
 // settleStoreLoad corrects the count of loads from the weight store by what
 // became of a move.
 func (c *Coordinator) settleStoreLoad(v *moving) {
-	if v.taken {
+	if v.taken || v.From != replica.FromStore {
 		return
 	}
 	c.stores.undo(v.began)
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -178,9 +178,7 @@
 		e.leaveLocked("entry did not come back")
 	}
 	if e.health.Silent(e.fleet.cfg.Health, now, e.readingLocked(now)) && e.health.Rest(e.fleet.cfg.Health, now) {
-		for x := range e.movable {
-			x.abort()
-		}
+		e.abortMovableLocked()
 		e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
 	}
 	return e.gone && e.own.Requests == 0 && now.Sub(e.goneSince) > forgetAfter
@@ -322,6 +320,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaveLocked("started again")
+	e.abortMovableLocked()
+}
+
+// abortMovableLocked ends the attempts there that can go elsewhere.
+func (e *Entry) abortMovableLocked() {
 	for x := range e.movable {
 		x.abort()
 	}
