Tell who closes a caller's connection, and what was under way on it

Cause: a request was read and ended with neither an answer nor a refusal, and nothing that was logged tells the six hypotheses of the incident apart: a host knew handlers only, not what a connection had read or written, nor who closed it.

Each callers' connection now keeps an account: bytes read and written of the request under way, requests and answers, its phase and since when, who closes it. A close by this host with something of a request read and not answered is event 2129, caller_connection_closed, with the request's id where its head was whole; bytes or a request that come out of a connection after it was closed are the same event with phase late_read and late_begun. Closes of idle connections, last answers and callers that go are counted only, by reason. host_stopped says what it finds open. Hypotheses: 1 phase answering, 2 late_read/late_begun, or reading with reason idle or stop, 3 reading with reason end, 4 answering with written_bytes, 5 reason aborted, 6 handling with reason end.

Nothing is decided by it: what is closed, when, and every answer are as before.

Ruled out: a line for every close (idle ones are the rule); logging the id from the gate (a connection without a handler has none there).

--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -7,7 +7,7 @@
 	HostStarting    = Event{2101, "host_starting", zapcore.InfoLevel, "The process starts with these settings."}
 	HostReady       = Event{2102, "host_ready", zapcore.InfoLevel, "The host has a configuration and a list of upstreams, and says that it is ready."}
 	HostStopping    = Event{2103, "host_stopping", zapcore.InfoLevel, "The host was told to stop: it says that it is not ready, and finishes what it has."}
-	HostStopped     = Event{2104, "host_stopped", zapcore.InfoLevel, "The host has stopped; cut says how many requests were not finished."}
+	HostStopped     = Event{2104, "host_stopped", zapcore.InfoLevel, "The host has stopped; cut says how many requests were not finished, open how many connections end with the process: of these under_way have something of a request that is not answered, unanswered a whole head, new not a byte."}
 	SettingsReread  = Event{2105, "settings_reread", zapcore.InfoLevel, "The settings file was read again; changed says what takes effect at the next start only."}
 	SettingsBad     = Event{2106, "settings_unusable", zapcore.ErrorLevel, "The settings file cannot be used; what was read at the start stays."}
 	StoreLost       = Event{2111, "store_lost", zapcore.WarnLevel, "The platform's store does not answer; the host goes on with what it has."}
@@ -23,6 +23,7 @@
 	RequestBroken   = Event{2125, "request_broken", zapcore.WarnLevel, "A request ended without a whole answer; it may have run. why names the cause, peer the last upstream."}
 	RequestServed   = Event{2126, "request_served", zapcore.InfoLevel, "A request got its whole answer from the upstream peer."}
 	RequestLeft     = Event{2127, "request_left", zapcore.InfoLevel, "The caller left before its answer was whole; the attempt at the upstream was ended."}
+	CallerClosed    = Event{2129, "caller_connection_closed", zapcore.WarnLevel, "This host closed a caller's connection with something of a request read and its answer not written. reason says who closed it (idle, stop, end, late, stuck, aborted, server), phase what it was doing; late_read and late_begun: bytes or a request came out of it after it was closed. unanswered: the head was whole. At most 500 lines a second."}
 	LogDropped      = Event{2131, "log_dropped", zapcore.WarnLevel, "Lines were dropped because the log's reader was slower than the host; count says how many since the last such line."}
 	CoordinatorMet  = Event{2141, "coordinator_met", zapcore.InfoLevel, "This host is linked to the host that gives orders and sums up loads."}
 	CoordinatorOff  = Event{2142, "coordinator_lost", zapcore.WarnLevel, "The link to the host that gives orders broke; this host goes on by what it sees itself."}
@@ -38,5 +39,5 @@
 
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReread, SettingsBad,
 	StoreLost, StoreRegained, FeedReread, RoutesInForce, RoutesUnusable, EntryUnreadable,
-	RequestSent, RequestAgain, RequestWaits, RequestRefused, RequestBroken, RequestServed, RequestLeft, LogDropped,
+	RequestSent, RequestAgain, RequestWaits, RequestRefused, RequestBroken, RequestServed, RequestLeft, CallerClosed, LogDropped,
 	CoordinatorMet, CoordinatorOff, OrderSent, OrderDone, TurnGiven, OrderRejected, OrderUnanswered, AdapterAsked, QuietPeriod, MoveEnded}
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"errors"
 	"log"
 	"net"
@@ -26,6 +27,7 @@
 	server *http.Server
 	bound  func() time.Duration
 	active atomic.Int64
+	conns  *connLog
 	ended  chan struct{}
 	once   sync.Once
 
@@ -33,10 +35,10 @@
 	idle map[*callerConn]time.Time
 }
 
-func newCallers(ln net.Listener, h http.Handler, idleBound func() time.Duration, events *event.Log) *callers {
-	c := &callers{ln: ln, bound: idleBound, ended: make(chan struct{}), idle: map[*callerConn]time.Time{}}
+func newCallers(ln net.Listener, h http.Handler, idleBound func() time.Duration, conns *connLog) *callers {
+	c := &callers{ln: ln, bound: idleBound, conns: conns, ended: make(chan struct{}), idle: map[*callerConn]time.Time{}}
 	c.server = &http.Server{Handler: c.count(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
-		ErrorLog: log.New(complaints{events}, "", 0)}
+		ConnContext: withConn, ErrorLog: log.New(complaints{conns.log}, "", 0)}
 	return c
 }
 
@@ -45,10 +47,26 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.active.Add(1)
 		defer c.active.Add(-1)
+		own, ok := r.Context().Value(connKey{}).(*callerConn)
+		if !ok {
+			h.ServeHTTP(w, r)
+			return
+		}
+		returned := false
+		own.track.begin(r.Header)
+		defer func() { own.track.end(returned) }()
 		h.ServeHTTP(w, r)
+		returned = true
 	})
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
 func (c *callers) state(nc net.Conn, s http.ConnState) {
 	own, ok := nc.(*callerConn)
 	if !ok {
@@ -60,6 +78,7 @@
 		delete(c.idle, own)
 		return
 	}
+	own.track.idle()
 	own.phase.Store(connIdle)
 	c.idle[own] = time.Now()
 }
@@ -68,21 +87,22 @@
 // configuration in force allows, which the server's own fixed bound cannot follow.
 func (c *callers) sweep(now time.Time) {
 	most := c.bound()
-	c.closeIf(func(since time.Time) bool { return now.Sub(since) > most })
+	c.closeIf(closedIdle, func(since time.Time) bool { return now.Sub(since) > most })
 }
 
 // closeIdle closes the connections without a request and returns how many
 // requests are left.
 func (c *callers) closeIdle() int64 {
-	c.closeIf(func(time.Time) bool { return true })
+	c.closeIf(closedStop, func(time.Time) bool { return true })
 	return c.active.Load()
 }
 
-func (c *callers) closeIf(due func(since time.Time) bool) {
+func (c *callers) closeIf(why closeReason, due func(since time.Time) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for own, since := range c.idle {
 		if due(since) && own.phase.CompareAndSwap(connIdle, connClosing) {
+			own.track.closeFor(why)
 			_ = own.Close()
 			delete(c.idle, own)
 		}
@@ -95,7 +115,7 @@
 // serve returns when the listener fails or after close. The closing of the
 // listener alone does not end it: requests are still being finished then.
 func (c *callers) serve() error {
-	err := c.server.Serve(callerListener{c.ln})
+	err := c.server.Serve(callerListener{c.ln, c.conns})
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-c.ended
 		return nil
@@ -106,6 +126,7 @@
 // close ends whatever is left.
 func (c *callers) close() {
 	c.once.Do(func() { close(c.ended) })
+	c.conns.ending.Store(true)
 	_ = c.server.Close()
 }
 
@@ -122,6 +143,7 @@
 type callerConn struct {
 	net.Conn
 	phase atomic.Int32
+	track *connTrack
 }
 
 // Read implements net.Conn.
@@ -130,11 +152,33 @@
 	if n > 0 {
 		c.phase.CompareAndSwap(connIdle, connActive)
 	}
+	c.track.didRead(len(p), n, err)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.track.willWrite()
+	n, err := c.Conn.Write(p)
+	c.track.didWrite(n, err)
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	s, first := c.track.close()
+	err := c.Conn.Close()
+	if first {
+		c.track.all.closed(c.track, s)
+	}
+	return err
+}
+
 // callerListener makes the connections that it accepts callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	conns *connLog
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -142,7 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: nc}, nil
+	return &callerConn{Conn: nc, track: l.conns.track(nc.RemoteAddr().String())}, nil
 }
 
 // complaints passes on what the HTTP server has to say.
--- /dev/null
+++ b/node/host/callers_bench_test.go
@@ -0,0 +1,78 @@
+package host
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+)
+
+// BenchmarkRequests is what a request costs on a connection that is kept, with
+// a handler that does nothing.
+func BenchmarkRequests(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	c := benchCallers(ln, ok)
+	go func() { _ = c.serve() }()
+	defer c.close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(b, err)
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := io.WriteString(nc, get("a"))
+		assert.NilError(b, err)
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(b, err)
+		assert.Equal(b, resp.StatusCode, http.StatusNoContent)
+	}
+}
+
+// nullConn reads and writes without a system call.
+type nullConn struct{ net.Conn }
+
+func (nullConn) Read(p []byte) (int, error)  { return len(p), nil }
+func (nullConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkConnection is what the connection's wrapper adds to a request: two
+// reads, a write, the handler and the change to idle.
+func BenchmarkConnection(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer ln.Close()
+	c := benchCallers(ln, ok)
+	own := benchConn(c, nullConn{})
+	buf := make([]byte, 512)
+	h := c.count(http.HandlerFunc(ok))
+	w, r := nullAnswer{}, (&http.Request{Header: http.Header{}}).WithContext(withConn(b.Context(), own))
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = own.Read(buf)
+		h.ServeHTTP(w, r)
+		_, _ = own.Read(buf[:1])
+		_, _ = own.Write(buf)
+		c.state(own, http.StateIdle)
+	}
+}
+
+type nullAnswer struct{}
+
+func (nullAnswer) Header() http.Header         { return nil }
+func (nullAnswer) Write(p []byte) (int, error) { return len(p), nil }
+func (nullAnswer) WriteHeader(int)             {}
+
+func benchCallers(ln net.Listener, h http.HandlerFunc) *callers {
+	return newCallers(ln, h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil))
+}
+
+func benchConn(c *callers, nc net.Conn) *callerConn {
+	return &callerConn{Conn: nc, track: c.conns.track("a")}
+}
--- /dev/null
+++ b/node/host/callers_test.go
@@ -0,0 +1,316 @@
+package host
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+)
+
+// testID is the header that the tests' requests carry their id in.
+const testID = "Test-Id"
+
+// rig is a callers' listener with a handler of the test's.
+type rig struct {
+	t       *testing.T
+	callers *callers
+	lines   *observer.ObservedLogs
+	set     *metrics.Set
+}
+
+func newRig(t *testing.T, h http.HandlerFunc) *rig {
+	core, lines := observer.New(zap.DebugLevel)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &rig{t: t, lines: lines, set: metrics.New()}
+	conns := newConnLog(event.NewLog(zap.New(core)), r.set, func(h http.Header) string { return h.Get(testID) })
+	r.callers = newCallers(ln, h, func() time.Duration { return 0 }, conns)
+	served := make(chan error, 1)
+	go func() { served <- r.callers.serve() }()
+	t.Cleanup(func() {
+		r.callers.close()
+		assert.NilError(t, <-served)
+	})
+	return r
+}
+
+func (r *rig) dial() net.Conn {
+	c, err := net.Dial("tcp", r.callers.ln.Addr().String())
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func (r *rig) send(c net.Conn, text string) {
+	_, err := io.WriteString(c, text)
+	assert.NilError(r.t, err)
+}
+
+func get(id string) string { return "GET / HTTP/1.1\r\nHost: a\r\n" + testID + ": " + id + "\r\n\r\n" }
+
+func (r *rig) answer(c net.Conn) *http.Response {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(r.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(r.t, err)
+	return resp
+}
+
+// until waits for the connections to be as wanted.
+func (r *rig) until(want connCounts) {
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		if n := r.callers.conns.counts(); n != want {
+			return poll.Continue("is %+v", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+// counted waits for a line of the metrics.
+func (r *rig) counted(line string) {
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		var text strings.Builder
+		r.set.WriteText(&text)
+		if !strings.Contains(text.String(), line+"\n") {
+			return poll.Continue("no %q in\n%s", line, text.String())
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+// one returns the fields of the only line about a connection.
+func (r *rig) one() map[string]any {
+	found := r.lines.FilterMessage(event.CallerClosed.Name).All()
+	assert.Equal(r.t, len(found), 1, "%v", found)
+	return found[0].ContextMap()
+}
+
+func (r *rig) silent() {
+	found := r.lines.FilterMessage(event.CallerClosed.Name).All()
+	assert.Equal(r.t, len(found), 0, "%v", found)
+}
+
+// is compares the fields that do not depend on time.
+func is(t *testing.T, got map[string]any, want map[string]any) {
+	t.Helper()
+	for name, v := range want {
+		assert.Equal(t, fmt.Sprint(got[name]), fmt.Sprint(v), "%s of %v", name, got)
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+
+func TestIdleConnectionsAreCountedOnly(t *testing.T) {
+	r := newRig(t, ok)
+	c := r.dial()
+	r.send(c, get("a"))
+	r.answer(c)
+	r.until(connCounts{open: 1})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.callers.sweep(time.Now())
+		if r.callers.conns.counts().open > 0 {
+			return poll.Continue("open")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	r.counted("caller_connections_accepted_total 1")
+	r.counted("caller_connections_closed_total.idle 1")
+	r.silent()
+}
+
+func TestTheStopClosesIdleConnections(t *testing.T) {
+	r := newRig(t, ok)
+	c := r.dial()
+	r.send(c, get("a"))
+	r.answer(c)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.callers.closeIdle()
+		if r.callers.conns.counts().open > 0 {
+			return poll.Continue("open")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	r.counted("caller_connections_closed_total.stop 1")
+	r.silent()
+}
+
+func TestALastAnswerIsCountedOnly(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+	c := r.dial()
+	r.send(c, get("a"))
+	r.answer(c)
+	r.counted("caller_connections_closed_total.last 1")
+	r.silent()
+}
+
+func TestACallerThatGoesIsCountedOnly(t *testing.T) {
+	r := newRig(t, func(_ http.ResponseWriter, q *http.Request) {
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	})
+	c := r.dial()
+	r.send(c, get("a"))
+	r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
+	assert.NilError(t, c.Close())
+	r.counted("caller_connections_closed_total.caller 1")
+	r.counted("caller_connections_closed_unanswered_total.caller 1")
+	r.silent()
+}
+
+// Symptom: a caller gets no answer, and the host's log has nothing of it.
+// Sequence: part of a head is read; the process ends.
+// Cause: whatever has no handler is closed without a line.
+func TestAHalfReadRequestAtTheEndIsLogged(t *testing.T) {
+	r := newRig(t, ok)
+	fresh := r.dial()
+	c := r.dial()
+	r.send(c, "GET / HT")
+	r.until(connCounts{open: 2, underWay: 1, new: 1})
+	r.callers.close()
+	r.until(connCounts{})
+	is(t, r.one(), map[string]any{"reason": "end", "phase": "reading", "read_bytes": 8, "unanswered": false, "requests": 0, "request": nil,
+		"caller": c.LocalAddr()})
+	r.counted("caller_connections_closed_total.end 2")
+	assert.NilError(t, fresh.Close())
+}
+
+// Symptom: a caller gets no answer, and no line names its request.
+// Sequence: the process ends while the request's handler runs.
+// Cause: the close of its connection is not logged.
+func TestARequestCutAtTheEndIsLogged(t *testing.T) {
+	end := make(chan struct{})
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { <-end })
+	defer close(end)
+	c := r.dial()
+	r.send(c, get("a"))
+	r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
+	r.callers.close()
+	is(t, r.one(), map[string]any{"reason": "end", "phase": "handling", "unanswered": true, "requests": 1, "answers": 0, "request": "a",
+		"written_bytes": 0, "read_bytes": len(get("a"))})
+	r.counted("caller_connections_closed_unanswered_total.end 1")
+}
+
+// Symptom: a caller gets no answer, and the request counts as served.
+// Sequence: its handler returns; the process ends before the server has
+// written the answer.
+// Cause: what a handler returned is not yet with the caller.
+func TestAnAnswerThatIsNotWrittenAtTheEndIsLogged(t *testing.T) {
+	r := newRig(t, ok)
+	near, far := net.Pipe() // nobody reads at the far end, so that the answer waits to be written
+	go func() { _, _ = io.WriteString(far, get("a")) }()
+	one := &oneConn{conn: near, done: make(chan struct{})}
+	go func() { _ = r.callers.server.Serve(callerListener{one, r.callers.conns}) }()
+	r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.callers.active.Load() > 0 {
+			return poll.Continue("handled")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	r.callers.close()
+	is(t, r.one(), map[string]any{"reason": "end", "phase": "answering", "unanswered": true, "written_bytes": 0, "request": "a"})
+}
+
+// Symptom: a refused caller sees its connection reset instead of the answer.
+// Sequence: a request is refused at its head; its body is not read; the
+// process ends while the server waits before it closes the connection.
+// Cause: bytes that nobody read make the close a reset.
+func TestARefusalBesideABodyAtTheEndIsLogged(t *testing.T) {
+	r := newRig(t, ok)
+	track := r.callers.conns.track("a")
+	track.didRead(4096, 100, nil)
+	track.begin(http.Header{testID: {"a"}})
+	track.end(true)
+	track.willWrite()
+	track.didWrite(150, nil)
+	r.callers.conns.ending.Store(true)
+	s, _ := track.close()
+	r.callers.conns.closed(track, s)
+	is(t, r.one(), map[string]any{"reason": "end", "phase": "answering", "unanswered": false, "read_bytes": 100, "written_bytes": 150, "request": "a"})
+}
+
+func TestAnAbortedRequestIsLogged(t *testing.T) {
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	c := r.dial()
+	r.send(c, get("a"))
+	r.counted("caller_connections_closed_unanswered_total.aborted 1")
+	is(t, r.one(), map[string]any{"reason": "aborted", "phase": "answering", "unanswered": true, "request": "a"})
+}
+
+func TestBytesOfAClosedConnectionAreLogged(t *testing.T) {
+	r := newRig(t, ok)
+	track := r.callers.conns.track("a")
+	track.closeFor(closedStop)
+	s, first := track.close()
+	assert.Assert(t, first)
+	r.callers.conns.closed(track, s)
+	r.silent()
+	track.didRead(4096, 20, nil)
+	track.didRead(4096, 20, nil)
+	track.begin(http.Header{testID: {"a"}})
+	found := r.lines.FilterMessage(event.CallerClosed.Name).All()
+	assert.Equal(t, len(found), 2)
+	is(t, found[0].ContextMap(), map[string]any{"reason": "stop", "phase": "late_read", "read_bytes": 20, "unanswered": false})
+	is(t, found[1].ContextMap(), map[string]any{"reason": "stop", "phase": "late_begun", "read_bytes": 40, "unanswered": true, "request": "a"})
+}
+
+func TestAByteBeforeTheAnswerIsOfTheNextRequest(t *testing.T) {
+	r := newRig(t, ok)
+	track := r.callers.conns.track("a")
+	track.didRead(4096, 100, nil)
+	track.begin(http.Header{testID: {"a"}})
+	track.didRead(aheadRead, 1, nil)
+	track.end(true)
+	track.idle()
+	track.closeFor(closedIdle)
+	s, _ := track.close()
+	r.callers.conns.closed(track, s)
+	is(t, r.one(), map[string]any{"reason": "idle", "phase": "reading", "read_bytes": 1, "unanswered": false, "request": nil, "answers": 1})
+}
+
+func TestLinesOfConnectionsAreBounded(t *testing.T) {
+	l := newConnLog(event.NewLog(nil), metrics.New(), nil)
+	for range connLinesMost {
+		assert.Assert(t, l.mayWrite(7))
+	}
+	assert.Assert(t, !l.mayWrite(7))
+	assert.Assert(t, l.mayWrite(8))
+}
+
+// oneConn is a listener that has one connection.
+type oneConn struct {
+	conn net.Conn
+	done chan struct{}
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.done
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error {
+	select {
+	case <-l.done:
+	default:
+		close(l.done)
+	}
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -110,7 +110,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers at %s", h.set.Callers)
 	}
-	h.callers = newCallers(ln, h.gate, h.idleBound, h.deps.Log)
+	attempt := func(head http.Header) string { return h.deps.Platform.Codec.Request(head).Attempt }
+	h.callers = newCallers(ln, h.gate, h.idleBound, newConnLog(h.deps.Log, h.deps.Metrics, attempt))
 	h.ready = &http.Server{Handler: h.readiness(), ReadHeaderTimeout: adminBound}
 	h.metrics = &http.Server{Handler: h.metricsPage(), ReadHeaderTimeout: adminBound}
 	return nil
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/pace"
 )
 
@@ -49,10 +50,18 @@
 	for until := time.Now().Add(answerBound); h.callers.active.Load() > 0 && time.Now().Before(until); {
 		pace.Sleep(wait, stopLook/5)
 	}
-	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", time.Since(began)))
+	h.tellStopped(time.Since(began))
 	return nil
 }
 
+// tellStopped logs what the end of the process finds open.
+func (h *Host) tellStopped(took time.Duration) {
+	n := h.callers.conns.counts()
+	h.deps.Metrics.Observe(metrics.StopTime, "host", took)
+	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", took),
+		zap.Int("open", n.open), zap.Int("under_way", n.underWay), zap.Int("unanswered", n.unanswered), zap.Int("new", n.new))
+}
+
 // hangups reads the settings again when told to. What is in use since the
 // start stays: addresses cannot change under open connections.
 func (h *Host) hangups(ctx context.Context) error {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -47,6 +47,15 @@
 	Goroutines       Name = "goroutines"
 )
 
+// Counters and gauges of the callers' connections.
+const (
+	CallersAccepted   Name = "caller_connections_accepted_total"
+	CallersClosed     Name = "caller_connections_closed_total"            // by reason
+	CallersUnanswered Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
+	CallersOpen       Name = "caller_connections_open"
+	CallersUnderWay   Name = "caller_connections_under_way" // with something of a request that is not answered
+)
+
 // ofRuntime are the metrics that the runtime keeps.
 var ofRuntime = map[Name]string{
 	HeapLive:    "/gc/heap/live:bytes",
@@ -100,6 +109,9 @@
 // Count adds to a counter or gauge of the host.
 func (s *Set) Count(n Name, by int64) { s.root.Add(string(n), by) }
 
+// CountKind adds to one kind of a counter of the host. The kinds must be few.
+func (s *Set) CountKind(n Name, kind string, by int64) { s.nested(s.root, string(n)).Add(kind, by) }
+
 // AddTokens counts relayed tokens; it is on the path of each of them.
 func (s *Set) AddTokens(by int) { s.tokens.Add(int64(by)) }
 
@@ -107,6 +119,7 @@
 const (
 	AnswerTime    Name = "answer_time"
 	FirstByteTime Name = "first_byte_time"
+	StopTime      Name = "stop_time" // from the signal to the end
 )
 
 // Bounds of the durations that are told apart, in microseconds.
