Four ways in which a stop loses a request, as failing tests

Read in node/host/callers.go and net/http, then shown with connections that the tests stop within their calls; nothing depends on timing or load.

--- /dev/null
+++ b/node/host/underway_test.go
@@ -0,0 +1,347 @@
+package host
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+)
+
+// hold stops whoever comes to it, once, from when it is set until it is let go.
+type hold struct {
+	set              atomic.Bool
+	reached, release chan struct{}
+}
+
+func newHold() *hold { return &hold{reached: make(chan struct{}), release: make(chan struct{})} }
+
+func (h *hold) pass() {
+	if h.set.CompareAndSwap(true, false) {
+		close(h.reached)
+		<-h.release
+	}
+}
+
+// heldListener accepts connections that a test can stop within their calls.
+type heldListener struct {
+	net.Listener
+	wasRead, write *hold // after bytes came from the kernel, and before they go to it
+	reads          atomic.Int64
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{nc.(*net.TCPConn), l}, nil
+}
+
+type heldConn struct {
+	*net.TCPConn
+	l *heldListener
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	c.l.reads.Add(1)
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.l.wasRead.pass()
+	}
+	return n, err
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	c.l.write.pass()
+	return c.TCPConn.Write(p)
+}
+
+// served is callers' connections under a test's control.
+type served struct {
+	t       *testing.T
+	ln      *heldListener
+	callers *callers
+	idle    chan struct{} // a connection waits for its next request
+	closed  chan struct{} // the server is done with a connection
+	ran     atomic.Int64  // handlers
+}
+
+// serveCallers serves h; inIdle is called after a connection became idle and
+// before the server reads on.
+func serveCallers(t *testing.T, h http.HandlerFunc, inIdle func()) *served {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &served{t: t, ln: &heldListener{Listener: ln, wasRead: newHold(), write: newHold()},
+		idle: make(chan struct{}, 10), closed: make(chan struct{}, 10)}
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.ran.Add(1)
+		h(w, r)
+	})
+	s.callers = newCallers(s.ln, counted, func() time.Duration { return time.Minute }, newConnLog(event.NewLog(nil), metrics.New(), func(http.Header) string { return "" }))
+	state := s.callers.server.ConnState
+	s.callers.server.ConnState = func(nc net.Conn, to http.ConnState) {
+		state(nc, to)
+		switch to {
+		case http.StateIdle:
+			if inIdle != nil {
+				inIdle()
+			}
+			s.idle <- struct{}{}
+		case http.StateClosed:
+			s.closed <- struct{}{}
+		}
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.callers.serve() }()
+	t.Cleanup(func() {
+		s.callers.closeListener()
+		s.callers.close()
+		assert.NilError(t, <-done)
+	})
+	return s
+}
+
+// caller is a caller's end of a connection.
+type caller struct {
+	net.Conn
+	t   *testing.T
+	buf *bufio.Reader
+}
+
+func (s *served) dial() *caller {
+	s.t.Helper()
+	nc, err := net.Dial("tcp", s.ln.Addr().String())
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	return &caller{nc, s.t, bufio.NewReader(nc)}
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	assert.NilError(c.t, err)
+}
+
+// answer reads a whole answer.
+func (c *caller) answer() (string, error) {
+	resp, err := http.ReadResponse(c.buf, nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// answered checks the next answer.
+func (c *caller) answered(want string) {
+	c.t.Helper()
+	got, err := c.answer()
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, got, want)
+}
+
+// stop looks as a stop does until nothing is under way, then ends what is left.
+func (s *served) stop() {
+	s.t.Helper()
+	for end := time.Now().Add(8 * time.Second); s.callers.closeIdle() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(s.t, time.Now().Before(end), "the stop does not end")
+	}
+	s.callers.close()
+}
+
+// within waits for c.
+func within(t *testing.T, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(8 * time.Second):
+		t.Fatalf("not within 8 s: %s", what)
+	}
+}
+
+const plainGet = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
+
+func sayOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// Symptom: a caller's connection ends without an answer though its whole
+// request was read and was passed on, or refused.
+// Sequence: the handler has returned and the server has not written the answer
+// yet, or a stream's last chunk; or the request is read and its handler has not
+// begun. The stop looks, finds nothing under way and closes every connection.
+// Cause: what is under way is taken to be the handlers that run. The count of
+// the last look is the evidence: 0 while a request is read or answered.
+func TestWhatIsUnderWayIsCounted(t *testing.T) {
+	t.Parallel()
+	t.Run("short answer", func(t *testing.T) {
+		var s *served
+		s = serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+			sayOK(w, r)
+			s.ln.write.set.Store(true)
+		}, nil)
+		c := s.dial()
+		c.send(plainGet)
+		within(t, "the answer is written", s.ln.write.reached)
+		assert.Equal(t, s.callers.closeIdle(), int64(1))
+		close(s.ln.write.release)
+		s.stop()
+		c.answered("ok")
+	})
+	t.Run("end of a stream", func(t *testing.T) {
+		var s *served
+		s = serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+			sayOK(w, r)
+			_ = http.NewResponseController(w).Flush()
+			s.ln.write.set.Store(true)
+		}, nil)
+		c := s.dial()
+		c.send(plainGet)
+		within(t, "the last chunk is written", s.ln.write.reached)
+		assert.Equal(t, s.callers.closeIdle(), int64(1))
+		close(s.ln.write.release)
+		s.stop()
+		c.answered("ok")
+	})
+	t.Run("head of the first request", func(t *testing.T) {
+		s := serveCallers(t, sayOK, nil)
+		c := s.dial()
+		readInHalves(s, c, 0)
+	})
+	t.Run("head of the next request", func(t *testing.T) {
+		s := serveCallers(t, sayOK, nil)
+		c := s.dial()
+		c.send(plainGet)
+		c.answered("ok")
+		within(t, "the connection is idle", s.idle)
+		eventually(t, func() bool { return s.ln.reads.Load() >= 3 }) // the request, ahead of the next, the next
+		readInHalves(s, c, s.ln.reads.Load()-1)
+	})
+}
+
+// readInHalves sends a request of which the server has half at the first look.
+// Before it, the connection was read from as often as given.
+func readInHalves(s *served, c *caller, before int64) {
+	s.t.Helper()
+	half := len(plainGet) / 2
+	c.send(plainGet[:half])
+	eventually(s.t, func() bool { return s.ln.reads.Load() == before+2 }) // it waits for the other half
+	assert.Equal(s.t, s.callers.closeIdle(), int64(1))
+	c.send(plainGet[half:])
+	s.stop()
+	c.answered("ok")
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+}
+
+// Symptom: a request runs at an upstream, and its caller has neither an answer
+// nor a refusal.
+// Sequence: a kept connection is chosen to be closed, at a stop or for being
+// idle; the server's read has the next request already and has not said so; or
+// the request came together with the one before. The connection is closed and
+// the request is handled.
+// Cause: the choice and the read do not agree on which came first. The
+// evidence is the handler's run after the connection's end.
+func TestAClosedConnectionServesNothing(t *testing.T) {
+	t.Parallel()
+	for name, choose := range map[string]func(*callers){
+		"at a stop":         func(c *callers) { c.closeIdle() },
+		"at the idle bound": func(c *callers) { c.sweep(time.Now().Add(time.Hour)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveCallers(t, sayOK, nil)
+			c := s.dial()
+			c.send(plainGet)
+			c.answered("ok")
+			within(t, "the connection is idle", s.idle)
+			s.ln.wasRead.set.Store(true)
+			c.send(plainGet)
+			within(t, "the next request is read", s.ln.wasRead.reached)
+			choose(s.callers)
+			close(s.ln.wasRead.release)
+			s.servedOrNot(c, 2)
+		})
+		t.Run("sent ahead, "+name, func(t *testing.T) {
+			chosen := atomic.Bool{}
+			var s *served
+			s = serveCallers(t, sayOK, func() {
+				if chosen.CompareAndSwap(false, true) {
+					choose(s.callers)
+				}
+			})
+			c := s.dial()
+			c.send(plainGet + plainGet)
+			c.answered("ok")
+			s.servedOrNot(c, 2)
+		})
+	}
+}
+
+// servedOrNot checks that the caller's last request has an answer, or did not run.
+func (s *served) servedOrNot(c *caller, requests int64) {
+	s.t.Helper()
+	got, err := c.answer()
+	if err == nil {
+		assert.Equal(s.t, got, "ok")
+		return
+	}
+	within(s.t, "the server is done with the connection", s.closed)
+	assert.Equal(s.t, s.ran.Load(), requests-1, "a request ran and its caller got: %v", err)
+}
+
+// Symptom: a caller who is refused sees its connection reset in place of the refusal.
+// Sequence: the refusal is written at the head; the caller still sends the
+// body. The process ends, or the server closes the connection.
+// Cause: the connection is closed with bytes unread, and a reset is sent, which
+// overtakes the refusal on its way or ends the caller's write. The evidence is
+// the error at the caller, and the count of the last look.
+func TestARefusalReachesACallerWhoStillSends(t *testing.T) {
+	t.Parallel()
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", "3")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "no\n")
+	}
+	for name, of := range map[string]struct {
+		size int
+		head string
+	}{
+		"small body":                {size: 100 << 10},
+		"large body":                {size: 2 << 20},
+		"a caller's own last words": {size: 100 << 10, head: "Connection: close\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serveCallers(t, refuse, nil)
+			c := s.dial()
+			c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: site.example\r\n%sContent-Length: %d\r\n\r\n", of.head, of.size))
+			c.send(strings.Repeat("x", of.size/2))
+			c.answered("no\n") // before the body is in
+			stopped := make(chan struct{})
+			assert.Equal(t, s.callers.closeIdle(), int64(1))
+			go func() { defer close(stopped); s.stop() }()
+			c.send(strings.Repeat("x", of.size/2))
+			_, err := io.Copy(io.Discard, c.buf)
+			assert.NilError(t, err, "the connection does not end properly")
+			_ = c.Close()
+			within(t, "the stop ends", stopped)
+		})
+	}
+}
