Count a request from its first byte until its answer is written

Cause: a host took the handlers that run for what is under way. The server reads and parses before a handler, and writes after it; and the choice to close an idle connection did not agree with a read that had the next request's bytes.

node/drain follows connections instead: quiet, busy, closing, each way out of quiet one compare-and-swap. A read that loses returns net.ErrClosed and no bytes, so that nothing runs for a caller who cannot be answered. A connection is quiet again when the server reads on after its answer, not when it is said to be idle: requests sent ahead are in the server's buffer then. The stop ends at the first look at which none is busy, and closes the quiet ones. After an answer that leaves a body unread the connection is half closed and read on, at most a second and 8 MB; what net/http reads of it by itself is bounded by a second too (it had no bound: a refused caller that sent one byte of its body kept its connection and a goroutine, shown by TestARefusedCallerIsNotAwaitedForLong, "not within 8 s"). One to three bytes of a next head kept a connection without a bound as well.

Two tests of the connections' account reached into what moved: one waits for the phase that is answering where it waited for the number of handlers, the benchmark of the wrapper calls it directly.

Ruled out: SetKeepAlivesEnabled(false) and Shutdown, which close what is idle by the state of the server alone; a read of the rest within the handler, which would hold the last chunk of an answer without a length back.

--- /dev/null
+++ b/node/drain/drain.go
@@ -0,0 +1,266 @@
+// Package drain serves HTTP on a listener so that a stop cuts no request off.
+//
+// What is under way is a property of a connection, not of a handler: a request
+// counts from its first byte until its answer is written. The HTTP server's own
+// states say less: it tells of a request when the head is whole, writes answers
+// after their handler has returned, and closes what it takes for idle without
+// asking whether something is being read.
+package drain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Reason is why a connection without a request is closed.
+type Reason string
+
+// The reasons.
+const (
+	Idle Reason = "idle" // for longer than is allowed
+	Stop Reason = "stop" // the server stops
+)
+
+// Config is what a Server is made of.
+type Config struct {
+	Listener net.Listener
+	// Secure wraps the listener, as for TLS; nil: connections stay plain.
+	Secure func(net.Listener) net.Listener
+	// Server serves the connections. Its handler and hooks become the Server's
+	// own, which call those that it has.
+	Server *http.Server
+	// Closing is told before a connection of Listener is closed; nil: nobody is.
+	Closing func(nc net.Conn, why Reason)
+}
+
+// Server serves the connections of one listener.
+type Server struct {
+	cfg   Config
+	began time.Time
+	ended chan struct{}
+	once  sync.Once
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	over  bool // no connection is taken any more
+}
+
+// New makes a Server.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, began: time.Now(), ended: make(chan struct{}), conns: map[*conn]struct{}{}}
+	cfg.Server.Handler = s.guard(cfg.Server.Handler)
+	cfg.Server.ConnState = s.state(cfg.Server.ConnState)
+	cfg.Server.ConnContext = s.context(cfg.Server.ConnContext)
+	return s
+}
+
+// Serve returns when the listener fails or after Close. The closing of the
+// listener alone does not end it: requests are still being finished then.
+func (s *Server) Serve() error {
+	var ln net.Listener = listener{s.cfg.Listener, s}
+	if s.cfg.Secure != nil {
+		ln = s.cfg.Secure(ln)
+	}
+	err := s.cfg.Server.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-s.ended
+		return nil
+	}
+	return eris.Wrap(err, "accept connections")
+}
+
+// CloseListener takes no more connections.
+func (s *Server) CloseListener() { _ = s.cfg.Listener.Close() }
+
+// Sweep closes the connections without a request for longer than most.
+func (s *Server) Sweep(now time.Time, most time.Duration) {
+	s.mu.Lock()
+	var due []*conn
+	for c := range s.conns {
+		if c.rested(now.Sub(s.began)) > most && c.choose() {
+			due = append(due, c)
+		}
+	}
+	s.mu.Unlock()
+	s.end(due, Idle)
+}
+
+// Look closes the connections that had an answer and have no request, and
+// returns how many have one. When none has, it closes the new ones too, and
+// the Server takes none any more: what is looked at last is then what ends.
+func (s *Server) Look() int {
+	s.mu.Lock()
+	due, active := s.choose((*conn).kept)
+	if active == 0 {
+		var rest []*conn
+		rest, active = s.choose(func(*conn) bool { return true })
+		due = append(due, rest...)
+		s.over = active == 0
+	}
+	s.mu.Unlock()
+	s.end(due, Stop)
+	return active
+}
+
+// choose takes from the connections what is to be closed, and counts those
+// with a request. The lock is held.
+func (s *Server) choose(which func(*conn) bool) (due []*conn, active int) {
+	for c := range s.conns {
+		switch {
+		case which(c) && c.choose():
+			due = append(due, c)
+		case c.phase.Load() == busy:
+			active++
+		}
+	}
+	return due, active
+}
+
+// end closes connections without the lock: TLS has last words to write.
+func (s *Server) end(due []*conn, why Reason) {
+	for _, c := range due {
+		if s.cfg.Closing != nil {
+			s.cfg.Closing(c.Conn, why)
+		}
+		_ = c.outer.Close()
+	}
+}
+
+// Active is the number of connections with a request that is read, handled or
+// answered.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.phase.Load() == busy {
+			n++
+		}
+	}
+	return n
+}
+
+// lookEach is how often Drain looks whether nothing is under way.
+const lookEach = 20 * time.Millisecond
+
+// Drain takes no more connections and waits until nothing is under way, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.CloseListener()
+	t := time.NewTicker(lookEach)
+	defer t.Stop()
+	for s.Look() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// Close ends whatever is left.
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.ended) })
+	s.mu.Lock()
+	s.over = true
+	s.mu.Unlock()
+	_ = s.cfg.Server.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Conn.Close() // one that lingers, which a second Close of TLS does not reach
+	}
+}
+
+// guard lets requests of open connections through, and notes what their
+// handler leaves of the body.
+func (s *Server) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := r.Context().Value(connKey{}).(*conn)
+		if !c.begin() {
+			panic(http.ErrAbortHandler) // nobody can be answered, so that nothing may run
+		}
+		rest := &body{ReadCloser: r.Body, whole: r.Body == http.NoBody}
+		own := r.WithContext(r.Context()) // the server needs the body that it made in its own
+		own.Body = rest
+		defer c.handled(w, rest)
+		h.ServeHTTP(w, own)
+	})
+}
+
+// state follows the server's states.
+func (s *Server) state(also func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(nc net.Conn, to http.ConnState) {
+		if also != nil {
+			also(nc, to)
+		}
+		c := own(nc)
+		switch to {
+		case http.StateNew:
+			s.mu.Lock()
+			c.outer = nc
+			s.mu.Unlock()
+		case http.StateActive:
+			c.waits = false
+		case http.StateIdle:
+			c.waits = true
+			c.unread.Store(true)
+		}
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func (s *Server) context(also func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, nc net.Conn) context.Context {
+		if also != nil {
+			ctx = also(ctx, nc)
+		}
+		return context.WithValue(ctx, connKey{}, own(nc))
+	}
+}
+
+// Under returns the connection of a Server's Listener below one that its hooks get.
+func Under(nc net.Conn) net.Conn { return own(nc).Conn }
+
+// own finds the Server's connection below what Secure made of it.
+func own(nc net.Conn) *conn {
+	for {
+		if c, ok := nc.(*conn); ok {
+			return c
+		}
+		nc = nc.(interface{ NetConn() net.Conn }).NetConn()
+	}
+}
+
+// listener follows the connections that it accepts.
+type listener struct {
+	net.Listener
+	s *Server
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, s: l.s}
+	c.outer = c
+	c.unread.Store(true)
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.s.over {
+		_ = nc.Close()
+		return nil, net.ErrClosed
+	}
+	l.s.conns[c] = struct{}{}
+	return c, nil
+}
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"log"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 )
 
@@ -23,35 +21,24 @@
 
 // callers serves the callers' connections.
 type callers struct {
-	ln     net.Listener
 	server *http.Server
+	drain  *drain.Server
 	bound  func() time.Duration
-	active atomic.Int64
 	conns  *connLog
-	ended  chan struct{}
-	once   sync.Once
-
-	mu   sync.Mutex
-	idle map[*callerConn]time.Time
 }
 
 func newCallers(ln net.Listener, h http.Handler, idleBound func() time.Duration, conns *connLog) *callers {
-	c := &callers{ln: ln, bound: idleBound, conns: conns, ended: make(chan struct{}), idle: map[*callerConn]time.Time{}}
-	c.server = &http.Server{Handler: c.count(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
+	c := &callers{bound: idleBound, conns: conns}
+	c.server = &http.Server{Handler: account(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
 		ConnContext: withConn, ErrorLog: log.New(complaints{conns.log}, "", 0)}
+	c.drain = drain.New(drain.Config{Listener: callerListener{ln, conns}, Server: c.server, Closing: c.closing})
 	return c
 }
 
-// count keeps the number of requests that a stop must wait for.
-func (c *callers) count(h http.Handler) http.Handler {
+// account keeps the connection's account of its handlers.
+func account(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.active.Add(1)
-		defer c.active.Add(-1)
-		own, ok := r.Context().Value(connKey{}).(*callerConn)
-		if !ok {
-			h.ServeHTTP(w, r)
-			return
-		}
+		own := r.Context().Value(connKey{}).(*callerConn)
 		returned := false
 		own.track.begin(r.Header)
 		defer func() { own.track.end(returned) }()
@@ -64,94 +51,47 @@
 type connKey struct{}
 
 func withConn(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
+	return context.WithValue(ctx, connKey{}, drain.Under(nc))
 }
 
 func (c *callers) state(nc net.Conn, s http.ConnState) {
-	own, ok := nc.(*callerConn)
-	if !ok {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s != http.StateIdle {
-		delete(c.idle, own)
-		return
+	if s == http.StateIdle {
+		drain.Under(nc).(*callerConn).track.idle()
 	}
-	own.track.idle()
-	own.phase.Store(connIdle)
-	c.idle[own] = time.Now()
+}
+
+func (c *callers) closing(nc net.Conn, why drain.Reason) {
+	nc.(*callerConn).track.closeFor(closeReason(why))
 }
 
 // sweep closes the connections that were idle for longer than the
 // configuration in force allows, which the server's own fixed bound cannot follow.
-func (c *callers) sweep(now time.Time) {
-	most := c.bound()
-	c.closeIf(closedIdle, func(since time.Time) bool { return now.Sub(since) > most })
-}
+func (c *callers) sweep(now time.Time) { c.drain.Sweep(now, c.bound()) }
 
 // closeIdle closes the connections without a request and returns how many
-// requests are left.
-func (c *callers) closeIdle() int64 {
-	c.closeIf(closedStop, func(time.Time) bool { return true })
-	return c.active.Load()
-}
-
-func (c *callers) closeIf(why closeReason, due func(since time.Time) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for own, since := range c.idle {
-		if due(since) && own.phase.CompareAndSwap(connIdle, connClosing) {
-			own.track.closeFor(why)
-			_ = own.Close()
-			delete(c.idle, own)
-		}
-	}
-}
+// have one.
+func (c *callers) closeIdle() int { return c.drain.Look() }
 
 // closeListener takes no more connections.
-func (c *callers) closeListener() { _ = c.ln.Close() }
-
-// serve returns when the listener fails or after close. The closing of the
-// listener alone does not end it: requests are still being finished then.
-func (c *callers) serve() error {
-	err := c.server.Serve(callerListener{c.ln, c.conns})
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		<-c.ended
-		return nil
-	}
-	return err
-}
+func (c *callers) closeListener() { c.drain.CloseListener() }
+
+func (c *callers) serve() error { return c.drain.Serve() }
 
 // close ends whatever is left.
 func (c *callers) close() {
-	c.once.Do(func() { close(c.ended) })
 	c.conns.ending.Store(true)
-	_ = c.server.Close()
+	c.drain.Close()
 }
 
-// The phases of a caller's connection between two requests.
-const (
-	connActive  int32 = iota // a request is being read or answered
-	connIdle                 // nothing came since the last answer
-	connClosing              // this host ends it
-)
-
-// callerConn knows, from the first byte on, that a request is being read. The
-// HTTP server tells only once it has the whole head; a connection that is
-// closed for being idle until then cuts off a request that was read.
+// callerConn keeps the account of a connection.
 type callerConn struct {
 	net.Conn
-	phase atomic.Int32
 	track *connTrack
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.phase.CompareAndSwap(connIdle, connActive)
-	}
 	c.track.didRead(len(p), n, err)
 	return n, err
 }
@@ -164,6 +104,14 @@
 	return n, err
 }
 
+// CloseWrite tells the other side that nothing follows.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	s, first := c.track.close()
--- a/node/host/callers_bench_test.go
+++ b/node/host/callers_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -45,21 +46,17 @@
 // BenchmarkConnection is what the connection's wrapper adds to a request: two
 // reads, a write, the handler and the change to idle.
 func BenchmarkConnection(b *testing.B) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(b, err)
-	defer ln.Close()
-	c := benchCallers(ln, ok)
-	own := benchConn(c, nullConn{})
+	own := &callerConn{Conn: nullConn{}, track: newConnLog(event.NewLog(nil), metrics.New(), nil).track("a")}
 	buf := make([]byte, 512)
-	h := c.count(http.HandlerFunc(ok))
-	w, r := nullAnswer{}, (&http.Request{Header: http.Header{}}).WithContext(withConn(b.Context(), own))
+	h := account(http.HandlerFunc(ok))
+	w, r := nullAnswer{}, (&http.Request{Header: http.Header{}}).WithContext(context.WithValue(b.Context(), connKey{}, own))
 	b.ReportAllocs()
 	for b.Loop() {
 		_, _ = own.Read(buf)
 		h.ServeHTTP(w, r)
 		_, _ = own.Read(buf[:1])
 		_, _ = own.Write(buf)
-		c.state(own, http.StateIdle)
+		own.track.idle()
 	}
 }
 
@@ -72,7 +69,3 @@
 func benchCallers(ln net.Listener, h http.HandlerFunc) *callers {
 	return newCallers(ln, h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil))
 }
-
-func benchConn(c *callers, nc net.Conn) *callerConn {
-	return &callerConn{Conn: nc, track: c.conns.track("a")}
-}
--- a/node/host/callers_test.go
+++ b/node/host/callers_test.go
@@ -25,16 +25,21 @@
 // rig is a callers' listener with a handler of the test's.
 type rig struct {
 	t       *testing.T
+	ln      net.Listener
 	callers *callers
 	lines   *observer.ObservedLogs
 	set     *metrics.Set
 }
 
 func newRig(t *testing.T, h http.HandlerFunc) *rig {
-	core, lines := observer.New(zap.DebugLevel)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	r := &rig{t: t, lines: lines, set: metrics.New()}
+	return newRigAt(t, ln, h)
+}
+
+func newRigAt(t *testing.T, ln net.Listener, h http.HandlerFunc) *rig {
+	core, lines := observer.New(zap.DebugLevel)
+	r := &rig{t: t, ln: ln, lines: lines, set: metrics.New()}
 	conns := newConnLog(event.NewLog(zap.New(core)), r.set, func(h http.Header) string { return h.Get(testID) })
 	r.callers = newCallers(ln, h, func() time.Duration { return 0 }, conns)
 	served := make(chan error, 1)
@@ -47,7 +52,7 @@
 }
 
 func (r *rig) dial() net.Conn {
-	c, err := net.Dial("tcp", r.callers.ln.Addr().String())
+	c, err := net.Dial("tcp", r.ln.Addr().String())
 	assert.NilError(r.t, err)
 	r.t.Cleanup(func() { _ = c.Close() })
 	return c
@@ -78,6 +83,18 @@
 	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
 }
 
+// answering says whether a handler has returned and its answer is not written.
+func (r *rig) answering() bool {
+	r.callers.conns.mu.Lock()
+	defer r.callers.conns.mu.Unlock()
+	for t := range r.callers.conns.open {
+		if t.snapshot().phase == phaseAnswering {
+			return true
+		}
+	}
+	return false
+}
+
 // counted waits for a line of the metrics.
 func (r *rig) counted(line string) {
 	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
@@ -207,18 +224,16 @@
 // written the answer.
 // Cause: what a handler returned is not yet with the caller.
 func TestAnAnswerThatIsNotWrittenAtTheEndIsLogged(t *testing.T) {
-	r := newRig(t, ok)
 	near, far := net.Pipe() // nobody reads at the far end, so that the answer waits to be written
 	go func() { _, _ = io.WriteString(far, get("a")) }()
-	one := &oneConn{conn: near, done: make(chan struct{})}
-	go func() { _ = r.callers.server.Serve(callerListener{one, r.callers.conns}) }()
-	r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
+	r := newRigAt(t, &oneConn{conn: near, done: make(chan struct{})}, ok)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if r.callers.active.Load() > 0 {
-			return poll.Continue("handled")
+		if !r.answering() {
+			return poll.Continue("not answered yet")
 		}
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
+	r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
 	r.callers.close()
 	is(t, r.one(), map[string]any{"reason": "end", "phase": "answering", "unanswered": true, "written_bytes": 0, "request": "a"})
 }
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -37,7 +37,7 @@
 	}
 	began := time.Now()
 	h.draining.Store(true)
-	h.log.Emit(event.HostStopping, zap.Int64("active", h.callers.active.Load()))
+	h.log.Emit(event.HostStopping, zap.Int("active", h.callers.drain.Active()))
 	grace := seconds(h.set.Bounds.GraceS) - stopReserve
 	wait := context.WithoutCancel(ctx)
 	pace.Sleep(wait, min(balancerNotice, grace/2))
@@ -47,7 +47,7 @@
 		pace.Sleep(wait, stopLook)
 	}
 	h.giveUp()
-	for until := time.Now().Add(answerBound); h.callers.active.Load() > 0 && time.Now().Before(until); {
+	for until := time.Now().Add(answerBound); h.callers.closeIdle() > 0 && time.Now().Before(until); {
 		pace.Sleep(wait, stopLook/5)
 	}
 	h.tellStopped(time.Since(began))
@@ -58,7 +58,7 @@
 func (h *Host) tellStopped(took time.Duration) {
 	n := h.callers.conns.counts()
 	h.deps.Metrics.Observe(metrics.StopTime, "host", took)
-	h.log.Emit(event.HostStopped, zap.Int64("cut", h.callers.active.Load()), zap.Duration("took", took),
+	h.log.Emit(event.HostStopped, zap.Int("cut", h.callers.drain.Active()), zap.Duration("took", took),
 		zap.Int("open", n.open), zap.Int("under_way", n.underWay), zap.Int("unanswered", n.unanswered), zap.Int("new", n.new))
 }
 
--- a/node/host/underway_test.go
+++ b/node/host/underway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -194,7 +195,7 @@
 		c := s.dial()
 		c.send(plainGet)
 		within(t, "the answer is written", s.ln.write.reached)
-		assert.Equal(t, s.callers.closeIdle(), int64(1))
+		assert.Equal(t, s.callers.closeIdle(), 1)
 		close(s.ln.write.release)
 		s.stop()
 		c.answered("ok")
@@ -209,7 +210,7 @@
 		c := s.dial()
 		c.send(plainGet)
 		within(t, "the last chunk is written", s.ln.write.reached)
-		assert.Equal(t, s.callers.closeIdle(), int64(1))
+		assert.Equal(t, s.callers.closeIdle(), 1)
 		close(s.ln.write.release)
 		s.stop()
 		c.answered("ok")
@@ -237,7 +238,7 @@
 	half := len(plainGet) / 2
 	c.send(plainGet[:half])
 	eventually(s.t, func() bool { return s.ln.reads.Load() == before+2 }) // it waits for the other half
-	assert.Equal(s.t, s.callers.closeIdle(), int64(1))
+	assert.Equal(s.t, s.callers.closeIdle(), 1)
 	c.send(plainGet[half:])
 	s.stop()
 	c.answered("ok")
@@ -335,7 +336,7 @@
 			c.send(strings.Repeat("x", of.size/2))
 			c.answered("no\n") // before the body is in
 			stopped := make(chan struct{})
-			assert.Equal(t, s.callers.closeIdle(), int64(1))
+			assert.Equal(t, s.callers.closeIdle(), 1)
 			go func() { defer close(stopped); s.stop() }()
 			c.send(strings.Repeat("x", of.size/2))
 			_, err := io.Copy(io.Discard, c.buf)
@@ -345,3 +346,23 @@
 		})
 	}
 }
+
+// Symptom: connections pile up, or a stop takes its whole grace.
+// Sequence: callers are refused at the head and never send the rest of the body.
+// Cause: the rest is awaited without a bound.
+func TestARefusedCallerIsNotAwaitedForLong(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{"kept": "", "closed": "Connection: close\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serveCallers(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, nil)
+			c := s.dial()
+			c.send("POST / HTTP/1.1\r\nHost: site.example\r\n" + head + "Content-Length: 100\r\n\r\nx")
+			began := time.Now()
+			within(t, "the connection ends", s.closed)
+			assert.Assert(t, time.Since(began) < 4*time.Second)
+			_, err := c.answer()
+			assert.Assert(t, err == nil || errors.Is(err, io.EOF), "%v", err)
+		})
+	}
+}
