The reader of a connection decides whether it closes

Cause: a stop, or the idle bound, closed a connection that it took for quiet while its reader had the next request's bytes: a request that was read whole ended with neither an answer nor a refusal. Closing now asks: the phase changes, and a deadline in the past wakes the reader. It closes the connection if nothing came, and looks for bytes that wait; a request that comes first is served or refused. The stop ends when no connection is left that has a request or may have one. Ruled out: a lock over the read (it waits for seconds); closing after a look at the kernel's buffer (the bytes may be in the reader's hands).

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -1,19 +1,25 @@
 package drain
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-// The phases of a connection. The way from quiet is one change, so that a
-// request that comes and a choice to close cannot both have it.
+// The phases of a connection. Only its reader makes it closing: bytes that have
+// left the kernel are known to nobody else, and a request among them would end
+// without an answer. Who wants it closed asks, and wakes the reader.
 const (
 	quiet   int32 = iota // nothing came, ever or since the last answer
 	busy                 // a request is read, handled or answered
-	closing              // it was quiet, and is being closed
+	asked                // it was quiet, and is to be closed unless a request comes first
+	closing              // it is being closed, and nothing more is read
 )
 
 const (
@@ -35,8 +41,9 @@
 type conn struct {
 	net.Conn
 	s     *Server
-	outer net.Conn // what the HTTP server has; under the Server's lock
 	phase atomic.Int32
+	limit sync.Mutex   // held over a change of the deadline of reads, with the phase that it goes by
+	why   Reason       // it is asked
 	since atomic.Int64 // from the Server's begin to the last change to quiet, ns; 0: no answer yet
 	// unread says that bytes of the last request may still come.
 	unread  atomic.Bool
@@ -58,36 +65,120 @@
 	return now - time.Duration(c.since.Load())
 }
 
-// choose takes a connection without a request for closing.
-func (c *conn) choose() bool { return c.phase.CompareAndSwap(quiet, closing) }
+// past ends a wait for bytes at once.
+var past = time.Unix(1, 0)
+
+// ask has a connection without a request closed by its reader, unless one comes first.
+func (c *conn) ask(why Reason) {
+	c.limit.Lock()
+	defer c.limit.Unlock()
+	if c.phase.Load() != quiet {
+		return
+	}
+	c.why = why // before the phase, after which the reader goes by it
+	if c.phase.CompareAndSwap(quiet, asked) {
+		_ = c.Conn.SetReadDeadline(past) // it fails on one that has ended, whose reader sees that by itself
+	}
+}
+
+// SetReadDeadline implements net.Conn. The HTTP server's own bounds do not put
+// off the end of a connection that is asked to close.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.limit.Lock()
+	defer c.limit.Unlock()
+	if p := c.phase.Load(); p == asked || p == closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
 
 // begin says whether a request may begin or go on.
 func (c *conn) begin() bool {
-	return c.phase.CompareAndSwap(quiet, busy) || c.phase.Load() == busy
+	if c.phase.CompareAndSwap(quiet, busy) || c.phase.Load() == busy {
+		return true
+	}
+	return c.stay()
+}
+
+// stay makes a connection busy that was asked to close.
+func (c *conn) stay() bool {
+	c.limit.Lock()
+	defer c.limit.Unlock()
+	if !c.phase.CompareAndSwap(asked, busy) {
+		return c.phase.Load() == busy
+	}
+	until := time.Time{}
+	if most := c.s.cfg.Server.ReadHeaderTimeout; most > 0 {
+		until = time.Now().Add(most)
+	}
+	_ = c.Conn.SetReadDeadline(until)
+	return true
 }
 
-// Read implements net.Conn. What comes out of a connection that is being closed
-// is not handed on: it would be handled, and nobody be answered.
+// Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	c.rest()
 	if len(p) == aheadRead {
 		c.unread.Store(false)
 	}
-	was := c.phase.Load()
+	next := c.phase.Load() != busy && c.kept()
 	n, err := c.Conn.Read(p)
+	if n <= 0 && c.phase.Load() == asked {
+		n, err = c.part(p, err)
+	}
 	if n <= 0 {
 		return n, err
 	}
 	if !c.begin() {
-		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+		return 0, c.ended() // this process has ended it by force
 	}
-	if was == quiet && c.kept() {
+	if next {
 		c.boundHead()
 	}
 	c.ahead = len(p) == aheadRead
 	return n, err
 }
 
+// part closes a connection that was asked to close, after a read that brought
+// nothing but err. Bytes that came before the read was woken are a request that
+// a close would destroy; they are read.
+func (c *conn) part(p []byte, err error) (int, error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() && c.stay() {
+		return c.Conn.Read(p)
+	}
+	if !c.phase.CompareAndSwap(asked, closing) {
+		return 0, err
+	}
+	if c.s.cfg.Closing != nil {
+		c.s.cfg.Closing(c.Conn, c.why)
+	}
+	return 0, c.ended()
+}
+
+// ended is the error of a read from a connection that is being closed. The HTTP
+// server takes it for the end of the connection, and answers nothing.
+func (c *conn) ended() error {
+	return &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: net.ErrClosed}
+}
+
+// pending says whether bytes wait to be read.
+func (c *conn) pending() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { // not Read, which heeds the deadline
+		var one [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // rest makes the connection quiet when the HTTP server reads on after an
 // answer. It does so only when it has handled all that it has read.
 func (c *conn) rest() {
@@ -107,7 +198,7 @@
 // byte on, and a connection with one to three would stay for ever.
 func (c *conn) boundHead() {
 	if most := c.s.cfg.Server.ReadHeaderTimeout; most > 0 {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(most))
+		_ = c.SetReadDeadline(time.Now().Add(most))
 	}
 }
 
--- /dev/null
+++ b/node/drain/conn_test.go
@@ -0,0 +1,79 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// pair is a followed connection, as its server has it, and its caller's end.
+func pair(t *testing.T) (*conn, net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(Config{Listener: ln, Server: &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}})
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	nc, err := listener{ln, s}.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _, _ = caller.Close(), nc.Close(), ln.Close() })
+	return nc.(*conn), caller
+}
+
+// Symptom: a caller's connection is reset though its request had arrived.
+// Sequence: a connection is asked to close while bytes wait to be read from it.
+// Cause: the close destroys them unread.
+func TestBytesThatWaitKeepAConnectionOpen(t *testing.T) {
+	c, caller := pair(t)
+	_, err := io.WriteString(caller, "GET")
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !c.pending() {
+			return poll.Continue("nothing came")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	c.ask(Stop)
+	buf := make([]byte, 8)
+	n, err := c.Read(buf)
+	assert.NilError(t, err)
+	assert.Equal(t, string(buf[:n]), "GET")
+	assert.Equal(t, c.phase.Load(), busy)
+	_, err = io.WriteString(caller, " /")
+	assert.NilError(t, err)
+	n, err = c.Read(buf)
+	assert.NilError(t, err, "the rest of the head is read too")
+	assert.Equal(t, string(buf[:n]), " /")
+}
+
+// Symptom: a stop hangs on a connection without a request.
+// Sequence: it is asked to close; the server then sets its own bound for the
+// wait for the next request, or has set none.
+// Cause: the bound puts the end of that wait off again.
+func TestAnAskedConnectionEndsWhateverTheServersBounds(t *testing.T) {
+	c, caller := pair(t)
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 8))
+		done <- err
+	}()
+	c.ask(Idle)
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	select {
+	case err := <-done:
+		assert.ErrorIs(t, err, net.ErrClosed)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the read does not end")
+	}
+	assert.Equal(t, c.phase.Load(), closing)
+	_, err := io.WriteString(caller, "GET")
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 8))
+	assert.Assert(t, err != nil, "nothing is read any more")
+	assert.Equal(t, c.s.Look(), 0)
+}
--- a/node/drain/drain.go
+++ b/node/drain/drain.go
@@ -35,7 +35,8 @@
 	// Server serves the connections. Its handler and hooks become the Server's
 	// own, which call those that it has.
 	Server *http.Server
-	// Closing is told before a connection of Listener is closed; nil: nobody is.
+	// Closing is told before a connection of Listener without a request is closed;
+	// nil: nobody is.
 	Closing func(nc net.Conn, why Reason)
 }
 
@@ -81,55 +82,42 @@
 // Sweep closes the connections without a request for longer than most.
 func (s *Server) Sweep(now time.Time, most time.Duration) {
 	s.mu.Lock()
-	var due []*conn
+	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.rested(now.Sub(s.began)) > most && c.choose() {
-			due = append(due, c)
+		if c.rested(now.Sub(s.began)) > most {
+			c.ask(Idle)
 		}
 	}
-	s.mu.Unlock()
-	s.end(due, Idle)
 }
 
-// Look closes the connections that had an answer and have no request, and
-// returns how many have one. When none has, it closes the new ones too, and
-// the Server takes none any more: what is looked at last is then what ends.
+// Look asks the connections that had an answer and have no request to close,
+// and returns how many have a request or may have one still. When none has, it
+// asks the new ones too; when none is left, the Server takes none any more:
+// what is looked at last is then what ends.
 func (s *Server) Look() int {
 	s.mu.Lock()
-	due, active := s.choose((*conn).kept)
-	if active == 0 {
-		var rest []*conn
-		rest, active = s.choose(func(*conn) bool { return true })
-		due = append(due, rest...)
-		s.over = active == 0
+	defer s.mu.Unlock()
+	left := s.ask((*conn).kept)
+	if left == 0 {
+		left = s.ask(func(*conn) bool { return true })
+		s.over = left == 0
 	}
-	s.mu.Unlock()
-	s.end(due, Stop)
-	return active
+	return left
 }
 
-// choose takes from the connections what is to be closed, and counts those
-// with a request. The lock is held.
-func (s *Server) choose(which func(*conn) bool) (due []*conn, active int) {
+// ask asks connections to close and counts those that have a request, or have
+// not closed yet. The lock is held.
+func (s *Server) ask(which func(*conn) bool) int {
+	left := 0
 	for c := range s.conns {
-		switch {
-		case which(c) && c.choose():
-			due = append(due, c)
-		case c.phase.Load() == busy:
-			active++
+		if which(c) {
+			c.ask(Stop)
 		}
-	}
-	return due, active
-}
-
-// end closes connections without the lock: TLS has last words to write.
-func (s *Server) end(due []*conn, why Reason) {
-	for _, c := range due {
-		if s.cfg.Closing != nil {
-			s.cfg.Closing(c.Conn, why)
+		if p := c.phase.Load(); p == busy || p == asked {
+			left++
 		}
-		_ = c.outer.Close()
 	}
+	return left
 }
 
 // Active is the number of connections with a request that is read, handled or
@@ -202,10 +190,6 @@
 		}
 		c := own(nc)
 		switch to {
-		case http.StateNew:
-			s.mu.Lock()
-			c.outer = nc
-			s.mu.Unlock()
 		case http.StateActive:
 			c.waits = false
 		case http.StateIdle:
@@ -253,7 +237,6 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, s: l.s}
-	c.outer = c
 	c.unread.Store(true)
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,6 +106,14 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		return sc.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // CloseWrite tells the other side that nothing follows.
 func (c *callerConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
