Test: an attempt at a silent upstream is ended though there is nowhere to go

Symptom: a stream that has begun ends without its end; a lookup gets 502. The fleet ends every attempt that may go elsewhere as soon as its upstream was silent for 0.7 s, whatever other upstreams there are, and however many attempts and repeats are left. An engine that puts a request aside for more urgent ones is silent for longer, and a model that few ask for is at one upstream only.

--- /dev/null
+++ b/node/gate/silent_test.go
@@ -0,0 +1,139 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/health"
+	"peridotpier.example/node/fleet"
+)
+
+// silence is how long an upstream of these tests may be silent.
+const silence = 40 * time.Millisecond
+
+// silenced is a gate whose upstreams are found silent after a short time. Its
+// one route is of the given kind, may be resumed and allows two attempts.
+func silenced(t *testing.T, kind deploy.Kind, upstreams ...http.HandlerFunc) (host *httptest.Server, f *fleet.Fleet) {
+	t.Helper()
+	g, _ := waiting(&modelless{}, "")
+	policy := health.Default
+	policy.Silence = silence
+	f = fleet.New(fleet.Config{Health: policy}, fleet.Deps{Log: g.deps.Log})
+	g.deps.Fleet = f
+	for i, handler := range upstreams {
+		up := httptest.NewServer(handler)
+		t.Cleanup(up.Close)
+		f.Apply([]deploy.Upstream{{ID: fmt.Sprintf("u%d", i), Service: "s", Address: up.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	}
+	table := *g.deps.Config.Current().Config
+	table.Version++
+	table.Routes = []deploy.Route{table.Routes[0]}
+	table.Routes[0].Kind, table.Routes[0].Attempts, table.Routes[0].Resumable = kind, 2, true
+	g.deps.Config.Offer(&table, "test")
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go func() {
+		for each := time.NewTicker(silence / 8); ; {
+			select {
+			case <-done:
+				each.Stop()
+				return
+			case <-each.C:
+				f.Sweep()
+			}
+		}
+	}()
+	host = httptest.NewServer(g)
+	t.Cleanup(host.Close)
+	return host, f
+}
+
+// ask sends one request and reads its answer.
+func ask(t *testing.T, host *httptest.Server) (status int, body string, err error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, host.URL+"/x", nil)
+	assert.NilError(t, err)
+	r.Host = "example.com"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	all, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(all), err
+}
+
+// event writes one event of a stream.
+func writeEvent(w http.ResponseWriter, n int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// Symptom: a stream that has begun ends without its end, though its upstream is
+// sound and works on it.
+// Sequence: a resumable stream begins; its upstream puts it aside for others that
+// are more urgent, and says nothing for a while; no other upstream could take it.
+// Cause: an attempt that may go elsewhere is ended before it is known that there
+// is anywhere to go.
+func TestAStreamThatCanGoNowhereStaysWithASilentUpstream(t *testing.T) {
+	host, _ := silenced(t, deploy.Stream, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(4 * silence)
+		writeEvent(w, 2)
+	})
+	status, body, err := ask(t, host)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+}
+
+// Symptom: a lookup fails though its upstream is about to answer it.
+// Sequence: the only upstream of a service says nothing for a while.
+// Cause: as above.
+func TestARequestThatCanGoNowhereStaysWithASilentUpstream(t *testing.T) {
+	host, _ := silenced(t, deploy.Idempotent, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * silence)
+		_, _ = io.WriteString(w, "whole")
+	})
+	status, body, err := ask(t, host)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+}
+
+// Symptom: a caller waits for an upstream that will not answer, though another could.
+// Sequence: the only upstream of a service goes silent; a while later another comes.
+// Cause: whether a request can go elsewhere is looked at once only.
+func TestARequestLeavesASilentUpstreamAsSoonAsItCanGoElsewhere(t *testing.T) {
+	asked := make(chan struct{})
+	host, f := silenced(t, deploy.Idempotent, func(_ http.ResponseWriter, r *http.Request) {
+		close(asked)
+		<-r.Context().Done()
+	})
+	var runs atomic.Int32
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer second.Close()
+	go func() {
+		<-asked
+		time.Sleep(4 * silence)
+		f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	}()
+	began := time.Now()
+	status, body, err := ask(t, host)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+	assert.Equal(t, runs.Load(), int32(1))
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
