A request leaves a silent upstream only for another; a begun stream waits

Cause: an attempt that may go elsewhere was ended at its upstream's silence (0.7 s) without a look at whether the request may be sent once more and another upstream could take it. A resumable stream that had begun, of a model that one upstream holds, was then cut though its upstream was sound; a lookup got 502. The same cut followed when the next upstream was full for a moment: the wait is counted from the request's start, and was over. Ruled out: streams that may not be resumed, they are not ended for silence.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -29,9 +29,11 @@
 	why        string
 	retryAfter time.Duration // that the upstream asked for
 	absent     bool          // nothing listens at the upstream's address
+	allowed    bool          // one more send was already taken from what repeats are allowed
 }
 
-// errSilent ends an attempt that can go elsewhere at an upstream gone silent.
+// errSilent ends an attempt at an upstream gone silent, once the request can go
+// elsewhere and one more send was taken from what repeats are allowed.
 var errSilent = errors.New("upstream is silent")
 
 // attempt sends the request to one upstream and relays its answer.
@@ -44,12 +46,14 @@
 		x.OnFirst(p.turn.First)
 		defer p.turn.End()
 	}
-	if q.mayRunAgain() {
-		x.OnSilence(func() { cancel(errSilent) })
-	}
 	q.tried[e.ID()] = true
 	q.sends++
 	q.last = e.ID()
+	l := &leaving{q: q, ctx: ctx, cancel: cancel}
+	defer l.end()
+	if q.mayRunAgain() && q.sends < q.route.Attempts {
+		x.OnSilence(l.silent)
+	}
 	now := d.Now()
 	d.Log.Emit(event.RequestSent, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.Int("among", p.among),
 		zap.Int("load", p.load), zap.Int("prompt", q.cost.Prompt), zap.Int("cached", p.cached), zap.Int("waiting", p.waiting), zap.Int64("predicted_ms", p.Predicted.Milliseconds()), zap.Uint64("version", q.version),
@@ -63,7 +67,8 @@
 		}
 		return res
 	}
-	return q.answered(ctx, e, x, resp)
+	l.heard.Add(1)
+	return q.answered(ctx, l, e, x, resp)
 }
 
 // hedgeShare is how many objectives a call of a plain service that may be
@@ -100,8 +105,8 @@
 	why := "broken"
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
-		why = "silent"
 		x.Dropped() // counted when it was found silent
+		return result{notRun: notRun, why: "silent", allowed: true}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		q.sends--
 		x.Absent()
@@ -119,7 +124,7 @@
 }
 
 // answered checks the head of an answer and takes what it is for.
-func (q *request) answered(ctx context.Context, e *fleet.Entry, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) answered(ctx context.Context, l *leaving, e *fleet.Entry, x *fleet.Exchange, resp *conn.Response) result {
 	facts := q.g.deps.Codec.Answer(resp.Status, resp.Header)
 	if facts.Load != nil {
 		x.Told(*facts.Load)
@@ -140,7 +145,7 @@
 	}
 	x.Heard()
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
-		return q.stream(ctx, x, resp)
+		return q.stream(ctx, l, x, resp)
 	}
 	return q.whole(ctx, x, resp)
 }
@@ -233,7 +238,7 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		x.Dropped()
-		return result{why: "silent"}
+		return result{why: "silent", allowed: true}
 	case q.ctx.Err() != nil:
 		x.Dropped()
 		return result{why: "time_up"}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -283,6 +283,9 @@
 		q.absent++
 		return q.absent <= absentMost
 	}
+	if res.allowed {
+		return true
+	}
 	bounded := q.sends < q.route.Attempts || res.notRun && q.sends < q.route.Attempts+refusedSends
 	return bounded && q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now())
 }
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -166,8 +166,12 @@
 	}
 }
 
-// hold is how long the request may wait for the reason to pass.
+// hold is how long the request may wait for the reason to pass. One whose
+// answer has begun can be refused no more; to give it up would cut it.
 func (q *request) hold(r balance.Reason) time.Duration {
+	if q.started {
+		return q.deadline.Sub(q.start)
+	}
 	hold := max(time.Duration(float64(q.route.Objective)*holdShare), shortestHold)
 	if r == balance.AllReading {
 		return time.Duration(float64(q.route.Objective) * readingShare)
--- a/node/gate/silent_test.go
+++ b/node/gate/silent_test.go
@@ -137,3 +137,34 @@
 	assert.Equal(t, runs.Load(), int32(1))
 	assert.Assert(t, time.Since(began) < 2*time.Second)
 }
+
+// Symptom: a stream that has begun ends without its end, though an upstream could
+// have gone on with it a moment later.
+// Sequence: a resumable stream breaks off when its time to wait for an upstream
+// is over; the other upstream is full for a little longer.
+// Cause: the wait is bounded as that of a request that can still be refused.
+func TestAStreamThatHasBegunWaitsToGoOn(t *testing.T) {
+	host, f := silenced(t, deploy.Stream, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(500 * time.Millisecond) // past an eighth of the route's objective
+		panic(http.ErrAbortHandler)
+	})
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) }))
+	defer second.Close()
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	e, _ := f.Entry("v")
+	var others []*fleet.Exchange
+	for range 12 { // its queue's bound
+		others = append(others, e.Begin(&fleet.Ask{}, fleet.Cost{}))
+	}
+	go func() {
+		time.Sleep(700 * time.Millisecond)
+		for _, x := range others {
+			x.Refused()
+		}
+	}()
+	status, body, err := ask(t, host)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+}
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -16,13 +16,14 @@
 
 // stream relays events as they arrive. One that breaks off ends without its
 // proper end, or goes on at another upstream where its route allows that.
-func (q *request) stream(ctx context.Context, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) stream(ctx context.Context, l *leaving, x *fleet.Exchange, resp *conn.Response) result {
 	events := splitter{whole: q.mayRunAgain(), last: q.after}
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			x.Heard()
+			l.heard.Add(1)
 			q.piece()
 			if werr := q.pass(resp, events.take(buf[:n])); werr != nil {
 				return q.unread(x, resp)
