A plain service is called without a model, whatever the caller names

Cause: a request with a model asks for a turn, and the look at its engine's events took the service for one with engines; the handler panicked and the connection ended without an answer. A caller's header or a configuration that moves a route is enough. Before: panic in request.reading. After: sent to any upstream of the service.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -165,9 +165,11 @@
 	if !q.read(table.Config.Limits) {
 		return false
 	}
-	q.ask = fleet.Ask{Model: q.facts.Model, Adapter: q.facts.Adapter, Parts: q.facts.Parts}
+	if q.service.Engine != nil { // a plain service runs no models, whatever its caller names
+		q.ask = fleet.Ask{Model: q.facts.Model, Adapter: q.facts.Adapter, Parts: q.facts.Parts}
+	}
 	q.cost = fleet.Cost{Prompt: q.facts.Prompt, Output: q.output()}
-	if q.facts.Model != "" {
+	if q.ask.Model != "" {
 		d.Models.Demand(q.service.Name, &q.facts, q.cost.Output, q.route.Objective, false)
 	}
 	d.Repeats.Request(q.service.Name, q.start)
