--- /dev/null
+++ b/node/coordinator/asking_test.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/gate"
+)
+
+// stalled is a host that gives one turn and then reads nothing more.
+type stalled struct {
+	coordpb.DRPCCoordinatorUnimplementedServer
+}
+
+func (*stalled) Turns(st coordpb.DRPCCoordinator_TurnsStream) error {
+	e, err := st.Recv()
+	if err != nil {
+		return err
+	}
+	if err := st.Send(&coordpb.TurnAnswer{Id: e.Id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: "u"}); err != nil {
+		return err
+	}
+	<-st.Context().Done()
+	return nil
+}
+
+// Symptom: requests end with the host's process, without an answer.
+// Sequence: the host that gives turns stops reading, as one that is frozen or
+// cut off does; the way there is full.
+// Cause: a handler tells of its request's progress by writing to that host
+// itself, and one that writes holds up all others; neither a deadline nor the
+// end of the grace ends that.
+func TestNoRequestWaitsForAHostThatReadsNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	mux := drpcmux.New()
+	assert.NilError(t, coordpb.DRPCRegisterCoordinator(mux, &stalled{}))
+	near, far := net.Pipe() // it holds no bytes: a write waits for its reader
+	go func() { _ = drpcserver.New(mux).ServeOne(ctx, far) }()
+	link := NewLink(LinkConfig{Host: "h", Address: "own"}, nil, func(context.Context, string, string) (net.Conn, error) { return near, nil }, event.NewLog(nil))
+	assert.NilError(t, link.asking.open(ctx, "other"))
+	q := &gate.TurnAsk{Service: "s", Ask: &fleet.Ask{Model: "m"}}
+	turn, err := link.Turn(ctx, q)
+	assert.NilError(t, err)
+	assert.Equal(t, turn.Upstream, "u")
+	within(t, func() {
+		for range 4 * turnQueue {
+			turn.First()
+		}
+		turn.End()
+	})
+	within(t, func() {
+		_, err := link.Turn(ctx, q)
+		assert.ErrorIs(t, err, errNoTurns)
+	})
+}
+
+func within(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	select {
+	case <-done:
+	case <-time.After(2 * time.Second):
+		t.Fatal("it waits")
+	}
+}
