No handler writes to the host that gives turns

Cause: that a request's answer began, ended or found nobody was written to that host by the request's own goroutine, all under one lock. While that host read nothing and the way there was full, every handler with a turn stood still, with its answer not written yet, past its deadline and the end of the grace. Ruled out: a question's first word, it was bounded already; but not its sending. Before: the test waits for ever. After: a queue per stream; a full one ends the stream, and this host decides by itself.

--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -33,11 +34,10 @@
 	next   uint64
 	until  time.Time // until when this host decides by itself
 	opened time.Time // the last try to open a stream
-	write  sync.Mutex
 }
 
 // askStream is the sending side of a stream, over the network or to this host's
-// own coordinator.
+// own coordinator. Neither of its methods waits for the other side.
 type askStream interface {
 	Send(*coordpb.TurnEvent) error
 	Close() error
@@ -89,16 +89,18 @@
 		_ = conn.Close()
 		return err
 	}
+	own := &peerStream{out: make(chan *coordpb.TurnEvent, turnQueue), cancel: cancel}
 	a.mu.Lock()
-	a.stream = st
+	a.stream = own
 	a.mu.Unlock()
+	go own.send(ctx, st)
 	go func() {
 		defer cancel()
 		defer func() { _ = conn.Close() }()
 		for {
 			answer, err := st.Recv()
 			if err != nil {
-				a.lose(st)
+				a.lose(own)
 				return
 			}
 			a.deliver(answer)
@@ -107,6 +109,47 @@
 	return nil
 }
 
+// peerStream leads to another host. What is sent waits in a queue: a handler
+// must not wait for a host that reads nothing, and its answer with it.
+type peerStream struct {
+	out    chan *coordpb.TurnEvent
+	cancel context.CancelFunc // ends the stream, its sending too
+}
+
+// errTurnsFull: the host that gives turns reads more slowly than this one asks.
+var errTurnsFull = errors.New("the stream of questions is full")
+
+// Send implements askStream.
+func (p *peerStream) Send(e *coordpb.TurnEvent) error {
+	select {
+	case p.out <- e:
+		return nil
+	default:
+		return errTurnsFull
+	}
+}
+
+// Close implements askStream.
+func (p *peerStream) Close() error {
+	p.cancel()
+	return nil
+}
+
+// send writes what waits until ctx ends.
+func (p *peerStream) send(ctx context.Context, st coordpb.DRPCCoordinator_TurnsClient) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-p.out:
+			if st.Send(e) != nil {
+				p.cancel()
+				return
+			}
+		}
+	}
+}
+
 // ownStream leads to the coordinator in this process.
 type ownStream struct {
 	c    *Coordinator
@@ -180,9 +223,7 @@
 
 // tell sends an event; a stream that fails is given up.
 func (a *asking) tell(st askStream, e *coordpb.TurnEvent) error {
-	a.write.Lock()
 	err := st.Send(e)
-	a.write.Unlock()
 	if err != nil {
 		a.lose(st)
 	}
