A host's stream to itself is opened anew when it has ended

Cause: a full queue of answers ends it; the end was seen by nobody, so that each later request of this host waited 40 ms for a word that could not come. Before: the test's stream stays in use. After: it is given up, and the next look opens another.

--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -184,6 +184,7 @@
 		for {
 			select {
 			case <-ctx.Done():
+				a.lose(own) // so that another is opened
 				return
 			case answer := <-to.out:
 				a.deliver(answer)
--- a/node/coordinator/asking_test.go
+++ b/node/coordinator/asking_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -77,3 +78,24 @@
 		t.Fatal("it waits")
 	}
 }
+
+// Symptom: a host that acts for all decides each of its own requests only after
+// a wait in vain, for ever.
+// Sequence: more answers to its own requests wait than its queue holds.
+// Cause: the end of its stream to itself is not noticed, so that no other is opened.
+func TestAStreamToItselfThatEndedIsGivenUp(t *testing.T) {
+	log := event.NewLog(nil)
+	own := New(Config{}, Deps{Fleet: fleet.New(fleet.Config{}, fleet.Deps{}), Log: log})
+	a := NewLink(LinkConfig{Host: "h"}, own, nil, log).asking
+	a.openOwn()
+	to := a.stream.(*ownStream).to
+	to.cancel() // as a full queue does
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.stream == nil {
+			return poll.Success()
+		}
+		return poll.Continue("the stream is still in use")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(2*time.Second))
+}
