A wait for another's order ends with its request

Cause: on the host that gives orders a request for an adapter waits at a mutex that is held over calls of up to 0.9 s, one after the other; its own deadline and the end of the grace did not end the wait.

--- a/node/coordinator/adapters.go
+++ b/node/coordinator/adapters.go
@@ -93,8 +93,10 @@
 
 // adapterStep gives one order; done says that the adapter is there or coming.
 func (u *unit) adapterStep(ctx context.Context, model, adapter string) (done bool, err error) {
-	u.orderMu.Lock()
-	defer u.orderMu.Unlock()
+	if !u.lockOrders(ctx) {
+		return false, ctx.Err()
+	}
+	defer u.unlockOrders()
 	u.mu.Lock()
 	coming := u.book.Coming(model, adapter)
 	doubtful := u.book.Doubtful()
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -244,9 +244,8 @@
 		seen[e.ID()] = true
 		u := c.units[e.ID()]
 		if u == nil || u.entry != e {
-			described, _ := e.Described()
 			former := u
-			u = &unit{c: c, entry: e, engine: s.Engine, book: residency.New(s.Engine, &described, now)}
+			u = newUnit(c, e, s.Engine, now)
 			if former != nil { // the upstream has started again under its ID
 				u.book.Charge(former.doubts(now))
 			}
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -167,25 +167,27 @@
 // model gives one order for a model.
 func (u *unit) model(ctx context.Context, make func(*residency.Book) (residency.Order, bool), why string) error {
 	for range adapterTries {
-		u.orderMu.Lock()
+		if !u.lockOrders(ctx) {
+			return ctx.Err()
+		}
 		u.mu.Lock()
 		unsure := u.book.Unsure()
 		o, ok := make(u.book)
 		u.mu.Unlock()
 		if unsure {
 			err := u.settle(ctx)
-			u.orderMu.Unlock()
+			u.unlockOrders()
 			if err != nil {
 				return err
 			}
 			continue
 		}
 		if !ok {
-			u.orderMu.Unlock()
+			u.unlockOrders()
 			return errNoUpstream
 		}
 		err := u.send(ctx, o, why, orderBound)
-		u.orderMu.Unlock()
+		u.unlockOrders()
 		if err == nil {
 			return nil
 		}
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -30,14 +30,14 @@
 	defaultAdapterLoad = 32 * time.Millisecond
 )
 
-// unit is one upstream as orders see it. orderMu is held over the sending of an
+// unit is one upstream as orders see it. ordering is held over the sending of an
 // order and is taken before mu.
 type unit struct {
 	c      *Coordinator
 	entry  *fleet.Entry
 	engine *deploy.Engine
 
-	orderMu  sync.Mutex
+	ordering chan struct{} // holds a token while an order is given
 	revision atomic.Uint64 // of the coordinator, at this unit's last change
 
 	mu        sync.Mutex
@@ -49,6 +49,25 @@
 	asked     time.Time // when the end of a former holder's order was last asked for
 }
 
+// newUnit opens the book of an upstream.
+func newUnit(c *Coordinator, e *fleet.Entry, engine *deploy.Engine, now time.Time) *unit {
+	described, _ := e.Described()
+	return &unit{c: c, entry: e, engine: engine, ordering: make(chan struct{}, 1), book: residency.New(engine, &described, now)}
+}
+
+// lockOrders waits until no other order is being given, and says no when ctx
+// ends before: callers wait here, each for its own time.
+func (u *unit) lockOrders(ctx context.Context) bool {
+	select {
+	case u.ordering <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (u *unit) unlockOrders() { <-u.ordering }
+
 // describe enters the upstream's newest description, unless it may be older
 // than what is known.
 func (u *unit) describe(now time.Time) (changed bool) {
