Nothing is written to an upstream after its request's time

Cause: an exchange whose context had ended was still begun on a pooled connection; the reset came while the request was being written, and whether it ran was unknown, so that the caller got 502 instead of a refusal, and an upstream worked for nobody. A request's end at the stop, at its deadline, or by its caller's leaving between two attempts is enough. Before: at the first of 200 tries the outcome is unknown. After: not run, none arrives.

--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -93,6 +93,9 @@
 // Do writes the request and reads the head of the answer. The error is a
 // *fault.Error: NotRun when no byte was written, else Unknown.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
+	if err := ctx.Err(); err != nil { // a pooled connection would still take it
+		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", err)
+	}
 	l, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "connect: %w", err)
--- a/node/upstream/conn/reuse_test.go
+++ b/node/upstream/conn/reuse_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
 	"peridotpier.example/node/upstream/conn"
 )
 
@@ -138,3 +140,29 @@
 	assert.Equal(t, ask(t, c, address, long), "ok")
 	assert.Equal(t, conns.Load(), int32(2))
 }
+
+// Symptom: a request that its host has given up on is run; its caller is told
+// nothing of whether it was.
+// Sequence: a request's time ends just before it is sent on a pooled connection.
+// Cause: that its time is over is noticed while the request is being written.
+func TestNothingIsSentAfterItsTime(t *testing.T) {
+	var came atomic.Int32
+	address := raw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			came.Add(1)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	c := conn.New(conn.Config{Dialer: conn.NewDialer()})
+	over, end := context.WithCancel(t.Context())
+	end()
+	for range 200 { // whether its write or the end comes first is chance
+		assert.Equal(t, ask(t, c, address, 0), "ok")
+		_, err := c.Do(over, &conn.Request{Address: address, Method: "POST", Target: "/", Header: http.Header{}})
+		assert.Equal(t, fault.From(fault.StepDispatch, err).Outcome, outcome.NotRun)
+	}
+	assert.Equal(t, came.Load(), int32(200))
+}
