Tell how a request without an answer ended, by its id

Cause: six ends of a request could not be told apart, or not found by its id. A panic of a handler had no id; request_left said "left" of callers who were cut off; a stopping host's refusals named no request; a body that ended early, a write that failed, the bound that forbade another try and what ended a request's time were not said. Of peridotpier serve nothing told what its shutdown closed.

handler_panicked (1102) names the request, with the stack; of the value only its type is written, as it may hold parts of the request. The panic goes on as http.ErrAbortHandler, so that the connection ends as before, and the complaint of the HTTP server (1009) gives way to it. request_left says why, from the account of its connection: caller, stuck, idle, stop, end, or read_bound, where the read that notices a caller's end runs into a bound that was set for the body. Answers say how many bytes were handed to the connection. process_stopped counts connections.

Ruled out: a line at each request's arrival (request_sent, a refusal or 2129 tells of each); 2129 in peridotpier serve (its listener has TLS between, and no wrapper).

No logic is changed: the id is decoded before the first refusal instead of after it; mayGoOn asks the same bounds in the same order.

--- a/node/callerapi/api.go
+++ b/node/callerapi/api.go
@@ -139,12 +139,26 @@
 // a body that drips would keep its connection and goroutine for good, though
 // the caller was refused. It is lifted once the body is there.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer a.tellPanic(w)
 	if r.ContentLength != 0 {
 		setReadBound(w, time.Now().Add(a.cfg.BodyBound))
 	}
 	a.echo.ServeHTTP(w, r)
 }
 
+// tellPanic logs the panic of a handler with its request's id. The connection
+// is broken off as the HTTP server has it.
+func (a *API) tellPanic(w http.ResponseWriter) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		a.deps.Log.Panic(w.Header().Get(HeaderRequestID), v)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // call is one authenticated request with the configuration that it is wholly
 // judged under, whatever is accepted while it runs.
 type call struct {
--- /dev/null
+++ b/node/callerapi/panic_test.go
@@ -0,0 +1,47 @@
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+)
+
+// faulty is an admission that panics.
+type faulty struct{ with any }
+
+func (f faulty) Admit(context.Context, AdmitRequest) (func(), error) { panic(f.with) }
+
+// Symptom: a caller gets no answer; the log has a stack, and no request's id.
+// Sequence: the handler of a request panics.
+// Cause: only the HTTP server's complaint tells, which knows of no requests.
+func TestAPanicIsLoggedWithItsRequest(t *testing.T) {
+	api, _, _ := newAlone(t)
+	core, lines := observer.New(zap.DebugLevel)
+	api.deps.Log = event.NewLog(zap.New(core))
+	call := func(with any) (ended any, id string) {
+		api.deps.Admission = faulty{with}
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(`{"model":"m"}`))
+		r.Header.Set("Authorization", "Bearer "+fuzzKey)
+		w := httptest.NewRecorder()
+		defer func() { ended, id = recover(), w.Header().Get(HeaderRequestID) }()
+		api.ServeHTTP(w, r)
+		return nil, ""
+	}
+	ended, _ := call(http.ErrAbortHandler)
+	assert.Equal(t, ended, http.ErrAbortHandler)
+	assert.Equal(t, lines.Len(), 0)
+	ended, id := call("a fault")
+	assert.Equal(t, ended, http.ErrAbortHandler, "the connection is broken off")
+	found := lines.FilterMessage(event.HandlerPanicked.Name).All()
+	assert.Equal(t, len(found), 1)
+	assert.Equal(t, found[0].ContextMap()["request"], id)
+	assert.Assert(t, id != "")
+}
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -53,7 +53,8 @@
 	now := d.Now()
 	d.Log.Emit(event.RequestSent, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.Int("among", p.among),
 		zap.Int("load", p.load), zap.Int("prompt", q.cost.Prompt), zap.Int("cached", p.cached), zap.Int("waiting", p.waiting), zap.Int64("predicted_ms", p.Predicted.Milliseconds()), zap.Uint64("version", q.version),
-		zap.Int64("held_ms", now.Sub(q.start).Milliseconds()), zap.String("model", q.ask.Model), zap.String("adapter", q.ask.Adapter))
+		zap.Int64("held_ms", now.Sub(q.start).Milliseconds()), zap.String("model", q.ask.Model), zap.String("adapter", q.ask.Adapter),
+		zap.Bool("by_turn", p.turn != nil))
 	d.Metrics.Add(metrics.Attempts, q.service.Name, e.ID(), 1)
 	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
 	if err != nil {
@@ -215,9 +216,9 @@
 	}
 	q.w.WriteHeader(resp.Status)
 	q.started = true
-	_, err := q.w.Write(head)
+	_, err := q.write(head)
 	if err == nil {
-		_, err = io.Copy(q.w, resp.Body)
+		_, err = io.Copy(callerWriter{q}, resp.Body)
 	}
 	if err != nil {
 		return q.cut(ctx, x, resp)
@@ -268,7 +269,7 @@
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.w.WriteHeader(resp.Status)
 	if q.r.Method != http.MethodHead {
-		if _, err := q.w.Write(body); err != nil {
+		if _, err := q.write(body); err != nil {
 			q.left()
 		}
 	}
@@ -281,7 +282,8 @@
 	took := d.Now().Sub(q.start)
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.first.Milliseconds()),
-		zap.Int64("pause_ms", q.pause.Milliseconds()), zap.Int64("pause_at_ms", q.pauseAt.Milliseconds()))
+		zap.Int64("pause_ms", q.pause.Milliseconds()), zap.Int64("pause_at_ms", q.pauseAt.Milliseconds()),
+		zap.Int64("relayed_bytes", q.relayed))
 	d.Metrics.Count(metrics.Completed, 1)
 	d.Metrics.Observe(metrics.AnswerTime, q.route.Kind.String(), took)
 	return result{done: true}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -50,14 +50,17 @@
 	// Ending is done when the host is about to end: what is under way then gets
 	// its final answer at once. nil: never.
 	Ending context.Context
-	Now    func() time.Time
-	Draw   func() float64 // in [0, 1)
+	// Gone says how the connection of a request ended, from the request's
+	// context; "": it has not, or that is not known. It is for the log only.
+	Gone func(context.Context) string
+	Now  func() time.Time
+	Draw func() float64 // in [0, 1)
 }
 
 // Gate serves routed requests.
 type Gate struct{ deps Deps }
 
-// New makes a Gate; Now and Draw may be nil.
+// New makes a Gate; Gone, Now and Draw may be nil.
 func New(d Deps) *Gate {
 	if d.Now == nil {
 		d.Now = time.Now
@@ -65,6 +68,9 @@
 	if d.Draw == nil {
 		d.Draw = rand.Float64
 	}
+	if d.Gone == nil {
+		d.Gone = func(context.Context) string { return "" }
+	}
 	if d.Ending == nil {
 		d.Ending = context.Background()
 	}
@@ -74,7 +80,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.deps.Metrics.Count(metrics.Requests, 1)
-	q := &request{g: g, w: w, r: r, start: g.deps.Now(), tried: map[string]bool{}}
+	q := &request{g: g, w: w, r: r, start: g.deps.Now(), tried: map[string]bool{}, facts: g.deps.Codec.Request(r.Header)}
 	if g.deps.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -131,6 +137,10 @@
 	adapterAsks int
 	waitsFor    balance.Reason // that was logged last
 	kept        func()         // delivers a failed answer that a repeat may better; nil: none
+
+	barred   string // what forbids one more send; "": nothing did
+	relayed  int64  // bytes of an answer that were handed to the caller's connection
+	writeErr error  // of the first write to the caller that failed
 }
 
 // admit reads the request whole; it answers by itself what cannot be routed.
@@ -156,7 +166,6 @@
 		q.refuse("no_service", configRetry)
 		return false
 	}
-	q.facts = d.Codec.Request(q.r.Header)
 	if q.facts.Attempt == "" {
 		q.decline(http.StatusBadRequest, "no_attempt_id")
 		return false
@@ -218,7 +227,8 @@
 	body, err := io.ReadAll(io.LimitReader(q.r.Body, most+1))
 	switch {
 	case err != nil:
-		q.decline(http.StatusBadRequest, "body_incomplete")
+		q.decline(http.StatusBadRequest, "body_incomplete", zap.Error(err), zap.Int("read_bytes", len(body)),
+			zap.Int64("length", q.r.ContentLength), zap.Int64("held_ms", q.g.deps.Now().Sub(q.start).Milliseconds()))
 		return false
 	case int64(len(body)) > most:
 		q.decline(http.StatusRequestEntityTooLarge, "body_too_large")
@@ -281,10 +291,18 @@
 func (q *request) mayGoOn(res result) bool {
 	if res.absent {
 		q.absent++
-		return q.absent <= absentMost
+		return q.absent <= absentMost || q.bar("absent")
+	}
+	if q.sends >= q.route.Attempts && !(res.notRun && q.sends < q.route.Attempts+refusedSends) {
+		return q.bar("attempts")
 	}
-	bounded := q.sends < q.route.Attempts || res.notRun && q.sends < q.route.Attempts+refusedSends
-	return bounded && q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now())
+	return q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now()) || q.bar("repeats")
+}
+
+// bar notes the bound that forbids one more send; it returns false.
+func (q *request) bar(bound string) bool {
+	q.barred = bound
+	return false
 }
 
 // absentMost is how many upstreams that are not there a request may be sent to:
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -50,15 +50,17 @@
 	h := q.w.Header()
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	d.Log.Emit(event.RequestRefused, q.id(), q.routeName(), zap.String("why", why), zap.Int64("retry_after_ms", after.Milliseconds()),
-		zap.Int64("held_ms", d.Now().Sub(q.start).Milliseconds()), zap.Int("sends", q.sends), zap.Uint64("version", q.version))
+		zap.Int64("held_ms", d.Now().Sub(q.start).Milliseconds()), zap.Int("sends", q.sends), zap.Uint64("version", q.version),
+		q.ended(), q.barredBy())
 	d.Metrics.Count(metrics.NotRun, 1)
 	q.end(http.StatusServiceUnavailable, why)
 }
 
 // decline answers a request that is wrong in itself.
-func (q *request) decline(status int, why string) {
-	q.g.deps.Log.Emit(event.RequestRefused, q.id(), q.routeName(), zap.String("why", why), zap.Int("status", status),
-		zap.String("host", q.r.Host), zap.Uint64("version", q.version))
+func (q *request) decline(status int, why string, more ...zap.Field) {
+	fields := []zap.Field{q.id(), q.routeName(), zap.String("why", why), zap.Int("status", status),
+		zap.String("host", q.r.Host), zap.Uint64("version", q.version)}
+	q.g.deps.Log.Emit(event.RequestRefused, append(fields, more...)...)
 	q.g.deps.Metrics.Count(metrics.NotRun, 1)
 	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
 		q.w.Header().Set("Connection", "close") // what is left of the body is not read
@@ -71,7 +73,8 @@
 func (q *request) fail(status int, why string) {
 	d := &q.g.deps
 	d.Log.Emit(event.RequestBroken, q.id(), q.routeName(), zap.String("why", why), zap.String(event.FieldPeer, q.last),
-		zap.Int("sends", q.sends), zap.Int64("took_ms", d.Now().Sub(q.start).Milliseconds()), zap.Bool("started", q.started))
+		zap.Int("sends", q.sends), zap.Int64("took_ms", d.Now().Sub(q.start).Milliseconds()), zap.Bool("started", q.started),
+		zap.Int64("relayed_bytes", q.relayed), zap.NamedError("write_error", q.writeErr), q.ended(), q.barredBy())
 	d.Metrics.Count(metrics.Unknown, 1)
 	if q.started {
 		panic(http.ErrAbortHandler) // an answer that ends early must not look whole
@@ -101,12 +104,49 @@
 
 // left notes a caller that went away; nobody is there to be answered.
 func (q *request) left() {
-	q.g.deps.Log.Emit(event.RequestLeft, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last),
-		zap.Int64("took_ms", q.g.deps.Now().Sub(q.start).Milliseconds()))
+	now := q.g.deps.Now()
+	q.g.deps.Log.Emit(event.RequestLeft, q.id(), q.routeName(), zap.String(event.FieldPeer, q.last), zap.String("why", q.leftWhy()),
+		zap.Int64("took_ms", now.Sub(q.start).Milliseconds()), zap.Int64("left_ms", q.deadline.Sub(now).Milliseconds()),
+		zap.Int("sends", q.sends), zap.Bool("started", q.started), zap.Int64("relayed_bytes", q.relayed),
+		zap.NamedError("write_error", q.writeErr), q.ended())
 	q.g.deps.Metrics.Count(metrics.Left, 1)
 	panic(http.ErrAbortHandler)
 }
 
+// leftWhy says why the caller counts as gone.
+func (q *request) leftWhy() string {
+	if why := q.g.deps.Gone(q.r.Context()); why != "" {
+		return why
+	}
+	if q.writeErr != nil {
+		return "write"
+	}
+	return "unknown"
+}
+
+// ended tells what ended the request's context; nothing while it goes on.
+func (q *request) ended() zap.Field {
+	if q.ctx == nil || q.ctx.Err() == nil {
+		return zap.Skip()
+	}
+	by := "connection"
+	switch cause := context.Cause(q.ctx); {
+	case errors.Is(cause, errTimeUp):
+		by = "time_up"
+	case errors.Is(cause, errStopping):
+		by = "stopping"
+	}
+	return zap.String("ended", by)
+}
+
+// barredBy tells which bound forbade one more send; nothing if none did.
+func (q *request) barredBy() zap.Field {
+	if q.barred == "" {
+		return zap.Skip()
+	}
+	return zap.String("barred", q.barred)
+}
+
 // end writes a short final answer of this host's own.
 func (q *request) end(status int, why string) {
 	h := q.w.Header()
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -74,12 +74,33 @@
 		return nil
 	}
 	q.begin(resp)
-	if _, err := q.w.Write(b); err != nil {
+	if _, err := q.write(b); err != nil {
 		return err
 	}
-	return http.NewResponseController(q.w).Flush()
+	return q.noted(http.NewResponseController(q.w).Flush())
 }
 
+// write hands bytes of an answer to the caller's connection.
+func (q *request) write(b []byte) (int, error) {
+	n, err := q.w.Write(b)
+	q.relayed += int64(n)
+	return n, q.noted(err)
+}
+
+// noted keeps the first error of a write to the caller.
+func (q *request) noted(err error) error {
+	if q.writeErr == nil {
+		q.writeErr = err
+	}
+	return err
+}
+
+// callerWriter writes to the caller of a request.
+type callerWriter struct{ q *request }
+
+// Write implements io.Writer.
+func (w callerWriter) Write(b []byte) (int, error) { return w.q.write(b) }
+
 // unread ends a stream whose caller does not take it any more.
 func (q *request) unread(x *fleet.Exchange, resp *conn.Response) result {
 	resp.Abort()
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -52,14 +52,26 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		returned := false
-		own.track.begin(r.Header)
-		defer func() { own.track.end(returned) }()
-		h.ServeHTTP(w, r)
-		returned = true
+		c.account(h, own.track, w, r)
 	})
 }
 
+// account tells track of a request's begin and end. A handler that panics ends
+// its connection, as the HTTP server has it; the log then names the request.
+func (c *callers) account(h http.Handler, track *connTrack, w http.ResponseWriter, r *http.Request) {
+	returned := false
+	track.begin(r.Header)
+	defer func() {
+		track.end(returned)
+		if v := recover(); v != nil {
+			c.conns.panicked(r.Header, v)
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	h.ServeHTTP(w, r)
+	returned = true
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -67,6 +79,16 @@
 	return context.WithValue(ctx, connKey{}, nc)
 }
 
+// connGone says how the connection of a request ended; "": it has not, or that
+// is not known.
+func connGone(ctx context.Context) string {
+	own, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return ""
+	}
+	return string(own.track.endedBy())
+}
+
 func (c *callers) state(nc net.Conn, s http.ConnState) {
 	own, ok := nc.(*callerConn)
 	if !ok {
--- a/node/host/callers_test.go
+++ b/node/host/callers_test.go
@@ -314,3 +314,69 @@
 }
 
 func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Symptom: a caller gets no answer; the log has a stack, and no request's id.
+// Sequence: the handler of a request panics.
+// Cause: only the HTTP server's complaint tells, which knows of no requests.
+func TestAPanicIsLoggedWithItsRequest(t *testing.T) {
+	r := newRig(t, func(_ http.ResponseWriter, q *http.Request) { panic("secret of " + q.Header.Get(testID)) })
+	c := r.dial()
+	r.send(c, get("a"))
+	_, err := io.ReadAll(c)
+	assert.NilError(t, err, "the connection ends without an answer")
+	r.counted("caller_connections_closed_unanswered_total.aborted 1")
+	found := r.lines.FilterMessage(event.HandlerPanicked.Name).All()
+	assert.Equal(t, len(found), 1)
+	fields := found[0].ContextMap()
+	assert.Equal(t, fields["request"], "a")
+	assert.Equal(t, fields["value"], "string")
+	assert.Assert(t, strings.Contains(fmt.Sprint(fields["stack"]), "TestAPanicIsLoggedWithItsRequest"))
+	assert.Equal(t, r.lines.FilterMessage(event.ConnectionComplaint.Name).Len(), 0)
+}
+
+func TestAnAbortedRequestIsNoPanic(t *testing.T) {
+	r := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	c := r.dial()
+	r.send(c, get("a"))
+	r.counted("caller_connections_closed_total.aborted 1")
+	assert.Equal(t, r.lines.FilterMessage(event.HandlerPanicked.Name).Len(), 0)
+}
+
+// Symptom: a request ends without an answer, as if its caller had left, who has not.
+// Sequence: a bound is set for reads; it passes while the server reads ahead.
+// Cause: the server takes any error of that read for the caller's end.
+func TestWhyAConnectionCountsAsEnded(t *testing.T) {
+	for want, h := range map[string]http.HandlerFunc{
+		"read_bound": func(w http.ResponseWriter, q *http.Request) {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Millisecond))
+			<-q.Context().Done()
+		},
+		"caller": func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() },
+		"end":    func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() },
+		"stuck": func(w http.ResponseWriter, q *http.Request) {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Millisecond))
+			for q.Context().Err() == nil {
+				_, _ = w.Write(make([]byte, 1<<20))
+			}
+		},
+		"": func(http.ResponseWriter, *http.Request) {},
+	} {
+		t.Run(want, func(t *testing.T) {
+			got := make(chan string, 1)
+			r := newRig(t, func(w http.ResponseWriter, q *http.Request) {
+				h(w, q)
+				got <- connGone(q.Context())
+			})
+			c := r.dial()
+			r.send(c, get("a"))
+			switch want {
+			case "caller":
+				assert.NilError(t, c.Close())
+			case "end":
+				r.until(connCounts{open: 1, underWay: 1, unanswered: 1})
+				r.callers.close()
+			}
+			assert.Equal(t, <-got, want)
+		})
+	}
+}
--- a/node/host/connlog.go
+++ b/node/host/connlog.go
@@ -25,6 +25,9 @@
 	closedAborted closeReason = "aborted" // its handler ended without a whole answer
 	closedLast    closeReason = "last"    // its answer said that it was the last one
 	closedServer  closeReason = "server"  // anything else that the HTTP server ends
+	// leftBound is not of a close: the read that notices a caller's end, while a
+	// handler runs, found its time over, and the caller counts as gone.
+	leftBound closeReason = "read_bound"
 )
 
 // connPhase is what a caller's connection is doing.
@@ -141,6 +144,14 @@
 		zap.Int("requests", s.requests), zap.Int("answers", s.answers), zap.String("caller", t.from))
 }
 
+// panicked logs the panic of a handler, if it is not the usual way to end an
+// answer that is not whole.
+func (l *connLog) panicked(head http.Header, v any) {
+	if v != http.ErrAbortHandler {
+		l.log.Panic(l.idOf(head), v)
+	}
+}
+
 // mayWrite takes one of the lines that a second has.
 func (l *connLog) mayWrite(second int64) bool {
 	l.mu.Lock()
--- a/node/host/conntrack.go
+++ b/node/host/conntrack.go
@@ -32,6 +32,7 @@
 	gone  bool // the other side has closed, or the connection is broken
 	late  bool // a read found its time over
 	stuck bool // a write found its time over
+	bound bool // the read beside a handler found its time over
 
 	closer   closeReason // that was asked for
 	isClosed bool
@@ -78,8 +79,10 @@
 	case err == nil || t.isClosed:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		t.gone = true
-	case size > aheadRead: // a shorter one is ended by the server when it needs no more of it
+	case size > aheadRead:
 		t.late = true
+	case t.handling: // else the server has ended the read, as it needs no more of it
+		t.bound = true
 	}
 	if n <= 0 || !t.isClosed || t.lateTold {
 		t.mu.Unlock()
@@ -205,6 +208,23 @@
 	return closedServer
 }
 
+// endedBy says why a request's connection counts as ended; "": it does not.
+func (t *connTrack) endedBy() closeReason {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.isClosed:
+		return t.closer
+	case t.gone:
+		return closedCaller
+	case t.stuck:
+		return closedStuck
+	case t.bound:
+		return leftBound
+	}
+	return ""
+}
+
 func (t *connTrack) snapshot() connState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -82,7 +82,7 @@
 	ending, giveUp := context.WithCancel(context.Background())
 	h.giveUp = giveUp
 	h.gate = gate.New(gate.Deps{Ending: ending, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
-		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load})
+		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load, Gone: connGone})
 	h.limitMemory()
 	return h, h.listen()
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -50,7 +50,7 @@
 // Counters and gauges of the callers' connections.
 const (
 	CallersAccepted   Name = "caller_connections_accepted_total"
-	CallersClosed     Name = "caller_connections_closed_total"            // by reason
+	CallersClosed     Name = "caller_connections_closed_total"            // by reason, or by the state in which it closed
 	CallersUnanswered Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
 	CallersOpen       Name = "caller_connections_open"
 	CallersUnderWay   Name = "caller_connections_under_way" // with something of a request that is not answered
--- /dev/null
+++ b/node/server/connstates.go
@@ -0,0 +1,82 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/metrics"
+)
+
+// connStates follows the connections of a listener. It decides nothing.
+type connStates struct {
+	metrics *metrics.Set
+
+	mu       sync.Mutex
+	by       map[net.Conn]http.ConnState
+	stopping bool
+	idle     int // closed while idle since the stop began
+}
+
+func newConnStates(set *metrics.Set) *connStates {
+	c := &connStates{metrics: set, by: map[net.Conn]http.ConnState{}}
+	set.Func(metrics.CallersOpen, func() any { return c.counts().open })
+	set.Func(metrics.CallersUnderWay, func() any { return c.counts().active })
+	return c
+}
+
+// changed is the hook of the HTTP server.
+func (c *connStates) changed(nc net.Conn, to http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	was := c.by[nc]
+	switch to {
+	case http.StateNew:
+		c.metrics.Count(metrics.CallersAccepted, 1)
+	case http.StateClosed, http.StateHijacked:
+		c.metrics.CountKind(metrics.CallersClosed, was.String(), 1)
+		if c.stopping && was == http.StateIdle {
+			c.idle++
+		}
+		delete(c.by, nc)
+		return
+	}
+	c.by[nc] = to
+}
+
+// stop notes that the listener is about to be shut down.
+func (c *connStates) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+}
+
+// stateCounts are the connections of a listener.
+type stateCounts struct {
+	open   int
+	active int // a request is being read or answered
+	new    int // not a byte has come
+	idle   int // closed while idle since the stop began
+}
+
+func (c *connStates) counts() stateCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := stateCounts{open: len(c.by), idle: c.idle}
+	for _, s := range c.by {
+		switch s {
+		case http.StateActive:
+			n.active++
+		case http.StateNew:
+			n.new++
+		}
+	}
+	return n
+}
+
+// fields tell what the end of the process finds.
+func (n stateCounts) fields() []zap.Field {
+	return []zap.Field{zap.Int("open", n.open), zap.Int("active", n.active), zap.Int("new", n.new), zap.Int("idle_closed", n.idle)}
+}
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -70,6 +70,7 @@
 	bound, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.Bounds.Drain())
 	defer cancel()
 	cut := 0
+	s.conns.stop()
 	if err := s.callers.server.Shutdown(bound); err != nil {
 		cut = s.requests.HandOver()
 		last, cancelLast := context.WithTimeout(context.Background(), handOverBound)
@@ -78,7 +79,7 @@
 	}
 	s.mesh.Announce(member.Gone)
 	s.wait(farewell)
-	s.log.Emit(event.ProcessStopped, zap.Int("cut", cut))
+	s.log.Emit(event.ProcessStopped, append(s.conns.counts().fields(), zap.Int("cut", cut))...)
 	return nil
 }
 
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -107,6 +107,7 @@
 	reconcile   chan struct{}
 	siteHosts   atomic.Int32 // entry hosts that share the upstreams
 	callers     *listener
+	conns       *connStates // of callers
 	operators   *listener
 	phase       atomic.Int32
 	kill        sync.Once
@@ -203,6 +204,8 @@
 	if s.callers, err = s.newListener("callers", set.Caller.Address, api, s.cfg.Keys.Callers); err != nil {
 		return err
 	}
+	s.conns = newConnStates(s.metrics)
+	s.callers.server.ConnState = s.conns.changed
 	deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
 	ops := operatorapi.New(operatorapi.Deps{Operators: set.Operator.Operators, Changes: command.NewConfiguration(deps),
 		Audit:  query.NewAuditReader(query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects}),
