--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -31,24 +31,35 @@
 
 func newCallers(ln net.Listener, h http.Handler, idleBound func() time.Duration, conns *connLog) *callers {
 	c := &callers{bound: idleBound, conns: conns}
-	c.server = &http.Server{Handler: account(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
+	c.server = &http.Server{Handler: c.handle(h), MaxHeaderBytes: headMost, ReadHeaderTimeout: headBound, ConnState: c.state,
 		ConnContext: withConn, ErrorLog: log.New(complaints{conns.log}, "", 0)}
 	c.drain = drain.New(drain.Config{Listener: callerListener{ln, conns}, Server: c.server, Closing: c.closing})
 	return c
 }
 
-// account keeps the connection's account of its handlers.
-func account(h http.Handler) http.Handler {
+// handle keeps the connection's account of its handlers.
+func (c *callers) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		own := r.Context().Value(connKey{}).(*callerConn)
-		returned := false
-		own.track.begin(r.Header)
-		defer func() { own.track.end(returned) }()
-		h.ServeHTTP(w, r)
-		returned = true
+		c.account(h, r.Context().Value(connKey{}).(*callerConn).track, w, r)
 	})
 }
 
+// account tells track of a request's begin and end. A handler that panics ends
+// its connection, as the HTTP server has it; the log then names the request.
+func (c *callers) account(h http.Handler, track *connTrack, w http.ResponseWriter, r *http.Request) {
+	returned := false
+	track.begin(r.Header)
+	defer func() {
+		track.end(returned)
+		if v := recover(); v != nil {
+			c.conns.panicked(r.Header, v)
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	h.ServeHTTP(w, r)
+	returned = true
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -56,6 +67,16 @@
 	return context.WithValue(ctx, connKey{}, drain.Under(nc))
 }
 
+// connGone says how the connection of a request ended; "": it has not, or that
+// is not known.
+func connGone(ctx context.Context) string {
+	own, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return ""
+	}
+	return string(own.track.endedBy())
+}
+
 func (c *callers) state(nc net.Conn, s http.ConnState) {
 	if s == http.StateIdle {
 		drain.Under(nc).(*callerConn).track.idle()
--- a/node/host/callers_bench_test.go
+++ b/node/host/callers_bench_test.go
@@ -46,9 +46,10 @@
 // BenchmarkConnection is what the connection's wrapper adds to a request: two
 // reads, a write, the handler and the change to idle.
 func BenchmarkConnection(b *testing.B) {
-	own := &callerConn{Conn: nullConn{}, track: newConnLog(event.NewLog(nil), metrics.New(), nil).track("a")}
+	c := &callers{conns: newConnLog(event.NewLog(nil), metrics.New(), nil)}
+	own := &callerConn{Conn: nullConn{}, track: c.conns.track("a")}
 	buf := make([]byte, 512)
-	h := account(http.HandlerFunc(ok))
+	h := c.handle(http.HandlerFunc(ok))
 	w, r := nullAnswer{}, (&http.Request{Header: http.Header{}}).WithContext(context.WithValue(b.Context(), connKey{}, own))
 	b.ReportAllocs()
 	for b.Loop() {
