An answer that has begun is followed by no other

Cause: an answer of more than 1 MB goes on to the caller before it is whole. When it broke off, or its upstream said nothing for 0.7 s, a request that may be repeated was sent once more, and a second large answer was written behind the beginning of the first. Without a length both ended as one that looks whole; with one, or with a short second answer, the caller got neither. Ruled out: streams, which go on at the event after the last, and short answers, which begin only when they are whole.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -148,7 +148,7 @@
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
 		return q.stream(ctx, l, x, resp)
 	}
-	return q.whole(ctx, x, resp)
+	return q.whole(ctx, l, x, resp)
 }
 
 // distrust ends an attempt whose answer cannot be passed on.
@@ -195,12 +195,13 @@
 const wholeMost = 1 << 20
 
 // whole relays an answer that is not a stream.
-func (q *request) whole(ctx context.Context, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) whole(ctx context.Context, l *leaving, x *fleet.Exchange, resp *conn.Response) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeMost+1))
 	if err != nil {
 		return q.cut(ctx, x, resp)
 	}
 	if len(body) > wholeMost {
+		l.stay()
 		return q.large(ctx, x, resp, body)
 	}
 	failed := resp.Status >= 500
--- a/node/gate/elsewhere.go
+++ b/node/gate/elsewhere.go
@@ -48,7 +48,7 @@
 	defer func() { l.mu.Lock(); l.looking = false; l.mu.Unlock() }()
 	for heard := l.heard.Load(); l.heard.Load() == heard; {
 		if e, _ := l.q.pick(); e != nil && l.q.g.deps.Repeats.Take(l.q.service.Name, l.q.g.deps.Now()) {
-			l.cancel(errSilent)
+			l.leave()
 			return
 		}
 		if !pace.Sleep(l.ctx, elsewhereLook) {
@@ -57,6 +57,24 @@
 	}
 }
 
+// leave ends the attempt unless it stays.
+func (l *leaving) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.cancel(errSilent)
+	}
+}
+
+// stay keeps the attempt whatever its upstream does: its answer goes to the
+// caller from now on, and no other one can follow.
+func (l *leaving) stay() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	l.heard.Add(1)
+}
+
 // end returns when nothing looks any more: what the look reads changes with the
 // next attempt.
 func (l *leaving) end() {
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -267,6 +267,9 @@
 	case q.r.Context().Err() != nil:
 		q.left()
 		return false
+	case q.started && q.route.Kind != deploy.Stream:
+		q.fail(http.StatusBadGateway, res.why) // no other answer can follow the beginning that the caller has
+		return false
 	case q.ctx.Err() != nil && q.kept == nil:
 		q.timeUp()
 		return false
