Test: where a request begins, on connections that sent ahead or are secured

Red: the beginning of a request that came together with the one before counts as nothing, so that a stop or the idle bound ends its connection; half a head is then answered 400 by the HTTP server, which takes the cut line for a whole one. And a secured connection that was opened in advance counts as a request from its handshake on: Drain waits for the bound of heads, 5.96 s at 5 s.

--- /dev/null
+++ b/node/drain/begin_test.go
@@ -0,0 +1,169 @@
+package drain
+
+import (
+	"bufio"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const plainGet = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
+
+// running is a Server under a test's control.
+type running struct {
+	*Server
+	address string
+	secure  *tls.Config // nil: plain
+}
+
+// run serves h, plain or secured.
+func run(t *testing.T, h http.HandlerFunc, secured bool) *running {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	cfg := Config{Listener: ln, Server: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}}
+	if secured {
+		donor := httptest.NewTLSServer(nil)
+		t.Cleanup(donor.Close)
+		cfg.Secure = func(ln net.Listener) net.Listener {
+			return tls.NewListener(ln, &tls.Config{Certificates: donor.TLS.Certificates})
+		}
+	}
+	s := &running{Server: New(cfg), address: ln.Addr().String()}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() {
+		s.CloseListener()
+		s.Close()
+		assert.NilError(t, <-done)
+	})
+	return s
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// answered reads one answer.
+func answered(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "ok")
+}
+
+// phases counts the connections in each phase.
+func (s *running) phases() (n [closing + 1]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		n[c.phase.Load()]++
+	}
+	return n
+}
+
+// Symptom: a caller's connection ends while it sends a request of which the
+// server has the beginning.
+// Sequence: the beginning was sent ahead, and read together with the request
+// before; the server reads on; a stop or the idle bound asks the connection.
+// Cause: bytes in the server's buffer count as nothing when the read that brought
+// them brought the end of the request before, too.
+func TestABeginningThatWasSentAheadIsUnderWay(t *testing.T) {
+	t.Parallel()
+	for name, half := range map[string]int{"few bytes": 3, "half a head": len(plainGet) / 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := run(t, ok, false)
+			c, err := net.Dial("tcp", s.address)
+			assert.NilError(t, err)
+			defer func() { _ = c.Close() }()
+			_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+			_, err = io.WriteString(c, plainGet+plainGet[:half])
+			assert.NilError(t, err)
+			answers := bufio.NewReader(c)
+			answered(t, answers)
+			time.Sleep(50 * time.Millisecond) // the server waits for the rest
+			assert.Equal(t, s.Look(), 1)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(c, plainGet[half:])
+			assert.NilError(t, err)
+			answered(t, answers)
+		})
+	}
+}
+
+// Symptom: a stop lasts for seconds though no request is under way.
+// Sequence: a caller opens a connection in advance, as HTTP clients do; its
+// handshake is done; it sends nothing; the server is drained.
+// Cause: the handshake's bytes count as a request's.
+func TestAnUnusedSecuredConnectionHoldsNoStop(t *testing.T) {
+	t.Parallel()
+	s := run(t, ok, true)
+	c, err := tls.Dial("tcp", s.address, &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	assert.NilError(t, s.Drain(t.Context()))
+	assert.Assert(t, time.Since(began) < time.Second, "the stop took %v", time.Since(began))
+}
+
+// Symptom: a connection is closed though the beginning of a request arrived.
+// Sequence: secured callers at a stop: a kept connection, the next request in one record.
+func TestASecuredConnectionIsAnswered(t *testing.T) {
+	t.Parallel()
+	s := run(t, ok, true)
+	c, err := tls.Dial("tcp", s.address, &tls.Config{InsecureSkipVerify: true})
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+	answers := bufio.NewReader(c)
+	_, err = io.WriteString(c, plainGet)
+	assert.NilError(t, err)
+	answered(t, answers)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.phases()[quiet] != 1 {
+			return poll.Continue("not quiet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	_, err = io.WriteString(c, plainGet)
+	assert.NilError(t, err)
+	answered(t, answers)
+	_, err = io.WriteString(c, plainGet+plainGet)
+	assert.NilError(t, err)
+	answered(t, answers)
+	answered(t, answers)
+	assert.NilError(t, s.Drain(t.Context()))
+}
+
+// Symptom: a connection is never idle again after a request with a long body.
+// Sequence: the handler reads the body in pieces that are larger than the
+// server's buffer.
+// Cause: what waits in that buffer is told by the size of the next read.
+func TestAConnectionIsQuietAfterALongBody(t *testing.T) {
+	t.Parallel()
+	s := run(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		ok(w, r)
+	}, false)
+	c, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000))
+	assert.NilError(t, err)
+	answered(t, bufio.NewReader(c))
+	began := time.Now()
+	assert.NilError(t, s.Drain(t.Context()))
+	assert.Assert(t, time.Since(began) < time.Second, "the stop took %v", time.Since(began))
+}
