Tell where a request begins by what the HTTP server waits for

Cause: what the server has in its buffer, and the end of a handshake, cannot be seen from reads alone. The server says both: after an answer it bounds a head only when it has four bytes of one; fewer take of the room of its next read; a handshake that is done has its bound lifted. Ruled out: a look into the server's buffer, which has no way; the room alone, which TLS does not pass on. Left: one to three bytes sent ahead in a TLS record, and half a record.

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -50,8 +50,12 @@
 	lingers atomic.Bool
 
 	// Of the HTTP server's goroutine, and of the reads that it starts.
-	waits bool // the answer is written, and the next read waits for the next request
-	ahead bool // the last read brought the first byte of the next request
+	waits   bool // the answer is written, and the next read waits for the next request
+	bounded bool // the wait for it has its bound
+	room    int  // of the server's buffer when it is empty; plain connections only
+	ahead   bool // the last read brought the first byte of the next request
+	shaken  bool // the handshake is done
+	fresh   bool // it was just done, and the next read waits for the first request
 }
 
 // kept says whether the connection had an answer.
@@ -84,6 +88,7 @@
 // SetReadDeadline implements net.Conn. The HTTP server's own bounds do not put
 // off the end of a connection that is asked to close.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.told(t)
 	c.limit.Lock()
 	defer c.limit.Unlock()
 	if p := c.phase.Load(); p == asked || p == closing {
@@ -92,6 +97,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// told notes what the HTTP server's bounds tell of its next read. After an
+// answer it bounds the wait, and the head only when it has bytes of one already.
+// A handshake has a bound when heads have one; that it is lifted tells its end.
+func (c *conn) told(t time.Time) {
+	switch {
+	case c.waits && c.bounded:
+		c.waits = false
+	case c.waits:
+		c.bounded = true
+	case c.s.cfg.Secure != nil && c.s.cfg.Server.ReadHeaderTimeout > 0 && !c.shaken && t.IsZero():
+		c.shaken, c.fresh = true, true
+	}
+}
+
 // begin says whether a request may begin or go on.
 func (c *conn) begin() bool {
 	if c.phase.CompareAndSwap(quiet, busy) || c.phase.Load() == busy {
@@ -117,7 +136,10 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	c.rest()
+	if c.room == 0 {
+		c.room = len(p)
+	}
+	c.rest(len(p))
 	if len(p) == aheadRead {
 		c.unread.Store(false)
 	}
@@ -180,13 +202,19 @@
 }
 
 // rest makes the connection quiet when the HTTP server reads on after an
-// answer. It does so only when it has handled all that it has read.
-func (c *conn) rest() {
+// answer, up to size bytes. It does so only when it has handled all that it has
+// read; what waits in its buffer takes of the room for the next read.
+func (c *conn) rest(size int) {
+	if c.fresh {
+		c.fresh = false
+		c.phase.Store(quiet)
+		return
+	}
 	if !c.waits {
 		return
 	}
 	c.waits = false
-	if c.ahead {
+	if c.ahead || c.s.cfg.Secure == nil && size < c.room {
 		c.boundHead()
 		return
 	}
--- a/node/drain/drain.go
+++ b/node/drain/drain.go
@@ -191,9 +191,9 @@
 		c := own(nc)
 		switch to {
 		case http.StateActive:
-			c.waits = false
+			c.waits, c.fresh = false, false
 		case http.StateIdle:
-			c.waits = true
+			c.waits, c.bounded = true, false
 			c.unread.Store(true)
 		}
 	}
