--- a/node/event/sink_test.go
+++ b/node/event/sink_test.go
@@ -48,6 +48,26 @@
 	assert.Assert(t, strings.Contains(out.buf.String(), `"request_served"`))
 }
 
+// Symptom: the last lines of a process are missing, with no count of them.
+// Sequence: the requests under way end together when the process stops; each
+// writes a line.
+// Cause: at the end no more is written than one write takes.
+func TestTheLastLinesAreAllWritten(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	sink := event.NewSink(out)
+	log := event.NewJSON(sink, zapcore.InfoLevel)
+	const lines = 2000
+	for range lines {
+		log.Emit(event.RequestServed, zap.String("request", "9c41d07be2a35f68"))
+	}
+	close(out.gate)
+	log.Sync()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	assert.Equal(t, sink.Dropped(), int64(0))
+	assert.Equal(t, strings.Count(out.buf.String(), `"request_served"`), lines)
+}
+
 // BenchmarkRequestLines is what the log costs a request: the line of its send
 // and that of its end.
 func BenchmarkRequestLines(b *testing.B) {
