Write all last lines of a process

Cause: at the end of the process one write of 32 KB took what waited, though up to 4096 lines may; the rest was neither written nor counted.

--- a/node/event/sink.go
+++ b/node/event/sink.go
@@ -72,12 +72,20 @@
 			_, _ = s.out.Write(buf) // there is nowhere else to say that the log cannot be written
 			time.Sleep(sinkPause)
 		case done := <-s.flush:
-			_, _ = s.out.Write(s.gather(buf[:0]))
+			s.last(buf)
 			close(done)
 		}
 	}
 }
 
+// last writes what waits, within the bound of the end: others may go on writing lines.
+func (s *Sink) last(buf []byte) {
+	end := time.Now().Add(sinkFlush)
+	for buf = s.gather(buf[:0]); len(buf) > 0 && time.Now().Before(end); buf = s.gather(buf[:0]) {
+		_, _ = s.out.Write(buf)
+	}
+}
+
 // gather adds the lines that already wait.
 func (s *Sink) gather(buf []byte) []byte {
 	for len(buf) < sinkBytes {
