--- a/node/server/listener.go
+++ b/node/server/listener.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"log"
 	"net"
@@ -57,6 +58,12 @@
 	return nil
 }
 
+// drain takes no more connections and waits until no request is under way, or ctx ends.
+func (l *listener) drain(ctx context.Context) error { return l.server.Shutdown(ctx) }
+
+// close ends whatever is left.
+func (l *listener) close() { _ = l.server.Close() }
+
 // complaints turns lines of the HTTP server into numbered events.
 type complaints struct {
 	s     *Server
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -42,7 +42,7 @@
 			}
 			<-work.Done() // a listener that is shut down must not end the others
 			return nil
-		}, func(error) { _ = l.server.Close() })
+		}, func(error) { l.close() })
 	}
 	g.Add(func() error { return s.untilDrained(ctx) }, func(error) { stopWork() })
 	err := g.Run()
@@ -70,11 +70,11 @@
 	bound, cancel := context.WithTimeout(context.Background(), s.cfg.Settings.Bounds.Drain())
 	defer cancel()
 	cut := 0
-	if err := s.callers.server.Shutdown(bound); err != nil {
+	if err := s.callers.drain(bound); err != nil {
 		cut = s.requests.HandOver()
 		last, cancelLast := context.WithTimeout(context.Background(), handOverBound)
 		defer cancelLast()
-		_ = s.callers.server.Shutdown(last) // what is still open then is closed by Run
+		_ = s.callers.drain(last) // what is still open then is closed by Run
 	}
 	s.mesh.Announce(member.Gone)
 	s.wait(farewell)
@@ -99,6 +99,6 @@
 func (s *Server) Kill() {
 	s.kill.Do(func() {
 		close(s.killed)
-		_ = s.callers.server.Close()
+		s.callers.close()
 	})
 }
