Stop callers' and operators' listeners of peridotpier serve by their connections

Cause: http.Server.Shutdown takes a connection for idle while the next head is read, and its connections drop a request whose head was just read. Both listeners of serve now stop through node/drain, which lies below TLS: connections are counted from their first byte. What Shutdown told callers ("Connection: close") is told from the moment the host says that it is not ready. The handing over of streams is as it was. Operators, who were cut at the end, are awaited for at most 2 s after the last caller.

The tests of the connections move to node/drain with what they test.

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -27,7 +27,7 @@
 	lingerBytes = 8 << 20
 	// aheadRead is the size of the reads by which the HTTP server notices, while
 	// a handler runs, that the caller is gone. It begins them when the request is
-	// whole, and what they bring is of the next one.
+	// whole: what they bring is of the next one.
 	aheadRead = 1
 )
 
@@ -70,9 +70,6 @@
 // is not handed on: it would be handled, and nobody be answered.
 func (c *conn) Read(p []byte) (int, error) {
 	c.rest()
-	if len(p) == aheadRead {
-		c.unread.Store(false)
-	}
 	was := c.phase.Load()
 	n, err := c.Conn.Read(p)
 	if n <= 0 {
@@ -111,14 +108,26 @@
 	}
 }
 
-// handled notes what a handler left of the body, and bounds how long the HTTP
-// server reads the rest of it. It must not when there is none: the deadline
-// would end the read that tells whether the caller is gone.
-func (c *conn) handled(w http.ResponseWriter, rest *body) {
+// handled bounds how long the rest of a body is read that a handler left. It
+// must not when nothing is left: the deadline would end the read that tells
+// whether the caller is gone.
+//
+// An answer whose length is known is whole now. It leaves at once, and the rest
+// is read before the HTTP server closes the connection; without a length, the
+// answer's last chunk would wait for that.
+func (c *conn) handled(w http.ResponseWriter, rest *body, returned bool) {
 	c.unread.Store(!rest.whole)
-	if !rest.whole {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restBound))
+	if rest.whole {
+		return
 	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(restBound))
+	if !returned || w.Header().Get("Content-Length") == "" {
+		return
+	}
+	_ = rc.Flush()
+	_, _ = io.CopyN(io.Discard, rest, lingerBytes)
+	c.unread.Store(!rest.whole)
 }
 
 // Close implements net.Conn.
--- a/node/drain/drain.go
+++ b/node/drain/drain.go
@@ -189,8 +189,10 @@
 		rest := &body{ReadCloser: r.Body, whole: r.Body == http.NoBody}
 		own := r.WithContext(r.Context()) // the server needs the body that it made in its own
 		own.Body = rest
-		defer c.handled(w, rest)
+		returned := false
+		defer func() { c.handled(w, rest, returned) }()
 		h.ServeHTTP(w, own)
+		returned = true
 	})
 }
 
--- a/node/host/underway_test.go
+++ b/node/drain/drain_test.go
@@ -1,4 +1,4 @@
-package host
+package drain
 
 import (
 	"bufio"
@@ -13,9 +13,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"peridotpier.example/node/event"
-	"peridotpier.example/node/metrics"
 )
 
 // hold stops whoever comes to it, once, from when it is set until it is let go.
@@ -37,7 +34,7 @@
 type heldListener struct {
 	net.Listener
 	wasRead, write *hold // after bytes came from the kernel, and before they go to it
-	reads          atomic.Int64
+	reads, bytes   atomic.Int64
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -56,6 +53,7 @@
 func (c *heldConn) Read(p []byte) (int, error) {
 	c.l.reads.Add(1)
 	n, err := c.TCPConn.Read(p)
+	c.l.bytes.Add(int64(n))
 	if n > 0 {
 		c.l.wasRead.pass()
 	}
@@ -67,19 +65,22 @@
 	return c.TCPConn.Write(p)
 }
 
-// served is callers' connections under a test's control.
+// headBound is how long the tests' callers may take to send a head.
+const headBound = 2 * time.Second
+
+// served is connections under a test's control.
 type served struct {
-	t       *testing.T
-	ln      *heldListener
-	callers *callers
-	idle    chan struct{} // a connection waits for its next request
-	closed  chan struct{} // the server is done with a connection
-	ran     atomic.Int64  // handlers
+	t      *testing.T
+	ln     *heldListener
+	drain  *Server
+	idle   chan struct{} // a connection waits for its next request
+	closed chan struct{} // the server is done with a connection
+	ran    atomic.Int64  // handlers
 }
 
-// serveCallers serves h; inIdle is called after a connection became idle and
+// serve serves h; inIdle is called after a connection became idle and
 // before the server reads on.
-func serveCallers(t *testing.T, h http.HandlerFunc, inIdle func()) *served {
+func serve(t *testing.T, h http.HandlerFunc, inIdle func()) *served {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -89,9 +90,10 @@
 		s.ran.Add(1)
 		h(w, r)
 	})
-	s.callers = newCallers(s.ln, counted, func() time.Duration { return time.Minute }, newConnLog(event.NewLog(nil), metrics.New(), func(http.Header) string { return "" }))
-	state := s.callers.server.ConnState
-	s.callers.server.ConnState = func(nc net.Conn, to http.ConnState) {
+	server := &http.Server{Handler: counted, ReadHeaderTimeout: headBound}
+	s.drain = New(Config{Listener: s.ln, Server: server})
+	state := server.ConnState
+	server.ConnState = func(nc net.Conn, to http.ConnState) {
 		state(nc, to)
 		switch to {
 		case http.StateIdle:
@@ -104,10 +106,10 @@
 		}
 	}
 	done := make(chan error, 1)
-	go func() { done <- s.callers.serve() }()
+	go func() { done <- s.drain.Serve() }()
 	t.Cleanup(func() {
-		s.callers.closeListener()
-		s.callers.close()
+		s.drain.CloseListener()
+		s.drain.Close()
 		assert.NilError(t, <-done)
 	})
 	return s
@@ -157,10 +159,10 @@
 // stop looks as a stop does until nothing is under way, then ends what is left.
 func (s *served) stop() {
 	s.t.Helper()
-	for end := time.Now().Add(8 * time.Second); s.callers.closeIdle() > 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(8 * time.Second); s.drain.Look() > 0; time.Sleep(time.Millisecond) {
 		assert.Assert(s.t, time.Now().Before(end), "the stop does not end")
 	}
-	s.callers.close()
+	s.drain.Close()
 }
 
 // within waits for c.
@@ -173,7 +175,7 @@
 	}
 }
 
-const plainGet = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
+const get = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
 
 func sayOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
 
@@ -188,42 +190,42 @@
 	t.Parallel()
 	t.Run("short answer", func(t *testing.T) {
 		var s *served
-		s = serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+		s = serve(t, func(w http.ResponseWriter, r *http.Request) {
 			sayOK(w, r)
 			s.ln.write.set.Store(true)
 		}, nil)
 		c := s.dial()
-		c.send(plainGet)
+		c.send(get)
 		within(t, "the answer is written", s.ln.write.reached)
-		assert.Equal(t, s.callers.closeIdle(), 1)
+		assert.Equal(t, s.drain.Look(), 1)
 		close(s.ln.write.release)
 		s.stop()
 		c.answered("ok")
 	})
 	t.Run("end of a stream", func(t *testing.T) {
 		var s *served
-		s = serveCallers(t, func(w http.ResponseWriter, r *http.Request) {
+		s = serve(t, func(w http.ResponseWriter, r *http.Request) {
 			sayOK(w, r)
 			_ = http.NewResponseController(w).Flush()
 			s.ln.write.set.Store(true)
 		}, nil)
 		c := s.dial()
-		c.send(plainGet)
+		c.send(get)
 		within(t, "the last chunk is written", s.ln.write.reached)
-		assert.Equal(t, s.callers.closeIdle(), 1)
+		assert.Equal(t, s.drain.Look(), 1)
 		close(s.ln.write.release)
 		s.stop()
 		c.answered("ok")
 	})
 	t.Run("head of the first request", func(t *testing.T) {
-		s := serveCallers(t, sayOK, nil)
+		s := serve(t, sayOK, nil)
 		c := s.dial()
 		readInHalves(s, c, 0)
 	})
 	t.Run("head of the next request", func(t *testing.T) {
-		s := serveCallers(t, sayOK, nil)
+		s := serve(t, sayOK, nil)
 		c := s.dial()
-		c.send(plainGet)
+		c.send(get)
 		c.answered("ok")
 		within(t, "the connection is idle", s.idle)
 		eventually(t, func() bool { return s.ln.reads.Load() >= 3 }) // the request, ahead of the next, the next
@@ -235,11 +237,11 @@
 // Before it, the connection was read from as often as given.
 func readInHalves(s *served, c *caller, before int64) {
 	s.t.Helper()
-	half := len(plainGet) / 2
-	c.send(plainGet[:half])
+	half := len(get) / 2
+	c.send(get[:half])
 	eventually(s.t, func() bool { return s.ln.reads.Load() == before+2 }) // it waits for the other half
-	assert.Equal(s.t, s.callers.closeIdle(), 1)
-	c.send(plainGet[half:])
+	assert.Equal(s.t, s.drain.Look(), 1)
+	c.send(get[half:])
 	s.stop()
 	c.answered("ok")
 }
@@ -261,33 +263,33 @@
 // evidence is the handler's run after the connection's end.
 func TestAClosedConnectionServesNothing(t *testing.T) {
 	t.Parallel()
-	for name, choose := range map[string]func(*callers){
-		"at a stop":         func(c *callers) { c.closeIdle() },
-		"at the idle bound": func(c *callers) { c.sweep(time.Now().Add(time.Hour)) },
+	for name, choose := range map[string]func(*Server){
+		"at a stop":         func(s *Server) { s.Look() },
+		"at the idle bound": func(s *Server) { s.Sweep(time.Now().Add(time.Hour), time.Minute) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := serveCallers(t, sayOK, nil)
+			s := serve(t, sayOK, nil)
 			c := s.dial()
-			c.send(plainGet)
+			c.send(get)
 			c.answered("ok")
 			within(t, "the connection is idle", s.idle)
 			s.ln.wasRead.set.Store(true)
-			c.send(plainGet)
+			c.send(get)
 			within(t, "the next request is read", s.ln.wasRead.reached)
-			choose(s.callers)
+			choose(s.drain)
 			close(s.ln.wasRead.release)
 			s.servedOrNot(c, 2)
 		})
 		t.Run("sent ahead, "+name, func(t *testing.T) {
 			chosen := atomic.Bool{}
 			var s *served
-			s = serveCallers(t, sayOK, func() {
+			s = serve(t, sayOK, func() {
 				if chosen.CompareAndSwap(false, true) {
-					choose(s.callers)
+					choose(s.drain)
 				}
 			})
 			c := s.dial()
-			c.send(plainGet + plainGet)
+			c.send(get + get)
 			c.answered("ok")
 			s.servedOrNot(c, 2)
 		})
@@ -330,13 +332,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := serveCallers(t, refuse, nil)
+			s := serve(t, refuse, nil)
 			c := s.dial()
 			c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: site.example\r\n%sContent-Length: %d\r\n\r\n", of.head, of.size))
 			c.send(strings.Repeat("x", of.size/2))
 			c.answered("no\n") // before the body is in
 			stopped := make(chan struct{})
-			assert.Equal(t, s.callers.closeIdle(), 1)
+			assert.Equal(t, s.drain.Look(), 1)
 			go func() { defer close(stopped); s.stop() }()
 			c.send(strings.Repeat("x", of.size/2))
 			_, err := io.Copy(io.Discard, c.buf)
@@ -355,7 +357,7 @@
 	for name, head := range map[string]string{"kept": "", "closed": "Connection: close\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := serveCallers(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, nil)
+			s := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, nil)
 			c := s.dial()
 			c.send("POST / HTTP/1.1\r\nHost: site.example\r\n" + head + "Content-Length: 100\r\n\r\nx")
 			began := time.Now()
@@ -366,3 +368,140 @@
 		})
 	}
 }
+
+// Symptom: connections pile up that no bound of idle ones closes.
+// Sequence: a caller sends one to three bytes after an answer, or one while the
+// answer is written, and nothing more.
+// Cause: the HTTP server bounds a head from its fourth byte on, and what is
+// idle is told by whether anything came.
+func TestAFewBytesAreNotAwaitedForEver(t *testing.T) {
+	t.Parallel()
+	t.Run("after the answer", func(t *testing.T) {
+		t.Parallel()
+		s := serve(t, sayOK, nil)
+		c := s.dial()
+		c.send(get)
+		c.answered("ok")
+		within(t, "the connection is idle", s.idle)
+		c.send("GE")
+		within(t, "the connection ends", s.closed)
+	})
+	t.Run("before the answer", func(t *testing.T) {
+		t.Parallel()
+		answer := make(chan struct{})
+		s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			<-answer
+			sayOK(w, r)
+		}, nil)
+		c := s.dial()
+		c.send(get)
+		eventually(t, func() bool { return s.ran.Load() == 1 })
+		c.send("G")
+		eventually(t, func() bool { return s.ln.bytes.Load() == int64(len(get)+1) })
+		before := s.ln.reads.Load()
+		close(answer)
+		c.answered("ok")
+		eventually(t, func() bool { return s.ln.reads.Load() > before })
+		assert.Equal(t, s.drain.Look(), 1, "a request has begun")
+		within(t, "the connection ends", s.closed)
+	})
+}
+
+// Symptom: a stop lasts longer for callers who were refused and have sent all.
+// Sequence: a request is refused at its head; the body comes in; the caller
+// keeps its end of the connection.
+// Cause: more is awaited although the request is whole.
+func TestAWholeRequestIsNotWaitedAfter(t *testing.T) {
+	t.Parallel()
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", "0")
+	}, nil)
+	c := s.dial()
+	c.send("POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 4\r\n\r\nbo")
+	c.answered("")
+	began := time.Now()
+	c.send("dy")
+	within(t, "the connection ends", s.closed)
+	assert.Assert(t, time.Since(began) < lingerBound/2)
+}
+
+// Symptom: a request counts as left by its caller, who waits for it.
+// Sequence: the one before was answered without its body being looked at, or
+// its answer took long to be written.
+// Cause: the bound on the rest of a body outlives it, or holds without one: the
+// read that tells whether the caller is gone ends with it.
+func TestTheNextRequestHasItsOwnTime(t *testing.T) {
+	t.Parallel()
+	t.Run("after a body", func(t *testing.T) {
+		t.Parallel()
+		s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(restBound + 200*time.Millisecond):
+				sayOK(w, r)
+			}
+		}, nil)
+		c := s.dial()
+		for range 2 {
+			c.send("POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 4\r\n\r\nbody")
+			c.answered("ok")
+		}
+	})
+	t.Run("after a slow write", func(t *testing.T) {
+		t.Parallel()
+		var s *served
+		s = serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if s.ran.Load() == 1 {
+				s.ln.write.set.Store(true)
+			} else if r.Context().Err() != nil {
+				return
+			}
+			sayOK(w, r)
+		}, nil)
+		c := s.dial()
+		c.send(get)
+		within(t, "the answer is written", s.ln.write.reached)
+		time.Sleep(restBound + 200*time.Millisecond)
+		close(s.ln.write.release)
+		c.answered("ok")
+		c.send(get)
+		c.answered("ok")
+	})
+}
+
+// Symptom: a request is taken by a process that ends.
+// Sequence: a stop has seen that nothing is under way; a connection that was
+// opened before is accepted.
+// Cause: connections are followed until the end, the choice to end is made before.
+func TestNothingIsTakenAfterTheLastLook(t *testing.T) {
+	t.Parallel()
+	s := serve(t, sayOK, nil)
+	assert.Equal(t, s.drain.Look(), 0)
+	c := s.dial()
+	c.send(get)
+	_, err := c.answer()
+	assert.Assert(t, err != nil)
+	assert.Equal(t, s.ran.Load(), int64(0))
+}
+
+// Symptom: a caller sees a reset in place of the server's own answer to a head
+// that is none.
+// Sequence: the answer is written while the caller still sends.
+// Cause: only answers of handlers are followed.
+func TestTheServersOwnAnswersArrive(t *testing.T) {
+	t.Parallel()
+	s := serve(t, sayOK, nil)
+	c := s.dial()
+	c.send("no request\r\n\r\n")
+	for range 10 {
+		c.send(strings.Repeat("x", 1<<10))
+		time.Sleep(20 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(c.buf, nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+}
--- a/node/server/listener.go
+++ b/node/server/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 )
 
@@ -32,6 +32,7 @@
 	name   string
 	ln     net.Listener
 	server *http.Server
+	conns  *drain.Server
 }
 
 func (s *Server) newListener(name, address string, h http.Handler, secure func(net.Listener) net.Listener) (*listener, error) {
@@ -43,26 +44,34 @@
 	if head == 0 {
 		head = headBound
 	}
-	return &listener{name: name, ln: secure(ln), server: &http.Server{Handler: h, ReadHeaderTimeout: head,
+	l := &listener{name: name, ln: ln, server: &http.Server{Handler: s.lastAnswers(h), ReadHeaderTimeout: head,
 		IdleTimeout: idleBound, MaxHeaderBytes: s.cfg.Settings.Bounds.HeaderBytes,
-		ErrorLog: log.New(complaints{s, name}, "", 0)}}, nil
+		ErrorLog: log.New(complaints{s, name}, "", 0)}}
+	l.conns = drain.New(drain.Config{Listener: ln, Secure: secure, Server: l.server})
+	return l, nil
+}
+
+// lastAnswers asks callers of a host that stops to go elsewhere for their next
+// request: their connections are closed as soon as they have none.
+func (s *Server) lastAnswers(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.phase.Load() == phaseDraining {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 func (l *listener) address() string { return l.ln.Addr().String() }
 
-// serve serves until the server is shut down or closed.
-func (l *listener) serve() error {
-	if err := l.server.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrapf(err, "serve %s", l.name)
-	}
-	return nil
-}
+// serve serves until the server is closed.
+func (l *listener) serve() error { return eris.Wrapf(l.conns.Serve(), "serve %s", l.name) }
 
 // drain takes no more connections and waits until no request is under way, or ctx ends.
-func (l *listener) drain(ctx context.Context) error { return l.server.Shutdown(ctx) }
+func (l *listener) drain(ctx context.Context) error { return l.conns.Drain(ctx) }
 
 // close ends whatever is left.
-func (l *listener) close() { _ = l.server.Close() }
+func (l *listener) close() { l.conns.Close() }
 
 // complaints turns lines of the HTTP server into numbered events.
 type complaints struct {
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -14,6 +14,10 @@
 // handOverBound is how long streams get to tell their callers where to go on.
 const handOverBound = 2 * time.Second
 
+// operatorsBound is how long operators' last requests may take: all but changes
+// of the configuration take milliseconds, and those one write of the platform's table.
+const operatorsBound = 2 * time.Second
+
 // farewell is how long the last word to the other hosts gets to leave.
 const farewell = 100 * time.Millisecond
 
@@ -76,12 +80,21 @@
 		defer cancelLast()
 		_ = s.callers.drain(last) // what is still open then is closed by Run
 	}
+	s.drainOperators()
 	s.mesh.Announce(member.Gone)
 	s.wait(farewell)
 	s.log.Emit(event.ProcessStopped, zap.Int("cut", cut))
 	return nil
 }
 
+// drainOperators finishes the requests of operators, who may ask until the last
+// caller has its answer.
+func (s *Server) drainOperators() {
+	bound, cancel := context.WithTimeout(context.Background(), operatorsBound)
+	defer cancel()
+	_ = s.operators.drain(bound) // what is still open then is closed by Run
+}
+
 // wait lets d pass; false: the host was killed meanwhile.
 func (s *Server) wait(d time.Duration) bool {
 	t := time.NewTimer(d)
