--- a/node/host/crossing_test.go
+++ b/node/drain/crossing_test.go
@@ -1,4 +1,4 @@
-package host
+package drain
 
 import (
 	"testing"
@@ -16,21 +16,21 @@
 // sent them 200 ms before, got nothing.
 func TestARequestThatWasReadIsAnswered(t *testing.T) {
 	t.Parallel()
-	for name, choose := range map[string]func(*callers){
-		"at a stop":         func(c *callers) { c.closeIdle() },
-		"at the idle bound": func(c *callers) { c.sweep(time.Now().Add(time.Hour)) },
+	for name, choose := range map[string]func(*Server){
+		"at a stop":         func(s *Server) { s.Look() },
+		"at the idle bound": func(s *Server) { s.Sweep(time.Now().Add(time.Hour), time.Minute) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := serveCallers(t, sayOK, nil)
+			s := serve(t, sayOK, nil)
 			c := s.dial()
-			c.send(plainGet)
+			c.send(get)
 			c.answered("ok")
 			within(t, "the connection is idle", s.idle)
 			s.ln.wasRead.set.Store(true)
-			c.send(plainGet)
+			c.send(get)
 			within(t, "the next request is read", s.ln.wasRead.reached)
-			choose(s.callers)
+			choose(s.drain)
 			close(s.ln.wasRead.release)
 			c.answered("ok")
 		})
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -205,7 +205,7 @@
 		return err
 	}
 	s.conns = newConnStates(s.metrics)
-	s.callers.server.ConnState = s.conns.changed
+	s.callers.watch(s.conns.changed)
 	deps := command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}
 	ops := operatorapi.New(operatorapi.Deps{Operators: set.Operator.Operators, Changes: command.NewConfiguration(deps),
 		Audit:  query.NewAuditReader(query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects}),
