--- a/node/server/run.go
+++ b/node/server/run.go
@@ -14,6 +14,10 @@
 // handOverBound is how long streams get to tell their callers where to go on.
 const handOverBound = 2 * time.Second
 
+// operatorsBound is how long operators' last requests may take: all but changes
+// of the configuration take milliseconds, and those one write of the platform's table.
+const operatorsBound = 2 * time.Second
+
 // farewell is how long the last word to the other hosts gets to leave.
 const farewell = 100 * time.Millisecond
 
@@ -42,7 +46,7 @@
 			}
 			<-work.Done() // a listener that is shut down must not end the others
 			return nil
-		}, func(error) { _ = l.server.Close() })
+		}, func(error) { l.close() })
 	}
 	g.Add(func() error { return s.untilDrained(ctx) }, func(error) { stopWork() })
 	err := g.Run()
@@ -71,18 +75,27 @@
 	defer cancel()
 	cut := 0
 	s.conns.stop()
-	if err := s.callers.server.Shutdown(bound); err != nil {
+	if err := s.callers.drain(bound); err != nil {
 		cut = s.requests.HandOver()
 		last, cancelLast := context.WithTimeout(context.Background(), handOverBound)
 		defer cancelLast()
-		_ = s.callers.server.Shutdown(last) // what is still open then is closed by Run
+		_ = s.callers.drain(last) // what is still open then is closed by Run
 	}
+	s.drainOperators()
 	s.mesh.Announce(member.Gone)
 	s.wait(farewell)
 	s.log.Emit(event.ProcessStopped, append(s.conns.counts().fields(), zap.Int("cut", cut))...)
 	return nil
 }
 
+// drainOperators finishes the requests of operators, who may ask until the last
+// caller has its answer.
+func (s *Server) drainOperators() {
+	bound, cancel := context.WithTimeout(context.Background(), operatorsBound)
+	defer cancel()
+	_ = s.operators.drain(bound) // what is still open then is closed by Run
+}
+
 // wait lets d pass; false: the host was killed meanwhile.
 func (s *Server) wait(d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -100,6 +113,6 @@
 func (s *Server) Kill() {
 	s.kill.Do(func() {
 		close(s.killed)
-		_ = s.callers.server.Close()
+		s.callers.close()
 	})
 }
