--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -24,8 +24,11 @@
   elif out=$(cd "$copy" && timeout 120 go test -count=1 "$@" 2>&1); then
     echo "MISSED  $name"
     missed=1
+  elif grep -q 'build failed' <<<"$out"; then
+    echo "BROKEN  $name: without it nothing is built, so that no test was asked"
+    missed=1
   else
-    echo "caught  $name: $(grep -oE -- '--- FAIL: [^ ]+|build failed' <<<"$out" | head -1)"
+    echo "caught  $name: $(grep -oE -- '--- FAIL: [^ ]+' <<<"$out" | head -1)"
   fi
   mv "$copy/.kept" "$copy/$file"
 }
@@ -72,7 +75,9 @@
 ' '	if false && next {
 ' ./node/drain
 try "requests sent ahead" node/drain/conn.go \
-  'if c.ahead {' 'if false {' ./node/drain
+  '&& size < c.room' '&& false' ./node/drain
+try "a head in the server's buffer" node/drain/conn.go \
+  'c.waits, c.bounded = !c.bounded, true' 'c.bounded = true' ./node/drain
 try "bound of what a handler left" node/drain/conn.go \
   '_ = rc.SetReadDeadline(time.Now().Add(restBound))' '' ./node/drain
 try "no bound on a body that is whole" node/drain/conn.go \
@@ -86,7 +91,14 @@
 try "last look" node/drain/drain.go \
   's.over = left == 0' 's.over = false' ./node/drain
 try "at most the route's attempts" node/gate/gate.go \
-  'q.maybe < max(q.route.Attempts, 1) && bounded' '(bounded || true)' ./node/gate
+  'q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res)' '(q.mayGoOn(res) || true)' ./node/gate
+try "nothing after the beginning of an answer" node/gate/gate.go \
+  'case q.started && q.route.Kind != deploy.Stream:' 'case false:' ./node/gate -run 'LargeAnswer'
+try "an attempt whose answer has begun" node/gate/attempt.go \
+  '		l.stay()
+' '' ./node/gate -run 'LargeAnswer'
+try "last lines of the log" node/event/sink.go \
+  'len(buf) > 0 && time.Now().Before(end); buf = s.gather(buf[:0])' 'len(buf) > 0 && time.Now().Before(end); buf = nil' ./node/event
 try "kinds that may run again" node/gate/gate.go \
   'case !res.notRun && !q.mayRunAgain():' 'case false:' ./node/gate
 try "entries that ran out with the store" node/fleet/fleet.go \
