Write the log on without a pause while there is more to write

Cause: the pause of 20 ms that gathers lines was also made after a full write of 32 KB, so that no more than 1.6 MB a second was ever written, about 5000 lines, though the reader took them at once. What came beyond was dropped, also a host's last lines: of 12 stops under 3000 to 6000 requests a second, the log of 9 had no host_stopped.

Ruled out: a longer queue (it only fills later).

A reader that is too slow still costs lines, not time.

--- a/node/event/sink.go
+++ b/node/event/sink.go
@@ -69,8 +69,10 @@
 		select {
 		case line := <-s.lines:
 			buf = s.gather(append(buf[:0], line...))
-			_, _ = s.out.Write(buf) // there is nowhere else to say that the log cannot be written
-			time.Sleep(sinkPause)
+			_, _ = s.out.Write(buf)   // there is nowhere else to say that the log cannot be written
+			if len(buf) < sinkBytes { // else there is more to write at once
+				time.Sleep(sinkPause)
+			}
 		case done := <-s.flush:
 			_, _ = s.out.Write(s.gather(buf[:0]))
 			close(done)
--- a/node/event/sink_test.go
+++ b/node/event/sink_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"peridotpier.example/node/event"
 )
@@ -48,6 +49,34 @@
 	assert.Assert(t, strings.Contains(out.buf.String(), `"request_served"`))
 }
 
+// Symptom: a busy host's log lacks lines, also those of its stop, though its
+// reader is quick.
+// Sequence: more lines come than are written at once; they do so for longer.
+// Cause: the pause that gathers lines is made after full writes too.
+func TestAQuickReaderGetsEveryLine(t *testing.T) {
+	const each, rounds, bound = 2000, 10, 2 * time.Second // with a pause after each write: over 3 s
+	out := &stuck{gate: make(chan struct{})}
+	close(out.gate)
+	sink := event.NewSink(out)
+	log := event.NewJSON(sink, zapcore.InfoLevel)
+	began := time.Now()
+	for round := range rounds {
+		for range each {
+			log.Emit(event.RequestServed, zap.String("request", strings.Repeat("r", 200)))
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			if n := bytes.Count(out.buf.Bytes(), []byte{'\n'}); n < (round+1)*each {
+				return poll.Continue("%d lines, %d dropped", n, sink.Dropped())
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond))
+	}
+	assert.Equal(t, sink.Dropped(), int64(0))
+	assert.Assert(t, time.Since(began) < bound, "%v", time.Since(began))
+}
+
 // BenchmarkRequestLines is what the log costs a request: the line of its send
 // and that of its end.
 func BenchmarkRequestLines(b *testing.B) {
