Test: the end of the grace reaches a request that is being read

Red: at the end of the grace a caller whose body is still coming gets nothing (0 instead of 503); one whose body is late is told 400, as if its request were wrong, where 408 says that it did not run. The mending follows.

--- a/node/gate/answer_test.go
+++ b/node/gate/answer_test.go
@@ -1,9 +1,14 @@
 package gate
 
 import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -33,3 +38,74 @@
 	_ = resp.Body.Close()
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
+
+// served is a server of the gate.
+func served(t *testing.T, g *Gate) *httptest.Server {
+	t.Helper()
+	host := httptest.NewServer(g)
+	t.Cleanup(func() { host.CloseClientConnections(); host.Close() })
+	return host
+}
+
+// post sends one request to the gate's host, with some of its body, and returns
+// its connection.
+func post(t *testing.T, host *httptest.Server, length int, body string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", host.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: example.com\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	assert.NilError(t, err)
+	return c
+}
+
+// status reads an answer's status; 0: the connection ended without one.
+func status(t *testing.T, c net.Conn) int {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// routed changes the one route of a gate.
+func routed(g *Gate, change func(*deploy.Route)) {
+	table := *g.deps.Config.Current().Config
+	table.Version++
+	table.Routes = []deploy.Route{table.Routes[0]}
+	change(&table.Routes[0])
+	g.deps.Config.Offer(&table, "test")
+}
+
+// Symptom: a caller that is still sending when its time is over is told that its
+// request is wrong.
+// Sequence: the rest of a body does not come in time.
+// Cause: a body that is late counts as one that broke off.
+func TestABodyThatIsLateIsNotCalledWrong(t *testing.T) {
+	g, _ := waiting(&modelless{}, "127.0.0.1:1")
+	routed(g, func(r *deploy.Route) { r.Timeout = 50 * time.Millisecond })
+	host := served(t, g)
+	assert.Equal(t, status(t, post(t, host, 10, "half")), http.StatusRequestTimeout)
+}
+
+// Symptom: a connection is closed with its request by the end of the process.
+// Sequence: a body is still coming in when the host is about to end; or it has
+// just come.
+// Cause: the end of the grace reaches a request only once it was read, and then
+// beside the sending of it.
+func TestTheEndOfTheGraceReachesARequestThatIsBeingRead(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("it is sent on") }))
+	defer up.Close()
+	for range 20 {
+		g, _ := waiting(&modelless{}, up.Listener.Addr().String())
+		ending, end := context.WithCancel(t.Context())
+		g.deps.Ending = ending
+		host := served(t, g)
+		c := post(t, host, 10, "half")
+		time.AfterFunc(20*time.Millisecond, end)
+		assert.Equal(t, status(t, c), http.StatusServiceUnavailable)
+		assert.Equal(t, status(t, post(t, host, 4, "body")), http.StatusServiceUnavailable)
+	}
+}
