A request is answered while its body is still coming, too

Cause: the end of the grace was watched only once a request was read whole, and by a goroutine of its own, so that one just read could still be sent on; a body that was late counted as one that is wrong. Before: closed without an answer; 400. After: 503 with a time to come back, nothing is sent on; 408. What still comes of the body is read for 0.5 s, so that a reset does not overtake the answer. Ruled out: the read bound as a cause of a caller taken for gone; without a body it is not set any more.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,6 +85,9 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeUp)
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
+	if g.deps.Ending.Err() != nil {
+		giveUp(errStopping) // at once, so that nothing is sent any more
+	}
 	defer context.AfterFunc(g.deps.Ending, func() { giveUp(errStopping) })()
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(q.deadline.Add(writeGrace)) // a caller that does not read must not hold the request
@@ -203,9 +207,6 @@
 // in the middle then never reaches an upstream, and any that was not run can
 // be sent to another.
 func (q *request) read(limits deploy.Limits) bool {
-	rc := http.NewResponseController(q.w)
-	_ = rc.SetReadDeadline(q.deadline)
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	most := int64(limits.BodyBytes)
 	if most <= 0 {
 		most = defaultBody
@@ -217,19 +218,50 @@
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, most+1))
+	body, err := q.readBody(most + 1)
 	switch {
+	case q.g.deps.Ending.Err() != nil:
+		q.w.Header().Set("Connection", "close")
+		q.refuse("stopping", stopRetry)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.decline(http.StatusRequestTimeout, "body_late")
 	case err != nil:
 		q.decline(http.StatusBadRequest, "body_incomplete")
-		return false
 	case int64(len(body)) > most:
 		q.decline(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
+	default:
+		q.body = body
+		return true
 	}
-	q.body = body
-	return true
+	return false
+}
+
+// readBody reads until the body's end, the request's time or the end of the
+// grace. After the last two what else comes of it is read a little longer, so
+// that the answer is not lost to a reset.
+func (q *request) readBody(most int64) ([]byte, error) {
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetReadDeadline(q.deadline)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(q.g.deps.Ending, func() {
+		defer close(ended)
+		_ = rc.SetReadDeadline(time.Unix(1, 0))
+	})
+	body, err := io.ReadAll(io.LimitReader(q.r.Body, most))
+	if !stop() {
+		<-ended
+	}
+	next := time.Time{}
+	if err != nil {
+		next = time.Now().Add(restBound)
+	}
+	_ = rc.SetReadDeadline(next)
+	return body, err
 }
 
+// restBound is how long what is left of a body that was given up may come in.
+const restBound = 500 * time.Millisecond
+
 // defaultBody bounds a body, in bytes, when the configuration does not.
 const defaultBody = 4 << 20
 
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -60,7 +60,8 @@
 	q.g.deps.Log.Emit(event.RequestRefused, q.id(), q.routeName(), zap.String("why", why), zap.Int("status", status),
 		zap.String("host", q.r.Host), zap.Uint64("version", q.version))
 	q.g.deps.Metrics.Count(metrics.NotRun, 1)
-	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
+	switch status {
+	case http.StatusRequestEntityTooLarge, http.StatusBadRequest, http.StatusRequestTimeout:
 		q.w.Header().Set("Connection", "close") // what is left of the body is not read
 	}
 	q.end(status, why)
