--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -48,6 +48,9 @@
 	Metrics  *metrics.Set
 	Draining func() bool // the host is about to stop: callers should go elsewhere
 	Closing  func() bool // nothing new is taken: it might not end in time
+	// Leaving is done soon after Draining begins: nobody is held for long any
+	// more, so that what is sent can end with the grace. nil: never.
+	Leaving context.Context
 	// Ending is done when the host is about to end: what is under way then gets
 	// its final answer at once. nil: never.
 	Ending context.Context
@@ -66,8 +69,10 @@
 	if d.Draw == nil {
 		d.Draw = rand.Float64
 	}
-	if d.Ending == nil {
-		d.Ending = context.Background()
+	for _, c := range []*context.Context{&d.Leaving, &d.Ending} {
+		if *c == nil {
+			*c = context.Background()
+		}
 	}
 	return &Gate{deps: d}
 }
--- /dev/null
+++ b/node/gate/leaving_test.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+)
+
+// queued is a host that decides for all and has no turn for anybody.
+type queued struct{ modelless }
+
+func (*queued) Turn(ctx context.Context, _ *TurnAsk) (*Turn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Symptom: a request is held by a host that stops until its process ends; no
+// upstream was ever asked to work on it.
+// Sequence: all upstreams are busy; the host is told to stop before, or while,
+// a request that has much time waits there for a turn, or for its model.
+// Cause: it may wait for most of its time, as at a host that stays.
+func TestARequestIsNotHeldByAHostThatStops(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		models  Models
+		stopAt  time.Duration
+		refused time.Duration // at the latest
+	}{
+		{"for a turn, told before", &queued{}, 0, leavingHold + modelHoldThen},
+		{"for a turn, told early", &queued{}, leavingHold / 2, leavingHold + modelHoldThen},
+		{"for a turn, told late", &queued{}, 3 * leavingHold, 3*leavingHold + modelHoldThen},
+		{"for a model", &modelless{}, 3 * leavingHold, 3*leavingHold + modelHoldThen},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, _ := waiting(c.models, "")
+				routed(g, func(r *deploy.Route) { r.Timeout, r.Objective = 20*time.Second, 10*time.Second })
+				leaving, leave := context.WithCancel(t.Context())
+				g.deps.Leaving = leaving
+				g.deps.Draining = func() bool { return leaving.Err() != nil }
+				time.AfterFunc(c.stopAt, leave)
+				time.Sleep(1) // for a stop at once
+				r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+				r.Header.Set("Model", "new")
+				w := httptest.NewRecorder()
+				began := time.Now()
+				g.ServeHTTP(w, r)
+				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+				assert.Assert(t, time.Since(began) <= c.refused, "%v", time.Since(began))
+			})
+		})
+	}
+}
+
+// modelHoldThen is how long such a request may wait for its model after that: an
+// eighth of its objective.
+const modelHoldThen = 1250 * time.Millisecond
