A host that stops holds a request for a second at most

Cause: after the stop signal a request could still wait for a turn for up to 0.35 of its time, 7 s of one with 20 s, and for a model 6 s if it waited when the signal came. The process ends 7.3 s after the signal: it was held in vain, or sent on when nothing could end in time any more. Before: held 7 s and 6 s. After: sent on by what this host knows, or refused with a time to come back, within a second of its start or of the signal. An answer that has begun is not concerned.

--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -72,7 +72,7 @@
 // reading is how many prompt tokens may wait where the request goes. A request
 // that has waited for long enough goes to the best upstream all the same.
 func (q *request) reading(now time.Time) int {
-	if now.Sub(q.start) >= time.Duration(float64(q.route.Objective)*readingShare) {
+	if now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*readingShare)) {
 		return 0
 	}
 	return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)
@@ -110,6 +110,7 @@
 	}
 	ctx, cancel := context.WithDeadline(q.ctx, until)
 	defer cancel()
+	defer q.endsWithStop(cancel)()
 	q.tellWait(p, until.Sub(now))
 	if p.Reason == balance.NoModel {
 		return q.awaitModel(ctx)
@@ -174,7 +175,7 @@
 	}
 	hold := max(time.Duration(float64(q.route.Objective)*holdShare), shortestHold)
 	if r == balance.AllReading {
-		return time.Duration(float64(q.route.Objective) * readingShare)
+		return q.bounded(time.Duration(float64(q.route.Objective) * readingShare))
 	}
 	if r == balance.NoModel && !q.g.deps.Draining() { // else its answer might not end before the process does
 		hold = max(hold, time.Duration(float64(q.route.Objective)*modelShare))
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -50,6 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, left)
 	defer cancel()
+	defer q.endsWithStop(cancel)()
 	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now),
 		InTime: q.start.Add(q.route.Objective).Sub(now)}
 	ask.Warm = q.warm()
@@ -90,7 +91,7 @@
 func (q *request) patience() time.Duration {
 	share := time.Duration(float64(q.deadline.Sub(q.start)) * turnShare)
 	share = max(share, time.Duration(float64(q.route.Objective)*readingShare))
-	return min(share, time.Duration(float64(q.route.Objective)*offerShare))
+	return q.bounded(min(share, time.Duration(float64(q.route.Objective)*offerShare)))
 }
 
 // warm lists the upstreams of the request's service that this host has an idle
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -65,6 +65,7 @@
 	draining atomic.Bool   // callers should go elsewhere
 	closing  atomic.Bool   // requests are not taken any more
 	giveUp   func()        // ends the requests that are under way
+	leave    func()        // ends the long waits of requests
 	listed   chan struct{} // closed when the upstreams were read once
 	listOnce atomic.Bool
 	stopped  chan struct{} // closed when the stop is over
@@ -81,7 +82,9 @@
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
 	ending, giveUp := context.WithCancel(context.Background())
 	h.giveUp = giveUp
-	h.gate = gate.New(gate.Deps{Ending: ending, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
+	leaving, leave := context.WithCancel(context.Background())
+	h.leave = leave
+	h.gate = gate.New(gate.Deps{Leaving: leaving, Ending: ending, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link,
 		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load})
 	h.limitMemory()
 	return h, h.listen()
@@ -296,6 +299,9 @@
 		dropped = h.tellDropped(dropped)
 		h.fleet.Sweep()
 		h.callers.sweep(time.Now())
+		if h.draining.Load() {
+			h.leave()
+		}
 	}
 	return ctx.Err()
 }
