--- a/node/gate/answer_test.go
+++ b/node/gate/answer_test.go
@@ -109,3 +109,16 @@
 		assert.Equal(t, status(t, post(t, host, 4, "body")), http.StatusServiceUnavailable)
 	}
 }
+
+// Symptom: a refusal does not come.
+// Sequence: a request is refused at its head while its body stalls on its way.
+// Cause: the server reads the rest of a body before it writes an answer, for as
+// long as that takes.
+func TestARefusalDoesNotWaitForABodyThatStalls(t *testing.T) {
+	g, _ := waiting(&modelless{}, "127.0.0.1:1")
+	routed(g, func(r *deploy.Route) { r.Host = "other.example" })
+	host := served(t, g)
+	began := time.Now()
+	assert.Equal(t, status(t, post(t, host, 10, "half")), http.StatusNotFound)
+	assert.Assert(t, time.Since(began) < 2*restBound, "%v", time.Since(began))
+}
