A refusal waits half a second for the rest of a body at most

Cause: what is refused at its head (no route, no configuration, the host stops) has a body that nobody reads; net/http then reads it before it writes the answer, without a bound, when its handler has returned and counts no more. Before: no answer while the body stalls. After: within 0.5 s. The connection is not used again then; net/http sees to that. Ruled out: to answer before the body is read (full duplex) and keep the connection: after a bound the rest of the body would be read as a request.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -121,6 +121,7 @@
 	service  *deploy.Service
 	version  uint64 // of the configuration that it is handled under
 	body     []byte
+	taken    bool // the body was read whole
 	start    time.Time
 	deadline time.Time
 	ask      fleet.Ask
@@ -235,15 +236,13 @@
 	case int64(len(body)) > most:
 		q.decline(http.StatusRequestEntityTooLarge, "body_too_large")
 	default:
-		q.body = body
+		q.body, q.taken = body, true
 		return true
 	}
 	return false
 }
 
-// readBody reads until the body's end, the request's time or the end of the
-// grace. After the last two what else comes of it is read a little longer, so
-// that the answer is not lost to a reset.
+// readBody reads until the body's end, the request's time or the end of the grace.
 func (q *request) readBody(most int64) ([]byte, error) {
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(q.deadline)
@@ -256,15 +255,12 @@
 	if !stop() {
 		<-ended
 	}
-	next := time.Time{}
-	if err != nil {
-		next = time.Now().Add(restBound)
-	}
-	_ = rc.SetReadDeadline(next)
+	_ = rc.SetReadDeadline(time.Time{})
 	return body, err
 }
 
-// restBound is how long what is left of a body that was given up may come in.
+// restBound is how long what is left of a body that was given up may come in. It
+// is read so that a reset does not overtake the answer.
 const restBound = 500 * time.Millisecond
 
 // defaultBody bounds a body, in bytes, when the configuration does not.
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -108,9 +108,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// end writes a short final answer of this host's own.
+// end writes a short final answer of this host's own. The server reads what is
+// left of a body before it writes; a body that stalls must not hold the answer.
 func (q *request) end(status int, why string) {
 	h := q.w.Header()
+	if q.r.ContentLength != 0 && !q.taken {
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(restBound))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(why)+1))
 	q.w.WriteHeader(status)
