--- a/node/gate/answer_test.go
+++ b/node/gate/answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,3 +123,26 @@
 	assert.Equal(t, status(t, post(t, host, 10, "half")), http.StatusNotFound)
 	assert.Assert(t, time.Since(began) < 2*restBound, "%v", time.Since(began))
 }
+
+// Symptom: a caller gets the beginning of one answer and the whole of another as
+// if they were one.
+// Sequence: a lookup's answer, too large to be taken in first and of no stated
+// length, breaks off after its first megabyte; the lookup may run twice.
+// Cause: the second answer goes on where the first one stopped.
+func TestAnAnswerThatHasBegunIsNotBegunAgain(t *testing.T) {
+	var runs atomic.Int32
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, wholeMost+4096))
+		_ = http.NewResponseController(w).Flush()
+		if runs.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer up.Close()
+	address := up.Listener.Addr().String()
+	g, f := waiting(&modelless{}, address)
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: address, Slots: 4}}, nil, 0)
+	routed(g, func(r *deploy.Route) { r.Kind, r.Attempts = deploy.Idempotent, 2 })
+	_, body, err := ask(t, served(t, g))
+	assert.Assert(t, err != nil, "%d bytes look whole", len(body))
+}
