An answer that has begun is not begun again

Cause: a lookup may be repeated; an answer over 1 MB goes to the caller as it comes, and when it broke off the second attempt's was written behind it. Before: a caller gets both as one answer. After: its connection breaks off.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -334,10 +334,10 @@
 const refusedSends = 2
 
 // mayRunAgain says whether the request may run once more although it may have
-// run already.
+// run already. Of an answer that has begun only a stream's can be gone on with.
 func (q *request) mayRunAgain() bool {
 	if q.route.Repeatable() {
-		return true
+		return !q.started
 	}
 	return q.route.Kind == deploy.Stream && q.route.Resumable
 }
