A large answer that has begun stays with its upstream

Cause: an attempt that may go elsewhere left a silent upstream also when a large answer of it had begun, which no other can go on with; it was cut. The same held for a large failure on a route whose streams may be resumed. Before: unexpected EOF (the test, run before the mending). After: whole.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -147,7 +147,7 @@
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
 		return q.stream(ctx, l, x, resp)
 	}
-	return q.whole(ctx, x, resp)
+	return q.whole(ctx, l, x, resp)
 }
 
 // distrust ends an attempt whose answer cannot be passed on.
@@ -194,12 +194,15 @@
 const wholeMost = 1 << 20
 
 // whole relays an answer that is not a stream.
-func (q *request) whole(ctx context.Context, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) whole(ctx context.Context, l *leaving, x *fleet.Exchange, resp *conn.Response) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeMost+1))
 	if err != nil {
 		return q.cut(ctx, x, resp)
 	}
 	if len(body) > wholeMost {
+		if !l.stay() {
+			return q.cut(ctx, x, resp)
+		}
 		return q.large(ctx, x, resp, body)
 	}
 	failed := resp.Status >= 500
@@ -219,7 +222,7 @@
 		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	q.w.WriteHeader(resp.Status)
-	q.started = true
+	q.started, q.begun = true, true
 	_, err := q.w.Write(head)
 	if err == nil {
 		_, err = io.Copy(q.w, resp.Body)
--- a/node/gate/elsewhere.go
+++ b/node/gate/elsewhere.go
@@ -57,6 +57,17 @@
 	}
 }
 
+// stay keeps the attempt where it is from now on: its answer is about to begin,
+// and cannot be gone on with elsewhere. It says no if the attempt has just left.
+func (l *leaving) stay() bool {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	l.heard.Add(1) // ends a look
+	l.looks.Wait()
+	return l.ctx.Err() == nil
+}
+
 // end returns when nothing looks any more: what the look reads changes with the
 // next attempt.
 func (l *leaving) end() {
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -136,6 +136,7 @@
 	pauseAt     time.Duration   // from the start to that pause
 	heard       time.Time       // when the last piece came
 	started     bool            // the head of an answer went to the caller
+	begun       bool            // of one that is no stream: nothing else can go on with it
 	after       string          // last whole event that the caller has
 	last        string          // upstream of the newest attempt
 	adapterAsks int
@@ -336,8 +337,11 @@
 // mayRunAgain says whether the request may run once more although it may have
 // run already. Of an answer that has begun only a stream's can be gone on with.
 func (q *request) mayRunAgain() bool {
+	if q.begun {
+		return false
+	}
 	if q.route.Repeatable() {
-		return !q.started
+		return true
 	}
 	return q.route.Kind == deploy.Stream && q.route.Resumable
 }
--- a/node/gate/silent_test.go
+++ b/node/gate/silent_test.go
@@ -168,3 +168,21 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
 }
+
+// Symptom: a large answer is cut though its upstream goes on with it.
+// Sequence: an answer too large to be taken in first has begun; its upstream says
+// nothing for a while; another upstream could take the request.
+// Cause: whether the answer has begun is looked at before the attempt only.
+func TestALargeAnswerThatHasBegunStaysWithItsUpstream(t *testing.T) {
+	large := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, wholeMost+4096))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(4 * silence)
+		_, _ = w.Write([]byte("end"))
+	}
+	host, _ := silenced(t, deploy.Idempotent, large, large)
+	status, body, err := ask(t, host)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, len(body), wholeMost+4096+len("end"))
+}
