--- a/node/gate/silent_test.go
+++ b/node/gate/silent_test.go
@@ -186,3 +186,48 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, len(body), wholeMost+4096+len("end"))
 }
+
+// Symptom: a lookup fails though its upstream is about to answer it.
+// Sequence: an upstream has not answered after twice the route's objective; no
+// other could take the lookup.
+// Cause: an attempt that is slow is ended without a look at what could follow.
+func TestARequestThatCanGoNowhereStaysWithASlowUpstream(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(4 * hedgeShare * slowObjective)
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer up.Close()
+	g, _ := waiting(&modelless{}, up.Listener.Addr().String())
+	routed(g, func(r *deploy.Route) { r.Kind, r.Attempts, r.Objective = deploy.Idempotent, 2, slowObjective })
+	status, body, err := ask(t, served(t, g))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+}
+
+// slowObjective is short, so that its multiples pass soon.
+const slowObjective = 20 * time.Millisecond
+
+// Symptom: a lookup is late though another upstream could have answered it.
+// Sequence: an upstream has not answered after twice the route's objective;
+// another could take the lookup.
+func TestARequestLeavesASlowUpstreamForAnother(t *testing.T) {
+	slow := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer slow.Close()
+	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+	defer quick.Close()
+	g, f := waiting(&modelless{}, slow.Listener.Addr().String())
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: quick.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	v, _ := f.Entry("v")
+	for range 3 { // so that it is not chosen first
+		defer v.Begin(&fleet.Ask{}, fleet.Cost{}).Dropped()
+	}
+	routed(g, func(r *deploy.Route) { r.Kind, r.Attempts, r.Objective = deploy.Idempotent, 2, slowObjective })
+	began := time.Now()
+	status, body, err := ask(t, served(t, g))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+	assert.Assert(t, time.Since(began) >= hedgeShare*slowObjective, "the first was the slow one")
+	assert.Assert(t, time.Since(began) < 10*hedgeShare*slowObjective, "%v", time.Since(began))
+}
