A slow lookup is left only for another upstream

Cause: at twice its route's objective an attempt was ended by a read bound, whether or not a repeat was allowed and another upstream could take it; the caller got 502 though its upstream was about to answer. After: it stays until another upstream can be had, as with silence; with another it leaves as before (TestARequestLeavesASlowUpstreamForAnother passes on both). conn.Request.HeadBy has no user now but its test.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,10 +31,6 @@
 	allowed    bool          // one more send was already taken from what repeats are allowed
 }
 
-// errSilent ends an attempt at an upstream gone silent, once the request can go
-// elsewhere and one more send was taken from what repeats are allowed.
-var errSilent = errors.New("upstream is silent")
-
 // attempt sends the request to one upstream and relays its answer.
 func (q *request) attempt(e *fleet.Entry, p picked) result {
 	d := &q.g.deps
@@ -53,6 +48,9 @@
 	defer l.end()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
 		x.OnSilence(l.silent)
+		if q.route.Repeatable() && q.route.Objective > 0 {
+			defer time.AfterFunc(hedgeShare*q.route.Objective, l.slow).Stop()
+		}
 	}
 	now := d.Now()
 	d.Log.Emit(event.RequestSent, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.Int("among", p.among),
@@ -71,8 +69,8 @@
 	return q.answered(ctx, l, e, x, resp)
 }
 
-// hedgeShare is how many objectives a call of a plain service that may be
-// repeated waits for the head of its answer before it goes elsewhere.
+// hedgeShare is how many objectives a call that may be repeated waits for the
+// head of its answer before it looks for another upstream.
 const hedgeShare = 2
 
 // outgoing builds the attempt. The caller's bytes go on as they are; what
@@ -85,11 +83,7 @@
 		s.Urgency, s.Ranked = q.route.Priority, true
 	}
 	q.g.deps.Codec.Sending(h, s)
-	out := &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body}
-	if q.route.Repeatable() && q.sends < q.route.Attempts && q.route.Objective > 0 {
-		out.HeadBy = now.Add(hedgeShare * q.route.Objective)
-	}
-	return out
+	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body}
 }
 
 // unanswered ends an attempt that brought no head of an answer.
@@ -104,9 +98,9 @@
 	}
 	why := "broken"
 	switch {
-	case errors.Is(context.Cause(ctx), errSilent):
-		x.Dropped() // counted when it was found silent
-		return result{notRun: notRun, why: "silent", allowed: true}
+	case leftBecause(ctx) != "":
+		x.Dropped() // silence was counted when it was found
+		return result{notRun: notRun, why: leftBecause(ctx), allowed: true}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		q.sends--
 		x.Absent()
@@ -114,9 +108,6 @@
 	case notRun:
 		why = "no_connection"
 		x.Broken(why)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		why = "slow"
-		x.Dropped()
 	default:
 		x.Broken(why)
 	}
@@ -239,9 +230,9 @@
 func (q *request) cut(ctx context.Context, x *fleet.Exchange, resp *conn.Response) result {
 	resp.Abort()
 	switch {
-	case errors.Is(context.Cause(ctx), errSilent):
+	case leftBecause(ctx) != "":
 		x.Dropped()
-		return result{why: "silent", allowed: true}
+		return result{why: leftBecause(ctx), allowed: true}
 	case q.ctx.Err() != nil:
 		x.Dropped()
 		return result{why: "time_up"}
--- a/node/gate/elsewhere.go
+++ b/node/gate/elsewhere.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,9 +10,10 @@
 	"peridotpier.example/node/pace"
 )
 
-// leaving ends an attempt at an upstream that went silent, as soon as the
-// request can go elsewhere. Silence alone ends nothing: an engine that puts a
-// request aside for more urgent ones is silent too, and goes on with it later.
+// leaving ends an attempt at an upstream that went silent, or is slow to begin,
+// as soon as the request can go elsewhere. Silence alone ends nothing: an engine
+// that puts a request aside for more urgent ones is silent too, and goes on with
+// it later.
 type leaving struct {
 	q      *request
 	ctx    context.Context // of the attempt
@@ -28,9 +30,30 @@
 // a fraction of the shortest objectives.
 const elsewhereLook = 50 * time.Millisecond
 
-// silent begins to look for another upstream. It may be called from any
+// The reasons to leave an upstream. The attempt has then one more send that was
+// taken from what repeats are allowed.
+var (
+	errSilent = errors.New("silent")
+	errSlow   = errors.New("slow")
+)
+
+// leftBecause says why the attempt was left; "": it was not.
+func leftBecause(ctx context.Context) string {
+	if why := context.Cause(ctx); errors.Is(why, errSilent) || errors.Is(why, errSlow) {
+		return why.Error()
+	}
+	return ""
+}
+
+// silent is told that nothing has come from the upstream for a while.
+func (l *leaving) silent() { l.begin(l.heard.Load(), errSilent) }
+
+// slow is told that the answer has not begun in time.
+func (l *leaving) slow() { l.begin(0, errSlow) }
+
+// begin begins to look for another upstream. It may be called from any
 // goroutine, and does not wait.
-func (l *leaving) silent() {
+func (l *leaving) begin(heard int64, why error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.looking || l.ended {
@@ -38,17 +61,17 @@
 	}
 	l.looking = true
 	l.looks.Add(1)
-	go l.look()
+	go l.look(heard, why)
 }
 
 // look ends the attempt when the request may be sent once more and another
-// upstream could take it now. It stops when the silent one speaks again.
-func (l *leaving) look() {
+// upstream could take it now. It stops when the present one speaks.
+func (l *leaving) look(heard int64, why error) {
 	defer l.looks.Done()
 	defer func() { l.mu.Lock(); l.looking = false; l.mu.Unlock() }()
-	for heard := l.heard.Load(); l.heard.Load() == heard; {
+	for l.heard.Load() == heard {
 		if e, _ := l.q.pick(); e != nil && l.q.g.deps.Repeats.Take(l.q.service.Name, l.q.g.deps.Now()) {
-			l.cancel(errSilent)
+			l.cancel(why)
 			return
 		}
 		if !pace.Sleep(l.ctx, elsewhereLook) {
