--- a/node/gate/leaving_test.go
+++ b/node/gate/leaving_test.go
@@ -46,7 +46,7 @@
 				g.deps.Leaving = leaving
 				g.deps.Draining = func() bool { return leaving.Err() != nil }
 				time.AfterFunc(c.stopAt, leave)
-				time.Sleep(1) // for a stop at once
+				time.Sleep(time.Nanosecond) // for a stop at once
 				r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
 				r.Header.Set("Model", "new")
 				w := httptest.NewRecorder()
