--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -62,7 +62,8 @@
 		zap.String("host", q.r.Host), zap.Uint64("version", q.version)}
 	q.g.deps.Log.Emit(event.RequestRefused, append(fields, more...)...)
 	q.g.deps.Metrics.Count(metrics.NotRun, 1)
-	if status == http.StatusRequestEntityTooLarge || status == http.StatusBadRequest {
+	switch status {
+	case http.StatusRequestEntityTooLarge, http.StatusBadRequest, http.StatusRequestTimeout:
 		q.w.Header().Set("Connection", "close") // what is left of the body is not read
 	}
 	q.end(status, why)
@@ -147,9 +148,13 @@
 	return zap.String("barred", q.barred)
 }
 
-// end writes a short final answer of this host's own.
+// end writes a short final answer of this host's own. The server reads what is
+// left of a body before it writes; a body that stalls must not hold the answer.
 func (q *request) end(status int, why string) {
 	h := q.w.Header()
+	if q.r.ContentLength != 0 && !q.taken {
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(restBound))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(why)+1))
 	q.w.WriteHeader(status)
