--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -31,10 +31,10 @@
 	lingerBound = time.Second
 	// lingerBytes is how much is read then: twice a usual bound of bodies.
 	lingerBytes = 8 << 20
-	// aheadRead is the size of the reads by which the HTTP server notices, while
-	// a handler runs, that the caller is gone. It begins them when the request is
-	// whole: what they bring is of the next one.
-	aheadRead = 1
+	// handshakeRest is how long after its last bytes a secured connection without
+	// a request counts as one whose handshake is done: what it read cannot be
+	// told from a request's beginning, whose rest follows within a round trip.
+	handshakeRest = 500 * time.Millisecond
 )
 
 // conn knows from the first byte on that a request is being read.
@@ -48,10 +48,13 @@
 	// unread says that bytes of the last request may still come.
 	unread  atomic.Bool
 	lingers atomic.Bool
+	heard   atomic.Int64 // from the Server's begin to the last bytes read, ns
+	used    atomic.Bool  // a request was read
 
 	// Of the HTTP server's goroutine, and of the reads that it starts.
-	waits bool // the answer is written, and the next read waits for the next request
-	ahead bool // the last read brought the first byte of the next request
+	waits   bool // the answer is written, and the next read waits for the next request
+	bounded bool // the wait for it has its bound
+	room    int  // of the server's buffer when it is empty; plain connections only
 }
 
 // kept says whether the connection had an answer.
@@ -72,18 +75,32 @@
 func (c *conn) ask(why Reason) {
 	c.limit.Lock()
 	defer c.limit.Unlock()
-	if c.phase.Load() != quiet {
+	from := quiet
+	if c.unused() {
+		from = busy
+	}
+	if c.phase.Load() != from {
 		return
 	}
 	c.why = why // before the phase, after which the reader goes by it
-	if c.phase.CompareAndSwap(quiet, asked) {
+	if c.phase.CompareAndSwap(from, asked) {
 		_ = c.Conn.SetReadDeadline(past) // it fails on one that has ended, whose reader sees that by itself
 	}
 }
 
+// unused says that a secured connection has had its handshake and no request.
+// Callers open some in advance; each would hold a stop until the bound of heads.
+func (c *conn) unused() bool {
+	if c.s.cfg.Secure == nil || c.used.Load() || c.phase.Load() != busy {
+		return false
+	}
+	return time.Since(c.s.began)-time.Duration(c.heard.Load()) > handshakeRest
+}
+
 // SetReadDeadline implements net.Conn. The HTTP server's own bounds do not put
 // off the end of a connection that is asked to close.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.told()
 	c.limit.Lock()
 	defer c.limit.Unlock()
 	if p := c.phase.Load(); p == asked || p == closing {
@@ -92,6 +109,14 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// told notes what the HTTP server's bounds tell of its next read. After an
+// answer it bounds the wait, and then the head, if it has four bytes of one.
+func (c *conn) told() {
+	if c.waits {
+		c.waits, c.bounded = !c.bounded, true
+	}
+}
+
 // begin says whether a request may begin or go on.
 func (c *conn) begin() bool {
 	if c.phase.CompareAndSwap(quiet, busy) || c.phase.Load() == busy {
@@ -117,7 +142,10 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	c.rest()
+	if c.room == 0 {
+		c.room = len(p)
+	}
+	c.rest(len(p))
 	next := c.phase.Load() != busy && c.kept()
 	n, err := c.Conn.Read(p)
 	if n <= 0 && c.phase.Load() == asked {
@@ -126,13 +154,13 @@
 	if n <= 0 {
 		return n, err
 	}
+	c.heard.Store(int64(time.Since(c.s.began)))
 	if !c.begin() {
 		return 0, c.ended() // this process has ended it by force
 	}
 	if next {
 		c.boundHead()
 	}
-	c.ahead = len(p) == aheadRead
 	return n, err
 }
 
@@ -177,13 +205,14 @@
 }
 
 // rest makes the connection quiet when the HTTP server reads on after an
-// answer. It does so only when it has handled all that it has read.
-func (c *conn) rest() {
+// answer, up to size bytes. It does so only when it has handled all that it has
+// read; what waits in its buffer takes of the room for the next read.
+func (c *conn) rest(size int) {
 	if !c.waits {
 		return
 	}
 	c.waits = false
-	if c.ahead {
+	if c.s.cfg.Secure == nil && size < c.room {
 		c.boundHead()
 		return
 	}
--- a/node/drain/drain.go
+++ b/node/drain/drain.go
@@ -110,7 +110,7 @@
 func (s *Server) ask(which func(*conn) bool) int {
 	left := 0
 	for c := range s.conns {
-		if which(c) {
+		if which(c) || c.unused() {
 			c.ask(Stop)
 		}
 		if p := c.phase.Load(); p == busy || p == asked {
@@ -194,8 +194,10 @@
 		switch to {
 		case http.StateActive:
 			c.waits = false
+			c.used.Store(true)
+			c.begin() // a head that was read while it was asked to close is served
 		case http.StateIdle:
-			c.waits = true
+			c.waits, c.bounded = true, false
 			c.unread.Store(true)
 		}
 	}
