--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -31,6 +31,10 @@
 	lingerBound = time.Second
 	// lingerBytes is how much is read then: twice a usual bound of bodies.
 	lingerBytes = 8 << 20
+	// handshakeRest is how long after its last bytes a secured connection without
+	// a request counts as one whose handshake is done: what it read cannot be
+	// told from a request's beginning, whose rest follows within a round trip.
+	handshakeRest = 500 * time.Millisecond
 )
 
 // conn knows from the first byte on that a request is being read.
@@ -44,6 +48,8 @@
 	// unread says that bytes of the last request may still come.
 	unread  atomic.Bool
 	lingers atomic.Bool
+	heard   atomic.Int64 // from the Server's begin to the last bytes read, ns
+	used    atomic.Bool  // a request was read
 
 	// Of the HTTP server's goroutine, and of the reads that it starts.
 	waits   bool // the answer is written, and the next read waits for the next request
@@ -69,15 +75,28 @@
 func (c *conn) ask(why Reason) {
 	c.limit.Lock()
 	defer c.limit.Unlock()
-	if c.phase.Load() != quiet {
+	from := quiet
+	if c.unused() {
+		from = busy
+	}
+	if c.phase.Load() != from {
 		return
 	}
 	c.why = why // before the phase, after which the reader goes by it
-	if c.phase.CompareAndSwap(quiet, asked) {
+	if c.phase.CompareAndSwap(from, asked) {
 		_ = c.Conn.SetReadDeadline(past) // it fails on one that has ended, whose reader sees that by itself
 	}
 }
 
+// unused says that a secured connection has had its handshake and no request.
+// Callers open some in advance; each would hold a stop until the bound of heads.
+func (c *conn) unused() bool {
+	if c.s.cfg.Secure == nil || c.used.Load() || c.phase.Load() != busy {
+		return false
+	}
+	return time.Since(c.s.began)-time.Duration(c.heard.Load()) > handshakeRest
+}
+
 // SetReadDeadline implements net.Conn. The HTTP server's own bounds do not put
 // off the end of a connection that is asked to close.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -135,6 +154,7 @@
 	if n <= 0 {
 		return n, err
 	}
+	c.heard.Store(int64(time.Since(c.s.began)))
 	if !c.begin() {
 		return 0, c.ended() // this process has ended it by force
 	}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +48,9 @@
 	Metrics  *metrics.Set
 	Draining func() bool // the host is about to stop: callers should go elsewhere
 	Closing  func() bool // nothing new is taken: it might not end in time
+	// Leaving is done soon after Draining begins: nobody is held for long any
+	// more, so that what is sent can end with the grace. nil: never.
+	Leaving context.Context
 	// Ending is done when the host is about to end: what is under way then gets
 	// its final answer at once. nil: never.
 	Ending context.Context
@@ -71,8 +75,10 @@
 	if d.Gone == nil {
 		d.Gone = func(context.Context) string { return "" }
 	}
-	if d.Ending == nil {
-		d.Ending = context.Background()
+	for _, c := range []*context.Context{&d.Leaving, &d.Ending} {
+		if *c == nil {
+			*c = context.Background()
+		}
 	}
 	return &Gate{deps: d}
 }
@@ -90,6 +96,9 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeUp)
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
+	if g.deps.Ending.Err() != nil {
+		giveUp(errStopping) // at once, so that nothing is sent any more
+	}
 	defer context.AfterFunc(g.deps.Ending, func() { giveUp(errStopping) })()
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(q.deadline.Add(writeGrace)) // a caller that does not read must not hold the request
@@ -118,6 +127,7 @@
 	service  *deploy.Service
 	version  uint64 // of the configuration that it is handled under
 	body     []byte
+	taken    bool // the body was read whole
 	start    time.Time
 	deadline time.Time
 	ask      fleet.Ask
@@ -132,6 +142,7 @@
 	pauseAt     time.Duration   // from the start to that pause
 	heard       time.Time       // when the last piece came
 	started     bool            // the head of an answer went to the caller
+	begun       bool            // of one that is no stream: nothing else can go on with it
 	after       string          // last whole event that the caller has
 	last        string          // upstream of the newest attempt
 	adapterAsks int
@@ -212,9 +223,6 @@
 // in the middle then never reaches an upstream, and any that was not run can
 // be sent to another.
 func (q *request) read(limits deploy.Limits) bool {
-	rc := http.NewResponseController(q.w)
-	_ = rc.SetReadDeadline(q.deadline)
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	most := int64(limits.BodyBytes)
 	if most <= 0 {
 		most = defaultBody
@@ -226,20 +234,46 @@
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, most+1))
+	body, err := q.readBody(most + 1)
 	switch {
+	case q.g.deps.Ending.Err() != nil:
+		q.w.Header().Set("Connection", "close")
+		q.refuse("stopping", stopRetry)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.decline(http.StatusRequestTimeout, "body_late")
 	case err != nil:
 		q.decline(http.StatusBadRequest, "body_incomplete", zap.Error(err), zap.Int("read_bytes", len(body)),
 			zap.Int64("length", q.r.ContentLength), zap.Int64("held_ms", q.g.deps.Now().Sub(q.start).Milliseconds()))
-		return false
 	case int64(len(body)) > most:
 		q.decline(http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
+	default:
+		q.body, q.taken = body, true
+		return true
 	}
-	q.body = body
-	return true
+	return false
 }
 
+// readBody reads until the body's end, the request's time or the end of the grace.
+func (q *request) readBody(most int64) ([]byte, error) {
+	rc := http.NewResponseController(q.w)
+	_ = rc.SetReadDeadline(q.deadline)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(q.g.deps.Ending, func() {
+		defer close(ended)
+		_ = rc.SetReadDeadline(time.Unix(1, 0))
+	})
+	body, err := io.ReadAll(io.LimitReader(q.r.Body, most))
+	if !stop() {
+		<-ended
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// restBound is how long what is left of a body that was given up may come in. It
+// is read so that a reset does not overtake the answer.
+const restBound = 500 * time.Millisecond
+
 // defaultBody bounds a body, in bytes, when the configuration does not.
 const defaultBody = 4 << 20
 
@@ -267,9 +301,6 @@
 	case q.r.Context().Err() != nil:
 		q.left()
 		return false
-	case q.started && q.route.Kind != deploy.Stream:
-		q.fail(http.StatusBadGateway, res.why) // no other answer can follow the beginning that the caller has
-		return false
 	case q.ctx.Err() != nil && q.kept == nil:
 		q.timeUp()
 		return false
@@ -322,8 +353,11 @@
 const refusedSends = 2
 
 // mayRunAgain says whether the request may run once more although it may have
-// run already.
+// run already. Of an answer that has begun only a stream's can be gone on with.
 func (q *request) mayRunAgain() bool {
+	if q.begun {
+		return false
+	}
 	if q.route.Repeatable() {
 		return true
 	}
