Test: a stall between a read and its word on it, on a secured connection

Without the begin of a request at the server's own word the read ahead, which then runs beside the handler, ends the connection: EOF in place of the answer.

--- a/node/drain/begin_test.go
+++ b/node/drain/begin_test.go
@@ -25,15 +25,24 @@
 
 // run serves h, plain or secured.
 func run(t *testing.T, h http.HandlerFunc, secured bool) *running {
+	t.Helper()
+	if secured {
+		return runOver(t, h, func(ln net.Listener) net.Listener { return ln })
+	}
+	return runOver(t, h, nil)
+}
+
+// runOver serves h, secured if over is there, which then wraps the secured listener.
+func runOver(t *testing.T, h http.HandlerFunc, over func(net.Listener) net.Listener) *running {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	cfg := Config{Listener: ln, Server: &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}}
-	if secured {
+	if over != nil {
 		donor := httptest.NewTLSServer(nil)
 		t.Cleanup(donor.Close)
 		cfg.Secure = func(ln net.Listener) net.Listener {
-			return tls.NewListener(ln, &tls.Config{Certificates: donor.TLS.Certificates})
+			return over(tls.NewListener(ln, &tls.Config{Certificates: donor.TLS.Certificates}))
 		}
 	}
 	s := &running{Server: New(cfg), address: ln.Addr().String()}
--- /dev/null
+++ b/node/drain/secured_test.go
@@ -0,0 +1,75 @@
+package drain
+
+import (
+	"bufio"
+	"crypto/tls"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// heldTLS stops a secured connection's reader once it has bytes.
+type heldTLS struct {
+	net.Listener
+	wasRead *hold
+}
+
+func (l heldTLS) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return heldTLSConn{nc.(*tls.Conn), l.wasRead}, nil
+}
+
+type heldTLSConn struct {
+	*tls.Conn
+	wasRead *hold
+}
+
+// NetConn is the connection below.
+func (c heldTLSConn) NetConn() net.Conn { return c.Conn }
+
+func (c heldTLSConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.wasRead.pass()
+	}
+	return n, err
+}
+
+// Symptom: a whole request was read, and its connection ends without an answer.
+// Sequence: the first request of a secured connection is read; the process stands
+// still for a while before it says so; a stop looks.
+// Cause: that nothing came for a while is taken for a handshake that is done.
+func TestAStallIsNoUnusedConnection(t *testing.T) {
+	for range 1000 { // the read ahead and the handler begin side by side
+		h := newHold()
+		s := runOver(t, ok, func(ln net.Listener) net.Listener { return heldTLS{ln, h} })
+		c, err := s.dial()
+		assert.NilError(t, err)
+		_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+		h.set.Store(true)
+		_, err = io.WriteString(c, plainGet)
+		assert.NilError(t, err)
+		within(t, "the request is read", h.reached)
+		s.longAgo()
+		s.Look()
+		assert.Equal(t, s.phases()[asked], 1)
+		close(h.release)
+		answered(t, bufio.NewReader(c))
+		_ = c.Close()
+	}
+}
+
+// longAgo has what was heard last on each connection lie in the past.
+func (s *running) longAgo() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.heard.Store(-int64(2 * handshakeRest))
+	}
+}
