--- a/node/host/callers_test.go
+++ b/node/host/callers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -395,3 +396,26 @@
 		})
 	}
 }
+
+// Symptom: a connection is closed though its request had arrived; a refused caller
+// waits for the end of its connection.
+// Sequence: the connection's account lies between the socket and who asks it.
+// Cause: what the socket can do is not passed on.
+func TestAnAccountedConnectionDoesWhatItsSocketDoes(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	there, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = there.Close() }()
+	nc, err := callerListener{ln, newConnLog(event.NewLog(nil), metrics.New(), func(http.Header) string { return "" })}.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = nc.Close() }()
+	_, err = nc.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, nc.(interface{ CloseWrite() error }).CloseWrite())
+	_ = there.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = there.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
