--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -92,6 +92,35 @@
   'c.linger()' '' ./node/drain
 try "last look" node/drain/drain.go \
   's.over = left == 0' 's.over = false' ./node/drain
+try "drain: no end of an answer that broke off" node/drain/conn.go \
+  '!returned || ' '' ./node/drain
+try "drain: last chunk before the rest of a body" node/drain/conn.go \
+  ' || w.Header().Get("Content-Length") == ""' '' ./node/drain
+try "drain: half closed after the last answer" node/drain/conn.go \
+  '_ = half.CloseWrite()' '_ = half' ./node/drain
+try "drain: nothing awaited of a connection that rests" node/drain/conn.go \
+  'c.unread.Load() && c.phase.Load() == busy && c' 'c.unread.Load() && c' ./node/drain
+try "drain: answers of the server on kept connections" node/drain/drain.go \
+  '			c.unread.Store(true)
+' '' ./node/drain
+try "drain: new connections are asked" node/drain/drain.go \
+  'left = s.ask(func(*conn) bool { return true })' 'left = 0' ./node/drain
+try "drain: new connections are asked last" node/drain/drain.go \
+  'left := s.ask((*conn).kept)' 'left := s.ask(func(*conn) bool { return true })' ./node/drain
+try "drain: what is asked counts" node/drain/drain.go \
+  'p == busy || p == asked' 'p == busy' ./node/drain
+try "drain: only kept connections are idle" node/drain/conn.go \
+  '	if !c.kept() {
+		return 0' '	if false {
+		return 0' ./node/drain
+try "drain: the end of what is awaited when secured" node/drain/drain.go \
+  '		_ = c.Conn.Close() // one' '		_ = c // one' ./node/drain
+try "drain: the body that the server made" node/drain/drain.go \
+  'own := r.WithContext(r.Context())' 'own := r' ./node/drain
+try "drain: a look at the socket below the account" node/host/callers.go \
+  'if sc, ok := c.Conn.(syscall.Conn); ok {' 'if sc, ok := c.Conn.(syscall.Conn); ok && false {' ./node/host
+try "drain: half closing of the socket below the account" node/host/callers.go \
+  'if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {' 'if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && false {' ./node/host
 try "at most the route's attempts" node/gate/gate.go \
   'q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res)' '(q.mayGoOn(res) || true)' ./node/gate
 try "nothing after the beginning of an answer" node/gate/gate.go \
