Only what came since a handshake keeps a secured connection in a stop

Cause: the mending before took a head of which half had come more than half a second ago for a handshake, also on a plain listener: an operator's request ended with its connection (TestAStopAnswersAnOperator, EOF, once, in a run of all checks beside other work). The HTTP server lifts its bound when a handshake is done; bytes that come later are a request's. After: that test and the one of unused connections, five runs each with -race.

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -31,9 +31,9 @@
 	lingerBound = time.Second
 	// lingerBytes is how much is read then: twice a usual bound of bodies.
 	lingerBytes = 8 << 20
-	// handshakeRest is how long after its last bytes a secured connection without
-	// a request counts as one whose handshake is done: what it read cannot be
-	// told from a request's beginning, whose rest follows within a round trip.
+	// handshakeRest is how long after its handshake a secured connection counts as
+	// one without a request. The beginning of one may have come in the same packet,
+	// which cannot be seen; its rest follows within a round trip.
 	handshakeRest = 500 * time.Millisecond
 )
 
@@ -49,7 +49,8 @@
 	unread  atomic.Bool
 	lingers atomic.Bool
 	heard   atomic.Int64 // from the Server's begin to the last bytes read, ns
-	used    atomic.Bool  // a request was read
+	shaken  atomic.Bool  // the handshake is done
+	used    atomic.Bool  // bytes came since, or a request was read
 
 	// Of the HTTP server's goroutine, and of the reads that it starts.
 	waits   bool // the answer is written, and the next read waits for the next request
@@ -91,7 +92,7 @@
 // unused says that a secured connection has had its handshake and no request.
 // Callers open some in advance; each would hold a stop until the bound of heads.
 func (c *conn) unused() bool {
-	if c.s.cfg.Secure == nil || c.used.Load() || c.phase.Load() != busy {
+	if !c.shaken.Load() || c.used.Load() || c.phase.Load() != busy {
 		return false
 	}
 	return time.Since(c.s.began)-time.Duration(c.heard.Load()) > handshakeRest
@@ -100,7 +101,7 @@
 // SetReadDeadline implements net.Conn. The HTTP server's own bounds do not put
 // off the end of a connection that is asked to close.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	c.told()
+	c.told(t)
 	c.limit.Lock()
 	defer c.limit.Unlock()
 	if p := c.phase.Load(); p == asked || p == closing {
@@ -110,11 +111,15 @@
 }
 
 // told notes what the HTTP server's bounds tell of its next read. After an
-// answer it bounds the wait, and then the head, if it has four bytes of one.
-func (c *conn) told() {
+// answer it bounds the wait, and then the head, if it has four bytes of one. It
+// bounds handshakes, and lifts that when they are done.
+func (c *conn) told(t time.Time) {
 	if c.waits {
 		c.waits, c.bounded = !c.bounded, true
 	}
+	if c.s.cfg.Secure != nil && t.IsZero() {
+		c.shaken.Store(true)
+	}
 }
 
 // begin says whether a request may begin or go on.
@@ -155,6 +160,9 @@
 		return n, err
 	}
 	c.heard.Store(int64(time.Since(c.s.began)))
+	if c.shaken.Load() {
+		c.used.Store(true)
+	}
 	if !c.begin() {
 		return 0, c.ended() // this process has ended it by force
 	}
