Orders that an upstream bars while it is busy are not sent

Cause: an upstream refuses orders for adapters while one for a model is being carried out. Nothing noted that: the order was given again after each report, three times a second, while others could have taken the adapter. Ruled out: a number that had moved on (the same number is accepted later). The account learns it from a refusal and the next report, shared by the service's upstreams; a load whose move was given up is looked after like a former holder's, since it bars adapters too.

--- a/core/residency/adapters.go
+++ b/core/residency/adapters.go
@@ -3,11 +3,12 @@
 import "time"
 
 // LoadAdapter returns the order that brings an adapter nearer: its load, or
-// the unload of the one used longest ago when its place is needed.
+// the unload of the one used longest ago when its place is needed; false while
+// Barred.
 func (b *Book) LoadAdapter(name, a string, now time.Time) (Order, bool) {
 	m := b.models[name]
 	spec, ok := b.engine.Model(name)
-	if !ok || b.unsure || m == nil || m.phase != Ready || m.adapters[a] != nil {
+	if !ok || b.unsure || b.Barred() || m == nil || m.phase != Ready || m.adapters[a] != nil {
 		return Order{}, false
 	}
 	if b.Adapters() < b.engine.AdapterSlots && b.weights()+spec.AdapterMB <= b.engine.MemoryMB {
--- a/core/residency/residency.go
+++ b/core/residency/residency.go
@@ -70,6 +70,8 @@
 	unsure   bool    // the upstream's report must be seen before the next order
 	doubts   []Doubt // orders to this process
 	charged  []Doubt // orders to its former process under the same name
+	refused  *Order  // the last order, if it was refused and no report has come since
+	traits   *Traits // of its service; nil: nothing is learnt
 }
 
 // New opens the book of an upstream from its own description. What it shows is
@@ -264,6 +266,7 @@
 // holds at the upstream.
 func (b *Book) Refused(o Order) {
 	b.unsure, b.sequence = true, 0 // whatever number the next report shows is right
+	b.refused = &o
 	b.undo(o)
 }
 
--- a/core/residency/settle.go
+++ b/core/residency/settle.go
@@ -24,6 +24,7 @@
 	if r.Sequence < b.sequence {
 		return false
 	}
+	b.learn(r)
 	moved := r.Sequence > b.sequence
 	b.sequence, b.unsure = r.Sequence, false
 	b.charged = lasting(b.charged, now)
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -99,8 +99,9 @@
 	encodedAs []byte
 
 	mu        sync.Mutex
-	units     map[string]*unit // by upstream
-	revision  uint64           // rises when what the units hold changes
+	units     map[string]*unit             // by upstream
+	traits    map[string]*residency.Traits // of upstreams, by service
+	revision  uint64                       // rises when what the units hold changes
 	term      lease.Term
 	lastEpoch uint64 // that this host held
 	held      bool
@@ -134,7 +135,7 @@
 		cfg.AdapterLoad = defaultAdapterLoad
 	}
 	c := &Coordinator{cfg: cfg, deps: deps, now: deps.Now, sums: newSums(), demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
-		stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
+		traits: map[string]*residency.Traits{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
 	c.turns = newTurns(c)
 	return c
 }
@@ -246,6 +247,7 @@
 		if u == nil || u.entry != e {
 			former := u
 			u = newUnit(c, e, s.Engine, now)
+			u.book.Share(c.traitsLocked(s.Name))
 			if former != nil { // the upstream has started again under its ID
 				u.book.Charge(former.doubts(now))
 			}
@@ -265,6 +267,16 @@
 	}
 }
 
+// traitsLocked is what was learnt of a service's upstreams. It outlives terms.
+func (c *Coordinator) traitsLocked(service string) *residency.Traits {
+	t := c.traits[service]
+	if t == nil {
+		t = &residency.Traits{}
+		c.traits[service] = t
+	}
+	return t
+}
+
 // changed tells the hosts, with their next reports, what an upstream holds now.
 func (c *Coordinator) changed(u *unit) {
 	c.mu.Lock()
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -96,11 +96,13 @@
 	endEach = 700 * time.Millisecond
 )
 
-// lookForEnd asks for the upstream's report, beside the plan, while an order of
-// a former holder is being carried out there.
+// lookForEnd asks for the upstream's report, beside the plan, while an order is
+// being carried out there that no move of this host waits for: one of a former
+// holder, or one whose move took too long and was given up. Without it the
+// upstream would count as busy for good.
 func (u *unit) lookForEnd(ctx context.Context, now time.Time) {
 	u.mu.Lock()
-	due := u.book.Foreign() && now.Sub(u.asked) >= endEach
+	due := u.book.Busy() && u.moving == nil && now.Sub(u.asked) >= endEach
 	if due {
 		u.asked = now
 	}
