--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -34,7 +34,7 @@
 	AdapterAsked    = Event{2155, "adapter_asked", zapcore.InfoLevel, "A request needs an adapter that no upstream has at hand; the host that gives orders was asked to load it."}
 	MoveEnded       = Event{2157, "move_ended_early", zapcore.WarnLevel, "A change of an upstream's models was not carried through; the next plan looks at it anew."}
 	TurnGiven       = Event{2128, "turn_given", zapcore.DebugLevel, "The host that decides for all named the upstream of a request; load, waiting and cached are what it knew there."}
-	QuietPeriod     = Event{2156, "orders_quiet", zapcore.InfoLevel, "The lease is new: no order is sent for this long, so that the former holder's last ones have arrived."}
+	QuietPeriod     = Event{2156, "orders_quiet", zapcore.InfoLevel, "The lease is new: no order is sent for this long, so that the former holder's last ones have arrived. upstreams is to how many of them, by its word, this holds one by one."}
 )
 
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReread, SettingsBad,
