--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,13 +60,13 @@
 	demand replica.Demand // that it is for
 	began  time.Time      // under which its load from the weight store is counted
 	sent   bool           // the load was ordered
-	taken  bool           // the order was answered: it has been taken
+	taken  atomic.Bool    // the order was answered: it has been taken
 }
 
 // takenFromStore notes that a load was taken. It begins now: an order may have
 // been given several times before it was answered.
 func (c *Coordinator) takenFromStore(v *moving) {
-	v.taken = true
+	v.taken.Store(true)
 	if v.From == replica.FromStore {
 		c.stores.undo(v.began)
 		v.began = c.now()
@@ -76,7 +77,7 @@
 // settleStoreLoad corrects the count of loads from the weight store by what
 // became of a move.
 func (c *Coordinator) settleStoreLoad(v *moving) {
-	if v.taken || v.From != replica.FromStore {
+	if v.taken.Load() || v.From != replica.FromStore {
 		return
 	}
 	c.stores.undo(v.began)
@@ -96,11 +97,13 @@
 	endEach = 700 * time.Millisecond
 )
 
-// lookForEnd asks for the upstream's report, beside the plan, while an order of
-// a former holder is being carried out there.
+// lookForEnd asks for the upstream's report, beside the plan, while an order is
+// being carried out there that no move of this host waits for: one of a former
+// holder, or one whose move took too long and was given up. Without it the
+// upstream would count as busy for good.
 func (u *unit) lookForEnd(ctx context.Context, now time.Time) {
 	u.mu.Lock()
-	due := u.book.Foreign() && now.Sub(u.asked) >= endEach
+	due := u.book.Busy() && u.moving == nil && now.Sub(u.asked) >= endEach
 	if due {
 		u.asked = now
 	}
@@ -150,7 +153,7 @@
 	}
 	for {
 		now := u.c.now()
-		if u.c.stores.postpone(v.began, u.engine.LoadsPerSecond, now) {
+		if loadingFromStore(u.c.allUnits()) < storePlaces(u.engine) && u.c.stores.postpone(v.began, u.engine.LoadsPerSecond, now) {
 			v.began = now
 			return nil
 		}
