--- a/node/drain/secured_test.go
+++ b/node/drain/secured_test.go
@@ -43,8 +43,9 @@
 }
 
 // Symptom: a whole request was read, and its connection ends without an answer.
-// Sequence: the first request of a secured connection is read; the process stands
-// still for a while before it says so; a stop looks.
+// Sequence: the first request of a secured connection is read, in one packet with
+// the end of the handshake; the process stands still for a while before it says
+// so; a stop looks.
 // Cause: that nothing came for a while is taken for a handshake that is done.
 func TestAStallIsNoUnusedConnection(t *testing.T) {
 	for range 400 { // the read ahead and the handler begin side by side
@@ -66,11 +67,14 @@
 	}
 }
 
-// longAgo has what was heard last on each connection lie in the past.
+// longAgo has what was heard last on each connection, with the end of its
+// handshake, lie in the past.
 func (s *running) longAgo() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		c.shaken.Store(true)
+		c.used.Store(false)
 		c.heard.Store(-int64(2 * handshakeRest))
 	}
 }
