--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -124,10 +124,9 @@
 try "at most the route's attempts" node/gate/gate.go \
   'q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res)' '(q.mayGoOn(res) || true)' ./node/gate
 try "nothing after the beginning of an answer" node/gate/gate.go \
-  'case q.started && q.route.Kind != deploy.Stream:' 'case false:' ./node/gate -run 'LargeAnswer'
+  'if q.begun {' 'if false {' ./node/gate -run 'LargeAnswer'
 try "an attempt whose answer has begun" node/gate/attempt.go \
-  '		l.stay()
-' '' ./node/gate -run 'LargeAnswer'
+  'if !l.stay() {' 'if false {' ./node/gate -run 'LargeAnswer'
 try "last lines of the log" node/event/sink.go \
   'len(buf) > 0 && time.Now().Before(end); buf = s.gather(buf[:0])' 'len(buf) > 0 && time.Now().Before(end); buf = nil' ./node/event
 try "kinds that may run again" node/gate/gate.go \
