--- a/node/drain/drain.go
+++ b/node/drain/drain.go
@@ -110,10 +110,12 @@
 func (s *Server) ask(which func(*conn) bool) int {
 	left := 0
 	for c := range s.conns {
-		if which(c) || c.unused() {
+		due := which(c) || c.unused()
+		if due {
 			c.ask(Stop)
 		}
-		if p := c.phase.Load(); p == busy || p == asked {
+		p := c.phase.Load()
+		if p == busy || p == asked || due && p == quiet { // quiet again: its request was over since it was asked
 			left++
 		}
 	}
