Mutations: guards of the hand-over and of loads from the weight store

Cause: "quiet period of a new holder" was STALE: its line went to handover.go. It is there now. New: an order within the former holder's quiet time at one upstream, the bound of loads from the weight store, loads by what they serve. The bound was MISSED by the tests of node/coordinator; the test of replaced engines catches it (4 loads at once in place of 2).

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -38,8 +38,15 @@
 		return err
 	}
 	if c.now()' ./node/coordinator ./platform -run 'Order|Holder'
-try "quiet period of a new holder" node/coordinator/coordinator.go \
-  'c.quiet = now.Add(wait)' 'c.quiet = now' ./platform -run 'Orders'
+try "quiet period of a new holder" node/coordinator/handover.go \
+  'c.quiet, c.ordered, c.whole = now.Add(c.cfg.Quiet), now' 'c.quiet, c.ordered, c.whole = now, now' ./node/coordinator
+try "order within the former holder's quiet time at one upstream" node/coordinator/handover.go \
+  'return ok && !o.own' 'return false && ok && !o.own' ./node/coordinator ./platform -run 'Holder|Orders'
+try "bound of loads from the weight store" node/coordinator/plan.go \
+  'min(c.stores.left(s.Engine.LoadsPerSecond, now), storePlaces(s.Engine)-loadingFromStore(units))' \
+  'c.stores.left(s.Engine.LoadsPerSecond, now)' ./node/coordinator ./platform -run 'Loads|EnginesReplaced'
+try "loads by what they serve" core/replica/replica.go \
+  'if x, y := s.gain(a), s.gain(b); x != y {' 'if x, y := s.gain(a), s.gain(b); false && x != y {' ./core/replica
 try "number of orders in an order" platform/upstream.go \
   'Expected: o.Expected' 'Expected: 0' ./platform -run 'Adapter|Order'
 try "room for adapters beside models" core/residency/residency.go \
