Loads that a former holder told count as under way

Cause: orders of a former holder show as under way only when an upstream's report was seen. Until then its successor began as many loads as the weight store carries beside them: four at once where two run at full speed (a trial of the test of replaced engines with loads of 2 s). Loads that were told count for as long as the slowest takes by itself, or as foreign orders, whichever is more. After: the tests of the package and of replaced engines, with -race.

--- a/node/coordinator/authority.go
+++ b/node/coordinator/authority.go
@@ -57,6 +57,7 @@
 	mu     sync.Mutex
 	begun  []time.Time
 	doubts []time.Time // until when each load whose order went unanswered may still begin
+	told   []time.Time // of those begun, what a former holder told
 	full   time.Time   // until when a former holder's loads are assumed to fill the window
 }
 
@@ -88,6 +89,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.begun, s.doubts = append(s.begun, begun...), append(s.doubts, doubts...)
+	s.told = slices.Clone(begun)
+}
+
+// inheritedWithin is how many loads that a former holder told began within a
+// time, so that they may still be under way.
+func (s *storeLoads) inheritedWithin(longest time.Duration, now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = recent(s.told, now, longest)
+	return len(s.told)
 }
 
 // tell returns the loads that count now; known: there are no others.
--- a/node/coordinator/handover_test.go
+++ b/node/coordinator/handover_test.go
@@ -70,6 +70,8 @@
 	b.takes(2)
 	assert.Assert(t, b.silent("u") && !b.silent("v"))
 	assert.Equal(t, b.stores.left(1, k.now), free, "the former holder's load counts")
+	assert.Equal(t, b.stores.inheritedWithin(2*time.Second, k.now), 1, "it may be under way")
+	assert.Equal(t, b.stores.inheritedWithin(time.Second/2, k.now), 0)
 	k.now = k.now.Add(testQuiet - time.Second - time.Millisecond)
 	assert.Assert(t, b.silent("u"))
 	k.now = k.now.Add(2 * time.Millisecond)
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -153,7 +153,7 @@
 	}
 	for {
 		now := u.c.now()
-		if loadingFromStore(u.c.allUnits()) < storePlaces(u.engine) && u.c.stores.postpone(v.began, u.engine.LoadsPerSecond, now) {
+		if u.c.storeRoom(u.engine, u.c.allUnits(), now) > 0 && u.c.stores.postpone(v.began, u.engine.LoadsPerSecond, now) {
 			v.began = now
 			return nil
 		}
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now),
-			StoreLeft: min(c.stores.left(s.Engine.LoadsPerSecond, now), storePlaces(s.Engine)-loadingFromStore(units))}
+			StoreLeft: min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))}
 		in.Prior = replica.Priors(s.Engine, func(model string) bool { return c.demand.known(s.Name, model, now) })
 		in.SomePatient = somePatient(table.Config, s)
 		moving := 0
@@ -71,32 +71,59 @@
 // wait for, comes as late as the last. Eight begun together where two run at
 // full speed took 4 to 7 s in place of 2.4 s, all of them.
 func storePlaces(e *deploy.Engine) int {
-	longest := time.Duration(0)
-	for i := range e.Models {
-		longest = max(longest, e.Models[i].StoreLoad)
-	}
-	return max(int(math.Ceil(e.LoadsPerSecond*longest.Seconds())), leastStorePlaces)
+	return max(int(math.Ceil(e.LoadsPerSecond*longestLoad(e).Seconds())), leastStorePlaces)
 }
 
 // loadingFromStore is how many loads from the weight store are under way, or
-// may be: where a former holder's order came from is not known.
-func loadingFromStore(units []*unit) int {
-	n := 0
+// may be. Those of a former holder show as orders of unknown source once the
+// upstream's report was seen, and by the former holder's word before.
+func loadingFromStore(units []*unit, told int) int {
+	own, foreign := 0, 0
 	for _, u := range units {
-		if u.loadsFromStore() {
-			n++
+		switch u.loading() {
+		case loadsOwn:
+			own++
+		case loadsForeign:
+			foreign++
 		}
 	}
-	return n
+	return own + max(foreign, told)
 }
 
-func (u *unit) loadsFromStore() bool {
+// storeLoad says whether an upstream loads from the weight store.
+type storeLoad uint8
+
+const (
+	loadsNot     storeLoad = iota
+	loadsOwn               // by an order of this host
+	loadsForeign           // perhaps, by an order of a former holder
+)
+
+func (u *unit) loading() storeLoad {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.moving == nil {
-		return u.book.Foreign()
+	switch v := u.moving; {
+	case v == nil && u.book.Foreign():
+		return loadsForeign
+	case v != nil && v.From == replica.FromStore && (v.Unload == "" || v.sent):
+		return loadsOwn
+	}
+	return loadsNot
+}
+
+// storeRoom is how many more loads from the weight store may begin beside those
+// under way.
+func (c *Coordinator) storeRoom(e *deploy.Engine, units []*unit, now time.Time) int {
+	return storePlaces(e) - loadingFromStore(units, c.stores.inheritedWithin(longestLoad(e), now))
+}
+
+// longestLoad is how long the slowest load from the weight store takes by itself.
+func longestLoad(e *deploy.Engine) time.Duration {
+	longest := time.Duration(0)
+	for i := range e.Models {
+		longest = max(longest, e.Models[i].StoreLoad)
 	}
-	return u.moving.From == replica.FromStore && (u.moving.Unload == "" || u.moving.sent)
+	return longest
 }
 
 // listSettles is how long no new upstream must have come before models are
--- a/node/coordinator/plan_test.go
+++ b/node/coordinator/plan_test.go
@@ -35,10 +35,12 @@
 		unitWith(&moving{Move: replica.Move{Load: "a", From: replica.FromDisk}}, idle),
 		unitWith(&moving{Move: replica.Move{Load: "a", Unload: "b", From: replica.FromStore}}, idle), // the unload is not over
 	}
-	assert.Equal(t, loadingFromStore(units), 0)
+	assert.Equal(t, loadingFromStore(units, 0), 0)
 	units = append(units,
 		unitWith(&moving{Move: replica.Move{Load: "a", From: replica.FromStore}}, idle),
 		unitWith(&moving{Move: replica.Move{Load: "a", Unload: "b", From: replica.FromStore}, sent: true}, idle),
 		unitWith(nil, residency.Report{Sequence: 4, Busy: true})) // a former holder's order
-	assert.Equal(t, loadingFromStore(units), 3)
+	assert.Equal(t, loadingFromStore(units, 0), 3)
+	assert.Equal(t, loadingFromStore(units, 1), 3, "the one that was told is the one that shows")
+	assert.Equal(t, loadingFromStore(units, 2), 4)
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -46,7 +46,7 @@
 try "order within the former holder's quiet time at one upstream" node/coordinator/handover.go \
   'return ok && !o.own' 'return false && ok && !o.own' ./node/coordinator ./platform -run 'Holder|Orders'
 try "bound of loads from the weight store" node/coordinator/plan.go \
-  'min(c.stores.left(s.Engine.LoadsPerSecond, now), storePlaces(s.Engine)-loadingFromStore(units))' \
+  'min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))' \
   'c.stores.left(s.Engine.LoadsPerSecond, now)' ./node/coordinator ./platform -run 'Loads|EnginesReplaced'
 try "loads by what they serve" core/replica/replica.go \
   'if x, y := s.gain(a), s.gain(b); x != y {' 'if x, y := s.gain(a), s.gain(b); false && x != y {' ./core/replica
