--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -44,7 +44,7 @@
 	q.tried[e.ID()] = true
 	q.sends++
 	q.last = e.ID()
-	l := &leaving{q: q, ctx: ctx, cancel: cancel}
+	l := &elsewhere{q: q, ctx: ctx, cancel: cancel}
 	defer l.end()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
 		x.OnSilence(l.silent)
@@ -116,7 +116,7 @@
 }
 
 // answered checks the head of an answer and takes what it is for.
-func (q *request) answered(ctx context.Context, l *leaving, e *fleet.Entry, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) answered(ctx context.Context, l *elsewhere, e *fleet.Entry, x *fleet.Exchange, resp *conn.Response) result {
 	facts := q.g.deps.Codec.Answer(resp.Status, resp.Header)
 	if facts.Load != nil {
 		x.Told(*facts.Load)
@@ -186,7 +186,7 @@
 const wholeMost = 1 << 20
 
 // whole relays an answer that is not a stream.
-func (q *request) whole(ctx context.Context, l *leaving, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) whole(ctx context.Context, l *elsewhere, x *fleet.Exchange, resp *conn.Response) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeMost+1))
 	if err != nil {
 		return q.cut(ctx, x, resp)
--- a/node/gate/elsewhere.go
+++ b/node/gate/elsewhere.go
@@ -10,11 +10,11 @@
 	"peridotpier.example/node/pace"
 )
 
-// leaving ends an attempt at an upstream that went silent, or is slow to begin,
+// elsewhere ends an attempt at an upstream that went silent, or is slow to begin,
 // as soon as the request can go elsewhere. Silence alone ends nothing: an engine
 // that puts a request aside for more urgent ones is silent too, and goes on with
 // it later.
-type leaving struct {
+type elsewhere struct {
 	q      *request
 	ctx    context.Context // of the attempt
 	cancel context.CancelCauseFunc
@@ -46,14 +46,14 @@
 }
 
 // silent is told that nothing has come from the upstream for a while.
-func (l *leaving) silent() { l.begin(l.heard.Load(), errSilent) }
+func (l *elsewhere) silent() { l.begin(l.heard.Load(), errSilent) }
 
 // slow is told that the answer has not begun in time.
-func (l *leaving) slow() { l.begin(0, errSlow) }
+func (l *elsewhere) slow() { l.begin(0, errSlow) }
 
 // begin begins to look for another upstream. It may be called from any
 // goroutine, and does not wait.
-func (l *leaving) begin(heard int64, why error) {
+func (l *elsewhere) begin(heard int64, why error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.looking || l.ended {
@@ -66,7 +66,7 @@
 
 // look ends the attempt when the request may be sent once more and another
 // upstream could take it now. It stops when the present one speaks.
-func (l *leaving) look(heard int64, why error) {
+func (l *elsewhere) look(heard int64, why error) {
 	defer l.looks.Done()
 	defer func() { l.mu.Lock(); l.looking = false; l.mu.Unlock() }()
 	for l.heard.Load() == heard {
@@ -82,7 +82,7 @@
 
 // stay keeps the attempt where it is from now on: its answer is about to begin,
 // and cannot be gone on with elsewhere. It says no if the attempt has just left.
-func (l *leaving) stay() bool {
+func (l *elsewhere) stay() bool {
 	l.mu.Lock()
 	l.ended = true
 	l.mu.Unlock()
@@ -93,7 +93,7 @@
 
 // end returns when nothing looks any more: what the look reads changes with the
 // next attempt.
-func (l *leaving) end() {
+func (l *elsewhere) end() {
 	l.mu.Lock()
 	l.ended = true
 	l.mu.Unlock()
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -16,7 +16,7 @@
 
 // stream relays events as they arrive. One that breaks off ends without its
 // proper end, or goes on at another upstream where its route allows that.
-func (q *request) stream(ctx context.Context, l *leaving, x *fleet.Exchange, resp *conn.Response) result {
+func (q *request) stream(ctx context.Context, l *elsewhere, x *fleet.Exchange, resp *conn.Response) result {
 	events := splitter{whole: q.mayRunAgain(), last: q.after}
 	buf := make([]byte, streamBuffer)
 	for {
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -70,8 +70,7 @@
 	Body         []byte
 	Stream       io.Reader
 	StreamLength int64
-	Fresh        bool      // use a new connection
-	HeadBy       time.Time // until when the head of the answer may take; zero: until the context ends
+	Fresh        bool // use a new connection
 
 	source *source // of Stream
 }
@@ -102,9 +101,6 @@
 	}
 	stop := context.AfterFunc(ctx, l.reset)
 	req := r.httpRequest()
-	if !r.HeadBy.IsZero() {
-		_ = l.nc.SetReadDeadline(r.HeadBy) // a connection that is closed already fails in the exchange
-	}
 	resp, err := c.exchange(l, r, req)
 	if err != nil {
 		if l.reused && l.read == 0 {
@@ -120,9 +116,6 @@
 		}
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
-	if !r.HeadBy.IsZero() {
-		_ = l.nc.SetReadDeadline(time.Time{})
-	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
 		client: c, link: l, close: resp.Close, stop: stop}, nil
 }
--- a/node/upstream/conn/reset_test.go
+++ b/node/upstream/conn/reset_test.go
@@ -1,6 +1,7 @@
 package conn_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -37,8 +38,9 @@
 		ended <- err
 	}()
 	client := conn.New(conn.Config{Dialer: conn.NewDialer()})
-	_, err = client.Do(t.Context(), &conn.Request{Address: ln.Addr().String(), Method: http.MethodGet, Target: "/", Header: http.Header{},
-		HeadBy: time.Now().Add(100 * time.Millisecond)})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = client.Do(ctx, &conn.Request{Address: ln.Addr().String(), Method: http.MethodGet, Target: "/", Header: http.Header{}})
 	assert.Assert(t, err != nil)
 	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET), "it is dropped, not ended in order")
 }
