--- a/node/drain/conn_test.go
+++ b/node/drain/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,26 @@
 	assert.Assert(t, err != nil, "nothing is read any more")
 	assert.Equal(t, c.s.Look(), 0)
 }
+
+// Symptom: a stop takes its whole grace, and connections of callers that do not
+// read stay for ever.
+// Sequence: a caller sends one request after the other and reads no answer; the
+// server has handled one and writes its answer.
+// Cause: a handler's own bound on writes ends with it; what the server writes
+// after that has none.
+func TestACallerThatDoesNotReadIsNotAwaitedForLong(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("x", 2000) // that the server holds back until the handler has returned
+	var s *served
+	s = serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }, func() {
+		select {
+		case <-s.idle: // nobody waits for it here
+		default:
+		}
+	})
+	c := s.dial()
+	assert.NilError(t, c.Conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	go func() { _, _ = io.WriteString(c, strings.Repeat(get, 20000)) }()
+	within(t, "the connection ends", s.closed)
+}
