What a handler leaves of its answer has two seconds to be written

Cause: the bound on writes is a handler's own and ends with it; up to 4 KB are written by the HTTP server after that, and early answers have no bound at all. A caller that does not read kept its connection for ever, and, since a request is under way until its answer is written, a stop up to its grace. The bound is set when the handler returns; the HTTP server lifts it before the next request.

Ruled out: leaving the gate's own bound in place, which early answers do not have.

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -31,6 +31,9 @@
 	lingerBound = time.Second
 	// lingerBytes is how much is read then: twice a usual bound of bodies.
 	lingerBytes = 8 << 20
+	// answerBound is how long the HTTP server may take to write what a handler
+	// left of its answer: 4 KB at most, whose caller may not read.
+	answerBound = 2 * time.Second
 	// handshakeRest is how long after its handshake a secured connection counts as
 	// one without a request. The beginning of one may have come in the same packet,
 	// which cannot be seen; its rest follows within a round trip.
@@ -244,11 +247,12 @@
 // is read before the HTTP server closes the connection; without a length, the
 // answer's last chunk would wait for that.
 func (c *conn) handled(w http.ResponseWriter, rest *body, returned bool) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(answerBound)) // the HTTP server lifts it before the next request
 	c.unread.Store(!rest.whole)
 	if rest.whole {
 		return
 	}
-	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(restBound))
 	if !returned || w.Header().Get("Content-Length") == "" {
 		return
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -128,6 +128,8 @@
   'if sc, ok := c.Conn.(syscall.Conn); ok {' 'if sc, ok := c.Conn.(syscall.Conn); ok && false {' ./node/host
 try "drain: half closing of the socket below the account" node/host/callers.go \
   'if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {' 'if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && false {' ./node/host
+try "bound of an answer that is left to write" node/drain/conn.go \
+  '_ = rc.SetWriteDeadline(time.Now().Add(answerBound))' '' ./node/drain
 try "at most the route's attempts" node/gate/gate.go \
   'q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res)' '(q.mayGoOn(res) || true)' ./node/gate
 try "nothing after the beginning of an answer" node/gate/gate.go \
