--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -32,8 +32,9 @@
 	// lingerBytes is how much is read then: twice a usual bound of bodies.
 	lingerBytes = 8 << 20
 	// answerBound is how long the HTTP server may take to write what a handler
-	// left of its answer: 4 KB at most, whose caller may not read.
-	answerBound = 2 * time.Second
+	// left of its answer: 4 KB at most, whose caller may not read. Longer than a
+	// way to the caller is usually cut for, so that what waits still arrives.
+	answerBound = 5 * time.Second
 	// handshakeRest is how long after its handshake a secured connection counts as
 	// one without a request. The beginning of one may have come in the same packet,
 	// which cannot be seen; its rest follows within a round trip.
