--- a/node/drain/conn_test.go
+++ b/node/drain/conn_test.go
@@ -101,3 +101,21 @@
 	go func() { _, _ = io.WriteString(c, strings.Repeat(get, 20000)) }()
 	within(t, "the connection ends", s.closed)
 }
+
+// Symptom: a secured caller's first request ends without an answer at a stop.
+// Sequence: its head was read a while ago, by a server short of processor time;
+// the connection counts as unused and is asked to close; then the server has
+// parsed the head.
+// Cause: the reader that could keep the connection has nothing more to read.
+func TestAHeadThatWasReadKeepsItsConnection(t *testing.T) {
+	c, _ := pair(t)
+	c.shaken.Store(true)
+	c.begin()
+	c.s.began = time.Now().Add(-2 * handshakeRest)
+	c.ask(Stop)
+	assert.Equal(t, c.phase.Load(), asked)
+	c.s.cfg.Server.ConnState(c, http.StateActive)
+	assert.Equal(t, c.phase.Load(), busy)
+	assert.Equal(t, c.s.Look(), 1)
+	assert.Equal(t, c.phase.Load(), busy, "it is used now")
+}
