--- a/node/event/sink_test.go
+++ b/node/event/sink_test.go
@@ -82,19 +82,24 @@
 // writes a line.
 // Cause: at the end no more is written than one write takes.
 func TestTheLastLinesAreAllWritten(t *testing.T) {
-	out := &stuck{gate: make(chan struct{})}
-	sink := event.NewSink(out)
-	log := event.NewJSON(sink, zapcore.InfoLevel)
 	const lines = 2000
-	for range lines {
-		log.Emit(event.RequestServed, zap.String("request", "9c41d07be2a35f68"))
+	for range 8 { // the sink takes lines and the end in any order
+		out := &stuck{gate: make(chan struct{})}
+		sink := event.NewSink(out)
+		log := event.NewJSON(sink, zapcore.InfoLevel)
+		for range lines {
+			log.Emit(event.RequestServed, zap.String("request", "9c41d07be2a35f68"))
+		}
+		synced := make(chan struct{})
+		go func() { defer close(synced); log.Sync() }()
+		time.Sleep(10 * time.Millisecond) // the end waits when the first write is over
+		close(out.gate)
+		<-synced
+		out.mu.Lock()
+		assert.Equal(t, sink.Dropped(), int64(0))
+		assert.Equal(t, strings.Count(out.buf.String(), `"request_served"`), lines)
+		out.mu.Unlock()
 	}
-	close(out.gate)
-	log.Sync()
-	out.mu.Lock()
-	defer out.mu.Unlock()
-	assert.Equal(t, sink.Dropped(), int64(0))
-	assert.Equal(t, strings.Count(out.buf.String(), `"request_served"`), lines)
 }
 
 // BenchmarkRequestLines is what the log costs a request: the line of its send
