Priors: all models that nobody asked for together are bounded by the engines

Cause: each model that nobody has asked for was prepared for by a guess of its own load. With 340 models before 45 places the guesses add up to 68 engines where there are 15, and what is asked for gives way to them: nine seconds before the first request every engine dropped a replica of a hot model.

The test fails without the bound. Callers of Priors in tests name the engines.

--- a/core/replica/prior.go
+++ b/core/replica/prior.go
@@ -10,6 +10,10 @@
 	// priorPlain is below it, and above what makes a model's only replica give
 	// way: any of them may be the next to be asked for.
 	priorPlain = 0.12
+	// preparedShare is the part of all engines' time that models which nobody
+	// has asked for may be expected to take together, however many there are: a
+	// deployment's engines are there for its usual load and its peaks.
+	preparedShare = 0.5
 )
 
 // Priors guesses the load of models that nobody has asked for yet. The only
@@ -17,8 +21,11 @@
 // are used. The order of a list says nothing. A wrong guess costs a few loads;
 // without any, models whose demand rises start from one replica, and a load
 // from the weight store takes longer than the rise.
-func Priors(e *deploy.Engine, asked func(model string) bool) map[string]float64 {
-	out := map[string]float64{}
+//
+// Of many models each is the less likely to be the next: with 340 of them before
+// 45 places, guesses for one model at a time would outweigh all that is known.
+func Priors(e *deploy.Engine, engines int, asked func(model string) bool) map[string]float64 {
+	out, sum := map[string]float64{}, 0.0
 	for i := range e.Models {
 		m := &e.Models[i]
 		if asked(m.Name) {
@@ -29,6 +36,12 @@
 			load = priorAdapted
 		}
 		out[m.Name] = load * worthPreparing(m)
+		sum += out[m.Name]
+	}
+	if most := preparedShare * float64(engines); sum > most {
+		for name := range out {
+			out[name] *= most / sum
+		}
 	}
 	return out
 }
--- /dev/null
+++ b/core/replica/prior_test.go
@@ -0,0 +1,39 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/replica"
+)
+
+// Symptom: before the first request every engine drops a replica of what will be
+// asked for most, and a third of the callers' models are nowhere all day.
+// Sequence: 340 models, 15 engines with three places each; nobody has asked yet.
+// Cause: each model is prepared for as if it were one of few; all of them together
+// would need four times the engines that there are.
+func TestManyModelsAreNotAllPreparedFor(t *testing.T) {
+	var names []string
+	for i := range 340 {
+		names = append(names, fmt.Sprint("m", i))
+	}
+	e := engine(names...)
+	nobody := func(string) bool { return false }
+	in := replica.Input{Engine: e, Most: 15, StoreLeft: 15, SomePatient: true, Demand: map[string]replica.Demand{}}
+	for i := range 15 {
+		in.Upstreams = append(in.Upstreams, on(fmt.Sprint("u", i), names[2*i], names[2*i+1], "m0"))
+	}
+	in.Prior = replica.Priors(e, len(in.Upstreams), nobody)
+	assert.Equal(t, len(replica.Default.Plan(in)), 0, "nobody gains by it")
+
+	sum := 0.0
+	for _, load := range in.Prior {
+		sum += load
+	}
+	assert.Assert(t, sum < float64(len(in.Upstreams)), "they may take %v of 15 engines", sum)
+	few := replica.Priors(engine("a", "b"), 15, nobody)
+	assert.Equal(t, few["a"], replica.Priors(engine("a", "b"), 150, nobody)["a"], "few models are prepared for as before")
+	assert.Assert(t, few["a"] > 0)
+}
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -91,10 +91,10 @@
 func TestNothingIsPreparedWhereTheStoreIsAsQuickAsADisk(t *testing.T) {
 	e := engine("a", "b")
 	nobody := func(string) bool { return false }
-	assert.Assert(t, replica.Priors(e, nobody)["a"] > 0)
-	assert.Equal(t, replica.Priors(e, nobody)["a"], replica.Priors(e, nobody)["b"])
+	assert.Assert(t, replica.Priors(e, 12, nobody)["a"] > 0)
+	assert.Equal(t, replica.Priors(e, 12, nobody)["a"], replica.Priors(e, 12, nobody)["b"])
 	e.Models[0].StoreLoad = e.Models[0].DiskLoad
-	assert.Equal(t, replica.Priors(e, nobody)["a"], 0.0)
+	assert.Equal(t, replica.Priors(e, 12, nobody)["a"], 0.0)
 }
 
 func heldAnywhere(us []replica.Upstream, model string) bool {
@@ -141,7 +141,7 @@
 				in.Demand[n] = replica.Demand{Load: rapid.Float64Range(0, 4).Draw(t, "load"), Unserved: rapid.Bool().Draw(t, "unserved"), Patient: rapid.Bool().Draw(t, "patient")}
 			}
 		}
-		in.Prior = replica.Priors(in.Engine, func(m string) bool { _, ok := in.Demand[m]; return ok })
+		in.Prior = replica.Priors(in.Engine, 12, func(m string) bool { _, ok := in.Demand[m]; return ok })
 		ready := map[string]int{}
 		for i := range rapid.IntRange(1, 30).Draw(t, "upstreams") {
 			u := on(fmt.Sprint("u", i))
@@ -213,11 +213,11 @@
 	turned := engine("d", "c", "b", "a")
 	turned.Models[1].Adapters = 3
 	nobody := func(string) bool { return false }
-	priors := replica.Priors(e, nobody)
-	assert.DeepEqual(t, priors, replica.Priors(turned, nobody))
+	priors := replica.Priors(e, 12, nobody)
+	assert.DeepEqual(t, priors, replica.Priors(turned, 12, nobody))
 	assert.Equal(t, priors["a"], priors["d"])
 	assert.Assert(t, priors["c"] > priors["a"], "adapters are made for models that are used")
-	asked := replica.Priors(e, func(m string) bool { return m == "c" })
+	asked := replica.Priors(e, 12, func(m string) bool { return m == "c" })
 	_, known := asked["c"]
 	assert.Assert(t, !known)
 }
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -53,7 +53,6 @@
 func (c *Coordinator) planInput(cfg *deploy.Config, s *deploy.Service, units []*unit, now time.Time) replica.Input {
 	in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now),
 		StoreLeft: min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))}
-	in.Prior = replica.Priors(s.Engine, func(model string) bool { return c.demand.known(s.Name, model, now) })
 	in.SomePatient = somePatient(cfg, s)
 	moving := 0
 	for _, u := range units {
@@ -65,6 +64,7 @@
 			moving++
 		}
 	}
+	in.Prior = replica.Priors(s.Engine, len(in.Upstreams), func(model string) bool { return c.demand.known(s.Name, model, now) })
 	in.Most = max(int(movingShare*float64(len(in.Upstreams))), 1) - moving
 	return in
 }
