Requests wait for a model that is on its way, or are told at once when it comes

Cause: a request for a model that no upstream holds waited for 0.6 of its objective, also when the load was to end a moment later, or only after its time; then it was refused and told to come back in a second, to be refused again. The holder knows when each load ends and told nobody.

Change: holdings tell what is coming and when. A request waits until then if the model is there by half of its time; if it comes later the request is refused at once with the time at which it is there; if nobody loads it, as before. What is told after long is not spread by more than half a second.

Tests: both waits fail without the change.

--- /dev/null
+++ b/node/coordinator/coming_test.go
@@ -0,0 +1,46 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/replica"
+	"peridotpier.example/node/coordinator/coordpb"
+)
+
+// Symptom: callers are refused, or wait in vain, for a model whose load ends in
+// a known time.
+// Sequence: the holder moves a model; what makes way for it ends its streams
+// first, then its load begins.
+// Cause: hosts are told of a model when it is there, not before.
+func TestHostsAreToldWhenAModelComes(t *testing.T) {
+	holder, host := holderSize{7, 12, 340}.holder(), holderSize{7, 12, 340}.holder()
+	l := NewLink(LinkConfig{Host: "h"}, host, nil, host.deps.Log)
+	tell := func() {
+		l.take(holder.tellSums(&coordpb.HostReport{Host: "h", Revision: l.revision}, holder.now()))
+	}
+	tell()
+	_, coming := host.deps.Fleet.Coming("s", modelName(200))
+	assert.Assert(t, !coming)
+
+	u, _ := holder.unit(upstreamName(0))
+	u.moving = &moving{Move: replica.Move{Upstream: upstreamName(0), Unload: modelName(0), Load: modelName(200), From: replica.FromStore}}
+	holder.changed(u)
+	tell()
+	at, coming := host.deps.Fleet.Coming("s", modelName(200))
+	assert.Assert(t, coming && at.Sub(host.now()) == 9*time.Second, "at the earliest")
+
+	u.moving.loads = holder.now().Add(-4 * time.Second)
+	holder.changed(u)
+	tell()
+	at, coming = host.deps.Fleet.Coming("s", modelName(200))
+	assert.Assert(t, coming && at.Sub(host.now()) == 5*time.Second)
+
+	u.moving = nil
+	holder.changed(u)
+	tell()
+	_, coming = host.deps.Fleet.Coming("s", modelName(200))
+	assert.Assert(t, !coming, "it came to nothing")
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -65,6 +65,7 @@
 type holding struct {
 	born      int64
 	residents []deploy.Resident
+	coming    []fleet.Coming
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -248,6 +249,7 @@
 	}
 	for id, h := range holdings {
 		if e, ok := l.own.deps.Fleet.Entry(id); ok && e.Born() == h.born {
+			e.Expect(h.coming)
 			e.Believe(h.residents, now)
 		}
 	}
@@ -263,7 +265,7 @@
 		l.holdings = map[string]holding{}
 	}
 	for _, h := range s.Holdings {
-		l.holdings[h.Upstream] = holding{born: h.Born, residents: residents(h)}
+		l.holdings[h.Upstream] = holding{born: h.Born, residents: residents(h), coming: coming(h, l.own.now())}
 	}
 	for _, id := range s.Gone {
 		delete(l.holdings, id)
@@ -285,6 +287,14 @@
 	return out
 }
 
+func coming(h *coordpb.Holding, now time.Time) []fleet.Coming {
+	out := make([]fleet.Coming, len(h.Coming))
+	for i, m := range h.Coming {
+		out[i] = fleet.Coming{Model: m.Model, At: now.Add(milliseconds(m.ReadyMs))}
+	}
+	return out
+}
+
 func (l *Link) lost(address string, err error) {
 	l.mu.Lock()
 	l.failed++
--- a/node/coordinator/move.go
+++ b/node/coordinator/move.go
@@ -35,6 +35,7 @@
 	u.mu.Lock()
 	u.moving = v
 	u.mu.Unlock()
+	c.changed(u)
 	if m.From == replica.FromStore {
 		c.stores.begin(v.began)
 	}
@@ -47,6 +48,7 @@
 			u.rested = c.now().Add(moveRest)
 		}
 		u.mu.Unlock()
+		c.changed(u)
 		if err != nil {
 			c.deps.Log.Emit(event.MoveEnded, zap.String(event.FieldPeer, m.Upstream), zap.String("unload", m.Unload),
 				zap.String("load", m.Load), zap.Error(err))
@@ -60,6 +62,7 @@
 	demand replica.Demand // that it is for
 	began  time.Time      // under which its load from the weight store is counted
 	sent   bool           // the load was ordered
+	loads  time.Time      // when its order was taken; zero: not yet; under the unit's mu
 	taken  atomic.Bool    // the order was answered: it has been taken
 }
 
@@ -137,6 +140,10 @@
 		return err
 	}
 	u.c.takenFromStore(v)
+	u.mu.Lock()
+	v.loads = u.c.now()
+	u.mu.Unlock()
+	u.c.changed(u)
 	took := replica.LoadTime(u.engine, v.Load, v.From)
 	if !pace.Sleep(ctx, took) {
 		return ctx.Err()
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/coordpb"
 )
 
@@ -157,7 +158,7 @@
 	}
 	for _, u := range c.units {
 		if u.revision.Load() > r.Revision {
-			out.Holdings = append(out.Holdings, u.holding())
+			out.Holdings = append(out.Holdings, u.holding(now))
 		}
 	}
 	return out
@@ -185,13 +186,26 @@
 	out.LastOrderMs = uint32(min(age, time.Hour).Milliseconds())
 }
 
-// holding is what the upstream can answer, for the other hosts.
-func (u *unit) holding() *coordpb.Holding {
+// holding is what the upstream can answer now or will soon, for the other hosts.
+func (u *unit) holding(now time.Time) *coordpb.Holding {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := &coordpb.Holding{Upstream: u.entry.ID(), Born: u.entry.Born()}
 	for _, r := range u.book.Residents() {
 		out.Residents = append(out.Residents, &coordpb.Resident{Model: r.Model, Adapters: r.Adapters})
 	}
+	if v := u.moving; v != nil {
+		out.Coming = []*coordpb.Coming{{Model: v.Load, ReadyMs: uint32(max(u.readyLocked(v, now).Sub(now), 0).Milliseconds())}}
+	}
 	return out
 }
+
+// readyLocked is when the model of a move can be expected to answer, at the
+// earliest: what makes way for it may have to end its streams first.
+func (u *unit) readyLocked(v *moving, now time.Time) time.Time {
+	took := replica.LoadTime(u.engine, v.Load, v.From)
+	if v.loads.IsZero() {
+		return now.Add(took)
+	}
+	return v.loads.Add(took)
+}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -74,6 +74,7 @@
 	sentSince  int // own sends since reportedAt
 	believed   []deploy.Resident
 	believedAt time.Time
+	coming     []Coming             // by the same word
 	denied     map[string]time.Time // model and adapter, until when
 	cache      Cache
 	movable    map[*Exchange]struct{} // attempts that can go elsewhere
--- /dev/null
+++ b/node/gate/coming_test.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/fleet"
+)
+
+// tellAsReportsDo tells again and again what an upstream holds and loads, until
+// the model is there at a time.
+func tellAsReportsDo(e *fleet.Entry, model string, at time.Time, done <-chan struct{}) {
+	e.Expect([]fleet.Coming{{Model: model, At: at}})
+	for {
+		now := time.Now()
+		if now.After(at) {
+			e.Expect(nil)
+			e.Believe([]deploy.Resident{{Model: model}}, now)
+			return
+		}
+		e.Believe([]deploy.Resident{{Model: "old"}}, now)
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// Symptom: callers whose model is loaded in 2.4 s are refused after 0.6 s, come
+// back once, and are refused again a moment before it is there.
+// Sequence: a model is nowhere; its load is ordered; a caller has 10 s for its
+// answer, which is worth most within 3 s.
+// Cause: a request waits as long as its answer would be in time, and neither it
+// nor its caller knows when the model comes.
+func TestARequestWaitsForAModelThatIsOnItsWay(t *testing.T) {
+	t.Parallel()
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer up.Close()
+	g, f := waiting(&modelless{}, up.Listener.Addr().String())
+	e, _ := f.Entry("u")
+	began, done := time.Now(), make(chan struct{})
+	defer close(done)
+	go tellAsReportsDo(e, "new", began.Add(2300*time.Millisecond), done) // later than 0.6 of 3 s
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+	r.Header.Set("Model", "new")
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusOK)
+}
+
+// Symptom: callers of a model that comes after their time are held for more than
+// half a second, refused, and told to come back in a second, again and again.
+// Sequence: a model is nowhere; its load takes longer than the caller has.
+// Cause: the same.
+func TestARequestWhoseModelComesTooLateIsToldAtOnceWhenItComes(t *testing.T) {
+	t.Parallel()
+	g, f := waiting(&modelless{}, "127.0.0.1:1")
+	e, _ := f.Entry("u")
+	began := time.Now()
+	at := began.Add(9 * time.Second) // of the 10 s that the caller has
+	e.Expect([]fleet.Coming{{Model: "new", At: at}})
+	e.Believe([]deploy.Resident{{Model: "old"}}, began)
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+	r.Header.Set("Model", "new")
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < modelLook, "any wait is in vain")
+	after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 8 && after <= 9.5, "it is there after %v s", after)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -99,8 +99,10 @@
 // wait lets a request wait until an upstream may take it. It answers the
 // caller, and says no, when none will in time.
 func (q *request) wait(p picked) bool {
-	hold := q.hold(p.Reason)
-	until := q.start.Add(hold)
+	if p.Reason == balance.NoModel {
+		return q.awaitModel(p)
+	}
+	until := q.start.Add(q.hold(p.Reason))
 	if p.Reason == balance.NoAdapter && p.home != nil {
 		return q.fetchAdapter(p)
 	}
@@ -112,9 +114,6 @@
 	defer cancel()
 	defer q.endsWithStop(cancel)()
 	q.tellWait(p, until.Sub(now))
-	if p.Reason == balance.NoModel {
-		return q.awaitModel(ctx)
-	}
 	changed := q.g.deps.Fleet.Changed()
 	if e, _ := q.pick(); e != nil {
 		return true
@@ -146,16 +145,25 @@
 
 // awaitModel lets the request wait until an upstream holds its model. It goes
 // by what this host knows: the host that decides for all tells it what was
-// loaded, and a question for each change would be one for each request that
-// ends anywhere.
-func (q *request) awaitModel(ctx context.Context) bool {
+// loaded and what is on its way, and a question for each change would be one for
+// each request that ends anywhere.
+func (q *request) awaitModel(p picked) bool {
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	defer q.endsWithStop(cancel)()
 	for {
-		q.g.deps.Models.Demand(q.service.Name, &q.facts, q.cost.Output, q.route.Objective, true)
 		held := q.g.deps.Fleet.HoldingsChanged()
 		if e, p := q.pick(); e != nil || p.Reason != balance.NoModel {
 			return true
 		}
-		look, cancel := context.WithTimeout(ctx, modelLook)
+		until, late := q.modelBy()
+		now := q.g.deps.Now()
+		if late || !now.Before(until) {
+			return q.giveUpModel(now)
+		}
+		q.tellWait(p, until.Sub(now))
+		q.g.deps.Models.Demand(q.service.Name, &q.facts, q.cost.Output, q.route.Objective, true)
+		look, cancel := context.WithTimeout(ctx, min(modelLook, until.Sub(now)))
 		select {
 		case <-held:
 		case <-look.Done():
@@ -167,6 +175,51 @@
 	}
 }
 
+const (
+	// comingShare is the part of its time by which a model must be there for its
+	// request to be answered whole before the rest is over. Loads of 9 s before
+	// callers who wait for 15 s: what is left does for the longest answers.
+	comingShare = 0.5
+	// comingSlack is how much later than it can be expected a model may come:
+	// what makes way for it ends its streams first.
+	comingSlack = 2 * time.Second
+)
+
+// modelBy is until when the request waits for a model that no upstream holds:
+// until it is there, if that is on its way; else for as long as its answer could
+// still be in time. Late says that the model comes after the request's time, so
+// that any wait is in vain.
+func (q *request) modelBy() (until time.Time, late bool) {
+	usual := q.start.Add(q.hold(balance.NoModel))
+	at, coming := q.g.deps.Fleet.Coming(q.service.Name, q.ask.Model)
+	if !coming || q.started || q.g.deps.Draining() {
+		return usual, false
+	}
+	last := q.start.Add(time.Duration(float64(q.deadline.Sub(q.start)) * comingShare))
+	if at.After(last) {
+		return usual, true
+	}
+	return earlier(at.Add(comingSlack), last), false
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// giveUpModel answers a request whose model will not come in its time. A caller
+// may come back when it is there.
+func (q *request) giveUpModel(now time.Time) bool {
+	at, coming := q.g.deps.Fleet.Coming(q.service.Name, q.ask.Model)
+	if after := at.Sub(now); coming && after > 0 && q.kept == nil && q.r.Context().Err() == nil {
+		q.unserved(http.StatusBadGateway, balance.NoModel.String(), after)
+		return false
+	}
+	return q.giveUp(balance.NoModel)
+}
+
 // hold is how long the request may wait for the reason to pass. One whose
 // answer has begun can be refused no more; to give it up would cut it.
 func (q *request) hold(r balance.Reason) time.Duration {
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -26,9 +26,10 @@
 	serverRetry = 600 * time.Millisecond
 	// modelRetry: a load from a disk or host memory takes 1 to 3 s.
 	modelRetry = time.Second
-	// retrySpread spreads returns, so that those refused together do not come
-	// back together.
+	// retrySpread spreads returns, as a share, so that those refused together do
+	// not come back together; spreadMost is enough for that, however long the wait.
 	retrySpread = 0.5
+	spreadMost  = 500 * time.Millisecond
 )
 
 func retryOf(r balance.Reason) time.Duration {
@@ -46,7 +47,7 @@
 // when to come back.
 func (q *request) refuse(why string, after time.Duration) {
 	d := &q.g.deps
-	after += time.Duration(float64(after) * retrySpread * d.Draw())
+	after += time.Duration(min(float64(after)*retrySpread, float64(spreadMost)) * d.Draw())
 	h := q.w.Header()
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	d.Log.Emit(event.RequestRefused, q.id(), q.routeName(), zap.String("why", why), zap.Int64("retry_after_ms", after.Milliseconds()),
