--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -172,16 +172,16 @@
 // models are under less, so that most upstreams need not be looked at for them.
 func (p Policy) leastPressure(s *state) float64 {
 	least := math.Inf(1)
-	for i := range s.hosts {
-		h := &s.hosts[i]
-		if !h.Movable || h.moved {
+	for i := range s.upstreams {
+		u := &s.upstreams[i]
+		if !u.Movable || u.moved {
 			continue
 		}
-		if h.FreeMB > 0 {
+		if u.FreeMB > 0 {
 			return 0
 		}
-		for j := range h.held {
-			if after, ok := p.afterwards(s, &h.held[j], nil); ok {
+		for j := range u.held {
+			if after, ok := p.afterwards(s, &u.held[j], nil); ok {
 				least = min(least, after*p.Gain)
 			}
 		}
@@ -209,22 +209,22 @@
 	var best *choice
 	lowest := math.Inf(1)
 	wait := m.demand.Patient && s.atHand(m)
-	for i := range s.hosts {
-		h := &s.hosts[i]
-		if !h.Movable || h.moved || h.holds(m) {
+	for i := range s.upstreams {
+		u := &s.upstreams[i]
+		if !u.Movable || u.moved || u.holds(m) {
 			continue
 		}
-		from := h.source(m.name)
+		from := u.source(m.name)
 		if from == FromStore && (s.store <= 0 || wait) {
 			continue
 		}
-		unload, cost, ok := p.victim(s, h, m)
+		unload, cost, ok := p.victim(s, u, m)
 		if !ok {
 			continue
 		}
-		cost += m.seconds[from] + busyWeight*h.load()
+		cost += m.seconds[from] + busyWeight*u.load()
 		if cost < lowest {
-			best, lowest = &choice{at: h, unload: unload, load: m, from: from}, cost
+			best, lowest = &choice{at: u, unload: unload, load: m, from: from}, cost
 		}
 	}
 	return best
@@ -233,8 +233,8 @@
 // atHand says whether some upstream has a copy of a model's weights. Callers
 // who wait for a load do not wait for one from the store.
 func (s *state) atHand(m *model) bool {
-	for i := range s.hosts {
-		if s.hosts[i].source(m.name) != FromStore {
+	for i := range s.upstreams {
+		if s.upstreams[i].source(m.name) != FromStore {
 			return true
 		}
 	}
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -41,8 +41,8 @@
 	return min(max(m.demand.Load-float64(m.replicas), 0), 1)
 }
 
-// host is one upstream as a plan sees it, with what it held at the start.
-type host struct {
+// upstream is an Upstream as a plan sees it, with what it held at the start.
+type upstream struct {
 	*Upstream
 	held  []held
 	moved bool
@@ -53,20 +53,20 @@
 	model *model
 }
 
-func (h *host) holds(m *model) bool {
-	for i := range h.held {
-		if h.held[i].model == m {
+func (u *upstream) holds(m *model) bool {
+	for i := range u.held {
+		if u.held[i].model == m {
 			return true
 		}
 	}
 	return false
 }
 
-func (h *host) source(name string) Source {
+func (u *upstream) source(name string) Source {
 	switch {
-	case h.InMemory[name]:
+	case u.InMemory[name]:
 		return FromMemory
-	case h.OnDisk[name]:
+	case u.OnDisk[name]:
 		return FromDisk
 	default:
 		return FromStore
@@ -74,10 +74,10 @@
 }
 
 // load is the engines' time that its models bring to it.
-func (h *host) load() float64 {
+func (u *upstream) load() float64 {
 	sum := 0.0
-	for i := range h.held {
-		m := h.held[i].model
+	for i := range u.held {
+		m := u.held[i].model
 		sum += m.load() / float64(max(m.replicas, 1))
 	}
 	return sum
@@ -90,7 +90,7 @@
 	somePatient bool
 	models      []*model // of the deployment, in its order
 	byName      map[string]*model
-	hosts       []host // usable ones
+	upstreams   []upstream // usable ones
 	store       int
 }
 
@@ -101,7 +101,7 @@
 		m.enter(&in.Engine.Models[i])
 		s.models = append(s.models, m)
 	}
-	s.hosts = make([]host, 0, len(in.Upstreams))
+	s.upstreams = make([]upstream, 0, len(in.Upstreams))
 	for i := range in.Upstreams {
 		if in.Upstreams[i].Usable {
 			s.enter(in, &in.Upstreams[i])
@@ -120,16 +120,16 @@
 
 // enter counts what an upstream holds.
 func (s *state) enter(in *Input, u *Upstream) {
-	h := host{Upstream: u, held: make([]held, len(u.Held))}
+	own := upstream{Upstream: u, held: make([]held, len(u.Held))}
 	for i := range u.Held {
 		m := s.model(in, u.Held[i].Model)
-		h.held[i] = held{&u.Held[i], m}
+		own.held[i] = held{&u.Held[i], m}
 		m.replicas++
 		if u.Held[i].Ready {
 			m.ready++
 		}
 	}
-	s.hosts = append(s.hosts, h)
+	s.upstreams = append(s.upstreams, own)
 }
 
 // model finds a model, or enters one that the deployment does not name any more.
@@ -157,7 +157,7 @@
 
 // choice is a move that was chosen.
 type choice struct {
-	at     *host
+	at     *upstream
 	unload *model // nil: none
 	load   *model
 	from   Source
--- a/core/replica/victim.go
+++ b/core/replica/victim.go
@@ -4,15 +4,15 @@
 
 // victim picks the model that makes way at an upstream, with what that costs
 // in seconds; nil when there is room without one.
-func (p Policy) victim(s *state, h *host, wanted *model) (*model, float64, bool) {
-	if h.FreeMB >= wanted.weights {
+func (p Policy) victim(s *state, u *upstream, wanted *model) (*model, float64, bool) {
+	if u.FreeMB >= wanted.weights {
 		return nil, 0, true
 	}
 	pressure := wanted.pressure(wanted.replicas)
 	var best *model
 	lowest := math.Inf(1)
-	for i := range h.held {
-		v := &h.held[i]
+	for i := range u.held {
+		v := &u.held[i]
 		after, ok := p.afterwards(s, v, wanted)
 		if !ok || after*p.Gain > pressure {
 			continue
