Requests are not sent where they would only make others late

Cause: a request that had waited for half of its objective went to the best upstream however much that had to read. Where a model is asked for more than its upstreams can read, every request came to that: engines had seconds of prompts before them, what had just come waited behind, all answers were late and many ran out of time half read.

Change: the bound of prompts that wait at an upstream holds for all requests; one that gets no place within 0.8 of its objective is refused, not run, and told when to come back.

Tests: the request that is sent in vain (fails before); a play of twice the load on one upstream counts answers in time.

--- /dev/null
+++ b/node/coordinator/overload_test.go
@@ -0,0 +1,86 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+)
+
+// A play of one upstream that reads prompts one after the other, and of callers
+// who ask for twice as much as it can read.
+const (
+	playObjective = time.Second
+	playReads     = 118 * time.Millisecond // 2,368 tokens at 20.4 a millisecond
+	playArrives   = playReads / 2
+	playGivesUp   = 800 * time.Millisecond // what a host waits for a turn
+	playLasts     = 20 * time.Second
+)
+
+// played is one request of the play.
+type played struct {
+	id      uint64
+	arrived time.Time
+	granted bool
+	ended   bool
+}
+
+// Symptom: callers ask for twice what a model's upstreams can read, and hardly
+// one in ten answers begins in time.
+// Sequence: all wait for a turn, the oldest first, for as long as an answer could
+// begin in time.
+// Cause: requests that waited for their whole time are sent on beside the turns.
+func TestUnderTwiceTheLoadAnUpstreamIsBusyWithAnswersInTime(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	f := fleet.New(fleet.Config{}, fleet.Deps{Now: func() time.Time { return k.now }})
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: "u", Slots: 32, Residents: []deploy.Resident{{Model: "m"}}}}, nil, 0)
+	log := event.NewLog(nil)
+	c := New(Config{}, Deps{Fleet: f, Config: follow.NewConfig(log), Log: log, Now: func() time.Time { return k.now }})
+	from := stream()
+	var all, reading []*played
+	inTime, readUntil := 0, k.now
+	began := k.now
+	for step := 0; k.now.Sub(began) < playLasts; step++ {
+		k.now = k.now.Add(time.Millisecond)
+		if step%int(playArrives.Milliseconds()) == 0 {
+			p := &played{id: uint64(len(all)), arrived: k.now}
+			all = append(all, p)
+			e := ask(p.id, 1)
+			e.Prompt, e.Reading, e.InTimeMs = 2368, 3760, uint32(playObjective.Milliseconds())
+			c.turns.take(from, e)
+		}
+		for id, a := range answers(from) {
+			if a.Kind == coordpb.TurnAnswer_GRANTED && !all[id].ended {
+				all[id].granted = true
+				reading = append(reading, all[id])
+				if len(reading) == 1 {
+					readUntil = k.now.Add(playReads)
+				}
+			}
+		}
+		if len(reading) > 0 && !k.now.Before(readUntil) {
+			p := reading[0]
+			reading = reading[1:]
+			readUntil = k.now.Add(playReads)
+			if k.now.Sub(p.arrived) <= playObjective {
+				inTime++
+			}
+			c.turns.take(from, &coordpb.TurnEvent{Id: p.id, Kind: coordpb.TurnEvent_FIRST})
+			c.turns.take(from, &coordpb.TurnEvent{Id: p.id, Kind: coordpb.TurnEvent_END})
+		}
+		for _, p := range all {
+			if !p.granted && !p.ended && k.now.Sub(p.arrived) >= playGivesUp {
+				p.ended = true
+				c.turns.take(from, &coordpb.TurnEvent{Id: p.id, Kind: coordpb.TurnEvent_END})
+			}
+		}
+	}
+	could := int(playLasts / playReads)
+	assert.Assert(t, inTime*10 >= could*8, "%d in time of the %d that could be read", inTime, could)
+}
--- /dev/null
+++ b/node/gate/overload_test.go
@@ -0,0 +1,101 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/budget"
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/upstream/conn"
+)
+
+// alone has no host that decides for all.
+type alone struct{}
+
+func (alone) Adapter(context.Context, string, string, string) error { return nil }
+
+func (alone) Turn(context.Context, *TurnAsk) (*Turn, error) { return nil, errors.New("none") }
+
+func (alone) Demand(string, *Facts, int, time.Duration, bool) {}
+
+// reading is a gate with one upstream at address, which holds the model "m".
+// Its route's answers should begin within a second, and pause for 400 ms at most.
+func reading(address string) (*Gate, *fleet.Entry) {
+	log := event.NewLog(nil)
+	config := follow.NewConfig(log)
+	config.Offer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{}}},
+		Routes: []deploy.Route{{Name: "r", Host: "example.com", Prefix: "/", Timeout: 10 * time.Second, Objective: time.Second,
+			PauseBound: 400 * time.Millisecond, Attempts: 1, Splits: []deploy.Split{{Service: "s", Weight: 1}}}}}, "test")
+	f := fleet.New(fleet.Config{}, fleet.Deps{Log: log})
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: address, Slots: 32, Residents: []deploy.Resident{{Model: "m"}}}}, nil, 0)
+	never := func() bool { return false }
+	g := New(Deps{Config: config, Fleet: f, Client: conn.New(conn.Config{}), Codec: plainCodec{}, Models: alone{},
+		Repeats: NewRepeats(budget.Policy{Ratio: 1, Slack: 10, Window: time.Second}, func() int { return 1 }), Log: log, Metrics: metrics.New(), Draining: never, Closing: never})
+	e, _ := f.Entry("u")
+	return g, e
+}
+
+// Symptom: while a model is asked for more than its upstreams can read, every
+// answer is late, and one in ten is not ready at its deadline.
+// Sequence: more prompts wait at the upstream than it reads in half a second, all
+// the time; a request has waited for most of its objective.
+// Cause: it is sent on all the same, before what has just come and could still
+// be answered in time.
+func TestARequestIsNotSentWhereItWouldOnlyMakeOthersLate(t *testing.T) {
+	t.Parallel()
+	var sent atomic.Int32
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { sent.Add(1) }))
+	defer up.Close()
+	g, e := reading(up.Listener.Addr().String())
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}()
+	time.Sleep(20 * time.Millisecond)
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+	r.Header.Set("Model", "m")
+	w := httptest.NewRecorder()
+	began := time.Now()
+	g.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(began) < time.Second, "its caller is told before its objective is over")
+	assert.Assert(t, w.Header().Get("Retry-After") != "")
+	assert.Equal(t, sent.Load(), int32(0), "it has not run")
+}
+
+// A request waits for a place that comes free.
+func TestARequestGoesOnceAPromptWasRead(t *testing.T) {
+	t.Parallel()
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer up.Close()
+	g, e := reading(up.Listener.Addr().String())
+	e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+	time.AfterFunc(300*time.Millisecond, func() {
+		e.SetOthers(fleet.Load{Requests: 3, Waiting: 100, Tokens: 500}, time.Now())
+		g.deps.Fleet.Tell()
+	})
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+	r.Header.Set("Model", "m")
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusOK)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -55,7 +55,7 @@
 	r := balance.Request{Model: q.ask.Model, Adapter: q.ask.Adapter, Prompt: q.cost.Prompt, Output: q.cost.Output}
 	if q.service.Engine != nil {
 		r.CacheTokens = q.service.Engine.CacheTokens
-		r.Reading = q.reading(now)
+		r.Reading = q.reading()
 	}
 	p := picked{Decision: balance.Pick(endpoints, &r, d.Draw), among: len(entries)}
 	if p.Home >= 0 {
@@ -69,19 +69,16 @@
 	return entries[p.Index], p
 }
 
-// reading is how many prompt tokens may wait where the request goes. A request
-// that has waited for long enough goes to the best upstream all the same.
-func (q *request) reading(now time.Time) int {
-	if now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*readingShare)) {
-		return 0
-	}
+// reading is how many prompt tokens may wait where the request goes, however
+// long it has waited. Sent on all the same once its time was short, requests for
+// a model that is asked for more than its upstreams can read kept these from
+// what could still be answered in time: all answers were late, in place of those
+// that there was no room for.
+func (q *request) reading() int {
 	return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)
 }
 
 const (
-	// readingShare is the part of its objective that a request waits for an
-	// upstream which is not reading the prompts of others.
-	readingShare = 0.5
 	// holdShare is the part of a request's objective for which it may be held
 	// without being offered to an upstream, and still be refused.
 	holdShare = 1.0 / 8
@@ -108,7 +105,7 @@
 	}
 	now := q.g.deps.Now()
 	if !now.Before(until) {
-		return p.Reason == balance.AllReading || q.giveUp(p.Reason)
+		return q.giveUp(p.Reason)
 	}
 	ctx, cancel := context.WithDeadline(q.ctx, until)
 	defer cancel()
@@ -122,9 +119,6 @@
 	case <-changed:
 		return true
 	case <-ctx.Done():
-		if p.Reason == balance.AllReading && q.ctx.Err() == nil {
-			return true // it goes to the best of them now
-		}
 		return q.giveUp(p.Reason)
 	}
 }
@@ -228,7 +222,7 @@
 	}
 	hold := max(time.Duration(float64(q.route.Objective)*holdShare), shortestHold)
 	if r == balance.AllReading {
-		return q.bounded(time.Duration(float64(q.route.Objective) * readingShare))
+		return q.patience()
 	}
 	if r == balance.NoModel && !q.g.deps.Draining() { // else its answer might not end before the process does
 		hold = max(hold, time.Duration(float64(q.route.Objective)*modelShare))
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, left)
 	defer cancel()
 	defer q.endsWithStop(cancel)()
-	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now),
+	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(),
 		InTime: q.start.Add(q.route.Objective).Sub(now)}
 	ask.Warm = q.warm()
 	ask.Tried = d.Fleet.Down()
@@ -82,16 +82,19 @@
 	// is left must do for its prompt and its answer. Waiting here keeps the
 	// streams of a busy upstream going; sent on, the prompt would only stop them.
 	turnShare = 0.35
-	// offerShare is the part of its objective by which a request is sent on in
-	// any case: held for longer, it would have been better refused.
-	offerShare = 0.8
+	// leastShare is the part of its objective that it waits for one in any case.
+	leastShare = 0.5
+	// mostShare is the part of its objective after which it is refused: its
+	// answer would be late, and what has just come can still be served in time.
+	// Waits of up to two objectives served no more callers, and fewer in time.
+	mostShare = 0.8
 )
 
 // patience is how long after its start the request may wait for a turn.
 func (q *request) patience() time.Duration {
 	share := time.Duration(float64(q.deadline.Sub(q.start)) * turnShare)
-	share = max(share, time.Duration(float64(q.route.Objective)*readingShare))
-	return q.bounded(min(share, time.Duration(float64(q.route.Objective)*offerShare)))
+	share = max(share, time.Duration(float64(q.route.Objective)*leastShare))
+	return q.bounded(min(share, time.Duration(float64(q.route.Objective)*mostShare)))
 }
 
 // warm lists the upstreams of the request's service that this host has an idle
