A request that an upstream lost goes before what is new

Cause: with the bound of prompts for all requests, one whose upstream ended with it waited behind new ones until its time was over, though its caller has waited for an answer already. Change: once it may have run and half of its objective is over, the bound does not hold for it, as before. The test fails without it.

--- a/node/gate/overload_test.go
+++ b/node/gate/overload_test.go
@@ -99,3 +99,28 @@
 	g.ServeHTTP(w, r)
 	assert.Equal(t, w.Code, http.StatusOK)
 }
+
+// Symptom: streams that could go on elsewhere end in the middle when a part of
+// the upstreams is lost.
+// Sequence: an upstream ends with a request that it was sent, when half of its
+// objective is over; the other has prompts to read all the time.
+// Cause: the request waits, behind what is new, until its time is over.
+func TestARequestThatAnUpstreamLostGoesBeforeWhatIsNew(t *testing.T) {
+	t.Parallel()
+	var sent atomic.Int32
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { sent.Add(1) }))
+	defer up.Close()
+	g, e := reading(up.Listener.Addr().String())
+	e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+	q := &request{g: g, start: time.Now().Add(-600 * time.Millisecond), tried: map[string]bool{}}
+	table := g.deps.Config.Current()
+	q.route = &table.Config.Routes[0]
+	q.service, _ = table.Service("s")
+	q.ask = fleet.Ask{Model: "m"}
+	q.deadline = q.start.Add(q.route.Timeout)
+	found, _ := q.pick()
+	assert.Assert(t, found == nil, "it is new")
+	q.maybe = 1
+	found, _ = q.pick()
+	assert.Assert(t, found == e)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -55,7 +55,7 @@
 	r := balance.Request{Model: q.ask.Model, Adapter: q.ask.Adapter, Prompt: q.cost.Prompt, Output: q.cost.Output}
 	if q.service.Engine != nil {
 		r.CacheTokens = q.service.Engine.CacheTokens
-		r.Reading = q.reading()
+		r.Reading = q.reading(now)
 	}
 	p := picked{Decision: balance.Pick(endpoints, &r, d.Draw), among: len(entries)}
 	if p.Home >= 0 {
@@ -73,8 +73,12 @@
 // long it has waited. Sent on all the same once its time was short, requests for
 // a model that is asked for more than its upstreams can read kept these from
 // what could still be answered in time: all answers were late, in place of those
-// that there was no room for.
-func (q *request) reading() int {
+// that there was no room for. One that an upstream has lost goes to the best of
+// the others: its caller has waited for an answer already.
+func (q *request) reading(now time.Time) int {
+	if q.maybe > 0 && now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*leastShare)) {
+		return 0
+	}
 	return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)
 }
 
