--- a/node/gate/overload_test.go
+++ b/node/gate/overload_test.go
@@ -11,13 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"peridotpier.example/core/budget"
 	"peridotpier.example/core/deploy"
-	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
-	"peridotpier.example/node/follow"
-	"peridotpier.example/node/metrics"
-	"peridotpier.example/node/upstream/conn"
 )
 
 // alone has no host that decides for all.
@@ -32,16 +27,8 @@
 // reading is a gate with one upstream at address, which holds the model "m".
 // Its route's answers should begin within a second, and pause for 400 ms at most.
 func reading(address string) (*Gate, *fleet.Entry) {
-	log := event.NewLog(nil)
-	config := follow.NewConfig(log)
-	config.Offer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{}}},
-		Routes: []deploy.Route{{Name: "r", Host: "example.com", Prefix: "/", Timeout: 10 * time.Second, Objective: time.Second,
-			PauseBound: 400 * time.Millisecond, Attempts: 1, Splits: []deploy.Split{{Service: "s", Weight: 1}}}}}, "test")
-	f := fleet.New(fleet.Config{}, fleet.Deps{Log: log})
-	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: address, Slots: 32, Residents: []deploy.Resident{{Model: "m"}}}}, nil, 0)
-	never := func() bool { return false }
-	g := New(Deps{Config: config, Fleet: f, Client: conn.New(conn.Config{}), Codec: plainCodec{}, Models: alone{},
-		Repeats: NewRepeats(budget.Policy{Ratio: 1, Slack: 10, Window: time.Second}, func() int { return 1 }), Log: log, Metrics: metrics.New(), Draining: never, Closing: never})
+	g, f := before(deploy.Upstream{Address: address, Slots: 32, Residents: []deploy.Resident{{Model: "m"}}}, alone{},
+		deploy.Route{Objective: time.Second, PauseBound: 400 * time.Millisecond})
 	e, _ := f.Entry("u")
 	return g, e
 }
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -48,13 +48,18 @@
 
 // waiting is a gate with one upstream at address, which holds the model "old".
 func waiting(models Models, address string) (*Gate, *fleet.Fleet) {
+	return before(deploy.Upstream{Address: address, Slots: 4, Residents: []deploy.Resident{{Model: "old"}}}, models, deploy.Route{Objective: 3 * time.Second})
+}
+
+// before is a gate before one upstream, with one route.
+func before(u deploy.Upstream, models Models, r deploy.Route) (*Gate, *fleet.Fleet) {
+	u.ID, u.Service = "u", "s"
+	r.Name, r.Host, r.Prefix, r.Timeout, r.Attempts, r.Splits = "r", "example.com", "/", 10*time.Second, 1, []deploy.Split{{Service: "s", Weight: 1}}
 	log := event.NewLog(nil)
 	config := follow.NewConfig(log)
-	config.Offer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{}}},
-		Routes: []deploy.Route{{Name: "r", Host: "example.com", Prefix: "/", Timeout: 10 * time.Second, Objective: 3 * time.Second,
-			Attempts: 1, Splits: []deploy.Split{{Service: "s", Weight: 1}}}}}, "test")
+	config.Offer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{}}}, Routes: []deploy.Route{r}}, "test")
 	f := fleet.New(fleet.Config{}, fleet.Deps{Log: log})
-	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: address, Slots: 4, Residents: []deploy.Resident{{Model: "old"}}}}, nil, 0)
+	f.Apply([]deploy.Upstream{u}, nil, 0)
 	never := func() bool { return false }
 	return New(Deps{Config: config, Fleet: f, Client: conn.New(conn.Config{}), Codec: plainCodec{}, Models: models,
 		Repeats: NewRepeats(budget.Policy{Ratio: 1, Slack: 10, Window: time.Second}, func() int { return 1 }), Log: log, Metrics: metrics.New(), Draining: never, Closing: never}), f
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -49,11 +49,26 @@
   'min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))' \
   'c.stores.left(s.Engine.LoadsPerSecond, now)' ./node/coordinator ./platform -run 'Loads|EnginesReplaced'
 try "loads by what they serve" core/replica/replica.go \
-  'if x, y := s.gain(a), s.gain(b); x != y {' 'if x, y := s.gain(a), s.gain(b); false && x != y {' ./core/replica
+  'if x, y := a.gain(), b.gain(); x != y {' 'if x, y := a.gain(), b.gain(); false && x != y {' ./core/replica
+try "bound of what is prepared for" core/replica/prior.go \
+  'sum > most' 'false && sum > most' ./core/replica
+try "wait for a model on its way" node/gate/pick.go \
+  'if !coming || q.started' 'if true || !coming || q.started' ./node/gate -run 'OnItsWay|TooLate'
+try "bound of prompts at an upstream for all requests" node/gate/pick.go \
+  'return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)' \
+  'return 0' ./node/gate -run 'OthersLate'
+try "requests that an upstream lost go first" node/gate/pick.go \
+  'if q.maybe > 0 && now.Sub' 'if false && now.Sub' ./node/gate -run 'BeforeWhatIsNew'
+try "holdings told once" node/coordinator/coordinator.go \
+  'if !u.news() && u.revision.Load() > 0 {' 'if false {' ./node/coordinator -run 'OnlyWhatIsNew'
+try "packed configuration" node/coordinator/relay.go \
+  'if r.Packed {' 'if false {' ./node/coordinator -run 'Packed'
+try "reports that are too old leave the sums" node/coordinator/sums.go \
+  'if age > reportFresh {' 'if false {' ./node/coordinator -run 'Sums'
 try "number of orders in an order" platform/upstream.go \
   'Expected: o.Expected' 'Expected: 0' ./platform -run 'Adapter|Order'
 try "room for adapters beside models" core/residency/residency.go \
-  'b.weights()+max(b.adapterReserve(), 0)+spec' 'b.weights()+spec' ./core/residency
+  'b.engine.MemoryMB - b.weights() - b.adapterReserve()' 'b.engine.MemoryMB - b.weights()' ./core/residency
 try "report after a refusal" core/residency/residency.go \
   'b.unsure, b.sequence = true, 0' 'b.sequence = 0' ./core/residency
 try "end of a former holder's load" core/residency/settle.go \
@@ -149,7 +164,7 @@
 try "first try after the store's return" node/follow/follow.go \
   'patientPause = 1200' 'patientPause = 4200' ./node/follow
 try "questions of a request that waits" node/gate/pick.go \
-  'return q.awaitModel(ctx)' '' ./node/gate
+  'return q.awaitModel(p)' '' ./node/gate
 try "answers at the end of a stop" node/host/stop.go \
   '	h.giveUp()
 ' '' ./platform -run 'AStop'
