What a look elsewhere goes by does not change under it

Change: whether a request was lost is noted between attempts, and a look elsewhere says itself that it is for one that is being lost, as silence comes before any answer.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -136,6 +136,7 @@
 	tried       map[string]bool // upstreams that had an attempt
 	sends       int             // attempts handed to an upstream
 	maybe       int             // those of them that may have run
+	lost        bool            // an upstream that may have run it has lost it; set between attempts
 	absent      int             // tries at upstreams that were not there
 	first       time.Duration   // from the start to the first piece of a stream
 	pause       time.Duration   // longest between two pieces of it
@@ -312,6 +313,7 @@
 		q.g.deps.Log.Emit(event.RequestAgain, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.last),
 			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun))
 		q.g.deps.Metrics.Count(metrics.Repeats, 1)
+		q.lost = q.lost || !res.notRun
 		return true
 	}
 	if q.kept != nil {
--- a/node/gate/overload_test.go
+++ b/node/gate/overload_test.go
@@ -107,7 +107,7 @@
 	q.deadline = q.start.Add(q.route.Timeout)
 	found, _ := q.pick()
 	assert.Assert(t, found == nil, "it is new")
-	q.maybe = 1
+	q.lost = true
 	found, _ = q.pick()
 	assert.Assert(t, found == e)
 }
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -42,7 +42,10 @@
 }
 
 // pick chooses an upstream among those of the request's service.
-func (q *request) pick() (*fleet.Entry, picked) {
+func (q *request) pick() (*fleet.Entry, picked) { return q.pickAs(q.lost) }
+
+// pickAs is pick for a request that an upstream has lost, or is losing, or not.
+func (q *request) pickAs(lost bool) (*fleet.Entry, picked) {
 	d := &q.g.deps
 	now := d.Now()
 	entries := d.Fleet.Service(q.service.Name)
@@ -55,7 +58,7 @@
 	r := balance.Request{Model: q.ask.Model, Adapter: q.ask.Adapter, Prompt: q.cost.Prompt, Output: q.cost.Output}
 	if q.service.Engine != nil {
 		r.CacheTokens = q.service.Engine.CacheTokens
-		r.Reading = q.reading(now)
+		r.Reading = q.reading(now, lost)
 	}
 	p := picked{Decision: balance.Pick(endpoints, &r, d.Draw), among: len(entries)}
 	if p.Home >= 0 {
@@ -75,8 +78,8 @@
 // what could still be answered in time: all answers were late, in place of those
 // that there was no room for. One that an upstream has lost goes to the best of
 // the others: its caller has waited for an answer already.
-func (q *request) reading(now time.Time) int {
-	if q.maybe > 0 && now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*leastShare)) {
+func (q *request) reading(now time.Time, lost bool) int {
+	if lost && now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*leastShare)) {
 		return 0
 	}
 	return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -24,6 +24,9 @@
 	fullRetry = 250 * time.Millisecond
 	// serverRetry: a restarted upstream is listed again after about a second.
 	serverRetry = 600 * time.Millisecond
+	// readingRetry: an engine reads what its streams let wait there in a third of
+	// this, for those that came before too.
+	readingRetry = 600 * time.Millisecond
 	// modelRetry: a load from a disk or host memory takes 1 to 3 s.
 	modelRetry = time.Second
 	// retrySpread spreads returns, as a share, so that those refused together do
@@ -36,6 +39,8 @@
 	switch r {
 	case balance.AllFull, balance.NoAdapter:
 		return fullRetry
+	case balance.AllReading:
+		return readingRetry
 	case balance.NoModel:
 		return modelRetry
 	default:
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, left)
 	defer cancel()
 	defer q.endsWithStop(cancel)()
-	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now),
+	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.route.Priority, Reading: q.reading(now, q.lost),
 		InTime: q.start.Add(q.route.Objective).Sub(now)}
 	ask.Warm = q.warm()
 	ask.Tried = d.Fleet.Down()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -58,7 +58,7 @@
   'return balance.ReadingFor(q.route.PauseBound, q.service.Engine.EventTokens)' \
   'return 0' ./node/gate -run 'OthersLate'
 try "requests that an upstream lost go first" node/gate/pick.go \
-  'if q.maybe > 0 && now.Sub' 'if false && now.Sub' ./node/gate -run 'BeforeWhatIsNew'
+  'if lost && now.Sub' 'if false && now.Sub' ./node/gate -run 'BeforeWhatIsNew'
 try "holdings told once" node/coordinator/coordinator.go \
   'if !u.news() && u.revision.Load() > 0 {' 'if false {' ./node/coordinator -run 'OnlyWhatIsNew'
 try "packed configuration" node/coordinator/relay.go \
