--- a/node/coordinator/sums_test.go
+++ b/node/coordinator/sums_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,11 +70,22 @@
 func TestALookAtAllPlacesTakesAFractionOfItsPeriod(t *testing.T) {
 	c := holderSize{195, 156, 340}.holder()
 	table := c.deps.Config.Current()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	least := time.Hour
-	for range 5 { // the least: other tests run beside this one
-		began := time.Now()
+	for range 5 { // the least: the first ones warm caches
+		began := processorTime(t)
 		c.cfg.Policy.Plan(c.planInput(table.Config, &table.Config.Services[0], c.allUnits(), c.now()))
-		least = min(least, time.Since(began))
+		least = min(least, processorTime(t)-began)
 	}
 	assert.Assert(t, least < tick/4, "took %v", least)
 }
+
+// processorTime is what this thread has used. Unlike the time on a clock it does
+// not grow while other processes of the machine take their turns.
+func processorTime(t *testing.T) time.Duration {
+	const thisThread = 1 // RUSAGE_THREAD, getrusage(2)
+	var used syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(thisThread, &used))
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
