Read once more: one look-up of a service's engine, one encoding of a configuration

A host that starts while the store is away was told the configuration in an encoding made for it alone, though the one for all is kept; what an upstream of a service can hold was looked up in three places; two comparisons of times stood twice. No change of behaviour; the packages' tests pass under the race detector.

--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"time"
 
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/coordpb"
 )
@@ -53,11 +53,11 @@
 		return out, nil
 	}
 	if t := s.c.deps.Config.Current(); t != nil && t.Config.Version > q.ConfigAbove {
-		data, err := json.Marshal(t.Config)
+		plain, _, err := s.c.encodings.config(t.Config)
 		if err != nil {
 			return nil, err
 		}
-		out.Config = data
+		out.Config = plain
 	}
 	var err error
 	out.Upstreams, err = s.c.encodings.upstreams(s.c.deps.Fleet.Since(0).Put)
@@ -106,16 +106,23 @@
 	return out
 }
 
-// runsModels says whether a service's upstreams run models.
-func (c *Coordinator) runsModels(service string) bool {
+// engine is what each upstream of a service can hold; nil: a plain service, or
+// one that is not known.
+func (c *Coordinator) engine(service string) *deploy.Engine {
 	table := c.deps.Config.Current()
 	if table == nil {
-		return false
+		return nil
 	}
 	s, ok := table.Service(service)
-	return ok && s.Engine != nil
+	if !ok {
+		return nil
+	}
+	return s.Engine
 }
 
+// runsModels says whether a service's upstreams run models.
+func (c *Coordinator) runsModels(service string) bool { return c.engine(service) != nil }
+
 func (c *Coordinator) runsModelsAt(upstream string) bool {
 	e, ok := c.deps.Fleet.Entry(upstream)
 	return ok && c.runsModels(e.Service())
--- a/node/coordinator/speeds.go
+++ b/node/coordinator/speeds.go
@@ -36,10 +36,8 @@
 // engineTime is what requests of a model take of an engine's time.
 func (c *Coordinator) engineTime(k modelKey, prompt, output int) (took time.Duration) {
 	slots := 0
-	if table := c.deps.Config.Current(); table != nil {
-		if s, ok := table.Service(k.service); ok && s.Engine != nil {
-			slots = s.Engine.Slots
-		}
+	if e := c.engine(k.service); e != nil {
+		slots = e.Slots
 	}
 	c.speeds.with(k, func(m speed.Model) { took = m.EngineTime(prompt, output, slots) })
 	return took
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -146,10 +146,8 @@
 	}
 	t.endpoints = endpoints
 	r := balance.Request{Model: w.ask.Model, Adapter: w.ask.Adapter, Prompt: int(w.event.Prompt), Output: int(w.event.Output), Reading: int(w.event.Reading)}
-	if table := t.c.deps.Config.Current(); table != nil {
-		if s, ok := table.Service(w.event.Service); ok && s.Engine != nil {
-			r.CacheTokens = s.Engine.CacheTokens
-		}
+	if e := t.c.engine(w.event.Service); e != nil {
+		r.CacheTokens = e.CacheTokens
 	}
 	d := balance.Pick(endpoints, &r, rand.Float64)
 	if d.Index >= 0 {
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -200,14 +200,10 @@
 	if at.After(last) {
 		return usual, true
 	}
-	return earlier(at.Add(comingSlack), last), false
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+	if until = at.Add(comingSlack); until.After(last) {
+		until = last
 	}
-	return b
+	return until, false
 }
 
 // giveUpModel answers a request whose model will not come in its time. A caller
