Teams on the routed path: keys, urgency, limits over all hosts

A team's urgency goes before its route's, as an order. Limits: the host that gives turns charges them with the turn (core/quota Ledger), what needs no turn passes by a host's Share and is told.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// debtFor bounds a debt, in time of the rate: what was passed longer ago than
-// this does not count against a team any more.
+// debtFor bounds the debt that Charge leaves, in time of the rate: what was
+// passed longer ago than this does not count against a team any more.
 const debtFor = 8 * time.Second
 
 // Bucket holds a team to its limit: it gains the rate and keeps a burst at most.
 // Its level falls below zero when something was passed without asking it.
 type Bucket struct {
-	limit Limit
-	level float64
-	at    time.Time
+	limit  Limit
+	level  float64
+	at     time.Time
+	credit float64   // beyond a burst, until settled
+	until  time.Time // when it ends
 }
 
 // NewBucket makes a full one.
@@ -42,11 +44,18 @@
 // rounding is what a level may be short of a cost by the rounding of times.
 const rounding = 1e-3
 
+// Credit adds what was gained while nobody counted. It may lie beyond a burst
+// for a while, in which Charge takes what was passed at that time.
+func (b *Bucket) Credit(cost float64, settled time.Time) {
+	b.credit, b.until = cost, settled
+	b.level += cost
+}
+
 // Charge takes what was passed without asking.
 func (b *Bucket) Charge(cost float64, now time.Time) {
 	b.gain(now)
-	b.level -= cost
-	b.bound()
+	most := -b.limit.PerSecond*debtFor.Seconds() - b.limit.capacity()
+	b.level = max(b.level-cost, min(b.level, most))
 }
 
 // Return gives back what was taken for a request that has not run.
@@ -71,6 +80,8 @@
 }
 
 func (b *Bucket) bound() {
-	b.level = min(b.level, b.limit.capacity())
-	b.level = max(b.level, -b.limit.PerSecond*debtFor.Seconds()-b.limit.capacity())
+	if b.at.After(b.until) {
+		b.credit = 0
+	}
+	b.level = min(b.level, b.limit.capacity()+b.credit)
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -14,9 +14,17 @@
 	Asked float64 // a second, what was refused too
 }
 
+// Word is what a host knows of an account when it begins to count itself.
+type Word struct {
+	Standing
+	Scarce bool          // else the account had enough
+	Age    time.Duration // for which nobody may have counted
+}
+
 // Ledger counts for all hosts what teams ask for. Its owner guards it.
 type Ledger struct {
 	accounts map[string]*account
+	slack    float64 // that may come at once beyond a burst
 	part     float64 // of the limits that may be given out here
 }
 
@@ -27,12 +35,22 @@
 	asked  rate
 }
 
-// NewLedger makes one without teams.
-func NewLedger() *Ledger { return &Ledger{accounts: map[string]*account{}, part: 1} }
+// slackShare is the part of what operators allow a limit to be missed by that
+// callers get on purpose. A burst may be hardly more than one request; requests
+// that all hosts together let through in a slightly other order than they came
+// would be refused, though the team is well within its rate. The rest is for what
+// hosts pass by themselves.
+const slackShare = 0.25
+
+// NewLedger makes one without teams; slack is by how much operators allow a limit
+// to be missed, in what it counts.
+func NewLedger(slack float64) *Ledger {
+	return &Ledger{accounts: map[string]*account{}, slack: slack * slackShare, part: 1}
+}
 
 // Follow puts the limits of a configuration in force. The account of a team that
 // is new starts by what begin tells of it; nil: full.
-func (l *Ledger) Follow(teams []Team, begin func(team string) (Standing, bool), now time.Time) {
+func (l *Ledger) Follow(teams []Team, begin func(team string) (Word, bool), now time.Time) {
 	kept := make(map[string]*account, len(teams))
 	for _, t := range teams {
 		if !t.Limit.Limited() {
@@ -52,18 +70,27 @@
 	l.accounts = kept
 }
 
-// inherit starts an account where another host's stood.
-func (a *account) inherit(team string, begin func(string) (Standing, bool), now time.Time) {
+// inherit starts an account where another host's stood. What hosts have passed
+// since then they tell with their next reports.
+func (a *account) inherit(team string, begin func(string) (Word, bool), now time.Time) {
 	if begin == nil {
 		return
 	}
-	if s, ok := begin(team); ok {
-		a.bucket.level = s.Level
-		a.bucket.bound()
-		a.asked.add(s.Asked*rateWindow.Seconds(), now)
+	w, ok := begin(team)
+	if !ok {
+		return
+	}
+	if w.Scarce {
+		a.bucket.level = min(w.Level, a.bucket.limit.capacity())
+		a.asked.add(w.Asked*rateWindow.Seconds(), now)
 	}
+	a.bucket.Credit(a.limit.PerSecond*min(w.Age, reportFor).Seconds(), now.Add(settleFor))
 }
 
+// settleFor is how long after a host began to count others may still tell what
+// they passed before: a few of their reports.
+const settleFor = time.Second
+
 // SetPart says what part of the hosts is heard here. The others may be cut off,
 // and go on by their shares; these are withheld, so that all together stay
 // within the limits.
@@ -79,6 +106,7 @@
 
 func (l *Ledger) given(limit Limit) Limit {
 	limit.PerSecond *= l.part
+	limit.Burst += l.slack
 	return limit
 }
 
--- a/core/quota/rate.go
+++ b/core/quota/rate.go
@@ -8,7 +8,7 @@
 // rateWindow is over what time the rate of what is asked for is averaged: long
 // against the gaps between the requests of a small team, short against the time
 // for which a host goes by it.
-const rateWindow = 2 * time.Second
+const rateWindow = 3 * time.Second
 
 // rate is a decaying sum of what was asked for.
 type rate struct {
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -23,9 +23,18 @@
 	// process that has just started, as all may have. Some ten hosts serve most
 	// of a team's callers.
 	startShare = 0.15
-	// growthLeast is how much of the limit a host must be asked for itself before
-	// it concludes from it that the whole team asks for more.
+	// growthLeast is what part of the limit a host takes itself to have been asked
+	// for at least, and growthSure by how much that must grow, before it concludes
+	// that the whole team asks for more: a few requests more are chance.
 	growthLeast = 0.05
+	growthSure  = 2
+	// aloneShare is the part of a limit that hosts pass which hear nobody. Their
+	// callers may be more than their part of all, and what they passed before
+	// they were missed was counted nowhere.
+	aloneShare = 0.8
+	// reportFor is how long what a host passed is told at most. Nobody counts for
+	// longer only when a host is cut off: its part is then withheld elsewhere.
+	reportFor = 2 * time.Second
 	// usualShare is what part of its limit a team is assumed to ask for of which
 	// the ledger said that it has enough.
 	usualShare = 0.6
@@ -42,12 +51,18 @@
 	since   float64 // passed since then
 	start   *Bucket // bounds a host without any word
 
-	passed  float64 // that no ledger has heard of, less what was given back
-	refused float64
-	sent    float64 // of passed, in the report under way
-	sentRef float64 // of refused
+	untold, older use       // that no ledger has heard of, of this half of reportFor and the former
+	half          time.Time // when this half began
+	sent          use       // in the report under way
 }
 
+// use is what a host passed, less what it gave back, and what it refused.
+type use struct{ passed, refused float64 }
+
+func (u use) plus(o use) use { return use{u.passed + o.passed, u.refused + o.refused} }
+
+func (u use) minus(o use) use { return use{u.passed - o.passed, u.refused - o.refused} }
+
 // NewShare makes one of a host that has no word yet.
 func NewShare(l Limit, now time.Time) *Share {
 	s := &Share{}
@@ -73,15 +88,9 @@
 	s.ownThen, s.since = s.own.perSecond(now), 0
 }
 
-// Standing is how the account stood when last told, with what was gained since;
-// false: it has enough, or nothing is known.
-func (s *Share) Standing(now time.Time) (Standing, bool) {
-	if !s.scarce {
-		return Standing{}, false
-	}
-	out := s.word
-	out.Level = min(out.Level+s.limit.PerSecond*now.Sub(s.told).Seconds(), s.limit.capacity())
-	return out, true
+// Word is how the account stood when last told; false: nothing is known.
+func (s *Share) Word(now time.Time) (Word, bool) {
+	return Word{s.word, s.scarce, now.Sub(s.told)}, !s.told.IsZero()
 }
 
 // Decide says what becomes of a request that needs no turn while the ledger can be asked.
@@ -91,7 +100,7 @@
 	if !fresh || s.scarce || s.since+cost > passShare*s.limit.capacity() {
 		return Ask
 	}
-	s.pass(cost)
+	s.pass(cost, now)
 	return Pass
 }
 
@@ -105,12 +114,12 @@
 func (s *Share) Alone(cost float64, now time.Time, draw float64) Verdict {
 	if s.told.IsZero() {
 		if _, ok := s.start.Take(min(cost, s.start.limit.capacity()), now); !ok {
-			return s.refuse(cost)
+			return s.refuse(cost, now)
 		}
-	} else if asked := s.estimate(now); draw*asked >= s.limit.PerSecond {
-		return s.refuse(cost)
+	} else if asked := s.estimate(now); draw*asked >= aloneShare*s.limit.PerSecond {
+		return s.refuse(cost, now)
 	}
-	s.pass(cost)
+	s.pass(cost, now)
 	return Pass
 }
 
@@ -121,36 +130,47 @@
 	if !s.scarce {
 		asked = usualShare * s.limit.PerSecond
 	}
-	own := s.own.perSecond(now)
-	if own < growthLeast*s.limit.PerSecond || own <= s.ownThen {
+	growth := s.own.perSecond(now) / max(s.ownThen, growthLeast*s.limit.PerSecond)
+	if growth < growthSure {
 		return asked
 	}
-	return asked * own / max(s.ownThen, growthLeast*s.limit.PerSecond)
+	return asked * growth
 }
 
-func (s *Share) pass(cost float64) {
-	s.passed += cost
+// turn drops what was passed too long ago to be told.
+func (s *Share) turn(now time.Time) {
+	if now.Sub(s.half) > reportFor/2 {
+		s.older, s.untold, s.half = s.untold, use{}, now
+	}
+}
+
+func (s *Share) pass(cost float64, now time.Time) {
+	s.turn(now)
+	s.untold.passed += cost
 	s.since += cost
 }
 
-func (s *Share) refuse(cost float64) Verdict {
-	s.refused += cost
+func (s *Share) refuse(cost float64, now time.Time) Verdict {
+	s.turn(now)
+	s.untold.refused += cost
 	return Refuse
 }
 
 // GiveBack returns what was charged for a request that has not run.
-func (s *Share) GiveBack(cost float64) { s.passed -= cost }
+func (s *Share) GiveBack(cost float64, now time.Time) {
+	s.turn(now)
+	s.untold.passed -= cost
+}
 
 // Report is what a ledger has not heard of yet.
-func (s *Share) Report() (passed, refused float64) {
-	s.sent, s.sentRef = s.passed, s.refused
-	return s.sent, s.sentRef
+func (s *Share) Report(now time.Time) (passed, refused float64) {
+	s.turn(now)
+	s.sent = s.untold.plus(s.older)
+	return s.sent.passed, s.sent.refused
 }
 
 // Reported notes that the last report arrived. One whose answer was lost is told
 // once more: the limit is then held too low for a moment, never too high.
 func (s *Share) Reported() {
-	s.passed -= s.sent
-	s.refused -= s.sentRef
-	s.sent, s.sentRef = 0, 0
+	s.untold, s.older, s.sent = s.untold.plus(s.older).minus(s.sent), use{}, use{}
 }
--- a/node/coordinator/accounts.go
+++ b/node/coordinator/accounts.go
@@ -12,8 +12,8 @@
 // accounts counts for all hosts what teams ask for, while this host acts for all.
 type accounts struct {
 	c *Coordinator
-	// Standing is how a team's account stood as another host told this one last.
-	standing func(team string) (quota.Standing, bool)
+	// word is how a team's account stood as another host told this one last.
+	word func(team string) (quota.Word, bool)
 
 	mu       sync.Mutex
 	ledger   *quota.Ledger
@@ -21,13 +21,15 @@
 	partedAt time.Time      // when the part of the hosts that is heard was last counted
 }
 
-func newAccounts(c *Coordinator) *accounts { return &accounts{c: c, ledger: quota.NewLedger()} }
+func newAccounts(c *Coordinator) *accounts {
+	return &accounts{c: c, ledger: quota.NewLedger(c.cfg.LimitSlack)}
+}
 
 // begin forgets what an earlier term left: others have counted since.
 func (a *accounts) begin() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ledger, a.of, a.partedAt = quota.NewLedger(), nil, time.Time{}
+	a.ledger, a.of, a.partedAt = quota.NewLedger(a.c.cfg.LimitSlack), nil, time.Time{}
 }
 
 // followLocked brings the limits up to date with the configuration, and with
@@ -43,7 +45,7 @@
 		for i := range t.Config.Teams {
 			teams[i] = quota.Team{Name: t.Config.Teams[i].Name, Limit: t.Config.Teams[i].Limit}
 		}
-		a.ledger.Follow(teams, a.standing, now)
+		a.ledger.Follow(teams, a.word, now)
 	}
 	if now.Sub(a.partedAt) >= expiryEach {
 		a.partedAt = now
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -82,7 +82,7 @@
 	l := &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, demand: map[demandKey]*coordpb.Demand{}}
 	l.asking = newAsking(l)
 	if own != nil {
-		own.accounts.standing = func(team string) (quota.Standing, bool) { return l.teams.standing(team, own.now()) }
+		own.accounts.word = func(team string) (quota.Word, bool) { return l.teams.word(team, own.now()) }
 	}
 	return l
 }
@@ -223,7 +223,7 @@
 		}
 	}
 	r.Silent = l.own.deps.Fleet.Down()
-	l.teams.report(r)
+	l.teams.report(r, l.own.now())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.ModelsLater = l.own.now().Sub(l.modelsAt) < modelsEach
--- a/node/coordinator/linkteams.go
+++ b/node/coordinator/linkteams.go
@@ -43,22 +43,22 @@
 	f(t.shareLocked(team, now))
 }
 
-// standing is how a team's account stood when this host was told last.
-func (t *teamShares) standing(team string, now time.Time) (quota.Standing, bool) {
+// word is how a team's account stood when this host was told last.
+func (t *teamShares) word(team string, now time.Time) (quota.Word, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.byName[team]; s != nil {
-		return s.Standing(now)
+		return s.Word(now)
 	}
-	return quota.Standing{}, false
+	return quota.Word{}, false
 }
 
 // report adds to a report what nobody who counts has heard of.
-func (t *teamShares) report(r *coordpb.HostReport) {
+func (t *teamShares) report(r *coordpb.HostReport, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, s := range t.byName {
-		if passed, refused := s.Report(); passed != 0 || refused != 0 {
+		if passed, refused := s.Report(now); passed != 0 || refused != 0 {
 			r.Teams = append(r.Teams, &coordpb.TeamUse{Team: name, Passed: int64(passed), Refused: uint64(refused)})
 		}
 	}
@@ -129,7 +129,8 @@
 
 // GiveBack implements gate.Limits.
 func (l *Link) GiveBack(team *deploy.Team, cost float64) {
-	l.teams.with(team, l.own.now(), func(s *quota.Share) { s.GiveBack(cost) })
+	now := l.own.now()
+	l.teams.with(team, now, func(s *quota.Share) { s.GiveBack(cost, now) })
 }
 
 var _ gate.Limits = (*Link)(nil)
--- /dev/null
+++ b/node/gate/caller_test.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/apikey"
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/quota"
+)
+
+// keyedCodec reads a key from a header of its own.
+type keyedCodec struct {
+	plainCodec
+	sent func(Sending)
+}
+
+func (c keyedCodec) Request(h http.Header) Facts {
+	f := c.plainCodec.Request(h)
+	f.Key, f.Counted = apikey.Of(h.Get("Key")), true
+	return f
+}
+
+func (c keyedCodec) Sending(_ http.Header, s Sending) { c.sent(s) }
+
+// account is the limit of one team, at one host.
+type account struct {
+	alone
+	mu      sync.Mutex
+	level   float64
+	charges int
+}
+
+func (a *account) Take(_ context.Context, _ *deploy.Team, cost float64) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.level < cost {
+		return 3 * time.Second, false
+	}
+	a.level -= cost
+	a.charges++
+	return 0, true
+}
+
+func (a *account) GiveBack(_ *deploy.Team, cost float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.level += cost
+}
+
+// teamed is a gate before an upstream with two teams; "limited" may send what
+// the account allows.
+func teamed(a *account, address string, sent func(Sending)) *Gate {
+	g, _ := before(deploy.Upstream{Address: address, Slots: 4, Residents: []deploy.Resident{{Model: "m"}}}, a, deploy.Route{Objective: time.Second, Priority: 2})
+	g.deps.Limits, g.deps.Codec = a, keyedCodec{sent: sent}
+	table := *g.deps.Config.Current().Config
+	table.Version++
+	table.Teams = []deploy.Team{{Name: "limited", Urgency: 1, Keys: []apikey.Hash{apikey.Of("l")}, Limit: quota.Limit{Unit: quota.Tokens, PerSecond: 10, Burst: 10}},
+		{Name: "first", Keys: []apikey.Hash{apikey.Of("f")}}}
+	g.deps.Config.Offer(&table, "test")
+	return g
+}
+
+func sendKeyed(g *Gate, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
+	r.Header.Set("Model", "m")
+	r.Header.Set("Key", key)
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	return w
+}
+
+// Symptom: a team pays for requests that have not run, or twice for one that was
+// sent twice.
+// Sequence: requests are served, refused for want of an upstream, or over the limit.
+// Cause: a charge follows each send, or stays whatever becomes of the request.
+func TestATeamPaysOnceForWhatHasRunOnly(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	a := &account{level: 250}
+	g := teamed(a, up.Listener.Addr().String(), func(Sending) {})
+	assert.Equal(t, sendKeyed(g, "l").Code, http.StatusOK)
+	assert.Equal(t, a.level, 140.0, "100 tokens of the prompt, 10 of the answer")
+	up.Close()
+	assert.Equal(t, sendKeyed(g, "l").Code, http.StatusServiceUnavailable)
+	assert.Equal(t, a.level, 140.0, "it has not run")
+	a.level = 100
+	w := sendKeyed(g, "l")
+	assert.Equal(t, w.Code, http.StatusTooManyRequests)
+	assert.Equal(t, w.Body.String(), "over_limit\n")
+	assert.Assert(t, w.Header().Get("Retry-After") >= "3", w.Header().Get("Retry-After"))
+	assert.Equal(t, a.level, 100.0)
+	sendKeyed(g, "f")
+	assert.Equal(t, a.charges, 2, "a team without a limit is not charged")
+}
+
+// A team's urgency goes to upstreams before its route's, and its name with it.
+func TestUpstreamsAreToldTheTeamAndItsUrgency(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer up.Close()
+	var got []Sending
+	g := teamed(&account{level: 1000}, up.Listener.Addr().String(), func(s Sending) { got = append(got, s) })
+	assert.Equal(t, sendKeyed(g, "l").Code, http.StatusOK)
+	assert.Equal(t, sendKeyed(g, "f").Code, http.StatusOK)
+	assert.Equal(t, sendKeyed(g, "unknown").Code, http.StatusUnauthorized)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Team, "limited")
+	assert.Equal(t, got[1].Team, "first")
+	assert.Assert(t, got[1].Urgency < got[0].Urgency)
+	assert.Equal(t, got[0].Urgencies, 2)
+}
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -47,6 +47,7 @@
 	LeaseMs        float64 `json:"lease_ms"`         // between the orders of two holders
 	CeilingWindowS float64 `json:"ceiling_window_s"` // loads from the weight store are counted in any span of this length
 	CeilingOver    float64 `json:"ceiling_over"`     // factor on the weight store's rate
+	LimitSlack     float64 `json:"limit_slack"`      // by which a team's limit may be missed over all hosts, in what it counts; 0: not at all
 }
 
 // Parse reads settings and says everything that is wrong with them.
@@ -130,6 +131,9 @@
 	if s.Bounds.RepeatWindowS < 0 || s.Bounds.GraceS < 0 || s.Bounds.LeaseMs < 0 {
 		fault("$.bounds", "has a time below 0")
 	}
+	if s.Bounds.LimitSlack < 0 {
+		fault("$.bounds.limit_slack", "is below 0")
+	}
 	return faults
 }
 
