A limit after all hosts were killed: hosts without a word pass little, the count begins empty

Change: a host without a word gains 0.02 of the limit from nothing on; a count begins empty where nothing is known. The load plays callers who come back at once.

--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -19,10 +19,11 @@
 	// passShare is the part of a burst that one host passes by itself until it is
 	// told anew. The ledger hears of it with the next report.
 	passShare = 0.25
-	// startShare is the part of a limit that a host without any word passes: a
-	// process that has just started, as all may have. Some ten hosts serve most
-	// of a team's callers.
-	startShare = 0.15
+	// startShare is the part of a limit that a host without any word passes, from
+	// nothing on: a process that has just started, as all may have. Until then a
+	// whole limit may have been passed, and all callers come back at once. Mostly
+	// another host counts within a fraction of a second.
+	startShare = 0.02
 	// growthLeast is what part of the limit a host takes itself to have been asked
 	// for at least, and growthSure by how much that must grow, before it concludes
 	// that the whole team asks for more: a few requests more are chance.
@@ -80,6 +81,7 @@
 	part.PerSecond *= startShare
 	part.Burst *= startShare
 	s.start = NewBucket(part, now)
+	s.start.level = 0
 }
 
 // Tell enters the ledger's word: how the account stands, or that it has enough.
--- a/core/quota/ways_test.go
+++ b/core/quota/ways_test.go
@@ -18,7 +18,6 @@
 	overOf     = 0.1
 	slackOf    = 17000.0
 	reportEach = 200 * time.Millisecond
-	callersOf  = 20 // of a team
 	playFor    = 40.0
 	seedsOf    = 20
 )
@@ -34,6 +33,8 @@
 	counting(on bool, now time.Time)
 	// heard says what part of the hosts the one that counts hears.
 	heard(part float64, now time.Time)
+	// killed ends all hosts; new processes begin.
+	killed(now time.Time)
 }
 
 // load is what a team sends while things happen to the hosts.
@@ -45,6 +46,7 @@
 	lowered   float64 // the limit becomes this part of itself at loweredAt
 	lost      float64 // seconds for which nobody counts, from lostAt on
 	cut       float64 // part of the hosts that hear nobody for cutFor seconds
+	killed    bool    // all hosts at killedAt: nobody answers for downFor seconds, nobody counts for as long again
 }
 
 const (
@@ -54,8 +56,18 @@
 	lostAt    = 20.0
 	cutAt     = 20.0
 	cutFor    = 12.0
+	killedAt  = 20.0
+	downFor   = 0.7
 )
 
+// callers is how many connections a team sends over; each stays at a host.
+func (l load) callers() int {
+	if l.large {
+		return 200
+	}
+	return 20
+}
+
 // verdictOf is what callers got.
 type verdictOf struct {
 	within float64 // cost of what an exact count of all requests would pass
@@ -72,7 +84,7 @@
 	limit := Limit{Unit: Tokens, PerSecond: l.perSecond, Burst: l.perSecond, Plain: 200}
 	w.limit(limit, at(0))
 	exact := NewBucket(limit, at(0))
-	callers := make([]int, callersOf)
+	callers := make([]int, l.callers())
 	for i := range callers {
 		callers[i] = rnd.IntN(hostsOf)
 	}
@@ -96,6 +108,12 @@
 		if l.lost > 0 {
 			w.counting(t < lostAt || t >= lostAt+l.lost, now)
 		}
+		if l.killed {
+			if t >= killedAt && t < killedAt+tick {
+				w.killed(now)
+			}
+			w.counting(t < killedAt || t >= killedAt+2*downFor, now)
+		}
 		if l.cut > 0 && t >= cutAt+1.5 { // when reports that failed to come are noticed
 			part := 1.0
 			if t < cutAt+cutFor {
@@ -113,6 +131,9 @@
 		if l.hot > 0 && t >= hotAt {
 			rate *= l.hot
 		}
+		if l.killed && t >= killedAt+downFor && t < killedAt+downFor+0.3 {
+			rate *= 4 // those that got no answer come back
+		}
 		mean := 0.7*2300 + 0.3*200.0 // of one request
 		for range poisson(rnd, rate*tick/mean) {
 			cost := 200.0
@@ -120,8 +141,8 @@
 				cost = 500 + rnd.ExpFloat64()*1800
 			}
 			_, allowed := exact.Take(cost, now)
-			host := callers[rnd.IntN(callersOf)]
-			ok := w.ask(host+1000*btoi(isCut(host, t)), cost, now)
+			host := callers[rnd.IntN(len(callers))]
+			ok := !(l.killed && t >= killedAt && t < killedAt+downFor) && w.ask(host+1000*btoi(isCut(host, t)), cost, now)
 			if allowed {
 				v.within += cost
 			}
@@ -223,6 +244,12 @@
 	c.on = on
 }
 
+func (c *counted) killed(now time.Time) {
+	c.shares = [hostsOf]*Share{}
+	c.on = false
+	c.limit(c.l, now)
+}
+
 func (c *counted) heard(part float64, now time.Time) { c.ledger.SetPart(part, now) }
 
 // thinned passes by told demand alone, without asking anybody.
@@ -248,6 +275,11 @@
 	sliceShare = 0.1 // of a burst
 )
 
+func (c *lent) killed(now time.Time) {
+	c.counted.killed(now)
+	clear(c.slices[:])
+}
+
 func (c *lent) ask(host int, cost float64, now time.Time) bool {
 	cutOff, s := host >= 1000, &c.slices[host%1000]
 	if now.After(s.ends) {
@@ -292,8 +324,9 @@
 		for _, l := range []load{{name: "usual"}, {name: "3 times", hot: 3}, {name: "7 times", hot: 7},
 			{name: "lowered to a fifth", lowered: 0.2}, {name: "giver lost 2.3 s", lost: 2.3}, {name: "giver lost 7 s", lost: 7},
 			{name: "7 times, giver lost 2.3 s", hot: 7, lost: 2.3}, {name: "7 times, giver lost 7 s", hot: 7, lost: 7},
-			{name: "a third cut off", cut: 1.0 / 3}, {name: "7 times, a third cut off", hot: 7, cut: 1.0 / 3}} {
-			l.name, l.perSecond = size.name+", "+l.name, size.perSecond
+			{name: "a third cut off", cut: 1.0 / 3}, {name: "7 times, a third cut off", hot: 7, cut: 1.0 / 3},
+			{name: "all killed", killed: true}, {name: "7 times, all killed", hot: 7, killed: true}} {
+			l.name, l.perSecond, l.large = size.name+", "+l.name, size.perSecond, size.perSecond > 100_000
 			out = append(out, l)
 		}
 	}
@@ -316,7 +349,7 @@
 				all.within, all.passed = all.within+v.within, all.passed+v.passed
 			}
 			switch share := all.refused(); {
-			case l.hot > 0 || l.lowered > 0 || l.cut > 0:
+			case l.hot > 0 || l.lowered > 0 || l.cut > 0 || l.killed:
 			case l.lost > 0:
 				assert.Assert(t, share < 1.0/200, "%.4f refused", share)
 			default:
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -148,7 +148,7 @@
 		return
 	}
 	q.waitsFor = p.Reason
-	q.g.deps.Log.Emit(event.RequestWaits, q.id(), q.routeName(), zap.Stringer("why", p.Reason), zap.Int("among", p.among),
+	q.g.deps.Log.Emit(event.RequestWaits, q.id(), q.routeName(), q.modelName(), zap.Stringer("why", p.Reason), zap.Int("among", p.among),
 		zap.Int64("for_ms", most.Milliseconds()))
 }
 
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -62,7 +62,7 @@
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	fields := []zap.Field{q.id(), q.routeName(), q.teamName(), zap.String("why", why), zap.Int64("retry_after_ms", after.Milliseconds()),
 		zap.Int64("held_ms", d.Now().Sub(q.start).Milliseconds()), zap.Int("sends", q.sends), zap.Uint64("version", q.version),
-		q.ended(), q.barredBy()}
+		q.modelName(), q.ended(), q.barredBy()}
 	d.Log.Emit(event.RequestRefused, append(fields, more...)...)
 	d.Metrics.Count(metrics.NotRun, 1)
 	q.end(status, why)
@@ -173,6 +173,18 @@
 	_, _ = q.w.Write([]byte(why + "\n")) // a caller that is gone cannot be told
 }
 
+// modelName is the model that the request needs, with its adapter after a slash.
+func (q *request) modelName() zap.Field {
+	switch {
+	case q.ask.Model == "":
+		return zap.Skip()
+	case q.ask.Adapter == "":
+		return zap.String("model", q.ask.Model)
+	default:
+		return zap.String("model", q.ask.Model+"/"+q.ask.Adapter)
+	}
+}
+
 func (q *request) routeName() zap.Field {
 	if q.route == nil {
 		return zap.Skip()
