A limit while nobody counts: a rise is told at once, hosts pass what most teams ask for

Change: a rise that is no chance counts at once; accounts are told from 0.7 of the limit on; hosts alone pass 0.65 of it.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -32,7 +32,7 @@
 type account struct {
 	limit  Limit // in force
 	bucket *Bucket
-	asked  rate
+	asked  asked
 }
 
 // slackShare is the part of what operators allow a limit to be missed by that
@@ -59,7 +59,7 @@
 		a := l.accounts[t.Name]
 		switch {
 		case a == nil:
-			a = &account{limit: t.Limit, bucket: NewBucket(l.given(t.Limit), now)}
+			a = &account{limit: t.Limit, bucket: NewBucket(l.given(t.Limit), now), asked: newAsked()}
 			a.inherit(t.Name, begin, now)
 		case a.limit != t.Limit:
 			a.limit = t.Limit
@@ -83,7 +83,7 @@
 	}
 	if w.Scarce {
 		a.bucket.level = min(w.Level, a.bucket.limit.capacity())
-		a.asked.add(w.Asked*rateWindow.Seconds(), now)
+		a.asked.usual.add(w.Asked*rateWindow.Seconds(), now)
 	}
 	a.bucket.Credit(a.limit.PerSecond*min(w.Age, reportFor).Seconds(), now.Add(settleFor))
 }
@@ -139,7 +139,7 @@
 	// scarceLevel and scarceRate tell accounts that hosts have to know of: less
 	// than this share of a burst is there, or so much of the rate is asked for.
 	scarceLevel = 0.5
-	scarceRate  = 0.9
+	scarceRate  = 0.7
 )
 
 // Scarce returns how the teams stand whose limits may bind; all others have enough.
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -30,9 +30,10 @@
 	growthLeast = 0.05
 	growthSure  = 2
 	// aloneShare is the part of a limit that hosts pass which hear nobody. Their
-	// callers may be more than their part of all, and what they passed before
-	// they were missed was counted nowhere.
-	aloneShare = 0.8
+	// callers may be more than their part of all or ask for more meanwhile, and what
+	// they passed before they were missed was counted nowhere. It is more than most
+	// teams ask for.
+	aloneShare = 0.65
 	// reportFor is how long what a host passed is told at most. Nobody counts for
 	// longer only when a host is cut off: its part is then withheld elsewhere.
 	reportFor = 2 * time.Second
@@ -66,7 +67,7 @@
 
 // NewShare makes one of a host that has no word yet.
 func NewShare(l Limit, now time.Time) *Share {
-	s := &Share{}
+	s := &Share{own: rate{window: rateWindow}}
 	s.SetLimit(l, now)
 	return s
 }
--- a/core/quota/ways_test.go
+++ b/core/quota/ways_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -43,6 +44,7 @@
 	perSecond float64 // of the limit
 	large     bool    // a team of many requests; else each costs more than half of a burst
 	hot       float64 // times the usual, from hotAt on
+	hotAt     float64 // seconds; 0: hotAt
 	lowered   float64 // the limit becomes this part of itself at loweredAt
 	lost      float64 // seconds for which nobody counts, from lostAt on
 	cut       float64 // part of the hosts that hear nobody for cutFor seconds
@@ -51,7 +53,7 @@
 
 const (
 	usual     = 1 / 1.8 // of the limit
-	hotAt     = 10.0
+	hotAt     = 10.0    // but for a load that says otherwise
 	loweredAt = 15.0
 	lostAt    = 20.0
 	cutAt     = 20.0
@@ -128,7 +130,7 @@
 			}
 		}
 		rate := l.perSecond * usual
-		if l.hot > 0 && t >= hotAt {
+		if l.hot > 0 && t >= cmp.Or(l.hotAt, hotAt) {
 			rate *= l.hot
 		}
 		if l.killed && t >= killedAt+downFor && t < killedAt+downFor+0.3 {
@@ -324,6 +326,8 @@
 		for _, l := range []load{{name: "usual"}, {name: "3 times", hot: 3}, {name: "7 times", hot: 7},
 			{name: "lowered to a fifth", lowered: 0.2}, {name: "giver lost 2.3 s", lost: 2.3}, {name: "giver lost 7 s", lost: 7},
 			{name: "7 times, giver lost 2.3 s", hot: 7, lost: 2.3}, {name: "7 times, giver lost 7 s", hot: 7, lost: 7},
+			{name: "3 times, giver lost 3 s soon after", hot: 3, hotAt: lostAt - 1.5, lost: 3},
+			{name: "7 times, giver lost 2.3 s soon after", hot: 7, hotAt: lostAt - 1, lost: 2.3},
 			{name: "a third cut off", cut: 1.0 / 3}, {name: "7 times, a third cut off", hot: 7, cut: 1.0 / 3},
 			{name: "all killed", killed: true}, {name: "7 times, all killed", hot: 7, killed: true}} {
 			l.name, l.perSecond, l.large = size.name+", "+l.name, size.perSecond, size.perSecond > 100_000
