Placement: models that nobody asks for make way for hot ones where loads are short

Change: a model that is not asked for now may be nowhere where a load from the store takes no longer than half of any caller's time. It follows load times and time-outs; where loads take 9 s nothing changes.

--- /dev/null
+++ b/core/replica/idle_test.go
@@ -0,0 +1,76 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/replica"
+)
+
+// catalogue is a service of many models of which a few are asked for: as many
+// places as models, each on one upstream. seed shuffles names and lists.
+func catalogue(seed uint64, load time.Duration) replica.Input {
+	const upstreams, places, hot = 20, 3, 5
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	in := replica.Input{Engine: &deploy.Engine{MemoryMB: 230}, Most: upstreams, StoreLeft: upstreams, CallersWait: 2500 * time.Millisecond,
+		Demand: map[string]replica.Demand{}}
+	names := rnd.Perm(upstreams * places)
+	for i, n := range names {
+		in.Engine.Models = append(in.Engine.Models, deploy.Model{Name: fmt.Sprint("m", n), WeightsMB: 72, Adapters: i % 2,
+			StoreLoad: load, DiskLoad: load / 2, MemoryLoad: load / 2})
+	}
+	for u := range upstreams {
+		held := []string{}
+		for p := range places {
+			held = append(held, in.Engine.Models[u*places+p].Name)
+		}
+		in.Upstreams = append(in.Upstreams, on(fmt.Sprint("u", u), held...))
+	}
+	for i := range hot {
+		in.Demand[in.Engine.Models[i*places].Name] = replica.Demand{Load: 1.5}
+	}
+	for i := hot; i < 2*hot; i++ { // asked for a while ago
+		in.Demand[in.Engine.Models[i*places].Name] = replica.Demand{}
+	}
+	rnd.Shuffle(len(in.Engine.Models), func(i, j int) {
+		in.Engine.Models[i], in.Engine.Models[j] = in.Engine.Models[j], in.Engine.Models[i]
+	})
+	rnd.Shuffle(len(in.Upstreams), func(i, j int) { in.Upstreams[i], in.Upstreams[j] = in.Upstreams[j], in.Upstreams[i] })
+	return in
+}
+
+// Symptom: a tenth of all requests is refused, and as many are late, with most
+// engines idle.
+// Sequence: there are as many models as places; demand is for five of them, each
+// half as much again as one engine can serve.
+// Cause: every model keeps its place, also those that nobody asks for, though a
+// load is over long before any caller's time.
+func TestHotModelsTakeThePlacesOfThoseThatNobodyAsksForWhereLoadsAreShort(t *testing.T) {
+	for seed := range uint64(20) {
+		in := catalogue(seed, 2400*time.Millisecond)
+		replicas, gone := map[string]int{}, map[string]bool{}
+		for _, m := range replica.Default.Plan(in) {
+			replicas[m.Load]++
+			gone[m.Unload] = true
+		}
+		for name, d := range in.Demand {
+			if d.Load > 0 {
+				assert.Assert(t, replicas[name] >= 2, "seed %d: %s has %d more places", seed, name, replicas[name])
+				assert.Assert(t, !gone[name])
+			}
+		}
+	}
+}
+
+// Where a load takes longer than callers wait, whoever asks first for a model
+// that is nowhere would not be answered: each keeps its place.
+func TestModelsThatNobodyAsksForKeepTheirPlaceWhereLoadsAreLong(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.Equal(t, len(replica.Default.Plan(catalogue(seed, 9*time.Second))), 0)
+	}
+}
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -56,6 +56,10 @@
 // String writes the demand into logs.
 func (d Demand) String() string { return fmt.Sprintf("%.2f engines, unserved %t", d.Load, d.Unserved) }
 
+// WaitShare is the part of its time by which a model must be there for a request
+// that waits for it to be answered whole before the rest is over.
+const WaitShare = 0.5
+
 // Input is one snapshot.
 type Input struct {
 	Engine    *deploy.Engine
@@ -66,6 +70,9 @@
 	// SomePatient says that the deployment has callers who would wait for a
 	// load; else every model must stay somewhere.
 	SomePatient bool
+	// CallersWait is how long any caller of the service may wait for a load and
+	// still be answered, if late; 0: not at all.
+	CallersWait time.Duration
 	StoreLeft   int // loads from the weight store that may begin now
 	Most        int // moves to plan at most
 }
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// idle says that nobody asks for the model now.
+func (m *model) idle() bool { return !m.asked || m.demand.Load == 0 && !m.demand.Unserved }
+
 // gain is the engine's time, each second, that one more replica would give to
 // callers whom the others have no time for.
 func (m *model) gain() float64 {
@@ -88,6 +91,7 @@
 // hundreds of upstreams hold.
 type state struct {
 	somePatient bool
+	callersWait float64  // seconds
 	models      []*model // of the deployment, in its order
 	byName      map[string]*model
 	upstreams   []upstream // usable ones
@@ -95,7 +99,7 @@
 }
 
 func newState(in *Input) *state {
-	s := &state{somePatient: in.SomePatient, byName: make(map[string]*model, len(in.Engine.Models)), store: in.StoreLeft}
+	s := &state{somePatient: in.SomePatient, callersWait: in.CallersWait.Seconds(), byName: make(map[string]*model, len(in.Engine.Models)), store: in.StoreLeft}
 	for i := range in.Engine.Models {
 		m := s.model(in, in.Engine.Models[i].Name)
 		m.enter(&in.Engine.Models[i])
--- a/core/replica/victim.go
+++ b/core/replica/victim.go
@@ -42,8 +42,14 @@
 }
 
 // mayBeNowhere says whether a model's last replica may make way: its callers
-// would wait for a load, or nobody is expected to call.
+// would wait for a load, or nobody calls and whoever does is still answered
+// after one, from wherever it comes. Where each model keeps a place, however long
+// ago it was asked for, the hot ones have hardly more than one when upstreams are
+// few: then a tenth of all requests is refused with engines idle.
 func (p Policy) mayBeNowhere(s *state, m *model) bool {
+	if m.idle() && m.seconds[FromStore] <= s.callersWait {
+		return true
+	}
 	if m.asked {
 		return m.demand.Patient && !m.demand.Unserved
 	}
--- a/node/coordinator/demand.go
+++ b/node/coordinator/demand.go
@@ -134,6 +134,21 @@
 	return objective.Seconds() > patientLoads*replica.LoadTime(e, model, replica.FromDisk).Seconds()
 }
 
+// callersWait is how long any caller of a service may wait for a model and still
+// be answered; 0: the service has no route.
+func callersWait(c *deploy.Config, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, split := range r.Splits {
+			if split.Service == service && (shortest == 0 || r.Timeout < shortest) {
+				shortest = r.Timeout
+			}
+		}
+	}
+	return time.Duration(replica.WaitShare * float64(shortest))
+}
+
 // somePatient says whether a service has a route whose callers would wait for
 // a load of any of its models.
 func somePatient(c *deploy.Config, s *deploy.Service) bool {
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -53,7 +53,7 @@
 func (c *Coordinator) planInput(cfg *deploy.Config, s *deploy.Service, units []*unit, now time.Time) replica.Input {
 	in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now),
 		StoreLeft: min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))}
-	in.SomePatient = somePatient(cfg, s)
+	in.SomePatient, in.CallersWait = somePatient(cfg, s), callersWait(cfg, s.Name)
 	moving := 0
 	for _, u := range units {
 		if u.entry.Service() != s.Name {
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/balance"
+	"peridotpier.example/core/replica"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 )
@@ -188,15 +189,9 @@
 	}
 }
 
-const (
-	// comingShare is the part of its time by which a model must be there for its
-	// request to be answered whole before the rest is over. Loads of 9 s before
-	// callers who wait for 15 s: what is left does for the longest answers.
-	comingShare = 0.5
-	// comingSlack is how much later than it can be expected a model may come:
-	// what makes way for it ends its streams first.
-	comingSlack = 2 * time.Second
-)
+// comingSlack is how much later than it can be expected a model may come:
+// what makes way for it ends its streams first.
+const comingSlack = 2 * time.Second
 
 // modelBy is until when the request waits for a model that no upstream holds:
 // until it is there, if that is on its way; else for as long as its answer could
@@ -208,7 +203,7 @@
 	if !coming || q.started || q.g.deps.Draining() {
 		return usual, false
 	}
-	last := q.start.Add(time.Duration(float64(q.deadline.Sub(q.start)) * comingShare))
+	last := q.start.Add(time.Duration(float64(q.deadline.Sub(q.start)) * replica.WaitShare))
 	if at.After(last) {
 		return usual, true
 	}
