Placement: the copy that is left at an upstream decides how long its model may be missed

Cause: the last change looked at loads from the store alone; where these take 9 s an upstream that unloads a model still keeps a copy that loads in 2.4 s.

--- a/core/replica/idle_test.go
+++ b/core/replica/idle_test.go
@@ -14,7 +14,7 @@
 
 // catalogue is a service of many models of which a few are asked for: as many
 // places as models, each on one upstream. seed shuffles names and lists.
-func catalogue(seed uint64, load time.Duration) replica.Input {
+func catalogue(seed uint64, store, disk time.Duration) replica.Input {
 	const upstreams, places, hot = 20, 3, 5
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	in := replica.Input{Engine: &deploy.Engine{MemoryMB: 230}, Most: upstreams, StoreLeft: upstreams, CallersWait: 2500 * time.Millisecond,
@@ -22,7 +22,7 @@
 	names := rnd.Perm(upstreams * places)
 	for i, n := range names {
 		in.Engine.Models = append(in.Engine.Models, deploy.Model{Name: fmt.Sprint("m", n), WeightsMB: 72, Adapters: i % 2,
-			StoreLoad: load, DiskLoad: load / 2, MemoryLoad: load / 2})
+			StoreLoad: store, DiskLoad: disk, MemoryLoad: disk})
 	}
 	for u := range upstreams {
 		held := []string{}
@@ -52,7 +52,7 @@
 // load is over long before any caller's time.
 func TestHotModelsTakeThePlacesOfThoseThatNobodyAsksForWhereLoadsAreShort(t *testing.T) {
 	for seed := range uint64(20) {
-		in := catalogue(seed, 2400*time.Millisecond)
+		in := catalogue(seed, 9*time.Second, 2400*time.Millisecond)
 		replicas, gone := map[string]int{}, map[string]bool{}
 		for _, m := range replica.Default.Plan(in) {
 			replicas[m.Load]++
@@ -67,10 +67,15 @@
 	}
 }
 
-// Where a load takes longer than callers wait, whoever asks first for a model
-// that is nowhere would not be answered: each keeps its place.
+// Where a load takes longer than callers wait, or no copy is left, whoever asks
+// first for a model that is nowhere would not be answered: each keeps its place.
 func TestModelsThatNobodyAsksForKeepTheirPlaceWhereLoadsAreLong(t *testing.T) {
 	for seed := range uint64(20) {
-		assert.Equal(t, len(replica.Default.Plan(catalogue(seed, 9*time.Second))), 0)
+		assert.Equal(t, len(replica.Default.Plan(catalogue(seed, 9*time.Second, 4*time.Second))), 0)
+		in := catalogue(seed, 9*time.Second, 2400*time.Millisecond)
+		for i := range in.Upstreams {
+			in.Upstreams[i].OnDisk = nil
+		}
+		assert.Equal(t, len(replica.Default.Plan(in)), 0)
 	}
 }
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -188,7 +188,7 @@
 			return 0
 		}
 		for j := range u.held {
-			if after, ok := p.afterwards(s, &u.held[j], nil); ok {
+			if after, ok := p.afterwards(s, u, &u.held[j], nil); ok {
 				least = min(least, after*p.Gain)
 			}
 		}
--- a/core/replica/victim.go
+++ b/core/replica/victim.go
@@ -13,7 +13,7 @@
 	lowest := math.Inf(1)
 	for i := range u.held {
 		v := &u.held[i]
-		after, ok := p.afterwards(s, v, wanted)
+		after, ok := p.afterwards(s, u, v, wanted)
 		if !ok || after*p.Gain > pressure {
 			continue
 		}
@@ -27,7 +27,7 @@
 
 // afterwards is the pressure on a model once it has made way at an upstream,
 // if it may; nil stands for any other that it may make way for.
-func (p Policy) afterwards(s *state, v *held, wanted *model) (float64, bool) {
+func (p Policy) afterwards(s *state, u *upstream, v *held, wanted *model) (float64, bool) {
 	if !v.Ready || v.For < p.Settled {
 		return 0, false
 	}
@@ -35,19 +35,19 @@
 		return v.model.pressure(v.model.replicas - 1), true
 	}
 	// One that is still being loaded answers nobody yet.
-	if wanted != nil && !p.mayBeNowhere(s, v.model) && !p.yields(v, wanted) {
+	if wanted != nil && !p.mayBeNowhere(s, u, v.model) && !p.yields(v, wanted) {
 		return 0, false
 	}
 	return p.Absent + p.AbsentShare*v.model.demand.Load, true
 }
 
-// mayBeNowhere says whether a model's last replica may make way: its callers
-// would wait for a load, or nobody calls and whoever does is still answered
-// after one, from wherever it comes. Where each model keeps a place, however long
+// mayBeNowhere says whether a model's last replica may make way at an upstream:
+// its callers would wait for a load, or nobody calls and whoever does is still
+// answered after a load from the copy that is left there. Where each model keeps a place, however long
 // ago it was asked for, the hot ones have hardly more than one when upstreams are
 // few: then a tenth of all requests is refused with engines idle.
-func (p Policy) mayBeNowhere(s *state, m *model) bool {
-	if m.idle() && m.seconds[FromStore] <= s.callersWait {
+func (p Policy) mayBeNowhere(s *state, u *upstream, m *model) bool {
+	if m.idle() && m.seconds[u.source(m.name)] <= s.callersWait {
 		return true
 	}
 	if m.asked {
