Start of a deployment: hosts ask the store only for what no peer tells; the list is packed

With 299 hosts and 3,000 upstreams the list is 1.2 MB of text for each (0.41 GB from the store, 0.31 GB between data centres). Change: while a deployment starts for the first time, hosts that should not take the lease leave the store to the others for 1.5 s, and for as long as they are linked to one that relays. A whole list goes packed, made once for all that ask within half a second.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -194,7 +194,7 @@
 		l.log.Emit(event.RoutesUnusable, zap.Error(err))
 		return
 	}
-	if r.Put, err = decode(s.Put); err != nil {
+	if r.Put, err = upstreamsOf(s); err != nil {
 		l.log.Emit(event.RoutesUnusable, zap.Error(err))
 		return
 	}
@@ -207,7 +207,7 @@
 // introduction is a report that says no more than who this host is and which
 // versions it has, so that a holder that it meets anew does not send it all.
 func (l *Link) introduction() *coordpb.HostReport {
-	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true, PackedList: true}
 	if t := l.own.deps.Config.Current(); t != nil {
 		r.Config = t.Config.Version
 	}
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -24,12 +24,28 @@
 	if from == 0 {
 		from = c.deps.Fleet.StateAt(r.ListAt)
 	}
+	if from == 0 && r.PackedList {
+		return c.relayWhole(at, out)
+	}
 	change := c.deps.Fleet.Since(from)
+	if change.Full && r.PackedList {
+		return c.relayWhole(at, out)
+	}
 	put, err := c.encodings.upstreams(change.Put)
 	out.List, out.ListAt, out.ListFull, out.Put, out.Gone = change.To, at, change.Full, put, change.Gone
 	return err
 }
 
+// relayWhole adds the whole list, packed.
+func (c *Coordinator) relayWhole(at uint64, out *coordpb.SiteState) error {
+	w, err := c.encodings.whole(c.now(), func() wholeList { return wholeList{of: c.deps.Fleet.Since(0), at: at} })
+	if err != nil {
+		return err
+	}
+	out.List, out.ListAt, out.ListFull, out.PackedList = w.of.To, w.at, true, w.packed
+	return nil
+}
+
 // relayConfig adds the configuration if it is newer than the other's.
 func (c *Coordinator) relayConfig(r *coordpb.HostReport, out *coordpb.SiteState) (err error) {
 	t := c.deps.Config.Current()
@@ -55,6 +71,45 @@
 	plain  []byte
 	packed []byte
 	listed map[string]encodedUpstream // by upstream
+	all    wholeList
+}
+
+// wholeList is the list at one state, packed.
+type wholeList struct {
+	of     fleet.Change
+	at     uint64 // the store's version that it is of
+	packed []byte
+	made   time.Time
+}
+
+// wholeFor is how long a packed list is handed out. All hosts that start together
+// ask for it within this time, while it changes many times; what is newer goes to
+// each with its next report. With 3,000 upstreams the list takes 1.2 MB of text for
+// each of 299 hosts.
+const wholeFor = 500 * time.Millisecond
+
+// whole returns the list, packed; now is read anew when it is too old.
+func (e *encodings) whole(now time.Time, read func() wholeList) (wholeList, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.all.packed) > 0 && now.Sub(e.all.made) < wholeFor {
+		return e.all, nil
+	}
+	next := read()
+	put := make([]deploy.Upstream, len(next.of.Put))
+	for i := range next.of.Put {
+		put[i] = next.of.Put[i].Upstream
+	}
+	plain, err := json.Marshal(put)
+	if err != nil {
+		return wholeList{}, eris.Wrap(err, "encode list")
+	}
+	if next.packed, err = revision.Compress(plain); err != nil {
+		return wholeList{}, eris.Wrap(err, "pack list")
+	}
+	next.made, next.of.Put = now, nil
+	e.all = next
+	return next, nil
 }
 
 type encodedUpstream struct {
@@ -132,6 +187,19 @@
 	return cfg, nil
 }
 
+// upstreamsOf reads the upstreams of an answer.
+func upstreamsOf(s *coordpb.SiteState) ([]deploy.Upstream, error) {
+	if len(s.PackedList) == 0 {
+		return decode(s.Put)
+	}
+	data, err := revision.Unpack(s.PackedList)
+	if err != nil {
+		return nil, eris.Wrap(err, "unpack list")
+	}
+	var out []deploy.Upstream
+	return out, eris.Wrap(json.Unmarshal(data, &out), "decode list")
+}
+
 // decode reads upstreams that another host encoded.
 func decode(all [][]byte) ([]deploy.Upstream, error) {
 	out := make([]deploy.Upstream, len(all))
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -41,7 +41,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
 	for ctx.Err() == nil {
-		if f.isRelayed() {
+		if f.isRelayed() || f.spared() {
 			pace.Sleep(ctx, relayedPause)
 			continue
 		}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -127,6 +127,9 @@
 	// Led says that this host is linked to one that looks for the store's return
 	// and tells of it within a fraction of a second; nil: it is not.
 	Led func() bool
+	// Unneeded says that nobody waits for this host yet, so that it need not ask
+	// the store itself for what another will tell it soon; nil: it is needed.
+	Unneeded func() bool
 	// RelayFresh replaces its default; 0: the default.
 	RelayFresh time.Duration
 	// Listed is called after the list of upstreams was first known.
@@ -162,6 +165,9 @@
 	if d.Led == nil {
 		d.Led = func() bool { return false }
 	}
+	if d.Unneeded == nil {
+		d.Unneeded = func() bool { return false }
+	}
 	if d.RelayFresh == 0 {
 		d.RelayFresh = defaultRelayFresh
 	}
@@ -208,6 +214,30 @@
 	return at != 0 && f.sinceStart()-at < int64(f.deps.RelayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
 }
 
+const (
+	// startPatience is how long a host that nobody waits for yet leaves the store
+	// alone after its start: others read it, take the lease and relay meanwhile.
+	startPatience = 1500 * time.Millisecond
+	// relayPatience is how long after its start such a host that is linked waits for
+	// what the relay has not brought yet, because nobody has written it.
+	relayPatience = 20 * time.Second
+)
+
+// spared says whether another host asks the store for this one, which nobody
+// waits for yet. Hosts that start together would each read the store whole, and
+// ask it again several times until they are linked.
+func (f *Follower) spared() bool {
+	if !f.deps.Unneeded() || !f.deps.Patient() {
+		return false
+	}
+	now := f.sinceStart()
+	if now < int64(startPatience) {
+		return true
+	}
+	at := f.relayed.Load()
+	return at != 0 && now-at < int64(f.deps.RelayFresh) && now < int64(relayPatience)
+}
+
 // Age is how long ago the store answered, for the older of the two feeds.
 func (f *Follower) Age() time.Duration {
 	heard := min(f.config.heard.Load(), f.upstreams.heard.Load())
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -27,6 +27,7 @@
 	NoModelMoves bool   `json:"no_model_moves"`
 	Limits       Limits `json:"limits"`
 	Bounds       Bounds `json:"bounds"`
+	FirstStart   bool   `json:"first_start"` // the whole deployment starts for the first time: nobody calls yet
 }
 
 // Limits are what the machine gives to the process.
