Calls of a crowded plain service go by turns

Ways: each host by what it knows (before); turns of the host that decides for all, where half of the slots are taken (after).

--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -198,7 +198,9 @@
 	w.upstream, w.reading = e.ID(), true
 	prompt := w.event.Prompt
 	w.event.Prompt -= min(w.event.Prompt, uint32(at.Cached)) // the rest is what there is to read
-	t.c.speeds.with(w.model(), func(m speed.Model) { m.Asked(int(prompt), int(w.event.Prompt)) })
+	if w.event.Model != "" {
+		t.c.speeds.with(w.model(), func(m speed.Model) { m.Asked(int(prompt), int(w.event.Prompt)) })
+	}
 	w.granted, w.alone = now, at.Waiting == 0
 	t.granted[w.key] = w
 	p := t.places[w.upstream]
@@ -322,13 +324,21 @@
 
 // late says that an answer to the request would not begin in time any more.
 func (w *turn) late(now time.Time) bool {
-	return now.Sub(w.since) > milliseconds(w.event.InTimeMs)-startTime
+	inTime := milliseconds(w.event.InTimeMs)
+	if w.event.Model == "" {
+		return now.Sub(w.since) > time.Duration(float64(inTime)*callShare)
+	}
+	return now.Sub(w.since) > inTime-startTime
 }
 
 // startTime is about how long a prompt takes to be read on an upstream that
 // reads nothing else.
 const startTime = 120 * time.Millisecond
 
+// callShare is the part of its objective for which a call of a plain service may
+// wait and be answered in time: the rest is for the call and its way.
+const callShare = 0.6
+
 // sweep tries what waits again: upstreams come, recover, and gain models
 // without a word here. It forgets upstreams that are gone.
 func (t *turns) sweep() {
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -38,7 +38,9 @@
 	defer cancel(nil)
 	x := e.Begin(&q.ask, q.cost)
 	if p.turn != nil {
-		x.OnFirst(p.turn.First)
+		if q.ask.Model != "" { // of a call the end is what counts
+			x.OnFirst(p.turn.First)
+		}
 		defer p.turn.End()
 	}
 	q.tried[e.ID()] = true
--- /dev/null
+++ b/node/gate/crowded_test.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/fleet"
+)
+
+// giver gives all turns to one upstream, or none in time.
+type giver struct {
+	alone
+	asked, ended atomic.Int32
+	silent       bool
+}
+
+func (g *giver) Turn(ctx context.Context, _ *TurnAsk) (*Turn, error) {
+	g.asked.Add(1)
+	if g.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &Turn{Upstream: "u", First: func() {}, Absent: func() {}, End: func() { g.ended.Add(1) }}, nil
+}
+
+// plain is a gate before a plain service of one upstream with six slots, at
+// which others have so many requests.
+func plain(t *testing.T, models Models, others int) *Gate {
+	t.Helper()
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	t.Cleanup(up.Close)
+	g, f := before(deploy.Upstream{Address: up.Listener.Addr().String(), Slots: 6}, models, deploy.Route{Objective: 150 * time.Millisecond})
+	table := *g.deps.Config.Current().Config
+	table.Version++
+	table.Services = []deploy.Service{{Name: "s"}}
+	g.deps.Config.Offer(&table, "test")
+	e, _ := f.Entry("u")
+	e.SetOthers(fleet.Load{Requests: others}, time.Now())
+	return g
+}
+
+func callPlain(g *Gate) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://example.com/x", nil))
+	return w
+}
+
+// Symptom: lookups that are due in 150 ms are late, and a third is refused,
+// while a plain service gets more than it can answer.
+// Sequence: many hosts send to three upstreams; what each knows of the others'
+// sends is 200 ms old.
+// Cause: they fill the queue of one upstream and then of the next: what is
+// answered has waited for longer than it is worth.
+func TestCallsOfACrowdedServiceGoByTurns(t *testing.T) {
+	m := &giver{}
+	assert.Equal(t, callPlain(plain(t, m, 3)).Code, http.StatusOK)
+	assert.Equal(t, m.asked.Load(), int32(1))
+	assert.Equal(t, m.ended.Load(), int32(1))
+	quiet := &giver{}
+	assert.Equal(t, callPlain(plain(t, quiet, 2)).Code, http.StatusOK)
+	assert.Equal(t, quiet.asked.Load(), int32(0), "on a calm day its way is not longer")
+}
+
+// A call that gets no turn in its time is refused then, and not sent to make
+// others late.
+func TestACallWithoutATurnInItsTimeIsRefused(t *testing.T) {
+	began := time.Now()
+	w := callPlain(plain(t, &giver{silent: true}, 12))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Body.String(), "all_full\n")
+	assert.Assert(t, w.Header().Get("Retry-After") != "")
+	took := time.Since(began)
+	assert.Assert(t, took > 100*time.Millisecond && took < time.Second, "%v", took)
+}
+
+// While nobody decides for all, calls go by what this host knows.
+func TestCallsOfACrowdedServiceGoOnWithoutTurns(t *testing.T) {
+	assert.Equal(t, callPlain(plain(t, alone{}, 12)).Code, http.StatusOK)
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -30,7 +30,7 @@
 // the host that decides for all knows of no upstream but this one does, or of
 // one that only has no room, its own knowledge is newer.
 func (q *request) choose() (*fleet.Entry, picked) {
-	if q.ask.Model == "" {
+	if q.ask.Model == "" && !q.crowded() {
 		if over, ok := q.charge(); !ok {
 			return nil, over
 		}
@@ -43,6 +43,9 @@
 	if over, ok := q.charge(); !ok {
 		return nil, over
 	}
+	if ok && q.ask.Model == "" {
+		return nil, given
+	}
 	e, own := q.pick()
 	if e != nil || !ok || given.Reason == balance.NoModel && own.Reason > given.Reason {
 		return e, own
@@ -50,6 +53,27 @@
 	return nil, given
 }
 
+// crowdedShare is how many requests there must be at a plain service, by what
+// this host knows, as a share of its slots, for turns to be worth their way. With
+// fewer, hosts seldom send to the same upstream at once.
+const crowdedShare = 0.5
+
+// crowded says whether the service of a call is so busy that it goes by turns.
+// Hosts see what the others have sent a fraction of a second late, which is
+// several times what a call takes: together they fill one upstream's queue, so
+// that its answers are late and the rest is refused, with the next one idle.
+func (q *request) crowded() bool {
+	now := q.g.deps.Now()
+	requests, slots := 0, 0
+	for _, e := range q.g.deps.Fleet.Service(q.service.Name) {
+		at := e.Endpoint(&q.ask, now)
+		if !at.Leaving && !at.Down {
+			requests, slots = requests+at.Requests, slots+at.Slots
+		}
+	}
+	return float64(requests) >= crowdedShare*float64(slots)
+}
+
 // pick chooses an upstream among those of the request's service.
 func (q *request) pick() (*fleet.Entry, picked) { return q.pickAs(q.lost) }
 
@@ -88,6 +112,9 @@
 // that there was no room for. One that an upstream has lost goes to the best of
 // the others: its caller has waited for an answer already.
 func (q *request) reading(now time.Time, lost bool) int {
+	if q.service.Engine == nil {
+		return 0
+	}
 	if lost && now.Sub(q.start) >= q.bounded(time.Duration(float64(q.route.Objective)*leastShare)) {
 		return 0
 	}
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,7 +69,9 @@
 	}
 	t, err := d.Models.Turn(ctx, ask)
 	if err != nil {
-		return nil, picked{}, false
+		// A call that had no turn in its time would be late, and make others late.
+		full := q.ask.Model == "" && errors.Is(err, context.DeadlineExceeded)
+		return nil, picked{Decision: balance.Decision{Index: -1, Reason: balance.AllFull, Home: -1}}, full
 	}
 	if t.Over {
 		return nil, picked{over: true, after: t.Wait}, true
