Many upstreams: lists are read and told in parts

Change: each part of the list has its own time; hosts that others will tell wait between the parts and stop once told; holdings go 250 at a time, the oldest changes first.

--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -1,8 +1,10 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"storj.io/drpc/drpcmux"
@@ -100,14 +102,29 @@
 	if r.Revision >= c.revision {
 		return out
 	}
+	changed := make([]*unit, 0, len(c.units))
 	for _, u := range c.units {
 		if u.revision.Load() > r.Revision {
-			out.Holdings = append(out.Holdings, u.holding(now))
+			changed = append(changed, u)
 		}
 	}
+	if len(changed) > holdingsMost {
+		slices.SortFunc(changed, func(a, b *unit) int { return cmp.Compare(a.revision.Load(), b.revision.Load()) })
+		changed = changed[:holdingsMost]
+		out.Revision = changed[holdingsMost-1].revision.Load()
+	}
+	for _, u := range changed {
+		out.Holdings = append(out.Holdings, u.holding(now))
+	}
 	return out
 }
 
+// holdingsMost is how many upstreams' holdings one answer tells; the rest follow
+// with the next ones, the oldest changes first. 299 hosts that link at once would
+// get 3,000 each, some 300 kB: more than the holder's memory and link carry before
+// their reports count as lost and they begin anew.
+const holdingsMost = 250
+
 // engine is what each upstream of a service can hold; nil: a plain service, or
 // one that is not known.
 func (c *Coordinator) engine(service string) *deploy.Engine {
--- /dev/null
+++ b/node/coordinator/size_test.go
@@ -0,0 +1,60 @@
+package coordinator
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/follow"
+)
+
+// Symptom: after all of 299 hosts were killed nobody is served for half a minute;
+// the holder of the lease ends for want of memory.
+// Sequence: all hosts link to it at once; it knows of 3,000 upstreams.
+// Cause: each is told all that the upstreams hold in one answer, more than the
+// holder's link carries in the time of a report; it then begins anew.
+func TestWhatManyUpstreamsHoldIsToldInParts(t *testing.T) {
+	c := holderSize{7, 900, 720}.holder()
+	told := map[string]bool{}
+	revision, answers := uint64(0), 0
+	for revision < c.revision {
+		out := c.tellSums(&coordpb.HostReport{Host: "h", Revision: revision, ModelsLater: true}, c.now())
+		assert.Assert(t, len(out.Holdings) <= holdingsMost)
+		assert.Assert(t, out.Revision > revision, "each answer brings the host further")
+		for _, h := range out.Holdings {
+			told[h.Upstream] = true
+		}
+		revision = out.Revision
+		answers++
+	}
+	assert.Equal(t, len(told), 900)
+	assert.Assert(t, answers <= 4)
+}
+
+// Symptom: 299 hosts that start together take 0.3 GB over the holder's link.
+// Cause: the list of 3,000 upstreams goes to each of them as text.
+func TestAWholeListIsSentPacked(t *testing.T) {
+	c := holderSize{7, 900, 720}.holder()
+	c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config})
+	plain, packed, again := &coordpb.SiteState{}, &coordpb.SiteState{}, &coordpb.SiteState{}
+	assert.NilError(t, c.relay(&coordpb.HostReport{}, plain), "a host of an earlier release")
+	assert.NilError(t, c.relay(&coordpb.HostReport{PackedList: true}, packed))
+	assert.NilError(t, c.relay(&coordpb.HostReport{PackedList: true}, again))
+	assert.Assert(t, 5*proto.Size(packed) < proto.Size(plain), "%d of %d", proto.Size(packed), proto.Size(plain))
+	assert.Assert(t, &packed.PackedList[0] == &again.PackedList[0], "it is packed once for all that ask together")
+	assert.Assert(t, packed.ListFull && packed.List > 0)
+	of := func(s *coordpb.SiteState) map[string]string {
+		all, err := upstreamsOf(s)
+		assert.NilError(t, err)
+		out := map[string]string{}
+		for _, u := range all {
+			out[u.ID] = u.Address
+		}
+		return out
+	}
+	assert.DeepEqual(t, of(plain), of(packed))
+	_, err := upstreamsOf(&coordpb.SiteState{PackedList: []byte("no list")})
+	assert.Assert(t, err != nil)
+}
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -126,8 +126,6 @@
 func (f *Follower) step(ctx context.Context, d *feed) (uint64, error) {
 	at := d.progress.at.Load()
 	if at == 0 || d.reread {
-		ctx, cancel := context.WithTimeout(ctx, readBound)
-		defer cancel()
 		next, err := d.read(ctx)
 		d.reread = d.reread && err != nil
 		return next, err
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -17,6 +17,7 @@
 
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 	"peridotpier.example/node/store"
 )
 
@@ -42,7 +43,9 @@
 type Source interface {
 	ReadConfig(ctx context.Context) (*deploy.Config, uint64, error)
 	WaitConfig(ctx context.Context, after uint64, wait time.Duration) (*deploy.Config, uint64, error)
-	ReadUpstreams(ctx context.Context) (Upstreams, uint64, error)
+	// ReadUpstreams reads the list whole, a part at a time; more is called before
+	// each part but the first, and ends the reading by an error.
+	ReadUpstreams(ctx context.Context, more func() error) (Upstreams, uint64, error)
 	WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (Upstreams, uint64, error)
 }
 
@@ -265,7 +268,11 @@
 		return at, err
 	}
 	return f.run(ctx, &feed{name: "configuration", progress: &f.config, relayWait: relayConfigWait, second: true,
-		read: func(ctx context.Context) (uint64, error) { return take(f.deps.Source.ReadConfig(ctx)) },
+		read: func(ctx context.Context) (uint64, error) {
+			ctx, cancel := context.WithTimeout(ctx, readBound)
+			defer cancel()
+			return take(f.deps.Source.ReadConfig(ctx))
+		},
 		wait: func(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 			return take(f.deps.Source.WaitConfig(ctx, after, wait))
 		}})
@@ -275,7 +282,10 @@
 func (f *Follower) RunUpstreams(ctx context.Context) error {
 	return f.run(ctx, &feed{name: "upstreams", progress: &f.upstreams, relayWait: relayUpstreamsWait, back: f.storeBack,
 		read: func(ctx context.Context) (uint64, error) {
-			all, at, err := f.deps.Source.ReadUpstreams(ctx)
+			all, at, err := f.readParts(ctx)
+			if errors.Is(err, errTold) {
+				return f.upstreams.at.Load(), nil
+			}
 			if err != nil {
 				return 0, err
 			}
@@ -303,6 +313,38 @@
 		}})
 }
 
+// errTold ends the reading of a list that another host has told meanwhile.
+var errTold = errors.New("another host told the list")
+
+// readParts reads the list of upstreams. Each part has its own time: a host with
+// a slow link takes longer for a long list than any single answer may take, and
+// would begin anew for ever. A host that others will tell takes its time between
+// the parts: a list of several is mostly told before it is read.
+func (f *Follower) readParts(ctx context.Context) (Upstreams, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(readBound, cancel)
+	defer late.Stop()
+	parts := 0
+	more := func() error {
+		late.Stop()
+		parts++
+		for rest := time.Duration(parts) * partPause; f.deps.Patient() && rest > 0; rest -= relayedPause {
+			if f.isRelayed() {
+				return errTold
+			}
+			pace.Sleep(ctx, relayedPause)
+		}
+		late.Reset(readBound)
+		return ctx.Err()
+	}
+	return f.deps.Source.ReadUpstreams(ctx, more)
+}
+
+// partPause is by how much longer a host that others will tell waits before each
+// further part of the list.
+const partPause = 300 * time.Millisecond
+
 // tellUnreadable logs the entries that name no upstream.
 func (f *Follower) tellUnreadable(all []Unreadable) {
 	for _, u := range all {
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -105,9 +105,15 @@
 	mostShare = 0.8
 )
 
-// patience is how long after its start the request may wait for a turn.
+// patience is how long after its start the request may wait for a turn. A call of
+// a plain service takes a small part of its time, and those that would be late let
+// the others pass: to refuse it sooner would leave its place to nobody, once the
+// crowd has passed.
 func (q *request) patience() time.Duration {
 	share := time.Duration(float64(q.deadline.Sub(q.start)) * turnShare)
+	if q.service.Engine == nil {
+		return q.bounded(share)
+	}
 	share = max(share, time.Duration(float64(q.route.Objective)*leastShare))
 	return q.bounded(min(share, time.Duration(float64(q.route.Objective)*mostShare)))
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -174,4 +174,30 @@
   'answered = time.Now()
 		}' '_ = answered
 		}' ./node/coordinator -run 'StandsBy'
+try "a key before the body" node/gate/gate.go \
+  'if !q.identify() {' 'if q.identify(); false {' ./platform -run 'OneKnownKey' ./node/gate
+try "the key is not passed on" platform/headers.go \
+  '"Kv-Fetch", headerKey, headerTeam}' '"Kv-Fetch"}' ./platform -run 'NeverTheKey'
+try "a key that was taken away" node/gate/gate.go \
+  'if q.revoked() {' 'if false {' ./platform -run 'KeyWasTakenAway'
+try "one key in two teams" core/deploy/team.go \
+  'if other, ok := owners[k]; ok && other != team {' 'if other := 0; false {' ./core/deploy
+try "a limit is charged with the turn" node/coordinator/turns.go \
+  '	if !t.within(k, e, now) {
+		return
+	}
+' '' ./node/coordinator ./platform -run 'Limit'
+try "a limit of a call without a turn" node/gate/caller.go \
+  'if !q.caller.owes() {' 'if true {' ./node/gate ./platform -run 'Limit|Pays'
+try "what has not run is given back" node/gate/gate.go \
+  '	defer q.giveBack()
+' '' ./node/gate
+try "hosts that hear nobody pass a part" core/quota/share.go \
+  'draw*asked >= aloneShare*s.limit.PerSecond' 'draw*asked < 0' ./core/quota
+try "hosts without a word pass little" core/quota/share.go \
+  'startShare = 0.02' 'startShare = 1.0' ./core/quota
+try "the part of hosts that are not heard is withheld" core/quota/ledger.go \
+  'limit.PerSecond *= l.part' '' ./core/quota ./node/coordinator -run 'NotHeard|Limit'
+try "a new count goes on from the former's" node/coordinator/accounts.go \
+  'if a.word != nil {' 'if false {' ./node/coordinator
 exit $missed
