--- a/node/coordinator/size_test.go
+++ b/node/coordinator/size_test.go
@@ -42,7 +42,10 @@
 	assert.NilError(t, c.relay(&coordpb.HostReport{}, plain), "a host of an earlier release")
 	assert.NilError(t, c.relay(&coordpb.HostReport{PackedList: true}, packed))
 	assert.NilError(t, c.relay(&coordpb.HostReport{PackedList: true}, again))
-	assert.Assert(t, 5*proto.Size(packed) < proto.Size(plain), "%d of %d", proto.Size(packed), proto.Size(plain))
+	const slowLink = 10_000_000 / 8 // bytes a second
+	most := int(reportCallBound.Seconds() * slowLink * 900 / 3000)
+	assert.Assert(t, proto.Size(packed) < most, "%d bytes: a list of 3,000 must come in the time of a report", proto.Size(packed))
+	assert.Assert(t, proto.Size(plain) > most)
 	assert.Assert(t, &packed.PackedList[0] == &again.PackedList[0], "it is packed once for all that ask together")
 	assert.Assert(t, packed.ListFull && packed.List > 0)
 	of := func(s *coordpb.SiteState) map[string]string {
