--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -199,6 +199,9 @@
 		return
 	}
 	l.own.deps.Feed.Take(r)
+	if s.ListAt == 0 {
+		return // it has not read the list itself: what it told was passed over, and is to be told again whole
+	}
 	l.mu.Lock()
 	l.list = s.List
 	l.mu.Unlock()
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -92,7 +92,7 @@
 func (e *encodings) whole(now time.Time, read func() wholeList) (wholeList, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.all.packed) > 0 && now.Sub(e.all.made) < wholeFor {
+	if e.all.at > 0 && now.Sub(e.all.made) < wholeFor {
 		return e.all, nil
 	}
 	next := read()
--- a/node/coordinator/size_test.go
+++ b/node/coordinator/size_test.go
@@ -33,6 +33,24 @@
 	assert.Assert(t, answers <= 4)
 }
 
+// Symptom: hosts are never ready, though they are linked and know all upstreams.
+// Sequence: they start together and link to a holder that has not read the list
+// itself yet.
+// Cause: its first word, which is of no version of the store, counts as the whole
+// list; from then on only changes of it are told.
+func TestAListThatTheHolderHasNotReadIsToldAgain(t *testing.T) {
+	c := holderSize{7, 12, 26}.holder()
+	listed := 0
+	c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config, Upstreams: c.deps.Fleet, Listed: func() { listed++ }})
+	l := NewLink(LinkConfig{Host: "h"}, c, nil, c.deps.Log)
+	l.takeRelay(&coordpb.SiteState{List: 5, ListFull: true})
+	assert.Equal(t, l.report().List, uint64(0), "the whole list is asked for again")
+	assert.Equal(t, listed, 0)
+	l.takeRelay(&coordpb.SiteState{List: 6, ListAt: 3, ListFull: true})
+	assert.Equal(t, l.report().List, uint64(6))
+	assert.Equal(t, listed, 1)
+}
+
 // Symptom: 299 hosts that start together take 0.3 GB over the holder's link.
 // Cause: the list of 3,000 upstreams goes to each of them as text.
 func TestAWholeListIsSentPacked(t *testing.T) {
