--- a/node/coordinator/size_test.go
+++ b/node/coordinator/size_test.go
@@ -55,7 +55,8 @@
 // Cause: the list of 3,000 upstreams goes to each of them as text.
 func TestAWholeListIsSentPacked(t *testing.T) {
 	c := holderSize{7, 900, 720}.holder()
-	c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config})
+	c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config, Upstreams: c.deps.Fleet})
+	c.deps.Feed.Take(follow.Relay{UpstreamsAt: 1})
 	plain, packed, again := &coordpb.SiteState{}, &coordpb.SiteState{}, &coordpb.SiteState{}
 	assert.NilError(t, c.relay(&coordpb.HostReport{}, plain), "a host of an earlier release")
 	assert.NilError(t, c.relay(&coordpb.HostReport{PackedList: true}, packed))
