--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -40,12 +40,12 @@
 	if e != nil || given.over {
 		return e, given
 	}
+	if ok && q.ask.Model == "" && given.Reason != balance.NoServer {
+		return nil, given
+	}
 	if over, ok := q.charge(); !ok {
 		return nil, over
 	}
-	if ok && q.ask.Model == "" {
-		return nil, given
-	}
 	e, own := q.pick()
 	if e != nil || !ok || given.Reason == balance.NoModel && own.Reason > given.Reason {
 		return e, own
