After a loss of all hosts a limit begins full, and hosts without a word pass a little at once

Nobody passes anything while the processes start, so that a burst was gained. Change: accounts that nothing is known of begin with a burst; a host without a word begins with half a second of its part, where that holds some requests; what it passes is paid in full.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -49,7 +49,7 @@
 }
 
 // Follow puts the limits of a configuration in force. The account of a team that
-// is new starts by what begin tells of it, empty if that knows nothing; nil: full.
+// is new starts by what begin tells of it, full if that knows nothing or is nil.
 func (l *Ledger) Follow(teams []Team, begin func(team string) (Word, bool), now time.Time) {
 	kept := make(map[string]*account, len(teams))
 	for _, t := range teams {
@@ -77,8 +77,8 @@
 		return
 	}
 	w, ok := begin(team)
-	if !ok { // a process that has just started: until then a whole limit may have been passed
-		a.bucket.level = 0
+	if !ok { // a process that has just started: a burst was gained meanwhile, but hosts pass more unheard
+		a.bucket.level = a.limit.capacity()
 		return
 	}
 	if w.Scarce {
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -19,11 +19,14 @@
 	// passShare is the part of a burst that one host passes by itself until it is
 	// told anew. The ledger hears of it with the next report.
 	passShare = 0.25
-	// startShare is the part of a limit that a host without any word passes, from
-	// nothing on: a process that has just started, as all may have. Until then a
-	// whole limit may have been passed, and all callers come back at once. Mostly
-	// another host counts within a fraction of a second.
+	// startShare is the part of a limit that a host without any word passes, half a
+	// second's of it at once: a process that has just started, as all may have. All
+	// callers then come back at the same moment, to all hosts. Mostly another host
+	// counts within a fraction of a second, and is told what was passed.
 	startShare = 0.02
+	// startRequests is how many of the least requests that share must hold for some
+	// to be passed at once: of a smaller one each host would pass a whole request.
+	startRequests = 10
 	// growthLeast is what part of the limit a host takes itself to have been asked
 	// for at least, and growthSure by how much that must grow, before it concludes
 	// that the whole team asks for more: a few requests more are chance.
@@ -83,6 +86,9 @@
 	part.Burst *= startShare
 	s.start = NewBucket(part, now)
 	s.start.level = 0
+	if whole := s.start.limit.capacity(); whole >= startRequests*float64(l.Plain) {
+		s.start.level = whole / 2
+	}
 }
 
 // Tell enters the ledger's word: how the account stands, or that it has enough.
@@ -116,7 +122,7 @@
 // pass a request, and all together many times the limit.
 func (s *Share) Alone(cost float64, now time.Time, draw float64) Verdict {
 	if s.told.IsZero() {
-		if _, ok := s.start.Take(min(cost, s.start.limit.capacity()), now); !ok {
+		if _, ok := s.start.Take(cost, now); !ok {
 			return s.refuse(cost, now)
 		}
 	} else if asked := s.estimate(now); draw*asked >= aloneShare*s.limit.PerSecond {
--- a/node/coordinator/accounts.go
+++ b/node/coordinator/accounts.go
@@ -45,7 +45,7 @@
 		for i := range t.Config.Teams {
 			teams[i] = quota.Team{Name: t.Config.Teams[i].Name, Limit: t.Config.Teams[i].Limit}
 		}
-		a.ledger.Follow(teams, a.known, now)
+		a.ledger.Follow(teams, a.word, now)
 	}
 	if now.Sub(a.partedAt) >= expiryEach {
 		a.partedAt = now
@@ -54,16 +54,6 @@
 	return true
 }
 
-// known is what is known of a team's account from before this host counts.
-func (a *accounts) known(team string) (quota.Word, bool) {
-	if a.word != nil {
-		if w, ok := a.word(team); ok {
-			return w, true
-		}
-	}
-	return quota.Word{}, a.c.cfg.FirstStart // nobody has asked for anything before it
-}
-
 // ask asks for leave for one request.
 func (a *accounts) ask(team string, cost float64, now time.Time) (wait time.Duration, ok bool) {
 	a.mu.Lock()
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -62,7 +62,6 @@
 	Quiet         time.Duration // after a lease was taken from another holder
 	CeilingWindow time.Duration // loads from the weight store are counted in any span of this length
 	CeilingOver   float64       // factor on its rate
-	FirstStart    bool          // no host has served anybody before this one
 	LimitSlack    float64       // by which operators allow a team's limit to be missed, in what it counts
 	Policy        replica.Policy
 	AdapterLoad   time.Duration // how long an adapter's load takes; 0: the default
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -150,7 +150,7 @@
 		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
 		Relays:     func() bool { return h.coord.Acting() }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
-		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, FirstStart: set.FirstStart, NoModelMoves: set.NoModelMoves},
+		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Feed: h.feed, Log: d.Log})
 	h.coord.Linked = func() string { return h.link.Coordinator() }
 	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: h.ample()}, h.coord, conn.NewDialer().DialContext, d.Log)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -199,5 +199,5 @@
 try "the part of hosts that are not heard is withheld" core/quota/ledger.go \
   'limit.PerSecond *= l.part' '' ./core/quota ./node/coordinator -run 'NotHeard|Limit'
 try "a new count goes on from the former's" node/coordinator/accounts.go \
-  'if a.word != nil {' 'if false {' ./node/coordinator
+  'a.ledger.Follow(teams, a.word, now)' 'a.ledger.Follow(teams, nil, now)' ./node/coordinator
 exit $missed
