Read once more: a packed list keeps its state only, the part of hosts heard stands with the sums

Cause, from reading the whole change: wholeList kept a whole change of the list of which one number is used; sums.heard stood in the file of the accounts; a method of a share was called turn, which means something else here; one comment ran over its line. Ruled out: joining the imports and openings of tests that duplicates lists, which share no logic. Behaviour as it was: tests of the three packages green before and after.

--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -146,34 +146,34 @@
 	return asked * growth
 }
 
-// turn drops what was passed too long ago to be told.
-func (s *Share) turn(now time.Time) {
+// expire drops what was passed too long ago to be told.
+func (s *Share) expire(now time.Time) {
 	if now.Sub(s.half) > reportFor/2 {
 		s.older, s.untold, s.half = s.untold, use{}, now
 	}
 }
 
 func (s *Share) pass(cost float64, now time.Time) {
-	s.turn(now)
+	s.expire(now)
 	s.untold.passed += cost
 	s.since += cost
 }
 
 func (s *Share) refuse(cost float64, now time.Time) Verdict {
-	s.turn(now)
+	s.expire(now)
 	s.untold.refused += cost
 	return Refuse
 }
 
 // GiveBack returns what was charged for a request that has not run.
 func (s *Share) GiveBack(cost float64, now time.Time) {
-	s.turn(now)
+	s.expire(now)
 	s.untold.passed -= cost
 }
 
 // Report is what a ledger has not heard of yet.
 func (s *Share) Report(now time.Time) (passed, refused float64) {
-	s.turn(now)
+	s.expire(now)
 	s.sent = s.untold.plus(s.older)
 	return s.sent.passed, s.sent.refused
 }
--- a/core/replica/victim.go
+++ b/core/replica/victim.go
@@ -43,9 +43,10 @@
 
 // mayBeNowhere says whether a model's last replica may make way at an upstream:
 // its callers would wait for a load, or nobody calls and whoever does is still
-// answered after a load from the copy that is left there. Where each model keeps a place, however long
-// ago it was asked for, the hot ones have hardly more than one when upstreams are
-// few: then a tenth of all requests is refused with engines idle.
+// answered after a load from the copy that is left there. Where each model keeps
+// a place, however long ago it was asked for, the hot ones have hardly more than
+// one when upstreams are few: then a tenth of all requests is refused with engines
+// idle.
 func (p Policy) mayBeNowhere(s *state, u *upstream, m *model) bool {
 	if m.idle() && m.seconds[u.source(m.name)] <= s.callersWait {
 		return true
--- a/node/coordinator/accounts.go
+++ b/node/coordinator/accounts.go
@@ -88,19 +88,3 @@
 		out.Teams = append(out.Teams, &coordpb.TeamStanding{Team: name, Level: int64(s.Level), Asked: uint64(s.Asked)})
 	}
 }
-
-// heard is the part of the hosts that share the limits which has reported lately.
-func (s *sums) heard(now time.Time) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.hosts) == 0 {
-		return 1
-	}
-	fresh := 0
-	for _, h := range s.hosts {
-		if now.Sub(h.at) <= reportFresh {
-			fresh++
-		}
-	}
-	return float64(max(fresh, 1)) / float64(len(s.hosts))
-}
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -24,7 +24,7 @@
 	if from == 0 {
 		from = c.deps.Fleet.StateAt(r.ListAt)
 	}
-	if from == 0 && r.PackedList {
+	if from == 0 && r.PackedList { // without a copy of the list for each that asks
 		return c.relayWhole(at, out)
 	}
 	change := c.deps.Fleet.Since(from)
@@ -38,11 +38,11 @@
 
 // relayWhole adds the whole list, packed.
 func (c *Coordinator) relayWhole(at uint64, out *coordpb.SiteState) error {
-	w, err := c.encodings.whole(c.now(), func() wholeList { return wholeList{of: c.deps.Fleet.Since(0), at: at} })
+	w, err := c.encodings.whole(c.now(), at, func() fleet.Change { return c.deps.Fleet.Since(0) })
 	if err != nil {
 		return err
 	}
-	out.List, out.ListAt, out.ListFull, out.PackedList = w.of.To, w.at, true, w.packed
+	out.List, out.ListAt, out.ListFull, out.PackedList = w.to, w.at, true, w.packed
 	return nil
 }
 
@@ -76,7 +76,7 @@
 
 // wholeList is the list at one state, packed.
 type wholeList struct {
-	of     fleet.Change
+	to     uint64 // state
 	at     uint64 // the store's version that it is of
 	packed []byte
 	made   time.Time
@@ -88,28 +88,29 @@
 // each of 299 hosts.
 const wholeFor = 500 * time.Millisecond
 
-// whole returns the list, packed; now is read anew when it is too old.
-func (e *encodings) whole(now time.Time, read func() wholeList) (wholeList, error) {
+// whole returns the list, packed; it is read anew when that is too old. at is the
+// store's version that it is of then, at least.
+func (e *encodings) whole(now time.Time, at uint64, read func() fleet.Change) (wholeList, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.all.at > 0 && now.Sub(e.all.made) < wholeFor {
 		return e.all, nil
 	}
-	next := read()
-	put := make([]deploy.Upstream, len(next.of.Put))
-	for i := range next.of.Put {
-		put[i] = next.of.Put[i].Upstream
+	all := read()
+	put := make([]deploy.Upstream, len(all.Put))
+	for i := range all.Put {
+		put[i] = all.Put[i].Upstream
 	}
 	plain, err := json.Marshal(put)
 	if err != nil {
 		return wholeList{}, eris.Wrap(err, "encode list")
 	}
-	if next.packed, err = revision.Compress(plain); err != nil {
+	packed, err := revision.Compress(plain)
+	if err != nil {
 		return wholeList{}, eris.Wrap(err, "pack list")
 	}
-	next.made, next.of.Put = now, nil
-	e.all = next
-	return next, nil
+	e.all = wholeList{to: all.To, at: at, packed: packed, made: now}
+	return e.all, nil
 }
 
 type encodedUpstream struct {
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -130,6 +130,22 @@
 	return all, len(s.hosts)
 }
 
+// heard is the part of the hosts that share the limits which has reported lately.
+func (s *sums) heard(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.hosts) == 0 {
+		return 1
+	}
+	fresh := 0
+	for _, h := range s.hosts {
+		if now.Sub(h.at) <= reportFresh {
+			fresh++
+		}
+	}
+	return float64(max(fresh, 1)) / float64(len(s.hosts))
+}
+
 // suspectHosts is how many hosts must leave an upstream alone for all to do so.
 // One may only have lost its own way to it.
 const suspectHosts = 2
