--- /dev/null
+++ b/core/backpressure/signal.go
@@ -0,0 +1,50 @@
+// Package backpressure holds what upstreams ask of all hosts on their answers,
+// and paces what hosts send by it. It does no I/O and has no clock.
+package backpressure
+
+import "time"
+
+// Limit is how many requests a second an upstream takes from all hosts together.
+type Limit struct {
+	Named     bool // else it takes what comes
+	PerSecond float64
+}
+
+// stricter says whether a limit allows less than another.
+func (l Limit) stricter(o Limit) bool {
+	return l.Named && (!o.Named || l.PerSecond < o.PerSecond)
+}
+
+// Signal is what one answer of an upstream said. The upstream made the answer
+// at some time between the sending of its request and its arrival.
+type Signal struct {
+	Limit Limit
+	Sent  time.Time
+	Heard time.Time
+}
+
+// Latest is what holds of two signals of one upstream. Answers may overtake each
+// other, on the way and at different hosts: of two that may have been made in either
+// order the stricter one holds, until a request that was sent after both were heard
+// brings another.
+func Latest(a, b Signal) Signal {
+	switch {
+	case b.Sent.After(a.Heard):
+		return b
+	case a.Sent.After(b.Heard):
+		return a
+	}
+	holds := a
+	if b.Limit.stricter(a.Limit) {
+		holds = b
+	}
+	holds.Sent, holds.Heard = later(a.Sent, b.Sent), later(a.Heard, b.Heard)
+	return holds
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/health"
@@ -71,7 +72,8 @@
 	othersAt   time.Time
 	reported   Reported
 	reportedAt time.Time
-	sentSince  int // own sends since reportedAt
+	sentSince  int                 // own sends since reportedAt
+	signal     backpressure.Signal // the newest that its answers said, here or at other hosts
 	believed   []deploy.Resident
 	believedAt time.Time
 	coming     []Coming             // by the same word
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -55,10 +55,11 @@
 		}
 	}
 	now := d.Now()
+	q.sentAt = now
 	d.Log.Emit(event.RequestSent, q.id(), q.routeName(), q.teamName(), zap.String(event.FieldPeer, e.ID()), zap.Int("among", p.among),
 		zap.Int("load", p.load), zap.Int("prompt", q.cost.Prompt), zap.Int("cached", p.cached), zap.Int("waiting", p.waiting), zap.Int64("predicted_ms", p.Predicted.Milliseconds()), zap.Uint64("version", q.version),
 		zap.Int64("held_ms", now.Sub(q.start).Milliseconds()), zap.String("model", q.ask.Model), zap.String("adapter", q.ask.Adapter),
-		zap.Bool("by_turn", p.turn != nil))
+		zap.Bool("by_turn", p.turn != nil), limitOf(e))
 	d.Metrics.Add(metrics.Attempts, q.service.Name, e.ID(), 1)
 	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
 	if err != nil {
@@ -124,6 +125,7 @@
 	if facts.Load != nil {
 		x.Told(*facts.Load)
 	}
+	q.heed(e, resp.Status, &facts)
 	if facts.NotRun {
 		return q.refused(e, x, resp, facts)
 	}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -165,6 +165,7 @@
 
 	tried       map[string]bool // upstreams that had an attempt
 	sends       int             // attempts handed to an upstream
+	sentAt      time.Time       // when the newest one was
 	maybe       int             // those of them that may have run
 	lost        bool            // an upstream that may have run it has lost it; set between attempts
 	absent      int             // tries at upstreams that were not there
--- /dev/null
+++ b/node/gate/signals.go
@@ -0,0 +1,33 @@
+package gate
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/core/backpressure"
+	"peridotpier.example/node/fleet"
+)
+
+// ownAnswer is the source of what this host heard itself.
+const ownAnswer = "answer"
+
+// heed takes what an upstream asks for on an answer. One that is another's, or
+// does not vouch for itself, says nothing of this upstream; a refusal bears no
+// seal, and may leave out what other answers say.
+func (q *request) heed(e *fleet.Entry, status int, a *Answer) {
+	crossed := a.Attempt != q.facts.Attempt && (a.Attempt != "" || !a.NotRun)
+	if crossed || a.LimitUnreadable || status == http.StatusMisdirectedRequest || !a.Sealed && !a.Limit.Named {
+		return
+	}
+	e.Heed(backpressure.Signal{Limit: a.Limit, Sent: q.sentAt, Heard: q.g.deps.Now()}, ownAnswer)
+}
+
+// limitOf tells in logs the limit of the upstream that a request goes to.
+func limitOf(e *fleet.Entry) zap.Field {
+	l := e.Limit()
+	if !l.Named {
+		return zap.Skip()
+	}
+	return zap.Float64("limit_per_s", l.PerSecond)
+}
--- a/node/gate/wire.go
+++ b/node/gate/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpier.example/core/apikey"
+	"peridotpier.example/core/backpressure"
 	"peridotpier.example/node/fleet"
 )
 
@@ -42,6 +43,9 @@
 	NotRun   bool   // the upstream did not run the request, and will not
 	Upstream string // process that answered, if it says so
 	Load     *fleet.Reported
+	Limit    backpressure.Limit
+	// LimitUnreadable says that the answer names a limit that cannot be read.
+	LimitUnreadable bool
 }
 
 // Codec translates the headers of one platform.
