A limit that an upstream names holds over all hosts together

Callers saw nothing; upstreams that named 1 request a second got 13 to 15 in 4 s (11 allowed). Cause: no host read Server-Limit, and nothing that chooses knew of a rate: a pick and a turn go by slots and load. Class: what an upstream says on one answer is for all hosts and for more than that request, and was dropped with the answer.

Now fleet.Entry keeps the newest signal of an upstream (two that crossed: the stricter, until a request sent after both brings another), hosts and the one that gives turns tell each other changes, and both ways to choose ask the same Backoff: the holder paces all turns by one row of turns in time, less the part of hosts that it does not hear; a host that hears nobody has every n-th turn of that row. A grant that does not count at an upstream that names a limit is not used: the host knows more than the holder. Calls of a service with such an upstream go by turns. What cannot have a turn while it waits is refused at once, with the time of one.

--- /dev/null
+++ b/core/backpressure/pacer.go
@@ -0,0 +1,89 @@
+package backpressure
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// leastRate is sent to an upstream that asks for less, in requests a second:
+	// only an answer can say that it takes more again.
+	leastRate = 0.1
+	// keepFor and keepTurns are for how long a turn that nobody took may still be
+	// taken, in time and in turns of all hosts together. Callers come unevenly; kept
+	// for longer, the turns of a quiet time would come on top of those of a busy one.
+	keepFor   = 500 * time.Millisecond
+	keepTurns = 1
+	// shareKeepFor and shareKeepTurns are the same for the turns of one host: it has
+	// a part of the callers, and the turns of others are lost to them.
+	shareKeepFor   = time.Second
+	shareKeepTurns = 2
+)
+
+// Rate is what may be sent to an upstream that names a limit, in requests a second
+// of all hosts together.
+func (l Limit) Rate() float64 { return max(l.PerSecond, leastRate) }
+
+// Share is one host's part in what an upstream takes from all. Turns stand in a row
+// in time, as many a second as the upstream takes; every Of-th is the host's, from the
+// Place-th on. Hosts with different places never have the same turn, and need no word
+// of each other, however few turns there are.
+type Share struct{ Place, Of int }
+
+// Whole is the share of a host that counts for all.
+var Whole = Share{Of: 1}
+
+// Pacer gives turns at one upstream. Its owner guards it. Clocks of hosts need not
+// agree: one that is off has the turns of another time, and as many.
+type Pacer struct {
+	origin time.Time // of the process; steps of the clock after it do not count
+	taken  float64   // seconds since 1970 of the newest turn that was taken
+}
+
+// NewPacer makes one whose turns count from now on.
+func NewPacer(origin, now time.Time) *Pacer {
+	p := &Pacer{origin: origin}
+	p.taken = p.seconds(now)
+	return p
+}
+
+// Wait is the time until the next turn of a share; 0: it may be taken now.
+func (p *Pacer) Wait(perSecond float64, s Share, now time.Time) time.Duration {
+	at := p.seconds(now)
+	ahead := p.next(perSecond, s, at) - at
+	return max(time.Duration(ahead*float64(time.Second)), 0)
+}
+
+// Take takes a turn, if there is one.
+func (p *Pacer) Take(perSecond float64, s Share, now time.Time) bool {
+	at := p.seconds(now)
+	turn := p.next(perSecond, s, at)
+	if turn > at {
+		return false
+	}
+	p.taken = turn
+	return true
+}
+
+// next is the first turn that was not taken and may be, now or later.
+func (p *Pacer) next(perSecond float64, s Share, at float64) float64 {
+	keep := keepFor.Seconds() + keepTurns/perSecond
+	if s.Of > 1 {
+		keep = shareKeepFor.Seconds() + shareKeepTurns/perSecond
+	}
+	after := max(p.taken, at-keep)
+	period, first := float64(s.Of)/perSecond, float64(s.Place)/perSecond
+	turn := (math.Floor((after-first)/period)+1)*period + first
+	for turn <= after+rounding {
+		turn += period
+	}
+	return turn
+}
+
+// rounding is what two computations of one turn may differ by, in seconds.
+const rounding = 1e-6
+
+// seconds is a time on the clock that hosts share about.
+func (p *Pacer) seconds(t time.Time) float64 {
+	return float64(p.origin.UnixMicro())/1e6 + t.Sub(p.origin).Seconds()
+}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -27,6 +27,9 @@
 	Tokens       int           // prompt and expected answer of all requests there
 	Cached       int           // prompt tokens of this request that it probably keeps
 	Cold         time.Duration // slow for this much longer after its start
+	// Backoff is for how long it asked to be sent nothing more, or what it takes is
+	// used up; 0: it takes a request now.
+	Backoff time.Duration
 }
 
 // Request is what picking needs to know of a request.
@@ -44,7 +47,7 @@
 // Reason says why no endpoint was found.
 type Reason uint8
 
-// The reasons, in the order of what would help most.
+// The reasons. Hosts tell each other their numbers; nearness orders them.
 const (
 	Found      Reason = iota
 	NoServer          // the service has no upstream that may be used
@@ -52,11 +55,18 @@
 	NoAdapter         // holders exist; none has the adapter
 	AllFull           // those that could answer have no room
 	AllReading        // those that could answer read prompts of others just now
+	AllBackoff        // those that could answer asked to be sent nothing for now
 )
 
+// nearness orders the reasons: the higher, the less is missing.
+var nearness = [...]int{NoServer: 0, NoModel: 1, AllBackoff: 2, NoAdapter: 3, AllFull: 4, AllReading: 5, Found: 6}
+
+// Nearer says whether less is missing than for another reason.
+func (r Reason) Nearer(o Reason) bool { return nearness[r] > nearness[o] }
+
 // String names the reason in logs.
 func (r Reason) String() string {
-	return [...]string{"found", "no_server", "no_model", "no_adapter", "all_full", "all_reading"}[r]
+	return [...]string{"found", "no_server", "no_model", "no_adapter", "all_full", "all_reading", "all_backoff"}[r]
 }
 
 // Decision is the result of a pick.
@@ -66,6 +76,8 @@
 	Predicted time.Duration // until the first event
 	// Home is where an adapter should be loaded when Reason is NoAdapter; -1: nowhere.
 	Home int
+	// Backoff is the shortest of those that were passed over for theirs.
+	Backoff time.Duration
 }
 
 // Pick chooses an endpoint for the request. Draw gives random numbers in
@@ -75,10 +87,13 @@
 	lowest, lowestHome := 0.0, 0.0
 	for i := range endpoints {
 		e := &endpoints[i]
-		reason := check(e, r)
-		if reason > best.Reason && best.Index < 0 {
+		reason := Check(e, r)
+		if best.Index < 0 && reason.Nearer(best.Reason) {
 			best.Reason = reason
 		}
+		if reason == AllBackoff && (best.Backoff == 0 || e.Backoff < best.Backoff) {
+			best.Backoff = e.Backoff
+		}
 		if reason != Found && reason != NoAdapter {
 			continue
 		}
@@ -100,13 +115,15 @@
 	return best
 }
 
-// check runs the filters; the reasons are in the order in which they are met.
-func check(e *Endpoint, r *Request) Reason {
+// Check says what keeps a request from an endpoint; Found: nothing does.
+func Check(e *Endpoint, r *Request) Reason {
 	switch {
 	case e.Leaving, e.Tried, e.Down, e.Trial && e.Trying:
 		return NoServer
 	case r.Model != "" && !e.HoldsModel:
 		return NoModel
+	case e.Backoff > 0: // before what would be loaded there
+		return AllBackoff
 	case r.Adapter != "" && !e.HoldsAdapter:
 		return NoAdapter
 	case full(e, r):
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -292,10 +292,10 @@
 	case coordpb.TurnAnswer_OVER:
 		return &gate.Turn{Over: true, Wait: milliseconds(answer.WaitMs)}, nil
 	default:
-		return &gate.Turn{Reason: balance.Reason(answer.Reason), Home: answer.Home}, nil
+		return &gate.Turn{Reason: balance.Reason(answer.Reason), Home: answer.Home, Wait: milliseconds(answer.WaitMs)}, nil
 	}
 	return &gate.Turn{Upstream: answer.Upstream, Predicted: milliseconds(answer.PredictedMs),
-		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached),
+		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached), WithinLimit: answer.WithinLimit,
 		First:  func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
 		Absent: func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_ABSENT}) },
 		End:    func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
@@ -330,7 +330,7 @@
 func (l *Link) Turn(ctx context.Context, q *gate.TurnAsk) (*gate.Turn, error) {
 	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_ASK, Service: q.Service, Model: q.Ask.Model, Adapter: q.Ask.Adapter,
 		Prompt: uint32(q.Cost.Prompt), Output: uint32(q.Cost.Output), Priority: int32(q.Priority), Reading: uint32(q.Reading), Tried: q.Tried,
-		Warm: q.Warm, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.InTime.Milliseconds(), 0))}
+		Warm: q.Warm, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.InTime.Milliseconds(), 0)), PatienceMs: uint32(max(q.Patience.Milliseconds(), 0))}
 	if q.Team != nil {
 		now := l.own.now()
 		l.teams.with(q.Team, now, func(s *quota.Share) { s.Noted(q.Charge, now) })
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -85,6 +86,7 @@
 type Coordinator struct {
 	cfg        Config
 	deps       Deps
+	id         uint64 // of this process, drawn
 	now        func() time.Time
 	sums       *sums
 	newest     time.Time // when an upstream was first seen last; under mu
@@ -132,7 +134,7 @@
 	if cfg.AdapterLoad == 0 {
 		cfg.AdapterLoad = defaultAdapterLoad
 	}
-	c := &Coordinator{cfg: cfg, deps: deps, now: deps.Now, sums: newSums(), demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
+	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, sums: newSums(), demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
 		traits: map[string]*residency.Traits{}, orders: map[string]lastOrder{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
 	c.turns, c.accounts, c.quarantine = newTurns(c), newAccounts(c), newQuarantine(c)
 	return c
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -67,6 +67,7 @@
 	if !again {
 		c.accounts.begin()
 		c.quarantine.begin()
+		c.turns.begin()
 	}
 	switch {
 	case t.Epoch <= 1: // nobody was there before
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/deploy"
 	leasing "peridotpier.example/core/lease"
 	"peridotpier.example/core/quota"
@@ -70,6 +71,7 @@
 	holdings map[string]holding // by upstream, as the holder told
 	deputies []string           // as the holder last named them
 	hosts    int                // most that were ever seen to share the allowance
+	signals  signals
 }
 
 // holding is what one process of an upstream holds.
@@ -99,6 +101,8 @@
 	for pace.Sleep(ctx, pace.Default().Around(reportPeriod, reportJitter)) {
 		if address := l.where(); address != "" {
 			l.tell(ctx, address)
+		} else {
+			l.own.deps.Fleet.SetAlone()
 		}
 	}
 	return ctx.Err()
@@ -147,6 +151,7 @@
 		l.teams.words(r, l.own.now())
 	}
 	reportQuarantine(r, w, l.own.now())
+	told := l.reportSignals(r, address)
 	var s *coordpb.SiteState
 	var err error
 	if address == l.cfg.Address {
@@ -170,9 +175,33 @@
 	}
 	l.teams.reported()
 	l.Quarantine.Acknowledge(w, updateOf(s, l.own.now()))
+	l.takeSignals(s, told)
 	l.take(s)
 }
 
+// reportSignals adds what upstreams asked for to a report, and returns what to
+// enter with its answer.
+func (l *Link) reportSignals(r *coordpb.HostReport, address string) (revision uint64) {
+	if address == l.cfg.Address {
+		return 0 // it is what this host goes by itself
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signals.report(r, l.own.deps.Fleet, l.own.now())
+}
+
+// takeSignals enters what the one that acts for all tells of upstreams, and of this
+// host's part in what they take.
+func (l *Link) takeSignals(s *coordpb.SiteState, told uint64) {
+	if s.SignalsId != l.own.id {
+		l.mu.Lock()
+		l.signals.take(s, told)
+		l.mu.Unlock()
+		l.own.deps.Fleet.HeedAll(decodeSignals(s.Signals, l.own.now()), fromHolder)
+	}
+	l.own.deps.Fleet.SetShare(backpressure.Share{Place: int(s.Place), Of: int(max(s.Hosts, 1))})
+}
+
 // mayBeNew says whether another process may act at the address than the one that
 // answered last: one that is back at once answers there before it is missed.
 func (l *Link) mayBeNew() bool {
@@ -355,6 +384,7 @@
 	}
 	l.mu.Unlock()
 	if was == address {
+		l.own.deps.Fleet.SetAlone()
 		l.log.Emit(event.CoordinatorOff, zap.String(event.FieldPeer, address), zap.Error(err))
 	}
 }
@@ -367,6 +397,7 @@
 	r, w := l.introduction(), l.Quarantine.NextReport(address)
 	reportQuarantine(r, w, l.own.now())
 	l.teams.words(r, l.own.now())
+	told := l.reportSignals(r, address)
 	s, err := l.conns.report(ctx, address, r)
 	if err != nil || !l.follows(s) || !s.Holding && l.Linked() {
 		return false
@@ -377,6 +408,7 @@
 	l.mu.Unlock()
 	l.takeRelay(s) // first: what upstreams hold goes by the list of them
 	l.Quarantine.Acknowledge(w, updateOf(s, l.own.now()))
+	l.takeSignals(s, told)
 	l.take(s)
 	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -73,6 +73,7 @@
 	out := c.tellSums(r, now)
 	c.accounts.tell(out, now)
 	c.quarantine.update(r, out, now)
+	c.tellSignals(r, out, now)
 	c.tellLease(out, now)
 	return out
 }
@@ -80,6 +81,7 @@
 // enter notes what a host has sent and what callers asked of it.
 func (c *Coordinator) enter(r *coordpb.HostReport, now time.Time) {
 	c.sums.take(r, now)
+	c.deps.Fleet.HeedAll(decodeSignals(r.Signals, now), fromHost+r.Host)
 	c.accounts.heardOf(r.TeamWords, now)
 	c.accounts.told(r.Teams, now)
 	c.quarantine.receive(r, now)
--- /dev/null
+++ b/node/coordinator/signals.go
@@ -0,0 +1,80 @@
+package coordinator
+
+import (
+	"time"
+
+	"peridotpier.example/core/backpressure"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
+)
+
+// Sources of what upstreams ask for, in logs.
+const (
+	fromHost   = "host "
+	fromHolder = "holder"
+)
+
+// tellSignals adds to the answer to a report what upstreams asked for that the
+// host has not been told.
+func (c *Coordinator) tellSignals(r *coordpb.HostReport, out *coordpb.SiteState, now time.Time) {
+	since := r.SignalsRevision
+	if r.SignalsId != c.id {
+		since = 0
+	}
+	all, revision := c.deps.Fleet.SignalsSince(since)
+	out.SignalsId, out.SignalsRevision, out.Signals = c.id, revision, encodeSignals(all, now)
+	out.Place = uint32(c.sums.place(r.Host))
+}
+
+// signals is what a host and the one that acts for all have told each other of
+// what upstreams ask for.
+type signals struct {
+	of    uint64 // process that acts for all
+	heard uint64 // revision of its up to which this host has been told
+	told  uint64 // revision of this host's up to which it was told
+}
+
+// report adds to a report what the one that acts for all has not been told, and
+// returns the revision of this host's that it brings that one to.
+func (s *signals) report(r *coordpb.HostReport, f *fleet.Fleet, now time.Time) (revision uint64) {
+	all, revision := f.SignalsSince(s.told)
+	r.SignalsId, r.SignalsRevision, r.Signals = s.of, s.heard, encodeSignals(all, now)
+	return revision
+}
+
+// take enters the answer to a report that brought its receiver to a revision. A
+// process that answers for the first time has still to be told all.
+func (s *signals) take(a *coordpb.SiteState, told uint64) {
+	if a.SignalsId != s.of && s.of != 0 {
+		told = 0
+	}
+	s.of, s.heard, s.told = a.SignalsId, a.SignalsRevision, told
+}
+
+func encodeSignals(all []fleet.Signalled, now time.Time) []*coordpb.UpstreamSignal {
+	if len(all) == 0 {
+		return nil
+	}
+	out := make([]*coordpb.UpstreamSignal, len(all))
+	for i := range all {
+		s := &all[i]
+		out[i] = &coordpb.UpstreamSignal{Upstream: s.Upstream, Born: s.Born, Limited: s.Limit.Named, PerSecond: s.Limit.PerSecond,
+			SentAgeMs: ageMs(s.Sent, now), HeardAgeMs: ageMs(s.Heard, now)}
+	}
+	return out
+}
+
+// ageMs is how long ago something was, bounded for the wire.
+func ageMs(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at), 0), time.Hour).Milliseconds())
+}
+
+func decodeSignals(all []*coordpb.UpstreamSignal, now time.Time) []fleet.Signalled {
+	out := make([]fleet.Signalled, len(all))
+	for i, s := range all {
+		out[i] = fleet.Signalled{Upstream: s.Upstream, Born: s.Born, Signal: backpressure.Signal{
+			Limit: backpressure.Limit{Named: s.Limited, PerSecond: s.PerSecond},
+			Sent:  now.Add(-milliseconds(s.SentAgeMs)), Heard: now.Add(-milliseconds(s.HeardAgeMs))}}
+	}
+	return out
+}
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -33,6 +34,8 @@
 	total   map[string]fleet.Load // by upstream, of the reports that count; no zero loads
 	expired time.Time             // when reports were last looked at for their age
 
+	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
+
 	named   []string // of deputies, as of namedAt
 	namedAt time.Time
 	words   map[string]bool // of suspects, as of wordsAt
@@ -53,6 +56,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former := s.hosts[r.Host]
+	if former == nil {
+		s.places = nil
+	}
 	if former == nil || !slices.Equal(former.report.Silent, r.Silent) {
 		s.wordsAt = time.Time{}
 	}
@@ -100,6 +106,7 @@
 		}
 		if age > hostFresh {
 			delete(s.hosts, name)
+			s.places = nil
 		}
 	}
 }
@@ -130,6 +137,19 @@
 	return all, len(s.hosts)
 }
 
+// place is a host's among all, by name.
+func (s *sums) place(host string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.places == nil {
+		s.places = make(map[string]int, len(s.hosts))
+		for i, name := range slices.Sorted(maps.Keys(s.hosts)) {
+			s.places[name] = i
+		}
+	}
+	return s.places[host]
+}
+
 // heard is the part of the hosts that share the limits which has reported lately.
 func (s *sums) heard(now time.Time) float64 {
 	s.mu.Lock()
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -30,6 +30,7 @@
 	waiting []*turn              // the most urgent first, then the oldest
 	dark    map[string]bool      // upstreams that several hosts leave alone, as of the last question or sweep
 	absent  map[string]time.Time // upstreams at whose address nothing listened, and when
+	limits  limits
 
 	endpoints []balance.Endpoint // of one pick; kept, since each names hundreds
 }
@@ -60,10 +61,18 @@
 	alone    bool   // its upstream had no other prompt to read beside it
 	granted  time.Time
 	first    time.Time // when its first event came
+	waitsFor balance.Reason
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}}
+	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c)}
+}
+
+// begin starts a term. What an earlier one counted does not hold any more.
+func (t *turns) begin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limits.begin()
 }
 
 // take enters one event of a host and sends what follows from it.
@@ -128,20 +137,22 @@
 	for _, p := range e.Parts {
 		w.ask.Parts = append(w.ask.Parts, fleet.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
-	reason := t.try(w, now)
-	if !waits(reason) {
+	w.waitsFor = t.try(w, now)
+	if !waits(w.waitsFor) || w.waitsFor == balance.AllBackoff && t.inVain(w, now) {
 		return
 	}
 	at := sort.Search(len(t.waiting), func(i int) bool { return t.waiting[i].event.Priority > e.Priority })
 	t.waiting = append(t.waiting, nil)
 	copy(t.waiting[at+1:], t.waiting[at:])
 	t.waiting[at] = w
-	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(reason)})
+	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(w.waitsFor)})
 }
 
 // waits says whether a request that was not granted for a reason waits here
 // until that has passed.
-func waits(r balance.Reason) bool { return r == balance.AllReading || r == balance.AllFull }
+func waits(r balance.Reason) bool {
+	return r == balance.AllReading || r == balance.AllFull || r == balance.AllBackoff
+}
 
 // try looks for an upstream among all of the request's service. It answers the
 // host unless the request waits.
@@ -182,6 +193,7 @@
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
 	out.Down = out.Down || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
+	out.Backoff = t.limits.wait(e, now)
 	p := t.places[e.ID()]
 	if p == nil {
 		out.Waiting = 0
@@ -212,12 +224,13 @@
 		p.newest.alone = false
 	}
 	p.newest = w
+	within := t.limits.take(e, now)
 	p.cache.Keep(&w.ask, now)
 	p.load.Requests++
 	p.load.Tokens += int(w.event.Prompt + w.event.Output)
 	p.load.Waiting += int(w.event.Prompt)
 	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
-		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached)})
+		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached), WithinLimit: within})
 }
 
 // first notes that an upstream has read a request's prompt.
@@ -300,6 +313,9 @@
 	t.next(now, func(w *turn) bool {
 		return w.event.Service == e.Service() && t.pick(w, []*fleet.Entry{e}, now).Index >= 0
 	})
+	if len(t.waiting) > 0 {
+		t.wake(e, now)
+	}
 }
 
 // next lets go what goes by the word of try. Requests whose answers would come
@@ -346,7 +362,11 @@
 	defer t.mu.Unlock()
 	now := t.c.now()
 	t.dark = t.c.sums.suspects(now)
-	t.next(now, func(w *turn) bool { return !waits(t.try(w, now)) })
+	t.next(now, func(w *turn) bool {
+		w.waitsFor = t.try(w, now)
+		return !waits(w.waitsFor)
+	})
+	t.limits.forget()
 	for id := range t.places {
 		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
 			delete(t.places, id)
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -74,6 +74,9 @@
 	reportedAt time.Time
 	sentSince  int                 // own sends since reportedAt
 	signal     backpressure.Signal // the newest that its answers said, here or at other hosts
+	signalled  uint64              // of the fleet, when others last had to hear of it; 0: never
+	pacer      *backpressure.Pacer // of this host while nobody counts for all
+	paced      time.Time           // since when it is of
 	believed   []deploy.Resident
 	believedAt time.Time
 	coming     []Coming             // by the same word
@@ -379,6 +382,7 @@
 	case health.Trial:
 		out.Trial, out.Trying = true, e.health.Waiting()
 	}
+	out.Backoff = e.backoffLocked(now)
 	if e.up.Cold > 0 {
 		out.Cold = max(e.up.Cold-now.Sub(e.described), 0)
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -51,6 +51,11 @@
 	marks    []mark     // the last states, with the store's versions that they are of
 	changes  signal
 	holdings signal
+
+	origin  time.Time
+	sharing atomic.Pointer[sharing]
+	signals atomic.Uint64        // rises with each signal that others have to hear
+	early   map[string]Signalled // of upstreams that the list does not name yet; under mu
 }
 
 type index struct {
@@ -69,7 +74,8 @@
 	if deps.Log == nil {
 		deps.Log = event.NewLog(nil)
 	}
-	f := &Fleet{cfg: cfg, deps: deps, changes: newSignal(), holdings: newSignal()}
+	f := &Fleet{cfg: cfg, deps: deps, changes: newSignal(), holdings: newSignal(), origin: deps.Now()}
+	f.sharing.Store(&sharing{})
 	f.index.Store(&index{byID: map[string]*Entry{}, byService: map[string][]*Entry{}})
 	return f
 }
@@ -170,6 +176,7 @@
 	if !known {
 		e = &Entry{fleet: f, id: u.ID, service: u.Service, address: u.Address, dataCentre: u.DataCentre, born: u.Born, up: u, movable: map[*Exchange]struct{}{}}
 		ix.byID[u.ID] = e
+		f.heedEarlyLocked(e)
 		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
 			zap.String("address", u.Address), zap.Int64("born_ms", u.Born), zap.Int("residents", len(u.Residents)))
 	}
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -1,25 +1,48 @@
 package fleet
 
 import (
+	"slices"
+	"time"
+
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/backpressure"
 	"peridotpier.example/node/event"
 )
 
+// Signalled is what an upstream's answers asked of all hosts last.
+type Signalled struct {
+	Upstream string
+	Born     int64 // start of the process that asked; 0: not said
+	backpressure.Signal
+}
+
 // noLimit stands in logs for an upstream that names no limit.
 const noLimit = -1.0
 
 // Heed takes what an answer of the upstream said; source says who heard it.
 func (e *Entry) Heed(s backpressure.Signal, source string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	was := e.signal.Limit
 	e.signal = backpressure.Latest(e.signal, s)
-	if now := e.signal.Limit; now != was {
-		e.fleet.deps.Log.Emit(event.UpstreamLimited, zap.String(event.FieldPeer, e.id), zap.Float64("per_second", logged(now)),
-			zap.Float64("was", logged(was)), zap.String("source", source))
+	now := e.signal.Limit
+	if now != was || now != s.Limit { // a host that tells what does not hold any more has to hear it
+		e.signalled = e.fleet.signals.Add(1)
+	}
+	e.mu.Unlock()
+	if now == was {
+		return
+	}
+	e.fleet.deps.Log.Emit(event.UpstreamLimited, zap.String(event.FieldPeer, e.id), zap.Float64("per_second", logged(now)),
+		zap.Float64("was", logged(was)), zap.String("source", source))
+	e.fleet.Tell()
+}
+
+func logged(l backpressure.Limit) float64 {
+	if !l.Named {
+		return noLimit
 	}
+	return l.PerSecond
 }
 
 // Limit is what the upstream takes from all hosts together, by its newest word.
@@ -29,9 +52,143 @@
 	return e.signal.Limit
 }
 
-func logged(l backpressure.Limit) float64 {
-	if !l.Named {
-		return noLimit
+// Limited says whether any upstream of a service that gets work names a limit.
+func (f *Fleet) Limited(service string) bool {
+	for _, e := range f.Service(service) {
+		if e.Usable() && e.Limit().Named {
+			return true
+		}
+	}
+	return false
+}
+
+// sharing is how this host sends to upstreams that name a limit.
+type sharing struct {
+	share backpressure.Share
+	alone bool      // nobody counts for all; else no request goes there without a turn
+	since time.Time // when that began
+}
+
+// SetShare tells this host's part in what upstreams take that name a limit. Another
+// host counts for all, so that it sends there by turns.
+func (f *Fleet) SetShare(s backpressure.Share) {
+	if was := f.sharing.Load(); was.share != s || was.alone {
+		f.sharing.Store(&sharing{share: s})
+	}
+}
+
+// SetAlone says that nobody counts for all: this host goes by its share from now on.
+func (f *Fleet) SetAlone() {
+	if was := f.sharing.Load(); !was.alone {
+		f.sharing.Store(&sharing{share: was.share, alone: true, since: f.deps.Now()})
+	}
+}
+
+// uncounted is how long an upstream that names a limit is passed over by a host
+// that has no turn for it: until it may have found who gives turns.
+const uncounted = 500 * time.Millisecond
+
+// backoffLocked is for how long nothing more may go to the upstream from here.
+func (e *Entry) backoffLocked(now time.Time) time.Duration {
+	if !e.signal.Limit.Named {
+		return 0
+	}
+	s := e.fleet.sharing.Load()
+	if !s.alone || s.share.Of == 0 {
+		return uncounted
+	}
+	return e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now)
+}
+
+// pacerLocked is the pacer of the time since this host has been alone.
+func (e *Entry) pacerLocked(s *sharing) *backpressure.Pacer {
+	if e.pacer == nil || e.paced != s.since {
+		e.pacer, e.paced = backpressure.NewPacer(e.fleet.origin, s.since), s.since
+	}
+	return e.pacer
+}
+
+// Pass says whether a request without a turn may go to the upstream, and counts it.
+func (e *Entry) Pass(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.signal.Limit.Named {
+		return true
+	}
+	s := e.fleet.sharing.Load()
+	return s.alone && s.share.Of > 0 && e.pacerLocked(s).Take(e.signal.Limit.Rate(), s.share, now)
+}
+
+// signalsMost is how many signals one message carries; the rest follow with the next.
+const signalsMost = 250
+
+// SignalsSince returns what upstreams asked that is newer than a revision, the
+// oldest first, and the revision that it brings whoever hears it to.
+func (f *Fleet) SignalsSince(revision uint64) ([]Signalled, uint64) {
+	newest := f.signals.Load()
+	if newest == revision {
+		return nil, newest
+	}
+	type numbered struct {
+		Signalled
+		revision uint64
+	}
+	var all []numbered
+	for _, e := range f.index.Load().byID {
+		e.mu.Lock()
+		if e.signalled > revision {
+			all = append(all, numbered{Signalled{e.id, e.born, e.signal}, e.signalled})
+		}
+		e.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b numbered) int { return int(a.revision) - int(b.revision) })
+	if len(all) > signalsMost {
+		all = all[:signalsMost]
+		newest = all[signalsMost-1].revision
+	}
+	out := make([]Signalled, len(all))
+	for i := range all {
+		out[i] = all[i].Signalled
+	}
+	return out, newest
+}
+
+// HeedAll takes what another host heard.
+func (f *Fleet) HeedAll(all []Signalled, source string) {
+	for i := range all {
+		e, ok := f.Entry(all[i].Upstream)
+		if !ok {
+			f.keepEarly(all[i])
+			continue
+		}
+		if e.Born() == all[i].Born {
+			e.Heed(all[i].Signal, source)
+		}
+	}
+}
+
+// keepEarly keeps what is told of an upstream before the list names it here: it
+// is told once only.
+func (f *Fleet) keepEarly(s Signalled) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.early == nil || len(f.early) >= signalsMost {
+		f.early = map[string]Signalled{}
+	}
+	f.early[s.Upstream] = s
+}
+
+// earlySource is the source of what was told before the list named its upstream.
+const earlySource = "host"
+
+// heedEarlyLocked enters what was told of an upstream that has just come; f.mu is held.
+func (f *Fleet) heedEarlyLocked(e *Entry) {
+	s, ok := f.early[e.id]
+	if !ok {
+		return
+	}
+	delete(f.early, e.id)
+	if s.Born == e.born {
+		e.Heed(s.Signal, earlySource)
 	}
-	return l.PerSecond
 }
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -22,6 +22,7 @@
 	waiting int          // prompt tokens to be read there, as known
 	cached  int          // prompt tokens that it probably keeps
 	turn    *Turn        // given by the host that decides for all; nil: decided here
+	inVain  bool         // no upstream takes the request while it waits
 	over    bool         // the request is over its team's limit; nothing else is set but after
 	after   time.Duration
 }
@@ -34,7 +35,7 @@
 		if over, ok := q.charge(); !ok {
 			return nil, over
 		}
-		return q.pick()
+		return q.pickCounted()
 	}
 	e, given, ok := q.turn()
 	if e != nil || given.over {
@@ -46,23 +47,37 @@
 	if over, ok := q.charge(); !ok {
 		return nil, over
 	}
-	e, own := q.pick()
-	if e != nil || !ok || given.Reason == balance.NoModel && own.Reason > given.Reason {
+	e, own := q.pickCounted()
+	if e != nil || !ok || given.Reason == balance.NoModel && own.Reason.Nearer(given.Reason) {
 		return e, own
 	}
 	return nil, given
 }
 
+// pickCounted picks an upstream and counts the request at it, if that names a limit.
+func (q *request) pickCounted() (*fleet.Entry, picked) {
+	for {
+		e, p := q.pick()
+		if e == nil || e.Pass(q.g.deps.Now()) {
+			return e, p
+		}
+	}
+}
+
 // crowdedShare is how many requests there must be at a plain service, by what
 // this host knows, as a share of its slots, for turns to be worth their way. With
 // fewer, hosts seldom send to the same upstream at once.
 const crowdedShare = 0.5
 
-// crowded says whether the service of a call is so busy that it goes by turns.
+// crowded says whether the service of a call is so busy that it goes by turns, or
+// has upstreams that name a limit for all hosts together.
 // Hosts see what the others have sent a fraction of a second late, which is
 // several times what a call takes: together they fill one upstream's queue, so
 // that its answers are late and the rest is refused, with the next one idle.
 func (q *request) crowded() bool {
+	if q.g.deps.Fleet.Limited(q.service.Name) {
+		return true
+	}
 	now := q.g.deps.Now()
 	requests, slots := 0, 0
 	for _, e := range q.g.deps.Fleet.Service(q.service.Name) {
@@ -151,11 +166,17 @@
 		return q.fetchAdapter(p)
 	}
 	now := q.g.deps.Now()
+	if p.Reason == balance.AllBackoff && !q.started && (p.inVain || now.Add(p.Backoff).After(until)) {
+		return q.giveUpBackoff(p.Backoff)
+	}
 	if !now.Before(until) {
 		return q.giveUp(p.Reason)
 	}
 	ctx, cancel := context.WithDeadline(q.ctx, until)
 	defer cancel()
+	if p.Backoff > 0 {
+		defer time.AfterFunc(p.Backoff, q.g.deps.Fleet.Tell).Stop()
+	}
 	defer q.endsWithStop(cancel)()
 	q.tellWait(p, until.Sub(now))
 	changed := q.g.deps.Fleet.Changed()
@@ -258,7 +279,7 @@
 		return q.deadline.Sub(q.start)
 	}
 	hold := max(time.Duration(float64(q.route.Objective)*holdShare), shortestHold)
-	if r == balance.AllReading {
+	if r == balance.AllReading || r == balance.AllBackoff {
 		return q.patience()
 	}
 	if r == balance.NoModel && !q.g.deps.Draining() { // else its answer might not end before the process does
@@ -288,6 +309,16 @@
 // adapterTries is how often one request asks for its adapter.
 const adapterTries = 2
 
+// giveUpBackoff answers a request whose upstreams all asked to be sent nothing
+// for longer than it may wait. It is told when one of them takes some again.
+func (q *request) giveUpBackoff(after time.Duration) bool {
+	if q.kept != nil || q.r.Context().Err() != nil {
+		return q.giveUp(balance.AllBackoff)
+	}
+	q.unserved(http.StatusBadGateway, balance.AllBackoff.String(), max(after, stopRetry))
+	return false
+}
+
 // giveUp answers a request that no upstream will take in time.
 func (q *request) giveUp(r balance.Reason) bool {
 	switch {
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -37,7 +37,7 @@
 
 func retryOf(r balance.Reason) time.Duration {
 	switch r {
-	case balance.AllFull, balance.NoAdapter:
+	case balance.AllFull, balance.NoAdapter, balance.AllBackoff:
 		return fullRetry
 	case balance.AllReading:
 		return readingRetry
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -23,6 +23,7 @@
 	Tried    []string
 	Warm     []string      // upstreams with an idle connection from here
 	InTime   time.Duration // for so long an answer that begins is in time
+	Patience time.Duration // for so long it waits
 	Team     *deploy.Team  // whose limit is charged with the turn; nil: nobody's
 	Charge   float64       // in what the limit counts
 }
@@ -32,7 +33,7 @@
 // all may be called from any goroutine.
 type Turn struct {
 	Over      bool          // over the team's limit; nothing else is set but Wait
-	Wait      time.Duration // until that may allow the request
+	Wait      time.Duration // until that, or some upstream, may allow the request; 0: not known
 	Upstream  string        // "": none; see Reason
 	Reason    balance.Reason
 	Home      string // where an adapter should be loaded
@@ -40,9 +41,12 @@
 	Load      int
 	Waiting   int
 	Cached    int
-	First     func()
-	Absent    func()
-	End       func()
+	// WithinLimit says that the upstream names a limit and the request is counted.
+	WithinLimit bool
+
+	First  func()
+	Absent func()
+	End    func()
 }
 
 // turn asks where the request may go. ok is false when this host has to decide
@@ -58,7 +62,7 @@
 	defer cancel()
 	defer q.endsWithStop(cancel)()
 	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.urgency(), Reading: q.reading(now, q.lost),
-		InTime: q.start.Add(q.route.Objective).Sub(now)}
+		InTime: q.start.Add(q.route.Objective).Sub(now), Patience: left}
 	ask.Warm = q.warm()
 	if q.caller.owes() {
 		ask.Team, ask.Charge = q.caller.team, q.caller.cost
@@ -81,8 +85,8 @@
 		return q.noTurn(t)
 	}
 	e, known := d.Fleet.Entry(t.Upstream)
-	if !known || !e.Usable() {
-		t.End()
+	if !known || !e.Usable() || e.Limit().Named && !t.WithinLimit {
+		t.End() // what this host knows is newer
 		return nil, picked{}, false
 	}
 	p = picked{Decision: balance.Decision{Predicted: t.Predicted}, among: len(d.Fleet.Service(q.service.Name)),
@@ -132,7 +136,7 @@
 
 // noTurn turns an answer without an upstream into what the wait goes by.
 func (q *request) noTurn(t *Turn) (*fleet.Entry, picked, bool) {
-	p := picked{Decision: balance.Decision{Index: -1, Reason: t.Reason, Home: -1}, among: len(q.g.deps.Fleet.Service(q.service.Name))}
+	p := picked{Decision: balance.Decision{Index: -1, Reason: t.Reason, Home: -1, Backoff: t.Wait}, inVain: t.Wait > 0, among: len(q.g.deps.Fleet.Service(q.service.Name))}
 	if home, ok := q.g.deps.Fleet.Entry(t.Home); ok && t.Reason == balance.NoAdapter {
 		p.home = home
 	}
