While nobody can take the lease, the first deputy that answers acts for all

Callers: with the holder lost while the store is away nobody gave turns or counted until the store's return. Cause: acting was bound to having held the lease, though turns and counts need no more authority than that hosts ask. Class: as before, a host's word is lost with the host. Ruled out: to elect one by the hosts themselves (a second coordination), to give each host's share to its neighbours (two views, twice the limit). Now the deputies that the last holder named stand in, in that order; one that hears an earlier one does not. It gives no orders. Hosts that the store answers leave it and run for the lease. Two at once, in a split, each count the part of hosts that they hear.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -13,8 +13,11 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/core/residency"
@@ -97,6 +100,8 @@
 	quarantine *quarantine
 	stores     storeLoads
 
+	standingIn atomic.Bool // acts though it has never held the lease
+
 	// Linked tells the address that this host's own reports go to; set before Run.
 	Linked func() string
 
@@ -175,7 +180,23 @@
 // is away, for as long as nobody else is known to have taken it: neither needs
 // more authority than that hosts ask, and without it they would all decide by
 // themselves and look for the store at once. Orders need the lease.
-func (c *Coordinator) Acting() bool { return c.Holding() || c.deps.Lease.Lapsed() }
+func (c *Coordinator) Acting() bool {
+	return c.Holding() || c.deps.Lease.Lapsed() || c.standingIn.Load()
+}
+
+// standIn has this host act without ever having held the lease, until standBack.
+func (c *Coordinator) standIn() {
+	if c.standingIn.Swap(true) {
+		return
+	}
+	c.accounts.begin()
+	c.quarantine.begin()
+	c.turns.begin()
+	c.deps.Log.Emit(event.StandingIn, zap.Duration("store_age", c.deps.Feed.Age()))
+}
+
+// standBack ends that.
+func (c *Coordinator) standBack() { c.standingIn.Store(false) }
 
 // follow notices a new term and brings the books up to date with what the
 // upstreams say of themselves.
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -25,6 +25,23 @@
 // first. The others would only cost the store calls.
 func (l *Link) Candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
 
+// comesFirst says whether this host is the first of the deputies that the last
+// holder named which answers.
+func (l *Link) comesFirst(ctx context.Context) bool {
+	l.mu.Lock()
+	deputies := l.deputies
+	l.mu.Unlock()
+	for _, address := range deputies {
+		if address == l.cfg.Address {
+			return true
+		}
+		if _, err := l.conns.state(ctx, address, &coordpb.StateCall{Brief: true}); err == nil {
+			return false
+		}
+	}
+	return false
+}
+
 // Find asks another host who holds the lease, and links this one to it. It is
 // how a host finds the holder while the store turns it away.
 func (l *Link) Find(ctx context.Context) bool {
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -103,6 +103,7 @@
 // and this host should not be first at its return, or when ctx ends. While this
 // host holds the lease itself it goes on.
 func (d *Lead) search(ctx context.Context) {
+	defer d.Link.own.standBack()
 	var tried time.Time
 	for pace.Sleep(ctx, lookEach) {
 		if _, held := d.Lease.Term(); held {
@@ -118,5 +119,19 @@
 		if d.Link.Try(ctx, addressOf(d.Lease.Seen().Holder)) || d.Link.Find(ctx) {
 			return
 		}
+		d.standIn(ctx)
+	}
+}
+
+// standIn has this host act without the lease while nobody can take it, if it is
+// the one to do so. Without anybody who acts each host would decide by itself,
+// and what an upstream takes from all, or a team may ask of all, would be shared
+// out blindly.
+func (d *Lead) standIn(ctx context.Context) {
+	switch own := d.Link.own; {
+	case d.StoreAnswers():
+		own.standBack()
+	case !own.Acting() && d.Link.comesFirst(ctx):
+		own.standIn()
 	}
 }
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -217,11 +217,11 @@
 // StoreAnswers says whether the store answered this host itself lately.
 func (l *Link) StoreAnswers() bool { return l.own.deps.Feed.Age() < storeFresh }
 
-// follows says whether this host goes by what another told. One whose lease has
-// run out is gone by only while the store has not answered this host since it
-// answered that one: else somebody can take the lease.
+// follows says whether this host goes by what another told. One that acts without
+// the lease is gone by only while the store does not answer this host, or has not
+// since it answered that one: else somebody can take the lease.
 func (l *Link) follows(s *coordpb.SiteState) bool {
-	return s.Holding || s.Acting && l.own.deps.Feed.Age() >= milliseconds(s.StoreAgeMs)
+	return s.Holding || s.Acting && (!l.StoreAnswers() || l.own.deps.Feed.Age() >= milliseconds(s.StoreAgeMs))
 }
 
 // Led says whether this host is linked to another that acts for all without the lease.
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -159,6 +159,10 @@
 		out.Holding, out.Epoch, out.GrantRow, out.BeatRow, out.Grant = true, record.Epoch, rows.Grant, rows.Beat, record.Encode()
 		return
 	}
+	if c.standingIn.Load() { // it has nothing of the lease to hand over
+		out.Acting = true
+		return
+	}
 	out.Acting = c.deps.Lease.Lapsed()
 	out.Handover = c.tellHandover(out.Acting, now)
 	c.mu.Lock()
--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -27,6 +27,7 @@
 	LogDropped       = Event{2131, "log_dropped", zapcore.WarnLevel, "Lines were dropped because the log's reader was slower than the host; count says how many since the last such line."}
 	CoordinatorMet   = Event{2141, "coordinator_met", zapcore.InfoLevel, "This host is linked to the host that gives orders and sums up loads."}
 	CoordinatorOff   = Event{2142, "coordinator_lost", zapcore.WarnLevel, "The link to the host that gives orders broke; this host goes on by what it sees itself."}
+	StandingIn       = Event{2143, "standing_in", zapcore.InfoLevel, "The host that acted for all is gone while the store is away, so that nobody can take the lease: this host gives turns and counts limits until somebody has it. It gives no orders."}
 	OrderSent        = Event{2151, "order_sent", zapcore.InfoLevel, "An order was sent to an upstream under the lease's epoch; why says what it is for."}
 	OrderDone        = Event{2152, "order_done", zapcore.InfoLevel, "An order took effect at an upstream."}
 	OrderRejected    = Event{2153, "order_rejected", zapcore.InfoLevel, "An upstream refused an order; its state is looked at anew."}
@@ -46,5 +47,5 @@
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReread, SettingsBad,
 	StoreLost, StoreRegained, FeedReread, RoutesInForce, RoutesUnusable, EntryUnreadable,
 	RequestSent, RequestAgain, RequestWaits, RequestRefused, RequestBroken, RequestServed, RequestLeft, CallerClosed, LogDropped,
-	CoordinatorMet, CoordinatorOff, OrderSent, OrderDone, TurnGiven, OrderRejected, OrderUnanswered, AdapterAsked, QuietPeriod, MoveEnded,
+	CoordinatorMet, CoordinatorOff, StandingIn, OrderSent, OrderDone, TurnGiven, OrderRejected, OrderUnanswered, AdapterAsked, QuietPeriod, MoveEnded,
 	CrashReported, RequestBarred, BarEnded, BarReceived, SuspectCompleted, BarsUnsaved}
