A replica at an upstream that names a limit counts as what it takes

Callers: a model whose upstreams take one request a second gets no other place, since each of them counts as a whole engine, and models are moved to where few requests go. Cause: the plan knows an engine's time and not what its upstream takes of requests. Ruled out: to leave such replicas out of the count, which would load every model of theirs anew, also where the limit is above what is asked for. The plan takes from an engine what the limit leaves of it at the mean time of a request. Test: TestAModelAtAnUpstreamThatTakesLittleGetsAnotherPlace (no such field before).

--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -34,6 +34,9 @@
 	OnDisk   map[string]bool
 	Movable  bool // usable, and no order is under way or in doubt
 	Usable   bool
+	// Lacking is the part of an engine's time that it does not give, since it
+	// names a limit; 0: it gives all.
+	Lacking float64
 }
 
 // Held is a model at an upstream.
@@ -51,6 +54,7 @@
 	// Patient says that all who asked for it so far would wait for a load from
 	// a disk. Such a model may be nowhere for a while.
 	Patient bool
+	Each    time.Duration // of an engine's time for one request; 0: not known
 }
 
 // String writes the demand into logs.
@@ -162,7 +166,7 @@
 	least := p.leastPressure(s)
 	var wanted []*model
 	for _, m := range s.models {
-		if now := m.pressure(m.replicas); now > p.Pressure && now >= least {
+		if now := m.pressure(); now > p.Pressure && now >= least {
 			wanted = append(wanted, m)
 		}
 	}
@@ -205,7 +209,7 @@
 	if x, y := a.gain(), b.gain(); x != y {
 		return x > y
 	}
-	if x, y := a.pressure(a.replicas), b.pressure(b.replicas); x != y {
+	if x, y := a.pressure(), b.pressure(); x != y {
 		return x > y
 	}
 	return a.name < b.name
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -221,3 +221,14 @@
 	_, known := asked["c"]
 	assert.Assert(t, !known)
 }
+
+// Guards against callers refused for a model whose only upstream takes hardly any
+// requests, with others idle; and against loads to where few requests go.
+func TestAModelAtAnUpstreamThatTakesLittleGetsAnotherPlace(t *testing.T) {
+	in := replica.Input{Engine: engine("a", "idle"), Most: 4, StoreLeft: 4,
+		Upstreams: []replica.Upstream{on("1", "a"), on("2", "idle"), on("3", "idle")},
+		Demand:    map[string]replica.Demand{"a": {Load: 0.15}, "idle": {}}}
+	assert.Equal(t, len(replica.Default.Plan(in)), 0)
+	in.Upstreams[0].Lacking, in.Upstreams[0].Movable = 0.95, false
+	assert.DeepEqual(t, replica.Default.Plan(in), []replica.Move{{Upstream: "2", Unload: "idle", Load: "a", From: replica.FromStore}})
+}
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -16,16 +16,23 @@
 	weights  float64 // megabytes
 	replicas int     // ready or on their way
 	ready    int     // that requests can be sent to
+	lacking  float64 // engines' time that the replicas do not give
 }
 
 // load is the engines' time that it brings, or may.
 func (m *model) load() float64 { return max(m.demand.Load, m.prior) }
 
-// pressure is the load on each replica if there were n of them.
-func (m *model) pressure(n int) float64 {
+// leastGiven bounds the engines' time that replicas are taken to give.
+const leastGiven = 0.05
+
+// pressure is the load on the engines' time that its replicas give.
+func (m *model) pressure() float64 { return m.pressureOf(m.replicas, m.lacking) }
+
+// pressureOf is the same if there were n replicas, which lack so much.
+func (m *model) pressureOf(n int, lacking float64) float64 {
 	switch {
 	case n > 0:
-		return m.load() / float64(n)
+		return m.load() / max(float64(n)-lacking, leastGiven)
 	case m.demand.Unserved && m.demand.Patient:
 		return patientSeconds / max(m.seconds[FromDisk], shortestLoad)
 	case m.demand.Unserved || m.demand.Load > 0:
@@ -41,7 +48,7 @@
 // gain is the engine's time, each second, that one more replica would give to
 // callers whom the others have no time for.
 func (m *model) gain() float64 {
-	return min(max(m.demand.Load-float64(m.replicas), 0), 1)
+	return min(max(m.demand.Load-(float64(m.replicas)-m.lacking), 0), 1)
 }
 
 // upstream is an Upstream as a plan sees it, with what it held at the start.
@@ -129,6 +136,7 @@
 		m := s.model(in, u.Held[i].Model)
 		own.held[i] = held{&u.Held[i], m}
 		m.replicas++
+		m.lacking += u.Lacking
 		if u.Held[i].Ready {
 			m.ready++
 		}
@@ -150,9 +158,11 @@
 func (s *state) apply(c *choice) {
 	c.at.moved = true
 	c.load.replicas++
+	c.load.lacking += c.at.Lacking
 	if c.unload != nil {
 		c.unload.replicas--
 		c.unload.ready--
+		c.unload.lacking -= c.at.Lacking
 	}
 	if c.from == FromStore {
 		s.store--
--- a/core/replica/victim.go
+++ b/core/replica/victim.go
@@ -8,7 +8,7 @@
 	if u.FreeMB >= wanted.weights {
 		return nil, 0, true
 	}
-	pressure := wanted.pressure(wanted.replicas)
+	pressure := wanted.pressure()
 	var best *model
 	lowest := math.Inf(1)
 	for i := range u.held {
@@ -32,7 +32,7 @@
 		return 0, false
 	}
 	if v.model.ready >= 2 {
-		return v.model.pressure(v.model.replicas - 1), true
+		return v.model.pressureOf(v.model.replicas-1, v.model.lacking-u.Lacking), true
 	}
 	// One that is still being loaded answers nobody yet.
 	if wanted != nil && !p.mayBeNowhere(s, u, v.model) && !p.yields(v, wanted) {
--- a/node/coordinator/demand.go
+++ b/node/coordinator/demand.go
@@ -31,6 +31,7 @@
 
 type wanted struct {
 	sum      float64 // decaying engine time, seconds
+	requests float64 // decaying as sum does
 	at       time.Time
 	first    time.Time
 	last     time.Time
@@ -53,6 +54,7 @@
 		own := d.wantedLocked(k, now)
 		own.decay(now)
 		own.sum += engineTime(k, int(w.Prompt), int(w.Output)).Seconds()
+		own.requests += float64(w.Requests)
 		own.last = now
 		if w.PatienceMs > 0 {
 			own.patience = min(own.patience, milliseconds(w.PatienceMs))
@@ -73,7 +75,9 @@
 }
 
 func (w *wanted) decay(now time.Time) {
-	w.sum *= math.Exp(-now.Sub(w.at).Seconds() / forgetting.Seconds())
+	share := math.Exp(-now.Sub(w.at).Seconds() / forgetting.Seconds())
+	w.sum *= share
+	w.requests *= share
 	w.at = now
 }
 
@@ -103,11 +107,22 @@
 		if load < least || now.Sub(w.last) > quietAfter {
 			load = 0
 		}
-		out[k.model] = replica.Demand{Load: load, Unserved: now.Sub(w.unserved) < unservedFor, Patient: patient(e, k.model, w.patience)}
+		out[k.model] = replica.Demand{Load: load, Unserved: now.Sub(w.unserved) < unservedFor, Patient: patient(e, k.model, w.patience), Each: w.each()}
 	}
 	return out
 }
 
+// leastCounted is how many requests, decaying, must count for their mean to be known.
+const leastCounted = 0.5
+
+// each is the engine's time that a request takes; 0: not known.
+func (w *wanted) each() time.Duration {
+	if w.requests < leastCounted {
+		return 0
+	}
+	return time.Duration(w.sum / w.requests * float64(time.Second))
+}
+
 // demandKnown is how long after its first request a model's demand is known
 // well enough to go by it alone: until then the sum is still filling.
 const demandKnown = 3 * time.Second
--- a/node/coordinator/plan.go
+++ b/node/coordinator/plan.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 )
@@ -54,12 +55,15 @@
 	in := replica.Input{Engine: s.Engine, Demand: c.demand.service(s.Name, s.Engine, now),
 		StoreLeft: min(c.stores.left(s.Engine.LoadsPerSecond, now), c.storeRoom(s.Engine, units, now))}
 	in.SomePatient, in.CallersWait = somePatient(cfg, s), callersWait(cfg, s.Name)
-	moving := 0
+	moving, each := 0, meanTime(in.Demand)
 	for _, u := range units {
 		if u.entry.Service() != s.Name {
 			continue
 		}
-		in.Upstreams = append(in.Upstreams, u.snapshot(now))
+		at := u.snapshot(now)
+		at.Lacking = lacking(u.entry.Limit(), each)
+		at.Movable = at.Movable && at.Lacking < mostLacking
+		in.Upstreams = append(in.Upstreams, at)
 		if u.isMoving() {
 			moving++
 		}
@@ -69,6 +73,34 @@
 	return in
 }
 
+// mostLacking is the part of an engine's time that an upstream with a limit may
+// not give for models to be moved there. A load would hardly pay, and its orders
+// are calls, too.
+const mostLacking = 0.5
+
+// lacking is the part of its engine's time that an upstream does not give when it
+// names a limit; each is what a request takes of that.
+func lacking(l backpressure.Limit, each time.Duration) float64 {
+	if !l.Named || each == 0 {
+		return 0
+	}
+	return max(1-l.PerSecond*each.Seconds(), 0)
+}
+
+// meanTime is the engine's time that a request of any model takes; 0: not known.
+func meanTime(demand map[string]replica.Demand) time.Duration {
+	load, perSecond := 0.0, 0.0
+	for _, d := range demand {
+		if d.Each > 0 {
+			load, perSecond = load+d.Load, perSecond+d.Load/d.Each.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(load / perSecond * float64(time.Second))
+}
+
 // leastStorePlaces lets a load begin beside one that ends.
 const leastStorePlaces = 2
 
