--- a/core/backpressure/signal.go
+++ b/core/backpressure/signal.go
@@ -18,9 +18,10 @@
 // Signal is what one answer of an upstream said. The upstream made the answer
 // at some time between the sending of its request and its arrival.
 type Signal struct {
-	Limit Limit
-	Sent  time.Time
-	Heard time.Time
+	Limit   Limit
+	Leaving bool // its process takes nothing new, for the rest of its life
+	Sent    time.Time
+	Heard   time.Time
 }
 
 // Latest is what holds of two signals of one upstream. Answers may overtake each
@@ -28,18 +29,19 @@
 // order the stricter one holds, until a request that was sent after both were heard
 // brings another.
 func Latest(a, b Signal) Signal {
+	out := a
 	switch {
 	case b.Sent.After(a.Heard):
-		return b
+		out = b
 	case a.Sent.After(b.Heard):
-		return a
-	}
-	holds := a
-	if b.Limit.stricter(a.Limit) {
-		holds = b
+	default:
+		if b.Limit.stricter(a.Limit) {
+			out.Limit = b.Limit
+		}
+		out.Sent, out.Heard = later(a.Sent, b.Sent), later(a.Heard, b.Heard)
 	}
-	holds.Sent, holds.Heard = later(a.Sent, b.Sent), later(a.Heard, b.Heard)
-	return holds
+	out.Leaving = a.Leaving || b.Leaving
+	return out
 }
 
 func later(a, b time.Time) time.Time {
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -23,12 +23,15 @@
 // Heed takes what an answer of the upstream said; source says who heard it.
 func (e *Entry) Heed(s backpressure.Signal, source string) {
 	e.mu.Lock()
-	was := e.signal.Limit
+	was, knew := e.signal.Limit, e.signal.Leaving
 	e.signal = backpressure.Latest(e.signal, s)
 	now := e.signal.Limit
 	if now != was || now != s.Limit { // a host that tells what does not hold any more has to hear it
 		e.signalled = e.fleet.signals.Add(1)
 	}
+	if e.signal.Leaving && !knew {
+		e.fleet.deps.Log.Emit(event.UpstreamTold, zap.String(event.FieldPeer, e.id), zap.String("source", source))
+	}
 	e.mu.Unlock()
 	if now == was {
 		return
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/backpressure"
+	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 )
 
@@ -17,10 +18,17 @@
 // seal, and may leave out what other answers say.
 func (q *request) heed(e *fleet.Entry, status int, a *Answer) {
 	crossed := a.Attempt != q.facts.Attempt && (a.Attempt != "" || !a.NotRun)
-	if crossed || a.LimitUnreadable || status == http.StatusMisdirectedRequest || !a.Sealed && !a.Limit.Named {
+	if crossed || status == http.StatusMisdirectedRequest {
 		return
 	}
-	e.Heed(backpressure.Signal{Limit: a.Limit, Sent: q.sentAt, Heard: q.g.deps.Now()}, ownAnswer)
+	s := backpressure.Signal{Limit: a.Limit, Leaving: a.Leaving, Sent: q.sentAt, Heard: q.g.deps.Now()}
+	if a.LimitUnreadable || !a.Sealed && !a.Limit.Named {
+		s.Limit = e.Limit()
+	}
+	e.Heed(s, ownAnswer)
+	if a.Rest > 0 {
+		q.g.deps.Log.Emit(event.UpstreamAsked, q.id(), zap.String(event.FieldPeer, e.ID()), zap.Int64("for_ms", a.Rest.Milliseconds()))
+	}
 }
 
 // limitOf tells in logs the limit of the upstream that a request goes to.
--- a/node/gate/wire.go
+++ b/node/gate/wire.go
@@ -43,6 +43,8 @@
 	NotRun   bool   // the upstream did not run the request, and will not
 	Upstream string // process that answered, if it says so
 	Load     *fleet.Reported
+	Leaving  bool          // the upstream's process takes nothing new
+	Rest     time.Duration // for so long the upstream wants nothing from this host; 0: not said
 	Limit    backpressure.Limit
 	// LimitUnreadable says that the answer names a limit that cannot be read.
 	LimitUnreadable bool
