An upstream whose answers say that it leaves gets nothing more from any host

Callers saw little; requests reached an upstream up to 4.2 s after its answer had said that it leaves, all through a loss of the store of 13 s (2 s allowed). Cause: that an upstream leaves was known from the list alone, and the list was as late as the store. Class: as with the limit, an answer's word was dropped with the answer. Ruled out: hosts that know and turns that do not (no host wrote upstream_leaving before 20.4 s). The word goes the way of the limit: fleet.Entry keeps it for the life of the upstream's process, so that no older entry of the list undoes it, and hosts tell each other within two reports.

--- a/node/coordinator/signals.go
+++ b/node/coordinator/signals.go
@@ -58,7 +58,7 @@
 	out := make([]*coordpb.UpstreamSignal, len(all))
 	for i := range all {
 		s := &all[i]
-		out[i] = &coordpb.UpstreamSignal{Upstream: s.Upstream, Born: s.Born, Limited: s.Limit.Named, PerSecond: s.Limit.PerSecond,
+		out[i] = &coordpb.UpstreamSignal{Upstream: s.Upstream, Born: s.Born, Limited: s.Limit.Named, PerSecond: s.Limit.PerSecond, Leaving: s.Leaving,
 			SentAgeMs: ageMs(s.Sent, now), HeardAgeMs: ageMs(s.Heard, now)}
 	}
 	return out
@@ -73,8 +73,8 @@
 	out := make([]fleet.Signalled, len(all))
 	for i, s := range all {
 		out[i] = fleet.Signalled{Upstream: s.Upstream, Born: s.Born, Signal: backpressure.Signal{
-			Limit: backpressure.Limit{Named: s.Limited, PerSecond: s.PerSecond},
-			Sent:  now.Add(-milliseconds(s.SentAgeMs)), Heard: now.Add(-milliseconds(s.HeardAgeMs))}}
+			Limit: backpressure.Limit{Named: s.Limited, PerSecond: s.PerSecond}, Leaving: s.Leaving,
+			Sent: now.Add(-milliseconds(s.SentAgeMs)), Heard: now.Add(-milliseconds(s.HeardAgeMs))}}
 	}
 	return out
 }
--- a/node/event/upstream.go
+++ b/node/event/upstream.go
@@ -10,10 +10,9 @@
 	UpstreamEnded   = Event{1906, "upstream_ended", zapcore.WarnLevel, "An upstream's process ended while requests of this host were under way there: its address refuses connections. under_way are the digests of what they were; one that stands in many such lines ends upstreams."}
 	UpstreamLimited = Event{1907, "upstream_limited", zapcore.InfoLevel, "An upstream names another limit than before for all hosts together, in requests a second; per_second below 0: none any more. source says who heard it."}
 	UpstreamAsked   = Event{1908, "upstream_asked_rest", zapcore.InfoLevel, "An upstream turned a request of this host away and asked it to send nothing for for_ms."}
-	UpstreamTold    = Event{1909, "upstream_told_leaving", zapcore.InfoLevel, "An answer of the upstream said that its process leaves; source says who heard it."}
 	UpstreamBack    = Event{1905, "upstream_back", zapcore.InfoLevel, "The entry of an upstream that had vanished is back."}
 
 	ReportFailed = Event{1901, "report_failed", zapcore.WarnLevel, "An upstream did not give its report; said once until it does again. If it lasts, look at the upstream and the network to it."}
 )
 
-var upstreamEvents = []Event{ReportFailed, UpstreamSeen, UpstreamResting, UpstreamLapsed, UpstreamBack, UpstreamEnded, UpstreamLimited, UpstreamAsked, UpstreamTold}
+var upstreamEvents = []Event{ReportFailed, UpstreamSeen, UpstreamResting, UpstreamLapsed, UpstreamBack, UpstreamEnded, UpstreamLimited, UpstreamAsked}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -140,7 +140,7 @@
 	}
 	e.up, e.described = u, now
 	if e.gone && u.State == deploy.Ready {
-		e.gone, e.leaving, e.useUntil = false, false, time.Time{}
+		e.gone, e.leaving, e.useUntil = false, e.signal.Leaving, time.Time{} // what its process said itself stays
 		e.fleet.deps.Log.Emit(event.UpstreamBack, zap.String(event.FieldPeer, u.ID))
 	}
 	if u.State == deploy.Draining {
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -23,22 +23,24 @@
 // Heed takes what an answer of the upstream said; source says who heard it.
 func (e *Entry) Heed(s backpressure.Signal, source string) {
 	e.mu.Lock()
-	was, knew := e.signal.Limit, e.signal.Leaving
+	was := e.signal
 	e.signal = backpressure.Latest(e.signal, s)
-	now := e.signal.Limit
-	if now != was || now != s.Limit { // a host that tells what does not hold any more has to hear it
+	now := e.signal
+	changed := now.Limit != was.Limit || now.Leaving != was.Leaving
+	if changed || now.Limit != s.Limit || now.Leaving != s.Leaving { // a host that tells what does not hold any more has to hear it
 		e.signalled = e.fleet.signals.Add(1)
 	}
-	if e.signal.Leaving && !knew {
-		e.fleet.deps.Log.Emit(event.UpstreamTold, zap.String(event.FieldPeer, e.id), zap.String("source", source))
+	if now.Leaving {
+		e.leaveLocked("its answers, by " + source)
 	}
 	e.mu.Unlock()
-	if now == was {
-		return
+	if now.Limit != was.Limit {
+		e.fleet.deps.Log.Emit(event.UpstreamLimited, zap.String(event.FieldPeer, e.id), zap.Float64("per_second", logged(now.Limit)),
+			zap.Float64("was", logged(was.Limit)), zap.String("source", source))
+	}
+	if changed {
+		e.fleet.Tell()
 	}
-	e.fleet.deps.Log.Emit(event.UpstreamLimited, zap.String(event.FieldPeer, e.id), zap.Float64("per_second", logged(now)),
-		zap.Float64("was", logged(was)), zap.String("source", source))
-	e.fleet.Tell()
 }
 
 func logged(l backpressure.Limit) float64 {
