An upstream that asks a host for rest gets nothing from it in that time

Callers: four of twelve upstreams turned everything away for seconds, and a third of the inspection summaries was refused after a tour of them; upstreams that had asked a host for 3 s got 3 to 5 requests from it (2 allowed). Cause: the time that a refusal names went to the caller of that one request; the upstream that refuses is the one with the least load, so that the next request goes there first. Class: as with the limit and the leaving, an answer's word was dropped with the answer. Ruled out: a rest kept by the request and by nobody else (different requests of one host within 0.3 s), a rest that turns pass by (two of five sends had no turn). fleet.Entry keeps the end of the rest; both ways to choose read it as Backoff. Other hosts may not have been asked, so that the word does not bind them; the one that gives turns sends one request at a time to such an upstream until one is answered, and so does each host by itself after its rest. When all rest, callers are refused at once and told the soonest end.

--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -295,7 +295,7 @@
 		return &gate.Turn{Reason: balance.Reason(answer.Reason), Home: answer.Home, Wait: milliseconds(answer.WaitMs)}, nil
 	}
 	return &gate.Turn{Upstream: answer.Upstream, Predicted: milliseconds(answer.PredictedMs),
-		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached), WithinLimit: answer.WithinLimit,
+		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached), WithinLimit: answer.WithinLimit, Trial: answer.Trial,
 		First:  func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
 		Absent: func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_ABSENT}) },
 		End:    func() { _ = a.tell(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
@@ -336,6 +336,9 @@
 		l.teams.with(q.Team, now, func(s *quota.Share) { s.Noted(q.Charge, now) })
 		e.Team, e.Charge = q.Team.Name, uint32(q.Charge)
 	}
+	for id, left := range q.Rests {
+		e.Rests = append(e.Rests, &coordpb.UpstreamRest{Upstream: id, ForMs: uint32(left.Milliseconds()) + 1})
+	}
 	for _, p := range q.Ask.Parts {
 		e.Parts = append(e.Parts, &coordpb.Part{Id: p.ID, Tokens: uint32(p.Tokens)})
 	}
--- a/node/coordinator/limits.go
+++ b/node/coordinator/limits.go
@@ -75,7 +75,7 @@
 		if balance.Check(&at, &balance.Request{Model: w.ask.Model}) != balance.AllBackoff {
 			continue
 		}
-		t.wake(e, now)
+		t.wake(e, now, at.Backoff)
 		if soonest == 0 || at.Backoff < soonest {
 			soonest = at.Backoff
 		}
@@ -106,10 +106,9 @@
 	return n
 }
 
-// wake has what waits looked at when an upstream that names a limit takes one more.
-func (t *turns) wake(e *fleet.Entry, now time.Time) {
-	wait := t.limits.wait(e, now)
-	if wait == 0 {
+// wake has what waits looked at after a time when an upstream may take one more.
+func (t *turns) wake(e *fleet.Entry, now time.Time, wait time.Duration) {
+	if wait <= 0 {
 		return
 	}
 	at := now.Add(wait)
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -31,6 +31,7 @@
 	dark    map[string]bool      // upstreams that several hosts leave alone, as of the last question or sweep
 	absent  map[string]time.Time // upstreams at whose address nothing listened, and when
 	limits  limits
+	rests   rests
 
 	endpoints []balance.Endpoint // of one pick; kept, since each names hundreds
 }
@@ -55,6 +56,7 @@
 	ask      fleet.Ask
 	tried    map[string]bool
 	warm     map[string]bool
+	rests    map[string]time.Time // until when upstreams want nothing from the host; nil: none does
 	since    time.Time
 	upstream string // where it was sent; "": it waits
 	reading  bool   // its first event has not come
@@ -65,7 +67,7 @@
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c)}
+	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c), rests: rests{}}
 }
 
 // begin starts a term. What an earlier one counted does not hold any more.
@@ -134,6 +136,7 @@
 	}
 	t.dark = t.c.sums.suspects(now)
 	w := &turn{key: k, event: e, ask: fleet.Ask{Model: e.Model, Adapter: e.Adapter}, since: now, tried: setOf(e.Tried), warm: setOf(e.Warm)}
+	t.rests.enter(w, now)
 	for _, p := range e.Parts {
 		w.ask.Parts = append(w.ask.Parts, fleet.Part{ID: p.Id, Tokens: int(p.Tokens)})
 	}
@@ -193,7 +196,10 @@
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
 	out.Down = out.Down || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
-	out.Backoff = t.limits.wait(e, now)
+	out.Backoff = max(t.limits.wait(e, now), w.rests[e.ID()].Sub(now), 0)
+	if t.rests.returning(e.ID()) {
+		out.Trial, out.Trying = true, out.Trying || t.rests.trying(e.ID())
+	}
 	p := t.places[e.ID()]
 	if p == nil {
 		out.Waiting = 0
@@ -225,19 +231,21 @@
 	}
 	p.newest = w
 	within := t.limits.take(e, now)
+	trial := t.rests.granted(w)
 	p.cache.Keep(&w.ask, now)
 	p.load.Requests++
 	p.load.Tokens += int(w.event.Prompt + w.event.Output)
 	p.load.Waiting += int(w.event.Prompt)
 	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
-		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached), WithinLimit: within})
+		PredictedMs: uint32(d.Predicted.Milliseconds()), Load: uint32(at.Requests), Waiting: uint32(at.Waiting), Cached: uint32(at.Cached), WithinLimit: within, Trial: trial})
 }
 
 // first notes that an upstream has read a request's prompt.
 func (t *turns) first(k turnKey) {
 	if g := t.granted[k]; g != nil && g.reading {
 		g.first = t.c.now()
-		if g.alone {
+		t.rests.answered(g)
+		if g.alone && g.event.Model != "" {
 			t.c.speeds.with(g.model(), func(m speed.Model) { m.Read(int(g.event.Prompt), g.first.Sub(g.granted)) })
 		}
 		t.read(g)
@@ -259,6 +267,7 @@
 // release takes a request out of its upstream's load.
 func (t *turns) release(g *turn) {
 	t.read(g)
+	t.rests.ended(g)
 	if p := t.places[g.upstream]; p != nil {
 		p.load.Requests--
 		p.load.Tokens -= int(g.event.Prompt + g.event.Output)
@@ -314,7 +323,7 @@
 		return w.event.Service == e.Service() && t.pick(w, []*fleet.Entry{e}, now).Index >= 0
 	})
 	if len(t.waiting) > 0 {
-		t.wake(e, now)
+		t.wake(e, now, t.limits.wait(e, now))
 	}
 }
 
@@ -367,6 +376,7 @@
 		return !waits(w.waitsFor)
 	})
 	t.limits.forget()
+	t.rests.forget(now)
 	for id := range t.places {
 		if _, ok := t.c.deps.Fleet.Entry(id); !ok {
 			delete(t.places, id)
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -19,6 +19,7 @@
 	cost  Cost
 	first bool
 	ended bool
+	trial bool   // it shows whether the upstream takes something after its rest
 	heard func() // called when the first bytes of the answer came; nil: nobody asks
 	abort func() // called when the upstream is found silent; nil: the attempt stays
 }
@@ -47,7 +48,11 @@
 	e.own.Tokens += c.Prompt + c.Output
 	e.sentSince++
 	e.health.Sent(e.fleet.deps.Now())
-	return &Exchange{e: e, ask: a, cost: c}
+	x := &Exchange{e: e, ask: a, cost: c, trial: e.returning}
+	if x.trial {
+		e.trials++
+	}
+	return x
 }
 
 // Heard notes bytes of the answer. The first ones end the wait for the prompt.
@@ -59,6 +64,9 @@
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	x.firstLocked()
+	if x.trial && !now.Before(x.e.restUntil) {
+		x.e.returning = false
+	}
 	x.e.health.Heard(now, x.e.own.Requests > 0)
 	x.e.cache.Keep(x.ask, now)
 }
@@ -119,6 +127,9 @@
 	x.e.mu.Lock()
 	delete(x.e.movable, x)
 	x.firstLocked()
+	if x.trial {
+		x.e.trials--
+	}
 	x.e.own.Requests--
 	x.e.own.Tokens -= x.cost.Prompt + x.cost.Output
 	if x.e.own.Requests == 0 {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -54,6 +54,7 @@
 
 	origin  time.Time
 	sharing atomic.Pointer[sharing]
+	rests   atomic.Int64         // Unix nanoseconds until when some upstream rests
 	signals atomic.Uint64        // rises with each signal that others have to hear
 	early   map[string]Signalled // of upstreams that the list does not name yet; under mu
 }
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -95,14 +95,63 @@
 
 // backoffLocked is for how long nothing more may go to the upstream from here.
 func (e *Entry) backoffLocked(now time.Time) time.Duration {
+	rest := max(e.restUntil.Sub(now), 0)
 	if !e.signal.Limit.Named {
-		return 0
+		return rest
 	}
 	s := e.fleet.sharing.Load()
 	if !s.alone || s.share.Of == 0 {
-		return uncounted
+		return max(rest, uncounted)
+	}
+	return max(rest, e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now))
+}
+
+// Rest notes that the upstream wants nothing from this host for a time. When that
+// is over, one request shows whether it takes something again.
+func (e *Entry) Rest(lasts time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until := e.fleet.deps.Now().Add(lasts); until.After(e.restUntil) {
+		e.restUntil = until
+		e.fleet.restedUntil(until)
+	}
+	e.returning = true
+}
+
+// Rests are for how long upstreams want nothing from this host, by their IDs.
+type Rests map[string]time.Duration
+
+// Rests returns those of a service; nil: none.
+func (f *Fleet) Rests(service string) Rests {
+	now := f.deps.Now()
+	if now.UnixNano() >= f.rests.Load() {
+		return nil
+	}
+	var out Rests
+	for _, e := range f.Service(service) {
+		e.mu.Lock()
+		left := e.restUntil.Sub(now)
+		e.mu.Unlock()
+		if left <= 0 {
+			continue
+		}
+		if out == nil {
+			out = Rests{}
+		}
+		out[e.id] = left
+	}
+	return out
+}
+
+// restedUntil notes until when some upstream rests, so that requests need not look
+// at each when none does.
+func (f *Fleet) restedUntil(t time.Time) {
+	for {
+		was := f.rests.Load()
+		if t.UnixNano() <= was || f.rests.CompareAndSwap(was, t.UnixNano()) {
+			return
+		}
 	}
-	return e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now)
 }
 
 // pacerLocked is the pacer of the time since this host has been alone.
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -38,7 +38,7 @@
 	defer cancel(nil)
 	x := e.Begin(&q.ask, q.cost)
 	if p.turn != nil {
-		if q.ask.Model != "" { // of a call the end is what counts
+		if q.ask.Model != "" || p.turn.Trial { // of other calls the end is what counts
 			x.OnFirst(p.turn.First)
 		}
 		defer p.turn.End()
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -11,6 +11,7 @@
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
 )
 
 // picked is the outcome of one look at the upstreams.
@@ -315,6 +316,7 @@
 	if q.kept != nil || q.r.Context().Err() != nil {
 		return q.giveUp(balance.AllBackoff)
 	}
+	q.g.deps.Metrics.Count(metrics.BackedOff, 1)
 	q.unserved(http.StatusBadGateway, balance.AllBackoff.String(), max(after, stopRetry))
 	return false
 }
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -8,6 +8,7 @@
 	"peridotpier.example/core/backpressure"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
 )
 
 // ownAnswer is the source of what this host heard itself.
@@ -27,6 +28,8 @@
 	}
 	e.Heed(s, ownAnswer)
 	if a.Rest > 0 {
+		e.Rest(a.Rest)
+		q.g.deps.Metrics.Add(metrics.RestsAsked, q.service.Name, e.ID(), 1)
 		q.g.deps.Log.Emit(event.UpstreamAsked, q.id(), zap.String(event.FieldPeer, e.ID()), zap.Int64("for_ms", a.Rest.Milliseconds()))
 	}
 }
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -22,6 +22,7 @@
 	Reading  int // prompt tokens that may wait beside it; 0: not bounded
 	Tried    []string
 	Warm     []string      // upstreams with an idle connection from here
+	Rests    fleet.Rests   // that upstreams of the service asked this host for
 	InTime   time.Duration // for so long an answer that begins is in time
 	Patience time.Duration // for so long it waits
 	Team     *deploy.Team  // whose limit is charged with the turn; nil: nobody's
@@ -43,6 +44,7 @@
 	Cached    int
 	// WithinLimit says that the upstream names a limit and the request is counted.
 	WithinLimit bool
+	Trial       bool // First is waited for: the upstream has turned requests away
 
 	First  func()
 	Absent func()
@@ -63,7 +65,7 @@
 	defer q.endsWithStop(cancel)()
 	ask := &TurnAsk{Service: q.service.Name, Ask: &q.ask, Cost: q.cost, Priority: q.urgency(), Reading: q.reading(now, q.lost),
 		InTime: q.start.Add(q.route.Objective).Sub(now), Patience: left}
-	ask.Warm = q.warm()
+	ask.Warm, ask.Rests = q.warm(), d.Fleet.Rests(q.service.Name)
 	if q.caller.owes() {
 		ask.Team, ask.Charge = q.caller.team, q.caller.cost
 	}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -24,7 +24,9 @@
 	Attempts Name = "attempts_total"
 	Refused  Name = "attempts_refused_total"
 	Crossed  Name = "answers_crossed_total"
-	Resumed  Name = "streams_resumed_total"
+	// RestsAsked counts answers that asked this host to send nothing for a while.
+	RestsAsked Name = "attempts_rest_asked_total"
+	Resumed    Name = "streams_resumed_total"
 )
 
 // Counters and gauges of the whole host.
@@ -36,6 +38,7 @@
 	Tokens      Name = "tokens_relayed_total"
 	Repeats     Name = "requests_sent_again_total"
 	Left        Name = "requests_left_by_caller_total"
+	BackedOff   Name = "requests_backed_off_total" // refused since all upstreams asked for a pause
 	InFlight    Name = "requests_in_flight"
 	Config      Name = "configuration_version"
 	ClaimsQueue Name = "claims_unsettled"
