After a rest requests come back by a slow start; one whose connection is being opened asks again

Callers: an upstream that had turned all away got everything that waits as soon as it answered one, and turned it away again, with another rest for each host. Cause: one answered trial ended all caution. One at first, twice as many with each answer; the same pace counts for all hosts where turns are given. An attempt that waits for its connection while the upstream asks for rest, or says that it leaves, is not written: opening one may take seconds, and two requests may come in a rest. Tests: TestAfterARestRequestsComeBackLittleByLittle, TestAnExchangeThatIsNotWantedAnyMoreIsNotSent.

--- /dev/null
+++ b/core/backpressure/slowstart_test.go
@@ -0,0 +1,44 @@
+package backpressure_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/backpressure"
+)
+
+// Guards against an upstream that is flooded again as soon as its rest is over.
+func TestAfterARestRequestsComeBackLittleByLittle(t *testing.T) {
+	var s backpressure.SlowStart
+	assert.Assert(t, !s.Active() && !s.Full() && !s.Sent())
+	s.Begin()
+	send := func(want int) {
+		t.Helper()
+		n := 0
+		for ; !s.Full() && n < 100; n++ {
+			assert.Assert(t, s.Sent())
+		}
+		assert.Equal(t, n, want)
+	}
+	send(1)
+	s.Answered(8)
+	s.Ended()
+	send(2)
+	s.Answered(8)
+	s.Answered(8)
+	assert.Assert(t, s.Active())
+	send(6) // eight, two of which have not ended
+	s.Begin()
+	assert.Assert(t, s.Full(), "it has turned one away again")
+	for range 8 {
+		s.Ended()
+	}
+	send(1)
+	for range 3 {
+		s.Answered(0)
+	}
+	assert.Assert(t, s.Active())
+	s.Answered(0)
+	assert.Assert(t, !s.Active() && !s.Full())
+}
--- a/node/coordinator/rests.go
+++ b/node/coordinator/rests.go
@@ -3,19 +3,21 @@
 import (
 	"maps"
 	"time"
+
+	"peridotpier.example/core/backpressure"
+	"peridotpier.example/node/fleet"
 )
 
 // rests holds the upstreams that asked a host for rest. Others may not have been
-// asked; they send one request at a time, over all hosts, until one is answered.
-// All at once they would be turned away one by one, each asked for rest, and all
-// come back together when that is over.
+// asked; over all hosts together requests come back to it by a slow start. All at
+// once they would be turned away one by one, each host asked for rest, and all come
+// back together when that is over.
 type rests map[string]*rest
 
 // rest is that of one upstream.
 type rest struct {
-	until    time.Time // the last that hosts told
-	answered bool      // a request that was sent since
-	trial    *turn     // that shows whether it answers; nil: none is out
+	until time.Time // the last that hosts told
+	start backpressure.SlowStart
 }
 
 const (
@@ -41,44 +43,40 @@
 			r[told.Upstream] = x
 		}
 		if until.Sub(x.until) > restSlack {
-			x.until, x.answered = until, false
+			x.until = until
+			x.start.Begin()
 		}
 	}
 }
 
-// returning says whether an upstream has asked for rest and not answered since.
-func (r rests) returning(upstream string) bool {
-	x := r[upstream]
-	return x != nil && !x.answered
-}
-
-// trying says whether a request is out that shows whether it answers.
-func (r rests) trying(upstream string) bool {
-	x := r[upstream]
-	return x != nil && x.trial != nil
+// wait is the time until an upstream may get one more.
+func (r rests) wait(upstream string) time.Duration {
+	if x := r[upstream]; x != nil && x.start.Full() {
+		return fleet.TrialWait
+	}
+	return 0
 }
 
-// granted notes a request that is sent; it says whether that is a trial.
+// granted notes a request that is sent; it says whether its answer is waited for.
 func (r rests) granted(w *turn) bool {
-	if !r.returning(w.upstream) {
-		return false
-	}
-	r[w.upstream].trial = w
-	return true
+	x := r[w.upstream]
+	w.trial = x != nil && x.start.Sent()
+	return w.trial
 }
 
 // answered notes that a request's answer began.
-func (r rests) answered(w *turn) {
-	if x := r[w.upstream]; x != nil && x.trial == w {
-		x.trial, x.answered = nil, true
+func (r rests) answered(w *turn, slots int) {
+	if x := r[w.upstream]; x != nil && w.trial {
+		x.start.Answered(slots)
 	}
 }
 
 // ended notes the end of a request.
 func (r rests) ended(w *turn) {
-	if x := r[w.upstream]; x != nil && x.trial == w {
-		x.trial = nil
+	if x := r[w.upstream]; x != nil && w.trial {
+		x.start.Ended()
 	}
+	w.trial = false
 }
 
 // forget drops what is too old.
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -64,6 +64,7 @@
 	granted  time.Time
 	first    time.Time // when its first event came
 	waitsFor balance.Reason
+	trial    bool // its upstream had asked a host for rest
 }
 
 func newTurns(c *Coordinator) *turns {
@@ -196,10 +197,7 @@
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
 	out.Down = out.Down || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
-	out.Backoff = max(t.limits.wait(e, now), w.rests[e.ID()].Sub(now), 0)
-	if t.rests.returning(e.ID()) {
-		out.Trial, out.Trying = true, out.Trying || t.rests.trying(e.ID())
-	}
+	out.Backoff = max(t.limits.wait(e, now), t.rests.wait(e.ID()), w.rests[e.ID()].Sub(now))
 	p := t.places[e.ID()]
 	if p == nil {
 		out.Waiting = 0
@@ -244,7 +242,7 @@
 func (t *turns) first(k turnKey) {
 	if g := t.granted[k]; g != nil && g.reading {
 		g.first = t.c.now()
-		t.rests.answered(g)
+		t.rests.answered(g, t.slots(g.upstream))
 		if g.alone && g.event.Model != "" {
 			t.c.speeds.with(g.model(), func(m speed.Model) { m.Read(int(g.event.Prompt), g.first.Sub(g.granted)) })
 		}
@@ -253,6 +251,16 @@
 	}
 }
 
+// slots is how many requests an upstream runs at a time; 0: not known.
+func (t *turns) slots(upstream string) int {
+	e, ok := t.c.deps.Fleet.Entry(upstream)
+	if !ok {
+		return 0
+	}
+	described, _ := e.Described()
+	return described.Slots
+}
+
 // read takes a request's prompt out of what its upstream has to read.
 func (t *turns) read(g *turn) {
 	if p := t.places[g.upstream]; p != nil && g.reading {
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -72,14 +72,13 @@
 	othersAt   time.Time
 	reported   Reported
 	reportedAt time.Time
-	sentSince  int                 // own sends since reportedAt
-	signal     backpressure.Signal // the newest that its answers said, here or at other hosts
-	signalled  uint64              // of the fleet, when others last had to hear of it; 0: never
-	pacer      *backpressure.Pacer // of this host while nobody counts for all
-	paced      time.Time           // since when it is of
-	restUntil  time.Time           // until when the upstream wants nothing from this host
-	returning  bool                // it has answered nothing since, but refusals
-	trials     int                 // requests that are out to see whether it does
+	sentSince  int                    // own sends since reportedAt
+	signal     backpressure.Signal    // the newest that its answers said, here or at other hosts
+	signalled  uint64                 // of the fleet, when others last had to hear of it; 0: never
+	pacer      *backpressure.Pacer    // of this host while nobody counts for all
+	paced      time.Time              // since when it is of
+	restUntil  time.Time              // until when the upstream wants nothing from this host
+	start      backpressure.SlowStart // after its rest
 	believed   []deploy.Resident
 	believedAt time.Time
 	coming     []Coming             // by the same word
@@ -386,9 +385,6 @@
 		out.Trial, out.Trying = true, e.health.Waiting()
 	}
 	out.Backoff = e.backoffLocked(now)
-	if e.returning {
-		out.Trial, out.Trying = true, out.Trying || e.trials > 0
-	}
 	if e.up.Cold > 0 {
 		out.Cold = max(e.up.Cold-now.Sub(e.described), 0)
 	}
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -19,7 +19,7 @@
 	cost  Cost
 	first bool
 	ended bool
-	trial bool   // it shows whether the upstream takes something after its rest
+	trial bool   // it counts in the upstream's slow start
 	heard func() // called when the first bytes of the answer came; nil: nobody asks
 	abort func() // called when the upstream is found silent; nil: the attempt stays
 }
@@ -48,11 +48,7 @@
 	e.own.Tokens += c.Prompt + c.Output
 	e.sentSince++
 	e.health.Sent(e.fleet.deps.Now())
-	x := &Exchange{e: e, ask: a, cost: c, trial: e.returning}
-	if x.trial {
-		e.trials++
-	}
-	return x
+	return &Exchange{e: e, ask: a, cost: c, trial: e.start.Sent()}
 }
 
 // Heard notes bytes of the answer. The first ones end the wait for the prompt.
@@ -63,10 +59,10 @@
 	}
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
-	x.firstLocked()
-	if x.trial && !now.Before(x.e.restUntil) {
-		x.e.returning = false
+	if x.trial && !x.first {
+		x.e.start.Answered(x.e.up.Slots)
 	}
+	x.firstLocked()
 	x.e.health.Heard(now, x.e.own.Requests > 0)
 	x.e.cache.Keep(x.ask, now)
 }
@@ -128,7 +124,7 @@
 	delete(x.e.movable, x)
 	x.firstLocked()
 	if x.trial {
-		x.e.trials--
+		x.e.start.Ended()
 	}
 	x.e.own.Requests--
 	x.e.own.Tokens -= x.cost.Prompt + x.cost.Output
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -96,6 +96,9 @@
 // backoffLocked is for how long nothing more may go to the upstream from here.
 func (e *Entry) backoffLocked(now time.Time) time.Duration {
 	rest := max(e.restUntil.Sub(now), 0)
+	if e.start.Full() {
+		rest = max(rest, TrialWait)
+	}
 	if !e.signal.Limit.Named {
 		return rest
 	}
@@ -107,7 +110,7 @@
 }
 
 // Rest notes that the upstream wants nothing from this host for a time. When that
-// is over, one request shows whether it takes something again.
+// is over, requests come back by a slow start.
 func (e *Entry) Rest(lasts time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -115,7 +118,19 @@
 		e.restUntil = until
 		e.fleet.restedUntil(until)
 	}
-	e.returning = true
+	e.start.Begin()
+}
+
+// TrialWait is when a request is tried again that waits for how another fares at
+// an upstream after its rest. Mostly that is known, and told, before.
+const TrialWait = 100 * time.Millisecond
+
+// Takes says whether a request that was meant for the upstream may still go there:
+// it has not asked meanwhile for rest, nor said that it leaves.
+func (e *Entry) Takes() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.leaving && !e.fleet.deps.Now().Before(e.restUntil)
 }
 
 // Rests are for how long upstreams want nothing from this host, by their IDs.
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -88,7 +88,7 @@
 		s.Ranked = true
 	}
 	q.g.deps.Codec.Sending(h, s)
-	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body}
+	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body, Wanted: e.Takes}
 }
 
 // unanswered ends an attempt that brought no head of an answer.
@@ -110,6 +110,9 @@
 		q.sends--
 		x.Absent()
 		return result{notRun: true, why: "absent", absent: true}
+	case errors.Is(err, conn.ErrUnwanted):
+		x.Dropped()
+		return result{notRun: true, why: "asked_meanwhile", allowed: true}
 	case notRun:
 		why = "no_connection"
 		x.Broken(why)
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -71,10 +71,15 @@
 	Stream       io.Reader
 	StreamLength int64
 	Fresh        bool // use a new connection
+	// Wanted is asked when the connection stands: to open one may take seconds. nil: it is.
+	Wanted func() bool
 
 	source *source // of Stream
 }
 
+// ErrUnwanted: the exchange was not wanted any more when its connection stood.
+var ErrUnwanted = errors.New("not wanted any more")
+
 // Response is the answer to an exchange. Exactly one of Finish and Abort ends it.
 type Response struct {
 	Status int
@@ -99,6 +104,10 @@
 	if err != nil {
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "connect: %w", err)
 	}
+	if r.Wanted != nil && !r.Wanted() {
+		l.reset()
+		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", ErrUnwanted)
+	}
 	stop := context.AfterFunc(ctx, l.reset)
 	req := r.httpRequest()
 	resp, err := c.exchange(l, r, req)
--- a/node/upstream/conn/conn_test.go
+++ b/node/upstream/conn/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -196,3 +197,17 @@
 	assert.Equal(t, requests, 2)
 	assert.Equal(t, p.dials, 1)
 }
+
+// Guards against a request that reaches an upstream which asked for none while its
+// connection was being opened.
+func TestAnExchangeThatIsNotWantedAnyMoreIsNotSent(t *testing.T) {
+	reached := false
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+	defer up.Close()
+	c := conn.New(conn.Config{})
+	_, err := c.Do(t.Context(), &conn.Request{Address: up.Listener.Addr().String(), Method: http.MethodGet, Path: "/", Header: http.Header{},
+		Wanted: func() bool { return false }})
+	assert.Assert(t, errors.Is(err, conn.ErrUnwanted), "%v", err)
+	assert.Equal(t, fault.From(fault.StepDispatch, err).Outcome, outcome.NotRun)
+	assert.Assert(t, !reached)
+}
