Operators see what upstreams ask for; a caller comes back sooner where other hosts can serve it

An upstream that asked one host for rest may serve the others: a caller whom only that keeps waiting is told 0.1 s in place of the rest's end.

--- a/cmd/pierctl/quarantine.go
+++ b/cmd/pierctl/quarantine.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"os"
@@ -25,9 +23,6 @@
 	json    bool
 }
 
-// quarantineBound bounds one call of a host.
-const quarantineBound = 5 * time.Second
-
 // Name implements subcommands.Command, as the methods below do.
 func (*quarantineCommand) Name() string { return "quarantine" }
 func (*quarantineCommand) Synopsis() string {
@@ -51,7 +46,7 @@
 		fmt.Fprint(os.Stderr, c.Usage())
 		return exit.Usage
 	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineBound)
+	ctx, cancel := context.WithTimeout(ctx, pageBound)
 	defer cancel()
 	if err := c.run(ctx); err != nil {
 		return exit.Print(os.Stderr, c.json, err)
@@ -61,10 +56,10 @@
 
 func (c *quarantineCommand) run(ctx context.Context) error {
 	if c.release != "" {
-		_, err := c.call(ctx, http.MethodDelete, host.QuarantinePath+"/"+c.release)
+		_, err := callPage(ctx, http.MethodDelete, c.address, host.QuarantinePath+"/"+c.release)
 		return err
 	}
-	data, err := c.call(ctx, http.MethodGet, host.QuarantinePath)
+	data, err := callPage(ctx, http.MethodGet, c.address, host.QuarantinePath)
 	if err != nil {
 		return err
 	}
@@ -81,29 +76,3 @@
 	}
 	return nil
 }
-
-// pageMost bounds a host's answer, in bytes.
-const pageMost = 4 << 20
-
-func (c *quarantineCommand) call(ctx context.Context, method, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("ask %s: %w", c.address, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, pageMost))
-	if err != nil {
-		return nil, fmt.Errorf("answer of %s: %w", c.address, err)
-	}
-	switch {
-	case resp.StatusCode == http.StatusNotFound:
-		return nil, &exit.Error{Code: exit.Absent, Err: fmt.Errorf("%s: %s", c.address, bytes.TrimSpace(data)), Do: "list what is barred"}
-	case resp.StatusCode >= http.StatusBadRequest:
-		return nil, fmt.Errorf("%s answers %d: %s", c.address, resp.StatusCode, data)
-	}
-	return data, nil
-}
--- a/node/coordinator/rests.go
+++ b/node/coordinator/rests.go
@@ -57,6 +57,12 @@
 	return 0
 }
 
+// serves says whether an upstream has asked some host for rest, and answers others.
+func (r rests) serves(upstream string) bool {
+	x := r[upstream]
+	return x != nil && !x.start.Active()
+}
+
 // granted notes a request that is sent; it says whether its answer is waited for.
 func (r rests) granted(w *turn) bool {
 	x := r[w.upstream]
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -32,6 +32,7 @@
 	absent  map[string]time.Time // upstreams at whose address nothing listened, and when
 	limits  limits
 	rests   rests
+	wakes   map[*fleet.Entry]time.Time // when what waits for an upstream is looked at next
 
 	endpoints []balance.Endpoint // of one pick; kept, since each names hundreds
 }
@@ -68,7 +69,7 @@
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c), rests: rests{}}
+	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c), rests: rests{}, wakes: map[*fleet.Entry]time.Time{}}
 }
 
 // begin starts a term. What an earlier one counted does not hold any more.
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -77,6 +77,8 @@
 	signalled  uint64                 // of the fleet, when others last had to hear of it; 0: never
 	pacer      *backpressure.Pacer    // of this host while nobody counts for all
 	paced      time.Time              // since when it is of
+	askedAt    time.Time              // when its limit or its leaving was heard of
+	askedBy    string                 // who heard it
 	restUntil  time.Time              // until when the upstream wants nothing from this host
 	start      backpressure.SlowStart // after its rest
 	believed   []deploy.Resident
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,9 @@
 	e.signal = backpressure.Latest(e.signal, s)
 	now := e.signal
 	changed := now.Limit != was.Limit || now.Leaving != was.Leaving
+	if changed {
+		e.askedAt, e.askedBy = s.Heard, source
+	}
 	if changed || now.Limit != s.Limit || now.Leaving != s.Leaving { // a host that tells what does not hold any more has to hear it
 		e.signalled = e.fleet.signals.Add(1)
 	}
@@ -125,6 +129,35 @@
 // an upstream after its rest. Mostly that is known, and told, before.
 const TrialWait = 100 * time.Millisecond
 
+// Asking is what one upstream asks for now.
+type Asking struct {
+	Upstream string
+	Service  string
+	Leaving  bool // its answers say so
+	Limit    backpressure.Limit
+	Rest     time.Duration // that is left of what it asked this host for
+	Starting bool          // after a rest requests come back by a slow start
+	Since    time.Time     // when its answers said so first, of leaving and limit
+	Source   string        // who heard that
+}
+
+// Asking lists the upstreams that ask for something.
+func (f *Fleet) Asking() []Asking {
+	now := f.deps.Now()
+	var out []Asking
+	for _, e := range f.All() {
+		e.mu.Lock()
+		a := Asking{Upstream: e.id, Service: e.service, Leaving: e.signal.Leaving, Limit: e.signal.Limit, Rest: max(e.restUntil.Sub(now), 0),
+			Starting: e.start.Active(), Since: e.askedAt, Source: e.askedBy}
+		e.mu.Unlock()
+		if a.Leaving || a.Limit.Named || a.Rest > 0 || a.Starting {
+			out = append(out, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b Asking) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return out
+}
+
 // Takes says whether a request that was meant for the upstream may still go there:
 // it has not asked meanwhile for rest, nor said that it leaves.
 func (e *Entry) Takes() bool {
--- a/node/host/pages.go
+++ b/node/host/pages.go
@@ -18,8 +18,8 @@
 	return e
 }
 
-// metricsPage shows the counters and histograms, a line each, and what is held
-// against requests.
+// metricsPage shows the counters and histograms, a line each, what is held against
+// requests, and what upstreams ask for.
 func (h *Host) metricsPage() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c *echo.Context) error {
@@ -28,5 +28,6 @@
 		return nil
 	})
 	h.quarantine(e)
+	h.upstreams(e)
 	return e
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -226,4 +226,30 @@
   'if q.refuseBarred(d) {' 'if false {' ./node/gate -run 'SentAgain'
 try "a run to its end clears" node/gate/poison.go \
   'q.g.deps.Guard.Completed(q.content)' '' ./node/gate -run 'RanToItsEnd'
+try "a pick heeds what an upstream takes" node/fleet/entry.go \
+  'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
+try "a turn heeds what an upstream takes" node/coordinator/turns.go \
+  'out.Backoff = max(t.limits.wait(e, now), t.rests.wait(e.ID()), w.rests[e.ID()].Sub(now))' 'out.Backoff = 0' ./platform -run 'LimitOfAnUpstream|InTheRest'
+try "calls of a service with a limited upstream go by turns" node/gate/pick.go \
+  'if q.g.deps.Fleet.Limited(q.service.Name) {' 'if false {' ./platform -run 'UpstreamWithALimit'
+try "a limit is over all hosts, not for each" node/fleet/signalled.go \
+  'return s.alone && s.share.Of > 0 && e.pacerLocked(s).Take(e.signal.Limit.Rate(), s.share, now)' \
+  'return e.pacerLocked(s).Take(e.signal.Limit.Rate(), backpressure.Whole, now)' ./node/fleet -run 'ItsShare'
+try "turns that nobody took do not pile up" core/backpressure/pacer.go \
+  'after := max(p.taken, at-keep)' 'after := p.taken' ./core/backpressure
+try "what is told on" node/coordinator/signals.go \
+  'out.SignalsId, out.SignalsRevision, out.Signals = c.id, revision, encodeSignals(all, now)' \
+  '_ = all; out.SignalsId, out.SignalsRevision = c.id, revision' ./platform -run 'SayThatItLeaves|OtherHosts'
+try "of answers that cross the stricter holds" core/backpressure/signal.go \
+  'if b.Limit.stricter(a.Limit) {' 'if b.Limit != a.Limit {' ./core/backpressure
+try "an older entry of the list does not win" node/fleet/entry.go \
+  'e.gone, e.leaving, e.useUntil = false, e.signal.Leaving, time.Time{}' 'e.gone, e.leaving, e.useUntil = false, false, time.Time{}' ./node/fleet
+try "a rest is kept" node/gate/signals.go \
+  'e.Rest(a.Rest)' '' ./platform -run 'InTheRest'
+try "a grant that is not counted is not used" node/gate/turn.go \
+  'e.Limit().Named && !t.WithinLimit' 'false' ./node/gate -run 'NotCounted'
+try "what nothing takes in time is refused at once" node/gate/pick.go \
+  'p.Reason == balance.AllBackoff && !q.started && (p.inVain ||' 'false && (p.inVain ||' ./platform -run 'SoonestTime'
+try "somebody acts while nobody can take the lease" node/coordinator/lead.go \
+  'case !own.Acting() && d.Link.comesFirst(ctx):' 'case false:' ./platform -run 'NobodyCanTake'
 exit $missed
