A limit that is named anew on each answer is not exceeded by its changes

Found by the play of the pacer once its limits were unsteady by 5%: 638 requests in 4 s of a limit of 50, 20 of a limit of 1. Cause: turns stood in a row counted from 1970, so that any change of the rate moved the row, and gave a turn at once. A turn now lies a whole period after the last one taken; the host that counts needs no row. Hosts alone go by the row of the nearest of few rates, so that those who heard slightly different limits have the same one. Changes of under a tenth are not told on. Ruled out: to hold the first limit named (a limit that falls by steps would never be heard).

--- a/core/backpressure/pacer.go
+++ b/core/backpressure/pacer.go
@@ -65,19 +65,26 @@
 	return true
 }
 
-// next is the first turn that was not taken and may be, now or later.
+// next is the first turn that was not taken and may be, now or later. It lies a
+// whole period after the last one taken, also when another rate has moved the row.
 func (p *Pacer) next(perSecond float64, s Share, at float64) float64 {
-	keep := keepFor.Seconds() + keepTurns/perSecond
-	if s.Of > 1 {
-		keep = shareKeepFor.Seconds() + shareKeepTurns/perSecond
+	if s.Of == 1 {
+		return max(p.taken+1/perSecond, at-keepFor.Seconds()-keepTurns/perSecond)
 	}
-	after := max(p.taken, at-keep)
+	perSecond = rowRate(perSecond)
 	period, first := float64(s.Of)/perSecond, float64(s.Place)/perSecond
-	turn := (math.Floor((after-first)/period)+1)*period + first
-	for turn <= after+rounding {
-		turn += period
-	}
-	return turn
+	after := max(p.taken+period-rounding, at-shareKeepFor.Seconds()-shareKeepTurns/perSecond)
+	return math.Ceil((after-first)/period)*period + first
+}
+
+// rowStep is the ratio of neighbouring rates of a row.
+const rowStep = 1.25
+
+// rowRate is the rate of the row that hosts with shares go by: the nearest of few.
+// An upstream may name a slightly other limit on each answer, and hosts that heard
+// different ones must have the same row.
+func rowRate(perSecond float64) float64 {
+	return math.Pow(rowStep, math.Round(math.Log(perSecond)/math.Log(rowStep)))
 }
 
 // rounding is what two computations of one turn may differ by, in seconds.
--- a/core/backpressure/signal.go
+++ b/core/backpressure/signal.go
@@ -2,7 +2,10 @@
 // and paces what hosts send by it. It does no I/O and has no clock.
 package backpressure
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limit is how many requests a second an upstream takes from all hosts together.
 type Limit struct {
@@ -15,6 +18,18 @@
 	return l.Named && (!o.Named || l.PerSecond < o.PerSecond)
 }
 
+// sameShare is by how much two limits may differ that hosts need not tell each other
+// of: an upstream may name a slightly other one on each answer.
+const sameShare = 0.1
+
+// Differs says whether hosts have to tell each other of the one that know of the other.
+func (l Limit) Differs(o Limit) bool {
+	if l.Named != o.Named {
+		return true
+	}
+	return math.Abs(l.PerSecond-o.PerSecond) > sameShare*max(l.PerSecond, o.PerSecond)
+}
+
 // Signal is what one answer of an upstream said. The upstream made the answer
 // at some time between the sending of its request and its arrival.
 type Signal struct {
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -74,6 +74,7 @@
 	reportedAt time.Time
 	sentSince  int                    // own sends since reportedAt
 	signal     backpressure.Signal    // the newest that its answers said, here or at other hosts
+	told       backpressure.Signal    // as others were told last
 	signalled  uint64                 // of the fleet, when others last had to hear of it; 0: never
 	pacer      *backpressure.Pacer    // of this host while nobody counts for all
 	paced      time.Time              // since when it is of
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -24,21 +24,22 @@
 // Heed takes what an answer of the upstream said; source says who heard it.
 func (e *Entry) Heed(s backpressure.Signal, source string) {
 	e.mu.Lock()
-	was := e.signal
+	was := e.told
 	e.signal = backpressure.Latest(e.signal, s)
 	now := e.signal
-	changed := now.Limit != was.Limit || now.Leaving != was.Leaving
+	limited := now.Limit.Differs(was.Limit)
+	changed := limited || now.Leaving != was.Leaving
 	if changed {
-		e.askedAt, e.askedBy = s.Heard, source
+		e.told, e.askedAt, e.askedBy = now, s.Heard, source
 	}
-	if changed || now.Limit != s.Limit || now.Leaving != s.Leaving { // a host that tells what does not hold any more has to hear it
+	if changed || now.Limit.Differs(s.Limit) || now.Leaving != s.Leaving { // a host that tells what does not hold any more has to hear it
 		e.signalled = e.fleet.signals.Add(1)
 	}
 	if now.Leaving {
 		e.leaveLocked("its answers, by " + source)
 	}
 	e.mu.Unlock()
-	if now.Limit != was.Limit {
+	if limited {
 		e.fleet.deps.Log.Emit(event.UpstreamLimited, zap.String(event.FieldPeer, e.id), zap.Float64("per_second", logged(now.Limit)),
 			zap.Float64("was", logged(was.Limit)), zap.String("source", source))
 	}
