A holder that is met anew is told at once what upstreams ask for; guards that tests notice

Without it the first report after a loss of the holder told only what was new, and the rest followed 0.2 s later: turns that are not counted meanwhile are not used, so that nothing was exceeded. Guards of the mutation run that no test noticed have one now: what is told on, a turn that heeds, places of hosts alone.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -190,6 +190,16 @@
 	return l.signals.report(r, l.own.deps.Fleet, l.own.now())
 }
 
+// forgetSignals has the next report tell all, if no host is linked that was told:
+// one that is met anew may know nothing.
+func (l *Link) forgetSignals() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.address == "" {
+		l.signals = signals{}
+	}
+}
+
 // takeSignals enters what the one that acts for all tells of upstreams, and of this
 // host's part in what they take.
 func (l *Link) takeSignals(s *coordpb.SiteState, told uint64) {
@@ -397,6 +407,7 @@
 	r, w := l.introduction(), l.Quarantine.NextReport(address)
 	reportQuarantine(r, w, l.own.now())
 	l.teams.words(r, l.own.now())
+	l.forgetSignals()
 	told := l.reportSignals(r, address)
 	s, err := l.conns.report(ctx, address, r)
 	if err != nil || !l.follows(s) || !s.Holding && l.Linked() {
--- /dev/null
+++ b/node/coordinator/signals_test.go
@@ -0,0 +1,56 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/backpressure"
+	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
+)
+
+// Guards against hosts alone that all take the same turn at an upstream.
+func TestEachHostHasAPlaceOfItsOwn(t *testing.T) {
+	c := New(Config{}, Deps{Fleet: fleet.New(fleet.Config{}, fleet.Deps{})})
+	now := c.now()
+	seen := map[uint32]bool{}
+	for _, round := range []int{0, 1} {
+		for i := range 5 {
+			r := &coordpb.HostReport{Host: fmt.Sprint("h", i)}
+			c.sums.take(r, now)
+			if round == 0 {
+				continue
+			}
+			out := &coordpb.SiteState{}
+			c.tellSignals(r, out, now)
+			seen[out.Place] = true
+			assert.Assert(t, out.Place < 5)
+		}
+	}
+	assert.Equal(t, len(seen), 5)
+}
+
+// Guards against a successor that is told nothing of what its predecessor knew.
+func TestAHolderThatAnswersForTheFirstTimeIsToldAll(t *testing.T) {
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	f.Replace([]deploy.Upstream{{ID: "u", Service: "s"}}, 1)
+	e, _ := f.Entry("u")
+	now := time.Now()
+	e.Heed(backpressure.Signal{Limit: backpressure.Limit{Named: true, PerSecond: 1}, Sent: now, Heard: now}, "answer")
+	var s signals
+	tell := func(holder uint64) int {
+		r := &coordpb.HostReport{}
+		revision := s.report(r, f, now)
+		s.take(&coordpb.SiteState{SignalsId: holder}, revision)
+		return len(r.Signals)
+	}
+	assert.Equal(t, tell(1), 1)
+	assert.Equal(t, tell(1), 0, "once")
+	assert.Equal(t, tell(2), 0, "it is met")
+	assert.Equal(t, tell(2), 1)
+	assert.Equal(t, tell(2), 0)
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -229,14 +229,17 @@
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/turns.go \
-  'out.Backoff = max(t.limits.wait(e, now), t.rests.wait(e.ID()), w.rests[e.ID()].Sub(now))' 'out.Backoff = 0' ./platform -run 'LimitOfAnUpstream|InTheRest'
+  'out.Backoff = max(t.limits.wait(e, now), t.rests.wait(e.ID()), w.rests[e.ID()].Sub(now))' 'out.Backoff = 0' ./platform -run 'UpstreamWithALimit|SoonestTime'
 try "calls of a service with a limited upstream go by turns" node/gate/pick.go \
   'if q.g.deps.Fleet.Limited(q.service.Name) {' 'if false {' ./platform -run 'UpstreamWithALimit'
-try "a limit is over all hosts, not for each" node/fleet/signalled.go \
-  'return s.alone && s.share.Of > 0 && e.pacerLocked(s).Take(e.signal.Limit.Rate(), s.share, now)' \
-  'return e.pacerLocked(s).Take(e.signal.Limit.Rate(), backpressure.Whole, now)' ./node/fleet -run 'ItsShare'
+try "hosts alone have a turn each" node/coordinator/signals.go \
+  'out.Place = uint32(c.sums.place(r.Host))' '' ./node/coordinator -run 'PlaceOfItsOwn'
+try "a host alone goes by its share" node/fleet/signalled.go \
+  'return max(rest, e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now))' 'return rest' ./node/fleet -run 'ItsShare'
 try "turns that nobody took do not pile up" core/backpressure/pacer.go \
-  'after := max(p.taken, at-keep)' 'after := p.taken' ./core/backpressure
+  'return max(p.taken+1/perSecond, at-keepFor.Seconds()-keepTurns/perSecond)' 'return p.taken+1/perSecond' ./core/backpressure
+try "a turn lies a period after the last" core/backpressure/pacer.go \
+  'after := max(p.taken+period-rounding,' 'after := max(p.taken+rounding,' ./core/backpressure
 try "what is told on" node/coordinator/signals.go \
   'out.SignalsId, out.SignalsRevision, out.Signals = c.id, revision, encodeSignals(all, now)' \
   '_ = all; out.SignalsId, out.SignalsRevision = c.id, revision' ./platform -run 'SayThatItLeaves|OtherHosts'
