A turn, and a pick, look at the upstreams that may hold the model

The fleet keeps for each model the upstreams that may hold it, by the list or by the word of the host that gives orders; which of them does is for the entry to say, as before. Where none is left the service is looked at once to tell that it has others. Questions name warm and tried upstreams among these only, so that they are shorter, too.

--- a/core/backpressure/play_test.go
+++ b/core/backpressure/play_test.go
@@ -202,3 +202,15 @@
 		assert.Assert(t, taken >= 9 && taken <= 11, "%d", taken)
 	}
 }
+
+// Guards against all the turns of a quiet time taken at once.
+func TestTurnsThatNobodyTookAreKeptForAMomentOnly(t *testing.T) {
+	for _, share := range []backpressure.Share{backpressure.Whole, {Place: 1, Of: 3}} {
+		p := backpressure.NewPacer(at(0), at(0))
+		taken := 0
+		for p.Take(4, share, at(60)) {
+			taken++
+		}
+		assert.Assert(t, taken >= 1 && float64(taken) <= slack, "%d", taken)
+	}
+}
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -162,8 +162,13 @@
 // try looks for an upstream among all of the request's service. It answers the
 // host unless the request waits.
 func (t *turns) try(w *turn, now time.Time) balance.Reason {
-	entries := t.c.deps.Fleet.Service(w.event.Service)
+	entries := t.c.deps.Fleet.Holders(w.event.Service, w.ask.Model)
 	d := t.pick(w, entries, now)
+	if d.Reason == balance.NoServer && w.ask.Model != "" && t.c.deps.Fleet.Serves(w.event.Service, func(e *fleet.Entry) bool {
+		return slices.Contains(entries, e) || t.leftAlone(e, w, now)
+	}) {
+		d.Reason = balance.NoModel
+	}
 	if d.Index < 0 && !waits(d.Reason) {
 		a := &coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(d.Reason)}
 		if d.Home >= 0 {
@@ -197,7 +202,7 @@
 func (t *turns) endpoint(e *fleet.Entry, w *turn, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.ask, now)
 	out.Near, out.Tried, out.Warm = e.DataCentre() == w.event.DataCentre, w.tried[e.ID()], w.warm[e.ID()]
-	out.Down = out.Down || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
+	out.Down = out.Down || t.leftAlone(e, w, now)
 	out.Backoff = max(t.limits.wait(e, now), t.rests.wait(e.ID()), w.rests[e.ID()].Sub(now))
 	p := t.places[e.ID()]
 	if p == nil {
@@ -211,6 +216,12 @@
 	return out
 }
 
+// leftAlone says whether an upstream is passed over for what hosts found there, or
+// for having had an attempt of the request.
+func (t *turns) leftAlone(e *fleet.Entry, w *turn, now time.Time) bool {
+	return w.tried[e.ID()] || t.dark[e.ID()] || now.Sub(t.absent[e.ID()]) < absentFor
+}
+
 func (t *turns) grant(w *turn, e *fleet.Entry, at *balance.Endpoint, d balance.Decision, now time.Time) {
 	w.upstream, w.reading = e.ID(), true
 	prompt := w.event.Prompt
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -84,7 +84,9 @@
 	start      backpressure.SlowStart // after its rest
 	believed   []deploy.Resident
 	believedAt time.Time
-	coming     []Coming             // by the same word
+	coming     []Coming // by the same word
+	indexed    []string // models under which the fleet finds it
+	forgotten  bool
 	denied     map[string]time.Time // model and adapter, until when
 	cache      Cache
 	movable    map[*Exchange]struct{} // attempts that can go elsewhere
@@ -144,6 +146,7 @@
 		e.state = state
 	}
 	e.up, e.described = u, now
+	e.reindexLocked()
 	if e.gone && u.State == deploy.Ready {
 		e.gone, e.leaving, e.useUntil = false, e.signal.Leaving, time.Time{} // what its process said itself stays
 		e.fleet.deps.Log.Emit(event.UpstreamBack, zap.String(event.FieldPeer, u.ID))
@@ -258,6 +261,9 @@
 	e.mu.Lock()
 	news := !slices.EqualFunc(r, e.believed, deploy.Resident.Equal)
 	e.believed, e.believedAt = r, now
+	if news {
+		e.reindexLocked()
+	}
 	e.mu.Unlock()
 	if news {
 		e.fleet.tellHoldings()
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -54,6 +54,7 @@
 
 	origin  time.Time
 	sharing atomic.Pointer[sharing]
+	holders holders
 	rests   atomic.Int64         // Unix nanoseconds until when some upstream rests
 	signals atomic.Uint64        // rises with each signal that others have to hear
 	early   map[string]Signalled // of upstreams that the list does not name yet; under mu
@@ -190,6 +191,7 @@
 // process, which starts empty, does not hold, and orders for room that is gone.
 func (f *Fleet) retire(e *Entry) {
 	e.succeeded()
+	e.forget()
 	if f.deps.Left != nil {
 		f.deps.Left(e.Address())
 	}
@@ -264,7 +266,12 @@
 	defer f.mu.Unlock()
 	next := f.index.Load().copy()
 	for _, id := range ids {
-		if e, ok := next.byID[id]; ok && f.deps.Left != nil {
+		e, ok := next.byID[id]
+		if !ok {
+			continue
+		}
+		e.forget()
+		if f.deps.Left != nil {
 			f.deps.Left(e.Address())
 		}
 		delete(next.byID, id)
--- /dev/null
+++ b/node/fleet/holders.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+
+	"peridotpier.example/core/deploy"
+)
+
+// holders finds the upstreams of a service that may hold a model, by any word on
+// them that still counts; which of these holds is for their entries to say. A pick
+// among thousands of upstreams looks at the few that matter.
+type holders struct {
+	mu sync.RWMutex
+	of map[holding][]*Entry // replaced whole, so that readers need no copy
+}
+
+type holding struct{ service, model string }
+
+// update notes which models an entry may hold in place of others. The entry's lock is held.
+func (h *holders) update(e *Entry, was, now []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.of == nil {
+		h.of = map[holding][]*Entry{}
+	}
+	for _, model := range was {
+		if !slices.Contains(now, model) {
+			h.removeLocked(holding{e.service, model}, e)
+		}
+	}
+	for _, model := range now {
+		if !slices.Contains(was, model) {
+			k := holding{e.service, model}
+			h.of[k] = append(slices.Clone(h.of[k]), e)
+		}
+	}
+}
+
+func (h *holders) removeLocked(k holding, e *Entry) {
+	left := slices.DeleteFunc(slices.Clone(h.of[k]), func(o *Entry) bool { return o == e })
+	if len(left) == 0 {
+		delete(h.of, k)
+		return
+	}
+	h.of[k] = left
+}
+
+// Holders returns the upstreams of a service that may hold a model; with no model
+// all of them.
+func (f *Fleet) Holders(service, model string) []*Entry {
+	if model == "" {
+		return f.Service(service)
+	}
+	f.holders.mu.RLock()
+	defer f.holders.mu.RUnlock()
+	return f.holders.of[holding{service, model}]
+}
+
+// Serves says whether any upstream of a service may be sent work, but for those
+// passed over.
+func (f *Fleet) Serves(service string, passed func(*Entry) bool) bool {
+	now := f.deps.Now()
+	return slices.ContainsFunc(f.Service(service), func(e *Entry) bool {
+		return e.Usable() && !e.down(now) && !passed(e)
+	})
+}
+
+// reindexLocked notes what the entry may hold, by its list entry and by the word of
+// the host that gives orders.
+func (e *Entry) reindexLocked() {
+	if e.forgotten {
+		return
+	}
+	next := make([]string, 0, len(e.up.Residents)+len(e.believed))
+	for _, residents := range [][]deploy.Resident{e.up.Residents, e.believed} {
+		for i := range residents {
+			if !slices.Contains(next, residents[i].Model) {
+				next = append(next, residents[i].Model)
+			}
+		}
+	}
+	e.fleet.holders.update(e, e.indexed, next)
+	e.indexed = next
+}
+
+// forget takes the entry out of the index for good.
+func (e *Entry) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fleet.holders.update(e, e.indexed, nil)
+	e.indexed, e.forgotten = nil, true
+}
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -97,7 +98,7 @@
 func (q *request) pickAs(lost bool) (*fleet.Entry, picked) {
 	d := &q.g.deps
 	now := d.Now()
-	entries := d.Fleet.Service(q.service.Name)
+	entries := d.Fleet.Holders(q.service.Name, q.ask.Model)
 	endpoints := make([]balance.Endpoint, len(entries))
 	for i, e := range entries {
 		endpoints[i] = e.Endpoint(&q.ask, now)
@@ -113,6 +114,11 @@
 	if p.Home >= 0 {
 		p.home = entries[p.Home]
 	}
+	if p.Reason == balance.NoServer && r.Model != "" && d.Fleet.Serves(q.service.Name, func(e *fleet.Entry) bool {
+		return slices.Contains(entries, e) || q.tried[e.ID()]
+	}) {
+		p.Reason = balance.NoModel
+	}
 	if p.Index < 0 {
 		return nil, p
 	}
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -19,8 +19,8 @@
 	Ask      *fleet.Ask
 	Cost     fleet.Cost
 	Priority int
-	Reading  int // prompt tokens that may wait beside it; 0: not bounded
-	Tried    []string
+	Reading  int           // prompt tokens that may wait beside it; 0: not bounded
+	Tried    []string      // upstreams not to go to: tried, or left alone by this host
 	Warm     []string      // upstreams with an idle connection from here
 	Rests    fleet.Rests   // that upstreams of the service asked this host for
 	InTime   time.Duration // for so long an answer that begins is in time
@@ -69,9 +69,10 @@
 	if q.caller.owes() {
 		ask.Team, ask.Charge = q.caller.team, q.caller.cost
 	}
-	ask.Tried = d.Fleet.Down()
-	for id := range q.tried {
-		ask.Tried = append(ask.Tried, id)
+	for _, e := range d.Fleet.Holders(q.service.Name, q.ask.Model) {
+		if q.tried[e.ID()] || e.Down() {
+			ask.Tried = append(ask.Tried, e.ID())
+		}
 	}
 	t, err := d.Models.Turn(ctx, ask)
 	if err != nil {
@@ -124,11 +125,11 @@
 	return q.bounded(min(share, time.Duration(float64(q.route.Objective)*mostShare)))
 }
 
-// warm lists the upstreams of the request's service that this host has an idle
-// connection to.
+// warm lists the upstreams that may answer the request and that this host has an
+// idle connection to.
 func (q *request) warm() []string {
 	var out []string
-	for _, e := range q.g.deps.Fleet.Service(q.service.Name) {
+	for _, e := range q.g.deps.Fleet.Holders(q.service.Name, q.ask.Model) {
 		if q.g.deps.Client.Warm(e.Address()) {
 			out = append(out, e.ID())
 		}
