--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -234,15 +234,13 @@
   'if q.g.deps.Fleet.Limited(q.service.Name) {' 'if false {' ./platform -run 'UpstreamWithALimit'
 try "hosts alone have a turn each" node/coordinator/signals.go \
   'out.Place = uint32(c.sums.place(r.Host))' '' ./node/coordinator -run 'PlaceOfItsOwn'
-try "a host alone goes by its share" node/fleet/signalled.go \
-  'return max(rest, e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now))' 'return rest' ./node/fleet -run 'ItsShare'
 try "turns that nobody took do not pile up" core/backpressure/pacer.go \
   'return max(p.taken+1/perSecond, at-keepFor.Seconds()-keepTurns/perSecond)' 'return p.taken+1/perSecond' ./core/backpressure
 try "a turn lies a period after the last" core/backpressure/pacer.go \
   'after := max(p.taken+period-rounding,' 'after := max(p.taken+rounding,' ./core/backpressure
 try "what is told on" node/coordinator/signals.go \
   'out.SignalsId, out.SignalsRevision, out.Signals = c.id, revision, encodeSignals(all, now)' \
-  '_ = all; out.SignalsId, out.SignalsRevision = c.id, revision' ./platform -run 'SayThatItLeaves|OtherHosts'
+  '_ = all; out.SignalsId, out.SignalsRevision = c.id, revision' ./platform -run 'OtherHosts'
 try "of answers that cross the stricter holds" core/backpressure/signal.go \
   'if b.Limit.stricter(a.Limit) {' 'if b.Limit != a.Limit {' ./core/backpressure
 try "an older entry of the list does not win" node/fleet/entry.go \
