--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -191,6 +191,9 @@
 func (e *Entry) sweep(now time.Time) (forget bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.signal.Limit.Named {
+		e.fleet.limits.extend(now.Add(limitedFor))
+	}
 	if e.gone && !e.useUntil.IsZero() && now.After(e.useUntil) {
 		e.useUntil = time.Time{}
 		e.leaveLocked("entry did not come back")
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -55,7 +55,8 @@
 	origin  time.Time
 	sharing atomic.Pointer[sharing]
 	holders holders
-	rests   atomic.Int64         // Unix nanoseconds until when some upstream rests
+	rests   deadline             // of upstreams
+	limits  deadline             // for so long some upstream is taken to name a limit
 	signals atomic.Uint64        // rises with each signal that others have to hear
 	early   map[string]Signalled // of upstreams that the list does not name yet; under mu
 }
--- /dev/null
+++ b/node/fleet/limits.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"time"
+
+	"peridotpier.example/core/backpressure"
+)
+
+// Limit is what the upstream takes from all hosts together, by its newest word.
+func (e *Entry) Limit() backpressure.Limit {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.signal.Limit
+}
+
+// limitedFor is how long after the last look at an upstream that names a limit the
+// fleet is taken to have one: many times as long as between two looks.
+const limitedFor = 10 * time.Second
+
+// Limited says whether any upstream of a service that gets work names a limit.
+func (f *Fleet) Limited(service string) bool {
+	if f.limits.passed(f.deps.Now()) {
+		return false
+	}
+	for _, e := range f.Service(service) {
+		if e.Usable() && e.Limit().Named {
+			return true
+		}
+	}
+	return false
+}
+
+// sharing is how this host sends to upstreams that name a limit.
+type sharing struct {
+	share backpressure.Share
+	alone bool      // nobody counts for all; else no request goes there without a turn
+	since time.Time // when that began
+}
+
+// SetShare tells this host's part in what upstreams take that name a limit. Another
+// host counts for all, so that it sends there by turns.
+func (f *Fleet) SetShare(s backpressure.Share) {
+	if was := f.sharing.Load(); was.share != s || was.alone {
+		f.sharing.Store(&sharing{share: s})
+	}
+}
+
+// SetAlone says that nobody counts for all: this host goes by its share from now on.
+func (f *Fleet) SetAlone() {
+	if was := f.sharing.Load(); !was.alone {
+		f.sharing.Store(&sharing{share: was.share, alone: true, since: f.deps.Now()})
+	}
+}
+
+// uncounted is how long an upstream that names a limit is passed over by a host
+// that has no turn for it: until it may have found who gives turns.
+const uncounted = 500 * time.Millisecond
+
+// backoffLocked is for how long nothing more may go to the upstream from here.
+func (e *Entry) backoffLocked(now time.Time) time.Duration {
+	rest := max(e.restUntil.Sub(now), 0)
+	if e.start.Full() {
+		rest = max(rest, TrialWait)
+	}
+	if !e.signal.Limit.Named {
+		return rest
+	}
+	s := e.fleet.sharing.Load()
+	if !s.alone || s.share.Of == 0 {
+		return max(rest, uncounted)
+	}
+	return max(rest, e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now))
+}
+
+// pacerLocked is the pacer of the time since this host has been alone.
+func (e *Entry) pacerLocked(s *sharing) *backpressure.Pacer {
+	if e.pacer == nil || e.paced != s.since {
+		e.pacer, e.paced = backpressure.NewPacer(e.fleet.origin, s.since), s.since
+	}
+	return e.pacer
+}
+
+// Pass says whether a request without a turn may go to the upstream, and counts it.
+func (e *Entry) Pass(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.signal.Limit.Named {
+		return true
+	}
+	s := e.fleet.sharing.Load()
+	return s.alone && s.share.Of > 0 && e.pacerLocked(s).Take(e.signal.Limit.Rate(), s.share, now)
+}
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -27,6 +27,9 @@
 	was := e.told
 	e.signal = backpressure.Latest(e.signal, s)
 	now := e.signal
+	if now.Limit.Named {
+		e.fleet.limits.extend(e.fleet.deps.Now().Add(limitedFor))
+	}
 	limited := now.Limit.Differs(was.Limit)
 	changed := limited || now.Leaving != was.Leaving
 	if changed {
@@ -55,81 +58,6 @@
 	return l.PerSecond
 }
 
-// Limit is what the upstream takes from all hosts together, by its newest word.
-func (e *Entry) Limit() backpressure.Limit {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.signal.Limit
-}
-
-// Limited says whether any upstream of a service that gets work names a limit.
-func (f *Fleet) Limited(service string) bool {
-	for _, e := range f.Service(service) {
-		if e.Usable() && e.Limit().Named {
-			return true
-		}
-	}
-	return false
-}
-
-// sharing is how this host sends to upstreams that name a limit.
-type sharing struct {
-	share backpressure.Share
-	alone bool      // nobody counts for all; else no request goes there without a turn
-	since time.Time // when that began
-}
-
-// SetShare tells this host's part in what upstreams take that name a limit. Another
-// host counts for all, so that it sends there by turns.
-func (f *Fleet) SetShare(s backpressure.Share) {
-	if was := f.sharing.Load(); was.share != s || was.alone {
-		f.sharing.Store(&sharing{share: s})
-	}
-}
-
-// SetAlone says that nobody counts for all: this host goes by its share from now on.
-func (f *Fleet) SetAlone() {
-	if was := f.sharing.Load(); !was.alone {
-		f.sharing.Store(&sharing{share: was.share, alone: true, since: f.deps.Now()})
-	}
-}
-
-// uncounted is how long an upstream that names a limit is passed over by a host
-// that has no turn for it: until it may have found who gives turns.
-const uncounted = 500 * time.Millisecond
-
-// backoffLocked is for how long nothing more may go to the upstream from here.
-func (e *Entry) backoffLocked(now time.Time) time.Duration {
-	rest := max(e.restUntil.Sub(now), 0)
-	if e.start.Full() {
-		rest = max(rest, TrialWait)
-	}
-	if !e.signal.Limit.Named {
-		return rest
-	}
-	s := e.fleet.sharing.Load()
-	if !s.alone || s.share.Of == 0 {
-		return max(rest, uncounted)
-	}
-	return max(rest, e.pacerLocked(s).Wait(e.signal.Limit.Rate(), s.share, now))
-}
-
-// Rest notes that the upstream wants nothing from this host for a time. When that
-// is over, requests come back by a slow start.
-func (e *Entry) Rest(lasts time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if until := e.fleet.deps.Now().Add(lasts); until.After(e.restUntil) {
-		e.restUntil = until
-		e.fleet.restedUntil(until)
-	}
-	e.start.Begin()
-}
-
-// TrialWait is when a request is tried again that waits for how another fares at
-// an upstream after its rest. Mostly that is known, and told, before.
-const TrialWait = 100 * time.Millisecond
-
 // Asking is what one upstream asks for now.
 type Asking struct {
 	Upstream string
@@ -159,69 +87,6 @@
 	return out
 }
 
-// Takes says whether a request that was meant for the upstream may still go there:
-// it has not asked meanwhile for rest, nor said that it leaves.
-func (e *Entry) Takes() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.leaving && !e.fleet.deps.Now().Before(e.restUntil)
-}
-
-// Rests are for how long upstreams want nothing from this host, by their IDs.
-type Rests map[string]time.Duration
-
-// Rests returns those of a service; nil: none.
-func (f *Fleet) Rests(service string) Rests {
-	now := f.deps.Now()
-	if now.UnixNano() >= f.rests.Load() {
-		return nil
-	}
-	var out Rests
-	for _, e := range f.Service(service) {
-		e.mu.Lock()
-		left := e.restUntil.Sub(now)
-		e.mu.Unlock()
-		if left <= 0 {
-			continue
-		}
-		if out == nil {
-			out = Rests{}
-		}
-		out[e.id] = left
-	}
-	return out
-}
-
-// restedUntil notes until when some upstream rests, so that requests need not look
-// at each when none does.
-func (f *Fleet) restedUntil(t time.Time) {
-	for {
-		was := f.rests.Load()
-		if t.UnixNano() <= was || f.rests.CompareAndSwap(was, t.UnixNano()) {
-			return
-		}
-	}
-}
-
-// pacerLocked is the pacer of the time since this host has been alone.
-func (e *Entry) pacerLocked(s *sharing) *backpressure.Pacer {
-	if e.pacer == nil || e.paced != s.since {
-		e.pacer, e.paced = backpressure.NewPacer(e.fleet.origin, s.since), s.since
-	}
-	return e.pacer
-}
-
-// Pass says whether a request without a turn may go to the upstream, and counts it.
-func (e *Entry) Pass(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.signal.Limit.Named {
-		return true
-	}
-	s := e.fleet.sharing.Load()
-	return s.alone && s.share.Of > 0 && e.pacerLocked(s).Take(e.signal.Limit.Rate(), s.share, now)
-}
-
 // signalsMost is how many signals one message carries; the rest follow with the next.
 const signalsMost = 250
 
