An answer that its upstream does not vouch for says nothing of it; reasons of a later release

Found on reading: a 200 without a seal could take its upstream out of use for good. Refusals bear no seal and are heeded by their own word. A reason that a host of a later release tells would have ended the handler that logs it; it counts as no room.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -58,6 +58,15 @@
 	AllBackoff        // those that could answer asked to be sent nothing for now
 )
 
+// ReasonOf reads a reason that another host told; one of a later release counts as
+// no room.
+func ReasonOf(n uint32) Reason {
+	if n > uint32(AllBackoff) {
+		return AllFull
+	}
+	return Reason(n)
+}
+
 // nearness orders the reasons: the higher, the less is missing.
 var nearness = [...]int{NoServer: 0, NoModel: 1, AllBackoff: 2, NoAdapter: 3, AllFull: 4, AllReading: 5, Found: 6}
 
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -89,3 +89,10 @@
 		assert.Assert(t, e.Requests == 0 || e.Tokens+r.Prompt+r.Output <= r.CacheTokens)
 	})
 }
+
+// Guards against a handler that ends on what a host of a later release tells.
+func TestAReasonOfALaterReleaseCountsAsNoRoom(t *testing.T) {
+	assert.Equal(t, balance.ReasonOf(uint32(balance.NoModel)), balance.NoModel)
+	assert.Equal(t, balance.ReasonOf(uint32(balance.AllBackoff)), balance.AllBackoff)
+	assert.Equal(t, balance.ReasonOf(200).String(), "all_full")
+}
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -292,7 +292,7 @@
 	case coordpb.TurnAnswer_OVER:
 		return &gate.Turn{Over: true, Wait: milliseconds(answer.WaitMs)}, nil
 	default:
-		return &gate.Turn{Reason: balance.Reason(answer.Reason), Home: answer.Home, Wait: milliseconds(answer.WaitMs)}, nil
+		return &gate.Turn{Reason: balance.ReasonOf(answer.Reason), Home: answer.Home, Wait: milliseconds(answer.WaitMs)}, nil
 	}
 	return &gate.Turn{Upstream: answer.Upstream, Predicted: milliseconds(answer.PredictedMs),
 		Load: int(answer.Load), Waiting: int(answer.Waiting), Cached: int(answer.Cached), WithinLimit: answer.WithinLimit, Trial: answer.Trial,
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -19,7 +19,8 @@
 // seal, and may leave out what other answers say.
 func (q *request) heed(e *fleet.Entry, status int, a *Answer) {
 	crossed := a.Attempt != q.facts.Attempt && (a.Attempt != "" || !a.NotRun)
-	if crossed || status == http.StatusMisdirectedRequest {
+	refusal := a.NotRun || status == http.StatusServiceUnavailable
+	if crossed || status == http.StatusMisdirectedRequest || !a.Sealed && !refusal {
 		return
 	}
 	s := backpressure.Signal{Limit: a.Limit, Leaving: a.Leaving, Sent: q.sentAt, Heard: q.g.deps.Now()}
--- a/node/gate/signals_test.go
+++ b/node/gate/signals_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/backpressure"
+	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/fleet"
 )
 
@@ -59,3 +60,26 @@
 		assert.Assert(t, models.ended.Load() > 0, "the turn is given back")
 	}
 }
+
+// Guards against an upstream taken out of use by bytes that it does not vouch for.
+func TestAnAnswerThatIsNotVouchedForSaysNothingOfItsUpstream(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		answer Answer
+		heeded bool
+	}{
+		{http.StatusOK, Answer{Attempt: "a1", Sealed: true, Leaving: true}, true},
+		{http.StatusOK, Answer{Attempt: "a1", Leaving: true}, false},
+		{http.StatusOK, Answer{Attempt: "other", Sealed: true, Leaving: true}, false},
+		{http.StatusServiceUnavailable, Answer{Attempt: "a1", NotRun: true, Leaving: true}, true},
+		{http.StatusServiceUnavailable, Answer{NotRun: true, Leaving: true}, true},
+		{http.StatusServiceUnavailable, Answer{Attempt: "other", NotRun: true, Leaving: true}, false},
+		{http.StatusMisdirectedRequest, Answer{Attempt: "a1", NotRun: true, Leaving: true}, false},
+	} {
+		g, f := waiting(&modelless{}, "127.0.0.1:1")
+		e, _ := f.Entry("u")
+		q := &request{g: g, facts: Facts{Attempt: "a1"}, service: &deploy.Service{Name: "s"}, sentAt: time.Now()}
+		q.heed(e, c.status, &c.answer)
+		assert.Equal(t, !e.Usable(), c.heeded, "%d %+v", c.status, c.answer)
+	}
+}
