A host that begins to act leaves the part of limits of those it has not heard

Found on reading: the part of a limit that the acting host gives out is that of the hosts it hears among those it knows, and one that has just begun knows only those that have reported to it. In a split the other side goes on by its shares, or has a host that acts, too: up to twice the limit of a team or of an upstream. Test: TestAHostThatBeginsToActLeavesThePartOfThoseItHasNotHeard (heard 1 before).

--- a/node/coordinator/accounts_test.go
+++ b/node/coordinator/accounts_test.go
@@ -121,6 +121,22 @@
 	assert.Assert(t, wait > 1900*time.Millisecond && wait < 2100*time.Millisecond, "at half of the rate: %v", wait)
 }
 
+// Guards against two hosts that act, in a split, and each give out the whole of a limit.
+func TestAHostThatBeginsToActLeavesThePartOfThoseItHasNotHeard(t *testing.T) {
+	ts, _ := bench("u")
+	ts.c.Hosts = func() int { return 4 }
+	now := ts.c.now()
+	ts.c.beginCounts(now)
+	for i, name := range []string{"a", "b", "a"} {
+		ts.c.sums.take(&coordpb.HostReport{Host: name}, now)
+		assert.Equal(t, ts.c.sums.heard(now), []float64{0.25, 0.5, 0.5}[i])
+	}
+	later := now.Add(hostFresh)
+	ts.c.sums.take(&coordpb.HostReport{Host: "a"}, later)
+	ts.c.sums.take(&coordpb.HostReport{Host: "b"}, later)
+	assert.Equal(t, ts.c.sums.heard(later), 1.0, "the others are gone")
+}
+
 // Failure: the counting host's process is killed and back between two reports, and begins all accounts full.
 func TestAHolderThatIsBackAtOnceHearsHowAccountsStood(t *testing.T) {
 	ts, _ := bench("u")
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -105,6 +105,9 @@
 	// Linked tells the address that this host's own reports go to; set before Run.
 	Linked func() string
 
+	// Hosts tells how many hosts the one had that acted before; set before Run.
+	Hosts func() int
+
 	encodings encodings
 
 	mu        sync.Mutex
@@ -189,10 +192,19 @@
 	if c.standingIn.Swap(true) {
 		return
 	}
+	c.beginCounts(c.now())
+	c.deps.Log.Emit(event.StandingIn, zap.Duration("store_age", c.deps.Feed.Age()))
+}
+
+// beginCounts forgets what this host counted when it acted before: others have
+// counted since, for as many hosts as they told.
+func (c *Coordinator) beginCounts(now time.Time) {
 	c.accounts.begin()
 	c.quarantine.begin()
 	c.turns.begin()
-	c.deps.Log.Emit(event.StandingIn, zap.Duration("store_age", c.deps.Feed.Age()))
+	if c.Hosts != nil {
+		c.sums.expect(c.Hosts(), now)
+	}
 }
 
 // standBack ends that.
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -65,9 +65,7 @@
 	again := c.lastEpoch > 0 && c.lastEpoch+1 == t.Epoch
 	c.units = map[string]*unit{}
 	if !again {
-		c.accounts.begin()
-		c.quarantine.begin()
-		c.turns.begin()
+		c.beginCounts(now)
 	}
 	switch {
 	case t.Epoch <= 1: // nobody was there before
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -71,6 +71,7 @@
 	holdings map[string]holding // by upstream, as the holder told
 	deputies []string           // as the holder last named them
 	hosts    int                // most that were ever seen to share the allowance
+	hostsNow int                // as last told by another
 	signals  signals
 }
 
@@ -88,6 +89,7 @@
 	l := &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, Quarantine: noQuarantine{}, demand: map[demandKey]*coordpb.Demand{}}
 	l.asking = newAsking(l)
 	if own != nil {
+		own.Hosts = l.hostsTold
 		own.accounts.word = func(team string) (quota.Word, bool) { return l.teams.word(team, own.now()) }
 	}
 	return l
@@ -134,6 +136,13 @@
 // Linked says whether this host is linked to one that acts for all.
 func (l *Link) Linked() bool { return l.where() != "" }
 
+// hostsTold is how many hosts the one had that last told this one; 0: none did.
+func (l *Link) hostsTold() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hostsNow
+}
+
 // Hosts is how many hosts share the allowance of repeats.
 func (l *Link) Hosts() int {
 	l.mu.Lock()
@@ -205,6 +214,7 @@
 func (l *Link) takeSignals(s *coordpb.SiteState, told uint64) {
 	if s.SignalsId != l.own.id {
 		l.mu.Lock()
+		l.hostsNow = int(s.Hosts)
 		l.signals.take(s, told)
 		l.mu.Unlock()
 		l.own.deps.Fleet.HeedAll(decodeSignals(s.Signals, l.own.now()), fromHolder)
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -36,6 +36,9 @@
 
 	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
 
+	expected   int // hosts that another that acted had, until then
+	expectedBy time.Time
+
 	named   []string // of deputies, as of namedAt
 	namedAt time.Time
 	words   map[string]bool // of suspects, as of wordsAt
@@ -150,11 +153,23 @@
 	return s.places[host]
 }
 
+// expect notes how many hosts another had that acted before. Those that do not
+// report here may be cut off, and go on by their shares.
+func (s *sums) expect(hosts int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected, s.expectedBy = hosts, now.Add(hostFresh)
+}
+
 // heard is the part of the hosts that share the limits which has reported lately.
 func (s *sums) heard(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.hosts) == 0 {
+	all := len(s.hosts)
+	if now.Before(s.expectedBy) {
+		all = max(all, s.expected)
+	}
+	if all == 0 {
 		return 1
 	}
 	fresh := 0
@@ -163,7 +178,7 @@
 			fresh++
 		}
 	}
-	return float64(max(fresh, 1)) / float64(len(s.hosts))
+	return float64(max(fresh, 1)) / float64(all)
 }
 
 // suspectHosts is how many hosts must leave an upstream alone for all to do so.
