Failing test: a begun stream is cut when the upstreams that could go on with it refuse it

Traced from the histories: a run of a resumable stream is left for the silence of its upstream, 1 to 3 s after it began; the next upstreams answer 503 or 421 (not run); 10 ms later the connection is closed in the middle of the answer. The bounds that end it are those of requests that can still be refused: attempts and refused sends, or the allowance of repeats, or, with few upstreams, that all have been tried (held to the deadline, then cut).

--- a/node/gate/silent_test.go
+++ b/node/gate/silent_test.go
@@ -22,8 +22,15 @@
 // silenced is a gate whose upstreams are found silent after a short time. Its
 // one route is of the given kind, may be resumed and allows two attempts.
 func silenced(t *testing.T, kind deploy.Kind, upstreams ...http.HandlerFunc) (host *httptest.Server, f *fleet.Fleet) {
+	t.Helper()
+	return silencedWith(t, plainCodec{}, kind, upstreams...)
+}
+
+// silencedWith is silenced with another codec.
+func silencedWith(t *testing.T, codec Codec, kind deploy.Kind, upstreams ...http.HandlerFunc) (host *httptest.Server, f *fleet.Fleet) {
 	t.Helper()
 	g, _ := waiting(&modelless{}, "")
+	g.deps.Codec = codec
 	policy := health.Default
 	policy.Silence = silence
 	f = fleet.New(fleet.Config{Health: policy}, fleet.Deps{Log: g.deps.Log})
@@ -231,3 +238,44 @@
 	assert.Assert(t, time.Since(began) >= hedgeShare*slowObjective, "the first was the slow one")
 	assert.Assert(t, time.Since(began) < 10*hedgeShare*slowObjective, "%v", time.Since(began))
 }
+
+// refusingCodec takes a 503 for a refusal.
+type refusingCodec struct{ plainCodec }
+
+func (c refusingCodec) Answer(status int, h http.Header) Answer {
+	a := c.plainCodec.Answer(status, h)
+	a.NotRun = status == http.StatusServiceUnavailable
+	return a
+}
+
+// Guards against a stream that has begun and ends without its end, since the upstreams
+// that could go on with it refuse it for a moment.
+func TestABegunStreamIsNotCutByUpstreamsThatRefuseIt(t *testing.T) {
+	for _, upstreams := range []int{2, 8} {
+		t.Run(fmt.Sprint(upstreams, " upstreams"), func(t *testing.T) {
+			var calls atomic.Int32
+			var began atomic.Int64
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case calls.Add(1) == 1:
+					began.Store(time.Now().UnixNano())
+					writeEvent(w, 1)
+					<-r.Context().Done()
+				case time.Since(time.Unix(0, began.Load())) < 8*silence:
+					w.WriteHeader(http.StatusServiceUnavailable)
+				default:
+					writeEvent(w, 2)
+				}
+			}
+			all := make([]http.HandlerFunc, upstreams)
+			for i := range all {
+				all[i] = serve
+			}
+			host, _ := silencedWith(t, refusingCodec{}, deploy.Stream, all...)
+			status, body, err := ask(t, host)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n")
+		})
+	}
+}
