An answer that has begun is gone on with until its time is over, however often it is refused

Callers: streams that ended in the middle, 10 ms after an upstream had refused to go on with them, in series of restarts and while engines are replaced. Cause: the bounds that end a request which can still be refused (attempts, refused sends, the allowance of repeats, all upstreams tried) ended one that cannot be any more, with seconds of its time left. Class: a bound whose answer is "come back" applied where there is no such answer. Ruled out: to stay with a silent upstream (some are dark; it was weighed before), to keep the former run while another is asked (two runs of one request at once). It is tried again after pauses of 50 to 800 ms, each try within the allowance of repeats, at any upstream.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -180,6 +180,7 @@
 	after       string          // last whole event that the caller has
 	last        string          // upstream of the newest attempt
 	adapterAsks int
+	resumePause time.Duration  // the last one before another try to go on with a begun answer
 	waitsFor    balance.Reason // that was logged last
 	kept        func()         // delivers a failed answer that a repeat may better; nil: none
 
@@ -363,6 +364,13 @@
 		q.lost = q.lost || !res.notRun
 		return true
 	}
+	if q.maybe < max(q.route.Attempts, 1) && q.resumeLater(res) {
+		return true
+	}
+	if q.r.Context().Err() != nil { // in a pause
+		q.left()
+		return false
+	}
 	if q.kept != nil {
 		q.kept()
 		return false
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -168,6 +168,9 @@
 	if p.Reason == balance.NoModel {
 		return q.awaitModel(p)
 	}
+	if q.triedAll(p) {
+		return q.pauseResume() || q.giveUp(p.Reason)
+	}
 	until := q.start.Add(q.hold(p.Reason))
 	if p.Reason == balance.NoAdapter && p.home != nil {
 		return q.fetchAdapter(p)
