A begun answer is not cut for want of an adapter either

It asks again after a pause, as long as its time lasts. Test: TestABegunAnswerIsNotCutForWantOfAnAdapter (the request was given up before).

--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -169,7 +169,7 @@
 		return q.awaitModel(p)
 	}
 	if q.triedAll(p) {
-		return q.pauseResume() || q.giveUp(p.Reason)
+		return q.giveUpUnbegun(p.Reason)
 	}
 	until := q.start.Add(q.hold(p.Reason))
 	if p.Reason == balance.NoAdapter && p.home != nil {
@@ -302,7 +302,7 @@
 func (q *request) fetchAdapter(p picked) bool {
 	d := &q.g.deps
 	if q.adapterAsks++; q.adapterAsks > adapterTries {
-		return q.giveUp(p.Reason)
+		return q.giveUpUnbegun(p.Reason)
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, adapterHold)
 	defer cancel()
@@ -311,7 +311,7 @@
 	err := d.Models.Adapter(ctx, p.home.ID(), q.ask.Model, q.ask.Adapter)
 	if err != nil {
 		d.Log.Emit(event.RequestWaits, q.id(), zap.String("why", "adapter"), zap.Error(err))
-		return q.giveUp(p.Reason)
+		return q.giveUpUnbegun(p.Reason)
 	}
 	return true
 }
--- a/node/gate/resume.go
+++ b/node/gate/resume.go
@@ -48,6 +48,16 @@
 	return true
 }
 
+// giveUpUnbegun gives a request up for a reason, unless its answer has begun: that is
+// gone on with after a pause, with what it may ask for as at first.
+func (q *request) giveUpUnbegun(r balance.Reason) bool {
+	if !q.started || !q.pauseResume() {
+		return q.giveUp(r)
+	}
+	q.adapterAsks = 0
+	return true
+}
+
 // triedAll says whether an answer that has begun has nowhere to go on since it was
 // tried everywhere.
 func (q *request) triedAll(p picked) bool {
--- /dev/null
+++ b/node/gate/resume_test.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/balance"
+)
+
+// adapterless is a host that loads no adapter.
+type adapterless struct{ modelless }
+
+func (*adapterless) Adapter(context.Context, string, string, string) error {
+	return errors.New("no place")
+}
+
+// Guards against a begun stream that is cut since its adapter is not there at the moment.
+func TestABegunAnswerIsNotCutForWantOfAnAdapter(t *testing.T) {
+	for _, started := range []bool{true, false} {
+		g, f := waiting(&adapterless{}, "127.0.0.1:1")
+		home, _ := f.Entry("u")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		w := httptest.NewRecorder()
+		q := &request{g: g, w: w, r: httptest.NewRequest(http.MethodPost, "/x", nil), ctx: ctx, started: started, tried: map[string]bool{"u": true}}
+		p := picked{Decision: balance.Decision{Index: -1, Reason: balance.NoAdapter}, home: home}
+		for range adapterTries + 2 {
+			goesOn := q.fetchAdapter(p)
+			assert.Equal(t, goesOn, started)
+			if !started {
+				break
+			}
+			assert.Equal(t, len(q.tried), 0, "any upstream may be tried again")
+		}
+		assert.Equal(t, w.Code == http.StatusServiceUnavailable, !started)
+	}
+}
