pierctl: one command of a host's page

quarantine and upstreams had their flags, the check of the address, the time of a call and the listing twice. Both embed hostPage now; what they print and refuse is as before (go test ./cmd/pierctl, and both by hand with a wrong address and a host that is not there).

--- a/cmd/pierctl/hostpage.go
+++ b/cmd/pierctl/hostpage.go
@@ -3,11 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
+	"os"
 	"time"
 
+	"github.com/google/subcommands"
+
 	"peridotpier.example/cmd/internal/exit"
 )
 
@@ -17,6 +23,52 @@
 // pageMost bounds a host's answer, in bytes.
 const pageMost = 4 << 20
 
+// hostPage is what the commands share that ask a host of a routed deployment, at
+// its metrics address.
+type hostPage struct {
+	address string
+	json    bool
+}
+
+func (p *hostPage) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&p.address, "metrics", "", "metrics address of a host, IP:port")
+	f.BoolVar(&p.json, "json", false, "print JSON")
+}
+
+// execute checks the address and runs the command within the time of one call.
+func (p *hostPage) execute(ctx context.Context, f *flag.FlagSet, usage string, run func(context.Context) error) subcommands.ExitStatus {
+	if _, err := netip.ParseAddrPort(p.address); err != nil || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return exit.Usage
+	}
+	ctx, cancel := context.WithTimeout(ctx, pageBound)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		return exit.Print(os.Stderr, p.json, err)
+	}
+	return exit.OK
+}
+
+// listPage prints each entry of a page by its line, or the page as it is.
+func listPage[T any](ctx context.Context, p *hostPage, path string, line func(*T) string) error {
+	data, err := callPage(ctx, http.MethodGet, p.address, path)
+	if err != nil {
+		return err
+	}
+	if p.json {
+		_, err = os.Stdout.Write(data)
+		return err
+	}
+	var all []T
+	if err := json.Unmarshal(data, &all); err != nil {
+		return fmt.Errorf("answer of %s: %w", p.address, err)
+	}
+	for i := range all {
+		fmt.Println(line(&all[i]))
+	}
+	return nil
+}
+
 // callPage calls a page at a host's metrics address.
 func callPage(ctx context.Context, method, address, path string) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
--- a/cmd/pierctl/quarantine.go
+++ b/cmd/pierctl/quarantine.go
@@ -2,25 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
-	"net/netip"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
 
-	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/node/host"
 )
 
 // quarantineCommand lists the requests that end upstreams, and ends a bar.
 type quarantineCommand struct {
-	address string
+	hostPage
 	release string
-	json    bool
 }
 
 // Name implements subcommands.Command, as the methods below do.
@@ -36,22 +31,12 @@
 }
 
 func (c *quarantineCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.address, "metrics", "", "metrics address of a host, IP:port")
+	c.hostPage.SetFlags(f)
 	f.StringVar(&c.release, "release", "", "digest of a request to serve again")
-	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 func (c *quarantineCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if _, err := netip.ParseAddrPort(c.address); err != nil || f.NArg() > 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return exit.Usage
-	}
-	ctx, cancel := context.WithTimeout(ctx, pageBound)
-	defer cancel()
-	if err := c.run(ctx); err != nil {
-		return exit.Print(os.Stderr, c.json, err)
-	}
-	return exit.OK
+	return c.execute(ctx, f, c.Usage(), c.run)
 }
 
 func (c *quarantineCommand) run(ctx context.Context) error {
@@ -59,20 +44,7 @@
 		_, err := callPage(ctx, http.MethodDelete, c.address, host.QuarantinePath+"/"+c.release)
 		return err
 	}
-	data, err := callPage(ctx, http.MethodGet, c.address, host.QuarantinePath)
-	if err != nil {
-		return err
-	}
-	if c.json {
-		_, err = os.Stdout.Write(data)
-		return err
-	}
-	var held []host.HeldRequest
-	if err := json.Unmarshal(data, &held); err != nil {
-		return fmt.Errorf("answer of %s: %w", c.address, err)
-	}
-	for _, h := range held {
-		fmt.Printf("%s  %-9s  crashes %d  bars %d  for %s\n", h.Content, h.State, h.Crashes, h.Bars, time.Duration(h.ForMs)*time.Millisecond)
-	}
-	return nil
+	return listPage(ctx, &c.hostPage, host.QuarantinePath, func(h *host.HeldRequest) string {
+		return fmt.Sprintf("%s  %-9s  crashes %d  bars %d  for %s", h.Content, h.State, h.Crashes, h.Bars, time.Duration(h.ForMs)*time.Millisecond)
+	})
 }
--- a/cmd/pierctl/upstreams.go
+++ b/cmd/pierctl/upstreams.go
@@ -2,25 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"net/http"
-	"net/netip"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
 
-	"peridotpier.example/cmd/internal/exit"
 	"peridotpier.example/node/host"
 )
 
 // upstreamsCommand lists the upstreams that ask for something.
-type upstreamsCommand struct {
-	address string
-	json    bool
-}
+type upstreamsCommand struct{ hostPage }
 
 // Name implements subcommands.Command, as the methods below do.
 func (*upstreamsCommand) Name() string { return "upstreams" }
@@ -34,41 +26,14 @@
 `
 }
 
-func (c *upstreamsCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.address, "metrics", "", "metrics address of a host, IP:port")
-	f.BoolVar(&c.json, "json", false, "print JSON")
-}
-
 func (c *upstreamsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if _, err := netip.ParseAddrPort(c.address); err != nil || f.NArg() > 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
-		return exit.Usage
-	}
-	ctx, cancel := context.WithTimeout(ctx, pageBound)
-	defer cancel()
-	if err := c.run(ctx); err != nil {
-		return exit.Print(os.Stderr, c.json, err)
-	}
-	return exit.OK
+	return c.execute(ctx, f, c.Usage(), c.run)
 }
 
 func (c *upstreamsCommand) run(ctx context.Context) error {
-	data, err := callPage(ctx, http.MethodGet, c.address, host.UpstreamsPath)
-	if err != nil {
-		return err
-	}
-	if c.json {
-		_, err = os.Stdout.Write(data)
-		return err
-	}
-	var all []host.AskingUpstream
-	if err := json.Unmarshal(data, &all); err != nil {
-		return fmt.Errorf("answer of %s: %w", c.address, err)
-	}
-	for _, u := range all {
-		fmt.Printf("%s  %s  %s\n", u.Upstream, u.Service, asked(&u))
-	}
-	return nil
+	return listPage(ctx, &c.hostPage, host.UpstreamsPath, func(u *host.AskingUpstream) string {
+		return fmt.Sprintf("%s  %s  %s", u.Upstream, u.Service, asked(u))
+	})
 }
 
 // asked says what one upstream asks for.
