Fleet: one place says that a model is what is missing; a heartbeat that tells nothing new changes no index

The turn and the pick each worked out whether a service has upstreams beside those that may hold a model; Fleet.Lacks does for both. Each heartbeat of each upstream took the index's one lock, also with the models it had: 2,000 a second at 2,500 upstreams. Behaviour as before; tests of the three packages with the race detector.

--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -164,9 +164,7 @@
 func (t *turns) try(w *turn, now time.Time) balance.Reason {
 	entries := t.c.deps.Fleet.Holders(w.event.Service, w.ask.Model)
 	d := t.pick(w, entries, now)
-	if d.Reason == balance.NoServer && w.ask.Model != "" && t.c.deps.Fleet.Serves(w.event.Service, func(e *fleet.Entry) bool {
-		return slices.Contains(entries, e) || t.leftAlone(e, w, now)
-	}) {
+	if d.Reason == balance.NoServer && t.c.deps.Fleet.Lacks(w.event.Service, w.ask.Model, func(e *fleet.Entry) bool { return t.leftAlone(e, w, now) }) {
 		d.Reason = balance.NoModel
 	}
 	if d.Index < 0 && !waits(d.Reason) {
--- a/node/fleet/holders.go
+++ b/node/fleet/holders.go
@@ -57,12 +57,15 @@
 	return f.holders.of[holding{service, model}]
 }
 
-// Serves says whether any upstream of a service may be sent work, but for those
-// passed over.
-func (f *Fleet) Serves(service string, passed func(*Entry) bool) bool {
-	now := f.deps.Now()
+// Lacks says whether upstreams of a service may be sent work that cannot hold a
+// model, but for those passed over: what keeps a request for it is then the model.
+func (f *Fleet) Lacks(service, model string, passed func(*Entry) bool) bool {
+	if model == "" {
+		return false
+	}
+	now, holders := f.deps.Now(), f.Holders(service, model)
 	return slices.ContainsFunc(f.Service(service), func(e *Entry) bool {
-		return e.Usable() && !e.down(now) && !passed(e)
+		return e.Usable() && !e.down(now) && !slices.Contains(holders, e) && !passed(e)
 	})
 }
 
@@ -80,6 +83,9 @@
 			}
 		}
 	}
+	if slices.Equal(next, e.indexed) { // as for nearly every heartbeat
+		return
+	}
 	e.fleet.holders.update(e, e.indexed, next)
 	e.indexed = next
 }
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -114,9 +113,7 @@
 	if p.Home >= 0 {
 		p.home = entries[p.Home]
 	}
-	if p.Reason == balance.NoServer && r.Model != "" && d.Fleet.Serves(q.service.Name, func(e *fleet.Entry) bool {
-		return slices.Contains(entries, e) || q.tried[e.ID()]
-	}) {
+	if p.Reason == balance.NoServer && d.Fleet.Lacks(q.service.Name, q.ask.Model, func(e *fleet.Entry) bool { return q.tried[e.ID()] }) {
 		p.Reason = balance.NoModel
 	}
 	if p.Index < 0 {
