One reading of Retry-After for what a caller is told and for the rest of an upstream

The adapter's reading of a rest was a second one beside the gate's. backpressure.RetryAfter serves both; each keeps its bound (an hour: a rest is cut to it, a longer time is not told to callers). A NaN, which the gate took for a time, is none now. Tests of platform's headers as they were: green.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
@@ -180,13 +181,17 @@
 // refusalMost bounds what is read of a refusal to keep its connection, in bytes.
 const refusalMost = 16 << 10
 
-// retryAfter reads how long to stay away, in seconds with a fraction.
+// longestTold is the longest time to stay away that is passed on to a caller.
+const longestTold = time.Hour
+
+// retryAfter reads how long an upstream wants its caller to stay away; 0: it does
+// not say, or longer than a caller can be told.
 func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || s < 0 || s > 3600 {
-		return 0 // none, or a date, which upstreams here do not send
+	after := backpressure.RetryAfter(h.Get("Retry-After"))
+	if after > longestTold {
+		return 0
 	}
-	return time.Duration(s * float64(time.Second))
+	return after
 }
 
 // wholeMost is the largest answer, in bytes, that is taken in whole before its
