A repeat is told and counted in one place

The try to go on with a begun answer logged and counted itself as again() does; again() does it for both now, with paused_ms where there was a pause.

--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -357,16 +357,13 @@
 		q.fail(http.StatusBadGateway, res.why)
 		return false
 	}
-	if q.ctx.Err() == nil && q.maybe < max(q.route.Attempts, 1) && q.mayGoOn(res) {
+	if q.ctx.Err() == nil && q.maybe < max(q.route.Attempts, 1) && (q.mayGoOn(res) || q.resumeLater(res)) {
 		q.g.deps.Log.Emit(event.RequestAgain, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.last),
-			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun))
+			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun), q.paused())
 		q.g.deps.Metrics.Count(metrics.Repeats, 1)
 		q.lost = q.lost || !res.notRun
 		return true
 	}
-	if q.maybe < max(q.route.Attempts, 1) && q.resumeLater(res) {
-		return true
-	}
 	if q.r.Context().Err() != nil { // in a pause
 		q.left()
 		return false
--- a/node/gate/resume.go
+++ b/node/gate/resume.go
@@ -6,8 +6,6 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/balance"
-	"peridotpier.example/node/event"
-	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/pace"
 )
 
@@ -28,15 +26,20 @@
 	}
 	for q.pauseResume() {
 		if q.g.deps.Repeats.Take(q.service.Name, q.g.deps.Now()) {
-			q.g.deps.Log.Emit(event.RequestAgain, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.last),
-				zap.Int("sends", q.sends), zap.Bool("not_run", true), zap.Int64("paused_ms", q.resumePause.Milliseconds()))
-			q.g.deps.Metrics.Count(metrics.Repeats, 1)
 			return true
 		}
 	}
 	return false
 }
 
+// paused tells in logs the last pause before a begun answer was gone on with.
+func (q *request) paused() zap.Field {
+	if q.resumePause == 0 {
+		return zap.Skip()
+	}
+	return zap.Int64("paused_ms", q.resumePause.Milliseconds())
+}
+
 // pauseResume lets a pause pass, after which any upstream may be tried. It says no
 // when the request's time is over.
 func (q *request) pauseResume() bool {
