--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -150,9 +150,6 @@
 	// callers wait for a load: so many seconds of an engine's time, for as long
 	// as the load keeps a place from serving. A load of 2.5 s takes the place of
 	// idle models only; one of half a second is worth a place of a hot one.
-	// Played at 1 and at a fixed pressure of 1: where loads take 2.4 s the fixed
-	// one costs 0.02 of worth, where they take 0.5 s both serve four fifths of
-	// the callers who were refused at 0.4.
 	patientSeconds = 1.0
 	// shortestLoad bounds what follows from a load time that is not told, in seconds.
 	shortestLoad = 0.2
--- a/node/gate/turn.go
+++ b/node/gate/turn.go
@@ -108,7 +108,6 @@
 	leastShare = 0.5
 	// mostShare is the part of its objective after which it is refused: its
 	// answer would be late, and what has just come can still be served in time.
-	// Waits of up to two objectives served no more callers, and fewer in time.
 	mostShare = 0.8
 )
 
