--- /dev/null
+++ b/core/changes/changes.go
@@ -0,0 +1,69 @@
+// Package changes remembers in which order things changed last, so that what is
+// new since a revision is found without a look at all that there is.
+package changes
+
+import "sort"
+
+// Log holds the newest change of each key. Its owner guards it. The zero Log is empty.
+type Log[K comparable] struct {
+	newest map[K]uint64
+	order  []change[K] // by revision; those that a later change of the same key follows are skipped
+}
+
+type change[K comparable] struct {
+	key      K
+	revision uint64
+}
+
+// slack is how many superseded changes are kept in any case, before they are dropped.
+const slack = 64
+
+// Note enters a change. Revisions must not fall.
+func (l *Log[K]) Note(key K, revision uint64) {
+	if l.newest == nil {
+		l.newest = map[K]uint64{}
+	}
+	if l.newest[key] == revision {
+		return
+	}
+	l.newest[key] = revision
+	l.order = append(l.order, change[K]{key, revision})
+	if len(l.order) > 2*len(l.newest)+slack {
+		l.compact()
+	}
+}
+
+// Drop forgets a key.
+func (l *Log[K]) Drop(key K) { delete(l.newest, key) }
+
+func (l *Log[K]) compact() {
+	kept := make([]change[K], 0, len(l.newest))
+	for _, c := range l.order {
+		if l.current(c) {
+			kept = append(kept, c)
+		}
+	}
+	l.order = kept
+}
+
+func (l *Log[K]) current(c change[K]) bool {
+	revision, ok := l.newest[c.key]
+	return ok && revision == c.revision
+}
+
+// Since returns the keys whose newest change is after a revision, the oldest change
+// first, and the revision of the last one; no more than most, but all of one
+// revision. to is 0 if there are none; whole says that there are no more.
+func (l *Log[K]) Since(revision uint64, most int) (keys []K, to uint64, whole bool) {
+	from := sort.Search(len(l.order), func(i int) bool { return l.order[i].revision > revision })
+	for _, c := range l.order[from:] {
+		if !l.current(c) {
+			continue
+		}
+		if len(keys) >= most && c.revision != to {
+			return keys, to, false
+		}
+		keys, to = append(keys, c.key), c.revision
+	}
+	return keys, to, true
+}
--- a/core/health/bound.go
+++ b/core/health/bound.go
@@ -5,9 +5,10 @@
 // leaving them alone would turn some failures into none served.
 const spareShare = 0.34
 
-// Failing picks, from the failure shares of a service's upstreams, those that
-// stand out. A share below 0 is one that stands on too few answers.
-func Failing(p Policy, shares []float64) []bool {
+// Failing picks, from the failure shares of some of a service's upstreams, those
+// that stand out; all is how many it has. A share below 0 is one that stands on
+// too few answers, as are those of the others.
+func Failing(p Policy, shares []float64, all int) []bool {
 	out := make([]bool, len(shares))
 	known, sum := 0, 0.0
 	for _, s := range shares {
@@ -16,7 +17,7 @@
 			sum += s
 		}
 	}
-	room := int(spareShare * float64(len(shares)))
+	room := int(spareShare * float64(all))
 	for known > 1 && room > 0 {
 		worst := -1
 		for i, s := range shares {
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -55,8 +55,8 @@
 // Sequence: one in seven answers of each is a failure.
 // Cause: failures are judged without looking at the others.
 func TestOnlyThoseThatStandOutAreFailing(t *testing.T) {
-	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.16, 0.12}), []bool{false, false, false})
-	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.6, 0.12}), []bool{false, true, false})
-	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, 0.9, 0.1}), []bool{true, false, false})
-	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, -1}), []bool{false, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.16, 0.12}, 3), []bool{false, false, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.14, 0.6, 0.12}, 3), []bool{false, true, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, 0.9, 0.1}, 3), []bool{true, false, false})
+	assert.DeepEqual(t, health.Failing(health.Default, []float64{0.9, -1}, 2), []bool{false, false})
 }
--- a/node/coordinator/holder_bench_test.go
+++ b/node/coordinator/holder_bench_test.go
@@ -10,6 +10,8 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
 )
 
 // holderSize is a deployment that one holder of the lease acts for.
@@ -146,3 +148,30 @@
 		})
 	}
 }
+
+// BenchmarkHostLook is what each host does by itself between two reports, which it
+// makes of three upstreams that it uses: two sweeps, the report, and the entry of its
+// answer.
+func BenchmarkHostLook(b *testing.B) {
+	for _, s := range holderSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := s.holder()
+			c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config, Upstreams: c.deps.Fleet})
+			l := NewLink(LinkConfig{Host: "h1", Address: "a"}, c, nil, c.deps.Log)
+			for i := range 3 {
+				e, _ := c.deps.Fleet.Entry(upstreamName(i))
+				e.Begin(&fleet.Ask{Model: modelName(i)}, fleet.Cost{Prompt: 10})
+			}
+			known := s.report(1)
+			known.Revision = c.revision
+			answer := c.report(known)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.deps.Fleet.Sweep()
+				c.deps.Fleet.Sweep()
+				l.report()
+				l.take(answer)
+			}
+		})
+	}
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -67,21 +66,14 @@
 	begun    bool      // that is another one than at the last report
 	ownName  bool      // the host asked last took this one for the holder
 	revision uint64
-	list     uint64             // change of the holder's list up to which this host has it
-	holdings map[string]holding // by upstream, as the holder told
-	deputies []string           // as the holder last named them
-	hosts    int                // most that were ever seen to share the allowance
-	hostsNow int                // as last told by another
+	list     uint64   // change of the holder's list up to which this host has it
+	heard    uint64   // how many times another host became the one that acts for all
+	deputies []string // as the holder last named them
+	hosts    int      // most that were ever seen to share the allowance
+	hostsNow int      // as last told by another
 	signals  signals
 }
 
-// holding is what one process of an upstream holds.
-type holding struct {
-	born      int64
-	residents []deploy.Resident
-	coming    []fleet.Coming
-}
-
 type demandKey struct{ service, model, adapter string }
 
 // NewLink makes a Link that is not linked.
@@ -286,10 +278,8 @@
 // report gathers what this host tells.
 func (l *Link) report() *coordpb.HostReport {
 	r := l.introduction()
-	for _, e := range l.own.deps.Fleet.All() {
-		if own := e.OwnLoad(); own.Requests > 0 {
-			r.Loads = append(r.Loads, &coordpb.Load{Upstream: e.ID(), Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
-		}
+	for _, own := range l.own.deps.Fleet.Sent() {
+		r.Loads = append(r.Loads, &coordpb.Load{Upstream: own.Upstream, Requests: uint32(own.Requests), Waiting: uint32(max(own.Waiting, 0)), Tokens: uint32(max(own.Tokens, 0))})
 	}
 	r.Silent = l.own.deps.Fleet.Down()
 	l.teams.report(r, l.own.now())
@@ -319,54 +309,53 @@
 	if len(s.Deputies) > 0 {
 		l.deputies = s.Deputies
 	}
-	l.hosts = max(l.hosts, int(s.Hosts))
-	holdings := l.keepHoldings(s)
+	l.hosts, l.revision = max(l.hosts, int(s.Hosts)), s.Revision
+	heard := l.heard
 	l.mu.Unlock()
 	if t := l.own.deps.Config.Current(); t != nil {
 		l.teams.keep(t.Config.Teams, now)
 	}
+	until := now.Add(reportFresh)
 	l.teams.tell(s, now)
-	others := make(map[string]*coordpb.Load, len(s.Others))
-	for _, o := range s.Others {
-		others[o.Upstream] = o
+	l.takeOthers(s, until)
+	l.own.deps.Fleet.Trust(heard, until)
+	l.own.deps.Fleet.Believe(holdings(s, now), now)
+	l.own.deps.Fleet.Tell()
+}
+
+// takeOthers enters what the other hosts have sent, which counts until then.
+func (l *Link) takeOthers(s *coordpb.SiteState, until time.Time) {
+	t := l.own.deps.Config.Current()
+	if t == nil {
+		return
 	}
-	for _, e := range l.own.deps.Fleet.All() {
-		if s.ModelsLater && l.own.runsModels(e.Service()) {
+	loads := map[string]map[string]fleet.Load{}
+	for _, o := range s.Others {
+		e, ok := l.own.deps.Fleet.Entry(o.Upstream)
+		if !ok {
 			continue
 		}
-		o := others[e.ID()] // none: the others have sent nothing there
-		e.SetOthers(fleet.Load{Requests: int(o.GetRequests()), Waiting: int(o.GetWaiting()), Tokens: int(o.GetTokens())}, now)
+		if loads[e.Service()] == nil {
+			loads[e.Service()] = map[string]fleet.Load{}
+		}
+		loads[e.Service()][o.Upstream] = loadOf(o)
 	}
-	for id, h := range holdings {
-		if e, ok := l.own.deps.Fleet.Entry(id); ok && e.Born() == h.born {
-			e.Expect(h.coming)
-			e.Believe(h.residents, now)
+	for i := range t.Config.Services {
+		service := &t.Config.Services[i]
+		if s.ModelsLater && service.Engine != nil {
+			continue
 		}
+		l.own.deps.Fleet.SetOthers(service.Name, loads[service.Name], until)
 	}
-	l.own.deps.Fleet.Tell()
 }
 
-// keepHoldings enters what changed at the holder and returns a copy of all that
-// it told. What an upstream holds may be told before the list names it here, and
-// is told once only, so that nothing is dropped for want of an entry. l.mu is held.
-func (l *Link) keepHoldings(s *coordpb.SiteState) map[string]holding {
-	l.revision = s.Revision
-	if l.holdings == nil {
-		l.holdings = map[string]holding{}
+// holdings reads what an answer tells of what upstreams hold.
+func holdings(s *coordpb.SiteState, now time.Time) []fleet.Held {
+	out := make([]fleet.Held, len(s.Holdings))
+	for i, h := range s.Holdings {
+		out[i] = fleet.Held{Upstream: h.Upstream, Born: h.Born, Residents: residents(h), Coming: coming(h, now)}
 	}
-	for _, h := range s.Holdings {
-		l.holdings[h.Upstream] = holding{born: h.Born, residents: residents(h), coming: coming(h, l.own.now())}
-	}
-	for _, id := range s.Gone {
-		delete(l.holdings, id)
-	}
-	if l.own.Holding() { // it tells itself of no list; what it tells of is in its own
-		maps.DeleteFunc(l.holdings, func(id string, _ holding) bool {
-			_, known := l.own.deps.Fleet.Entry(id)
-			return !known
-		})
-	}
-	return maps.Clone(l.holdings)
+	return out
 }
 
 func residents(h *coordpb.Holding) []deploy.Resident {
@@ -400,7 +389,7 @@
 	l.mu.Lock()
 	was := l.address
 	if was == address {
-		l.address, l.failed, l.revision, l.list, l.holdings = "", 0, 0, 0, nil
+		l.address, l.failed, l.revision, l.list = "", 0, 0, 0
 	}
 	l.mu.Unlock()
 	if was == address {
@@ -424,7 +413,8 @@
 		return false
 	}
 	l.mu.Lock()
-	l.address, l.failed, l.revision, l.list, l.holdings = address, 0, 0, 0, nil
+	l.address, l.failed, l.revision, l.list = address, 0, 0, 0
+	l.heard++
 	l.modelsAt = time.Time{}
 	l.mu.Unlock()
 	l.takeRelay(s) // first: what upstreams hold goes by the list of them
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -27,7 +27,7 @@
 	if from == 0 && r.PackedList { // without a copy of the list for each that asks
 		return c.relayWhole(at, out)
 	}
-	change := c.deps.Fleet.Since(from)
+	change := c.deps.Fleet.Since(from, false)
 	if change.Full && r.PackedList {
 		return c.relayWhole(at, out)
 	}
@@ -38,7 +38,7 @@
 
 // relayWhole adds the whole list, packed.
 func (c *Coordinator) relayWhole(at uint64, out *coordpb.SiteState) error {
-	w, err := c.encodings.whole(c.now(), at, func() fleet.Change { return c.deps.Fleet.Since(0) })
+	w, err := c.encodings.whole(c.now(), at, func() fleet.Change { return c.deps.Fleet.Since(0, false) })
 	if err != nil {
 		return err
 	}
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -67,7 +67,7 @@
 		out.Config = plain
 	}
 	var err error
-	out.Upstreams, err = s.c.encodings.upstreams(s.c.deps.Fleet.Since(0).Put)
+	out.Upstreams, err = s.c.encodings.upstreams(s.c.deps.Fleet.Since(0, false).Put)
 	return out, err
 }
 
--- a/node/coordinator/serve_test.go
+++ b/node/coordinator/serve_test.go
@@ -63,8 +63,10 @@
 	f.Apply([]deploy.Upstream{{ID: "u", Service: "s"}}, nil, 1)
 	link.take(&coordpb.SiteState{Revision: 1})
 	assert.Assert(t, holds("u"))
-	link.take(&coordpb.SiteState{Revision: 1, Gone: []string{"u"}})
-	assert.Equal(t, len(link.holdings), 0)
+	link.take(&coordpb.SiteState{Revision: 2, Holdings: []*coordpb.Holding{{Upstream: "v", Residents: []*coordpb.Resident{{Model: "m"}}}}})
+	f.Apply(nil, []string{"v"}, 2)
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s"}}, nil, 3)
+	assert.Assert(t, !holds("v"), "what was told of one that is gone is not kept")
 }
 
 // Symptom: requests are sent for models that an upstream does not hold.
--- a/node/fleet/change.go
+++ b/node/fleet/change.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "peridotpier.example/core/deploy"
+import (
+	"math"
+	"time"
+
+	"peridotpier.example/core/deploy"
+)
 
 // Change is what came after an earlier state of the list.
 type Change struct {
@@ -17,19 +22,26 @@
 	Since uint64
 }
 
-// goneMost is how many vanished upstreams are remembered for Since. A host that
-// is farther behind gets the whole list.
-const goneMost = 256
+const (
+	// goneMost is how many vanished upstreams are remembered for Since in any case.
+	// A host that is farther behind gets the whole list.
+	goneMost = 256
+	// goneFor is how long all of them are: several reports of any host. Of
+	// thousands of upstreams more than goneMost may be replaced in less.
+	goneFor = 10 * time.Second
+)
 
 // vanished is an upstream whose entry is gone, with the state since which it is.
 type vanished struct {
-	id string
-	at uint64
+	id    string
+	at    uint64
+	since time.Time
 }
 
 // Since returns what changed in the platform's list after a state, for other
-// hosts; 0 asks for all of it.
-func (f *Fleet) Since(from uint64) Change {
+// hosts; 0 asks for all of it. Brief leaves out upstreams of which nothing changed
+// but what they hold or have copies of.
+func (f *Fleet) Since(from uint64, brief bool) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := Change{To: f.state, Full: from == 0 || from < f.goneFrom || from > f.state}
@@ -37,8 +49,8 @@
 		return out // as for nearly every report
 	}
 	byID := f.index.Load().byID
-	for _, e := range byID {
-		if u, at, gone := e.listed(); !gone && (out.Full || at > from) {
+	for _, e := range f.listedAfter(from, out.Full, brief) {
+		if u, at, gone := e.listed(); !gone {
 			out.Put = append(out.Put, Listed{u, at})
 		}
 	}
@@ -50,6 +62,28 @@
 	return out
 }
 
+// Described returns the entries of which the list said something else after a state,
+// and the state that it is at.
+func (f *Fleet) Described(after uint64) ([]*Entry, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listedAfter(after, false, false), f.state
+}
+
+// listedAfter returns the entries of which the list said something else after a
+// state, or all; f.mu is held.
+func (f *Fleet) listedAfter(from uint64, all, brief bool) []*Entry {
+	if all {
+		return f.All()
+	}
+	log := &f.listed
+	if brief {
+		log = &f.standing
+	}
+	changed, _, _ := log.Since(from, math.MaxInt)
+	return changed
+}
+
 // isListed says whether an entry that vanished has come again; nil: forgotten.
 func isListed(e *Entry) bool {
 	if e == nil {
--- a/node/fleet/coming.go
+++ b/node/fleet/coming.go
@@ -8,19 +8,29 @@
 	At    time.Time // when it can be expected to answer, at the earliest
 }
 
-// Expect takes what the host that gives orders has the upstream load. It goes
-// for as long as Believe's word does.
-func (e *Entry) Expect(all []Coming) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// expectLocked takes what the host that gives orders has the upstream load. It goes
+// for as long as that host's word does.
+func (e *Entry) expectLocked(all []Coming) {
+	if e.forgotten {
+		return
+	}
+	e.fleet.loaders.update(e, modelsOf(e.coming), modelsOf(all))
 	e.coming = all
 }
 
+func modelsOf(all []Coming) []string {
+	out := make([]string, len(all))
+	for i := range all {
+		out[i] = all[i].Model
+	}
+	return out
+}
+
 // comingAt is when a model can be expected here.
 func (e *Entry) comingAt(model string, now time.Time) (time.Time, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leaving || now.Sub(e.believedAt) >= believedFresh {
+	if e.leaving || !e.believesLocked(now) {
 		return time.Time{}, false
 	}
 	for _, c := range e.coming {
@@ -35,10 +45,14 @@
 // the first of them; false: nobody loads it.
 func (f *Fleet) Coming(service, model string) (at time.Time, ok bool) {
 	now := f.deps.Now()
-	for _, e := range f.Service(service) {
+	for _, e := range f.Loaders(service, model) {
 		if here, loads := e.comingAt(model, now); loads && (!ok || here.Before(at)) {
 			at, ok = here, true
 		}
 	}
 	return at, ok
 }
+
+// Loaders returns the upstreams of a service that are loading a model, as the host
+// that gives orders told.
+func (f *Fleet) Loaders(service, model string) []*Entry { return f.loaders.all(service, model) }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"reflect"
-	"slices"
 	"sync"
 	"time"
 
@@ -38,13 +37,11 @@
 }
 
 const (
-	// othersFresh is how long the other hosts' loads, as told, are trusted.
-	othersFresh = 1500 * time.Millisecond
 	// reportedFresh is how long an upstream's own word on its load counts when
 	// the other hosts' loads are not known.
 	reportedFresh = time.Second
-	// believedFresh is how long the word of the host that gives orders goes
-	// before the upstream's own description, which lags.
+	// believedFresh is how long the word of a host that gave orders goes before
+	// the upstream's own description, which lags, once that host is not heard.
 	believedFresh = 1500 * time.Millisecond
 	// deniedFor is how long a model is not asked for again at an upstream that
 	// said it does not hold it: about one of its heartbeats and the lag of the list.
@@ -68,14 +65,14 @@
 	goneSince  time.Time
 	health     health.Record
 	own        Load
-	others     Load
-	othersAt   time.Time
+	beside     int       // prompt tokens of the others' that were to be read there when a turn was given
+	besideAt   time.Time // when it was
 	reported   Reported
 	reportedAt time.Time
-	sentSince  int                    // own sends since reportedAt
-	signal     backpressure.Signal    // the newest that its answers said, here or at other hosts
-	told       backpressure.Signal    // as others were told last
-	signalled  uint64                 // of the fleet, when others last had to hear of it; 0: never
+	sentSince  int                 // own sends since reportedAt
+	signal     backpressure.Signal // the newest that its answers said, here or at other hosts
+	told       backpressure.Signal // as others were told last
+
 	pacer      *backpressure.Pacer    // of this host while nobody counts for all
 	paced      time.Time              // since when it is of
 	askedAt    time.Time              // when its limit or its leaving was heard of
@@ -84,6 +81,7 @@
 	start      backpressure.SlowStart // after its rest
 	believed   []deploy.Resident
 	believedAt time.Time
+	believedOf uint64   // whose word that is; see word
 	coming     []Coming // by the same word
 	indexed    []string // models under which the fleet finds it
 	forgotten  bool
@@ -128,9 +126,24 @@
 func (e *Entry) down(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.downLocked(now)
+}
+
+func (e *Entry) downLocked(now time.Time) bool {
 	return !e.leaving && e.health.Standing(now) == health.Down
 }
 
+// restsAt is down for one that was left alone; it takes an entry that answers again
+// out of those.
+func (e *Entry) restsAt(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.health.Standing(now) == health.Up {
+		e.fleet.resting.remove(e)
+	}
+	return e.downLocked(now)
+}
+
 // listed is what the platform's list says of it, and since which state.
 func (e *Entry) listed() (u deploy.Upstream, state uint64, gone bool) {
 	e.mu.Lock()
@@ -138,12 +151,16 @@
 	return e.up, e.state, e.gone
 }
 
-func (e *Entry) describe(u deploy.Upstream, now time.Time, state uint64) {
+// describe takes what the list says; it says what of that is news.
+func (e *Entry) describe(u deploy.Upstream, now time.Time, state uint64) (n news) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u.ID, u.Service, u.Address, u.DataCentre, u.Born = e.id, e.service, e.address, e.dataCentre, e.born
 	if e.gone || e.described.IsZero() || !reflect.DeepEqual(u, e.up) { // a list that was read anew brings mostly what is known
-		e.state = state
+		e.state, n = state, newsOfHeld
+		if e.gone || e.described.IsZero() || !sameStanding(u, e.up) {
+			n = newsForAll
+		}
 	}
 	e.up, e.described = u, now
 	e.reindexLocked()
@@ -154,6 +171,25 @@
 	if u.State == deploy.Draining {
 		e.leaveLocked("its own word")
 	}
+	return n
+}
+
+// news says who needs to hear what the list says of an upstream.
+type news uint8
+
+const (
+	newsNone   news = iota
+	newsOfHeld      // those that give orders: what it holds, or has copies of
+	newsForAll      // every host: who it is, and whether it leaves
+)
+
+// sameStanding says whether two descriptions differ at most in what the upstream
+// holds or has copies of, and in how long it is slow yet.
+func sameStanding(a, b deploy.Upstream) bool {
+	for _, u := range []*deploy.Upstream{&a, &b} {
+		u.Residents, u.InMemory, u.OnDisk, u.Cold = nil, nil, nil, 0
+	}
+	return reflect.DeepEqual(a, b)
 }
 
 // vanish notes that its entry is gone; it says no if that was known.
@@ -164,6 +200,7 @@
 		return false
 	}
 	e.gone, e.goneSince = true, now
+	e.fleet.watch(e)
 	if hold > 0 && !e.leaving {
 		e.useUntil = now.Add(hold)
 		e.fleet.deps.Log.Emit(event.UpstreamLapsed, zap.String(event.FieldPeer, e.id), zap.Duration("used_for", hold))
@@ -198,10 +235,13 @@
 		e.useUntil = time.Time{}
 		e.leaveLocked("entry did not come back")
 	}
-	if e.health.Silent(e.fleet.cfg.Health, now, e.readingLocked(now)) && e.health.Rest(e.fleet.cfg.Health, now) {
+	if e.health.Silent(e.fleet.cfg.Health, now, e.readingLocked(now)) && e.restLocked(now) {
 		e.abortMovableLocked()
 		e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
 	}
+	if e.own.Requests == 0 && !e.gone && !e.signal.Limit.Named {
+		e.fleet.watched.remove(e)
+	}
 	return e.gone && e.own.Requests == 0 && now.Sub(e.goneSince) > forgetAfter
 }
 
@@ -209,9 +249,16 @@
 // batch: an engine that is silent for less than its backlog takes is reading.
 const slowestTokensPerMs = 10.0
 
+// besideFor is how long the prompts that were to be read there when a turn was given
+// may still be: a few times what an engine is given to read.
+const besideFor = 1500 * time.Millisecond
+
 // readingLocked is how long the prompts that wait there may keep it silent.
 func (e *Entry) readingLocked(now time.Time) time.Duration {
 	waiting := e.loadLocked(now).Waiting
+	if now.Sub(e.besideAt) < besideFor {
+		waiting = max(waiting, e.own.Waiting+e.beside)
+	}
 	return time.Duration(float64(waiting) / slowestTokensPerMs * float64(time.Millisecond))
 }
 
@@ -219,7 +266,23 @@
 func (e *Entry) rest(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.health.Rest(e.fleet.cfg.Health, now)
+	return e.restLocked(now)
+}
+
+// restLocked leaves the upstream alone for a while; it says whether that is news.
+func (e *Entry) restLocked(now time.Time) bool {
+	news := e.health.Rest(e.fleet.cfg.Health, now)
+	e.restedLocked(news)
+	return news
+}
+
+// restedLocked notes that the upstream is left alone.
+func (e *Entry) restedLocked(news bool) {
+	if !news {
+		return
+	}
+	e.fleet.resting.add(e)
+	e.fleet.noticed()
 }
 
 // failures is the share of its answers that failed; below 0: too few answers.
@@ -235,8 +298,8 @@
 
 // loadLocked is the best estimate of all hosts' load there.
 func (e *Entry) loadLocked(now time.Time) Load {
-	if now.Sub(e.othersAt) < othersFresh {
-		return e.own.Plus(e.others)
+	if others, known := e.fleet.others.at(e, now); known {
+		return e.own.Plus(others)
 	}
 	total := e.own
 	if now.Sub(e.reportedAt) < reportedFresh {
@@ -252,27 +315,6 @@
 	return e.own
 }
 
-// SetOthers takes the sum of the other hosts' loads.
-func (e *Entry) SetOthers(l Load, now time.Time) {
-	e.mu.Lock()
-	e.others, e.othersAt = l, now
-	e.mu.Unlock()
-}
-
-// Believe takes what the host that gives orders knows the upstream to hold.
-func (e *Entry) Believe(r []deploy.Resident, now time.Time) {
-	e.mu.Lock()
-	news := !slices.EqualFunc(r, e.believed, deploy.Resident.Equal)
-	e.believed, e.believedAt = r, now
-	if news {
-		e.reindexLocked()
-	}
-	e.mu.Unlock()
-	if news {
-		e.fleet.tellHoldings()
-	}
-}
-
 // Gained notes an adapter that was just loaded there, before the word that all
 // hosts get of it.
 func (e *Entry) Gained(model, adapter string) {
@@ -300,7 +342,7 @@
 
 // residentsLocked is what the upstream holds, by the newest word.
 func (e *Entry) residentsLocked(now time.Time) []deploy.Resident {
-	if !e.believedAt.IsZero() && now.Sub(e.believedAt) < believedFresh {
+	if e.believesLocked(now) || e.believedAt.After(e.described) {
 		return e.believed
 	}
 	return e.up.Residents
--- a/node/fleet/exchange.go
+++ b/node/fleet/exchange.go
@@ -6,6 +6,23 @@
 	"peridotpier.example/node/event"
 )
 
+// Sent is what this host has sent to an upstream and has not ended.
+type Sent struct {
+	Upstream string
+	Load
+}
+
+// Sent lists the upstreams at which this host has requests.
+func (f *Fleet) Sent() []Sent {
+	var out []Sent
+	for _, e := range f.watched.all() {
+		if own := e.OwnLoad(); own.Requests > 0 {
+			out = append(out, Sent{e.id, own})
+		}
+	}
+	return out
+}
+
 // Cost is what one request adds to an upstream's load.
 type Cost struct {
 	Prompt int // tokens
@@ -44,6 +61,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.own.Requests++
+	e.fleet.watch(e)
 	e.own.Waiting += c.Prompt
 	e.own.Tokens += c.Prompt + c.Output
 	e.sentSince++
@@ -51,6 +69,14 @@
 	return &Exchange{e: e, ask: a, cost: c, trial: e.start.Sent()}
 }
 
+// Beside notes how many prompt tokens of other hosts' requests the upstream has to
+// read, by who gave the turn for this one.
+func (x *Exchange) Beside(waiting int) {
+	x.e.mu.Lock()
+	defer x.e.mu.Unlock()
+	x.e.beside, x.e.besideAt = max(waiting-(x.e.own.Waiting-x.cost.Prompt), 0), x.e.fleet.deps.Now()
+}
+
 // Heard notes bytes of the answer. The first ones end the wait for the prompt.
 func (x *Exchange) Heard() {
 	now := x.e.fleet.deps.Now()
@@ -84,7 +110,15 @@
 // Answered ends an attempt whose answer is whole; failed says that the
 // upstream ran the request and failed it.
 func (x *Exchange) Answered(failed bool) {
-	x.end(func() { x.e.health.Answered(failed) })
+	x.end(func() { x.e.rateLocked(failed) })
+}
+
+// rateLocked notes an answer, or its absence.
+func (e *Entry) rateLocked(failed bool) {
+	e.health.Answered(failed)
+	if _, answers := e.health.Errors(); answers >= float64(e.fleet.cfg.Health.ErrorCount) {
+		e.fleet.rated.add(e)
+	}
 }
 
 // Refused ends an attempt that the upstream did not run, by its own word.
@@ -97,8 +131,9 @@
 func (x *Exchange) Broken(why string) {
 	var resting bool
 	x.end(func() {
-		x.e.health.Answered(true)
+		x.e.rateLocked(true)
 		resting = x.e.health.Struck(x.e.fleet.cfg.Health, x.e.fleet.deps.Now())
+		x.e.restedLocked(resting)
 	})
 	if resting {
 		x.e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, x.e.ID()), zap.String("why", why))
@@ -109,7 +144,7 @@
 // process has ended, so that there is no need for a second sign.
 func (x *Exchange) Absent() {
 	var resting bool
-	x.end(func() { resting = x.e.health.Rest(x.e.fleet.cfg.Health, x.e.fleet.deps.Now()) })
+	x.end(func() { resting = x.e.restLocked(x.e.fleet.deps.Now()) })
 	if resting {
 		x.e.fleet.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, x.e.ID()), zap.String("why", "absent"))
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -10,9 +10,11 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/changes"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/health"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/pace"
 )
 
 // Config is what a Fleet is made of.
@@ -33,6 +35,13 @@
 	Now func() time.Time
 	// Left is told the address of an upstream that is forgotten.
 	Left func(address string)
+	// Changed is called when something changed that every host has to hear of: who
+	// an upstream is, that it leaves, or is gone. nil: nobody asks.
+	Changed func()
+	// Noticed is called when this host found something out that the one which acts
+	// for all should hear of at once: an upstream is left alone, or asked all hosts
+	// for something. It must not block. nil: nobody asks.
+	Noticed func()
 }
 
 // Fleet holds the upstreams. The index is replaced whole when upstreams come
@@ -43,27 +52,36 @@
 	deps  Deps
 	index atomic.Pointer[index]
 
-	mu       sync.Mutex // of writers of the index
-	backAt   time.Time  // when the store was last reached again
-	state    uint64     // rises with every change of the list
-	gone     []vanished // the last ones
-	goneFrom uint64     // state from which on gone is complete
-	marks    []mark     // the last states, with the store's versions that they are of
-	changes  signal
-	holdings signal
-
-	origin  time.Time
-	sharing atomic.Pointer[sharing]
-	holders holders
-	rests   deadline             // of upstreams
-	limits  deadline             // for so long some upstream is taken to name a limit
-	signals atomic.Uint64        // rises with each signal that others have to hear
-	early   map[string]Signalled // of upstreams that the list does not name yet; under mu
-}
+	mu       sync.Mutex          // of writers of the index
+	backAt   time.Time           // when the store was last reached again
+	state    uint64              // rises with every change of the list
+	listed   changes.Log[*Entry] // of what the list says
+	standing changes.Log[*Entry] // of that, what every host needs to hear
+	forAll   uint64              // newest state at which there was such a change
+	gone     []vanished          // the last ones
+	goneFrom uint64              // state from which on gone is complete
+	marks    []mark              // the last states, with the store's versions that they are of
+	changes  pace.Signal
+	holdings pace.Signal
+	stirred  pace.Signal // given when there is something to watch again
+
+	origin    time.Time
+	sharing   atomic.Pointer[sharing]
+	holders   holders // by what they hold
+	loaders   holders // by what they are loading
+	others    others
+	word      atomic.Pointer[word]
+	rests     deadline             // of upstreams
+	limits    deadline             // for so long some upstream is taken to name a limit
+	signals   signalLog            // of what others have to hear
+	early     map[string]Signalled // of upstreams that the list does not name yet; under mu
+	earlyHeld map[string]Held      // likewise, what they hold
 
-type index struct {
-	byID      map[string]*Entry
-	byService map[string][]*Entry
+	// The entries that time changes something at, so that none of the others is
+	// looked at: their number grows with the fleet.
+	watched entrySet // with a request of this host, gone, or naming a limit
+	rated   entrySet // with enough answers for their failures to count
+	resting entrySet // left alone, or on trial
 }
 
 // New makes an empty Fleet.
@@ -77,27 +95,34 @@
 	if deps.Log == nil {
 		deps.Log = event.NewLog(nil)
 	}
-	f := &Fleet{cfg: cfg, deps: deps, changes: newSignal(), holdings: newSignal(), origin: deps.Now()}
+	f := &Fleet{cfg: cfg, deps: deps, origin: deps.Now()}
 	f.sharing.Store(&sharing{})
+	f.word.Store(&word{})
 	f.index.Store(&index{byID: map[string]*Entry{}, byService: map[string][]*Entry{}})
 	return f
 }
 
 // Changed returns a channel that is closed at the next change which may let a
 // waiting request go.
-func (f *Fleet) Changed() <-chan struct{} { return f.changes.next() }
+func (f *Fleet) Changed() <-chan struct{} { return f.changes.Next() }
 
 // HoldingsChanged is like Changed for requests that wait for a model: it passes
 // over the ends of others' requests, which come hundreds of times a second.
-func (f *Fleet) HoldingsChanged() <-chan struct{} { return f.holdings.next() }
+func (f *Fleet) HoldingsChanged() <-chan struct{} { return f.holdings.Next() }
 
 // Tell wakes the requests that wait for an upstream.
-func (f *Fleet) Tell() { f.changes.give() }
+func (f *Fleet) Tell() { f.changes.Give() }
 
 // tellHoldings wakes those that wait for a model, too.
 func (f *Fleet) tellHoldings() {
-	f.holdings.give()
-	f.changes.give()
+	f.holdings.Give()
+	f.changes.Give()
+}
+
+func (f *Fleet) noticed() {
+	if f.deps.Noticed != nil {
+		f.deps.Noticed()
+	}
 }
 
 // Service returns the entries of a service.
@@ -124,9 +149,9 @@
 func (f *Fleet) Down() []string {
 	now := f.deps.Now()
 	var out []string
-	for id, e := range f.index.Load().byID {
-		if e.down(now) {
-			out = append(out, id)
+	for _, e := range f.resting.all() {
+		if e.restsAt(now) {
+			out = append(out, e.id)
 		}
 	}
 	return out
@@ -154,19 +179,40 @@
 	f.mu.Lock()
 	now := f.deps.Now()
 	f.state++
-	next := f.index.Load().copy()
+	d := &draft{index: f.index.Load()}
 	for i := range put {
-		f.put(next, put[i], now)
+		f.put(d, put[i], now)
 	}
+	next := d.done()
 	f.lapse(next, gone, now)
 	f.markLocked(at)
-	f.index.Store(next.indexed())
+	f.index.Store(next)
+	forAll := f.forAll == f.state
 	f.mu.Unlock()
+	f.logSeen(d.seen)
 	f.tellHoldings()
+	if forAll && f.deps.Changed != nil {
+		f.deps.Changed()
+	}
+}
+
+// seenMost is how many upstreams that come together get a line each in the log.
+const seenMost = 16
+
+func (f *Fleet) logSeen(seen []*Entry) {
+	if len(seen) > seenMost {
+		f.deps.Log.Emit(event.UpstreamsSeen, zap.Int("count", len(seen)))
+		return
+	}
+	for _, e := range seen {
+		u, _ := e.Described()
+		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
+			zap.String("address", u.Address), zap.Int64("born_ms", u.Born), zap.Int("residents", len(u.Residents)))
+	}
 }
 
-func (f *Fleet) put(ix *index, u deploy.Upstream, now time.Time) {
-	e, known := ix.byID[u.ID]
+func (f *Fleet) put(d *draft, u deploy.Upstream, now time.Time) {
+	e, known := d.byID[u.ID]
 	if known {
 		switch e.relation(u.Born) {
 		case formerProcess: // a heartbeat that was written late
@@ -178,12 +224,21 @@
 	}
 	if !known {
 		e = &Entry{fleet: f, id: u.ID, service: u.Service, address: u.Address, dataCentre: u.DataCentre, born: u.Born, up: u, movable: map[*Exchange]struct{}{}}
-		ix.byID[u.ID] = e
+		d.add(e)
 		f.heedEarlyLocked(e)
-		f.deps.Log.Emit(event.UpstreamSeen, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
-			zap.String("address", u.Address), zap.Int64("born_ms", u.Born), zap.Int("residents", len(u.Residents)))
+		d.seen = append(d.seen, e)
+	}
+	switch e.describe(u, now, f.state) {
+	case newsForAll:
+		f.standing.Note(e, f.state)
+		f.forAll = f.state
+		fallthrough
+	case newsOfHeld:
+		f.listed.Note(e, f.state)
+	}
+	if !known {
+		f.believeEarlyLocked(e, now)
 	}
-	e.describe(u, now, f.state)
 }
 
 // retire ends all that was believed of a process whose successor has its ID:
@@ -192,7 +247,7 @@
 // process, which starts empty, does not hold, and orders for room that is gone.
 func (f *Fleet) retire(e *Entry) {
 	e.succeeded()
-	e.forget()
+	f.dropLocked(e)
 	if f.deps.Left != nil {
 		f.deps.Left(e.Address())
 	}
@@ -205,14 +260,14 @@
 // entries also run out while the store is away, and giving up all upstreams
 // then would leave nobody to serve.
 func (f *Fleet) lapse(ix *index, gone []string, now time.Time) {
-	together, all := map[string]int{}, map[string]int{}
+	together := map[string]int{}
 	for _, id := range gone {
 		if e, ok := ix.byID[id]; ok {
 			together[e.Service()]++
 		}
 	}
-	for _, e := range ix.byID {
-		all[e.Service()]++
+	for _, id := range gone {
+		delete(f.earlyHeld, id)
 	}
 	away := f.cfg.LapseHold - now.Sub(f.backAt) // what is left of the time after the store's return
 	for _, id := range gone {
@@ -222,14 +277,24 @@
 		}
 		hold := max(away, 0)
 		n := together[e.Service()]
-		if hold == 0 && n > 1 && float64(n) >= massShare*float64(all[e.Service()]) {
+		if hold == 0 && n > 1 && float64(n) >= massShare*float64(len(ix.byService[e.Service()])) {
 			hold = f.cfg.MassHold
 		}
 		if e.vanish(now, hold) {
-			f.gone = append(f.gone, vanished{id, f.state})
+			f.gone = append(f.gone, vanished{id, f.state, now})
+			f.forAll = f.state
 		}
 	}
-	if over := len(f.gone) - goneMost; over > 0 {
+	f.forgetGoneLocked(now)
+}
+
+// forgetGoneLocked drops those that all hosts have been told of, but for the last.
+func (f *Fleet) forgetGoneLocked(now time.Time) {
+	over := len(f.gone) - goneMost
+	for over > 0 && now.Sub(f.gone[over-1].since) < goneFor {
+		over--
+	}
+	if over > 0 {
 		f.goneFrom = f.gone[over-1].at
 		f.gone = append([]vanished(nil), f.gone[over:]...)
 	}
@@ -242,20 +307,39 @@
 	f.backAt = f.deps.Now()
 }
 
+// watch has Sweep look at an entry.
+func (f *Fleet) watch(e *Entry) {
+	if f.watched.add(e) {
+		f.stirred.Give()
+	}
+}
+
+// Watching says whether there is anything that Sweep has to look at often.
+func (f *Fleet) Watching() bool { return !f.watched.empty() }
+
+// Stir has those woken that wait until there is something to watch.
+func (f *Fleet) Stir() { f.stirred.Give() }
+
+// Stirred returns a channel that is closed once there is again.
+func (f *Fleet) Stirred() <-chan struct{} { return f.stirred.Next() }
+
 // Sweep forgets upstreams that have left and answer nothing any more, ends
 // holds that are over, and leaves alone those that are silent or stand out by
 // their failures. It is called several times a second.
 func (f *Fleet) Sweep() {
 	now := f.deps.Now()
-	ix := f.index.Load()
 	var forget []string
-	for _, e := range ix.byID {
+	for _, e := range f.watched.all() {
 		if e.sweep(now) {
 			forget = append(forget, e.ID())
 		}
 	}
-	for _, entries := range ix.byService {
-		f.judge(entries, now)
+	rated := map[string][]*Entry{}
+	for _, e := range f.rated.all() {
+		rated[e.Service()] = append(rated[e.Service()], e)
+	}
+	for service, entries := range rated {
+		f.judge(entries, len(f.Service(service)), now)
 	}
 	if len(forget) > 0 {
 		f.forget(forget)
@@ -265,47 +349,43 @@
 func (f *Fleet) forget(ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := f.index.Load().copy()
+	d := &draft{index: f.index.Load()}
 	for _, id := range ids {
-		e, ok := next.byID[id]
+		e, ok := d.byID[id]
 		if !ok {
 			continue
 		}
-		e.forget()
+		f.dropLocked(e)
 		if f.deps.Left != nil {
 			f.deps.Left(e.Address())
 		}
-		delete(next.byID, id)
+		d.remove(id)
 	}
-	f.index.Store(next.indexed())
+	f.index.Store(d.done())
 }
 
-// judge leaves alone the upstreams of one service whose failures stand out.
-func (f *Fleet) judge(entries []*Entry, now time.Time) {
+// dropLocked forgets an entry for good; f.mu is held.
+func (f *Fleet) dropLocked(e *Entry) {
+	e.forget()
+	f.listed.Drop(e)
+	f.standing.Drop(e)
+	f.signals.drop(e)
+	f.watched.remove(e)
+	f.rated.remove(e)
+	f.resting.remove(e)
+}
+
+// judge leaves alone those of a service's upstreams whose failures stand out; all
+// is how many it has.
+func (f *Fleet) judge(entries []*Entry, all int, now time.Time) {
 	shares := make([]float64, len(entries))
 	for i, e := range entries {
 		shares[i] = e.failures(f.cfg.Health)
 	}
-	for i, failing := range health.Failing(f.cfg.Health, shares) {
+	for i, failing := range health.Failing(f.cfg.Health, shares, all) {
 		if failing && entries[i].rest(now) {
 			f.deps.Log.Emit(event.UpstreamResting, zap.String(event.FieldPeer, entries[i].ID()),
 				zap.String("why", "failures"), zap.Float64("share", shares[i]))
 		}
 	}
 }
-
-func (ix *index) copy() *index {
-	next := &index{byID: make(map[string]*Entry, len(ix.byID)+1)}
-	for id, e := range ix.byID {
-		next.byID[id] = e
-	}
-	return next
-}
-
-func (ix *index) indexed() *index {
-	ix.byService = map[string][]*Entry{}
-	for _, e := range ix.byID {
-		ix.byService[e.Service()] = append(ix.byService[e.Service()], e)
-	}
-	return ix
-}
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -26,17 +26,17 @@
 	f.Apply([]deploy.Upstream{upstream("a", 2)}, nil, 110)
 	f.Apply([]deploy.Upstream{upstream("c", 1)}, []string{"b"}, 120)
 	assert.Equal(t, f.StateAt(99), uint64(0), "older than all that is known")
-	all := f.Since(0)
+	all := f.Since(0, false)
 	assert.Assert(t, all.Full && len(all.Put) == 2)
-	some := f.Since(f.StateAt(115)) // the other's view lies between two changes
+	some := f.Since(f.StateAt(115), false) // the other's view lies between two changes
 	assert.Assert(t, !some.Full)
 	assert.Equal(t, len(some.Put), 1)
 	assert.Equal(t, some.Put[0].ID, "c")
 	assert.DeepEqual(t, some.Gone, []string{"b"})
-	none := f.Since(f.StateAt(500))
+	none := f.Since(f.StateAt(500), false)
 	assert.Assert(t, !none.Full && len(none.Put)+len(none.Gone) == 0)
 	f.Replace([]deploy.Upstream{upstream("a", 2), upstream("c", 1)}, 600) // read anew, as it was
-	again := f.Since(f.StateAt(500))
+	again := f.Since(f.StateAt(500), false)
 	assert.Assert(t, !again.Full && len(again.Put)+len(again.Gone) == 0)
 }
 
@@ -57,7 +57,7 @@
 				holder.Apply([]deploy.Upstream{upstream(id, rapid.IntRange(1, 3).Draw(t, "slots"))}, nil, version)
 			}
 			if rapid.IntRange(0, 4).Draw(t, "link") == 0 {
-				c := holder.Since(holder.StateAt(seen))
+				c := holder.Since(holder.StateAt(seen), false)
 				if c.Full {
 					host.Replace(plain(c.Put), version)
 				} else {
@@ -73,7 +73,7 @@
 // listed is what the store's list says, by id.
 func listed(f *fleet.Fleet) map[string]int {
 	out := map[string]int{}
-	for _, u := range f.Since(0).Put {
+	for _, u := range f.Since(0, false).Put {
 		out[u.ID] = u.Slots
 	}
 	return out
@@ -120,7 +120,7 @@
 	ask := &fleet.Ask{Model: "m"}
 	f.Replace([]deploy.Upstream{born(1000, "m")}, 1)
 	former, _ := f.Entry("a")
-	former.Believe([]deploy.Resident{{Model: "m"}}, now)
+	f.Believe([]fleet.Held{{Upstream: "a", Born: 1000, Residents: []deploy.Resident{{Model: "m"}}}}, now)
 	moved := false
 	x := former.Begin(ask, fleet.Cost{Prompt: 10})
 	x.OnSilence(func() { moved = true })
@@ -143,7 +143,7 @@
 	f.Apply([]deploy.Upstream{unsaid}, nil, 4)
 	again, _ = f.Entry("a")
 	assert.Assert(t, again == e && e.Endpoint(ask, now).HoldsModel, "one that does not say speaks of the process that is known")
-	assert.Equal(t, f.Since(0).Put[0].Born, int64(2000), "other hosts are told of the same process")
+	assert.Equal(t, f.Since(0, false).Put[0].Born, int64(2000), "other hosts are told of the same process")
 }
 
 // BenchmarkSinceUnchanged is what each report of a host costs while the list
@@ -155,9 +155,9 @@
 		all = append(all, upstream(strconv.Itoa(i), 1))
 	}
 	f.Replace(all, 1)
-	state := f.Since(0).To
+	state := f.Since(0, false).To
 	for b.Loop() {
-		f.Since(state)
+		f.Since(state, false)
 	}
 }
 
--- a/node/fleet/holders.go
+++ b/node/fleet/holders.go
@@ -7,8 +7,9 @@
 	"peridotpier.example/core/deploy"
 )
 
-// holders finds the upstreams of a service that may hold a model, by any word on
-// them that still counts; which of these holds is for their entries to say. A pick
+// holders finds the upstreams of a service by a model. By what they may hold these
+// are all of which any word that counts says so; which of them holds it is for
+// their entries to say. A pick
 // among thousands of upstreams looks at the few that matter.
 type holders struct {
 	mu sync.RWMutex
@@ -52,9 +53,13 @@
 	if model == "" {
 		return f.Service(service)
 	}
-	f.holders.mu.RLock()
-	defer f.holders.mu.RUnlock()
-	return f.holders.of[holding{service, model}]
+	return f.holders.all(service, model)
+}
+
+func (h *holders) all(service, model string) []*Entry {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.of[holding{service, model}]
 }
 
 // Lacks says whether upstreams of a service may be sent work that cannot hold a
@@ -95,5 +100,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet.holders.update(e, e.indexed, nil)
-	e.indexed, e.forgotten = nil, true
+	e.fleet.loaders.update(e, modelsOf(e.coming), nil)
+	e.indexed, e.coming, e.forgotten = nil, nil, true
 }
--- a/node/fleet/holders_test.go
+++ b/node/fleet/holders_test.go
@@ -37,7 +37,7 @@
 				f.Apply(nil, []string{id}, 0)
 			case 2:
 				if known {
-					e.Believe(residents(), now)
+					f.Believe([]fleet.Held{{Upstream: id, Born: e.Born(), Residents: residents()}}, now)
 				}
 			case 3:
 				if known {
--- /dev/null
+++ b/node/fleet/index.go
@@ -0,0 +1,50 @@
+package fleet
+
+import "maps"
+
+// index finds entries. It is not changed once it can be read.
+type index struct {
+	byID      map[string]*Entry
+	byService map[string][]*Entry
+	number    uint64 // rises when entries come or go
+}
+
+// draft is the next index. It stays the present one until entries come or go, as
+// for nearly every heartbeat: a copy takes as long as there are upstreams.
+type draft struct {
+	*index
+	changed bool
+	seen    []*Entry // that were added
+}
+
+func (d *draft) change() {
+	if d.changed {
+		return
+	}
+	d.index, d.changed = &index{byID: maps.Clone(d.byID), number: d.number + 1}, true
+}
+
+func (d *draft) add(e *Entry) {
+	d.change()
+	d.byID[e.ID()] = e
+}
+
+func (d *draft) remove(id string) {
+	d.change()
+	delete(d.byID, id)
+}
+
+// done returns the index to put in place.
+func (d *draft) done() *index {
+	if !d.changed {
+		return d.index
+	}
+	d.byService = map[string][]*Entry{}
+	for _, e := range d.byID {
+		d.byService[e.Service()] = append(d.byService[e.Service()], e)
+	}
+	return d.index
+}
+
+// Membership is a number that rises when upstreams come or are forgotten.
+func (f *Fleet) Membership() uint64 { return f.index.Load().number }
--- a/node/fleet/signalled.go
+++ b/node/fleet/signalled.go
@@ -3,11 +3,13 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/backpressure"
+	"peridotpier.example/core/changes"
 	"peridotpier.example/node/event"
 )
 
@@ -21,22 +23,31 @@
 // noLimit stands in logs for an upstream that names no limit.
 const noLimit = -1.0
 
-// Heed takes what an answer of the upstream said; source says who heard it.
+// Heed takes what an answer of the upstream said to this host.
 func (e *Entry) Heed(s backpressure.Signal, source string) {
+	if e.heed(s, source) {
+		e.fleet.noticed()
+	}
+}
+
+// heed takes what the upstream said; source says who heard it. It says whether that
+// is news.
+func (e *Entry) heed(s backpressure.Signal, source string) (changed bool) {
 	e.mu.Lock()
 	was := e.told
 	e.signal = backpressure.Latest(e.signal, s)
 	now := e.signal
 	if now.Limit.Named {
+		e.fleet.watch(e)
 		e.fleet.limits.extend(e.fleet.deps.Now().Add(limitedFor))
 	}
 	limited := now.Limit.Differs(was.Limit)
-	changed := limited || now.Leaving != was.Leaving
+	changed = limited || now.Leaving != was.Leaving
 	if changed {
 		e.told, e.askedAt, e.askedBy = now, s.Heard, source
 	}
 	if changed || now.Limit.Differs(s.Limit) || now.Leaving != s.Leaving { // a host that tells what does not hold any more has to hear it
-		e.signalled = e.fleet.signals.Add(1)
+		e.fleet.signals.note(e)
 	}
 	if now.Leaving {
 		e.leaveLocked("its answers, by " + source)
@@ -49,6 +60,7 @@
 	if changed {
 		e.fleet.Tell()
 	}
+	return changed
 }
 
 func logged(l backpressure.Limit) float64 {
@@ -90,35 +102,56 @@
 // signalsMost is how many signals one message carries; the rest follow with the next.
 const signalsMost = 250
 
+// signalLog is in which order upstreams asked for something that others have to
+// hear. Its lock is taken after those of entries.
+type signalLog struct {
+	mu      sync.Mutex
+	newest  uint64
+	changed changes.Log[*Entry]
+}
+
+func (l *signalLog) note(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newest++
+	l.changed.Note(e, l.newest)
+}
+
+func (l *signalLog) drop(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changed.Drop(e)
+}
+
+// since returns the upstreams that asked after a revision, as many as one message
+// carries, and the revision that it brings whoever hears of them to.
+func (l *signalLog) since(revision uint64) ([]*Entry, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.newest == revision {
+		return nil, revision
+	}
+	all, to, whole := l.changed.Since(revision, signalsMost)
+	if whole {
+		to = l.newest
+	}
+	return all, to
+}
+
 // SignalsSince returns what upstreams asked that is newer than a revision, the
 // oldest first, and the revision that it brings whoever hears it to.
 func (f *Fleet) SignalsSince(revision uint64) ([]Signalled, uint64) {
-	newest := f.signals.Load()
-	if newest == revision {
-		return nil, newest
-	}
-	type numbered struct {
-		Signalled
-		revision uint64
+	changed, to := f.signals.since(revision)
+	if len(changed) == 0 {
+		return nil, to
 	}
-	var all []numbered
-	for _, e := range f.index.Load().byID {
+	out := make([]Signalled, len(changed))
+	for i, e := range changed {
 		e.mu.Lock()
-		if e.signalled > revision {
-			all = append(all, numbered{Signalled{e.id, e.born, e.signal}, e.signalled})
-		}
+		out[i] = Signalled{e.id, e.born, e.signal}
 		e.mu.Unlock()
 	}
-	slices.SortFunc(all, func(a, b numbered) int { return int(a.revision) - int(b.revision) })
-	if len(all) > signalsMost {
-		all = all[:signalsMost]
-		newest = all[signalsMost-1].revision
-	}
-	out := make([]Signalled, len(all))
-	for i := range all {
-		out[i] = all[i].Signalled
-	}
-	return out, newest
+	return out, to
 }
 
 // HeedAll takes what another host heard.
@@ -130,7 +163,7 @@
 			continue
 		}
 		if e.Born() == all[i].Born {
-			e.Heed(all[i].Signal, source)
+			e.heed(all[i].Signal, source)
 		}
 	}
 }
@@ -157,6 +190,6 @@
 	}
 	delete(f.early, e.id)
 	if s.Born == e.born {
-		e.Heed(s.Signal, earlySource)
+		e.heed(s.Signal, earlySource)
 	}
 }
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -39,6 +39,7 @@
 	defer cancel(nil)
 	x := e.Begin(&q.ask, q.cost)
 	if p.turn != nil {
+		x.Beside(p.waiting)
 		if q.ask.Model != "" || p.turn.Trial { // of other calls the end is what counts
 			x.OnFirst(p.turn.First)
 		}
--- a/node/gate/coming_test.go
+++ b/node/gate/coming_test.go
@@ -15,16 +15,14 @@
 
 // tellAsReportsDo tells again and again what an upstream holds and loads, until
 // the model is there at a time.
-func tellAsReportsDo(e *fleet.Entry, model string, at time.Time, done <-chan struct{}) {
-	e.Expect([]fleet.Coming{{Model: model, At: at}})
+func tellAsReportsDo(f *fleet.Fleet, upstream, model string, at time.Time, done <-chan struct{}) {
 	for {
 		now := time.Now()
 		if now.After(at) {
-			e.Expect(nil)
-			e.Believe([]deploy.Resident{{Model: model}}, now)
+			f.Believe([]fleet.Held{{Upstream: upstream, Residents: []deploy.Resident{{Model: model}}}}, now)
 			return
 		}
-		e.Believe([]deploy.Resident{{Model: "old"}}, now)
+		f.Believe([]fleet.Held{{Upstream: upstream, Residents: []deploy.Resident{{Model: "old"}}, Coming: []fleet.Coming{{Model: model, At: at}}}}, now)
 		select {
 		case <-done:
 			return
@@ -44,10 +42,9 @@
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
 	defer up.Close()
 	g, f := waiting(&modelless{}, up.Listener.Addr().String())
-	e, _ := f.Entry("u")
 	began, done := time.Now(), make(chan struct{})
 	defer close(done)
-	go tellAsReportsDo(e, "new", began.Add(2300*time.Millisecond), done) // later than 0.6 of 3 s
+	go tellAsReportsDo(f, "u", "new", began.Add(2300*time.Millisecond), done) // later than 0.6 of 3 s
 	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
 	r.Header.Set("Model", "new")
 	w := httptest.NewRecorder()
@@ -62,11 +59,9 @@
 func TestARequestWhoseModelComesTooLateIsToldAtOnceWhenItComes(t *testing.T) {
 	t.Parallel()
 	g, f := waiting(&modelless{}, "127.0.0.1:1")
-	e, _ := f.Entry("u")
 	began := time.Now()
 	at := began.Add(9 * time.Second) // of the 10 s that the caller has
-	e.Expect([]fleet.Coming{{Model: "new", At: at}})
-	e.Believe([]deploy.Resident{{Model: "old"}}, began)
+	f.Believe([]fleet.Held{{Upstream: "u", Residents: []deploy.Resident{{Model: "old"}}, Coming: []fleet.Coming{{Model: "new", At: at}}}}, began)
 	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
 	r.Header.Set("Model", "new")
 	w := httptest.NewRecorder()
--- a/node/gate/crowded_test.go
+++ b/node/gate/crowded_test.go
@@ -44,7 +44,7 @@
 	table.Routes[0].Timeout = 1200 * time.Millisecond
 	g.deps.Config.Offer(&table, "test")
 	e, _ := f.Entry("u")
-	e.SetOthers(fleet.Load{Requests: others}, time.Now())
+	othersSent(g, e, fleet.Load{Requests: others})
 	return g
 }
 
--- a/node/gate/overload_test.go
+++ b/node/gate/overload_test.go
@@ -49,7 +49,7 @@
 	defer close(done)
 	go func() {
 		for {
-			e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+			othersSent(g, e, fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400})
 			select {
 			case <-done:
 				return
@@ -75,9 +75,9 @@
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
 	defer up.Close()
 	g, e := reading(up.Listener.Addr().String())
-	e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+	othersSent(g, e, fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400})
 	time.AfterFunc(300*time.Millisecond, func() {
-		e.SetOthers(fleet.Load{Requests: 3, Waiting: 100, Tokens: 500}, time.Now())
+		othersSent(g, e, fleet.Load{Requests: 3, Waiting: 100, Tokens: 500})
 		g.deps.Fleet.Tell()
 	})
 	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
@@ -98,7 +98,7 @@
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { sent.Add(1) }))
 	defer up.Close()
 	g, e := reading(up.Listener.Addr().String())
-	e.SetOthers(fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400}, time.Now())
+	othersSent(g, e, fleet.Load{Requests: 4, Waiting: 9000, Tokens: 9400})
 	q := &request{g: g, start: time.Now().Add(-600 * time.Millisecond), tried: map[string]bool{}}
 	table := g.deps.Config.Current()
 	q.route = &table.Config.Routes[0]
@@ -111,3 +111,8 @@
 	found, _ = q.pick()
 	assert.Assert(t, found == e)
 }
+
+// othersSent has the others' load at an upstream told, alone of its service.
+func othersSent(g *Gate, e *fleet.Entry, l fleet.Load) {
+	g.deps.Fleet.SetOthers(e.Service(), map[string]fleet.Load{e.ID(): l}, time.Now().Add(1500*time.Millisecond))
+}
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -94,9 +94,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	assert.Equal(t, models.asked.Load(), int32(1))
-	e, _ := f.Entry("u")
 	began := time.Now()
-	e.Believe([]deploy.Resident{{Model: "new"}}, time.Now())
+	f.Believe([]fleet.Held{{Upstream: "u", Residents: []deploy.Resident{{Model: "new"}}}}, began)
 	<-done
 	assert.Assert(t, time.Since(began) < modelLook/2, "it goes on as soon as an upstream holds the model")
 	assert.Equal(t, w.Code, http.StatusOK)
