An answer to a report is made of what changed, and does not grow with the fleet

Cause: each answer named every upstream with load and looked at all accounts for what had changed since the host's last one; what a report says was asked for was noted at each upstream of its service; every host kept accounts of all upstreams five times a second, though only the one that acts for all reads them. Ruled out: packing the answers, which grows as they do. Change: the upstreams with most requests are named, 64 that run models and as many others; those that are not named have less, or none. What upstreams hold is told by a log of changes, at a rate that all hosts share (100,000 a second, some 8 MB), with first what holds or loads the models that the host's callers wait for. Accounts are kept while a host acts, and brought up to date by what the list says anew. A plan waits for 20 times as long as the last one took.

--- a/node/coordinator/adapters_test.go
+++ b/node/coordinator/adapters_test.go
@@ -27,6 +27,7 @@
 	f := fleet.New(fleet.Config{}, fleet.Deps{})
 	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
 	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	c.standingIn.Store(true)
 	c.follow()
 	u, _ := c.unit("a")
 	assert.Assert(t, u.lockOrders(t.Context()))
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/changes"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/core/residency"
@@ -114,17 +115,20 @@
 	encodings encodings
 
 	mu        sync.Mutex
-	units     map[string]*unit             // by upstream
+	units     map[string]*unit             // by upstream; kept while this host acts
+	held      changes.Log[*unit]           // in which order what they hold changed
+	looked    look                         // at what the units are of
 	traits    map[string]*residency.Traits // of upstreams, by service
 	revision  uint64                       // rises when what the units hold changes
 	term      lease.Term
-	lastEpoch uint64 // that this host held
-	held      bool
+	lastEpoch uint64               // that this host held
+	holds     bool                 // the lease, at the last look
 	quiet     time.Time            // until when no order is sent
 	ordered   time.Time            // the last order that may have been sent, by this host or one before it; zero: none
 	whole     bool                 // orders holds all that were sent lately
 	orders    map[string]lastOrder // by upstream
 	former    handover
+	handed    handed
 }
 
 // newestUnit is when an upstream was first seen last.
@@ -148,8 +152,9 @@
 	if cfg.AdapterLoad == 0 {
 		cfg.AdapterLoad = defaultAdapterLoad
 	}
-	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, sums: newSums(), demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
+	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
 		traits: map[string]*residency.Traits{}, orders: map[string]lastOrder{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
+	c.sums = newSums(c.runsModelsAt)
 	c.turns, c.accounts, c.quarantine = newTurns(c), newAccounts(c), newQuarantine(c)
 	return c
 }
@@ -157,15 +162,23 @@
 // tick is how often books and plans are looked at.
 const tick = 200 * time.Millisecond
 
+// planPause is how many times as long as a plan took the next one waits, so that
+// plans of thousands of upstreams leave the processor to turns.
+const planPause = 20
+
 // Run acts until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
+	var next time.Time // plan
 	for pace.Sleep(ctx, tick) {
 		c.follow()
 		c.turns.sweep()
-		if c.mayOrder(0) != nil {
+		began := time.Now()
+		if c.mayOrder(0) != nil || began.Before(next) {
 			continue
 		}
 		c.plan(ctx)
+		now := time.Now()
+		next = now.Add(planPause * now.Sub(began))
 	}
 	return ctx.Err()
 }
@@ -216,31 +229,57 @@
 // standBack ends that.
 func (c *Coordinator) standBack() { c.standingIn.Store(false) }
 
-// follow notices a new term and brings the books up to date with what the
-// upstreams say of themselves.
+// follow notices a new term and, while this host acts, brings the accounts of
+// upstreams up to date with what they say of themselves.
 func (c *Coordinator) follow() {
 	now := c.now()
 	term, held := c.deps.Lease.Term()
+	acts := held || c.Acting()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if held && (!c.held || term.Epoch != c.term.Epoch) {
+	if held && (!c.holds || term.Epoch != c.term.Epoch) {
 		c.beginLocked(term, now)
 	}
-	c.held, c.term = held, term
+	c.holds, c.term = held, term
 	if held {
 		c.lastEpoch = term.Epoch
 	}
 	maps.DeleteFunc(c.orders, func(_ string, o lastOrder) bool { return now.Sub(o.at) > c.cfg.Quiet })
-	c.bookLocked(now)
+	if acts {
+		c.bookLocked(now)
+	}
+}
+
+// look is up to where the upstreams were looked at.
+type look struct {
+	config     *deploy.Config
+	membership uint64 // of the fleet
+	state      uint64 // of its list
 }
 
-// bookLocked opens and closes books as upstreams come and go, and enters what
-// their descriptions say.
+// bookLocked opens and closes accounts as upstreams come and go, and enters what
+// their descriptions say. Most looks find a few new descriptions.
 func (c *Coordinator) bookLocked(now time.Time) {
 	table := c.deps.Config.Current()
 	if table == nil {
 		return
 	}
+	next := look{table.Config, c.deps.Fleet.Membership(), c.looked.state}
+	var described []*fleet.Entry
+	described, next.state = c.deps.Fleet.Described(c.looked.state)
+	if c.looked.config != next.config || c.looked.membership != next.membership {
+		c.bookAllLocked(table, now)
+	} else {
+		for _, e := range described {
+			if u := c.units[e.ID()]; u != nil && u.entry == e && u.describe(now) {
+				c.changedLocked(u)
+			}
+		}
+	}
+	c.looked = next
+}
+
+func (c *Coordinator) bookAllLocked(table *deploy.Table, now time.Time) {
 	seen := map[string]bool{}
 	for _, e := range c.deps.Fleet.All() {
 		s, ok := table.Service(e.Service())
@@ -250,28 +289,35 @@
 		seen[e.ID()] = true
 		u := c.units[e.ID()]
 		if u == nil || u.entry != e {
-			former := u
-			u = newUnit(c, e, s.Engine, now)
-			u.book.Share(c.traitsLocked(s.Name))
-			if former != nil { // the upstream has started again under its ID
-				u.book.Charge(former.doubts(now))
-			}
-			c.units[e.ID()] = u
-			c.newest = now
-			c.changedLocked(u)
+			c.openLocked(e, s, u, now)
 			continue
 		}
 		if u.describe(now) {
 			c.changedLocked(u)
 		}
 	}
-	for id := range c.units {
+	for id, u := range c.units {
 		if !seen[id] {
 			delete(c.units, id)
+			c.held.Drop(u)
 		}
 	}
 }
 
+// openLocked opens the account of an upstream's process; former is that of the
+// process before, or nil.
+func (c *Coordinator) openLocked(e *fleet.Entry, s *deploy.Service, former *unit, now time.Time) {
+	u := newUnit(c, e, s.Engine, now)
+	u.book.Share(c.traitsLocked(s.Name))
+	if former != nil { // the upstream has started again under its ID
+		u.book.Charge(former.doubts(now))
+		c.held.Drop(former)
+	}
+	c.units[e.ID()] = u
+	c.newest = now
+	c.changedLocked(u)
+}
+
 // traitsLocked is what was learnt of a service's upstreams. It outlives terms.
 func (c *Coordinator) traitsLocked(service string) *residency.Traits {
 	t := c.traits[service]
@@ -299,6 +345,7 @@
 	}
 	c.revision++
 	u.revision.Store(c.revision)
+	c.held.Note(u, c.revision)
 }
 
 func (c *Coordinator) unit(id string) (*unit, bool) {
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/core/changes"
 	"peridotpier.example/core/residency"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/event"
@@ -63,7 +64,7 @@
 // is over; where that is not known, none of them does.
 func (c *Coordinator) beginLocked(t lease.Term, now time.Time) {
 	again := c.lastEpoch > 0 && c.lastEpoch+1 == t.Epoch
-	c.units = map[string]*unit{}
+	c.units, c.held, c.looked = map[string]*unit{}, changes.Log[*unit]{}, look{}
 	if !again {
 		c.beginCounts(now)
 	}
@@ -126,12 +127,35 @@
 	return ok && !o.own && now.Before(o.at.Add(c.cfg.Quiet))
 }
 
-// tellHandover tells a successor what it needs to know. c.mu is not held.
+// handed is what was told last to hosts that may succeed this one.
+type handed struct {
+	told   *coordpb.Handover
+	acting bool
+	at     time.Time
+}
+
+// tellHandover is makeHandover, made anew expiryEach at most: all hosts ask at once.
+// What it says happened counts as having happened that much later.
+func (c *Coordinator) tellHandover(acting bool, now time.Time) *coordpb.Handover {
+	c.mu.Lock()
+	h := c.handed
+	c.mu.Unlock()
+	if h.told != nil && h.acting == acting && now.Sub(h.at) < expiryEach {
+		return h.told
+	}
+	h = handed{c.makeHandover(acting, now), acting, now}
+	c.mu.Lock()
+	c.handed = h
+	c.mu.Unlock()
+	return h.told
+}
+
+// makeHandover tells a successor what it needs to know. c.mu is not held.
 //
 // A host that acts on without the lease is asked five times a second by every
 // other. It leaves the demand out, which is most of it: 4 of 5.5 kB at 131
 // models, so that 81 hosts would cost 1.6 MB/s while the store is away.
-func (c *Coordinator) tellHandover(acting bool, now time.Time) *coordpb.Handover {
+func (c *Coordinator) makeHandover(acting bool, now time.Time) *coordpb.Handover {
 	loads, doubts, known := c.stores.tell(now)
 	for _, u := range c.allUnits() {
 		if u.loadUnanswered() { // it may turn out to be carried out late
--- a/node/coordinator/holder_bench_test.go
+++ b/node/coordinator/holder_bench_test.go
@@ -46,6 +46,7 @@
 		}
 	}
 	c.deps.Fleet.Apply(all, nil, 1)
+	c.standingIn.Store(true)
 	c.follow()
 	k.now = k.now.Add(time.Minute)
 	for i := range s.hosts {
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -13,6 +12,7 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/metrics"
 )
 
@@ -91,12 +91,24 @@
 	c.accounts.told(r.Teams, now)
 	c.quarantine.receive(r, now)
 	c.demand.take(r.Demand, c.engineTime, now)
-	if len(r.Demand) == 0 {
-		return
+	for _, d := range r.Demand {
+		for _, u := range c.unitsOf(c.deps.Fleet.Holders(d.Service, d.Model)) {
+			u.usedBy(d, now)
+		}
 	}
-	for _, u := range c.allUnits() {
-		u.usedBy(r.Demand, now)
+}
+
+// unitsOf are the accounts of some upstreams.
+func (c *Coordinator) unitsOf(entries []*fleet.Entry) []*unit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*unit, 0, len(entries))
+	for _, e := range entries {
+		if u := c.units[e.ID()]; u != nil && u.entry == e {
+			out = append(out, u)
+		}
 	}
+	return out
 }
 
 // tellSums says what the others have sent and what changed at the upstreams.
@@ -106,35 +118,61 @@
 		return !r.ModelsLater || !c.runsModelsAt(upstream)
 	})
 	out.Others, out.Hosts = others, uint32(hosts)
+	c.tellHeld(r, out, now)
+	return out
+}
+
+const (
+	// holdingsMost is how many upstreams' holdings one answer tells; the rest follow
+	// with the next ones, the oldest changes first. 299 hosts that link at once would
+	// get 3,000 each, some 300 kB: more than the holder's memory and link carry before
+	// their reports count as lost and they begin anew.
+	holdingsMost = 250
+	// holdingsRate is how many are told a second to all hosts together, some 8 MB.
+	// A host needs them to go on by itself; while it has turns it needs those alone
+	// that its callers wait for.
+	holdingsRate = 100_000
+	// holdingsLeast is how many an answer tells in any case.
+	holdingsLeast = 16
+)
+
+// holdingsFor is how many upstreams' holdings an answer to one of some hosts tells
+// that reports once in a period.
+func holdingsFor(hosts int, period time.Duration) int {
+	most := int(holdingsRate * period.Seconds() / float64(max(hosts, 1)))
+	return min(max(most, holdingsLeast), holdingsMost)
+}
+
+// tellHeld adds what changed of what upstreams hold, and what holds or loads the
+// models that the host's callers wait for.
+func (c *Coordinator) tellHeld(r *coordpb.HostReport, out *coordpb.SiteState, now time.Time) {
+	awaited := map[*unit]bool{}
+	for _, d := range r.Demand {
+		if d.Unserved == 0 {
+			continue
+		}
+		for _, u := range c.unitsOf(slices.Concat(c.deps.Fleet.Holders(d.Service, d.Model), c.deps.Fleet.Loaders(d.Service, d.Model))) {
+			awaited[u] = true
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out.Revision = c.revision
-	if r.Revision >= c.revision {
-		return out
-	}
-	changed := make([]*unit, 0, len(c.units))
-	for _, u := range c.units {
-		if u.revision.Load() > r.Revision {
-			changed = append(changed, u)
+	if r.Revision < c.revision {
+		changed, to, whole := c.held.Since(r.Revision, holdingsFor(int(out.Hosts), reportPeriod))
+		if !whole {
+			out.Revision = to
+		}
+		for _, u := range changed {
+			out.Holdings = append(out.Holdings, u.holding(now))
+			delete(awaited, u)
 		}
 	}
-	if len(changed) > holdingsMost {
-		slices.SortFunc(changed, func(a, b *unit) int { return cmp.Compare(a.revision.Load(), b.revision.Load()) })
-		changed = changed[:holdingsMost]
-		out.Revision = changed[holdingsMost-1].revision.Load()
-	}
-	for _, u := range changed {
+	for u := range awaited {
 		out.Holdings = append(out.Holdings, u.holding(now))
 	}
-	return out
 }
 
-// holdingsMost is how many upstreams' holdings one answer tells; the rest follow
-// with the next ones, the oldest changes first. 299 hosts that link at once would
-// get 3,000 each, some 300 kB: more than the holder's memory and link carry before
-// their reports count as lost and they begin anew.
-const holdingsMost = 250
-
 // engine is what each upstream of a service can hold; nil: a plain service, or
 // one that is not known.
 func (c *Coordinator) engine(service string) *deploy.Engine {
--- a/node/coordinator/serve_test.go
+++ b/node/coordinator/serve_test.go
@@ -29,6 +29,7 @@
 	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}},
 		{ID: "b", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
 	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	c.standingIn.Store(true)
 	c.follow()
 	all := c.report(&coordpb.HostReport{Host: "h"})
 	assert.Equal(t, len(all.Holdings), 2)
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
@@ -34,6 +35,10 @@
 	total   map[string]fleet.Load // by upstream, of the reports that count; no zero loads
 	expired time.Time             // when reports were last looked at for their age
 
+	highest    []string // upstreams with most requests, as of highestAt
+	highestAt  time.Time
+	runsModels func(upstream string) bool
+
 	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
 
 	expected   int // hosts that another that acted had, until then
@@ -51,7 +56,9 @@
 	counted bool // in total
 }
 
-func newSums() *sums { return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}} }
+func newSums(runsModels func(upstream string) bool) *sums {
+	return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}, runsModels: runsModels}
+}
 
 // take replaces one host's loads.
 func (s *sums) take(r *coordpb.HostReport, now time.Time) {
@@ -114,8 +121,12 @@
 	}
 }
 
-// others adds up the loads of all hosts but one at the wanted upstreams, and
-// counts the hosts.
+// othersMost is how many upstreams' loads a host is told. Those that are not named
+// have less, or none.
+const othersMost = 64
+
+// others adds up the loads of all hosts but one at those of the wanted upstreams
+// where they are highest, and counts the hosts.
 func (s *sums) others(host string, now time.Time, wanted func(upstream string) bool) (all []*coordpb.Load, hosts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,9 +137,10 @@
 			own[l.Upstream] = own[l.Upstream].Plus(loadOf(l))
 		}
 	}
-	room := make([]coordpb.Load, 0, len(s.total))
-	for id, sum := range s.total {
-		sum = sum.Plus(own[id].Negative())
+	highest := s.highestLocked(now)
+	room := make([]coordpb.Load, 0, len(highest))
+	for _, id := range highest {
+		sum := s.total[id].Plus(own[id].Negative())
 		if sum.Requests <= 0 || !wanted(id) {
 			continue
 		}
@@ -140,6 +152,32 @@
 	return all, len(s.hosts)
 }
 
+// highestLocked are the upstreams with most requests, othersMost of those that run
+// models and as many others, brought up to date expiryEach; all there are, if these
+// are as few.
+func (s *sums) highestLocked(now time.Time) []string {
+	if len(s.total) <= othersMost {
+		return slices.Collect(maps.Keys(s.total))
+	}
+	if now.Sub(s.highestAt) < expiryEach {
+		return s.highest
+	}
+	s.highestAt = now
+	byRequests := func(a, b string) int { return cmp.Compare(s.total[b].Requests, s.total[a].Requests) }
+	var models, plain []string
+	for id := range s.total {
+		if s.runsModels(id) {
+			models = append(models, id)
+		} else {
+			plain = append(plain, id)
+		}
+	}
+	slices.SortFunc(models, byRequests)
+	slices.SortFunc(plain, byRequests)
+	s.highest = append(models[:min(len(models), othersMost)], plain[:min(len(plain), othersMost)]...)
+	return s.highest
+}
+
 // place is a host's among all, by name.
 func (s *sums) place(host string) int {
 	s.mu.Lock()
--- a/node/coordinator/unit.go
+++ b/node/coordinator/unit.go
@@ -213,13 +213,8 @@
 }
 
 // usedBy notes what callers asked of a host.
-func (u *unit) usedBy(all []*coordpb.Demand, now time.Time) {
-	service := u.entry.Service()
+func (u *unit) usedBy(d *coordpb.Demand, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, d := range all {
-		if d.Service == service {
-			u.book.Used(d.Model, d.Adapter, now)
-		}
-	}
+	u.book.Used(d.Model, d.Adapter, now)
 }
