Hosts of a large fleet report less often, and are told at once what cannot wait

Cause: 986 hosts that report five times a second are 4,930 reports a second at the holder, whatever each of them takes; and while 4,000 upstreams came at the start each was sent as text to each host, 1.4 GB in two seconds: the holder's link was full, reports ran out of time, the lease was lost three times, and every host read the whole list from the store (17,014 calls and 0.75 GB until the tenth second). Ruled out: a host in each data centre that relays (the holder would speak to five, but a second step of sums, accounts, quarantine and words has to be right through its loss; at the measured cost one step bears twice the fleet). Change: a host reports once in hosts/1,000 seconds, 0.2 s at least, as it is told; the deputies always at the least. How long a report, a word on loads or on a team counts follows from the period of its host. What cannot wait is brought forward: a host reports at once that it left an upstream alone, heard what one asks for, lost one under requests, has callers waiting for a model, or had a question unanswered; the holder announces on the streams of turns a configuration, who comes, leaves or goes, limits and crashes, and the hosts ask for them spread over 0.2 s at 986 hosts. The list's changes are published in segments of 0.1 s at least, packed once for all hosts, without copies and without what upstreams say they hold (that is told by the holder's accounts); one that begins to act with such a list reads it whole first.

--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// wordFresh is how long the ledger's word counts: a few of the reports that
-	// bring it.
-	wordFresh = 1500 * time.Millisecond
 	// passShare is the part of a burst that one host passes by itself until it is
 	// told anew. The ledger hears of it with the next report.
 	passShare = 0.25
@@ -51,10 +48,11 @@
 	word    Standing
 	scarce  bool // word says how the account stands; else it has enough
 	told    time.Time
-	own     rate    // asked for at this host
-	ownThen float64 // when the word came, a second
-	since   float64 // passed since then
-	start   *Bucket // bounds a host without any word
+	until   time.Time // that the word counts
+	own     rate      // asked for at this host
+	ownThen float64   // when the word came, a second
+	since   float64   // passed since then
+	start   *Bucket   // bounds a host without any word
 
 	untold, older use       // that no ledger has heard of, of this half of reportFor and the former
 	half          time.Time // when this half began
@@ -91,9 +89,10 @@
 	}
 }
 
-// Tell enters the ledger's word: how the account stands, or that it has enough.
-func (s *Share) Tell(word Standing, scarce bool, now time.Time) {
-	s.word, s.scarce, s.told = word, scarce, now
+// Tell enters the ledger's word: how the account stands, or that it has enough. A
+// host goes by it until then without a question.
+func (s *Share) Tell(word Standing, scarce bool, now, until time.Time) {
+	s.word, s.scarce, s.told, s.until = word, scarce, now, until
 	s.ownThen, s.since = s.own.perSecond(now), 0
 }
 
@@ -105,7 +104,7 @@
 // Decide says what becomes of a request that needs no turn while the ledger can be asked.
 func (s *Share) Decide(cost float64, now time.Time) Verdict {
 	s.own.add(cost, now)
-	fresh := !s.told.IsZero() && now.Sub(s.told) < wordFresh
+	fresh := now.Before(s.until)
 	if !fresh || s.scarce || s.since+cost > passShare*s.limit.capacity() {
 		return Ask
 	}
--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -213,6 +213,10 @@
 }
 
 func (a *asking) deliver(answer *coordpb.TurnAnswer) {
+	if answer.Kind == coordpb.TurnAnswer_NEWS {
+		a.link.pace.hasten(milliseconds(answer.WaitMs))
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if ch := a.asks[answer.Id]; ch != nil {
@@ -316,6 +320,7 @@
 			}
 			first.Stop()
 		case <-first.C:
+			a.link.Hasten() // which finds out whether the other is lost
 			a.mu.Lock()
 			a.until = time.Now().Add(askPause)
 			a.mu.Unlock()
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	CeilingOver   float64       // factor on its rate
 	LimitSlack    float64       // by which operators allow a team's limit to be missed, in what it counts
 	Policy        replica.Policy
+	LinkMbps      float64       // of this host, megabits a second; 0: not known
 	AdapterLoad   time.Duration // how long an adapter's load takes; 0: the default
 	NoModelMoves  bool          // models stay where they are, for measuring what moves gain
 }
@@ -113,6 +114,9 @@
 	Hosts func() int
 
 	encodings encodings
+	lists     listSends
+	published published
+	announced chan struct{} // has a token while there is something to announce
 
 	mu        sync.Mutex
 	units     map[string]*unit             // by upstream; kept while this host acts
@@ -153,8 +157,8 @@
 		cfg.AdapterLoad = defaultAdapterLoad
 	}
 	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
-		traits: map[string]*residency.Traits{}, orders: map[string]lastOrder{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
-	c.sums = newSums(c.runsModelsAt)
+		announced: make(chan struct{}, 1), traits: map[string]*residency.Traits{}, orders: map[string]lastOrder{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
+	c.sums = newSums(cfg.Address, c.runsModelsAt)
 	c.turns, c.accounts, c.quarantine = newTurns(c), newAccounts(c), newQuarantine(c)
 	return c
 }
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -15,12 +15,13 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
-	"peridotpier.example/node/pace"
 )
 
 const (
-	// reportPeriod is how often a host reports. The others' loads are then
-	// known within a fraction of the time that a prompt takes to be read.
+	// reportPeriod is how often a host reports at most, and does where there are few.
+	// The others' loads are then known within a fraction of the time that a prompt
+	// takes to be read. Of many hosts each is told to report less often; see
+	// sums.period.
 	reportPeriod = 200 * time.Millisecond
 	// reportCallBound is how long a report may take to be answered.
 	reportCallBound = 500 * time.Millisecond
@@ -55,6 +56,7 @@
 	Quarantine Quarantine
 	asking     *asking
 	teams      teamShares
+	pace       *reportPace
 
 	mu       sync.Mutex
 	demand   map[demandKey]*coordpb.Demand
@@ -79,7 +81,7 @@
 // NewLink makes a Link that is not linked.
 func NewLink(cfg LinkConfig, own *Coordinator, dial Dial, log *event.Log) *Link {
 	l := &Link{cfg: cfg, own: own, conns: newConns(dial), log: log, Quarantine: noQuarantine{}, demand: map[demandKey]*coordpb.Demand{}}
-	l.asking = newAsking(l)
+	l.asking, l.pace = newAsking(l), newReportPace()
 	if own != nil {
 		own.Hosts = l.hostsTold
 		own.accounts.word = func(team string) (quota.Word, bool) { return l.teams.word(team, own.now()) }
@@ -92,19 +94,26 @@
 
 // Run reports until ctx ends.
 func (l *Link) Run(ctx context.Context) error {
-	for pace.Sleep(ctx, pace.Default().Around(reportPeriod, reportJitter)) {
+	for l.pace.wait(ctx) {
 		if address := l.where(); address != "" {
 			l.tell(ctx, address)
 		} else {
+			l.pace.set(reportPeriod)
 			l.own.deps.Fleet.SetAlone()
 		}
 	}
 	return ctx.Err()
 }
 
+// Hasten has this host report at once what should not wait for its next report.
+func (l *Link) Hasten() { l.pace.hasten(0) }
+
 // reportJitter spreads the hosts' reports, as a share.
 const reportJitter = 0.1
 
+// Period is how often this host reports when nothing happens that is to be told at once.
+func (l *Link) Period() time.Duration { return l.pace.current() }
+
 // where is the address to report to; this host's own while it acts for all.
 func (l *Link) where() string {
 	if l.own.Acting() {
@@ -161,9 +170,11 @@
 		s, err = l.conns.report(ctx, address, r)
 	}
 	if err != nil {
+		l.pace.set(reportPeriod)
 		l.lost(address, err)
 		return
 	}
+	l.pace.set(milliseconds(s.PeriodMs))
 	if address != l.cfg.Address {
 		if !s.Holding && s.Epoch > 0 {
 			l.own.Gone(s.Epoch, milliseconds(s.LastOrderMs), s.Handover)
@@ -245,14 +256,12 @@
 
 // takeRelay enters what the holder has from the store.
 func (l *Link) takeRelay(s *coordpb.SiteState) {
-	r := follow.Relay{Age: milliseconds(s.StoreAgeMs), UpstreamsAt: s.ListAt, Full: s.ListFull}
-	r.Gone = s.Gone
+	r := follow.Relay{Age: milliseconds(s.StoreAgeMs), UpstreamsAt: s.ListAt, Full: s.ListFull, Brief: s.ListBrief}
 	var err error
-	if r.Config, err = configOf(s); err != nil {
-		l.log.Emit(event.RoutesUnusable, zap.Error(err))
-		return
+	if r.Config, err = configOf(s); err == nil {
+		r.Put, r.Gone, err = listOf(s)
 	}
-	if r.Put, err = upstreamsOf(s); err != nil {
+	if err != nil {
 		l.log.Emit(event.RoutesUnusable, zap.Error(err))
 		return
 	}
@@ -268,7 +277,7 @@
 // introduction is a report that says no more than who this host is and which
 // versions it has, so that a holder that it meets anew does not send it all.
 func (l *Link) introduction() *coordpb.HostReport {
-	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true, PackedList: true}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true, PackedList: true, BriefList: true}
 	if t := l.own.deps.Config.Current(); t != nil {
 		r.Config = t.Config.Version
 	}
@@ -315,8 +324,8 @@
 	if t := l.own.deps.Config.Current(); t != nil {
 		l.teams.keep(t.Config.Teams, now)
 	}
-	until := now.Add(reportFresh)
-	l.teams.tell(s, now)
+	until := now.Add(freshFor(milliseconds(s.PeriodMs)))
+	l.teams.tell(s, now, until)
 	l.takeOthers(s, until)
 	l.own.deps.Fleet.Trust(heard, until)
 	l.own.deps.Fleet.Believe(holdings(s, now), now)
--- a/node/coordinator/linkmodels.go
+++ b/node/coordinator/linkmodels.go
@@ -58,6 +58,7 @@
 	}
 	if unserved {
 		d.Unserved++
+		l.Hasten() // what holds or loads the model is told with the answer
 		return
 	}
 	d.Requests++
--- a/node/coordinator/linkteams.go
+++ b/node/coordinator/linkteams.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// tell enters the answer to a report.
-func (t *teamShares) tell(s *coordpb.SiteState, now time.Time) {
+// tell enters the answer to a report, which counts until then.
+func (t *teamShares) tell(s *coordpb.SiteState, now, until time.Time) {
 	if !s.CountsTeams {
 		return
 	}
@@ -105,7 +105,7 @@
 	defer t.mu.Unlock()
 	for name, share := range t.byName {
 		u := scarce[name]
-		share.Tell(quota.Standing{Level: float64(u.GetLevel()), Asked: float64(u.GetAsked())}, u != nil, now)
+		share.Tell(quota.Standing{Level: float64(u.GetLevel()), Asked: float64(u.GetAsked())}, u != nil, now, until)
 	}
 }
 
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -19,11 +19,11 @@
 	if err := c.relayConfig(r, out); err != nil {
 		return err
 	}
-	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
-	from := r.List
-	if from == 0 {
-		from = c.deps.Fleet.StateAt(r.ListAt)
+	if r.BriefList && milliseconds(out.PeriodMs) > reportPeriod {
+		return c.relayBrief(r, out)
 	}
+	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
+	from := c.listedUpTo(r)
 	if from == 0 && r.PackedList { // without a copy of the list for each that asks
 		return c.relayWhole(at, out)
 	}
@@ -36,13 +36,52 @@
 	return err
 }
 
+// listedUpTo is up to which state of the list a host knows it; 0: not at all.
+func (c *Coordinator) listedUpTo(r *coordpb.HostReport) uint64 {
+	if r.List != 0 {
+		return r.List
+	}
+	return c.deps.Fleet.StateAt(r.ListAt)
+}
+
 // relayWhole adds the whole list, packed.
 func (c *Coordinator) relayWhole(at uint64, out *coordpb.SiteState) error {
 	w, err := c.encodings.whole(c.now(), at, func() fleet.Change { return c.deps.Fleet.Since(0, false) })
 	if err != nil {
 		return err
 	}
-	out.List, out.ListAt, out.ListFull, out.PackedList = w.to, w.at, true, w.packed
+	c.addWhole(w, out)
+	return nil
+}
+
+// addWhole adds a whole list, unless this host's link is busy with those for others:
+// a host that is told nothing of the list asks again with its next report.
+func (c *Coordinator) addWhole(w wholeList, out *coordpb.SiteState) {
+	if c.lists.take(len(w.packed), c.cfg.LinkMbps, c.now()) {
+		out.List, out.ListAt, out.ListFull, out.PackedList = w.to, w.at, true, w.packed
+	}
+}
+
+// relayBrief adds what every host needs of the list, as published.
+func (c *Coordinator) relayBrief(r *coordpb.HostReport, out *coordpb.SiteState) error {
+	out.ListBrief = true
+	p := &c.published
+	if err := p.publish(c.deps.Fleet, c.deps.Feed.UpstreamsAt(), c.now()); err != nil {
+		return err
+	}
+	changes, to, at, ok := p.since(c.listedUpTo(r))
+	if ok {
+		out.List, out.ListAt, out.PackedChanges = to, at, changes
+		return nil
+	}
+	w, err := p.wholeList(c.deps.Fleet, c.now())
+	if err != nil {
+		return err
+	}
+	c.addWhole(w, out)
+	if changes, to, at, ok := p.since(w.to); ok && out.ListFull { // the list may be of a moment ago
+		out.List, out.ListAt, out.PackedChanges = to, at, changes
+	}
 	return nil
 }
 
@@ -97,22 +136,36 @@
 		return e.all, nil
 	}
 	all := read()
-	put := make([]deploy.Upstream, len(all.Put))
-	for i := range all.Put {
-		put[i] = all.Put[i].Upstream
-	}
-	plain, err := json.Marshal(put)
-	if err != nil {
-		return wholeList{}, eris.Wrap(err, "encode list")
-	}
-	packed, err := revision.Compress(plain)
+	packed, err := packList(plainOf(all.Put, false))
 	if err != nil {
-		return wholeList{}, eris.Wrap(err, "pack list")
+		return wholeList{}, err
 	}
 	e.all = wholeList{to: all.To, at: at, packed: packed, made: now}
 	return e.all, nil
 }
 
+// plainOf are upstreams as they are told; brief leaves out which copies they have.
+func plainOf(put []fleet.Listed, brief bool) []deploy.Upstream {
+	out := make([]deploy.Upstream, len(put))
+	for i := range put {
+		out[i] = put[i].Upstream
+		if brief {
+			out[i].InMemory, out[i].OnDisk = nil, nil
+		}
+	}
+	return out
+}
+
+// packList packs a list, or changes of it.
+func packList(v any) ([]byte, error) {
+	plain, err := json.Marshal(v)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode list")
+	}
+	packed, err := revision.Compress(plain)
+	return packed, eris.Wrap(err, "pack list")
+}
+
 type encodedUpstream struct {
 	since uint64 // state of the list
 	data  []byte
@@ -188,6 +241,14 @@
 	return cfg, nil
 }
 
+// listOf reads the list of an answer, or its changes.
+func listOf(s *coordpb.SiteState) (put []deploy.Upstream, gone []string, err error) {
+	if put, err = upstreamsOf(s); err != nil || len(s.PackedChanges) == 0 {
+		return put, s.Gone, err
+	}
+	return readChanges(put, s.PackedChanges)
+}
+
 // upstreamsOf reads the upstreams of an answer.
 func upstreamsOf(s *coordpb.SiteState) ([]deploy.Upstream, error) {
 	if len(s.PackedList) == 0 {
--- /dev/null
+++ b/node/coordinator/reportpace.go
@@ -0,0 +1,87 @@
+package coordinator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"peridotpier.example/node/pace"
+)
+
+// reportPace says when the next report is due.
+type reportPace struct {
+	mu     sync.Mutex
+	began  time.Time // the last report
+	due    time.Time
+	period time.Duration
+	sooner chan struct{} // has a token when due was brought forward
+}
+
+func newReportPace() *reportPace {
+	return &reportPace{period: reportPeriod, sooner: make(chan struct{}, 1)}
+}
+
+// wait returns when the next report is due; it says no when ctx ends before.
+func (p *reportPace) wait(ctx context.Context) bool {
+	for {
+		left := p.left(time.Now())
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-p.sooner:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
+	}
+}
+
+// left is the time until the next report; when it is due, that after it is set.
+func (p *reportPace) left(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.due) {
+		return p.due.Sub(now)
+	}
+	p.began, p.due = now, now.Add(pace.Default().Around(p.period, reportJitter))
+	return 0
+}
+
+// set is how often reports are due from now on that bring nothing new.
+func (p *reportPace) set(period time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.period = max(period, reportPeriod)
+	p.bringForwardLocked(p.began.Add(p.period))
+}
+
+func (p *reportPace) current() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.period
+}
+
+// hasten has the next report made within a time, drawn, but not sooner than
+// reportPeriod after the last.
+func (p *reportPace) hasten(within time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := time.Now().Add(time.Duration(rand.Float64() * float64(within)))
+	p.bringForwardLocked(later(at, p.began.Add(reportPeriod)))
+}
+
+func (p *reportPace) bringForwardLocked(at time.Time) {
+	if !at.Before(p.due) {
+		return
+	}
+	p.due = at
+	select {
+	case p.sooner <- struct{}{}:
+	default: // it looks anyway
+	}
+}
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -96,6 +96,9 @@
 			u.usedBy(d, now)
 		}
 	}
+	if len(r.Signals)+len(r.Crashes) > 0 {
+		c.announce()
+	}
 }
 
 // unitsOf are the accounts of some upstreams.
@@ -118,6 +121,7 @@
 		return !r.ModelsLater || !c.runsModelsAt(upstream)
 	})
 	out.Others, out.Hosts = others, uint32(hosts)
+	out.PeriodMs = uint32(c.sums.periodOf(r.Host).Milliseconds())
 	c.tellHeld(r, out, now)
 	return out
 }
@@ -159,7 +163,7 @@
 	defer c.mu.Unlock()
 	out.Revision = c.revision
 	if r.Revision < c.revision {
-		changed, to, whole := c.held.Since(r.Revision, holdingsFor(int(out.Hosts), reportPeriod))
+		changed, to, whole := c.held.Since(r.Revision, holdingsFor(int(out.Hosts), milliseconds(out.PeriodMs)))
 		if !whole {
 			out.Revision = to
 		}
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// reportFresh is how long a host's report counts: a few of its periods, so
-	// that one lost report does not hide its load.
-	reportFresh = 1500 * time.Millisecond
+	// freshPeriods and freshLeast are how long a host's report counts: a few of its
+	// periods, so that one lost report does not hide its load.
+	freshPeriods = 3
+	freshLeast   = 900 * time.Millisecond
 	// hostFresh is how long a host counts as one that shares the allowance of
 	// repeats. Long, since a host that is cut off goes on spending its share.
 	hostFresh = 20 * time.Second
@@ -26,6 +27,12 @@
 	expiryEach = 100 * time.Millisecond
 )
 
+// freshFor is how long a word counts that comes once in a period.
+func freshFor(period time.Duration) time.Duration { return freshLeast + freshPeriods*period }
+
+// reportFresh is that at the least period.
+const reportFresh = freshLeast + freshPeriods*reportPeriod
+
 // sums adds up the hosts' loads. Each report changes the sums by what is new in
 // it: added up anew for each of 195 hosts, five times a second, they took a
 // quarter of a core.
@@ -38,6 +45,7 @@
 	highest    []string // upstreams with most requests, as of highestAt
 	highestAt  time.Time
 	runsModels func(upstream string) bool
+	own        string // address of this host
 
 	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
 
@@ -52,20 +60,28 @@
 
 type hostLoads struct {
 	at      time.Time
+	period  time.Duration // until its next report, as it was told
 	report  *coordpb.HostReport
 	counted bool // in total
 }
 
-func newSums(runsModels func(upstream string) bool) *sums {
-	return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}, runsModels: runsModels}
+// fresh says whether the report counts.
+func (h *hostLoads) fresh(now time.Time) bool { return now.Sub(h.at) <= freshFor(h.period) }
+
+// suspects says whether its word on upstreams that are left alone counts: until
+// its next report, and half a period more.
+func (h *hostLoads) suspects(now time.Time) bool { return now.Sub(h.at) <= h.period*5/2 }
+
+func newSums(own string, runsModels func(upstream string) bool) *sums {
+	return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}, runsModels: runsModels, own: own}
 }
 
 // take replaces one host's loads.
 func (s *sums) take(r *coordpb.HostReport, now time.Time) {
-	h := &hostLoads{at: now, report: r, counted: true}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former := s.hosts[r.Host]
+	h := &hostLoads{at: now, period: s.periodOfLocked(r, now), report: r, counted: true}
 	if former == nil {
 		s.places = nil
 	}
@@ -111,7 +127,7 @@
 	s.expired = now
 	for name, h := range s.hosts {
 		age := now.Sub(h.at)
-		if age > reportFresh {
+		if !h.fresh(now) {
 			s.uncountLocked(h)
 		}
 		if age > hostFresh {
@@ -178,6 +194,49 @@
 	return s.highest
 }
 
+// reportsMost is how many reports a second are asked of all hosts together. Each
+// takes some 60 us with its answer and its connection; the more hosts, the less
+// often each of them reports what can wait.
+const reportsMost = 1000
+
+// period is how often each host reports that has nothing to tell at once.
+func (s *sums) period(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.periodLocked(now)
+}
+
+func (s *sums) periodLocked(now time.Time) time.Duration {
+	return max(reportPeriod, time.Second*time.Duration(s.allLocked(now))/reportsMost)
+}
+
+// periodOfLocked is that of one host. Those that would act next notice soonest that
+// nobody does.
+func (s *sums) periodOfLocked(r *coordpb.HostReport, now time.Time) time.Duration {
+	if r.Address == s.own || slices.Contains(s.named, r.Address) {
+		return reportPeriod
+	}
+	return s.periodLocked(now)
+}
+
+// periodOf is that of one host that has reported.
+func (s *sums) periodOf(host string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.hosts[host]; h != nil {
+		return h.period
+	}
+	return reportPeriod
+}
+
+// allLocked is how many hosts there are, as far as is known.
+func (s *sums) allLocked(now time.Time) int {
+	if now.Before(s.expectedBy) {
+		return max(len(s.hosts), s.expected)
+	}
+	return len(s.hosts)
+}
+
 // place is a host's among all, by name.
 func (s *sums) place(host string) int {
 	s.mu.Lock()
@@ -203,16 +262,13 @@
 func (s *sums) heard(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := len(s.hosts)
-	if now.Before(s.expectedBy) {
-		all = max(all, s.expected)
-	}
+	all := s.allLocked(now)
 	if all == 0 {
 		return 1
 	}
 	fresh := 0
 	for _, h := range s.hosts {
-		if now.Sub(h.at) <= reportFresh {
+		if h.fresh(now) {
 			fresh++
 		}
 	}
@@ -235,7 +291,7 @@
 	words := map[string]int{}
 	out := map[string]bool{}
 	for _, h := range s.hosts {
-		if now.Sub(h.at) > suspectFresh {
+		if !h.suspects(now) {
 			continue
 		}
 		for _, id := range h.report.Silent {
@@ -247,9 +303,6 @@
 	return out
 }
 
-// suspectFresh is how long one word counts: two reports.
-const suspectFresh = 500 * time.Millisecond
-
 const (
 	// deputiesMost is how many hosts may run for the lease at once when it falls
 	// free: enough that some are left after a data centre is lost.
@@ -269,7 +322,7 @@
 	}
 	var ample, other []string
 	for _, h := range s.hosts {
-		if now.Sub(h.at) > reportFresh || h.report.Address == "" {
+		if !h.fresh(now) || h.report.Address == "" {
 			continue
 		}
 		if h.report.Ample {
--- a/node/coordinator/traffic.go
+++ b/node/coordinator/traffic.go
@@ -66,6 +66,9 @@
 	for _, gone := range out.Gone {
 		add(bytesList, fieldBytes+len(gone))
 	}
+	for _, changes := range out.PackedChanges {
+		add(bytesList, fieldBytes+len(changes))
+	}
 	add(bytesList, len(out.PackedList))
 	add(bytesConfig, len(out.Config)+len(out.PackedConfig))
 	if out.Handover != nil {
--- a/node/coordinator/turns.go
+++ b/node/coordinator/turns.go
@@ -25,6 +25,7 @@
 	c *Coordinator
 
 	mu      sync.Mutex
+	streams map[*turnStream]struct{}
 	granted map[turnKey]*turn
 	places  map[string]*place    // by upstream
 	waiting []*turn              // the most urgent first, then the oldest
@@ -69,7 +70,7 @@
 }
 
 func newTurns(c *Coordinator) *turns {
-	return &turns{c: c, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c), rests: rests{}, wakes: map[*fleet.Entry]time.Time{}}
+	return &turns{c: c, streams: map[*turnStream]struct{}{}, granted: map[turnKey]*turn{}, places: map[string]*place{}, absent: map[string]time.Time{}, limits: newLimits(c), rests: rests{}, wakes: map[*fleet.Entry]time.Time{}}
 }
 
 // begin starts a term. What an earlier one counted does not hold any more.
@@ -104,6 +105,7 @@
 func (t *turns) leave(from *turnStream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.streams, from)
 	for k, g := range t.granted {
 		if k.from == from {
 			t.release(g)
--- a/node/coordinator/turnstream.go
+++ b/node/coordinator/turnstream.go
@@ -32,6 +32,7 @@
 	ctx, cancel := context.WithCancel(st.Context())
 	defer cancel()
 	own := &turnStream{out: make(chan *coordpb.TurnAnswer, turnQueue), cancel: cancel}
+	s.c.turns.enter(own)
 	defer s.c.turns.leave(own)
 	go func() {
 		defer cancel()
--- a/node/follow/config.go
+++ b/node/follow/config.go
@@ -15,6 +15,7 @@
 	log   *event.Log
 	table atomic.Pointer[deploy.Table]
 	first chan struct{}
+	after func() // called after each change; nil: nobody asks
 }
 
 // NewConfig makes one with nothing in force.
@@ -26,6 +27,9 @@
 // First is closed when a configuration is in force.
 func (c *Config) First() <-chan struct{} { return c.first }
 
+// OnChange has f called after each change. It is set before the first.
+func (c *Config) OnChange(f func()) { c.after = f }
+
 // Offer puts a configuration in force if it is newer; source says where it
 // came from.
 func (c *Config) Offer(next *deploy.Config, source string) bool {
@@ -50,6 +54,9 @@
 		}
 		c.log.Emit(event.RoutesInForce, zap.Uint64("version", next.Version), zap.Uint64("was", was),
 			zap.String("source", source), zap.Int("routes", len(next.Routes)), zap.Int("services", len(next.Services)))
+		if c.after != nil {
+			c.after()
+		}
 		return true
 	}
 }
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -21,8 +21,9 @@
 	relayWait time.Duration
 	read      func(ctx context.Context) (at uint64, err error)
 	wait      func(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error)
-	back      func() // the store is reached again; nil: nobody asks
-	second    bool   // another feed's tries show whether the store is away
+	back      func()      // the store is reached again; nil: nobody asks
+	lacks     func() bool // the table has to be read whole for what this host does with it
+	second    bool        // another feed's tries show whether the store is away
 	reread    bool
 	lostAt    time.Time
 }
@@ -134,7 +135,7 @@
 
 func (f *Follower) call(ctx context.Context, d *feed) (uint64, error) {
 	at := d.progress.at.Load()
-	if at == 0 || d.reread {
+	if at == 0 || d.reread || d.lacks() {
 		f.count(d.name, readWhole)
 		next, err := d.read(ctx)
 		d.reread = d.reread && err != nil
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -151,6 +151,7 @@
 	from      time.Time
 	applying  sync.Mutex    // of upstreams, so that a relayed list and one read here do not mix
 	away      atomic.Bool   // the store does not answer the upstreams' feed
+	brief     atomic.Bool   // what upstreams hold by the list was not told since it was last whole
 	returned  chan struct{} // gets a token when it answers that again
 }
 
@@ -189,6 +190,7 @@
 	Age         time.Duration  // since the store last answered that host, for the older of its two feeds
 	UpstreamsAt uint64         // version that the list is of
 	Full        bool           // Put is the whole list
+	Brief       bool           // Put lacks copies, and upstreams of which nothing changed but what they hold
 	Upstreams
 }
 
@@ -208,6 +210,7 @@
 			f.deps.Upstreams.Apply(r.Put, r.Gone, r.UpstreamsAt)
 		}
 		f.upstreams.at.Store(r.UpstreamsAt)
+		f.brief.Store(r.Brief || !r.Full && f.brief.Load())
 	}
 	if r.Age < f.deps.RelayFresh {
 		f.relayed.Store(f.sinceStart() - int64(r.Age))
@@ -270,7 +273,7 @@
 		}
 		return at, err
 	}
-	return f.run(ctx, &feed{name: configFeed, progress: &f.config, relayWait: relayConfigWait, second: true,
+	return f.run(ctx, &feed{name: configFeed, progress: &f.config, relayWait: relayConfigWait, second: true, lacks: func() bool { return false },
 		read: func(ctx context.Context) (uint64, error) {
 			ctx, cancel := context.WithTimeout(ctx, readBound)
 			defer cancel()
@@ -284,6 +287,7 @@
 // RunUpstreams follows the upstreams until ctx ends.
 func (f *Follower) RunUpstreams(ctx context.Context) error {
 	return f.run(ctx, &feed{name: upstreamsFeed, progress: &f.upstreams, relayWait: relayUpstreamsWait, back: f.storeBack,
+		lacks: func() bool { return f.brief.Load() && f.deps.Relays() },
 		read: func(ctx context.Context) (uint64, error) {
 			all, at, err := f.readParts(ctx)
 			if errors.Is(err, errTold) {
@@ -297,6 +301,7 @@
 			defer f.applying.Unlock()
 			if at >= f.upstreams.at.Load() {
 				f.deps.Upstreams.Replace(all.Put, at)
+				f.brief.Store(false)
 				f.deps.Listed()
 			}
 			return at, nil
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -15,6 +15,7 @@
 
 	"peridotpier.example/core/budget"
 	leasing "peridotpier.example/core/lease"
+	"peridotpier.example/core/poison"
 	"peridotpier.example/node/coordinator"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -80,7 +81,8 @@
 	set := d.Settings
 	h := &Host{deps: d, set: set, log: d.Log, config: follow.NewConfig(d.Log), listed: make(chan struct{}), stopped: make(chan struct{}), started: time.Now()}
 	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, LapseHold: milliseconds(set.Bounds.LapseMs), MassHold: milliseconds(set.Bounds.DrainMs * massHoldShare)},
-		fleet.Deps{Log: d.Log, Left: d.Client.Forget})
+		fleet.Deps{Log: d.Log, Left: d.Client.Forget, Changed: h.announce, Noticed: h.hasten})
+	h.config.OnChange(h.announce)
 	h.controlPath()
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
 	ending, giveUp := context.WithCancel(context.Background())
@@ -89,7 +91,7 @@
 	h.leave = leave
 	h.guard = quarantine.NewGuard(quarantine.GuardDeps{Linked: h.link.Linked, Log: d.Log, Metrics: d.Metrics})
 	h.link.Quarantine = h.guard
-	h.crashes = quarantine.NewWatch(quarantine.WatchDeps{Refuses: d.Client.Refuses, Crashed: h.guard.Crashed, Log: d.Log, Metrics: d.Metrics})
+	h.crashes = quarantine.NewWatch(quarantine.WatchDeps{Refuses: d.Client.Refuses, Crashed: h.crashed, Log: d.Log, Metrics: d.Metrics})
 	h.gate = gate.New(gate.Deps{Leaving: leaving, Ending: ending, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Models: h.link, Limits: h.link, Crashes: h.crashes, Guard: h.guard,
 		Repeats: gate.NewRepeats(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, Closing: h.closing.Load, Gone: connGone})
 	h.limitMemory()
@@ -157,7 +159,7 @@
 		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
 		Relays:     func() bool { return h.coord.Acting() }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
-		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, NoModelMoves: set.NoModelMoves},
+		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Metrics: d.Metrics})
 	h.coord.Linked = func() string { return h.link.Coordinator() }
 	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: h.ample()}, h.coord, conn.NewDialer().DialContext, d.Log)
@@ -178,6 +180,7 @@
 	h.add(&g, work, h.coord.Run)
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunTurns)
+	h.add(&g, work, h.coord.RunAnnouncements)
 	h.add(&g, work, h.fetch)
 	h.add(&g, work, h.crashes.Run)
 	h.add(&g, work, h.coord.RunQuarantine)
@@ -185,7 +188,7 @@
 	h.add(&g, ctx, h.whileServing(lead.Run))
 	h.servePeers(&g)
 	h.add(&g, work, h.hangups)
-	h.add(&g, work, h.announce)
+	h.add(&g, work, h.logReady)
 	h.serve(&g, h.ready, h.set.Readiness)
 	if h.set.Metrics != "" {
 		h.serve(&g, h.metrics, h.set.Metrics)
@@ -286,8 +289,24 @@
 	return h.config.Current() != nil && h.listOnce.Load() && !h.draining.Load()
 }
 
-// announce logs when the host has what it needs.
-func (h *Host) announce(ctx context.Context) error {
+// announce has the other hosts told, if this one acts for them, that there is
+// something new for each of them.
+func (h *Host) announce() { h.coord.Announce() }
+
+// hasten has the host that acts for all told at once what this one found out.
+func (h *Host) hasten() {
+	h.link.Hasten()
+	h.coord.Announce()
+}
+
+// crashed notes that an upstream ended under requests of this host.
+func (h *Host) crashed(upstream string, at time.Time, ran []poison.Mark) {
+	h.guard.Crashed(upstream, at, ran)
+	h.link.Hasten()
+}
+
+// logReady logs when the host has what it needs.
+func (h *Host) logReady(ctx context.Context) error {
 	for _, c := range []<-chan struct{}{h.config.First(), h.listed} {
 		select {
 		case <-c:
