Idle hosts wake up when there is something to do

Cause: each host looked some sixty times a second whether anything had changed: whether it is linked (twice), whether its relay is fresh (twice), whether it holds the lease (twice), whether an upstream is silent. At 986 hosts 59,000 wake-ups a second that find nothing. Hosts that may act next look as often as before.

--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -51,7 +51,7 @@
 // run keeps a stream to the host that holds the lease until ctx ends.
 func (a *asking) run(ctx context.Context) error {
 	at := ""
-	for pace.Sleep(ctx, lookEach) {
+	for a.pause(ctx, at) {
 		address := a.link.where()
 		a.mu.Lock()
 		open := a.stream != nil
@@ -73,6 +73,18 @@
 	return ctx.Err()
 }
 
+// pause waits for the next look at a stream to an address; it says no when ctx ends.
+func (a *asking) pause(ctx context.Context, at string) bool {
+	moved := a.link.moved.Next()
+	a.mu.Lock()
+	open := a.stream != nil
+	a.mu.Unlock()
+	if open && a.link.where() == at {
+		return pace.SleepUntil(ctx, idleTick, moved)
+	}
+	return pace.Sleep(ctx, lookEach)
+}
+
 // open starts a stream.
 func (a *asking) open(ctx context.Context, address string) error {
 	if address == a.link.cfg.Address {
@@ -209,6 +221,7 @@
 		delete(a.asks, id)
 	}
 	a.mu.Unlock()
+	a.link.moved.Give()
 	_ = old.Close()
 }
 
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -106,6 +106,7 @@
 	stores     storeLoads
 
 	standingIn atomic.Bool // acts though it has never held the lease
+	begins     pace.Signal // given when it begins to
 
 	// Linked tells the address that this host's own reports go to; set before Run.
 	Linked func() string
@@ -170,10 +171,13 @@
 // plans of thousands of upstreams leave the processor to turns.
 const planPause = 20
 
+// idleTick is that of a host that does not act.
+const idleTick = time.Second
+
 // Run acts until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	var next time.Time // plan
-	for pace.Sleep(ctx, tick) {
+	for c.pause(ctx) {
 		c.follow()
 		c.turns.sweep()
 		began := time.Now()
@@ -187,6 +191,24 @@
 	return ctx.Err()
 }
 
+// pause waits for the next look; it says no when ctx ends.
+func (c *Coordinator) pause(ctx context.Context) bool {
+	taken, acts := c.deps.Lease.Taken(), c.begins.Next()
+	if c.Acting() {
+		return pace.Sleep(ctx, tick)
+	}
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-taken:
+	case <-acts:
+	case <-timer.C:
+	}
+	return ctx.Err() == nil
+}
+
 // linked is the address of the host that holds the lease; "": not known.
 func (c *Coordinator) linked() string {
 	if c.Linked == nil {
@@ -215,6 +237,7 @@
 	if c.standingIn.Swap(true) {
 		return
 	}
+	c.begins.Give()
 	c.beginCounts(c.now())
 	c.deps.Log.Emit(event.StandingIn, zap.Duration("store_age", c.deps.Feed.Age()))
 }
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -36,12 +36,13 @@
 func (d *Lead) Run(ctx context.Context) error {
 	var asked time.Time
 	for ctx.Err() == nil {
+		moved := d.Link.moved.Next()
 		if d.Link.Linked() {
 			if d.Link.Led() && time.Since(asked) > findEach {
 				asked = time.Now()
 				d.Link.Find(ctx)
 			}
-			pace.Sleep(ctx, lookEach)
+			pace.SleepUntil(ctx, d.look(), moved)
 			continue
 		}
 		if d.Link.Candidate() || d.standBy(ctx) {
@@ -51,6 +52,14 @@
 	return ctx.Err()
 }
 
+// look is how long a linked host waits for a sign that it is not any more.
+func (d *Lead) look() time.Duration {
+	if d.Link.linkedTo() == "" { // it acts itself, without a lease
+		return lookEach
+	}
+	return idleTick
+}
+
 // findFor is how long a host that should not run for the lease asks others who
 // holds it, before it runs all the same: those that should may all be gone.
 const findFor = 3 * time.Second
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -15,6 +15,7 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
+	"peridotpier.example/node/pace"
 )
 
 const (
@@ -57,6 +58,7 @@
 	asking     *asking
 	teams      teamShares
 	pace       *reportPace
+	moved      pace.Signal // given when this host goes by another than before, or loses its stream of turns
 
 	mu       sync.Mutex
 	demand   map[demandKey]*coordpb.Demand
@@ -402,6 +404,7 @@
 	}
 	l.mu.Unlock()
 	if was == address {
+		l.moved.Give()
 		l.own.deps.Fleet.SetAlone()
 		l.log.Emit(event.CoordinatorOff, zap.String(event.FieldPeer, address), zap.Error(err))
 	}
@@ -426,6 +429,7 @@
 	l.heard++
 	l.modelsAt = time.Time{}
 	l.mu.Unlock()
+	l.moved.Give()
 	l.takeRelay(s) // first: what upstreams hold goes by the list of them
 	l.Quarantine.Acknowledge(w, updateOf(s, l.own.now()))
 	l.takeSignals(s, told)
--- a/node/coordinator/quarantinerows.go
+++ b/node/coordinator/quarantinerows.go
@@ -46,8 +46,17 @@
 	Bars    int    `json:"bars"`
 }
 
+// pause waits for the next look; it says no when ctx ends.
+func (q *quarantine) pause(ctx context.Context) bool {
+	taken := q.c.deps.Lease.Taken()
+	if q.c.Holding() {
+		return pace.Sleep(ctx, quarantineEach)
+	}
+	return pace.SleepUntil(ctx, idleTick, taken)
+}
+
 func (q *quarantine) run(ctx context.Context) error {
-	for pace.Sleep(ctx, quarantineEach) {
+	for q.pause(ctx) {
 		term, held := q.c.deps.Lease.Term()
 		if !held || !q.due() {
 			continue
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -44,7 +44,7 @@
 	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
 	for ctx.Err() == nil {
 		if f.isRelayed() || f.spared() {
-			pace.Sleep(ctx, relayedPause)
+			pace.Sleep(ctx, f.relayedFor())
 			continue
 		}
 		began := time.Now()
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -103,6 +103,8 @@
 	ledPause = 3 * time.Second
 	// relayedPause is how often a host looks whether its relay is still fresh.
 	relayedPause = 100 * time.Millisecond
+	// longestRelayedPause is the longest that it goes without a look.
+	longestRelayedPause = time.Second
 )
 
 // pauseJitter spreads the hosts' tries, as a share.
@@ -223,6 +225,16 @@
 	return at != 0 && f.sinceStart()-at < int64(f.deps.RelayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
 }
 
+// relayedFor is how long a relay that is fresh stays so, within relayedPause and
+// longestRelayedPause. A host that may soon relay itself looks often.
+func (f *Follower) relayedFor() time.Duration {
+	left := f.deps.RelayFresh - time.Duration(f.sinceStart()-f.relayed.Load())
+	if !f.deps.Patient() {
+		return relayedPause
+	}
+	return min(max(left, relayedPause), longestRelayedPause)
+}
+
 const (
 	// startPatience is how long a host that nobody waits for yet leaves the store
 	// alone after its start: others read it, take the lease and relay meanwhile.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -319,13 +319,17 @@
 	return ctx.Err()
 }
 
-// sweepEach is how often the host looks for silent upstreams: a fraction of
-// the silence that it looks for.
-const sweepEach = 100 * time.Millisecond
+const (
+	// sweepEach is how often the host looks for silent upstreams: a fraction of
+	// the silence that it looks for.
+	sweepEach = 100 * time.Millisecond
+	// sweepIdle is the same while nothing is under way.
+	sweepIdle = 500 * time.Millisecond
+)
 
 func (h *Host) sweep(ctx context.Context) error {
 	dropped := int64(0)
-	for pace.Sleep(ctx, sweepEach) {
+	for h.sweepPause(ctx) {
 		dropped = h.tellDropped(dropped)
 		h.fleet.Sweep()
 		h.callers.sweep(time.Now())
@@ -336,6 +340,15 @@
 	return ctx.Err()
 }
 
+// sweepPause waits for the next look; it says no when ctx ends.
+func (h *Host) sweepPause(ctx context.Context) bool {
+	stirred := h.fleet.Stirred()
+	if h.fleet.Watching() {
+		return pace.Sleep(ctx, sweepEach)
+	}
+	return pace.SleepUntil(ctx, sweepIdle, stirred) && pace.Sleep(ctx, sweepEach)
+}
+
 // tellDropped logs that lines were dropped since it was called last.
 func (h *Host) tellDropped(before int64) int64 {
 	if h.deps.Dropped == nil {
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -76,8 +76,13 @@
 	// lapsed is the epoch that this process held last and that ended only
 	// because it was not renewed in time; 0: none.
 	lapsed uint64
+
+	taken pace.Signal // given when the lease is taken
 }
 
+// Taken returns a channel that is closed when this process takes the lease next.
+func (l *Lease) Taken() <-chan struct{} { return l.taken.Next() }
+
 // New makes a lease; Run campaigns for it.
 func New(cfg Config, deps Deps) *Lease {
 	if cfg.Holder == "" {
@@ -312,6 +317,9 @@
 
 func (l *Lease) hold(h *decide.Held) {
 	l.mu.Lock()
+	if l.held == nil && h != nil {
+		l.taken.Give()
+	}
 	l.held, l.lapsed = h, 0
 	l.mu.Unlock()
 }
