The lease goes to a host that can bear it

Ruled out: a longer handicap, since nobody else runs meanwhile. Change: a host with enough to spare that finds nobody for 0.6 s runs for the lease itself; a holder that has too little gives it up after 5 s, once a minute at most, if one with enough reports to it. Tests: both, and that there may be no other, on a clock of their own.

--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -25,6 +25,12 @@
 // first. The others would only cost the store calls.
 func (l *Link) Candidate() bool { return slices.Contains(l.peers(), l.cfg.Address) }
 
+// outranked says whether this host has too little to spare to act for all, and one
+// that reports to it has enough.
+func (l *Link) outranked() bool {
+	return !l.cfg.Ample && l.own.sums.anyAmple(l.own.now())
+}
+
 // comesFirst says whether this host is the first of the deputies that the last
 // holder named which answers.
 func (l *Link) comesFirst(ctx context.Context) bool {
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -30,6 +30,8 @@
 	Handicap time.Duration
 	// StoreAnswers says whether the store answered this host lately.
 	StoreAnswers func() bool
+
+	yielded time.Time // when this host last gave the lease up for another
 }
 
 // Run works until ctx ends.
@@ -60,9 +62,20 @@
 	return idleTick
 }
 
-// findFor is how long a host that should not run for the lease asks others who
-// holds it, before it runs all the same: those that should may all be gone.
-const findFor = 3 * time.Second
+const (
+	// findFor is how long a host that should not run for the lease asks others who
+	// holds it, before it runs all the same: those that should may all be gone.
+	findFor = 3 * time.Second
+	// findAmple is the same for one that has enough to spare to act for all: the few
+	// that each host knows at its start may have too little.
+	findAmple = 600 * time.Millisecond
+	// yieldAfter is how long a host with too little to spare holds the lease before it
+	// gives it up for one that has enough: its hosts have found it by then.
+	yieldAfter = 5 * time.Second
+	// yieldEach is the least time between two times that it does so: the others may
+	// be those that the store turns away.
+	yieldEach = time.Minute
+)
 
 // standBy asks others who holds the lease until this host is linked, and says
 // no, until the lease is found to name this host itself, or until nobody was
@@ -84,13 +97,20 @@
 		if !d.StoreAnswers() {
 			answered = time.Now()
 		}
-		if time.Since(answered) > findFor {
+		if time.Since(answered) > d.patience() {
 			return true
 		}
 	}
 	return false
 }
 
+func (d *Lead) patience() time.Duration {
+	if d.Link.cfg.Ample {
+		return findAmple
+	}
+	return findFor
+}
+
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
 func (d *Lead) campaign(ctx context.Context) {
@@ -110,14 +130,23 @@
 
 // search returns when this host is linked to another, when the store is away
 // and this host should not be first at its return, or when ctx ends. While this
-// host holds the lease itself it goes on.
+// host holds the lease itself it goes on, unless it has too little to spare and
+// another has enough.
 func (d *Lead) search(ctx context.Context) {
 	defer d.Link.own.standBack()
-	var tried time.Time
+	var tried, held time.Time
 	for pace.Sleep(ctx, lookEach) {
-		if _, held := d.Lease.Term(); held {
+		if d.Link.own.Holding() {
+			if held.IsZero() {
+				held = time.Now()
+			}
+			if time.Since(held) > yieldAfter && time.Since(d.yielded) > yieldEach && d.Link.outranked() {
+				d.yielded = time.Now()
+				return
+			}
 			continue
 		}
+		held = time.Time{}
 		if !d.Link.Candidate() && !d.StoreAnswers() && !d.Link.own.Acting() {
 			return
 		}
--- a/node/coordinator/lead_test.go
+++ b/node/coordinator/lead_test.go
@@ -4,17 +4,22 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	leasing "peridotpier.example/core/lease"
+	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/store"
+	standin "peridotpier.example/standin/platform"
 )
 
 // countedTable is a store that is away and counts how often it is asked.
@@ -65,3 +70,62 @@
 	cancel()
 	<-done
 }
+
+// leading is a host that runs for the lease beside others that cannot be reached.
+func leading(ample bool, table store.Table) (*Lead, *Coordinator) {
+	log := event.NewLog(nil)
+	l := lease.New(lease.Config{Name: "l", Policy: leasing.Policy{TTL: 1500 * time.Millisecond, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}}, lease.Deps{Table: table})
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	own := New(Config{Address: "me"}, Deps{Fleet: f, Config: follow.NewConfig(log), Lease: l, Feed: follow.New(follow.Deps{Log: log}), Log: log})
+	unreachable := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	link := NewLink(LinkConfig{Host: "h", Address: "me", Seeds: []string{"seed-1"}, Ample: ample}, own, unreachable, log)
+	return &Lead{Lease: l, Link: link, StoreAnswers: func() bool { return true }}, own
+}
+
+// Guards against a large fleet led by whichever host the others are told at their
+// start, however little it has to spare.
+func TestAHostWithMuchToSpareDoesNotWaitForThoseThatAllKnow(t *testing.T) {
+	for _, ample := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			lead, own := leading(ample, standin.NewTable())
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = lead.Run(ctx) })
+			time.Sleep(2 * findAmple)
+			assert.Equal(t, own.Holding(), ample)
+			time.Sleep(2 * findFor)
+			assert.Assert(t, own.Holding(), "there may be no other")
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
+// Guards against a fleet that stays with a host that cannot bear it once one that can
+// is there; and against the lease going to and fro where the store turns that one away.
+func TestAHolderWithLittleToSpareYieldsOnceToOneWithMuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lead, own := leading(false, standin.NewTable())
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = lead.Run(ctx) })
+		time.Sleep(2 * findFor)
+		assert.Assert(t, own.Holding())
+		lost := 0
+		held := true
+		for range 300 {
+			own.sums.take(&coordpb.HostReport{Host: "large", Address: "large", Ample: true}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+			if now := own.Holding(); now != held {
+				held = now
+				if !now {
+					lost++
+				}
+			}
+		}
+		assert.Equal(t, lost, 1)
+		assert.Assert(t, held, "nobody else took it")
+		cancel()
+		wg.Wait()
+	})
+}
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -303,6 +303,18 @@
 	return out
 }
 
+// anyAmple says whether a host reports that has enough to spare to act for all.
+func (s *sums) anyAmple(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.hosts {
+		if h.report.Ample && h.report.Address != s.own && h.fresh(now) {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	// deputiesMost is how many hosts may run for the lease at once when it falls
 	// free: enough that some are left after a data centre is lost.
