What a host must have to act for all follows from how many there are

Cause: 0.35 cores and 50 Mbit/s are enough to act for the sites of today, whatever their number; at twice the fleet a host with that would be chosen and could not bear it. Change: a host needs 0.0006 cores, 0.1 Mbit/s and 0.4 MB for each host that it knows of, and at least as much as before. What the one that acts for 986 takes was measured (0.36 cores, 260 MB: 0.00037 cores and 0.26 MB each).

--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -28,7 +28,7 @@
 // outranked says whether this host has too little to spare to act for all, and one
 // that reports to it has enough.
 func (l *Link) outranked() bool {
-	return !l.cfg.Ample && l.own.sums.anyAmple(l.own.now())
+	return !l.Ample() && l.own.sums.anyAmple(l.own.now())
 }
 
 // comesFirst says whether this host is the first of the deputies that the last
--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -26,8 +26,8 @@
 	Lease *lease.Lease
 	Link  *Link
 	// Handicap is how long this host waits before it campaigns, so that one
-	// with more to spare comes first.
-	Handicap time.Duration
+	// with more to spare comes first; nil: not at all.
+	Handicap func() time.Duration
 	// StoreAnswers says whether the store answered this host lately.
 	StoreAnswers func() bool
 
@@ -105,7 +105,7 @@
 }
 
 func (d *Lead) patience() time.Duration {
-	if d.Link.cfg.Ample {
+	if d.Link.Ample() {
 		return findAmple
 	}
 	return findFor
@@ -114,7 +114,7 @@
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
 func (d *Lead) campaign(ctx context.Context) {
-	if !pace.Sleep(ctx, pace.Default().Around(d.Handicap, 1)) {
+	if d.Handicap != nil && !pace.Sleep(ctx, pace.Default().Around(d.Handicap(), 1)) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/coordinator/lead_test.go
+++ b/node/coordinator/lead_test.go
@@ -78,7 +78,7 @@
 	f := fleet.New(fleet.Config{}, fleet.Deps{})
 	own := New(Config{Address: "me"}, Deps{Fleet: f, Config: follow.NewConfig(log), Lease: l, Feed: follow.New(follow.Deps{Log: log}), Log: log})
 	unreachable := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
-	link := NewLink(LinkConfig{Host: "h", Address: "me", Seeds: []string{"seed-1"}, Ample: ample}, own, unreachable, log)
+	link := NewLink(LinkConfig{Host: "h", Address: "me", Seeds: []string{"seed-1"}, Ample: func(int) bool { return ample }}, own, unreachable, log)
 	return &Lead{Lease: l, Link: link, StoreAnswers: func() bool { return true }}, own
 }
 
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -44,7 +44,8 @@
 	DataCentre string
 	Address    string   // where its coordinator listens
 	Seeds      []string // of a few hosts, perhaps stale
-	Ample      bool     // this host has enough to spare to act for all
+	// Ample says whether this host has enough to spare to act for so many; nil: it has not.
+	Ample func(hosts int) bool
 }
 
 // Link is how a host reaches the one that holds the lease, be it itself.
@@ -279,13 +280,22 @@
 // introduction is a report that says no more than who this host is and which
 // versions it has, so that a holder that it meets anew does not send it all.
 func (l *Link) introduction() *coordpb.HostReport {
-	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.cfg.Ample, ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true, PackedList: true, BriefList: true}
+	r := &coordpb.HostReport{Host: l.cfg.Host, Address: l.cfg.Address, Ample: l.Ample(), ListAt: l.own.deps.Feed.UpstreamsAt(), Packed: true, PackedList: true, BriefList: true}
 	if t := l.own.deps.Config.Current(); t != nil {
 		r.Config = t.Config.Version
 	}
 	return r
 }
 
+// Ample says whether this host has enough to spare to act for all, as many as it
+// knows of.
+func (l *Link) Ample() bool {
+	l.mu.Lock()
+	hosts := l.hosts
+	l.mu.Unlock()
+	return l.cfg.Ample != nil && l.cfg.Ample(hosts)
+}
+
 // report gathers what this host tells.
 func (l *Link) report() *coordpb.HostReport {
 	r := l.introduction()
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -162,7 +162,7 @@
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Metrics: d.Metrics})
 	h.coord.Linked = func() string { return h.link.Coordinator() }
-	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: h.ample()}, h.coord, conn.NewDialer().DialContext, d.Log)
+	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: func(hosts int) bool { return ample(set.Limits, hosts) }}, h.coord, conn.NewDialer().DialContext, d.Log)
 }
 
 // Run serves until ctx ends, then stops without cutting anything off within
@@ -184,7 +184,7 @@
 	h.add(&g, work, h.fetch)
 	h.add(&g, work, h.crashes.Run)
 	h.add(&g, work, h.coord.RunQuarantine)
-	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap(), StoreAnswers: h.link.StoreAnswers}
+	lead := &coordinator.Lead{Lease: h.lease, Link: h.link, Handicap: h.handicap, StoreAnswers: h.link.StoreAnswers}
 	h.add(&g, ctx, h.whileServing(lead.Run))
 	h.servePeers(&g)
 	h.add(&g, work, h.hangups)
@@ -237,10 +237,14 @@
 }
 
 const (
-	// ampleCores and ampleLinkMbps are what a host should have that acts for
-	// all: its work grows with the number of hosts.
-	ampleCores    = 0.35
-	ampleLinkMbps = 50
+	// ampleCores, ampleLinkMbps and ampleMemoryMB are what a host should have that
+	// acts for all, in any case and for each host: its work grows with their number.
+	// The one that acts for 986 takes 0.00037 cores and 0.26 MB a host.
+	ampleCores        = 0.35
+	ampleCoresEach    = 0.0006
+	ampleLinkMbps     = 50
+	ampleLinkMbpsEach = 0.1
+	ampleMemoryMBEach = 0.4
 	// handicapPoor is how long one with less waits before it campaigns.
 	handicapPoor = 800 * time.Millisecond
 	handicapAny  = 40 * time.Millisecond
@@ -248,16 +252,19 @@
 
 // handicap lets hosts with more to spare take the lease first.
 func (h *Host) handicap() time.Duration {
-	if !h.ample() {
+	if !h.link.Ample() {
 		return handicapPoor
 	}
 	return handicapAny
 }
 
-// ample says whether the host has enough to spare to act for all.
-func (h *Host) ample() bool {
-	l := h.set.Limits
-	return (l.Cores == 0 || l.Cores >= ampleCores) && (l.LinkMbps == 0 || l.LinkMbps >= ampleLinkMbps)
+// ample says whether a host of these limits has enough to spare to act for a number
+// of hosts. What a limit does not say is not bounded.
+func ample(l Limits, hosts int) bool {
+	n := float64(hosts)
+	return (l.Cores == 0 || l.Cores >= max(ampleCores, ampleCoresEach*n)) &&
+		(l.LinkMbps == 0 || l.LinkMbps >= max(ampleLinkMbps, ampleLinkMbpsEach*n)) &&
+		(l.MemoryMB == 0 || float64(l.MemoryMB) >= ampleMemoryMBEach*n)
 }
 
 // fetchAfter is how long the store may take at the start before peers are asked.
