pierctl hoststatus: whom a host goes by, how often it reports, and what hosts tell each other

Cause: the counts by kind are lines of the metrics page; an operator who wants to know why a holder's link is full has to know their names. Change: a page of the host and a command that shows it.

--- a/cmd/pierctl/main.go
+++ b/cmd/pierctl/main.go
@@ -13,7 +13,7 @@
 
 // operating are the commands that call a host.
 func operating() []subcommands.Command {
-	return []subcommands.Command{presetCommand(), applyCommand(), statusCommand(), auditCommand(), requestCommand(), &quarantineCommand{}, &upstreamsCommand{}}
+	return []subcommands.Command{presetCommand(), applyCommand(), statusCommand(), auditCommand(), requestCommand(), &quarantineCommand{}, &upstreamsCommand{}, &hostStatusCommand{}}
 }
 
 // trials are the commands that run stand-ins, or against them.
--- a/node/host/pages.go
+++ b/node/host/pages.go
@@ -19,7 +19,7 @@
 }
 
 // metricsPage shows the counters and histograms, a line each, what is held against
-// requests, and what upstreams ask for.
+// requests, what upstreams ask for, and whom this host goes by.
 func (h *Host) metricsPage() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c *echo.Context) error {
@@ -29,5 +29,6 @@
 	})
 	h.quarantine(e)
 	h.upstreams(e)
+	h.status(e)
 	return e
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -134,6 +134,21 @@
 // CountKind adds to one kind of a counter of the host. The kinds must be few.
 func (s *Set) CountKind(n Name, kind string, by int64) { s.nested(s.root, string(n)).Add(kind, by) }
 
+// Kinds returns a counter of the host by kind.
+func (s *Set) Kinds(n Name) map[string]int64 {
+	out := map[string]int64{}
+	m, ok := s.root.Get(string(n)).(*expvar.Map)
+	if !ok {
+		return out
+	}
+	m.Do(func(kv expvar.KeyValue) {
+		if v, ok := kv.Value.(*expvar.Int); ok {
+			out[kv.Key] = v.Value()
+		}
+	})
+	return out
+}
+
 // AddTokens counts relayed tokens; it is on the path of each of them.
 func (s *Set) AddTokens(by int) { s.tokens.Add(int64(by)) }
 
