--- a/node/host/host.go
+++ b/node/host/host.go
@@ -262,7 +262,7 @@
 // of hosts. What a limit does not say is not bounded.
 func ample(l Limits, hosts int) bool {
 	n := float64(hosts)
-	return (l.Cores == 0 || l.Cores >= max(ampleCores, ampleCoresEach*n)) &&
+	return (l.Cores == 0 || l.usualCores() >= max(ampleCores, ampleCoresEach*n)) &&
 		(l.LinkMbps == 0 || l.LinkMbps >= max(ampleLinkMbps, ampleLinkMbpsEach*n)) &&
 		(l.MemoryMB == 0 || float64(l.MemoryMB) >= ampleMemoryMBEach*n)
 }
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -34,7 +34,18 @@
 type Limits struct {
 	MemoryMB int     `json:"memory_mb"`
 	Cores    float64 `json:"cores"` // share of the processor, in cores
-	LinkMbps float64 `json:"link_mbps"`
+	// CoreSpeed is how many times as fast the processor is as the deployment's
+	// usual one; 0: as fast.
+	CoreSpeed float64 `json:"core_speed"`
+	LinkMbps  float64 `json:"link_mbps"`
+}
+
+// usualCores is the share of the processor in usual cores; 0: not bounded.
+func (l *Limits) usualCores() float64 {
+	if l.CoreSpeed == 0 {
+		return l.Cores
+	}
+	return l.Cores * l.CoreSpeed
 }
 
 // Bounds are the times and shares that the platform's users hold the system to.
@@ -132,6 +143,9 @@
 	if s.Bounds.RepeatWindowS < 0 || s.Bounds.GraceS < 0 || s.Bounds.LeaseMs < 0 {
 		fault("$.bounds", "has a time below 0")
 	}
+	if s.Limits.MemoryMB < 0 || s.Limits.Cores < 0 || s.Limits.CoreSpeed < 0 || s.Limits.LinkMbps < 0 {
+		fault("$.limits", "has a figure below 0")
+	}
 	if s.Bounds.LimitSlack < 0 {
 		fault("$.bounds.limit_slack", "is below 0")
 	}
