Hosts that may act next find out first that the one that acts has lost the store

Cause: how old a relay may be follows from the time in which a leaving upstream must be known: 3 s on the fleet. Change: the deputies go by a relay for 1.2 s at most, wherever that is shorter. Reports are at least three in the time for which a host goes by a relay, however many hosts there are. Tests: a host that may act next asks sooner than others; the period's bound; a host that begins to act with a brief list reads it whole first, and no other does.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -71,6 +71,7 @@
 	CeilingOver   float64       // factor on its rate
 	LimitSlack    float64       // by which operators allow a team's limit to be missed, in what it counts
 	Policy        replica.Policy
+	RelayFresh    time.Duration // for which hosts go by a relay of the store's changes; 0: not bounded
 	LinkMbps      float64       // of this host, megabits a second; 0: not known
 	AdapterLoad   time.Duration // how long an adapter's load takes; 0: the default
 	NoModelMoves  bool          // models stay where they are, for measuring what moves gain
@@ -143,6 +144,10 @@
 	return c.newest
 }
 
+// relayPeriods is how many reports of a host there are at least in the time for which
+// it goes by a relay, so that one that is lost does not send it to the store.
+const relayPeriods = 3
+
 // New makes a Coordinator.
 func New(cfg Config, deps Deps) *Coordinator {
 	if deps.Now == nil {
@@ -160,6 +165,7 @@
 	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, demand: newDemand(), speeds: newSpeeds(), units: map[string]*unit{},
 		announced: make(chan struct{}, 1), traits: map[string]*residency.Traits{}, orders: map[string]lastOrder{}, stores: storeLoads{window: cfg.CeilingWindow, over: cfg.CeilingOver}}
 	c.sums = newSums(cfg.Address, c.runsModelsAt)
+	c.sums.longest = cfg.RelayFresh / relayPeriods
 	c.turns, c.accounts, c.quarantine = newTurns(c), newAccounts(c), newQuarantine(c)
 	return c
 }
--- a/node/coordinator/fleetsize_test.go
+++ b/node/coordinator/fleetsize_test.go
@@ -134,6 +134,16 @@
 	}
 }
 
+// Guards against hosts that ask the store since their relay is older than they may go
+// by, where an upstream that leaves must be known sooner than a large fleet reports.
+func TestAHostReportsSeveralTimesWhileItsRelayIsFresh(t *testing.T) {
+	c := fleetTwo.known()
+	c.sums.longest = time.Second / relayPeriods
+	assert.Equal(t, c.sums.period(c.now()), time.Second/relayPeriods)
+	c.sums.longest = reportPeriod / 2
+	assert.Equal(t, c.sums.period(c.now()), reportPeriod)
+}
+
 // Guards against hosts that count as lost, and words that count as old, before the
 // next report of their host is due.
 func TestAReportCountsUntilTheNextIsOverdue(t *testing.T) {
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -45,7 +45,8 @@
 	highest    []string // upstreams with most requests, as of highestAt
 	highestAt  time.Time
 	runsModels func(upstream string) bool
-	own        string // address of this host
+	own        string        // address of this host
+	longest    time.Duration // period of reports; 0: not bounded
 
 	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
 
@@ -207,7 +208,11 @@
 }
 
 func (s *sums) periodLocked(now time.Time) time.Duration {
-	return max(reportPeriod, time.Second*time.Duration(s.allLocked(now))/reportsMost)
+	period := time.Second * time.Duration(s.allLocked(now)) / reportsMost
+	if s.longest > 0 {
+		period = min(period, s.longest)
+	}
+	return max(reportPeriod, period)
 }
 
 // periodOfLocked is that of one host. Those that would act next notice soonest that
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -219,10 +219,19 @@
 	}
 }
 
+// relayFresh is how old the relaying host's last answer from the store may be here. A
+// host that should act next finds out soonest that just that one is turned away.
+func (f *Follower) relayFresh() time.Duration {
+	if f.deps.Patient() {
+		return f.deps.RelayFresh
+	}
+	return min(f.deps.RelayFresh, defaultRelayFresh)
+}
+
 // isRelayed says whether the relay is fresh enough to do without the store.
 func (f *Follower) isRelayed() bool {
 	at := f.relayed.Load()
-	return at != 0 && f.sinceStart()-at < int64(f.deps.RelayFresh) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
+	return at != 0 && f.sinceStart()-at < int64(f.relayFresh()) && !f.deps.Relays() && f.deps.Config.Current() != nil && f.upstreams.at.Load() != 0
 }
 
 // relayedFor is how long a relay that is fresh stays so, within relayedPause and
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -180,3 +182,67 @@
 	s.set(func() { s.away, s.version = false, 2 })
 	inForce(t, config, 2, 2*time.Second)
 }
+
+// Guards against a large deployment without orders for as long as its hosts may go by
+// a relay, though only the host that relays has lost the store: one that may act next
+// asks the store sooner.
+func TestAHostThatMayActNextFindsOutSoonerThatTheRelayIsOld(t *testing.T) {
+	for _, patient := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			log := event.NewLog(nil)
+			s := &source{version: 1}
+			config := follow.NewConfig(log)
+			f := follow.New(follow.Deps{Source: s, Config: config, Upstreams: listener{}, Log: log, Listed: func() {},
+				Patient: func() bool { return patient }, RelayFresh: 3 * time.Second})
+			f.Take(follow.Relay{Config: &deploy.Config{Version: 1}, UpstreamsAt: 1})
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = f.RunUpstreams(ctx) })
+			time.Sleep(1500 * time.Millisecond)
+			_, lists := s.calls()
+			assert.Equal(t, lists > 0, !patient)
+			time.Sleep(2 * time.Second)
+			_, lists = s.calls()
+			assert.Assert(t, lists > 0)
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
+// wholeSource counts how often the list is read whole.
+type wholeSource struct {
+	source
+	whole atomic.Int32
+}
+
+func (s *wholeSource) ReadUpstreams(ctx context.Context, more func() error) (follow.Upstreams, uint64, error) {
+	s.whole.Add(1)
+	return s.source.ReadUpstreams(ctx, more)
+}
+
+// Guards against orders by a list that lacks what upstreams hold: a host that was told
+// no more than who there is reads the list whole before it acts, and no other does.
+func TestAHostThatBeginsToActReadsABriefListWhole(t *testing.T) {
+	for _, brief := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			log := event.NewLog(nil)
+			s := &wholeSource{source: source{version: 1}}
+			config := follow.NewConfig(log)
+			var acts atomic.Bool
+			f := follow.New(follow.Deps{Source: s, Config: config, Upstreams: listener{}, Log: log, Listed: func() {}, Relays: acts.Load})
+			f.Take(follow.Relay{Config: &deploy.Config{Version: 1}, UpstreamsAt: 1, Full: true, Brief: brief})
+			f.Take(follow.Relay{UpstreamsAt: 1}) // no news
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = f.RunUpstreams(ctx) })
+			time.Sleep(5 * time.Second) // its relay is not fresh any more
+			assert.Equal(t, s.whole.Load(), int32(0))
+			acts.Store(true)
+			time.Sleep(time.Second)
+			assert.Equal(t, s.whole.Load() == 1, brief)
+			cancel()
+			wg.Wait()
+		})
+	}
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -148,6 +148,7 @@
 func (h *Host) controlPath() {
 	set, d := h.set, h.deps
 	table := countedTable{d.Platform.Table, d.Metrics}
+	relayFresh := milliseconds(set.Bounds.DrainMs * relayFreshShare)
 	holder := coordinator.HolderOf(set.Host, set.Peers, uuid.NewString())
 	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder, Ended: coordinator.Ended(holder),
 		TryBound: leaseTry, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
@@ -156,10 +157,10 @@
 		Patient:    func() bool { return !h.link.Candidate() && !h.coord.Acting() },
 		Led:        func() bool { return h.link.Led() },
 		Unneeded:   func() bool { return set.FirstStart },
-		RelayFresh: milliseconds(set.Bounds.DrainMs * relayFreshShare),
+		RelayFresh: relayFresh,
 		Relays:     func() bool { return h.coord.Acting() }, Listed: h.upstreamsListed})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, Quiet: milliseconds(set.Bounds.LeaseMs) + orderFlight,
-		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
+		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingOver: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, RelayFresh: relayFresh, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Metrics: d.Metrics})
 	h.coord.Linked = func() string { return h.link.Coordinator() }
 	h.link = coordinator.NewLink(coordinator.LinkConfig{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, Seeds: set.Seeds, Ample: func(hosts int) bool { return ample(set.Limits, hosts) }}, h.coord, conn.NewDialer().DialContext, d.Log)
