A host that starts beside others leaves a large list to those that tell it

Cause: after a loss of all hosts each of 986 reads the configuration (some 0.17 MB) and the first parts of the list from the store, before it can know that another will tell it; a host knows nothing of the size of its deployment then. Ruled out: waiting for others in any case, which costs small deployments 0.3 to 1 s without service. Change: the first part of the list tells whether there is more; where there is, a host that others will tell waits up to 1.5 s for both. Where there is not, the configuration is read some milliseconds later than before. Tests: small and large lists, and one that may act next, on a clock of their own.

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -153,6 +153,9 @@
 	from      time.Time
 	applying  sync.Mutex    // of upstreams, so that a relayed list and one read here do not mix
 	away      atomic.Bool   // the store does not answer the upstreams' feed
+	large     atomic.Bool   // the list has several parts
+	sized     chan struct{} // closed when it is known whether it has
+	sizeOnce  sync.Once
 	brief     atomic.Bool   // what upstreams hold by the list was not told since it was last whole
 	returned  chan struct{} // gets a token when it answers that again
 }
@@ -180,7 +183,7 @@
 	if d.RelayFresh == 0 {
 		d.RelayFresh = defaultRelayFresh
 	}
-	return &Follower{deps: d, from: time.Now(), returned: make(chan struct{}, 1)}
+	return &Follower{deps: d, from: time.Now(), returned: make(chan struct{}, 1), sized: make(chan struct{})}
 }
 
 // sinceStart is the steady clock; never 0.
@@ -254,13 +257,16 @@
 )
 
 // spared says whether another host asks the store for this one, which nobody
-// waits for yet. Hosts that start together would each read the store whole, and
-// ask it again several times until they are linked.
+// waits for yet, or where the list has several parts. Hosts that start together would
+// each read the store whole, and ask it again several times until they are linked.
 func (f *Follower) spared() bool {
-	if !f.deps.Unneeded() || !f.deps.Patient() {
+	if !f.deps.Patient() {
 		return false
 	}
 	now := f.sinceStart()
+	if !f.deps.Unneeded() {
+		return f.large.Load() && f.deps.Config.Current() == nil && now < int64(startPatience)
+	}
 	if now < int64(startPatience) {
 		return true
 	}
@@ -294,6 +300,7 @@
 		}
 		return at, err
 	}
+	f.awaitSize(ctx)
 	return f.run(ctx, &feed{name: configFeed, progress: &f.config, relayWait: relayConfigWait, second: true, lacks: func() bool { return false },
 		read: func(ctx context.Context) (uint64, error) {
 			ctx, cancel := context.WithTimeout(ctx, readBound)
@@ -361,8 +368,10 @@
 	late := time.AfterFunc(readBound, cancel)
 	defer late.Stop()
 	parts := 0
+	defer f.foundSize(false)
 	more := func() error {
 		late.Stop()
+		f.foundSize(true)
 		parts++
 		f.count(upstreamsFeed, readWhole)
 		for rest := time.Duration(parts) * partPause; f.deps.Patient() && rest > 0; rest -= relayedPause {
@@ -377,6 +386,34 @@
 	return f.deps.Source.ReadUpstreams(ctx, more)
 }
 
+// foundSize notes whether the list has several parts.
+func (f *Follower) foundSize(large bool) {
+	f.sizeOnce.Do(func() {
+		f.large.Store(large)
+		close(f.sized)
+	})
+}
+
+// sizeBound is how long a host that others will tell waits at its start for the first
+// part of the list before it reads the configuration: the store answers within a few
+// milliseconds, or has to be asked for both anyway.
+const sizeBound = 100 * time.Millisecond
+
+// awaitSize waits until it is known whether the list has several parts. Where it has,
+// the configuration is large, too, and a host that others will tell leaves both to them.
+func (f *Follower) awaitSize(ctx context.Context) {
+	if !f.deps.Patient() || f.deps.Unneeded() {
+		return
+	}
+	timer := time.NewTimer(sizeBound)
+	defer timer.Stop()
+	select {
+	case <-f.sized:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // partPause is by how much longer a host that others will tell waits before each
 // further part of the list.
 const partPause = 300 * time.Millisecond
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -246,3 +246,46 @@
 		})
 	}
 }
+
+// partedSource has a list of several parts, or of one.
+type partedSource struct {
+	source
+	parts int
+}
+
+func (s *partedSource) ReadUpstreams(ctx context.Context, more func() error) (follow.Upstreams, uint64, error) {
+	for range s.parts - 1 {
+		if err := more(); err != nil {
+			return follow.Upstreams{}, 0, err
+		}
+	}
+	return s.source.ReadUpstreams(ctx, more)
+}
+
+// Guards against a thousand hosts that start together and each read all from the store;
+// and against hosts of a small deployment, or of one without others, that wait.
+func TestAHostThatStartsLeavesALargeListToThoseThatTellIt(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		parts          int
+		patient, waits bool
+	}{{"small", 1, true, false}, {"large", 8, true, true}, {"large, and it may act next", 8, false, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			log := event.NewLog(nil)
+			s := &partedSource{source{version: 1}, c.parts}
+			config := follow.NewConfig(log)
+			f := follow.New(follow.Deps{Source: s, Config: config, Upstreams: listener{}, Log: log, Listed: func() {}, Patient: func() bool { return c.patient }})
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = f.RunUpstreams(ctx) })
+			wg.Go(func() { _ = f.RunConfig(ctx) })
+			time.Sleep(50 * time.Millisecond)
+			configs, _ := s.calls()
+			assert.Equal(t, configs == 0, c.waits, c.name)
+			time.Sleep(2 * time.Second)
+			assert.Assert(t, config.Current() != nil, "%s: nobody told it", c.name)
+			cancel()
+			wg.Wait()
+		})
+	}
+}
