Hosts with little to spare look who has the lease while they wait to run for it

Cause: all hosts ask three that they know at their start; one of those that has little to spare waits up to 1.6 s before it reads the lease for the first time, and tells nobody until then who has taken it. Change: it looks at once and every 0.3 s of its wait, and links to the holder. Test: on a clock of its own.

--- a/node/coordinator/lead.go
+++ b/node/coordinator/lead.go
@@ -111,10 +111,25 @@
 	return findFor
 }
 
+// foundWithin waits for a time and says whether this host was linked meanwhile, or ctx
+// has ended. One that waits for long looks who has taken the lease: the others ask it.
+func (d *Lead) foundWithin(ctx context.Context, wait time.Duration) bool {
+	until := time.Now().Add(wait)
+	for left := wait; left > tryEach; left = time.Until(until) {
+		if d.Lease.Look(ctx) == nil && d.Link.Try(ctx, addressOf(d.Lease.Seen().Holder)) {
+			return true
+		}
+		if !pace.Sleep(ctx, min(left, tryEach)) {
+			return true
+		}
+	}
+	return !pace.Sleep(ctx, max(time.Until(until), 0))
+}
+
 // campaign runs for the lease until this host has held and lost it, or is
 // linked to the host that holds it.
 func (d *Lead) campaign(ctx context.Context) {
-	if d.Handicap != nil && !pace.Sleep(ctx, pace.Default().Around(d.Handicap(), 1)) {
+	if d.Handicap != nil && d.foundWithin(ctx, pace.Default().Around(d.Handicap(), 1)) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/node/coordinator/lead_test.go
+++ b/node/coordinator/lead_test.go
@@ -129,3 +129,24 @@
 		wg.Wait()
 	})
 }
+
+// Guards against a fleet that finds its holder only once the hosts that all others ask
+// have run for the lease themselves, last of all since they have little to spare.
+func TestAHostThatWaitsToRunLooksWhoHasTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		other := lease.New(lease.Config{Name: "l", Holder: HolderOf("large", "large:1", "p")}, lease.Deps{Table: table})
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = other.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		lead, own := leading(false, table)
+		lead.Link.cfg.Seeds = []string{"me"}
+		lead.Handicap = func() time.Duration { return 10 * time.Second }
+		wg.Go(func() { _ = lead.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, addressOf(own.deps.Lease.Seen().Holder), "large:1")
+		cancel()
+		wg.Wait()
+	})
+}
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -170,6 +170,17 @@
 	}
 }
 
+// Look reads who holds the lease, for Seen, without running for it.
+func (l *Lease) Look(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, record, err := l.read(ctx)
+	if err == nil {
+		l.see(rows, record)
+	}
+	return err
+}
+
 func (l *Lease) campaign(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
