Hosts follow to the next holder before they ask the store

(1) Whether the store answers a host is known by the older of its two feeds; a host that may act next began with a call that waits 2 s for a change of the configuration, and ran for the lease only then. (2) The others heard of the loss with their next report, a second later, and looked who has the lease a second after that. (3) A host that begins to act went on with a call that waits 2 s, and told the others for so long that its last answer was old. Ruled out: a longer time for which a relay counts; all hosts asking who has the lease three times a second. Change: a host that may act next begins with a call that does not wait, and its calls for changes wait no longer than those of one that acts; a host that finds who has taken over from it announces that, and is asked whom it goes by.

--- a/node/coordinator/asking.go
+++ b/node/coordinator/asking.go
@@ -50,6 +50,7 @@
 
 // run keeps a stream to the host that holds the lease until ctx ends.
 func (a *asking) run(ctx context.Context) error {
+	defer a.lose(nil)
 	at := ""
 	for a.pause(ctx, at) {
 		address := a.link.where()
--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -69,6 +69,13 @@
 	return l.Try(ctx, a.Coordinator)
 }
 
+// goOn links this host to the one that another goes by which has ceased to act for all.
+func (l *Link) goOn(ctx context.Context, former string) {
+	if a, err := l.conns.state(ctx, former, &coordpb.StateCall{Brief: true}); err == nil {
+		l.Try(ctx, a.Coordinator)
+	}
+}
+
 // named says whether the host that was asked last took this one for the holder
 // of the lease. It says so once for each time it was told.
 func (l *Link) named() bool {
--- /dev/null
+++ b/node/coordinator/holderloss_test.go
@@ -0,0 +1,228 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+	leasing "peridotpier.example/core/lease"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/lease"
+	"peridotpier.example/node/store"
+	standin "peridotpier.example/standin/platform"
+)
+
+// network connects hosts of one process by their addresses.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	conns chan net.Conn
+	done  <-chan struct{}
+	at    net.Addr
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error   { return nil }
+func (l *listener) Addr() net.Addr { return l.at }
+
+func (n *network) listen(ctx context.Context, address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{conns: make(chan net.Conn), done: ctx.Done(), at: &net.TCPAddr{}}
+	n.listeners[address] = l
+	return l
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		return nil, errors.New("refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// door is one host's way to the store, which may turn just that host away.
+type door struct {
+	store.Table
+	shut  atomic.Bool
+	calls atomic.Int64 // for changes and lists
+	since time.Time
+}
+
+func (d *door) Commit(ctx context.Context, t store.Txn) (uint64, error) {
+	if d.shut.Load() {
+		return 0, store.ErrUnavailable
+	}
+	return d.Table.Commit(ctx, t)
+}
+
+func (d *door) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	if d.shut.Load() {
+		return nil, store.ErrUnavailable
+	}
+	return d.Table.Get(ctx, keys...)
+}
+
+// changeEach is how often the list changes: upstreams tell what they hold.
+const changeEach = 100 * time.Millisecond
+
+func (d *door) ask(ctx context.Context, after uint64, wait time.Duration) (at uint64, err error) {
+	d.calls.Add(1)
+	for until := time.Now().Add(wait); ; {
+		if d.shut.Load() {
+			return 0, store.ErrUnavailable
+		}
+		at = 1 + uint64(time.Since(d.since)/changeEach)
+		if at > after || !time.Now().Before(until) {
+			return at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(changeEach / 10):
+		}
+	}
+}
+
+func (d *door) ReadConfig(ctx context.Context) (*deploy.Config, uint64, error) {
+	at, err := d.ask(ctx, 0, 0)
+	return &deploy.Config{Version: 1}, at, err
+}
+
+func (d *door) WaitConfig(ctx context.Context, _ uint64, wait time.Duration) (*deploy.Config, uint64, error) {
+	at, err := d.ask(ctx, 1<<62, wait) // it never changes
+	return nil, at, err
+}
+
+func (d *door) ReadUpstreams(ctx context.Context, _ func() error) (follow.Upstreams, uint64, error) {
+	at, err := d.ask(ctx, 0, 0)
+	return follow.Upstreams{}, at, err
+}
+
+func (d *door) WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (follow.Upstreams, uint64, error) {
+	at, err := d.ask(ctx, after, wait)
+	return follow.Upstreams{}, at, err
+}
+
+// fleetHost is a host as it runs, without callers.
+type fleetHost struct {
+	coord *Coordinator
+	link  *Link
+	door  *door
+}
+
+// fleetReports is how many reports a second all hosts of a test's fleet make together,
+// so that each makes one a second.
+const fleetReports = 60
+
+// startFleet runs so many hosts, the first few of which have enough to spare to act.
+func startFleet(ctx context.Context, wg *sync.WaitGroup, hosts, ample int) []*fleetHost {
+	n, table, began := &network{listeners: map[string]*listener{}}, standin.NewTable(), time.Now()
+	out := make([]*fleetHost, hosts)
+	for i := range out {
+		address := fmt.Sprintf("h%03d", i)
+		d := &door{Table: table, since: began}
+		log := event.NewLog(nil)
+		h := &fleetHost{door: d}
+		config, f := follow.NewConfig(log), fleet.New(fleet.Config{}, fleet.Deps{})
+		l := lease.New(lease.Config{Name: "l", Holder: HolderOf(address, address, "p"), TryBound: 400 * time.Millisecond,
+			Policy: leasing.Policy{TTL: 1500 * time.Millisecond, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}}, lease.Deps{Table: d})
+		const fresh = 3 * time.Second
+		feed := follow.New(follow.Deps{Source: d, Config: config, Upstreams: f, Log: log, RelayFresh: fresh, Listed: func() {},
+			Patient: func() bool { return !h.link.Candidate() && !h.coord.Acting() },
+			Led:     func() bool { return h.link.Led() },
+			Relays:  func() bool { return h.coord.Acting() }})
+		h.coord = New(Config{Host: address, Address: address, RelayFresh: fresh}, Deps{Fleet: f, Config: config, Lease: l, Feed: feed, Log: log})
+		h.coord.sums.reports = fleetReports
+		h.coord.Linked = func() string { return h.link.Coordinator() }
+		h.link = NewLink(LinkConfig{Host: address, Address: address, Seeds: []string{"h000", "h001", "h002"}, Ample: func(int) bool { return i < ample }}, h.coord, n.dial, log)
+		lead := &Lead{Lease: l, Link: h.link, StoreAnswers: h.link.StoreAnswers, Handicap: func() time.Duration { return 40 * time.Millisecond }}
+		ln := n.listen(ctx, address)
+		for _, run := range []func(context.Context) error{feed.RunConfig, feed.RunUpstreams, h.coord.Run, h.link.Run, h.link.RunTurns, h.coord.RunAnnouncements, lead.Run,
+			func(ctx context.Context) error { return h.coord.Serve(ctx, ln) }} {
+			wg.Go(func() { _ = run(ctx) })
+		}
+		out[i] = h
+	}
+	return out
+}
+
+// Guards against a fleet whose every host asks the store since just the one that acts
+// for all was turned away.
+func TestHostsFollowToTheNextHolderBeforeTheyAskTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		hosts := startFleet(ctx, &wg, fleetReports, 8)
+		time.Sleep(20 * time.Second)
+		var holder *fleetHost
+		before := make([]int64, len(hosts))
+		for i, h := range hosts {
+			before[i] = h.door.calls.Load()
+			if h.coord.Holding() {
+				holder = h
+			}
+		}
+		assert.Assert(t, holder != nil)
+		holder.door.shut.Store(true)
+		named := map[*fleetHost]bool{holder: true} // that act, or were told to act next
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, h := range hosts {
+				named[h] = named[h] || h.link.Candidate()
+			}
+		}
+		asked := 0
+		for i, h := range hosts {
+			if h.door.calls.Load() > before[i] && !named[h] {
+				asked++
+			}
+			assert.Assert(t, h == holder || h.link.Linked())
+		}
+		assert.Equal(t, asked, 0, "hosts that neither act nor would act next")
+		assert.Assert(t, count(named) <= 3*deputiesMost, "%d hosts were told to act next", count(named))
+	})
+}
+
+func count(all map[*fleetHost]bool) (n int) {
+	for _, is := range all {
+		if is {
+			n++
+		}
+	}
+	return n
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -180,6 +180,7 @@
 		}
 		if !l.follows(s) {
 			l.unlink(address, errNotHolding)
+			l.goOn(ctx, address)
 			return
 		}
 		l.takeRelay(s)
@@ -305,6 +306,7 @@
 	l.teams.words(r, l.own.now())
 	l.forgetSignals()
 	told := l.reportSignals(r, address)
+	acted := l.own.Acting()
 	s, err := l.conns.report(ctx, address, r)
 	if err != nil || !l.follows(s) || !s.Holding && l.Linked() {
 		return false
@@ -319,6 +321,9 @@
 	l.Quarantine.Acknowledge(w, updateOf(s, l.own.now()))
 	l.takeSignals(s, told)
 	l.take(s)
+	if acted && !l.own.Acting() {
+		l.own.announce() // those that go by this host find out whom it goes by
+	}
 	l.log.Emit(event.CoordinatorMet, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
 }
--- a/node/coordinator/sums.go
+++ b/node/coordinator/sums.go
@@ -47,6 +47,7 @@
 	runsModels func(upstream string) bool
 	own        string        // address of this host
 	longest    time.Duration // period of reports; 0: not bounded
+	reports    int           // asked of all hosts a second
 
 	places map[string]int // of hosts in the order of their names; nil: hosts have come or gone
 
@@ -74,7 +75,7 @@
 func (h *hostLoads) suspects(now time.Time) bool { return now.Sub(h.at) <= h.period*5/2 }
 
 func newSums(own string, runsModels func(upstream string) bool) *sums {
-	return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}, runsModels: runsModels, own: own}
+	return &sums{hosts: map[string]*hostLoads{}, total: map[string]fleet.Load{}, runsModels: runsModels, own: own, reports: reportsMost}
 }
 
 // take replaces one host's loads.
@@ -208,7 +209,7 @@
 }
 
 func (s *sums) periodLocked(now time.Time) time.Duration {
-	period := time.Second * time.Duration(s.allLocked(now)) / reportsMost
+	period := time.Second * time.Duration(s.allLocked(now)) / time.Duration(s.reports)
 	if s.longest > 0 {
 		period = min(period, s.longest)
 	}
--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -143,12 +143,18 @@
 	}
 	wait, why := aloneWait, waitAlone
 	switch {
+	case !f.deps.Patient() && f.silent(d):
+		// A host that may act next has to know whether the store answers before a
+		// call that waits for changes would tell.
+		wait, why = 0, lookForStore
 	case !d.lostAt.IsZero():
 		// The store may come back without a word on a call that it never heard;
 		// short calls find it within a second, and what changed meanwhile.
 		wait, why = 0, lookForStore
 	case f.deps.Relays():
 		wait, why = d.relayWait, waitForAll
+	case !f.deps.Patient():
+		wait = d.relayWait // it may relay before the call ends, and tells how old its last answer is
 	}
 	f.count(d.name, why)
 	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
@@ -156,12 +162,18 @@
 	return d.wait(ctx, at, wait)
 }
 
+// silent says whether the store has said nothing here for longer than a call for
+// changes waits, as while another host relayed.
+func (f *Follower) silent(d *feed) bool {
+	return f.sinceStart()-d.progress.heard.Load() > int64(aloneWait)
+}
+
 // Reasons of calls of the store, as they are counted.
 const (
 	readWhole    = "read_whole"     // nothing is known, or the history is lost; each part of a list is a call
 	waitAlone    = "wait_alone"     // no other host tells what changes
 	waitForAll   = "wait_for_all"   // this host tells the others
-	lookForStore = "look_for_store" // it did not answer last time
+	lookForStore = "look_for_store" // it did not answer last time, or was not asked lately
 )
 
 func (f *Follower) count(table, reason string) {
