A handover tells of orders given since the last one

Seen: TestHoldersNeverOverlap failed once, on a drawn case: two hosts ordered at one upstream 0 s apart. Change: what is kept is used only while no order was given and no term began since. Tests: both, on a clock of the test's own, failed before; 20,000 drawn cases after.

--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -130,20 +130,28 @@
 // handed is what was told last to hosts that may succeed this one.
 type handed struct {
 	told   *coordpb.Handover
+	of     given
 	acting bool
 	at     time.Time
 }
 
+// given is which orders a handover tells of: an order, or a term, after it was made
+// would be missing in it.
+type given struct {
+	epoch uint64
+	last  time.Time
+}
+
 // tellHandover is makeHandover, made anew expiryEach at most: all hosts ask at once.
 // What it says happened counts as having happened that much later.
 func (c *Coordinator) tellHandover(acting bool, now time.Time) *coordpb.Handover {
 	c.mu.Lock()
-	h := c.handed
+	h, of := c.handed, given{c.lastEpoch, c.ordered}
 	c.mu.Unlock()
-	if h.told != nil && h.acting == acting && now.Sub(h.at) < expiryEach {
+	if h.told != nil && h.of == of && h.acting == acting && now.Sub(h.at) < expiryEach {
 		return h.told
 	}
-	h = handed{c.makeHandover(acting, now), acting, now}
+	h = handed{c.makeHandover(acting, now), of, acting, now}
 	c.mu.Lock()
 	c.handed = h
 	c.mu.Unlock()
--- a/node/coordinator/handover_test.go
+++ b/node/coordinator/handover_test.go
@@ -51,6 +51,27 @@
 	return c.now().Before(c.quiet) || c.quietFor(upstream, c.now())
 }
 
+// Guards against a second holder's order beside one that the first gave after it had
+// told how it stood: what is kept for all that ask tells of no order since.
+func TestAHandoverTellsOfOrdersSinceTheLastOne(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	a, b, d := newHolder(k, "a"), newHolder(k, "b"), newHolder(k, "d")
+	a.takes(1)
+	a.tells(b)
+	a.takes(2)
+	a.ordering("u")
+	a.tells(b)
+	b.takes(3)
+	assert.Assert(t, b.silent("u"), "ordered in a later term")
+	k.now = k.now.Add(testQuiet)
+	b.tells(d)
+	k.now = k.now.Add(time.Millisecond)
+	b.ordering("v")
+	b.tells(d)
+	d.takes(4)
+	assert.Assert(t, d.silent("v"), "ordered in the same term")
+}
+
 // Symptom: models and adapters that callers wait for are loaded nowhere for
 // three to five seconds whenever the host that gives orders is restarted.
 // Sequence: it stops in good order; its successor waits, for all upstreams,
