Hosts that would act next hand the list on to those that have none

Cause: after a loss of all hosts the one that acts for all tells each of the others the whole list, some 150 kB for 4,000 upstreams; 0.4 of its link gives 330 a second, and a host that got none asks again a report's period later. On the fleet, all 986 hosts killed at 8.0 s and back at 8.55 s: all knew the configuration and the holder after 1.0 s, had the list after 1.3 to 5.9 s, in waves a second apart, and were ready after 6.0 s (aim 5 s). At twice the size it would be four times as long. Ruled out: a larger part of the link, which does not hold at twice the size; lists read from the store, 80 reads a host. Change: those that would act next are told the list first and hand it on (List); a host without it asks them, and again within 0.4 s. What changed since comes with the answer to its next report.

--- a/node/coordinator/conns.go
+++ b/node/coordinator/conns.go
@@ -67,6 +67,17 @@
 	return a, err
 }
 
+// list asks the host at an address for the list of upstreams.
+func (c *conns) list(ctx context.Context, address string) (a *coordpb.ListAnswer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
+	defer cancel()
+	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
+		a, err = peer.List(ctx, &coordpb.ListCall{})
+		return err
+	})
+	return a, err
+}
+
 func (c *conns) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	c.mu.Lock()
 	for len(c.idle[address]) > 0 {
--- a/node/coordinator/encodings.go
+++ b/node/coordinator/encodings.go
@@ -23,6 +23,7 @@
 	packed []byte
 	listed map[string]encodedUpstream // by upstream
 	all    wholeList
+	brief  wholeList // without copies
 }
 
 // wholeList is the list at one state, packed.
@@ -39,21 +40,25 @@
 // each of 299 hosts.
 const wholeFor = 500 * time.Millisecond
 
-// whole returns the list, packed; it is read anew when that is too old. at is the
-// store's version that it is of then, at least.
-func (e *encodings) whole(now time.Time, at uint64, read func() fleet.Change) (wholeList, error) {
+// whole returns the list, packed, brief or not; it is read anew when that is too old.
+// at is the store's version that it is of then, at least.
+func (e *encodings) whole(now time.Time, at uint64, brief bool, f *fleet.Fleet) (wholeList, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.all.at > 0 && now.Sub(e.all.made) < wholeFor {
-		return e.all, nil
+	kept := &e.all
+	if brief {
+		kept = &e.brief
 	}
-	all := read()
-	packed, err := packList(plainOf(all.Put, false))
+	if kept.at > 0 && now.Sub(kept.made) < wholeFor {
+		return *kept, nil
+	}
+	all := f.Since(0, brief)
+	packed, err := packList(plainOf(all.Put, brief))
 	if err != nil {
 		return wholeList{}, err
 	}
-	e.all = wholeList{to: all.To, at: at, packed: packed, made: now}
-	return e.all, nil
+	*kept = wholeList{to: all.To, at: at, packed: packed, made: now}
+	return *kept, nil
 }
 
 // plainOf are upstreams as they are told; brief leaves out which copies they have.
--- a/node/coordinator/holderloss_test.go
+++ b/node/coordinator/fleetplay_test.go
@@ -79,6 +79,8 @@
 	shut  atomic.Bool
 	calls atomic.Int64 // for changes and lists
 	since time.Time
+	list  []deploy.Upstream
+	slow  bool // the list has several parts, which take long
 }
 
 func (d *door) Commit(ctx context.Context, t store.Txn) (uint64, error) {
@@ -126,9 +128,19 @@
 	return nil, at, err
 }
 
-func (d *door) ReadUpstreams(ctx context.Context, _ func() error) (follow.Upstreams, uint64, error) {
+func (d *door) ReadUpstreams(ctx context.Context, more func() error) (follow.Upstreams, uint64, error) {
 	at, err := d.ask(ctx, 0, 0)
-	return follow.Upstreams{}, at, err
+	if d.slow {
+		if err := more(); err != nil {
+			return follow.Upstreams{}, 0, err
+		}
+		select {
+		case <-ctx.Done():
+			return follow.Upstreams{}, 0, ctx.Err()
+		case <-time.After(time.Minute):
+		}
+	}
+	return follow.Upstreams{Put: d.list}, at, err
 }
 
 func (d *door) WaitUpstreams(ctx context.Context, after uint64, wait time.Duration) (follow.Upstreams, uint64, error) {
@@ -147,13 +159,19 @@
 // so that each makes one a second.
 const fleetReports = 60
 
-// startFleet runs so many hosts, the first few of which have enough to spare to act.
-func startFleet(ctx context.Context, wg *sync.WaitGroup, hosts, ample int) []*fleetHost {
+// fleetOf is a fleet to start.
+type fleetOf struct {
+	hosts, ample int // the first few have enough to spare to act
+	linkMbps     float64
+	list         []deploy.Upstream // which these read at once, and others in minutes
+}
+
+func (o *fleetOf) start(ctx context.Context, wg *sync.WaitGroup) []*fleetHost {
 	n, table, began := &network{listeners: map[string]*listener{}}, standin.NewTable(), time.Now()
-	out := make([]*fleetHost, hosts)
+	out := make([]*fleetHost, o.hosts)
 	for i := range out {
 		address := fmt.Sprintf("h%03d", i)
-		d := &door{Table: table, since: began}
+		d := &door{Table: table, since: began, list: o.list, slow: i >= o.ample}
 		log := event.NewLog(nil)
 		h := &fleetHost{door: d}
 		config, f := follow.NewConfig(log), fleet.New(fleet.Config{}, fleet.Deps{})
@@ -164,10 +182,10 @@
 			Patient: func() bool { return !h.link.Candidate() && !h.coord.Acting() },
 			Led:     func() bool { return h.link.Led() },
 			Relays:  func() bool { return h.coord.Acting() }})
-		h.coord = New(Config{Host: address, Address: address, RelayFresh: fresh}, Deps{Fleet: f, Config: config, Lease: l, Feed: feed, Log: log})
+		h.coord = New(Config{Host: address, Address: address, RelayFresh: fresh, LinkMbps: o.linkMbps}, Deps{Fleet: f, Config: config, Lease: l, Feed: feed, Log: log})
 		h.coord.sums.reports = fleetReports
 		h.coord.Linked = func() string { return h.link.Coordinator() }
-		h.link = NewLink(LinkConfig{Host: address, Address: address, Seeds: []string{"h000", "h001", "h002"}, Ample: func(int) bool { return i < ample }}, h.coord, n.dial, log)
+		h.link = NewLink(LinkConfig{Host: address, Address: address, Seeds: []string{"h000", "h001", "h002"}, Ample: func(int) bool { return i < o.ample }}, h.coord, n.dial, log)
 		lead := &Lead{Lease: l, Link: h.link, StoreAnswers: h.link.StoreAnswers, Handicap: func() time.Duration { return 40 * time.Millisecond }}
 		ln := n.listen(ctx, address)
 		for _, run := range []func(context.Context) error{feed.RunConfig, feed.RunUpstreams, h.coord.Run, h.link.Run, h.link.RunTurns, h.coord.RunAnnouncements, lead.Run,
@@ -187,7 +205,7 @@
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		defer cancel()
-		hosts := startFleet(ctx, &wg, fleetReports, 8)
+		hosts := (&fleetOf{hosts: fleetReports, ample: 8}).start(ctx, &wg)
 		time.Sleep(20 * time.Second)
 		var holder *fleetHost
 		before := make([]int64, len(hosts))
@@ -226,3 +244,32 @@
 	}
 	return n
 }
+
+// Guards against a fleet that waits, after all its hosts were killed, for one host to
+// tell each of the others the whole list.
+func TestAListThatOneLinkCannotTellToAllIsHandedOn(t *testing.T) {
+	const (
+		oneLink = 12 * time.Second // for all hosts, one after the other
+		aim     = 5 * time.Second  // until all can serve
+	)
+	list := holderSize{1, 400, 20}.holder().deps.Fleet.Since(0, true).Put
+	packed, err := packList(plainOf(list, true))
+	assert.NilError(t, err)
+	const bitsPerByte, perMega = 8, 1e6
+	mbps := float64(len(packed)*bitsPerByte*fleetReports) / oneLink.Seconds() / perMega / listShare
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		hosts := (&fleetOf{hosts: fleetReports, ample: 8, linkMbps: mbps, list: plainOf(list, true)}).start(ctx, &wg)
+		time.Sleep(aim)
+		without := 0
+		for _, h := range hosts {
+			if len(h.coord.deps.Fleet.All()) < len(list) {
+				without++
+			}
+		}
+		assert.Equal(t, without, 0, "hosts without the list after %v", aim)
+	})
+}
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -189,6 +189,9 @@
 	l.Quarantine.Acknowledge(w, updateOf(s, l.own.now()))
 	l.takeSignals(s, told)
 	l.take(s)
+	if s.ListBrief && l.own.deps.Feed.UpstreamsAt() == 0 {
+		l.fetchList(ctx)
+	}
 }
 
 // reportSignals adds what upstreams asked for to a report, and returns what to
--- /dev/null
+++ b/node/coordinator/listcall.go
@@ -0,0 +1,65 @@
+package coordinator
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/follow"
+	"peridotpier.example/node/metrics"
+)
+
+// Where all hosts start at once, the one that acts for all cannot tell the list to each
+// of them within seconds: its size grows with the upstreams, and the number of times
+// that it is told with the hosts. Those that would act next hand it on.
+
+// List implements coordpb.DRPCCoordinatorServer.
+func (s service) List(context.Context, *coordpb.ListCall) (*coordpb.ListAnswer, error) {
+	c := s.c
+	c.deps.Metrics.CountKind(metrics.PeerCalls, callList, 1)
+	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
+	if at == 0 {
+		return &coordpb.ListAnswer{}, nil
+	}
+	w, err := c.encodings.whole(c.now(), at, true, c.deps.Fleet)
+	if err != nil || !c.lists.take(len(w.packed), c.cfg.LinkMbps, c.now()) {
+		return &coordpb.ListAnswer{}, err
+	}
+	c.countBytes(bytesHandedOn, len(w.packed))
+	return &coordpb.ListAnswer{Packed: w.packed, At: w.at}, nil
+}
+
+// listRetry is how long a host without a list waits before it asks again: those that
+// would act next have it by then.
+const listRetry = 2 * reportPeriod
+
+// fetchList asks the hosts that would act next for the list, until one hands it over.
+func (l *Link) fetchList(ctx context.Context) {
+	l.pace.set(listRetry)
+	peers := l.peers()
+	for _, i := range rand.Perm(len(peers)) {
+		if peers[i] == l.cfg.Address || peers[i] == l.where() {
+			continue
+		}
+		if a, err := l.conns.list(ctx, peers[i]); err == nil && a.At > 0 && l.takeList(a) {
+			return
+		}
+	}
+}
+
+// takeList enters a list that another handed on. Its age is not known: what changed
+// since comes with the answer to the next report.
+func (l *Link) takeList(a *coordpb.ListAnswer) bool {
+	put, err := unpackList(a.Packed)
+	if err != nil {
+		l.log.Emit(event.RoutesUnusable, zap.Error(err))
+		return false
+	}
+	const unknown = time.Hour
+	l.own.deps.Feed.Take(follow.Relay{Age: unknown, UpstreamsAt: a.At, Full: true, Brief: true, Upstreams: follow.Upstreams{Put: put}})
+	return true
+}
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -9,7 +10,6 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/coordinator/coordpb"
-	"peridotpier.example/node/fleet"
 )
 
 // relay adds what the store told this host and the other does not have yet.
@@ -24,11 +24,11 @@
 	at := c.deps.Feed.UpstreamsAt() // before the list: it may be newer than what is said of it
 	from := c.listedUpTo(r)
 	if from == 0 && r.PackedList { // without a copy of the list for each that asks
-		return c.relayWhole(at, out)
+		return c.relayWhole(r, at, out)
 	}
 	change := c.deps.Fleet.Since(from, false)
 	if change.Full && r.PackedList {
-		return c.relayWhole(at, out)
+		return c.relayWhole(r, at, out)
 	}
 	put, err := c.encodings.upstreams(change.Put)
 	out.List, out.ListAt, out.ListFull, out.Put, out.Gone = change.To, at, change.Full, put, change.Gone
@@ -44,19 +44,20 @@
 }
 
 // relayWhole adds the whole list, packed.
-func (c *Coordinator) relayWhole(at uint64, out *coordpb.SiteState) error {
-	w, err := c.encodings.whole(c.now(), at, func() fleet.Change { return c.deps.Fleet.Since(0, false) })
+func (c *Coordinator) relayWhole(r *coordpb.HostReport, at uint64, out *coordpb.SiteState) error {
+	w, err := c.encodings.whole(c.now(), at, false, c.deps.Fleet)
 	if err != nil {
 		return err
 	}
-	c.addWhole(w, out)
+	c.addWhole(w, r, out)
 	return nil
 }
 
-// addWhole adds a whole list, unless this host's link is busy with those for others:
-// a host that is told nothing of the list asks again with its next report.
-func (c *Coordinator) addWhole(w wholeList, out *coordpb.SiteState) {
-	if c.lists.take(len(w.packed), c.cfg.LinkMbps, c.now()) {
+// addWhole adds a whole list, unless this host's link is busy with those for others: a
+// host that is told nothing of the list asks one that would act next, or again with its
+// next report. Those that would act next hand it on, and so come first.
+func (c *Coordinator) addWhole(w wholeList, r *coordpb.HostReport, out *coordpb.SiteState) {
+	if slices.Contains(out.Deputies, r.Address) || c.lists.take(len(w.packed), c.cfg.LinkMbps, c.now()) {
 		out.List, out.ListAt, out.ListFull, out.PackedList = w.to, w.at, true, w.packed
 	}
 }
@@ -77,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	c.addWhole(w, out)
+	c.addWhole(w, r, out)
 	if changes, to, at, ok := p.since(w.to); ok && out.ListFull { // the list may be of a moment ago
 		out.List, out.ListAt, out.PackedChanges = to, at, changes
 	}
@@ -131,7 +132,12 @@
 	if len(s.PackedList) == 0 {
 		return decode(s.Put)
 	}
-	data, err := revision.Unpack(s.PackedList)
+	return unpackList(s.PackedList)
+}
+
+// unpackList reads a list that packList packed.
+func unpackList(packed []byte) ([]deploy.Upstream, error) {
+	data, err := revision.Unpack(packed)
 	if err != nil {
 		return nil, eris.Wrap(err, "unpack list")
 	}
--- a/node/coordinator/traffic.go
+++ b/node/coordinator/traffic.go
@@ -13,6 +13,7 @@
 	callState   = "state"
 	callAdapter = "adapter"
 	callTurn    = "turn"
+	callList    = "list"
 )
 
 // Kinds of bytes between hosts: what a report is, and the fields of its answer.
@@ -27,6 +28,7 @@
 	bytesQuarantine = "answer_quarantine"
 	bytesSignals    = "answer_signals"
 	bytesRest       = "answer_rest" // the lease, deputies and versions
+	bytesHandedOn   = "list"        // to a host that the one that acts for all has not told yet
 )
 
 // countReport counts a report and its answer by what they bring.
