--- a/node/coordinator/find.go
+++ b/node/coordinator/find.go
@@ -69,8 +69,8 @@
 	return l.Try(ctx, a.Coordinator)
 }
 
-// goOn links this host to the one that another goes by which has ceased to act for all.
-func (l *Link) goOn(ctx context.Context, former string) {
+// followSuccessor links this host to the one that another goes by which has ceased to act for all.
+func (l *Link) followSuccessor(ctx context.Context, former string) {
 	if a, err := l.conns.state(ctx, former, &coordpb.StateCall{Brief: true}); err == nil {
 		l.Try(ctx, a.Coordinator)
 	}
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -130,14 +130,14 @@
 // handed is what was told last to hosts that may succeed this one.
 type handed struct {
 	told   *coordpb.Handover
-	of     given
+	of     orderState
 	acting bool
 	at     time.Time
 }
 
-// given is which orders a handover tells of: an order, or a term, after it was made
-// would be missing in it.
-type given struct {
+// orderState is which orders a handover tells of: it lacks those given since, and in
+// later terms.
+type orderState struct {
 	epoch uint64
 	last  time.Time
 }
@@ -146,7 +146,7 @@
 // What it says happened counts as having happened that much later.
 func (c *Coordinator) tellHandover(acting bool, now time.Time) *coordpb.Handover {
 	c.mu.Lock()
-	h, of := c.handed, given{c.lastEpoch, c.ordered}
+	h, of := c.handed, orderState{c.lastEpoch, c.ordered}
 	c.mu.Unlock()
 	if h.told != nil && h.of == of && h.acting == acting && now.Sub(h.at) < expiryEach {
 		return h.told
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -180,7 +180,7 @@
 		}
 		if !l.follows(s) {
 			l.unlink(address, errNotHolding)
-			l.goOn(ctx, address)
+			l.followSuccessor(ctx, address)
 			return
 		}
 		l.takeRelay(s)
