Lists are packed, and hosts are asked, in one place each

Cause: reading the change once more: the whole list was read and packed in two places (encodings, published) that differ in the version they say it is of, and three calls to another host were the same six lines. Change: packWhole and callOnce; a comment reflowed. Behaviour as before.

--- a/node/coordinator/conns.go
+++ b/node/coordinator/conns.go
@@ -45,37 +45,36 @@
 	return nil
 }
 
-// report tells one host's report to the host at an address.
-func (c *conns) report(ctx context.Context, address string, r *coordpb.HostReport) (s *coordpb.SiteState, err error) {
+// callOnce makes one call that is answered at once, within reportCallBound.
+func callOnce[A any](ctx context.Context, c *conns, address string, f func(context.Context, coordpb.DRPCCoordinatorClient) (A, error)) (answer A, err error) {
 	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
 	defer cancel()
 	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
-		s, err = peer.Report(ctx, r)
+		answer, err = f(ctx, peer)
 		return err
 	})
-	return s, err
+	return answer, err
+}
+
+// report tells one host's report to the host at an address.
+func (c *conns) report(ctx context.Context, address string, r *coordpb.HostReport) (*coordpb.SiteState, error) {
+	return callOnce(ctx, c, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (*coordpb.SiteState, error) {
+		return peer.Report(ctx, r)
+	})
 }
 
 // state asks the host at an address for what it has.
-func (c *conns) state(ctx context.Context, address string, q *coordpb.StateCall) (a *coordpb.StateAnswer, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-	defer cancel()
-	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
-		a, err = peer.State(ctx, q)
-		return err
+func (c *conns) state(ctx context.Context, address string, q *coordpb.StateCall) (*coordpb.StateAnswer, error) {
+	return callOnce(ctx, c, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (*coordpb.StateAnswer, error) {
+		return peer.State(ctx, q)
 	})
-	return a, err
 }
 
 // list asks the host at an address for the list of upstreams.
-func (c *conns) list(ctx context.Context, address string) (a *coordpb.ListAnswer, err error) {
-	ctx, cancel := context.WithTimeout(ctx, reportCallBound)
-	defer cancel()
-	err = c.call(ctx, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (err error) {
-		a, err = peer.List(ctx, &coordpb.ListCall{})
-		return err
+func (c *conns) list(ctx context.Context, address string) (*coordpb.ListAnswer, error) {
+	return callOnce(ctx, c, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (*coordpb.ListAnswer, error) {
+		return peer.List(ctx, &coordpb.ListCall{})
 	})
-	return a, err
 }
 
 func (c *conns) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
--- a/node/coordinator/encodings.go
+++ b/node/coordinator/encodings.go
@@ -52,13 +52,20 @@
 	if kept.at > 0 && now.Sub(kept.made) < wholeFor {
 		return *kept, nil
 	}
-	all := f.Since(0, brief)
-	packed, err := packList(plainOf(all.Put, brief))
+	next, err := packWhole(f, brief, now)
 	if err != nil {
 		return wholeList{}, err
 	}
-	*kept = wholeList{to: all.To, at: at, packed: packed, made: now}
-	return *kept, nil
+	next.at = at
+	*kept = next
+	return next, nil
+}
+
+// packWhole packs the list as it is now; the store's version is for its caller to say.
+func packWhole(f *fleet.Fleet, brief bool, now time.Time) (wholeList, error) {
+	all := f.Since(0, brief)
+	packed, err := packList(plainOf(all.Put, brief))
+	return wholeList{to: all.To, packed: packed, made: now}, err
 }
 
 // plainOf are upstreams as they are told; brief leaves out which copies they have.
--- a/node/coordinator/published.go
+++ b/node/coordinator/published.go
@@ -99,12 +99,13 @@
 	if p.whole.to > 0 && p.whole.to >= p.begin && now.Sub(p.whole.made) < wholeFor {
 		return p.whole, nil
 	}
-	packed, err := packList(plainOf(f.Since(0, true).Put, true))
+	next, err := packWhole(f, true, now)
 	if err != nil {
 		return wholeList{}, err
 	}
-	p.whole = wholeList{to: p.to, at: p.at, packed: packed, made: now}
-	return p.whole, nil
+	next.to, next.at = p.to, p.at // what is newer comes with the next segments
+	p.whole = next
+	return next, nil
 }
 
 // readChanges reads segments that follow a list, or what is known of it: of an
--- a/node/fleet/holders.go
+++ b/node/fleet/holders.go
@@ -8,9 +8,8 @@
 )
 
 // holders finds the upstreams of a service by a model. By what they may hold these
-// are all of which any word that counts says so; which of them holds it is for
-// their entries to say. A pick
-// among thousands of upstreams looks at the few that matter.
+// are all of which any word that counts says so; which of them holds it is for their
+// entries to say. A pick among thousands of upstreams looks at the few that matter.
 type holders struct {
 	mu sync.RWMutex
 	of map[holding][]*Entry // replaced whole, so that readers need no copy
