--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -16,6 +16,9 @@
 	RoutesInForce          = Event{2114, "routes_in_force", zapcore.InfoLevel, "A configuration of routes is in force at this host; source says where it came from."}
 	RoutesUnusable         = Event{2115, "routes_unusable", zapcore.ErrorLevel, "A configuration of routes cannot be used; the one in force stays."}
 	EntryUnreadable        = Event{2116, "entry_unreadable", zapcore.WarnLevel, "An entry of the list of upstreams cannot be read; it names no upstream, the others hold. peer is its key; look for who else writes there."}
+	StoreRestored          = Event{2117, "store_restored", zapcore.WarnLevel, "The platform's store was restored from a copy of itself: what it had confirmed since the copy is gone, and its versions begin anew after that of the copy. was and era are the eras before and after."}
+	TableRead              = Event{2118, "table_read", zapcore.InfoLevel, "A table of the platform's store was read whole. version is the store's, known the one that this host had; applied false: the host keeps what it has, since the read is the older of the two."}
+	RelayIgnored           = Event{2119, "relay_ignored", zapcore.WarnLevel, "The list of upstreams that another host sent is older than this host's own and is not applied; said once until one is. version is the list's, known this host's."}
 	RequestSent            = Event{2121, "request_sent", zapcore.InfoLevel, "An attempt of a request was sent to the upstream peer: what was predicted, of how many candidates, and what load it was predicted from."}
 	RequestRetried         = Event{2122, "request_again", zapcore.InfoLevel, "A request goes to another upstream; why says what became of the attempt before, and what the decision stood on."}
 	RequestQueued          = Event{2123, "request_waits", zapcore.InfoLevel, "No upstream can take the request now; it waits for at most the given time."}
@@ -45,7 +48,7 @@
 )
 
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReloaded, SettingsUnusable,
-	StoreLost, StoreRecovered, FeedReloaded, RoutesInForce, RoutesUnusable, EntryUnreadable,
+	StoreLost, StoreRecovered, FeedReloaded, RoutesInForce, RoutesUnusable, EntryUnreadable, StoreRestored, TableRead, RelayIgnored,
 	RequestSent, RequestRetried, RequestQueued, RequestRefused, RequestInterrupted, RequestServed, RequestAbandoned, CallerConnectionClosed, LogDropped,
 	CoordinatorLinked, CoordinatorLost, ActingCoordinator, OrderSent, OrderCompleted, PermitGranted, OrderRejected, OrderUnanswered, AdapterRequested, QuietPeriod, MoveEndedEarly,
 	CrashReported, RequestBarred, BarEnded, BarReceived, SuspectCompleted, BarsUnsaved}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -155,6 +155,7 @@
 	sizeKnown        chan struct{} // closed when listIsLarge is known
 	sizeOnce         sync.Once
 	listIsCompact    atomic.Bool   // the list came from a compact relay and lacks changes of residents and local copies
+	relayIgnored     atomic.Bool   // the last relayed list was older than this host's own
 	recovered        chan struct{} // receives a token when the store answers the upstreams' feed again
 }
 
@@ -220,7 +221,11 @@
 		read: func(ctx context.Context) (uint64, error) {
 			ctx, cancel := context.WithTimeout(ctx, readTimeout)
 			defer cancel()
-			return apply(f.deps.Source.ReadConfig(ctx))
+			cfg, version, err := f.deps.Source.ReadConfig(ctx)
+			if err == nil {
+				f.logRead(configFeed, version, f.config.version.Load(), true)
+			}
+			return apply(cfg, version, err)
 		},
 		wait: func(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
 			return apply(f.deps.Source.WaitConfig(ctx, after, wait))
@@ -242,7 +247,9 @@
 			f.logUnreadable(update.Unreadable)
 			f.applying.Lock()
 			defer f.applying.Unlock()
-			if version >= f.upstreams.version.Load() {
+			known := f.upstreams.version.Load()
+			f.logRead(upstreamsFeed, version, known, version >= known)
+			if version >= known {
 				f.deps.Upstreams.Replace(update.Put, version)
 				f.listIsCompact.Store(false)
 				f.deps.OnListed()
@@ -270,6 +277,11 @@
 	configFeed    = "configuration"
 )
 
+// logRead logs a complete read of a table.
+func (f *Follower) logRead(table string, version, known uint64, applied bool) {
+	f.deps.Log.Emit(event.TableRead, zap.String("table", table), zap.Uint64("version", version), zap.Uint64("known", known), zap.Bool("applied", applied))
+}
+
 // logUnreadable logs the entries that describe no upstream.
 func (f *Follower) logUnreadable(all []UnreadableEntry) {
 	for _, u := range all {
--- a/node/follow/relay.go
+++ b/node/follow/relay.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/event"
 )
 
 // Relay is what the relaying host sends to the others.
@@ -24,7 +27,9 @@
 	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	if relay.UpstreamsVersion >= f.upstreams.version.Load() && relay.UpstreamsVersion > 0 {
+	known := f.upstreams.version.Load()
+	f.logIgnored(relay.UpstreamsVersion, known)
+	if relay.UpstreamsVersion >= known && relay.UpstreamsVersion > 0 {
 		if relay.Complete {
 			f.deps.Upstreams.Replace(relay.Put, relay.UpstreamsVersion)
 			f.deps.OnListed()
@@ -39,6 +44,15 @@
 	}
 }
 
+// logIgnored logs that a relayed list is older than this host's own, once until one is
+// not.
+func (f *Follower) logIgnored(version, known uint64) {
+	ignored := version > 0 && version < known
+	if f.relayIgnored.Swap(ignored) != ignored && ignored {
+		f.deps.Log.Emit(event.RelayIgnored, zap.Uint64("version", version), zap.Uint64("known", known))
+	}
+}
+
 // maxRelayAge returns how old the relaying host's last answer from the store may be at
 // this host. A host that should coordinate next must be the first to find out that the
 // store rejects only the relaying host.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -33,6 +33,7 @@
 type Platform struct {
 	Source follow.Source
 	Table  store.Table
+	Eras   *store.Eras // of the store, as the adapter sees them
 	Codec  gate.Codec
 	Orders coordinator.OrderClient
 }
@@ -83,6 +84,10 @@
 	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, RecoveryGrace: milliseconds(set.Bounds.LapseMs), MassRemovalGrace: milliseconds(set.Bounds.DrainMs * massRemovalGraceShare)},
 		fleet.Deps{Log: d.Log, OnForgotten: d.Client.Forget, OnListChange: h.announce, OnUrgentChange: h.announceUrgent})
 	h.config.OnChange(h.announce)
+	d.Platform.Eras.OnChange(func(was, now uint64) {
+		h.log.Emit(event.StoreRestored, zap.Uint64("was", was), zap.Uint64("era", now))
+	})
+	d.Metrics.SetFunc(metrics.StoreEra, func() any { return d.Platform.Eras.Newest() })
 	h.controlPath()
 	policy := budget.Policy{Ratio: set.Bounds.RepeatRatio, Slack: set.Bounds.RepeatSlack, Window: seconds(set.Bounds.RepeatWindowS)}
 	aborted, abortRequests := context.WithCancel(context.Background())
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -76,6 +76,8 @@
 	PeerCalls Name = "peer_calls_total"
 	// StoreCalls counts calls to the platform's store, by table and reason.
 	StoreCalls Name = "store_calls_total"
+	// StoreEra is the newest era of the platform's store that this host has seen.
+	StoreEra Name = "store_era"
 )
 
 // runtimeMetrics maps metrics to the Go runtime's metrics that they show.
