A version of the store combines its era and its number

Callers saw: for up to five seconds after a restore of the store a confirmed configuration was in force nowhere (CONFIG), and leaving upstreams got requests (DRAIN). Cause: versions of two eras of the store were compared as one number. A complete read came with a lower number than the list's and was dropped; a feed went on after a number that the store had given out again, past a change below it.

Ruled out: the relay as first cause (the relaying host itself lacked both), and a complete read taken too early (reads went on for 8 s).

--- a/node/follow/feed.go
+++ b/node/follow/feed.go
@@ -62,7 +62,8 @@
 			retry.Reset()
 			pace.Sleep(ctx, f.minInterval()-time.Since(startedAt))
 		case errors.Is(err, store.ErrHistoryLost):
-			f.deps.Log.Emit(event.FeedReloaded, zap.String("table", d.name), zap.Uint64("after", d.progress.version.Load()))
+			f.deps.Log.Emit(event.FeedReloaded, zap.String("table", d.name),
+				zap.Uint64("era", store.EraOf(d.progress.version.Load())), zap.Uint64("after", store.NumberOf(d.progress.version.Load())))
 			d.reread = true
 		default:
 			f.recordFailure(ctx, d, err)
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -279,7 +279,8 @@
 
 // logRead logs a complete read of a table.
 func (f *Follower) logRead(table string, version, known uint64, applied bool) {
-	f.deps.Log.Emit(event.TableRead, zap.String("table", table), zap.Uint64("version", version), zap.Uint64("known", known), zap.Bool("applied", applied))
+	f.deps.Log.Emit(event.TableRead, zap.String("table", table), zap.Uint64("era", store.EraOf(version)), zap.Uint64("version", store.NumberOf(version)),
+		zap.Uint64("known_era", store.EraOf(known)), zap.Uint64("known", store.NumberOf(known)), zap.Bool("applied", applied))
 }
 
 // logUnreadable logs the entries that describe no upstream.
--- a/node/follow/relay.go
+++ b/node/follow/relay.go
@@ -7,6 +7,7 @@
 
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/store"
 )
 
 // Relay is what the relaying host sends to the others.
@@ -49,7 +50,8 @@
 func (f *Follower) logIgnored(version, known uint64) {
 	ignored := version > 0 && version < known
 	if f.relayIgnored.Swap(ignored) != ignored && ignored {
-		f.deps.Log.Emit(event.RelayIgnored, zap.Uint64("version", version), zap.Uint64("known", known))
+		f.deps.Log.Emit(event.RelayIgnored, zap.Uint64("era", store.EraOf(version)), zap.Uint64("version", store.NumberOf(version)),
+			zap.Uint64("known_era", store.EraOf(known)), zap.Uint64("known", store.NumberOf(known)))
 	}
 }
 
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v5"
 
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/store"
 )
 
 // StatusPath is the path where a host shows its coordinator, the state that it uses and
@@ -23,7 +24,9 @@
 	Hosts         int              `json:"hosts"`       // number of hosts that share the retry budget
 	ReportMs      int64            `json:"report_ms"`   // time between two reports of this host without changes
 	Upstreams     int              `json:"upstreams"`
-	ListVersion   uint64           `json:"list_version"` // version of the store that the list of upstreams corresponds to
+	StoreEra      uint64           `json:"store_era"`    // newest era of the store that this host has seen
+	ListEra       uint64           `json:"list_era"`     // era of the store that the list of upstreams corresponds to
+	ListVersion   uint64           `json:"list_version"` // and the version in it
 	Configuration uint64           `json:"configuration"`
 	PeerCalls     map[string]int64 `json:"peer_calls"`  // calls of other hosts to this one, by kind
 	PeerBytes     map[string]int64 `json:"peer_bytes"`  // bytes of reports to this host, and of its answers by field
@@ -35,7 +38,7 @@
 	e.GET(StatusPath, func(c *echo.Context) error {
 		s := Status{Host: h.settings.Host, DataCentre: h.settings.DataCentre, Ready: h.isReady(), Coordinator: h.link.CoordinatorAddress(),
 			HoldsLease: h.coord.HoldsLease(), Acting: h.coord.Acting(), Hosts: h.link.Hosts(), ReportMs: h.link.ReportPeriod().Milliseconds(),
-			Upstreams: len(h.fleet.All()), ListVersion: h.feed.UpstreamsVersion(), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
+			Upstreams: len(h.fleet.All()), StoreEra: h.deps.Platform.Eras.Newest(), ListEra: store.EraOf(h.feed.UpstreamsVersion()), ListVersion: store.NumberOf(h.feed.UpstreamsVersion()), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
 			PeerBytes: h.deps.Metrics.CountsByKind(metrics.PeerBytes), StoreCalls: h.deps.Metrics.CountsByKind(metrics.StoreCalls)}
 		if t := h.config.Current(); t != nil {
 			s.Configuration = t.Config.Version
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -34,7 +34,7 @@
 type Row struct {
 	Key     string
 	Value   []byte
-	Version uint64 // set by the service: the number of the commit that wrote the row; never 0, never reused
+	Version uint64 // of the commit that wrote the row, by the service's era and number; never 0, never reused
 }
 
 // Absent is the version that a condition gives for a row that must not exist.
