Hosts that read a restored store at different times end with one list

A host that reads the store itself while it is linked (the relay is late, or it starts) could keep an entry that only the restored copy had, or lack a change that was written again, for ever: the holder sends changes of its own list, and what the two lists of two eras differ in is none.

A complete read, and a list of another era, begins a gap in the list's changes. A host whose list is beyond the version before the gap gets the complete list; changes that were asked for before this host's own read are not applied; packed lists are not kept over an era. A relay of an earlier era counts as none. Hosts that call no store hear of the era by the relayed list.

--- a/node/coordinator/answersize_test.go
+++ b/node/coordinator/answersize_test.go
@@ -44,10 +44,10 @@
 	listed := 0
 	c.deps.Feed = follow.New(follow.Deps{Config: c.deps.Config, Upstreams: c.deps.Fleet, OnListed: func() { listed++ }})
 	l := NewLink(LinkConfig{Host: "h"}, c, nil, c.deps.Log)
-	l.applyRelay(&coordpb.SiteState{List: 5, ListFull: true})
+	l.applyRelay(&coordpb.HostReport{}, &coordpb.SiteState{List: 5, ListFull: true})
 	assert.Equal(t, l.buildReport().List, uint64(0), "the complete list is requested again")
 	assert.Equal(t, listed, 0)
-	l.applyRelay(&coordpb.SiteState{List: 6, ListAt: 3, ListFull: true})
+	l.applyRelay(&coordpb.HostReport{}, &coordpb.SiteState{List: 6, ListAt: 3, ListFull: true})
 	assert.Equal(t, l.buildReport().List, uint64(6))
 	assert.Equal(t, listed, 1)
 }
--- a/node/coordinator/encodings.go
+++ b/node/coordinator/encodings.go
@@ -10,6 +10,7 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/revision"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/store"
 )
 
 // encodings caches what is sent to all hosts in its encoded form. Each version of a
@@ -34,6 +35,12 @@
 	packedAt     time.Time
 }
 
+// sameEra reports whether the list is of the era of a version of the store. Hosts that
+// have read the store of a later era do not use it.
+func (l *packedList) sameEra(version uint64) bool {
+	return store.EraOf(l.storeVersion) == store.EraOf(version)
+}
+
 // packedListMaxAge is how long a packed list is sent. All hosts that start together ask
 // for it within this time, while it changes many times; newer changes reach each host
 // with the answer to its next report. With 3,000 upstreams the list takes 1.2 MB of
@@ -50,7 +57,7 @@
 	if compact {
 		cached = &e.compactList
 	}
-	if cached.storeVersion > 0 && now.Sub(cached.packedAt) < packedListMaxAge {
+	if cached.storeVersion > 0 && cached.sameEra(storeVersion) && now.Sub(cached.packedAt) < packedListMaxAge {
 		return *cached, nil
 	}
 	next, err := packFullList(f, compact, now)
--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -193,7 +193,7 @@
 			l.followSuccessor(ctx, address)
 			return
 		}
-		l.applyRelay(s)
+		l.applyRelay(r, s)
 	}
 	l.teams.confirmReported()
 	l.Quarantine.Acknowledge(quarantineReport, decodeUpdate(s, l.own.now()))
@@ -331,7 +331,7 @@
 	l.modelLoadsAt = time.Time{}
 	l.mu.Unlock()
 	l.linkChanged.Notify()
-	l.applyRelay(s) // comes first, since holdings are entered at the upstreams of the list
+	l.applyRelay(r, s) // comes first, since holdings are entered at the upstreams of the list
 	l.Quarantine.Acknowledge(quarantineReport, decodeUpdate(s, l.own.now()))
 	l.applySignals(s, signalsRevision)
 	l.applyAnswer(s)
--- a/node/coordinator/linkanswers.go
+++ b/node/coordinator/linkanswers.go
@@ -37,9 +37,10 @@
 	return l.coordinator != "" && l.linkedWithoutLease
 }
 
-// applyRelay applies the store's state that the coordinator relays.
-func (l *Link) applyRelay(s *coordpb.SiteState) {
-	r := follow.Relay{StoreAge: milliseconds(s.StoreAgeMs), UpstreamsVersion: s.ListAt, Complete: s.ListFull, Compact: s.ListBrief}
+// applyRelay applies the store's state that the coordinator relays in the answer to a
+// report.
+func (l *Link) applyRelay(sent *coordpb.HostReport, s *coordpb.SiteState) {
+	r := follow.Relay{StoreAge: milliseconds(s.StoreAgeMs), UpstreamsVersion: s.ListAt, Base: sent.ListAt, Complete: s.ListFull, Compact: s.ListBrief}
 	var err error
 	if r.Config, err = decodeConfig(s); err == nil {
 		r.Put, r.Removed, err = decodeList(s)
@@ -48,13 +49,12 @@
 		l.log.Emit(event.RoutesUnusable, zap.Error(err))
 		return
 	}
-	l.own.deps.Feed.ApplyRelay(r)
-	if s.ListAt == 0 {
-		return // the coordinator has not read the list itself: its list was skipped and must be sent again in full
-	}
+	followed := l.own.deps.Feed.ApplyRelay(r)
 	l.mu.Lock()
-	l.list = s.List
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if l.list = s.List; !followed {
+		l.list = 0 // the changes that were sent are not in this host's list
+	}
 }
 
 // applyAnswer applies the other hosts' loads and the holdings of the upstreams.
--- a/node/coordinator/published.go
+++ b/node/coordinator/published.go
@@ -99,7 +99,7 @@
 func (p *published) packedFullList(f *fleet.Fleet, now time.Time) (packedList, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.fullList.state > 0 && p.fullList.state >= p.completeFrom && now.Sub(p.fullList.packedAt) < packedListMaxAge {
+	if p.fullList.state > 0 && p.fullList.sameEra(p.storeVersion) && p.fullList.state >= p.completeFrom && now.Sub(p.fullList.packedAt) < packedListMaxAge {
 		return p.fullList, nil
 	}
 	next, err := packFullList(f, true, now)
--- a/node/coordinator/relay.go
+++ b/node/coordinator/relay.go
@@ -36,12 +36,10 @@
 	return err
 }
 
-// listState returns the state of the list up to which a host has it; 0: it has none.
+// listState returns the state of the list after which a host needs the changes; 0: it
+// needs the complete list.
 func (c *Coordinator) listState(r *coordpb.HostReport) uint64 {
-	if r.List != 0 {
-		return r.List
-	}
-	return c.deps.Fleet.RevisionAt(r.ListAt)
+	return c.deps.Fleet.BaseOf(r.List, r.ListAt)
 }
 
 // relayFullList adds the complete list, packed.
--- a/node/fleet/change.go
+++ b/node/fleet/change.go
@@ -107,6 +107,10 @@
 func (f *Fleet) RevisionAt(version uint64) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.revisionAtLocked(version)
+}
+
+func (f *Fleet) revisionAtLocked(version uint64) uint64 {
 	for i := len(f.versionMarks) - 1; i >= 0; i-- {
 		if f.versionMarks[i].version <= version {
 			return f.versionMarks[i].revision
@@ -115,6 +119,52 @@
 	return 0
 }
 
+// gap is a point at which the list does not follow from what was known before.
+type gap struct {
+	revision uint64 // first revision after the gap
+	after    uint64 // the store's version that the list was of before
+}
+
+// maxGaps is how many gaps are remembered. A host that is further behind gets the complete
+// list.
+const maxGaps = 16
+
+// BeginGap records that the next list is a complete one, or one of another era of the
+// store, and lacks the changes between it and the store's version after. What another
+// host has read meanwhile is in no change of the list then.
+func (f *Fleet) BeginGap(after uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gaps = append(f.gaps, gap{f.revision + 1, after})
+	if len(f.gaps) > maxGaps {
+		f.gapsFrom, f.gaps = f.gaps[0].revision, append([]gap(nil), f.gaps[1:]...)
+	}
+}
+
+// BaseOf returns the revision after which a host needs the changes of the list; 0 if it
+// needs the complete list. state is the revision that the host has, 0 if it has none, and
+// version is the store's version up to which it has read or received the list.
+func (f *Fleet) BaseOf(state, version uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if state == 0 {
+		state = f.revisionAtLocked(version)
+	}
+	if state < f.gapsFrom {
+		return 0
+	}
+	for _, g := range f.gaps {
+		if g.revision <= state {
+			continue
+		}
+		if version > g.after {
+			return 0
+		}
+		break // later gaps are after later versions
+	}
+	return state
+}
+
 func (f *Fleet) recordVersionLocked(version uint64) {
 	if version == 0 {
 		return // the change has no version of the store
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -63,6 +63,8 @@
 	removed          []removedUpstream   // latest removals, oldest first
 	removedFrom      uint64              // revision after which removed is complete
 	versionMarks     []versionMark       // latest revisions, with the store's versions that they include
+	gaps             []gap               // latest gaps in the changes, oldest first
+	gapsFrom         uint64              // revision after which gaps is complete
 	changes          pace.Signal
 	residencyChanges pace.Signal
 	checksNeeded     pace.Signal // notified when there are entries to check again
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -114,6 +114,9 @@
 	// version of the store.
 	Replace(all []deploy.Upstream, version uint64)
 	Apply(put []deploy.Upstream, removed []string, version uint64)
+	// BeginGap is called before a list that does not follow from the one of the given
+	// version by changes alone.
+	BeginGap(after uint64)
 	StoreRecovered()
 }
 
@@ -123,6 +126,8 @@
 	Config    *ActiveConfig
 	Upstreams UpstreamReceiver
 	Log       *event.Log
+	// Eras receives the eras of relayed lists; nil: its own.
+	Eras *store.Eras
 	// IsRelaying reports whether this host relays the store to the others.
 	IsRelaying func() bool
 	// OthersProbeFirst reports whether other hosts probe for the store's recovery before
@@ -179,6 +184,9 @@
 	if d.NotNeededYet == nil {
 		d.NotNeededYet = func() bool { return false }
 	}
+	if d.Eras == nil {
+		d.Eras = &store.Eras{}
+	}
 	if d.MaxRelayAge == 0 {
 		d.MaxRelayAge = defaultMaxRelayAge
 	}
@@ -250,6 +258,9 @@
 			known := f.upstreams.version.Load()
 			f.logRead(upstreamsFeed, version, known, version >= known)
 			if version >= known {
+				if known > 0 {
+					f.deps.Upstreams.BeginGap(known)
+				}
 				f.deps.Upstreams.Replace(update.Put, version)
 				f.listIsCompact.Store(false)
 				f.deps.OnListed()
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -96,6 +96,7 @@
 
 func (discardUpstreams) Replace([]deploy.Upstream, uint64)         {}
 func (discardUpstreams) Apply([]deploy.Upstream, []string, uint64) {}
+func (discardUpstreams) BeginGap(uint64)                           {}
 func (discardUpstreams) StoreRecovered()                           {}
 
 // startFollower runs a host's two feeds. With othersProbeFirst, other hosts probe for the
@@ -232,7 +233,7 @@
 			var relaying atomic.Bool
 			f := follow.New(follow.Deps{Source: s, Config: config, Upstreams: discardUpstreams{}, Log: log, OnListed: func() {}, IsRelaying: relaying.Load})
 			f.ApplyRelay(follow.Relay{Config: &deploy.Config{Version: 1}, UpstreamsVersion: 1, Complete: true, Compact: compact})
-			f.ApplyRelay(follow.Relay{UpstreamsVersion: 1}) // no changes
+			f.ApplyRelay(follow.Relay{UpstreamsVersion: 1, Base: 1}) // no changes
 			ctx, cancel := context.WithCancel(t.Context())
 			var wg sync.WaitGroup
 			wg.Go(func() { _ = f.RunUpstreams(ctx) })
--- a/node/follow/relay.go
+++ b/node/follow/relay.go
@@ -15,14 +15,17 @@
 	Config           *deploy.Config // nil: none is newer
 	StoreAge         time.Duration  // time since the store last answered the relaying host, for the older of its two feeds
 	UpstreamsVersion uint64         // store's version of the list
+	Base             uint64         // version of this host's list when it asked for the changes
 	Complete         bool           // Put is the complete list
 	Compact          bool           // Put lacks local copies, and upstreams of which only residents or local copies changed
 	UpstreamUpdate
 }
 
 // ApplyRelay applies what was relayed. A list of upstreams that is older than this host's
-// own is ignored.
-func (f *Follower) ApplyRelay(relay Relay) {
+// own is ignored, and so are changes if this host has read the list itself since it asked:
+// they may not mention what it has read. followed reports whether later changes may follow
+// the relayed list.
+func (f *Follower) ApplyRelay(relay Relay) (followed bool) {
 	if relay.Config != nil {
 		f.deps.Config.ApplyIfNewer(relay.Config, "relay")
 	}
@@ -30,19 +33,29 @@
 	defer f.applying.Unlock()
 	known := f.upstreams.version.Load()
 	f.logIgnored(relay.UpstreamsVersion, known)
-	if relay.UpstreamsVersion >= known && relay.UpstreamsVersion > 0 {
-		if relay.Complete {
-			f.deps.Upstreams.Replace(relay.Put, relay.UpstreamsVersion)
-			f.deps.OnListed()
-		} else if len(relay.Put)+len(relay.Removed) > 0 {
-			f.deps.Upstreams.Apply(relay.Put, relay.Removed, relay.UpstreamsVersion)
-		}
-		f.upstreams.version.Store(relay.UpstreamsVersion)
-		f.listIsCompact.Store(relay.Compact || !relay.Complete && f.listIsCompact.Load())
-	}
-	if relay.StoreAge < f.deps.MaxRelayAge {
+	ofEarlierEra := relay.UpstreamsVersion > 0 && store.EraOf(relay.UpstreamsVersion) < store.EraOf(known)
+	if !ofEarlierEra && relay.StoreAge < f.deps.MaxRelayAge {
 		f.relayedAt.Store(f.sinceStart() - int64(relay.StoreAge))
 	}
+	switch {
+	case relay.UpstreamsVersion == 0 || ofEarlierEra || !relay.Complete && relay.Base != known:
+		return false
+	case relay.UpstreamsVersion < known:
+		return true
+	}
+	f.deps.Eras.Observe(store.EraOf(relay.UpstreamsVersion))
+	if known > 0 && (relay.Complete || store.EraOf(relay.UpstreamsVersion) != store.EraOf(known)) {
+		f.deps.Upstreams.BeginGap(known)
+	}
+	if relay.Complete {
+		f.deps.Upstreams.Replace(relay.Put, relay.UpstreamsVersion)
+		f.deps.OnListed()
+	} else if len(relay.Put)+len(relay.Removed) > 0 {
+		f.deps.Upstreams.Apply(relay.Put, relay.Removed, relay.UpstreamsVersion)
+	}
+	f.upstreams.version.Store(relay.UpstreamsVersion)
+	f.listIsCompact.Store(relay.Compact || !relay.Complete && f.listIsCompact.Load())
+	return true
 }
 
 // logIgnored logs that a relayed list is older than this host's own, once until one is
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -161,7 +161,7 @@
 	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder, HasTerminated: coordinator.FormerProcessOf(holder),
 		TryTimeout: leaseTryTimeout, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
 		lease.Deps{Table: table, Log: d.Log})
-	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Config: h.config, Upstreams: h.fleet, Log: d.Log, Metrics: d.Metrics,
+	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Eras: d.Platform.Eras, Config: h.config, Upstreams: h.fleet, Log: d.Log, Metrics: d.Metrics,
 		OthersProbeFirst:    func() bool { return !h.link.Candidate() && !h.coord.Acting() },
 		LinkedToCoordinator: func() bool { return h.link.LinkedWithoutLease() },
 		NotNeededYet:        func() bool { return set.FirstStart },
