--- a/node/coordinator/elector_test.go
+++ b/node/coordinator/elector_test.go
@@ -143,7 +143,7 @@
 		time.Sleep(100 * time.Millisecond)
 		elector, own := newTestElector(false, table)
 		elector.Link.cfg.Seeds = []string{"me"}
-		elector.CampaignDelay = func() time.Duration { return 10 * time.Second }
+		elector.CampaignDelay = func() time.Duration { return 1000 * time.Hour }
 		wg.Go(func() { _ = elector.Run(ctx) })
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, addressOf(own.deps.Lease.LastObserved().Holder), "large:1")
