--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -258,9 +258,7 @@
 			known := f.upstreams.version.Load()
 			f.logRead(upstreamsFeed, version, known, version >= known)
 			if version >= known {
-				if known > 0 {
-					f.deps.Upstreams.BeginGap(known)
-				}
+				f.beginGap(known, version, true)
 				f.deps.Upstreams.Replace(update.Put, version)
 				f.listIsCompact.Store(false)
 				f.deps.OnListed()
@@ -282,6 +280,20 @@
 		}})
 }
 
+// beginGap prepares the receiver for a list, at a version, that is complete or follows
+// another one by changes. A restored store may lack entries of upstreams that are alive
+// and write them again, as after an outage.
+func (f *Follower) beginGap(known, version uint64, complete bool) {
+	newEra := store.EraOf(version) > store.EraOf(known)
+	if known == 0 || !complete && !newEra {
+		return
+	}
+	f.deps.Upstreams.BeginGap(known)
+	if newEra {
+		f.deps.Upstreams.StoreRecovered()
+	}
+}
+
 // Names of the tables in logs and metrics.
 const (
 	upstreamsFeed = "upstreams"
--- a/node/follow/relay.go
+++ b/node/follow/relay.go
@@ -44,9 +44,7 @@
 		return true
 	}
 	f.deps.Eras.Observe(store.EraOf(relay.UpstreamsVersion))
-	if known > 0 && (relay.Complete || store.EraOf(relay.UpstreamsVersion) != store.EraOf(known)) {
-		f.deps.Upstreams.BeginGap(known)
-	}
+	f.beginGap(known, relay.UpstreamsVersion, relay.Complete)
 	if relay.Complete {
 		f.deps.Upstreams.Replace(relay.Put, relay.UpstreamsVersion)
 		f.deps.OnListed()
