An entry in a restored store is no return of an upstream that has left

The copy that a store is restored from has entries from before: of an upstream that has said since that it drains, or whose entry was removed. Draining is now for the life of the process, whatever an entry says; an upstream that was removed is used again only if its entry is still there when the platform has removed those of silent upstreams (four heartbeats).

--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -64,6 +64,7 @@
 	listRevision    uint64 // revision of the list at which desc last changed
 	draining        bool
 	delisted        bool      // its entry was removed from the list
+	relistPending   bool      // its entry is listed again, but may be that of a copy of the store
 	useUntil        time.Time // end of the grace after the removal; zero: no grace
 	delistedAt      time.Time
 	health          health.Tracker
@@ -165,6 +166,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u.ID, u.Service, u.Address, u.DataCentre, u.Born = e.id, e.service, e.address, e.dataCentre, e.startedMs
+	if e.desc.State == deploy.Draining && !e.describedAt.IsZero() { // a process that drains never becomes ready again; a restored store may have its entry from before
+		u.State, u.Remaining = deploy.Draining, e.desc.Remaining
+	}
+	if e.delisted && e.draining && u.State == deploy.Ready && !e.fleet.staleEntries.passed(now) {
+		e.desc, e.relistPending = u, true
+		return noChange
+	}
 	if e.delisted || e.describedAt.IsZero() || !reflect.DeepEqual(u, e.desc) { // a list that is read again is mostly unchanged
 		e.listRevision, scope = revision, copiesChange
 		if e.delisted || e.describedAt.IsZero() || !sameIdentity(u, e.desc) {
@@ -174,8 +182,7 @@
 	e.desc, e.describedAt = u, now
 	e.reindexLocked()
 	if e.delisted && u.State == deploy.Ready {
-		e.delisted, e.draining, e.useUntil = false, e.signal.Draining, time.Time{} // a drain that its process signalled stays in force
-		e.fleet.deps.Log.Emit(event.UpstreamReturned, zap.String(event.FieldPeer, u.ID))
+		e.relistLocked()
 	}
 	if u.State == deploy.Draining {
 		e.drainLocked("its own word")
@@ -183,6 +190,24 @@
 	return scope
 }
 
+// relist uses the upstream again if its entry may be that of an upstream which is alive.
+func (e *Entry) relist(revision uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.relistPending {
+		return false
+	}
+	e.listRevision = revision
+	e.relistLocked()
+	return true
+}
+
+func (e *Entry) relistLocked() {
+	e.delisted, e.relistPending, e.useUntil = false, false, time.Time{}
+	e.draining = e.signal.Draining // a drain that its process signalled stays in force
+	e.fleet.deps.Log.Emit(event.UpstreamReturned, zap.String(event.FieldPeer, e.id))
+}
+
 // changeScope is the set of hosts that must receive a change of an upstream's description.
 type changeScope uint8
 
@@ -206,6 +231,7 @@
 func (e *Entry) markDelisted(now time.Time, grace time.Duration) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.relistPending = false
 	if e.delisted {
 		return false
 	}
@@ -234,9 +260,17 @@
 // and its entry may be listed again.
 const delistedTTL = 20 * time.Second
 
-// runChecks applies the effects of time and reports whether the upstream can be
-// forgotten.
-func (e *Entry) runChecks(now time.Time) (forget bool) {
+// checkResult is what the Fleet must do after the checks of an entry.
+type checkResult uint8
+
+const (
+	keepEntry checkResult = iota
+	forgetEntry
+	relistEntry
+)
+
+// runChecks applies the effects of time.
+func (e *Entry) runChecks(now time.Time) checkResult {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.signal.Limit.Stated {
@@ -253,7 +287,13 @@
 	if e.own.Requests == 0 && !e.delisted && !e.signal.Limit.Stated {
 		e.fleet.pendingChecks.remove(e)
 	}
-	return e.delisted && e.own.Requests == 0 && now.Sub(e.delistedAt) > delistedTTL
+	switch {
+	case e.relistPending && e.fleet.staleEntries.passed(now):
+		return relistEntry
+	case e.delisted && !e.relistPending && e.own.Requests == 0 && now.Sub(e.delistedAt) > delistedTTL:
+		return forgetEntry
+	}
+	return keepEntry
 }
 
 // minReadTokensPerMs is the lowest rate at which an engine reads prompts, with a full
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -28,6 +28,10 @@
 	// MassRemovalGrace is how long upstreams are still used when a large share of a service's
 	// entries is removed together although the store was not seen to be unavailable.
 	MassRemovalGrace time.Duration
+	// StaleEntryTTL is how long after a restore of the store its list may have entries of
+	// upstreams that had been removed: those of the copy, until the platform removes them
+	// for the silence of their upstreams.
+	StaleEntryTTL time.Duration
 }
 
 // Deps holds the dependencies of a Fleet.
@@ -76,6 +80,7 @@
 	otherHosts     otherHostsLoad
 	coordinator    atomic.Pointer[coordinatorTerm]
 	backoffs       deadline                  // latest end of a backoff of any upstream
+	staleEntries   deadline                  // until when listed entries may be those of a copy that the store was restored from
 	limits         deadline                  // until when some upstream is treated as stating a limit
 	signals        signalLog                 // signals that other hosts must receive
 	earlySignals   map[string]UpstreamSignal // of upstreams that the list does not name yet; guarded by mu
@@ -316,6 +321,12 @@
 	f.storeRecoveredAt = f.deps.Now()
 }
 
+// StoreRestored records that the list is now of a store that was restored from a copy.
+func (f *Fleet) StoreRestored() {
+	f.StoreRecovered()
+	f.staleEntries.extend(f.deps.Now().Add(f.cfg.StaleEntryTTL))
+}
+
 // scheduleChecks has RunChecks visit an entry.
 func (f *Fleet) scheduleChecks(e *Entry) {
 	if f.pendingChecks.add(e) {
@@ -338,10 +349,13 @@
 // outlier. It is called several times a second.
 func (f *Fleet) RunChecks() {
 	now := f.deps.Now()
-	var forget []string
+	var forget, relist []string
 	for _, e := range f.pendingChecks.all() {
-		if e.runChecks(now) {
+		switch e.runChecks(now) {
+		case forgetEntry:
 			forget = append(forget, e.ID())
+		case relistEntry:
+			relist = append(relist, e.ID())
 		}
 	}
 	rated := map[string][]*Entry{}
@@ -354,6 +368,28 @@
 	if len(forget) > 0 {
 		f.forget(forget)
 	}
+	if len(relist) > 0 {
+		f.relist(relist)
+	}
+}
+
+// relist uses upstreams again whose entries were listed again by a restored store and
+// have stayed.
+func (f *Fleet) relist(ids []string) {
+	f.mu.Lock()
+	f.revision++
+	for _, id := range ids {
+		if e, ok := f.index.Load().byID[id]; ok && e.relist(f.revision) {
+			f.identityLog.Record(e, f.revision)
+			f.listedLog.Record(e, f.revision)
+			f.identityRevision = f.revision
+		}
+	}
+	f.mu.Unlock()
+	f.notifyResidencyChanged()
+	if f.deps.OnListChange != nil {
+		f.deps.OnListChange()
+	}
 }
 
 func (f *Fleet) forget(ids []string) {
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -117,7 +117,10 @@
 	// BeginGap is called before a list that does not follow from the one of the given
 	// version by changes alone.
 	BeginGap(after uint64)
+	// StoreRecovered is called when the store is reachable again, StoreRestored before the
+	// first list of a store that was restored from a copy.
 	StoreRecovered()
+	StoreRestored()
 }
 
 // Deps holds the dependencies of a Follower.
@@ -290,7 +293,7 @@
 	}
 	f.deps.Upstreams.BeginGap(known)
 	if newEra {
-		f.deps.Upstreams.StoreRecovered()
+		f.deps.Upstreams.StoreRestored()
 	}
 }
 
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -98,6 +98,7 @@
 func (discardUpstreams) Apply([]deploy.Upstream, []string, uint64) {}
 func (discardUpstreams) BeginGap(uint64)                           {}
 func (discardUpstreams) StoreRecovered()                           {}
+func (discardUpstreams) StoreRestored()                            {}
 
 // startFollower runs a host's two feeds. With othersProbeFirst, other hosts probe for the
 // store's recovery before this host does.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -81,7 +81,8 @@
 func New(d Deps) (*Host, error) {
 	set := d.Settings
 	h := &Host{deps: d, settings: set, log: d.Log, config: follow.NewActiveConfig(d.Log), listed: make(chan struct{}), stopped: make(chan struct{}), started: time.Now()}
-	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, RecoveryGrace: milliseconds(set.Bounds.LapseMs), MassRemovalGrace: milliseconds(set.Bounds.DrainMs * massRemovalGraceShare)},
+	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, RecoveryGrace: milliseconds(set.Bounds.LapseMs), MassRemovalGrace: milliseconds(set.Bounds.DrainMs * massRemovalGraceShare),
+		StaleEntryTTL: milliseconds(set.Bounds.HeartbeatMs * heartbeatsUntilRemoval)},
 		fleet.Deps{Log: d.Log, OnForgotten: d.Client.Forget, OnListChange: h.announce, OnUrgentChange: h.announceUrgent})
 	h.config.OnChange(h.announce)
 	d.Platform.Eras.OnChange(func(was, now uint64) {
@@ -107,6 +108,10 @@
 // still get requests, for which a store relay is used without an update.
 const maxRelayAgeShare = 0.6
 
+// heartbeatsUntilRemoval is how many heartbeats of an upstream may be missed until the
+// platform has removed its entry, and one more for the entry to be removed at this host.
+const heartbeatsUntilRemoval = 4
+
 // massRemovalGraceShare is the share of Bounds.DrainMs, in which a draining upstream may
 // still get requests, for which upstreams stay in use whose entries are removed in
 // large numbers.
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -55,6 +55,7 @@
 	GraceS         float64 `json:"grace_s"`          // from the stop signal until the process is killed
 	DrainMs        float64 `json:"drain_ms"`         // after which a draining upstream gets no more requests
 	LapseMs        float64 `json:"lapse_ms"`         // until the expired entry of a live upstream is registered again
+	HeartbeatMs    float64 `json:"heartbeat_ms"`     // between two heartbeats of an upstream to the platform
 	RepeatRatio    float64 `json:"repeat_ratio"`     // retries for each request
 	RepeatSlack    float64 `json:"repeat_slack"`     // retries beyond RepeatRatio, over all hosts
 	RepeatWindowS  float64 `json:"repeat_window_s"`  // length of any time span to which the bounds on retries apply
@@ -79,6 +80,7 @@
 	defaultGraceS         = 10.0
 	defaultDrainMs        = 2000.0
 	defaultLapseMs        = 2000.0
+	defaultHeartbeatMs    = 1200.0
 	defaultRepeatRatio    = 0.1
 	defaultRepeatSlack    = 20.0
 	defaultRepeatWindowS  = 10.0
@@ -99,7 +101,7 @@
 	for _, v := range []struct {
 		at        *float64
 		otherwise float64
-	}{{&b.GraceS, defaultGraceS}, {&b.DrainMs, defaultDrainMs}, {&b.LapseMs, defaultLapseMs}, {&b.RepeatRatio, defaultRepeatRatio},
+	}{{&b.GraceS, defaultGraceS}, {&b.DrainMs, defaultDrainMs}, {&b.LapseMs, defaultLapseMs}, {&b.HeartbeatMs, defaultHeartbeatMs}, {&b.RepeatRatio, defaultRepeatRatio},
 		{&b.RepeatSlack, defaultRepeatSlack}, {&b.RepeatWindowS, defaultRepeatWindowS}, {&b.LeaseMs, defaultLeaseMs},
 		{&b.CeilingWindowS, defaultCeilingWindowS}, {&b.CeilingOver, defaultCeilingOver}} {
 		if *v.at == 0 {
