Hosts keep their coordinator while nobody can take the lease of a restored store

After an outage longer than the lease, the store's return from a copy left hosts that it answers without a coordinator until somebody had the lease (1.8 s): they leave one that acts without the lease as soon as the store answers them, since somebody can take the lease then. From a restored store nobody can until a forgotten holder's term would have expired. They now stay for as long.

--- a/node/coordinator/linkanswers.go
+++ b/node/coordinator/linkanswers.go
@@ -22,11 +22,17 @@
 // StoreReachable reports whether the store itself answered this host recently.
 func (l *Link) StoreReachable() bool { return l.own.deps.Feed.StoreAge() < storeReachableFor }
 
+// restoredLeaseWait is how long after a restore of the store nobody may be able to take the
+// lease: candidates wait until the term of a holder that the store has forgotten would
+// have expired, and then campaign.
+const restoredLeaseWait = 2500 * time.Millisecond
+
 // accepts reports whether this host uses the answer of another. It uses one that is
 // acting without the lease only while the store does not answer this host, or has not
-// since it answered that one: otherwise somebody can take the lease.
+// since it answered that one, or was just restored: otherwise somebody can take the lease.
 func (l *Link) accepts(s *coordpb.SiteState) bool {
-	return s.Holding || s.Acting && (!l.StoreReachable() || l.own.deps.Feed.StoreAge() >= milliseconds(s.StoreAgeMs))
+	feed := l.own.deps.Feed
+	return s.Holding || s.Acting && (!l.StoreReachable() || feed.StoreAge() >= milliseconds(s.StoreAgeMs) || feed.StoreRestoredWithin(restoredLeaseWait))
 }
 
 // LinkedWithoutLease reports whether this host is linked to another that is acting
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -210,6 +210,9 @@
 	return time.Duration(f.sinceStart() - answeredAt)
 }
 
+// StoreRestoredWithin reports whether the store was seen to be restored less than d ago.
+func (f *Follower) StoreRestoredWithin(d time.Duration) bool { return f.deps.Eras.ChangedWithin(d) }
+
 // UpstreamsVersion returns the store's version of the list of upstreams.
 func (f *Follower) UpstreamsVersion() uint64 { return f.upstreams.version.Load() }
 
--- a/node/store/era.go
+++ b/node/store/era.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // The store may be restored from a copy of itself that is some seconds old. It then lacks
@@ -39,10 +40,11 @@
 // Eras keeps the newest era of the store that this process has seen. The zero value is
 // ready for use.
 type Eras struct {
-	mu       sync.Mutex
-	known    bool
-	newest   uint64
-	onChange func(was, now uint64)
+	mu        sync.Mutex
+	known     bool
+	newest    uint64
+	changedAt time.Time // when newest last changed; zero: never
+	onChange  func(was, now uint64)
 }
 
 // OnChange sets fn to be called at each change of the era, but not for the first era that
@@ -55,12 +57,23 @@
 	defer e.mu.Unlock()
 	was, known := e.newest, e.known
 	e.known, e.newest = true, max(was, era)
-	if known && e.newest > was && e.onChange != nil {
+	if !known || e.newest == was {
+		return e.newest
+	}
+	e.changedAt = time.Now()
+	if e.onChange != nil {
 		e.onChange(was, e.newest)
 	}
 	return e.newest
 }
 
+// ChangedWithin reports whether the era changed less than d ago.
+func (e *Eras) ChangedWithin(d time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.changedAt.IsZero() && time.Since(e.changedAt) < d
+}
+
 // Newest returns the newest era that was seen; 0 if none was.
 func (e *Eras) Newest() uint64 {
 	e.mu.Lock()
