Bars of requests that crash upstreams are written again after a restore of the store

The lease holder compared what is barred with what it had written, which a restored store may have lost: a loss of all hosts afterwards would let a barred request through, and a copy's row would bar again one that an operator had released. The rows are read anew in each era; a holder that had read them before knows better than the copy. Before (test): no row after the restore. After: the lost row is written again, the released one deleted.

--- a/node/coordinator/quarantinerows.go
+++ b/node/coordinator/quarantinerows.go
@@ -32,9 +32,10 @@
 	quarantineTimeout = time.Second
 )
 
-// quarantineRows is what is known of the rows in the present term.
+// quarantineRows is what is known of the rows.
 type quarantineRows struct {
-	read     bool
+	read     bool                        // the ledger has all that is barred in the rows
+	era      uint64                      // of the store that the fields below are of
 	written  map[poison.Digest]time.Time // end of the bar in each row
 	failedAt time.Time
 }
@@ -58,7 +59,7 @@
 func (q *quarantine) run(ctx context.Context) error {
 	for q.waitNext(ctx) {
 		term, held := q.c.deps.Lease.Term()
-		if !held || !q.needsSync() {
+		if !held || !q.needsSync(store.EraOf(term.Guard.Version)) {
 			continue
 		}
 		if err := q.sync(ctx, term.Guard); err != nil && ctx.Err() == nil {
@@ -71,32 +72,36 @@
 	return ctx.Err()
 }
 
-// needsSync reports whether the rows have not been read yet, or differ from what is
-// barred now.
-func (q *quarantine) needsSync() bool {
+// needsSync reports whether the rows have not been read in an era of the store yet, or
+// differ from what is barred now.
+func (q *quarantine) needsSync(era uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.c.now()
 	if now.Sub(q.rows.failedAt) < quarantineRetry {
 		return false
 	}
-	return !q.rows.read || len(q.changesLocked(now)) > 0
+	return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0
 }
 
-// sync reads the rows of a former term, or writes what has changed.
+func (q *quarantine) mustReadLocked(era uint64) bool { return !q.rows.read || q.rows.era != era }
+
+// sync reads the rows of a former term, or of a store that was restored, or writes what
+// has changed.
 func (q *quarantine) sync(ctx context.Context, guard store.Cond) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
 	q.mu.Lock()
-	read, id := q.rows.read, q.id
+	era, id := store.EraOf(guard.Version), q.id
+	mustRead := q.mustReadLocked(era)
 	changes := q.changesLocked(q.c.now())
 	q.mu.Unlock()
-	if !read {
+	if mustRead {
 		rows, err := q.readRows(ctx)
 		if err != nil {
 			return eris.Wrap(err, "read barred requests")
 		}
-		q.adoptRows(id, rows)
+		q.adoptRows(id, era, rows)
 		return nil
 	}
 	txn := store.Txn{Op: uuid.NewString(), Conds: []store.Cond{guard}}
@@ -140,15 +145,18 @@
 	return w, eris.Wrap(err, "encode barred request")
 }
 
-// adoptRows enters the rows in the ledger.
-func (q *quarantine) adoptRows(id uint64, rows []store.Row) {
+// adoptRows enters the rows of an era of the store in the ledger. A ledger that had read
+// the rows of an earlier era knows better than a copy what is barred: what the copy lacks is
+// written again, and what has been released since is deleted.
+func (q *quarantine) adoptRows(id, era uint64, rows []store.Row) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.id != id {
 		return // another term has begun
 	}
 	now := q.c.now()
-	q.rows.read, q.rows.written = true, map[poison.Digest]time.Time{}
+	knowsBetter := q.rows.read
+	q.rows.read, q.rows.era, q.rows.written = true, era, map[poison.Digest]time.Time{}
 	for _, row := range rows {
 		var v quarantineRow
 		d, err := poison.ParseDigest(row.Key[len(quarantineTable):])
@@ -157,6 +165,9 @@
 		}
 		until := time.UnixMilli(v.UntilMs)
 		q.rows.written[d] = until
+		if knowsBetter {
+			continue
+		}
 		left := min(until.Sub(now), poison.DefaultPolicy.MaxBar) // clocks may differ, or have been set
 		q.ledger.Adopt(poison.Entry{Fingerprint: poison.Fingerprint{Digest: d, Shape: poison.Shape(v.Shape)}, State: poison.Barred, BarredUntil: now.Add(left), BarCount: v.Bars}, now)
 	}
--- /dev/null
+++ b/node/coordinator/quarantinerows_test.go
@@ -0,0 +1,52 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/poison"
+	"peridotpier.example/node/store"
+	standin "peridotpier.example/standin/platform"
+)
+
+// Guards against a bar that is lost with the store's latest writes, and one that a restored
+// store's copy still has although an operator released the request.
+func TestBarsAreWrittenAgainAfterARestoreOfTheStore(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	c, tb := newHolder(k, "a"), standin.NewTable()
+	c.deps.Table = tb
+	q := c.quarantine
+	sync := func() {
+		t.Helper()
+		v, err := tb.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: "lease/l"}}})
+		assert.NilError(t, err)
+		for range 2 { // a read, then a write
+			assert.NilError(t, q.sync(context.Background(), store.Cond{Key: "lease/l", Version: v}))
+		}
+	}
+	rows := func() int {
+		t.Helper()
+		all, err := tb.List(context.Background(), quarantineTable, "", 10)
+		assert.NilError(t, err)
+		return len(all)
+	}
+	sync()
+	empty := tb.Copy()
+	entry := poison.Entry{Fingerprint: poison.Fingerprint{Digest: poison.Digest{1}}, State: poison.Barred, BarredUntil: k.now.Add(time.Minute), BarCount: 1}
+	q.ledger.Adopt(entry, k.now)
+	sync()
+	assert.Equal(t, rows(), 1)
+	barred := tb.Copy()
+	tb.Restore(empty)
+	assert.Equal(t, rows(), 0)
+	sync()
+	assert.Equal(t, rows(), 1, "written again")
+	q.ledger.Release(entry.Digest, k.now)
+	tb.Restore(barred)
+	assert.Equal(t, rows(), 1)
+	sync()
+	assert.Equal(t, rows(), 0, "released, and deleted again")
+}
