A host that starts after a restore of the store asks the others before it is ready

Between a restore and the operator's and upstreams' writing again, the store has only its copy: a host that started then served by a configuration that others had left behind (404 and 200 the wrong way round, 0.3 s), and sent requests to an upstream that had said that it drains. A drain that the list no longer shows goes to all hosts as what an upstream's answers say does.

Not covered: an entry that was removed without a word and that the copy has; the host uses it until the platform removes it again.

--- a/node/coordinator/link.go
+++ b/node/coordinator/link.go
@@ -72,6 +72,7 @@
 	namedSelf          bool      // whether the host that was asked last named this one as the lease holder
 	revision           uint64
 	list               uint64   // state of the coordinator's list up to which this host has it
+	met                bool     // whether this host has ever received another coordinator's state
 	coordinatorChanges uint64   // how often another host became the coordinator
 	deputies           []string // addresses, as the holder last named them
 	maxHosts           int      // maximum number of hosts ever reported that share the retry budget
@@ -310,6 +311,14 @@
 	}
 }
 
+// HasState reports whether this host has received the state of another coordinator, or is
+// acting itself.
+func (l *Link) HasState() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.met || l.own.Acting()
+}
+
 // TryLink links this host to the one at address if that one is the acting coordinator.
 func (l *Link) TryLink(ctx context.Context, address string) bool {
 	if address == "" || address == l.cfg.Address || address == l.linkedAddress() {
@@ -338,6 +347,9 @@
 	if wasActing && !l.own.Acting() {
 		l.own.announce() // hosts that are linked to this one find out which coordinator it uses now
 	}
+	l.mu.Lock()
+	l.met = true
+	l.mu.Unlock()
 	l.log.Emit(event.CoordinatorLinked, zap.String(event.FieldPeer, address), zap.Uint32("hosts", s.Hosts))
 	return true
 }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -166,8 +166,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u.ID, u.Service, u.Address, u.DataCentre, u.Born = e.id, e.service, e.address, e.dataCentre, e.startedMs
-	if e.desc.State == deploy.Draining && !e.describedAt.IsZero() { // a process that drains never becomes ready again; a restored store may have its entry from before
+	if e.desc.State == deploy.Draining && u.State != deploy.Draining && !e.describedAt.IsZero() {
 		u.State, u.Remaining = deploy.Draining, e.desc.Remaining
+		e.keepDrainingLocked(now)
 	}
 	if e.delisted && e.draining && u.State == deploy.Ready && !e.fleet.staleEntries.passed(now) {
 		e.desc, e.relistPending = u, true
@@ -190,6 +191,20 @@
 	return scope
 }
 
+// sourceFormerEntry is the source of a drain that the list does not show any more.
+const sourceFormerEntry = "its former entry"
+
+// keepDrainingLocked makes a drain known to all hosts that a restored store's list does not
+// show any more. A process that drains never becomes ready again.
+func (e *Entry) keepDrainingLocked(now time.Time) {
+	if e.signal.Draining {
+		return
+	}
+	e.signal.Draining, e.announcedSignal.Draining = true, true
+	e.signalledAt, e.signalSource = now, sourceFormerEntry
+	e.fleet.signals.record(e)
+}
+
 // relist uses the upstream again if its entry may be that of an upstream which is alive.
 func (e *Entry) relist(revision uint64) bool {
 	e.mu.Lock()
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -312,7 +312,14 @@
 
 // isReady reports whether the load balancer should send callers to this host.
 func (h *Host) isReady() bool {
-	return h.config.Current() != nil && h.listOnce.Load() && !h.draining.Load()
+	return h.config.Current() != nil && h.listOnce.Load() && !h.draining.Load() && !h.mayLackChanges()
+}
+
+// mayLackChanges reports whether this host has just started and knows only what it has read
+// from a store that was restored from a copy. Others may have in force what the copy
+// lacks, and send it once this host is linked.
+func (h *Host) mayLackChanges() bool {
+	return h.deps.Platform.Eras.Newest() > 0 && !h.link.HasState() && time.Since(h.started) < peerFetchDelay
 }
 
 // announce wakes the coordinator so that, if this host is the acting one, it publishes
