serve hears of a restore of its table service too

The table service of serve's platform names its era (Table-Era), its stand-in can be copied and restored, and the client refuses conditions on versions of another era and answers of an earlier one. Leases of roles (planner, archiver, sweeper) go on, or wait, as the coordinator's does. An epoch's counter has 24 bits, so that the fences that the planner makes of it (24 bits more) have room for 65,535 eras.

--- a/cmd/peridotpier/serve.go
+++ b/cmd/peridotpier/serve.go
@@ -88,5 +88,6 @@
 	client := func(base string) *rest.Client {
 		return rest.New(rest.Config{BaseURL: base, Timeout: time.Duration(p.TimeoutMs) * time.Millisecond})
 	}
-	return server.Platform{Table: client(p.Table), Objects: client(p.Objects).Objects(), Hosts: client(p.Hosts), Weights: client(p.Weights)}
+	table := client(p.Table)
+	return server.Platform{Table: table, Era: table.Eras.Newest, Objects: client(p.Objects).Objects(), Hosts: client(p.Hosts), Weights: client(p.Weights)}
 }
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -80,7 +80,7 @@
 // era of it. Grants since the copy are lost then, though their holders still act. An epoch
 // therefore has the era in which it was granted in its high bits: it is higher than any of
 // an earlier era, whether the store knows of that one or not.
-const epochNumberBits = 32
+const epochNumberBits = 24 // one grant per second for half a year, in each era
 
 // EraOfEpoch returns the era of the store in which an epoch was granted.
 func EraOfEpoch(epoch uint64) uint64 { return epoch >> epochNumberBits }
--- a/node/server/roles.go
+++ b/node/server/roles.go
@@ -146,7 +146,7 @@
 
 // startRole campaigns for a lease and runs beside it the function that build returns.
 func (s *Server) startRole(ctx context.Context, name string, build func(*lease.Lease, *role) func(context.Context) error) *role {
-	l := lease.New(lease.Config{Name: name, Holder: s.cfg.Settings.Host + "/" + s.incarnation}, lease.Deps{Table: s.cfg.Platform.Table, Log: s.log})
+	l := lease.New(lease.Config{Name: name, Holder: s.cfg.Settings.Host + "/" + s.incarnation}, lease.Deps{Table: s.cfg.Platform.Table, Era: s.cfg.Platform.Era, Log: s.log})
 	ctx, cancel := context.WithCancel(ctx)
 	r := &role{lease: l, cancel: cancel, done: make(chan struct{})}
 	runRole := build(l, r)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -80,6 +80,7 @@
 // Platform holds the services that the platform provides.
 type Platform struct {
 	Table   store.Table
+	Era     func() uint64 // newest era of the table service that this process has seen; nil: it is never restored
 	Objects store.Objects
 	Hosts   store.Hosts
 	Weights store.Weights
--- a/node/store/rest/client.go
+++ b/node/store/rest/client.go
@@ -38,6 +38,8 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	// Eras keeps the eras of the table service.
+	Eras store.Eras
 }
 
 var (
@@ -64,6 +66,9 @@
 
 // Commit implements store.Table.
 func (c *Client) Commit(ctx context.Context, t store.Txn) (uint64, error) {
+	if err := store.CheckConds(t.Conds, c.Eras.Newest()); err != nil {
+		return 0, err
+	}
 	var a CommitAnswer
 	err := c.post(ctx, PathCommit, store.ErrUnconfirmed, t, &a)
 	return a.Version, err
@@ -167,7 +172,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
-	status, body, err := c.do(req)
+	status, header, body, err := c.do(req)
 	if err != nil {
 		// A device on the path may have lost the state of all open connections
 		// while new ones work. Each idle connection would cost another call its
@@ -178,6 +183,9 @@
 		}
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
+	if era, newest := c.observeEra(header); era < newest {
+		return fmt.Errorf("%w: answer of era %d after one of era %d", r.errIfLost, era, newest)
+	}
 	if status == http.StatusOK {
 		if err := accept(body); err != nil {
 			return fmt.Errorf("%w: %w", r.errIfLost, err)
@@ -193,12 +201,22 @@
 	return fmt.Errorf("%w: status %d", r.errIfLost, status)
 }
 
-func (c *Client) do(req *http.Request) (status int, body []byte, err error) {
+// observeEra records the era of an answer and returns it, and the newest one seen. The
+// other services' answers have none.
+func (c *Client) observeEra(h http.Header) (era, newest uint64) {
+	era, err := strconv.ParseUint(h.Get(HeaderEra), 10, 64)
+	if err != nil {
+		return 0, 0
+	}
+	return era, c.Eras.Observe(era)
+}
+
+func (c *Client) do(req *http.Request) (status int, header http.Header, body []byte, err error) {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	return resp.StatusCode, body, err
+	return resp.StatusCode, resp.Header, body, err
 }
--- a/node/store/rest/wire.go
+++ b/node/store/rest/wire.go
@@ -23,6 +23,10 @@
 	PathDone    = "/weights/done"
 )
 
+// HeaderEra is the header of each answer of the table service with its era, which rises
+// when the service is restored from a copy; see store.Version.
+const HeaderEra = "Table-Era"
+
 // CommitAnswer is the response to a store.Txn.
 type CommitAnswer struct {
 	Version uint64 `json:"version"`
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -48,18 +48,28 @@
 func tableRoutes(mux *http.ServeMux, tb store.Table) {
 	mux.HandleFunc("POST "+rest.PathCommit, withBody(func(w http.ResponseWriter, r *http.Request, t store.Txn) {
 		v, err := tb.Commit(r.Context(), t)
+		setEra(w, tb)
 		writeAnswer(w, rest.CommitAnswer{Version: v}, err)
 	}))
 	mux.HandleFunc("POST "+rest.PathGet, withBody(func(w http.ResponseWriter, r *http.Request, g rest.GetRequest) {
 		rows, err := tb.Get(r.Context(), g.Keys...)
+		setEra(w, tb)
 		writeAnswer(w, rest.Rows{Rows: rows}, err)
 	}))
 	mux.HandleFunc("POST "+rest.PathList, withBody(func(w http.ResponseWriter, r *http.Request, l rest.ListRequest) {
 		rows, err := tb.List(r.Context(), l.Prefix, l.After, l.Limit)
+		setEra(w, tb)
 		writeAnswer(w, rest.Rows{Rows: rows}, err)
 	}))
 }
 
+// setEra adds the table's era to an answer, if it can be restored.
+func setEra(w http.ResponseWriter, tb store.Table) {
+	if t, ok := tb.(interface{ Era() uint64 }); ok {
+		w.Header().Set(rest.HeaderEra, strconv.FormatUint(t.Era(), 10))
+	}
+}
+
 func objectRoutes(mux *http.ServeMux, objects store.Objects) {
 	mux.HandleFunc("PUT "+rest.PathObject+"{name...}", func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
