A planner does not take over a ledger whose epoch row it cannot read

The planner logs the row and gives no order until it is mended. Before (test): one order under epoch 1, the row overwritten. After: none, the row as it was.

--- a/node/planner/ledger.go
+++ b/node/planner/ledger.go
@@ -82,7 +82,10 @@
 	}
 	cond := store.Cond{Key: key}
 	if len(rows) > 0 {
-		holderEpoch, _ := strconv.ParseUint(string(rows[0].Value), 10, 64)
+		holderEpoch, err := strconv.ParseUint(string(rows[0].Value), 10, 64)
+		if err != nil {
+			return eris.Wrapf(err, "epoch row %s", key) // overwriting it could use an epoch again
+		}
 		if holderEpoch > l.epoch {
 			return eris.Wrapf(ledger.ErrOldEpoch, "another planner has epoch %d", holderEpoch)
 		}
--- a/node/planner/planner_test.go
+++ b/node/planner/planner_test.go
@@ -11,6 +11,7 @@
 	"peridotpier.example/core/config"
 	"peridotpier.example/core/ledger"
 	"peridotpier.example/core/place"
+	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
 )
 
@@ -286,3 +287,19 @@
 		w.view.Config = &c
 	}
 }
+
+// Guards against a fencing number that is used again: an epoch row that cannot be read is
+// taken for that of epoch 0 and overwritten.
+func TestAnUnreadableEpochRowIsNotTakenOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingChecked, testModel("a", "1", 60))
+		row := store.Write{Key: epochPrefix + "p", Value: []byte("7x")}
+		_, err := w.table.Commit(t.Context(), store.Txn{Writes: []store.Write{row}})
+		assert.NilError(t, err)
+		w.steps(t.Context(), 3, w.planner(&testLease{1, true}))
+		assert.Equal(t, len(w.sent), 0)
+		rows, err := w.table.Get(t.Context(), row.Key)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rows[0].Value), "7x")
+	})
+}
