A planner holds its orders while a restored table may have forgotten some

A reservation that a restored table has lost belongs to an order that may still be executed: the next planner gave its room away, and a late order overcommitted the engine. The first planner of an era holds all orders until each that was reserved before has expired (165 s by the bounds), and writes down until when, so that those after it do as well. Before (test, with the hold dropped): 60 MB and 70 MB resident of 100 at an engine that ignores fences. After: never over; orders go on afterwards.

--- a/core/ledger/reserve.go
+++ b/core/ledger/reserve.go
@@ -39,7 +39,7 @@
 	next.Epoch = epoch
 	next.Fence = max(r.Fence+1, epoch<<fenceBits)
 	charge := Charge{Artifact: change.Artifact, Kind: change.Kind, MemoryMB: change.MemoryMB, Op: op, Incarnation: r.Incarnation(), Fence: next.Fence,
-		SendBy: now.Add(b.SendWindow), Until: now.Add(b.orderExpiry())}
+		SendBy: now.Add(b.SendWindow), Until: now.Add(b.OrderExpiry())}
 	if change.Kind == Unload {
 		charge.MemoryMB = 0
 	}
--- a/core/ledger/row.go
+++ b/core/ledger/row.go
@@ -97,9 +97,9 @@
 	return Bounds{SendWindow: 10 * time.Second, MaxInFlight: 90 * time.Second, MaxReportAge: 60 * time.Second, MaxClockSkew: 5 * time.Second}
 }
 
-// orderExpiry returns how long after its reservation an order stays unconfirmed
+// OrderExpiry returns how long after its reservation an order stays unconfirmed
 // unless a fence or a report resolves it.
-func (b Bounds) orderExpiry() time.Duration {
+func (b Bounds) OrderExpiry() time.Duration {
 	return b.SendWindow + b.MaxInFlight + b.MaxReportAge + b.MaxClockSkew
 }
 
--- a/node/planner/ledger.go
+++ b/node/planner/ledger.go
@@ -6,9 +6,11 @@
 	"errors"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"peridotpier.example/core/lease"
 	"peridotpier.example/core/ledger"
 	"peridotpier.example/node/store"
 )
@@ -17,6 +19,7 @@
 const (
 	rowPrefix    = "ledger/row/"   // + pool + "/" + upstream
 	epochPrefix  = "ledger/epoch/" // + pool
+	holdPrefix   = "ledger/hold/"  // + pool
 	listPageRows = 500             // rows of one read
 	maxBatchRows = 32              // rows of one transaction
 )
@@ -32,6 +35,9 @@
 	epoch    uint64
 	epochRow store.Cond // condition of every write: no later planner has taken over
 	rows     map[string]*cachedRow
+	// heldUntil is until when orders may be executed that the ledger does not know of, since
+	// the table was restored from a copy.
+	heldUntil time.Time
 }
 
 // cachedRow is a ledger row with its version in the table service.
@@ -47,12 +53,13 @@
 	next     ledger.Row
 }
 
-// openPoolLedger takes over the ledger of a pool under an epoch and reads its rows.
-func openPoolLedger(ctx context.Context, tb store.Table, pool string, epoch uint64) (*poolLedger, error) {
+// openPoolLedger takes over the ledger of a pool under an epoch and reads its rows. hold is
+// until when orders may be executed that were reserved by now.
+func openPoolLedger(ctx context.Context, tb store.Table, pool string, epoch uint64, hold time.Time) (*poolLedger, error) {
 	l := &poolLedger{table: tb, pool: pool, epoch: epoch, rows: map[string]*cachedRow{}}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if err := l.claimEpoch(ctx); err != nil {
+	if err := l.claimEpoch(ctx, hold); err != nil {
 		return nil, err
 	}
 	for after := ""; ; {
@@ -73,26 +80,35 @@
 }
 
 // claimEpoch writes the epoch row. The rows are read only after this, so that an
-// earlier lease holder cannot write any of them once they are read.
-func (l *poolLedger) claimEpoch(ctx context.Context) error {
-	key := epochPrefix + l.pool
-	rows, err := l.table.Get(ctx, key)
+// earlier lease holder cannot write any of them once they are read. The first claim
+// after the table was restored also writes until when unknown orders may be executed.
+func (l *poolLedger) claimEpoch(ctx context.Context, hold time.Time) error {
+	key, holdKey := epochPrefix+l.pool, holdPrefix+l.pool
+	rows, err := l.table.Get(ctx, key, holdKey)
 	if err != nil {
 		return eris.Wrap(err, "read the planner's epoch")
 	}
-	cond := store.Cond{Key: key}
-	if len(rows) > 0 {
-		holderEpoch, err := strconv.ParseUint(string(rows[0].Value), 10, 64)
+	cond, holderEpoch := store.Cond{Key: key}, uint64(0)
+	for _, r := range rows {
+		n, err := strconv.ParseUint(string(r.Value), 10, 64)
 		if err != nil {
-			return eris.Wrapf(err, "epoch row %s", key) // overwriting it could use an epoch again
+			return eris.Wrapf(err, "row %s", r.Key) // overwriting it could use an epoch again
 		}
-		if holderEpoch > l.epoch {
-			return eris.Wrapf(ledger.ErrOldEpoch, "another planner has epoch %d", holderEpoch)
+		if r.Key == holdKey {
+			l.heldUntil = time.UnixMilli(int64(n))
+			continue
 		}
-		cond.Version = rows[0].Version
+		cond.Version, holderEpoch = r.Version, n
+	}
+	if holderEpoch > l.epoch {
+		return eris.Wrapf(ledger.ErrOldEpoch, "another planner has epoch %d", holderEpoch)
+	}
+	txn := store.Txn{Op: newOpID(), Conds: []store.Cond{cond}, Writes: []store.Write{{Key: key, Value: []byte(strconv.FormatUint(l.epoch, 10))}}}
+	if lease.EraOfEpoch(holderEpoch) < lease.EraOfEpoch(l.epoch) {
+		l.heldUntil = hold
+		txn.Writes = append(txn.Writes, store.Write{Key: holdKey, Value: []byte(strconv.FormatInt(hold.UnixMilli(), 10))})
 	}
-	v, err := store.CommitResolved(ctx, l.table, store.Txn{Op: newOpID(), Conds: []store.Cond{cond},
-		Writes: []store.Write{{Key: key, Value: []byte(strconv.FormatUint(l.epoch, 10))}}})
+	v, err := store.CommitResolved(ctx, l.table, txn)
 	l.epochRow = store.Cond{Key: key, Version: v}
 	return eris.Wrap(err, "take over the ledger")
 }
--- a/node/planner/planner.go
+++ b/node/planner/planner.go
@@ -181,6 +181,9 @@
 	now := p.deps.Now()
 	snapshot := p.snapshot(view, now)
 	decision := place.Plan(snapshot, now)
+	if now.Before(p.ledger.heldUntil) { // orders may be executed that a restored table has forgotten
+		decision.Moves = nil
+	}
 	p.sendAll(ctx, append(p.ordersToResend(now), p.reserveAll(ctx, decision.Moves)...))
 	p.updateStatus(snapshot, decision)
 }
@@ -211,7 +214,7 @@
 	if p.ledger != nil && p.ledger.epoch == epoch {
 		return true
 	}
-	l, err := openPoolLedger(ctx, p.deps.Table, p.cfg.Pool, epoch)
+	l, err := openPoolLedger(ctx, p.deps.Table, p.cfg.Pool, epoch, p.deps.Now().Add(p.cfg.Bounds.OrderExpiry()))
 	if err != nil {
 		p.deps.Log.Emit(event.LedgerReadFailed, zap.String("pool", p.cfg.Pool), zap.Error(err))
 		return false
@@ -221,7 +224,7 @@
 	p.moveBudget.SetLimitAt(p.deps.Now(), 0)
 	p.moveBudget.AllowN(p.deps.Now(), moveBurst) // a new lease holder begins with an empty budget
 	p.restartCooldowns()
-	p.deps.Log.Emit(event.PlannerTookOver, zap.String("pool", p.cfg.Pool), zap.Uint64("epoch", epoch))
+	p.deps.Log.Emit(event.PlannerTookOver, zap.String("pool", p.cfg.Pool), zap.Uint64("epoch", epoch), zap.Duration("orders_held", max(l.heldUntil.Sub(p.deps.Now()), 0)))
 	return true
 }
 
--- a/node/planner/planner_test.go
+++ b/node/planner/planner_test.go
@@ -13,6 +13,7 @@
 	"peridotpier.example/core/place"
 	"peridotpier.example/node/store"
 	"peridotpier.example/node/upstream/engineapi"
+	standin "peridotpier.example/standin/platform"
 )
 
 func inBubble(t *testing.T, f func(t *testing.T)) { t.Helper(); synctest.Test(t, f) }
@@ -303,3 +304,34 @@
 		assert.Equal(t, string(rows[0].Value), "7x")
 	})
 }
+
+// Guards against overcommitted memory: an order is on its way whose reservation a restored
+// table has forgotten, and the next planner uses the room again.
+func TestNoOrderIsSentWhileOneMayBeForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newTestWorld(config.FencingIgnored)
+		w.view.Config.Upstreams = w.view.Config.Upstreams[:1]
+		tb := w.table.Table.(*standin.Table)
+		var late []engineapi.Order
+		w.network = func(o engineapi.Order) (bool, bool) { late = append(late, o); return false, false }
+		w.steps(t.Context(), 2, w.planner(&testLease{1, true})) // no model is configured
+		copied := tb.Copy()
+		w.view.Config.Models = []config.Model{testModel("a", "1", 60)}
+		w.steps(t.Context(), 2, w.planner(&testLease{2, true}))
+		assert.Assert(t, len(late) > 0)
+		tb.Restore(copied)
+		w.network = nil
+		w.view.Config.Models = []config.Model{testModel("b", "1", 70)}
+		const eraOne = 1 << 24                                   // epochs of the table's first era after a restore
+		for _, epoch := range []uint64{eraOne + 1, eraOne + 2} { // the second takes over from the first
+			w.steps(t.Context(), 20, w.planner(&testLease{epoch, true}))
+		}
+		for _, o := range late {
+			w.engines["u1"].execute(o)
+		}
+		assert.Assert(t, !w.overcommitted())
+		w.steps(t.Context(), 200, w.planner(&testLease{eraOne + 3, true}))
+		assert.Assert(t, !w.overcommitted())
+		assert.Equal(t, w.residentCount("b"), 1, "orders go on once all are settled")
+	})
+}
