serve: a version in force that a restored table has lost is written again

The head of the configuration goes back with the table. Hosts in force stayed on the newer version, hosts that started took the older, and the next change got a number that had been given out, which the others ignored: confirmed, and in force nowhere. A host whose version is newer than the table's writes the head again under the condition of the row that it read, with entries in the audit trail that say what is lost. After: version 3 there, two lost entries named, the next change is 4.

--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -44,6 +44,8 @@
 const (
 	ActionApply  Action = "apply"
 	ActionPreset Action = "preset"
+	// ActionRewrite is the entry of a version that a restored table had lost.
+	ActionRewrite Action = "rewrite"
 )
 
 // Entry is one change in the audit trail.
--- a/node/command/config.go
+++ b/node/command/config.go
@@ -155,6 +155,42 @@
 		Head:    revision.Head{Digest: cur.head.Digest, Preset: u.Preset, Author: u.Author}})
 }
 
+// maxRewritten bounds how many lost versions one call of Rewrite writes again, with an
+// audit entry for each.
+const maxRewritten = 90
+
+// Rewrite writes a head that was in force again, if the table has an older one, as after it
+// was restored from a copy: otherwise hosts that start would use the older version, and
+// the numbers of the lost versions would be given out again. It does nothing if the table
+// has the head or a newer one.
+func (c *Configuration) Rewrite(ctx context.Context, head revision.Head) error {
+	cur, err := c.readHead(ctx)
+	if err != nil || cur.head.Version >= head.Version {
+		return err
+	}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return fault.From(fault.StepConfig, err)
+	}
+	txn := store.Txn{Op: uuid.NewString(), Conds: []store.Cond{{Key: revision.HeadKey, Version: cur.version}},
+		Writes: []store.Write{{Key: revision.HeadKey, Value: value}}}
+	for v := max(cur.head.Version+1, head.Version-min(maxRewritten, head.Version)+1); v <= head.Version; v++ {
+		e := revision.Entry{Head: head, Action: revision.ActionRewrite, FromVersion: cur.head.Version, FromDigest: cur.head.Digest, FromPreset: cur.head.Preset,
+			Changes: []string{"lost by the table, which was restored from a copy"}}
+		e.Version = v
+		entry, err := json.Marshal(e)
+		if err != nil {
+			return fault.From(fault.StepConfig, err)
+		}
+		txn.Writes = append(txn.Writes, store.Write{Key: revision.AuditKey(v), Value: entry})
+	}
+	if _, err := store.CommitResolved(ctx, c.deps.Table, txn); err != nil {
+		return storeError(fault.StepTable, err, "write version %d again", head.Version)
+	}
+	c.deps.Log.Emit(event.ConfigRewritten, zap.Uint64("version", head.Version), zap.Uint64("was", cur.head.Version))
+	return nil
+}
+
 // headRow is the head in force with the version of its row.
 type headRow struct {
 	head    revision.Head
--- a/node/query/config.go
+++ b/node/query/config.go
@@ -49,6 +49,9 @@
 	Log     *event.Log
 	Now     func() time.Time
 	Rand    pace.Rand
+	// OnLost is called when the table shows an older head than the one in force, which it
+	// may have lost; nil: not called.
+	OnLost func(ctx context.Context, inForce revision.Head) error
 }
 
 // ConfigReader keeps this host at the newest configuration that it receives, from
@@ -190,6 +193,16 @@
 	return s.Version, data, err == nil
 }
 
+// reportLost reports that the table may have lost the head in force.
+func (r *ConfigReader) reportLost(ctx context.Context, inForce revision.Head) {
+	if r.deps.OnLost == nil {
+		return
+	}
+	if err := r.deps.OnLost(ctx, inForce); err != nil && !errors.Is(err, store.ErrConflict) { // else another host was first
+		r.deps.Log.Emit(event.ConfigRewriteFailed, zap.Uint64("version", inForce.Version), zap.Error(err))
+	}
+}
+
 // PollSoon makes Run poll at once. Calls before that poll has begun are merged.
 func (r *ConfigReader) PollSoon() {
 	select {
@@ -204,6 +217,7 @@
 	if s, ok := r.Current(); ok && s.Version >= head.Version {
 		if s.Version > head.Version {
 			r.deps.Log.Emit(event.ConfigStaleRead, zap.Uint64("version", head.Version), zap.Uint64("in_force", s.Version))
+			r.reportLost(ctx, s.Head)
 		}
 		return nil
 	}
--- a/node/query/config_test.go
+++ b/node/query/config_test.go
@@ -396,3 +396,26 @@
 	}
 	b.ReportMetric(float64(bytes), "push-bytes")
 }
+
+// Guards against a configuration that reverts, and a version number that is given out
+// again, after the table was restored from a copy without the version in force.
+func TestAVersionThatARestoredTableHasLostIsWrittenAgain(t *testing.T) {
+	s := newSite(t)
+	s.apply(t, 0, s.doc)
+	copied := s.table.Copy()
+	s.apply(t, 1, s.changed(`"weight": 40`, `"weight": 41`))
+	h := s.apply(t, 2, s.changed(`"weight": 40`, `"weight": 42`))
+	reader := query.NewConfigReader(0, query.Deps{Table: s.table, Objects: s.objects, OnLost: s.config.Rewrite})
+	assert.NilError(t, reader.Poll(t.Context()))
+	s.table.Restore(copied)
+	assert.NilError(t, reader.Poll(t.Context()))
+	fresh := s.reader()
+	assert.NilError(t, fresh.Poll(t.Context()))
+	st, ok := fresh.Current()
+	assert.Assert(t, ok && st.Version == 3 && st.Head.Digest == h.Digest)
+	page, err := query.NewAuditReader(query.Deps{Table: s.table, Objects: s.objects}).Page(t.Context(), 0, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page), 3)
+	assert.Equal(t, page[1].Action, revision.ActionRewrite, "who made it is lost, and said to be")
+	assert.Equal(t, s.apply(t, 3, s.doc).Version, uint64(4))
+}
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -167,7 +167,8 @@
 // configuration reader, the order sender and the peer mesh with its listener.
 func (s *Server) buildControlPath() error {
 	s.config = query.NewConfigReader(s.cfg.Settings.Bounds.ConfigPoll(),
-		query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log})
+		query.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log,
+			OnLost: command.NewConfiguration(command.Deps{Table: s.cfg.Platform.Table, Objects: s.cfg.Platform.Objects, Log: s.log}).Rewrite})
 	s.metrics.SetFunc(metrics.InFlight, func() any { return s.requests.LiveCount() })
 	s.metrics.SetFunc(metrics.ConfigVersion, func() any { return s.configVersion() })
 	s.orders = orders.New(s.client, s.addressOf)
