--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -60,6 +60,7 @@
 	}
 	fmt.Printf("%s in %s: ready %t, goes by %s, holds the lease %t\n", s.Host, s.DataCentre, s.Ready, coordinator, s.HoldsLease)
 	fmt.Printf("%d hosts, a report each %d ms; %d upstreams of version %d, configuration %d\n", s.Hosts, s.ReportMs, s.Upstreams, s.ListVersion, s.Configuration)
+	fmt.Printf("the store's era %d, that of the list %d\n", s.StoreEra, s.ListEra)
 	for _, part := range []struct {
 		title string
 		by    map[string]int64
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -221,7 +221,7 @@
 try "a successor hears what is known" node/quarantine/guard.go \
   'from, next.Barred = 0, g.barredLocked(now)' 'from = len(g.events)' ./node/quarantine
 try "bars are kept for a loss of all hosts" node/coordinator/quarantinerows.go \
-  'return !q.rows.read || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
+  'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
 try "a run that lasted is not blamed" node/gate/poison.go \
   '!q.responseSince.IsZero() &&' 'false && !q.responseSince.IsZero() &&' ./node/gate -run 'NotBlamed'
 try "what is barred is looked at before each send" node/gate/gate.go \
@@ -246,7 +246,7 @@
 try "of answers that cross the stricter holds" core/backpressure/signal.go \
   'if b.Limit.stricter(a.Limit) {' 'if b.Limit != a.Limit {' ./core/backpressure
 try "an older entry of the list does not win" node/fleet/entry.go \
-  'e.delisted, e.draining, e.useUntil = false, e.signal.Draining, time.Time{}' 'e.delisted, e.draining, e.useUntil = false, false, time.Time{}' ./node/fleet
+  'e.draining = e.signal.Draining // a drain' 'e.draining = false // a drain' ./node/fleet
 try "a rest is kept" node/gate/signals.go \
   'e.StartBackoff(info.Backoff)' '' ./platform -run 'InTheRest'
 try "a grant that is not counted is not used" node/gate/permit.go \
@@ -255,4 +255,44 @@
   'p.Reason == balance.AllBackoff && !q.started && (p.unservable ||' 'false && (p.unservable ||' ./platform -run 'SoonestTime'
 try "somebody acts while nobody can take the lease" node/coordinator/elector.go \
   'case !own.Acting() && e.Link.isFirstDeputy(ctx):' 'case false:' ./platform -run 'NobodyCanTake'
+try "the era is part of a version" node/store/era.go \
+  'return era<<numberBits | number' 'return number' ./platform -run 'IsApplied|TwoEras|EarlierEra'
+try "a feed after a version of another era is read whole" platform/feed.go \
+  '	if store.EraOf(after) != s.Eras.Newest() {
+		return rows{}, store.ErrHistoryLost
+	}
+	return got, err' '	return got, err' ./platform -run 'AnsweredInAnotherEra'
+try "a condition of another era is not sent" node/store/era.go \
+  'if c.Version != Absent && EraOf(c.Version) != era {' 'if c.Version != Absent && EraOf(c.Version) != era && false {' ./platform ./standin/platform -run 'EarlierEra|RestoredTable'
+try "changes do not follow a list that was read since" node/follow/relay.go \
+  '!relay.Complete && relay.Base != known' 'false' ./node/coordinator -run 'HostsHaveOneList'
+try "a host that has read beyond a gap gets the whole list" node/fleet/change.go \
+  'if version > g.after {' 'if false {' ./node/coordinator -run 'HostsHaveOneList'
+try "a restore counts as the store's return" node/fleet/fleet.go \
+  '	f.StoreRecovered()
+	f.staleEntries' '	f.staleEntries' ./platform -run 'RestoredStoreLacks'
+try "draining is for the life of the process" node/fleet/entry.go \
+  'u.State, u.Remaining = deploy.Draining, e.desc.Remaining' '' ./platform -run 'LeftUpstream'
+try "an entry of a copy is no return" node/fleet/entry.go \
+  'e.delisted && e.draining && u.State == deploy.Ready &&' 'false &&' ./platform -run 'LeftUpstream'
+try "a drain that the list lost is told to all" node/fleet/entry.go \
+  'e.keepDrainingLocked(now)' '' ./platform -run 'StartsAfterARestore'
+try "a host that starts after a restore asks others" node/host/host.go \
+  '!h.draining.Load() && !h.mayLackChanges()' '!h.draining.Load()' ./platform -run 'StartsAfterARestore'
+try "a forgotten holder is waited for" core/lease/lease.go \
+  'return EraOfEpoch(o.Record.Epoch) < o.Era' 'return false' ./core/lease ./node/lease
+try "an epoch is above those of earlier eras" core/lease/lease.go \
+  'return max(last, era<<epochNumberBits) + 1' 'return last + 1' ./node/lease -run 'Restored|Forgotten'
+try "a holder acquires the lease again in a new era" core/lease/lease.go \
+  'if EraOfEpoch(h.Record.Epoch) < era {' 'if false {' ./node/lease -run 'RestoredStoreHasForgotten'
+try "each era has lease rows of its own" node/lease/lease.go \
+  'if era == 0 {' 'if true {' ./node/lease -run 'LateGrant'
+try "hosts keep their coordinator after a restore" node/coordinator/linkanswers.go \
+  'feed.StoreRestoredWithin(restoredLeaseWait)' 'false' ./platform -run 'HigherEpoch'
+try "bars are written again after a restore" node/coordinator/quarantinerows.go \
+  'return !q.rows.read || q.rows.era != era' 'return !q.rows.read' ./node/coordinator -run 'BarsAreWritten'
+try "orders are held while some may be forgotten" node/planner/planner.go \
+  'if now.Before(p.ledger.heldUntil) {' 'if false {' ./node/planner -run 'MayBeForgotten'
+try "a version that the table has lost is written again" node/query/config.go \
+  'r.reportLost(ctx, s.Head)' '' ./node/query -run 'HasLost'
 exit $missed
