Two calls that dial a host at once share one connection

Both found none, both dialled, and the second closed the first's connection while it was in use: that call failed with an unknown outcome. The later one now takes the connection that is there and closes its own. Listed by the reading of the code. Before (test): two connections, the first closed. After: one, open. Used by serve alone.

--- a/node/peer/pool.go
+++ b/node/peer/pool.go
@@ -46,12 +46,8 @@
 	p.mu.Lock()
 	c := p.byAddress[address]
 	p.mu.Unlock()
-	if c != nil {
-		select {
-		case <-c.Closed():
-		default:
-			return c, nil
-		}
+	if c != nil && !isClosed(c) {
+		return c, nil
 	}
 	c, err := p.dialNew(ctx, address)
 	if err != nil {
@@ -63,13 +59,23 @@
 		_ = c.Close()
 		return nil, net.ErrClosed
 	}
-	if old := p.byAddress[address]; old != nil {
-		_ = old.Close()
+	if other := p.byAddress[address]; other != nil && !isClosed(other) { // another call has dialled meanwhile and uses it
+		_ = c.Close()
+		return other, nil
 	}
 	p.byAddress[address] = c
 	return c, nil
 }
 
+func isClosed(c *drpcconn.Conn) bool {
+	select {
+	case <-c.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
 // call makes one call. A connection on which a call failed is not used again. The
 // error is a *fault.Error with an unknown outcome.
 func (p *connPool) call(ctx context.Context, address string, f func(peerpb.DRPCPeerClient) error) error {
