pierctl apply says that the number of hosts is unknown in place of -1

Where the node did not answer who has confirmed a version, the message named -1 hosts. Before (test): "-1 hosts have not confirmed it". After: "the node did not say which hosts have confirmed it".

--- a/cmd/pierctl/apply.go
+++ b/cmd/pierctl/apply.go
@@ -65,6 +65,15 @@
 	return a, func() { fmt.Printf("version %d is in force, preset %s\n", a.Head.Version, a.Head.Preset) }, nil
 }
 
+// unconfirmedBy says how many hosts have not confirmed a version; below 0: the node did not
+// say.
+func unconfirmedBy(hosts int) string {
+	if hosts < 0 {
+		return "the node did not say which hosts have confirmed it"
+	}
+	return fmt.Sprintf("%d hosts have not confirmed it", hosts)
+}
+
 // awaitEverywhere waits until every live host has a version in force, for at most maxWait.
 // When the time is over, the error has the exit code exit.Unconfirmed.
 func awaitEverywhere(ctx context.Context, c *operator.Client, version uint64, maxWait time.Duration) error {
@@ -80,7 +89,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return &exit.Error{Code: exit.Unconfirmed, Err: fmt.Errorf("version %d was accepted, but %d hosts have not confirmed it within %s", version, waiting, maxWait),
+			return &exit.Error{Code: exit.Unconfirmed, Err: fmt.Errorf("version %d was accepted, but %s within %s", version, unconfirmedBy(waiting), maxWait),
 				Hint: "see pierctl status --everywhere"}
 		case <-time.After(pollInterval):
 		}
