--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -87,20 +87,23 @@
 		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: conf}}}, nil
 }
 
-// tlsConfig returns nil, which means Go's defaults, if no authorities are given.
+// tlsConfig returns nil, which means Go's defaults, if neither authorities nor a
+// certificate are given. Without authorities those of the system apply.
 func (f *Flags) tlsConfig() (*tls.Config, error) {
-	if f.CAFile == "" {
+	if f.CAFile == "" && f.CertFile == "" {
 		return nil, nil
 	}
-	pem, err := os.ReadFile(f.CAFile)
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("%s holds no certificate", f.CAFile)
+	c := &tls.Config{MinVersion: tls.VersionTLS13}
+	if f.CAFile != "" {
+		pem, err := os.ReadFile(f.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		c.RootCAs = x509.NewCertPool()
+		if !c.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("%s holds no certificate", f.CAFile)
+		}
 	}
-	c := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
 	if f.CertFile != "" {
 		own, err := tls.LoadX509KeyPair(f.CertFile, f.CertKeyFile)
 		if err != nil {
