A test notices when the lease is not checked before an order

TestNoOrderIsSentAfterTheLeaseRanOut sends one order under the lease, lets the host stand still for a minute, and sends another: it is refused and reaches no upstream.

--- a/node/coordinator/adapters_test.go
+++ b/node/coordinator/adapters_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/residency"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/lease"
+	standin "peridotpier.example/standin/platform"
 )
 
 // Guards against requests that end past their deadline, or only with the host's
@@ -37,3 +40,45 @@
 		assert.ErrorIs(t, u.loadAdapter(ctx, "m", "a1"), context.DeadlineExceeded)
 	})
 }
+
+// countingOrders counts the orders that it is given, and accepts them.
+type countingOrders struct{ orders int }
+
+func (c *countingOrders) Order(context.Context, *deploy.Upstream, residency.Order, Authority) (Verdict, error) {
+	c.orders++
+	return Done, nil
+}
+
+func (c *countingOrders) Report(context.Context, *deploy.Upstream) (residency.Report, error) {
+	return residency.Report{Residents: []deploy.Resident{{Model: "m"}}}, nil
+}
+
+// Guards against an order under a lease that ran out while its host stood still, after the
+// host had decided to send it.
+func TestNoOrderIsSentAfterTheLeaseRanOut(t *testing.T) {
+	log := event.NewLog(nil)
+	config := follow.NewActiveConfig(log)
+	config.ApplyIfNewer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{MemoryMB: 100, AdapterSlots: 2,
+		Models: []deploy.Model{{Name: "m", WeightsMB: 10, AdapterMB: 1, Adapters: 3}}}}}}, "test")
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
+	orders := &countingOrders{}
+	var stoodStill atomic.Int64
+	now := func() time.Time { return time.Now().Add(time.Duration(stoodStill.Load())) }
+	l := lease.New(lease.Config{Name: "l"}, lease.Deps{Table: standin.NewTable(), Now: now})
+	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Orders: orders, Lease: l})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	taken := l.Acquired()
+	go func() { done <- l.Run(ctx) }()
+	<-taken
+	c.refresh()
+	u, _ := c.upstream("a")
+	load := residency.Order{Op: residency.Load, Model: "m", Adapter: "a1"}
+	assert.NilError(t, u.sendOrder(t.Context(), load, "test", time.Millisecond))
+	stoodStill.Store(int64(time.Minute))
+	assert.ErrorIs(t, u.sendOrder(t.Context(), load, "test", time.Millisecond), lease.ErrNotHeld)
+	assert.Equal(t, orders.orders, 1)
+	stop()
+	<-done
+}
