The fleet trial counts how long a kill stays unknown from the kill

measureKill's clock began after the preset change that it makes in between, so that the time until survivors know of killed nodes came out too short by that change. No test: the trial takes minutes and only prints the figure; seen by reading.

--- a/standin/local/fleetrun.go
+++ b/standin/local/fleetrun.go
@@ -31,7 +31,7 @@
 	}
 	r.DocumentBytes = len(doc)
 	ready := time.Now()
-	f.awaitEach(ctx, f.liveNodes(), func(n *Node) bool { return len(n.LiveHosts()) == opt.Nodes })
+	f.awaitEach(ctx, time.Now(), f.liveNodes(), func(n *Node) bool { return len(n.LiveHosts()) == opt.Nodes })
 	r.MembersKnownSeconds = time.Since(ready).Seconds()
 	f.opt.Progress("%d nodes know one another after %.1f s", opt.Nodes, r.MembersKnownSeconds)
 	f.measureSteadyState(ctx, &r)
@@ -96,7 +96,7 @@
 	for i := range f.opt.ChangeCount {
 		u := f.upstreams.list[(i*97+13)%len(f.upstreams.list)]
 		u.draining.Store(true)
-		all = append(all, f.awaitEach(ctx, f.liveNodes(), func(n *Node) bool { return n.IsUpstreamDraining(u.Name) })...)
+		all = append(all, f.awaitEach(ctx, time.Now(), f.liveNodes(), func(n *Node) bool { return n.IsUpstreamDraining(u.Name) })...)
 	}
 	r.DrainingKnown = quantiles(all)
 	f.opt.Progress("draining upstream known: p50 %.0f ms, p99 %.0f ms, max %.0f ms", r.DrainingKnown.P50, r.DrainingKnown.P99, r.DrainingKnown.Max)
@@ -143,7 +143,7 @@
 	f.peerNetwork.Isolate("")
 	t, err := f.awaitVersion(ctx, inside, st.Version, time.Now())
 	r.PresetInForceAfterCut = quantiles(t)
-	f.awaitEach(ctx, f.liveNodes(), func(n *Node) bool { return len(n.LiveHosts()) == f.opt.Nodes })
+	f.awaitEach(ctx, time.Now(), f.liveNodes(), func(n *Node) bool { return len(n.LiveHosts()) == f.opt.Nodes })
 	f.opt.Progress("data centre back: in force max %.0f ms", r.PresetInForceAfterCut.Max)
 	return err
 }
@@ -151,7 +151,7 @@
 // measureKill kills every tenth node at once. It times a preset change at the survivors,
 // and then how long they take to know of the killed nodes.
 func (f *Fleet) measureKill(ctx context.Context, r *FleetReport) error {
-	killed := 0
+	killed, killedAt := 0, time.Now()
 	for i := 3; i < len(f.nodes); i += 10 {
 		go f.nodes[i].Kill()
 		f.nodes[i] = nil
@@ -166,15 +166,14 @@
 		return err
 	}
 	r.PresetInForceAfterKill = quantiles(t)
-	r.KilledKnown = quantiles(f.awaitEach(ctx, survivors, func(n *Node) bool { return len(n.LiveHosts()) == f.opt.Nodes-killed }))
+	r.KilledKnown = quantiles(f.awaitEach(ctx, killedAt, survivors, func(n *Node) bool { return len(n.LiveHosts()) == f.opt.Nodes-killed }))
 	f.opt.Progress("%d nodes killed: known max %.0f ms, change in force max %.0f ms", killed, r.KilledKnown.Max, r.PresetInForceAfterKill.Max)
 	return nil
 }
 
-// awaitEach waits until ok is true for each node and returns the time that each took;
-// that is checkTimeout for a node that took longer.
-func (f *Fleet) awaitEach(ctx context.Context, nodes []*Node, ok func(*Node) bool) []time.Duration {
-	startedAt := time.Now()
+// awaitEach waits until ok is true for each node and returns the time that each took from
+// startedAt; that is checkTimeout for a node that took longer.
+func (f *Fleet) awaitEach(ctx context.Context, startedAt time.Time, nodes []*Node, ok func(*Node) bool) []time.Duration {
 	times := make([]time.Duration, len(nodes))
 	for remaining := len(nodes); remaining > 0 && time.Since(startedAt) < checkTimeout && sleep(ctx, checkInterval); {
 		for i, n := range nodes {
