claimbench reports that a killed writer got no successor

The error was dropped, and the run went on as if the writer had stayed dead: the figures after the kill were those of one writer less. Run returns it. No test: the stand-in's table cannot refuse just the successor; seen by reading.

--- a/standin/claimbench/bench.go
+++ b/standin/claimbench/bench.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -120,7 +121,7 @@
 	b.report.CommitsPerSecond = float64(b.table.Commits()-commits) / elapsed
 	b.requests.Wait()
 	b.finish(elapsed)
-	return b.report, ctx.Err()
+	return b.report, errors.Join(ctx.Err(), b.fleet.successorError())
 }
 
 func (b *bench) startStores(ctx context.Context) {
--- a/standin/claimbench/fleet.go
+++ b/standin/claimbench/fleet.go
@@ -20,6 +20,7 @@
 	writers   []*writer
 	killAt    time.Time
 	openTime  time.Duration
+	openErr   error // of the successor of a killed writer
 }
 
 // writer is a batcher or the owner of a range.
@@ -99,12 +100,19 @@
 	time.Sleep(wait)
 	start := time.Now()
 	w, err := f.open(ctx, 0, 2)
-	if err != nil {
-		return
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.openErr = err; err == nil {
+		f.writers[0], f.openTime = w, time.Since(start)
 	}
+}
+
+// successorError returns why a killed writer got no successor; nil if it did, or none was
+// killed.
+func (f *fleet) successorError() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.writers[0], f.openTime = w, time.Since(start)
+	return f.openErr
 }
 
 func (f *fleet) openMs() float64 {
