A holder that all hosts have followed needs no quiet period after a restore

After an outage longer than the lease that ends with a restore, the former holder waited its quiet period (3.1 s without orders), since a holder that the store has forgotten might have ordered meanwhile. It was acting all the while, and a holder reports to itself until it has seen a later one: if every host that reported to it in the last 20 s has gone on doing so without a break, none of them held the lease. It then goes on as after a term of its own. Left is a host that it never heard of, which the store answered while it answered none of the others.

A lapse also ends now with any later record seen, though a restored store shows an earlier one again.

--- a/node/coordinator/aggregate.go
+++ b/node/coordinator/aggregate.go
@@ -71,6 +71,18 @@
 // fresh reports whether the report counts.
 func (h *lastReport) fresh(now time.Time) bool { return now.Sub(h.at) <= freshFor(h.period) }
 
+// allFresh reports whether the last report of each counted host is fresh.
+func (a *aggregate) allFresh(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, h := range a.hosts {
+		if !h.fresh(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // suspectsCount reports whether the upstreams that the host excludes still count as
 // suspects: until its next report is due, and half a period more.
 func (h *lastReport) suspectsCount(now time.Time) bool { return now.Sub(h.at) <= h.period*5/2 }
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -137,6 +137,7 @@
 	lastEpoch      uint64               // the last epoch in which this host held the lease
 	heldLease      bool                 // whether this host held the lease at the last refresh
 	acted          bool                 // whether this host was acting at the last refresh
+	followed       bool                 // whether all hosts have reported to this one since it last held the lease
 	quietUntil     time.Time            // no order is sent before this time
 	lastOrderAt    time.Time            // when the last order may have been sent, by this host or a predecessor; zero: never
 	ordersComplete bool                 // whether lastOrders contains all recent orders
@@ -287,6 +288,7 @@
 		c.beginTermLocked(term, now)
 	}
 	c.heldLease, c.acted, c.term = holds, acting, term
+	c.followed = holds || acting && c.followed && c.aggregate.allFresh(now)
 	if holds {
 		c.lastEpoch = term.Epoch
 	}
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -64,7 +64,7 @@
 // each upstream gets none until the quiet period after its last order is over; if that
 // time is unknown, no upstream does.
 func (c *Coordinator) beginTermLocked(t lease.Term, now time.Time) {
-	again := c.lastEpoch > 0 && t.Follows(c.lastEpoch)
+	again := c.lastEpoch > 0 && (t.Follows(c.lastEpoch) || t.PreviousUnknown && c.heldLastLocked(now))
 	c.upstreams, c.holdingChanges, c.scanned = map[string]*managedUpstream{}, changes.Log[*managedUpstream]{}, scanPosition{}
 	if !again && !(t.PreviousUnknown && c.acted) {
 		c.resetCounts(now) // another coordinator has counted since
@@ -85,6 +85,13 @@
 	c.deps.Log.Emit(event.QuietPeriod, zap.Uint64("epoch", t.Epoch), zap.Duration("for", max(c.quietUntil.Sub(now), 0)), zap.Int("upstreams", len(c.lastOrders)))
 }
 
+// heldLastLocked reports whether nobody can have held the lease since this process did,
+// although a restored store may have forgotten a holder: all hosts have reported here
+// without a break, and a holder reports to itself until it has seen a later one.
+func (c *Coordinator) heldLastLocked(now time.Time) bool {
+	return c.acted && c.followed && c.aggregate.allFresh(now) && c.predecessor.epoch < c.lastEpoch
+}
+
 // inheritLocked takes over a former holder's handover.
 func (c *Coordinator) inheritLocked(h *handover, now time.Time) {
 	if h.lastOrderAt.After(c.lastOrderAt) {
--- a/node/coordinator/handover_test.go
+++ b/node/coordinator/handover_test.go
@@ -239,3 +239,38 @@
 	assert.Equal(t, len(msg.Orders), 1, "what its successor must wait for")
 	assert.Equal(t, len(a.currentHandover(false, k.now).Demand), 1)
 }
+
+// Guards against three seconds without orders after each restore of the store that lasts
+// longer than the lease, and against orders right after those of a holder that the store
+// has forgotten.
+func TestAHolderThatAllHostsFollowedNeedsNoQuietPeriodAfterARestore(t *testing.T) {
+	const forgetful = 1<<24 + 1 // the first epoch of the store's first era after a restore
+	for _, c := range []struct {
+		name  string
+		since func(h *Coordinator, k *clock)
+		quiet bool
+	}{
+		{"all hosts report", func(*Coordinator, *clock) {}, false},
+		{"one host is silent", func(h *Coordinator, k *clock) {
+			k.now = k.now.Add(2 * time.Second)
+			h.aggregate.record(&coordpb.HostReport{Host: "a"}, k.now)
+		}, true},
+		{"another host told that it gave the lease up", func(h *Coordinator, _ *clock) { h.RecordHandover(2, time.Hour, &coordpb.Handover{}) }, true},
+		{"it was not acting meanwhile", func(h *Coordinator, _ *clock) { h.acted = false }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := &clock{time.Unix(1_700_000_000, 0)}
+			h := newHolder(k, "a")
+			h.takeLease(1)
+			h.acted, h.followed = true, true
+			for _, host := range []string{"a", "b"} {
+				h.aggregate.record(&coordpb.HostReport{Host: host}, k.now)
+			}
+			c.since(h, k)
+			h.mu.Lock()
+			h.beginTermLocked(lease.Term{Epoch: forgetful, PreviousUnknown: true}, k.now)
+			h.mu.Unlock()
+			assert.Equal(t, h.mustNotOrder("u"), c.quiet)
+		})
+	}
+}
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -264,6 +264,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.observed = l.observed.Observe(rows, record, max(l.deps.Era(), store.EraOf(rows.Grant)), l.deps.Now())
+	if record.Epoch > l.lapsedEpoch {
+		l.lapsedEpoch = 0 // a later holder, also if a restored store forgets it
+	}
 	observed := l.observed
 	observed.SteppedDown = record.Epoch <= l.steppedDownEpoch || l.hasTerminated(record.Holder)
 	return observed
