--- a/node/coordinator/adapters_test.go
+++ b/node/coordinator/adapters_test.go
@@ -17,18 +17,24 @@
 	standin "peridotpier.example/standin/platform"
 )
 
-// Guards against requests that end past their deadline, or only with the host's
-// process: an upstream does not answer an order, and the requests that wait for
-// adapters there each wait for the orders before them, regardless of their own
-// deadlines.
-func TestAWaitForAnAdapterEndsWithItsRequest(t *testing.T) {
+// newAdapterCoordinator returns a coordinator of one upstream, "a", with one model that has
+// adapters.
+func newAdapterCoordinator(l *lease.Lease, orders OrderClient) *Coordinator {
 	log := event.NewLog(nil)
 	config := follow.NewActiveConfig(log)
 	config.ApplyIfNewer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{MemoryMB: 100, AdapterSlots: 2,
 		Models: []deploy.Model{{Name: "m", WeightsMB: 10, AdapterMB: 1, Adapters: 3}}}}}}, "test")
 	f := fleet.New(fleet.Config{}, fleet.Deps{})
 	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
-	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}})})
+	return New(Config{}, Deps{Fleet: f, Config: config, Log: log, Orders: orders, Lease: l})
+}
+
+// Guards against requests that end past their deadline, or only with the host's
+// process: an upstream does not answer an order, and the requests that wait for
+// adapters there each wait for the orders before them, regardless of their own
+// deadlines.
+func TestAWaitForAnAdapterEndsWithItsRequest(t *testing.T) {
+	c := newAdapterCoordinator(lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}}), nil)
 	c.actingWithoutLease.Store(true)
 	c.refresh()
 	u, _ := c.upstream("a")
@@ -56,17 +62,11 @@
 // Guards against an order under a lease that ran out while its host stood still, after the
 // host had decided to send it.
 func TestNoOrderIsSentAfterTheLeaseRanOut(t *testing.T) {
-	log := event.NewLog(nil)
-	config := follow.NewActiveConfig(log)
-	config.ApplyIfNewer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{MemoryMB: 100, AdapterSlots: 2,
-		Models: []deploy.Model{{Name: "m", WeightsMB: 10, AdapterMB: 1, Adapters: 3}}}}}}, "test")
-	f := fleet.New(fleet.Config{}, fleet.Deps{})
-	f.Replace([]deploy.Upstream{{ID: "a", Service: "s", Residents: []deploy.Resident{{Model: "m"}}}}, 1)
 	orders := &countingOrders{}
 	var stoodStill atomic.Int64
 	now := func() time.Time { return time.Now().Add(time.Duration(stoodStill.Load())) }
 	l := lease.New(lease.Config{Name: "l"}, lease.Deps{Table: standin.NewTable(), Now: now})
-	c := New(Config{}, Deps{Fleet: f, Config: config, Log: log, Orders: orders, Lease: l})
+	c := newAdapterCoordinator(l, orders)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	taken := l.Acquired()
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -373,25 +373,6 @@
 	}
 }
 
-// relist uses upstreams again whose entries were listed again by a restored store and
-// have stayed.
-func (f *Fleet) relist(ids []string) {
-	f.mu.Lock()
-	f.revision++
-	for _, id := range ids {
-		if e, ok := f.index.Load().byID[id]; ok && e.relist(f.revision) {
-			f.identityLog.Record(e, f.revision)
-			f.listedLog.Record(e, f.revision)
-			f.identityRevision = f.revision
-		}
-	}
-	f.mu.Unlock()
-	f.notifyResidencyChanged()
-	if f.deps.OnListChange != nil {
-		f.deps.OnListChange()
-	}
-}
-
 func (f *Fleet) forget(ids []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -245,7 +245,7 @@
   '_ = all; out.SignalsId, out.SignalsRevision = c.id, revision' ./platform -run 'OtherHosts'
 try "of answers that cross the stricter holds" core/backpressure/signal.go \
   'if b.Limit.stricter(a.Limit) {' 'if b.Limit != a.Limit {' ./core/backpressure
-try "an older entry of the list does not win" node/fleet/entry.go \
+try "an older entry of the list does not win" node/fleet/relist.go \
   'e.draining = e.signal.Draining // a drain' 'e.draining = false // a drain' ./node/fleet
 try "a rest is kept" node/gate/signals.go \
   'e.StartBackoff(info.Backoff)' '' ./platform -run 'InTheRest'
