Crash reports name the parts of prompts that ran at a terminated upstream

The log could not show what two different requests share: upstream_ended and crash_reported name digests of whole requests. They name those of the parts of prompts too, but for the last, and hosts report them to the coordinator. No decision uses them yet.

--- a/core/poison/digest.go
+++ b/core/poison/digest.go
@@ -86,39 +86,3 @@
 }
 
 var partEnd = []byte{0}
-
-// Fingerprint identifies a request to other hosts.
-type Fingerprint struct {
-	Digest Digest
-	Shape  Shape
-}
-
-// Fingerprint computes the digest and the shape of the content.
-func (c *Content) Fingerprint() Fingerprint { return Fingerprint{Digest: c.Digest(), Shape: c.Shape()} }
-
-// Request is a Content whose fingerprint is computed at most once. It must be used by
-// one goroutine only.
-type Request struct {
-	content     Content
-	fingerprint Fingerprint
-	computed    bool
-}
-
-// NewRequest returns a Request for a content that does not change any more.
-func NewRequest(c Content) *Request { return &Request{content: c} }
-
-// Shape returns the shape of the content.
-func (r *Request) Shape() Shape {
-	if r.computed {
-		return r.fingerprint.Shape
-	}
-	return r.content.Shape()
-}
-
-// Fingerprint returns the fingerprint of the content.
-func (r *Request) Fingerprint() Fingerprint {
-	if !r.computed {
-		r.fingerprint, r.computed = r.content.Fingerprint(), true
-	}
-	return r.fingerprint
-}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -58,7 +58,7 @@
 		l.crashes[upstream] = c
 	}
 	for _, m := range running {
-		if c.ran[m.Digest] || len(c.ran) >= maxRequestsPerCrash {
+		if m.IsPart() || c.ran[m.Digest] || len(c.ran) >= maxRequestsPerCrash {
 			continue
 		}
 		if l.addCrash(m, upstream, now) {
--- /dev/null
+++ b/core/poison/request.go
@@ -0,0 +1,116 @@
+package poison
+
+import (
+	"crypto/sha256"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxParts bounds the parts of one prompt that are suspects. Parts after these are
+// suspected only as a part of their request.
+const maxParts = 8
+
+// Fingerprint identifies a suspect to other hosts: a whole request, or a part of prompts.
+type Fingerprint struct {
+	Digest Digest
+	Shape  Shape
+	// Place is 0 for a whole request. For a part of prompts it counts from 1: the later a
+	// part comes, the fewer requests have it.
+	Place uint8
+}
+
+// IsPart reports whether the suspect is a part of prompts.
+func (f *Fingerprint) IsPart() bool { return f.Place > 0 }
+
+// Fingerprint computes the digest and the shape of the content.
+func (c *Content) Fingerprint() Fingerprint { return Fingerprint{Digest: c.Digest(), Shape: c.Shape()} }
+
+// Parts lists the parts of a prompt that requests may share, by the ids that callers give
+// them.
+type Parts interface {
+	Len() int
+	ID(i int) string
+}
+
+// partDomain separates the digests of parts from those of contents, which begin with the
+// length of a team's name.
+const partDomain = "\xff\xff\xff\xff\xff\xff\xff\xffpart\x00"
+
+// PartFingerprint returns the fingerprint of the part with an id, the i-th of its prompt.
+// It depends on no team: a part harms whoever sends it.
+func PartFingerprint(id string, i int) Fingerprint {
+	sum := sha256.Sum256([]byte(partDomain + id))
+	f := Fingerprint{Shape: partShape(id), Place: uint8(i + 1)}
+	copy(f.Digest[:], sum[:])
+	return f
+}
+
+// partShape returns the shape of a part.
+func partShape(id string) Shape { return Shape(xxhash.Sum64String(id)) }
+
+// Request is a request's content and the parts of its prompt: the suspects when its
+// upstream crashes. It must be used by one goroutine only.
+type Request struct {
+	content     Content
+	parts       Parts // nil: none
+	fingerprint Fingerprint
+	computed    bool
+}
+
+// NewRequest returns a Request for a content and parts that do not change any more; parts
+// may be nil.
+func NewRequest(c Content, parts Parts) *Request { return &Request{content: c, parts: parts} }
+
+// Len returns the number of the request's suspects. The first is the request itself.
+func (r *Request) Len() int {
+	if r.parts == nil {
+		return 1
+	}
+	return 1 + min(r.parts.Len(), maxParts)
+}
+
+// Shape returns the shape of the i-th suspect.
+func (r *Request) Shape(i int) Shape {
+	switch {
+	case i > 0:
+		return partShape(r.parts.ID(i - 1))
+	case r.computed:
+		return r.fingerprint.Shape
+	}
+	return r.content.Shape()
+}
+
+// Fingerprint returns the fingerprint of the i-th suspect.
+func (r *Request) Fingerprint(i int) Fingerprint {
+	if i > 0 {
+		return PartFingerprint(r.parts.ID(i-1), i-1)
+	}
+	if !r.computed {
+		r.fingerprint, r.computed = r.content.Fingerprint(), true
+	}
+	return r.fingerprint
+}
+
+// Suspects returns the fingerprints of all suspects.
+func (r *Request) Suspects() []Fingerprint {
+	all := make([]Fingerprint, r.Len())
+	for i := range all {
+		all[i] = r.Fingerprint(i)
+	}
+	return all
+}
+
+// Digest returns the digest of the request itself.
+func (r *Request) Digest() Digest { return r.Fingerprint(0).Digest }
+
+// DigestsOf returns the digests of the requests, and those of the parts, among suspects.
+func DigestsOf(suspects []Fingerprint) (requests, parts []Digest) {
+	for i := range suspects {
+		if suspects[i].IsPart() {
+			parts = append(parts, suspects[i].Digest)
+		} else {
+			requests = append(requests, suspects[i].Digest)
+		}
+	}
+	return requests, parts
+}
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -97,15 +97,15 @@
 
 func (q *Ledger) enterCrashLocked(host string, x *coordpb.UpstreamCrash, now time.Time) {
 	ran := make([]poison.Fingerprint, 0, len(x.Running))
-	digests := make([]poison.Digest, 0, len(x.Running))
 	for _, m := range x.Running {
 		if fp, err := wire.DecodeFingerprint(m); err == nil {
-			ran, digests = append(ran, fp), append(digests, fp.Digest)
+			ran = append(ran, fp)
 		}
 	}
+	requests, parts := poison.DigestsOf(ran)
 	q.ledger.RecordCrash(x.Upstream, ran, now.Add(-wire.Milliseconds(x.AgeMs)), now)
 	q.deps.Log.Emit(event.CrashReported, zap.String("host", host), zap.String(event.FieldPeer, x.Upstream),
-		zap.Uint32("age_ms", x.AgeMs), zap.Stringers("under_way", digests))
+		zap.Uint32("age_ms", x.AgeMs), zap.Stringers("under_way", requests), zap.Stringers("parts", parts))
 }
 
 // logDecisionsLocked logs the bars that began and ended.
--- a/node/coordinator/wire/entries.go
+++ b/node/coordinator/wire/entries.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"peridotpier.example/core/poison"
@@ -11,12 +12,12 @@
 // right length.
 func DecodeFingerprint(m *coordpb.RequestMark) (poison.Fingerprint, error) {
 	d, err := poison.DigestFromBytes(m.GetDigest())
-	return poison.Fingerprint{Digest: d, Shape: poison.Shape(m.GetShape())}, err
+	return poison.Fingerprint{Digest: d, Shape: poison.Shape(m.GetShape()), Place: uint8(min(m.GetPlace(), math.MaxUint8))}, err
 }
 
 // EncodeFingerprint encodes a request's fingerprint.
 func EncodeFingerprint(fp poison.Fingerprint) *coordpb.RequestMark {
-	return &coordpb.RequestMark{Digest: fp.Digest[:], Shape: uint64(fp.Shape)}
+	return &coordpb.RequestMark{Digest: fp.Digest[:], Shape: uint64(fp.Shape), Place: uint32(fp.Place)}
 }
 
 // DecodeEntry decodes an entry, whose remaining time is counted from now.
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -47,8 +47,9 @@
 
 // CrashRecorder records the requests during which an upstream may have crashed.
 type CrashRecorder interface {
-	// RecordBroken records a request whose exchange with an upstream broke off early.
-	RecordBroken(upstream, address string, request poison.Fingerprint)
+	// RecordBroken records the suspects of a request whose exchange with an upstream broke
+	// off early.
+	RecordBroken(upstream, address string, suspects []poison.Fingerprint)
 }
 
 // PoisonGuard blocks requests that crash the upstreams that run them.
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpier.example/core/poison"
+	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/metrics"
 )
 
@@ -15,9 +16,19 @@
 
 // setContent records the request's content for the poison guard, once it was read completely.
 func (q *request) setContent() {
-	q.content = poison.NewRequest(poison.Content{Team: q.caller.name(), Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Body: q.body})
+	q.content = poison.NewRequest(poison.Content{Team: q.caller.name(), Method: q.r.Method, Host: q.r.Host, Target: q.r.RequestURI, Body: q.body}, (*sharedParts)(&q.info.PromptParts))
 }
 
+// sharedParts are the parts of a prompt except the last, which belongs to the request itself
+// or to its session.
+type sharedParts []fleet.PromptPart
+
+// Len implements poison.Parts.
+func (p *sharedParts) Len() int { return max(len(*p)-1, 0) }
+
+// ID implements poison.Parts.
+func (p *sharedParts) ID(i int) string { return (*p)[i].ID }
+
 // refuseBarred refuses a request that is barred for crashing upstreams and reports
 // whether it did. p is the selection made for the request, if any.
 func (q *request) refuseBarred(p selection) bool {
@@ -54,6 +65,6 @@
 		return
 	}
 	if e := a.Entry(); e != nil && q.g.deps.CrashRecorder != nil {
-		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.content.Fingerprint())
+		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.content.Suspects())
 	}
 }
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -24,22 +24,22 @@
 	barredUntil  time.Time
 }
 
-func (b *crashRecorder) RecordBroken(_, _ string, fingerprint poison.Fingerprint) {
+func (b *crashRecorder) RecordBroken(_, _ string, suspects []poison.Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.broken = append(b.broken, fingerprint)
+	b.broken = append(b.broken, suspects...)
 }
 
 func (b *crashRecorder) RecordCompleted(r *poison.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.completed = append(b.completed, r.Fingerprint())
+	b.completed = append(b.completed, r.Fingerprint(0))
 }
 
 func (b *crashRecorder) Barred(r *poison.Request) (time.Time, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.barredUntil, r.Fingerprint().Digest == b.barredDigest
+	return b.barredUntil, r.Fingerprint(0).Digest == b.barredDigest
 }
 
 // bar bars a target from now on.
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -98,7 +98,7 @@
 		zap.Int("sends", q.sends), zap.Int64("took_ms", d.Now().Sub(q.start).Milliseconds()), zap.Bool("started", q.started),
 		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent),
 		zap.NamedError("write_error", q.writeErr), q.endCause(), q.retryBlockedField(),
-		zap.Stringer("content", q.content.Fingerprint().Digest), q.entryHost())
+		zap.Stringer("content", q.content.Digest()), q.entryHost())
 	d.Metrics.Count(metrics.OutcomeUnknown, 1)
 	if q.started {
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
--- a/node/quarantine/detector.go
+++ b/node/quarantine/detector.go
@@ -48,8 +48,8 @@
 	// NotListening reports whether nothing listens at an address.
 	NotListening func(ctx context.Context, address string) bool
 	// OnCrash is called for an upstream that terminated, with the time at which the
-	// first broken exchange was recorded and the requests of this host that were
-	// running there; it is called again for each request that is recorded later.
+	// first broken exchange was recorded and the suspects of this host: requests that
+	// were running there, and the parts of their prompts; it is called again for each request that is recorded later.
 	OnCrash func(upstream string, at time.Time, ran []poison.Fingerprint)
 	Log     *event.Log
 	Metrics *metrics.Set
@@ -73,9 +73,24 @@
 	at         time.Time
 	terminated bool
 	checked    bool // the check has completed
+	requests   int  // number of requests that were running there
 	suspects   []poison.Fingerprint
 }
 
+// add adds the suspects of one request and returns those that are new. A part that
+// several requests share is suspected once.
+func (e *brokenUpstream) add(suspects []poison.Fingerprint) []poison.Fingerprint {
+	var added []poison.Fingerprint
+	for _, f := range suspects {
+		if !f.IsPart() || !slices.Contains(e.suspects, f) {
+			added = append(added, f)
+		}
+	}
+	e.requests++
+	e.suspects = append(e.suspects, added...)
+	return added
+}
+
 // NewCrashDetector returns a CrashDetector; Run performs its checks.
 func NewCrashDetector(d CrashDetectorDeps) *CrashDetector {
 	if d.Now == nil {
@@ -87,9 +102,9 @@
 	return &CrashDetector{deps: d, checks: make(chan string, maxPendingChecks), broken: map[string]*brokenUpstream{}}
 }
 
-// RecordBroken records a request whose exchange with an upstream broke before its
-// end. It does not block.
-func (d *CrashDetector) RecordBroken(upstream, address string, request poison.Fingerprint) {
+// RecordBroken records the suspects of a request whose exchange with an upstream broke
+// before its end. It does not block.
+func (d *CrashDetector) RecordBroken(upstream, address string, suspects []poison.Fingerprint) {
 	d.mu.Lock()
 	now := d.deps.Now()
 	d.removeOldLocked(now)
@@ -107,14 +122,14 @@
 	}
 	terminated, at := e.terminated, e.at
 	switch {
-	case len(e.suspects) < maxSuspects:
-		e.suspects = append(e.suspects, request)
+	case e.requests < maxSuspects:
+		suspects = e.add(suspects)
 	case !terminated: // else it is reported by itself
 		d.deps.Metrics.CountKind(metrics.SuspectsDropped, droppedForSuspects, 1)
 	}
 	d.mu.Unlock()
 	if terminated {
-		d.report(upstream, at, []poison.Fingerprint{request})
+		d.report(upstream, at, suspects)
 	}
 }
 
@@ -176,11 +191,8 @@
 // report logs a terminated upstream and the requests that were running there, and passes
 // them to OnCrash.
 func (d *CrashDetector) report(upstream string, at time.Time, ran []poison.Fingerprint) {
-	digests := make([]poison.Digest, len(ran))
-	for i, m := range ran {
-		digests[i] = m.Digest
-	}
-	d.deps.Log.Emit(event.UpstreamTerminated, zap.String(event.FieldPeer, upstream), zap.Stringers("under_way", digests),
+	requests, parts := poison.DigestsOf(ran)
+	d.deps.Log.Emit(event.UpstreamTerminated, zap.String(event.FieldPeer, upstream), zap.Stringers("under_way", requests), zap.Stringers("parts", parts),
 		zap.Int64("age_ms", d.deps.Now().Sub(at).Milliseconds()))
 	d.deps.OnCrash(upstream, at, ran)
 }
--- a/node/quarantine/detector_test.go
+++ b/node/quarantine/detector_test.go
@@ -35,9 +35,11 @@
 	return (&poison.Content{Target: text}).Fingerprint()
 }
 
+func suspect(text string) []poison.Fingerprint { return []poison.Fingerprint{fingerprintOf(text)} }
+
 func TestAnUpstreamThatDoesNotListenHasTerminated(t *testing.T) {
 	w, lines := newDetector(t, func(a string) bool { return a == "dead" })
-	w.RecordBroken("u", "dead", fingerprintOf("a"))
+	w.RecordBroken("u", "dead", suspect("a"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if lines.FilterMessage(event.UpstreamTerminated.Name).Len() == 0 {
 			return poll.Continue("no line")
@@ -55,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var checks atomic.Int32
 		w, lines := newDetector(t, func(string) bool { checks.Add(1); return false })
-		w.RecordBroken("u", "alive", fingerprintOf("a"))
+		w.RecordBroken("u", "alive", suspect("a"))
 		time.Sleep(recheckAfter)
 		synctest.Wait()
 		w.mu.Lock()
@@ -73,15 +75,24 @@
 	set := metrics.New()
 	d := NewCrashDetector(CrashDetectorDeps{Metrics: set}) // its checks do not run
 	for i := range maxPendingChecks {
-		d.RecordBroken(strconv.Itoa(i), "a", fingerprintOf("a"))
+		d.RecordBroken(strconv.Itoa(i), "a", suspect("a"))
 	}
 	for range maxSuspects - 1 {
-		d.RecordBroken("0", "a", fingerprintOf("a"))
+		d.RecordBroken("0", "a", suspect("a"))
 	}
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForChecks], int64(0))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForSuspects], int64(0))
-	d.RecordBroken("one more", "a", fingerprintOf("a"))
-	d.RecordBroken("0", "a", fingerprintOf("a"))
+	d.RecordBroken("one more", "a", suspect("a"))
+	d.RecordBroken("0", "a", suspect("a"))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForChecks], int64(1))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForSuspects], int64(1))
 }
+
+// Guards against a crash report that names a part once for each request which has it.
+func TestAPartOfSeveralRequestsIsSuspectedOnce(t *testing.T) {
+	part := poison.PartFingerprint("first", 0)
+	e := &brokenUpstream{}
+	assert.DeepEqual(t, e.add(append(suspect("a"), part)), append(suspect("a"), part))
+	assert.DeepEqual(t, e.add(append(suspect("b"), part)), suspect("b"))
+	assert.Equal(t, e.requests, 2)
+}
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -108,10 +108,10 @@
 // when.
 func (g *Guard) Barred(r *poison.Request) (until time.Time, ok bool) {
 	v := g.view.Load()
-	if v == nil || !v.shapes[r.Shape()] {
+	if v == nil || !v.shapes[r.Shape(0)] {
 		return time.Time{}, false
 	}
-	d, now := r.Fingerprint().Digest, g.deps.Now()
+	d, now := r.Digest(), g.deps.Now()
 	for _, e := range g.entriesFor(v, d) {
 		if e.State == poison.Barred && now.Before(e.BarredUntil) {
 			return e.BarredUntil, true
@@ -132,10 +132,10 @@
 // RecordCompleted records that a request ran to its end, or ran for long.
 func (g *Guard) RecordCompleted(r *poison.Request) {
 	v := g.view.Load()
-	if v == nil || !v.shapes[r.Shape()] {
+	if v == nil || !v.shapes[r.Shape(0)] {
 		return
 	}
-	d := r.Fingerprint().Digest
+	d := r.Digest()
 	if v.fromCoordinator[d].State == poison.Cleared && v.local[d].State == poison.Cleared {
 		return
 	}
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -24,7 +24,7 @@
 	return g
 }
 
-func requestFor(text string) *poison.Request { return poison.NewRequest(poison.Content{Target: text}) }
+func requestFor(text string) *poison.Request { return poison.NewRequest(poison.Content{Target: text}, nil) }
 
 func (g *testGuard) barred(text string) bool {
 	_, ok := g.Barred(requestFor(text))
@@ -34,7 +34,7 @@
 // crash records the termination of two upstreams while one request ran there.
 func (g *testGuard) crash(text string) {
 	for _, u := range []string{"u", "v"} {
-		g.RecordCrash(u+text, g.now, []poison.Fingerprint{requestFor(text).Fingerprint()})
+		g.RecordCrash(u+text, g.now, []poison.Fingerprint{requestFor(text).Fingerprint(0)})
 		g.now = g.now.Add(time.Second)
 	}
 }
@@ -81,7 +81,7 @@
 	g.connected = true
 	assert.Assert(t, g.barred("x"), "the acting coordinator is of a release that keeps no quarantine")
 	newTestCoordinator(1).exchange(g, "h")
-	g.Release(requestFor("x").Fingerprint().Digest)
+	g.Release(requestFor("x").Fingerprint(0).Digest)
 	g.crash("y")
 	assert.Assert(t, !g.barred("y"), "the acting coordinator knows better")
 }
@@ -92,7 +92,7 @@
 	g, h := newTestGuard(true), newTestCoordinator(1)
 	const crashes = 3 * maxEventsPerReport
 	for i := range crashes {
-		g.RecordCrash(string(rune('a'+i)), g.now, []poison.Fingerprint{requestFor(string(rune('a' + i))).Fingerprint()})
+		g.RecordCrash(string(rune('a'+i)), g.now, []poison.Fingerprint{requestFor(string(rune('a' + i))).Fingerprint(0)})
 	}
 	for range crashes / maxEventsPerReport {
 		assert.Equal(t, len(g.NextReport("h").Events), maxEventsPerReport)
@@ -105,8 +105,8 @@
 
 func TestReportsOfHostsBarARequestAtAllHosts(t *testing.T) {
 	a, b, h := newTestGuard(true), newTestGuard(true), newTestCoordinator(1)
-	a.RecordCrash("u", a.now, []poison.Fingerprint{requestFor("x").Fingerprint()})
-	b.RecordCrash("v", b.now, []poison.Fingerprint{requestFor("x").Fingerprint()})
+	a.RecordCrash("u", a.now, []poison.Fingerprint{requestFor("x").Fingerprint(0)})
+	b.RecordCrash("v", b.now, []poison.Fingerprint{requestFor("x").Fingerprint(0)})
 	h.exchange(a, "h")
 	h.exchange(b, "h")
 	h.exchange(a, "h")
@@ -118,19 +118,19 @@
 func TestASuccessorReceivesEverything(t *testing.T) {
 	g, first := newTestGuard(true), newTestCoordinator(1)
 	g.crash("x")
-	g.RecordCrash("w", g.now, []poison.Fingerprint{requestFor("y").Fingerprint()})
+	g.RecordCrash("w", g.now, []poison.Fingerprint{requestFor("y").Fingerprint(0)})
 	first.exchange(g, "first")
 	second := newTestCoordinator(2)
 	second.exchange(g, "second")
 	assert.Assert(t, g.barred("x"))
-	_, ok := second.ledger.BarredUntil(requestFor("x").Fingerprint().Digest, g.now)
+	_, ok := second.ledger.BarredUntil(requestFor("x").Fingerprint(0).Digest, g.now)
 	assert.Assert(t, ok)
 	suspected, _ := second.ledger.Counts()
 	assert.Equal(t, suspected, 1, "crashes are reported again too")
 	third := newTestCoordinator(3) // another process at the address of the second
 	third.exchange(g, "second")
 	third.exchange(g, "second")
-	_, ok = third.ledger.BarredUntil(requestFor("x").Fingerprint().Digest, g.now)
+	_, ok = third.ledger.BarredUntil(requestFor("x").Fingerprint(0).Digest, g.now)
 	assert.Assert(t, ok)
 	assert.Assert(t, g.barred("x"))
 }
@@ -156,8 +156,8 @@
 	h.exchange(a, "h")
 	h.exchange(b, "h")
 	assert.Assert(t, b.barred("x"))
-	assert.Assert(t, b.Release(requestFor("x").Fingerprint().Digest))
-	assert.Assert(t, !b.Release(requestFor("x").Fingerprint().Digest))
+	assert.Assert(t, b.Release(requestFor("x").Fingerprint(0).Digest))
+	assert.Assert(t, !b.Release(requestFor("x").Fingerprint(0).Digest))
 	h.exchange(b, "h")
 	h.exchange(a, "h")
 	assert.Assert(t, !a.barred("x") && !b.barred("x"))
@@ -168,9 +168,9 @@
 func BenchmarkBarred(b *testing.B) {
 	g := newTestGuard(true)
 	for i := range 1000 {
-		g.RecordCrash(string(rune(i)), g.now, []poison.Fingerprint{requestFor(string(rune(i))).Fingerprint()})
+		g.RecordCrash(string(rune(i)), g.now, []poison.Fingerprint{requestFor(string(rune(i))).Fingerprint(0)})
 	}
-	r := poison.NewRequest(poison.Content{Method: "POST", Host: "site.example", Target: "/v1/generate/0815", Body: make([]byte, 4700)})
+	r := poison.NewRequest(poison.Content{Method: "POST", Host: "site.example", Target: "/v1/generate/0815", Body: make([]byte, 4700)}, nil)
 	for b.Loop() {
 		g.Barred(r)
 	}
