A part of prompts that ends upstreams is barred, whatever else the request holds

Cause: blame was kept under the identity of the whole request (team, method, host, path, body). What harms is a part that many requests share, so that each arrival was new to the ledger. Ruled out: crashes lost with a coordinator (its successor hears them all within 0.3 s), and fatal requests that are not reported (each stands in under_way).

Now a crash's suspects are the requests that ran there and the parts of their prompts but the last, in one ledger. Answers are the strong half: a host reports that a suspected part was answered by a run which began after it heard of the suspicion, and a part is barred only when it has gone without an answer for a while since its second crash, others having been answered meanwhile, and when no bar and no part of fewer requests explains its crashes.

--- a/cmd/pierctl/quarantine.go
+++ b/cmd/pierctl/quarantine.go
@@ -45,6 +45,10 @@
 		return err
 	}
 	return listPage(ctx, &c.hostPage, host.QuarantinePath, func(h *host.QuarantinedRequest) string {
-		return fmt.Sprintf("%s  %-9s  crashes %d  bars %d  for %s", h.Content, h.State, h.Crashes, h.Bars, time.Duration(h.ForMs)*time.Millisecond)
+		kind := "request"
+		if h.Place > 0 {
+			kind = fmt.Sprint("part ", h.Place)
+		}
+		return fmt.Sprintf("%s  %-7s  %-9s  crashes %d  bars %d  for %s", h.Content, kind, h.State, h.Crashes, h.Bars, time.Duration(h.ForMs)*time.Millisecond)
 	})
 }
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -12,6 +12,15 @@
 	// than a request, such as the loss of a rack, unless most of these upstreams ran it.
 	MassWindow     time.Duration
 	MinMassCrashes int
+	// MinPartCrashes is the number of crashes after which a part of prompts is barred, if
+	// other suspects have been answered meanwhile, and MinBlindPartCrashes the number if
+	// none has: then nothing may be answered because of a wider failure.
+	MinPartCrashes, MinBlindPartCrashes int
+	// PartSettleTime is how long a part must have gone without an answer after its second
+	// crash until it is barred. In this time hosts hear of the suspicion, requests with the
+	// part are answered if it is harmless, and that is reported. FirstPartSettleTime is the
+	// same for the first part of prompts, which a whole route may need.
+	PartSettleTime, FirstPartSettleTime time.Duration
 	// CrashRetention is how long a crash counts against the requests that ran on the upstream.
 	CrashRetention time.Duration
 	// InitialBar is the length of a request's first bar. Each further bar is twice as
@@ -25,21 +34,29 @@
 	MinCrashes:     3,
 	MassWindow:     50 * time.Millisecond, // hosts notice the same crash within a few milliseconds of each other
 	MinMassCrashes: 3,
-	CrashRetention: 10 * time.Minute, // a poison request may arrive only once a minute
-	InitialBar:     2 * time.Minute,  // far longer than the restart of an upstream, so that a crash costs little in comparison
-	MaxBar:         time.Hour,
+	MinPartCrashes: 3, MinBlindPartCrashes: 5,
+	PartSettleTime:      2000 * time.Millisecond,
+	FirstPartSettleTime: 2500 * time.Millisecond,
+	CrashRetention:      10 * time.Minute, // a poison request may arrive only once a minute
+	InitialBar:          2 * time.Minute,  // far longer than the restart of an upstream, so that a crash costs little in comparison
+	MaxBar:              time.Hour,
 }
 
-// updateBars bars the requests without which the crashes cannot be explained. The request
-// that most crashes have in common explains these, which then count less against the
-// other requests that ran in them. This is repeated until no request is found.
+// updateBars bars the requests, and then the parts of prompts, without which the crashes
+// cannot be explained. The request that most crashes have in common explains these, which
+// then count less against the other requests that ran in them. This is repeated until none
+// is found.
 func (l *Ledger) updateBars(now time.Time) {
 	for found := l.strongestSuspects(); len(found) > 0; found = l.strongestSuspects() {
 		for _, e := range found {
 			l.bar(e, now)
 		}
 	}
+	for e := l.strongestPart(now); e != nil; e = l.strongestPart(now) {
+		l.bar(e, now)
+	}
 	l.liftExplainedBars(now)
+	l.liftExplainedParts(now)
 }
 
 // strongestSuspects returns the suspects with the most evidence against them, if it is
@@ -48,7 +65,7 @@
 	highest := 0
 	var found []*entry
 	for _, e := range l.entries {
-		if e.State != Suspected || e.BarCount == 0 && len(e.crashes) < l.policy.MinSoleCrashes {
+		if e.IsPart() || e.State != Suspected || e.BarCount == 0 && len(e.crashes) < l.policy.MinSoleCrashes {
 			continue
 		}
 		n := l.evidence(e, l.explainedByBar)
@@ -158,17 +175,22 @@
 // many crashes was not there by chance, and stays barred.
 func (l *Ledger) liftExplainedBars(now time.Time) {
 	for _, e := range l.entries {
-		if e.State != Barred || len(e.crashes) < l.policy.MinSoleCrashes || len(e.crashes) >= l.policy.MinCrashes {
+		if e.IsPart() || e.State != Barred || len(e.crashes) < l.policy.MinSoleCrashes || len(e.crashes) >= l.policy.MinCrashes {
 			continue // with fewer crashes, for example after Adopt, the ledger does not know all of them
 		}
 		if l.evidence(e, l.explainedByStrongerBar) < fullWeight*l.policy.MinSoleCrashes {
-			e.BarredUntil, e.BarCount = time.Time{}, e.BarCount-1
-			l.transition(e, Suspected, ByOtherSuspects)
-			l.touch(e, now)
+			l.lift(e, now)
 		}
 	}
 }
 
+// lift ends a bar whose crashes others explain.
+func (l *Ledger) lift(e *entry, now time.Time) {
+	e.BarredUntil, e.BarCount = time.Time{}, e.BarCount-1
+	l.transition(e, Suspected, ByOtherSuspects)
+	l.touch(e, now)
+}
+
 // explainedByStrongerBar reports whether another barred request ran on the upstream that
 // was part of more crashes than e.
 func (l *Ledger) explainedByStrongerBar(c *crash, e *entry) bool {
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -11,7 +11,7 @@
 // new suspects cannot displace known poison requests.
 const (
 	maxCrashes          = 512
-	maxRequestsPerCrash = 512  // several hosts together fill an engine's batch
+	maxSuspectsPerCrash = 512  // several hosts together fill an engine's batch
 	maxEntries          = 4096 // suspected, barred and cleared requests
 	clearedTTL          = time.Minute
 	probationCrashes    = 1 // crashes that bar a request again after its bar has expired
@@ -20,19 +20,22 @@
 // entry is an Entry with the ledger's own data about the request.
 type entry struct {
 	Entry
-	revision  uint64
-	changedAt time.Time
-	crashes   map[string]bool
+	revision   uint64
+	changedAt  time.Time
+	answeredAt time.Time // when a run to completion last cleared it
+	crashes    map[string]bool
 }
 
 // crash is the crash of one upstream.
 type crash struct {
-	at  time.Time
-	ran map[Digest]bool
+	at         time.Time
+	ran        map[Digest]bool
+	answeredAt time.Time // when a suspect that ran there was last cleared by a run to completion
 }
 
-// Ledger records which requests ran on upstreams that crashed, as reported by all hosts,
-// and determines which of them caused the crashes. Its owner must guard it.
+// Ledger records which requests, with which parts of prompts, ran on upstreams that crashed,
+// as reported by all hosts, and determines which of them caused the crashes. Its owner must
+// guard it.
 type Ledger struct {
 	policy      Policy
 	crashes     map[string]*crash // by upstream; each process crashes once
@@ -58,10 +61,10 @@
 		l.crashes[upstream] = c
 	}
 	for _, m := range running {
-		if m.IsPart() || c.ran[m.Digest] || len(c.ran) >= maxRequestsPerCrash {
+		if c.ran[m.Digest] || len(c.ran) >= maxSuspectsPerCrash {
 			continue
 		}
-		if l.addCrash(m, upstream, now) {
+		if l.addCrash(m, upstream, at, now) {
 			c.ran[m.Digest] = true
 		}
 	}
@@ -82,10 +85,11 @@
 	l.dropCrash(oldest)
 }
 
-// addCrash counts a crash against a request. It reports whether there was room for that.
-func (l *Ledger) addCrash(f Fingerprint, upstream string, now time.Time) bool {
+// addCrash counts a crash against a suspect. It reports whether there was room for that. A
+// part that has been answered since is not suspected of it.
+func (l *Ledger) addCrash(f Fingerprint, upstream string, at, now time.Time) bool {
 	e := l.entry(f)
-	if e == nil {
+	if e == nil || e.IsPart() && !at.After(e.answeredAt) {
 		return false
 	}
 	e.crashes[upstream] = true
@@ -140,12 +144,15 @@
 	e.revision, e.changedAt, e.CrashCount = l.revision, now, len(e.crashes)
 }
 
-// Clear records that a request ran to completion, or for a long time: it is not the cause of
+// Clear records that a suspect ran to completion, or for a long time: it is not the cause of
 // the earlier crashes.
 func (l *Ledger) Clear(d Digest, now time.Time) {
 	if e := l.entries[d]; e != nil && e.State != Cleared {
+		for id := range e.crashes {
+			l.crashes[id].answeredAt = now
+		}
 		l.clear(e, ByCompletion, now)
-		e.BarCount = 0
+		e.BarCount, e.answeredAt = 0, now
 		l.updateBars(now)
 	}
 }
@@ -220,6 +227,7 @@
 			l.dropCrash(id)
 		}
 	}
+	defer l.updateBars(now)
 	for _, e := range l.entries {
 		switch {
 		case e.State == Barred && !now.Before(e.BarredUntil), e.State == Suspected && len(e.crashes) == 0:
--- /dev/null
+++ b/core/poison/parts.go
@@ -0,0 +1,178 @@
+package poison
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+)
+
+// strongestPart returns the part of prompts with the most evidence against it, if it is
+// enough to bar it; nil: there is none. Of several, the one is returned that the fewest
+// requests have.
+func (l *Ledger) strongestPart(now time.Time) *entry {
+	settled := l.settledParts(now)
+	var strongest *entry
+	most := 0
+	for e := range settled {
+		n := l.partEvidence(e, settled)
+		if n < fullWeight*l.neededPartCrashes(e) {
+			continue
+		}
+		if strongest == nil || n > most || n == most && e.isNarrower(strongest) {
+			strongest, most = e, n
+		}
+	}
+	return strongest
+}
+
+// isNarrower reports whether fewer requests have a part than another one. Parts at the same
+// place are in a fixed order.
+func (e *entry) isNarrower(o *entry) bool {
+	return cmp.Or(cmp.Compare(e.Place, o.Place), bytes.Compare(e.Digest[:], o.Digest[:])) > 0
+}
+
+// settledParts returns the suspected parts that have gone without an answer for long
+// enough to be barred, with the times of their crashes.
+func (l *Ledger) settledParts(now time.Time) map[*entry][]time.Time {
+	var settled map[*entry][]time.Time
+	for _, e := range l.entries {
+		if !e.IsPart() || e.State != Suspected || len(e.crashes) < l.settlesFrom(e) {
+			continue
+		}
+		if times := l.crashTimes(e, everyCrash); l.isSettled(e, times, now) {
+			if settled == nil {
+				settled = map[*entry][]time.Time{}
+			}
+			settled[e] = times
+		}
+	}
+	return settled
+}
+
+// crashTimes returns when the upstreams crashed on which a suspect ran, the earliest first.
+// Crashes at about the same time may have another cause in common, and count as one.
+func (l *Ledger) crashTimes(e *entry, counts func(c *crash) bool) []time.Time {
+	var all []time.Time
+	for id := range e.crashes {
+		if c := l.crashes[id]; counts(c) {
+			all = append(all, c.at)
+		}
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return slices.CompactFunc(all, func(a, b time.Time) bool { return b.Sub(a).Abs() <= l.policy.MassWindow })
+}
+
+func everyCrash(*crash) bool { return true }
+
+// settlesFrom returns the number of the crash after which a part has to go without an
+// answer: the second, or the first one after an earlier bar.
+func (l *Ledger) settlesFrom(e *entry) int {
+	if e.BarCount > 0 {
+		return probationCrashes
+	}
+	return l.policy.MinSoleCrashes
+}
+
+// isSettled reports whether the part has not been answered for long enough since one of its
+// crashes, given their times.
+func (l *Ledger) isSettled(e *entry, times []time.Time, now time.Time) bool {
+	from := l.settlesFrom(e)
+	if len(times) < from {
+		return false
+	}
+	settleTime := l.policy.PartSettleTime
+	if e.Place == firstPlace && len(times) < manyCrashes*l.policy.MinBlindPartCrashes {
+		settleTime = l.policy.FirstPartSettleTime
+	}
+	return now.Sub(times[from-1]) >= settleTime
+}
+
+const (
+	// firstPlace is the place of the first part of a prompt.
+	firstPlace = 1
+	// manyCrashes is the multiple of MinBlindPartCrashes from which a first part is barred as
+	// soon as others: so many mean a flood of requests with it.
+	manyCrashes = 2
+)
+
+// partEvidence returns the evidence of the crashes against a part, in halves of a crash. One
+// that a barred suspect explains does not count. So many that chance does not explain them
+// count fully. Of fewer, one that a settled part of fewer requests may explain does not
+// count, and one that another settled part may explain counts half.
+func (l *Ledger) partEvidence(e *entry, settled map[*entry][]time.Time) int {
+	all := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) }))
+	if all >= l.policy.MinBlindPartCrashes {
+		return fullWeight * all
+	}
+	ambiguous := func(c *crash, sameOrLater bool) bool {
+		for d := range c.ran {
+			if o := l.entries[d]; o != e && settled[o] != nil && (!sameOrLater || o.Place > e.Place) {
+				return true
+			}
+		}
+		return false
+	}
+	counted := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) && !ambiguous(c, true) }))
+	certain := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) && !ambiguous(c, false) }))
+	return fullWeight*certain + explainedWeight*(counted-certain)
+}
+
+// neededPartCrashes returns how many unexplained crashes it takes to bar a part.
+func (l *Ledger) neededPartCrashes(e *entry) int {
+	switch {
+	case e.BarCount > 0:
+		return probationCrashes
+	case l.othersAnswered(e):
+		return l.policy.MinPartCrashes
+	default:
+		return l.policy.MinBlindPartCrashes
+	}
+}
+
+// othersAnswered reports whether a suspect that shared a crash with a part has been
+// answered since the part's second crash: that the part has not says something then.
+func (l *Ledger) othersAnswered(e *entry) bool {
+	second := l.crashTimes(e, everyCrash)[l.settlesFrom(e)-1]
+	for id := range e.crashes {
+		if l.crashes[id].answeredAt.After(second) {
+			return true
+		}
+	}
+	return false
+}
+
+// liftExplainedParts ends the bars of parts all of whose crashes other barred suspects of as
+// few requests, or fewer, explain: those of the most requests, with the least evidence, first.
+func (l *Ledger) liftExplainedParts(now time.Time) {
+	var barred []*entry
+	for _, e := range l.entries {
+		if e.IsPart() && e.State == Barred && len(e.crashes) >= l.policy.MinPartCrashes { // with fewer, for example after Adopt, the ledger does not know all of them
+			barred = append(barred, e)
+		}
+	}
+	slices.SortFunc(barred, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.Place, b.Place), cmp.Compare(len(a.crashes), len(b.crashes)), bytes.Compare(a.Digest[:], b.Digest[:]))
+	})
+	for _, e := range barred {
+		if l.explainedByNarrowerBars(e) {
+			l.lift(e, now)
+		}
+	}
+}
+
+// explainedByNarrowerBars reports whether in each of a part's crashes another barred suspect
+// ran that is a whole request, or a part that comes no earlier.
+func (l *Ledger) explainedByNarrowerBars(e *entry) bool {
+	for id := range e.crashes {
+		explained := false
+		for d := range l.crashes[id].ran {
+			o := l.entries[d]
+			explained = explained || o != e && o.State == Barred && (!o.IsPart() || o.Place >= e.Place)
+		}
+		if !explained {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/poison/parts_test.go
@@ -0,0 +1,102 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// isPartBarred polls the ledger, as hosts do, and reports whether a part is barred.
+func isPartBarred(l *Ledger, f Fingerprint, now time.Time) bool {
+	l.ChangedSince(0, maxEntries, now)
+	_, ok := l.BarredUntil(f.Digest, now)
+	return ok
+}
+
+// crashParts records the crash of an upstream that ran one request with each of the parts.
+func crashParts(l *Ledger, upstream string, now time.Time, parts ...Fingerprint) {
+	l.RecordCrash(upstream, append([]Fingerprint{named("request at " + upstream)}, parts...), now, now)
+}
+
+// Guards against barring the first part of a route's prompts for what a later part does, when
+// nothing is answered meanwhile.
+func TestOfTwoPartsInTheSameCrashesTheLaterOneIsBarred(t *testing.T) {
+	l, now := NewLedger(DefaultPolicy), start
+	first, second := PartFingerprint("first", 0), PartFingerprint("second", 1)
+	for i := range DefaultPolicy.MinBlindPartCrashes {
+		crashParts(l, fmt.Sprint("u", i), now, first, second)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(DefaultPolicy.FirstPartSettleTime)
+	assert.Assert(t, isPartBarred(l, second, now))
+	assert.Assert(t, !isPartBarred(l, first, now))
+}
+
+// Guards against a first part that goes on crashing upstreams because a later part, barred
+// for it, is taken to explain its crashes.
+func TestAPartThatGoesOnCrashingUpstreamsIsBarredToo(t *testing.T) {
+	l, now := NewLedger(DefaultPolicy), start
+	first, second := PartFingerprint("first", 0), PartFingerprint("second", 1)
+	for i := range 2 * DefaultPolicy.MinBlindPartCrashes {
+		parts := []Fingerprint{first}
+		if i < DefaultPolicy.MinBlindPartCrashes {
+			parts = append(parts, second)
+		}
+		crashParts(l, fmt.Sprint("u", i), now, parts...)
+		now = now.Add(time.Second)
+	}
+	assert.Assert(t, isPartBarred(l, first, now.Add(DefaultPolicy.FirstPartSettleTime)))
+}
+
+// Guards against barring all that is popular when a service loses its upstreams one after the
+// other for another reason.
+func TestPartsAreNotBarredWhileNothingIsAnswered(t *testing.T) {
+	l, now := NewLedger(DefaultPolicy), start
+	part := PartFingerprint("popular", 1)
+	for i := range DefaultPolicy.MinBlindPartCrashes - 1 {
+		crashParts(l, fmt.Sprint("u", i), now, part)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(DefaultPolicy.FirstPartSettleTime)
+	assert.Assert(t, !isPartBarred(l, part, now))
+	l.Clear(named("request at u1").Digest, now)
+	assert.Assert(t, isPartBarred(l, part, now), "others were answered, and it was not")
+}
+
+// Property: whatever crashes and answers are reported in whatever order, no part is barred
+// that was answered later than its last crash.
+func TestAPartThatWasAnsweredSinceIsNotBarred(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := NewLedger(DefaultPolicy), start
+		var parts []Fingerprint
+		for i := range 4 {
+			parts = append(parts, PartFingerprint(fmt.Sprint(i), i%3))
+		}
+		crashedAt, answeredAt := map[Fingerprint]time.Time{}, map[Fingerprint]time.Time{}
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			part := rapid.SampledFrom(parts).Draw(t, "part")
+			if rapid.IntRange(0, 5).Draw(t, "what") == 0 {
+				l.Clear(part.Digest, now)
+				answeredAt[part] = now
+			} else {
+				other := rapid.SampledFrom(parts).Draw(t, "other")
+				at := now.Add(-time.Duration(rapid.IntRange(0, 2000).Draw(t, "late ms")) * time.Millisecond)
+				l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{part, other, named(fmt.Sprint(i))}, at, now)
+				for _, f := range []Fingerprint{part, other} {
+					if at.After(crashedAt[f]) {
+						crashedAt[f] = at
+					}
+				}
+			}
+			for _, f := range parts {
+				if answered, ok := answeredAt[f]; ok && answered.After(crashedAt[f]) {
+					assert.Assert(t, !isPartBarred(l, f, now), "answered since")
+				}
+			}
+		}
+	})
+}
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -111,7 +111,7 @@
 // logDecisionsLocked logs the bars that began and ended.
 func (q *Ledger) logDecisionsLocked(host string, now time.Time) {
 	for _, d := range q.ledger.TakeTransitions() {
-		fields := []zap.Field{zap.Stringer("content", d.Digest), zap.Stringer("cause", d.Cause), zap.String("host", host),
+		fields := []zap.Field{zap.Stringer("content", d.Digest), zap.Uint8("place", d.Place), zap.Stringer("cause", d.Cause), zap.String("host", host),
 			zap.Int("crashes", d.CrashCount), zap.Strings("upstreams", d.Upstreams), zap.Int("bars", d.BarCount)}
 		if d.State == poison.Barred {
 			q.deps.Log.Emit(event.RequestBarred, append(fields, zap.Int64("for_ms", d.BarredUntil.Sub(now).Milliseconds()))...)
--- a/node/coordinator/quarantine/rows.go
+++ b/node/coordinator/quarantine/rows.go
@@ -48,6 +48,7 @@
 	Shape   uint64 `json:"shape"`
 	UntilMs int64  `json:"until_unix_ms"`
 	Bars    int    `json:"bars"`
+	Place   uint8  `json:"place,omitempty"` // of a part of prompts
 }
 
 // waitNext waits until the next check is due. It returns false when ctx has ended.
@@ -151,7 +152,7 @@
 		return w, nil
 	}
 	var err error
-	w.Value, err = json.Marshal(rowValue{Shape: uint64(e.Shape), UntilMs: e.BarredUntil.UnixMilli(), Bars: e.BarCount})
+	w.Value, err = json.Marshal(rowValue{Shape: uint64(e.Shape), UntilMs: e.BarredUntil.UnixMilli(), Bars: e.BarCount, Place: e.Place})
 	return w, eris.Wrap(err, "encode barred request")
 }
 
@@ -180,7 +181,7 @@
 			continue
 		}
 		left := min(until.Sub(now), poison.DefaultPolicy.MaxBar) // clocks may differ, or have been set
-		q.ledger.Adopt(poison.Entry{Fingerprint: poison.Fingerprint{Digest: d, Shape: poison.Shape(v.Shape)}, State: poison.Barred, BarredUntil: now.Add(left), BarCount: v.Bars}, now)
+		q.ledger.Adopt(poison.Entry{Fingerprint: poison.Fingerprint{Digest: d, Shape: poison.Shape(v.Shape), Place: v.Place}, State: poison.Barred, BarredUntil: now.Add(left), BarCount: v.Bars}, now)
 	}
 	if len(unreadable) > 0 {
 		q.deps.Log.Emit(event.BarsUnreadable, zap.Int("rows", len(unreadable)), zap.String("first", unreadable[0]))
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -56,8 +56,9 @@
 type PoisonGuard interface {
 	// Barred reports whether a request is barred from being sent, and until when.
 	Barred(r *poison.Request) (until time.Time, ok bool)
-	// RecordCompleted records that a request completed, or ran long enough after it began.
-	RecordCompleted(r *poison.Request)
+	// RecordCompleted records that a request completed, or ran long enough after its response
+	// began, and when that was.
+	RecordCompleted(r *poison.Request, began time.Time)
 }
 
 // Deps are the dependencies of a Gate.
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -49,18 +49,29 @@
 	return true
 }
 
-// recordCompleted records that the request ran to completion.
+// recordCompleted records that the request ran to completion, or for long.
 func (q *request) recordCompleted() {
-	if q.g.deps.PoisonGuard != nil {
-		q.g.deps.PoisonGuard.RecordCompleted(q.content)
+	if q.g.deps.PoisonGuard == nil {
+		return
+	}
+	began := q.responseSince
+	if began.IsZero() { // no stream
+		began = q.sentAt
 	}
+	q.g.deps.PoisonGuard.RecordCompleted(q.content, began)
+}
+
+// isLongRun reports whether the response began so long ago that the request does not crash
+// its upstream.
+func (q *request) isLongRun(now time.Time) bool {
+	return !q.responseSince.IsZero() && now.Sub(q.responseSince) > longRun
 }
 
 // recordBroken records an exchange that broke while the upstream may have been running
 // the request: the request may have crashed it.
 func (q *request) recordBroken(a exchange, why string) {
 	a.Interrupted(why)
-	if !q.responseSince.IsZero() && q.g.deps.Now().Sub(q.responseSince) > longRun {
+	if q.isLongRun(q.g.deps.Now()) {
 		q.recordCompleted()
 		return
 	}
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -30,7 +30,7 @@
 	b.broken = append(b.broken, suspects...)
 }
 
-func (b *crashRecorder) RecordCompleted(r *poison.Request) {
+func (b *crashRecorder) RecordCompleted(r *poison.Request, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.completed = append(b.completed, r.Fingerprint(0))
@@ -140,3 +140,12 @@
 	assert.Equal(t, serve(g, "/a").Code, http.StatusBadGateway, "nothing is promised about a request that may have run")
 	assert.Equal(t, reached.Load(), int32(1))
 }
+
+// Guards against barring what belongs to one request or its session only: the last part of a
+// prompt identifies no other request.
+func TestSharedPartsAreAllButTheLast(t *testing.T) {
+	for parts, shared := range map[int]int{0: 0, 1: 0, 2: 1, 3: 2} {
+		p := make(sharedParts, parts)
+		assert.Equal(t, p.Len(), shared)
+	}
+}
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -63,6 +63,9 @@
 	if q.responseSince.IsZero() {
 		q.responseSince = now
 	}
+	if q.isLongRun(now) { // it clears a part of its prompt long before its end
+		q.recordCompleted()
+	}
 	if q.lastPieceAt.IsZero() {
 		q.timeToFirst = now.Sub(q.start)
 	} else {
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -213,6 +213,7 @@
 	h.add(&g, work, h.coord.RunAnnouncements)
 	h.add(&g, work, h.fetchFromPeers)
 	h.add(&g, work, h.crashes.Run)
+	h.add(&g, work, h.guard.Run)
 	h.add(&g, work, h.coord.RunQuarantine)
 	elector := &link.Elector{Lease: h.lease, Link: h.link, CampaignDelay: h.campaignDelay, StoreReachable: h.link.StoreReachable}
 	h.add(&g, ctx, h.whileServing(elector.Run))
--- a/node/host/quarantine.go
+++ b/node/host/quarantine.go
@@ -13,10 +13,11 @@
 // a digest below it ends a bar.
 const QuarantinePath = "/quarantine"
 
-// QuarantinedRequest is one request that is suspected of crashing upstreams, or barred
-// because of it, as listed at QuarantinePath.
+// QuarantinedRequest is one request, or part of prompts, that is suspected of crashing
+// upstreams, or barred because of it, as listed at QuarantinePath.
 type QuarantinedRequest struct {
-	Content string `json:"content"` // digest of the request, as in logs
+	Content string `json:"content"` // digest of the request or the part, as in logs
+	Place   uint8  `json:"place"`   // of a part in its prompts, from 1; 0: a request
 	State   string `json:"state"`   // suspected or barred
 	ForMs   int64  `json:"for_ms"`  // time until the bar ends
 	Crashes int    `json:"crashes"` // recent crashes of upstreams while the request ran there
@@ -29,7 +30,7 @@
 		out := []QuarantinedRequest{}
 		now := time.Now()
 		for _, x := range h.guard.Entries() {
-			out = append(out, QuarantinedRequest{Content: x.Digest.String(), State: x.State.String(), ForMs: max(x.BarredUntil.Sub(now), 0).Milliseconds(),
+			out = append(out, QuarantinedRequest{Content: x.Digest.String(), Place: x.Place, State: x.State.String(), ForMs: max(x.BarredUntil.Sub(now), 0).Milliseconds(),
 				Crashes: x.CrashCount, Bars: x.BarCount})
 		}
 		return c.JSON(http.StatusOK, out)
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	"peridotpier.example/core/poison"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/pace"
 )
 
 // maxEvents bounds the events that are kept for the acting coordinator. The oldest
@@ -53,7 +56,8 @@
 type view struct {
 	shapes                   map[poison.Shape]bool
 	fromCoordinator, local   map[poison.Digest]poison.Entry
-	coordinatorHasQuarantine bool // the acting coordinator keeps a quarantine; earlier releases keep none
+	partsSince               map[poison.Digest]time.Time // since when this host knows that a part is suspected
+	coordinatorHasQuarantine bool                        // the acting coordinator keeps a quarantine; earlier releases keep none
 }
 
 // Event is an event to report to the acting coordinator; one of the pointers is set.
@@ -108,37 +112,59 @@
 // when.
 func (g *Guard) Barred(r *poison.Request) (until time.Time, ok bool) {
 	v := g.view.Load()
-	if v == nil || !v.shapes[r.Shape(0)] {
+	if v == nil {
 		return time.Time{}, false
 	}
-	d, now := r.Digest(), g.deps.Now()
-	for _, e := range g.entriesFor(v, d) {
-		if e.State == poison.Barred && now.Before(e.BarredUntil) {
-			return e.BarredUntil, true
+	now := g.deps.Now()
+	for i := range r.Len() {
+		if !v.shapes[r.Shape(i)] {
+			continue
+		}
+		for _, e := range g.entriesFor(v, r.Fingerprint(i)) {
+			if e.State == poison.Barred && now.Before(e.BarredUntil) {
+				return e.BarredUntil, true
+			}
 		}
 	}
 	return time.Time{}, false
 }
 
-// entriesFor returns the entries that apply to a request now: those of the acting
+// entriesFor returns the entries that apply to a suspect now: those of the acting
 // coordinator, and without its quarantine also those of this host.
-func (g *Guard) entriesFor(v *view, d poison.Digest) []poison.Entry {
-	if v.coordinatorHasQuarantine && g.deps.Connected() {
-		return []poison.Entry{v.fromCoordinator[d]}
+func (g *Guard) entriesFor(v *view, f poison.Fingerprint) []poison.Entry {
+	all := []poison.Entry{v.fromCoordinator[f.Digest]}
+	if !v.coordinatorHasQuarantine || !g.deps.Connected() {
+		all = append(all, v.local[f.Digest])
 	}
-	return []poison.Entry{v.fromCoordinator[d], v.local[d]}
+	return slices.DeleteFunc(all, func(e poison.Entry) bool { return e.IsPart() != f.IsPart() })
 }
 
-// RecordCompleted records that a request ran to its end, or ran for long.
-func (g *Guard) RecordCompleted(r *poison.Request) {
+// RecordCompleted records that a request ran to its end, or ran for long, and when its
+// response began. A part of its prompt is cleared only if that was after this host heard
+// that the part is suspected: it may have become harmful since.
+func (g *Guard) RecordCompleted(r *poison.Request, began time.Time) {
 	v := g.view.Load()
-	if v == nil || !v.shapes[r.Shape(0)] {
+	if v == nil {
 		return
 	}
-	d := r.Digest()
-	if v.fromCoordinator[d].State == poison.Cleared && v.local[d].State == poison.Cleared {
-		return
+	for i := range r.Len() {
+		if !v.shapes[r.Shape(i)] {
+			continue
+		}
+		f := r.Fingerprint(i)
+		if v.isSuspect(f) && (!f.IsPart() || began.After(v.partsSince[f.Digest])) {
+			g.clear(f.Digest)
+		}
 	}
+}
+
+// isSuspect reports whether a suspect is suspected or barred.
+func (v *view) isSuspect(f poison.Fingerprint) bool {
+	return v.fromCoordinator[f.Digest].State != poison.Cleared || v.local[f.Digest].State != poison.Cleared
+}
+
+// clear clears a suspect at this host, and reports it.
+func (g *Guard) clear(d poison.Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
@@ -308,7 +334,7 @@
 }
 
 func (g *Guard) logLocked(e poison.Entry, source string, now time.Time) {
-	g.deps.Log.Emit(event.BarReceived, zap.Stringer("content", e.Digest), zap.String("source", source),
+	g.deps.Log.Emit(event.BarReceived, zap.Stringer("content", e.Digest), zap.Uint8("place", e.Place), zap.String("source", source),
 		zap.Int("crashes", e.CrashCount), zap.Int64("for_ms", e.BarredUntil.Sub(now).Milliseconds()))
 }
 
@@ -325,12 +351,46 @@
 		return
 	}
 	v := &view{shapes: map[poison.Shape]bool{}, fromCoordinator: make(map[poison.Digest]poison.Entry, len(g.fromCoordinator)),
-		local: make(map[poison.Digest]poison.Entry, len(local)), coordinatorHasQuarantine: g.quarantineID != 0}
+		local: make(map[poison.Digest]poison.Entry, len(local)), partsSince: map[poison.Digest]time.Time{}, coordinatorHasQuarantine: g.quarantineID != 0}
+	former := g.view.Load()
 	for d, e := range g.fromCoordinator {
-		v.fromCoordinator[d], v.shapes[e.Shape] = e, true
+		v.fromCoordinator[d] = e
+		v.add(&e, former, now)
 	}
 	for _, e := range local {
-		v.local[e.Digest], v.shapes[e.Shape] = e, true
+		v.local[e.Digest] = e
+		v.add(&e, former, now)
 	}
 	g.view.Store(v)
 }
+
+// add makes the view know a suspect, since now or as long as the former view.
+func (v *view) add(e *poison.Entry, former *view, now time.Time) {
+	v.shapes[e.Shape] = true
+	if !e.IsPart() {
+		return
+	}
+	v.partsSince[e.Digest] = now
+	if former != nil {
+		if since, ok := former.partsSince[e.Digest]; ok {
+			v.partsSince[e.Digest] = since
+		}
+	}
+}
+
+// refreshInterval is how often a Guard that knows suspects judges them again.
+const refreshInterval = 250 * time.Millisecond
+
+// Run judges what this host has seen itself from time to time, until ctx ends: a part of
+// prompts is barred some time after its last crash.
+func (g *Guard) Run(ctx context.Context) error {
+	for pace.Sleep(ctx, refreshInterval) {
+		if g.view.Load() == nil {
+			continue
+		}
+		g.mu.Lock()
+		g.refreshLocked(g.deps.Now())
+		g.mu.Unlock()
+	}
+	return ctx.Err()
+}
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -1,7 +1,10 @@
 package quarantine
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -24,7 +27,9 @@
 	return g
 }
 
-func requestFor(text string) *poison.Request { return poison.NewRequest(poison.Content{Target: text}, nil) }
+func requestFor(text string) *poison.Request {
+	return poison.NewRequest(poison.Content{Target: text}, nil)
+}
 
 func (g *testGuard) barred(text string) bool {
 	_, ok := g.Barred(requestFor(text))
@@ -143,7 +148,7 @@
 	h.exchange(g, "h")
 	h.exchange(g, "h")
 	assert.Assert(t, g.barred("x"))
-	g.RecordCompleted(requestFor("x"))
+	g.RecordCompleted(requestFor("x"), g.now)
 	assert.Assert(t, !g.barred("x"))
 	h.exchange(g, "h")
 	h.exchange(g, "h")
@@ -175,3 +180,75 @@
 		g.Barred(r)
 	}
 }
+
+// promptParts are the parts of a prompt that other requests may share.
+type promptParts []string
+
+func (p promptParts) Len() int        { return len(p) }
+func (p promptParts) ID(i int) string { return p[i] }
+
+func promptFor(text string, parts ...string) *poison.Request {
+	return poison.NewRequest(poison.Content{Target: text}, promptParts(parts))
+}
+
+// crashPart records crashes of upstreams that ran different requests with the same parts.
+func (g *testGuard) crashPart(parts ...string) {
+	for i := range poison.DefaultPolicy.MinBlindPartCrashes {
+		r := promptFor(fmt.Sprint("request ", i), parts...)
+		g.RecordCrash(fmt.Sprint("u", i), g.now, r.Suspects())
+		g.now = g.now.Add(time.Second)
+	}
+	g.now = g.now.Add(poison.DefaultPolicy.FirstPartSettleTime)
+}
+
+// Guards against a part that only the host which saw the crashes bars, and against a bar
+// that is lost with the coordinator.
+func TestABarOfAPartHoldsForOtherRequestsAtAllHosts(t *testing.T) {
+	a, b, h := newTestGuard(true), newTestGuard(true), newTestCoordinator(1)
+	a.crashPart("first", "bad")
+	b.now = a.now
+	h.exchange(a, "h")
+	h.exchange(b, "h")
+	_, barred := b.Barred(promptFor("another", "other", "bad"))
+	assert.Assert(t, barred)
+	_, barred = b.Barred(promptFor("another", "first", "other"))
+	assert.Assert(t, !barred)
+	next := newTestCoordinator(2)
+	next.exchange(b, "next")
+	_, barred = b.Barred(promptFor("another", "other", "bad"))
+	assert.Assert(t, barred)
+}
+
+// Guards against a part that an answer clears which began before the part turned harmful.
+func TestAnAnswerThatBeganEarlierDoesNotClearAPart(t *testing.T) {
+	g := newTestGuard(false)
+	began := g.now
+	g.now = g.now.Add(time.Second)
+	g.RecordCrash("u", g.now, promptFor("x", "part").Suspects())
+	suspects := len(g.Entries())
+	g.RecordCompleted(promptFor("y", "part"), began)
+	assert.Equal(t, len(g.Entries()), suspects)
+	g.RecordCompleted(promptFor("y", "part"), g.now.Add(time.Millisecond))
+	assert.Equal(t, len(g.Entries()), suspects-1)
+}
+
+// Guards against a host without a coordinator that never bars a part, because nothing
+// happens when the part has gone without an answer for long enough.
+func TestADisconnectedHostBarsAPartInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGuard(GuardDeps{Connected: func() bool { return false }, Metrics: metrics.New()})
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = g.Run(ctx) }()
+		for i := range poison.DefaultPolicy.MinBlindPartCrashes {
+			g.RecordCrash(fmt.Sprint("u", i), time.Now(), promptFor(fmt.Sprint(i), "bad", "x").Suspects())
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, barred := g.Barred(promptFor("y", "other", "x"))
+		assert.Assert(t, !barred, "it may still be answered")
+		time.Sleep(poison.DefaultPolicy.FirstPartSettleTime + 2*refreshInterval)
+		_, barred = g.Barred(promptFor("y", "other", "x"))
+		assert.Assert(t, barred)
+		stop()
+		synctest.Wait()
+	})
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -244,7 +244,7 @@
 try "a holder that is back at once hears how accounts stood" node/coordinator/link/link.go \
   'return l.failedReports > 0 || l.countIsNew' 'return false' ./node/coordinator/link -run 'QuicklyRestartedHolder'
 try "a crash blames all that ran there" core/poison/ledger.go \
-  'len(c.ran) >= maxRequestsPerCrash' 'len(c.ran) >= 1' ./core/poison
+  'len(c.ran) >= maxSuspectsPerCrash' 'len(c.ran) >= 1' ./core/poison
 try "what a known one explains speaks half" core/poison/judge.go \
   'explained(c, e) && len(e.crashes) < l.policy.MinCrashes' 'false' ./core/poison
 try "the loss of a rack names nobody" core/poison/judge.go \
@@ -260,11 +260,31 @@
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
   'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
 try "a run that lasted is not blamed" node/gate/poison.go \
-  '!q.responseSince.IsZero() &&' 'false && !q.responseSince.IsZero() &&' ./node/gate -run 'NotBlamed'
+  'return !q.responseSince.IsZero() &&' 'return false && !q.responseSince.IsZero() &&' ./node/gate -run 'NotBlamed'
 try "what is barred is looked at before each send" node/gate/run.go \
   'if q.refuseBarred(p) {' 'if false {' ./node/gate -run 'SentAgain'
 try "a run to its end clears" node/gate/poison.go \
-  'q.g.deps.PoisonGuard.RecordCompleted(q.content)' '' ./node/gate -run 'CompletedRequestIsRecorded'
+  'q.g.deps.PoisonGuard.RecordCompleted(q.content, began)' '_ = began' ./node/gate -run 'CompletedRequestIsRecorded'
+try "parts are reported" node/quarantine/detector.go \
+  '!f.IsPart() || !slices' '!f.IsPart() || false && !slices' ./platform -run 'APartOfPrompts'
+try "the last part of a prompt is its own" node/gate/poison.go \
+  'max(len(*p)-1, 0)' 'len(*p)' ./node/gate -run 'SharedParts'
+try "an answer clears a part" node/quarantine/guard.go \
+  'began.After(v.partsSince[f.Digest])' 'false' ./node/quarantine -run 'BeganEarlier'
+try "an answer that began earlier clears no part" node/quarantine/guard.go \
+  '(!f.IsPart() || began.After(v.partsSince[f.Digest]))' 'true' ./node/quarantine -run 'BeganEarlier'
+try "a crash before the last answer does not count" core/poison/ledger.go \
+  'e.IsPart() && !at.After(e.answeredAt)' 'false' ./core/poison -run 'AnsweredSince'
+try "a part settles before it is barred" core/poison/parts.go \
+  'return now.Sub(times[from-1]) >= settleTime' 'return settleTime > 0' ./core/poison -run 'PartsThatCrash'
+try "the later of two parts is barred" core/poison/parts.go \
+  'n == most && e.isNarrower(strongest)' 'n == most && !e.isNarrower(strongest)' ./core/poison -run 'TheLaterOne'
+try "what is not answered while nothing is says little" core/poison/parts.go \
+  'case l.othersAnswered(e):' 'case true:' ./core/poison -run 'NothingIsAnswered'
+try "a host alone judges in time" node/quarantine/guard.go \
+  'if g.view.Load() == nil {
+			continue' 'if true {
+			continue' ./node/quarantine -run 'BarsAPartInTime'
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/permits/permits.go \
