Parts of prompts take 12 bytes in reports of crashes, not 36

A crash of an engine at the design size would have cost a host 4,332 bytes, more than the budget of a second, with 30 parts under way beside 34 requests. A part is identified by its shape alone (who finds another id of the same shape can name the part itself), and parts at the same place are packed: 2,759.

Tried and dropped: hosts hear of a part only from its second crash.

--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -1,7 +1,7 @@
 package poison
 
 import (
-	"crypto/sha256"
+	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -32,16 +32,17 @@
 	ID(i int) string
 }
 
-// partDomain separates the digests of parts from those of contents, which begin with the
-// length of a team's name.
-const partDomain = "\xff\xff\xff\xff\xff\xff\xff\xffpart\x00"
-
 // PartFingerprint returns the fingerprint of the part with an id, the i-th of its prompt.
 // It depends on no team: a part harms whoever sends it.
 func PartFingerprint(id string, i int) Fingerprint {
-	sum := sha256.Sum256([]byte(partDomain + id))
-	f := Fingerprint{Shape: partShape(id), Place: uint8(i + 1)}
-	copy(f.Digest[:], sum[:])
+	return FingerprintOfPart(partShape(id), uint8(i+1))
+}
+
+// FingerprintOfPart returns the fingerprint of the part with a shape, which identifies it: who
+// finds another id of the same shape can name the part itself as well.
+func FingerprintOfPart(s Shape, place uint8) Fingerprint {
+	f := Fingerprint{Shape: s, Place: place}
+	binary.BigEndian.PutUint64(f.Digest[:], uint64(s))
 	return f
 }
 
--- a/node/coordinator/link/answersize_test.go
+++ b/node/coordinator/link/answersize_test.go
@@ -34,6 +34,9 @@
 	// requestsUnderWay is how many requests an engine has at the design size: 205
 	// streams at each of 420 hosts, over 2,500 engines.
 	requestsUnderWay = 34
+	// partsUnderWay is how many parts of prompts these have in common with others: six first
+	// parts, and a second part for most of the requests.
+	partsUnderWay = 30
 	// maxCrashBytes bounds what one crash of an engine costs each host, in both
 	// directions: the budget of a second.
 	maxCrashBytes = 3000
@@ -47,6 +50,9 @@
 	for i := range requestsUnderWay {
 		ran = append(ran, (&poison.Content{Target: fmt.Sprint(i)}).Fingerprint())
 	}
+	for i := range partsUnderWay {
+		ran = append(ran, poison.PartFingerprint(fmt.Sprint(i), 1))
+	}
 	r := &coordpb.HostReport{Host: "h"}
 	reportQuarantine(r, local.Report{Events: []local.Event{{Crash: &local.Crash{Upstream: "i-0123456789", At: now, Running: ran}}}}, now)
 	reportBytes := proto.Size(r)
@@ -54,6 +60,7 @@
 	out.Holdings, out.Others, out.Deputies = nil, nil, nil
 	sentBytes := proto.Size(out)
 	assert.Equal(t, len(out.Quarantine), requestsUnderWay)
+	assert.Equal(t, len(decodeUpdate(out, now).Changed), requestsUnderWay+partsUnderWay)
 	completed := &coordpb.HostReport{Host: "h"}
 	for _, m := range ran {
 		completed.Completed = append(completed.Completed, m.Digest[:])
--- a/node/coordinator/link/quarantine.go
+++ b/node/coordinator/link/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotpier.example/core/poison"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/coordinator/wire"
 	local "peridotpier.example/node/quarantine"
@@ -37,8 +38,11 @@
 func encodeCrash(x *local.Crash, now time.Time) *coordpb.UpstreamCrash {
 	out := &coordpb.UpstreamCrash{Upstream: x.Upstream, AgeMs: uint32(max(now.Sub(x.At), 0).Milliseconds())}
 	for _, m := range x.Running {
-		out.Running = append(out.Running, wire.EncodeFingerprint(m))
+		if !m.IsPart() {
+			out.Running = append(out.Running, wire.EncodeFingerprint(m))
+		}
 	}
+	out.Parts = wire.EncodeParts(x.Running)
 	return out
 }
 
@@ -50,6 +54,9 @@
 			a.Changed = append(a.Changed, entry)
 		}
 	}
+	for _, f := range wire.DecodeParts(s.SuspectedParts) {
+		a.Changed = append(a.Changed, poison.Entry{Fingerprint: f, State: poison.Suspected, CrashCount: 1})
+	}
 	return a
 }
 
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -102,6 +102,7 @@
 			ran = append(ran, fp)
 		}
 	}
+	ran = append(ran, wire.DecodeParts(x.Parts)...)
 	requests, parts := poison.DigestsOf(ran)
 	q.ledger.RecordCrash(x.Upstream, ran, now.Add(-wire.Milliseconds(x.AgeMs)), now)
 	q.deps.Log.Emit(event.CrashReported, zap.String("host", host), zap.String(event.FieldPeer, x.Upstream),
@@ -131,8 +132,20 @@
 	}
 	changed, to := q.ledger.ChangedSince(from, maxEntries, now)
 	out.QuarantineId, out.QuarantineRevision = q.id, to
+	var minor []poison.Fingerprint
 	for i := range changed {
+		if isMinor(&changed[i]) {
+			minor = append(minor, changed[i].Fingerprint)
+			continue
+		}
 		out.Quarantine = append(out.Quarantine, wire.EncodeEntry(&changed[i], now))
 	}
+	out.SuspectedParts = wire.EncodeParts(minor)
 	q.logDecisionsLocked("", now)
 }
+
+// isMinor reports whether an entry is a part that ran at one upstream that crashed. Most are,
+// and take less room in an answer.
+func isMinor(e *poison.Entry) bool {
+	return e.IsPart() && e.State == poison.Suspected && e.CrashCount == 1 && e.BarCount == 0
+}
