A stream goes on only at upstreams of the software version that began it

Cause: a stream was taken to belong to its service. An entry's version was not even decoded, and repeats, moves and hops chose among all upstreams of the service.

balance.MayGoOn decides it, for picks, permits, adapters and answers that come through another host; the version goes along to a host that a request is forwarded to, and back. A stream whose version is not known cannot go on, and one whose version has no upstream left ends at once. Test fixtures state a version now, as the platform's entries do: without one a stream may not go on, so that the tests of resumed streams would have tested nothing.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -12,6 +12,7 @@
 type Endpoint struct {
 	ID                  string
 	Address             string
+	Software            string // version of its software; "": not known
 	Slots               int
 	SameDataCentre      bool          // it is in the data centre of the sending host
 	HasIdleConn         bool          // the sending host has an idle connection to it
@@ -36,6 +37,7 @@
 type Request struct {
 	Model        string // "" if any upstream of the service can answer
 	Adapter      string // "" if it needs none
+	Software     string // version of the software that began the stream; "" if any may answer
 	PromptTokens int
 	OutputTokens int // expected tokens of the answer
 	CacheTokens  int // capacity of one upstream's token cache; 0 if it is not bounded
@@ -127,10 +129,14 @@
 	return best
 }
 
+// MayGoOn reports whether an upstream with a version of its software may go on with a
+// stream that a version began; "" if the stream has not begun.
+func MayGoOn(software, began string) bool { return began == "" || software == began }
+
 // Check returns the reason why an endpoint cannot take a request, or Found if it can.
 func Check(e *Endpoint, r *Request) Reason {
 	switch {
-	case e.Draining, e.Tried, e.Down, e.HalfOpen && e.ProbeInFlight:
+	case e.Draining, e.Tried, e.Down, e.HalfOpen && e.ProbeInFlight, !MayGoOn(e.Software, r.Software):
 		return NoUpstream
 	case r.Model != "" && !e.ModelResident:
 		return NoModel
--- a/core/deploy/upstream.go
+++ b/core/deploy/upstream.go
@@ -36,13 +36,16 @@
 	Service    string
 	Address    string // IP:port
 	DataCentre string
-	Slots      int
-	State      UpstreamState
-	Remaining  time.Duration // until a draining upstream ends; 0: not reported
-	Cold       time.Duration // how much longer it is slow after its start
-	Residents  []Resident
-	InMemory   []string // models with a copy in its host memory
-	OnDisk     []string // models with a copy on its disk
+	// Software is the version of the upstream's software, not of its weights; "": not stated.
+	// What two versions write of one stream does not fit together.
+	Software  string
+	Slots     int
+	State     UpstreamState
+	Remaining time.Duration // until a draining upstream ends; 0: not reported
+	Cold      time.Duration // how much longer it is slow after its start
+	Residents []Resident
+	InMemory  []string // models with a copy in its host memory
+	OnDisk    []string // models with a copy on its disk
 }
 
 // HasResident reports whether a model and, if one is named, its adapter are
--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -43,6 +43,8 @@
 	AdapterRequested       = Event{2155, "adapter_asked", zapcore.InfoLevel, "A request needs an adapter that no upstream has at hand; the host that gives orders was asked to load it."}
 	MoveEndedEarly         = Event{2157, "move_ended_early", zapcore.WarnLevel, "A change of an upstream's models was not carried through; the next plan looks at it anew."}
 	PermitGranted          = Event{2128, "turn_given", zapcore.DebugLevel, "The host that decides for all named the upstream of a request; load, waiting and cached are what it knew there."}
+	StreamTakenUp          = Event{2181, "stream_taken_up", zapcore.InfoLevel, "A caller takes a stream up. resumes is the attempt that brought its first event, software the version that wrote it, source who knew: own, or the address of another host; by_content that the caller named no attempt and the request is known by its content."}
+	StreamNotTakenUp       = Event{2182, "stream_not_taken_up", zapcore.WarnLevel, "A stream does not go on. why is stream_unknown if no host that was asked knows which version of the software began it, version_gone if no upstream of that version is left, or invalid if the caller names no attempt, or several."}
 	CrashReported          = Event{2161, "crash_reported", zapcore.InfoLevel, "A host told that an upstream ended under requests of its own. under_way are their digests, parts those of the parts of their prompts: each is a suspect until it runs to its end or others explain the crash."}
 	RequestBarred          = Event{2162, "request_barred", zapcore.WarnLevel, "A request ends the upstreams that run it: all hosts refuse it for for_ms. crashes and upstreams are what speaks against it; cause is crashes, or report if another host had found out. To end the bar: pierctl quarantine --release."}
 	BarEnded               = Event{2163, "request_bar_ended", zapcore.InfoLevel, "A request is not refused any more; cause says why: time, operator, completion (it ran to its end), others (these explain the crashes better)."}
@@ -58,4 +60,4 @@
 	RequestDetoured, DetourTaken, DetourRefused, DetourDeclined, DetourLost,
 	RequestSent, RequestRetried, RequestQueued, RequestRefused, RequestInterrupted, RequestServed, RequestAbandoned, CallerConnectionClosed, LogDropped,
 	CoordinatorLinked, CoordinatorLost, ActingCoordinator, OrderSent, OrderCompleted, PermitGranted, OrderRejected, OrderUnanswered, AdapterRequested, QuietPeriod, MoveEndedEarly,
-	CrashReported, RequestBarred, BarEnded, BarReceived, SuspectCompleted, BarsUnsaved, BarsUnreadable}
+	StreamTakenUp, StreamNotTakenUp, CrashReported, RequestBarred, BarEnded, BarReceived, SuspectCompleted, BarsUnsaved, BarsUnreadable}
--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -45,6 +45,9 @@
 	abort        func()    // called when the upstream is found unresponsive; nil: the attempt stays
 }
 
+// Software returns the version of the upstream's software; "" if it is not known.
+func (x *Attempt) Software() string { return x.Entry().Software() }
+
 // Entry returns the entry of the upstream that the attempt is sent to.
 func (x *Attempt) Entry() *Entry { return x.e }
 
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -111,6 +111,13 @@
 // not stated.
 func (e *Entry) StartedMs() int64 { return e.startedMs }
 
+// Software returns the version of its software; "" if it is not known.
+func (e *Entry) Software() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.desc.Software
+}
+
 // DataCentre returns the data centre that it runs in.
 func (e *Entry) DataCentre() string { return e.dataCentre }
 
@@ -419,7 +426,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	load := e.loadLocked(now)
-	out := balance.Endpoint{ID: e.id, Address: e.desc.Address, Slots: e.desc.Slots, SameDataCentre: e.dataCentre == e.fleet.cfg.DataCentre,
+	out := balance.Endpoint{ID: e.id, Address: e.desc.Address, Software: e.desc.Software, Slots: e.desc.Slots, SameDataCentre: e.dataCentre == e.fleet.cfg.DataCentre,
 		Draining: e.draining, InFlight: load.Requests, PendingPromptTokens: load.PendingPromptTokens, InFlightTokens: load.Tokens}
 	switch e.health.Status(now) {
 	case health.Down:
--- a/node/fleet/modelindex.go
+++ b/node/fleet/modelindex.go
@@ -75,6 +75,12 @@
 	})
 }
 
+// HasUsable reports whether a service has upstreams that take new requests, now or once
+// they answer again, among those that suit.
+func (f *Fleet) HasUsable(service string, suits func(*Entry) bool) bool {
+	return slices.ContainsFunc(f.EntriesOfService(service), func(e *Entry) bool { return e.Usable() && suits(e) })
+}
+
 // reindexLocked updates the index of residents by the entry's description and the acting
 // coordinator's announcements.
 func (e *Entry) reindexLocked() {
--- a/node/gate/answer_test.go
+++ b/node/gate/answer_test.go
@@ -135,7 +135,7 @@
 	defer up.Close()
 	address := up.Listener.Addr().String()
 	g, f := newGate(&noModelCoordinator{}, address)
-	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: address, Slots: 4}}, nil, 0)
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: address, Slots: 4, Software: "v1"}}, nil, 0)
 	changeRoute(g, func(r *deploy.Route) { r.Kind, r.Attempts = deploy.Idempotent, 2 })
 	_, body, err := sendOne(t, startHost(t, g))
 	assert.Assert(t, err != nil, "%d bytes look complete", len(body))
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/backpressure"
+	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
@@ -279,6 +280,10 @@
 	if info.AttemptID != "" && info.AttemptID != q.info.AttemptID || resp.Status < 300 && (!info.Sealed || info.AttemptID == "") {
 		return q.rejectResponse(x, resp, "crossed")
 	}
+	x.software = resp.Header.Get(hopBegan)
+	if q.route.Kind == deploy.Stream && resp.Status < 300 && !balance.MayGoOn(x.software, q.began.get()) {
+		return q.rejectResponse(x, resp, whyOtherSoftware) // a host of an earlier release asks for no version
+	}
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
 		return q.forwardStream(ctx, fo, x, resp)
 	}
@@ -336,11 +341,13 @@
 	Cancelled()
 	Interrupted(why string)
 	Entry() *fleet.Entry
+	Software() string // version of the upstream's software; "": not known
 }
 
 // hopExchange is the account of a hop: the other host keeps that of the upstream.
 type hopExchange struct {
 	silenceTimer *time.Timer // fires when nothing has arrived for hopSilence; nil: not watched
+	software     string
 }
 
 // stop ends the watch for silence.
@@ -366,5 +373,8 @@
 // Interrupted implements exchange.
 func (*hopExchange) Interrupted(string) {}
 
+// Software implements exchange.
+func (x *hopExchange) Software() string { return x.software }
+
 // Entry implements exchange; a hop has none.
 func (*hopExchange) Entry() *fleet.Entry { return nil }
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -138,6 +138,7 @@
 	q := &request{g: g, w: w, r: r, start: g.deps.Now(), tried: map[string]bool{}, info: g.deps.Codec.DecodeRequest(r.Header), hop: h}
 	if h != nil {
 		q.sends = h.sends
+		q.began.set(h.began)
 	}
 	return q
 }
@@ -215,6 +216,7 @@
 	lastPieceAt      time.Time       // when the last piece arrived
 	started          bool            // the head of a response was sent to the caller
 	endsWithConn     bool            // that response states no end: it ends with the caller's connection
+	began            softwareVersion // version of the software that began the stream; "": it has not begun, or is not known
 	unresumable      bool            // no other response can continue what the caller has: it is no stream of events, or its last event has no id
 	lastEventID      string          // id of the last complete event that the caller has
 	lastUpstream     string          // upstream of the newest attempt
--- a/node/gate/hop.go
+++ b/node/gate/hop.go
@@ -19,12 +19,13 @@
 	hopVersion = "Peridotpier-Hop-Version" // of the configuration that the forwarding host handles the request under
 	hopSends   = "Peridotpier-Hop-Sends"   // request: attempts made so far; answer: attempts that the other host made
 	hopCharged = "Peridotpier-Hop-Charged" // "1": the forwarding host has charged the team's limit
+	hopBegan   = "Peridotpier-Hop-Began"   // request: version of the software that began the stream; answer: version that wrote it
 	hopOutcome = "Peridotpier-Hop-Outcome" // what the answer is, see the outcomes
 
 	hopYes = "1"
 )
 
-var hopHeaders = []string{hopFrom, hopVersion, hopSends, hopCharged, hopOutcome}
+var hopHeaders = []string{hopFrom, hopVersion, hopSends, hopCharged, hopBegan, hopOutcome}
 
 // hopResult says what the answer of a host is to which a request was forwarded.
 type hopResult string
@@ -54,6 +55,7 @@
 	version uint64
 	sends   int
 	charged bool
+	began   string // version of the software that began the stream; "": it has not begun
 }
 
 // takeHop reads and removes the headers of a forwarded request. ok is false for a
@@ -61,7 +63,7 @@
 func takeHop(h http.Header) (out *hop, ok bool) {
 	version, err := strconv.ParseUint(h.Get(hopVersion), 10, 64)
 	sends, _ := strconv.Atoi(h.Get(hopSends)) // absent: none
-	out = &hop{from: h.Get(hopFrom), version: version, sends: max(sends, 0), charged: h.Get(hopCharged) == hopYes}
+	out = &hop{from: h.Get(hopFrom), version: version, sends: max(sends, 0), charged: h.Get(hopCharged) == hopYes, began: h.Get(hopBegan)}
 	stripHop(h)
 	return out, err == nil && out.from != ""
 }
@@ -83,6 +85,9 @@
 	if q.caller.charged {
 		h.Set(hopCharged, hopYes)
 	}
+	if began := q.began.get(); began != "" {
+		h.Set(hopBegan, began)
+	}
 }
 
 // markHop tells the host that forwarded the request what its answer is. A request that may
@@ -97,6 +102,9 @@
 	h := q.w.Header()
 	h.Set(hopOutcome, string(r))
 	h.Set(hopSends, strconv.Itoa(max(q.sends-q.hop.sends, 0)))
+	if began := q.began.get(); r == hopAnswered && began != "" {
+		h.Set(hopBegan, began)
+	}
 }
 
 // refusalResult returns the result of a request that was refused for a reason. Once an
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -85,7 +85,7 @@
 		req.Team, req.Charge = q.caller.team, q.caller.cost
 	}
 	for _, e := range d.Fleet.EntriesWithModel(q.service.Name, q.needs.Model) {
-		if q.tried[e.ID()] || e.IsDown() {
+		if q.tried[e.ID()] || e.IsDown() || !q.mayGoOnAt(e) {
 			req.Excluded = append(req.Excluded, e.ID())
 		}
 	}
@@ -103,7 +103,7 @@
 		return q.withoutPermit(permit)
 	}
 	e, known := d.Fleet.Entry(permit.Upstream)
-	if !known || !e.Usable() || e.Limit().Stated && !permit.WithinLimit || e.Brittle().Stated && !permit.WithinRoom {
+	if !known || !e.Usable() || !q.mayGoOnAt(e) || e.Limit().Stated && !permit.WithinLimit || e.Brittle().Stated && !permit.WithinRoom {
 		permit.Release() // what this host knows is newer
 		return nil, selection{}, false
 	}
@@ -159,7 +159,7 @@
 // withoutPermit converts a decision without an upstream into a selection to wait on.
 func (q *request) withoutPermit(permit *Permit) (*fleet.Entry, selection, bool) {
 	p := selection{Decision: balance.Decision{Index: -1, Reason: permit.Reason, AdapterTarget: -1, MinBackoff: permit.RetryAfter}, unservable: permit.RetryAfter > 0, candidates: len(q.g.deps.Fleet.EntriesOfService(q.service.Name))}
-	if home, ok := q.g.deps.Fleet.Entry(permit.AdapterUpstream); ok && permit.Reason == balance.NoAdapter {
+	if home, ok := q.g.deps.Fleet.Entry(permit.AdapterUpstream); ok && q.mayGoOnAt(home) && permit.Reason == balance.NoAdapter {
 		p.adapterUpstream = home
 	}
 	return nil, p, true
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -114,7 +114,7 @@
 		endpoints[i].Tried = q.tried[endpoints[i].ID]
 		endpoints[i].HasIdleConn = d.Client.HasIdleConnection(e.Address())
 	}
-	r := balance.Request{Model: q.needs.Model, Adapter: q.needs.Adapter, PromptTokens: q.cost.PromptTokens, OutputTokens: q.cost.OutputTokens}
+	r := balance.Request{Model: q.needs.Model, Adapter: q.needs.Adapter, Software: q.began.get(), PromptTokens: q.cost.PromptTokens, OutputTokens: q.cost.OutputTokens}
 	if q.service.Engine != nil {
 		r.CacheTokens = q.service.Engine.CacheTokens
 		r.MaxPendingPromptTokens = q.maxPendingPromptTokens(now, lostByUpstream)
@@ -123,7 +123,7 @@
 	if p.AdapterTarget >= 0 {
 		p.adapterUpstream = entries[p.AdapterTarget]
 	}
-	if p.Reason == balance.NoUpstream && d.Fleet.HasUsableWithoutModel(q.service.Name, q.needs.Model, func(e *fleet.Entry) bool { return q.tried[e.ID()] }) {
+	if p.Reason == balance.NoUpstream && d.Fleet.HasUsableWithoutModel(q.service.Name, q.needs.Model, func(e *fleet.Entry) bool { return q.tried[e.ID()] || !q.mayGoOnAt(e) }) {
 		p.Reason = balance.NoModel
 	}
 	if p.Index < 0 {
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -136,7 +136,7 @@
 	table.Routes[0].Attempts = 3
 	g.deps.Config.ApplyIfNewer(&table, "test")
 	one := g.deps.Fleet.EntriesOfService("s")[0]
-	g.deps.Fleet.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: one.Address(), Slots: 4}}, nil, 0)
+	g.deps.Fleet.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: one.Address(), Slots: 4, Software: "v1"}}, nil, 0)
 	assert.Equal(t, serve(g, "/a").Code, http.StatusBadGateway, "nothing is promised about a request that may have run")
 	assert.Equal(t, reached.Load(), int32(1))
 }
--- a/node/gate/retry_test.go
+++ b/node/gate/retry_test.go
@@ -55,7 +55,7 @@
 			g, f := newGate(&noModelCoordinator{}, address)
 			var all []deploy.Upstream
 			for _, id := range []string{"u", "v", "w", "x"} {
-				all = append(all, deploy.Upstream{ID: id, Service: "s", Address: address, Slots: 4})
+				all = append(all, deploy.Upstream{ID: id, Service: "s", Address: address, Slots: 4, Software: "v1"})
 			}
 			f.Apply(all, nil, 0)
 			table := *g.deps.Config.Current().Config
@@ -83,7 +83,7 @@
 	}))
 	defer up.Close()
 	g, f := newGate(&noModelCoordinator{}, up.Listener.Addr().String())
-	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: up.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	f.Apply([]deploy.Upstream{{ID: "u", Service: "s", Address: up.Listener.Addr().String(), Slots: 4, Software: "v1"}}, nil, 0)
 	host := httptest.NewServer(g)
 	defer host.Close()
 	ctx, disconnect := context.WithCancel(t.Context())
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -25,6 +25,10 @@
 			continue
 		}
 		if e == nil {
+			if q.versionGone() {
+				q.endVersionGone(p)
+				return
+			}
 			if q.wait(p) {
 				continue
 			}
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -36,11 +36,12 @@
 				return q.rejectResponse(a, resp, "event_too_long")
 			}
 			q.insideEvent = events.insideEvent()
+			q.beginStream(a, whole)
 			if werr := q.forward(resp, whole); werr != nil {
 				return q.callerStopped(a, resp)
 			}
 			q.lastEventID = events.lastEventID
-			q.unresumable = events.opaque || events.positionUnknown
+			q.unresumable = events.opaque || events.positionUnknown || q.started && q.began.get() == ""
 			if q.unresumable && q.started && !fo.stay() {
 				return q.responseBroken(ctx, a, resp)
 			}
--- a/node/gate/unresponsive_test.go
+++ b/node/gate/unresponsive_test.go
@@ -39,7 +39,7 @@
 	for i, handler := range upstreams {
 		up := httptest.NewServer(handler)
 		t.Cleanup(up.Close)
-		f.Apply([]deploy.Upstream{{ID: fmt.Sprintf("u%d", i), Service: "s", Address: up.Listener.Addr().String(), Slots: 4}}, nil, 0)
+		f.Apply([]deploy.Upstream{{ID: fmt.Sprintf("u%d", i), Service: "s", Address: up.Listener.Addr().String(), Slots: 4, Software: "v1"}}, nil, 0)
 	}
 	table := *g.deps.Config.Current().Config
 	table.Version++
@@ -132,7 +132,7 @@
 	go func() {
 		<-asked
 		time.Sleep(4 * unresponsiveAfter)
-		f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4}}, nil, 0)
+		f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4, Software: "v1"}}, nil, 0)
 	}()
 	began := time.Now()
 	status, body, err := sendOne(t, host)
@@ -155,7 +155,7 @@
 	})
 	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) }))
 	defer second.Close()
-	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: second.Listener.Addr().String(), Slots: 4, Software: "v1"}}, nil, 0)
 	e, _ := f.Entry("v")
 	var others []*fleet.Attempt
 	for range 12 { // its queue's bound
@@ -219,7 +219,7 @@
 	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
 	defer quick.Close()
 	g, f := newGate(&noModelCoordinator{}, slow.Listener.Addr().String())
-	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: quick.Listener.Addr().String(), Slots: 4}}, nil, 0)
+	f.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: quick.Listener.Addr().String(), Slots: 4, Software: "v1"}}, nil, 0)
 	v, _ := f.Entry("v")
 	for range 3 { // so that it is not selected first
 		defer v.Begin(&fleet.Request{}, fleet.Cost{}).Cancelled()
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -57,7 +57,7 @@
 
 // newGateFor returns a gate with one upstream and one route.
 func newGateFor(upstream deploy.Upstream, coordinator Coordinator, r deploy.Route) (*Gate, *fleet.Fleet) {
-	upstream.ID, upstream.Service = "u", "s"
+	upstream.ID, upstream.Service, upstream.Software = "u", "s", "v1"
 	r.Name, r.Host, r.Prefix, r.Timeout, r.Attempts, r.Splits = "r", "example.com", "/", 10*time.Second, 1, []deploy.Split{{Service: "s", Weight: 1}}
 	log := event.NewLog(nil)
 	config := follow.NewActiveConfig(log)
