A caller takes a stream up at the software version that began it, at any host

Cause: nothing read Resumes, and nobody knew which version had begun a stream once its answer had ended, least of all another host.

Callers that name no attempt, as before, are known by the content of the request, and refused where two versions began the same content.

--- a/node/coordinator/conns/conns.go
+++ b/node/coordinator/conns/conns.go
@@ -86,6 +86,20 @@
 	})
 }
 
+// KeepOrigins hands records of streams to the host at an address.
+func (c *Conns) KeepOrigins(ctx context.Context, address string, b *coordpb.OriginBatch) (*coordpb.OriginKept, error) {
+	return callOnce(ctx, c, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (*coordpb.OriginKept, error) {
+		return peer.KeepOrigins(ctx, b)
+	})
+}
+
+// FindOrigin asks the host at an address which version began a stream.
+func (c *Conns) FindOrigin(ctx context.Context, address string, q *coordpb.OriginCall) (*coordpb.OriginAnswer, error) {
+	return callOnce(ctx, c, address, func(ctx context.Context, peer coordpb.DRPCCoordinatorClient) (*coordpb.OriginAnswer, error) {
+		return peer.FindOrigin(ctx, q)
+	})
+}
+
 // Get returns a connection to the host at an address, which the caller closes.
 func (c *Conns) Get(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	c.mu.Lock()
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -49,6 +49,7 @@
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/origin"
 	"peridotpier.example/node/pace"
 	"peridotpier.example/node/store"
 )
@@ -79,6 +80,9 @@
 	Table  store.Table
 	Feed   *follow.Follower
 	Log    *event.Log
+	// Origins keeps which version of the software began each stream; nil: a separate one
+	// is made.
+	Origins *origin.Registry
 	// Metrics are the host's metrics; nil: a separate set is made.
 	Metrics *metrics.Set
 	Now     func() time.Time
@@ -146,6 +150,9 @@
 	if deps.Metrics == nil {
 		deps.Metrics = metrics.New()
 	}
+	if deps.Origins == nil {
+		deps.Origins = origin.NewRegistry(deps.Now())
+	}
 	c := &Coordinator{cfg: cfg, deps: deps, id: rand.Uint64() | 1, now: deps.Now, demand: demand.New(), speeds: demand.NewSpeeds(),
 		announcePending: make(chan struct{}, 1), lastOrders: map[string]lastOrder{}, storeLoads: moves.NewStoreLoads(cfg.CeilingWindow, cfg.CeilingFactor)}
 	c.aggregate = reports.New(reports.Config{OwnAddress: cfg.Address, RunsModels: c.runsModelsAt, MaxPeriod: cfg.MaxRelayAge / minReportsPerRelayAge, MaxRate: cfg.MaxReportRate})
--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -29,6 +29,8 @@
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/lease"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/origin"
 	"peridotpier.example/node/pace"
 )
 
@@ -103,7 +105,11 @@
 	Lease  *lease.Lease
 	Dial   conns.Dial
 	Log    *event.Log
-	Now    func() time.Time // nil: time.Now
+	// Origins keeps which version of the software began each stream; nil: a separate one
+	// is made.
+	Origins *origin.Registry
+	Metrics *metrics.Set     // nil: none
+	Now     func() time.Time // nil: time.Now
 }
 
 // signalSource is the source of the coordinator's signals, in logs.
@@ -146,6 +152,8 @@
 	lastHostCount      int      // number of hosts that another coordinator last reported
 	signals            signals
 	detours            detours
+
+	origins origins
 }
 
 type demandKey struct{ service, model, adapter string }
@@ -155,7 +163,13 @@
 	if d.Now == nil {
 		d.Now = time.Now
 	}
-	l := &Link{cfg: cfg, own: d.Own, deps: d, conns: conns.New(d.Dial), log: d.Log, Quarantine: noQuarantine{}, demand: map[demandKey]*coordpb.Demand{}}
+	if d.Metrics == nil {
+		d.Metrics = metrics.New()
+	}
+	if d.Origins == nil {
+		d.Origins = origin.NewRegistry(d.Now())
+	}
+	l := &Link{cfg: cfg, origins: origins{registry: d.Origins}, own: d.Own, deps: d, conns: conns.New(d.Dial), log: d.Log, Quarantine: noQuarantine{}, demand: map[demandKey]*coordpb.Demand{}}
 	l.permitClient, l.pace = newPermitClient(l), newReportPace()
 	return l
 }
--- a/node/coordinator/traffic.go
+++ b/node/coordinator/traffic.go
@@ -9,11 +9,13 @@
 
 // Kinds of calls that hosts make to a coordinator.
 const (
-	callReport  = "report"
-	callState   = "state"
-	callAdapter = "adapter"
-	callTurn    = "turn"
-	callList    = "list"
+	callReport      = "report"
+	callState       = "state"
+	callAdapter     = "adapter"
+	callTurn        = "turn"
+	callList        = "list"
+	callKeepOrigins = "keep_origins"
+	callFindOrigin  = "find_origin"
 )
 
 // Kinds of bytes between hosts: a report, and the fields of its answer.
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -20,6 +20,7 @@
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/origin"
 	"peridotpier.example/node/upstream/conn"
 )
 
@@ -61,6 +62,15 @@
 	RecordCompleted(r *poison.Request, began time.Time)
 }
 
+// Origins keeps which version of the software began each stream.
+type Origins interface {
+	// RecordOrigin records a stream that this host began.
+	RecordOrigin(rec origin.Record)
+	// FindOrigin returns the version that began a stream, and the address of the host that
+	// knew it, "" for this one.
+	FindOrigin(ctx context.Context, k origin.Key) (software, source string, ok bool)
+}
+
 // Deps are the dependencies of a Gate.
 type Deps struct {
 	Config        *follow.ActiveConfig
@@ -71,6 +81,7 @@
 	TeamLimits    TeamLimits
 	CrashRecorder CrashRecorder // nil: crashes are not recorded
 	PoisonGuard   PoisonGuard   // nil: no request is barred
+	Origins       Origins       // nil: no caller takes a stream up
 	RetryBudget   *RetryBudget
 	Detour        Detour // nil: requests never go through another host
 	HostName      string // named to a host that a request is forwarded to
@@ -269,6 +280,9 @@
 	if q.setContent(); q.refuseBarred(selection{}) {
 		return false
 	}
+	if !q.findOrigin() {
+		return false
+	}
 	if q.service.Engine != nil { // a plain service runs no models, even if the caller names one
 		q.needs = fleet.Request{Model: q.info.Model, Adapter: q.info.Adapter, PromptParts: q.info.PromptParts}
 	}
--- a/node/gate/software.go
+++ b/node/gate/software.go
@@ -3,12 +3,16 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/balance"
+	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/origin"
 )
 
 // Upstreams of several versions of their software may serve side by side, and what two of
@@ -17,10 +21,19 @@
 
 // Reasons why a stream does not go on.
 const (
-	whyOtherSoftware = "other_version" // the answer is of another version than the stream
-	whyVersionGone   = "version_gone"  // no upstream of the stream's version is left
+	whyOtherSoftware  = "other_version"  // the answer is of another version than the stream
+	whyVersionGone    = "version_gone"   // no upstream of the stream's version is left
+	whyStreamUnknown  = "stream_unknown" // nobody knows which version began the stream
+	whyInvalidResumes = "invalid_resumes"
 )
 
+// unknownRetry is the delay after which a stream may be known that nobody knows: its host has
+// told the others by then.
+const unknownRetry = 200 * time.Millisecond
+
+// originSlack is for how much longer than its first attempt may last a stream can be taken up.
+const originSlack = 5 * time.Second
+
 // softwareVersion is the version of an upstream's software. A failover reads it while the
 // stream begins.
 type softwareVersion struct{ v atomic.Pointer[string] }
@@ -44,9 +57,85 @@
 
 // beginStream records which version began the stream, when the caller gets its first bytes.
 func (q *request) beginStream(a exchange, first []byte) {
-	if !q.started && len(first) > 0 && q.began.get() == "" {
+	if q.started || len(first) == 0 {
+		return
+	}
+	if q.began.get() == "" {
 		q.began.set(a.Software())
 	}
+	q.recordOrigin()
+}
+
+// recordOrigin records which version began the stream, for callers that take it up.
+func (q *request) recordOrigin() {
+	o, software := q.g.deps.Origins, q.began.get()
+	if o == nil || software == "" || q.hop != nil || !q.route.Resumable {
+		return // a host that forwards a request records it
+	}
+	attempt := q.info.AttemptID
+	if q.info.Resumes != "" {
+		attempt = q.info.Resumes
+	}
+	team, service := q.caller.name(), q.service.Name
+	o.RecordOrigin(origin.Record{Attempt: origin.KeyOf(team, service, attempt), Content: q.contentKey(service), Software: software,
+		TTL: q.deadline.Sub(q.g.deps.Now()) + originSlack})
+}
+
+func (q *request) contentKey(service string) origin.Key {
+	return origin.ContentKey(q.caller.name(), service, q.r.Method, q.r.Host, q.r.RequestURI, q.body)
+}
+
+// takesUp reports whether the caller has a part of the stream already.
+func (q *request) takesUp() bool {
+	return q.route.Kind == deploy.Stream && (q.info.Resumes != "" || q.info.ResumesInvalid || q.info.LastEventID != "")
+}
+
+// findOrigin finds which version began the stream that a caller takes up. If nobody knows,
+// it refuses the request and returns false: a guess could join two versions.
+func (q *request) findOrigin() bool {
+	if q.hop != nil || q.g.deps.Origins == nil || !q.takesUp() {
+		return true // the host that forwards a request has found it
+	}
+	if q.info.ResumesInvalid {
+		q.notTakenUp(whyInvalidResumes)
+		q.decline(http.StatusBadRequest, whyInvalidResumes)
+		return false
+	}
+	for i := range q.route.Splits {
+		service, ok := q.table.Service(q.route.Splits[i].Service)
+		if !ok {
+			continue
+		}
+		software, source, ok := q.g.deps.Origins.FindOrigin(q.r.Context(), q.originKey(service.Name))
+		if !ok {
+			continue
+		}
+		q.service = service
+		q.began.set(software)
+		q.g.deps.Metrics.CountKind(metrics.StreamsTakenUp, "known", 1)
+		q.g.deps.Log.Emit(event.StreamTakenUp, q.id(), q.routeName(), zap.String("resumes", q.info.Resumes), zap.String("software", software),
+			zap.String("source", source), zap.Bool("by_content", q.info.Resumes == ""), zap.String("last_event", q.info.LastEventID))
+		return true
+	}
+	q.notTakenUp(whyStreamUnknown)
+	q.refuse(whyStreamUnknown, unknownRetry)
+	return false
+}
+
+// originKey returns the key of the stream that the caller takes up at a service. A caller
+// that names no attempt is known by what it sends.
+func (q *request) originKey(service string) origin.Key {
+	if q.info.Resumes == "" {
+		return q.contentKey(service)
+	}
+	return origin.KeyOf(q.caller.name(), service, q.info.Resumes)
+}
+
+// notTakenUp records that a stream does not go on.
+func (q *request) notTakenUp(why string) {
+	q.g.deps.Metrics.CountKind(metrics.StreamsTakenUp, why, 1)
+	q.g.deps.Log.Emit(event.StreamNotTakenUp, q.id(), q.routeName(), zap.String("why", why), zap.String("resumes", q.info.Resumes),
+		zap.String("software", q.began.get()), zap.String("last_event", q.info.LastEventID))
 }
 
 // versionGone reports whether a stream cannot go on because no upstream of its version is
@@ -59,7 +148,7 @@
 // run: its caller may begin it anew.
 func (q *request) endVersionGone(p selection) {
 	p.release()
-	q.g.deps.Log.Emit(event.StreamNotTakenUp, q.id(), q.routeName(), zap.String("why", whyVersionGone), zap.String("software", q.began.get()))
+	q.notTakenUp(whyVersionGone)
 	switch {
 	case q.r.Context().Err() != nil:
 		q.callerLeft()
--- a/node/gate/wire.go
+++ b/node/gate/wire.go
@@ -19,6 +19,8 @@
 	MaxOutputTokens int // upper bound of the output tokens
 	OutputHint      int // the caller's estimate of the output tokens; 0: none
 	PromptParts     []fleet.PromptPart
+	Resumes         string // attempt that brought the first event of the stream that the caller takes up; "": none is named
+	ResumesInvalid  bool   // the caller names no attempt, several, or one that is too long
 	LastEventID     string // last event that the caller has of a stream; "": from the start
 	DeclaresTokens  bool   // the request states its token counts
 	Key             apikey.Hash
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -25,6 +25,7 @@
 	"peridotpier.example/node/gate"
 	"peridotpier.example/node/lease"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/origin"
 	"peridotpier.example/node/pace"
 	"peridotpier.example/node/quarantine"
 	"peridotpier.example/node/reach"
@@ -107,7 +108,7 @@
 	h.guard = quarantine.NewGuard(quarantine.GuardDeps{Connected: h.link.Linked, Log: d.Log, Metrics: d.Metrics})
 	h.link.Quarantine = h.guard
 	h.crashes = quarantine.NewCrashDetector(quarantine.CrashDetectorDeps{NotListening: h.hasTerminated, OnCrash: h.recordCrash, Log: d.Log, Metrics: d.Metrics})
-	h.gate = gate.New(gate.Deps{HoldLimitContext: released, StopContext: aborted, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Coordinator: h.link, TeamLimits: h.link, CrashRecorder: h.crashes, PoisonGuard: h.guard,
+	h.gate = gate.New(gate.Deps{HoldLimitContext: released, StopContext: aborted, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Coordinator: h.link, TeamLimits: h.link, CrashRecorder: h.crashes, PoisonGuard: h.guard, Origins: h.link,
 		RetryBudget: gate.NewRetryBudget(policy, h.link.Hosts), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, RejectsNew: h.closing.Load, DisconnectReason: disconnectReason,
 		Detour: h.detour(), HostName: set.Host, LendLimit: lendLimit(set.Limits)})
 	h.limitMemory()
@@ -185,12 +186,14 @@
 		NotNeededYet:        func() bool { return set.FirstStart },
 		MaxRelayAge:         relayFresh,
 		IsRelaying:          func() bool { return h.coord.Acting() }, OnListed: h.upstreamsListed})
+	origins := origin.NewRegistry(time.Now())
+	d.Metrics.SetFunc(metrics.OriginsKept, func() any { return origins.Len() })
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, QuietPeriod: milliseconds(set.Bounds.LeaseMs) + maxOrderTransit,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingFactor: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, MaxRelayAge: relayFresh, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
-		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Metrics: d.Metrics})
+		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: origins, Metrics: d.Metrics})
 	h.link = link.New(link.Config{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, DetourAddress: set.Detours, Seeds: set.Seeds, HasSpareCapacity: func(hosts int) bool { return hasSpareCapacity(set.Limits, hosts) },
 		Draining: h.draining.Load, Partitioned: h.reach.Partitioned},
-		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log})
+		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: origins, Metrics: d.Metrics})
 	h.coord.LinkedAddress, h.coord.FormerHostCount, h.coord.LastTeamState = h.link.CoordinatorAddress, h.link.FormerHostCount, h.link.TeamState
 }
 
@@ -210,6 +213,7 @@
 	h.add(&g, work, h.coord.Run)
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunPermits)
+	h.add(&g, work, h.link.RunOrigins)
 	h.add(&g, work, h.coord.RunAnnouncements)
 	h.add(&g, work, h.fetchFromPeers)
 	h.add(&g, work, h.crashes.Run)
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -64,6 +64,9 @@
 // Counters and gauges of requests that crash upstreams.
 const (
 	UpstreamsTerminated Name = "upstreams_ended_total"     // with a request of this host in flight
+	StreamsTakenUp      Name = "streams_taken_up_total"    // by callers, by what became of them
+	OriginsKept         Name = "stream_origins"            // streams whose software version this host knows
+	OriginsSent         Name = "stream_origins_sent_total" // to hosts that keep them, by whether they answered
 	RequestsBarred      Name = "requests_barred_total"     // refused because they crash upstreams
 	PoisonSuspects      Name = "poison_requests_suspected" // known to this host
 	PoisonBarred        Name = "poison_requests_barred"    // known to this host
