A host closes new connections unread that its processor cannot serve

What callers see while most new connections go to one host: it reads more requests than it can serve, so that nearly all are late.

Cause: nothing bounds what a host takes on by what its processor can do. What ran out was the processor, not connections, permits or buffers.

Their callers ask other hosts. The host stays in the rotation, so that the flood is not handed to the next one.

Tried and dropped: the wait from the acceptance of a connection to its first request.

--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -13,6 +13,8 @@
 
 	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/shed"
 )
 
 // Bounds of a caller's connection that do not depend on the configuration.
@@ -29,11 +31,11 @@
 	conns       *connLog
 }
 
-func newCallerServer(ln net.Listener, h http.Handler, idleTimeout func() time.Duration, conns *connLog) *callerServer {
+func newCallerServer(ln net.Listener, h http.Handler, idleTimeout func() time.Duration, conns *connLog, overload *shed.Controller) *callerServer {
 	c := &callerServer{idleTimeout: idleTimeout, conns: conns}
 	c.server = &http.Server{Handler: c.trackRequests(h), MaxHeaderBytes: maxHeadBytes, ReadHeaderTimeout: headTimeout, ConnState: c.onConnState,
 		ConnContext: withConn, ErrorLog: log.New(serverErrorLog{conns.log}, "", 0)}
-	c.drain = drain.New(drain.Config{Listener: callerListener{ln, conns}, Server: c.server, BeforeClose: c.recordCloseReason})
+	c.drain = drain.New(drain.Config{Listener: callerListener{ln, conns, overload}, Server: c.server, BeforeClose: c.recordCloseReason})
 	return c
 }
 
@@ -167,16 +169,27 @@
 // callerListener wraps the connections that it accepts in callerConns.
 type callerListener struct {
 	net.Listener
-	conns *connLog
+	conns    *connLog
+	overload *shed.Controller // nil: all connections are served
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes the connections that the host cannot serve
+// unread, with a reset, so that their callers ask another host.
 func (l callerListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.overload == nil || l.overload.Admit() {
+			return &callerConn{Conn: nc, track: l.conns.track(nc.RemoteAddr().String())}, nil
+		}
+		l.conns.metrics.Count(metrics.CallersClosedUnread, 1)
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails for a connection that has ended
+		}
+		_ = nc.Close()
 	}
-	return &callerConn{Conn: nc, track: l.conns.track(nc.RemoteAddr().String())}, nil
 }
 
 // serverErrorLog is an io.Writer that turns the HTTP server's log lines into events.
--- a/node/host/callers_bench_test.go
+++ b/node/host/callers_bench_test.go
@@ -68,5 +68,5 @@
 func (nullAnswer) WriteHeader(int)             {}
 
 func benchCallers(ln net.Listener, h http.HandlerFunc) *callerServer {
-	return newCallerServer(ln, h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil))
+	return newCallerServer(ln, h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil), nil)
 }
--- a/node/host/callers_test.go
+++ b/node/host/callers_test.go
@@ -42,7 +42,7 @@
 	core, lines := observer.New(zap.DebugLevel)
 	r := &rig{t: t, ln: ln, lines: lines, set: metrics.New()}
 	conns := newConnLog(event.NewLog(zap.New(core)), r.set, func(h http.Header) string { return h.Get(testID) })
-	r.callers = newCallerServer(ln, h, func() time.Duration { return 0 }, conns)
+	r.callers = newCallerServer(ln, h, func() time.Duration { return 0 }, conns, nil)
 	served := make(chan error, 1)
 	go func() { served <- r.callers.serve() }()
 	t.Cleanup(func() {
@@ -404,7 +404,7 @@
 	there, err := net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = there.Close() }()
-	nc, err := callerListener{ln, newConnLog(event.NewLog(nil), metrics.New(), func(http.Header) string { return "" })}.Accept()
+	nc, err := callerListener{ln, newConnLog(event.NewLog(nil), metrics.New(), func(http.Header) string { return "" }), nil}.Accept()
 	assert.NilError(t, err)
 	defer func() { _ = nc.Close() }()
 	_, err = nc.(syscall.Conn).SyscallConn()
--- a/node/host/detours_test.go
+++ b/node/host/detours_test.go
@@ -22,7 +22,7 @@
 	h.config.ApplyIfNewer(&deploy.Config{Version: 1, Limits: deploy.Limits{IdleTimeout: time.Millisecond}}, "test")
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	h.callers = newCallerServer(ln, http.HandlerFunc(ok), h.callerIdleTimeout, newConnLog(log, metrics.New(), nil))
+	h.callers = newCallerServer(ln, http.HandlerFunc(ok), h.callerIdleTimeout, newConnLog(log, metrics.New(), nil), nil)
 	defer h.closeListeners()
 	assert.NilError(t, h.listenForDetours())
 	assert.Equal(t, h.callers.idleTimeout(), time.Millisecond)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -73,6 +73,7 @@
 	coord          *coordinator.Coordinator
 	link           *link.Link
 	callers        *callerServer
+	overload       *overload
 	detours        *callerServer // of requests that other hosts forward; nil: none
 	ready          *http.Server
 	metrics        *http.Server
@@ -143,8 +144,11 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers at %s", h.settings.Callers)
 	}
+	if h.overload, err = h.newOverload(); err != nil {
+		return err
+	}
 	attempt := func(head http.Header) string { return h.deps.Platform.Codec.DecodeRequest(head).AttemptID }
-	h.callers = newCallerServer(ln, h.gate, h.callerIdleTimeout, newConnLog(h.deps.Log, h.deps.Metrics, attempt))
+	h.callers = newCallerServer(ln, h.gate, h.callerIdleTimeout, newConnLog(h.deps.Log, h.deps.Metrics, attempt), h.overload.Controller)
 	if err := h.listenForDetours(); err != nil {
 		return err
 	}
@@ -218,6 +222,7 @@
 	h.add(&g, work, h.fetchFromPeers)
 	h.add(&g, work, h.crashes.Run)
 	h.add(&g, work, h.guard.Run)
+	h.add(&g, work, h.overload.run)
 	h.add(&g, work, h.coord.RunQuarantine)
 	elector := &link.Elector{Lease: h.lease, Link: h.link, CampaignDelay: h.campaignDelay, StoreReachable: h.link.StoreReachable}
 	h.add(&g, ctx, h.whileServing(elector.Run))
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -85,11 +85,13 @@
 
 // Counters and gauges of the callers' connections.
 const (
-	CallersAccepted   Name = "caller_connections_accepted_total"
-	CallersClosed     Name = "caller_connections_closed_total"            // by reason, or by the state in which the connection was closed
-	CallersUnanswered Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
-	CallersOpen       Name = "caller_connections_open"
-	CallersActive     Name = "caller_connections_under_way" // with at least part of a request that is not answered
+	CallersClosedUnread Name = "caller_connections_closed_unread_total" // the processor could not serve them
+	UnreadShare         Name = "caller_connections_closed_unread_share" // of new connections, now
+	CallersAccepted     Name = "caller_connections_accepted_total"
+	CallersClosed       Name = "caller_connections_closed_total"            // by reason, or by the state in which the connection was closed
+	CallersUnanswered   Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
+	CallersOpen         Name = "caller_connections_open"
+	CallersActive       Name = "caller_connections_under_way" // with at least part of a request that is not answered
 )
 
 // Counters of traffic between hosts and with the platform's store, by kind.
