A stream begins where it can go on; versions over a hop, in status and among the guards

At about equal load a pick avoids the last upstream of a version, where a stream that breaks could go on nowhere: the weight of the random tie break, twice. hoststatus shows the upstreams by service and version, the streams that the host knows and what became of those that callers took up. A test has a stream go on over two hosts, one of an earlier release that asks for no version; nine guards in scripts/mutations.sh, each seen caught.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -99,6 +99,7 @@
 func Pick(endpoints []Endpoint, r *Request, random func() float64) Decision {
 	best := Decision{Index: -1, Reason: NoUpstream, AdapterTarget: -1}
 	lowest, lowestTarget := 0.0, 0.0
+	mixed := runsSeveralVersions(endpoints)
 	for i := range endpoints {
 		e := &endpoints[i]
 		reason := Check(e, r)
@@ -112,6 +113,9 @@
 			continue
 		}
 		s := score(e, r) + random()*tieBreakMs
+		if mixed && isLastOfItsVersion(e, endpoints) {
+			s += lastOfVersionMs
+		}
 		if reason == NoAdapter {
 			if best.AdapterTarget < 0 || s < lowestTarget {
 				best.AdapterTarget, lowestTarget = i, s
@@ -129,6 +133,28 @@
 	return best
 }
 
+// runsSeveralVersions reports whether endpoints run more than one version of their software.
+func runsSeveralVersions(endpoints []Endpoint) bool {
+	for i := range endpoints {
+		if endpoints[i].Software != endpoints[0].Software {
+			return true
+		}
+	}
+	return false
+}
+
+// isLastOfItsVersion reports whether no other endpoint could go on with a stream that begins
+// at e.
+func isLastOfItsVersion(e *Endpoint, endpoints []Endpoint) bool {
+	for i := range endpoints {
+		o := &endpoints[i]
+		if o != e && o.Software == e.Software && !o.Draining && !o.Down {
+			return false
+		}
+	}
+	return true
+}
+
 // MayGoOn reports whether an upstream with a version of its software may go on with a
 // stream that a version began; "" if the stream has not begun.
 func MayGoOn(software, began string) bool { return began == "" || software == began }
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -20,6 +20,10 @@
 	connectMs = 8.0
 	// warmupMs is the penalty of an upstream that has just started.
 	warmupMs = 200.0
+	// lastOfVersionMs is what it counts against an upstream that no other one runs the
+	// version of: a stream that begins there cannot go on elsewhere. It decides between
+	// upstreams of about equal load.
+	lastOfVersionMs = 2 * tieBreakMs
 	// tieBreakMs is the range of the random amount that is added to each score, so
 	// that hosts which see equal endpoints choose different ones.
 	tieBreakMs = 2.0
--- a/node/gate/hopfaults_test.go
+++ b/node/gate/hopfaults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -306,3 +307,52 @@
 	assert.Equal(t, body, "answer")
 	assert.Equal(t, offered.Load(), int32(1))
 }
+
+// Guards against a stream that goes on through another host at another software version:
+// the version must be carried over the hop, and an answer of another one dropped.
+func TestAStreamGoesOnAtItsVersionOverAHop(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int32 // of the upstream of another version, by the host that knows of versions
+	version := func(name string, breaks bool) string {
+		return startUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			if name == "v2" && r.Header.Get("Earlier") == "" {
+				asked.Add(1)
+			}
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent: from the start
+			w.Header().Set("Content-Type", eventStreamType)
+			for n := last + 1; n <= 4; n++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, name)
+				if breaks && n == 2 {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			}
+		})
+	}
+	first, second, sound := version("v1", true), version("v2", false), version("v1", false)
+	lend := func(upstreams ...deploy.Upstream) *Gate {
+		g := newHopGate(first, deploy.Stream, 4)
+		changeRoute(g, func(r *deploy.Route) { r.Resumable, r.Timeout = true, 2*time.Second })
+		g.deps.Codec = resumeHopCodec{}
+		g.deps.Fleet.Apply(upstreams, []string{"u"}, 0)
+		return g
+	}
+	at := func(id, address, software string) deploy.Upstream {
+		return deploy.Upstream{ID: id, Service: "s", Address: address, Slots: 4, Software: software}
+	}
+	breaking := lendAt(t, http.HandlerFunc(lend(at("a", first, "v1")).ServeForwarded))
+	both := lendAt(t, http.HandlerFunc(lend(at("b", second, "v2"), at("c", sound, "v1")).ServeForwarded))
+	earlier := lendAt(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // of a release without versions
+		r.Header.Del(hopBegan)
+		r.Header.Set("Earlier", "1")
+		lend(at("b", second, "v2")).ServeForwarded(w, r)
+	}))
+	for range 4 {
+		entry := withDetour(lend(at("a", first, "v1")), stubDetour{always, []string{breaking, earlier, both}})
+		status, body := sendTo(t, entry)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, strings.Count(body, "data: v1"), 4, body)
+		assert.Equal(t, strings.Count(body, "data: v2"), 0, body)
+	}
+	assert.Equal(t, asked.Load(), int32(0))
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -68,6 +68,7 @@
 	gate           *gate.Gate
 	crashes        *quarantine.CrashDetector
 	guard          *quarantine.Guard
+	origins        *origin.Registry
 	feed           *follow.Follower
 	lease          *lease.Lease
 	coord          *coordinator.Coordinator
@@ -190,14 +191,14 @@
 		NotNeededYet:        func() bool { return set.FirstStart },
 		MaxRelayAge:         relayFresh,
 		IsRelaying:          func() bool { return h.coord.Acting() }, OnListed: h.upstreamsListed})
-	origins := origin.NewRegistry(time.Now())
-	d.Metrics.SetFunc(metrics.OriginsKept, func() any { return origins.Len() })
+	h.origins = origin.NewRegistry(time.Now())
+	d.Metrics.SetFunc(metrics.OriginsKept, func() any { return h.origins.Len() })
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, QuietPeriod: milliseconds(set.Bounds.LeaseMs) + maxOrderTransit,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingFactor: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, MaxRelayAge: relayFresh, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
-		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: origins, Metrics: d.Metrics})
+		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: h.origins, Metrics: d.Metrics})
 	h.link = link.New(link.Config{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, DetourAddress: set.Detours, Seeds: set.Seeds, HasSpareCapacity: func(hosts int) bool { return hasSpareCapacity(set.Limits, hosts) },
 		Draining: h.draining.Load, Partitioned: h.reach.Partitioned},
-		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: origins, Metrics: d.Metrics})
+		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: h.origins, Metrics: d.Metrics})
 	h.coord.LinkedAddress, h.coord.FormerHostCount, h.coord.LastTeamState = h.link.CoordinatorAddress, h.link.FormerHostCount, h.link.TeamState
 }
 
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -32,9 +32,21 @@
 	ListEra       uint64           `json:"list_era"`                 // era of the store that the list of upstreams corresponds to
 	ListVersion   uint64           `json:"list_version"`             // and the version in it
 	Configuration uint64           `json:"configuration"`
-	PeerCalls     map[string]int64 `json:"peer_calls"`  // calls of other hosts to this one, by kind
-	PeerBytes     map[string]int64 `json:"peer_bytes"`  // bytes of reports to this host, and of its answers by field
-	StoreCalls    map[string]int64 `json:"store_calls"` // calls of this host to the store, by table and reason
+	Software      map[string]int   `json:"software"`         // upstreams by service and version of their software
+	Streams       int              `json:"streams_known"`    // whose version this host knows
+	TakenUp       map[string]int64 `json:"streams_taken_up"` // by callers, by what became of them
+	PeerCalls     map[string]int64 `json:"peer_calls"`       // calls of other hosts to this one, by kind
+	PeerBytes     map[string]int64 `json:"peer_bytes"`       // bytes of reports to this host, and of its answers by field
+	StoreCalls    map[string]int64 `json:"store_calls"`      // calls of this host to the store, by table and reason
+}
+
+// softwareVersions counts the upstreams by service and version, as SERVICE VERSION.
+func (h *Host) softwareVersions() map[string]int {
+	out := map[string]int{}
+	for _, e := range h.fleet.All() {
+		out[e.Service()+" "+e.Software()]++
+	}
+	return out
 }
 
 // addStatusPage adds the status page to e.
@@ -44,6 +56,7 @@
 			HoldsLease: h.coord.HoldsLease(), Acting: h.coord.Acting(), Hosts: h.link.Hosts(), ReportMs: h.link.ReportPeriod().Milliseconds(),
 			Upstreams: len(h.fleet.All()), StoreEra: h.deps.Platform.Eras.Newest(), ListEra: store.EraOf(h.feed.UpstreamsVersion()), ListVersion: store.NumberOf(h.feed.UpstreamsVersion()), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
 			PeerBytes: h.deps.Metrics.CountsByKind(metrics.PeerBytes), StoreCalls: h.deps.Metrics.CountsByKind(metrics.StoreCalls)}
+		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
 		s.Detours = h.link.DetourHosts()
 		if way := h.reach.Status(); !way.Since.IsZero() {
 			s.PartitionedMs, s.PartitionedBy = max(time.Since(way.Since).Milliseconds(), 1), string(way.Cause)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -285,6 +285,33 @@
   'if g.view.Load() == nil {
 			continue' 'if true {
 			continue' ./node/quarantine -run 'BarsAPartInTime'
+try "a stream goes on at its version" core/balance/balance.go \
+  'return began == "" || software == began' 'return true' ./platform -run 'GoesOnAtItsSoftwareVersion'
+try "Resumes is read" platform/headers.go \
+  'info.Resumes, info.ResumesInvalid = parseResumes(h)' '' ./platform -run 'TakesAStreamUp|CannotBeKnown'
+try "what is not known is refused" node/gate/software.go \
+  '	q.refuse(whyStreamUnknown, unknownRetry)
+	return false' '	return true' ./platform -run 'CannotBeKnown'
+try "the version goes over a hop" node/gate/hop.go \
+  'h.Set(hopBegan, began)
+	}
+}
+
+// markHop' 'h.Set("X-None", began)
+	}
+}
+
+// markHop' ./node/gate -run 'VersionOverAHop'
+try "an answer of another version is dropped" node/gate/detour.go \
+  '!balance.MayGoOn(x.software, q.began.get())' 'false && !balance.MayGoOn(x.software, q.began.get())' ./node/gate -run 'VersionOverAHop'
+try "other hosts keep the origin of a stream" node/coordinator/link/origins.go \
+  'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
+try "two versions of one content are not known" node/origin/registry.go \
+  'if before.version != e.version {' 'if false {' ./node/origin
+try "a flooded host closes connections unread" node/shed/shed.go \
+  'c.share = min(c.share+increase*(1-c.share), maxShare)' '' ./node/shed
+try "one pause closes nothing" node/shed/shed.go \
+  'case queued && c.queued:' 'case queued:' ./node/shed
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/permits/permits.go \
