--- a/node/gate/hopfaults_test.go
+++ b/node/gate/hopfaults_test.go
@@ -330,8 +330,8 @@
 		})
 	}
 	first, second, sound := version("v1", true), version("v2", false), version("v1", false)
-	lend := func(upstreams ...deploy.Upstream) *Gate {
-		g := newHopGate(first, deploy.Stream, 4)
+	lend := func(attempts int, upstreams ...deploy.Upstream) *Gate {
+		g := newHopGate(first, deploy.Stream, attempts)
 		changeRoute(g, func(r *deploy.Route) { r.Resumable, r.Timeout = true, 2*time.Second })
 		g.deps.Codec = resumeHopCodec{}
 		g.deps.Fleet.Apply(upstreams, []string{"u"}, 0)
@@ -340,15 +340,15 @@
 	at := func(id, address, software string) deploy.Upstream {
 		return deploy.Upstream{ID: id, Service: "s", Address: address, Slots: 4, Software: software}
 	}
-	breaking := lendAt(t, http.HandlerFunc(lend(at("a", first, "v1")).ServeForwarded))
-	both := lendAt(t, http.HandlerFunc(lend(at("b", second, "v2"), at("c", sound, "v1")).ServeForwarded))
+	breaking := lendAt(t, http.HandlerFunc(lend(1, at("a", first, "v1")).ServeForwarded))
+	both := lendAt(t, http.HandlerFunc(lend(4, at("b", second, "v2"), at("c", sound, "v1")).ServeForwarded))
 	earlier := lendAt(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // of a release without versions
 		r.Header.Del(hopBegan)
 		r.Header.Set("Earlier", "1")
-		lend(at("b", second, "v2")).ServeForwarded(w, r)
+		lend(4, at("b", second, "v2")).ServeForwarded(w, r)
 	}))
 	for range 4 {
-		entry := withDetour(lend(at("a", first, "v1")), stubDetour{always, []string{breaking, earlier, both}})
+		entry := withDetour(lend(6, at("a", first, "v1")), stubDetour{always, []string{breaking, earlier, both}})
 		status, body := sendTo(t, entry)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, strings.Count(body, "data: v1"), 4, body)
