--- a/node/coordinator/link/host_test.go
+++ b/node/coordinator/link/host_test.go
@@ -7,6 +7,7 @@
 
 	leasing "peridotpier.example/core/lease"
 	"peridotpier.example/node/coordinator"
+	"peridotpier.example/node/coordinator/conns"
 	"peridotpier.example/node/coordinator/coordtest"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -64,3 +65,6 @@
 	}
 	return h
 }
+
+// newDialingConns returns connections to hosts that listen in the test.
+func newDialingConns() *conns.Conns { return conns.New((&net.Dialer{}).DialContext) }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -306,6 +306,8 @@
   '!balance.MayGoOn(x.software, q.began.get())' 'false && !balance.MayGoOn(x.software, q.began.get())' ./node/gate -run 'VersionOverAHop'
 try "other hosts keep the origin of a stream" node/coordinator/link/origins.go \
   'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
+try "a keeper that restarted gets all again" node/coordinator/link/origins.go \
+  'k.id != 0 && k.id != a.Id' 'false' ./node/coordinator/link -run 'RestartedKeeper'
 try "two versions of one content are not known" node/origin/registry.go \
   'if before.version != e.version {' 'if false {' ./node/origin
 try "a flooded host closes connections unread" node/shed/shed.go \
