--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -127,15 +127,10 @@
 		q.triedHosts = nil
 		return true
 	}
-	switch {
-	case q.r.Context().Err() != nil:
-		q.callerLeft()
-	case q.deliverFailed != nil:
-		q.deliverFailed()
-	default:
+	if !q.isAnswered() {
 		q.g.deps.Metrics.CountKind(metrics.DetoursSent, "no_host", 1)
-		q.endUnserved(http.StatusBadGateway, "no_detour", upstreamRetry)
 	}
+	q.endUnlessAnswered("no_detour", upstreamRetry)
 	return false
 }
 
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -350,13 +350,6 @@
 // giveUp responds to a request that no upstream will accept in time. It returns false:
 // the request does not wait any longer.
 func (q *request) giveUp(r balance.Reason) bool {
-	switch {
-	case q.r.Context().Err() != nil:
-		q.callerLeft()
-	case q.deliverFailed != nil:
-		q.deliverFailed()
-	default:
-		q.endUnserved(http.StatusBadGateway, r.String(), retryDelay(r))
-	}
+	q.endUnlessAnswered(r.String(), retryDelay(r))
 	return false
 }
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -126,6 +126,23 @@
 	q.refuse(why, after)
 }
 
+// isAnswered reports whether the request needs no answer of this host's own: its caller left,
+// or an upstream gave a failed response.
+func (q *request) isAnswered() bool { return q.r.Context().Err() != nil || q.deliverFailed != nil }
+
+// endUnlessAnswered ends a request that is not sent again: for a reason, unless its caller
+// left or an upstream gave a failed response.
+func (q *request) endUnlessAnswered(why string, after time.Duration) {
+	switch {
+	case q.r.Context().Err() != nil:
+		q.callerLeft()
+	case q.deliverFailed != nil:
+		q.deliverFailed()
+	default:
+		q.endUnserved(http.StatusBadGateway, why, after)
+	}
+}
+
 // callerLeft records that the caller disconnected; no response is written.
 func (q *request) callerLeft() {
 	now := q.g.deps.Now()
--- a/node/gate/software.go
+++ b/node/gate/software.go
@@ -149,12 +149,5 @@
 func (q *request) endVersionGone(p selection) {
 	p.release()
 	q.notTakenUp(whyVersionGone)
-	switch {
-	case q.r.Context().Err() != nil:
-		q.callerLeft()
-	case q.deliverFailed != nil:
-		q.deliverFailed()
-	default:
-		q.endUnserved(http.StatusBadGateway, whyVersionGone, upstreamRetry)
-	}
+	q.endUnlessAnswered(whyVersionGone, upstreamRetry)
 }
