Which version began a stream outlives all hosts

Cause: records of streams were kept by hosts only, and all of them were gone.

The acting coordinator, which receives all records, writes them to the store each half second, as a ring of rows. A host that finds nobody who knows a stream reads them, at most once in 5 s.

The outbox of records copied itself with each record above its bound: a test of two million records did not end in ten minutes. It drops half at once now.

--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -108,8 +108,11 @@
 	// Origins keeps which version of the software began each stream; nil: a separate one
 	// is made.
 	Origins *origin.Registry
-	Metrics *metrics.Set     // nil: none
-	Now     func() time.Time // nil: time.Now
+	// LoadOrigins reads the streams that the platform's store keeps into Origins; nil: it
+	// keeps none.
+	LoadOrigins func(ctx context.Context)
+	Metrics     *metrics.Set     // nil: none
+	Now         func() time.Time // nil: time.Now
 }
 
 // signalSource is the source of the coordinator's signals, in logs.
--- a/node/coordinator/link/origins.go
+++ b/node/coordinator/link/origins.go
@@ -56,12 +56,26 @@
 	l.origins.outbox.Add(rec, now)
 }
 
+// sourceStore is the source of what the platform's store knew.
+const sourceStore = "store"
+
 // FindOrigin returns which version of the software began a stream, and the address of the
-// host that knew it, "" for this one. It asks the hosts that keep records.
+// host that knew it, "" for this one. It asks the hosts that keep records, and reads those of
+// the store if none of them knows.
 func (l *Link) FindOrigin(ctx context.Context, k origin.Key) (software, source string, ok bool) {
 	if software, ok = l.origins.registry.Find(k, l.deps.Now()); ok {
 		return software, "", true
 	}
+	if software, source, ok = l.askKeepers(ctx, k); ok || l.deps.LoadOrigins == nil {
+		return software, source, ok
+	}
+	l.deps.LoadOrigins(ctx)
+	software, ok = l.origins.registry.Find(k, l.deps.Now())
+	return software, sourceStore, ok
+}
+
+// askKeepers asks the hosts that keep records for a stream.
+func (l *Link) askKeepers(ctx context.Context, k origin.Key) (software, source string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
 	defer cancel()
 	type answer struct{ software, source string }
--- /dev/null
+++ b/node/coordinator/streams/streams.go
@@ -0,0 +1,177 @@
+// Package streams keeps the records of streams in the platform's store, from which any host
+// reads them once all hosts that knew a stream are gone. The acting coordinator, which
+// receives all records, writes them.
+//
+// The rows of a writer are a ring: each has the records of a short time, and the oldest is
+// overwritten. They grow with the streams that begin, not with the hosts that read them.
+package streams
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/coordinator/wire"
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/origin"
+	"peridotpier.example/node/pace"
+	"peridotpier.example/node/store"
+)
+
+const (
+	// table has the rows, whose keys are a host's name and a place in its ring.
+	table = "streams/"
+	// ringSize is the number of rows of a writer: more than MaxTTL at one row each
+	// writeInterval.
+	ringSize = 256
+	// writeInterval is the time between two writes. Records of streams that began later are
+	// lost with all hosts; most streams last several times as long.
+	writeInterval = 500 * time.Millisecond
+	// rowRecords bounds the records of a row: half of the 64 kB that a row may have.
+	rowRecords = 1500
+	// pageSize bounds the rows of one read.
+	pageSize = 500
+	// storeTimeout bounds one exchange with the store.
+	storeTimeout = 500 * time.Millisecond
+	// loadInterval is the shortest time between two reads of a host: callers may name
+	// streams that never were.
+	loadInterval = 5 * time.Second
+)
+
+// Deps are the dependencies of a Keeper.
+type Deps struct {
+	Table    store.Table
+	Registry *origin.Registry
+	Host     string      // name of this host
+	Acting   func() bool // this host is the acting coordinator
+	Log      *event.Log
+	Now      func() time.Time
+}
+
+// Keeper writes and reads the rows.
+type Keeper struct {
+	deps Deps
+	next int // number of the first record that is not written; used by Run alone
+	slot int // place in the ring of the next row; used by Run alone
+
+	mu       sync.Mutex // held while rows are read
+	loadedAt time.Time
+}
+
+// New returns a Keeper; Run writes.
+func New(d Deps) *Keeper { return &Keeper{deps: d} }
+
+// Run writes the records that this host receives while it is the acting coordinator, until
+// ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	recent := k.deps.Registry.Recent()
+	for added := recent.Added(); pace.SleepOrWake(ctx, time.Hour, added); {
+		if !pace.Sleep(ctx, writeInterval) {
+			break
+		}
+		added = recent.Added()
+		k.write(ctx)
+	}
+	return ctx.Err()
+}
+
+// write writes what is new.
+func (k *Keeper) write(ctx context.Context) {
+	for {
+		records, next := k.deps.Registry.Recent().Next(k.next, rowRecords, k.deps.Now())
+		if !k.deps.Acting() { // the host that is acting has them, too
+			k.next = next
+			return
+		}
+		if len(records) == 0 {
+			return
+		}
+		if err := k.writeRow(ctx, records); err != nil {
+			if ctx.Err() == nil {
+				k.deps.Log.Emit(event.StreamsUnsaved, zap.Int("streams", len(records)), zap.Error(err))
+			}
+			return
+		}
+		k.next = next
+	}
+}
+
+func (k *Keeper) writeRow(ctx context.Context, records []origin.Record) error {
+	batch := wire.EncodeOrigins(records)
+	batch.WrittenUnixMs = k.deps.Now().UnixMilli()
+	value, err := proto.Marshal(batch)
+	if err != nil {
+		return eris.Wrap(err, "encode streams")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := fmt.Sprintf("%s%s-%d", table, k.deps.Host, k.slot)
+	_, err = k.deps.Table.Commit(ctx, store.Txn{Op: uuid.NewString(), Writes: []store.Write{{Key: key, Value: value}}})
+	if err != nil {
+		return eris.Wrap(err, "write streams")
+	}
+	k.slot = (k.slot + 1) % ringSize
+	return nil
+}
+
+// Load reads the rows into the registry, unless they were read a moment ago. It returns once
+// a read that another request began has ended.
+func (k *Keeper) Load(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.deps.Now()
+	if !k.loadedAt.IsZero() && now.Sub(k.loadedAt) < loadInterval {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := k.readRows(ctx)
+	if err != nil {
+		k.deps.Log.Emit(event.StreamsUnread, zap.Error(err))
+		return // the next request tries again
+	}
+	k.loadedAt = now
+	records := 0
+	for _, row := range rows {
+		records += k.adopt(row, now)
+	}
+	k.deps.Log.Emit(event.StreamsRead, zap.Int("rows", len(rows)), zap.Int("streams", records))
+}
+
+func (k *Keeper) readRows(ctx context.Context) (all []store.Row, err error) {
+	for after := ""; ; after = all[len(all)-1].Key {
+		rows, err := k.deps.Table.List(ctx, table, after, pageSize)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < pageSize {
+			return all, nil
+		}
+	}
+}
+
+// adopt enters the records of a row that have not expired, and returns their number. A row
+// that cannot be read says nothing.
+func (k *Keeper) adopt(row store.Row, now time.Time) int {
+	var batch coordpb.OriginBatch
+	if proto.Unmarshal(row.Value, &batch) != nil {
+		return 0
+	}
+	age := max(now.Sub(time.UnixMilli(batch.WrittenUnixMs)), 0) // clocks may differ
+	n := 0
+	for _, rec := range wire.DecodeOrigins(&batch) {
+		if rec.TTL -= age; rec.TTL > 0 {
+			k.deps.Registry.Adopt(rec, now)
+			n++
+		}
+	}
+	return n
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -18,6 +18,7 @@
 	"peridotpier.example/node/coordinator"
 	"peridotpier.example/node/coordinator/link"
 	"peridotpier.example/node/coordinator/orders"
+	"peridotpier.example/node/coordinator/streams"
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -69,6 +70,7 @@
 	crashes        *quarantine.CrashDetector
 	guard          *quarantine.Guard
 	origins        *origin.Registry
+	streams        *streams.Keeper
 	feed           *follow.Follower
 	lease          *lease.Lease
 	coord          *coordinator.Coordinator
@@ -193,12 +195,13 @@
 		IsRelaying:          func() bool { return h.coord.Acting() }, OnListed: h.upstreamsListed})
 	h.origins = origin.NewRegistry(time.Now())
 	d.Metrics.SetFunc(metrics.OriginsKept, func() any { return h.origins.Len() })
+	h.streams = streams.New(streams.Deps{Table: table, Registry: h.origins, Host: set.Host, Acting: func() bool { return h.coord.Acting() }, Log: d.Log, Now: time.Now})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, QuietPeriod: milliseconds(set.Bounds.LeaseMs) + maxOrderTransit,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingFactor: set.Bounds.CeilingOver, LimitSlack: set.Bounds.LimitSlack, MaxRelayAge: relayFresh, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
 		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: h.origins, Metrics: d.Metrics})
 	h.link = link.New(link.Config{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, DetourAddress: set.Detours, Seeds: set.Seeds, HasSpareCapacity: func(hosts int) bool { return hasSpareCapacity(set.Limits, hosts) },
 		Draining: h.draining.Load, Partitioned: h.reach.Partitioned},
-		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: h.origins, Metrics: d.Metrics})
+		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: h.origins, LoadOrigins: h.streams.Load, Metrics: d.Metrics})
 	h.coord.LinkedAddress, h.coord.FormerHostCount, h.coord.LastTeamState = h.link.CoordinatorAddress, h.link.FormerHostCount, h.link.TeamState
 }
 
@@ -219,6 +222,7 @@
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunPermits)
 	h.add(&g, work, h.link.RunOrigins)
+	h.add(&g, work, h.streams.Run)
 	h.add(&g, work, h.coord.RunAnnouncements)
 	h.add(&g, work, h.fetchFromPeers)
 	h.add(&g, work, h.crashes.Run)
--- a/node/origin/outbox.go
+++ b/node/origin/outbox.go
@@ -31,8 +31,9 @@
 func (o *Outbox) Add(rec Record, now time.Time) {
 	o.mu.Lock()
 	o.records = append(o.records, sent{rec, now.Add(min(rec.TTL, MaxTTL))})
-	if excess := len(o.records) - maxOutbox; excess > 0 {
-		o.records, o.first = slices.Clone(o.records[excess:]), o.first+excess
+	if len(o.records) > maxOutbox {
+		const dropped = maxOutbox / 2 // many at once, so that this is rare
+		o.records, o.first = slices.Clone(o.records[dropped:]), o.first+dropped
 	}
 	o.mu.Unlock()
 	o.added.Notify()
--- a/node/origin/registry.go
+++ b/node/origin/registry.go
@@ -82,6 +82,7 @@
 // Registry holds records until they expire.
 type Registry struct {
 	began  time.Time
+	recent Outbox
 	shards [shards]shard
 
 	mu       sync.RWMutex
@@ -98,8 +99,17 @@
 	return r
 }
 
-// Put keeps a record.
+// Put keeps a record and adds it to the recent ones.
 func (r *Registry) Put(rec Record, now time.Time) {
+	r.Adopt(rec, now)
+	r.recent.Add(rec, now)
+}
+
+// Recent returns the records that were put.
+func (r *Registry) Recent() *Outbox { return &r.recent }
+
+// Adopt keeps a record that is kept elsewhere, too.
+func (r *Registry) Adopt(rec Record, now time.Time) {
 	version, ok := r.number(rec.Software)
 	if !ok {
 		return
--- a/node/shed/shed.go
+++ b/node/shed/shed.go
@@ -23,7 +23,7 @@
 	probeInterval = 30 * time.Millisecond
 	// increase and decrease are how the closed share of new connections changes with each
 	// window: towards 1 by a part of the rest, and down by a fixed step.
-	increase, decrease = 0.2, 0.05
+	increase, decrease = 0.3, 0.04
 	// maxShare leaves some connections, without which nothing would be measured.
 	maxShare = 0.9
 )
