--- a/node/coordinator/streams/streams.go
+++ b/node/coordinator/streams/streams.go
@@ -82,14 +82,11 @@
 	return ctx.Err()
 }
 
-// write writes what is new.
+// write writes what is new, if this host is acting. One that begins to act writes all that
+// has not expired: the store may have turned the host before it away.
 func (k *Keeper) write(ctx context.Context) {
-	for {
+	for k.deps.Acting() {
 		records, next := k.deps.Registry.Recent().Next(k.next, rowRecords, k.deps.Now())
-		if !k.deps.Acting() { // the host that is acting has them, too
-			k.next = next
-			return
-		}
 		if len(records) == 0 {
 			return
 		}
--- /dev/null
+++ b/node/coordinator/streams/streams_test.go
@@ -0,0 +1,89 @@
+package streams
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/origin"
+	"peridotpier.example/node/store"
+	standin "peridotpier.example/standin/platform"
+)
+
+// newKeeper returns a keeper of a host with a registry of its own.
+func newKeeper(table store.Table, host string, acting *bool) (*Keeper, *origin.Registry) {
+	r := origin.NewRegistry(time.Now())
+	return New(Deps{Table: table, Registry: r, Host: host, Acting: func() bool { return *acting }, Log: event.NewLog(nil), Now: time.Now}), r
+}
+
+func record(k origin.Key) origin.Record {
+	return origin.Record{Attempt: k, Content: k + 1000, Software: "v1", TTL: 20 * time.Second}
+}
+
+// Guards against streams that began while the store turned the acting host away, and that
+// nobody writes once another host acts.
+func TestAHostThatBeginsToActWritesWhatItKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, acting := standin.NewTable(), false
+		k, known := newKeeper(table, "a", &acting)
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = k.Run(ctx) }()
+		known.Put(record(1), time.Now())
+		time.Sleep(2 * writeInterval)
+		reader, read := newKeeper(table, "b", &acting)
+		reader.Load(t.Context())
+		_, ok := read.Find(1, time.Now())
+		assert.Assert(t, !ok, "it is not acting")
+		acting = true
+		known.Put(record(2), time.Now())
+		time.Sleep(2 * writeInterval)
+		reader.Load(t.Context())
+		_, ok = read.Find(1, time.Now())
+		assert.Assert(t, !ok, "the rows were read a moment ago")
+		time.Sleep(loadInterval)
+		reader.Load(t.Context())
+		for _, key := range []origin.Key{1, 2} {
+			software, ok := read.Find(key, time.Now())
+			assert.Assert(t, ok && software == "v1")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Guards against rows that grow with all streams that ever began, and against records that
+// outlive their streams.
+func TestARingOfRowsIsOverwritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, acting := standin.NewTable(), true
+		k, known := newKeeper(table, "a", &acting)
+		for i := range 2 * ringSize {
+			known.Put(record(origin.Key(i)), time.Now())
+			k.write(t.Context())
+			time.Sleep(writeInterval)
+		}
+		rows, err := table.List(t.Context(), "streams/", "", 10*ringSize)
+		assert.NilError(t, err)
+		assert.Equal(t, len(rows), ringSize)
+		reader, read := newKeeper(table, "b", &acting)
+		reader.Load(t.Context())
+		_, ok := read.Find(2*ringSize-1, time.Now())
+		assert.Assert(t, ok)
+		_, ok = read.Find(ringSize+1, time.Now())
+		assert.Assert(t, !ok, "its stream has ended")
+	})
+}
+
+// Guards against a row of another release, or of somebody else, that ends the host.
+func TestARowThatCannotBeReadSaysNothing(t *testing.T) {
+	table, acting := standin.NewTable(), true
+	_, err := table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: "streams/x", Value: []byte("no rows")}, {Key: "streams/y"}}})
+	assert.NilError(t, err)
+	reader, read := newKeeper(table, "b", &acting)
+	reader.Load(t.Context())
+	assert.Equal(t, read.Len(), 0)
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -308,6 +308,10 @@
   'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
 try "a keeper that restarted gets all again" node/coordinator/link/origins.go \
   'k.id != 0 && k.id != a.Id' 'false' ./node/coordinator/link -run 'RestartedKeeper'
+try "streams outlive all hosts" node/host/host.go \
+  'LoadOrigins: h.streams.Load, ' '' ./platform -run 'AllHostsAreGone'
+try "who begins to act writes what it knows" node/coordinator/streams/streams.go \
+  'k.next = next' 'k.next = next; _ = records; k.next += 1000' ./node/coordinator/streams
 try "two versions of one content are not known" node/origin/registry.go \
   'if before.version != e.version {' 'if false {' ./node/origin
 try "a flooded host closes connections unread" node/shed/shed.go \
