All rows under a prefix are read in one place

The streams that the store keeps were read by a copy of the loop that reads the bars. Both call store.ListAll. Behaviour as before: the tests of both packages, and TestAStreamIsTakenUpAfterAllHostsAreGone by its guard.

--- a/node/coordinator/quarantine/rows.go
+++ b/node/coordinator/quarantine/rows.go
@@ -108,7 +108,7 @@
 	changes := q.changesLocked(q.deps.Now())
 	q.mu.Unlock()
 	if mustRead {
-		rows, err := q.readRows(ctx)
+		rows, err := store.ListAll(ctx, q.deps.Table, table, pageSize)
 		if err != nil {
 			return eris.Wrap(err, "read barred requests")
 		}
@@ -130,19 +130,6 @@
 	return nil
 }
 
-func (q *Ledger) readRows(ctx context.Context) (all []store.Row, err error) {
-	for after := ""; ; after = all[len(all)-1].Key {
-		rows, err := q.deps.Table.List(ctx, table, after, pageSize)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, rows...)
-		if len(rows) < pageSize {
-			return all, nil
-		}
-	}
-}
-
 // rowWrite returns the write of an entry's row, or the deletion of the row if the entry
 // is nil, which means not barred.
 func rowWrite(d poison.Digest, e *poison.Entry) (store.Write, error) {
--- a/node/coordinator/streams/streams.go
+++ b/node/coordinator/streams/streams.go
@@ -129,7 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, err := k.readRows(ctx)
+	rows, err := store.ListAll(ctx, k.deps.Table, table, pageSize)
 	if err != nil {
 		k.deps.Log.Emit(event.StreamsUnread, zap.Error(err))
 		return // the next request tries again
@@ -142,19 +142,6 @@
 	k.deps.Log.Emit(event.StreamsRead, zap.Int("rows", len(rows)), zap.Int("streams", records))
 }
 
-func (k *Keeper) readRows(ctx context.Context) (all []store.Row, err error) {
-	for after := ""; ; after = all[len(all)-1].Key {
-		rows, err := k.deps.Table.List(ctx, table, after, pageSize)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, rows...)
-		if len(rows) < pageSize {
-			return all, nil
-		}
-	}
-}
-
 // adopt enters the records of a row that have not expired, and returns their number. A row
 // that cannot be read says nothing.
 func (k *Keeper) adopt(row store.Row, now time.Time) int {
