The times of a part's crashes are worked out once for a judgement

Whether others were answered sorted the same crashes again that decide whether a part has settled. The flag that stood for later parts alone was named for the opposite, and the judgement after an expiry was deferred from the middle of its function.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -216,7 +216,8 @@
 // for changes several times a second, and removals at each poll are not needed.
 const expireInterval = 500 * time.Millisecond
 
-// expire removes expired crashes, bars and entries.
+// expire removes expired crashes, bars and entries, and bars the parts that have gone without
+// an answer for long enough by now.
 func (l *Ledger) expire(now time.Time) {
 	if now.Sub(l.lastExpired) < expireInterval {
 		return
@@ -227,7 +228,6 @@
 			l.dropCrash(id)
 		}
 	}
-	defer l.updateBars(now)
 	for _, e := range l.entries {
 		switch {
 		case e.State == Barred && !now.Before(e.BarredUntil), e.State == Suspected && len(e.crashes) == 0:
@@ -236,6 +236,7 @@
 			delete(l.entries, e.Digest)
 		}
 	}
+	l.updateBars(now)
 }
 
 func (l *Ledger) dropCrash(id string) {
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -16,7 +16,7 @@
 	most := 0
 	for e := range settled {
 		n := l.partEvidence(e, settled)
-		if n < fullWeight*l.neededPartCrashes(e) {
+		if n < fullWeight*l.neededPartCrashes(e, settled[e]) {
 			continue
 		}
 		if strongest == nil || n > most || n == most && e.isNarrower(strongest) {
@@ -105,9 +105,9 @@
 	if all >= l.policy.MinBlindPartCrashes {
 		return fullWeight * all
 	}
-	ambiguous := func(c *crash, sameOrLater bool) bool {
+	ambiguous := func(c *crash, onlyLater bool) bool {
 		for d := range c.ran {
-			if o := l.entries[d]; o != e && settled[o] != nil && (!sameOrLater || o.Place > e.Place) {
+			if o := l.entries[d]; o != e && settled[o] != nil && (!onlyLater || o.Place > e.Place) {
 				return true
 			}
 		}
@@ -118,12 +118,13 @@
 	return fullWeight*certain + explainedWeight*(counted-certain)
 }
 
-// neededPartCrashes returns how many unexplained crashes it takes to bar a part.
-func (l *Ledger) neededPartCrashes(e *entry) int {
+// neededPartCrashes returns how many unexplained crashes it takes to bar a part, given the
+// times of all its crashes.
+func (l *Ledger) neededPartCrashes(e *entry, times []time.Time) int {
 	switch {
 	case e.BarCount > 0:
 		return probationCrashes
-	case l.othersAnswered(e):
+	case l.othersAnswered(e, times):
 		return l.policy.MinPartCrashes
 	default:
 		return l.policy.MinBlindPartCrashes
@@ -132,8 +133,8 @@
 
 // othersAnswered reports whether a suspect that shared a crash with a part has been
 // answered since the part's second crash: that the part has not says something then.
-func (l *Ledger) othersAnswered(e *entry) bool {
-	second := l.crashTimes(e, everyCrash)[l.settlesFrom(e)-1]
+func (l *Ledger) othersAnswered(e *entry, times []time.Time) bool {
+	second := times[l.settlesFrom(e)-1]
 	for id := range e.crashes {
 		if l.crashes[id].answeredAt.After(second) {
 			return true
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -280,7 +280,7 @@
 try "the later of two parts is barred" core/poison/parts.go \
   'n == most && e.isNarrower(strongest)' 'n == most && !e.isNarrower(strongest)' ./core/poison -run 'TheLaterOne'
 try "what is not answered while nothing is says little" core/poison/parts.go \
-  'case l.othersAnswered(e):' 'case true:' ./core/poison -run 'NothingIsAnswered'
+  'case l.othersAnswered(e, times):' 'case true:' ./core/poison -run 'NothingIsAnswered'
 try "a host alone judges in time" node/quarantine/guard.go \
   'if g.view.Load() == nil {
 			continue' 'if true {
