--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -111,7 +111,7 @@
 	// LoadOrigins reads the streams that the platform's store keeps into Origins; nil: it
 	// keeps none.
 	LoadOrigins func(ctx context.Context)
-	Metrics     *metrics.Set     // nil: none
+	Metrics     *metrics.Set     // nil: a separate set is made
 	Now         func() time.Time // nil: time.Now
 }
 
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -275,14 +275,14 @@
 	if info.AttemptID != "" && info.AttemptID != q.info.AttemptID || resp.Status < 300 && (!info.Sealed || info.AttemptID == "") {
 		return q.rejectResponse(x, resp, "crossed")
 	}
+	if q.route.Kind != deploy.Stream || resp.Status >= 300 {
+		return q.forwardBuffered(ctx, fo, x, resp)
+	}
 	x.software = resp.Header.Get(hopBegan)
-	if q.route.Kind == deploy.Stream && resp.Status < 300 && !balance.MayGoOn(x.software, q.began.get()) {
+	if !balance.MayGoOn(x.software, q.began.get()) {
 		return q.rejectResponse(x, resp, whyOtherSoftware) // a host of an earlier release asks for no version
 	}
-	if q.route.Kind == deploy.Stream && resp.Status < 300 {
-		return q.forwardStream(ctx, fo, x, resp)
-	}
-	return q.forwardBuffered(ctx, fo, x, resp)
+	return q.forwardStream(ctx, fo, x, resp)
 }
 
 // hopNotRun ends a request that no upstream takes in time by the other host's word.
