A successor of the coordinator does not hear of crashes before an answer that cleared a request

A harmless request that ran at an upstream when it ended was cleared by an answer; the host that had received the answer was restarted, a new coordinator took over, and the hosts that had seen the crash reported it once more. With two later crashes the request was barred for two minutes. Ruled out: an answer that clears nothing (it ended the suspicion at the first coordinator). Change: a host takes a cleared suspect out of the crashes that it keeps for a successor. Before: the new test fails (barred by the successor). After: it passes.

--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -170,6 +170,7 @@
 	now := g.deps.Now()
 	g.local.Clear(d, now)
 	delete(g.fromCoordinator, d)
+	g.exonerateLocked(d)
 	g.addLocked(Event{Completed: &d, at: now})
 	g.deps.Log.Emit(event.SuspectCompleted, zap.Stringer("content", d))
 	g.refreshLocked(now)
@@ -229,6 +230,21 @@
 	return n
 }
 
+// exonerateLocked takes a suspect that was cleared out of the crashes so far. A successor
+// of the acting coordinator receives them all again, perhaps without the answer that
+// cleared it: the host that received that answer may be gone.
+func (g *Guard) exonerateLocked(d poison.Digest) {
+	for i := range g.events {
+		x := g.events[i].Crash
+		if x == nil || !slices.ContainsFunc(x.Running, func(f poison.Fingerprint) bool { return f.Digest == d }) {
+			continue
+		}
+		kept := *x // a report may still refer to the former one
+		kept.Running = slices.DeleteFunc(slices.Clone(x.Running), func(f poison.Fingerprint) bool { return f.Digest == d })
+		g.events[i].Crash = &kept
+	}
+}
+
 func (g *Guard) addLocked(e Event) {
 	g.events = append(g.events, e)
 	if excess := len(g.events) - maxEvents; excess > 0 {
@@ -325,6 +341,7 @@
 	case poison.Cleared:
 		delete(g.fromCoordinator, e.Digest)
 		g.local.Clear(e.Digest, now)
+		g.exonerateLocked(e.Digest)
 	default:
 		g.fromCoordinator[e.Digest] = e
 	}
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -252,3 +252,20 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a harmless request that a new coordinator bars by crashes of before its
+// answers: the host that received these is gone, and the others report their crashes again.
+func TestASuccessorDoesNotHearOfCrashesBeforeAnAnswer(t *testing.T) {
+	g, other := newTestGuard(true), newTestGuard(true)
+	first, next := newTestCoordinator(1), newTestCoordinator(2)
+	g.crash("/x")
+	first.exchange(g, "first")
+	first.exchange(other, "first")
+	other.RecordCompleted(requestFor("/x"), other.now)
+	first.exchange(other, "first")
+	first.exchange(g, "first")
+	next.exchange(g, "next")
+	next.exchange(g, "next")
+	assert.Assert(t, !g.barred("/x"))
+	assert.Equal(t, len(next.ledger.All(g.now)), 0)
+}
