A harmless request is barred less: reports of all hosts are awaited, bars of before an answer end

(1) One host's report of two crashes made a harmless request the only one in both, since the host on which the fatal one had run reported 0.1 s later. (2) A host that had not heard of the answer that cleared a request reported its bar to the next coordinator, which adopted it. Change: the shared ledger bars for fewer than three crashes only 0.3 s after the last; a bar that began before its request was cleared is not adopted. A host's own ledger judges at once. The simulations' bounds hold; both tests fail with their guard dropped.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -8,6 +8,10 @@
 	// only one that all these crashes have in common. MinCrashes is the number for a
 	// request that is not the only one.
 	MinSoleCrashes, MinCrashes int
+	// SoleSettleTime is how long after its last crash a request is barred for fewer than
+	// MinCrashes, if several hosts report to the ledger: by then the others have reported
+	// what they had running there.
+	SoleSettleTime time.Duration
 	// MassWindow is the time within which MinMassCrashes or more crashes have a cause other
 	// than a request, such as the loss of a rack, unless most of these upstreams ran it.
 	MassWindow     time.Duration
@@ -42,12 +46,19 @@
 	MaxBar:              time.Hour,
 }
 
+// SharedPolicy is the policy of a ledger that several hosts report to.
+func SharedPolicy() Policy {
+	p := DefaultPolicy
+	p.SoleSettleTime = 300 * time.Millisecond // hosts report several times a second
+	return p
+}
+
 // updateBars bars the requests, and then the parts of prompts, without which the crashes
 // cannot be explained. The request that most crashes have in common explains these, which
 // then count less against the other requests that ran in them. This is repeated until none
 // is found.
 func (l *Ledger) updateBars(now time.Time) {
-	for found := l.strongestSuspects(); len(found) > 0; found = l.strongestSuspects() {
+	for found := l.strongestSuspects(now); len(found) > 0; found = l.strongestSuspects(now) {
 		for _, e := range found {
 			l.bar(e, now)
 		}
@@ -61,15 +72,15 @@
 
 // strongestSuspects returns the suspects with the most evidence against them, if it is
 // enough to bar them.
-func (l *Ledger) strongestSuspects() []*entry {
+func (l *Ledger) strongestSuspects(now time.Time) []*entry {
 	highest := 0
 	var found []*entry
 	for _, e := range l.entries {
 		if e.IsPart() || e.State != Suspected || e.BarCount == 0 && len(e.crashes) < l.policy.MinSoleCrashes {
 			continue
 		}
-		n := l.evidence(e, l.explainedByBar)
-		if n < fullWeight*l.neededCrashes(e) || n < highest {
+		n, needed := l.evidence(e, l.explainedByBar), l.neededCrashes(e)
+		if n < fullWeight*needed || n < highest || n < fullWeight*l.policy.MinCrashes && !l.isReported(e, now) {
 			continue
 		}
 		if n > highest {
@@ -146,6 +157,20 @@
 	}
 }
 
+// isReported reports whether the last crash of e was long enough ago for the reports of all
+// hosts on it.
+func (l *Ledger) isReported(e *entry, now time.Time) bool {
+	if e.BarCount > 0 {
+		return true
+	}
+	for id := range e.crashes {
+		if now.Sub(l.crashes[id].at) < l.policy.SoleSettleTime {
+			return false
+		}
+	}
+	return true
+}
+
 // isSoleCandidate reports whether no other suspect that was part of one of e's crashes
 // was part of as many crashes as e.
 func (l *Ledger) isSoleCandidate(e *entry) bool {
@@ -160,12 +185,17 @@
 }
 
 func (l *Ledger) bar(e *entry, now time.Time) {
-	e.BarredUntil = now.Add(min(l.policy.InitialBar<<min(e.BarCount, maxBarDoublings), l.policy.MaxBar))
+	e.BarredUntil = now.Add(l.barDuration(e.BarCount))
 	e.BarCount++
 	l.transition(e, Barred, ByCrashes)
 	l.touch(e, now)
 }
 
+// barDuration returns how long a bar lasts that follows so many others.
+func (l *Ledger) barDuration(former int) time.Duration {
+	return min(l.policy.InitialBar<<min(former, maxBarDoublings), l.policy.MaxBar)
+}
+
 // maxBarDoublings bounds the shift in bar. It is far more than it takes to reach MaxBar.
 const maxBarDoublings = 16
 
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -23,6 +23,7 @@
 	revision   uint64
 	changedAt  time.Time
 	answeredAt time.Time // when a run to completion last cleared it
+	releasedAt time.Time // when that, or an operator, last cleared it
 	crashes    map[string]bool
 }
 
@@ -152,7 +153,7 @@
 			l.crashes[id].answeredAt = now
 		}
 		l.clear(e, ByCompletion, now)
-		e.BarCount, e.answeredAt = 0, now
+		e.BarCount, e.answeredAt, e.releasedAt = 0, now, now
 		l.updateBars(now)
 	}
 }
@@ -164,7 +165,7 @@
 		return false
 	}
 	l.clear(e, ByOperator, now)
-	e.BarCount = 0
+	e.BarCount, e.releasedAt = 0, now
 	return true
 }
 
@@ -187,7 +188,7 @@
 		return
 	}
 	e := l.entry(b.Fingerprint)
-	if e == nil || e.State == Barred && !b.BarredUntil.After(e.BarredUntil) {
+	if e == nil || e.State == Barred && !b.BarredUntil.After(e.BarredUntil) || l.wasReleasedSince(e, &b) {
 		return
 	}
 	e.BarredUntil, e.BarCount = b.BarredUntil, max(e.BarCount, b.BarCount)
@@ -198,6 +199,13 @@
 }
 
 // transition records the beginning or the end of a bar.
+// wasReleasedSince reports whether e was cleared after the bar b had begun: whoever reports
+// the bar has not heard of that.
+func (l *Ledger) wasReleasedSince(e *entry, b *Entry) bool {
+	began := b.BarredUntil.Add(-l.barDuration(max(b.BarCount-1, 0)))
+	return e.releasedAt.After(began)
+}
+
 func (l *Ledger) transition(e *entry, s State, cause Cause) {
 	e.State, e.CrashCount = s, len(e.crashes)
 	if len(l.transitions) < maxEntries {
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -227,3 +227,50 @@
 		c.Digest()
 	}
 }
+
+// Guards against a cleared request that is barred again by a host which has not heard of the
+// answer, or of the operator, that cleared it.
+func TestABarOfBeforeItsEndIsNotAdopted(t *testing.T) {
+	for name, end := range map[string]func(*Ledger, time.Time){
+		"answered": func(l *Ledger, now time.Time) { l.Clear(named("x").Digest, now) },
+		"released": func(l *Ledger, now time.Time) { l.Release(named("x").Digest, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(DefaultPolicy)
+			now := crashes(l, start, []string{"x"}, []string{"x"})
+			reported := l.All(now)
+			end(l, now)
+			for _, e := range reported {
+				l.Adopt(e, now.Add(time.Second))
+			}
+			assert.Assert(t, !isBarred(l, "x", now.Add(time.Second)))
+			other := NewLedger(DefaultPolicy)
+			now = crashes(other, now.Add(2*time.Second), []string{"x"}, []string{"x"})
+			for _, e := range other.All(now) {
+				l.Adopt(e, now)
+			}
+			assert.Assert(t, isBarred(l, "x", now), "a later bar is")
+		})
+	}
+}
+
+// Guards against a harmless request that is barred since one host reported two crashes
+// before the others, on whose reports another request ran there as well.
+func TestASoleCandidateWaitsForTheReportsOfOtherHosts(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	for _, u := range []string{"u", "v"} {
+		l.RecordCrash(u, []Fingerprint{named("harmless")}, now, now)
+		now = now.Add(150 * time.Millisecond)
+	}
+	assert.Assert(t, !isBarred(l, "harmless", now))
+	for _, u := range []string{"u", "v"} {
+		l.RecordCrash(u, []Fingerprint{named("fatal")}, now, now)
+	}
+	now = now.Add(time.Second)
+	l.All(now)
+	assert.Assert(t, !isBarred(l, "harmless", now), "two candidates")
+	l.RecordCrash("w", []Fingerprint{named("fatal")}, now, now)
+	l.All(now.Add(time.Second))
+	assert.Assert(t, isBarred(l, "fatal", now.Add(time.Second)))
+	assert.Assert(t, !isBarred(l, "harmless", now.Add(time.Second)))
+}
--- a/core/poison/parts_simulation_test.go
+++ b/core/poison/parts_simulation_test.go
@@ -88,7 +88,7 @@
 
 func (p *promptSimulation) run(seed uint64) promptOutcome {
 	p.rnd, p.now = rand.New(rand.NewPCG(seed, 11)), time.Unix(0, 0)
-	p.ledger = NewLedger(DefaultPolicy)
+	p.ledger = NewLedger(SharedPolicy())
 	p.crashedAt, p.late, p.barred, p.parts = map[Digest][]time.Time{}, map[Digest]int{}, map[Digest]time.Time{}, map[Digest]bool{}
 	for i := range firstParts {
 		p.firsts = append(p.firsts, firstPart(i))
--- a/core/poison/simulation_test.go
+++ b/core/poison/simulation_test.go
@@ -103,7 +103,7 @@
 func (p *simulation) run(seed uint64) simulationOutcome {
 	p.rnd = rand.New(rand.NewPCG(seed, 7))
 	p.now = time.Unix(0, 0)
-	p.ledger = NewLedger(DefaultPolicy)
+	p.ledger = NewLedger(SharedPolicy())
 	p.lateSends = map[Digest]int{}
 	p.thirdCrash, p.crashes, p.barred, p.failed = map[Digest]time.Time{}, map[Digest]int{}, map[Digest]time.Time{}, map[Digest]bool{}
 	for range p.hosts {
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -62,7 +62,7 @@
 }
 
 func (q *Ledger) resetLocked() {
-	q.id, q.ledger, q.rows = rand.Uint64()|1, poison.NewLedger(poison.DefaultPolicy), rows{}
+	q.id, q.ledger, q.rows = rand.Uint64()|1, poison.NewLedger(poison.SharedPolicy()), rows{}
 }
 
 // Receive enters a host's report.
