Hosts that will not coordinate next get the compact list from 16 hosts on

Cause: where 61 hosts lie in four data centres, of 25 MB that the coordinator answered in 35 s 16 MB were changes of the list, most of them local copies and residents, which a host that gives no orders does not use (holdings 4.3, loads 2.7, the remainder 1.8, reports 1.6; requests for permits and their answers 1.0 of all). Ruled out: permits (1% of the bytes between data centres); residents that a host would lack without a coordinator (the announced ones are newer than its list, and are kept). A host with a compact list reads it whole before it relays it, as before.

--- a/node/coordinator/relay/relay.go
+++ b/node/coordinator/relay/relay.go
@@ -48,7 +48,7 @@
 	if err := y.relayConfig(r, out); err != nil {
 		return err
 	}
-	if r.BriefList && wire.Milliseconds(out.PeriodMs) > wire.MinReportPeriod {
+	if r.BriefList && needsCompactOnly(r, out) {
 		return y.relayCompactList(r, out)
 	}
 	at := y.deps.Feed.UpstreamsVersion() // read before the list, which may thus be newer than this version
@@ -65,6 +65,19 @@
 	return err
 }
 
+// compactFrom is the number of hosts from which on only those that may coordinate next get
+// the list with the local copies and residents of each upstream. The others need neither:
+// residents are announced, and copies matter to whoever moves models.
+const compactFrom = 16
+
+// needsCompactOnly reports whether the compact list is enough for a host.
+func needsCompactOnly(r *coordpb.HostReport, out *coordpb.SiteState) bool {
+	if wire.Milliseconds(out.PeriodMs) > wire.MinReportPeriod {
+		return true
+	}
+	return out.Hosts >= compactFrom && !slices.Contains(out.Deputies, r.Address)
+}
+
 // CompactList returns the list for a host that the acting coordinator has not sent it to.
 // The answer is empty while this host has no list, or its link is busy with others.
 func (y *Relay) CompactList() (*coordpb.ListAnswer, error) {
--- a/node/coordinator/relay/relay_test.go
+++ b/node/coordinator/relay/relay_test.go
@@ -229,3 +229,25 @@
 	const within, listBytes = 5, ListShare * 1e9 / 8 // seconds; bytes per second of a link of one gigabit
 	assert.Assert(t, float64(proto.Size(a)*fleetHosts) < within*listBytes, "%d bytes for each host", proto.Size(a))
 }
+
+// Guards against an answer to each of many hosts that names every copy on every upstream's
+// disk: most of the bytes between hosts were changes of these. A host that may coordinate
+// next needs them, and so do all where there are few.
+func TestOnlyHostsThatMayCoordinateNextGetLocalCopies(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	y := newTestRelay(k, 8, 4)
+	y.deps.Feed.ApplyRelay(follow.Relay{UpstreamsVersion: 1})
+	for _, c := range []struct {
+		address string
+		hosts   uint32
+		compact bool
+	}{{"deputy", 300, false}, {"other", 300, true}, {"other", compactFrom, true}, {"other", compactFrom - 1, false}} {
+		out := &coordpb.SiteState{Hosts: c.hosts, Deputies: []string{"deputy"}, PeriodMs: uint32(wire.MinReportPeriod.Milliseconds())}
+		assert.NilError(t, y.AddTo(&coordpb.HostReport{Host: "h", Address: c.address, BriefList: true, PackedList: true}, out))
+		assert.Equal(t, out.ListBrief, c.compact, "%+v", c)
+		put, _, err := DecodeList(out)
+		assert.NilError(t, err)
+		assert.Equal(t, len(put), 8)
+		assert.Equal(t, len(put[0].OnDisk) == 0, c.compact)
+	}
+}
