Records of streams that arrive during a write wait for the next interval

Cause: the acting coordinator writes the streams that began to the store each half second, and goes on until nothing is left; where a stream begins within the time of a write, something always is. Ruled out: the feeds of upstreams (284 calls), the lease, the starts of hosts (94). Change: a write that had room for more ends the interval's work. Before: the test writes without end.

--- a/node/coordinator/streams/streams.go
+++ b/node/coordinator/streams/streams.go
@@ -83,7 +83,8 @@
 }
 
 // write writes what is new, if this host is acting. One that begins to act writes all that
-// has not expired: the store may have turned the host before it away.
+// has not expired: the store may have turned the host before it away. What arrives during a
+// write waits for the next interval, or each write would be followed by another.
 func (k *Keeper) write(ctx context.Context) {
 	for k.deps.Acting() {
 		records, next := k.deps.Registry.Recent().Next(k.next, rowRecords, k.deps.Now())
@@ -97,6 +98,9 @@
 			return
 		}
 		k.next = next
+		if len(records) < rowRecords {
+			return
+		}
 	}
 }
 
--- a/node/coordinator/streams/streams_test.go
+++ b/node/coordinator/streams/streams_test.go
@@ -87,3 +87,33 @@
 	reader.Load(t.Context())
 	assert.Equal(t, read.Len(), 0)
 }
+
+// busyTable receives a record of another stream during each write.
+type busyTable struct {
+	store.Table
+	known  *origin.Registry
+	writes int
+}
+
+func (b *busyTable) Commit(ctx context.Context, txn store.Txn) (version uint64, err error) {
+	b.writes++
+	b.known.Put(record(origin.Key(b.writes)), time.Now())
+	return b.Table.Commit(ctx, txn)
+}
+
+// Guards against writes without a pause where streams begin faster than one write takes.
+func TestRecordsThatArriveDuringAWriteWaitForTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, acting := &busyTable{Table: standin.NewTable()}, true
+		k, known := newKeeper(table, "a", &acting)
+		table.known = known
+		ctx, stop := context.WithCancel(t.Context())
+		go func() { _ = k.Run(ctx) }()
+		known.Put(record(1000), time.Now())
+		const intervals = 20
+		time.Sleep(intervals * writeInterval)
+		stop()
+		synctest.Wait()
+		assert.Assert(t, table.writes > intervals/2 && table.writes <= intervals, "%d writes", table.writes)
+	})
+}
