--- a/node/coordinator/streams/streams_test.go
+++ b/node/coordinator/streams/streams_test.go
@@ -109,6 +109,7 @@
 		table.known = known
 		ctx, stop := context.WithCancel(t.Context())
 		go func() { _ = k.Run(ctx) }()
+		synctest.Wait()
 		known.Put(record(1000), time.Now())
 		const intervals = 20
 		time.Sleep(intervals * writeInterval)
