--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -324,7 +324,7 @@
 		NotListening: func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: c.refusedKind()}) },
 		Refused: func(load *fleet.ReportedLoad) {
 			end := &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Refused: true}
-			if load != nil {
+			if load != nil && !load.CountsUnknown {
 				end.LoadStated, end.Inside = true, uint32(load.Running+load.Waiting)
 			}
 			_ = c.send(st, end)
--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -120,7 +120,13 @@
 func (x *Attempt) RecordReportedLoad(r ReportedLoad) {
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
-	x.e.reported, x.e.reportedAt, x.e.sentSince = r, x.e.fleet.deps.Now(), 0
+	now := x.e.fleet.deps.Now()
+	if r.Slowdown > 0 {
+		x.e.stated = statedSlowdown{r.Slowdown, now}
+	}
+	if !r.CountsUnknown {
+		x.e.reported, x.e.reportedAt, x.e.sentSince = r, now, 0
+	}
 }
 
 // Answered ends an attempt whose answer is complete; failed means that the upstream ran
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -32,9 +32,11 @@
 
 // ReportedLoad is the load that an upstream stated on an answer.
 type ReportedLoad struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running       int
+	Waiting       int
+	Slots         int
+	CountsUnknown bool    // Running and Waiting were not stated, or cannot be read
+	Slowdown      float64 // how long work takes on its machine at the moment, as a multiple of the usual time; 0: not stated
 }
 
 const (
@@ -74,6 +76,7 @@
 	othersPendingAt time.Time // when that was recorded
 	reported        ReportedLoad
 	reportedAt      time.Time
+	stated          statedSlowdown
 	sentSince       int                 // requests sent by this host since reportedAt
 	signal          backpressure.Signal // combined signal of its answers, received here or at other hosts
 	announcedSignal backpressure.Signal // signal after the last material change
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -156,6 +156,7 @@
 	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
 	if info.Load != nil {
 		a.RecordReportedLoad(*info.Load)
+		q.statedSlowdown = info.Load.Slowdown
 	}
 	q.applySignals(e, resp.Status, &info)
 	if info.NotRun {
@@ -365,7 +366,7 @@
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.timeToFirst.Milliseconds()),
 		zap.Int64("pause_ms", q.longestPause.Milliseconds()), zap.Int64("pause_at_ms", q.longestPauseAt.Milliseconds()),
-		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent), q.entryHost())
+		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent), q.entryHost(), slowdownField(q.statedSlowdown))
 	d.Metrics.Count(metrics.Completed, 1)
 	q.countEnd(endComplete)
 	d.Metrics.Observe(metrics.ResponseTime, q.route.Kind.String(), took)
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// slowdownField is the log field for the slowdown that an upstream stated on its answer.
+func slowdownField(stated float64) zap.Field {
+	if stated == 0 {
+		return zap.Skip()
+	}
+	return zap.Float64("slowdown", stated)
+}
+
 // limitField is the log field for the limit of the upstream that a request is sent to.
 func limitField(e *fleet.Entry) zap.Field {
 	l := e.Limit()
