Upstreams that differ in speed: stated and learnt slowdown fill Endpoint.Slowdown, used in the pick, the room for prompts and places

First version, for others to build on: the fourth figure of the load is read, fades with its age, and passes with FIRST, END, reports, answers and the handover.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -46,6 +46,8 @@
 	// at one upstream, this request's included, so that the streams there do not
 	// pause for too long; 0 if they are not bounded.
 	MaxPendingPromptTokens int
+	// Usual are the usual times of the request's work at the upstreams of its service.
+	Usual Times
 }
 
 // Reason is the result of checking one or all endpoints.
@@ -101,6 +103,7 @@
 	best := Decision{Index: -1, Reason: NoUpstream, AdapterTarget: -1}
 	lowest, lowestTarget := 0.0, 0.0
 	mixed := runsSeveralVersions(endpoints)
+	times := usualTimes(endpoints, r)
 	for i := range endpoints {
 		e := &endpoints[i]
 		reason := Check(e, r)
@@ -113,7 +116,7 @@
 		if reason != Found && reason != NoAdapter {
 			continue
 		}
-		s := score(e, r) + random()*tieBreakMs
+		s := score(e, r, times) + random()*tieBreakMs
 		if mixed && isLastOfItsVersion(e, endpoints) {
 			s += lastOfVersionMs
 		}
--- a/core/balance/full.go
+++ b/core/balance/full.go
@@ -16,9 +16,9 @@
 // isFull reports whether the upstream has no capacity left for the request.
 func isFull(e *Endpoint, r *Request) bool {
 	if r.Model == "" {
-		return e.Slots > 0 && float64(e.InFlight) >= maxPlainInFlightPerSlot*float64(e.Slots)
+		return e.Slots > 0 && float64(e.InFlight) >= e.perSlot(maxPlainInFlightPerSlot)*float64(e.Slots)
 	}
-	if e.Slots > 0 && float64(e.InFlight) >= maxInFlightPerSlot*float64(e.Slots) {
+	if e.Slots > 0 && float64(e.InFlight) >= e.perSlot(maxInFlightPerSlot)*float64(e.Slots) {
 		return true
 	}
 	capacity := maxCacheShare * float64(r.CacheTokens)
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -31,7 +31,7 @@
 
 // score predicts the milliseconds until the first event, plus the delay that the
 // request causes to the others on the upstream.
-func score(e *Endpoint, r *Request) float64 {
+func score(e *Endpoint, r *Request, t Times) float64 {
 	s := 0.0
 	if !e.SameDataCentre {
 		s += remoteMs
@@ -43,21 +43,21 @@
 		s += warmupMs * min(1, e.WarmupRemaining.Seconds()/time.Second.Seconds())
 	}
 	if r.Model == "" {
-		return s + plainCallMs*float64(e.InFlight)/float64(max(e.Slots, 1))
+		return s + t.CallMs*(e.slowdown()*float64(e.InFlight)/float64(max(e.Slots, 1))+e.slowdown()-1)
 	}
 	prompt := max(r.PromptTokens-e.CachedTokens, 0)
-	s += float64(e.PendingPromptTokens+prompt) / prefillTokensPerMs
-	return s + firstStepMs(e, r)
+	work := float64(e.PendingPromptTokens+prompt)*t.PrefillMsPerToken + firstStepMs(e, r, t)
+	return s + e.slowdown()*work
 }
 
 // firstStepMs predicts the milliseconds by which the batch delays the first event: what the
 // requests in it add to one step, and the wait for a slot.
-func firstStepMs(e *Endpoint, r *Request) float64 {
+func firstStepMs(e *Endpoint, r *Request, t Times) float64 {
 	if e.Slots == 0 || e.InFlight < e.Slots {
 		return perRequestMs * float64(e.InFlight)
 	}
 	slots := float64(e.Slots)
-	return perRequestMs*slots + stepsToFreeSlot(e, r)*(stepMs+perRequestMs*slots)
+	return perRequestMs*slots + stepsToFreeSlot(e, r)*t.FullStepMs(e.Slots)
 }
 
 // stepsToFreeSlot estimates how many decoding steps pass until an upstream with a full batch
--- a/core/replica/evict.go
+++ b/core/replica/evict.go
@@ -34,7 +34,7 @@
 		return 0, false
 	}
 	if candidate.model.readyReplicas >= 2 {
-		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-u.UnavailableShare), true
+		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-u.unavailable()), true
 	}
 	// A replica that is still being loaded answers nobody yet, so this is the last one.
 	if wanted != nil && !p.mayEvictLastReplica(s, u, candidate.model) && !p.yieldsTo(candidate, wanted) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -37,6 +37,18 @@
 	// UnavailableShare is the share of an engine's time that the upstream does not
 	// provide because it sets a rate limit; 0: it provides all.
 	UnavailableShare float64
+	// Slowdown is how long work takes there, as a multiple of the usual time of the
+	// service's upstreams; 0: not known to differ. Such an upstream counts as a part of an
+	// engine.
+	Slowdown float64
+}
+
+// unavailable returns how much less than one engine the upstream provides.
+func (u *Upstream) unavailable() float64 {
+	if u.Slowdown <= 0 {
+		return u.UnavailableShare
+	}
+	return 1 - (1-u.UnavailableShare)/u.Slowdown
 }
 
 // Resident is a model at an upstream.
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -142,7 +142,7 @@
 		m := s.findOrAddModel(in, u.Residents[i].Model)
 		added.residents[i] = resident{&u.Residents[i], m}
 		m.replicas++
-		m.unavailable += u.UnavailableShare
+		m.unavailable += u.unavailable()
 		if u.Residents[i].Ready {
 			m.readyReplicas++
 		}
@@ -166,11 +166,11 @@
 func (s *state) apply(c *choice) {
 	c.upstream.moved = true
 	c.load.replicas++
-	c.load.unavailable += c.upstream.UnavailableShare
+	c.load.unavailable += c.upstream.unavailable()
 	if c.unload != nil {
 		c.unload.replicas--
 		c.unload.readyReplicas--
-		c.unload.unavailable -= c.upstream.UnavailableShare
+		c.unload.unavailable -= c.upstream.unavailable()
 	}
 	if c.from == FromStore {
 		s.storeLoadsLeft--
--- /dev/null
+++ b/core/speed/slowdown/learnt.go
@@ -0,0 +1,74 @@
+package slowdown
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// observationDecay is the factor on an observation's weight with each later one, so
+	// that about the last ten count: a busy upstream has that many in some seconds, and
+	// should be found slow, and found recovered, as soon.
+	observationDecay = 0.9
+	// priorWeight is how many observations of the usual speed are assumed besides, so that
+	// few observations change little.
+	priorWeight = 3.0
+	// maxDeviation bounds an observation to a multiple of what was learnt so far, and to
+	// its inverse: a single time has many causes that have nothing to do with the speed.
+	maxDeviation = 3.0
+	// forgetTime is the time constant by which observations lose their weight while there
+	// are no others. What made an upstream slow for seconds is over by then, and it is
+	// found out by ordinary requests.
+	forgetTime = 10 * time.Second
+)
+
+// Learnt is the slowdown of an upstream by the times that were observed there.
+type Learnt struct {
+	sum, weight float64 // decaying sums of the observations' logarithms and their weights
+	at          time.Time
+}
+
+// Observe records the ratio of an observed time to the one predicted for its service.
+func (l *Learnt) Observe(ratio float64, now time.Time) {
+	if !(ratio > 0) || math.IsInf(ratio, 0) {
+		return
+	}
+	value := l.At(now)
+	kept := observationDecay * decay(now.Sub(l.at), forgetTime)
+	l.sum = l.sum*kept + math.Log(bounded(min(max(ratio, value/maxDeviation), value*maxDeviation)))
+	l.weight, l.at = l.weight*kept+1, now
+}
+
+// Inherit records what another host had learnt some time ago, unless observations were
+// made since.
+func (l *Learnt) Inherit(multiple float64, at time.Time) {
+	if l.weight > 0 || !(multiple > 0) {
+		return
+	}
+	l.weight, l.at = 1/(1-observationDecay), at
+	l.sum = math.Log(bounded(multiple)) * (l.weight + priorWeight)
+}
+
+// At returns the slowdown that was learnt; 1 if nothing was.
+func (l *Learnt) At(now time.Time) float64 {
+	if l.weight == 0 {
+		return 1
+	}
+	kept := decay(now.Sub(l.at), forgetTime)
+	return bounded(math.Exp(l.sum * kept / (l.weight*kept + priorWeight)))
+}
+
+// ObservedAt returns when the last observation was made; zero: there was none.
+func (l *Learnt) ObservedAt() time.Time { return l.at }
+
+// materialRatio is the ratio to the usual time, or its inverse, within which upstreams
+// count as equally fast: times at equal upstreams vary by as much.
+const materialRatio = 1.15
+
+// Material returns the slowdown, or 1 if it lies within what equal upstreams show too.
+func Material(multiple float64) float64 {
+	if multiple < materialRatio && multiple > 1/materialRatio {
+		return 1
+	}
+	return multiple
+}
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -21,6 +21,7 @@
 	prefill    regression    // ms until the first event, by prompt tokens that needed prefill
 	generation decayingRatio // ms from the first event to the last, by tokens of the answer
 	uncached   decayingRatio // tokens that needed prefill, by tokens of the prompt
+	calls      decayingRatio // ms of calls of a plain service, by calls
 }
 
 // Estimator estimates one model's speed from the observations of the model, and from those
@@ -42,6 +43,35 @@
 	m.Service.prefill.add(x, y, priorPrefillMs)
 }
 
+// FirstEvent returns how long it usually takes until an upstream that has no other prompt
+// to prefill has prefilled so many tokens; 0 if too few prompts were observed to tell.
+func (m Estimator) FirstEvent(tokens int) time.Duration {
+	if m.Service.prefill.n < minObserved {
+		return 0
+	}
+	expected := m.Service.prefill.predict(float64(tokens), priorPrefillMs)
+	if m.Own.prefill.n >= minObserved {
+		expected = m.Own.prefill.predict(float64(tokens), m.servicePrefillMs())
+	}
+	return time.Duration(expected * float64(time.Millisecond))
+}
+
+// AddCall records how long a call of a plain service took.
+func (m Estimator) AddCall(took time.Duration) { m.Own.calls.add(1, ms(took)) }
+
+// Call returns how long a call of a plain service usually takes; 0 if too few were
+// observed to tell.
+func (m Estimator) Call() time.Duration {
+	if m.Own.calls.n < minObserved {
+		return 0
+	}
+	return time.Duration(m.Own.calls.y / m.Own.calls.x * float64(time.Millisecond))
+}
+
+// minObserved is how many observations, decayed, it takes to compare a single one with
+// them.
+const minObserved = 8.0
+
 // AddGeneration records how long an answer took from its first event to its end. tokens is
 // the expected length of the answer, as it is for later estimates.
 func (m Estimator) AddGeneration(tokens int, took time.Duration) {
@@ -56,8 +86,8 @@
 // of one prompt token while it prefills nothing else.
 func (m Estimator) PrefillMsPerToken() float64 { return m.Own.prefill.slope(m.servicePrefillMs()) }
 
-// generationMsPerToken returns the time of one answer token, in milliseconds.
-func (m Estimator) generationMsPerToken() float64 {
+// GenerationMsPerToken returns the time of one answer token, in milliseconds.
+func (m Estimator) GenerationMsPerToken() float64 {
 	return m.Own.generation.value(m.Service.generation.value(priorGenerationMs))
 }
 
@@ -71,7 +101,7 @@
 // as many at a time as the engine has slots.
 func (m Estimator) EngineTime(prompt, output, slots int) time.Duration {
 	prefill := float64(prompt) * m.uncachedShare() * m.PrefillMsPerToken()
-	generation := float64(output) * m.generationMsPerToken() / float64(max(slots, 1))
+	generation := float64(output) * m.GenerationMsPerToken() / float64(max(slots, 1))
 	return time.Duration((prefill + generation) * float64(time.Millisecond))
 }
 
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -32,7 +32,8 @@
 	unconfirmedUntil []time.Time // until when each load whose order is unconfirmed may begin
 	demand           []*coordpb.HeldDemand
 	demandPeriod     time.Duration // how long the demand had been reported without a break
-	receivedAt       time.Time     // when the handover was received
+	speeds           []*coordpb.UpstreamSpeed
+	receivedAt       time.Time // when the handover was received
 }
 
 // RecordHandover records the handover of a host that held the lease in an epoch and
@@ -40,7 +41,7 @@
 func (c *Coordinator) RecordHandover(epoch uint64, sinceOrder time.Duration, msg *coordpb.Handover) {
 	now := c.now()
 	h := handover{epoch: epoch, lastOrderAt: now.Add(-sinceOrder), complete: msg.GetWhole(), orderedAt: map[string]time.Time{},
-		demand: msg.GetDemand(), demandPeriod: wire.Milliseconds(msg.GetHeardMs()), receivedAt: now}
+		demand: msg.GetDemand(), demandPeriod: wire.Milliseconds(msg.GetHeardMs()), speeds: msg.GetSpeeds(), receivedAt: now}
 	for _, o := range msg.GetOrders() {
 		h.orderedAt[o.Upstream] = now.Add(-wire.Milliseconds(o.AgeMs))
 	}
@@ -98,6 +99,7 @@
 	}
 	c.ordersComplete = h.complete
 	c.demand.Inherit(h.demand, h.demandPeriod, h.receivedAt, now)
+	c.inheritSpeeds(h)
 	if !h.complete {
 		c.quietUntil = h.lastOrderAt.Add(c.cfg.QuietPeriod)
 		c.storeLoads.AssumeFull(now)
@@ -188,6 +190,7 @@
 		demand, demandPeriod := c.demand.Snapshot(now)
 		out.Demand, out.HeardMs = demand, uint32(demandPeriod.Milliseconds())
 	}
+	out.Speeds = c.learntSpeeds(now)
 	for id, o := range orders {
 		out.Orders = append(out.Orders, &coordpb.OrderAge{Upstream: id, AgeMs: uint32(now.Sub(o.at).Milliseconds())})
 	}
--- a/node/coordinator/link/answers.go
+++ b/node/coordinator/link/answers.go
@@ -122,6 +122,9 @@
 			loads[e.Service()] = map[string]fleet.Load{}
 		}
 		loads[e.Service()][o.Upstream] = wire.LoadOf(o)
+		if !l.own.Acting() { // it knows better than its answer to itself
+			e.RecordRelayedSlowdown(wire.Multiple(o.Slowdown), l.deps.Now())
+		}
 	}
 	for i := range t.Config.Services {
 		service := &t.Config.Services[i]
--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -358,7 +358,7 @@
 func (l *Link) buildReport() *coordpb.HostReport {
 	r := l.introduction()
 	for _, sent := range l.deps.Fleet.OwnLoads() {
-		r.Loads = append(r.Loads, &coordpb.Load{Upstream: sent.Upstream, Requests: uint32(sent.Requests), Waiting: uint32(max(sent.PendingPromptTokens, 0)), Tokens: uint32(max(sent.Tokens, 0))})
+		r.Loads = append(r.Loads, &coordpb.Load{Upstream: sent.Upstream, Requests: uint32(sent.Requests), Waiting: uint32(max(sent.PendingPromptTokens, 0)), Tokens: uint32(max(sent.Tokens, 0)), Slowdown: wire.Percent(sent.Slowdown)})
 	}
 	r.Silent = l.deps.Fleet.DownIDs()
 	l.teams.addUse(r, l.deps.Now())
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -318,21 +318,27 @@
 	default:
 		return &gate.Permit{Reason: balance.ReasonFromCode(answer.Reason), AdapterUpstream: answer.Home, RetryAfter: wire.Milliseconds(answer.WaitMs)}, nil
 	}
-	return &gate.Permit{Upstream: answer.Upstream, PredictedWait: wire.Milliseconds(answer.PredictedMs),
-		InFlight: int(answer.Load), PendingPromptTokens: int(answer.Waiting), CachedTokens: int(answer.Cached), WithinLimit: answer.WithinLimit, WithinRoom: answer.WithinRoom, IsProbe: answer.Trial,
-		Began:        func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
-		NotListening: func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: c.refusedKind()}) },
-		Refused: func(load *fleet.ReportedLoad) {
-			end := &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Refused: true}
-			if load != nil && !load.CountsUnknown {
-				end.LoadStated, end.Inside = true, uint32(load.Running+load.Waiting)
-			}
-			_ = c.send(st, end)
-		},
-		Abandoned: func() {
-			_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Abandoned: true})
-		},
-		Release: func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END}) }}, nil
+	permit := &gate.Permit{Upstream: answer.Upstream, PredictedWait: wire.Milliseconds(answer.PredictedMs),
+		InFlight: int(answer.Load), PendingPromptTokens: int(answer.Waiting), CachedTokens: int(answer.Cached), WithinLimit: answer.WithinLimit, WithinRoom: answer.WithinRoom, IsProbe: answer.Trial}
+	permit.Began = func() {
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST, Slowdown: wire.Percent(permit.StatedSlowdown)})
+		permit.StatedSlowdown = 0
+	}
+	permit.NotListening = func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: c.refusedKind()}) }
+	permit.Refused = func(load *fleet.ReportedLoad) {
+		end := &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Refused: true}
+		if load != nil && !load.CountsUnknown {
+			end.LoadStated, end.Inside = true, uint32(load.Running+load.Waiting)
+		}
+		_ = c.send(st, end)
+	}
+	permit.Abandoned = func() {
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Abandoned: true})
+	}
+	permit.Release = func() {
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Slowdown: wire.Percent(permit.StatedSlowdown), Complete: permit.Complete && e.Model == ""})
+	}
+	return permit, nil
 }
 
 // refusedKind returns how to report a request whose upstream refused the connection. While
--- a/node/coordinator/moves/plan.go
+++ b/node/coordinator/moves/plan.go
@@ -184,7 +184,7 @@
 	defer u.mu.Unlock()
 	movable := !quiet && !u.record.Busy() && u.activeMove == nil && now.After(u.excludedUntil) && !u.entry.IsDown()
 	out := replica.Upstream{ID: u.entry.ID(), Usable: u.isUsable(), Movable: movable,
-		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), FreeMB: u.record.FreeMB()}
+		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), FreeMB: u.record.FreeMB(), Slowdown: u.entry.LastingSlowdown(now)}
 	loading := ""
 	if u.activeMove != nil {
 		loading = u.activeMove.Load
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -92,9 +92,12 @@
 	withIdleConn  map[string]bool      // upstreams to which its host has an idle connection
 	hostBackoffs  map[string]time.Time // until when upstreams asked the request's host to back off; nil: none did
 	askedAt       time.Time
-	upstream      string // where the request was granted; "": it waits
-	readingPrompt bool   // whether the first event of its response is still to come
-	solePrompt    bool   // whether the upstream read no other prompt at the same time
+	upstream      string       // where the request was granted; "": it waits
+	entry         *fleet.Entry // its process there
+	slowdown      float64      // that the upstream stated on the response; 0: none
+	readingPrompt bool         // whether the first event of its response is still to come
+	solePrompt    bool         // whether the upstream read no other prompt at the same time
+	soleCall      bool         // whether the upstream had a free slot when the request was granted
 	grantedAt     time.Time
 	firstAt       time.Time // when the first event of its response arrived
 	waitReason    balance.Reason
@@ -125,6 +128,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	k := requestKey{from, e.Id}
+	p.recordSlowdown(p.granted[k], e)
 	switch e.Kind {
 	case coordpb.TurnEvent_ASK:
 		p.request(k, e)
@@ -132,6 +136,7 @@
 		p.promptRead(k)
 	case coordpb.TurnEvent_END:
 		p.endInRoom(p.granted[k], e)
+		p.learnCall(p.granted[k], e)
 		p.end(k)
 	case coordpb.TurnEvent_ABSENT:
 		p.upstreamUnreachable(k)
@@ -238,7 +243,7 @@
 		endpoints = append(endpoints, p.endpoint(e, w, now))
 	}
 	p.endpoints = endpoints
-	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading)}
+	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Usual: p.usualTimes(w)}
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
@@ -279,13 +284,14 @@
 }
 
 func (p *Permits) grant(w *request, e *fleet.Entry, at *balance.Endpoint, d balance.Decision, now time.Time) {
-	w.upstream, w.readingPrompt = e.ID(), true
+	w.upstream, w.entry, w.readingPrompt = e.ID(), e, true
 	prompt := w.event.Prompt
 	w.event.Prompt -= min(w.event.Prompt, uint32(at.CachedTokens)) // what is not cached is left to be read
 	if w.event.Model != "" {
 		p.deps.Speeds.WithModel(w.model(), func(m speed.Estimator) { m.AddPrompt(int(prompt), int(w.event.Prompt)) })
 	}
 	w.grantedAt, w.solePrompt = now, at.PendingPromptTokens == 0
+	w.soleCall = at.InFlight < at.Slots
 	p.granted[w.key] = w
 	u := p.grants[w.upstream]
 	if u == nil {
@@ -313,9 +319,7 @@
 		g.firstAt = p.deps.Now()
 		p.rooms.answered(g)
 		p.backoffs.recordResponse(g, p.slotCount(g.upstream))
-		if g.solePrompt && g.event.Model != "" {
-			p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) { m.Read(int(g.event.Prompt), g.firstAt.Sub(g.grantedAt)) })
-		}
+		p.learnPrompt(g)
 		p.finishPrompt(g)
 		p.grantWaitingAt(g.upstream)
 	}
--- /dev/null
+++ b/node/coordinator/permits/speeds.go
@@ -0,0 +1,79 @@
+package permits
+
+import (
+	"time"
+
+	"peridotpier.example/core/balance"
+	"peridotpier.example/core/speed"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/coordinator/demand"
+	"peridotpier.example/node/coordinator/wire"
+)
+
+// recordSlowdown records what an upstream stated on the response to a request.
+func (p *Permits) recordSlowdown(g *request, e *coordpb.TurnEvent) {
+	if g == nil || e.Slowdown == 0 {
+		return
+	}
+	g.slowdown = wire.Multiple(e.Slowdown)
+	g.entry.RecordSlowdown(g.slowdown, p.deps.Now())
+}
+
+// atUsualSpeed returns how long what took so long would have taken if the upstream had
+// stated that work takes the usual time there.
+func (g *request) atUsualSpeed(took time.Duration) time.Duration {
+	if g.slowdown == 0 {
+		return took
+	}
+	return time.Duration(float64(took) / g.slowdown)
+}
+
+// learnPrompt learns from the time of a request's first event, if its upstream had no
+// other prompt to read.
+func (p *Permits) learnPrompt(g *request) {
+	if !g.solePrompt || g.event.Model == "" {
+		return
+	}
+	took, tokens := g.atUsualSpeed(g.firstAt.Sub(g.grantedAt)), int(g.event.Prompt)
+	var usual time.Duration
+	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
+		usual = m.FirstEvent(tokens)
+		m.Read(tokens, took)
+	})
+	p.learnRatio(g, took, usual)
+}
+
+// learnCall learns from the time of a complete call of a plain service, if it did not have
+// to wait for others at its upstream.
+func (p *Permits) learnCall(g *request, e *coordpb.TurnEvent) {
+	if g == nil || !e.Complete || !g.soleCall || g.event.Model != "" {
+		return
+	}
+	took := g.atUsualSpeed(p.deps.Now().Sub(g.grantedAt))
+	var usual time.Duration
+	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
+		usual = m.Call()
+		m.AddCall(took)
+	})
+	p.learnRatio(g, took, usual)
+}
+
+// learnRatio records an observed time at a request's upstream; usual is that of its
+// service, 0 if it is not known.
+func (p *Permits) learnRatio(g *request, took, usual time.Duration) {
+	if usual > 0 && took > 0 {
+		g.entry.RecordSpeed(took.Seconds()/usual.Seconds(), p.deps.Now())
+	}
+}
+
+// usualTimes returns the times that were learnt for a request's work.
+func (p *Permits) usualTimes(w *request) (t balance.Times) {
+	p.deps.Speeds.WithModel(demand.Key{Service: w.event.Service, Model: w.needs.Model}, func(m speed.Estimator) {
+		if w.needs.Model == "" {
+			t.CallMs = float64(m.Call()) / float64(time.Millisecond)
+			return
+		}
+		t.PrefillMsPerToken, t.StepMs = m.PrefillMsPerToken(), m.GenerationMsPerToken()
+	})
+	return t
+}
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -127,6 +127,7 @@
 // applyReport records the loads of a host and the demand of its callers.
 func (c *Coordinator) applyReport(r *coordpb.HostReport, now time.Time) {
 	c.aggregate.Record(r, now)
+	c.recordSlowdowns(r, now)
 	c.deps.Fleet.ApplySignals(wire.DecodeSignals(r.Signals, now), sourceHost+r.Host)
 	c.accounts.AdoptStates(r.TeamWords, now)
 	c.accounts.AddUse(r.Teams, now)
@@ -147,6 +148,7 @@
 		return !r.ModelsLater || !c.runsModelsAt(upstream)
 	})
 	out.Others, out.Hosts = others, uint32(hosts)
+	c.addSlowdowns(out, now)
 	out.PeriodMs = uint32(c.aggregate.PeriodFor(r.Host).Milliseconds())
 	c.planner.AddHoldings(r, out, now)
 	return out
--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -11,14 +11,16 @@
 type UpstreamLoad struct {
 	Upstream string
 	Load
+	Slowdown float64 // that the upstream stated lately, if it differs from the usual; 0: none
 }
 
 // OwnLoads returns the load at each upstream at which this host has requests.
 func (f *Fleet) OwnLoads() []UpstreamLoad {
 	var out []UpstreamLoad
+	now := f.deps.Now()
 	for _, e := range f.pendingChecks.all() {
 		if own := e.OwnLoad(); own.Requests > 0 {
-			out = append(out, UpstreamLoad{e.id, own})
+			out = append(out, UpstreamLoad{e.id, own, e.StatedSlowdown(now)})
 		}
 	}
 	return out
@@ -39,6 +41,7 @@
 	ended        bool
 	refused      bool      // the upstream stated not to have run it
 	abandoned    bool      // the upstream may still run it
+	complete     bool      // its answer is complete, and no failure
 	room         *roomSend // in this host's account of a brittle upstream; nil: it does not count there
 	inSlowStart  bool      // it counts in the upstream's slow start
 	onFirstByte  func()    // called when the first bytes of the answer arrive; nil: not called
@@ -121,9 +124,7 @@
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	now := x.e.fleet.deps.Now()
-	if r.Slowdown > 0 {
-		x.e.stated = statedSlowdown{r.Slowdown, now}
-	}
+	x.e.speed.stated.Observe(r.Slowdown, now)
 	if !r.CountsUnknown {
 		x.e.reported, x.e.reportedAt, x.e.sentSince = r, now, 0
 	}
@@ -132,6 +133,7 @@
 // Answered ends an attempt whose answer is complete; failed means that the upstream ran
 // the request and failed it.
 func (x *Attempt) Answered(failed bool) {
+	x.complete = !failed
 	x.end(func() { x.e.recordAnswerLocked(failed) })
 }
 
@@ -160,6 +162,9 @@
 // MayStillRun reports whether the attempt has ended while its upstream may still run it.
 func (x *Attempt) MayStillRun() bool { return x.abandoned }
 
+// IsComplete reports whether the attempt's answer is complete, and no failure.
+func (x *Attempt) IsComplete() bool { return x.complete }
+
 // abandon records that the attempt ends without a complete answer.
 func (x *Attempt) abandon() { x.abandoned = x.abandoned || !x.ended }
 
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -76,7 +76,7 @@
 	othersPendingAt time.Time // when that was recorded
 	reported        ReportedLoad
 	reportedAt      time.Time
-	stated          statedSlowdown
+	speed           speedOfProcess
 	sentSince       int                 // requests sent by this host since reportedAt
 	signal          backpressure.Signal // combined signal of its answers, received here or at other hosts
 	announcedSignal backpressure.Signal // signal after the last material change
@@ -430,7 +430,7 @@
 	defer e.mu.Unlock()
 	load := e.loadLocked(now)
 	out := balance.Endpoint{ID: e.id, Address: e.desc.Address, Software: e.desc.Software, Slots: e.desc.Slots, SameDataCentre: e.dataCentre == e.fleet.cfg.DataCentre,
-		Draining: e.draining, InFlight: load.Requests, PendingPromptTokens: load.PendingPromptTokens, InFlightTokens: load.Tokens}
+		Draining: e.draining, InFlight: load.Requests, PendingPromptTokens: load.PendingPromptTokens, InFlightTokens: load.Tokens, Slowdown: e.speed.at(now)}
 	switch e.health.Status(now) {
 	case health.Down:
 		out.Down = true
--- a/node/fleet/slowdown.go
+++ b/node/fleet/slowdown.go
@@ -1,10 +1,114 @@
 package fleet
 
-import "time"
+import (
+	"time"
 
-// statedSlowdown is how long an upstream stated work to take there, as a multiple of the
-// usual time, and when that was received.
-type statedSlowdown struct {
-	multiple float64
+	"peridotpier.example/core/speed/slowdown"
+)
+
+// speedOfProcess is what is known of the speed of one process of an upstream. A new
+// process has a new Entry, and so starts without it.
+type speedOfProcess struct {
+	stated  slowdown.Stated // by its answers, received here or at other hosts
+	learnt  slowdown.Learnt // by the permits that this host granted
+	relayed relayedSlowdown
+}
+
+// relayedSlowdown is the acting coordinator's estimate.
+type relayedSlowdown struct {
+	multiple float64 // 0: there is none
 	at       time.Time
 }
+
+// relayedTTL is how long the acting coordinator's estimate is used: until its answer to
+// this host's next report but one.
+const relayedTTL = time.Second
+
+// RecordSlowdown records that the upstream stated, at a time, how long work takes there, as
+// a multiple of the usual time.
+func (e *Entry) RecordSlowdown(multiple float64, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed.stated.Observe(multiple, at)
+}
+
+// RecordRelayedSlowdown records the acting coordinator's estimate.
+func (e *Entry) RecordRelayedSlowdown(multiple float64, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed.relayed = relayedSlowdown{multiple, now}
+}
+
+// RecordSpeed records a time that was observed there, as a ratio to the time predicted for
+// its service, apart from what the upstream stated.
+func (e *Entry) RecordSpeed(ratio float64, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed.learnt.Observe(ratio, now)
+}
+
+// InheritSpeed records what another coordinator had learnt of the process by a time.
+func (e *Entry) InheritSpeed(multiple float64, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speed.learnt.Inherit(multiple, at)
+}
+
+// LearntSpeed returns the slowdown that this host has learnt, and by when; 0: there is
+// none that differs from the service's.
+func (e *Entry) LearntSpeed(now time.Time) (multiple float64, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if multiple = slowdown.Material(e.speed.learnt.At(now)); multiple == 1 {
+		return 0, time.Time{}
+	}
+	return multiple, e.speed.learnt.ObservedAt()
+}
+
+// StatedSlowdown returns what the upstream stated lately, if it differs from the usual; 0
+// otherwise.
+func (e *Entry) StatedSlowdown(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.speed.stated.Heard(now) {
+		return 0
+	}
+	if s := slowdown.Material(e.speed.stated.At(now)); s != 1 {
+		return s
+	}
+	return 0
+}
+
+// ObservedSlowdown returns how long work takes there now, as a multiple of the usual time
+// of its service, by what was observed here and reported to this host; 0: it is not known
+// to differ.
+func (e *Entry) ObservedSlowdown(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.speed.combine(e.speed.stated.At(now), now)
+}
+
+// LastingSlowdown is ObservedSlowdown apart from changes of less than some seconds.
+func (e *Entry) LastingSlowdown(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.speed.combine(e.speed.stated.Usual(now), now)
+}
+
+func (s *speedOfProcess) at(now time.Time) float64 {
+	if !s.stated.Heard(now) && s.relayed.multiple > 0 && now.Sub(s.relayed.at) < relayedTTL {
+		return s.relayed.multiple
+	}
+	return s.combine(s.stated.At(now), now)
+}
+
+// combine multiplies a stated slowdown with the learnt one, which is apart from it.
+func (s *speedOfProcess) combine(stated float64, now time.Time) float64 {
+	if stated == 0 {
+		stated = 1
+	}
+	if both := slowdown.Material(slowdown.Material(s.learnt.At(now)) * stated); both != 1 {
+		return both
+	}
+	return 0
+}
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -47,11 +47,11 @@
 		if q.needs.Model != "" || p.permit.IsProbe { // for other calls only the end counts
 			a.OnFirstByte(p.permit.Began)
 		}
-		defer func() { p.permit.end(a.MayStillRun()) }()
+		defer func() { p.permit.end(a.MayStillRun(), a.IsComplete()) }()
 	}
 	q.tried[e.ID()] = true
 	q.sends++
-	q.lastUpstream, q.responseSince = e.ID(), time.Time{}
+	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
 	fo := &failover{q: q, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
@@ -156,7 +156,7 @@
 	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
 	if info.Load != nil {
 		a.RecordReportedLoad(*info.Load)
-		q.statedSlowdown = info.Load.Slowdown
+		q.recordSlowdown(p.permit, info.Load.Slowdown)
 	}
 	q.applySignals(e, resp.Status, &info)
 	if info.NotRun {
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -48,6 +48,11 @@
 	// WithinRoom reports that the upstream is brittle and the request was counted towards its room.
 	WithinRoom bool
 	IsProbe    bool // a probe of an upstream that has refused requests: the coordinator waits for Began
+	// StatedSlowdown is what the upstream stated on its answer, as a multiple of the usual
+	// time; 0: nothing. It is set before Began and Release, which tell the coordinator.
+	StatedSlowdown float64
+	// Complete reports that the upstream's response was complete. It is set before Release.
+	Complete bool
 
 	Began        func()
 	NotListening func()
@@ -57,7 +62,8 @@
 }
 
 // end returns the permit after an attempt.
-func (p *Permit) end(abandoned bool) {
+func (p *Permit) end(abandoned, complete bool) {
+	p.Complete = complete
 	if abandoned && p.WithinRoom && p.Abandoned != nil {
 		p.Abandoned()
 	}
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// recordSlowdown records how long work takes at the upstream, as it stated on its answer.
+func (q *request) recordSlowdown(permit *Permit, stated float64) {
+	q.statedSlowdown = stated
+	if permit != nil {
+		permit.StatedSlowdown = stated
+	}
+}
+
 // slowdownField is the log field for the slowdown that an upstream stated on its answer.
 func slowdownField(stated float64) zap.Field {
 	if stated == 0 {
