--- a/core/speed/slowdown/learnt.go
+++ b/core/speed/slowdown/learnt.go
@@ -16,6 +16,9 @@
 	// maxDeviation bounds an observation to a multiple of what was learnt so far, and to
 	// its inverse: a single time has many causes that have nothing to do with the speed.
 	maxDeviation = 3.0
+	// doubtfulErrors is how many standard errors of the mean of the observations are taken
+	// for chance: with one, every third of equal upstreams would seem to differ.
+	doubtfulErrors = 1.5
 	// forgetTime is the time constant by which observations lose their weight while there
 	// are no others. What made an upstream slow for seconds is over by then, and it is
 	// found out by ordinary requests.
@@ -24,8 +27,8 @@
 
 // Learnt is the slowdown of an upstream by the times that were observed there.
 type Learnt struct {
-	sum, weight float64 // decaying sums of the observations' logarithms and their weights
-	at          time.Time
+	sum, squares, weight float64 // decaying sums of the observations' logarithms, their squares and their weights
+	at                   time.Time
 }
 
 // Observe records the ratio of an observed time to the one predicted for its service.
@@ -33,9 +36,10 @@
 	if !(ratio > 0) || math.IsInf(ratio, 0) {
 		return
 	}
-	value := l.At(now)
+	value := math.Exp(l.mean(now))
 	kept := observationDecay * decay(now.Sub(l.at), forgetTime)
-	l.sum = l.sum*kept + math.Log(bounded(min(max(ratio, value/maxDeviation), value*maxDeviation)))
+	observed := math.Log(bounded(min(max(ratio, value/maxDeviation), value*maxDeviation)))
+	l.sum, l.squares = l.sum*kept+observed, l.squares*kept+observed*observed
 	l.weight, l.at = l.weight*kept+1, now
 }
 
@@ -46,16 +50,32 @@
 		return
 	}
 	l.weight, l.at = 1/(1-observationDecay), at
-	l.sum = math.Log(bounded(multiple)) * (l.weight + priorWeight)
+	mean := math.Log(bounded(multiple))
+	l.sum, l.squares = mean*l.weight, mean*mean*l.weight
 }
 
-// At returns the slowdown that was learnt; 1 if nothing was.
+// At returns the slowdown that was learnt; 1 if nothing was. It is nearer to one than the
+// mean of the observations, by as much as the mean may be wrong.
 func (l *Learnt) At(now time.Time) float64 {
 	if l.weight == 0 {
 		return 1
 	}
+	mean := l.mean(now)
+	sure := max(math.Abs(mean)-doubtfulErrors*l.standardError(), 0)
+	return bounded(math.Exp(math.Copysign(sure, mean)))
+}
+
+// mean returns the mean of the observations' logarithms and the assumed ones.
+func (l *Learnt) mean(now time.Time) float64 {
 	kept := decay(now.Sub(l.at), forgetTime)
-	return bounded(math.Exp(l.sum * kept / (l.weight*kept + priorWeight)))
+	return l.sum * kept / (l.weight*kept + priorWeight)
+}
+
+// standardError returns the standard error of the mean of the observations' logarithms.
+func (l *Learnt) standardError() float64 {
+	own := l.sum / l.weight
+	variance := max(l.squares/l.weight-own*own, 0)
+	return math.Sqrt(variance / (l.weight + priorWeight))
 }
 
 // ObservedAt returns when the last observation was made; zero: there was none.
--- a/core/speed/slowdown/stated.go
+++ b/core/speed/slowdown/stated.go
@@ -60,6 +60,9 @@
 // HeardAt returns when the last statement was received; zero: there was none.
 func (s *Stated) HeardAt() time.Time { return s.at }
 
+// Last returns the last statement; 0: there was none.
+func (s *Stated) Last() float64 { return s.last }
+
 // Heard returns whether the last statement still says more of the present than what is
 // usual.
 func (s *Stated) Heard(now time.Time) bool { return !s.at.IsZero() && now.Sub(s.at) < fadeTime }
--- a/node/event/upstream.go
+++ b/node/event/upstream.go
@@ -13,6 +13,7 @@
 	UpstreamBackoff      = Event{1908, "upstream_asked_rest", zapcore.InfoLevel, "An upstream turned a request of this host away and asked it to send nothing for for_ms."}
 	UpstreamBrittle      = Event{1914, "upstream_brittle", zapcore.InfoLevel, "An upstream says that it falls over when it has to turn away more than refusals_per_s requests in a second, of all hosts together; below 0: no longer. source says who heard it."}
 	UpstreamRoomLearnt   = Event{1915, "upstream_room", zapcore.InfoLevel, "The host that counts for all has learnt, by turned_away refusals of a brittle upstream, that it has room for so many requests. At most once a second for an upstream."}
+	UpstreamSpeedChanged = Event{1916, "upstream_speed", zapcore.InfoLevel, "The host that acts for all gives an upstream less, or more, of the requests from now on, since its times differ from those of its service; or again as many as the others (slowdown 1). slowdown is the multiple of the usual time that was learnt, stated the one that the upstream states besides (0: none). At most one line a second on one upstream."}
 	UpstreamReturned     = Event{1905, "upstream_back", zapcore.InfoLevel, "The entry of an upstream that had vanished is back."}
 
 	PartitionSuspected = Event{1910, "partition_suspected", zapcore.InfoLevel, "Exchanges with several upstreams fail and none answers, or no new connection opens (cause): trials at a few upstreams tell whether this host is cut off from all. failures and silent count the upstreams, quiet_ms is the time since the last byte from any."}
@@ -23,5 +24,5 @@
 	ReportFailed = Event{1901, "report_failed", zapcore.WarnLevel, "An upstream did not give its report; said once until it does again. If it lasts, look at the upstream and the network to it."}
 )
 
-var upstreamEvents = []Event{ReportFailed, UpstreamListed, UpstreamsListed, UpstreamExcluded, UpstreamMassRemoval, UpstreamReturned, UpstreamTerminated, UpstreamLimitChanged, UpstreamBackoff, UpstreamBrittle, UpstreamRoomLearnt,
+var upstreamEvents = []Event{ReportFailed, UpstreamListed, UpstreamsListed, UpstreamExcluded, UpstreamMassRemoval, UpstreamReturned, UpstreamTerminated, UpstreamLimitChanged, UpstreamBackoff, UpstreamBrittle, UpstreamRoomLearnt, UpstreamSpeedChanged,
 	PartitionSuspected, PartitionRefuted, PartitionBegan, PartitionEnded}
--- a/node/fleet/slowdown.go
+++ b/node/fleet/slowdown.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"peridotpier.example/core/speed/slowdown"
+	"peridotpier.example/node/event"
 )
 
 // speedOfProcess is what is known of the speed of one process of an upstream. A new
@@ -12,6 +15,9 @@
 	stated  slowdown.Stated // by its answers, received here or at other hosts
 	learnt  slowdown.Learnt // by the permits that this host granted
 	relayed relayedSlowdown
+
+	logged   float64 // the learnt slowdown as last logged; 0: none was
+	loggedAt time.Time
 }
 
 // relayedSlowdown is the acting coordinator's estimate.
@@ -45,6 +51,30 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.speed.learnt.Observe(ratio, now)
+	e.logSpeedLocked(now)
+}
+
+const (
+	// speedLogInterval is the minimum time between two log lines on one upstream's speed.
+	speedLogInterval = time.Second
+	// loggedRatio is the ratio between two learnt slowdowns from which the second one is
+	// logged.
+	loggedRatio = 1.3
+)
+
+// logSpeedLocked logs a learnt slowdown that differs from the last one that was logged.
+func (e *Entry) logSpeedLocked(now time.Time) {
+	s := &e.speed
+	learnt, last := slowdown.Material(s.learnt.At(now)), s.logged
+	if last == 0 {
+		last = 1
+	}
+	changed := learnt > last*loggedRatio || learnt < last/loggedRatio || learnt == 1 && last != 1
+	if !changed || now.Sub(s.loggedAt) < speedLogInterval {
+		return
+	}
+	s.logged, s.loggedAt = learnt, now
+	e.fleet.deps.Log.Emit(event.UpstreamSpeedChanged, zap.String(event.FieldPeer, e.id), zap.Float64("slowdown", learnt), zap.Float64("stated", s.stated.At(now)))
 }
 
 // InheritSpeed records what another coordinator had learnt of the process by a time.
@@ -54,6 +84,28 @@
 	e.speed.learnt.Inherit(multiple, at)
 }
 
+// Speed is what is known of the speed of an upstream, each as a multiple of the usual time.
+type Speed struct {
+	Expected  float64       // by which requests are sent there; 1: as usual
+	Learnt    float64       // from the times that were observed there; 1: as usual
+	Stated    float64       // last stated by the upstream; 0: it states none
+	StatedAge time.Duration // since then
+}
+
+// Speed returns what is known of its speed.
+func (e *Entry) Speed(now time.Time) Speed {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := Speed{Expected: e.speed.at(now), Learnt: e.speed.learnt.At(now), Stated: e.speed.stated.Last()}
+	if out.Expected == 0 {
+		out.Expected = 1
+	}
+	if out.Stated > 0 {
+		out.StatedAge = now.Sub(e.speed.stated.HeardAt())
+	}
+	return out
+}
+
 // LearntSpeed returns the slowdown that this host has learnt, and by when; 0: there is
 // none that differs from the service's.
 func (e *Entry) LearntSpeed(now time.Time) (multiple float64, at time.Time) {
