--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -46,7 +46,8 @@
 	// at one upstream, this request's included, so that the streams there do not
 	// pause for too long; 0 if they are not bounded.
 	MaxPendingPromptTokens int
-	// Usual are the usual times of the request's work at the upstreams of its service.
+	// Usual are the usual times of the request's work at the upstreams of its service, if
+	// these differ in speed: among equal ones the order does not depend on them.
 	Usual Times
 }
 
@@ -103,7 +104,7 @@
 	best := Decision{Index: -1, Reason: NoUpstream, AdapterTarget: -1}
 	lowest, lowestTarget := 0.0, 0.0
 	mixed := runsSeveralVersions(endpoints)
-	times := usualTimes(endpoints, r)
+	times := r.Usual.assumed()
 	for i := range endpoints {
 		e := &endpoints[i]
 		reason := Check(e, r)
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -57,7 +57,7 @@
 		return perRequestMs * float64(e.InFlight)
 	}
 	slots := float64(e.Slots)
-	return perRequestMs*slots + stepsToFreeSlot(e, r)*t.FullStepMs(e.Slots)
+	return perRequestMs*slots + stepsToFreeSlot(e, r)*t.fullStepMs(e.Slots)
 }
 
 // stepsToFreeSlot estimates how many decoding steps pass until an upstream with a full batch
--- a/core/balance/slowdown.go
+++ b/core/balance/slowdown.go
@@ -1,51 +1,32 @@
 package balance
 
 // Times are the usual times of a request's work at the upstreams of its service, as they
-// were learnt; 0: not known.
+// were learnt. Those that are 0 are not known, and assumed.
 type Times struct {
 	PrefillMsPerToken float64
 	StepMs            float64 // of one decoding step
 	CallMs            float64 // of a call of a plain service
 }
 
-// standInTimes are used where nothing was learnt.
-var standInTimes = Times{PrefillMsPerToken: 1 / prefillTokensPerMs, CallMs: plainCallMs}
-
-// usualTimes returns the times to score the endpoints with. How long work takes decides
-// against the ways there only if the endpoints are known to differ: among equal ones it is
-// the same for all.
-func usualTimes(endpoints []Endpoint, r *Request) Times {
-	out := standInTimes
-	if !anyDiffers(endpoints) {
-		return out
-	}
-	if r.Usual.PrefillMsPerToken > 0 {
-		out.PrefillMsPerToken = r.Usual.PrefillMsPerToken
+// assumed returns the times with those that are not known replaced.
+func (t Times) assumed() Times {
+	if t.PrefillMsPerToken <= 0 {
+		t.PrefillMsPerToken = 1 / prefillTokensPerMs
 	}
-	if r.Usual.CallMs > 0 {
-		out.CallMs = r.Usual.CallMs
+	if t.CallMs <= 0 {
+		t.CallMs = plainCallMs
 	}
-	out.StepMs = r.Usual.StepMs
-	return out
+	return t
 }
 
-// FullStepMs returns the time of one decoding step of a full batch.
-func (t Times) FullStepMs(slots int) float64 {
+// fullStepMs returns the time of one decoding step of a full batch.
+func (t Times) fullStepMs(slots int) float64 {
 	if t.StepMs > 0 {
 		return t.StepMs
 	}
 	return stepMs + perRequestMs*float64(slots)
 }
 
-func anyDiffers(endpoints []Endpoint) bool {
-	for i := range endpoints {
-		if endpoints[i].slowdown() != 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // slowdown returns how long work takes at the endpoint, as a multiple of the usual time.
 func (e *Endpoint) slowdown() float64 {
 	if e.Slowdown <= 0 {
@@ -59,10 +40,11 @@
 func (e *Endpoint) perSlot(usual float64) float64 { return 1 + (usual-1)/e.slowdown() }
 
 // pendingLimit returns how many prompt tokens may be waiting at the endpoint, where so
-// many may at one of usual speed: the streams there pause while they are read.
-func (e *Endpoint) pendingLimit(usual int) int {
-	if e.slowdown() == 1 {
-		return usual
+// many may at one that reads at the assumed speed: the streams there pause while they are
+// read.
+func (e *Endpoint) pendingLimit(atAssumedSpeed int, t Times) int {
+	if e.slowdown() == 1 && t.PrefillMsPerToken <= 0 {
+		return atAssumedSpeed
 	}
-	return int(float64(usual) / e.slowdown())
+	return int(float64(atAssumedSpeed) / (prefillTokensPerMs * t.assumed().PrefillMsPerToken * e.slowdown()))
 }
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -65,6 +65,7 @@
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
+	unlikeAt    map[string]time.Time       // when an upstream of a service last differed in speed from the others
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
 
 	endpoints []balance.Endpoint // buffer of one pick; reused, since a pick may cover hundreds
@@ -109,7 +110,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
@@ -243,7 +244,7 @@
 		endpoints = append(endpoints, p.endpoint(e, w, now))
 	}
 	p.endpoints = endpoints
-	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Usual: p.usualTimes(w)}
+	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Usual: p.usualTimes(w, now)}
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
@@ -258,6 +259,7 @@
 // report. The load of a host that has no stream here counts as reported.
 func (p *Permits) endpoint(e *fleet.Entry, w *request, now time.Time) balance.Endpoint {
 	out := e.Endpoint(&w.needs, now)
+	p.noteSpeed(w.event.Service, out.Slowdown, now)
 	if p.deps.Fleet.OwnEvidenceDoubted() { // this host may reach none of them, while the request's host does
 		out.Down, out.HalfOpen, out.ProbeInFlight = false, false, false
 	}
--- a/node/coordinator/permits/speeds.go
+++ b/node/coordinator/permits/speeds.go
@@ -66,8 +66,23 @@
 	}
 }
 
-// usualTimes returns the times that were learnt for a request's work.
-func (p *Permits) usualTimes(w *request) (t balance.Times) {
+// unlikeFor is how long a service counts as one of upstreams that differ in speed after
+// one of them was seen to: as long as what made it slow may come back.
+const unlikeFor = 10 * time.Second
+
+// noteSpeed records that an upstream of a service was considered, with its slowdown.
+func (p *Permits) noteSpeed(service string, slowdown float64, now time.Time) {
+	if slowdown != 0 {
+		p.unlikeAt[service] = now
+	}
+}
+
+// usualTimes returns the times that were learnt for a request's work, if the upstreams of
+// its service differ in speed.
+func (p *Permits) usualTimes(w *request, now time.Time) (t balance.Times) {
+	if at, ok := p.unlikeAt[w.event.Service]; !ok || now.Sub(at) > unlikeFor {
+		return t
+	}
 	p.deps.Speeds.WithModel(demand.Key{Service: w.event.Service, Model: w.needs.Model}, func(m speed.Estimator) {
 		if w.needs.Model == "" {
 			t.CallMs = float64(m.Call()) / float64(time.Millisecond)
--- a/node/coordinator/permits/speeds_test.go
+++ b/node/coordinator/permits/speeds_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/fleet"
@@ -93,6 +94,8 @@
 			assert.Equal(t, e.Endpoint(&fleet.Request{}, u.now).Slowdown, 0.0, id)
 		}
 	}
+	w := &request{event: newRequestEvent(0, 0), needs: fleet.Request{Model: "m"}}
+	assert.Equal(t, u.perms.usualTimes(w, u.now), balance.Times{}, "so that the decisions are those of equal upstreams")
 }
 
 // Guards against a call that was given up, or failed at once, and makes its upstream seem
