--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -124,7 +124,7 @@
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	now := x.e.fleet.deps.Now()
-	x.e.speed.stated.Observe(r.Slowdown, now)
+	x.e.speed.observe(r.Slowdown, now)
 	if !r.CountsUnknown {
 		x.e.reported, x.e.reportedAt, x.e.sentSince = r, now, 0
 	}
--- a/node/fleet/slowdown.go
+++ b/node/fleet/slowdown.go
@@ -16,6 +16,9 @@
 	learnt  slowdown.Learnt // by the permits that this host granted
 	relayed relayedSlowdown
 
+	current   float64   // the result of at, as of currentAt
+	currentAt time.Time // zero: something has changed it
+
 	logged   float64 // the learnt slowdown as last logged; 0: none was
 	loggedAt time.Time
 }
@@ -35,14 +38,22 @@
 func (e *Entry) RecordSlowdown(multiple float64, at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.speed.stated.Observe(multiple, at)
+	e.speed.observe(multiple, at)
+}
+
+// observe records what the upstream stated; 0: nothing.
+func (s *speedOfProcess) observe(multiple float64, at time.Time) {
+	if multiple > 0 {
+		s.stated.Observe(multiple, at)
+		s.currentAt = time.Time{}
+	}
 }
 
 // RecordRelayedSlowdown records the acting coordinator's estimate.
 func (e *Entry) RecordRelayedSlowdown(multiple float64, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.speed.relayed = relayedSlowdown{multiple, now}
+	e.speed.relayed, e.speed.currentAt = relayedSlowdown{multiple, now}, time.Time{}
 }
 
 // RecordSpeed records a time that was observed there, as a ratio to the time predicted for
@@ -51,6 +62,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.speed.learnt.Observe(ratio, now)
+	e.speed.currentAt = time.Time{}
 	e.logSpeedLocked(now)
 }
 
@@ -82,6 +94,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.speed.learnt.Inherit(multiple, at)
+	e.speed.currentAt = time.Time{}
 }
 
 // Speed is what is known of the speed of an upstream, each as a multiple of the usual time.
@@ -147,7 +160,20 @@
 	return e.speed.combine(e.speed.stated.Usual(now), now)
 }
 
+// currentFor is how long a result of at is used again: each pick asks for all upstreams
+// that could serve it, and in this time nothing fades by more than a twentieth.
+const currentFor = 20 * time.Millisecond
+
+// at returns how long work takes, as a multiple of the usual time; 0: it is not known to
+// differ.
 func (s *speedOfProcess) at(now time.Time) float64 {
+	if age := now.Sub(s.currentAt); age < 0 || age >= currentFor {
+		s.current, s.currentAt = s.estimate(now), now
+	}
+	return s.current
+}
+
+func (s *speedOfProcess) estimate(now time.Time) float64 {
 	if !s.stated.Heard(now) && s.relayed.multiple > 0 && now.Sub(s.relayed.at) < relayedTTL {
 		return s.relayed.multiple
 	}
