--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -231,3 +231,16 @@
 	in.Upstreams[0].UnavailableShare, in.Upstreams[0].Movable = 0.95, false
 	assert.DeepEqual(t, replica.DefaultPolicy.Plan(in), []replica.Move{{Upstream: "2", Unload: "idle", Load: "a", From: replica.FromStore}})
 }
+
+// Guards against refusing callers for a model whose only upstream is so slow that it is a
+// small part of an engine.
+func TestAModelAtASlowUpstreamGetsAnotherReplica(t *testing.T) {
+	in := replica.Input{Engine: engine("a", "idle"), MaxMoves: 4, StoreLoadsLeft: 4,
+		Upstreams: []replica.Upstream{upstreamWith("1", "a"), upstreamWith("2", "idle"), upstreamWith("3", "idle")},
+		Demand:    map[string]replica.Demand{"a": {EngineLoad: 0.15}, "idle": {}}}
+	assert.Equal(t, len(replica.DefaultPolicy.Plan(in)), 0)
+	in.Upstreams[0].Slowdown = 1.2
+	assert.Equal(t, len(replica.DefaultPolicy.Plan(in)), 0)
+	in.Upstreams[0].Slowdown = 4
+	assert.DeepEqual(t, replica.DefaultPolicy.Plan(in), []replica.Move{{Upstream: "2", Unload: "idle", Load: "a", From: replica.FromStore}})
+}
--- a/core/speed/slowdown/stated.go
+++ b/core/speed/slowdown/stated.go
@@ -73,7 +73,7 @@
 		return 0
 	}
 	usual := s.Usual(now)
-	return usual + (s.last-usual)*decay(now.Sub(s.at), fadeTime)
+	return bounded(usual + (s.last-usual)*decay(now.Sub(s.at), fadeTime))
 }
 
 // Usual returns the slowdown apart from changes of less than some seconds; 0: the upstream
@@ -82,7 +82,7 @@
 	if s.at.IsZero() {
 		return 0
 	}
-	return 1 + (s.usual-1)*decay(now.Sub(s.at), silentTime)
+	return bounded(1 + (s.usual-1)*decay(now.Sub(s.at), silentTime))
 }
 
 func bounded(multiple float64) float64 { return min(max(multiple, lowest), highest) }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,4 +614,28 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
+try "a load of four figures is read" platform/load.go \
+  'len(figures) < loadCounts' 'len(figures) != loadCounts' ./platform -run 'EachFigure'
+try "a slowdown is bounded" platform/load.go \
+  '|| percent > maxSlowdownPercent' '' ./platform -run 'EachFigure'
+try "a stated slowdown fades" core/speed/slowdown/stated.go \
+  '(s.last-usual)*decay(now.Sub(s.at), fadeTime)' '(s.last-usual)' ./node/fleet -run 'StatedSlowdownFades'
+try "what is learnt is forgotten" core/speed/slowdown/learnt.go \
+  'kept := decay(now.Sub(l.at), forgetTime)' 'kept := 1.0' ./core/speed/slowdown -run 'UsedAgain|Forgotten'
+try "noise is no slowdown" core/speed/slowdown/learnt.go \
+  'math.Abs(mean)-doubtfulErrors*l.standardError()' 'math.Abs(mean)' ./core/speed/slowdown -run 'Noise'
+try "a slow upstream costs more time" core/balance/score.go \
+  's + e.slowdown()*work' 's + work' ./core/speed/slowdown ./node/coordinator/permits -run 'Unlike|GetsLess'
+try "a slow upstream has less room" core/balance/prefill.go \
+  'e.pendingLimit(r.MaxPendingPromptTokens, r.Usual)' 'r.MaxPendingPromptTokens' ./core/balance -run 'SmallerOne'
+try "a stated slowdown is not learnt besides" node/coordinator/permits/speeds.go \
+  'time.Duration(float64(took) / g.slowdown)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
+try "only complete calls tell the speed" node/coordinator/permits/speeds.go \
+  '!e.Complete || ' '' ./node/coordinator/permits -run 'OnlyCompleteCalls'
+try "an earlier process's speed is not inherited" node/coordinator/slowdowns.go \
+  'ok && e.StartedMs() == s.Born' 'ok' ./node/coordinator -run 'InheritsTheLearnt'
+try "the coordinator's estimate ends" node/fleet/slowdown.go \
+  's.relayed.multiple > 0 && now.Sub(s.relayed.at) < relayedTTL' 's.relayed.multiple > 0' ./node/fleet -run 'WhileItIsNew'
+try "a slow engine is a smaller one in places" core/replica/replica.go \
+  '1 - (1-u.UnavailableShare)/u.Slowdown' 'u.UnavailableShare' ./core/replica -run 'Slow'
 exit $missed
