--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -321,7 +321,7 @@
 	permit := &gate.Permit{Upstream: answer.Upstream, PredictedWait: wire.Milliseconds(answer.PredictedMs),
 		InFlight: int(answer.Load), PendingPromptTokens: int(answer.Waiting), CachedTokens: int(answer.Cached), WithinLimit: answer.WithinLimit, WithinRoom: answer.WithinRoom, IsProbe: answer.Trial}
 	permit.Began = func() {
-		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST, Slowdown: wire.Percent(permit.StatedSlowdown)})
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST, Slowdown: wire.Percent(permit.StatedSlowdown), Success: permit.Success})
 		permit.StatedSlowdown = 0
 	}
 	permit.NotListening = func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: c.refusedKind()}) }
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -134,7 +134,7 @@
 	case coordpb.TurnEvent_ASK:
 		p.request(k, e)
 	case coordpb.TurnEvent_FIRST:
-		p.promptRead(k)
+		p.promptRead(k, e.Success)
 	case coordpb.TurnEvent_END:
 		p.endInRoom(p.granted[k], e)
 		p.learnCall(p.granted[k], e)
@@ -315,13 +315,14 @@
 		PredictedMs: uint32(d.PredictedWait.Milliseconds()), Load: uint32(at.InFlight), Waiting: uint32(at.PendingPromptTokens), Cached: uint32(at.CachedTokens), WithinLimit: within, WithinRoom: inRoom, Trial: probe})
 }
 
-// promptRead records that an upstream has read a request's prompt.
-func (p *Permits) promptRead(k requestKey) {
+// promptRead records that an upstream has read a request's prompt; succeeded says that the
+// status of its response is that of a success.
+func (p *Permits) promptRead(k requestKey, succeeded bool) {
 	if g := p.granted[k]; g != nil && g.readingPrompt {
 		g.firstAt = p.deps.Now()
 		p.rooms.answered(g)
 		p.backoffs.recordResponse(g, p.slotCount(g.upstream))
-		p.learnPrompt(g)
+		p.learnPrompt(g, succeeded)
 		p.finishPrompt(g)
 		p.grantWaitingAt(g.upstream)
 	}
--- a/node/coordinator/permits/speeds.go
+++ b/node/coordinator/permits/speeds.go
@@ -29,8 +29,8 @@
 }
 
 // learnPrompt learns from the time of a request's first event, if its upstream had no
-// other prompt to read.
-func (p *Permits) learnPrompt(g *request) {
+// other prompt to read. An upstream that fails requests at once is not a fast one.
+func (p *Permits) learnPrompt(g *request, succeeded bool) {
 	if !g.solePrompt || g.event.Model == "" {
 		return
 	}
@@ -40,7 +40,9 @@
 		usual = m.FirstEvent(tokens)
 		m.Read(tokens, took)
 	})
-	p.learnRatio(g, took, usual)
+	if succeeded {
+		p.learnRatio(g, took, usual)
+	}
 }
 
 // learnCall learns from the time of a complete call of a plain service, if it did not have
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -175,6 +175,9 @@
 	case resp.Status >= 300 && resp.Status < 400:
 		return q.rejectResponse(a, resp, "redirect")
 	}
+	if p.permit != nil {
+		p.permit.Success = resp.Status < 300
+	}
 	a.ReceivedBytes()
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
 		return q.forwardStream(ctx, fo, a, resp)
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -51,6 +51,9 @@
 	// StatedSlowdown is what the upstream stated on its answer, as a multiple of the usual
 	// time; 0: nothing. It is set before Began and Release, which tell the coordinator.
 	StatedSlowdown float64
+	// Success reports that the status of the upstream's response is that of a success. It is
+	// set before Began.
+	Success bool
 	// Complete reports that the upstream's response was complete. It is set before Release.
 	Complete bool
 
