--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -47,11 +47,11 @@
 		if q.needs.Model != "" || p.permit.IsProbe { // for other calls only the end counts
 			a.OnFirstByte(p.permit.Began)
 		}
-		defer func() { p.permit.end(a.MayStillRun()) }()
+		defer func() { p.permit.end(a.MayStillRun(), a.IsComplete()) }()
 	}
 	q.tried[e.ID()] = true
 	q.sends++
-	q.lastUpstream, q.responseSince = e.ID(), time.Time{}
+	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
 	fo := &failover{q: q, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
@@ -156,6 +156,7 @@
 	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
 	if info.Load != nil {
 		a.RecordReportedLoad(*info.Load)
+		q.recordSlowdown(p.permit, info.Load.Slowdown)
 	}
 	q.applySignals(e, resp.Status, &info)
 	if info.NotRun {
@@ -174,6 +175,9 @@
 	case resp.Status >= 300 && resp.Status < 400:
 		return q.rejectResponse(a, resp, "redirect")
 	}
+	if p.permit != nil {
+		p.permit.Success = resp.Status < 300
+	}
 	a.ReceivedBytes()
 	if q.route.Kind == deploy.Stream && resp.Status < 300 {
 		return q.forwardStream(ctx, fo, a, resp)
@@ -365,7 +369,7 @@
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.timeToFirst.Milliseconds()),
 		zap.Int64("pause_ms", q.longestPause.Milliseconds()), zap.Int64("pause_at_ms", q.longestPauseAt.Milliseconds()),
-		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent), q.entryHost())
+		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent), q.entryHost(), slowdownField(q.statedSlowdown))
 	d.Metrics.Count(metrics.Completed, 1)
 	q.countEnd(endComplete)
 	d.Metrics.Observe(metrics.ResponseTime, q.route.Kind.String(), took)
