--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -29,6 +29,9 @@
 	CachedTokens        int           // prompt tokens of this request that are probably in its cache
 	WarmupRemaining     time.Duration // for how much longer it is slow after its start
 	Slowdown            float64       // how long work takes there, as a multiple of the usual time of its service; 0: not known
+	// StreamDelay is the delay, in milliseconds of this request's, that is as bad as what
+	// reading its prompt there does to the streams that run there.
+	StreamDelay float64
 	// Backoff is how long nothing may be sent to it, because it asked for that or
 	// because its limit is used up; 0 if a request may be sent now.
 	Backoff time.Duration
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -320,6 +320,7 @@
 	}
 	return &gate.Permit{Upstream: answer.Upstream, PredictedWait: wire.Milliseconds(answer.PredictedMs),
 		InFlight: int(answer.Load), PendingPromptTokens: int(answer.Waiting), CachedTokens: int(answer.Cached), WithinLimit: answer.WithinLimit, WithinRoom: answer.WithinRoom, IsProbe: answer.Trial,
+		LateStreams: float64(answer.LatePermille) / 1000, Advance: wire.Milliseconds(answer.AdvanceMs),
 		Began:        func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_FIRST}) },
 		NotListening: func() { _ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: c.refusedKind()}) },
 		Refused: func(load *fleet.ReportedLoad) {
@@ -385,7 +386,7 @@
 func (l *Link) RequestPermit(ctx context.Context, q *gate.PermitRequest) (*gate.Permit, error) {
 	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_ASK, Service: q.Service, Model: q.Request.Model, Adapter: q.Request.Adapter,
 		Prompt: uint32(q.Cost.PromptTokens), Output: uint32(q.Cost.OutputTokens), Priority: int32(q.Priority), Reading: uint32(q.MaxPendingPromptTokens), Tried: q.Excluded,
-		Warm: q.WithIdleConn, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.ObjectiveLeft.Milliseconds(), 0)), PatienceMs: uint32(max(q.MaxWait.Milliseconds(), 0))}
+		Warm: q.WithIdleConn, DataCentre: l.cfg.DataCentre, PauseBoundMs: uint32(max(q.PauseBound.Milliseconds(), 0)), InTimeMs: uint32(max(q.ObjectiveLeft.Milliseconds(), 0)), PatienceMs: uint32(max(q.MaxWait.Milliseconds(), 0))}
 	if q.Team != nil {
 		now := l.deps.Now()
 		l.teams.withShare(q.Team, now, func(s *quota.Share) { s.AddDemand(q.Charge, now) })
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -22,6 +22,7 @@
 	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/prefill"
 	"peridotpier.example/core/speed"
 	"peridotpier.example/node/coordinator/accounts"
 	"peridotpier.example/node/coordinator/coordpb"
@@ -43,6 +44,8 @@
 	// unknown one.
 	Engine func(service string) *deploy.Engine
 	Now    func() time.Time
+	// AfterFunc calls f once after a time; nil: time.AfterFunc.
+	AfterFunc func(d time.Duration, f func())
 }
 
 // Permits decides for all hosts where and when each request for a model is dispatched.
@@ -66,6 +69,7 @@
 	rooms       rooms
 	backoffs    backoffs
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
+	pipelines   pipelines
 
 	endpoints []balance.Endpoint // buffer of one pick; reused, since a pick may cover hundreds
 }
@@ -75,6 +79,7 @@
 	load          fleet.Load
 	cache         fleet.PromptCache
 	newestReading *request // the newest request whose prompt is being read there; nil: none
+	pipeline      prefill.Pipeline
 }
 
 // requestKey identifies a request by its stream and the number that its host gave it.
@@ -101,13 +106,19 @@
 	room          *backpressure.Room // account of the brittle upstream that it counts in; nil: none
 	fragility     backpressure.Fragility
 	send          backpressure.Send
-	isProbe       bool // whether it was granted in the slow start after a backoff, so that its response is awaited
+	promptID      uint64        // in the pipeline of its upstream
+	perToken      time.Duration // learnt time of the prefill of one of its prompt's tokens
+	isProbe       bool          // whether it was granted in the slow start after a backoff, so that its response is awaited
 }
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
 	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}}
+	if p.deps.AfterFunc == nil {
+		p.deps.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
+	}
 	p.limits = newUpstreamLimits(&p.deps)
+	p.pipelines = newPipelines(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
 }
@@ -196,6 +207,7 @@
 	p.waiting = append(p.waiting, nil)
 	copy(p.waiting[at+1:], p.waiting[at:])
 	p.waiting[at] = w
+	p.wakeAhead(w, now)
 	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(w.waitReason)})
 }
 
@@ -233,6 +245,7 @@
 
 // pick grants a request at the best of the given upstreams, if one can take it now.
 func (p *Permits) pick(w *request, entries []*fleet.Entry, now time.Time) balance.Decision {
+	w.perToken = p.pipelines.perToken(w)
 	endpoints := p.endpoints[:0]
 	for _, e := range entries {
 		endpoints = append(endpoints, p.endpoint(e, w, now))
@@ -269,6 +282,7 @@
 	if out.ModelResident {
 		out.CachedTokens = max(out.CachedTokens, u.cache.CachedTokens(&w.needs, now))
 	}
+	p.pipelines.describe(&out, u, w, now)
 	return out
 }
 
@@ -285,13 +299,13 @@
 	if w.event.Model != "" {
 		p.deps.Speeds.WithModel(w.model(), func(m speed.Estimator) { m.AddPrompt(int(prompt), int(w.event.Prompt)) })
 	}
-	w.grantedAt, w.solePrompt = now, at.PendingPromptTokens == 0
 	p.granted[w.key] = w
 	u := p.grants[w.upstream]
 	if u == nil {
 		u = &upstreamGrants{}
 		p.grants[w.upstream] = u
 	}
+	w.grantedAt, w.solePrompt = now, u.load.PendingPromptTokens == 0
 	if u.newestReading != nil {
 		u.newestReading.solePrompt = false
 	}
@@ -303,7 +317,8 @@
 	u.load.Requests++
 	u.load.Tokens += int(w.event.Prompt + w.event.Output)
 	u.load.PendingPromptTokens += int(w.event.Prompt)
-	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
+	cost := p.pipelines.grant(u, w, at, now)
+	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream, LatePermille: cost.latePermille, AdvanceMs: cost.advanceMs,
 		PredictedMs: uint32(d.PredictedWait.Milliseconds()), Load: uint32(at.InFlight), Waiting: uint32(at.PendingPromptTokens), Cached: uint32(at.CachedTokens), WithinLimit: within, WithinRoom: inRoom, Trial: probe})
 }
 
@@ -317,6 +332,7 @@
 			p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) { m.Read(int(g.event.Prompt), g.firstAt.Sub(g.grantedAt)) })
 		}
 		p.finishPrompt(g)
+		p.pipelines.firstEvent(p.grants[g.upstream], g)
 		p.grantWaitingAt(g.upstream)
 	}
 }
@@ -349,6 +365,7 @@
 	p.rooms.ended(g, p.deps.Now())
 	if u := p.grants[g.upstream]; u != nil {
 		u.load.Requests--
+		p.pipelines.end(u, g, p.deps.Now())
 		u.load.Tokens -= int(g.event.Prompt + g.event.Output)
 	}
 	delete(p.granted, g.key)
@@ -412,6 +429,7 @@
 	})
 	if len(p.waiting) > 0 {
 		p.wakeAfter(e, now, p.limits.wait(e, now))
+		p.wakeAheadAt(e, now)
 	}
 }
 
--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -93,7 +93,7 @@
 		return
 	}
 	p.wakeAt[e] = at
-	time.AfterFunc(wait, func() {
+	p.deps.AfterFunc(wait, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.wakeAt, e)
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -20,6 +20,7 @@
 	Cost                   fleet.Cost
 	Priority               int            // the request's rank among all urgencies; 0 is the most urgent
 	MaxPendingPromptTokens int            // prompt tokens that may be waiting at the upstream; 0: unbounded
+	PauseBound             time.Duration  // longest pause between events for which the response is in time; 0: none
 	Excluded               []string       // upstreams not to use: already tried, or excluded by this host
 	WithIdleConn           []string       // upstreams to which this host has an idle connection
 	Backoffs               fleet.Backoffs // remaining backoffs that upstreams of the service asked this host for
@@ -43,6 +44,11 @@
 	InFlight            int // requests at the upstream
 	PendingPromptTokens int // prompt tokens waiting there
 	CachedTokens        int // prompt tokens that are probably cached there
+	// LateStreams is how many streams at the upstream the prompt is expected to make late.
+	LateStreams float64
+	// Advance is how long before the expected first event of an earlier prompt there the
+	// permit was granted; 0: it was not ahead of any.
+	Advance time.Duration
 	// WithinLimit reports that the upstream names a limit and the request was counted towards it.
 	WithinLimit bool
 	// WithinRoom reports that the upstream is brittle and the request was counted towards its room.
@@ -79,7 +85,7 @@
 	q.beginHold(cancel)
 	defer q.endHold()
 	req := &PermitRequest{Service: q.service.Name, Request: &q.needs, Cost: q.cost, Priority: q.urgency(), MaxPendingPromptTokens: q.maxPendingPromptTokens(now, q.lostByUpstream),
-		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait}
+		PauseBound: q.route.PauseBound, ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait}
 	req.WithIdleConn, req.Backoffs = q.withIdleConn(), d.Fleet.Backoffs(q.service.Name)
 	if q.caller.owesCharge() {
 		req.Team, req.Charge = q.caller.team, q.caller.cost
@@ -110,7 +116,8 @@
 	p = selection{Decision: balance.Decision{PredictedWait: permit.PredictedWait}, candidates: len(d.Fleet.EntriesOfService(q.service.Name)),
 		inFlight: permit.InFlight, pendingPromptTokens: permit.PendingPromptTokens, cachedTokens: permit.CachedTokens, permit: permit}
 	d.Log.Emit(event.PermitGranted, q.id(), zap.String(event.FieldPeer, permit.Upstream), zap.Int64("waited_ms", d.Now().Sub(now).Milliseconds()),
-		zap.Int("load", permit.InFlight), zap.Int("waiting", permit.PendingPromptTokens), zap.Int("cached", permit.CachedTokens))
+		zap.Int("load", permit.InFlight), zap.Int("waiting", permit.PendingPromptTokens), zap.Int("cached", permit.CachedTokens),
+		zap.Float64("late_streams", permit.LateStreams), zap.Int64("advance_ms", permit.Advance.Milliseconds()))
 	return e, p, true
 }
 
