Prompts and streams of each engine decide where the next prompt goes

Cause: large prompts follow each other at engines where streams run, which then pause for longer than their callers allow; and an engine reads nothing while the report of a first event and the next permit are on their way.

core/prefill keeps one engine's prompts and streams. The pick weighs the responses that a prompt makes late, and those that a new stream risks, against the request's own chance to be late.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -29,9 +29,10 @@
 	CachedTokens        int           // prompt tokens of this request that are probably in its cache
 	WarmupRemaining     time.Duration // for how much longer it is slow after its start
 	Slowdown            float64       // how long work takes there, as a multiple of the usual time of its service; 0: not known
-	// StreamDelay is the delay, in milliseconds of this request's, that is as bad as what
-	// reading its prompt there does to the streams that run there.
-	StreamDelay float64
+	// LateStreams is how many responses are expected to be late if the request goes there:
+	// streams that run there, since its prompt is read beside them, and its own stream
+	// because of the prompts that follow.
+	LateStreams float64
 	// Backoff is how long nothing may be sent to it, because it asked for that or
 	// because its limit is used up; 0 if a request may be sent now.
 	Backoff time.Duration
@@ -49,6 +50,8 @@
 	// at one upstream, this request's included, so that the streams there do not
 	// pause for too long; 0 if they are not bounded.
 	MaxPendingPromptTokens int
+	Waited                 time.Duration // since its host asked where it may be sent
+	InTime                 time.Duration // from then until its objective; 0: not known, or over
 }
 
 // Reason is the result of checking one or all endpoints.
@@ -102,7 +105,7 @@
 // hosts with the same view choose different ones.
 func Pick(endpoints []Endpoint, r *Request, random func() float64) Decision {
 	best := Decision{Index: -1, Reason: NoUpstream, AdapterTarget: -1}
-	lowest, lowestTarget := 0.0, 0.0
+	lowest, lowestTarget, wait := 0.0, 0.0, 0.0
 	mixed := runsSeveralVersions(endpoints)
 	for i := range endpoints {
 		e := &endpoints[i]
@@ -117,6 +120,8 @@
 			continue
 		}
 		s := score(e, r) + random()*tieBreakMs
+		streams := streamDelayMs(s, e, r)
+		s += streams
 		if mixed && isLastOfItsVersion(e, endpoints) {
 			s += lastOfVersionMs
 		}
@@ -127,12 +132,12 @@
 			continue
 		}
 		if best.Index < 0 || s < lowest {
-			best.Index, lowest = i, s
+			best.Index, lowest, wait = i, s, s-streams
 			best.Reason = Found
 		}
 	}
 	if best.Index >= 0 {
-		best.PredictedWait = time.Duration(lowest * float64(time.Millisecond))
+		best.PredictedWait = time.Duration(wait * float64(time.Millisecond))
 	}
 	return best
 }
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -47,7 +47,7 @@
 	}
 	prompt := max(r.PromptTokens-e.CachedTokens, 0)
 	s += float64(e.PendingPromptTokens+prompt) / prefillTokensPerMs
-	return s + firstStepMs(e, r) + e.StreamDelay
+	return s + firstStepMs(e, r)
 }
 
 // firstStepMs predicts the milliseconds by which the batch delays the first event: what the
--- a/core/prefill/advance.go
+++ b/core/prefill/advance.go
@@ -34,9 +34,9 @@
 }
 
 // NextAhead returns when a prompt may next be granted ahead. ok is false if none may
-// before a report.
+// before a report, or if no bound is stated.
 func (p *Pipeline) NextAhead(s *Service, now time.Time) (at time.Time, ok bool) {
-	if len(p.prompts) != 1 || s.Overhead() <= s.Error() {
+	if len(p.prompts) != 1 || p.prompts[0].Bound == 0 || s.Overhead() <= s.Error() {
 		return time.Time{}, false
 	}
 	at = p.readyAt(s)
--- a/core/prefill/cost.go
+++ b/core/prefill/cost.go
@@ -57,16 +57,8 @@
 	return left.Seconds() / wait.Seconds()
 }
 
-// riskPower is the power of the tail of the distribution of reading times; see Late.
-const riskPower = 3
-
 // risk returns the chance that a span that is predicted to take so long exceeds the bound.
 // It goes on to grow beyond 1, so that longer pauses count for more.
-func risk(span, bound time.Duration) float64 {
-	share := span.Seconds() / bound.Seconds()
-	out := 1.0
-	for range riskPower {
-		out *= share
-	}
-	return out
-}
+func risk(span, bound time.Duration) float64 { return cube(span.Seconds() / bound.Seconds()) }
+
+func cube(x float64) float64 { return x * x * x }
--- a/core/prefill/prefill.go
+++ b/core/prefill/prefill.go
@@ -30,11 +30,12 @@
 
 // Pipeline is the state of one engine. The zero value is an idle engine.
 type Pipeline struct {
-	prompts []granted     // whose first event is still to come, in the order of their grants
-	recent  []reading     // ended readings, oldest first; those within one span count
-	streams []stream      // that have begun and not ended
-	freeAt  time.Time     // when the last reading known to have ended did
-	read    time.Duration // total time of the readings that ended
+	prompts  []granted // whose first event is still to come, in the order of their grants
+	recent   []reading // ended readings, oldest first; those within one span count
+	streams  []stream  // that have begun and not ended
+	freeAt   time.Time // when the last reading known to have ended did
+	exposure exposure
+	read     time.Duration // total time of the readings that ended
 }
 
 type granted struct {
@@ -60,17 +61,18 @@
 // than steps do not fit in it but in their sum.
 const maxRecent = 8
 
-// Grant records a prompt that was granted at now.
-func (p *Pipeline) Grant(prompt Prompt, now time.Time) {
+// Grant records a prompt that was granted at now at an engine of a service.
+func (p *Pipeline) Grant(prompt Prompt, s *Service, now time.Time) {
 	for i := range p.prompts {
 		p.prompts[i].alone = false
 	}
+	span := s.Span(0)
+	p.exposure.add(span+p.readWithin(span, now)+prompt.Read, now)
 	p.prompts = append(p.prompts, granted{prompt, now, len(p.prompts) == 0})
 }
 
-// FirstEvent records that the first event of a prompt's answer was reported at now. took
-// is the time since the grant; alone reports whether the engine had no other prompt
-// meanwhile. ok is false if the prompt is not known.
+// FirstEvent records that the first event of a prompt's answer was reported at now. ok is
+// false if the prompt is not known.
 func (p *Pipeline) FirstEvent(id uint64, s *Service, now time.Time) (ok bool) {
 	i := p.indexOfPrompt(id)
 	if i < 0 {
@@ -78,23 +80,10 @@
 	}
 	g := p.prompts[i]
 	p.prompts = append(p.prompts[:i], p.prompts[i+1:]...)
-	took := now.Sub(g.at)
+	p.recordReading(&g, s.Overhead(), now)
 	if g.alone {
-		s.addFirstEvent(took, g.Read)
+		s.addFirstEvent(now.Sub(g.at), g.Read)
 	}
-	end := now.Add(-s.Overhead())
-	if end.Before(g.at) {
-		end = g.at
-	}
-	if end.After(p.freeAt) {
-		p.freeAt = end
-	}
-	actual := g.Read
-	if g.alone {
-		actual = max(took-s.Overhead(), 0)
-	}
-	p.recordReading(reading{actual, end})
-	p.markPaused(g.at, actual)
 	bound := g.Bound
 	if !g.LateAt.IsZero() && now.After(g.LateAt) {
 		bound = 0
@@ -103,12 +92,25 @@
 	return true
 }
 
-func (p *Pipeline) recordReading(r reading) {
-	p.read += r.took
+// recordReading records that a prompt was read, whose first event was reported at now. A
+// prompt that was read beside others took what was predicted.
+func (p *Pipeline) recordReading(g *granted, overhead time.Duration, now time.Time) {
+	end, took := now.Add(-overhead), g.Read
+	if end.Before(g.at) {
+		end = g.at
+	}
+	if g.alone {
+		took = end.Sub(g.at)
+	}
+	if end.After(p.freeAt) {
+		p.freeAt = end
+	}
 	if len(p.recent) == maxRecent {
 		p.recent = append(p.recent[:0], p.recent[1:]...)
 	}
-	p.recent = append(p.recent, r)
+	p.recent = append(p.recent, reading{took, end})
+	p.read += took
+	p.markPaused(g.at, took)
 }
 
 // markPaused records that a reading that began at began made streams pause beyond their
@@ -162,3 +164,9 @@
 	}
 	return before.Add(g.Read)
 }
+
+// NumPrompts returns how many prompts have no first event yet.
+func (p *Pipeline) NumPrompts() int { return len(p.prompts) }
+
+// NumStreams returns how many streams run.
+func (p *Pipeline) NumStreams() int { return len(p.streams) }
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -251,7 +251,7 @@
 		endpoints = append(endpoints, p.endpoint(e, w, now))
 	}
 	p.endpoints = endpoints
-	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading)}
+	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Waited: now.Sub(w.askedAt), InTime: wire.Milliseconds(w.event.InTimeMs)}
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
--- a/node/coordinator/permits/pipelines.go
+++ b/node/coordinator/permits/pipelines.go
@@ -63,12 +63,18 @@
 	s := l.service(w.event.Service)
 	read := readTime(w, max(int(w.event.Prompt)-out.CachedTokens, 0), out)
 	late := u.pipeline.Late(read, s, out.Slowdown, now)
-	out.StreamDelay = late * max(float64(w.event.InTimeMs), float64(w.event.PauseBoundMs))
-	if w.event.Reading > 0 && w.pauseBound() > 0 && out.PendingPromptTokens > 0 {
+	answer := time.Duration(w.event.Output) * s.Step()
+	out.LateStreams = late + u.pipeline.Exposure(answer, w.pauseBound(), now)
+	if w.mayPrecede() && out.PendingPromptTokens > 0 {
 		out.PendingPromptTokens -= u.pipeline.Ahead(read, s, out.Slowdown, now).Tokens
 	}
 }
 
+// mayPrecede reports whether the request may be granted before an earlier prompt's first
+// event is reported: its host bounds the prompts that wait at an upstream, by the bound of
+// its response's pauses.
+func (w *request) mayPrecede() bool { return w.event.Reading > 0 && w.pauseBound() > 0 }
+
 // promptCost is what a granted prompt was expected to do.
 type promptCost struct{ latePermille, advanceMs uint32 }
 
@@ -80,7 +86,7 @@
 	s := l.service(w.event.Service)
 	read := readTime(w, int(w.event.Prompt), at)
 	c.latePermille = uint32(1000 * u.pipeline.Late(read, s, at.Slowdown, now))
-	if w.event.Reading > 0 && w.pauseBound() > 0 {
+	if w.mayPrecede() {
 		c.advanceMs = uint32(u.pipeline.Ahead(read, s, at.Slowdown, now).Advance.Milliseconds())
 	}
 	l.lastID++
@@ -88,7 +94,7 @@
 	u.pipeline.Grant(prefill.Prompt{
 		ID: w.promptID, Tokens: int(w.event.Prompt), Read: read, Bound: w.pauseBound(),
 		Answer: time.Duration(w.event.Output) * s.Step(), LateAt: w.askedAt.Add(wire.Milliseconds(w.event.InTimeMs)),
-	}, now)
+	}, s, now)
 	return c
 }
 
@@ -109,7 +115,7 @@
 // wakeAhead tries the waiting requests again when one may be granted ahead at an upstream
 // that has the request's model.
 func (p *Permits) wakeAhead(w *request, now time.Time) {
-	if w.event.Reading == 0 || w.pauseBound() == 0 {
+	if !w.mayPrecede() {
 		return
 	}
 	for _, e := range p.deps.Fleet.EntriesWithModel(w.event.Service, w.needs.Model) {
