--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -31,6 +31,7 @@
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
 )
 
 // Deps are the dependencies of Permits.
@@ -42,8 +43,9 @@
 	Speeds   *demand.Speeds
 	// Engine returns the engine of a service's upstreams; nil: a plain service, or an
 	// unknown one.
-	Engine func(service string) *deploy.Engine
-	Now    func() time.Time
+	Engine  func(service string) *deploy.Engine
+	Now     func() time.Time
+	Metrics *metrics.Set // nil: a separate set is made
 	// AfterFunc calls f once after a time; nil: time.AfterFunc.
 	AfterFunc func(d time.Duration, f func())
 }
@@ -114,6 +116,9 @@
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
 	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}}
+	if p.deps.Metrics == nil {
+		p.deps.Metrics = metrics.New()
+	}
 	if p.deps.AfterFunc == nil {
 		p.deps.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
 	}
--- a/node/coordinator/permits/pipelines.go
+++ b/node/coordinator/permits/pipelines.go
@@ -8,6 +8,7 @@
 	"peridotpier.example/core/speed"
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
 )
 
 // pipelines keeps what is learnt of the engines' prompts and streams, by service. The
@@ -89,6 +90,10 @@
 	if w.mayPrecede() {
 		c.advanceMs = uint32(u.pipeline.Ahead(read, s, at.Slowdown, now).Advance.Milliseconds())
 	}
+	l.deps.Metrics.Count(metrics.LateStreamsExpected, int64(c.latePermille))
+	if c.advanceMs > 0 {
+		l.deps.Metrics.Count(metrics.PermitsAhead, 1)
+	}
 	l.lastID++
 	w.promptID = l.lastID
 	u.pipeline.Grant(prefill.Prompt{
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -77,6 +77,15 @@
 	SuspectsDropped Name = "poison_suspects_dropped_total"
 )
 
+// Counters of the permits that this host granted as the acting coordinator.
+const (
+	// PermitsAhead counts permits granted before an earlier prompt's first event was reported.
+	PermitsAhead Name = "permits_ahead_total"
+	// LateStreamsExpected counts, in thousandths, the streams that granted prompts were
+	// expected to make late.
+	LateStreamsExpected Name = "streams_expected_late_permille_total"
+)
+
 // Counters and gauges of the host's way to the upstreams.
 const (
 	Partitioned         Name = "upstreams_unreachable"               // whether this host reaches no upstream now
