--- a/core/prefill/prefill_test.go
+++ b/core/prefill/prefill_test.go
@@ -133,10 +133,11 @@
 	s := newService()
 	var p Pipeline
 	for id := range uint64(40) {
-		run(&p, s, 100+id, time.Hour)
+		run(&p, newService(), 100+id, time.Hour) // not s, which it would teach
 	}
 	p.Grant(Prompt{ID: 1, Tokens: 4000, Read: 160 * ms, Bound: bound}, s, at(time.Second))
-	due, _ := p.NextAhead(s, at(time.Second))
+	due, ok := p.NextAhead(s, at(time.Second))
+	assert.Assert(t, ok)
 	assert.Equal(t, p.Ahead(160*ms, s, 0, due), Ahead{})
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,4 +614,22 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
+try "streams that pause weigh in the pick" core/balance/balance.go \
+  's += streams' 's += 0 * streams' ./node/coordinator/permits -run 'ALargePromptGoes'
+try "risk of a new stream" core/prefill/exposure.go \
+  'return min(1, perSecond' 'return 0 * min(1, perSecond' ./core/prefill
+try "two prompts in one span" core/prefill/cost.go \
+  'before := span + p.readWithin(span, now)' 'before := span' ./core/prefill
+try "streams that are late count nothing" core/prefill/prefill.go \
+  'if !g.LateAt.IsZero() && now.After(g.LateAt) {' 'if false {' ./core/prefill
+try "prompts ahead beside one that is not reported only" core/prefill/advance.go \
+  'lost > 0 || len(p.prompts) != 1' 'lost > 0 || len(p.prompts) < 1' ./core/prefill
+try "prompts ahead by the measured way only" core/prefill/advance.go \
+  'if now.Before(due) {' 'if due.IsZero() {' ./core/prefill
+try "prompts ahead at the cost of streams" core/prefill/advance.go \
+  'gained <= 0 || p.Late(read, s, slowdown, now)*read.Seconds() >= gained.Seconds()' 'gained <= 0' ./core/prefill
+try "lost reports of first events" core/prefill/advance.go \
+  'lost += g.Tokens' 'lost += 0' ./node/coordinator/permits -run 'AFrozenHost'
+try "pause bounds that are stated" node/coordinator/permits/pipelines.go \
+  'if w.mayPrecede() && out' 'if out' ./node/coordinator/permits -run 'WithoutPauseBounds'
 exit $missed
