--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -22,6 +22,7 @@
 	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/prefill"
 	"peridotpier.example/core/speed"
 	"peridotpier.example/node/coordinator/accounts"
 	"peridotpier.example/node/coordinator/coordpb"
@@ -30,6 +31,7 @@
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
 )
 
 // Deps are the dependencies of Permits.
@@ -41,8 +43,11 @@
 	Speeds   *demand.Speeds
 	// Engine returns the engine of a service's upstreams; nil: a plain service, or an
 	// unknown one.
-	Engine func(service string) *deploy.Engine
-	Now    func() time.Time
+	Engine  func(service string) *deploy.Engine
+	Now     func() time.Time
+	Metrics *metrics.Set // nil: a separate set is made
+	// AfterFunc calls f once after a time; nil: time.AfterFunc.
+	AfterFunc func(d time.Duration, f func())
 }
 
 // Permits decides for all hosts where and when each request for a model is dispatched.
@@ -67,6 +72,7 @@
 	backoffs    backoffs
 	unlikeAt    map[string]time.Time       // when an upstream of a service last differed in speed from the others
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
+	pipelines   pipelines
 
 	endpoints []balance.Endpoint // buffer of one pick; reused, since a pick may cover hundreds
 }
@@ -76,6 +82,7 @@
 	load          fleet.Load
 	cache         fleet.PromptCache
 	newestReading *request // the newest request whose prompt is being read there; nil: none
+	pipeline      prefill.Pipeline
 }
 
 // requestKey identifies a request by its stream and the number that its host gave it.
@@ -105,13 +112,22 @@
 	room          *backpressure.Room // account of the brittle upstream that it counts in; nil: none
 	fragility     backpressure.Fragility
 	send          backpressure.Send
-	isProbe       bool // whether it was granted in the slow start after a backoff, so that its response is awaited
+	promptID      uint64        // in the pipeline of its upstream
+	perToken      time.Duration // learnt time of the prefill of one of its prompt's tokens
+	isProbe       bool          // whether it was granted in the slow start after a backoff, so that its response is awaited
 }
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
 	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}}
+	if p.deps.Metrics == nil {
+		p.deps.Metrics = metrics.New()
+	}
+	if p.deps.AfterFunc == nil {
+		p.deps.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
+	}
 	p.limits = newUpstreamLimits(&p.deps)
+	p.pipelines = newPipelines(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
 }
@@ -202,6 +218,7 @@
 	p.waiting = append(p.waiting, nil)
 	copy(p.waiting[at+1:], p.waiting[at:])
 	p.waiting[at] = w
+	p.wakeAhead(w, now)
 	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(w.waitReason)})
 }
 
@@ -239,12 +256,14 @@
 
 // pick grants a request at the best of the given upstreams, if one can take it now.
 func (p *Permits) pick(w *request, entries []*fleet.Entry, now time.Time) balance.Decision {
+	w.perToken = p.pipelines.perToken(w)
 	endpoints := p.endpoints[:0]
 	for _, e := range entries {
 		endpoints = append(endpoints, p.endpoint(e, w, now))
 	}
 	p.endpoints = endpoints
-	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Usual: p.usualTimes(w, now)}
+	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), Usual: p.usualTimes(w, now),
+		Waited: now.Sub(w.askedAt), InTime: wire.Milliseconds(w.event.InTimeMs)}
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
@@ -276,6 +295,7 @@
 	if out.ModelResident {
 		out.CachedTokens = max(out.CachedTokens, u.cache.CachedTokens(&w.needs, now))
 	}
+	p.pipelines.describe(&out, u, w, now)
 	return out
 }
 
@@ -292,7 +312,6 @@
 	if w.event.Model != "" {
 		p.deps.Speeds.WithModel(w.model(), func(m speed.Estimator) { m.AddPrompt(int(prompt), int(w.event.Prompt)) })
 	}
-	w.grantedAt, w.solePrompt = now, at.PendingPromptTokens == 0
 	w.soleCall = at.InFlight < at.Slots
 	p.granted[w.key] = w
 	u := p.grants[w.upstream]
@@ -300,6 +319,7 @@
 		u = &upstreamGrants{}
 		p.grants[w.upstream] = u
 	}
+	w.grantedAt, w.solePrompt = now, u.load.PendingPromptTokens == 0
 	if u.newestReading != nil {
 		u.newestReading.solePrompt = false
 	}
@@ -311,7 +331,8 @@
 	u.load.Requests++
 	u.load.Tokens += int(w.event.Prompt + w.event.Output)
 	u.load.PendingPromptTokens += int(w.event.Prompt)
-	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream,
+	cost := p.pipelines.grant(u, w, at, now)
+	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_GRANTED, Upstream: w.upstream, LatePermille: cost.latePermille, AdvanceMs: cost.advanceMs,
 		PredictedMs: uint32(d.PredictedWait.Milliseconds()), Load: uint32(at.InFlight), Waiting: uint32(at.PendingPromptTokens), Cached: uint32(at.CachedTokens), WithinLimit: within, WithinRoom: inRoom, Trial: probe})
 }
 
@@ -324,6 +345,7 @@
 		p.backoffs.recordResponse(g, p.slotCount(g.upstream))
 		p.learnPrompt(g, succeeded)
 		p.finishPrompt(g)
+		p.pipelines.firstEvent(p.grants[g.upstream], g)
 		p.grantWaitingAt(g.upstream)
 	}
 }
@@ -356,6 +378,7 @@
 	p.rooms.ended(g, p.deps.Now())
 	if u := p.grants[g.upstream]; u != nil {
 		u.load.Requests--
+		p.pipelines.end(u, g, p.deps.Now())
 		u.load.Tokens -= int(g.event.Prompt + g.event.Output)
 	}
 	delete(p.granted, g.key)
@@ -419,6 +442,7 @@
 	})
 	if len(p.waiting) > 0 {
 		p.wakeAfter(e, now, p.limits.wait(e, now))
+		p.wakeAheadAt(e, now)
 	}
 }
 
