One fair queue by team for requests that wait

Cause: start-time fair queueing existed for the waiting requests of serve only, with one unit of work a request, tags that a removed request leaves behind, and a step that grows with the teams. host has none. Now core/fairqueue: work by weight, tags by team instead of by request (a removed request leaves no gap), lines that share the virtual times, O(log n) a step, a guaranteed share for less urgent ranks. core/admit decides over it; its tests are as they were but for the name of the queue's length.

--- a/core/admit/pool.go
+++ b/core/admit/pool.go
@@ -61,11 +61,11 @@
 
 func (p *Pool) enqueue(now time.Time, it Item) (Verdict, Refusal, *Refusal) {
 	q := &p.queues[it.Class]
-	wait := p.predictWait(it.Class, q.countAhead(q.startTag(it.Team))+p.waitingAbove(it.Class))
+	wait := p.predictWait(it.Class, q.countAhead(it)+p.waitingAbove(it.Class))
 	if missesDeadline(now, it, wait) {
 		return Refused, p.refusal(it, CauseDeadlineUnreachable, wait), nil
 	}
-	if q.n < p.policy.MaxQueue[it.Class] {
+	if q.size() < p.policy.MaxQueue[it.Class] {
 		q.push(it)
 		return Queued, Refusal{}, nil
 	}
@@ -113,14 +113,13 @@
 		q := &p.queues[c]
 		for _, it := range q.ordered() {
 			wait := p.predictWait(c, kept)
-			if missesDeadline(now, it.Item, time.Duration(keepWaitShare*float64(wait))) {
+			if missesDeadline(now, it, time.Duration(keepWaitShare*float64(wait))) {
 				q.remove(it.ID)
-				r.Refused = append(r.Refused, p.refusal(it.Item, CauseDeadlineUnreachable, wait))
+				r.Refused = append(r.Refused, p.refusal(it, CauseDeadlineUnreachable, wait))
 				continue
 			}
 			kept++
 		}
-		q.dropIdle()
 		if c == class.Bulk {
 			break
 		}
@@ -133,13 +132,13 @@
 func (p *Pool) Used(c class.Class) int { return p.used[c] }
 
 // Waiting returns how many requests of a class are waiting.
-func (p *Pool) Waiting(c class.Class) int { return p.queues[c].n }
+func (p *Pool) Waiting(c class.Class) int { return p.queues[c].size() }
 
 // grant assigns free slots to waiting requests, the most urgent class first.
 func (p *Pool) grant() []uint64 {
 	var out []uint64
 	for c := class.Urgent; ; c-- {
-		for p.queues[c].n > 0 {
+		for p.queues[c].size() > 0 {
 			it, ok := p.queues[c].pop(func(team string) bool { return p.canTake(c, team) })
 			if !ok {
 				break
@@ -213,7 +212,7 @@
 func (p *Pool) waitingAbove(c class.Class) int {
 	n := 0
 	for k := c + 1; k < class.Count; k++ {
-		n += p.queues[k].n
+		n += p.queues[k].size()
 	}
 	return n
 }
--- a/core/admit/pool_test.go
+++ b/core/admit/pool_test.go
@@ -254,8 +254,8 @@
 				assert.Assert(t, len(held) <= policy.Slots)
 				assert.Assert(t, p.used[class.Bulk] <= max(policy.maxSlots(class.Bulk), 1))
 				assert.Assert(t, p.used[class.Bulk]+p.used[class.Standard] <= policy.maxSlots(class.Standard))
-				assert.Equal(t, p.queues[0].n+p.queues[1].n+p.queues[2].n, len(waiting))
-				assert.Assert(t, p.queues[class.Standard].n <= 3)
+				assert.Equal(t, p.queues[0].size()+p.queues[1].size()+p.queues[2].size(), len(waiting))
+				assert.Assert(t, p.queues[class.Standard].size() <= 3)
 			},
 		})
 	})
--- /dev/null
+++ b/core/fairqueue/account.go
@@ -0,0 +1,78 @@
+package fairqueue
+
+// creditRequests bounds how far a team that waits may lag behind its rank, in requests of
+// the size of the one that is granted: about what one upstream runs at a time. A team whose
+// requests only a lost upstream could take would otherwise have its rank's complete capacity
+// once the upstream is back, for as long as it was lost.
+const creditRequests = 16.0
+
+// rank holds the accounts of one rank.
+type rank struct {
+	virtual  float64 // virtual time: the start tag of the latest grant
+	accounts map[string]*account
+	waiting  int
+	owed     float64 // work that the rank may have before more urgent ones
+	largest  float64 // cost of its largest request since it began to wait
+	sweepAt  int     // number of accounts from which idle ones are dropped
+}
+
+// account is what one team was granted in one rank, as virtual time: work by weight.
+type account struct {
+	weight  float64
+	finish  float64 // finish tag of the team's latest grant; the start tag of its next one
+	skipped float64 // in a scan: cost by weight of the team's requests that were passed over
+	waiting int
+}
+
+const firstSweep = 64 // number of accounts that a rank may keep without looking for idle ones
+
+func newRank() *rank { return &rank{accounts: map[string]*account{}, sweepAt: firstSweep} }
+
+// accountOf returns a team's account. An idle team begins at the virtual time: it gets no
+// credit for the time in which it asked for nothing.
+func (r *rank) accountOf(team string, weight float64) *account {
+	a := r.accounts[team]
+	if a == nil {
+		r.sweep()
+		a = &account{}
+		r.accounts[team] = a
+	}
+	if a.waiting == 0 {
+		a.finish = max(a.finish, r.virtual)
+	}
+	a.weight = usableWeight(weight)
+	return a
+}
+
+// charge adds a grant to a team's account.
+func (r *rank) charge(a *account, cost float64) {
+	took := cost / a.weight
+	start := max(a.finish, r.virtual-creditRequests*took)
+	r.virtual = max(r.virtual, start)
+	a.finish = start + took
+}
+
+// sweep drops the accounts that are as good as new once there are twice as many accounts as
+// after the last time, so that a push takes constant time on average.
+func (r *rank) sweep() {
+	if len(r.accounts) < r.sweepAt {
+		return
+	}
+	for team, a := range r.accounts {
+		if a.waiting == 0 && a.finish <= r.virtual {
+			delete(r.accounts, team)
+		}
+	}
+	r.sweepAt = max(2*len(r.accounts), firstSweep)
+}
+
+// usableWeight returns the weight to compute with: an unusable one counts as 1.
+func usableWeight(w float64) float64 {
+	if w > 0 && w <= maxWeight {
+		return w
+	}
+	return 1
+}
+
+// maxWeight keeps virtual times finite and precise.
+const maxWeight = 1e9
