Requests that wait for a permit: a fair queue by team within a rank

Cause: the coordinator ordered those who wait by rank and age, so that a team that sends several times its usual had most places of its rank. Now node/coordinator/permits/queue over core/fairqueue: lines by service and model, work in engine time, weights by the configuration (weight, else the limit by the mean of its unit, else 1). An event at an upstream tries the lines that it can serve.

--- a/core/admit/fair.go
+++ b/core/admit/fair.go
@@ -66,20 +66,19 @@
 // its weight, if that is more than the asking team would have. Without it, one team's
 // flood would fill the queue and the requests of all other teams would be refused.
 func (q *fairQueue) dropLongest(asking Item) (Item, bool) {
-	waiting := map[string]int{}
-	last := map[string]Item{}
-	for _, it := range q.ordered() {
-		waiting[it.Team]++
-		last[it.Team] = it
-	}
-	largest, found := float64(waiting[asking.Team]+1)/float64(max(asking.Weight, 1)), Item{}
-	for team, n := range waiting {
-		held := float64(n) / float64(max(last[team].Weight, 1))
-		if team != asking.Team && (held > largest || held == largest && found.Team != "" && team < found.Team) {
-			largest, found = held, last[team]
+	own := float64(q.q.Waiting(struct{}{}, 0, asking.Team) + 1)
+	largest, name := own/float64(max(asking.Weight, 1)), ""
+	q.q.Flows(func(f fairqueue.Flow[struct{}, Item]) {
+		held := float64(f.Waiting) / f.Weight
+		if f.Team != asking.Team && (held > largest || held == largest && name != "" && f.Team < name) {
+			largest, name = held, f.Team
 		}
+	})
+	if name == "" {
+		return Item{}, false
 	}
-	return found, found.Team != "" && q.remove(found.ID)
+	newest := q.q.Newest(struct{}{}, 0, name)
+	return newest.Value, q.remove(newest.Value.ID)
 }
 
 // countAhead counts the requests that would be granted before a new one.
--- a/core/deploy/deploy.go
+++ b/core/deploy/deploy.go
@@ -113,4 +113,6 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team `json:",omitempty"` // none: callers need no key
+	// Ignored describes values that cannot be used and count as absent.
+	Ignored []string `json:",omitempty"`
 }
--- a/core/deploy/table.go
+++ b/core/deploy/table.go
@@ -16,7 +16,8 @@
 	services  map[string]*Service
 	byHost    map[string][]*Route // longest prefix first
 	teams     map[apikey.Hash]*Team
-	urgencies []urgency // ascending, so that the most urgent come first
+	weights   map[string]float64 // by team
+	urgencies []urgency          // ascending, so that the most urgent come first
 }
 
 // NewTable returns the table of a configuration, which must not be changed
@@ -39,6 +40,7 @@
 		}
 	}
 	t.urgencies = urgenciesOf(c)
+	t.weights = weightsOf(c)
 	return t
 }
 
--- a/core/deploy/team.go
+++ b/core/deploy/team.go
@@ -16,6 +16,7 @@
 	Keys    []apikey.Hash // each of them identifies the team
 	Urgency int           // 0 is the most urgent; takes precedence over the priority of a route
 	Limit   quota.Limit
+	Weight  float64 `json:",omitempty"` // for its share of scarce capacity; 0: not stated, see Table.Weight
 }
 
 // Maximum numbers of teams and keys in a configuration. It is sent to all hosts, at
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -385,7 +385,7 @@
 func (l *Link) RequestPermit(ctx context.Context, q *gate.PermitRequest) (*gate.Permit, error) {
 	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_ASK, Service: q.Service, Model: q.Request.Model, Adapter: q.Request.Adapter,
 		Prompt: uint32(q.Cost.PromptTokens), Output: uint32(q.Cost.OutputTokens), Priority: int32(q.Priority), Reading: uint32(q.MaxPendingPromptTokens), Tried: q.Excluded,
-		Warm: q.WithIdleConn, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.ObjectiveLeft.Milliseconds(), 0)), PatienceMs: uint32(max(q.MaxWait.Milliseconds(), 0))}
+		Warm: q.WithIdleConn, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.ObjectiveLeft.Milliseconds(), 0)), PatienceMs: uint32(max(q.MaxWait.Milliseconds(), 0)), Account: q.Account}
 	if q.Team != nil {
 		now := l.deps.Now()
 		l.teams.withShare(q.Team, now, func(s *quota.Share) { s.AddDemand(q.Charge, now) })
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -2,8 +2,9 @@
 // and when each request for a model is dispatched. The part of every host is the link.
 //
 // Memory grows with the requests that wait or are under way and with the upstreams that
-// have some. A decision grows with the upstreams that have the model, and what an event
-// sets off is bounded by maxWaitingScan; neither grows with the hosts or models.
+// have some. A decision grows with the upstreams that have the model, and how many waiting
+// requests an event tries is bounded by package queue; neither grows with the hosts or
+// models.
 //
 // The mutex of Permits guards everything here, with the limits, rooms and backoffs of
 // the upstreams, since each decision depends on all of them. The mutexes of the reports,
@@ -14,8 +15,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
-	"sort"
 	"sync"
 	"time"
 
@@ -26,10 +25,12 @@
 	"peridotpier.example/node/coordinator/accounts"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/coordinator/demand"
+	"peridotpier.example/node/coordinator/permits/queue"
 	"peridotpier.example/node/coordinator/reports"
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/follow"
 )
 
 // Deps are the dependencies of Permits.
@@ -42,6 +43,7 @@
 	// Engine returns the engine of a service's upstreams; nil: a plain service, or an
 	// unknown one.
 	Engine func(service string) *deploy.Engine
+	Config *follow.ActiveConfig // for the weights of teams; nil: there are no teams
 	Now    func() time.Time
 }
 
@@ -59,9 +61,9 @@
 	streams     map[*Stream]struct{}
 	granted     map[requestKey]*request
 	grants      map[string]*upstreamGrants // by upstream ID
-	waiting     []*request                 // ordered by priority, then by age
-	suspects    map[string]bool            // upstreams that several hosts exclude, as of the last request or maintenance
-	unreachable map[string]refusal         // upstreams at whose address nothing listened
+	waiting     waitingRequests
+	suspects    map[string]bool    // upstreams that several hosts exclude, as of the last request or maintenance
+	unreachable map[string]refusal // upstreams at whose address nothing listened
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
@@ -86,6 +88,7 @@
 // request is a request for a permit, granted or waiting.
 type request struct {
 	key           requestKey
+	item          *queue.Item[*request] // while it waits
 	event         *coordpb.TurnEvent
 	needs         fleet.Request
 	excluded      map[string]bool      // upstreams that its host has tried for it or excludes
@@ -106,7 +109,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, waiting: newWaitingRequests()}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
@@ -155,13 +158,7 @@
 			p.release(g)
 		}
 	}
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		if w.key.from != from {
-			kept = append(kept, w)
-		}
-	}
-	p.waiting = kept
+	p.waiting.removeStream(from)
 }
 
 // chargeTeam charges a request to its team's limit and reports whether the limit allows
@@ -188,15 +185,15 @@
 	for _, part := range e.Parts {
 		w.needs.PromptParts = append(w.needs.PromptParts, fleet.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
 	}
+	p.reweigh()
 	w.waitReason = p.tryAll(w, now)
-	if !mayQueue(w.waitReason) || w.waitReason == balance.AllBackoff && p.refuseUnservable(w, now) {
+	if !mayQueue(w.waitReason) {
+		p.chargeGranted(w, now)
 		return
 	}
-	at := sort.Search(len(p.waiting), func(i int) bool { return p.waiting[i].event.Priority > e.Priority })
-	p.waiting = append(p.waiting, nil)
-	copy(p.waiting[at+1:], p.waiting[at:])
-	p.waiting[at] = w
-	k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_QUEUED, Reason: uint32(w.waitReason)})
+	if w.waitReason != balance.AllBackoff || !p.refuseUnservable(w, now) {
+		p.enqueue(w, now)
+	}
 }
 
 func upstreamSet(ids []string) map[string]bool {
@@ -207,12 +204,6 @@
 	return out
 }
 
-// mayQueue reports whether a request that was not granted for this reason waits here
-// until the reason has passed.
-func mayQueue(r balance.Reason) bool {
-	return r == balance.AllPrefilling || r == balance.AllFull || r == balance.AllBackoff
-}
-
 // tryAll tries to grant a request at any upstream of its service. It answers the host
 // unless the request has to wait.
 func (p *Permits) tryAll(w *request, now time.Time) balance.Reason {
@@ -364,11 +355,8 @@
 		p.grantWaitingAt(g.upstream)
 		return
 	}
-	for i, w := range p.waiting {
-		if w.key == k {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
+	if w := p.waiting.find(k); w != nil {
+		p.waiting.remove(w)
 	}
 }
 
@@ -396,43 +384,6 @@
 	}
 }
 
-// maxWaitingScan bounds how many waiting requests are tried for one event.
-const maxWaitingScan = 48
-
-// grantWaitingAt grants waiting requests at one upstream, whose state has changed. The
-// other upstreams are as they were when the requests were tried there.
-func (p *Permits) grantWaitingAt(upstream string) {
-	e, ok := p.deps.Fleet.Entry(upstream)
-	if !ok {
-		return
-	}
-	now := p.deps.Now()
-	p.grantWaiting(now, func(w *request) bool {
-		return w.event.Service == e.Service() && p.pick(w, []*fleet.Entry{e}, now).Index >= 0
-	})
-	if len(p.waiting) > 0 {
-		p.wakeAfter(e, now, p.limits.wait(e, now))
-	}
-}
-
-// grantWaiting removes those waiting requests for which try returns true. Overdue
-// requests are tried after those that can still be answered in time.
-func (p *Permits) grantWaiting(now time.Time, try func(*request) (done bool)) {
-	tried := 0
-	for _, overdue := range []bool{false, true} {
-		for i, w := range p.waiting {
-			if tried >= maxWaitingScan || w == nil || w.isOverdue(now) != overdue {
-				continue
-			}
-			tried++
-			if try(w) {
-				p.waiting[i] = nil
-			}
-		}
-	}
-	p.waiting = slices.DeleteFunc(p.waiting, func(w *request) bool { return w == nil })
-}
-
 func (w *request) model() demand.Key {
 	return demand.Key{Service: w.event.Service, Model: w.event.Model}
 }
@@ -462,10 +413,8 @@
 	now := p.deps.Now()
 	p.suspects = p.deps.Reports.Suspects(now)
 	p.restartSuspects()
-	p.grantWaiting(now, func(w *request) bool {
-		w.waitReason = p.tryAll(w, now)
-		return !mayQueue(w.waitReason)
-	})
+	p.grantAllWaiting(now)
+	p.logShares(now)
 	p.limits.expire()
 	p.rooms.maintain(now)
 	p.backoffs.expire(now)
--- a/node/coordinator/permits/permits_test.go
+++ b/node/coordinator/permits/permits_test.go
@@ -34,7 +34,7 @@
 	config, log := follow.NewActiveConfig(event.NewLog(nil)), event.NewLog(nil)
 	r := reports.New(reports.Config{RunsModels: func(string) bool { return false }})
 	return New(Deps{Fleet: f, Log: log, Reports: r, Accounts: accounts.New(accounts.Deps{Config: config, ReportingShare: r.ReportingShare}),
-		Speeds: demand.NewSpeeds(), Engine: func(string) *deploy.Engine { return nil }, Now: now})
+		Speeds: demand.NewSpeeds(), Engine: func(string) *deploy.Engine { return nil }, Config: config, Now: now})
 }
 
 func newTestStream() *Stream { return NewStream(func() {}) }
@@ -145,7 +145,7 @@
 		for id, p := range perms.grants {
 			assert.Equal(t, p.load, fleet.Load{}, id)
 		}
-		assert.Equal(t, len(perms.waiting), 0)
+		assert.Equal(t, perms.waiting.Len(), 0)
 	})
 }
 
--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -73,13 +73,7 @@
 // queuedAhead returns how many of the requests that wait for the same upstreams come
 // before a request.
 func (p *Permits) queuedAhead(w *request) int {
-	n := 0
-	for _, o := range p.waiting {
-		if o.waitReason == balance.AllBackoff && o.event.Priority <= w.event.Priority && o.event.Service == w.event.Service && o.needs.Model == w.needs.Model {
-			n++
-		}
-	}
-	return n
+	return p.waiting.Ahead(p.queued(w, p.expectedWork(w)))
 }
 
 // wakeAfter tries the waiting requests again after wait, when an upstream may take one
--- a/node/event/routed.go
+++ b/node/event/routed.go
@@ -57,11 +57,13 @@
 	SuspectCompleted        = Event{2165, "suspect_completed", zapcore.InfoLevel, "A request under which an upstream had ended ran to its end; nothing is held against it any more."}
 	BarsUnsaved             = Event{2166, "request_bars_unsaved", zapcore.WarnLevel, "What is barred could not be read from the platform's store, or written there; it is tried again. Until then a loss of all hosts loses it."}
 	BarsUnreadable          = Event{2167, "request_bars_unreadable", zapcore.WarnLevel, "Rows of what is barred cannot be read: they bar nothing, and stay as they are until the request is barred again. rows is their number, first the key of one; look for who else writes there."}
+	ConfigValuesIgnored     = Event{2201, "configuration_values_ignored", zapcore.WarnLevel, "Values of the configuration in force cannot be used and count as absent; values names the first ones and why. Correct them in the next version."}
+	TeamAtShare             = Event{2202, "team_at_share", zapcore.InfoLevel, "Requests of a team wait while others of their rank go first, because the team had its share of what the service served. granted and share are the team's parts of the work granted lately and of the weights of the teams that asked for some, waiting and oldest_ms its requests that wait. At most one line a team in some seconds; see docs/OPERATIONS.md."}
 	QuietPeriod             = Event{2156, "orders_quiet", zapcore.InfoLevel, "The lease is new: no order is sent for this long, so that the former holder's last ones have arrived. upstreams is to how many of them, by its word, this holds one by one."}
 )
 
 var routedEvents = []Event{HostStarting, HostReady, HostStopping, HostStopped, SettingsReloaded, SettingsUnusable,
-	StoreLost, StoreRecovered, FeedReloaded, RoutesInForce, RoutesUnusable, EntryUnreadable, StoreRestored, TableRead, RelayIgnored,
+	StoreLost, StoreRecovered, FeedReloaded, RoutesInForce, RoutesUnusable, ConfigValuesIgnored, TeamAtShare, EntryUnreadable, StoreRestored, TableRead, RelayIgnored,
 	RequestDetoured, DetourTaken, DetourRefused, DetourDeclined, DetourLost,
 	RequestSent, RequestRetried, RetryBudgetChanged, RequestQueued, RequestRefused, RequestInterrupted, RequestServed, RequestAbandoned, CallerConnectionClosed, LogDropped,
 	CoordinatorLinked, CoordinatorLost, ActingCoordinator, OrderSent, OrderCompleted, PermitGranted, OrderRejected, OrderUnanswered, AdapterRequested, QuietPeriod, MoveEndedEarly,
--- a/node/fleet/modelindex.go
+++ b/node/fleet/modelindex.go
@@ -102,6 +102,14 @@
 	e.indexedModels = next
 }
 
+// ResidentModels returns the models that may be resident: those of the upstream's
+// description and of the acting coordinator's announcements.
+func (e *Entry) ResidentModels() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append(make([]string, 0, len(e.indexedModels)+1), e.indexedModels...)
+}
+
 // forget removes the entry from the indexes for good.
 func (e *Entry) forget() {
 	e.mu.Lock()
--- a/node/follow/config.go
+++ b/node/follow/config.go
@@ -57,6 +57,9 @@
 		}
 		c.log.Emit(event.RoutesInForce, zap.Uint64("version", next.Version), zap.Uint64("was", oldVersion),
 			zap.String("source", source), zap.Int("routes", len(next.Routes)), zap.Int("services", len(next.Services)))
+		if len(next.Ignored) > 0 {
+			c.log.Emit(event.ConfigValuesIgnored, zap.Uint64("version", next.Version), zap.Strings("values", next.Ignored))
+		}
 		if c.onChange != nil {
 			c.onChange()
 		}
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -25,6 +25,7 @@
 	Backoffs               fleet.Backoffs // remaining backoffs that upstreams of the service asked this host for
 	ObjectiveLeft          time.Duration  // until the request's objective; a response that starts later is overdue
 	MaxWait                time.Duration  // how long the request waits for the permit
+	Account                string         // team that the request belongs to, for its share of scarce capacity; "": none
 	Team                   *deploy.Team   // whose limit is charged with the permit; nil: none
 	Charge                 float64        // in the unit of the team's limit
 }
@@ -79,7 +80,7 @@
 	q.beginHold(cancel)
 	defer q.endHold()
 	req := &PermitRequest{Service: q.service.Name, Request: &q.needs, Cost: q.cost, Priority: q.urgency(), MaxPendingPromptTokens: q.maxPendingPromptTokens(now, q.lostByUpstream),
-		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait}
+		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait, Account: q.caller.name()}
 	req.WithIdleConn, req.Backoffs = q.withIdleConn(), d.Fleet.Backoffs(q.service.Name)
 	if q.caller.owesCharge() {
 		req.Team, req.Charge = q.caller.team, q.caller.cost
