--- a/core/fairqueue/account.go
+++ b/core/fairqueue/account.go
@@ -1,9 +1,9 @@
 package fairqueue
 
-// creditRequests bounds how far a team that waits may lag behind its rank, in requests of
-// the size of the one that is granted: about what one upstream runs at a time. A team whose
-// requests only a lost upstream could take would otherwise have its rank's complete capacity
-// once the upstream is back, for as long as it was lost.
+// creditRequests bounds how far a team may lag behind its rank, in requests of the size of
+// the one that it asks for. A team that asks for less than its share on average keeps its
+// share when some of its requests arrive together; with a larger bound, a team that asked
+// for nothing, or only for what a lost upstream has, would then have all capacity for long.
 const creditRequests = 16.0
 
 // rank holds the accounts of one rank.
@@ -20,6 +20,7 @@
 type account struct {
 	weight  float64
 	finish  float64 // finish tag of the team's latest grant; the start tag of its next one
+	credit  float64 // by how much that may lag behind the virtual time, as of its last request
 	skipped float64 // in a scan: cost by weight of the team's requests that were passed over
 	waiting int
 }
@@ -28,28 +29,32 @@
 
 func newRank() *rank { return &rank{accounts: map[string]*account{}, sweepAt: firstSweep} }
 
-// accountOf returns a team's account. An idle team begins at the virtual time: it gets no
-// credit for the time in which it asked for nothing.
-func (r *rank) accountOf(team string, weight float64) *account {
-	a := r.accounts[team]
+// accountOf returns a team's account for a request.
+func (r *rank) accountOf(q Request) *account {
+	a := r.accounts[q.Team]
 	if a == nil {
 		r.sweep()
-		a = &account{}
-		r.accounts[team] = a
+		a = &account{finish: r.virtual}
+		r.accounts[q.Team] = a
 	}
+	a.weight = usableWeight(q.Weight)
 	if a.waiting == 0 {
-		a.finish = max(a.finish, r.virtual)
+		a.finish = r.start(a, q.Cost)
 	}
-	a.weight = usableWeight(weight)
 	return a
 }
 
+// start returns the start tag of a team's next request.
+func (r *rank) start(a *account, cost float64) float64 {
+	a.credit = creditRequests * cost / a.weight
+	return max(a.finish, r.virtual-a.credit)
+}
+
 // charge adds a grant to a team's account.
 func (r *rank) charge(a *account, cost float64) {
-	took := cost / a.weight
-	start := max(a.finish, r.virtual-creditRequests*took)
+	start := r.start(a, cost)
 	r.virtual = max(r.virtual, start)
-	a.finish = start + took
+	a.finish = start + cost/a.weight
 }
 
 // sweep drops the accounts that are as good as new once there are twice as many accounts as
@@ -59,7 +64,7 @@
 		return
 	}
 	for team, a := range r.accounts {
-		if a.waiting == 0 && a.finish <= r.virtual {
+		if a.waiting == 0 && a.finish+a.credit <= r.virtual {
 			delete(r.accounts, team)
 		}
 	}
--- a/core/fairqueue/membership.go
+++ b/core/fairqueue/membership.go
@@ -28,7 +28,7 @@
 	lr := lane.rankOf(it.request.Rank, func() *laneRank[L, T] {
 		return &laneRank[L, T]{rank: q.rankOf(it.request.Rank), urgency: it.request.Rank, line: l, late: late, byTeam: map[string]*flow[L, T]{}}
 	})
-	a := lr.accountOf(it.request.Team, it.request.Weight)
+	a := lr.accountOf(it.request)
 	f := lr.byTeam[it.request.Team]
 	if f == nil {
 		f = &flow[L, T]{account: a, team: it.request.Team, in: lr, position: outside}
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -7,9 +7,10 @@
 // whether it waited for it or not, and the waiting team with the lowest virtual time is next.
 // Work is engine time, or whatever unit the caller uses, so that a team gains nothing by
 // larger requests. While two teams wait for the same line, what they are granted, divided by
-// their weights, differs by at most one request of each. No capacity is kept for a team that
-// does not wait. An idle team that becomes active is next within one request of each other
-// team.
+// their weights, differs by at most one request of each, and by what one of them lacked when
+// it began to wait. No capacity is kept for a team that does not wait; what it lacks of its
+// share is a credit of a few requests at most. A team that becomes active is next within one
+// request, and that credit, of each other team.
 //
 // Requests wait in lines, one for each kind of upstream that can serve them, and the lines of
 // a queue share the virtual times. An event at an upstream scans only the lines that it can
@@ -154,7 +155,7 @@
 // that wait in the line were passed over by it.
 func (q *Queue[L, T]) Charge(at L, r Request) {
 	own := q.rankOf(r.Rank)
-	own.charge(own.accountOf(r.Team, r.Weight), r.Cost)
+	own.charge(own.accountOf(r), r.Cost)
 	if l := q.lines[at]; l != nil && q.cfg.Reserve > 0 {
 		q.owe(r.Rank, r.Cost, []*lane[L, T]{&l.lanes[0], &l.lanes[1]})
 	}
@@ -208,7 +209,7 @@
 		return own.virtual
 	}
 	if a.waiting == 0 {
-		return max(a.finish, own.virtual)
+		return own.start(a, r.Cost)
 	}
 	tag := a.finish
 	if lr := q.lines[at].lanes[0].find(r.Rank); lr != nil && lr.byTeam[r.Team] != nil {
