--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -65,6 +65,9 @@
 // Request returns the request as it was pushed.
 func (it *Item[L, T]) Request() Request { return it.request }
 
+// Line returns the line in which the request waits, or waited last.
+func (it *Item[L, T]) Line() L { return it.flow.in.line.id }
+
 func (it *Item[L, T]) before(o *Item[L, T]) bool { return it.sequence < o.sequence }
 func (it *Item[L, T]) setPosition(i int)         { it.position = i }
 
@@ -130,6 +133,9 @@
 // Len returns how many requests wait.
 func (q *Queue[L, T]) Len() int { return q.len }
 
+// HasLine reports whether requests wait in a line.
+func (q *Queue[L, T]) HasLine(id L) bool { return q.lines[id] != nil }
+
 // Push adds a request behind those of its team.
 func (q *Queue[L, T]) Push(to L, r Request, value T) *Item[L, T] {
 	q.next++
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -158,7 +158,7 @@
 			p.release(g)
 		}
 	}
-	p.waiting.removeStream(from)
+	p.waiting.removeStream(from, p.deps.Now())
 }
 
 // chargeTeam charges a request to its team's limit and reports whether the limit allows
@@ -191,7 +191,7 @@
 		p.chargeGranted(w, now)
 		return
 	}
-	if w.waitReason != balance.AllBackoff || !p.refuseUnservable(w, now) {
+	if !p.refuseUnservable(w, now) {
 		p.enqueue(w, now)
 	}
 }
@@ -356,7 +356,7 @@
 		return
 	}
 	if w := p.waiting.find(k); w != nil {
-		p.waiting.remove(w)
+		p.waiting.remove(w, p.deps.Now())
 	}
 }
 
--- a/node/coordinator/permits/queue/queue.go
+++ b/node/coordinator/permits/queue/queue.go
@@ -46,7 +46,8 @@
 // service holds the waiting requests of one service by model.
 type service[T any] struct {
 	*fairqueue.Queue[string, T]
-	window window
+	window   window
+	outlooks map[string]*outlook // by model
 }
 
 // New returns an empty queue in which all teams weigh the same.
@@ -79,7 +80,7 @@
 func (q *Queue[T]) service(name string) *service[T] {
 	s := q.services[name]
 	if s == nil {
-		s = &service[T]{Queue: fairqueue.New[string, T](fairqueue.Config{Reserve: q.reserve()})}
+		s = &service[T]{Queue: fairqueue.New[string, T](fairqueue.Config{Reserve: q.reserve()}), outlooks: map[string]*outlook{}}
 		q.services[name] = s
 	}
 	return s
@@ -94,13 +95,15 @@
 	s := q.service(r.Service)
 	s.window.asked(r.Team, r.Cost, now)
 	q.len++
+	s.outlook(r.Model).waits(true, now)
 	return s.Push(r.Model, q.request(r), value)
 }
 
 // Remove removes a request that waits in a service.
-func (q *Queue[T]) Remove(service string, it *Item[T]) {
+func (q *Queue[T]) Remove(service, model string, it *Item[T], now time.Time) {
 	if s := q.services[service]; s != nil && s.Remove(it) {
 		q.len--
+		s.outlook(model).waits(s.HasLine(model), now)
 	}
 }
 
@@ -109,9 +112,31 @@
 	s := q.service(r.Service)
 	s.window.asked(r.Team, r.Cost, now)
 	s.window.granted(r.Team, r.Cost, now)
+	if o := s.outlooks[r.Model]; o != nil {
+		o.granted(now)
+	}
 	s.Charge(r.Model, q.request(r))
 }
 
+// Refuse reports whether a new request will probably not be granted while its caller waits,
+// and after what time it should return.
+func (q *Queue[T]) Refuse(r Request, maxWait time.Duration, now time.Time) (after time.Duration, hopeless bool) {
+	s := q.services[r.Service]
+	if s == nil || s.outlooks[r.Model] == nil {
+		return 0, false
+	}
+	return s.outlooks[r.Model].refuse(q.Ahead(r), maxWait, now)
+}
+
+func (s *service[T]) outlook(model string) *outlook {
+	o := s.outlooks[model]
+	if o == nil {
+		o = &outlook{}
+		s.outlooks[model] = o
+	}
+	return o
+}
+
 // Ahead returns how many requests would be granted before a new one.
 func (q *Queue[T]) Ahead(r Request) int {
 	s := q.services[r.Service]
@@ -154,9 +179,15 @@
 			q.len--
 			if cost > 0 {
 				s.window.granted(it.Request().Team, cost, scan.Now)
+				s.outlook(it.Line()).granted(scan.Now)
 			}
 			return fairqueue.Taken, cost
 		}})
+	for _, model := range models {
+		if o := s.outlooks[model]; o != nil {
+			o.waits(s.HasLine(model), scan.Now)
+		}
+	}
 	return tried
 }
 
--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -13,16 +13,30 @@
 // wait; the answer contains the retry delay. Otherwise it returns false, and the queue
 // is checked again when one of the upstreams may take a request.
 func (p *Permits) refuseUnservable(w *request, now time.Time) bool {
-	o := p.estimateWait(w, now)
 	maxWait := wire.Milliseconds(w.event.PatienceMs)
-	if maxWait == 0 || o.dispatchIn <= maxWait {
+	if maxWait == 0 {
+		return false
+	}
+	if w.waitReason != balance.AllBackoff {
+		after, hopeless := p.waiting.Refuse(p.queued(w, p.expectedWork(w)), maxWait, now)
+		if hopeless {
+			w.refuseWith(w.waitReason, after)
+		}
+		return hopeless
+	}
+	o := p.estimateWait(w, now)
+	if o.dispatchIn <= maxWait {
 		return false
 	}
-	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(balance.AllBackoff),
-		WaitMs: uint32(o.retryIn.Milliseconds()) + 1})
+	w.refuseWith(balance.AllBackoff, o.retryIn)
 	return true
 }
 
+// refuseWith answers that no upstream takes a request, and when it should come back.
+func (w *request) refuseWith(r balance.Reason, after time.Duration) {
+	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(r), WaitMs: uint32(after.Milliseconds()) + 1})
+}
+
 // waitEstimate estimates when a request can be dispatched whose upstreams all take
 // nothing for now.
 type waitEstimate struct {
--- a/node/coordinator/permits/waiting.go
+++ b/node/coordinator/permits/waiting.go
@@ -40,15 +40,15 @@
 }
 
 // remove ends the wait of a request that was not granted.
-func (q *waitingRequests) remove(w *request) {
-	q.Remove(w.event.Service, w.item)
+func (q *waitingRequests) remove(w *request, now time.Time) {
+	q.Remove(w.event.Service, w.event.Model, w.item, now)
 	q.forget(w.key)
 }
 
 // removeStream removes the requests of a stream.
-func (q *waitingRequests) removeStream(from *Stream) {
+func (q *waitingRequests) removeStream(from *Stream, now time.Time) {
 	for _, w := range q.byStream[from] {
-		q.Remove(w.event.Service, w.item)
+		q.Remove(w.event.Service, w.event.Model, w.item, now)
 	}
 	delete(q.byStream, from)
 }
@@ -67,7 +67,7 @@
 // enqueue lets a request wait.
 func (p *Permits) enqueue(w *request, now time.Time) {
 	if old := p.waiting.find(w.key); old != nil { // a faulty host: it would wait twice
-		p.waiting.remove(old)
+		p.waiting.remove(old, now)
 	}
 	w.item = p.waiting.Push(p.queued(w, p.expectedWork(w)), w, now)
 	of := p.waiting.byStream[w.key.from]
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -24,7 +24,7 @@
 	WithIdleConn           []string       // upstreams to which this host has an idle connection
 	Backoffs               fleet.Backoffs // remaining backoffs that upstreams of the service asked this host for
 	ObjectiveLeft          time.Duration  // until the request's objective; a response that starts later is overdue
-	MaxWait                time.Duration  // how long the request waits for the permit
+	MaxWait                time.Duration  // how long the request waits for the permit, or is refused at once; 0: it waits in any case
 	Account                string         // team that the request belongs to, for its share of scarce capacity; "": none
 	Team                   *deploy.Team   // whose limit is charged with the permit; nil: none
 	Charge                 float64        // in the unit of the team's limit
@@ -81,6 +81,9 @@
 	defer q.endHold()
 	req := &PermitRequest{Service: q.service.Name, Request: &q.needs, Cost: q.cost, Priority: q.urgency(), MaxPendingPromptTokens: q.maxPendingPromptTokens(now, q.lostByUpstream),
 		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait, Account: q.caller.name()}
+	if q.started {
+		req.MaxWait = 0 // its caller has a part of the response, so that it waits in any case
+	}
 	req.WithIdleConn, req.Backoffs = q.withIdleConn(), d.Fleet.Backoffs(q.service.Name)
 	if q.caller.owesCharge() {
 		req.Team, req.Charge = q.caller.team, q.caller.cost
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -49,6 +49,9 @@
 	if e != nil || decision.overLimit {
 		return e, decision
 	}
+	if ok && decision.unservable && decision.Reason != balance.AllBackoff && !q.started {
+		return nil, decision // what this host sees free, the coordinator has given to those that wait
+	}
 	if ok && q.needs.Model == "" && decision.Reason != balance.NoUpstream {
 		return nil, decision
 	}
@@ -188,6 +191,10 @@
 	if p.Reason == balance.AllBackoff && !q.started && (p.unservable || now.Add(p.MinBackoff).After(until)) {
 		return q.giveUpBackoff(p.MinBackoff)
 	}
+	if p.unservable && !q.started {
+		q.endUnlessAnswered(p.Reason.String(), p.MinBackoff)
+		return false
+	}
 	if !now.Before(until) {
 		return q.giveUp(p.Reason)
 	}
