--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -14,6 +14,7 @@
 
 	"github.com/google/subcommands"
 
+	"peridotpier.example/node/coordinator/permits/queue"
 	"peridotpier.example/node/host"
 )
 
@@ -29,7 +30,10 @@
 func (*hostStatusCommand) Usage() string {
 	return `pierctl hoststatus --metrics IP:PORT [--json]
   Asks a host of a routed deployment, at its metrics address. The one that acts for
-  all shows by field what it tells the others.
+  all shows by field what it tells the others, and which teams' requests wait for a
+  permit: how many and since when, the team's part of the weights of the teams that
+  asked in the last seconds (share), of the work that was granted (got) and of the work
+  that was asked for (asked), and the models that the requests wait for.
 `
 }
 
@@ -65,6 +69,7 @@
 	if s.PartitionedMs > 0 {
 		fmt.Printf("reaches no upstream for %d ms, noticed by %s; other hosts forward at %s\n", s.PartitionedMs, s.PartitionedBy, cmp.Or(strings.Join(s.Detours, " "), "none"))
 	}
+	printWaiting(s.Waiting)
 	for _, part := range []struct {
 		title string
 		by    map[string]int64
@@ -74,3 +79,21 @@
 		}
 	}
 }
+
+// maxLinesOfTeam is how many models of a team are printed; --json shows all.
+const maxLinesOfTeam = 4
+
+func printWaiting(teams []queue.TeamStatus) {
+	for i := range teams {
+		t := &teams[i]
+		fmt.Printf("waiting: %-16s team %-16s %5d, the oldest for %d ms; share %.3f, got %.3f, asked %.3f\n", t.Service, cmp.Or(t.Team, "-"),
+			t.Waiting, t.OldestMs, t.Share, t.Granted, t.Asked)
+		for j, l := range t.Lines {
+			if j == maxLinesOfTeam {
+				fmt.Printf("           and for %d more\n", len(t.Lines)-j)
+				break
+			}
+			fmt.Printf("           %5d for %s in rank %d\n", l.Waiting, cmp.Or(l.Model, "plain calls"), l.Rank)
+		}
+	}
+}
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -163,7 +163,7 @@
 	c.accounts = accounts.New(accounts.Deps{Config: deps.Config, LimitSlack: cfg.LimitSlack, ReportingShare: c.aggregate.ReportingShare, LastState: c.lastTeamState})
 	c.repeats = repeats.New(cfg.Repeats)
 	c.quarantine = quarantine.New(quarantine.Deps{Lease: deps.Lease, Table: deps.Table, Log: deps.Log, Now: deps.Now})
-	c.permits = permits.New(permits.Deps{Fleet: deps.Fleet, Log: deps.Log, Reports: c.aggregate, Accounts: c.accounts, Speeds: c.speeds, Engine: c.engine, Config: deps.Config, Now: func() time.Time { return c.now() }})
+	c.permits = permits.New(permits.Deps{Fleet: deps.Fleet, Log: deps.Log, Reports: c.aggregate, Accounts: c.accounts, Speeds: c.speeds, Engine: c.engine, Config: deps.Config, Metrics: deps.Metrics, Now: func() time.Time { return c.now() }})
 	c.relay = c.newRelay()
 	c.planner = moves.New(moves.Deps{Fleet: deps.Fleet, Config: deps.Config, Term: c, Orders: deps.Orders, Demand: c.demand, StoreLoads: c.storeLoads, Log: deps.Log, Now: func() time.Time { return c.now() },
 		Policy: cfg.Policy, AdapterLoadTime: cfg.AdapterLoadTime, NoModelMoves: cfg.NoModelMoves})
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -31,6 +31,7 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
+	"peridotpier.example/node/metrics"
 )
 
 // Deps are the dependencies of Permits.
@@ -44,7 +45,9 @@
 	// unknown one.
 	Engine func(service string) *deploy.Engine
 	Config *follow.ActiveConfig // for the weights of teams; nil: there are no teams
-	Now    func() time.Time
+	// Metrics receives gauges and counters of those who wait; nil: none are kept.
+	Metrics *metrics.Set
+	Now     func() time.Time
 }
 
 // Permits decides for all hosts where and when each request for a model is dispatched.
@@ -112,6 +115,7 @@
 	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, waiting: newWaitingRequests()}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
+	p.publish()
 	return p
 }
 
--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -20,6 +20,7 @@
 	if w.waitReason != balance.AllBackoff {
 		after, hopeless := p.waiting.Refuse(p.queued(w, p.expectedWork(w)), maxWait, now)
 		if hopeless {
+			p.countHopeless()
 			w.refuseWith(w.waitReason, after)
 		}
 		return hopeless
--- a/node/coordinator/permits/waiting.go
+++ b/node/coordinator/permits/waiting.go
@@ -3,14 +3,11 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/speed"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/coordinator/permits/queue"
-	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 )
 
@@ -174,38 +171,6 @@
 		}}
 }
 
-// Waiting describes which teams wait, the longest queue first.
-func (p *Permits) Waiting() []queue.TeamStatus {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waiting.Status(p.deps.Now(), func(w *request) time.Time { return w.askedAt })
-}
-
-// Bounds of the lines on teams that wait because they had their share.
-const (
-	shareLogInterval = 5 * time.Second
-	maxShareLines    = 8 // at a time: the teams with the longest queues
-)
-
-// logShares logs which teams wait because others of their rank go first.
-func (p *Permits) logShares(now time.Time) {
-	if p.waiting.Len() == 0 || now.Sub(p.waiting.loggedAt) < shareLogInterval {
-		return
-	}
-	p.waiting.loggedAt = now
-	lines := 0
-	for _, t := range p.waiting.Status(now, func(w *request) time.Time { return w.askedAt }) {
-		if t.Team == "" || !t.HadItsShare() {
-			continue
-		}
-		if lines++; lines > maxShareLines {
-			return
-		}
-		p.deps.Log.Emit(event.TeamAtShare, zap.String(event.FieldTeam, t.Team), zap.String("service", t.Service), zap.Int("waiting", t.Waiting),
-			zap.Int64("oldest_ms", t.OldestMs), zap.Float64("granted", t.Granted), zap.Float64("share", t.Share), zap.Float64("weight", t.Weight))
-	}
-}
-
 // mayQueue reports whether a request that was not granted for this reason waits here
 // until the reason has passed.
 func mayQueue(r balance.Reason) bool {
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/labstack/echo/v5"
 
+	"peridotpier.example/node/coordinator/permits/queue"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/store"
 )
@@ -38,6 +39,9 @@
 	PeerCalls     map[string]int64 `json:"peer_calls"`       // calls of other hosts to this one, by kind
 	PeerBytes     map[string]int64 `json:"peer_bytes"`       // bytes of reports to this host, and of its answers by field
 	StoreCalls    map[string]int64 `json:"store_calls"`      // calls of this host to the store, by table and reason
+	// Waiting describes the teams whose requests wait for a permit at this host, if it is the
+	// acting coordinator, the longest queue first.
+	Waiting []queue.TeamStatus `json:"waiting,omitempty"`
 }
 
 // softwareVersions counts the upstreams by service and version, as SERVICE VERSION.
@@ -57,7 +61,7 @@
 			Upstreams: len(h.fleet.All()), StoreEra: h.deps.Platform.Eras.Newest(), ListEra: store.EraOf(h.feed.UpstreamsVersion()), ListVersion: store.NumberOf(h.feed.UpstreamsVersion()), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
 			PeerBytes: h.deps.Metrics.CountsByKind(metrics.PeerBytes), StoreCalls: h.deps.Metrics.CountsByKind(metrics.StoreCalls)}
 		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
-		s.Detours = h.link.DetourHosts()
+		s.Detours, s.Waiting = h.link.DetourHosts(), h.coord.Permits().Waiting()
 		if way := h.reach.Status(); !way.Since.IsZero() {
 			s.PartitionedMs, s.PartitionedBy = max(time.Since(way.Since).Milliseconds(), 1), string(way.Cause)
 		}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -117,6 +117,14 @@
 	Goroutines:  "/sched/goroutines:goroutines",
 }
 
+// Gauges and counters of the requests that wait for a permit, at the acting coordinator.
+const (
+	PermitsWaiting      Name = "permits_waiting"
+	PermitsTeamsWaiting Name = "permits_teams_waiting"       // teams and services with requests that wait
+	PermitsOldestWait   Name = "permits_oldest_wait_ms"      // age of the oldest request that waits
+	PermitsHopeless     Name = "permits_refused_early_total" // refused at arrival: they would wait in vain
+)
+
 // Set is the set of metrics of one host.
 type Set struct {
 	root   *expvar.Map
