--- a/node/coordinator/link/permitclient_test.go
+++ b/node/coordinator/link/permitclient_test.go
@@ -83,3 +83,55 @@
 		return poll.Continue("the stream is still in use")
 	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(2*time.Second))
 }
+
+// queueingHost lets all requests wait until its process ends.
+type queueingHost struct {
+	coordpb.DRPCCoordinatorUnimplementedServer
+	queued chan *coordpb.TurnEvent
+}
+
+func (q *queueingHost) Turns(st coordpb.DRPCCoordinator_TurnsStream) error {
+	for {
+		e, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		if err := st.Send(&coordpb.TurnAnswer{Id: e.Id, Kind: coordpb.TurnAnswer_QUEUED}); err != nil {
+			return err
+		}
+		q.queued <- e
+	}
+}
+
+// Guards against requests that wait for a queue that is gone: the coordinator ends while
+// hundreds wait there.
+func TestNobodyWaitsForAQueueThatIsGone(t *testing.T) {
+	const requests = 300
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	mux := drpcmux.New()
+	coordinator := &queueingHost{queued: make(chan *coordpb.TurnEvent, requests)}
+	assert.NilError(t, coordpb.DRPCRegisterCoordinator(mux, coordinator))
+	near, far := net.Pipe()
+	go func() { _ = drpcserver.New(mux).ServeOne(ctx, far) }()
+	link := New(Config{Host: "h", Address: "own"}, Deps{Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }, Log: event.NewLog(nil)})
+	assert.NilError(t, link.permitClient.open(ctx, "other"))
+	ended := make(chan error, requests)
+	for range requests {
+		go func() {
+			_, err := link.RequestPermit(ctx, &gate.PermitRequest{Service: "s", Request: &fleet.Request{Model: "m"}, Account: "team", MaxWait: time.Minute})
+			ended <- err
+		}()
+	}
+	coordtest.FinishesSoon(t, func() {
+		for range requests {
+			assert.Equal(t, (<-coordinator.queued).Account, "team")
+		}
+	})
+	assert.NilError(t, far.Close())
+	coordtest.FinishesSoon(t, func() {
+		for range requests {
+			assert.ErrorIs(t, <-ended, errNoCoordinator)
+		}
+	})
+}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -238,6 +238,7 @@
 	adapterRequests  int
 	resumeBackoff    time.Duration  // last delay before another attempt to resume a started response
 	loggedReason     balance.Reason // last reason for waiting that was logged
+	retryScheduled   bool           // the coordinator named the caller's own time to return
 	deliverFailed    func()         // delivers a failed response that a retry may replace; nil: there is none
 
 	retryBlockedBy string // which bound prevents another attempt; "": none did
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -191,7 +191,8 @@
 	if p.Reason == balance.AllBackoff && !q.started && (p.unservable || now.Add(p.MinBackoff).After(until)) {
 		return q.giveUpBackoff(p.MinBackoff)
 	}
-	if p.unservable && !q.started {
+	if p.unservable && p.Reason != balance.AllBackoff && !q.started {
+		q.retryScheduled = true
 		q.endUnlessAnswered(p.Reason.String(), p.MinBackoff)
 		return false
 	}
