--- a/node/coordinator/permits/shares_test.go
+++ b/node/coordinator/permits/shares_test.go
@@ -243,3 +243,25 @@
 	tripled := served(10 * time.Second)
 	assert.Assert(t, tripled > 2.7 && tripled < 3.3, "%.2f", tripled)
 }
+
+// Guards against a team that is granted much without waiting and then goes first as well,
+// because only those who wait are counted.
+func TestWhatIsGrantedWithoutWaitingCounts(t *testing.T) {
+	perms, _ := newTestPermits("u")
+	s := newTestStream()
+	ask := func(id uint64, team string) {
+		e := newRequestEvent(id, 1)
+		e.Account = team
+		perms.Handle(s, e)
+	}
+	for id := range uint64(20) {
+		ask(id, "busy")
+		perms.Handle(s, &coordpb.TurnEvent{Id: id, Kind: coordpb.TurnEvent_END})
+	}
+	ask(100, "busy")
+	ask(101, "busy")
+	ask(102, "other")
+	grantsOf(s)
+	perms.Handle(s, &coordpb.TurnEvent{Id: 100, Kind: coordpb.TurnEvent_END})
+	assert.DeepEqual(t, grantsOf(s), []uint64{102})
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,4 +614,36 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
+try "the team that was granted least is next" core/fairqueue/queue.go \
+  'if f.tag != o.tag {' 'if false {' ./core/fairqueue -run 'Weights'
+try "work counts by weight" core/fairqueue/account.go \
+  'a.finish = start + cost/a.weight' 'a.finish = start + 1' ./core/fairqueue -run 'Weights'
+try "a team's credit is bounded" core/fairqueue/account.go \
+  'max(a.finish, r.virtual-a.credit)' 'a.finish' ./core/fairqueue -run 'Credit'
+try "a rank that was passed over is next" core/fairqueue/scan.go \
+  'f == nil || lr.owed <' 'f != nil || lr.owed <' ./core/fairqueue -run 'LessUrgent'
+try "a scan is shared by the teams" core/fairqueue/scan.go \
+  'f.skipped += it.request.Cost / f.weight' '' ./core/fairqueue -run 'AScanIsShared'
+try "requests name their team" node/coordinator/link/permitclient.go \
+  'Account: q.Account' 'Account: ""' ./node/coordinator/link -run 'QueueThatIsGone'
+try "grants without a wait count" node/coordinator/permits/permits.go \
+  'p.chargeGranted(w, now)' '' ./node/coordinator/permits -run 'WithoutWaiting'
+try "an event tries the models of its upstream" node/coordinator/permits/waiting.go \
+  'return append(e.ResidentModels(), "")' 'return []string{"other", "m"}' ./node/coordinator/permits -run 'OtherModels'
+try "a lost host's requests wait no more" node/coordinator/permits/permits.go \
+  'p.waiting.removeStream(from, p.deps.Now())' '' ./node/coordinator/permits -run 'LostHost|EarlierTerm'
+try "new weights are in force" node/coordinator/permits/queue/queue.go \
+  's.Reweigh(weight)' '' ./node/coordinator/permits -run 'ChangedWeight'
+try "a doubtful wait is no refusal" node/coordinator/permits/queue/outlook.go \
+  'doubtFactor*maxWait.Seconds()' '0*maxWait.Seconds()' ./node/coordinator/permits -run 'Hopeless'
+try "nothing is predicted without observation" node/coordinator/permits/queue/outlook.go \
+  'if n < minRateGrants {' 'if n < 1 {' ./node/coordinator/permits/... -run 'Hopeless|Predicted'
+try "those told return one after the other" node/coordinator/permits/queue/outlook.go \
+  'at.After(room) {' 'false && at.After(room) {' ./node/coordinator/permits -run 'Hopeless'
+try "a hopeless request is not sent by its host" node/gate/pick.go \
+  'if ok && decision.unservable &&' 'if false && decision.unservable &&' ./node/gate -run 'Hopeless'
+try "a told time is not spread" node/gate/refuse.go \
+  'if !q.retryScheduled {' 'if true {' ./node/gate -run 'Hopeless'
+try "an unusable weight is absent" platform/config.go \
+  '|| !deploy.IsWeight(w) {' '{' ./platform -run 'Weight'
 exit $missed
