--- a/node/coordinator/permits/queue/queue_test.go
+++ b/node/coordinator/permits/queue/queue_test.go
@@ -137,3 +137,42 @@
 		})
 	}
 }
+
+// Guards against a weight that is not in force until a team's next request arrives, since a
+// queue may hold minutes of requests.
+func TestANewWeightHoldsForThoseWhoWait(t *testing.T) {
+	q := New[string]()
+	for range 40 {
+		q.Push(Request{Service: "s", Model: "m", Team: "a", Cost: 1}, "a", start)
+		q.Push(Request{Service: "s", Model: "m", Team: "b", Cost: 1}, "b", start)
+	}
+	q.Configure(true, func(team string) float64 { return map[string]float64{"a": 3, "b": 1}[team] })
+	taken := map[string]int{}
+	q.ScanModels("s", []string{"m"}, Scan[string]{Now: start, Late: func(string) bool { return false }, Try: func(team string) (bool, float64) {
+		taken[team]++
+		return true, 1
+	}})
+	assert.Assert(t, taken["a"] >= 35 && taken["b"] >= 11, "%v", taken)
+}
+
+// Guards against refusals by a few grants, which say little about the next ones.
+func TestNothingIsPredictedFromAFewGrants(t *testing.T) {
+	q := New[int]()
+	r := Request{Service: "s", Model: "m", Cost: 1}
+	for range 1000 {
+		q.Push(r, 0, start)
+	}
+	now := start
+	refused := func() bool {
+		_, hopeless := q.Refuse(r, time.Millisecond, now)
+		return hopeless
+	}
+	for range minRateGrants - 1 {
+		now = now.Add(rateSpan / minRateGrants)
+		q.Charge(r, now)
+	}
+	now = start.Add(rateSpan + time.Millisecond)
+	assert.Assert(t, !refused())
+	q.Charge(r, now)
+	assert.Assert(t, refused())
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -633,11 +633,11 @@
 try "a lost host's requests wait no more" node/coordinator/permits/permits.go \
   'p.waiting.removeStream(from, p.deps.Now())' '' ./node/coordinator/permits -run 'LostHost|EarlierTerm'
 try "new weights are in force" node/coordinator/permits/queue/queue.go \
-  's.Reweigh(weight)' '' ./node/coordinator/permits -run 'ChangedWeight'
+  's.Reweigh(weight)' '' ./node/coordinator/permits/queue -run 'NewWeight'
 try "a doubtful wait is no refusal" node/coordinator/permits/queue/outlook.go \
   'doubtFactor*maxWait.Seconds()' '0*maxWait.Seconds()' ./node/coordinator/permits -run 'Hopeless'
 try "nothing is predicted without observation" node/coordinator/permits/queue/outlook.go \
-  'if n < minRateGrants {' 'if n < 1 {' ./node/coordinator/permits/... -run 'Hopeless|Predicted'
+  'if n < minRateGrants {' 'if n < 1 {' ./node/coordinator/permits/queue -run 'FewGrants'
 try "those told return one after the other" node/coordinator/permits/queue/outlook.go \
   'at.After(room) {' 'false && at.After(room) {' ./node/coordinator/permits -run 'Hopeless'
 try "a hopeless request is not sent by its host" node/gate/pick.go \
