--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -65,6 +65,7 @@
 	granted     map[requestKey]*request
 	grants      map[string]*upstreamGrants // by upstream ID
 	waiting     waitingRequests
+	large       largePrompts
 	suspects    map[string]bool    // upstreams that several hosts exclude, as of the last request or maintenance
 	unreachable map[string]refusal // upstreams at whose address nothing listened
 	limits      upstreamLimits
@@ -92,6 +93,7 @@
 type request struct {
 	key           requestKey
 	item          *queue.Item[*request] // while it waits
+	passedOver    float64               // work of others that were granted where it did not fit
 	event         *coordpb.TurnEvent
 	needs         fleet.Request
 	excluded      map[string]bool      // upstreams that its host has tried for it or excludes
@@ -112,7 +114,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, waiting: newWaitingRequests()}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, waiting: newWaitingRequests(), large: newLargePrompts()}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	p.publish()
@@ -212,7 +214,12 @@
 // unless the request has to wait.
 func (p *Permits) tryAll(w *request, now time.Time) balance.Reason {
 	entries := p.deps.Fleet.EntriesWithModel(w.event.Service, w.needs.Model)
+	all := len(entries)
+	entries = p.offered(w, entries)
 	d := p.pick(w, entries, now)
+	if len(entries) < all && balance.AllPrefilling.CloserToFound(d.Reason) {
+		d.Reason = balance.AllPrefilling // at those that are kept for others
+	}
 	if d.Reason == balance.NoUpstream && p.deps.Fleet.HasUsableWithoutModel(w.event.Service, w.needs.Model, func(e *fleet.Entry) bool { return p.isExcluded(e, w, now) }) {
 		d.Reason = balance.NoModel
 	}
@@ -419,6 +426,7 @@
 	p.restartSuspects()
 	p.grantAllWaiting(now)
 	p.logShares(now)
+	p.large.expire(p.deps.Fleet)
 	p.limits.expire()
 	p.rooms.maintain(now)
 	p.backoffs.expire(now)
--- a/node/coordinator/permits/queue/queue.go
+++ b/node/coordinator/permits/queue/queue.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// HasTeams reports whether the configuration has teams.
+func (q *Queue[T]) HasTeams() bool { return q.teams }
+
 func (q *Queue[T]) reserve() float64 {
 	if q.teams {
 		return lowerRankShare
--- a/node/coordinator/permits/waiting.go
+++ b/node/coordinator/permits/waiting.go
@@ -121,6 +121,7 @@
 func (p *Permits) chargeGranted(w *request, now time.Time) {
 	if w.upstream != "" {
 		p.waiting.Charge(p.queued(w, p.grantedWork(w)), now)
+		p.countPassedOver(w)
 	}
 }
 
@@ -133,8 +134,10 @@
 	}
 	now := p.deps.Now()
 	p.reweigh()
+	clear(p.large.blocked[upstream])
+	p.large.blocked[upstream] = p.large.blocked[upstream][:0]
 	p.waiting.ScanModels(e.Service(), servedModels(e), p.scan(now, func(w *request) bool {
-		return p.pick(w, []*fleet.Entry{e}, now).Index >= 0
+		return p.tryAt(w, e, func() balance.Decision { return p.pick(w, []*fleet.Entry{e}, now) })
 	}))
 	if p.waiting.Len() > 0 {
 		p.wakeAfter(e, now, p.limits.wait(e, now))
