--- a/node/coordinator/permits/largeprompts.go
+++ b/node/coordinator/permits/largeprompts.go
@@ -20,7 +20,7 @@
 // maxPassedOver is by how much work, as a multiple of its own, others may pass over a prompt
 // at an upstream. Both, and the reading of the prompts that are there, are well within the
 // time that a request of usual size waits.
-const maxPassedOver = 2.0
+const maxPassedOver = 4.0
 
 func newLargePrompts() largePrompts {
 	return largePrompts{blocked: map[string][]*request{}, kept: map[string]*request{}}
