--- a/node/coordinator/permits/largeprompts.go
+++ b/node/coordinator/permits/largeprompts.go
@@ -70,16 +70,21 @@
 	if p.large.kept[w.upstream] == w {
 		delete(p.large.kept, w.upstream)
 	}
-	for _, b := range p.large.blocked[w.upstream] {
+	blocked := p.large.blocked[w.upstream]
+	if len(blocked) == 0 {
+		return
+	}
+	work := p.grantedWork(w)
+	for _, b := range blocked {
 		if b != w && b.event.Priority <= w.event.Priority {
-			b.passedOver += p.grantedWork(w)
+			b.passedOver += work
 			p.keepIfPassedOver(b, w.upstream)
 		}
 	}
 }
 
 func (p *Permits) keepIfPassedOver(w *request, upstream string) {
-	if p.large.kept[upstream] == nil && w.passedOver >= maxPassedOver*p.expectedWork(w) && p.waiting.find(w.key) == w {
+	if p.large.kept[upstream] == nil && w.passedOver >= maxPassedOver*w.item.Request().Cost && p.waiting.find(w.key) == w {
 		p.large.kept[upstream] = w
 	}
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -646,4 +646,8 @@
   'if !q.retryScheduled {' 'if true {' ./node/gate -run 'Hopeless'
 try "an unusable weight is absent" platform/config.go \
   '|| !deploy.IsWeight(w) {' '{' ./platform -run 'Weight'
+try "a large prompt has its turn" node/coordinator/permits/largeprompts.go \
+  'b.passedOver += work' 'b.passedOver += 0 * work' ./node/coordinator/permits -run 'LargePrompt'
+try "an upstream is kept from arrivals as well" node/coordinator/permits/permits.go \
+  'entries = p.offered(w, entries)' '' ./node/coordinator/permits -run 'LargePrompt'
 exit $missed
