--- a/node/coordinator/permits/queue/outlook.go
+++ b/node/coordinator/permits/queue/outlook.go
@@ -14,6 +14,10 @@
 	// waits, for the request to be hopeless: a refusal of one that would have been granted
 	// costs its caller more than a wait that ends with a refusal.
 	doubtFactor = 2.0
+	// returnMargin is the time until a refused request should return, as a multiple of what
+	// those ahead of it take: others arrive meanwhile, and one that is refused again has
+	// waited in vain twice.
+	returnMargin = 1.5
 )
 
 // outlook predicts for one line when requests are granted, and hands out the times at which
@@ -72,7 +76,7 @@
 	if !ok || float64(ahead)*each.Seconds() <= doubtFactor*maxWait.Seconds() {
 		return 0, false
 	}
-	room := now.Add(time.Duration(ahead) * each)
+	room := now.Add(time.Duration(returnMargin * float64(ahead) * float64(each)))
 	if at := o.returnAt.Add(each); at.After(room) {
 		room = at
 	}
