--- a/node/coordinator/permits/waitingstatus.go
+++ b/node/coordinator/permits/waitingstatus.go
@@ -10,8 +10,16 @@
 	"peridotpier.example/node/metrics"
 )
 
+// maxStatusTeams bounds the status: the teams with the longest queues.
+const maxStatusTeams = 64
+
 // Waiting describes which teams wait, the longest queue first.
 func (p *Permits) Waiting() []queue.TeamStatus {
+	all := p.teamsWaiting()
+	return all[:min(len(all), maxStatusTeams)]
+}
+
+func (p *Permits) teamsWaiting() []queue.TeamStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.waiting.Status(p.deps.Now(), askedAt)
@@ -29,10 +37,10 @@
 		defer p.mu.Unlock()
 		return p.waiting.Len()
 	})
-	p.deps.Metrics.SetFunc(metrics.PermitsTeamsWaiting, func() any { return len(p.Waiting()) })
+	p.deps.Metrics.SetFunc(metrics.PermitsTeamsWaiting, func() any { return len(p.teamsWaiting()) })
 	p.deps.Metrics.SetFunc(metrics.PermitsOldestWait, func() any {
 		oldest := int64(0)
-		for _, t := range p.Waiting() {
+		for _, t := range p.teamsWaiting() {
 			oldest = max(oldest, t.OldestMs)
 		}
 		return oldest
