--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -13,16 +13,31 @@
 // wait; the answer contains the retry delay. Otherwise it returns false, and the queue
 // is checked again when one of the upstreams may take a request.
 func (p *Permits) refuseUnservable(w *request, now time.Time) bool {
-	o := p.estimateWait(w, now)
 	maxWait := wire.Milliseconds(w.event.PatienceMs)
-	if maxWait == 0 || o.dispatchIn <= maxWait {
+	if maxWait == 0 {
+		return false
+	}
+	if w.waitReason != balance.AllBackoff {
+		after, hopeless := p.waiting.Refuse(p.queued(w, p.expectedWork(w)), maxWait, now)
+		if hopeless {
+			p.countHopeless()
+			w.refuseWith(w.waitReason, after)
+		}
+		return hopeless
+	}
+	o := p.estimateWait(w, now)
+	if o.dispatchIn <= maxWait {
 		return false
 	}
-	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(balance.AllBackoff),
-		WaitMs: uint32(o.retryIn.Milliseconds()) + 1})
+	w.refuseWith(balance.AllBackoff, o.retryIn)
 	return true
 }
 
+// refuseWith answers that no upstream takes a request, and when it should come back.
+func (w *request) refuseWith(r balance.Reason, after time.Duration) {
+	w.key.from.send(&coordpb.TurnAnswer{Id: w.key.id, Kind: coordpb.TurnAnswer_NONE, Reason: uint32(r), WaitMs: uint32(after.Milliseconds()) + 1})
+}
+
 // waitEstimate estimates when a request can be dispatched whose upstreams all take
 // nothing for now.
 type waitEstimate struct {
@@ -73,13 +88,7 @@
 // queuedAhead returns how many of the requests that wait for the same upstreams come
 // before a request.
 func (p *Permits) queuedAhead(w *request) int {
-	n := 0
-	for _, o := range p.waiting {
-		if o.waitReason == balance.AllBackoff && o.event.Priority <= w.event.Priority && o.event.Service == w.event.Service && o.needs.Model == w.needs.Model {
-			n++
-		}
-	}
-	return n
+	return p.waiting.Ahead(p.queued(w, p.expectedWork(w)))
 }
 
 // wakeAfter tries the waiting requests again after wait, when an upstream may take one
