--- a/core/deploy/table.go
+++ b/core/deploy/table.go
@@ -12,11 +12,12 @@
 // Table finds the route, service and team of a request. It is immutable and shared
 // by all requests that were admitted under its version.
 type Table struct {
-	Config    *Config
-	services  map[string]*Service
-	byHost    map[string][]*Route // longest prefix first
-	teams     map[apikey.Hash]*Team
-	urgencies []urgency // ascending, so that the most urgent come first
+	Config     *Config
+	services   map[string]*Service
+	byHost     map[string][]*Route // longest prefix first
+	teams      map[apikey.Hash]*Team
+	urgencies  []urgency // ascending, so that the most urgent come first
+	priorities []int     // of the routes, ascending
 }
 
 // NewTable returns the table of a configuration, which must not be changed
@@ -39,6 +40,11 @@
 		}
 	}
 	t.urgencies = urgenciesOf(c)
+	for i := range c.Routes {
+		t.priorities = append(t.priorities, c.Routes[i].Priority)
+	}
+	slices.Sort(t.priorities)
+	t.priorities = slices.Compact(t.priorities)
 	return t
 }
 
@@ -91,6 +97,13 @@
 	return at, len(t.urgencies)
 }
 
+// RouteRank returns the rank of a route's priority among those of all routes, 0 being the
+// most urgent. Unlike UrgencyRank it does not depend on the team.
+func (t *Table) RouteRank(r *Route) int {
+	at, _ := slices.BinarySearch(t.priorities, r.Priority)
+	return at
+}
+
 // Match returns the route with the longest prefix of the path among those of the
 // host name, or nil.
 func (t *Table) Match(host, path string) *Route {
--- /dev/null
+++ b/core/quota/account.go
@@ -0,0 +1,325 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Ask is a request for admission to a team's account.
+type Ask struct {
+	Rank         int // urgency among the requests of the team; 0 is the most urgent
+	Cost         float64
+	MaxWait      time.Duration // how long it may wait for room; 0: not at all
+	ReturnWithin time.Duration // how long after a refusal its caller may come back; 0: not known
+}
+
+// Answer is what an account answers to a request.
+type Answer struct {
+	Verdict    Verdict       // Admit, Wait or Refuse
+	Waiter     *Waiter       // with Wait
+	RetryAfter time.Duration // with Refuse: the time after which it could be admitted
+	Promised   bool          // RetryAfter is a promise: others were told other times
+	Level      float64       // what the account holds
+}
+
+// account is the account of one team with a limit. While more than one rank asks, requests
+// that the bucket lacks the cost of wait for it in the order of their ranks, if they can be
+// admitted in time, and those that cannot are told to return one after the other.
+type account struct {
+	limit        Limit
+	bucket       *Bucket
+	demand       demand
+	correctUntil time.Time // until when the level may be too high because it was unknown at the start; zero if it was known
+	admitted     float64   // cost admitted until correctUntil
+	ranks        []*rankState
+	waiting      int
+	kept, given  int       // promises that were redeemed, and made
+	cheapReserve float64   // cost that small requests may take before all others
+	shedAt       time.Time // when shed was last called
+}
+
+// ask decides on a request.
+func (a *account) ask(q Ask, now time.Time) Answer {
+	a.demand.add(q.Cost, now)
+	r := a.rankOf(q.Rank, now)
+	r.demand.add(q.Cost, now)
+	if len(a.ranks) > 1 {
+		r = a.promoteCheap(r, q.Cost)
+	}
+	if a.waiting == 0 {
+		wait, ok := a.take(r, q.Cost, now)
+		if ok && r.promises.redeem(q.Cost, now) {
+			a.kept++
+		}
+		if ok || len(a.ranks) == 1 {
+			return Answer{Verdict: verdictOf(ok), RetryAfter: wait, Level: a.bucket.level}
+		}
+	}
+	return a.askShaped(r, q, now)
+}
+
+// promoteCheap returns the rank that a request counts as: the most urgent one if it costs
+// little and the share of such requests is not used up.
+func (a *account) promoteCheap(r *rankState, cost float64) *rankState {
+	if r == a.ranks[0] || cost > a.demand.longTerm.meanCost()*cheapPart || cost > a.cheapReserve {
+		return r
+	}
+	a.cheapReserve -= cost
+	return a.ranks[0]
+}
+
+func verdictOf(ok bool) Verdict {
+	if ok {
+		return Admit
+	}
+	return Refuse
+}
+
+// askShaped decides on a request while the account lacks the cost of some.
+func (a *account) askShaped(r *rankState, q Ask, now time.Time) Answer {
+	class := patienceClass(q.MaxWait)
+	if r.promises.redeem(q.Cost, now) {
+		a.kept++
+		class = returningClass
+	}
+	wait := a.predict(r, class, q.Cost, now)
+	if wait > q.MaxWait || a.waiting >= maxWaiting {
+		return a.refuse(r, q, wait, now)
+	}
+	w := &Waiter{account: a, rank: r, class: class, cost: q.Cost, askedAt: now, latest: now.Add(q.MaxWait), caller: q}
+	r.push(w)
+	a.waiting++
+	return Answer{Verdict: Wait, Waiter: w, Level: a.bucket.Level(now)}
+}
+
+// predict returns after how long a request would be admitted: when what waits before it,
+// what more urgent ranks ask for meanwhile and its own cost have come in, or when its rank's
+// floor pays for it.
+func (a *account) predict(r *rankState, class int, cost float64, now time.Time) time.Duration {
+	rate := a.bucket.limit.PerSecond
+	own := r.ahead(class) + min(cost, a.bucket.limit.capacity()) - a.bucket.Level(now)
+	urgent := 0.0
+	for _, o := range a.ranks {
+		if o == r {
+			break
+		}
+		urgent += o.queued
+	}
+	missing := max(own+urgent, 0)
+	if missing == 0 || rate <= 0 {
+		return 0
+	}
+	seconds := missing / max(rate-a.urgentDemand(r, now), 0)
+	if len(r.promises.all) > 0 && class != returningClass {
+		seconds /= 1 - returnShare
+	}
+	if floor := a.floorRate(r); floor > 0 {
+		seconds = min(seconds, max(r.ahead(class)+cost-max(r.reserve, 0), 0)/floor+max(own, 0)/rate)
+	}
+	return time.Duration(min(seconds, maxPrediction.Seconds()) * float64(time.Second))
+}
+
+// maxPrediction is the longest wait that is told: by then the demand is another one.
+const maxPrediction = 30 * time.Second
+
+// urgentDemand returns what ranks more urgent than r ask for in a second.
+func (a *account) urgentDemand(r *rankState, now time.Time) float64 {
+	sum := 0.0
+	for _, o := range a.ranks {
+		if o == r {
+			return sum
+		}
+		sum += o.demand.perSecond(now)
+	}
+	return sum
+}
+
+// floorRate returns the rate that a rank gets at least; 0 for the most urgent one.
+func (a *account) floorRate(r *rankState) float64 {
+	if len(a.ranks) < 2 || a.ranks[0] == r {
+		return 0
+	}
+	return floorShare / float64(len(a.ranks)-1) * a.bucket.limit.PerSecond
+}
+
+// refuse refuses a request that would wait too long, and says when it may return.
+func (a *account) refuse(r *rankState, q Ask, wait time.Duration, now time.Time) Answer {
+	urgent, rate := a.urgentDemand(r, now), a.bucket.limit.PerSecond
+	spare := rate - urgent
+	perSecond := max(returnShare*max(spare, a.floorRate(r)), spare-r.demand.perSecond(now))
+	at, promised := r.promises.add(q.Cost, perSecond, now.Add(wait), now.Add(q.ReturnWithin))
+	if promised {
+		a.given++
+	}
+	return Answer{Verdict: Refuse, RetryAfter: at.Sub(now), Promised: promised, Level: a.bucket.Level(now)}
+}
+
+// take takes a cost from the bucket for a request of a rank.
+func (a *account) take(r *rankState, cost float64, now time.Time) (wait time.Duration, ok bool) {
+	if wait, ok = a.bucket.Take(cost, now); !ok {
+		return wait, false
+	}
+	if now.Before(a.correctUntil) {
+		a.admitted += cost
+	}
+	if len(a.ranks) > 1 {
+		a.settleFloors(r, cost)
+	}
+	return 0, true
+}
+
+// settleFloors adds to the reserves of the less urgent ranks what they may take after a
+// request of rank r, and subtracts its cost from its own.
+func (a *account) settleFloors(r *rankState, cost float64) {
+	a.cheapReserve = min(a.cheapReserve+cheapShare*cost, cheapShare*a.bucket.limit.PerSecond*floorSpan.Seconds())
+	part, below := floorShare/float64(len(a.ranks)-1)*cost, false
+	for _, o := range a.ranks {
+		most := max(a.floorRate(o)*floorSpan.Seconds(), cost)
+		switch {
+		case o == r:
+			o.addReserve(-cost, most)
+			below = true
+		case below:
+			o.addReserve(part, max(most, o.nextCost()))
+		}
+	}
+}
+
+// nextCost returns the cost of the request of the rank that is first; 0: none waits.
+func (r *rankState) nextCost() float64 {
+	if w := r.first(); w != nil {
+		return w.cost
+	}
+	return 0
+}
+
+// next returns the request that is to be admitted next; nil: none waits.
+func (a *account) next() *Waiter {
+	var out, due *Waiter
+	for i, r := range a.ranks {
+		w := r.first()
+		switch {
+		case w == nil:
+		case out == nil:
+			out = w
+		case i > 0 && r.reserve >= w.cost && (due == nil || r.reserve > due.rank.reserve):
+			due = w
+		}
+	}
+	if due != nil {
+		return due
+	}
+	return out
+}
+
+// serve admits the requests that the bucket has the cost of, in their order, and refuses
+// those that have waited too long.
+func (a *account) serve(now time.Time, decide func(*Waiter, Answer)) {
+	for a.waiting > 0 {
+		w := a.next()
+		_, ok := a.take(w.rank, w.cost, now)
+		if !ok {
+			break
+		}
+		a.remove(w)
+		decide(w, Answer{Verdict: Admit, Level: a.bucket.level})
+	}
+	for _, r := range a.ranks {
+		for c := range r.classes {
+			for w := r.classes[c].first(); w != nil && now.After(w.latest); w = r.classes[c].first() {
+				decide(w, a.giveUp(w, a.predict(r, c, 0, now), now))
+			}
+		}
+	}
+	if now.Sub(a.shedAt) >= shedInterval {
+		a.shedAt = now
+		a.shed(now, decide)
+	}
+}
+
+const (
+	// shedInterval is how often the waits of those that wait are predicted anew.
+	shedInterval = 100 * time.Millisecond
+	// shedMargin is the part of its wait by which a request must be predicted too late.
+	shedMargin = 1.2
+)
+
+// shed refuses those that will not be admitted in time because more urgent ones have come
+// since, the newest first: waiting longer would only hold them up.
+func (a *account) shed(now time.Time, decide func(*Waiter, Answer)) {
+	for _, r := range a.ranks {
+		for c := returningClass + 1; c < patienceClasses; c++ {
+			for w := r.classes[c].last(); w != nil; w = r.classes[c].last() {
+				wait := a.predict(r, c, 0, now)
+				if float64(wait) <= float64(w.latest.Sub(now))*shedMargin {
+					break
+				}
+				decide(w, a.giveUp(w, wait, now))
+			}
+		}
+	}
+}
+
+// giveUp refuses a request that waits.
+func (a *account) giveUp(w *Waiter, wait time.Duration, now time.Time) Answer {
+	a.remove(w)
+	q := w.caller
+	q.ReturnWithin = max(q.ReturnWithin-now.Sub(w.askedAt), 0)
+	return a.refuse(w.rank, q, wait, now)
+}
+
+// wakeAfter returns after how long a request that waits may be decided.
+func (a *account) wakeAfter(now time.Time) time.Duration {
+	w := a.next()
+	if w == nil {
+		return maxPrediction
+	}
+	rate, missing := a.bucket.limit.PerSecond, min(w.cost, a.bucket.limit.capacity())-a.bucket.Level(now)
+	if rate <= 0 {
+		return maxPrediction
+	}
+	out := time.Duration(math.Ceil(max(missing, 0) / rate * float64(time.Second)))
+	for _, r := range a.ranks {
+		for c := range r.classes {
+			if w := r.classes[c].first(); w != nil {
+				out = min(out, w.latest.Sub(now))
+			}
+		}
+	}
+	return max(out, 0)
+}
+
+// remove takes a request from those that wait.
+func (a *account) remove(w *Waiter) {
+	if !w.over {
+		w.rank.remove(w)
+		a.waiting--
+	}
+}
+
+// rankOf returns the state of a rank, and forgets those that no longer ask.
+func (a *account) rankOf(rank int, now time.Time) *rankState {
+	a.ranks = slices.DeleteFunc(a.ranks, func(r *rankState) bool {
+		return r.rank != rank && r.waiting == 0 && now.Sub(r.askedAt) > rankMemory
+	})
+	at, ok := slices.BinarySearchFunc(a.ranks, rank, func(r *rankState, rank int) int { return r.rank - rank })
+	if !ok && len(a.ranks) == maxRanks {
+		at, ok = min(at, maxRanks-1), true
+	}
+	if !ok {
+		a.ranks = slices.Insert(a.ranks, at, &rankState{rank: rank, demand: newDemand()})
+	}
+	a.ranks[at].askedAt = now
+	return a.ranks[at]
+}
+
+// clear takes all requests from the account and returns those that waited.
+func (a *account) clear() []*Waiter {
+	var out []*Waiter
+	for w := a.next(); w != nil; w = a.next() {
+		a.remove(w)
+		out = append(out, w)
+	}
+	return out
+}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -24,17 +24,9 @@
 // Ledger counts the requests of teams at all hosts together. Its owner must guard it.
 type Ledger struct {
 	accounts       map[string]*account
-	slack          float64 // cost that may be admitted at once beyond a burst
-	connectedShare float64 // share of the limits that may be granted here
-}
-
-// account is the account of one team with a limit.
-type account struct {
-	limit        Limit
-	bucket       *Bucket
-	demand       demand
-	correctUntil time.Time // until when the level may be too high because it was unknown at the start; zero if it was known
-	admitted     float64   // cost admitted until correctUntil
+	slack          float64   // cost that may be admitted at once beyond a burst
+	connectedShare float64   // share of the limits that may be granted here
+	unlimited      []*Waiter // waited at an account whose limit was removed
 }
 
 // usedSlackShare is the share of the slack by which operators allow a limit to be exceeded
@@ -69,6 +61,11 @@
 		}
 		kept[t.Name] = a
 	}
+	for name, a := range l.accounts {
+		if kept[name] == nil {
+			l.unlimited = append(l.unlimited, a.clear()...)
+		}
+	}
 	l.accounts = kept
 }
 
@@ -127,19 +124,57 @@
 	return limit
 }
 
-// Take requests the admission of a request. A team without a limit is always admitted.
-// If the request is refused, wait is the time after which it could be admitted.
-func (l *Ledger) Take(team string, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// Ask requests the admission of a request. A team without a limit is always admitted.
+func (l *Ledger) Ask(team string, q Ask, now time.Time) Answer {
 	a := l.accounts[team]
 	if a == nil {
-		return 0, true
+		return Answer{Verdict: Admit}
 	}
-	a.demand.add(cost, now)
-	wait, ok = a.bucket.Take(cost, now)
-	if ok && now.Before(a.correctUntil) {
-		a.admitted += cost
+	return a.ask(q, now)
+}
+
+// Cancel ends the wait of a request; nothing was charged for it.
+func (l *Ledger) Cancel(w *Waiter) { w.account.remove(w) }
+
+// Serve calls decide for each request that waited and is now admitted or refused, and
+// returns after how long Serve is to be called again; 0: nothing waits.
+func (l *Ledger) Serve(now time.Time, decide func(*Waiter, Answer)) (again time.Duration) {
+	for _, w := range l.unlimited {
+		decide(w, Answer{Verdict: Admit})
+	}
+	l.unlimited = nil
+	for _, a := range l.accounts {
+		if a.waiting == 0 {
+			continue
+		}
+		a.serve(now, decide)
+		if a.waiting > 0 {
+			if wait := max(a.wakeAfter(now), minWake); again == 0 || wait < again {
+				again = wait
+			}
+		}
+	}
+	return again
+}
+
+// minWake is the least time between two calls of Serve, so that many small requests do not
+// cause as many calls.
+const minWake = time.Millisecond
+
+// Promises returns how many refused requests were told a time that was kept free for
+// them, and how many came back at it.
+func (l *Ledger) Promises() (given, kept int) {
+	for _, a := range l.accounts {
+		given, kept = given+a.given, kept+a.kept
+	}
+	return given, kept
+}
+
+// Refund undoes the charge of one request.
+func (l *Ledger) Refund(team string, cost float64, now time.Time) {
+	if a := l.accounts[team]; a != nil {
+		a.bucket.Refund(cost, now)
 	}
-	return wait, ok
 }
 
 // AddUsage records what a host admitted without the ledger, less its refunds, and what it refused.
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -28,8 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, now := NewLedger(0), at(0)
 			l.SetTeams(teams, c.lastKnown, now)
-			_, ok := l.Take("a", 200, now)
-			assert.Assert(t, ok)
+			assert.Equal(t, l.Ask("a", Ask{Cost: 200}, now).Verdict, Admit)
 			now = now.Add(c.after)
 			l.Correct("a", c.received, now)
 			l.Correct("a", c.received, now) // another host received the same state
--- a/core/quota/rate.go
+++ b/core/quota/rate.go
@@ -42,6 +42,15 @@
 	return (r.sum - minDeviations*math.Sqrt(r.squaredSum)) / r.window.Seconds()
 }
 
+// meanCost returns the mean cost of the requests by their costs: that of the request to
+// which a unit of the limit goes.
+func (r *decayingSum) meanCost() float64 {
+	if r.sum <= 0 {
+		return 0
+	}
+	return r.squaredSum / r.sum
+}
+
 func (r *decayingSum) decay(now time.Time) {
 	if elapsed := now.Sub(r.decayedAt); elapsed > 0 {
 		share := math.Exp(-elapsed.Seconds() / r.window.Seconds())
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Verdict is the decision of a host by its share.
+// Verdict is a decision on a request, of a host by its share or of the ledger.
 type Verdict uint8
 
 // The verdicts.
@@ -10,6 +10,7 @@
 	Admit         Verdict = iota // admit the request, and report it to the ledger
 	ConsultLedger                // the ledger decides
 	Refuse                       // the request exceeds the limit
+	Wait                         // the request waits at the ledger, which decides on it later
 )
 
 const (
@@ -53,6 +54,7 @@
 	ownDemand          decayingSum // requested at this host
 	ownDemandAtState   float64     // own demand a second when the state was received
 	admittedSinceState float64
+	ranks              rankShares
 	initialBucket      *Bucket // limits a host that has received no state yet
 
 	unreported, unreportedOlder usage     // not reported to any ledger yet, in the current and in the previous half of usageTTL
@@ -103,8 +105,8 @@
 }
 
 // Decide decides on a request that needs no permit while the ledger can be asked.
-func (s *Share) Decide(cost float64, now time.Time) Verdict {
-	s.ownDemand.add(cost, now)
+func (s *Share) Decide(rank int, cost float64, now time.Time) Verdict {
+	s.AddDemand(rank, cost, now)
 	fresh := now.Before(s.validUntil)
 	if !fresh || s.constrained || s.admittedSinceState+cost > localBurstShare*s.limit.capacity() {
 		return ConsultLedger
@@ -114,18 +116,22 @@
 }
 
 // AddDemand counts a request that the ledger decides on.
-func (s *Share) AddDemand(cost float64, now time.Time) { s.ownDemand.add(cost, now) }
+func (s *Share) AddDemand(rank int, cost float64, now time.Time) {
+	s.ownDemand.add(cost, now)
+	s.ranks.add(rank, cost, now)
+}
 
 // DecideWithoutLedger decides on a request while there is no ledger; draw is in [0, 1).
-// It admits the proportion of the demand that the limit allows. If hosts used buckets of
+// It admits the proportion of the demand that the limit allows, of the more urgent ranks
+// first. If hosts used buckets of
 // their own instead, each host that a small team's callers reach would admit a request,
 // and all of them together many times the limit.
-func (s *Share) DecideWithoutLedger(cost float64, now time.Time, draw float64) Verdict {
+func (s *Share) DecideWithoutLedger(rank int, cost float64, now time.Time, draw float64) Verdict {
 	if s.receivedAt.IsZero() {
 		if _, ok := s.initialBucket.Take(cost, now); !ok {
 			return s.refuse(cost, now)
 		}
-	} else if demand := s.estimateDemand(now); draw*demand >= withoutLedgerShare*s.limit.PerSecond {
+	} else if admitted := withoutLedgerShare * s.limit.PerSecond / s.estimateDemand(now); draw >= s.ranks.proportion(rank, admitted, now) {
 		return s.refuse(cost, now)
 	}
 	s.admit(cost, now)
--- a/core/quota/strategies_test.go
+++ b/core/quota/strategies_test.go
@@ -218,13 +218,12 @@
 func (c *ledgerStrategy) request(host int, cost float64, now time.Time) bool {
 	disconnected := host >= 1000
 	s := c.shares[host%1000]
-	verdict := s.Decide(cost, now)
+	verdict := s.Decide(0, cost, now)
 	if verdict == ConsultLedger && c.counting && !disconnected {
-		_, ok := c.ledger.Take("team", cost, now)
-		return ok
+		return c.ledger.Ask("team", Ask{Cost: cost}, now).Verdict == Admit
 	}
 	if verdict == ConsultLedger {
-		verdict = s.DecideWithoutLedger(cost, now, c.rnd.Float64())
+		verdict = s.DecideWithoutLedger(0, cost, now, c.rnd.Float64())
 	}
 	return verdict == Admit
 }
@@ -264,8 +263,8 @@
 
 func (c demandStrategy) request(host int, cost float64, now time.Time) bool {
 	s := c.shares[host%1000]
-	s.AddDemand(cost, now)
-	return s.DecideWithoutLedger(cost, now, c.rnd.Float64()) == Admit
+	s.AddDemand(0, cost, now)
+	return s.DecideWithoutLedger(0, cost, now, c.rnd.Float64()) == Admit
 }
 
 // leaseStrategy admits what a host has leased: slices of the ledger's account for a second.
@@ -294,8 +293,8 @@
 	}
 	if s.remaining < cost && c.counting && !disconnected {
 		size := max(cost, leaseShare*c.limit.capacity())
-		if _, ok := c.ledger.Take("team", size, now); !ok {
-			if _, ok := c.ledger.Take("team", cost-s.remaining, now); !ok {
+		if c.ledger.Ask("team", Ask{Cost: size}, now).Verdict != Admit {
+			if c.ledger.Ask("team", Ask{Cost: cost - s.remaining}, now).Verdict != Admit {
 				return false
 			}
 			size = cost - s.remaining
--- a/node/coordinator/accounts/accounts.go
+++ b/node/coordinator/accounts/accounts.go
@@ -78,15 +78,55 @@
 	return true
 }
 
-// Charge charges one request to a team's account. If the limit does not allow it, wait
-// is the time after which it may.
-func (a *Teams) Charge(team string, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// Charge charges one request to a team's account. While the limit does not allow it, the
+// request waits, or it is refused. Serve decides on those that wait.
+func (a *Teams) Charge(team string, q quota.Ask, now time.Time) quota.Answer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.refreshLocked(now) {
-		return 0, true
+		return quota.Answer{Verdict: quota.Admit}
 	}
-	return a.ledger.Take(team, cost, now)
+	return a.ledger.Ask(team, q, now)
+}
+
+// Decision is the decision on a request that waited.
+type Decision struct {
+	Waiter *quota.Waiter
+	Answer quota.Answer
+}
+
+// Serve appends to out the requests that waited and are decided now, and returns after how
+// long it is to be called again; 0: nothing waits.
+func (a *Teams) Serve(out []Decision, now time.Time) (decided []Decision, again time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refreshLocked(now)
+	again = a.ledger.Serve(now, func(w *quota.Waiter, answer quota.Answer) { out = append(out, Decision{w, answer}) })
+	return out, again
+}
+
+// Cancel ends the wait of a request that nobody asks for any more. It is not charged.
+func (a *Teams) Cancel(w *quota.Waiter) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Cancel(w)
+}
+
+// Refund undoes the charge of one request.
+func (a *Teams) Refund(team string, cost float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refreshLocked(now) {
+		a.ledger.Refund(team, cost, now)
+	}
+}
+
+// Promises returns how many refused requests were told a time that was kept free for
+// them, and how many came back at it.
+func (a *Teams) Promises() (given, kept int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Promises()
 }
 
 // AddUse enters the requests that a host let pass on its own.
--- a/node/coordinator/accounts_test.go
+++ b/node/coordinator/accounts_test.go
@@ -38,11 +38,11 @@
 	coord.aggregate.Record(&coordpb.HostReport{Host: "a"}, now)
 	coord.aggregate.Record(&coordpb.HostReport{Host: "b"}, now.Add(-2*wire.ReportFresh))
 	assert.Equal(t, coord.aggregate.ReportingShare(now), 0.5)
-	_, ok := coord.accounts.Charge("t", 200, now)
+	ok := coord.accounts.Charge("t", quota.Ask{Cost: 200}, now).Verdict == quota.Admit
 	assert.Assert(t, ok)
-	wait, ok := coord.accounts.Charge("t", 100, now)
-	assert.Assert(t, !ok)
-	assert.Assert(t, wait > 1900*time.Millisecond && wait < 2100*time.Millisecond, "at half of the rate: %v", wait)
+	refused := coord.accounts.Charge("t", quota.Ask{Cost: 100}, now)
+	assert.Equal(t, refused.Verdict, quota.Refuse)
+	assert.Assert(t, refused.RetryAfter > 1900*time.Millisecond && refused.RetryAfter < 2100*time.Millisecond, "at half of the rate: %v", refused.RetryAfter)
 }
 
 // Guards against two hosts that are acting in a network partition and each grant a
@@ -70,7 +70,7 @@
 		return quota.KnownState{Constrained: true, AccountState: quota.AccountState{Level: -300, Demand: 200}}, true
 	}
 	setTeamLimit(coord, 1, 100)
-	_, ok := coord.accounts.Charge("t", 40, coord.now())
+	ok := coord.accounts.Charge("t", quota.Ask{Cost: 40}, coord.now()).Verdict == quota.Admit
 	assert.Assert(t, !ok)
 }
 
@@ -81,6 +81,6 @@
 	setTeamLimit(coord, 1, 100)
 	now := coord.now()
 	coord.applyReport(&coordpb.HostReport{Host: "h", TeamWords: []*coordpb.TeamWord{{Standing: &coordpb.TeamStanding{Team: "t", Level: -300, Asked: 200}}}}, now)
-	_, ok := coord.accounts.Charge("t", 40, now)
+	ok := coord.accounts.Charge("t", quota.Ask{Cost: 40}, now).Verdict == quota.Admit
 	assert.Assert(t, !ok)
 }
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -28,6 +28,10 @@
 	minOpenInterval = 300 * time.Millisecond
 )
 
+// maxAnswers is how many answers a request gets at most: that it waits for its team's
+// limit, that it waits for an upstream, and the final one.
+const maxAnswers = 3
+
 // permitClient is a host's stream of permit requests to the acting coordinator.
 type permitClient struct {
 	link *Link
@@ -240,7 +244,7 @@
 	if ch := c.pending[answer.Id]; ch != nil {
 		select {
 		case ch <- answer:
-		default: // there are two answers at most; a third would be a fault of the coordinator
+		default: // more would be a fault of the coordinator
 		}
 	}
 }
@@ -264,7 +268,7 @@
 	}
 	c.lastID++
 	e.Id = c.lastID
-	ch := make(chan *coordpb.TurnAnswer, 2)
+	ch := make(chan *coordpb.TurnAnswer, maxAnswers)
 	c.pending[e.Id] = ch
 	c.mu.Unlock()
 	done = func() {
@@ -279,25 +283,6 @@
 	return st, ch, done, nil
 }
 
-// call sends a request that is answered at once, and waits for the answer until ctx
-// ends at the latest.
-func (c *permitClient) call(ctx context.Context, e *coordpb.TurnEvent) (*coordpb.TurnAnswer, error) {
-	_, answers, done, err := c.start(e)
-	if err != nil {
-		return nil, err
-	}
-	defer done()
-	select {
-	case answer, ok := <-answers:
-		if !ok {
-			return nil, errNoCoordinator
-		}
-		return answer, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // request asks where a request may be dispatched, and waits until ctx ends at the
 // latest.
 func (c *permitClient) request(ctx context.Context, e *coordpb.TurnEvent) (*gate.Permit, error) {
@@ -306,15 +291,15 @@
 		return nil, err
 	}
 	defer done()
-	answer, err := c.awaitAnswer(ctx, answers)
+	answer, charged, err := c.awaitAnswer(ctx, answers)
 	if err != nil {
-		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END})
-		return nil, err
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Uncharged: !charged})
+		return &gate.Permit{Charged: charged}, err
 	}
 	switch answer.Kind {
 	case coordpb.TurnAnswer_GRANTED:
 	case coordpb.TurnAnswer_OVER:
-		return &gate.Permit{OverLimit: true, RetryAfter: wire.Milliseconds(answer.WaitMs)}, nil
+		return &gate.Permit{OverLimit: overLimit(answer)}, nil
 	default:
 		return &gate.Permit{Reason: balance.ReasonFromCode(answer.Reason), AdapterUpstream: answer.Home, RetryAfter: wire.Milliseconds(answer.WaitMs)}, nil
 	}
@@ -355,28 +340,30 @@
 }
 
 // awaitAnswer waits for the first answer for firstAnswerTimeout, and for the final one
-// until ctx ends.
-func (c *permitClient) awaitAnswer(ctx context.Context, ch <-chan *coordpb.TurnAnswer) (*coordpb.TurnAnswer, error) {
+// until ctx ends. charged reports whether the request's team was charged, even after an
+// error.
+func (c *permitClient) awaitAnswer(ctx context.Context, ch <-chan *coordpb.TurnAnswer) (answer *coordpb.TurnAnswer, charged bool, err error) {
 	first := time.NewTimer(firstAnswerTimeout)
 	defer first.Stop()
 	for {
 		select {
 		case answer, ok := <-ch:
 			if !ok {
-				return nil, errNoCoordinator
+				return nil, charged, errNoCoordinator
 			}
 			if answer.Kind != coordpb.TurnAnswer_QUEUED {
-				return answer, nil
+				return answer, charged, nil
 			}
+			charged = !answer.ForLimit
 			first.Stop()
 		case <-first.C:
 			c.link.ReportSoon() // the report shows whether the coordinator is lost
 			c.mu.Lock()
 			c.pausedUntil = time.Now().Add(localDecisionTime)
 			c.mu.Unlock()
-			return nil, errNoCoordinator
+			return nil, charged, errNoCoordinator
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return nil, charged, ctx.Err()
 		}
 	}
 }
@@ -388,8 +375,8 @@
 		Warm: q.WithIdleConn, DataCentre: l.cfg.DataCentre, InTimeMs: uint32(max(q.ObjectiveLeft.Milliseconds(), 0)), PatienceMs: uint32(max(q.MaxWait.Milliseconds(), 0))}
 	if q.Team != nil {
 		now := l.deps.Now()
-		l.teams.withShare(q.Team, now, func(s *quota.Share) { s.AddDemand(q.Charge, now) })
-		e.Team, e.Charge = q.Team.Name, uint32(q.Charge)
+		l.teams.withShare(q.Team, now, func(s *quota.Share) { s.AddDemand(q.Limit.Rank, q.Limit.Cost, now) })
+		setAsk(e, q.Team.Name, &q.Limit)
 	}
 	for id, left := range q.Backoffs {
 		e.Rests = append(e.Rests, &coordpb.UpstreamRest{Upstream: id, ForMs: uint32(left.Milliseconds()) + 1})
--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -138,18 +138,18 @@
 }
 
 // Charge implements gate.TeamLimits.
-func (l *Link) Charge(ctx context.Context, team *deploy.Team, cost float64) (time.Duration, bool) {
+func (l *Link) Charge(ctx context.Context, team *deploy.Team, q quota.Ask) gate.LimitAnswer {
 	now := l.deps.Now()
 	verdict := quota.ConsultLedger
-	l.teams.withShare(team, now, func(s *quota.Share) { verdict = s.Decide(cost, now) })
+	l.teams.withShare(team, now, func(s *quota.Share) { verdict = s.Decide(q.Rank, q.Cost, now) })
 	if verdict == quota.ConsultLedger {
-		wait, ok, err := l.permitClient.charge(ctx, team.Name, cost)
-		if err == nil {
-			return wait, ok
+		if answer, err := l.permitClient.charge(ctx, team.Name, &q); err == nil {
+			return *answer
 		}
-		l.teams.withShare(team, now, func(s *quota.Share) { verdict = s.DecideWithoutLedger(cost, now, rand.Float64()) })
+		now = l.deps.Now()
+		l.teams.withShare(team, now, func(s *quota.Share) { verdict = s.DecideWithoutLedger(q.Rank, q.Cost, now, rand.Float64()) })
 	}
-	return uncoordinatedRetry, verdict == quota.Admit
+	return gate.LimitAnswer{OK: verdict == quota.Admit, RetryAfter: uncoordinatedRetry}
 }
 
 // Refund implements gate.TeamLimits.
@@ -160,13 +160,36 @@
 
 var _ gate.TeamLimits = (*Link)(nil)
 
-// charge asks the acting coordinator whether a team's limit allows a request.
-func (c *permitClient) charge(ctx context.Context, team string, cost float64) (wait time.Duration, ok bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, firstAnswerTimeout)
+// charge asks the acting coordinator whether a team's limit allows a request, which may
+// wait there until it does.
+func (c *permitClient) charge(ctx context.Context, team string, q *quota.Ask) (*gate.LimitAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.MaxWait+2*firstAnswerTimeout)
 	defer cancel()
-	answer, err := c.call(ctx, &coordpb.TurnEvent{Kind: coordpb.TurnEvent_CHARGE, Team: team, Charge: uint32(cost)})
+	e := &coordpb.TurnEvent{Kind: coordpb.TurnEvent_CHARGE}
+	setAsk(e, team, q)
+	st, answers, done, err := c.start(e)
 	if err != nil {
-		return 0, false, err
+		return nil, err
 	}
-	return wire.Milliseconds(answer.WaitMs), answer.Kind != coordpb.TurnAnswer_OVER, nil
+	defer done()
+	answer, _, err := c.awaitAnswer(ctx, answers)
+	if err != nil {
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Uncharged: true})
+		return nil, err
+	}
+	if answer.Kind == coordpb.TurnAnswer_OVER {
+		return overLimit(answer), nil
+	}
+	return &gate.LimitAnswer{OK: true, Known: true}, nil
+}
+
+// setAsk sets what a request asks of its team's limit.
+func setAsk(e *coordpb.TurnEvent, team string, q *quota.Ask) {
+	e.Team, e.Charge, e.RouteRank = team, uint32(q.Cost), uint32(q.Rank)
+	e.AccountWaitMs, e.ReturnWithinMs = uint32(q.MaxWait.Milliseconds()), uint32(q.ReturnWithin.Milliseconds())
+}
+
+// overLimit returns the coordinator's answer to a request over its team's limit.
+func overLimit(answer *coordpb.TurnAnswer) *gate.LimitAnswer {
+	return &gate.LimitAnswer{RetryAfter: wire.Milliseconds(answer.WaitMs), Promised: answer.Promised, Level: float64(answer.Level), Known: true}
 }
--- a/node/coordinator/link/teams_test.go
+++ b/node/coordinator/link/teams_test.go
@@ -56,7 +56,7 @@
 	r := &coordpb.HostReport{Host: "h"}
 	shares.addStates(r, now)
 	accounts.AdoptStates(r.TeamWords, now)
-	_, ok := accounts.Charge("t", 40, now)
+	ok := accounts.Charge("t", quota.Ask{Cost: 40}, now).Verdict == quota.Admit
 	assert.Assert(t, !ok)
 	old := &coordpb.HostReport{}
 	shares.addStates(old, now.Add(2*maxStateAge))
@@ -68,7 +68,7 @@
 func TestARefundedChargeIsAvailableAgain(t *testing.T) {
 	now := time.Now()
 	team, accounts := newLimitedTeam(nil)
-	_, ok := accounts.Charge("t", 200, now)
+	ok := accounts.Charge("t", quota.Ask{Cost: 200}, now).Verdict == quota.Admit
 	assert.Assert(t, ok)
 	var shares teamShares
 	shares.withShare(team, now, func(s *quota.Share) { s.Refund(200, now) })
@@ -82,7 +82,7 @@
 	r := &coordpb.HostReport{Host: "h"}
 	shares.addUse(r, now)
 	assert.Equal(t, len(r.Teams), 0, "it is reported once")
-	_, ok = accounts.Charge("t", 200, now)
+	ok = accounts.Charge("t", quota.Ask{Cost: 200}, now).Verdict == quota.Admit
 	assert.Assert(t, ok)
 }
 
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -65,6 +65,7 @@
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
+	teams       teamWaits
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
 
 	endpoints []balance.Endpoint // buffer of one pick; reused, since a pick may cover hundreds
@@ -106,7 +107,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, teams: newTeamWaits()}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
@@ -118,6 +119,7 @@
 	defer p.mu.Unlock()
 	p.limits.reset()
 	p.rooms.reset()
+	p.askTeamsAgain()
 }
 
 // Handle processes one event of a host and sends the answers that result.
@@ -131,8 +133,11 @@
 	case coordpb.TurnEvent_FIRST:
 		p.promptRead(k)
 	case coordpb.TurnEvent_END:
-		p.endInRoom(p.granted[k], e)
-		p.end(k)
+		if !p.teams.cancel(k, &p.deps) {
+			p.refundUncharged(k, e)
+			p.endInRoom(p.granted[k], e)
+			p.end(k)
+		}
 	case coordpb.TurnEvent_ABSENT:
 		p.upstreamUnreachable(k)
 	case coordpb.TurnEvent_RETRACT:
@@ -149,6 +154,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.streams, from)
+	p.teams.removeStream(from, &p.deps)
 	for k, g := range p.granted {
 		if k.from == from {
 			p.rooms.abandoned(g, p.deps.Now())
@@ -164,24 +170,15 @@
 	p.waiting = kept
 }
 
-// chargeTeam charges a request to its team's limit and reports whether the limit allows
-// it. If not, it answers the host.
-func (p *Permits) chargeTeam(k requestKey, e *coordpb.TurnEvent, now time.Time) bool {
-	if e.Team == "" {
-		return true
-	}
-	wait, ok := p.deps.Accounts.Charge(e.Team, float64(e.Charge), now)
-	if !ok {
-		k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_OVER, WaitMs: uint32(wait.Milliseconds()) + 1})
-	}
-	return ok
-}
-
 func (p *Permits) request(k requestKey, e *coordpb.TurnEvent) {
 	now := p.deps.Now()
-	if !p.chargeTeam(k, e, now) {
-		return
+	if p.chargeTeam(k, e, now) {
+		p.place(k, e, now)
 	}
+}
+
+// place grants a request whose team was charged, or lets it wait for an upstream.
+func (p *Permits) place(k requestKey, e *coordpb.TurnEvent, now time.Time) {
 	p.suspects = p.deps.Reports.Suspects(now)
 	w := &request{key: k, event: e, needs: fleet.Request{Model: e.Model, Adapter: e.Adapter}, askedAt: now, excluded: upstreamSet(e.Tried), withIdleConn: upstreamSet(e.Warm)}
 	p.backoffs.record(w, now)
@@ -466,6 +463,7 @@
 		w.waitReason = p.tryAll(w, now)
 		return !mayQueue(w.waitReason)
 	})
+	p.serveTeams(now) // a limit may have been raised
 	p.limits.expire()
 	p.rooms.maintain(now)
 	p.backoffs.expire(now)
--- a/node/gate/caller.go
+++ b/node/gate/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -54,19 +53,6 @@
 // markCharged records that the team's limit was charged, if it applies.
 func (c *caller) markCharged() { c.charged = c.charged || c.owesCharge() }
 
-// charge charges a request without a permit to its team's limit, once.
-func (q *request) charge() (over selection, ok bool) {
-	if !q.caller.owesCharge() {
-		return selection{}, true
-	}
-	wait, ok := q.g.deps.TeamLimits.Charge(q.ctx, q.caller.team, q.caller.cost)
-	if !ok {
-		return selection{overLimit: true, retryAfter: wait}, false
-	}
-	q.caller.markCharged()
-	return selection{}, true
-}
-
 // refundCharge returns the charge of a request that has not run.
 func (q *request) refundCharge() {
 	if c := &q.caller; c.charged && q.possibleRuns == 0 {
@@ -74,15 +60,6 @@
 	}
 }
 
-// refuseOverLimit refuses a request that is over its team's limit. It has not run.
-func (q *request) refuseOverLimit(after time.Duration) {
-	if q.deliverFailed != nil { // a failed response is better than none
-		q.deliverFailed()
-		return
-	}
-	q.refuseWith(http.StatusTooManyRequests, "over_limit", after, zap.Float64("cost", q.caller.cost))
-}
-
 // keyRevoked reports whether the caller's key was revoked since the request arrived.
 // A request may wait for seconds before it is sent, or be retried.
 func (q *request) keyRevoked() bool {
--- a/node/gate/caller_test.go
+++ b/node/gate/caller_test.go
@@ -32,20 +32,23 @@
 // account is the limit of one team at one host.
 type account struct {
 	noCoordinator
-	mu      sync.Mutex
-	balance float64
-	charges int
+	mu       sync.Mutex
+	balance  float64
+	charges  int
+	promises bool      // refused requests are told a time that is kept free for them
+	asked    quota.Ask // by the last request
 }
 
-func (a *account) Charge(_ context.Context, _ *deploy.Team, cost float64) (time.Duration, bool) {
+func (a *account) Charge(_ context.Context, _ *deploy.Team, q quota.Ask) LimitAnswer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.balance < cost {
-		return 3 * time.Second, false
+	a.asked = q
+	if a.balance < q.Cost {
+		return LimitAnswer{RetryAfter: 3 * time.Second, Promised: a.promises}
 	}
-	a.balance -= cost
+	a.balance -= q.Cost
 	a.charges++
-	return 0, true
+	return LimitAnswer{OK: true}
 }
 
 func (a *account) Refund(_ *deploy.Team, cost float64) {
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -90,7 +90,7 @@
 		return q.noDetour()
 	}
 	if over, ok := q.charge(); !ok {
-		q.refuseOverLimit(over.retryAfter)
+		q.refuseOverLimit(over.overLimit)
 		return false
 	}
 	if !q.maySend() {
@@ -300,7 +300,7 @@
 	case q.deliverFailed != nil:
 		q.deliverFailed()
 	case resp.Status == http.StatusTooManyRequests && q.possibleRuns == 0:
-		q.refuseOverLimit(after)
+		q.refuseOverLimit(&overLimit{after: after, promised: true}) // the other host has spread the times
 	default:
 		q.endUnserved(http.StatusBadGateway, why, max(after, stopRetry))
 	}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -16,6 +16,7 @@
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/poison"
+	"peridotpier.example/core/quota"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
@@ -39,13 +40,22 @@
 
 // TeamLimits enforces the request limits of teams over all hosts.
 type TeamLimits interface {
-	// Charge charges a request that has no permit to its team's limit. For a refused
-	// request it returns the time after which the limit may allow it.
-	Charge(ctx context.Context, team *deploy.Team, cost float64) (wait time.Duration, ok bool)
+	// Charge charges a request that has no permit to its team's limit. It may wait for the
+	// limit, until ctx ends at the latest.
+	Charge(ctx context.Context, team *deploy.Team, q quota.Ask) LimitAnswer
 	// Refund returns the charge of a request that has not run.
 	Refund(team *deploy.Team, cost float64)
 }
 
+// LimitAnswer is whether a team's limit allows a request.
+type LimitAnswer struct {
+	OK         bool
+	RetryAfter time.Duration // until the limit may allow it
+	Promised   bool          // RetryAfter is kept free for it: others were told other times
+	Level      float64       // what the team's account holds; 0 if it is not known
+	Known      bool          // the coordinator has decided, so that Level is known
+}
+
 // CrashRecorder records the requests during which an upstream may have crashed.
 type CrashRecorder interface {
 	// RecordBroken records the suspects of a request whose exchange with an upstream broke
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -9,6 +9,7 @@
 
 	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/quota"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 )
@@ -26,7 +27,7 @@
 	ObjectiveLeft          time.Duration  // until the request's objective; a response that starts later is overdue
 	MaxWait                time.Duration  // how long the request waits for the permit
 	Team                   *deploy.Team   // whose limit is charged with the permit; nil: none
-	Charge                 float64        // in the unit of the team's limit
+	Limit                  quota.Ask      // what is asked of the team's limit; its cost is 0 if Team is nil
 }
 
 // Permit is the coordinator's decision on a PermitRequest. If it names an upstream,
@@ -34,8 +35,9 @@
 // the upstream, and Release when the attempt is over; each may be called from any
 // goroutine.
 type Permit struct {
-	OverLimit           bool          // over the team's limit; only RetryAfter is set beside it
-	RetryAfter          time.Duration // until the limit, or some upstream, may allow the request; 0: not known
+	OverLimit           *LimitAnswer  // over the team's limit; nothing else is set then
+	Charged             bool          // the team was charged; also set beside an error, if that is known
+	RetryAfter          time.Duration // until some upstream may allow the request; 0: not known
 	Upstream            string        // "": none; see Reason
 	Reason              balance.Reason
 	AdapterUpstream     string // where an adapter should be loaded
@@ -82,7 +84,7 @@
 		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now), MaxWait: maxWait}
 	req.WithIdleConn, req.Backoffs = q.withIdleConn(), d.Fleet.Backoffs(q.service.Name)
 	if q.caller.owesCharge() {
-		req.Team, req.Charge = q.caller.team, q.caller.cost
+		req.Team, req.Limit = q.caller.team, q.ask()
 	}
 	for _, e := range d.Fleet.EntriesWithModel(q.service.Name, q.needs.Model) {
 		if q.tried[e.ID()] || e.IsDown() || !q.mayGoOnAt(e) {
@@ -90,13 +92,16 @@
 		}
 	}
 	permit, err := d.Coordinator.RequestPermit(ctx, req)
+	if permit != nil && permit.Charged {
+		q.caller.markCharged()
+	}
 	if err != nil {
 		// A call without a permit by now would be overdue, and delay others.
 		overdue := q.needs.Model == "" && errors.Is(err, context.DeadlineExceeded)
 		return nil, selection{Decision: balance.Decision{Index: -1, Reason: balance.AllFull, AdapterTarget: -1}}, overdue
 	}
-	if permit.OverLimit {
-		return nil, selection{overLimit: true, retryAfter: permit.RetryAfter}, true
+	if o := permit.OverLimit; o != nil {
+		return nil, selection{overLimit: &overLimit{after: o.RetryAfter, promised: o.Promised, level: o.Level, known: true}}, true
 	}
 	q.caller.markCharged()
 	if permit.Upstream == "" {
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -24,8 +24,7 @@
 	cachedTokens        int          // prompt tokens that are probably cached there
 	permit              *Permit      // granted by the acting coordinator; nil: this host selected the upstream
 	unservable          bool         // no upstream accepts the request within its maximum wait
-	overLimit           bool         // the request is over its team's limit; only retryAfter is set beside it
-	retryAfter          time.Duration
+	overLimit           *overLimit   // the request is over its team's limit; nothing else is set then
 }
 
 // release returns the selection's permit.
@@ -46,7 +45,7 @@
 		return q.pickCounted()
 	}
 	e, decision, ok := q.requestPermit()
-	if e != nil || decision.overLimit {
+	if e != nil || decision.overLimit != nil {
 		return e, decision
 	}
 	if ok && q.needs.Model == "" && decision.Reason != balance.NoUpstream {
@@ -170,8 +169,8 @@
 // wait waits until an upstream may accept the request. It responds to the caller
 // and returns false when no upstream will in time.
 func (q *request) wait(p selection) bool {
-	if p.overLimit {
-		q.refuseOverLimit(p.retryAfter)
+	if p.overLimit != nil {
+		q.refuseOverLimit(p.overLimit)
 		return false
 	}
 	if p.Reason == balance.NoModel {
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -63,8 +63,18 @@
 
 // refuseWith is refuse with another status that makes the same promise.
 func (q *request) refuseWith(status int, why string, after time.Duration, more ...zap.Field) {
+	q.refuseAfter(status, why, after+q.retrySpread(after), more...)
+}
+
+// retrySpread returns by how much later than the others refused with the same delay the
+// caller is told to return.
+func (q *request) retrySpread(after time.Duration) time.Duration {
+	return time.Duration(min(float64(after)*retrySpread, float64(maxRetrySpread)) * q.g.deps.Rand())
+}
+
+// refuseAfter is refuseWith with a delay that is told as it is.
+func (q *request) refuseAfter(status int, why string, after time.Duration, more ...zap.Field) {
 	d := &q.g.deps
-	after += time.Duration(min(float64(after)*retrySpread, float64(maxRetrySpread)) * d.Rand())
 	h := q.w.Header()
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	fields := []zap.Field{q.id(), q.routeName(), q.teamName(), zap.String("why", why), zap.Int64("retry_after_ms", after.Milliseconds()),
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -44,6 +44,7 @@
 	// ResponseEnds counts the ends of upstreams' responses, by framing and by whether the response was complete.
 	ResponseEnds      Name = "answer_ends_total"
 	CallerDisconnects Name = "requests_left_by_caller_total"
+	OverLimit         Name = "requests_over_limit_total" // refused since they were over their teams' limits, by rank of the route
 	BackedOff         Name = "requests_backed_off_total" // refused since all upstreams asked for a backoff
 	InFlight          Name = "requests_in_flight"
 	ConfigVersion     Name = "configuration_version"
