--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -11,6 +11,8 @@
 	Rank         int // urgency among the requests of the team; 0 is the most urgent
 	Cost         float64
 	MaxWait      time.Duration // how long it may wait for room; 0: not at all
+	InTime       time.Duration // until its objective
+	Overdue      bool          // a response can no longer begin by its objective
 	ReturnWithin time.Duration // how long after a refusal its caller may come back; 0: not known
 }
 
@@ -42,21 +44,46 @@
 // ask decides on a request.
 func (a *account) ask(q Ask, now time.Time) Answer {
 	a.demand.add(q.Cost, now)
+	if q.Overdue {
+		q.Rank = overdueRank
+	}
 	r := a.rankOf(q.Rank, now)
 	r.demand.add(q.Cost, now)
-	if len(a.ranks) > 1 {
+	shaped := a.shaped()
+	if shaped {
 		r = a.promoteCheap(r, q.Cost)
 	}
+	promised := a.redeem(q.Cost, now)
 	if a.waiting == 0 {
 		wait, ok := a.take(r, q.Cost, now)
-		if ok && r.promises.redeem(q.Cost, now) {
-			a.kept++
-		}
-		if ok || len(a.ranks) == 1 {
+		if ok || !shaped {
 			return Answer{Verdict: verdictOf(ok), RetryAfter: wait, Level: a.bucket.level}
 		}
 	}
-	return a.askShaped(r, q, now)
+	class := patienceClass(q.MaxWait)
+	if promised != nil {
+		r, class = promised, returningClass
+	}
+	return a.askShaped(r, class, q, now)
+}
+
+// overdueRank is the rank of the requests that can no longer be answered in time. They go
+// after all others, since each of them would make others as late.
+const overdueRank = math.MaxInt32
+
+// shaped reports whether requests of several ranks ask. Otherwise each is decided on when
+// it comes.
+func (a *account) shaped() bool { return len(a.ranks) > 1 && a.ranks[1].rank != overdueRank }
+
+// redeem redeems a promise for this cost, and returns the rank that made it; nil: none did.
+func (a *account) redeem(cost float64, now time.Time) *rankState {
+	for _, r := range a.ranks {
+		if r.promises.redeem(cost, now) {
+			a.kept++
+			return r
+		}
+	}
+	return nil
 }
 
 // promoteCheap returns the rank that a request counts as: the most urgent one if it costs
@@ -76,15 +103,20 @@
 	return Refuse
 }
 
+// equalsWaitPart is the part of its longest wait for which a request of the most urgent rank
+// waits for others of its rank. While more of the rank is asked for than the limit allows, a
+// longer queue would admit as many, and each of them later.
+const equalsWaitPart = 0.25
+
+// equalsWait returns the part of a wait that is not for the request's own cost to come in.
+func (a *account) equalsWait(cost float64, wait time.Duration) time.Duration {
+	return wait - time.Duration(cost/a.bucket.limit.PerSecond*float64(time.Second))
+}
+
 // askShaped decides on a request while the account lacks the cost of some.
-func (a *account) askShaped(r *rankState, q Ask, now time.Time) Answer {
-	class := patienceClass(q.MaxWait)
-	if r.promises.redeem(q.Cost, now) {
-		a.kept++
-		class = returningClass
-	}
+func (a *account) askShaped(r *rankState, class int, q Ask, now time.Time) Answer {
 	wait := a.predict(r, class, q.Cost, now)
-	if wait > q.MaxWait || a.waiting >= maxWaiting {
+	if wait > q.MaxWait || a.waiting >= maxWaiting || r == a.ranks[0] && a.equalsWait(q.Cost, wait) > time.Duration(float64(q.MaxWait)*equalsWaitPart) {
 		return a.refuse(r, q, wait, now)
 	}
 	w := &Waiter{account: a, rank: r, class: class, cost: q.Cost, askedAt: now, latest: now.Add(q.MaxWait), caller: q}
@@ -145,14 +177,19 @@
 
 // refuse refuses a request that would wait too long, and says when it may return.
 func (a *account) refuse(r *rankState, q Ask, wait time.Duration, now time.Time) Answer {
-	urgent, rate := a.urgentDemand(r, now), a.bucket.limit.PerSecond
-	spare := rate - urgent
-	perSecond := max(returnShare*max(spare, a.floorRate(r)), spare-r.demand.perSecond(now))
+	spare := a.bucket.limit.PerSecond - a.urgentDemand(r, now)
+	perSecond := spare - r.demand.perSecond(now)
+	if max(r.promises.nextAt.Sub(now), wait) < q.InTime {
+		perSecond = max(perSecond, returnShare*max(spare, a.floorRate(r)))
+	}
 	at, promised := r.promises.add(q.Cost, perSecond, now.Add(wait), now.Add(q.ReturnWithin))
+	out := Answer{Verdict: Refuse, RetryAfter: at.Sub(now), Promised: promised, Level: a.bucket.Level(now)}
 	if promised {
 		a.given++
+	} else {
+		out.RetryAfter = max(out.RetryAfter, q.ReturnWithin)
 	}
-	return Answer{Verdict: Refuse, RetryAfter: at.Sub(now), Promised: promised, Level: a.bucket.Level(now)}
+	return out
 }
 
 // take takes a cost from the bucket for a request of a rank.
@@ -163,7 +200,7 @@
 	if now.Before(a.correctUntil) {
 		a.admitted += cost
 	}
-	if len(a.ranks) > 1 {
+	if a.shaped() {
 		a.settleFloors(r, cost)
 	}
 	return 0, true
@@ -265,7 +302,7 @@
 func (a *account) giveUp(w *Waiter, wait time.Duration, now time.Time) Answer {
 	a.remove(w)
 	q := w.caller
-	q.ReturnWithin = max(q.ReturnWithin-now.Sub(w.askedAt), 0)
+	q.ReturnWithin, q.InTime = max(q.ReturnWithin-now.Sub(w.askedAt), 0), q.InTime-now.Sub(w.askedAt)
 	return a.refuse(w.rank, q, wait, now)
 }
 
--- a/core/quota/promise.go
+++ b/core/quota/promise.go
@@ -4,8 +4,8 @@
 
 const (
 	// returnShare is the share of what a rank can have that is promised to refused requests
-	// while new ones ask for all of it. A promised request mostly comes too late for its
-	// objective, so that the larger part stays with those that can still be served in time.
+	// while new ones ask for all of it, if they can still be answered in time then. Those
+	// that cannot are promised only what new ones leave: they would make others as late.
 	returnShare = 0.2
 	// promiseLead and promiseLapse are how long before and after its time a promise may be
 	// redeemed: callers count from when they read the answer, and connect again.
--- a/core/quota/shaping_test.go
+++ b/core/quota/shaping_test.go
@@ -60,6 +60,7 @@
 // kindResult is what became of the requests of one kind during the spell.
 type kindResult struct {
 	asked, served, inTime float64 // cost
+	waited                float64 // s x cost, until it was admitted at the attempt that was
 	refused               int
 	late                  int           // refused after they had waited
 	held                  time.Duration // for which these waited
@@ -141,8 +142,8 @@
 	}
 	q := Ask{Cost: a.cost, ReturnWithin: r.returnWithin(a)}
 	if r.load.shaped {
-		left := k.objective - r.now.Sub(a.first)
-		q.Rank, q.MaxWait = k.rank, max(time.Duration(float64(min(left, k.objective))*simulatedMaxWait), 0)
+		q.Rank, q.InTime, q.MaxWait = k.rank, k.objective-r.now.Sub(a.first), time.Duration(float64(k.objective)*simulatedMaxWait)
+		q.Overdue = q.InTime <= 0
 	}
 	answer := r.ledger.Ask("team", q, r.now)
 	switch answer.Verdict {
@@ -178,6 +179,7 @@
 		r.admitted = append(r.admitted, arrival{at: r.now, cost: a.cost})
 		if r.inSpell(a) {
 			out.served += a.cost
+			out.waited += a.cost * r.now.Sub(a.at).Seconds()
 			if r.now.Sub(a.first) < k.objective*3/4 {
 				out.inTime += a.cost
 			}
@@ -233,6 +235,7 @@
 			out.kinds[i].served += k.served
 			out.kinds[i].inTime += k.inTime
 			out.kinds[i].refused += k.refused
+			out.kinds[i].waited += k.waited
 			out.kinds[i].late += k.late
 			out.kinds[i].held += k.held
 		}
@@ -247,7 +250,7 @@
 func (v shapingResult) String() string {
 	out := fmt.Sprintf("used %.3f", v.used)
 	for _, k := range v.kinds {
-		out += fmt.Sprintf("  %.2f/%.2f late %d %dms", k.served/k.asked, k.inTime/k.asked, k.late, k.held.Milliseconds()/int64(max(k.late, 1)))
+		out += fmt.Sprintf("  %.2f/%.2f/%.0fms late %d %dms", k.served/k.asked, k.inTime/k.asked, k.waited/k.served*1000, k.late, k.held.Milliseconds()/int64(max(k.late, 1)))
 	}
 	return out + fmt.Sprintf("  returned %d again %.2f promised %d kept %.2f late %d", v.returned, float64(v.again)/float64(max(v.returned, 1)), v.promised, float64(v.kept)/float64(max(v.promised, 1)), v.late)
 }
--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -186,6 +186,10 @@
 // setAsk sets what a request asks of its team's limit.
 func setAsk(e *coordpb.TurnEvent, team string, q *quota.Ask) {
 	e.Team, e.Charge, e.RouteRank = team, uint32(q.Cost), uint32(q.Rank)
+	if e.Kind == coordpb.TurnEvent_CHARGE { // a permit request states its own
+		e.InTimeMs = uint32(max(q.InTime.Milliseconds(), 0))
+	}
+	e.Overdue = q.Overdue
 	e.AccountWaitMs, e.ReturnWithinMs = uint32(q.MaxWait.Milliseconds()), uint32(q.ReturnWithin.Milliseconds())
 }
 
--- a/node/coordinator/permits/teamlimits_test.go
+++ b/node/coordinator/permits/teamlimits_test.go
@@ -13,12 +13,14 @@
 	"peridotpier.example/node/follow"
 )
 
-// limitTeam lets a team use perSecond tokens a second, and twice as many at once.
-func (p *Permits) limitTeam(name string, perSecond float64) {
+// limitTeam lets a team use perSecond tokens a second, and twice as many at once, and
+// returns the configuration that says so.
+func (p *Permits) limitTeam(name string, perSecond float64) *follow.ActiveConfig {
 	config := follow.NewActiveConfig(event.NewLog(nil))
 	limit := quota.Limit{Unit: quota.Tokens, PerSecond: perSecond, Burst: 2 * perSecond}
 	config.ApplyIfNewer(&deploy.Config{Version: 1, Services: []deploy.Service{{Name: "s", Engine: &deploy.Engine{}}}, Teams: []deploy.Team{{Name: name, Limit: limit}}}, "test")
 	p.deps.Accounts = accounts.New(accounts.Deps{Config: config, ReportingShare: p.deps.Reports.ReportingShare})
+	return config
 }
 
 func chargedRequest(id uint64, cost uint32) *coordpb.TurnEvent {
--- a/node/coordinator/permits/teamwaits.go
+++ b/node/coordinator/permits/teamwaits.go
@@ -71,7 +71,8 @@
 	if e.Team == "" {
 		return true
 	}
-	q := quota.Ask{Rank: int(e.RouteRank), Cost: float64(e.Charge), MaxWait: wire.Milliseconds(e.AccountWaitMs), ReturnWithin: wire.Milliseconds(e.ReturnWithinMs)}
+	q := quota.Ask{Rank: int(e.RouteRank), Cost: float64(e.Charge), MaxWait: wire.Milliseconds(e.AccountWaitMs),
+		Overdue: e.Overdue, InTime: wire.Milliseconds(e.InTimeMs), ReturnWithin: wire.Milliseconds(e.ReturnWithinMs)}
 	answer := p.deps.Accounts.Charge(e.Team, q, now)
 	switch answer.Verdict {
 	case quota.Admit:
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -120,6 +120,7 @@
 	holds    holds
 	lender   lender
 	hopHosts hopHosts
+	times    timesLeft
 }
 
 // New creates a Gate; DisconnectReason, Now and Rand may be nil.
--- a/node/gate/limits.go
+++ b/node/gate/limits.go
@@ -34,7 +34,9 @@
 // ask returns what the request asks of its team's account now.
 func (q *request) ask() quota.Ask {
 	now := q.g.deps.Now()
-	return quota.Ask{Rank: q.table.RouteRank(q.route), Cost: q.caller.cost, MaxWait: q.limitWait(now), ReturnWithin: q.returnWithin(now)}
+	inTime := q.start.Add(q.route.Objective).Sub(now) - q.g.times.waited(q.route.Name, q.info.TimeLeft, q.start)
+	return quota.Ask{Rank: q.table.RouteRank(q.route), Cost: q.caller.cost, MaxWait: q.limitWait(now),
+		Overdue: q.route.Objective > 0 && inTime <= 0, InTime: inTime, ReturnWithin: q.returnWithin(now)}
 }
 
 // limitWait returns how long the request may still wait for its team's limit.
