--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -39,6 +39,7 @@
 	kept, given  int       // promises that were redeemed, and made
 	cheapReserve float64   // cost that small requests may take before all others
 	shedAt       time.Time // when shed was last called
+	lackedAt     time.Time // when the bucket last lacked the cost of a request
 }
 
 // ask decides on a request.
@@ -53,20 +54,43 @@
 	if shaped {
 		r = a.promoteCheap(r, q.Cost)
 	}
-	promised := a.redeem(q.Cost, now)
-	if a.waiting == 0 {
+	class := patienceClass(q.MaxWait)
+	if promised := a.redeem(q.Cost, now); promised != nil {
+		r, class = promised, returningClass
+	}
+	if a.waiting == 0 && a.missing(r, class, q.Cost, now) <= roundingTolerance || !shaped {
 		wait, ok := a.take(r, q.Cost, now)
 		if ok || !shaped {
 			return Answer{Verdict: verdictOf(ok), RetryAfter: wait, Level: a.bucket.level}
 		}
 	}
-	class := patienceClass(q.MaxWait)
-	if promised != nil {
-		r, class = promised, returningClass
-	}
 	return a.askShaped(r, class, q, now)
 }
 
+const (
+	// reserveSpan is the time for which the less urgent leave what more urgent ones ask for
+	// in the bucket, so that these need not wait for it.
+	reserveSpan = 250 * time.Millisecond
+	// maxReserveShare is the share of a burst that is left to them at most.
+	maxReserveShare = 0.5
+)
+
+// missing returns what the bucket lacks for a request, with what it leaves to more urgent
+// ones. Nothing is left by one that came back as promised or whose rank's floor pays for it,
+// nor where the bucket has lacked nothing lately.
+func (a *account) missing(r *rankState, class int, cost float64, now time.Time) float64 {
+	capacity := a.bucket.limit.capacity()
+	out := min(cost, capacity) - a.bucket.Level(now)
+	if out > roundingTolerance {
+		a.lackedAt = now
+	}
+	if class == returningClass || r == a.ranks[0] || r.reserve >= cost || now.Sub(a.lackedAt) > rateWindow {
+		return out
+	}
+	left := min(a.urgentDemand(r, now)*reserveSpan.Seconds(), capacity*maxReserveShare, max(capacity-cost, 0))
+	return out + left
+}
+
 // overdueRank is the rank of the requests that can no longer be answered in time. They go
 // after all others, since each of them would make others as late.
 const overdueRank = math.MaxInt32
@@ -117,6 +141,11 @@
 func (a *account) askShaped(r *rankState, class int, q Ask, now time.Time) Answer {
 	wait := a.predict(r, class, q.Cost, now)
 	if wait > q.MaxWait || a.waiting >= maxWaiting || r == a.ranks[0] && a.equalsWait(q.Cost, wait) > time.Duration(float64(q.MaxWait)*equalsWaitPart) {
+		if a.waiting == 0 { // what it would leave to others is there
+			if _, ok := a.take(r, q.Cost, now); ok {
+				return Answer{Verdict: Admit, Level: a.bucket.level}
+			}
+		}
 		return a.refuse(r, q, wait, now)
 	}
 	w := &Waiter{account: a, rank: r, class: class, cost: q.Cost, askedAt: now, latest: now.Add(q.MaxWait), caller: q}
@@ -130,7 +159,7 @@
 // floor pays for it.
 func (a *account) predict(r *rankState, class int, cost float64, now time.Time) time.Duration {
 	rate := a.bucket.limit.PerSecond
-	own := r.ahead(class) + min(cost, a.bucket.limit.capacity()) - a.bucket.Level(now)
+	own := r.ahead(class) + a.missing(r, class, cost, now)
 	urgent := 0.0
 	for _, o := range a.ranks {
 		if o == r {
@@ -255,8 +284,10 @@
 func (a *account) serve(now time.Time, decide func(*Waiter, Answer)) {
 	for a.waiting > 0 {
 		w := a.next()
-		_, ok := a.take(w.rank, w.cost, now)
-		if !ok {
+		if a.missing(w.rank, w.class, w.cost, now) > roundingTolerance {
+			break
+		}
+		if _, ok := a.take(w.rank, w.cost, now); !ok {
 			break
 		}
 		a.remove(w)
@@ -264,8 +295,8 @@
 	}
 	for _, r := range a.ranks {
 		for c := range r.classes {
-			for w := r.classes[c].first(); w != nil && now.After(w.latest); w = r.classes[c].first() {
-				decide(w, a.giveUp(w, a.predict(r, c, 0, now), now))
+			for w := r.classes[c].first(); w != nil && !now.Before(w.latest); w = r.classes[c].first() {
+				a.expire(w, now, decide)
 			}
 		}
 	}
@@ -275,6 +306,19 @@
 	}
 }
 
+// expire decides on a request that may not wait any longer: it need not leave anything to
+// more urgent ones.
+func (a *account) expire(w *Waiter, now time.Time, decide func(*Waiter, Answer)) {
+	if w == a.next() {
+		if _, ok := a.take(w.rank, w.cost, now); ok {
+			a.remove(w)
+			decide(w, Answer{Verdict: Admit, Level: a.bucket.level})
+			return
+		}
+	}
+	decide(w, a.giveUp(w, a.predict(w.rank, w.class, 0, now), now))
+}
+
 const (
 	// shedInterval is how often the waits of those that wait are predicted anew.
 	shedInterval = 100 * time.Millisecond
@@ -312,7 +356,7 @@
 	if w == nil {
 		return maxPrediction
 	}
-	rate, missing := a.bucket.limit.PerSecond, min(w.cost, a.bucket.limit.capacity())-a.bucket.Level(now)
+	rate, missing := a.bucket.limit.PerSecond, a.missing(w.rank, w.class, w.cost, now)
 	if rate <= 0 {
 		return maxPrediction
 	}
