--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -65,6 +65,7 @@
 	if s.PartitionedMs > 0 {
 		fmt.Printf("reaches no upstream for %d ms, noticed by %s; other hosts forward at %s\n", s.PartitionedMs, s.PartitionedBy, cmp.Or(strings.Join(s.Detours, " "), "none"))
 	}
+	printTeamLimits(&s.Limits)
 	for _, part := range []struct {
 		title string
 		by    map[string]int64
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// Limit returns the limit.
+func (s *Share) Limit() Limit { return s.limit }
+
 // SetState records the account's state announced by the ledger, or that its level is
 // sufficient. The host decides by it without asking the ledger until the given time.
 func (s *Share) SetState(state AccountState, constrained bool, now, validUntil time.Time) {
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -288,6 +288,10 @@
 	c.deps.Log.Emit(event.ActingCoordinator, zap.Duration("store_age", c.deps.Feed.StoreAge()))
 }
 
+// LimitPromises returns how many requests over their teams' limits were told a time that was
+// kept free for them since this host began to act, and how many came back at it.
+func (c *Coordinator) LimitPromises() (made, kept int) { return c.accounts.Promises() }
+
 // resetCounts drops what this host counted when it was acting before: another
 // coordinator has counted since. The number of hosts that the other coordinator had is
 // taken over.
--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -1,8 +1,10 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,6 +139,33 @@
 	return l.teams.state(team, l.deps.Now())
 }
 
+// LimitState is the state of the account of a team whose limit may bind, as this host last
+// received it.
+type LimitState struct {
+	Team           string  `json:"team"`
+	PerSecond      float64 `json:"limit_per_second"`
+	Level          float64 `json:"level"` // cost that may be admitted at once; negative for a debt
+	AskedPerSecond float64 `json:"asked_per_second"`
+	AgeMs          int64   `json:"age_ms"`
+}
+
+// LimitStates returns the states of the teams whose limits may bind, in order of their
+// names.
+func (l *Link) LimitStates() []LimitState {
+	now := l.deps.Now()
+	t := &l.teams
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []LimitState{}
+	for name, s := range t.byName {
+		if state, ok := s.KnownState(now); ok && state.Constrained {
+			out = append(out, LimitState{Team: name, PerSecond: s.Limit().PerSecond, Level: state.Level, AskedPerSecond: state.Demand, AgeMs: state.Age.Milliseconds()})
+		}
+	}
+	slices.SortFunc(out, func(a, b LimitState) int { return cmp.Compare(a.Team, b.Team) })
+	return out
+}
+
 // Charge implements gate.TeamLimits.
 func (l *Link) Charge(ctx context.Context, team *deploy.Team, q quota.Ask) gate.LimitAnswer {
 	now := l.deps.Now()
--- /dev/null
+++ b/node/gate/limits_test.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against callers that are told other times than those at which their team's account
+// has room for them, and against an account that does not know how long a request may wait.
+func TestACallerOverItsLimitIsToldWhatItWasPromised(t *testing.T) {
+	a := &account{promises: true}
+	g := newTeamGate(a, "127.0.0.1:1", func(AttemptInfo) {})
+	g.deps.Rand = func() float64 { return 0.99 }
+	w := sendKeyed(g, "l")
+	assert.Equal(t, w.Code, http.StatusTooManyRequests)
+	assert.Equal(t, w.Header().Get("Retry-After"), "3.000")
+	assert.Equal(t, a.asked.Rank, 0, "the only route")
+	assert.Assert(t, a.asked.MaxWait > 390*time.Millisecond && a.asked.MaxWait <= 400*time.Millisecond, "%v of an objective of 1 s", a.asked.MaxWait)
+	assert.Assert(t, a.asked.ReturnWithin > 3300*time.Millisecond && a.asked.ReturnWithin < 3334*time.Millisecond, "%v of 10 s", a.asked.ReturnWithin)
+	assert.Assert(t, !a.asked.Overdue)
+	a.promises = false
+	assert.Equal(t, sendKeyed(g, "l").Header().Get("Retry-After"), "3.495", "others were told the same")
+}
+
+// Guards against requests that came back after a refusal, too late for their objective, and
+// take what those that can still be in time then lack.
+func TestACallerThatCameBackIsKnownByItsTimeLeft(t *testing.T) {
+	var l timesLeft
+	now := time.Now()
+	assert.Equal(t, l.waited("r", 5*time.Second, now), time.Duration(0))
+	assert.Equal(t, l.waited("r", 3*time.Second, now), 2*time.Second)
+	assert.Equal(t, l.waited("other", 3*time.Second, now), time.Duration(0))
+	assert.Equal(t, l.waited("r", 0, now), time.Duration(0), "it states none")
+	now = now.Add(timesLeftWindow * 3 / 4)
+	assert.Equal(t, l.waited("r", 4*time.Second, now), time.Second, "the half before still counts")
+	now = now.Add(2 * timesLeftWindow)
+	assert.Equal(t, l.waited("r", 3*time.Second, now), time.Duration(0), "callers may state less from now on")
+}
+
+// chargedCoordinator charges a request and then gives it no permit in time.
+type chargedCoordinator struct {
+	noCoordinator
+	charged bool
+}
+
+func (c chargedCoordinator) RequestPermit(context.Context, *PermitRequest) (*Permit, error) {
+	return &Permit{Charged: c.charged}, errors.New("time is up")
+}
+
+// Guards against a team that pays twice for one request, since the host that gives its
+// permit up charges it once more.
+func TestATeamIsNotChargedAgainForAPermitThatCameTooLate(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer up.Close()
+	for charged, charges := range map[bool]int{true: 0, false: 1} {
+		a := &account{balance: 1000}
+		g := newTeamGate(a, up.Listener.Addr().String(), func(AttemptInfo) {})
+		g.deps.Coordinator = chargedCoordinator{charged: charged}
+		assert.Equal(t, sendKeyed(g, "l").Code, http.StatusOK)
+		assert.Equal(t, a.charges, charges)
+	}
+}
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -198,6 +198,8 @@
 		MaxRelayAge:         relayFresh,
 		IsRelaying:          func() bool { return h.coord.Acting() }, OnListed: h.upstreamsListed})
 	h.origins = origin.NewRegistry(time.Now())
+	d.Metrics.SetFunc(metrics.LimitPromises, func() any { made, _ := h.coord.LimitPromises(); return made })
+	d.Metrics.SetFunc(metrics.LimitPromisesKept, func() any { _, kept := h.coord.LimitPromises(); return kept })
 	d.Metrics.SetFunc(metrics.OriginsKept, func() any { return h.origins.Len() })
 	h.streams = streams.New(streams.Deps{Table: table, Registry: h.origins, Host: set.Host, Acting: func() bool { return h.coord.Acting() }, Log: d.Log, Now: time.Now})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, QuietPeriod: milliseconds(set.Bounds.LeaseMs) + maxOrderTransit,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -45,6 +45,11 @@
 	ResponseEnds      Name = "answer_ends_total"
 	CallerDisconnects Name = "requests_left_by_caller_total"
 	OverLimit         Name = "requests_over_limit_total" // refused since they were over their teams' limits, by rank of the route
+	// LimitPromises and LimitPromisesKept count the times that this host, as the acting
+	// coordinator, kept free for requests over their teams' limits, and those at which the
+	// request came back.
+	LimitPromises     Name = "limit_promises_made"
+	LimitPromisesKept Name = "limit_promises_kept"
 	BackedOff         Name = "requests_backed_off_total" // refused since all upstreams asked for a backoff
 	InFlight          Name = "requests_in_flight"
 	ConfigVersion     Name = "configuration_version"
