--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -39,7 +39,6 @@
 	kept, given  int       // promises that were redeemed, and made
 	cheapReserve float64   // cost that small requests may take before all others
 	shedAt       time.Time // when shed was last called
-	lackedAt     time.Time // when the bucket last lacked the cost of a request
 }
 
 // ask decides on a request.
@@ -50,7 +49,7 @@
 	}
 	r := a.rankOf(q.Rank, now)
 	r.demand.add(q.Cost, now)
-	shaped := a.shaped()
+	shaped := a.shaped() || a.waiting > 0
 	if shaped {
 		r = a.promoteCheap(r, q.Cost)
 	}
@@ -58,7 +57,7 @@
 	if promised := a.redeem(q.Cost, now); promised != nil {
 		r, class = promised, returningClass
 	}
-	if a.waiting == 0 && a.missing(r, class, q.Cost, now) <= roundingTolerance || !shaped {
+	if a.waiting == 0 {
 		wait, ok := a.take(r, q.Cost, now)
 		if ok || !shaped {
 			return Answer{Verdict: verdictOf(ok), RetryAfter: wait, Level: a.bucket.level}
@@ -67,28 +66,9 @@
 	return a.askShaped(r, class, q, now)
 }
 
-const (
-	// reserveSpan is the time for which the less urgent leave what more urgent ones ask for
-	// in the bucket, so that these need not wait for it.
-	reserveSpan = 250 * time.Millisecond
-	// maxReserveShare is the share of a burst that is left to them at most.
-	maxReserveShare = 0.5
-)
-
-// missing returns what the bucket lacks for a request, with what it leaves to more urgent
-// ones. Nothing is left by one that came back as promised or whose rank's floor pays for it,
-// nor where the bucket has lacked nothing lately.
-func (a *account) missing(r *rankState, class int, cost float64, now time.Time) float64 {
-	capacity := a.bucket.limit.capacity()
-	out := min(cost, capacity) - a.bucket.Level(now)
-	if out > roundingTolerance {
-		a.lackedAt = now
-	}
-	if class == returningClass || r == a.ranks[0] || r.reserve >= cost || now.Sub(a.lackedAt) > rateWindow {
-		return out
-	}
-	left := min(a.urgentDemand(r, now)*reserveSpan.Seconds(), capacity*maxReserveShare, max(capacity-cost, 0))
-	return out + left
+// missing returns what the bucket lacks for a request.
+func (a *account) missing(cost float64, now time.Time) float64 {
+	return min(cost, a.bucket.limit.capacity()) - a.bucket.Level(now)
 }
 
 // overdueRank is the rank of the requests that can no longer be answered in time. They go
@@ -141,11 +121,6 @@
 func (a *account) askShaped(r *rankState, class int, q Ask, now time.Time) Answer {
 	wait := a.predict(r, class, q.Cost, now)
 	if wait > q.MaxWait || a.waiting >= maxWaiting || r == a.ranks[0] && a.equalsWait(q.Cost, wait) > time.Duration(float64(q.MaxWait)*equalsWaitPart) {
-		if a.waiting == 0 { // what it would leave to others is there
-			if _, ok := a.take(r, q.Cost, now); ok {
-				return Answer{Verdict: Admit, Level: a.bucket.level}
-			}
-		}
 		return a.refuse(r, q, wait, now)
 	}
 	w := &Waiter{account: a, rank: r, class: class, cost: q.Cost, askedAt: now, latest: now.Add(q.MaxWait), caller: q}
@@ -159,7 +134,7 @@
 // floor pays for it.
 func (a *account) predict(r *rankState, class int, cost float64, now time.Time) time.Duration {
 	rate := a.bucket.limit.PerSecond
-	own := r.ahead(class) + a.missing(r, class, cost, now)
+	own := r.ahead(class) + a.missing(cost, now)
 	urgent := 0.0
 	for _, o := range a.ranks {
 		if o == r {
@@ -260,125 +235,6 @@
 	return 0
 }
 
-// next returns the request that is to be admitted next; nil: none waits.
-func (a *account) next() *Waiter {
-	var out, due *Waiter
-	for i, r := range a.ranks {
-		w := r.first()
-		switch {
-		case w == nil:
-		case out == nil:
-			out = w
-		case i > 0 && r.reserve >= w.cost && (due == nil || r.reserve > due.rank.reserve):
-			due = w
-		}
-	}
-	if due != nil {
-		return due
-	}
-	return out
-}
-
-// serve admits the requests that the bucket has the cost of, in their order, and refuses
-// those that have waited too long.
-func (a *account) serve(now time.Time, decide func(*Waiter, Answer)) {
-	for a.waiting > 0 {
-		w := a.next()
-		if a.missing(w.rank, w.class, w.cost, now) > roundingTolerance {
-			break
-		}
-		if _, ok := a.take(w.rank, w.cost, now); !ok {
-			break
-		}
-		a.remove(w)
-		decide(w, Answer{Verdict: Admit, Level: a.bucket.level})
-	}
-	for _, r := range a.ranks {
-		for c := range r.classes {
-			for w := r.classes[c].first(); w != nil && !now.Before(w.latest); w = r.classes[c].first() {
-				a.expire(w, now, decide)
-			}
-		}
-	}
-	if now.Sub(a.shedAt) >= shedInterval {
-		a.shedAt = now
-		a.shed(now, decide)
-	}
-}
-
-// expire decides on a request that may not wait any longer: it need not leave anything to
-// more urgent ones.
-func (a *account) expire(w *Waiter, now time.Time, decide func(*Waiter, Answer)) {
-	if w == a.next() {
-		if _, ok := a.take(w.rank, w.cost, now); ok {
-			a.remove(w)
-			decide(w, Answer{Verdict: Admit, Level: a.bucket.level})
-			return
-		}
-	}
-	decide(w, a.giveUp(w, a.predict(w.rank, w.class, 0, now), now))
-}
-
-const (
-	// shedInterval is how often the waits of those that wait are predicted anew.
-	shedInterval = 100 * time.Millisecond
-	// shedMargin is the part of its wait by which a request must be predicted too late.
-	shedMargin = 1.2
-)
-
-// shed refuses those that will not be admitted in time because more urgent ones have come
-// since, the newest first: waiting longer would only hold them up.
-func (a *account) shed(now time.Time, decide func(*Waiter, Answer)) {
-	for _, r := range a.ranks {
-		for c := returningClass + 1; c < patienceClasses; c++ {
-			for w := r.classes[c].last(); w != nil; w = r.classes[c].last() {
-				wait := a.predict(r, c, 0, now)
-				if float64(wait) <= float64(w.latest.Sub(now))*shedMargin {
-					break
-				}
-				decide(w, a.giveUp(w, wait, now))
-			}
-		}
-	}
-}
-
-// giveUp refuses a request that waits.
-func (a *account) giveUp(w *Waiter, wait time.Duration, now time.Time) Answer {
-	a.remove(w)
-	q := w.caller
-	q.ReturnWithin, q.InTime = max(q.ReturnWithin-now.Sub(w.askedAt), 0), q.InTime-now.Sub(w.askedAt)
-	return a.refuse(w.rank, q, wait, now)
-}
-
-// wakeAfter returns after how long a request that waits may be decided.
-func (a *account) wakeAfter(now time.Time) time.Duration {
-	w := a.next()
-	if w == nil {
-		return maxPrediction
-	}
-	rate, missing := a.bucket.limit.PerSecond, a.missing(w.rank, w.class, w.cost, now)
-	if rate <= 0 {
-		return maxPrediction
-	}
-	out := time.Duration(math.Ceil(max(missing, 0) / rate * float64(time.Second)))
-	for _, r := range a.ranks {
-		for c := range r.classes {
-			if w := r.classes[c].first(); w != nil {
-				out = min(out, w.latest.Sub(now))
-			}
-		}
-	}
-	return max(out, 0)
-}
-
-// remove takes a request from those that wait.
-func (a *account) remove(w *Waiter) {
-	if !w.over {
-		w.rank.remove(w)
-		a.waiting--
-	}
-}
-
 // rankOf returns the state of a rank, and forgets those that no longer ask.
 func (a *account) rankOf(rank int, now time.Time) *rankState {
 	a.ranks = slices.DeleteFunc(a.ranks, func(r *rankState) bool {
@@ -394,13 +250,3 @@
 	a.ranks[at].askedAt = now
 	return a.ranks[at]
 }
-
-// clear takes all requests from the account and returns those that waited.
-func (a *account) clear() []*Waiter {
-	var out []*Waiter
-	for w := a.next(); w != nil; w = a.next() {
-		a.remove(w)
-		out = append(out, w)
-	}
-	return out
-}
--- a/core/quota/waiting.go
+++ b/core/quota/waiting.go
@@ -52,15 +52,14 @@
 
 // rankState is what one account knows of the requests of one rank.
 type rankState struct {
-	rank      int
-	demand    demand
-	askedAt   time.Time // when a request of the rank came last
-	reserve   float64   // cost that the rank may take before more urgent ones; negative: it got more than its floor
-	classes   [patienceClasses]fifo
-	waiting   int
-	queued    float64 // cost of those that wait
-	returning float64 // cost of those among them that came back as promised
-	promises  promises
+	rank     int
+	demand   demand
+	askedAt  time.Time // when a request of the rank came last
+	reserve  float64   // cost that the rank may take before more urgent ones; negative: it got more than its floor
+	classes  [patienceClasses]fifo
+	waiting  int
+	queued   float64 // cost of those that wait
+	promises promises
 }
 
 // fifo holds the requests of one patience class, which expire in about the order in which
--- a/node/coordinator/permits/teamwaits.go
+++ b/node/coordinator/permits/teamwaits.go
@@ -73,6 +73,9 @@
 	}
 	q := quota.Ask{Rank: int(e.RouteRank), Cost: float64(e.Charge), MaxWait: wire.Milliseconds(e.AccountWaitMs),
 		Overdue: e.Overdue, InTime: wire.Milliseconds(e.InTimeMs), ReturnWithin: wire.Milliseconds(e.ReturnWithinMs)}
+	if !p.teams.wakeAt.IsZero() && !now.Before(p.teams.wakeAt) { // the timer is late: those that wait come first
+		p.serveTeams(now)
+	}
 	answer := p.deps.Accounts.Charge(e.Team, q, now)
 	switch answer.Verdict {
 	case quota.Admit:
