--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -291,10 +291,10 @@
 		return nil, err
 	}
 	defer done()
-	answer, charged, err := c.awaitAnswer(ctx, answers)
+	answer, err := c.awaitAnswer(ctx, answers)
 	if err != nil {
-		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Uncharged: !charged})
-		return &gate.Permit{Charged: charged}, err
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Uncharged: true})
+		return nil, err
 	}
 	switch answer.Kind {
 	case coordpb.TurnAnswer_GRANTED:
@@ -340,30 +340,28 @@
 }
 
 // awaitAnswer waits for the first answer for firstAnswerTimeout, and for the final one
-// until ctx ends. charged reports whether the request's team was charged, even after an
-// error.
-func (c *permitClient) awaitAnswer(ctx context.Context, ch <-chan *coordpb.TurnAnswer) (answer *coordpb.TurnAnswer, charged bool, err error) {
+// until ctx ends.
+func (c *permitClient) awaitAnswer(ctx context.Context, ch <-chan *coordpb.TurnAnswer) (*coordpb.TurnAnswer, error) {
 	first := time.NewTimer(firstAnswerTimeout)
 	defer first.Stop()
 	for {
 		select {
 		case answer, ok := <-ch:
 			if !ok {
-				return nil, charged, errNoCoordinator
+				return nil, errNoCoordinator
 			}
 			if answer.Kind != coordpb.TurnAnswer_QUEUED {
-				return answer, charged, nil
+				return answer, nil
 			}
-			charged = !answer.ForLimit
 			first.Stop()
 		case <-first.C:
 			c.link.ReportSoon() // the report shows whether the coordinator is lost
 			c.mu.Lock()
 			c.pausedUntil = time.Now().Add(localDecisionTime)
 			c.mu.Unlock()
-			return nil, charged, errNoCoordinator
+			return nil, errNoCoordinator
 		case <-ctx.Done():
-			return nil, charged, ctx.Err()
+			return nil, ctx.Err()
 		}
 	}
 }
--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -201,7 +201,7 @@
 		return nil, err
 	}
 	defer done()
-	answer, _, err := c.awaitAnswer(ctx, answers)
+	answer, err := c.awaitAnswer(ctx, answers)
 	if err != nil {
 		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Uncharged: true})
 		return nil, err
--- a/node/coordinator/permits/teamwaits.go
+++ b/node/coordinator/permits/teamwaits.go
@@ -98,7 +98,7 @@
 }
 
 // refundUncharged undoes the charge of a request whose host gave it up before it heard of
-// the charge.
+// a permit. The host charges it again if it sends it by its own decision.
 func (p *Permits) refundUncharged(k requestKey, e *coordpb.TurnEvent) {
 	if !e.Uncharged {
 		return
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -30,7 +30,7 @@
 	// LoadAdapter has an adapter loaded at an upstream and returns once it is resident.
 	LoadAdapter(ctx context.Context, upstream, model, adapter string) error
 	// RequestPermit asks where and when a request may be sent. After an error this
-	// host decides by itself.
+	// host decides by itself, and the team is not charged.
 	RequestPermit(ctx context.Context, req *PermitRequest) (*Permit, error)
 	// RecordDemand records a request for a model, with the number of tokens expected
 	// in its response and the time within which the response has its full value;
--- a/node/gate/permit.go
+++ b/node/gate/permit.go
@@ -36,7 +36,6 @@
 // goroutine.
 type Permit struct {
 	OverLimit           *LimitAnswer  // over the team's limit; nothing else is set then
-	Charged             bool          // the team was charged; also set beside an error, if that is known
 	RetryAfter          time.Duration // until some upstream may allow the request; 0: not known
 	Upstream            string        // "": none; see Reason
 	Reason              balance.Reason
@@ -92,9 +91,6 @@
 		}
 	}
 	permit, err := d.Coordinator.RequestPermit(ctx, req)
-	if permit != nil && permit.Charged {
-		q.caller.markCharged()
-	}
 	if err != nil {
 		// A call without a permit by now would be overdue, and delay others.
 		overdue := q.needs.Model == "" && errors.Is(err, context.DeadlineExceeded)
