--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -171,12 +171,23 @@
 	return sum
 }
 
-// floorRate returns the rate that a rank gets at least; 0 for the most urgent one.
+// floorRate returns the rate that a rank gets at least; 0 for the most urgent one and for
+// those that are overdue.
 func (a *account) floorRate(r *rankState) float64 {
-	if len(a.ranks) < 2 || a.ranks[0] == r {
+	if a.ranks[0] == r || r.rank == overdueRank {
 		return 0
 	}
-	return floorShare / float64(len(a.ranks)-1) * a.bucket.limit.PerSecond
+	return a.floorPart() * a.bucket.limit.PerSecond
+}
+
+// floorPart returns the part of the limit that each rank below the most urgent one gets at
+// least.
+func (a *account) floorPart() float64 {
+	n := len(a.ranks) - 1
+	if a.ranks[n].rank == overdueRank {
+		n--
+	}
+	return floorShare / float64(max(n, 1))
 }
 
 // refuse refuses a request that would wait too long, and says when it may return.
@@ -210,20 +221,20 @@
 	return 0, true
 }
 
-// settleFloors adds to the reserves of the less urgent ranks what they may take after a
-// request of rank r, and subtracts its cost from its own.
+// settleFloors adds to the reserves of all ranks but the most urgent one their parts of what
+// was admitted, and subtracts it from that of its own rank.
 func (a *account) settleFloors(r *rankState, cost float64) {
 	a.cheapReserve = min(a.cheapReserve+cheapShare*cost, cheapShare*a.bucket.limit.PerSecond*floorSpan.Seconds())
-	part, below := floorShare/float64(len(a.ranks)-1)*cost, false
-	for _, o := range a.ranks {
-		most := max(a.floorRate(o)*floorSpan.Seconds(), cost)
-		switch {
-		case o == r:
-			o.addReserve(-cost, most)
-			below = true
-		case below:
-			o.addReserve(part, max(most, o.nextCost()))
+	part := a.floorPart() * cost
+	for i, o := range a.ranks {
+		if i == 0 || o.rank == overdueRank {
+			continue
+		}
+		change := part
+		if o == r {
+			change -= cost
 		}
+		o.addReserve(change, max(a.floorRate(o)*floorSpan.Seconds(), cost, o.nextCost()))
 	}
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,4 +614,22 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
+try "a team's more urgent requests get its limit first" core/quota/serve.go \
+  'case out == nil:' 'case i >= 0:' ./core/quota -run 'UrgentRequestsGet'
+try "a floor for a team's less urgent requests" core/quota/serve.go \
+  'r.reserve >= w.cost' 'false' ./core/quota -run 'TheirFloor'
+try "times of return one after the other" core/quota/promise.go \
+  'p.nextAt = at.Add(' '_ = at.Add(' ./core/quota -run 'OneAfterTheOther'
+try "those that are overdue go last" core/quota/account.go \
+  'if q.Overdue {' 'if false && q.Overdue {' ./core/quota -run 'OverdueGoLast'
+try "without a ledger the less urgent give way" core/quota/rankshares.go \
+  'left -= part' '_ = part' ./core/quota -run 'GiveWay'
+try "a charge of a permit that is given up is undone" node/coordinator/permits/teamwaits.go \
+  'if !e.Uncharged {' 'if true {' ./node/coordinator/permits -run 'GivenUpIsUndone'
+try "no waits of a host that is gone" node/coordinator/permits/permits.go \
+  'p.teams.removeStream(from, &p.deps)' '' ./node/coordinator/permits -run 'AsksNoMore'
+try "a new term asks again for what waited" node/coordinator/permits/permits.go \
+  'p.askTeamsAgain()' '' ./node/coordinator/permits -run 'ANewTerm'
+try "a promised time is told as it is" node/gate/limits.go \
+  'if !o.promised {' 'if true {' ./node/gate -run 'WhatItWasPromised'
 exit $missed
