--- a/cmd/pierctl/hostlimits.go
+++ b/cmd/pierctl/hostlimits.go
@@ -16,6 +16,9 @@
 	for _, rank := range slices.Sorted(maps.Keys(l.RefusedByRank)) {
 		fmt.Printf("refused over limits, rank %s: %d\n", rank, l.RefusedByRank[rank])
 	}
+	if l.Waiting > 0 {
+		fmt.Printf("requests that wait here for their teams' limits: %d\n", l.Waiting)
+	}
 	if l.PromisesMade > 0 {
 		fmt.Printf("times kept free for requests over limits: %d, used by them: %d\n", l.PromisesMade, l.PromisesKept)
 	}
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -292,6 +292,9 @@
 // kept free for them since this host began to act, and how many came back at it.
 func (c *Coordinator) LimitPromises() (made, kept int) { return c.accounts.Promises() }
 
+// LimitWaits returns how many requests wait here for their teams' limits.
+func (c *Coordinator) LimitWaits() int { return c.permits.TeamWaits() }
+
 // resetCounts drops what this host counted when it was acting before: another
 // coordinator has counted since. The number of hosts that the other coordinator had is
 // taken over.
--- a/node/coordinator/permits/teamwaits.go
+++ b/node/coordinator/permits/teamwaits.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// TeamWaits returns how many requests wait for their teams' limits.
+func (p *Permits) TeamWaits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.teams.byKey)
+}
+
 // chargeTeam charges a request to its team's limit and reports whether the limit allows
 // it. If not, it answers the host, and the request may wait for the limit.
 func (p *Permits) chargeTeam(k requestKey, e *coordpb.TurnEvent, now time.Time) bool {
--- a/node/gate/caller_test.go
+++ b/node/gate/caller_test.go
@@ -37,12 +37,16 @@
 	charges  int
 	promises bool      // refused requests are told a time that is kept free for them
 	asked    quota.Ask // by the last request
+	during   func()    // called while a request waits for the limit; nil: none waits
 }
 
 func (a *account) Charge(_ context.Context, _ *deploy.Team, q quota.Ask) LimitAnswer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.asked = q
+	if a.during != nil {
+		a.during()
+	}
 	if a.balance < q.Cost {
 		return LimitAnswer{RetryAfter: 3 * time.Second, Promised: a.promises}
 	}
--- a/node/gate/limits_test.go
+++ b/node/gate/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -39,3 +40,21 @@
 	now = now.Add(2 * timesLeftWindow)
 	assert.Equal(t, l.waited("r", 3*time.Second, now), time.Duration(0), "callers may state less from now on")
 }
+
+// Guards against a request that is sent, or charged, though its key was taken away while it
+// waited for its team's limit.
+func TestAKeyThatIsTakenAwayDuringAWaitIsNotServed(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("it was sent") }))
+	defer up.Close()
+	a := &account{balance: 1000}
+	g := newTeamGate(a, up.Listener.Addr().String(), func(AttemptInfo) {})
+	a.during = func() {
+		table := *g.deps.Config.Current().Config
+		table.Version++
+		table.Teams = table.Teams[1:]
+		g.deps.Config.ApplyIfNewer(&table, "test")
+	}
+	assert.Equal(t, sendKeyed(g, "l").Code, http.StatusUnauthorized)
+	assert.Equal(t, a.charges, 1)
+	assert.Equal(t, a.balance, 1000.0)
+}
