--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -24,9 +24,10 @@
 // Ledger counts the requests of teams at all hosts together. Its owner must guard it.
 type Ledger struct {
 	accounts       map[string]*account
-	slack          float64   // cost that may be admitted at once beyond a burst
-	connectedShare float64   // share of the limits that may be granted here
-	unlimited      []*Waiter // waited at an account whose limit was removed
+	slack          float64               // cost that may be admitted at once beyond a burst
+	connectedShare float64               // share of the limits that may be granted here
+	waiting        map[*account]struct{} // accounts at which requests may wait
+	unlimited      []*Waiter             // waited at an account whose limit was removed
 }
 
 // usedSlackShare is the share of the slack by which operators allow a limit to be exceeded
@@ -39,7 +40,7 @@
 // NewLedger returns a ledger without teams. slack is by how much operators allow a limit
 // to be exceeded, in the limit's unit.
 func NewLedger(slack float64) *Ledger {
-	return &Ledger{accounts: map[string]*account{}, slack: slack * usedSlackShare, connectedShare: 1}
+	return &Ledger{accounts: map[string]*account{}, waiting: map[*account]struct{}{}, slack: slack * usedSlackShare, connectedShare: 1}
 }
 
 // SetTeams applies the limits of a configuration. The account of a new team starts with
@@ -130,7 +131,11 @@
 	if a == nil {
 		return Answer{Verdict: Admit}
 	}
-	return a.ask(q, now)
+	out := a.ask(q, now)
+	if out.Verdict == Wait {
+		l.waiting[a] = struct{}{}
+	}
+	return out
 }
 
 // Cancel ends the wait of a request; nothing was charged for it.
@@ -143,15 +148,14 @@
 		decide(w, Answer{Verdict: Admit})
 	}
 	l.unlimited = nil
-	for _, a := range l.accounts {
+	for a := range l.waiting {
+		a.serve(now, decide)
 		if a.waiting == 0 {
+			delete(l.waiting, a)
 			continue
 		}
-		a.serve(now, decide)
-		if a.waiting > 0 {
-			if wait := max(a.wakeAfter(now), minWake); again == 0 || wait < again {
-				again = wait
-			}
+		if wait := max(a.wakeAfter(now), minWake); again == 0 || wait < again {
+			again = wait
 		}
 	}
 	return again
