--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -71,6 +71,7 @@
 	}
 	printSpeeds(s.Speeds)
 	printWaiting(s.Waiting)
+	printTeamLimits(&s.Limits)
 	for _, part := range []struct {
 		title string
 		by    map[string]int64
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -74,7 +74,8 @@
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
-	unlikeAt    map[string]time.Time       // when an upstream of a service last differed in speed from the others
+	unlikeAt    map[string]time.Time // when an upstream of a service last differed in speed from the others
+	teams       teamWaits
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
 	pipelines   pipelines
 
@@ -125,7 +126,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}, waiting: newWaitingRequests(), large: newLargePrompts()}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}, waiting: newWaitingRequests(), large: newLargePrompts(), teams: newTeamWaits()}
 	if p.deps.Metrics == nil {
 		p.deps.Metrics = metrics.New()
 	}
@@ -145,6 +146,7 @@
 	defer p.mu.Unlock()
 	p.limits.reset()
 	p.rooms.reset()
+	p.askTeamsAgain()
 }
 
 // Handle processes one event of a host and sends the answers that result.
@@ -159,9 +161,12 @@
 	case coordpb.TurnEvent_FIRST:
 		p.promptRead(k, e.Success)
 	case coordpb.TurnEvent_END:
-		p.endInRoom(p.granted[k], e)
-		p.learnCall(p.granted[k], e)
-		p.end(k)
+		if !p.teams.cancel(k, &p.deps) {
+			p.refundUncharged(k, e)
+			p.endInRoom(p.granted[k], e)
+			p.learnCall(p.granted[k], e)
+			p.end(k)
+		}
 	case coordpb.TurnEvent_ABSENT:
 		p.upstreamUnreachable(k)
 	case coordpb.TurnEvent_RETRACT:
@@ -178,6 +183,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.streams, from)
+	p.teams.removeStream(from, &p.deps)
 	for k, g := range p.granted {
 		if k.from == from {
 			p.rooms.abandoned(g, p.deps.Now())
@@ -187,24 +193,15 @@
 	p.waiting.removeStream(from, p.deps.Now())
 }
 
-// chargeTeam charges a request to its team's limit and reports whether the limit allows
-// it. If not, it answers the host.
-func (p *Permits) chargeTeam(k requestKey, e *coordpb.TurnEvent, now time.Time) bool {
-	if e.Team == "" {
-		return true
-	}
-	wait, ok := p.deps.Accounts.Charge(e.Team, float64(e.Charge), now)
-	if !ok {
-		k.from.send(&coordpb.TurnAnswer{Id: k.id, Kind: coordpb.TurnAnswer_OVER, WaitMs: uint32(wait.Milliseconds()) + 1})
-	}
-	return ok
-}
-
 func (p *Permits) request(k requestKey, e *coordpb.TurnEvent) {
 	now := p.deps.Now()
-	if !p.chargeTeam(k, e, now) {
-		return
+	if p.chargeTeam(k, e, now) {
+		p.place(k, e, now)
 	}
+}
+
+// place grants a request whose team was charged, or lets it wait for an upstream.
+func (p *Permits) place(k requestKey, e *coordpb.TurnEvent, now time.Time) {
 	p.suspects = p.deps.Reports.Suspects(now)
 	w := &request{key: k, event: e, needs: fleet.Request{Model: e.Model, Adapter: e.Adapter}, askedAt: now, excluded: upstreamSet(e.Tried), withIdleConn: upstreamSet(e.Warm)}
 	p.backoffs.record(w, now)
@@ -455,6 +452,7 @@
 	p.grantAllWaiting(now)
 	p.logShares(now)
 	p.large.expire(p.deps.Fleet)
+	p.serveTeams(now) // a limit may have been raised
 	p.limits.expire()
 	p.rooms.maintain(now)
 	p.backoffs.expire(now)
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -43,6 +43,7 @@
 	// Waiting describes the teams whose requests wait for a permit at this host, if it is the
 	// acting coordinator, the longest queue first.
 	Waiting []queue.TeamStatus `json:"waiting,omitempty"`
+	Limits  TeamLimits         `json:"limits"`
 }
 
 // softwareVersions counts the upstreams by service and version, as SERVICE VERSION.
@@ -64,6 +65,7 @@
 		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
 		s.Speeds = h.upstreamSpeeds(time.Now())
 		s.Detours, s.Waiting = h.link.DetourHosts(), h.coord.Permits().Waiting()
+		s.Limits = h.teamLimits()
 		if way := h.reach.Status(); !way.Since.IsZero() {
 			s.PartitionedMs, s.PartitionedBy = max(time.Since(way.Since).Milliseconds(), 1), string(way.Cause)
 		}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -706,4 +706,22 @@
   'b.passedOver += work' 'b.passedOver += 0 * work' ./node/coordinator/permits -run 'LargePrompt'
 try "an upstream is kept from arrivals as well" node/coordinator/permits/permits.go \
   'entries = p.offered(w, entries)' '' ./node/coordinator/permits -run 'LargePrompt'
+try "a team's more urgent requests get its limit first" core/quota/serve.go \
+  'case out == nil:' 'case i >= 0:' ./core/quota -run 'UrgentRequestsGet'
+try "a floor for a team's less urgent requests" core/quota/serve.go \
+  'r.reserve >= w.cost' 'false' ./core/quota -run 'TheirFloor'
+try "times of return one after the other" core/quota/promise.go \
+  'p.nextAt = at.Add(' '_ = at.Add(' ./core/quota -run 'OneAfterTheOther'
+try "those that are overdue go last" core/quota/account.go \
+  'if q.Overdue {' 'if false && q.Overdue {' ./core/quota -run 'OverdueGoLast'
+try "without a ledger the less urgent give way" core/quota/rankshares.go \
+  'left -= part' '_ = part' ./core/quota -run 'GiveWay'
+try "a charge of a permit that is given up is undone" node/coordinator/permits/teamwaits.go \
+  'if !e.Uncharged {' 'if true {' ./node/coordinator/permits -run 'GivenUpIsUndone'
+try "no waits of a host that is gone" node/coordinator/permits/permits.go \
+  'p.teams.removeStream(from, &p.deps)' '' ./node/coordinator/permits -run 'AsksNoMore'
+try "a new term asks again for what waited" node/coordinator/permits/permits.go \
+  'p.askTeamsAgain()' '' ./node/coordinator/permits -run 'ANewTerm'
+try "a promised time is told as it is" node/gate/limits.go \
+  'if !o.promised {' 'if true {' ./node/gate -run 'WhatItWasPromised'
 exit $missed
