--- a/core/balance/prefill.go
+++ b/core/balance/prefill.go
@@ -8,7 +8,7 @@
 // it decodes. A request that has not been sent yet can still go to whichever
 // upstream finishes first.
 func prefillSaturated(e *Endpoint, r *Request) bool {
-	return r.MaxPendingPromptTokens > 0 && e.PendingPromptTokens > 0 && e.PendingPromptTokens+r.PromptTokens > e.pendingLimit(r.MaxPendingPromptTokens, r.Usual)
+	return r.MaxPendingPromptTokens > 0 && e.PendingPromptTokens > 0 && e.PendingPromptTokens+r.PromptTokens > e.pendingLimit(r.MaxPendingPromptTokens)
 }
 
 // PendingPromptLimit returns how many prompt tokens may await prefill at an upstream
--- a/core/balance/slowdown.go
+++ b/core/balance/slowdown.go
@@ -39,17 +39,16 @@
 // speed may have so many: those that wait there wait for longer at a slower one.
 func (e *Endpoint) perSlot(usual float64) float64 { return 1 + (usual-1)/e.slowdown() }
 
-// maxAssumedError bounds by which factor the assumed speed of engines may be off, in the
-// room for prompts: what was learnt from requests of about one size says little of others.
-const maxAssumedError = 2.0
+// smallerRoomFrom is the slowdown from which the room for prompts is smaller. Below it the
+// streams bear the same room, since the assumed speed that it follows from is a low one,
+// and a smaller room makes requests wait.
+const smallerRoomFrom = 1.5
 
 // pendingLimit returns how many prompt tokens may be waiting at the endpoint, where so
-// many may at one that reads at the assumed speed: the streams there pause while they are
-// read.
-func (e *Endpoint) pendingLimit(atAssumedSpeed int, t Times) int {
-	reads := 1.0
-	if t.PrefillMsPerToken > 0 {
-		reads = min(max(1/(t.PrefillMsPerToken*prefillTokensPerMs), 1/maxAssumedError), maxAssumedError)
+// many may at one of usual speed: the streams there pause while they are read.
+func (e *Endpoint) pendingLimit(usual int) int {
+	if e.slowdown() < smallerRoomFrom {
+		return usual
 	}
-	return int(float64(atAssumedSpeed) * reads / max(e.slowdown(), 1))
+	return int(float64(usual) / e.slowdown())
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -627,7 +627,7 @@
 try "a slow upstream costs more time" core/balance/score.go \
   's + e.slowdown()*work' 's + work' ./core/speed/slowdown ./node/coordinator/permits -run 'Unlike|GetsLess'
 try "a slow upstream has less room" core/balance/prefill.go \
-  'e.pendingLimit(r.MaxPendingPromptTokens, r.Usual)' 'r.MaxPendingPromptTokens' ./core/balance -run 'SmallerOne'
+  'e.pendingLimit(r.MaxPendingPromptTokens)' 'r.MaxPendingPromptTokens' ./core/balance -run 'SmallerOne'
 try "a stated slowdown is not learnt besides" node/coordinator/permits/speeds.go \
   'time.Duration(float64(took) / g.slowdown)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
 try "a failure at once is no speed" node/coordinator/permits/speeds.go \
