--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -65,6 +65,7 @@
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
+	meanStated  map[string]float64         // mean slowdown that the upstreams of a service state
 	unlikeAt    map[string]time.Time       // when an upstream of a service last differed in speed from the others
 	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
 
@@ -110,7 +111,7 @@
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}, meanStated: map[string]float64{}}
 	p.limits = newUpstreamLimits(&p.deps)
 	p.rooms = newRooms(&p.deps, &p.limits)
 	return p
--- a/node/coordinator/permits/speeds.go
+++ b/node/coordinator/permits/speeds.go
@@ -19,13 +19,24 @@
 	g.entry.RecordSlowdown(g.slowdown, p.deps.Now())
 }
 
-// atUsualSpeed returns how long what took so long would have taken if the upstream had
-// stated that work takes the usual time there.
-func (g *request) atUsualSpeed(took time.Duration) time.Duration {
+// statedDecay is the weight of one answer in the mean of what the upstreams of a service
+// state: about the last hundred count.
+const statedDecay = 0.01
+
+// apartFromStated returns how long what took so long would have taken if the upstream had
+// stated what those of its service state on average. So the times of a service, which its
+// demand is counted in, stay what they are.
+func (p *Permits) apartFromStated(g *request, took time.Duration) time.Duration {
 	if g.slowdown == 0 {
 		return took
 	}
-	return time.Duration(float64(took) / g.slowdown)
+	mean, known := p.meanStated[g.event.Service]
+	if !known {
+		mean = g.slowdown
+	}
+	mean += statedDecay * (g.slowdown - mean)
+	p.meanStated[g.event.Service] = mean
+	return time.Duration(float64(took) * mean / g.slowdown)
 }
 
 // learnPrompt learns from the time of a request's first event, if its upstream had no
@@ -34,7 +45,7 @@
 	if !g.solePrompt || g.event.Model == "" {
 		return
 	}
-	took, tokens := g.atUsualSpeed(g.firstAt.Sub(g.grantedAt)), int(g.event.Prompt)
+	took, tokens := p.apartFromStated(g, g.firstAt.Sub(g.grantedAt)), int(g.event.Prompt)
 	var usual time.Duration
 	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
 		usual = m.FirstEvent(tokens)
@@ -51,7 +62,7 @@
 	if g == nil || !e.Complete || !g.soleCall || g.event.Model != "" {
 		return
 	}
-	took := g.atUsualSpeed(p.deps.Now().Sub(g.grantedAt))
+	took := p.apartFromStated(g, p.deps.Now().Sub(g.grantedAt))
 	var usual time.Duration
 	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
 		usual = m.Call()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -629,7 +629,7 @@
 try "a slow upstream has less room" core/balance/prefill.go \
   'e.pendingLimit(r.MaxPendingPromptTokens)' 'r.MaxPendingPromptTokens' ./core/balance -run 'SmallerOne'
 try "a stated slowdown is not learnt besides" node/coordinator/permits/speeds.go \
-  'time.Duration(float64(took) / g.slowdown)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
+  'time.Duration(float64(took) * mean / g.slowdown)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
 try "a failure at once is no speed" node/coordinator/permits/speeds.go \
   'if succeeded {' 'if true {' ./node/coordinator/permits -run 'FailsAtOnce'
 try "only complete calls tell the speed" node/coordinator/permits/speeds.go \
