--- a/core/balance/slowdown.go
+++ b/core/balance/slowdown.go
@@ -39,13 +39,13 @@
 // speed may have so many: those that wait there wait for longer at a slower one.
 func (e *Endpoint) perSlot(usual float64) float64 { return 1 + (usual-1)/e.slowdown() }
 
-// smallerRoomFrom is the slowdown from which the room for prompts is smaller: the assumed
-// speed that the room follows from is below the usual one of most engines, and a smaller
-// room makes requests wait.
+// smallerRoomFrom is the slowdown from which the room for prompts is smaller. Below it the
+// streams bear the same room, since the assumed speed that it follows from is a low one,
+// and a smaller room makes requests wait.
 const smallerRoomFrom = 1.5
 
 // pendingLimit returns how many prompt tokens may be waiting at the endpoint, where so
-// many may at one that is not slow: the streams there pause while they are read.
+// many may at one of usual speed: the streams there pause while they are read.
 func (e *Endpoint) pendingLimit(usual int) int {
 	if e.slowdown() < smallerRoomFrom {
 		return usual
