--- a/node/coordinator/permits/enginesim_test.go
+++ b/node/coordinator/permits/enginesim_test.go
@@ -123,7 +123,7 @@
 	r := reports.New(reports.Config{RunsModels: func(string) bool { return false }})
 	engine := &deploy.Engine{EventTokens: simEventTokens, CacheTokens: 116_448}
 	s.perms = New(Deps{Fleet: f, Log: log, Reports: r, Accounts: accounts.New(accounts.Deps{Config: config, ReportingShare: r.ReportingShare}),
-		Speeds: demand.NewSpeeds(), Engine: func(string) *deploy.Engine { return engine }, Now: func() time.Time { return s.now },
+		Speeds: demand.NewSpeeds(), Engine: func(string) *deploy.Engine { return engine }, Now: func() time.Time { return s.now }, Rand: s.random.Float64,
 		AfterFunc: func(d time.Duration, do func()) { s.after(d, func() { do(); s.deliver() }) }})
 	return s
 }
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -46,6 +46,8 @@
 	Engine  func(service string) *deploy.Engine
 	Now     func() time.Time
 	Metrics *metrics.Set // nil: a separate set is made
+	// Rand returns numbers in [0, 1) for the picks; nil: those of math/rand.
+	Rand func() float64
 	// AfterFunc calls f once after a time; nil: time.AfterFunc.
 	AfterFunc func(d time.Duration, f func())
 }
@@ -119,6 +121,9 @@
 	if p.deps.Metrics == nil {
 		p.deps.Metrics = metrics.New()
 	}
+	if p.deps.Rand == nil {
+		p.deps.Rand = rand.Float64
+	}
 	if p.deps.AfterFunc == nil {
 		p.deps.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
 	}
@@ -260,7 +265,7 @@
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
-	d := balance.Pick(endpoints, &r, rand.Float64)
+	d := balance.Pick(endpoints, &r, p.deps.Rand)
 	if d.Index >= 0 {
 		p.grant(w, entries[d.Index], &endpoints[d.Index], d, now)
 	}
