--- a/core/prefill/prefill.go
+++ b/core/prefill/prefill.go
@@ -57,8 +57,8 @@
 	read     time.Duration // Pipeline.read when it began
 }
 
-// maxRecent bounds the readings that are kept. A span has few steps, and more readings
-// than steps do not fit in it but in their sum.
+// maxRecent bounds the readings that are kept. A span has few steps, so that it contains
+// few readings that ended.
 const maxRecent = 8
 
 // Grant records a prompt that was granted at now at an engine of a service.
