--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -49,6 +49,8 @@
 	// Metrics receives gauges and counters of those who wait; nil: a separate set is made.
 	Metrics *metrics.Set
 	Now     func() time.Time
+	// Rand returns numbers in [0, 1) for the picks; nil: those of math/rand.
+	Rand func() float64
 	// AfterFunc calls f once after a time; nil: time.AfterFunc.
 	AfterFunc func(d time.Duration, f func())
 }
@@ -131,6 +133,9 @@
 	if p.deps.Metrics == nil {
 		p.deps.Metrics = metrics.New()
 	}
+	if p.deps.Rand == nil {
+		p.deps.Rand = rand.Float64
+	}
 	if p.deps.AfterFunc == nil {
 		p.deps.AfterFunc = func(d time.Duration, f func()) { time.AfterFunc(d, f) }
 	}
@@ -265,7 +270,7 @@
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
-	d := balance.Pick(endpoints, &r, rand.Float64)
+	d := balance.Pick(endpoints, &r, p.deps.Rand)
 	if d.Index >= 0 {
 		p.grant(w, entries[d.Index], &endpoints[d.Index], d, now)
 	}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -724,4 +724,8 @@
   'p.askTeamsAgain()' '' ./node/coordinator/permits -run 'ANewTerm'
 try "a promised time is told as it is" node/gate/limits.go \
   'if !o.promised {' 'if true {' ./node/gate -run 'WhatItWasPromised'
+try "what the coordinator let wait is not sent without it" node/gate/permit.go \
+  'errors.As(err, &denied) && q.needs' 'errors.As(err, &denied) && false && q.needs' ./node/gate -run 'LetWait'
+try "requests for other upstreams do not count" node/coordinator/permits/permits.go \
+  ' || !may(w) {' ' {' ./node/coordinator/permits -run 'DoNotHoldOneBack'
 exit $missed
