--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -156,7 +156,7 @@
 	return time.Duration(min(seconds, maxPrediction.Seconds()) * float64(time.Second))
 }
 
-// maxPrediction is the longest wait that is told: by then the demand is another one.
+// maxPrediction is the longest wait that is predicted.
 const maxPrediction = 30 * time.Second
 
 // urgentDemand returns what ranks more urgent than r ask for in a second.
@@ -202,7 +202,7 @@
 	if promised {
 		a.given++
 	} else {
-		out.RetryAfter = max(out.RetryAfter, q.ReturnWithin)
+		out.RetryAfter = max(min(out.RetryAfter, rankMemory), q.ReturnWithin) // by then the demand is another one
 	}
 	return out
 }
