--- a/node/coordinator/permits/speeds_test.go
+++ b/node/coordinator/permits/speeds_test.go
@@ -40,10 +40,12 @@
 }
 
 // serve has n requests served one after the other, so that each finds all upstreams idle.
-func (u *pacedUpstreams) serve(t *testing.T, n int) {
+func (u *pacedUpstreams) serve(t *testing.T, n int, except ...string) {
 	for range n {
 		u.nextID++
-		u.perms.Handle(u.host, newRequestEvent(u.nextID, 0))
+		ask := newRequestEvent(u.nextID, 0)
+		ask.Tried = except
+		u.perms.Handle(u.host, ask)
 		a := drainAnswers(u.host)[u.nextID]
 		assert.Equal(t, a.Kind, coordpb.TurnAnswer_GRANTED)
 		u.served[a.Upstream]++
@@ -85,7 +87,10 @@
 func TestAStatedSlowdownIsNotLearntBesides(t *testing.T) {
 	u := newPacedUpstreams(map[string]time.Duration{"a": 100 * time.Millisecond, "b": 100 * time.Millisecond, "c": 200 * time.Millisecond})
 	u.stated = map[string]uint32{"a": 100, "b": 100, "c": 200}
-	u.serve(t, 100)
+	for range 20 {
+		u.serve(t, 4)
+		u.serve(t, 1, "a", "b")
+	}
 	for id := range u.takes {
 		e, _ := u.perms.deps.Fleet.Entry(id)
 		learnt, _ := e.LearntSpeed(u.now)
