--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -435,7 +435,7 @@
 	}
 	now := p.deps.Now()
 	p.grantWaiting(now, func(w *request) bool { return p.mayServe(e, w) }, func(w *request) bool {
-		return p.pick(w, []*fleet.Entry{e}, now).Index >= 0
+		return w.event.Service == e.Service() && p.pick(w, []*fleet.Entry{e}, now).Index >= 0
 	})
 	if len(p.waiting) > 0 {
 		p.wakeAfter(e, now, p.limits.wait(e, now))
@@ -443,12 +443,14 @@
 	}
 }
 
-// mayServe reports whether an upstream may have a request's model.
+// mayServe reports whether an upstream may have a request's model. An upstream of a plain
+// service is not told apart: with more calls than it can run, trying more of those that
+// wait grants the oldest, which are late then, in place of those that just came.
 func (p *Permits) mayServe(e *fleet.Entry, w *request) bool {
-	if w.event.Service != e.Service() {
-		return false
+	if p.deps.Engine(e.Service()) == nil {
+		return true
 	}
-	return w.needs.Model == "" || slices.Contains(p.deps.Fleet.EntriesWithModel(w.event.Service, w.needs.Model), e)
+	return w.event.Service == e.Service() && slices.Contains(p.deps.Fleet.EntriesWithModel(w.event.Service, w.needs.Model), e)
 }
 
 // grantWaiting removes those waiting requests for which try returns true, of those that
--- a/node/coordinator/permits/pipelines_test.go
+++ b/node/coordinator/permits/pipelines_test.go
@@ -149,6 +149,7 @@
 // requests for models of other upstreams.
 func TestRequestsForOtherUpstreamsDoNotHoldOneBack(t *testing.T) {
 	p, _ := newTimedPermits("busy", "idle")
+	p.deps.Engine = func(string) *deploy.Engine { return &deploy.Engine{EventTokens: 1} }
 	entry, _ := p.deps.Fleet.Entry("idle")
 	entry.MarkNotResident("m", "")
 	p.deps.Fleet.Apply([]deploy.Upstream{
