--- a/core/speed/slowdown/bench_test.go
+++ b/core/speed/slowdown/bench_test.go
@@ -8,7 +8,7 @@
 )
 
 // BenchmarkObserve measures the cost of what one answer tells of its upstream, and of one
-// look at it: 150 ns, no allocation.
+// look at it: 450 ns, no allocation.
 func BenchmarkObserve(b *testing.B) {
 	var l slowdown.Learnt
 	var s slowdown.Stated
--- a/core/speed/slowdown/play_test.go
+++ b/core/speed/slowdown/play_test.go
@@ -64,7 +64,6 @@
 	model   speed.Estimator
 	reading readings
 	epoch   time.Time
-	waits   map[*playedEngine][]time.Duration
 	sum     time.Duration
 	n       int
 }
@@ -82,14 +81,20 @@
 	return func(time.Duration) float64 { return factor }
 }
 
-// run sends requests at a rate, as a share of what the engines can read, from a time until
-// another, and counts those after the first few seconds.
+// run sends so many requests a second from a time until another, and counts those of the
+// last three quarters.
 func (p *play) run(from, until time.Duration, rate float64) {
+	p.serve(from, from+(until-from)/4, rate, false)
+	p.serve(from+(until-from)/4, until, rate, true)
+	p.finish(until + time.Hour)
+}
+
+// serve is run without the end of what is under way; counts says whether requests count.
+func (p *play) serve(from, until time.Duration, rate float64, counts bool) {
 	for at := from; at < until; at += time.Duration(p.rnd.ExpFloat64() / rate * float64(time.Second)) {
 		p.finish(at)
-		p.send(at, at >= from+(until-from)/4)
+		p.send(at, counts)
 	}
-	p.finish(until + time.Hour)
 }
 
 // finish ends the prompts that are read by a time, and learns from them.
@@ -209,17 +214,10 @@
 		for _, e := range p.engines {
 			e.served = 0
 		}
-		p.runCounted(part.from*time.Second, part.until*time.Second, rate)
+		p.serve(part.from*time.Second, part.until*time.Second, rate, true)
 		others := float64(p.engines[0].served+p.engines[1].served+p.engines[2].served) / 3
 		share := float64(p.engines[3].served) / others
 		assert.Assert(t, share >= part.low && share <= part.high, "from %d s: %.2f", part.from, share)
-		p.run(part.until*time.Second, (part.until+2)*time.Second, rate)
-	}
-}
-
-func (p *play) runCounted(from, until time.Duration, rate float64) {
-	for at := from; at < until; at += time.Duration(p.rnd.ExpFloat64() / rate * float64(time.Second)) {
-		p.finish(at)
-		p.send(at, true)
+		p.serve(part.until*time.Second, (part.until+2)*time.Second, rate, false)
 	}
 }
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -318,6 +318,11 @@
 	default:
 		return &gate.Permit{Reason: balance.ReasonFromCode(answer.Reason), AdapterUpstream: answer.Home, RetryAfter: wire.Milliseconds(answer.WaitMs)}, nil
 	}
+	return c.granted(st, e, answer), nil
+}
+
+// granted returns the permit of a request that was granted on a stream.
+func (c *permitClient) granted(st permitSender, e *coordpb.TurnEvent, answer *coordpb.TurnAnswer) *gate.Permit {
 	permit := &gate.Permit{Upstream: answer.Upstream, PredictedWait: wire.Milliseconds(answer.PredictedMs),
 		InFlight: int(answer.Load), PendingPromptTokens: int(answer.Waiting), CachedTokens: int(answer.Cached), WithinLimit: answer.WithinLimit, WithinRoom: answer.WithinRoom, IsProbe: answer.Trial}
 	permit.Began = func() {
@@ -338,7 +343,7 @@
 	permit.Release = func() {
 		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Slowdown: wire.Percent(permit.StatedSlowdown), Complete: permit.Complete && e.Model == ""})
 	}
-	return permit, nil
+	return permit
 }
 
 // refusedKind returns how to report a request whose upstream refused the connection. While
