--- a/core/speed/slowdown/learnt.go
+++ b/core/speed/slowdown/learnt.go
@@ -17,8 +17,8 @@
 	// its inverse: a single time has many causes that have nothing to do with the speed.
 	maxDeviation = 3.0
 	// doubtfulErrors is how many standard errors of the mean of the observations are taken
-	// for chance: with one, every third of equal upstreams would seem to differ.
-	doubtfulErrors = 1.5
+	// for chance: with one, every third of equal upstreams would seem to differ, with two every twentieth.
+	doubtfulErrors = 2.0
 	// forgetTime is the time constant by which observations lose their weight while there
 	// are no others. What made an upstream slow for seconds is over by then, and it is
 	// found out by ordinary requests.
