Replicas by what others leave, by data centre and by urgency; measured round trips

Cause: a model's pressure was its load by the number of its replicas, whatever else these engines had to do, so that replicas of busy models lay on the same upstreams; demand was one figure a model, so that replicas lay in any data centre; and another data centre counted as 3 ms whatever its distance. Change: the load of all models is spread over their replicas by what others leave; a replica at a crowded upstream provides less. Models that hardly anybody asks for make room on idle upstreams. Replicas go to data centres whose callers lack one; moves for locality alone pay for their load. Less urgent demand needs more gain to evict more urgent one. Round trips are measured by reports and used in the score.

--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -73,4 +73,5 @@
 			fmt.Printf("%-20s %-32s %d\n", part.title, kind, part.by[kind])
 		}
 	}
+	printPlaces(&s.Places)
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -15,6 +15,7 @@
 	Software            string // version of its software; "": not known
 	Slots               int
 	SameDataCentre      bool          // it is in the data centre of the sending host
+	RemoteMs            float64       // round trip between its data centre and the sending host's, if it is another; 0: not known
 	HasIdleConn         bool          // the sending host has an idle connection to it
 	Draining            bool          // it takes no new requests
 	Down                bool          // it is excluded after failures or missing answers
@@ -46,6 +47,8 @@
 	// at one upstream, this request's included, so that the streams there do not
 	// pause for too long; 0 if they are not bounded.
 	MaxPendingPromptTokens int
+	// ObjectiveLeft is how long the answer still has its full value; 0: not known.
+	ObjectiveLeft time.Duration
 }
 
 // Reason is the result of checking one or all endpoints.
--- a/core/balance/score.go
+++ b/core/balance/score.go
@@ -13,9 +13,14 @@
 	perRequestMs = 0.33
 	// plainCallMs is the assumed time of a call to a plain service, whose size is not known.
 	plainCallMs = 15.0
-	// remoteMs is the round trip to another data centre. In the score it also
-	// stands for the price of the transferred bytes.
+	// remoteMs is the assumed round trip to another data centre, while it is not known.
 	remoteMs = 3.0
+	// localityShare is the share of what is left of the objective by which the first event of
+	// an answer may come later so that nothing crosses to another data centre.
+	localityShare = 0.1
+	// localityRoundTrips bounds that by the distance: between data centres of one city, a
+	// fraction of a millisecond apart, the load decides.
+	localityRoundTrips = 10.0
 	// connectMs is the round trip for opening a connection and the cost of doing so.
 	connectMs = 8.0
 	// warmupMs is the penalty of an upstream that has just started.
@@ -33,9 +38,7 @@
 // request causes to the others on the upstream.
 func score(e *Endpoint, r *Request) float64 {
 	s := 0.0
-	if !e.SameDataCentre {
-		s += remoteMs
-	}
+	s += distanceMs(e, r)
 	if !e.HasIdleConn {
 		s += connectMs
 	}
@@ -50,6 +53,21 @@
 	return s + firstStepMs(e, r)
 }
 
+// distanceMs returns what the way to another data centre counts: the round trip, and up to
+// localityRoundTrips of them while that is within localityShare of what is left of the
+// objective. An answer that much later still has its full value, and neither the request nor
+// the events of the answer cross.
+func distanceMs(e *Endpoint, r *Request) float64 {
+	switch {
+	case e.SameDataCentre:
+		return 0
+	case e.RemoteMs == 0:
+		return remoteMs
+	}
+	slack := localityShare * float64(r.ObjectiveLeft) / float64(time.Millisecond)
+	return max(e.RemoteMs, min(localityRoundTrips*e.RemoteMs, slack))
+}
+
 // firstStepMs predicts the milliseconds by which the batch delays the first event: what the
 // requests in it add to one step, and the wait for a slot.
 func firstStepMs(e *Endpoint, r *Request) float64 {
--- a/core/balance/score_test.go
+++ b/core/balance/score_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -46,3 +47,27 @@
 	d := Pick([]Endpoint{prefilling, queued}, &r, func() float64 { return 0 })
 	assert.Equal(t, d.Index, 1)
 }
+
+// Guards against traffic between data centres that nothing is gained by: an upstream of the
+// own data centre that begins some milliseconds later is preferred within a share of the
+// objective, and by no more than the distance suggests.
+func TestADistantUpstreamIsScoredByItsRoundTripAndTheObjective(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		remoteMs    float64
+		objectiveMs int
+		want        float64
+	}{
+		{"not measured", 0, 1000, remoteMs},
+		{"far, and time to spare", 9, 2500, 90},
+		{"far, and a short objective", 9, 500, 50},
+		{"far, and too late already", 9, -100, 9},
+		{"near", 0.4, 2500, 4},
+	} {
+		e := Endpoint{RemoteMs: c.remoteMs}
+		got := distanceMs(&e, &Request{Model: "m", ObjectiveLeft: time.Duration(c.objectiveMs) * time.Millisecond})
+		assert.Assert(t, got > c.want-1e-9 && got < c.want+1e-9, "%s: %f ms, want %f", c.name, got, c.want)
+		e.SameDataCentre = true
+		assert.Equal(t, distanceMs(&e, &Request{}), 0.0)
+	}
+}
--- a/core/replica/evict.go
+++ b/core/replica/evict.go
@@ -12,13 +12,12 @@
 	pressure := wanted.pressure()
 	var best *model
 	lowest := math.Inf(1)
-	for i := range u.residents {
-		candidate := &u.residents[i]
+	for _, candidate := range u.residents {
 		after, ok := p.pressureAfterEviction(s, u, candidate, wanted)
-		if !ok || after*p.MinPressureRatio > pressure {
+		if !ok || after*p.requiredRatio(candidate.model, wanted) > pressure {
 			continue
 		}
-		cost := after*evictedPressureWeight - min(candidate.IdleFor.Seconds(), maxIdleSeconds)*idleWeight
+		cost := p.evictionCost(u, candidate, after)
 		if cost < lowest {
 			best, lowest = candidate.model, cost
 		}
@@ -26,6 +25,17 @@
 	return best, lowest, best != nil
 }
 
+// evictionCost returns the cost in seconds of evicting a resident that leaves its model
+// under a pressure. At an upstream whose residents crowd each other, its load there gives
+// way to the wanted model.
+func (p Policy) evictionCost(u *upstream, candidate *resident, after float64) float64 {
+	cost := after*evictedPressureWeight - min(candidate.IdleFor.Seconds(), maxIdleSeconds)*idleWeight
+	if u.isCrowded() {
+		cost -= upstreamLoadWeight * candidate.share
+	}
+	return cost + p.evictionRemoteCost(candidate.model, u)
+}
+
 // pressureAfterEviction returns the pressure on a model once it has been evicted
 // at an upstream, and whether it may be evicted for the wanted model; nil stands
 // for any model.
@@ -34,7 +44,7 @@
 		return 0, false
 	}
 	if candidate.model.readyReplicas >= 2 {
-		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-u.UnavailableShare), true
+		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-candidate.withheld), true
 	}
 	// A replica that is still being loaded answers nobody yet, so this is the last one.
 	if wanted != nil && !p.mayEvictLastReplica(s, u, candidate.model) && !p.yieldsTo(candidate, wanted) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -37,6 +37,8 @@
 	// UnavailableShare is the share of an engine's time that the upstream does not
 	// provide because it sets a rate limit; 0: it provides all.
 	UnavailableShare float64
+	DataCentre       string          // "": not known
+	LeftRecently     map[string]bool // models that were unloaded there within the last MinReturn
 }
 
 // Resident is a model at an upstream.
@@ -56,6 +58,14 @@
 	// while.
 	WaitsForLoad   bool
 	TimePerRequest time.Duration // engine time that one request takes; 0: not known
+	// ByDataCentre is EngineLoad by the data centre of the callers' hosts; nil: not known.
+	ByDataCentre map[string]float64
+	// ByRank is EngineLoad by the urgency of the requests, the most urgent first; nil: all
+	// are equally urgent.
+	ByRank []float64
+	// Lasting is how long the load has been within a factor of two of what it is; the
+	// demand is expected to last as long again.
+	Lasting time.Duration
 }
 
 // String formats the demand for logs.
@@ -91,8 +101,22 @@
 	Unload   string // empty: no unload
 	Load     string
 	From     Source
+	Reason   Reason
 }
 
+// Reason is what a move is made for.
+type Reason uint8
+
+// The reasons.
+const (
+	ForCapacity Reason = iota // the model's replicas lack capacity, or it has none
+	ForLocality               // callers of a data centre lack a replica there
+	ForRoom                   // another upstream has room, which this model's only replica keeps from being used
+)
+
+// String returns the reason in words, for logs.
+func (r Reason) String() string { return [...]string{"capacity", "locality", "room"}[r] }
+
 // Policy holds the thresholds of planning.
 type Policy struct {
 	// MinPressure is the engine load per replica above which a model gets another
@@ -116,6 +140,12 @@
 	// MinKeptPrior is the prior load below which a model that nobody asked for may
 	// be without a replica.
 	MinKeptPrior float64
+	// MinReturn is how long a model does not return for locality alone to an upstream that
+	// it left, and how long a replica stays before locality alone evicts it.
+	MinReturn time.Duration
+	// EvenLoads assumes that the load of each model is even over its replicas and that the
+	// models of an upstream do not crowd each other, to measure what more exact loads gain.
+	EvenLoads bool
 }
 
 // DefaultPolicy is the policy that is used when none is given.
@@ -134,12 +164,13 @@
 	MinIdle:                3 * time.Second, // about as long as a load of the model takes
 	MinDemandRatio:         4,
 	MinKeptPrior:           0.09,
+	MinReturn:              10 * time.Second, // longer than a load and its undoing take together
 }
 
 // Plan returns the moves whose gain exceeds their cost now, the most urgent first,
 // each upstream at most once and no more than in.MaxMoves.
 func (p Policy) Plan(in Input) []Move {
-	s := newState(&in)
+	s := p.newState(&in)
 	var out []Move
 	for len(out) < in.MaxMoves {
 		c := p.nextMove(s)
@@ -149,7 +180,8 @@
 		out = append(out, c.move())
 		s.apply(c)
 	}
-	return out
+	out = append(out, p.roomMoves(s, in.MaxMoves-len(out))...)
+	return append(out, p.localMoves(s, in.MaxMoves-len(out))...)
 }
 
 const (
@@ -178,7 +210,7 @@
 			wanted = append(wanted, m)
 		}
 	}
-	sort.Slice(wanted, func(i, j int) bool { return placedBefore(wanted[i], wanted[j]) })
+	sort.Slice(wanted, func(i, j int) bool { return p.placedBefore(wanted[i], wanted[j]) })
 	for _, m := range wanted {
 		if c := p.bestPlacement(s, m); c != nil {
 			return c
@@ -200,8 +232,8 @@
 		if u.FreeMB > 0 {
 			return 0
 		}
-		for j := range u.residents {
-			if after, ok := p.pressureAfterEviction(s, u, &u.residents[j], nil); ok {
+		for _, r := range u.residents {
+			if after, ok := p.pressureAfterEviction(s, u, r, nil); ok {
 				threshold = min(threshold, after*p.MinPressureRatio)
 			}
 		}
@@ -213,9 +245,10 @@
 // serves more of the demand that exceeds the replicas comes first, then the one
 // under more pressure. Loads wait for each other at the weight store. By pressure
 // alone every model without replicas would come before the next replica of a hot
-// one, however few callers ask for it.
-func placedBefore(a, b *model) bool {
-	if x, y := a.gain(), b.gain(); x != y {
+// one, however few callers ask for it. The gain of more urgent demand counts up to
+// MinDemandRatio times as much.
+func (p Policy) placedBefore(a, b *model) bool {
+	if x, y := a.gain()*p.urgencyFactor(a), b.gain()*p.urgencyFactor(b); x != y {
 		return x > y
 	}
 	if x, y := a.pressure(), b.pressure(); x != y {
@@ -243,7 +276,7 @@
 		if !ok {
 			continue
 		}
-		cost += m.loadSeconds[from] + upstreamLoadWeight*u.expectedLoad()
+		cost += m.loadSeconds[from] + upstreamLoadWeight*(u.expected+u.moreUrgentLoad(m)) + m.remoteCost(u)
 		if cost < lowest {
 			best, lowest = &choice{upstream: u, unload: unload, load: m, from: from}, cost
 		}
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -16,7 +16,11 @@
 	weightsMB     float64
 	replicas      int     // ready or being loaded
 	readyReplicas int     // replicas that requests can be sent to
-	unavailable   float64 // engines that rate limits withhold from the replicas
+	unavailable   float64 // engines that rate limits and other models withhold from the replicas
+	places        []*resident
+	local         []localDemand // by index of the data centre; nil: not known, or there is only one
+	ranks         []float64     // share of the demand by urgency, the most urgent first; nil: all alike
+	meanRank      float64       // from 0, all of the most urgent rank, to 1
 }
 
 // expectedLoad returns the engine load of the model, observed or assumed.
@@ -30,8 +34,8 @@
 // provide.
 func (m *model) pressure() float64 { return m.pressureWith(m.replicas, m.unavailable) }
 
-// pressureWith returns the pressure with n replicas, from which rate limits
-// withhold the given number of engines.
+// pressureWith returns the pressure with n replicas, from which rate limits and other
+// models withhold the given number of engines.
 func (m *model) pressureWith(n int, unavailable float64) float64 {
 	switch {
 	case n > 0:
@@ -54,23 +58,29 @@
 	return min(max(m.demand.EngineLoad-(float64(m.replicas)-m.unavailable), 0), 1)
 }
 
-// upstream is the state of an Upstream during planning; residents are those at the
-// start.
+// upstream is the state of an Upstream during planning.
 type upstream struct {
 	*Upstream
-	residents []resident
-	moved     bool
+	residents  []*resident
+	moved      bool
+	capacity   float64 // engines that it provides
+	load       float64 // observed load of its residents there, in engines
+	expected   float64 // the same with what is assumed of models that nobody has asked for
+	dataCentre int     // index of its data centre
 }
 
 // resident is a model at an upstream, with the state of that model.
 type resident struct {
 	*Resident
-	model *model
+	model    *model
+	at       *upstream
+	share    float64 // load of the model there, in engines
+	withheld float64 // engines that a rate limit and the other residents withhold there
 }
 
 func (u *upstream) hasResident(m *model) bool {
-	for i := range u.residents {
-		if u.residents[i].model == m {
+	for _, r := range u.residents {
+		if r.model == m {
 			return true
 		}
 	}
@@ -88,17 +98,6 @@
 	}
 }
 
-// expectedLoad returns the engine load that the models at the upstream cause
-// there, if each spreads its load evenly over its replicas.
-func (u *upstream) expectedLoad() float64 {
-	sum := 0.0
-	for i := range u.residents {
-		m := u.residents[i].model
-		sum += m.expectedLoad() / float64(max(m.replicas, 1))
-	}
-	return sum
-}
-
 // state is the snapshot with the moves planned so far applied. Names are looked up
 // once, when it is made: a plan compares hundreds of models with the residents of
 // hundreds of upstreams.
@@ -107,12 +106,17 @@
 	maxCallerWaitSeconds float64
 	models               []*model // of the deployment, in its order
 	byName               map[string]*model
+	all                  []*model   // with those that are resident and no longer of the deployment
 	upstreams            []upstream // only the usable ones
 	storeLoadsLeft       int
+	dataCentres          map[string]int // index by name
+	ranks                int            // highest number of ranks of a model's demand
+	filler               filler
+	evenLoads            bool // as Policy.EvenLoads
 }
 
-func newState(in *Input) *state {
-	s := &state{someWaitForLoad: in.SomeWaitForLoad, maxCallerWaitSeconds: in.MaxCallerWait.Seconds(), byName: make(map[string]*model, len(in.Engine.Models)), storeLoadsLeft: in.StoreLoadsLeft}
+func (p Policy) newState(in *Input) *state {
+	s := &state{evenLoads: p.EvenLoads, dataCentres: map[string]int{}, someWaitForLoad: in.SomeWaitForLoad, maxCallerWaitSeconds: in.MaxCallerWait.Seconds(), byName: make(map[string]*model, len(in.Engine.Models)), storeLoadsLeft: in.StoreLoadsLeft}
 	for i := range in.Engine.Models {
 		m := s.findOrAddModel(in, in.Engine.Models[i].Name)
 		m.applySpec(&in.Engine.Models[i])
@@ -124,6 +128,10 @@
 			s.addUpstream(in, &in.Upstreams[i])
 		}
 	}
+	s.linkPlaces()
+	s.spreadLoads()
+	s.setLocalDemands()
+	s.setRanks()
 	return s
 }
 
@@ -137,10 +145,13 @@
 
 // addUpstream adds an upstream and counts its residents as replicas.
 func (s *state) addUpstream(in *Input, u *Upstream) {
-	added := upstream{Upstream: u, residents: make([]resident, len(u.Residents))}
+	added := upstream{Upstream: u, residents: make([]*resident, len(u.Residents), len(u.Residents)+1), capacity: max(1-u.UnavailableShare, minEngines)}
+	all := make([]resident, len(u.Residents))
+	added.dataCentre = s.dataCentreIndex(u.DataCentre)
 	for i := range u.Residents {
 		m := s.findOrAddModel(in, u.Residents[i].Model)
-		added.residents[i] = resident{&u.Residents[i], m}
+		all[i] = resident{Resident: &u.Residents[i], model: m, withheld: u.UnavailableShare}
+		added.residents[i] = &all[i]
 		m.replicas++
 		m.unavailable += u.UnavailableShare
 		if u.Residents[i].Ready {
@@ -158,6 +169,7 @@
 		m = &model{name: name, prior: in.PriorLoad[name]}
 		m.demand, m.requested = in.Demand[name]
 		s.byName[name] = m
+		s.all = append(s.all, m)
 	}
 	return m
 }
@@ -165,13 +177,10 @@
 // apply applies a chosen move to the state.
 func (s *state) apply(c *choice) {
 	c.upstream.moved = true
-	c.load.replicas++
-	c.load.unavailable += c.upstream.UnavailableShare
 	if c.unload != nil {
-		c.unload.replicas--
-		c.unload.readyReplicas--
-		c.unload.unavailable -= c.upstream.UnavailableShare
+		s.removeReplica(c.unload, c.upstream)
 	}
+	s.addReplica(c.load, c.upstream)
 	if c.from == FromStore {
 		s.storeLoadsLeft--
 	}
@@ -183,10 +192,11 @@
 	unload   *model // nil: no unload
 	load     *model
 	from     Source
+	reason   Reason
 }
 
 func (c *choice) move() Move {
-	m := Move{Upstream: c.upstream.ID, Load: c.load.name, From: c.from}
+	m := Move{Upstream: c.upstream.ID, Load: c.load.name, From: c.from, Reason: c.reason}
 	if c.unload != nil {
 		m.Unload = c.unload.name
 	}
--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -34,6 +34,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/budget"
+	"peridotpier.example/core/distance"
 	"peridotpier.example/core/quota"
 	"peridotpier.example/core/replica"
 	"peridotpier.example/node/coordinator/accounts"
@@ -106,6 +107,7 @@
 	repeats    *repeats.Ledger
 	quarantine *quarantine.Ledger
 	storeLoads *moves.StoreLoads
+	distances  *distance.Estimator
 	planner    *moves.Planner
 
 	unconfirmedStoreLoads func() int // returns how many loads from the weight store were ordered and may still be carried out
@@ -162,10 +164,11 @@
 	c.aggregate = reports.New(reports.Config{OwnAddress: cfg.Address, RunsModels: c.runsModelsAt, MaxPeriod: cfg.MaxRelayAge / minReportsPerRelayAge, MaxRate: cfg.MaxReportRate})
 	c.accounts = accounts.New(accounts.Deps{Config: deps.Config, LimitSlack: cfg.LimitSlack, ReportingShare: c.aggregate.ReportingShare, LastState: c.lastTeamState})
 	c.repeats = repeats.New(cfg.Repeats)
+	c.distances = distance.NewEstimator(deps.Fleet.DataCentre())
 	c.quarantine = quarantine.New(quarantine.Deps{Lease: deps.Lease, Table: deps.Table, Log: deps.Log, Now: deps.Now})
-	c.permits = permits.New(permits.Deps{Fleet: deps.Fleet, Log: deps.Log, Reports: c.aggregate, Accounts: c.accounts, Speeds: c.speeds, Engine: c.engine, Now: func() time.Time { return c.now() }})
+	c.permits = permits.New(permits.Deps{Fleet: deps.Fleet, Log: deps.Log, Reports: c.aggregate, Accounts: c.accounts, Speeds: c.speeds, Engine: c.engine, RoundTrip: c.distances.RoundTrip, Now: func() time.Time { return c.now() }})
 	c.relay = c.newRelay()
-	c.planner = moves.New(moves.Deps{Fleet: deps.Fleet, Config: deps.Config, Term: c, Orders: deps.Orders, Demand: c.demand, StoreLoads: c.storeLoads, Log: deps.Log, Now: func() time.Time { return c.now() },
+	c.planner = moves.New(moves.Deps{Fleet: deps.Fleet, Config: deps.Config, Term: c, Orders: deps.Orders, Demand: c.demand, StoreLoads: c.storeLoads, Log: deps.Log, Metrics: deps.Metrics, Now: func() time.Time { return c.now() },
 		Policy: cfg.Policy, AdapterLoadTime: cfg.AdapterLoadTime, NoModelMoves: cfg.NoModelMoves})
 	c.unconfirmedStoreLoads = c.planner.UnconfirmedStoreLoads
 	return c
--- a/node/coordinator/demand/demand.go
+++ b/node/coordinator/demand/demand.go
@@ -51,14 +51,16 @@
 	lastAt        time.Time
 	unservedAt    time.Time
 	minObjective  time.Duration // shortest objective of the requests
+	parts         parts
+	steady        steadyLoad
 }
 
 // New returns a demand without reports.
 func New() *Demand { return &Demand{models: map[Key]*modelDemand{}} }
 
-// Add enters one host's report; engineTime returns the engine time of requests for a
-// model.
-func (d *Demand) Add(all []*coordpb.Demand, engineTime func(k Key, prompt, output int) time.Duration, now time.Time) {
+// Add enters the report of one host of a data centre; engineTime returns the engine time of
+// requests for a model.
+func (d *Demand) Add(all []*coordpb.Demand, dataCentre string, engineTime func(k Key, prompt, output int) time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now.Sub(d.lastReportAt) > wire.ReportFresh {
@@ -69,7 +71,9 @@
 		k := Key{reported.Service, reported.Model}
 		m := d.modelLocked(k, now)
 		m.decay(now)
-		m.engineSeconds += engineTime(k, int(reported.Prompt), int(reported.Output)).Seconds()
+		took := engineTime(k, int(reported.Prompt), int(reported.Output)).Seconds()
+		m.engineSeconds += took
+		m.parts.add(part{dataCentre, rankOf(reported.Rank)}, max(took, unservedSeconds*float64(reported.Unserved)))
 		m.requests += float64(reported.Requests)
 		m.lastAt = now
 		if reported.PatienceMs > 0 {
@@ -94,6 +98,7 @@
 	share := math.Exp(-now.Sub(m.decayedAt).Seconds() / decayTime.Seconds())
 	m.engineSeconds *= share
 	m.requests *= share
+	m.parts.scale(share)
 	m.decayedAt = now
 }
 
@@ -123,7 +128,10 @@
 		if load < minLoad || now.Sub(m.lastAt) > Expiry {
 			load = 0
 		}
-		out[k.Model] = replica.Demand{EngineLoad: load, Unserved: now.Sub(m.unservedAt) < unservedFor, WaitsForLoad: isPatient(e, k.Model, m.minObjective), TimePerRequest: m.engineTimePerRequest()}
+		wanted := replica.Demand{EngineLoad: load, Unserved: now.Sub(m.unservedAt) < unservedFor, WaitsForLoad: isPatient(e, k.Model, m.minObjective),
+			TimePerRequest: m.engineTimePerRequest(), Lasting: m.steady.update(load, now)}
+		wanted.ByDataCentre, wanted.ByRank = m.parts.loads()
+		out[k.Model] = wanted
 	}
 	return out
 }
--- a/node/coordinator/handover_bench_test.go
+++ b/node/coordinator/handover_bench_test.go
@@ -26,7 +26,7 @@
 			for i := range size.models {
 				all = append(all, &coordpb.Demand{Service: "models", Model: fmt.Sprintf("model-%04d", i), Requests: 1, PatienceMs: 1000})
 			}
-			c.demand.Add(all, func(demand.Key, int, int) time.Duration { return 50 * time.Millisecond }, k.now)
+			c.demand.Add(all, "", func(demand.Key, int, int) time.Duration { return 50 * time.Millisecond }, k.now)
 			k.now = k.now.Add(300 * time.Millisecond)
 			for b.Loop() {
 				c.currentHandover(false, k.now)
--- a/node/coordinator/handover_test.go
+++ b/node/coordinator/handover_test.go
@@ -139,7 +139,7 @@
 	a.takeLease(1)
 	engineTime := func(demand.Key, int, int) time.Duration { return 100 * time.Millisecond }
 	for range 20 {
-		a.demand.Add([]*coordpb.Demand{{Service: "s", Model: "hot", Requests: 1, PatienceMs: 1000}}, engineTime, k.now)
+		a.demand.Add([]*coordpb.Demand{{Service: "s", Model: "hot", Requests: 1, PatienceMs: 1000}}, "", engineTime, k.now)
 		k.now = k.now.Add(200 * time.Millisecond)
 	}
 	e := &deploy.Engine{Models: []deploy.Model{{Name: "hot", StoreLoad: time.Second}}}
@@ -147,7 +147,7 @@
 	assert.Assert(t, before.EngineLoad > 0.3)
 	a.handOverTo(b)
 	k.now = k.now.Add(200 * time.Millisecond)
-	b.demand.Add([]*coordpb.Demand{{Service: "s", Model: "hot", Requests: 1, PatienceMs: 1000}}, engineTime, k.now)
+	b.demand.Add([]*coordpb.Demand{{Service: "s", Model: "hot", Requests: 1, PatienceMs: 1000}}, "", engineTime, k.now)
 	b.takeLease(2)
 	assert.Assert(t, b.demand.AllKnown(k.now) && b.demand.IsKnown("s", "hot", k.now))
 	after := b.demand.OfService("s", e, k.now)["hot"]
@@ -230,7 +230,7 @@
 	a := newHolder(k, "a")
 	a.takeLease(1)
 	a.RecordOrder("u")
-	a.demand.Add([]*coordpb.Demand{{Service: "s", Model: "m", Requests: 1}}, func(demand.Key, int, int) time.Duration { return time.Second }, k.now)
+	a.demand.Add([]*coordpb.Demand{{Service: "s", Model: "m", Requests: 1}}, "", func(demand.Key, int, int) time.Duration { return time.Second }, k.now)
 	msg := a.currentHandover(true, k.now)
 	assert.Equal(t, len(msg.Demand), 0)
 	assert.Equal(t, len(msg.Orders), 1, "what its successor must wait for")
--- a/node/coordinator/link/answers.go
+++ b/node/coordinator/link/answers.go
@@ -101,6 +101,7 @@
 	until := now.Add(wire.FreshFor(wire.Milliseconds(s.PeriodMs)))
 	l.teams.apply(s, now, until)
 	l.applyOthers(s, until)
+	l.deps.Fleet.SetRemoteRoundTrip(time.Duration(s.RemoteUs) * time.Microsecond)
 	l.deps.Fleet.CoordinatorSeen(changes, until)
 	l.deps.Fleet.ApplyResidency(wire.DecodeResidency(s, now), now)
 	l.deps.Fleet.NotifyChanged()
--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -136,6 +136,7 @@
 	permitClient *permitClient
 	teams        teamShares
 	requests     requestCounts
+	roundTrip    roundTrip
 	pace         *reportPace
 	linkChanged  pace.Signal // notified when this host gets another coordinator, or loses its stream of permits
 
@@ -161,7 +162,10 @@
 	origins origins
 }
 
-type demandKey struct{ service, model, adapter string }
+type demandKey struct {
+	service, model, adapter string
+	rank                    int // urgency of the requests
+}
 
 // New returns a Link that is not linked yet.
 func New(cfg Config, d Deps) *Link {
@@ -260,7 +264,9 @@
 	if address == l.cfg.Address {
 		s = l.own.Report(r)
 	} else {
+		sentAt := l.deps.Now()
 		s, err = l.conns.Report(ctx, address, r)
+		l.roundTrip.record(l.deps.Now().Sub(sentAt), err)
 	}
 	if err != nil {
 		l.pace.setPeriod(wire.MinReportPeriod)
@@ -357,6 +363,7 @@
 // buildReport collects what this host has to report.
 func (l *Link) buildReport() *coordpb.HostReport {
 	r := l.introduction()
+	l.addPlace(r)
 	for _, sent := range l.deps.Fleet.OwnLoads() {
 		r.Loads = append(r.Loads, &coordpb.Load{Upstream: sent.Upstream, Requests: uint32(sent.Requests), Waiting: uint32(max(sent.PendingPromptTokens, 0)), Tokens: uint32(max(sent.Tokens, 0))})
 	}
--- a/node/coordinator/link/models.go
+++ b/node/coordinator/link/models.go
@@ -44,13 +44,13 @@
 }
 
 // RecordDemand implements gate.Coordinator.
-func (l *Link) RecordDemand(service string, info *gate.RequestInfo, output int, objective time.Duration, unserved bool) {
-	k := demandKey{service, info.Model, info.Adapter}
+func (l *Link) RecordDemand(service string, info *gate.RequestInfo, output int, objective time.Duration, rank int, unserved bool) {
+	k := demandKey{service, info.Model, info.Adapter, rank}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d := l.demand[k]
 	if d == nil {
-		d = &coordpb.Demand{Service: service, Model: info.Model, Adapter: info.Adapter}
+		d = &coordpb.Demand{Service: service, Model: info.Model, Adapter: info.Adapter, Rank: uint32(rank)}
 		l.demand[k] = d
 	}
 	if ms := uint32(objective.Milliseconds()); ms > 0 && (d.PatienceMs == 0 || ms < d.PatienceMs) {
--- a/node/coordinator/moves/managedupstream.go
+++ b/node/coordinator/moves/managedupstream.go
@@ -51,12 +51,13 @@
 	excludedUntil time.Time        // no move begins before this time, after one that failed
 	polledAt      time.Time        // when the end of a former holder's order was last polled for
 	published     publishedHolding // state as of the last change
+	left          leftModels       // models that moves of this host unloaded lately
 }
 
 // newManagedUpstream begins the residency record of an upstream.
 func newManagedUpstream(p *Planner, e *fleet.Entry, engine *deploy.Engine, now time.Time) *managedUpstream {
 	described, _ := e.Description()
-	return &managedUpstream{p: p, entry: e, engine: engine, orderToken: make(chan struct{}, 1), record: residency.New(engine, &described, now)}
+	return &managedUpstream{p: p, entry: e, engine: engine, orderToken: make(chan struct{}, 1), record: residency.New(engine, &described, now), left: leftModels{}}
 }
 
 // publishedHolding is an upstream's holding as it is published to the hosts.
--- a/node/coordinator/moves/move.go
+++ b/node/coordinator/moves/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -9,7 +10,9 @@
 
 	"peridotpier.example/core/replica"
 	"peridotpier.example/core/residency"
+	"peridotpier.example/node/coordinator/demand"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/pace"
 )
 
@@ -26,7 +29,7 @@
 )
 
 // startMove carries out a move in a goroutine of its own.
-func (p *Planner) startMove(ctx context.Context, m replica.Move, d replica.Demand) {
+func (p *Planner) startMove(ctx context.Context, m replica.Move, service string, d replica.Demand) {
 	u, ok := p.upstream(m.Upstream)
 	if !ok {
 		return
@@ -34,7 +37,12 @@
 	v := &activeMove{Move: m, demand: d, countedAt: p.deps.Now()}
 	u.mu.Lock()
 	u.activeMove = v
+	returns := u.left.recent(v.countedAt, u.p.deps.Policy.MinReturn)[m.Load]
+	if m.Unload != "" {
+		u.left[m.Unload] = v.countedAt
+	}
 	u.mu.Unlock()
+	p.recordMove(u, v, service, returns)
 	p.publishChange(u)
 	if m.From == replica.FromStore {
 		p.deps.StoreLoads.Add(v.countedAt)
@@ -56,6 +64,25 @@
 	}()
 }
 
+// recordMove counts a move, and whether it returns a model to where it was lately, and keeps
+// why it was made.
+func (p *Planner) recordMove(u *managedUpstream, v *activeMove, service string, returns bool) {
+	p.deps.Metrics.CountKind(metrics.ModelMoves, v.Reason.String(), 1)
+	if returns {
+		p.deps.Metrics.CountKind(metrics.ModelReturns, v.Reason.String(), 1)
+	}
+	p.lastMoves.record(demand.Key{Service: service, Model: v.Load}, lastMove{v.countedAt, "to " + u.entry.ID() + " for " + v.why(u)})
+}
+
+// why says what a move is made for, in words.
+func (v *activeMove) why(u *managedUpstream) string {
+	out := v.Reason.String() + ", demand " + v.demand.String()
+	if load, ok := v.demand.ByDataCentre[u.entry.DataCentre()]; ok {
+		out += fmt.Sprintf(", %.2f of it in %s", load, u.entry.DataCentre())
+	}
+	return out + " from " + v.From.String()
+}
+
 // activeMove is a move that is being carried out.
 type activeMove struct {
 	replica.Move
@@ -130,12 +157,11 @@
 	if err := u.awaitStoreSlot(ctx, v); err != nil {
 		return err
 	}
-	why := "demand " + v.demand.String() + " from " + v.From.String()
 	err := u.orderModel(ctx, func(b *residency.Record) (residency.Order, bool) {
 		o, ok := b.ModelLoadOrder(v.Load)
 		v.ordered = v.ordered || ok
 		return o, ok
-	}, why)
+	}, v.why(u))
 	if err != nil {
 		return err
 	}
--- a/node/coordinator/moves/plan.go
+++ b/node/coordinator/moves/plan.go
@@ -51,7 +51,7 @@
 			if unservedOnly && !in.Demand[m.Load].Unserved {
 				continue
 			}
-			p.startMove(ctx, m, in.Demand[m.Load])
+			p.startMove(ctx, m, s.Name, in.Demand[m.Load])
 		}
 	}
 }
@@ -184,7 +184,8 @@
 	defer u.mu.Unlock()
 	movable := !quiet && !u.record.Busy() && u.activeMove == nil && now.After(u.excludedUntil) && !u.entry.IsDown()
 	out := replica.Upstream{ID: u.entry.ID(), Usable: u.isUsable(), Movable: movable,
-		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), FreeMB: u.record.FreeMB()}
+		InMemory: setOf(d.InMemory), OnDisk: setOf(d.OnDisk), FreeMB: u.record.FreeMB(),
+		DataCentre: u.entry.DataCentre(), LeftRecently: u.left.recent(now, u.p.deps.Policy.MinReturn)}
 	loading := ""
 	if u.activeMove != nil {
 		loading = u.activeMove.Load
--- a/node/coordinator/moves/planner_test.go
+++ b/node/coordinator/moves/planner_test.go
@@ -30,7 +30,7 @@
 	now = now.Add(time.Minute)
 	for i := range s.hosts {
 		r := coordtest.DemandOf(i, s.models)
-		wanted.Add(r, func(k demand.Key, prompt, output int) time.Duration { return speeds.EngineTime(k, prompt, output, 32) }, now)
+		wanted.Add(r, fmt.Sprint("d", i%5), func(k demand.Key, prompt, output int) time.Duration { return speeds.EngineTime(k, prompt, output, 32) }, now)
 		p.RecordUse(r, now)
 	}
 	return p
--- a/node/coordinator/moves/upstreams.go
+++ b/node/coordinator/moves/upstreams.go
@@ -29,6 +29,7 @@
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
+	"peridotpier.example/node/metrics"
 )
 
 // Term is the lease under which this host gives orders.
@@ -55,6 +56,7 @@
 	Demand          *demand.Demand
 	StoreLoads      *StoreLoads
 	Log             *event.Log
+	Metrics         *metrics.Set // nil: a separate set is made
 	Now             func() time.Time
 	Policy          replica.Policy // zero: the default
 	AdapterLoadTime time.Duration  // time that loading an adapter takes; 0: the default
@@ -64,7 +66,8 @@
 // Planner keeps records of what the upstreams have resident, plans which models each
 // should have, and carries out the moves and the loads of adapters.
 type Planner struct {
-	deps Deps
+	deps      Deps
+	lastMoves lastMoves
 
 	mu               sync.Mutex
 	upstreams        map[string]*managedUpstream   // by upstream ID
@@ -80,10 +83,15 @@
 	if d.Policy == (replica.Policy{}) {
 		d.Policy = replica.DefaultPolicy
 	}
+	if d.Metrics == nil {
+		d.Metrics = metrics.New()
+	}
 	if d.AdapterLoadTime == 0 {
 		d.AdapterLoadTime = defaultAdapterLoadTime
 	}
-	return &Planner{deps: d, upstreams: map[string]*managedUpstream{}, traits: map[string]*residency.Traits{}}
+	p := &Planner{deps: d, upstreams: map[string]*managedUpstream{}, traits: map[string]*residency.Traits{}}
+	p.publishReplicas()
+	return p
 }
 
 // Reset drops the records of the upstreams: other hosts may have given orders since. What
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -42,7 +42,10 @@
 	// Engine returns the engine of a service's upstreams; nil: a plain service, or an
 	// unknown one.
 	Engine func(service string) *deploy.Engine
-	Now    func() time.Time
+	// RoundTrip returns the round trip between two data centres; 0: not known. nil: it is
+	// known for none.
+	RoundTrip func(from, to string) time.Duration
+	Now       func() time.Time
 }
 
 // Permits decides for all hosts where and when each request for a model is dispatched.
@@ -238,7 +241,7 @@
 		endpoints = append(endpoints, p.endpoint(e, w, now))
 	}
 	p.endpoints = endpoints
-	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading)}
+	r := balance.Request{Model: w.needs.Model, Adapter: w.needs.Adapter, PromptTokens: int(w.event.Prompt), OutputTokens: int(w.event.Output), MaxPendingPromptTokens: int(w.event.Reading), ObjectiveLeft: wire.Milliseconds(w.event.InTimeMs)}
 	if e := p.deps.Engine(w.event.Service); e != nil {
 		r.CacheTokens = e.CacheTokens
 	}
@@ -257,6 +260,9 @@
 		out.Down, out.HalfOpen, out.ProbeInFlight = false, false, false
 	}
 	out.SameDataCentre, out.Tried, out.HasIdleConn = e.DataCentre() == w.event.DataCentre, w.excluded[e.ID()], w.withIdleConn[e.ID()]
+	if !out.SameDataCentre && p.deps.RoundTrip != nil {
+		out.RemoteMs = p.deps.RoundTrip(w.event.DataCentre, e.DataCentre()).Seconds() * 1000
+	}
 	out.Down = out.Down || p.isExcluded(e, w, now)
 	out.Backoff = max(p.limits.wait(e, now), p.backoffs.wait(e.ID()), w.hostBackoffs[e.ID()].Sub(now))
 	u := p.grants[e.ID()]
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -434,6 +434,9 @@
 	case health.HalfOpen:
 		out.HalfOpen, out.ProbeInFlight = true, e.health.IsAwaitingBytes()
 	}
+	if !out.SameDataCentre {
+		out.RemoteMs = e.fleet.remoteRoundTrip().Seconds() * 1000
+	}
 	out.Backoff = e.backoffLocked(now)
 	if e.desc.Cold > 0 {
 		out.WarmupRemaining = max(e.desc.Cold-now.Sub(e.describedAt), 0)
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -74,6 +74,7 @@
 	checksNeeded     pace.Signal // notified when there are entries to check again
 
 	origin         time.Time
+	remote         atomic.Int64 // mean round trip to other data centres in nanoseconds; 0: not known
 	sharing        atomic.Pointer[limitSharing]
 	residentIndex  modelIndex // by models that may be resident
 	loadingIndex   modelIndex // by models that are being loaded
@@ -146,6 +147,14 @@
 	return e, ok
 }
 
+// SetRemoteRoundTrip sets the mean round trip to other data centres; 0: not known.
+func (f *Fleet) SetRemoteRoundTrip(d time.Duration) { f.remote.Store(int64(d)) }
+
+func (f *Fleet) remoteRoundTrip() time.Duration { return time.Duration(f.remote.Load()) }
+
+// DataCentre returns the data centre of this host.
+func (f *Fleet) DataCentre() string { return f.cfg.DataCentre }
+
 // All returns all entries in no particular order.
 func (f *Fleet) All() []*Entry {
 	ix := f.index.Load()
--- a/node/fleet/index.go
+++ b/node/fleet/index.go
@@ -7,6 +7,7 @@
 	byID      map[string]*Entry
 	byService map[string][]*Entry
 	version   uint64 // rises when entries are added or removed
+	spans     bool   // whether the upstreams are in more than one data centre
 }
 
 // nextIndex is an index that is being built. It shares the current index until an entry is
@@ -42,10 +43,16 @@
 	}
 	d.byService = map[string][]*Entry{}
 	for _, e := range d.byID {
-		d.byService[e.Service()] = append(d.byService[e.Service()], e)
+		others := d.byService[e.Service()]
+		d.spans = d.spans || len(others) > 0 && others[0].dataCentre != e.dataCentre
+		d.byService[e.Service()] = append(others, e)
 	}
 	return d.index
 }
 
+// SpansDataCentres reports whether the upstreams of some service are in more than one data
+// centre.
+func (f *Fleet) SpansDataCentres() bool { return f.index.Load().spans }
+
 // MembershipVersion returns a number that rises when upstreams are added or forgotten.
 func (f *Fleet) MembershipVersion() uint64 { return f.index.Load().version }
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -67,6 +67,7 @@
 		zap.Int64("held_ms", now.Sub(q.start).Milliseconds()), zap.String("model", q.needs.Model), zap.String("adapter", q.needs.Adapter),
 		zap.Bool("by_turn", p.permit != nil), limitField(e))
 	d.Metrics.Add(metrics.Attempts, q.service.Name, e.ID(), 1)
+	q.countDataCentre(e)
 	q.beginSend(cancel)
 	defer q.endHold()
 	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -33,8 +33,9 @@
 	RequestPermit(ctx context.Context, req *PermitRequest) (*Permit, error)
 	// RecordDemand records a request for a model, with the number of tokens expected
 	// in its response and the time within which the response has its full value;
-	// unserved reports that the model is resident at no upstream.
-	RecordDemand(service string, info *RequestInfo, output int, objective time.Duration, unserved bool)
+	// rank is its urgency, 0 the most urgent; unserved reports that the model is resident at
+	// no upstream.
+	RecordDemand(service string, info *RequestInfo, output int, objective time.Duration, rank int, unserved bool)
 }
 
 // TeamLimits enforces the request limits of teams over all hosts.
@@ -292,7 +293,7 @@
 	}
 	q.cost = fleet.Cost{PromptTokens: q.info.PromptTokens, OutputTokens: q.expectedOutput()}
 	if q.needs.Model != "" && q.hop == nil { // the entry host has recorded it
-		d.Coordinator.RecordDemand(q.service.Name, &q.info, q.cost.OutputTokens, q.route.Objective, false)
+		d.Coordinator.RecordDemand(q.service.Name, &q.info, q.cost.OutputTokens, q.route.Objective, q.urgency(), false)
 	}
 	if q.hop == nil {
 		d.RetryBudget.RecordRequest(q.service.Name, q.start)
--- a/node/gate/overload_test.go
+++ b/node/gate/overload_test.go
@@ -24,7 +24,7 @@
 	return nil, errors.New("none")
 }
 
-func (noCoordinator) RecordDemand(string, *RequestInfo, int, time.Duration, bool) {}
+func (noCoordinator) RecordDemand(string, *RequestInfo, int, time.Duration, int, bool) {}
 
 // newEngineGate returns a gate with one upstream at address, at which the model "m" is
 // resident. Responses of its route should begin within a second and pause for at
--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -114,7 +114,8 @@
 		endpoints[i].Tried = q.tried[endpoints[i].ID]
 		endpoints[i].HasIdleConn = d.Client.HasIdleConnection(e.Address())
 	}
-	r := balance.Request{Model: q.needs.Model, Adapter: q.needs.Adapter, Software: q.began.get(), PromptTokens: q.cost.PromptTokens, OutputTokens: q.cost.OutputTokens}
+	r := balance.Request{Model: q.needs.Model, Adapter: q.needs.Adapter, Software: q.began.get(), PromptTokens: q.cost.PromptTokens, OutputTokens: q.cost.OutputTokens,
+		ObjectiveLeft: q.start.Add(q.route.Objective).Sub(now)}
 	if q.service.Engine != nil {
 		r.CacheTokens = q.service.Engine.CacheTokens
 		r.MaxPendingPromptTokens = q.maxPendingPromptTokens(now, lostByUpstream)
@@ -247,7 +248,7 @@
 			return q.giveUpModel(now)
 		}
 		q.logWait(p, until.Sub(now))
-		q.g.deps.Coordinator.RecordDemand(q.service.Name, &q.info, q.cost.OutputTokens, q.route.Objective, true)
+		q.g.deps.Coordinator.RecordDemand(q.service.Name, &q.info, q.cost.OutputTokens, q.route.Objective, q.urgency(), true)
 		pollCtx, cancel := context.WithTimeout(ctx, min(modelPollInterval, until.Sub(now)))
 		select {
 		case <-changed:
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -46,7 +46,7 @@
 	return &Permit{Reason: balance.NoModel}, nil
 }
 
-func (m *noModelCoordinator) RecordDemand(string, *RequestInfo, int, time.Duration, bool) {
+func (m *noModelCoordinator) RecordDemand(string, *RequestInfo, int, time.Duration, int, bool) {
 	m.demandRecords.Add(1)
 }
 
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -38,6 +38,7 @@
 	PeerCalls     map[string]int64 `json:"peer_calls"`       // calls of other hosts to this one, by kind
 	PeerBytes     map[string]int64 `json:"peer_bytes"`       // bytes of reports to this host, and of its answers by field
 	StoreCalls    map[string]int64 `json:"store_calls"`      // calls of this host to the store, by table and reason
+	Places        Places           `json:"places"`           // where models are and why
 }
 
 // softwareVersions counts the upstreams by service and version, as SERVICE VERSION.
@@ -57,7 +58,7 @@
 			Upstreams: len(h.fleet.All()), StoreEra: h.deps.Platform.Eras.Newest(), ListEra: store.EraOf(h.feed.UpstreamsVersion()), ListVersion: store.NumberOf(h.feed.UpstreamsVersion()), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
 			PeerBytes: h.deps.Metrics.CountsByKind(metrics.PeerBytes), StoreCalls: h.deps.Metrics.CountsByKind(metrics.StoreCalls)}
 		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
-		s.Detours = h.link.DetourHosts()
+		s.Detours, s.Places = h.link.DetourHosts(), h.places()
 		if way := h.reach.Status(); !way.Since.IsZero() {
 			s.PartitionedMs, s.PartitionedBy = max(time.Since(way.Since).Milliseconds(), 1), string(way.Cause)
 		}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -96,6 +96,17 @@
 	CallersActive       Name = "caller_connections_under_way" // with at least part of a request that is not answered
 )
 
+// Counters and gauges of where models are.
+const (
+	ModelReplicas Name = "model_replicas" // by data centre; of the acting coordinator
+	// ModelMoves counts moves by reason, and ModelReturns those of them that brought a model
+	// back to an upstream which it had left within ten seconds.
+	ModelMoves   Name = "model_moves_total"
+	ModelReturns Name = "model_moves_back_total"
+	// ModelRequests counts requests for models by the upstream's data centre: own, other.
+	ModelRequests Name = "model_requests_total"
+)
+
 // Counters of traffic between hosts and with the platform's store, by kind.
 const (
 	// PeerBytes counts the bytes of reports, by kind, and of the responses to them, by
