--- a/core/replica/deployment_test.go
+++ b/core/replica/deployment_test.go
@@ -43,6 +43,7 @@
 	last      map[string]float64
 	moveShare float64 // share of the upstreams that change models at once
 
+	moves                     []replica.Move
 	loads, returns            int
 	asked, served, local      float64
 	servedByRank, askedByRank [3]float64
@@ -83,6 +84,7 @@
 
 // forget drops what was counted.
 func (d *deployment) forget() {
+	d.moves = nil
 	d.loads, d.returns, d.asked, d.served, d.local = 0, 0, 0, 0, 0
 	d.servedByRank, d.askedByRank = [3]float64{}, [3]float64{}
 }
@@ -200,6 +202,7 @@
 			continue
 		}
 		d.loads++
+		d.moves = append(d.moves, m)
 		if u.LeftRecently[m.Load] {
 			d.returns++
 		}
--- a/core/replica/places_test.go
+++ b/core/replica/places_test.go
@@ -220,3 +220,27 @@
 		assert.DeepEqual(t, replica.DefaultPolicy.Plan(in), evenLoads().Plan(in))
 	})
 }
+
+// Guards against loads that cost more than the traffic they keep from crossing: the callers
+// change their data centre faster than a load pays.
+func TestNoReplicaFollowsCallersWhoStayForSeconds(t *testing.T) {
+	d := spanning(replica.DefaultPolicy, 1, 4)
+	steady := swapping(4, time.Hour)
+	d.run(20*time.Second, steady)
+	d.forget()
+	moving := swapping(4, 0)
+	d.run(20*time.Second, func(now time.Duration) (out []loadOf) {
+		if now/(2*time.Second)%2 == 0 {
+			out = steady(now)
+		} else {
+			out = moving(now)
+		}
+		for i := range out {
+			out[i].engines *= 1 + 2*float64(now/(2*time.Second)%2) // the whole demand swings, too
+		}
+		return out
+	})
+	for _, m := range d.moves {
+		assert.Assert(t, m.Reason != replica.ForLocality, "%v", m)
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,4 +614,26 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
+try "a replica beside busy models provides less" core/replica/spread.go \
+  'return min(max(others-sharedLoad, 0)/(1-sharedLoad), maxCrowdedShare)' 'return 0' ./core/replica -run 'Colliding|Crowded'
+try "a replica beside busy models provides a part" core/replica/spread.go \
+  'maxCrowdedShare = 2.0 / 3' 'maxCrowdedShare = 1.0' ./core/replica -run 'Colliding|Crowded'
+try "room at idle upstreams" core/replica/room.go \
+  'if s.evenLoads || most <= 0 {' 'if true {' ./core/replica -run 'Colliding'
+try "a move for locality pays for its load" core/replica/locality.go \
+  'return l.crossing * l.model.demand.Lasting.Seconds()' 'return l.crossing * 1e6' ./core/replica -run 'StayForSeconds'
+try "replicas where callers lack one" core/replica/locality.go \
+  'return localReplicaSeconds * (1 - min(max(m.lacking(u.dataCentre, m.replicas+1), 0), 1))' 'return 0' ./core/replica -run 'Callers'
+try "less urgent demand needs more gain" core/replica/urgency.go \
+  'return p.MinPressureRatio * p.urgencyRatio(evicted, wanted)' 'return p.MinPressureRatio' ./core/replica -run 'Urgent'
+try "parts of the demand decay" node/coordinator/demand/demand.go \
+  'm.parts.scale(share)' '_ = share' ./node/coordinator/demand -run 'Parts'
+try "parts of the demand are handed over" node/coordinator/demand/handover.go \
+  'h.EngineMs, h.DataCentre, h.Rank = ms, at.dataCentre, uint32(at.rank)' 'h.EngineMs = ms' ./node/coordinator/demand -run 'Parts'
+try "distance within the objective" core/balance/score.go \
+  'return max(e.RemoteMs, min(localityRoundTrips*e.RemoteMs, slack))' 'return localityRoundTrips * e.RemoteMs' ./core/balance -run 'Distant'
+try "the shortest round trip counts" core/distance/distance.go \
+  'ok && least <= took' 'ok && false' ./core/distance
+try "a compact list between data centres" node/coordinator/relay/relay.go \
+  '|| y.deps.Fleet.SpansDataCentres()' '' ./node/coordinator/relay -run 'DataCentres'
 exit $missed
