--- a/core/replica/deployment_test.go
+++ b/core/replica/deployment_test.go
@@ -14,9 +14,8 @@
 	planInterval = 200 * time.Millisecond
 	// quantum is the load, in engines, that is routed together.
 	quantum = 0.02
-	// movingShare and reservedShare are the shares of the upstreams that change models at
-	// once at most, and that do so only for models that lack capacity.
-	movingShare, reservedShare = 0.5, 0.2
+	// movingShare is the share of the upstreams that change models at once at most.
+	movingShare = 0.5
 	// remoteLevel is by how much busier an upstream may be for callers of its own data
 	// centre to be sent there all the same.
 	remoteLevel = 0.2
@@ -180,7 +179,6 @@
 			d.in.StoreLoadsLeft--
 		}
 	}
-	d.in.ReservedMoves = int(reservedShare * float64(len(d.in.Upstreams)))
 	d.in.MaxMoves = max(int(movingShare*float64(len(d.in.Upstreams)))-len(d.pending), 0)
 	for i := range d.in.Upstreams {
 		u := &d.in.Upstreams[i]
--- a/core/replica/evict.go
+++ b/core/replica/evict.go
@@ -26,13 +26,9 @@
 }
 
 // evictionCost returns the cost in seconds of evicting a resident that leaves its model
-// under a pressure. At an upstream whose residents crowd each other, its load there gives
-// way to the wanted model.
+// under a pressure.
 func (p Policy) evictionCost(u *upstream, candidate *resident, after float64) float64 {
 	cost := after*evictedPressureWeight - min(candidate.IdleFor.Seconds(), maxIdleSeconds)*idleWeight
-	if u.isCrowded() {
-		cost -= upstreamLoadWeight * candidate.share
-	}
 	return cost + p.evictionRemoteCost(candidate.model, u)
 }
 
@@ -44,7 +40,7 @@
 		return 0, false
 	}
 	if candidate.model.readyReplicas >= 2 {
-		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-candidate.withheld), true
+		return candidate.model.pressureWith(candidate.model.replicas-1, candidate.model.unavailable-u.UnavailableShare), true
 	}
 	// A replica that is still being loaded answers nobody yet, so this is the last one.
 	if wanted != nil && !p.mayEvictLastReplica(s, u, candidate.model) && !p.yieldsTo(candidate, wanted) {
--- a/core/replica/replica.go
+++ b/core/replica/replica.go
@@ -93,9 +93,6 @@
 	MaxCallerWait  time.Duration
 	StoreLoadsLeft int // loads from the weight store that may begin now
 	MaxMoves       int // maximum number of moves to plan
-	// ReservedMoves is how many of them are left to models that lack capacity, while loads
-	// collide: demand that moves on would find all upstreams busy with moves that could wait.
-	ReservedMoves int
 }
 
 // Move is one change at one upstream: the unload, if there is one, then the load.
@@ -176,7 +173,7 @@
 	s := p.newState(&in)
 	var out []Move
 	for len(out) < in.MaxMoves {
-		c := p.nextMove(s, s.crowded && in.MaxMoves-len(out) <= in.ReservedMoves)
+		c := p.nextMove(s)
 		if c == nil {
 			break
 		}
@@ -184,11 +181,7 @@
 		s.apply(c)
 	}
 	out = append(out, p.roomMoves(s, in.MaxMoves-len(out))...)
-	spare := in.MaxMoves - len(out)
-	if s.crowded {
-		spare -= in.ReservedMoves
-	}
-	return append(out, p.localMoves(s, spare)...)
+	return append(out, p.localMoves(s, in.MaxMoves-len(out))...)
 }
 
 const (
@@ -208,8 +201,8 @@
 const noReplicaWeight = 2.0
 
 // nextMove returns the next move for the model that most needs one and can be
-// placed; nil when there is none. reserved leaves out models that do not lack capacity.
-func (p Policy) nextMove(s *state, reserved bool) *choice {
+// placed; nil when there is none.
+func (p Policy) nextMove(s *state) *choice {
 	threshold := p.minPlaceablePressure(s)
 	var wanted []*model
 	for _, m := range s.models {
@@ -219,9 +212,6 @@
 	}
 	sort.Slice(wanted, func(i, j int) bool { return p.placedBefore(wanted[i], wanted[j]) })
 	for _, m := range wanted {
-		if reserved && !m.lacksCapacity() {
-			break
-		}
 		if c := p.bestPlacement(s, m); c != nil {
 			return c
 		}
--- a/core/replica/spread.go
+++ b/core/replica/spread.go
@@ -15,9 +15,6 @@
 	// sharedLoad is the load, in engines, that MinPressure supposes the other models of an
 	// upstream to cause: two others beside the one in question.
 	sharedLoad = 0.4
-	// maxCrowdedShare is the share of an upstream that two other busy models take from a third
-	// at most: requests of all three are served alike.
-	maxCrowdedShare = 2.0 / 3
 	// maxSpreadRounds bounds how often the load of each model is spread anew. Loads change
 	// by a few percent after the second round.
 	maxSpreadRounds = 4
@@ -50,7 +47,6 @@
 	if s.evenLoads {
 		return
 	}
-	s.crowded = slices.ContainsFunc(s.all, func(m *model) bool { return m.demand.EngineLoad > 0 && m.isCrowded() })
 	for range maxSpreadRounds {
 		changed := 0.0
 		for _, m := range s.all {
@@ -60,14 +56,6 @@
 			break
 		}
 	}
-	for _, m := range s.all {
-		m.sumWithheld()
-	}
-}
-
-// isCrowded reports whether the upstream has less room for some resident than is supposed.
-func (u *upstream) isCrowded() bool {
-	return slices.ContainsFunc(u.residents, func(r *resident) bool { return r.withheld > u.UnavailableShare })
 }
 
 // sum updates the load of the upstream from the shares of its residents.
@@ -83,21 +71,6 @@
 // upstream provides.
 func (r *resident) othersLoad() float64 { return max(r.at.load-r.share, 0) / r.at.capacity }
 
-// sumWithheld updates what the replicas of the model provide.
-func (m *model) sumWithheld() {
-	m.unavailable = 0
-	for _, r := range m.places {
-		r.withheld = r.at.UnavailableShare + r.at.capacity*crowdedShare(r.othersLoad())
-		m.unavailable += r.withheld
-	}
-}
-
-// crowdedShare returns the share of an upstream that is not left to a model beside others
-// of such a load: 0 up to sharedLoad, then in proportion up to maxCrowdedShare.
-func crowdedShare(others float64) float64 {
-	return min(max(others-sharedLoad, 0)/(1-sharedLoad), maxCrowdedShare)
-}
-
 // filler spreads the load of one model; it keeps its buffer between models.
 type filler struct{ order []*resident }
 
@@ -152,6 +125,7 @@
 func (s *state) removeReplica(m *model, u *upstream) {
 	m.replicas--
 	m.readyReplicas--
+	m.unavailable -= u.UnavailableShare
 	m.countReplica(u, -1)
 	u.residents = slices.DeleteFunc(u.residents, func(r *resident) bool { return r.model == m })
 	m.places = slices.DeleteFunc(m.places, func(r *resident) bool { return r.at == u })
@@ -161,38 +135,25 @@
 // addReplica adds a model at an upstream.
 func (s *state) addReplica(m *model, u *upstream) {
 	m.replicas++
+	m.unavailable += u.UnavailableShare
 	m.countReplica(u, 1)
 	r := &resident{model: m, at: u}
 	u.residents, m.places = append(u.residents, r), append(m.places, r)
 	s.respread(m, u)
 }
 
-// respread spreads the load of a model anew after its replicas have changed, and updates
-// what is left to the models beside it. also is an upstream that it may have left.
+// respread spreads the load of a model anew after its replicas have changed. also is an
+// upstream that it may have left.
 func (s *state) respread(m *model, also *upstream) {
 	for _, r := range m.places {
 		r.share = m.demand.EngineLoad / float64(m.replicas)
 		r.at.sum()
 	}
-	if s.evenLoads {
-		also.sum()
-		return
+	if !s.evenLoads {
+		s.filler.fill(m)
 	}
-	s.filler.fill(m)
 	also.sum()
-	also.sumNeighbours()
 	for _, r := range m.places {
 		r.at.sum()
-		r.at.sumNeighbours()
-	}
-	m.sumWithheld()
-}
-
-// sumNeighbours updates what the replicas of the upstream's residents provide there.
-func (u *upstream) sumNeighbours() {
-	for _, r := range u.residents {
-		withheld := u.UnavailableShare + u.capacity*crowdedShare(r.othersLoad())
-		r.model.unavailable += withheld - r.withheld
-		r.withheld = withheld
 	}
 }
--- a/core/replica/state.go
+++ b/core/replica/state.go
@@ -16,7 +16,7 @@
 	weightsMB     float64
 	replicas      int     // ready or being loaded
 	readyReplicas int     // replicas that requests can be sent to
-	unavailable   float64 // engines that rate limits and other models withhold from the replicas
+	unavailable   float64 // engines that rate limits withhold from the replicas
 	places        []*resident
 	local         []localDemand // by index of the data centre; nil: not known, or there is only one
 	ranks         []float64     // share of the demand by urgency, the most urgent first; nil: all alike
@@ -34,8 +34,8 @@
 // provide.
 func (m *model) pressure() float64 { return m.pressureWith(m.replicas, m.unavailable) }
 
-// pressureWith returns the pressure with n replicas, from which rate limits and other
-// models withhold the given number of engines.
+// pressureWith returns the pressure with n replicas, from which rate limits
+// withhold the given number of engines.
 func (m *model) pressureWith(n int, unavailable float64) float64 {
 	switch {
 	case n > 0:
@@ -58,9 +58,6 @@
 	return min(max(m.demand.EngineLoad-(float64(m.replicas)-m.unavailable), 0), 1)
 }
 
-// lacksCapacity reports whether callers of the model cannot be served now.
-func (m *model) lacksCapacity() bool { return m.gain() > 0 || m.replicas == 0 && m.demand.Unserved }
-
 // upstream is the state of an Upstream during planning.
 type upstream struct {
 	*Upstream
@@ -75,10 +72,9 @@
 // resident is a model at an upstream, with the state of that model.
 type resident struct {
 	*Resident
-	model    *model
-	at       *upstream
-	share    float64 // load of the model there, in engines
-	withheld float64 // engines that a rate limit and the other residents withhold there
+	model *model
+	at    *upstream
+	share float64 // load of the model there, in engines
 }
 
 func (u *upstream) hasResident(m *model) bool {
@@ -116,7 +112,6 @@
 	ranks                int            // highest number of ranks of a model's demand
 	filler               filler
 	evenLoads            bool // as Policy.EvenLoads
-	crowded              bool // some model has less room than is supposed
 }
 
 func (p Policy) newState(in *Input) *state {
@@ -154,7 +149,7 @@
 	added.dataCentre = s.dataCentreIndex(u.DataCentre)
 	for i := range u.Residents {
 		m := s.findOrAddModel(in, u.Residents[i].Model)
-		all[i] = resident{Resident: &u.Residents[i], model: m, withheld: u.UnavailableShare}
+		all[i] = resident{Resident: &u.Residents[i], model: m}
 		added.residents[i] = &all[i]
 		m.replicas++
 		m.unavailable += u.UnavailableShare
--- a/node/coordinator/moves/plan.go
+++ b/node/coordinator/moves/plan.go
@@ -15,11 +15,6 @@
 // once: the others carry the traffic meanwhile.
 const maxMovingShare = 0.5
 
-// reservedShare is the share of a service's upstreams that may change models at once for
-// models that lack capacity alone. A load takes seconds: when demand moves on, as many must
-// be free as the models need that it moves to.
-const reservedShare = 0.2
-
 // Plan starts the moves that are worthwhile now. It returns how long the next plan should
 // wait.
 func (p *Planner) Plan(ctx context.Context) (pause time.Duration) {
@@ -81,7 +76,6 @@
 	}
 	in.PriorLoad = replica.PriorLoads(s.Engine, len(in.Upstreams), func(model string) bool { return p.deps.Demand.IsKnown(s.Name, model, now) })
 	in.MaxMoves = max(int(maxMovingShare*float64(len(in.Upstreams))), 1) - moving
-	in.ReservedMoves = int(reservedShare * float64(len(in.Upstreams)))
 	return in
 }
 
