--- a/core/replica/spread.go
+++ b/core/replica/spread.go
@@ -56,6 +56,9 @@
 			break
 		}
 	}
+	for i := range s.upstreams {
+		s.upstreams[i].sum()
+	}
 }
 
 // sum updates the load of the upstream from the shares of its residents.
@@ -75,17 +78,17 @@
 type filler struct{ order []*resident }
 
 // fill spreads the load of a model over its replicas so that the busiest of them is as
-// little busy as possible, and returns the largest change of a share. Up to sharedLoad the
-// other models there make no difference.
+// little busy as possible, and returns the largest change of a share. While the others cause
+// no more than sharedLoad at any of them, the load stays even.
 func (f *filler) fill(m *model) (changed float64) {
 	if m.demand.EngineLoad == 0 || len(m.places) == 0 || !m.isCrowded() {
 		return 0
 	}
 	f.order = append(f.order[:0], m.places...)
-	slices.SortFunc(f.order, func(a, b *resident) int { return cmp.Compare(a.level(), b.level()) })
+	slices.SortFunc(f.order, func(a, b *resident) int { return cmp.Compare(a.othersLoad(), b.othersLoad()) })
 	level := fillLevel(f.order, m.demand.EngineLoad)
 	for _, r := range f.order {
-		share := max(level-r.level(), 0) * r.at.capacity
+		share := max(level-r.othersLoad(), 0) * r.at.capacity
 		changed = max(changed, share-r.share, r.share-share)
 		r.at.load += share - r.share
 		r.share = share
@@ -99,24 +102,21 @@
 	return slices.ContainsFunc(m.places, func(r *resident) bool { return r.othersLoad() > sharedLoad })
 }
 
-// level returns the level from which on the model fills the upstream.
-func (r *resident) level() float64 { return max(r.othersLoad(), sharedLoad) }
-
 // fillLevel returns the level up to which a load fills replicas, which are in ascending
 // order of the levels that they begin at.
 func fillLevel(order []*resident, load float64) float64 {
-	capacity, level := 0.0, order[0].level()
+	capacity, level := 0.0, order[0].othersLoad()
 	for i, r := range order {
 		capacity += r.at.capacity
 		if i+1 == len(order) {
 			break
 		}
-		step := (order[i+1].level() - level) * capacity
+		step := (order[i+1].othersLoad() - level) * capacity
 		if step >= load {
 			break
 		}
 		load -= step
-		level = order[i+1].level()
+		level = order[i+1].othersLoad()
 	}
 	return level + load/capacity
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -614,10 +614,8 @@
   'if !q.maySend() {' 'if false && !q.maySend() {' ./node/gate -run 'WhatAHostSent'
 try "nothing received is no sign of life" node/fleet/contact.go \
   'c.lastReceived.Store(-int64(receivedPrecision))' '' ./node/reach -run 'NothingReceived'
-try "a replica beside busy models provides less" core/replica/spread.go \
-  'return min(max(others-sharedLoad, 0)/(1-sharedLoad), maxCrowdedShare)' 'return 0' ./core/replica -run 'Colliding|Crowded'
-try "a replica beside busy models provides a part" core/replica/spread.go \
-  'maxCrowdedShare = 2.0 / 3' 'maxCrowdedShare = 1.0' ./core/replica -run 'Colliding|Crowded'
+try "a load goes where others leave room" core/replica/spread.go \
+  'share := max(level-r.othersLoad(), 0) * r.at.capacity' 'share := r.share + 0*level' ./core/replica -run 'Spread'
 try "no room at the cost of another upstream's" core/replica/room.go \
   ' && r.othersLoad() > sharedLoad' '' ./core/replica -run 'Names|Colliding'
 try "room at idle upstreams" core/replica/room.go \
