--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -80,6 +80,7 @@
 			fmt.Printf("%-20s %-32s %d\n", part.title, kind, part.by[kind])
 		}
 	}
+	printPlaces(&s.Places)
 }
 
 // maxLinesOfTeam is how many models of a team are printed; --json shows all.
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -48,7 +48,10 @@
 	Config *follow.ActiveConfig // for the weights of teams; nil: there are no teams
 	// Metrics receives gauges and counters of those who wait; nil: a separate set is made.
 	Metrics *metrics.Set
-	Now     func() time.Time
+	// RoundTrip returns the round trip between two data centres; 0: not known. nil: it is
+	// known for none.
+	RoundTrip func(from, to string) time.Duration
+	Now       func() time.Time
 	// Rand returns numbers in [0, 1) for the picks; nil: those of math/rand.
 	Rand func() float64
 	// AfterFunc calls f once after a time; nil: time.AfterFunc.
@@ -286,6 +289,9 @@
 		out.Down, out.HalfOpen, out.ProbeInFlight = false, false, false
 	}
 	out.SameDataCentre, out.Tried, out.HasIdleConn = e.DataCentre() == w.event.DataCentre, w.excluded[e.ID()], w.withIdleConn[e.ID()]
+	if !out.SameDataCentre && p.deps.RoundTrip != nil {
+		out.RemoteMs = p.deps.RoundTrip(w.event.DataCentre, e.DataCentre()).Seconds() * 1000
+	}
 	out.Down = out.Down || p.isExcluded(e, w, now)
 	out.Backoff = max(p.limits.wait(e, now), p.backoffs.wait(e.ID()), w.hostBackoffs[e.ID()].Sub(now))
 	u := p.grants[e.ID()]
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -44,6 +44,7 @@
 	// acting coordinator, the longest queue first.
 	Waiting []queue.TeamStatus `json:"waiting,omitempty"`
 	Limits  TeamLimits         `json:"limits"`
+	Places  Places             `json:"places"` // where models are and why
 }
 
 // softwareVersions counts the upstreams by service and version, as SERVICE VERSION.
@@ -65,6 +66,7 @@
 		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
 		s.Speeds = h.upstreamSpeeds(time.Now())
 		s.Detours, s.Waiting = h.link.DetourHosts(), h.coord.Permits().Waiting()
+		s.Places = h.places()
 		s.Limits = h.teamLimits()
 		if way := h.reach.Status(); !way.Since.IsZero() {
 			s.PartitionedMs, s.PartitionedBy = max(time.Since(way.Since).Milliseconds(), 1), string(way.Cause)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -728,4 +728,24 @@
   'errors.As(err, &denied) && q.needs' 'errors.As(err, &denied) && false && q.needs' ./node/gate -run 'LetWait'
 try "requests for other upstreams do not count" node/coordinator/permits/permits.go \
   ' || !may(w) {' ' {' ./node/coordinator/permits -run 'DoNotHoldOneBack'
+try "a load goes where others leave room" core/replica/spread.go \
+  'share := max(level-r.othersLoad(), 0) * r.at.capacity' 'share := r.share + 0*level' ./core/replica -run 'Spread'
+try "no room at the cost of another upstream's" core/replica/room.go \
+  ' && r.othersLoad() > sharedLoad' '' ./core/replica -run 'Names|Colliding'
+try "room at idle upstreams" core/replica/room.go \
+  'if s.evenLoads || most <= 0 {' 'if true {' ./core/replica -run 'Colliding'
+try "a move for locality pays for its load" core/replica/locality.go \
+  'return l.crossing * l.model.demand.Lasting.Seconds()' 'return l.crossing * 1e6' ./core/replica -run 'StayForSeconds'
+try "replicas where callers lack one" core/replica/locality.go \
+  'return localReplicaSeconds * (1 - min(max(m.lacking(u.dataCentre, m.replicas+1), 0), 1))' 'return 0' ./core/replica -run 'Callers'
+try "less urgent demand needs more gain" core/replica/urgency.go \
+  'return p.MinPressureRatio * p.urgencyRatio(evicted, wanted)' 'return p.MinPressureRatio' ./core/replica -run 'Urgent'
+try "parts of the demand decay" node/coordinator/demand/demand.go \
+  'm.parts.scale(share)' '_ = share' ./node/coordinator/demand -run 'Parts'
+try "parts of the demand are handed over" node/coordinator/demand/handover.go \
+  'h.EngineMs, h.DataCentre, h.Rank = ms, at.dataCentre, uint32(at.rank)' 'h.EngineMs, h.Rank = ms, uint32(at.rank)' ./node/coordinator/demand -run 'Parts'
+try "distance within the objective" core/balance/score.go \
+  'return max(e.RemoteMs, min(localityRoundTrips*e.RemoteMs, slack))' 'return max(e.RemoteMs, localityRoundTrips*e.RemoteMs+0*slack)' ./core/balance -run 'Distant'
+try "the shortest round trip counts" core/distance/distance.go \
+  'ok && least <= took' 'ok && least < 0 && took < 0' ./core/distance
 exit $missed
