--- a/node/fleet/slowdown.go
+++ b/node/fleet/slowdown.go
@@ -153,11 +153,21 @@
 	return e.speed.combine(e.speed.stated.At(now), now)
 }
 
-// LastingSlowdown is ObservedSlowdown apart from changes of less than some seconds.
+// minLastingLearnt is the learnt slowdown from which an upstream is a smaller place for
+// models: a load takes about as long as what was learnt is remembered, and by then a small
+// difference may have been chance.
+const minLastingLearnt = 1.5
+
+// LastingSlowdown returns how long work takes there apart from changes of less than some
+// seconds, as a multiple of the usual time of its service; 0: it is not known to differ.
 func (e *Entry) LastingSlowdown(now time.Time) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.speed.combine(e.speed.stated.Usual(now), now)
+	learnt := e.speed.learnt.At(now)
+	if learnt < minLastingLearnt {
+		learnt = 1
+	}
+	return combined(learnt, e.speed.stated.Usual(now))
 }
 
 // currentFor is how long a result of at is used again: each pick asks for all upstreams
@@ -182,10 +192,16 @@
 
 // combine multiplies a stated slowdown with the learnt one, which is apart from it.
 func (s *speedOfProcess) combine(stated float64, now time.Time) float64 {
+	return combined(slowdown.Material(s.learnt.At(now)), stated)
+}
+
+// combined returns the product of a learnt and a stated slowdown, if there is one; 0 if it
+// is that of equal upstreams.
+func combined(learnt, stated float64) float64 {
 	if stated == 0 {
 		stated = 1
 	}
-	if both := slowdown.Material(slowdown.Material(s.learnt.At(now)) * stated); both != 1 {
+	if both := slowdown.Material(learnt * stated); both != 1 {
 		return both
 	}
 	return 0
--- a/node/fleet/slowdown_test.go
+++ b/node/fleet/slowdown_test.go
@@ -86,3 +86,28 @@
 	e.RecordSlowdown(3, now)
 	assert.Equal(t, slowdownOf(t, f, "a", now), 3.0)
 }
+
+// Guards against models that are moved because of a small difference which was chance, and
+// ones that stay on an upstream of half the speed as on a whole one.
+func TestOnlyALargeLearntSlowdownMakesAPlaceSmaller(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := fleetAt(&now, upstream("a", 4))
+	e, _ := f.Entry("a")
+	assert.Equal(t, e.LastingSlowdown(now), 0.0)
+	for _, c := range []struct {
+		ratio   float64
+		smaller bool
+	}{{1.3, false}, {0.5, false}, {3, true}} {
+		for range 30 {
+			e.RecordSpeed(c.ratio, now)
+		}
+		assert.Equal(t, e.LastingSlowdown(now) > 1.5, c.smaller, "%v", c)
+	}
+	other := fleetAt(&now, upstream("b", 4))
+	b, _ := other.Entry("b")
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		b.RecordSlowdown(1.3, now)
+	}
+	assert.Assert(t, b.LastingSlowdown(now) > 1.25, "stated on all answers")
+}
