--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -638,6 +638,8 @@
   'ok && e.StartedMs() == s.Born' 'ok' ./node/coordinator -run 'InheritsTheLearnt'
 try "the coordinator's estimate ends" node/fleet/slowdown.go \
   's.relayed.multiple > 0 && now.Sub(s.relayed.at) < relayedTTL' 's.relayed.multiple > 0' ./node/fleet -run 'WhileItIsNew'
+try "chance moves no models" node/fleet/slowdown.go \
+  'if learnt < minLastingLearnt {' 'if false {' ./node/fleet -run 'OnlyALargeLearnt'
 try "a slow engine is a smaller one in places" core/replica/replica.go \
   '1 - (1-u.UnavailableShare)/u.Slowdown' 'u.UnavailableShare' ./core/replica -run 'Slow'
 exit $missed
