Faults that the review of the parts found are mended

Cause, each confirmed by a test on a copy: (1) the acting coordinator's own report recorded its estimate of an upstream as a new statement, so that it never faded; (2) the way between data centres counted as slowness of upstreams, 15 of 199 calls stayed at home; (3, 4) what one upstream alone, or the first answer alone, states was counted twice; (5) a frozen engine got 16,800 prompt tokens in 4 s where 2,000 have room; (6) timers of one upstream multiplied and a later wake was lost; (7) streams that were cut taught steps of almost nothing; (8) an upstream that states a hundredth of the usual time drew all requests; ages of attempts were told by route over all teams, so that one team's flood made the others' first attempts overdue (12,240 of 12,240); the time of return grew without bound and outlived the overload (62 s told); an upstream was kept for a request that it can no longer serve, or that is overdue; one promise could take the next ones far ahead. Ruled out: races, deadlocks, limits passed, false refusals as not run (looked for, none).

--- a/core/balance/slowdown.go
+++ b/core/balance/slowdown.go
@@ -37,7 +37,13 @@
 
 // perSlot returns how many requests per slot the endpoint may have, where one of usual
 // speed may have so many: those that wait there wait for longer at a slower one.
-func (e *Endpoint) perSlot(usual float64) float64 { return 1 + (usual-1)/e.slowdown() }
+func (e *Endpoint) perSlot(usual float64) float64 {
+	return 1 + (usual-1)/max(e.slowdown(), fastestRoom)
+}
+
+// fastestRoom is the slowdown from which on a faster upstream gets no longer queue: its
+// statement may be wrong, and what waits there cannot be recalled.
+const fastestRoom = 0.5
 
 // smallerRoomFrom is the slowdown from which the room for prompts is smaller. Below it the
 // streams bear the same room, since the assumed speed that it follows from is a low one,
--- a/core/balance/streams.go
+++ b/core/balance/streams.go
@@ -15,6 +15,9 @@
 	}
 	first := score + inMs(r.Waited)
 	objective := max(inMs(r.InTime), first)
+	if objective <= 0 {
+		return 0
+	}
 	own := first / objective
 	return objective*math.Cbrt(own*own*own+e.LateStreams) - first
 }
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -198,7 +198,6 @@
 	l.touch(e, now)
 }
 
-// transition records the beginning or the end of a bar.
 // wasReleasedSince reports whether e was cleared after the bar b had begun: whoever reports
 // the bar has not heard of that.
 func (l *Ledger) wasReleasedSince(e *entry, b *Entry) bool {
@@ -206,6 +205,7 @@
 	return e.releasedAt.After(began)
 }
 
+// transition records the beginning or the end of a bar.
 func (l *Ledger) transition(e *entry, s State, cause Cause) {
 	e.State, e.CrashCount = s, len(e.crashes)
 	if len(l.transitions) < maxEntries {
--- a/core/prefill/advance.go
+++ b/core/prefill/advance.go
@@ -54,14 +54,23 @@
 const maxLateness = 8
 
 // lostTokens returns the tokens of the prompts whose reports count as lost. Without it an
-// engine would get no prompt until the host's stream ends.
+// engine would get no prompt until the host's stream ends. While a prompt waits that was
+// granted after one was lost, none counts: an engine that is frozen gets one at a time.
 func (p *Pipeline) lostTokens(s *Service, now time.Time) int {
 	lost, end := 0, p.freeAt
+	var since time.Time // when the first of them was lost
 	for i := range p.prompts {
 		g := &p.prompts[i]
 		end = g.end(end)
-		if now.Sub(g.at) > maxLateness*(end.Sub(g.at)+s.Overhead()) {
+		lostAt := g.at.Add(maxLateness * (end.Sub(g.at) + s.Overhead()))
+		switch {
+		case now.After(lostAt):
 			lost += g.Tokens
+			if since.IsZero() {
+				since = lostAt
+			}
+		case !since.IsZero() && g.at.After(since):
+			return 0
 		}
 	}
 	return lost
--- a/core/prefill/cost.go
+++ b/core/prefill/cost.go
@@ -7,9 +7,8 @@
 // multiple of its usual time; 0: not known.
 //
 // A stream's chance to pause beyond its bound grows with the third power of the span's
-// share of the bound. So do the chances in a distribution of reading times of which about
-// one in eight takes twice its prediction, as those of engines that share their machines
-// with others do. The sum is convex: two prompts in one span cost more than two apart.
+// share of the bound, since readings take longer than predicted now and then. The sum is
+// convex: two prompts in one span cost more than two apart.
 func (p *Pipeline) Late(read time.Duration, s *Service, slowdown float64, now time.Time) float64 {
 	if len(p.streams) == 0 {
 		return 0
--- a/core/quota/promise.go
+++ b/core/quota/promise.go
@@ -39,7 +39,7 @@
 	if at.After(latest) || perSecond <= 0 {
 		return at, false
 	}
-	p.nextAt = at.Add(time.Duration(cost / perSecond * float64(time.Second)))
+	p.nextAt = at.Add(time.Duration(min(cost/perSecond, rankMemory.Seconds()) * float64(time.Second))) // by then the demand is another one
 	p.all = append(p.all, promise{at, cost})
 	p.pending += cost
 	return at, true
--- a/core/speed/slowdown/learnt.go
+++ b/core/speed/slowdown/learnt.go
@@ -17,7 +17,7 @@
 	// its inverse: a single time has many causes that have nothing to do with the speed.
 	maxDeviation = 3.0
 	// doubtfulErrors is how many standard errors of the mean of the observations are taken
-	// for chance: with one, every third of equal upstreams would seem to differ, with two every twentieth.
+	// for chance, so that few of many equal upstreams seem to differ.
 	doubtfulErrors = 2.0
 	// forgetTime is the time constant by which observations lose their weight while there
 	// are no others. What made an upstream slow for seconds is over by then, and it is
@@ -82,7 +82,7 @@
 func (l *Learnt) ObservedAt() time.Time { return l.at }
 
 // materialRatio is the ratio to the usual time, or its inverse, within which upstreams
-// count as equally fast: times at equal upstreams vary by as much.
+// count as equally fast, so that chance moves no requests.
 const materialRatio = 1.15
 
 // Material returns the slowdown, or 1 if it lies within what equal upstreams show too.
--- a/core/speed/slowdown/stated.go
+++ b/core/speed/slowdown/stated.go
@@ -15,13 +15,11 @@
 )
 
 const (
-	// fadeTime is the time constant by which a stated slowdown loses its weight. Machines
-	// are shared with other work, which comes and goes in fractions of a second: the
-	// correlation of two statements of one upstream is 0.65 after a tenth of a second, 0.37
-	// after 0.4 s, and below 0.1 after 0.8 s.
+	// fadeTime is the time constant by which a stated slowdown loses its weight: engines
+	// share their processors with other work, which comes and goes in fractions of a second.
 	fadeTime = 400 * time.Millisecond
-	// usualTime is the time in which the usual slowdown of a machine can change by a
-	// factor of e. Most of what a machine states in that time is its usual slowdown.
+	// usualTime is the time in which the usual slowdown of an upstream can change by a
+	// factor of e. Most of what it states in that time is its usual slowdown.
 	usualTime = 10 * time.Second
 	// silentTime is the time constant by which the usual slowdown returns to one while
 	// nothing is heard. An upstream that gets no requests because it was slow gets some
--- a/node/coordinator/link/permitclient.go
+++ b/node/coordinator/link/permitclient.go
@@ -327,7 +327,7 @@
 		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Abandoned: true})
 	}
 	permit.Release = func() {
-		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Slowdown: wire.Percent(permit.StatedSlowdown), Complete: permit.Complete && e.Model == ""})
+		_ = c.send(st, &coordpb.TurnEvent{Id: e.Id, Kind: coordpb.TurnEvent_END, Slowdown: wire.Percent(permit.StatedSlowdown), Complete: permit.Complete})
 	}
 	return permit
 }
--- a/node/coordinator/permits/enginesim_test.go
+++ b/node/coordinator/permits/enginesim_test.go
@@ -306,7 +306,7 @@
 		return false
 	}
 	c.done = true
-	s.after(back, func() { s.toCoordinator(c, &coordpb.TurnEvent{Kind: coordpb.TurnEvent_END}) })
+	s.after(back, func() { s.toCoordinator(c, &coordpb.TurnEvent{Kind: coordpb.TurnEvent_END, Complete: true}) })
 	return true
 }
 
--- a/node/coordinator/permits/largeprompts.go
+++ b/node/coordinator/permits/largeprompts.go
@@ -7,7 +7,7 @@
 	"peridotpier.example/node/fleet"
 )
 
-// largePrompts lets large prompts have their turn. A prompt may be too large to be read
+// largePrompts bounds how long large prompts are passed over. A prompt may be too large to be read
 // beside others, while small ones keep coming that fit beside those which are being read: it
 // would wait for ever though it is the first. Once others were granted a multiple of its work
 // in its place at an upstream, that upstream is kept for it until its prompts are read. It is
@@ -32,7 +32,7 @@
 	if k == nil || k == w || k.event.Priority > w.event.Priority {
 		return false
 	}
-	if p.waiting.find(k.key) != k { // granted elsewhere, or its caller waits no more
+	if p.waiting.find(k.key) != k || k.isOverdue(p.deps.Now()) { // granted elsewhere, or nobody waits for it any more
 		delete(p.large.kept, upstream)
 		return false
 	}
@@ -84,16 +84,21 @@
 }
 
 func (p *Permits) keepIfPassedOver(w *request, upstream string) {
+	if w.isOverdue(p.deps.Now()) { // nobody is answered in time by it
+		return
+	}
 	if p.large.kept[upstream] == nil && w.passedOver >= maxPassedOver*w.item.Request().Cost && p.waiting.find(w.key) == w {
 		p.large.kept[upstream] = w
 	}
 }
 
-// expire drops the records of upstreams that were removed.
+// expire drops the records of upstreams that were removed, or no longer have the model of the
+// request that they are kept for.
 func (l *largePrompts) expire(f *fleet.Fleet) {
-	for id := range l.kept {
-		if _, ok := f.Entry(id); !ok {
+	for id, k := range l.kept {
+		if e, ok := f.Entry(id); !ok || !slices.Contains(servedModels(e), k.event.Model) {
 			delete(l.kept, id)
+			delete(l.blocked, id)
 		}
 	}
 	for id := range l.blocked {
--- a/node/coordinator/permits/permits.go
+++ b/node/coordinator/permits/permits.go
@@ -79,10 +79,10 @@
 	limits      upstreamLimits
 	rooms       rooms
 	backoffs    backoffs
-	meanStated  map[string]float64   // mean slowdown that the upstreams of a service state
-	unlikeAt    map[string]time.Time // when an upstream of a service last differed in speed from the others
+	meanStated  map[string]meanStated // mean slowdown that the upstreams of a service state
+	unlikeAt    map[string]time.Time  // when an upstream of a service last differed in speed from the others
 	teams       teamWaits
-	wakeAt      map[*fleet.Entry]time.Time // when the requests that wait for an upstream are tried again
+	wakeAt      map[*fleet.Entry]wake // when the requests that wait for an upstream are tried again
 	pipelines   pipelines
 
 	endpoints []balance.Endpoint // buffer of one pick; reused, since a pick may cover hundreds
@@ -127,12 +127,13 @@
 	send          backpressure.Send
 	promptID      uint64        // in the pipeline of its upstream
 	perToken      time.Duration // learnt time of the prefill of one of its prompt's tokens
+	complete      bool          // whether its response was complete; set with its end
 	isProbe       bool          // whether it was granted in the slow start after a backoff, so that its response is awaited
 }
 
 // New returns Permits without hosts.
 func New(d Deps) *Permits {
-	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]time.Time{}, unlikeAt: map[string]time.Time{}, meanStated: map[string]float64{}, waiting: newWaitingRequests(), large: newLargePrompts(), teams: newTeamWaits()}
+	p := &Permits{deps: d, streams: map[*Stream]struct{}{}, granted: map[requestKey]*request{}, grants: map[string]*upstreamGrants{}, unreachable: map[string]refusal{}, backoffs: backoffs{}, wakeAt: map[*fleet.Entry]wake{}, unlikeAt: map[string]time.Time{}, meanStated: map[string]meanStated{}, waiting: newWaitingRequests(), large: newLargePrompts(), teams: newTeamWaits()}
 	if p.deps.Metrics == nil {
 		p.deps.Metrics = metrics.New()
 	}
@@ -174,6 +175,7 @@
 			p.refundUncharged(k, e)
 			p.endInRoom(p.granted[k], e)
 			p.learnCall(p.granted[k], e)
+			p.noteCompletion(p.granted[k], e)
 			p.end(k)
 		}
 	case coordpb.TurnEvent_ABSENT:
@@ -461,9 +463,9 @@
 	now := p.deps.Now()
 	p.suspects = p.deps.Reports.Suspects(now)
 	p.restartSuspects()
+	p.large.expire(p.deps.Fleet)
 	p.grantAllWaiting(now)
 	p.logShares(now)
-	p.large.expire(p.deps.Fleet)
 	p.serveTeams(now) // a limit may have been raised
 	p.limits.expire()
 	p.rooms.maintain(now)
--- a/node/coordinator/permits/pipelines.go
+++ b/node/coordinator/permits/pipelines.go
@@ -113,7 +113,11 @@
 // end records the end of a granted request.
 func (l *pipelines) end(u *upstreamGrants, g *request, now time.Time) {
 	if g.event.Model != "" {
-		u.pipeline.End(g.promptID, int(g.event.Output), l.service(g.event.Service), now)
+		tokens := int(g.event.Output)
+		if !g.complete { // a part of an answer says nothing of the time of a step
+			tokens = 0
+		}
+		u.pipeline.End(g.promptID, tokens, l.service(g.event.Service), now)
 	}
 }
 
--- a/node/coordinator/permits/queue/outlook.go
+++ b/node/coordinator/permits/queue/outlook.go
@@ -18,10 +18,13 @@
 	// those ahead of it take: others arrive meanwhile, and one that is refused again has
 	// waited in vain twice.
 	returnMargin = 1.5
+	// maxReturnWaits bounds by how much later than the first a refused request is told to
+	// return, as a multiple of what its caller waits for a permit.
+	maxReturnWaits = 4
 )
 
-// outlook predicts for one line when requests are granted, and hands out the times at which
-// refused ones should return.
+// outlook predicts for one line when requests are granted, and tells refused ones when to
+// return, one after the other.
 type outlook struct {
 	began         time.Time // when the current span began
 	busy          time.Time // since when requests wait without a break; zero: none waits
@@ -77,7 +80,7 @@
 		return 0, false
 	}
 	room := now.Add(time.Duration(returnMargin * float64(ahead) * float64(each)))
-	if at := o.returnAt.Add(each); at.After(room) {
+	if at := o.returnAt.Add(each); at.After(room) && at.Sub(room) <= maxReturnWaits*maxWait { // begins again: its caller will have given up by then
 		room = at
 	}
 	o.returnAt = room
--- a/node/coordinator/permits/speeds.go
+++ b/node/coordinator/permits/speeds.go
@@ -23,20 +23,40 @@
 // state: about the last hundred count.
 const statedDecay = 0.01
 
+// meanStated is the mean of what the upstreams of a service state, over n answers.
+type meanStated struct{ mean, n float64 }
+
 // apartFromStated returns how long what took so long would have taken if the upstream had
 // stated what those of its service state on average. So the times of a service, which its
 // demand is counted in, stay what they are.
 func (p *Permits) apartFromStated(g *request, took time.Duration) time.Duration {
-	if g.slowdown == 0 {
+	m := p.meanStated[g.event.Service]
+	if g.slowdown == 0 && m.n == 0 {
 		return took
 	}
-	mean, known := p.meanStated[g.event.Service]
-	if !known {
-		mean = g.slowdown
+	stated := g.slowdown
+	if stated == 0 { // it counts as usual, as in the pick
+		stated = 1
 	}
-	mean += statedDecay * (g.slowdown - mean)
-	p.meanStated[g.event.Service] = mean
-	return time.Duration(float64(took) * mean / g.slowdown)
+	m.n++
+	m.mean += max(statedDecay, 1/m.n) * (stated - m.mean)
+	p.meanStated[g.event.Service] = m
+	return time.Duration(float64(took) * m.mean / stated)
+}
+
+// wayOf returns the part of the time from a grant to its report that passes between data
+// centres: that of the permit and the report, and that of the request and its response.
+func (p *Permits) wayOf(g *request) time.Duration {
+	if p.deps.RoundTrip == nil {
+		return 0
+	}
+	way := time.Duration(0)
+	for _, other := range []string{p.deps.Fleet.DataCentre(), g.entry.DataCentre()} {
+		if other != g.event.DataCentre {
+			way += p.deps.RoundTrip(g.event.DataCentre, other)
+		}
+	}
+	return way
 }
 
 // learnPrompt learns from the time of a request's first event, if its upstream had no
@@ -45,7 +65,7 @@
 	if !g.solePrompt || g.event.Model == "" {
 		return
 	}
-	took, tokens := p.apartFromStated(g, g.firstAt.Sub(g.grantedAt)), int(g.event.Prompt)
+	took, tokens := p.apartFromStated(g, max(g.firstAt.Sub(g.grantedAt)-p.wayOf(g), 0)), int(g.event.Prompt)
 	var usual time.Duration
 	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
 		usual = m.FirstEvent(tokens)
@@ -56,13 +76,20 @@
 	}
 }
 
+// noteCompletion records whether the response to a request was complete.
+func (p *Permits) noteCompletion(g *request, e *coordpb.TurnEvent) {
+	if g != nil {
+		g.complete = e.Complete
+	}
+}
+
 // learnCall learns from the time of a complete call of a plain service, if it did not have
 // to wait for others at its upstream.
 func (p *Permits) learnCall(g *request, e *coordpb.TurnEvent) {
 	if g == nil || !e.Complete || !g.soleCall || g.event.Model != "" {
 		return
 	}
-	took := p.apartFromStated(g, p.deps.Now().Sub(g.grantedAt))
+	took := p.apartFromStated(g, max(p.deps.Now().Sub(g.grantedAt)-p.wayOf(g), 0))
 	var usual time.Duration
 	p.deps.Speeds.WithModel(g.model(), func(m speed.Estimator) {
 		usual = m.Call()
--- a/node/coordinator/permits/waitestimate.go
+++ b/node/coordinator/permits/waitestimate.go
@@ -91,6 +91,12 @@
 	return p.waiting.Ahead(p.queued(w, p.expectedWork(w)))
 }
 
+// wake is when the requests that wait for an upstream are tried again.
+type wake struct {
+	at   time.Time
+	next time.Time // the first later time that was asked for; zero: none was
+}
+
 // wakeAfter tries the waiting requests again after wait, when an upstream may take one
 // more.
 func (p *Permits) wakeAfter(e *fleet.Entry, now time.Time, wait time.Duration) {
@@ -98,14 +104,29 @@
 		return
 	}
 	at := now.Add(wait)
-	if due, ok := p.wakeAt[e]; ok && !at.Before(due) {
+	due, ok := p.wakeAt[e]
+	if ok && !at.Before(due.at) {
+		if at.After(due.at) && (due.next.IsZero() || at.Before(due.next)) {
+			due.next = at
+			p.wakeAt[e] = due
+		}
+		return
+	}
+	p.wakeAt[e] = wake{at: at, next: due.at}
+	p.deps.AfterFunc(wait, func() { p.wakeUp(e, at) })
+}
+
+// wakeUp does what wakeAfter has set for a time, unless an earlier one took its place.
+func (p *Permits) wakeUp(e *fleet.Entry, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := p.wakeAt[e]
+	if !due.at.Equal(at) {
 		return
 	}
-	p.wakeAt[e] = at
-	p.deps.AfterFunc(wait, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.wakeAt, e)
-		p.grantWaitingAt(e.ID())
-	})
+	delete(p.wakeAt, e)
+	p.grantWaitingAt(e.ID())
+	if now := p.deps.Now(); p.waiting.Len() > 0 && !due.next.IsZero() {
+		p.wakeAfter(e, now, due.next.Sub(now))
+	}
 }
--- a/node/coordinator/slowdowns.go
+++ b/node/coordinator/slowdowns.go
@@ -9,6 +9,9 @@
 
 // recordSlowdowns records what upstreams stated to a reporting host.
 func (c *Coordinator) recordSlowdowns(r *coordpb.HostReport, now time.Time) {
+	if r.Host == c.cfg.Host { // what it hears is in its own fleet already, and would never fade
+		return
+	}
 	for _, l := range r.Loads {
 		if l.Slowdown == 0 {
 			continue
@@ -33,7 +36,7 @@
 func (c *Coordinator) learntSpeeds(now time.Time) (all []*coordpb.UpstreamSpeed) {
 	for _, e := range c.deps.Fleet.All() {
 		if multiple, at := e.LearntSpeed(now); multiple > 0 {
-			all = append(all, &coordpb.UpstreamSpeed{Upstream: e.ID(), Born: e.StartedMs(), Percent: wire.Percent(multiple), AgeMs: uint32(now.Sub(at).Milliseconds())})
+			all = append(all, &coordpb.UpstreamSpeed{Upstream: e.ID(), Born: e.StartedMs(), Percent: wire.Percent(multiple), AgeMs: uint32(max(now.Sub(at), 0).Milliseconds())})
 		}
 	}
 	return all
--- a/node/gate/age.go
+++ b/node/gate/age.go
@@ -7,27 +7,31 @@
 	"peridotpier.example/core/attemptage"
 )
 
-// attemptAges estimates the ages of callers' attempts, by route.
+// callerKind is what callers that state the same time at first have in common.
+type callerKind struct{ route, team string }
+
+// attemptAges estimates the ages of callers' attempts, by route and team: the attempts of a
+// team that sends many must not make those of others seem old.
 type attemptAges struct {
-	mu      sync.Mutex
-	byRoute map[string]*attemptage.Estimator
+	mu     sync.Mutex
+	byKind map[callerKind]*attemptage.Estimator
 }
 
-// maxAgedRoutes bounds the routes that are kept: configurations may add and remove many.
-const maxAgedRoutes = 1000
+// maxAgedKinds bounds the kinds that are kept: configurations may add and remove many.
+const maxAgedKinds = 4096
 
-// observe records an attempt on a route that states how much time it has left, and returns
-// how long ago its caller began to ask; 0: it just began, or that is not known.
-func (a *attemptAges) observe(route string, left time.Duration) time.Duration {
+// observe records an attempt that states how much time it has left, and returns how long ago
+// its caller began to ask; 0: it just began, or that is not known.
+func (a *attemptAges) observe(kind callerKind, left time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	e := a.byRoute[route]
+	e := a.byKind[kind]
 	if e == nil {
-		if a.byRoute == nil || len(a.byRoute) >= maxAgedRoutes {
-			a.byRoute = map[string]*attemptage.Estimator{}
+		if a.byKind == nil || len(a.byKind) >= maxAgedKinds {
+			a.byKind = map[callerKind]*attemptage.Estimator{}
 		}
 		e = attemptage.New()
-		a.byRoute[route] = e
+		a.byKind[kind] = e
 	}
 	return e.Observe(left)
 }
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -294,7 +294,7 @@
 	}
 	q.setDeadline()
 	if q.hop == nil && q.info.LastEventID == "" {
-		q.age = q.g.ages.observe(q.route.Name, q.info.TimeLeft)
+		q.age = q.g.ages.observe(callerKind{q.route.Name, q.caller.name()}, q.info.TimeLeft)
 	}
 	if !q.receiveBody(table.Config.Limits) {
 		return false
--- a/node/gate/limits_test.go
+++ b/node/gate/limits_test.go
@@ -31,16 +31,16 @@
 func TestACallerThatCameBackIsKnownByItsTimeLeft(t *testing.T) {
 	var ages attemptAges
 	for range 100 {
-		assert.Equal(t, ages.observe("r", 5*time.Second), time.Duration(0))
+		assert.Equal(t, ages.observe(callerKind{route: "r"}, 5*time.Second), time.Duration(0))
 	}
-	age := ages.observe("r", 3*time.Second)
+	age := ages.observe(callerKind{route: "r"}, 3*time.Second)
 	assert.Assert(t, age > 1900*time.Millisecond && age <= 2*time.Second, "%s", age)
-	assert.Equal(t, ages.observe("other", 3*time.Second), time.Duration(0))
-	assert.Equal(t, ages.observe("r", 0), time.Duration(0), "it states none")
+	assert.Equal(t, ages.observe(callerKind{route: "other"}, 3*time.Second), time.Duration(0))
+	assert.Equal(t, ages.observe(callerKind{route: "r"}, 0), time.Duration(0), "it states none")
 	for range 5000 {
-		ages.observe("r", 3*time.Second)
+		ages.observe(callerKind{route: "r"}, 3*time.Second)
 	}
-	assert.Equal(t, ages.observe("r", 3*time.Second), time.Duration(0), "callers state less from now on")
+	assert.Equal(t, ages.observe(callerKind{route: "r"}, 3*time.Second), time.Duration(0), "callers state less from now on")
 }
 
 // Guards against a request that is sent, or charged, though its key was taken away while it
