--- a/node/coordinator/permits/largeprompts_test.go
+++ b/node/coordinator/permits/largeprompts_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
 )
 
@@ -49,3 +51,44 @@
 		}
 	}
 }
+
+// Guards against an upstream that is idle since it is kept for a request whose model has left
+// it, or that can no longer be answered in time.
+func TestAnUpstreamIsNotKeptForARequestThatItCannotServe(t *testing.T) {
+	f := fleet.New(fleet.Config{}, fleet.Deps{})
+	hold := func(version uint64, models ...string) {
+		u := deploy.Upstream{ID: "u", Service: "s", Address: "u", Slots: 4}
+		for _, m := range models {
+			u.Residents = append(u.Residents, deploy.Resident{Model: m})
+		}
+		f.Apply([]deploy.Upstream{u}, nil, version)
+	}
+	hold(1, "m", "n")
+	perms := newPermitsOver(f, time.Now)
+	perms.deps.Config = follow.NewActiveConfig(event.NewLog(nil))
+	perms.deps.Config.ApplyIfNewer(&deploy.Config{Version: 1, Teams: []deploy.Team{{Name: "large"}, {Name: "small"}}}, "test")
+	s := newTestStream()
+	ask := func(id uint64, team, model string, prompt uint32) {
+		e := newRequestEvent(id, 1)
+		e.Model, e.Account, e.Prompt, e.Reading, e.InTimeMs = model, team, prompt, 3000, 60_000
+		perms.Handle(s, e)
+	}
+	ask(1, "small", "n", 1000)
+	ask(2, "small", "n", 1000)
+	ask(1000, "large", "m", 2900)
+	reading := grantsOf(s)
+	for id := uint64(3); id < 60 && perms.large.kept["u"] == nil; id++ {
+		ask(id, "small", "n", 1000)
+		perms.Handle(s, &coordpb.TurnEvent{Id: reading[0], Kind: coordpb.TurnEvent_END})
+		reading = append(reading[1:], grantsOf(s)...)
+	}
+	assert.Assert(t, perms.large.kept["u"] != nil)
+	hold(2, "n")
+	for _, r := range reading {
+		perms.Handle(s, &coordpb.TurnEvent{Id: r, Kind: coordpb.TurnEvent_END})
+	}
+	ask(500, "small", "n", 1000)
+	perms.Maintain()
+	assert.Assert(t, perms.large.kept["u"] == nil)
+	assert.Assert(t, perms.grants["u"].load.Requests > 0)
+}
--- a/node/gate/age_test.go
+++ b/node/gate/age_test.go
@@ -54,3 +54,15 @@
 	call(1000)
 	assert.Assert(t, o.left > 100*time.Millisecond, "%s", o.left)
 }
+
+// Guards against first attempts that count as old since another team, whose callers have more
+// time, sends most of the requests on the route.
+func TestAnotherTeamsTimesMakeNoAttemptOld(t *testing.T) {
+	var ages attemptAges
+	for range 400 {
+		for range 20 {
+			ages.observe(callerKind{"r", "flood"}, 30*time.Second)
+		}
+		assert.Equal(t, ages.observe(callerKind{"r", "usual"}, 10*time.Second), time.Duration(0))
+	}
+}
