Faults that a reader of the whole change found are mended

Cause, by reading: a promise for a return was redeemed by requests of any rank; the round trip to a former coordinator was told to the next one, and one of any age counted; a change of terms gave a request that waits at a limit its whole wait once more, in random order; grants out of the maintenance did not count against the bound of a large prompt; a refusal that another host had spread was logged as promised; a timer passed by the given clock; places of two services in random order. Ruled out by the same reader: refusals as not run of requests that may have run. Change: one mend each, comments and pages that had become false.

--- a/core/distance/distance.go
+++ b/core/distance/distance.go
@@ -47,6 +47,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now.Sub(e.since) > 2*windowLength { // nothing was measured for so long
+		e.current = nil
+	}
 	if now.Sub(e.since) > windowLength {
 		e.since, e.before, e.current = now, e.current, map[string]time.Duration{}
 	}
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -44,6 +44,7 @@
 // ask decides on a request.
 func (a *account) ask(q Ask, now time.Time) Answer {
 	a.demand.add(q.Cost, now)
+	stated := q.Rank
 	if q.Overdue {
 		q.Rank = overdueRank
 	}
@@ -54,7 +55,7 @@
 		r = a.promoteCheap(r, q.Cost)
 	}
 	class := patienceClass(q.MaxWait)
-	if promised := a.redeem(q.Cost, now); promised != nil {
+	if promised := a.redeem(stated, r, q.Cost, now); promised != nil {
 		r, class = promised, returningClass
 	}
 	if a.waiting == 0 {
@@ -71,18 +72,19 @@
 	return min(cost, a.bucket.limit.capacity()) - a.bucket.Level(now)
 }
 
-// overdueRank is the rank of the requests that can no longer be answered in time. They go
-// after all others, since each of them would make others as late.
+// overdueRank is the rank of the requests that can no longer be answered in time. While
+// several other ranks ask, they go after all of these: each would make others as late.
 const overdueRank = math.MaxInt32
 
 // shaped reports whether requests of several ranks ask. Otherwise each is decided on when
 // it comes.
 func (a *account) shaped() bool { return len(a.ranks) > 1 && a.ranks[1].rank != overdueRank }
 
-// redeem redeems a promise for this cost, and returns the rank that made it; nil: none did.
-func (a *account) redeem(cost float64, now time.Time) *rankState {
+// redeem redeems a promise for this cost that was made to the stated rank, or to the one
+// that the request counts as, and returns that rank; nil: there is none.
+func (a *account) redeem(stated int, counted *rankState, cost float64, now time.Time) *rankState {
 	for _, r := range a.ranks {
-		if r.promises.redeem(cost, now) {
+		if (r.rank == stated || r == counted) && r.promises.redeem(cost, now) {
 			a.kept++
 			return r
 		}
--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -258,6 +258,7 @@
 		l.teams.addStates(r, l.deps.Now())
 	}
 	reportQuarantine(r, quarantineReport, l.deps.Now())
+	l.addPlace(r, address)
 	signalsRevision := l.addSignals(r, address)
 	var s *coordpb.SiteState
 	var err error
@@ -266,7 +267,7 @@
 	} else {
 		sentAt := l.deps.Now()
 		s, err = l.conns.Report(ctx, address, r)
-		l.roundTrip.record(l.deps.Now().Sub(sentAt), err)
+		l.roundTrip.record(address, l.deps.Now().Sub(sentAt), err)
 	}
 	if err != nil {
 		l.pace.setPeriod(wire.MinReportPeriod)
@@ -363,7 +364,6 @@
 // buildReport collects what this host has to report.
 func (l *Link) buildReport() *coordpb.HostReport {
 	r := l.introduction()
-	l.addPlace(r)
 	for _, sent := range l.deps.Fleet.OwnLoads() {
 		r.Loads = append(r.Loads, &coordpb.Load{Upstream: sent.Upstream, Requests: uint32(sent.Requests), Waiting: uint32(max(sent.PendingPromptTokens, 0)), Tokens: uint32(max(sent.Tokens, 0)), Slowdown: wire.Percent(sent.Slowdown)})
 	}
--- a/node/coordinator/moves/placements.go
+++ b/node/coordinator/moves/placements.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -51,7 +52,7 @@
 			}
 			return 1
 		}
-		return strings.Compare(a.Model, b.Model)
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Model, b.Model))
 	})
 	return out[:min(len(out), maxPlacements)]
 }
--- a/node/coordinator/permits/largeprompts.go
+++ b/node/coordinator/permits/largeprompts.go
@@ -18,8 +18,8 @@
 }
 
 // maxPassedOver is by how much work, as a multiple of its own, others may pass over a prompt
-// at an upstream. Both, and the reading of the prompts that are there, are well within the
-// time that a request of usual size waits.
+// at an upstream. That work and the reading of the prompts that are there take well
+// below the time that a request of usual size waits.
 const maxPassedOver = 4.0
 
 func newLargePrompts() largePrompts {
--- a/node/coordinator/permits/teamwaits.go
+++ b/node/coordinator/permits/teamwaits.go
@@ -1,6 +1,8 @@
 package permits
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"peridotpier.example/core/quota"
@@ -142,11 +144,7 @@
 	case r.event.Kind == coordpb.TurnEvent_CHARGE:
 		r.key.from.send(&coordpb.TurnAnswer{Id: r.key.id, Kind: coordpb.TurnAnswer_GRANTED})
 	default:
-		waited := uint32(now.Sub(r.since).Milliseconds())
-		r.event.InTimeMs -= min(r.event.InTimeMs, waited)
-		if r.event.PatienceMs > 0 { // 0 means not stated
-			r.event.PatienceMs = max(r.event.PatienceMs, waited+1) - waited
-		}
+		r.countWait(now)
 		p.place(r.key, r.event, now)
 	}
 }
@@ -158,7 +156,7 @@
 		return
 	}
 	p.teams.wakeAt = at
-	time.AfterFunc(again, func() {
+	p.deps.AfterFunc(again, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.teams.wakeAt.Equal(at) { // otherwise an earlier call has taken its place
@@ -168,14 +166,28 @@
 	})
 }
 
+// countWait takes what the request has waited off the times that its host stated.
+func (r *limitedRequest) countWait(now time.Time) {
+	waited := uint32(max(now.Sub(r.since), 0).Milliseconds())
+	e := r.event
+	for _, left := range []*uint32{&e.InTimeMs, &e.AccountWaitMs, &e.ReturnWithinMs} {
+		*left -= min(*left, waited)
+	}
+	if e.PatienceMs > 0 { // 0 means not stated
+		e.PatienceMs = max(e.PatienceMs, waited+1) - waited
+	}
+	r.since = now
+}
+
 // askTeamsAgain asks the accounts of a new term for the requests that waited at the
-// accounts of the former one.
+// accounts of the former one, in the order in which they came.
 func (p *Permits) askTeamsAgain() {
 	former := p.teams.byKey
 	p.teams.byWaiter, p.teams.byKey = map[*quota.Waiter]*limitedRequest{}, map[requestKey]*limitedRequest{}
 	now := p.deps.Now()
-	for k, r := range former {
-		if !p.chargeTeam(k, r.event, now) {
+	for _, r := range slices.SortedFunc(maps.Values(former), func(a, b *limitedRequest) int { return a.since.Compare(b.since) }) {
+		r.countWait(now)
+		if !p.chargeTeam(r.key, r.event, now) {
 			continue
 		}
 		p.decideLimited(r, quota.Answer{Verdict: quota.Admit}, now)
--- a/node/coordinator/permits/waiting.go
+++ b/node/coordinator/permits/waiting.go
@@ -154,6 +154,9 @@
 	p.reweigh()
 	p.waiting.ScanAll(p.scan(now, func(w *request) bool {
 		w.waitReason = p.tryAll(w, now)
+		if w.upstream != "" {
+			p.countPassedOver(w)
+		}
 		return !mayQueue(w.waitReason)
 	}))
 }
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -300,7 +300,7 @@
 	case q.deliverFailed != nil:
 		q.deliverFailed()
 	case resp.Status == http.StatusTooManyRequests && q.possibleRuns == 0:
-		q.refuseOverLimit(&overLimit{after: after, promised: true}) // the other host has spread the times
+		q.refuseOverLimit(&overLimit{after: after, exact: true})
 	default:
 		q.endUnserved(http.StatusBadGateway, why, max(after, stopRetry))
 	}
--- a/node/gate/limits.go
+++ b/node/gate/limits.go
@@ -27,6 +27,7 @@
 type overLimit struct {
 	after    time.Duration
 	promised bool // the account has room then: others were told other times
+	exact    bool // the time is told as it is: another host has spread it
 	level    float64
 	known    bool // the coordinator has decided, so that level is known
 }
@@ -87,7 +88,7 @@
 		fields = append(fields, zap.Int64("level", int64(o.level)))
 	}
 	after := o.after
-	if !o.promised {
+	if !o.promised && !o.exact {
 		after += q.retrySpread(after)
 	}
 	q.refuseAfter(http.StatusTooManyRequests, "over_limit", after, fields...)
