--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -98,7 +98,7 @@
   'min(p.deps.StoreLoads.Remaining(s.Engine.LoadsPerSecond, now), p.freeStoreSlots(s.Engine, upstreams, now))' \
   'p.deps.StoreLoads.Remaining(s.Engine.LoadsPerSecond, now)' ./node/coordinator/moves ./platform -run 'Loads|EnginesReplaced'
 try "loads by what they serve" core/replica/replica.go \
-  'if x, y := a.gain(), b.gain(); x != y {' 'if x, y := a.gain(), b.gain(); false && x != y {' ./core/replica
+  'b.gain()*p.urgencyFactor(b); x != y {' 'b.gain()*p.urgencyFactor(b); false && x != y {' ./core/replica
 try "bound of what is prepared for" core/replica/prior.go \
   'sum > limit' 'false && sum > limit' ./core/replica
 try "wait for a model on its way" node/gate/pick.go \
@@ -234,17 +234,14 @@
 try "one key in two teams" core/deploy/team.go \
   'if other, ok := owners[k]; ok && other != team {' 'if other := 0; false {' ./core/deploy
 try "a limit is charged with the turn" node/coordinator/permits/permits.go \
-  '	if !p.chargeTeam(k, e, now) {
-		return
-	}
-' '' ./node/coordinator/permits ./platform -run 'Limit'
-try "a limit of a call without a turn" node/gate/caller.go \
+  'if p.chargeTeam(k, e, now) {' 'if true {' ./node/coordinator/permits -run 'Limit'
+try "a limit of a call without a turn" node/gate/limits.go \
   'if !q.caller.owesCharge() {' 'if true {' ./node/gate ./platform -run 'Limit|Pays'
 try "what has not run is given back" node/gate/gate.go \
   '	defer q.refundCharge()
 ' '' ./node/gate
 try "hosts that hear nobody pass a part" core/quota/share.go \
-  'draw*demand >= withoutLedgerShare*s.limit.PerSecond' 'draw*demand < 0' ./core/quota
+  'draw >= s.ranks.proportion(rank, admitted, now)' 'draw < 0*s.ranks.proportion(rank, admitted, now)' ./core/quota
 try "hosts without a word pass little" core/quota/share.go \
   'initialShare = 0.02' 'initialShare = 1.0' ./core/quota
 try "the part of hosts that are not heard is withheld" core/quota/ledger.go \
@@ -641,7 +638,7 @@
 try "a slow upstream has less room" core/balance/prefill.go \
   'e.pendingLimit(r.MaxPendingPromptTokens)' 'r.MaxPendingPromptTokens' ./core/balance -run 'SmallerOne'
 try "a stated slowdown is not learnt besides" node/coordinator/permits/speeds.go \
-  'time.Duration(float64(took) * mean / g.slowdown)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
+  'time.Duration(float64(took) * m.mean / stated)' 'took' ./node/coordinator/permits -run 'NotLearntBesides'
 try "a failure at once is no speed" node/coordinator/permits/speeds.go \
   'if succeeded {' 'if true {' ./node/coordinator/permits -run 'FailsAtOnce'
 try "only complete calls tell the speed" node/coordinator/permits/speeds.go \
@@ -697,7 +694,7 @@
 try "nothing is predicted without observation" node/coordinator/permits/queue/outlook.go \
   'if n < minRateGrants {' 'if n < 1 {' ./node/coordinator/permits/queue -run 'FewGrants'
 try "those told return one after the other" node/coordinator/permits/queue/outlook.go \
-  'at.After(room) {' 'false && at.After(room) {' ./node/coordinator/permits -run 'Hopeless'
+  'at.After(room) && at' 'false && at' ./node/coordinator/permits -run 'Hopeless'
 try "a hopeless request is not sent by its host" node/gate/pick.go \
   'if ok && decision.unservable &&' 'if false && decision.unservable &&' ./node/gate -run 'Hopeless'
 try "a told time is not spread" node/gate/refuse.go \
@@ -725,11 +722,9 @@
 try "a new term asks again for what waited" node/coordinator/permits/permits.go \
   'p.askTeamsAgain()' '' ./node/coordinator/permits -run 'ANewTerm'
 try "a promised time is told as it is" node/gate/limits.go \
-  'if !o.promised {' 'if true {' ./node/gate -run 'WhatItWasPromised'
+  'if !o.promised && !o.exact {' 'if true {' ./node/gate -run 'WhatItWasPromised'
 try "what the coordinator let wait is not sent without it" node/gate/permit.go \
   'errors.As(err, &denied) && q.needs' 'errors.As(err, &denied) && false && q.needs' ./node/gate -run 'LetWait'
-try "requests for other upstreams do not count" node/coordinator/permits/permits.go \
-  ' || !may(w) {' ' {' ./node/coordinator/permits -run 'DoNotHoldOneBack'
 try "a load goes where others leave room" core/replica/spread.go \
   'share := max(level-r.othersLoad(), 0) * r.at.capacity' 'share := r.share + 0*level' ./core/replica -run 'Spread'
 try "no room at the cost of another upstream's" core/replica/room.go \
@@ -750,4 +745,11 @@
   'return max(e.RemoteMs, min(localityRoundTrips*e.RemoteMs, slack))' 'return max(e.RemoteMs, localityRoundTrips*e.RemoteMs+0*slack)' ./core/balance -run 'Distant'
 try "the shortest round trip counts" core/distance/distance.go \
   'ok && least <= took' 'ok && least < 0 && took < 0' ./core/distance
+try "the way between data centres is no slowness" node/coordinator/permits/speeds.go \
+  'way += p.deps.RoundTrip(g.event.DataCentre, other)' 'way += 0' ./node/coordinator/permits -run 'NoSlowness'
+try "a frozen engine gets one prompt at a time" core/prefill/advance.go \
+  'case !since.IsZero() && g.at.After(since):' 'case false:' ./node/coordinator/permits -run 'AFrozenEngine'
+try "ages are told by team" node/gate/age.go \
+  'e := a.byKind[kind]' 'kind.team = ""
+	e := a.byKind[kind]' ./node/gate -run 'AnotherTeams'
 exit $missed
