--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -160,6 +160,7 @@
 		q.recordSlowdown(p.permit, info.Load.Slowdown)
 	}
 	q.applySignals(e, resp.Status, &info)
+	q.recordUnproven(e, resp, &info)
 	if info.NotRun {
 		q.recordNoRoom(e, p.permit, resp.Status, info.Load)
 		return q.refused(e, a, resp, info)
--- a/node/gate/retrybudget.go
+++ b/node/gate/retrybudget.go
@@ -162,10 +162,19 @@
 func (q *request) recordSend() {
 	if q.writes > 0 {
 		q.g.deps.Metrics.Add(metrics.ServiceRetries, q.service.Name, retrySent, 1)
+		q.g.deps.Log.Emit(event.RetrySent, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Bool("charged", !q.chargedAt.IsZero()), q.sinceCharge())
 	}
 	q.recordWrites(1)
 }
 
+// sinceCharge is the log field for how long ago the next attempt was charged.
+func (q *request) sinceCharge() zap.Field {
+	if q.chargedAt.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64("charged_ms", q.g.deps.Now().Sub(q.chargedAt).Milliseconds())
+}
+
 // recordWrites counts attempts that were written to an upstream's connection, or may have
 // been.
 func (q *request) recordWrites(n int) {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -24,6 +24,9 @@
 	Attempts   Name = "attempts_total"
 	Refused    Name = "attempts_refused_total"
 	Mismatched Name = "answers_crossed_total"
+	// AnswersUnproven counts responses that do not name the request they came for, by service
+	// and upstream.
+	AnswersUnproven Name = "answers_unproven_total"
 	// BackoffsRequested counts responses that asked this host to send nothing for a while.
 	BackoffsRequested Name = "attempts_rest_asked_total"
 	// BrittleRefusals counts refusals by upstreams that are brittle.
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -243,6 +243,7 @@
 	if !r.NewConnection {
 		if l := p.takeIdle(time.Now(), c.cfg.MaxIdleTime); l != nil {
 			l.written, l.read, l.reused = 0, 0, true
+			l.exchanges++
 			return l, nil
 		}
 	}
@@ -346,6 +347,17 @@
 // Reused reports whether the exchange used a pooled connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
+// ConnUse is how a connection had been used when an exchange began on it.
+type ConnUse struct {
+	Exchanges int           // exchanges on it, with this one
+	Idle      time.Duration // since the one before; 0 for the first
+}
+
+// ConnUse returns how the connection of the exchange had been used.
+func (r *Response) ConnUse() ConnUse {
+	return ConnUse{Exchanges: r.conn.exchanges, Idle: r.conn.idleBefore}
+}
+
 // statedIdleShare is the share of an upstream's stated idle time that is used: the
 // remainder covers a request's transit time and the rounding to whole seconds.
 const statedIdleShare = 0.8
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -36,13 +36,14 @@
 	headRemaining int64  // bytes that the head of the answer may still take; negative while no head is read
 	read          int64  // bytes received in the current exchange
 	reused        bool   // the current exchange is not the first
+	exchanges     int    // number of the current exchange; the first is 1
 	idleSince     time.Time
 	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
 	idleBefore    time.Duration // how long it was idle before the current exchange
 }
 
 func newPersistConn(nc net.Conn, p *pool, gen uint64) *persistConn {
-	l := &persistConn{nc: nc, pool: p, gen: gen, headRemaining: -1}
+	l := &persistConn{nc: nc, pool: p, gen: gen, headRemaining: -1, exchanges: 1}
 	l.br = bufio.NewReaderSize(l, readBufferSize)
 	return l
 }
