An answer is known to be the request's own before anything is read from it

What callers saw: requests that may run once ran twice, or got 503, 429 or 421 and ran. Cause: checkResponse looked at "not run", load and limits before it compared the id that an answer names. A late second refusal of one request, read where the answer to the next one was due, was taken for that one's refusal; it went to another upstream, or its caller was refused, while it ran. The connection went back to the pool one answer off, so that each request after it got the answer to the one before. Ruled out: writes and withdrawals that count as not run (no case without an id that differs), other hosts' words (one host in the test). Now the client establishes whose answer a head is, before Do returns it: answers that name another request are passed over, bounded in bytes and time, and the request's own is read after them; one that names none is the request's only as the first on a new connection. If the own answer cannot be read, the request may have run. A connection that brought a foreign answer is not used again. Signals of a foreign answer are checked by TestNothingIsTakenFromAnotherRequestsAnswer now, on the wire, in place of two rows that handed one to applySignals directly.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -99,7 +99,9 @@
 		s.HasUrgency = true
 	}
 	q.g.deps.Codec.SetAttempt(h, s)
-	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body, StillWanted: func() bool { return q.stillWanted(e) }}
+	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		StillWanted: func() bool { return q.stillWanted(e) },
+		Owner: q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
 }
 
 // stillWanted reports whether an attempt whose connection is open should be sent. From
@@ -140,6 +142,9 @@
 	case errors.Is(err, conn.ErrNoLongerWanted):
 		a.Cancelled()
 		return result{notRun: true, why: "asked_meanwhile", withdrawn: true}
+	case errors.Is(err, conn.ErrForeignAnswer):
+		a.Interrupted(whyForeign)
+		return result{why: whyForeign}
 	case notRun:
 		why = fleet.WhyUnconnected
 		a.Interrupted(why)
@@ -152,7 +157,7 @@
 	return result{notRun: notRun, why: why, unsent: notRun}
 }
 
-// checkResponse checks the head of a response and decides how it is handled.
+// checkResponse checks the head of the request's own response and decides how it is handled.
 func (q *request) checkResponse(ctx context.Context, fo *failover, e *fleet.Entry, a *fleet.Attempt, p selection, resp *conn.Response) result {
 	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
 	if info.Load != nil {
@@ -160,7 +165,6 @@
 		q.recordSlowdown(p.permit, info.Load.Slowdown)
 	}
 	q.applySignals(e, resp.Status, &info)
-	q.recordUnproven(e, resp, &info)
 	if info.NotRun {
 		q.recordNoRoom(e, p.permit, resp.Status, info.Load)
 		return q.refused(e, a, resp, info)
@@ -168,10 +172,6 @@
 	q.possibleRuns++
 	q.framing, q.insideEvent = resp.Framing, false
 	switch {
-	case info.AttemptID != "" && info.AttemptID != q.info.AttemptID:
-		// These are bytes of another request's response, so the rest of the connection is unusable too.
-		q.g.deps.Log.Emit(event.AnswerMismatched, q.id(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", info.AttemptID))
-		return q.rejectResponse(a, resp, "crossed")
 	case resp.Status < 300 && (!info.Sealed || info.AttemptID == ""):
 		return q.rejectResponse(a, resp, "unsealed")
 	case resp.Status >= 300 && resp.Status < 400:
--- a/node/gate/attribution.go
+++ b/node/gate/attribution.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"net/http"
+
 	"go.uber.org/zap"
 
 	"peridotpier.example/node/event"
@@ -9,14 +11,25 @@
 	"peridotpier.example/node/upstream/conn"
 )
 
-// recordUnproven records a response that does not name the request it came for.
-func (q *request) recordUnproven(e *fleet.Entry, resp *conn.Response, info *ResponseInfo) {
-	if info.AttemptID == q.info.AttemptID {
-		return
+// whyForeign is why an attempt is over whose connection brought the answer to another request.
+const whyForeign = "crossed"
+
+// ownerOf tells whose response an upstream's response is.
+func (q *request) ownerOf(h http.Header) conn.Owner {
+	switch q.g.deps.Codec.AnsweredAttempt(h) {
+	case q.info.AttemptID:
+		return conn.OwnedByRequest
+	case "":
+		return conn.OwnerUnnamed
+	default:
+		return conn.OwnedByOther
 	}
-	d, use := &q.g.deps, resp.ConnUse()
+}
+
+// recordForeign records a response that is not proven to be that to the request.
+func (q *request) recordForeign(e *fleet.Entry, a conn.ForeignAnswer) {
+	d := &q.g.deps
 	d.Metrics.Add(metrics.AnswersUnproven, q.service.Name, e.ID(), 1)
-	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", info.AttemptID),
-		zap.Int("status", resp.Status), zap.Bool("not_run", info.NotRun), zap.Int("exchange", use.Exchanges), zap.Int64("idle_ms", use.Idle.Milliseconds()),
-		zap.Bool("believed", info.NotRun))
+	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", d.Codec.AnsweredAttempt(a.Header)),
+		zap.Int("status", a.Status), zap.Int("exchange", a.Use.Exchanges), zap.Int64("idle_ms", a.Use.Idle.Milliseconds()))
 }
--- /dev/null
+++ b/node/gate/attribution_test.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+)
+
+// namedCodec reads what a response says from headers of its own.
+type namedCodec struct{ plainCodec }
+
+func (namedCodec) AnsweredAttempt(h http.Header) string { return h.Get("Names") }
+
+func (namedCodec) DecodeResponse(_ int, h http.Header) ResponseInfo {
+	return ResponseInfo{AttemptID: h.Get("Names"), Sealed: h.Get("Sealed") != "", NotRun: h.Get("Not-Run") != "", Draining: h.Get("Leaving") != ""}
+}
+
+// startScriptedUpstream writes the answers to each request that it reads.
+func startScriptedUpstream(t *testing.T, answers ...string) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for br := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					for _, a := range answers {
+						_, _ = io.WriteString(c, a)
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func textAnswer(status int, headers, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+const ownAnswer = "Names: a1\r\nSealed: 1\r\n"
+
+// Guards against taking anything from the answer to another request: its status, its promise
+// that a request did not run, what it says of the upstream.
+func TestNothingIsTakenFromAnotherRequestsAnswer(t *testing.T) {
+	own := textAnswer(http.StatusOK, ownAnswer, "own")
+	for name, foreign := range map[string]string{
+		"whole":               textAnswer(http.StatusOK, "Names: other\r\nSealed: 1\r\nLeaving: 1\r\n", "other"),
+		"refusal":             textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\nLeaving: 1\r\n", "full"),
+		"redirected":          textAnswer(http.StatusMisdirectedRequest, "Names: other\r\nNot-Run: 1\r\n", ""),
+		"failure":             textAnswer(http.StatusInternalServerError, "Names: other\r\nSealed: 1\r\n", "failed"),
+		"in chunks":           "HTTP/1.1 503 X\r\nNames: other\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"two in a row":        textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\n", "full") + textAnswer(http.StatusOK, "Names: third\r\nSealed: 1\r\n", "third"),
+		"unnamed behind that": textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\n", "full") + textAnswer(http.StatusServiceUnavailable, "Not-Run: 1\r\n", "full"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, f := newGate(&noModelCoordinator{}, startScriptedUpstream(t, foreign, own))
+			g.deps.Codec = namedCodec{}
+			changeRoute(g, func(r *deploy.Route) { r.Kind, r.Attempts = deploy.NonIdempotent, 1 })
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
+			assert.Equal(t, w.Code, http.StatusOK)
+			assert.Equal(t, w.Body.String(), "own")
+			e, _ := f.Entry("u")
+			assert.Assert(t, e.Usable(), "what the other answer says of the upstream is not applied")
+		})
+	}
+}
+
+// Guards against a promise that nobody made: where the own answer does not follow that to
+// another request, the request may have run.
+func TestARequestBehindAnotherRequestsAnswerMayHaveRun(t *testing.T) {
+	for name, foreign := range map[string]string{
+		"ends its connection": "HTTP/1.1 503 X\r\nNames: other\r\nNot-Run: 1\r\n\r\nno length",
+		"says that it closes": textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\nConnection: close\r\n", ""),
+		"too large":           textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\n", string(make([]byte, 100<<10))),
+		"cut":                 textAnswer(http.StatusServiceUnavailable, "Names: other\r\nNot-Run: 1\r\n", "full")[:20],
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, _ := newGate(&noModelCoordinator{}, startScriptedUpstream(t, foreign))
+			g.deps.Codec = namedCodec{}
+			changeRoute(g, func(r *deploy.Route) { r.Kind, r.Attempts, r.Timeout = deploy.NonIdempotent, 1, 3e9 })
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
+			assert.Assert(t, w.Code == http.StatusBadGateway || w.Code == http.StatusGatewayTimeout, "%d", w.Code)
+		})
+	}
+}
--- a/node/gate/signals.go
+++ b/node/gate/signals.go
@@ -14,13 +14,13 @@
 // sourceOwnResponse is the source of signals that this host received itself.
 const sourceOwnResponse = "answer"
 
-// applySignals applies the signals on an upstream's response. A response to another
-// attempt, or without the upstream's seal, says nothing about this upstream; a
+// applySignals applies the signals on the upstream's response to the request. One that
+// names no request, or is without the upstream's seal, says nothing about this upstream; a
 // refusal has no seal and may omit signals that other responses have.
 func (q *request) applySignals(e *fleet.Entry, status int, info *ResponseInfo) {
-	mismatched := info.AttemptID != q.info.AttemptID && (info.AttemptID != "" || !info.NotRun)
+	unnamed := info.AttemptID == "" && !info.NotRun
 	refusal := info.NotRun || status == http.StatusServiceUnavailable
-	if mismatched || status == http.StatusMisdirectedRequest || !info.Sealed && !refusal {
+	if unnamed || status == http.StatusMisdirectedRequest || !info.Sealed && !refusal {
 		return
 	}
 	s := backpressure.Signal{Limit: info.Limit, Brittle: info.Brittle, Draining: info.Draining, SentAt: q.sentAt, ReceivedAt: q.g.deps.Now()}
--- a/node/gate/signals_test.go
+++ b/node/gate/signals_test.go
@@ -80,10 +80,8 @@
 	}{
 		{http.StatusOK, ResponseInfo{AttemptID: "a1", Sealed: true, Draining: true}, true},
 		{http.StatusOK, ResponseInfo{AttemptID: "a1", Draining: true}, false},
-		{http.StatusOK, ResponseInfo{AttemptID: "other", Sealed: true, Draining: true}, false},
 		{http.StatusServiceUnavailable, ResponseInfo{AttemptID: "a1", NotRun: true, Draining: true}, true},
 		{http.StatusServiceUnavailable, ResponseInfo{NotRun: true, Draining: true}, true},
-		{http.StatusServiceUnavailable, ResponseInfo{AttemptID: "other", NotRun: true, Draining: true}, false},
 		{http.StatusMisdirectedRequest, ResponseInfo{AttemptID: "a1", NotRun: true, Draining: true}, false},
 	} {
 		g, f := newGate(&noModelCoordinator{}, "127.0.0.1:1")
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -32,6 +32,8 @@
 
 func (plainCodec) SetForwarded(http.Header, time.Duration, string) {}
 
+func (plainCodec) AnsweredAttempt(http.Header) string { return "a1" }
+
 func (plainCodec) DecodeResponse(int, http.Header) ResponseInfo {
 	return ResponseInfo{AttemptID: "a1", Sealed: true}
 }
--- a/node/gate/wire.go
+++ b/node/gate/wire.go
@@ -62,6 +62,9 @@
 	// SetForwarded sets the time left, and the event after which a stream is resumed, of a
 	// request that is forwarded to another host; "" leaves what the caller sent.
 	SetForwarded(h http.Header, timeLeft time.Duration, lastEventID string)
-	// DecodeResponse decodes the head of an upstream's response.
+	// AnsweredAttempt returns the id of the attempt that an upstream's response names; "":
+	// none. Nothing else is read of a response before it is known to be the request's.
+	AnsweredAttempt(h http.Header) string
+	// DecodeResponse decodes the head of an upstream's response to the request.
 	DecodeResponse(status int, h http.Header) ResponseInfo
 }
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -75,6 +75,11 @@
 	// StillWanted reports whether the request should still be sent. It is called
 	// once the connection is open, since dialling may take seconds. nil sends always.
 	StillWanted func() bool
+	// Owner tells from the head of an answer whose answer it is. The answers of a peer that
+	// may send some twice, or late, need one: nil takes each for the request's own.
+	Owner func(h http.Header) Owner
+	// OnForeign is called for each answer that is not proven to be the request's; nil: none is.
+	OnForeign func(ForeignAnswer)
 
 	bodyReader *bodyReader // reads Stream
 }
@@ -103,8 +108,10 @@
 	ended  atomic.Bool
 }
 
-// Do writes the request and reads the head of the answer. The error is a
-// *fault.Error, with the outcome NotRun when no byte was written, else Unknown.
+// Do writes the request and reads the head of its answer. The error is a
+// *fault.Error, with the outcome NotRun when no byte was written, else Unknown. Answers
+// that are not proven to be the request's are passed over; if its own cannot be read then,
+// the error is an ErrForeignAnswer.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil { // a pooled connection would still accept the request
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", err)
@@ -118,6 +125,7 @@
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", ErrNoLongerWanted)
 	}
 	stop := context.AfterFunc(ctx, l.reset)
+	l.sentHead = l.sentHead || r.Method == http.MethodHead
 	req := r.httpRequest()
 	resp, err := c.exchange(l, r, req)
 	if err != nil {
@@ -138,7 +146,7 @@
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
-		client: c, conn: l, close: resp.Close, stop: stop}, nil
+		client: c, conn: l, close: resp.Close || l.foreign, stop: stop}, nil
 }
 
 // exchange writes req and reads the head of its answer. An upstream that
@@ -162,7 +170,7 @@
 	if err != nil && l.written == 0 {
 		return nil, err
 	}
-	resp, readErr := l.readHead(req)
+	resp, readErr := l.readOwn(r, req)
 	if readErr != nil {
 		return nil, errors.Join(err, readErr)
 	}
@@ -191,7 +199,7 @@
 		}
 		written <- err
 	}()
-	resp, err := l.readHead(req)
+	resp, err := l.readOwn(r, req)
 	if err != nil {
 		l.reset()
 		return nil, errors.Join(<-written, err)
@@ -355,7 +363,7 @@
 
 // ConnUse returns how the connection of the exchange had been used.
 func (r *Response) ConnUse() ConnUse {
-	return ConnUse{Exchanges: r.conn.exchanges, Idle: r.conn.idleBefore}
+	return r.conn.use()
 }
 
 // statedIdleShare is the share of an upstream's stated idle time that is used: the
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -37,6 +37,8 @@
 	read          int64  // bytes received in the current exchange
 	reused        bool   // the current exchange is not the first
 	exchanges     int    // number of the current exchange; the first is 1
+	foreign       bool   // an answer came that is not proven to be that of its exchange
+	sentHead      bool   // a HEAD request was sent: whether an answer has a body depends on whose it is
 	idleSince     time.Time
 	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
 	idleBefore    time.Duration // how long it was idle before the current exchange
@@ -48,6 +50,8 @@
 	return l
 }
 
+func (l *persistConn) use() ConnUse { return ConnUse{Exchanges: l.exchanges, Idle: l.idleBefore} }
+
 // reset closes the connection of an abandoned exchange and discards what the kernel
 // has not sent yet. After a plain close the kernel goes on sending: a request held
 // up by a network failure would reach its upstream seconds later, when the caller
