Operators see which upstreams send answers to other requests

pierctl hoststatus and the status page count, by upstream, status and whose answer it was (other, unnamed), what was passed over. answers_unproven_total is counted in the same way; by service it did not show the status. The gate's test of foreign answers checks that each is counted.

--- a/cmd/pierctl/hoststatus.go
+++ b/cmd/pierctl/hoststatus.go
@@ -75,7 +75,7 @@
 	for _, part := range []struct {
 		title string
 		by    map[string]int64
-	}{{"calls of this host", s.PeerCalls}, {"bytes", s.PeerBytes}, {"calls of the store", s.StoreCalls}} {
+	}{{"calls of this host", s.PeerCalls}, {"bytes", s.PeerBytes}, {"calls of the store", s.StoreCalls}, {"answers unproven", s.Unproven}} {
 		for _, kind := range slices.Sorted(maps.Keys(part.by)) {
 			fmt.Printf("%-20s %-32s %d\n", part.title, kind, part.by[kind])
 		}
--- a/node/gate/attribution_test.go
+++ b/node/gate/attribution_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/metrics"
 )
 
 // namedCodec reads what a response says from headers of its own.
@@ -80,6 +81,7 @@
 			assert.Equal(t, w.Body.String(), "own")
 			e, _ := f.Entry("u")
 			assert.Assert(t, e.Usable(), "what the other answer says of the upstream is not applied")
+			assert.Assert(t, len(g.deps.Metrics.CountsByKind(metrics.AnswersUnproven)) > 0)
 		})
 	}
 }
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -24,9 +24,6 @@
 	Attempts   Name = "attempts_total"
 	Refused    Name = "attempts_refused_total"
 	Mismatched Name = "answers_crossed_total"
-	// AnswersUnproven counts responses that do not name the request they came for, by service
-	// and upstream.
-	AnswersUnproven Name = "answers_unproven_total"
 	// BackoffsRequested counts responses that asked this host to send nothing for a while.
 	BackoffsRequested Name = "attempts_rest_asked_total"
 	// BrittleRefusals counts refusals by upstreams that are brittle.
@@ -46,6 +43,9 @@
 	Retries        Name = "requests_sent_again_total"
 	// ResponseEnds counts the ends of upstreams' responses, by framing and by whether the response was complete.
 	ResponseEnds      Name = "answer_ends_total"
+	// AnswersUnproven counts responses that are not proven to be those of the requests for which
+	// they came, by upstream, status and whose they are.
+	AnswersUnproven   Name = "answers_unproven_total"
 	CallerDisconnects Name = "requests_left_by_caller_total"
 	OverLimit         Name = "requests_over_limit_total" // refused since they were over their teams' limits, by rank of the route
 	// LimitPromises and LimitPromisesKept count the times that this host, as the acting
--- a/node/upstream/conn/attribution.go
+++ b/node/upstream/conn/attribution.go
@@ -17,6 +17,9 @@
 	OwnerUnnamed                // it names none
 )
 
+// String returns the owner's name in metrics.
+func (o Owner) String() string { return [...]string{"own", "other", "unnamed"}[o] }
+
 // ForeignAnswer describes an answer that is not proven to be the one to the request of its
 // exchange.
 type ForeignAnswer struct {
