--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -42,7 +42,7 @@
 	Tokens         Name = "tokens_relayed_total"
 	Retries        Name = "requests_sent_again_total"
 	// ResponseEnds counts the ends of upstreams' responses, by framing and by whether the response was complete.
-	ResponseEnds      Name = "answer_ends_total"
+	ResponseEnds Name = "answer_ends_total"
 	// AnswersUnproven counts responses that are not proven to be those of the requests for which
 	// they came, by upstream, status and whose they are.
 	AnswersUnproven   Name = "answers_unproven_total"
