--- a/core/quota/promise.go
+++ b/core/quota/promise.go
@@ -24,9 +24,8 @@
 // promises are those of one rank, in the order of their times. A promise is known by the
 // cost of its request only: whoever asks for as much at its time redeems it.
 type promises struct {
-	all     []promise
-	nextAt  time.Time // before which all room for returning requests is promised
-	pending float64   // cost of all
+	all    []promise
+	nextAt time.Time // before which all room for returning requests is promised
 }
 
 // add promises room for a cost from the given time on, if that is early enough, and
@@ -41,7 +40,6 @@
 	}
 	p.nextAt = at.Add(time.Duration(min(cost/perSecond, rankMemory.Seconds()) * float64(time.Second))) // by then the demand is another one
 	p.all = append(p.all, promise{at, cost})
-	p.pending += cost
 	return at, true
 }
 
@@ -64,18 +62,13 @@
 func (p *promises) expire(now time.Time) {
 	n := 0
 	for n < len(p.all) && now.After(p.all[n].at.Add(promiseLapse)) {
-		p.pending -= p.all[n].cost
 		n++
 	}
 	if n > 0 {
 		p.all = append(p.all[:0], p.all[n:]...)
 	}
-	if len(p.all) == 0 {
-		p.pending = 0
-	}
 }
 
 func (p *promises) drop(i int) {
-	p.pending -= p.all[i].cost
 	p.all = append(p.all[:i], p.all[i+1:]...)
 }
