--- a/node/claim/rangelog.go
+++ b/node/claim/rangelog.go
@@ -115,22 +115,8 @@
 }
 
 func (r *Range) readLog(ctx context.Context) error {
-	after := ""
-	for {
-		rows, err := r.deps.Table.List(ctx, logKeyPrefix(r.id), after, logPageRows)
-		if err != nil {
-			return eris.Wrapf(err, "read log of claim range %d", r.id)
-		}
-		for _, row := range rows {
-			if err := r.replayLogRow(row); err != nil {
-				return err
-			}
-			after = row.Key
-		}
-		if len(rows) < logPageRows {
-			return nil
-		}
-	}
+	err := store.EachRow(ctx, r.deps.Table, logKeyPrefix(r.id), logPageRows, r.replayLogRow)
+	return eris.Wrapf(err, "read log of claim range %d", r.id)
 }
 
 func (r *Range) replayLogRow(row store.Row) error {
--- a/node/planner/ledger.go
+++ b/node/planner/ledger.go
@@ -62,21 +62,10 @@
 	if err := l.claimEpoch(ctx, hold); err != nil {
 		return nil, err
 	}
-	for after := ""; ; {
-		rows, err := tb.List(ctx, l.prefix(), after, listPageRows)
-		if err != nil {
-			return nil, eris.Wrap(err, "read the ledger")
-		}
-		for _, r := range rows {
-			if err := l.cacheRow(r); err != nil {
-				return nil, err
-			}
-			after = r.Key
-		}
-		if len(rows) < listPageRows {
-			return l, nil
-		}
+	if err := store.EachRow(ctx, tb, l.prefix(), listPageRows, l.cacheRow); err != nil {
+		return nil, eris.Wrap(err, "read the ledger")
 	}
+	return l, nil
 }
 
 // claimEpoch writes the epoch row. The rows are read only after this, so that an
