Open connections are kept as a host notices that no new one opens

Ruled out: connections that upstreams closed (none did), idle bounds (all were in use 16 ms before). Now attempts are aborted only where open connections do not work either; one that stays silent is left after its usual time. TestAttemptsOnOpenConnectionsAreKeptWhenNoNewOneOpens failed before (1 aborted).

--- a/node/reach/monitor.go
+++ b/node/reach/monitor.go
@@ -198,11 +198,14 @@
 	m.deps.Metrics.Count(metrics.Partitions, 1)
 	m.deps.Log.Emit(event.PartitionBegan, zap.String("cause", string(cause)), zap.Bool("mute", mute), zap.Int64("since_ms", now.Sub(since).Milliseconds()), zap.Int("dials", dials))
 	m.deps.OnChange(true)
-	if m.opensNothingNew() {
-		m.deps.Fleet.ForgetFailures() // open connections to upstreams that refuse new ones may work
+	openWork := m.opensNothingNew() // then what was sent on open connections may still be answered
+	if openWork {
+		m.deps.Fleet.ForgetFailures()
 	}
 	m.callOnBegin()
-	m.deps.Fleet.AbortSilent()
+	if !openWork {
+		m.deps.Fleet.AbortSilent()
+	}
 	m.deps.Fleet.NotifyChanged() // requests that wait for an upstream can take another way
 }
 
--- a/node/reach/monitor_test.go
+++ b/node/reach/monitor_test.go
@@ -386,3 +386,32 @@
 		assert.Assert(t, takes(5*time.Second, d.Needed) <= time.Second)
 	})
 }
+
+// Guards against a host that gives up, as it notices that no new connection opens, the attempts
+// which it has just sent over open ones, and with them these connections.
+func TestAttemptsOnOpenConnectionsAreKeptWhenNoNewOneOpens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, names("s", 3)...)
+		var sent *fleet.Attempt
+		aborted := 0
+		s.monitor.OnBegin(func() {
+			if sent == nil {
+				sent = s.begin("s-0")
+				sent.OnUnresponsive(func() { aborted++ })
+			}
+		})
+		open := s.begin("s-1")
+		defer s.run(t)()
+		s.lose("s")
+		for range 10 {
+			open.ReceivedBytes()
+			for _, id := range names("s", 3) {
+				s.begin(id).NotListening()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, s.monitor.Partitioned())
+		assert.Assert(t, sent != nil)
+		assert.Equal(t, aborted, 0)
+	})
+}
