An upstream that was sent a request is remembered until the request ends

What callers could see: a stream that goes on at a second upstream while the first one runs it. The list of those it may have been sent to is one of its own now and never cleared. TestAConnectionCarriesARequestOnce failed before: the second copy's connection carried the request twice.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -49,8 +49,8 @@
 		}
 		defer func() { p.permit.end(a.MayStillRun(), a.IsComplete()) }()
 	}
-	again := q.tried[e.ID()]
-	q.tried[e.ID()] = true
+	again := q.sentTo[e.ID()]
+	q.tried[e.ID()], q.sentTo[e.ID()] = true, true
 	q.sends++
 	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
 	fo := &failover{q: q, ctx: ctx, cancel: cancel}
--- a/node/gate/attribution_test.go
+++ b/node/gate/attribution_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -105,3 +107,50 @@
 		})
 	}
 }
+
+// Guards against a request that goes over a connection a second time, on which a late answer
+// names it though it is that to its earlier attempt: also after a pause in which any upstream
+// may be tried again.
+func TestAConnectionCarriesARequestOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	events := "HTTP/1.1 200 X\r\n" + ownAnswer + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	event := func(n int) string { return fmt.Sprintf("13\r\nid: %d\ndata: piece\n\n\r\n", n) }
+	answers := []string{events + event(1), textAnswer(http.StatusServiceUnavailable, ownAnswer+"Not-Run: 1\r\n", "full"), events + event(2) + "0\r\n\r\n"}
+	var requests, again atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for n, br := 0, bufio.NewReader(c); ; n++ {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if n > 0 {
+						again.Add(1)
+					}
+					i := int(requests.Add(1)) - 1
+					_, _ = io.WriteString(c, answers[min(i, len(answers)-1)])
+					if i == 0 {
+						return // breaks off
+					}
+				}
+			}()
+		}
+	}()
+	g, _ := newGate(&noModelCoordinator{}, ln.Addr().String())
+	g.deps.Codec = namedCodec{}
+	changeRoute(g, func(r *deploy.Route) {
+		r.Kind, r.Resumable, r.Attempts, r.Timeout = deploy.Stream, true, 5, 5*time.Second
+	})
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
+	assert.Equal(t, w.Body.String(), "id: 1\ndata: piece\n\nid: 2\ndata: piece\n\n")
+	assert.Equal(t, requests.Load(), int32(3))
+	assert.Equal(t, again.Load(), int32(0), "the same request over one connection")
+}
