Answers that are not proven are counted by upstream and by class of status, each bounded

Found by review: a counter of one kind for each upstream, status and owner grew with all three, and its keys were never dropped. By upstream they are counted as all attempts are; by class of status and owner there are ten kinds.

--- a/node/gate/attribution.go
+++ b/node/gate/attribution.go
@@ -30,7 +30,8 @@
 // recordForeign records a response that is not proven to be that to the request.
 func (q *request) recordForeign(e *fleet.Entry, a conn.ForeignAnswer) {
 	d := &q.g.deps
-	d.Metrics.CountKind(metrics.AnswersUnproven, fmt.Sprintf("%s %d %v", e.ID(), a.Status, a.Owner), 1)
+	d.Metrics.Add(metrics.AnswersUnproven, q.service.Name, e.ID(), 1)
+	d.Metrics.CountKind(metrics.AnswersUnprovenKinds, fmt.Sprintf("%dxx %v", a.Status/100, a.Owner), 1)
 	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", d.Codec.AnsweredAttempt(a.Header)),
 		zap.Int("status", a.Status), zap.Int("exchange", a.Use.Exchanges), zap.Int64("idle_ms", a.Use.Idle.Milliseconds()))
 }
--- a/node/gate/attribution_test.go
+++ b/node/gate/attribution_test.go
@@ -83,7 +83,7 @@
 			assert.Equal(t, w.Body.String(), "own")
 			e, _ := f.Entry("u")
 			assert.Assert(t, e.Usable(), "what the other answer says of the upstream is not applied")
-			assert.Assert(t, len(g.deps.Metrics.CountsByKind(metrics.AnswersUnproven)) > 0)
+			assert.Assert(t, g.deps.Metrics.CountsByUpstream(metrics.AnswersUnproven)["s u"] > 0)
 		})
 	}
 }
--- a/node/host/status.go
+++ b/node/host/status.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -36,7 +37,7 @@
 	Software      map[string]int   `json:"software"`         // upstreams by service and version of their software
 	Streams       int              `json:"streams_known"`    // whose version this host knows
 	TakenUp       map[string]int64 `json:"streams_taken_up"` // by callers, by what became of them
-	Unproven      map[string]int64 `json:"answers_unproven"` // answers of upstreams that are not proven to be the request's, by upstream, status and owner
+	Unproven      map[string]int64 `json:"answers_unproven"` // answers that are not proven to be the request's, by service and upstream, and by class of status and owner
 	Speeds        []UpstreamSpeed  `json:"upstream_speeds"`  // upstreams that differ from the others of their service
 	PeerCalls     map[string]int64 `json:"peer_calls"`       // calls of other hosts to this one, by kind
 	PeerBytes     map[string]int64 `json:"peer_bytes"`       // bytes of reports to this host, and of its answers by field
@@ -65,7 +66,8 @@
 			Upstreams: len(h.fleet.All()), StoreEra: h.deps.Platform.Eras.Newest(), ListEra: store.EraOf(h.feed.UpstreamsVersion()), ListVersion: store.NumberOf(h.feed.UpstreamsVersion()), PeerCalls: h.deps.Metrics.CountsByKind(metrics.PeerCalls),
 			PeerBytes: h.deps.Metrics.CountsByKind(metrics.PeerBytes), StoreCalls: h.deps.Metrics.CountsByKind(metrics.StoreCalls)}
 		s.Software, s.Streams, s.TakenUp = h.softwareVersions(), h.origins.Len(), h.deps.Metrics.CountsByKind(metrics.StreamsTakenUp)
-		s.Unproven = h.deps.Metrics.CountsByKind(metrics.AnswersUnproven)
+		s.Unproven = h.deps.Metrics.CountsByUpstream(metrics.AnswersUnproven)
+		maps.Copy(s.Unproven, h.deps.Metrics.CountsByKind(metrics.AnswersUnprovenKinds))
 		s.Speeds = h.upstreamSpeeds(time.Now())
 		s.Detours, s.Waiting = h.link.DetourHosts(), h.coord.Permits().Waiting()
 		s.Places = h.places()
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -24,6 +24,9 @@
 	Attempts   Name = "attempts_total"
 	Refused    Name = "attempts_refused_total"
 	Mismatched Name = "answers_crossed_total"
+	// AnswersUnproven counts responses that are not proven to be those of the requests for which
+	// they came.
+	AnswersUnproven Name = "answers_unproven_total"
 	// BackoffsRequested counts responses that asked this host to send nothing for a while.
 	BackoffsRequested Name = "attempts_rest_asked_total"
 	// BrittleRefusals counts refusals by upstreams that are brittle.
@@ -43,11 +46,11 @@
 	Retries        Name = "requests_sent_again_total"
 	// ResponseEnds counts the ends of upstreams' responses, by framing and by whether the response was complete.
 	ResponseEnds Name = "answer_ends_total"
-	// AnswersUnproven counts responses that are not proven to be those of the requests for which
-	// they came, by upstream, status and whose they are.
-	AnswersUnproven   Name = "answers_unproven_total"
-	CallerDisconnects Name = "requests_left_by_caller_total"
-	OverLimit         Name = "requests_over_limit_total" // refused since they were over their teams' limits, by rank of the route
+	// AnswersUnprovenKinds counts the same as AnswersUnproven by class of status and by whose
+	// they are.
+	AnswersUnprovenKinds Name = "answers_unproven_kinds_total"
+	CallerDisconnects    Name = "requests_left_by_caller_total"
+	OverLimit            Name = "requests_over_limit_total" // refused since they were over their teams' limits, by rank of the route
 	// LimitPromises and LimitPromisesKept count the times that this host, as the acting
 	// coordinator, kept free for requests over their teams' limits, and those at which the
 	// request came back.
@@ -217,6 +220,27 @@
 	return out
 }
 
+// CountsByUpstream returns the values of a counter by "GROUP UPSTREAM".
+func (s *Set) CountsByUpstream(n Name) map[string]int64 {
+	out := map[string]int64{}
+	groups, ok := s.root.Get(string(n)).(*expvar.Map)
+	if !ok {
+		return out
+	}
+	groups.Do(func(group expvar.KeyValue) {
+		byUpstream, ok := group.Value.(*expvar.Map)
+		if !ok {
+			return
+		}
+		byUpstream.Do(func(kv expvar.KeyValue) {
+			if v, ok := kv.Value.(*expvar.Int); ok {
+				out[group.Key+" "+kv.Key] = v.Value()
+			}
+		})
+	})
+	return out
+}
+
 // AddTokens counts forwarded tokens; it is called for each token.
 func (s *Set) AddTokens(by int) { s.tokens.Add(int64(by)) }
 
