A head that begins as one answer and ends as another proves nothing

Callers could be told that a request did not run which ran: an upstream begins a late second answer to an earlier request, does not finish its head, and then answers the request. The two heads read as one: status and promise of the first, id of the second, so that the answer passed as the request's own.

Cause: a head is taken for one answer's, though a status line in the middle of a line shows that another one begins there. Ruled out as a defence: to test the connection before it is used, since the truncated bytes may come behind the request; several ids in a head, since the truncated one need not have reached its id.

Now a head with a status line inside its reason or a header's value ends the exchange as one whose own answer could not be read, interim answers included. Anywhere else a status line makes the head malformed already.

--- a/node/upstream/conn/attribution.go
+++ b/node/upstream/conn/attribution.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -30,6 +32,10 @@
 // the connection, and that the own answer could not be read after it.
 var ErrForeignAnswer = errors.New("the answer on the connection is not proven to be the request's")
 
+// errSplicedHead means that the head of an answer was truncated and that of another one
+// follows: what its lines say is of two requests.
+var errSplicedHead = fmt.Errorf("%w: its head holds the beginning of another answer", ErrForeignAnswer)
+
 const (
 	// maxForeignAnswers is how many answers in a row are passed over: each request that the
 	// connection carried can have one.
@@ -117,3 +123,40 @@
 	}
 	return l.nc.SetReadDeadline(next)
 }
+
+// isSpliced reports whether a head holds the beginning of another answer. A status line that
+// follows a truncated line is a part of the reason or of a header's value; anywhere else the
+// head is malformed.
+func isSpliced(resp *http.Response) bool {
+	if hasStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if hasStatusLine(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasStatusLine reports whether s holds the beginning of a status line, such as
+// "HTTP/1.1 200".
+func hasStatusLine(s string) bool {
+	const version, rest = "HTTP/1.", len("1 200")
+	for {
+		_, after, found := strings.Cut(s, version)
+		if !found {
+			return false
+		}
+		if len(after) >= rest && isDigits(after[:1]) && after[1] == ' ' && isDigits(after[2:rest]) {
+			return true
+		}
+		s = after
+	}
+}
+
+func isDigits(s string) bool {
+	return strings.Trim(s, "0123456789") == ""
+}
--- /dev/null
+++ b/node/upstream/conn/attribution_test.go
@@ -0,0 +1,84 @@
+package conn_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/node/upstream/conn"
+)
+
+// named returns a request that knows its answer by the header Id.
+func named(id string) *conn.Request {
+	return &conn.Request{Address: "u", Method: "POST", Path: "/", Header: http.Header{}, Body: []byte("x"), Owner: func(h http.Header) conn.Owner {
+		switch h.Get("Id") {
+		case id:
+			return conn.OwnedByRequest
+		case "":
+			return conn.OwnerUnnamed
+		}
+		return conn.OwnedByOther
+	}}
+}
+
+// write is something that a scripted upstream writes after a wait.
+type write struct {
+	after time.Duration
+	text  string
+}
+
+// script returns a server function that writes the given texts for each of its requests.
+func script(requests ...[]write) func(net.Conn) {
+	return func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		for _, writes := range requests {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			for _, w := range writes {
+				time.Sleep(w.after)
+				_, _ = io.WriteString(c, w.text)
+			}
+		}
+		_, _ = r.ReadByte() // until the peer closes
+	}
+}
+
+const ownOK = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+
+// second sends two requests over one connection and returns the answer to the second.
+func second(t *testing.T, writes ...write) (*conn.Response, error) {
+	c := conn.New(conn.Config{Dialer: &pipes{serve: script([]write{{text: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"}}, writes)}})
+	first, err := c.Do(t.Context(), named("a"))
+	assert.NilError(t, err)
+	_, err = first.ReadAll(10)
+	assert.NilError(t, err)
+	return c.Do(t.Context(), named("b"))
+}
+
+// Guards against a promise that a request did not run whose head begins with that of a
+// truncated answer to another request and ends with that of the request's own.
+func TestAHeadOfTwoAnswersIsNotBelieved(t *testing.T) {
+	head := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nServer: x\r\nId: a\r\n"
+	for cut := range len(head) {
+		synctest.Test(t, func(t *testing.T) {
+			resp, err := second(t, write{text: head[:cut]}, write{text: ownOK})
+			if err == nil {
+				assert.Equal(t, resp.Header.Get("Not-Run"), "", "cut after %q", head[:cut])
+				assert.Equal(t, resp.Status, http.StatusOK)
+				resp.Abort()
+			}
+		})
+	}
+}
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -99,6 +99,9 @@
 			}
 			return nil, err
 		}
+		if isSpliced(resp) {
+			return nil, errSplicedHead
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
