--- a/node/upstream/conn/attribution_test.go
+++ b/node/upstream/conn/attribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -55,7 +56,10 @@
 	}
 }
 
-const ownOK = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+const (
+	ownOK        = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 2\r\n\r\nok"
+	otherRefusal = "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+)
 
 // second sends two requests over one connection and returns the answer to the second.
 func second(t *testing.T, writes ...write) (*conn.Response, error) {
@@ -82,3 +86,53 @@
 		})
 	}
 }
+
+// Guards against an own answer that is broken off at the bound of the answer before it.
+func TestAnOwnAnswerBehindAnothersMayTakeItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		resp, err := second(t, write{text: otherRefusal}, write{after: 2 * time.Second, text: ownOK[:len(ownOK)-2]}, write{after: 2 * time.Second, text: "ok"})
+		assert.NilError(t, err)
+		body, err := resp.ReadAll(10)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+	})
+}
+
+// Guards against an answer to another request that holds a request until its deadline, since
+// its body does not end.
+func TestTheBodyOfAnothersAnswerIsNotAwaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		_, err := second(t, write{text: otherRefusal[:len(otherRefusal)-2]})
+		assert.Assert(t, errors.Is(err, conn.ErrForeignAnswer), "%v", err)
+		assert.Assert(t, time.Since(began) <= 300*time.Millisecond, "%v", time.Since(began))
+	})
+}
+
+// Guards against an upstream that names no request and holds each one until its deadline.
+func TestAnOwnAnswerIsNotAwaitedForLongBehindOneThatNamesNoRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		_, err := second(t, write{text: ok})
+		assert.Assert(t, errors.Is(err, conn.ErrForeignAnswer), "%v", err)
+		assert.Assert(t, time.Since(began) <= 1100*time.Millisecond, "%v", time.Since(began))
+	})
+}
+
+// Guards against waiting for an own answer behind one that ends with its connection, or that
+// says that the connection ends.
+func TestNothingIsReadBehindAnAnswerThatEndsItsConnection(t *testing.T) {
+	for name, text := range map[string]string{
+		"no length": "HTTP/1.1 503 X\r\nId: a\r\nNot-Run: 1\r\n\r\nfull",
+		"close":     "HTTP/1.1 503 X\r\nId: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				_, err := second(t, write{text: text})
+				assert.Assert(t, errors.Is(err, conn.ErrForeignAnswer), "%v", err)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+			})
+		})
+	}
+}
