--- a/node/upstream/conn/attribution_test.go
+++ b/node/upstream/conn/attribution_test.go
@@ -89,13 +89,20 @@
 
 // Guards against an own answer that is broken off at the bound of the answer before it.
 func TestAnOwnAnswerBehindAnothersMayTakeItsTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		resp, err := second(t, write{text: otherRefusal}, write{after: 2 * time.Second, text: ownOK[:len(ownOK)-2]}, write{after: 2 * time.Second, text: "ok"})
-		assert.NilError(t, err)
-		body, err := resp.ReadAll(10)
-		assert.NilError(t, err)
-		assert.Equal(t, string(body), "ok")
-	})
+	for name, c := range map[string]struct {
+		other string
+		after time.Duration
+	}{"named": {otherRefusal, 2 * time.Second}, "unnamed": {ok, 500 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				resp, err := second(t, write{text: c.other}, write{after: c.after, text: ownOK[:len(ownOK)-2]}, write{after: 2 * time.Second, text: "ok"})
+				assert.NilError(t, err)
+				body, err := resp.ReadAll(10)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "ok")
+			})
+		})
+	}
 }
 
 // Guards against an answer to another request that holds a request until its deadline, since
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -127,8 +127,57 @@
 try "loads counted when they begin" node/coordinator/moves/storeloads.go \
   's.remove(at)
 	if' 'if' ./node/coordinator/moves
-try "answer to another attempt" node/gate/attempt.go \
-  'info.AttemptID != "" && info.AttemptID != q.info.AttemptID' 'false' ./platform -run 'Answers'
+try "answer to another attempt" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if true {' ./platform -run 'Answers|ALateAnswer'
+for status in 200 400 408 421 429 500 503; do
+  try "answer to another attempt, status $status" node/upstream/conn/attribution.go \
+    'if l.isProven(owner) {' "if l.isProven(owner) || resp.StatusCode == $status {" ./node/upstream/conn -run 'WhateverComes'
+done
+try "refusal to another attempt, status 503" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 503 {' ./platform -run 'ALateAnswer'
+try "refusal to another attempt, status 429" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 429 {' ./platform -run 'ALateAnswer'
+try "refusal to another attempt, status 421" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 421 {' ./platform -run 'ALateAnswer'
+try "answer to another attempt, a whole one" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode < 300 {' ./node/gate -run 'NothingIsTaken'
+try "answer to another attempt, a failure" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 500 {' ./node/gate -run 'NothingIsTaken'
+try "answer without an id on a used connection" node/upstream/conn/attribution.go \
+  '&& l.exchanges == 1 && !l.foreign' '&& !l.foreign' ./node/upstream/conn ./platform -run 'WhateverComes|ALateAnswer'
+try "answer without an id behind another's" node/upstream/conn/attribution.go \
+  '&& l.exchanges == 1 && !l.foreign' '&& l.exchanges == 1' ./node/upstream/conn -run 'WhateverComes'
+try "no connection is kept after another's answer" node/upstream/conn/client.go \
+  'close: resp.Close || l.foreign' 'close: resp.Close' ./node/upstream/conn -run 'WhateverComes'
+try "a connection of its own for a request that the upstream had" node/gate/attempt.go \
+  'NewConnection: again ||' 'NewConnection: again && false ||' ./platform -run 'AnEarlierAttempt'
+try "a connection of its own where it is asked for" node/upstream/conn/client.go \
+  'if !r.NewConnection {' 'if true {' ./node/upstream/conn -run 'WhateverComes'
+try "not run is no word of a success" platform/headers.go \
+  '!= "" && status >= http.StatusBadRequest' '!= ""' ./platform -run 'OnlyAFailure'
+try "a head of two answers" node/upstream/conn/conn.go \
+  'if isSpliced(resp) {' 'if false && isSpliced(resp) {' ./node/upstream/conn -run 'TwoAnswers'
+try "a head of two answers, in its reason" node/upstream/conn/attribution.go \
+  'if hasStatusLine(resp.Status) {' 'if false && hasStatusLine(resp.Status) {' ./node/upstream/conn -run 'TwoAnswers'
+try "nothing is read behind another's answer to HEAD" node/upstream/conn/attribution.go \
+  'resp.Close || l.sentHead ||' 'resp.Close ||' ./node/upstream/conn -run 'WhateverComes'
+try "nothing is read behind the end of a connection" node/upstream/conn/attribution.go \
+  '|| framingOf(resp) == ByConnection' '' ./node/upstream/conn -run 'NothingIsReadBehind'
+try "nothing is read behind an answer that says so" node/upstream/conn/attribution.go \
+  'if resp.Close || l.sentHead' 'if l.sentHead' ./node/upstream/conn -run 'NothingIsReadBehind'
+try "number of others' answers" node/upstream/conn/attribution.go \
+  'if n == maxForeignAnswers {' 'if false {' ./node/upstream/conn -run 'WhateverComes'
+try "bytes of another's answer" node/upstream/conn/attribution.go \
+  'if n > maxForeignBytes {' 'if false {' ./node/upstream/conn -run 'WhateverComes'
+try "time for another's answer" node/upstream/conn/attribution.go \
+  'time.Now().Add(foreignBodyTimeout)' 'time.Time{}' ./node/upstream/conn -run 'NotAwaitedForLong'
+try "time behind an answer without an id" node/upstream/conn/attribution.go \
+  'next = time.Now().Add(unnamedWait)' '_ = unnamedWait' ./node/upstream/conn -run 'NotAwaitedForLong'
+try "the own answer's time behind another's" node/upstream/conn/attribution.go \
+  'return l.nc.SetReadDeadline(next)' '_ = next
+	return nil' ./node/upstream/conn -run 'TakeItsTime'
+try "the own answer's time behind one without an id" node/upstream/conn/attribution.go \
+  'return resp, l.nc.SetReadDeadline(time.Time{})' 'return resp, nil' ./node/upstream/conn -run 'TakeItsTime'
 try "upstream's seal" node/gate/attempt.go \
   '(!info.Sealed || info.AttemptID == "")' 'false' ./platform -run 'Answers'
 try "no reuse of a connection that spoke" node/upstream/conn/pool.go \
