A status line in a header is another answer only where one can have begun

Found by review: a head with a status line in a header's value ended each exchange, with the store and on new connections, too, where no earlier answer can have been truncated: an upstream that quotes one failed for each request, as crossed, and no line said so. The new test failed before (new connection, and a peer without ids).

--- a/node/upstream/conn/attribution.go
+++ b/node/upstream/conn/attribution.go
@@ -56,7 +56,7 @@
 // requests.
 func (l *persistConn) readOwn(r *Request, req *http.Request) (*http.Response, error) {
 	for n := 0; ; n++ {
-		resp, err := l.readHead(req)
+		resp, err := l.readHead(r, req)
 		if err != nil && n > 0 {
 			return nil, errors.Join(ErrForeignAnswer, err)
 		}
--- a/node/upstream/conn/attribution_test.go
+++ b/node/upstream/conn/attribution_test.go
@@ -143,3 +143,22 @@
 		})
 	}
 }
+
+// Guards against an answer that is refused since a header of it quotes a status line, where no
+// other answer can have begun.
+func TestAStatusLineInAHeaderIsNoOtherAnswerOnANewConnection(t *testing.T) {
+	quoted := "HTTP/1.1 200 OK\r\nId: b\r\nOrigin-Status: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	c := conn.New(conn.Config{Dialer: &pipes{serve: script([]write{{text: quoted}})}})
+	resp, err := c.Do(t.Context(), named("b"))
+	assert.NilError(t, err)
+	resp.Abort()
+	r := named("b")
+	r.Owner = nil
+	c = conn.New(conn.Config{Dialer: &pipes{serve: script([]write{{text: quoted}}, []write{{text: quoted}})}})
+	for range 2 {
+		resp, err := c.Do(t.Context(), r)
+		assert.NilError(t, err)
+		_, err = resp.ReadAll(10)
+		assert.NilError(t, err)
+	}
+}
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -87,8 +87,14 @@
 	return n, err
 }
 
+// mayHoldAnotherAnswer reports whether bytes of an answer to an earlier request may come
+// before those of the present one.
+func (l *persistConn) mayHoldAnotherAnswer(r *Request) bool {
+	return r.Owner != nil && (l.exchanges > 1 || l.foreign)
+}
+
 // readHead reads the head of the answer to req, passing over interim answers.
-func (l *persistConn) readHead(req *http.Request) (*http.Response, error) {
+func (l *persistConn) readHead(r *Request, req *http.Request) (*http.Response, error) {
 	l.headRemaining = maxHeadBytes
 	defer func() { l.headRemaining = -1 }()
 	for {
@@ -99,7 +105,8 @@
 			}
 			return nil, err
 		}
-		if isSpliced(resp) {
+		if l.mayHoldAnotherAnswer(r) && isSpliced(resp) {
+			r.reportForeign(ForeignAnswer{Status: resp.StatusCode, Header: resp.Header, Owner: OwnerUnnamed, Use: l.use()})
 			return nil, errSplicedHead
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -156,7 +156,19 @@
 try "not run is no word of a success" platform/headers.go \
   '!= "" && status >= http.StatusBadRequest' '!= ""' ./platform -run 'OnlyAFailure'
 try "a head of two answers" node/upstream/conn/conn.go \
-  'if isSpliced(resp) {' 'if false && isSpliced(resp) {' ./node/upstream/conn -run 'TwoAnswers'
+  '&& isSpliced(resp) {' '&& false && isSpliced(resp) {' ./node/upstream/conn -run 'TwoAnswers'
+try "a status line in a header of a new connection's answer" node/upstream/conn/conn.go \
+  'if l.mayHoldAnotherAnswer(r) && isSpliced' 'if isSpliced' ./node/upstream/conn -run 'InAHeader'
+try "an upstream that had the request stays known" node/gate/attempt.go \
+  'again := q.sentTo[' 'again := q.tried[' ./node/gate -run 'AConnectionCarries'
+try "attempts on open connections that work" node/reach/monitor.go \
+  'if !openWork {' 'if true {' ./node/reach -run 'AttemptsOnOpen'
+try "the answer to an order is not a report" platform/upstream.go \
+  'isOfRequest(h) || isJSON(h)' 'isOfRequest(h)' ./platform -run 'AnOrdersVerdict'
+try "a report is not the answer to an order" platform/upstream.go \
+  '|| !isJSON(h) && h.Get("Content-Length") == "0"' '' ./platform -run 'AReportIs'
+try "a report is not the answer to a request" platform/upstream.go \
+  'return h.Get(headerAttempt) != "" || h.Get(headerSeal) != ""' 'return false' ./platform -run 'AReportIs|AnOrdersVerdict'
 try "a head of two answers, in its reason" node/upstream/conn/attribution.go \
   'if hasStatusLine(resp.Status) {' 'if false && hasStatusLine(resp.Status) {' ./node/upstream/conn -run 'TwoAnswers'
 try "nothing is read behind another's answer to HEAD" node/upstream/conn/attribution.go \
