The route is that of the path as it was sent

What callers saw: after a route with the prefix /stock/zip/ was added, requests for /stock/zip%2F7 got 200 with the answer of that route's service, though their path does not begin with its prefix; where they may run once, what that service did can't be undone. Cause: the gate matched the route by the path that net/http had decoded, and forwarded the target as it was sent. For the same reason a route whose prefix holds an escape matched no request, and an absolute target without a path no route at all. Ruled out: core/deploy's Match, which compares text; the configuration, which is in force. Change: the path of the target as sent, without its query, chooses the route. EscapedPath of net/url does not give it: where the path also holds a byte that it would escape, it encodes the decoded path anew, with the slash (a case of the test). Weighed: normal forms (%7A as z, dot segments) for the choice alone: the service that is chosen would not see its own prefix; rewriting the target: the path is to go on unchanged. An absolute target without a path is "/" (RFC 9112, 3.2.2). Looked for elsewhere, by reading all uses of a decoded path or query: content keys of streams (node/gate/software.go, node/origin), fingerprints of poisons and hops take the target as sent, and a host that takes a hop matches by it again. `peridotpier serve` decides by the decoded path and forwards that one, encoded anew: both agree, but %2F arrives as a slash there; left, since it is no wrong decision.

--- a/core/deploy/table.go
+++ b/core/deploy/table.go
@@ -107,7 +107,8 @@
 }
 
 // Match returns the route with the longest prefix of the path among those of the
-// host name, or nil.
+// host name, or nil. The path is compared byte by byte: it is the one that upstreams receive,
+// with its escapes.
 func (t *Table) Match(host, path string) *Route {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -274,7 +274,7 @@
 		return false
 	}
 	q.configVersion, q.table = table.Config.Version, table
-	q.route = table.Match(q.r.Host, q.r.URL.Path)
+	q.route = table.Match(q.r.Host, sentPath(q.r.RequestURI))
 	if q.route == nil {
 		q.decline(http.StatusNotFound, "no_route")
 		return false
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -752,4 +752,8 @@
 try "ages are told by team" node/gate/age.go \
   'e := a.byKind[kind]' 'kind.team = ""
 	e := a.byKind[kind]' ./node/gate -run 'AnotherTeams'
+try "the route is that of the path as it was sent" node/gate/gate.go \
+  'sentPath(q.r.RequestURI)' 'q.r.URL.Path' ./node/gate -run 'PathAsItWasSent'
+try "an escape with other bytes is no slash either" node/gate/gate.go \
+  'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
 exit $missed
