Quarantine: a report has a list of events of its own

What was seen: the race detector fails TestAPartOfPromptsThatEndsUpstreamsIsBarredAtAllHosts and TestWhatRunsBesideAPoisonIsServed beside other work. Callers saw nothing: either of the two crashes that a report could meet is a whole one.

Cause: NextReport returned a part of the guard's own list of events. It is encoded without the guard's lock, while the answer of a suspected request puts another crash in the place of one in that list.

--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -267,7 +267,7 @@
 	if next.complete {
 		from, next.Barred = 0, g.barredLocked(now)
 	}
-	next.Events = g.events[from:min(from+maxEventsPerReport, len(g.events))]
+	next.Events = slices.Clone(g.events[from:min(from+maxEventsPerReport, len(g.events))]) // read after the lock is released
 	next.acknowledges = g.dropped + from + len(next.Events)
 	return next
 }
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -108,6 +108,20 @@
 	assert.Equal(t, suspected, crashes)
 }
 
+// Guards against a report that changes while it is encoded, without the guard's lock.
+func TestAReportKeepsItsEventsWhileSuspectsAreCleared(t *testing.T) {
+	g := newTestGuard(true)
+	x, y := requestFor("x"), requestFor("y")
+	g.RecordCrash("u", g.now, []poison.Fingerprint{x.Fingerprint(0), y.Fingerprint(0)})
+	report := g.NextReport("h")
+	encoded := make(chan int)
+	go func() { encoded <- len(report.Events[0].Crash.Running) }()
+	g.RecordCompleted(x, g.now)
+	assert.Equal(t, <-encoded, 2)
+	assert.Equal(t, len(report.Events[0].Crash.Running), 2)
+	assert.Equal(t, len(g.NextReport("h").Events[0].Crash.Running), 1, "what has not been reported yet names the others only")
+}
+
 func TestReportsOfHostsBarARequestAtAllHosts(t *testing.T) {
 	a, b, h := newTestGuard(true), newTestGuard(true), newTestCoordinator(1)
 	a.RecordCrash("u", a.now, []poison.Fingerprint{requestFor("x").Fingerprint(0)})
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -84,6 +84,8 @@
   'return out.Hosts >= compactFrom' 'return false && out.Hosts >= compactFrom' ./node/coordinator/relay -run 'LocalCopies'
 try "records that arrive during a write wait" node/coordinator/streams/streams.go \
   'if len(records) < rowRecords {' 'if len(records) < 0 {' ./node/coordinator/streams -timeout 20s -run 'ArriveDuring'
+try "a report shares no list with the guard" node/quarantine/guard.go \
+  'slices.Clone(g.events[from:min(from+maxEventsPerReport, len(g.events))])' 'g.events[from:min(from+maxEventsPerReport, len(g.events))]' ./node/quarantine -run 'AReportKeeps'
 try "crashes of before an answer are not told to a successor" node/quarantine/guard.go \
   'if x == nil ||' 'if true || x == nil ||' ./node/quarantine -run 'ASuccessor'
 try "a bar of before its end is not adopted" core/poison/ledger.go \
