Quarantine: crashes that have not led to a bar outlive the loss of all hosts

What callers saw: five requests with a fatal part of prompts ended five upstreams within a second; a second later all hosts were killed. Once they were back, five more requests with the part reached upstreams and ended them, where three are allowed.

Cause: a part is barred 2 to 2.5 s after its second crash, and until then its crashes were known to processes alone. After the loss of all it had no crash.

Mend: the host that acts for all keeps one row, quarantine/crashes, of the latest crashes with the suspects that two or more of them have in common. It is written at most every 0.5 s while it changes, in one transaction with bars that are due, by the loop that writes these: nothing waits for the store. A single crash is no call. Its successor reads it with the bars, in the same call, and waits for answers as long as usual, counted anew, before it bars what it read.

Ruled out: to bar sooner bars harmless parts, and leaves a time before the bar all the same; rows of single suspects could be lost in part, so that one of several alike suspects would seem alone. A transaction has room for 100 entries, the lease included: bars are 98 at once now.

--- /dev/null
+++ b/core/poison/adopted.go
@@ -0,0 +1,118 @@
+package poison
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Crash is the crash of an upstream, as another ledger adopts it.
+type Crash struct {
+	Upstream string
+	At       time.Time
+	Ran      []Fingerprint // suspects that ran there
+}
+
+// minCommonCrashes is the number of crashes from which a suspect is worth keeping for another
+// ledger: one crash names dozens of suspects, most of which an answer clears.
+const minCommonCrashes = 2
+
+// CommonCrashes returns what another ledger needs to go on with the suspects that several
+// crashes have in common; nil: there are none. It returns the latest crashes, the earliest
+// first, with at most maxSuspects of these suspects: those of the most crashes. Suspects of
+// as many crashes as one that is left out are left out, too: without it they would seem to
+// be alone. Crashes in which none of them ran are included, since a mass failure is known by
+// all its crashes.
+func (l *Ledger) CommonCrashes(maxCrashes, maxSuspects int) []Crash {
+	common := l.commonSuspects(maxSuspects)
+	if len(common) == 0 {
+		return nil
+	}
+	out := make([]Crash, 0, len(l.crashes))
+	for id, c := range l.crashes {
+		out = append(out, Crash{Upstream: id, At: c.at})
+	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
+	out = out[max(len(out)-maxCrashes, 0):]
+	for i := range out {
+		for _, e := range common {
+			if e.crashes[out[i].Upstream] {
+				out[i].Ran = append(out[i].Ran, e.Fingerprint)
+			}
+		}
+	}
+	return out
+}
+
+// commonSuspects returns the suspects of CommonCrashes in a fixed order.
+func (l *Ledger) commonSuspects(limit int) []*entry {
+	common := slices.Collect(maps.Values(l.entries))
+	common = slices.DeleteFunc(common, func(e *entry) bool { return e.State == Cleared || len(e.crashes) < minCommonCrashes })
+	if len(common) > limit {
+		slices.SortFunc(common, func(a, b *entry) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+		tooFew := len(common[limit].crashes)
+		common = slices.DeleteFunc(common, func(e *entry) bool { return len(e.crashes) <= tooFew })
+	}
+	slices.SortFunc(common, func(a, b *entry) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
+	return common
+}
+
+// AdoptCrashes records crashes that another ledger knew. What they speak against is judged
+// only after the time that reports and answers take: a suspect may have been answered since
+// the other ledger was kept, or may be answered now.
+func (l *Ledger) AdoptCrashes(all []Crash, now time.Time) {
+	l.expire(now)
+	for _, x := range all {
+		if x.At.After(now) { // the other host's clock differs
+			x.At = now
+		}
+		if now.Sub(x.At) > l.policy.CrashRetention {
+			continue
+		}
+		l.adoptCrash(&x, now)
+	}
+}
+
+func (l *Ledger) adoptCrash(x *Crash, now time.Time) {
+	c := l.crash(x.Upstream, x.At)
+	for _, f := range x.Ran {
+		if c.ran[f.Digest] || len(c.ran) >= maxSuspectsPerCrash || l.isReleasedSince(f.Digest, x.At) {
+			continue
+		}
+		if l.addCrash(f, x.Upstream, x.At, now) {
+			c.ran[f.Digest] = true
+			l.entries[f.Digest].adopt(x.Upstream, now)
+		}
+	}
+}
+
+// isReleasedSince reports whether a suspect was cleared at a time or later.
+func (l *Ledger) isReleasedSince(d Digest, at time.Time) bool {
+	e := l.entries[d]
+	return e != nil && !e.releasedAt.Before(at)
+}
+
+// adopt notes that a crash is known from another ledger, and since when.
+func (e *entry) adopt(upstream string, now time.Time) {
+	if e.adopted == nil {
+		e.adopted = map[string]time.Time{}
+	}
+	e.adopted[upstream] = now
+}
+
+// confirm notes that a host reports a crash itself. Then hosts that had the suspect under
+// way are there, and have answered it or not.
+func (e *entry) confirm(upstream string) { delete(e.adopted, upstream) }
+
+// isAdoptedFor reports whether the crashes that e has from another ledger only have been
+// known for some time; true if there are none.
+func (e *entry) isAdoptedFor(d time.Duration, now time.Time) bool {
+	for _, at := range e.adopted {
+		if now.Sub(at) < d {
+			return false
+		}
+	}
+	return true
+}
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -168,7 +168,7 @@
 			return false
 		}
 	}
-	return true
+	return e.isAdoptedFor(l.policy.SoleSettleTime, now)
 }
 
 // isSoleCandidate reports whether no other suspect that was part of one of e's crashes
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -25,6 +25,7 @@
 	answeredAt time.Time // when a run to completion last cleared it
 	releasedAt time.Time // when that, or an operator, last cleared it
 	crashes    map[string]bool
+	adopted    map[string]time.Time // those of crashes that only another ledger knew, and since when this one does
 }
 
 // crash is the crash of one upstream.
@@ -55,14 +56,13 @@
 // there. Each host reports its own requests, at its own time.
 func (l *Ledger) RecordCrash(upstream string, running []Fingerprint, at, now time.Time) {
 	l.expire(now)
-	c := l.crashes[upstream]
-	if c == nil {
-		l.makeRoom()
-		c = &crash{at: at, ran: map[Digest]bool{}}
-		l.crashes[upstream] = c
-	}
+	c := l.crash(upstream, at)
 	for _, m := range running {
-		if c.ran[m.Digest] || len(c.ran) >= maxSuspectsPerCrash {
+		if c.ran[m.Digest] {
+			l.entries[m.Digest].confirm(upstream)
+			continue
+		}
+		if len(c.ran) >= maxSuspectsPerCrash {
 			continue
 		}
 		if l.addCrash(m, upstream, at, now) {
@@ -72,6 +72,17 @@
 	l.updateBars(now)
 }
 
+// crash returns the crash of an upstream, which it creates if necessary.
+func (l *Ledger) crash(upstream string, at time.Time) *crash {
+	c := l.crashes[upstream]
+	if c == nil {
+		l.makeRoom()
+		c = &crash{at: at, ran: map[Digest]bool{}}
+		l.crashes[upstream] = c
+	}
+	return c
+}
+
 // makeRoom removes the oldest crash if the ledger holds the maximum number of crashes.
 func (l *Ledger) makeRoom() {
 	if len(l.crashes) < maxCrashes {
@@ -178,7 +189,7 @@
 			delete(c.ran, e.Digest)
 		}
 	}
-	e.crashes, e.State, e.BarredUntil = map[string]bool{}, Cleared, time.Time{}
+	e.crashes, e.adopted, e.State, e.BarredUntil = map[string]bool{}, nil, Cleared, time.Time{}
 	l.touch(e, now)
 }
 
@@ -251,6 +262,7 @@
 	for d := range l.crashes[id].ran {
 		if e := l.entries[d]; e != nil {
 			delete(e.crashes, id)
+			delete(e.adopted, id)
 		}
 	}
 	delete(l.crashes, id)
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -85,7 +85,7 @@
 	if e.Place == firstPlace && len(times) < manyCrashes*l.policy.MinBlindPartCrashes {
 		settleTime = l.policy.FirstPartSettleTime
 	}
-	return now.Sub(times[from-1]) >= settleTime
+	return now.Sub(times[from-1]) >= settleTime && e.isAdoptedFor(settleTime, now)
 }
 
 const (
--- a/node/coordinator/quarantine/rows.go
+++ b/node/coordinator/quarantine/rows.go
@@ -20,9 +20,10 @@
 	// table has a row for each request that is barred. Hosts store nothing themselves:
 	// after a loss of all of them a barred request would crash three more upstreams.
 	table = "quarantine/"
-	// maxWrites bounds the rows that are written at once, and pageSize those of one
-	// read.
-	maxWrites = 100
+	// maxWrites bounds the rows of bars that are written at once: a transaction takes 100
+	// entries, two of which are the lease and the row of crashes. pageSize bounds the rows of
+	// one read.
+	maxWrites = 98
 	pageSize  = 500
 	// checkInterval is the longest time until a host that does not hold the lease checks
 	// whether it does.
@@ -40,9 +41,19 @@
 	read     bool                        // the ledger has all that is barred in the rows
 	era      uint64                      // of the store that the fields below are of
 	written  map[poison.Digest]time.Time // end of the bar in each row
+	crashes  crashesRow
 	failedAt time.Time
 }
 
+// changes are the rows that are to be written.
+type changes struct {
+	bars            map[poison.Digest]*poison.Entry // nil: not barred any more
+	crashes         *store.Write                    // nil: the row is current
+	crashesRevision uint64                          // of the ledger that crashes is of
+}
+
+func (c *changes) none() bool { return len(c.bars) == 0 && c.crashes == nil }
+
 // rowValue is the value of a row.
 type rowValue struct {
 	Shape   uint64 `json:"shape"`
@@ -92,7 +103,7 @@
 	if now.Sub(q.rows.failedAt) < retryInterval {
 		return false
 	}
-	return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0
+	return q.mustReadLocked(era) || len(q.barChangesLocked(now)) > 0 || q.crashesDueLocked(now)
 }
 
 func (q *Ledger) mustReadLocked(era uint64) bool { return !q.rows.read || q.rows.era != era }
@@ -105,28 +116,42 @@
 	q.mu.Lock()
 	era, id := store.EraOf(guard.Version), q.id
 	mustRead := q.mustReadLocked(era)
-	changes := q.changesLocked(q.deps.Now())
+	changed, err := q.changesLocked(q.deps.Now())
 	q.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	if mustRead {
 		rows, err := store.ListAll(ctx, q.deps.Table, table, pageSize)
 		if err != nil {
-			return eris.Wrap(err, "read barred requests")
+			return eris.Wrap(err, "read barred requests and crashes")
 		}
 		q.adoptRows(id, era, rows)
 		return nil
 	}
+	if changed.none() {
+		return nil
+	}
+	return q.write(ctx, guard, id, &changed)
+}
+
+// write writes rows in one transaction.
+func (q *Ledger) write(ctx context.Context, guard store.Cond, id uint64, c *changes) error {
 	txn := store.Txn{Op: uuid.NewString(), Conds: []store.Cond{guard}}
-	for d, e := range changes {
+	for d, e := range c.bars {
 		w, err := rowWrite(d, e)
 		if err != nil {
 			return err
 		}
 		txn.Writes = append(txn.Writes, w)
 	}
+	if c.crashes != nil {
+		txn.Writes = append(txn.Writes, *c.crashes)
+	}
 	if _, err := store.CommitResolved(ctx, q.deps.Table, txn); err != nil {
-		return eris.Wrap(err, "write barred requests")
+		return eris.Wrap(err, "write barred requests and crashes")
 	}
-	q.recordWritten(id, changes)
+	q.recordWritten(id, c)
 	return nil
 }
 
@@ -154,9 +179,14 @@
 	}
 	now := q.deps.Now()
 	knowsBetter := q.rows.read
-	q.rows.read, q.rows.era, q.rows.written = true, era, map[poison.Digest]time.Time{}
+	q.rows.read, q.rows.era, q.rows.written, q.rows.crashes = true, era, map[poison.Digest]time.Time{}, crashesRow{revision: noRevision}
 	var unreadable []string
+	var crashes *store.Row
 	for _, row := range rows {
+		if row.Key == crashesKey {
+			crashes, q.rows.crashes.value = &row, row.Value
+			continue
+		}
 		d, v, err := decodeBar(row)
 		if err != nil {
 			unreadable = append(unreadable, row.Key)
@@ -170,6 +200,11 @@
 		left := min(until.Sub(now), poison.DefaultPolicy.MaxBar) // clocks may differ, or have been set
 		q.ledger.Adopt(poison.Entry{Fingerprint: poison.Fingerprint{Digest: d, Shape: poison.Shape(v.Shape), Place: v.Place}, State: poison.Barred, BarredUntil: now.Add(left), BarCount: v.Bars}, now)
 	}
+	if crashes != nil && !knowsBetter { // after the bars, which explain crashes
+		if err := q.adoptCrashesLocked(crashes, now); err != nil {
+			unreadable = append(unreadable, crashes.Key)
+		}
+	}
 	if len(unreadable) > 0 {
 		q.deps.Log.Emit(event.BarsUnreadable, zap.Int("rows", len(unreadable)), zap.String("first", unreadable[0]))
 	}
@@ -194,9 +229,19 @@
 // maxRowDrift is by how much the end of a bar may differ from the one in its row.
 const maxRowDrift = time.Second
 
-// changesLocked returns the entries whose rows are to be written; a nil entry is a row
+// changesLocked returns what is to be written.
+func (q *Ledger) changesLocked(now time.Time) (changes, error) {
+	c := changes{bars: q.barChangesLocked(now), crashesRevision: q.ledger.Revision()}
+	w, needed, err := q.crashesWriteLocked(now)
+	if needed {
+		c.crashes = &w
+	}
+	return c, err
+}
+
+// barChangesLocked returns the entries whose rows are to be written; a nil entry is a row
 // to be deleted.
-func (q *Ledger) changesLocked(now time.Time) map[poison.Digest]*poison.Entry {
+func (q *Ledger) barChangesLocked(now time.Time) map[poison.Digest]*poison.Entry {
 	if !q.rows.read {
 		return nil
 	}
@@ -221,17 +266,20 @@
 	return out
 }
 
-func (q *Ledger) recordWritten(id uint64, changes map[poison.Digest]*poison.Entry) {
+func (q *Ledger) recordWritten(id uint64, c *changes) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.id != id {
 		return
 	}
-	for d, e := range changes {
+	for d, e := range c.bars {
 		if e == nil {
 			delete(q.rows.written, d)
 			continue
 		}
 		q.rows.written[d] = e.BarredUntil
 	}
+	if c.crashes != nil {
+		q.rows.crashes = crashesRow{value: c.crashes.Value, revision: c.crashesRevision, at: q.deps.Now()}
+	}
 }
--- a/node/coordinator/quarantine/rows_test.go
+++ b/node/coordinator/quarantine/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/poison"
+	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/store"
 	standin "peridotpier.example/standin/platform"
@@ -40,7 +43,124 @@
 	assert.Equal(t, len(told), 1)
 	assert.Equal(t, told[0].ContextMap()["rows"], int64(4))
 	assert.Equal(t, told[0].ContextMap()["first"], table+digest.String())
-	assert.Equal(t, len(q.changesLocked(now)), 0, "they stay as they are")
+	assert.Equal(t, len(q.barChangesLocked(now)), 0, "they stay as they are")
+}
+
+// crashOf is a host's report of a crash under a request and a part of prompts.
+func crashOf(upstream string, part poison.Fingerprint) *coordpb.HostReport {
+	request := (&poison.Content{Target: upstream}).Fingerprint()
+	return &coordpb.HostReport{Host: "h", Crashes: []*coordpb.UpstreamCrash{{Upstream: upstream,
+		Running: []*coordpb.RequestMark{wire.EncodeFingerprint(request)}, Parts: wire.EncodeParts([]poison.Fingerprint{part})}}}
+}
+
+// commitLease returns the condition that a coordinator's writes have.
+func commitLease(t *testing.T, tb store.Table) store.Cond {
+	t.Helper()
+	v, err := tb.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: "lease/l"}}})
+	assert.NilError(t, err)
+	return store.Cond{Key: "lease/l", Version: v}
+}
+
+// Guards against a fatal part that starts with no crash again after a loss of all hosts.
+func TestCrashesOutliveTheLossOfAllHosts(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	tb := standin.NewTable()
+	guard := commitLease(t, tb)
+	q := newTestLedger(k, tb)
+	assert.NilError(t, q.sync(context.Background(), guard)) // the read
+	part := poison.PartFingerprint("fatal", 1)
+	for i := range poison.DefaultPolicy.MinBlindPartCrashes {
+		q.Receive(crashOf(fmt.Sprint("u", i), part), k.now)
+		assert.NilError(t, q.sync(context.Background(), guard))
+		k.now = k.now.Add(crashesInterval)
+	}
+	next := newTestLedger(k, tb)
+	assert.NilError(t, next.sync(context.Background(), guard))
+	k.now = k.now.Add(poison.DefaultPolicy.PartSettleTime)
+	next.ledger.ChangedSince(0, 1, k.now)
+	_, barred := next.ledger.BarredUntil(part.Digest, k.now)
+	assert.Assert(t, barred)
+}
+
+// Guards against harmless parts that are suspected again in the next term although they were answered.
+func TestAnsweredSuspectsAreDeletedFromTheStore(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	tb := standin.NewTable()
+	guard := commitLease(t, tb)
+	q := newTestLedger(k, tb)
+	part := poison.PartFingerprint("harmless", 1)
+	q.Receive(crashOf("u", part), k.now)
+	q.Receive(crashOf("v", part), k.now)
+	for range 2 {
+		assert.NilError(t, q.sync(context.Background(), guard))
+	}
+	kept, err := tb.Get(context.Background(), crashesKey)
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept), 1)
+	q.Receive(&coordpb.HostReport{Host: "h", Completed: [][]byte{part.Digest[:]}}, k.now)
+	assert.Assert(t, !q.needsSync(store.EraOf(guard.Version)), "too soon after the former write")
+	k.now = k.now.Add(crashesInterval)
+	assert.Assert(t, q.needsSync(store.EraOf(guard.Version)))
+	assert.NilError(t, q.sync(context.Background(), guard))
+	kept, err = tb.Get(context.Background(), crashesKey)
+	assert.NilError(t, err)
+	assert.Equal(t, len(kept), 0)
+}
+
+// Guards against calls of the store for each upstream that crashes.
+func TestASingleCrashIsNotWritten(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	tb := standin.NewTable()
+	guard := commitLease(t, tb)
+	q := newTestLedger(k, tb)
+	assert.NilError(t, q.sync(context.Background(), guard))
+	for i := range 20 {
+		q.Receive(crashOf(fmt.Sprint("u", i), poison.PartFingerprint(fmt.Sprint(i), 0)), k.now)
+	}
+	assert.NilError(t, q.sync(context.Background(), guard))
+	rows, err := tb.List(context.Background(), table, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+}
+
+// Guards against a row of crashes that ends, or blames requests by, what nobody of ours wrote.
+func TestAnUnreadableRowOfCrashesIsTold(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	digest := poison.Digest{1}.String()
+	for _, value := range []string{"7x", "{", `[]`, `{"suspects":[{"digest":"1"}]}`, `{"suspects":[{"digest":"` + digest + `"}],"crashes":[{"upstream":"u","ran":[1]}]}`,
+		`{"crashes":[{"upstream":"u","ran":[-1]}]}`} {
+		core, lines := observer.New(zap.DebugLevel)
+		q := newTestLedger(&clock{now}, nil)
+		q.deps.Log = event.NewLog(zap.New(core))
+		q.adoptRows(q.id, 0, []store.Row{{Key: crashesKey, Value: []byte(value)}})
+		told := lines.FilterMessage("request_bars_unreadable").All()
+		assert.Equal(t, len(told), 1, value)
+		suspected, _ := q.ledger.Counts()
+		assert.Equal(t, suspected, 0, value)
+	}
+}
+
+// Guards against a row of crashes that the store does not take.
+func TestTheRowOfCrashesIsBounded(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	q := newTestLedger(k, nil)
+	for i := range 2 * maxRowCrashes {
+		x := &coordpb.UpstreamCrash{Upstream: fmt.Sprintf("an upstream with a name of some length %d", i)}
+		for j := range 2 * maxRowSuspects {
+			if j >= maxRowSuspects && i == 0 {
+				continue // one crash less
+			}
+			f := (&poison.Content{Target: fmt.Sprint(j)}).Fingerprint()
+			x.Running = append(x.Running, wire.EncodeFingerprint(f))
+		}
+		q.Receive(&coordpb.HostReport{Host: "h", Crashes: []*coordpb.UpstreamCrash{x}}, k.now)
+	}
+	kept := q.ledger.CommonCrashes(maxRowCrashes, maxRowSuspects)
+	assert.Equal(t, len(kept), maxRowCrashes)
+	assert.Equal(t, len(kept[0].Ran), maxRowSuspects)
+	value, err := encodeCrashes(kept)
+	assert.NilError(t, err)
+	assert.Assert(t, len(value) <= 32_000, len(value))
 }
 
 // Guards against a bar that is lost with the store's latest writes, and one that a restored
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -270,6 +270,22 @@
   'from, next.Barred = 0, g.barredLocked(now)' 'from = len(g.events)' ./node/quarantine
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
   'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
+try "crashes are kept for a loss of all hosts" node/coordinator/quarantine/crashes.go \
+  'return q.rows.read && r.revision' 'return false && r.revision' ./platform ./node/coordinator/quarantine -run 'CrashesByAPart|CrashesOutlive'
+try "crashes that were kept are read" node/coordinator/quarantine/crashes.go \
+  'q.ledger.AdoptCrashes(all, now)' '' ./node/coordinator/quarantine -run 'CrashesOutlive'
+try "what is answered is kept no longer" node/coordinator/quarantine/rows.go \
+  ' || q.crashesDueLocked(now)' '' ./node/coordinator/quarantine -run 'AnsweredSuspects'
+try "an adopted part may be answered first" core/poison/parts.go \
+  ' && e.isAdoptedFor(settleTime, now)' '' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
+try "an adopted request waits for reports" core/poison/judge.go \
+  'return e.isAdoptedFor(l.policy.SoleSettleTime, now)' 'return true' ./core/poison -run 'AdoptedRequest'
+try "what hosts report again is not waited for" core/poison/adopted.go \
+  'delete(e.adopted, upstream)' '' ./core/poison -run 'ReportAgain'
+try "suspects that nothing tells apart are left out together" core/poison/adopted.go \
+  'len(e.crashes) <= tooFew' 'len(e.crashes) < tooFew' ./core/poison -run 'TellsApart'
+try "a suspect that was cleared is not adopted again" core/poison/adopted.go \
+  ' || l.isReleasedSince(f.Digest, x.At)' '' ./core/poison -run 'IsNotAdopted'
 try "a run that lasted is not blamed" node/gate/poison.go \
   'return !q.responseSince.IsZero() &&' 'return false && !q.responseSince.IsZero() &&' ./node/gate -run 'NotBlamed'
 try "what is barred is looked at before each send" node/gate/run.go \
@@ -287,7 +303,7 @@
 try "a crash before the last answer does not count" core/poison/ledger.go \
   'e.IsPart() && !at.After(e.answeredAt)' 'false' ./core/poison -run 'AnsweredSince'
 try "a part settles before it is barred" core/poison/parts.go \
-  'return now.Sub(times[from-1]) >= settleTime' 'return settleTime > 0' ./core/poison -run 'PartsThatCrash'
+  'return now.Sub(times[from-1]) >= settleTime &&' 'return settleTime > 0 &&' ./core/poison -run 'PartsThatCrash'
 try "the later of two parts is barred" core/poison/parts.go \
   'n == most && e.isNarrower(strongest)' 'n == most && !e.isNarrower(strongest)' ./core/poison -run 'TheLaterOne'
 try "what is not answered while nothing is says little" core/poison/parts.go \
