An answer holds for crashes that are reported after it

What callers could see: a part of prompts, or a request, barred for crashes of before its answer. Cause: the ledger kept an answer only of those that it suspected at that moment. With it: suspects that lost crashes to the bound of the row do not make another one seem alone, and a report of a crash cannot meet a suspect that is gone (both by review).

--- a/core/poison/adopted.go
+++ b/core/poison/adopted.go
@@ -26,16 +26,11 @@
 // be alone. Crashes in which none of them ran are included, since a mass failure is known by
 // all its crashes.
 func (l *Ledger) CommonCrashes(maxCrashes, maxSuspects int) []Crash {
-	common := l.commonSuspects(maxSuspects)
+	out := l.latestCrashes(maxCrashes)
+	common := withoutCut(l.commonSuspects(maxSuspects), out)
 	if len(common) == 0 {
 		return nil
 	}
-	out := make([]Crash, 0, len(l.crashes))
-	for id, c := range l.crashes {
-		out = append(out, Crash{Upstream: id, At: c.at})
-	}
-	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
-	out = out[max(len(out)-maxCrashes, 0):]
 	for i := range out {
 		for _, e := range common {
 			if e.crashes[out[i].Upstream] {
@@ -46,6 +41,36 @@
 	return out
 }
 
+// latestCrashes returns the latest crashes, the earliest first, without what ran.
+func (l *Ledger) latestCrashes(limit int) []Crash {
+	out := make([]Crash, 0, len(l.crashes))
+	for id, c := range l.crashes {
+		out = append(out, Crash{Upstream: id, At: c.at})
+	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
+	return out[max(len(out)-limit, 0):]
+}
+
+// withoutCut leaves out the suspects that would seem to be alone, since others of as many
+// crashes have too few of those that are left.
+func withoutCut(common []*entry, crashes []Crash) []*entry {
+	left := func(e *entry) (n int) {
+		for i := range crashes {
+			if e.crashes[crashes[i].Upstream] {
+				n++
+			}
+		}
+		return n
+	}
+	tooFew := 0
+	for _, e := range common {
+		if left(e) < minCommonCrashes {
+			tooFew = max(tooFew, len(e.crashes))
+		}
+	}
+	return slices.DeleteFunc(common, func(e *entry) bool { return left(e) >= minCommonCrashes && left(e) <= tooFew })
+}
+
 // commonSuspects returns the suspects of CommonCrashes in a fixed order.
 func (l *Ledger) commonSuspects(limit int) []*entry {
 	common := slices.Collect(maps.Values(l.entries))
--- a/core/poison/adopted_test.go
+++ b/core/poison/adopted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +133,17 @@
 	suspected, _ = next.Counts()
 	assert.Equal(t, suspected, 0)
 }
+
+// Guards against a suspect that seems to be alone since one of as many crashes lost some of them
+// with the earliest crashes.
+func TestASuspectBesideOneThatWasCutIsLeftOut(t *testing.T) {
+	l := NewLedger(DefaultPolicy)
+	cut, other := PartFingerprint("cut", 1), PartFingerprint("other", 1)
+	l.RecordCrash("u1", []Fingerprint{cut}, start, start)
+	l.RecordCrash("u2", []Fingerprint{cut, other}, start.Add(time.Second), start.Add(time.Second))
+	l.RecordCrash("u3", []Fingerprint{other}, start.Add(2*time.Second), start.Add(2*time.Second))
+	assert.Equal(t, len(l.CommonCrashes(3, 10)), 3)
+	for _, c := range l.CommonCrashes(2, 10) {
+		assert.Assert(t, !slices.Contains(c.Ran, other))
+	}
+}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -59,7 +59,9 @@
 	c := l.crash(upstream, at)
 	for _, m := range running {
 		if c.ran[m.Digest] {
-			l.entries[m.Digest].confirm(upstream)
+			if e := l.entries[m.Digest]; e != nil {
+				e.confirm(upstream)
+			}
 			continue
 		}
 		if len(c.ran) >= maxSuspectsPerCrash {
@@ -101,9 +103,10 @@
 // part that has been answered since is not suspected of it.
 func (l *Ledger) addCrash(f Fingerprint, upstream string, at, now time.Time) bool {
 	e := l.entry(f)
-	if e == nil || e.IsPart() && !at.After(e.answeredAt) {
+	if e == nil || f.IsPart() && !at.After(e.answeredAt) {
 		return false
 	}
+	e.Fingerprint = f // of one that was answered before, only the digest is known
 	e.crashes[upstream] = true
 	if e.State == Cleared {
 		e.State = Suspected
@@ -157,16 +160,21 @@
 }
 
 // Clear records that a suspect ran to completion, or for a long time: it is not the cause of
-// the earlier crashes.
+// the earlier crashes, also of those that are reported later.
 func (l *Ledger) Clear(d Digest, now time.Time) {
-	if e := l.entries[d]; e != nil && e.State != Cleared {
+	e := l.entry(Fingerprint{Digest: d})
+	if e == nil {
+		return
+	}
+	if e.State != Cleared {
 		for id := range e.crashes {
 			l.crashes[id].answeredAt = now
 		}
 		l.clear(e, ByCompletion, now)
-		e.BarCount, e.answeredAt, e.releasedAt = 0, now, now
-		l.updateBars(now)
+		e.BarCount = 0
 	}
+	e.answeredAt, e.releasedAt, e.changedAt = now, now, now
+	l.updateBars(now)
 }
 
 // Release ends a bar on behalf of an operator. It reports whether there was one.
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -100,3 +100,25 @@
 		}
 	})
 }
+
+// Guards against a part that is barred for crashes of before its answer, which are reported after it.
+func TestAnAnswerHoldsForCrashesThatAreReportedLater(t *testing.T) {
+	for _, answers := range []int{1, 2} {
+		l, now := NewLedger(DefaultPolicy), start
+		part := PartFingerprint("answered", 1)
+		for range answers {
+			now = now.Add(time.Second)
+			l.Clear(part.Digest, now)
+		}
+		other := PartFingerprint("answered later", 2)
+		for i := range 3 {
+			l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{named(fmt.Sprint(i)), part, other}, now.Add(-time.Duration(i+1)*800*time.Millisecond), now)
+		}
+		now = now.Add(700 * time.Millisecond)
+		l.Clear(other.Digest, now)
+		for range 60 {
+			assert.Assert(t, !isPartBarred(l, part, now), "%d answers", answers)
+			now = now.Add(time.Second)
+		}
+	}
+}
