The row of crashes: an old one is not read, an unreadable one not deleted

Found by review of the row that outlives all hosts. (2) A row that nobody could renew (the store away when its suspects were answered, or a holder of a release without it) named harmless suspects to a successor for as long as crashes are kept; they were barred before their next answer, within a second. Now the row bears the time of its write, renewed each 10 s, and from a minute on it is not read; an unreadable one stays until there are crashes to write. The tests failed before: a delete for each of six unreadable rows; suspects read at 61 s and 5 min.

--- a/node/coordinator/quarantine/crashes.go
+++ b/node/coordinator/quarantine/crashes.go
@@ -1,9 +1,9 @@
 package quarantine
 
 import (
-	"bytes"
 	"encoding/json"
 	"math"
+	"reflect"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,13 +25,20 @@
 	// crashesInterval is the shortest time between two writes of the row. It is well below
 	// the time that a part of prompts is waited for before it is barred.
 	crashesInterval = 500 * time.Millisecond
+	// crashesRefresh is how often a row that does not change is written again, and crashesMaxAge
+	// the age from which it is not read. It is for the loss of all hosts, which are back within
+	// half a minute; an older one may name what was answered since, when nobody could write.
+	crashesRefresh = 10 * time.Second
+	crashesMaxAge  = time.Minute
 )
 
 // crashesRow is what is known of the row of crashes.
 type crashesRow struct {
-	value    []byte // nil: there is none
-	revision uint64 // of the ledger, up to which the value is known to be current
-	at       time.Time
+	exists     bool
+	unreadable bool          // it is left as it is until there are crashes to keep
+	value      *crashesValue // as it was written; nil: not by this process
+	revision   uint64        // of the ledger, up to which the value is known to be current
+	at         time.Time     // of the last write
 }
 
 // noRevision is a revision that no ledger reaches: the row must be compared.
@@ -39,6 +46,7 @@
 
 // crashesValue is the value of the row.
 type crashesValue struct {
+	AtMs     int64          `json:"at_unix_ms"` // of the write
 	Suspects []suspectValue `json:"suspects"`
 	Crashes  []crashValue   `json:"crashes"`
 }
@@ -57,12 +65,12 @@
 	Ran      []int  `json:"ran,omitempty"` // indices of suspects
 }
 
-// encodeCrashes returns the value of the row; nil if there is nothing to keep.
-func encodeCrashes(all []poison.Crash) ([]byte, error) {
+// newCrashesValue returns the value of the row; nil if there is nothing to keep.
+func newCrashesValue(all []poison.Crash) *crashesValue {
 	if len(all) == 0 {
-		return nil, nil
+		return nil
 	}
-	var v crashesValue
+	v := &crashesValue{}
 	index := map[poison.Digest]int{}
 	for _, x := range all {
 		c := crashValue{Upstream: x.Upstream, AtMs: x.At.UnixMilli()}
@@ -77,16 +85,26 @@
 		}
 		v.Crashes = append(v.Crashes, c)
 	}
-	value, err := json.Marshal(v)
-	return value, eris.Wrap(err, "encode crashes of upstreams")
+	return v
 }
 
-// decodeCrashes decodes the result of encodeCrashes.
-func decodeCrashes(value []byte) ([]poison.Crash, error) {
-	var v crashesValue
-	if err := json.Unmarshal(value, &v); err != nil {
-		return nil, eris.Wrap(err, "decode crashes of upstreams")
+// isOf reports whether v has the same crashes as another value; nil is that of no row.
+func (v *crashesValue) isOf(other *crashesValue) bool {
+	if v == nil || other == nil {
+		return v == other
 	}
+	return reflect.DeepEqual(v.Suspects, other.Suspects) && reflect.DeepEqual(v.Crashes, other.Crashes)
+}
+
+// decodeCrashes decodes the value of the row.
+func decodeCrashes(value []byte) (*crashesValue, error) {
+	var v crashesValue
+	err := json.Unmarshal(value, &v)
+	return &v, eris.Wrap(err, "decode crashes of upstreams")
+}
+
+// decode returns the crashes of the row.
+func (v *crashesValue) decode() ([]poison.Crash, error) {
 	suspects := make([]poison.Fingerprint, len(v.Suspects))
 	for i, s := range v.Suspects {
 		d, err := poison.ParseDigest(s.Digest)
@@ -111,34 +129,59 @@
 // crashesDueLocked reports whether the row may have to be written now.
 func (q *Ledger) crashesDueLocked(now time.Time) bool {
 	r := &q.rows.crashes
-	return q.rows.read && r.revision != q.ledger.Revision() && now.Sub(r.at) >= crashesInterval
+	since := now.Sub(r.at)
+	return q.rows.read && (r.revision != q.ledger.Revision() && since >= crashesInterval || r.value != nil && since >= crashesRefresh)
 }
 
-// crashesWriteLocked returns the write of the row, if it differs from what is known now.
-func (q *Ledger) crashesWriteLocked(now time.Time) (w store.Write, needed bool, err error) {
+// crashesWrite is a write of the row.
+type crashesWrite struct {
+	store.Write
+	value    *crashesValue // nil: the row is deleted
+	revision uint64        // of the ledger
+}
+
+// crashesWriteLocked returns the write of the row that is needed now; nil: none.
+func (q *Ledger) crashesWriteLocked(now time.Time) (*crashesWrite, error) {
 	if !q.crashesDueLocked(now) {
-		return w, false, nil
-	}
-	revision := q.ledger.Revision()
-	value, err := encodeCrashes(q.ledger.CommonCrashes(maxRowCrashes, maxRowSuspects))
-	if err != nil {
-		return w, false, err
+		return nil, nil
 	}
-	if bytes.Equal(value, q.rows.crashes.value) {
-		q.rows.crashes.revision = revision
-		return w, false, nil
+	r := &q.rows.crashes
+	w := &crashesWrite{Write: store.Write{Key: crashesKey}, revision: q.ledger.Revision()}
+	w.value = newCrashesValue(q.ledger.CommonCrashes(maxRowCrashes, maxRowSuspects))
+	switch {
+	case w.value == nil && (!r.exists || r.unreadable), w.value != nil && w.value.isOf(r.value) && now.Sub(r.at) < crashesRefresh:
+		r.revision = w.revision
+		return nil, nil
+	case w.value == nil:
+		w.Delete = true
+		return w, nil
 	}
-	return store.Write{Key: crashesKey, Value: value, Delete: value == nil}, true, nil
+	w.value.AtMs = now.UnixMilli()
+	var err error
+	w.Value, err = json.Marshal(w.value)
+	return w, eris.Wrap(err, "encode crashes of upstreams")
+}
+
+// recordCrashesLocked records that the row was written.
+func (q *Ledger) recordCrashesLocked(w *crashesWrite) {
+	q.rows.crashes = crashesRow{exists: !w.Delete, value: w.value, revision: w.revision, at: q.deps.Now()}
 }
 
 // adoptCrashesLocked enters the row of crashes in a ledger that has not read it yet.
 func (q *Ledger) adoptCrashesLocked(row *store.Row, now time.Time) error {
-	all, err := decodeCrashes(row.Value)
+	v, err := decodeCrashes(row.Value)
 	if err != nil {
 		return err
 	}
-	q.ledger.AdoptCrashes(all, now)
+	all, err := v.decode()
+	if err != nil {
+		return err
+	}
+	age := now.Sub(time.UnixMilli(v.AtMs))
+	if age <= crashesMaxAge {
+		q.ledger.AdoptCrashes(all, now)
+	}
 	suspected, _ := q.ledger.Counts()
-	q.deps.Log.Emit(event.CrashesAdopted, zap.Int("crashes", len(all)), zap.Int("suspects", suspected))
+	q.deps.Log.Emit(event.CrashesAdopted, zap.Int("crashes", len(all)), zap.Int("suspects", suspected), zap.Int64("age_ms", age.Milliseconds()))
 	return nil
 }
--- a/node/coordinator/quarantine/rows.go
+++ b/node/coordinator/quarantine/rows.go
@@ -47,9 +47,8 @@
 
 // changes are the rows that are to be written.
 type changes struct {
-	bars            map[poison.Digest]*poison.Entry // nil: not barred any more
-	crashes         *store.Write                    // nil: the row is current
-	crashesRevision uint64                          // of the ledger that crashes is of
+	bars    map[poison.Digest]*poison.Entry // nil: not barred any more
+	crashes *crashesWrite                   // nil: the row is current
 }
 
 func (c *changes) none() bool { return len(c.bars) == 0 && c.crashes == nil }
@@ -146,7 +145,7 @@
 		txn.Writes = append(txn.Writes, w)
 	}
 	if c.crashes != nil {
-		txn.Writes = append(txn.Writes, *c.crashes)
+		txn.Writes = append(txn.Writes, c.crashes.Write)
 	}
 	if _, err := store.CommitResolved(ctx, q.deps.Table, txn); err != nil {
 		return eris.Wrap(err, "write barred requests and crashes")
@@ -184,7 +183,7 @@
 	var crashes *store.Row
 	for _, row := range rows {
 		if row.Key == crashesKey {
-			crashes, q.rows.crashes.value = &row, row.Value
+			crashes, q.rows.crashes.exists = &row, true
 			continue
 		}
 		d, v, err := decodeBar(row)
@@ -202,6 +201,7 @@
 	}
 	if crashes != nil && !knowsBetter { // after the bars, which explain crashes
 		if err := q.adoptCrashesLocked(crashes, now); err != nil {
+			q.rows.crashes.unreadable = true
 			unreadable = append(unreadable, crashes.Key)
 		}
 	}
@@ -231,12 +231,8 @@
 
 // changesLocked returns what is to be written.
 func (q *Ledger) changesLocked(now time.Time) (changes, error) {
-	c := changes{bars: q.barChangesLocked(now), crashesRevision: q.ledger.Revision()}
-	w, needed, err := q.crashesWriteLocked(now)
-	if needed {
-		c.crashes = &w
-	}
-	return c, err
+	crashes, err := q.crashesWriteLocked(now)
+	return changes{bars: q.barChangesLocked(now), crashes: crashes}, err
 }
 
 // barChangesLocked returns the entries whose rows are to be written; a nil entry is a row
@@ -280,6 +276,6 @@
 		q.rows.written[d] = e.BarredUntil
 	}
 	if c.crashes != nil {
-		q.rows.crashes = crashesRow{value: c.crashes.Value, revision: c.crashesRevision, at: q.deps.Now()}
+		q.recordCrashesLocked(c.crashes)
 	}
 }
--- a/node/coordinator/quarantine/rows_test.go
+++ b/node/coordinator/quarantine/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -137,7 +138,57 @@
 		assert.Equal(t, len(told), 1, value)
 		suspected, _ := q.ledger.Counts()
 		assert.Equal(t, suspected, 0, value)
+		c, err := q.changesLocked(now)
+		assert.NilError(t, err)
+		assert.Assert(t, c.none(), "the row is left to the release that can read it")
+	}
+}
+
+// Guards against harmless requests that are barred since a row of crashes outlived their
+// answers: nobody wrote it when they came.
+func TestAnOldRowOfCrashesIsNotRead(t *testing.T) {
+	for age, read := range map[time.Duration]bool{crashesRefresh: true, crashesMaxAge: true, crashesMaxAge + time.Second: false, 5 * time.Minute: false} {
+		k := &clock{time.Unix(1_700_000_000, 0)}
+		tb := standin.NewTable()
+		guard := commitLease(t, tb)
+		q := newTestLedger(k, tb)
+		part := poison.PartFingerprint("answered meanwhile", 1)
+		q.Receive(crashOf("u", part), k.now)
+		q.Receive(crashOf("v", part), k.now)
+		for range 2 {
+			assert.NilError(t, q.sync(context.Background(), guard))
+		}
+		k.now = k.now.Add(age)
+		next := newTestLedger(k, tb)
+		assert.NilError(t, next.sync(context.Background(), guard))
+		suspected, _ := next.ledger.Counts()
+		assert.Equal(t, suspected == 1, read, "%v", age)
+	}
+}
+
+// Guards against a row of crashes that counts as old although its crashes still stand.
+func TestTheRowOfCrashesIsKeptYoung(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	tb := standin.NewTable()
+	guard := commitLease(t, tb)
+	q := newTestLedger(k, tb)
+	part := poison.PartFingerprint("fatal", 1)
+	q.Receive(crashOf("u", part), k.now)
+	q.Receive(crashOf("v", part), k.now)
+	writes := 0
+	var last uint64
+	for range 60 {
+		if q.needsSync(0) {
+			assert.NilError(t, q.sync(context.Background(), guard))
+		}
+		rows, err := tb.List(context.Background(), crashesKey, "", 1)
+		assert.NilError(t, err)
+		if len(rows) == 1 && rows[0].Version != last {
+			writes, last = writes+1, rows[0].Version
+		}
+		k.now = k.now.Add(time.Second)
 	}
+	assert.Assert(t, writes >= 5 && writes <= 7, "%d writes in a minute", writes)
 }
 
 // Guards against a row of crashes that the store does not take.
@@ -158,7 +209,7 @@
 	kept := q.ledger.CommonCrashes(maxRowCrashes, maxRowSuspects)
 	assert.Equal(t, len(kept), maxRowCrashes)
 	assert.Equal(t, len(kept[0].Ran), maxRowSuspects)
-	value, err := encodeCrashes(kept)
+	value, err := json.Marshal(newCrashesValue(kept))
 	assert.NilError(t, err)
 	assert.Assert(t, len(value) <= 32_000, len(value))
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -332,7 +332,17 @@
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
   'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
 try "crashes are kept for a loss of all hosts" node/coordinator/quarantine/crashes.go \
-  'return q.rows.read && r.revision' 'return false && r.revision' ./platform ./node/coordinator/quarantine -run 'CrashesByAPart|CrashesOutlive'
+  'return q.rows.read && (r.revision' 'return false && (r.revision' ./platform ./node/coordinator/quarantine -run 'CrashesByAPart|CrashesOutlive'
+try "an old row of crashes is not read" node/coordinator/quarantine/crashes.go \
+  'if age <= crashesMaxAge {' 'if true {' ./node/coordinator/quarantine -run 'AnOldRow'
+try "a row of crashes stays young" node/coordinator/quarantine/crashes.go \
+  '|| r.value != nil && since >= crashesRefresh' '' ./node/coordinator/quarantine -run 'KeptYoung'
+try "an unreadable row of crashes is left" node/coordinator/quarantine/crashes.go \
+  '(!r.exists || r.unreadable)' '!r.exists' ./node/coordinator/quarantine -run 'UnreadableRow'
+try "an answer is remembered before its suspect is known" core/poison/ledger.go \
+  'e := l.entry(Fingerprint{Digest: d})' 'e := l.entries[d]' ./core/poison -run 'AnAnswerHolds'
+try "suspects that lost crashes leave no other one alone" core/poison/adopted.go \
+  'return left(e) >= minCommonCrashes && left(e) <= tooFew' 'return false' ./core/poison -run 'BesideOneThatWasCut'
 try "crashes that were kept are read" node/coordinator/quarantine/crashes.go \
   'q.ledger.AdoptCrashes(all, now)' '' ./node/coordinator/quarantine -run 'CrashesOutlive'
 try "what is answered is kept no longer" node/coordinator/quarantine/rows.go \
