Shed: bursts of connections that wait are closed

Cause: connections are closed after two windows in a row with connections and a long shortest wait. A host that is far behind accepts in bursts more than 0.4 s apart. Where the probe returns between two, the window that ends with its result holds the connections, and the next one holds the wait and no connections: it counted as not queued. So no two in a row were.

Ruled out: a longer window (a single pause would fill it); closing after one window (a single pause would close).

Now a wait belongs to the window of the connections that it waited behind. A window without connections shows nothing, for ten times the last wait and 5 s at most; then the host is idle, and the share falls for all of that time. The share rises by one step for each 200 ms of the wait, four at once at most: with one step a burst it was too late. Few connections while the wait behind a burst goes on end no spell.

A host closes nothing that waits once in a while, for short times between idle ones, or that serves what comes between two pauses.

--- a/node/shed/shed.go
+++ b/node/shed/shed.go
@@ -21,9 +21,18 @@
 	minOffered = 8
 	// probeInterval is the least time between two probes: several in a window.
 	probeInterval = 30 * time.Millisecond
-	// increase and decrease are how the closed share of new connections changes with each
-	// window: towards 1 by a part of the rest, and down by a fixed step.
+	// increase and decrease are how the closed share of new connections changes for each
+	// window's length of a standing queue, or without one: towards 1 by a part of the rest,
+	// and down by a fixed step.
 	increase, decrease = 0.3, 0.04
+	// maxIncreases bounds the increases at once. A host that is far behind accepts in bursts,
+	// and the wait behind one is as long as several windows.
+	maxIncreases = 4
+	// A host with a standing queue accepts nothing while it serves a burst, with no probe under
+	// way once the last one has returned. If that takes longer than gapOfWait of its wait, or
+	// than maxGap, the host counts as idle.
+	gapOfWait = 10
+	maxGap    = 5 * time.Second
 	// maxShare leaves some connections, without which nothing would be measured.
 	maxShare = 0.9
 )
@@ -44,9 +53,11 @@
 	probedAt time.Time // when the probe began that has no result yet, or the last one
 	probing  bool
 	from     time.Time // start of the window
+	seenAt   time.Time // of the last connection or result of a probe
 	offered  int       // new connections in it
 	waits    int
 	shortest time.Duration
+	carried  bool    // the window began with a probe under way that waits behind many connections
 	queued   bool    // there was a standing queue in the window before
 	share    float64 // of new connections that are closed
 }
@@ -66,7 +77,7 @@
 func (c *Controller) Admit() bool {
 	c.mu.Lock()
 	now := c.now()
-	c.endWindowLocked(now)
+	c.advanceLocked(now)
 	c.offered++
 	admitted := c.share == 0 || c.random() >= c.share
 	probe := c.Probe != nil && !c.probing && now.Sub(c.probedAt) >= probeInterval
@@ -80,13 +91,16 @@
 	return admitted
 }
 
-// Observe records the result of a probe: how long a goroutine has waited.
+// Observe records the result of a probe: how long a goroutine has waited. The wait belongs
+// to the window of the connections that it waited behind, which ends after it.
 func (c *Controller) Observe(wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endWindowLocked(c.now())
+	now := c.now()
+	c.seenAt = now // the wait itself is no idle time
 	c.probing = false
 	c.recordLocked(wait)
+	c.advanceLocked(now)
 }
 
 func (c *Controller) recordLocked(wait time.Duration) {
@@ -96,29 +110,73 @@
 	c.waits++
 }
 
-// endWindowLocked judges the window if it is over. The share changes only after a second
-// window of the same kind, so that a single pause closes nothing.
-func (c *Controller) endWindowLocked(now time.Time) {
+// advanceLocked judges the window if it is over, and ends a spell of windows with a standing
+// queue if nothing came for too long.
+func (c *Controller) advanceLocked(now time.Time) {
+	idle := now.Sub(c.seenAt)
+	c.seenAt = now
 	if now.Sub(c.from) < window {
 		return
 	}
-	if c.probing && now.Sub(c.probedAt) > window { // it has waited that long by now
-		c.recordLocked(now.Sub(c.probedAt))
+	if c.probing {
+		wait := now.Sub(c.probedAt) // by now
+		if c.waits == 0 && wait <= maxWait {
+			return // nothing is known of the window yet
+		}
+		if wait > maxWait {
+			c.recordLocked(wait)
+		}
+		idle = 0
 	}
-	queued := c.offered >= minOffered && c.waits > 0 && c.shortest > maxWait
 	before, shortest := c.share, c.shortest
+	c.judgeLocked(now.Sub(c.from))
+	if idle > max(window, min(gapOfWait*c.shortest, maxGap)) {
+		c.queued = false
+		c.decreaseLocked(idle)
+	}
+	c.carried = c.probing && (c.offered >= minOffered || c.carried && c.probedAt.Before(c.from))
+	c.from, c.offered, c.waits = now, 0, 0
+	if c.OnChange != nil && (before == 0) != (c.share == 0) {
+		c.OnChange(c.share > 0, shortest)
+	}
+}
+
+// judgeLocked changes the share by what a window shows. It rises only after a second window
+// with a standing queue, so that a single pause closes nothing. A window without connections
+// shows nothing: the host may be about to accept all that came meanwhile.
+func (c *Controller) judgeLocked(lasted time.Duration) {
+	waited := c.waits > 0 && c.shortest > maxWait
+	if c.carried && c.offered < minOffered && waited { // behind connections of a window before
+		if c.share > 0 && c.queued {
+			c.increaseLocked(min(c.shortest, lasted))
+		}
+		return
+	}
+	if c.offered == 0 {
+		return
+	}
+	queued := c.offered >= minOffered && waited
 	switch {
 	case queued && c.queued:
-		c.share = min(c.share+increase*(1-c.share), maxShare)
+		c.increaseLocked(min(c.shortest, lasted))
 	case !queued:
-		c.share = max(c.share-decrease, 0)
+		c.decreaseLocked(window)
 	}
-	c.from, c.offered, c.waits, c.queued = now, 0, 0, queued
-	if c.OnChange != nil && (before == 0) != (c.share == 0) {
-		c.OnChange(c.share > 0, shortest)
+	c.queued = queued
+}
+
+// increaseLocked raises the share for a window in which all waited for at least so long.
+func (c *Controller) increaseLocked(waited time.Duration) {
+	for range min(max(int(waited/window), 1), maxIncreases) {
+		c.share = min(c.share+increase*(1-c.share), maxShare)
 	}
 }
 
+// decreaseLocked lowers the share for a time without a standing queue.
+func (c *Controller) decreaseLocked(lasted time.Duration) {
+	c.share = max(c.share-decrease*lasted.Seconds()/window.Seconds(), 0)
+}
+
 // Share returns the share of new connections that are closed.
 func (c *Controller) Share() float64 {
 	c.mu.Lock()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -327,6 +327,22 @@
   'c.share = min(c.share+increase*(1-c.share), maxShare)' '' ./node/shed
 try "one pause closes nothing" node/shed/shed.go \
   'case queued && c.queued:' 'case queued:' ./node/shed
+try "a window without connections ends no spell" node/shed/shed.go \
+  'if c.offered == 0 {' 'if false {' ./node/shed
+try "a wait counts for the connections that it waited behind" node/shed/shed.go \
+  'c.recordLocked(wait)
+	c.advanceLocked(now)' 'c.advanceLocked(now)
+	c.recordLocked(wait)' ./node/shed
+try "few connections behind a burst end no spell" node/shed/shed.go \
+  'if c.carried && c.offered' 'if false && c.offered' ./node/shed
+try "a host with few connections that wait closes none" node/shed/shed.go \
+  'c.carried = c.probing && (c.offered >= minOffered || c.carried && c.probedAt.Before(c.from))' 'c.carried = true' ./node/shed
+try "an idle host's spell is over" node/shed/shed.go \
+  'if idle > max(window, min(gapOfWait*c.shortest, maxGap)) {' 'if false {' ./node/shed
+try "a long wait counts as several windows" node/shed/shed.go \
+  'min(max(int(waited/window), 1), maxIncreases)' '1' ./node/shed
+try "the wait of a probe is no idle time" node/shed/shed.go \
+  'c.seenAt = now // the wait itself is no idle time' '' ./node/shed
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/permits/permits.go \
