Origins: each host of a small deployment keeps the records of streams

Cause: beside its own host a stream was known to three, the coordinator and the first deputies, and the coordinator writes to the store each half second. All four that knew were killed, and a stream of 0.3 s was in no row yet. A record also waited 50 ms for others before it was sent.

Weighed: to go on without knowledge where all upstreams of the service had one version for longer than a stream may be taken up. Not taken: an upstream of another version may have begun the stream and have come and gone between two reads of the list, or be listed where this host does not see it, so that this is a guess; and a host would have to be up for two minutes. More writes to the store: each is priced, and it may be away.

Now the coordinator and all five deputies keep records: these are all hosts of a deployment of six. A record is sent at once, or 25 ms after others were. What is unknown is refused as before.

Before: EachOfSixHosts fails for two of five hosts, SentBefore took 50.5 ms at best. Tests of versions in platform (-race, once) hold: no stream of two versions. Calls: six a record in place of three, 240 a second at most from one host; not measured on a large deployment.

--- a/node/coordinator/link/origins.go
+++ b/node/coordinator/link/origins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotpier.example/node/coordinator/coordpb"
+	"peridotpier.example/node/coordinator/reports"
 	"peridotpier.example/node/coordinator/wire"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/origin"
@@ -14,16 +15,17 @@
 )
 
 // The streams that a host began are kept by the acting coordinator and by the hosts that
-// it names as its deputies: all hosts know these, and some of them are left after the loss
-// of a third of the hosts. A host that becomes one of them gets what may still be needed
-// from the hosts where the streams began.
+// it names as its deputies: all hosts know these, and all are hosts of a small deployment, so
+// that whichever are left of one know its streams. A host that becomes one of them gets what
+// may still be needed from the hosts where the streams began.
 
 const (
 	// originKeepers is how many hosts keep the records of a stream beside the one where
-	// it began.
-	originKeepers = 3
-	// originDelay is how long records wait for others to go along with them.
-	originDelay = 50 * time.Millisecond
+	// it began, and are asked for it: the acting coordinator and all of its deputies.
+	originKeepers = reports.MaxDeputies + 1
+	// originDelay is how long records wait after others were sent, for more to go along
+	// with them. A stream whose record waits is lost with its host.
+	originDelay = 25 * time.Millisecond
 	// originBatch bounds the records of one call: 10 kB.
 	originBatch = 500
 	// originSendTimeout bounds a call that hands over records: a frozen host must not keep
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
 	defer cancel()
 	type answer struct{ software, source string }
-	peers := l.recordKeepers(maxOriginPeers)
+	peers := l.recordKeepers()
 	answers := make(chan answer, len(peers))
 	for _, address := range peers {
 		go func() {
@@ -103,15 +105,11 @@
 	return "", "", false
 }
 
-// maxOriginPeers bounds the hosts that are asked for a stream: the acting coordinator and all
-// deputies, of whom one may have kept records until a moment ago.
-const maxOriginPeers = 6
-
-// recordKeepers returns the addresses of the first hosts, without this one, that keep records.
-func (l *Link) recordKeepers(limit int) []string {
+// recordKeepers returns the addresses of the hosts, without this one, that keep records.
+func (l *Link) recordKeepers() []string {
 	var out []string
 	for _, address := range append([]string{l.coordinatorAddress()}, l.peers()...) {
-		if address != "" && address != l.cfg.Address && !slices.Contains(out, address) && len(out) < limit {
+		if address != "" && address != l.cfg.Address && !slices.Contains(out, address) && len(out) < originKeepers {
 			out = append(out, address)
 		}
 	}
@@ -122,11 +120,11 @@
 // ends.
 func (l *Link) RunOrigins(ctx context.Context) error {
 	for added := l.origins.outbox.Added(); pace.SleepOrWake(ctx, originRetry, added); {
+		added = l.origins.outbox.Added()
+		l.sendOrigins(ctx)
 		if !pace.Sleep(ctx, originDelay) {
 			break
 		}
-		added = l.origins.outbox.Added()
-		l.sendOrigins(ctx)
 	}
 	return ctx.Err()
 }
@@ -135,7 +133,7 @@
 func (l *Link) sendOrigins(ctx context.Context) {
 	known := map[string]*keeper{}
 	var sends sync.WaitGroup
-	for _, address := range l.recordKeepers(originKeepers) {
+	for _, address := range l.recordKeepers() {
 		k := l.origins.keepers[address]
 		if k == nil {
 			k = &keeper{}
--- a/node/coordinator/link/origins_test.go
+++ b/node/coordinator/link/origins_test.go
@@ -55,6 +55,51 @@
 	t.Fatal("the process that took the keeper's place lacks records")
 }
 
+// Guards against streams that nobody left knows after the loss of all but one of six hosts.
+func TestEachOfSixHostsKeepsARecord(t *testing.T) {
+	var others []string
+	var kept []*origin.Registry
+	for range 5 {
+		registry, address, stop := serveKeeper(t, "127.0.0.1:0")
+		defer stop()
+		others, kept = append(others, address), append(kept, registry)
+	}
+	l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
+	l.conns = newDialingConns()
+	l.deputies = others
+	l.RecordOrigin(origin.Record{Attempt: 1, Content: 2, Software: "v1", TTL: time.Minute})
+	l.sendOrigins(t.Context())
+	for i, registry := range kept {
+		_, ok := registry.Find(1, time.Now())
+		assert.Check(t, ok, "host %d", i)
+	}
+}
+
+// Guards against a record that waits for others while its host may be lost.
+func TestARecordIsSentBeforeOthersAreAwaited(t *testing.T) {
+	kept, address, stop := serveKeeper(t, "127.0.0.1:0")
+	defer stop()
+	l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
+	l.conns = newDialingConns()
+	l.deputies = []string{address}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.RunOrigins(ctx) }()
+	defer func() { cancel(); <-done }()
+	fastest := time.Hour
+	for k := origin.Key(1); k <= 8; k++ {
+		began := time.Now()
+		l.RecordOrigin(origin.Record{Attempt: k, Content: 100 + k, Software: "v1", TTL: time.Minute})
+		for _, ok := kept.Find(k, began); !ok; _, ok = kept.Find(k, began) {
+			assert.Assert(t, time.Since(began) < 5*time.Second)
+			time.Sleep(time.Millisecond)
+		}
+		fastest = min(fastest, time.Since(began))
+		time.Sleep(3 * originDelay)
+	}
+	assert.Assert(t, fastest < originDelay, "%v", fastest)
+}
+
 // Guards against a search that goes on as long as one of the hosts asked does not answer, and
 // against one that another host's ignorance ends.
 func TestAStreamIsFoundWhereverItIsKept(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -315,6 +315,16 @@
   '!balance.MayGoOn(x.software, q.began.get())' 'false && !balance.MayGoOn(x.software, q.began.get())' ./node/gate -run 'VersionOverAHop'
 try "other hosts keep the origin of a stream" node/coordinator/link/origins.go \
   'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
+try "each host of a small deployment keeps a record" node/coordinator/link/origins.go \
+  'originKeepers = reports.MaxDeputies + 1' 'originKeepers = 3 + 0*reports.MaxDeputies' ./node/coordinator/link -run 'EachOfSix'
+try "a record is sent before others are awaited" node/coordinator/link/origins.go \
+  'l.sendOrigins(ctx)
+		if !pace.Sleep(ctx, originDelay) {
+			break
+		}' 'if !pace.Sleep(ctx, originDelay) {
+			break
+		}
+		l.sendOrigins(ctx)' ./node/coordinator/link -run 'SentBefore'
 try "a keeper that restarted gets all again" node/coordinator/link/origins.go \
   'k.id != 0 && k.id != a.Id' 'false' ./node/coordinator/link -run 'RestartedKeeper'
 try "streams outlive all hosts" node/host/host.go \
