--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -49,7 +49,8 @@
 		}
 		defer func() { p.permit.end(a.MayStillRun(), a.IsComplete()) }()
 	}
-	q.tried[e.ID()] = true
+	again := q.sentTo[e.ID()]
+	q.tried[e.ID()], q.sentTo[e.ID()] = true, true
 	q.sends++
 	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
 	fo := &failover{q: q, ctx: ctx, cancel: cancel}
@@ -70,7 +71,7 @@
 	q.countDataCentre(e)
 	q.beginSend(cancel)
 	defer q.endHold()
-	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
+	resp, err := d.Client.Do(ctx, q.outgoing(e, now, again))
 	if err != nil {
 		fo.close() // its search reads what noResponse changes
 		res := q.noResponse(ctx, a, err)
@@ -88,8 +89,10 @@
 const hedgeFactor = 2
 
 // outgoing builds the request of an attempt. It forwards what the caller sent,
-// except for hop-by-hop headers and the headers that this host sets.
-func (q *request) outgoing(e *fleet.Entry, now time.Time) *conn.Request {
+// except for hop-by-hop headers and the headers that this host sets. again says that the
+// upstream was sent the request before: then it goes over a new connection, since on the
+// former one a late answer to the earlier attempt would name the request too.
+func (q *request) outgoing(e *fleet.Entry, now time.Time, again bool) *conn.Request {
 	h := q.r.Header.Clone()
 	stripHopByHop(h)
 	stripHop(h)
@@ -99,7 +102,9 @@
 		s.HasUrgency = true
 	}
 	q.g.deps.Codec.SetAttempt(h, s)
-	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body, StillWanted: func() bool { return q.stillWanted(e) }}
+	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		NewConnection: again || q.hop != nil && q.hop.sends > 0, StillWanted: func() bool { return q.stillWanted(e) },
+		Owner: q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
 }
 
 // stillWanted reports whether an attempt whose connection is open should be sent. From
@@ -140,6 +145,9 @@
 	case errors.Is(err, conn.ErrNoLongerWanted):
 		a.Cancelled()
 		return result{notRun: true, why: "asked_meanwhile", withdrawn: true}
+	case errors.Is(err, conn.ErrForeignAnswer):
+		a.Interrupted(whyForeign)
+		return result{why: whyForeign}
 	case notRun:
 		why = fleet.WhyUnconnected
 		a.Interrupted(why)
@@ -152,7 +160,7 @@
 	return result{notRun: notRun, why: why, unsent: notRun}
 }
 
-// checkResponse checks the head of a response and decides how it is handled.
+// checkResponse checks the head of the request's own response and decides how it is handled.
 func (q *request) checkResponse(ctx context.Context, fo *failover, e *fleet.Entry, a *fleet.Attempt, p selection, resp *conn.Response) result {
 	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
 	if info.Load != nil {
@@ -167,10 +175,6 @@
 	q.possibleRuns++
 	q.framing, q.insideEvent = resp.Framing, false
 	switch {
-	case info.AttemptID != "" && info.AttemptID != q.info.AttemptID:
-		// These are bytes of another request's response, so the rest of the connection is unusable too.
-		q.g.deps.Log.Emit(event.AnswerMismatched, q.id(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", info.AttemptID))
-		return q.rejectResponse(a, resp, "crossed")
 	case resp.Status < 300 && (!info.Sealed || info.AttemptID == ""):
 		return q.rejectResponse(a, resp, "unsealed")
 	case resp.Status >= 300 && resp.Status < 400:
--- /dev/null
+++ b/node/gate/attribution.go
@@ -0,0 +1,36 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"peridotpier.example/node/event"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/upstream/conn"
+)
+
+// whyForeign is why an attempt is over whose connection brought the answer to another request.
+const whyForeign = "crossed"
+
+// ownerOf tells whose response an upstream's response is.
+func (q *request) ownerOf(h http.Header) conn.Owner {
+	switch q.g.deps.Codec.AnsweredAttempt(h) {
+	case q.info.AttemptID:
+		return conn.OwnedByRequest
+	case "":
+		return conn.OwnerUnnamed
+	default:
+		return conn.OwnedByOther
+	}
+}
+
+// recordForeign records a response that is not proven to be that to the request.
+func (q *request) recordForeign(e *fleet.Entry, a conn.ForeignAnswer) {
+	d := &q.g.deps
+	d.Metrics.CountKind(metrics.AnswersUnproven, fmt.Sprintf("%s %d %v", e.ID(), a.Status, a.Owner), 1)
+	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", d.Codec.AnsweredAttempt(a.Header)),
+		zap.Int("status", a.Status), zap.Int("exchange", a.Use.Exchanges), zap.Int64("idle_ms", a.Use.Idle.Milliseconds()))
+}
