Shed: a few connections now and then are not closed, however long they wait

Now a window within a spell needs as many connections as the time before it asks for, and a probe that does not return in 5 s is lost.

--- a/node/shed/bursts_test.go
+++ b/node/shed/bursts_test.go
@@ -157,3 +157,36 @@
 	}
 	assert.Equal(t, b.c.Share(), 0.0)
 }
+
+// Guards against closing connections of a host to which a few come now and then, each time
+// with a long wait.
+func TestAFewConnectionsNowAndThenAreNotClosed(t *testing.T) {
+	for apart := time.Second; apart <= 5*time.Second; apart += 100 * time.Millisecond {
+		for _, wait := range []time.Duration{60 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond} {
+			b := newBurstHost()
+			for range 40 {
+				b.accept(minOffered, 10*time.Millisecond)
+				b.answerProbe(wait)
+				b.now = b.now.Add(apart)
+			}
+			assert.Check(t, b.closed == 0, "%d of %d closed, %v apart, wait %v", b.closed, b.total, apart, wait)
+		}
+	}
+}
+
+// Guards against a share that rises without an end since one probe is lost.
+func TestALostProbeDoesNotCloseConnections(t *testing.T) {
+	b := newBurstHost()
+	b.c.Probe = func() {}
+	b.accept(100, 10*time.Millisecond)
+	for range 100 { // a few connections, and nothing that waits is seen
+		b.accept(4, 400*time.Millisecond)
+	}
+	b.closed = 0
+	b.c.Probe = func() { b.probe = true }
+	for range 100 {
+		b.accept(4, 200*time.Millisecond)
+		b.answerProbe(time.Millisecond)
+	}
+	assert.Equal(t, b.c.Share(), 0.0)
+}
--- a/node/shed/shed.go
+++ b/node/shed/shed.go
@@ -52,9 +52,10 @@
 	mu       sync.Mutex
 	probedAt time.Time // when the probe began that has no result yet, or the last one
 	probing  bool
-	from     time.Time // start of the window
-	seenAt   time.Time // of the last connection or result of a probe
-	offered  int       // new connections in it
+	from     time.Time     // start of the window
+	seenAt   time.Time     // of the last connection or result of a probe
+	gap      time.Duration // before it, in which nothing came
+	offered  int           // new connections in it
 	waits    int
 	shortest time.Duration
 	carried  bool    // the window began with a probe under way that waits behind many connections
@@ -118,6 +119,9 @@
 	if now.Sub(c.from) < window {
 		return
 	}
+	if c.probing && now.Sub(c.probedAt) > maxGap {
+		c.probing = false // it is lost
+	}
 	if c.probing {
 		wait := now.Sub(c.probedAt) // by now
 		if c.waits == 0 && wait <= maxWait {
@@ -135,7 +139,7 @@
 		c.decreaseLocked(idle)
 	}
 	c.carried = c.probing && (c.offered >= minOffered || c.carried && c.probedAt.Before(c.from))
-	c.from, c.offered, c.waits = now, 0, 0
+	c.from, c.gap, c.offered, c.waits = now, idle, 0, 0
 	if c.OnChange != nil && (before == 0) != (c.share == 0) {
 		c.OnChange(c.share > 0, shortest)
 	}
@@ -155,7 +159,7 @@
 	if c.offered == 0 {
 		return
 	}
-	queued := c.offered >= minOffered && waited
+	queued := waited && float64(c.offered) >= c.enoughLocked()
 	switch {
 	case queued && c.queued:
 		c.increaseLocked(min(c.shortest, lasted))
@@ -165,6 +169,16 @@
 	c.queued = queued
 }
 
+// enoughLocked returns the number of connections from which a window is one with a standing
+// queue. Within a spell it counts the time before the window, too: a few connections now and then
+// are not what the processor is busy with, however long they wait.
+func (c *Controller) enoughLocked() float64 {
+	if !c.queued {
+		return minOffered
+	}
+	return minOffered * max(c.gap.Seconds()/window.Seconds(), 1)
+}
+
 // increaseLocked raises the share for a window in which all waited for at least so long.
 func (c *Controller) increaseLocked(waited time.Duration) {
 	for range min(max(int(waited/window), 1), maxIncreases) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -351,6 +351,8 @@
   'if idle > max(window, min(gapOfWait*c.shortest, maxGap)) {' 'if false {' ./node/shed
 try "a long wait counts as several windows" node/shed/shed.go \
   'min(max(int(waited/window), 1), maxIncreases)' '1' ./node/shed
+try "a few connections now and then are none too many" node/shed/shed.go \
+  'return minOffered * max(c.gap.Seconds()/window.Seconds(), 1)' 'return minOffered' ./node/shed -run 'NowAndThen'
 try "the wait of a probe is no idle time" node/shed/shed.go \
   'c.seenAt = now // the wait itself is no idle time' '' ./node/shed
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
