--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -404,6 +404,16 @@
   '!balance.MayGoOn(x.software, q.began.get())' 'false && !balance.MayGoOn(x.software, q.began.get())' ./node/gate -run 'VersionOverAHop'
 try "other hosts keep the origin of a stream" node/coordinator/link/origins.go \
   'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
+try "each host of a small deployment keeps a record" node/coordinator/link/origins.go \
+  'originKeepers = reports.MaxDeputies + 1' 'originKeepers = 3 + 0*reports.MaxDeputies' ./node/coordinator/link -run 'EachOfSix'
+try "a record is sent before others are awaited" node/coordinator/link/origins.go \
+  'l.sendOrigins(ctx)
+		if !pace.Sleep(ctx, originDelay) {
+			break
+		}' 'if !pace.Sleep(ctx, originDelay) {
+			break
+		}
+		l.sendOrigins(ctx)' ./node/coordinator/link -run 'SentBefore'
 try "a keeper that restarted gets all again" node/coordinator/link/origins.go \
   'k.id != 0 && k.id != a.Id' 'false' ./node/coordinator/link -run 'RestartedKeeper'
 try "streams outlive all hosts" node/host/host.go \
@@ -416,6 +426,24 @@
   'c.share = min(c.share+increase*(1-c.share), maxShare)' '' ./node/shed
 try "one pause closes nothing" node/shed/shed.go \
   'case queued && c.queued:' 'case queued:' ./node/shed
+try "a window without connections ends no spell" node/shed/shed.go \
+  'if c.offered == 0 {' 'if false {' ./node/shed
+try "a wait counts for the connections that it waited behind" node/shed/shed.go \
+  'c.recordLocked(wait)
+	c.advanceLocked(now)' 'c.advanceLocked(now)
+	c.recordLocked(wait)' ./node/shed
+try "few connections behind a burst end no spell" node/shed/shed.go \
+  'if c.carried && c.offered' 'if false && c.offered' ./node/shed
+try "a host with few connections that wait closes none" node/shed/shed.go \
+  'c.carried = c.probing && (c.offered >= minOffered || c.carried && c.probedAt.Before(c.from))' 'c.carried = true' ./node/shed
+try "an idle host's spell is over" node/shed/shed.go \
+  'if idle > max(window, min(gapOfWait*c.shortest, maxGap)) {' 'if false {' ./node/shed
+try "a long wait counts as several windows" node/shed/shed.go \
+  'min(max(int(waited/window), 1), maxIncreases)' '1' ./node/shed
+try "a few connections now and then are none too many" node/shed/shed.go \
+  'return minOffered * max(c.gap.Seconds()/window.Seconds(), 1)' 'return minOffered' ./node/shed -run 'NowAndThen'
+try "the wait of a probe is no idle time" node/shed/shed.go \
+  'c.seenAt = now // the wait itself is no idle time' '' ./node/shed
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/permits/permits.go \
