A resumable stream stays with an upstream that pauses for a second

What callers saw: nothing; their streams arrived whole. But a stream whose sound upstream fell silent for a second went on at another one after 0.7 s, while the first worked on it for up to 2.1 s more. Cause: core/health counts an upstream as unresponsive after 0.7 s without a byte, which is right for new requests. The gate's failover took it as the time to end a stream's attempt too, and the end of the connection as the end of the run, which a silent upstream notices late, and some do not at all. Ruled out: the retry budget and the choice of the other upstream, which are as they should be; a hop through another host, which waits for two seconds. Change: a resumable stream stays for 0.8 s more, 1.5 s in all, unless the upstream's process is known to be gone (it started again, or another one has its address) or this host reaches no upstream. Calls that may repeat leave as before. Why it works: the run at the first upstream is not ended while it may be sound, and the first callers give up at two seconds only.

--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -66,6 +66,7 @@
 	describedAt     time.Time
 	listRevision    uint64 // revision of the list at which desc last changed
 	draining        bool
+	gone            bool      // its process has ended: another one has its place
 	delisted        bool      // its entry was removed from the list
 	relistPending   bool      // its entry is listed again, but may be that of a copy of the store
 	useUntil        time.Time // end of the grace after the removal; zero: no grace
@@ -376,14 +377,24 @@
 func (e *Entry) MarkReplaced() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.gone = true
 	e.drainLocked("another process at its address")
 }
 
+// IsGone reports whether the process is known to have ended, since another one has its ID
+// or its address. What was sent to it runs no longer.
+func (e *Entry) IsGone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone
+}
+
 // markSuperseded records that the upstream has started again, as another process. What
 // was sent to this one is lost; attempts that can be retried elsewhere are aborted.
 func (e *Entry) markSuperseded() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.gone = true
 	e.drainLocked("started again")
 	e.abortMovableLocked()
 }
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -52,7 +52,7 @@
 	q.tried[e.ID()] = true
 	q.sends++
 	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
-	fo := &failover{q: q, ctx: ctx, cancel: cancel}
+	fo := &failover{q: q, at: e, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
 		a.OnUnresponsive(fo.onUnresponsive)
--- a/node/gate/failover.go
+++ b/node/gate/failover.go
@@ -7,15 +7,17 @@
 	"sync/atomic"
 	"time"
 
+	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/pace"
 )
 
 // failover ends an attempt at an upstream that is unresponsive, or slow to respond,
-// as soon as the request can be sent to another. Being unresponsive alone ends
-// nothing: an engine that preempts a request for more urgent ones sends nothing
+// as soon as the request may leave and can be sent to another. Being unresponsive alone
+// ends nothing: an engine that preempts a request for more urgent ones sends nothing
 // either, and continues with the request later.
 type failover struct {
 	q      *request
+	at     *fleet.Entry    // of the attempt's upstream; nil: the attempt is at another host
 	ctx    context.Context // of the attempt
 	cancel context.CancelCauseFunc
 	pieces atomic.Int64 // number of pieces of the response that arrived
@@ -87,8 +89,9 @@
 func (f *failover) search(pieces int64, cause error) {
 	defer f.searches.Done()
 	defer func() { f.mu.Lock(); f.searching = false; f.mu.Unlock() }()
+	began := f.q.g.deps.Now()
 	for f.pieces.Load() == pieces {
-		if f.q.mayMove() {
+		if f.mayLeave(began) && f.q.mayMove() {
 			if c := f.q.takeRetry(f.ctx); c.allowed {
 				f.cancel(&failedOver{cause, c})
 				return
@@ -100,6 +103,25 @@
 	}
 }
 
+// streamStay is how long a stream stays with an upstream that was found unresponsive, which
+// health.DefaultPolicy does after 0.7 s. The sum lies above the second for which a sound
+// upstream, which works on, may send nothing, and leaves a quarter of the two seconds after
+// which the first callers give up for going on elsewhere.
+const streamStay = 800 * time.Millisecond
+
+// mayLeave reports whether the request may leave a silent upstream, for which another has
+// been sought since began. A stream must not run at two upstreams at once, so it stays for a
+// while, unless the upstream's process is gone or this host does not reach it.
+func (f *failover) mayLeave(began time.Time) bool {
+	switch {
+	case f.at == nil, f.q.route.Repeatable():
+		return true
+	case f.at.IsGone(), f.q.cutOff():
+		return true
+	}
+	return f.q.g.deps.Now().Sub(began) >= f.q.g.streamStay
+}
+
 // mayMove reports whether another upstream could accept the request, or, while this host
 // reaches none, another host.
 func (q *request) mayMove() bool {
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -117,11 +117,12 @@
 
 // Gate serves routed requests.
 type Gate struct {
-	deps     Deps
-	holds    holds
-	lender   lender
-	hopHosts hopHosts
-	ages     attemptAges
+	deps       Deps
+	holds      holds
+	lender     lender
+	hopHosts   hopHosts
+	ages       attemptAges
+	streamStay time.Duration // see streamStay
 }
 
 // New creates a Gate; DisconnectReason, Now and Rand may be nil.
@@ -143,7 +144,7 @@
 	if d.LendLimit == 0 {
 		d.LendLimit = defaultLendLimit
 	}
-	g := &Gate{deps: d, lender: lender{limit: int64(d.LendLimit)}}
+	g := &Gate{deps: d, lender: lender{limit: int64(d.LendLimit)}, streamStay: streamStay}
 	if d.Detour != nil {
 		g.holds.needed = d.Detour.Needed
 		d.Detour.OnNeeded(g.holds.divert)
--- a/node/gate/unresponsive_test.go
+++ b/node/gate/unresponsive_test.go
@@ -33,7 +33,13 @@
 	g, _ := newGate(&noModelCoordinator{}, "")
 	g.deps.Codec = codec
 	policy := health.DefaultPolicy
-	policy.UnresponsiveAfter = unresponsiveAfter
+	policy.UnresponsiveAfter, g.streamStay = unresponsiveAfter, unresponsiveAfter
+	return startDetectionHost(t, g, policy, kind, upstreams...)
+}
+
+// startDetectionHost starts a host whose upstreams are found unresponsive by a policy.
+func startDetectionHost(t *testing.T, g *Gate, policy health.Policy, kind deploy.RequestKind, upstreams ...http.HandlerFunc) (host *httptest.Server, f *fleet.Fleet) {
+	t.Helper()
 	f = fleet.New(fleet.Config{Health: policy}, fleet.Deps{Log: g.deps.Log})
 	g.deps.Fleet = f
 	for i, handler := range upstreams {
@@ -49,7 +55,7 @@
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
 	go func() {
-		for each := time.NewTicker(unresponsiveAfter / 8); ; {
+		for each := time.NewTicker(policy.UnresponsiveAfter / 8); ; {
 			select {
 			case <-done:
 				each.Stop()
