--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -36,17 +36,22 @@
 	headRemaining int64  // bytes that the head of the answer may still take; negative while no head is read
 	read          int64  // bytes received in the current exchange
 	reused        bool   // the current exchange is not the first
+	exchanges     int    // number of the current exchange; the first is 1
+	foreign       bool   // an answer came that is not proven to be that of its exchange
+	sentHead      bool   // a HEAD request was sent: whether an answer has a body depends on whose it is
 	idleSince     time.Time
 	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
 	idleBefore    time.Duration // how long it was idle before the current exchange
 }
 
 func newPersistConn(nc net.Conn, p *pool, gen uint64) *persistConn {
-	l := &persistConn{nc: nc, pool: p, gen: gen, headRemaining: -1}
+	l := &persistConn{nc: nc, pool: p, gen: gen, headRemaining: -1, exchanges: 1}
 	l.br = bufio.NewReaderSize(l, readBufferSize)
 	return l
 }
 
+func (l *persistConn) use() ConnUse { return ConnUse{Exchanges: l.exchanges, Idle: l.idleBefore} }
+
 // reset closes the connection of an abandoned exchange and discards what the kernel
 // has not sent yet. After a plain close the kernel goes on sending: a request held
 // up by a network failure would reach its upstream seconds later, when the caller
@@ -82,8 +87,14 @@
 	return n, err
 }
 
+// mayHoldAnotherAnswer reports whether bytes of an answer to an earlier request may come
+// before those of the present one.
+func (l *persistConn) mayHoldAnotherAnswer(r *Request) bool {
+	return r.Owner != nil && (l.exchanges > 1 || l.foreign)
+}
+
 // readHead reads the head of the answer to req, passing over interim answers.
-func (l *persistConn) readHead(req *http.Request) (*http.Response, error) {
+func (l *persistConn) readHead(r *Request, req *http.Request) (*http.Response, error) {
 	l.headRemaining = maxHeadBytes
 	defer func() { l.headRemaining = -1 }()
 	for {
@@ -94,6 +105,10 @@
 			}
 			return nil, err
 		}
+		if l.mayHoldAnotherAnswer(r) && isSpliced(resp) {
+			r.reportForeign(ForeignAnswer{Status: resp.StatusCode, Header: resp.Header, Owner: OwnerUnnamed, Use: l.use()})
+			return nil, errSplicedHead
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
