Tests of answers without end: what holds already

Callers saw bytes that are no answer come without end, in a head or a body, until they closed. The tests play each form: status lines, heads, interim answers, chunks, chunk extensions, trailers, comments and events, and answers to other requests, each dripping (a byte each 20 ms) or poured. Every request must end by its deadline and 600 ms (the time that a last write may take, and as much for a busy machine), the upstream's connection too, none that may have run is told that it did not, and the heap stays bounded.

Guards: the bytes of a head, the bytes, time and number of answers that are passed over, the bytes of an event.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -752,4 +752,14 @@
 try "ages are told by team" node/gate/age.go \
   'e := a.byKind[kind]' 'kind.team = ""
 	e := a.byKind[kind]' ./node/gate -run 'AnotherTeams'
+try "bytes of a head" node/upstream/conn/conn.go \
+  'if l.headRemaining == 0 {' 'if false {' ./node/upstream/conn -run 'EndlessBytes'
+try "bytes of an answer that is passed over" node/upstream/conn/attribution.go \
+  'io.LimitReader(resp.Body, maxForeignBytes+1)' 'resp.Body' ./node/upstream/conn -run 'EndlessBytes'
+try "time of an answer that is passed over" node/upstream/conn/attribution.go \
+  'time.Now().Add(foreignBodyTimeout)' 'time.Time{}' ./platform -run 'PassedOverHasBounds'
+try "answers that are passed over" node/upstream/conn/attribution.go \
+  'if n == maxForeignAnswers {' 'if false {' ./node/upstream/conn -run 'EndlessBytes'
+try "bytes of an event" node/gate/splitter.go \
+  's.tooLong = len(s.incomplete) > maxEventBytes' '' ./node/gate -run 'Event|Splitter'
 exit $missed
