The rest of a refusal is not awaited

The cause: the body was read, without a bound on time, only to keep the connection. Now the connection is kept if the body ends within 10 ms, and is reset otherwise; the request goes on. 10 ms covers a body in a packet of its own; a body that came with its head waits for nothing. A stated length above the bound closes at once, and so does a connection that is not kept anyway.

Ruled out: the search for another upstream (with bodies poured without end the same requests were served at once, since the bound on bytes ended the read).

A read deadline of an exchange is now cleared when its connection returns to the pool; until now no caller set one there.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -12,7 +12,6 @@
 
 	"go.uber.org/zap"
 
-	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
@@ -197,42 +196,6 @@
 	return result{why: why}
 }
 
-// refused ends an attempt that the upstream reported as not run.
-func (q *request) refused(e *fleet.Entry, a *fleet.Attempt, resp *conn.Response, info ResponseInfo) result {
-	a.Refused()
-	after := retryAfter(resp.Header)
-	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes+1)); err != nil || n > maxRefusalBytes {
-		resp.Abort()
-	} else {
-		resp.Finish()
-	}
-	q.g.deps.Metrics.Add(metrics.Refused, q.service.Name, e.ID(), 1)
-	if resp.Status == http.StatusMisdirectedRequest {
-		if info.Upstream != "" && info.Upstream != e.ID() {
-			e.MarkReplaced()
-		} else {
-			e.MarkNotResident(q.needs.Model, q.needs.Adapter)
-		}
-	}
-	return result{notRun: true, why: "refused_" + strconv.Itoa(resp.Status), retryAfter: after}
-}
-
-// maxRefusalBytes bounds what is read of a refusal in order to keep its connection.
-const maxRefusalBytes = 16 << 10
-
-// maxRetryAfter is the longest retry delay that is forwarded to a caller.
-const maxRetryAfter = time.Hour
-
-// retryAfter returns the retry delay that an upstream requested; 0: none, or more
-// than maxRetryAfter.
-func retryAfter(h http.Header) time.Duration {
-	after := backpressure.ParseRetryAfter(h.Get("Retry-After"))
-	if after > maxRetryAfter {
-		return 0
-	}
-	return after
-}
-
 // maxBufferedBytes is the largest response that is buffered completely before its
 // first byte goes to the caller. Until then a broken response can be replaced.
 const maxBufferedBytes = 1 << 20
--- /dev/null
+++ b/node/gate/refused.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotpier.example/core/backpressure"
+	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/upstream/conn"
+)
+
+// refused ends an attempt that the upstream reported as not run.
+func (q *request) refused(e *fleet.Entry, a *fleet.Attempt, resp *conn.Response, info ResponseInfo) result {
+	a.Refused()
+	after := retryAfter(resp.Header)
+	resp.Discard(maxRefusalBytes, refusalBodyWait)
+	q.g.deps.Metrics.Add(metrics.Refused, q.service.Name, e.ID(), 1)
+	if resp.Status == http.StatusMisdirectedRequest {
+		if info.Upstream != "" && info.Upstream != e.ID() {
+			e.MarkReplaced()
+		} else {
+			e.MarkNotResident(q.needs.Model, q.needs.Adapter)
+		}
+	}
+	return result{notRun: true, why: "refused_" + strconv.Itoa(resp.Status), retryAfter: after}
+}
+
+// Bounds of what is read of a refusal in order to keep its connection. Its head says all, so
+// that the request waits for the rest no longer than for a packet that follows.
+const (
+	maxRefusalBytes = 16 << 10
+	refusalBodyWait = 10 * time.Millisecond
+)
+
+// maxRetryAfter is the longest retry delay that is forwarded to a caller.
+const maxRetryAfter = time.Hour
+
+// retryAfter returns the retry delay that an upstream requested; 0: none, or more
+// than maxRetryAfter.
+func retryAfter(h http.Header) time.Duration {
+	after := backpressure.ParseRetryAfter(h.Get("Retry-After"))
+	if after > maxRetryAfter {
+		return 0
+	}
+	return after
+}
--- a/node/upstream/conn/bounds_test.go
+++ b/node/upstream/conn/bounds_test.go
@@ -73,3 +73,26 @@
 	}
 	return conn.OwnedByRequest
 }
+
+// Guards against a connection that is closed though its answer is whole, or used with the
+// bound of the read before it.
+func TestADiscardedAnswerThatIsWholeKeepsItsConnection(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	address := serveRaw(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if i > 0 {
+				time.Sleep(2 * wait)
+			}
+			_, _ = io.WriteString(c, ok)
+		}
+	})
+	c := conn.New(conn.Config{})
+	r, err := c.Do(t.Context(), &conn.Request{Address: address, Method: "POST", Target: "/", Header: http.Header{}})
+	assert.NilError(t, err)
+	r.Discard(16, wait)
+	assert.Assert(t, c.HasIdleConnection(address))
+	assert.Equal(t, roundTrip(t, c, address, 0), "ok")
+}
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -106,6 +106,8 @@
 	close  bool
 	stop   func() bool // detaches the connection from the context
 	ended  atomic.Bool
+	// bounded reports whether a read deadline was set, which must not bound the next exchange.
+	bounded bool
 }
 
 // Do writes the request and reads the head of its answer. The error is a
@@ -328,30 +330,13 @@
 		_ = r.conn.nc.Close()
 		return
 	}
-	r.conn.pool.put(r.conn, time.Now(), r.client.cfg, statedIdleTime(r.Header))
-}
-
-// ReadAll reads the body and ends the exchange. A body of more than limit bytes is an
-// error: its rest would be read as the answer to the next request.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(data)) > limit {
-		err = ErrBodyTooLarge
-	}
-	if err != nil {
-		r.Abort()
-		return nil, err
+	if r.bounded && r.conn.nc.SetReadDeadline(time.Time{}) != nil {
+		_ = r.conn.nc.Close()
+		return
 	}
-	r.Finish()
-	return data, nil
+	r.conn.pool.put(r.conn, time.Now(), r.client.cfg, statedIdleTime(r.Header))
 }
 
-// ErrBodyTooLarge means that the body of an answer is larger than the caller of ReadAll accepts.
-var ErrBodyTooLarge = errors.New("body of the answer is too large")
-
-// SetReadDeadline bounds the wait for the next bytes of the body.
-func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.nc.SetReadDeadline(t) }
-
 // Reused reports whether the exchange used a pooled connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -762,4 +762,8 @@
   'if n == maxForeignAnswers {' 'if false {' ./node/upstream/conn -run 'EndlessBytes'
 try "bytes of an event" node/gate/splitter.go \
   's.tooLong = len(s.incomplete) > maxEventBytes' '' ./node/gate -run 'Event|Splitter'
+try "the rest of a refusal" node/upstream/conn/read.go \
+  'r.SetReadDeadline(time.Now().Add(wait)) != nil' 'false' ./platform -run 'RestOfARefusal'
+try "a bound of a read ends with its exchange" node/upstream/conn/read.go \
+  'r.bounded = true' '' ./node/upstream/conn -run 'Discarded'
 exit $missed
