The rest of a failure that a retry may replace is not awaited

The cause: the body is kept in case no retry serves the request, and its read had no bound but the deadline. Now a body that a retry may replace is read for 100 ms and 1 MB; the bound applies only while a retry is possible, so the last failure is forwarded as before. If then no retry is allowed or none serves, the caller gets 502 with the same reason instead of that body.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -202,7 +203,16 @@
 
 // forwardBuffered forwards a response that is not a stream.
 func (q *request) forwardBuffered(ctx context.Context, fo *failover, a exchange, resp *conn.Response) result {
+	replaceable := q.mayReplace(resp)
+	if replaceable && resp.SetReadDeadline(q.g.deps.Now().Add(failureBodyWait)) != nil {
+		return q.responseBroken(ctx, a, resp)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if replaceable && ctx.Err() == nil && (errors.Is(err, os.ErrDeadlineExceeded) || len(body) > maxBufferedBytes) {
+		resp.Abort()
+		a.Answered(true)
+		return result{why: whyFailed(resp)}
+	}
 	if err != nil {
 		return q.responseBroken(ctx, a, resp)
 	}
@@ -215,16 +225,27 @@
 		}
 		return q.forwardLarge(ctx, a, resp, body)
 	}
-	failed := resp.Status >= 500
-	a.Answered(failed)
+	a.Answered(resp.Status >= 500)
 	resp.Finish()
-	if failed && q.route.Repeatable() && q.possibleRuns < q.route.Attempts && q.deliverFailed == nil {
+	if replaceable {
 		q.deliverFailed = func() { q.deliver(resp, body) }
-		return result{why: "failed_" + strconv.Itoa(resp.Status)}
+		return result{why: whyFailed(resp)}
 	}
 	return q.deliver(resp, body)
 }
 
+// failureBodyWait is how long the body of a failed response is awaited that a retry may
+// replace: its head says that it failed, and the body is needed only if there is no retry.
+const failureBodyWait = 100 * time.Millisecond
+
+// mayReplace reports whether a retry may replace a response, which is a failed one.
+func (q *request) mayReplace(resp *conn.Response) bool {
+	return resp.Status >= 500 && q.route.Repeatable() && q.possibleRuns < q.route.Attempts && q.deliverFailed == nil
+}
+
+// whyFailed is why an attempt is over whose response is a failure.
+func whyFailed(resp *conn.Response) string { return "failed_" + strconv.Itoa(resp.Status) }
+
 // forwardLarge forwards a response that is too large to buffer.
 func (q *request) forwardLarge(ctx context.Context, a exchange, resp *conn.Response, head []byte) result {
 	q.copyHeaders(resp)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -766,4 +766,8 @@
   'r.SetReadDeadline(time.Now().Add(wait)) != nil' 'false' ./platform -run 'RestOfARefusal'
 try "a bound of a read ends with its exchange" node/upstream/conn/read.go \
   'r.bounded = true' '' ./node/upstream/conn -run 'Discarded'
+try "the rest of a failure" node/gate/attempt.go \
+  'replaceable && resp.SetReadDeadline(' 'false && resp.SetReadDeadline(' ./platform -run 'RestOfAFailure'
+try "bytes of a failure" node/gate/attempt.go \
+  '|| len(body) > maxBufferedBytes)' ')' ./platform -run 'RestOfAFailure'
 exit $missed
