Idle connections on which bytes come are closed within a quarter of a second

Such bytes were never read as an answer: a connection is looked at before it is used.

The cause: the pool's own check asked only how long a connection was idle, and once in that time. Now it looks every 250 ms, and at what the kernel has, too: bytes, or the end of the connection. Half closed connections go as early.

TestWhenAConnectionIsUsedAgain states when a connection is used again: the upstream has read the request and does not mean to close, the answer states its end and came whole, nothing came with it or since, and the idle time that it states is not over.

--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -9,12 +9,12 @@
 
 // pool keeps the idle connections to one address.
 type pool struct {
-	address         string
-	mu              sync.Mutex
-	idle            []*persistConn // most recently used last
-	gen             uint64         // connections of an older generation are not reused
-	expiryScheduled bool           // a timer will close expired connections
-	observedBound   time.Duration  // bound on the idle time, derived from connections that the upstream dropped; 0 if none
+	address        string
+	mu             sync.Mutex
+	idle           []*persistConn // most recently used last
+	gen            uint64         // connections of an older generation are not reused
+	checkScheduled bool           // a timer will close connections that cannot be reused
+	observedBound  time.Duration  // bound on the idle time, derived from connections that the upstream dropped; 0 if none
 }
 
 // takeIdle returns the most recently used connection that may still be reused, or
@@ -76,35 +76,45 @@
 	}
 	l.idleSince, l.statedIdle = now, stated
 	p.idle = append(p.idle, l)
-	p.scheduleExpiryLocked(cfg.MaxIdleTime)
+	p.scheduleCheckLocked(cfg.MaxIdleTime)
 }
 
-// scheduleExpiryLocked starts a timer that closes expired connections, unless one
-// runs. The most recently used connection is reused first, so the others would
-// never be checked again after a burst and would pile up half closed. p.mu is held.
-func (p *pool) scheduleExpiryLocked(maxIdle time.Duration) {
-	if p.expiryScheduled || len(p.idle) == 0 {
+// checkInterval is how often idle connections are checked: how long one stays open on which
+// bytes came that no request asked for. A check takes about a microsecond.
+const checkInterval = 250 * time.Millisecond
+
+// scheduleCheckLocked starts a timer that closes the connections that cannot be reused, unless
+// one runs. The most recently used connection is reused first, so the others would never be
+// checked again after a burst and would pile up half closed. p.mu is held.
+func (p *pool) scheduleCheckLocked(maxIdle time.Duration) {
+	if p.checkScheduled || len(p.idle) == 0 {
 		return
 	}
-	p.expiryScheduled = true
-	time.AfterFunc(maxIdle, func() {
+	p.checkScheduled = true
+	time.AfterFunc(min(checkInterval, maxIdle), func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.expiryScheduled = false
-		now, kept := time.Now(), p.idle[:0]
-		for _, l := range p.idle {
-			if now.Sub(l.idleSince) >= p.idleBound(l, maxIdle) {
-				_ = l.nc.Close()
-				continue
-			}
-			kept = append(kept, l)
-		}
-		clear(p.idle[len(kept):])
-		p.idle = kept
-		p.scheduleExpiryLocked(maxIdle)
+		p.checkScheduled = false
+		p.closeUnusableLocked(time.Now(), maxIdle)
+		p.scheduleCheckLocked(maxIdle)
 	})
 }
 
+// closeUnusableLocked closes the connections that were idle for too long, that were closed by
+// the upstream, or on which bytes came. p.mu is held.
+func (p *pool) closeUnusableLocked(now time.Time, maxIdle time.Duration) {
+	kept := p.idle[:0]
+	for _, l := range p.idle {
+		if now.Sub(l.idleSince) >= p.idleBound(l, maxIdle) || !isClean(l.nc) {
+			_ = l.nc.Close()
+			continue
+		}
+		kept = append(kept, l)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
 // hasIdle reports whether the pool has a connection that could be reused.
 func (p *pool) hasIdle(now time.Time, maxIdle time.Duration) bool {
 	p.mu.Lock()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -770,4 +770,8 @@
   'replaceable && resp.SetReadDeadline(' 'false && resp.SetReadDeadline(' ./platform -run 'RestOfAFailure'
 try "bytes of a failure" node/gate/attempt.go \
   '|| len(body) > maxBufferedBytes)' ')' ./platform -run 'RestOfAFailure'
+try "bytes on an idle connection" node/upstream/conn/pool.go \
+  '|| !isClean(l.nc)' '' ./node/upstream/conn -run 'OnAnIdleConnection'
+try "bytes in the buffer behind an answer" node/upstream/conn/client.go \
+  '|| r.conn.br.Buffered() > 0' '' ./node/upstream/conn -run 'UsedAgain'
 exit $missed
