A connection that switched to another protocol is not used again

After a 101 a connection went back to its pool, and the next request was sent to whatever protocol is spoken there; its answer would be what that says. No upstream of the tests answers so; found by the table of when a connection is used again.

--- a/node/upstream/conn/return_test.go
+++ b/node/upstream/conn/return_test.go
@@ -44,6 +44,7 @@
 
 		{name: "the upstream closes", answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"},
 		{name: "HTTP/1.0", answer: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+		{name: "another protocol", answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"},
 		{name: "the upstream has not read the request", answer: ok, body: 8 << 20, unread: true},
 		{name: "bytes with the answer", answer: ok, after: "x"},
 		{name: "bytes just after", answer: ok, after: "x", pause: 5 * time.Millisecond, idle: 50 * time.Millisecond},
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -774,4 +774,6 @@
   '|| !isClean(l.nc)' '' ./node/upstream/conn -run 'OnAnIdleConnection'
 try "bytes in the buffer behind an answer" node/upstream/conn/client.go \
   '|| r.conn.br.Buffered() > 0' '' ./node/upstream/conn -run 'UsedAgain'
+try "a connection that speaks another protocol" node/upstream/conn/client.go \
+  ' || resp.StatusCode == http.StatusSwitchingProtocols, stop' ', stop' ./node/upstream/conn -run 'UsedAgain'
 exit $missed
