What is passed on ends with the request's time, whatever its caller reads

Callers that read a long answer slowly got more of it for seconds after their deadline: 2 s in a play, 3.4 to more than 8 s (the end of the test) in 4 of 4 forms of the test.

An answer that broke off at its deadline closed its connection in order, and the kernel sent on the megabytes that it held. Where the caller did not even read until the write's own bound, 300 ms later, net/http closed the connection inside the handler, and that close first waited up to 1 s for what the caller may still send (the request ended 1.3 s after its deadline in the log).

Now an answer that breaks off because the time is up, or whose write timed out, resets its connection, which drops what waits to be sent, and such a close waits for nothing. Answers that are whole, and those that break off before the deadline, end as before.

Ruled out: reads from the upstream; its connections ended by the deadline in all forms.

--- a/node/drain/conn.go
+++ b/node/drain/conn.go
@@ -279,9 +279,19 @@
 	c.mayHaveUnread.Store(!body.complete)
 }
 
+// Write implements net.Conn. An answer that its caller did not read in time is broken: a close
+// then drops what waits to be sent, which the kernel would send on for as long as it is read.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setResetOnClose(true)
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	if c.mayHaveUnread.Load() && c.phase.Load() == phaseBusy && c.lingering.CompareAndSwap(false, true) {
+	if !c.resetOnClose.Load() && c.mayHaveUnread.Load() && c.phase.Load() == phaseBusy && c.lingering.CompareAndSwap(false, true) {
 		c.linger()
 	}
 	err := c.Conn.Close()
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/balance"
+	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 )
@@ -114,7 +115,7 @@
 		zap.Stringer("content", q.content.Digest()), q.entryHost())
 	d.Metrics.Count(metrics.OutcomeUnknown, 1)
 	if q.started {
-		panic(http.ErrAbortHandler) // a truncated response must not look complete
+		q.breakOff()
 	}
 	q.markHop(hopUnknown)
 	q.respond(status, why)
@@ -164,6 +165,16 @@
 		zap.Int("sends", q.sends), zap.Bool("started", q.started), zap.Int64("relayed_bytes", q.forwardedBytes),
 		zap.NamedError("write_error", q.writeErr), q.endCause(), q.entryHost())
 	q.g.deps.Metrics.Count(metrics.CallerDisconnects, 1)
+	q.breakOff()
+}
+
+// breakOff ends the caller's connection: a truncated response must not look complete. If the
+// time is up, the connection is reset: what the caller has not read yet would otherwise be
+// sent on for as long as it reads.
+func (q *request) breakOff() {
+	if q.ctx != nil && errors.Is(context.Cause(q.ctx), errTimeUp) {
+		drain.SetResetOnClose(q.r.Context(), true)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -776,4 +776,11 @@
   '|| r.conn.br.Buffered() > 0' '' ./node/upstream/conn -run 'UsedAgain'
 try "a connection that speaks another protocol" node/upstream/conn/client.go \
   ' || resp.StatusCode == http.StatusSwitchingProtocols, stop' ', stop' ./node/upstream/conn -run 'UsedAgain'
+try "what is passed on ends with the time" node/gate/refuse.go \
+  'if q.ctx != nil && errors.Is(context.Cause' 'if false && q.ctx != nil && errors.Is(context.Cause' ./platform -run 'WhatIsPassedOn'
+try "what is not read in time is dropped" node/drain/conn.go \
+  'if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setResetOnClose(true)' 'if errors.Is(err, os.ErrDeadlineExceeded) {' ./platform -run 'WhatIsPassedOn'
+try "no wait after an answer that was not read" node/drain/conn.go \
+  '!c.resetOnClose.Load() && c.mayHaveUnread.Load()' 'c.mayHaveUnread.Load()' ./platform -run 'WhatIsPassedOn'
 exit $missed
