The reason of another host's refusal is not awaited

A request that another host refused waited for the body with the reason, which only the log and a later refusal name, until its deadline if that did not come. Now the reason is read for 50 ms; without it the reason is hop_unreadable, as for one that is too long. Before: a request waited for as long as the host kept its answer open (2 s in the test); after: it is at the next host within 500 ms.

--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -322,12 +322,15 @@
 	return result{done: true, notRun: true}
 }
 
-// maxWhyBytes bounds the reason that is read of another host's refusal.
-const maxWhyBytes = 64
+// Bounds of the reason that is read of another host's refusal, which comes with its head.
+const (
+	maxWhyBytes = 64
+	whyWait     = 50 * time.Millisecond
+)
 
 // readWhy reads the reason that a host gives in the body of its own answer.
 func readWhy(resp *conn.Response) string {
-	body, err := resp.ReadAll(maxWhyBytes)
+	body, err := resp.ReadAllWithin(maxWhyBytes, whyWait)
 	if err != nil {
 		return "hop_unreadable"
 	}
--- a/node/upstream/conn/read.go
+++ b/node/upstream/conn/read.go
@@ -21,6 +21,15 @@
 	return data, nil
 }
 
+// ReadAllWithin is ReadAll of a body that is needed only if it comes within the wait.
+func (r *Response) ReadAllWithin(limit int64, wait time.Duration) ([]byte, error) {
+	if err := r.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		r.Abort()
+		return nil, err
+	}
+	return r.ReadAll(limit)
+}
+
 // ErrBodyTooLarge means that the body of an answer is larger than the caller of ReadAll accepts.
 var ErrBodyTooLarge = errors.New("body of the answer is too large")
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -783,4 +783,6 @@
 		c.setResetOnClose(true)' 'if errors.Is(err, os.ErrDeadlineExceeded) {' ./platform -run 'WhatIsPassedOn'
 try "no wait after an answer that was not read" node/drain/conn.go \
   '!c.resetOnClose.Load() && c.mayHaveUnread.Load()' 'c.mayHaveUnread.Load()' ./platform -run 'WhatIsPassedOn'
+try "the rest of another host's refusal" node/upstream/conn/read.go \
+  'r.SetReadDeadline(time.Now().Add(wait)); err != nil' 'error(nil); err != nil' ./node/gate -run 'TheReasonOfAHost'
 exit $missed
