--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -25,6 +25,7 @@
 	answeredAt time.Time // when a run to completion last cleared it
 	releasedAt time.Time // when that, or an operator, last cleared it
 	crashes    map[string]bool
+	adopted    map[string]time.Time // those of crashes that only another ledger knew, and since when this one does
 }
 
 // crash is the crash of one upstream.
@@ -55,14 +56,15 @@
 // there. Each host reports its own requests, at its own time.
 func (l *Ledger) RecordCrash(upstream string, running []Fingerprint, at, now time.Time) {
 	l.expire(now)
-	c := l.crashes[upstream]
-	if c == nil {
-		l.makeRoom()
-		c = &crash{at: at, ran: map[Digest]bool{}}
-		l.crashes[upstream] = c
-	}
+	c := l.crash(upstream, at)
 	for _, m := range running {
-		if c.ran[m.Digest] || len(c.ran) >= maxSuspectsPerCrash {
+		if c.ran[m.Digest] {
+			if e := l.entries[m.Digest]; e != nil {
+				e.confirm(upstream)
+			}
+			continue
+		}
+		if len(c.ran) >= maxSuspectsPerCrash {
 			continue
 		}
 		if l.addCrash(m, upstream, at, now) {
@@ -72,6 +74,17 @@
 	l.updateBars(now)
 }
 
+// crash returns the crash of an upstream, which it creates if necessary.
+func (l *Ledger) crash(upstream string, at time.Time) *crash {
+	c := l.crashes[upstream]
+	if c == nil {
+		l.makeRoom()
+		c = &crash{at: at, ran: map[Digest]bool{}}
+		l.crashes[upstream] = c
+	}
+	return c
+}
+
 // makeRoom removes the oldest crash if the ledger holds the maximum number of crashes.
 func (l *Ledger) makeRoom() {
 	if len(l.crashes) < maxCrashes {
@@ -90,9 +103,10 @@
 // part that has been answered since is not suspected of it.
 func (l *Ledger) addCrash(f Fingerprint, upstream string, at, now time.Time) bool {
 	e := l.entry(f)
-	if e == nil || e.IsPart() && !at.After(e.answeredAt) {
+	if e == nil || f.IsPart() && !at.After(e.answeredAt) {
 		return false
 	}
+	e.Fingerprint = f // of one that was answered before, only the digest is known
 	e.crashes[upstream] = true
 	if e.State == Cleared {
 		e.State = Suspected
@@ -146,16 +160,21 @@
 }
 
 // Clear records that a suspect ran to completion, or for a long time: it is not the cause of
-// the earlier crashes.
+// the earlier crashes, also of those that are reported later.
 func (l *Ledger) Clear(d Digest, now time.Time) {
-	if e := l.entries[d]; e != nil && e.State != Cleared {
+	e := l.entry(Fingerprint{Digest: d})
+	if e == nil {
+		return
+	}
+	if e.State != Cleared {
 		for id := range e.crashes {
 			l.crashes[id].answeredAt = now
 		}
 		l.clear(e, ByCompletion, now)
-		e.BarCount, e.answeredAt, e.releasedAt = 0, now, now
-		l.updateBars(now)
+		e.BarCount = 0
 	}
+	e.answeredAt, e.releasedAt, e.changedAt = now, now, now
+	l.updateBars(now)
 }
 
 // Release ends a bar on behalf of an operator. It reports whether there was one.
@@ -178,7 +197,7 @@
 			delete(c.ran, e.Digest)
 		}
 	}
-	e.crashes, e.State, e.BarredUntil = map[string]bool{}, Cleared, time.Time{}
+	e.crashes, e.adopted, e.State, e.BarredUntil = map[string]bool{}, nil, Cleared, time.Time{}
 	l.touch(e, now)
 }
 
@@ -251,6 +270,7 @@
 	for d := range l.crashes[id].ran {
 		if e := l.entries[d]; e != nil {
 			delete(e.crashes, id)
+			delete(e.adopted, id)
 		}
 	}
 	delete(l.crashes, id)
--- a/node/upstream/conn/attribution.go
+++ b/node/upstream/conn/attribution.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -17,6 +19,9 @@
 	OwnerUnnamed                // it names none
 )
 
+// String returns the owner's name in metrics.
+func (o Owner) String() string { return [...]string{"own", "other", "unnamed"}[o] }
+
 // ForeignAnswer describes an answer that is not proven to be the one to the request of its
 // exchange.
 type ForeignAnswer struct {
@@ -30,6 +35,10 @@
 // the connection, and that the own answer could not be read after it.
 var ErrForeignAnswer = errors.New("the answer on the connection is not proven to be the request's")
 
+// errSplicedHead means that the head of an answer was truncated and that of another one
+// follows: what its lines say is of two requests.
+var errSplicedHead = fmt.Errorf("%w: its head holds the beginning of another answer", ErrForeignAnswer)
+
 const (
 	// maxForeignAnswers is how many answers in a row are passed over: each request that the
 	// connection carried can have one.
@@ -47,7 +56,7 @@
 // requests.
 func (l *persistConn) readOwn(r *Request, req *http.Request) (*http.Response, error) {
 	for n := 0; ; n++ {
-		resp, err := l.readHead(req)
+		resp, err := l.readHead(r, req)
 		if err != nil && n > 0 {
 			return nil, errors.Join(ErrForeignAnswer, err)
 		}
@@ -117,3 +126,40 @@
 	}
 	return l.nc.SetReadDeadline(next)
 }
+
+// isSpliced reports whether a head holds the beginning of another answer. A status line that
+// follows a truncated line is a part of the reason or of a header's value; anywhere else the
+// head is malformed.
+func isSpliced(resp *http.Response) bool {
+	if hasStatusLine(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		for _, v := range values {
+			if hasStatusLine(v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hasStatusLine reports whether s holds the beginning of a status line, such as
+// "HTTP/1.1 200".
+func hasStatusLine(s string) bool {
+	const version, rest = "HTTP/1.", len("1 200")
+	for {
+		_, after, found := strings.Cut(s, version)
+		if !found {
+			return false
+		}
+		if len(after) >= rest && isDigits(after[:1]) && after[1] == ' ' && isDigits(after[2:rest]) {
+			return true
+		}
+		s = after
+	}
+}
+
+func isDigits(s string) bool {
+	return strings.Trim(s, "0123456789") == ""
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -84,6 +84,8 @@
   'return out.Hosts >= compactFrom' 'return false && out.Hosts >= compactFrom' ./node/coordinator/relay -run 'LocalCopies'
 try "records that arrive during a write wait" node/coordinator/streams/streams.go \
   'if len(records) < rowRecords {' 'if len(records) < 0 {' ./node/coordinator/streams -timeout 20s -run 'ArriveDuring'
+try "a report shares no list with the guard" node/quarantine/guard.go \
+  'slices.Clone(g.events[from:min(from+maxEventsPerReport, len(g.events))])' 'g.events[from:min(from+maxEventsPerReport, len(g.events))]' ./node/quarantine -run 'AReportKeeps'
 try "crashes of before an answer are not told to a successor" node/quarantine/guard.go \
   'if x == nil ||' 'if true || x == nil ||' ./node/quarantine -run 'ASuccessor'
 try "a bar of before its end is not adopted" core/poison/ledger.go \
@@ -127,8 +129,69 @@
 try "loads counted when they begin" node/coordinator/moves/storeloads.go \
   's.remove(at)
 	if' 'if' ./node/coordinator/moves
-try "answer to another attempt" node/gate/attempt.go \
-  'info.AttemptID != "" && info.AttemptID != q.info.AttemptID' 'false' ./platform -run 'Answers'
+try "answer to another attempt" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if true {' ./platform -run 'Answers|ALateAnswer'
+for status in 200 400 408 421 429 500 503; do
+  try "answer to another attempt, status $status" node/upstream/conn/attribution.go \
+    'if l.isProven(owner) {' "if l.isProven(owner) || resp.StatusCode == $status {" ./node/upstream/conn -run 'WhateverComes'
+done
+try "refusal to another attempt, status 503" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 503 {' ./platform -run 'ALateAnswer'
+try "refusal to another attempt, status 429" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 429 {' ./platform -run 'ALateAnswer'
+try "refusal to another attempt, status 421" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 421 {' ./platform -run 'ALateAnswer'
+try "answer to another attempt, a whole one" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode < 300 {' ./node/gate -run 'NothingIsTaken'
+try "answer to another attempt, a failure" node/upstream/conn/attribution.go \
+  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 500 {' ./node/gate -run 'NothingIsTaken'
+try "answer without an id on a used connection" node/upstream/conn/attribution.go \
+  '&& l.exchanges == 1 && !l.foreign' '&& !l.foreign' ./node/upstream/conn ./platform -run 'WhateverComes|ALateAnswer'
+try "answer without an id behind another's" node/upstream/conn/attribution.go \
+  '&& l.exchanges == 1 && !l.foreign' '&& l.exchanges == 1' ./node/upstream/conn -run 'WhateverComes'
+try "no connection is kept after another's answer" node/upstream/conn/client.go \
+  'close: resp.Close || l.foreign' 'close: resp.Close' ./node/upstream/conn -run 'WhateverComes'
+try "a connection of its own for a request that the upstream had" node/gate/attempt.go \
+  'NewConnection: again ||' 'NewConnection: again && false ||' ./platform -run 'AnEarlierAttempt'
+try "a connection of its own where it is asked for" node/upstream/conn/client.go \
+  'if !r.NewConnection {' 'if true {' ./node/upstream/conn -run 'WhateverComes'
+try "not run is no word of a success" platform/headers.go \
+  '!= "" && status >= http.StatusBadRequest' '!= ""' ./platform -run 'OnlyAFailure'
+try "a head of two answers" node/upstream/conn/conn.go \
+  '&& isSpliced(resp) {' '&& false && isSpliced(resp) {' ./node/upstream/conn -run 'TwoAnswers'
+try "a status line in a header of a new connection's answer" node/upstream/conn/conn.go \
+  'if l.mayHoldAnotherAnswer(r) && isSpliced' 'if isSpliced' ./node/upstream/conn -run 'InAHeader'
+try "an upstream that had the request stays known" node/gate/attempt.go \
+  'again := q.sentTo[' 'again := q.tried[' ./node/gate -run 'AConnectionCarries'
+try "attempts on open connections that work" node/reach/monitor.go \
+  'if !openWork {' 'if true {' ./node/reach -run 'AttemptsOnOpen'
+try "the answer to an order is not a report" platform/upstream.go \
+  'isOfRequest(h) || isJSON(h)' 'isOfRequest(h)' ./platform -run 'AnOrdersVerdict'
+try "a report is not the answer to an order" platform/upstream.go \
+  '|| !isJSON(h) && h.Get("Content-Length") == "0"' '' ./platform -run 'AReportIs'
+try "a report is not the answer to a request" platform/upstream.go \
+  'return h.Get(headerAttempt) != "" || h.Get(headerSeal) != ""' 'return false' ./platform -run 'AReportIs|AnOrdersVerdict'
+try "a head of two answers, in its reason" node/upstream/conn/attribution.go \
+  'if hasStatusLine(resp.Status) {' 'if false && hasStatusLine(resp.Status) {' ./node/upstream/conn -run 'TwoAnswers'
+try "nothing is read behind another's answer to HEAD" node/upstream/conn/attribution.go \
+  'resp.Close || l.sentHead ||' 'resp.Close ||' ./node/upstream/conn -run 'WhateverComes'
+try "nothing is read behind the end of a connection" node/upstream/conn/attribution.go \
+  '|| framingOf(resp) == ByConnection' '' ./node/upstream/conn -run 'NothingIsReadBehind'
+try "nothing is read behind an answer that says so" node/upstream/conn/attribution.go \
+  'if resp.Close || l.sentHead' 'if l.sentHead' ./node/upstream/conn -run 'NothingIsReadBehind'
+try "number of others' answers" node/upstream/conn/attribution.go \
+  'if n == maxForeignAnswers {' 'if false {' ./node/upstream/conn -run 'WhateverComes'
+try "bytes of another's answer" node/upstream/conn/attribution.go \
+  'if n > maxForeignBytes {' 'if false {' ./node/upstream/conn -run 'WhateverComes'
+try "time for another's answer" node/upstream/conn/attribution.go \
+  'time.Now().Add(foreignBodyTimeout)' 'time.Time{}' ./node/upstream/conn -run 'NotAwaitedForLong'
+try "time behind an answer without an id" node/upstream/conn/attribution.go \
+  'next = time.Now().Add(unnamedWait)' '_ = unnamedWait' ./node/upstream/conn -run 'NotAwaitedForLong'
+try "the own answer's time behind another's" node/upstream/conn/attribution.go \
+  'return l.nc.SetReadDeadline(next)' '_ = next
+	return nil' ./node/upstream/conn -run 'TakeItsTime'
+try "the own answer's time behind one without an id" node/upstream/conn/attribution.go \
+  'return resp, l.nc.SetReadDeadline(time.Time{})' 'return resp, nil' ./node/upstream/conn -run 'TakeItsTime'
 try "upstream's seal" node/gate/attempt.go \
   '(!info.Sealed || info.AttemptID == "")' 'false' ./platform -run 'Answers'
 try "no reuse of a connection that spoke" node/upstream/conn/pool.go \
@@ -268,6 +331,32 @@
   'from, next.Barred = 0, g.barredLocked(now)' 'from = len(g.events)' ./node/quarantine
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
   'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
+try "crashes are kept for a loss of all hosts" node/coordinator/quarantine/crashes.go \
+  'return q.rows.read && (r.revision' 'return false && (r.revision' ./platform ./node/coordinator/quarantine -run 'CrashesByAPart|CrashesOutlive'
+try "an old row of crashes is not read" node/coordinator/quarantine/crashes.go \
+  'if age <= crashesMaxAge {' 'if true {' ./node/coordinator/quarantine -run 'AnOldRow'
+try "a row of crashes stays young" node/coordinator/quarantine/crashes.go \
+  '|| r.value != nil && since >= crashesRefresh' '' ./node/coordinator/quarantine -run 'KeptYoung'
+try "an unreadable row of crashes is left" node/coordinator/quarantine/crashes.go \
+  '(!r.exists || r.unreadable)' '!r.exists' ./node/coordinator/quarantine -run 'UnreadableRow'
+try "an answer is remembered before its suspect is known" core/poison/ledger.go \
+  'e := l.entry(Fingerprint{Digest: d})' 'e := l.entries[d]' ./core/poison -run 'AnAnswerHolds'
+try "suspects that lost crashes leave no other one alone" core/poison/adopted.go \
+  'return left(e) >= minCommonCrashes && left(e) <= tooFew' 'return false' ./core/poison -run 'BesideOneThatWasCut'
+try "crashes that were kept are read" node/coordinator/quarantine/crashes.go \
+  'q.ledger.AdoptCrashes(all, now)' '' ./node/coordinator/quarantine -run 'CrashesOutlive'
+try "what is answered is kept no longer" node/coordinator/quarantine/rows.go \
+  ' || q.crashesDueLocked(now)' '' ./node/coordinator/quarantine -run 'AnsweredSuspects'
+try "an adopted part may be answered first" core/poison/parts.go \
+  ' && e.isAdoptedFor(settleTime, now)' '' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
+try "an adopted request waits for reports" core/poison/judge.go \
+  'return e.isAdoptedFor(l.policy.SoleSettleTime, now)' 'return true' ./core/poison -run 'AdoptedRequest'
+try "what hosts report again is not waited for" core/poison/adopted.go \
+  'delete(e.adopted, upstream)' '' ./core/poison -run 'ReportAgain'
+try "suspects that nothing tells apart are left out together" core/poison/adopted.go \
+  'len(e.crashes) <= tooFew' 'len(e.crashes) < tooFew' ./core/poison -run 'TellsApart'
+try "a suspect that was cleared is not adopted again" core/poison/adopted.go \
+  ' || l.isReleasedSince(f.Digest, x.At)' '' ./core/poison -run 'IsNotAdopted'
 try "a run that lasted is not blamed" node/gate/poison.go \
   'return !q.responseSince.IsZero() &&' 'return false && !q.responseSince.IsZero() &&' ./node/gate -run 'NotBlamed'
 try "what is barred is looked at before each send" node/gate/run.go \
@@ -285,7 +374,7 @@
 try "a crash before the last answer does not count" core/poison/ledger.go \
   'e.IsPart() && !at.After(e.answeredAt)' 'false' ./core/poison -run 'AnsweredSince'
 try "a part settles before it is barred" core/poison/parts.go \
-  'return now.Sub(times[from-1]) >= settleTime' 'return settleTime > 0' ./core/poison -run 'PartsThatCrash'
+  'return now.Sub(times[from-1]) >= settleTime &&' 'return settleTime > 0 &&' ./core/poison -run 'PartsThatCrash'
 try "the later of two parts is barred" core/poison/parts.go \
   'n == most && e.isNarrower(strongest)' 'n == most && !e.isNarrower(strongest)' ./core/poison -run 'TheLaterOne'
 try "what is not answered while nothing is says little" core/poison/parts.go \
@@ -315,6 +404,16 @@
   '!balance.MayGoOn(x.software, q.began.get())' 'false && !balance.MayGoOn(x.software, q.began.get())' ./node/gate -run 'VersionOverAHop'
 try "other hosts keep the origin of a stream" node/coordinator/link/origins.go \
   'l.origins.outbox.Add(rec, now)' '_ = now' ./platform -run 'HostIsGone|TakesAStreamUp'
+try "each host of a small deployment keeps a record" node/coordinator/link/origins.go \
+  'originKeepers = reports.MaxDeputies + 1' 'originKeepers = 3 + 0*reports.MaxDeputies' ./node/coordinator/link -run 'EachOfSix'
+try "a record is sent before others are awaited" node/coordinator/link/origins.go \
+  'l.sendOrigins(ctx)
+		if !pace.Sleep(ctx, originDelay) {
+			break
+		}' 'if !pace.Sleep(ctx, originDelay) {
+			break
+		}
+		l.sendOrigins(ctx)' ./node/coordinator/link -run 'SentBefore'
 try "a keeper that restarted gets all again" node/coordinator/link/origins.go \
   'k.id != 0 && k.id != a.Id' 'false' ./node/coordinator/link -run 'RestartedKeeper'
 try "streams outlive all hosts" node/host/host.go \
@@ -327,6 +426,24 @@
   'c.share = min(c.share+increase*(1-c.share), maxShare)' '' ./node/shed
 try "one pause closes nothing" node/shed/shed.go \
   'case queued && c.queued:' 'case queued:' ./node/shed
+try "a window without connections ends no spell" node/shed/shed.go \
+  'if c.offered == 0 {' 'if false {' ./node/shed
+try "a wait counts for the connections that it waited behind" node/shed/shed.go \
+  'c.recordLocked(wait)
+	c.advanceLocked(now)' 'c.advanceLocked(now)
+	c.recordLocked(wait)' ./node/shed
+try "few connections behind a burst end no spell" node/shed/shed.go \
+  'if c.carried && c.offered' 'if false && c.offered' ./node/shed
+try "a host with few connections that wait closes none" node/shed/shed.go \
+  'c.carried = c.probing && (c.offered >= minOffered || c.carried && c.probedAt.Before(c.from))' 'c.carried = true' ./node/shed
+try "an idle host's spell is over" node/shed/shed.go \
+  'if idle > max(window, min(gapOfWait*c.shortest, maxGap)) {' 'if false {' ./node/shed
+try "a long wait counts as several windows" node/shed/shed.go \
+  'min(max(int(waited/window), 1), maxIncreases)' '1' ./node/shed
+try "a few connections now and then are none too many" node/shed/shed.go \
+  'return minOffered * max(c.gap.Seconds()/window.Seconds(), 1)' 'return minOffered' ./node/shed -run 'NowAndThen'
+try "the wait of a probe is no idle time" node/shed/shed.go \
+  'c.seenAt = now // the wait itself is no idle time' '' ./node/shed
 try "a pick heeds what an upstream takes" node/fleet/entry.go \
   'out.Backoff = e.backoffLocked(now)' '' ./node/fleet ./platform -run 'ItsShare|LimitOfAnUpstream|InTheRest'
 try "a turn heeds what an upstream takes" node/coordinator/permits/permits.go \
@@ -785,4 +902,8 @@
   '!c.resetOnClose.Load() && c.mayHaveUnread.Load()' 'c.mayHaveUnread.Load()' ./platform -run 'WhatIsPassedOn'
 try "the rest of another host's refusal" node/upstream/conn/read.go \
   'r.SetReadDeadline(time.Now().Add(wait)); err != nil' 'error(nil); err != nil' ./node/gate -run 'TheReasonOfAHost'
+try "the route is that of the path as it was sent" node/gate/gate.go \
+  'sentPath(q.r.RequestURI)' 'q.r.URL.Path' ./node/gate -run 'PathAsItWasSent'
+try "an escape with other bytes is no slash either" node/gate/gate.go \
+  'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
 exit $missed
