--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -12,7 +13,6 @@
 
 	"go.uber.org/zap"
 
-	"peridotpier.example/core/backpressure"
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
@@ -197,49 +197,22 @@
 	return result{why: why}
 }
 
-// refused ends an attempt that the upstream reported as not run.
-func (q *request) refused(e *fleet.Entry, a *fleet.Attempt, resp *conn.Response, info ResponseInfo) result {
-	a.Refused()
-	after := retryAfter(resp.Header)
-	if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes+1)); err != nil || n > maxRefusalBytes {
-		resp.Abort()
-	} else {
-		resp.Finish()
-	}
-	q.g.deps.Metrics.Add(metrics.Refused, q.service.Name, e.ID(), 1)
-	if resp.Status == http.StatusMisdirectedRequest {
-		if info.Upstream != "" && info.Upstream != e.ID() {
-			e.MarkReplaced()
-		} else {
-			e.MarkNotResident(q.needs.Model, q.needs.Adapter)
-		}
-	}
-	return result{notRun: true, why: "refused_" + strconv.Itoa(resp.Status), retryAfter: after}
-}
-
-// maxRefusalBytes bounds what is read of a refusal in order to keep its connection.
-const maxRefusalBytes = 16 << 10
-
-// maxRetryAfter is the longest retry delay that is forwarded to a caller.
-const maxRetryAfter = time.Hour
-
-// retryAfter returns the retry delay that an upstream requested; 0: none, or more
-// than maxRetryAfter.
-func retryAfter(h http.Header) time.Duration {
-	after := backpressure.ParseRetryAfter(h.Get("Retry-After"))
-	if after > maxRetryAfter {
-		return 0
-	}
-	return after
-}
-
 // maxBufferedBytes is the largest response that is buffered completely before its
 // first byte goes to the caller. Until then a broken response can be replaced.
 const maxBufferedBytes = 1 << 20
 
 // forwardBuffered forwards a response that is not a stream.
 func (q *request) forwardBuffered(ctx context.Context, fo *failover, a exchange, resp *conn.Response) result {
+	replaceable := q.mayReplace(resp)
+	if replaceable && resp.SetReadDeadline(q.g.deps.Now().Add(failureBodyWait)) != nil {
+		return q.responseBroken(ctx, a, resp)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if replaceable && ctx.Err() == nil && (errors.Is(err, os.ErrDeadlineExceeded) || len(body) > maxBufferedBytes) {
+		resp.Abort()
+		a.Answered(true)
+		return result{why: whyFailed(resp)}
+	}
 	if err != nil {
 		return q.responseBroken(ctx, a, resp)
 	}
@@ -252,16 +225,27 @@
 		}
 		return q.forwardLarge(ctx, a, resp, body)
 	}
-	failed := resp.Status >= 500
-	a.Answered(failed)
+	a.Answered(resp.Status >= 500)
 	resp.Finish()
-	if failed && q.route.Repeatable() && q.possibleRuns < q.route.Attempts && q.deliverFailed == nil {
+	if replaceable {
 		q.deliverFailed = func() { q.deliver(resp, body) }
-		return result{why: "failed_" + strconv.Itoa(resp.Status)}
+		return result{why: whyFailed(resp)}
 	}
 	return q.deliver(resp, body)
 }
 
+// failureBodyWait is how long the body of a failed response is awaited that a retry may
+// replace: its head says that it failed, and the body is needed only if there is no retry.
+const failureBodyWait = 100 * time.Millisecond
+
+// mayReplace reports whether a retry may replace a response, which is a failed one.
+func (q *request) mayReplace(resp *conn.Response) bool {
+	return resp.Status >= 500 && q.route.Repeatable() && q.possibleRuns < q.route.Attempts && q.deliverFailed == nil
+}
+
+// whyFailed is why an attempt is over whose response is a failure.
+func whyFailed(resp *conn.Response) string { return "failed_" + strconv.Itoa(resp.Status) }
+
 // forwardLarge forwards a response that is too large to buffer.
 func (q *request) forwardLarge(ctx context.Context, a exchange, resp *conn.Response, head []byte) result {
 	q.copyHeaders(resp)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -869,6 +869,39 @@
 try "ages are told by team" node/gate/age.go \
   'e := a.byKind[kind]' 'kind.team = ""
 	e := a.byKind[kind]' ./node/gate -run 'AnotherTeams'
+try "bytes of a head" node/upstream/conn/conn.go \
+  'if l.headRemaining == 0 {' 'if false {' ./node/upstream/conn -run 'EndlessBytes'
+try "bytes of an answer that is passed over" node/upstream/conn/attribution.go \
+  'io.LimitReader(resp.Body, maxForeignBytes+1)' 'resp.Body' ./node/upstream/conn -run 'EndlessBytes'
+try "time of an answer that is passed over" node/upstream/conn/attribution.go \
+  'time.Now().Add(foreignBodyTimeout)' 'time.Time{}' ./platform -run 'PassedOverHasBounds'
+try "answers that are passed over" node/upstream/conn/attribution.go \
+  'if n == maxForeignAnswers {' 'if false {' ./node/upstream/conn -run 'EndlessBytes'
+try "bytes of an event" node/gate/splitter.go \
+  's.tooLong = len(s.incomplete) > maxEventBytes' '' ./node/gate -run 'Event|Splitter'
+try "the rest of a refusal" node/upstream/conn/read.go \
+  'r.SetReadDeadline(time.Now().Add(wait)) != nil' 'false' ./platform -run 'RestOfARefusal'
+try "a bound of a read ends with its exchange" node/upstream/conn/read.go \
+  'r.bounded = true' '' ./node/upstream/conn -run 'Discarded'
+try "the rest of a failure" node/gate/attempt.go \
+  'replaceable && resp.SetReadDeadline(' 'false && resp.SetReadDeadline(' ./platform -run 'RestOfAFailure'
+try "bytes of a failure" node/gate/attempt.go \
+  '|| len(body) > maxBufferedBytes)' ')' ./platform -run 'RestOfAFailure'
+try "bytes on an idle connection" node/upstream/conn/pool.go \
+  '|| !isClean(l.nc)' '' ./node/upstream/conn -run 'OnAnIdleConnection'
+try "bytes in the buffer behind an answer" node/upstream/conn/client.go \
+  '|| r.conn.br.Buffered() > 0' '' ./node/upstream/conn -run 'UsedAgain'
+try "a connection that speaks another protocol" node/upstream/conn/client.go \
+  ' || resp.StatusCode == http.StatusSwitchingProtocols, stop' ', stop' ./node/upstream/conn -run 'UsedAgain'
+try "what is passed on ends with the time" node/gate/refuse.go \
+  'if q.ctx != nil && errors.Is(context.Cause' 'if false && q.ctx != nil && errors.Is(context.Cause' ./platform -run 'WhatIsPassedOn'
+try "what is not read in time is dropped" node/drain/conn.go \
+  'if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setResetOnClose(true)' 'if errors.Is(err, os.ErrDeadlineExceeded) {' ./platform -run 'WhatIsPassedOn'
+try "no wait after an answer that was not read" node/drain/conn.go \
+  '!c.resetOnClose.Load() && c.mayHaveUnread.Load()' 'c.mayHaveUnread.Load()' ./platform -run 'WhatIsPassedOn'
+try "the rest of another host's refusal" node/upstream/conn/read.go \
+  'r.SetReadDeadline(time.Now().Add(wait)); err != nil' 'error(nil); err != nil' ./node/gate -run 'TheReasonOfAHost'
 try "the route is that of the path as it was sent" node/gate/gate.go \
   'sentPath(q.r.RequestURI)' 'q.r.URL.Path' ./node/gate -run 'PathAsItWasSent'
 try "an escape with other bytes is no slash either" node/gate/gate.go \
