--- a/node/upstream/conn/attribution.go
+++ b/node/upstream/conn/attribution.go
@@ -19,6 +19,9 @@
 	OwnerUnnamed                // it names none
 )
 
+// String returns the owner's name in metrics.
+func (o Owner) String() string { return [...]string{"own", "other", "unnamed"}[o] }
+
 // ForeignAnswer describes an answer that is not proven to be the one to the request of its
 // exchange.
 type ForeignAnswer struct {
@@ -53,7 +56,7 @@
 // requests.
 func (l *persistConn) readOwn(r *Request, req *http.Request) (*http.Response, error) {
 	for n := 0; ; n++ {
-		resp, err := l.readHead(req)
+		resp, err := l.readHead(r, req)
 		if err != nil && n > 0 {
 			return nil, errors.Join(ErrForeignAnswer, err)
 		}
