An answer is kept of suspects only again; the test of the fault is known red

TestAnAnswerHoldsForCrashesThatAreReportedLater keeps its check and is listed: to mend it, reports must say how old an answer is.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -103,10 +103,9 @@
 // part that has been answered since is not suspected of it.
 func (l *Ledger) addCrash(f Fingerprint, upstream string, at, now time.Time) bool {
 	e := l.entry(f)
-	if e == nil || f.IsPart() && !at.After(e.answeredAt) {
+	if e == nil || e.IsPart() && !at.After(e.answeredAt) {
 		return false
 	}
-	e.Fingerprint = f // of one that was answered before, only the digest is known
 	e.crashes[upstream] = true
 	if e.State == Cleared {
 		e.State = Suspected
@@ -160,21 +159,16 @@
 }
 
 // Clear records that a suspect ran to completion, or for a long time: it is not the cause of
-// the earlier crashes, also of those that are reported later.
+// the earlier crashes.
 func (l *Ledger) Clear(d Digest, now time.Time) {
-	e := l.entry(Fingerprint{Digest: d})
-	if e == nil {
-		return
-	}
-	if e.State != Cleared {
+	if e := l.entries[d]; e != nil && e.State != Cleared {
 		for id := range e.crashes {
 			l.crashes[id].answeredAt = now
 		}
 		l.clear(e, ByCompletion, now)
-		e.BarCount = 0
+		e.BarCount, e.answeredAt, e.releasedAt = 0, now, now
+		l.updateBars(now)
 	}
-	e.answeredAt, e.releasedAt, e.changedAt = now, now, now
-	l.updateBars(now)
 }
 
 // Release ends a bar on behalf of an operator. It reports whether there was one.
