Shed: a probe that is given up has waited for as long as it was out

Found by review: a probe that really waits for over 5 s was taken for lost without its wait, so that the share of closed connections fell in the worst overload. Its wait counts now. Tests of node/shed pass.

--- a/node/shed/shed.go
+++ b/node/shed/shed.go
@@ -119,8 +119,9 @@
 	if now.Sub(c.from) < window {
 		return
 	}
-	if c.probing && now.Sub(c.probedAt) > maxGap {
-		c.probing = false // it is lost
+	if lost := now.Sub(c.probedAt); c.probing && lost > maxGap {
+		c.probing = false
+		c.recordLocked(lost) // it has waited for so long at least
 	}
 	if c.probing {
 		wait := now.Sub(c.probedAt) // by now
