The row of crashes: an unreadable one is left in another era, too, and the line says what was adopted

Found by a reader of the whole change: after a restore of the store the mark of an unreadable row was gone, so that it was deleted by the next look; crashes_adopted named crashes of a row that was too old to be adopted. The test of unreadable rows has the case of another era, which failed before.

--- a/node/coordinator/quarantine/crashes.go
+++ b/node/coordinator/quarantine/crashes.go
@@ -167,8 +167,8 @@
 	q.rows.crashes = crashesRow{exists: !w.Delete, value: w.value, revision: w.revision, at: q.deps.Now()}
 }
 
-// adoptCrashesLocked enters the row of crashes in a ledger that has not read it yet.
-func (q *Ledger) adoptCrashesLocked(row *store.Row, now time.Time) error {
+// readCrashesLocked reads the row of crashes, and enters it in a ledger that is to adopt it.
+func (q *Ledger) readCrashesLocked(row *store.Row, adopt bool, now time.Time) error {
 	v, err := decodeCrashes(row.Value)
 	if err != nil {
 		return err
@@ -177,11 +177,15 @@
 	if err != nil {
 		return err
 	}
-	age := now.Sub(time.UnixMilli(v.AtMs))
+	if !adopt {
+		return nil
+	}
+	age, adopted := now.Sub(time.UnixMilli(v.AtMs)), 0
 	if age <= crashesMaxAge {
 		q.ledger.AdoptCrashes(all, now)
+		adopted = len(all)
 	}
 	suspected, _ := q.ledger.Counts()
-	q.deps.Log.Emit(event.CrashesAdopted, zap.Int("crashes", len(all)), zap.Int("suspects", suspected), zap.Int64("age_ms", age.Milliseconds()))
+	q.deps.Log.Emit(event.CrashesAdopted, zap.Int("crashes", adopted), zap.Int("suspects", suspected), zap.Int64("age_ms", age.Milliseconds()))
 	return nil
 }
--- a/node/coordinator/quarantine/rows.go
+++ b/node/coordinator/quarantine/rows.go
@@ -199,8 +199,8 @@
 		left := min(until.Sub(now), poison.DefaultPolicy.MaxBar) // clocks may differ, or have been set
 		q.ledger.Adopt(poison.Entry{Fingerprint: poison.Fingerprint{Digest: d, Shape: poison.Shape(v.Shape), Place: v.Place}, State: poison.Barred, BarredUntil: now.Add(left), BarCount: v.Bars}, now)
 	}
-	if crashes != nil && !knowsBetter { // after the bars, which explain crashes
-		if err := q.adoptCrashesLocked(crashes, now); err != nil {
+	if crashes != nil { // after the bars, which explain crashes
+		if err := q.readCrashesLocked(crashes, !knowsBetter, now); err != nil {
 			q.rows.crashes.unreadable = true
 			unreadable = append(unreadable, crashes.Key)
 		}
--- a/node/coordinator/quarantine/rows_test.go
+++ b/node/coordinator/quarantine/rows_test.go
@@ -141,6 +141,10 @@
 		c, err := q.changesLocked(now)
 		assert.NilError(t, err)
 		assert.Assert(t, c.none(), "the row is left to the release that can read it")
+		q.adoptRows(q.id, 1, []store.Row{{Key: crashesKey, Value: []byte(value)}}) // of a restored store
+		c, err = q.changesLocked(now.Add(time.Minute))
+		assert.NilError(t, err)
+		assert.Assert(t, c.none(), "nor is it deleted in another era")
 	}
 }
 
