--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -328,7 +328,7 @@
 try "a successor hears what is known" node/quarantine/guard.go \
   'from, next.Barred = 0, g.barredLocked(now)' 'from = len(g.events)' ./node/quarantine
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
-  'return q.mustReadLocked(era) || len(q.changesLocked(now)) > 0' 'return false' ./platform -run 'BarOutlivesAll'
+  'return q.mustReadLocked(era) || len(q.barChangesLocked(now)) > 0 || q.crashesDueLocked(now)' 'return false' ./platform -run 'BarOutlivesAll'
 try "crashes are kept for a loss of all hosts" node/coordinator/quarantine/crashes.go \
   'return q.rows.read && (r.revision' 'return false && (r.revision' ./platform ./node/coordinator/quarantine -run 'CrashesByAPart|CrashesOutlive'
 try "an old row of crashes is not read" node/coordinator/quarantine/crashes.go \
