--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -91,7 +91,8 @@
 // outgoing builds the request of an attempt. It forwards what the caller sent,
 // except for hop-by-hop headers and the headers that this host sets. again says that the
 // upstream was sent the request before: then it goes over a new connection, since on the
-// former one a late answer to the earlier attempt would name the request too.
+// former one a late answer to the earlier attempt would name the request too. So does a
+// request that another host sent before: it may have come through this host then.
 func (q *request) outgoing(e *fleet.Entry, now time.Time, again bool) *conn.Request {
 	h := q.r.Header.Clone()
 	stripHopByHop(h)
@@ -103,8 +104,9 @@
 	}
 	q.g.deps.Codec.SetAttempt(h, s)
 	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		NewConnection: again || q.hop != nil && q.hop.sends > 0, StillWanted: func() bool { return q.stillWanted(e) },
-		Owner: q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
+		NewConnection: again || q.hop != nil && q.hop.sends > 0,
+		StillWanted:   func() bool { return q.stillWanted(e) },
+		Owner:         q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
 }
 
 // stillWanted reports whether an attempt whose connection is open should be sent. From
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -122,7 +122,7 @@
 	lender     lender
 	hopHosts   hopHosts
 	ages       attemptAges
-	streamStay time.Duration // see streamStay
+	streamStay time.Duration // how long a stream stays with an unresponsive upstream; shorter in tests
 }
 
 // New creates a Gate; DisconnectReason, Now and Rand may be nil.
--- a/node/shed/shed.go
+++ b/node/shed/shed.go
@@ -29,8 +29,8 @@
 	// and the wait behind one is as long as several windows.
 	maxIncreases = 4
 	// A host with a standing queue accepts nothing while it serves a burst, with no probe under
-	// way once the last one has returned. If that takes longer than gapOfWait of its wait, or
-	// than maxGap, the host counts as idle.
+	// way once the last one has returned. If that takes longer than gapOfWait times the
+	// last wait, or than maxGap, the host counts as idle.
 	gapOfWait = 10
 	maxGap    = 5 * time.Second
 	// maxShare leaves some connections, without which nothing would be measured.
@@ -54,7 +54,7 @@
 	probing  bool
 	from     time.Time     // start of the window
 	seenAt   time.Time     // of the last connection or result of a probe
-	gap      time.Duration // before it, in which nothing came
+	gap      time.Duration // before the window, in which nothing came
 	offered  int           // new connections in it
 	waits    int
 	shortest time.Duration
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -346,11 +346,6 @@
 	Idle      time.Duration // since the one before; 0 for the first
 }
 
-// ConnUse returns how the connection of the exchange had been used.
-func (r *Response) ConnUse() ConnUse {
-	return r.conn.use()
-}
-
 // statedIdleShare is the share of an upstream's stated idle time that is used: the
 // remainder covers a request's transit time and the rounding to whole seconds.
 const statedIdleShare = 0.8
--- a/scripts/landing.sh
+++ b/scripts/landing.sh
@@ -75,9 +75,9 @@
 # broken KIND FILE: what broke a rule or failed.
 broken() {
   case "$1" in
-    hunt) sed -n 's/.* \([0-9]\+\) with a rule broken.*/\1 days with a rule broken/p' "$2" ;;
+    hunt) sed -n 's/.* \([0-9]\+\) with a rule broken.*/\1 days with a rule broken/p' "$2" | paste -sd' ' ;;
     ci | soak | repeats) grep -E '^ *--- FAIL' "$2" | sed 's/^ *--- FAIL: //; s/ (.*//' | paste -sd' ' ;;
-    sweep | score) grep -ciE 'rule .*broken|GATE failed' "$2" | sed 's/$/ lines of broken rules/' ;;
+    sweep | score) grep -iE 'rule .*broken|GATE failed' "$2" | head -n 3 | paste -sd' ' ;;
   esac
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -135,12 +135,10 @@
   try "answer to another attempt, status $status" node/upstream/conn/attribution.go \
     'if l.isProven(owner) {' "if l.isProven(owner) || resp.StatusCode == $status {" ./node/upstream/conn -run 'WhateverComes'
 done
-try "refusal to another attempt, status 503" node/upstream/conn/attribution.go \
-  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 503 {' ./platform -run 'ALateAnswer'
-try "refusal to another attempt, status 429" node/upstream/conn/attribution.go \
-  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 429 {' ./platform -run 'ALateAnswer'
-try "refusal to another attempt, status 421" node/upstream/conn/attribution.go \
-  'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode == 421 {' ./platform -run 'ALateAnswer'
+for status in 503 429 421; do
+  try "refusal to another attempt, status $status" node/upstream/conn/attribution.go \
+    'if l.isProven(owner) {' "if l.isProven(owner) || resp.StatusCode == $status {" ./platform -run 'ALateAnswer'
+done
 try "answer to another attempt, a whole one" node/upstream/conn/attribution.go \
   'if l.isProven(owner) {' 'if l.isProven(owner) || resp.StatusCode < 300 {' ./node/gate -run 'NothingIsTaken'
 try "answer to another attempt, a failure" node/upstream/conn/attribution.go \
