A stream stays at its upstream while all upstreams are silent

What callers saw: nothing at once; their streams ran at two upstreams, and their tokens were computed twice. While all upstreams, or nearly all, were silent for a second and worked on, streams went on elsewhere after 0.4 to 0.9 s.

Cause: a host that hears nothing from any upstream for 0.5 s, and whose trial requests are not answered, takes itself for cut off, and mayLeave let streams leave at once then. Silence does not tell a path that carries nothing from upstreams that send nothing.

Ruled out: the upstreams' exclusion (0.7 s), which streams sit out.

Fix: streams leave at once only where connections are refused or reset. The stay counts from the upstream's last bytes, so that one which is begun late by a partition does not end later.

--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/reach"
@@ -39,13 +41,13 @@
 	cost         Cost
 	gotFirstByte bool
 	ended        bool
-	refused      bool      // the upstream stated not to have run it
-	abandoned    bool      // the upstream may still run it
-	complete     bool      // its answer is complete, and no failure
-	room         *roomSend // in this host's account of a brittle upstream; nil: it does not count there
-	inSlowStart  bool      // it counts in the upstream's slow start
-	onFirstByte  func()    // called when the first bytes of the answer arrive; nil: not called
-	abort        func()    // called when the upstream is found unresponsive; nil: the attempt stays
+	refused      bool                              // the upstream stated not to have run it
+	abandoned    bool                              // the upstream may still run it
+	complete     bool                              // its answer is complete, and no failure
+	room         *roomSend                         // in this host's account of a brittle upstream; nil: it does not count there
+	inSlowStart  bool                              // it counts in the upstream's slow start
+	onFirstByte  func()                            // called when the first bytes of the answer arrive; nil: not called
+	abort        func(unresponsiveSince time.Time) // called when the upstream is found unresponsive; nil: the attempt stays
 }
 
 // Software returns the version of the upstream's software; "" if it is not known.
@@ -58,8 +60,9 @@
 func (x *Attempt) OnFirstByte(f func()) { x.onFirstByte = f }
 
 // OnUnresponsive has abort called if the upstream is found unresponsive, or was started
-// again, during the attempt. It is for attempts that can be retried elsewhere.
-func (x *Attempt) OnUnresponsive(abort func()) {
+// again, during the attempt, with the time since when it counts as unresponsive. It is for
+// attempts that can be retried elsewhere.
+func (x *Attempt) OnUnresponsive(abort func(unresponsiveSince time.Time)) {
 	x.e.mu.Lock()
 	defer x.e.mu.Unlock()
 	x.abort = abort
--- a/node/fleet/contact.go
+++ b/node/fleet/contact.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		e.mu.Lock()
-		e.abortMovableLocked()
+		e.abortMovableLocked(e.unresponsiveSinceLocked(now))
 		e.mu.Unlock()
 	}
 }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -278,8 +278,9 @@
 		e.useUntil = time.Time{}
 		e.drainLocked("entry did not come back")
 	}
+	since := e.unresponsiveSinceLocked(now)
 	if e.health.IsUnresponsive(e.fleet.cfg.Health, now, e.readingTimeLocked(now)) && e.excludeLocked(now) {
-		e.abortMovableLocked()
+		e.abortMovableLocked(since)
 		e.fleet.contact.failed(reach.Failure{Upstream: e.id, At: now, Kind: reach.Unanswered})
 		e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
 	}
@@ -295,6 +296,12 @@
 	return keepEntry
 }
 
+// unresponsiveSinceLocked returns since when the upstream, from which bytes are due, counts as
+// unresponsive, or when it will.
+func (e *Entry) unresponsiveSinceLocked(now time.Time) time.Time {
+	return e.health.AwaitingSince().Add(e.readingTimeLocked(now) + e.fleet.cfg.Health.UnresponsiveAfter)
+}
+
 // minReadTokensPerMs is the lowest rate at which an engine reads prompts, with a full
 // batch: an engine that sends nothing for less time than its backlog takes is reading.
 const minReadTokensPerMs = 10.0
@@ -396,13 +403,14 @@
 	defer e.mu.Unlock()
 	e.gone = true
 	e.drainLocked("started again")
-	e.abortMovableLocked()
+	e.abortMovableLocked(e.fleet.deps.Now())
 }
 
-// abortMovableLocked aborts the attempts there that can be retried elsewhere.
-func (e *Entry) abortMovableLocked() {
+// abortMovableLocked aborts the attempts there that can be retried elsewhere, and tells them
+// since when the upstream counts as unresponsive.
+func (e *Entry) abortMovableLocked(since time.Time) {
 	for x := range e.movable {
-		x.abort()
+		x.abort(since)
 	}
 }
 
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -121,10 +121,10 @@
 	f.ApplyResidency([]fleet.Residency{{Upstream: "a", StartedMs: 1000, Residents: []deploy.Resident{{Model: "m"}}}}, now)
 	aborted := false
 	x := earlier.Begin(req, fleet.Cost{PromptTokens: 10})
-	x.OnUnresponsive(func() { aborted = true })
+	x.OnUnresponsive(func(time.Time) { aborted = true })
 	x.Interrupted("reset")
 	y := earlier.Begin(req, fleet.Cost{PromptTokens: 10})
-	y.OnUnresponsive(func() { aborted = true })
+	y.OnUnresponsive(func(time.Time) { aborted = true })
 	f.Apply([]deploy.Upstream{startedAt(2000)}, nil, 2)
 	e, _ := f.Entry("a")
 	assert.Assert(t, e != earlier && !earlier.Usable() && e.Usable())
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -26,6 +26,9 @@
 type Detour interface {
 	// Needed reports whether this host reaches no upstream.
 	Needed() bool
+	// BySilence reports, while Needed, that this is concluded from silence alone, which the
+	// upstreams' own may be.
+	BySilence() bool
 	// Hosts lists the addresses at which other hosts forward requests, in order of preference.
 	Hosts() []string
 	// OnNeeded registers f, which is called each time Needed has become true. It is used
@@ -151,7 +154,7 @@
 	defer x.stop()
 	now := d.Now()
 	if q.mayRunAgain() && q.sends+1 < q.route.Attempts {
-		x.silenceTimer = time.AfterFunc(hopSilence+q.hopHold(now), fo.onUnresponsive)
+		x.silenceTimer = time.AfterFunc(hopSilence+q.hopHold(now), fo.onHostUnresponsive)
 		if q.route.Repeatable() && q.route.Objective > 0 {
 			defer time.AfterFunc(hedgeFactor*q.route.Objective, fo.onSlow).Stop()
 		}
--- a/node/gate/detour_test.go
+++ b/node/gate/detour_test.go
@@ -21,13 +21,17 @@
 
 // stubDetour is a way through fixed hosts.
 type stubDetour struct {
-	needed func() bool
-	hosts  []string
+	needed    func() bool
+	hosts     []string
+	bySilence bool
 }
 
 // Needed implements Detour.
 func (d stubDetour) Needed() bool { return d.needed() }
 
+// BySilence implements Detour.
+func (d stubDetour) BySilence() bool { return d.bySilence }
+
 // Hosts implements Detour.
 func (d stubDetour) Hosts() []string { return d.hosts }
 
@@ -92,9 +96,9 @@
 	for noticedAfter := range int32(3) { // looks: the helping host may notice after it took the request
 		var looks atomic.Int32
 		needed := func() bool { return looks.Add(1) > noticedAfter }
-		helper := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed, []string{third}})
+		helper := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: needed, hosts: []string{third}})
 		hosts := []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}
-		status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, hosts}))
+		status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: hosts}))
 		assert.Equal(t, status, http.StatusServiceUnavailable, body)
 		if noticedAfter == 0 {
 			assert.Equal(t, helper.deps.Metrics.CountsByKind(metrics.DetoursRefused)[whyCutOff], int64(1), "it is not taken at all")
@@ -115,7 +119,7 @@
 	t.Cleanup(finish)
 	helper := newHopGate(up, deploy.NonIdempotent, 1)
 	helper.lender.limit = 1
-	entry := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}})
+	entry := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}})
 	changeRoute(entry, func(*deploy.Route) {}) // a newer configuration
 	assert.Assert(t, entry.deps.Config.Current().Config.Version > helper.deps.Config.Current().Config.Version)
 	status, _ := sendTo(t, entry)
@@ -152,12 +156,12 @@
 	})
 	helper := newHopGate(up, deploy.NonIdempotent, 1)
 	hosts := []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded)), lendAt(t, http.HandlerFunc(helper.ServeForwarded))}
-	status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, hosts}))
+	status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: hosts}))
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "answer")
 	assert.Equal(t, ran.Load(), int32(1))
 	stranger := lendAt(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
-	status, _ = sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, []string{stranger, hosts[0]}}))
+	status, _ = sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: []string{stranger, hosts[0]}}))
 	assert.Equal(t, status, http.StatusBadGateway)
 	assert.Equal(t, ran.Load(), int32(1))
 }
@@ -171,7 +175,7 @@
 	stopping.deps.Draining = always
 	hosts := []string{"127.0.0.1:1", lendAt(t, http.HandlerFunc(stopping.ServeForwarded)),
 		lendAt(t, http.HandlerFunc(newHopGate(up, deploy.NonIdempotent, 1).ServeForwarded))}
-	entry := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, hosts})
+	entry := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: hosts})
 	entry.deps.RetryBudget = NewRetryBudget(budget.Policy{Window: time.Second}, poolOf(0))
 	status, body := sendTo(t, entry)
 	assert.Equal(t, status, http.StatusOK, body)
@@ -233,7 +237,7 @@
 		for _, f := range []hopFault{lostBefore, lostBeforeAnswer, lostInAnswer} {
 			up := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
 			host := lendAt(t, lossyHost(newHopGate(up, kind, 2), f))
-			status, body := sendTo(t, withDetour(newHopGate(up, kind, 2), stubDetour{always, []string{host}}))
+			status, body := sendTo(t, withDetour(newHopGate(up, kind, 2), stubDetour{needed: always, hosts: []string{host}}))
 			assert.Equal(t, status, http.StatusBadGateway, "%v, fault %d: %s", kind, f, body)
 		}
 	}
@@ -293,7 +297,7 @@
 		}
 		cuts := rapid.SliceOfN(rapid.Bool(), 1, 12).Draw(rt, "cut")
 		needed := func() bool { return cuts[min(int(looks.Add(1)), len(cuts))-1] }
-		entry := withDetour(newHopGate(address, kind, attempts), stubDetour{needed, hosts})
+		entry := withDetour(newHopGate(address, kind, attempts), stubDetour{needed: needed, hosts: hosts})
 		defer entry.deps.Client.Close()
 		host := httptest.NewServer(entry)
 		defer host.Close()
@@ -353,7 +357,7 @@
 			host := lendAt(t, lossyHost(teamHopGate(other, up), c.fault))
 			var looks atomic.Int32
 			needed := func() bool { return !charged || looks.Add(1) > 1 } // a first wait is not cut off
-			status, _ := sendTo(t, withDetour(teamHopGate(own, up), stubDetour{needed, []string{host}}))
+			status, _ := sendTo(t, withDetour(teamHopGate(own, up), stubDetour{needed: needed, hosts: []string{host}}))
 			assert.Equal(t, status, c.status, c.name)
 			assert.Equal(t, own.balance, before-c.cost, "%s, charged before: %v", c.name, charged)
 			assert.Equal(t, own.charges, 1, c.name)
@@ -361,7 +365,7 @@
 		}
 	}
 	own := &account{balance: before}
-	status, _ := sendTo(t, withDetour(teamHopGate(own, up), stubDetour{always, []string{"127.0.0.1:1"}}))
+	status, _ := sendTo(t, withDetour(teamHopGate(own, up), stubDetour{needed: always, hosts: []string{"127.0.0.1:1"}}))
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, own.balance, float64(before), "not run")
 }
--- a/node/gate/divert_test.go
+++ b/node/gate/divert_test.go
@@ -15,7 +15,7 @@
 // Guards against a sound host whose requests pay for the way through other hosts with an
 // allocation at each wait.
 func TestAHoldAllocatesNothing(t *testing.T) {
-	g := withDetour(newHopGate("127.0.0.1:1", 0, 1), stubDetour{func() bool { return false }, nil})
+	g := withDetour(newHopGate("127.0.0.1:1", 0, 1), stubDetour{needed: func() bool { return false }})
 	q := &request{g: g}
 	cancel := func(error) {}
 	q.beginSend(cancel)
@@ -72,7 +72,7 @@
 // wait ended before the request looked for another host.
 func TestAWaitGoesOnIfItsCutHasEnded(t *testing.T) {
 	t.Parallel()
-	g := withDetour(newHopGate("127.0.0.1:1", deploy.Idempotent, 1), stubDetour{func() bool { return false }, nil})
+	g := withDetour(newHopGate("127.0.0.1:1", deploy.Idempotent, 1), stubDetour{needed: func() bool { return false }})
 	diverted := time.AfterFunc(50*time.Millisecond, g.holds.divert)
 	defer diverted.Stop()
 	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil)
--- a/node/gate/failover.go
+++ b/node/gate/failover.go
@@ -65,15 +65,21 @@
 	return nil
 }
 
-// onUnresponsive is called when nothing has arrived from the upstream for a while.
-func (f *failover) onUnresponsive() { f.startSearch(f.pieces.Load(), errUnresponsive) }
+// onUnresponsive is called when nothing has arrived from the upstream for so long that it
+// counts as unresponsive since the given time.
+func (f *failover) onUnresponsive(since time.Time) {
+	f.startSearch(f.pieces.Load(), errUnresponsive, since)
+}
+
+// onHostUnresponsive is called when nothing has arrived from the other host for a while.
+func (f *failover) onHostUnresponsive() { f.onUnresponsive(f.q.g.deps.Now()) }
 
 // onSlow is called when the response has not started in time.
-func (f *failover) onSlow() { f.startSearch(0, errSlow) }
+func (f *failover) onSlow() { f.startSearch(0, errSlow, f.q.g.deps.Now()) }
 
 // startSearch starts searching for another upstream. It may be called from any
 // goroutine and does not block.
-func (f *failover) startSearch(pieces int64, cause error) {
+func (f *failover) startSearch(pieces int64, cause error, since time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.searching || f.ended {
@@ -81,17 +87,16 @@
 	}
 	f.searching = true
 	f.searches.Add(1)
-	go f.search(pieces, cause)
+	go f.search(pieces, cause, since)
 }
 
 // search ends the attempt once the request may be retried and another upstream could
 // accept it. It stops when the present upstream sends something.
-func (f *failover) search(pieces int64, cause error) {
+func (f *failover) search(pieces int64, cause error, since time.Time) {
 	defer f.searches.Done()
 	defer func() { f.mu.Lock(); f.searching = false; f.mu.Unlock() }()
-	began := f.q.g.deps.Now()
 	for f.pieces.Load() == pieces {
-		if f.mayLeave(began) && f.q.mayMove() {
+		if f.mayLeave(since) && f.q.mayMove() {
 			if c := f.q.takeRetry(f.ctx); c.allowed {
 				f.cancel(&failedOver{cause, c})
 				return
@@ -103,23 +108,24 @@
 	}
 }
 
-// streamStay is how long a stream stays with an upstream that was found unresponsive, which
-// health.DefaultPolicy does after 0.7 s. The sum lies above the second for which a sound
+// streamStay is how long a stream stays with an upstream that counts as unresponsive, which
+// it does by health.DefaultPolicy after 0.7 s. The sum lies above the second for which a sound
 // upstream, which works on, may send nothing, and leaves a quarter of the two seconds after
 // which the first callers give up for going on elsewhere.
 const streamStay = 800 * time.Millisecond
 
-// mayLeave reports whether the request may leave a silent upstream, for which another has
-// been sought since began. A stream must not run at two upstreams at once, so it stays for a
-// while, unless the upstream's process is gone or this host does not reach it.
-func (f *failover) mayLeave(began time.Time) bool {
+// mayLeave reports whether the request may leave an upstream that counts as unresponsive
+// since the given time. A stream must not run at two upstreams at once, so it stays for a
+// while, unless the upstream's process is gone or this host is known not to reach it. That
+// nothing arrives from any upstream does not show that: all of them may be silent, and work on.
+func (f *failover) mayLeave(since time.Time) bool {
 	switch {
 	case f.at == nil, f.q.route.Repeatable():
 		return true
-	case f.at.IsGone(), f.q.cutOff():
+	case f.at.IsGone(), f.q.cutOff() && !f.q.g.deps.Detour.BySilence():
 		return true
 	}
-	return f.q.g.deps.Now().Sub(began) >= f.q.g.streamStay
+	return f.q.g.deps.Now().Sub(since) >= f.q.g.streamStay
 }
 
 // mayMove reports whether another upstream could accept the request, or, while this host
--- a/node/gate/hop_bench_test.go
+++ b/node/gate/hop_bench_test.go
@@ -23,8 +23,8 @@
 	plain := func() *Gate { return newHopGate(address, deploy.NonIdempotent, 1) }
 	for name, g := range map[string]*Gate{
 		"direct":  plain(),
-		"watched": withDetour(plain(), stubDetour{func() bool { return false }, nil}),
-		"hop":     withDetour(plain(), stubDetour{always, []string{helper.Listener.Addr().String()}}),
+		"watched": withDetour(plain(), stubDetour{needed: func() bool { return false }}),
+		"hop":     withDetour(plain(), stubDetour{needed: always, hosts: []string{helper.Listener.Addr().String()}}),
 	} {
 		b.Run(name, func(b *testing.B) {
 			host := httptest.NewServer(g)
--- a/node/gate/hopbounds_test.go
+++ b/node/gate/hopbounds_test.go
@@ -28,7 +28,7 @@
 	}))
 	helper := lendAt(t, http.HandlerFunc(newHopGate(up, deploy.NonIdempotent, 1).ServeForwarded))
 	began := time.Now()
-	status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, []string{refusing, helper}}))
+	status, body := sendTo(t, withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: []string{refusing, helper}}))
 	assert.Equal(t, status, http.StatusOK, body)
 	assert.Assert(t, time.Since(began) < atOnce, "%v", time.Since(began))
 }
--- a/node/gate/hopfaults_test.go
+++ b/node/gate/hopfaults_test.go
@@ -24,7 +24,7 @@
 func TestADialMayFailWhileItIsDiverted(t *testing.T) {
 	t.Parallel()
 	for range 3 {
-		g := withDetour(newHopGate("127.0.0.1:1", deploy.NonIdempotent, 1), stubDetour{func() bool { return false }, nil})
+		g := withDetour(newHopGate("127.0.0.1:1", deploy.NonIdempotent, 1), stubDetour{needed: func() bool { return false }})
 		stop := make(chan struct{})
 		go func() {
 			for {
@@ -58,7 +58,7 @@
 	}
 	helper := short(newHopGate(up, deploy.Idempotent, 3))
 	host := lendAt(t, http.HandlerFunc(helper.ServeForwarded))
-	status, body := sendTo(t, withDetour(short(newHopGate(up, deploy.Idempotent, 3)), stubDetour{always, []string{host}}))
+	status, body := sendTo(t, withDetour(short(newHopGate(up, deploy.Idempotent, 3)), stubDetour{needed: always, hosts: []string{host}}))
 	assert.Equal(t, status, http.StatusOK, body)
 }
 
@@ -73,7 +73,7 @@
 	})
 	g := newHopGate(up, deploy.Idempotent, 3)
 	changeRoute(g, func(r *deploy.Route) { r.Objective = 100 * time.Millisecond })
-	status, body := sendTo(t, withDetour(g, stubDetour{cut.Load, nil}))
+	status, body := sendTo(t, withDetour(g, stubDetour{needed: cut.Load}))
 	assert.Equal(t, status, http.StatusOK, body)
 }
 
@@ -100,7 +100,7 @@
 		}
 		host := lendAt(t, http.HandlerFunc(resumable(newHopGate(up, deploy.Stream, 3)).ServeForwarded))
 		host2 := lendAt(t, http.HandlerFunc(resumable(newHopGate(up, deploy.Stream, 3)).ServeForwarded))
-		entry := withDetour(resumable(newHopGate(up, deploy.Stream, 3)), stubDetour{cut.Load, []string{host, host2}})
+		entry := withDetour(resumable(newHopGate(up, deploy.Stream, 3)), stubDetour{needed: cut.Load, hosts: []string{host, host2}})
 		s, b, err := sendOne(t, startHost(t, entry))
 		return s, b, n.Load(), err
 	}
@@ -128,7 +128,7 @@
 	for _, kind := range []deploy.RequestKind{deploy.Idempotent, deploy.NonIdempotent} {
 		offered.Store(0)
 		host := lendAt(t, http.HandlerFunc(set(newHopGate(up, kind, 3)).ServeForwarded))
-		entry := startHost(t, withDetour(set(newHopGate(up, kind, 3)), stubDetour{always, []string{frozen, host}}))
+		entry := startHost(t, withDetour(set(newHopGate(up, kind, 3)), stubDetour{needed: always, hosts: []string{frozen, host}}))
 		served := 0
 		for range 5 {
 			if s, _, _ := sendOne(t, entry); s == 200 {
@@ -165,7 +165,7 @@
 	t.Log("direct", resp.StatusCode, h, "upstream saw", got)
 	direct := got.Get(hopFrom)
 	host := lendAt(t, http.HandlerFunc(newHopGate(up, deploy.NonIdempotent, 1).ServeForwarded))
-	resp, h = send(withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{always, []string{host}}))
+	resp, h = send(withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: always, hosts: []string{host}}))
 	t.Log("hop", resp.StatusCode, h, "upstream saw", got)
 	assert.Check(t, resp.StatusCode == 200 && h.Get(hopOutcome) == "" && got.Get(hopFrom) == "")
 	assert.Check(t, direct == "", "upstreams see %q", direct)
@@ -189,7 +189,7 @@
 		for range 4 {
 			hosts = append(hosts, lendAt(t, http.HandlerFunc(newHopGate(up, kind, 2).ServeForwarded)))
 		}
-		s, b = sendTo(t, withDetour(newHopGate(up, kind, 2), stubDetour{always, hosts}))
+		s, b = sendTo(t, withDetour(newHopGate(up, kind, 2), stubDetour{needed: always, hosts: hosts}))
 		t.Logf("%v hop: %d %q, asked %d times", kind, s, b, asked.Load())
 		assert.Check(t, asked.Load() <= direct)
 	}
@@ -207,7 +207,7 @@
 		g := newHopGate(up, deploy.Idempotent, 3)
 		changeRoute(g, func(r *deploy.Route) { r.Objective = time.Millisecond })
 		g.deps.Client = conn.New(conn.Config{Dialer: hangingDialer{up}})
-		entry := withDetour(g, stubDetour{cut.Load, []string{host}})
+		entry := withDetour(g, stubDetour{needed: cut.Load, hosts: []string{host}})
 		time.AfterFunc(20*time.Millisecond, func() { cut.Store(true); entry.holds.divert() })
 		status, body := sendTo(t, entry)
 		assert.Equal(t, status, http.StatusOK, body)
@@ -267,7 +267,7 @@
 		}), deploy.Stream, 3)).ServeForwarded(w, r)
 	}))
 	sound := lendAt(t, http.HandlerFunc(resumable(newHopGate(up, deploy.Stream, 3)).ServeForwarded))
-	entry := withDetour(resumable(newHopGate(up, deploy.Stream, 3)), stubDetour{always, []string{frozen, sound}})
+	entry := withDetour(resumable(newHopGate(up, deploy.Stream, 3)), stubDetour{needed: always, hosts: []string{frozen, sound}})
 	began := time.Now()
 	status, body := sendTo(t, entry)
 	assert.Equal(t, status, http.StatusOK)
@@ -303,7 +303,7 @@
 		offered.Add(1)
 		patient().ServeForwarded(w, r)
 	}))
-	status, body := sendTo(t, withDetour(patient(), stubDetour{always, []string{holding, other}}))
+	status, body := sendTo(t, withDetour(patient(), stubDetour{needed: always, hosts: []string{holding, other}}))
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "answer")
 	assert.Equal(t, offered.Load(), int32(1))
@@ -349,7 +349,7 @@
 		lend(4, at("b", second, "v2")).ServeForwarded(w, r)
 	}))
 	for range 4 {
-		entry := withDetour(lend(6, at("a", first, "v1")), stubDetour{always, []string{breaking, earlier, both}})
+		entry := withDetour(lend(6, at("a", first, "v1")), stubDetour{needed: always, hosts: []string{breaking, earlier, both}})
 		status, body := sendTo(t, entry)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, strings.Count(body, "data: v1"), 4, body)
@@ -370,7 +370,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	other := lendAt(t, http.HandlerFunc(newHopGate(up, deploy.Idempotent, 3).ServeForwarded))
-	entry := withDetour(newHopGate(up, deploy.Idempotent, 3), stubDetour{always, []string{refusing, other}})
+	entry := withDetour(newHopGate(up, deploy.Idempotent, 3), stubDetour{needed: always, hosts: []string{refusing, other}})
 	entry.deps.RetryBudget = NewRetryBudget(budget.Policy{Window: time.Second}, poolOf(0))
 	status, body := sendTo(t, entry)
 	assert.Equal(t, status, http.StatusServiceUnavailable, body)
--- a/node/gate/staying_test.go
+++ b/node/gate/staying_test.go
@@ -62,7 +62,7 @@
 }
 
 // noDetour is a Detour that is never needed.
-var noDetour = stubDetour{func() bool { return false }, nil}
+var noDetour = stubDetour{needed: func() bool { return false }}
 
 // whole asks for a stream and checks that it arrives whole, in more than one time and less
 // than another.
@@ -147,7 +147,7 @@
 	changeRoute(helper, func(r *deploy.Route) { r.Resumable = true })
 	var cut atomic.Bool
 	var s *streamSite
-	s = startStreamSite(t, stubDetour{cut.Load, []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}},
+	s = startStreamSite(t, stubDetour{needed: cut.Load, hosts: []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}},
 		func(_ string, w http.ResponseWriter, r *http.Request) {
 			writeEvent(w, 1)
 			time.Sleep(eventsArrive)
@@ -158,6 +158,25 @@
 	s.whole(t, 0, streamStay)
 }
 
+// Guards against a stream that runs at two upstreams at once: its host hears nothing from any
+// upstream, takes itself for cut off, and the upstreams, which are silent for a second, work on.
+func TestAStreamStaysWhileAllUpstreamsAreSilent(t *testing.T) {
+	t.Parallel()
+	var silent atomic.Bool
+	var s *streamSite
+	s = startStreamSite(t, stubDetour{needed: silent.Load, hosts: []string{"127.0.0.1:1"}, bySilence: true}, func(_ string, w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(eventsArrive)
+		silent.Store(true)
+		s.fleet.AbortSilent()
+		time.Sleep(soundSilence)
+		writeEvent(w, 2)
+		writeEvent(w, 3)
+	})
+	s.whole(t, soundSilence, callersPatience)
+	assert.Equal(t, s.runs.Load(), int32(1))
+}
+
 // Guards against a repeatable call that stays with a silent upstream as long as a stream would: its runs may overlap.
 func TestACallThatMayRepeatLeavesASilentUpstreamAtOnce(t *testing.T) {
 	t.Parallel()
--- a/node/reach/monitor.go
+++ b/node/reach/monitor.go
@@ -101,6 +101,13 @@
 // Partitioned reports whether this host reaches no upstream.
 func (m *Monitor) Partitioned() bool { return m.state() == decide.Partitioned }
 
+// partitionedBySilence reports whether this host is partitioned and nothing but silence shows it.
+func (m *Monitor) partitionedBySilence() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.detector.State() == decide.Partitioned && m.detector.AnswersNeeded()
+}
+
 // Status returns what is known.
 func (m *Monitor) Status() Status {
 	m.mu.Lock()
@@ -333,6 +340,10 @@
 	return d.Monitor.Partitioned() && (!d.Monitor.opensNothingNew() || len(d.Addresses()) > 0)
 }
 
+// BySilence reports whether a partition is concluded from silence alone: connections open,
+// or may, and nothing arrives on them.
+func (d Detour) BySilence() bool { return d.Monitor.partitionedBySilence() }
+
 // Hosts returns the addresses at which other hosts forward requests, in order of
 // preference.
 func (d Detour) Hosts() []string { return d.Addresses() }
--- a/node/reach/monitor_test.go
+++ b/node/reach/monitor_test.go
@@ -397,7 +397,7 @@
 		s.monitor.OnBegin(func() {
 			if sent == nil {
 				sent = s.begin("s-0")
-				sent.OnUnresponsive(func() { aborted++ })
+				sent.OnUnresponsive(func(time.Time) { aborted++ })
 			}
 		})
 		open := s.begin("s-1")
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -903,13 +903,17 @@
 try "an escape with other bytes is no slash either" node/gate/gate.go \
   'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
 try "a stream stays with an upstream that pauses" node/gate/failover.go \
-  'f.mayLeave(began) && ' '(true || f.mayLeave(began)) && ' ./node/gate -run 'AStreamStays'
+  'f.mayLeave(since) && ' '(true || f.mayLeave(since)) && ' ./node/gate -run 'AStreamStays'
 try "a stream leaves a lost upstream in time" node/gate/failover.go \
   'streamStay = 800 * time.Millisecond' 'streamStay = 2 * time.Second' ./node/gate -run 'BeforeItsCallerLeaves'
 try "a stream leaves at once what is gone" node/gate/failover.go \
-  'case f.at.IsGone(), f.q.cutOff():' 'case f.q.cutOff():' ./node/gate -run 'ThatIsGoneAtOnce'
+  'case f.at.IsGone(), f.q.cutOff()' 'case f.q.cutOff()' ./node/gate -run 'ThatIsGoneAtOnce'
 try "a stream leaves at once what is out of reach" node/gate/failover.go \
-  'case f.at.IsGone(), f.q.cutOff():' 'case f.at.IsGone():' ./node/gate -run 'OutOfReachAtOnce'
+  'case f.at.IsGone(), f.q.cutOff() && !f.q.g.deps.Detour.BySilence():' 'case f.at.IsGone():' ./node/gate -run 'OutOfReachAtOnce'
+try "a stream stays while all upstreams are silent" node/gate/failover.go \
+  'f.q.cutOff() && !f.q.g.deps.Detour.BySilence()' 'f.q.cutOff()' ./node/gate -run 'AStreamStaysWhileAll'
+try "a stream stays for as long as its upstream was silent" node/fleet/contact.go \
+  'e.abortMovableLocked(e.unresponsiveSinceLocked(now))' 'e.abortMovableLocked(now.Add(-time.Second))' ./node/gate -run 'AStreamStaysWhileAll'
 try "a call that may repeat does not stay" node/gate/failover.go \
   'case f.at == nil, f.q.route.Repeatable():' 'case f.at == nil:' ./node/gate -run 'ACallThatMayRepeatLeaves'
 exit $missed
