An exclusion for silence ends with the upstream's next bytes

What callers saw: an upstream that falls silent for a second each two seconds got requests again 0.4 s after it had gone on the first time, 0.8 s the second and 1.6 s the third; with all upstreams of a service silent at once, requests of that time were refused.

Cause: bytes that arrive during an exclusion do not end it, which is right for failures (a late event of an old stream) and not for silence, where bytes are the proof that it is over. Exclusions in a row double.

Evidence: TestBytesEndAnExclusionForSilence fails before (down at 1.0 s).

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -51,6 +51,7 @@
 	failures      int
 	exclusions    int // exclusions in a row
 	excludedUntil time.Time
+	forSilence    bool    // the present exclusion rests on silence alone
 	failedAnswers float64 // decaying count of failed answers
 	answers       float64 // decaying count of answers
 }
@@ -67,18 +68,13 @@
 }
 
 // RecordBytes records bytes of any answer; outstanding is whether more are due.
-// Bytes that arrive after an exclusion end it; those that arrive during one do
-// not.
+// Bytes that arrive after an exclusion end it, and those that arrive during one for silence:
+// the upstream is not silent any more. Other exclusions go on.
 func (r *Tracker) RecordBytes(now time.Time, outstanding bool) {
 	r.failures = 0
-	if r.excludedUntil.IsZero() || now.Before(r.excludedUntil) {
-		r.awaitingSince = time.Time{}
-		if outstanding {
-			r.awaitingSince = now
-		}
-		return
+	if r.forSilence || !now.Before(r.excludedUntil) {
+		r.excludedUntil, r.exclusions, r.forSilence = time.Time{}, 0, false
 	}
-	r.excludedUntil, r.exclusions = time.Time{}, 0
 	r.awaitingSince = time.Time{}
 	if outstanding {
 		r.awaitingSince = now
@@ -136,6 +132,13 @@
 // new.
 func (r *Tracker) Exclude(p Policy, now time.Time) bool { return r.exclude(p, now) }
 
+// ExcludeSilent is Exclude for an upstream from which nothing arrives.
+func (r *Tracker) ExcludeSilent(p Policy, now time.Time) bool {
+	excluded := r.exclude(p, now)
+	r.forSilence = r.forSilence || excluded
+	return excluded
+}
+
 func (r *Tracker) exclude(p Policy, now time.Time) bool {
 	if now.Before(r.excludedUntil) {
 		return false
@@ -143,6 +146,7 @@
 	exclusion := p.FirstExclusion << min(r.exclusions, 8)
 	r.excludedUntil = now.Add(min(exclusion, p.MaxExclusion))
 	r.exclusions++
+	r.forSilence = false
 	r.awaitingSince = time.Time{}
 	return true
 }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -49,6 +49,24 @@
 	assert.Equal(t, r.Status(after(101)), health.Down)
 }
 
+// Guards against an upstream that stays excluded for its silence, twice as long each time,
+// though it sends again.
+func TestBytesEndAnExclusionForSilence(t *testing.T) {
+	var r health.Tracker
+	for at := 0; at < 20_000; at += 2000 {
+		r.RecordSend(after(at))
+		assert.Assert(t, r.ExcludeSilent(health.DefaultPolicy, after(at+701)))
+		assert.Equal(t, r.Status(after(at+999)), health.Down)
+		r.RecordBytes(after(at+1000), false)
+		assert.Equal(t, r.Status(after(at+1000)), health.Up)
+	}
+	r.RecordSend(after(20_000))
+	assert.Assert(t, r.ExcludeSilent(health.DefaultPolicy, after(20_701)))
+	assert.Assert(t, r.RecordFailure(health.DefaultPolicy, after(21_200)), "the exclusion was over")
+	r.RecordBytes(after(21_300), false)
+	assert.Equal(t, r.Status(after(21_301)), health.Down, "this one is for a failure")
+}
+
 // Guards against excluding all upstreams of a service whose calls often fail, as
 // when one in seven answers of each upstream is a failure: a failure share counts
 // only against the other upstreams' shares.
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -279,7 +279,7 @@
 		e.drainLocked("entry did not come back")
 	}
 	since := e.unresponsiveSinceLocked(now)
-	if e.health.IsUnresponsive(e.fleet.cfg.Health, now, e.readingTimeLocked(now)) && e.excludeLocked(now) {
+	if e.health.IsUnresponsive(e.fleet.cfg.Health, now, e.readingTimeLocked(now)) && e.recordExclusionLocked(e.health.ExcludeSilent(e.fleet.cfg.Health, now)) {
 		e.abortMovableLocked(since)
 		e.fleet.contact.failed(reach.Failure{Upstream: e.id, At: now, Kind: reach.Unanswered})
 		e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
@@ -335,18 +335,17 @@
 
 // excludeLocked is exclude with e.mu held.
 func (e *Entry) excludeLocked(now time.Time) bool {
-	changed := e.health.Exclude(e.fleet.cfg.Health, now)
-	e.recordExclusionLocked(changed)
-	return changed
+	return e.recordExclusionLocked(e.health.Exclude(e.fleet.cfg.Health, now))
 }
 
-// recordExclusionLocked records that the upstream is newly excluded, if changed is set.
-func (e *Entry) recordExclusionLocked(changed bool) {
-	if !changed {
-		return
+// recordExclusionLocked records that the upstream is newly excluded, if changed is set, which
+// it returns.
+func (e *Entry) recordExclusionLocked(changed bool) bool {
+	if changed {
+		e.fleet.excluded.add(e)
+		e.fleet.notifyUrgentChange()
 	}
-	e.fleet.excluded.add(e)
-	e.fleet.notifyUrgentChange()
+	return changed
 }
 
 // errorShare returns the share of its answers that failed; below 0 if it has too few
