Nobody is refused while all upstreams are silent for a second

Fix: the first byte from any upstream ends a partition, or refutes a suspicion, that rests on silence alone; while nothing else speaks for it, a request that no other host takes waits for as long as for an upstream (an eighth of its objective).

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -273,6 +273,21 @@
 	return a
 }
 
+// Received applies that bytes last arrived from an upstream at a time, and returns the state.
+// They refute a suspicion, and end a partition, that rests on silence alone. Others they do
+// not concern: open connections may work while no new one opens.
+func (d *Detector) Received(last, now time.Time) State {
+	if !d.AnswersNeeded() || !last.After(d.suspected) {
+		return d.state
+	}
+	if d.state == Suspected {
+		d.refute(now)
+	} else {
+		d.endPartition(now)
+	}
+	return d.state
+}
+
 // Judge applies the trials of one round and returns the state.
 func (d *Detector) Judge(round []Trial, now time.Time) State {
 	switch d.state {
@@ -318,10 +333,14 @@
 	}
 	maps.DeleteFunc(d.accepted, func(_ string, a acceptance) bool { return now.Sub(a.at) > d.policy.EndWindow })
 	if d.partitionOver() {
-		d.state, d.cause, d.floor, d.restUntil = Reachable, NoCause, now, now.Add(d.policy.FirstRest)
+		d.endPartition(now)
 	}
 }
 
+func (d *Detector) endPartition(now time.Time) {
+	d.state, d.cause, d.floor, d.restUntil = Reachable, NoCause, now, now.Add(d.policy.FirstRest)
+}
+
 // partitionOver reports whether enough trials were accepted: by different upstreams,
 // or, where only one runs, by that one again and again.
 func (d *Detector) partitionOver() bool {
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -265,3 +265,32 @@
 	assert.Equal(t, first[0].ID, "3")
 	assert.Equal(t, len(reach.Sample(all[:3], nil, 6, rand.IntN)), 3, "failed ones are better than none")
 }
+
+// Guards against a host that takes itself for cut off while bytes arrive: its upstreams were
+// silent, all of them, and nothing but that had raised the suspicion.
+func TestBytesEndWhatRestsOnSilenceAlone(t *testing.T) {
+	noneAnswer := []reach.Trial{{Upstream: "a"}, {Upstream: "b"}}
+	for name, c := range map[string]struct {
+		e    reach.Evidence
+		ends bool
+	}{
+		"silence": {reach.Evidence{Upstreams: 5, LastReceived: ms(300), Silences: silent(300, "a", "b")}, true},
+		"resets":  {reach.Evidence{Upstreams: 5, LastReceived: ms(900), Failures: failed(reach.Broken, 950, "a", "b")}, false},
+		"dials":   {reach.Evidence{Upstreams: 5, LastReceived: ms(990), Failures: failed(reach.Unconnected, 900, "a", "b")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			want := map[bool]reach.State{true: reach.Reachable, false: reach.Partitioned}[c.ends]
+			suspects := reach.NewDetector(reach.DefaultPolicy)
+			assert.Equal(t, suspects.Observe(&c.e, ms(1000)), reach.Suspected)
+			assert.Equal(t, suspects.Received(ms(1000), ms(1100)), reach.Suspected, "they arrived before")
+			if c.ends {
+				assert.Equal(t, suspects.Received(ms(1001), ms(1100)), want)
+			}
+			cut := reach.NewDetector(reach.DefaultPolicy)
+			cut.Observe(&c.e, ms(1000))
+			assert.Equal(t, cut.Judge(noneAnswer, ms(1300)), reach.Partitioned)
+			assert.Equal(t, cut.Received(ms(1000), ms(1400)), reach.Partitioned, "they arrived before")
+			assert.Equal(t, cut.Received(ms(1400), ms(1400)), want)
+		})
+	}
+}
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -127,9 +127,9 @@
 }
 
 // noDetour ends a request that no other host takes. A stream that has started tries
-// again after a delay.
+// again after a delay, and any request while all upstreams may merely be silent.
 func (q *request) noDetour() bool {
-	if q.started && q.backOffResume() {
+	if q.started && q.backOffResume() || !q.started && q.awaitUpstreams() {
 		q.triedHosts = nil
 		return true
 	}
@@ -140,6 +140,31 @@
 	return false
 }
 
+// awaitUpstreams waits for a moment in which upstreams, or hosts that reach them, may be back:
+// when nothing but silence says that this host reaches none, they most likely will be. It
+// returns false if the request has been held for as long as it may wait for an upstream.
+func (q *request) awaitUpstreams() bool {
+	if !q.cutOff() {
+		return true
+	}
+	left := q.start.Add(q.maxHold(balance.NoUpstream)).Sub(q.g.deps.Now())
+	if left <= 0 || !q.g.deps.Detour.BySilence() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, min(left, silenceRecheck))
+	defer cancel()
+	defer q.cancelWithHoldLimit(cancel)()
+	select {
+	case <-q.g.deps.Fleet.Changed():
+	case <-ctx.Done():
+	}
+	return q.ctx.Err() == nil
+}
+
+// silenceRecheck is how often a request that waits for silent upstreams offers itself to
+// other hosts again.
+const silenceRecheck = 50 * time.Millisecond
+
 // sendThrough forwards the request to another host, and its answer to the caller.
 func (q *request) sendThrough(address string) result {
 	d := &q.g.deps
--- a/node/gate/staying_test.go
+++ b/node/gate/staying_test.go
@@ -177,6 +177,22 @@
 	assert.Equal(t, s.runs.Load(), int32(1))
 }
 
+// Guards against requests that are refused in the second in which all upstreams are silent: no
+// other host takes them, and the upstreams go on a moment later.
+func TestARequestWaitsAMomentForSilentUpstreams(t *testing.T) {
+	t.Parallel()
+	up := startUpstream(t, func(http.ResponseWriter, *http.Request) {})
+	for _, bySilence := range []bool{true, false} {
+		var silent atomic.Bool
+		silent.Store(true)
+		g := withDetour(newHopGate(up, deploy.NonIdempotent, 1), stubDetour{needed: silent.Load, bySilence: bySilence})
+		changeRoute(g, func(r *deploy.Route) { r.Objective = 8 * time.Second })
+		time.AfterFunc(4*silenceRecheck, func() { silent.Store(false) })
+		status, _ := sendTo(t, g)
+		assert.Equal(t, status, map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable}[bySilence])
+	}
+}
+
 // Guards against a repeatable call that stays with a silent upstream as long as a stream would: its runs may overlap.
 func TestACallThatMayRepeatLeavesASilentUpstreamAtOnce(t *testing.T) {
 	t.Parallel()
--- a/node/reach/monitor.go
+++ b/node/reach/monitor.go
@@ -193,6 +193,7 @@
 		return // this process was paused: the dials may have ended with it
 	}
 	m.mu.Lock()
+	m.detector.Received(m.deps.Fleet.LastReceived(), now)
 	state, cause, since, dials := m.detector.Judge(round, now), m.detector.Cause(), m.detector.Since(), m.dials
 	mute := m.detector.AnswersNeeded()
 	m.confirmedAt = now
@@ -240,16 +241,42 @@
 	m.mu.Lock()
 	m.detector.Observe(e, now) // the number of upstreams may have changed
 	since := m.detector.Since()
-	over, dials := m.detector.Judge(round, now) != decide.Partitioned, m.dials
+	m.detector.Received(m.deps.Fleet.LastReceived(), now)
+	over := m.detector.Judge(round, now) != decide.Partitioned
 	m.mu.Unlock()
 	if !over {
 		m.callOnBegin()
-		pace.Sleep(ctx, endInterval-now.Sub(began))
-		return
+		over = m.receivesWithin(ctx, endInterval-now.Sub(began))
+	}
+	if over {
+		m.end(m.deps.Now().Sub(since))
 	}
+}
+
+// receivesWithin waits, and reports whether bytes arrive meanwhile that end the partition.
+func (m *Monitor) receivesWithin(ctx context.Context, wait time.Duration) bool {
+	for until := m.deps.Now().Add(wait); ; {
+		left := until.Sub(m.deps.Now())
+		if left <= 0 || !pace.Sleep(ctx, min(left, checkInterval)) {
+			return false
+		}
+		m.mu.Lock()
+		state := m.detector.Received(m.deps.Fleet.LastReceived(), m.deps.Now())
+		m.mu.Unlock()
+		if state != decide.Partitioned {
+			return true
+		}
+	}
+}
+
+// end applies that a partition is over.
+func (m *Monitor) end(after time.Duration) {
+	m.mu.Lock()
+	dials := m.dials
+	m.mu.Unlock()
 	m.deps.Fleet.ForgetFailures()
 	m.deps.Fleet.DoubtOwnEvidence(false)
-	m.deps.Log.Emit(event.PartitionEnded, zap.Duration("after", now.Sub(since)), zap.Int("dials", dials))
+	m.deps.Log.Emit(event.PartitionEnded, zap.Duration("after", after), zap.Int("dials", dials))
 	m.deps.OnChange(false)
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -918,4 +918,14 @@
   'case f.at == nil, f.q.route.Repeatable():' 'case f.at == nil:' ./node/gate -run 'ACallThatMayRepeatLeaves'
 try "bytes end an exclusion for silence" core/health/health.go \
   'if r.forSilence || ' 'if ' ./core/health -run 'ForSilence'
+try "bytes end what rests on silence" core/reach/reach.go \
+  'if !d.AnswersNeeded() || !last.After(d.suspected) {' 'if true {' ./core/reach -run 'BytesEndWhatRests'
+try "bytes end nothing but what rests on silence" core/reach/reach.go \
+  'if !d.AnswersNeeded() || ' 'if ' ./core/reach -run 'BytesEndWhatRests'
+try "bytes of before a suspicion end nothing" core/reach/reach.go \
+  ' || !last.After(d.suspected) {' ' {' ./core/reach -run 'BytesEndWhatRests'
+try "a request waits for silent upstreams" node/gate/detour.go \
+  '!q.started && q.awaitUpstreams()' 'false' ./node/gate -run 'WaitsAMoment'
+try "a request does not wait where connections are refused" node/gate/detour.go \
+  'left <= 0 || !q.g.deps.Detour.BySilence()' 'left <= 0' ./node/gate -run 'WaitsAMoment'
 exit $missed
