A pause of the host is not taken for silence of an upstream

What could happen: a host that is paused (stopped, swapped out, starved) while one of its streams waits at a silent upstream finds on waking that the stream's time there is over, and lets it leave before it reads the events that have arrived meanwhile; the upstream works on.

Cause: the stay of a stream is measured by the clock, which goes on in a pause.

Fix: a stream leaves only after three polls in a row without a pause.

--- a/node/gate/failover.go
+++ b/node/gate/failover.go
@@ -95,8 +95,10 @@
 func (f *failover) search(pieces int64, cause error, since time.Time) {
 	defer f.searches.Done()
 	defer func() { f.mu.Lock(); f.searching = false; f.mu.Unlock() }()
+	var polls ownPauses
 	for f.pieces.Load() == pieces {
-		if f.mayLeave(since) && f.q.mayMove() {
+		polls.record(f.q.g.deps.Now())
+		if f.mayLeave(since, &polls) && f.q.mayMove() {
 			if c := f.q.takeRetry(f.ctx); c.allowed {
 				f.cancel(&failedOver{cause, c})
 				return
@@ -108,6 +110,32 @@
 	}
 }
 
+const (
+	// maxPollDelay is how much later than intended a poll may come: after more, this process
+	// was paused, and what arrived meanwhile has not been read yet.
+	maxPollDelay = 150 * time.Millisecond
+	// minPolls is how many polls follow a pause before silence counts as the upstream's: in
+	// the time between them what had arrived is read.
+	minPolls = 3
+)
+
+// ownPauses notices pauses of this process by its polls.
+type ownPauses struct {
+	last          time.Time
+	uninterrupted int // polls since the last pause
+}
+
+func (p *ownPauses) record(now time.Time) {
+	if now.Sub(p.last) > failoverPollInterval+maxPollDelay {
+		p.uninterrupted = 0
+	}
+	p.last = now
+	p.uninterrupted++
+}
+
+// isOver reports whether a pause is long enough ago.
+func (p *ownPauses) isOver() bool { return p.uninterrupted >= minPolls }
+
 // streamStay is how long a stream stays with an upstream that counts as unresponsive, which
 // it does by health.DefaultPolicy after 0.7 s. The sum lies above the second for which a sound
 // upstream, which works on, may send nothing, and leaves a quarter of the two seconds after
@@ -118,14 +146,14 @@
 // since the given time. A stream must not run at two upstreams at once, so it stays for a
 // while, unless the upstream's process is gone or this host is known not to reach it. That
 // nothing arrives from any upstream does not show that: all of them may be silent, and work on.
-func (f *failover) mayLeave(since time.Time) bool {
+func (f *failover) mayLeave(since time.Time, polls *ownPauses) bool {
 	switch {
 	case f.at == nil, f.q.route.Repeatable():
 		return true
 	case f.at.IsGone(), f.q.cutOff() && !f.q.g.deps.Detour.BySilence():
 		return true
 	}
-	return f.q.g.deps.Now().Sub(since) >= f.q.g.streamStay
+	return polls.isOver() && f.q.g.deps.Now().Sub(since) >= f.q.g.streamStay
 }
 
 // mayMove reports whether another upstream could accept the request, or, while this host
--- a/node/gate/staying_test.go
+++ b/node/gate/staying_test.go
@@ -35,6 +35,14 @@
 
 // startStreamSite starts a site. first gets the address of the upstream that runs it.
 func startStreamSite(t *testing.T, d Detour, first func(address string, w http.ResponseWriter, r *http.Request)) *streamSite {
+	t.Helper()
+	g, _ := newGate(&noModelCoordinator{}, "")
+	g.deps.HostName, g.deps.Codec = "entry", hopCodec{}
+	return startStreamSiteWith(t, withDetour(g, d), first)
+}
+
+// startStreamSiteWith is startStreamSite with a gate.
+func startStreamSiteWith(t *testing.T, g *Gate, first func(address string, w http.ResponseWriter, r *http.Request)) *streamSite {
 	t.Helper()
 	s := &streamSite{}
 	serve := func(w http.ResponseWriter, r *http.Request) {
@@ -45,9 +53,7 @@
 		writeEvent(w, 2)
 		writeEvent(w, 3)
 	}
-	g, _ := newGate(&noModelCoordinator{}, "")
-	g.deps.HostName, g.deps.Codec = "entry", hopCodec{}
-	s.host, s.fleet = startDetectionHost(t, withDetour(g, d), health.DefaultPolicy, deploy.Stream, serve, serve)
+	s.host, s.fleet = startDetectionHost(t, g, health.DefaultPolicy, deploy.Stream, serve, serve)
 	return s
 }
 
@@ -177,6 +183,25 @@
 	assert.Equal(t, s.runs.Load(), int32(1))
 }
 
+// Guards against a stream that runs at two upstreams at once: its host was paused, and takes its own pause for the upstream's silence.
+func TestAStreamStaysAfterAPauseOfItsHost(t *testing.T) {
+	t.Parallel()
+	var paused atomic.Int64 // ns
+	g, _ := newGate(&noModelCoordinator{}, "")
+	g.deps.HostName, g.deps.Codec = "entry", hopCodec{}
+	g.deps.Now = func() time.Time { return time.Now().Add(time.Duration(paused.Load())) }
+	s := startStreamSiteWith(t, withDetour(g, noDetour), func(_ string, w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(health.DefaultPolicy.UnresponsiveAfter + 4*failoverPollInterval)
+		paused.Store(int64(streamStay))
+		time.Sleep(failoverPollInterval * 3 / 2) // what has arrived is read
+		writeEvent(w, 2)
+		writeEvent(w, 3)
+	})
+	s.whole(t, 0, callersPatience)
+	assert.Equal(t, s.runs.Load(), int32(1))
+}
+
 // Guards against requests that are refused in the second in which all upstreams are silent: no
 // other host takes them, and the upstreams go on a moment later.
 func TestARequestWaitsAMomentForSilentUpstreams(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -903,7 +903,7 @@
 try "an escape with other bytes is no slash either" node/gate/gate.go \
   'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
 try "a stream stays with an upstream that pauses" node/gate/failover.go \
-  'f.mayLeave(since) && ' '(true || f.mayLeave(since)) && ' ./node/gate -run 'AStreamStays'
+  'f.mayLeave(since, &polls) && ' '(true || f.mayLeave(since, &polls)) && ' ./node/gate -run 'AStreamStays'
 try "a stream leaves a lost upstream in time" node/gate/failover.go \
   'streamStay = 800 * time.Millisecond' 'streamStay = 2 * time.Second' ./node/gate -run 'BeforeItsCallerLeaves'
 try "a stream leaves at once what is gone" node/gate/failover.go \
@@ -928,4 +928,6 @@
   '!q.started && q.awaitUpstreams()' 'false' ./node/gate -run 'WaitsAMoment'
 try "a request does not wait where connections are refused" node/gate/detour.go \
   'left <= 0 || !q.g.deps.Detour.BySilence()' 'left <= 0' ./node/gate -run 'WaitsAMoment'
+try "a pause of the host is no silence of an upstream" node/gate/failover.go \
+  'return polls.isOver() && ' 'return ' ./node/gate -run 'AfterAPause'
 exit $missed
