Load is read of answers that are known to be the upstream's

What callers could see: requests that avoid a free upstream for up to a second, since another process at its address had stated a load.

Cause: checkResponse recorded load and slowdown of an answer before it rejected one that names no request, and of a 421 from another process, which names itself.

Evidence: TestLoadIsTakenFromTheUpstreamsOwnAnswersOnly fails before in three of its five cases.

Fix: what a process says of itself is one value that is nil until the answer is known to be that process's, so that load, limits, rests and leaving cannot be read of another one.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -164,14 +164,13 @@
 
 // checkResponse checks the head of the request's own response and decides how it is handled.
 func (q *request) checkResponse(ctx context.Context, fo *failover, e *fleet.Entry, a *fleet.Attempt, p selection, resp *conn.Response) result {
-	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
-	if info.Load != nil {
-		a.RecordReportedLoad(*info.Load)
-		q.recordSlowdown(p.permit, info.Load.Slowdown)
+	info := q.decodeFrom(e, resp)
+	if info.Said != nil {
+		q.applyLoad(a, p.permit, info.Said.Load)
+		q.applySignals(e, resp.Status, &info)
 	}
-	q.applySignals(e, resp.Status, &info)
 	if info.NotRun {
-		q.recordNoRoom(e, p.permit, resp.Status, info.Load)
+		q.recordNoRoom(e, p.permit, resp.Status, info.Said)
 		return q.refused(e, a, resp, info)
 	}
 	q.possibleRuns++
--- a/node/gate/attribution.go
+++ b/node/gate/attribution.go
@@ -27,6 +27,19 @@
 	}
 }
 
+// decodeFrom decodes the head of a response to the request from an upstream. What a response
+// says of its sender is dropped if the sender is not known to be that process: one that names
+// no request may come from another process at the same address, unless it is a refusal, and a
+// refusal may name the process.
+func (q *request) decodeFrom(e *fleet.Entry, resp *conn.Response) ResponseInfo {
+	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
+	unnamed := info.AttemptID == "" && !info.NotRun
+	if unnamed || info.Upstream != "" && info.Upstream != e.ID() {
+		info.Said = nil
+	}
+	return info
+}
+
 // recordForeign records a response that is not proven to be that to the request.
 func (q *request) recordForeign(e *fleet.Entry, a conn.ForeignAnswer) {
 	d := &q.g.deps
--- a/node/gate/attribution_test.go
+++ b/node/gate/attribution_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/metrics"
 )
 
@@ -23,7 +25,17 @@
 func (namedCodec) AnsweredAttempt(h http.Header) string { return h.Get("Names") }
 
 func (namedCodec) DecodeResponse(_ int, h http.Header) ResponseInfo {
-	return ResponseInfo{AttemptID: h.Get("Names"), Sealed: h.Get("Sealed") != "", NotRun: h.Get("Not-Run") != "", Draining: h.Get("Leaving") != ""}
+	return ResponseInfo{AttemptID: h.Get("Names"), Sealed: h.Get("Sealed") != "", NotRun: h.Get("Not-Run") != "", Upstream: h.Get("From"),
+		Said: &Statements{Draining: h.Get("Leaving") != "", Load: loadOf(h)}}
+}
+
+// loadOf returns the load that a response states.
+func loadOf(h http.Header) *fleet.ReportedLoad {
+	running, err := strconv.Atoi(h.Get("Running"))
+	if err != nil {
+		return nil
+	}
+	return &fleet.ReportedLoad{Running: running, Slots: 4}
 }
 
 // startScriptedUpstream writes the answers to each request that it reads.
@@ -168,3 +180,37 @@
 		assert.Equal(t, w.Body.String(), "unsealed\n", "%d", status)
 	}
 }
+
+// Guards against requests that avoid an upstream for the load of another process: one that
+// answers at its address and names no request, or itself.
+func TestLoadIsTakenFromTheUpstreamsOwnAnswersOnly(t *testing.T) {
+	const running = 40
+	for name, c := range map[string]struct {
+		status  int
+		headers string
+		taken   bool
+	}{
+		"its own":                 {200, "Names: a1\r\nSealed: 1\r\n", true},
+		"its refusal":             {503, "Not-Run: 1\r\n", true},
+		"one that names nothing":  {200, "Sealed: 1\r\n", false},
+		"a failure of no request": {500, "", false},
+		"another's refusal":       {421, "Not-Run: 1\r\nNames: a1\r\nFrom: other\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, f := newGate(&noModelCoordinator{}, startScriptedUpstream(t, textAnswer(c.status, fmt.Sprintf("%sRunning: %d\r\n", c.headers, running), "x")))
+			g.deps.Codec = namedCodec{}
+			e, _ := f.Entry("u")
+			isTaken := func() bool { return e.Endpoint(&fleet.Request{}, time.Now()).InFlight >= running }
+			var ended atomic.Bool
+			go func() { sendTo(t, g); ended.Store(true) }()
+			for !isTaken() && !ended.Load() { // the load counts for a second, and a refused request may take as long
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Equal(t, isTaken(), c.taken)
+			for !ended.Load() {
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/node/gate/signals_test.go
+++ b/node/gate/signals_test.go
@@ -78,11 +78,11 @@
 		response ResponseInfo
 		applied  bool
 	}{
-		{http.StatusOK, ResponseInfo{AttemptID: "a1", Sealed: true, Draining: true}, true},
-		{http.StatusOK, ResponseInfo{AttemptID: "a1", Draining: true}, false},
-		{http.StatusServiceUnavailable, ResponseInfo{AttemptID: "a1", NotRun: true, Draining: true}, true},
-		{http.StatusServiceUnavailable, ResponseInfo{NotRun: true, Draining: true}, true},
-		{http.StatusMisdirectedRequest, ResponseInfo{AttemptID: "a1", NotRun: true, Draining: true}, false},
+		{http.StatusOK, ResponseInfo{AttemptID: "a1", Sealed: true, Said: &Statements{Draining: true}}, true},
+		{http.StatusOK, ResponseInfo{AttemptID: "a1", Said: &Statements{Draining: true}}, false},
+		{http.StatusServiceUnavailable, ResponseInfo{AttemptID: "a1", NotRun: true, Said: &Statements{Draining: true}}, true},
+		{http.StatusServiceUnavailable, ResponseInfo{NotRun: true, Said: &Statements{Draining: true}}, true},
+		{http.StatusMisdirectedRequest, ResponseInfo{AttemptID: "a1", NotRun: true, Said: &Statements{Draining: true}}, false},
 	} {
 		g, f := newGate(&noModelCoordinator{}, "127.0.0.1:1")
 		e, _ := f.Entry("u")
--- a/node/gate/wire.go
+++ b/node/gate/wire.go
@@ -44,11 +44,18 @@
 	Sealed    bool   // the upstream vouches for the response's bytes
 	NotRun    bool   // the upstream did not run the request and will not run it
 	Upstream  string // process that responded, if stated
-	Load      *fleet.ReportedLoad
-	Draining  bool          // the upstream accepts no new requests
-	Backoff   time.Duration // how long the upstream wants no requests from this host; 0: not stated
-	Limit     backpressure.Limit
-	Brittle   backpressure.Brittle
+	// Said is what the process that responded says of itself; nil: it is not known to be the
+	// upstream's, so that nothing is read of it.
+	Said *Statements
+}
+
+// Statements are what an upstream says of itself on a response.
+type Statements struct {
+	Load     *fleet.ReportedLoad
+	Draining bool          // the upstream accepts no new requests
+	Backoff  time.Duration // how long the upstream wants no requests from this host; 0: not stated
+	Limit    backpressure.Limit
+	Brittle  backpressure.Brittle
 	// LimitUnreadable reports that the response names a limit that cannot be parsed.
 	LimitUnreadable bool
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -930,4 +930,8 @@
   'left <= 0 || !q.g.deps.Detour.BySilence()' 'left <= 0' ./node/gate -run 'WaitsAMoment'
 try "a pause of the host is no silence of an upstream" node/gate/failover.go \
   'return polls.isOver() && ' 'return ' ./node/gate -run 'AfterAPause'
+try "an answer that names no request says nothing of its sender" node/gate/attribution.go \
+  'if unnamed || info.Upstream' 'if info.Upstream' ./node/gate -run 'LoadIsTaken'
+try "a refusal of another process says nothing of the upstream" node/gate/attribution.go \
+  'if unnamed || info.Upstream != "" && info.Upstream != e.ID() {' 'if unnamed {' ./node/gate -run 'LoadIsTaken'
 exit $missed
