--- a/node/gate/staying_test.go
+++ b/node/gate/staying_test.go
@@ -183,6 +183,48 @@
 	assert.Equal(t, s.runs.Load(), int32(1))
 }
 
+// Guards against a stream that runs at two upstreams at once: the first gets no new requests any more, and works on.
+func TestAStreamStaysWithAnUpstreamThatGetsNoNewRequests(t *testing.T) {
+	describe := func(s *streamSite, e *fleet.Entry, change func(*deploy.Upstream)) {
+		u, _ := e.Description()
+		change(&u)
+		s.fleet.Apply([]deploy.Upstream{u}, nil, 2)
+	}
+	for name, lose := range map[string]func(*streamSite, *fleet.Entry){
+		"leaving": func(s *streamSite, e *fleet.Entry) {
+			describe(s, e, func(u *deploy.Upstream) { u.State = deploy.Draining })
+		},
+		"removed":      func(s *streamSite, e *fleet.Entry) { s.fleet.Apply(nil, []string{e.ID()}, 2) },
+		"changed":      func(s *streamSite, e *fleet.Entry) { describe(s, e, func(u *deploy.Upstream) { u.Slots = 1 }) },
+		"backing off":  func(_ *streamSite, e *fleet.Entry) { e.StartBackoff(callersPatience) },
+		"not reached":  func(_ *streamSite, e *fleet.Entry) { e.Begin(&fleet.Request{}, fleet.Cost{}).NotListening() },
+		"failing":      func(_ *streamSite, e *fleet.Entry) { breakTwice(e) },
+		"not resident": func(_ *streamSite, e *fleet.Entry) { e.MarkNotResident("", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var s *streamSite
+			s = startStreamSite(t, noDetour, func(address string, w http.ResponseWriter, _ *http.Request) {
+				writeEvent(w, 1)
+				time.Sleep(eventsArrive)
+				lose(s, s.entryAt(address))
+				time.Sleep(soundSilence)
+				writeEvent(w, 2)
+				writeEvent(w, 3)
+			})
+			s.whole(t, soundSilence, callersPatience)
+			assert.Equal(t, s.runs.Load(), int32(1))
+		})
+	}
+}
+
+// breakTwice lets two exchanges with an upstream break, which exclude it.
+func breakTwice(e *fleet.Entry) {
+	for range 2 {
+		e.Begin(&fleet.Request{}, fleet.Cost{}).Interrupted("broken")
+	}
+}
+
 // Guards against a stream that runs at two upstreams at once: its host was paused, and takes its own pause for the upstream's silence.
 func TestAStreamStaysAfterAPauseOfItsHost(t *testing.T) {
 	t.Parallel()
