A share of failures excludes an upstream once for each failure

Cause: when an exclusion ends the upstream is to be tried by one request; the next check, 100 ms later, finds the share as it was and excludes it again, mostly before that request comes.

Evidence: the log's equal shares, with no answer between; TestAShareOfFailuresExcludesOnceForEachFailure fails before.

Fix: an exclusion for the share needs an answer that has failed since the last exclusion. A first good answer is not followed by an exclusion any more either.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -54,6 +54,7 @@
 	forSilence    bool    // the present exclusion rests on silence alone
 	failedAnswers float64 // decaying count of failed answers
 	answers       float64 // decaying count of answers
+	failedSince   bool    // an answer has failed since the last exclusion
 }
 
 // answerDecay is the factor by which the weight of earlier answers shrinks with
@@ -106,6 +107,7 @@
 	r.failedAnswers *= answerDecay
 	if failed {
 		r.failedAnswers++
+		r.failedSince = true
 	}
 }
 
@@ -132,6 +134,13 @@
 // new.
 func (r *Tracker) Exclude(p Policy, now time.Time) bool { return r.exclude(p, now) }
 
+// ExcludeFailing is Exclude for an upstream whose share of failed answers is too high. It needs
+// an answer that has failed since the last exclusion: without one the share says nothing new,
+// and would exclude the upstream again before a request could lower it.
+func (r *Tracker) ExcludeFailing(p Policy, now time.Time) bool {
+	return r.failedSince && r.exclude(p, now)
+}
+
 // ExcludeSilent is Exclude for an upstream from which nothing arrives.
 func (r *Tracker) ExcludeSilent(p Policy, now time.Time) bool {
 	excluded := r.exclude(p, now)
@@ -146,7 +155,7 @@
 	exclusion := p.FirstExclusion << min(r.exclusions, 8)
 	r.excludedUntil = now.Add(min(exclusion, p.MaxExclusion))
 	r.exclusions++
-	r.forSilence = false
+	r.forSilence, r.failedSince = false, false
 	r.awaitingSince = time.Time{}
 	return true
 }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -325,15 +325,16 @@
 	return time.Duration(float64(promptTokens) / minReadTokensPerMs * float64(time.Millisecond))
 }
 
-// exclude excludes the upstream for a while and reports whether it was not excluded
-// before.
-func (e *Entry) exclude(now time.Time) bool {
+// excludeFailing excludes the upstream, whose share of failed answers is too high, for a
+// while. It reports whether it was not excluded before.
+func (e *Entry) excludeFailing(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.excludeLocked(now)
+	return e.recordExclusionLocked(e.health.ExcludeFailing(e.fleet.cfg.Health, now))
 }
 
-// excludeLocked is exclude with e.mu held.
+// excludeLocked excludes the upstream for a while and reports whether it was not excluded
+// before.
 func (e *Entry) excludeLocked(now time.Time) bool {
 	return e.recordExclusionLocked(e.health.Exclude(e.fleet.cfg.Health, now))
 }
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -426,7 +426,7 @@
 		shares[i] = e.errorShare(f.cfg.Health)
 	}
 	for i, isOutlier := range health.Outliers(f.cfg.Health, shares, total) {
-		if isOutlier && entries[i].exclude(now) {
+		if isOutlier && entries[i].excludeFailing(now) {
 			f.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, entries[i].ID()),
 				zap.String("why", "failures"), zap.Float64("share", shares[i]))
 		}
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -8,7 +8,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"peridotpier.example/core/balance"
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/core/health"
 	"peridotpier.example/node/fleet"
 )
 
@@ -167,3 +169,33 @@
 	}
 	return out
 }
+
+// Guards against an upstream that gets no requests any more: it is excluded for its share of
+// failed answers again and again, with no answer between that could lower it.
+func TestAShareOfFailuresExcludesOnceForEachFailure(t *testing.T) {
+	now := time.Now()
+	f := fleet.New(fleet.Config{Health: health.DefaultPolicy}, fleet.Deps{Now: func() time.Time { return now }})
+	f.Replace([]deploy.Upstream{upstream("a", 1), upstream("b", 1), upstream("c", 1)}, 1)
+	answer := func(id string, failed bool) {
+		x := entry(t, f, id).Begin(&fleet.Request{}, fleet.Cost{})
+		x.ReceivedBytes()
+		x.Answered(failed)
+	}
+	status := func(id string) balance.Endpoint { return entry(t, f, id).Endpoint(&fleet.Request{}, now) }
+	for i := range 30 {
+		answer("a", i%2 == 0)
+		answer("b", false)
+		answer("c", false)
+	}
+	for range 3 {
+		f.RunChecks()
+		assert.Assert(t, status("a").Down)
+		now = now.Add(health.DefaultPolicy.MaxExclusion)
+		f.RunChecks()
+		assert.Assert(t, status("a").HalfOpen, "it has not failed since")
+		answer("a", false)
+		f.RunChecks()
+		assert.Assert(t, !status("a").Down, "its last answer was good")
+		answer("a", true)
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -934,4 +934,6 @@
   'if unnamed || info.Upstream' 'if info.Upstream' ./node/gate -run 'LoadIsTaken'
 try "a refusal of another process says nothing of the upstream" node/gate/attribution.go \
   'if unnamed || info.Upstream != "" && info.Upstream != e.ID() {' 'if unnamed {' ./node/gate -run 'LoadIsTaken'
+try "a share of failures excludes once for each failure" core/health/health.go \
+  'return r.failedSince && r.exclude' 'return r.exclude' ./node/fleet -run 'OnceForEachFailure'
 exit $missed
