An answer clears crashes of before its own time, whenever they are reported

What callers saw: a part of prompts, or a request, that had been answered was barred for crashes of before that answer, where the ledger heard of the crash later; and hosts that tell a new coordinator of old answers could clear crashes of after them.

Cause: an answer counted from when it was reported, and was kept of suspects only.

Fix: reports say how old each answer is; the ledger clears crashes up to that time, and keeps the answers of what it knows no crash of. A test of successors gave two hosts clocks that differ by the two seconds that its crashes take; it sets them alike and uses the time of the answer now.

--- a/core/poison/adopted_test.go
+++ b/core/poison/adopted_test.go
@@ -47,7 +47,7 @@
 	now = now.Add(11 * time.Second)
 	crashParts(next, "after", now, harmless)
 	assert.Assert(t, !isPartBarred(next, harmless, now))
-	next.Clear(harmless.Digest, now)
+	next.Clear(harmless.Digest, now, now)
 	next.AdoptCrashes(l.CommonCrashes(testCrashes, testSuspects), now)
 	assert.Assert(t, !isPartBarred(next, harmless, now.Add(time.Minute)))
 }
@@ -57,7 +57,7 @@
 	l, now := NewLedger(SharedPolicy()), start
 	now = crashes(l, now, []string{"x", "a"}, []string{"x", "b"})
 	kept := l.CommonCrashes(testCrashes, testSuspects)
-	l.Clear(named("x").Digest, now)
+	l.Clear(named("x").Digest, now, now)
 	l.AdoptCrashes(kept, now)
 	assert.Equal(t, len(l.CommonCrashes(testCrashes, testSuspects)), 0)
 }
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -22,7 +22,7 @@
 	Entry
 	revision   uint64
 	changedAt  time.Time
-	answeredAt time.Time // when a run to completion last cleared it
+	answeredAt time.Time // the latest time of Clear
 	releasedAt time.Time // when that, or an operator, last cleared it
 	crashes    map[string]bool
 	adopted    map[string]time.Time // those of crashes that only another ledger knew, and since when this one does
@@ -32,7 +32,7 @@
 type crash struct {
 	at         time.Time
 	ran        map[Digest]bool
-	answeredAt time.Time // when a suspect that ran there was last cleared by a run to completion
+	answeredAt time.Time // the latest time of Clear of a suspect that ran there
 }
 
 // Ledger records which requests, with which parts of prompts, ran on upstreams that crashed,
@@ -43,6 +43,7 @@
 	crashes     map[string]*crash // by upstream; each process crashes once
 	entries     map[Digest]*entry
 	revision    uint64
+	answers     answers   // of what has no entry
 	lastExpired time.Time // when expired entries were last removed
 	transitions []Transition
 }
@@ -118,7 +119,7 @@
 func (l *Ledger) entry(f Fingerprint) *entry {
 	e := l.entries[f.Digest]
 	if e == nil && (len(l.entries) < maxEntries || l.evict()) {
-		e = &entry{Entry: Entry{Fingerprint: f}, crashes: map[string]bool{}}
+		e = &entry{Entry: Entry{Fingerprint: f}, crashes: map[string]bool{}, answeredAt: l.answers.take(f.Digest)}
 		l.entries[f.Digest] = e
 	}
 	return e
@@ -158,17 +159,47 @@
 	e.revision, e.changedAt, e.CrashCount = l.revision, now, len(e.crashes)
 }
 
-// Clear records that a suspect ran to completion, or for a long time: it is not the cause of
-// the earlier crashes.
-func (l *Ledger) Clear(d Digest, now time.Time) {
-	if e := l.entries[d]; e != nil && e.State != Cleared {
-		for id := range e.crashes {
-			l.crashes[id].answeredAt = now
+// Clear records that a suspect ran to completion, or for a long time, and at what time that
+// shows it to be harmless: it is not the cause of crashes of before that time.
+func (l *Ledger) Clear(d Digest, at, now time.Time) {
+	e := l.entries[d]
+	if e == nil {
+		l.answers.record(d, at)
+		return
+	}
+	e.answeredAt = latest(e.answeredAt, at)
+	if e.State == Cleared {
+		return
+	}
+	if l.clearUntil(e, at) > 0 {
+		l.touch(e, now)
+		return
+	}
+	l.clear(e, ByCompletion, now)
+	e.BarCount, e.releasedAt = 0, now
+	l.updateBars(now)
+}
+
+// clearUntil takes an entry out of the crashes up to a time, and returns how many are left.
+func (l *Ledger) clearUntil(e *entry, at time.Time) (left int) {
+	for id := range e.crashes {
+		c := l.crashes[id]
+		if c.at.After(at) {
+			continue
 		}
-		l.clear(e, ByCompletion, now)
-		e.BarCount, e.answeredAt, e.releasedAt = 0, now, now
-		l.updateBars(now)
+		c.answeredAt = latest(c.answeredAt, at)
+		delete(c.ran, e.Digest)
+		delete(e.crashes, id)
+		delete(e.adopted, id)
+	}
+	return len(e.crashes)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
 	}
+	return a
 }
 
 // Release ends a bar on behalf of an operator. It reports whether there was one.
@@ -244,6 +275,7 @@
 		return
 	}
 	l.lastExpired = now
+	l.answers.expire(now.Add(-l.policy.CrashRetention))
 	for id, c := range l.crashes {
 		if now.Sub(c.at) > l.policy.CrashRetention {
 			l.dropCrash(id)
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -82,7 +82,7 @@
 func TestCompletionClearsASuspect(t *testing.T) {
 	l := NewLedger(DefaultPolicy)
 	now := crashes(l, start, []string{"x", "a"})
-	l.Clear(named("x").Digest, now)
+	l.Clear(named("x").Digest, now, now)
 	now = crashes(l, now, []string{"x", "b"})
 	assert.Assert(t, !isBarred(l, "x", now))
 	crashes(l, now, []string{"x", "c"})
@@ -140,7 +140,7 @@
 	assert.Equal(t, at, l.Revision())
 	none, _ := l.ChangedSince(at, 10, now)
 	assert.Equal(t, len(none), 0)
-	l.Clear(named("x").Digest, now)
+	l.Clear(named("x").Digest, now, now)
 	cleared, _ := l.ChangedSince(at, 10, now)
 	assert.Equal(t, len(cleared), 1)
 	assert.Equal(t, cleared[0].State, Cleared)
@@ -174,7 +174,7 @@
 			m := named(rapid.StringMatching("[a-f]").Draw(t, "request"))
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
-				l.Clear(m.Digest, now)
+				l.Clear(m.Digest, now, now)
 			case 1:
 				l.Release(m.Digest, now)
 			default:
@@ -232,7 +232,7 @@
 // answer, or of the operator, that cleared it.
 func TestABarOfBeforeItsEndIsNotAdopted(t *testing.T) {
 	for name, end := range map[string]func(*Ledger, time.Time){
-		"answered": func(l *Ledger, now time.Time) { l.Clear(named("x").Digest, now) },
+		"answered": func(l *Ledger, now time.Time) { l.Clear(named("x").Digest, now, now) },
 		"released": func(l *Ledger, now time.Time) { l.Release(named("x").Digest, now) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/poison/parts_simulation_test.go
+++ b/core/poison/parts_simulation_test.go
@@ -233,7 +233,8 @@
 			continue
 		}
 		delete(p.known[r.host], f.Digest)
-		p.after(p.reportDelay(r.host), func() { p.ledger.Clear(f.Digest, p.now) })
+		at := p.now
+		p.after(p.reportDelay(r.host), func() { p.ledger.Clear(f.Digest, at, p.now) })
 	}
 }
 
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -62,7 +62,7 @@
 	}
 	now = now.Add(DefaultPolicy.FirstPartSettleTime)
 	assert.Assert(t, !isPartBarred(l, part, now))
-	l.Clear(named("request at u1").Digest, now)
+	l.Clear(named("request at u1").Digest, now, now)
 	assert.Assert(t, isPartBarred(l, part, now), "others were answered, and it was not")
 }
 
@@ -80,7 +80,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			part := rapid.SampledFrom(parts).Draw(t, "part")
 			if rapid.IntRange(0, 5).Draw(t, "what") == 0 {
-				l.Clear(part.Digest, now)
+				l.Clear(part.Digest, now, now)
 				answeredAt[part] = now
 			} else {
 				other := rapid.SampledFrom(parts).Draw(t, "other")
@@ -108,14 +108,14 @@
 		part := PartFingerprint("answered", 1)
 		for range answers {
 			now = now.Add(time.Second)
-			l.Clear(part.Digest, now)
+			l.Clear(part.Digest, now, now)
 		}
 		other := PartFingerprint("answered later", 2)
 		for i := range 3 {
 			l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{named(fmt.Sprint(i)), part, other}, now.Add(-time.Duration(i+1)*800*time.Millisecond), now)
 		}
 		now = now.Add(700 * time.Millisecond)
-		l.Clear(other.Digest, now)
+		l.Clear(other.Digest, now, now)
 		for range 60 {
 			assert.Assert(t, !isPartBarred(l, part, now), "%d answers", answers)
 			now = now.Add(time.Second)
--- a/core/poison/simulation_test.go
+++ b/core/poison/simulation_test.go
@@ -205,7 +205,7 @@
 		if u.id == process && u.up {
 			delete(u.running, id)
 			delete(p.failed, m.Digest)
-			p.ledger.Clear(m.Digest, p.now)
+			p.ledger.Clear(m.Digest, p.now, p.now)
 			p.announceBars()
 		}
 	})
--- a/node/coordinator/link/quarantine.go
+++ b/node/coordinator/link/quarantine.go
@@ -29,6 +29,7 @@
 			r.Crashes = append(r.Crashes, encodeCrash(e.Crash, now))
 		case e.Completed != nil:
 			r.Completed = append(r.Completed, e.Completed[:])
+			r.CompletedAgesMs = append(r.CompletedAgesMs, uint32(max(now.Sub(e.At), 0).Milliseconds()))
 		case e.Released != nil:
 			r.Released = append(r.Released, e.Released[:])
 		}
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -82,9 +82,9 @@
 			q.enterCrashLocked(r.Host, x, now)
 		}
 	}
-	for _, x := range r.Completed {
+	for i, x := range r.Completed {
 		if d, err := poison.DigestFromBytes(x); err == nil {
-			q.ledger.Clear(d, now)
+			q.ledger.Clear(d, completedAt(r, i, now), now)
 		}
 	}
 	for _, x := range r.Released {
@@ -95,6 +95,15 @@
 	q.logDecisionsLocked(r.Host, now)
 }
 
+// completedAt returns when the i-th suspect that a report says was answered was answered. A
+// host of an earlier release does not say.
+func completedAt(r *coordpb.HostReport, i int, now time.Time) time.Time {
+	if i >= len(r.CompletedAgesMs) {
+		return now
+	}
+	return now.Add(-wire.Milliseconds(r.CompletedAgesMs[i]))
+}
+
 func (q *Ledger) enterCrashLocked(host string, x *coordpb.UpstreamCrash, now time.Time) {
 	ran := make([]poison.Fingerprint, 0, len(x.Running))
 	for _, m := range x.Running {
--- a/node/coordinator/quarantine/ledger_test.go
+++ b/node/coordinator/quarantine/ledger_test.go
@@ -25,3 +25,27 @@
 		assert.Equal(t, len(out.Quarantine) == 0, partitioned)
 	}
 }
+
+// Guards against a crash that does not count since an answer of before it is reported after it, as hosts
+// do to a new coordinator.
+func TestAnAnswerCountsFromItsOwnTime(t *testing.T) {
+	const second = 1000 // ms
+	for name, c := range map[string]struct {
+		ages      []uint32
+		suspected bool
+	}{
+		"of before the crash":   {[]uint32{3 * second}, true},
+		"of after it":           {[]uint32{second}, false},
+		"of an earlier release": {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := &clock{time.Unix(1_700_000_000, 0)}
+			q, request := newTestLedger(k, nil), poison.Fingerprint{Digest: poison.Digest{1}}
+			q.Receive(&coordpb.HostReport{Host: "h", Crashes: []*coordpb.UpstreamCrash{{Upstream: "u", AgeMs: 2 * second, Running: []*coordpb.RequestMark{wire.EncodeFingerprint(request)}}}}, k.now)
+			q.Receive(&coordpb.HostReport{Host: "o", Completed: [][]byte{request.Digest[:]}, CompletedAgesMs: c.ages}, k.now)
+			out := &coordpb.SiteState{}
+			q.AddTo(&coordpb.HostReport{Host: "h"}, out, k.now)
+			assert.Equal(t, len(out.Quarantine) > 0, c.suspected)
+		})
+	}
+}
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -65,7 +65,7 @@
 	Crash     *Crash         // an upstream terminated
 	Completed *poison.Digest // a suspected request ran to its end
 	Released  *poison.Digest // an operator released a barred request
-	at        time.Time
+	At        time.Time      // when this host learnt of it
 }
 
 // Crash is the termination of an upstream while requests of this host were running
@@ -168,10 +168,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
-	g.local.Clear(d, now)
+	g.local.Clear(d, now, now)
 	delete(g.fromCoordinator, d)
 	g.exonerateLocked(d)
-	g.addLocked(Event{Completed: &d, at: now})
+	g.addLocked(Event{Completed: &d, At: now})
 	g.deps.Log.Emit(event.SuspectCompleted, zap.Stringer("content", d))
 	g.refreshLocked(now)
 }
@@ -183,7 +183,7 @@
 	defer g.mu.Unlock()
 	now := g.deps.Now()
 	g.local.RecordCrash(upstream, ran, at, now)
-	g.addLocked(Event{Crash: &Crash{Upstream: upstream, At: at, Running: ran}, at: now})
+	g.addLocked(Event{Crash: &Crash{Upstream: upstream, At: at, Running: ran}, At: now})
 	g.refreshLocked(now)
 }
 
@@ -197,7 +197,7 @@
 		return false
 	}
 	delete(g.fromCoordinator, d)
-	g.addLocked(Event{Released: &d, at: now})
+	g.addLocked(Event{Released: &d, At: now})
 	g.refreshLocked(now)
 	return true
 }
@@ -259,7 +259,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
-	for len(g.events) > 0 && now.Sub(g.events[0].at) > poison.DefaultPolicy.CrashRetention {
+	for len(g.events) > 0 && now.Sub(g.events[0].At) > poison.DefaultPolicy.CrashRetention {
 		g.events, g.dropped = g.events[1:], g.dropped+1
 	}
 	next := Report{coordinator: coordinator, complete: coordinator != g.coordinator, ID: g.quarantineID, Revision: g.revision}
@@ -340,7 +340,7 @@
 	switch e.State {
 	case poison.Cleared:
 		delete(g.fromCoordinator, e.Digest)
-		g.local.Clear(e.Digest, now)
+		g.local.Clear(e.Digest, now, now)
 		g.exonerateLocked(e.Digest)
 	default:
 		g.fromCoordinator[e.Digest] = e
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -64,7 +64,7 @@
 		case e.Crash != nil:
 			h.ledger.RecordCrash(e.Crash.Upstream, e.Crash.Running, e.Crash.At, g.now)
 		case e.Completed != nil:
-			h.ledger.Clear(*e.Completed, g.now)
+			h.ledger.Clear(*e.Completed, e.At, g.now)
 		case e.Released != nil:
 			h.ledger.Release(*e.Released, g.now)
 		}
@@ -273,6 +273,7 @@
 	g, other := newTestGuard(true), newTestGuard(true)
 	first, next := newTestCoordinator(1), newTestCoordinator(2)
 	g.crash("/x")
+	other.now = g.now
 	first.exchange(g, "first")
 	first.exchange(other, "first")
 	other.RecordCompleted(requestFor("/x"), other.now)
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -936,4 +936,8 @@
   'if unnamed || info.Upstream != "" && info.Upstream != e.ID() {' 'if unnamed {' ./node/gate -run 'LoadIsTaken'
 try "a share of failures excludes once for each failure" core/health/health.go \
   'return r.failedSince && r.exclude' 'return r.exclude' ./node/fleet -run 'OnceForEachFailure'
+try "an answer counts from its own time" node/coordinator/quarantine/ledger.go \
+  'return now.Add(-wire.Milliseconds(r.CompletedAgesMs[i]))' 'return now' ./node/coordinator/quarantine -run 'FromItsOwnTime'
+try "an answer of before the first report of a crash holds" core/poison/ledger.go \
+  'l.answers.record(d, at)' '' ./core/poison -run 'AnAnswerHolds'
 exit $missed
