A request that was answered before its upstreams crashed is barred for seconds

Cause: such a request ran on each upstream that crashed, and only an answer clears it; once it is barred none can come. Nothing in the crashes tells it from a fatal one. But a request that crashes each upstream which begins to run it was never answered, and hosts forgot who was.

Fix: a host knows by a keyed hash which requests it had answered in the last half minute, and says so of the suspects of a crash. The first two bars of such a request last 3 and 6 s; an answer after them clears it, and a third is long. Bars of requests that were never answered are as they were.

Evidence: TestARequestThatWasAnsweredBeforeIsBarredForSeconds fails before.

--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -30,6 +30,10 @@
 	// InitialBar is the length of a request's first bar. Each further bar is twice as
 	// long as the previous one, up to MaxBar.
 	InitialBar, MaxBar time.Duration
+	// AnsweredBar is the length of the first bar of a request that was answered before its
+	// first crash: then the upstreams most likely crashed for another reason, and it can be
+	// answered again once they are back.
+	AnsweredBar time.Duration
 }
 
 // DefaultPolicy is the policy that hosts use.
@@ -44,6 +48,7 @@
 	CrashRetention:      10 * time.Minute, // a poison request may arrive only once a minute
 	InitialBar:          2 * time.Minute,  // far longer than the restart of an upstream, so that a crash costs little in comparison
 	MaxBar:              time.Hour,
+	AnsweredBar:         3 * time.Second, // the restart of an upstream
 }
 
 // SharedPolicy is the policy of a ledger that several hosts report to.
@@ -185,14 +190,24 @@
 }
 
 func (l *Ledger) bar(e *entry, now time.Time) {
-	e.BarredUntil = now.Add(l.barDuration(e.BarCount))
+	e.BarredUntil = now.Add(l.barDuration(&e.Fingerprint, e.BarCount))
 	e.BarCount++
 	l.transition(e, Barred, ByCrashes)
 	l.touch(e, now)
 }
 
-// barDuration returns how long a bar lasts that follows so many others.
-func (l *Ledger) barDuration(former int) time.Duration {
+// maxAnsweredBars is how many bars of a request that was answered before its first crash are
+// short. If it is not answered after these either, it does crash upstreams by now.
+const maxAnsweredBars = 2
+
+// barDuration returns how long a suspect's bar lasts that follows so many others.
+func (l *Ledger) barDuration(f *Fingerprint, former int) time.Duration {
+	if f.Answered && former < maxAnsweredBars {
+		return l.policy.AnsweredBar << former
+	}
+	if f.Answered {
+		former -= maxAnsweredBars
+	}
 	return min(l.policy.InitialBar<<min(former, maxBarDoublings), l.policy.MaxBar)
 }
 
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -108,6 +108,7 @@
 		return false
 	}
 	e.crashes[upstream] = true
+	e.Answered = e.Answered || f.Answered
 	if e.State == Cleared {
 		e.State = Suspected
 	}
@@ -245,7 +246,7 @@
 // wasReleasedSince reports whether e was cleared after the bar b had begun: whoever reports
 // the bar has not heard of that.
 func (l *Ledger) wasReleasedSince(e *entry, b *Entry) bool {
-	began := b.BarredUntil.Add(-l.barDuration(max(b.BarCount-1, 0)))
+	began := b.BarredUntil.Add(-l.barDuration(&b.Fingerprint, max(b.BarCount-1, 0)))
 	return e.releasedAt.After(began)
 }
 
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -274,3 +274,30 @@
 	assert.Assert(t, isBarred(l, "fatal", now.Add(time.Second)))
 	assert.Assert(t, !isBarred(l, "harmless", now.Add(time.Second)))
 }
+
+// Guards against a harmless request that is barred for minutes: copies of it run everywhere, and
+// all upstreams crash under several poison requests before any copy is answered.
+func TestARequestThatWasAnsweredBeforeIsBarredForSeconds(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		l, now := NewLedger(DefaultPolicy), start
+		harmless := named("everywhere")
+		harmless.Answered = answered
+		for i := range 3 {
+			now = now.Add(300 * time.Millisecond)
+			l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{harmless, named(fmt.Sprint("poison ", i))}, now, now)
+		}
+		until, barred := l.BarredUntil(harmless.Digest, now)
+		assert.Assert(t, barred)
+		assert.Equal(t, until.Sub(now) <= 3*time.Second, answered)
+		if !answered {
+			continue
+		}
+		for _, longest := range []time.Duration{6 * time.Second, 2 * time.Minute} { // it crashes upstreams indeed
+			now = until.Add(time.Second)
+			l.RecordCrash(fmt.Sprint("v", longest), []Fingerprint{harmless}, now, now)
+			until, barred = l.BarredUntil(harmless.Digest, now)
+			assert.Assert(t, barred)
+			assert.Equal(t, until.Sub(now), longest)
+		}
+	}
+}
--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"hash/maphash"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -17,6 +18,9 @@
 	// Place is 0 for a whole request. For a part of prompts it counts from 1: the later a
 	// part comes, the fewer requests have it.
 	Place uint8
+	// Answered reports that the request was answered not long before its upstream crashed. It
+	// is not known of parts, which may become harmful.
+	Answered bool
 }
 
 // IsPart reports whether the suspect is a part of prompts.
@@ -62,6 +66,25 @@
 // may be nil.
 func NewRequest(c Content, parts Parts) *Request { return &Request{content: c, parts: parts} }
 
+// maxHashedBytes bounds the bodies of requests that Hash identifies.
+const maxHashedBytes = 64 << 10
+
+// Hash identifies the content of the request within this process, in a fraction of the time
+// of its digest; ok is false if it is too large for that.
+func (r *Request) Hash(seed maphash.Seed) (hash uint64, ok bool) {
+	if len(r.content.Body) > maxHashedBytes {
+		return 0, false
+	}
+	var h maphash.Hash
+	h.SetSeed(seed)
+	for _, part := range []string{r.content.Team, r.content.Method, r.content.Host, r.content.Target} {
+		_, _ = h.WriteString(part) // never fails
+		_, _ = h.Write(partEnd)
+	}
+	_, _ = h.Write(r.content.Body)
+	return h.Sum64(), true
+}
+
 // Len returns the number of the request's suspects. The first is the request itself.
 func (r *Request) Len() int {
 	if r.parts == nil {
--- a/node/coordinator/quarantine/crashes.go
+++ b/node/coordinator/quarantine/crashes.go
@@ -56,6 +56,8 @@
 	Digest string `json:"digest"`
 	Shape  uint64 `json:"shape"`
 	Place  uint8  `json:"place,omitempty"`
+	// Answered is poison.Fingerprint.Answered.
+	Answered bool `json:"answered,omitempty"`
 }
 
 // crashValue is the crash of an upstream.
@@ -79,7 +81,7 @@
 			if !ok {
 				i = len(v.Suspects)
 				index[f.Digest] = i
-				v.Suspects = append(v.Suspects, suspectValue{f.Digest.String(), uint64(f.Shape), f.Place})
+				v.Suspects = append(v.Suspects, suspectValue{f.Digest.String(), uint64(f.Shape), f.Place, f.Answered})
 			}
 			c.Ran = append(c.Ran, i)
 		}
@@ -111,7 +113,7 @@
 		if err != nil {
 			return nil, err
 		}
-		suspects[i] = poison.Fingerprint{Digest: d, Shape: poison.Shape(s.Shape), Place: s.Place}
+		suspects[i] = poison.Fingerprint{Digest: d, Shape: poison.Shape(s.Shape), Place: s.Place, Answered: s.Answered}
 	}
 	all := make([]poison.Crash, len(v.Crashes))
 	for i, c := range v.Crashes {
--- a/node/coordinator/wire/entries.go
+++ b/node/coordinator/wire/entries.go
@@ -16,7 +16,7 @@
 		return poison.FingerprintOfPart(poison.Shape(m.GetShape()), uint8(min(place, math.MaxUint8))), nil
 	}
 	d, err := poison.DigestFromBytes(m.GetDigest())
-	return poison.Fingerprint{Digest: d, Shape: poison.Shape(m.GetShape())}, err
+	return poison.Fingerprint{Digest: d, Shape: poison.Shape(m.GetShape()), Answered: m.GetAnswered()}, err
 }
 
 // EncodeFingerprint encodes a request's fingerprint.
@@ -24,7 +24,7 @@
 	if fp.IsPart() {
 		return &coordpb.RequestMark{Shape: uint64(fp.Shape), Place: uint32(fp.Place)}
 	}
-	return &coordpb.RequestMark{Digest: fp.Digest[:], Shape: uint64(fp.Shape)}
+	return &coordpb.RequestMark{Digest: fp.Digest[:], Shape: uint64(fp.Shape), Answered: fp.Answered}
 }
 
 // DecodeEntry decodes an entry, whose remaining time is counted from now.
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -71,6 +71,8 @@
 	// RecordCompleted records that a request completed, or ran long enough after its response
 	// began, and when that was.
 	RecordCompleted(r *poison.Request, began time.Time)
+	// AnsweredBefore reports whether the same request was answered not long ago.
+	AnsweredBefore(r *poison.Request) bool
 }
 
 // Origins keeps which version of the software began each stream.
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -76,6 +76,13 @@
 		return
 	}
 	if e := a.Entry(); e != nil && q.g.deps.CrashRecorder != nil {
-		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.content.Suspects())
+		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.suspects())
 	}
 }
+
+// suspects returns the request and the parts of its prompt as suspects of a crash.
+func (q *request) suspects() []poison.Fingerprint {
+	all := q.content.Suspects()
+	all[0].Answered = q.g.deps.PoisonGuard != nil && q.g.deps.PoisonGuard.AnsweredBefore(q.content)
+	return all
+}
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -36,6 +36,8 @@
 	b.completed = append(b.completed, r.Fingerprint(0))
 }
 
+func (b *crashRecorder) AnsweredBefore(*poison.Request) bool { return false }
+
 func (b *crashRecorder) Barred(r *poison.Request) (time.Time, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -38,8 +38,9 @@
 // the acting coordinator bars and, without one, also those that this host has
 // found out itself.
 type Guard struct {
-	deps GuardDeps
-	view atomic.Pointer[view] // replaced as a whole; nil: no request is suspected or barred
+	deps     GuardDeps
+	answered *answeredRequests
+	view     atomic.Pointer[view] // replaced as a whole; nil: no request is suspected or barred
 
 	mu              sync.Mutex
 	local           *poison.Ledger                 // what this host has seen itself
@@ -102,7 +103,7 @@
 	if d.Log == nil {
 		d.Log = event.NewLog(nil)
 	}
-	g := &Guard{deps: d, local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}}
+	g := &Guard{deps: d, answered: newAnsweredRequests(), local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}}
 	d.Metrics.SetFunc(metrics.PoisonSuspects, func() any { return g.count(poison.Suspected) })
 	d.Metrics.SetFunc(metrics.PoisonBarred, func() any { return g.count(poison.Barred) })
 	return g
@@ -129,6 +130,9 @@
 	return time.Time{}, false
 }
 
+// AnsweredBefore reports whether the same request was answered at this host not long ago.
+func (g *Guard) AnsweredBefore(r *poison.Request) bool { return g.answered.has(r, g.deps.Now()) }
+
 // entriesFor returns the entries that apply to a suspect now: those of the acting
 // coordinator, and without its quarantine also those of this host.
 func (g *Guard) entriesFor(v *view, f poison.Fingerprint) []poison.Entry {
@@ -143,6 +147,7 @@
 // response began. A part of its prompt is cleared only if that was after this host heard
 // that the part is suspected: it may have become harmful since.
 func (g *Guard) RecordCompleted(r *poison.Request, began time.Time) {
+	g.answered.record(r, g.deps.Now())
 	v := g.view.Load()
 	if v == nil {
 		return
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -284,3 +284,31 @@
 	assert.Assert(t, !g.barred("/x"))
 	assert.Equal(t, len(next.ledger.All(g.now)), 0)
 }
+
+// Guards against requests that count as answered before and were not: their crashes would be followed by short bars.
+func TestOnlyTheSameRequestWasAnsweredBefore(t *testing.T) {
+	g := newTestGuard(true)
+	g.RecordCompleted(requestFor("/x"), g.now)
+	assert.Assert(t, g.AnsweredBefore(requestFor("/x")))
+	for name, c := range map[string]poison.Content{
+		"another body":   {Method: "POST", Target: "/x", Body: []byte("other")},
+		"another team":   {Method: "POST", Target: "/x", Team: "other"},
+		"another path":   {Method: "POST", Target: "/y"},
+		"a moved byte":   {Method: "POST/", Target: "x"},
+		"a large body":   {Method: "POST", Target: "/x", Body: make([]byte, 1<<20)},
+		"another method": {Method: "GET", Target: "/x"},
+	} {
+		assert.Assert(t, !g.AnsweredBefore(poison.NewRequest(c, nil)), name)
+	}
+	g.now = g.now.Add(2*answeredFor + time.Second)
+	assert.Assert(t, !g.AnsweredBefore(requestFor("/x")), "that was long ago")
+}
+
+// BenchmarkRecordCompleted measures what each answered request costs while nothing is suspected.
+func BenchmarkRecordCompleted(b *testing.B) {
+	g := newTestGuard(true)
+	r := poison.NewRequest(poison.Content{Method: "POST", Host: "site.example", Target: "/a/b", Body: make([]byte, 4700)}, nil)
+	for b.Loop() {
+		g.RecordCompleted(r, g.now)
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -940,4 +940,12 @@
   'return now.Add(-wire.Milliseconds(r.CompletedAgesMs[i]))' 'return now' ./node/coordinator/quarantine -run 'FromItsOwnTime'
 try "an answer of before the first report of a crash holds" core/poison/ledger.go \
   'l.answers.record(d, at)' '' ./core/poison -run 'AnAnswerHolds'
+try "a request that was answered before is barred for seconds" core/poison/judge.go \
+  'if f.Answered && former < maxAnsweredBars {' 'if false {' ./core/poison -run 'AnsweredBefore'
+try "short bars come to an end" core/poison/judge.go \
+  'const maxAnsweredBars = 2' 'const maxAnsweredBars = 6' ./core/poison -run 'AnsweredBefore'
+try "another body was not answered before" core/poison/request.go \
+  '_, _ = h.Write(r.content.Body)' '' ./node/quarantine -run 'OnlyTheSameRequest'
+try "an answer of long ago says nothing" node/quarantine/answered.go \
+  'if now.Sub(a.since) > 2*answeredFor {' 'if false {' ./node/quarantine -run 'OnlyTheSameRequest'
 exit $missed
