A host that has just started is told teams' states by the host that it asks

Cause: only a coordinator told hosts what teams have used.

Fix: the answer to that question says what the other host was told last, and how old that is; it is used while there is no coordinator, and never over what a coordinator has said.

Evidence: TestANewHostIsToldAccountStatesByAnother fails before (fewer than 30 of 100 at a tenth of the limit, now 100); TestAnAdoptedAccountStateKeepsItsAge.

--- a/node/coordinator/link/find.go
+++ b/node/coordinator/link/find.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		return false
 	}
+	if t := l.deps.Config.Current(); t != nil {
+		l.teams.adopt(a, t.Config.Teams, l.deps.Now())
+	}
 	l.mu.Lock()
 	l.namedSelf = a.Coordinator == l.cfg.Address
 	l.mu.Unlock()
--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -112,6 +112,29 @@
 	}
 }
 
+// adopt applies what another host was told of the accounts, where this host was told nothing
+// yet. It decides by that only while there is no coordinator.
+func (t *teamShares) adopt(a *coordpb.StateAnswer, teams []deploy.Team, now time.Time) {
+	if !a.KnowsTeams {
+		return
+	}
+	t.followTeams(teams, now)
+	constrained := make(map[string]*coordpb.TeamStanding, len(a.Teams))
+	for _, u := range a.Teams {
+		constrained[u.Team] = u
+	}
+	at := now.Add(-wire.Milliseconds(a.TeamsAgeMs))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, share := range t.byName {
+		if _, known := share.KnownState(now); known {
+			continue
+		}
+		u := constrained[name]
+		share.SetState(quota.AccountState{Level: float64(u.GetLevel()), Demand: float64(u.GetAsked())}, u != nil, at, at)
+	}
+}
+
 // followTeams creates shares for the teams of a configuration that have a limit, so
 // that each has a state before its first request, and drops those of removed teams.
 func (t *teamShares) followTeams(teams []deploy.Team, now time.Time) {
--- a/node/coordinator/link/teams_test.go
+++ b/node/coordinator/link/teams_test.go
@@ -100,3 +100,45 @@
 	l.reportFailed("other", wire.ErrNoLease)
 	assert.Assert(t, l.mayBeNewProcess(), "the next answer may come from another process")
 }
+
+// Guards against a host that has just started without a coordinator and refuses nearly all of a team within its limit, though
+// the host that it asks for the coordinator knows the state of the team's account.
+func TestANewHostIsToldAccountStatesByAnother(t *testing.T) {
+	now := time.Now()
+	team, _ := newLimitedTeam(nil)
+	teams := []deploy.Team{*team}
+	admitted := func(told *coordpb.StateAnswer) (n int) {
+		var shares teamShares
+		shares.followTeams(teams, now)
+		shares.adopt(told, teams, now)
+		for i := range 100 { // in ten seconds, a tenth of the limit
+			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+			shares.withShare(team, at, func(s *quota.Share) {
+				if s.DecideWithoutLedger(0, 1, at, float64(i%10)/10) == quota.Admit {
+					n++
+				}
+			})
+		}
+		return n
+	}
+	assert.Assert(t, admitted(&coordpb.StateAnswer{}) < 30, "nobody was told anything")
+	assert.Equal(t, admitted(&coordpb.StateAnswer{KnowsTeams: true}), 100)
+	binds := &coordpb.StateAnswer{KnowsTeams: true, Teams: []*coordpb.TeamStanding{{Team: "t", Level: -300, Asked: 200}}}
+	assert.Assert(t, admitted(binds) < 60, "other hosts' callers ask for twice the limit")
+}
+
+// Guards against old states that seem to be new to the next host that asks, and replace what a coordinator said.
+func TestAnAdoptedAccountStateKeepsItsAge(t *testing.T) {
+	var shares teamShares
+	now := time.Now()
+	team, _ := newLimitedTeam(nil)
+	teams := []deploy.Team{*team}
+	shares.adopt(&coordpb.StateAnswer{KnowsTeams: true, TeamsAgeMs: 7000, Teams: []*coordpb.TeamStanding{{Team: "t", Level: -300, Asked: 200}}}, teams, now)
+	state, known := shares.state("t", now)
+	assert.Assert(t, known && state.Constrained)
+	assert.Equal(t, state.Age, 7*time.Second)
+	shares.apply(&coordpb.SiteState{CountsTeams: true}, now, now.Add(wire.ReportFresh))
+	shares.adopt(&coordpb.StateAnswer{KnowsTeams: true, Teams: []*coordpb.TeamStanding{{Team: "t", Level: -300, Asked: 200}}}, teams, now)
+	state, _ = shares.state("t", now)
+	assert.Assert(t, !state.Constrained, "a coordinator has said so")
+}
--- a/node/coordinator/serve.go
+++ b/node/coordinator/serve.go
@@ -65,12 +65,33 @@
 	if linked := s.c.linkedAddress(); linked != "" {
 		out.Coordinator = linked
 	}
+	s.c.addTeamStates(out)
 	if q.Brief {
 		return out, nil
 	}
 	return out, s.c.relay.AddState(q.ConfigAbove, out)
 }
 
+// addTeamStates adds the states of the teams' accounts that a coordinator has told this host. A
+// host that has just started knows none, and there may be no coordinator to tell it.
+func (c *Coordinator) addTeamStates(out *coordpb.StateAnswer) {
+	table := c.deps.Config.Current()
+	if table == nil || c.LastTeamState == nil {
+		return
+	}
+	for i := range table.Config.Teams {
+		name := table.Config.Teams[i].Name
+		state, known := c.LastTeamState(name)
+		if !known {
+			continue
+		}
+		out.KnowsTeams, out.TeamsAgeMs = true, max(out.TeamsAgeMs, wire.AgeMs(state.Age))
+		if state.Constrained {
+			out.Teams = append(out.Teams, &coordpb.TeamStanding{Team: name, Level: int64(state.Level), Asked: uint64(state.Demand)})
+		}
+	}
+}
+
 func (s service) List(context.Context, *coordpb.ListCall) (*coordpb.ListAnswer, error) {
 	s.c.deps.Metrics.CountKind(metrics.PeerCalls, callList, 1)
 	out, err := s.c.relay.CompactList()
--- a/node/coordinator/wire/times.go
+++ b/node/coordinator/wire/times.go
@@ -19,9 +19,12 @@
 // Milliseconds returns a duration that a message states in milliseconds.
 func Milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+// AgeMs returns an age in milliseconds, limited to an hour.
+func AgeMs(age time.Duration) uint32 { return uint32(min(max(age, 0), time.Hour).Milliseconds()) }
+
 // ageMs returns how long ago something happened, in milliseconds, limited to an hour.
 func ageMs(at, now time.Time) uint32 {
-	return uint32(min(max(now.Sub(at), 0), time.Hour).Milliseconds())
+	return AgeMs(now.Sub(at))
 }
 
 // FreshFor returns how long a message counts that is sent once in each period.
