A host says that it had answered what is barred

Cause, by its log: a process that had started 0.3 s before found out by itself, without a coordinator, that two upstreams had ended under the request, and barred it for 120 s; it had answered nothing yet. The next coordinator adopted that bar. The other hosts had answered the request all the time, one of them in the second before (suspect_completed), and were not asked.

Fix: a host that refuses a barred request which it had answered in the last half minute tells the coordinator, which makes the bar as short as if the crashes had said so.

Evidence: TestAHostSaysThatItHadAnsweredWhatIsBarred and TestAnotherHostsAnswerOfBeforeShortensABar fail before.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -203,6 +203,22 @@
 	return a
 }
 
+// RecordAnsweredBefore records that a suspect was answered not long before its crashes, by a
+// host that did not report them. Its bar is then as short as if the crashes had said so.
+func (l *Ledger) RecordAnsweredBefore(d Digest, now time.Time) {
+	e := l.entries[d]
+	if e == nil || e.IsPart() || e.Answered {
+		return
+	}
+	former := max(e.BarCount-1, 0)
+	began := e.BarredUntil.Add(-l.barDuration(&e.Fingerprint, former))
+	e.Answered = true
+	if e.State == Barred {
+		e.BarredUntil = began.Add(l.barDuration(&e.Fingerprint, former))
+	}
+	l.touch(e, now)
+}
+
 // Release ends a bar on behalf of an operator. It reports whether there was one.
 func (l *Ledger) Release(d Digest, now time.Time) bool {
 	e := l.entries[d]
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -301,3 +302,25 @@
 		}
 	}
 }
+
+// Guards against a harmless request that is barred for minutes: the host that reports its crashes has just started, and
+// another one had answered it.
+func TestAnotherHostsAnswerOfBeforeShortensABar(t *testing.T) {
+	l, now := NewLedger(DefaultPolicy), start
+	harmless, part := named("everywhere"), PartFingerprint("part", 1)
+	l.Adopt(Entry{Fingerprint: harmless, State: Barred, BarCount: 1, BarredUntil: now.Add(2 * time.Minute)}, now)
+	l.Adopt(Entry{Fingerprint: part, State: Barred, BarCount: 1, BarredUntil: now.Add(2 * time.Minute)}, now)
+	now = now.Add(time.Second)
+	for range 2 {
+		l.RecordAnsweredBefore(harmless.Digest, now)
+		l.RecordAnsweredBefore(part.Digest, now)
+		l.RecordAnsweredBefore(named("unknown").Digest, now)
+	}
+	until, barred := l.BarredUntil(harmless.Digest, now)
+	assert.Assert(t, barred)
+	assert.Equal(t, until, start.Add(DefaultPolicy.AnsweredBar), "from its beginning on")
+	until, _ = l.BarredUntil(part.Digest, now)
+	assert.Equal(t, until, start.Add(2*time.Minute), "a part may have become harmful")
+	changed, _ := l.ChangedSince(0, maxEntries, now)
+	assert.Assert(t, slices.ContainsFunc(changed, func(e Entry) bool { return e.Digest == harmless.Digest && e.Answered }), "hosts are told")
+}
--- a/node/coordinator/link/quarantine.go
+++ b/node/coordinator/link/quarantine.go
@@ -30,6 +30,8 @@
 		case e.Completed != nil:
 			r.Completed = append(r.Completed, e.Completed[:])
 			r.CompletedAgesMs = append(r.CompletedAgesMs, uint32(max(now.Sub(e.At), 0).Milliseconds()))
+		case e.Answered != nil:
+			r.Answered = append(r.Answered, e.Answered[:])
 		case e.Released != nil:
 			r.Released = append(r.Released, e.Released[:])
 		}
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -67,7 +67,7 @@
 
 // Receive enters a host's report.
 func (q *Ledger) Receive(r *coordpb.HostReport, now time.Time) {
-	if len(r.Crashes)+len(r.Completed)+len(r.Released)+len(r.Barred) == 0 {
+	if len(r.Crashes)+len(r.Completed)+len(r.Answered)+len(r.Released)+len(r.Barred) == 0 {
 		return
 	}
 	q.mu.Lock()
@@ -87,6 +87,11 @@
 			q.ledger.Clear(d, completedAt(r, i, now), now)
 		}
 	}
+	for _, x := range r.Answered {
+		if d, err := poison.DigestFromBytes(x); err == nil {
+			q.ledger.RecordAnsweredBefore(d, now)
+		}
+	}
 	for _, x := range r.Released {
 		if d, err := poison.DigestFromBytes(x); err == nil {
 			q.ledger.Release(d, now)
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,8 @@
 	acknowledged    int    // number of events, counted from the first ever, that it has received
 	quarantineID    uint64 // identifies its quarantine
 	revision        uint64 // of that quarantine, up to which this host has it
+
+	answeredReported map[poison.Digest]time.Time // when this host last reported a barred request as answered
 }
 
 // view is the read-only state that requests are checked against.
@@ -65,6 +68,7 @@
 type Event struct {
 	Crash     *Crash         // an upstream terminated
 	Completed *poison.Digest // a suspected request ran to its end
+	Answered  *poison.Digest // a barred request was answered at this host not long ago
 	Released  *poison.Digest // an operator released a barred request
 	At        time.Time      // when this host learnt of it
 }
@@ -103,7 +107,7 @@
 	if d.Log == nil {
 		d.Log = event.NewLog(nil)
 	}
-	g := &Guard{deps: d, answered: newAnsweredRequests(), local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}}
+	g := &Guard{deps: d, answered: newAnsweredRequests(), local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}, answeredReported: map[poison.Digest]time.Time{}}
 	d.Metrics.SetFunc(metrics.PoisonSuspects, func() any { return g.count(poison.Suspected) })
 	d.Metrics.SetFunc(metrics.PoisonBarred, func() any { return g.count(poison.Barred) })
 	return g
@@ -123,6 +127,7 @@
 		}
 		for _, e := range g.entriesFor(v, r.Fingerprint(i)) {
 			if e.State == poison.Barred && now.Before(e.BarredUntil) {
+				g.reportAnswered(&e, r, now)
 				return e.BarredUntil, true
 			}
 		}
@@ -130,6 +135,26 @@
 	return time.Time{}, false
 }
 
+// reportAnswered reports a barred request that was answered at this host, unless it is known.
+// The host that reported its crashes may have just started.
+func (g *Guard) reportAnswered(e *poison.Entry, r *poison.Request, now time.Time) {
+	if e.IsPart() || e.Answered || !g.answered.has(r, now) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answeredReported[e.Digest].After(now.Add(-answeredFor)) {
+		return
+	}
+	maps.DeleteFunc(g.answeredReported, func(_ poison.Digest, at time.Time) bool { return now.Sub(at) > answeredFor })
+	g.answeredReported[e.Digest] = now
+	d := e.Digest
+	g.local.RecordAnsweredBefore(d, now)
+	g.addLocked(Event{Answered: &d, At: now})
+	g.deps.Log.Emit(event.BarredWasAnswered, zap.Stringer("content", d))
+	g.refreshLocked(now)
+}
+
 // AnsweredBefore reports whether the same request was answered at this host not long ago.
 func (g *Guard) AnsweredBefore(r *poison.Request) bool { return g.answered.has(r, g.deps.Now()) }
 
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -65,6 +65,8 @@
 			h.ledger.RecordCrash(e.Crash.Upstream, e.Crash.Running, e.Crash.At, g.now)
 		case e.Completed != nil:
 			h.ledger.Clear(*e.Completed, e.At, g.now)
+		case e.Answered != nil:
+			h.ledger.RecordAnsweredBefore(*e.Answered, g.now)
 		case e.Released != nil:
 			h.ledger.Release(*e.Released, g.now)
 		}
@@ -312,3 +314,24 @@
 		g.RecordCompleted(r, g.now)
 	}
 }
+
+// Guards against a harmless request that all hosts refuse for minutes: one that has just started barred it, and the
+// others, which had answered it, do not say so.
+func TestAHostSaysThatItHadAnsweredWhatIsBarred(t *testing.T) {
+	old, started, coordinator := newTestGuard(true), newTestGuard(false), newTestCoordinator(1)
+	old.RecordCompleted(requestFor("/x"), old.now)
+	started.crash("/x")
+	old.now = started.now
+	assert.Assert(t, started.barred("/x"))
+	coordinator.exchange(started, "c")
+	coordinator.exchange(old, "c")
+	assert.Assert(t, old.barred("/x"))
+	assert.Assert(t, old.barred("/x"))
+	assert.Equal(t, len(old.NextReport("c").Events), 1, "once")
+	coordinator.exchange(old, "c")
+	for _, g := range []*testGuard{old, started} {
+		g.now = g.now.Add(poison.DefaultPolicy.AnsweredBar)
+		coordinator.exchange(g, "c")
+	}
+	assert.Assert(t, !old.barred("/x"))
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -948,4 +948,8 @@
   '_, _ = h.Write(r.content.Body)' '' ./node/quarantine -run 'OnlyTheSameRequest'
 try "an answer of long ago says nothing" node/quarantine/answered.go \
   'if now.Sub(a.since) > 2*answeredFor {' 'if false {' ./node/quarantine -run 'OnlyTheSameRequest'
+try "a host says that it had answered what is barred" node/quarantine/guard.go \
+  'g.addLocked(Event{Answered: &d, At: now})' '' ./node/quarantine -run 'HadAnsweredWhatIsBarred'
+try "what another host had answered is barred for seconds" core/poison/ledger.go \
+  'e.BarredUntil = began.Add(' '_ = began.Add(' ./core/poison -run 'AnotherHostsAnswer'
 exit $missed
