--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -290,8 +290,9 @@
 // Guards against requests that count as answered before and were not: their crashes would be followed by short bars.
 func TestOnlyTheSameRequestWasAnsweredBefore(t *testing.T) {
 	g := newTestGuard(true)
-	g.RecordCompleted(requestFor("/x"), g.now)
-	assert.Assert(t, g.AnsweredBefore(requestFor("/x")))
+	answered := poison.Content{Method: "POST", Target: "/x"}
+	g.RecordCompleted(poison.NewRequest(answered, nil), g.now)
+	assert.Assert(t, g.AnsweredBefore(poison.NewRequest(answered, nil)))
 	for name, c := range map[string]poison.Content{
 		"another body":   {Method: "POST", Target: "/x", Body: []byte("other")},
 		"another team":   {Method: "POST", Target: "/x", Team: "other"},
@@ -303,7 +304,7 @@
 		assert.Assert(t, !g.AnsweredBefore(poison.NewRequest(c, nil)), name)
 	}
 	g.now = g.now.Add(2*answeredFor + time.Second)
-	assert.Assert(t, !g.AnsweredBefore(requestFor("/x")), "that was long ago")
+	assert.Assert(t, !g.AnsweredBefore(poison.NewRequest(answered, nil)), "that was long ago")
 }
 
 // BenchmarkRecordCompleted measures what each answered request costs while nothing is suspected.
