--- a/node/event/upstream.go
+++ b/node/event/upstream.go
@@ -19,7 +19,7 @@
 	PartitionSuspected = Event{1910, "partition_suspected", zapcore.InfoLevel, "Exchanges with several upstreams fail and none answers, or no new connection opens (cause): trials at a few upstreams tell whether this host is cut off from all. failures and silent count the upstreams, quiet_ms is the time since the last byte from any."}
 	PartitionRefuted   = Event{1911, "partition_refuted", zapcore.InfoLevel, "An upstream accepted or answered a trial: this host is not cut off from all. Look at the upstreams that fail."}
 	PartitionBegan     = Event{1912, "partition_begun", zapcore.WarnLevel, "This host reaches no upstream, since since_ms; cause says what raised the suspicion that as many trials as dials confirmed, mute whether connections may still open and only carry nothing. What it observes of upstreams goes to no other host. Look at the network between this host and the upstreams; if all hosts say so, at the upstreams."}
-	PartitionEnded     = Event{1913, "partition_ended", zapcore.InfoLevel, "This host reaches upstreams again, after the time in after. Its exclusions of upstreams are dropped."}
+	PartitionEnded     = Event{1913, "partition_ended", zapcore.InfoLevel, "This host reaches upstreams again, after the time in after. Its exclusions of upstreams are dropped. received: bytes arrived where nothing but silence had spoken for the partition, so that the upstreams may have been silent themselves."}
 
 	ReportFailed = Event{1901, "report_failed", zapcore.WarnLevel, "An upstream did not give its report; said once until it does again. If it lasts, look at the upstream and the network to it."}
 )
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -151,6 +151,7 @@
 	if left <= 0 || !q.g.deps.Detour.BySilence() {
 		return false
 	}
+	q.logWait(selection{Decision: balance.Decision{Reason: balance.NoUpstream}}, left)
 	ctx, cancel := context.WithTimeout(q.ctx, min(left, silenceRecheck))
 	defer cancel()
 	defer q.cancelWithHoldLimit(cancel)()
--- a/node/reach/monitor.go
+++ b/node/reach/monitor.go
@@ -241,15 +241,15 @@
 	m.mu.Lock()
 	m.detector.Observe(e, now) // the number of upstreams may have changed
 	since := m.detector.Since()
-	m.detector.Received(m.deps.Fleet.LastReceived(), now)
+	received := m.detector.Received(m.deps.Fleet.LastReceived(), now) != decide.Partitioned
 	over := m.detector.Judge(round, now) != decide.Partitioned
 	m.mu.Unlock()
 	if !over {
 		m.callOnBegin()
-		over = m.receivesWithin(ctx, endInterval-now.Sub(began))
+		received = m.receivesWithin(ctx, endInterval-now.Sub(began))
 	}
-	if over {
-		m.end(m.deps.Now().Sub(since))
+	if over || received {
+		m.end(m.deps.Now().Sub(since), received)
 	}
 }
 
@@ -269,14 +269,14 @@
 	}
 }
 
-// end applies that a partition is over.
-func (m *Monitor) end(after time.Duration) {
+// end applies that a partition is over, by bytes that were received or by trials.
+func (m *Monitor) end(after time.Duration, received bool) {
 	m.mu.Lock()
 	dials := m.dials
 	m.mu.Unlock()
 	m.deps.Fleet.ForgetFailures()
 	m.deps.Fleet.DoubtOwnEvidence(false)
-	m.deps.Log.Emit(event.PartitionEnded, zap.Duration("after", after), zap.Int("dials", dials))
+	m.deps.Log.Emit(event.PartitionEnded, zap.Duration("after", after), zap.Int("dials", dials), zap.Bool("received", received))
 	m.deps.OnChange(false)
 }
 
