An upstream of many failures is tried by single requests until its share has fallen

Cause: bytes after an exclusion end it, whatever the exclusion was for.

Fix: an exclusion for the share of failed answers ends when the share is no outlier any more. Until then its time is followed by single requests, each of which lowers the share or begins the next, longer exclusion.

Evidence: TestAShareOfFailuresExcludesOnceForEachFailure, extended, fails before.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -52,6 +52,7 @@
 	exclusions    int // exclusions in a row
 	excludedUntil time.Time
 	forSilence    bool    // the present exclusion rests on silence alone
+	forShare      bool    // the present exclusion, or the trial after it, is for the share of failed answers
 	failedAnswers float64 // decaying count of failed answers
 	answers       float64 // decaying count of answers
 	failedSince   bool    // an answer has failed since the last exclusion
@@ -70,10 +71,11 @@
 
 // RecordBytes records bytes of any answer; outstanding is whether more are due.
 // Bytes that arrive after an exclusion end it, and those that arrive during one for silence:
-// the upstream is not silent any more. Other exclusions go on.
+// the upstream is not silent any more. Other exclusions go on, and one for the share of failed
+// answers lasts until EndShare.
 func (r *Tracker) RecordBytes(now time.Time, outstanding bool) {
 	r.failures = 0
-	if r.forSilence || !now.Before(r.excludedUntil) {
+	if !r.forShare && (r.forSilence || !now.Before(r.excludedUntil)) {
 		r.excludedUntil, r.exclusions, r.forSilence = time.Time{}, 0, false
 	}
 	r.awaitingSince = time.Time{}
@@ -136,9 +138,21 @@
 
 // ExcludeFailing is Exclude for an upstream whose share of failed answers is too high. It needs
 // an answer that has failed since the last exclusion: without one the share says nothing new,
-// and would exclude the upstream again before a request could lower it.
+// and would exclude the upstream again before a request could lower it. When the time is over,
+// the upstream gets single requests until EndShare.
 func (r *Tracker) ExcludeFailing(p Policy, now time.Time) bool {
-	return r.failedSince && r.exclude(p, now)
+	if !r.failedSince || !r.exclude(p, now) {
+		return false
+	}
+	r.forShare = true
+	return true
+}
+
+// EndShare records that the share of failed answers is not too high any more.
+func (r *Tracker) EndShare(now time.Time) {
+	if r.forShare && !now.Before(r.excludedUntil) {
+		r.excludedUntil, r.exclusions, r.forShare = time.Time{}, 0, false
+	}
 }
 
 // ExcludeSilent is Exclude for an upstream from which nothing arrives.
@@ -155,7 +169,7 @@
 	exclusion := p.FirstExclusion << min(r.exclusions, 8)
 	r.excludedUntil = now.Add(min(exclusion, p.MaxExclusion))
 	r.exclusions++
-	r.forSilence, r.failedSince = false, false
+	r.forSilence, r.forShare, r.failedSince = false, false, false
 	r.awaitingSince = time.Time{}
 	return true
 }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -333,6 +333,14 @@
 	return e.recordExclusionLocked(e.health.ExcludeFailing(e.fleet.cfg.Health, now))
 }
 
+// endExclusionForShare ends an exclusion for the share of failed answers, which is not too high
+// any more.
+func (e *Entry) endExclusionForShare(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.health.EndShare(now)
+}
+
 // excludeLocked excludes the upstream for a while and reports whether it was not excluded
 // before.
 func (e *Entry) excludeLocked(now time.Time) bool {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -419,14 +419,18 @@
 }
 
 // excludeOutliers excludes those of a service's upstreams whose error share is an
-// outlier; total is the number of its upstreams.
+// outlier, and ends that for the others; total is the number of its upstreams.
 func (f *Fleet) excludeOutliers(entries []*Entry, total int, now time.Time) {
 	shares := make([]float64, len(entries))
 	for i, e := range entries {
 		shares[i] = e.errorShare(f.cfg.Health)
 	}
 	for i, isOutlier := range health.Outliers(f.cfg.Health, shares, total) {
-		if isOutlier && entries[i].excludeFailing(now) {
+		if !isOutlier {
+			entries[i].endExclusionForShare(now)
+			continue
+		}
+		if entries[i].excludeFailing(now) {
 			f.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, entries[i].ID()),
 				zap.String("why", "failures"), zap.Float64("share", shares[i]))
 		}
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -171,7 +171,8 @@
 }
 
 // Guards against an upstream that gets no requests any more: it is excluded for its share of
-// failed answers again and again, with no answer between that could lower it.
+// failed answers again and again, with no answer between that could lower it; and against one that gets
+// its full part after a single good answer.
 func TestAShareOfFailuresExcludesOnceForEachFailure(t *testing.T) {
 	now := time.Now()
 	f := fleet.New(fleet.Config{Health: health.DefaultPolicy}, fleet.Deps{Now: func() time.Time { return now }})
@@ -195,7 +196,14 @@
 		assert.Assert(t, status("a").HalfOpen, "it has not failed since")
 		answer("a", false)
 		f.RunChecks()
-		assert.Assert(t, !status("a").Down, "its last answer was good")
+		assert.Assert(t, status("a").HalfOpen, "its last answer was good, its share is not")
 		answer("a", true)
 	}
+	f.RunChecks()
+	now = now.Add(health.DefaultPolicy.MaxExclusion)
+	for range 30 {
+		answer("a", false)
+		f.RunChecks()
+	}
+	assert.Assert(t, !status("a").Down && !status("a").HalfOpen, "its share has fallen")
 }
--- a/node/quarantine/answered.go
+++ b/node/quarantine/answered.go
@@ -2,10 +2,14 @@
 
 import (
 	"hash/maphash"
+	"maps"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"peridotpier.example/core/poison"
+	"peridotpier.example/node/event"
 )
 
 const (
@@ -59,3 +63,26 @@
 	_, former := a.former[hash]
 	return recent || former
 }
+
+// reportAnswered reports a barred request that was answered at this host, unless it is known.
+// The host that reported its crashes may have just started.
+func (g *Guard) reportAnswered(e *poison.Entry, r *poison.Request, now time.Time) {
+	if e.IsPart() || e.Answered || !g.answered.has(r, now) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answeredReported[e.Digest].After(now.Add(-answeredFor)) {
+		return
+	}
+	maps.DeleteFunc(g.answeredReported, func(_ poison.Digest, at time.Time) bool { return now.Sub(at) > answeredFor })
+	g.answeredReported[e.Digest] = now
+	d := e.Digest
+	g.local.RecordAnsweredBefore(d, now)
+	g.addLocked(Event{Answered: &d, At: now})
+	g.deps.Log.Emit(event.BarredWasAnswered, zap.Stringer("content", d))
+	g.refreshLocked(now)
+}
+
+// AnsweredBefore reports whether the same request was answered at this host not long ago.
+func (g *Guard) AnsweredBefore(r *poison.Request) bool { return g.answered.has(r, g.deps.Now()) }
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -135,29 +134,6 @@
 	return time.Time{}, false
 }
 
-// reportAnswered reports a barred request that was answered at this host, unless it is known.
-// The host that reported its crashes may have just started.
-func (g *Guard) reportAnswered(e *poison.Entry, r *poison.Request, now time.Time) {
-	if e.IsPart() || e.Answered || !g.answered.has(r, now) {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.answeredReported[e.Digest].After(now.Add(-answeredFor)) {
-		return
-	}
-	maps.DeleteFunc(g.answeredReported, func(_ poison.Digest, at time.Time) bool { return now.Sub(at) > answeredFor })
-	g.answeredReported[e.Digest] = now
-	d := e.Digest
-	g.local.RecordAnsweredBefore(d, now)
-	g.addLocked(Event{Answered: &d, At: now})
-	g.deps.Log.Emit(event.BarredWasAnswered, zap.Stringer("content", d))
-	g.refreshLocked(now)
-}
-
-// AnsweredBefore reports whether the same request was answered at this host not long ago.
-func (g *Guard) AnsweredBefore(r *poison.Request) bool { return g.answered.has(r, g.deps.Now()) }
-
 // entriesFor returns the entries that apply to a suspect now: those of the acting
 // coordinator, and without its quarantine also those of this host.
 func (g *Guard) entriesFor(v *view, f poison.Fingerprint) []poison.Entry {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -935,7 +935,9 @@
 try "a refusal of another process says nothing of the upstream" node/gate/attribution.go \
   'if unnamed || info.Upstream != "" && info.Upstream != e.ID() {' 'if unnamed {' ./node/gate -run 'LoadIsTaken'
 try "a share of failures excludes once for each failure" core/health/health.go \
-  'return r.failedSince && r.exclude' 'return r.exclude' ./node/fleet -run 'OnceForEachFailure'
+  'if !r.failedSince || ' 'if ' ./node/fleet -run 'OnceForEachFailure'
+try "an upstream of many failures is tried by single requests" core/health/health.go \
+  'if !r.forShare && (r.forSilence' 'if (r.forSilence' ./node/fleet -run 'OnceForEachFailure'
 try "an answer counts from its own time" node/coordinator/quarantine/ledger.go \
   'return now.Add(-wire.Milliseconds(r.CompletedAgesMs[i]))' 'return now' ./node/coordinator/quarantine -run 'FromItsOwnTime'
 try "an answer of before the first report of a crash holds" core/poison/ledger.go \
@@ -948,7 +950,7 @@
   '_, _ = h.Write(r.content.Body)' '' ./node/quarantine -run 'OnlyTheSameRequest'
 try "an answer of long ago says nothing" node/quarantine/answered.go \
   'if now.Sub(a.since) > 2*answeredFor {' 'if false {' ./node/quarantine -run 'OnlyTheSameRequest'
-try "a host says that it had answered what is barred" node/quarantine/guard.go \
+try "a host says that it had answered what is barred" node/quarantine/answered.go \
   'g.addLocked(Event{Answered: &d, At: now})' '' ./node/quarantine -run 'HadAnsweredWhatIsBarred'
 try "what another host had answered is barred for seconds" core/poison/ledger.go \
   'e.BarredUntil = began.Add(' '_ = began.Add(' ./core/poison -run 'AnotherHostsAnswer'
