A test of used connections writes bytes with the answer in one write

Cause: the test's upstream wrote the answer and the byte behind it in two writes. The client may read the answer, return the connection, take it again and send the next request between the two; the byte then comes after that request, and no check before sending can see it.

After: without a pause both go in one write, as the case's name says. What had been tested by accident has a test of its own: bytes before the next answer fail its exchange with the outcome unknown, never as an answer and never as not run.

--- a/node/upstream/conn/return_test.go
+++ b/node/upstream/conn/return_test.go
@@ -12,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
 	"peridotpier.example/node/upstream/conn"
 )
 
@@ -98,6 +100,24 @@
 	}
 }
 
+// Guards against bytes that come after the next request was sent, when no check can see them
+// any more, and are taken for a part of its answer, or for a sign that it did not run.
+func TestBytesBeforeTheNextAnswerFailItsExchange(t *testing.T) {
+	address := serveRaw(t, func(_ int, nc net.Conn, r *bufio.Reader) {
+		for before := ""; ; before = "x" {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(nc, before+ok)
+		}
+	})
+	client := conn.New(conn.Config{Dialer: conn.NewDialer()})
+	(&returnForm{}).exchange(t, client, address)
+	_, err := client.Do(t.Context(), &conn.Request{Address: address, Method: "POST", Target: "/", Header: http.Header{}})
+	assert.ErrorContains(t, err, "malformed HTTP version")
+	assert.Equal(t, fault.From(fault.StepDispatch, err).Outcome, outcome.Unknown)
+}
+
 // serve answers the requests of a connection until it ends.
 func (c *returnForm) serve(nc net.Conn, r *bufio.Reader) {
 	for {
@@ -108,12 +128,20 @@
 		if !c.unread {
 			_, _ = io.Copy(io.Discard, req.Body)
 		}
-		_, _ = io.WriteString(nc, c.answer)
-		if c.after != "" {
-			time.Sleep(c.pause)
-			_, _ = io.WriteString(nc, c.after)
-		}
+		c.write(nc)
+	}
+}
+
+// write writes the answer and what comes after it; without a pause, both in one write, since
+// the next request may come between two.
+func (c *returnForm) write(nc net.Conn) {
+	if c.pause == 0 {
+		_, _ = io.WriteString(nc, c.answer+c.after)
+		return
 	}
+	_, _ = io.WriteString(nc, c.answer)
+	time.Sleep(c.pause)
+	_, _ = io.WriteString(nc, c.after)
 }
 
 // exchange sends a request and reads its answer to its end.
