The time of silence is told under one lock

A stream whose host finds itself cut off could leave its upstream at once, and so run at two. Cause: AbortSilent asked under one lock whether bytes are due, and read since when under another. An exchange that broke between the two excluded the upstream, which forgets since when bytes are due; the stream was told that its upstream had been unresponsive since the zero time, so that its stay was over. Why this works: both are read under one lock; an exclusion comes before, and then nothing is due, or after it.

--- a/node/fleet/contact.go
+++ b/node/fleet/contact.go
@@ -94,12 +94,14 @@
 func (e *Entry) bytesDue(now time.Time) (since time.Time, due bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.health.IsAwaitingBytes() || e.own.Requests == 0 {
+	if !e.areBytesDueLocked() {
 		return time.Time{}, false
 	}
 	return e.health.AwaitingSince().Add(e.readingTimeLocked(now)), true
 }
 
+func (e *Entry) areBytesDueLocked() bool { return e.health.IsAwaitingBytes() && e.own.Requests > 0 }
+
 // TrialCandidates returns the upstreams that a trial connection may be opened to.
 func (f *Fleet) TrialCandidates() []reach.Candidate {
 	failed := map[string]bool{}
@@ -127,11 +129,10 @@
 func (f *Fleet) AbortSilent() {
 	now := f.deps.Now()
 	for _, e := range f.pendingChecks.all() {
-		if _, due := e.bytesDue(now); !due {
-			continue
-		}
 		e.mu.Lock()
-		e.abortMovableLocked(e.unresponsiveSinceLocked(now))
+		if e.areBytesDueLocked() {
+			e.abortMovableLocked(e.unresponsiveSinceLocked(now))
+		}
 		e.mu.Unlock()
 	}
 }
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +209,24 @@
 	}
 	assert.Assert(t, !status("a").Down && !status("a").HalfOpen, "its share has fallen")
 }
+
+// Guards against a stream that leaves its silent upstream at once: another exchange there
+// breaks while the stream is told since when the upstream is unresponsive.
+func TestTheTimeOfSilenceIsThatOfTheAttempt(t *testing.T) {
+	const rounds = 3000
+	began := time.Now()
+	for range rounds {
+		f := fleet.New(fleet.Config{Health: health.DefaultPolicy}, fleet.Deps{})
+		f.Replace([]deploy.Upstream{upstream("a", 4)}, 1)
+		e := entry(t, f, "a")
+		stream, other := e.Begin(&fleet.Request{}, fleet.Cost{}), e.Begin(&fleet.Request{}, fleet.Cost{})
+		e.Begin(&fleet.Request{}, fleet.Cost{}).Interrupted("broken")
+		var told atomic.Bool
+		stream.OnUnresponsive(func(since time.Time) { told.Store(since.Before(began)) })
+		var both sync.WaitGroup
+		both.Go(func() { other.Interrupted("broken") }) // excludes the upstream
+		both.Go(f.AbortSilent)
+		both.Wait()
+		assert.Assert(t, !told.Load(), "since a time before anything was sent")
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -916,6 +916,8 @@
   'e.abortMovableLocked(e.unresponsiveSinceLocked(now))' 'e.abortMovableLocked(now.Add(-time.Second))' ./node/gate -run 'AStreamStaysWhileAll'
 try "a call that may repeat does not stay" node/gate/failover.go \
   'case f.at == nil, f.q.route.Repeatable():' 'case f.at == nil:' ./node/gate -run 'ACallThatMayRepeatLeaves'
+try "the time of silence is told under one lock" node/fleet/contact.go \
+  'e.abortMovableLocked(e.unresponsiveSinceLocked(now))' 'e.mu.Unlock(); e.mu.Lock(); e.abortMovableLocked(e.unresponsiveSinceLocked(now))' -race -count=16 ./node/fleet -run 'TimeOfSilence'
 try "bytes end an exclusion for silence" core/health/health.go \
   'if r.forSilence || ' 'if ' ./core/health -run 'ForSilence'
 try "bytes end what rests on silence" core/reach/reach.go \
