An exclusion has one cause

The tracker kept in two flags, each set apart from the exclusion, what is one of three causes; the end of an exclusion stood three times, and the time after which an upstream counts as unresponsive in two packages. Now exclude takes the cause, endExclusion ends it, and UnresponsiveSince is what IsUnresponsive compares with. What a silent upstream's exclusion does has a function of its own, and reads the time only then, not at each check of each upstream. Behaviour is as it was; the tests are unchanged.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -44,6 +44,15 @@
 // String returns the status's name in logs.
 func (s Status) String() string { return [...]string{"up", "down", "trial"}[s] }
 
+// cause is why an upstream is excluded.
+type cause uint8
+
+const (
+	causeFailures   cause = iota // exchanges that failed
+	causeSilence                 // nothing arrives
+	causeErrorShare              // too high a share of failed answers
+)
+
 // Tracker holds the health record of one upstream. It does no locking; its owner
 // must.
 type Tracker struct {
@@ -51,8 +60,7 @@
 	failures      int
 	exclusions    int // exclusions in a row
 	excludedUntil time.Time
-	forSilence    bool    // the present exclusion rests on silence alone
-	forShare      bool    // the present exclusion, or the trial after it, is for the share of failed answers
+	cause         cause   // of the present exclusion, or of the trial after it
 	failedAnswers float64 // decaying count of failed answers
 	answers       float64 // decaying count of answers
 	failedSince   bool    // an answer has failed since the last exclusion
@@ -75,8 +83,8 @@
 // answers lasts until EndShare.
 func (r *Tracker) RecordBytes(now time.Time, outstanding bool) {
 	r.failures = 0
-	if !r.forShare && (r.forSilence || !now.Before(r.excludedUntil)) {
-		r.excludedUntil, r.exclusions, r.forSilence = time.Time{}, 0, false
+	if r.cause != causeErrorShare && (r.cause == causeSilence || !now.Before(r.excludedUntil)) {
+		r.endExclusion()
 	}
 	r.awaitingSince = time.Time{}
 	if outstanding {
@@ -129,55 +137,58 @@
 	if r.failures < p.MaxConsecutiveFailures && r.exclusions == 0 {
 		return false
 	}
-	return r.exclude(p, now)
+	return r.exclude(p, now, causeFailures)
 }
 
 // Exclude excludes the upstream for a while. It reports whether the exclusion is
 // new.
-func (r *Tracker) Exclude(p Policy, now time.Time) bool { return r.exclude(p, now) }
+func (r *Tracker) Exclude(p Policy, now time.Time) bool { return r.exclude(p, now, causeFailures) }
 
 // ExcludeFailing is Exclude for an upstream whose share of failed answers is too high. It needs
 // an answer that has failed since the last exclusion: without one the share says nothing new,
 // and would exclude the upstream again before a request could lower it. When the time is over,
 // the upstream gets single requests until EndShare.
 func (r *Tracker) ExcludeFailing(p Policy, now time.Time) bool {
-	if !r.failedSince || !r.exclude(p, now) {
-		return false
-	}
-	r.forShare = true
-	return true
+	return r.failedSince && r.exclude(p, now, causeErrorShare)
 }
 
 // EndShare records that the share of failed answers is not too high any more.
 func (r *Tracker) EndShare(now time.Time) {
-	if r.forShare && !now.Before(r.excludedUntil) {
-		r.excludedUntil, r.exclusions, r.forShare = time.Time{}, 0, false
+	if r.cause == causeErrorShare && !now.Before(r.excludedUntil) {
+		r.endExclusion()
 	}
 }
 
 // ExcludeSilent is Exclude for an upstream from which nothing arrives.
 func (r *Tracker) ExcludeSilent(p Policy, now time.Time) bool {
-	excluded := r.exclude(p, now)
-	r.forSilence = r.forSilence || excluded
-	return excluded
+	return r.exclude(p, now, causeSilence)
 }
 
-func (r *Tracker) exclude(p Policy, now time.Time) bool {
+func (r *Tracker) exclude(p Policy, now time.Time, why cause) bool {
 	if now.Before(r.excludedUntil) {
 		return false
 	}
 	exclusion := p.FirstExclusion << min(r.exclusions, 8)
 	r.excludedUntil = now.Add(min(exclusion, p.MaxExclusion))
 	r.exclusions++
-	r.forSilence, r.forShare, r.failedSince = false, false, false
+	r.cause, r.failedSince = why, false
 	r.awaitingSince = time.Time{}
 	return true
 }
 
+func (r *Tracker) endExclusion() {
+	r.excludedUntil, r.exclusions, r.cause = time.Time{}, 0, causeFailures
+}
+
 // IsUnresponsive reports whether bytes are due and none have arrived for longer
 // than p.UnresponsiveAfter plus allow.
 func (r *Tracker) IsUnresponsive(p Policy, now time.Time, allow time.Duration) bool {
-	return !r.awaitingSince.IsZero() && now.Sub(r.awaitingSince) > p.UnresponsiveAfter+allow
+	return r.IsAwaitingBytes() && now.After(r.UnresponsiveSince(p, allow))
+}
+
+// UnresponsiveSince returns since when IsUnresponsive holds, or when it will, while bytes are due.
+func (r *Tracker) UnresponsiveSince(p Policy, allow time.Duration) time.Time {
+	return r.awaitingSince.Add(p.UnresponsiveAfter + allow)
 }
 
 // Status returns how to treat the upstream at now.
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -278,11 +278,8 @@
 		e.useUntil = time.Time{}
 		e.drainLocked("entry did not come back")
 	}
-	since := e.unresponsiveSinceLocked(now)
-	if e.health.IsUnresponsive(e.fleet.cfg.Health, now, e.readingTimeLocked(now)) && e.recordExclusionLocked(e.health.ExcludeSilent(e.fleet.cfg.Health, now)) {
-		e.abortMovableLocked(since)
-		e.fleet.contact.failed(reach.Failure{Upstream: e.id, At: now, Kind: reach.Unanswered})
-		e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
+	if e.health.IsUnresponsive(e.fleet.cfg.Health, now, e.readingTimeLocked(now)) {
+		e.excludeSilentLocked(now)
 	}
 	if e.own.Requests == 0 && !e.delisted && !e.signal.Limit.Stated && !e.signal.Brittle.Stated {
 		e.fleet.pendingChecks.remove(e)
@@ -296,10 +293,21 @@
 	return keepEntry
 }
 
+// excludeSilentLocked excludes the upstream, from which nothing arrives, for a while.
+func (e *Entry) excludeSilentLocked(now time.Time) {
+	since := e.unresponsiveSinceLocked(now) // an exclusion forgets it
+	if !e.recordExclusionLocked(e.health.ExcludeSilent(e.fleet.cfg.Health, now)) {
+		return
+	}
+	e.abortMovableLocked(since)
+	e.fleet.contact.failed(reach.Failure{Upstream: e.id, At: now, Kind: reach.Unanswered})
+	e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "silent"), zap.Int("outstanding", e.own.Requests))
+}
+
 // unresponsiveSinceLocked returns since when the upstream, from which bytes are due, counts as
 // unresponsive, or when it will.
 func (e *Entry) unresponsiveSinceLocked(now time.Time) time.Time {
-	return e.health.AwaitingSince().Add(e.readingTimeLocked(now) + e.fleet.cfg.Health.UnresponsiveAfter)
+	return e.health.UnresponsiveSince(e.fleet.cfg.Health, e.readingTimeLocked(now))
 }
 
 // minReadTokensPerMs is the lowest rate at which an engine reads prompts, with a full
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -460,7 +460,7 @@
 try "an older entry of the list does not win" node/fleet/relist.go \
   'e.draining = e.signal.Draining // a drain' 'e.draining = false // a drain' ./node/fleet
 try "a rest is kept" node/gate/signals.go \
-  'e.StartBackoff(info.Backoff)' '' ./platform -run 'InTheRest'
+  'e.StartBackoff(info.Said.Backoff)' '' ./platform -run 'InTheRest'
 try "a grant that is not counted is not used" node/gate/permit.go \
   'e.Limit().Stated && !permit.WithinLimit' 'false' ./node/gate -run 'NotCounted'
 try "what nothing takes in time is refused at once" node/gate/pick.go \
@@ -919,7 +919,7 @@
 try "the time of silence is told under one lock" node/fleet/contact.go \
   'e.abortMovableLocked(e.unresponsiveSinceLocked(now))' 'e.mu.Unlock(); e.mu.Lock(); e.abortMovableLocked(e.unresponsiveSinceLocked(now))' -race -count=16 ./node/fleet -run 'TimeOfSilence'
 try "bytes end an exclusion for silence" core/health/health.go \
-  'if r.forSilence || ' 'if ' ./core/health -run 'ForSilence'
+  '(r.cause == causeSilence || ' '(' ./core/health -run 'ForSilence'
 try "bytes end what rests on silence" core/reach/reach.go \
   'if !d.AnswersNeeded() || !last.After(d.suspected) {' 'if true {' ./core/reach -run 'BytesEndWhatRests'
 try "bytes end nothing but what rests on silence" core/reach/reach.go \
@@ -937,9 +937,9 @@
 try "a refusal of another process says nothing of the upstream" node/gate/attribution.go \
   'if unnamed || info.Upstream != "" && info.Upstream != e.ID() {' 'if unnamed {' ./node/gate -run 'LoadIsTaken'
 try "a share of failures excludes once for each failure" core/health/health.go \
-  'if !r.failedSince || ' 'if ' ./node/fleet -run 'OnceForEachFailure'
+  'return r.failedSince && ' 'return ' ./node/fleet -run 'OnceForEachFailure'
 try "an upstream of many failures is tried by single requests" core/health/health.go \
-  'if !r.forShare && (r.forSilence' 'if (r.forSilence' ./node/fleet -run 'OnceForEachFailure'
+  'if r.cause != causeErrorShare && ' 'if ' ./node/fleet -run 'OnceForEachFailure'
 try "an answer counts from its own time" node/coordinator/quarantine/ledger.go \
   'return now.Add(-wire.Milliseconds(r.CompletedAgesMs[i]))' 'return now' ./node/coordinator/quarantine -run 'FromItsOwnTime'
 try "an answer of before the first report of a crash holds" core/poison/ledger.go \
