--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -196,6 +196,11 @@
 	l.touch(e, now)
 }
 
+// latestBar returns the length of a suspect's latest bar.
+func (l *Ledger) latestBar(e *Entry) time.Duration {
+	return l.barDuration(&e.Fingerprint, max(e.BarCount-1, 0))
+}
+
 // maxAnsweredBars is how many bars of a request that was answered before its first crash are
 // short. If it is not answered after these either, it does crash upstreams by now.
 const maxAnsweredBars = 2
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -210,11 +210,10 @@
 	if e == nil || e.IsPart() || e.Answered {
 		return
 	}
-	former := max(e.BarCount-1, 0)
-	began := e.BarredUntil.Add(-l.barDuration(&e.Fingerprint, former))
+	began := e.BarredUntil.Add(-l.latestBar(&e.Entry))
 	e.Answered = true
 	if e.State == Barred {
-		e.BarredUntil = began.Add(l.barDuration(&e.Fingerprint, former))
+		e.BarredUntil = began.Add(l.latestBar(&e.Entry))
 	}
 	l.touch(e, now)
 }
@@ -262,7 +261,7 @@
 // wasReleasedSince reports whether e was cleared after the bar b had begun: whoever reports
 // the bar has not heard of that.
 func (l *Ledger) wasReleasedSince(e *entry, b *Entry) bool {
-	began := b.BarredUntil.Add(-l.barDuration(&b.Fingerprint, max(b.BarCount-1, 0)))
+	began := b.BarredUntil.Add(-l.latestBar(b))
 	return e.releasedAt.After(began)
 }
 
