--- a/node/coordinator/link/teams.go
+++ b/node/coordinator/link/teams.go
@@ -100,16 +100,7 @@
 	if !s.CountsTeams {
 		return
 	}
-	constrained := make(map[string]*coordpb.TeamStanding, len(s.Teams))
-	for _, u := range s.Teams {
-		constrained[u.Team] = u
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, share := range t.byName {
-		u := constrained[name]
-		share.SetState(quota.AccountState{Level: float64(u.GetLevel()), Demand: float64(u.GetAsked())}, u != nil, now, until)
-	}
+	t.setStates(s.Teams, now, until, func(*quota.Share) bool { return true })
 }
 
 // adopt applies what another host was told of the accounts, where this host was told nothing
@@ -119,19 +110,27 @@
 		return
 	}
 	t.followTeams(teams, now)
-	constrained := make(map[string]*coordpb.TeamStanding, len(a.Teams))
-	for _, u := range a.Teams {
+	at := now.Add(-wire.Milliseconds(a.TeamsAgeMs))
+	t.setStates(a.Teams, at, at, func(share *quota.Share) bool {
+		_, known := share.KnownState(now)
+		return !known
+	})
+}
+
+// setStates sets the states of the accounts for which applies holds, as they were at a time and count
+// until another. Limits that states does not name do not bind.
+func (t *teamShares) setStates(states []*coordpb.TeamStanding, at, until time.Time, applies func(*quota.Share) bool) {
+	constrained := make(map[string]*coordpb.TeamStanding, len(states))
+	for _, u := range states {
 		constrained[u.Team] = u
 	}
-	at := now.Add(-wire.Milliseconds(a.TeamsAgeMs))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name, share := range t.byName {
-		if _, known := share.KnownState(now); known {
-			continue
+		if applies(share) {
+			u := constrained[name]
+			share.SetState(quota.AccountState{Level: float64(u.GetLevel()), Demand: float64(u.GetAsked())}, u != nil, at, until)
 		}
-		u := constrained[name]
-		share.SetState(quota.AccountState{Level: float64(u.GetLevel()), Demand: float64(u.GetAsked())}, u != nil, at, at)
 	}
 }
 
