--- a/node/coordinator/link/quarantine.go
+++ b/node/coordinator/link/quarantine.go
@@ -29,7 +29,7 @@
 			r.Crashes = append(r.Crashes, encodeCrash(e.Crash, now))
 		case e.Completed != nil:
 			r.Completed = append(r.Completed, e.Completed[:])
-			r.CompletedAgesMs = append(r.CompletedAgesMs, uint32(max(now.Sub(e.At), 0).Milliseconds()))
+			r.CompletedAgesMs = append(r.CompletedAgesMs, wire.AgeMs(now.Sub(e.At)))
 		case e.Answered != nil:
 			r.Answered = append(r.Answered, e.Answered[:])
 		case e.Released != nil:
@@ -39,7 +39,7 @@
 }
 
 func encodeCrash(x *local.Crash, now time.Time) *coordpb.UpstreamCrash {
-	out := &coordpb.UpstreamCrash{Upstream: x.Upstream, AgeMs: uint32(max(now.Sub(x.At), 0).Milliseconds())}
+	out := &coordpb.UpstreamCrash{Upstream: x.Upstream, AgeMs: wire.AgeMs(now.Sub(x.At))}
 	for _, m := range x.Running {
 		if !m.IsPart() {
 			out.Running = append(out.Running, wire.EncodeFingerprint(m))
--- a/node/coordinator/relay/relay.go
+++ b/node/coordinator/relay/relay.go
@@ -44,7 +44,7 @@
 // AddTo adds the store's state that this host has and the other does not have yet to an
 // answer.
 func (y *Relay) AddTo(r *coordpb.HostReport, out *coordpb.SiteState) error {
-	out.StoreAgeMs = uint32(min(y.deps.Feed.StoreAge(), time.Hour).Milliseconds())
+	out.StoreAgeMs = wire.AgeMs(y.deps.Feed.StoreAge())
 	if err := y.relayConfig(r, out); err != nil {
 		return err
 	}
--- a/node/coordinator/slowdowns.go
+++ b/node/coordinator/slowdowns.go
@@ -36,7 +36,7 @@
 func (c *Coordinator) learntSpeeds(now time.Time) (all []*coordpb.UpstreamSpeed) {
 	for _, e := range c.deps.Fleet.All() {
 		if multiple, at := e.LearntSpeed(now); multiple > 0 {
-			all = append(all, &coordpb.UpstreamSpeed{Upstream: e.ID(), Born: e.StartedMs(), Percent: wire.Percent(multiple), AgeMs: uint32(max(now.Sub(at), 0).Milliseconds())})
+			all = append(all, &coordpb.UpstreamSpeed{Upstream: e.ID(), Born: e.StartedMs(), Percent: wire.Percent(multiple), AgeMs: wire.AgeMs(now.Sub(at))})
 		}
 	}
 	return all
