--- a/node/gate/staying_test.go
+++ b/node/gate/staying_test.go
@@ -36,9 +36,14 @@
 // startStreamSite starts a site. first gets the address of the upstream that runs it.
 func startStreamSite(t *testing.T, d Detour, first func(address string, w http.ResponseWriter, r *http.Request)) *streamSite {
 	t.Helper()
+	return startStreamSiteWith(t, withDetour(newStreamGate(), d), first)
+}
+
+// newStreamGate returns the gate of a stream site, without a detour.
+func newStreamGate() *Gate {
 	g, _ := newGate(&noModelCoordinator{}, "")
 	g.deps.HostName, g.deps.Codec = "entry", hopCodec{}
-	return startStreamSiteWith(t, withDetour(g, d), first)
+	return g
 }
 
 // startStreamSiteWith is startStreamSite with a gate.
@@ -57,6 +62,17 @@
 	return s
 }
 
+// pauseAfter writes a stream of which the events 2 and 3 come a second after change, which is
+// called once the first has arrived.
+func pauseAfter(w http.ResponseWriter, change func()) {
+	writeEvent(w, 1)
+	time.Sleep(eventsArrive)
+	change()
+	time.Sleep(soundSilence)
+	writeEvent(w, 2)
+	writeEvent(w, 3)
+}
+
 // entryAt returns the entry of the upstream at an address.
 func (s *streamSite) entryAt(address string) *fleet.Entry {
 	for _, e := range s.fleet.All() {
@@ -171,13 +187,10 @@
 	var silent atomic.Bool
 	var s *streamSite
 	s = startStreamSite(t, stubDetour{needed: silent.Load, hosts: []string{"127.0.0.1:1"}, bySilence: true}, func(_ string, w http.ResponseWriter, _ *http.Request) {
-		writeEvent(w, 1)
-		time.Sleep(eventsArrive)
-		silent.Store(true)
-		s.fleet.AbortSilent()
-		time.Sleep(soundSilence)
-		writeEvent(w, 2)
-		writeEvent(w, 3)
+		pauseAfter(w, func() {
+			silent.Store(true)
+			s.fleet.AbortSilent()
+		})
 	})
 	s.whole(t, soundSilence, callersPatience)
 	assert.Equal(t, s.runs.Load(), int32(1))
@@ -205,12 +218,7 @@
 			t.Parallel()
 			var s *streamSite
 			s = startStreamSite(t, noDetour, func(address string, w http.ResponseWriter, _ *http.Request) {
-				writeEvent(w, 1)
-				time.Sleep(eventsArrive)
-				lose(s, s.entryAt(address))
-				time.Sleep(soundSilence)
-				writeEvent(w, 2)
-				writeEvent(w, 3)
+				pauseAfter(w, func() { lose(s, s.entryAt(address)) })
 			})
 			s.whole(t, soundSilence, callersPatience)
 			assert.Equal(t, s.runs.Load(), int32(1))
@@ -229,8 +237,7 @@
 func TestAStreamStaysAfterAPauseOfItsHost(t *testing.T) {
 	t.Parallel()
 	var paused atomic.Int64 // ns
-	g, _ := newGate(&noModelCoordinator{}, "")
-	g.deps.HostName, g.deps.Codec = "entry", hopCodec{}
+	g := newStreamGate()
 	g.deps.Now = func() time.Time { return time.Now().Add(time.Duration(paused.Load())) }
 	s := startStreamSiteWith(t, withDetour(g, noDetour), func(_ string, w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
