Property test: runs of one request do not overlap, whatever upstreams send

Callers saw nothing of the fault it guards against: streams were worked on at two upstreams (docs/incidents/streams-at-two-upstreams.md).

Drawn: two to four upstreams, which notice a closed connection or not; up to five silences of 0.3 to 1.4 s of some or all; breaks; entries that leave, are removed, rest, fail, are not reached; prompts of up to 12,000 tokens; requests that may be resumed, or run once. Checked from the upstreams' side: runs overlap by 0.4 s at most, what may run once does, nothing that ran is told that it did not, no event is lost.

It does not notice a host that takes silence for a cut (its play has no other host); TestAStreamStaysWhileAllUpstreamsAreSilent does.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -904,6 +904,8 @@
   'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
 try "a stream stays with an upstream that pauses" node/gate/failover.go \
   'f.mayLeave(since, &polls) && ' '(true || f.mayLeave(since, &polls)) && ' ./node/gate -run 'AStreamStays'
+try "runs of a request do not overlap" node/gate/failover.go \
+  'f.q.g.deps.Now().Sub(since) >= f.q.g.streamStay' 'true' ./node/gate -run 'RunsOfARequest'
 try "a stream leaves a lost upstream in time" node/gate/failover.go \
   'streamStay = 800 * time.Millisecond' 'streamStay = 2 * time.Second' ./node/gate -run 'BeforeItsCallerLeaves'
 try "a stream leaves at once what is gone" node/gate/failover.go \
