A request without any upstream does not ask the coordinator without a pause

No run on real hosts has shown it.

Cause: the coordinator's 'no model' is kept where this host's own reason is not closer to an upstream (choose), but the wait for the model ended at once for any other reason of the host's, also 'no upstream', which is farther. So the request chose, waited for no time and chose again. It takes a coordinator that knows of upstreams without the model, and a host that has none: all excluded, or, for a stream that goes on, of another software version.

--- a/node/gate/pick.go
+++ b/node/gate/pick.go
@@ -247,7 +247,7 @@
 	defer q.endHold()
 	for {
 		changed := q.g.deps.Fleet.ResidencyChanged()
-		if e, p := q.pick(); e != nil || p.Reason != balance.NoModel {
+		if e, p := q.pick(); e != nil || p.Reason.CloserToFound(balance.NoModel) { // as choose takes this host's word
 			return true
 		}
 		until, tooLate := q.modelWaitUntil()
--- a/node/gate/wait_test.go
+++ b/node/gate/wait_test.go
@@ -105,3 +105,20 @@
 	assert.Assert(t, time.Since(began) < modelPollInterval/2, "it continues as soon as the model is resident")
 	assert.Equal(t, w.Code, http.StatusOK)
 }
+
+// Guards against a coordinator that is asked without a pause for one request: it names no upstream with the
+// model, and this host, which has none at all, takes that for news.
+func TestARequestWithoutAnyUpstreamAsksTheCoordinatorOnce(t *testing.T) {
+	coordinator := &noModelCoordinator{}
+	g, f := newGate(coordinator, "127.0.0.1:1")
+	f.Apply(nil, []string{"u"}, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), modelPollInterval/2)
+	defer cancel()
+	r := httptest.NewRequest(http.MethodPost, "http://example.com/x", nil).WithContext(ctx)
+	r.Header.Set("Model", "new")
+	func() {
+		defer func() { _ = recover() }() // its caller leaves
+		g.ServeHTTP(httptest.NewRecorder(), r)
+	}()
+	assert.Equal(t, coordinator.permitRequests.Load(), int32(1))
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -902,6 +902,8 @@
   'sentPath(q.r.RequestURI)' 'q.r.URL.Path' ./node/gate -run 'PathAsItWasSent'
 try "an escape with other bytes is no slash either" node/gate/gate.go \
   'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
+try "a host without upstreams does not ask on" node/gate/pick.go \
+  'e != nil || p.Reason.CloserToFound(balance.NoModel)' 'e != nil || p.Reason != balance.NoModel' ./node/gate -run 'WithoutAnyUpstreamAsks'
 try "a stream stays with an upstream that pauses" node/gate/failover.go \
   'f.mayLeave(since, &polls) && ' '(true || f.mayLeave(since, &polls)) && ' ./node/gate -run 'AStreamStays'
 try "runs of a request do not overlap" node/gate/failover.go \
