What hosts admitted without a ledger is reported for its whole time

Cause: a new ledger grants what was gained in the last 2 s and then subtracts what hosts report to have admitted meanwhile. Hosts kept that in two halves of a second, of which the older one was dropped as soon as a third began: after 2.2 s they reported 23,800 of the 40,000 that they had admitted in the last 2 s. And with no request in between they reported what was far older.

Fix: eight slices in place of two halves, dropped by their age: at least 2 s are kept, and at most a quarter more.

Evidence: TestUsageIsReportedForItsWholeTime fails before (after 2.2 s as above; and 20,000 tokens of 4 s ago are still reported) and passes now; the plays of limits over 74 hosts pass as before, ledger lost for 2.3, 3 and 7 s among them.

--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -57,11 +57,16 @@
 	ranks              rankShares
 	initialBucket      *Bucket // limits a host that has received no state yet
 
-	unreported, unreportedOlder usage     // not reported to any ledger yet, in the current and in the previous half of usageTTL
-	halfStarted                 time.Time // start of the current half
-	reporting                   usage     // contained in the report in progress
+	unreported   usage              // not reported to any ledger yet, in the current slice of time
+	older        [usageSlices]usage // the same of the slices before, the latest first
+	sliceStarted time.Time          // start of the current slice
+	reporting    usage              // contained in the report in progress
 }
 
+// usageSlices is the number of slices of usageTTL: usage is reported for usageTTL at least,
+// and for one slice longer at most.
+const usageSlices = 8
+
 // usage is what a host admitted, less its refunds, and what it refused.
 type usage struct{ admitted, refused float64 }
 
@@ -157,9 +162,17 @@
 
 // expireUsage drops usage that is too old to be reported.
 func (s *Share) expireUsage(now time.Time) {
-	if now.Sub(s.halfStarted) > usageTTL/2 {
-		s.unreportedOlder, s.unreported, s.halfStarted = s.unreported, usage{}, now
+	const slice = usageTTL / usageSlices
+	passed := now.Sub(s.sliceStarted) / slice
+	if passed > usageSlices {
+		s.unreported, s.older, s.sliceStarted = usage{}, [usageSlices]usage{}, now
+		return
+	}
+	for range passed {
+		copy(s.older[1:], s.older[:])
+		s.older[0], s.unreported = s.unreported, usage{}
 	}
+	s.sliceStarted = s.sliceStarted.Add(passed * slice)
 }
 
 func (s *Share) admit(cost float64, now time.Time) {
@@ -183,12 +196,20 @@
 // UnreportedUsage returns the usage that was not reported to any ledger yet, for a report.
 func (s *Share) UnreportedUsage(now time.Time) (admitted, refused float64) {
 	s.expireUsage(now)
-	s.reporting = s.unreported.plus(s.unreportedOlder)
+	s.reporting = s.allUnreported()
 	return s.reporting.admitted, s.reporting.refused
 }
 
+func (s *Share) allUnreported() usage {
+	all := s.unreported
+	for _, u := range s.older {
+		all = all.plus(u)
+	}
+	return all
+}
+
 // ConfirmReport records that the last report was received. A report whose answer was lost
 // is sent once more: the limit is then applied too strictly for a moment, never too loosely.
 func (s *Share) ConfirmReport() {
-	s.unreported, s.unreportedOlder, s.reporting = s.unreported.plus(s.unreportedOlder).minus(s.reporting), usage{}, usage{}
+	s.unreported, s.older, s.reporting = s.allUnreported().minus(s.reporting), [usageSlices]usage{}, usage{}
 }
