A ledger that starts with an old state is corrected by newer ones

Cause, by reading and by the test: a host that begins to count starts with the state of each account that it was told last, and adds what was gained since. If another host had begun to count in between, for less time than it takes to tell all hosts, it had granted that gain already; its successor, which was not told, grants it once more. States that hosts send with their reports corrected only an account that had started with no state at all.

Fix: a state that is newer than that with which the account started corrects it too, in the same second.

Evidence: the new case of TestANewLedgerIsCorrectedByStatesThatHostsReceived fails before (600 tokens left where the account is 1,000 in debt); the case of an equal state holds as before. Ruled out as a change for teams within their limits: states whose limits don't bind are not sent.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -32,7 +32,8 @@
 	limit        Limit
 	bucket       *Bucket
 	demand       demand
-	correctUntil time.Time // until when the level may be too high because it was unknown at the start; zero if it was known
+	stateAt      time.Time // of the state with which the account started; zero: it was unknown
+	correctUntil time.Time // until when the level may be too high, since hosts know newer states
 	admitted     float64   // cost admitted until correctUntil
 	ranks        []*rankState
 	waiting      int
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -76,12 +76,13 @@
 	if lastKnown == nil {
 		return
 	}
+	a.correctUntil = now.Add(correctionWindow)
 	state, ok := lastKnown(team)
 	if !ok { // this process has just started: a burst was gained meanwhile, but hosts admit more that is not reported yet
 		a.bucket.level = a.limit.capacity()
-		a.correctUntil = now.Add(correctionWindow)
 		return
 	}
+	a.stateAt = now.Add(-state.Age)
 	if state.Constrained {
 		a.bucket.level = min(state.Level, a.bucket.limit.capacity())
 		a.demand.longTerm.add(state.Demand*rateWindow.Seconds(), now)
@@ -94,11 +95,12 @@
 const correctionWindow = time.Second
 
 // Correct applies the state of an account that a host received last from another ledger.
-// It lowers the level of an account that started with an unknown state; otherwise each
-// process that begins to count would grant every team another burst.
+// It lowers the level of an account that started with an unknown or an earlier state;
+// otherwise each process that begins to count would grant every team another burst, or
+// once more what was gained while nobody counted.
 func (l *Ledger) Correct(team string, state KnownState, now time.Time) {
 	a := l.accounts[team]
-	if a == nil || !state.Constrained || !now.Before(a.correctUntil) {
+	if a == nil || !state.Constrained || !now.Before(a.correctUntil) || !now.Add(-state.Age).After(a.stateAt) {
 		return
 	}
 	if corrected := state.Level + a.limit.PerSecond*state.Age.Seconds() - a.admitted; corrected < a.bucket.Level(now) {
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -24,6 +24,9 @@
 		"an account whose state was known": {func(string) (KnownState, bool) {
 			return KnownState{AccountState: AccountState{Level: 500}, Constrained: true}, true
 		}, KnownState{AccountState: AccountState{Level: -900}, Constrained: true}, 0, 300},
+		"an account that another has counted since": {func(string) (KnownState, bool) {
+			return KnownState{AccountState: AccountState{Level: 500}, Constrained: true, Age: 300 * time.Millisecond}, true
+		}, KnownState{AccountState: AccountState{Level: -900}, Constrained: true, Age: 100 * time.Millisecond}, 0, -800 - 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, now := NewLedger(0), at(0)
