Whose answer came through another host is told in one place

An answer that came through another host was compared with its request beside ownerOf, by the same rule written again. Now it asks ownerOf.

--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -305,8 +305,8 @@
 // forwardHop forwards an upstream's answer that came through another host.
 func (q *request) forwardHop(ctx context.Context, fo *failover, x *hopExchange, resp *conn.Response) result {
 	q.framing, q.insideEvent = resp.Framing, false
-	info := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header)
-	if info.AttemptID != "" && info.AttemptID != q.info.AttemptID || resp.Status < 300 && (!info.Sealed || info.AttemptID == "") {
+	info, owner := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header), q.ownerOf(resp.Header)
+	if owner == conn.OwnedByOther || resp.Status < 300 && (!info.Sealed || owner == conn.OwnerUnnamed) {
 		return q.rejectResponse(x, resp, "crossed")
 	}
 	if q.route.Kind != deploy.Stream || resp.Status >= 300 {
