--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -902,6 +902,18 @@
   'sentPath(q.r.RequestURI)' 'q.r.URL.Path' ./node/gate -run 'PathAsItWasSent'
 try "an escape with other bytes is no slash either" node/gate/gate.go \
   'sentPath(q.r.RequestURI)' 'q.r.URL.EscapedPath()' ./node/gate -run 'PathAsItWasSent'
+try "use of a limit is reported for its whole time" core/quota/share.go \
+  'for _, u := range s.older {' 'for _, u := range s.older[:usageSlices/2] {' ./core/quota -run 'UsageIsReported'
+try "use of a limit that is old is not reported" core/quota/share.go \
+  'passed > usageSlices {' 'passed > 100*usageSlices {' ./core/quota -run 'UsageIsReported'
+try "a newer state corrects an account" core/quota/ledger.go \
+  '	a.correctUntil = now.Add(correctionWindow)
+	state, ok := lastKnown(team)
+	if !ok {' '	state, ok := lastKnown(team)
+	if !ok { a.correctUntil = now.Add(correctionWindow)
+' ./core/quota -run 'NewLedgerIsCorrected'
+try "a state as old as its own corrects no account" core/quota/ledger.go \
+  ' || !now.Add(-state.Age).After(a.stateAt) {' ' {' ./core/quota -run 'NewLedgerIsCorrected'
 try "a host without upstreams does not ask on" node/gate/pick.go \
   'e != nil || p.Reason.CloserToFound(balance.NoModel)' 'e != nil || p.Reason != balance.NoModel' ./node/gate -run 'WithoutAnyUpstreamAsks'
 try "a stream stays with an upstream that pauses" node/gate/failover.go \
