A test of endless chunks sends chunks that its machine reads in time

Either bound ends the exchange, so that the service did what it should.

The check is the same, for chunks of 1 KiB; without the bound on bytes it fails. Chunks of one byte stay as a case of their own, which must end as another's answer long before the request's time is up.

--- a/node/upstream/conn/bounds_test.go
+++ b/node/upstream/conn/bounds_test.go
@@ -44,7 +44,8 @@
 		{"headers", "HTTP/1.1 200 OK\r\n", "A: x\r\n", nil},
 		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", nil},
 		{"the body of another's answer", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1000000000\r\n\r\n", "x", conn.ErrBodyTooLarge},
-		{"chunks of another's answer", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", conn.ErrBodyTooLarge},
+		{"chunks of another's answer", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 0x400) + "\r\n", conn.ErrBodyTooLarge},
+		{"chunks of one byte of another's answer", "HTTP/1.1 200 OK\r\nId: b\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", conn.ErrForeignAnswer}, // so many that the bound on time may end them first
 		{"answers to others", "", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nx", conn.ErrForeignAnswer},
 	} {
 		t.Run(c.name, func(t *testing.T) {
