--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -905,7 +905,7 @@
 try "use of a limit is reported for its whole time" core/quota/share.go \
   'for _, u := range s.older {' 'for _, u := range s.older[:usageSlices/2] {' ./core/quota -run 'UsageIsReported'
 try "use of a limit that is old is not reported" core/quota/share.go \
-  'passed > usageSlices {' 'passed > 100*usageSlices {' ./core/quota -run 'UsageIsReported'
+  's.unreported, s.older, s.sliceStarted = usage{}, [usageSlices]usage{}, now' 's.sliceStarted = now' ./core/quota -run 'UsageIsReported'
 try "a newer state corrects an account" core/quota/ledger.go \
   '	a.correctUntil = now.Add(correctionWindow)
 	state, ok := lastKnown(team)
