A stream without a name goes on only while its service had one version

Callers saw streams answered 200 whose text was joined from two software versions, after all hosts had been killed. Cause: a caller that names no attempt was known by the content of its request, and the first record found was believed. Its own record may be lost with its host; another caller's stream of the same content, begun at the other version, was taken for it. A host's own registry was asked first; a keeper that knew of two versions answered as if it knew none.

Which versions a service's upstreams have is now noted by every host from its list, told by whoever begins a stream before the stream, and written to the store by the acting coordinator, at once and each 10 s. A stream without a name goes on only if all that answer, and the store for the time before, know one version; else 503 several_versions.

Five guards, each caught.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -87,6 +87,9 @@
 	// Origins keeps which version of the software began each stream; nil: a separate one
 	// is made.
 	Origins *origin.Registry
+	// LoadHistory reads what hosts knew of streams that ended before this one started, unless
+	// that was done before, and reports whether it is known; nil: it never is.
+	LoadHistory func(ctx context.Context) bool
 	// Metrics are the host's metrics; nil: a separate set is made.
 	Metrics *metrics.Set
 	Now     func() time.Time
--- a/node/coordinator/link/link.go
+++ b/node/coordinator/link/link.go
@@ -112,6 +112,9 @@
 	// LoadOrigins reads the streams that the platform's store keeps into Origins; nil: it
 	// keeps none.
 	LoadOrigins func(ctx context.Context)
+	// LoadHistory is LoadOrigins unless this host knows what hosts knew that ended before it
+	// started, and reports whether it does; nil: the store keeps none.
+	LoadHistory func(ctx context.Context) bool
 	Metrics     *metrics.Set     // nil: a separate set is made
 	Now         func() time.Time // nil: time.Now
 }
@@ -138,6 +141,7 @@
 	requests     requestCounts
 	roundTrip    roundTrip
 	pace         *reportPace
+	listChanged  pace.Signal // notified when other upstreams, or other versions, are listed
 	linkChanged  pace.Signal // notified when this host gets another coordinator, or loses its stream of permits
 
 	mu                 sync.Mutex
@@ -178,6 +182,12 @@
 	if d.Origins == nil {
 		d.Origins = origin.NewRegistry(d.Now())
 	}
+	if d.LoadOrigins == nil {
+		d.LoadOrigins = func(context.Context) {}
+	}
+	if d.LoadHistory == nil {
+		d.LoadHistory = func(context.Context) bool { return true }
+	}
 	l := &Link{cfg: cfg, origins: origins{registry: d.Origins}, own: d.Own, deps: d, conns: conns.New(d.Dial), log: d.Log, Quarantine: noQuarantine{}, demand: map[demandKey]*coordpb.Demand{}}
 	l.permitClient, l.pace = newPermitClient(l), newReportPace()
 	return l
--- a/node/coordinator/link/origins.go
+++ b/node/coordinator/link/origins.go
@@ -49,60 +49,126 @@
 	registry *origin.Registry
 	outbox   origin.Outbox
 	keepers  map[string]*keeper // by address; used by RunOrigins alone
+	versions versionsSent
 }
 
-// RecordOrigin records a stream that this host began.
-func (l *Link) RecordOrigin(rec origin.Record) {
+// RecordOrigin records a stream that this host began at a service.
+func (l *Link) RecordOrigin(service string, rec origin.Record) {
 	now := l.deps.Now()
+	l.sendVersion(service, rec.Software, now) // first: whoever knows the stream knows its version
+	l.record(rec, now)
+}
+
+// record keeps a record and has it sent to the hosts that keep those of all.
+func (l *Link) record(rec origin.Record, now time.Time) {
 	l.origins.registry.Put(rec, now)
 	l.origins.outbox.Add(rec, now)
 }
 
-// sourceStore is the source of what the platform's store knew.
-const sourceStore = "store"
+// Sources other than hosts.
+const (
+	sourceStore     = "store"          // the platform's store
+	storeUnread     = "store_unread"   // what the store knew could not be read
+	hostsUnanswered = "no_host"        // none of the hosts that keep records answered
+	versionsListed  = "other_versions" // which versions the upstreams have, or had
+)
 
-// FindOrigin returns which version of the software began a stream, and the address of the
-// host that knew it, "" for this one. It asks the hosts that keep records, and reads those of
-// the store if none of them knows.
-func (l *Link) FindOrigin(ctx context.Context, k origin.Key) (software, source string, ok bool) {
-	if software, ok = l.origins.registry.Find(k, l.deps.Now()); ok {
-		return software, "", true
+// FindOrigin returns which version of the software began the stream of an attempt, and the
+// address of the host that knew it, "" for this one. It asks the hosts that keep records, and
+// reads those of the store if none of them knows.
+func (l *Link) FindOrigin(ctx context.Context, k origin.Key) (f origin.Finding, source string) {
+	if f = l.origins.registry.Find(k, l.deps.Now()); f != (origin.Finding{}) {
+		return f, ""
 	}
-	if software, source, ok = l.askKeepers(ctx, k); ok || l.deps.LoadOrigins == nil {
-		return software, source, ok
+	for _, a := range l.askKeepers(ctx, k) {
+		if a.found[0] != (origin.Finding{}) {
+			return a.found[0], a.address
+		}
 	}
 	l.deps.LoadOrigins(ctx)
-	software, ok = l.origins.registry.Find(k, l.deps.Now())
-	return software, sourceStore, ok
+	return l.origins.registry.Find(k, l.deps.Now()), sourceStore
+}
+
+// FindOriginByContent is FindOrigin for a caller that names no attempt. Streams of the same
+// content may have been begun by others, and the record of the caller's own may be lost, so a
+// version is known only if the service's upstreams had no other one for as long as the stream
+// may have lasted. Several is reported if they had, or if that cannot be told.
+func (l *Link) FindOriginByContent(ctx context.Context, service string, content origin.Key) (f origin.Finding, source string) {
+	versions := origin.VersionKey(service)
+	history, complete := l.listedVersions(service), false
+	answers := l.askKeepers(ctx, content, versions, origin.HistoryKey())
+	for _, a := range answers {
+		if a.found[0].Known() {
+			source = a.address
+		}
+		f, history = f.Merge(a.found[0]), history.Merge(a.found[1])
+		complete = complete || a.found[2].Known()
+	}
+	if !complete && !l.deps.LoadHistory(ctx) { // what hosts knew that were all lost
+		return origin.Finding{Several: true}, storeUnread
+	}
+	if own := l.origins.registry.Find(content, l.deps.Now()); own != (origin.Finding{}) {
+		f, source = f.Merge(own), ""
+	}
+	if f == (origin.Finding{}) {
+		l.deps.LoadOrigins(ctx)
+		f, source = l.origins.registry.Find(content, l.deps.Now()), sourceStore
+	}
+	history = history.Merge(l.origins.registry.Find(versions, l.deps.Now()))
+	switch {
+	case f == (origin.Finding{}):
+		return f, source
+	case len(answers) == 0 && len(l.recordKeepers()) > 0:
+		return origin.Finding{Several: true}, hostsUnanswered
+	case !history.Known():
+		return origin.Finding{Several: true}, versionsListed
+	}
+	return f.Merge(history), source
+}
+
+// keeperAnswer is what a host that keeps records knows of the keys that it was asked for.
+type keeperAnswer struct {
+	address string
+	found   []origin.Finding
 }
 
-// askKeepers asks the hosts that keep records for a stream.
-func (l *Link) askKeepers(ctx context.Context, k origin.Key) (software, source string, ok bool) {
+// askKeepers asks the hosts that keep records for keys, and returns the answers of those that
+// answered. With one key, the first answer that tells something is enough.
+func (l *Link) askKeepers(ctx context.Context, keys ...origin.Key) (out []keeperAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
 	defer cancel()
-	type answer struct{ software, source string }
 	peers := l.recordKeepers()
-	answers := make(chan answer, len(peers))
+	answers := make(chan *keeperAnswer, len(peers))
 	for _, address := range peers {
-		go func() {
-			a, err := l.conns.FindOrigin(ctx, address, &coordpb.OriginCall{Key: uint64(k)})
-			if err != nil || !a.Known {
-				a = &coordpb.OriginAnswer{}
-			}
-			answers <- answer{a.Software, address}
-		}()
+		go func() { answers <- l.askKeeper(ctx, address, keys) }()
 	}
 	for range peers {
 		select {
 		case a := <-answers:
-			if a.software != "" {
-				return a.software, a.source, true
+			if a == nil {
+				continue
+			}
+			if out = append(out, *a); len(keys) == 1 && a.found[0] != (origin.Finding{}) {
+				return out
 			}
 		case <-ctx.Done():
-			return "", "", false
+			return out
+		}
+	}
+	return out
+}
+
+// askKeeper returns the answer of one host; nil: none came.
+func (l *Link) askKeeper(ctx context.Context, address string, keys []origin.Key) *keeperAnswer {
+	out := &keeperAnswer{address: address}
+	for _, k := range keys {
+		a, err := l.conns.FindOrigin(ctx, address, &coordpb.OriginCall{Key: uint64(k)})
+		if err != nil {
+			return nil
 		}
+		out.found = append(out.found, origin.Finding{Software: a.Software, Several: a.Known && a.Software == ""})
 	}
-	return "", "", false
+	return out
 }
 
 // recordKeepers returns the addresses of the hosts, without this one, that keep records.
--- a/node/coordinator/link/origins_test.go
+++ b/node/coordinator/link/origins_test.go
@@ -36,19 +36,17 @@
 	l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
 	l.conns = newDialingConns()
 	l.deputies = []string{address}
-	l.RecordOrigin(origin.Record{Attempt: 1, Content: 2, Software: "v1", TTL: time.Minute})
+	l.RecordOrigin("s", origin.Record{Attempt: 1, Content: 2, Software: "v1", TTL: time.Minute})
 	l.sendOrigins(t.Context())
-	software, ok := first.Find(1, time.Now())
-	assert.Assert(t, ok && software == "v1")
+	assert.Equal(t, first.Find(1, time.Now()).Software, "v1")
 
 	stop()
 	second, _, stop := serveKeeper(t, address)
 	defer stop()
-	l.RecordOrigin(origin.Record{Attempt: 3, Content: 4, Software: "v2", TTL: time.Minute})
+	l.RecordOrigin("s", origin.Record{Attempt: 3, Content: 4, Software: "v2", TTL: time.Minute})
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		l.sendOrigins(t.Context())
-		_, older := second.Find(1, time.Now())
-		if _, newer := second.Find(3, time.Now()); older && newer {
+		if second.Find(1, time.Now()).Known() && second.Find(3, time.Now()).Known() {
 			return
 		}
 	}
@@ -67,11 +65,10 @@
 	l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
 	l.conns = newDialingConns()
 	l.deputies = others
-	l.RecordOrigin(origin.Record{Attempt: 1, Content: 2, Software: "v1", TTL: time.Minute})
+	l.RecordOrigin("s", origin.Record{Attempt: 1, Content: 2, Software: "v1", TTL: time.Minute})
 	l.sendOrigins(t.Context())
 	for i, registry := range kept {
-		_, ok := registry.Find(1, time.Now())
-		assert.Check(t, ok, "host %d", i)
+		assert.Check(t, registry.Find(1, time.Now()).Known(), "host %d", i)
 	}
 }
 
@@ -89,8 +86,8 @@
 	fastest := time.Hour
 	for k := origin.Key(1); k <= 8; k++ {
 		began := time.Now()
-		l.RecordOrigin(origin.Record{Attempt: k, Content: 100 + k, Software: "v1", TTL: time.Minute})
-		for _, ok := kept.Find(k, began); !ok; _, ok = kept.Find(k, began) {
+		l.RecordOrigin("s", origin.Record{Attempt: k, Content: 100 + k, Software: "v1", TTL: time.Minute})
+		for !kept.Find(k, began).Known() {
 			assert.Assert(t, time.Since(began) < 5*time.Second)
 			time.Sleep(time.Millisecond)
 		}
@@ -114,10 +111,68 @@
 	l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
 	l.conns = newDialingConns()
 	l.deputies = []string{silent.Addr().String(), ignorant, address}
-	software, source, ok := l.FindOrigin(t.Context(), 1)
-	assert.Assert(t, ok && software == "v1" && source == address)
+	f, source := l.FindOrigin(t.Context(), 1)
+	assert.Equal(t, f, origin.Finding{Software: "v1"})
+	assert.Equal(t, source, address)
 	began := time.Now()
-	_, _, ok = l.FindOrigin(t.Context(), 5)
-	assert.Assert(t, !ok)
+	f, _ = l.FindOrigin(t.Context(), 5)
+	assert.Equal(t, f, origin.Finding{})
 	assert.Assert(t, time.Since(began) < 2*originFindTimeout)
 }
+
+// Guards against a stream that goes on at another version because its caller names no attempt, and
+// the first host that knows a stream of the same content is believed.
+func TestAStreamIsKnownByItsContentOnlyWhileThereWasOneVersion(t *testing.T) {
+	const content = origin.Key(2)
+	stream := func(attempt origin.Key, software string) origin.Record {
+		return origin.Record{Attempt: attempt, Content: content, Software: software, TTL: time.Minute}
+	}
+	none, several := origin.Finding{}, origin.Finding{Several: true}
+	for _, c := range []struct {
+		name    string
+		first   []origin.Record // of the first keeper
+		second  []origin.Record
+		own     []origin.Record
+		inStore []origin.Record
+		unread  bool // the store's rows cannot be read
+		silent  bool // no keeper answers
+		want    origin.Finding
+	}{
+		{name: "one version", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, want: origin.Finding{Software: "v1"}},
+		{name: "keepers of different streams", first: []origin.Record{stream(1, "v1")}, second: []origin.Record{stream(3, "v2")}, want: several},
+		{name: "a keeper of both", first: []origin.Record{stream(1, "v1"), stream(3, "v2")}, second: []origin.Record{stream(1, "v1")}, want: several},
+		{name: "an own stream and a keeper's", own: []origin.Record{stream(1, "v1")}, second: []origin.Record{stream(3, "v2")}, want: several},
+		{name: "a version without a stream of the content", first: []origin.Record{stream(1, "v1")}, second: []origin.Record{origin.VersionRecord("s", "v2"), origin.VersionRecord("s", "v1")}, want: several},
+		{name: "a version of before all hosts were lost", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, inStore: []origin.Record{origin.VersionRecord("s", "v0")}, want: several},
+		{name: "a version that is not known to be the only one", first: []origin.Record{stream(1, "v1")}, want: several},
+		{name: "the store away", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, unread: true, want: several},
+		{name: "no keeper answers", own: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, silent: true, want: several},
+		{name: "a content that never was", first: []origin.Record{origin.VersionRecord("s", "v1")}, want: none},
+		{name: "only in the store", inStore: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, want: origin.Finding{Software: "v1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
+			l.conns = newDialingConns()
+			for _, records := range [][]origin.Record{c.first, c.second} {
+				kept, address, stop := serveKeeper(t, "127.0.0.1:0")
+				l.deputies = append(l.deputies, address)
+				putAll(kept, records)
+				if c.silent {
+					stop()
+				} else {
+					defer stop()
+				}
+			}
+			putAll(l.origins.registry, c.own)
+			l.deps.LoadHistory = func(context.Context) bool { putAll(l.origins.registry, c.inStore); return !c.unread }
+			f, _ := l.FindOriginByContent(t.Context(), "s", content)
+			assert.Equal(t, f, c.want)
+		})
+	}
+}
+
+func putAll(r *origin.Registry, records []origin.Record) {
+	for _, rec := range records {
+		r.Put(rec, time.Now())
+	}
+}
--- a/node/coordinator/origins.go
+++ b/node/coordinator/origins.go
@@ -19,9 +19,19 @@
 	return &coordpb.OriginKept{Id: s.c.id}, nil
 }
 
-// FindOrigin implements coordpb.DRPCCoordinatorServer.
-func (s service) FindOrigin(_ context.Context, q *coordpb.OriginCall) (*coordpb.OriginAnswer, error) {
+// historyRead is the answer to origin.HistoryKey of a host that knows what hosts knew before it.
+const historyRead = "read"
+
+// FindOrigin implements coordpb.DRPCCoordinatorServer. It answers "known" without a version
+// where several began the streams with the key.
+func (s service) FindOrigin(ctx context.Context, q *coordpb.OriginCall) (*coordpb.OriginAnswer, error) {
 	s.c.deps.Metrics.CountKind(metrics.PeerCalls, callFindOrigin, 1)
-	software, ok := s.c.deps.Origins.Find(origin.Key(q.Key), s.c.now())
-	return &coordpb.OriginAnswer{Known: ok, Software: software}, nil
+	if origin.Key(q.Key) == origin.HistoryKey() {
+		if s.c.deps.LoadHistory == nil || !s.c.deps.LoadHistory(ctx) {
+			return &coordpb.OriginAnswer{}, nil
+		}
+		return &coordpb.OriginAnswer{Known: true, Software: historyRead}, nil
+	}
+	f := s.c.deps.Origins.Find(origin.Key(q.Key), s.c.now())
+	return &coordpb.OriginAnswer{Known: f.Known() || f.Several, Software: f.Software}, nil
 }
--- a/node/coordinator/streams/streams.go
+++ b/node/coordinator/streams/streams.go
@@ -57,16 +57,17 @@
 
 // Keeper writes and reads the rows.
 type Keeper struct {
-	deps Deps
-	next int // number of the first record that is not written; used by Run alone
-	slot int // place in the ring of the next row; used by Run alone
+	deps      Deps
+	startedAt time.Time
+	next      int // number of the first record that is not written; used by Run alone
+	slot      int // place in the ring of the next row; used by Run alone
 
 	mu       sync.Mutex // held while rows are read
 	loadedAt time.Time
 }
 
 // New returns a Keeper; Run writes.
-func New(d Deps) *Keeper { return &Keeper{deps: d} }
+func New(d Deps) *Keeper { return &Keeper{deps: d, startedAt: d.Now()} }
 
 // Run writes the records that this host receives while it is the acting coordinator, until
 // ctx ends.
@@ -122,21 +123,34 @@
 	return nil
 }
 
+// LoadHistory reads the rows into the registry, unless that was done before or everything that they
+// tell has expired since this host started. It reports whether this host knows what hosts
+// knew that ended before it started.
+func (k *Keeper) LoadHistory(ctx context.Context) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.loadedAt.IsZero() || k.deps.Now().Sub(k.startedAt) > origin.MaxTTL || k.loadLocked(ctx)
+}
+
 // Load reads the rows into the registry, unless they were read a moment ago. It returns once
 // a read that another request began has ended.
 func (k *Keeper) Load(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.deps.Now()
-	if !k.loadedAt.IsZero() && now.Sub(k.loadedAt) < loadInterval {
-		return
+	if k.loadedAt.IsZero() || k.deps.Now().Sub(k.loadedAt) >= loadInterval {
+		k.loadLocked(ctx)
 	}
+}
+
+// loadLocked reads the rows and reports whether it could. k.mu must be held.
+func (k *Keeper) loadLocked(ctx context.Context) bool {
+	now := k.deps.Now()
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, err := store.ListAll(ctx, k.deps.Table, table, pageSize)
 	if err != nil {
 		k.deps.Log.Emit(event.StreamsUnread, zap.Error(err))
-		return // the next request tries again
+		return false // the next request tries again
 	}
 	k.loadedAt = now
 	records := 0
@@ -144,6 +158,7 @@
 		records += k.adopt(row, now)
 	}
 	k.deps.Log.Emit(event.StreamsRead, zap.Int("rows", len(rows)), zap.Int("streams", records))
+	return true
 }
 
 // adopt enters the records of a row that have not expired, and returns their number. A row
--- a/node/coordinator/streams/streams_test.go
+++ b/node/coordinator/streams/streams_test.go
@@ -36,19 +36,16 @@
 		time.Sleep(2 * writeInterval)
 		reader, read := newKeeper(table, "b", &acting)
 		reader.Load(t.Context())
-		_, ok := read.Find(1, time.Now())
-		assert.Assert(t, !ok, "it is not acting")
+		assert.Assert(t, !read.Find(1, time.Now()).Known(), "it is not acting")
 		acting = true
 		known.Put(record(2), time.Now())
 		time.Sleep(2 * writeInterval)
 		reader.Load(t.Context())
-		_, ok = read.Find(1, time.Now())
-		assert.Assert(t, !ok, "the rows were read a moment ago")
+		assert.Assert(t, !read.Find(1, time.Now()).Known(), "the rows were read a moment ago")
 		time.Sleep(loadInterval)
 		reader.Load(t.Context())
 		for _, key := range []origin.Key{1, 2} {
-			software, ok := read.Find(key, time.Now())
-			assert.Assert(t, ok && software == "v1")
+			assert.Equal(t, read.Find(key, time.Now()).Software, "v1")
 		}
 		stop()
 		synctest.Wait()
@@ -71,10 +68,8 @@
 		assert.Equal(t, len(rows), ringSize)
 		reader, read := newKeeper(table, "b", &acting)
 		reader.Load(t.Context())
-		_, ok := read.Find(2*ringSize-1, time.Now())
-		assert.Assert(t, ok)
-		_, ok = read.Find(ringSize+1, time.Now())
-		assert.Assert(t, !ok, "its stream has ended")
+		assert.Assert(t, read.Find(2*ringSize-1, time.Now()).Known())
+		assert.Assert(t, !read.Find(ringSize+1, time.Now()).Known(), "its stream has ended")
 	})
 }
 
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -75,13 +75,16 @@
 	AnsweredBefore(r *poison.Request) bool
 }
 
-// Origins keeps which version of the software began each stream.
+// Origins keeps which version of the software began each stream. A search returns who knew it, too:
+// the address of another host, "" for this one.
 type Origins interface {
-	// RecordOrigin records a stream that this host began.
-	RecordOrigin(rec origin.Record)
-	// FindOrigin returns the version that began a stream, and the address of the host that
-	// knew it, "" for this one.
-	FindOrigin(ctx context.Context, k origin.Key) (software, source string, ok bool)
+	// RecordOrigin records a stream that this host began at a service.
+	RecordOrigin(service string, rec origin.Record)
+	// FindOrigin finds the version that began the stream of an attempt.
+	FindOrigin(ctx context.Context, attempt origin.Key) (f origin.Finding, source string)
+	// FindOriginByContent finds the version of all streams of a service that may be the one
+	// that a caller takes up which names no attempt.
+	FindOriginByContent(ctx context.Context, service string, content origin.Key) (f origin.Finding, source string)
 }
 
 // Deps are the dependencies of a Gate.
--- a/node/gate/software.go
+++ b/node/gate/software.go
@@ -21,15 +21,21 @@
 
 // Reasons why a stream does not go on.
 const (
-	whyOtherSoftware  = "other_version"  // the answer is of another version than the stream
-	whyVersionGone    = "version_gone"   // no upstream of the stream's version is left
-	whyStreamUnknown  = "stream_unknown" // nobody knows which version began the stream
+	whyOtherSoftware  = "other_version"    // the answer is of another version than the stream
+	whyVersionGone    = "version_gone"     // no upstream of the stream's version is left
+	whyStreamUnknown  = "stream_unknown"   // nobody knows which version began the stream
+	whySeveral        = "several_versions" // the caller names no attempt, and several versions may have begun the stream
 	whyInvalidResumes = "invalid_resumes"
 )
 
-// unknownRetry is the delay after which a stream may be known that nobody knows: its host has
-// told the others by then.
-const unknownRetry = 200 * time.Millisecond
+const (
+	// unknownRetry is the delay after which a stream may be known that nobody knows: its host
+	// has told the others by then.
+	unknownRetry = 200 * time.Millisecond
+	// severalRetry is the delay after which a caller that names no attempt may ask again: once
+	// there are several versions, that lasts longer than most streams.
+	severalRetry = time.Second
+)
 
 // originSlack is for how much longer than its first attempt may last a stream can be taken up.
 const originSlack = 5 * time.Second
@@ -77,8 +83,8 @@
 		attempt = q.info.Resumes
 	}
 	team, service := q.caller.name(), q.service.Name
-	o.RecordOrigin(origin.Record{Attempt: origin.KeyOf(team, service, attempt), Content: q.contentKey(service), Software: software,
-		TTL: q.deadline.Sub(q.g.deps.Now()) + originSlack})
+	ttl := min(q.deadline.Sub(q.g.deps.Now())+originSlack, origin.MaxStreamTTL)
+	o.RecordOrigin(service, origin.Record{Attempt: origin.KeyOf(team, service, attempt), Content: q.contentKey(service), Software: software, TTL: ttl})
 }
 
 func (q *request) contentKey(service string) origin.Key {
@@ -101,41 +107,51 @@
 		q.decline(http.StatusBadRequest, whyInvalidResumes)
 		return false
 	}
+	several, from := false, ""
 	for i := range q.route.Splits {
 		service, ok := q.table.Service(q.route.Splits[i].Service)
 		if !ok {
 			continue
 		}
-		software, source, ok := q.g.deps.Origins.FindOrigin(q.r.Context(), q.originKey(service.Name))
-		if !ok {
+		found, source := q.searchOrigin(service.Name)
+		if found.Several {
+			several, from = true, source
+		}
+		if !found.Known() {
 			continue
 		}
 		q.service = service
-		q.began.set(software)
+		q.began.set(found.Software)
 		q.g.deps.Metrics.CountKind(metrics.StreamsTakenUp, "known", 1)
-		q.g.deps.Log.Emit(event.StreamTakenUp, q.id(), q.routeName(), zap.String("resumes", q.info.Resumes), zap.String("software", software),
+		q.g.deps.Log.Emit(event.StreamTakenUp, q.id(), q.routeName(), zap.String("resumes", q.info.Resumes), zap.String("software", found.Software),
 			zap.String("source", source), zap.Bool("by_content", q.info.Resumes == ""), zap.String("last_event", q.info.LastEventID))
 		return true
 	}
+	if several {
+		q.notTakenUp(whySeveral, zap.String("source", from))
+		q.refuse(whySeveral, severalRetry)
+		return false
+	}
 	q.notTakenUp(whyStreamUnknown)
 	q.refuse(whyStreamUnknown, unknownRetry)
 	return false
 }
 
-// originKey returns the key of the stream that the caller takes up at a service. A caller
-// that names no attempt is known by what it sends.
-func (q *request) originKey(service string) origin.Key {
+// searchOrigin finds which version began the stream that the caller takes up, if that was at a
+// service.
+func (q *request) searchOrigin(service string) (f origin.Finding, source string) {
 	if q.info.Resumes == "" {
-		return q.contentKey(service)
+		return q.g.deps.Origins.FindOriginByContent(q.r.Context(), service, q.contentKey(service))
 	}
-	return origin.KeyOf(q.caller.name(), service, q.info.Resumes)
+	return q.g.deps.Origins.FindOrigin(q.r.Context(), origin.KeyOf(q.caller.name(), service, q.info.Resumes))
 }
 
 // notTakenUp records that a stream does not go on.
-func (q *request) notTakenUp(why string) {
+func (q *request) notTakenUp(why string, more ...zap.Field) {
 	q.g.deps.Metrics.CountKind(metrics.StreamsTakenUp, why, 1)
-	q.g.deps.Log.Emit(event.StreamNotTakenUp, q.id(), q.routeName(), zap.String("why", why), zap.String("resumes", q.info.Resumes),
-		zap.String("software", q.began.get()), zap.String("last_event", q.info.LastEventID))
+	fields := []zap.Field{q.id(), q.routeName(), zap.String("why", why), zap.String("resumes", q.info.Resumes),
+		zap.String("software", q.began.get()), zap.String("last_event", q.info.LastEventID)}
+	q.g.deps.Log.Emit(event.StreamNotTakenUp, append(fields, more...)...)
 }
 
 // versionGone reports whether a stream cannot go on because no upstream of its version is
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -96,7 +96,7 @@
 	h := &Host{deps: d, settings: set, log: d.Log, config: follow.NewActiveConfig(d.Log), listed: make(chan struct{}), stopped: make(chan struct{}), started: time.Now()}
 	h.fleet = fleet.New(fleet.Config{DataCentre: set.DataCentre, RecoveryGrace: milliseconds(set.Bounds.LapseMs), MassRemovalGrace: milliseconds(set.Bounds.DrainMs * massRemovalGraceShare),
 		StaleEntryTTL: milliseconds(set.Bounds.HeartbeatMs * heartbeatsUntilRemoval)},
-		fleet.Deps{Log: d.Log, OnForgotten: d.Client.Forget, OnListChange: h.announce, OnUrgentChange: h.announceUrgent})
+		fleet.Deps{Log: d.Log, OnForgotten: d.Client.Forget, OnListChange: h.listChanged, OnUrgentChange: h.announceUrgent})
 	h.reach = h.newReachMonitor()
 	h.config.OnChange(h.announce)
 	d.Platform.Eras.OnChange(func(was, now uint64) {
@@ -204,10 +204,10 @@
 	h.streams = streams.New(streams.Deps{Table: table, Registry: h.origins, Host: set.Host, Acting: func() bool { return h.coord.Acting() }, Log: d.Log, Now: time.Now})
 	h.coord = coordinator.New(coordinator.Config{Host: set.Host, Holder: holder, Address: set.Peers, QuietPeriod: milliseconds(set.Bounds.LeaseMs) + maxOrderTransit,
 		CeilingWindow: seconds(set.Bounds.CeilingWindowS), CeilingFactor: set.Bounds.CeilingOver, Repeats: repeatPolicy(set), LimitSlack: set.Bounds.LimitSlack, MaxRelayAge: relayFresh, LinkMbps: set.Limits.LinkMbps, NoModelMoves: set.NoModelMoves},
-		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: h.origins, Metrics: d.Metrics})
+		coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Orders: d.Platform.Orders, Table: table, Feed: h.feed, Log: d.Log, Origins: h.origins, LoadHistory: h.streams.LoadHistory, Metrics: d.Metrics})
 	h.link = link.New(link.Config{Host: set.Host, DataCentre: set.DataCentre, Address: set.Peers, DetourAddress: set.Detours, Seeds: set.Seeds, HasSpareCapacity: func(hosts int) bool { return hasSpareCapacity(set.Limits, hosts) },
 		Draining: h.draining.Load, Partitioned: h.reach.Partitioned},
-		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: h.origins, LoadOrigins: h.streams.Load, Metrics: d.Metrics})
+		link.Deps{Own: h.coord, Fleet: h.fleet, Config: h.config, Feed: h.feed, Lease: h.lease, Dial: conn.NewDialer().DialContext, Log: d.Log, Origins: h.origins, LoadOrigins: h.streams.Load, LoadHistory: h.streams.LoadHistory, Metrics: d.Metrics})
 	h.coord.LinkedAddress, h.coord.FormerHostCount, h.coord.LastTeamState = h.link.CoordinatorAddress, h.link.FormerHostCount, h.link.TeamState
 }
 
@@ -228,6 +228,7 @@
 	h.add(&g, work, h.link.Run)
 	h.add(&g, work, h.link.RunPermits)
 	h.add(&g, work, h.link.RunOrigins)
+	h.add(&g, work, h.link.RunVersions)
 	h.add(&g, work, h.streams.Run)
 	h.add(&g, work, h.coord.RunAnnouncements)
 	h.add(&g, work, h.fetchFromPeers)
@@ -360,6 +361,12 @@
 	return h.deps.Platform.Eras.Newest() > 0 && !h.link.HasState() && time.Since(h.started) < peerFetchDelay
 }
 
+// listChanged passes a change of the list of upstreams on.
+func (h *Host) listChanged() {
+	h.link.ListChanged()
+	h.announce()
+}
+
 // announce wakes the coordinator so that, if this host is the acting one, it publishes
 // the new state to all hosts.
 func (h *Host) announce() { h.coord.Announce() }
--- a/node/origin/registry.go
+++ b/node/origin/registry.go
@@ -20,7 +20,8 @@
 func KeyOf(team, service, attempt string) Key { return keyOf("attempt", team, service, attempt) }
 
 // ContentKey returns the key of all streams with the same content, for callers that name
-// no attempt.
+// no attempt. It proves nothing of a single stream: another caller may have begun one with
+// the same content at another version.
 func ContentKey(team, service, method, host, target string, body []byte) Key {
 	h := xxhash.New()
 	writeParts(h, "content", team, service, method, host, target)
@@ -28,6 +29,19 @@
 	return Key(h.Sum64())
 }
 
+// VersionKey returns the key of all streams of a service: what is known of it tells which
+// versions its upstreams have, or had for as long as their streams may be taken up.
+func VersionKey(service string) Key { return keyOf("service", service) }
+
+// HistoryKey is asked for to learn whether a host knows what hosts knew that ended before it
+// started.
+func HistoryKey() Key { return keyOf("history") }
+
+// VersionRecord says that upstreams of a service have a version.
+func VersionRecord(service, software string) Record {
+	return Record{Attempt: keyOf("version", service, software), Content: VersionKey(service), Software: software, TTL: MaxTTL}
+}
+
 func keyOf(parts ...string) Key {
 	h := xxhash.New()
 	writeParts(h, parts...)
@@ -50,33 +64,74 @@
 	TTL              time.Duration // for how much longer the stream may be taken up
 }
 
+// Finding is what is known of the version that began the streams with a key.
+type Finding struct {
+	Software string // "": not known
+	Several  bool   // several versions began streams with the key; Software is ""
+}
+
+// Known reports whether one version began all streams with the key that are known.
+func (f Finding) Known() bool { return f.Software != "" }
+
+// Merge combines what is known here and elsewhere.
+func (f Finding) Merge(o Finding) Finding {
+	switch {
+	case f.Several || o.Several, f.Known() && o.Known() && f.Software != o.Software:
+		return Finding{Several: true}
+	case f.Known():
+		return f
+	}
+	return o
+}
+
 const (
 	shards = 16
 	// maxPerShard bounds the records. A full shard drops what ends first.
 	maxPerShard = 1 << 16
 	// evictionBatch is how many records are dropped at once, so that this is rare.
 	evictionBatch = maxPerShard / 16
-	// MaxTTL is the longest time for which a stream is kept.
+	// MaxTTL is the longest time for which a record is kept.
 	MaxTTL = 2 * time.Minute
+	// VersionInterval is how often records of versions that upstreams still have are renewed.
+	VersionInterval = 10 * time.Second
+	// MaxStreamTTL is the longest time for which a stream may be taken up: shorter than the record
+	// of its version lasts, which may have been renewed VersionInterval before the version left.
+	MaxStreamTTL = MaxTTL - 2*VersionInterval
 	// sweepInterval is how often expired records are removed from a shard.
 	sweepInterval = 5 * time.Second
 	// maxVersions bounds the versions of software that are told apart.
 	maxVersions = 1 << 12
 )
 
-// entry is a record as it is kept.
-type entry struct {
-	until   int64 // seconds since the registry was made
-	version uint16
+// sighting is a version that began streams with a key.
+type sighting struct {
+	until   uint32 // until when they may be taken up, in seconds since the registry was made
+	version uint16 // 0: none
 }
 
-// ambiguous stands for streams of the same content that several versions began.
-const ambiguous = 0
+// entry is what is kept of a key: the two versions whose streams last longest, the one that
+// lasts longer first. More are not needed to tell that there are several.
+type entry [2]sighting
+
+// add adds a version to those of the key.
+func (e *entry) add(s sighting) {
+	switch {
+	case s.version == e[0].version:
+		e[0].until = max(e[0].until, s.until)
+	case s.version == e[1].version:
+		e[1].until = max(e[1].until, s.until)
+	case s.until > e[1].until:
+		e[1] = s
+	}
+	if e[1].until > e[0].until {
+		e[0], e[1] = e[1], e[0]
+	}
+}
 
 type shard struct {
 	mu      sync.Mutex
 	entries map[Key]entry
-	sweptAt int64
+	sweptAt uint32
 }
 
 // Registry holds records until they expire.
@@ -86,7 +141,7 @@
 	shards [shards]shard
 
 	mu       sync.RWMutex
-	names    []string // versions by number; 0 stands for ambiguous
+	names    []string // versions by number; 0 stands for none
 	versions map[string]uint16
 }
 
@@ -115,23 +170,27 @@
 		return
 	}
 	at := r.seconds(now)
-	until := at + int64(min(rec.TTL, MaxTTL)/time.Second) + 1
-	r.shardOf(rec.Attempt).put(rec.Attempt, entry{until, version}, at)
-	r.shardOf(rec.Content).merge(rec.Content, entry{until, version}, at)
+	seen := sighting{at + uint32(min(rec.TTL, MaxTTL)/time.Second) + 1, version}
+	for _, k := range []Key{rec.Attempt, rec.Content} {
+		r.shardOf(k).add(k, seen, at)
+	}
 }
 
-// Find returns the version that began the stream with a key; ok is false if it is not known.
-func (r *Registry) Find(k Key, now time.Time) (software string, ok bool) {
-	s := r.shardOf(k)
+// Find returns which version began the streams with a key, as far as it is known here.
+func (r *Registry) Find(k Key, now time.Time) Finding {
+	s, at := r.shardOf(k), r.seconds(now)
 	s.mu.Lock()
-	e, ok := s.entries[k]
+	e := s.entries[k]
 	s.mu.Unlock()
-	if !ok || e.version == ambiguous || e.until < r.seconds(now) {
-		return "", false
+	switch {
+	case e[0].version == 0 || e[0].until < at:
+		return Finding{}
+	case e[1].version != 0 && e[1].until >= at:
+		return Finding{Several: true}
 	}
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.names[e.version], true
+	return Finding{Software: r.names[e[0].version]}
 }
 
 // Len returns the number of streams that are kept.
@@ -146,7 +205,9 @@
 	return n / 2 // by attempt and by content
 }
 
-func (r *Registry) seconds(now time.Time) int64 { return int64(now.Sub(r.began) / time.Second) }
+func (r *Registry) seconds(now time.Time) uint32 {
+	return uint32(max(now.Sub(r.began), 0) / time.Second)
+}
 
 func (r *Registry) shardOf(k Key) *shard { return &r.shards[k%shards] }
 
@@ -169,43 +230,31 @@
 	return n, true
 }
 
-func (s *shard) put(k Key, e entry, now int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.makeRoomLocked(now)
-	s.entries[k] = e
-}
-
-// merge is put for a key that several streams share.
-func (s *shard) merge(k Key, e entry, now int64) {
+func (s *shard) add(k Key, seen sighting, now uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.makeRoomLocked(now)
-	if before, ok := s.entries[k]; ok && before.until >= now {
-		if before.version != e.version {
-			e.version = ambiguous
-		}
-		e.until = max(e.until, before.until)
-	}
+	e := s.entries[k]
+	e.add(seen)
 	s.entries[k] = e
 }
 
 // makeRoomLocked removes expired records from time to time and, if the shard is full, those
 // that end first.
-func (s *shard) makeRoomLocked(now int64) {
+func (s *shard) makeRoomLocked(now uint32) {
 	full := len(s.entries) >= maxPerShard
-	if now-s.sweptAt < int64(sweepInterval/time.Second) && !full {
+	if now-s.sweptAt < uint32(sweepInterval/time.Second) && !full {
 		return
 	}
 	s.sweptAt = now
 	for k, e := range s.entries {
-		if e.until < now {
+		if e[0].until < now {
 			delete(s.entries, k)
 		}
 	}
 	for limit := now + 1; full && len(s.entries) >= maxPerShard-evictionBatch; limit += 2 {
 		for k, e := range s.entries {
-			if e.until <= limit {
+			if e[0].until <= limit {
 				delete(s.entries, k)
 			}
 		}
--- a/node/origin/registry_test.go
+++ b/node/origin/registry_test.go
@@ -15,11 +15,9 @@
 func TestAStreamIsKnownToItsTeamAndServiceOnly(t *testing.T) {
 	r := NewRegistry(start)
 	r.Put(Record{Attempt: KeyOf("red", "s", "a"), Content: ContentKey("red", "s", "POST", "h", "/", nil), Software: "v1", TTL: time.Minute}, start)
-	software, ok := r.Find(KeyOf("red", "s", "a"), start)
-	assert.Assert(t, ok && software == "v1")
+	assert.Equal(t, r.Find(KeyOf("red", "s", "a"), start), Finding{Software: "v1"})
 	for _, other := range []Key{KeyOf("blue", "s", "a"), KeyOf("red", "t", "a"), KeyOf("red", "s", "b"), KeyOf("re", "ds", "a"), ContentKey("blue", "s", "POST", "h", "/", nil)} {
-		_, ok := r.Find(other, start)
-		assert.Assert(t, !ok)
+		assert.Equal(t, r.Find(other, start), Finding{})
 	}
 }
 
@@ -31,14 +29,11 @@
 	}
 	put("a", "v1")
 	put("b", "v1")
-	_, ok := r.Find(content, start)
-	assert.Assert(t, ok)
+	assert.Equal(t, r.Find(content, start), Finding{Software: "v1"})
 	put("c", "v2")
 	put("d", "v2")
-	_, ok = r.Find(content, start)
-	assert.Assert(t, !ok)
-	software, ok := r.Find(KeyOf("", "s", "a"), start)
-	assert.Assert(t, ok && software == "v1")
+	assert.Equal(t, r.Find(content, start), Finding{Several: true})
+	assert.Equal(t, r.Find(KeyOf("", "s", "a"), start), Finding{Software: "v1"})
 }
 
 // Guards against records that grow without bound, and against dropping those that last longest.
@@ -52,8 +47,7 @@
 		r.Put(Record{Attempt: Key(i), Content: Key(i), Software: "v1", TTL: ttl}, start)
 	}
 	assert.Assert(t, 2*r.Len() <= shards*maxPerShard)
-	_, ok := r.Find(Key(0), start)
-	assert.Assert(t, ok, "it lasts a minute")
+	assert.Assert(t, r.Find(Key(0), start).Known(), "it lasts a minute")
 }
 
 // Property: whatever is put, whatever is lost and however late it comes, a stream is never
@@ -79,8 +73,8 @@
 			}
 			for attempt, version := range began {
 				for _, h := range hosts {
-					if software, ok := h.Find(KeyOf("", "s", attempt), now); ok {
-						assert.Equal(t, software, version)
+					if f := h.Find(KeyOf("", "s", attempt), now); f != (Finding{}) {
+						assert.Equal(t, f, Finding{Software: version})
 					}
 				}
 			}
@@ -117,3 +111,49 @@
 		r.Put(Record{Attempt: KeyOf("team", "service", attempt), Content: ContentKey("team", "service", "POST", "host", attempt, body), Software: "v1", TTL: 20 * time.Second}, start.Add(time.Duration(i)*time.Millisecond))
 	}
 }
+
+// Guards against an attempt id that two streams of different versions have, of which the later
+// one is taken for both.
+func TestOneAttemptAtTwoVersionsIsNotKnown(t *testing.T) {
+	r, attempt := NewRegistry(start), KeyOf("", "s", "a")
+	for _, software := range []string{"v1", "v2"} {
+		r.Put(Record{Attempt: attempt, Content: 1, Software: software, TTL: time.Minute}, start)
+	}
+	assert.Equal(t, r.Find(attempt, start), Finding{Several: true})
+}
+
+// Guards against a version that counts for as long as another one goes on to be seen, and
+// against one that is forgotten while its streams may still be taken up.
+func TestEachVersionOfAKeyExpiresByItself(t *testing.T) {
+	r, key := NewRegistry(start), VersionKey("s")
+	r.Adopt(VersionRecord("s", "v1"), start)
+	for at := time.Duration(0); at <= 2*MaxTTL; at += VersionInterval {
+		now := start.Add(at)
+		r.Adopt(VersionRecord("s", "v2"), now)
+		want := Finding{Several: true}
+		if at > MaxTTL+time.Second {
+			want = Finding{Software: "v2"}
+		}
+		assert.Equal(t, r.Find(key, now), want, "after %v", at)
+	}
+}
+
+// Property: what is known of a key does not depend on who heard what, or in which order it is
+// put together, and it names a version only if no other one was ever heard of.
+func TestFindingsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []*Registry{NewRegistry(start), NewRegistry(start), NewRegistry(start)}
+		heard := map[string]bool{}
+		for range rapid.IntRange(0, 6).Draw(t, "records") {
+			software := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
+			hosts[rapid.IntRange(0, 2).Draw(t, "host")].Adopt(Record{Attempt: 1, Content: 2, Software: software, TTL: time.Minute}, start)
+			heard[software] = true
+		}
+		a, b, c := hosts[0].Find(2, start), hosts[1].Find(2, start), hosts[2].Find(2, start)
+		found := a.Merge(b).Merge(c)
+		assert.Equal(t, found, c.Merge(a.Merge(b)))
+		assert.Equal(t, found.Several, len(heard) > 1)
+		assert.Equal(t, found.Known(), len(heard) == 1)
+		assert.Assert(t, !found.Known() || heard[found.Software])
+	})
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -972,4 +972,16 @@
   'g.addLocked(Event{Answered: &d, At: now})' '' ./node/quarantine -run 'HadAnsweredWhatIsBarred'
 try "what another host had answered is barred for seconds" core/poison/ledger.go \
   'e.BarredUntil = began.Add(' '_ = began.Add(' ./core/poison -run 'AnotherHostsAnswer'
+try "a stream without a name goes on while there is one version only" node/coordinator/link/origins.go \
+  'case !history.Known():' 'case false:' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
+try "every keeper's word on a content counts" node/coordinator/link/origins.go \
+  'f, history = f.Merge(a.found[0]), history.Merge(a.found[1])' 'f, history = a.found[0], history.Merge(a.found[1])' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
+try "versions of before all hosts were lost are read" node/coordinator/link/origins.go \
+  'if !complete && !l.deps.LoadHistory(ctx) {' 'if false {' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
+try "the acting coordinator writes which versions there are" node/coordinator/link/versions.go \
+  'if l.own.Acting() {
+			l.sendVersion' 'if false {
+			l.sendVersion' ./platform -run 'AnotherCallersStream'
+try "an attempt of two versions is not known" node/origin/registry.go \
+  'case e[1].version != 0 && e[1].until >= at:' 'case false:' ./node/origin -run 'TwoVersions'
 exit $missed
