An error of an open connection does not say that the request did not run

Callers would see a request that may run once run three times, on a route of several attempts. The host took ECONNREFUSED, wherever it arose, as 'nothing listens there': not run, sent again. The kernel reports it of an open connection too, when a filter rejects what was sent, seconds later.

Now each conclusion of 'not run' after a failed exchange asks first whether a byte was written. Routes of one attempt answered 502 before, too.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -52,7 +52,7 @@
 	again := q.sentTo[e.ID()]
 	q.tried[e.ID()], q.sentTo[e.ID()] = true, true
 	q.sends++
-	q.lastUpstream, q.responseSince, q.statedSlowdown = e.ID(), time.Time{}, 0
+	q.lastUpstream, q.responseSince, q.statedSlowdown, q.exchangeErr = e.ID(), time.Time{}, 0, nil
 	fo := &failover{q: q, at: e, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
@@ -126,13 +126,14 @@
 	if !notRun {
 		q.possibleRuns++
 	}
+	q.exchangeErr = err
 	if q.ctx.Err() != nil {
 		a.Cancelled()
 		return result{notRun: notRun, why: "time_up"}
 	}
 	why := "broken"
 	switch {
-	case diverted:
+	case diverted && notRun:
 		q.sends--
 		delete(q.tried, a.Entry().ID())
 		a.Cancelled()
@@ -140,11 +141,11 @@
 	case failoverReason(ctx) != "":
 		a.Cancelled() // an unresponsive upstream was already recorded as such
 		return result{notRun: notRun, why: failoverReason(ctx), charged: failoverCharge(ctx)}
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case notRun && errors.Is(err, syscall.ECONNREFUSED): // of an open connection it says nothing: the kernel reports a filter's rejection of what was sent, too
 		q.sends--
 		a.NotListening()
 		return result{notRun: true, why: "absent", notListening: true}
-	case errors.Is(err, conn.ErrNoLongerWanted):
+	case notRun && errors.Is(err, conn.ErrNoLongerWanted):
 		a.Cancelled()
 		return result{notRun: true, why: "asked_meanwhile", withdrawn: true}
 	case errors.Is(err, conn.ErrForeignAnswer):
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -237,6 +237,7 @@
 	lastCharge       charge          // last charge of a retry
 	chargedAt        time.Time       // when the next attempt was charged as a retry; zero: it was not
 	sentAt           time.Time       // when the newest attempt was sent
+	exchangeErr      error           // of the newest attempt, if no response came
 	possibleRuns     int             // number of attempts that may have run
 	lostByUpstream   bool            // an upstream that may have run the request has lost it; set between attempts
 	triedHosts       []string        // hosts that the request was offered to
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -71,7 +71,8 @@
 	}
 	if q.ctx.Err() == nil && q.possibleRuns < max(q.route.Attempts, 1) && (q.mayRetry(res) || q.retryStarted(res)) {
 		q.g.deps.Log.Emit(event.RequestRetried, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.lastUpstream),
-			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun), q.lastCharge.field(), q.resumeBackoffField())
+			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun), q.sinceSend(), zap.NamedError("exchange_error", q.exchangeErr),
+			q.lastCharge.field(), q.resumeBackoffField())
 		q.g.deps.Metrics.Count(metrics.Retries, 1)
 		q.lostByUpstream = q.lostByUpstream || !res.notRun
 		return true
@@ -88,6 +89,14 @@
 	return false
 }
 
+// sinceSend is the log field for how long ago the newest attempt was sent to an upstream.
+func (q *request) sinceSend() zap.Field {
+	if q.sentAt.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64("after_ms", q.g.deps.Now().Sub(q.sentAt).Milliseconds())
+}
+
 // mayRetry reports whether another attempt is within bounds. An attempt at an
 // upstream that is not listening reached nothing, so it is not charged to the
 // retry budget.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -984,4 +984,6 @@
 			l.sendVersion' ./platform -run 'AnotherCallersStream'
 try "an attempt of two versions is not known" node/origin/registry.go \
   'case e[1].version != 0 && e[1].until >= at:' 'case false:' ./node/origin -run 'TwoVersions'
+try "an error of an open connection does not say that nothing listens" node/gate/attempt.go \
+  'case notRun && errors.Is(err, syscall.ECONNREFUSED):' 'case errors.Is(err, syscall.ECONNREFUSED):' ./platform -run 'ErrorAfterAByte'
 exit $missed
