A restarted host goes on with the ring of its former process

Callers saw a stream joined from two versions, and streams refused, after all hosts were lost and back.

A host reads the rows before it writes one, and goes on behind the newest of its former process. Ruled out: a version that no host had noted (the rows of before the kill told of it).

--- a/node/coordinator/streams/streams.go
+++ b/node/coordinator/streams/streams.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -60,10 +62,11 @@
 	deps      Deps
 	startedAt time.Time
 	next      int // number of the first record that is not written; used by Run alone
-	slot      int // place in the ring of the next row; used by Run alone
 
 	mu       sync.Mutex // held while rows are read
 	loadedAt time.Time
+	slot     int  // place in the ring of the next row
+	writing  bool // a row was written, so that slot is this process's own
 }
 
 // New returns a Keeper; Run writes.
@@ -87,7 +90,7 @@
 // has not expired: the store may have turned the host before it away. What arrives during a
 // write waits for the next interval, or each write would be followed by another.
 func (k *Keeper) write(ctx context.Context) {
-	for k.deps.Acting() {
+	for k.deps.Acting() && k.LoadHistory(ctx) { // rows of a former process must be known before any is overwritten
 		records, next := k.deps.Registry.Recent().Next(k.next, rowRecords, k.deps.Now())
 		if len(records) == 0 {
 			return
@@ -114,15 +117,42 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	key := fmt.Sprintf("%s%s-%d", table, k.deps.Host, k.slot)
+	slot := k.takeSlot()
+	key := fmt.Sprint(k.ringPrefix(), slot)
 	_, err = k.deps.Table.Commit(ctx, store.Txn{Op: uuid.NewString(), Writes: []store.Write{{Key: key, Value: value}}})
 	if err != nil {
 		return eris.Wrap(err, "write streams")
 	}
-	k.slot = (k.slot + 1) % ringSize
 	return nil
 }
 
+// ringPrefix is what the keys of this host's rows begin with; the place in the ring follows.
+func (k *Keeper) ringPrefix() string { return table + k.deps.Host + "-" }
+
+// takeSlot returns the place in the ring of the next row.
+func (k *Keeper) takeSlot() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	slot := k.slot
+	k.slot, k.writing = (slot+1)%ringSize, true
+	return slot
+}
+
+// continueRing makes this process's rows follow those of a former process of the host, which others
+// may still need. k.mu must be held.
+func (k *Keeper) continueRing(rows []store.Row) {
+	newest := int64(0)
+	for _, row := range rows {
+		place, own := strings.CutPrefix(row.Key, k.ringPrefix())
+		slot, err := strconv.Atoi(place)
+		var batch coordpb.OriginBatch
+		if !own || err != nil || k.writing || proto.Unmarshal(row.Value, &batch) != nil || batch.WrittenUnixMs <= newest {
+			continue
+		}
+		newest, k.slot = batch.WrittenUnixMs, (slot+1)%ringSize
+	}
+}
+
 // LoadHistory reads the rows into the registry, unless that was done before or everything that they
 // tell has expired since this host started. It reports whether this host knows what hosts
 // knew that ended before it started.
@@ -153,6 +183,7 @@
 		return false // the next request tries again
 	}
 	k.loadedAt = now
+	k.continueRing(rows)
 	records := 0
 	for _, row := range rows {
 		records += k.adopt(row, now)
--- a/node/coordinator/streams/streams_test.go
+++ b/node/coordinator/streams/streams_test.go
@@ -73,6 +73,28 @@
 	})
 }
 
+// Guards against a host that starts again, acts, and overwrites what its former process knew of
+// streams that may still be taken up.
+func TestARestartedHostKeepsTheRowsOfItsFormerProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, acting := standin.NewTable(), true
+		const processes, rows = 4, 3
+		for process := range processes {
+			k, known := newKeeper(table, "a", &acting)
+			for i := range rows {
+				known.Put(record(origin.Key(process*rows+i+1)), time.Now())
+				k.write(t.Context())
+				time.Sleep(writeInterval)
+			}
+		}
+		reader, read := newKeeper(table, "b", &acting)
+		reader.Load(t.Context())
+		for k := origin.Key(1); k <= processes*rows; k++ {
+			assert.Check(t, read.Find(k, time.Now()).Known(), "stream %d", k)
+		}
+	})
+}
+
 // Guards against a row of another release, or of somebody else, that ends the host.
 func TestARowThatCannotBeReadSaysNothing(t *testing.T) {
 	table, acting := standin.NewTable(), true
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -986,4 +986,6 @@
   'case e[1].version != 0 && e[1].until >= at:' 'case false:' ./node/origin -run 'TwoVersions'
 try "an error of an open connection does not say that nothing listens" node/gate/attempt.go \
   'case notRun && errors.Is(err, syscall.ECONNREFUSED):' 'case errors.Is(err, syscall.ECONNREFUSED):' ./platform -run 'ErrorAfterAByte'
+try "rows of a former process are not overwritten" node/coordinator/streams/streams.go \
+  'newest, k.slot = batch.WrittenUnixMs, (slot+1)%ringSize' '_ = slot' ./node/coordinator/streams -run 'RestartedHost'
 exit $missed
