A test of permits that wait keeps time by its own clock

Cause: a request that has no answer after 40 ms withdraws, and says so; with 300 at once under the race detector on a busy machine some wait that long. The test is wrong, not the client. It runs in a bubble with a clock of its own now, in which no time passes while anybody can run; what it asserts is unchanged.

--- a/node/coordinator/link/permitclient_test.go
+++ b/node/coordinator/link/permitclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -106,6 +107,10 @@
 // Guards against requests that wait for a queue that is gone: the coordinator ends while
 // hundreds wait there.
 func TestNobodyWaitsForAQueueThatIsGone(t *testing.T) {
+	synctest.Test(t, nobodyWaitsForAQueueThatIsGone) // no request gives up before its answer, however slow the machine
+}
+
+func nobodyWaitsForAQueueThatIsGone(t *testing.T) {
 	const requests = 300
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
