A host is asked what it knows of streams after it has read the store

Read in the whole change: a keeper was asked for a content and the versions first, and whether it knows the time before it started last. That last question makes it read the store, so that it vouched for answers that it had given before. A caller without a name could then get a stream joined, in the moment after all hosts started. The question comes first now. Two cases of TestAStreamIsKnownByItsContentOnlyWhileThereWasOneVersion; the second fails with the order of before, and its guard is caught. The reason several_versions is worded for named attempts, too.

--- a/node/coordinator/link/origins.go
+++ b/node/coordinator/link/origins.go
@@ -96,13 +96,13 @@
 func (l *Link) FindOriginByContent(ctx context.Context, service string, content origin.Key) (f origin.Finding, source string) {
 	versions := origin.VersionKey(service)
 	history, complete := l.listedVersions(service), false
-	answers := l.askKeepers(ctx, content, versions, origin.HistoryKey())
+	answers := l.askKeepers(ctx, origin.HistoryKey(), content, versions) // the first may make a host read the store
 	for _, a := range answers {
-		if a.found[0].Known() {
+		if a.found[1].Known() {
 			source = a.address
 		}
-		f, history = f.Merge(a.found[0]), history.Merge(a.found[1])
-		complete = complete || a.found[2].Known()
+		complete = complete || a.found[0].Known()
+		f, history = f.Merge(a.found[1]), history.Merge(a.found[2])
 	}
 	if !complete && !l.deps.LoadHistory(ctx) { // what hosts knew that were all lost
 		return origin.Finding{Several: true}, storeUnread
@@ -132,7 +132,7 @@
 	found   []origin.Finding
 }
 
-// askKeepers asks the hosts that keep records for keys, and returns the answers of those that
+// askKeepers asks the hosts that keep records for keys, in their order, and returns the answers of those that
 // answered. With one key, the first answer that tells something is enough.
 func (l *Link) askKeepers(ctx context.Context, keys ...origin.Key) (out []keeperAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, originFindTimeout)
--- a/node/coordinator/link/origins_test.go
+++ b/node/coordinator/link/origins_test.go
@@ -16,12 +16,24 @@
 
 // serveKeeper serves a host that keeps records, at an address, until stop is called.
 func serveKeeper(t *testing.T, address string) (kept *origin.Registry, at string, stop func()) {
+	t.Helper()
+	return serveKeeperThatReads(t, address, nil)
+}
+
+// serveKeeperThatReads is serveKeeper; read reads what the store knows into the host's registry.
+func serveKeeperThatReads(t *testing.T, address string, read func(*origin.Registry)) (kept *origin.Registry, at string, stop func()) {
 	t.Helper()
 	ln, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	kept = origin.NewRegistry(time.Now())
 	h := newTestHost("keeper", noTable{}, leasing.Policy{})
-	c := coordinator.New(coordinator.Config{}, coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Feed: h.feed, Log: event.NewLog(nil), Origins: kept})
+	c := coordinator.New(coordinator.Config{}, coordinator.Deps{Fleet: h.fleet, Config: h.config, Lease: h.lease, Feed: h.feed, Log: event.NewLog(nil), Origins: kept,
+		LoadHistory: func(context.Context) bool {
+			if read != nil {
+				read(kept)
+			}
+			return read != nil
+		}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.Serve(ctx, ln) }()
@@ -134,7 +146,8 @@
 		second  []origin.Record
 		own     []origin.Record
 		inStore []origin.Record
-		unread  bool // the store's rows cannot be read
+		unread  bool // the host that asks cannot read the store's rows
+		reads   bool // keepers read them when they are asked whether they have
 		silent  bool // no keeper answers
 		want    origin.Finding
 	}{
@@ -146,6 +159,8 @@
 		{name: "a version of before all hosts were lost", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, inStore: []origin.Record{origin.VersionRecord("s", "v0")}, want: several},
 		{name: "a version that is not known to be the only one", first: []origin.Record{stream(1, "v1")}, want: several},
 		{name: "the store away", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, unread: true, want: several},
+		{name: "the store read by a keeper", first: []origin.Record{stream(1, "v1")}, inStore: []origin.Record{origin.VersionRecord("s", "v1")}, unread: true, reads: true, want: origin.Finding{Software: "v1"}},
+		{name: "a former version read by a keeper", first: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, inStore: []origin.Record{origin.VersionRecord("s", "v0")}, unread: true, reads: true, want: several},
 		{name: "no keeper answers", own: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, silent: true, want: several},
 		{name: "a content that never was", first: []origin.Record{origin.VersionRecord("s", "v1")}, want: none},
 		{name: "only in the store", inStore: []origin.Record{stream(1, "v1"), origin.VersionRecord("s", "v1")}, want: origin.Finding{Software: "v1"}},
@@ -154,7 +169,11 @@
 			l := newHolder(0, 0, 0).newLink(Config{Address: "self"})
 			l.conns = newDialingConns()
 			for _, records := range [][]origin.Record{c.first, c.second} {
-				kept, address, stop := serveKeeper(t, "127.0.0.1:0")
+				var read func(*origin.Registry)
+				if c.reads {
+					read = func(r *origin.Registry) { putAll(r, c.inStore) }
+				}
+				kept, address, stop := serveKeeperThatReads(t, "127.0.0.1:0", read)
 				l.deputies = append(l.deputies, address)
 				putAll(kept, records)
 				if c.silent {
@@ -164,7 +183,12 @@
 				}
 			}
 			putAll(l.origins.registry, c.own)
-			l.deps.LoadHistory = func(context.Context) bool { putAll(l.origins.registry, c.inStore); return !c.unread }
+			l.deps.LoadHistory = func(context.Context) bool {
+				if !c.unread {
+					putAll(l.origins.registry, c.inStore)
+				}
+				return !c.unread
+			}
 			f, _ := l.FindOriginByContent(t.Context(), "s", content)
 			assert.Equal(t, f, c.want)
 		})
--- a/node/gate/software.go
+++ b/node/gate/software.go
@@ -24,7 +24,7 @@
 	whyOtherSoftware  = "other_version"    // the answer is of another version than the stream
 	whyVersionGone    = "version_gone"     // no upstream of the stream's version is left
 	whyStreamUnknown  = "stream_unknown"   // nobody knows which version began the stream
-	whySeveral        = "several_versions" // the caller names no attempt, and several versions may have begun the stream
+	whySeveral        = "several_versions" // several versions may have begun the stream
 	whyInvalidResumes = "invalid_resumes"
 )
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -975,7 +975,7 @@
 try "a stream without a name goes on while there is one version only" node/coordinator/link/origins.go \
   'case !history.Known():' 'case false:' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
 try "every keeper's word on a content counts" node/coordinator/link/origins.go \
-  'f, history = f.Merge(a.found[0]), history.Merge(a.found[1])' 'f, history = a.found[0], history.Merge(a.found[1])' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
+  'f, history = f.Merge(a.found[1]), history.Merge(a.found[2])' 'f, history = a.found[1], history.Merge(a.found[2])' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
 try "versions of before all hosts were lost are read" node/coordinator/link/origins.go \
   'if !complete && !l.deps.LoadHistory(ctx) {' 'if false {' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
 try "the acting coordinator writes which versions there are" node/coordinator/link/versions.go \
@@ -988,4 +988,9 @@
   'case notRun && errors.Is(err, syscall.ECONNREFUSED):' 'case errors.Is(err, syscall.ECONNREFUSED):' ./platform -run 'ErrorAfterAByte'
 try "rows of a former process are not overwritten" node/coordinator/streams/streams.go \
   'newest, k.slot = batch.WrittenUnixMs, (slot+1)%ringSize' '_ = slot' ./node/coordinator/streams -run 'RestartedHost'
+try "a host is asked what it knows after it has read the store" node/coordinator/link/origins.go \
+  'origin.HistoryKey(), content, versions)' 'origin.Key(0), content, versions, origin.HistoryKey())
+	for i := range answers {
+		answers[i].found[0] = answers[i].found[3]
+	}' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
 exit $missed
