--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -232,12 +232,22 @@
 		return
 	}
 	for _, e := range added {
+		f.logSharedAddress(e)
 		u, _ := e.Description()
 		f.deps.Log.Emit(event.UpstreamListed, zap.String(event.FieldPeer, u.ID), zap.String("service", u.Service),
 			zap.String("address", u.Address), zap.Int64("born_ms", u.Born), zap.Int("residents", len(u.Residents)))
 	}
 }
 
+// logSharedAddress logs which upstreams in use are listed at the address of a new one.
+func (f *Fleet) logSharedAddress(added *Entry) {
+	for _, e := range f.index.Load().byID {
+		if e != added && e.address == added.address && e.Usable() {
+			f.deps.Log.Emit(event.UpstreamAddressShared, zap.String(event.FieldPeer, added.id), zap.String("other", e.id), zap.String("address", e.address))
+		}
+	}
+}
+
 func (f *Fleet) putLocked(next *nextIndex, u deploy.Upstream, now time.Time) {
 	e, known := next.byID[u.ID]
 	if known {
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -52,7 +52,7 @@
 	again := q.sentTo[e.ID()]
 	q.tried[e.ID()], q.sentTo[e.ID()] = true, true
 	q.sends++
-	q.lastUpstream, q.responseSince, q.statedSlowdown, q.exchangeErr = e.ID(), time.Time{}, 0, nil
+	q.lastUpstream, q.responseSince, q.statedSlowdown, q.exchangeErr, q.lastRefusal = e.ID(), time.Time{}, 0, nil, refusal{}
 	fo := &failover{q: q, at: e, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	if q.mayRunAgain() && q.sends < q.route.Attempts {
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -173,7 +173,7 @@
 	defer cancel(nil)
 	q.triedHosts = append(q.triedHosts, address)
 	defer q.g.hopHosts.begin(address)()
-	q.lastUpstream, q.responseSince = address, time.Time{}
+	q.lastUpstream, q.responseSince, q.lastRefusal = address, time.Time{}, refusal{}
 	fo := &failover{q: q, ctx: ctx, cancel: cancel}
 	defer fo.close()
 	x := &hopExchange{}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -256,6 +256,7 @@
 	unresumable      bool            // no other response can continue what the caller has: it is no stream of events, or its last event has no id
 	lastEventID      string          // id of the last complete event that the caller has
 	lastUpstream     string          // upstream of the newest attempt
+	lastRefusal      refusal         // of the newest attempt
 	statedSlowdown   float64         // that lastUpstream stated on its answer; 0: none
 	adapterRequests  int
 	resumeBackoff    time.Duration  // last delay before another attempt to resume a started response
--- a/node/gate/log_test.go
+++ b/node/gate/log_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"peridotpier.example/core/deploy"
 	"peridotpier.example/node/event"
 )
 
@@ -130,3 +131,21 @@
 	assert.Equal(t, fields["ended"], "stopping")
 	assert.Equal(t, fields["started"], false)
 }
+
+// Guards against a refusal of which nobody can tell whose it is: two upstreams may be listed at
+// one address, and only the connection tells what was sent there before.
+func TestARefusalIsLoggedWithItsAddressAndConnection(t *testing.T) {
+	upstream := startScriptedUpstream(t, textAnswer(http.StatusMisdirectedRequest, "Names: a1\r\nNot-Run: 1\r\nFrom: other\r\n", ""))
+	g, _ := newGate(&noModelCoordinator{}, upstream)
+	core, lines := observer.New(zap.DebugLevel)
+	g.deps.Log, g.deps.Codec = event.NewLog(zap.New(core)), namedCodec{}
+	changeRoute(g, func(r *deploy.Route) { r.Kind = deploy.NonIdempotent })
+	sendTo(t, g)
+	for _, line := range lines.FilterMessage(event.RequestRefused.Name).All() {
+		refusal, ok := line.ContextMap()["refusal"].(map[string]any)
+		assert.Assert(t, ok, "%v", line.ContextMap())
+		assert.DeepEqual(t, refusal, map[string]any{"address": upstream, "names": "other", "exchange": 1, "idle_ms": int64(0)})
+		return
+	}
+	t.Fatal("no refusal was logged")
+}
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -83,7 +83,7 @@
 	h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	fields := []zap.Field{q.id(), q.routeName(), q.teamName(), zap.String("why", why), zap.Int64("retry_after_ms", after.Milliseconds()),
 		zap.Int64("held_ms", d.Now().Sub(q.start).Milliseconds()), zap.Int64("age_ms", q.age.Milliseconds()), zap.Int("sends", q.sends), zap.Uint64("version", q.configVersion),
-		q.modelName(), q.endCause(), q.retryBlockedField(), q.lastCharge.field(), q.entryHost()}
+		q.modelName(), q.endCause(), q.retryBlockedField(), q.refusalField(), q.lastCharge.field(), q.entryHost()}
 	d.Log.Emit(event.RequestRefused, append(fields, more...)...)
 	d.Metrics.Count(metrics.NotRun, 1)
 	q.markHop(q.refusalResult(why))
--- a/node/gate/refused.go
+++ b/node/gate/refused.go
@@ -5,15 +5,43 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"peridotpier.example/core/backpressure"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/upstream/conn"
 )
 
+// refusal describes an upstream's refusal, for logs.
+type refusal struct {
+	address string // at which the upstream was asked; "": none refused the newest attempt
+	names   string // upstream that the refusal names; "": none
+	use     conn.ConnUse
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r refusal) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("address", r.address)
+	enc.AddString("names", r.names)
+	enc.AddInt("exchange", r.use.Exchanges)
+	enc.AddInt64("idle_ms", r.use.Idle.Milliseconds())
+	return nil
+}
+
+// refusalField is the log field for the refusal of the newest attempt.
+func (q *request) refusalField() zap.Field {
+	if q.lastRefusal.address == "" {
+		return zap.Skip()
+	}
+	return zap.Object("refusal", q.lastRefusal)
+}
+
 // refused ends an attempt that the upstream reported as not run.
 func (q *request) refused(e *fleet.Entry, a *fleet.Attempt, resp *conn.Response, info ResponseInfo) result {
 	a.Refused()
+	q.lastRefusal = refusal{address: e.Address(), names: info.Upstream, use: resp.Use()}
 	after := retryAfter(resp.Header)
 	resp.Discard(maxRefusalBytes, refusalBodyWait)
 	q.g.deps.Metrics.Add(metrics.Refused, q.service.Name, e.ID(), 1)
--- a/node/gate/run.go
+++ b/node/gate/run.go
@@ -72,7 +72,7 @@
 	if q.ctx.Err() == nil && q.possibleRuns < max(q.route.Attempts, 1) && (q.mayRetry(res) || q.retryStarted(res)) {
 		q.g.deps.Log.Emit(event.RequestRetried, q.id(), zap.String("why", res.why), zap.String(event.FieldPeer, q.lastUpstream),
 			zap.Int("sends", q.sends), zap.Bool("not_run", res.notRun), q.sinceSend(), zap.NamedError("exchange_error", q.exchangeErr),
-			q.lastCharge.field(), q.resumeBackoffField())
+			q.refusalField(), q.lastCharge.field(), q.resumeBackoffField())
 		q.g.deps.Metrics.Count(metrics.Retries, 1)
 		q.lostByUpstream = q.lostByUpstream || !res.notRun
 		return true
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -340,6 +340,9 @@
 // Reused reports whether the exchange used a pooled connection.
 func (r *Response) Reused() bool { return r.conn.reused }
 
+// Use returns how the connection had been used when the exchange began.
+func (r *Response) Use() ConnUse { return r.conn.use() }
+
 // ConnUse is how a connection had been used when an exchange began on it.
 type ConnUse struct {
 	Exchanges int           // exchanges on it, with this one
