An address gets a request over a kept connection once

Cause: an answer names its request, not the send that it answers. What a request had been sent to was kept by upstream id, connections are kept by address. An upstream that comes back is listed under two ids at one address for seconds, so that a request refused for the former one went over the same connection for the present one; a second copy of its refusal passed for its answer.

Why this works: the client remembers by address what it has sent, for as long as any connection that it reuses; a repeat gets a new connection, on which no answer to an earlier send can be on its way.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -49,8 +49,7 @@
 		}
 		defer func() { p.permit.end(a.MayStillRun(), a.IsComplete()) }()
 	}
-	again := q.sentTo[e.ID()]
-	q.tried[e.ID()], q.sentTo[e.ID()] = true, true
+	q.tried[e.ID()] = true
 	q.sends++
 	q.lastUpstream, q.responseSince, q.statedSlowdown, q.exchangeErr, q.lastRefusal = e.ID(), time.Time{}, 0, nil, refusal{}
 	fo := &failover{q: q, at: e, ctx: ctx, cancel: cancel}
@@ -71,7 +70,7 @@
 	q.countDataCentre(e)
 	q.beginSend(cancel)
 	defer q.endHold()
-	resp, err := d.Client.Do(ctx, q.outgoing(e, now, again))
+	resp, err := d.Client.Do(ctx, q.outgoing(e, now))
 	if err != nil {
 		fo.close() // its search reads what noResponse changes
 		res := q.noResponse(ctx, a, err)
@@ -89,11 +88,8 @@
 const hedgeFactor = 2
 
 // outgoing builds the request of an attempt. It forwards what the caller sent,
-// except for hop-by-hop headers and the headers that this host sets. again says that the
-// upstream was sent the request before: then it goes over a new connection, since on the
-// former one a late answer to the earlier attempt would name the request too. So does a
-// request that another host sent before: it may have come through this host then.
-func (q *request) outgoing(e *fleet.Entry, now time.Time, again bool) *conn.Request {
+// except for hop-by-hop headers and the headers that this host sets.
+func (q *request) outgoing(e *fleet.Entry, now time.Time) *conn.Request {
 	h := q.r.Header.Clone()
 	stripHopByHop(h)
 	stripHop(h)
@@ -103,10 +99,9 @@
 		s.HasUrgency = true
 	}
 	q.g.deps.Codec.SetAttempt(h, s)
-	return &conn.Request{Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
-		NewConnection: again || q.hop != nil && q.hop.sends > 0,
-		StillWanted:   func() bool { return q.stillWanted(e) },
-		Owner:         q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
+	return &conn.Request{ID: q.info.AttemptID, Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		StillWanted: func() bool { return q.stillWanted(e) },
+		Owner:       q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
 }
 
 // stillWanted reports whether an attempt whose connection is open should be sent. From
--- a/node/gate/attribution_property_test.go
+++ b/node/gate/attribution_property_test.go
@@ -45,9 +45,11 @@
 	cut     int // bytes; negative: all
 }
 
-// attributionPlay is one upstream whose answers come as drawn.
+// attributionPlay is one upstream, listed under several ids and at several addresses, whose
+// answers come as drawn.
 type attributionPlay struct {
 	arrivals []arrival
+	listed   []string // addresses of its ids
 	mu       sync.Mutex
 	arrived  int
 	runs     map[string]int
@@ -70,11 +72,13 @@
 }
 
 // Guards against a request that runs twice, is refused and runs, is given another's answer or
-// outlives its time, whatever its upstream writes beside the own answer.
+// outlives its time, whatever its upstream writes beside the own answer and however often it is
+// listed.
 func TestRequestsHoldTheirPromisesWhateverComesBesideTheirAnswers(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		p := &attributionPlay{runs: map[string]int{}, arrivals: rapid.SliceOfN(rapid.Custom(drawArrival), 4, 12).Draw(rt, "arrivals")}
 		requests := rapid.IntRange(1, 16).Draw(rt, "requests")
+		p.listed = rapid.SliceOfN(rapid.SampledFrom([]string{"u", "v"}), 1, 4).Draw(rt, "listed")
 		synctest.Test(t, func(t *testing.T) { p.run(requests) })
 		if p.fault != "" {
 			rt.Fatal(p.fault)
@@ -84,7 +88,10 @@
 
 // run sends requests one after the other and checks what is said of each.
 func (p *attributionPlay) run(requests int) {
-	g, _ := newGate(&pausingCoordinator{}, "u")
+	g, f := newGate(&pausingCoordinator{}, p.listed[0])
+	for i, address := range p.listed[1:] {
+		f.Apply([]deploy.Upstream{{ID: fmt.Sprint("u", i), Service: "s", Address: address, Slots: 4, Software: "v1"}}, nil, 0)
+	}
 	g.deps.Codec, g.deps.Client = playedCodec{}, conn.New(conn.Config{Dialer: p})
 	changeRoute(g, func(r *deploy.Route) { r.Kind, r.Attempts, r.Timeout = deploy.NonIdempotent, 3, playTimeout })
 	told := map[string]int{}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -164,7 +164,7 @@
 
 // newRequest returns the state of a request that a caller sent, or another host forwarded.
 func (g *Gate) newRequest(w http.ResponseWriter, r *http.Request, h *hop) *request {
-	q := &request{g: g, w: w, r: r, start: g.deps.Now(), tried: map[string]bool{}, sentTo: map[string]bool{}, info: g.deps.Codec.DecodeRequest(r.Header), hop: h}
+	q := &request{g: g, w: w, r: r, start: g.deps.Now(), tried: map[string]bool{}, info: g.deps.Codec.DecodeRequest(r.Header), hop: h}
 	if h != nil {
 		q.sends, q.writes = h.sends, h.sends
 		q.chargedAt = q.start // by the host that forwards it
@@ -231,7 +231,6 @@
 	cost          fleet.Cost
 
 	tried            map[string]bool // upstreams that had an attempt and are not to have another now
-	sentTo           map[string]bool // upstreams that may have been sent the request
 	sends            int             // number of attempts handed to an upstream
 	writes           int             // number of attempts that were written to an upstream's connection, or may have been by another host
 	lastCharge       charge          // last charge of a retry
--- a/node/upstream/conn/attribution_property_test.go
+++ b/node/upstream/conn/attribution_property_test.go
@@ -125,27 +125,24 @@
 // run sends the requests one after the other.
 func (p *play) run(t *testing.T) {
 	c := conn.New(conn.Config{Dialer: tcpLike{&pipes{serve: p.serve}}})
-	used := map[string]bool{}
 	for n, r := range p.requests {
 		ctx, cancel := context.WithTimeout(t.Context(), playDeadline)
 		began := time.Now()
-		p.send(ctx, c, n, r, used[r.id])
+		p.send(ctx, c, n, r)
 		if took := time.Since(began); took > playDeadline+playSlack {
 			p.fail("request %d took %v", n, took)
 		}
 		cancel()
-		used[r.id] = true
 		time.Sleep(5 * time.Millisecond) // what comes behind an answer may arrive before the next request
 	}
 	c.Close()
 	time.Sleep(playEnd)
 }
 
-// send sends one request and checks what is said of it. again says that it was sent before,
-// so that a connection of its own is due.
-func (p *play) send(ctx context.Context, c *conn.Client, n int, r playedRequest, again bool) {
+// send sends one request and checks what is said of it.
+func (p *play) send(ctx context.Context, c *conn.Client, n int, r playedRequest) {
 	foreign := 0
-	resp, err := c.Do(ctx, &conn.Request{Address: "u", Method: r.method, Path: "/", Body: make([]byte, r.body), NewConnection: again,
+	resp, err := c.Do(ctx, &conn.Request{ID: r.id, Address: "u", Method: r.method, Path: "/", Body: make([]byte, r.body),
 		Header: http.Header{"Id": {r.id}, "Attempt": {strconv.Itoa(n)}},
 		Owner: func(h http.Header) conn.Owner {
 			switch h.Get("Id") {
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -58,9 +58,13 @@
 	return &Client{cfg: cfg, pools: map[string]*pool{}}
 }
 
-// Request is one request to an upstream. Body is sent with its length; Stream,
+// Request is one send of a request to an upstream. Body is sent with its length; Stream,
 // when not nil, is sent instead, with chunked encoding when StreamLength is negative.
 type Request struct {
+	// ID is the name by which answers name the request, the same for all its sends. Sent to
+	// an address again, it gets a new connection, on which no answer to an earlier send can
+	// come. "": its answers do not name it.
+	ID            string
 	Address       string
 	Method        string
 	Path          string
@@ -250,7 +254,7 @@
 
 func (c *Client) connect(ctx context.Context, r *Request) (*persistConn, error) {
 	p := c.pool(r.Address)
-	if !r.NewConnection {
+	if again := p.recordSend(r.ID, time.Now()); !again && !r.NewConnection {
 		if l := p.takeIdle(time.Now(), c.cfg.MaxIdleTime); l != nil {
 			l.written, l.read, l.reused = 0, 0, true
 			l.exchanges++
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -38,14 +38,15 @@
 	reused        bool   // the current exchange is not the first
 	exchanges     int    // number of the current exchange; the first is 1
 	foreign       bool   // an answer came that is not proven to be that of its exchange
-	sentHead      bool   // a HEAD request was sent: whether an answer has a body depends on whose it is
+	dialled       time.Time
+	sentHead      bool // a HEAD request was sent: whether an answer has a body depends on whose it is
 	idleSince     time.Time
 	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
 	idleBefore    time.Duration // how long it was idle before the current exchange
 }
 
 func newPersistConn(nc net.Conn, p *pool, gen uint64) *persistConn {
-	l := &persistConn{nc: nc, pool: p, gen: gen, headRemaining: -1, exchanges: 1}
+	l := &persistConn{nc: nc, pool: p, gen: gen, dialled: time.Now(), headRemaining: -1, exchanges: 1}
 	l.br = bufio.NewReaderSize(l, readBufferSize)
 	return l
 }
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -12,9 +12,17 @@
 	address        string
 	mu             sync.Mutex
 	idle           []*persistConn // most recently used last
-	gen            uint64         // connections of an older generation are not reused
-	checkScheduled bool           // a timer will close connections that cannot be reused
-	observedBound  time.Duration  // bound on the idle time, derived from connections that the upstream dropped; 0 if none
+	sent           sentRequests
+	gen            uint64        // connections of an older generation are not reused
+	checkScheduled bool          // a timer will close connections that cannot be reused
+	observedBound  time.Duration // bound on the idle time, derived from connections that the upstream dropped; 0 if none
+}
+
+// recordSend records a send of a request and reports whether it was sent before.
+func (p *pool) recordSend(id string, now time.Time) (again bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent.add(id, now)
 }
 
 // takeIdle returns the most recently used connection that may still be reused, or
@@ -26,7 +34,7 @@
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		l.idleBefore = now.Sub(l.idleSince)
-		if l.idleBefore <= p.idleBound(l, maxIdle) && isClean(l.nc) {
+		if p.sent.cover(l.dialled) && l.idleBefore <= p.idleBound(l, maxIdle) && isClean(l.nc) {
 			return l
 		}
 		_ = l.nc.Close()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -149,18 +149,20 @@
   '&& l.exchanges == 1 && !l.foreign' '&& l.exchanges == 1' ./node/upstream/conn -run 'WhateverComes'
 try "no connection is kept after another's answer" node/upstream/conn/client.go \
   'close: resp.Close || l.foreign' 'close: resp.Close' ./node/upstream/conn -run 'WhateverComes'
-try "a connection of its own for a request that the upstream had" node/gate/attempt.go \
-  'NewConnection: again ||' 'NewConnection: again && false ||' ./node/gate -run 'AConnectionCarries'
-try "a connection of its own where it is asked for" node/upstream/conn/client.go \
-  'if !r.NewConnection {' 'if true {' ./node/upstream/conn -run 'WhateverComes'
+try "a connection of its own for a request that the address had" node/upstream/conn/client.go \
+  '!again && !r.NewConnection' '!r.NewConnection || again' ./node/upstream/conn ./node/gate -run 'WhateverComes|AConnectionCarries'
+try "a connection is used as long as its sends are remembered" node/upstream/conn/pool.go \
+  'p.sent.cover(l.dialled) && ' '' ./node/upstream/conn -run 'HoweverLongAgo'
+try "sends of a minute ago are remembered" node/upstream/conn/sent.go \
+  'return inRecent || inFormer' 'return inRecent || inFormer && false' ./node/upstream/conn -run 'HoweverLongAgo'
+try "requests name themselves to the client" node/gate/attempt.go \
+  '&conn.Request{ID: q.info.AttemptID, Address' '&conn.Request{Address' ./node/gate -run 'WhateverComesBeside|AConnectionCarries'
 try "not run is no word of a success" platform/headers.go \
   '!= "" && status >= http.StatusBadRequest' '!= ""' ./platform -run 'OnlyAFailure'
 try "a head of two answers" node/upstream/conn/conn.go \
   '&& isSpliced(resp) {' '&& false && isSpliced(resp) {' ./node/upstream/conn -run 'TwoAnswers'
 try "a status line in a header of a new connection's answer" node/upstream/conn/conn.go \
   'if l.mayHoldAnotherAnswer(r) && isSpliced' 'if isSpliced' ./node/upstream/conn -run 'InAHeader'
-try "an upstream that had the request stays known" node/gate/attempt.go \
-  'again := q.sentTo[' 'again := q.tried[' ./node/gate -run 'AConnectionCarries'
 try "attempts on open connections that work" node/reach/monitor.go \
   'if !openWork {' 'if true {' ./node/reach -run 'AttemptsOnOpen'
 try "the answer to an order is not a report" platform/upstream.go \
