An upstream at whose address another process refuses is excluded for a while

Cause: such a 421 was recorded as a model that is not resident, which calls without a model do not look at; the former ids were tried on.

Fix: it is excluded like an upstream at whose address nothing listens, with the same trials.

--- a/node/event/upstream.go
+++ b/node/event/upstream.go
@@ -6,7 +6,7 @@
 var (
 	UpstreamListed        = Event{1902, "upstream_seen", zapcore.InfoLevel, "The platform lists an upstream that this host did not know."}
 	UpstreamsListed       = Event{1909, "upstreams_seen", zapcore.InfoLevel, "The platform lists count upstreams that this host did not know, too many for a line each."}
-	UpstreamExcluded      = Event{1903, "upstream_resting", zapcore.WarnLevel, "An upstream gets no requests for a moment; why says what its answers showed (silent, failures, or how an exchange broke). After that single requests try it."}
+	UpstreamExcluded      = Event{1903, "upstream_resting", zapcore.WarnLevel, "An upstream gets no requests for a moment; why says what its answers showed (silent, failures, misdirected: a process at its address that does not say who it is refuses its requests, or how an exchange broke). After that single requests try it."}
 	UpstreamMassRemoval   = Event{1904, "upstream_lapsed", zapcore.WarnLevel, "Entries of several upstreams vanished together, as after a store outage; they are used a little longer, in case they come back."}
 	UpstreamTerminated    = Event{1906, "upstream_ended", zapcore.WarnLevel, "An upstream's process ended while requests of this host were under way there: its address refuses connections. under_way are the digests of what they were, parts those of the parts of their prompts that other requests may share; one that stands in many such lines ends upstreams."}
 	UpstreamLimitChanged  = Event{1907, "upstream_limited", zapcore.InfoLevel, "An upstream names another limit than before for all hosts together, in requests a second; per_second below 0: none any more. source says who heard it."}
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -404,6 +404,16 @@
 	e.drainLocked("another process at its address")
 }
 
+// ExcludeMisdirected excludes the upstream for a while, since a process at its address answers
+// that requests for it are not its own, and does not say who it is.
+func (e *Entry) ExcludeMisdirected() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.excludeLocked(e.fleet.deps.Now()) {
+		e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "misdirected"))
+	}
+}
+
 // IsGone reports whether the process is known to have ended, since another one has its ID
 // or its address. What was sent to it runs no longer.
 func (e *Entry) IsGone() bool {
--- a/node/gate/refused.go
+++ b/node/gate/refused.go
@@ -46,15 +46,25 @@
 	resp.Discard(maxRefusalBytes, refusalBodyWait)
 	q.g.deps.Metrics.Add(metrics.Refused, q.service.Name, e.ID(), 1)
 	if resp.Status == http.StatusMisdirectedRequest {
-		if info.Upstream != "" && info.Upstream != e.ID() {
-			e.MarkReplaced()
-		} else {
-			e.MarkNotResident(q.needs.Model, q.needs.Adapter)
-		}
+		q.recordMisdirected(e, info.Upstream)
 	}
 	return result{notRun: true, why: "refused_" + strconv.Itoa(resp.Status), retryAfter: after}
 }
 
+// recordMisdirected records a refusal that says that the process is not the one that the
+// request is meant for, or does not have its model. A process that does not name itself may
+// be either; without a model it is another one, for as long as it says so.
+func (q *request) recordMisdirected(e *fleet.Entry, names string) {
+	switch {
+	case names != "" && names != e.ID():
+		e.MarkReplaced()
+	case q.needs.Model != "":
+		e.MarkNotResident(q.needs.Model, q.needs.Adapter)
+	case names == "":
+		e.ExcludeMisdirected()
+	}
+}
+
 // Bounds of what is read of a refusal in order to keep its connection. Its head says all, so
 // that the request waits for the rest no longer than for a packet that follows.
 const (
