A host's answer to a forwarded request names the request

Callers would see: a request refused though it runs, if the word of a helping host on another request is read in its place.

Not seen: hosts write one answer to a request.

Before: TestAHostsWordOnAnotherRequestIsNotBelieved, 503 for 200. After: the answer bears the attempt's id and is compared before anything is read; a host of the release before, which names none, is believed as it was.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -101,7 +101,7 @@
 	q.g.deps.Codec.SetAttempt(h, s)
 	return &conn.Request{ID: q.info.AttemptID, Address: e.Address(), Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
 		StillWanted: func() bool { return q.stillWanted(e) },
-		Owner:       q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e, a) }}
+		Owner:       q.ownerOf, OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(e.ID(), q.g.deps.Codec.AnsweredAttempt(a.Header), a) }}
 }
 
 // stillWanted reports whether an attempt whose connection is open should be sent. From
--- a/node/gate/attribution.go
+++ b/node/gate/attribution.go
@@ -40,11 +40,12 @@
 	return info
 }
 
-// recordForeign records a response that is not proven to be that to the request.
-func (q *request) recordForeign(e *fleet.Entry, a conn.ForeignAnswer) {
+// recordForeign records a response of a peer, an upstream or another host, that is not proven
+// to be that to the request; answers is the attempt that it names.
+func (q *request) recordForeign(peer, answers string, a conn.ForeignAnswer) {
 	d := &q.g.deps
-	d.Metrics.Add(metrics.AnswersUnproven, q.service.Name, e.ID(), 1)
+	d.Metrics.Add(metrics.AnswersUnproven, q.service.Name, peer, 1)
 	d.Metrics.CountKind(metrics.AnswersUnprovenKinds, fmt.Sprintf("%dxx %v", a.Status/100, a.Owner), 1)
-	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, e.ID()), zap.String("answers", d.Codec.AnsweredAttempt(a.Header)),
+	d.Log.Emit(event.AnswerUnproven, q.id(), q.routeName(), zap.String(event.FieldPeer, peer), zap.String("answers", answers),
 		zap.Int("status", a.Status), zap.Int("exchange", a.Use.Exchanges), zap.Int64("idle_ms", a.Use.Idle.Milliseconds()))
 }
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -248,7 +248,9 @@
 	stripHopByHop(h)
 	q.g.deps.Codec.SetForwarded(h, hopTimeLeft(q.deadline.Sub(now)), q.lastEventID)
 	q.setHop(h)
-	return &conn.Request{Address: address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body, StillWanted: connected}
+	return &conn.Request{ID: q.info.AttemptID, Address: address, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Header: h, Body: q.body,
+		StillWanted: connected, Owner: q.hopOwner,
+		OnForeign: func(a conn.ForeignAnswer) { q.recordForeign(address, a.Header.Get(hopRequest), a) }}
 }
 
 // hopFailed ends a hop that failed before the head of an answer arrived. Once a byte was
--- a/node/gate/hop.go
+++ b/node/gate/hop.go
@@ -10,6 +10,7 @@
 	"peridotpier.example/core/balance"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
+	"peridotpier.example/node/upstream/conn"
 )
 
 // Headers of a request that one host forwards to another, and of the answer to it.
@@ -21,11 +22,12 @@
 	hopCharged = "Peridotpier-Hop-Charged" // "1": the forwarding host has charged the team's limit
 	hopBegan   = "Peridotpier-Hop-Began"   // request: version of the software that began the stream; answer: version that wrote it
 	hopOutcome = "Peridotpier-Hop-Outcome" // what the answer is, see the outcomes
+	hopRequest = "Peridotpier-Hop-Request" // answer: the caller's id of the attempt that it is for
 
 	hopYes = "1"
 )
 
-var hopHeaders = []string{hopFrom, hopVersion, hopSends, hopCharged, hopBegan, hopOutcome}
+var hopHeaders = []string{hopFrom, hopVersion, hopSends, hopCharged, hopBegan, hopOutcome, hopRequest}
 
 // hopResult says what the answer of a host is to which a request was forwarded.
 type hopResult string
@@ -101,12 +103,26 @@
 	}
 	h := q.w.Header()
 	h.Set(hopOutcome, string(r))
+	h.Set(hopRequest, q.info.AttemptID)
 	h.Set(hopSends, strconv.Itoa(max(q.sends-q.hop.sends, 0)))
 	if began := q.began.get(); r == hopAnswered && began != "" {
 		h.Set(hopBegan, began)
 	}
 }
 
+// hopOwner tells whose answer the answer of a host is.
+func (q *request) hopOwner(h http.Header) conn.Owner {
+	switch id := h.Get(hopRequest); {
+	case id == q.info.AttemptID:
+		return conn.OwnedByRequest
+	case id != "":
+		return conn.OwnedByOther
+	case h.Get(hopOutcome) != "": // of a host of an earlier release, which names no request
+		return conn.OwnedByRequest
+	}
+	return conn.OwnerUnnamed
+}
+
 // refusalResult returns the result of a request that was refused for a reason. Once an
 // upstream has refused it, other hosts would only ask again.
 func (q *request) refusalResult(why string) hopResult {
