An upstream that answers others is not excluded for refusing one as another's

Change: not while bytes of an answer came from it within the last second. A process that has ended does not answer, so that its entry is left alone a second later at most.

--- a/node/fleet/attempt.go
+++ b/node/fleet/attempt.go
@@ -111,6 +111,7 @@
 		x.room.account.Answered(&x.room.send, x.room.fragility)
 	}
 	x.recordFirstByteLocked()
+	x.e.answeredAt = now
 	x.e.health.RecordBytes(now, x.e.own.Requests > 0)
 	x.e.promptCache.Record(x.req, now)
 }
--- a/node/fleet/entry.go
+++ b/node/fleet/entry.go
@@ -53,6 +53,11 @@
 	notResidentTTL = 2 * time.Second
 )
 
+// answeringTime is how long after bytes of an answer an upstream counts as answering: longer
+// than a call of a plain service takes, shorter than the time for which the list has the
+// entry of a process that has ended.
+const answeringTime = time.Second
+
 // Entry is one process of an upstream as this host knows it. Its methods may be called
 // from any goroutine.
 type Entry struct {
@@ -72,6 +77,7 @@
 	useUntil        time.Time // end of the grace after the removal; zero: no grace
 	delistedAt      time.Time
 	health          health.Tracker
+	answeredAt      time.Time // when it last began to answer, or went on with an answer
 	own             Load
 	othersPending   int       // prompt tokens of other hosts pending there when a permit was last granted
 	othersPendingAt time.Time // when that was recorded
@@ -405,11 +411,16 @@
 }
 
 // ExcludeMisdirected excludes the upstream for a while, since a process at its address answers
-// that requests for it are not its own, and does not say who it is.
+// that requests for it are not its own, and does not say who it is. While other requests are
+// answered there it is the upstream itself that says so.
 func (e *Entry) ExcludeMisdirected() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.excludeLocked(e.fleet.deps.Now()) {
+	now := e.fleet.deps.Now()
+	if now.Sub(e.answeredAt) < answeringTime {
+		return
+	}
+	if e.excludeLocked(now) {
 		e.fleet.deps.Log.Emit(event.UpstreamExcluded, zap.String(event.FieldPeer, e.id), zap.String("why", "misdirected"))
 	}
 }
