A bar outlives the term in which it began

Cause, by the hosts' logs: the acting host's new ledger knew the part from the row of crashes, as suspected. Hosts report all bars only with the first report to another address; this one was to the same address, and its answer put the suspicion in the place of the bar. What hosts told then, a report later, was no bar any more.

Fix: bars of a former term are kept apart from what the acting coordinator says, for two seconds, and are reported with the time that they had.

Before: TestABarOutlivesTheTermInWhichItBegan fails at once.

--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -45,6 +45,7 @@
 	mu              sync.Mutex
 	local           *poison.Ledger                 // what this host has seen itself
 	fromCoordinator map[poison.Digest]poison.Entry // entries received from the acting coordinator
+	former          map[poison.Digest]formerBar    // bars that former coordinators announced
 	events          []Event
 	dropped         int    // number of events dropped before events[0]
 	coordinator     string // address of the acting coordinator that acknowledged the last report
@@ -55,14 +56,6 @@
 	answeredReported map[poison.Digest]time.Time // when this host last reported a barred request as answered
 }
 
-// view is the read-only state that requests are checked against.
-type view struct {
-	shapes                   map[poison.Shape]bool
-	fromCoordinator, local   map[poison.Digest]poison.Entry
-	partsSince               map[poison.Digest]time.Time // since when this host knows that a part is suspected
-	coordinatorHasQuarantine bool                        // the acting coordinator keeps a quarantine; earlier releases keep none
-}
-
 // Event is an event to report to the acting coordinator; one of the pointers is set.
 type Event struct {
 	Crash     *Crash         // an upstream terminated
@@ -106,7 +99,7 @@
 	if d.Log == nil {
 		d.Log = event.NewLog(nil)
 	}
-	g := &Guard{deps: d, answered: newAnsweredRequests(), local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}, answeredReported: map[poison.Digest]time.Time{}}
+	g := &Guard{deps: d, answered: newAnsweredRequests(), local: poison.NewLedger(poison.DefaultPolicy), fromCoordinator: map[poison.Digest]poison.Entry{}, former: map[poison.Digest]formerBar{}, answeredReported: map[poison.Digest]time.Time{}}
 	d.Metrics.SetFunc(metrics.PoisonSuspects, func() any { return g.count(poison.Suspected) })
 	d.Metrics.SetFunc(metrics.PoisonBarred, func() any { return g.count(poison.Barred) })
 	return g
@@ -124,7 +117,7 @@
 		if !v.shapes[r.Shape(i)] {
 			continue
 		}
-		for _, e := range g.entriesFor(v, r.Fingerprint(i)) {
+		for _, e := range g.entriesFor(v, r.Fingerprint(i), now) {
 			if e.State == poison.Barred && now.Before(e.BarredUntil) {
 				g.reportAnswered(&e, r, now)
 				return e.BarredUntil, true
@@ -134,16 +127,6 @@
 	return time.Time{}, false
 }
 
-// entriesFor returns the entries that apply to a suspect now: those of the acting
-// coordinator, and without its quarantine also those of this host.
-func (g *Guard) entriesFor(v *view, f poison.Fingerprint) []poison.Entry {
-	all := []poison.Entry{v.fromCoordinator[f.Digest]}
-	if !v.coordinatorHasQuarantine || !g.deps.Connected() {
-		all = append(all, v.local[f.Digest])
-	}
-	return slices.DeleteFunc(all, func(e poison.Entry) bool { return e.IsPart() != f.IsPart() })
-}
-
 // RecordCompleted records that a request ran to its end, or ran for long, and when its
 // response began. A part of its prompt is cleared only if that was after this host heard
 // that the part is suspected: it may have become harmful since.
@@ -164,11 +147,6 @@
 	}
 }
 
-// isSuspect reports whether a suspect is suspected or barred.
-func (v *view) isSuspect(f poison.Fingerprint) bool {
-	return v.fromCoordinator[f.Digest].State != poison.Cleared || v.local[f.Digest].State != poison.Cleared
-}
-
 // clear clears a suspect at this host, and reports it.
 func (g *Guard) clear(d poison.Digest) {
 	g.mu.Lock()
@@ -176,6 +154,7 @@
 	now := g.deps.Now()
 	g.local.Clear(d, now, now)
 	delete(g.fromCoordinator, d)
+	delete(g.former, d)
 	g.exonerateLocked(d)
 	g.addLocked(Event{Completed: &d, At: now})
 	g.deps.Log.Emit(event.SuspectCompleted, zap.Stringer("content", d))
@@ -198,11 +177,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
-	barredLocally, barredByCoordinator := g.local.Release(d, now), g.fromCoordinator[d].State == poison.Barred
+	barredLocally, barredByCoordinator := g.local.Release(d, now), g.fromCoordinator[d].State == poison.Barred || now.Before(g.former[d].until)
 	if !barredLocally && !barredByCoordinator {
 		return false
 	}
 	delete(g.fromCoordinator, d)
+	delete(g.former, d)
 	g.addLocked(Event{Released: &d, At: now})
 	g.refreshLocked(now)
 	return true
@@ -223,6 +203,12 @@
 			out = append(out, e)
 		}
 	}
+	for d, b := range v.former {
+		_, known := v.fromCoordinator[d]
+		if _, ownToo := v.local[d]; !known && !ownToo {
+			out = append(out, b.Entry)
+		}
+	}
 	return out
 }
 
@@ -281,7 +267,7 @@
 // barredLocked returns all bars that this host knows of.
 func (g *Guard) barredLocked(now time.Time) []poison.Entry {
 	var out []poison.Entry
-	for _, all := range [][]poison.Entry{g.local.All(now), values(g.fromCoordinator)} {
+	for _, all := range [][]poison.Entry{g.local.All(now), values(g.fromCoordinator), g.formerLocked(now)} {
 		for _, e := range all {
 			if e.State == poison.Barred && now.Before(e.BarredUntil) {
 				out = append(out, e)
@@ -321,33 +307,17 @@
 	}
 }
 
-// expireFormerLocked expires the entries received from a former coordinator. Its
-// successor announces again what still applies, since all hosts report all bars
-// to it.
-func (g *Guard) expireFormerLocked(now time.Time) {
-	for d, e := range g.fromCoordinator {
-		if e.State != poison.Barred {
-			delete(g.fromCoordinator, d)
-			continue
-		}
-		if last := now.Add(formerBarTTL); e.BarredUntil.After(last) {
-			e.BarredUntil = last
-			g.fromCoordinator[d] = e
-		}
-	}
-}
-
-// formerBarTTL is how long a bar lasts that only a former coordinator announced: a
-// few reports.
-const formerBarTTL = 2 * time.Second
-
 func (g *Guard) applyLocked(e poison.Entry, now time.Time) {
 	before := g.fromCoordinator[e.Digest].State
 	switch e.State {
 	case poison.Cleared:
 		delete(g.fromCoordinator, e.Digest)
+		delete(g.former, e.Digest)
 		g.local.Clear(e.Digest, now, now)
 		g.exonerateLocked(e.Digest)
+	case poison.Barred:
+		delete(g.former, e.Digest)
+		g.fromCoordinator[e.Digest] = e
 	default:
 		g.fromCoordinator[e.Digest] = e
 	}
@@ -361,46 +331,6 @@
 		zap.Int("crashes", e.CrashCount), zap.Int64("for_ms", e.BarredUntil.Sub(now).Milliseconds()))
 }
 
-// refreshLocked rebuilds the view that requests are checked against.
-func (g *Guard) refreshLocked(now time.Time) {
-	for _, d := range g.local.TakeTransitions() {
-		if d.State == poison.Barred && !g.deps.Connected() {
-			g.logLocked(d.Entry, "own", now)
-		}
-	}
-	local := g.local.All(now)
-	if len(local)+len(g.fromCoordinator) == 0 {
-		g.view.Store(nil)
-		return
-	}
-	v := &view{shapes: map[poison.Shape]bool{}, fromCoordinator: make(map[poison.Digest]poison.Entry, len(g.fromCoordinator)),
-		local: make(map[poison.Digest]poison.Entry, len(local)), partsSince: map[poison.Digest]time.Time{}, coordinatorHasQuarantine: g.quarantineID != 0}
-	former := g.view.Load()
-	for d, e := range g.fromCoordinator {
-		v.fromCoordinator[d] = e
-		v.add(&e, former, now)
-	}
-	for _, e := range local {
-		v.local[e.Digest] = e
-		v.add(&e, former, now)
-	}
-	g.view.Store(v)
-}
-
-// add makes the view know a suspect, since now or as long as the former view.
-func (v *view) add(e *poison.Entry, former *view, now time.Time) {
-	v.shapes[e.Shape] = true
-	if !e.IsPart() {
-		return
-	}
-	v.partsSince[e.Digest] = now
-	if former != nil {
-		if since, ok := former.partsSince[e.Digest]; ok {
-			v.partsSince[e.Digest] = since
-		}
-	}
-}
-
 // refreshInterval is how often a Guard that knows suspects judges them again.
 const refreshInterval = 250 * time.Millisecond
 
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -156,6 +156,33 @@
 	assert.Assert(t, g.barred("x"))
 }
 
+// Guards against a bar that ends with the term in which it began: the same host acts again, and
+// only suspects, by the crashes that the store has, what it had barred.
+func TestABarOutlivesTheTermInWhichItBegan(t *testing.T) {
+	x := requestFor("x").Fingerprint(0)
+	g, first := newTestGuard(true), newTestCoordinator(1)
+	crashes := []poison.Crash{{Upstream: "u", At: g.now, Ran: []poison.Fingerprint{x}}, {Upstream: "v", At: g.now.Add(time.Second), Ran: []poison.Fingerprint{x}}}
+	for _, c := range crashes { // reported by others
+		first.ledger.RecordCrash(c.Upstream, c.Ran, c.At, c.At)
+	}
+	g.now = g.now.Add(2 * time.Second)
+	first.exchange(g, "h")
+	until, ok := g.Barred(requestFor("x"))
+	assert.Assert(t, ok)
+	for term := range uint64(3) {
+		next := newTestCoordinator(2 + term)
+		next.ledger.AdoptCrashes(crashes[:1], g.now)
+		for range 20 {
+			next.exchange(g, "h")
+			assert.Assert(t, g.barred("x"))
+			g.now = g.now.Add(200 * time.Millisecond)
+		}
+		now, ok := next.ledger.BarredUntil(x.Digest, g.now)
+		assert.Assert(t, ok)
+		assert.Equal(t, now, until)
+	}
+}
+
 // Guards against a popular request that stays barred because it ran beside
 // poisonous requests at every upstream.
 func TestARunToTheEndEndsABar(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -333,6 +333,10 @@
 		d.deps.Metrics' ./node/quarantine
 try "hosts are told what is barred" node/coordinator/quarantine/ledger.go \
   'for i := range changed {' 'for i := range changed[:0] {' ./platform -run 'KnownToAllHosts'
+try "a suspicion does not end a former coordinator's bar" node/quarantine/view.go \
+  'if b := v.former[f.Digest]; now.Before(b.until) {' 'if b := v.former[f.Digest]; false {' ./node/quarantine -run 'TermInWhich'
+try "a successor hears the bars of its predecessors" node/quarantine/guard.go \
+  ', g.formerLocked(now)}' '}' ./node/quarantine -run 'TermInWhich'
 try "a successor hears what is known" node/quarantine/guard.go \
   'from, next.Barred = 0, g.barredLocked(now)' 'from = len(g.events)' ./node/quarantine
 try "bars are kept for a loss of all hosts" node/coordinator/quarantine/rows.go \
