Crashes that a successor adopts hold up no bar for which others suffice

Cause, by the hosts' logs: all three hosts had been stopped one after the other and the store came back from a copy of 7 s before, so that the new term knew two crashes from the row and heard of the others from hosts. It judged the part only 2 s after it had read the row, though the reported crashes alone sufficed 0.7 s earlier.

Fix: crashes that are known from another ledger only do not count for a part until they have been waited for, and nothing else waits for them.

Before: TestCrashesThatNobodyReportsDelayNoBar fails. After: it holds; the plays of core/poison as before.

--- a/core/poison/adopted_test.go
+++ b/core/poison/adopted_test.go
@@ -77,6 +77,23 @@
 	assert.Assert(t, isPartBarred(next, fatal, now))
 }
 
+// Guards against a bar that comes later at a successor because it also knows crashes from the
+// store, which no host reports any more: those that hosts report suffice.
+func TestCrashesThatNobodyReportsDelayNoBar(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	fatal := PartFingerprint("fatal", 2)
+	for i := range minCommonCrashes {
+		crashParts(l, fmt.Sprint("u", i), now.Add(time.Duration(i)*time.Second), fatal)
+	}
+	now = now.Add(10 * time.Second)
+	for _, next := range []*Ledger{NewLedger(SharedPolicy()), successorOf(l, now)} {
+		for i := range DefaultPolicy.MinBlindPartCrashes {
+			next.RecordCrash(fmt.Sprint("v", i), []Fingerprint{fatal}, now.Add(time.Duration(i-6)*time.Second), now)
+		}
+		assert.Assert(t, isPartBarred(next, fatal, now))
+	}
+}
+
 // Guards against barring a request for the loss of a rack of which a successor knows a part only.
 func TestAnAdoptedMassFailureNamesNobody(t *testing.T) {
 	l, now := NewLedger(SharedPolicy()), start
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -15,7 +15,7 @@
 	var strongest *entry
 	most := 0
 	for e := range settled {
-		n := l.partEvidence(e, settled)
+		n := l.partEvidence(e, settled, now)
 		if n < fullWeight*l.neededPartCrashes(e, settled[e]) {
 			continue
 		}
@@ -40,7 +40,7 @@
 		if !e.IsPart() || e.State != Suspected || len(e.crashes) < l.settlesFrom(e) {
 			continue
 		}
-		if times := l.crashTimes(e, everyCrash); l.isSettled(e, times, now) {
+		if times := l.crashTimes(e, l.countsFor(e, now)); l.isSettled(e, times, now) {
 			if settled == nil {
 				settled = map[*entry][]time.Time{}
 			}
@@ -52,10 +52,10 @@
 
 // crashTimes returns when the upstreams crashed on which a suspect ran, the earliest first.
 // Crashes at about the same time may have another cause in common, and count as one.
-func (l *Ledger) crashTimes(e *entry, counts func(c *crash) bool) []time.Time {
+func (l *Ledger) crashTimes(e *entry, counts func(upstream string, c *crash) bool) []time.Time {
 	var all []time.Time
 	for id := range e.crashes {
-		if c := l.crashes[id]; counts(c) {
+		if c := l.crashes[id]; counts(id, c) {
 			all = append(all, c.at)
 		}
 	}
@@ -63,7 +63,25 @@
 	return slices.CompactFunc(all, func(a, b time.Time) bool { return b.Sub(a).Abs() <= l.policy.MassWindow })
 }
 
-func everyCrash(*crash) bool { return true }
+func everyCrash(string, *crash) bool { return true }
+
+// countsFor returns which crashes count against a part now. Those that are known from another
+// ledger only do not, until the part has gone without an answer since then.
+func (l *Ledger) countsFor(e *entry, now time.Time) func(upstream string, c *crash) bool {
+	settleTime := l.settleTime(e)
+	return func(upstream string, _ *crash) bool {
+		at, adopted := e.adopted[upstream]
+		return !adopted || now.Sub(at) >= settleTime
+	}
+}
+
+// settleTime returns for how long a part must have gone without an answer.
+func (l *Ledger) settleTime(e *entry) time.Duration {
+	if e.Place == firstPlace && len(l.crashTimes(e, everyCrash)) < manyCrashes*l.policy.MinBlindPartCrashes {
+		return l.policy.FirstPartSettleTime
+	}
+	return l.policy.PartSettleTime
+}
 
 // settlesFrom returns the number of the crash after which a part has to go without an
 // answer: the second, or the first one after an earlier bar.
@@ -78,14 +96,7 @@
 // crashes, given their times.
 func (l *Ledger) isSettled(e *entry, times []time.Time, now time.Time) bool {
 	from := l.settlesFrom(e)
-	if len(times) < from {
-		return false
-	}
-	settleTime := l.policy.PartSettleTime
-	if e.Place == firstPlace && len(times) < manyCrashes*l.policy.MinBlindPartCrashes {
-		settleTime = l.policy.FirstPartSettleTime
-	}
-	return now.Sub(times[from-1]) >= settleTime && e.isAdoptedFor(settleTime, now)
+	return len(times) >= from && now.Sub(times[from-1]) >= l.settleTime(e)
 }
 
 const (
@@ -100,8 +111,10 @@
 // that a barred suspect explains does not count. So many that chance does not explain them
 // count fully. Of fewer, one that a settled part of fewer requests may explain does not
 // count, and one that another settled part may explain counts half.
-func (l *Ledger) partEvidence(e *entry, settled map[*entry][]time.Time) int {
-	all := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) }))
+func (l *Ledger) partEvidence(e *entry, settled map[*entry][]time.Time, now time.Time) int {
+	counts := l.countsFor(e, now)
+	unexplained := func(upstream string, c *crash) bool { return counts(upstream, c) && !l.explainedByBar(c, e) }
+	all := len(l.crashTimes(e, unexplained))
 	if all >= l.policy.MinBlindPartCrashes {
 		return fullWeight * all
 	}
@@ -113,8 +126,8 @@
 		}
 		return false
 	}
-	counted := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) && !ambiguous(c, true) }))
-	certain := len(l.crashTimes(e, func(c *crash) bool { return !l.explainedByBar(c, e) && !ambiguous(c, false) }))
+	counted := len(l.crashTimes(e, func(u string, c *crash) bool { return unexplained(u, c) && !ambiguous(c, true) }))
+	certain := len(l.crashTimes(e, func(u string, c *crash) bool { return unexplained(u, c) && !ambiguous(c, false) }))
 	return fullWeight*certain + explainedWeight*(counted-certain)
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -355,8 +355,10 @@
   'q.ledger.AdoptCrashes(all, now)' '' ./node/coordinator/quarantine -run 'CrashesOutlive'
 try "what is answered is kept no longer" node/coordinator/quarantine/rows.go \
   ' || q.crashesDueLocked(now)' '' ./node/coordinator/quarantine -run 'AnsweredSuspects'
-try "an adopted part may be answered first" core/poison/parts.go \
-  ' && e.isAdoptedFor(settleTime, now)' '' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
+try "adopted crashes of a part are waited for" core/poison/parts.go \
+  'return !adopted || now.Sub(at) >= settleTime' 'return true' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
+try "adopted crashes delay no bar" core/poison/parts.go \
+  'l.isSettled(e, times, now) {' 'l.isSettled(e, times, now) && e.isAdoptedFor(l.settleTime(e), now) {' ./core/poison -run 'NobodyReports'
 try "an adopted request waits for reports" core/poison/judge.go \
   'return e.isAdoptedFor(l.policy.SoleSettleTime, now)' 'return true' ./core/poison -run 'AdoptedRequest'
 try "what hosts report again is not waited for" core/poison/adopted.go \
