--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -355,8 +355,8 @@
   'q.ledger.AdoptCrashes(all, now)' '' ./node/coordinator/quarantine -run 'CrashesOutlive'
 try "what is answered is kept no longer" node/coordinator/quarantine/rows.go \
   ' || q.crashesDueLocked(now)' '' ./node/coordinator/quarantine -run 'AnsweredSuspects'
-try "adopted crashes of a part are waited for" core/poison/parts.go \
-  'return !adopted || now.Sub(at) >= settleTime' 'return true' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
+try "an adopted part may be answered first" core/poison/parts.go \
+  'return !adopted || now.Sub(at) >= settleTime' 'return true || !adopted || now.Sub(at) >= settleTime' ./core/poison -run 'SuccessorThatAdopts|AdoptedPart'
 try "adopted crashes delay no bar" core/poison/parts.go \
   'l.isSettled(e, times, now) {' 'l.isSettled(e, times, now) && e.isAdoptedFor(l.settleTime(e), now) {' ./core/poison -run 'NobodyReports'
 try "an adopted request waits for reports" core/poison/judge.go \
