--- a/node/quarantine/former.go
+++ b/node/quarantine/former.go
@@ -27,7 +27,7 @@
 	g.fromCoordinator = map[poison.Digest]poison.Entry{}
 }
 
-// formerLocked returns the bars of former coordinators that this host has not ended.
+// formerLocked ends the bars of former coordinators whose time is over, and returns the others.
 func (g *Guard) formerLocked(now time.Time) []poison.Entry {
 	var out []poison.Entry
 	for d, b := range g.former {
