--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -31,15 +31,15 @@
 	nc            net.Conn
 	br            *bufio.Reader
 	pool          *pool
-	gen           uint64 // generation of the pool when the connection was dialled
-	written       int64  // bytes of the current exchange passed to the kernel
-	headRemaining int64  // bytes that the head of the answer may still take; negative while no head is read
-	read          int64  // bytes received in the current exchange
-	reused        bool   // the current exchange is not the first
-	exchanges     int    // number of the current exchange; the first is 1
-	foreign       bool   // an answer came that is not proven to be that of its exchange
-	dialled       time.Time
-	sentHead      bool // a HEAD request was sent: whether an answer has a body depends on whose it is
+	gen           uint64    // generation of the pool when the connection was dialled
+	written       int64     // bytes of the current exchange passed to the kernel
+	headRemaining int64     // bytes that the head of the answer may still take; negative while no head is read
+	read          int64     // bytes received in the current exchange
+	reused        bool      // the current exchange is not the first
+	exchanges     int       // number of the current exchange; the first is 1
+	foreign       bool      // an answer came that is not proven to be that of its exchange
+	dialled       time.Time // when it was opened
+	sentHead      bool      // a HEAD request was sent: whether an answer has a body depends on whose it is
 	idleSince     time.Time
 	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
 	idleBefore    time.Duration // how long it was idle before the current exchange
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -12,10 +12,10 @@
 	address        string
 	mu             sync.Mutex
 	idle           []*persistConn // most recently used last
-	sent           sentRequests
-	gen            uint64        // connections of an older generation are not reused
-	checkScheduled bool          // a timer will close connections that cannot be reused
-	observedBound  time.Duration // bound on the idle time, derived from connections that the upstream dropped; 0 if none
+	sent           sentRequests   // to the address, over any connection
+	gen            uint64         // connections of an older generation are not reused
+	checkScheduled bool           // a timer will close connections that cannot be reused
+	observedBound  time.Duration  // bound on the idle time, derived from connections that the upstream dropped; 0 if none
 }
 
 // recordSend records a send of a request and reports whether it was sent before.
@@ -34,7 +34,7 @@
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		l.idleBefore = now.Sub(l.idleSince)
-		if p.sent.cover(l.dialled) && l.idleBefore <= p.idleBound(l, maxIdle) && isClean(l.nc) {
+		if p.sent.remembersSince(l.dialled) && l.idleBefore <= p.idleBound(l, maxIdle) && isClean(l.nc) {
 			return l
 		}
 		_ = l.nc.Close()
--- a/node/upstream/conn/sent.go
+++ b/node/upstream/conn/sent.go
@@ -17,7 +17,9 @@
 // idSeed makes it impossible for a caller to choose ids with equal hashes.
 var idSeed = maphash.MakeSeed()
 
-// sentRequests are the latest requests that were sent to one address, over any connection.
+// sentRequests are the latest requests that were sent to one address, over any connection. A
+// connection that was opened before all that are remembered is not reused: it may have carried
+// a request that has been forgotten, whose late answer would pass for that to its next send.
 type sentRequests struct {
 	recent, former           map[uint64]struct{} // hashes of IDs
 	recentSince, formerSince time.Time           // when the sends of each began
@@ -43,5 +45,5 @@
 	return inRecent || inFormer
 }
 
-// cover reports whether all sends from a time on are remembered.
-func (s *sentRequests) cover(from time.Time) bool { return from.After(s.formerSince) }
+// remembersSince reports whether all sends after a time are remembered.
+func (s *sentRequests) remembersSince(t time.Time) bool { return t.After(s.formerSince) }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -152,7 +152,7 @@
 try "a connection of its own for a request that the address had" node/upstream/conn/client.go \
   '!again && !r.NewConnection' '!r.NewConnection || again' ./node/upstream/conn ./node/gate -run 'WhateverComes|AConnectionCarries'
 try "a connection is used as long as its sends are remembered" node/upstream/conn/pool.go \
-  'p.sent.cover(l.dialled) && ' '' ./node/upstream/conn -run 'HoweverLongAgo'
+  'p.sent.remembersSince(l.dialled) && ' '' ./node/upstream/conn -run 'HoweverLongAgo'
 try "sends of a minute ago are remembered" node/upstream/conn/sent.go \
   'return inRecent || inFormer' 'return inRecent || inFormer && false' ./node/upstream/conn -run 'HoweverLongAgo'
 try "requests name themselves to the client" node/gate/attempt.go \
