--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -159,6 +159,8 @@
   '&conn.Request{ID: q.info.AttemptID, Address' '&conn.Request{Address' ./node/gate -run 'WhateverComesBeside|AConnectionCarries'
 try "an upstream that answers is not another process" node/fleet/entry.go \
   'if now.Sub(e.answeredAt) < answeringTime {' 'if false {' ./platform -run 'ALateAnswerToAnother'
+try "only another process replaces an upstream" platform/upstream.go \
+  'if process == "" || process == u.ID {' 'if false {' ./platform -run 'ReplacedOnlyByAnother'
 try "a host's word is for the request that it names" node/gate/detour.go \
   'Owner: q.hopOwner,' '' ./node/gate -run 'AHostsWordOn'
 try "a process that refuses another's requests is left alone" node/gate/refused.go \
