Logs tell which answer cleared a suspect, whether a crash counts, and why a part is not barred

Without these, a failed answer that clears a part, comments that do, and a crash of an upstream that is back under its id look alike.

No decision is changed.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -54,8 +54,9 @@
 }
 
 // RecordCrash records that an upstream crashed, at what time, and the requests in progress
-// there. Each host reports its own requests, at its own time.
-func (l *Ledger) RecordCrash(upstream string, running []Fingerprint, at, now time.Time) {
+// there. Each host reports its own requests, at its own time. It returns against how many
+// of these the crash counts that did not before.
+func (l *Ledger) RecordCrash(upstream string, running []Fingerprint, at, now time.Time) (counted int) {
 	l.expire(now)
 	c := l.crash(upstream, at)
 	for _, m := range running {
@@ -70,9 +71,11 @@
 		}
 		if l.addCrash(m, upstream, at, now) {
 			c.ran[m.Digest] = true
+			counted++
 		}
 	}
 	l.updateBars(now)
+	return counted
 }
 
 // crash returns the crash of an upstream, which it creates if necessary.
--- a/node/coordinator/quarantine/ledger.go
+++ b/node/coordinator/quarantine/ledger.go
@@ -118,9 +118,13 @@
 	}
 	ran = append(ran, wire.DecodeParts(x.Parts)...)
 	requests, parts := poison.DigestsOf(ran)
-	q.ledger.RecordCrash(x.Upstream, ran, now.Add(-wire.Milliseconds(x.AgeMs)), now)
+	counted := q.ledger.RecordCrash(x.Upstream, ran, now.Add(-wire.Milliseconds(x.AgeMs)), now)
 	q.deps.Log.Emit(event.CrashReported, zap.String("host", host), zap.String(event.FieldPeer, x.Upstream),
-		zap.Uint32("age_ms", x.AgeMs), zap.Stringers("under_way", requests), zap.Stringers("parts", parts))
+		zap.Uint32("age_ms", x.AgeMs), zap.Stringers("under_way", requests), zap.Stringers("parts", parts), zap.Int("counted", counted))
+	for _, a := range q.ledger.UnbarredParts(parts, now) {
+		q.deps.Log.Emit(event.PartNotBarred, zap.Stringer("content", a.Digest), zap.Uint8("place", a.Place), zap.Int("crashes", a.Crashes),
+			zap.Int("unexplained", a.Unexplained), zap.Int("needed", a.Needed), zap.Bool("settled", a.Settled))
+	}
 }
 
 // logDecisionsLocked logs the bars that began and ended.
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -22,6 +22,7 @@
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/origin"
+	"peridotpier.example/node/quarantine"
 	"peridotpier.example/node/upstream/conn"
 )
 
@@ -69,8 +70,8 @@
 	// Barred reports whether a request is barred from being sent, and until when.
 	Barred(r *poison.Request) (until time.Time, ok bool)
 	// RecordCompleted records that a request completed, or ran long enough after its response
-	// began, and when that was.
-	RecordCompleted(r *poison.Request, began time.Time)
+	// began.
+	RecordCompleted(r *poison.Request, c quarantine.Completion)
 	// AnsweredBefore reports whether the same request was answered not long ago.
 	AnsweredBefore(r *poison.Request) bool
 }
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -7,6 +7,7 @@
 	"peridotpier.example/core/poison"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/metrics"
+	"peridotpier.example/node/quarantine"
 )
 
 // longRun is how long after its response began a request must have run so that a
@@ -50,7 +51,7 @@
 }
 
 // recordCompleted records that the request ran to completion, or for long.
-func (q *request) recordCompleted() {
+func (q *request) recordCompleted(status int, ended bool) {
 	if q.g.deps.PoisonGuard == nil {
 		return
 	}
@@ -58,7 +59,7 @@
 	if began.IsZero() { // no stream
 		began = q.sentAt
 	}
-	q.g.deps.PoisonGuard.RecordCompleted(q.content, began)
+	q.g.deps.PoisonGuard.RecordCompleted(q.content, quarantine.Completion{Attempt: q.info.AttemptID, Status: status, Began: began, Ended: ended})
 }
 
 // isLongRun reports whether the response began so long ago that the request does not crash
@@ -72,7 +73,7 @@
 func (q *request) recordBroken(a exchange, why string) {
 	a.Interrupted(why)
 	if q.isLongRun(q.g.deps.Now()) {
-		q.recordCompleted()
+		q.recordCompleted(http.StatusOK, false)
 		return
 	}
 	if e := a.Entry(); e != nil && q.g.deps.CrashRecorder != nil {
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -13,6 +13,7 @@
 
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/poison"
+	"peridotpier.example/node/quarantine"
 )
 
 // crashRecorder records what a gate reports about requests, and bars one target.
@@ -30,7 +31,7 @@
 	b.broken = append(b.broken, suspects...)
 }
 
-func (b *crashRecorder) RecordCompleted(r *poison.Request, _ time.Time) {
+func (b *crashRecorder) RecordCompleted(r *poison.Request, _ quarantine.Completion) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.completed = append(b.completed, r.Fingerprint(0))
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -65,7 +65,7 @@
 		q.responseSince = now
 	}
 	if q.isLongRun(now) { // it clears a part of its prompt long before its end
-		q.recordCompleted()
+		q.recordCompleted(http.StatusOK, false)
 	}
 	if q.lastPieceAt.IsZero() {
 		q.timeToFirst = now.Sub(q.start)
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -127,10 +127,18 @@
 	return time.Time{}, false
 }
 
-// RecordCompleted records that a request ran to its end, or ran for long, and when its
-// response began. A part of its prompt is cleared only if that was after this host heard
-// that the part is suspected: it may have become harmful since.
-func (g *Guard) RecordCompleted(r *poison.Request, began time.Time) {
+// Completion is a run that an upstream survived.
+type Completion struct {
+	Attempt string    // id of the attempt
+	Status  int       // of the response
+	Began   time.Time // when the response began
+	Ended   bool      // the response is complete; else the run has lasted
+}
+
+// RecordCompleted records that a request ran to its end, or ran for long. A part of its
+// prompt is cleared only if the response began after this host heard that the part is
+// suspected: it may have become harmful since.
+func (g *Guard) RecordCompleted(r *poison.Request, c Completion) {
 	g.answered.record(r, g.deps.Now())
 	v := g.view.Load()
 	if v == nil {
@@ -141,14 +149,14 @@
 			continue
 		}
 		f := r.Fingerprint(i)
-		if v.isSuspect(f) && (!f.IsPart() || began.After(v.partsSince[f.Digest])) {
-			g.clear(f.Digest)
+		if v.isSuspect(f) && (!f.IsPart() || c.Began.After(v.partsSince[f.Digest])) {
+			g.clear(f.Digest, &c)
 		}
 	}
 }
 
 // clear clears a suspect at this host, and reports it.
-func (g *Guard) clear(d poison.Digest) {
+func (g *Guard) clear(d poison.Digest, by *Completion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.deps.Now()
@@ -157,7 +165,8 @@
 	delete(g.former, d)
 	g.exonerateLocked(d)
 	g.addLocked(Event{Completed: &d, At: now})
-	g.deps.Log.Emit(event.SuspectCompleted, zap.Stringer("content", d))
+	g.deps.Log.Emit(event.SuspectCompleted, zap.Stringer("content", d), zap.String("request", by.Attempt), zap.Int("status", by.Status),
+		zap.Bool("ended", by.Ended), zap.Int64("began_ms", now.Sub(by.Began).Milliseconds()))
 	g.refreshLocked(now)
 }
 
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -118,7 +118,7 @@
 	report := g.NextReport("h")
 	encoded := make(chan int)
 	go func() { encoded <- len(report.Events[0].Crash.Running) }()
-	g.RecordCompleted(x, g.now)
+	g.RecordCompleted(x, Completion{Began: g.now})
 	assert.Equal(t, <-encoded, 2)
 	assert.Equal(t, len(report.Events[0].Crash.Running), 2)
 	assert.Equal(t, len(g.NextReport("h").Events[0].Crash.Running), 1, "what has not been reported yet names the others only")
@@ -191,7 +191,7 @@
 	h.exchange(g, "h")
 	h.exchange(g, "h")
 	assert.Assert(t, g.barred("x"))
-	g.RecordCompleted(requestFor("x"), g.now)
+	g.RecordCompleted(requestFor("x"), Completion{Began: g.now})
 	assert.Assert(t, !g.barred("x"))
 	h.exchange(g, "h")
 	h.exchange(g, "h")
@@ -269,9 +269,9 @@
 	g.now = g.now.Add(time.Second)
 	g.RecordCrash("u", g.now, promptFor("x", "part").Suspects())
 	suspects := len(g.Entries())
-	g.RecordCompleted(promptFor("y", "part"), began)
+	g.RecordCompleted(promptFor("y", "part"), Completion{Began: began})
 	assert.Equal(t, len(g.Entries()), suspects)
-	g.RecordCompleted(promptFor("y", "part"), g.now.Add(time.Millisecond))
+	g.RecordCompleted(promptFor("y", "part"), Completion{Began: g.now.Add(time.Millisecond)})
 	assert.Equal(t, len(g.Entries()), suspects-1)
 }
 
@@ -305,7 +305,7 @@
 	other.now = g.now
 	first.exchange(g, "first")
 	first.exchange(other, "first")
-	other.RecordCompleted(requestFor("/x"), other.now)
+	other.RecordCompleted(requestFor("/x"), Completion{Began: other.now})
 	first.exchange(other, "first")
 	first.exchange(g, "first")
 	next.exchange(g, "next")
@@ -318,7 +318,7 @@
 func TestOnlyTheSameRequestWasAnsweredBefore(t *testing.T) {
 	g := newTestGuard(true)
 	answered := poison.Content{Method: "POST", Target: "/x"}
-	g.RecordCompleted(poison.NewRequest(answered, nil), g.now)
+	g.RecordCompleted(poison.NewRequest(answered, nil), Completion{Began: g.now})
 	assert.Assert(t, g.AnsweredBefore(poison.NewRequest(answered, nil)))
 	for name, c := range map[string]poison.Content{
 		"another body":   {Method: "POST", Target: "/x", Body: []byte("other")},
@@ -339,7 +339,7 @@
 	g := newTestGuard(true)
 	r := poison.NewRequest(poison.Content{Method: "POST", Host: "site.example", Target: "/a/b", Body: make([]byte, 4700)}, nil)
 	for b.Loop() {
-		g.RecordCompleted(r, g.now)
+		g.RecordCompleted(r, Completion{Began: g.now})
 	}
 }
 
@@ -347,7 +347,7 @@
 // others, which had answered it, do not say so.
 func TestAHostSaysThatItHadAnsweredWhatIsBarred(t *testing.T) {
 	old, started, coordinator := newTestGuard(true), newTestGuard(false), newTestCoordinator(1)
-	old.RecordCompleted(requestFor("/x"), old.now)
+	old.RecordCompleted(requestFor("/x"), Completion{Began: old.now})
 	started.crash("/x")
 	old.now = started.now
 	assert.Assert(t, started.barred("/x"))
