A failed answer clears no suspect of crashes

Callers saw: requests with a part of their prompts that ends upstreams were sent on for as long as they came, while some of them were answered 500 or 504.

Cause: any whole answer counted as a run that its upstream survived, also a failure of the upstream's own. A 504 may be of a request that was never begun, and a 500 in place of the answer under which an upstream ends. Each such answer took all crashes of before it from the request and from its parts.

An answer of another status than 2xx is no evidence now. TestAFailedAnswerClearsNothing failed before (1 completion); a guard.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -376,7 +376,9 @@
 	d := &q.g.deps
 	took := d.Now().Sub(q.start)
 	q.finishBody()
-	q.recordCompleted(status, true)
+	if status < 300 { // a failure may have been written before the answer was begun, or in its place
+		q.recordCompleted(status, true)
+	}
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.timeToFirst.Milliseconds()),
 		zap.Int64("pause_ms", q.longestPause.Milliseconds()), zap.Int64("pause_at_ms", q.longestPauseAt.Milliseconds()),
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -90,6 +90,16 @@
 	assert.Equal(t, len(b.broken), 0)
 }
 
+// Guards against clearing a request, and the parts of its prompt, by a failure: an upstream that
+// crashes when it begins to write answers others of them with an error, or when their time is over.
+func TestAFailedAnswerClearsNothing(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError, http.StatusGatewayTimeout} {
+		g, b := newCrashGate(t, deploy.NonIdempotent, new(atomic.Int64), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		assert.Equal(t, serve(g, "/a").Code, status)
+		assert.Equal(t, len(b.completed), 0)
+	}
+}
+
 // Guards against blaming a stream that had run for long when its upstream terminated.
 func TestAStreamThatHasRunForLongIsNotBlamed(t *testing.T) {
 	for _, c := range []struct {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -374,15 +374,17 @@
 try "what is barred is looked at before each send" node/gate/run.go \
   'if q.refuseBarred(p) {' 'if false {' ./node/gate -run 'SentAgain'
 try "a run to its end clears" node/gate/poison.go \
-  'q.g.deps.PoisonGuard.RecordCompleted(q.content, began)' '_ = began' ./node/gate -run 'CompletedRequestIsRecorded'
+  'q.g.deps.PoisonGuard.RecordCompleted(q.content, quarantine' '_, _ = q.content, (quarantine' ./node/gate -run 'CompletedRequestIsRecorded'
+try "a failed answer clears nothing" node/gate/attempt.go \
+  'if status < 300 { // a failure may' 'if true { // a failure may' ./node/gate -run 'FailedAnswer'
 try "parts are reported" node/quarantine/detector.go \
   '!f.IsPart() || !slices' '!f.IsPart() || false && !slices' ./platform -run 'APartOfPrompts'
 try "the last part of a prompt is its own" node/gate/poison.go \
   'max(len(*p)-1, 0)' 'len(*p)' ./node/gate -run 'SharedParts'
 try "an answer clears a part" node/quarantine/guard.go \
-  'began.After(v.partsSince[f.Digest])' 'false' ./node/quarantine -run 'BeganEarlier'
+  'c.Began.After(v.partsSince[f.Digest])' 'false' ./node/quarantine -run 'BeganEarlier'
 try "an answer that began earlier clears no part" node/quarantine/guard.go \
-  '(!f.IsPart() || began.After(v.partsSince[f.Digest]))' 'true' ./node/quarantine -run 'BeganEarlier'
+  '(!f.IsPart() || c.Began.After(v.partsSince[f.Digest]))' 'true' ./node/quarantine -run 'BeganEarlier'
 try "a crash before the last answer does not count" core/poison/ledger.go \
   'e.IsPart() && !at.After(e.answeredAt)' 'false' ./core/poison -run 'AnsweredSince'
 try "a part settles before it is barred" core/poison/parts.go \
