Comments of a stream are no run that its upstream survived

Callers saw: on a stream route a part of prompts that ends upstreams was sent on for as long as it came, though each such stream ended its upstream.

Cause: a stream counted as running from its first byte, and for harmless a second later. Upstreams send comments while a request waits; the part ends them when they begin to write. So it was cleared by the very run that ended its upstream, and by a stream that ends without any data.

The answer begins with the first line of data now (of a body that is no event stream, with its first byte), which the scanner of events tells. TestCommentsAreNoRun and TestAStreamWithoutDataClearsNothing failed before (two completions; one); guards. Nothing is allocated for it.

--- a/node/eventstream/scanner.go
+++ b/node/eventstream/scanner.go
@@ -13,10 +13,15 @@
 	inLine   bool // a line has begun and not ended
 	inEvent  bool // a field has begun since the last event ended
 	bomBytes int  // bytes of a byte order mark at the start
+	hasData  bool // a line of data has begun
+	matched  int  // bytes of dataStart with which the present line begins; -1: it begins otherwise
 }
 
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
+// dataStart is how a line with data begins, unless its value is empty.
+const dataStart = "data:"
+
 // Scan reads the next bytes of the stream. It returns up to where the stream is outside
 // an event: the number of bytes up to and including the last line end after which none
 // has begun; 0: there is none.
@@ -31,7 +36,9 @@
 			s.endLine()
 		default:
 			s.beginLine(c)
-			i = lineRest(b, i)
+			end := lineRest(b, i)
+			s.readName(b[i : end+1])
+			i = end
 			continue
 		}
 		if !s.InsideEvent() {
@@ -70,11 +77,29 @@
 	s.inEvent = s.inEvent || c != ':' // a line with a colon first is a comment
 }
 
+// readName reads what a line begins with, until the stream has data.
+func (s *Scanner) readName(b []byte) {
+	for i := 0; i < len(b) && !s.hasData && s.matched >= 0; i++ {
+		if b[i] != dataStart[s.matched] {
+			s.matched = -1
+			return
+		}
+		s.matched++
+		s.hasData = s.matched == len(dataStart)
+	}
+}
+
 // endLine ends a line. An empty one ends the event.
 func (s *Scanner) endLine() {
 	s.inEvent = s.inEvent && s.inLine
 	s.inLine = false
+	s.hasData = s.hasData || s.matched == len(dataStart)-1 // a field without a colon has an empty value
+	s.matched = 0
 }
 
+// HasData reports whether a line of data has begun. Comments and other fields are no part of
+// an answer: some servers send them while a request waits.
+func (s *Scanner) HasData() bool { return s.hasData }
+
 // InsideEvent reports whether the bytes so far end inside an event or a line.
 func (s *Scanner) InsideEvent() bool { return s.inEvent || s.inLine || s.afterCR && s.crlf }
--- a/node/eventstream/scanner_test.go
+++ b/node/eventstream/scanner_test.go
@@ -1,6 +1,7 @@
 package eventstream
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,10 +37,20 @@
 	}
 }
 
+// Guards against taking comments, or the fields that precede an answer, for its beginning.
+func TestTheScannerKnowsWhenDataBegins(t *testing.T) {
+	for stream, has := range map[string]bool{"": false, ": data: a\n\n": false, "retry: 9\n\n": false, "id: 1\nevent: data\n": false, "dat": false, "data": false,
+		"database: a\n\n": false, " data: a\n\n": false, "data:": true, "data\n": true, ": c\n\nid: 1\ndata: a": true, "\xef\xbb\xbfdata: a": true, "id: 1\rdata: a\r": true} {
+		var s Scanner
+		s.Scan([]byte(stream))
+		assert.Equal(t, s.HasData(), has, "%q", stream)
+	}
+}
+
 // Guards against an end of an event that is missed because the bytes arrive in pieces.
 func TestTheScannerDoesNotDependOnThePiecesThatArrive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		stream := []byte(rapid.StringOf(rapid.RuneFrom([]rune("ad:\r\n \ufeff"))).Draw(t, "stream"))
+		stream := []byte(strings.Join(rapid.SliceOf(rapid.SampledFrom([]string{"a", "d", ":", "\r", "\n", " ", "\ufeff", "data", "data:"})).Draw(t, "stream"), ""))
 		var whole, pieces Scanner
 		want, got := whole.Scan(stream), 0
 		for at := 0; at < len(stream); {
@@ -51,5 +62,6 @@
 		}
 		assert.Equal(t, got, want, "%q", stream)
 		assert.Equal(t, pieces.InsideEvent(), whole.InsideEvent(), "%q", stream)
+		assert.Equal(t, pieces.HasData(), whole.HasData(), "%q", stream)
 	})
 }
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -376,7 +376,7 @@
 	d := &q.g.deps
 	took := d.Now().Sub(q.start)
 	q.finishBody()
-	if status < 300 { // a failure may have been written before the answer was begun, or in its place
+	if q.hasAnswer(status) {
 		q.recordCompleted(status, true)
 	}
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Int("status", status),
@@ -389,6 +389,13 @@
 	return result{done: true}
 }
 
+// hasAnswer reports whether a complete response with a status is an answer that its upstream
+// wrote to the request. A failure may come before one was begun, and so may the end of a
+// stream without data.
+func (q *request) hasAnswer(status int) bool {
+	return status < 300 && (q.route.Kind != deploy.Stream || !q.responseSince.IsZero())
+}
+
 // How a response ended, as part of the kinds of metrics.ResponseEnds.
 const (
 	endComplete = "complete"
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -121,6 +121,37 @@
 	}
 }
 
+// Guards against clearing a request by comments that its upstream sends while it waits: the upstream
+// crashes when it begins to write the answer.
+func TestCommentsAreNoRun(t *testing.T) {
+	ahead := new(atomic.Int64)
+	g, b := newCrashGate(t, deploy.Stream, ahead, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", eventStreamType)
+		for range 2 {
+			_, _ = fmt.Fprint(w, ": waiting\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(50 * time.Millisecond) // until the gate has read it
+			ahead.Add(int64(2 * longRun))
+		}
+		panic(http.ErrAbortHandler)
+	})
+	serve(g, "/a")
+	assert.Equal(t, len(b.completed), 0)
+	assert.DeepEqual(t, b.broken, []poison.Fingerprint{fingerprintOf("/a")})
+}
+
+// Guards against clearing a request by a stream that ends before its answer was begun.
+func TestAStreamWithoutDataClearsNothing(t *testing.T) {
+	for body, completed := range map[string]int{"": 0, ": waiting\n\n": 0, "id: 1\ndata: a\n\n": 1} {
+		g, b := newCrashGate(t, deploy.Stream, new(atomic.Int64), func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", eventStreamType)
+			_, _ = fmt.Fprint(w, body)
+		})
+		assert.Equal(t, serve(g, "/a").Code, http.StatusOK)
+		assert.Equal(t, len(b.completed), completed, "%q", body)
+	}
+}
+
 func TestABarredRequestIsRefusedAndReachesNoUpstream(t *testing.T) {
 	var reached atomic.Int32
 	g, b := newCrashGate(t, deploy.NonIdempotent, new(atomic.Int64), func(w http.ResponseWriter, _ *http.Request) { reached.Add(1); _, _ = fmt.Fprint(w, "whole") })
--- a/node/gate/splitter.go
+++ b/node/gate/splitter.go
@@ -56,6 +56,9 @@
 	return out
 }
 
+// hasBegun reports whether bytes that have arrived are part of an answer.
+func (s *splitter) hasBegun() bool { return s.opaque || s.scanner.HasData() }
+
 // insideEvent reports whether the stream has so far ended inside an event.
 func (s *splitter) insideEvent() bool { return s.scanner.InsideEvent() }
 
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -30,8 +30,8 @@
 			empty = false
 			a.ReceivedBytes()
 			fo.pieces.Add(1)
-			q.recordPiece()
 			whole := events.split(buf[:n])
+			q.recordPiece(events.hasBegun())
 			if events.tooLong {
 				return q.rejectResponse(a, resp, "event_too_long")
 			}
@@ -58,10 +58,11 @@
 	}
 }
 
-// recordPiece records the arrival of a piece of the stream.
-func (q *request) recordPiece() {
+// recordPiece records the arrival of a piece of the stream; begun reports whether an answer
+// has begun by now, not just comments.
+func (q *request) recordPiece(begun bool) {
 	now := q.g.deps.Now()
-	if q.responseSince.IsZero() {
+	if begun && q.responseSince.IsZero() {
 		q.responseSince = now
 	}
 	if q.isLongRun(now) { // it clears a part of its prompt long before its end
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -376,7 +376,11 @@
 try "a run to its end clears" node/gate/poison.go \
   'q.g.deps.PoisonGuard.RecordCompleted(q.content, quarantine' '_, _ = q.content, (quarantine' ./node/gate -run 'CompletedRequestIsRecorded'
 try "a failed answer clears nothing" node/gate/attempt.go \
-  'if status < 300 { // a failure may' 'if true { // a failure may' ./node/gate -run 'FailedAnswer'
+  'return status < 300 && (' 'return true && (' ./node/gate -run 'FailedAnswer'
+try "comments are no run" node/gate/stream.go \
+  'q.recordPiece(events.hasBegun())' 'q.recordPiece(true)' ./node/gate -run 'CommentsAreNoRun'
+try "a stream without data clears nothing" node/gate/attempt.go \
+  '!q.responseSince.IsZero())' 'true)' ./node/gate -run 'StreamWithoutData'
 try "parts are reported" node/quarantine/detector.go \
   '!f.IsPart() || !slices' '!f.IsPart() || false && !slices' ./platform -run 'APartOfPrompts'
 try "the last part of a prompt is its own" node/gate/poison.go \
