A crash of an upstream that is back under its id counts

Callers saw: a part of prompts that ends upstreams was never barred once all upstreams of the service had ended under it and come back under their ids.

Cause: a process was taken to crash once, so crashes were kept by the upstream's id: each further one counted as another host's report of the first, at the first one's time, and was dropped where an answer or a bar had explained the first.

The ledger keeps crashes by upstream and time: reports that differ by less than a second, in which hosts notice one crash and no upstream is back, are of the same one. A host takes an exchange that broke for a new crash if its request was sent after the former one. TestAnUpstreamThatIsBackUnderItsIDCountsAgain and TestAnUpstreamThatIsBackMayCrashAgain fail without it (guards).

--- a/core/poison/account.go
+++ b/core/poison/account.go
@@ -23,7 +23,7 @@
 		counts := l.countsFor(e, now)
 		times := l.crashTimes(e, counts)
 		a := PartAccount{Fingerprint: e.Fingerprint, Crashes: len(times), Settled: l.isSettled(e, times, now), Needed: l.policy.MinBlindPartCrashes}
-		a.Unexplained = len(l.crashTimes(e, func(u string, c *crash) bool { return counts(u, c) && !l.explainedByBar(c, e) }))
+		a.Unexplained = len(l.crashTimes(e, func(c *crash) bool { return counts(c) && !l.explainedByBar(c, e) }))
 		if a.Settled {
 			a.Needed = l.neededPartCrashes(e, times)
 		}
--- a/core/poison/adopted.go
+++ b/core/poison/adopted.go
@@ -26,14 +26,16 @@
 // be alone. Crashes in which none of them ran are included, since a mass failure is known by
 // all its crashes.
 func (l *Ledger) CommonCrashes(maxCrashes, maxSuspects int) []Crash {
-	out := l.latestCrashes(maxCrashes)
-	common := withoutCut(l.commonSuspects(maxSuspects), out)
+	latest := l.latestCrashes(maxCrashes)
+	common := withoutCut(l.commonSuspects(maxSuspects), latest)
 	if len(common) == 0 {
 		return nil
 	}
-	for i := range out {
+	out := make([]Crash, len(latest))
+	for i, c := range latest {
+		out[i] = Crash{Upstream: c.upstream, At: c.at}
 		for _, e := range common {
-			if e.crashes[out[i].Upstream] {
+			if e.crashes[c] {
 				out[i].Ran = append(out[i].Ran, e.Fingerprint)
 			}
 		}
@@ -41,22 +43,18 @@
 	return out
 }
 
-// latestCrashes returns the latest crashes, the earliest first, without what ran.
-func (l *Ledger) latestCrashes(limit int) []Crash {
-	out := make([]Crash, 0, len(l.crashes))
-	for id, c := range l.crashes {
-		out = append(out, Crash{Upstream: id, At: c.at})
-	}
-	slices.SortFunc(out, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
+// latestCrashes returns the latest crashes, the earliest first.
+func (l *Ledger) latestCrashes(limit int) []*crash {
+	out := slices.SortedFunc(l.allCrashes(), func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.upstream, b.upstream)) })
 	return out[max(len(out)-limit, 0):]
 }
 
 // withoutCut leaves out the suspects that would seem to be alone, since others of as many
 // crashes have too few of those that are left.
-func withoutCut(common []*entry, crashes []Crash) []*entry {
+func withoutCut(common []*entry, crashes []*crash) []*entry {
 	left := func(e *entry) (n int) {
-		for i := range crashes {
-			if e.crashes[crashes[i].Upstream] {
+		for _, c := range crashes {
+			if e.crashes[c] {
 				n++
 			}
 		}
@@ -106,9 +104,9 @@
 		if c.ran[f.Digest] || len(c.ran) >= maxSuspectsPerCrash || l.isReleasedSince(f.Digest, x.At) {
 			continue
 		}
-		if l.addCrash(f, x.Upstream, x.At, now) {
+		if l.addCrash(f, c, x.At, now) {
 			c.ran[f.Digest] = true
-			l.entries[f.Digest].adopt(x.Upstream, now)
+			l.entries[f.Digest].adopt(c, now)
 		}
 	}
 }
@@ -120,16 +118,16 @@
 }
 
 // adopt notes that a crash is known from another ledger, and since when.
-func (e *entry) adopt(upstream string, now time.Time) {
+func (e *entry) adopt(c *crash, now time.Time) {
 	if e.adopted == nil {
-		e.adopted = map[string]time.Time{}
+		e.adopted = map[*crash]time.Time{}
 	}
-	e.adopted[upstream] = now
+	e.adopted[c] = now
 }
 
 // confirm notes that a host reports a crash itself. Then hosts that had the suspect under
 // way are there, and have answered it or not.
-func (e *entry) confirm(upstream string) { delete(e.adopted, upstream) }
+func (e *entry) confirm(c *crash) { delete(e.adopted, c) }
 
 // isAdoptedFor reports whether the crashes that e has from another ledger only have been
 // known for some time; true if there are none.
--- a/core/poison/judge.go
+++ b/core/poison/judge.go
@@ -25,6 +25,9 @@
 	// part are answered if it is harmless, and that is reported. FirstPartSettleTime is the
 	// same for the first part of prompts, which a whole route may need.
 	PartSettleTime, FirstPartSettleTime time.Duration
+	// MinRestart is the shortest time between two crashes of an upstream that is back under its
+	// id. Reports that differ by less are of the same crash: hosts notice it one after the other.
+	MinRestart time.Duration
 	// CrashRetention is how long a crash counts against the requests that ran on the upstream.
 	CrashRetention time.Duration
 	// InitialBar is the length of a request's first bar. Each further bar is twice as
@@ -45,6 +48,7 @@
 	MinPartCrashes: 3, MinBlindPartCrashes: 5,
 	PartSettleTime:      2000 * time.Millisecond,
 	FirstPartSettleTime: 2500 * time.Millisecond,
+	MinRestart:          time.Second,
 	CrashRetention:      10 * time.Minute, // a poison request may arrive only once a minute
 	InitialBar:          2 * time.Minute,  // far longer than the restart of an upstream, so that a crash costs little in comparison
 	MaxBar:              time.Hour,
@@ -108,8 +112,7 @@
 // are part of a mass failure count as one.
 func (l *Ledger) evidence(e *entry, explained func(c *crash, e *entry) bool) int {
 	sum, mass := 0, 0
-	for id := range e.crashes {
-		c := l.crashes[id]
+	for c := range e.crashes {
 		weight := fullWeight
 		if explained(c, e) && len(e.crashes) < l.policy.MinCrashes {
 			weight = explainedWeight
@@ -128,7 +131,7 @@
 // be something else.
 func (l *Ledger) partOfMass(c *crash, e *entry) bool {
 	all, ran := 0, 0
-	for _, o := range l.crashes {
+	for o := range l.allCrashes() {
 		if apart := o.at.Sub(c.at); apart > l.policy.MassWindow || apart < -l.policy.MassWindow {
 			continue
 		}
@@ -168,8 +171,8 @@
 	if e.BarCount > 0 {
 		return true
 	}
-	for id := range e.crashes {
-		if now.Sub(l.crashes[id].at) < l.policy.SoleSettleTime {
+	for c := range e.crashes {
+		if now.Sub(c.at) < l.policy.SoleSettleTime {
 			return false
 		}
 	}
@@ -179,8 +182,8 @@
 // isSoleCandidate reports whether no other suspect that was part of one of e's crashes
 // was part of as many crashes as e.
 func (l *Ledger) isSoleCandidate(e *entry) bool {
-	for id := range e.crashes {
-		for d := range l.crashes[id].ran {
+	for c := range e.crashes {
+		for d := range c.ran {
 			if o := l.entries[d]; o != e && o.State == Suspected && len(o.crashes) >= len(e.crashes) {
 				return false
 			}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -24,13 +25,14 @@
 	changedAt  time.Time
 	answeredAt time.Time // the latest time of Clear
 	releasedAt time.Time // when that, or an operator, last cleared it
-	crashes    map[string]bool
-	adopted    map[string]time.Time // those of crashes that only another ledger knew, and since when this one does
+	crashes    map[*crash]bool
+	adopted    map[*crash]time.Time // those of crashes that only another ledger knew, and since when this one does
 }
 
-// crash is the crash of one upstream.
+// crash is one crash of an upstream.
 type crash struct {
-	at         time.Time
+	upstream   string
+	at         time.Time // when a host first noticed it
 	ran        map[Digest]bool
 	answeredAt time.Time // the latest time of Clear of a suspect that ran there
 }
@@ -40,7 +42,7 @@
 // guard it.
 type Ledger struct {
 	policy      Policy
-	crashes     map[string]*crash // by upstream; each process crashes once
+	crashes     map[string][]*crash // by upstream, which may be back under its id
 	entries     map[Digest]*entry
 	revision    uint64
 	answers     answers   // of what has no entry
@@ -50,7 +52,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(p Policy) *Ledger {
-	return &Ledger{policy: p, crashes: map[string]*crash{}, entries: map[Digest]*entry{}}
+	return &Ledger{policy: p, crashes: map[string][]*crash{}, entries: map[Digest]*entry{}}
 }
 
 // RecordCrash records that an upstream crashed, at what time, and the requests in progress
@@ -62,14 +64,14 @@
 	for _, m := range running {
 		if c.ran[m.Digest] {
 			if e := l.entries[m.Digest]; e != nil {
-				e.confirm(upstream)
+				e.confirm(c)
 			}
 			continue
 		}
 		if len(c.ran) >= maxSuspectsPerCrash {
 			continue
 		}
-		if l.addCrash(m, upstream, at, now) {
+		if l.addCrash(m, c, at, now) {
 			c.ran[m.Digest] = true
 			counted++
 		}
@@ -78,39 +80,55 @@
 	return counted
 }
 
-// crash returns the crash of an upstream, which it creates if necessary.
+// crash returns the crash of an upstream at a time, which it creates if necessary.
 func (l *Ledger) crash(upstream string, at time.Time) *crash {
-	c := l.crashes[upstream]
-	if c == nil {
-		l.makeRoom()
-		c = &crash{at: at, ran: map[Digest]bool{}}
-		l.crashes[upstream] = c
+	for _, c := range l.crashes[upstream] {
+		if at.Sub(c.at).Abs() < l.policy.MinRestart {
+			return c
+		}
 	}
+	l.makeRoom()
+	c := &crash{upstream: upstream, at: at, ran: map[Digest]bool{}}
+	l.crashes[upstream] = append(l.crashes[upstream], c)
 	return c
 }
 
+// allCrashes returns the crashes of all upstreams.
+func (l *Ledger) allCrashes() iter.Seq[*crash] {
+	return func(yield func(*crash) bool) {
+		for _, of := range l.crashes {
+			for _, c := range of {
+				if !yield(c) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // makeRoom removes the oldest crash if the ledger holds the maximum number of crashes.
 func (l *Ledger) makeRoom() {
-	if len(l.crashes) < maxCrashes {
-		return
-	}
-	oldest := ""
-	for id, c := range l.crashes {
-		if oldest == "" || c.at.Before(l.crashes[oldest].at) {
-			oldest = id
+	var oldest *crash
+	n := 0
+	for c := range l.allCrashes() {
+		n++
+		if oldest == nil || c.at.Before(oldest.at) {
+			oldest = c
 		}
 	}
-	l.dropCrash(oldest)
+	if n >= maxCrashes {
+		l.dropCrash(oldest)
+	}
 }
 
 // addCrash counts a crash against a suspect. It reports whether there was room for that. A
 // part that has been answered since is not suspected of it.
-func (l *Ledger) addCrash(f Fingerprint, upstream string, at, now time.Time) bool {
+func (l *Ledger) addCrash(f Fingerprint, c *crash, at, now time.Time) bool {
 	e := l.entry(f)
 	if e == nil || e.IsPart() && !at.After(e.answeredAt) {
 		return false
 	}
-	e.crashes[upstream] = true
+	e.crashes[c] = true
 	e.Answered = e.Answered || f.Answered
 	if e.State == Cleared {
 		e.State = Suspected
@@ -123,7 +141,7 @@
 func (l *Ledger) entry(f Fingerprint) *entry {
 	e := l.entries[f.Digest]
 	if e == nil && (len(l.entries) < maxEntries || l.evict()) {
-		e = &entry{Entry: Entry{Fingerprint: f}, crashes: map[string]bool{}, answeredAt: l.answers.take(f.Digest)}
+		e = &entry{Entry: Entry{Fingerprint: f}, crashes: map[*crash]bool{}, answeredAt: l.answers.take(f.Digest)}
 		l.entries[f.Digest] = e
 	}
 	return e
@@ -151,10 +169,8 @@
 
 func (l *Ledger) remove(e *entry) {
 	delete(l.entries, e.Digest)
-	for id := range e.crashes {
-		if c := l.crashes[id]; c != nil {
-			delete(c.ran, e.Digest)
-		}
+	for c := range e.crashes {
+		delete(c.ran, e.Digest)
 	}
 }
 
@@ -186,15 +202,14 @@
 
 // clearUntil takes an entry out of the crashes up to a time, and returns how many are left.
 func (l *Ledger) clearUntil(e *entry, at time.Time) (left int) {
-	for id := range e.crashes {
-		c := l.crashes[id]
+	for c := range e.crashes {
 		if c.at.After(at) {
 			continue
 		}
 		c.answeredAt = latest(c.answeredAt, at)
 		delete(c.ran, e.Digest)
-		delete(e.crashes, id)
-		delete(e.adopted, id)
+		delete(e.crashes, c)
+		delete(e.adopted, c)
 	}
 	return len(e.crashes)
 }
@@ -236,12 +251,10 @@
 	if e.State == Barred {
 		l.transition(e, Cleared, cause)
 	}
-	for id := range e.crashes {
-		if c := l.crashes[id]; c != nil {
-			delete(c.ran, e.Digest)
-		}
+	for c := range e.crashes {
+		delete(c.ran, e.Digest)
 	}
-	e.crashes, e.adopted, e.State, e.BarredUntil = map[string]bool{}, nil, Cleared, time.Time{}
+	e.crashes, e.adopted, e.State, e.BarredUntil = map[*crash]bool{}, nil, Cleared, time.Time{}
 	l.touch(e, now)
 }
 
@@ -272,10 +285,20 @@
 func (l *Ledger) transition(e *entry, s State, cause Cause) {
 	e.State, e.CrashCount = s, len(e.crashes)
 	if len(l.transitions) < maxEntries {
-		l.transitions = append(l.transitions, Transition{Entry: e.Entry, Cause: cause, Upstreams: slices.Sorted(maps.Keys(e.crashes))})
+		l.transitions = append(l.transitions, Transition{Entry: e.Entry, Cause: cause, Upstreams: e.upstreams()})
 	}
 }
 
+// upstreams returns the upstreams that crashed, as often as they did.
+func (e *entry) upstreams() []string {
+	all := make([]string, 0, len(e.crashes))
+	for c := range e.crashes {
+		all = append(all, c.upstream)
+	}
+	slices.Sort(all)
+	return all
+}
+
 // TakeTransitions returns the transitions since the previous call.
 func (l *Ledger) TakeTransitions() []Transition {
 	out := l.transitions
@@ -295,9 +318,9 @@
 	}
 	l.lastExpired = now
 	l.answers.expire(now.Add(-l.policy.CrashRetention))
-	for id, c := range l.crashes {
+	for c := range l.allCrashes() {
 		if now.Sub(c.at) > l.policy.CrashRetention {
-			l.dropCrash(id)
+			l.dropCrash(c)
 		}
 	}
 	for _, e := range l.entries {
@@ -311,14 +334,19 @@
 	l.updateBars(now)
 }
 
-func (l *Ledger) dropCrash(id string) {
-	for d := range l.crashes[id].ran {
+func (l *Ledger) dropCrash(c *crash) {
+	for d := range c.ran {
 		if e := l.entries[d]; e != nil {
-			delete(e.crashes, id)
-			delete(e.adopted, id)
+			delete(e.crashes, c)
+			delete(e.adopted, c)
 		}
 	}
-	delete(l.crashes, id)
+	left := slices.DeleteFunc(slices.Clone(l.crashes[c.upstream]), func(o *crash) bool { return o == c }) // the former list may be iterated over
+	if len(left) == 0 {
+		delete(l.crashes, c.upstream)
+		return
+	}
+	l.crashes[c.upstream] = left
 }
 
 // BarredUntil returns until when a request is barred, and whether it is.
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -182,14 +182,14 @@
 				l.RecordCrash(rapid.StringMatching("[u-z]{2}").Draw(t, "upstream"), []Fingerprint{m, named("g")}, now, now)
 			}
 			for d, e := range l.entries {
-				for id := range e.crashes {
-					assert.Assert(t, l.crashes[id].ran[d])
+				for c := range e.crashes {
+					assert.Assert(t, c.ran[d] && slices.Contains(l.crashes[c.upstream], c))
 				}
 				if e.State == Barred && e.BarCount == 1 {
 					assert.Assert(t, e.CrashCount >= DefaultPolicy.MinSoleCrashes)
 				}
 			}
-			for _, c := range l.crashes {
+			for c := range l.allCrashes() {
 				for d := range c.ran {
 					assert.Assert(t, l.entries[d] != nil)
 				}
@@ -324,3 +324,20 @@
 	changed, _ := l.ChangedSince(0, maxEntries, now)
 	assert.Assert(t, slices.ContainsFunc(changed, func(e Entry) bool { return e.Digest == harmless.Digest && e.Answered }), "hosts are told")
 }
+
+// Guards against a request, or a part of prompts, that goes on to crash upstreams which come back under
+// their ids, since their further crashes are taken for reports of the first one.
+func TestAnUpstreamThatIsBackUnderItsIDCountsAgain(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	request, part := named("/x"), PartFingerprint("p", 1)
+	for range 5 {
+		now = now.Add(2 * time.Second)
+		for range 3 { // hosts notice the same crash one after the other
+			l.RecordCrash("u", []Fingerprint{request, part}, now, now)
+			now = now.Add(200 * time.Millisecond)
+		}
+	}
+	assert.Equal(t, l.entries[part.Digest].CrashCount, 5)
+	_, ok := l.BarredUntil(request.Digest, now)
+	assert.Assert(t, ok)
+}
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -52,10 +52,10 @@
 
 // crashTimes returns when the upstreams crashed on which a suspect ran, the earliest first.
 // Crashes at about the same time may have another cause in common, and count as one.
-func (l *Ledger) crashTimes(e *entry, counts func(upstream string, c *crash) bool) []time.Time {
+func (l *Ledger) crashTimes(e *entry, counts func(c *crash) bool) []time.Time {
 	var all []time.Time
-	for id := range e.crashes {
-		if c := l.crashes[id]; counts(id, c) {
+	for c := range e.crashes {
+		if counts(c) {
 			all = append(all, c.at)
 		}
 	}
@@ -63,14 +63,14 @@
 	return slices.CompactFunc(all, func(a, b time.Time) bool { return b.Sub(a).Abs() <= l.policy.MassWindow })
 }
 
-func everyCrash(string, *crash) bool { return true }
+func everyCrash(*crash) bool { return true }
 
 // countsFor returns which crashes count against a part now. Those that are known from another
 // ledger only do not, until the part has gone without an answer since then.
-func (l *Ledger) countsFor(e *entry, now time.Time) func(upstream string, c *crash) bool {
+func (l *Ledger) countsFor(e *entry, now time.Time) func(c *crash) bool {
 	settleTime := l.settleTime(e)
-	return func(upstream string, _ *crash) bool {
-		at, adopted := e.adopted[upstream]
+	return func(c *crash) bool {
+		at, adopted := e.adopted[c]
 		return !adopted || now.Sub(at) >= settleTime
 	}
 }
@@ -113,7 +113,7 @@
 // count, and one that another settled part may explain counts half.
 func (l *Ledger) partEvidence(e *entry, settled map[*entry][]time.Time, now time.Time) int {
 	counts := l.countsFor(e, now)
-	unexplained := func(upstream string, c *crash) bool { return counts(upstream, c) && !l.explainedByBar(c, e) }
+	unexplained := func(c *crash) bool { return counts(c) && !l.explainedByBar(c, e) }
 	all := len(l.crashTimes(e, unexplained))
 	if all >= l.policy.MinBlindPartCrashes {
 		return fullWeight * all
@@ -126,8 +126,8 @@
 		}
 		return false
 	}
-	counted := len(l.crashTimes(e, func(u string, c *crash) bool { return unexplained(u, c) && !ambiguous(c, true) }))
-	certain := len(l.crashTimes(e, func(u string, c *crash) bool { return unexplained(u, c) && !ambiguous(c, false) }))
+	counted := len(l.crashTimes(e, func(c *crash) bool { return unexplained(c) && !ambiguous(c, true) }))
+	certain := len(l.crashTimes(e, func(c *crash) bool { return unexplained(c) && !ambiguous(c, false) }))
 	return fullWeight*certain + explainedWeight*(counted-certain)
 }
 
@@ -148,8 +148,8 @@
 // answered since the part's second crash: that the part has not says something then.
 func (l *Ledger) othersAnswered(e *entry, times []time.Time) bool {
 	second := times[l.settlesFrom(e)-1]
-	for id := range e.crashes {
-		if l.crashes[id].answeredAt.After(second) {
+	for c := range e.crashes {
+		if c.answeredAt.After(second) {
 			return true
 		}
 	}
@@ -178,9 +178,9 @@
 // explainedByNarrowerBars reports whether in each of a part's crashes another barred suspect
 // ran that is a whole request, or a part that comes no earlier.
 func (l *Ledger) explainedByNarrowerBars(e *entry) bool {
-	for id := range e.crashes {
+	for c := range e.crashes {
 		explained := false
-		for d := range l.crashes[id].ran {
+		for d := range c.ran {
 			o := l.entries[d]
 			explained = explained || o != e && o.State == Barred && (!o.IsPart() || o.Place >= e.Place)
 		}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -60,9 +60,9 @@
 
 // CrashRecorder records the requests during which an upstream may have crashed.
 type CrashRecorder interface {
-	// RecordBroken records the suspects of a request whose exchange with an upstream broke
-	// off early.
-	RecordBroken(upstream, address string, suspects []poison.Fingerprint)
+	// RecordBroken records the suspects of a request, sent at a time, whose exchange with an
+	// upstream broke off early.
+	RecordBroken(upstream, address string, sentAt time.Time, suspects []poison.Fingerprint)
 }
 
 // PoisonGuard blocks requests that crash the upstreams that run them.
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if e := a.Entry(); e != nil && q.g.deps.CrashRecorder != nil {
-		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.suspects())
+		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.sentAt, q.suspects())
 	}
 }
 
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -25,7 +25,7 @@
 	barredUntil  time.Time
 }
 
-func (b *crashRecorder) RecordBroken(_, _ string, suspects []poison.Fingerprint) {
+func (b *crashRecorder) RecordBroken(_, _ string, _ time.Time, suspects []poison.Fingerprint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.broken = append(b.broken, suspects...)
--- a/node/quarantine/detector.go
+++ b/node/quarantine/detector.go
@@ -102,14 +102,14 @@
 	return &CrashDetector{deps: d, checks: make(chan string, maxPendingChecks), broken: map[string]*brokenUpstream{}}
 }
 
-// RecordBroken records the suspects of a request whose exchange with an upstream broke
-// before its end. It does not block.
-func (d *CrashDetector) RecordBroken(upstream, address string, suspects []poison.Fingerprint) {
+// RecordBroken records the suspects of a request, sent at a time, whose exchange with an
+// upstream broke before its end. It does not block.
+func (d *CrashDetector) RecordBroken(upstream, address string, sentAt time.Time, suspects []poison.Fingerprint) {
 	d.mu.Lock()
 	now := d.deps.Now()
 	d.removeOldLocked(now)
 	e := d.broken[upstream]
-	if e == nil || e.checked && !e.terminated {
+	if e == nil || e.checked && (!e.terminated || sentAt.After(e.at)) { // sent since: another process is there, maybe under the same id
 		e = &brokenUpstream{address: address, at: now}
 		select {
 		case d.checks <- upstream:
--- a/node/quarantine/detector_test.go
+++ b/node/quarantine/detector_test.go
@@ -39,7 +39,7 @@
 
 func TestAnUpstreamThatDoesNotListenHasTerminated(t *testing.T) {
 	w, lines := newDetector(t, func(a string) bool { return a == "dead" })
-	w.RecordBroken("u", "dead", suspect("a"))
+	w.RecordBroken("u", "dead", time.Time{}, suspect("a"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if lines.FilterMessage(event.UpstreamTerminated.Name).Len() == 0 {
 			return poll.Continue("no line")
@@ -57,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var checks atomic.Int32
 		w, lines := newDetector(t, func(string) bool { checks.Add(1); return false })
-		w.RecordBroken("u", "alive", suspect("a"))
+		w.RecordBroken("u", "alive", time.Time{}, suspect("a"))
 		time.Sleep(recheckAfter)
 		synctest.Wait()
 		w.mu.Lock()
@@ -69,21 +69,40 @@
 	})
 }
 
+// Guards against a crash that is taken for the former one of an upstream which came back under its id.
+func TestAnUpstreamThatIsBackMayCrashAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _ := newDetector(t, func(string) bool { return true })
+		var at []time.Time
+		w.deps.OnCrash = func(_ string, crashedAt time.Time, _ []poison.Fingerprint) { at = append(at, crashedAt) }
+		sent := time.Now()
+		for range 2 {
+			time.Sleep(time.Second)
+			w.RecordBroken("u", "dead", sent, suspect("a"))
+			synctest.Wait()
+		}
+		assert.Assert(t, at[0].Equal(at[1]), "both were sent before the crash")
+		w.RecordBroken("u", "dead", time.Now(), suspect("b"))
+		synctest.Wait()
+		assert.Equal(t, at[2].Sub(at[0]), time.Second, "this one was sent after it")
+	})
+}
+
 // Guards against crashes that nobody can explain later: requests whose exchanges broke are
 // left out because too many are pending, and nothing tells.
 func TestSuspectsThatAreLeftOutAreCounted(t *testing.T) {
 	set := metrics.New()
 	d := NewCrashDetector(CrashDetectorDeps{Metrics: set}) // its checks do not run
 	for i := range maxPendingChecks {
-		d.RecordBroken(strconv.Itoa(i), "a", suspect("a"))
+		d.RecordBroken(strconv.Itoa(i), "a", time.Time{}, suspect("a"))
 	}
 	for range maxSuspects - 1 {
-		d.RecordBroken("0", "a", suspect("a"))
+		d.RecordBroken("0", "a", time.Time{}, suspect("a"))
 	}
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForChecks], int64(0))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForSuspects], int64(0))
-	d.RecordBroken("one more", "a", suspect("a"))
-	d.RecordBroken("0", "a", suspect("a"))
+	d.RecordBroken("one more", "a", time.Time{}, suspect("a"))
+	d.RecordBroken("0", "a", time.Time{}, suspect("a"))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForChecks], int64(1))
 	assert.Equal(t, set.CountsByKind(metrics.SuspectsDropped)[droppedForSuspects], int64(1))
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1051,4 +1051,10 @@
 	for i := range answers {
 		answers[i].found[0] = answers[i].found[3]
 	}' ./node/coordinator/link -run 'OnlyWhileThereWasOneVersion'
+try "an upstream that is back may crash again" core/poison/ledger.go \
+  'if at.Sub(c.at).Abs() < l.policy.MinRestart {' 'if true {' ./core/poison -run 'BackUnderItsID'
+try "hosts notice one crash at different times" core/poison/ledger.go \
+  'if at.Sub(c.at).Abs() < l.policy.MinRestart {' 'if at.Equal(c.at) {' ./core/poison -run 'BackUnderItsID'
+try "a request sent after a crash is of another one" node/quarantine/detector.go \
+  '(!e.terminated || sentAt.After(e.at))' '!e.terminated' ./node/quarantine -run 'MayCrashAgain'
 exit $missed
