A series of crashes under a part of prompts is not one crash

Callers saw: a part of prompts went on to end upstreams while its requests were sent again at once.

Cause: crashes within 50 ms of each other count as one, since a rack may be lost; they were compared each with the one before, so that a series of any length counted as one. A request that is sent again ends an upstream each 20 to 50 ms.

A crash counts as one with others only within 50 ms of the first of these. TestASeriesOfCrashesIsNotOne failed before; a guard.

--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -51,7 +51,8 @@
 }
 
 // crashTimes returns when the upstreams crashed on which a suspect ran, the earliest first.
-// Crashes at about the same time may have another cause in common, and count as one.
+// Crashes at about the same time may have another cause in common, and count as one; a series
+// of them, which a request that is sent again and again makes, does not.
 func (l *Ledger) crashTimes(e *entry, counts func(c *crash) bool) []time.Time {
 	var all []time.Time
 	for c := range e.crashes {
@@ -60,7 +61,13 @@
 		}
 	}
 	slices.SortFunc(all, time.Time.Compare)
-	return slices.CompactFunc(all, func(a, b time.Time) bool { return b.Sub(a).Abs() <= l.policy.MassWindow })
+	apart := all[:0]
+	for _, at := range all {
+		if len(apart) == 0 || at.Sub(apart[len(apart)-1]) > l.policy.MassWindow {
+			apart = append(apart, at)
+		}
+	}
+	return apart
 }
 
 func everyCrash(*crash) bool { return true }
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -66,6 +66,18 @@
 	assert.Assert(t, isPartBarred(l, part, now), "others were answered, and it was not")
 }
 
+// Guards against a series of crashes that counts as one, since each comes soon after the one before: a
+// request that is sent again at once makes such a series.
+func TestASeriesOfCrashesIsNotOne(t *testing.T) {
+	l, now := NewLedger(DefaultPolicy), start
+	part := PartFingerprint("fatal", 1)
+	for i := range 3 * DefaultPolicy.MinBlindPartCrashes {
+		crashParts(l, fmt.Sprint("u", i), now, part)
+		now = now.Add(DefaultPolicy.MassWindow / 2)
+	}
+	assert.Assert(t, isPartBarred(l, part, now.Add(DefaultPolicy.PartSettleTime)))
+}
+
 // Property: whatever crashes and answers are reported in whatever order, no part is barred
 // that was answered later than its last crash.
 func TestAPartThatWasAnsweredSinceIsNotBarred(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1057,4 +1057,6 @@
   'if at.Sub(c.at).Abs() < l.policy.MinRestart {' 'if at.Equal(c.at) {' ./core/poison -run 'BackUnderItsID'
 try "a request sent after a crash is of another one" node/quarantine/detector.go \
   '(!e.terminated || sentAt.After(e.at))' '!e.terminated' ./node/quarantine -run 'MayCrashAgain'
+try "a series of crashes is not one" core/poison/parts.go \
+  'at.Sub(apart[len(apart)-1]) > l.policy.MassWindow' 'at.Sub(all[max(slices.Index(all, at)-1, 0)]) > l.policy.MassWindow' ./core/poison -run 'ASeriesOfCrashes'
 exit $missed
