Bars of several requests do not explain the crashes of a part that these have

Callers saw: requests with a part of their prompts that ends upstreams were sent on long after the fifth crash, on routes of several attempts and where callers send the same request again.

Cause: a crash did not count against a part of prompts if anything barred had run there. A request that reaches three upstreams is barred before its part has gone without an answer for 2 s, and so are harmless ones that ran beside it; each bar took the crashes from the part, and ended the part's own bar. The narrower explanation always came first and hid the wider one.

Five crashes that no other part explains count in full now, unless one barred request ran in all of them: several requests are explained best by what they have in common, one request by itself. A part's bar ends only if one request, or narrower parts, explain all. Two of the three new tests failed before (TestAPartOfOneBarredRequestIsNotBarred holds both ways); guards.

--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -115,16 +115,18 @@
 )
 
 // partEvidence returns the evidence of the crashes against a part, in halves of a crash. One
-// that a barred suspect explains does not count. So many that chance does not explain them
-// count fully. Of fewer, one that a settled part of fewer requests may explain does not
-// count, and one that another settled part may explain counts half.
+// that a barred part explains does not count. So many that chance does not explain them
+// count fully, unless one barred request explains all of them: several requests that crash
+// upstreams are explained best by what they have in common. Of fewer, one that a barred
+// request, or a settled part of fewer requests, may explain does not count, and one that
+// another settled part may explain counts half.
 func (l *Ledger) partEvidence(e *entry, settled map[*entry][]time.Time, now time.Time) int {
 	counts := l.countsFor(e, now)
-	unexplained := func(c *crash) bool { return counts(c) && !l.explainedByBar(c, e) }
-	all := len(l.crashTimes(e, unexplained))
-	if all >= l.policy.MinBlindPartCrashes {
+	own := func(c *crash) bool { return counts(c) && !l.explainedByPart(c, e, 0) }
+	if all := len(l.crashTimes(e, own)); all >= l.policy.MinBlindPartCrashes && !l.explainedByOneRequest(e, own) {
 		return fullWeight * all
 	}
+	unexplained := func(c *crash) bool { return counts(c) && !l.explainedByBar(c, e) }
 	ambiguous := func(c *crash, onlyLater bool) bool {
 		for d := range c.ran {
 			if o := l.entries[d]; o != e && settled[o] != nil && (!onlyLater || o.Place > e.Place) {
@@ -182,18 +184,42 @@
 	}
 }
 
-// explainedByNarrowerBars reports whether in each of a part's crashes another barred suspect
-// ran that is a whole request, or a part that comes no earlier.
+// explainedByNarrowerBars reports whether in each of a part's crashes another barred part ran
+// that comes no earlier, or one and the same barred request in those in which none did.
 func (l *Ledger) explainedByNarrowerBars(e *entry) bool {
+	return l.explainedByOneRequest(e, func(c *crash) bool { return !l.explainedByPart(c, e, e.Place) })
+}
+
+// explainedByPart reports whether another barred part ran in a crash, at this place of its
+// prompt or a later one.
+func (l *Ledger) explainedByPart(c *crash, e *entry, place uint8) bool {
+	for d := range c.ran {
+		if o := l.entries[d]; o != e && o.IsPart() && o.State == Barred && o.Place >= place {
+			return true
+		}
+	}
+	return false
+}
+
+// explainedByOneRequest reports whether one barred request ran in all those of a part's crashes
+// that count; true if there are none.
+func (l *Ledger) explainedByOneRequest(e *entry, counts func(c *crash) bool) bool {
+	all, ran := 0, map[Digest]int{}
 	for c := range e.crashes {
-		explained := false
+		if !counts(c) {
+			continue
+		}
+		all++
 		for d := range c.ran {
-			o := l.entries[d]
-			explained = explained || o != e && o.State == Barred && (!o.IsPart() || o.Place >= e.Place)
+			if o := l.entries[d]; !o.IsPart() && o.State == Barred {
+				ran[d]++
+			}
 		}
-		if !explained {
-			return false
+	}
+	for _, n := range ran {
+		if n == all {
+			return true
 		}
 	}
-	return true
+	return all == 0
 }
--- a/core/poison/parts_simulation_test.go
+++ b/core/poison/parts_simulation_test.go
@@ -27,7 +27,10 @@
 	rate                    float64 // share of all requests that have a bad part
 	wholes                  int     // requests that crash upstreams as a whole, as often as the bad parts
 	lateHosts               int
-	outages                 bool // every ten seconds a third of all upstreams crash within 30 ms, by no request
+	outages                 bool    // every ten seconds a third of all upstreams crash within 30 ms, by no request
+	attempts                int     // of each request at a host, one after the other; 0: one
+	badTries                int     // how often callers send a request with a bad part, at once; 0: once
+	otherCrashes            float64 // crashes a second by no request
 	duration                time.Duration
 
 	now       time.Time
@@ -59,6 +62,7 @@
 	maxLate                    int           // sends of one bad part, by hosts whose reports are in time, later than knownWithin after its fifth crash
 	longestBar, longestFirst   time.Duration // of a harmless part, and of one that comes first
 	unbarred                   int           // bad parts that crashed enough upstreams and are not barred
+	requestsBarred             int           // harmless requests that were refused as barred themselves
 }
 
 type promptUpstream struct {
@@ -72,7 +76,8 @@
 	bad      *Digest
 	host     int
 	began    time.Time
-	try      int
+	try      int // of the caller
+	attempt  int // of the host
 }
 
 const (
@@ -106,6 +111,9 @@
 	if p.outages {
 		p.breakDown()
 	}
+	if p.otherCrashes > 0 {
+		p.crashByOthers()
+	}
 	for end := p.now.Add(p.duration); len(p.queue) > 0; {
 		e := heap.Pop(&p.queue).(event)
 		if e.at.After(end) {
@@ -174,8 +182,13 @@
 
 // send is the arrival of a request at a random host.
 func (p *promptSimulation) send(suspects []Fingerprint, bad *Digest, try int) {
-	host := p.rnd.IntN(p.hosts)
-	counts := bad == nil && try == 1 && len(p.crashedAt) > 0
+	p.dispatch(&promptRun{suspects: suspects, bad: bad, host: p.rnd.IntN(p.hosts), try: try, attempt: 1})
+}
+
+// dispatch sends a request from its host to an upstream.
+func (p *promptSimulation) dispatch(r *promptRun) {
+	suspects, bad, try, host := r.suspects, r.bad, r.try, r.host
+	counts := bad == nil && try == 1 && r.attempt == 1 && len(p.crashedAt) > 0
 	if counts {
 		p.outcome.sent++
 	}
@@ -184,6 +197,9 @@
 			p.parts[f.Digest] = true
 		}
 		if p.known[host][f.Digest].state == Barred {
+			if bad == nil && !f.IsPart() {
+				p.outcome.requestsBarred++
+			}
 			return
 		}
 	}
@@ -203,7 +219,7 @@
 	}
 	p.lastID++
 	id, process := p.lastID, u.id
-	r := &promptRun{suspects: suspects, bad: bad, host: host, began: p.now, try: try}
+	r.began = p.now
 	u.running[id] = r
 	if bad != nil {
 		if at := p.crashedAt[*bad]; len(at) >= bound && p.now.Sub(at[bound-1]) > knownWithin && host >= p.lateHosts {
@@ -239,9 +255,25 @@
 }
 
 func (p *promptSimulation) retry(suspects []Fingerprint, bad *Digest, try int) {
-	if bad == nil && try < promptCallerAttempts {
+	switch {
+	case bad == nil && try < promptCallerAttempts:
 		p.after(300*time.Millisecond, func() { p.send(suspects, bad, try+1) })
+	case bad != nil && try < p.badTries:
+		p.after(atOnce, func() { p.send(suspects, bad, try+1) })
+	}
+}
+
+// atOnce is how long it takes to send a request again.
+const atOnce = 10 * time.Millisecond
+
+// repeat sends a request whose run broke again from its host, or lets its caller try again.
+func (p *promptSimulation) repeat(r *promptRun) {
+	if r.attempt >= p.attempts {
+		p.retry(r.suspects, r.bad, r.try)
+		return
 	}
+	next := &promptRun{suspects: r.suspects, bad: r.bad, host: r.host, try: r.try, attempt: r.attempt + 1}
+	p.after(atOnce, func() { p.dispatch(next) })
 }
 
 func (p *promptSimulation) crash(u *promptUpstream) {
@@ -252,7 +284,7 @@
 		if p.now.Sub(r.began) < maxSuspectAge {
 			byHost[r.host] = append(byHost[r.host], r.suspects...)
 		}
-		p.retry(r.suspects, r.bad, r.try)
+		p.repeat(r)
 	}
 	id, at := u.id, p.now
 	for _, host := range slices.Sorted(maps.Keys(byHost)) {
@@ -275,6 +307,16 @@
 	})
 }
 
+// crashByOthers crashes single upstreams at random times.
+func (p *promptSimulation) crashByOthers() {
+	p.after(time.Duration(p.rnd.ExpFloat64()/p.otherCrashes*float64(time.Second)), func() {
+		if u := p.ups[p.rnd.IntN(len(p.ups))]; u.up {
+			p.crash(u)
+		}
+		p.crashByOthers()
+	})
+}
+
 func (p *promptSimulation) reportDelay(host int) time.Duration {
 	d := time.Duration(p.rnd.Float64() * float64(maxReportDelay))
 	if host < p.lateHosts {
@@ -334,7 +376,7 @@
 
 func (o promptOutcome) add(b promptOutcome) promptOutcome {
 	return promptOutcome{o.sent + b.sent, o.served + b.served, o.parts + b.parts, o.barred + b.barred, o.firstBarred + b.firstBarred,
-		max(o.maxCrashes, b.maxCrashes), max(o.maxLate, b.maxLate), max(o.longestBar, b.longestBar), max(o.longestFirst, b.longestFirst), o.unbarred + b.unbarred}
+		max(o.maxCrashes, b.maxCrashes), max(o.maxLate, b.maxLate), max(o.longestBar, b.longestBar), max(o.longestFirst, b.longestFirst), o.unbarred + b.unbarred, o.requestsBarred + b.requestsBarred}
 }
 
 // Guards against a part that different requests share and that goes on crashing upstreams,
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -66,6 +66,73 @@
 	assert.Assert(t, isPartBarred(l, part, now), "others were answered, and it was not")
 }
 
+// Property: whatever requests crash upstreams, each as often as its caller tries, and are barred for it, a
+// part that they have in common and that was not answered is barred after its fifth crash, once it has
+// settled, unless one request made all crashes.
+func TestAPartIsBarredThoughEachRequestWithItIsBarred(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := NewLedger(SharedPolicy()), start
+		part, first := PartFingerprint("fatal", 1), PartFingerprint("first", 0)
+		var second, last time.Time
+		crashes, requests := 0, 0
+		for crashes < DefaultPolicy.MinBlindPartCrashes || requests < 2 {
+			request, own := named(fmt.Sprint(requests)), PartFingerprint(fmt.Sprint("own", requests), 2)
+			requests++
+			for range rapid.IntRange(1, 4).Draw(t, "sends") {
+				now = now.Add(DefaultPolicy.MassWindow + time.Duration(rapid.IntRange(1, 800).Draw(t, "ms"))*time.Millisecond)
+				beside := named(fmt.Sprint("beside ", rapid.IntRange(0, 3).Draw(t, "beside"))) // sound requests may be barred, too
+				l.RecordCrash(fmt.Sprint("u", crashes), []Fingerprint{request, first, part, own, beside}, now, now)
+				l.Clear(first.Digest, now, now)
+				crashes, last = crashes+1, now
+				if crashes == DefaultPolicy.MinSoleCrashes {
+					second = now
+				}
+			}
+		}
+		settled := second.Add(DefaultPolicy.PartSettleTime)
+		if settled.Before(last) {
+			settled = last
+		}
+		assert.Assert(t, isPartBarred(l, part, settled.Add(expireInterval)), "%d crashes by %d requests", crashes, requests)
+		assert.Assert(t, !isPartBarred(l, first, settled.Add(expireInterval)))
+	})
+}
+
+// Guards against a bar that ends since requests that ran beside the part are barred for the same crashes.
+func TestABarOfAPartOutlastsThoseOfRequests(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	part := PartFingerprint("fatal", 1)
+	for i := range 6 {
+		now = now.Add(500 * time.Millisecond)
+		l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{part, named(fmt.Sprint("fatal ", i)), named(fmt.Sprint("sound ", i%2))}, now, now)
+	}
+	now = now.Add(DefaultPolicy.PartSettleTime)
+	assert.Assert(t, isPartBarred(l, part, now))
+	for i := range 6 { // another host reports late what ran there, too
+		l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{named(fmt.Sprint("late ", i%2))}, now, now)
+	}
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		assert.Assert(t, isPartBarred(l, part, now))
+	}
+}
+
+// Guards against barring a part that is rare, but harmless, for the crashes of one request that has it.
+func TestAPartOfOneBarredRequestIsNotBarred(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	part, request := PartFingerprint("rare", 1), named("fatal")
+	for i := range 2 * DefaultPolicy.MinBlindPartCrashes {
+		now = now.Add(200 * time.Millisecond)
+		l.RecordCrash(fmt.Sprint("u", i), []Fingerprint{request, part}, now, now)
+	}
+	_, barred := l.BarredUntil(request.Digest, now)
+	assert.Assert(t, barred)
+	assert.Assert(t, !isPartBarred(l, part, now.Add(2*DefaultPolicy.PartSettleTime)))
+	for _, d := range l.TakeTransitions() {
+		assert.Assert(t, !d.IsPart(), "barred, and released at once")
+	}
+}
+
 // Guards against a series of crashes that counts as one, since each comes soon after the one before: a
 // request that is sent again at once makes such a series.
 func TestASeriesOfCrashesIsNotOne(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1059,4 +1059,10 @@
   '(!e.terminated || sentAt.After(e.at))' '!e.terminated' ./node/quarantine -run 'MayCrashAgain'
 try "a series of crashes is not one" core/poison/parts.go \
   'at.Sub(apart[len(apart)-1]) > l.policy.MassWindow' 'at.Sub(all[max(slices.Index(all, at)-1, 0)]) > l.policy.MassWindow' ./core/poison -run 'ASeriesOfCrashes'
+try "bars of several requests do not explain a part's crashes" core/poison/parts.go \
+  '&& !l.explainedByOneRequest(e, own) {' '&& len(l.crashTimes(e, func(c *crash) bool { return own(c) && !l.explainedByBar(c, e) })) == all {' ./core/poison -run 'EachRequestWithIt'
+try "bars of several requests do not end a part's bar" core/poison/parts.go \
+  'if n == all {' 'if n > 0 {' ./core/poison -run 'Outlasts'
+try "one request explains the crashes of its parts" core/poison/parts.go \
+  '&& !l.explainedByOneRequest(e, own) {' '{' ./core/poison -run 'OneBarredRequest'
 exit $missed
