A request is not sent again after a crash while a part of its prompt is heavily suspected

Callers saw: one request with a part that ends upstreams reached three of them within 65 ms, on a route of three attempts, when hosts already knew of eleven crashes under the part.

Cause: a host sends a request again 20 ms after its upstream ended, and hears of a bar some 200 ms after it told of the end. Bars alone cannot stop what is faster than the reports.

After an exchange broke under a request, its host asks whether a part of its prompt ran at five or more upstreams that ended and was not answered since; then the request ends (502, or 503 where it has not run). Sound requests are repeated as before: their parts are answered.

--- a/core/poison/entry.go
+++ b/core/poison/entry.go
@@ -24,6 +24,12 @@
 	BarCount    int       // how often it has been barred
 }
 
+// IsHeavy reports whether the entry is a part of prompts that ran at so many upstreams which
+// crashed, and was not answered since, that chance does not explain it.
+func (e *Entry) IsHeavy() bool {
+	return e.IsPart() && e.State == Suspected && e.CrashCount >= DefaultPolicy.MinBlindPartCrashes
+}
+
 // Cause is the cause of a transition.
 type Cause uint8
 
--- a/core/poison/parts_simulation_test.go
+++ b/core/poison/parts_simulation_test.go
@@ -50,7 +50,7 @@
 }
 
 type knownSuspect struct {
-	state State
+	Entry
 	since time.Time
 }
 
@@ -196,7 +196,7 @@
 		if f.IsPart() && (bad == nil || f.Digest != *bad) {
 			p.parts[f.Digest] = true
 		}
-		if p.known[host][f.Digest].state == Barred {
+		if p.known[host][f.Digest].State == Barred {
 			if bad == nil && !f.IsPart() {
 				p.outcome.requestsBarred++
 			}
@@ -245,7 +245,7 @@
 func (p *promptSimulation) complete(r *promptRun) {
 	for _, f := range r.suspects {
 		k := p.known[r.host][f.Digest]
-		if k.state == Cleared || f.IsPart() && !r.began.After(k.since) {
+		if k.State == Cleared || f.IsPart() && !r.began.After(k.since) {
 			continue
 		}
 		delete(p.known[r.host], f.Digest)
@@ -268,7 +268,11 @@
 
 // repeat sends a request whose run broke again from its host, or lets its caller try again.
 func (p *promptSimulation) repeat(r *promptRun) {
-	if r.attempt >= p.attempts {
+	mayRepeat := r.attempt < p.attempts && !slices.ContainsFunc(r.suspects, func(f Fingerprint) bool {
+		k := p.known[r.host][f.Digest]
+		return k.IsHeavy()
+	})
+	if !mayRepeat {
 		p.retry(r.suspects, r.bad, r.try)
 		return
 	}
@@ -368,9 +372,9 @@
 	case e.State == Cleared:
 		delete(p.known[host], e.Digest)
 	case !ok:
-		p.known[host][e.Digest] = knownSuspect{e.State, p.now}
+		p.known[host][e.Digest] = knownSuspect{*e, p.now}
 	default:
-		p.known[host][e.Digest] = knownSuspect{e.State, k.since}
+		p.known[host][e.Digest] = knownSuspect{*e, k.since}
 	}
 }
 
@@ -418,6 +422,27 @@
 	assert.Assert(t, float64(few.barred) <= maxBarredShare*float64(few.parts))
 }
 
+// Guards against a part that goes on crashing upstreams since its requests are sent again, by hosts and
+// by callers, and each is barred before the part is; also beside crashes by no request.
+func TestPartsWhoseRequestsAreSentAgainAreBarred(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 1, 4} {
+		for _, batch := range []int{1, 4, 16} {
+			for _, again := range []struct{ attempts, tries int }{{1, 2}, {1, 3}, {2, 1}, {2, 2}, {3, 1}} {
+				for _, otherCrashes := range []float64{0, 1} {
+					p := promptSimulation{hosts: 7, upstreams: 24, batch: batch, badParts: 1, badPlace: 1, attempts: again.attempts, badTries: again.tries,
+						otherCrashes: otherCrashes, duration: 40 * time.Second, perSecond: min(120, 10*float64(batch)) + perSecond}
+					p.rate = perSecond / p.perSecond
+					t.Run(fmt.Sprintf("%.1f a second, batch %d, %d attempts, %d tries, %.0f other crashes", perSecond, batch, again.attempts, again.tries, otherCrashes), func(t *testing.T) {
+						t.Parallel()
+						o := p.check(t)
+						assert.Equal(t, o.firstBarred, 0, "a route cannot do without its first parts")
+					})
+				}
+			}
+		}
+	}
+}
+
 // maxBadParts is the largest number of bad parts at a time that does not count as a flood.
 const maxBadParts = 3
 
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -69,6 +69,9 @@
 type PoisonGuard interface {
 	// Barred reports whether a request is barred from being sent, and until when.
 	Barred(r *poison.Request) (until time.Time, ok bool)
+	// MayRepeat reports whether a request may be sent again although its upstream has just
+	// crashed.
+	MayRepeat(r *poison.Request) bool
 	// RecordCompleted records that a request completed, or ran long enough after its response
 	// began.
 	RecordCompleted(r *poison.Request, c quarantine.Completion)
@@ -242,6 +245,7 @@
 	sentAt           time.Time       // when the newest attempt was sent
 	exchangeErr      error           // of the newest attempt, if no response came
 	possibleRuns     int             // number of attempts that may have run
+	broke            bool            // an exchange broke while the upstream may have been running the request
 	lostByUpstream   bool            // an upstream that may have run the request has lost it; set between attempts
 	runsGranted      int             // how often the host that the request was last forwarded to may have it run
 	triedHosts       []string        // hosts that the request was offered to
--- a/node/gate/poison.go
+++ b/node/gate/poison.go
@@ -30,14 +30,16 @@
 // ID implements poison.Parts.
 func (p *sharedParts) ID(i int) string { return (*p)[i].ID }
 
-// refuseBarred refuses a request that is barred for crashing upstreams and reports
-// whether it did. p is the selection made for the request, if any.
+// refuseBarred refuses a request that is barred for crashing upstreams, or that may have
+// crashed one and must not crash another. It reports whether it did. p is the selection
+// made for the request, if any.
 func (q *request) refuseBarred(p selection) bool {
-	if q.g.deps.PoisonGuard == nil {
+	guard := q.g.deps.PoisonGuard
+	if guard == nil {
 		return false
 	}
-	until, ok := q.g.deps.PoisonGuard.Barred(q.content)
-	if !ok {
+	until, ok := guard.Barred(q.content)
+	if !ok && (!q.broke || guard.MayRepeat(q.content)) {
 		return false
 	}
 	p.release()
@@ -76,6 +78,7 @@
 		q.recordCompleted(http.StatusOK, false)
 		return
 	}
+	q.broke = true
 	if e := a.Entry(); e != nil && q.g.deps.CrashRecorder != nil {
 		q.g.deps.CrashRecorder.RecordBroken(e.ID(), e.Address(), q.sentAt, q.suspects())
 	}
--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -23,6 +23,7 @@
 	completed    []poison.Fingerprint
 	barredDigest poison.Digest
 	barredUntil  time.Time
+	heavy        atomic.Bool // parts of prompts are heavily suspected
 }
 
 func (b *crashRecorder) RecordBroken(_, _ string, _ time.Time, suspects []poison.Fingerprint) {
@@ -39,6 +40,8 @@
 
 func (b *crashRecorder) AnsweredBefore(*poison.Request) bool { return false }
 
+func (b *crashRecorder) MayRepeat(*poison.Request) bool { return !b.heavy.Load() }
+
 func (b *crashRecorder) Barred(r *poison.Request) (time.Time, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -185,6 +188,29 @@
 	assert.Equal(t, reached.Load(), int32(1))
 }
 
+// Guards against a request with a heavily suspected part that crashes several upstreams before a host can
+// tell another one of it.
+func TestARequestWithAHeavySuspectIsNotSentAgainAfterACrash(t *testing.T) {
+	var reached atomic.Int32
+	crashes := true
+	g, b := newCrashGate(t, deploy.Idempotent, new(atomic.Int64), func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		if crashes {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	changeRoute(g, func(r *deploy.Route) { r.Attempts = 2 })
+	one := g.deps.Fleet.EntriesOfService("s")[0]
+	g.deps.Fleet.Apply([]deploy.Upstream{{ID: "v", Service: "s", Address: one.Address(), Slots: 4, Software: "v1"}}, nil, 0)
+	b.heavy.Store(true)
+	assert.Equal(t, serve(g, "/a").Code, http.StatusBadGateway)
+	assert.Equal(t, reached.Swap(0), int32(1))
+	crashes = false
+	assert.Equal(t, serve(g, "/a").Code, http.StatusInternalServerError)
+	assert.Equal(t, reached.Load(), int32(2), "a failed answer is no crash")
+}
+
 // Guards against barring what belongs to one request or its session only: the last part of a
 // prompt identifies no other request.
 func TestSharedPartsAreAllButTheLast(t *testing.T) {
--- a/node/quarantine/guard.go
+++ b/node/quarantine/guard.go
@@ -127,6 +127,28 @@
 	return time.Time{}, false
 }
 
+// MayRepeat reports whether a request may be sent again although its upstream has just crashed.
+// It may not while a part of its prompt is heavily suspected: the request ends one upstream
+// after the other faster than hosts can tell of it.
+func (g *Guard) MayRepeat(r *poison.Request) bool {
+	v := g.view.Load()
+	if v == nil {
+		return true
+	}
+	now := g.deps.Now()
+	for i := 1; i < r.Len(); i++ {
+		if !v.shapes[r.Shape(i)] {
+			continue
+		}
+		for _, e := range g.entriesFor(v, r.Fingerprint(i), now) {
+			if e.IsHeavy() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Completion is a run that an upstream survived.
 type Completion struct {
 	Attempt string    // id of the attempt
--- a/node/quarantine/guard_test.go
+++ b/node/quarantine/guard_test.go
@@ -275,6 +275,20 @@
 	assert.Equal(t, len(g.Entries()), suspects-1)
 }
 
+// Guards against a request that crashes several upstreams, one after the other, through a host that knows
+// of enough crashes under a part of its prompt.
+func TestARequestWithAHeavySuspectIsNotRepeated(t *testing.T) {
+	g := newTestGuard(false)
+	for i := range poison.DefaultPolicy.MinBlindPartCrashes {
+		assert.Assert(t, g.MayRepeat(promptFor("y", "part")))
+		g.RecordCrash(fmt.Sprint("u", i), g.now, promptFor(fmt.Sprint(i), "part").Suspects())
+	}
+	assert.Assert(t, !g.MayRepeat(promptFor("y", "part")))
+	assert.Assert(t, g.MayRepeat(promptFor("0", "other")))
+	g.RecordCompleted(promptFor("y", "part"), Completion{Began: g.now.Add(time.Millisecond)})
+	assert.Assert(t, g.MayRepeat(promptFor("y", "part")), "answered since")
+}
+
 // Guards against a host without a coordinator that never bars a part, because nothing
 // happens when the part has gone without an answer for long enough.
 func TestADisconnectedHostBarsAPartInTime(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1065,4 +1065,12 @@
   'if n == all {' 'if n > 0 {' ./core/poison -run 'Outlasts'
 try "one request explains the crashes of its parts" core/poison/parts.go \
   '&& !l.explainedByOneRequest(e, own) {' '{' ./core/poison -run 'OneBarredRequest'
+try "a request with a heavy suspect is not sent again" node/gate/poison.go \
+  '(!q.broke || guard.MayRepeat(q.content))' 'true' ./node/gate -run 'HeavySuspect'
+try "only a crash stops repeats of a suspect" node/gate/poison.go \
+  '(!q.broke || guard.MayRepeat(q.content))' 'guard.MayRepeat(q.content)' ./node/gate -run 'HeavySuspect'
+try "a host knows heavy suspects" node/quarantine/guard.go \
+  'if e.IsHeavy() {' 'if false {' ./node/quarantine -run 'HeavySuspect'
+try "crashes that barred requests explain count each" core/poison/parts.go \
+  'if counts(c) && l.explainedByRequest(c) {' 'if false {' ./core/poison -run 'ExplainCountEach'
 exit $missed
