A part of prompts is judged when it has settled, not at the next removal of what has expired

What callers saw would be the last of the waits from the fifth crash to the bar: up to 0.5 s, in which at 20 fatal requests a second ten more are sent.

Cause: crashes were judged when one was reported, when something was answered, and twice a second.

Evidence: by adding up (docs/design/poison.md): end noticed 0 to 0.1 s, report 0 to 0.2 s, settled 2.5 s after the second crash, judged 0 to 0.5 s, told 0 to 0.2 s: 3.5 s where three are there.

The ledger notes when the next part settles and judges then.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -47,6 +47,7 @@
 	revision    uint64
 	answers     answers   // of what has no entry
 	lastExpired time.Time // when expired entries were last removed
+	settlesAt   time.Time // when the next part will have gone without an answer for long enough; zero: none is waited for
 	transitions []Transition
 }
 
@@ -314,6 +315,9 @@
 // an answer for long enough by now.
 func (l *Ledger) expire(now time.Time) {
 	if now.Sub(l.lastExpired) < expireInterval {
+		if !l.settlesAt.IsZero() && !now.Before(l.settlesAt) {
+			l.updateBars(now)
+		}
 		return
 	}
 	l.lastExpired = now
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -33,23 +33,38 @@
 }
 
 // settledParts returns the suspected parts that have gone without an answer for long
-// enough to be barred, with the times of their crashes.
+// enough to be barred, with the times of their crashes. It notes when the next one will have.
 func (l *Ledger) settledParts(now time.Time) map[*entry][]time.Time {
 	var settled map[*entry][]time.Time
+	l.settlesAt = time.Time{}
 	for _, e := range l.entries {
 		if !e.IsPart() || e.State != Suspected || len(e.crashes) < l.settlesFrom(e) {
 			continue
 		}
-		if times := l.crashTimes(e, l.countsFor(e, now)); l.isSettled(e, times, now) {
-			if settled == nil {
-				settled = map[*entry][]time.Time{}
-			}
-			settled[e] = times
+		times := l.crashTimes(e, l.countsFor(e, now))
+		if !l.isSettled(e, times, now) {
+			l.noteSettles(e, times)
+			continue
 		}
+		if settled == nil {
+			settled = map[*entry][]time.Time{}
+		}
+		settled[e] = times
 	}
 	return settled
 }
 
+// noteSettles notes when a part settles, given the times of its crashes.
+func (l *Ledger) noteSettles(e *entry, times []time.Time) {
+	from := l.settlesFrom(e)
+	if len(times) < from {
+		return
+	}
+	if at := times[from-1].Add(l.settleTime(e)); l.settlesAt.IsZero() || at.Before(l.settlesAt) {
+		l.settlesAt = at
+	}
+}
+
 // crashTimes returns when the upstreams crashed on which a suspect ran, the earliest first.
 // Crashes at about the same time may have another cause in common, and count as one; a series
 // of them, which a request that is sent again and again makes, does not.
--- a/core/poison/parts_test.go
+++ b/core/poison/parts_test.go
@@ -101,6 +101,19 @@
 	})
 }
 
+// Guards against a part that is sent on while nothing looks at what has settled.
+func TestAPartIsBarredAsSoonAsItHasSettled(t *testing.T) {
+	l, now := NewLedger(SharedPolicy()), start
+	part := PartFingerprint("fatal", 1)
+	for i := range DefaultPolicy.MinBlindPartCrashes {
+		crashParts(l, fmt.Sprint("u", i), now, part)
+		now = now.Add(expireInterval / 3)
+	}
+	settles := start.Add(expireInterval / 3).Add(DefaultPolicy.PartSettleTime)
+	l.ChangedSince(0, maxEntries, settles.Add(-time.Millisecond))
+	assert.Assert(t, isPartBarred(l, part, settles))
+}
+
 // Guards against crashes under several requests at the same time that count as one, though each of these
 // is barred: no rack was lost.
 func TestCrashesThatBarredRequestsExplainCountEach(t *testing.T) {
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1073,4 +1073,6 @@
   'if e.IsHeavy() {' 'if false {' ./node/quarantine -run 'HeavySuspect'
 try "crashes that barred requests explain count each" core/poison/parts.go \
   'if counts(c) && l.explainedByRequest(c) {' 'if false {' ./core/poison -run 'ExplainCountEach'
+try "a part is judged when it has settled" core/poison/parts.go \
+  'l.noteSettles(e, times)' '_ = times' ./core/poison -run 'AsSoonAsItHasSettled'
 exit $missed
