--- a/node/gate/poison_test.go
+++ b/node/gate/poison_test.go
@@ -192,10 +192,10 @@
 // tell another one of it.
 func TestARequestWithAHeavySuspectIsNotSentAgainAfterACrash(t *testing.T) {
 	var reached atomic.Int32
-	crashes := true
+	var answers atomic.Bool
 	g, b := newCrashGate(t, deploy.Idempotent, new(atomic.Int64), func(w http.ResponseWriter, _ *http.Request) {
 		reached.Add(1)
-		if crashes {
+		if !answers.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		w.WriteHeader(http.StatusInternalServerError)
@@ -206,7 +206,7 @@
 	b.heavy.Store(true)
 	assert.Equal(t, serve(g, "/a").Code, http.StatusBadGateway)
 	assert.Equal(t, reached.Swap(0), int32(1))
-	crashes = false
+	answers.Store(true)
 	assert.Equal(t, serve(g, "/a").Code, http.StatusInternalServerError)
 	assert.Equal(t, reached.Load(), int32(2), "a failed answer is no crash")
 }
