A body is read in blocks as it comes

Cause: the callers' port read bodies by io.ReadAll, which copies each body into a buffer a quarter larger again and again and leaves the old ones to the collector: a body of 4 MB held up to three times its size. The callers' API of `serve` took the memory that Content-Length announces before a byte had come: a client that announces and sends nothing held 4 MB of others' room.

Now both read by readall: into blocks of 4 kB, each further one twice as large up to 256 kB, which are joined when the body is complete; a small body of known length goes into one block of its size.

--- a/node/callerapi/body.go
+++ b/node/callerapi/body.go
@@ -1,15 +1,14 @@
 package callerapi
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/fault"
+	"peridotpier.example/node/readall"
 )
 
 // bodyTimeout bounds the time a caller may take to send a body that is buffered.
@@ -28,24 +27,21 @@
 	if r.ContentLength > maxBytes {
 		return nil, tooLarge(maxBytes)
 	}
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	if _, err := buf.ReadFrom(io.LimitReader(r.Body, maxBytes+1)); err != nil {
+	body, err := readall.Read(r.Body, r.ContentLength, maxBytes)
+	if err != nil {
 		var tooBig *http.MaxBytesError
 		if errors.As(err, &tooBig) {
 			return nil, tooLarge(maxBytes)
 		}
 		return nil, fault.NotRun(fault.StepParse, callerPeer, fault.CodeBadRequest, "read body: %w", err)
 	}
-	if int64(buf.Len()) > maxBytes {
+	if int64(len(body)) > maxBytes {
 		return nil, tooLarge(maxBytes)
 	}
 	// The body is complete. From now on the connection is read only to notice that
 	// the caller has disconnected, which must not end with the body's deadline.
 	setReadDeadline(c.Response(), time.Time{})
-	return buf.Bytes(), nil
+	return body, nil
 }
 
 func tooLarge(maxBytes int64) error {
--- a/node/gate/body.go
+++ b/node/gate/body.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/readall"
 )
 
 // receiveBody reads the body. It returns false after it has responded to a request
@@ -29,7 +29,7 @@
 	if q.r.ContentLength == 0 {
 		return true
 	}
-	body, err := q.readBody(maxBytes + 1)
+	body, err := q.readBody(maxBytes)
 	switch {
 	case q.g.deps.StopContext.Err() != nil:
 		q.w.Header().Set("Connection", "close")
@@ -48,7 +48,8 @@
 	return false
 }
 
-// readBody reads until the body ends, the request's deadline passes or StopContext is done.
+// readBody reads until the body ends, more than maxBytes have come, the request's deadline
+// passes or StopContext is done.
 func (q *request) readBody(maxBytes int64) ([]byte, error) {
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(q.deadline)
@@ -57,7 +58,7 @@
 		defer close(deadlineSet)
 		_ = rc.SetReadDeadline(time.Unix(1, 0))
 	})
-	body, err := io.ReadAll(io.LimitReader(q.r.Body, maxBytes))
+	body, err := readall.Read(q.r.Body, q.r.ContentLength, maxBytes)
 	if !stop() {
 		<-deadlineSet
 	}
