What clients can make a process hold is bounded in sum, on every listener

What callers saw: a crowd whose requests each stay inside the limits ends a host or a `serve`, or leaves it without memory or descriptors for others.

Cause: every bound was one request's (a head, a body, a time). Nothing bounded the sum, and the pages, the operators' API and the peers' port had few bounds or none: heads of 1 MB by the default of net/http, no time for an idle connection, messages of 4 MB by any number of connections.

Now node/connlimit counts, at the connection, what has been read and is not finished, and how many connections there are. Above a share of memory_mb the request is refused that holds most of those that are not complete, with 503 and a time to return if a handler reads its body; above a number of connections the one is closed that has gone longest without a complete request. What is being served is never closed; a request by itself is always served; small requests keep a tenth. Clients and the deployment's own hosts have an account each. The runtime's memory limit follows from memory_mb too, also in `serve`, which has a new setting bounds.memory_mb (256).

A test that reads after the limit's time builds its server with the account now. Guards: eight lines in scripts/mutations.sh.

--- a/cmd/internal/endtoend/crowd_test.go
+++ b/cmd/internal/endtoend/crowd_test.go
@@ -58,7 +58,7 @@
 		},
 		"peers": func(h *servingHost) crowd.Target { return crowd.Target{Address: h.entry().Peer} },
 	} {
-		for name, kinds := range map[string][]crowd.Kind{"heads": heads, "bodies": bodies} {
+		for name, kinds := range map[string][]crowd.Kind{"heads": heads, "bodies": bodies, "fields": crowd.FieldKinds()} {
 			if listener == "peers" && name == "bodies" {
 				kinds = crowd.MessageKinds()
 			}
--- a/cmd/peridotpier/serve.go
+++ b/cmd/peridotpier/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/keys"
 	"peridotpier.example/node/server"
@@ -61,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(connlimit.HeapLimit(set.Bounds.MemoryMB))
 	s, err := server.New(server.Config{Settings: set, Keys: ring, Platform: newPlatformClients(set.Platform), Log: log})
 	if err != nil {
 		return err
--- a/node/callerapi/body.go
+++ b/node/callerapi/body.go
@@ -8,6 +8,7 @@
 
 	"peridotpier.example/core/class"
 	"peridotpier.example/core/fault"
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/readall"
 )
 
@@ -33,6 +34,9 @@
 		if errors.As(err, &tooBig) {
 			return nil, tooLarge(maxBytes)
 		}
+		if connlimit.Refused(r.Context()) {
+			return nil, fault.NotRun(fault.StepParse, "", fault.CodeOverloaded, "the host has no memory for the body")
+		}
 		return nil, fault.NotRun(fault.StepParse, callerPeer, fault.CodeBadRequest, "read body: %w", err)
 	}
 	if int64(len(body)) > maxBytes {
--- a/node/gate/answer_test.go
+++ b/node/gate/answer_test.go
@@ -140,3 +140,13 @@
 	_, body, err := sendOne(t, startHost(t, g))
 	assert.Assert(t, err != nil, "%d bytes look complete", len(body))
 }
+
+// Guards against a request whose body was refused for want of memory and that is called late, or invalid:
+// it has not run, and may be sent again.
+func TestARefusedBodyIsNotRun(t *testing.T) {
+	g, _ := newGate(&noModelCoordinator{}, "127.0.0.1:1")
+	changeRoute(g, func(r *deploy.Route) { r.Timeout = 50 * time.Millisecond })
+	g.deps.BodyRefused = func(context.Context) bool { return true }
+	host := startHost(t, g)
+	assert.Equal(t, status(t, post(t, host, 10, "half")), http.StatusServiceUnavailable)
+}
--- a/node/gate/body.go
+++ b/node/gate/body.go
@@ -34,6 +34,9 @@
 	case q.g.deps.StopContext.Err() != nil:
 		q.w.Header().Set("Connection", "close")
 		q.refuse("stopping", stopRetry)
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.g.deps.BodyRefused(q.r.Context()):
+		q.w.Header().Set("Connection", "close")
+		q.refuse("no_memory", fullRetry)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.decline(http.StatusRequestTimeout, "body_late")
 	case err != nil:
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -120,8 +120,11 @@
 	// DisconnectReason returns how the connection of a request ended, given the
 	// request's context; "": it is open, or the reason is not known. It is only logged.
 	DisconnectReason func(context.Context) string
-	Now              func() time.Time
-	Rand             func() float64 // returns a value in [0, 1)
+	// BodyRefused reports whether the body of a request is not read any more for want of
+	// memory, given the request's context.
+	BodyRefused func(context.Context) bool
+	Now         func() time.Time
+	Rand        func() float64 // returns a value in [0, 1)
 }
 
 // Gate serves routed requests.
@@ -134,7 +137,7 @@
 	streamStay time.Duration // how long a stream stays with an unresponsive upstream; shorter in tests
 }
 
-// New creates a Gate; DisconnectReason, Now and Rand may be nil.
+// New creates a Gate; DisconnectReason, BodyRefused, Now and Rand may be nil.
 func New(d Deps) *Gate {
 	if d.Now == nil {
 		d.Now = time.Now
@@ -145,6 +148,9 @@
 	if d.DisconnectReason == nil {
 		d.DisconnectReason = func(context.Context) string { return "" }
 	}
+	if d.BodyRefused == nil {
+		d.BodyRefused = func(context.Context) bool { return false }
+	}
 	for _, c := range []*context.Context{&d.HoldLimitContext, &d.StopContext} {
 		if *c == nil {
 			*c = context.Background()
--- a/node/host/callers.go
+++ b/node/host/callers.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
@@ -35,6 +36,7 @@
 	c := &callerServer{idleTimeout: idleTimeout, conns: conns}
 	c.server = &http.Server{Handler: c.trackRequests(h), MaxHeaderBytes: maxHeadBytes, ReadHeaderTimeout: headTimeout, ConnState: c.onConnState,
 		ConnContext: withConn, ErrorLog: log.New(serverErrorLog{conns.log}, "", 0)}
+	connlimit.Bind(c.server, func(nc net.Conn) *connlimit.Conn { return drain.Underlying(nc).(*callerConn).Conn.(*connlimit.Conn) })
 	c.drain = drain.New(drain.Config{Listener: callerListener{ln, conns, overload}, Server: c.server, BeforeClose: c.recordCloseReason})
 	return c
 }
@@ -185,7 +187,7 @@
 			return &callerConn{Conn: nc, track: l.conns.track(nc.RemoteAddr().String())}, nil
 		}
 		l.conns.metrics.Count(metrics.CallersClosedUnread, 1)
-		if tcp, ok := nc.(*net.TCPConn); ok {
+		if tcp, ok := nc.(interface{ SetLinger(sec int) error }); ok {
 			_ = tcp.SetLinger(0) // fails for a connection that has ended
 		}
 		_ = nc.Close()
--- a/node/host/callers_bench_test.go
+++ b/node/host/callers_bench_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 )
@@ -68,5 +69,5 @@
 func (nullAnswer) WriteHeader(int)             {}
 
 func benchCallers(ln net.Listener, h http.HandlerFunc) *callerServer {
-	return newCallerServer(ln, h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil), nil)
+	return newCallerServer(connlimit.New(connlimit.Config{}).Listen(ln, "callers"), h, func() time.Duration { return time.Hour }, newConnLog(event.NewLog(nil), metrics.New(), nil), nil)
 }
--- a/node/host/callers_test.go
+++ b/node/host/callers_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 )
@@ -42,7 +43,7 @@
 	core, lines := observer.New(zap.DebugLevel)
 	r := &rig{t: t, ln: ln, lines: lines, set: metrics.New()}
 	conns := newConnLog(event.NewLog(zap.New(core)), r.set, func(h http.Header) string { return h.Get(testID) })
-	r.callers = newCallerServer(ln, h, func() time.Duration { return 0 }, conns, nil)
+	r.callers = newCallerServer(connlimit.New(connlimit.Config{}).Listen(ln, "callers"), h, func() time.Duration { return 0 }, conns, nil)
 	served := make(chan error, 1)
 	go func() { served <- r.callers.serve() }()
 	t.Cleanup(func() {
--- a/node/host/detours.go
+++ b/node/host/detours.go
@@ -46,7 +46,7 @@
 		h.callers.closeListener()
 		return eris.Wrapf(err, "listen for detours at %s", h.settings.Detours)
 	}
-	h.detours = newCallerServer(ln, http.HandlerFunc(h.gate.ServeForwarded), func() time.Duration { return hopIdleTimeout }, h.callers.conns, nil)
+	h.detours = newCallerServer(h.clients.Listen(ln, "detours"), http.HandlerFunc(h.gate.ServeForwarded), func() time.Duration { return hopIdleTimeout }, h.callers.conns, nil)
 	return nil
 }
 
--- a/node/host/detours_test.go
+++ b/node/host/detours_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotpier.example/core/deploy"
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/follow"
 	"peridotpier.example/node/metrics"
@@ -22,7 +23,7 @@
 	h.config.ApplyIfNewer(&deploy.Config{Version: 1, Limits: deploy.Limits{IdleTimeout: time.Millisecond}}, "test")
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	h.callers = newCallerServer(ln, http.HandlerFunc(ok), h.callerIdleTimeout, newConnLog(log, metrics.New(), nil), nil)
+	h.callers = newCallerServer(connlimit.New(connlimit.Config{}).Listen(ln, "callers"), http.HandlerFunc(ok), h.callerIdleTimeout, newConnLog(log, metrics.New(), nil), nil)
 	defer h.closeListeners()
 	assert.NilError(t, h.listenForDetours())
 	assert.Equal(t, h.callers.idleTimeout(), time.Millisecond)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -15,6 +15,7 @@
 
 	"peridotpier.example/core/budget"
 	leasing "peridotpier.example/core/lease"
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/coordinator"
 	"peridotpier.example/node/coordinator/link"
 	"peridotpier.example/node/coordinator/orders"
@@ -67,6 +68,8 @@
 	fleet          *fleet.Fleet
 	reach          *reach.Monitor
 	gate           *gate.Gate
+	clients        *connlimit.Limiter // of callers, other hosts' requests and the host's own pages
+	peers          *connlimit.Limiter // of other hosts' messages
 	crashes        *quarantine.CrashDetector
 	guard          *quarantine.Guard
 	origins        *origin.Registry
@@ -112,7 +115,7 @@
 	h.link.Quarantine = h.guard
 	h.crashes = quarantine.NewCrashDetector(quarantine.CrashDetectorDeps{NotListening: h.hasTerminated, OnCrash: h.recordCrash, Log: d.Log, Metrics: d.Metrics})
 	h.gate = gate.New(gate.Deps{HoldLimitContext: released, StopContext: aborted, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Coordinator: h.link, TeamLimits: h.link, CrashRecorder: h.crashes, PoisonGuard: h.guard, Origins: h.link,
-		RetryBudget: gate.NewRetryBudget(repeatPolicy(set), h.link), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, RejectsNew: h.closing.Load, DisconnectReason: disconnectReason,
+		RetryBudget: gate.NewRetryBudget(repeatPolicy(set), h.link), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, RejectsNew: h.closing.Load, DisconnectReason: disconnectReason, BodyRefused: connlimit.Refused,
 		Detour: h.detour(), HostName: set.Host, LendLimit: lendLimit(set.Limits)})
 	h.limitMemory()
 	return h, h.listen()
@@ -131,14 +134,10 @@
 // large numbers.
 const massRemovalGraceShare = 0.6
 
-// memoryShare is the share of Limits.MemoryMB that the Go runtime aims at. The
-// remainder covers what the runtime does not count: socket buffers and stacks in use.
-const memoryShare = 0.6
-
 // limitMemory prevents the process from being killed for its memory use: above the
 // limit the garbage collector runs more often, so that the heap grows less.
 func (h *Host) limitMemory() {
-	debug.SetMemoryLimit(int64(float64(h.settings.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	debug.SetMemoryLimit(connlimit.HeapLimit(h.settings.Limits.MemoryMB))
 }
 
 func (h *Host) listen() error {
@@ -150,19 +149,15 @@
 		return err
 	}
 	attempt := func(head http.Header) string { return h.deps.Platform.Codec.DecodeRequest(head).AttemptID }
-	h.callers = newCallerServer(ln, h.gate, h.callerIdleTimeout, newConnLog(h.deps.Log, h.deps.Metrics, attempt), h.overload.Controller)
+	h.limitClients()
+	h.callers = newCallerServer(h.clients.Listen(ln, "callers"), h.gate, h.callerIdleTimeout, newConnLog(h.deps.Log, h.deps.Metrics, attempt), h.overload.Controller)
 	if err := h.listenForDetours(); err != nil {
 		return err
 	}
-	h.ready = &http.Server{Handler: h.readinessPage(), ReadHeaderTimeout: adminHeadTimeout}
-	h.metrics = &http.Server{Handler: h.metricsPage(), ReadHeaderTimeout: adminHeadTimeout}
+	h.ready, h.metrics = newPageServer(h.readinessPage()), newPageServer(h.metricsPage())
 	return nil
 }
 
-// adminHeadTimeout bounds the time for reading the head of a request for one of the
-// host's own pages.
-const adminHeadTimeout = 2 * time.Second
-
 const (
 	// leaseName is the name of the coordinator lease.
 	leaseName = "coordinator"
@@ -241,9 +236,9 @@
 	h.servePeers(&g)
 	h.add(&g, work, h.handleReloads)
 	h.add(&g, work, h.logReady)
-	h.serve(&g, h.ready, h.settings.Readiness)
+	h.serve(&g, h.ready, "readiness", h.settings.Readiness)
 	if h.settings.Metrics != "" {
-		h.serve(&g, h.metrics, h.settings.Metrics)
+		h.serve(&g, h.metrics, "metrics", h.settings.Metrics)
 	}
 	g.Add(h.callers.serve, func(error) { h.callers.close() })
 	h.serveDetours(&g)
@@ -257,13 +252,13 @@
 }
 
 // serve adds the server of one of the host's own pages to g.
-func (h *Host) serve(g *run.Group, s *http.Server, address string) {
+func (h *Host) serve(g *run.Group, s *http.Server, name, address string) {
 	g.Add(func() error {
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			return eris.Wrapf(err, "listen at %s", address)
 		}
-		return s.Serve(ln)
+		return s.Serve(h.clients.Listen(ln, name))
 	}, func(error) { _ = s.Close() })
 }
 
@@ -275,7 +270,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "listen for peers at %s", h.settings.Peers)
 		}
-		return h.coord.Serve(ctx, ln)
+		return h.coord.Serve(ctx, h.peers.ListenForMessages(ln, "peers"))
 	}, func(error) { cancel() })
 }
 
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -34,8 +34,10 @@
 // Limits are the resources that the process may use. 0 means unlimited, except for
 // MemoryMB, which then takes its default.
 type Limits struct {
-	MemoryMB int     `json:"memory_mb"`
-	Cores    float64 `json:"cores"` // share of the processor, in cores
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors are the open ones; 0 means as many as the system allows the process.
+	Descriptors int     `json:"descriptors"`
+	Cores       float64 `json:"cores"` // share of the processor, in cores
 	// CoreSpeed is the speed of a core relative to the deployment's usual processor;
 	// 0 means the same speed.
 	CoreSpeed float64 `json:"core_speed"`
@@ -148,7 +150,7 @@
 	if s.Bounds.RepeatWindowS < 0 || s.Bounds.GraceS < 0 || s.Bounds.LeaseMs < 0 {
 		fault("$.bounds", "has a time below 0")
 	}
-	if s.Limits.MemoryMB < 0 || s.Limits.Cores < 0 || s.Limits.CoreSpeed < 0 || s.Limits.LinkMbps < 0 {
+	if s.Limits.MemoryMB < 0 || s.Limits.Descriptors < 0 || s.Limits.Cores < 0 || s.Limits.CoreSpeed < 0 || s.Limits.LinkMbps < 0 {
 		fault("$.limits", "has a figure below 0")
 	}
 	if s.Bounds.LimitSlack < 0 {
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -111,6 +111,9 @@
 	CallersClosedUnread Name = "caller_connections_closed_unread_total" // the processor could not serve them
 	UnreadShare         Name = "caller_connections_closed_unread_share" // of new connections, now
 	CallersAccepted     Name = "caller_connections_accepted_total"
+	ClientsRefused      Name = "client_connections_refused_total"           // for want of room, by listener and by what ran out
+	ClientConns         Name = "client_connections"                         // open now, by listeners
+	ClientBytes         Name = "client_bytes_held"                          // of unfinished requests, by listeners
 	CallersClosed       Name = "caller_connections_closed_total"            // by reason, or by the state in which the connection was closed
 	CallersUnanswered   Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
 	CallersOpen         Name = "caller_connections_open"
--- a/node/server/arrived_test.go
+++ b/node/server/arrived_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/settings"
 )
 
@@ -43,7 +44,8 @@
 		t.Run(fmt.Sprint("missing ", missing), func(t *testing.T) {
 			t.Parallel()
 			arrived, read := make(chan struct{}), make(chan error, 1)
-			s := &Server{cfg: Config{Settings: &settings.Settings{}}, log: event.NewLog(nil)}
+			s := &Server{cfg: Config{Settings: &settings.Settings{}}, log: event.NewLog(nil), metrics: metrics.New()}
+			s.limitClients()
 			l, err := s.newListener("callers", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				<-arrived
 				_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
--- a/node/server/listener.go
+++ b/node/server/listener.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 )
@@ -47,10 +48,22 @@
 	l := &listener{name: name, ln: ln, server: &http.Server{Handler: s.closeWhenDraining(h), ReadHeaderTimeout: head,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: s.cfg.Settings.Bounds.HeaderBytes,
 		ErrorLog: log.New(errorLog{s, name}, "", 0)}}
-	l.conns = drain.New(drain.Config{Listener: arrivedListener{ln}, Secure: secure, Server: l.server})
+	connlimit.Bind(l.server, func(nc net.Conn) *connlimit.Conn { return drain.Underlying(nc).(*connlimit.Conn) })
+	l.conns = drain.New(drain.Config{Listener: s.clientLimiter.Listen(arrivedListener{ln}, name), Secure: secure, Server: l.server})
 	return l, nil
 }
 
+// limitClients creates the bounds of what clients and other hosts can make the process hold.
+func (s *Server) limitClients() {
+	machine := connlimit.Machine{MemoryMB: s.cfg.Settings.Bounds.MemoryMB}
+	report := connlimit.Report(s.log, s.metrics)
+	clients, peers := machine.ForClients(), machine.ForPeers()
+	clients.OnClosed, peers.OnClosed = report, report
+	s.clientLimiter, s.peerLimiter = connlimit.New(clients), connlimit.New(peers)
+	s.clientLimiter.Expose(s.metrics, "clients")
+	s.peerLimiter.Expose(s.metrics, "peers")
+}
+
 // closeWhenDraining wraps h so that each answer of a draining host closes its
 // connection: callers send their next request to another host.
 func (s *Server) closeWhenDraining(h http.Handler) http.Handler {
--- a/node/server/listener_test.go
+++ b/node/server/listener_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/settings"
 )
 
@@ -76,7 +77,8 @@
 			return tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
 		}
 	}
-	owner := &Server{cfg: Config{Settings: &settings.Settings{}}, log: event.NewLog(nil)}
+	owner := &Server{cfg: Config{Settings: &settings.Settings{}}, log: event.NewLog(nil), metrics: metrics.New()}
+	owner.limitClients()
 	var err error
 	s.l, err = owner.newListener("callers", "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -17,6 +17,7 @@
 	"peridotpier.example/node/admission"
 	"peridotpier.example/node/callerapi"
 	"peridotpier.example/node/command"
+	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/demand"
 	"peridotpier.example/node/dispatch"
 	"peridotpier.example/node/event"
@@ -107,6 +108,8 @@
 	peerDemand       peerDemand
 	mesh             *peer.Mesh
 	peerLn           net.Listener
+	clientLimiter    *connlimit.Limiter // of callers and operators
+	peerLimiter      *connlimit.Limiter
 	roles            roles
 	reconcile        chan struct{}
 	siteHosts        atomic.Int32 // entry hosts that share the upstreams
@@ -176,7 +179,8 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
-	s.peerLn = s.cfg.Keys.PeerListener(ln)
+	s.limitClients()
+	s.peerLn = s.cfg.Keys.PeerListener(s.peerLimiter.ListenForMessages(ln, "peers"))
 	s.mesh = s.newMesh(ln.Addr().String())
 	return nil
 }
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -104,6 +104,7 @@
 		{"drain_s", b.DrainSeconds, 1, 3600}, {"balancer_wait_s", b.BalancerWaitSeconds, 1, 300},
 		{"silence_ms", b.SilenceMs, 100, 60_000}, {"report_every_ms", b.ReportEveryMs, 50, 60_000},
 		{"header_bytes", b.HeaderBytes, 4 << 10, 1 << 20}, {"configuration_poll_s", b.ConfigPollSeconds, 1, 10},
+		{"memory_mb", b.MemoryMB, 64, 1 << 20},
 	} {
 		if x.value < x.low || x.value > x.high {
 			out = append(out, fault("bounds."+x.path, "%d is not from %d to %d", x.value, x.low, x.high))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -85,6 +85,7 @@
 	HeaderBytes         int     `json:"header_bytes"`         // maximum size of the head of a caller's request
 	RetryShare          float64 `json:"retry_share"`          // retries as a share of requests
 	ConfigPollSeconds   int     `json:"configuration_poll_s"` // mean interval between two polls of the configuration
+	MemoryMB            int     `json:"memory_mb"`            // memory of the machine that the host may use
 }
 
 // The defaults of Bounds.
@@ -97,6 +98,7 @@
 	defaultRetryShare   = 0.1
 	defaultConfigPoll   = 5    // s; a third of the 16 s that a change may take
 	defaultTimeout      = 2000 // ms
+	defaultMemory       = 256  // MB; a small entry host
 )
 
 // Drain returns the maximum duration of a graceful shutdown.
@@ -140,7 +142,7 @@
 	}{
 		{&b.DrainSeconds, defaultDrain}, {&b.BalancerWaitSeconds, defaultBalancerWait}, {&b.SilenceMs, defaultSilence},
 		{&b.ReportEveryMs, defaultReportEvery}, {&b.HeaderBytes, defaultHeaderBytes},
-		{&b.ConfigPollSeconds, defaultConfigPoll}, {&s.Platform.TimeoutMs, defaultTimeout},
+		{&b.ConfigPollSeconds, defaultConfigPoll}, {&b.MemoryMB, defaultMemory}, {&s.Platform.TimeoutMs, defaultTimeout},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1075,4 +1075,22 @@
   'if counts(c) && l.explainedByRequest(c) {' 'if false {' ./core/poison -run 'ExplainCountEach'
 try "a part is judged when it has settled" core/poison/parts.go \
   'l.noteSettles(e, times)' '_ = times' ./core/poison -run 'AsSoonAsItHasSettled'
+try "a closed connection gives its room back" node/connlimit/conn.go \
+  'if first {
+		c.releaseLocked()
+	}' '' ./node/connlimit -run 'NoMoreThanTheBounds'
+try "an answered request gives its room back" node/connlimit/conn.go \
+  'c.listener.limiter.held.Add(-c.held)' '' ./node/connlimit -run 'NoMoreThanTheBounds'
+try "those that hold most are refused" node/connlimit/conn.go \
+  'c.listener.limiter.enforceBytes()' '' ./node/connlimit -run 'NoMoreThanTheBounds'
+try "a request that is served makes no room" node/connlimit/limiter.go \
+  's.phase != serving && ' '' ./node/connlimit -run 'MakesNoRoom'
+try "small requests find room beside large ones" node/connlimit/limiter.go \
+  'largeShare   = 0.9' 'largeShare   = 1' ./node/connlimit -run 'SmallRequest'
+try "those that never completed a request make room first" node/connlimit/limiter.go \
+  'case s.answered != than.answered:' 'case false:' ./node/connlimit -run 'MakeRoomFirst'
+try "a refused body is not read on" node/connlimit/http.go \
+  'if b.conn.isRefused() {' 'if false {' ./node/connlimit -run 'StaysRefused'
+try "a refused body is told to its caller" node/gate/body.go \
+  '&& q.g.deps.BodyRefused(q.r.Context()):' '&& false:' ./node/gate -run 'RefusedBodyIsNotRun'
 exit $missed
--- a/standin/crowd/kinds.go
+++ b/standin/crowd/kinds.go
@@ -52,6 +52,29 @@
 	}
 }
 
+// FieldKinds returns the kinds of heads and chunks that take more memory, or more time, than
+// their bytes.
+func FieldKinds() []Kind {
+	return []Kind{
+		{"many short fields", func(w io.Writer, to Target) error {
+			var head strings.Builder
+			for i := 0; head.Len() < to.HeadLimit-len(to.Head)-100; i++ {
+				fmt.Fprintf(&head, "%x:\r\n", i)
+			}
+			return write(w, to.Head+head.String())
+		}},
+		{"a chunk with a long extension", func(w io.Writer, to Target) error {
+			return repeat(w, to.Head+chunked+"1;", strings.Repeat("x", 1000), to.HeadLimit/1000)
+		}},
+		{"trailers without an end", func(w io.Writer, to Target) error {
+			return repeat(w, to.Head+chunked+"0\r\n", "X-More: "+strings.Repeat("x", 1000)+"\r\n", endless*to.HeadLimit/1000)
+		}},
+		{"one byte of an announced body", func(w io.Writer, to Target) error {
+			return write(w, to.Head+length(to.BodyLimit)+"x")
+		}},
+	}
+}
+
 // BodyKinds returns the kinds of bodies of legal size, most of which stop short of their end.
 func BodyKinds() []Kind {
 	return []Kind{
