--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,6 +11,7 @@
 	"target":  targetCase,
 	"failure": failureCase,
 	"slow":    slowCase,
+	"early":   earlyCase,
 }
 
 func main() {
