--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -82,10 +82,19 @@
 	s.putLocked([]row{{Table: table, Key: key, Value: b}})
 }
 
-func (s *store) remove(table, key string) {
+// clear removes the rows of a table.
+func (s *store) clear(table string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.putLocked([]row{{Table: table, Key: key, Tombstone: true}})
+	var gone []row
+	for _, r := range s.rows {
+		if r.Table == table {
+			gone = append(gone, row{Table: r.Table, Part: r.Part, Key: r.Key, Tombstone: true})
+		}
+	}
+	if len(gone) > 0 {
+		s.putLocked(gone)
+	}
 }
 
 func (s *store) answer(w http.ResponseWriter, status int, rows []row, truncated bool) {
