Logs: how far a request was written when its answer ended, and interim answers

request_served and request_broken could not tell an answer that its connection ended in order from one that a reset ended whose error the writer took. They say now upload (whole, goes_on, stopped) and interim. No logic changed.

--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -195,7 +195,7 @@
 		return q.refused(e, a, resp, info)
 	}
 	q.possibleRuns++
-	q.framing, q.insideEvent = resp.Framing, false
+	q.beginResponse(resp)
 	switch {
 	case info.AttemptID == "", resp.Status < 300 && !info.Sealed:
 		return q.rejectResponse(a, resp, "unsealed") // another process may listen at the upstream's address
@@ -382,7 +382,7 @@
 	d.Log.Emit(event.RequestServed, q.id(), q.routeName(), zap.String(event.FieldPeer, q.lastUpstream), zap.Int("status", status),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", took.Milliseconds()), zap.Int64("first_ms", q.timeToFirst.Milliseconds()),
 		zap.Int64("pause_ms", q.longestPause.Milliseconds()), zap.Int64("pause_at_ms", q.longestPauseAt.Milliseconds()),
-		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent), q.entryHost(), slowdownField(q.statedSlowdown))
+		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Inline(q.end), q.entryHost(), slowdownField(q.statedSlowdown))
 	d.Metrics.Count(metrics.Completed, 1)
 	q.countEnd(endComplete)
 	d.Metrics.Observe(metrics.ResponseTime, q.route.Kind.String(), took)
@@ -396,17 +396,6 @@
 	return status < 300 && (q.route.Kind != deploy.Stream || !q.responseSince.IsZero())
 }
 
-// How a response ended, as part of the kinds of metrics.ResponseEnds.
-const (
-	endComplete = "complete"
-	endBroken   = "broken"
-)
-
-// countEnd counts how the newest response ended, by its framing.
-func (q *request) countEnd(how string) {
-	q.g.deps.Metrics.CountKind(metrics.ResponseEnds, q.framing.String()+"_"+how, 1)
-}
-
 // hopByHopHeaders are the headers that apply to a single connection.
 var hopByHopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
--- a/node/gate/detour.go
+++ b/node/gate/detour.go
@@ -314,7 +314,7 @@
 
 // forwardHop forwards an upstream's answer that came through another host.
 func (q *request) forwardHop(ctx context.Context, fo *failover, x *hopExchange, resp *conn.Response) result {
-	q.framing, q.insideEvent = resp.Framing, false
+	q.beginResponse(resp)
 	info, owner := q.g.deps.Codec.DecodeResponse(resp.Status, resp.Header), q.ownerOf(resp.Header)
 	if owner == conn.OwnedByOther || resp.Status < 300 && (!info.Sealed || owner == conn.OwnerUnnamed) {
 		return q.rejectResponse(x, resp, "crossed")
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -257,8 +257,7 @@
 	triedHosts       []string        // hosts that the request was offered to
 	unreachableTries int             // attempts at upstreams that were not listening
 	content          *poison.Request // identifies the request's content, the same for all attempts of its caller; nil before the body is read
-	framing          conn.Framing    // of the newest response
-	insideEvent      bool            // the newest response, a stream, has so far ended inside an event
+	end              responseEnd     // of the newest response
 	responseSince    time.Time       // when the response to the newest attempt began; zero: it has not
 	timeToFirst      time.Duration   // from the start to the first piece of a stream
 	longestPause     time.Duration   // longest time between two pieces of the stream
--- a/node/gate/refuse.go
+++ b/node/gate/refuse.go
@@ -110,7 +110,7 @@
 	d := &q.g.deps
 	d.Log.Emit(event.RequestInterrupted, q.id(), q.routeName(), zap.String("why", why), zap.String(event.FieldPeer, q.lastUpstream),
 		zap.Int("sends", q.sends), zap.Int64("took_ms", d.Now().Sub(q.start).Milliseconds()), zap.Bool("started", q.started),
-		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Stringer("framing", q.framing), zap.Bool("inside_event", q.insideEvent),
+		zap.Int64("relayed_bytes", q.forwardedBytes), zap.Inline(q.end),
 		zap.NamedError("write_error", q.writeErr), zap.NamedError("exchange_error", q.exchangeErr), q.endCause(), q.retryBlockedField(), q.lastCharge.field(),
 		zap.Stringer("content", q.content.Digest()), q.entryHost())
 	d.Metrics.Count(metrics.OutcomeUnknown, 1)
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -35,7 +35,7 @@
 			if events.tooLong {
 				return q.rejectResponse(a, resp, "event_too_long")
 			}
-			q.insideEvent = events.insideEvent()
+			q.end.insideEvent = events.insideEvent()
 			q.beginStream(a, whole)
 			if werr := q.forward(resp, whole); werr != nil {
 				return q.callerStopped(a, resp)
@@ -47,7 +47,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && !q.insideEvent && !(empty && resp.Framing == conn.ByConnection):
+		case errors.Is(err, io.EOF) && !q.end.insideEvent && !(empty && resp.Framing == conn.ByConnection):
 			q.startResponse(resp) // a stream without events is complete too
 			a.Answered(false)
 			resp.Finish()
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -105,8 +105,12 @@
 	// Framing is how the answer states where its body ends.
 	Framing Framing
 
+	// Interim is the number of interim answers that came before it.
+	Interim int
+
 	client *Client
 	conn   *persistConn
+	upload *upload
 	close  bool
 	stop   func() bool // detaches the connection from the context
 	ended  atomic.Bool
@@ -133,7 +137,7 @@
 	stop := context.AfterFunc(ctx, l.reset)
 	l.sentHead = l.sentHead || r.Method == http.MethodHead
 	req := r.httpRequest()
-	resp, err := c.exchange(l, r, req)
+	resp, up, err := c.exchange(l, r, req)
 	if err != nil {
 		if l.reused && l.read == 0 {
 			l.pool.recordDropped(l.idleBefore, c.cfg.MaxIdleTime)
@@ -152,13 +156,13 @@
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
-		client: c, conn: l, close: resp.Close || l.foreign || resp.StatusCode == http.StatusSwitchingProtocols, stop: stop}, nil
+		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign || resp.StatusCode == http.StatusSwitchingProtocols, stop: stop}, nil
 }
 
 // exchange writes req and reads the head of its answer. An upstream that
 // refuses early may close its reading side, so the answer is read even if the
 // write failed after some bytes.
-func (c *Client) exchange(l *persistConn, r *Request, req *http.Request) (*http.Response, error) {
+func (c *Client) exchange(l *persistConn, r *Request, req *http.Request) (*http.Response, *upload, error) {
 	if len(r.Body) > minConcurrentBody {
 		return exchangeConcurrently(l, r, req)
 	}
@@ -171,19 +175,19 @@
 	bw.Reset(nil)
 	writerPool.Put(bw)
 	if r.bodyReader != nil && r.bodyReader.err != nil {
-		return nil, &BodyError{r.bodyReader.err} // the upstream waits for the remainder and would never answer
+		return nil, nil, &BodyError{r.bodyReader.err} // the upstream waits for the remainder and would never answer
 	}
 	if err != nil && l.written == 0 {
-		return nil, err
+		return nil, nil, err
 	}
 	resp, readErr := l.readOwn(r, req)
 	if readErr != nil {
-		return nil, errors.Join(err, readErr)
+		return nil, nil, errors.Join(err, readErr)
 	}
 	if err != nil {
 		resp.Close = true
 	}
-	return resp, nil
+	return resp, endedUpload(err), nil
 }
 
 // minConcurrentBody is the length of a body, in bytes, above which the answer is
@@ -195,28 +199,16 @@
 // exchangeConcurrently writes req while it reads the head of the answer. A
 // connection whose answer arrives before the body is written is not reused: the
 // upstream would read the next request as the remainder of this body.
-func exchangeConcurrently(l *persistConn, r *Request, req *http.Request) (*http.Response, error) {
-	written := make(chan error, 1)
-	go func() {
-		bw := bufio.NewWriterSize(l, minConcurrentBody)
-		err := req.Write(bw)
-		if err == nil {
-			err = bw.Flush()
-		}
-		written <- err
-	}()
+func exchangeConcurrently(l *persistConn, r *Request, req *http.Request) (*http.Response, *upload, error) {
+	up := startUpload(l, req)
 	resp, err := l.readOwn(r, req)
 	if err != nil {
 		l.reset()
-		return nil, errors.Join(<-written, err)
-	}
-	select {
-	case err = <-written:
-		resp.Close = resp.Close || err != nil
-	default:
-		resp.Close = true
+		<-up.ended
+		return nil, nil, errors.Join(up.err, err)
 	}
-	return resp, nil
+	resp.Close = resp.Close || up.State() != UploadWhole
+	return resp, up, nil
 }
 
 var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, readBufferSize) }}
@@ -256,7 +248,7 @@
 	p := c.pool(r.Address)
 	if again := p.recordSend(r.ID, time.Now()); !again && !r.NewConnection {
 		if l := p.takeIdle(time.Now(), c.cfg.MaxIdleTime); l != nil {
-			l.written, l.read, l.reused = 0, 0, true
+			l.written, l.read, l.interim, l.reused = 0, 0, 0, true
 			l.exchanges++
 			return l, nil
 		}
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -37,6 +37,7 @@
 	read          int64     // bytes received in the current exchange
 	reused        bool      // the current exchange is not the first
 	exchanges     int       // number of the current exchange; the first is 1
+	interim       int       // interim answers in the current exchange
 	foreign       bool      // an answer came that is not proven to be that of its exchange
 	dialled       time.Time // when it was opened
 	sentHead      bool      // a HEAD request was sent: whether an answer has a body depends on whose it is
@@ -113,5 +114,6 @@
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
+		l.interim++
 	}
 }
