A promise that no upstream made reaches no caller, on any way

Cause: whether a status may be forwarded was asked where a buffered answer is delivered. An answer above 1 MiB leaves by another way, which did not ask; serve did not ask at all.

Now the status is judged by the head, before a way is chosen, and the answer is dropped: 502, outcome unknown. The same question stands where serve begins an answer, delivers one that an upstream has kept, and replays a stored one.

--- a/node/dispatch/attempt.go
+++ b/node/dispatch/attempt.go
@@ -85,7 +85,7 @@
 // could still be delivered.
 func (a *attempt) canRecover(ctx context.Context, err error) bool {
 	f := fault.From(fault.StepDispatch, err)
-	if f.Outcome != outcome.Unknown || ctx.Err() != nil || f.Step == fault.StepRelay && f.Peer == callerPeer {
+	if errors.Is(err, errUnfoundedPromise) || f.Outcome != outcome.Unknown || ctx.Err() != nil || f.Step == fault.StepRelay && f.Peer == callerPeer {
 		return false
 	}
 	return !a.out.started || a.w.Stream
@@ -165,7 +165,22 @@
 		a.sentTo.set(inc)
 	}
 	a.d.deps.View.ObserveAnswer(a.ep.Upstream, inc, resp.Header.Get(engineapi.HeaderLoad))
-	return a.refusalError(resp)
+	if err := a.refusalError(resp); err != nil {
+		return err
+	}
+	return a.statusError(resp.Status)
+}
+
+// errUnfoundedPromise means that an answer has a status that promises that the request did not
+// run, which its upstream did not state.
+var errUnfoundedPromise = errors.New("upstream does not state that the request did not run")
+
+// statusError returns an error if the caller may not get a status of the upstream's.
+func (a *attempt) statusError(status int) error {
+	if a.w.Repeatable || !outcome.PromisesNotRun(status) {
+		return nil
+	}
+	return fault.Unknown(fault.StepDispatch, a.ep.Upstream, fault.CodeUpstreamFailed, "status %d: %w", status, errUnfoundedPromise)
 }
 
 // refusalError returns an error if the upstream refused the attempt, else nil.
--- a/node/dispatch/output.go
+++ b/node/dispatch/output.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"peridotpier.example/core/fault"
+	"peridotpier.example/core/outcome"
 	nodeclaim "peridotpier.example/node/claim"
 )
 
@@ -104,8 +105,12 @@
 	return nodeclaim.Answer{Status: o.head.Status, ContentType: o.head.Header.Get("Content-Type"), Body: o.retained, Dropped: o.overflow}
 }
 
-// replay writes the stored answer of a request that ran before.
+// replay writes the stored answer of a request that ran before. Its status is not passed on
+// if it would deny that.
 func (o *output) replay(a *nodeclaim.Answer) error {
+	if outcome.PromisesNotRun(a.Status) {
+		return fault.Unknown(fault.StepClaim, "", fault.CodeUpstreamFailed, "stored answer has status %d: %w", a.Status, errUnfoundedPromise)
+	}
 	h := http.Header{}
 	if a.ContentType != "" {
 		h.Set("Content-Type", a.ContentType)
--- a/node/dispatch/recover.go
+++ b/node/dispatch/recover.go
@@ -114,6 +114,9 @@
 
 // deliver writes a complete answer that the upstream has kept.
 func (a *attempt) deliver(f engineapi.Attempt) error {
+	if err := a.statusError(f.Status); err != nil {
+		return err
+	}
 	h := http.Header{}
 	if f.ContentType != "" {
 		h.Set("Content-Type", f.ContentType)
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -225,6 +225,9 @@
 
 // forwardBuffered forwards a response that is not a stream.
 func (q *request) forwardBuffered(ctx context.Context, fo *failover, a exchange, resp *conn.Response) result {
+	if !q.mayForwardStatus(resp.Status) {
+		return q.withholdStatus(a, resp)
+	}
 	replaceable := q.mayReplace(resp)
 	if replaceable && resp.SetReadDeadline(time.Now().Add(failureBodyWait)) != nil {
 		return q.responseBroken(ctx, a, resp)
@@ -240,7 +243,7 @@
 	}
 	if len(body) > maxBufferedBytes {
 		if q.started {
-			return q.rejectResponse(a, resp, "status_"+strconv.Itoa(resp.Status)) // cannot continue a stream
+			return q.rejectResponse(a, resp, whyStatus(resp)) // cannot continue a stream
 		}
 		if !fo.stay() {
 			return q.responseBroken(ctx, a, resp)
@@ -306,24 +309,28 @@
 // caller. Some statuses promise that the request did not run, which this upstream
 // did not state.
 func (q *request) mayForwardStatus(status int) bool {
-	if q.route.Repeatable() {
-		return true
-	}
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return false
+	return q.route.Repeatable() || !outcome.PromisesNotRun(status)
+}
+
+// withholdStatus ends an attempt whose response has a status that may not be forwarded.
+func (q *request) withholdStatus(a exchange, resp *conn.Response) result {
+	a.Answered(resp.Status >= 500)
+	resp.Discard(maxRefusalBytes, refusalBodyWait)
+	why := whyStatus(resp)
+	if q.started {
+		return result{why: why}
 	}
-	return true
+	q.fail(http.StatusBadGateway, why)
+	return result{done: true}
 }
 
+// whyStatus is why a response cannot be forwarded whose status the caller may not get.
+func whyStatus(resp *conn.Response) string { return "status_" + strconv.Itoa(resp.Status) }
+
 // deliver forwards a buffered response unchanged.
 func (q *request) deliver(resp *conn.Response, body []byte) result {
-	if !q.mayForwardStatus(resp.Status) {
-		q.fail(http.StatusBadGateway, "status_"+strconv.Itoa(resp.Status))
-		return result{done: true}
-	}
 	if q.started {
-		return result{why: "status_" + strconv.Itoa(resp.Status)} // a stream cannot be continued with this response
+		return result{why: whyStatus(resp)} // a stream cannot be continued with this response
 	}
 	q.copyHeaders(resp)
 	q.setFraming(resp, int64(len(body)))
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1093,4 +1093,14 @@
   'if b.conn.isRefused() {' 'if false {' ./node/connlimit -run 'StaysRefused'
 try "a refused body is told to its caller" node/gate/body.go \
   '&& q.g.deps.BodyRefused(q.r.Context()):' '&& false:' ./node/gate -run 'RefusedBodyIsNotRun'
+try "an unfounded promise is withheld, large or small" node/gate/attempt.go \
+  'if !q.mayForwardStatus(resp.Status) {' 'if resp.Length <= maxBufferedBytes && !q.mayForwardStatus(resp.Status) {' ./node/gate -run 'APromiseThat'
+try "streams that may be resumed promise nothing either" node/gate/attempt.go \
+  'return q.route.Repeatable() || ' 'return q.mayRunAgain() || ' ./node/gate -run 'APromiseThat'
+try "a service's unfounded promise is withheld" node/dispatch/attempt.go \
+  'return a.statusError(resp.Status)' 'return nil' ./node/dispatch -run 'APromiseThat'
+try "a kept answer's unfounded promise is withheld" node/dispatch/recover.go \
+  'if err := a.statusError(f.Status); err != nil {' 'if err := a.statusError(f.Status); err != nil && false {' ./node/dispatch -run 'APromiseThat'
+try "a stored answer's unfounded promise is withheld" node/dispatch/output.go \
+  'if outcome.PromisesNotRun(a.Status) {' 'if outcome.PromisesNotRun(a.Status) && false {' ./node/dispatch -run 'APromiseThat'
 exit $missed
