What is no head of an HTTP answer is no answer, whoever reads it

Callers could get 101, 600 or 999, an answer in whose head a name holds a blank, or a body that ends elsewhere (a length or coding spelt with a blank, chunks from HTTP/1.0); a status below 100 counted as interim, so that an answer within the body was taken for the answer.

Cause: heads are read by net/http's parser, which leaves the range of the status to its user and forgives blanks and continued lines.

node/answerhead looks at each line before the parser does, in the one place by which upstreams, hops, orders, reports, trials and the platform's store are read; net/http's own clients check the parsed head. The outcome is unknown, the connection is reset.

--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"peridotpier.example/cmd/internal/exit"
+	"peridotpier.example/node/answerhead"
 	"peridotpier.example/node/operatorapi"
 )
 
@@ -132,6 +133,9 @@
 		return c.connectionError(method, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := answerhead.CheckParsed(resp); err != nil {
+		return c.connectionError(method, err)
+	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return c.connectionError(method, err)
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -171,6 +171,9 @@
 	case notRun:
 		why = fleet.WhyUnconnected
 		a.Interrupted(why)
+	case errors.Is(err, conn.ErrMalformedHead):
+		why = "malformed_head"
+		q.recordBroken(a, why)
 	case errors.Is(err, conn.ErrNewConnectionEnded):
 		why = fleet.WhyNewConn
 		q.recordBroken(a, why)
--- a/node/store/rest/client.go
+++ b/node/store/rest/client.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotpier.example/node/answerhead"
 	"peridotpier.example/node/store"
 )
 
@@ -249,6 +250,9 @@
 		return 0, nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := answerhead.CheckParsed(resp); err != nil {
+		return 0, nil, nil, err
+	}
 	if rawBody && resp.StatusCode == http.StatusOK {
 		if err := checkRaw(resp); err != nil {
 			return 0, nil, nil, err
--- a/node/store/rest/ends_test.go
+++ b/node/store/rest/ends_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotpier.example/node/answerhead"
 	"peridotpier.example/node/store"
 )
 
@@ -98,3 +99,14 @@
 		assert.Assert(t, err != nil, "%q", list[:n])
 	}
 }
+
+// Guards against an answer whose head is none of HTTP and that is taken for the service's word.
+func TestAMalformedHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 200 OK\r\nA B: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Type : text/plain\r\n"} {
+		c := answerText(t, head+"Connection: close\r\nContent-Length: 14\r\n\r\n"+`{"version": 7}`)
+		_, err := c.Commit(t.Context(), store.Txn{})
+		assert.ErrorIs(t, err, store.ErrUnconfirmed, "%q", head)
+		_, err = c.Objects().Get(t.Context(), "k")
+		assert.ErrorIs(t, err, answerhead.ErrMalformed, "%q", head)
+	}
+}
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -156,7 +156,7 @@
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
-		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign || resp.StatusCode == http.StatusSwitchingProtocols, stop: stop}, nil
+		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign, stop: stop}, nil
 }
 
 // exchange writes req and reads the head of its answer. An upstream that
--- a/node/upstream/conn/conn.go
+++ b/node/upstream/conn/conn.go
@@ -8,46 +8,36 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
-	"net/http"
 	"time"
 )
 
-const (
-	// readBufferSize holds the events of a few tokens, in bytes; a larger buffer
-	// only costs memory for each stream.
-	readBufferSize = 2 << 10
-	// maxHeadBytes bounds the head of an answer, so that a faulty upstream cannot
-	// exhaust the memory of a small host.
-	maxHeadBytes = 64 << 10
-)
-
-var errHeaderTooLarge = errors.New("head of the answer is too large")
+// readBufferSize holds the events of a few tokens, in bytes; a larger buffer
+// only costs memory for each stream.
+const readBufferSize = 2 << 10
 
 // persistConn is one connection to an upstream.
 type persistConn struct {
-	nc            net.Conn
-	br            *bufio.Reader
-	pool          *pool
-	gen           uint64    // generation of the pool when the connection was dialled
-	written       int64     // bytes of the current exchange passed to the kernel
-	headRemaining int64     // bytes that the head of the answer may still take; negative while no head is read
-	read          int64     // bytes received in the current exchange
-	reused        bool      // the current exchange is not the first
-	exchanges     int       // number of the current exchange; the first is 1
-	interim       int       // interim answers in the current exchange
-	foreign       bool      // an answer came that is not proven to be that of its exchange
-	dialled       time.Time // when it was opened
-	sentHead      bool      // a HEAD request was sent: whether an answer has a body depends on whose it is
-	idleSince     time.Time
-	statedIdle    time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
-	idleBefore    time.Duration // how long it was idle before the current exchange
+	nc         net.Conn
+	br         *bufio.Reader
+	unread     []byte // read before, and to be read again before all else
+	pool       *pool
+	gen        uint64    // generation of the pool when the connection was dialled
+	written    int64     // bytes of the current exchange passed to the kernel
+	read       int64     // bytes received in the current exchange
+	reused     bool      // the current exchange is not the first
+	exchanges  int       // number of the current exchange; the first is 1
+	interim    int       // interim answers in the current exchange
+	foreign    bool      // an answer came that is not proven to be that of its exchange
+	dialled    time.Time // when it was opened
+	sentHead   bool      // a HEAD request was sent: whether an answer has a body depends on whose it is
+	idleSince  time.Time
+	statedIdle time.Duration // idle time that the upstream allows, see statedIdleTime; 0 if not stated
+	idleBefore time.Duration // how long it was idle before the current exchange
 }
 
 func newPersistConn(nc net.Conn, p *pool, gen uint64) *persistConn {
-	l := &persistConn{nc: nc, pool: p, gen: gen, dialled: time.Now(), headRemaining: -1, exchanges: 1}
+	l := &persistConn{nc: nc, pool: p, gen: gen, dialled: time.Now(), exchanges: 1}
 	l.br = bufio.NewReaderSize(l, readBufferSize)
 	return l
 }
@@ -65,19 +55,15 @@
 	_ = l.nc.Close()
 }
 
-// Read implements io.Reader. It counts the bytes and bounds the head of an answer.
+// Read implements io.Reader. It counts the bytes.
 func (l *persistConn) Read(p []byte) (int, error) {
-	if l.headRemaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if l.headRemaining > 0 && int64(len(p)) > l.headRemaining {
-		p = p[:l.headRemaining]
+	if len(l.unread) > 0 {
+		n := copy(p, l.unread)
+		l.unread = l.unread[n:]
+		return n, nil
 	}
 	n, err := l.nc.Read(p)
 	l.read += int64(n)
-	if l.headRemaining > 0 {
-		l.headRemaining -= int64(n)
-	}
 	return n, err
 }
 
@@ -94,26 +80,3 @@
 func (l *persistConn) mayHoldAnotherAnswer(r *Request) bool {
 	return r.Owner != nil && (l.exchanges > 1 || l.foreign)
 }
-
-// readHead reads the head of the answer to req, passing over interim answers.
-func (l *persistConn) readHead(r *Request, req *http.Request) (*http.Response, error) {
-	l.headRemaining = maxHeadBytes
-	defer func() { l.headRemaining = -1 }()
-	for {
-		resp, err := http.ReadResponse(l.br, req)
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, err
-		}
-		if l.mayHoldAnotherAnswer(r) && isSpliced(resp) {
-			r.reportForeign(ForeignAnswer{Status: resp.StatusCode, Header: resp.Header, Owner: OwnerUnnamed, Use: l.use()})
-			return nil, errSplicedHead
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-		l.interim++
-	}
-}
--- a/node/upstream/conn/pool.go
+++ b/node/upstream/conn/pool.go
@@ -82,6 +82,7 @@
 		_ = l.nc.Close()
 		return
 	}
+	l.shrinkBuffer()
 	l.idleSince, l.statedIdle = now, stated
 	p.idle = append(p.idle, l)
 	p.scheduleCheckLocked(cfg.MaxIdleTime)
--- a/node/upstream/conn/upload.go
+++ b/node/upstream/conn/upload.go
@@ -24,8 +24,18 @@
 // String returns the state's name in logs.
 func (s UploadState) String() string { return [...]string{"whole", "goes_on", "stopped"}[s] }
 
+// wholeUpload is that of each request that was written before its answer was read.
+var wholeUpload = newEndedUpload(nil)
+
 // endedUpload returns an upload that has ended with err.
 func endedUpload(err error) *upload {
+	if err == nil {
+		return wholeUpload
+	}
+	return newEndedUpload(err)
+}
+
+func newEndedUpload(err error) *upload {
 	u := &upload{ended: make(chan struct{}), err: err}
 	close(u.ended)
 	return u
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1103,4 +1103,21 @@
   'if err := a.statusError(f.Status); err != nil {' 'if err := a.statusError(f.Status); err != nil && false {' ./node/dispatch -run 'APromiseThat'
 try "a stored answer's unfounded promise is withheld" node/dispatch/output.go \
   'if outcome.PromisesNotRun(a.Status) {' 'if outcome.PromisesNotRun(a.Status) && false {' ./node/dispatch -run 'APromiseThat'
+try "a status below 100 is no answer" node/answerhead/answerhead.go \
+  'status >= minStatus && ' '' ./node/upstream/conn -run 'MalformedHead'
+try "nobody switches the protocol" node/answerhead/answerhead.go \
+  ' && status != http.StatusSwitchingProtocols' '' ./node/upstream/conn -run 'MalformedHead'
+try "a field's name is a token" node/answerhead/answerhead.go \
+  'if !found || !isToken(name) {' 'if !found {' ./node/upstream/conn -run 'MalformedHead'
+try "one end of a body" node/answerhead/answerhead.go \
+  'c.hasCoding && (c.hasLength || c.oldServer)' 'false' ./node/upstream/conn -run 'MalformedHead'
+try "a malformed line is not read on" node/upstream/conn/head.go \
+  'end, err := head.Line(seen[length : length+n])
+			if err != nil {' 'end, err := head.Line(seen[length : length+n])
+			if err != nil && end {' ./node/upstream/conn -run 'MalformedLine'
+try "trailers are checked" node/upstream/conn/head.go \
+  'checkTrailers(resp)
+			' '' ./node/upstream/conn -run 'MalformedTrailers'
+try "the table service's heads are checked" node/store/rest/client.go \
+  'err := answerhead.CheckParsed(resp); err != nil' 'err := answerhead.CheckParsed(resp); err != nil && false' ./node/store/rest -run 'MalformedHead'
 exit $missed
