An answer without an end is whole only if its request has arrived

Callers got a part of an answer as all of it: an upstream answers a long upload at once with 200 and no length, and resets the connection while the upload is being written.

Cause: the kernel reports a reset to one call. If that is the write, on its own goroutine, its error was dropped, and the read gets a clean end. An upstream that closes with the upload on its way sends an orderly end first.

The end of a body that its connection ends is believed only when the request was written and its bytes acknowledged, for all readers of answers.

--- /dev/null
+++ b/node/gate/early_test.go
@@ -0,0 +1,90 @@
+package gate
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotpier.example/core/deploy"
+)
+
+// startEarlyUpstream answers each request before it reads its body, states no end of the
+// answer, and closes its connection with the rest unread.
+func startEarlyUpstream(t *testing.T, answer string) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, answer)
+				time.Sleep(time.Millisecond)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a caller that gets a part of an answer as all of it, since the connection to
+// the upstream ended while the request was written: each kind of route, direct and through
+// another host.
+func TestACutEarlyAnswerReachesNoCallerAsWhole(t *testing.T) {
+	t.Parallel()
+	const tries = 10
+	events := "HTTP/1.1 200 X\r\n" + ownAnswer + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+	for name, answer := range map[string]string{"text": "HTTP/1.1 200 X\r\n" + ownAnswer + "\r\npart", "events": events} {
+		for kind, change := range map[string]func(r *deploy.Route){
+			"call":             func(r *deploy.Route) { r.Kind = deploy.NonIdempotent },
+			"repeatable call":  func(r *deploy.Route) { r.Kind = deploy.Idempotent },
+			"stream":           func(r *deploy.Route) { r.Kind = deploy.Stream },
+			"resumable stream": func(r *deploy.Route) { r.Kind, r.Resumable = deploy.Stream, true },
+		} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				t.Parallel()
+				up := startEarlyUpstream(t, answer)
+				direct, entry, helper := newHopGate(up, deploy.NonIdempotent, 1), newHopGate("127.0.0.1:1", deploy.NonIdempotent, 1), newHopGate(up, deploy.NonIdempotent, 1)
+				for _, g := range []*Gate{direct, entry, helper} {
+					changeRoute(g, func(r *deploy.Route) { change(r); r.Timeout = 3 * time.Second })
+				}
+				hosts := []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}
+				for _, g := range []*Gate{direct, withDetour(entry, stubDetour{needed: always, hosts: hosts})} {
+					host := startHost(t, g)
+					for range tries {
+						status, body, err := sendBody(t, host.URL, make([]byte, 4<<20))
+						assert.Assert(t, err != nil || status >= http.StatusBadGateway, "%d %q looks whole", status, body)
+						assert.Assert(t, status != http.StatusServiceUnavailable, "it may have run")
+					}
+				}
+			})
+		}
+	}
+}
+
+// sendBody sends a request with a body and returns the status and body of its answer.
+func sendBody(t *testing.T, url string, body []byte) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/x", bytes.NewReader(body))
+	assert.NilError(t, err)
+	r.Host = "example.com"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	all, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(all), err
+}
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -114,8 +114,8 @@
 	close  bool
 	stop   func() bool // detaches the connection from the context
 	ended  atomic.Bool
-	// bounded reports whether a read deadline was set, which must not bound the next exchange.
-	bounded bool
+	// readDeadline is that of Body; zero: none was set. It must not bound the next exchange.
+	readDeadline time.Time
 }
 
 // Do writes the request and reads the head of its answer. The error is a
@@ -155,8 +155,12 @@
 		}
 		return nil, fault.Unknown(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "exchange: %w", err)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
-		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign, stop: stop}, nil
+	answer := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
+		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign, stop: stop}
+	if answer.Framing == ByConnection {
+		answer.Body = connEndedBody{answer.Body, answer}
+	}
+	return answer, nil
 }
 
 // exchange writes req and reads the head of its answer. An upstream that
@@ -326,7 +330,7 @@
 		_ = r.conn.nc.Close()
 		return
 	}
-	if r.bounded && r.conn.nc.SetReadDeadline(time.Time{}) != nil {
+	if !r.readDeadline.IsZero() && r.conn.nc.SetReadDeadline(time.Time{}) != nil {
 		_ = r.conn.nc.Close()
 		return
 	}
--- a/node/upstream/conn/read.go
+++ b/node/upstream/conn/read.go
@@ -35,7 +35,7 @@
 
 // SetReadDeadline bounds the reads of the body. The bound ends with the exchange.
 func (r *Response) SetReadDeadline(t time.Time) error {
-	r.bounded = true
+	r.readDeadline = t
 	return r.conn.nc.SetReadDeadline(t)
 }
 
--- a/node/upstream/conn/upload.go
+++ b/node/upstream/conn/upload.go
@@ -2,7 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"time"
 )
 
 // upload is the writing of a request, which may go on while its answer is read.
@@ -69,3 +74,54 @@
 
 // Upload returns how far the request of the answer has been written by now.
 func (r *Response) Upload() UploadState { return r.upload.State() }
+
+// ErrUploadStopped means that the connection of an answer that states no end ended before the
+// request was written.
+var ErrUploadStopped = errors.New("connection ended while the request was written")
+
+// connEndedBody is a body whose end is that of its connection. The kernel reports a reset to one
+// call alone: if that is a write of the request, the reads that follow return the end of the
+// bytes, as after an orderly close. And who closes before all of the request has arrived sends
+// the end first and the reset later. So the body is whole only if all of the request was
+// written, and has arrived.
+type connEndedBody struct {
+	io.Reader
+	response *Response
+}
+
+// Read implements io.Reader.
+func (b connEndedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		if bad := b.response.awaitUpload(); bad != nil {
+			return n, bad
+		}
+	}
+	return n, err
+}
+
+// errUndelivered means that a part of the request did not arrive.
+var errUndelivered = errors.New("not acknowledged")
+
+// awaitUpload waits until the request is written and has arrived, or the read deadline has
+// passed. It returns an error unless all of the request has arrived.
+func (r *Response) awaitUpload() error {
+	late := (<-chan time.Time)(nil)
+	if !r.readDeadline.IsZero() {
+		timer := time.NewTimer(time.Until(r.readDeadline))
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-r.upload.ended:
+	case <-late:
+		return fmt.Errorf("%w: %w", ErrUploadStopped, os.ErrDeadlineExceeded)
+	}
+	switch {
+	case r.upload.err != nil:
+		return fmt.Errorf("%w: %w", ErrUploadStopped, r.upload.err)
+	case !awaitDelivery(r.conn.nc, late):
+		return fmt.Errorf("%w: %w", ErrUploadStopped, errUndelivered)
+	}
+	return nil
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1120,4 +1120,10 @@
 			' '' ./node/upstream/conn -run 'MalformedTrailers'
 try "the table service's heads are checked" node/store/rest/client.go \
   'err := answerhead.CheckParsed(resp); err != nil' 'err := answerhead.CheckParsed(resp); err != nil && false' ./node/store/rest -run 'MalformedHead'
+try "an answer without an end is whole if its request was written" node/upstream/conn/upload.go \
+  'case r.upload.err != nil:' 'case false:' ./node/upstream/conn -run 'IsWrittenIsNotWhole'
+try "an answer without an end is whole if its request has arrived" node/upstream/conn/upload.go \
+  'case !awaitDelivery(r.conn.nc, late):' 'case false:' ./node/upstream/conn -run 'IsWrittenIsNotWhole'
+try "the end of an answer waits for its request" node/upstream/conn/client.go \
+  'if answer.Framing == ByConnection {' 'if false {' ./node/gate -run 'CutEarlyAnswer'
 exit $missed
