A request is written to its end behind a sound early answer

Cause: the end of the answer was taken for the end of the exchange, and the connection was closed under the goroutine that writes the body.

Finish lets the request go on to its deadline, detached from its caller, and closes the connection then. The body stays in the account of clients, a stop waits for it, upload_ended tells how it ended.

--- a/node/connlimit/limiter.go
+++ b/node/connlimit/limiter.go
@@ -208,6 +208,14 @@
 	}
 }
 
+// Retain adds memory that is held for a client after its request was answered, until release is
+// called, once.
+func (l *Limiter) Retain(bytes int64) (release func()) {
+	l.held.Add(bytes)
+	l.enforceBytes()
+	return func() { l.held.Add(-bytes) }
+}
+
 // remove forgets a connection.
 func (l *Limiter) remove(c *Conn) {
 	l.mu.Lock()
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -254,7 +254,7 @@
 		return q.forwardLarge(ctx, a, resp, body)
 	}
 	a.Answered(resp.Status >= 500)
-	resp.Finish()
+	q.finish(resp)
 	if replaceable {
 		q.deliverFailed = func() { q.deliver(resp, body) }
 		return result{why: whyFailed(resp)}
@@ -288,7 +288,7 @@
 		return q.responseBroken(ctx, a, resp)
 	}
 	a.Answered(resp.Status >= 500)
-	resp.Finish()
+	q.finish(resp)
 	return q.recordServed(resp.Status)
 }
 
--- a/node/gate/early_test.go
+++ b/node/gate/early_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"peridotpier.example/core/deploy"
 )
@@ -88,3 +90,58 @@
 	all, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(all), err
 }
+
+// Guards against a body that is held outside the account of what clients hold: it is written on
+// after its caller has its answer, and has left.
+func TestABodyThatIsWrittenOnIsAccountedFor(t *testing.T) {
+	t.Parallel()
+	const size = 8 << 20
+	readOn, got := make(chan struct{}), make(chan int64, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, textAnswer(http.StatusOK, ownAnswer, "done"))
+		<-readOn
+		n, _ := io.Copy(io.Discard, r.Body)
+		got <- n
+	}()
+	g, _ := newGate(&noModelCoordinator{}, ln.Addr().String())
+	g.deps.Codec = namedCodec{}
+	changeRoute(g, func(r *deploy.Route) { r.Kind = deploy.NonIdempotent })
+	changeLimits(g, size)
+	var held atomic.Int64
+	g.deps.RetainBody = func(n int64) func() { held.Add(n); return func() { held.Add(-n) } }
+	host := startHost(t, g)
+	status, body, err := sendBody(t, host.URL, make([]byte, size))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, held.Load(), int64(size))
+	host.CloseClientConnections()
+	close(readOn)
+	assert.Equal(t, <-got, int64(size))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := held.Load(); n != 0 {
+			return poll.Continue("%d bytes are held", n)
+		}
+		return poll.Success()
+	})
+}
+
+// changeLimits sets the largest body that a gate's callers may send.
+func changeLimits(g *Gate, bodyBytes int) {
+	table := *g.deps.Config.Current().Config
+	table.Version++
+	table.Limits.BodyBytes = bodyBytes
+	g.deps.Config.ApplyIfNewer(&table, "test")
+}
--- a/node/gate/end.go
+++ b/node/gate/end.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/upstream/conn"
 )
@@ -45,3 +47,23 @@
 func (q *request) countEnd(how string) {
 	q.g.deps.Metrics.CountKind(metrics.ResponseEnds, q.end.framing().String()+"_"+how, 1)
 }
+
+// finish ends an exchange whose response was read to its end. If the request is still being
+// written, its body is held until all of it was.
+func (q *request) finish(resp *conn.Response) {
+	if resp.Upload() == conn.UploadGoesOn {
+		q.followUpload(resp)
+	}
+	resp.Finish()
+}
+
+// followUpload accounts for a body that is written on after its response, and logs its end.
+func (q *request) followUpload(resp *conn.Response) {
+	d, id, peer, began := &q.g.deps, q.id(), zap.String(event.FieldPeer, q.lastUpstream), q.g.deps.Now()
+	size := len(q.body)
+	release := d.RetainBody(int64(size))
+	resp.OnUploaded(func(err error) {
+		release()
+		d.Log.Emit(event.UploadEnded, id, peer, zap.Int("bytes", size), zap.Bool("whole", err == nil), zap.Int64("took_ms", d.Now().Sub(began).Milliseconds()), zap.Error(err))
+	})
+}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -123,8 +123,11 @@
 	// BodyRefused reports whether the body of a request is not read any more for want of
 	// memory, given the request's context.
 	BodyRefused func(context.Context) bool
-	Now         func() time.Time
-	Rand        func() float64 // returns a value in [0, 1)
+	// RetainBody accounts for bytes of a body that are held after its request has ended, until
+	// release is called. nil: nothing is accounted for.
+	RetainBody func(bytes int64) (release func())
+	Now        func() time.Time
+	Rand       func() float64 // returns a value in [0, 1)
 }
 
 // Gate serves routed requests.
@@ -137,7 +140,7 @@
 	streamStay time.Duration // how long a stream stays with an unresponsive upstream; shorter in tests
 }
 
-// New creates a Gate; DisconnectReason, BodyRefused, Now and Rand may be nil.
+// New creates a Gate; DisconnectReason, BodyRefused, RetainBody, Now and Rand may be nil.
 func New(d Deps) *Gate {
 	if d.Now == nil {
 		d.Now = time.Now
@@ -148,6 +151,9 @@
 	if d.DisconnectReason == nil {
 		d.DisconnectReason = func(context.Context) string { return "" }
 	}
+	if d.RetainBody == nil {
+		d.RetainBody = func(int64) func() { return func() {} }
+	}
 	if d.BodyRefused == nil {
 		d.BodyRefused = func(context.Context) bool { return false }
 	}
--- a/node/gate/stream.go
+++ b/node/gate/stream.go
@@ -50,7 +50,7 @@
 		case errors.Is(err, io.EOF) && !q.end.insideEvent && !(empty && resp.Framing == conn.ByConnection):
 			q.startResponse(resp) // a stream without events is complete too
 			a.Answered(false)
-			resp.Finish()
+			q.finish(resp)
 			return q.recordServed(resp.Status)
 		case err != nil:
 			return q.responseBroken(ctx, a, resp)
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -46,7 +46,7 @@
 	pace.Sleep(wait, min(balancerNotice, grace/2))
 	h.closing.Store(true)
 	h.closeListeners()
-	for h.drainStep() > 0 && time.Since(began) < grace {
+	for h.drainStep()+h.deps.Client.Uploads() > 0 && time.Since(began) < grace {
 		pace.Sleep(wait, stopCheckInterval)
 	}
 	h.abortRequests()
--- a/node/server/run.go
+++ b/node/server/run.go
@@ -82,6 +82,7 @@
 		defer cancelLast()
 		_ = s.callers.drain(handOverCtx) // what is still open then is closed by Run
 	}
+	s.client.AwaitUploads(drainCtx)
 	s.drainOperators()
 	s.mesh.Announce(member.Terminated)
 	s.sleep(announceDelay)
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -39,6 +39,8 @@
 	cfg   Config
 	mu    sync.RWMutex
 	pools map[string]*pool // by address
+	// uploads is the number of requests that are written on after their answers were read.
+	uploads atomic.Int64
 }
 
 // New returns a Client without connections. Zero fields of cfg get their defaults.
@@ -114,6 +116,10 @@
 	close  bool
 	stop   func() bool // detaches the connection from the context
 	ended  atomic.Bool
+	// deadline is when the exchange must have ended; zero: it has no bound.
+	deadline time.Time
+	// onUploaded is called when a request that is written on after Finish has ended; nil: none.
+	onUploaded func(err error)
 	// readDeadline is that of Body; zero: none was set. It must not bound the next exchange.
 	readDeadline time.Time
 }
@@ -157,6 +163,7 @@
 	}
 	answer := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framingOf(resp),
 		Interim: l.interim, client: c, conn: l, upload: up, close: resp.Close || l.foreign, stop: stop}
+	answer.deadline, _ = ctx.Deadline()
 	if answer.Framing == ByConnection {
 		answer.Body = connEndedBody{answer.Body, answer}
 	}
@@ -319,14 +326,20 @@
 }
 
 // Finish ends an exchange whose answer was read to its end; the connection
-// returns to the pool if it can be reused.
+// returns to the pool if it can be reused. A request that is still being written is written
+// to its end: the upstream has answered, and reads on.
 func (r *Response) Finish() {
 	if !r.ended.CompareAndSwap(false, true) {
 		return
 	}
+	attached := r.stop()
+	if attached && r.Upload() == UploadGoesOn {
+		r.finishUpload()
+		return
+	}
 	// Bytes after the answer belong to no request; on a reused connection they
 	// would be read as the answer to the next request.
-	if !r.stop() || r.close || r.conn.br.Buffered() > 0 {
+	if !attached || r.close || r.conn.br.Buffered() > 0 {
 		_ = r.conn.nc.Close()
 		return
 	}
--- a/node/upstream/conn/upload.go
+++ b/node/upstream/conn/upload.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"time"
+
+	"peridotpier.example/node/pace"
 )
 
 // upload is the writing of a request, which may go on while its answer is read.
@@ -125,3 +128,47 @@
 	}
 	return nil
 }
+
+// maxUploadTime is how long a request is written on after its answer if the exchange has no
+// deadline.
+const maxUploadTime = 30 * time.Second
+
+// OnUploaded sets a function that is called when a request has ended that Finish lets go on:
+// err says why not all of it was written. It is called from another goroutine.
+func (r *Response) OnUploaded(f func(err error)) { r.onUploaded = f }
+
+// finishUpload lets the request be written to its end, by the deadline of the exchange, and then
+// closes the connection. If the rest were cut off, the upstream would work on a part of a
+// request whose caller has been told that all is well.
+func (r *Response) finishUpload() {
+	until := r.deadline
+	if until.IsZero() {
+		until = time.Now().Add(maxUploadTime)
+	}
+	_ = r.conn.nc.SetWriteDeadline(until) // fails on a closed connection, as the write does
+	r.client.uploads.Add(1)
+	go func() {
+		defer r.client.uploads.Add(-1)
+		<-r.upload.ended
+		if r.upload.err != nil {
+			r.conn.reset()
+		} else {
+			_ = r.conn.nc.Close()
+		}
+		if r.onUploaded != nil {
+			r.onUploaded(r.upload.err)
+		}
+	}()
+}
+
+// Uploads returns how many requests are being written whose answers were read.
+func (c *Client) Uploads() int { return int(c.uploads.Load()) }
+
+// uploadCheckInterval is how often AwaitUploads looks.
+const uploadCheckInterval = 20 * time.Millisecond
+
+// AwaitUploads waits until no request is being written whose answer was read, or ctx ends.
+func (c *Client) AwaitUploads(ctx context.Context) {
+	for c.Uploads() > 0 && pace.Sleep(ctx, uploadCheckInterval) {
+	}
+}
--- a/node/upstream/conn/upload_test.go
+++ b/node/upstream/conn/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -140,3 +141,68 @@
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 	assert.Assert(t, time.Since(began) < 20*wait)
 }
+
+// readsLater answers at once, then reads the rest of each request slowly, and tells how many
+// bytes of the bodies came.
+func readsLater(t *testing.T, got chan<- int64) (address string) {
+	return serveRaw(t, func(_ int, nc net.Conn, r *bufio.Reader) {
+		_ = nc.(*net.TCPConn).SetReadBuffer(128 << 10)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(nc, ok)
+		time.Sleep(20 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, req.Body)
+		got <- n
+	})
+}
+
+// Guards against an upstream that works on a part of a request, whose caller was told that all
+// is well: it answers early and reads on, and the connection is closed under the rest.
+func TestARequestIsWrittenToItsEndBehindItsAnswer(t *testing.T) {
+	t.Parallel()
+	const size = 8 << 20
+	got := make(chan int64, 1)
+	address := readsLater(t, got)
+	client := conn.New(conn.Config{Dialer: conn.NewDialer()})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	resp, err := client.Do(ctx, &conn.Request{Address: address, Method: "POST", Target: "/", Header: http.Header{}, Body: make([]byte, size)})
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	uploaded := make(chan error, 1)
+	resp.OnUploaded(func(err error) { uploaded <- err })
+	resp.Finish()
+	assert.Equal(t, client.Uploads(), 1)
+	cancel() // its caller has its answer and leaves
+	assert.Equal(t, <-got, int64(size))
+	assert.NilError(t, <-uploaded)
+	assert.Assert(t, !client.HasIdleConnection(address))
+	client.AwaitUploads(t.Context())
+	assert.Equal(t, client.Uploads(), 0)
+}
+
+// Guards against a request that is written for ever behind its answer: its upstream never reads
+// on.
+func TestARequestBehindItsAnswerEndsByTheDeadline(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	defer close(release)
+	address := earlyAnswer(t, 0, false, ok, func(*net.TCPConn) { <-release })
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	resp, err := conn.New(conn.Config{Dialer: conn.NewDialer()}).Do(ctx, &conn.Request{Address: address, Method: "POST", Target: "/", Header: http.Header{}, Body: make([]byte, 16<<20)})
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	uploaded := make(chan error, 1)
+	resp.OnUploaded(func(err error) { uploaded <- err })
+	resp.Finish()
+	select {
+	case err := <-uploaded:
+		assert.ErrorContains(t, err, "timeout")
+	case <-time.After(3 * time.Second):
+		t.Fatal("it is written on")
+	}
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1126,4 +1126,12 @@
   'case !awaitDelivery(r.conn.nc, late):' 'case false:' ./node/upstream/conn -run 'IsWrittenIsNotWhole'
 try "the end of an answer waits for its request" node/upstream/conn/client.go \
   'if answer.Framing == ByConnection {' 'if false {' ./node/gate -run 'CutEarlyAnswer'
+try "a request is written to its end behind its answer" node/upstream/conn/client.go \
+  'if attached && r.Upload() == UploadGoesOn {' 'if false {' ./node/upstream/conn -run 'BehindItsAnswer'
+try "a request behind its answer has a deadline" node/upstream/conn/upload.go \
+  '_ = r.conn.nc.SetWriteDeadline(until)' '_ = until' ./node/upstream/conn -run 'BehindItsAnswer'
+try "a body that is written on is accounted for" node/gate/end.go \
+  'if resp.Upload() == conn.UploadGoesOn {' 'if false {' ./node/gate -run 'WrittenOn'
+try "a stop waits for uploads" node/host/stop.go \
+  'h.drainStep()+h.deps.Client.Uploads() > 0' 'h.drainStep() > 0' ./platform -run 'CutsOffNoUpload'
 exit $missed
