--- a/node/gate/target_test.go
+++ b/node/gate/target_test.go
@@ -16,6 +16,20 @@
 // startRoutesHost starts a host with a route for all paths to the service s and others
 // below it to the service t. Their upstreams tell ran their service and the target they got.
 func startRoutesHost(t *testing.T, ran chan<- string, prefixes ...string) *httptest.Server {
+	t.Helper()
+	return startHost(t, newRoutesGate(t, ran, prefixes...))
+}
+
+// startRoutesEntry starts a host that reaches no upstream, and sends what it gets to such a host.
+func startRoutesEntry(t *testing.T, ran chan<- string, prefixes ...string) *httptest.Server {
+	t.Helper()
+	entry, helper := newRoutesGate(t, ran, prefixes...), newRoutesGate(t, ran, prefixes...)
+	entry.deps.HostName = "entry"
+	hosts := []string{lendAt(t, http.HandlerFunc(helper.ServeForwarded))}
+	return startHost(t, withDetour(entry, stubDetour{needed: always, hosts: hosts}))
+}
+
+func newRoutesGate(t *testing.T, ran chan<- string, prefixes ...string) *Gate {
 	t.Helper()
 	g, f := newGate(&noModelCoordinator{}, "127.0.0.1:1")
 	f.Apply(nil, []string{"u"}, 0)
@@ -33,7 +47,7 @@
 		table.Routes = append(table.Routes, r)
 	}
 	g.deps.Config.ApplyIfNewer(&table, "test")
-	return startHost(t, g)
+	return g
 }
 
 // sendTarget sends one request with the given method and target.
@@ -51,7 +65,7 @@
 // that service receives it, does not lead.
 func TestTheRouteIsThatOfThePathAsItWasSent(t *testing.T) {
 	ran := make(chan string, 1)
-	host := startRoutesHost(t, ran, "/stock/zip/", "/caf%C3%A9/")
+	host, entry := startRoutesHost(t, ran, "/stock/zip/", "/caf%C3%A9/"), startRoutesEntry(t, ran, "/stock/zip/", "/caf%C3%A9/")
 	for _, c := range []struct{ service, target string }{
 		{"t", "/stock/zip/7"},
 		{"t", "/stock/zip/"},
@@ -69,6 +83,13 @@
 		{"s", "/stock/%7Aip/7"},
 		{"s", "/stock//zip/7"},
 		{"s", "//stock/zip/7"},
+		{"s", "//stock/zip%2F7"},
+		{"s", "//stock/zip%20a/7?q=1"},
+		{"s", "//stock/a|b"},
+		{"s", "//stock/%E6%B6%88?"},
+		{"s", "//"},
+		{"s", "///x%2f"},
+		{"s", "/:x"},
 		{"s", "/stock/x/../zip/7"},
 		{"s", "/stock/zip;v=1/7"},
 		{"s", "/stock/zip"},
@@ -77,8 +98,10 @@
 		{"s", "http://example.com?at=/stock/zip/7"},
 	} {
 		t.Run(c.target, func(t *testing.T) {
-			assert.Equal(t, status(t, sendTarget(t, host, http.MethodGet, c.target)), http.StatusOK)
-			assert.Equal(t, <-ran, c.service+" "+c.target)
+			for _, from := range []*httptest.Server{host, entry} { // direct, and through another host
+				assert.Equal(t, status(t, sendTarget(t, from, http.MethodGet, c.target)), http.StatusOK)
+				assert.Equal(t, <-ran, c.service+" "+c.target)
+			}
 		})
 	}
 }
--- a/node/upstream/conn/client.go
+++ b/node/upstream/conn/client.go
@@ -132,6 +132,9 @@
 	if err := ctx.Err(); err != nil { // a pooled connection would still accept the request
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", err)
 	}
+	if err := r.checkTarget(); err != nil {
+		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "not sent: %w", err)
+	}
 	l, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, fault.NotRun(fault.StepDispatch, r.Address, fault.CodeUpstreamFailed, "connect: %w", err)
@@ -179,10 +182,7 @@
 	}
 	bw := writerPool.Get().(*bufio.Writer)
 	bw.Reset(l)
-	err := req.Write(bw)
-	if err == nil {
-		err = bw.Flush()
-	}
+	err := r.write(bw, req)
 	bw.Reset(nil)
 	writerPool.Put(bw)
 	if r.bodyReader != nil && r.bodyReader.err != nil {
@@ -211,7 +211,7 @@
 // connection whose answer arrives before the body is written is not reused: the
 // upstream would read the next request as the remainder of this body.
 func exchangeConcurrently(l *persistConn, r *Request, req *http.Request) (*http.Response, *upload, error) {
-	up := startUpload(l, req)
+	up := startUpload(l, r, req)
 	resp, err := l.readOwn(r, req)
 	if err != nil {
 		l.reset()
@@ -234,7 +234,7 @@
 		req.Host = r.Host
 	}
 	if r.Target != "" {
-		req.URL = requestURL(r.Target)
+		req.URL = &url.URL{Opaque: targetPlaceholder}
 	}
 	switch {
 	case r.Stream != nil:
@@ -246,15 +246,6 @@
 	return req
 }
 
-// requestURL returns a URL that net/http writes to the request line as t, unchanged.
-func requestURL(t string) *url.URL {
-	if strings.HasPrefix(t, "//") { // as an opaque URL it would be written with a scheme
-		path, query, found := strings.Cut(t, "?")
-		return &url.URL{Path: path, RawPath: path, RawQuery: query, ForceQuery: found}
-	}
-	return &url.URL{Opaque: t}
-}
-
 func (c *Client) connect(ctx context.Context, r *Request) (*persistConn, error) {
 	p := c.pool(r.Address)
 	if again := p.recordSend(r.ID, time.Now()); !again && !r.NewConnection {
--- a/node/upstream/conn/upload.go
+++ b/node/upstream/conn/upload.go
@@ -49,15 +49,12 @@
 	return u
 }
 
-// startUpload writes req on a goroutine of its own, which ends with the connection.
-func startUpload(l *persistConn, req *http.Request) *upload {
+// startUpload writes a request on a goroutine of its own, which ends with the connection.
+func startUpload(l *persistConn, r *Request, req *http.Request) *upload {
 	u := &upload{ended: make(chan struct{})}
 	go func() {
 		defer close(u.ended)
-		bw := bufio.NewWriterSize(l, minConcurrentBody)
-		if u.err = req.Write(bw); u.err == nil {
-			u.err = bw.Flush()
-		}
+		u.err = r.write(bufio.NewWriterSize(l, minConcurrentBody), req)
 	}()
 	return u
 }
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1134,4 +1134,8 @@
   'if resp.Upload() == conn.UploadGoesOn {' 'if false {' ./node/gate -run 'WrittenOn'
 try "a stop waits for uploads" node/host/stop.go \
   'h.drainStep()+h.deps.Client.Uploads() > 0' 'h.drainStep() > 0' ./platform -run 'CutsOffNoUpload'
+try "a target is written as it is" node/upstream/conn/target.go \
+  'if r.Target == "" {' 'if true {' ./node/gate -run 'RouteIsThat'
+try "a target does not end its line" node/upstream/conn/target.go \
+  "if b <= ' ' || b == 0x7f {" 'if false {' ./node/upstream/conn -run 'TargetWithBlanks'
 exit $missed
