A process that takes its former one's lease waits as that one had to

Cause: a process followed its host's former one by name, and nothing said whether that one still had to wait; and it told its successors that it knew all orders since.

A renewal marks that its holder is settled; only then does the next process go on at once, and its handovers are not whole until the quiet time is over. Each part taken out fails a test.

--- a/node/coordinator/coordinator.go
+++ b/node/coordinator/coordinator.go
@@ -136,17 +136,17 @@
 	relay           *relay.Relay
 	announcePending chan struct{} // holds a token while an announcement is pending
 
-	mu             sync.Mutex
-	term           lease.Term
-	lastEpoch      uint64               // the last epoch in which this host held the lease
-	acted          bool                 // whether this host was acting at the last refresh
-	followed       bool                 // whether all hosts have reported to this one since it last held the lease
-	quietUntil     time.Time            // no order is sent before this time
-	lastOrderAt    time.Time            // when the last order may have been sent, by this host or a predecessor; zero: never
-	ordersComplete bool                 // whether lastOrders contains all recent orders
-	lastOrders     map[string]lastOrder // by upstream ID
-	predecessor    handover
-	sentHandover   sentHandover
+	mu              sync.Mutex
+	term            lease.Term
+	lastEpoch       uint64               // the last epoch in which this host held the lease
+	acted           bool                 // whether this host was acting at the last refresh
+	followed        bool                 // whether all hosts have reported to this one since it last held the lease
+	quietUntil      time.Time            // no order is sent before this time
+	lastOrderAt     time.Time            // when the last order may have been sent, by this host or a predecessor; zero: never
+	ordersKnownFrom time.Time            // from then on lastOrders contains all recent orders
+	lastOrders      map[string]lastOrder // by upstream ID
+	predecessor     handover
+	sentHandover    sentHandover
 }
 
 // minReportsPerRelayAge is how many reports a host makes at least within MaxRelayAge,
--- a/node/coordinator/handover.go
+++ b/node/coordinator/handover.go
@@ -71,15 +71,16 @@
 	c.repeats.BeginTerm(t.Follows(0), again, now)
 	switch {
 	case t.Follows(0): // there is no former holder
-		c.quietUntil, c.ordersComplete = now, true
+		c.quietUntil, c.ordersKnownFrom = now, now
 	case again: // what this process knows of its former term is still valid
 	case c.predecessor.epoch > 0 && t.Follows(c.predecessor.epoch):
 		c.inheritLocked(&c.predecessor, now)
-	case c.succeedsItself(t): // orders of one host count as those of one holder
-		c.quietUntil = now
+	case t.PreviousSettled && c.succeedsItself(t): // orders of one host count as those of one holder
+		c.quietUntil, c.lastOrderAt, c.ordersKnownFrom = now, now, now.Add(c.cfg.QuietPeriod) // a successor elsewhere must wait for those that only the former process knew
 		c.storeLoads.AssumeFull(now)
 	default:
-		c.quietUntil, c.lastOrderAt, c.ordersComplete = now.Add(c.cfg.QuietPeriod), now, false
+		c.quietUntil, c.lastOrderAt = now.Add(c.cfg.QuietPeriod), now
+		c.ordersKnownFrom = c.quietUntil
 		c.storeLoads.AssumeFull(now)
 	}
 	c.deps.Log.Emit(event.QuietPeriod, zap.Uint64("epoch", t.Epoch), zap.Duration("for", max(c.quietUntil.Sub(now), 0)), zap.Int("upstreams", len(c.lastOrders)))
@@ -97,21 +98,39 @@
 	if h.lastOrderAt.After(c.lastOrderAt) {
 		c.lastOrderAt = h.lastOrderAt
 	}
-	c.ordersComplete = h.complete
 	c.demand.Inherit(h.demand, h.demandPeriod, h.receivedAt, now)
 	c.inheritSpeeds(h)
 	if !h.complete {
 		c.quietUntil = h.lastOrderAt.Add(c.cfg.QuietPeriod)
+		c.ordersKnownFrom = c.quietUntil
 		c.storeLoads.AssumeFull(now)
 		return
 	}
-	c.quietUntil = now
+	c.quietUntil, c.ordersKnownFrom = now, now
 	for id, at := range h.orderedAt {
 		c.lastOrders[id] = lastOrder{at: at}
 	}
 	c.storeLoads.Inherit(h.loads, h.unconfirmedUntil)
 }
 
+// IsSettled reports whether this process holds the lease in an epoch and no former holder's
+// orders keep it from giving any. Until then a process that succeeds it on this host must wait as
+// it does, and knows nothing of those orders.
+func (c *Coordinator) IsSettled(epoch uint64) bool {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastEpoch != epoch || now.Before(c.quietUntil) {
+		return false
+	}
+	for _, o := range c.lastOrders {
+		if !o.own && now.Before(o.at.Add(c.cfg.QuietPeriod)) {
+			return false
+		}
+	}
+	return true
+}
+
 // succeedsItself reports whether a former process of this host held the lease in the
 // epoch before a term.
 func (c *Coordinator) succeedsItself(t lease.Term) bool {
@@ -183,7 +202,7 @@
 	}
 	c.mu.Lock()
 	orders := maps.Clone(c.lastOrders)
-	complete := known && (c.ordersComplete || !now.Before(c.quietUntil))
+	complete := known && !now.Before(c.ordersKnownFrom)
 	c.mu.Unlock()
 	out := &coordpb.Handover{Whole: complete}
 	if !acting {
--- a/node/coordinator/handover_test.go
+++ b/node/coordinator/handover_test.go
@@ -11,6 +11,7 @@
 
 	"peridotpier.example/core/budget"
 	"peridotpier.example/core/deploy"
+	decide "peridotpier.example/core/lease"
 	"peridotpier.example/node/coordinator/coordpb"
 	"peridotpier.example/node/coordinator/demand"
 	"peridotpier.example/node/coordinator/repeats"
@@ -29,9 +30,12 @@
 // clock is the time of a test's coordinators.
 type clock struct{ now time.Time }
 
-func newHolder(k *clock, host string) *Coordinator {
+func newHolder(k *clock, host string) *Coordinator { return newHolderWith(k, host, testWindow) }
+
+// newHolderWith returns a holder that counts loads in a window.
+func newHolderWith(k *clock, host string, window time.Duration) *Coordinator {
 	log := event.NewLog(nil)
-	return New(Config{Host: host, Holder: wire.HolderName(host, "127.0.0.1:1", host), QuietPeriod: testQuiet, CeilingWindow: testWindow, CeilingFactor: 1},
+	return New(Config{Host: host, Holder: wire.HolderName(host, "127.0.0.1:1", host), QuietPeriod: testQuiet, CeilingWindow: window, CeilingFactor: 1},
 		Deps{Fleet: fleet.New(fleet.Config{}, fleet.Deps{Now: func() time.Time { return k.now }}), Config: follow.NewActiveConfig(log), Log: log,
 			Lease: lease.New(lease.Config{Name: "l"}, lease.Deps{Table: noTable{}}), Now: func() time.Time { return k.now }})
 }
@@ -224,6 +228,126 @@
 	})
 }
 
+// siteTerms plays who holds the lease, with processes that are killed and come back.
+type siteTerms struct {
+	k       *clock
+	holder  *Coordinator
+	epoch   uint64
+	settled bool // by the holder's newest renewal
+}
+
+// take makes a process take the lease. If it is of the holder's host, the holder has ended.
+func (s *siteTerms) take(next *Coordinator) {
+	t := lease.Term{Epoch: s.epoch + 1, Previous: s.epoch}
+	if s.holder != nil {
+		next.deps.Lease.Observe(decide.Rows{Grant: s.epoch, Heartbeat: s.epoch}, decide.Record{Holder: s.holder.cfg.Holder, Epoch: s.epoch})
+		t.PreviousSettled = s.settled && wire.SameHost(s.holder.cfg.Holder, next.cfg.Holder)
+	}
+	next.mu.Lock()
+	next.beginTermLocked(t, next.now())
+	next.lastEpoch, next.term = t.Epoch, t
+	next.mu.Unlock()
+	s.holder, s.epoch, s.settled = next, t.Epoch, t.PreviousSettled
+}
+
+// renew renews the lease.
+func (s *siteTerms) renew() { s.settled = s.holder.IsSettled(s.epoch) }
+
+// Property: processes that are killed and come back, at once and again, never give orders to
+// an upstream within the quiet period after those of another host.
+func TestRestartedHoldersNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := &clock{time.Unix(1_700_000_000, 0)}
+		names := []string{"a", "b", "c"}
+		s := &siteTerms{k: k}
+		s.take(newHolder(k, "a"))
+		last := map[string]struct {
+			host string
+			at   time.Time
+		}{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			k.now = k.now.Add(time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0: // another host, or a new process of the same one
+				s.take(newHolder(k, rapid.SampledFrom(names).Draw(t, "next")))
+			case 1: // the process is killed and comes back
+				s.take(newHolder(k, s.holder.cfg.Host))
+			case 2: // it stops in good order
+				next := newHolder(k, rapid.SampledFrom(names).Draw(t, "heir"))
+				s.holder.handOverTo(next)
+				s.take(next)
+			case 3, 4:
+				s.renew()
+			default:
+				id := fmt.Sprint("u", rapid.IntRange(0, 1).Draw(t, "upstream"))
+				if s.holder.mustNotOrder(id) {
+					continue
+				}
+				l, ok := last[id]
+				assert.Assert(t, !ok || l.host == s.holder.cfg.Host || k.now.Sub(l.at) >= testQuiet, "%s ordered %v apart", id, k.now.Sub(l.at))
+				s.holder.RecordOrder(id)
+				last[id] = struct {
+					host string
+					at   time.Time
+				}{s.holder.cfg.Host, k.now}
+			}
+		}
+	})
+}
+
+// Guards against a holder that is killed and waits without need: its former process was in its
+// term for long, and no other host has given orders.
+func TestARestartedHolderThatWasSettledOrdersAtOnce(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	s := &siteTerms{k: k}
+	s.take(newHolder(k, "a"))
+	s.take(newHolder(k, "b"))
+	assert.Assert(t, s.holder.mustNotOrder("u"))
+	s.renew()
+	assert.Assert(t, !s.settled)
+	k.now = k.now.Add(testQuiet)
+	s.renew()
+	s.holder.RecordOrder("u")
+	for range 2 { // again and again
+		s.take(newHolder(k, "b"))
+		assert.Assert(t, !s.holder.mustNotOrder("u"))
+	}
+}
+
+// Guards against a successor that orders right after a process that was killed: the process that
+// handed over is the next one of that host, and does not know its orders.
+func TestARestartedHolderHandsOverNoMoreThanItKnows(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	const window = testQuiet / 6 // loads of the former process are known to have ended soon
+	s := &siteTerms{k: k}
+	s.take(newHolderWith(k, "a", window))
+	s.holder.RecordOrder("u")
+	s.renew()
+	s.take(newHolderWith(k, "a", window))
+	k.now = k.now.Add(testQuiet / 3)
+	next := newHolderWith(k, "b", window)
+	s.holder.handOverTo(next)
+	s.take(next)
+	assert.Assert(t, next.mustNotOrder("u"))
+	k.now = k.now.Add(testQuiet)
+	assert.Assert(t, !next.mustNotOrder("u"))
+}
+
+// Guards against a restarted holder that forgets for which upstreams its former process had still to
+// wait.
+func TestARestartedHolderWaitsForTheUpstreamsOfAHandover(t *testing.T) {
+	k := &clock{time.Unix(1_700_000_000, 0)}
+	s := &siteTerms{k: k}
+	s.take(newHolder(k, "a"))
+	s.holder.RecordOrder("u")
+	next := newHolder(k, "b")
+	s.holder.handOverTo(next)
+	s.take(next)
+	s.renew()
+	s.take(newHolder(k, "b"))
+	assert.Assert(t, s.holder.mustNotOrder("u"))
+}
+
 // Guards against a megabyte a second between data centres while the store is
 // unavailable: the lease expires, and the last holder goes on acting and answers every
 // host five times a second, with the demand for all models in each answer.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -185,7 +185,7 @@
 	holder := wire.HolderName(set.Host, set.Peers, uuid.NewString())
 	h.lease = lease.New(lease.Config{Name: leaseName, Holder: holder, HasTerminated: wire.FormerProcessOf(holder),
 		TryTimeout: leaseTryTimeout, Policy: leasing.Policy{TTL: leaseTTL, Margin: leasing.DefaultMargin, ClockRate: leasing.DefaultClockRate}},
-		lease.Deps{Table: table, Era: d.Platform.Eras.Newest, Log: d.Log})
+		lease.Deps{Table: table, Era: d.Platform.Eras.Newest, Settled: func(epoch uint64) bool { return h.coord.IsSettled(epoch) }, Log: d.Log})
 	h.feed = follow.New(follow.Deps{Source: d.Platform.Source, Eras: d.Platform.Eras, Config: h.config, Upstreams: h.fleet, Log: d.Log, Metrics: d.Metrics,
 		OthersProbeFirst:    func() bool { return !h.link.Candidate() && !h.coord.Acting() },
 		LinkedToCoordinator: func() bool { return h.link.LinkedWithoutLease() },
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -63,10 +63,14 @@
 	Table store.Table
 	// Era returns the newest era of the store that this process has seen; nil: the store
 	// is never restored.
-	Era  func() uint64
-	Log  *event.Log
-	Now  func() time.Time
-	Rand pace.Rand
+	Era func() uint64
+	// Settled reports whether the holder of an epoch, which is this process, need not wait any
+	// more for what former holders have done. A successor on the same host learns it by the
+	// renewals (Term.PreviousSettled). nil: never.
+	Settled func(epoch uint64) bool
+	Log     *event.Log
+	Now     func() time.Time
+	Rand    pace.Rand
 }
 
 // Term is one period in which a process holds a lease.
@@ -75,6 +79,9 @@
 	Previous uint64 // epoch of the holder before; 0: there was none
 	// PreviousUnknown is set if a holder after Previous may have been forgotten.
 	PreviousUnknown bool
+	// PreviousSettled is set if the holder in the epoch Previous is known to have terminated, see
+	// Config.HasTerminated, and had told that it was settled.
+	PreviousSettled bool
 	Guard           store.Cond // true until another process acquires the lease; every write under this term must include it
 }
 
@@ -107,6 +114,7 @@
 type previous struct {
 	epoch   uint64 // 0: there was none
 	unknown bool   // a later holder may have been forgotten
+	settled bool   // it has terminated, and had told that it was settled
 }
 
 // Acquired returns a channel that is closed when this process next acquires the
@@ -124,6 +132,9 @@
 	if deps.Era == nil {
 		deps.Era = func() uint64 { return 0 }
 	}
+	if deps.Settled == nil {
+		deps.Settled = func(uint64) bool { return false }
+	}
 	if deps.Now == nil {
 		deps.Now = time.Now
 	}
@@ -159,7 +170,7 @@
 	if l.held == nil || l.cfg.Policy.Remaining(*l.held, l.deps.Now()) <= 0 {
 		return Term{}, false
 	}
-	return Term{Epoch: l.held.Record.Epoch, Previous: l.previous.epoch, PreviousUnknown: l.previous.unknown, Guard: store.Cond{Key: l.grantKey(decide.EraOfEpoch(l.held.Record.Epoch)), Version: l.held.Rows.Grant}}, true
+	return Term{Epoch: l.held.Record.Epoch, Previous: l.previous.epoch, PreviousUnknown: l.previous.unknown, PreviousSettled: l.previous.settled, Guard: store.Cond{Key: l.grantKey(decide.EraOfEpoch(l.held.Record.Epoch)), Version: l.held.Rows.Grant}}, true
 }
 
 // Check returns nil if an action that takes at most need may be started now
@@ -211,14 +222,14 @@
 func (l *Lease) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, _, _, err := l.read(ctx)
+	_, _, err := l.read(ctx)
 	return err
 }
 
 func (l *Lease) campaign(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, record, observed, err := l.read(ctx)
+	is, observed, err := l.read(ctx)
 	if err != nil {
 		return retryDelay
 	}
@@ -226,14 +237,14 @@
 	if d.Action != decide.Acquire {
 		return d.Wait
 	}
-	return l.acquire(ctx, rows, d.Next, previous{record.Epoch, observed.MayBeForgotten()})
+	return l.acquire(ctx, is.rows, d.Next, previous{is.record.Epoch, observed.MayBeForgotten(), is.settled && l.hasTerminated(is.record.Holder)})
 }
 
 // acquire writes a grant and returns the wait until the next step.
 func (l *Lease) acquire(ctx context.Context, rows decide.Rows, next decide.Record, before previous) time.Duration {
 	start, era := l.deps.Now(), decide.EraOfEpoch(next.Epoch)
 	v, err := store.CommitResolved(ctx, l.deps.Table, store.Txn{Op: uuid.NewString(), Conds: l.conds(rows, era),
-		Writes: []store.Write{{Key: l.grantKey(era), Value: next.Encode()}, {Key: l.heartbeatKey(era)}}})
+		Writes: []store.Write{{Key: l.grantKey(era), Value: next.Encode()}, {Key: l.heartbeatKey(era), Value: heartbeat(before.settled)}}})
 	if err != nil || store.EraOf(v) != era {
 		// Another candidate won, or the outcome is unknown, or the store was restored
 		// before it took effect. An acquisition that takes effect later names this
@@ -254,7 +265,7 @@
 func (l *Lease) reacquire(ctx context.Context, held decide.Held) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Policy.Remaining(held, l.deps.Now()))
 	defer cancel()
-	rows, _, observed, err := l.read(ctx)
+	is, observed, err := l.read(ctx)
 	if err != nil {
 		return retryDelay
 	}
@@ -263,7 +274,7 @@
 		l.lose("taken over", false)
 		return retryDelay
 	}
-	return l.acquire(ctx, rows, next, previous{held.Record.Epoch, false})
+	return l.acquire(ctx, is.rows, next, previous{epoch: held.Record.Epoch})
 }
 
 func (l *Lease) observe(rows decide.Rows, record decide.Record) decide.Observed {
@@ -320,7 +331,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Policy.Remaining(held, from))
 	defer cancel()
 	v, err := store.CommitResolved(ctx, l.deps.Table, store.Txn{Op: uuid.NewString(),
-		Conds: l.conds(held.Rows, era), Writes: []store.Write{{Key: l.heartbeatKey(era)}}})
+		Conds: l.conds(held.Rows, era), Writes: []store.Write{{Key: l.heartbeatKey(era), Value: heartbeat(l.deps.Settled(held.Record.Epoch))}}})
 	switch {
 	case err == nil && store.EraOf(v) == era:
 		held.Rows.Heartbeat, held.TTLStart = v, from
@@ -356,39 +367,56 @@
 }
 
 // read reads the rows of the newest era and records them as observed.
-func (l *Lease) read(ctx context.Context) (decide.Rows, decide.Record, decide.Observed, error) {
+func (l *Lease) read(ctx context.Context) (lastRead, decide.Observed, error) {
 	for {
 		era := l.deps.Era()
-		rows, record, err := l.readRows(ctx, era)
+		is, err := l.readRows(ctx, era)
 		if err != nil {
-			return rows, record, decide.Observed{}, err
+			return is, decide.Observed{}, err
 		}
 		if l.deps.Era() == era { // else the answer told of a newer one
-			return rows, record, l.observe(rows, record), nil
+			return is, l.observe(is.rows, is.record), nil
 		}
 	}
 }
 
-func (l *Lease) readRows(ctx context.Context, era uint64) (decide.Rows, decide.Record, error) {
-	var versions decide.Rows
+// lastRead is what the rows of a lease say.
+type lastRead struct {
+	rows    decide.Rows
+	record  decide.Record
+	settled bool // its holder is settled
+}
+
+// settledMark is the value of the heartbeat row of a holder that is settled.
+const settledMark = "settled"
+
+// heartbeat returns the value of the heartbeat row of a holder.
+func heartbeat(settled bool) []byte {
+	if !settled {
+		return nil
+	}
+	return []byte(settledMark)
+}
+
+func (l *Lease) readRows(ctx context.Context, era uint64) (is lastRead, err error) {
 	rows, err := l.deps.Table.Get(ctx, l.grantKey(era), l.heartbeatKey(era))
 	if err != nil {
-		return versions, decide.Record{}, err
+		return is, err
 	}
 	var value []byte
 	for _, r := range rows {
 		if r.Key == l.grantKey(era) {
-			versions.Grant, value = r.Version, r.Value
+			is.rows.Grant, value = r.Version, r.Value
 		} else {
-			versions.Heartbeat = r.Version
+			is.rows.Heartbeat, is.settled = r.Version, string(r.Value) == settledMark
 		}
 	}
-	record, err := decide.Decode(value)
-	if err == nil && versions.Grant != store.Absent && record.Epoch == 0 {
+	is.record, err = decide.Decode(value)
+	if err == nil && is.rows.Grant != store.Absent && is.record.Epoch == 0 {
 		err = errNoEpoch
 	}
-	l.tellCorrupt(versions.Grant, err)
-	return versions, record, err
+	l.tellCorrupt(is.rows.Grant, err)
+	return is, err
 }
 
 // tellCorrupt tells that the record of a version cannot be read, at once and then once in
--- a/node/lease/lease_test.go
+++ b/node/lease/lease_test.go
@@ -361,6 +361,64 @@
 	})
 }
 
+// Guards against a process that does not know whether its host's former one still had to wait, and
+// against one that waits for nothing.
+func TestASuccessorOnTheSameHostLearnsWhetherItsFormerProcessWasSettled(t *testing.T) {
+	for _, settled := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tb := standin.NewTable()
+			first := startProcess(t, tb, "host 1", "", settled)
+			time.Sleep(policy.TTL) // it renews
+			first.kill()
+			for n, former := 2, "host 1"; n < 4; n++ { // each is killed before it renews
+				next := startProcess(t, tb, fmt.Sprint("host ", n), former, false)
+				synctest.Wait()
+				assert.Equal(t, next.term(t).PreviousSettled, settled)
+				next.kill()
+				former = fmt.Sprint("host ", n)
+			}
+			other := startProcess(t, tb, "other", "", false)
+			time.Sleep(2 * policy.TTL)
+			assert.Assert(t, !other.term(t).PreviousSettled, "that was another host")
+			other.kill()
+		})
+	}
+}
+
+// process is a process that takes part in a lease until it is killed.
+type process struct {
+	*lease.Lease
+	gate  *gate
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// startProcess starts one, whose host's former process was the holder former, if any.
+func startProcess(t *testing.T, tb store.Table, holder, former string, settled bool) *process {
+	ctx, stop := context.WithCancel(t.Context())
+	p := &process{gate: &gate{}, stop: stop, ended: make(chan struct{})}
+	p.Lease = lease.New(lease.Config{Name: "r", Holder: holder, Policy: policy, HasTerminated: func(h string) bool { return former != "" && h == former }},
+		lease.Deps{Table: gatedTable{tb, p.gate}, Settled: func(uint64) bool { return settled }})
+	go func() { defer close(p.ended); _ = p.Run(ctx) }()
+	return p
+}
+
+func (p *process) term(t *testing.T) lease.Term {
+	t.Helper()
+	term, ok := p.Term()
+	assert.Assert(t, ok)
+	return term
+}
+
+// kill ends the process without a word: what it still writes fails.
+func (p *process) kill() {
+	p.gate.set(true)
+	p.stop()
+	time.Sleep(time.Minute) // the time of its release
+	p.gate.set(false)
+	<-p.ended
+}
+
 // Symptom: during a store outage all hosts decide by themselves and query the
 // store. Sequence: the holder cannot renew, and nobody else can acquire the
 // lease. Cause: the last holder does not know that it was the last holder.
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1137,5 +1137,17 @@
 try "a target is written as it is" node/upstream/conn/target.go \
   'if r.Target == "" {' 'if true {' ./node/gate -run 'RouteIsThat'
 try "a target does not end its line" node/upstream/conn/target.go \
-  "if b <= ' ' || b == 0x7f {" 'if false {' ./node/upstream/conn -run 'TargetWithBlanks'
+  "if b <= ' ' || b == 0x7f {" "if b <= ' ' && b > ' ' {" ./node/upstream/conn -run 'TargetWithBlanks'
+try "a restarted holder waits as its former process had to" node/coordinator/handover.go \
+  'case t.PreviousSettled && c.succeedsItself(t):' 'case c.succeedsItself(t):' ./node/coordinator -run 'RestartedHoldersNeverOverlap'
+try "a holder is settled when no upstream is to be waited for" node/coordinator/handover.go \
+  'if !o.own && now.Before(o.at.Add(c.cfg.QuietPeriod)) {
+			return false' 'if !o.own && now.Before(o.at) {
+			return false' ./node/coordinator -run 'RestartedHolder'
+try "a restarted holder does not know its former process's orders" node/coordinator/handover.go \
+  'now, now, now.Add(c.cfg.QuietPeriod) //' 'now, now, now //' ./node/coordinator -run 'RestartedHolder'
+try "a renewal tells that its holder is settled" node/lease/lease.go \
+  'Value: heartbeat(l.deps.Settled(held.Record.Epoch))}}})' '}}})' ./node/lease -run 'WasSettled'
+try "only a former process of the host counts as settled" node/lease/lease.go \
+  'is.settled && l.hasTerminated(is.record.Holder)' 'is.settled' ./node/lease -run 'WasSettled'
 exit $missed
