Answers that wait for their callers take memory from one budget

Cause: each answer is held whole, up to 1 MiB, until its caller has read the last byte, and nothing bounded the sum.

Answers take blocks from a budget of 0.3 of the memory and give them back as they are written; what finds no room is passed on as its caller reads. serve's answers take from the same kind of budget, and the one for claims is of that type now.

--- a/node/connlimit/machine.go
+++ b/node/connlimit/machine.go
@@ -12,6 +12,8 @@
 	// clientMemoryShare and peerMemoryShare are the shares of the memory that unfinished
 	// requests may take. What is dead and not collected yet takes about as much again.
 	clientMemoryShare, peerMemoryShare = 0.25, 0.05
+	// responseMemoryShare is the share of the memory for answers that wait for their clients.
+	responseMemoryShare = 0.3
 	// connMemoryShare is the share of the memory for connections, each of which takes connKB
 	// with its buffers and its goroutine.
 	connMemoryShare, connKB = 0.2, 32
@@ -21,6 +23,8 @@
 	// minClientBytes holds the largest usual body, and the next one; minPeerBytes the usual messages of
 	// some hosts.
 	minClientBytes, minPeerBytes = 8 << 20, 2 << 20
+	// minResponseBytes holds some of the largest answers that are held whole.
+	minResponseBytes = 4 << 20
 	// minConns is the number of connections that any machine takes.
 	minConns = 16
 )
@@ -46,6 +50,15 @@
 // ForPeers returns the bounds for the listener of the deployment's own hosts.
 func (m Machine) ForPeers() Config { return m.config(peerMemoryShare, minPeerBytes) }
 
+// ForResponses returns how many bytes answers may take that wait for their clients to read them;
+// 0: any number.
+func (m Machine) ForResponses() int64 {
+	if m.MemoryMB == 0 {
+		return 0
+	}
+	return max(int64(float64(m.MemoryMB)*(1<<20)*responseMemoryShare), minResponseBytes)
+}
+
 func (m Machine) config(memoryShare float64, minBytes int64) Config {
 	if m.MemoryMB == 0 {
 		return Config{}
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"peridotpier.example/core/outcome"
 	"peridotpier.example/core/retry"
 	"peridotpier.example/core/route"
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/upstream/conn"
@@ -54,6 +55,9 @@
 	// NotifyDemand, if not nil, is called for each request for a model that is
 	// resident at no upstream.
 	NotifyDemand func(pool string, key route.ModelKey)
+	// ResponseMemory is what answers may take together that wait for their callers to read
+	// them. nil: it is not bounded.
+	ResponseMemory *bytebudget.Budget
 }
 
 // Dispatcher sends requests to upstreams.
@@ -63,7 +67,7 @@
 	upstreams *UpstreamClient
 	lengths   *answerLengths
 
-	retainBudget retainBudget
+	retainBudget *bytebudget.Budget // of answers that are retained for claims
 
 	mu     sync.Mutex // guards budget
 	budget *retry.Budget
@@ -83,7 +87,7 @@
 	if cfg.RetainBudgetBytes == 0 {
 		cfg.RetainBudgetBytes = defaultRetainBudget
 	}
-	return &Dispatcher{cfg: cfg, deps: deps, retainBudget: retainBudget{max: cfg.RetainBudgetBytes}, upstreams: NewUpstreamClient(deps.Client), lengths: newAnswerLengths(),
+	return &Dispatcher{cfg: cfg, deps: deps, retainBudget: bytebudget.New(cfg.RetainBudgetBytes), upstreams: NewUpstreamClient(deps.Client), lengths: newAnswerLengths(),
 		budget: retry.NewBudget(cfg.RetryShare)}
 }
 
@@ -101,7 +105,7 @@
 // outcome of a request under a claim is recorded before Do returns.
 func (d *Dispatcher) Do(ctx context.Context, w *Work, sink Sink) error {
 	claimed := w.Claim != nil
-	out := &output{sink: sink, retain: claimed, maxRetained: w.MaxRetainedBytes, budget: &d.retainBudget, detached: claimed}
+	out := &output{sink: sink, retain: claimed, maxRetained: w.MaxRetainedBytes, budget: d.retainBudget, detached: claimed}
 	r := &execution{d: d, w: w, out: out,
 		retries: retry.NewRequest(retry.Config{}, w.Repeatable, w.Deadline),
 		route: route.Request{Pool: w.Pool, Key: w.Key, PlainService: w.PlainService, Class: w.Class, Prefix: w.Prefix,
--- a/node/dispatch/forward.go
+++ b/node/dispatch/forward.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"peridotpier.example/core/fault"
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/metrics"
 	"peridotpier.example/node/upstream/conn"
@@ -56,35 +57,50 @@
 	return a.forwardUnstreamed(resp)
 }
 
-// forwardUnstreamed buffers an answer up to maxBufferedAnswer and forwards the
-// remainder as it arrives.
+// forwardUnstreamed buffers an answer up to maxBufferedAnswer, as far as there is memory for it,
+// and forwards the remainder as it arrives.
 func (a *attempt) forwardUnstreamed(resp *conn.Response) error {
 	body := bodyOf(resp)
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedAnswer))
+	buffered, err := a.d.deps.ResponseMemory.Read(body, resp.Length, maxBufferedAnswer)
+	defer buffered.Release() // of what is not written
 	if err != nil {
 		resp.Abort()
 		return a.brokenAnswerError(err)
 	}
 	h := a.responseHead(resp)
 	h.EndsWithConn = resp.Framing == conn.ByConnection
-	more := len(buffered) == maxBufferedAnswer
+	more := !buffered.Whole
 	if !more {
 		resp.Finish()
-		if n := completionTokens(buffered); n > 0 && !a.w.PlainService {
-			a.recordLength(n)
-		}
+		a.recordCompletion(buffered)
 		if !h.EndsWithConn {
-			h.Header.Set("Content-Length", strconv.Itoa(len(buffered)))
+			h.Header.Set("Content-Length", strconv.Itoa(buffered.Len()))
 		}
 	}
 	a.out.start(h)
-	if err := a.out.write(buffered); err != nil || !more {
+	if _, err := buffered.WriteTo(outputWriter{a.out}); err != nil || !more {
 		resp.Abort() // no effect after Finish
 		return err
 	}
 	return a.forwardRemainder(resp, body)
 }
 
+// recordCompletion records the length of a model's answer.
+func (a *attempt) recordCompletion(answer *bytebudget.Body) {
+	if a.w.PlainService {
+		return
+	}
+	if n := completionTokens(answer.Bytes()); n > 0 {
+		a.recordLength(n)
+	}
+}
+
+// outputWriter writes to an output.
+type outputWriter struct{ out *output }
+
+// Write implements io.Writer.
+func (w outputWriter) Write(p []byte) (int, error) { return len(p), w.out.write(p) }
+
 // forwardRemainder forwards the rest of an answer's body.
 func (a *attempt) forwardRemainder(resp *conn.Response, body io.Reader) error {
 	buf := make([]byte, 32<<10)
--- a/node/dispatch/output.go
+++ b/node/dispatch/output.go
@@ -4,10 +4,10 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/bytebudget"
 	nodeclaim "peridotpier.example/node/claim"
 )
 
@@ -17,8 +17,8 @@
 	started     bool // the head was written: no other attempt may answer
 	retain      bool
 	maxRetained int64
-	budget      *retainBudget
-	detached    bool // the request continues after its caller has disconnected
+	budget      *bytebudget.Budget // of answers that are retained
+	detached    bool               // the request continues after its caller has disconnected
 	callerGone  bool
 	head        Head
 	retained    []byte
@@ -48,7 +48,7 @@
 // retainBytes retains p for the claim, unless the answer exceeds its own maximum
 // or the host's budget for all answers.
 func (o *output) retainBytes(p []byte) {
-	if int64(len(o.retained)+len(p)) > o.maxRetained || !o.budget.reserve(len(p)) {
+	if int64(len(o.retained)+len(p)) > o.maxRetained || !o.budget.Reserve(len(p)) {
 		o.releaseRetained()
 		o.overflow = true
 		return
@@ -59,29 +59,11 @@
 // releaseRetained drops the retained answer and returns its bytes to the budget.
 func (o *output) releaseRetained() {
 	if len(o.retained) > 0 {
-		o.budget.release(len(o.retained))
+		o.budget.Release(len(o.retained))
 	}
 	o.retained = nil
 }
 
-// retainBudget bounds the bytes of answers that a host retains for claims while
-// their requests run. Without it, many large answers at the same time would
-// exhaust the memory of a small host.
-type retainBudget struct {
-	used atomic.Int64
-	max  int64
-}
-
-func (b *retainBudget) reserve(n int) bool {
-	if b.used.Add(int64(n)) <= b.max {
-		return true
-	}
-	b.release(n)
-	return false
-}
-
-func (b *retainBudget) release(n int) { b.used.Add(-int64(n)) }
-
 func (o *output) flush() error {
 	if o.callerGone {
 		return nil
--- a/node/gate/attempt.go
+++ b/node/gate/attempt.go
@@ -16,6 +16,7 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/fault"
 	"peridotpier.example/core/outcome"
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
@@ -223,7 +224,8 @@
 }
 
 // maxBufferedBytes is the largest response that is buffered completely before its
-// first byte goes to the caller. Until then a broken response can be replaced.
+// first byte goes to the caller, if there is memory for it. Until then a broken response can be
+// replaced.
 const maxBufferedBytes = 1 << 20
 
 // forwardBuffered forwards a response that is not a stream.
@@ -235,8 +237,9 @@
 	if replaceable && resp.SetReadDeadline(time.Now().Add(failureBodyWait)) != nil {
 		return q.responseBroken(ctx, a, resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if replaceable && ctx.Err() == nil && (errors.Is(err, os.ErrDeadlineExceeded) || len(body) > maxBufferedBytes) {
+	body, err := q.g.deps.ResponseMemory.Read(resp.Body, resp.Length, maxBufferedBytes+1)
+	q.heldResponses = append(q.heldResponses, body)
+	if replaceable && ctx.Err() == nil && (errors.Is(err, os.ErrDeadlineExceeded) || err == nil && !body.Whole) {
 		resp.Abort()
 		a.Answered(true)
 		return result{why: whyFailed(resp)}
@@ -244,7 +247,7 @@
 	if err != nil {
 		return q.responseBroken(ctx, a, resp)
 	}
-	if len(body) > maxBufferedBytes {
+	if !body.Whole {
 		if q.started {
 			return q.rejectResponse(a, resp, whyStatus(resp)) // cannot continue a stream
 		}
@@ -262,6 +265,15 @@
 	return q.deliver(resp, body)
 }
 
+// releaseResponses gives back the memory of responses that were held. The caller has them by
+// then, or as much as it will get.
+func (q *request) releaseResponses() {
+	for _, body := range q.heldResponses {
+		body.Release()
+	}
+	q.heldResponses = nil
+}
+
 // failureBodyWait is how long the body of a failed response is awaited that a retry may
 // replace: its head says that it failed, and the body is needed only if there is no retry.
 const failureBodyWait = 100 * time.Millisecond
@@ -274,13 +286,14 @@
 // whyFailed is why an attempt is over whose response is a failure.
 func whyFailed(resp *conn.Response) string { return "failed_" + strconv.Itoa(resp.Status) }
 
-// forwardLarge forwards a response that is too large to buffer.
-func (q *request) forwardLarge(ctx context.Context, a exchange, resp *conn.Response, head []byte) result {
+// forwardLarge forwards a response that is too large to buffer, or for which there is no memory
+// left, as fast as its caller reads; head is what has been read of it.
+func (q *request) forwardLarge(ctx context.Context, a exchange, resp *conn.Response, head *bytebudget.Body) result {
 	q.copyHeaders(resp)
 	q.setFraming(resp, resp.Length)
 	q.writeHead(resp.Status)
 	q.started, q.unresumable = true, true
-	_, err := q.write(head)
+	_, err := head.WriteTo(callerWriter{q})
 	if err == nil {
 		_, err = io.Copy(callerWriter{q}, resp.Body)
 	}
@@ -331,15 +344,15 @@
 func whyStatus(resp *conn.Response) string { return "status_" + strconv.Itoa(resp.Status) }
 
 // deliver forwards a buffered response unchanged.
-func (q *request) deliver(resp *conn.Response, body []byte) result {
+func (q *request) deliver(resp *conn.Response, body *bytebudget.Body) result {
 	if q.started {
 		return result{why: whyStatus(resp)} // a stream cannot be continued with this response
 	}
 	q.copyHeaders(resp)
-	q.setFraming(resp, int64(len(body)))
+	q.setFraming(resp, int64(body.Len()))
 	q.writeHead(resp.Status)
 	if q.r.Method != http.MethodHead {
-		if _, err := q.write(body); err != nil {
+		if _, err := body.WriteTo(callerWriter{q}); err != nil {
 			q.callerLeft()
 		}
 	}
--- a/node/gate/gate.go
+++ b/node/gate/gate.go
@@ -17,6 +17,7 @@
 	"peridotpier.example/core/deploy"
 	"peridotpier.example/core/poison"
 	"peridotpier.example/core/quota"
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/event"
 	"peridotpier.example/node/fleet"
 	"peridotpier.example/node/follow"
@@ -126,8 +127,11 @@
 	// RetainBody accounts for bytes of a body that are held after its request has ended, until
 	// release is called. nil: nothing is accounted for.
 	RetainBody func(bytes int64) (release func())
-	Now        func() time.Time
-	Rand       func() float64 // returns a value in [0, 1)
+	// ResponseMemory is what responses may take together that wait for their callers to read
+	// them. nil: it is not bounded.
+	ResponseMemory *bytebudget.Budget
+	Now            func() time.Time
+	Rand           func() float64 // returns a value in [0, 1)
 }
 
 // Gate serves routed requests.
@@ -202,6 +206,7 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeUp)
 	defer cancel()
 	defer q.refundCharge()
+	defer q.releaseResponses()
 	ctx, stop := context.WithCancelCause(ctx)
 	if g.deps.StopContext.Err() != nil {
 		stop(errStopping) // before anything is sent
@@ -278,10 +283,11 @@
 	lastRefusal      refusal         // of the newest attempt
 	statedSlowdown   float64         // that lastUpstream stated on its answer; 0: none
 	adapterRequests  int
-	resumeBackoff    time.Duration  // last delay before another attempt to resume a started response
-	loggedReason     balance.Reason // last reason for waiting that was logged
-	retryScheduled   bool           // the coordinator named the caller's own time to return
-	deliverFailed    func()         // delivers a failed response that a retry may replace; nil: there is none
+	resumeBackoff    time.Duration      // last delay before another attempt to resume a started response
+	loggedReason     balance.Reason     // last reason for waiting that was logged
+	retryScheduled   bool               // the coordinator named the caller's own time to return
+	heldResponses    []*bytebudget.Body // responses in memory, until the request ends
+	deliverFailed    func()             // delivers a failed response that a retry may replace; nil: there is none
 
 	retryBlockedBy string // which bound prevents another attempt; "": none did
 	forwardedBytes int64  // bytes of a response that were written to the caller's connection
--- a/node/host/clients.go
+++ b/node/host/clients.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"time"
 
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/connlimit"
+	"peridotpier.example/node/metrics"
 )
 
 // Bounds of a request for one of the host's own pages, and of an idle connection.
@@ -15,9 +17,21 @@
 	pageIdleTimeout = time.Minute // longer than the balancer and scrapers of metrics wait between two requests
 )
 
+// machine returns what the process may use.
+func (h *Host) machine() connlimit.Machine {
+	return connlimit.Machine{MemoryMB: h.settings.Limits.MemoryMB, Descriptors: h.settings.Limits.Descriptors}
+}
+
+// newResponseMemory returns the budget of answers that wait for their callers.
+func (h *Host) newResponseMemory() *bytebudget.Budget {
+	b := bytebudget.New(h.machine().ForResponses())
+	h.deps.Metrics.SetFunc(metrics.ResponseBytes, func() any { return b.Used() })
+	return b
+}
+
 // limitClients creates the bounds of what clients and other hosts can make the process hold.
 func (h *Host) limitClients() {
-	machine := connlimit.Machine{MemoryMB: h.settings.Limits.MemoryMB, Descriptors: h.settings.Limits.Descriptors}
+	machine := h.machine()
 	report := connlimit.Report(h.deps.Log, h.deps.Metrics)
 	clients, peers := machine.ForClients(), machine.ForPeers()
 	clients.OnClosed, peers.OnClosed = report, report
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -115,7 +115,7 @@
 	h.link.Quarantine = h.guard
 	h.crashes = quarantine.NewCrashDetector(quarantine.CrashDetectorDeps{NotListening: h.hasTerminated, OnCrash: h.recordCrash, Log: d.Log, Metrics: d.Metrics})
 	h.gate = gate.New(gate.Deps{HoldLimitContext: released, StopContext: aborted, Config: h.config, Fleet: h.fleet, Client: d.Client, Codec: d.Platform.Codec, Coordinator: h.link, TeamLimits: h.link, CrashRecorder: h.crashes, PoisonGuard: h.guard, Origins: h.link,
-		RetryBudget: gate.NewRetryBudget(repeatPolicy(set), h.link), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, RejectsNew: h.closing.Load, DisconnectReason: disconnectReason, BodyRefused: connlimit.Refused, RetainBody: func(bytes int64) func() { return h.clients.Retain(bytes) },
+		RetryBudget: gate.NewRetryBudget(repeatPolicy(set), h.link), Log: d.Log, Metrics: d.Metrics, Draining: h.draining.Load, RejectsNew: h.closing.Load, DisconnectReason: disconnectReason, BodyRefused: connlimit.Refused, ResponseMemory: h.newResponseMemory(), RetainBody: func(bytes int64) func() { return h.clients.Retain(bytes) },
 		Detour: h.detour(), HostName: set.Host, LendLimit: lendLimit(set.Limits)})
 	h.limitMemory()
 	return h, h.listen()
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -113,6 +113,7 @@
 	CallersAccepted     Name = "caller_connections_accepted_total"
 	ClientsRefused      Name = "client_connections_refused_total"           // for want of room, by listener and by what ran out
 	ClientConns         Name = "client_connections"                         // open now, by listeners
+	ResponseBytes       Name = "response_bytes_held"                        // of answers that wait for their callers to read them
 	ClientBytes         Name = "client_bytes_held"                          // of unfinished requests, by listeners
 	CallersClosed       Name = "caller_connections_closed_total"            // by reason, or by the state in which the connection was closed
 	CallersUnanswered   Name = "caller_connections_closed_unanswered_total" // by reason: with a request begun and not answered
--- a/node/server/listener.go
+++ b/node/server/listener.go
@@ -11,9 +11,11 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"peridotpier.example/node/bytebudget"
 	"peridotpier.example/node/connlimit"
 	"peridotpier.example/node/drain"
 	"peridotpier.example/node/event"
+	"peridotpier.example/node/metrics"
 )
 
 const (
@@ -53,9 +55,21 @@
 	return l, nil
 }
 
+// machine returns what the process may use.
+func (s *Server) machine() connlimit.Machine {
+	return connlimit.Machine{MemoryMB: s.cfg.Settings.Bounds.MemoryMB}
+}
+
+// newResponseMemory returns the budget of answers that wait for their callers.
+func (s *Server) newResponseMemory() *bytebudget.Budget {
+	b := bytebudget.New(s.machine().ForResponses())
+	s.metrics.SetFunc(metrics.ResponseBytes, func() any { return b.Used() })
+	return b
+}
+
 // limitClients creates the bounds of what clients and other hosts can make the process hold.
 func (s *Server) limitClients() {
-	machine := connlimit.Machine{MemoryMB: s.cfg.Settings.Bounds.MemoryMB}
+	machine := s.machine()
 	report := connlimit.Report(s.log, s.metrics)
 	clients, peers := machine.ForClients(), machine.ForPeers()
 	clients.OnClosed, peers.OnClosed = report, report
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -159,7 +159,7 @@
 		picker = route.New(route.Config{})
 	}
 	s.dispatch = dispatch.New(dispatch.Config{IdleBeforeProbe: set.Bounds.IdleBeforeProbe(), RetryShare: set.Bounds.RetryShare},
-		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics, NotifyDemand: s.cfg.Policy.NotifyDemand})
+		dispatch.Deps{View: s.view, Picker: picker, Client: s.client, Log: s.log, Metrics: s.metrics, NotifyDemand: s.cfg.Policy.NotifyDemand, ResponseMemory: s.newResponseMemory()})
 	s.poller.OnReport = s.publishReport
 	s.demand = demand.New(s.cfg.Demand)
 	s.admit = admission.New(admission.Config{Hosts: 1})
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1150,4 +1150,10 @@
   'Value: heartbeat(l.deps.Settled(held.Record.Epoch))}}})' '}}})' ./node/lease -run 'WasSettled'
 try "only a former process of the host counts as settled" node/lease/lease.go \
   'is.settled && l.hasTerminated(is.record.Holder)' 'is.settled' ./node/lease -run 'WasSettled'
+try "answers in memory are bounded in sum" node/bytebudget/bytebudget.go \
+  'if !b.budget.Reserve(size) {' 'if !b.budget.Reserve(size) && false {' ./node/bytebudget -run 'NeverTakeMore|SmallBody'
+try "what is written of an answer is given back" node/bytebudget/bytebudget.go \
+  'b.budget.Release(size)' '' ./node/bytebudget -run 'NeverTakeMore'
+try "a host bounds the answers that wait" node/host/host.go \
+  'ResponseMemory: h.newResponseMemory(), ' '' ./platform -run 'TestSlowReaders'
 exit $missed
