--- a/scripts/landing.sh
+++ b/scripts/landing.sh
@@ -24,8 +24,8 @@
 wanted() { # name; the words of the command line
   local name=$1 word
   shift
-  [ $# -eq 0 ] && return
-  for word in "$@"; do case $name in *"$word"*) return ;; esac; done
+  [ $# -eq 0 ] && return 0
+  for word in "$@"; do case $name in *"$word"*) return 0 ;; esac; done
   return 1
 }
 
